--- /dev/null
+++ b/src/leverjunction/config/common.py
@@ -0,0 +1,40 @@
+"""Configuration that gateway and control processes share."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field
+
+
+class ListenConfig(BaseModel):
+    """Addresses of one process, by IP number."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    host: str = Field(default="127.0.0.1", description="IP number to listen on")
+    http_port: int = Field(ge=0, le=65535, description="callers' or operators' HTTP port")
+    rpc_port: int = Field(ge=0, le=65535, description="internal RPC port")
+
+
+class LogConfig(BaseModel):
+    """Logging of one process."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    level: str = Field(default="INFO", description="loguru level")
+    json_lines: bool = Field(default=False, description="one JSON object a line")
+
+
+class ProcessConfig(BaseModel):
+    """What every process needs to know before it starts."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    name: str = Field(min_length=1, description="unique name of this process")
+    region: str = Field(min_length=1)
+    zone: str = Field(min_length=1)
+    listen: ListenConfig
+    cluster_key_file: Path = Field(description="file holding the cluster's shared secret")
+    data_folder: Path = Field(description="folder for this process's files")
+    log: LogConfig = LogConfig()
--- /dev/null
+++ b/src/leverjunction/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' settings tree: schema, inheritance, and replicated change."""
--- /dev/null
+++ b/src/leverjunction/wire/codec.py
@@ -0,0 +1,64 @@
+"""Typed JSON bodies of internal messages (msgspec checks the types while it decodes)."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from leverjunction.errors import Failure, FailureKind, Step
+
+T = TypeVar("T")
+
+_ENCODER = msgspec.json.Encoder()
+
+
+class FailureReply(msgspec.Struct, frozen=True, tag="failure"):
+    """Body of a reply that carries a failure."""
+
+    failure: Failure
+
+
+class ResultReply(msgspec.Struct, frozen=True, tag="result"):
+    """Body of a reply that carries an encoded result."""
+
+    result: msgspec.Raw
+
+
+_REPLY_DECODER = msgspec.json.Decoder(FailureReply | ResultReply)
+
+
+def encode(message: object) -> bytes:
+    """Return the JSON bytes of a typed message."""
+    return _ENCODER.encode(message)
+
+
+def decode(body: bytes, message_type: type[T], peer: str = "") -> T | Failure:
+    """Decode a typed message, or return a failure that names the field at fault."""
+    try:
+        return msgspec.json.decode(body, type=message_type)
+    except msgspec.MsgspecError as error:
+        return Failure(
+            kind=FailureKind.CORRUPT,
+            reason=f"not a {getattr(message_type, '__name__', message_type)}: {error}",
+            step=Step.DECODING,
+            peer=peer,
+        )
+
+
+def encode_reply(result: object) -> bytes:
+    """Return the bytes of a reply: a result, or a failure."""
+    if isinstance(result, Failure):
+        return encode(FailureReply(failure=result))
+    return encode(ResultReply(result=msgspec.Raw(encode(result))))
+
+
+def decode_reply(body: bytes, result_type: type[T], peer: str = "") -> T | Failure:
+    """Decode a reply into its result, or into the failure that it carries."""
+    try:
+        reply = _REPLY_DECODER.decode(body)
+    except msgspec.MsgspecError as error:
+        return Failure(kind=FailureKind.CORRUPT, reason=str(error), step=Step.DECODING, peer=peer)
+    if isinstance(reply, FailureReply):
+        return reply.failure
+    return decode(bytes(reply.result), result_type, peer)
--- /dev/null
+++ b/src/leverjunction/wire/envelope.py
@@ -0,0 +1,128 @@
+"""The construct envelope around every internal message, authenticated by the cluster key.
+
+Layout (big-endian): magic ``LVJN``, protocol version, message kind, length-prefixed group name,
+sender incarnation, length-prefixed body, HMAC-SHA256 of all that precedes it (RFC 2104).
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from enum import IntEnum
+
+import msgspec
+from construct import (
+    Bytes,
+    Const,
+    ConstructError,
+    GreedyBytes,
+    Int8ub,
+    Int16ub,
+    Int32ub,
+    Int64ub,
+    PascalString,
+    Prefixed,
+    Struct,
+)
+
+from leverjunction.errors import Failure, FailureKind, Step
+
+MAGIC = b"LVJN"
+PROTOCOL_VERSION = 1
+HMAC_BYTES = 32
+
+
+class MessageKind(IntEnum):
+    """Kind of an internal message; decides which endpoint handles it."""
+
+    REPLY = 0
+    RAFT = 1
+    SNAPSHOT_CHUNK = 2
+    PROPOSE = 3
+    QUERY = 4
+    EXCHANGE = 5
+    YIELD_NOTICE = 6
+    STATUS = 7
+    REPLICA_IDENTITY = 8
+
+
+_ENVELOPE = Struct(
+    "magic" / Const(MAGIC),
+    "version" / Int8ub,
+    "kind" / Int16ub,
+    "group" / PascalString(Int8ub, "utf8"),
+    "incarnation" / Int64ub,
+    "body" / Prefixed(Int32ub, GreedyBytes),
+).compile()
+
+_TAG = Struct("tag" / Bytes(HMAC_BYTES))
+
+
+class Envelope(msgspec.Struct, frozen=True, kw_only=True):
+    """One internal message before encoding.
+
+    Attributes:
+        kind: What the body is.
+        group: Consensus group the message belongs to, empty when it belongs to none.
+        incarnation: Start time of the sending process, in milliseconds since the Unix epoch.
+        body: Encoded message.
+    """
+
+    kind: MessageKind
+    group: str = ""
+    incarnation: int = 0
+    body: bytes = b""
+
+
+def encode_envelope(envelope: Envelope, cluster_key: bytes) -> bytes:
+    """Return the authenticated bytes of ``envelope``."""
+    unsigned = _ENVELOPE.build(
+        {
+            "version": PROTOCOL_VERSION,
+            "kind": int(envelope.kind),
+            "group": envelope.group,
+            "incarnation": envelope.incarnation,
+            "body": envelope.body,
+        }
+    )
+    return bytes(unsigned + hmac.digest(cluster_key, unsigned, hashlib.sha256))
+
+
+def decode_envelope(data: bytes, cluster_key: bytes, peer: str) -> Envelope | Failure:
+    """Check and decode an envelope.
+
+    Args:
+        data: Bytes as received.
+        cluster_key: Secret shared by all processes of the cluster.
+        peer: Address of the sender, for the failure.
+
+    Returns:
+        The envelope, or a failure when it is not authentic or not well formed.
+    """
+    unsigned, tag = data[:-HMAC_BYTES], data[-HMAC_BYTES:]
+    if not hmac.compare_digest(hmac.digest(cluster_key, unsigned, hashlib.sha256), tag):
+        return Failure(
+            kind=FailureKind.UNAUTHENTICATED,
+            reason="message is not signed with this cluster's key; compare cluster_key_file",
+            step=Step.DECODING,
+            peer=peer,
+        )
+    try:
+        parsed = _ENVELOPE.parse(unsigned)
+        kind = MessageKind(parsed.kind)
+    except (ConstructError, ValueError) as error:
+        return _malformed(str(error), peer)
+    if parsed.version != PROTOCOL_VERSION:
+        return _malformed(f"protocol version {parsed.version}, want {PROTOCOL_VERSION}", peer)
+    return Envelope(
+        kind=kind, group=parsed.group, incarnation=parsed.incarnation, body=bytes(parsed.body)
+    )
+
+
+def _malformed(reason: str, peer: str) -> Failure:
+    return Failure(
+        kind=FailureKind.CORRUPT,
+        reason=f"malformed message: {reason}",
+        step=Step.DECODING,
+        peer=peer,
+    )
--- /dev/null
+++ b/src/leverjunction/wire/rpc_client.py
@@ -0,0 +1,107 @@
+"""Client side of the internal RPC: one POST a call, over pooled urllib3 connections."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import urllib3
+
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.wire.codec import decode_reply, encode
+from leverjunction.wire.envelope import Envelope, MessageKind, decode_envelope, encode_envelope
+
+T = TypeVar("T")
+
+RPC_PATH = "/rpc"
+CONNECT_TIMEOUT_S = 0.5
+DEFAULT_TIMEOUT_S = 2.0
+CONNECTIONS_PER_PEER = 8
+
+
+class RpcClient:
+    """Calls other processes of the cluster. Safe to share between threads.
+
+    A call never retries: whether a repeat is allowed is the caller's decision.
+    """
+
+    def __init__(self, cluster_key: bytes, incarnation: int) -> None:
+        self._cluster_key = cluster_key
+        self._incarnation = incarnation
+        self._pool = urllib3.PoolManager(
+            num_pools=512, maxsize=CONNECTIONS_PER_PEER, block=False, retries=False
+        )
+
+    def call(
+        self,
+        peer: str,
+        kind: MessageKind,
+        message: object,
+        result_type: type[T],
+        *,
+        group: str = "",
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> T | Failure:
+        """Send a typed message to ``peer`` (``host:port``) and wait for its typed reply.
+
+        Returns:
+            The result; or the peer's own failure; or a failure of step CONNECTING (the peer
+            received nothing) or RESPONDING (the peer may have acted).
+        """
+        body = self.call_raw(peer, kind, encode(message), group=group, timeout_s=timeout_s)
+        if isinstance(body, Failure):
+            return body
+        return decode_reply(body, result_type, peer)
+
+    def call_raw(
+        self,
+        peer: str,
+        kind: MessageKind,
+        body: bytes,
+        *,
+        group: str = "",
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> bytes | Failure:
+        """Send encoded bytes to ``peer`` and return the bytes of the reply's body."""
+        envelope = Envelope(kind=kind, group=group, incarnation=self._incarnation, body=body)
+        timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        try:
+            response = self._pool.request(
+                "POST",
+                f"http://{peer}{RPC_PATH}",
+                body=encode_envelope(envelope, self._cluster_key),
+                headers={"Content-Type": "application/octet-stream"},
+                timeout=timeout,
+                redirect=False,
+            )
+        except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
+            return _unreachable(peer, e)
+        except urllib3.exceptions.HTTPError as error:
+            return _no_answer(peer, error)
+        if response.status != 200:
+            return _no_answer(peer, f"HTTP status {response.status}")
+        reply = decode_envelope(response.data, self._cluster_key, peer)
+        return reply if isinstance(reply, Failure) else reply.body
+
+    def close(self) -> None:
+        """Close all pooled connections."""
+        self._pool.clear()
+
+
+def _unreachable(peer: str, error: object) -> Failure:
+    return Failure(
+        kind=FailureKind.UNREACHABLE,
+        reason=f"no connection: {error}",
+        step=Step.CONNECTING,
+        peer=peer,
+        execution=Execution.NOT_RUN,
+    )
+
+
+def _no_answer(peer: str, error: object) -> Failure:
+    return Failure(
+        kind=FailureKind.TIMEOUT,
+        reason=f"no usable answer: {error}",
+        step=Step.RESPONDING,
+        peer=peer,
+        execution=Execution.UNKNOWN,
+    )
--- /dev/null
+++ b/src/testbed/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Package; see its modules."""
