--- a/src/leverjunction/api/__init__.py
+++ b/src/leverjunction/api/__init__.py
@@ -1,1 +1,1 @@
-"""Package; see its modules."""
+"""HTTP handlers for callers and their OpenAI-compatible shapes."""
--- /dev/null
+++ b/src/leverjunction/api/auth.py
@@ -0,0 +1,69 @@
+"""Authentication of callers by API key and of operators by token."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Mapping
+from typing import Protocol
+
+from leverjunction.errors import Failure, FailureKind, Step
+
+BEARER_PREFIX = "Bearer "
+
+
+class RequestLike(Protocol):
+    """The part of ``cherrypy.request`` that authentication reads."""
+
+    headers: Mapping[str, str]
+
+
+class TenantLookup(Protocol):
+    """The part of the resolved settings that knows the tenants' keys."""
+
+    def tenant_for_key(self, raw_key: str) -> str | None:
+        """Return the tenant that owns a key, or None."""
+        ...
+
+
+def bearer_token(request: RequestLike) -> str | None:
+    """Return the bearer token of a request, or None when it carries none."""
+    header = request.headers.get("Authorization") or ""
+    if not header.startswith(BEARER_PREFIX):
+        return None
+    return header[len(BEARER_PREFIX) :].strip() or None
+
+
+def authenticate(request: RequestLike, settings: TenantLookup) -> str | Failure:
+    """Return the tenant that a request's bearer key names.
+
+    Called by every handler before it reads the body.
+
+    Args:
+        request: ``cherrypy.request``.
+        settings: Resolved settings in force.
+    """
+    key = bearer_token(request)
+    if key is None:
+        return _unauthenticated("no API key; send it as 'Authorization: Bearer KEY'")
+    tenant = settings.tenant_for_key(key)
+    if tenant is None:
+        return _unauthenticated("this API key is not known")
+    return tenant
+
+
+def authenticate_operator(request: RequestLike, token: str | None) -> Failure | None:
+    """Return None when a request carries the operators' token, or else the refusal."""
+    given = bearer_token(request)
+    if token is None:
+        return Failure(
+            kind=FailureKind.FORBIDDEN,
+            reason="no operator_token_file is configured in this process",
+            step=Step.AUTHENTICATION,
+        )
+    if given is None or not hmac.compare_digest(given.encode(), token.encode()):
+        return _unauthenticated("the operators' token is missing or wrong")
+    return None
+
+
+def _unauthenticated(reason: str) -> Failure:
+    return Failure(kind=FailureKind.UNAUTHENTICATED, reason=reason, step=Step.AUTHENTICATION)
--- a/src/leverjunction/backends/__init__.py
+++ b/src/leverjunction/backends/__init__.py
@@ -1,1 +1,1 @@
-"""Package; see its modules."""
+"""Client of the engine protocol (docs/BACKENDS.md)."""
--- /dev/null
+++ b/src/leverjunction/backends/client.py
@@ -0,0 +1,242 @@
+"""Client of the engine protocol over pooled urllib3 connections."""
+
+from __future__ import annotations
+
+import msgspec
+import urllib3
+
+from leverjunction.backends.stream import EngineStream
+from leverjunction.backends.types import EngineCall, LoadReport, Order, OrderOutcome
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.settings.commands import Fence
+from leverjunction.wire.codec import decode, encode
+
+CONNECT_TIMEOUT_S = 0.5
+LOAD_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 5.0
+CANCEL_TIMEOUT_S = 1.0
+CONNECTIONS_PER_ENGINE = 64
+MAX_ENGINES = 2048
+
+REQUEST_ID_HEADER = "X-Request-Id"
+ATTEMPT_HEADER = "X-Attempt"
+PRIORITY_HEADER = "X-Priority"
+LAST_EVENT_ID_HEADER = "Last-Event-ID"
+MONITOR_REQUEST_ID = "monitor"
+
+
+class _PlainConnection(urllib3.connection.HTTPConnection):
+    """Asks in HTTP/1.0: the answer carries no transfer coding and ends with the connection."""
+
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
+class _PlainPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _PlainConnection
+
+
+class _FenceRefusal(msgspec.Struct, frozen=True):
+    fence: Fence
+
+
+class EngineClient:
+    """Calls engines. Safe to share between threads; never retries by itself."""
+
+    def __init__(self) -> None:
+        self._pool = _new_pool()
+        self._plain_pool = _new_pool()
+        self._plain_pool.pool_classes_by_scheme = {"http": _PlainPool}
+
+    def open(self, call: EngineCall) -> EngineStream | Failure:
+        """Send a request (or a resume) and return its answer once the head has arrived.
+
+        Returns:
+            The answer, whatever its status; or a failure of step CONNECTING (the engine received
+            nothing), SENDING or RESPONDING (the engine may have run it).
+        """
+        method = "POST" if call.last_event_id is None else "GET"
+        path = call.path if call.last_event_id is None else _stream_path(call.request_id)
+        headers = _headers(call.request_id, call.attempt)
+        headers[PRIORITY_HEADER] = str(call.priority)
+        if call.last_event_id is not None:
+            headers[LAST_EVENT_ID_HEADER] = call.last_event_id
+        response = self._request(
+            self._plain_pool if call.raw_stream else self._pool,
+            method,
+            call.address,
+            path,
+            call.body if method == "POST" else None,
+            headers,
+            call.timeout_s,
+        )
+        if isinstance(response, Failure):
+            return response
+        mismatch = _mismatch(response, call.request_id, call.attempt, call.address)
+        if mismatch is not None:
+            _discard(response)
+            return mismatch
+        return EngineStream(response, call.address)
+
+    def cancel(self, address: str, request_id: str) -> Failure | None:
+        """Cancel a request at its engine; cancelling an unknown one succeeds."""
+        body = self._exchange(
+            "DELETE", address, f"/v1/requests/{request_id}", request_id, None, CANCEL_TIMEOUT_S
+        )
+        if isinstance(body, Failure):
+            return body
+        if body[0] >= 500:
+            return _bad_status(address, body[0], body[1])
+        return None
+
+    def load(self, address: str, timeout_s: float = LOAD_TIMEOUT_S) -> LoadReport | Failure:
+        """Read an engine's load report."""
+        body = self._exchange("GET", address, "/load", MONITOR_REQUEST_ID, None, timeout_s)
+        if isinstance(body, Failure):
+            return body
+        if body[0] != 200:
+            return _bad_status(address, body[0], body[1])
+        return decode(body[1], LoadReport, address)
+
+    def order(self, address: str, order: Order) -> OrderOutcome | Failure:
+        """Send a fenced order; the outcome says whether the engine accepted it."""
+        body = self._exchange(
+            "POST", address, "/orders", order.order_id, encode(order), ORDER_TIMEOUT_S
+        )
+        if isinstance(body, Failure):
+            return body
+        status, data = body
+        if status == 409:
+            refusal = decode(data, _FenceRefusal, address)
+            highest = None if isinstance(refusal, Failure) else refusal.fence
+            return OrderOutcome(
+                accepted=False, status_code=status, highest_fence=highest, reason="fenced"
+            )
+        reason = "" if status < 300 else data[:200].decode("utf8", "replace")
+        return OrderOutcome(accepted=status < 300, status_code=status, reason=reason)
+
+    def health(self, address: str, timeout_s: float = LOAD_TIMEOUT_S) -> bool:
+        """Return whether an engine says that it can take work."""
+        body = self._exchange("GET", address, "/health", MONITOR_REQUEST_ID, None, timeout_s)
+        return not isinstance(body, Failure) and body[0] == 200
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pool.clear()
+        self._plain_pool.clear()
+
+    def _exchange(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        request_id: str,
+        body: bytes | None,
+        timeout_s: float,
+    ) -> tuple[int, bytes] | Failure:
+        """Send a small call and return the status and body of its answer."""
+        headers = _headers(request_id, 1)
+        response = self._request(self._pool, method, address, path, body, headers, timeout_s)
+        if isinstance(response, Failure):
+            return response
+        mismatch = _mismatch(response, request_id, 1, address)
+        if mismatch is not None:
+            _discard(response)
+            return mismatch
+        data = EngineStream(response, address).read_all()
+        return data if isinstance(data, Failure) else (response.status, data)
+
+    def _request(
+        self,
+        pool: urllib3.PoolManager,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        timeout_s: float,
+    ) -> urllib3.BaseHTTPResponse | Failure:
+        timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        try:
+            return pool.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers=headers | {"Host": address},
+                timeout=timeout,
+                preload_content=False,
+                decode_content=False,
+                redirect=False,
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return Failure(
+                kind=FailureKind.UNREACHABLE,
+                reason=f"no connection to the back end: {error}",
+                step=Step.CONNECTING,
+                peer=address,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            # The request may have been sent in part or whole: the engine may have run it.
+            return Failure(
+                kind=FailureKind.BACKEND_FAILED,
+                reason=f"no answer from the back end: {error}",
+                step=Step.RESPONDING,
+                peer=address,
+                execution=Execution.UNKNOWN,
+            )
+
+
+def _new_pool() -> urllib3.PoolManager:
+    return urllib3.PoolManager(
+        num_pools=MAX_ENGINES, maxsize=CONNECTIONS_PER_ENGINE, block=False, retries=False
+    )
+
+
+def _headers(request_id: str, attempt: int) -> dict[str, str]:
+    return {
+        "Content-Type": "application/json",
+        REQUEST_ID_HEADER: request_id,
+        ATTEMPT_HEADER: str(attempt),
+    }
+
+
+def _stream_path(request_id: str) -> str:
+    return f"/v1/requests/{request_id}/stream"
+
+
+def _mismatch(
+    response: urllib3.BaseHTTPResponse, request_id: str, attempt: int, address: str
+) -> Failure | None:
+    """Return a failure when an answer belongs to another request or attempt."""
+    got_id = response.headers.get(REQUEST_ID_HEADER)
+    got_attempt = response.headers.get(ATTEMPT_HEADER)
+    if got_id == request_id and got_attempt == str(attempt):
+        return None
+    return Failure(
+        kind=FailureKind.BACKEND_MISMATCH,
+        reason=(
+            f"answer is for request {got_id} attempt {got_attempt}, "
+            f"want {request_id} attempt {attempt}; dropped it"
+        ),
+        step=Step.RESPONDING,
+        peer=address,
+        execution=Execution.UNKNOWN,
+    )
+
+
+def _discard(response: urllib3.BaseHTTPResponse) -> None:
+    """Drop an answer and close its connection, so that nothing later is read from it."""
+    response.close()
+
+
+def _bad_status(address: str, status: int, body: bytes) -> Failure:
+    return Failure(
+        kind=FailureKind.BACKEND_FAILED,
+        reason=f"the back end answered HTTP {status}: {body[:200].decode('utf8', 'replace')}",
+        step=Step.RESPONDING,
+        peer=address,
+        execution=Execution.UNKNOWN,
+    )
--- a/src/leverjunction/observability/__init__.py
+++ b/src/leverjunction/observability/__init__.py
@@ -1,1 +1,1 @@
-"""Package; see its modules."""
+"""Counters, logs and records of decisions."""
