Job state machine: upload, leases, exactly-once results, cancel, deadlines, claims

Payloads and small state rows are kept in separate tables; counters live in the job row; pending items have a queue table of their own, so grants, completions and a cancel never scan items. AcceptJob states count, hash and terms, since an upload is streamed; DiscardJob frees its key.

--- a/src/leverjunction/batch/commands.py
+++ b/src/leverjunction/batch/commands.py
@@ -90,9 +90,42 @@
 
 
 class AcceptJob(msgspec.Struct, frozen=True, tag="accept_job"):
-    """Accept an open job once all of its items are committed. Reply: JobView."""
+    """Accept an open job once all of its items are committed. Reply: JobView.
+
+    A job is uploaded as a stream, so the gateway knows the count and the hash only at its end:
+    ``OpenJob`` may leave both empty, and they are stated (and checked) here. Terms that are left
+    at their defaults stay as the job was opened.
+
+    Attributes:
+        job_id: The job.
+        item_count: Number of items of the whole upload; 0 takes the spec's.
+        content_hash: ``items_hash`` over all items; empty takes the spec's.
+        batch_class: Batch class, when it is known only now.
+        deadline_ms: Deadline, when it is known only now.
+        may_repeat: Whether items may run more than once, when it is known only now.
+    """
 
     job_id: str
+    item_count: int = 0
+    content_hash: str = ""
+    batch_class: str = ""
+    deadline_ms: int = 0
+    may_repeat: bool | None = None
+
+
+class DiscardJob(msgspec.Struct, frozen=True, tag="discard_job"):
+    """Drop an open job whose upload was refused or given up; its key is free again.
+
+    A job that was accepted is left as it is. Reply: Discarded.
+    """
+
+    job_id: str
+
+
+class Discarded(msgspec.Struct, frozen=True, kw_only=True):
+    """Reply to DiscardJob: whether an open job was dropped."""
+
+    dropped: bool
 
 
 class CancelJob(msgspec.Struct, frozen=True, tag="cancel_job"):
@@ -332,6 +365,7 @@
     OpenJob
     | AppendItems
     | AcceptJob
+    | DiscardJob
     | CancelJob
     | GrantLease
     | CompleteItems
--- /dev/null
+++ b/src/leverjunction/batch/job_queries.py
@@ -0,0 +1,150 @@
+"""Reads of the job state machine."""
+
+from __future__ import annotations
+
+import sqlite3
+
+from leverjunction.batch import pending
+from leverjunction.batch.commands import (
+    Backlog,
+    GetJob,
+    GetResults,
+    ItemState,
+    JobState,
+    JobView,
+    ListJobs,
+    ResultLine,
+    ResultPage,
+)
+from leverjunction.batch.job_rows import JobRow, job_by_id, job_not_found, newest_jobs
+from leverjunction.batch.tables import row_key, split_key
+from leverjunction.errors import Failure
+
+MAX_PAGE_LINES = 2_000
+MAX_PAGE_BYTES = 4_000_000
+MAX_LISTED_JOBS = 1_000
+
+_STORED = """
+SELECT result.result_key, result.item_index, item.custom_id, result.state, result.status_code,
+    result.body
+FROM sm_results AS result JOIN sm_items AS item ON item.item_key = ? + result.item_index
+WHERE result.result_key > ? AND result.result_key < ? ORDER BY result.result_key LIMIT ?
+"""
+
+_UNFINISHED = """
+SELECT item.item_key, item.custom_id
+FROM sm_items AS item LEFT JOIN sm_item_states AS state USING (item_key)
+WHERE item.item_key >= ? AND item.item_key < ? AND COALESCE(state.state, 'pending')
+    IN ('pending', 'leased')
+ORDER BY item.item_key LIMIT ?
+"""
+
+
+def get_job(connection: sqlite3.Connection, query: GetJob) -> JobView | Failure:
+    """Return one job."""
+    job = job_by_id(connection, query.job_id)
+    return job_not_found(query.job_id) if job is None else job.view()
+
+
+def list_jobs(connection: sqlite3.Connection, query: ListJobs) -> list[JobView]:
+    """Return the newest jobs of a tenant, or of all tenants."""
+    limit = max(0, min(query.limit, MAX_LISTED_JOBS))
+    return [job.view() for job in newest_jobs(connection, query.tenant, limit)]
+
+
+def get_results(connection: sqlite3.Connection, query: GetResults) -> ResultPage | Failure:
+    """Return a page of final items, bounded in lines and bytes.
+
+    Cursors 1 to ``stored_results`` are stored outcomes in the order of their commits. A job that
+    was cancelled or that expired goes on with its unfinished items: the item of index i has the
+    cursor ``stored_results + 1 + i``. That order is fixed, as a final job stores no more outcomes.
+    """
+    job = job_by_id(connection, query.job_id)
+    if job is None:
+        return job_not_found(query.job_id)
+    after = max(0, query.after)
+    limit = max(1, min(query.limit, MAX_PAGE_LINES))
+    lines = _stored_lines(connection, job, after, limit)
+    cursor = lines[-1].cursor if lines else after
+    if len(lines) < limit and cursor >= job.stored_results and job.is_final:
+        lines += _unfinished_lines(connection, job, cursor, limit - len(lines))
+        cursor = lines[-1].cursor if lines else after
+    return ResultPage(lines=lines, next_cursor=cursor, complete=_is_complete(job, cursor, lines))
+
+
+def get_backlog(connection: sqlite3.Connection) -> Backlog:
+    """Return pending items by service and the open leases of each owner."""
+    leases: dict[str, list[str]] = {}
+    rows = connection.execute(
+        "SELECT owner, lease_id FROM sm_leases WHERE open_items > 0 ORDER BY owner, number"
+    )
+    for owner, lease_id in rows:
+        leases.setdefault(owner, []).append(lease_id)
+    return Backlog(
+        pending_by_service=pending.pending_by_service(connection), leases_by_owner=leases
+    )
+
+
+def _stored_lines(
+    connection: sqlite3.Connection, job: JobRow, after: int, limit: int
+) -> list[ResultLine]:
+    rows = connection.execute(
+        _STORED,
+        (
+            row_key(job.number, 0),
+            row_key(job.number, min(after, job.stored_results)),
+            row_key(job.number + 1, 0),
+            limit,
+        ),
+    )
+    lines: list[ResultLine] = []
+    size = 0
+    for key, index, custom_id, state, status_code, body in rows:
+        line = ResultLine(
+            cursor=split_key(key)[1],
+            index=index,
+            custom_id=custom_id,
+            state=ItemState(state),
+            status_code=status_code,
+            body=body,
+        )
+        lines.append(line)
+        size += len(body)
+        if size >= MAX_PAGE_BYTES:
+            break
+    return lines
+
+
+def _unfinished_lines(
+    connection: sqlite3.Connection, job: JobRow, after: int, limit: int
+) -> list[ResultLine]:
+    """Return the items that the end of the job left without an outcome, in index order."""
+    if job.cancelled + job.expired == 0:
+        return []
+    state = ItemState.CANCELLED if job.state == JobState.CANCELLED else ItemState.EXPIRED
+    first_index = max(0, after - job.stored_results)
+    rows = connection.execute(
+        _UNFINISHED, (row_key(job.number, first_index), row_key(job.number + 1, 0), limit)
+    )
+    return [
+        ResultLine(
+            cursor=job.stored_results + 1 + split_key(key)[1],
+            index=split_key(key)[1],
+            custom_id=custom_id,
+            state=state,
+            status_code=0,
+            body="",
+        )
+        for key, custom_id in rows
+    ]
+
+
+def _is_complete(job: JobRow, cursor: int, lines: list[ResultLine]) -> bool:
+    if not job.is_final or cursor < job.stored_results:
+        return False
+    unfinished = job.cancelled + job.expired
+    if unfinished == 0:
+        return True
+    # The page ran out of unfinished items, or its last line is the job's last item.
+    exhausted = not lines and cursor > job.stored_results
+    return exhausted or cursor >= job.stored_results + job.received
--- /dev/null
+++ b/src/leverjunction/batch/job_rows.py
@@ -0,0 +1,160 @@
+"""The job row: loading, saving, its view, and the counters that decide when it is final."""
+
+from __future__ import annotations
+
+import sqlite3
+from dataclasses import dataclass, fields
+
+from leverjunction.batch.commands import JobSpec, JobState, JobView
+from leverjunction.errors import Failure, FailureKind, Step
+
+FINAL_JOB_STATES = frozenset({JobState.COMPLETED, JobState.CANCELLED, JobState.EXPIRED})
+
+
+@dataclass
+class JobRow:
+    """One row of ``sm_jobs``; changed in memory during a command, then saved once.
+
+    ``closed`` is set when no pending item may start any more (cancel or deadline, or final).
+    ``items_hash`` is the hash over the items received so far (``submission.items_hash``).
+    """
+
+    number: int
+    job_id: str
+    tenant: str
+    idempotency_key: str
+    content_hash: str
+    items_hash: str
+    service: str
+    batch_class: str
+    item_count: int
+    may_repeat: int
+    deadline_ms: int
+    state: str
+    created_ms: int
+    finished_ms: int = 0
+    closed: int = 0
+    received: int = 0
+    pending: int = 0
+    leased: int = 0
+    done: int = 0
+    failed: int = 0
+    unknown: int = 0
+    cancelled: int = 0
+    expired: int = 0
+    discarded: int = 0
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the job has reached a final state."""
+        return self.state in FINAL_JOB_STATES
+
+    @property
+    def stored_results(self) -> int:
+        """Number of stored outcomes, which is also the cursor of the last one."""
+        return self.done + self.failed + self.unknown
+
+    def finish_if_complete(self, wall_ms: int) -> None:
+        """Make an accepted job final when none of its items is pending or leased."""
+        if self.state != JobState.ACCEPTED or self.pending or self.leased:
+            return
+        self.state = JobState.EXPIRED if self.expired else JobState.COMPLETED
+        self.finished_ms = wall_ms
+        self.closed = 1
+
+    def view(self) -> JobView:
+        """Return the job as callers see it."""
+        spec = JobSpec(
+            job_id=self.job_id,
+            tenant=self.tenant,
+            idempotency_key=self.idempotency_key,
+            content_hash=self.content_hash,
+            service=self.service,
+            batch_class=self.batch_class,
+            item_count=self.item_count,
+            may_repeat=bool(self.may_repeat),
+            deadline_ms=self.deadline_ms,
+        )
+        return JobView(
+            spec=spec,
+            state=JobState(self.state),
+            created_ms=self.created_ms,
+            finished_ms=self.finished_ms,
+            received=self.received,
+            pending=self.pending,
+            leased=self.leased,
+            done=self.done,
+            failed=self.failed,
+            unknown=self.unknown,
+            cancelled=self.cancelled,
+            expired=self.expired,
+            discarded=self.discarded,
+        )
+
+
+_COLUMNS = tuple(field.name for field in fields(JobRow))
+_SELECT = f"SELECT {', '.join(_COLUMNS)} FROM sm_jobs"
+_INSERT = f"INSERT INTO sm_jobs ({', '.join(_COLUMNS)}) VALUES ({', '.join('?' for _ in _COLUMNS)})"
+_CHANGING = _COLUMNS[_COLUMNS.index("content_hash") :]
+_UPDATE = f"UPDATE sm_jobs SET {', '.join(f'{c} = ?' for c in _CHANGING)} WHERE number = ?"
+
+
+def insert_job(connection: sqlite3.Connection, job: JobRow) -> None:
+    """Insert a new row."""
+    connection.execute(_INSERT, [getattr(job, column) for column in _COLUMNS])
+
+
+def save_job(connection: sqlite3.Connection, job: JobRow) -> None:
+    """Write the changed columns of a loaded row."""
+    values = [getattr(job, column) for column in _CHANGING]
+    connection.execute(_UPDATE, [*values, job.number])
+
+
+def job_by_id(connection: sqlite3.Connection, job_id: str) -> JobRow | None:
+    """Return the job of this id, or None."""
+    row = connection.execute(f"{_SELECT} WHERE job_id = ?", (job_id,)).fetchone()
+    return None if row is None else JobRow(*row)
+
+
+def job_by_number(connection: sqlite3.Connection, number: int) -> JobRow:
+    """Return the job of this number, which must exist."""
+    return JobRow(*connection.execute(f"{_SELECT} WHERE number = ?", (number,)).fetchone())
+
+
+def job_by_key(connection: sqlite3.Connection, tenant: str, key: str) -> JobRow | None:
+    """Return the job that the tenant created under this idempotency key, or None."""
+    if not key:
+        return None
+    row = connection.execute(
+        f"{_SELECT} WHERE tenant = ? AND idempotency_key = ? AND idempotency_key != ''",
+        (tenant, key),
+    ).fetchone()
+    return None if row is None else JobRow(*row)
+
+
+def newest_jobs(connection: sqlite3.Connection, tenant: str, limit: int) -> list[JobRow]:
+    """Return the newest jobs of a tenant, or of all when ``tenant`` is empty."""
+    if tenant:
+        query, parameters = f"{_SELECT} WHERE tenant = ?", [tenant]
+    else:
+        query, parameters = _SELECT, []
+    rows = connection.execute(f"{query} ORDER BY number DESC LIMIT ?", [*parameters, limit])
+    return [JobRow(*row) for row in rows]
+
+
+def jobs_past_deadline(connection: sqlite3.Connection, wall_ms: int, limit: int) -> list[JobRow]:
+    """Return jobs that are not closed and whose deadline has passed, earliest first."""
+    rows = connection.execute(
+        f"{_SELECT} WHERE closed = 0 AND deadline_ms <= ? ORDER BY deadline_ms, number LIMIT ?",
+        (wall_ms, limit),
+    )
+    return [JobRow(*row) for row in rows]
+
+
+def job_not_found(job_id: str) -> Failure:
+    """Return the failure for a job that this group does not hold."""
+    return Failure(
+        kind=FailureKind.NOT_FOUND,
+        reason=f"no job {job_id!r}; list the jobs to see the ids",
+        step=Step.APPLYING,
+    )
--- /dev/null
+++ b/src/leverjunction/batch/leasing.py
@@ -0,0 +1,357 @@
+"""Granting and ending leases, and committing outcomes: each item becomes final exactly once."""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Iterator
+
+from leverjunction.batch import pending
+from leverjunction.batch.commands import (
+    CompletedItems,
+    CompleteItems,
+    ExpiredLeases,
+    ExpireLeases,
+    GrantLease,
+    ItemInput,
+    ItemResult,
+    ItemState,
+    JobState,
+    Lease,
+    LeasedItem,
+)
+from leverjunction.batch.job_rows import JobRow, job_by_id, job_by_number, save_job
+from leverjunction.batch.tables import row_key, split_key
+from leverjunction.consensus.api import ApplyContext
+
+LEASE_DURATION_S = 10.0
+"""How long a lease holds without renewal: ten exchanges may fail, yet a dead gateway's items
+run elsewhere before a caller of a batch would notice."""
+
+MAX_LEASE_ITEMS = 512
+MAX_LEASE_BYTES = 4_000_000
+"""Bounds of one grant's reply."""
+
+LEASE_LOST_BODY = '{"error":{"message":"the runner or its gateway was lost while the item ran; it \
+may not repeat","type":"outcome_unknown"}}'
+
+_FINAL_OUTCOMES = frozenset({ItemState.DONE, ItemState.FAILED, ItemState.UNKNOWN})
+
+
+class _Jobs:
+    """The job rows that one command touches: each is loaded once and saved once."""
+
+    def __init__(self, connection: sqlite3.Connection) -> None:
+        self._connection = connection
+        self._by_number: dict[int, JobRow] = {}
+        self._by_id: dict[str, JobRow | None] = {}
+
+    def by_number(self, number: int) -> JobRow:
+        job = self._by_number.get(number)
+        if job is None:
+            job = job_by_number(self._connection, number)
+            self._remember(job)
+        return job
+
+    def by_id(self, job_id: str) -> JobRow | None:
+        if job_id not in self._by_id:
+            job = job_by_id(self._connection, job_id)
+            self._by_id[job_id] = job
+            if job is not None:
+                self._remember(job)
+        return self._by_id[job_id]
+
+    def save(self, wall_ms: int) -> None:
+        for job in self._by_number.values():
+            job.finish_if_complete(wall_ms)
+            save_job(self._connection, job)
+
+    def _remember(self, job: JobRow) -> None:
+        job = self._by_number.setdefault(job.number, job)
+        self._by_id[job.job_id] = job
+
+
+def grant_lease(
+    connection: sqlite3.Connection, context: ApplyContext, command: GrantLease
+) -> Lease:
+    """Lease pending items to an owner, or repeat the grant of the same lease id."""
+    row = connection.execute(
+        "SELECT number FROM sm_leases WHERE lease_id = ?", (command.lease_id,)
+    ).fetchone()
+    if row is not None:
+        return _lease_reply(connection, command, list(_leased_items(connection, int(row[0]))))
+    (number,) = connection.execute("SELECT COALESCE(MAX(number), 0) + 1 FROM sm_leases").fetchone()
+    jobs = _Jobs(connection)
+    items = list(_choose_items(connection, command, number, jobs))
+    connection.execute(
+        """
+        INSERT INTO sm_leases (number, lease_id, owner, service, granted_ms, open_items)
+        VALUES (?, ?, ?, ?, ?, ?)
+        """,
+        (number, command.lease_id, command.owner, command.service, context.wall_ms, len(items)),
+    )
+    jobs.save(context.wall_ms)
+    return _lease_reply(connection, command, items)
+
+
+def complete_items(
+    connection: sqlite3.Connection, context: ApplyContext, command: CompleteItems
+) -> CompletedItems:
+    """Commit outcomes: the first final one of an item wins, all others are counted and dropped."""
+    jobs = _Jobs(connection)
+    lease = _lease_number(connection, command.lease_id)
+    accepted = 0
+    for result in command.results:
+        accepted += _commit_result(connection, jobs, lease, result)
+    if command.release:
+        _end_lease(connection, jobs, lease)
+    cancelled = sorted(
+        {
+            result.job_id
+            for result in command.results
+            if (job := jobs.by_id(result.job_id)) is not None and job.state == JobState.CANCELLED
+        }
+    )
+    jobs.save(context.wall_ms)
+    return CompletedItems(
+        accepted=accepted, discarded=len(command.results) - accepted, cancelled_jobs=cancelled
+    )
+
+
+def expire_leases(
+    connection: sqlite3.Connection, context: ApplyContext, command: ExpireLeases
+) -> ExpiredLeases:
+    """End leases whose holders did not renew: items return, or end as UNKNOWN."""
+    jobs = _Jobs(connection)
+    returned = 0
+    unknown = 0
+    for lease_id in command.lease_ids:
+        counts = _end_lease(connection, jobs, _lease_number(connection, lease_id))
+        returned += counts.returned
+        unknown += counts.unknown
+    jobs.save(context.wall_ms)
+    return ExpiredLeases(returned=returned, unknown=unknown)
+
+
+def _choose_items(
+    connection: sqlite3.Connection, command: GrantLease, lease: int, jobs: _Jobs
+) -> Iterator[LeasedItem]:
+    remaining = min(command.max_items, MAX_LEASE_ITEMS)
+    models = sorted(set(command.models))
+    # One lease serves several tenants in turn, so that a small tenant need not wait for the
+    # whole lease of a big one.
+    quantum = max(1, remaining // max(1, pending.tenants_in_service(connection, command.service)))
+    size = 0
+    while remaining > 0 and models and size < MAX_LEASE_BYTES:
+        tenant = pending.next_tenant(connection, command.service, models)
+        if tenant is None:
+            return
+        choice = pending.earliest_job(connection, command.service, models, tenant)
+        if choice is None:
+            return
+        job = jobs.by_number(choice[0])
+        indexes = pending.take_items(connection, job, choice[1], min(quantum, remaining))
+        remaining -= len(indexes)
+        for index in indexes:
+            item = _lease_item(connection, job, index, lease)
+            size += len(item.item.body)
+            yield item
+
+
+def _lease_item(connection: sqlite3.Connection, job: JobRow, index: int, lease: int) -> LeasedItem:
+    key = row_key(job.number, index)
+    (attempt,) = connection.execute(
+        """
+        INSERT INTO sm_item_states (item_key, state, attempt, lease) VALUES (?, ?, 1, ?)
+        ON CONFLICT DO UPDATE SET
+            state = excluded.state, attempt = attempt + 1, lease = excluded.lease
+        RETURNING attempt
+        """,
+        (key, ItemState.LEASED, lease),
+    ).fetchone()
+    job.pending -= 1
+    job.leased += 1
+    return _read_item(connection, job, index, attempt)
+
+
+def _read_item(connection: sqlite3.Connection, job: JobRow, index: int, attempt: int) -> LeasedItem:
+    row = connection.execute(
+        "SELECT custom_id, model, url, body FROM sm_items WHERE item_key = ?",
+        (row_key(job.number, index),),
+    ).fetchone()
+    return LeasedItem(
+        job_id=job.job_id,
+        index=index,
+        attempt=attempt,
+        tenant=job.tenant,
+        may_repeat=bool(job.may_repeat),
+        deadline_ms=job.deadline_ms,
+        item=ItemInput(*row),
+    )
+
+
+def _leased_items(connection: sqlite3.Connection, lease: int) -> Iterator[LeasedItem]:
+    """Yield the items that a lease still holds, for a resent grant."""
+    jobs = _Jobs(connection)
+    for key, attempt in _open_items(connection, lease):
+        number, index = split_key(key)
+        job = jobs.by_number(number)
+        if not job.is_final:
+            yield _read_item(connection, job, index, attempt)
+
+
+def _lease_reply(
+    connection: sqlite3.Connection, command: GrantLease, items: list[LeasedItem]
+) -> Lease:
+    return Lease(
+        lease_id=command.lease_id,
+        items=items,
+        duration_s=LEASE_DURATION_S,
+        pending=pending.pending_in_service(connection, command.service),
+    )
+
+
+def _commit_result(
+    connection: sqlite3.Connection, jobs: _Jobs, lease: int, result: ItemResult
+) -> bool:
+    """Apply one outcome; False when it is discarded."""
+    job = jobs.by_id(result.job_id)
+    if job is None:
+        return False
+    key = row_key(job.number, result.index)
+    row = connection.execute(
+        "SELECT state, attempt, lease FROM sm_item_states WHERE item_key = ?", (key,)
+    ).fetchone()
+    if row is None:
+        return _discard(job)
+    state, attempt, holder = row
+    holds = state == ItemState.LEASED and holder == lease and attempt == result.attempt
+    gives_back = result.state == ItemState.PENDING or (
+        # An unknown outcome of an item that may repeat is no outcome: it runs again.
+        result.state == ItemState.UNKNOWN and bool(job.may_repeat)
+    )
+    if gives_back:
+        return holds and _give_back(connection, job, key)
+    if job.is_final and holds:
+        # A cancelled job's items are counted already; only the lease lets go of this one.
+        _give_back(connection, job, key)
+    if job.is_final or state in _FINAL_OUTCOMES or result.state not in _FINAL_OUTCOMES:
+        return _discard(job)
+    if state == ItemState.PENDING:
+        _withdraw_pending(connection, job, result.index)
+    else:
+        job.leased -= 1
+        _release_hold(connection, holder)
+    _store_outcome(connection, job, key, result.state, result.status_code, result.body)
+    return True
+
+
+def _discard(job: JobRow) -> bool:
+    job.discarded += 1
+    return False
+
+
+def _store_outcome(
+    connection: sqlite3.Connection,
+    job: JobRow,
+    key: int,
+    state: ItemState,
+    status_code: int,
+    body: str,
+) -> None:
+    """Make an item final. The caller has taken it out of ``pending`` or ``leased``."""
+    connection.execute(
+        "UPDATE sm_item_states SET state = ?, lease = 0 WHERE item_key = ?", (state, key)
+    )
+    if state == ItemState.DONE:
+        job.done += 1
+    elif state == ItemState.FAILED:
+        job.failed += 1
+    else:
+        job.unknown += 1
+    connection.execute(
+        """
+        INSERT INTO sm_results (result_key, item_index, state, status_code, body)
+        VALUES (?, ?, ?, ?, ?)
+        """,
+        (row_key(job.number, job.stored_results), split_key(key)[1], state, status_code, body),
+    )
+
+
+def _withdraw_pending(connection: sqlite3.Connection, job: JobRow, index: int) -> None:
+    """Take an item that had returned to the queue out of it: a late result of it counts."""
+    if job.closed:
+        # The deadline closed the job, so the item was counted as expired when it returned.
+        job.expired -= 1
+        return
+    (model,) = connection.execute(
+        "SELECT model FROM sm_items WHERE item_key = ?", (row_key(job.number, index),)
+    ).fetchone()
+    pending.withdraw_item(connection, job, model, index)
+    job.pending -= 1
+
+
+def _give_back(connection: sqlite3.Connection, job: JobRow, key: int) -> bool:
+    """Return a leased item to the queue, or to nowhere when its job takes no more starts."""
+    (lease,) = connection.execute(
+        "SELECT lease FROM sm_item_states WHERE item_key = ?", (key,)
+    ).fetchone()
+    _release_hold(connection, lease)
+    connection.execute(
+        "UPDATE sm_item_states SET state = ?, lease = 0 WHERE item_key = ?",
+        (ItemState.PENDING, key),
+    )
+    if job.is_final:
+        return True
+    job.leased -= 1
+    if job.closed:
+        job.expired += 1
+        return True
+    job.pending += 1
+    index = split_key(key)[1]
+    (model,) = connection.execute(
+        "SELECT model FROM sm_items WHERE item_key = ?", (key,)
+    ).fetchone()
+    pending.return_items(connection, job, [(index, model)])
+    return True
+
+
+def _end_lease(connection: sqlite3.Connection, jobs: _Jobs, lease: int) -> ExpiredLeases:
+    """End a lease: items that may repeat return, others end as UNKNOWN (they may have run)."""
+    returned = 0
+    unknown = 0
+    for key, _attempt in _open_items(connection, lease):
+        job = jobs.by_number(split_key(key)[0])
+        if job.may_repeat or job.is_final:
+            _give_back(connection, job, key)
+            returned += 1
+        else:
+            job.leased -= 1
+            _release_hold(connection, lease)
+            _store_outcome(connection, job, key, ItemState.UNKNOWN, 0, LEASE_LOST_BODY)
+            unknown += 1
+    return ExpiredLeases(returned=returned, unknown=unknown)
+
+
+def _open_items(connection: sqlite3.Connection, lease: int) -> list[tuple[int, int]]:
+    rows = connection.execute(
+        """
+        SELECT item_key, attempt FROM sm_item_states
+        WHERE lease = ? AND lease > 0 ORDER BY item_key
+        """,
+        (lease,),
+    )
+    return [(int(key), int(attempt)) for key, attempt in rows]
+
+
+def _lease_number(connection: sqlite3.Connection, lease_id: str) -> int:
+    row = connection.execute(
+        "SELECT number FROM sm_leases WHERE lease_id = ?", (lease_id,)
+    ).fetchone()
+    # Number -1 holds nothing: results of a forgotten lease still count if they are first.
+    return -1 if row is None else int(row[0])
+
+
+def _release_hold(connection: sqlite3.Connection, lease: int) -> None:
+    connection.execute(
+        "UPDATE sm_leases SET open_items = open_items - 1 WHERE number = ?", (lease,)
+    )
--- /dev/null
+++ b/src/leverjunction/batch/submission.py
@@ -0,0 +1,275 @@
+"""Opening, filling, accepting, cancelling and discarding jobs."""
+
+from __future__ import annotations
+
+import hashlib
+import sqlite3
+
+import msgspec
+
+from leverjunction.batch import pending
+from leverjunction.batch.commands import (
+    AcceptJob,
+    AppendItems,
+    CancelJob,
+    Discarded,
+    DiscardJob,
+    ItemInput,
+    JobSpec,
+    JobState,
+    JobView,
+    OpenedJob,
+    OpenJob,
+)
+from leverjunction.batch.job_rows import (
+    JobRow,
+    insert_job,
+    job_by_id,
+    job_by_key,
+    job_not_found,
+    save_job,
+)
+from leverjunction.batch.tables import MAX_ITEMS_PER_JOB, row_key
+from leverjunction.consensus.api import ApplyContext
+from leverjunction.errors import Failure, FailureKind, Step
+
+MAX_CHUNK_ITEMS = 2_000
+MAX_DEADLINE_MS = 30 * 24 * 3600 * 1000
+"""A job's deadline is clamped to this long after it was opened."""
+
+
+def items_hash(previous: str, items: list[ItemInput]) -> str:
+    """Return the running hash over a job's items, in order.
+
+    The gateway computes it over the lines that it read, the state machine over the items that it
+    stored; an upload is accepted only when both agree.
+
+    Args:
+        previous: Hash over the items before these, empty at the start.
+        items: The next items.
+    """
+    for item in items:
+        digest = hashlib.sha256(previous.encode())
+        digest.update(msgspec.json.encode(item))
+        previous = digest.hexdigest()
+    return previous
+
+
+def open_job(
+    connection: sqlite3.Connection, context: ApplyContext, command: OpenJob
+) -> OpenedJob | Failure:
+    """Create a job, or return the one that the same tenant and key (or a resend) created."""
+    spec = command.spec
+    existing = job_by_id(connection, spec.job_id) or job_by_key(
+        connection, spec.tenant, spec.idempotency_key
+    )
+    if existing is not None:
+        return _reopen(existing, spec)
+    refusal = _check_spec(spec, context.wall_ms)
+    if refusal is not None:
+        return refusal
+    (number,) = connection.execute("SELECT COALESCE(MAX(number), 0) + 1 FROM sm_jobs").fetchone()
+    job = JobRow(
+        number=number,
+        job_id=spec.job_id,
+        tenant=spec.tenant,
+        idempotency_key=spec.idempotency_key,
+        content_hash=spec.content_hash,
+        items_hash="",
+        service=spec.service,
+        batch_class=spec.batch_class,
+        item_count=spec.item_count,
+        may_repeat=int(spec.may_repeat),
+        deadline_ms=min(spec.deadline_ms, context.wall_ms + MAX_DEADLINE_MS),
+        state=JobState.OPEN,
+        created_ms=context.wall_ms,
+    )
+    insert_job(connection, job)
+    return OpenedJob(job=job.view(), existed=False)
+
+
+def append_items(
+    connection: sqlite3.Connection, context: ApplyContext, command: AppendItems
+) -> JobView | Failure:
+    """Add a chunk of items; what is stored already is skipped, so a resend changes nothing."""
+    job = job_by_id(connection, command.job_id)
+    if job is None:
+        return job_not_found(command.job_id)
+    refusal = _check_chunk(job, command)
+    if refusal is not None:
+        return refusal
+    fresh = command.items[max(0, job.received - command.first_index) :]
+    if not fresh:
+        return job.view()
+    first = job.received
+    connection.executemany(
+        "INSERT INTO sm_items (item_key, custom_id, model, url, body) VALUES (?, ?, ?, ?, ?)",
+        [
+            (row_key(job.number, first + offset), item.custom_id, item.model, item.url, item.body)
+            for offset, item in enumerate(fresh)
+        ],
+    )
+    connection.executemany(
+        "INSERT INTO sm_pending (job, model, item_index) VALUES (?, ?, ?)",
+        [(job.number, item.model, first + offset) for offset, item in enumerate(fresh)],
+    )
+    job.received += len(fresh)
+    job.pending += len(fresh)
+    job.items_hash = items_hash(job.items_hash, fresh)
+    save_job(connection, job)
+    return job.view()
+
+
+def accept_job(
+    connection: sqlite3.Connection, context: ApplyContext, command: AcceptJob
+) -> JobView | Failure:
+    """Accept an open job when every item of the upload is committed."""
+    job = job_by_id(connection, command.job_id)
+    if job is None:
+        return job_not_found(command.job_id)
+    if job.state != JobState.OPEN:
+        return _accepted_before(job, command)
+    refusal = _check_acceptance(job, command)
+    if refusal is not None:
+        return refusal
+    job.item_count = job.received
+    job.content_hash = command.content_hash or job.content_hash
+    job.batch_class = command.batch_class or job.batch_class
+    job.deadline_ms = min(command.deadline_ms or job.deadline_ms, context.wall_ms + MAX_DEADLINE_MS)
+    if command.may_repeat is not None:
+        job.may_repeat = int(command.may_repeat)
+    job.state = JobState.ACCEPTED
+    pending.enqueue_job(connection, job)
+    save_job(connection, job)
+    return job.view()
+
+
+def cancel_job(
+    connection: sqlite3.Connection, context: ApplyContext, command: CancelJob
+) -> JobView | Failure:
+    """Cancel a job: from this entry on no item is granted and no late result counts.
+
+    The items keep their rows; a cancelled job's unfinished items *are* cancelled, which makes the
+    command cheap whatever the job's size (results list them after the stored outcomes).
+    """
+    job = job_by_id(connection, command.job_id)
+    if job is None:
+        return job_not_found(command.job_id)
+    if job.is_final:
+        return job.view()
+    if job.state == JobState.ACCEPTED:
+        pending.drop_job(connection, job)
+    else:
+        connection.execute("DELETE FROM sm_pending WHERE job = ?", (job.number,))
+    job.cancelled += job.pending + job.leased
+    job.pending = 0
+    job.leased = 0
+    job.state = JobState.CANCELLED
+    job.finished_ms = context.wall_ms
+    job.closed = 1
+    save_job(connection, job)
+    return job.view()
+
+
+def discard_job(
+    connection: sqlite3.Connection, context: ApplyContext, command: DiscardJob
+) -> Discarded:
+    """Drop an open job with its items, so that its key may be used again."""
+    job = job_by_id(connection, command.job_id)
+    if job is None or job.state != JobState.OPEN:
+        return Discarded(dropped=False)
+    delete_open_job(connection, job)
+    return Discarded(dropped=True)
+
+
+def delete_open_job(connection: sqlite3.Connection, job: JobRow) -> None:
+    """Delete all rows of an open job."""
+    connection.execute("DELETE FROM sm_pending WHERE job = ?", (job.number,))
+    connection.execute(
+        "DELETE FROM sm_items WHERE item_key >= ? AND item_key < ?",
+        (row_key(job.number, 0), row_key(job.number + 1, 0)),
+    )
+    connection.execute("DELETE FROM sm_jobs WHERE number = ?", (job.number,))
+
+
+def _reopen(job: JobRow, spec: JobSpec) -> OpenedJob | Failure:
+    same = not spec.content_hash or not job.content_hash or spec.content_hash == job.content_hash
+    if same and job.tenant == spec.tenant:
+        return OpenedJob(job=job.view(), existed=True)
+    return Failure(
+        kind=FailureKind.KEY_REUSED,
+        reason=f"idempotency key {spec.idempotency_key!r} belongs to job {job.job_id} with other "
+        "content; use a new key for new content",
+        step=Step.APPLYING,
+        detail=job.job_id,
+    )
+
+
+def _check_spec(spec: JobSpec, wall_ms: int) -> Failure | None:
+    if spec.item_count > MAX_ITEMS_PER_JOB or spec.item_count < 0:
+        return _bad_request(f"{spec.item_count} items, but a job holds at most {MAX_ITEMS_PER_JOB}")
+    if spec.deadline_ms <= wall_ms:
+        return _bad_request(f"the deadline {spec.deadline_ms} ms has passed already")
+    return None
+
+
+def _check_chunk(job: JobRow, command: AppendItems) -> Failure | None:
+    end = command.first_index + len(command.items)
+    if end <= job.received:
+        return None
+    if job.state != JobState.OPEN:
+        return Failure(
+            kind=FailureKind.CONFLICT,
+            reason=f"job {job.job_id} is {job.state} and takes no more items",
+            step=Step.APPLYING,
+        )
+    if command.first_index < 0 or command.first_index > job.received:
+        return Failure(
+            kind=FailureKind.CONFLICT,
+            reason=f"items start at {command.first_index}, but {job.received} are stored; "
+            "send the missing ones first",
+            step=Step.APPLYING,
+            detail=str(job.received),
+        )
+    limit = job.item_count or MAX_ITEMS_PER_JOB
+    if end > limit or len(command.items) > MAX_CHUNK_ITEMS:
+        return _bad_request(
+            f"items up to {end} in a chunk of {len(command.items)}, but the job holds {limit} "
+            f"and a chunk {MAX_CHUNK_ITEMS}"
+        )
+    return None
+
+
+def _check_acceptance(job: JobRow, command: AcceptJob) -> Failure | None:
+    expected = command.item_count or job.item_count
+    if expected == 0 or job.received != expected:
+        return Failure(
+            kind=FailureKind.CONFLICT,
+            reason=f"job {job.job_id} has {job.received} of {expected} items; a job needs all of "
+            "its items, and at least one, to be accepted",
+            step=Step.APPLYING,
+            detail=str(job.received),
+        )
+    if command.content_hash and command.content_hash != job.items_hash:
+        return Failure(
+            kind=FailureKind.KEY_REUSED,
+            reason=f"the items stored in job {job.job_id} are not the ones of this upload: "
+            "another upload used the same key; send it again with a new key",
+            step=Step.APPLYING,
+        )
+    return None
+
+
+def _accepted_before(job: JobRow, command: AcceptJob) -> JobView | Failure:
+    if command.content_hash and command.content_hash != job.content_hash:
+        return Failure(
+            kind=FailureKind.KEY_REUSED,
+            reason=f"job {job.job_id} was accepted with other content; use a new key",
+            step=Step.APPLYING,
+            detail=job.job_id,
+        )
+    return job.view()
+
+
+def _bad_request(reason: str) -> Failure:
+    return Failure(kind=FailureKind.BAD_REQUEST, reason=reason, step=Step.APPLYING)
--- /dev/null
+++ b/src/leverjunction/batch/tables.py
@@ -0,0 +1,164 @@
+"""Tables of the job state machine, and the integer keys of their rows.
+
+Inputs and results are kept apart from the small state rows, so that a change of state never
+rewrites a payload, and payloads are read from disk only when an item is leased or its result is
+read. A job's rows lie side by side because the job's number leads every key.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+
+INDEX_BITS = 20
+MAX_ITEMS_PER_JOB = (1 << INDEX_BITS) - 2
+"""Hard bound of the key layout; tenants' limits in the settings are lower."""
+
+_SCHEMA = (
+    # One row a job; counters are kept here so that no view or completion check scans items.
+    """
+    CREATE TABLE IF NOT EXISTS sm_jobs (
+        number INTEGER PRIMARY KEY,
+        job_id TEXT NOT NULL UNIQUE,
+        tenant TEXT NOT NULL,
+        idempotency_key TEXT NOT NULL,
+        content_hash TEXT NOT NULL,
+        items_hash TEXT NOT NULL,
+        service TEXT NOT NULL,
+        batch_class TEXT NOT NULL,
+        item_count INTEGER NOT NULL,
+        may_repeat INTEGER NOT NULL,
+        deadline_ms INTEGER NOT NULL,
+        state TEXT NOT NULL,
+        created_ms INTEGER NOT NULL,
+        finished_ms INTEGER NOT NULL,
+        closed INTEGER NOT NULL,
+        received INTEGER NOT NULL,
+        pending INTEGER NOT NULL,
+        leased INTEGER NOT NULL,
+        done INTEGER NOT NULL,
+        failed INTEGER NOT NULL,
+        unknown INTEGER NOT NULL,
+        cancelled INTEGER NOT NULL,
+        expired INTEGER NOT NULL,
+        discarded INTEGER NOT NULL
+    )
+    """,
+    """
+    CREATE UNIQUE INDEX IF NOT EXISTS sm_jobs_key ON sm_jobs (tenant, idempotency_key)
+    WHERE idempotency_key != ''
+    """,
+    "CREATE INDEX IF NOT EXISTS sm_jobs_tenant ON sm_jobs (tenant, number)",
+    # Jobs that a deadline can still change; ExpireDeadlines reads its head.
+    """
+    CREATE INDEX IF NOT EXISTS sm_jobs_deadline ON sm_jobs (deadline_ms)
+    WHERE closed = 0
+    """,
+    # Immutable inputs.
+    """
+    CREATE TABLE IF NOT EXISTS sm_items (
+        item_key INTEGER PRIMARY KEY,
+        custom_id TEXT NOT NULL,
+        model TEXT NOT NULL,
+        url TEXT NOT NULL,
+        body TEXT NOT NULL
+    )
+    """,
+    # Items that wait to be leased.
+    """
+    CREATE TABLE IF NOT EXISTS sm_pending (
+        job INTEGER NOT NULL,
+        model TEXT NOT NULL,
+        item_index INTEGER NOT NULL,
+        PRIMARY KEY (job, model, item_index)
+    ) WITHOUT ROWID
+    """,
+    # State of items that were leased at least once; an item without a row was never leased.
+    """
+    CREATE TABLE IF NOT EXISTS sm_item_states (
+        item_key INTEGER PRIMARY KEY,
+        state TEXT NOT NULL,
+        attempt INTEGER NOT NULL,
+        lease INTEGER NOT NULL
+    )
+    """,
+    """
+    CREATE INDEX IF NOT EXISTS sm_item_states_lease ON sm_item_states (lease) WHERE lease > 0
+    """,
+    # Accepted jobs with pending items, by model: what a grant chooses from.
+    """
+    CREATE TABLE IF NOT EXISTS sm_runnable (
+        service TEXT NOT NULL,
+        model TEXT NOT NULL,
+        tenant TEXT NOT NULL,
+        deadline_ms INTEGER NOT NULL,
+        job INTEGER NOT NULL,
+        pending INTEGER NOT NULL,
+        PRIMARY KEY (service, model, tenant, deadline_ms, job)
+    ) WITHOUT ROWID
+    """,
+    # Tenants with pending items in a service, and the share that each has been served.
+    """
+    CREATE TABLE IF NOT EXISTS sm_shares (
+        service TEXT NOT NULL,
+        tenant TEXT NOT NULL,
+        served INTEGER NOT NULL,
+        pending INTEGER NOT NULL,
+        PRIMARY KEY (service, tenant)
+    ) WITHOUT ROWID
+    """,
+    # Outcomes, keyed by the cursor in the order in which items became final.
+    """
+    CREATE TABLE IF NOT EXISTS sm_results (
+        result_key INTEGER PRIMARY KEY,
+        item_index INTEGER NOT NULL,
+        state TEXT NOT NULL,
+        status_code INTEGER NOT NULL,
+        body TEXT NOT NULL
+    )
+    """,
+    # Ended leases stay for a while, so that a late resend of a grant finds them ended.
+    """
+    CREATE TABLE IF NOT EXISTS sm_leases (
+        number INTEGER PRIMARY KEY,
+        lease_id TEXT NOT NULL UNIQUE,
+        owner TEXT NOT NULL,
+        service TEXT NOT NULL,
+        granted_ms INTEGER NOT NULL,
+        open_items INTEGER NOT NULL
+    )
+    """,
+    "CREATE INDEX IF NOT EXISTS sm_leases_open ON sm_leases (owner) WHERE open_items > 0",
+    "CREATE INDEX IF NOT EXISTS sm_leases_ended ON sm_leases (granted_ms) WHERE open_items = 0",
+    # At-most-once claims of online requests.
+    """
+    CREATE TABLE IF NOT EXISTS sm_claims (
+        tenant TEXT NOT NULL,
+        claim_key TEXT NOT NULL,
+        content_hash TEXT NOT NULL,
+        gateway TEXT NOT NULL,
+        attempt_id TEXT NOT NULL,
+        claimed_ms INTEGER NOT NULL,
+        finished INTEGER NOT NULL,
+        status_code INTEGER NOT NULL,
+        body TEXT NOT NULL,
+        PRIMARY KEY (tenant, claim_key)
+    )
+    """,
+    "CREATE INDEX IF NOT EXISTS sm_claims_age ON sm_claims (claimed_ms)",
+)
+
+
+def create_tables(connection: sqlite3.Connection) -> None:
+    """Create the missing tables and indexes."""
+    for statement in _SCHEMA:
+        connection.execute(statement)
+
+
+def row_key(job_number: int, position: int) -> int:
+    """Return the key of an item (``position`` is its index) or of a result (its cursor)."""
+    return (job_number << INDEX_BITS) | position
+
+
+def split_key(key: int) -> tuple[int, int]:
+    """Return the job number and the position of a key."""
+    return key >> INDEX_BITS, key & ((1 << INDEX_BITS) - 1)
