--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -44,6 +44,10 @@
     YIELD_NOTICE = 6
     STATUS = 7
     REPLICA_IDENTITY = 8
+    FORWARDED_PROPOSE = 9
+    FORWARDED_QUERY = 10
+    HUB_SYNC = 11
+    RENEW_LEASES = 12
 
 
 _ENVELOPE = Struct(
--- a/src/leverjunction/wire/messages.py
+++ b/src/leverjunction/wire/messages.py
@@ -27,9 +27,11 @@
     incarnation: int = 0
 
 
-class RunnerDigest(msgspec.Struct, frozen=True, kw_only=True):
+class RunnerDigest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """An owner gateway's last reading of a runner's load, shared through the hubs.
 
+    It is the most frequent part of an exchange, so it is encoded by position: 60 bytes for 130.
+
     Attributes:
         runner_id: The runner.
         running: Sequences in its batch, online and batch work together.
@@ -125,6 +127,7 @@
         cancelled_jobs: Jobs cancelled since the last exchange that the gateway may hold.
         hubs: RPC addresses of all hubs, nearest first, for fail-over.
         quorum_age_s: Seconds since this hub heard the leader of the root group.
+        job_groups: Number of job groups, ``jobs-0`` to ``jobs-(job_groups - 1)``.
     """
 
     settings_version: int
@@ -141,6 +144,7 @@
     cancelled_jobs: list[str]
     hubs: list[str]
     quorum_age_s: float
+    job_groups: int = 2
 
 
 class YieldNotice(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/wire/rpc_server.py
+++ b/src/leverjunction/wire/rpc_server.py
@@ -1,25 +1,41 @@
-"""Server side of the internal RPC: a CherryPy application with one POST endpoint."""
+"""Server side of the internal RPC: one POST endpoint, served by CherryPy's own HTTP server."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
 
 import cherrypy
+from cheroot import wsgi
+from loguru import logger
 
-from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.codec import encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind, decode_envelope, encode_envelope
+from leverjunction.wire.rpc_client import RPC_PATH
 
 RpcHandler = Callable[[Envelope, str], bytes]
 """Handles an authenticated envelope from a peer address and returns an encoded reply body."""
 
+MAX_BODY_BYTES = 64 * 1024 * 1024
+IDLE_TIMEOUT_S = 60
+LISTEN_BACKLOG = 512
+KEEP_ALIVE_CONNECTIONS = 4096
+"""Idle connections kept open; cheroot's own default of 10 would reconnect on every call."""
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
 
 class RpcEndpoint:
     """Dispatches authenticated envelopes to one handler a message kind.
 
-    Mount an instance at ``/rpc``. Called by CherryPy's worker threads.
+    Serve it with ``RpcServer``, or mount an instance at ``/rpc`` of a CherryPy application.
+    Handlers are called by the server's worker threads.
     """
 
+    _cp_config = {"request.process_request_body": False, "tools.trailing_slash.on": False}
+
     def __init__(self, cluster_key: bytes, incarnation: int) -> None:
         self._cluster_key = cluster_key
         self._incarnation = incarnation
@@ -32,10 +48,29 @@
     @cherrypy.expose
     @cherrypy.tools.allow(methods=["POST"])
     def index(self) -> bytes:
-        """Serve one call."""
+        """Serve one call below a CherryPy application."""
         peer = str(cherrypy.request.remote.ip)
         cherrypy.response.headers["Content-Type"] = "application/octet-stream"
-        return self.dispatch(cherrypy.request.body.fp.read(), peer)
+        length = int(cherrypy.request.headers.get("Content-Length") or 0)
+        if length > MAX_BODY_BYTES:
+            raise cherrypy.HTTPError(413)
+        return self.dispatch(cherrypy.request.rfile.read(length), peer)
+
+    def wsgi_app(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Serve one call as a WSGI application, without CherryPy's work per request."""
+        if environ["REQUEST_METHOD"] != "POST" or environ["PATH_INFO"].rstrip("/") != RPC_PATH:
+            return _refuse(start_response, "404 Not Found")
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > MAX_BODY_BYTES:
+            return _refuse(start_response, "413 Content Too Large")
+        data = environ["wsgi.input"].read(length)
+        reply = self.dispatch(data, str(environ.get("REMOTE_ADDR", "")))
+        headers = [
+            ("Content-Type", "application/octet-stream"),
+            ("Content-Length", str(len(reply))),
+        ]
+        start_response("200 OK", headers)
+        return [reply]
 
     def dispatch(self, data: bytes, peer: str) -> bytes:
         """Check an encoded envelope, run its handler and return the encoded reply."""
@@ -57,4 +92,68 @@
                     peer=peer,
                 )
             )
-        return handler(envelope, peer)
+        try:
+            return handler(envelope, peer)
+        except Exception as error:
+            # A fault in one handler must not close the connection that others share.
+            logger.exception("handler of {} failed", envelope.kind.name)
+            return encode_reply(
+                Failure(
+                    kind=FailureKind.INTERNAL,
+                    reason=f"handler of {envelope.kind.name} failed: {error}",
+                    step=Step.RESPONDING,
+                    peer=peer,
+                    execution=_after_a_fault(envelope.kind),
+                )
+            )
+
+
+class RpcServer:
+    """Serves an endpoint on its own port with cheroot, CherryPy's HTTP server.
+
+    Args:
+        host: IP number to listen on.
+        port: Port; 0 picks a free one, see ``address``.
+        endpoint: What to serve.
+        threads: Calls served at once.
+    """
+
+    def __init__(self, host: str, port: int, endpoint: RpcEndpoint, threads: int = 16) -> None:
+        self._server = wsgi.Server(
+            (host, port),
+            endpoint.wsgi_app,
+            numthreads=threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=IDLE_TIMEOUT_S,
+            server_name="leverjunction-rpc",
+        )
+        self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+        self._thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> str:
+        """``host:port`` that it listens on, known once ``start`` has returned."""
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Bind and serve in a thread; raises OSError when the address is taken."""
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, name="rpc-server", daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop serving; calls in progress get cheroot's shutdown time to finish."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join()
+            self._thread = None
+
+
+def _after_a_fault(kind: MessageKind) -> Execution:
+    return Execution.UNKNOWN if kind is MessageKind.PROPOSE else Execution.NOT_RUN
+
+
+def _refuse(start_response: StartResponse, status: str) -> Iterable[bytes]:
+    start_response(status, [("Content-Length", "0")])
+    return []
--- /dev/null
+++ b/tests/unit/test_wire_control_client.py
@@ -0,0 +1,210 @@
+"""The client of control moves between hubs and never claims more than it knows."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import msgspec
+import pytest
+
+from leverjunction.errors import Execution, Failure, FailureKind, Step, is_failure
+from leverjunction.wire.codec import decode, encode_reply
+from leverjunction.wire.control_client import ControlClient
+from leverjunction.wire.envelope import Envelope, MessageKind
+from leverjunction.wire.hub_selector import MAX_SUSPICION_S, SUSPICION_S, HubSelector
+from leverjunction.wire.messages import (
+    Acknowledged,
+    ExchangeReply,
+    ExchangeRequest,
+    GatewayState,
+    YieldNotice,
+)
+from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
+
+KEY = b"cluster key of the tests"
+DEAD = "127.0.0.1:1"
+
+
+class Increment(msgspec.Struct, frozen=True, tag="increment"):
+    amount: int
+
+
+class FakeClock:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    def wall_ms(self) -> int:
+        return 0
+
+    def sleep(self, seconds: float) -> None:
+        self.now_s += seconds
+
+
+class FakeHub:
+    """A hub over a real socket that answers proposals from a script, then with the amount."""
+
+    def __init__(self) -> None:
+        self.script: list[Failure] = []
+        self.calls: list[Envelope] = []
+        self.quorum_age_s = 0.1
+        self.notices: list[YieldNotice] = []
+        endpoint = RpcEndpoint(KEY, incarnation=1)
+        endpoint.register(MessageKind.PROPOSE, self._propose)
+        endpoint.register(MessageKind.EXCHANGE, self._exchange)
+        endpoint.register(MessageKind.YIELD_NOTICE, self._yield)
+        self.server = RpcServer("127.0.0.1", 0, endpoint, threads=2)
+        self.server.start()
+        self.address = self.server.address
+
+    def _propose(self, envelope: Envelope, peer: str) -> bytes:
+        self.calls.append(envelope)
+        if self.script:
+            return encode_reply(self.script.pop(0))
+        command = decode(envelope.body, Increment)
+        assert isinstance(command, Increment)
+        return encode_reply(command.amount)
+
+    def _exchange(self, envelope: Envelope, peer: str) -> bytes:
+        return encode_reply(
+            ExchangeReply(
+                settings_version=1, settings=[], view_version=1, hub_incarnation=1, full_view=True,
+                gateways=[], gone_gateways=[], runners=[], gone_runners=[], digests=[],
+                lost_lease_ids=[], cancelled_jobs=[], hubs=[], quorum_age_s=self.quorum_age_s,
+            )
+        )  # fmt: skip
+
+    def _yield(self, envelope: Envelope, peer: str) -> bytes:
+        notice = decode(envelope.body, YieldNotice)
+        assert isinstance(notice, YieldNotice)
+        self.notices.append(notice)
+        return encode_reply(Acknowledged())
+
+
+@pytest.fixture
+def make_hub() -> Iterator[Callable[[], FakeHub]]:
+    hubs: list[FakeHub] = []
+
+    def make() -> FakeHub:
+        hubs.append(FakeHub())
+        return hubs[-1]
+
+    yield make
+    for hub in hubs:
+        hub.server.stop()
+
+
+def client_of(*hubs: str, clock: FakeClock | None = None) -> ControlClient:
+    used = clock or FakeClock()
+    return ControlClient(RpcClient(KEY, 7), list(hubs), clock=used, sleep=used.sleep)
+
+
+def failure(kind: FailureKind, execution: Execution = Execution.NOT_RUN) -> Failure:
+    return Failure(kind=kind, reason="scripted", step=Step.PROPOSING, execution=execution)
+
+
+EXCHANGE = ExchangeRequest(
+    gateway=GatewayState(
+        gateway_id="g1", address="127.0.0.1:2", rpc_address="127.0.0.1:3", zone="a", incarnation=1
+    ),
+    settings_version=0,
+    view_version=0,
+    hub_incarnation=0,
+)
+
+
+def test_propose_carries_the_command_and_its_group(make_hub: Callable[[], FakeHub]) -> None:
+    hub = make_hub()
+    assert client_of(hub.address).propose("jobs-1", Increment(5), int) == 5
+    assert (hub.calls[0].group, hub.calls[0].incarnation) == ("jobs-1", 7)
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [FailureKind.NOT_LEADER, FailureKind.NO_QUORUM, FailureKind.TIMEOUT, FailureKind.OVERLOADED],
+)
+def test_propose_retries_what_a_retry_can_mend(
+    make_hub: Callable[[], FakeHub], kind: FailureKind
+) -> None:
+    hub = make_hub()
+    hub.script = [failure(kind), failure(kind)]
+    assert client_of(hub.address).propose("root", Increment(3), int) == 3
+    assert len(hub.calls) == 3
+
+
+def test_the_state_machines_own_failure_is_final(make_hub: Callable[[], FakeHub]) -> None:
+    hub = make_hub()
+    hub.script = [failure(FailureKind.KEY_REUSED)]
+    reply = client_of(hub.address).propose("root", Increment(3), int)
+    assert is_failure(reply)
+    assert (reply.kind, len(hub.calls)) == (FailureKind.KEY_REUSED, 1)
+
+
+def test_an_unknown_try_is_not_forgotten(make_hub: Callable[[], FakeHub]) -> None:
+    hub = make_hub()
+    not_leader = [failure(FailureKind.NOT_LEADER)] * 200
+    hub.script = [failure(FailureKind.TIMEOUT, Execution.UNKNOWN), *not_leader]
+    reply = client_of(hub.address).propose("root", Increment(3), int, timeout_s=1.0)
+    assert is_failure(reply)
+    assert reply.kind is FailureKind.NOT_LEADER
+    assert reply.execution is Execution.UNKNOWN
+
+
+def test_a_dead_hub_is_left_for_the_next(make_hub: Callable[[], FakeHub]) -> None:
+    hub = make_hub()
+    client = client_of(DEAD, hub.address)
+    assert client.propose("root", Increment(4), int) == 4
+    assert client.hub == hub.address
+
+
+def test_a_stale_hub_is_left_and_taken_again_later(make_hub: Callable[[], FakeHub]) -> None:
+    near, far = make_hub(), make_hub()
+    clock = FakeClock()
+    client = client_of(near.address, far.address, clock=clock)
+    near.quorum_age_s = 2.5
+    assert not is_failure(client.exchange(EXCHANGE))
+    assert client.hub == far.address
+    near.quorum_age_s = 0.0
+    clock.now_s += SUSPICION_S
+    client.exchange(EXCHANGE)
+    assert client.hub == near.address
+
+
+def test_yield_notice_reaches_the_owner(make_hub: Callable[[], FakeHub]) -> None:
+    owner = make_hub()
+    client = client_of(DEAD)
+    notice = YieldNotice(runner_id="r1", sent_ms=5)
+    assert client.notify_yield(owner.address, notice) is None
+    assert owner.notices == [notice]
+    assert is_failure(client.notify_yield(DEAD, notice))
+
+
+def test_selector_keeps_a_stale_hub_when_all_are_in_doubt() -> None:
+    selector = HubSelector(["a", "b"])
+    selector.failed("a", 0.0, answered=True)
+    selector.failed("b", 0.0, answered=True)
+    assert selector.current == "b"
+    selector.failed("b", 1.0)
+    assert selector.current == "a"
+
+
+def test_selector_doubles_the_suspicion_up_to_its_bound() -> None:
+    selector = HubSelector(["a", "b"])
+    now_s, length_s = 0.0, SUSPICION_S
+    for _ in range(6):
+        selector.failed("a", now_s)
+        assert selector.reconsider(now_s + length_s - 0.1) == "b"
+        assert selector.reconsider(now_s + length_s) == "a"
+        now_s += length_s
+        length_s = min(length_s * 2, MAX_SUSPICION_S)
+
+
+def test_selector_takes_a_new_list_and_ignores_an_empty_one() -> None:
+    selector = HubSelector(["a", "b"])
+    selector.replace([])
+    assert selector.hubs == ["a", "b"]
+    selector.replace(["c", "b"])
+    assert selector.current == "c"
