Scale run: hollow gateways and runners beside real control processes

Hollow gateways do the real exchange, leases and completions over the product's RPC client; bytes are the kernel's own counts (TCP_INFO, ss).

--- /dev/null
+++ b/src/testbed/scale/cli.py
@@ -0,0 +1,54 @@
+"""Command line of the scale runs: ``testbed scale ...`` or ``python -m testbed.scale.cli``."""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from pathlib import Path
+
+import fire
+import msgspec
+from loguru import logger
+
+from testbed.scale.operators import ScaleError
+from testbed.scale.options import ScaleOptions
+from testbed.scale.report import print_result
+from testbed.scale.run import run_scale
+
+EXIT_FAILED = 1
+
+
+def scale(json: str = "", keep: str = "", **sizes: float) -> int:
+    """Run hollow gateways and runners against real control processes, and print their cost.
+
+    Args:
+        json: File that gets the result as one JSON object.
+        keep: Folder for the run's files; a temporary one is used and removed when empty.
+        sizes: Fields of ``ScaleOptions``, such as ``--gateways=340 --runners=1200 --controls=3``.
+    """
+    options = msgspec.convert(
+        {name.replace("-", "_"): value for name, value in sizes.items()}, ScaleOptions
+    )
+    try:
+        if keep:
+            Path(keep).mkdir(parents=True, exist_ok=True)
+            result = run_scale(options, Path(keep))
+        else:
+            with tempfile.TemporaryDirectory(prefix="scale-") as folder:
+                result = run_scale(options, Path(folder))
+    except ScaleError as error:
+        logger.error("{}", error)
+        return EXIT_FAILED
+    print_result(result)
+    if json:
+        Path(json).write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1))
+    return 0
+
+
+def main() -> None:
+    """Entry point."""
+    sys.exit(fire.Fire(scale, serialize=lambda _: None))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/testbed/scale/cluster.py
@@ -0,0 +1,158 @@
+"""The real processes of a scale run: control processes and some gateways."""
+
+from __future__ import annotations
+
+import secrets
+import socket
+from pathlib import Path
+
+import msgspec
+import yaml
+
+from testbed.scale.options import ScaleOptions, region_name, zone_name
+from testbed.scale.processes import ChildProcess
+
+HOST = "127.0.0.1"
+LOG_LEVEL = "INFO"
+
+
+class ControlAddress(msgspec.Struct, frozen=True, kw_only=True):
+    """Where one control process listens."""
+
+    name: str
+    region: str
+    zone: str
+    rpc_address: str
+    http_port: int
+    rpc_port: int
+
+
+class Secrets(msgspec.Struct, frozen=True, kw_only=True):
+    """Files and values that the processes of one run share."""
+
+    cluster_key: bytes
+    cluster_key_file: str
+    operator_token: str
+    operator_token_file: str
+
+
+def make_secrets(folder: Path) -> Secrets:
+    """Write a fresh cluster key and operators' token below ``folder``."""
+    cluster_key = secrets.token_hex(32)
+    token = secrets.token_hex(16)
+    key_file = folder / "cluster.key"
+    token_file = folder / "operator.token"
+    key_file.write_text(cluster_key, encoding="ascii")
+    token_file.write_text(token, encoding="ascii")
+    return Secrets(
+        cluster_key=cluster_key.encode("ascii"),
+        cluster_key_file=str(key_file),
+        operator_token=token,
+        operator_token_file=str(token_file),
+    )
+
+
+def plan_controls(options: ScaleOptions) -> list[ControlAddress]:
+    """Choose names, zones and free ports of the control processes."""
+    ports = free_ports(2 * options.controls)
+    controls = []
+    for index in range(options.controls):
+        zone = control_zone(index, options)
+        http_port, rpc_port = ports[2 * index], ports[2 * index + 1]
+        controls.append(
+            ControlAddress(
+                name=f"control-{index}",
+                region=region_name(zone, options.zones, options.regions),
+                zone=zone_name(zone, options.zones),
+                rpc_address=f"{HOST}:{rpc_port}",
+                http_port=http_port,
+                rpc_port=rpc_port,
+            )
+        )
+    return controls
+
+
+def control_zone(index: int, options: ScaleOptions) -> int:
+    """Return the zone of a control process: spread evenly over all zones."""
+    return index * options.zones // options.controls
+
+
+def hubs_for_zone(zone: int, controls: list[ControlAddress]) -> list[str]:
+    """Return the hubs of a zone, its own first; zones without one share the others evenly."""
+    first = zone % len(controls)
+    return [
+        controls[(first + offset) % len(controls)].rpc_address for offset in range(len(controls))
+    ]
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now; held together so that no two are the same."""
+    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
+    ports = [int(held.getsockname()[1]) for held in sockets]
+    for held in sockets:
+        held.close()
+    return ports
+
+
+def start_control(
+    control: ControlAddress,
+    controls: list[ControlAddress],
+    options: ScaleOptions,
+    folder: Path,
+    shared: Secrets,
+    machine_list_url: str,
+) -> ChildProcess:
+    """Start one control process on its own data folder."""
+    data_folder = folder / control.name
+    data_folder.mkdir(exist_ok=True)
+    document = {
+        "name": control.name,
+        "region": control.region,
+        "zone": control.zone,
+        "listen": {"host": HOST, "http_port": control.http_port, "rpc_port": control.rpc_port},
+        "cluster_key_file": shared.cluster_key_file,
+        "data_folder": str(data_folder),
+        "log": {"level": LOG_LEVEL},
+        "peers": [
+            {"name": peer.name, "rpc_address": peer.rpc_address, "zone": peer.zone}
+            for peer in controls
+        ],
+        "job_groups": options.job_groups,
+        "operator_token_file": shared.operator_token_file,
+        "machine_list_url": machine_list_url,
+    }
+    return _start("control", control.name, document, folder)
+
+
+def start_gateway(
+    index: int,
+    controls: list[ControlAddress],
+    options: ScaleOptions,
+    folder: Path,
+    shared: Secrets,
+) -> ChildProcess:
+    """Start one real gateway process."""
+    name = f"gateway-real-{index}"
+    data_folder = folder / name
+    data_folder.mkdir(exist_ok=True)
+    zone = index % options.zones
+    http_port, rpc_port = free_ports(2)
+    document = {
+        "name": name,
+        "region": region_name(zone, options.zones, options.regions),
+        "zone": zone_name(zone, options.zones),
+        "listen": {"host": HOST, "http_port": http_port, "rpc_port": rpc_port},
+        "cluster_key_file": shared.cluster_key_file,
+        "data_folder": str(data_folder),
+        "log": {"level": LOG_LEVEL},
+        "hubs": hubs_for_zone(zone, controls),
+        "exchange_interval_s": options.exchange_interval_s,
+    }
+    return _start("gateway", name, document, folder)
+
+
+def _start(role: str, name: str, document: dict[str, object], folder: Path) -> ChildProcess:
+    path = folder / f"{name}.yaml"
+    path.write_text(yaml.safe_dump(document), encoding="utf8")
+    arguments = ["-m", "leverjunction.cli", role, "--config", str(path)]
+    return ChildProcess(name, arguments, folder / f"{name}.log")
--- /dev/null
+++ b/src/testbed/scale/fleet.py
@@ -0,0 +1,203 @@
+"""The whole fleet of a scale run: control processes, hollow workers, some real gateways."""
+
+from __future__ import annotations
+
+import os
+import signal
+from pathlib import Path
+
+import msgspec
+from loguru import logger
+
+from testbed.scale.cluster import (
+    ControlAddress,
+    hubs_for_zone,
+    make_secrets,
+    plan_controls,
+    start_control,
+    start_gateway,
+)
+from testbed.scale.gateway_worker import GatewayWorkerReport, GatewayWorkerSpec
+from testbed.scale.hollow_gateway import GatewayProfile
+from testbed.scale.lease_traffic import MODELS, SERVICE
+from testbed.scale.machine_list import Machine, MachineList
+from testbed.scale.operators import ScaleError
+from testbed.scale.options import (
+    GATEWAYS_PER_PROCESS,
+    RUNNERS_PER_PROCESS,
+    ScaleOptions,
+    zone_name,
+)
+from testbed.scale.processes import MAX_PROCESSES, ChildProcess, stop_all, wait_until
+from testbed.scale.runner_worker import RunnerProfile, RunnerWorkerSpec
+
+RUNNER_START_TIMEOUT_S = 60.0
+
+
+class Fleet:
+    """Processes of one run, in the order in which they start."""
+
+    def __init__(self, options: ScaleOptions, folder: Path) -> None:
+        self.options = options
+        self.folder = folder
+        self.controls: list[ControlAddress] = plan_controls(options)
+        self.secrets = make_secrets(folder)
+        self.control_processes: list[ChildProcess] = []
+        self.gateway_workers: list[ChildProcess] = []
+        self.runner_workers: list[ChildProcess] = []
+        self.real_gateways: list[ChildProcess] = []
+        self.machine_list: MachineList | None = None
+        self._report_paths: list[Path] = []
+
+    @property
+    def groups(self) -> list[str]:
+        """Names of the job groups."""
+        return [f"jobs-{index}" for index in range(self.options.job_groups)]
+
+    def start_runners(self) -> None:
+        """Start the hollow runners and list them."""
+        profiles = [self._runner(index) for index in range(self.options.runners)]
+        paths = []
+        for start in range(0, len(profiles), RUNNERS_PER_PROCESS):
+            paths.append(self._start_runner_worker(profiles[start : start + RUNNERS_PER_PROCESS]))
+        if not wait_until(lambda: all(path.exists() for path in paths), RUNNER_START_TIMEOUT_S):
+            raise ScaleError("the hollow runners did not start")
+        addresses: dict[str, str] = {}
+        for path in paths:
+            addresses.update(msgspec.json.decode(path.read_bytes(), type=dict[str, str]))
+        self.machine_list = MachineList(
+            [
+                Machine(
+                    id=profile.runner_id,
+                    address=addresses[profile.runner_id],
+                    zone=profile.zone,
+                    service=profile.service,
+                )
+                for profile in profiles
+            ]
+        )
+
+    def start_controls(self) -> None:
+        """Start the control processes."""
+        assert self.machine_list is not None, "runners come first: control needs their list"
+        for control in self.controls:
+            child = start_control(
+                control,
+                self.controls,
+                self.options,
+                self.folder,
+                self.secrets,
+                self.machine_list.url,
+            )
+            self.control_processes.append(child)
+
+    def start_gateways(self) -> None:
+        """Start the hollow gateways and the real ones."""
+        profiles = [self._gateway(index) for index in range(self.options.gateways)]
+        for start in range(0, len(profiles), GATEWAYS_PER_PROCESS):
+            self._start_gateway_worker(profiles[start : start + GATEWAYS_PER_PROCESS])
+        for index in range(self.options.real_gateways):
+            child = start_gateway(index, self.controls, self.options, self.folder, self.secrets)
+            self.real_gateways.append(child)
+        self._check_size()
+
+    def reports(self) -> list[GatewayWorkerReport]:
+        """Return the newest report of every gateway worker that has written one."""
+        return [
+            msgspec.json.decode(path.read_bytes(), type=GatewayWorkerReport)
+            for path in self._report_paths
+            if path.exists()
+        ]
+
+    def forget_latencies(self) -> None:
+        """Tell the gateway workers that the measured window begins."""
+        for child in self.gateway_workers:
+            os.kill(child.process_id, signal.SIGUSR1)
+
+    def in_step(self, version: int) -> bool:
+        """Return whether all hollow gateways have ``version`` in force and own all runners."""
+        reports = self.reports()
+        versions = [value for report in reports for value in report.settings_versions.values()]
+        owned = sum(report.owned for report in reports)
+        near = owned + self._owned_by_real_gateways()
+        return (
+            len(versions) == self.options.gateways
+            and min(versions) >= version
+            and near >= self.options.runners
+        )
+
+    def _owned_by_real_gateways(self) -> int:
+        # A real gateway takes about the same share of its zone's runners as a hollow one; the
+        # exact number is not visible from here, and a window may begin a second early.
+        everyone = self.options.gateways + self.options.real_gateways
+        share = -(-self.options.runners // everyone)
+        return 3 * share * self.options.real_gateways
+
+    def stop(self) -> None:
+        """Stop every process, gateways first."""
+        stop_all([*self.gateway_workers, *self.real_gateways])
+        stop_all(self.control_processes)
+        stop_all(self.runner_workers)
+        if self.machine_list is not None:
+            self.machine_list.stop()
+
+    def _runner(self, index: int) -> RunnerProfile:
+        zone = zone_name(index, self.options.zones)
+        return RunnerProfile(
+            runner_id=f"{SERVICE}-{zone}-r{index:04d}", zone=zone, service=SERVICE, models=MODELS
+        )
+
+    def _gateway(self, index: int) -> GatewayProfile:
+        zone = zone_name(index, self.options.zones)
+        return GatewayProfile(
+            gateway_id=f"gateway-{zone}-{index:03d}",
+            zone=zone,
+            hubs=hubs_for_zone(index % self.options.zones, self.controls),
+        )
+
+    def _start_runner_worker(self, profiles: list[RunnerProfile]) -> Path:
+        name = f"runners-{len(self.runner_workers)}"
+        addresses = self.folder / f"{name}.addresses.json"
+        spec = RunnerWorkerSpec(
+            profiles=profiles, seed=self.options.seed, addresses_path=str(addresses)
+        )
+        self.runner_workers.append(self._start(name, "testbed.scale.runner_worker", spec))
+        return addresses
+
+    def _start_gateway_worker(self, profiles: list[GatewayProfile]) -> None:
+        options = self.options
+        name = f"gateways-{len(self.gateway_workers)}"
+        report = self.folder / f"{name}.report.json"
+        spec = GatewayWorkerSpec(
+            profiles=profiles,
+            cluster_key=self.secrets.cluster_key,
+            groups=self.groups,
+            items_per_s=options.items_per_s / options.gateways,
+            lease_items=options.lease_items,
+            result_bytes=options.item_bytes,
+            digest_change_ratio=options.digest_change_ratio,
+            exchange_interval_s=options.exchange_interval_s,
+            seed=options.seed * 1000 + len(self.gateway_workers),
+            report_path=str(report),
+        )
+        self._report_paths.append(report)
+        self.gateway_workers.append(self._start(name, "testbed.scale.gateway_worker", spec))
+
+    def _start(self, name: str, module: str, spec: msgspec.Struct) -> ChildProcess:
+        path = self.folder / f"{name}.spec.json"
+        path.write_bytes(msgspec.json.encode(spec))
+        return ChildProcess(name, ["-m", module, str(path)], self.folder / f"{name}.log")
+
+    def _check_size(self) -> None:
+        count = sum(
+            len(group)
+            for group in (
+                self.control_processes,
+                self.gateway_workers,
+                self.runner_workers,
+                self.real_gateways,
+            )
+        )
+        logger.info("{} processes", count)
+        if count > MAX_PROCESSES:
+            raise ScaleError(f"{count} processes are more than {MAX_PROCESSES}")
--- /dev/null
+++ b/src/testbed/scale/processes.py
@@ -0,0 +1,76 @@
+"""Child processes of a scale run: started, read and stopped by their ids."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.1
+MAX_PROCESSES = 190
+"""Bound of a whole run: a developer's machine is shared."""
+
+
+class ChildProcess:
+    """One process that the run started."""
+
+    def __init__(self, name: str, arguments: list[str], log_path: Path) -> None:
+        self.name = name
+        self._log = log_path.open("wb")
+        self._process = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+        )
+
+    @property
+    def process_id(self) -> int:
+        """Id of the process."""
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether it is still alive."""
+        return self._process.poll() is None
+
+    def kill(self) -> None:
+        """End it at once, as a machine failure would."""
+        self._process.kill()
+        self._process.wait(STOP_TIMEOUT_S)
+
+    def ask_to_stop(self) -> None:
+        """Send SIGTERM."""
+        if self.running:
+            os.kill(self.process_id, signal.SIGTERM)
+
+    def wait_or_kill(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
+        """Wait for it to end after :meth:`ask_to_stop`; kill it when it does not."""
+        try:
+            self._process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            self.kill()
+        self._log.close()
+
+
+def stop_all(children: list[ChildProcess]) -> None:
+    """Stop processes together, and wait for each."""
+    for child in children:
+        child.ask_to_stop()
+    for child in children:
+        child.wait_or_kill()
+
+
+def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
+    """Poll until ``condition`` holds; returns whether it did in time."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        if condition():
+            return True
+        time.sleep(POLL_S)
+    return condition()
--- /dev/null
+++ b/tests/unit/test_scale_resources.py
@@ -0,0 +1,73 @@
+from __future__ import annotations
+
+import pytest
+
+from testbed.scale.figures import change_result, quantiles
+from testbed.scale.hollow_gateway import InForce
+from testbed.scale.operators import ChangeTime, initial_leaves
+from testbed.scale.options import ScaleOptions, region_name
+from testbed.scale.resources import SocketCount, parse_sockets, wire_bytes_per_s
+
+LISTING = (
+    'ESTAB 0 0 127.0.0.1:40112 127.0.0.1:9000 users:(("python",pid=71,fd=9)) '
+    "cubic rtt:0.05/0.02 bytes_sent:1200 bytes_acked:1200 bytes_received:3400 "
+    "segs_out:12 segs_in:13 send 1Gbps\n"
+    "ESTAB 0 0 127.0.0.1:9000 127.0.0.1:40112 cubic bytes_sent:1 segs_out:1\n"
+)
+
+
+def test_sockets_are_read_by_process_and_descriptor() -> None:
+    assert parse_sockets(LISTING) == {(71, 9): SocketCount(1200, 3400, 25)}
+
+
+@pytest.mark.parametrize(
+    ("before", "expected"),
+    [
+        pytest.param({(71, 9): SocketCount(200, 400, 5)}, (4000 + 66 * 20) / 2, id="same socket"),
+        pytest.param({}, (4600 + 66 * 25) / 2, id="opened in the window"),
+        pytest.param(
+            {(71, 9): SocketCount(9999, 0, 99)}, (4600 + 66 * 25) / 2, id="descriptor used anew"
+        ),
+        pytest.param({(70, 9): SocketCount(200, 400, 5)}, (4600 + 66 * 25) / 2, id="other process"),
+    ],
+)
+def test_wire_bytes_between_readings(
+    before: dict[tuple[int, int], SocketCount], expected: float
+) -> None:
+    assert wire_bytes_per_s(before, parse_sockets(LISTING), 71, 2.0) == expected
+
+
+@pytest.mark.parametrize(
+    ("records", "reached", "maximum"),
+    [
+        pytest.param([("a", 3, 10.5), ("b", 3, 11.0)], 2, 1.0, id="all"),
+        pytest.param([("a", 2, 9.0), ("b", 3, 11.0)], 1, 1.0, id="older version does not count"),
+        pytest.param([("a", 4, 12.0), ("a", 3, 10.5)], 1, 0.5, id="first one counts"),
+        pytest.param([("a", 4, 12.0)], 1, 2.0, id="skipped version counts"),
+        pytest.param([], 0, 0.0, id="none"),
+    ],
+)
+def test_change_in_force(
+    records: list[tuple[str, int, float]], reached: int, maximum: float
+) -> None:
+    change = ChangeTime(version=3, sent_s=10.0, acknowledged_s=10.1)
+    result = change_result(change, [InForce(*record) for record in records], killed_s=9.0)
+    assert (result.reached, result.in_force_s.maximum) == (reached, maximum)
+    assert result.after_kill
+
+
+def test_quantiles_of_nothing_and_of_much() -> None:
+    assert quantiles([]).count == 0
+    assert quantiles(list(range(101))).p99 == 99
+
+
+def test_zones_and_tenants_of_the_initial_settings() -> None:
+    options = ScaleOptions(tenants=3, zones=15, regions=6)
+    leaves = initial_leaves(options)
+    assert sum(path.startswith("regions/") for path in leaves) == 15
+    assert {path.split("/")[1] for path in leaves if path.startswith("tenants/")} == {
+        "tenant-00000",
+        "tenant-00001",
+        "tenant-00002",
+    }
+    assert {region_name(zone, 15, 6) for zone in range(15)} == {f"region-{n}" for n in range(6)}
