Fleet launcher: scenarios, stand-in network and machine list, faults, testbed command line

Cause: the whole path has to run as real processes, with faults that can be brought about. Change: planner (own IP number a process, free ports below the kernel's range), launcher with start, kill, freeze, thaw, wipe, restart, cut and heal, network relay with delay by zone pair. Excluded: telling zones apart by separate relay addresses, because a replica's address is its identity; the relay looks at the source's IP number instead. Conclusion: ready for gateway and control processes.

--- a/src/testbed/engine/placement.py
+++ b/src/testbed/engine/placement.py
@@ -7,6 +7,9 @@
 
 from testbed.engine.types import EngineOrder, OrderAnswer, OrderFence
 
+ADAPTER_WEIGHTS_RATIO = 0.05
+"""Size of an adapter against its model."""
+
 
 class Placement:
     """Loaded models with versions, and loads in progress at the weight store's rate.
@@ -65,7 +68,8 @@
         name = f"{order.model}:{order.adapter}" if order.adapter else order.model
         if order.action == "load":
             begin_s = self._loading[-1][0] if self._loading else now_s
-            self._loading.append((max(begin_s, now_s) + self._load_s, name, order.version))
+            load_s = self._load_s * (ADAPTER_WEIGHTS_RATIO if order.adapter else 1.0)
+            self._loading.append((max(begin_s, now_s) + load_s, name, order.version))
         elif order.action == "unload":
             self._versions.pop(name, None)
             self._loading = deque(load for load in self._loading if load[1] != name)
--- a/src/testbed/engine/process.py
+++ b/src/testbed/engine/process.py
@@ -36,7 +36,7 @@
         engine: Speeds and limits of the model.
         speed: Factor by which the engine is faster than its model.
         threads: Worker threads; each open stream holds one.
-        executions_file: Where executions are logged; None keeps them in memory only.
+        executions_file: Where executions are logged; empty keeps them in memory only.
         seed: Seed of the model's randomness.
     """
 
@@ -45,13 +45,13 @@
     engine: EngineConfig
     speed: float = 1.0
     threads: int = 160
-    executions_file: Path | None = None
+    executions_file: str = ""
     seed: int = 1
 
 
 def run(config: EngineProcessConfig) -> int:
     """Serve until SIGTERM or SIGINT; returns the exit code."""
-    log = ExecutionLog(config.executions_file)
+    log = ExecutionLog(Path(config.executions_file) if config.executions_file else None)
     runtime = EngineRuntime(config.engine, config.speed, log, random.Random(config.seed))
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/src/testbed/fleet/fleet.py
@@ -0,0 +1,265 @@
+"""A whole fleet of real processes, with faults; used by tests, demo and experiments."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import urllib3
+
+from testbed.engine.executions import Execution, read_executions
+from testbed.engine.faults import AnswerFault
+from testbed.fleet.network import CutRequest
+from testbed.fleet.plan import FleetOptions, FleetPlan, FleetPlanner, PlannedProcess, ProcessKind
+from testbed.fleet.process import FleetProcess
+from testbed.scenarios import Scenario
+
+START_TIMEOUT_S = 60.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+APPLY_TIMEOUT_S = 30.0
+
+_STOP_ORDER = (
+    ProcessKind.GATEWAY,
+    ProcessKind.CONTROL,
+    ProcessKind.ENGINE,
+    ProcessKind.MACHINE_LIST,
+    ProcessKind.NETWORK,
+)
+
+
+class FleetError(Exception):
+    """The fleet did not do what the launcher waited for; the message names logs to read."""
+
+
+class Fleet:
+    """A running fleet. Use as a context manager, or call ``start`` and ``stop``.
+
+    Args:
+        scenario: Deployment to run.
+        options: Differences from the scenario.
+        folder: Run folder; a temporary one when None.
+    """
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        options: FleetOptions | None = None,
+        folder: Path | None = None,
+    ) -> None:
+        self.scenario = scenario
+        self.folder = folder or Path(tempfile.mkdtemp(prefix="leverjunction-fleet-"))
+        self.plan: FleetPlan = FleetPlanner(
+            scenario, options or FleetOptions(), self.folder
+        ).write()
+        self.http = urllib3.PoolManager(num_pools=64, maxsize=128, retries=False)
+        self._processes = {p.name: FleetProcess(p) for p in self.plan.processes}
+
+    def __enter__(self) -> Fleet:
+        """Start the fleet; nothing is left running when that fails."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        """Stop the fleet."""
+        self.stop()
+
+    def start(self) -> None:
+        """Start all processes, apply the settings and wait until gateways are ready."""
+        for process in self._processes.values():
+            process.start()
+        for planned in self.plan.processes:
+            if planned.kind is not ProcessKind.GATEWAY:
+                self.wait_health(planned.name)
+        self.apply_settings(self.scenario.settings_folder())
+        for gateway in self.names(ProcessKind.GATEWAY):
+            self.wait_ready(gateway)
+
+    def stop(self) -> None:
+        """End every process that was started, as planned first, then by SIGKILL."""
+        for process in self._processes.values():
+            process.signal(signal.SIGCONT)
+        for kind in _STOP_ORDER:
+            group = [p for p in self._processes.values() if p.plan.kind is kind]
+            for process in group:
+                process.signal(signal.SIGTERM)
+            deadline_s = time.monotonic() + STOP_TIMEOUT_S
+            for process in group:
+                process.wait(max(deadline_s - time.monotonic(), 0.0))
+                process.kill()
+                process.close()
+        self.http.clear()
+
+    def names(self, kind: ProcessKind) -> list[str]:
+        """Return the names of the processes of a kind."""
+        return [process.name for process in self.plan.of_kind(kind)]
+
+    def process(self, name: str) -> FleetProcess:
+        """Return a process by name."""
+        return self._processes[name]
+
+    def planned(self, name: str) -> PlannedProcess:
+        """Return the plan of a process by name."""
+        return self._processes[name].plan
+
+    def kill(self, name: str) -> None:
+        """SIGKILL a process."""
+        self._processes[name].kill()
+
+    def freeze(self, name: str) -> None:
+        """SIGSTOP a process: it lives, but does nothing and says nothing."""
+        self._processes[name].signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """SIGCONT a frozen process."""
+        self._processes[name].signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """SIGTERM a process: a planned stop."""
+        self._processes[name].signal(signal.SIGTERM)
+
+    def restart(self, name: str) -> None:
+        """Start a process again, after ending it if it runs, and wait until it is healthy."""
+        self._processes[name].kill()
+        self._processes[name].start()
+        self._relist(name)
+        self.wait_health(name)
+
+    def wipe(self, name: str) -> None:
+        """Lose a process's disk: kill it, empty its data folder and start it again."""
+        self._processes[name].kill()
+        self._processes[name].wipe()
+        self._processes[name].start()
+
+    def cut(self, first: str, second: str = "*") -> None:
+        """Cut all traffic between two places (zone or process names) in silence."""
+        self._set_cut(CutRequest(first=first, second=second, cut=True))
+
+    def heal(self, first: str, second: str = "*") -> None:
+        """Undo the ``cut`` with the same arguments."""
+        self._set_cut(CutRequest(first=first, second=second, cut=False))
+
+    def leave(self, runner: str) -> None:
+        """Mark a runner as leaving in the machine list."""
+        machine = msgspec.structs.replace(self.plan.machines[runner], state="leaving")
+        self._list_machine(runner, msgspec.json.encode(machine))
+
+    def add_answer_fault(self, runner: str, fault: AnswerFault) -> None:
+        """Let the next answers of a runner go wrong."""
+        url = f"http://{self.planned(runner).direct_address}/testbed/faults"
+        self._post(url, msgspec.json.encode(fault))
+
+    def executions(self, prompt_part: str = "") -> list[Execution]:
+        """Return what the engines ran, killed ones included, oldest first."""
+        found: list[Execution] = []
+        for process in self.plan.of_kind(ProcessKind.ENGINE):
+            path = process.executions_file
+            if path is not None and path.exists():
+                found += [e for e in read_executions(path) if prompt_part in e.prompt]
+        return sorted(found, key=lambda execution: execution.started_ms)
+
+    def operator_token(self) -> str:
+        """Return the operators' bearer token."""
+        return self.plan.operator_token_file.read_text(encoding="utf8").strip()
+
+    def control_urls(self) -> list[str]:
+        """Return the operators' URLs of the control processes."""
+        return [f"http://{c.address}" for c in self.plan.of_kind(ProcessKind.CONTROL)]
+
+    def gateway_urls(self) -> list[str]:
+        """Return the callers' URLs of the gateways, through the network's fronts."""
+        return [f"http://{g.address}" for g in self.plan.of_kind(ProcessKind.GATEWAY)]
+
+    def operator_command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run an operators' command of the command line against this fleet."""
+        command = [sys.executable, "-m", "leverjunction.cli", *arguments]
+        command += ["--control", ",".join(c.removeprefix("http://") for c in self.control_urls())]
+        command += ["--token_file", str(self.plan.operator_token_file)]
+        return subprocess.run(
+            command, capture_output=True, text=True, timeout=APPLY_TIMEOUT_S, check=False
+        )
+
+    def apply_settings(self, folder: Path) -> None:
+        """Apply a settings tree, again and again until control has a leader."""
+        last = ""
+
+        def applied() -> bool:
+            nonlocal last
+            result = self.operator_command("settings", "apply", str(folder), "--wait")
+            last = result.stdout + result.stderr
+            return result.returncode == 0
+
+        self.wait_for(applied, "settings are in force", lambda: last)
+
+    def wait_health(self, name: str) -> None:
+        """Wait until a process answers ``/health`` with 200."""
+        self._wait_status(name, "health")
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until a process answers ``/ready`` with 200."""
+        self._wait_status(name, "ready")
+
+    def wait_for(
+        self,
+        condition: Callable[[], bool],
+        what: str,
+        explain: Callable[[], str] = str,
+        timeout_s: float = START_TIMEOUT_S,
+    ) -> None:
+        """Wait until a condition holds.
+
+        Raises:
+            FleetError: It did not hold in time.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > deadline_s:
+                raise FleetError(f"gave up waiting until {what}; {explain()} (logs: {self.folder})")
+            time.sleep(POLL_S)
+
+    def status_of(self, name: str, path: str) -> int:
+        """Return the HTTP status that a process gives on a path; 0 when it does not answer."""
+        url = f"http://{self.planned(name).direct_address}/{path}"
+        try:
+            return self.http.request("GET", url, timeout=1.0).status
+        except urllib3.exceptions.HTTPError:
+            return 0
+
+    def _wait_status(self, name: str, path: str) -> None:
+        def answered() -> bool:
+            process = self._processes[name]
+            if not process.is_running():
+                raise FleetError(f"{name} ended with {process.exit_code}: {process.plan.log_file}")
+            return self.status_of(name, path) == 200
+
+        self.wait_for(answered, f"{name} answers /{path}")
+
+    def _relist(self, name: str) -> None:
+        machine = self.plan.machines.get(name)
+        if machine is not None:
+            now_ms = int(time.time() * 1000)
+            machine = msgspec.structs.replace(machine, incarnation=now_ms)
+            self._list_machine(name, msgspec.json.encode(machine))
+
+    def _list_machine(self, runner: str, body: bytes) -> None:
+        self._post(f"http://{self.planned('machines').address}/machines/{runner}", body)
+
+    def _set_cut(self, request: CutRequest) -> None:
+        url = f"http://{self.planned('network').address}/cuts"
+        self._post(url, msgspec.json.encode(request))
+
+    def _post(self, url: str, body: bytes) -> None:
+        headers = {"Content-Type": "application/json"}
+        response = self.http.request("POST", url, body=body, headers=headers, timeout=5.0)
+        if response.status != 200:
+            raise FleetError(f"{url} answered {response.status}: {response.data[:200]!r}")
