--- /dev/null
+++ b/src/leverjunction/api/batches.py
@@ -0,0 +1,251 @@
+"""Callers' API of batch jobs: OpenAI's files and batches, and a short form without a file.
+
+``BatchApi(...)`` offers two CherryPy handlers: mount ``.batches`` at ``/v1/batches`` and
+``.files`` at ``/v1/files``. Bodies are read as streams, never as a whole.
+"""
+
+from __future__ import annotations
+
+import random as random_module
+from collections.abc import Callable, Iterator
+
+import cherrypy
+import msgspec
+
+from leverjunction.api.auth import authenticate
+from leverjunction.api.batches_files import FilesHandler
+from leverjunction.api.batches_lines import LineReader
+from leverjunction.api.batches_shapes import (
+    BATCH_PREFIX,
+    FILE_PREFIX,
+    batch_list,
+    batch_object,
+    output_line,
+)
+from leverjunction.api.batches_support import (
+    BatchContext,
+    answer_json,
+    bad_request,
+    body_pieces,
+    drain_body,
+    fail,
+    idempotency_key,
+    method_not_allowed,
+    request_id,
+)
+from leverjunction.api.batches_terms import deadline_ms, may_repeat
+from leverjunction.api.batches_upload import JobUpload, UploadTerms
+from leverjunction.batch.commands import (
+    AcceptJob,
+    CancelJob,
+    Claim,
+    ClaimRequest,
+    GetResults,
+    JobView,
+    ResultPage,
+)
+from leverjunction.batch.directory import Control, JobDirectory
+from leverjunction.clock import Clock
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.settings.resolved import ResolvedSettings
+from leverjunction.wire.codec import decode
+
+MAX_CREATE_BYTES = 65_536
+MAX_LISTED = 100
+DEFAULT_LISTED = 20
+DEFAULT_PAGE_LINES = 1_000
+JSON_TYPE = "application/json"
+
+
+class _CreateBatch(msgspec.Struct):
+    """OpenAI's body of ``POST /v1/batches``."""
+
+    input_file_id: str
+    endpoint: str = ""
+    completion_window: str = ""
+    metadata: dict[str, str] | None = None
+
+
+class BatchApi:
+    """The handlers of batch jobs, for the gateway's CherryPy application."""
+
+    def __init__(
+        self,
+        control: Control,
+        settings: Callable[[], ResolvedSettings],
+        clock: Clock,
+        random: random_module.Random,
+        groups: Callable[[], list[str]],
+    ) -> None:
+        context = BatchContext(
+            directory=JobDirectory(control, groups, random),
+            settings=settings,
+            clock=clock,
+            random=random,
+        )
+        self.batches = BatchesHandler(context)
+        self.files = FilesHandler(context)
+
+
+class BatchesHandler:
+    """``/v1/batches``: called by CherryPy's worker threads."""
+
+    _cp_config = {"request.process_request_body": False, "response.stream": True}
+
+    def __init__(self, context: BatchContext) -> None:
+        self._context = context
+
+    @cherrypy.expose
+    def default(self, *path: str, **query: str) -> bytes | Iterator[bytes]:
+        """Serve one call below ``/v1/batches``."""
+        tenant = authenticate(cherrypy.request, self._context.settings())
+        if isinstance(tenant, Failure):
+            return fail(tenant)
+        match (cherrypy.request.method, path):
+            case ("POST", ()):
+                return self._create(tenant, query)
+            case ("GET" | "HEAD", ()):
+                return self._list(tenant, query)
+            case ("GET" | "HEAD", (batch_id,)):
+                return self._show(tenant, batch_id)
+            case ("POST", (batch_id, "cancel")):
+                return self._cancel(tenant, batch_id)
+            case ("GET", (batch_id, "results")):
+                return self._results(tenant, batch_id, query)
+        return method_not_allowed()
+
+    def _create(self, tenant: str, query: dict[str, str]) -> bytes:
+        content_type = cherrypy.request.headers.get("Content-Type", "").partition(";")[0].strip()
+        if content_type == JSON_TYPE:
+            return self._create_from_file(tenant)
+        return self._create_from_body(tenant, query)
+
+    def _create_from_file(self, tenant: str) -> bytes:
+        """Accept the job whose items were uploaded as a file."""
+        body = cherrypy.request.rfile.read(MAX_CREATE_BYTES)
+        create = decode(body, _CreateBatch)
+        if isinstance(create, Failure):
+            reason = (
+                f"{create.reason}; send a JSON object with input_file_id, or JSON lines as "
+                "application/jsonl"
+            )
+            return fail(bad_request(reason))
+        job_id = create.input_file_id.removeprefix(FILE_PREFIX)
+        job = self._context.directory.find(tenant, job_id)
+        if isinstance(job, Failure):
+            return fail(job)
+        refusal = self._claim_key(tenant, create.input_file_id)
+        if refusal is not None:
+            return fail(refusal)
+        batch_class = (create.metadata or {}).get("batch_class", "")
+        window = "" if batch_class else create.completion_window
+        deadline = deadline_ms(self._context, batch_class, window)
+        if isinstance(deadline, Failure):
+            return fail(deadline)
+        # Without the header here, the mark that the file was uploaded with stays.
+        repeat = None if may_repeat() else False
+        command = AcceptJob(
+            job_id, batch_class=batch_class, deadline_ms=deadline, may_repeat=repeat
+        )
+        return self._propose(job, command)
+
+    def _claim_key(self, tenant: str, file_id: str) -> Failure | None:
+        """Bind an idempotency key to its file: a resend finds it, another file is refused."""
+        key = idempotency_key()
+        if not key:
+            return None
+        claim_key = f"batch-of-file:{key}"
+        directory = self._context.directory
+        group = directory.group_of_key(tenant, claim_key)
+        command = ClaimRequest(tenant, claim_key, file_id, "", request_id(self._context.random))
+        claim = directory.control.propose(group, command, Claim)
+        if isinstance(claim, Failure):
+            return claim
+        if claim.content_hash == file_id:
+            return None
+        return Failure(
+            kind=FailureKind.KEY_REUSED,
+            reason=f"idempotency key {key!r} made a batch of {claim.content_hash}; use a new key",
+            step=Step.CLAIMING,
+        )
+
+    def _create_from_body(self, tenant: str, query: dict[str, str]) -> bytes:
+        """Accept a job whose JSON lines are the body of this request."""
+        headers = cherrypy.request.headers
+        batch_class = query.get("batch_class", "") or headers.get("X-Batch-Class", "")
+        window = query.get("completion_window", "")
+        deadline = deadline_ms(self._context, batch_class, window)
+        if isinstance(deadline, Failure):
+            drain_body()
+            return fail(deadline)
+        key = idempotency_key()
+        terms = UploadTerms(
+            tenant=tenant,
+            idempotency_key=f"batch:{key}" if key else "",
+            batch_class=batch_class,
+            may_repeat=may_repeat(),
+            deadline_ms=deadline,
+            accept=True,
+        )
+        settings = self._context.settings()
+        reader = LineReader(
+            self._context.service_lookup(tenant), settings.limits(tenant).max_job_items
+        )
+        upload = JobUpload(self._context.directory, reader, terms)
+        for piece in body_pieces():
+            upload.write(piece)
+        job = upload.finish()
+        return fail(job) if isinstance(job, Failure) else answer_json(batch_object(job))
+
+    def _list(self, tenant: str, query: dict[str, str]) -> bytes:
+        limit = _number(query.get("limit"), DEFAULT_LISTED, MAX_LISTED)
+        jobs = self._context.directory.list_accepted(tenant, limit + 1)
+        if isinstance(jobs, Failure):
+            return fail(jobs)
+        return answer_json(batch_list(jobs[:limit], has_more=len(jobs) > limit))
+
+    def _show(self, tenant: str, batch_id: str) -> bytes:
+        job = self._find(tenant, batch_id)
+        return fail(job) if isinstance(job, Failure) else answer_json(batch_object(job))
+
+    def _cancel(self, tenant: str, batch_id: str) -> bytes:
+        job = self._find(tenant, batch_id)
+        if isinstance(job, Failure):
+            return fail(job)
+        return self._propose(job, CancelJob(job.spec.job_id))
+
+    def _propose(self, job: JobView, command: AcceptJob | CancelJob) -> bytes:
+        group = job.spec.job_id.rpartition(".")[0]
+        changed = self._context.directory.control.propose(group, command, JobView)
+        return fail(changed) if isinstance(changed, Failure) else answer_json(batch_object(changed))
+
+    def _results(self, tenant: str, batch_id: str, query: dict[str, str]) -> bytes:
+        """Answer one page of results; the headers say where the next one starts."""
+        job = self._find(tenant, batch_id)
+        if isinstance(job, Failure):
+            return fail(job)
+        after = _number(query.get("after"), 0, 1 << 62)
+        limit = _number(query.get("limit"), DEFAULT_PAGE_LINES, DEFAULT_PAGE_LINES)
+        job_id = job.spec.job_id
+        page = self._context.directory.control.query(
+            job_id.rpartition(".")[0], GetResults(job_id, after, limit), ResultPage
+        )
+        if isinstance(page, Failure):
+            return fail(page)
+        headers = cherrypy.response.headers
+        headers["Content-Type"] = "application/jsonl"
+        headers["X-Next-Cursor"] = str(page.next_cursor)
+        headers["X-Complete"] = "true" if page.complete else "false"
+        body = b"".join(output_line(job_id, line) for line in page.lines)
+        headers["Content-Length"] = str(len(body))
+        return body
+
+    def _find(self, tenant: str, batch_id: str) -> JobView | Failure:
+        return self._context.directory.find(tenant, batch_id.removeprefix(BATCH_PREFIX))
+
+
+def _number(text: str | None, default: int, maximum: int) -> int:
+    """Return a query's number within 0 to ``maximum``, or its default when it is none."""
+    if text is None or not text.isdigit():
+        return default
+    return min(int(text), maximum)
--- a/src/leverjunction/batch/commands.py
+++ b/src/leverjunction/batch/commands.py
@@ -113,6 +113,17 @@
     may_repeat: bool | None = None
 
 
+class SealJob(msgspec.Struct, frozen=True, tag="seal_job"):
+    """State the count and hash of an upload that stays open until it is accepted. Reply: JobView.
+
+    An uploaded file is an open job; only a sealed one can become a batch.
+    """
+
+    job_id: str
+    item_count: int
+    content_hash: str
+
+
 class DiscardJob(msgspec.Struct, frozen=True, tag="discard_job"):
     """Drop an open job whose upload was refused or given up; its key is free again.
 
@@ -365,6 +376,7 @@
     OpenJob
     | AppendItems
     | AcceptJob
+    | SealJob
     | DiscardJob
     | CancelJob
     | GrantLease
--- a/src/leverjunction/batch/state_machine.py
+++ b/src/leverjunction/batch/state_machine.py
@@ -30,6 +30,7 @@
     JobQuery,
     ListJobs,
     OpenJob,
+    SealJob,
 )
 from leverjunction.consensus.api import ApplyContext
 from leverjunction.errors import Failure, FailureKind, Step
@@ -76,6 +77,8 @@
                 return submission.append_items(connection, context, command)
             case AcceptJob():
                 return submission.accept_job(connection, context, command)
+            case SealJob():
+                return submission.seal_job(connection, context, command)
             case DiscardJob():
                 return submission.discard_job(connection, context, command)
             case CancelJob():
--- a/src/leverjunction/batch/submission.py
+++ b/src/leverjunction/batch/submission.py
@@ -20,6 +20,7 @@
     JobView,
     OpenedJob,
     OpenJob,
+    SealJob,
 )
 from leverjunction.batch.job_rows import (
     JobRow,
@@ -144,6 +145,25 @@
     return job.view()
 
 
+def seal_job(
+    connection: sqlite3.Connection, context: ApplyContext, command: SealJob
+) -> JobView | Failure:
+    """Fix the items of an open job; it may be accepted later, without its count and hash."""
+    job = job_by_id(connection, command.job_id)
+    if job is None:
+        return job_not_found(command.job_id)
+    as_accepted = AcceptJob(command.job_id, command.item_count, command.content_hash)
+    if job.state != JobState.OPEN:
+        return _accepted_before(job, as_accepted)
+    refusal = _check_acceptance(job, as_accepted)
+    if refusal is not None:
+        return refusal
+    job.item_count = job.received
+    job.content_hash = command.content_hash
+    save_job(connection, job)
+    return job.view()
+
+
 def cancel_job(
     connection: sqlite3.Connection, context: ApplyContext, command: CancelJob
 ) -> JobView | Failure:
--- a/tests/unit/test_batch_state_machine.py
+++ b/tests/unit/test_batch_state_machine.py
@@ -38,6 +38,7 @@
     OpenedJob,
     OpenJob,
     ResultPage,
+    SealJob,
 )
 from leverjunction.batch.retention import CLAIM_RETENTION_MS, LEASE_RETENTION_MS
 from leverjunction.batch.state_machine import JobsStateMachine
@@ -282,6 +283,20 @@
     assert isinstance(other, Failure) and other.kind == FailureKind.KEY_REUSED
 
 
+def test_sealed_upload_becomes_a_job_without_stating_its_items_again(machine: Machine) -> None:
+    machine.apply(OpenJob(spec("j", item_count=0, content_hash="")), OpenedJob)
+    machine.apply(AppendItems("j", 0, items(3)), JobView)
+    unsealed = machine.apply(AcceptJob("j"), JobView)
+    assert isinstance(unsealed, Failure) and unsealed.kind == FailureKind.CONFLICT
+    seal = SealJob("j", 3, items_hash("", items(3)))
+    sealed = machine.apply(seal, JobView)
+    assert machine.apply(seal, JobView) == sealed
+    extra = machine.apply(AppendItems("j", 3, items(1)), JobView)
+    assert isinstance(extra, Failure) and extra.kind == FailureKind.BAD_REQUEST
+    accepted = machine.apply(AcceptJob("j"), JobView)
+    assert isinstance(accepted, JobView) and accepted.state == JobState.ACCEPTED
+
+
 def test_discard_frees_the_key_of_an_open_job_only(machine: Machine) -> None:
     machine.apply(OpenJob(spec("a", idempotency_key="k")), OpenedJob)
     machine.apply(AppendItems("a", 0, items(3)), JobView)
