--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -60,6 +60,8 @@
         ).write()
         self.http = urllib3.PoolManager(num_pools=64, maxsize=128, retries=False)
         self._processes = {p.name: FleetProcess(p) for p in self.plan.processes}
+        self._cuts: set[tuple[str, str]] = set()
+        self._leaving: set[str] = set()
 
     def __enter__(self) -> Fleet:
         """Start the fleet; nothing is left running when that fails."""
@@ -104,6 +106,14 @@
         """Return the names of the processes of a kind."""
         return [process.name for process in self.plan.of_kind(kind)]
 
+    def control_names(self) -> list[str]:
+        """Return the names of the control processes."""
+        return self.names(ProcessKind.CONTROL)
+
+    def gateway_names(self) -> list[str]:
+        """Return the names of the gateways."""
+        return self.names(ProcessKind.GATEWAY)
+
     def process(self, name: str) -> FleetProcess:
         """Return a process by name."""
         return self._processes[name]
@@ -143,17 +153,34 @@
 
     def cut(self, first: str, second: str = "*") -> None:
         """Cut all traffic between two places (zone or process names) in silence."""
+        self._cuts.add((first, second))
         self._set_cut(CutRequest(first=first, second=second, cut=True))
 
     def heal(self, first: str, second: str = "*") -> None:
         """Undo the ``cut`` with the same arguments."""
+        self._cuts.discard((first, second))
         self._set_cut(CutRequest(first=first, second=second, cut=False))
 
     def leave(self, runner: str) -> None:
         """Mark a runner as leaving in the machine list."""
+        self._leaving.add(runner)
         machine = msgspec.structs.replace(self.plan.machines[runner], state="leaving")
         self._list_machine(runner, msgspec.json.encode(machine))
 
+    def recover(self) -> None:
+        """Undo every fault: heal cuts, thaw, start again what does not run, list all as live."""
+        for first, second in list(self._cuts):
+            self.heal(first, second)
+        for name, process in self._processes.items():
+            process.signal(signal.SIGCONT)
+            if not process.is_running():
+                self.restart(name)
+        for runner in list(self._leaving):
+            self._leaving.discard(runner)
+            self._relist(runner)
+        for gateway in self.gateway_names():
+            self.wait_ready(gateway)
+
     def add_answer_fault(self, runner: str, fault: AnswerFault) -> None:
         """Let the next answers of a runner go wrong."""
         url = f"http://{self.planned(runner).direct_address}/testbed/faults"
