Operators' commands over HTTP; process settings refuse doubled keys and clashing flags

Cause: operators need check, plan, apply, show, explain, history, jobs, status, watch and why; a change whose answer was lost must be resendable. Change: fire commands that bind first and run only when the whole line is understood (fire calls first and refuses a mistyped flag afterwards); pending change ids and job keys on disk until answered; exit codes 0 to 5. Found by the new tests and mended: a flag below a plain value was dropped in silence; a settings file that is not UTF-8 ended in a traceback; a doubled key won in silence. Not run yet: against real control processes.

--- /dev/null
+++ b/src/leverjunction/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m leverjunction.cli``."""
+
+from leverjunction.cli.commands import main
+
+main()
--- /dev/null
+++ b/src/leverjunction/cli/jobs.py
@@ -0,0 +1,282 @@
+"""``leverjunction jobs``: submit, list, show, cancel, results."""
+
+from __future__ import annotations
+
+import hashlib
+import sys
+import time
+from pathlib import Path
+from typing import IO
+from urllib.parse import quote
+from uuid import uuid4
+
+import msgspec
+import urllib3
+
+from leverjunction.api.batches_shapes import BATCH_PREFIX
+from leverjunction.batch.commands import JobView, ResultPage
+from leverjunction.cli.command import command, number
+from leverjunction.cli.options import Options
+from leverjunction.cli.output import (
+    ExitCode,
+    print_failure,
+    print_json,
+    print_json_line,
+    print_progress,
+    print_table,
+    when,
+)
+from leverjunction.cli.pending import PendingRecord, default_folder
+from leverjunction.cli_client import CONNECT_TIMEOUT_S, OperatorClient, failure_of, read_secret
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.wire.codec import decode
+
+SUBMIT_TIMEOUT_S = 120.0
+POLL_S = 1.0
+
+
+class SubmittedJob(msgspec.Struct, frozen=True, kw_only=True):
+    """The part of a gateway's batch object that the command line prints."""
+
+    id: str
+    status: str = ""
+
+
+class PendingJob(msgspec.Struct, frozen=True, kw_only=True):
+    """A submission whose answer was not seen: its key, for the resend."""
+
+    idempotency_key: str
+
+
+class JobsCommands:
+    """Submit, list, show and cancel batch jobs, and read their results."""
+
+    def __init__(self, options: Options) -> None:
+        """Use the shared options."""
+        self._options = options
+
+    @command
+    def submit(
+        self,
+        file: str,
+        gateway: str,
+        key_file: str,
+        idempotency_key: str = "",
+        batch_class: str = "",
+    ) -> int:
+        """Submit a JSONL file of requests as one job.
+
+        Run again after a lost answer, it resends the same key and gets the same job.
+
+        Args:
+            file: JSONL file, one request a line, in the form of OpenAI's batch files.
+            gateway: Address of a gateway, host:port.
+            key_file: File with the tenant's API key.
+            idempotency_key: Key that names the job in resends; made and kept when not given.
+            batch_class: Batch class in the settings.
+        """
+        key = read_secret(key_file, "API key (--key-file)")
+        if isinstance(key, Failure):
+            return print_failure(key)
+        try:
+            body = Path(file).read_bytes()
+        except OSError as error:
+            return print_failure(_unreadable(file, error))
+        pending = PendingRecord(
+            default_folder(), "job", gateway, _digest(key.encode()), _digest(body)
+        )
+        kept = pending.load(PendingJob)
+        job_key = idempotency_key or (kept.idempotency_key if kept else uuid4().hex)
+        pending.save(PendingJob(idempotency_key=job_key))
+        job = _submit(gateway, key, body, job_key, batch_class)
+        if isinstance(job, Failure):
+            if job.execution != Execution.UNKNOWN:
+                pending.clear()
+            else:
+                print_progress("whether the job exists is not known: run the command again")
+            return print_failure(job)
+        pending.clear()
+        if self._options.as_json:
+            print_json(job)
+        else:
+            print(job.id)
+        return ExitCode.OK
+
+    @command
+    def list(self, tenant: str = "") -> int:
+        """List jobs, newest first.
+
+        Args:
+            tenant: Only jobs of this tenant.
+        """
+        client = self._options.client()
+        if isinstance(client, Failure):
+            return print_failure(client)
+        parameters = {"tenant": tenant} if tenant else {}
+        jobs = client.get("/operator/jobs", list[JobView], parameters)
+        if isinstance(jobs, Failure):
+            return print_failure(jobs)
+        if self._options.as_json:
+            print_json(jobs)
+            return ExitCode.OK
+        print_table("jobs", JOB_COLUMNS, [job_row(job) for job in jobs])
+        return ExitCode.OK
+
+    @command
+    def show(self, job_id: str) -> int:
+        """Show one job.
+
+        Args:
+            job_id: Id of the job.
+        """
+        return self._print_job(f"/operator/jobs/{quote(_bare_id(job_id))}", post=False)
+
+    @command
+    def cancel(self, job_id: str) -> int:
+        """Cancel a job: no item of it starts any more, running ones are dropped.
+
+        Args:
+            job_id: Id of the job.
+        """
+        return self._print_job(f"/operator/jobs/{quote(_bare_id(job_id))}/cancel", post=True)
+
+    @command
+    def results(self, job_id: str, after: str = "0", output: str = "", follow: bool = False) -> int:
+        """Write a job's final items as JSON lines.
+
+        Args:
+            job_id: Id of the job.
+            after: Cursor to go on from, as an earlier run printed it.
+            output: File to write to; standard output by default.
+            follow: Go on until the job is final.
+        """
+        cursor = number(after, "--after", int)
+        if isinstance(cursor, Failure):
+            return print_failure(cursor)
+        client = self._options.client()
+        if isinstance(client, Failure):
+            return print_failure(client)
+        job_id = _bare_id(job_id)
+        if not output:
+            return _write_results(client, job_id, cursor, follow, sys.stdout.buffer)
+        try:
+            with Path(output).open("ab" if cursor else "wb") as target:
+                return _write_results(client, job_id, cursor, follow, target)
+        except OSError as error:
+            return print_failure(_unreadable(output, error))
+
+    def _print_job(self, path: str, post: bool) -> int:
+        client = self._options.client()
+        if isinstance(client, Failure):
+            return print_failure(client)
+        job = client.post(path, None, JobView) if post else client.get(path, JobView)
+        if isinstance(job, Failure):
+            return print_failure(job)
+        if self._options.as_json:
+            print_json_line(job)
+            return ExitCode.OK
+        print_table("job", JOB_COLUMNS, [job_row(job)])
+        return ExitCode.OK
+
+
+def _write_results(
+    client: OperatorClient, job_id: str, after: int, follow: bool, target: IO[bytes]
+) -> ExitCode:
+    """Write pages of results until none is left, or with ``follow`` until the job is final."""
+    path = f"/operator/jobs/{quote(job_id)}/results"
+    cursor = after
+    while True:
+        page = client.get(path, ResultPage, {"after": str(cursor)})
+        if isinstance(page, Failure):
+            print_progress(f"read up to cursor {cursor}: go on with --after {cursor}")
+            return print_failure(page)
+        for line in page.lines:
+            target.write(msgspec.json.encode(line) + b"\n")
+        target.flush()
+        cursor = page.next_cursor
+        if page.complete or not (page.lines or follow):
+            break
+        print_progress(f"cursor {cursor}")
+        if not page.lines:
+            time.sleep(POLL_S)
+    state = "complete" if page.complete else "not final yet"
+    print_progress(f"{state}, cursor {cursor}")
+    return ExitCode.OK
+
+
+def _bare_id(job_id: str) -> str:
+    """Return a job's id from the form in which gateways give it to callers."""
+    return job_id.removeprefix(BATCH_PREFIX)
+
+
+JOB_COLUMNS = (
+    "job",
+    "tenant",
+    "service",
+    "state",
+    "items",
+    "done",
+    "failed",
+    "unknown",
+    "running",
+    "pending",
+    "created (UTC)",
+    "deadline (UTC)",
+)
+
+
+def job_row(job: JobView) -> tuple[object, ...]:
+    """Return a job's cells for ``JOB_COLUMNS``."""
+    spec = job.spec
+    return (
+        spec.job_id,
+        spec.tenant,
+        spec.service,
+        job.state.value,
+        spec.item_count,
+        job.done,
+        job.failed,
+        job.unknown,
+        job.leased,
+        job.pending,
+        when(job.created_ms),
+        when(spec.deadline_ms),
+    )
+
+
+def _submit(
+    gateway: str, key: str, body: bytes, job_key: str, batch_class: str
+) -> SubmittedJob | Failure:
+    headers = {
+        "Authorization": f"Bearer {key}",
+        "Idempotency-Key": job_key,
+        "Content-Type": "application/jsonl",
+    }
+    if batch_class:
+        headers["X-Batch-Class"] = batch_class
+    pool = urllib3.PoolManager(
+        retries=False, timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=SUBMIT_TIMEOUT_S)
+    )
+    try:
+        response = pool.request("POST", f"http://{gateway}/v1/batches", body=body, headers=headers)
+    except urllib3.exceptions.HTTPError as error:
+        return Failure(
+            kind=FailureKind.UNREACHABLE,
+            reason=f"no answer from {gateway}: {type(error).__name__}",
+            step=Step.CONNECTING,
+            peer=gateway,
+            execution=Execution.UNKNOWN,
+        )
+    if response.status not in range(200, 300):
+        return failure_of(response.status, response.data, gateway)
+    return decode(response.data, SubmittedJob, gateway)
+
+
+def _digest(content: bytes) -> str:
+    return hashlib.sha256(content).hexdigest()
+
+
+def _unreadable(path: str, error: OSError) -> Failure:
+    return Failure(
+        kind=FailureKind.BAD_REQUEST, reason=f"{path}: {error.strerror}", step=Step.CONFIGURATION
+    )
--- /dev/null
+++ b/src/leverjunction/cli/output.py
@@ -0,0 +1,92 @@
+"""Exit codes and printing that the commands share: data on stdout, everything else on stderr."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
+from enum import IntEnum
+
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from leverjunction.errors import Failure, FailureKind
+
+_MS_PER_S = 1000
+
+
+class ExitCode(IntEnum):
+    """Exit status of every command."""
+
+    OK = 0
+    FAILED = 1
+    BAD_INPUT = 2
+    CONFLICT = 3
+    UNREACHABLE = 4
+    NOT_IN_FORCE = 5
+
+
+_CODE_BY_KIND = {
+    FailureKind.BAD_REQUEST: ExitCode.BAD_INPUT,
+    FailureKind.TOO_LARGE: ExitCode.BAD_INPUT,
+    FailureKind.CONFLICT: ExitCode.CONFLICT,
+    FailureKind.KEY_REUSED: ExitCode.CONFLICT,
+    FailureKind.UNREACHABLE: ExitCode.UNREACHABLE,
+    FailureKind.NO_QUORUM: ExitCode.UNREACHABLE,
+    FailureKind.NOT_LEADER: ExitCode.UNREACHABLE,
+    FailureKind.STALE: ExitCode.UNREACHABLE,
+    FailureKind.STOPPING: ExitCode.UNREACHABLE,
+    FailureKind.TIMEOUT: ExitCode.UNREACHABLE,
+    FailureKind.OVERLOADED: ExitCode.UNREACHABLE,
+    FailureKind.OUTCOME_UNKNOWN: ExitCode.UNREACHABLE,
+}
+
+
+def exit_code(failure: Failure) -> ExitCode:
+    """Return the exit status that a failure leads to."""
+    return _CODE_BY_KIND.get(failure.kind, ExitCode.FAILED)
+
+
+def print_failure(failure: Failure, code: ExitCode | None = None) -> ExitCode:
+    """Print a failure on stderr, with step and peer, and return the exit code."""
+    peer = f", peer {failure.peer}" if failure.peer else ""
+    print(f"error: {failure.reason} (step {failure.step}{peer})", file=sys.stderr)
+    return exit_code(failure) if code is None else code
+
+
+def print_progress(text: str) -> None:
+    """Print a line of progress on stderr."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def print_json(value: object) -> None:
+    """Print a value as one JSON document on stdout."""
+    print(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
+
+
+def print_json_line(value: object) -> None:
+    """Print a value as one line of JSON on stdout."""
+    print(msgspec.json.encode(value).decode(), flush=True)
+
+
+def print_table(title: str, columns: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+    """Print a table on stdout; nothing but a note when it has no rows."""
+    table = Table(title=title, title_justify="left", header_style="bold")
+    for column in columns:
+        table.add_column(column, overflow="fold")
+    for row in rows:
+        table.add_row(*(str(cell) for cell in row))
+    console = Console(soft_wrap=False)
+    if not table.row_count:
+        console.print(f"{title}: none", highlight=False)
+        return
+    console.print(table, highlight=False, markup=False)
+
+
+def when(wall_ms: int) -> str:
+    """Return a wall-clock time as text in UTC, a dash for none."""
+    if not wall_ms:
+        return "-"
+    moment = datetime.fromtimestamp(wall_ms / _MS_PER_S, tz=UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%S")
--- a/src/leverjunction/config/load.py
+++ b/src/leverjunction/config/load.py
@@ -12,6 +12,22 @@
 
 ConfigT = TypeVar("ConfigT", bound=BaseModel)
 
+_MAX_SHOWN_CHARACTERS = 80
+
+
+class _UniqueKeyLoader(yaml.SafeLoader):
+    """Refuses a key that is given twice, which YAML loaders let win in silence."""
+
+    def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict[object, object]:
+        seen: set[object] = set()
+        for key_node, _ in node.value:
+            if key_node.value in seen:
+                raise yaml.constructor.ConstructorError(
+                    None, None, f"key {key_node.value} is given twice", key_node.start_mark
+                )
+            seen.add(key_node.value)
+        return super().construct_mapping(node, deep)
+
 
 def load_config(
     path: Path, config_type: type[ConfigT], overrides: dict[str, object]
@@ -27,36 +43,48 @@
         The configuration, or a failure naming file, key, what was expected and what was got.
     """
     try:
-        document = yaml.safe_load(path.read_text(encoding="utf8")) or {}
+        # A safe loader by inheritance: only plain data is constructed.
+        document = yaml.load(path.read_text(encoding="utf8"), _UniqueKeyLoader) or {}
     except OSError as error:
         return _bad(path, f"cannot be read: {error.strerror}")
+    except UnicodeDecodeError as error:
+        return _bad(path, f"is not text in UTF-8: {error.reason}")
     except yaml.YAMLError as error:
         return _bad(path, f"is not YAML: {error}")
     if not isinstance(document, dict):
         return _bad(path, f"must hold a mapping of keys, got {type(document).__name__}")
     for dotted, value in overrides.items():
-        _set_dotted(document, dotted, value)
+        clash = _set_dotted(document, dotted, value)
+        if clash:
+            return _bad(path, f"key {dotted} given by a flag: {clash} is not a mapping")
     try:
         return config_type.model_validate(document)
     except ValidationError as error:
         return _bad(path, "; ".join(_explain(item) for item in error.errors()))
 
 
-def _set_dotted(document: dict[str, object], dotted: str, value: object) -> None:
+def _set_dotted(document: dict[str, object], dotted: str, value: object) -> str:
+    """Set a value; return the key on the way that is no mapping, empty when there is none."""
     *parents, leaf = dotted.split(".")
     target = document
     for parent in parents:
         child = target.setdefault(parent, {})
         if not isinstance(child, dict):
-            return
+            return parent
         target = child
     target[leaf] = value
+    return ""
 
 
 def _explain(item: object) -> str:
     assert isinstance(item, dict)
     key = ".".join(str(part) for part in item["loc"])
-    return f"key {key}: {item['msg']}, got {item['input']!r}"
+    if item["type"] == "missing":
+        return f"key {key}: a value is required"
+    got = repr(item["input"])
+    if len(got) > _MAX_SHOWN_CHARACTERS:
+        got = got[: _MAX_SHOWN_CHARACTERS - 3] + "..."
+    return f"key {key}: {item['msg']}, got {got}"
 
 
 def _bad(path: Path, reason: str) -> Failure:
--- a/src/leverjunction/settings/resolved.py
+++ b/src/leverjunction/settings/resolved.py
@@ -185,6 +185,10 @@
         """Return the region that a zone belongs to."""
         return self._index.region_by_zone.get(zone)
 
+    def zones(self) -> list[str]:
+        """Return the zones of all regions, sorted."""
+        return sorted(self._index.region_by_zone)
+
     def batch_class(self, name: str) -> ResolvedBatchClass:
         """Return a class of batch jobs; an unknown name gets the built-in one."""
         deadline_s = self.lookup(f"batch_classes/{name}/deadline_s")
