Harvest controller: pure core that bounds batch on a runner

First version: idle fill bounded by the step an arrival may find, busy budget split between decode and prompts, floor, hysteresis.

--- /dev/null
+++ b/src/leverjunction/batch/harvest.py
@@ -0,0 +1,224 @@
+"""How many batch requests one runner may hold: all it can while idle, little beside online work.
+
+Pure: one controller a runner, fed with events (each with the time), asked for a decision. Used by
+the harvester in a gateway and by the simulator.
+
+The rules, and why:
+
+* *Idle* (no online request known): fill the runner, but only up to the step time that an arriving
+  online request may find running, since a step that has begun cannot be stopped.
+* *Busy*: the growth of the step that ``interference`` allows is split between decoding and
+  reading prompts. Filling decode slots up to the target would leave no room for prompts, and
+  then no item could start.
+* A prompt chunk makes single steps longer than the target when the target is small. Such steps
+  are kept so rare that they stay out of the 99th percentile.
+* *Park at once* on the first arrival, *refill only after* online has been gone for a moment:
+  reports lag, and parking at every arrival with a lag would restart the same items for ever. A
+  floor keeps ``batch_floor`` requests on the runner whatever happens.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from leverjunction.backends.types import LoadReport
+from leverjunction.batch.step_time import StepTimeModel
+
+DECODE_SHARE = 0.5
+"""Share of the allowed growth for decoding batch sequences; the rest is for their prompts."""
+
+RARE_STEP_RATIO = 0.005
+"""Share of steps that may exceed the target for a prompt: half of what the p99 shows."""
+
+REFILL_HOLD_S = 0.15
+"""Online must be gone this long before a refill: above a report's usual lag, far below 1 s."""
+
+NOTICE_HOLD_S = 0.5
+"""A yield notice says nothing of the request's end: it holds until reports can show it."""
+
+REPORT_STALE_S = 2.0
+"""Without a report for this long the runner's state is unknown and nothing new starts."""
+
+IDLE_GROWTH_BASE = 0.5
+IDLE_GROWTH_PER_INTERFERENCE = 12.0
+"""Idle steps may grow by base + factor * interference: what an arriving request may find."""
+
+MAX_START_CREDIT = 2.0
+
+
+class HarvestTargets(msgspec.Struct, frozen=True, kw_only=True):
+    """The service's settings that bound batch on a runner.
+
+    Attributes:
+        interference: Allowed growth of the step time beside online work; 0.05 is 5%.
+        batch_floor: Batch requests kept even beside online work.
+        batch_max_running: Most batch requests on the runner at any time.
+    """
+
+    interference: float
+    batch_floor: int
+    batch_max_running: int
+
+
+class HarvestDecision(msgspec.Struct, frozen=True, kw_only=True):
+    """What to do with one runner's batch work now.
+
+    Attributes:
+        allowed: Batch requests that it may hold.
+        start: How many may be started now.
+        park: Requests to cancel now; their text is kept and they go on later.
+        reason: One sentence that says why.
+    """
+
+    allowed: int
+    start: int
+    park: list[Hashable]
+    reason: str
+
+
+@dataclass
+class _Held:
+    """A batch request on the runner."""
+
+    started_s: float
+    may_park: bool
+    parking: bool = False
+
+
+@dataclass
+class HarvestController:
+    """Controller of one runner. Not safe for threads; the caller serialises calls.
+
+    Args:
+        targets: Settings in force; replace the attribute when they change.
+    """
+
+    targets: HarvestTargets
+    step_time: StepTimeModel = field(default_factory=StepTimeModel)
+    _held: dict[Hashable, _Held] = field(default_factory=dict)
+    _local_online: int = 0
+    _reported_online: int = 0
+    _reported_s: float = -math.inf
+    _notice_until_s: float = -math.inf
+    _busy_until_s: float = -math.inf
+    _start_credit: float = 1.0
+    _credit_s: float = 0.0
+
+    @property
+    def held(self) -> int:
+        """Batch requests on the runner that are not being parked."""
+        return sum(1 for held in self._held.values() if not held.parking)
+
+    def online_arrived(self, now_s: float) -> None:
+        """An online request is about to be sent to the runner through this process."""
+        self._local_online += 1
+        self._busy_until_s = max(self._busy_until_s, now_s + REFILL_HOLD_S)
+
+    def online_finished(self, now_s: float) -> None:
+        """An online request that was announced by ``online_arrived`` has ended."""
+        self._local_online = max(0, self._local_online - 1)
+        self._busy_until_s = max(self._busy_until_s, now_s + REFILL_HOLD_S)
+
+    def notice_arrived(self, now_s: float) -> None:
+        """Another process has sent an online request to the runner (yield notice)."""
+        self._notice_until_s = now_s + NOTICE_HOLD_S
+        self._busy_until_s = max(self._busy_until_s, self._notice_until_s)
+
+    def observe(self, report: LoadReport, now_s: float) -> None:
+        """Take a load report, which may lag behind the events above."""
+        batch = report.batch_running + report.batch_waiting
+        self._reported_online = max(0, report.running + report.waiting - batch)
+        self._reported_s = now_s
+        if self._reported_online:
+            self._busy_until_s = max(self._busy_until_s, now_s + REFILL_HOLD_S)
+        self.step_time.observe(report.running, report.step_ms)
+
+    def started(self, request: Hashable, now_s: float, *, may_park: bool = True) -> None:
+        """A batch request was sent to the runner."""
+        self._held[request] = _Held(started_s=now_s, may_park=may_park)
+        self._start_credit -= 1.0
+
+    def ended(self, request: Hashable) -> None:
+        """A batch request has left the runner: finished, failed or parked."""
+        self._held.pop(request, None)
+
+    def online(self, now_s: float) -> int:
+        """Return how many online requests the runner is believed to have."""
+        noticed = 1 if now_s < self._notice_until_s else 0
+        reported = self._reported_online if now_s - self._reported_s < REPORT_STALE_S else 0
+        return max(self._local_online, noticed, reported)
+
+    def is_busy(self, now_s: float) -> bool:
+        """Return whether online work is there, or was a moment ago."""
+        return self.online(now_s) > 0 or now_s < self._busy_until_s
+
+    def decide(self, now_s: float) -> HarvestDecision:
+        """Decide from all events so far; the caller carries the decision out at once."""
+        if now_s - self._reported_s > REPORT_STALE_S:
+            return HarvestDecision(
+                allowed=self.held, start=0, park=[], reason="no load report; nothing new starts"
+            )
+        if not self.is_busy(now_s):
+            return self._decide_idle(now_s)
+        return self._decide_busy(now_s)
+
+    def _decide_idle(self, now_s: float) -> HarvestDecision:
+        self._start_credit = 1.0
+        self._credit_s = now_s
+        growth = IDLE_GROWTH_BASE + IDLE_GROWTH_PER_INTERFERENCE * self.targets.interference
+        limit_ms = self.step_time.predict_ms(1) * (1.0 + growth)
+        room = (limit_ms - self.step_time.predict_ms(0)) / self.step_time.per_sequence_ms
+        allowed = min(self.targets.batch_max_running, max(1, math.floor(room)))
+        return HarvestDecision(
+            allowed=allowed,
+            start=max(0, allowed - self.held),
+            park=[],
+            reason=f"no online request: fills up to a step of {limit_ms:.1f} ms",
+        )
+
+    def _decide_busy(self, now_s: float) -> HarvestDecision:
+        online = self.online(now_s)
+        step_ms = self.step_time.predict_ms(max(1, online))
+        decode_ms = step_ms * self.targets.interference * DECODE_SHARE
+        within = math.floor(decode_ms / self.step_time.per_sequence_ms)
+        allowed = min(self.targets.batch_max_running, max(within, self.targets.batch_floor))
+        self._earn_credit(now_s, step_ms)
+        wanted = max(0, allowed - self.held)
+        start = min(wanted, max(0, math.floor(self._start_credit)))
+        return HarvestDecision(
+            allowed=allowed,
+            start=start,
+            park=self._to_park(allowed),
+            reason=f"{online} online: {within} fit into {decode_ms:.2f} ms of a {step_ms:.1f} ms "
+            f"step, floor {self.targets.batch_floor}",
+        )
+
+    def _earn_credit(self, now_s: float, step_ms: float) -> None:
+        """Earn starts beside online work: each costs prompt steps, which are rationed."""
+        budget_ms = step_ms * self.targets.interference * (1.0 - DECODE_SHARE)
+        prefill_ms = max(self.step_time.prefill_ms, budget_ms / 100)
+        # Within the target every step may read prompts; beyond it only rare ones may.
+        ratio = 1.0 if prefill_ms <= budget_ms else RARE_STEP_RATIO
+        steps = (now_s - self._credit_s) * 1000 / step_ms
+        self._credit_s = now_s
+        earned = self._start_credit + max(0.0, steps) * ratio
+        self._start_credit = min(earned, MAX_START_CREDIT)
+
+    def _to_park(self, allowed: int) -> list[Hashable]:
+        """Choose what to park: the newest first, as they lose least and still read prompts."""
+        surplus = self.held - allowed
+        if surplus <= 0:
+            return []
+        candidates = [
+            (held.started_s, number, request)
+            for number, (request, held) in enumerate(self._held.items())
+            if held.may_park and not held.parking
+        ]
+        chosen = [request for *_, request in sorted(candidates, reverse=True)[:surplus]]
+        for request in chosen:
+            self._held[request].parking = True
+        return chosen
