--- /dev/null
+++ b/src/leverjunction/consensus/codec.py
@@ -0,0 +1,285 @@
+"""Binary form of the messages between replicas (compiled construct structures).
+
+A frame is a sequence of messages: kind, length, body. Entries are encoded one by one and joined,
+so an entry that goes to several peers is encoded once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import lru_cache
+from typing import Any
+
+from construct import (
+    Const,
+    ConstructError,
+    Flag,
+    GreedyBytes,
+    GreedyRange,
+    Int8ub,
+    Int32sb,
+    Int32ub,
+    Int64ub,
+    PascalString,
+    Prefixed,
+    Struct,
+)
+
+from leverjunction.consensus import messages
+from leverjunction.consensus.log_view import decode_configuration, encode_configuration
+from leverjunction.consensus.messages import Header, Message
+from leverjunction.consensus.types import (
+    Configuration,
+    EntryKind,
+    LogEntry,
+    LogPosition,
+)
+from leverjunction.errors import Failure, FailureKind, Step
+
+ENTRY_CACHE_SIZE = 4_096
+
+_NAME = PascalString(Int8ub, "utf8")
+_BLOB = Prefixed(Int32ub, GreedyBytes)
+_HEADER_FIELDS = (
+    "founding_id" / _NAME,
+    "from_id" / _NAME,
+    "from_address" / _NAME,
+    "to_id" / _NAME,
+    "header_term" / Int64ub,
+)
+_FRAME = GreedyRange(Struct("kind" / Int8ub, "body" / _BLOB)).compile()
+_FRAME_ITEM = Struct("kind" / Int8ub, "body" / _BLOB).compile()
+_ENTRY = Struct(
+    "index" / Int64ub,
+    "term" / Int64ub,
+    "kind" / Int8ub,
+    "wall_ms" / Int64ub,
+    "payload" / _BLOB,
+).compile()
+_ENTRIES = GreedyRange(
+    Struct(
+        "index" / Int64ub,
+        "term" / Int64ub,
+        "kind" / Int8ub,
+        "wall_ms" / Int64ub,
+        "payload" / _BLOB,
+    )
+).compile()
+_LAYOUTS = {
+    messages.VoteRequest: Struct(
+        *_HEADER_FIELDS,
+        "last_term" / Int64ub,
+        "last_index" / Int64ub,
+        "pre" / Flag,
+        "transfer" / Flag,
+    ),
+    messages.VoteReply: Struct(
+        *_HEADER_FIELDS, "campaign_term" / Int64ub, "granted" / Flag, "pre" / Flag
+    ),
+    messages.AppendRequest: Struct(
+        *_HEADER_FIELDS,
+        "previous_term" / Int64ub,
+        "previous_index" / Int64ub,
+        "commit_index" / Int64ub,
+        "sequence" / Int64ub,
+        "entries" / _BLOB,
+    ),
+    messages.AppendReply: Struct(
+        *_HEADER_FIELDS, "sequence" / Int64ub, "accepted" / Flag, "index" / Int64ub
+    ),
+    messages.SnapshotChunk: Struct(
+        *_HEADER_FIELDS,
+        "stream_id" / _NAME,
+        "number" / Int32ub,
+        "start_term" / Int64ub,
+        "start_index" / Int64ub,
+        "data" / _BLOB,
+        "is_final" / Flag,
+        "final_term" / Int64ub,
+        "final_index" / Int64ub,
+        "configuration" / _BLOB,
+    ),
+    messages.SnapshotReply: Struct(
+        *_HEADER_FIELDS,
+        "stream_id" / _NAME,
+        "next_number" / Int32sb,
+        "matched_index" / Int64ub,
+    ),
+    messages.TimeoutNow: Struct(*_HEADER_FIELDS, "marker" / Const(b"T")),
+    messages.IdentityQuery: Struct(*_HEADER_FIELDS, "nonce" / Int64ub),
+    messages.IdentityReply: Struct(*_HEADER_FIELDS, "nonce" / Int64ub),
+    messages.FoundRequest: Struct(*_HEADER_FIELDS, "configuration" / _BLOB),
+    messages.FoundReply: Struct(*_HEADER_FIELDS, "marker" / Const(b"F")),
+}
+_KINDS: list[type] = list(_LAYOUTS)
+_KIND_OF = {message_type: number for number, message_type in enumerate(_KINDS)}
+_COMPILED = [layout.compile() for layout in _LAYOUTS.values()]
+
+
+def encode_messages(batch: Iterable[Message]) -> bytes:
+    """Return the frame that holds the messages in order."""
+    items = []
+    for message in batch:
+        kind = _KIND_OF[type(message)]
+        body = _COMPILED[kind].build(_fields(message))
+        items.append(_FRAME_ITEM.build({"kind": kind, "body": body}))
+    return b"".join(items)
+
+
+def decode_messages(frame: bytes) -> list[Message] | Failure:
+    """Return the messages of a frame, or a CORRUPT failure if it is not well formed."""
+    try:
+        return [_decode(item.kind, item.body) for item in _FRAME.parse(frame)]
+    except (ConstructError, ValueError, IndexError, UnicodeDecodeError) as error:
+        return Failure(
+            kind=FailureKind.CORRUPT,
+            reason=f"malformed consensus message: {error}",
+            step=Step.DECODING,
+        )
+
+
+@lru_cache(maxsize=ENTRY_CACHE_SIZE)
+def _encode_entry(entry: LogEntry) -> bytes:
+    return bytes(
+        _ENTRY.build(
+            {
+                "index": entry.index,
+                "term": entry.term,
+                "kind": int(entry.kind),
+                "wall_ms": entry.wall_ms,
+                "payload": entry.payload,
+            }
+        )
+    )
+
+
+def _decode_entries(blob: bytes) -> tuple[LogEntry, ...]:
+    return tuple(
+        LogEntry(
+            index=item.index,
+            term=item.term,
+            kind=EntryKind(item.kind),
+            wall_ms=item.wall_ms,
+            payload=bytes(item.payload),
+        )
+        for item in _ENTRIES.parse(blob)
+    )
+
+
+def _header_fields(header: Header) -> dict[str, Any]:
+    return {
+        "founding_id": header.founding_id,
+        "from_id": header.from_id,
+        "from_address": header.from_address,
+        "to_id": header.to_id,
+        "header_term": header.term,
+    }
+
+
+def _fields(message: Message) -> dict[str, Any]:
+    """Return the fields of a message as its layout names them."""
+    fields = _header_fields(message.header)
+    match message:
+        case messages.AppendRequest():
+            fields |= {
+                "previous_term": message.previous.term,
+                "previous_index": message.previous.index,
+                "commit_index": message.commit_index,
+                "sequence": message.sequence,
+                "entries": b"".join(_encode_entry(entry) for entry in message.entries),
+            }
+        case messages.VoteRequest():
+            fields |= {
+                "last_term": message.last.term,
+                "last_index": message.last.index,
+                "pre": message.pre,
+                "transfer": message.transfer,
+            }
+        case messages.SnapshotChunk():
+            fields |= _chunk_fields(message)
+        case messages.FoundRequest():
+            fields["configuration"] = encode_configuration(message.configuration)
+        case _:
+            names = (name for name in message.__struct_fields__ if name != "header")
+            fields |= {name: getattr(message, name) for name in names}
+    return fields
+
+
+def _chunk_fields(chunk: messages.SnapshotChunk) -> dict[str, Any]:
+    final = chunk.final or LogPosition()
+    return {
+        "stream_id": chunk.stream_id,
+        "number": chunk.number,
+        "start_term": chunk.start.term,
+        "start_index": chunk.start.index,
+        "data": chunk.data,
+        "is_final": chunk.final is not None,
+        "final_term": final.term,
+        "final_index": final.index,
+        "configuration": encode_configuration(chunk.configuration),
+    }
+
+
+def _decode(kind: int, body: bytes) -> Message:
+    message_type = _KINDS[kind]
+    parsed = _COMPILED[kind].parse(body)
+    header = Header(
+        founding_id=parsed.founding_id,
+        from_id=parsed.from_id,
+        from_address=parsed.from_address,
+        to_id=parsed.to_id,
+        term=parsed.header_term,
+    )
+    special = _SPECIAL_DECODERS.get(message_type)
+    if special is not None:
+        return special(header, parsed)
+    names = (name for name in message_type.__struct_fields__ if name != "header")  # type: ignore[attr-defined]
+    message: Message = message_type(header=header, **{name: parsed[name] for name in names})
+    return message
+
+
+def _decode_append(header: Header, parsed: Any) -> Message:
+    return messages.AppendRequest(
+        header=header,
+        previous=LogPosition(term=parsed.previous_term, index=parsed.previous_index),
+        commit_index=parsed.commit_index,
+        sequence=parsed.sequence,
+        entries=_decode_entries(parsed.entries),
+    )
+
+
+def _decode_vote_request(header: Header, parsed: Any) -> Message:
+    return messages.VoteRequest(
+        header=header,
+        last=LogPosition(term=parsed.last_term, index=parsed.last_index),
+        pre=parsed.pre,
+        transfer=parsed.transfer,
+    )
+
+
+def _decode_chunk(header: Header, parsed: Any) -> Message:
+    final = LogPosition(term=parsed.final_term, index=parsed.final_index)
+    configuration: Configuration = decode_configuration(parsed.configuration)
+    return messages.SnapshotChunk(
+        header=header,
+        stream_id=parsed.stream_id,
+        number=parsed.number,
+        start=LogPosition(term=parsed.start_term, index=parsed.start_index),
+        data=bytes(parsed.data),
+        final=final if parsed.is_final else None,
+        configuration=configuration,
+    )
+
+
+def _decode_found_request(header: Header, parsed: Any) -> Message:
+    return messages.FoundRequest(
+        header=header, configuration=decode_configuration(parsed.configuration)
+    )
+
+
+_SPECIAL_DECODERS: dict[type, Callable[[Header, Any], Message]] = {
+    messages.AppendRequest: _decode_append,
+    messages.VoteRequest: _decode_vote_request,
+    messages.SnapshotChunk: _decode_chunk,
+    messages.FoundRequest: _decode_found_request,
+}
--- /dev/null
+++ b/src/leverjunction/consensus/core_base.py
@@ -0,0 +1,169 @@
+"""State of the pure core and the steps that all its parts share."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+from leverjunction.consensus.events import Effect, PersistHardState, Send, SteppedDown
+from leverjunction.consensus.log_view import LogView
+from leverjunction.consensus.messages import Header, IdentityReply, Message
+from leverjunction.consensus.progress import Progress
+from leverjunction.consensus.types import (
+    Configuration,
+    DurableState,
+    GroupConfig,
+    HardState,
+    LogPosition,
+    Role,
+)
+
+LEASE_SHARE = 0.9
+"""A leader's lease is this share of the shortest election timeout, for clocks that drift."""
+
+
+class CoreBase:
+    """One replica's consensus state. Not thread-safe; one driver calls it.
+
+    Attributes are public so that the simulator's checkers can read them.
+    """
+
+    def __init__(
+        self, config: GroupConfig, durable: DurableState, random: Random, now_s: float
+    ) -> None:
+        self.config = config
+        self.replica_id = durable.replica_id
+        self.founding_id = durable.founding_id
+        self.barred_from_founding = durable.barred_from_founding
+        self.hard_state = durable.hard_state
+        self.log = LogView(durable)
+        self.commit_index = durable.applied_index
+        self.applied_index = durable.applied_index
+        self.persisted_index = durable.last_index
+        self.role = Role.BLANK
+        self.leader_id = ""
+        self.leader_address = ""
+        # A restarted voter may have answered a leader right before, so it honours that lease.
+        self.leader_contact_s = now_s
+        self.election_deadline_s = math.inf
+        self.progress: dict[str, Progress] = {}
+        self.leader_since_s = 0.0
+        self._random = random
+        self._now_s = now_s
+        self._effects: list[Effect] = []
+        self._settle_role()
+        self._reset_election_deadline()
+
+    @property
+    def term(self) -> int:
+        """Current term."""
+        return self.hard_state.term
+
+    @property
+    def configuration(self) -> Configuration:
+        """Configuration in force."""
+        return self.log.configuration
+
+    @property
+    def blank(self) -> bool:
+        """True while this replica belongs to no founding of the group."""
+        return self.founding_id == ""
+
+    @property
+    def lease_s(self) -> float:
+        """How long a leader leads on after it last heard a quorum, in seconds."""
+        return self.config.election_timeout_min_s * LEASE_SHARE
+
+    def is_voter(self) -> bool:
+        """Return whether the configuration in force lists this replica as a voter."""
+        return self.replica_id in self.configuration.voter_ids()
+
+    def header(self, to_id: str, term: int | None = None) -> Header:
+        """Return the header of a message from this replica."""
+        return Header(
+            founding_id=self.founding_id,
+            from_id=self.replica_id,
+            from_address=self.config.address,
+            to_id=to_id,
+            term=self.term if term is None else term,
+        )
+
+    def _emit(self, effect: Effect) -> None:
+        self._effects.append(effect)
+
+    def _send(self, address: str, message: Message) -> None:
+        self._emit(Send(address=address, message=message))
+
+    def _send_identity(self, address: str, to_id: str, nonce: int = 0) -> None:
+        self._send(address, IdentityReply(header=self.header(to_id), nonce=nonce))
+
+    def _same_founding(self, header: Header) -> bool:
+        return header.founding_id == self.founding_id
+
+    def _is_addressed(self, header: Header) -> bool:
+        """Return whether a message is for this replica, not for one that lived here before."""
+        return header.to_id == self.replica_id
+
+    def _persist_term(self, term: int, voted_for: str) -> None:
+        self.hard_state = HardState(term=term, voted_for=voted_for)
+        self._emit(PersistHardState(hard_state=self.hard_state))
+
+    def _follow(self, term: int, reason: str) -> None:
+        """Become a follower in ``term``, which is not below the current one."""
+        was_leader = self.role is Role.LEADER
+        if term > self.term:
+            self._persist_term(term, "")
+            self.leader_id = ""
+            self.leader_address = ""
+        if was_leader:
+            self._emit(SteppedDown(term=self.term, reason=reason))
+            self._leader_stopped()
+        was_follower = self.role is Role.FOLLOWER
+        self._settle_role()
+        if not was_follower:
+            self._reset_election_deadline()
+
+    def _settle_role(self) -> None:
+        """Set the role of a replica that neither leads nor campaigns."""
+        if self.blank:
+            self.role = Role.BLANK
+        elif self.is_voter():
+            self.role = Role.FOLLOWER
+        else:
+            self.role = Role.LEARNER
+
+    def _reset_election_deadline(self) -> None:
+        if self.configuration.voter_ids() == {self.replica_id}:
+            # A sole voter has nobody to wait for.
+            self.election_deadline_s = self._now_s
+            return
+        shortest, longest = (
+            self.config.election_timeout_min_s,
+            self.config.election_timeout_max_s,
+        )
+        self.election_deadline_s = self._now_s + self._random.uniform(shortest, longest)
+
+    def _leader_heard(self, header: Header) -> None:
+        """Record a message of the current term's leader."""
+        self.leader_id = header.from_id
+        self.leader_address = header.from_address
+        self.leader_contact_s = self._now_s
+        self._reset_election_deadline()
+
+    def _leader_stopped(self) -> None:
+        """Drop what only a leader keeps; parts of the core add their own."""
+        self.progress = {}
+        self.leader_id = ""
+        self.leader_address = ""
+
+    def _quorum_of(self, values: dict[str, float]) -> float:
+        """Return the highest value that a quorum of voters reaches (missing ones count 0)."""
+        ordered = sorted(
+            (values.get(voter, 0.0) for voter in self.configuration.voter_ids()), reverse=True
+        )
+        return ordered[self.configuration.quorum() - 1] if ordered else 0.0
+
+    def _term_position(self, index: int) -> LogPosition:
+        term = self.log.term_at(index)
+        assert term is not None
+        return LogPosition(term=term, index=index)
--- /dev/null
+++ b/src/leverjunction/consensus/core_follower.py
@@ -0,0 +1,181 @@
+"""The follower's and the learner's side of replication: appends and snapshot chunks."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from leverjunction.consensus.core_membership import MembershipCore
+from leverjunction.consensus.events import (
+    AppendEntries,
+    SnapshotAnswered,
+    SnapshotInstalled,
+    StoreChunk,
+    TruncateLog,
+)
+from leverjunction.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    Header,
+    SnapshotChunk,
+    SnapshotReply,
+)
+from leverjunction.consensus.types import LogEntry, Role
+
+NONE_WANTED = -1
+"""``next_number`` of a replica that wants no further chunk of a transfer."""
+
+
+@dataclass
+class IncomingSnapshot:
+    """The transfer that this replica is receiving.
+
+    Attributes:
+        stream_id: Which transfer.
+        next_number: Chunk that it wants next.
+    """
+
+    stream_id: str
+    next_number: int
+
+
+class FollowerCore(MembershipCore):
+    """Appends and snapshots as the receiver sees them."""
+
+    incoming: IncomingSnapshot | None = None
+
+    def _on_append_request(self, message: AppendRequest) -> None:
+        header = message.header
+        if not self._accept_leader(header):
+            return
+        entries = [entry for entry in message.entries if entry.index > self.log.base.index]
+        if message.previous.index >= self.log.base.index and not self.log.holds(message.previous):
+            self._reply_append(message, False, self._conflict_hint(message.previous.index))
+            return
+        if message.previous.index < self.log.base.index and not entries:
+            self._reply_append(message, True, self.log.base.index)
+            return
+        self._store(entries)
+        matched = message.previous.index + len(message.entries)
+        self._reply_append(message, True, matched)
+        commit_index = min(message.commit_index, matched)
+        if commit_index > self.commit_index:
+            self._commit(commit_index)
+
+    def _accept_leader(self, header: Header) -> bool:
+        """Check a leader's message; follow it, or tell its sender why not."""
+        if self.blank or not self._is_addressed(header):
+            self._send_identity(header.from_address, header.from_id)
+            return False
+        if not self._same_founding(header):
+            return False
+        if header.term < self.term:
+            self._send_stale(header)
+            return False
+        if header.term > self.term or self.role is Role.CANDIDATE:
+            self._follow(header.term, "another replica leads")
+        self._leader_heard(header)
+        return True
+
+    def _send_stale(self, header: Header) -> None:
+        """Answer a leader of an older term with the newer one."""
+        reply = AppendReply(header=self.header(header.from_id), sequence=0, accepted=False, index=0)
+        self._send(header.from_address, reply)
+
+    def _reply_append(self, message: AppendRequest, accepted: bool, index: int) -> None:
+        reply = AppendReply(
+            header=self.header(message.header.from_id),
+            sequence=message.sequence,
+            accepted=accepted,
+            index=index,
+        )
+        self._send(message.header.from_address, reply)
+
+    def _conflict_hint(self, index: int) -> int:
+        """Return the highest index that may match below a ``previous`` that did not."""
+        if index > self.log.last_index:
+            return self.log.last_index
+        hint = self.log.first_index_of_term_at(index) - 1
+        return max(hint, self.commit_index, self.log.base.index)
+
+    def _store(self, entries: list[LogEntry]) -> None:
+        """Append what is new, after removing what conflicts with the leader's log."""
+        fresh = [entry for entry in entries if self.log.term_at(entry.index) != entry.term]
+        if not fresh:
+            return
+        first = fresh[0].index
+        fresh = [entry for entry in entries if entry.index >= first]
+        if first <= self.log.last_index:
+            assert first > self.commit_index, "a committed entry would be removed"
+            self.log.truncate(first)
+            self.persisted_index = min(self.persisted_index, first - 1)
+            self._emit(TruncateLog(from_index=first))
+        self.log.append(fresh)
+        self._emit(AppendEntries(entries=tuple(fresh)))
+        self._settle_role()
+
+    def _on_snapshot_chunk(self, message: SnapshotChunk) -> None:
+        header = message.header
+        if not self._is_addressed(header):
+            self._send_identity(header.from_address, header.from_id)
+            return
+        if self.blank:
+            self._leader_heard(header)
+        elif not self._accept_leader(header):
+            return
+        if not self.blank and self._holds_start(message):
+            self._reply_chunk(message, NONE_WANTED, max(self.commit_index, message.start.index))
+            return
+        self._take_chunk(message)
+
+    def _holds_start(self, message: SnapshotChunk) -> bool:
+        return self.commit_index >= message.start.index or self.log.holds(message.start)
+
+    def _take_chunk(self, message: SnapshotChunk) -> None:
+        if message.number == 0:
+            self.incoming = IncomingSnapshot(stream_id=message.stream_id, next_number=0)
+        incoming = self.incoming
+        if incoming is None or incoming.stream_id != message.stream_id:
+            self._reply_chunk(message, 0, 0)
+            return
+        if message.number == incoming.next_number:
+            incoming.next_number += 1
+            self._emit(StoreChunk(chunk=message))
+        if message.final is None or message.number >= incoming.next_number:
+            self._reply_chunk(message, incoming.next_number, 0)
+
+    def _reply_chunk(self, message: SnapshotChunk, next_number: int, matched: int) -> None:
+        reply = SnapshotReply(
+            header=self.header(message.header.from_id),
+            stream_id=message.stream_id,
+            next_number=next_number,
+            matched_index=matched,
+        )
+        self._send(message.header.from_address, reply)
+
+    def _on_snapshot_installed(self, event: SnapshotInstalled) -> None:
+        """The tables now stand for the snapshot's position; the log starts after it."""
+        header = event.chunk.header
+        self.founding_id = header.founding_id
+        self.incoming = None
+        self.log.reset(event.position, event.configuration)
+        self.commit_index = event.position.index
+        self.applied_index = event.position.index
+        self.persisted_index = event.position.index
+        if header.term > self.term:
+            self._persist_term(header.term, "")
+        self._settle_role()
+        self._reset_election_deadline()
+        self._reply_chunk(event.chunk, NONE_WANTED, event.position.index)
+
+    def _on_snapshot_reply(self, message: SnapshotReply) -> None:
+        progress = self.progress.get(message.header.from_id)
+        if self.role is not Role.LEADER or progress is None:
+            return
+        self._emit(
+            SnapshotAnswered(
+                replica_id=message.header.from_id,
+                stream_id=message.stream_id,
+                next_number=message.next_number,
+                matched_index=message.matched_index,
+            )
+        )
--- /dev/null
+++ b/src/leverjunction/consensus/core_replication.py
@@ -0,0 +1,302 @@
+"""The leader's side of replication, its commit rule, reads and lease."""
+
+from __future__ import annotations
+
+from random import Random
+
+from leverjunction.consensus.core_founding import FoundingCore
+from leverjunction.consensus.events import (
+    AppendEntries,
+    Commit,
+    CompactLog,
+    ReadReady,
+    Refused,
+    SendEntries,
+    StartSnapshot,
+)
+from leverjunction.consensus.messages import AppendReply, AppendRequest
+from leverjunction.consensus.progress import Progress, ProgressState
+from leverjunction.consensus.types import (
+    DurableState,
+    EntryKind,
+    GroupConfig,
+    LogEntry,
+    LogPosition,
+    Role,
+)
+
+COMPACT_AT_SHARE = 1.5
+"""Compaction waits until the log is this much over what is kept, so it runs seldom."""
+
+
+class ReplicationCore(FoundingCore):
+    """Replication as the leader sees it."""
+
+    def __init__(
+        self, config: GroupConfig, durable: DurableState, random: Random, now_s: float
+    ) -> None:
+        super().__init__(config, durable, random, now_s)
+        self.sequence = 0
+        self.heartbeat_due_s = 0.0
+        self.term_start_index = 0
+        self.snapshot_peer = ""
+        self.round_sent_s: dict[int, float] = {}
+        self.reads_waiting: list[int] = []
+        self.reads_in_round: list[int] = []
+        self.read_index = 0
+        self.read_round = 0
+
+    def _lead(self) -> None:
+        """Set up what only a leader keeps and append the no-op of the term."""
+        self.leader_id = self.replica_id
+        self.leader_address = self.config.address
+        self.leader_since_s = self._now_s
+        self.sequence = 0
+        self.round_sent_s = {}
+        self.reads_waiting = []
+        self.reads_in_round = []
+        self.snapshot_peer = ""
+        self.progress = {}
+        self._sync_progress()
+        self.term_start_index = self.log.last_index + 1
+        self._append_own(EntryKind.NO_OP, b"", 0)
+        self._start_round()
+
+    def _leader_stopped(self) -> None:
+        super()._leader_stopped()
+        for request_id in [*self.reads_waiting, *self.reads_in_round]:
+            self._emit(Refused(request_id=request_id, leader_address=""))
+        self.reads_waiting = []
+        self.reads_in_round = []
+
+    def _sync_progress(self) -> None:
+        """Keep one progress a member other than this replica."""
+        members = {member.replica_id for member in self.configuration.members}
+        members.discard(self.replica_id)
+        for replica_id in members - set(self.progress):
+            self.progress[replica_id] = Progress(
+                next_index=self.log.last_index + 1, contact_s=self._now_s
+            )
+        for replica_id in set(self.progress) - members:
+            del self.progress[replica_id]
+
+    def _append_own(self, kind: EntryKind, payload: bytes, wall_ms: int) -> LogPosition:
+        """Append an entry of the leader's own term and return its position."""
+        entry = LogEntry(
+            index=self.log.last_index + 1,
+            term=self.term,
+            kind=kind,
+            wall_ms=wall_ms,
+            payload=payload,
+        )
+        self.log.append([entry])
+        self._emit(AppendEntries(entries=(entry,)))
+        if kind is EntryKind.CONFIGURATION:
+            self._sync_progress()
+        return LogPosition(term=entry.term, index=entry.index)
+
+    def _start_round(self) -> None:
+        """Send every peer what it lacks, or a heartbeat, under a new sequence number."""
+        self.sequence += 1
+        self.round_sent_s[self.sequence] = self._now_s
+        oldest_s = self._now_s - self.config.election_timeout_max_s
+        self.round_sent_s = {
+            number: sent_s for number, sent_s in self.round_sent_s.items() if sent_s >= oldest_s
+        }
+        self.heartbeat_due_s = self._now_s + self.config.heartbeat_interval_s
+        for replica_id, progress in self.progress.items():
+            progress.probe_sent = False
+            if not self._send_entries_to(replica_id, progress):
+                self._send_heartbeat(replica_id, progress)
+
+    def _flush(self) -> None:
+        """Replicate what the batch of events appended and start a round for waiting reads."""
+        if self.role is not Role.LEADER:
+            return
+        if self.reads_waiting and not self.reads_in_round and self._committed_in_term():
+            self._start_read_round()
+            return
+        for replica_id, progress in self.progress.items():
+            self._send_entries_to(replica_id, progress)
+
+    def _send_heartbeat(self, replica_id: str, progress: Progress) -> None:
+        previous_index = progress.next_index - 1
+        if progress.state is ProgressState.SNAPSHOT or self.log.term_at(previous_index) is None:
+            previous_index = 0
+        self._send_append(replica_id, previous_index, previous_index)
+
+    def _send_entries_to(self, replica_id: str, progress: Progress) -> bool:
+        """Send the entries that a peer lacks; return whether anything was sent."""
+        sent = False
+        while self._may_send(progress):
+            if progress.blank or self.log.term_at(progress.next_index - 1) is None:
+                self._start_snapshot(replica_id, progress)
+                return sent
+            last = self.log.batch_end(
+                progress.next_index, self.config.max_batch_entries, self.config.max_batch_bytes
+            )
+            self._send_append(replica_id, progress.next_index - 1, last)
+            sent = True
+            if progress.state is ProgressState.PROBE:
+                progress.probe_sent = True
+                return sent
+            progress.inflight.append(last)
+            progress.next_index = last + 1
+        return sent
+
+    def _may_send(self, progress: Progress) -> bool:
+        if progress.blank and progress.state is not ProgressState.SNAPSHOT:
+            return True
+        if progress.next_index > self.log.last_index:
+            return False
+        if progress.state is ProgressState.PROBE:
+            return not progress.probe_sent
+        if progress.state is ProgressState.REPLICATE:
+            return len(progress.inflight) < self.config.max_inflight_batches
+        return False
+
+    def _send_append(self, replica_id: str, previous_index: int, last: int) -> None:
+        member = self.configuration.find(replica_id)
+        if member is None:
+            return
+        previous = LogPosition() if previous_index == 0 else self._term_position(previous_index)
+        request = AppendRequest(
+            header=self.header(replica_id),
+            previous=previous,
+            commit_index=self.commit_index,
+            sequence=self.sequence,
+        )
+        if last > previous_index:
+            self._emit(
+                SendEntries(
+                    address=member.address,
+                    request=request,
+                    first_index=previous_index + 1,
+                    last_index=last,
+                )
+            )
+        else:
+            self._send(member.address, request)
+
+    def _start_snapshot(self, replica_id: str, progress: Progress) -> None:
+        """Begin a snapshot transfer, unless one is under way: peers take turns."""
+        if self.snapshot_peer:
+            return
+        member = self.configuration.find(replica_id)
+        if member is None:
+            return
+        self.snapshot_peer = replica_id
+        progress.state = ProgressState.SNAPSHOT
+        progress.inflight.clear()
+        self._emit(StartSnapshot(replica_id=replica_id, address=member.address))
+
+    def _snapshot_delivered(self, replica_id: str, matched_index: int | None) -> None:
+        if self.snapshot_peer == replica_id:
+            self.snapshot_peer = ""
+        progress = self.progress.get(replica_id)
+        if progress is None or progress.state is not ProgressState.SNAPSHOT:
+            return
+        progress.probe(progress.match_index + 1)
+        if matched_index is None:
+            progress.probe_sent = True
+            return
+        progress.blank = False
+        progress.matched(matched_index)
+        self._send_entries_to(replica_id, progress)
+
+    def _on_append_reply(self, message: AppendReply) -> None:
+        progress = self.progress.get(message.header.from_id)
+        if self.role is not Role.LEADER or message.header.term != self.term or progress is None:
+            return
+        self._answered(progress, message.sequence)
+        if message.accepted:
+            self._accepted(progress, message.index)
+        elif progress.state is not ProgressState.SNAPSHOT and message.index >= progress.match_index:
+            progress.probe(min(message.index + 1, progress.next_index))
+        self._advance_commit()
+        self._finish_reads()
+        self._send_entries_to(message.header.from_id, progress)
+
+    def _accepted(self, progress: Progress, index: int) -> None:
+        if progress.state is ProgressState.SNAPSHOT:
+            return
+        progress.blank = False
+        progress.matched(min(index, self.log.last_index))
+
+    def _answered(self, progress: Progress, sequence: int) -> None:
+        """Record that a peer took this replica for the leader when the round was sent."""
+        progress.acked_sequence = max(progress.acked_sequence, sequence)
+        sent_s = self.round_sent_s.get(sequence)
+        if sent_s is not None:
+            progress.contact_s = max(progress.contact_s, sent_s)
+
+    def quorum_contact_s(self) -> float:
+        """Return the time up to which a quorum is known to have followed this leader."""
+        contacts = {replica_id: item.contact_s for replica_id, item in self.progress.items()}
+        contacts[self.replica_id] = self._now_s
+        return max(self._quorum_of(contacts), self.leader_since_s)
+
+    def _lease_ended(self) -> bool:
+        return self._now_s - self.quorum_contact_s() > self.lease_s
+
+    def _committed_in_term(self) -> bool:
+        return self.commit_index >= self.term_start_index
+
+    def _advance_commit(self) -> None:
+        """Commit what a quorum holds durably, if it is of this term (Ongaro, 3.6.2)."""
+        if self.role is not Role.LEADER:
+            return
+        matches: dict[str, float] = {
+            replica_id: item.match_index for replica_id, item in self.progress.items()
+        }
+        matches[self.replica_id] = self.persisted_index
+        index = int(self._quorum_of(matches))
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self._commit(index)
+
+    def _commit(self, index: int) -> None:
+        self.commit_index = index
+        self._emit(Commit(index=index))
+
+    def _read(self, request_id: int) -> None:
+        if self.role is not Role.LEADER:
+            self._emit(Refused(request_id=request_id, leader_address=self.leader_address))
+            return
+        self.reads_waiting.append(request_id)
+
+    def _start_read_round(self) -> None:
+        """Serve all waiting reads by one round (read index; Ongaro, 6.4)."""
+        self.reads_in_round, self.reads_waiting = self.reads_waiting, []
+        self.read_index = self.commit_index
+        self._start_round()
+        self.read_round = self.sequence
+        self._finish_reads()
+
+    def _finish_reads(self) -> None:
+        if self.role is not Role.LEADER or not self.reads_in_round:
+            return
+        acked: dict[str, float] = {
+            replica_id: item.acked_sequence for replica_id, item in self.progress.items()
+        }
+        acked[self.replica_id] = self.sequence
+        if self._quorum_of(acked) < self.read_round:
+            return
+        for request_id in self.reads_in_round:
+            self._emit(ReadReady(request_id=request_id, index=self.read_index))
+        self.reads_in_round = []
+
+    def _applied(self, index: int) -> None:
+        """Drop applied entries beyond what is kept for peers that lag a little."""
+        self.applied_index = max(self.applied_index, index)
+        entries = self.applied_index - self.log.base.index
+        over_entries = entries > self.config.log_kept_entries * COMPACT_AT_SHARE
+        limit_bytes = self.config.log_kept_bytes * COMPACT_AT_SHARE
+        if not over_entries and self.log.bytes_up_to(self.applied_index) <= limit_bytes:
+            return
+        first = self.log.first_kept(
+            self.applied_index, self.config.log_kept_entries, self.config.log_kept_bytes
+        )
+        base = self._term_position(first - 1)
+        configuration = self.log.configuration_at(base.index)
+        self.log.compact(base)
+        self._emit(CompactLog(base=base, configuration=configuration))
--- /dev/null
+++ b/src/leverjunction/consensus/engine.py
@@ -0,0 +1,337 @@
+"""Carries out the core's effects on a store, without threads or a clock.
+
+The group replica's driver thread and the simulator run this same engine: they pass in batches of
+events and the time, and get messages and answers through callbacks. A batch shares one sync.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from leverjunction.consensus.api import ApplyContext, StateMachine
+from leverjunction.consensus.core import RaftCore
+from leverjunction.consensus.events import (
+    Appended,
+    AppendEntries,
+    Applied,
+    BecameLeader,
+    Commit,
+    CompactLog,
+    Effect,
+    Event,
+    Flush,
+    Persisted,
+    PersistFounding,
+    PersistHardState,
+    ReadReady,
+    Refused,
+    RepairDone,
+    Send,
+    SendEntries,
+    SnapshotAnswered,
+    SnapshotInstalled,
+    StartSnapshot,
+    SteppedDown,
+    StoreChunk,
+    TruncateLog,
+)
+from leverjunction.consensus.messages import AppendRequest, Message, SnapshotChunk
+from leverjunction.consensus.requests import RequestTable
+from leverjunction.consensus.snapshot import SnapshotStage
+from leverjunction.consensus.snapshot_sender import SnapshotSender
+from leverjunction.consensus.store import Store
+from leverjunction.consensus.types import EntryKind, GroupConfig, LogEntry
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.wire.codec import encode_reply
+
+APPLY_ENTRIES_PER_STEP = 1_000
+
+Outbox = Callable[[str, Message], None]
+"""Takes a message for an address; called in the order in which messages may leave."""
+
+Answer = Callable[[int, bytes | Failure], None]
+"""Takes the result of a proposal or read by its request id."""
+
+
+@dataclass
+class EngineCallbacks:
+    """Where the engine's output goes.
+
+    Attributes:
+        outbox: Messages to other replicas.
+        answer: Results of proposals and reads.
+        changed_role: Called after this replica became leader or stepped down.
+        repaired: Called when a repair is done and committed.
+    """
+
+    outbox: Outbox
+    answer: Answer
+    changed_role: Callable[[BecameLeader | SteppedDown], None]
+    repaired: Callable[[RepairDone], None]
+
+
+class ReplicaEngine:
+    """One replica: core, store and state machine. Not thread-safe; one driver calls it."""
+
+    def __init__(
+        self,
+        config: GroupConfig,
+        machine: StateMachine,
+        store: Store,
+        random: Random,
+        now_s: float,
+        callbacks: EngineCallbacks,
+        core_type: type[RaftCore] = RaftCore,
+    ) -> None:
+        """Load the store and start as follower, learner or blank.
+
+        Args:
+            config: Settings of the replica.
+            machine: Applied to committed entries, on the store's connection.
+            store: Opened store.
+            random: Source of timeouts and nonces.
+            now_s: Monotonic time, in seconds.
+            callbacks: Where output goes.
+            core_type: The core; a testbed may pass one with a rule broken.
+
+        Raises:
+            StoreCorruptError: The store's data does not match its checksums.
+        """
+        self.config = config
+        self.store = store
+        self._machine = machine
+        self._callbacks = callbacks
+        machine.create_tables(store.connection)
+        self.core = core_type(config, store.load(), random, now_s)
+        self.applied_index = self.core.applied_index
+        self._now_s = now_s
+        self._requests = RequestTable(callbacks.answer)
+        self._sender = SnapshotSender(store.connection, config.snapshot_chunk_bytes, random)
+        self._stage = SnapshotStage(store.connection)
+        self._held: list[Send] = []
+        self._unsynced = False
+        self._hard_state_unsynced = False
+
+    def step(self, events: Sequence[Event], now_s: float) -> None:
+        """Handle a batch of events and make its changes durable by one sync.
+
+        Messages that must wait for the sync leave at the end. Call ``apply_committed`` next.
+        """
+        self._now_s = now_s
+        for event in events:
+            self._run(self.core.handle(event, now_s))
+        self._run(self.core.handle(Flush(), now_s))
+        self._resend_snapshot()
+        while self._unsynced:
+            self._sync()
+            self._run(self.core.handle(Persisted(self.core.log.last_index), now_s))
+        self._release()
+
+    def apply_committed(self) -> bool:
+        """Apply some committed entries and answer what waited for them.
+
+        Their transaction stays open and is committed with the next batch: what is applied can
+        be applied again from the log.
+
+        Returns:
+            True when more committed entries wait.
+        """
+        last = min(self.core.commit_index, self.applied_index + APPLY_ENTRIES_PER_STEP)
+        if last > self.applied_index:
+            for entry in self.store.entries(self.applied_index + 1, last):
+                self._apply(entry)
+            self.store.put_applied(self.applied_index)
+            self._run(self.core.handle(Applied(self.applied_index), self._now_s))
+        self._answer_reads()
+        return self.core.commit_index > self.applied_index
+
+    def commit_idle(self) -> None:
+        """Commit an open transaction that no batch has come to commit."""
+        if self.store.connection.in_transaction:
+            self._sync()
+
+    def query_local(self, query: bytes) -> bytes:
+        """Answer a read from the applied state."""
+        return self._machine.query(self.store.connection, query)
+
+    def _run(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case Send():
+                self._send_or_hold(effect)
+            case SendEntries():
+                self._send_or_hold(self._filled(effect))
+            case AppendEntries():
+                self.store.append(effect.entries)
+                self._unsynced = True
+            case Appended():
+                self._requests.appended(effect.request_id, effect.position)
+            case Refused():
+                self._requests.refused(effect.request_id, effect.leader_address)
+            case ReadReady():
+                self._requests.read_ready(effect.request_id, effect.index)
+            case PersistHardState():
+                self.store.put_hard_state(effect.hard_state)
+                self._unsynced = True
+                self._hard_state_unsynced = True
+            case PersistFounding():
+                self.store.put_founding(effect.founding_id, effect.configuration)
+                self._unsynced = True
+                self._hard_state_unsynced = True
+            case TruncateLog():
+                self.store.truncate(effect.from_index)
+                self._unsynced = True
+            case CompactLog():
+                self.store.compact(effect.base, effect.configuration)
+            case StoreChunk():
+                self._store_chunk(effect.chunk)
+            case Commit():
+                pass  # apply_committed reads the commit index from the core.
+            case _:
+                self._carry_out_rare(effect)
+
+    def _carry_out_rare(self, effect: Effect) -> None:
+        match effect:
+            case BecameLeader():
+                self._callbacks.changed_role(effect)
+            case SteppedDown():
+                self._sender.stop()
+                self._requests.stepped_down(effect.reason)
+                self._callbacks.changed_role(effect)
+            case RepairDone():
+                self._callbacks.repaired(effect)
+            case StartSnapshot():
+                self._sender.start(effect.replica_id, effect.address, self._now_s)
+                self._send_chunk()
+            case SnapshotAnswered():
+                self._snapshot_answered(effect)
+
+    def _send_or_hold(self, effect: Send) -> None:
+        """Let a message go at once if it may, else keep it until the sync."""
+        early = not effect.after_sync and not self._hard_state_unsynced
+        if early or not self._unsynced:
+            self._callbacks.outbox(effect.address, effect.message)
+        else:
+            self._held.append(effect)
+
+    def _filled(self, effect: SendEntries) -> Send:
+        """Return the message with the entries that it names."""
+        request = effect.request
+        filled = AppendRequest(
+            header=request.header,
+            previous=request.previous,
+            commit_index=request.commit_index,
+            sequence=request.sequence,
+            entries=tuple(self.store.entries(effect.first_index, effect.last_index)),
+        )
+        return Send(address=effect.address, message=filled, after_sync=effect.after_sync)
+
+    def _sync(self) -> None:
+        self.store.commit()
+        self._unsynced = False
+        self._hard_state_unsynced = False
+
+    def _release(self) -> None:
+        held, self._held = self._held, []
+        for effect in held:
+            self._callbacks.outbox(effect.address, effect.message)
+
+    def _apply(self, entry: LogEntry) -> None:
+        """Apply one entry; its answer goes to the proposer if it waits here."""
+        reply = b""
+        if entry.kind is EntryKind.COMMAND:
+            reply = self._apply_command(entry)
+        self.applied_index = entry.index
+        self._requests.applied(entry.index, entry.term, reply)
+
+    def _apply_command(self, entry: LogEntry) -> bytes:
+        """Apply a command; one that the state machine cannot take changes nothing anywhere.
+
+        A fault of the database itself (no space, damage) is not the command's and is raised:
+        replicas would differ if it were answered as a result.
+        """
+        context = ApplyContext(index=entry.index, term=entry.term, wall_ms=entry.wall_ms)
+        connection = self.store.connection
+        self.store.begin()
+        connection.execute("SAVEPOINT entry")
+        try:
+            reply = self._machine.apply(connection, context, entry.payload)
+        except (sqlite3.OperationalError, sqlite3.InternalError, MemoryError):
+            raise
+        except Exception as error:
+            connection.execute("ROLLBACK TO entry")
+            reply = encode_reply(_rejected(error))
+        connection.execute("RELEASE entry")
+        return reply
+
+    def _answer_reads(self) -> None:
+        for request_id, query in self._requests.due_reads(self.applied_index):
+            self._callbacks.answer(request_id, self.query_local(query))
+
+    def add_read(self, request_id: int, query: bytes) -> None:
+        """Keep a read's query until the core lets it be answered."""
+        self._requests.add_read(request_id, query)
+
+    def forget(self, request_id: int) -> None:
+        """Drop a request whose caller has given up."""
+        self._requests.forget(request_id)
+
+    def _store_chunk(self, chunk: SnapshotChunk) -> None:
+        self.store.begin()
+        if chunk.number == 0:
+            self._stage.begin()
+        self._stage.store(chunk.data)
+        self._unsynced = True
+        if chunk.final is not None:
+            self._install(chunk)
+
+    def _install(self, chunk: SnapshotChunk) -> None:
+        """Swap the received tables in, together with the log's new start."""
+        assert chunk.final is not None
+        self._stage.install()
+        self._machine.create_tables(self.store.connection)
+        self.store.reset_log(chunk.header.founding_id, chunk.final, chunk.configuration)
+        self._sync()
+        self.applied_index = chunk.final.index
+        self._requests.skipped_to(chunk.final.index)
+        event = SnapshotInstalled(
+            position=chunk.final, configuration=chunk.configuration, chunk=chunk
+        )
+        self._run(self.core.handle(event, self._now_s))
+
+    def _send_chunk(self) -> None:
+        chunk = self._sender.next_chunk(self.core, self.applied_index, self._now_s)
+        self._callbacks.outbox(self._sender.address, chunk)
+
+    def _snapshot_answered(self, effect: SnapshotAnswered) -> None:
+        outcome = self._sender.answered(effect)
+        if outcome.send_next:
+            self._send_chunk()
+        if outcome.ended is not None:
+            self._sender.stop()
+            self._run(self.core.handle(outcome.ended, self._now_s))
+
+    def _resend_snapshot(self) -> None:
+        """Repeat a chunk that was not answered, or give the transfer up."""
+        chunk = self._sender.overdue_chunk(self._now_s)
+        if chunk is not None:
+            self._callbacks.outbox(self._sender.address, chunk)
+        ended = self._sender.expired(self._now_s)
+        if ended is not None:
+            self._sender.stop()
+            self._run(self.core.handle(ended, self._now_s))
+
+
+def _rejected(error: Exception) -> Failure:
+    return Failure(
+        kind=FailureKind.INTERNAL,
+        reason=f"the state machine did not take the command: {error!r}",
+        step=Step.APPLYING,
+        execution=Execution.NOT_RUN,
+    )
--- a/src/leverjunction/consensus/events.py
+++ b/src/leverjunction/consensus/events.py
@@ -34,6 +34,13 @@
     message: Message
 
 
+class Flush(msgspec.Struct, frozen=True):
+    """A batch of events ends: replicate what it appended and start a round for its reads.
+
+    Sent by the engine after each batch, before the sync, so that many proposals share a message.
+    """
+
+
 class Propose(msgspec.Struct, frozen=True):
     """A local caller proposes a command.
 
@@ -61,10 +68,9 @@
 
 
 class Applied(msgspec.Struct, frozen=True):
-    """Entries up to ``index`` are applied; ``payload_bytes`` is the size of the kept log."""
+    """Entries up to ``index`` are applied to the tables."""
 
     index: int
-    payload_bytes: int
 
 
 class SnapshotInstalled(msgspec.Struct, frozen=True):
@@ -96,6 +102,7 @@
 
 Event = (
     Tick
+    | Flush
     | Received
     | Propose
     | Read
--- /dev/null
+++ b/src/leverjunction/consensus/group.py
@@ -0,0 +1,379 @@
+"""One replica of one consensus group as a process runs it.
+
+One driver thread owns the engine: it gathers what callers and peers bring while the last batch
+was synced, handles it as one batch with one sync, then applies. One sender thread a peer. A call
+from a peer waits until its messages are handled and carries the replies back.
+"""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from random import Random
+
+from loguru import logger
+
+from leverjunction.clock import Clock
+from leverjunction.consensus import metrics
+from leverjunction.consensus.api import GroupStatus, StateMachine
+from leverjunction.consensus.codec import decode_messages, encode_messages
+from leverjunction.consensus.core import RaftCore
+from leverjunction.consensus.engine import EngineCallbacks, ReplicaEngine
+from leverjunction.consensus.events import (
+    BecameLeader,
+    ChangeTarget,
+    Event,
+    Propose,
+    Read,
+    Received,
+    RepairDone,
+    SteppedDown,
+    Tick,
+    TransferLeadership,
+)
+from leverjunction.consensus.inbox import Inbox, PeerCall, Ticket
+from leverjunction.consensus.messages import Message
+from leverjunction.consensus.store import StoreCorruptError, corrupt_failure
+from leverjunction.consensus.store_recovery import open_or_rejoin
+from leverjunction.consensus.transport import PeerSender, RaftTransport
+from leverjunction.consensus.types import GroupConfig, Role
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.wire.codec import encode_reply
+
+PEER_CALL_TIMEOUT_S = 1.0
+STOP_TIMEOUT_S = 5.0
+TRANSFER_TIMEOUT_S = 1.0
+
+
+class GroupReplica:
+    """Implements ``ReplicatedGroup`` on an engine. Safe to call from any thread."""
+
+    def __init__(
+        self,
+        config: GroupConfig,
+        machine: StateMachine,
+        transport: RaftTransport,
+        clock: Clock,
+        random: Random,
+        core_type: type[RaftCore] = RaftCore,
+    ) -> None:
+        """Prepare a replica; ``start`` opens its file.
+
+        Args:
+            config: Settings of the replica.
+            machine: State machine of the group.
+            transport: Carries messages to peers.
+            clock: Source of time.
+            random: Source of ids, timeouts and nonces; used by this replica only.
+            core_type: The core; a testbed may pass one with a rule broken.
+        """
+        self.config = config
+        self._machine = machine
+        self._transport = transport
+        self._clock = clock
+        self._random = random
+        self._core_type = core_type
+        self._lock = threading.Lock()
+        self._inbox = Inbox()
+        self._request_ids = itertools.count(1)
+        self._tickets: dict[int, Ticket] = {}
+        self._senders: dict[str, PeerSender] = {}
+        self._calls_by_peer: dict[str, PeerCall] = {}
+        self._engine: ReplicaEngine | None = None
+        self._thread: threading.Thread | None = None
+        self._stop_requested = False
+        self._fault: Failure | None = None
+        self._repairs: list[RepairDone] = []
+        self._leadership_changed = threading.Condition()
+
+    def start(self) -> Failure | None:
+        """Open the replica's file and start its threads.
+
+        Returns:
+            None; or the CORRUPT failure of a damaged file, in which case nothing was started and
+            every call answers with this failure.
+        """
+        store = open_or_rejoin(self.config, self._random)
+        if isinstance(store, Failure):
+            self._fault = store
+            return store
+        callbacks = EngineCallbacks(
+            outbox=self._post,
+            answer=self._answer,
+            changed_role=self._role_changed,
+            repaired=self._repair_done,
+        )
+        try:
+            self._engine = ReplicaEngine(
+                self.config,
+                self._machine,
+                store,
+                self._random,
+                self._clock.monotonic_s(),
+                callbacks,
+                self._core_type,
+            )
+        except StoreCorruptError as error:
+            store.connection.close()
+            self._fault = corrupt_failure(self.config.data_path, str(error))
+            return self._fault
+        self._thread = threading.Thread(
+            target=self._drive, name=f"raft-{self.config.group}", daemon=True
+        )
+        self._thread.start()
+        return None
+
+    def stop(self) -> None:
+        """Hand leadership over if held, then stop the threads and close the file."""
+        if self._thread is None or self._engine is None:
+            return
+        self._hand_over()
+        self._stop_requested = True
+        self._inbox.wake()
+        self._thread.join(STOP_TIMEOUT_S)
+        for sender in self._senders.values():
+            sender.stop()
+        for sender in self._senders.values():
+            sender.join(STOP_TIMEOUT_S)
+        with self._lock:
+            if self._fault is None:
+                self._engine.store.close()
+            self._fault = self._fault or _stopping()
+        self._fail_all(self._fault)
+
+    def propose(self, command: bytes, timeout_s: float) -> bytes | Failure:
+        """Replicate a command and return its reply (see ``ReplicatedGroup``)."""
+        ticket, request_id = self._new_ticket()
+        event = Propose(request_id=request_id, payload=command, wall_ms=self._clock.wall_ms())
+        self._inbox.put(event)
+        return self._wait(ticket, request_id, timeout_s, Execution.UNKNOWN)
+
+    def query(self, query: bytes, timeout_s: float) -> bytes | Failure:
+        """Answer a linearizable read (see ``ReplicatedGroup``)."""
+        ticket, request_id = self._new_ticket()
+        self._inbox.put_read(Read(request_id=request_id), query)
+        return self._wait(ticket, request_id, timeout_s, Execution.NOT_RUN)
+
+    def query_local(self, query: bytes) -> bytes:
+        """Answer from this replica's applied state, which may lag.
+
+        The reply carries a failure when the replica is not running: then it has no state.
+        """
+        with self._lock:
+            if self._engine is None or self._fault is not None:
+                return encode_reply(self._fault or _stopping())
+            return self._engine.query_local(query)
+
+    def change_members(self, addresses: list[str], timeout_s: float) -> bytes | Failure:
+        """Set the addresses that shall hold the voters; the leader works towards it.
+
+        Returns:
+            Empty bytes once the target is committed (``status`` shows the progress); or a failure.
+        """
+        ticket, request_id = self._new_ticket()
+        self._inbox.put(
+            ChangeTarget(
+                request_id=request_id,
+                addresses=tuple(addresses),
+                wall_ms=self._clock.wall_ms(),
+            )
+        )
+        return self._wait(ticket, request_id, timeout_s, Execution.UNKNOWN)
+
+    def receive(self, body: bytes) -> bytes:
+        """Handle a peer's call and return the encoded replies (empty when there are none)."""
+        batch = decode_messages(body)
+        if isinstance(batch, Failure) or not batch or self._fault is not None:
+            return b""
+        call = PeerCall(address=batch[0].header.from_address)
+        self._inbox.put_call([Received(message) for message in batch], call)
+        call.wait(PEER_CALL_TIMEOUT_S)
+        return encode_messages(call.replies())
+
+    def receive_snapshot(self, body: bytes) -> bytes:
+        """Handle a peer's snapshot chunk; they come by the same path as other messages."""
+        return self.receive(body)
+
+    def status(self) -> GroupStatus:
+        """Return what this replica knows of its group."""
+        with self._lock:
+            if self._engine is None:
+                return _unknown_status(self.config)
+            return _status_of(self._engine, self._clock.monotonic_s())
+
+    def fault(self) -> Failure | None:
+        """Return why this replica serves nothing, or None while it runs."""
+        return self._fault
+
+    def repairs(self) -> list[RepairDone]:
+        """Return the repairs that this replica has reported as leader, oldest first."""
+        return list(self._repairs)
+
+    def _drive(self) -> None:
+        """Run the engine until asked to stop (driver thread)."""
+        try:
+            more = False
+            while not self._stop_requested:
+                more = self._drive_once(more)
+        except Exception as error:
+            logger.exception("group {} stops serving", self.config.group)
+            self._fault = corrupt_failure(self.config.data_path, repr(error))
+            self._fail_all(self._fault)
+            if self._engine is not None:
+                self._engine.store.connection.close()
+
+    def _drive_once(self, more: bool) -> bool:
+        """Handle one batch; return whether committed entries still wait to be applied."""
+        engine = self._engine
+        assert engine is not None
+        deadline_s = engine.core.next_deadline_s()
+        pause_s = 0.0 if more else deadline_s - self._clock.monotonic_s()
+        batch = self._inbox.take(pause_s)
+        now_s = self._clock.monotonic_s()
+        events: list[Event] = batch.events
+        if now_s >= deadline_s:
+            events.append(Tick())
+        with self._lock:
+            for request_id, query in batch.reads:
+                engine.add_read(request_id, query)
+            self._calls_by_peer = {call.address: call for call in batch.calls}
+            if events:
+                engine.step(events, now_s)
+                metrics.BATCHES.labels(self.config.group).inc()
+            self._calls_by_peer = {}
+            for call in batch.calls:
+                call.done()
+            more = engine.apply_committed()
+            if not batch.requests_work and not more:
+                engine.commit_idle()
+        metrics.APPLIED_INDEX.labels(self.config.group).set(engine.applied_index)
+        return more
+
+    def _post(self, address: str, message: Message) -> None:
+        """Send a message, in the answer to the peer's own call if one is being handled."""
+        call = self._calls_by_peer.get(address)
+        if call is not None:
+            call.add(message)
+            return
+        sender = self._senders.get(address)
+        if sender is None:
+            sender = PeerSender(self._transport, self.config.group, address, self._deliver)
+            self._senders[address] = sender
+        sender.put(message)
+
+    def _deliver(self, batch: list[Message]) -> None:
+        self._inbox.put_all([Received(message) for message in batch])
+
+    def _new_ticket(self) -> tuple[Ticket, int]:
+        request_id = next(self._request_ids)
+        ticket = Ticket()
+        self._tickets[request_id] = ticket
+        return ticket, request_id
+
+    def _answer(self, request_id: int, result: bytes | Failure) -> None:
+        ticket = self._tickets.pop(request_id, None)
+        if ticket is not None:
+            ticket.resolve(result)
+
+    def _wait(
+        self, ticket: Ticket, request_id: int, timeout_s: float, execution: Execution
+    ) -> bytes | Failure:
+        if self._fault is not None:
+            self._answer(request_id, self._fault)
+        result = ticket.wait(timeout_s)
+        if result is not None:
+            return result
+        self._tickets.pop(request_id, None)
+        engine = self._engine
+        if engine is not None:
+            with self._lock:
+                engine.forget(request_id)
+        return _timed_out(timeout_s, execution)
+
+    def _fail_all(self, failure: Failure) -> None:
+        for request_id in list(self._tickets):
+            self._answer(request_id, failure)
+
+    def _role_changed(self, effect: BecameLeader | SteppedDown) -> None:
+        leads = isinstance(effect, BecameLeader)
+        metrics.LEADS.labels(self.config.group).set(1 if leads else 0)
+        if isinstance(effect, SteppedDown):
+            logger.info("group {} lost the lead: {}", self.config.group, effect.reason)
+        else:
+            logger.info("group {} leads term {}", self.config.group, effect.term)
+        with self._leadership_changed:
+            self._leadership_changed.notify_all()
+
+    def _repair_done(self, repair: RepairDone) -> None:
+        metrics.REPAIRS.labels(self.config.group).inc()
+        self._repairs.append(repair)
+        logger.info(
+            "group {} repaired: replica {} at {} replaces {}",
+            self.config.group,
+            repair.new_id,
+            repair.address,
+            repair.old_id,
+        )
+
+    def _hand_over(self) -> None:
+        """Before a planned stop, let another voter lead, so that callers see no gap."""
+        engine = self._engine
+        assert engine is not None
+        if engine.core.role is not Role.LEADER or len(engine.core.configuration.voter_ids()) < 2:
+            return
+        self._inbox.put(TransferLeadership())
+        with self._leadership_changed:
+            self._leadership_changed.wait_for(
+                lambda: engine.core.role is not Role.LEADER, TRANSFER_TIMEOUT_S
+            )
+
+
+def _status_of(engine: ReplicaEngine, now_s: float) -> GroupStatus:
+    core = engine.core
+    contact_s = core.quorum_contact_s() if core.role is Role.LEADER else core.leader_contact_s
+    members = core.configuration.members
+    return GroupStatus(
+        group=core.config.group,
+        replica_id=core.replica_id,
+        role=core.role.value,
+        term=core.term,
+        leader_address=core.leader_address,
+        commit_index=core.commit_index,
+        applied_index=engine.applied_index,
+        voters=[member.address for member in members if member.voter],
+        learners=[member.address for member in members if not member.voter],
+        leader_contact_age_s=max(0.0, now_s - contact_s),
+    )
+
+
+def _unknown_status(config: GroupConfig) -> GroupStatus:
+    return GroupStatus(
+        group=config.group,
+        replica_id="",
+        role=Role.BLANK.value,
+        term=0,
+        leader_address="",
+        commit_index=0,
+        applied_index=0,
+        voters=[],
+        learners=[],
+        leader_contact_age_s=0.0,
+    )
+
+
+def _timed_out(timeout_s: float, execution: Execution) -> Failure:
+    return Failure(
+        kind=FailureKind.TIMEOUT,
+        reason=f"no quorum answered within {timeout_s:g} s",
+        step=Step.PROPOSING,
+        execution=execution,
+    )
+
+
+def _stopping() -> Failure:
+    return Failure(
+        kind=FailureKind.STOPPING,
+        reason="this process is stopping; ask another",
+        step=Step.STOPPING,
+        execution=Execution.UNKNOWN,
+    )
--- /dev/null
+++ b/src/leverjunction/consensus/store.py
@@ -0,0 +1,352 @@
+"""The durable state of one replica: log, election state and tables in one SQLite file.
+
+``locking_mode=EXCLUSIVE`` is set before ``journal_mode=WAL``, so SQLite uses no shared memory.
+``synchronous=FULL`` makes each commit durable. All changes since the last commit are one
+transaction, so many proposals share one sync and an entry's application is committed together
+with the applied index.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from collections import deque
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from random import Random
+
+import msgspec
+import xxhash
+
+from leverjunction.consensus.commit_guard import CommitGuard
+from leverjunction.consensus.log_view import decode_configuration, encode_configuration
+from leverjunction.consensus.types import (
+    Configuration,
+    DurableState,
+    EntryKind,
+    HardState,
+    LogEntry,
+    LogPosition,
+)
+from leverjunction.errors import Failure, FailureKind, Step
+
+MEMORY_PATH = ":memory:"
+REPLICA_ID_BITS = 128
+TAIL_CACHE_BYTES = 8 * 1024 * 1024
+WAL_CHECKPOINT_PAGES = 4_000
+SIGNED_64 = 1 << 63
+
+_SCHEMA = """
+CREATE TABLE IF NOT EXISTS raft_meta (
+    key TEXT PRIMARY KEY, value BLOB NOT NULL, checksum INTEGER NOT NULL
+);
+CREATE TABLE IF NOT EXISTS raft_log (
+    idx INTEGER PRIMARY KEY, term INTEGER NOT NULL, kind INTEGER NOT NULL,
+    wall_ms INTEGER NOT NULL, checksum INTEGER NOT NULL, payload BLOB NOT NULL
+);
+"""
+_SELECT_ENTRIES = (
+    "SELECT idx, term, kind, wall_ms, checksum, payload FROM raft_log"
+    " WHERE idx BETWEEN ? AND ? ORDER BY idx"
+)
+_INSERT_ENTRY = "INSERT INTO raft_log VALUES (?, ?, ?, ?, ?, ?)"
+
+
+class StoreCorruptError(Exception):
+    """Stored data does not match its checksum; the replica must stop serving."""
+
+
+def _checksum(*parts: bytes) -> int:
+    digest = xxhash.xxh3_64()
+    for part in parts:
+        digest.update(part)
+    return digest.intdigest() - SIGNED_64
+
+
+def _entry_checksum(index: int, term: int, kind: int, wall_ms: int, payload: bytes) -> int:
+    return _checksum(f"{index},{term},{kind},{wall_ms};".encode(), payload)
+
+
+class TailCache:
+    """The newest log entries in memory, bounded by their payload bytes."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self._entries: deque[LogEntry] = deque()
+        self._bytes = 0
+
+    def append(self, entries: Iterable[LogEntry]) -> None:
+        """Add entries that follow the cached ones, and drop the oldest beyond the limit."""
+        for entry in entries:
+            self._entries.append(entry)
+            self._bytes += len(entry.payload)
+        while self._bytes > self._limit_bytes and len(self._entries) > 1:
+            self._bytes -= len(self._entries.popleft().payload)
+
+    def truncate(self, from_index: int) -> None:
+        """Drop the entries from ``from_index`` on."""
+        while self._entries and self._entries[-1].index >= from_index:
+            self._bytes -= len(self._entries.pop().payload)
+
+    def clear(self) -> None:
+        """Drop everything."""
+        self._entries.clear()
+        self._bytes = 0
+
+    def find(self, first_index: int, last_index: int) -> list[LogEntry] | None:
+        """Return the entries of a range, or None unless all of them are cached."""
+        if not self._entries or first_index < self._entries[0].index:
+            return None
+        if last_index > self._entries[-1].index:
+            return None
+        offset = first_index - self._entries[0].index
+        return [self._entries[offset + number] for number in range(last_index - first_index + 1)]
+
+
+class Store:
+    """Log, election state and the state machine's tables on one connection.
+
+    The engine calls it, under the group's lock. Nothing is durable before ``commit``.
+    """
+
+    def __init__(
+        self,
+        connection: sqlite3.Connection,
+        random: Random,
+        guard: CommitGuard | None,
+        tail_cache_bytes: int = TAIL_CACHE_BYTES,
+    ) -> None:
+        self.connection = connection
+        self._guard = guard
+        self._cache = TailCache(tail_cache_bytes)
+        connection.executescript(_SCHEMA)
+        if self._get("replica_id") is None:
+            self.begin()
+            self._put("replica_id", f"{random.getrandbits(REPLICA_ID_BITS):032x}".encode())
+            self._put_sequence(0)
+            connection.execute("COMMIT")
+        self.commit_sequence = int(self._get("commit_sequence") or b"0")
+
+    def begin(self) -> None:
+        """Open the transaction that the next changes belong to, if none is open."""
+        if not self.connection.in_transaction:
+            self.connection.execute("BEGIN IMMEDIATE")
+
+    def commit(self) -> None:
+        """Make all changes since the last commit durable (one sync)."""
+        if not self.connection.in_transaction:
+            return
+        self.commit_sequence += 1
+        self._put_sequence(self.commit_sequence)
+        self.connection.execute("COMMIT")
+        if self._guard is not None:
+            self._guard.record(self.commit_sequence)
+
+    def lose_unsynced(self) -> None:
+        """Forget what was not committed, as a crash does; for simulated crashes."""
+        if self.connection.in_transaction:
+            self.connection.execute("ROLLBACK")
+        self._cache.clear()
+        self.commit_sequence = int(self._get("commit_sequence") or b"0")
+
+    def close(self) -> None:
+        """Commit and close the file."""
+        self.commit()
+        self.connection.close()
+        if self._guard is not None:
+            self._guard.close()
+
+    def load(self) -> DurableState:
+        """Read and check everything that the core needs.
+
+        Raises:
+            StoreCorruptError: A checksum does not match, or the log has a gap.
+        """
+        base = msgspec.json.decode(self._get("base") or b"{}", type=LogPosition)
+        term_starts: list[LogPosition] = []
+        sizes: list[int] = []
+        configurations: list[tuple[int, Configuration]] = []
+        last_index = base.index
+        for entry in self._read_entries(base.index + 1, SIGNED_64 - 1):
+            if entry.index != last_index + 1:
+                raise StoreCorruptError(f"log entry {last_index + 1} is missing")
+            if not term_starts or term_starts[-1].term != entry.term:
+                term_starts.append(LogPosition(term=entry.term, index=entry.index))
+            if entry.kind is EntryKind.CONFIGURATION:
+                configurations.append((entry.index, decode_configuration(entry.payload)))
+            sizes.append(len(entry.payload))
+            last_index = entry.index
+        return DurableState(
+            replica_id=(self._get("replica_id") or b"").decode(),
+            founding_id=(self._get("founding_id") or b"").decode(),
+            hard_state=msgspec.json.decode(self._get("hard_state") or b"{}", type=HardState),
+            base=base,
+            base_configuration=decode_configuration(self._get("base_configuration") or b"{}"),
+            term_starts=tuple(term_starts),
+            last_index=last_index,
+            entry_bytes=tuple(sizes),
+            configurations=tuple(configurations),
+            applied_index=int(self._get("applied_index") or b"0"),
+            barred_from_founding=self._get("barred_from_founding") is not None,
+        )
+
+    def put_founding(self, founding_id: str, configuration: Configuration) -> None:
+        """Store the founding record."""
+        self.begin()
+        self._put("founding_id", founding_id.encode())
+        self._put("base_configuration", encode_configuration(configuration))
+
+    def put_hard_state(self, hard_state: HardState) -> None:
+        """Store term and vote."""
+        self.begin()
+        self._put("hard_state", msgspec.json.encode(hard_state))
+
+    def bar_from_founding(self) -> None:
+        """Mark data that replaces a corrupt file."""
+        self.begin()
+        self._put("barred_from_founding", b"1")
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Add entries at the end of the log."""
+        self.begin()
+        rows = [
+            (
+                entry.index,
+                entry.term,
+                int(entry.kind),
+                entry.wall_ms,
+                _entry_checksum(
+                    entry.index, entry.term, int(entry.kind), entry.wall_ms, entry.payload
+                ),
+                entry.payload,
+            )
+            for entry in entries
+        ]
+        self.connection.executemany(_INSERT_ENTRY, rows)
+        self._cache.append(entries)
+
+    def truncate(self, from_index: int) -> None:
+        """Remove the entries from ``from_index`` on."""
+        self.begin()
+        self.connection.execute("DELETE FROM raft_log WHERE idx >= ?", (from_index,))
+        self._cache.truncate(from_index)
+
+    def compact(self, base: LogPosition, configuration: Configuration) -> None:
+        """Remove the entries up to ``base``."""
+        self.begin()
+        self.connection.execute("DELETE FROM raft_log WHERE idx <= ?", (base.index,))
+        self._put("base", msgspec.json.encode(base))
+        self._put("base_configuration", encode_configuration(configuration))
+
+    def reset_log(self, founding_id: str, base: LogPosition, configuration: Configuration) -> None:
+        """Start the log anew at an installed snapshot; its tables are in the same transaction."""
+        self.put_founding(founding_id, configuration)
+        self.connection.execute("DELETE FROM raft_log")
+        self._put("base", msgspec.json.encode(base))
+        self.put_applied(base.index)
+        self._cache.clear()
+
+    def put_applied(self, index: int) -> None:
+        """Record that the tables hold the effect of every entry up to ``index``."""
+        self.begin()
+        self._put("applied_index", str(index).encode())
+
+    def entries(self, first_index: int, last_index: int) -> list[LogEntry]:
+        """Return a range of entries, from memory or else read and checked from the file.
+
+        Raises:
+            StoreCorruptError: A checksum does not match, or an entry is missing.
+        """
+        cached = self._cache.find(first_index, last_index)
+        if cached is not None:
+            return cached
+        found = list(self._read_entries(first_index, last_index))
+        if len(found) != last_index - first_index + 1:
+            raise StoreCorruptError(f"log entries {first_index} to {last_index} are not all there")
+        return found
+
+    def _read_entries(self, first_index: int, last_index: int) -> Iterable[LogEntry]:
+        for row in self.connection.execute(_SELECT_ENTRIES, (first_index, last_index)):
+            index, term, kind, wall_ms, checksum, payload = row
+            if checksum != _entry_checksum(index, term, kind, wall_ms, payload):
+                raise StoreCorruptError(f"log entry {index} does not match its checksum")
+            yield LogEntry(
+                index=index, term=term, kind=EntryKind(kind), wall_ms=wall_ms, payload=payload
+            )
+
+    def _put(self, key: str, value: bytes) -> None:
+        self.connection.execute(
+            "INSERT OR REPLACE INTO raft_meta VALUES (?, ?, ?)",
+            (key, value, _checksum(key.encode(), value)),
+        )
+
+    def _put_sequence(self, sequence: int) -> None:
+        self._put("commit_sequence", str(sequence).encode())
+
+    def _get(self, key: str) -> bytes | None:
+        row = self.connection.execute(
+            "SELECT value, checksum FROM raft_meta WHERE key = ?", (key,)
+        ).fetchone()
+        if row is None:
+            return None
+        value, checksum = row
+        if checksum != _checksum(key.encode(), value):
+            raise StoreCorruptError(f"stored {key} does not match its checksum")
+        return bytes(value)
+
+
+def open_store(path: str, random: Random) -> Store | Failure:
+    """Open or create a replica's file and check it.
+
+    Args:
+        path: The file, or ``:memory:``.
+        random: Source of the replica id when the file is new.
+
+    Returns:
+        The store; or a CORRUPT failure that says what is wrong and what an operator can do.
+    """
+    guard = None if path == MEMORY_PATH else CommitGuard(Path(path))
+    try:
+        store = Store(_connect(path), random, guard)
+        damage = _find_damage(store, guard)
+    except (sqlite3.DatabaseError, StoreCorruptError, msgspec.MsgspecError) as error:
+        return corrupt_failure(path, str(error))
+    if damage:
+        store.connection.close()
+        return corrupt_failure(path, damage)
+    return store
+
+
+def _connect(path: str) -> sqlite3.Connection:
+    connection = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+    connection.execute("PRAGMA locking_mode=EXCLUSIVE")
+    connection.execute("PRAGMA journal_mode=WAL")
+    connection.execute("PRAGMA synchronous=FULL")
+    connection.execute("PRAGMA cell_size_check=ON")
+    # Delete triggers must also fire for rows that REPLACE removes (see consensus.snapshot).
+    connection.execute("PRAGMA recursive_triggers=ON")
+    connection.execute("PRAGMA temp_store=MEMORY")
+    connection.execute(f"PRAGMA wal_autocheckpoint={WAL_CHECKPOINT_PAGES}")
+    return connection
+
+
+def _find_damage(store: Store, guard: CommitGuard | None) -> str:
+    """Return what is wrong with the file, empty when nothing is."""
+    (verdict,) = store.connection.execute("PRAGMA quick_check(1)").fetchone()
+    if verdict != "ok":
+        return str(verdict)
+    known = guard.last_recorded() if guard is not None else 0
+    if known > store.commit_sequence:
+        return f"commit {known} was synced but the file ends at commit {store.commit_sequence}"
+    return ""
+
+
+def corrupt_failure(path: str, reason: str) -> Failure:
+    """Return the failure for damaged data, with the operator's way out."""
+    return Failure(
+        kind=FailureKind.CORRUPT,
+        reason=(
+            f"{path}: {reason}; nothing is served from it. Move the file away and start again: "
+            "the replica rejoins blank and the leader repairs it"
+        ),
+        step=Step.STORING,
+    )
--- a/src/leverjunction/consensus/types.py
+++ b/src/leverjunction/consensus/types.py
@@ -125,8 +125,11 @@
         base_configuration: Configuration in force at ``base``.
         term_starts: First index of each run of entries with one term, in order, after ``base``.
         last_index: Index of the last entry (``base.index`` when there is none).
+        entry_bytes: Payload size of each entry after ``base``, in order.
         configurations: Configuration entries after ``base``, by index.
         applied_index: Highest index applied to the tables.
+        barred_from_founding: True when this data replaces a corrupt file: "blank" then does not
+            mean that the group is new, so this replica takes no part in founding one.
     """
 
     replica_id: str
@@ -136,8 +139,10 @@
     base_configuration: Configuration = Configuration()
     term_starts: tuple[LogPosition, ...] = ()
     last_index: int = 0
+    entry_bytes: tuple[int, ...] = ()
     configurations: tuple[tuple[int, Configuration], ...] = ()
     applied_index: int = 0
+    barred_from_founding: bool = False
 
 
 class GroupConfig(msgspec.Struct, frozen=True, kw_only=True):
@@ -159,6 +164,8 @@
         log_kept_entries: Applied entries kept in the log for peers that lag a little.
         log_kept_bytes: Payload bytes of applied entries kept at most.
         snapshot_chunk_bytes: Payload bytes in one snapshot chunk.
+        rejoin_when_corrupt: Move a corrupt file aside and rejoin blank, instead of refusing to
+            start.
     """
 
     group: str
@@ -174,3 +181,4 @@
     log_kept_entries: int = LOG_KEPT_ENTRIES
     log_kept_bytes: int = LOG_KEPT_BYTES
     snapshot_chunk_bytes: int = SNAPSHOT_CHUNK_BYTES
+    rejoin_when_corrupt: bool = False
--- /dev/null
+++ b/tests/unit/consensus_support.py
@@ -0,0 +1,143 @@
+"""A small state machine and an in-process cluster for the tests of the consensus groups."""
+
+from __future__ import annotations
+
+import sqlite3
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import TypeVar
+
+from leverjunction.clock import SystemClock
+from leverjunction.consensus.api import ApplyContext
+from leverjunction.consensus.group import GroupReplica
+from leverjunction.consensus.types import GroupConfig
+from leverjunction.errors import Failure, FailureKind, Step
+
+T = TypeVar("T")
+
+WAIT_S = 20.0
+POLL_S = 0.01
+
+
+class LogMachine:
+    """Keeps every applied command in order; a command ``key=value`` also sets a key."""
+
+    def create_tables(self, connection: sqlite3.Connection) -> None:
+        connection.execute(
+            "CREATE TABLE IF NOT EXISTS sm_applied (idx INTEGER PRIMARY KEY, command BLOB)"
+        )
+        connection.execute(
+            "CREATE TABLE IF NOT EXISTS sm_keys (key TEXT PRIMARY KEY, value BLOB) WITHOUT ROWID"
+        )
+        connection.execute("CREATE INDEX IF NOT EXISTS sm_keys_value ON sm_keys (value)")
+
+    def apply(self, connection: sqlite3.Connection, context: ApplyContext, command: bytes) -> bytes:
+        connection.execute("INSERT INTO sm_applied VALUES (?, ?)", (context.index, command))
+        key, _, value = command.partition(b"=")
+        if key == b"bad":
+            raise ValueError("bad command")
+        connection.execute("INSERT OR REPLACE INTO sm_keys VALUES (?, ?)", (key.decode(), value))
+        return b"applied " + command
+
+    def query(self, connection: sqlite3.Connection, query: bytes) -> bytes:
+        if query == b"*":
+            rows = connection.execute("SELECT command FROM sm_applied ORDER BY idx").fetchall()
+            return b",".join(row[0] for row in rows)
+        row = connection.execute(
+            "SELECT value FROM sm_keys WHERE key = ?", (query.decode(),)
+        ).fetchone()
+        return row[0] if row else b""
+
+
+class Cluster:
+    """Group replicas joined by direct calls; links can be cut and disks wiped."""
+
+    def __init__(self, folder: Path, size: int, **settings: object) -> None:
+        self.addresses = [f"10.0.0.{number}:1" for number in range(1, size + 1)]
+        self.folder = folder
+        self.settings = settings
+        self.replicas: dict[str, GroupReplica] = {}
+        self.cut: set[str] = set()
+        self._starts = 0
+        self._lock = threading.Lock()
+
+    def path(self, address: str) -> Path:
+        return self.folder / f"{address.split(':')[0]}.db"
+
+    def start(self, address: str) -> Failure | None:
+        self._starts += 1
+        config = GroupConfig(
+            group="root",
+            address=address,
+            first_members=tuple(self.addresses),
+            data_path=str(self.path(address)),
+            heartbeat_interval_s=0.02,
+            election_timeout_min_s=0.15,
+            election_timeout_max_s=0.3,
+            **self.settings,  # type: ignore[arg-type]
+        )
+        replica = GroupReplica(
+            config, LogMachine(), Link(self, address), SystemClock(), Random(self._starts)
+        )
+        self.replicas[address] = replica
+        return replica.start()
+
+    def start_all(self) -> None:
+        for address in self.addresses:
+            assert self.start(address) is None
+
+    def stop(self, address: str) -> None:
+        self.replicas.pop(address).stop()
+
+    def wipe(self, address: str) -> None:
+        for path in self.folder.glob(f"{self.path(address).name}*"):
+            path.unlink()
+
+    def stop_all(self) -> None:
+        for address in list(self.replicas):
+            self.stop(address)
+
+    def leader(self) -> GroupReplica:
+        def find() -> GroupReplica | None:
+            for address, replica in list(self.replicas.items()):
+                if address not in self.cut and replica.status().role == "leader":
+                    return replica
+            return None
+
+        return wait_for(find)
+
+    def propose(self, command: bytes) -> bytes:
+        def attempt() -> bytes | None:
+            result = self.leader().propose(command, 2.0)
+            return None if isinstance(result, Failure) else result
+
+        return wait_for(attempt)
+
+
+class Link:
+    """One replica's transport."""
+
+    def __init__(self, cluster: Cluster, own_address: str) -> None:
+        self._cluster = cluster
+        self._own_address = own_address
+
+    def send(self, peer_address: str, group: str, body: bytes) -> bytes | Failure:
+        replica = self._cluster.replicas.get(peer_address)
+        if replica is None or {peer_address, self._own_address} & self._cluster.cut:
+            time.sleep(POLL_S)
+            return Failure(kind=FailureKind.UNREACHABLE, reason="cut", step=Step.CONNECTING)
+        return replica.receive(body)
+
+
+def wait_for(find: Callable[[], T | None]) -> T:
+    """Poll until ``find`` gives a true value."""
+    deadline_s = time.monotonic() + WAIT_S
+    while time.monotonic() < deadline_s:
+        found = find()
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise AssertionError("nothing was found in time")
--- /dev/null
+++ b/tests/unit/test_consensus_group.py
@@ -0,0 +1,103 @@
+"""Group replicas with real files and threads over an in-process transport."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from leverjunction.errors import Failure, FailureKind
+from tests.unit.consensus_support import Cluster, wait_for
+
+
+@pytest.fixture
+def cluster(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[Cluster]:
+    cluster = Cluster(tmp_path, getattr(request, "param", 3))
+    cluster.start_all()
+    yield cluster
+    cluster.cut.clear()
+    cluster.stop_all()
+
+
+@pytest.mark.parametrize("cluster", [1, 3, 5], indirect=True)
+def test_committed_commands_are_readable_on_the_leader(cluster: Cluster) -> None:
+    assert cluster.propose(b"a=1") == b"applied a=1"
+    assert cluster.propose(b"a=2") == b"applied a=2"
+    assert cluster.leader().query(b"a", 5.0) == b"2"
+
+
+def test_a_follower_names_the_leader(cluster: Cluster) -> None:
+    cluster.propose(b"a=1")
+    leader = cluster.leader().status()
+    follower = next(r for r in cluster.replicas.values() if r.status().role == "follower")
+    wait_for(lambda: follower.status().leader_address)
+    for refusal in (follower.propose(b"b=1", 1.0), follower.query(b"a", 1.0)):
+        assert isinstance(refusal, Failure)
+        assert refusal.kind is FailureKind.NOT_LEADER
+        assert refusal.detail == leader.leader_address
+
+
+def test_a_command_that_cannot_be_applied_changes_nothing(cluster: Cluster) -> None:
+    reply = cluster.propose(b"bad=1")
+    assert b"bad command" in reply
+    cluster.propose(b"a=1")
+    assert cluster.leader().query(b"*", 5.0) == b"a=1"
+
+
+def test_many_callers_share_batches(cluster: Cluster) -> None:
+    cluster.propose(b"start=1")
+    leader = cluster.leader()
+    replies: list[bytes | Failure] = []
+    callers = [
+        threading.Thread(target=lambda n=n: replies.append(leader.propose(b"k%d=1" % n, 10.0)))
+        for n in range(200)
+    ]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    assert sorted(replies) == sorted(b"applied k%d=1" % n for n in range(200))
+
+
+def test_state_survives_a_restart_of_all(cluster: Cluster) -> None:
+    for number in range(20):
+        cluster.propose(b"k%d=%d" % (number, number))
+    for address in cluster.addresses:
+        cluster.stop(address)
+    cluster.start_all()
+    wait_for(lambda: cluster.leader().query(b"k19", 2.0) == b"19")
+    assert cluster.leader().query(b"*", 5.0) == b",".join(b"k%d=%d" % (n, n) for n in range(20))
+
+
+def test_a_cut_off_leader_refuses_and_another_leads(cluster: Cluster) -> None:
+    cluster.propose(b"a=1")
+    old = cluster.leader()
+    cluster.cut.add(old.config.address)
+    cluster.propose(b"a=2")
+    wait_for(lambda: old.status().role != "leader")
+    refusal = old.query(b"a", 0.5)
+    assert isinstance(refusal, Failure)
+    cluster.cut.clear()
+    wait_for(lambda: old.query_local(b"a") == b"2")
+
+
+@pytest.mark.parametrize("kept_entries", [10_000, 3])
+def test_a_wiped_replica_is_repaired(tmp_path: Path, kept_entries: int) -> None:
+    cluster = Cluster(tmp_path, 3, log_kept_entries=kept_entries, snapshot_chunk_bytes=64)
+    cluster.start_all()
+    for number in range(30):
+        cluster.propose(b"k%d=%d" % (number, number))
+    victim = next(r for r in cluster.replicas.values() if r.status().role == "follower")
+    address, old_id = victim.config.address, victim.status().replica_id
+    cluster.stop(address)
+    cluster.wipe(address)
+    cluster.start(address)
+    repaired = wait_for(lambda: cluster.leader().repairs())[0]
+    assert (repaired.old_id, repaired.address) == (old_id, address)
+    assert repaired.new_id == cluster.replicas[address].status().replica_id
+    state = cluster.leader().query(b"*", 5.0)
+    wait_for(lambda: cluster.replicas[address].query_local(b"*") == state)
+    assert len(cluster.leader().status().voters) == 3
+    cluster.stop_all()
