Fleet: clear answer faults on recovery

Cause: faults that had not struck would have disturbed the next test. Change: the stand-in engine clears its faults on DELETE, Fleet.recover uses it. Conclusion: tests can share a fleet.

--- a/src/testbed/engine/faults.py
+++ b/src/testbed/engine/faults.py
@@ -56,6 +56,12 @@
             self._struck[fault.kind] = self._struck.get(fault.kind, 0) + 1
             return fault
 
+    def clear(self) -> None:
+        """Forget all faults and how many have struck."""
+        with self._lock:
+            self._pending.clear()
+            self._struck.clear()
+
     def struck(self) -> dict[str, int]:
         """Return how many answers each kind of fault has struck."""
         with self._lock:
--- a/src/testbed/engine/http_api.py
+++ b/src/testbed/engine/http_api.py
@@ -163,7 +163,9 @@
 
     @cherrypy.expose
     def faults(self) -> bytes:
-        """Add a fault (POST), or list how many of each kind have struck (GET)."""
+        """Add a fault (POST), clear all (DELETE), or count those that have struck (GET)."""
+        if cherrypy.request.method == "DELETE":
+            self._faults.clear()
         if cherrypy.request.method == "POST":
             fault = _read(AnswerFault)
             if isinstance(fault, bytes):
--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -23,6 +23,7 @@
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
+CALL_TIMEOUT_S = 5.0
 APPLY_TIMEOUT_S = 30.0
 
 _STOP_ORDER = (
@@ -62,6 +63,7 @@
         self._processes = {p.name: FleetProcess(p) for p in self.plan.processes}
         self._cuts: set[tuple[str, str]] = set()
         self._leaving: set[str] = set()
+        self._answer_faults: set[str] = set()
 
     def __enter__(self) -> Fleet:
         """Start the fleet; nothing is left running when that fails."""
@@ -178,13 +180,21 @@
         for runner in list(self._leaving):
             self._leaving.discard(runner)
             self._relist(runner)
+        for runner in list(self._answer_faults):
+            self._answer_faults.discard(runner)
+            self.http.request("DELETE", self._faults_url(runner), timeout=CALL_TIMEOUT_S)
         for gateway in self.gateway_names():
             self.wait_ready(gateway)
 
     def add_answer_fault(self, runner: str, fault: AnswerFault) -> None:
         """Let the next answers of a runner go wrong."""
-        url = f"http://{self.planned(runner).direct_address}/testbed/faults"
-        self._post(url, msgspec.json.encode(fault))
+        self._answer_faults.add(runner)
+        self._post(self._faults_url(runner), msgspec.json.encode(fault))
+
+    def struck_faults(self, runner: str) -> int:
+        """Return how many answers of a runner have gone wrong since its faults were cleared."""
+        response = self.http.request("GET", self._faults_url(runner), timeout=CALL_TIMEOUT_S)
+        return sum(msgspec.json.decode(response.data, type=dict[str, int]).values())
 
     def executions(self, prompt_part: str = "") -> list[Execution]:
         """Return what the engines ran, killed ones included, oldest first."""
@@ -281,12 +291,17 @@
     def _list_machine(self, runner: str, body: bytes) -> None:
         self._post(f"http://{self.planned('machines').address}/machines/{runner}", body)
 
+    def _faults_url(self, runner: str) -> str:
+        return f"http://{self.planned(runner).direct_address}/testbed/faults"
+
     def _set_cut(self, request: CutRequest) -> None:
         url = f"http://{self.planned('network').address}/cuts"
         self._post(url, msgspec.json.encode(request))
 
     def _post(self, url: str, body: bytes) -> None:
         headers = {"Content-Type": "application/json"}
-        response = self.http.request("POST", url, body=body, headers=headers, timeout=5.0)
+        response = self.http.request(
+            "POST", url, body=body, headers=headers, timeout=CALL_TIMEOUT_S
+        )
         if response.status != 200:
             raise FleetError(f"{url} answered {response.status}: {response.data[:200]!r}")
