--- a/src/leverjunction/consensus/snapshot.py
+++ b/src/leverjunction/consensus/snapshot.py
@@ -26,7 +26,7 @@
 """Parts of changed rows before the last one is cut, however much has changed by then."""
 
 Value = Any
-"""What SQLite stores: int, float, str, bytes or None (msgspec allows no union of the last three)."""
+"""What SQLite stores: int, float, str, bytes or None (msgspec has no union of these)."""
 Row = tuple[Value, ...]
 
 
--- a/tests/unit/test_consensus_group.py
+++ b/tests/unit/test_consensus_group.py
@@ -7,9 +7,9 @@
 from pathlib import Path
 
 import pytest
+from tests.unit.consensus_support import Cluster, wait_for
 
 from leverjunction.errors import Failure, FailureKind
-from tests.unit.consensus_support import Cluster, wait_for
 
 
 @pytest.fixture
