Harvester: runs leased items on owned runners, parks for online, commits outcomes

Leases are fetched ahead by one thread, outcomes committed in batches by another; items run in worker threads and are continued from their partial text after a park. Items that may not repeat are never parked and end as unknown when their run broke off. A planned stop hands all back.

--- a/src/leverjunction/batch/commands.py
+++ b/src/leverjunction/batch/commands.py
@@ -362,7 +362,12 @@
 
 
 class GetBacklog(msgspec.Struct, frozen=True, tag="get_backlog"):
-    """Query pending items by service, and leases that are out. Reply: Backlog."""
+    """Query pending items by service, and leases that are out. Reply: Backlog.
+
+    Gateways poll it for work with ``with_leases`` off, as the list of leases is long.
+    """
+
+    with_leases: bool = True
 
 
 class Backlog(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/batch/harvest.py
+++ b/src/leverjunction/batch/harvest.py
@@ -20,7 +20,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Hashable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -49,6 +48,11 @@
 
 MAX_START_CREDIT = 2.0
 
+FORGET_ONLINE_S = 1.0
+FORGET_ONLINE_REPORTS = 3
+"""Announced requests count as gone when so many reports, this long after, show none: the end of
+one may never be announced (a process was killed, a caller's thread died)."""
+
 
 class HarvestTargets(msgspec.Struct, frozen=True, kw_only=True):
     """The service's settings that bound batch on a runner.
@@ -76,7 +80,7 @@
 
     allowed: int
     start: int
-    park: list[Hashable]
+    park: list[int]
     reason: str
 
 
@@ -99,8 +103,10 @@
 
     targets: HarvestTargets
     step_time: StepTimeModel = field(default_factory=StepTimeModel)
-    _held: dict[Hashable, _Held] = field(default_factory=dict)
+    _held: dict[int, _Held] = field(default_factory=dict)
     _local_online: int = 0
+    _last_arrival_s: float = -math.inf
+    _empty_reports: int = 0
     _reported_online: int = 0
     _reported_s: float = -math.inf
     _notice_until_s: float = -math.inf
@@ -116,6 +122,8 @@
     def online_arrived(self, now_s: float) -> None:
         """An online request is about to be sent to the runner through this process."""
         self._local_online += 1
+        self._last_arrival_s = now_s
+        self._empty_reports = 0
         self._busy_until_s = max(self._busy_until_s, now_s + REFILL_HOLD_S)
 
     def online_finished(self, now_s: float) -> None:
@@ -135,14 +143,19 @@
         self._reported_s = now_s
         if self._reported_online:
             self._busy_until_s = max(self._busy_until_s, now_s + REFILL_HOLD_S)
+            self._empty_reports = 0
+        elif now_s - self._last_arrival_s > FORGET_ONLINE_S:
+            self._empty_reports += 1
+            if self._empty_reports >= FORGET_ONLINE_REPORTS:
+                self._local_online = 0
         self.step_time.observe(report.running, report.step_ms)
 
-    def started(self, request: Hashable, now_s: float, *, may_park: bool = True) -> None:
+    def started(self, request: int, now_s: float, *, may_park: bool = True) -> None:
         """A batch request was sent to the runner."""
         self._held[request] = _Held(started_s=now_s, may_park=may_park)
         self._start_credit -= 1.0
 
-    def ended(self, request: Hashable) -> None:
+    def ended(self, request: int) -> None:
         """A batch request has left the runner: finished, failed or parked."""
         self._held.pop(request, None)
 
@@ -152,6 +165,19 @@
         reported = self._reported_online if now_s - self._reported_s < REPORT_STALE_S else 0
         return max(self._local_online, noticed, reported)
 
+    def idle_capacity(self) -> int:
+        """Return how many batch requests the runner may hold while no online work is there."""
+        growth = IDLE_GROWTH_BASE + IDLE_GROWTH_PER_INTERFERENCE * self.targets.interference
+        room_ms = self.step_time.predict_ms(1) * (1.0 + growth) - self.step_time.predict_ms(0)
+        return min(
+            self.targets.batch_max_running,
+            max(1, math.floor(room_ms / self.step_time.per_sequence_ms)),
+        )
+
+    def seconds_without_report(self, now_s: float) -> float:
+        """Return how long the runner has not reported its load."""
+        return now_s - self._reported_s
+
     def is_busy(self, now_s: float) -> bool:
         """Return whether online work is there, or was a moment ago."""
         return self.online(now_s) > 0 or now_s < self._busy_until_s
@@ -169,15 +195,13 @@
     def _decide_idle(self, now_s: float) -> HarvestDecision:
         self._start_credit = 1.0
         self._credit_s = now_s
-        growth = IDLE_GROWTH_BASE + IDLE_GROWTH_PER_INTERFERENCE * self.targets.interference
-        limit_ms = self.step_time.predict_ms(1) * (1.0 + growth)
-        room = (limit_ms - self.step_time.predict_ms(0)) / self.step_time.per_sequence_ms
-        allowed = min(self.targets.batch_max_running, max(1, math.floor(room)))
+        allowed = self.idle_capacity()
         return HarvestDecision(
             allowed=allowed,
             start=max(0, allowed - self.held),
             park=[],
-            reason=f"no online request: fills up to a step of {limit_ms:.1f} ms",
+            reason=f"no online request: fills up to {allowed}, a step of "
+            f"{self.step_time.predict_ms(allowed):.1f} ms",
         )
 
     def _decide_busy(self, now_s: float) -> HarvestDecision:
@@ -208,7 +232,7 @@
         earned = self._start_credit + max(0.0, steps) * ratio
         self._start_credit = min(earned, MAX_START_CREDIT)
 
-    def _to_park(self, allowed: int) -> list[Hashable]:
+    def _to_park(self, allowed: int) -> list[int]:
         """Choose what to park: the newest first, as they lose least and still read prompts."""
         surplus = self.held - allowed
         if surplus <= 0:
--- /dev/null
+++ b/src/leverjunction/batch/harvester.py
@@ -0,0 +1,328 @@
+"""Runs batch items on the idle capacity of the runners that this gateway owns.
+
+One thread decides (``batch.harvest`` says how many items each runner may hold), worker threads run
+items on engines, one thread fetches leases ahead and one commits outcomes. All state is under one
+lock; no call to an engine or to control is made while it is held.
+"""
+
+from __future__ import annotations
+
+import random as random_module
+import threading
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+
+from loguru import logger
+from prometheus_client import CollectorRegistry
+
+from leverjunction.backends.types import LoadReport
+from leverjunction.batch.batch_counters import HarvestCounters, HarvestStats
+from leverjunction.batch.commands import (
+    CompletedItems,
+    CompleteItems,
+    ItemResult,
+    ItemState,
+    Lease,
+)
+from leverjunction.batch.directory import Control
+from leverjunction.batch.harvest import HarvestTargets
+from leverjunction.batch.harvest_state import (
+    GiveBack,
+    HarvestState,
+    Run,
+    Verdict,
+)
+from leverjunction.batch.item_run import Engines, RunResult, request_id_of, run_item
+from leverjunction.batch.lease_fetcher import Demand, LeaseFetcher
+from leverjunction.batch.result_sender import ResultSender
+from leverjunction.clock import Clock
+from leverjunction.errors import Failure
+from leverjunction.settings.resolved import ResolvedServing
+from leverjunction.wire.messages import RunnerState
+
+TICK_S = 0.02
+MAX_RUN_THREADS = 512
+CANCEL_THREADS = 32
+STOP_WAIT_S = 10.0
+"""How long a planned stop waits for items that may not repeat."""
+
+STOP_COMMIT_S = 5.0
+
+
+class Harvester:
+    """The batch side of a gateway. Safe to call from any thread.
+
+    Args:
+        control: Client of the control processes.
+        engines: Client of the engines.
+        clock: Monotonic and wall clock.
+        random: Source of lease ids and of the spread between polls.
+        gateway_id: Owner of the leases.
+        registry: Where the counters are registered; a registry of its own when None.
+    """
+
+    def __init__(
+        self,
+        control: Control,
+        engines: Engines,
+        clock: Clock,
+        random: random_module.Random,
+        gateway_id: str,
+        registry: CollectorRegistry | None = None,
+    ) -> None:
+        self._control = control
+        self._engines = engines
+        self._clock = clock
+        self.counters = HarvestCounters(registry)
+        self._changed = threading.Condition()
+        self._state = HarvestState(self.counters)
+        self._completed = 0
+        self._started = False
+        self._stopping = False
+        self._renewal: tuple[float, list[str]] = (0.0, [])
+        self._run_threads = ThreadPoolExecutor(MAX_RUN_THREADS, thread_name_prefix="batch-run")
+        self._cancel_threads = ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="batch-cancel")
+        self._sender = ResultSender(control, self._committed)
+        self._fetcher = LeaseFetcher(
+            control, clock, random, gateway_id, self._demands, self._granted
+        )
+        self._thread = threading.Thread(target=self._run, name="harvester", daemon=True)
+
+    def update(
+        self,
+        owned: list[RunnerState],
+        services: Mapping[str, ResolvedServing],
+        groups: list[str],
+    ) -> None:
+        """Take the owned runners, their services' settings and the job groups.
+
+        Called after each answered exchange, so it also confirms the leases that it renewed.
+        """
+        with self._changed:
+            if self._stopping:
+                return
+            asked_s, lease_ids = self._renewal
+            self._state.work.renew(lease_ids, asked_s)
+            self._state.set_runners(owned, {name: _targets(s) for name, s in services.items()})
+            self._state.set_priorities({name: s.batch_priority for name, s in services.items()})
+            self._fetcher.update(groups)
+            self._changed.notify_all()
+        self._start_threads()
+
+    def observe_load(self, runner_id: str, report: LoadReport) -> None:
+        """Take an owned runner's load report."""
+        with self._changed:
+            runner = self._state.runners.get(runner_id)
+            if runner is not None:
+                runner.controller.observe(report, self._clock.monotonic_s())
+
+    def online_arrived(self, runner_id: str) -> None:
+        """An online request is about to be sent to an owned runner."""
+        with self._changed:
+            runner = self._state.runners.get(runner_id)
+            if runner is not None:
+                runner.controller.online_arrived(self._clock.monotonic_s())
+                self._changed.notify_all()
+
+    def online_finished(self, runner_id: str) -> None:
+        """An online request on an owned runner has ended."""
+        with self._changed:
+            runner = self._state.runners.get(runner_id)
+            if runner is not None:
+                runner.controller.online_finished(self._clock.monotonic_s())
+
+    def notice_arrived(self, runner_id: str) -> None:
+        """Another gateway has sent an online request to an owned runner (yield notice)."""
+        with self._changed:
+            runner = self._state.runners.get(runner_id)
+            if runner is not None:
+                runner.controller.notice_arrived(self._clock.monotonic_s())
+                self._changed.notify_all()
+
+    def lease_ids(self) -> dict[str, list[str]]:
+        """Return the leases held, by group, to be renewed by the exchange that follows."""
+        with self._changed:
+            by_group: dict[str, list[str]] = {}
+            for lease in self._state.work.leases.values():
+                by_group.setdefault(lease.group, []).append(lease.lease_id)
+            self._renewal = (self._clock.monotonic_s(), list(self._state.work.leases))
+            return by_group
+
+    def revoke(self, lost_lease_ids: list[str], cancelled_jobs: list[str]) -> None:
+        """Drop lost leases and cancelled jobs, and stop their items on the engines."""
+        with self._changed:
+            lost = [lease for lease in lost_lease_ids if lease in self._state.work.leases]
+            self.counters.lost_leases.inc(len(lost))
+            dropped = self._state.revoke(lost_lease_ids, cancelled_jobs)
+        if lost:
+            logger.warning("lost leases {}", lost)
+        for run in dropped:
+            self._cancel_threads.submit(self._cancel, run)
+
+    def stats(self) -> HarvestStats:
+        """Return what the harvester is doing now."""
+        with self._changed:
+            work = self._state.work
+            return HarvestStats(
+                running=len(self._state.runs),
+                waiting=work.waiting_total(),
+                parked=work.parked_total(),
+                uncommitted=self._sender.pending(),
+                completed=self._completed,
+                leases=len(work.leases),
+            )
+
+    def notes(self) -> dict[str, str]:
+        """Return, for each owned runner, why it holds the batch work that it does."""
+        with self._changed:
+            return {name: runner.note for name, runner in self._state.runners.items()}
+
+    def stop(self) -> None:
+        """Start nothing more, let items that may not repeat finish, hand all leases back."""
+        with self._changed:
+            if self._stopping:
+                return
+            self._stopping = True
+            self._changed.notify_all()
+        self._fetcher.stop()
+        with self._changed:
+            stopped = self._state.drop_repeatable_runs()
+        for run in stopped:
+            self._cancel_threads.submit(self._cancel, run)
+        deadline_s = self._clock.monotonic_s() + STOP_WAIT_S
+        with self._changed:
+            while self._state.live_runs() and self._clock.monotonic_s() < deadline_s:
+                self._changed.wait(TICK_S)
+        self._sender.stop(STOP_COMMIT_S)
+        self._hand_back_leases()
+        self._run_threads.shutdown(wait=False, cancel_futures=True)
+        self._cancel_threads.shutdown(wait=False)
+
+    def _hand_back_leases(self) -> None:
+        with self._changed:
+            leases = list(self._state.work.leases.values())
+            unstarted = self._state.work.drain_waiting()
+            self._state.work.drop_leases([lease.lease_id for lease in leases])
+        for lease in leases:
+            # Items that may repeat return with the release; the others only by name.
+            results = [
+                give_back_result(GiveBack(work, lease.group))
+                for work in unstarted
+                if work.lease_id == lease.lease_id and not work.leased.may_repeat
+            ]
+            reply = self._control.propose(
+                lease.group,
+                CompleteItems(lease.lease_id, results, release=True),
+                CompletedItems,
+                STOP_COMMIT_S,
+            )
+            if isinstance(reply, Failure):
+                logger.warning("lease {} not handed back: {}", lease.lease_id, reply.reason)
+
+    def _start_threads(self) -> None:
+        with self._changed:
+            if self._started or self._stopping:
+                return
+            self._started = True
+        self._sender.start()
+        self._fetcher.start()
+        self._thread.start()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                self._changed.wait(TICK_S)
+                if self._stopping:
+                    return
+            try:
+                self.tick()
+            except Exception:
+                # The decisions must go on after any fault of one round.
+                logger.exception("harvest round failed")
+
+    def tick(self) -> None:
+        """Decide for every runner and carry the decisions out."""
+        with self._changed:
+            if self._stopping:
+                return
+            plan = self._state.plan(self._clock.monotonic_s(), self._clock.wall_ms())
+            self.counters.running.set(len(self._state.runs))
+            self.counters.waiting.set(self._state.work.waiting_total())
+        for run in plan.cancels:
+            self._cancel_threads.submit(self._cancel, run)
+        for run in plan.starts:
+            self.counters.starts.inc()
+            self._run_threads.submit(self._execute, run)
+        for verdict in plan.verdicts:
+            self._settle(verdict)
+        self._return_all(plan.give_back)
+
+    def _execute(self, run: Run) -> None:
+        with self._changed:
+            may_start = self._state.begins(run, self._clock.monotonic_s())
+        if not may_start:
+            return
+        result = run_item(self._engines, run.work, run.address, run.priority)
+        self._ended(run, result)
+
+    def _ended(self, run: Run, result: RunResult) -> None:
+        self.counters.ends.labels(result.end.value).inc()
+        with self._changed:
+            verdict = self._state.ended(run, result, self._clock.monotonic_s())
+            self._changed.notify_all()
+        if isinstance(verdict, Verdict):
+            self._settle(verdict)
+        elif isinstance(verdict, GiveBack):
+            self._return_all([verdict])
+
+    def _settle(self, verdict: Verdict) -> None:
+        self._sender.put(verdict.group, verdict.lease_id, verdict.result)
+
+    def _return_all(self, items: list[GiveBack]) -> None:
+        for item in items:
+            self._sender.put(item.group, item.work.lease_id, give_back_result(item))
+
+    def _committed(self, lease_id: str, results: list[ItemResult], reply: CompletedItems) -> None:
+        self.counters.committed.inc(reply.accepted)
+        self.counters.discarded.inc(reply.discarded)
+        final = sum(1 for result in results if result.state != ItemState.PENDING)
+        with self._changed:
+            self._completed += final
+            keys = [(result.job_id, result.index) for result in results]
+            self._state.work.close_items(lease_id, keys)
+        if reply.cancelled_jobs:
+            self.revoke([], reply.cancelled_jobs)
+
+    def _cancel(self, run: Run) -> None:
+        self._engines.cancel(run.address, request_id_of(run.work))
+
+    def _demands(self) -> list[Demand]:
+        with self._changed:
+            return [] if self._stopping else self._state.demands()
+
+    def _granted(self, group: str, service: str, lease: Lease, asked_s: float) -> None:
+        self.counters.leased.inc(len(lease.items))
+        with self._changed:
+            self._state.work.add_lease(lease, group, service, asked_s + lease.duration_s)
+            self._changed.notify_all()
+
+
+def give_back_result(item: GiveBack) -> ItemResult:
+    """Return the outcome that puts an item back into the queue of its job."""
+    leased = item.work.leased
+    return ItemResult(
+        job_id=leased.job_id,
+        index=leased.index,
+        attempt=leased.attempt,
+        state=ItemState.PENDING,
+        status_code=0,
+        body="",
+    )
+
+
+def _targets(serving: ResolvedServing) -> HarvestTargets:
+    return HarvestTargets(
+        interference=serving.interference,
+        batch_floor=serving.batch_floor,
+        batch_max_running=serving.batch_max_running,
+    )
--- /dev/null
+++ b/src/leverjunction/batch/item_run.py
@@ -0,0 +1,133 @@
+"""One run of a batch item on an engine, and what its answer means."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Protocol
+
+import msgspec
+
+from leverjunction.backends.stream import EngineStream
+from leverjunction.backends.types import EngineCall
+from leverjunction.batch.held_work import WorkItem
+from leverjunction.errors import Execution, Failure
+
+ANSWER_TIMEOUT_S = 600.0
+"""An answer that is not streamed is silent until its end; a dead runner is noticed by its load."""
+
+TRIES_PER_ATTEMPT = 1_000
+"""Attempt numbers of a lease's attempt: its runs on engines, so that no two are the same."""
+
+_NOT_RUN_STATUSES = frozenset({404, 429, 503})
+_CANCELLED = "cancelled"
+
+
+class RunEnd(StrEnum):
+    """How a run ended."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    PARKED = "parked"
+    NOT_RUN = "not_run"
+    BROKEN = "broken"
+
+
+class RunResult(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of one run.
+
+    Attributes:
+        end: DONE with the whole answer; REFUSED with the engine's own error, for good; PARKED with
+            the text so far; NOT_RUN when no engine took it; BROKEN when it may have run.
+        status_code: HTTP status, 0 when there was none.
+        body: Answer or error, JSON text.
+        text: For PARKED, the whole text generated so far.
+        reason: Why, for the record.
+    """
+
+    end: RunEnd
+    status_code: int = 0
+    body: str = ""
+    text: str = ""
+    reason: str = ""
+
+
+class Engines(Protocol):
+    """The part of ``backends.client.EngineClient`` that batch uses."""
+
+    def open(self, call: EngineCall) -> EngineStream | Failure:
+        """Send a request; see ``EngineClient``."""
+        ...
+
+    def cancel(self, address: str, request_id: str) -> Failure | None:
+        """Cancel a request; see ``EngineClient``."""
+        ...
+
+
+def request_id_of(work: WorkItem) -> str:
+    """Return the request id under which engines know an item."""
+    return f"{work.leased.job_id}-{work.leased.index}"
+
+
+def run_item(engines: Engines, work: WorkItem, address: str, priority: int) -> RunResult:
+    """Run an item to its end, or until it is cancelled. Called by a worker thread."""
+    stream = engines.open(
+        EngineCall(
+            address=address,
+            request_id=request_id_of(work),
+            attempt=work.leased.attempt * TRIES_PER_ATTEMPT + work.tries,
+            path=work.leased.item.url,
+            body=engine_body(work.leased.item.body, work.continue_text),
+            priority=priority,
+            timeout_s=ANSWER_TIMEOUT_S,
+        )
+    )
+    if isinstance(stream, Failure):
+        return _from_failure(stream)
+    body = stream.read_all()
+    if isinstance(body, Failure):
+        return _from_failure(body)
+    return read_answer(stream.status, body, work.continue_text)
+
+
+def engine_body(body: str, continue_text: str) -> bytes:
+    """Return the request body with the text after which the engine goes on."""
+    if not continue_text:
+        return body.encode()
+    fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    fields["continue_text"] = msgspec.Raw(msgspec.json.encode(continue_text))
+    return msgspec.json.encode(fields)
+
+
+def read_answer(status: int, body: bytes, continue_text: str) -> RunResult:
+    """Interpret an engine's answer to a run that went on after ``continue_text``."""
+    text = body.decode("utf8", "replace")
+    if status in _NOT_RUN_STATUSES:
+        return RunResult(end=RunEnd.NOT_RUN, status_code=status, body=text, reason=text[:200])
+    if status >= 500:
+        return RunResult(end=RunEnd.BROKEN, status_code=status, body=text, reason=text[:200])
+    if status != 200:
+        return RunResult(end=RunEnd.REFUSED, status_code=status, body=text, reason=text[:200])
+    return _read_completion(text, continue_text)
+
+
+def _read_completion(body: str, continue_text: str) -> RunResult:
+    try:
+        answer = msgspec.json.decode(body)
+        choice = answer["choices"][0]
+        holder = choice.get("message", choice)
+        field = "content" if "message" in choice else "text"
+        whole = continue_text + (holder[field] or "")
+    except (msgspec.DecodeError, KeyError, IndexError, TypeError, AttributeError) as error:
+        reason = f"not a completion: {error!r}"
+        return RunResult(end=RunEnd.BROKEN, status_code=200, body=body, reason=reason)
+    if choice.get("finish_reason") == _CANCELLED:
+        return RunResult(end=RunEnd.PARKED, status_code=200, text=whole)
+    if continue_text:
+        holder[field] = whole
+        body = msgspec.json.encode(answer).decode()
+    return RunResult(end=RunEnd.DONE, status_code=200, body=body)
+
+
+def _from_failure(failure: Failure) -> RunResult:
+    is_clean = failure.execution == Execution.NOT_RUN
+    return RunResult(end=RunEnd.NOT_RUN if is_clean else RunEnd.BROKEN, reason=failure.reason)
--- a/src/leverjunction/batch/job_queries.py
+++ b/src/leverjunction/batch/job_queries.py
@@ -7,6 +7,7 @@
 from leverjunction.batch import pending
 from leverjunction.batch.commands import (
     Backlog,
+    GetBacklog,
     GetJob,
     GetResults,
     ItemState,
@@ -72,17 +73,22 @@
     return ResultPage(lines=lines, next_cursor=cursor, complete=_is_complete(job, cursor, lines))
 
 
-def get_backlog(connection: sqlite3.Connection) -> Backlog:
-    """Return pending items by service and the open leases of each owner."""
+def get_backlog(connection: sqlite3.Connection, query: GetBacklog) -> Backlog:
+    """Return pending items by service and, if asked for, the open leases of each owner."""
+    return Backlog(
+        pending_by_service=pending.pending_by_service(connection),
+        leases_by_owner=_open_leases(connection) if query.with_leases else {},
+    )
+
+
+def _open_leases(connection: sqlite3.Connection) -> dict[str, list[str]]:
     leases: dict[str, list[str]] = {}
     rows = connection.execute(
         "SELECT owner, lease_id FROM sm_leases WHERE open_items > 0 ORDER BY owner, number"
     )
     for owner, lease_id in rows:
         leases.setdefault(owner, []).append(lease_id)
-    return Backlog(
-        pending_by_service=pending.pending_by_service(connection), leases_by_owner=leases
-    )
+    return leases
 
 
 def _stored_lines(
--- a/src/leverjunction/batch/state_machine.py
+++ b/src/leverjunction/batch/state_machine.py
@@ -106,7 +106,7 @@
             case GetResults():
                 return job_queries.get_results(connection, query)
             case GetBacklog():
-                return job_queries.get_backlog(connection)
+                return job_queries.get_backlog(connection, query)
 
 
 def _undecodable(error: msgspec.MsgspecError) -> Failure:
--- a/tests/unit/batch_support.py
+++ b/tests/unit/batch_support.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from leverjunction.backends.types import EngineCall
 from leverjunction.batch.state_machine import JobsStateMachine
 from leverjunction.consensus.api import ApplyContext
 from leverjunction.errors import Failure
@@ -16,6 +17,7 @@
 
 T = TypeVar("T")
 
+WAIT_S = 20.0
 GROUPS = ["jobs-0", "jobs-1"]
 
 
@@ -53,3 +55,67 @@
         with self.applied:
             reply = self.machine.query(self.connections[group], encode(query))
         return decode_reply(reply, reply_type)
+
+
+class FakeStream:
+    """An answer that is there already."""
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self._body = body
+
+    def read_all(self) -> bytes | Failure:
+        return self._body
+
+
+class FakeEngines:
+    """Engines whose answers a test holds back, cancels or breaks.
+
+    ``held`` makes requests wait until ``release`` or a cancel; ``answers`` gives fixed endings.
+    """
+
+    def __init__(self) -> None:
+        self.calls: list[EngineCall] = []
+        self.cancels: list[str] = []
+        self.answer: Callable[[EngineCall], FakeStream | Failure] = whole_answer
+        self.held = False
+        self.changed = threading.Condition()
+        self._open: dict[str, EngineCall] = {}
+
+    def open(self, call: EngineCall) -> FakeStream | Failure:
+        with self.changed:
+            self.calls.append(call)
+            self._open[call.request_id] = call
+            self.changed.notify_all()
+            self.changed.wait_for(
+                lambda: not self.held or call.request_id not in self._open, WAIT_S
+            )
+            cancelled = self._open.pop(call.request_id, None) is None
+        return completion(call, " half", "cancelled") if cancelled else self.answer(call)
+
+    def cancel(self, address: str, request_id: str) -> Failure | None:
+        with self.changed:
+            self.cancels.append(request_id)
+            self._open.pop(request_id, None)
+            self.changed.notify_all()
+        return None
+
+    def release(self) -> None:
+        """Let all held requests finish."""
+        with self.changed:
+            self.held = False
+            self.changed.notify_all()
+
+    def wait_open(self, count: int) -> None:
+        """Wait until exactly this many requests are open."""
+        with self.changed:
+            assert self.changed.wait_for(lambda: len(self._open) == count, WAIT_S), self._open
+
+
+def whole_answer(call: EngineCall) -> FakeStream:
+    return completion(call, " done", "stop")
+
+
+def completion(call: EngineCall, text: str, finish: str) -> FakeStream:
+    choice = {"index": 0, "text": text, "finish_reason": finish}
+    return FakeStream(200, msgspec.json.encode({"choices": [choice], "id": call.request_id}))
