--- a/src/testbed/scale/cli.py
+++ b/src/testbed/scale/cli.py
@@ -26,6 +26,8 @@
         keep: Folder for the run's files; a temporary one is used and removed when empty.
         sizes: Fields of ``ScaleOptions``, such as ``--gateways=340 --runners=1200 --controls=3``.
     """
+    # The processes have log files of their own; here only the run itself speaks.
+    logger.disable("leverjunction")
     options = msgspec.convert(
         {name.replace("-", "_"): value for name, value in sizes.items()}, ScaleOptions
     )
--- a/src/testbed/scale/cluster.py
+++ b/src/testbed/scale/cluster.py
@@ -14,6 +14,7 @@
 
 HOST = "127.0.0.1"
 LOG_LEVEL = "INFO"
+CONNECT_TIMEOUT_S = 0.5
 
 
 class ControlAddress(msgspec.Struct, frozen=True, kw_only=True):
@@ -94,6 +95,15 @@
     return ports
 
 
+def is_listening(port: int) -> bool:
+    """Return whether something listens on a port of this machine."""
+    try:
+        with socket.create_connection((HOST, port), timeout=CONNECT_TIMEOUT_S):
+            return True
+    except OSError:
+        return False
+
+
 def start_control(
     control: ControlAddress,
     controls: list[ControlAddress],
--- a/src/testbed/scale/run.py
+++ b/src/testbed/scale/run.py
@@ -14,6 +14,7 @@
 from leverjunction.clock import SystemClock
 from leverjunction.wire.control_client import ControlClient
 from leverjunction.wire.rpc_client import RpcClient
+from testbed.scale.cluster import is_listening
 from testbed.scale.figures import change_result, gateway_side
 from testbed.scale.fleet import Fleet
 from testbed.scale.operators import ChangeTime, Operator, ScaleError, submit_job
@@ -63,6 +64,7 @@
     random = random_module.Random(options.seed)
     fleet.start_runners()
     fleet.start_controls()
+    _wait_for_controls(fleet)
     control = _control_client(fleet, random)
     operator = Operator(control, random)
     _seed_settings(operator, options)
@@ -209,6 +211,21 @@
         )
 
 
+def _wait_for_controls(fleet: Fleet) -> None:
+    """Wait until all control processes listen; fail at once when one has ended."""
+
+    def ended_or_listening() -> bool:
+        ended = any(not child.running for child in fleet.control_processes)
+        return ended or all(is_listening(control.rpc_port) for control in fleet.controls)
+
+    in_time = wait_until(ended_or_listening, QUORUM_TIMEOUT_S)
+    for child in fleet.control_processes:
+        if not child.running:
+            raise ScaleError(f"{child.name} ended; see {fleet.folder / child.name}.log")
+    if not in_time:
+        raise ScaleError("the control processes do not listen")
+
+
 def _control_client(fleet: Fleet, random: random_module.Random) -> ControlClient:
     rpc = RpcClient(fleet.secrets.cluster_key, SystemClock().wall_ms())
     hubs = [control.rpc_address for control in fleet.controls]
--- a/src/testbed/scale/runner_worker.py
+++ b/src/testbed/scale/runner_worker.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import random as random_module
 import signal
 import sys
@@ -33,7 +34,7 @@
     addresses_path: str
 
 
-def main() -> int:
+def main() -> None:
     """Run the hollow runners that the spec file describes."""
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
@@ -50,8 +51,9 @@
     partial.write_bytes(msgspec.json.encode(addresses))
     partial.replace(path)
     stop.wait()
-    return 0
+    # Hundreds of servers hold nothing worth an orderly stop, and their threads outlive main.
+    os._exit(0)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
