--- a/src/leverjunction/wire/messages.py
+++ b/src/leverjunction/wire/messages.py
@@ -40,6 +40,7 @@
         kv_used_ratio: Share of its KV blocks in use, 0 to 1.
         as_of_ms: The engine's own time of the reading.
         healthy: False while the owner cannot reach it.
+        batch_waiting: Batch requests among those waiting.
     """
 
     runner_id: str
@@ -49,6 +50,7 @@
     kv_used_ratio: float
     as_of_ms: int
     healthy: bool = True
+    batch_waiting: int = 0
 
 
 class GatewayState(msgspec.Struct, frozen=True, kw_only=True):
