Control process: hub, membership, exchange, lease expiry, operators' API

Hosts the groups' replicas, passes proposals and queries on to leaders, answers exchanges with deltas, tells the other hubs what it knows, renews leases in batches, follows the settings and the machine list. A hub that has just started gives no view until it knows the cluster: a gateway would replace its whole view by an empty one.

--- /dev/null
+++ b/src/leverjunction/control/lease_expiry.py
@@ -0,0 +1,221 @@
+"""Expiry of batch leases and deadlines on the leaders of the job groups.
+
+Each control process runs one ``LeaseExpiry`` for the job groups that it holds; it acts only for
+those that it leads. Leases are kept by the leader's monotonic clock (``batch.lease_keeper``).
+"""
+
+from __future__ import annotations
+
+import threading
+from typing import TypeVar
+
+import msgspec
+from loguru import logger
+
+from leverjunction.batch.commands import (
+    Backlog,
+    CancelJob,
+    ExpireDeadlines,
+    ExpiredLeases,
+    ExpireLeases,
+    GetBacklog,
+    GrantLease,
+    JobState,
+    JobView,
+    ListJobs,
+)
+from leverjunction.batch.lease_keeper import LeaseKeeper
+from leverjunction.clock import Clock
+from leverjunction.consensus.api import GroupStatus, ReplicatedGroup
+from leverjunction.control.messages import HeldLeases, RenewedLeases, RenewLeases
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.wire.codec import decode_reply, encode
+
+T = TypeVar("T")
+
+TICK_INTERVAL_S = 0.5
+RECONCILE_INTERVAL_S = 2.0
+"""How often the open leases of the applied state are compared with those that are kept."""
+
+DEADLINE_INTERVAL_S = 5.0
+"""How often passed deadlines are looked for, while items are pending."""
+
+CANCELLED_TOLD_S = 30.0
+"""How long a cancelled job is told to the hubs: far longer than any exchange takes."""
+
+COMMAND_TIMEOUT_S = 2.0
+LEADER = "leader"
+
+_GRANT_PREFIX = encode(GrantLease("", "", "", [], 0)).split(b",", 1)[0]
+_CANCEL_PREFIX = encode(CancelJob("")).split(b",", 1)[0]
+
+
+class _LedGroup:
+    """What the leader of one job group keeps in memory."""
+
+    def __init__(self, duration_s: float) -> None:
+        self.lock = threading.Lock()
+        self.keeper = LeaseKeeper(duration_s)
+        self.term = 0
+        self.reconciled_s = 0.0
+        self.deadlines_s = 0.0
+        self.has_pending = False
+        self.granted_lately: set[str] = set()
+        self.cancelled: dict[str, float] = {}
+
+
+class LeaseExpiry:
+    """Ends leases that were not renewed, and knows what holders have lost.
+
+    Args:
+        replicas: Local replicas of the job groups, by group.
+        clock: Source of monotonic time.
+        duration_s: How long a lease holds without renewal.
+    """
+
+    def __init__(
+        self, replicas: dict[str, ReplicatedGroup], clock: Clock, duration_s: float
+    ) -> None:
+        self._replicas = replicas
+        self._clock = clock
+        self._groups = {group: _LedGroup(duration_s) for group in replicas}
+
+    def tick(self) -> None:
+        """Do what is due in each group that this process leads. Called by a background task."""
+        for group, replica in self._replicas.items():
+            self._tick_group(group, replica, self._groups[group])
+
+    def committed(self, group: str, command: bytes, reply: bytes) -> None:
+        """Note a proposal that was applied on this leader (see ``GroupHost``)."""
+        led = self._groups.get(group)
+        if led is None:
+            return
+        now_s = self._clock.monotonic_s()
+        if command.startswith(_GRANT_PREFIX):
+            lease_id = msgspec.json.decode(command, type=GrantLease).lease_id
+            with led.lock:
+                led.keeper.granted(lease_id, now_s)
+                led.granted_lately.add(lease_id)
+        elif command.startswith(_CANCEL_PREFIX):
+            job_id = msgspec.json.decode(command, type=CancelJob).job_id
+            with led.lock:
+                led.cancelled[job_id] = now_s + CANCELLED_TOLD_S
+
+    def renew(self, group: str, renewals: RenewLeases) -> RenewedLeases | Failure:
+        """Renew leases for a hub's gateways; refused unless this process leads the group."""
+        replica = self._replicas.get(group)
+        if replica is None:
+            return _not_leader(group, "")
+        status = replica.status()
+        led = self._groups[group]
+        if status.role != LEADER or led.term != status.term:
+            return _not_leader(group, "" if status.role == LEADER else status.leader_address)
+        lost = [self._renew_owner(replica, led, held) for held in renewals.held]
+        now_s = self._clock.monotonic_s()
+        with led.lock:
+            led.cancelled = {job: until for job, until in led.cancelled.items() if until > now_s}
+            cancelled = list(led.cancelled)
+        return RenewedLeases([held for held in lost if held.lease_ids], cancelled)
+
+    def _renew_owner(
+        self, replica: ReplicatedGroup, led: _LedGroup, held: HeldLeases
+    ) -> HeldLeases:
+        now_s = self._clock.monotonic_s()
+        with led.lock:
+            unknown = led.keeper.renewed(held.lease_ids, now_s)
+        if unknown:
+            # A grant whose proposer timed out is in the applied state though nobody told of it.
+            self._reconcile(replica, led)
+            with led.lock:
+                unknown = led.keeper.renewed(unknown, now_s)
+        return HeldLeases(held.owner, unknown)
+
+    def _tick_group(self, group: str, replica: ReplicatedGroup, led: _LedGroup) -> None:
+        status = replica.status()
+        if status.role != LEADER:
+            led.term = 0
+            return
+        if led.term != status.term:
+            self._take_over(group, replica, led, status)
+            return
+        now_s = self._clock.monotonic_s()
+        if now_s - led.reconciled_s >= RECONCILE_INTERVAL_S:
+            self._reconcile(replica, led)
+        self._expire_leases(group, replica, led, now_s)
+        if led.has_pending and now_s - led.deadlines_s >= DEADLINE_INTERVAL_S:
+            led.deadlines_s = now_s
+            _propose(replica, ExpireDeadlines(), ExpiredLeases)
+
+    def _take_over(
+        self, group: str, replica: ReplicatedGroup, led: _LedGroup, status: GroupStatus
+    ) -> None:
+        """Start to lead: every open lease gets a whole duration, since renewals are not logged."""
+        with led.lock:
+            led.granted_lately.clear()
+        # Read through the quorum: by then all that earlier leaders committed is applied here.
+        backlog = _query(replica, GetBacklog(), Backlog)
+        jobs = _query(replica, ListJobs(tenant=""), list[JobView])
+        if isinstance(backlog, Failure) or isinstance(jobs, Failure):
+            return
+        now_s = self._clock.monotonic_s()
+        open_leases = _open_leases(backlog)
+        with led.lock:
+            led.keeper.became_leader(open_leases | led.granted_lately, now_s)
+            for job in jobs:
+                if job.state is JobState.CANCELLED:
+                    led.cancelled[job.spec.job_id] = now_s + CANCELLED_TOLD_S
+            led.has_pending = bool(backlog.pending_by_service)
+            led.reconciled_s = now_s
+            led.term = status.term
+        logger.info("leads {} in term {}: {} open leases", group, status.term, len(open_leases))
+
+    def _reconcile(self, replica: ReplicatedGroup, led: _LedGroup) -> None:
+        with led.lock:
+            led.granted_lately.clear()
+        answer = replica.query_local(encode(GetBacklog()))
+        backlog = decode_reply(answer, Backlog)
+        if isinstance(backlog, Failure):
+            return
+        now_s = self._clock.monotonic_s()
+        with led.lock:
+            # Granted while the state was read: not in it yet, and open all the same.
+            led.keeper.retain(_open_leases(backlog) | led.granted_lately, now_s)
+            led.has_pending = bool(backlog.pending_by_service)
+            led.reconciled_s = now_s
+
+    def _expire_leases(
+        self, group: str, replica: ReplicatedGroup, led: _LedGroup, now_s: float
+    ) -> None:
+        with led.lock:
+            due = led.keeper.expired(now_s)
+        if not due:
+            return
+        outcome = _propose(replica, ExpireLeases(lease_ids=due), ExpiredLeases)
+        if isinstance(outcome, Failure):
+            return
+        with led.lock:
+            led.keeper.ended(due)
+        logger.info("{}: {} leases expired, {} items returned", group, len(due), outcome.returned)
+
+
+def _open_leases(backlog: Backlog) -> set[str]:
+    return {lease_id for ids in backlog.leases_by_owner.values() for lease_id in ids}
+
+
+def _propose(replica: ReplicatedGroup, command: msgspec.Struct, reply: type[T]) -> T | Failure:
+    raw = replica.propose(encode(command), COMMAND_TIMEOUT_S)
+    return raw if isinstance(raw, Failure) else decode_reply(raw, reply)
+
+
+def _query(replica: ReplicatedGroup, query: msgspec.Struct, reply: type[T]) -> T | Failure:
+    raw = replica.query(encode(query), COMMAND_TIMEOUT_S)
+    return raw if isinstance(raw, Failure) else decode_reply(raw, reply)
+
+
+def _not_leader(group: str, leader: str) -> Failure:
+    return Failure(
+        kind=FailureKind.NOT_LEADER,
+        reason=f"this process does not lead {group}, or has only just begun to",
+        step=Step.LEASING,
+        detail=leader,
+    )
--- /dev/null
+++ b/src/leverjunction/control/messages.py
@@ -0,0 +1,115 @@
+"""Messages between control processes, beside those of the consensus groups."""
+
+from __future__ import annotations
+
+import msgspec
+
+from leverjunction.consensus.api import GroupStatus
+from leverjunction.wire.messages import GatewayState, RunnerDigest
+
+
+class RunnerReading(msgspec.Struct, frozen=True, kw_only=True):
+    """What the hub that watches a runner last read from its engine.
+
+    Attributes:
+        runner_id: The runner.
+        reachable: False while the engine does not answer.
+        incarnation: Start time of the engine, in milliseconds.
+        models: Models and ``model:adapter`` that are loaded and ready.
+        versions: Version of each of them.
+        leaving: The engine's own word that it takes no new work.
+    """
+
+    runner_id: str
+    reachable: bool = False
+    incarnation: int = 0
+    models: list[str] = []
+    versions: dict[str, str] = {}
+    leaving: bool = False
+
+
+class Withdrawal(msgspec.Struct, frozen=True, order=True):
+    """A model that gateways may not use on a runner, because it is about to be changed there."""
+
+    runner_id: str
+    model: str
+
+
+class HubState(msgspec.Struct, frozen=True, kw_only=True):
+    """A control process as the others and the operators see it.
+
+    Attributes:
+        name: Name from its configuration.
+        rpc_address: ``host:port`` of its internal RPC.
+        zone: Zone it runs in.
+        incarnation: Start time in milliseconds.
+        settings_version: Version of the settings that it has applied.
+        quorum_age_s: Seconds since it heard the leader of group root.
+        machine_list_as_of_ms: The platform's time of its last reading of the machine list.
+        groups: Its replicas of consensus groups.
+        withdrawn: Given by the process that leads placement, empty on the others.
+        placement_term: Term of group root in which it leads placement; 0 on the others.
+    """
+
+    name: str
+    rpc_address: str
+    zone: str
+    incarnation: int
+    settings_version: int = 0
+    quorum_age_s: float = 0.0
+    machine_list_as_of_ms: int = 0
+    groups: list[GroupStatus] = []
+    withdrawn: list[Withdrawal] = []
+    placement_term: int = 0
+
+
+class HubSync(msgspec.Struct, frozen=True, kw_only=True):
+    """What one hub knows at first hand, told to each other hub once a second; deltas only.
+
+    Attributes:
+        hub: The sender.
+        from_version: Version of the sender's records that the receiver is taken to have.
+        to_version: Version after this message.
+        full: True when the lists are complete; everything else from the sender is forgotten.
+        gateways: Gateways that exchange with the sender.
+        gone_gateways: Ids of those that no longer do.
+        readings: Readings of the runners that the sender watches.
+        gone_readings: Ids of runners that it no longer watches.
+        digests: Load digests that its gateways gave.
+    """
+
+    hub: HubState
+    from_version: int
+    to_version: int
+    full: bool
+    gateways: list[GatewayState]
+    gone_gateways: list[str]
+    readings: list[RunnerReading]
+    gone_readings: list[str]
+    digests: list[RunnerDigest]
+
+
+class HubSyncReply(msgspec.Struct, frozen=True):
+    """Version of the sender's records that the receiver now has; 0 asks for a full message."""
+
+    have_version: int
+
+
+class HeldLeases(msgspec.Struct, frozen=True):
+    """Leases that one gateway says it holds in a group."""
+
+    owner: str
+    lease_ids: list[str]
+
+
+class RenewLeases(msgspec.Struct, frozen=True):
+    """A hub passes its gateways' renewals to the leader of a job group, in one batch."""
+
+    held: list[HeldLeases]
+
+
+class RenewedLeases(msgspec.Struct, frozen=True):
+    """The leader's answer: leases that are no longer valid, and jobs cancelled lately."""
+
+    lost: list[HeldLeases]
+    cancelled_jobs: list[str]
--- /dev/null
+++ b/src/leverjunction/control/node.py
@@ -0,0 +1,254 @@
+"""All parts of one control process, wired together."""
+
+from __future__ import annotations
+
+import random as random_module
+from pathlib import Path
+
+from loguru import logger
+from prometheus_client import CollectorRegistry
+
+from leverjunction.api.operators import OperatorsApi
+from leverjunction.api.operators_app import build_operators_app
+from leverjunction.api.probes import ProbesApi
+from leverjunction.backends.client import EngineClient
+from leverjunction.clock import Clock
+from leverjunction.config.control import ControlConfig, ControlPeer
+from leverjunction.consensus.api import ReplicatedGroup
+from leverjunction.control.counters import ControlCounters
+from leverjunction.control.group_host import GroupHost
+from leverjunction.control.http_server import HttpServer
+from leverjunction.control.hub import Hub, HubIdentity
+from leverjunction.control.hub_sync import HubSyncTasks, RenewalTask
+from leverjunction.control.layout import ROOT_GROUP, group_names, job_group_names, voters_of
+from leverjunction.control.lease_expiry import TICK_INTERVAL_S, LeaseExpiry
+from leverjunction.control.messages import HubState
+from leverjunction.control.periodic import PeriodicTask
+from leverjunction.control.quorum import LocalRoot, RemoteRoot
+from leverjunction.control.raft_transport import RpcRaftTransport
+from leverjunction.control.replicas import build_replicas
+from leverjunction.control.rpc_handlers import build_endpoint
+from leverjunction.control.runner_watch import WATCH_INTERVAL_S, RunnerWatch
+from leverjunction.control.settings_mirror import SettingsMirror
+from leverjunction.control.status import ClusterStatus, PlacementStatus, cluster_status
+from leverjunction.errors import Failure
+from leverjunction.platform.machine_list import MachineListClient
+from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.rpc_server import RpcServer
+
+RPC_THREADS = 112
+"""More than the proposals and queries that may wait (two times 32), so that consensus messages
+and exchanges always find a thread."""
+
+MIRROR_INTERVAL_S = 0.1
+EXPIRY_INTERVAL_S = 0.5
+STALE_QUORUM_S = 2.0
+
+
+class ControlNode:
+    """One control process. ``start`` returns once it listens; ``stop`` ends it as planned.
+
+    Args:
+        config: Settings file of the process.
+        clock: Source of time.
+        registry: Takes the counters.
+    """
+
+    def __init__(self, config: ControlConfig, clock: Clock, registry: CollectorRegistry) -> None:
+        self.config = config
+        self._clock = clock
+        self._counters = ControlCounters(registry)
+        self._incarnation = clock.wall_ms()
+        self._stopping = False
+        self._address = _own_address(config)
+        cluster_key = _read_secret(config.cluster_key_file)
+        self._rpc = RpcClient(cluster_key, self._incarnation)
+        self._engines = EngineClient()
+        self.replicas = build_replicas(
+            config, self._address, RpcRaftTransport(self._rpc), clock, random_module.Random()
+        )
+        groups: dict[str, ReplicatedGroup] = dict(self.replicas)
+        jobs = {name: groups[name] for name in job_group_names(config.job_groups) if name in groups}
+        self._expiry = LeaseExpiry(jobs, clock, config.lease_duration_s)
+        self.host = GroupHost(
+            self._address,
+            groups,
+            {name: _addresses(voters_of(name, config)) for name in group_names(config)},
+            self._rpc,
+            clock,
+            self._expiry.committed,
+        )
+        self._root = self._root_follower()
+        self.mirror = SettingsMirror(self._root.read)
+        self.hub = Hub(self._identity(), self.mirror, clock, self._root.quorum_age_s)
+        if isinstance(self._root, RemoteRoot):
+            self._root.hub = self.hub
+        endpoint = build_endpoint(
+            cluster_key,
+            self._incarnation,
+            self.hub,
+            self.host,
+            self.replicas,
+            self._expiry,
+            self._counters,
+        )
+        listen = config.listen
+        self._rpc_server = RpcServer(listen.host, listen.rpc_port, endpoint, RPC_THREADS)
+        self._http_server = self._build_http(registry)
+        self._machines = MachineListClient(config.machine_list_url)
+        self._machines_failing = False
+        peers = {peer.name: peer.rpc_address for peer in config.peers if peer.name != config.name}
+        zones = {peer.name: peer.zone for peer in config.peers}
+        self._sync = HubSyncTasks(self.hub, self._rpc, peers, self.state)
+        self._watch = RunnerWatch(self.hub, self._engines, config.name, zones)
+        job_names = job_group_names(config.job_groups)
+        self._renewals = RenewalTask(self.hub, self.host, self._expiry, job_names)
+        self._tasks = [
+            PeriodicTask("settings", MIRROR_INTERVAL_S, self._follow_settings),
+            PeriodicTask("machine-list", config.machine_list_interval_s, self._read_machines),
+            PeriodicTask("runner-watch", WATCH_INTERVAL_S, self._watch.tick),
+            PeriodicTask("lease-expiry", TICK_INTERVAL_S, self._expiry.tick),
+            PeriodicTask("membership", EXPIRY_INTERVAL_S, self._expire),
+        ]
+
+    def start(self) -> None:
+        """Start everything; raises OSError when a port is taken."""
+        self._rpc_server.start()
+        for name, replica in self.replicas.items():
+            fault = replica.start()
+            if fault is not None:
+                logger.error("group {} does not start: {}", name, fault.reason)
+        self._http_server.start()
+        for task in self._tasks:
+            task.start()
+        self._sync.start()
+        self._renewals.start()
+        logger.info(
+            "control process started, incarnation {}, groups {}",
+            self._incarnation,
+            list(self.replicas),
+        )
+
+    def stop(self) -> None:
+        """Stop as planned: give up leadership, finish the calls in progress, close the files."""
+        self._stopping = True
+        logger.info("stopping")
+        for task in self._tasks:
+            task.stop()
+        self._renewals.stop()
+        self._sync.stop()
+        # The replicas hand their leads over while peers and gateways can still reach this process.
+        for replica in self.replicas.values():
+            replica.stop()
+        self._http_server.stop()
+        self._rpc_server.stop()
+        self._watch.close()
+        self._engines.close()
+        self._rpc.close()
+        logger.info("stopped")
+
+    def state(self) -> HubState:
+        """Return this process's state, as the other hubs get it."""
+        return HubState(
+            name=self.config.name,
+            rpc_address=self._address,
+            zone=self.config.zone,
+            incarnation=self._incarnation,
+            settings_version=self.mirror.version,
+            quorum_age_s=round(self._root.quorum_age_s(), 3),
+            machine_list_as_of_ms=self.hub.machine_list_as_of_ms(),
+            groups=self.host.statuses(),
+        )
+
+    def status(self) -> ClusterStatus:
+        """Return the cluster's status, as the operators get it."""
+        return cluster_status(
+            self.state(),
+            self.hub,
+            self.host,
+            self.mirror,
+            [peer.name for peer in self.config.peers],
+            job_group_names(self.config.job_groups),
+            PlacementStatus(),
+        )
+
+    def _root_follower(self) -> LocalRoot | RemoteRoot:
+        replica = self.replicas.get(ROOT_GROUP)
+        if replica is not None:
+            return LocalRoot(replica)
+        return RemoteRoot(self._rpc, _addresses(voters_of(ROOT_GROUP, self.config)))
+
+    def _identity(self) -> HubIdentity:
+        config = self.config
+        return HubIdentity(
+            name=config.name,
+            rpc_address=self._address,
+            zone=config.zone,
+            incarnation=self._incarnation,
+            peers={peer.name: peer.rpc_address for peer in config.peers},
+            zones={peer.name: peer.zone for peer in config.peers},
+            job_groups=config.job_groups,
+        )
+
+    def _build_http(self, registry: CollectorRegistry) -> HttpServer:
+        token = _read_secret(self.config.operator_token_file).decode()
+        operators = OperatorsApi(
+            self.host, job_group_names(self.config.job_groups), self.status, token
+        )
+        app = build_operators_app(operators, ProbesApi(registry, self._not_ready))
+        return HttpServer(self.config.listen.host, self.config.listen.http_port, app)
+
+    def _not_ready(self) -> str | None:
+        if self._stopping:
+            return "stopping"
+        age_s = self._root.quorum_age_s()
+        if age_s > STALE_QUORUM_S:
+            return f"the leader of group root was not heard for {age_s:.1f} s"
+        return None
+
+    def _follow_settings(self) -> None:
+        if self.mirror.refresh():
+            settings = self.mirror.settings
+            drains = [settings.draining_runners(name) for name in settings.names("services")]
+            self.hub.drains_set(runner for names in drains for runner in names)
+
+    def _read_machines(self) -> None:
+        listed = self._machines.read()
+        failing = isinstance(listed, Failure)
+        if isinstance(listed, Failure):
+            if not self._machines_failing:
+                logger.warning("{}; the last reading stays in force", listed.reason)
+        else:
+            if self._machines_failing:
+                logger.info("the machine list can be read again")
+            self.hub.machines_listed(listed)
+        self._machines_failing = failing
+
+    def _expire(self) -> None:
+        self.hub.expire()
+        picture = self.hub.picture()
+        age_s = self._root.quorum_age_s()
+        self._counters.gateways.set(len(picture.gateways))
+        self._counters.runners.set(len(picture.runners))
+        self._counters.settings_version.set(self.mirror.version)
+        self._counters.quorum_age_s.set(age_s)
+        self._counters.stale.set(1 if age_s > STALE_QUORUM_S else 0)
+
+
+def _own_address(config: ControlConfig) -> str:
+    """Return the address under which the peers know this process."""
+    for peer in config.peers:
+        if peer.name == config.name:
+            return peer.rpc_address
+    raise OSError(f"peers does not name this process, {config.name!r}")
+
+
+def _addresses(peers: list[ControlPeer]) -> list[str]:
+    return [peer.rpc_address for peer in peers]
+
+
+def _read_secret(path: Path) -> bytes:
+    secret = path.read_bytes().strip()
+    if not secret:
+        raise OSError(f"{path} is empty")
+    return secret
--- /dev/null
+++ b/src/leverjunction/control/periodic.py
@@ -0,0 +1,60 @@
+"""Threads that do one thing again and again until they are stopped."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from loguru import logger
+
+JOIN_TIMEOUT_S = 5.0
+
+
+class PeriodicTask:
+    """Runs a function every ``interval_s`` in a thread of its own.
+
+    A fault in one run is logged when it first appears and when it is over; it never ends the loop,
+    since everything that a control process does in the background has to go on.
+    """
+
+    def __init__(self, name: str, interval_s: float, run: Callable[[], None]) -> None:
+        self._name = name
+        self._interval_s = interval_s
+        self._run = run
+        self._stopped = threading.Event()
+        self._wanted = threading.Event()
+        self._failing = False
+        self._thread = threading.Thread(target=self._loop, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Start the loop; the first run is at once."""
+        self._thread.start()
+
+    def wake(self) -> None:
+        """Run again now instead of at the end of the interval."""
+        self._wanted.set()
+
+    def stop(self) -> None:
+        """Stop after the run in progress and wait for it."""
+        self._stopped.set()
+        self._wanted.set()
+        if self._thread.is_alive():
+            self._thread.join(JOIN_TIMEOUT_S)
+
+    def _loop(self) -> None:
+        while not self._stopped.is_set():
+            self._run_once()
+            self._wanted.wait(self._interval_s)
+            self._wanted.clear()
+
+    def _run_once(self) -> None:
+        try:
+            self._run()
+        except Exception:
+            if not self._failing:
+                logger.exception("task {} fails", self._name)
+            self._failing = True
+            return
+        if self._failing:
+            logger.info("task {} works again", self._name)
+        self._failing = False
--- /dev/null
+++ b/src/leverjunction/control/quorum.py
@@ -0,0 +1,104 @@
+"""Where this hub reads settings from, and how long ago it heard the root group's leader.
+
+A hub that holds a replica of group root uses it. With more control processes than voters the
+others follow the voters: they read the applied settings of the one that is furthest, and their
+age of contact is the best age that a voter told, plus the time since it told it.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from leverjunction.consensus.api import ReplicatedGroup
+from leverjunction.control.hub import Hub
+from leverjunction.control.layout import ROOT_GROUP
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.settings.commands import GetSettings, SettingsDelta
+from leverjunction.wire.codec import decode_reply, encode
+from leverjunction.wire.envelope import Envelope, MessageKind
+from leverjunction.wire.rpc_client import RpcClient
+
+NEVER_HEARD_S = 3600.0
+READ_TIMEOUT_S = 1.0
+
+
+class RootFollower(Protocol):
+    """Reads of group root that need no leader."""
+
+    def read(self, query: GetSettings) -> SettingsDelta | Failure:
+        """Return applied settings after a version."""
+        ...
+
+    def quorum_age_s(self) -> float:
+        """Return the seconds since the leader was heard."""
+        ...
+
+
+class LocalRoot:
+    """Follows the replica of group root that lives in this process."""
+
+    def __init__(self, replica: ReplicatedGroup) -> None:
+        self._replica = replica
+
+    def read(self, query: GetSettings) -> SettingsDelta | Failure:
+        """Return what the local replica has applied."""
+        return decode_reply(self._replica.query_local(encode(query)), SettingsDelta)
+
+    def quorum_age_s(self) -> float:
+        """Return the replica's own age of contact; a blank one has never heard a leader."""
+        status = self._replica.status()
+        return status.leader_contact_age_s if status.leader_address else NEVER_HEARD_S
+
+
+class RemoteRoot:
+    """Follows the voters of group root, which are other processes.
+
+    ``hub`` is set once it exists: it is where the voters' states come in.
+    """
+
+    def __init__(self, rpc: RpcClient, voters: list[str]) -> None:
+        self._rpc = rpc
+        self._voters = voters
+        self.hub: Hub | None = None
+
+    def read(self, query: GetSettings) -> SettingsDelta | Failure:
+        """Read from the voter that is furthest ahead, if it is ahead of the asker at all."""
+        states = self.hub.picture().hubs if self.hub is not None else []
+        ahead = [
+            (state.settings_version, state.rpc_address)
+            for state in states
+            if state.rpc_address in self._voters and state.settings_version > query.after_version
+        ]
+        if not ahead:
+            return SettingsDelta(version=query.after_version, rows=[])
+        return self._rpc.call(
+            max(ahead)[1],
+            MessageKind.LOCAL_QUERY,
+            query,
+            SettingsDelta,
+            group=ROOT_GROUP,
+            timeout_s=READ_TIMEOUT_S,
+        )
+
+    def quorum_age_s(self) -> float:
+        """Return the best age of contact that a live voter told, with the time since then."""
+        if self.hub is None:
+            return NEVER_HEARD_S
+        heard = self.hub.hub_heard_ages_s()
+        ages = [
+            state.quorum_age_s + heard[state.name]
+            for state in self.hub.picture().hubs
+            if state.rpc_address in self._voters and state.name in heard
+        ]
+        return min(ages, default=NEVER_HEARD_S)
+
+
+def serve_local_query(replica: ReplicatedGroup | None, envelope: Envelope) -> bytes | Failure:
+    """RPC handler of LOCAL_QUERY: answer from the applied state, which may lag."""
+    if replica is None:
+        return Failure(
+            kind=FailureKind.NOT_FOUND,
+            reason=f"no replica of group {envelope.group!r} lives here",
+            step=Step.QUERYING,
+        )
+    return replica.query_local(envelope.body)
--- /dev/null
+++ b/src/leverjunction/control/replicas.py
@@ -0,0 +1,68 @@
+"""Builds the local replicas of the consensus groups."""
+
+from __future__ import annotations
+
+import random as random_module
+from pathlib import Path
+
+from leverjunction.batch.state_machine import JobsStateMachine
+from leverjunction.clock import Clock
+from leverjunction.config.control import ControlConfig
+from leverjunction.consensus.api import StateMachine
+from leverjunction.consensus.group import GroupReplica
+from leverjunction.consensus.transport import RaftTransport
+from leverjunction.consensus.types import GroupConfig
+from leverjunction.control.layout import ROOT_GROUP, group_names, voters_of
+from leverjunction.settings.state_machine import SettingsStateMachine
+
+GROUP_FOLDER = "groups"
+ELECTION_TIMEOUT_SPREAD = 2.0
+"""Longest election timeout over the shortest; the spread keeps candidates apart."""
+
+
+def build_replicas(
+    config: ControlConfig,
+    address: str,
+    transport: RaftTransport,
+    clock: Clock,
+    random: random_module.Random,
+) -> dict[str, GroupReplica]:
+    """Return a replica of each group that this process holds, by group, not started yet.
+
+    Args:
+        config: This process's configuration.
+        address: RPC address under which the peers know this process.
+        transport: Carries messages to the peers.
+        clock: Source of time.
+        random: Seeds each replica's own generator.
+    """
+    folder = config.data_folder / GROUP_FOLDER
+    folder.mkdir(parents=True, exist_ok=True)
+    replicas: dict[str, GroupReplica] = {}
+    for group in group_names(config):
+        members = [peer.rpc_address for peer in voters_of(group, config)]
+        if address not in members:
+            continue
+        own_random = random_module.Random(random.getrandbits(64))
+        group_config = _group_config(config, group, address, members, folder)
+        machine = _machine_of(group)
+        replicas[group] = GroupReplica(group_config, machine, transport, clock, own_random)
+    return replicas
+
+
+def _machine_of(group: str) -> StateMachine:
+    return SettingsStateMachine() if group == ROOT_GROUP else JobsStateMachine()
+
+
+def _group_config(
+    config: ControlConfig, group: str, address: str, members: list[str], folder: Path
+) -> GroupConfig:
+    return GroupConfig(
+        group=group,
+        address=address,
+        first_members=tuple(sorted(members)),
+        data_path=str(folder / f"{group}.sqlite"),
+        heartbeat_interval_s=config.heartbeat_interval_s,
+        election_timeout_min_s=config.election_timeout_s,
+        election_timeout_max_s=config.election_timeout_s * ELECTION_TIMEOUT_SPREAD,
+    )
--- /dev/null
+++ b/src/leverjunction/control/rpc_handlers.py
@@ -0,0 +1,80 @@
+"""The internal RPC of a control process: one handler for each kind of message."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping
+
+from leverjunction.consensus.api import ReplicatedGroup
+from leverjunction.consensus.group import GroupReplica
+from leverjunction.control.counters import ControlCounters
+from leverjunction.control.group_host import GroupHost
+from leverjunction.control.hub import Hub
+from leverjunction.control.lease_expiry import LeaseExpiry
+from leverjunction.control.messages import HubSync, RenewLeases
+from leverjunction.control.quorum import serve_local_query
+from leverjunction.control.raft_transport import serve_raft
+from leverjunction.errors import Failure
+from leverjunction.wire.codec import decode, encode_reply
+from leverjunction.wire.envelope import Envelope, MessageKind
+from leverjunction.wire.messages import ExchangeRequest
+from leverjunction.wire.rpc_server import RpcEndpoint
+
+
+def build_endpoint(
+    cluster_key: bytes,
+    incarnation: int,
+    hub: Hub,
+    host: GroupHost,
+    replicas: Mapping[str, GroupReplica],
+    expiry: LeaseExpiry,
+    counters: ControlCounters,
+) -> RpcEndpoint:
+    """Return the endpoint with all handlers of a control process."""
+    receivers = {group: replica.receive for group, replica in replicas.items()}
+    endpoint = RpcEndpoint(cluster_key, incarnation)
+
+    def on_raft(envelope: Envelope, _peer: str) -> bytes:
+        return serve_raft(receivers, envelope)
+
+    def on_exchange(envelope: Envelope, peer: str) -> bytes:
+        return _exchange(hub, counters, envelope, peer)
+
+    def on_sync(envelope: Envelope, peer: str) -> bytes:
+        sync = decode(envelope.body, HubSync, peer)
+        counters.syncs.inc()
+        return encode_reply(sync if isinstance(sync, Failure) else hub.sync_received(sync))
+
+    def on_renewals(envelope: Envelope, peer: str) -> bytes:
+        renewals = decode(envelope.body, RenewLeases, peer)
+        if isinstance(renewals, Failure):
+            return encode_reply(renewals)
+        return encode_reply(expiry.renew(envelope.group, renewals))
+
+    def on_local_query(envelope: Envelope, _peer: str) -> bytes:
+        replica: ReplicatedGroup | None = replicas.get(envelope.group)
+        answer = serve_local_query(replica, envelope)
+        return encode_reply(answer) if isinstance(answer, Failure) else answer
+
+    endpoint.register(MessageKind.RAFT, on_raft)
+    endpoint.register(MessageKind.PROPOSE, host.serve_client)
+    endpoint.register(MessageKind.QUERY, host.serve_client)
+    endpoint.register(MessageKind.FORWARDED_PROPOSE, host.serve_forwarded)
+    endpoint.register(MessageKind.FORWARDED_QUERY, host.serve_forwarded)
+    endpoint.register(MessageKind.EXCHANGE, on_exchange)
+    endpoint.register(MessageKind.HUB_SYNC, on_sync)
+    endpoint.register(MessageKind.RENEW_LEASES, on_renewals)
+    endpoint.register(MessageKind.LOCAL_QUERY, on_local_query)
+    return endpoint
+
+
+def _exchange(hub: Hub, counters: ControlCounters, envelope: Envelope, peer: str) -> bytes:
+    began_s = time.perf_counter()
+    request = decode(envelope.body, ExchangeRequest, peer)
+    reply = request if isinstance(request, Failure) else hub.exchange(request)
+    body = encode_reply(reply)
+    counters.exchanges.labels("refused" if isinstance(reply, Failure) else "ok").inc()
+    counters.exchange_bytes.labels("in").inc(len(envelope.body))
+    counters.exchange_bytes.labels("out").inc(len(body))
+    counters.exchange_s.observe(time.perf_counter() - began_s)
+    return body
--- /dev/null
+++ b/src/leverjunction/control/runner_watch.py
@@ -0,0 +1,97 @@
+"""Reads the engines that this hub watches: which models are ready, and whether one is leaving.
+
+Each runner is watched by one live hub, one of its own zone if there is any, chosen by rendezvous
+hashing. Load for routing comes from the owner gateways, which read it more often.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+import xxhash
+from loguru import logger
+
+from leverjunction.backends.client import EngineClient
+from leverjunction.control.hub import Hub
+from leverjunction.control.messages import RunnerReading
+from leverjunction.errors import Failure
+from leverjunction.wire.messages import RunnerState
+
+WATCH_INTERVAL_S = 1.0
+READ_TIMEOUT_S = 0.8
+READERS = 16
+FAILURES_UNTIL_UNREACHABLE = 2
+"""One lost reading says little; two in a row say that the engine does not answer."""
+
+
+def watcher_of(runner: RunnerState, hubs: Iterable[str], zones: dict[str, str]) -> str:
+    """Return the name of the hub that watches a runner.
+
+    Args:
+        runner: The runner.
+        hubs: Names of the live hubs; not empty.
+        zones: Zone of each hub.
+    """
+    live = sorted(hubs)
+    near = [name for name in live if zones[name] == runner.zone]
+    return max(near or live, key=lambda name: _weight(name, runner))
+
+
+class RunnerWatch:
+    """Reads the load reports of the watched runners, once an interval, several at a time."""
+
+    def __init__(self, hub: Hub, engines: EngineClient, name: str, zones: dict[str, str]) -> None:
+        self._hub = hub
+        self._engines = engines
+        self._name = name
+        self._zones = zones
+        self._readers = ThreadPoolExecutor(READERS, thread_name_prefix="runner-watch")
+        self._last: dict[str, RunnerReading] = {}
+        self._failures: dict[str, int] = {}
+
+    def tick(self) -> None:
+        """Read all watched runners once. Called by a background task."""
+        live = self._hub.live_hub_names()
+        runners = self._hub.picture().runners
+        watched = [one for one in runners if watcher_of(one, live, self._zones) == self._name]
+        readings = list(self._readers.map(self._read, watched))
+        ids = {runner.runner_id for runner in watched}
+        unwatched = [runner_id for runner_id in self._last if runner_id not in ids]
+        for runner_id in unwatched:
+            del self._last[runner_id]
+            self._failures.pop(runner_id, None)
+        self._hub.runners_read(readings, unwatched)
+
+    def close(self) -> None:
+        """Stop the readers."""
+        self._readers.shutdown(wait=False, cancel_futures=True)
+
+    def _read(self, runner: RunnerState) -> RunnerReading:
+        runner_id = runner.runner_id
+        before = self._last.get(runner_id, RunnerReading(runner_id=runner_id))
+        report = self._engines.load(runner.address, READ_TIMEOUT_S)
+        if isinstance(report, Failure):
+            self._failures[runner_id] = self._failures.get(runner_id, 0) + 1
+            if self._failures[runner_id] < FAILURES_UNTIL_UNREACHABLE:
+                return before
+            reading = msgspec.structs.replace(before, reachable=False)
+        else:
+            self._failures.pop(runner_id, None)
+            reading = RunnerReading(
+                runner_id=runner_id,
+                reachable=True,
+                incarnation=report.incarnation,
+                models=sorted(report.models),
+                versions=report.versions,
+                leaving=report.leaving,
+            )
+        if reading.reachable != before.reachable:
+            logger.info("runner {} reachable: {}", runner_id, reading.reachable)
+        self._last[runner_id] = reading
+        return reading
+
+
+def _weight(hub: str, runner: RunnerState) -> int:
+    return xxhash.xxh64_intdigest(f"{hub}\0{runner.runner_id}".encode())
--- /dev/null
+++ b/src/leverjunction/control/status.py
@@ -0,0 +1,121 @@
+"""The cluster at a glance, as ``GET /operator/status`` gives it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from leverjunction.batch.commands import Backlog, GetBacklog
+from leverjunction.control.group_host import GroupHost
+from leverjunction.control.hub import Hub
+from leverjunction.control.messages import HubState, RunnerReading
+from leverjunction.control.settings_mirror import SettingsMirror
+from leverjunction.errors import Failure
+from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
+
+QUERY_TIMEOUT_S = 1.0
+
+
+class RunnerLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """A runner's load digest, by name instead of by position, for people and scripts."""
+
+    runner_id: str
+    running: int
+    waiting: int
+    batch_running: int
+    kv_used_ratio: float
+    as_of_ms: int
+    healthy: bool
+
+
+class PlacementStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What placement does, as its leader sees it; all empty on the other processes.
+
+    Attributes:
+        leads: True on the process that leads placement.
+        loading: Weight loads in progress, as ``runner: model version``.
+        blocked: Changes that cannot be made now, each with the reason.
+    """
+
+    leads: bool = False
+    loading: list[str] = []
+    blocked: list[str] = []
+
+
+class ClusterStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to ``GET /operator/status``.
+
+    Attributes:
+        name: Control process that answered.
+        settings_version: Version of the settings in force at it.
+        quorum_age_s: Seconds since it heard the leader of group root.
+        hubs: All control processes that it hears, itself first.
+        silent_hubs: Names of those that it does not hear.
+        gateways: Live gateways, each with the settings version it has in force.
+        runners: Listed runners.
+        readings: Last reading of each runner's engine.
+        digests: Last load digest of each runner, by position as in an exchange.
+        loads: The same by name, for people and scripts.
+        backlog: Pending batch items by service.
+        leases: Open batch leases by owner gateway.
+        unknown_groups: Job groups that did not answer: their backlog is missing above.
+        placement: What placement does.
+    """
+
+    name: str
+    settings_version: int
+    quorum_age_s: float
+    hubs: list[HubState]
+    silent_hubs: list[str]
+    gateways: list[GatewayState]
+    runners: list[RunnerState]
+    readings: list[RunnerReading]
+    digests: list[RunnerDigest]
+    loads: list[RunnerLoad]
+    backlog: dict[str, int]
+    leases: dict[str, int]
+    unknown_groups: list[str]
+    placement: PlacementStatus
+
+
+def cluster_status(
+    own: HubState,
+    hub: Hub,
+    host: GroupHost,
+    mirror: SettingsMirror,
+    peers: list[str],
+    job_groups: list[str],
+    placement: PlacementStatus,
+) -> ClusterStatus:
+    """Return the status as this process sees it. Called by the operators' API."""
+    picture = hub.picture()
+    backlog: dict[str, int] = {}
+    leases: dict[str, int] = {}
+    unknown: list[str] = []
+    for group in job_groups:
+        answer = host.query(group, GetBacklog(), Backlog, QUERY_TIMEOUT_S)
+        if isinstance(answer, Failure):
+            unknown.append(group)
+            continue
+        for service, items in answer.pending_by_service.items():
+            backlog[service] = backlog.get(service, 0) + items
+        for owner, ids in answer.leases_by_owner.items():
+            leases[owner] = leases.get(owner, 0) + len(ids)
+    heard = {state.name for state in picture.hubs} | {own.name}
+    return ClusterStatus(
+        name=own.name,
+        settings_version=mirror.version,
+        quorum_age_s=own.quorum_age_s,
+        hubs=[own, *sorted(picture.hubs, key=lambda state: state.name)],
+        silent_hubs=sorted(set(peers) - heard),
+        gateways=sorted(picture.gateways, key=lambda state: state.gateway_id),
+        runners=sorted(picture.runners, key=lambda state: state.runner_id),
+        readings=sorted(picture.readings.values(), key=lambda reading: reading.runner_id),
+        digests=picture.digests,
+        loads=[
+            msgspec.convert(digest, RunnerLoad, from_attributes=True) for digest in picture.digests
+        ],
+        backlog=backlog,
+        leases=leases,
+        unknown_groups=unknown,
+        placement=placement,
+    )
--- a/src/leverjunction/wire/control_client.py
+++ b/src/leverjunction/wire/control_client.py
@@ -138,7 +138,7 @@
             hub, MessageKind.EXCHANGE, request, ExchangeReply, timeout_s=EXCHANGE_TIMEOUT_S
         )
         if isinstance(reply, Failure):
-            self._note_failed(hub, reply.reason)
+            self._note_failed(hub, reply.reason, answered=reply.kind is FailureKind.STALE)
         elif reply.quorum_age_s > MAX_QUORUM_AGE_S:
             self._note_failed(hub, f"no quorum for {reply.quorum_age_s:.1f} s", answered=True)
         else:
@@ -197,9 +197,9 @@
 
     def _note_failed(self, hub: str, reason: str, *, answered: bool = False) -> None:
         with self._lock:
-            self._selector.failed(hub, self._clock.monotonic_s(), answered=answered)
+            newly = self._selector.failed(hub, self._clock.monotonic_s(), answered=answered)
             now_used = self._selector.current
-        if now_used != hub:
+        if newly:
             logger.warning("left hub {} for {}: {}", hub, now_used, reason)
 
 
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -48,6 +48,7 @@
     FORWARDED_QUERY = 10
     HUB_SYNC = 11
     RENEW_LEASES = 12
+    LOCAL_QUERY = 13
 
 
 _ENVELOPE = Struct(
--- a/src/leverjunction/wire/hub_selector.py
+++ b/src/leverjunction/wire/hub_selector.py
@@ -7,6 +7,9 @@
 SUSPICION_S = 10.0
 """How long a hub that failed is passed over before the exchange tries it again."""
 
+STALE_SUSPICION_S = 3.0
+"""The same for a hub that answered, but hears no quorum or has only just started."""
+
 MAX_SUSPICION_S = 80.0
 """Upper bound of the suspicion, which doubles with each failure in a row."""
 
@@ -47,7 +50,7 @@
         if self._current not in self._hubs:
             self._current = self._hubs[0]
 
-    def failed(self, hub: str, now_s: float, *, answered: bool = False) -> None:
+    def failed(self, hub: str, now_s: float, *, answered: bool = False) -> bool:
         """Note that ``hub`` did not answer, or answered as one without a quorum.
 
         Args:
@@ -55,17 +58,21 @@
             now_s: Monotonic time in seconds.
             answered: True when it answered but is stale. With every hub in doubt a stale one is
                 kept, since another is no better; one that is silent is left in any case.
+
+        Returns:
+            True when the hub was trusted until now: a change of state, worth a log line.
         """
         known = self._suspicions.get(hub)
-        length_s = min(known.length_s * 2, MAX_SUSPICION_S) if known else SUSPICION_S
+        first_s = STALE_SUSPICION_S if answered else SUSPICION_S
+        length_s = min(known.length_s * 2, MAX_SUSPICION_S) if known else first_s
         self._suspicions[hub] = _Suspicion(until_s=now_s + length_s, length_s=length_s)
-        if hub != self._current:
-            return
-        trusted = self._first_trusted(now_s)
-        if trusted is not None:
-            self._current = trusted
-        elif not answered:
-            self._current = self._after(hub)
+        if hub == self._current:
+            trusted = self._first_trusted(now_s)
+            if trusted is not None:
+                self._current = trusted
+            elif not answered:
+                self._current = self._after(hub)
+        return known is None
 
     def succeeded(self, hub: str) -> None:
         """Note that ``hub`` answered and hears a quorum."""
