--- a/src/leverjunction/consensus/core.py
+++ b/src/leverjunction/consensus/core.py
@@ -108,7 +108,6 @@
         if self.role is not Role.LEADER:
             return
         self._advance_commit()
-        self._report_repair()
         if self.commit_index >= self.log.configuration_index and not self.is_voter():
             self._follow(self.term, "this replica was removed from the group")
             return
--- a/src/leverjunction/consensus/core_follower.py
+++ b/src/leverjunction/consensus/core_follower.py
@@ -171,6 +171,7 @@
         progress = self.progress.get(message.header.from_id)
         if self.role is not Role.LEADER or progress is None:
             return
+        progress.heard_s = self._now_s
         self._emit(
             SnapshotAnswered(
                 replica_id=message.header.from_id,
--- a/src/leverjunction/consensus/core_membership.py
+++ b/src/leverjunction/consensus/core_membership.py
@@ -11,10 +11,10 @@
 from random import Random
 
 from leverjunction.consensus.core_replication import ReplicationCore
-from leverjunction.consensus.events import Appended, ChangeTarget, Refused, RepairDone
+from leverjunction.consensus.events import Appended, ChangeTarget, Refused
 from leverjunction.consensus.log_view import encode_configuration
-from leverjunction.consensus.messages import IdentityQuery, IdentityReply, TimeoutNow
-from leverjunction.consensus.progress import ProgressState
+from leverjunction.consensus.messages import Header, IdentityQuery, IdentityReply, TimeoutNow
+from leverjunction.consensus.progress import Progress, ProgressState
 from leverjunction.consensus.types import (
     Configuration,
     DurableState,
@@ -34,13 +34,11 @@
     ) -> None:
         super().__init__(config, durable, random, now_s)
         self.live_ids: dict[str, str] = {}
-        self.repair_in_log: tuple[int, RepairDone] | None = None
         self.transfer_deadline_s = 0.0
         self.transfer_sent = False
 
     def _lead(self) -> None:
         self.live_ids = {}
-        self.repair_in_log = None
         self.transfer_deadline_s = 0.0
         super()._lead()
 
@@ -55,10 +53,17 @@
         self.live_ids[header.from_address] = header.from_id
         progress = self.progress.get(header.from_id)
         if progress is not None and header.founding_id == "":
-            progress.blank = progress.state is not ProgressState.SNAPSHOT
-            self._offer_founding(header.from_address, header.from_id)
+            self._member_is_blank(header, progress)
         self._drive_membership()
 
+    def _member_is_blank(self, header: Header, progress: Progress) -> None:
+        """A member has no data yet: it needs the founding record or a snapshot."""
+        progress.heard_s = self._now_s
+        # One that has matched anything is not blank any more: the message is an old one.
+        if progress.match_index == 0 and progress.state is not ProgressState.SNAPSHOT:
+            progress.blank = True
+            self._offer_founding(header.from_address, header.from_id)
+
     def _identity_heard_by_other(self, message: IdentityReply) -> None:
         if self.blank:
             self._on_founding_answer(message)
@@ -110,28 +115,18 @@
         return self.progress[member.replica_id].contact_s
 
     def _drop_replaced(self) -> Configuration | None:
-        """Drop the older of two voters at one address: its successor is already a voter."""
+        """Drop the lost one of two voters at one address, when its successor is heard."""
         voters = [member for member in self.configuration.members if member.voter]
         by_address: dict[str, list[Member]] = {}
         for member in voters:
             by_address.setdefault(member.address, []).append(member)
         for same in by_address.values():
-            if len(same) > 1:
-                return self._drop_older(sorted(same, key=self._contact_of))
+            silent = min(same, key=self._contact_of)
+            # Equal contacts tell nothing yet: a new leader has heard neither of them.
+            if any(self._contact_of(member) > self._contact_of(silent) for member in same):
+                return self._without(silent)
         return None
 
-    def _drop_older(self, same: list[Member]) -> Configuration:
-        old, new = same[0], same[-1]
-        done = RepairDone(old_id=old.replica_id, new_id=new.replica_id, address=old.address)
-        self.repair_in_log = (self.log.last_index + 1, done)
-        return self._without(old)
-
-    def _report_repair(self) -> None:
-        """Report a repair once the configuration without the lost replica is committed."""
-        if self.repair_in_log is not None and self.commit_index >= self.repair_in_log[0]:
-            self._emit(self.repair_in_log[1])
-            self.repair_in_log = None
-
     def _caught_up(self, member: Member) -> bool:
         """Return whether a learner holds every committed entry."""
         progress = self.progress.get(member.replica_id)
@@ -173,10 +168,20 @@
             live_id = self.live_ids.get(address)
             if live_id is None or self.configuration.find(live_id) is not None:
                 continue
+            if self._has_live_voter(address):
+                continue
             learner = Member(replica_id=live_id, address=address, voter=False)
             return self._with_members([*self.configuration.members, learner])
         return None
 
+    def _has_live_voter(self, address: str) -> bool:
+        """Return whether a voter at the address answers; then another id there is old news."""
+        return any(
+            self._now_s - self._contact_of(member) <= self.lease_s
+            for member in self.configuration.members
+            if member.voter and member.address == address
+        )
+
     def _change_target(self, event: ChangeTarget) -> None:
         if not self._may_change():
             self._emit(Refused(request_id=event.request_id, leader_address=self.leader_address))
--- a/src/leverjunction/consensus/core_replication.py
+++ b/src/leverjunction/consensus/core_replication.py
@@ -11,6 +11,7 @@
     CompactLog,
     ReadReady,
     Refused,
+    RepairDone,
     SendEntries,
     StartSnapshot,
 )
@@ -73,11 +74,12 @@
         """Keep one progress a member other than this replica."""
         members = {member.replica_id for member in self.configuration.members}
         members.discard(self.replica_id)
-        for replica_id in members - set(self.progress):
+        # Sorted, so that a run can be replayed from its seed.
+        for replica_id in sorted(members - set(self.progress)):
             self.progress[replica_id] = Progress(
                 next_index=self.log.last_index + 1, contact_s=self._now_s
             )
-        for replica_id in set(self.progress) - members:
+        for replica_id in sorted(set(self.progress) - members):
             del self.progress[replica_id]
 
     def _append_own(self, kind: EntryKind, payload: bytes, wall_ms: int) -> LogPosition:
@@ -179,8 +181,9 @@
             self._send(member.address, request)
 
     def _start_snapshot(self, replica_id: str, progress: Progress) -> None:
-        """Begin a snapshot transfer, unless one is under way: peers take turns."""
-        if self.snapshot_peer:
+        """Begin a snapshot transfer, unless one is under way or the peer is silent."""
+        silence_s = self._now_s - progress.heard_s
+        if self.snapshot_peer or silence_s > self.config.election_timeout_max_s:
             return
         member = self.configuration.find(replica_id)
         if member is None:
@@ -208,6 +211,7 @@
         progress = self.progress.get(message.header.from_id)
         if self.role is not Role.LEADER or message.header.term != self.term or progress is None:
             return
+        progress.heard_s = self._now_s
         self._answered(progress, message.sequence)
         if message.accepted:
             self._accepted(progress, message.index)
@@ -255,8 +259,25 @@
             self._commit(index)
 
     def _commit(self, index: int) -> None:
+        previous = self.commit_index
         self.commit_index = index
         self._emit(Commit(index=index))
+        for changed_index in self.log.configuration_indexes(previous + 1, index):
+            self._report_repair(changed_index)
+
+    def _report_repair(self, index: int) -> None:
+        """Report a repair when the configuration that drops the lost replica is committed.
+
+        Every replica reports, so the report outlives the leader that made the change.
+        """
+        voters = [member for member in self.log.configuration_at(index).members if member.voter]
+        kept_ids = {member.replica_id for member in voters}
+        for old in self.log.configuration_at(index - 1).members:
+            if not old.voter or old.replica_id in kept_ids:
+                continue
+            for new in voters:
+                if new.address == old.address:
+                    self._emit(RepairDone(old.replica_id, new.replica_id, old.address))
 
     def _read(self, request_id: int) -> None:
         if self.role is not Role.LEADER:
--- a/src/leverjunction/consensus/events.py
+++ b/src/leverjunction/consensus/events.py
@@ -228,7 +228,10 @@
 
 
 class RepairDone(msgspec.Struct, frozen=True):
-    """A lost replica has been replaced: its successor holds every committed entry and votes."""
+    """A lost replica has been replaced: its successor holds every committed entry and votes.
+
+    Each replica reports it when it learns that the change is committed.
+    """
 
     old_id: str
     new_id: str
--- a/src/leverjunction/consensus/group.py
+++ b/src/leverjunction/consensus/group.py
@@ -206,7 +206,7 @@
         return self._fault
 
     def repairs(self) -> list[RepairDone]:
-        """Return the repairs that this replica has reported as leader, oldest first."""
+        """Return the repairs that this replica has seen committed, oldest first."""
         return list(self._repairs)
 
     def _drive(self) -> None:
--- a/src/leverjunction/consensus/log_view.py
+++ b/src/leverjunction/consensus/log_view.py
@@ -66,6 +66,10 @@
                 found = configuration
         return found
 
+    def configuration_indexes(self, first_index: int, last_index: int) -> list[int]:
+        """Return the indexes of the configuration entries in a range."""
+        return [index for index, _ in self._configurations if first_index <= index <= last_index]
+
     def term_at(self, index: int) -> int | None:
         """Return the term of the entry at ``index``; None if it is compacted or not there."""
         if index == self.base.index:
--- a/src/leverjunction/consensus/metrics.py
+++ b/src/leverjunction/consensus/metrics.py
@@ -13,6 +13,6 @@
 LEADS = Gauge("leverjunction_consensus_leads", "1 while this replica leads its group", ["group"])
 REPAIRS = Counter(
     "leverjunction_consensus_repairs_total",
-    "Lost replicas replaced, as reported by this leader",
+    "Lost replicas replaced, as seen by this replica",
     ["group"],
 )
--- a/src/leverjunction/consensus/progress.py
+++ b/src/leverjunction/consensus/progress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -27,6 +28,7 @@
         probe_sent: True while a probe is unanswered; a heartbeat sends the next one.
         acked_sequence: Highest message round that the peer has answered.
         contact_s: Monotonic time at which that round was sent, in seconds.
+        heard_s: Monotonic time at which anything came from the peer, in seconds.
         blank: True when the peer said that it is blank, so it needs a snapshot or the founding.
     """
 
@@ -37,6 +39,7 @@
     inflight: deque[int] = field(default_factory=deque)
     probe_sent: bool = False
     acked_sequence: int = 0
+    heard_s: float = -math.inf
     blank: bool = False
 
     def matched(self, index: int) -> None:
