Model check of leases, results and cancel; the state machine follows its traces

The model has no clock: a lease may end at any moment, so frozen holders and replaced leaders are covered. Six seeded bugs are found; 300 random traces of up to 30 steps agree with JobsStateMachine, and broken models' traces do not.

--- /dev/null
+++ b/tests/unit/test_batch_lease_spec.py
@@ -0,0 +1,181 @@
+"""The lease model holds, seeded bugs are found, and the state machine follows its traces."""
+
+from __future__ import annotations
+
+import random
+import sqlite3
+
+import pytest
+from specs.lease import LeaseModel, Rule, State, check
+
+from leverjunction.batch.commands import (
+    AcceptJob,
+    AppendItems,
+    CancelJob,
+    CompletedItems,
+    CompleteItems,
+    ExpiredLeases,
+    ExpireLeases,
+    GetJob,
+    GrantLease,
+    ItemInput,
+    ItemResult,
+    ItemState,
+    JobSpec,
+    JobView,
+    Lease,
+    OpenedJob,
+    OpenJob,
+)
+from leverjunction.batch.state_machine import JobsStateMachine
+from leverjunction.consensus.api import ApplyContext
+from leverjunction.wire.codec import decode_reply, encode
+
+ITEMS = 2
+ATTEMPTS = 4
+WALKS = 150
+STEPS = 30
+
+
+@pytest.mark.parametrize(
+    ("items", "attempts", "may_repeat"), [(1, 3, True), (1, 3, False), (2, 2, False)]
+)
+def test_model_holds_over_its_whole_state_space(
+    items: int, attempts: int, may_repeat: bool
+) -> None:
+    report = check(LeaseModel(items, attempts, may_repeat))
+    assert report["exhaustive"]
+    assert {name for name, v in report["properties"].items() if not v["holds"]} == set()
+
+
+@pytest.mark.parametrize(
+    ("rule", "broken"),
+    [
+        (Rule.SECOND_RESULT, "one_outcome_per_item"),
+        (Rule.RERUN_UNREPEATABLE, "at_most_one_run"),
+        (Rule.STALE_RETURN, "at_most_one_run"),
+        (Rule.START_AFTER_RETURN, "at_most_one_run"),
+        (Rule.RESULT_AFTER_CANCEL, "cancel_is_final"),
+        (Rule.GRANT_AFTER_CANCEL, "cancel_is_final"),
+    ],
+)
+def test_seeded_bug_is_found(rule: Rule, broken: str) -> None:
+    verdict = check(LeaseModel(1, 3, False, rule))["properties"][broken]
+    assert verdict["holds"] is False
+    assert verdict["counterexample"]
+
+
+class RealJob:
+    """The model's job in the real state machine, driven by the labels of the model's steps."""
+
+    def __init__(self, may_repeat: bool) -> None:
+        self._connection = sqlite3.connect(":memory:", isolation_level=None)
+        self._machine = JobsStateMachine()
+        self._machine.create_tables(self._connection)
+        self._index = 0
+        spec = JobSpec(
+            job_id="j",
+            tenant="t",
+            idempotency_key="",
+            content_hash="",
+            service="s",
+            batch_class="",
+            item_count=ITEMS,
+            may_repeat=may_repeat,
+            deadline_ms=1_000,
+        )
+        self._apply(OpenJob(spec), OpenedJob)
+        items = [ItemInput(str(i), "m", "/v1/completions", "{}") for i in range(ITEMS)]
+        self._apply(AppendItems("j", 0, items), JobView)
+        self._apply(AcceptJob("j"), JobView)
+
+    def follow(self, label: str) -> None:
+        """Apply the command of a step; local steps of gateways have none."""
+        kind, *rest = label.split()
+        if kind == "local":
+            return
+        if kind == "cancel":
+            self._apply(CancelJob("j"), JobView)
+            return
+        gateway, index, attempt = rest[0], int(rest[1]), int(rest[2])
+        lease_id = f"{gateway}-{index}-{attempt}"
+        if kind in ("grant", "regrant"):
+            lease = self._apply(GrantLease(lease_id, gateway, "s", ["m"], 1), Lease)
+            assert isinstance(lease, Lease)
+            granted = [(item.index, item.attempt) for item in lease.items]
+            assert granted in ([(index, attempt)], [] if kind == "regrant" else None)
+        elif kind == "expire":
+            self._apply(ExpireLeases([lease_id]), ExpiredLeases)
+        else:
+            state = ItemState.DONE if kind == "done" else ItemState.PENDING
+            result = ItemResult(
+                job_id="j", index=index, attempt=attempt, state=state, status_code=200, body="{}"
+            )
+            self._apply(CompleteItems(lease_id, [result]), CompletedItems)
+
+    def statuses(self) -> list[str]:
+        """Return the status of each item."""
+        rows = self._connection.execute("SELECT item_key, state FROM sm_item_states")
+        known = {key & 1: state for key, state in rows}
+        return [known.get(index, "pending") for index in range(ITEMS)]
+
+    def view(self) -> JobView:
+        """Return the job with its counters."""
+        view = decode_reply(self._machine.query(self._connection, encode(GetJob("j"))), JobView)
+        assert isinstance(view, JobView)
+        return view
+
+    def _apply(self, command: object, reply_type: type) -> object:
+        self._index += 1
+        context = ApplyContext(index=self._index, term=1, wall_ms=1)
+        return decode_reply(
+            self._machine.apply(self._connection, context, encode(command)), reply_type
+        )
+
+
+def _follow_random_traces(model: LeaseModel) -> set[str]:
+    """Walk through the model and the real state machine side by side; returns the steps taken."""
+    generator = random.Random(7)
+    taken: set[str] = set()
+    for _ in range(WALKS):
+        state, real = model.initial(), RealJob(model.may_repeat)
+        for _ in range(STEPS):
+            # A resend that changes nothing in the model must change nothing in the real one.
+            resends = [
+                (f"{m.kind} {m.gateway} {m.item} {m.attempt}", model.deliver(state, m))
+                for m in sorted(state.sent)
+            ]
+            steps = [*model.transitions(state), *resends]
+            if not steps:
+                break
+            label, state = generator.choice(steps)
+            taken.add(label.split()[0])
+            real.follow(label)
+            _compare(state, real)
+    return taken
+
+
+@pytest.mark.parametrize("may_repeat", [True, False])
+def test_real_state_machine_follows_the_traces_of_the_model(may_repeat: bool) -> None:
+    taken = _follow_random_traces(LeaseModel(ITEMS, ATTEMPTS, may_repeat))
+    assert taken == {"cancel", "grant", "regrant", "local", "done", "return", "expire"}
+
+
+@pytest.mark.parametrize(
+    "rule", [Rule.RERUN_UNREPEATABLE, Rule.STALE_RETURN, Rule.RESULT_AFTER_CANCEL]
+)
+def test_traces_of_a_broken_model_are_noticed(rule: Rule) -> None:
+    with pytest.raises(AssertionError):
+        _follow_random_traces(LeaseModel(ITEMS, ATTEMPTS, False, rule))
+
+
+def _compare(state: State, real: RealJob) -> None:
+    view = real.view()
+    statuses = [item.status for item in state.items]
+    assert (view.done, view.unknown) == (statuses.count("done"), statuses.count("unknown"))
+    if state.cancelled and view.finished_ms and view.state == "cancelled":
+        assert (view.pending, view.leased) == (0, 0)
+        assert view.cancelled == statuses.count("pending") + statuses.count("leased")
+    else:
+        assert real.statuses() == statuses
+        assert (view.pending, view.leased) == (statuses.count("pending"), statuses.count("leased"))
