Placement: pure planner, fenced orders that a successor resends unchanged, rollout by withdrawal

A change of a loaded model withdraws it first, so gateways stop using it, waits until the runner is idle, and never takes the last ready runner. Each order has its own fence from group root and is told to a majority of hubs before it is sent: a new leader sends it again with the same fence and id instead of a second one.

--- a/src/leverjunction/control/fanout.py
+++ b/src/leverjunction/control/fanout.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 
 import msgspec
@@ -65,8 +66,9 @@
         self._exchanges += 1
         changed = [digest for digest in membership.digests.values() if self._is_news(digest)]
         if len(changed) > MAX_DIGESTS_PER_REPLY:
-            ranked = sorted(changed, key=lambda digest: self._rank(digest, membership, zone))
-            changed = ranked[:MAX_DIGESTS_PER_REPLY]
+            changed = heapq.nsmallest(
+                MAX_DIGESTS_PER_REPLY, changed, lambda digest: self._rank(digest, membership, zone)
+            )
         for digest in changed:
             self._sent[digest.runner_id] = _Sent(digest, self._exchanges)
         self._forget_removed(membership)
@@ -74,9 +76,11 @@
 
     def _is_news(self, digest: RunnerDigest) -> bool:
         sent = self._sent.get(digest.runner_id)
-        if sent is not None and (sent.digest is digest or sent.digest == digest):
+        # The map keeps the same object until the value changes: no need to compare the fields.
+        if sent is not None and sent.digest is digest:
             return False
-        return self._reported.get(digest.runner_id) != digest
+        reported = self._reported.get(digest.runner_id)
+        return reported is None or reported != digest
 
     def _rank(
         self, digest: RunnerDigest, membership: Membership, zone: str
--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -15,9 +15,9 @@
     HubState,
     HubSync,
     HubSyncReply,
+    PlacementRecord,
     RenewedLeases,
     RunnerReading,
-    Withdrawal,
 )
 from leverjunction.control.renewals import RenewalBook
 from leverjunction.control.settings_mirror import SettingsMirror
@@ -186,10 +186,21 @@
         with self._lock:
             self._membership.drains_set(runner_ids)
 
-    def withdrawals_set(self, withdrawn: Iterable[Withdrawal]) -> None:
-        """Take the withdrawals of placement; called only by the process that leads it."""
+    def placement_set(self, record: PlacementRecord | None) -> None:
+        """Take the record of placement; called only by the process that leads it."""
+        if record is not None:
+            with self._lock:
+                self._membership.placement_set(record)
+
+    def placement_record(self) -> PlacementRecord | None:
+        """Return the last known record of placement, of whichever process led it."""
+        with self._lock:
+            return self._membership.placement
+
+    def reading(self, runner_id: str) -> RunnerReading | None:
+        """Return the best reading of a runner."""
         with self._lock:
-            self._membership.withdrawals_set(withdrawn)
+            return self._membership.reading(runner_id)
 
     def take_renewals(self, group: str) -> list[HeldLeases]:
         """Return the renewals for the leader of a job group."""
@@ -223,10 +234,20 @@
         with self._lock:
             return self._membership.machine_list_as_of_ms
 
-    def live_hub_names(self) -> list[str]:
-        """Return the names of the hubs that are heard, this one included."""
+    def live_hubs(self) -> list[HubState]:
+        """Return the other hubs that are heard."""
+        with self._lock:
+            return self._membership.live_hubs()
+
+    def runners(self) -> list[RunnerState]:
+        """Return all listed runners."""
+        with self._lock:
+            return self._membership.runners.values()
+
+    def gateway_count(self) -> int:
+        """Return the number of live gateways in the region."""
         with self._lock:
-            return [self._identity.name, *(hub.name for hub in self._membership.live_hubs())]
+            return len(self._membership.gateways)
 
     def hub_heard_ages_s(self) -> dict[str, float]:
         """Return the seconds since each live other hub was heard, by name."""
--- a/src/leverjunction/control/membership.py
+++ b/src/leverjunction/control/membership.py
@@ -17,7 +17,13 @@
 
 import msgspec
 
-from leverjunction.control.messages import HubState, HubSync, RunnerReading, Withdrawal
+from leverjunction.control.messages import (
+    HubState,
+    HubSync,
+    PlacementRecord,
+    RunnerReading,
+    Withdrawal,
+)
 from leverjunction.control.versioned import VersionCounter, VersionedMap
 from leverjunction.platform.machine_list import Machine, MachineList, MachineState
 from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
@@ -59,6 +65,7 @@
         self.own_digests: VersionedMap[RunnerDigest] = VersionedMap(self.own_counter)
         self.settings_versions: dict[str, int] = {}
         self.machine_list_as_of_ms = 0
+        self.placement: PlacementRecord | None = None
         self._heard_s: dict[str, float] = {}
         self._machines: dict[str, Machine] = {}
         self._unlisted: dict[str, Machine] = {}
@@ -116,9 +123,15 @@
         for runner_id in changed:
             self._merge_runner(runner_id)
 
-    def withdrawals_set(self, withdrawn: Iterable[Withdrawal]) -> None:
-        """Take the models that placement, led by this process, has withdrawn."""
-        self._set_withdrawn(frozenset(withdrawn))
+    def placement_set(self, record: PlacementRecord) -> None:
+        """Take what the process that leads placement says; one of an older term is ignored.
+
+        It stays in force when that process is silent, until a successor says something else.
+        """
+        if self.placement is not None and record.term < self.placement.term:
+            return
+        self.placement = record
+        self._set_withdrawn(frozenset(record.withdrawn))
 
     def sync_received(self, sync: HubSync, now_s: float) -> int:
         """Take another hub's message; return the version that this hub now has of it.
@@ -144,7 +157,8 @@
         peer.version = sync.to_version
         peer.state = sync.hub
         self._take_lists(peer, sync)
-        self._follow_placement()
+        if sync.hub.placement is not None:
+            self.placement_set(sync.hub.placement)
         return peer.version
 
     def expire(self, now_s: float) -> None:
@@ -201,12 +215,6 @@
         for runner_id in peer.readings:
             self._merge_runner(runner_id)
 
-    def _follow_placement(self) -> None:
-        states = self.live_hubs()
-        leader = max(states, key=lambda state: state.placement_term, default=None)
-        if leader is not None and leader.placement_term > 0:
-            self._set_withdrawn(frozenset(leader.withdrawn))
-
     def _set_withdrawn(self, withdrawn: frozenset[Withdrawal]) -> None:
         changed = withdrawn ^ self._withdrawn
         self._withdrawn = withdrawn
--- a/src/leverjunction/control/messages.py
+++ b/src/leverjunction/control/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from leverjunction.backends.types import Order
 from leverjunction.consensus.api import GroupStatus
 from leverjunction.wire.messages import GatewayState, RunnerDigest
 
@@ -35,6 +36,28 @@
     model: str
 
 
+class PendingOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An order that was, or is about to be, sent to the engine of a runner."""
+
+    runner_id: str
+    address: str
+    order: Order
+
+
+class PlacementRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """What a successor of the process that leads placement has to know.
+
+    Attributes:
+        term: Term of group root in which it leads.
+        withdrawn: Withdrawals in force.
+        orders: Orders in progress, at most one for each runner.
+    """
+
+    term: int
+    withdrawn: list[Withdrawal]
+    orders: list[PendingOrder]
+
+
 class HubState(msgspec.Struct, frozen=True, kw_only=True):
     """A control process as the others and the operators see it.
 
@@ -47,8 +70,7 @@
         quorum_age_s: Seconds since it heard the leader of group root.
         machine_list_as_of_ms: The platform's time of its last reading of the machine list.
         groups: Its replicas of consensus groups.
-        withdrawn: Given by the process that leads placement, empty on the others.
-        placement_term: Term of group root in which it leads placement; 0 on the others.
+        placement: Given by the process that leads placement, None on the others.
     """
 
     name: str
@@ -59,8 +81,7 @@
     quorum_age_s: float = 0.0
     machine_list_as_of_ms: int = 0
     groups: list[GroupStatus] = []
-    withdrawn: list[Withdrawal] = []
-    placement_term: int = 0
+    placement: PlacementRecord | None = None
 
 
 class HubSync(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -24,13 +24,14 @@
 from leverjunction.control.lease_expiry import TICK_INTERVAL_S, LeaseExpiry
 from leverjunction.control.messages import HubState
 from leverjunction.control.periodic import PeriodicTask
+from leverjunction.control.placement_runner import PlacementRunner
 from leverjunction.control.quorum import LocalRoot, RemoteRoot
 from leverjunction.control.raft_transport import RpcRaftTransport
 from leverjunction.control.replicas import build_replicas
 from leverjunction.control.rpc_handlers import build_endpoint
 from leverjunction.control.runner_watch import WATCH_INTERVAL_S, RunnerWatch
 from leverjunction.control.settings_mirror import SettingsMirror
-from leverjunction.control.status import ClusterStatus, PlacementStatus, cluster_status
+from leverjunction.control.status import ClusterStatus, cluster_status
 from leverjunction.errors import Failure
 from leverjunction.platform.machine_list import MachineListClient
 from leverjunction.wire.rpc_client import RpcClient
@@ -99,11 +100,25 @@
         self._machines_failing = False
         peers = {peer.name: peer.rpc_address for peer in config.peers if peer.name != config.name}
         zones = {peer.name: peer.zone for peer in config.peers}
-        self._sync = HubSyncTasks(self.hub, self._rpc, peers, self.state)
+        self._sync = HubSyncTasks(self.hub, self._rpc, peers, self.state, clock)
         self._watch = RunnerWatch(self.hub, self._engines, config.name, zones)
         job_names = job_group_names(config.job_groups)
         self._renewals = RenewalTask(self.hub, self.host, self._expiry, job_names)
+        self._placement = PlacementRunner(
+            name=config.name,
+            replica=groups.get(ROOT_GROUP),
+            host=self.host,
+            hub=self.hub,
+            mirror=self.mirror,
+            engines=self._engines,
+            clock=clock,
+            random=random_module.Random(),
+            counters=self._counters,
+            max_loads=config.max_loads_at_once,
+            told_since=self._sync.told_most_since,
+        )
         self._tasks = [
+            PeriodicTask("placement", config.placement_interval_s, self._placement.tick),
             PeriodicTask("settings", MIRROR_INTERVAL_S, self._follow_settings),
             PeriodicTask("machine-list", config.machine_list_interval_s, self._read_machines),
             PeriodicTask("runner-watch", WATCH_INTERVAL_S, self._watch.tick),
@@ -158,6 +173,7 @@
             quorum_age_s=round(self._root.quorum_age_s(), 3),
             machine_list_as_of_ms=self.hub.machine_list_as_of_ms(),
             groups=self.host.statuses(),
+            placement=self._placement.record(),
         )
 
     def status(self) -> ClusterStatus:
@@ -169,7 +185,7 @@
             self.mirror,
             [peer.name for peer in self.config.peers],
             job_group_names(self.config.job_groups),
-            PlacementStatus(),
+            self._placement.status(),
         )
 
     def _root_follower(self) -> LocalRoot | RemoteRoot:
@@ -226,10 +242,9 @@
 
     def _expire(self) -> None:
         self.hub.expire()
-        picture = self.hub.picture()
         age_s = self._root.quorum_age_s()
-        self._counters.gateways.set(len(picture.gateways))
-        self._counters.runners.set(len(picture.runners))
+        self._counters.gateways.set(self.hub.gateway_count())
+        self._counters.runners.set(len(self.hub.runners()))
         self._counters.settings_version.set(self.mirror.version)
         self._counters.quorum_age_s.set(age_s)
         self._counters.stale.set(1 if age_s > STALE_QUORUM_S else 0)
--- a/src/leverjunction/control/periodic.py
+++ b/src/leverjunction/control/periodic.py
@@ -22,7 +22,6 @@
         self._interval_s = interval_s
         self._run = run
         self._stopped = threading.Event()
-        self._wanted = threading.Event()
         self._failing = False
         self._thread = threading.Thread(target=self._loop, name=name, daemon=True)
 
@@ -30,22 +29,16 @@
         """Start the loop; the first run is at once."""
         self._thread.start()
 
-    def wake(self) -> None:
-        """Run again now instead of at the end of the interval."""
-        self._wanted.set()
-
     def stop(self) -> None:
         """Stop after the run in progress and wait for it."""
         self._stopped.set()
-        self._wanted.set()
         if self._thread.is_alive():
             self._thread.join(JOIN_TIMEOUT_S)
 
     def _loop(self) -> None:
         while not self._stopped.is_set():
             self._run_once()
-            self._wanted.wait(self._interval_s)
-            self._wanted.clear()
+            self._stopped.wait(self._interval_s)
 
     def _run_once(self) -> None:
         try:
--- /dev/null
+++ b/src/leverjunction/control/placement_runner.py
@@ -0,0 +1,321 @@
+"""Carries out placement on the process that leads group root.
+
+An order gets its own fence from group root, is told to most of the other hubs, and only then is
+sent. So a successor finds every order that may have been sent: it sends it again with the same
+fence and id, which an engine takes as a resend, before it gives orders of its own. An engine
+refuses fences below the highest it has seen, so late orders can neither double nor overtake.
+"""
+
+from __future__ import annotations
+
+import random as random_module
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from leverjunction.backends.client import EngineClient
+from leverjunction.backends.types import Order, OrderAction
+from leverjunction.clock import Clock
+from leverjunction.consensus.api import ReplicatedGroup
+from leverjunction.control.counters import ControlCounters
+from leverjunction.control.group_host import GroupHost
+from leverjunction.control.hub import ClusterPicture, Hub
+from leverjunction.control.layout import ROOT_GROUP
+from leverjunction.control.messages import PendingOrder, PlacementRecord, RunnerReading, Withdrawal
+from leverjunction.control.placement import RunnerFacts, WantedModel, WantedOrder, is_done, plan
+from leverjunction.control.settings_mirror import SettingsMirror
+from leverjunction.control.status import PlacementStatus
+from leverjunction.errors import Failure
+from leverjunction.settings.commands import Fence, GetSettings, PlacementFence, SettingsDelta
+from leverjunction.settings.resolved import ResolvedSettings
+
+FENCE_TIMEOUT_S = 2.0
+SEND_LIMIT_S = 30.0
+"""An order that could not be delivered for this long is dropped and planned anew."""
+
+LOAD_LIMIT_S = 900.0
+"""A load that is not done after this long is dropped and planned anew."""
+
+REFUSED_PAUSE_S = 10.0
+"""A runner whose engine refused an order gets no other one for this long."""
+
+LEADER = "leader"
+
+ToldSince = Callable[[float], bool]
+"""Whether most of the other hubs have been told the record since a monotonic time."""
+
+
+class _InProgress(msgspec.Struct, kw_only=True):
+    """An order of this leader's term, and how far it is."""
+
+    pending: PendingOrder
+    began_s: float
+    sent: bool = False
+    incarnation: int = 0
+
+
+class PlacementRunner:
+    """One round of placement for each tick. Called by one background task.
+
+    Args:
+        name: Name of this process.
+        replica: Local replica of group root; None on a process that holds none.
+        host: Takes fences through group root.
+        hub: Gives the cluster's picture, takes withdrawals.
+        mirror: Settings in force.
+        engines: Sends orders.
+        clock: Source of monotonic time.
+        random: Source of order ids.
+        counters: Counts orders.
+        max_loads: Weight loads in progress at most.
+        told_since: Whether the other hubs know the record.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        replica: ReplicatedGroup | None,
+        host: GroupHost,
+        hub: Hub,
+        mirror: SettingsMirror,
+        engines: EngineClient,
+        clock: Clock,
+        random: random_module.Random,
+        counters: ControlCounters,
+        max_loads: int,
+        told_since: ToldSince,
+    ) -> None:
+        self._name = name
+        self._replica = replica
+        self._host = host
+        self._hub = hub
+        self._mirror = mirror
+        self._engines = engines
+        self._clock = clock
+        self._random = random
+        self._counters = counters
+        self._max_loads = max_loads
+        self._told_since = told_since
+        self._term = 0
+        self._orders: dict[str, _InProgress] = {}
+        self._withdrawn: dict[Withdrawal, float] = {}
+        self._blocked: list[str] = []
+        self._paused_until_s: dict[str, float] = {}
+        self._first_seen: dict[str, tuple[int, float]] = {}
+
+    def tick(self) -> None:
+        """Do one round if this process leads group root."""
+        term = self._led_term()
+        if term == 0:
+            self._step_down()
+            return
+        if term != self._term and not self._take_over(term):
+            return
+        now_s = self._clock.monotonic_s()
+        picture = self._hub.picture()
+        self._settle(picture, now_s)
+        self._plan(picture, now_s)
+        self._hub.placement_set(self.record())
+        self._send_told()
+
+    def record(self) -> PlacementRecord | None:
+        """Return what the other hubs have to know; None unless this process leads placement."""
+        if self._term == 0:
+            return None
+        return PlacementRecord(
+            term=self._term,
+            withdrawn=sorted(self._withdrawn),
+            orders=[order.pending for order in list(self._orders.values())],
+        )
+
+    def status(self) -> PlacementStatus:
+        """Return what the operators see."""
+        orders = [order.pending for order in list(self._orders.values())]
+        return PlacementStatus(
+            leads=self._term != 0,
+            in_progress=[
+                f"{one.runner_id}: {one.order.action} {one.order.model} {one.order.adapter} "
+                f"version {one.order.version}"
+                for one in orders
+            ],
+            withdrawn=sorted(self._withdrawn),
+            blocked=self._blocked,
+        )
+
+    def _led_term(self) -> int:
+        if self._replica is None:
+            return 0
+        status = self._replica.status()
+        return status.term if status.role == LEADER else 0
+
+    def _step_down(self) -> None:
+        if self._term == 0:
+            return
+        logger.info("placement: no longer leads")
+        self._term = 0
+        self._orders.clear()
+        self._withdrawn.clear()
+        self._blocked = []
+
+    def _take_over(self, term: int) -> bool:
+        """Go on where the last leader was; return False while this process is not up to date."""
+        query = GetSettings(after_version=self._mirror.version)
+        # Answered through the quorum: tells whether a change is committed but not applied here.
+        delta = self._host.query(ROOT_GROUP, query, SettingsDelta, FENCE_TIMEOUT_S)
+        if isinstance(delta, Failure) or delta.version > self._mirror.version:
+            return False
+        now_s = self._clock.monotonic_s()
+        last = self._hub.placement_record()
+        withdrawn = last.withdrawn if last is not None else []
+        orders = last.orders if last is not None else []
+        self._withdrawn = {withdrawal: now_s for withdrawal in withdrawn}
+        self._orders = {
+            order.runner_id: _InProgress(pending=order, began_s=now_s) for order in orders
+        }
+        self._term = term
+        logger.info("placement: leads in term {}, {} orders in progress", term, len(orders))
+        return True
+
+    def _settle(self, picture: ClusterPicture, now_s: float) -> None:
+        """Forget orders that are done, lost with a restart of the engine, or out of time."""
+        listed = {runner.runner_id for runner in picture.runners}
+        for runner_id, order in list(self._orders.items()):
+            reading = picture.readings.get(runner_id)
+            if runner_id not in listed or self._is_over(order, reading, now_s):
+                del self._orders[runner_id]
+
+    def _is_over(self, order: _InProgress, reading: RunnerReading | None, now_s: float) -> bool:
+        age_s = now_s - order.began_s
+        if not order.sent:
+            return age_s > SEND_LIMIT_S
+        if age_s > LOAD_LIMIT_S:
+            logger.warning("placement: {} is not done after {:.0f} s", order.pending, age_s)
+            return True
+        if reading is None or not reading.reachable:
+            return False
+        if order.incarnation and reading.incarnation != order.incarnation:
+            return True
+        return is_done(_wanted_of(order.pending), reading.models, reading.versions)
+
+    def _plan(self, picture: ClusterPicture, now_s: float) -> None:
+        loads = [
+            one for one in self._orders.values() if one.pending.order.action is OrderAction.LOAD
+        ]
+        steps = plan(
+            wanted_models(self._mirror.settings),
+            self._facts(picture, now_s),
+            self._withdrawn,
+            len(loads),
+            self._max_loads,
+            now_s,
+        )
+        if steps.blocked != self._blocked:
+            for reason in steps.blocked:
+                logger.warning("placement: blocked: {}", reason)
+        self._withdrawn = steps.withdrawn
+        self._blocked = steps.blocked
+        addresses = {runner.runner_id: runner.address for runner in picture.runners}
+        for wanted in steps.orders:
+            fence = self._host.propose(
+                ROOT_GROUP, PlacementFence(controller=self._name), Fence, FENCE_TIMEOUT_S
+            )
+            if isinstance(fence, Failure):
+                return
+            self._orders[wanted.runner_id] = _InProgress(
+                pending=self._pending(wanted, addresses[wanted.runner_id], fence),
+                began_s=self._clock.monotonic_s(),
+            )
+
+    def _pending(self, wanted: WantedOrder, address: str, fence: Fence) -> PendingOrder:
+        order = Order(
+            fence=fence,
+            order_id=f"{self._random.getrandbits(64):016x}",
+            action=wanted.action,
+            model=wanted.model,
+            adapter=wanted.adapter,
+            version=wanted.version,
+        )
+        logger.info("placement: {} {} on {}", wanted.action, wanted, address)
+        return PendingOrder(runner_id=wanted.runner_id, address=address, order=order)
+
+    def _send_told(self) -> None:
+        for order in list(self._orders.values()):
+            if not order.sent and self._told_since(order.began_s):
+                self._send(order)
+
+    def _send(self, order: _InProgress) -> None:
+        pending = order.pending
+        outcome = self._engines.order(pending.address, pending.order)
+        if isinstance(outcome, Failure):
+            # Sent again as it is in the next round: the engine knows a resend by fence and id.
+            self._counters.orders.labels("failed").inc()
+            return
+        if outcome.accepted:
+            self._counters.orders.labels("accepted").inc()
+            reading = self._hub.reading(pending.runner_id)
+            order.sent = True
+            order.incarnation = reading.incarnation if reading is not None else 0
+            return
+        self._counters.orders.labels("refused").inc()
+        logger.warning("placement: {} refused the order: {}", pending.runner_id, outcome.reason)
+        del self._orders[pending.runner_id]
+        self._paused_until_s[pending.runner_id] = self._clock.monotonic_s() + REFUSED_PAUSE_S
+
+    def _facts(self, picture: ClusterPicture, now_s: float) -> list[RunnerFacts]:
+        busy = {one.runner_id: one.running + one.waiting for one in picture.digests}
+        facts = []
+        for runner in picture.runners:
+            reading = picture.readings.get(runner.runner_id)
+            if reading is None:
+                continue
+            facts.append(
+                RunnerFacts(
+                    runner_id=runner.runner_id,
+                    service=runner.service,
+                    usable=reading.reachable and not runner.leaving,
+                    models=reading.models,
+                    versions=reading.versions,
+                    busy=busy.get(runner.runner_id, 0),
+                    up_s=now_s - self._seen_since(reading, now_s),
+                    ordered=runner.runner_id in self._orders
+                    or self._paused_until_s.get(runner.runner_id, now_s) > now_s,
+                )
+            )
+        return facts
+
+    def _seen_since(self, reading: RunnerReading, now_s: float) -> float:
+        known = self._first_seen.get(reading.runner_id)
+        if known is None or known[0] != reading.incarnation:
+            known = self._first_seen[reading.runner_id] = (reading.incarnation, now_s)
+        return known[1]
+
+
+def wanted_models(settings: ResolvedSettings) -> list[WantedModel]:
+    """Return every model and adapter that the settings want loaded."""
+    wanted: list[WantedModel] = []
+    for service in settings.names("services"):
+        for model in settings.models(service):
+            versions = {"": model.version, **model.adapters}
+            wanted += [
+                WantedModel(
+                    service=service,
+                    model=model.name,
+                    adapter=adapter,
+                    version=version,
+                    replicas=model.replicas,
+                )
+                for adapter, version in versions.items()
+            ]
+    return wanted
+
+
+def _wanted_of(pending: PendingOrder) -> WantedOrder:
+    order = pending.order
+    return WantedOrder(
+        runner_id=pending.runner_id,
+        action=order.action,
+        model=order.model,
+        adapter=order.adapter,
+        version=order.version,
+    )
--- a/src/leverjunction/control/quorum.py
+++ b/src/leverjunction/control/quorum.py
@@ -63,7 +63,7 @@
 
     def read(self, query: GetSettings) -> SettingsDelta | Failure:
         """Read from the voter that is furthest ahead, if it is ahead of the asker at all."""
-        states = self.hub.picture().hubs if self.hub is not None else []
+        states = self.hub.live_hubs() if self.hub is not None else []
         ahead = [
             (state.settings_version, state.rpc_address)
             for state in states
@@ -87,7 +87,7 @@
         heard = self.hub.hub_heard_ages_s()
         ages = [
             state.quorum_age_s + heard[state.name]
-            for state in self.hub.picture().hubs
+            for state in self.hub.live_hubs()
             if state.rpc_address in self._voters and state.name in heard
         ]
         return min(ages, default=NEVER_HEARD_S)
--- a/src/leverjunction/control/runner_watch.py
+++ b/src/leverjunction/control/runner_watch.py
@@ -53,8 +53,8 @@
 
     def tick(self) -> None:
         """Read all watched runners once. Called by a background task."""
-        live = self._hub.live_hub_names()
-        runners = self._hub.picture().runners
+        live = [self._name, *(hub.name for hub in self._hub.live_hubs())]
+        runners = self._hub.runners()
         watched = [one for one in runners if watcher_of(one, live, self._zones) == self._name]
         readings = list(self._readers.map(self._read, watched))
         ids = {runner.runner_id for runner in watched}
--- a/src/leverjunction/control/status.py
+++ b/src/leverjunction/control/status.py
@@ -7,7 +7,7 @@
 from leverjunction.batch.commands import Backlog, GetBacklog
 from leverjunction.control.group_host import GroupHost
 from leverjunction.control.hub import Hub
-from leverjunction.control.messages import HubState, RunnerReading
+from leverjunction.control.messages import HubState, RunnerReading, Withdrawal
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.errors import Failure
 from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
@@ -32,12 +32,14 @@
 
     Attributes:
         leads: True on the process that leads placement.
-        loading: Weight loads in progress, as ``runner: model version``.
+        in_progress: Orders in progress, as text.
+        withdrawn: Models that gateways may not use on a runner for now.
         blocked: Changes that cannot be made now, each with the reason.
     """
 
     leads: bool = False
-    loading: list[str] = []
+    in_progress: list[str] = []
+    withdrawn: list[Withdrawal] = []
     blocked: list[str] = []
 
 
