--- /dev/null
+++ b/src/leverjunction/api/completions.py
@@ -0,0 +1,145 @@
+"""Callers' completions: ``/v1/chat/completions`` and ``/v1/completions``."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import cherrypy
+
+from leverjunction.api.auth import authenticate
+from leverjunction.api.errors import error_response
+from leverjunction.backends.types import CHAT_PATH, COMPLETION_PATH
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.gateway.http_server import HANDOVER_KEY, REQUEST_KEY, body_is_read
+from leverjunction.gateway.inflight import Inflight
+from leverjunction.gateway.online import (
+    SSE_TYPE,
+    Answer,
+    CallerRequest,
+    OnlineService,
+    RelayedAnswer,
+    new_request_id,
+)
+from leverjunction.settings.resolved import ResolvedSettings
+
+NEVER = "never"
+MAX_KEY_CHARACTERS = 256
+STOPPING_RETRY_AFTER_S = 1.0
+
+
+class CompletionsApi:
+    """Handlers of both calls; used by CherryPy's worker threads."""
+
+    def __init__(
+        self,
+        service: OnlineService,
+        settings: Callable[[], ResolvedSettings],
+        inflight: Inflight,
+        max_body_bytes: int,
+    ) -> None:
+        self._service = service
+        self._settings = settings
+        self._inflight = inflight
+        self._max_body_bytes = max_body_bytes
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def chat(self) -> bytes:
+        """Serve a chat completion."""
+        return self._serve(CHAT_PATH)
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def text(self) -> bytes:
+        """Serve a text completion."""
+        return self._serve(COMPLETION_PATH)
+
+    def _serve(self, path: str) -> bytes:
+        request_id = new_request_id()
+        with self._inflight.track() as accepted:
+            if not accepted:
+                return self._refuse(stopping_failure(), request_id)
+            tenant = authenticate(cherrypy.request, self._settings())
+            if isinstance(tenant, Failure):
+                return self._refuse(tenant, request_id)
+            body = self._read_body()
+            if isinstance(body, Failure):
+                return self._refuse(body, request_id)
+            headers = cherrypy.request.headers
+            answer = self._service.serve(
+                CallerRequest(
+                    request_id=request_id,
+                    tenant=tenant,
+                    path=path,
+                    body=body,
+                    idempotency_key=headers.get("Idempotency-Key", "")[:MAX_KEY_CHARACTERS],
+                    never_repeat=headers.get("X-Repeat", "").strip().lower() == NEVER,
+                )
+            )
+            return _write(answer, request_id)
+
+    def _read_body(self) -> bytes | Failure:
+        """Read the body up to its bound, in the bounds of the slow-sender guard."""
+        request = cherrypy.request
+        length = request.headers.get("Content-Length")
+        if length is not None and int(length) > self._max_body_bytes:
+            return self._too_large()
+        body: bytes = request.rfile.read(self._max_body_bytes + 1)
+        body_is_read(request.wsgi_environ)
+        if len(body) > self._max_body_bytes:
+            return self._too_large()
+        if length is not None and len(body) < int(length):
+            return Failure(
+                kind=FailureKind.BAD_REQUEST,
+                reason=f"the body ended after {len(body)} of {length} bytes, or came too slowly",
+                step=Step.PARSING,
+            )
+        return body
+
+    def _refuse(self, failure: Failure, request_id: str) -> bytes:
+        environ = cherrypy.request.wsgi_environ
+        length = int(cherrypy.request.headers.get("Content-Length") or 0)
+        if length > self._max_body_bytes:
+            # The rest of an oversized body is not read: the connection cannot be used again.
+            _close_after_answer(environ)
+        return error_response(failure, request_id)
+
+    def _too_large(self) -> Failure:
+        return Failure(
+            kind=FailureKind.TOO_LARGE,
+            reason=f"the body is larger than {self._max_body_bytes} bytes",
+            step=Step.PARSING,
+        )
+
+
+def stopping_failure() -> Failure:
+    """Return the refusal of a gateway that stops."""
+    return Failure(
+        kind=FailureKind.STOPPING,
+        reason="this gateway stops; send the request to another one",
+        step=Step.ADMISSION,
+        retry_after_s=STOPPING_RETRY_AFTER_S,
+    )
+
+
+def _write(answer: Answer, request_id: str) -> bytes:
+    if isinstance(answer, Failure):
+        return error_response(answer, request_id)
+    response = cherrypy.response
+    response.headers["X-Request-Id"] = request_id
+    if isinstance(answer, RelayedAnswer):
+        response.headers["Content-Type"] = SSE_TYPE
+        response.headers["Cache-Control"] = "no-cache"
+        response.stream = True
+        cherrypy.request.wsgi_environ[HANDOVER_KEY].handover = answer.handover
+        return b""
+    response.status = answer.status
+    response.headers["Content-Type"] = answer.content_type
+    return answer.body
+
+
+def _close_after_answer(environ: dict[str, object]) -> None:
+    request = environ.get(REQUEST_KEY)
+    if request is not None:
+        request.close_connection = True  # type: ignore[attr-defined]
+        cherrypy.response.headers["Connection"] = "close"
--- a/src/leverjunction/backends/client.py
+++ b/src/leverjunction/backends/client.py
@@ -115,6 +115,18 @@
         reason = "" if status < 300 else data[:200].decode("utf8", "replace")
         return OrderOutcome(accepted=status < 300, status_code=status, reason=reason)
 
+    def follow(self, address: str, path: str, silence_s: float) -> EngineStream | Failure:
+        """Open an endless stream of the engine, such as its cache events."""
+        headers = _headers(MONITOR_REQUEST_ID, 1)
+        response = self._request(self._pool, "GET", address, path, None, headers, silence_s)
+        if isinstance(response, Failure):
+            return response
+        if response.status != 200:
+            status = response.status
+            _discard(response)
+            return _bad_status(address, status, b"")
+        return EngineStream(response, address)
+
     def health(self, address: str, timeout_s: float = LOAD_TIMEOUT_S) -> bool:
         """Return whether an engine says that it can take work."""
         body = self._exchange("GET", address, "/health", MONITOR_REQUEST_ID, None, timeout_s)
--- /dev/null
+++ b/src/leverjunction/backends/sse.py
@@ -0,0 +1,45 @@
+"""Server-sent events: the few fields that the engine protocol uses."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+DONE_DATA = b"[DONE]"
+
+
+class SseEvent(msgspec.Struct, frozen=True):
+    """One event; ``event_id`` is empty when it has none."""
+
+    event_id: str
+    data: bytes
+
+
+class SseParser:
+    """Splits a byte stream into events; bytes may come in any pieces."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> Iterator[SseEvent]:
+        """Yield the events that are whole now."""
+        *blocks, self._rest = (self._rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
+        for block in blocks:
+            event = _parse(block)
+            if event is not None:
+                yield event
+
+
+def _parse(block: bytes) -> SseEvent | None:
+    """Parse one event's lines; None for a comment or an event without data."""
+    event_id = ""
+    data: list[bytes] = []
+    for line in block.split(b"\n"):
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"id":
+            event_id = value.decode("ascii", "replace")
+        elif name == b"data":
+            data.append(value)
+    return SseEvent(event_id, b"\n".join(data)) if data else None
--- a/src/leverjunction/backends/stream.py
+++ b/src/leverjunction/backends/stream.py
@@ -82,12 +82,14 @@
 
         The caller owns the connection from here on and reads the body until it ends.
         """
-        connection = cast(urllib3.connection.HTTPConnection, self._response.connection)
-        sock = cast(socket.socket, connection.sock)
+        # An answer that ends with its connection (HTTP/1.0) keeps the socket in its reader only.
         reader = self._response._fp.fp  # type: ignore[attr-defined]
+        sock = cast(socket.socket, reader.raw._sock)
         sock.setblocking(False)
         first_bytes = reader.peek() or b""
-        return DetachedSocket(connection=sock, first_bytes=first_bytes)
+        connection = socket.socket(fileno=sock.detach())
+        connection.setblocking(False)
+        return DetachedSocket(connection=connection, first_bytes=first_bytes)
 
     def close(self) -> None:
         """Close the connection; an unread rest of the body is lost."""
--- /dev/null
+++ b/src/leverjunction/gateway/exchange.py
@@ -0,0 +1,212 @@
+"""The exchange with the zone's hub, once a second: heartbeat, digests, settings, membership."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+from loguru import logger
+
+from leverjunction.errors import Failure
+from leverjunction.gateway.settings_store import SettingsStore
+from leverjunction.gateway.view import ClusterSnapshot, ClusterView
+from leverjunction.observability.counters import GatewayCounters
+from leverjunction.wire.control_client import ControlClient
+from leverjunction.wire.messages import (
+    ExchangeReply,
+    ExchangeRequest,
+    GatewayState,
+    RunnerDigest,
+)
+
+BUSY_REFRESH_MS = 2000
+
+
+class LeaseHolder(Protocol):
+    """The harvester's part that holds batch leases."""
+
+    def lease_ids(self) -> dict[str, list[str]]:
+        """Return the leases held, by job group."""
+        ...
+
+    def revoke(self, lost_lease_ids: list[str], cancelled_jobs: list[str]) -> None:
+        """Drop leases that are no longer valid and work of cancelled jobs."""
+        ...
+
+
+class DigestOutbox:
+    """Digests of owned runners that the hub has not confirmed yet. Thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._pending: dict[str, RunnerDigest] = {}
+        self._last: dict[str, RunnerDigest] = {}
+
+    def put(self, digest: RunnerDigest) -> None:
+        """Queue a reading if it differs from the last one in more than its time."""
+        with self._lock:
+            last = self._last.get(digest.runner_id)
+            if last is not None and not _is_news(last, digest):
+                return
+            self._last[digest.runner_id] = digest
+            self._pending[digest.runner_id] = digest
+
+    def take(self) -> list[RunnerDigest]:
+        """Return the readings to send; give them back with ``restore`` when that fails."""
+        with self._lock:
+            taken = list(self._pending.values())
+            self._pending.clear()
+            return taken
+
+    def restore(self, digests: list[RunnerDigest]) -> None:
+        """Queue readings again that were not sent, unless newer ones came meanwhile."""
+        with self._lock:
+            for digest in digests:
+                self._pending.setdefault(digest.runner_id, digest)
+
+    def resend_all(self) -> None:
+        """Queue the last reading of every runner: a new hub knows none of them."""
+        with self._lock:
+            self._pending = dict(self._last) | self._pending
+
+    def retain(self, runner_ids: set[str]) -> None:
+        """Forget runners that this gateway no longer owns."""
+        with self._lock:
+            for known in (self._pending, self._last):
+                for runner_id in set(known) - runner_ids:
+                    del known[runner_id]
+
+
+class ExchangeLoop:
+    """Runs the exchange in its own thread.
+
+    Args:
+        control: Client of the hubs.
+        identity: Returns this gateway's state as it is now.
+        view: Takes in membership and load.
+        settings: Takes in settings.
+        outbox: Digests to send.
+        leases: Batch leases to renew and revoke.
+        counters: Counters.
+        interval_s: Time between exchanges.
+        on_view: Called after every reply with the new view.
+    """
+
+    def __init__(
+        self,
+        control: ControlClient,
+        identity: Callable[[], GatewayState],
+        view: ClusterView,
+        settings: SettingsStore,
+        outbox: DigestOutbox,
+        leases: LeaseHolder,
+        counters: GatewayCounters,
+        interval_s: float,
+        on_view: Callable[[ClusterSnapshot], None],
+    ) -> None:
+        self._control = control
+        self._identity = identity
+        self._view = view
+        self._settings = settings
+        self._outbox = outbox
+        self._leases = leases
+        self._counters = counters
+        self._interval_s = interval_s
+        self._on_view = on_view
+        self._wake = threading.Event()
+        self._stopped = False
+        self._connected = False
+        self._lock = threading.Lock()
+        self._thread = threading.Thread(target=self._run, name="exchange", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stopped = True
+        self._wake.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopped:
+            try:
+                self.exchange_once()
+            except Exception:
+                # The exchange carries the heartbeat: it must outlive any fault.
+                logger.exception("exchange failed")
+            self._wake.wait(self._interval_s)
+
+    def exchange_once(self) -> Failure | None:
+        """Do one exchange; also called directly to tell the hub of a stop at once."""
+        with self._lock:
+            return self._exchange_once()
+
+    def _exchange_once(self) -> Failure | None:
+        digests = self._outbox.take()
+        reply = self._control.exchange(self._request(digests))
+        if isinstance(reply, Failure):
+            self._outbox.restore(digests)
+            self._note_lost(reply)
+            return reply
+        self._counters.exchanges.labels("ok").inc()
+        self._apply(reply)
+        return None
+
+    def _request(self, digests: list[RunnerDigest]) -> ExchangeRequest:
+        snapshot = self._view.snapshot
+        version = self._settings.current.version
+        return ExchangeRequest(
+            gateway=msgspec.structs.replace(self._identity(), settings_version=version),
+            settings_version=version,
+            view_version=snapshot.view_version,
+            hub_incarnation=snapshot.hub_incarnation,
+            digests=digests,
+            lease_ids=self._leases.lease_ids(),
+        )
+
+    def _apply(self, reply: ExchangeReply) -> None:
+        before = self._view.snapshot
+        if self._settings.apply(reply.settings, reply.settings_version):
+            version = self._settings.current.version
+            self._counters.settings_version.set(version)
+            logger.info("settings version {} in force", version)
+        after = self._view.apply(reply)
+        self._counters.hub_quorum_age_s.set(reply.quorum_age_s)
+        if not self._connected or before.hub_incarnation != after.hub_incarnation:
+            self._connected = True
+            self._outbox.resend_all()
+            logger.info("connected to hub {}", self._control.hub)
+        if reply.lost_lease_ids or reply.cancelled_jobs:
+            self._leases.revoke(reply.lost_lease_ids, reply.cancelled_jobs)
+        self._on_view(after)
+
+    def _note_lost(self, failure: Failure) -> None:
+        self._counters.exchanges.labels("failed").inc()
+        if self._connected:
+            self._connected = False
+            logger.warning("no hub answers: {}", failure.reason)
+
+
+def _is_news(last: RunnerDigest, digest: RunnerDigest) -> bool:
+    """Return whether a reading is worth its bytes.
+
+    A busy runner's unchanged reading is: its newer time tells which sends it already counts.
+    """
+    if _load_of(last) != _load_of(digest):
+        return True
+    is_busy = digest.running + digest.waiting > 0
+    return is_busy and digest.as_of_ms - last.as_of_ms >= BUSY_REFRESH_MS
+
+
+def _load_of(digest: RunnerDigest) -> tuple[object, ...]:
+    return (
+        digest.running,
+        digest.waiting,
+        digest.batch_running,
+        round(digest.kv_used_ratio, 2),
+        digest.healthy,
+    )
--- /dev/null
+++ b/src/leverjunction/gateway/gate.py
@@ -0,0 +1,121 @@
+"""Thread-safe shell of admission: places of tenants, and waiting for a free runner."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+from leverjunction.clock import Clock
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.gateway.admission import Admission, Queued, QueueLimits
+from leverjunction.observability.counters import GatewayCounters
+from leverjunction.settings.resolved import ResolvedLimits
+
+POLL_INTERVAL_S = 0.05
+"""Waiting requests look for slots that other gateways or new reports freed at this interval."""
+
+
+class AdmissionGate:
+    """Called by request threads; a waiting request holds its thread."""
+
+    def __init__(self, clock: Clock, counters: GatewayCounters) -> None:
+        self._clock = clock
+        self._counters = counters
+        self._lock = threading.Lock()
+        self._admission = Admission()
+        self._granted: dict[str, threading.Event] = {}
+        self._stopping = threading.Event()
+
+    def enter(self, tenant: str, limits: ResolvedLimits) -> Failure | None:
+        """Take a place of a tenant or return the refusal; pair with ``leave``."""
+        with self._lock:
+            return self._admission.enter(tenant, limits, self._clock.monotonic_s())
+
+    def leave(self, tenant: str) -> None:
+        """Give a tenant's place back."""
+        with self._lock:
+            self._admission.leave(tenant)
+
+    def pass_or_wait(
+        self,
+        service: str,
+        ticket_id: str,
+        tenant: str,
+        limits: QueueLimits,
+        free_slots: Callable[[], int],
+    ) -> float | Failure:
+        """Return once the request may be sent: the seconds it waited, or its refusal.
+
+        Args:
+            service: Service asked for.
+            ticket_id: Id of the request.
+            tenant: Its tenant.
+            limits: The service's queue settings.
+            free_slots: Returns the requests that usable runners may take now.
+        """
+        started_s = self._clock.monotonic_s()
+        slots = free_slots()
+        with self._lock:
+            decision = self._admission.arrive(service, ticket_id, tenant, limits, slots, started_s)
+            if isinstance(decision, Failure):
+                return decision
+            if not isinstance(decision, Queued):
+                return 0.0
+            granted = self._granted[ticket_id] = threading.Event()
+            self._counters.queued.set(self._admission.waiting())
+        try:
+            refusal = self._wait(service, ticket_id, granted, free_slots)
+        finally:
+            self._forget(service, ticket_id)
+        if refusal is not None:
+            return refusal
+        return self._clock.monotonic_s() - started_s
+
+    def _wait(
+        self,
+        service: str,
+        ticket_id: str,
+        granted: threading.Event,
+        free_slots: Callable[[], int],
+    ) -> Failure | None:
+        while not granted.wait(POLL_INTERVAL_S):
+            if self._stopping.is_set():
+                return _stopping()
+            self.pump(service, free_slots())
+            with self._lock:
+                now_s = self._clock.monotonic_s()
+                refusal = self._admission.expired(service, ticket_id, now_s)
+            if refusal is not None:
+                return refusal
+        return None
+
+    def pump(self, service: str, free_slots: int) -> None:
+        """Let waiting requests of a service go on, as many as there are slots."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            for ticket_id in self._admission.next_tickets(service, free_slots, now_s):
+                self._granted[ticket_id].set()
+
+    def drained(self, service: str) -> None:
+        """Note that a request of a service ended."""
+        with self._lock:
+            self._admission.drained(service, self._clock.monotonic_s())
+
+    def stop(self) -> None:
+        """Refuse all that wait: they have not been sent anywhere."""
+        self._stopping.set()
+
+    def _forget(self, service: str, ticket_id: str) -> None:
+        with self._lock:
+            self._granted.pop(ticket_id, None)
+            self._admission.drop(service, ticket_id)
+            self._counters.queued.set(self._admission.waiting())
+
+
+def _stopping() -> Failure:
+    return Failure(
+        kind=FailureKind.STOPPING,
+        reason="this gateway stops; send the request to another one",
+        step=Step.QUEUEING,
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/src/leverjunction/gateway/http_server.py
@@ -0,0 +1,151 @@
+"""cheroot server whose streaming answers can be handed to the relay loop.
+
+A worker thread of cheroot parses the request and writes the answer's head; then the connection is
+passed on, so that no thread is held while tokens trickle in, and comes back when the stream ends.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Any, cast
+
+import msgspec
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+from cheroot.makefile import MakeFile
+
+from leverjunction.gateway.slow_senders import SlowSenderGuard
+
+HANDOVER_KEY = "leverjunction.handover"
+REQUEST_KEY = "leverjunction.http_request"
+LISTEN_BACKLOG = 512
+KEEP_ALIVE_CONNECTIONS = 4096
+SOCKET_TIMEOUT_S = 10
+MAX_HEADER_BYTES = 64 * 1024
+
+
+class ClientConnection(msgspec.Struct, frozen=True, kw_only=True):
+    """A caller's connection whose answer's head has been written.
+
+    Attributes:
+        connection: Its socket.
+        chunked: True when the body must be written in the chunked transfer coding.
+        release: Gives the connection back (True: for the next request) or closes it (False).
+    """
+
+    connection: socket.socket
+    chunked: bool
+    release: Callable[[bool], None]
+
+
+Handover = Callable[[ClientConnection], None]
+"""Takes over a caller's connection; called once, after the worker thread let go of it."""
+
+
+class HandoverSlot:
+    """Where a handler leaves its handover; CherryPy copies the environment, not the slot."""
+
+    def __init__(self) -> None:
+        self.handover: Handover | None = None
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    """Connection that a worker thread passes on instead of closing it."""
+
+    def __init__(self, server: Any, sock: Any, makefile: Any = MakeFile) -> None:
+        super().__init__(server, sock, makefile)
+        self._pending: tuple[Handover, bool, bool] | None = None
+
+    def communicate(self) -> bool:
+        guard = cast(StreamingServer, self.server).guard
+        guard.reading(self)
+        try:
+            return cast(bool, super().communicate())
+        finally:
+            guard.done(self)
+
+    def pass_on(self, handover: Handover, chunked: bool, keep: bool) -> None:
+        """Arrange that the worker's ``close`` passes the connection to ``handover``."""
+        self._pending = (handover, chunked, keep)
+
+    def close(self) -> None:
+        # The worker closes a connection as the last thing that it does with it: only then may
+        # another thread use it.
+        if self._pending is None:
+            super().close()
+            return
+        handover, chunked, keep = self._pending
+        self._pending = None
+        handover(
+            ClientConnection(
+                connection=self.socket,
+                chunked=chunked,
+                release=lambda reusable: self._release(reusable and keep),
+            )
+        )
+
+    def _release(self, reusable: bool) -> None:
+        if not reusable:
+            super().close()
+            return
+        self.socket.settimeout(self.server.timeout)
+        self.server.put_conn(self)
+
+
+class _Gateway(wsgi.Gateway_10):
+    """WSGI gateway that lets handlers reach the HTTP request and pass its connection on."""
+
+    def get_environ(self) -> Any:
+        # The base class's own annotation says None; its subclasses return the environment.
+        environ: dict[str, Any] = super().get_environ()
+        environ[REQUEST_KEY] = self.req
+        environ[HANDOVER_KEY] = HandoverSlot()
+        length = int(self.req.inheaders.get(b"Content-Length", 0))
+        if length or self.req.chunked_read:
+            self.req.server.guard.extend(self.req.conn, length)
+        else:
+            self.req.server.guard.done(self.req.conn)
+        return environ
+
+    def respond(self) -> None:
+        super().respond()
+        handover = cast(HandoverSlot, self.env[HANDOVER_KEY]).handover
+        if handover is None:
+            return
+        keep = not self.req.close_connection
+        self.req.conn.pass_on(handover, self.req.chunked_write, keep)
+        # The relay ends the body; cheroot must neither end it nor wait for the next request.
+        self.req.chunked_write = False
+        self.req.close_connection = True
+
+
+def body_is_read(environ: dict[str, Any]) -> None:
+    """Tell the server that a request's body is read, so that it is no longer timed."""
+    request = environ.get(REQUEST_KEY)
+    if request is not None:
+        request.server.guard.done(request.conn)
+
+
+class StreamingServer(wsgi.Server):
+    """Server of the callers' HTTP port."""
+
+    ConnectionClass = _Connection
+    request_queue_size = LISTEN_BACKLOG
+    keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+    max_request_header_size = MAX_HEADER_BYTES
+
+    def __init__(self, host: str, port: int, app: Any, threads: int, name: str) -> None:
+        super().__init__(
+            (host, port),
+            app,
+            numthreads=threads,
+            server_name=name,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=SOCKET_TIMEOUT_S,
+        )
+        self.gateway = _Gateway
+        self.guard = SlowSenderGuard()
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Drop cheroot's lines about callers that went away: counters tell of them."""
--- /dev/null
+++ b/src/leverjunction/gateway/owner.py
@@ -0,0 +1,130 @@
+"""Work of a runner's owner gateway: reads its load and cache events and passes them on."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from loguru import logger
+
+from leverjunction.backends.client import EngineClient
+from leverjunction.backends.types import LoadReport
+from leverjunction.errors import Failure
+from leverjunction.gateway.cache_feed import CacheFeed
+from leverjunction.gateway.exchange import DigestOutbox
+from leverjunction.gateway.runner_pool import RunnerPool
+from leverjunction.gateway.view import ClusterView
+from leverjunction.wire.messages import RunnerDigest, RunnerState
+
+POLL_INTERVAL_S = 0.2
+POLL_THREADS = 16
+POLL_TIMEOUT_S = 0.6
+FAILURES_TO_UNHEALTHY = 3
+
+
+class OwnerLoop:
+    """Polls owned runners in its own thread."""
+
+    def __init__(
+        self,
+        engines: EngineClient,
+        view: ClusterView,
+        pool: RunnerPool,
+        outbox: DigestOutbox,
+        observe_load: Callable[[str, LoadReport], None],
+        feed: CacheFeed,
+    ) -> None:
+        self._engines = engines
+        self._view = view
+        self._pool = pool
+        self._outbox = outbox
+        self._observe_load = observe_load
+        self._feed = feed
+        self._owned: dict[str, RunnerState] = {}
+        self._failures: dict[str, int] = {}
+        self._polling: dict[str, Future[None]] = {}
+        self._threads = ThreadPoolExecutor(POLL_THREADS, thread_name_prefix="load-poll")
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stopped.set()
+        self._thread.join()
+        self._feed.update([])
+        self._threads.shutdown(wait=False, cancel_futures=True)
+
+    def update(self, owned: list[RunnerState]) -> None:
+        """Take the runners that this gateway owns now; called after each exchange."""
+        ids = {runner.runner_id for runner in owned}
+        if ids != set(self._owned):
+            logger.info("owns runners {}", sorted(ids))
+        self._owned = {runner.runner_id: runner for runner in owned}
+        for runner_id in set(self._failures) - ids:
+            del self._failures[runner_id]
+        self._outbox.retain(ids)
+        self._feed.update(owned)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(POLL_INTERVAL_S):
+            for runner in list(self._owned.values()):
+                last = self._polling.get(runner.runner_id)
+                # A poll that hangs must not hold up the others, nor be joined by a second one.
+                if last is None or last.done():
+                    self._polling[runner.runner_id] = self._threads.submit(self._poll, runner)
+
+    def _poll(self, runner: RunnerState) -> None:
+        report = self._engines.load(runner.address, POLL_TIMEOUT_S)
+        if self._stopped.is_set() or runner.runner_id not in self._owned:
+            return
+        if isinstance(report, Failure):
+            self._note_failure(runner, report)
+            return
+        if self._failures.pop(runner.runner_id, 0) >= FAILURES_TO_UNHEALTHY:
+            logger.info("runner {} answers again", runner.runner_id)
+        self._publish(digest_of(runner.runner_id, report))
+        self._observe_load(runner.runner_id, report)
+
+    def _note_failure(self, runner: RunnerState, failure: Failure) -> None:
+        failures = self._failures.get(runner.runner_id, 0) + 1
+        self._failures[runner.runner_id] = failures
+        if failures == FAILURES_TO_UNHEALTHY:
+            logger.warning("runner {} does not answer: {}", runner.runner_id, failure.reason)
+        if failures >= FAILURES_TO_UNHEALTHY:
+            self._publish(unhealthy_digest(runner.runner_id, self._view))
+
+    def _publish(self, digest: RunnerDigest) -> None:
+        self._view.observe(digest)
+        self._outbox.put(digest)
+
+
+def digest_of(runner_id: str, report: LoadReport) -> RunnerDigest:
+    """Return the digest of a load report; ``waiting`` leaves out queued batch requests."""
+    total = max(report.kv_blocks_total, 1)
+    return RunnerDigest(
+        runner_id=runner_id,
+        running=report.running,
+        waiting=max(0, report.waiting - report.batch_waiting),
+        batch_running=report.batch_running,
+        kv_used_ratio=report.kv_blocks_used / total,
+        as_of_ms=report.as_of_ms,
+    )
+
+
+def unhealthy_digest(runner_id: str, view: ClusterView) -> RunnerDigest:
+    """Return the digest of a runner that does not answer, as of its last reading."""
+    last = view.snapshot.digests.get(runner_id)
+    return RunnerDigest(
+        runner_id=runner_id,
+        running=0,
+        waiting=0,
+        batch_running=0,
+        kv_used_ratio=0.0,
+        as_of_ms=last.as_of_ms if last is not None else 0,
+        healthy=False,
+    )
--- /dev/null
+++ b/src/leverjunction/gateway/process.py
@@ -0,0 +1,35 @@
+"""Entry point of the gateway process."""
+
+from __future__ import annotations
+
+import signal
+import threading
+
+from loguru import logger
+
+from leverjunction.config.gateway import GatewayConfig
+from leverjunction.gateway.runtime import GatewayRuntime
+from leverjunction.observability.logs import setup_logging
+
+
+def run(config: GatewayConfig) -> int:
+    """Run a gateway until SIGTERM or SIGINT, then stop as planned.
+
+    Returns:
+        0 after a planned stop; 1 when open requests outlasted ``drain_timeout_s``, or when the
+        gateway could not start.
+    """
+    setup_logging(config.log, config.name)
+    stop_asked = threading.Event()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, lambda _number, _frame: stop_asked.set())
+    try:
+        runtime = GatewayRuntime(config)
+        runtime.start()
+    except OSError as error:
+        logger.error("cannot start: {}", error)
+        return 1
+    stop_asked.wait()
+    drained = runtime.drain()
+    runtime.stop()
+    return 0 if drained else 1
--- /dev/null
+++ b/src/leverjunction/gateway/prompt.py
@@ -0,0 +1,105 @@
+"""What a gateway reads of a request's body: model, streaming, and the prompt's cache blocks."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from leverjunction.backends.types import CHAT_PATH
+from leverjunction.errors import Failure, FailureKind, Step
+
+BLOCK_WORDS = 16
+MAX_BLOCKS = 512
+"""Longer prompts are compared by their first blocks only; this bounds the hashing."""
+_ROOT_PARENT = 0
+
+
+class ContentPart(msgspec.Struct, frozen=True):
+    """A part of a message's content; only text counts for the prefix."""
+
+    type: str = "text"
+    text: str = ""
+
+
+class Message(msgspec.Struct, frozen=True):
+    """One chat message."""
+
+    role: str
+    content: str | list[ContentPart] | None = None
+
+
+class ChatBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The fields of a chat completion that the gateway reads."""
+
+    model: str
+    messages: list[Message]
+    stream: bool = False
+
+
+class CompletionBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The fields of a text completion that the gateway reads."""
+
+    model: str
+    prompt: str | list[str]
+    stream: bool = False
+
+
+class ParsedRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A caller's request as far as the gateway understands it.
+
+    Attributes:
+        model: ``model`` or ``model:adapter``.
+        stream: True when the caller wants SSE.
+        prompt: The prompt's text, as the engine hashes it.
+    """
+
+    model: str
+    stream: bool
+    prompt: str
+
+
+_CHAT_DECODER = msgspec.json.Decoder(ChatBody)
+_COMPLETION_DECODER = msgspec.json.Decoder(CompletionBody)
+
+
+def parse_request(path: str, body: bytes) -> ParsedRequest | Failure:
+    """Check a caller's body and return what routing needs of it."""
+    try:
+        if path == CHAT_PATH:
+            chat = _CHAT_DECODER.decode(body)
+            return ParsedRequest(model=chat.model, stream=chat.stream, prompt=_chat_text(chat))
+        text = _COMPLETION_DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(
+            kind=FailureKind.BAD_REQUEST,
+            reason=f"the body is not a valid request: {error}",
+            step=Step.PARSING,
+        )
+    prompt = text.prompt if isinstance(text.prompt, str) else " ".join(text.prompt)
+    return ParsedRequest(model=text.model, stream=text.stream, prompt=prompt)
+
+
+def _chat_text(body: ChatBody) -> str:
+    return " ".join(f"{message.role}: {_content_text(message)}" for message in body.messages)
+
+
+def _content_text(message: Message) -> str:
+    if message.content is None:
+        return ""
+    if isinstance(message.content, str):
+        return message.content
+    return " ".join(part.text for part in message.content if part.type == "text")
+
+
+def block_hashes(prompt: str) -> list[str]:
+    """Return the chained hashes of a prompt's whole blocks (docs/BACKENDS.md, cache events)."""
+    words = prompt.split()
+    whole_blocks = min(len(words) // BLOCK_WORDS, MAX_BLOCKS)
+    parent = _ROOT_PARENT
+    hashes = []
+    for index in range(whole_blocks):
+        block = words[index * BLOCK_WORDS : (index + 1) * BLOCK_WORDS]
+        data = parent.to_bytes(8, "big") + " ".join(block).encode()
+        parent = xxhash.xxh64_intdigest(data)
+        hashes.append(f"{parent:016x}")
+    return hashes
--- /dev/null
+++ b/src/leverjunction/gateway/relay.py
@@ -0,0 +1,385 @@
+"""Relay loop: one thread passes the bytes of all streams from engines to callers.
+
+Engine bodies end with their connections (HTTP/1.0), so that their bytes are SSE text and pass
+unparsed. A caller that reads slowly makes its own engine wait and nobody else.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import selectors
+import socket
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from loguru import logger
+
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.gateway.relay_stream import (
+    DONE_EVENT,
+    LAST_CHUNK,
+    AnswerIsWhole,
+    EngineSide,
+    RelayStream,
+)
+from leverjunction.observability.counters import GatewayCounters
+
+READ_BYTES = 65536
+MAX_QUEUED_BYTES = 256 * 1024
+SCAN_INTERVAL_S = 0.5
+UNHEALTHY_SILENCE_S = 2.0
+CALLER_STALL_S = 60.0
+REPAIR_THREADS = 32
+PROBE_COMMENT = b":\n\n"
+"""An SSE comment, which clients ignore; writing it shows whether a half-closed caller is there."""
+
+Action = Callable[[], None]
+
+
+class RelayLoop:
+    """Selector-driven relay. ``submit`` may be called from any thread."""
+
+    def __init__(self, counters: GatewayCounters) -> None:
+        self._counters = counters
+        self._selector = selectors.DefaultSelector()
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._actions: deque[Action] = deque()
+        self._streams: set[RelayStream] = set()
+        self._repairs = ThreadPoolExecutor(REPAIR_THREADS, thread_name_prefix="stream-repair")
+        self._thread = threading.Thread(target=self._run, name="relay", daemon=True)
+        self._stopped = False
+        self._idle = threading.Condition()
+        self._open_count = 0
+
+    def start(self) -> None:
+        """Start the relay thread."""
+        self._selector.register(self._wake_reader, selectors.EVENT_READ, self._drain_wakeups)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the relay thread; streams that are still open are cut."""
+        self._stopped = True
+        self._wake()
+        self._thread.join()
+        self._repairs.shutdown(wait=False, cancel_futures=True)
+
+    def expect(self) -> None:
+        """Count a stream whose head is about to be written; ``submit`` follows."""
+        with self._idle:
+            self._open_count += 1
+        self._counters.open_streams.inc()
+
+    def submit(self, stream: RelayStream) -> None:
+        """Start to relay a stream that was announced by ``expect``."""
+        self._post(lambda: self._begin(stream))
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no stream is open; returns False when ``timeout_s`` passed before that."""
+        with self._idle:
+            return self._idle.wait_for(lambda: self._open_count == 0, timeout_s)
+
+    def _post(self, action: Action) -> None:
+        self._actions.append(action)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._wake_writer.send(b"\0")
+
+    def _drain_wakeups(self, _mask: int) -> None:
+        self._wake_reader.recv(4096)
+        while self._actions:
+            self._actions.popleft()()
+
+    def _run(self) -> None:
+        next_scan_s = time.monotonic() + SCAN_INTERVAL_S
+        while not self._stopped:
+            for key, mask in self._selector.select(SCAN_INTERVAL_S):
+                self._handle(key.data, mask)
+            now_s = time.monotonic()
+            if now_s >= next_scan_s:
+                next_scan_s = now_s + SCAN_INTERVAL_S
+                self._scan(now_s)
+
+    def _handle(self, handler: Callable[[int], None], mask: int) -> None:
+        try:
+            handler(mask)
+        except Exception:
+            # One stream's fault must not end the thread that carries all others.
+            logger.exception("relay handler failed")
+
+    def _begin(self, stream: RelayStream) -> None:
+        stream.client.connection.setblocking(False)
+        self._streams.add(stream)
+        self._selector.register(
+            stream.client.connection,
+            selectors.EVENT_READ,
+            lambda mask: self._on_client(stream, mask),
+        )
+        assert stream.engine is not None
+        self._attach(stream, stream.engine)
+
+    def _attach(self, stream: RelayStream, engine: EngineSide) -> None:
+        """Start to read an engine's side."""
+        stream.engine = engine
+        stream.partial = b""
+        stream.paused = False
+        stream.last_byte_s = time.monotonic()
+        engine.connection.setblocking(False)
+        self._selector.register(
+            engine.connection, selectors.EVENT_READ, lambda _mask: self._on_engine(stream)
+        )
+        if engine.first_bytes:
+            self._pass_on(stream, engine.first_bytes)
+
+    def _on_engine(self, stream: RelayStream) -> None:
+        if stream.engine is None or stream.paused:
+            # An earlier event of the same round took the engine's side away.
+            return
+        try:
+            data = stream.engine.connection.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._break(stream, f"the back end's connection broke: {error}")
+            return
+        if not data:
+            self._break(stream, "the back end closed the stream before its end")
+            return
+        self._pass_on(stream, data)
+
+    def _pass_on(self, stream: RelayStream, data: bytes) -> None:
+        stream.last_byte_s = time.monotonic()
+        events = stream.whole_events(data)
+        if not events:
+            return
+        stream.transcript += events
+        frame = stream.framed(events)
+        if events.endswith(DONE_EVENT):
+            self._end(stream, frame, None)
+        else:
+            self._send(stream, frame)
+
+    def _end(self, stream: RelayStream, frame: bytes, failure: Failure | None) -> None:
+        """Write the last bytes of a stream; it is finished once the caller has taken them."""
+        self._detach_engine(stream)
+        stream.finishing = True
+        stream.failure = failure
+        if stream.client.chunked:
+            frame += LAST_CHUNK
+        if self._send(stream, frame) and not stream.queued:
+            self._finish(stream, failure, reusable=True)
+
+    def _send(self, stream: RelayStream, frame: bytes) -> bool:
+        """Write to the caller what it takes now, queue the rest; False when the caller is gone."""
+        if stream.queued:
+            stream.queued += frame
+        else:
+            try:
+                sent = stream.client.connection.send(frame)
+            except BlockingIOError:
+                sent = 0
+            except OSError as error:
+                self._caller_gone(stream, error)
+                return False
+            if sent < len(frame):
+                stream.queued += frame[sent:]
+        if stream.queued:
+            self._watch_client(stream)
+            if len(stream.queued) > MAX_QUEUED_BYTES:
+                self._pause_engine(stream)
+        return True
+
+    def _on_client(self, stream: RelayStream, mask: int) -> None:
+        if stream not in self._streams:
+            return
+        if mask & selectors.EVENT_WRITE and not self._flush(stream):
+            return
+        if mask & selectors.EVENT_READ:
+            self._peek_client(stream)
+
+    def _flush(self, stream: RelayStream) -> bool:
+        """Write queued bytes; returns False when the stream is over."""
+        try:
+            sent = stream.client.connection.send(stream.queued)
+        except BlockingIOError:
+            return True
+        except OSError as error:
+            self._caller_gone(stream, error)
+            return False
+        del stream.queued[:sent]
+        stream.last_byte_s = time.monotonic()
+        if stream.queued:
+            return True
+        if stream.finishing:
+            self._finish(stream, stream.failure, reusable=True)
+            return False
+        self._watch_client(stream)
+        self._resume_engine(stream)
+        return True
+
+    def _peek_client(self, stream: RelayStream) -> None:
+        """Look whether the caller closed its side, without taking a next request's bytes."""
+        try:
+            data = stream.client.connection.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._caller_gone(stream, error)
+            return
+        # After a half-close the caller may still read: the next writes show whether it does.
+        # Bytes of a next request stay in the socket, and are not looked at again.
+        stream.client_half_closed = True
+        self._watch_client(stream)
+        if not data and not stream.queued:
+            self._send(stream, stream.framed(PROBE_COMMENT))
+
+    def _watch_client(self, stream: RelayStream) -> None:
+        events = 0 if stream.client_half_closed else selectors.EVENT_READ
+        if stream.queued:
+            events |= selectors.EVENT_WRITE
+        connection = stream.client.connection
+        registered = connection in self._selector.get_map()
+        if events and registered:
+            key = self._selector.get_key(connection)
+            if key.events != events:
+                self._selector.modify(connection, events, key.data)
+        elif events:
+            self._selector.register(connection, events, lambda mask: self._on_client(stream, mask))
+        elif registered:
+            self._selector.unregister(connection)
+
+    def _pause_engine(self, stream: RelayStream) -> None:
+        if stream.engine is not None and not stream.paused:
+            stream.paused = True
+            self._selector.unregister(stream.engine.connection)
+
+    def _resume_engine(self, stream: RelayStream) -> None:
+        if stream.engine is not None and stream.paused:
+            stream.paused = False
+            stream.last_byte_s = time.monotonic()
+            self._selector.register(
+                stream.engine.connection,
+                selectors.EVENT_READ,
+                lambda _mask: self._on_engine(stream),
+            )
+
+    def _detach_engine(self, stream: RelayStream) -> None:
+        if stream.engine is None:
+            return
+        if not stream.paused:
+            self._selector.unregister(stream.engine.connection)
+        stream.engine.connection.close()
+        stream.engine = None
+
+    def _break(self, stream: RelayStream, reason: str) -> None:
+        """The engine's side is lost: let a helper thread find another one."""
+        address = stream.engine.address if stream.engine is not None else ""
+        self._detach_engine(stream)
+        failure = Failure(
+            kind=FailureKind.BACKEND_FAILED,
+            reason=reason,
+            step=Step.RELAYING,
+            peer=address,
+            execution=Execution.UNKNOWN,
+        )
+        self._repairs.submit(self._repair, stream, bytes(stream.transcript), failure)
+
+    def _repair(self, stream: RelayStream, transcript: bytes, failure: Failure) -> None:
+        outcome: EngineSide | AnswerIsWhole | Failure
+        try:
+            outcome = stream.callbacks.broken(transcript, failure)
+        except Exception:
+            logger.exception("stream repair failed")
+            outcome = failure
+        self._post(lambda: self._repaired(stream, outcome))
+
+    def _repaired(self, stream: RelayStream, outcome: EngineSide | AnswerIsWhole | Failure) -> None:
+        if stream not in self._streams or stream.finishing:
+            # The caller went away meanwhile, or the deadline passed.
+            if isinstance(outcome, EngineSide):
+                outcome.connection.close()
+            return
+        if isinstance(outcome, EngineSide):
+            self._attach(stream, outcome)
+        elif isinstance(outcome, AnswerIsWhole):
+            stream.transcript += DONE_EVENT
+            self._end(stream, stream.framed(DONE_EVENT), None)
+        else:
+            self._end_with_error(stream, outcome)
+
+    def _end_with_error(self, stream: RelayStream, failure: Failure) -> None:
+        """End a stream by an explicit error event: it is never cut in silence."""
+        self._end(stream, stream.framed(stream.callbacks.error_event(failure)), failure)
+
+    def _caller_gone(self, stream: RelayStream, error: object) -> None:
+        self._counters.client_gone.inc()
+        self._detach_engine(stream)
+        stream.queued.clear()
+        self._finish(
+            stream,
+            Failure(
+                kind=FailureKind.CANCELLED,
+                reason=f"the caller went away: {error}",
+                step=Step.RELAYING,
+                execution=Execution.RAN,
+            ),
+            reusable=False,
+        )
+
+    def _finish(self, stream: RelayStream, failure: Failure | None, reusable: bool) -> None:
+        if stream not in self._streams:
+            return
+        self._streams.discard(stream)
+        connection = stream.client.connection
+        if connection in self._selector.get_map():
+            self._selector.unregister(connection)
+        self._counters.relayed_bytes.inc(len(stream.transcript))
+        self._repairs.submit(self._close, stream, failure, reusable)
+
+    def _close(self, stream: RelayStream, failure: Failure | None, reusable: bool) -> None:
+        """Give the caller's connection back and tell the stream's owner; on a helper thread."""
+        with contextlib.suppress(OSError):  # the caller closed first
+            stream.client.release(reusable)
+        try:
+            stream.callbacks.ended(bytes(stream.transcript), failure)
+        except Exception:
+            logger.exception("end of a stream not recorded")
+        self._counters.open_streams.dec()
+        with self._idle:
+            self._open_count -= 1
+            self._idle.notify_all()
+
+    def _scan(self, now_s: float) -> None:
+        """Find streams that are silent, past their deadline, or whose caller stalls."""
+        for stream in list(self._streams):
+            self._scan_one(stream, now_s)
+
+    def _scan_one(self, stream: RelayStream, now_s: float) -> None:
+        silent_s = now_s - stream.last_byte_s
+        if stream.queued:
+            if silent_s > CALLER_STALL_S:
+                self._caller_gone(stream, "it does not read")
+            return
+        if now_s > stream.deadline_s:
+            self._end_with_error(stream, _deadline_failure(stream))
+            return
+        if stream.client_half_closed and silent_s > SCAN_INTERVAL_S:
+            self._send(stream, stream.framed(PROBE_COMMENT))
+        if stream.engine is None or silent_s < UNHEALTHY_SILENCE_S:
+            return
+        if silent_s > stream.silence_s or not stream.callbacks.runner_is_healthy():
+            self._break(stream, f"the back end was silent for {silent_s:.1f} s")
+
+
+def _deadline_failure(stream: RelayStream) -> Failure:
+    return Failure(
+        kind=FailureKind.DEADLINE_EXCEEDED,
+        reason="the service's deadline_s passed before the answer was whole",
+        step=Step.RELAYING,
+        peer=stream.engine.address if stream.engine is not None else "",
+        execution=Execution.RAN,
+    )
--- /dev/null
+++ b/src/leverjunction/gateway/runtime.py
@@ -0,0 +1,249 @@
+"""All parts of one gateway, wired together; the process and the tests start the same one."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from pathlib import Path
+
+from loguru import logger
+
+from leverjunction.api.app import build_app
+from leverjunction.api.batches import BatchApi
+from leverjunction.api.completions import CompletionsApi
+from leverjunction.api.decisions import DecisionsApi
+from leverjunction.api.models import ModelsApi
+from leverjunction.api.probes import ProbesApi
+from leverjunction.backends.client import EngineClient
+from leverjunction.clock import SystemClock
+from leverjunction.config.gateway import GatewayConfig
+from leverjunction.gateway.cache_feed import CacheFeed
+from leverjunction.gateway.claims import ClaimDesk
+from leverjunction.gateway.exchange import DigestOutbox, ExchangeLoop
+from leverjunction.gateway.gate import AdmissionGate
+from leverjunction.gateway.harvest import BatchHarvest
+from leverjunction.gateway.http_server import StreamingServer
+from leverjunction.gateway.inflight import Inflight
+from leverjunction.gateway.internal_rpc import build_endpoint
+from leverjunction.gateway.journal import Journal
+from leverjunction.gateway.online import OnlineService, Place
+from leverjunction.gateway.owner import OwnerLoop
+from leverjunction.gateway.ownership import owned_runners
+from leverjunction.gateway.relay import RelayLoop
+from leverjunction.gateway.retry import RetryBudget
+from leverjunction.gateway.runner_pool import RunnerPool
+from leverjunction.gateway.sender import Sender
+from leverjunction.gateway.settings_store import SettingsStore
+from leverjunction.gateway.stream_session import StreamServices
+from leverjunction.gateway.view import ClusterSnapshot, ClusterView
+from leverjunction.gateway.yielding import YieldNotifier
+from leverjunction.observability.counters import GatewayCounters
+from leverjunction.observability.decisions import DecisionRing
+from leverjunction.settings.cache import SettingsCache
+from leverjunction.wire.control_client import ControlClient
+from leverjunction.wire.messages import GatewayState
+from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.rpc_server import RpcServer
+
+STOP_EXCHANGES = 3
+
+
+class GatewayRuntime:
+    """One gateway. ``start`` returns once it listens; ``drain`` and ``stop`` end it as planned."""
+
+    def __init__(self, config: GatewayConfig) -> None:
+        self.config = config
+        self.clock = SystemClock()
+        self.incarnation = self.clock.wall_ms()
+        generator = random.Random()
+        cluster_key = _read_secret(config.cluster_key_file)
+        self.counters = GatewayCounters()
+        self.ring = DecisionRing(random.Random())
+        self.inflight = Inflight()
+        self.view = ClusterView()
+        config.data_folder.mkdir(parents=True, exist_ok=True)
+        self.settings = SettingsStore(SettingsCache(config.data_folder))
+        self.rpc_client = RpcClient(cluster_key, self.incarnation)
+        self.control = ControlClient(self.rpc_client, list(config.hubs))
+        self.engines = EngineClient()
+        self.pool = RunnerPool(self.view, config.zone, self.clock, generator)
+        self.outbox = DigestOutbox()
+        self.harvest = BatchHarvest(self.control, self.engines, self.clock, config)
+        self.notifier = YieldNotifier(
+            config.name, self.view, self.control, self.harvest, self.clock, self.counters
+        )
+        self.feed = CacheFeed(self.engines, self.pool, self.counters)
+        self.owner = OwnerLoop(
+            self.engines, self.view, self.pool, self.outbox, self.harvest.observe_load, self.feed
+        )
+        self.exchange = ExchangeLoop(
+            self.control,
+            self.identity,
+            self.view,
+            self.settings,
+            self.outbox,
+            self.harvest,
+            self.counters,
+            config.exchange_interval_s,
+            self._on_view,
+        )
+        self.gate = AdmissionGate(self.clock, self.counters)
+        self.relay = RelayLoop(self.counters)
+        self.online = self._online_service()
+        endpoint = build_endpoint(
+            cluster_key, self.incarnation, self.harvest, self.counters, self.identity
+        )
+        self.rpc_server = RpcServer(config.listen.host, config.listen.rpc_port, endpoint)
+        self.http_server = self._http_server()
+        self._http_thread: threading.Thread | None = None
+
+    @property
+    def http_address(self) -> str:
+        """``host:port`` for callers; known once started."""
+        host, port = self.http_server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def identity(self) -> GatewayState:
+        """Return this gateway's state as the hub should know it."""
+        return GatewayState(
+            gateway_id=self.config.name,
+            address=self.http_address,
+            rpc_address=self.rpc_server.address,
+            zone=self.config.zone,
+            incarnation=self.incarnation,
+            stopping=self.inflight.stopping,
+            settings_version=self.settings.current.version,
+        )
+
+    def not_ready(self) -> str | None:
+        """Return why no requests should be sent here, None when they may."""
+        if self.inflight.stopping:
+            return "stopping"
+        if self.settings.current.version == 0:
+            return "no settings yet"
+        if self.view.snapshot.view_version == 0:
+            return "no view of the cluster yet"
+        return None
+
+    def start(self) -> None:
+        """Start all threads and listen."""
+        version = self.settings.load_copy()
+        self.counters.settings_version.set(version)
+        self.relay.start()
+        self.rpc_server.start()
+        self.http_server.prepare()
+        self.http_server.guard.start()
+        self._http_thread = threading.Thread(
+            target=self.http_server.serve, name="http-server", daemon=True
+        )
+        self._http_thread.start()
+        self.owner.start()
+        self.exchange.start()
+        logger.info("gateway listens on {}, settings version {}", self.http_address, version)
+
+    def drain(self) -> bool:
+        """Refuse new requests, hand batch back and wait for open ones; False when time ran out."""
+        logger.info("stopping: new requests are refused")
+        self.inflight.begin_stop()
+        deadline_s = time.monotonic() + self.config.drain_timeout_s
+        self.exchange.exchange_once()
+        self.harvest.stop()
+        self.gate.stop()
+        idle = self.inflight.wait_idle(max(0.0, deadline_s - time.monotonic()))
+        idle = self.relay.wait_idle(max(0.0, deadline_s - time.monotonic())) and idle
+        if not idle:
+            logger.warning("requests were still open after {} s", self.config.drain_timeout_s)
+        return idle
+
+    def stop(self) -> None:
+        """Stop listening and end all threads."""
+        self.ring.close()
+        self.exchange.stop()
+        self.owner.stop()
+        self.notifier.stop()
+        self.http_server.stop()
+        self.http_server.guard.stop()
+        if self._http_thread is not None:
+            self._http_thread.join()
+        self.rpc_server.stop()
+        self.relay.stop()
+        self.engines.close()
+        self.rpc_client.close()
+        logger.info("stopped")
+
+    def job_groups(self) -> list[str]:
+        """Return the names of all job groups."""
+        return [f"jobs-{index}" for index in range(self.view.snapshot.job_groups)]
+
+    def _on_view(self, snapshot: ClusterSnapshot) -> None:
+        """Follow a new view: owned runners, batch settings, forgotten runners."""
+        owned = []
+        if not self.inflight.stopping:
+            owned = owned_runners(
+                self.config.name, snapshot.runners.values(), snapshot.gateways.values()
+            )
+        self.counters.owned_runners.set(len(owned))
+        self.owner.update(owned)
+        self.harvest.update(owned, self.settings.current, self.job_groups())
+
+    def _online_service(self) -> OnlineService:
+        journal = Journal(self.ring, self.clock)
+        sender = Sender(
+            self.engines,
+            self.pool,
+            self.gate,
+            RetryBudget(),
+            self.notifier,
+            journal,
+            self.counters,
+            self.clock,
+        )
+        streams = StreamServices(
+            engines=self.engines,
+            sender=sender,
+            pool=self.pool,
+            journal=journal,
+            counters=self.counters,
+            clock=self.clock,
+        )
+        return OnlineService(
+            Place(region=self.config.region, zone=self.config.zone),
+            lambda: self.settings.current,
+            self.gate,
+            sender,
+            ClaimDesk(self.control, self.job_groups, self.config.name),
+            self.relay,
+            streams,
+            journal,
+            self.counters,
+            self.clock,
+        )
+
+    def _http_server(self) -> StreamingServer:
+        config = self.config
+        token_file = config.operator_token_file
+        token = _read_secret(token_file).decode() if token_file is not None else None
+        app = build_app(
+            completions=CompletionsApi(
+                self.online, lambda: self.settings.current, self.inflight, config.max_body_bytes
+            ),
+            models=ModelsApi(lambda: self.settings.current),
+            batches=BatchApi(
+                self.control,
+                lambda: self.settings.current,
+                self.clock,
+                random.Random(),
+                self.job_groups,
+            ),
+            decisions=DecisionsApi(self.ring, token),
+            probes=ProbesApi(self.counters.registry, self.not_ready),
+        )
+        listen = config.listen
+        return StreamingServer(
+            listen.host, listen.http_port, app, config.request_threads, config.name
+        )
+
+
+def _read_secret(path: Path) -> bytes:
+    return path.read_bytes().strip()
--- /dev/null
+++ b/src/leverjunction/gateway/settings_store.py
@@ -0,0 +1,53 @@
+"""The settings in force in a gateway. Versions only rise, also over a restart."""
+
+from __future__ import annotations
+
+import threading
+
+from loguru import logger
+
+from leverjunction.errors import Failure, FailureKind
+from leverjunction.settings.cache import SettingsCache
+from leverjunction.settings.resolved import ResolvedSettings
+from leverjunction.wire.messages import SettingRow
+
+
+class SettingsStore:
+    """Holds the settings in force; read by all threads, written by the exchange loop."""
+
+    def __init__(self, cache: SettingsCache) -> None:
+        self._cache = cache
+        self._lock = threading.Lock()
+        self._settings = ResolvedSettings.empty()
+
+    @property
+    def current(self) -> ResolvedSettings:
+        """Return the settings in force."""
+        return self._settings
+
+    def load_copy(self) -> int:
+        """Put the synced copy in force, if there is one; returns the version in force.
+
+        Called once at the start. The hub's first reply then brings what changed since; when no
+        hub answers, the gateway serves on the copy.
+        """
+        loaded = self._cache.load()
+        if isinstance(loaded, Failure):
+            if loaded.kind is not FailureKind.NOT_FOUND:
+                logger.warning("saved settings not used: {}", loaded.reason)
+            return self._settings.version
+        self._settings = loaded
+        return loaded.version
+
+    def apply(self, rows: list[SettingRow], version: int) -> bool:
+        """Put a version step in force and save it; returns whether anything changed."""
+        with self._lock:
+            newer = self._settings.apply(rows, version)
+            if newer is self._settings:
+                return False
+            self._settings = newer
+            failure = self._cache.save(newer)
+        if failure is not None:
+            # The copy only helps a restart without a hub; serving goes on.
+            logger.warning("settings not saved: {}", failure.reason)
+        return True
--- /dev/null
+++ b/src/leverjunction/gateway/view.py
@@ -0,0 +1,104 @@
+"""The cluster as a gateway last heard of it: gateways, runners and their load digests."""
+
+from __future__ import annotations
+
+import threading
+
+import msgspec
+
+from leverjunction.wire.messages import (
+    ExchangeReply,
+    GatewayState,
+    RunnerDigest,
+    RunnerState,
+)
+
+DEFAULT_JOB_GROUPS = 2
+
+
+class ClusterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
+    """One immutable state of the view; replaced as a whole, so readers need no lock.
+
+    Attributes:
+        view_version: Hub's version of this state, 0 when none was heard.
+        hub_incarnation: Incarnation of the hub that gave it.
+        gateways: Live gateways by id.
+        runners: Listed runners by id.
+        digests: Newest load reading of each runner by id.
+        hubs: RPC addresses of the hubs, nearest first.
+        quorum_age_s: Age of the hub's contact with the root group's leader.
+        job_groups: Number of job groups.
+    """
+
+    view_version: int = 0
+    hub_incarnation: int = 0
+    gateways: dict[str, GatewayState] = {}
+    runners: dict[str, RunnerState] = {}
+    digests: dict[str, RunnerDigest] = {}
+    hubs: list[str] = []
+    quorum_age_s: float = 0.0
+    job_groups: int = DEFAULT_JOB_GROUPS
+
+
+def apply_reply(state: ClusterSnapshot, reply: ExchangeReply) -> ClusterSnapshot:
+    """Return the state after a hub's reply; a full view replaces all that it lists."""
+    gateways = {} if reply.full_view else dict(state.gateways)
+    gateways.update((gateway.gateway_id, gateway) for gateway in reply.gateways)
+    runners = {} if reply.full_view else dict(state.runners)
+    runners.update((runner.runner_id, runner) for runner in reply.runners)
+    digests = dict(state.digests)
+    for digest in reply.digests:
+        _put_newer(digests, digest)
+    for gateway_id in reply.gone_gateways:
+        gateways.pop(gateway_id, None)
+    for runner_id in reply.gone_runners:
+        runners.pop(runner_id, None)
+    digests = {runner_id: digest for runner_id, digest in digests.items() if runner_id in runners}
+    return ClusterSnapshot(
+        view_version=reply.view_version,
+        hub_incarnation=reply.hub_incarnation,
+        gateways=gateways,
+        runners=runners,
+        digests=digests,
+        hubs=list(reply.hubs) or state.hubs,
+        quorum_age_s=reply.quorum_age_s,
+        job_groups=getattr(reply, "job_groups", state.job_groups),
+    )
+
+
+def put_digest(state: ClusterSnapshot, digest: RunnerDigest) -> ClusterSnapshot:
+    """Return the state with this gateway's own newer reading of a runner."""
+    digests = dict(state.digests)
+    _put_newer(digests, digest)
+    return msgspec.structs.replace(state, digests=digests)
+
+
+def _put_newer(digests: dict[str, RunnerDigest], digest: RunnerDigest) -> None:
+    """Keep the newer reading: digests that crossed on their way must not turn time back."""
+    known = digests.get(digest.runner_id)
+    if known is None or digest.as_of_ms >= known.as_of_ms:
+        digests[digest.runner_id] = digest
+
+
+class ClusterView:
+    """Holds the current snapshot. Written by the exchange and the owner loop, read by all."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._snapshot = ClusterSnapshot()
+
+    @property
+    def snapshot(self) -> ClusterSnapshot:
+        """Return the current state."""
+        return self._snapshot
+
+    def apply(self, reply: ExchangeReply) -> ClusterSnapshot:
+        """Apply a hub's reply and return the new state."""
+        with self._lock:
+            self._snapshot = apply_reply(self._snapshot, reply)
+            return self._snapshot
+
+    def observe(self, digest: RunnerDigest) -> None:
+        """Take in this gateway's own reading of a runner that it owns."""
+        with self._lock:
+            self._snapshot = put_digest(self._snapshot, digest)
