Simulator: virtual time, network, disks, fibers, real consensus, settings and hubs

Cause: the promises need runs that bring every fault about. Change: SimPy scheduler, machines that are killed and frozen, lossy network, the product's replica engine on stores that lose what was not synced, the product's control client, hub and lease expiry in fibers, operators that race and resend, checkers of settings and their linearizability. Jobs and online requests are not driven yet.

--- /dev/null
+++ b/src/testbed/simulation/cli.py
@@ -0,0 +1,121 @@
+"""Command ``testbed simulate``: runs seeds, checks the promises, prints how to replay a failure."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from pathlib import Path
+
+import fire
+
+from testbed.simulation.breaks import RULES
+from testbed.simulation.result import Report, SeedResult
+from testbed.simulation.run import run_seeds
+from testbed.simulation.scenario import SCENARIOS
+
+DEFAULT_SEEDS = 20
+DEFAULT_WORKERS = 4
+SHOWN_VIOLATIONS = 5
+EXIT_HOLDS = 0
+EXIT_VIOLATED = 1
+EXIT_BAD_ARGUMENT = 2
+HASH_SEED = "PYTHONHASHSEED"
+LIST = "list"
+
+
+def simulate(
+    seeds: int = DEFAULT_SEEDS,
+    first_seed: int = 1,
+    scenario: str = "kilimo",
+    break_rule: str = "",
+    workers: int = DEFAULT_WORKERS,
+    json_file: str = "",
+) -> int:
+    """Run seeds in virtual time and check every promise.
+
+    Args:
+        seeds: Number of seeds.
+        first_seed: The first one; a failing seed is replayed with ``--seeds 1 --first-seed S``.
+        scenario: ``kilimo`` or ``hanbit``.
+        break_rule: Rule to break on purpose (``--break``); ``list`` names all rules. The run then
+            ends at the first seed that catches it.
+        workers: Processes that share the seeds.
+        json_file: File for the report (``--json``).
+
+    Returns:
+        0 when every promise held, 1 after a violation, 2 for a bad argument. With a broken rule a
+        violation is what the run is for, and 1 means that it was caught.
+    """
+    if break_rule == LIST:
+        for name, rule in RULES.items():
+            print(f"{name:36} {rule.summary} [{rule.caught_by}]")
+        return EXIT_HOLDS
+    if scenario not in SCENARIOS or (break_rule and break_rule not in RULES):
+        print(f"unknown scenario or rule; scenarios: {', '.join(SCENARIOS)}; --break list")
+        return EXIT_BAD_ARGUMENT
+    report = run_seeds(
+        scenario,
+        range(first_seed, first_seed + seeds),
+        break_rule,
+        min(workers, seeds),
+        lambda result: _tell(result, scenario, break_rule),
+    )
+    _summarize(report)
+    if json_file:
+        Path(json_file).write_text(json.dumps(report.as_json(), indent=1) + "\n")
+    return EXIT_VIOLATED if report.failing else EXIT_HOLDS
+
+
+def _tell(result: SeedResult, scenario: str, break_rule: str) -> bool:
+    """Print a failing seed with its replay command; go on unless a broken rule was caught."""
+    if not result.violations:
+        return True
+    rule = f" --break {break_rule}" if break_rule else ""
+    print(f"seed {result.seed}: {len(result.violations)} violations")
+    for text in result.violations[:SHOWN_VIOLATIONS]:
+        print(f"  {text}")
+    print(
+        f"  replay: testbed simulate --scenario {scenario} --seeds 1 "
+        f"--first-seed {result.seed}{rule}",
+        flush=True,
+    )
+    return not break_rule
+
+
+def _summarize(report: Report) -> None:
+    faults = sum(report.faults.values())
+    print(
+        f"{report.scenario}: {report.seeds} seeds, {sum(report.checks.values())} checks, "
+        f"{faults} faults, {len(report.failing)} failing seeds, {report.cpu_s:.0f} s of processor"
+    )
+
+
+def fix_hash_seed(arguments: list[str]) -> None:
+    """Run this program again with a fixed hash seed: the order of sets must not differ."""
+    if os.environ.get(HASH_SEED) != "0":
+        environment = os.environ | {HASH_SEED: "0"}
+        os.execve(sys.executable, [sys.executable, *arguments], environment)
+
+
+def rename_options(arguments: list[str]) -> list[str]:
+    """Return the arguments with ``--break`` and ``--json`` as fire can take them."""
+    names = {"--break": "--break_rule", "--json": "--json_file"}
+    renamed = []
+    for argument in arguments:
+        name, equals, value = argument.partition("=")
+        renamed.append(names.get(name, name) + equals + value)
+    return renamed
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run the command line ``simulate ...``."""
+    given = sys.argv[1:] if arguments is None else arguments
+    fix_hash_seed(["-m", "testbed.simulation.cli", *given])
+    if given[:1] == ["simulate"]:
+        given = given[1:]
+    sys.exit(fire.Fire(simulate, command=rename_options(given), serialize=lambda _code: None))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/testbed/simulation/run.py
@@ -0,0 +1,70 @@
+"""Runs single seeds, or many of them in several processes."""
+
+from __future__ import annotations
+
+import multiprocessing
+import time
+from collections.abc import Callable, Iterable, Iterator
+
+from loguru import logger
+
+from testbed.simulation.breaks import BrokenRule
+from testbed.simulation.checkers import all_checkers
+from testbed.simulation.result import Report, SeedResult
+from testbed.simulation.scenario import SCENARIOS
+from testbed.simulation.world import World
+
+Task = tuple[str, int, str]
+
+
+def run_seed(scenario: str, seed: int, broken_rule: str = "") -> SeedResult:
+    """Run one seed, with a rule broken if one is named, and check every promise."""
+    logger.remove()
+    began_s = time.process_time()
+    with BrokenRule(broken_rule):
+        world = World(SCENARIOS[scenario], seed)
+        history = world.run()
+    result = SeedResult(seed, faults=history.faults, counts=history.counts)
+    for checker in all_checkers():
+        finding = checker.check(history)
+        result.checks[checker.name] += finding.checks
+        result.violations += [f"{checker.name}: {text}" for text in finding.violations]
+    result.cpu_s = time.process_time() - began_s
+    return result
+
+
+def run_seeds(
+    scenario: str,
+    seeds: Iterable[int],
+    broken_rule: str,
+    workers: int,
+    on_result: Callable[[SeedResult], bool],
+) -> Report:
+    """Run many seeds and return the sum.
+
+    Args:
+        scenario: Name of the scenario.
+        seeds: Seeds to run.
+        broken_rule: Rule to break, empty for none.
+        workers: Processes; 1 runs everything in this one.
+        on_result: Told of each seed; returns False to run no further ones.
+    """
+    report = Report(scenario, broken_rule)
+    tasks = [(scenario, seed, broken_rule) for seed in seeds]
+    results = map(_run_task, tasks) if workers <= 1 else _in_processes(tasks, workers)
+    for result in results:
+        report.add(result)
+        if not on_result(result):
+            break
+    return report
+
+
+def _run_task(task: Task) -> SeedResult:
+    return run_seed(*task)
+
+
+def _in_processes(tasks: list[Task], workers: int) -> Iterator[SeedResult]:
+    # A fresh process now and then gives back what a run leaves behind (counters, threads).
+    context = multiprocessing.get_context("spawn")
+    with context.Pool(workers, maxtasksperchild=50) as pool:
+        yield from pool.imap_unordered(_run_task, tasks)
--- /dev/null
+++ b/src/testbed/simulation/world.py
@@ -0,0 +1,252 @@
+"""Builds a simulated cluster from a seed and runs it: start, faults, calm, audit."""
+
+from __future__ import annotations
+
+import random
+
+from leverjunction.backends.types import LoadReport
+from leverjunction.batch.state_machine import JobsStateMachine
+from leverjunction.consensus.api import StateMachine
+from leverjunction.consensus.types import GroupConfig
+from leverjunction.platform.machine_list import Machine as ListedMachine
+from leverjunction.platform.machine_list import MachineList, MachineState
+from leverjunction.settings.state_machine import SettingsStateMachine
+from leverjunction.wire.control_client import ControlClient
+from testbed.simulation.control_node import ROOT_GROUP, ControlNode, Platform
+from testbed.simulation.fault_injector import FaultInjector
+from testbed.simulation.faults import schedule
+from testbed.simulation.fiber import Fibers
+from testbed.simulation.gateway_node import GatewayNode
+from testbed.simulation.history import History
+from testbed.simulation.impairment import ImpairmentWatch
+from testbed.simulation.machine import Machine
+from testbed.simulation.network import Network, NetworkProfile
+from testbed.simulation.operators import Operator, audit_settings
+from testbed.simulation.replica import Replica
+from testbed.simulation.rpc import RpcBoard, SimulatedRpc
+from testbed.simulation.runner_node import RunnerNode
+from testbed.simulation.scenario import Scenario
+from testbed.simulation.scheduler import Scheduler
+from testbed.simulation.world_parts import WorldParts
+
+START_S = 8.0
+CHAOS_S = 50.0
+CALM_S = 25.0
+AUDIT_S = 20.0
+FEWER_CONTROL = 3
+MORE_CONTROL = 5
+MORE_CONTROL_SHARE = 0.25
+OPERATORS = 3
+LIST_LAG_S = 0.5
+WALL_OFFSET_MS = 60
+HEARTBEAT_S = 0.25
+ELECTION_MIN_S = 1.0
+ELECTION_MAX_S = 2.0
+LOG_KEPT_ENTRIES = 40
+SNAPSHOT_CHUNK_BYTES = 4096
+
+
+class World:
+    """One run.
+
+    Attributes:
+        parts: Everything in it.
+    """
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.seed = seed
+        scheduler = Scheduler()
+        profile = NetworkProfile(zone_delay_s=scenario.zone_delay_s)
+        network = Network(scheduler, self.generator("network"), profile)
+        self.parts = WorldParts(scenario, scheduler, network, History())
+        self.fibers = Fibers()
+        self.board = RpcBoard(network, self.fibers)
+        self.platform = Platform(self._machine("platform", scenario.zones[0]))
+        self._build_control()
+        self._build_runners()
+        self._build_gateways()
+        self._build_operators()
+        self.injector = FaultInjector(self.parts)
+        self._impairment = ImpairmentWatch(self.parts)
+
+    def generator(self, purpose: str) -> random.Random:
+        """Return an own source of randomness, so that one part's draws change no other's."""
+        return random.Random(f"{self.seed}/{purpose}")
+
+    def run(self) -> History:
+        """Run everything and return the record."""
+        scheduler = self.parts.scheduler
+        chaos_end_s = START_S + CHAOS_S
+        self.injector.plan(schedule(self.generator("faults"), START_S, chaos_end_s))
+        self._impairment.start()
+        scheduler.run_until(chaos_end_s)
+        self._begin_calm()
+        scheduler.run_until(chaos_end_s + CALM_S)
+        self.parts.history.ended_s = scheduler.now_s
+        self._audit()
+        scheduler.run_until(chaos_end_s + CALM_S + AUDIT_S)
+        self._end()
+        return self.parts.history
+
+    def _begin_calm(self) -> None:
+        self.parts.calm = True
+        self.injector.recover_all()
+        for operator in self.parts.operators:
+            operator.active = False
+
+    def _audit(self) -> None:
+        machine = self._machine("auditor", self.parts.scenario.zones[0])
+        control = self._control_client(machine)
+        history = self.parts.history
+        self.fibers.spawn(machine, lambda: audit_settings(control, history))
+
+    def _end(self) -> None:
+        """End every process, so that no fiber's thread is left over."""
+        self.parts.history.counts.update(self.parts.network.counts)
+        for machine in self.parts.network.machines.values():
+            machine.kill()
+
+    def _machine(self, name: str, zone: str) -> Machine:
+        offset_ms = self.generator(f"clock/{name}").randint(-WALL_OFFSET_MS, WALL_OFFSET_MS)
+        machine = Machine(name, zone, self.parts.scheduler, offset_ms)
+        return self.parts.network.add(machine)
+
+    def _control_client(self, machine: Machine) -> ControlClient:
+        hubs = sorted(
+            self.parts.control,
+            key=lambda name: (self.parts.control[name].machine.zone != machine.zone, name),
+        )
+        return ControlClient(
+            SimulatedRpc(machine, self.board),  # type: ignore[arg-type]
+            hubs,
+            machine,
+            self.generator(f"client/{machine.name}"),
+            sleep=lambda seconds: self.fibers.sleep(machine, seconds),
+        )
+
+    def _build_control(self) -> None:
+        more = self.generator("size").random() < MORE_CONTROL_SHARE
+        count = MORE_CONTROL if more else FEWER_CONTROL
+        zones = self.parts.scenario.zones
+        names = [f"control-{number}" for number in range(count)]
+        board_of_replicas: dict[str, dict[str, Replica]] = {}
+        for number, name in enumerate(names):
+            machine = self._machine(name, zones[number % len(zones)])
+            replicas = {
+                group: self._replica(group, machine, names, board_of_replicas)
+                for group in (ROOT_GROUP, "jobs-0")
+            }
+            board_of_replicas[name] = replicas
+            self.parts.control[name] = ControlNode(
+                machine,
+                self.board,
+                replicas,
+                self.parts.control,
+                self.platform,
+                self.generator(f"control/{name}"),
+            )
+        for node in self.parts.control.values():
+            node.start()
+
+    def _replica(
+        self,
+        group: str,
+        machine: Machine,
+        names: list[str],
+        board_of_replicas: dict[str, dict[str, Replica]],
+    ) -> Replica:
+        state_machine: StateMachine = (
+            SettingsStateMachine() if group == ROOT_GROUP else JobsStateMachine()
+        )
+        config = GroupConfig(
+            group=group,
+            address=machine.name,
+            first_members=tuple(names),
+            heartbeat_interval_s=HEARTBEAT_S,
+            election_timeout_min_s=ELECTION_MIN_S,
+            election_timeout_max_s=ELECTION_MAX_S,
+            log_kept_entries=LOG_KEPT_ENTRIES,
+            snapshot_chunk_bytes=SNAPSHOT_CHUNK_BYTES,
+        )
+        generator = self.generator(f"replica/{machine.name}/{group}")
+        return Replica(
+            config, machine, self.parts.network, state_machine, generator, board_of_replicas
+        )
+
+    def _build_runners(self) -> None:
+        scenario = self.parts.scenario
+        for service in scenario.services:
+            for number in range(service.runners):
+                name = f"{service.name}-{number}"
+                zone = scenario.zones[number % len(scenario.zones)]
+                self.parts.runners[name] = RunnerNode(
+                    self._machine(name, zone),
+                    service.name,
+                    scenario.engine(name, service),
+                    self.generator(f"runner/{name}"),
+                    self.parts.history,
+                )
+        self.platform.listed = self._listed
+        self.platform.load = self._load
+
+    def _listed(self) -> MachineList:
+        """Return the machine list, which learns of leaving machines late."""
+        now_s = self.parts.scheduler.now_s
+        leaving = {
+            name
+            for name, since_s in self.parts.history.leaving.items()
+            if now_s >= since_s + LIST_LAG_S
+        }
+        return MachineList(
+            as_of_ms=int(now_s * 1000),
+            machines=[
+                ListedMachine(
+                    id=name,
+                    address=name,
+                    zone=runner.machine.zone,
+                    service=runner.service,
+                    state=MachineState.LEAVING if name in leaving else MachineState.LIVE,
+                    incarnation=runner.machine.incarnation,
+                )
+                for name, runner in self.parts.runners.items()
+            ],
+        )
+
+    def _load(self, name: str) -> LoadReport:
+        return self.parts.runners[name].load()
+
+    def _build_gateways(self) -> None:
+        scenario = self.parts.scenario
+        count = len(scenario.zones) + scenario.extra_gateways
+        for number in range(count):
+            zone = scenario.zones[number % len(scenario.zones)]
+            machine = self._machine(f"gateway-{number}", zone)
+            near_first = sorted(
+                self.parts.control,
+                key=lambda name: (self.parts.control[name].machine.zone != zone, name),
+            )
+            gateway = GatewayNode(
+                machine,
+                self.board,
+                near_first,
+                self.parts.history,
+                self.generator(f"gateway/{number}"),
+            )
+            self.parts.gateways[gateway.name] = gateway
+            gateway.start()
+
+    def _build_operators(self) -> None:
+        scenario = self.parts.scenario
+        for number in range(OPERATORS):
+            machine = self._machine(f"operator-{number}", scenario.zones[number % 3])
+            operator = Operator(
+                machine,
+                self._control_client(machine),
+                self.fibers,
+                self.parts.history,
+                self.generator(f"operator/{number}"),
+                scenario.editable(),
+            )
+            self.parts.operators.append(operator)
+            first_tree = scenario.first_settings() if number == 0 else None
+            operator.start(1.0 if number == 0 else START_S - 2.0, first_tree)
