Gateway: wire the batch harvester into its loops

Cause: BatchHarvest was a stub, so no batch item ran; seen in the first run of the whole path. Change: it owns batch.harvester.Harvester; a yield notice reaches notice_arrived.

--- a/src/leverjunction/gateway/harvest.py
+++ b/src/leverjunction/gateway/harvest.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import random
+
+from prometheus_client import CollectorRegistry
+
 from leverjunction.backends.client import EngineClient
 from leverjunction.backends.types import LoadReport
+from leverjunction.batch.harvester import Harvester
 from leverjunction.clock import Clock
 from leverjunction.config.gateway import GatewayConfig
 from leverjunction.settings.resolved import ResolvedSettings
@@ -15,30 +20,51 @@
     """Adapter between the gateway's loops and the harvester. Thread-safe."""
 
     def __init__(
-        self, control: ControlClient, engines: EngineClient, clock: Clock, config: GatewayConfig
+        self,
+        control: ControlClient,
+        engines: EngineClient,
+        clock: Clock,
+        config: GatewayConfig,
+        registry: CollectorRegistry,
     ) -> None:
         self._config = config
+        self._harvester = Harvester(control, engines, clock, random.Random(), config.name, registry)
 
     def update(
         self, owned: list[RunnerState], settings: ResolvedSettings, groups: list[str]
     ) -> None:
         """Take the owned runners and the settings in force; called after each exchange."""
+        region = self._config.region
+        serving = {
+            runner.service: settings.serving(runner.service, region, runner.zone)
+            for runner in owned
+        }
+        self._harvester.update(owned, serving, groups)
 
     def observe_load(self, runner_id: str, report: LoadReport) -> None:
         """Take an owned runner's load report."""
+        self._harvester.observe_load(runner_id, report)
 
     def online_arrived(self, runner_id: str) -> None:
         """Online work is about to reach an owned runner."""
+        self._harvester.online_arrived(runner_id)
 
     def online_finished(self, runner_id: str) -> None:
         """An online request on an owned runner has ended."""
+        self._harvester.online_finished(runner_id)
+
+    def notice_arrived(self, runner_id: str) -> None:
+        """Another gateway has sent online work to an owned runner."""
+        self._harvester.notice_arrived(runner_id)
 
     def lease_ids(self) -> dict[str, list[str]]:
         """Return the leases held, by job group."""
-        return {}
+        return self._harvester.lease_ids()
 
     def revoke(self, lost_lease_ids: list[str], cancelled_jobs: list[str]) -> None:
         """Drop lost leases and the work of cancelled jobs."""
+        self._harvester.revoke(lost_lease_ids, cancelled_jobs)
 
     def stop(self) -> None:
         """Hand all leases back."""
+        self._harvester.stop()
--- a/src/leverjunction/gateway/internal_rpc.py
+++ b/src/leverjunction/gateway/internal_rpc.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from leverjunction.errors import Failure
-from leverjunction.gateway.yielding import OnlineListener
+from leverjunction.gateway.harvest import BatchHarvest
 from leverjunction.observability.counters import GatewayCounters
 from leverjunction.wire.codec import decode, encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
@@ -16,7 +16,7 @@
 def build_endpoint(
     cluster_key: bytes,
     incarnation: int,
-    listener: OnlineListener,
+    listener: BatchHarvest,
     counters: GatewayCounters,
     identity: Callable[[], GatewayState],
 ) -> RpcEndpoint:
@@ -27,7 +27,7 @@
         if isinstance(notice, Failure):
             return encode_reply(notice)
         counters.yield_notices.labels("received").inc()
-        listener.online_arrived(notice.runner_id)
+        listener.notice_arrived(notice.runner_id)
         return encode_reply(Acknowledged())
 
     def on_status(_envelope: Envelope, _peer: str) -> bytes:
--- a/src/leverjunction/gateway/runtime.py
+++ b/src/leverjunction/gateway/runtime.py
@@ -69,7 +69,9 @@
         self.engines = EngineClient()
         self.pool = RunnerPool(self.view, config.zone, self.clock, generator)
         self.outbox = DigestOutbox()
-        self.harvest = BatchHarvest(self.control, self.engines, self.clock, config)
+        self.harvest = BatchHarvest(
+            self.control, self.engines, self.clock, config, self.counters.registry
+        )
         self.notifier = YieldNotifier(
             config.name, self.view, self.control, self.harvest, self.clock, self.counters
         )
