Scale run: ports outside of the outgoing range, memory bound, traffic by peer

Cause: control ports picked before 1,200 hollow runners bound theirs were taken by them (HTTP 404 from a runner). A run with 5,600 tenants let three control processes grow to 28 GB together: the run now gives up at 12 GB.

--- a/src/testbed/scale/cluster.py
+++ b/src/testbed/scale/cluster.py
@@ -15,6 +15,8 @@
 HOST = "127.0.0.1"
 LOG_LEVEL = "INFO"
 CONNECT_TIMEOUT_S = 0.5
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
 
 
 class ControlAddress(msgspec.Struct, frozen=True, kw_only=True):
@@ -87,14 +89,28 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now; held together so that no two are the same."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [int(held.getsockname()[1]) for held in sockets]
-    for held in sockets:
-        held.close()
+    """Return ports that are free now, below those that the kernel gives to outgoing connections.
+
+    A port from that range could be taken by a connection before its process listens.
+    """
+    candidates = list(range(FIRST_PORT, LAST_PORT))
+    secrets.SystemRandom().shuffle(candidates)
+    ports: list[int] = []
+    while len(ports) < count:
+        port = candidates.pop()
+        if _can_listen(port):
+            ports.append(port)
     return ports
 
 
+def _can_listen(port: int) -> bool:
+    try:
+        socket.create_server((HOST, port)).close()
+    except OSError:
+        return False
+    return True
+
+
 def is_listening(port: int) -> bool:
     """Return whether something listens on a port of this machine."""
     try:
--- a/src/testbed/scale/fleet.py
+++ b/src/testbed/scale/fleet.py
@@ -28,7 +28,14 @@
     ScaleOptions,
     zone_name,
 )
-from testbed.scale.processes import MAX_PROCESSES, ChildProcess, stop_all, wait_until
+from testbed.scale.processes import (
+    MAX_PROCESSES,
+    MAX_RESIDENT_BYTES,
+    ChildProcess,
+    resident_bytes,
+    stop_all,
+    wait_until,
+)
 from testbed.scale.runner_worker import RunnerProfile, RunnerWorkerSpec
 
 RUNNER_START_TIMEOUT_S = 60.0
@@ -116,6 +123,7 @@
 
     def in_step(self, version: int) -> bool:
         """Return whether all hollow gateways have ``version`` in force and own all runners."""
+        self.check_memory()
         reports = self.reports()
         versions = [value for report in reports for value in report.settings_versions.values()]
         owned = sum(report.owned for report in reports)
@@ -188,16 +196,22 @@
         path.write_bytes(msgspec.json.encode(spec))
         return ChildProcess(name, ["-m", module, str(path)], self.folder / f"{name}.log")
 
+    def check_memory(self) -> None:
+        """Raise ``ScaleError`` when the run has outgrown its share of the machine's memory."""
+        resident = resident_bytes(self._children())
+        if resident > MAX_RESIDENT_BYTES:
+            raise ScaleError(f"the processes hold {resident / 1e9:.1f} GB; the run is given up")
+
+    def _children(self) -> list[ChildProcess]:
+        return [
+            *self.control_processes,
+            *self.gateway_workers,
+            *self.runner_workers,
+            *self.real_gateways,
+        ]
+
     def _check_size(self) -> None:
-        count = sum(
-            len(group)
-            for group in (
-                self.control_processes,
-                self.gateway_workers,
-                self.runner_workers,
-                self.real_gateways,
-            )
-        )
+        count = len(self._children())
         logger.info("{} processes", count)
         if count > MAX_PROCESSES:
             raise ScaleError(f"{count} processes are more than {MAX_PROCESSES}")
--- a/src/testbed/scale/processes.py
+++ b/src/testbed/scale/processes.py
@@ -10,8 +10,13 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import psutil
+
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.1
+MAX_RESIDENT_BYTES = 12_000_000_000
+"""Bound of a whole run: well under half of a developer's machine of 32 GB."""
+
 MAX_PROCESSES = 190
 """Bound of a whole run: a developer's machine is shared."""
 
@@ -66,6 +71,17 @@
         child.wait_or_kill()
 
 
+def resident_bytes(children: list[ChildProcess]) -> int:
+    """Return the resident memory of all of them together."""
+    total = 0
+    for child in children:
+        try:
+            total += psutil.Process(child.process_id).memory_info().rss
+        except psutil.Error:
+            continue
+    return total
+
+
 def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
     """Poll until ``condition`` holds; returns whether it did in time."""
     deadline_s = time.monotonic() + timeout_s
--- a/src/testbed/scale/resources.py
+++ b/src/testbed/scale/resources.py
@@ -21,6 +21,7 @@
     "segs_out": re.compile(r"\bsegs_out:(\d+)"),
     "segs_in": re.compile(r"\bsegs_in:(\d+)"),
 }
+_ADDRESS = re.compile(r"\d+\.\d+\.\d+\.\d+:(\d+)")
 _OWNER = re.compile(r"pid=(\d+),fd=(\d+)")
 
 
@@ -64,6 +65,7 @@
     sent_bytes: int
     received_bytes: int
     segments: int
+    peer_port: int = 0
 
 
 def read_process(process_id: int) -> Reading | None:
@@ -113,6 +115,7 @@
             values["bytes_sent"],
             values["bytes_received"],
             values["segs_out"] + values["segs_in"],
+            _peer_port(line),
         )
     return counts
 
@@ -122,16 +125,19 @@
     after: dict[tuple[int, int], SocketCount],
     process_id: int,
     seconds: float,
+    peer_ports: frozenset[int] | None = None,
 ) -> float:
     """Return a process's TCP traffic, both ways, with packet headers.
 
-    Connections that were closed between the readings are missing, so it is a lower bound.
+    Only connections towards ``peer_ports`` count when they are given. Connections that were closed between the readings are missing, so it is a lower bound.
     """
     payload = 0
     segments = 0
     for key, count in after.items():
         if key[0] != process_id:
             continue
+        if peer_ports is not None and count.peer_port not in peer_ports:
+            continue
         earlier = before.get(key, SocketCount(0, 0, 0))
         if count.sent_bytes < earlier.sent_bytes:
             earlier = SocketCount(0, 0, 0)
@@ -152,6 +158,12 @@
     return os.getloadavg()[0]
 
 
+def _peer_port(line: str) -> int:
+    """Return the port of the far end: the second address of a line."""
+    addresses = _ADDRESS.findall(line)
+    return int(addresses[1]) if len(addresses) > 1 else 0
+
+
 def _first_number(pattern: re.Pattern[str], text: str) -> int:
     found = pattern.search(text)
     return int(found[1]) if found else 0
--- a/src/testbed/scale/result.py
+++ b/src/testbed/scale/result.py
@@ -104,6 +104,7 @@
         real_gateways: Real gateways, by usage.
         real_gateway_wire_bytes_per_s: Traffic of the real gateways between themselves, control
             and runners.
+        real_gateway_control_bytes_per_s: Of these, towards control processes.
         changes: Settings changes.
         machine_list_polls_per_s: Polls of the machine list, all control processes together.
         jobs_submitted_s: Time that it took to submit the jobs.
@@ -121,6 +122,7 @@
     gateways: GatewaySide
     real_gateways: list[Usage]
     real_gateway_wire_bytes_per_s: list[float]
+    real_gateway_control_bytes_per_s: list[float]
     changes: list[ChangeResult]
     machine_list_polls_per_s: float
     jobs_submitted_s: float
--- a/src/testbed/scale/run.py
+++ b/src/testbed/scale/run.py
@@ -39,6 +39,7 @@
 """Workers write a report each second; the last one may be this old."""
 
 CHANGE_SETTLE_S = 4.0
+MEMORY_CHECK_S = 1.0
 
 
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
@@ -90,7 +91,10 @@
         controls=window.control_results(),
         gateways=window.gateway_results(),
         real_gateways=window.real_gateway_usage(),
-        real_gateway_wire_bytes_per_s=window.real_gateway_wire(),
+        real_gateway_wire_bytes_per_s=window.real_gateway_wire(None),
+        real_gateway_control_bytes_per_s=window.real_gateway_wire(
+            frozenset(control.rpc_port for control in fleet.controls)
+        ),
         changes=window.change_results(),
         machine_list_polls_per_s=window.polls_per_s,
         jobs_submitted_s=jobs_submitted_s,
@@ -123,7 +127,9 @@
         if options.kill_control:
             time.sleep(options.window_s / 2)
             self._kill()
-        time.sleep(max(0.0, ends_s - time.monotonic()))
+        while time.monotonic() < ends_s:
+            self._fleet.check_memory()
+            time.sleep(min(MEMORY_CHECK_S, max(0.0, ends_s - time.monotonic())))
         self._after = self._snapshot()
         self._reports_after = self._fleet.reports()
         self.seconds = self._after.monotonic_s - self._before.monotonic_s
@@ -161,8 +167,8 @@
         usages = [self._usage(child) for child in self._fleet.real_gateways]
         return [usage for usage in usages if usage is not None]
 
-    def real_gateway_wire(self) -> list[float]:
-        return [self._wire(child) for child in self._fleet.real_gateways]
+    def real_gateway_wire(self, peer_ports: frozenset[int] | None) -> list[float]:
+        return [self._wire(child, peer_ports) for child in self._fleet.real_gateways]
 
     def change_results(self) -> list[ChangeResult]:
         records = [record for report in self._reports_last for record in report.in_force]
@@ -205,9 +211,13 @@
             return None
         return usage_between(before, after)
 
-    def _wire(self, child: ChildProcess) -> float:
+    def _wire(self, child: ChildProcess, peer_ports: frozenset[int] | None = None) -> float:
         return wire_bytes_per_s(
-            self._before.sockets, self._after.sockets, child.process_id, self.seconds
+            self._before.sockets,
+            self._after.sockets,
+            child.process_id,
+            self.seconds,
+            peer_ports,
         )
 
 
--- a/tests/unit/test_scale_resources.py
+++ b/tests/unit/test_scale_resources.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from testbed.scale.cluster import FIRST_PORT, LAST_PORT, free_ports
 from testbed.scale.figures import change_result, quantiles
 from testbed.scale.hollow_gateway import InForce
 from testbed.scale.operators import ChangeTime, initial_leaves
@@ -17,7 +18,7 @@
 
 
 def test_sockets_are_read_by_process_and_descriptor() -> None:
-    assert parse_sockets(LISTING) == {(71, 9): SocketCount(1200, 3400, 25)}
+    assert parse_sockets(LISTING) == {(71, 9): SocketCount(1200, 3400, 25, 9000)}
 
 
 @pytest.mark.parametrize(
@@ -37,6 +38,12 @@
     assert wire_bytes_per_s(before, parse_sockets(LISTING), 71, 2.0) == expected
 
 
+@pytest.mark.parametrize(("port", "counted"), [(9000, True), (40112, False)])
+def test_wire_bytes_of_some_peers(port: int, counted: bool) -> None:
+    rate = wire_bytes_per_s({}, parse_sockets(LISTING), 71, 1.0, frozenset({port}))
+    assert (rate > 0) is counted
+
+
 @pytest.mark.parametrize(
     ("records", "reached", "maximum"),
     [
@@ -71,3 +78,9 @@
         "tenant-00002",
     }
     assert {region_name(zone, 15, 6) for zone in range(15)} == {f"region-{n}" for n in range(6)}
+
+
+def test_chosen_ports_are_distinct_and_outside_of_the_outgoing_range() -> None:
+    ports = free_ports(50)
+    assert len(set(ports)) == 50
+    assert all(FIRST_PORT <= port < LAST_PORT for port in ports)
