Harvest: learn decode and prompt cost apart, ration prompts beside online work

A runner that is always full of prompts showed no cost of a sequence, so the controller parked nothing beside online; starts beside online were rationed by item instead of by prompt step; prompts still being read were kept by the floor. Change: least squares over base, sequence and prompt chunk with a plausible prior; a ration of prompt steps; prompts being read are parked even below the floor unless paid for.

--- a/src/leverjunction/batch/harvest.py
+++ b/src/leverjunction/batch/harvest.py
@@ -30,8 +30,9 @@
 DECODE_SHARE = 0.5
 """Share of the allowed growth for decoding batch sequences; the rest is for their prompts."""
 
-RARE_STEP_RATIO = 0.005
-"""Share of steps that may exceed the target for a prompt: half of what the p99 shows."""
+RARE_STEP_RATIO = 0.002
+"""Share of steps that may exceed the target for a prompt: a fifth of what the p99 shows, as online
+prompts themselves use up the rest."""
 
 REFILL_HOLD_S = 0.15
 """Online must be gone this long before a refill: above a report's usual lag, far below 1 s."""
@@ -39,6 +40,9 @@
 NOTICE_HOLD_S = 0.5
 """A yield notice says nothing of the request's end: it holds until reports can show it."""
 
+REPORT_LAG_S = 0.2
+"""Usual age of what a report tells, its way included."""
+
 REPORT_STALE_S = 2.0
 """Without a report for this long the runner's state is unknown and nothing new starts."""
 
@@ -46,7 +50,16 @@
 IDLE_GROWTH_PER_INTERFERENCE = 12.0
 """Idle steps may grow by base + factor * interference: what an arriving request may find."""
 
-MAX_START_CREDIT = 2.0
+PREFILL_CHUNK_TOKENS = 128
+"""Prompt tokens that engines read in a step for batch work: what a start costs in steps."""
+
+DEFAULT_PROMPT_TOKENS = 768
+"""Assumed when the caller does not know the length of a prompt."""
+
+USUAL_PROMPT_STEPS = math.ceil(DEFAULT_PROMPT_TOKENS / PREFILL_CHUNK_TOKENS)
+
+MAX_CREDIT_STEPS = 16.0
+"""Steps beyond the target that may be saved up: about one start."""
 
 FORGET_ONLINE_S = 1.0
 FORGET_ONLINE_REPORTS = 3
@@ -86,10 +99,16 @@
 
 @dataclass
 class _Held:
-    """A batch request on the runner."""
+    """A batch request on the runner.
+
+    ``prompt_read_s`` is when its prompt is estimated to have been read; ``is_rationed`` says that
+    its prompt steps beside online work are paid for.
+    """
 
     started_s: float
     may_park: bool
+    prompt_read_s: float
+    is_rationed: bool
     parking: bool = False
 
 
@@ -111,7 +130,8 @@
     _reported_s: float = -math.inf
     _notice_until_s: float = -math.inf
     _busy_until_s: float = -math.inf
-    _start_credit: float = 1.0
+    _credit_steps: float = 0.0
+    _prompts_read_s: float = -math.inf
     _credit_s: float = 0.0
 
     @property
@@ -148,12 +168,43 @@
             self._empty_reports += 1
             if self._empty_reports >= FORGET_ONLINE_REPORTS:
                 self._local_online = 0
-        self.step_time.observe(report.running, report.step_ms)
+        reading = self._reading(now_s)
+        self.step_time.observe(
+            max(0, report.running - min(reading, report.batch_running)),
+            report.step_ms,
+            reads_prompt=reading > 0,
+            beside_online=self._reported_online > 0,
+        )
 
-    def started(self, request: int, now_s: float, *, may_park: bool = True) -> None:
-        """A batch request was sent to the runner."""
-        self._held[request] = _Held(started_s=now_s, may_park=may_park)
-        self._start_credit -= 1.0
+    def started(
+        self,
+        request: int,
+        now_s: float,
+        *,
+        may_park: bool = True,
+        prompt_tokens: int = DEFAULT_PROMPT_TOKENS,
+    ) -> None:
+        """A batch request was sent to the runner.
+
+        Args:
+            request: Key of the request, for ``ended`` and for parking.
+            now_s: Monotonic time.
+            may_park: False when it must not be cancelled.
+            prompt_tokens: Tokens that the runner has to read before it decodes.
+        """
+        steps = math.ceil(prompt_tokens / PREFILL_CHUNK_TOKENS)
+        step_ms = self.step_time.predict_ms(self.held, reads_prompt=True)
+        # Prompts are read one after another, a chunk in each step.
+        self._prompts_read_s = max(self._prompts_read_s, now_s) + steps * step_ms / 1000
+        is_busy = self.is_busy(now_s)
+        if is_busy:
+            self._credit_steps -= steps
+        self._held[request] = _Held(
+            started_s=now_s,
+            may_park=may_park,
+            prompt_read_s=self._prompts_read_s,
+            is_rationed=is_busy,
+        )
 
     def ended(self, request: int) -> None:
         """A batch request has left the runner: finished, failed or parked."""
@@ -192,8 +243,14 @@
             return self._decide_idle(now_s)
         return self._decide_busy(now_s)
 
+    def _reading(self, now_s: float) -> int:
+        """Return how many batch prompts were still being read at the time of a usual report."""
+        then_s = now_s - REPORT_LAG_S
+        return sum(
+            1 for held in self._held.values() if held.started_s <= then_s < held.prompt_read_s
+        )
+
     def _decide_idle(self, now_s: float) -> HarvestDecision:
-        self._start_credit = 1.0
         self._credit_s = now_s
         allowed = self.idle_capacity()
         return HarvestDecision(
@@ -212,37 +269,53 @@
         allowed = min(self.targets.batch_max_running, max(within, self.targets.batch_floor))
         self._earn_credit(now_s, step_ms)
         wanted = max(0, allowed - self.held)
-        start = min(wanted, max(0, math.floor(self._start_credit)))
+        # One at a time, once a usual prompt is paid for: its own cost is known when it starts.
+        start = min(wanted, 1) if self._credit_steps >= USUAL_PROMPT_STEPS else 0
         return HarvestDecision(
             allowed=allowed,
             start=start,
-            park=self._to_park(allowed),
+            park=self._to_park(allowed, now_s, step_ms),
             reason=f"{online} online: {within} fit into {decode_ms:.2f} ms of a {step_ms:.1f} ms "
             f"step, floor {self.targets.batch_floor}",
         )
 
-    def _earn_credit(self, now_s: float, step_ms: float) -> None:
-        """Earn starts beside online work: each costs prompt steps, which are rationed."""
+    def _long_step_ratio(self, step_ms: float) -> float:
+        """Return the share of steps that may read batch prompts beside online work.
+
+        Within the target every step may. Longer ones are rationed: so few that the p99 shows none
+        when the target is tight, more the closer the target comes to their length.
+        """
         budget_ms = step_ms * self.targets.interference * (1.0 - DECODE_SHARE)
-        prefill_ms = max(self.step_time.prefill_ms, budget_ms / 100)
-        # Within the target every step may read prompts; beyond it only rare ones may.
-        ratio = 1.0 if prefill_ms <= budget_ms else RARE_STEP_RATIO
-        steps = (now_s - self._credit_s) * 1000 / step_ms
+        share = budget_ms / self.step_time.prefill_ms
+        return min(1.0, max(RARE_STEP_RATIO, share**2))
+
+    def _earn_credit(self, now_s: float, step_ms: float) -> None:
+        """Earn steps that may read batch prompts beside online work."""
+        steps = max(0.0, now_s - self._credit_s) * 1000 / step_ms
         self._credit_s = now_s
-        earned = self._start_credit + max(0.0, steps) * ratio
-        self._start_credit = min(earned, MAX_START_CREDIT)
-
-    def _to_park(self, allowed: int) -> list[int]:
-        """Choose what to park: the newest first, as they lose least and still read prompts."""
-        surplus = self.held - allowed
-        if surplus <= 0:
-            return []
-        candidates = [
-            (held.started_s, number, request)
-            for number, (request, held) in enumerate(self._held.items())
+        earned = self._credit_steps + steps * self._long_step_ratio(step_ms)
+        self._credit_steps = min(earned, MAX_CREDIT_STEPS)
+
+    def _to_park(self, allowed: int, now_s: float, step_ms: float) -> list[int]:
+        """Choose what to park: the newest first, as they lose least and still read prompts.
+
+        Those that are still reading go even below the floor, unless that is paid for: their steps
+        are the long ones. The floor is kept by those that decode, and by the ration.
+        """
+        candidates = sorted(
+            (held.started_s, request)
+            for request, held in self._held.items()
             if held.may_park and not held.parking
-        ]
-        chosen = [request for *_, request in sorted(candidates, reverse=True)[:surplus]]
+        )
+        candidates.reverse()
+        surplus = max(0, self.held - allowed)
+        chosen = [request for _, request in candidates[:surplus]]
+        if self._long_step_ratio(step_ms) < 1.0:
+            chosen += [
+                request
+                for _, request in candidates[surplus:]
+                if self._held[request].prompt_read_s > now_s and not self._held[request].is_rationed
+            ]
         for request in chosen:
             self._held[request].parking = True
         return chosen
