Hub: last reading of a runner holds when its watcher goes silent

Change: Membership keeps the last reading that any hub gave and uses it while no live hub has one; it goes with the runner's entry.

--- a/src/leverjunction/control/membership.py
+++ b/src/leverjunction/control/membership.py
@@ -70,6 +70,7 @@
         self._machines: dict[str, Machine] = {}
         self._unlisted: dict[str, Machine] = {}
         self._peers: dict[str, _PeerHub] = {}
+        self._last_readings: dict[str, RunnerReading] = {}
         self._draining: frozenset[str] = frozenset()
         self._withdrawn: frozenset[Withdrawal] = frozenset()
 
@@ -107,6 +108,7 @@
 
     def runner_read(self, reading: RunnerReading) -> None:
         """Take this hub's own reading of a runner that it watches."""
+        self._last_readings[reading.runner_id] = reading
         if self.own_readings.put(reading.runner_id, reading):
             self._merge_runner(reading.runner_id)
 
@@ -182,12 +184,17 @@
         return peer.heard_s if peer is not None else None
 
     def reading(self, runner_id: str) -> RunnerReading | None:
-        """Return the best reading of a runner: one that reached it, and the newest engine."""
+        """Return the best reading of a runner: one that reached it, and the newest engine.
+
+        When the hub that watched it has gone, its last reading holds until another hub reads it.
+        """
         readings = [peer.readings.get(runner_id) for peer in self._peers.values()]
         readings.append(self.own_readings.get(runner_id))
         known = [reading for reading in readings if reading is not None]
         return max(
-            known, key=lambda reading: (reading.reachable, reading.incarnation), default=None
+            known,
+            key=lambda reading: (reading.reachable, reading.incarnation),
+            default=self._last_readings.get(runner_id),
         )
 
     def _take_lists(self, peer: _PeerHub, sync: HubSync) -> None:
@@ -199,6 +206,7 @@
             self._merge_gateway(gateway_id)
         for reading in sync.readings:
             peer.readings[reading.runner_id] = reading
+            self._last_readings[reading.runner_id] = reading
             self._merge_runner(reading.runner_id)
         for runner_id in sync.gone_readings:
             peer.readings.pop(runner_id, None)
@@ -245,6 +253,7 @@
         answers = reading is not None and reading.reachable
         if machine is None or (listed is None and not answers):
             self._unlisted.pop(runner_id, None)
+            self._last_readings.pop(runner_id, None)
             self.runners.remove(runner_id)
             self.digests.remove(runner_id)
             return
--- a/tests/unit/test_control_membership.py
+++ b/tests/unit/test_control_membership.py
@@ -250,3 +250,18 @@
     view.expire(HUB_TIMEOUT_S + 0.1)
     assert view.gateways.keys() == ["g2"]
     assert view.live_hubs() == []
+
+
+def test_the_last_reading_of_a_silent_hub_holds_until_another_hub_reads_the_runner() -> None:
+    """Found in a trial: when the hub that watched a runner died, its models vanished for 0.8 s."""
+    view = Membership()
+    view.machines_listed(machines(1, r1="live"))
+    view.sync_received(sync(0, 5, full=True, readings=[reading()]), 0.0)
+    view.expire(HUB_TIMEOUT_S + 0.1)
+    state = view.runners.get("r1")
+    assert state is not None
+    assert state.models == ["m"]
+    view.runner_read(reading(models=[]))
+    state = view.runners.get("r1")
+    assert state is not None
+    assert state.models == []
