Hub: full settings steps are read and encoded once, and few go out at a time

Cause: at a mass restart each gateway's full reply was read from SQLite, decoded, encoded and signed by its own thread (112 at once); replies ran past the gateway's timeout of 1 s, which then asked again at once, for ever.

Hubs without a voter get the same cached step. A gateway waits with jitter, doubling, from the second exchange in a row that ran out of time, and gives its first exchange 2 s.

Excluded: an older cached step while a newer version is in force (a gateway that lost its disk could then serve an older version than before).

--- a/src/leverjunction/control/group_host.py
+++ b/src/leverjunction/control/group_host.py
@@ -11,7 +11,7 @@
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import GroupStatus, ReplicatedGroup
 from leverjunction.errors import Execution, Failure, FailureKind, Step
-from leverjunction.wire.codec import decode_reply, encode, encode_reply
+from leverjunction.wire.codec import decode_reply, encode, encode_reply, is_failure_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
 
 T = TypeVar("T")
@@ -240,13 +240,12 @@
 }
 _DIRECT = {forwarded: direct for direct, forwarded in _FORWARDED.items()}
 
-_FAILURE_PREFIX = b'{"type":"failure"'
 _PASSED_ON = frozenset({FailureKind.NOT_LEADER, FailureKind.OVERLOADED, FailureKind.STOPPING})
 
 
 def _refusal_of(reply: bytes) -> Failure | None:
     """Return the failure in a reply if it says that another peer should be tried."""
-    if not reply.startswith(_FAILURE_PREFIX):
+    if not is_failure_reply(reply):
         return None
     decoded = decode_reply(reply, msgspec.Raw)
     if isinstance(decoded, Failure) and decoded.kind in _PASSED_ON:
--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -20,9 +20,11 @@
     RunnerReading,
 )
 from leverjunction.control.renewals import RenewalBook
-from leverjunction.control.settings_mirror import SettingsMirror
+from leverjunction.control.settings_mirror import SettingsMirror, SettingsStep
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.platform.machine_list import MachineList
+from leverjunction.settings.commands import GetSettings, SettingsDelta
+from leverjunction.wire.codec import encode_reply
 from leverjunction.wire.messages import (
     ExchangeReply,
     ExchangeRequest,
@@ -99,7 +101,32 @@
 
     def exchange(self, request: ExchangeRequest) -> ExchangeReply | Failure:
         """Answer a gateway's exchange."""
-        settings = self._mirror.delta(request.settings_version)
+        with self._mirror.step(request.settings_version) as step:
+            reply = self._answer(request, step)
+            if isinstance(reply, Failure):
+                return reply
+            return msgspec.structs.replace(reply, settings=step.rows())
+
+    def exchange_encoded(self, request: ExchangeRequest) -> bytes:
+        """Answer a gateway's exchange with the bytes of the reply; settings are encoded once."""
+        with self._mirror.step(request.settings_version) as step:
+            reply = self._answer(request, step)
+            if isinstance(reply, Failure):
+                return encode_reply(reply)
+            rows = msgspec.Raw(step.encoded)
+            return encode_reply(msgspec.structs.replace(reply, settings=rows))
+
+    def settings_encoded(self, query: GetSettings) -> bytes:
+        """Answer another hub that follows the settings of this one with the bytes of the reply."""
+        with self._mirror.step(query.after_version) as step:
+            if step.retry_after_s:
+                return encode_reply(_settings_held_back(step.retry_after_s))
+            delta = SettingsDelta(version=step.version, rows=[])
+            rows = msgspec.Raw(step.encoded)
+            return encode_reply(msgspec.structs.replace(delta, rows=rows))
+
+    def _answer(self, request: ExchangeRequest, step: SettingsStep) -> ExchangeReply | Failure:
+        """Return the reply without settings rows."""
         quorum_age_s = self._quorum_age_s()
         with self._lock:
             now_s = self._clock.monotonic_s()
@@ -116,8 +143,9 @@
             # A stamp of its own for each reply: the next request tells whether this one arrived.
             session.stamp = self._membership.view_counter.next()
             return ExchangeReply(
-                settings_version=settings.version,
-                settings=settings.rows,
+                settings_version=step.version,
+                settings=[],
+                settings_retry_after_s=step.retry_after_s,
                 view_version=session.stamp,
                 hub_incarnation=self._identity.incarnation,
                 full_view=since == 0,
@@ -320,6 +348,15 @@
     )
 
 
+def _settings_held_back(retry_after_s: float) -> Failure:
+    return Failure(
+        kind=FailureKind.OVERLOADED,
+        reason="many ask this hub for all settings at once",
+        step=Step.QUERYING,
+        retry_after_s=retry_after_s,
+    )
+
+
 def _old_incarnation(gateway: GatewayState) -> Failure:
     return Failure(
         kind=FailureKind.CONFLICT,
--- a/src/leverjunction/control/quorum.py
+++ b/src/leverjunction/control/quorum.py
@@ -14,12 +14,14 @@
 from leverjunction.control.layout import ROOT_GROUP
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.settings.commands import GetSettings, SettingsDelta
-from leverjunction.wire.codec import decode_reply, encode
+from leverjunction.wire.codec import decode, decode_reply, encode, encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 
 NEVER_HEARD_S = 3600.0
 READ_TIMEOUT_S = 1.0
+FULL_READ_TIMEOUT_S = 3.0
+"""For the first read of a process that has just started: all settings, some megabytes."""
 
 
 class RootFollower(Protocol):
@@ -77,7 +79,7 @@
             query,
             SettingsDelta,
             group=ROOT_GROUP,
-            timeout_s=READ_TIMEOUT_S,
+            timeout_s=READ_TIMEOUT_S if query.after_version else FULL_READ_TIMEOUT_S,
         )
 
     def quorum_age_s(self) -> float:
@@ -93,12 +95,20 @@
         return min(ages, default=NEVER_HEARD_S)
 
 
-def serve_local_query(replica: ReplicatedGroup | None, envelope: Envelope) -> bytes | Failure:
-    """RPC handler of LOCAL_QUERY: answer from the applied state, which may lag."""
-    if replica is None:
-        return Failure(
-            kind=FailureKind.NOT_FOUND,
-            reason=f"no replica of group {envelope.group!r} lives here",
-            step=Step.QUERYING,
-        )
-    return replica.query_local(envelope.body)
+def serve_local_query(hub: Hub, envelope: Envelope, peer: str) -> bytes:
+    """RPC handler of LOCAL_QUERY: give applied settings, which may lag, to a hub without a voter.
+
+    Served as to gateways: the step is read and encoded once, and few large ones go out at once.
+    """
+    if envelope.group != ROOT_GROUP:
+        return encode_reply(_no_such_query(envelope.group))
+    query = decode(envelope.body, GetSettings, peer)
+    return encode_reply(query) if isinstance(query, Failure) else hub.settings_encoded(query)
+
+
+def _no_such_query(group: str) -> Failure:
+    return Failure(
+        kind=FailureKind.NOT_FOUND,
+        reason=f"group {group!r} has no local queries",
+        step=Step.QUERYING,
+    )
--- a/src/leverjunction/control/rpc_handlers.py
+++ b/src/leverjunction/control/rpc_handlers.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Mapping
 
-from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.consensus.group import GroupReplica
 from leverjunction.control.counters import ControlCounters
 from leverjunction.control.group_host import GroupHost
@@ -15,7 +14,7 @@
 from leverjunction.control.quorum import serve_local_query
 from leverjunction.control.raft_transport import serve_raft
 from leverjunction.errors import Failure
-from leverjunction.wire.codec import decode, encode_reply
+from leverjunction.wire.codec import decode, encode_reply, is_failure_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.messages import ExchangeRequest
 from leverjunction.wire.rpc_server import RpcEndpoint
@@ -51,10 +50,8 @@
             return encode_reply(renewals)
         return encode_reply(expiry.renew(envelope.group, renewals))
 
-    def on_local_query(envelope: Envelope, _peer: str) -> bytes:
-        replica: ReplicatedGroup | None = replicas.get(envelope.group)
-        answer = serve_local_query(replica, envelope)
-        return encode_reply(answer) if isinstance(answer, Failure) else answer
+    def on_local_query(envelope: Envelope, peer: str) -> bytes:
+        return serve_local_query(hub, envelope, peer)
 
     endpoint.register(MessageKind.RAFT, on_raft)
     endpoint.register(MessageKind.PROPOSE, host.serve_client)
@@ -71,9 +68,8 @@
 def _exchange(hub: Hub, counters: ControlCounters, envelope: Envelope, peer: str) -> bytes:
     began_s = time.perf_counter()
     request = decode(envelope.body, ExchangeRequest, peer)
-    reply = request if isinstance(request, Failure) else hub.exchange(request)
-    body = encode_reply(reply)
-    counters.exchanges.labels("refused" if isinstance(reply, Failure) else "ok").inc()
+    body = encode_reply(request) if isinstance(request, Failure) else hub.exchange_encoded(request)
+    counters.exchanges.labels("refused" if is_failure_reply(body) else "ok").inc()
     counters.exchange_bytes.labels("in").inc(len(envelope.body))
     counters.exchange_bytes.labels("out").inc(len(body))
     counters.exchange_s.observe(time.perf_counter() - began_s)
--- a/src/leverjunction/wire/codec.py
+++ b/src/leverjunction/wire/codec.py
@@ -10,6 +10,7 @@
 
 T = TypeVar("T")
 
+_FAILURE_PREFIX = b'{"type":"failure"'
 _ENCODER = msgspec.json.Encoder()
 
 
@@ -53,6 +54,11 @@
     return encode(ResultReply(result=msgspec.Raw(encode(result))))
 
 
+def is_failure_reply(body: bytes) -> bool:
+    """Return whether encoded reply bytes carry a failure, without decoding them."""
+    return body.startswith(_FAILURE_PREFIX)
+
+
 def decode_reply(body: bytes, result_type: type[T], peer: str = "") -> T | Failure:
     """Decode a reply into its result, or into the failure that it carries."""
     try:
--- a/src/leverjunction/wire/control_client.py
+++ b/src/leverjunction/wire/control_client.py
@@ -13,6 +13,7 @@
 
 from leverjunction.clock import Clock, SystemClock
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.wire.backoff import TimeoutBackoff
 from leverjunction.wire.codec import decode_reply, encode
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.hub_selector import HubSelector
@@ -31,6 +32,9 @@
 """Longest wait for one hub. It is above the hub's own wait for the leader (1.5 s)."""
 
 EXCHANGE_TIMEOUT_S = 1.0
+FULL_EXCHANGE_TIMEOUT_S = 2.0
+"""For the exchange of a gateway that has no settings yet: the reply may hold megabytes."""
+
 YIELD_TIMEOUT_S = 0.5
 MAX_QUORUM_AGE_S = 2.0
 """A hub that has not heard the leader for longer is left for another one."""
@@ -83,6 +87,7 @@
         self._random = random or random_module.Random()
         self._sleep = sleep
         self._selector = HubSelector(hubs)
+        self._backoff = TimeoutBackoff(self._random)
         self._lock = threading.Lock()
 
     @property
@@ -128,15 +133,22 @@
 
         One try only. After a failure the next call goes to another hub, which answers with a full
         view, as its incarnation differs. The reply of a stale hub is returned all the same.
+        When several exchanges in a row ran out of time nothing is sent for a while, as the hubs
+        are overloaded; the failure says for how long.
         """
         with self._lock:
+            wait_s = self._backoff.wait_s(self._clock.monotonic_s())
+            if wait_s > 0:
+                return _backing_off(self._selector.current, wait_s)
             before = self._selector.current
             hub = self._selector.reconsider(self._clock.monotonic_s())
         if hub != before:
             logger.info("back to hub {} from {}", hub, before)
+        timeout_s = EXCHANGE_TIMEOUT_S if request.settings_version else FULL_EXCHANGE_TIMEOUT_S
         reply = self._rpc.call(
-            hub, MessageKind.EXCHANGE, request, ExchangeReply, timeout_s=EXCHANGE_TIMEOUT_S
+            hub, MessageKind.EXCHANGE, request, ExchangeReply, timeout_s=timeout_s
         )
+        self._note_in_time(reply)
         if isinstance(reply, Failure):
             self._note_failed(hub, reply.reason, answered=reply.kind is FailureKind.STALE)
         elif reply.quorum_age_s > MAX_QUORUM_AGE_S:
@@ -195,6 +207,13 @@
         raw = self._rpc.call_raw(hub, kind, body, group=group, timeout_s=timeout_s)
         return raw if isinstance(raw, Failure) else decode_reply(raw, reply_type, hub)
 
+    def _note_in_time(self, reply: ExchangeReply | Failure) -> None:
+        with self._lock:
+            if isinstance(reply, Failure) and reply.kind is FailureKind.TIMEOUT:
+                self._backoff.timed_out(self._clock.monotonic_s())
+            elif not isinstance(reply, Failure):
+                self._backoff.answered()
+
     def _note_failed(self, hub: str, reason: str, *, answered: bool = False) -> None:
         with self._lock:
             newly = self._selector.failed(hub, self._clock.monotonic_s(), answered=answered)
@@ -209,6 +228,16 @@
     return no_answer or failure.kind in _HUB_IS_DEAD
 
 
+def _backing_off(hub: str, wait_s: float) -> Failure:
+    return Failure(
+        kind=FailureKind.OVERLOADED,
+        reason=f"exchanges ran out of time in a row; the next one is sent in {wait_s:.1f} s",
+        step=Step.EXCHANGING,
+        peer=hub,
+        retry_after_s=wait_s,
+    )
+
+
 def _final(last: Failure, unknown: bool) -> Failure:
     """Return the last failure, never claiming NOT_RUN when an earlier try may have run."""
     if not unknown:
--- a/src/leverjunction/wire/messages.py
+++ b/src/leverjunction/wire/messages.py
@@ -130,6 +130,8 @@
         hubs: RPC addresses of all hubs, nearest first, for fail-over.
         quorum_age_s: Seconds since this hub heard the leader of the root group.
         job_groups: Number of job groups, ``jobs-0`` to ``jobs-(job_groups - 1)``.
+        settings_retry_after_s: Above 0 when the hub held settings back because many ask at once;
+            the next exchange may come that soon, with jitter.
     """
 
     settings_version: int
@@ -147,6 +149,7 @@
     hubs: list[str]
     quorum_age_s: float
     job_groups: int = 2
+    settings_retry_after_s: float = 0.0
 
 
 class YieldNotice(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/unit/test_wire_control_client.py
+++ b/tests/unit/test_wire_control_client.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable, Iterator
 
 import msgspec
 import pytest
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step, is_failure
+from leverjunction.wire.backoff import FIRST_PAUSE_S, MAX_PAUSE_S, TimeoutBackoff
 from leverjunction.wire.codec import decode, encode_reply
 from leverjunction.wire.control_client import ControlClient
 from leverjunction.wire.envelope import Envelope, MessageKind
@@ -208,3 +210,35 @@
     assert selector.hubs == ["a", "b"]
     selector.replace(["c", "b"])
     assert selector.current == "c"
+
+
+def test_timeouts_in_a_row_make_the_exchange_pause_ever_longer() -> None:
+    backoff = TimeoutBackoff(random.Random(1))
+    backoff.timed_out(10.0)
+    assert backoff.wait_s(10.0) == 0.0
+    pauses = []
+    for _ in range(8):
+        backoff.timed_out(10.0)
+        pauses.append(backoff.wait_s(10.0))
+    assert FIRST_PAUSE_S * 0.5 <= pauses[0] <= FIRST_PAUSE_S * 1.5
+    assert all(MAX_PAUSE_S * 0.5 <= pause <= MAX_PAUSE_S * 1.5 for pause in pauses[4:])
+    assert len({round(pause, 6) for pause in pauses[4:]}) == 4, "pauses have no jitter"
+    backoff.answered()
+    assert backoff.wait_s(10.0) == 0.0
+
+
+def test_no_exchange_is_sent_during_the_pause(make_hub: Callable[[], FakeHub]) -> None:
+    hub = make_hub()
+    clock = FakeClock()
+    client = client_of(hub.address, clock=clock)
+    timeout = failure(FailureKind.TIMEOUT)
+    client._note_in_time(timeout)
+    assert isinstance(client.exchange(EXCHANGE), ExchangeReply)
+    for _ in range(2):
+        client._note_in_time(timeout)
+    refused = client.exchange(EXCHANGE)
+    assert is_failure(refused)
+    assert refused.kind is FailureKind.OVERLOADED
+    assert refused.retry_after_s is not None
+    clock.now_s += refused.retry_after_s
+    assert isinstance(client.exchange(EXCHANGE), ExchangeReply)
