--- a/src/testbed/simulation/world_parts.py
+++ b/src/testbed/simulation/world_parts.py
@@ -30,6 +30,7 @@
         gateways: Gateways.
         runners: Back ends.
         operators: Operators.
+        unrepaired: Groups not yet repaired of each control machine that lost its disk.
         calm: True once the end phase has begun and no fault may strike any more.
     """
 
@@ -41,4 +42,5 @@
     gateways: dict[str, GatewayNode] = field(default_factory=dict)
     runners: dict[str, RunnerNode] = field(default_factory=dict)
     operators: list[Operator] = field(default_factory=list)
+    unrepaired: dict[str, set[str]] = field(default_factory=dict)
     calm: bool = False
