Hub: gateways spread over hubs by rendezvous hash; digests of the own zone on material change

Change: after the own zone come the region's hubs, then the others, each ordered by rendezvous hash of gateway and hub. Digests go to gateways of the runner's zone; of other zones only where a service has no ready runner in the own one, where the cluster has at most 32 runners, or when a runner turns healthy or unhealthy. They go when the load moved by 15 %, KV use by 0.1, health or batch changed, or after 4 s. The hubs' order goes with a full view and when the settings move it.

Excluded: the own zone alone, without those exceptions (a service whose runners are all elsewhere would be routed blindly). The refresh after 4 s stays, because a reading's time tells which own sends it counts.

--- a/src/leverjunction/control/fanout.py
+++ b/src/leverjunction/control/fanout.py
@@ -13,6 +13,13 @@
 MAX_DIGESTS_PER_REPLY = 32
 """Digests in one reply: about 2 KB of a node's budget of 3 KB/s."""
 
+MATERIAL_LOAD_RATIO = 0.15
+"""A load within this share of the one told is no news; up to 6 requests each one counts."""
+
+MATERIAL_KV_RATIO = 0.1
+REFRESH_MS = 4000
+"""A changed reading is told at the latest after this long, material or not."""
+
 
 class GatewaySession:
     """Digests, lost leases and cancelled jobs that one gateway has been told.
@@ -24,8 +31,11 @@
     def __init__(self, incarnation: int) -> None:
         self.incarnation = incarnation
         self.stamp = 0
+        self.hubs: list[str] = []
+        self.hubs_version = 0
         self._reported: dict[str, RunnerDigest] = {}
         self._sent: dict[str, _Sent] = {}
+        self._told_unhealthy: set[str] = set()
         self._exchanges = 0
         self._lost: set[str] = set()
         self._told_jobs: set[str] = set()
@@ -33,7 +43,10 @@
     def reset(self) -> None:
         """Forget what was told: the gateway knows nothing, or a reply was lost."""
         self._sent.clear()
+        self._told_unhealthy.clear()
         self._told_jobs.clear()
+        self.hubs = []
+        self.hubs_version = 0
 
     def report(self, digests: Iterable[RunnerDigest]) -> None:
         """Note the gateway's own digests, which need not go back to it."""
@@ -58,38 +71,57 @@
         return fresh
 
     def digests(self, membership: Membership, zone: str) -> list[RunnerDigest]:
-        """Return the most useful changed digests that fit in one reply.
+        """Return the most useful digests with news for a gateway of ``zone`` that fit in a reply.
 
-        Order: runners that turned healthy or unhealthy, then those of the gateway's zone, then
-        those told longest ago. With few runners all changes fit.
+        These are of the runners that it may send to as things are (see ``Membership.near``), and
+        of others only that they turned healthy or unhealthy. Order: changes of health first, then
+        those told longest ago.
         """
         self._exchanges += 1
-        changed = [digest for digest in membership.digests.values() if self._is_news(digest)]
-        if len(changed) > MAX_DIGESTS_PER_REPLY:
-            changed = heapq.nsmallest(
-                MAX_DIGESTS_PER_REPLY, changed, lambda digest: self._rank(digest, membership, zone)
-            )
-        for digest in changed:
-            self._sent[digest.runner_id] = _Sent(digest, self._exchanges)
+        near = membership.near(zone)
+        news = [digest for digest in map(membership.digests.get, near) if self._is_news(digest)]
+        far = (membership.unhealthy | self._told_unhealthy).difference(near)
+        news += [
+            digest
+            for digest in map(membership.digests.get, sorted(far))
+            if self._has_turned(digest)
+        ]
+        told = [digest for digest in news if digest is not None]
+        if len(told) > MAX_DIGESTS_PER_REPLY:
+            told = heapq.nsmallest(MAX_DIGESTS_PER_REPLY, told, self._rank)
+        for digest in told:
+            self._note_sent(digest)
         self._forget_removed(membership)
-        return changed
+        return told
 
-    def _is_news(self, digest: RunnerDigest) -> bool:
+    def _is_news(self, digest: RunnerDigest | None) -> bool:
+        if digest is None:
+            return False
         sent = self._sent.get(digest.runner_id)
+        if sent is None:
+            # Its own reading need not go back to it.
+            return self._reported.get(digest.runner_id) != digest
         # The map keeps the same object until the value changes: no need to compare the fields.
-        if sent is not None and sent.digest is digest:
+        if sent.digest is digest or not is_material(sent.digest, digest):
             return False
-        reported = self._reported.get(digest.runner_id)
-        return reported is None or reported != digest
+        return self._reported.get(digest.runner_id) != digest
+
+    def _has_turned(self, digest: RunnerDigest | None) -> bool:
+        if digest is None:
+            return False
+        sent = self._sent.get(digest.runner_id)
+        return digest.healthy != (sent.digest.healthy if sent is not None else True)
 
-    def _rank(
-        self, digest: RunnerDigest, membership: Membership, zone: str
-    ) -> tuple[bool, bool, int]:
+    def _rank(self, digest: RunnerDigest) -> tuple[bool, int]:
         sent = self._sent.get(digest.runner_id)
-        same_health = sent is not None and sent.digest.healthy == digest.healthy
-        runner = membership.runners.get(digest.runner_id)
-        far = runner is None or runner.zone != zone
-        return same_health, far, sent.exchange if sent is not None else 0
+        return not self._has_turned(digest), sent.exchange if sent is not None else 0
+
+    def _note_sent(self, digest: RunnerDigest) -> None:
+        self._sent[digest.runner_id] = _Sent(digest, self._exchanges)
+        if digest.healthy:
+            self._told_unhealthy.discard(digest.runner_id)
+        else:
+            self._told_unhealthy.add(digest.runner_id)
 
     def _forget_removed(self, membership: Membership) -> None:
         if len(self._sent) <= len(membership.digests):
@@ -97,6 +129,23 @@
         for runner_id in [key for key in self._sent if key not in membership.digests]:
             del self._sent[runner_id]
             self._reported.pop(runner_id, None)
+            self._told_unhealthy.discard(runner_id)
+
+
+def is_material(told: RunnerDigest, digest: RunnerDigest) -> bool:
+    """Return whether a reading differs from the one told so much that routing would.
+
+    A busy runner's unchanged reading is told again now and then: its time says which of the
+    gateway's own sends it already counts.
+    """
+    if told.healthy != digest.healthy or (told.batch_running > 0) != (digest.batch_running > 0):
+        return True
+    load, told_load = digest.running + digest.waiting, told.running + told.waiting
+    if abs(load - told_load) > MATERIAL_LOAD_RATIO * told_load:
+        return True
+    if abs(digest.kv_used_ratio - told.kv_used_ratio) >= MATERIAL_KV_RATIO:
+        return True
+    return digest.as_of_ms - told.as_of_ms >= REFRESH_MS
 
 
 class _Sent(msgspec.Struct, frozen=True):
--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -9,6 +9,13 @@
 
 from leverjunction.clock import Clock
 from leverjunction.control.fanout import GatewaySession
+from leverjunction.control.hub_types import (
+    ClusterPicture,
+    old_incarnation,
+    settings_held_back,
+    warming_up,
+)
+from leverjunction.control.layout import hubs_for_gateway
 from leverjunction.control.membership import Membership
 from leverjunction.control.messages import (
     HeldLeases,
@@ -21,7 +28,7 @@
 )
 from leverjunction.control.renewals import RenewalBook
 from leverjunction.control.settings_mirror import SettingsMirror, SettingsStep
-from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.errors import Failure
 from leverjunction.platform.machine_list import MachineList
 from leverjunction.settings.commands import GetSettings, SettingsDelta
 from leverjunction.wire.codec import encode_reply
@@ -29,7 +36,6 @@
     ExchangeReply,
     ExchangeRequest,
     GatewayState,
-    RunnerDigest,
     RunnerState,
 )
 
@@ -59,16 +65,6 @@
     job_groups: int
 
 
-class ClusterPicture(msgspec.Struct, frozen=True, kw_only=True):
-    """A copy of the hub's view for status, placement and the watch of runners."""
-
-    gateways: list[GatewayState]
-    runners: list[RunnerState]
-    digests: list[RunnerDigest]
-    readings: dict[str, RunnerReading]
-    hubs: list[HubState]
-
-
 class Hub:
     """Thread-safe shell around the membership, the gateways' sessions and the renewals.
 
@@ -120,7 +116,7 @@
         """Answer another hub that follows the settings of this one with the bytes of the reply."""
         with self._mirror.step(query.after_version) as step:
             if step.retry_after_s:
-                return encode_reply(_settings_held_back(step.retry_after_s))
+                return encode_reply(settings_held_back(step.retry_after_s))
             delta = SettingsDelta(version=step.version, rows=[])
             rows = msgspec.Raw(step.encoded)
             return encode_reply(msgspec.structs.replace(delta, rows=rows))
@@ -131,9 +127,9 @@
         with self._lock:
             now_s = self._clock.monotonic_s()
             if not self._is_warm(now_s):
-                return _warming_up()
+                return warming_up()
             if not self._membership.gateway_heard(request.gateway, now_s):
-                return _old_incarnation(request.gateway)
+                return old_incarnation(request.gateway)
             session, since = self._session(request)
             session.report(request.digests)
             self._membership.digests_heard(request.digests)
@@ -156,7 +152,7 @@
                 digests=session.digests(self._membership, request.gateway.zone),
                 lost_lease_ids=session.take_lost(),
                 cancelled_jobs=session.untold_jobs(self._renewals.cancelled_jobs()),
-                hubs=self._hubs_for(request.gateway.zone) if since == 0 else [],
+                hubs=self._hubs_for(request.gateway, session, full=since == 0),
                 quorum_age_s=round(quorum_age_s, 2),
                 job_groups=self._identity.job_groups,
             )
@@ -332,35 +328,20 @@
         covered = covered and known.runners.covers(request.view_version)
         return session, request.view_version if covered else 0
 
-    def _hubs_for(self, zone: str) -> list[str]:
-        names = sorted(
-            self._identity.peers, key=lambda name: (self._identity.zones[name] != zone, name)
+    def _hubs_for(self, gateway: GatewayState, session: GatewaySession, full: bool) -> list[str]:
+        """Return the hubs for a gateway if it does not know them in this order yet."""
+        version = self._mirror.version
+        if not full and session.hubs_version == version:
+            return []
+        session.hubs_version = version
+        hubs = hubs_for_gateway(
+            gateway.gateway_id,
+            gateway.zone,
+            self._identity.peers,
+            self._identity.zones,
+            self._mirror.settings.region_of_zone,
         )
-        return [self._identity.peers[name] for name in names]
-
-
-def _warming_up() -> Failure:
-    return Failure(
-        kind=FailureKind.STALE,
-        reason="this hub has just started and does not know the cluster yet",
-        step=Step.EXCHANGING,
-        retry_after_s=1.0,
-    )
-
-
-def _settings_held_back(retry_after_s: float) -> Failure:
-    return Failure(
-        kind=FailureKind.OVERLOADED,
-        reason="many ask this hub for all settings at once",
-        step=Step.QUERYING,
-        retry_after_s=retry_after_s,
-    )
-
-
-def _old_incarnation(gateway: GatewayState) -> Failure:
-    return Failure(
-        kind=FailureKind.CONFLICT,
-        reason=f"a newer process named {gateway.gateway_id} is known; names must be unique",
-        step=Step.EXCHANGING,
-        peer=gateway.rpc_address,
-    )
+        if not full and session.hubs == hubs:
+            return []
+        session.hubs = hubs
+        return hubs
--- a/src/leverjunction/control/layout.py
+++ b/src/leverjunction/control/layout.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Mapping
 from itertools import zip_longest
 
+import xxhash
+
 from leverjunction.config.control import ControlConfig, ControlPeer
 
 ROOT_GROUP = "root"
@@ -45,7 +48,33 @@
     return [peer for one_round in rounds for peer in one_round if peer is not None]
 
 
-def hubs_for_zone(zone: str, peers: list[ControlPeer]) -> list[str]:
-    """Return the RPC addresses of all hubs, those of ``zone`` first."""
-    ordered = sorted(peers, key=lambda peer: (peer.zone != zone, peer.name))
-    return [peer.rpc_address for peer in ordered]
+def hubs_for_gateway(
+    gateway_id: str,
+    zone: str,
+    peers: Mapping[str, str],
+    zones: Mapping[str, str],
+    region_of: Callable[[str], str | None],
+) -> list[str]:
+    """Return the RPC addresses of all hubs in the order in which a gateway should use them.
+
+    Its own zone's first, then its region's, then the others. Within each of these the order is by
+    rendezvous hash of gateway and hub, so the gateways of a dead hub spread over the rest.
+
+    Args:
+        gateway_id: The gateway.
+        zone: Its zone.
+        peers: RPC addresses of all control processes, by name.
+        zones: Their zones, by name.
+        region_of: Returns the region of a zone, None when the settings name none.
+    """
+    region = region_of(zone)
+
+    def rank(name: str) -> tuple[bool, bool, int]:
+        is_far = region is None or region_of(zones[name]) != region
+        return zones[name] != zone, is_far, -_rendezvous(gateway_id, name)
+
+    return [peers[name] for name in sorted(peers, key=rank)]
+
+
+def _rendezvous(gateway_id: str, hub: str) -> int:
+    return xxhash.xxh64_intdigest(f"{gateway_id}\0{hub}".encode())
--- a/src/leverjunction/control/membership.py
+++ b/src/leverjunction/control/membership.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -34,6 +34,9 @@
 HUB_TIMEOUT_S = 4.0
 """What a silent hub said is forgotten after this long; its gateways have moved by then."""
 
+FEW_RUNNERS = 32
+"""Up to this many runners their load is told to gateways of all zones: at most 2 KB/s."""
+
 
 class _PeerHub:
     """What another hub last told."""
@@ -66,11 +69,13 @@
         self.settings_versions: dict[str, int] = {}
         self.machine_list_as_of_ms = 0
         self.placement: PlacementRecord | None = None
+        self.unhealthy: set[str] = set()
         self._heard_s: dict[str, float] = {}
         self._machines: dict[str, Machine] = {}
         self._unlisted: dict[str, Machine] = {}
         self._peers: dict[str, _PeerHub] = {}
         self._last_readings: dict[str, RunnerReading] = {}
+        self._near: dict[str, tuple[str, ...]] = {}
         self._draining: frozenset[str] = frozenset()
         self._withdrawn: frozenset[Withdrawal] = frozenset()
 
@@ -183,6 +188,17 @@
         peer = self._peers.get(name)
         return peer.heard_s if peer is not None else None
 
+    def near(self, zone: str) -> tuple[str, ...]:
+        """Return the runners whose load matters to gateways of a zone.
+
+        Those of the zone; those of services that have no ready runner there; and all of them
+        where they are so few that it costs nothing.
+        """
+        known = self._near.get(zone)
+        if known is None:
+            known = self._near[zone] = tuple(_near(zone, self.runners.values()))
+        return known
+
     def reading(self, runner_id: str) -> RunnerReading | None:
         """Return the best reading of a runner: one that reached it, and the newest engine.
 
@@ -254,8 +270,10 @@
         if machine is None or (listed is None and not answers):
             self._unlisted.pop(runner_id, None)
             self._last_readings.pop(runner_id, None)
-            self.runners.remove(runner_id)
+            if self.runners.remove(runner_id):
+                self._near.clear()
             self.digests.remove(runner_id)
+            self.unhealthy.discard(runner_id)
             return
         leaving = (
             listed is None
@@ -273,7 +291,8 @@
             models=[model for model in models if self._may_use(runner_id, model)],
             incarnation=max(machine.incarnation, reading.incarnation if reading else 0),
         )
-        self.runners.put(runner_id, state)
+        if self.runners.put(runner_id, state):
+            self._near.clear()
 
     def _may_use(self, runner_id: str, model: str) -> bool:
         return Withdrawal(runner_id, model) not in self._withdrawn
@@ -282,4 +301,16 @@
         known = self.digests.get(digest.runner_id)
         if known is not None and digest.as_of_ms < known.as_of_ms:
             return False
+        if digest.healthy:
+            self.unhealthy.discard(digest.runner_id)
+        else:
+            self.unhealthy.add(digest.runner_id)
         return self.digests.put(digest.runner_id, digest)
+
+
+def _near(zone: str, runners: list[RunnerState]) -> Iterator[str]:
+    here = {one.service for one in runners if one.zone == zone and one.models and not one.leaving}
+    few = len(runners) <= FEW_RUNNERS
+    for runner in runners:
+        if few or runner.zone == zone or runner.service not in here:
+            yield runner.runner_id
--- a/src/leverjunction/control/placement_runner.py
+++ b/src/leverjunction/control/placement_runner.py
@@ -20,7 +20,8 @@
 from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.control.counters import ControlCounters
 from leverjunction.control.group_host import GroupHost
-from leverjunction.control.hub import ClusterPicture, Hub
+from leverjunction.control.hub import Hub
+from leverjunction.control.hub_types import ClusterPicture
 from leverjunction.control.layout import ROOT_GROUP
 from leverjunction.control.messages import PendingOrder, PlacementRecord, RunnerReading, Withdrawal
 from leverjunction.control.placement import RunnerFacts, WantedModel, WantedOrder, is_done, plan
