--- a/tests/unit/test_gateway_serving.py
+++ b/tests/unit/test_gateway_serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 from collections.abc import Iterator
 from pathlib import Path
@@ -85,3 +86,17 @@
         assert response.status == 200
         assert response.data.endswith(b"data: [DONE]\n\n")
     assert fleet.http.connection_from_url(fleet.url).num_connections == 1
+
+
+def test_a_stream_outlives_garbage_collection(fleet: Fleet) -> None:
+    for engine in fleet.engines:
+        engine.hold_from = 3
+        engine.hold.clear()
+    stream = fleet.client().chat.completions.create(model=MODEL, messages=MESSAGES, stream=True)
+    pieces = [next(stream).choices[0].delta.content for _ in range(3)]
+    gc.collect()
+    for engine in fleet.engines:
+        engine.hold.set()
+    pieces += [chunk.choices[0].delta.content for chunk in stream]
+    assert "".join(pieces) == TEXT
+    assert [engine.resumed for engine in fleet.engines] == [[], []]
