--- a/src/testbed/load/harm/experiment.py
+++ b/src/testbed/load/harm/experiment.py
@@ -151,7 +151,7 @@
 
 
 def _batch_ratio(result: ModeResult, over: ModeResult) -> float:
-    return result.batch_tokens_per_s / over.batch_tokens_per_s
+    return result.batch_items_per_s / over.batch_items_per_s
 
 
 def _spread(values: Iterable[float]) -> Spread:
--- a/src/testbed/load/harm/report.py
+++ b/src/testbed/load/harm/report.py
@@ -74,7 +74,7 @@
 
 def _plot_frontier(axis: Axes, experiment: HarmExperiment) -> None:
     points = experiment.frontier
-    axis.set_xlabel("batch tokens/s over batch alone")
+    axis.set_xlabel("batch items/s over batch alone")
     axis.set_ylabel("p99 over online alone")
     axis.axhline(1.0, color="#cccccc", linewidth=1)
     if not points:
--- a/src/testbed/load/harm/run.py
+++ b/src/testbed/load/harm/run.py
@@ -78,10 +78,14 @@
         self._online = OnlineTraffic(self._scheduler, scenario, self._gateways, self._runners, seed)
         self._batch = BatchMeasures()
         self._feeds: dict[str, BatchFeed] = {}
-        self._meters = [
-            YieldMeter(self._scheduler, runner, _allowed_beside_online(scenario))
+        allowed = _allowed_beside_online(scenario)
+        self._meters = {
+            runner.runner_id: YieldMeter(self._scheduler, runner, allowed)
             for runner in self._runners
-        ]
+        }
+        self._online.arrived.append(
+            lambda runner_id, _gateway_id: self._meters[runner_id].online_sent()
+        )
 
     def run(self) -> ModeResult:
         """Run the workload to its end and return the figures."""
@@ -240,8 +244,8 @@
             batch_items_per_s=items_per_s,
             batch_tokens_per_s=tokens_per_s,
             parked=self._batch.parked,
-            to_yield=_merged([meter.to_yield for meter in self._meters]),
-            to_refill=_merged([meter.to_refill for meter in self._meters]),
+            to_yield=_merged([meter.to_yield for meter in self._meters.values()]),
+            to_refill=_merged([meter.to_refill for meter in self._meters.values()]),
         )
 
 
--- a/src/testbed/load/harm/yield_meter.py
+++ b/src/testbed/load/harm/yield_meter.py
@@ -16,27 +16,38 @@
 
 
 class YieldMeter:
-    """Watches the true state of one runner, without lag."""
+    """Watches the true state of one runner, without lag.
+
+    Time to yield starts when a gateway sends to a runner on which no online request runs, so a
+    yield notice that overtakes the request is counted too.
+    """
 
     def __init__(self, scheduler: Scheduler, runner: VirtualRunner, allowed: int) -> None:
         self.to_yield = LatencyRecorder()
         self.to_refill = LatencyRecorder()
         self._scheduler = scheduler
         self._allowed = allowed
+        self._runner = runner
         self._online = 0
         self._met_batch = 0
         self._arrived_s: float | None = None
         self._gone_s: float | None = None
         runner.observers.append(self._observe)
 
+    def online_sent(self) -> None:
+        """Start the clock when a gateway sends to the runner while it holds no online request."""
+        batch = self._runner.load_now().batch_running
+        if self._online or self._arrived_s is not None or batch <= self._allowed:
+            return
+        self._arrived_s = self._scheduler.now_s
+        self._met_batch = batch
+        self._gone_s = None
+
     def _observe(self, runner: VirtualRunner) -> None:
         reading = runner.load_now()
-        batch = reading.batch_running
-        online = reading.running + reading.waiting - batch - reading.batch_waiting
+        online = reading.running + reading.waiting - reading.batch_running - reading.batch_waiting
         now_s = self._scheduler.now_s
-        if online and not self._online:
-            self._arrived_s = now_s if batch > self._allowed else None
-            self._met_batch = batch
+        if online:
             self._gone_s = None
         if self._online and not online:
             self._gone_s = now_s
