Simulator: the product's gateway, harvester and relay run on fibers; callers of both kinds

Cause: the gateway and batch sides were missing. Stand-ins for threading, selectors, sockets and pools let OnlineService, Sender, StreamSession, RelayLoop, OwnerLoop, ExchangeLoop, Harvester, JobUpload run unmodified in virtual time. Connections resend over a cut link and reset after 15 s.

--- a/src/testbed/simulation/channel.py
+++ b/src/testbed/simulation/channel.py
@@ -1,7 +1,12 @@
-"""Ordered connections over the simulated network, as TCP gives them."""
+"""Ordered connections over the simulated network, as TCP gives them.
+
+What meets a cut link is sent again until the link heals, so it arrives late but whole and in order;
+after ``GIVE_UP_S`` both ends see a reset. The end of a process resets its connections.
+"""
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -12,6 +17,9 @@
 RESET_DELAY_S = 0.002
 """Time from a peer's death to the reset that its partner sees."""
 
+RESEND_INTERVAL_S = 0.25
+GIVE_UP_S = 15.0
+
 
 class ChannelEnd(Protocol):
     """What one end of a channel does with what arrives."""
@@ -25,8 +33,39 @@
         ...
 
 
+class Connections:
+    """Opens channels and resets them when one of their processes is killed."""
+
+    def __init__(self, scheduler: Scheduler, network: Network) -> None:
+        self._scheduler = scheduler
+        self._network = network
+        self._open: dict[str, dict[Channel, None]] = {}
+
+    def open(self, client: Machine, server: Machine) -> Channel:
+        """Return a new channel; whether the server can be reached is the caller's question."""
+        channel = Channel(self._scheduler, self._network, client, server)
+        for machine in (client, server):
+            if machine.name not in self._open:
+                self._open[machine.name] = {}
+                machine.on_kill.append(self._resetter(machine))
+            self._open[machine.name][channel] = None
+        channel.on_closed = self._forget
+        return channel
+
+    def _resetter(self, machine: Machine) -> Callable[[], None]:
+        def reset() -> None:
+            for channel in list(self._open[machine.name]):
+                channel.reset_by_death_of(machine)
+
+        return reset
+
+    def _forget(self, channel: Channel) -> None:
+        for machine in (channel.client, channel.server):
+            self._open[machine.name].pop(channel, None)
+
+
 class Channel:
-    """A connection between two machines; a cut link makes it silent rather than broken.
+    """A connection between two machines.
 
     Args:
         scheduler: Virtual time.
@@ -41,14 +80,17 @@
         self.client = client
         self.server = server
         self.closed = False
+        self.on_closed: Callable[[Channel], None] = lambda _channel: None
         self._scheduler = scheduler
         self._network = network
         self._ends: dict[str, ChannelEnd] = {}
-        self._incarnations = {
-            client.name: client.incarnation,
-            server.name: server.incarnation,
+        self._incarnations = {client.name: client.incarnation, server.name: server.incarnation}
+        self._on_way: dict[str, deque[Callable[[ChannelEnd], None]]] = {
+            client.name: deque(),
+            server.name: deque(),
         }
         self._next_arrival_s = {client.name: 0.0, server.name: 0.0}
+        self._stuck_since_s: dict[str, float] = {}
 
     def attach(self, machine: Machine, end: ChannelEnd) -> None:
         """Set who handles what arrives at ``machine``."""
@@ -56,51 +98,69 @@
 
     def send(self, source: Machine, message: object) -> None:
         """Send a message to the other end."""
-        destination = self._other(source)
-        self._carry(source, destination, lambda end: end.received(self, message))
+        if not self.closed:
+            self._carry(self._other(source), lambda end: end.received(self, message))
 
     def close(self, source: Machine) -> None:
-        """Close the connection; the other end sees it as broken."""
+        """Close the connection; the other end sees it as broken after all that was sent."""
         if self.closed:
             return
-        destination = self._other(source)
-        self._carry(source, destination, lambda end: end.broken(self))
-        self._scheduler.after(RESET_DELAY_S, self._mark_closed)
+        self._carry(self._other(source), lambda end: end.broken(self))
+        self._end()
 
     def reset_by_death_of(self, dead: Machine) -> None:
-        """Tell the partner of a killed process, unless the link is cut."""
-        destination = self._other(dead)
-        self._network.carry_reliably(
-            dead.name,
-            destination.name,
-            RESET_DELAY_S,
-            self._guard(destination, lambda end: end.broken(self)),
-        )
-
-    def _carry(
-        self, source: Machine, destination: Machine, act: Callable[[ChannelEnd], None]
-    ) -> None:
+        """Tell the partner of a killed process."""
         if self.closed:
             return
+        self._next_arrival_s[self._other(dead).name] += RESET_DELAY_S
+        self._carry(self._other(dead), lambda end: end.broken(self))
+        self._end()
+
+    def _end(self) -> None:
+        self.closed = True
+        self.on_closed(self)
+
+    def _carry(self, destination: Machine, act: Callable[[ChannelEnd], None]) -> None:
+        source = self._other(destination)
+        delay_s = self._network.ordered_delay_s(source.name, destination.name)
         now_s = self._scheduler.now_s
-        arrival_s = now_s + self._network.ordered_delay_s(source.name, destination.name)
-        arrival_s = max(arrival_s, self._next_arrival_s[destination.name])
+        arrival_s = max(now_s + delay_s, self._next_arrival_s[destination.name])
         self._next_arrival_s[destination.name] = arrival_s
-        self._network.carry_reliably(
-            source.name, destination.name, arrival_s - now_s, self._guard(destination, act)
-        )
+        self._on_way[destination.name].append(act)
+        self._scheduler.after(arrival_s - now_s, lambda: self._arrive(destination))
+
+    def _arrive(self, destination: Machine) -> None:
+        """Hand over all that can arrive; keep the rest in order while the link is cut."""
+        waiting = self._on_way[destination.name]
+        if not waiting:
+            return
+        source = self._other(destination)
+        if not self._network.linked(source.name, destination.name):
+            self._wait_for_link(destination)
+            return
+        self._stuck_since_s.pop(destination.name, None)
+        self._deliver(destination, waiting.popleft())
+
+    def _wait_for_link(self, destination: Machine) -> None:
+        now_s = self._scheduler.now_s
+        since_s = self._stuck_since_s.setdefault(destination.name, now_s)
+        if now_s - since_s < GIVE_UP_S:
+            self._scheduler.after(RESEND_INTERVAL_S, lambda: self._arrive(destination))
+            return
+        for machine in (self.client, self.server):
+            self._on_way[machine.name].clear()
+            self._deliver(machine, lambda end: end.broken(self))
+        self._end()
+
+    def _deliver(self, destination: Machine, act: Callable[[ChannelEnd], None]) -> None:
+        end = self._ends.get(destination.name)
+        incarnation = self._incarnations[destination.name]
 
-    def _guard(self, destination: Machine, act: Callable[[ChannelEnd], None]) -> Callable[[], None]:
         def run() -> None:
-            end = self._ends.get(destination.name)
-            alive = destination.incarnation == self._incarnations[destination.name]
-            if end is not None and alive:
+            if end is not None and destination.incarnation == incarnation:
                 act(end)
 
-        return run
-
-    def _mark_closed(self) -> None:
-        self.closed = True
+        destination.deliver(run)
 
     def _other(self, machine: Machine) -> Machine:
         return self.server if machine is self.client else self.client
--- a/src/testbed/simulation/engine_messages.py
+++ b/src/testbed/simulation/engine_messages.py
@@ -14,21 +14,15 @@
 
 @dataclass(frozen=True)
 class Submit:
-    """A request, with what the recorder wants to know of it.
+    """A request; the first word of its prompt names the work that it serves, for the recorder.
 
     Attributes:
         request: The request as the engine runs it.
-        work_id: Online request or item (``job/index``) that it serves.
-        batch: True for batch work.
-        may_repeat: False when the work may run at most once.
         gateway: Gateway that sends it.
         stream: True when tokens are sent one by one, False for one answer at the end.
     """
 
     request: EngineRequest
-    work_id: str
-    batch: bool
-    may_repeat: bool
     gateway: str
     stream: bool
 
--- a/src/testbed/simulation/fault_injector.py
+++ b/src/testbed/simulation/fault_injector.py
@@ -235,7 +235,7 @@
         gateway = self._gateway(fault)
         if gateway is None:
             return False
-        if gateway.batch is not None and gateway.batch.lease_ids():
+        if gateway.held_leases():
             self._parts.history.faults["gateway_killed_with_items_in_flight"] += 1
         gateway.kill()
         self._after(fault.duration_s, lambda: self._recover_gateway(gateway))
@@ -300,8 +300,7 @@
             return False
         if runner.engine.has_work():
             self._parts.history.faults["runner_killed_with_work_in_flight"] += 1
-        for channel in runner.kill():
-            channel.reset_by_death_of(runner.machine)
+        runner.kill()
         self._after(fault.duration_s, lambda: self._recover_runner(runner))
         return True
 
--- a/src/testbed/simulation/fiber.py
+++ b/src/testbed/simulation/fiber.py
@@ -7,12 +7,10 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable, Iterator
-from typing import TypeVar
+from collections.abc import Callable
 
 from testbed.simulation.machine import Machine
 
-T = TypeVar("T")
 Resume = Callable[[object], None]
 """Hands the awaited result to a blocked fiber; only the first call counts."""
 
@@ -65,6 +63,7 @@
         self.current: Fiber | None = None
         self._error: BaseException | None = None
         self._alive: dict[Fiber, None] = {}
+        self._idle: list[_Worker] = []
         self._watched: set[Machine] = set()
 
     def spawn(self, machine: Machine, target: Callable[[], None]) -> None:
@@ -74,10 +73,16 @@
         if machine not in self._watched:
             self._watched.add(machine)
             machine.on_kill.append(lambda: self._kill_all_of(machine))
-        thread = threading.Thread(target=self._run, args=(fiber, target), daemon=True)
-        thread.start()
+        worker = self._idle.pop() if self._idle else _Worker(self)
+        worker.begin(fiber, target)
         self._enter(fiber)
 
+    def close(self) -> None:
+        """End the threads that wait for another fiber."""
+        for worker in self._idle:
+            worker.end()
+        self._idle.clear()
+
     def wait(self, arm: Callable[[Resume], None]) -> object:
         """Block the current fiber until the function given to ``arm`` is called."""
         fiber = self.current
@@ -109,7 +114,8 @@
             error, self._error = self._error, None
             raise error
 
-    def _run(self, fiber: Fiber, target: Callable[[], None]) -> None:
+    def run(self, worker: _Worker, fiber: Fiber, target: Callable[[], None]) -> None:
+        """Run a fiber to its end; called by a worker's thread."""
         fiber.await_start()
         try:
             if not fiber.killed:
@@ -119,6 +125,7 @@
         except BaseException as error:
             self._error = error
         del self._alive[fiber]
+        self._idle.append(worker)
         fiber.leave()
 
     def _kill_all_of(self, machine: Machine) -> None:
@@ -129,6 +136,33 @@
                 self._enter(fiber)
 
 
+class _Worker:
+    """A thread that runs one fiber after another: starting a thread costs more than a fiber."""
+
+    def __init__(self, fibers: Fibers) -> None:
+        self._fibers = fibers
+        self._task: tuple[Fiber, Callable[[], None]] | None = None
+        self._wake = threading.Semaphore(0)
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def begin(self, fiber: Fiber, target: Callable[[], None]) -> None:
+        """Take a fiber; it runs once it is switched in."""
+        self._task = (fiber, target)
+        self._wake.release()
+
+    def end(self) -> None:
+        """End the thread."""
+        self._task = None
+        self._wake.release()
+
+    def _run(self) -> None:
+        while True:
+            self._wake.acquire()
+            if self._task is None:
+                return
+            self._fibers.run(self, *self._task)
+
+
 class _Wakeup:
     """The result that one blocked fiber waits for."""
 
@@ -154,53 +188,3 @@
     def _go_on(self) -> None:
         if not self._fiber.killed and not self._fiber.done:
             self._fibers.enter(self._fiber)
-
-
-class FiberExecutor:
-    """Stands in for a thread pool of the product: each task is a fiber of its machine."""
-
-    def __init__(self, fibers: Fibers, machine: Machine) -> None:
-        self._fibers = fibers
-        self._machine = machine
-
-    def submit(self, function: Callable[..., object], *arguments: object) -> None:
-        """Run a task beside the caller."""
-        task = _bound(function, arguments)
-        self._machine.after(0.0, lambda: self._fibers.spawn(self._machine, task))
-
-    def map(self, function: Callable[[T], object], items: Iterable[T]) -> Iterator[object]:
-        """Run a function on all items side by side and wait for all results."""
-        work = list(items)
-        results: dict[int, object] = {}
-
-        def arm(resume: Resume) -> None:
-            if not work:
-                resume(None)
-            for number, item in enumerate(work):
-                self.submit(self._one, function, item, number, results, len(work), resume)
-
-        self._fibers.wait(arm)
-        return iter([results[number] for number in range(len(work))])
-
-    def shutdown(self, wait: bool = True, *, cancel_futures: bool = False) -> None:
-        """Do nothing: fibers end with their machine."""
-
-    @staticmethod
-    def _one(
-        function: Callable[[T], object],
-        item: T,
-        number: int,
-        results: dict[int, object],
-        count: int,
-        resume: Resume,
-    ) -> None:
-        results[number] = function(item)
-        if len(results) == count:
-            resume(None)
-
-
-def _bound(function: Callable[..., object], arguments: tuple[object, ...]) -> Callable[[], None]:
-    def run() -> None:
-        function(*arguments)
-
-    return run
--- a/src/testbed/simulation/gateway_node.py
+++ b/src/testbed/simulation/gateway_node.py
@@ -1,56 +1,55 @@
-"""A simulated gateway: the product's exchange, settings and view, and its life cycle."""
+"""A simulated gateway: the product's parts on fibers, wired as ``gateway.runtime`` wires them."""
 
 from __future__ import annotations
 
 import random
 from collections.abc import Callable
-from contextlib import nullcontext
-from typing import TYPE_CHECKING, Protocol
+from types import SimpleNamespace
 
 from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.gateway.claims import ClaimDesk
 from leverjunction.gateway.exchange import DigestOutbox, ExchangeLoop
+from leverjunction.gateway.gate import AdmissionGate
+from leverjunction.gateway.harvest import BatchHarvest
+from leverjunction.gateway.inflight import Inflight
+from leverjunction.gateway.journal import Journal
+from leverjunction.gateway.online import OnlineService, Place
+from leverjunction.gateway.owner import OwnerLoop
 from leverjunction.gateway.ownership import owned_runners
+from leverjunction.gateway.relay import RelayLoop
+from leverjunction.gateway.retry import RetryBudget
+from leverjunction.gateway.runner_pool import RunnerPool
+from leverjunction.gateway.sender import Sender
 from leverjunction.gateway.settings_store import SettingsStore
+from leverjunction.gateway.stream_session import StreamServices
 from leverjunction.gateway.view import ClusterSnapshot, ClusterView
+from leverjunction.gateway.yielding import YieldNotifier
 from leverjunction.observability.counters import GatewayCounters
+from leverjunction.observability.decisions import DecisionRing
 from leverjunction.settings.resolved import ResolvedSettings
+from leverjunction.wire.codec import decode, encode_reply
 from leverjunction.wire.control_client import ControlClient
-from leverjunction.wire.messages import GatewayState, RunnerState
+from leverjunction.wire.envelope import Envelope, MessageKind
+from leverjunction.wire.messages import Acknowledged, GatewayState, RunnerState, YieldNotice
+from testbed.simulation.channel import Connections
+from testbed.simulation.engine_client import SimulatedEngines
+from testbed.simulation.gateway_front import GatewayFront
 from testbed.simulation.history import GatewayStop, History, VersionInForce
 from testbed.simulation.machine import Machine
 from testbed.simulation.operators import settings_content
 from testbed.simulation.rpc import RpcBoard, SimulatedRpc
-
-if TYPE_CHECKING:
-    from testbed.simulation.gateway_online import OnlinePart
+from testbed.simulation.runner_node import RunnerNode
+from testbed.simulation.virtual_threads import VirtualThreading
 
 EXCHANGE_INTERVAL_S = 1.0
+DRAIN_TIMEOUT_S = 60.0
 
 
-class BatchPart(Protocol):
-    """A gateway's batch work, as its life cycle sees it."""
-
-    def start(self) -> None:
-        """Begin with the process."""
-        ...
-
-    def update(
-        self, owned: list[RunnerState], settings: ResolvedSettings, groups: list[str]
-    ) -> None:
-        """Take the owned runners and the settings in force."""
-        ...
-
-    def lease_ids(self) -> dict[str, list[str]]:
-        """Return the leases held, by job group."""
-        ...
-
-    def revoke(self, lost_lease_ids: list[str], cancelled_jobs: list[str]) -> None:
-        """Drop lost leases and the work of cancelled jobs."""
-        ...
+class NoCacheFeed:
+    """Stands in for the reader of cache events: the simulator has none."""
 
-    def stop(self) -> None:
-        """Hand all leases back; blocks."""
-        ...
+    def update(self, _owned: list[RunnerState]) -> None:
+        """Do nothing."""
 
 
 class SettingsDisk:
@@ -96,24 +95,30 @@
 
 
 class GatewayNode:
-    """One gateway.
+    """One gateway; every start wires the product's parts anew.
 
     Attributes:
         machine: Its machine.
-        control: The product's client of the control processes, made anew at each start.
+        control: Client of the control processes.
         settings: Settings in force.
         view: Cluster as last heard of.
-        stopping: True once it takes no new requests.
-        online: Its online part.
-        batch: Its batch part.
+        inflight: Count of open requests, and the mark of a stop.
+        service: The online service.
+        harvest: The batch side.
+        front: What callers reach.
     """
 
     store_type: type[RecordingSettingsStore] = RecordingSettingsStore
+    engines_type: type[SimulatedEngines] = SimulatedEngines
 
     def __init__(
         self,
         machine: Machine,
+        region: str,
         board: RpcBoard,
+        threading: VirtualThreading,
+        connections: Connections,
+        runners: dict[str, RunnerNode],
         hubs: list[str],
         history: History,
         generator: random.Random,
@@ -122,74 +127,65 @@
         self.board = board
         self.history = history
         self.random = generator
-        self.online: OnlinePart | None = None
-        self.batch: BatchPart | None = None
+        self._region = region
+        self._threading = threading
+        self._connections = connections
+        self._runners = runners
         self._hubs = hubs
         self._disk = SettingsDisk()
-        self.stopping = False
 
     @property
     def name(self) -> str:
         """Return the gateway's id, which is its machine's name."""
         return self.machine.name
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether new requests are refused."""
+        return self.inflight.stopping
+
     def start(self) -> None:
         """Start or restart the process."""
         self.machine.start()
-        self.stopping = False
         self._incarnation_ms = self.machine.wall_ms()
-        rpc = SimulatedRpc(self.machine, self.board)
-        fibers = self.board.fibers
-        self.control = ControlClient(
-            rpc,  # type: ignore[arg-type]
-            list(self._hubs),
-            self.machine,
-            self.random,
-            sleep=lambda seconds: fibers.sleep(self.machine, seconds),
-        )
-        self.counters = GatewayCounters()
-        self.view = ClusterView()
-        self.settings = self.store_type(self._disk, self._record_version)
-        self.outbox = DigestOutbox()
+        with self._threading.on(self.machine):
+            self._wire()
         self.settings.load_copy()
-        if self.online is not None:
-            self.online.start()
-        if self.batch is not None:
-            self.batch.start()
-        self._start_exchange()
+        self.board.serve(self.machine, {}, {MessageKind.YIELD_NOTICE: self._on_notice})
+        self.relay.start()
+        self.owner.start()
+        self.exchange.start()
 
     def stop(self, exited: Callable[[], None]) -> None:
         """Stop as planned: refuse new requests, hand batch back, wait for open ones, then exit."""
-        self.stopping = True
         asked_s = self.machine.monotonic_s()
 
-        def drain() -> None:
-            self._exchange.exchange_once()
-            if self.batch is not None:
-                self.batch.stop()
-            if self.online is not None:
-                self.online.wait_idle()
+        def exit_process() -> None:
             exited_s = self.machine.monotonic_s()
             self.history.stops.append(GatewayStop(self.name, asked_s, exited_s))
-            self.machine.after(0.0, exit_process)
-
-        def exit_process() -> None:
             self.kill()
             exited()
 
-        self.board.fibers.spawn(self.machine, drain)
+        def run() -> None:
+            self.drain()
+            self.machine.after(0.0, exit_process)
+
+        self.board.fibers.spawn(self.machine, run)
+
+    def drain(self) -> None:
+        """Do what ``gateway.runtime`` does at a planned stop, in the same order."""
+        self.inflight.begin_stop()
+        end_s = self.machine.monotonic_s() + DRAIN_TIMEOUT_S
+        self.exchange.exchange_once()
+        self.harvest.stop()
+        self.gate.stop()
+        self.inflight.wait_idle(max(0.0, end_s - self.machine.monotonic_s()))
+        self.relay.wait_idle(max(0.0, end_s - self.machine.monotonic_s()))
 
     def kill(self) -> None:
         """End the process at once."""
-        if self.online is not None:
-            self.online.died()
         self.machine.kill()
 
-    def ready(self) -> bool:
-        """Return whether requests should be sent here."""
-        known = self.settings.current.version > 0 and self.view.snapshot.view_version > 0
-        return known and not self.stopping
-
     def job_groups(self) -> list[str]:
         """Return the names of all job groups."""
         return [f"jobs-{index}" for index in range(self.view.snapshot.job_groups)]
@@ -206,49 +202,105 @@
             settings_version=self.settings.current.version,
         )
 
-    def lease_ids(self) -> dict[str, list[str]]:
-        """Return the leases that the batch part holds."""
-        return self.batch.lease_ids() if self.batch is not None else {}
-
-    def revoke(self, lost_lease_ids: list[str], cancelled_jobs: list[str]) -> None:
-        """Pass lost leases and cancelled jobs to the batch part."""
-        if self.batch is not None:
-            self.batch.revoke(lost_lease_ids, cancelled_jobs)
+    def held_leases(self) -> int:
+        """Return how many leases the batch side holds."""
+        return self.harvest._harvester.stats().leases
 
-    def _start_exchange(self) -> None:
-        self._exchange = ExchangeLoop(
+    def _wire(self) -> None:
+        fibers, machine = self.board.fibers, self.machine
+        self.control = ControlClient(
+            SimulatedRpc(machine, self.board),  # type: ignore[arg-type]
+            list(self._hubs),
+            machine,
+            self.random,
+            sleep=lambda seconds: fibers.sleep(machine, seconds),
+        )
+        self.engines = self.engines_type(machine, self.board, self._connections, self._runners)
+        self.counters = GatewayCounters()
+        self.inflight = Inflight()
+        self.view = ClusterView()
+        self.settings = self.store_type(self._disk, self._record_version)
+        self.pool = RunnerPool(self.view, machine.zone, machine, self.random)
+        self.outbox = DigestOutbox()
+        self.harvest = BatchHarvest(
+            self.control,
+            self.engines,  # type: ignore[arg-type]
+            machine,
+            SimpleNamespace(name=self.name, region=self._region),  # type: ignore[arg-type]
+            self.counters.registry,
+        )
+        self.notifier = YieldNotifier(
+            self.name, self.view, self.control, self.harvest, machine, self.counters
+        )
+        self.owner = OwnerLoop(
+            self.engines,  # type: ignore[arg-type]
+            self.view,
+            self.pool,
+            self.outbox,
+            self.harvest.observe_load,
+            NoCacheFeed(),  # type: ignore[arg-type]
+        )
+        self.exchange = ExchangeLoop(
             self.control,
             self.identity,
             self.view,
             self.settings,
             self.outbox,
-            self,
+            self.harvest,
             self.counters,
             EXCHANGE_INTERVAL_S,
             self._on_view,
         )
-        # Fibers run one at a time, and a held lock would stop them all.
-        self._exchange._lock = nullcontext()  # type: ignore[assignment]
-        exchange = self._exchange
-        fibers = self.board.fibers
-
-        def run() -> None:
-            fibers.sleep(self.machine, self.random.random() * 0.2)
-            while True:
-                exchange.exchange_once()
-                fibers.sleep(self.machine, EXCHANGE_INTERVAL_S)
-
-        fibers.spawn(self.machine, run)
+        self.gate = AdmissionGate(machine, self.counters)
+        self.relay = RelayLoop(self.counters)
+        self.service = self._online_service()
+        self.front = GatewayFront(self)
+
+    def _online_service(self) -> OnlineService:
+        journal = Journal(DecisionRing(self.random), self.machine)
+        sender = Sender(
+            self.engines,  # type: ignore[arg-type]
+            self.pool,
+            self.gate,
+            RetryBudget(),
+            self.notifier,
+            journal,
+            self.counters,
+            self.machine,
+        )
+        streams = StreamServices(
+            engines=self.engines,  # type: ignore[arg-type]
+            sender=sender,
+            pool=self.pool,
+            journal=journal,
+            counters=self.counters,
+            clock=self.machine,
+        )
+        return OnlineService(
+            Place(region=self._region, zone=self.machine.zone),
+            lambda: self.settings.current,
+            self.gate,
+            sender,
+            ClaimDesk(self.control, self.job_groups, self.name),
+            self.relay,
+            streams,
+            journal,
+            self.counters,
+            self.machine,
+        )
 
     def _on_view(self, snapshot: ClusterSnapshot) -> None:
         owned: list[RunnerState] = []
         if not self.stopping:
             owned = owned_runners(self.name, snapshot.runners.values(), snapshot.gateways.values())
-        self.outbox.retain({runner.runner_id for runner in owned})
-        if self.online is not None:
-            self.online.update(owned)
-        if self.batch is not None:
-            self.batch.update(owned, self.settings.current, self.job_groups())
+        self.owner.update(owned)
+        self.harvest.update(owned, self.settings.current, self.job_groups())
+
+    def _on_notice(self, envelope: Envelope, peer: str) -> bytes:
+        notice = decode(envelope.body, YieldNotice, peer)
+        if not isinstance(notice, Failure):
+            self.harvest.notice_arrived(notice.runner_id)
+        return encode_reply(Acknowledged())
 
     def _record_version(self, settings: ResolvedSettings) -> None:
         self.history.in_force.append(
--- a/src/testbed/simulation/history.py
+++ b/src/testbed/simulation/history.py
@@ -81,6 +81,7 @@
         pages: Every result line that was read, by cursor, in the order of reading.
         final_lines: Result lines of the audit at the end of the run, None when it failed.
         final_state: State of the job at the audit.
+        discarded: Duplicates that the system counted and dropped, at the audit.
     """
 
     tenant: str
@@ -98,6 +99,7 @@
     pages: list[ResultLine] = field(default_factory=list)
     final_lines: list[ResultLine] | None = None
     final_state: JobState | None = None
+    discarded: int = 0
 
 
 @dataclass
@@ -105,11 +107,11 @@
     """One piece of work as a back end received it.
 
     Attributes:
-        work_id: Item (``job/index``) or online request that it serves.
+        work_id: Item (``tenant/key/index``) or online request that it serves.
+        request_id: Id under which the back end knows it.
         runner: Back end.
         gateway: Gateway that sent it.
         batch: True for batch work.
-        may_repeat: False when it may run at most once.
         received_s: When the back end received it.
         started_s: When it was first part of a step; NEVER_S if it never was.
         ended_s: When it ended; NEVER_S while it runs.
@@ -117,25 +119,51 @@
     """
 
     work_id: str
+    request_id: str
     runner: str
     gateway: str
     batch: bool
-    may_repeat: bool
     received_s: float
     started_s: float = NEVER_S
     ended_s: float = NEVER_S
     tokens: int = 0
 
 
+@dataclass(frozen=True)
+class SharedStep:
+    """A step of a back end on which online work runs or waits.
+
+    Attributes:
+        runner: Back end.
+        moment_s: When it began.
+        duration_s: How long it took.
+        online_since_s: Since when online work has been there without a break.
+        online: Online requests in the step.
+        batch: Batch requests in the step.
+        waiting: Online requests that were not in it.
+    """
+
+    runner: str
+    moment_s: float
+    duration_s: float
+    online_since_s: float
+    online: int
+    batch: int
+    waiting: tuple[str, ...]
+
+
 @dataclass
 class OnlineRecord:
     """One online request as its caller saw it.
 
     Attributes:
-        request_id: Unique id.
+        work_id: Id of the work; several records share it when the caller sent it again.
+        served_id: Id that the gateway gave to this send, empty when no head came.
         gateway: Gateway it was sent to.
         may_repeat: False when it may run at most once.
-        key: Idempotency key; several records share it when the caller sent it again.
+        key: Idempotency key, empty for none.
+        service: Service asked.
+        stream: True for an answer in tokens.
         expected: Whole text of the right answer.
         sent_s: When it was sent.
         ended_s: When its last byte or its refusal arrived; NEVER_S when the connection broke.
@@ -145,17 +173,19 @@
         explicit_error: True when the stream ended with an error event.
         status: HTTP status, 0 when the connection broke.
         execution: What a refusal said about having run; None without a refusal.
-        gateway_lost: True when its gateway was killed or cut off from the caller meanwhile.
-        excused: True when a back end or link that served it failed, so that its end may be an
-            error whatever the gateway did.
+        kind: Kind of the failure that a refusal named.
+        broken: True when the connection ended before the answer was whole, without a word.
     """
 
-    request_id: str
+    work_id: str
     gateway: str
     may_repeat: bool
     key: str
+    service: str
+    stream: bool
     expected: str
     sent_s: float
+    served_id: str = ""
     ended_s: float = NEVER_S
     first_token_s: float = NEVER_S
     text: str = ""
@@ -163,8 +193,8 @@
     explicit_error: bool = False
     status: int = 0
     execution: Execution | None = None
-    gateway_lost: bool = False
-    excused: bool = False
+    kind: str = ""
+    broken: bool = False
 
 
 @dataclass(frozen=True)
@@ -199,6 +229,8 @@
         audited_settings: Leaves as the audit at the end read them.
         audited_version: Version as the audit at the end read it.
         jobs: Jobs by (tenant, key).
+        steps: Steps that online work shared with batch, or waited for.
+        internal_errors: Errors that the product's own loops logged.
         runs: Work as the back ends received it.
         online: Online requests.
         in_force: Versions that gateways put in force.
@@ -218,6 +250,8 @@
     audited_settings: Mapping[str, object] | None = None
     audited_version: int = 0
     jobs: dict[tuple[str, str], JobRecord] = field(default_factory=dict)
+    steps: list[SharedStep] = field(default_factory=list)
+    internal_errors: list[str] = field(default_factory=list)
     runs: list[EngineRun] = field(default_factory=list)
     online: list[OnlineRecord] = field(default_factory=list)
     in_force: list[VersionInForce] = field(default_factory=list)
@@ -230,6 +264,14 @@
     counts: Counter[str] = field(default_factory=Counter)
 
 
+BATCH_MARK = "batch/"
+
+
+def is_batch_work(prompt: str) -> bool:
+    """Return whether a prompt was made for a batch item (whatever priority it came with)."""
+    return prompt.startswith(BATCH_MARK)
+
+
 FINAL_ITEM_STATES = frozenset(
     {
         ItemState.DONE,
--- /dev/null
+++ b/src/testbed/simulation/product_modules.py
@@ -0,0 +1,73 @@
+"""Puts virtual threads, sockets, time and randomness under the product's modules for one run."""
+
+from __future__ import annotations
+
+import importlib
+import random
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from types import SimpleNamespace
+from unittest import mock
+
+from testbed.simulation.scheduler import Scheduler
+from testbed.simulation.virtual_sockets import VirtualSelectors, VirtualSocketModule
+from testbed.simulation.virtual_threads import VirtualThreading
+
+HARVEST_TICK_S = 0.1
+LOAD_POLL_S = 0.4
+CHUNK_ITEMS = 4
+"""Coarser than the product's, so that a run is cheap; the order of events stays the same kind."""
+
+_PACKAGES = (
+    "leverjunction.batch.harvester",
+    "leverjunction.batch.lease_fetcher",
+    "leverjunction.batch.result_sender",
+    "leverjunction.gateway.claims",
+    "leverjunction.gateway.exchange",
+    "leverjunction.gateway.gate",
+    "leverjunction.gateway.harvest",
+    "leverjunction.gateway.inflight",
+    "leverjunction.gateway.online",
+    "leverjunction.gateway.owner",
+    "leverjunction.gateway.relay",
+    "leverjunction.gateway.sender",
+    "leverjunction.gateway.stream_session",
+    "leverjunction.gateway.yielding",
+)
+_CONSTANTS: dict[str, dict[str, object]] = {
+    "leverjunction.api.batches_upload": {"CHUNK_ITEMS": CHUNK_ITEMS},
+    "leverjunction.batch.harvester": {"TICK_S": HARVEST_TICK_S},
+    "leverjunction.gateway.owner": {"POLL_INTERVAL_S": LOAD_POLL_S},
+}
+
+
+@contextmanager
+def product_on_fibers(
+    threading: VirtualThreading, scheduler: Scheduler, generator: random.Random
+) -> Iterator[None]:
+    """Replace what the gateway's and the batch modules import from the standard library."""
+    substitutes: dict[str, object] = {
+        "threading": threading,
+        "ThreadPoolExecutor": threading.ThreadPoolExecutor,
+        "selectors": VirtualSelectors(threading),
+        "socket": VirtualSocketModule(),
+        "time": SimpleNamespace(monotonic=lambda: scheduler.now_s),
+        "uuid": SimpleNamespace(uuid4=lambda: _identifier(generator)),
+        "random": SimpleNamespace(Random=lambda: random.Random(generator.getrandbits(64))),
+    }
+    with ExitStack() as stack:
+        for name in _PACKAGES:
+            module = importlib.import_module(name)
+            for attribute, substitute in substitutes.items():
+                if hasattr(module, attribute):
+                    stack.enter_context(mock.patch.object(module, attribute, substitute))
+        for name, constants in _CONSTANTS.items():
+            importlib.import_module(name)
+            for attribute, value in constants.items():
+                stack.enter_context(mock.patch.object(sys.modules[name], attribute, value))
+        yield
+
+
+def _identifier(generator: random.Random) -> SimpleNamespace:
+    return SimpleNamespace(hex=f"{generator.getrandbits(128):032x}")
--- a/src/testbed/simulation/runner_node.py
+++ b/src/testbed/simulation/runner_node.py
@@ -25,7 +25,7 @@
     Resume,
     Submit,
 )
-from testbed.simulation.history import EngineRun, History
+from testbed.simulation.history import EngineRun, History, SharedStep, is_batch_work
 from testbed.simulation.machine import SECONDS_TO_MS, Machine
 
 KEPT_FOR_RESUME = 256
@@ -114,8 +114,6 @@
             self._submit(channel, message)
         elif isinstance(message, Resume):
             self._resume(channel, message)
-        elif isinstance(message, Cancel):
-            self._cancel(message)
 
     def broken(self, channel: Channel) -> None:
         """The client is gone: what it asked for runs on and can be resumed."""
@@ -123,18 +121,23 @@
             if answer.channel is channel:
                 answer.channel = None
 
-    def kill(self) -> list[Channel]:
-        """End the engine at once; returns the connections that break."""
-        channels = [a.channel for a in self._answers.values() if a.channel is not None]
+    def received_cancel(self, message: Cancel) -> None:
+        """Stop a request; one that is not known any more is no error."""
+        emission = self.engine.cancel(message.request_id)
+        if emission is not None:
+            self._emit(emission)
+
+    def kill(self) -> None:
+        """End the engine at once."""
         for answer in self._answers.values():
             answer.run.ended_s = min(answer.run.ended_s, self.machine.monotonic_s())
         self.machine.kill()
-        return channels
 
     def _start_engine(self) -> None:
         self.engine = ObservedEngine(self.config, self._random, self.machine.wall_ms())
         self._answers: dict[str, _Answer] = {}
         self._stepping = False
+        self._online_since_s = self.machine.monotonic_s()
 
     def _submit(self, channel: Channel, message: Submit) -> None:
         request = message.request
@@ -144,12 +147,13 @@
             channel.send(self.machine, head)
             channel.close(self.machine)
             return
+        self._end_replaced(request.request_id)
         run = EngineRun(
-            work_id=message.work_id,
+            work_id=request.prompt.partition(" ")[0],
+            request_id=request.request_id,
             runner=self.machine.name,
             gateway=message.gateway,
-            batch=message.batch,
-            may_repeat=message.may_repeat,
+            batch=is_batch_work(request.prompt),
             received_s=self.machine.monotonic_s(),
         )
         self._history.runs.append(run)
@@ -164,6 +168,12 @@
             channel.send(self.machine, head)
         self._wake_engine()
 
+    def _end_replaced(self, request_id: str) -> None:
+        """A submission under a known id replaces what ran under it, as the engine does."""
+        former = self._answers.pop(request_id, None)
+        if former is not None:
+            former.run.ended_s = min(former.run.ended_s, self.machine.monotonic_s())
+
     def _resume(self, channel: Channel, message: Resume) -> None:
         answer = self._answers.get(message.request_id)
         if answer is None:
@@ -176,11 +186,6 @@
             if emission.index > message.after_index or emission.finish_reason is not None:
                 self._send_emission(answer, emission)
 
-    def _cancel(self, message: Cancel) -> None:
-        emission = self.engine.cancel(message.request_id)
-        if emission is not None:
-            self._emit(emission)
-
     def _wake_engine(self) -> None:
         if not self._stepping and self.engine.has_work():
             self._stepping = True
@@ -189,6 +194,7 @@
     def _step(self) -> None:
         now_s = self.machine.monotonic_s()
         outcome = self.engine.step(now_s)
+        self._note_step(now_s, outcome.duration_s)
         for request_id in self.engine.running_ids():
             self._mark_started(request_id, now_s)
         for emission in outcome.emissions:
@@ -198,6 +204,28 @@
             return
         self.machine.after(outcome.duration_s, lambda: self._finish_step(outcome.emissions))
 
+    def _note_step(self, now_s: float, duration_s: float) -> None:
+        """Record a step that online work shares with batch, or for which it waits."""
+        running = set(self.engine.running_ids())
+        live = [answer for answer in self._answers.values() if answer.run.ended_s > now_s]
+        batch = sum(1 for a in live if a.run.batch and a.request.request_id in running)
+        online = [a.run for a in live if not a.run.batch]
+        if not online:
+            self._online_since_s = now_s
+            return
+        waiting = [run.work_id for run in online if run.request_id not in running]
+        self._history.steps.append(
+            SharedStep(
+                runner=self.machine.name,
+                moment_s=now_s,
+                duration_s=duration_s,
+                online_since_s=self._online_since_s,
+                online=len(online) - len(waiting),
+                batch=batch,
+                waiting=tuple(waiting),
+            )
+        )
+
     def _finish_step(self, emissions: list[Emission]) -> None:
         for emission in emissions:
             self._emit(emission)
@@ -229,8 +257,7 @@
             answer.channel.send(self.machine, part)
         elif last:
             whole = "".join(part.text for part in answer.parts)
-            text = answer.request.continue_text + whole
-            answer.channel.send(self.machine, Part(emission.index, text, emission.finish_reason))
+            answer.channel.send(self.machine, Part(emission.index, whole, emission.finish_reason))
         if last:
             answer.channel = None
 
--- a/src/testbed/simulation/scenario.py
+++ b/src/testbed/simulation/scenario.py
@@ -6,6 +6,9 @@
 
 from testbed.engine.types import EngineConfig
 
+ANSWER_MIN_TOKENS = 4
+ANSWER_MAX_TOKENS = 10
+
 
 @dataclass(frozen=True)
 class ServicePlan:
@@ -59,8 +62,8 @@
             max_running=8,
             max_waiting=32,
             kv_blocks=64,
-            answer_min_tokens=4,
-            answer_max_tokens=10,
+            answer_min_tokens=ANSWER_MIN_TOKENS,
+            answer_max_tokens=ANSWER_MAX_TOKENS,
             load_interval_s=0.2,
             load_lag_s=0.2,
         )
--- a/src/testbed/simulation/world.py
+++ b/src/testbed/simulation/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from contextlib import ExitStack
 
 from leverjunction.backends.types import LoadReport
 from leverjunction.batch.state_machine import JobsStateMachine
@@ -12,6 +13,7 @@
 from leverjunction.platform.machine_list import MachineList, MachineState
 from leverjunction.settings.state_machine import SettingsStateMachine
 from leverjunction.wire.control_client import ControlClient
+from testbed.simulation.channel import Connections
 from testbed.simulation.control_node import ROOT_GROUP, ControlNode, Platform
 from testbed.simulation.fault_injector import FaultInjector
 from testbed.simulation.faults import schedule
@@ -19,20 +21,25 @@
 from testbed.simulation.gateway_node import GatewayNode
 from testbed.simulation.history import History
 from testbed.simulation.impairment import ImpairmentWatch
+from testbed.simulation.job_callers import JobCallers
 from testbed.simulation.machine import Machine
 from testbed.simulation.network import Network, NetworkProfile
+from testbed.simulation.online_callers import OnlineCallers
 from testbed.simulation.operators import Operator, audit_settings
+from testbed.simulation.product_modules import product_on_fibers
 from testbed.simulation.replica import Replica
 from testbed.simulation.rpc import RpcBoard, SimulatedRpc
 from testbed.simulation.runner_node import RunnerNode
 from testbed.simulation.scenario import Scenario
 from testbed.simulation.scheduler import Scheduler
+from testbed.simulation.virtual_threads import VirtualThreading
 from testbed.simulation.world_parts import WorldParts
 
 START_S = 8.0
 CHAOS_S = 50.0
 CALM_S = 25.0
 AUDIT_S = 20.0
+ONLINE_AFTER_CHAOS_S = 5.0
 FEWER_CONTROL = 3
 MORE_CONTROL = 5
 MORE_CONTROL_SHARE = 0.25
@@ -60,12 +67,19 @@
         network = Network(scheduler, self.generator("network"), profile)
         self.parts = WorldParts(scenario, scheduler, network, History())
         self.fibers = Fibers()
+        self._threading = VirtualThreading(self.fibers)
+        self._connections = Connections(scheduler, network)
+        self._substitutes = ExitStack()
+        self._substitutes.enter_context(
+            product_on_fibers(self._threading, scheduler, self.generator("product"))
+        )
         self.board = RpcBoard(network, self.fibers)
         self.platform = Platform(self._machine("platform", scenario.zones[0]))
         self._build_control()
         self._build_runners()
         self._build_gateways()
         self._build_operators()
+        self._build_callers()
         self.injector = FaultInjector(self.parts)
         self._impairment = ImpairmentWatch(self.parts)
 
@@ -99,12 +113,16 @@
         control = self._control_client(machine)
         history = self.parts.history
         self.fibers.spawn(machine, lambda: audit_settings(control, history))
+        auditor = JobCallers(self.parts, machine, self.fibers, self.generator("auditor"))
+        self.fibers.spawn(machine, auditor.audit)
 
     def _end(self) -> None:
         """End every process, so that no fiber's thread is left over."""
         self.parts.history.counts.update(self.parts.network.counts)
         for machine in self.parts.network.machines.values():
             machine.kill()
+        self.fibers.close()
+        self._substitutes.close()
 
     def _machine(self, name: str, zone: str) -> Machine:
         offset_ms = self.generator(f"clock/{name}").randint(-WALL_OFFSET_MS, WALL_OFFSET_MS)
@@ -227,7 +245,11 @@
             )
             gateway = GatewayNode(
                 machine,
+                scenario.region,
                 self.board,
+                self._threading,
+                self._connections,
+                self.parts.runners,
                 near_first,
                 self.parts.history,
                 self.generator(f"gateway/{number}"),
@@ -235,6 +257,16 @@
             self.parts.gateways[gateway.name] = gateway
             gateway.start()
 
+    def _build_callers(self) -> None:
+        scenario = self.parts.scenario
+        machines = [self._machine(f"caller-{zone}", zone) for zone in scenario.zones]
+        generator = self.generator("callers")
+        callers = OnlineCallers(self.parts, machines, self._connections, generator)
+        callers.start(START_S, START_S + CHAOS_S + ONLINE_AFTER_CHAOS_S)
+        submitter = self._machine("submitter", scenario.zones[0])
+        jobs = JobCallers(self.parts, submitter, self.fibers, self.generator("jobs"))
+        jobs.start(START_S, START_S + CHAOS_S)
+
     def _build_operators(self) -> None:
         scenario = self.parts.scenario
         for number in range(OPERATORS):
