--- a/src/testbed/simulation/checkers/__init__.py
+++ b/src/testbed/simulation/checkers/__init__.py
@@ -7,6 +7,7 @@
 from testbed.simulation.checkers.online import (
     AtMostOnce,
     LeavingGetsNoWork,
+    NoInternalErrors,
     NotRunIsTrue,
     OnlineNeverBehindBatch,
     PlannedStopCutsNothing,
@@ -29,4 +30,5 @@
         SettingsInForce(),
         LinearizableSettings(),
         LinearizableJobs(),
+        NoInternalErrors(),
     ]
--- a/src/testbed/simulation/checkers/base.py
+++ b/src/testbed/simulation/checkers/base.py
@@ -46,3 +46,19 @@
             break
         begin_s = max(begin_s, span.end_s)
     return begin_s + length_s
+
+
+def overlaps(spans: Iterable[Span], begin_s: float, end_s: float) -> bool:
+    """Return whether a stretch of time meets one of the spans."""
+    return any(span.begin_s < end_s and span.end_s > begin_s for span in spans)
+
+
+def gateway_impaired(history: History, gateway: str, begin_s: float, end_s: float) -> bool:
+    """Return whether a gateway was down, frozen or cut off in a stretch of time."""
+    return overlaps(history.gateway_impaired.get(gateway, []), begin_s, end_s)
+
+
+def settled_s(history: History, gateway: str, since_s: float, grace_s: float) -> float:
+    """Return the moment by which a gateway must know of what happened at ``since_s``."""
+    spans = [*history.gateway_impaired.get(gateway, []), *history.control_impaired]
+    return undisturbed_by(since_s, grace_s, spans)
--- a/src/testbed/simulation/history.py
+++ b/src/testbed/simulation/history.py
@@ -11,6 +11,9 @@
 from leverjunction.settings.commands import ChangeOutcome, ChangeRecord
 from testbed.simulation.linearizability import NEVER_S, Operation
 
+BATCH_MARK = "batch/"
+"""Begins the prompt of every batch item."""
+
 
 @dataclass(frozen=True)
 class Span:
@@ -101,6 +104,10 @@
     final_state: JobState | None = None
     discarded: int = 0
 
+    def work_id(self, index: int) -> str:
+        """Return the id of an item's work, as the back ends' records name it."""
+        return f"{BATCH_MARK}{self.tenant}/{self.key}/{index}"
+
 
 @dataclass
 class EngineRun:
@@ -239,6 +246,7 @@
         gateway_impaired: Spans in which a gateway was down, frozen or cut off, by name.
         control_impaired: Spans in which fewer than a majority of control machines were well.
         ended_s: End of the run.
+        batch_allowed: Batch requests that a back end may hold beside online work.
         faults: Number of faults that really struck, by kind.
         counts: Anything else that is counted.
     """
@@ -260,13 +268,11 @@
     gateway_impaired: dict[str, list[Span]] = field(default_factory=dict)
     control_impaired: list[Span] = field(default_factory=list)
     ended_s: float = 0.0
+    batch_allowed: int = 0
     faults: Counter[str] = field(default_factory=Counter)
     counts: Counter[str] = field(default_factory=Counter)
 
 
-BATCH_MARK = "batch/"
-
-
 def is_batch_work(prompt: str) -> bool:
     """Return whether a prompt was made for a batch item (whatever priority it came with)."""
     return prompt.startswith(BATCH_MARK)
--- a/src/testbed/simulation/run.py
+++ b/src/testbed/simulation/run.py
@@ -19,11 +19,14 @@
 
 def run_seed(scenario: str, seed: int, broken_rule: str = "") -> SeedResult:
     """Run one seed, with a rule broken if one is named, and check every promise."""
+    errors: list[str] = []
     logger.remove()
+    logger.add(errors.append, level="ERROR", format="{name}: {message}")
     began_s = time.process_time()
     with BrokenRule(broken_rule):
         world = World(SCENARIOS[scenario], seed)
         history = world.run()
+    history.internal_errors += errors
     result = SeedResult(seed, faults=history.faults, counts=history.counts)
     for checker in all_checkers():
         finding = checker.check(history)
--- a/src/testbed/simulation/runner_node.py
+++ b/src/testbed/simulation/runner_node.py
@@ -11,6 +11,7 @@
     Emission,
     EngineConfig,
     EngineRequest,
+    StepOutcome,
     Submission,
 )
 from testbed.simulation.channel import Channel
@@ -194,7 +195,7 @@
     def _step(self) -> None:
         now_s = self.machine.monotonic_s()
         outcome = self.engine.step(now_s)
-        self._note_step(now_s, outcome.duration_s)
+        self._note_step(now_s, outcome)
         for request_id in self.engine.running_ids():
             self._mark_started(request_id, now_s)
         for emission in outcome.emissions:
@@ -204,9 +205,10 @@
             return
         self.machine.after(outcome.duration_s, lambda: self._finish_step(outcome.emissions))
 
-    def _note_step(self, now_s: float, duration_s: float) -> None:
+    def _note_step(self, now_s: float, outcome: StepOutcome) -> None:
         """Record a step that online work shares with batch, or for which it waits."""
-        running = set(self.engine.running_ids())
+        # A request that ends in this step has left the engine's list already.
+        running = {*self.engine.running_ids(), *(e.request_id for e in outcome.emissions)}
         live = [answer for answer in self._answers.values() if answer.run.ended_s > now_s]
         batch = sum(1 for a in live if a.run.batch and a.request.request_id in running)
         online = [a.run for a in live if not a.run.batch]
@@ -218,7 +220,7 @@
             SharedStep(
                 runner=self.machine.name,
                 moment_s=now_s,
-                duration_s=duration_s,
+                duration_s=outcome.duration_s,
                 online_since_s=self._online_since_s,
                 online=len(online) - len(waiting),
                 batch=batch,
--- a/src/testbed/simulation/scenario.py
+++ b/src/testbed/simulation/scenario.py
@@ -39,6 +39,7 @@
         zones: The zones; each has a gateway and a control machine.
         zone_delay_s: One way between two zones.
         services: The services.
+        batch_allowed: Batch requests that a back end may hold beside online work.
         extra_gateways: Gateways beyond one a zone.
         heap_interval_s: Time between two heaps of batch jobs.
     """
@@ -48,6 +49,7 @@
     zones: tuple[str, ...]
     zone_delay_s: float
     services: tuple[ServicePlan, ...]
+    batch_allowed: int = 2
     extra_gateways: int = 1
     heap_interval_s: float = 10.0
 
@@ -129,6 +131,7 @@
         ServicePlan("conversion", "doc-convert", 9, takes_batch=True, interference=0.5),
         ServicePlan("status-notice", "notice", 3, takes_batch=False, interference=0.0),
     ),
+    batch_allowed=7,
 )
 
 SCENARIOS = {scenario.name: scenario for scenario in (KILIMO, HANBIT)}
