Gateway: faults of a stream's handlers end it with an error event, settings are saved first

Causes and changes: - A fault in a relay handler was logged and left its stream open for ever; it now ends with an error event, or is finished without one when none can be written. - A fault while the engine's socket is taken over (after the head was written) left the caller waiting; the stream now goes through repair like any broken one. - A head that could not be written left the stream counted as open, its tenant's place taken and its send in the ledger; the HTTP server now abandons the handover. - A caller that left while its stream was being repaired leaked the new attempt; the session closes each attempt exactly once. - The settings copy is synced before a version is in force; a failed save is tried again at each exchange. - Digests carry batch_waiting as the message says; expected load leaves it out. - The exchange comes back sooner when the hub held settings back. - The echo check is public (backends.echo.answer_mismatch).

--- a/src/leverjunction/api/completions.py
+++ b/src/leverjunction/api/completions.py
@@ -131,7 +131,9 @@
         response.headers["Content-Type"] = SSE_TYPE
         response.headers["Cache-Control"] = "no-cache"
         response.stream = True
-        cherrypy.request.wsgi_environ[HANDOVER_KEY].handover = answer.handover
+        slot = cherrypy.request.wsgi_environ[HANDOVER_KEY]
+        slot.abandon = answer.abandon
+        slot.handover = answer.handover
         return b""
     response.status = answer.status
     response.headers["Content-Type"] = answer.content_type
--- a/src/leverjunction/backends/client.py
+++ b/src/leverjunction/backends/client.py
@@ -5,6 +5,7 @@
 import msgspec
 import urllib3
 
+from leverjunction.backends.echo import ATTEMPT_HEADER, REQUEST_ID_HEADER, answer_mismatch
 from leverjunction.backends.stream import EngineStream
 from leverjunction.backends.types import EngineCall, LoadReport, Order, OrderOutcome
 from leverjunction.errors import Execution, Failure, FailureKind, Step
@@ -18,8 +19,6 @@
 CONNECTIONS_PER_ENGINE = 64
 MAX_ENGINES = 2048
 
-REQUEST_ID_HEADER = "X-Request-Id"
-ATTEMPT_HEADER = "X-Attempt"
 PRIORITY_HEADER = "X-Priority"
 LAST_EVENT_ID_HEADER = "Last-Event-ID"
 MONITOR_REQUEST_ID = "monitor"
@@ -222,21 +221,7 @@
 def _mismatch(
     response: urllib3.BaseHTTPResponse, request_id: str, attempt: int, address: str
 ) -> Failure | None:
-    """Return a failure when an answer belongs to another request or attempt."""
-    got_id = response.headers.get(REQUEST_ID_HEADER)
-    got_attempt = response.headers.get(ATTEMPT_HEADER)
-    if got_id == request_id and got_attempt == str(attempt):
-        return None
-    return Failure(
-        kind=FailureKind.BACKEND_MISMATCH,
-        reason=(
-            f"answer is for request {got_id} attempt {got_attempt}, "
-            f"want {request_id} attempt {attempt}; dropped it"
-        ),
-        step=Step.RESPONDING,
-        peer=address,
-        execution=Execution.UNKNOWN,
-    )
+    return answer_mismatch(response.headers, request_id, attempt, address)
 
 
 def _discard(response: urllib3.BaseHTTPResponse) -> None:
--- a/src/leverjunction/gateway/exchange.py
+++ b/src/leverjunction/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import threading
 from collections.abc import Callable
 from typing import Protocol
@@ -114,6 +115,8 @@
         self._leases = leases
         self._counters = counters
         self._interval_s = interval_s
+        self._wait_s = interval_s
+        self._random = random.Random()
         self._on_view = on_view
         self._wake = threading.Event()
         self._stopped = False
@@ -138,7 +141,7 @@
             except Exception:
                 # The exchange carries the heartbeat: it must outlive any fault.
                 logger.exception("exchange failed")
-            self._wake.wait(self._interval_s)
+            self._wake.wait(self._wait_s)
 
     def exchange_once(self) -> Failure | None:
         """Do one exchange; also called directly to tell the hub of a stop at once."""
@@ -146,6 +149,7 @@
             return self._exchange_once()
 
     def _exchange_once(self) -> Failure | None:
+        self._wait_s = self._interval_s
         digests = self._outbox.take()
         reply = self._control.exchange(self._request(digests))
         if isinstance(reply, Failure):
@@ -174,6 +178,10 @@
             version = self._settings.current.version
             self._counters.settings_version.set(version)
             logger.info("settings version {} in force", version)
+        if reply.settings_retry_after_s > 0:
+            # The hub serves only so many whole sets of settings at once: ask again, but spread.
+            spread_s = reply.settings_retry_after_s * (0.5 + self._random.random())
+            self._wait_s = min(self._interval_s, spread_s)
         after = self._view.apply(reply)
         self._counters.hub_quorum_age_s.set(reply.quorum_age_s)
         if not self._connected or before.hub_incarnation != after.hub_incarnation:
@@ -207,6 +215,7 @@
         digest.running,
         digest.waiting,
         digest.batch_running,
+        digest.batch_waiting,
         round(digest.kv_used_ratio, 2),
         digest.healthy,
     )
--- a/src/leverjunction/gateway/http_server.py
+++ b/src/leverjunction/gateway/http_server.py
@@ -44,10 +44,20 @@
 
 
 class HandoverSlot:
-    """Where a handler leaves its handover; CherryPy copies the environment, not the slot."""
+    """Where a handler leaves its handover; CherryPy copies the environment, not the slot.
+
+    Attributes:
+        handover: Takes the connection over, None when the answer is an ordinary one.
+        abandon: Called in its place when the answer's head could not be written.
+    """
 
     def __init__(self) -> None:
         self.handover: Handover | None = None
+        self.abandon: Callable[[], None] = _nothing_to_abandon
+
+
+def _nothing_to_abandon() -> None:
+    """Do nothing."""
 
 
 class _Connection(cheroot_server.HTTPConnection):
@@ -109,8 +119,13 @@
         return environ
 
     def respond(self) -> None:
-        super().respond()
-        handover = cast(HandoverSlot, self.env[HANDOVER_KEY]).handover
+        slot = cast(HandoverSlot, self.env[HANDOVER_KEY])
+        try:
+            super().respond()
+        except Exception:
+            slot.abandon()
+            raise
+        handover = slot.handover
         if handover is None:
             return
         keep = not self.req.close_connection
--- a/src/leverjunction/gateway/online.py
+++ b/src/leverjunction/gateway/online.py
@@ -38,9 +38,15 @@
 
 
 class RelayedAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """A streaming answer: the HTTP layer writes the head, then passes its connection on."""
+    """A streaming answer: the HTTP layer writes the head, then passes its connection on.
+
+    Attributes:
+        handover: Takes the connection over.
+        abandon: To be called in its place when the head could not be written.
+    """
 
     handover: Handover
+    abandon: Callable[[], None]
 
 
 class ReadyAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -174,8 +180,15 @@
         self._observe_first_byte(request)
         # Counted before the head is written: a stop must not overlook a stream on its way.
         self._relay.expect()
+
+        def abandon() -> None:
+            answer.stream.close()
+            session.abandon()
+            self._relay.abandon()
+
         return RelayedAnswer(
-            handover=lambda client: self._relay.submit(session.relay_stream(answer, client))
+            handover=lambda client: self._relay.submit(session.relay_stream(answer, client)),
+            abandon=abandon,
         )
 
     def _stream_ended(
--- a/src/leverjunction/gateway/owner.py
+++ b/src/leverjunction/gateway/owner.py
@@ -104,13 +104,14 @@
 
 
 def digest_of(runner_id: str, report: LoadReport) -> RunnerDigest:
-    """Return the digest of a load report; ``waiting`` leaves out queued batch requests."""
+    """Return the digest of a load report."""
     total = max(report.kv_blocks_total, 1)
     return RunnerDigest(
         runner_id=runner_id,
         running=report.running,
-        waiting=max(0, report.waiting - report.batch_waiting),
+        waiting=report.waiting,
         batch_running=report.batch_running,
+        batch_waiting=report.batch_waiting,
         kv_used_ratio=report.kv_blocks_used / total,
         as_of_ms=report.as_of_ms,
     )
--- a/src/leverjunction/gateway/relay.py
+++ b/src/leverjunction/gateway/relay.py
@@ -18,36 +18,42 @@
 from loguru import logger
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.gateway.relay_caller import CallerSide
 from leverjunction.gateway.relay_stream import (
     DONE_EVENT,
     LAST_CHUNK,
     AnswerIsWhole,
     EngineSide,
     RelayStream,
+    Watch,
 )
 from leverjunction.observability.counters import GatewayCounters
 
 READ_BYTES = 65536
-MAX_QUEUED_BYTES = 256 * 1024
 SCAN_INTERVAL_S = 0.5
 UNHEALTHY_SILENCE_S = 2.0
 CALLER_STALL_S = 60.0
 REPAIR_THREADS = 32
-PROBE_COMMENT = b":\n\n"
-"""An SSE comment, which clients ignore; writing it shows whether a half-closed caller is there."""
 
 Action = Callable[[], None]
 
 
 class RelayLoop:
-    """Selector-driven relay. ``submit`` may be called from any thread."""
+    """Selector-driven relay. ``expect``, ``abandon`` and ``submit`` may be called by any thread."""
 
     def __init__(self, counters: GatewayCounters) -> None:
         self._counters = counters
         self._selector = selectors.DefaultSelector()
+        self._callers = CallerSide(
+            self._selector,
+            gone=self._caller_gone,
+            written=self._caller_caught_up,
+            full=self._pause_engine,
+            now_s=lambda: time.monotonic(),
+        )
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
-        self._actions: deque[Action] = deque()
+        self._actions: deque[tuple[RelayStream, Action]] = deque()
         self._streams: set[RelayStream] = set()
         self._repairs = ThreadPoolExecutor(REPAIR_THREADS, thread_name_prefix="stream-repair")
         self._thread = threading.Thread(target=self._run, name="relay", daemon=True)
@@ -57,7 +63,8 @@
 
     def start(self) -> None:
         """Start the relay thread."""
-        self._selector.register(self._wake_reader, selectors.EVENT_READ, self._drain_wakeups)
+        watch = Watch(None, self._drain_wakeups)
+        self._selector.register(self._wake_reader, selectors.EVENT_READ, watch)
         self._thread.start()
 
     def stop(self) -> None:
@@ -68,22 +75,29 @@
         self._repairs.shutdown(wait=False, cancel_futures=True)
 
     def expect(self) -> None:
-        """Count a stream whose head is about to be written; ``submit`` follows."""
+        """Count a stream whose head is about to be written; ``submit`` or ``abandon`` follows."""
         with self._idle:
             self._open_count += 1
         self._counters.open_streams.inc()
 
+    def abandon(self) -> None:
+        """Take back an ``expect``: the stream's head could not be written."""
+        self._counters.open_streams.dec()
+        with self._idle:
+            self._open_count -= 1
+            self._idle.notify_all()
+
     def submit(self, stream: RelayStream) -> None:
         """Start to relay a stream that was announced by ``expect``."""
-        self._post(lambda: self._begin(stream))
+        self._post(stream, lambda: self._begin(stream))
 
     def wait_idle(self, timeout_s: float) -> bool:
         """Wait until no stream is open; returns False when ``timeout_s`` passed before that."""
         with self._idle:
             return self._idle.wait_for(lambda: self._open_count == 0, timeout_s)
 
-    def _post(self, action: Action) -> None:
-        self._actions.append(action)
+    def _post(self, stream: RelayStream, action: Action) -> None:
+        self._actions.append((stream, action))
         self._wake()
 
     def _wake(self) -> None:
@@ -92,7 +106,11 @@
     def _drain_wakeups(self, _mask: int) -> None:
         self._wake_reader.recv(4096)
         while self._actions:
-            self._actions.popleft()()
+            stream, action = self._actions.popleft()
+            try:
+                action()
+            except Exception:
+                self._fault(stream)
 
     def _run(self) -> None:
         next_scan_s = time.monotonic() + SCAN_INTERVAL_S
@@ -104,34 +122,48 @@
                 next_scan_s = now_s + SCAN_INTERVAL_S
                 self._scan(now_s)
 
-    def _handle(self, handler: Callable[[int], None], mask: int) -> None:
+    def _handle(self, watch: Watch, mask: int) -> None:
+        if watch.stream is not None and watch.stream not in self._streams:
+            # An earlier event of the same round ended the stream.
+            return
         try:
-            handler(mask)
+            watch.handle(mask)
         except Exception:
             # One stream's fault must not end the thread that carries all others.
-            logger.exception("relay handler failed")
+            self._fault(watch.stream)
+
+    def _fault(self, stream: RelayStream | None) -> None:
+        """End a stream whose handling failed: with an error event, or else without."""
+        logger.exception("relay handler failed")
+        if stream is None or (stream not in self._streams and stream.finishing):
+            return
+        failure = _internal_failure()
+        try:
+            if stream.finishing:
+                self._finish(stream, failure, reusable=False)
+            else:
+                self._end_with_error(stream, failure)
+        except Exception:
+            logger.exception("no error event could be written")
+            self._finish(stream, failure, reusable=False)
 
     def _begin(self, stream: RelayStream) -> None:
-        stream.client.connection.setblocking(False)
         self._streams.add(stream)
-        self._selector.register(
-            stream.client.connection,
-            selectors.EVENT_READ,
-            lambda mask: self._on_client(stream, mask),
-        )
-        assert stream.engine is not None
-        self._attach(stream, stream.engine)
+        stream.last_byte_s = time.monotonic()
+        self._callers.open(stream)
+        if stream.engine is not None:
+            self._attach(stream, stream.engine)
+        else:
+            assert stream.broken is not None
+            self._ask_repair(stream, stream.broken)
 
     def _attach(self, stream: RelayStream, engine: EngineSide) -> None:
         """Start to read an engine's side."""
         stream.engine = engine
         stream.partial = b""
-        stream.paused = False
-        stream.last_byte_s = time.monotonic()
+        stream.paused = True
         engine.connection.setblocking(False)
-        self._selector.register(
-            engine.connection, selectors.EVENT_READ, lambda _mask: self._on_engine(stream)
-        )
+        self._resume_engine(stream)
         if engine.first_bytes:
             self._pass_on(stream, engine.first_bytes)
 
@@ -161,7 +193,7 @@
         if events.endswith(DONE_EVENT):
             self._end(stream, frame, None)
         else:
-            self._send(stream, frame)
+            self._callers.send(stream, frame)
 
     def _end(self, stream: RelayStream, frame: bytes, failure: Failure | None) -> None:
         """Write the last bytes of a stream; it is finished once the caller has taken them."""
@@ -170,87 +202,14 @@
         stream.failure = failure
         if stream.client.chunked:
             frame += LAST_CHUNK
-        if self._send(stream, frame) and not stream.queued:
+        if self._callers.send(stream, frame) and not stream.queued:
             self._finish(stream, failure, reusable=True)
 
-    def _send(self, stream: RelayStream, frame: bytes) -> bool:
-        """Write to the caller what it takes now, queue the rest; False when the caller is gone."""
-        if stream.queued:
-            stream.queued += frame
-        else:
-            try:
-                sent = stream.client.connection.send(frame)
-            except BlockingIOError:
-                sent = 0
-            except OSError as error:
-                self._caller_gone(stream, error)
-                return False
-            if sent < len(frame):
-                stream.queued += frame[sent:]
-        if stream.queued:
-            self._watch_client(stream)
-            if len(stream.queued) > MAX_QUEUED_BYTES:
-                self._pause_engine(stream)
-        return True
-
-    def _on_client(self, stream: RelayStream, mask: int) -> None:
-        if stream not in self._streams:
-            return
-        if mask & selectors.EVENT_WRITE and not self._flush(stream):
-            return
-        if mask & selectors.EVENT_READ:
-            self._peek_client(stream)
-
-    def _flush(self, stream: RelayStream) -> bool:
-        """Write queued bytes; returns False when the stream is over."""
-        try:
-            sent = stream.client.connection.send(stream.queued)
-        except BlockingIOError:
-            return True
-        except OSError as error:
-            self._caller_gone(stream, error)
-            return False
-        del stream.queued[:sent]
-        stream.last_byte_s = time.monotonic()
-        if stream.queued:
-            return True
+    def _caller_caught_up(self, stream: RelayStream) -> None:
         if stream.finishing:
             self._finish(stream, stream.failure, reusable=True)
-            return False
-        self._watch_client(stream)
-        self._resume_engine(stream)
-        return True
-
-    def _peek_client(self, stream: RelayStream) -> None:
-        """Look whether the caller closed its side, without taking a next request's bytes."""
-        try:
-            data = stream.client.connection.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return
-        except OSError as error:
-            self._caller_gone(stream, error)
-            return
-        # After a half-close the caller may still read: the next writes show whether it does.
-        # Bytes of a next request stay in the socket, and are not looked at again.
-        stream.client_half_closed = True
-        self._watch_client(stream)
-        if not data and not stream.queued:
-            self._send(stream, stream.framed(PROBE_COMMENT))
-
-    def _watch_client(self, stream: RelayStream) -> None:
-        events = 0 if stream.client_half_closed else selectors.EVENT_READ
-        if stream.queued:
-            events |= selectors.EVENT_WRITE
-        connection = stream.client.connection
-        registered = connection in self._selector.get_map()
-        if events and registered:
-            key = self._selector.get_key(connection)
-            if key.events != events:
-                self._selector.modify(connection, events, key.data)
-        elif events:
-            self._selector.register(connection, events, lambda mask: self._on_client(stream, mask))
-        elif registered:
-            self._selector.unregister(connection)
+        else:
+            self._resume_engine(stream)
 
     def _pause_engine(self, stream: RelayStream) -> None:
         if stream.engine is not None and not stream.paused:
@@ -261,22 +220,19 @@
         if stream.engine is not None and stream.paused:
             stream.paused = False
             stream.last_byte_s = time.monotonic()
-            self._selector.register(
-                stream.engine.connection,
-                selectors.EVENT_READ,
-                lambda _mask: self._on_engine(stream),
-            )
+            watch = Watch(stream, lambda _mask: self._on_engine(stream))
+            self._selector.register(stream.engine.connection, selectors.EVENT_READ, watch)
 
     def _detach_engine(self, stream: RelayStream) -> None:
         if stream.engine is None:
             return
-        if not stream.paused:
-            self._selector.unregister(stream.engine.connection)
-        stream.engine.connection.close()
-        stream.engine = None
+        engine, stream.engine = stream.engine, None
+        if engine.connection in self._selector.get_map():
+            self._selector.unregister(engine.connection)
+        engine.connection.close()
 
     def _break(self, stream: RelayStream, reason: str) -> None:
-        """The engine's side is lost: let a helper thread find another one."""
+        """The engine's side is lost."""
         address = stream.engine.address if stream.engine is not None else ""
         self._detach_engine(stream)
         failure = Failure(
@@ -286,6 +242,10 @@
             peer=address,
             execution=Execution.UNKNOWN,
         )
+        self._ask_repair(stream, failure)
+
+    def _ask_repair(self, stream: RelayStream, failure: Failure) -> None:
+        """Let a helper thread find another engine's side."""
         self._repairs.submit(self._repair, stream, bytes(stream.transcript), failure)
 
     def _repair(self, stream: RelayStream, transcript: bytes, failure: Failure) -> None:
@@ -295,7 +255,7 @@
         except Exception:
             logger.exception("stream repair failed")
             outcome = failure
-        self._post(lambda: self._repaired(stream, outcome))
+        self._post(stream, lambda: self._repaired(stream, outcome))
 
     def _repaired(self, stream: RelayStream, outcome: EngineSide | AnswerIsWhole | Failure) -> None:
         if stream not in self._streams or stream.finishing:
@@ -317,26 +277,22 @@
 
     def _caller_gone(self, stream: RelayStream, error: object) -> None:
         self._counters.client_gone.inc()
-        self._detach_engine(stream)
         stream.queued.clear()
-        self._finish(
-            stream,
-            Failure(
-                kind=FailureKind.CANCELLED,
-                reason=f"the caller went away: {error}",
-                step=Step.RELAYING,
-                execution=Execution.RAN,
-            ),
-            reusable=False,
+        failure = Failure(
+            kind=FailureKind.CANCELLED,
+            reason=f"the caller went away: {error}",
+            step=Step.RELAYING,
+            execution=Execution.RAN,
         )
+        self._finish(stream, failure, reusable=False)
 
     def _finish(self, stream: RelayStream, failure: Failure | None, reusable: bool) -> None:
         if stream not in self._streams:
             return
         self._streams.discard(stream)
-        connection = stream.client.connection
-        if connection in self._selector.get_map():
-            self._selector.unregister(connection)
+        self._detach_engine(stream)
+        stream.finishing = True
+        self._callers.close(stream)
         self._counters.relayed_bytes.inc(len(stream.transcript))
         self._repairs.submit(self._close, stream, failure, reusable)
 
@@ -348,15 +304,15 @@
             stream.callbacks.ended(bytes(stream.transcript), failure)
         except Exception:
             logger.exception("end of a stream not recorded")
-        self._counters.open_streams.dec()
-        with self._idle:
-            self._open_count -= 1
-            self._idle.notify_all()
+        self.abandon()
 
     def _scan(self, now_s: float) -> None:
         """Find streams that are silent, past their deadline, or whose caller stalls."""
         for stream in list(self._streams):
-            self._scan_one(stream, now_s)
+            try:
+                self._scan_one(stream, now_s)
+            except Exception:
+                self._fault(stream)
 
     def _scan_one(self, stream: RelayStream, now_s: float) -> None:
         silent_s = now_s - stream.last_byte_s
@@ -368,13 +324,22 @@
             self._end_with_error(stream, _deadline_failure(stream))
             return
         if stream.client_half_closed and silent_s > SCAN_INTERVAL_S:
-            self._send(stream, stream.framed(PROBE_COMMENT))
+            self._callers.probe(stream)
         if stream.engine is None or silent_s < UNHEALTHY_SILENCE_S:
             return
         if silent_s > stream.silence_s or not stream.callbacks.runner_is_healthy():
             self._break(stream, f"the back end was silent for {silent_s:.1f} s")
 
 
+def _internal_failure() -> Failure:
+    return Failure(
+        kind=FailureKind.INTERNAL,
+        reason="the gateway failed to relay this stream",
+        step=Step.RELAYING,
+        execution=Execution.RAN,
+    )
+
+
 def _deadline_failure(stream: RelayStream) -> Failure:
     return Failure(
         kind=FailureKind.DEADLINE_EXCEEDED,
--- a/src/leverjunction/gateway/relay_stream.py
+++ b/src/leverjunction/gateway/relay_stream.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -50,13 +51,28 @@
     """Only the end event was lost: the caller has all of the answer."""
 
 
+class Watch(NamedTuple):
+    """What the loop's selector holds for a connection: its stream, and what to do when ready."""
+
+    stream: RelayStream | None
+    handle: Callable[[int], None]
+
+
 class RelayStream:
     """State of one relayed stream; used by the relay loop's thread only.
 
     ``transcript`` holds every whole event that was passed on: it is what a repair goes on from.
+
+    Args:
+        client: The caller's connection.
+        engine: The engine's side; or why there is none, and the loop asks for a repair first.
+        callbacks: The stream's owner.
+        deadline_s: Monotonic time at which the stream ends with an error.
+        silence_s: Longest silence of the engine before its side counts as broken.
     """
 
     __slots__ = (
+        "broken",
         "callbacks",
         "client",
         "client_half_closed",
@@ -70,19 +86,19 @@
         "queued",
         "silence_s",
         "transcript",
-        "watching_write",
     )
 
     def __init__(
         self,
         client: ClientConnection,
-        engine: EngineSide,
+        engine: EngineSide | Failure,
         callbacks: StreamCallbacks,
         deadline_s: float,
         silence_s: float,
     ) -> None:
         self.client = client
-        self.engine: EngineSide | None = engine
+        self.engine = engine if isinstance(engine, EngineSide) else None
+        self.broken = engine if isinstance(engine, Failure) else None
         self.callbacks = callbacks
         self.deadline_s = deadline_s
         self.silence_s = silence_s
@@ -90,7 +106,6 @@
         self.partial = b""
         self.queued = bytearray()
         self.paused = False
-        self.watching_write = False
         self.client_half_closed = False
         self.last_byte_s = 0.0
         self.finishing = False
--- a/src/leverjunction/gateway/send_ledger.py
+++ b/src/leverjunction/gateway/send_ledger.py
@@ -46,13 +46,14 @@
     def expected_load(self, runner_id: str, digest: RunnerDigest | None) -> int:
         """Return the online requests to expect on a runner.
 
-        That is its last report (without batch), plus own sends since, less own sends that the
-        report still counts but that have ended; never less than own open sends.
+        That is its last report without batch, running or waiting, plus own sends since, less own
+        sends that the report still counts but that have ended; never less than own open sends.
         """
         sends = self._open.get(runner_id, {})
         if digest is None:
             return len(sends)
-        reported = digest.running - digest.batch_running + digest.waiting
+        batch = digest.batch_running + digest.batch_waiting
+        reported = max(0, digest.running + digest.waiting - batch)
         started = sum(1 for sent_ms in sends.values() if sent_ms > digest.as_of_ms)
         ended = self._ended_since(runner_id, digest.as_of_ms)
         return max(reported + started - ended, len(sends))
--- a/src/leverjunction/gateway/settings_store.py
+++ b/src/leverjunction/gateway/settings_store.py
@@ -19,6 +19,7 @@
         self._cache = cache
         self._lock = threading.Lock()
         self._settings = ResolvedSettings.empty()
+        self._unsaved = False
 
     @property
     def current(self) -> ResolvedSettings:
@@ -40,14 +41,25 @@
         return loaded.version
 
     def apply(self, rows: list[SettingRow], version: int) -> bool:
-        """Put a version step in force and save it; returns whether anything changed."""
+        """Save a version step, then put it in force; returns whether anything changed.
+
+        The copy is synced first: a crash between the two must not let a restart without a hub go
+        back to an older version than one that was in force here.
+        """
         with self._lock:
             newer = self._settings.apply(rows, version)
-            if newer is self._settings:
-                return False
+            changed = newer is not self._settings
+            if changed or self._unsaved:
+                self._save(newer)
             self._settings = newer
-            failure = self._cache.save(newer)
-        if failure is not None:
-            # The copy only helps a restart without a hub; serving goes on.
+        return changed
+
+    def _save(self, settings: ResolvedSettings) -> None:
+        failure = self._cache.save(settings)
+        if failure is not None and not self._unsaved:
+            # The copy only helps a restart without a hub: the version comes in force, as everywhere
+            # else, and saving is tried again at each exchange.
             logger.warning("settings not saved: {}", failure.reason)
-        return True
+        elif failure is None and self._unsaved:
+            logger.info("settings are saved again")
+        self._unsaved = failure is not None
--- a/src/leverjunction/gateway/stream_session.py
+++ b/src/leverjunction/gateway/stream_session.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 
 import msgspec
+from loguru import logger
 
 from leverjunction.api.errors import error_body
 from leverjunction.backends.client import EngineClient
@@ -13,7 +15,7 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.http_server import ClientConnection
 from leverjunction.gateway.journal import Journal
-from leverjunction.gateway.online_request import OnlineRequest, OpenAnswer
+from leverjunction.gateway.online_request import Attempt, OnlineRequest, OpenAnswer
 from leverjunction.gateway.relay_stream import (
     AnswerIsWhole,
     EngineSide,
@@ -47,7 +49,11 @@
 
 
 class StreamSession:
-    """One stream; its methods are called by the relay loop's helper threads, one at a time."""
+    """One stream; its methods are called by the relay loop's helper threads.
+
+    ``repair`` runs at most once at a time, but ``end`` may come in the middle of it, when the
+    caller goes away or the deadline passes. Each attempt is closed exactly once.
+    """
 
     def __init__(
         self,
@@ -64,12 +70,21 @@
         self._repaired_at = -1
         self._barren_repairs = 0
         self._ended = ended
+        self._lock = threading.Lock()
+        self._is_over = False
 
     def relay_stream(self, answer: OpenAnswer, client: ClientConnection) -> RelayStream:
-        """Return the stream for the relay loop."""
+        """Return the stream for the relay loop; without an engine's side when taking it failed."""
+        engine: EngineSide | Failure
+        try:
+            engine = _engine_side(answer)
+        except Exception as error:
+            # The caller has its head already: the stream must go on, or end with an error event.
+            logger.exception("an engine's connection could not be taken over")
+            engine = _failure(FailureKind.INTERNAL, f"no connection to relay from: {error}")
         return RelayStream(
             client=client,
-            engine=_engine_side(answer),
+            engine=engine,
             callbacks=StreamCallbacks(
                 broken=self.repair,
                 ended=self.end,
@@ -108,13 +123,29 @@
 
     def end(self, transcript: bytes, failure: Failure | None) -> None:
         """Close the books of a stream that is over."""
-        services = self._services
-        if failure is not None:
-            # A request that ended early must not go on computing.
-            services.sender.cancel(self._attempt.address, self._request.request_id)
-        services.sender.close_attempt(self._request, self._attempt)
+        with self._lock:
+            self._is_over = True
+            attempt = self._attempt
+        self._close(attempt, cancel=failure is not None)
         self._ended(transcript, failure)
 
+    def abandon(self) -> None:
+        """Close the books of a stream whose head could not be written to the caller."""
+        failure = Failure(
+            kind=FailureKind.CANCELLED,
+            reason="the caller went away before the head of its answer",
+            step=Step.RELAYING,
+            execution=Execution.RAN,
+        )
+        self.end(b"", failure)
+
+    def _close(self, attempt: Attempt, *, cancel: bool) -> None:
+        sender = self._services.sender
+        if cancel:
+            # A request that ended early must not go on computing.
+            sender.cancel(attempt.address, self._request.request_id)
+        sender.close_attempt(self._request, attempt)
+
     def _may_repair(self, length: int) -> bool:
         if length > self._repaired_at:
             self._barren_repairs = 0
@@ -164,10 +195,20 @@
             return answer
         if not isinstance(answer, OpenAnswer):
             return _failure(FailureKind.BACKEND_FAILED, f"HTTP {answer.status} on continuation")
-        services.sender.close_attempt(self._request, self._attempt)
-        self._attempt = answer.attempt
-        self._attempt_number = answer.attempt.number
         self._segment_start = length
+        return self._switch_to(answer)
+
+    def _switch_to(self, answer: OpenAnswer) -> EngineSide | Failure:
+        """Make another runner's attempt the present one, unless the stream is over meanwhile."""
+        with self._lock:
+            is_over = self._is_over
+            former, self._attempt = self._attempt, self._attempt if is_over else answer.attempt
+        self._attempt_number = answer.attempt.number
+        if is_over:
+            answer.stream.close()
+            self._close(answer.attempt, cancel=True)
+            return _failure(FailureKind.CANCELLED, "the stream ended while it was repaired")
+        self._close(former, cancel=False)
         return _engine_side(answer)
 
     def _give_up(self, failure: Failure, why: str) -> Failure:
--- a/tests/unit/gateway_support.py
+++ b/tests/unit/gateway_support.py
@@ -10,6 +10,8 @@
 from typing import Any
 
 import msgspec
+import openai
+import urllib3
 from cheroot import wsgi
 
 from leverjunction.backends.types import LoadReport
@@ -17,6 +19,7 @@
 from leverjunction.config.common import ListenConfig
 from leverjunction.config.gateway import GatewayConfig
 from leverjunction.gateway.runtime import GatewayRuntime
+from leverjunction.observability.decisions import Decision
 from leverjunction.wire.codec import encode, encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.messages import (
@@ -33,6 +36,9 @@
 MODEL = "triage"
 SERVICE = "llm"
 WORDS = [f"w{index}" for index in range(12)]
+TEXT = " ".join(WORDS)
+MESSAGES = [{"role": "user", "content": "why did it crash"}]
+CHAT = {"model": MODEL, "messages": MESSAGES}
 WAIT_S = 10.0
 
 
@@ -306,3 +312,52 @@
             return
         pause.wait(0.01)
     raise AssertionError(f"not within {WAIT_S} s: {what}")
+
+
+class Fleet:
+    """Two stub engines, a stub hub and a gateway.
+
+    Args:
+        folder: Folder for the gateway's files.
+        rows: Settings besides the default ones.
+    """
+
+    def __init__(self, folder: Path, rows: dict[str, object] | None = None) -> None:
+        self.engines = [StubEngine("e1"), StubEngine("e2")]
+        self.hub = StubHub(self.engines, rows)
+        self.gateway = start_gateway(folder, [self.hub.address])
+        self.http = urllib3.PoolManager(retries=False)
+        wait_until(lambda: self.gateway.not_ready() is None, "gateway is ready")
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.gateway.http_address}"
+
+    def client(self) -> openai.OpenAI:
+        return openai.OpenAI(base_url=f"{self.url}/v1", api_key=API_KEY, max_retries=0)
+
+    def post(self, body: object, **headers: str) -> urllib3.BaseHTTPResponse:
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        sent = {"Authorization": f"Bearer {API_KEY}", "Content-Type": "application/json"}
+        return self.http.request(
+            "POST", f"{self.url}/v1/chat/completions", body=data, headers=sent | headers
+        )
+
+    def started(self) -> int:
+        return sum(len(engine.started) for engine in self.engines)
+
+    def decisions(self) -> list[Decision]:
+        return self.gateway.ring.find()
+
+    def open_streams(self) -> float:
+        value = self.gateway.counters.registry.get_sample_value("leverjunction_open_streams")
+        assert value is not None
+        return value
+
+    def stop(self) -> None:
+        for engine in self.engines:
+            engine.hold.set()
+        self.gateway.stop()
+        for engine in self.engines:
+            engine.stop()
+        self.hub.stop()
--- a/tests/unit/test_gateway_serving.py
+++ b/tests/unit/test_gateway_serving.py
@@ -3,60 +3,12 @@
 from __future__ import annotations
 
 import gc
-import json
 from collections.abc import Iterator
 from pathlib import Path
 
 import openai
 import pytest
-import urllib3
-from tests.unit.gateway_support import (
-    API_KEY,
-    MODEL,
-    WORDS,
-    StubEngine,
-    StubHub,
-    start_gateway,
-    wait_until,
-)
-
-TEXT = " ".join(WORDS)
-MESSAGES = [{"role": "user", "content": "why did it crash"}]
-CHAT = {"model": MODEL, "messages": MESSAGES}
-
-
-class Fleet:
-    def __init__(self, folder: Path) -> None:
-        self.engines = [StubEngine("e1"), StubEngine("e2")]
-        self.hub = StubHub(self.engines)
-        self.gateway = start_gateway(folder, [self.hub.address])
-        self.http = urllib3.PoolManager(retries=False)
-        wait_until(lambda: self.gateway.not_ready() is None, "gateway is ready")
-
-    @property
-    def url(self) -> str:
-        return f"http://{self.gateway.http_address}"
-
-    def client(self) -> openai.OpenAI:
-        return openai.OpenAI(base_url=f"{self.url}/v1", api_key=API_KEY, max_retries=0)
-
-    def post(self, body: object, **headers: str) -> urllib3.BaseHTTPResponse:
-        data = body if isinstance(body, bytes) else json.dumps(body).encode()
-        sent = {"Authorization": f"Bearer {API_KEY}", "Content-Type": "application/json"}
-        return self.http.request(
-            "POST", f"{self.url}/v1/chat/completions", body=data, headers=sent | headers
-        )
-
-    def started(self) -> int:
-        return sum(len(engine.started) for engine in self.engines)
-
-    def stop(self) -> None:
-        for engine in self.engines:
-            engine.hold.set()
-        self.gateway.stop()
-        for engine in self.engines:
-            engine.stop()
-        self.hub.stop()
+from tests.unit.gateway_support import CHAT, MESSAGES, MODEL, TEXT, Fleet
 
 
 @pytest.fixture
