--- a/src/testbed/load/harm/experiment.py
+++ b/src/testbed/load/harm/experiment.py
@@ -105,13 +105,15 @@
 
 def _summary(name: str, seeds: list[int], results: _Results) -> HarmSummary:
     def ttft(mode: Mode) -> Spread:
-        return _spread(_ttft_ratio(results[mode, s], results[Mode.ONLINE_ALONE, s]) for s in seeds)
+        return spread_of(
+            _ttft_ratio(results[mode, s], results[Mode.ONLINE_ALONE, s]) for s in seeds
+        )
 
     def itl(mode: Mode) -> Spread:
-        return _spread(_itl_ratio(results[mode, s], results[Mode.ONLINE_ALONE, s]) for s in seeds)
+        return spread_of(_itl_ratio(results[mode, s], results[Mode.ONLINE_ALONE, s]) for s in seeds)
 
     def batch(mode: Mode, over: Mode) -> Spread:
-        return _spread(_batch_ratio(results[mode, s], results[over, s]) for s in seeds)
+        return spread_of(_batch_ratio(results[mode, s], results[over, s]) for s in seeds)
 
     harvest = [results[Mode.HARVEST, seed] for seed in seeds]
     return HarmSummary(
@@ -123,12 +125,12 @@
         baseline_ratio_itl_p99=itl(Mode.NO_YIELD),
         oracle_ratio_ttft_p99=ttft(Mode.ORACLE),
         oracle_ratio_itl_p99=itl(Mode.ORACLE),
-        batch_items_per_s=_spread(result.batch_items_per_s for result in harvest),
+        batch_items_per_s=spread_of(result.batch_items_per_s for result in harvest),
         batch_over_oracle=batch(Mode.HARVEST, Mode.ORACLE),
         batch_over_alone=batch(Mode.HARVEST, Mode.BATCH_ALONE),
         baseline_batch_over_alone=batch(Mode.NO_YIELD, Mode.BATCH_ALONE),
-        time_to_yield_p99_ms=_spread(result.to_yield.p99_ms for result in harvest),
-        time_to_refill_p99_ms=_spread(result.to_refill.p99_ms for result in harvest),
+        time_to_yield_p99_ms=spread_of(result.to_yield.p99_ms for result in harvest),
+        time_to_refill_p99_ms=spread_of(result.to_refill.p99_ms for result in harvest),
     )
 
 
@@ -154,7 +156,8 @@
     return result.batch_items_per_s / over.batch_items_per_s
 
 
-def _spread(values: Iterable[float]) -> Spread:
+def spread_of(values: Iterable[float]) -> Spread:
+    """Return median, lowest and highest of the values."""
     known = list(values)
     return Spread(
         median=round(statistics.median(known), 3),
