--- a/src/leverjunction/cli/command.py
+++ b/src/leverjunction/cli/command.py
@@ -15,6 +15,10 @@
 
 SET_FLAG = "--set"
 SET_SEPARATOR = "\n"
+SHARED_FLAGS = (
+    "Flags of every operators' command: --control HOST:PORT[,HOST:PORT] (or the variable "
+    "LEVERJUNCTION_CONTROL), --token-file FILE (or LEVERJUNCTION_TOKEN_FILE), --json."
+)
 SWITCHES = frozenset({"--json", "--wait", "--follow"})
 _FLAG_PREFIX = "-"
 _HELP_FLAGS = frozenset({"--help", "-h", "help"})
@@ -50,6 +54,14 @@
     return bind
 
 
+def operators_command(method: Callable[P, int]) -> Callable[P, Deferred]:
+    """Make a method a command whose help names the flags that all operators' commands share."""
+    bind = command(method)
+    summary, _, rest = (method.__doc__ or "").partition("\n")
+    bind.__doc__ = f"{summary}\n\n        {SHARED_FLAGS}\n{rest}"
+    return bind
+
+
 def prepare_arguments(arguments: Sequence[str]) -> list[str]:
     """Return the arguments in the form that fire reads as it is meant.
 
@@ -85,13 +97,16 @@
 
 
 def number(text: object, flag: str, number_type: type[NumberT]) -> NumberT | Failure:
-    """Return a flag's number, or a failure that names the flag, what was expected and got."""
+    """Return a flag's number, 0 or more; else what was expected and got."""
     try:
-        return number_type(str(text))
+        value = number_type(str(text))
     except ValueError:
-        return Failure(
-            kind=FailureKind.BAD_REQUEST,
-            reason=f"{flag}: expected {'a whole' if number_type is int else 'a'} number, "
-            f"got {str(text)!r}",
-            step=Step.CONFIGURATION,
-        )
+        value = None
+    if value is not None and value >= 0:
+        return value
+    return Failure(
+        kind=FailureKind.BAD_REQUEST,
+        reason=f"{flag}: expected {'a whole' if number_type is int else 'a'} number, 0 or more, "
+        f"got {str(text)!r}",
+        step=Step.CONFIGURATION,
+    )
--- a/src/leverjunction/cli/commands.py
+++ b/src/leverjunction/cli/commands.py
@@ -7,6 +7,7 @@
 
 import sys
 from collections.abc import Sequence
+from importlib.metadata import version
 from pathlib import Path
 from typing import TypeVar
 
@@ -18,6 +19,7 @@
     SET_SEPARATOR,
     Deferred,
     command,
+    operators_command,
     prepare_arguments,
     run_deferred,
 )
@@ -32,13 +34,20 @@
 from leverjunction.config.load import load_config
 from leverjunction.errors import Failure, FailureKind, Step
 
+PACKAGE = "leverjunction"
 ConfigT = TypeVar("ConfigT", bound=BaseModel)
 
 
 class Commands:
     """leverjunction serves online and batch inference from one shared fleet.
 
-    Exit codes: 0 ok, 1 failed, 2 bad input, 3 conflict, 4 unreachable, 5 not in force in time.
+    Operators' commands need --control HOST:PORT[,HOST:PORT] (or the variable
+    LEVERJUNCTION_CONTROL) and --token-file FILE (or LEVERJUNCTION_TOKEN_FILE); --json prints data
+    as JSON. Data goes to standard output, all else to standard error.
+
+    Exit codes: 0 done; 1 failed, refused (wrong token or key) or not found; 2 bad input, nothing
+    was sent or changed; 3 conflict, nothing was changed; 4 unreachable, run it again; 5 committed,
+    but not in force at every live gateway in time.
     """
 
     def __init__(self, *, control: str = "", token_file: str = "", json: bool = False) -> None:
@@ -83,12 +92,12 @@
 
         return run(loaded)
 
-    @command
+    @operators_command
     def status(self) -> int:
         """Show zones, gateways, runners, queues, jobs and the settings in force, at a glance."""
         return status(self._options)
 
-    @command
+    @operators_command
     def watch(self, request: str = "", service: str = "") -> int:
         """Show decisions of all gateways as they happen, until interrupted.
 
@@ -98,7 +107,7 @@
         """
         return watch(self._options, request, service)
 
-    @command
+    @operators_command
     def why(self, request_id: str) -> int:
         """Show every kept decision about a request, of all gateways.
 
@@ -136,6 +145,9 @@
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the command line and exit with the command's status."""
     given = sys.argv[1:] if arguments is None else arguments
+    if list(given) == ["--version"]:
+        print(f"leverjunction {version(PACKAGE)}")
+        sys.exit(ExitCode.OK)
     result = fire.Fire(
         Commands,
         command=prepare_arguments(given),
--- a/src/leverjunction/cli/explain.py
+++ b/src/leverjunction/cli/explain.py
@@ -46,9 +46,13 @@
     )
     target = _target_of(path)
     if target is None:
-        return _bad(f"{path} is not a service, model, adapter, tenant or a leaf of one")
+        return _bad(f"{path} is not {_expected_at(path)}")
     if not _exists(leaves, _entity_path(target)):
-        return _bad(f"nothing is set at {_entity_path(target)}")
+        return Failure(
+            kind=FailureKind.NOT_FOUND,
+            reason=f"nothing is set at {_entity_path(target)}",
+            step=Step.CONFIGURATION,
+        )
     if target.tenant:
         values = explain_limits(settings.lookup, target.tenant)
         return _chosen([Explained(zone="", inherited=item) for item in values], target.leaf)
@@ -69,6 +73,18 @@
     return None
 
 
+def _expected_at(path: str) -> str:
+    """Return what would be understood in a path's place."""
+    block = path.split(PATH_SEPARATOR)[-2:-1]
+    if block == ["serving"]:
+        return f"a serving setting, which are {', '.join(SERVING_BUILT_IN)}"
+    if block == ["limits"]:
+        return f"a limit, which are {', '.join(LIMITS_BUILT_IN)}"
+    return (
+        "a service, model, adapter or tenant, nor a setting of one (services/S/serving/max_queue)"
+    )
+
+
 def _serving_target(service: str, rest: list[str]) -> _Target | None:
     leaf = ""
     if len(rest) > 1 and rest[-2] == "serving" and rest[-1] in SERVING_BUILT_IN:
--- a/src/leverjunction/cli/jobs.py
+++ b/src/leverjunction/cli/jobs.py
@@ -15,10 +15,11 @@
 
 from leverjunction.api.batches_shapes import BATCH_PREFIX
 from leverjunction.batch.commands import JobView, ResultPage
-from leverjunction.cli.command import command, number
-from leverjunction.cli.options import Options
+from leverjunction.cli.command import command, number, operators_command
+from leverjunction.cli.options import Options, parse_address
 from leverjunction.cli.output import (
     ExitCode,
+    exit_code,
     print_failure,
     print_json,
     print_json_line,
@@ -27,7 +28,13 @@
     when,
 )
 from leverjunction.cli.pending import PendingRecord, default_folder
-from leverjunction.cli_client import CONNECT_TIMEOUT_S, OperatorClient, failure_of, read_secret
+from leverjunction.cli_client import (
+    CONNECT_TIMEOUT_S,
+    OperatorClient,
+    failure_of,
+    read_secret,
+    unreachable,
+)
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.codec import decode
 
@@ -66,15 +73,19 @@
     ) -> int:
         """Submit a JSONL file of requests as one job.
 
-        Run again after a lost answer, it resends the same key and gets the same job.
+        Run again after a lost answer, it resends the same key and gets the same job. It needs no
+        operators' token; --json prints the answer as JSON.
 
         Args:
             file: JSONL file, one request a line, in the form of OpenAI's batch files.
-            gateway: Address of a gateway, host:port.
+            gateway: Address of a gateway, host:port or its URL.
             key_file: File with the tenant's API key.
             idempotency_key: Key that names the job in resends; made and kept when not given.
             batch_class: Batch class in the settings.
         """
+        address = parse_address(gateway, "--gateway")
+        if isinstance(address, Failure):
+            return print_failure(address)
         key = read_secret(key_file, "API key (--key-file)")
         if isinstance(key, Failure):
             return print_failure(key)
@@ -83,12 +94,12 @@
         except OSError as error:
             return print_failure(_unreadable(file, error))
         pending = PendingRecord(
-            default_folder(), "job", gateway, _digest(key.encode()), _digest(body)
+            default_folder(), "job", address, _digest(key.encode()), _digest(body)
         )
         kept = pending.load(PendingJob)
         job_key = idempotency_key or (kept.idempotency_key if kept else uuid4().hex)
         pending.save(PendingJob(idempotency_key=job_key))
-        job = _submit(gateway, key, body, job_key, batch_class)
+        job = _submit(address, key, body, job_key, batch_class)
         if isinstance(job, Failure):
             if job.execution != Execution.UNKNOWN:
                 pending.clear()
@@ -102,7 +113,7 @@
             print(job.id)
         return ExitCode.OK
 
-    @command
+    @operators_command
     def list(self, tenant: str = "") -> int:
         """List jobs, newest first.
 
@@ -122,7 +133,7 @@
         print_table("jobs", JOB_COLUMNS, [job_row(job) for job in jobs])
         return ExitCode.OK
 
-    @command
+    @operators_command
     def show(self, job_id: str) -> int:
         """Show one job.
 
@@ -131,7 +142,7 @@
         """
         return self._print_job(f"/operator/jobs/{quote(_bare_id(job_id))}", post=False)
 
-    @command
+    @operators_command
     def cancel(self, job_id: str) -> int:
         """Cancel a job: no item of it starts any more, running ones are dropped.
 
@@ -140,7 +151,7 @@
         """
         return self._print_job(f"/operator/jobs/{quote(_bare_id(job_id))}/cancel", post=True)
 
-    @command
+    @operators_command
     def results(self, job_id: str, after: str = "0", output: str = "", follow: bool = False) -> int:
         """Write a job's final items as JSON lines.
 
@@ -188,7 +199,8 @@
     while True:
         page = client.get(path, ResultPage, {"after": str(cursor)})
         if isinstance(page, Failure):
-            print_progress(f"read up to cursor {cursor}: go on with --after {cursor}")
+            if exit_code(page) == ExitCode.UNREACHABLE:
+                print_progress(f"read up to cursor {cursor}: go on with --after {cursor}")
             return print_failure(page)
         for line in page.lines:
             target.write(msgspec.json.encode(line) + b"\n")
@@ -260,13 +272,7 @@
     try:
         response = pool.request("POST", f"http://{gateway}/v1/batches", body=body, headers=headers)
     except urllib3.exceptions.HTTPError as error:
-        return Failure(
-            kind=FailureKind.UNREACHABLE,
-            reason=f"no answer from {gateway}: {type(error).__name__}",
-            step=Step.CONNECTING,
-            peer=gateway,
-            execution=Execution.UNKNOWN,
-        )
+        return unreachable(gateway, error)
     if response.status not in range(200, 300):
         return failure_of(response.status, response.data, gateway)
     return decode(response.data, SubmittedJob, gateway)
--- a/src/leverjunction/cli/options.py
+++ b/src/leverjunction/cli/options.py
@@ -6,11 +6,13 @@
 
 import msgspec
 
+from leverjunction.cli.output import print_progress
 from leverjunction.cli_client import OperatorClient, read_secret
 from leverjunction.errors import Failure, FailureKind, Step
 
 CONTROL_VARIABLE = "LEVERJUNCTION_CONTROL"
 TOKEN_FILE_VARIABLE = "LEVERJUNCTION_TOKEN_FILE"
+HIGHEST_PORT = 65535
 
 
 class Options(msgspec.Struct, frozen=True, kw_only=True):
@@ -29,19 +31,21 @@
     def client(self) -> OperatorClient | Failure:
         """Return a client of the control processes."""
         if not self.control:
-            return Failure(
-                kind=FailureKind.BAD_REQUEST,
-                reason=f"no control process given: use --control host:port or {CONTROL_VARIABLE}",
-                step=Step.CONFIGURATION,
-            )
-        return self.client_of(self.control)
+            return _bad(f"no control process given: use --control host:port or {CONTROL_VARIABLE}")
+        addresses: list[str] = []
+        for text in self.control:
+            address = parse_address(text, "--control")
+            if isinstance(address, Failure):
+                return address
+            addresses.append(address)
+        return self.client_of(addresses)
 
     def client_of(self, addresses: list[str]) -> OperatorClient | Failure:
         """Return a client of other processes that take the operators' token."""
         token = read_secret(self.token_file, f"token (--token-file, {TOKEN_FILE_VARIABLE})")
         if isinstance(token, Failure):
             return token
-        return OperatorClient(addresses, token)
+        return OperatorClient(addresses, token, tell=print_progress)
 
 
 def make_options(control: object, token_file: str, as_json: bool) -> Options:
@@ -53,6 +57,19 @@
     )
 
 
+def parse_address(text: str, flag: str) -> str | Failure:
+    """Return the ``host:port`` that a flag gives, as such or as the URL of a process."""
+    address = text.removeprefix("http://").rstrip("/")
+    host, _, port = address.rpartition(":")
+    if host and port.isascii() and port.isdigit() and int(port) <= HIGHEST_PORT:
+        return address
+    return _bad(f"{flag}: expected host:port, got {text!r}")
+
+
+def _bad(reason: str) -> Failure:
+    return Failure(kind=FailureKind.BAD_REQUEST, reason=reason, step=Step.CONFIGURATION)
+
+
 def addresses_of(value: object) -> list[str]:
     """Return addresses from a comma-separated text, or from the list fire makes of one."""
     parts = value if isinstance(value, list | tuple) else str(value).split(",")
--- a/src/leverjunction/cli/output.py
+++ b/src/leverjunction/cli/output.py
@@ -13,6 +13,7 @@
 
 from leverjunction.errors import Failure, FailureKind
 
+MAX_LINE_CHARACTERS = 4000
 _MS_PER_S = 1000
 
 
@@ -71,17 +72,22 @@
 
 
 def print_table(title: str, columns: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
-    """Print a table on stdout; nothing but a note when it has no rows."""
-    table = Table(title=title, title_justify="left", header_style="bold")
+    """Print a table on stdout; nothing but a note when it has no rows.
+
+    A row is always one line, however narrow the terminal: folded cells cannot be searched.
+    """
+    table = Table(box=None, pad_edge=False, padding=(0, 2, 0, 0), header_style="bold")
     for column in columns:
-        table.add_column(column, overflow="fold")
+        table.add_column(column, no_wrap=True)
     for row in rows:
         table.add_row(*(str(cell) for cell in row))
-    console = Console(soft_wrap=False)
+    console = Console(width=MAX_LINE_CHARACTERS, soft_wrap=False)
     if not table.row_count:
-        console.print(f"{title}: none", highlight=False)
+        console.print(f"{title}: none", highlight=False, markup=False)
         return
+    console.print(f"{title}:", highlight=False, markup=False)
     console.print(table, highlight=False, markup=False)
+    console.print()
 
 
 def when(wall_ms: int) -> str:
--- a/src/leverjunction/cli/settings.py
+++ b/src/leverjunction/cli/settings.py
@@ -10,8 +10,8 @@
 import msgspec
 import yaml
 
-from leverjunction.cli.apply import apply_plan, wait_in_force
-from leverjunction.cli.command import command, number
+from leverjunction.cli.apply import apply_plan, tell_newer_version, tell_refusal, wait_in_force
+from leverjunction.cli.command import command, number, operators_command
 from leverjunction.cli.explain import explain_path
 from leverjunction.cli.options import Options
 from leverjunction.cli.output import (
@@ -24,7 +24,7 @@
 )
 from leverjunction.cli.pending import PendingRecord, default_folder
 from leverjunction.cli_client import OperatorClient
-from leverjunction.errors import Failure
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.settings.change import Plan, PlannedLeaf, plan_change, to_command
 from leverjunction.settings.commands import ApplyChange, ChangeRecord, SettingsDelta
 from leverjunction.settings.files import BadSettings, LoadedSettings, load_settings
@@ -52,6 +52,8 @@
     def check(self, directory: str) -> int:
         """Check a directory of settings files; nothing is sent anywhere.
 
+        It needs no control process and no token; --json prints the findings as JSON.
+
         Args:
             directory: Directory of YAML files.
         """
@@ -64,7 +66,7 @@
             print(f"{directory}: {len(loaded.leaves)} leaves, no problem found")
         return ExitCode.OK
 
-    @command
+    @operators_command
     def plan(self, directory: str) -> int:
         """Show what applying a directory would change; changes nothing.
 
@@ -84,7 +86,7 @@
         self._print_plan(plan, loaded)
         return ExitCode.OK
 
-    @command
+    @operators_command
     def apply(
         self,
         directory: str,
@@ -126,17 +128,17 @@
             return print_failure(outcome)
         if self._options.as_json:
             print_json(outcome)
-        else:
-            print(outcome.reason or f"version {outcome.version} is committed")
         if not outcome.accepted:
-            for path in outcome.differing_paths:
-                print_progress(f"  differs: {path}")
-            return ExitCode.CONFLICT
+            return tell_refusal(outcome, change.base_version, directory)
+        if not self._options.as_json:
+            print(outcome.reason or f"version {outcome.version} is committed")
+        if outcome.replayed:
+            tell_newer_version(client, outcome.version)
         if not wait:
             return ExitCode.OK
         return wait_in_force(client, outcome.version, time.monotonic() + longest_s)
 
-    @command
+    @operators_command
     def show(self, path: str = "") -> int:
         """Show the settings in force as YAML.
 
@@ -163,7 +165,7 @@
             print(yaml.safe_dump(unflatten(shown), sort_keys=True), end="")
         return ExitCode.OK
 
-    @command
+    @operators_command
     def explain(self, path: str, zone: str = "") -> int:
         """Tell which ancestor gives each value at a place in the tree.
 
@@ -197,7 +199,7 @@
         )
         return ExitCode.OK
 
-    @command
+    @operators_command
     def history(self, limit: str = "20") -> int:
         """List accepted changes, newest first.
 
@@ -253,6 +255,13 @@
         if isinstance(in_force, Failure):
             return in_force
         plan = plan_change(in_force, loaded.leaves)
+        if base is not None and base != in_force.version and not plan.leaves:
+            return Failure(
+                kind=FailureKind.CONFLICT,
+                reason=f"version {in_force.version} is in force, not {base}; it already holds what "
+                "the files say",
+                step=Step.PROPOSING,
+            )
         if base is not None:
             plan = msgspec.structs.replace(plan, base_version=base)
         return to_command(plan, uuid4().hex, author)
--- a/src/leverjunction/cli/status.py
+++ b/src/leverjunction/cli/status.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 
 import msgspec
 
+from leverjunction.batch.commands import JobView
 from leverjunction.cli.options import Options
 from leverjunction.cli.output import ExitCode, print_failure, print_json, print_table
 from leverjunction.consensus.api import GroupStatus
+from leverjunction.consensus.types import Role
+from leverjunction.control.messages import Withdrawal
 from leverjunction.errors import Failure
-from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
+from leverjunction.wire.messages import GatewayState, RunnerState
 
 STALE_QUORUM_S = 2.0
 
@@ -27,15 +31,40 @@
     groups: list[GroupStatus] = []
 
 
+class LoadView(msgspec.Struct, frozen=True, kw_only=True):
+    """A runner's load as the status shows it."""
+
+    runner_id: str
+    running: int = 0
+    waiting: int = 0
+    batch_running: int = 0
+    kv_used_ratio: float = 0.0
+    healthy: bool = True
+
+
+class PlacementView(msgspec.Struct, frozen=True, kw_only=True):
+    """What placement does; given by the process that leads it."""
+
+    leads: bool = False
+    in_progress: list[str] = []
+    withdrawn: list[Withdrawal] = []
+    blocked: list[str] = []
+
+
 class StatusView(msgspec.Struct, frozen=True, kw_only=True):
     """The part of ``/operator/status`` that the command line shows; unknown keys are ignored."""
 
+    name: str = ""
     settings_version: int = 0
     hubs: list[HubView] = []
+    silent_hubs: list[str] = []
     gateways: list[GatewayState] = []
     runners: list[RunnerState] = []
-    digests: list[RunnerDigest] = []
+    loads: list[LoadView] = []
     backlog: dict[str, int] = {}
+    leases: dict[str, int] = {}
+    unknown_groups: list[str] = []
+    placement: PlacementView = PlacementView()
 
 
 def status(options: Options) -> int:
@@ -52,18 +81,21 @@
     view = client.get("/operator/status", StatusView)
     if isinstance(view, Failure):
         return print_failure(view)
-    print_status(view)
-    return ExitCode.OK
+    jobs = client.get("/operator/jobs", list[JobView])
+    print_status(view, [] if isinstance(jobs, Failure) else jobs)
+    return print_failure(jobs) if isinstance(jobs, Failure) else ExitCode.OK
 
 
-def print_status(view: StatusView) -> None:
-    """Print a status as tables."""
+def print_status(view: StatusView, jobs: list[JobView]) -> None:
+    """Print a status, and the counts of the newest jobs, as tables."""
     newest = newest_version(view)
-    print(f"settings version {newest}")
+    print(f"settings version {newest}, as {view.name} sees it")
+    for warning in warnings(view):
+        print(f"WARNING: {warning}")
     print_table("zones", ["zone", "gateways", "runners", "leaving"], zone_rows(view))
     print_table(
         "control processes",
-        ["name", "zone", "settings", "quorum heard", "groups (role, term, applied)"],
+        ["name", "zone", "settings", "quorum heard", "leads", "follows", "other roles"],
         [hub_row(hub) for hub in view.hubs],
     )
     print_table(
@@ -71,13 +103,35 @@
         ["gateway", "zone", "address", "settings", "state"],
         [gateway_row(gateway, newest) for gateway in view.gateways],
     )
-    digests = {digest.runner_id: digest for digest in view.digests}
+    loads = {load.runner_id: load for load in view.loads}
     print_table(
         "runners",
         ["runner", "zone", "service", "running", "batch", "waiting", "KV used", "models", "state"],
-        [runner_row(runner, digests.get(runner.runner_id)) for runner in view.runners],
+        [runner_row(runner, loads.get(runner.runner_id)) for runner in view.runners],
     )
     print_table("batch items pending", ["service", "items"], sorted(view.backlog.items()))
+    print_table("batch leases", ["gateway", "leases"], sorted(view.leases.items()))
+    states = Counter(job.state.value for job in jobs)
+    print_table("newest jobs", ["state", "jobs"], sorted(states.items()))
+    print_table("orders in progress", ["order"], [[one] for one in view.placement.in_progress])
+    print_table(
+        "withdrawn from gateways for now",
+        ["runner", "model"],
+        [[one.runner_id, one.model] for one in view.placement.withdrawn],
+    )
+
+
+def warnings(view: StatusView) -> list[str]:
+    """Return what an operator should look at first."""
+    found = [f"control process {name} is not heard" for name in view.silent_hubs]
+    found += [
+        f"control process {hub.name} has not heard a quorum for {hub.quorum_age_s:.1f} s"
+        for hub in view.hubs
+        if hub.quorum_age_s > STALE_QUORUM_S
+    ]
+    found += [f"group {group} did not answer: counts are partial" for group in view.unknown_groups]
+    found += [f"placement is blocked: {reason}" for reason in view.placement.blocked]
+    return found
 
 
 def newest_version(view: StatusView) -> int:
@@ -100,11 +154,19 @@
 def hub_row(hub: HubView) -> tuple[object, ...]:
     """Return a control process's row."""
     stale = " STALE" if hub.quorum_age_s > STALE_QUORUM_S else ""
-    groups = "; ".join(
-        f"{group.group} ({group.role}, {group.term}, {group.applied_index})" for group in hub.groups
-    )
     heard = f"{hub.quorum_age_s:.1f} s ago{stale}"
-    return (hub.name, hub.zone, hub.settings_version, heard, groups)
+    leads = _names(group.group for group in hub.groups if group.role == Role.LEADER)
+    follows = _names(group.group for group in hub.groups if group.role == Role.FOLLOWER)
+    others = _names(
+        f"{group.group} ({group.role})"
+        for group in hub.groups
+        if group.role not in (Role.LEADER, Role.FOLLOWER)
+    )
+    return (hub.name, hub.zone, hub.settings_version, heard, leads, follows, others)
+
+
+def _names(names: Iterable[str]) -> str:
+    return " ".join(names) or "-"
 
 
 def gateway_row(gateway: GatewayState, newest: int) -> tuple[object, ...]:
@@ -115,14 +177,14 @@
     return (gateway.gateway_id, gateway.zone, gateway.address, version, state)
 
 
-def runner_row(runner: RunnerState, digest: RunnerDigest | None) -> tuple[object, ...]:
+def runner_row(runner: RunnerState, load: LoadView | None) -> tuple[object, ...]:
     """Return a runner's row."""
     models = " ".join(runner.models) or "-"
     state = "leaving" if runner.leaving else "live"
-    if digest is None:
+    if load is None:
         loads: tuple[object, ...] = ("?", "?", "?", "?")
     else:
-        used = f"{digest.kv_used_ratio:.0%}"
-        loads = (digest.running, digest.batch_running, digest.waiting, used)
-        state += "" if digest.healthy else ", unreachable"
+        used = f"{load.kv_used_ratio:.0%}"
+        loads = (load.running, load.batch_running, load.waiting, used)
+        state += "" if load.healthy else ", unreachable"
     return (runner.runner_id, runner.zone, runner.service, *loads, models, state)
--- a/src/leverjunction/cli_client.py
+++ b/src/leverjunction/cli_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 from typing import TypeVar
 
@@ -61,11 +61,25 @@
     idempotent. So a call goes on to the next address, and round again, until ``retry_for_s``.
     """
 
-    def __init__(self, addresses: list[str], token: str, retry_for_s: float = RETRY_FOR_S) -> None:
-        """Use ``host:port`` addresses, tried in order, and a bearer token."""
+    def __init__(
+        self,
+        addresses: list[str],
+        token: str,
+        retry_for_s: float | None = None,
+        tell: Callable[[str], None] | None = None,
+    ) -> None:
+        """Use ``host:port`` addresses, tried in order, and a bearer token.
+
+        Args:
+            addresses: Processes that may answer.
+            token: The operators' token.
+            retry_for_s: How long to try again, ``RETRY_FOR_S`` by default.
+            tell: Told, once a call, why it takes longer.
+        """
         self._addresses = addresses
         self._token = token
-        self._retry_for_s = retry_for_s
+        self._retry_for_s = RETRY_FOR_S if retry_for_s is None else retry_for_s
+        self._tell = tell
         self._pool = urllib3.PoolManager(
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S), retries=False
         )
@@ -90,6 +104,7 @@
         parameters: Mapping[str, str],
     ) -> T | Failure:
         give_up_s = time.monotonic() + self._retry_for_s
+        told = False
         while True:
             failure: Failure = _bad("no address given, use --control host:port")
             for address in self._addresses:
@@ -101,6 +116,9 @@
                     return failure
             if time.monotonic() >= give_up_s or not self._addresses:
                 return failure
+            if self._tell is not None and not told:
+                told = True
+                self._tell(f"{failure.reason}: trying again for {self._retry_for_s:.0f} s")
             time.sleep(RETRY_PAUSE_S)
 
     def _call(
@@ -116,7 +134,7 @@
                 headers=headers,
             )
         except urllib3.exceptions.HTTPError as error:
-            return _unreachable(address, error)
+            return unreachable(address, error)
         if response.status in _SUCCESS:
             return response.data
         return failure_of(response.status, response.data, address)
@@ -138,7 +156,7 @@
                 return
             yield from _event_data(response)
         except urllib3.exceptions.HTTPError as error:
-            yield _unreachable(address, error)
+            yield unreachable(address, error)
 
 
 def _event_data(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
@@ -150,13 +168,26 @@
                 yield line[len(_SSE_DATA) :].strip()
 
 
-def _unreachable(address: str, error: urllib3.exceptions.HTTPError) -> Failure:
+def unreachable(address: str, error: urllib3.exceptions.HTTPError) -> Failure:
+    """Return the failure of a call without an answer; it ran nothing if it never connected."""
+    exceptions = urllib3.exceptions
+    if isinstance(error, exceptions.NameResolutionError):
+        reason = f"cannot connect to {address}: its host name is not known"
+    elif isinstance(error, exceptions.ConnectTimeoutError):
+        reason = f"cannot connect to {address} within {CONNECT_TIMEOUT_S:.0f} s"
+    elif isinstance(error, exceptions.NewConnectionError):
+        reason = f"cannot connect to {address}: nothing listens there"
+    elif isinstance(error, exceptions.ReadTimeoutError):
+        reason = f"no answer from {address} in time"
+    else:
+        reason = f"the connection to {address} broke ({type(error).__name__})"
+    sent = not isinstance(error, exceptions.NewConnectionError | exceptions.ConnectTimeoutError)
     return Failure(
         kind=FailureKind.UNREACHABLE,
-        reason=f"no answer from {address}: {type(error).__name__}",
-        step=Step.CONNECTING,
+        reason=reason,
+        step=Step.RESPONDING if sent else Step.CONNECTING,
         peer=address,
-        execution=Execution.UNKNOWN,
+        execution=Execution.UNKNOWN if sent else Execution.NOT_RUN,
     )
 
 
--- a/src/leverjunction/settings/checks.py
+++ b/src/leverjunction/settings/checks.py
@@ -93,6 +93,9 @@
     if item["type"] == "extra_forbidden":
         known = ", ".join(_known_keys(location[:-1]))
         return Finding(path=path, expected=f"one of the keys {known}", got=str(location[-1]))
+    if item["type"] == "model_type":
+        known = ", ".join(_known_keys(location))
+        return Finding(path=path, expected=f"a mapping of {known}", got=shorten(item["input"]))
     return Finding(path=path, expected=_expected(item["msg"]), got=shorten(item["input"]))
 
 
--- a/src/leverjunction/settings/files.py
+++ b/src/leverjunction/settings/files.py
@@ -50,7 +50,8 @@
     def __str__(self) -> str:
         got = f", got {self.got}" if self.got else ""
         key = f"key {self.key}: " if self.key else ""
-        return f"{self.file}:{self.line}: {key}expected {self.expected}{got}"
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        return f"{place}: {key}expected {self.expected}{got}"
 
 
 class BadSettings(msgspec.Struct, frozen=True):
@@ -81,11 +82,17 @@
 def load_settings(directory: Path) -> LoadedSettings | BadSettings:
     """Read every YAML file below a directory, in order of path, as one tree."""
     reader = _Reader()
+    whole = SourceLocation(str(directory), 0)
     files = _files_of(directory)
     if not files:
-        reader.problem(SourceLocation(str(directory), 0), "", "a directory of YAML files", "none")
+        got = "one without any" if directory.is_dir() else "no such directory"
+        reader.problem(whole, "", f"a directory of {' or '.join(FILE_SUFFIXES)} files", got)
     for file in files:
         reader.read(file)
+    if not reader.document and not reader.problems:
+        reader.problem(
+            whole, "", "at least one key", "empty files, which would delete all settings"
+        )
     if reader.problems:
         return BadSettings(reader.problems)
     checked = check_document(reader.document)
@@ -124,7 +131,7 @@
         try:
             text = file.read_text(encoding="utf8")
         except (OSError, UnicodeDecodeError) as error:
-            self.problem(start, "", "a readable file in UTF-8", str(error))
+            self.problem(start, "", "a readable file in UTF-8", f"this fault: {error}")
             return
         loader = yaml.SafeLoader(text)
         try:
@@ -138,9 +145,9 @@
         except yaml.MarkedYAMLError as error:
             mark = error.problem_mark
             place = SourceLocation(str(file), mark.line + 1 if mark else 0)
-            self.problem(place, "", "YAML", error.problem or "")
+            self.problem(place, "", "YAML", f"this fault: {error.problem or error}")
         except (yaml.YAMLError, ValueError) as error:
-            self.problem(start, "", "YAML", str(error))
+            self.problem(start, "", "YAML", f"this fault: {error}")
         finally:
             loader.dispose()
 
@@ -164,7 +171,7 @@
                 continue
             path = prefix + key
             if key in seen:
-                self.problem(place, path, "each key once", f"also at {seen[key]}")
+                self.problem(place, path, "each key once", f"it also at {seen[key]}")
                 continue
             seen[key] = place
             if value_node in open_nodes:
@@ -185,7 +192,7 @@
         first = self.locations.setdefault(path, place)
         if isinstance(child, dict):
             return child
-        self.problem(place, path, "each key once", f"a value at {first}")
+        self.problem(place, path, "a mapping or a value, not both", f"also a value at {first}")
         return None
 
     def _set(
@@ -198,7 +205,7 @@
         node: yaml.Node,
     ) -> None:
         if key in target:
-            self.problem(place, path, "each key once", f"also at {self.locations[path]}")
+            self.problem(place, path, "each key once", f"it also at {self.locations[path]}")
             return
         self.locations[path] = place
         target[key] = loader.construct_object(node, deep=True)
--- a/tests/unit/test_cli_command.py
+++ b/tests/unit/test_cli_command.py
@@ -50,7 +50,7 @@
     ("arguments", "code", "told"),
     [
         (["settings", "check", EXAMPLE], ExitCode.OK, ""),
-        (["settings", "check", "missing"], ExitCode.BAD_INPUT, "a directory of YAML files"),
+        (["settings", "check", "missing"], ExitCode.BAD_INPUT, "yml files, got no such directory"),
         (["settings", "check", EXAMPLE, "--bogus", "1"], ExitCode.BAD_INPUT, "--bogus"),
         (["settings", "apply", EXAMPLE, "--wait_s", "soon"], ExitCode.BAD_INPUT, "--wait_s"),
         (["settings", "plan", EXAMPLE], ExitCode.BAD_INPUT, CONTROL_VARIABLE),
@@ -59,6 +59,9 @@
         (["jobs", "results", "j", "--after", "x"], ExitCode.BAD_INPUT, "--after"),
         (["nonsense"], ExitCode.BAD_INPUT, "nonsense"),
         ([], ExitCode.OK, ""),
+        (["settings", "apply", "--help"], ExitCode.OK, "--token-file FILE"),
+        (["--version"], ExitCode.OK, ""),
+        (["jobs", "submit", EXAMPLE, "x", EXAMPLE], ExitCode.BAD_INPUT, "expected host:port"),
     ],
 )
 def test_exit_codes(
--- /dev/null
+++ b/tests/unit/test_cli_operators.py
@@ -0,0 +1,189 @@
+"""Operators' commands against the real operators' API: what is said, and the exit code."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from tests.unit.cli_support import (
+    Operator,
+    OperatorsStub,
+    cluster_status,
+    gateway_state,
+    run_command,
+    serving,
+    settings_folder,
+)
+
+from leverjunction.cli import apply
+from leverjunction.cli.output import ExitCode
+from leverjunction.cli.pending import STATE_FOLDER_VARIABLE
+
+Capture = pytest.CaptureFixture[str]
+
+
+@pytest.fixture
+def operator(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Operator]:
+    monkeypatch.setenv(STATE_FOLDER_VARIABLE, str(tmp_path / "state"))
+    monkeypatch.setattr(apply, "POLL_S", 0.01)
+    stub = OperatorsStub()
+    with serving(stub) as address:
+        yield Operator(stub, address, tmp_path)
+
+
+def test_status_shows_what_control_serves(operator: Operator, capsys: Capture) -> None:
+    assert operator.run("status") == ExitCode.FAILED, "the stub lists no jobs"
+    shown = capsys.readouterr().out
+    row = next(line for line in shown.splitlines() if line.startswith("runner-1  "))
+    assert row.split() == ["runner-1", "z1", "s", "5", "3", "2", "50%", "m", "live"]
+    assert "WARNING: control process control-2 is not heard" in shown
+    assert "WARNING: placement is blocked: m on runner-2: why" in shown
+    assert "WARNING: group jobs-1 did not answer" in shown
+    assert "runner-1: load m version 1" in shown
+
+
+def test_status_as_json_is_all_that_control_serves(operator: Operator, capsys: Capture) -> None:
+    assert operator.run("status", "--json") == ExitCode.OK
+    assert json.loads(capsys.readouterr().out)["placement"]["leads"] is True
+
+
+def test_apply_then_nothing_to_change(operator: Operator, tmp_path: Path, capsys: Capture) -> None:
+    folder = str(settings_folder(tmp_path, 1))
+    assert operator.run("settings", "apply", folder) == ExitCode.OK
+    assert operator.run("settings", "apply", folder) == ExitCode.OK
+    assert "nothing to change, version 1 is in force" in capsys.readouterr().out
+
+
+def test_nothing_to_change_on_another_base_is_a_conflict(
+    operator: Operator, tmp_path: Path, capsys: Capture
+) -> None:
+    folder = str(settings_folder(tmp_path, 1))
+    assert operator.run("settings", "apply", folder) == ExitCode.OK
+    assert operator.run("settings", "apply", folder, "--base", "99") == ExitCode.CONFLICT
+    assert "version 1 is in force, not 99" in capsys.readouterr().err
+
+
+def test_the_loser_learns_who_when_and_what(
+    operator: Operator, tmp_path: Path, capsys: Capture
+) -> None:
+    folder = str(settings_folder(tmp_path, 1))
+    operator.run("settings", "apply", folder)
+    settings_folder(tmp_path, 2)
+    assert operator.run("settings", "apply", folder, "--base", "1", "--author", "amina") == 0
+    settings_folder(tmp_path, 3)
+    code = operator.run("settings", "apply", folder, "--base", "1", "--author", "juma")
+    assert code == ExitCode.CONFLICT
+    told = capsys.readouterr().err
+    assert "amina made version 2 at 1970-01-01 00:00:02 UTC" in told
+    assert "  differs: defaults/serving/max_queue" in told
+    assert "settings plan" in told, "how to go on"
+
+
+def test_a_resend_after_a_lost_answer_changes_nothing_twice(
+    operator: Operator, tmp_path: Path, capsys: Capture
+) -> None:
+    folder = str(settings_folder(tmp_path, 1))
+    operator.stub.lost_answers = 1
+    assert operator.run("settings", "apply", folder) == ExitCode.FAILED
+    other = str(settings_folder(tmp_path, 2, "other"))
+    assert operator.run("settings", "apply", other, "--author", "juma") == ExitCode.OK
+    capsys.readouterr()
+    assert operator.run("settings", "apply", folder) == ExitCode.OK
+    captured = capsys.readouterr()
+    assert "version 1 is committed" in captured.out
+    assert "version 2 is in force by now" in captured.err
+
+
+def test_wait_names_the_gateways_that_lag(
+    operator: Operator, tmp_path: Path, capsys: Capture
+) -> None:
+    folder = str(settings_folder(tmp_path, 1))
+    gateways = [gateway_state("fresh", 1), gateway_state("late", 0), gateway_state("old", 0, True)]
+    operator.stub.current = cluster_status(1, gateways=gateways)
+    code = operator.run("settings", "apply", folder, "--wait", "--wait_s", "0")
+    assert code == ExitCode.NOT_IN_FORCE
+    told = capsys.readouterr().err
+    assert "version 1 is committed but not in force at: late (has 0)" in told
+
+
+def test_wait_without_any_live_gateway_says_so(
+    operator: Operator, tmp_path: Path, capsys: Capture
+) -> None:
+    folder = str(settings_folder(tmp_path, 1))
+    operator.stub.current = cluster_status(1, gateways=[])
+    code = operator.run("settings", "apply", folder, "--wait", "--wait_s", "0")
+    assert code == ExitCode.NOT_IN_FORCE
+    assert "no gateway is live" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code", "told"),
+    [
+        (["settings", "explain", "services/none"], ExitCode.FAILED, "nothing is set at"),
+        (["settings", "show", "services/none"], ExitCode.FAILED, "nothing is set at"),
+        (["settings", "explain", "services/s/serving/max_q"], ExitCode.BAD_INPUT, "max_queue"),
+        (["settings", "explain", "tenants/t/limits/burts"], ExitCode.BAD_INPUT, "burst"),
+        (["settings", "history", "--limit", "-1"], ExitCode.BAD_INPUT, "--limit"),
+        (["jobs", "results", "jobs-0.f", "--after", "-1"], ExitCode.BAD_INPUT, "--after"),
+        (["jobs", "show", "jobs-0.f"], ExitCode.FAILED, "no job"),
+    ],
+)
+def test_refusals(
+    operator: Operator, tmp_path: Path, capsys: Capture, arguments: list[str], code: int, told: str
+) -> None:
+    operator.run("settings", "apply", str(settings_folder(tmp_path, 1)))
+    assert operator.run(*arguments) == code
+    assert told in capsys.readouterr().err
+
+
+def test_no_cursor_is_offered_for_a_job_that_does_not_exist(
+    operator: Operator, capsys: Capture
+) -> None:
+    assert operator.run("jobs", "results", "jobs-0.f") == ExitCode.FAILED
+    assert "--after" not in capsys.readouterr().err
+
+
+def test_a_wrong_token_is_refused(operator: Operator, capsys: Capture) -> None:
+    operator.token_file.write_text("other")
+    assert operator.run("settings", "show") == ExitCode.FAILED
+    assert "token is missing or wrong" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("address", ["nonsense", "127.0.0.1:port", "127.0.0.1:70000", ":80"])
+def test_an_address_that_is_none_is_refused_at_once(
+    operator: Operator, capsys: Capture, address: str
+) -> None:
+    shared = ["--control", address, "--token-file", str(operator.token_file)]
+    assert run_command("status", *shared) == ExitCode.BAD_INPUT
+    assert f"expected host:port, got '{address}'" in capsys.readouterr().err
+
+
+def test_addresses_may_be_urls(operator: Operator) -> None:
+    shared = ["--control", f"http://{operator.address}/", "--token-file", str(operator.token_file)]
+    assert run_command("settings", "history", *shared) == ExitCode.OK
+
+
+def test_an_unreachable_control_process_is_told_while_it_is_tried(
+    operator: Operator, capsys: Capture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("leverjunction.cli_client.RETRY_FOR_S", 0.2)
+    shared = ["--control", "127.0.0.1:9", "--token-file", str(operator.token_file)]
+    assert run_command("status", *shared) == ExitCode.UNREACHABLE
+    told = capsys.readouterr().err
+    assert "cannot connect to 127.0.0.1:9" in told
+    assert "trying again for" in told
+
+
+def test_a_job_that_was_never_sent_is_known_not_to_exist(
+    operator: Operator, tmp_path: Path, capsys: Capture
+) -> None:
+    file = tmp_path / "items.jsonl"
+    file.write_text("{}\n")
+    arguments = ["jobs", "submit", str(file), "--gateway", "127.0.0.1:9"]
+    arguments += ["--key-file", str(operator.token_file)]
+    assert run_command(*arguments) == ExitCode.UNREACHABLE
+    told = capsys.readouterr().err
+    assert "cannot connect to 127.0.0.1:9" in told
+    assert "not known" not in told
--- a/tests/unit/test_settings_files.py
+++ b/tests/unit/test_settings_files.py
@@ -62,6 +62,7 @@
 @pytest.mark.parametrize(
     ("second", "got"),
     [
+        ("defaults: {serving: {max_queue: 2}}", "it also at"),
         ("defaults: {serving: {max_queue: 2}}", "first.yaml:3"),
         ("defaults: {serving: 4}", "first.yaml:2"),
         ("defaults: {serving: {max_queue: {}}}", "first.yaml:3"),
@@ -88,8 +89,45 @@
     assert str(loaded.locations["services/s/serving/max_queue"]).endswith("b.yml:3")
 
 
-def test_no_files_is_refused(tmp_path: Path) -> None:
-    assert isinstance(load_settings(tmp_path / "missing"), BadSettings)
+@pytest.mark.parametrize(
+    ("folder", "text", "expected"),
+    [
+        (
+            "missing",
+            "a: 1",
+            "missing: expected a directory of .yaml or .yml files, got no such dir",
+        ),
+        (
+            "empty",
+            "a: 1",
+            "empty: expected a directory of .yaml or .yml files, got one without any",
+        ),
+        ("", "# nothing\n", ": expected at least one key, got empty files, which would delete all"),
+    ],
+)
+def test_a_folder_that_says_nothing_is_refused(
+    tmp_path: Path, folder: str, text: str, expected: str
+) -> None:
+    (tmp_path / "empty").mkdir()
+    (tmp_path / "one.yaml").write_text(text)
+    loaded = load_settings(tmp_path / folder)
+    assert isinstance(loaded, BadSettings)
+    assert expected in str(loaded.problems[0])
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("batch_classes:\n  c: 5\n", "one.yaml:2: key batch_classes/c: expected a mapping of dead"),
+        ("services: [\n", "one.yaml:2: expected YAML, got this fault: "),
+        ("a: 1\na: 1\n", "one.yaml:2: key a: expected each key once, got it also at "),
+    ],
+)
+def test_problems_read_well(tmp_path: Path, text: str, told: str) -> None:
+    (tmp_path / "one.yaml").write_text(text)
+    loaded = load_settings(tmp_path)
+    assert isinstance(loaded, BadSettings)
+    assert told in str(loaded.problems[0])
 
 
 @pytest.mark.parametrize(
