Testbed: mounted commands, checked load; features of online first and at most once

Cause: experiments, benches and the simulator had command lines of their own that `testbed` did not know, and nothing loaded a running fleet with checked traffic. Change: `testbed simulate|scale|experiment|bench|load` run lazily in place; bad input ends with one line and status 2. Broken answers also strike answers that are not streamed (they had been counted as struck without being broken). A feature's traffic is stopped and its last answers are looked at before "none was cut" is said; a request refused or not answered must not appear in any engine's log.

--- a/src/testbed/cli.py
+++ b/src/testbed/cli.py
@@ -7,11 +7,18 @@
 
 import fire
 
+from testbed.delegates import EXIT_BAD_INPUT, is_delegated, run_delegate
 from testbed.fleet.commands import FaultCommands, FleetCommands
+from testbed.scenarios import UnknownScenarioError
 
 
 class Commands:
-    """testbed runs leverjunction's stand-ins, fleets, faults and experiments."""
+    """testbed runs leverjunction's stand-ins, fleets, faults and experiments.
+
+    Besides the commands below there are, each with its own ``--help``:
+    ``simulate``, ``scale``, ``experiment harm|prefix``, ``bench relay|consensus|settings|jobs``
+    and ``load``.
+    """
 
     def __init__(self) -> None:
         self.fleet = FleetCommands()
@@ -44,9 +51,20 @@
 
 def main() -> None:
     """Run the command line and exit with the command's status."""
-    result = fire.Fire(Commands(), name="testbed", serialize=lambda _result: None)
+    arguments = sys.argv[1:]
+    try:
+        if is_delegated(arguments):
+            sys.exit(run_delegate(arguments))
+        result = fire.Fire(Commands(), name="testbed", serialize=lambda _result: None)
+    except (UnknownScenarioError, FileNotFoundError) as error:
+        sys.exit(_bad_input(str(error)))
     sys.exit(int(result) if isinstance(result, int) else 0)
 
 
+def _bad_input(reason: str) -> int:
+    print(f"testbed: {reason}", file=sys.stderr)
+    return EXIT_BAD_INPUT
+
+
 if __name__ == "__main__":
     main()
--- a/src/testbed/demo.py
+++ b/src/testbed/demo.py
@@ -17,7 +17,6 @@
 from testbed.fleet.caller import Caller, expected_text, job_line, result_text
 from testbed.fleet.fleet import Fleet, FleetError
 from testbed.fleet.operator import Operator
-from testbed.fleet.traffic import Traffic
 from testbed.scenarios import load_scenario
 
 STREAM_TOKENS = 40
@@ -40,7 +39,7 @@
             _say(f"{len(fleet.plan.processes)} processes are up, settings are in force everywhere")
             for step in _STEPS:
                 step(fleet)
-    except (DemoError, FleetError, ValueError) as error:
+    except (DemoError, FleetError) as error:
         print(f"DEMO FAILED: {error}", file=sys.stderr)
         return 1
     _say(f"all checks passed in {time.monotonic() - started_s:.0f} s")
@@ -91,7 +90,7 @@
     service = fleet.scenario.online_service
     runner = f"{service}-1"
     operator = Operator(fleet, name="demo")
-    with Traffic(fleet, fleet.scenario.online_model(), label="drain") as traffic:
+    with fleet.online_traffic("drain") as traffic:
         check(traffic.wait_more(ANSWERS_BEFORE_DRAIN), "the traffic does not get its answers")
         version = operator.set(f"services/{service}/draining_runners", [runner]).version
         fleet.wait_for(
--- a/src/testbed/engine/http_api.py
+++ b/src/testbed/engine/http_api.py
@@ -204,7 +204,8 @@
         return _stream(live, is_chat, live.continued, fault)
     if not live.wait_finished(ANSWER_TIMEOUT_S):
         return _error(504, "the answer took too long")
-    return whole_answer(live, is_chat)
+    answer = whole_answer(live, is_chat)
+    return _broken_off(answer) if fault and fault.kind is FaultKind.BROKEN else answer
 
 
 def _strike(fault: AnswerFault | None) -> None:
@@ -216,6 +217,18 @@
         cherrypy.response.headers["X-Request-Id"] = "another-request"
 
 
+def _broken_off(answer: bytes) -> Iterator[bytes]:
+    """Send half of an answer under the length of the whole."""
+    cherrypy.response.stream = True
+    cherrypy.response.headers["Content-Length"] = str(len(answer))
+    return _half(answer)
+
+
+def _half(answer: bytes) -> Iterator[bytes]:
+    yield answer[: len(answer) // 2]
+    raise ConnectionError("broken off by a fault")
+
+
 def _stream(
     live: LiveRequest, is_chat: bool, after: int, fault: AnswerFault | None
 ) -> Iterator[bytes]:
--- a/src/testbed/fleet/commands.py
+++ b/src/testbed/fleet/commands.py
@@ -50,7 +50,7 @@
                 _announce(fleet, json)
                 stopping.wait()
                 cherrypy.engine.exit()
-        except (FleetError, ValueError) as error:
+        except FleetError as error:
             print(f"fleet up: {error}", file=sys.stderr)
             return 1
         return 0
--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -15,9 +15,11 @@
 
 from testbed.engine.executions import Execution, read_executions
 from testbed.engine.faults import AnswerFault
+from testbed.fleet.machine_list import MachineListing
 from testbed.fleet.network import CutRequest
 from testbed.fleet.plan import FleetOptions, FleetPlan, FleetPlanner, PlannedProcess, ProcessKind
 from testbed.fleet.process import FleetProcess
+from testbed.fleet.traffic import Traffic
 from testbed.scenarios import Scenario
 
 START_TIMEOUT_S = 60.0
@@ -169,6 +171,13 @@
         machine = msgspec.structs.replace(self.plan.machines[runner], state="leaving")
         self._list_machine(runner, msgspec.json.encode(machine))
 
+    def is_listed_leaving(self, runner: str) -> bool:
+        """Return whether the machine list shows a runner as leaving, its lag being over."""
+        url = f"http://{self.planned('machines').address}/machines"
+        response = self.http.request("GET", url, timeout=CALL_TIMEOUT_S)
+        listing = msgspec.json.decode(response.data, type=MachineListing)
+        return any(m.id == runner and m.state == "leaving" for m in listing.machines)
+
     def recover(self) -> None:
         """Undo every fault: heal cuts, thaw, start again what does not run, list all as live."""
         for first, second in list(self._cuts):
@@ -217,6 +226,13 @@
         """Return the callers' URLs of the gateways, through the network's fronts."""
         return [f"http://{g.address}" for g in self.plan.of_kind(ProcessKind.GATEWAY)]
 
+    def online_traffic(self, label: str) -> Traffic:
+        """Return callers of the online service through all gateways, not started yet."""
+        scenario = self.scenario
+        return Traffic(
+            self.gateway_urls(), scenario.online_key, scenario.online_model(), label=label
+        )
+
     def operator_command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run an operators' command of the command line against this fleet."""
         command = [sys.executable, "-m", "leverjunction.cli", *arguments]
--- a/src/testbed/fleet/machine_list.py
+++ b/src/testbed/fleet/machine_list.py
@@ -28,6 +28,13 @@
     incarnation: int = 0
 
 
+class MachineListing(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to ``GET /machines``."""
+
+    as_of_ms: int
+    machines: list[Machine]
+
+
 class MachineListConfig(msgspec.Struct, frozen=True, kw_only=True):
     """Settings file of the stand-in: address, lag of changes, machines at the start."""
 
@@ -70,7 +77,8 @@
         with self._lock:
             self._show_due()
             machines = list(self._visible.values())
-        return msgspec.json.encode({"as_of_ms": int(time.time() * _MS_PER_S), "machines": machines})
+        as_of_ms = int(time.time() * _MS_PER_S)
+        return msgspec.json.encode(MachineListing(as_of_ms=as_of_ms, machines=machines))
 
     def _show_due(self) -> None:
         now_s = time.monotonic()
--- a/src/testbed/fleet/traffic.py
+++ b/src/testbed/fleet/traffic.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from testbed.fleet.caller import Caller, CallerAnswer, expected_text
-from testbed.fleet.fleet import Fleet
 
 RETRY_PAUSE_S = 0.05
 
@@ -40,24 +39,25 @@
     """Callers that ask one question after the other until they are stopped.
 
     Args:
-        fleet: Fleet to call.
+        gateways: URLs of the gateways to call.
+        key: API key of the callers.
         model: Model to ask.
         callers: Number of callers, spread over the gateways.
         tokens: Length of each answer.
         label: Start of each question, to find its executions by.
-        gateways: Names of the gateways to call; all when empty.
     """
 
     def __init__(
         self,
-        fleet: Fleet,
+        gateways: list[str],
+        key: str,
         model: str,
         *,
         callers: int = 6,
         tokens: int = 24,
         label: str = "traffic",
-        gateways: list[str] | None = None,
     ) -> None:
+        self._key = key
         self._model = model
         self._tokens = tokens
         self._label = label
@@ -65,9 +65,8 @@
         self._changed = threading.Condition()
         self._sent: list[SentRequest] = []
         self._numbers = itertools.count()
-        names = gateways or fleet.gateway_names()
         self._threads = [
-            threading.Thread(target=self._call, args=(fleet, names[i % len(names)]), daemon=True)
+            threading.Thread(target=self._call, args=(gateways[i % len(gateways)],), daemon=True)
             for i in range(callers)
         ]
 
@@ -101,8 +100,8 @@
     def _whole(self) -> int:
         return sum(1 for request in self._sent if request.answer.whole)
 
-    def _call(self, fleet: Fleet, gateway: str) -> None:
-        caller = Caller(f"http://{fleet.planned(gateway).address}", fleet.scenario.online_key)
+    def _call(self, gateway: str) -> None:
+        caller = Caller(gateway, self._key)
         while not self._stopping.is_set():
             content = f"{self._label} {next(self._numbers)} question"
             started_ms = int(time.time() * 1000)
--- a/src/testbed/scenarios/__init__.py
+++ b/src/testbed/scenarios/__init__.py
@@ -13,6 +13,10 @@
 _REPOSITORY = _FOLDER.parents[2]
 
 
+class UnknownScenarioError(ValueError):
+    """There is no scenario of the name that was asked for."""
+
+
 class ServiceScenario(msgspec.Struct, frozen=True, kw_only=True):
     """One service: how many runners it has and how fast they are.
 
@@ -71,9 +75,9 @@
     """Read a scenario by name.
 
     Raises:
-        ValueError: There is no scenario of that name.
+        UnknownScenarioError: There is no scenario of that name.
     """
     if name not in SCENARIO_NAMES:
-        raise ValueError(f"no scenario {name!r}; there are {', '.join(SCENARIO_NAMES)}")
+        raise UnknownScenarioError(f"no scenario {name!r}; there are {', '.join(SCENARIO_NAMES)}")
     document = yaml.safe_load((_FOLDER / f"{name}.yaml").read_text(encoding="utf8"))
     return msgspec.convert(document, Scenario)
--- /dev/null
+++ b/tests/features/conftest.py
@@ -0,0 +1,219 @@
+"""Fixtures and steps that all features share: one fleet a scenario, whole again for each test."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from pytest_bdd import given, parsers, then, when
+from tests.features.steps_online import faults_struck
+from tests.features.strikes import lose_disk, online_runners, serves, set_answer_faults, strike
+from tests.features.world import FINAL_STATES, World, is_repaired
+
+from testbed.fleet.caller import result_text
+from testbed.fleet.fleet import Fleet, FleetError
+from testbed.fleet.plan import FleetOptions
+from testbed.scenarios import load_scenario
+
+ENGINE_SPEED = 2.0
+TRAFFIC_ANSWERS = 12
+
+
+class FleetPool:
+    """Fleets that run for the whole session, by scenario; a broken one is replaced."""
+
+    def __init__(self) -> None:
+        self._fleets: dict[str, Fleet] = {}
+
+    def healthy(self, scenario: str) -> Fleet:
+        """Return a fleet in which nothing is wrong."""
+        fleet = self._fleets.get(scenario)
+        if fleet is not None:
+            try:
+                _make_whole(fleet)
+                return fleet
+            except FleetError:
+                fleet.stop()
+        self.stop()
+        fleet = Fleet(load_scenario(scenario), FleetOptions(engine_speed=ENGINE_SPEED))
+        self._fleets[scenario] = fleet
+        fleet.__enter__()
+        return fleet
+
+    def stop(self) -> None:
+        """Stop all fleets."""
+        for fleet in self._fleets.values():
+            fleet.stop()
+        self._fleets.clear()
+
+
+def _make_whole(fleet: Fleet) -> None:
+    fleet.recover()
+    world = World(fleet)
+    world.wait(lambda: _is_whole(world), "the fleet is whole again", lambda: str(fleet.folder))
+
+
+def _is_whole(world: World) -> bool:
+    try:
+        status = world.operator.status()
+    except FleetError:
+        return False
+    if status["silent_hubs"] or len(status["gateways"]) < len(world.fleet.gateway_names()):
+        return False
+    groups = [group for hub in status["hubs"] for group in hub["groups"]]
+    if any(group["role"] not in ("leader", "follower") for group in groups):
+        return False
+    ready = {reading["runner_id"] for reading in status["readings"] if reading["reachable"]}
+    return ready >= set(world.fleet.plan.machines) and _is_served(world)
+
+
+def _is_served(world: World) -> bool:
+    """Return whether every gateway can use every service: they learn of changes one by one."""
+    models = [service.models[0] for service in world.fleet.scenario.services.values()]
+    gateways = world.fleet.gateway_names()
+    return all(serves(world, gateway, model) for gateway in gateways for model in models)
+
+
+@pytest.fixture(scope="session")
+def fleet_pool() -> Iterator[FleetPool]:
+    """Give the session's fleets, and stop them at its end."""
+    pool = FleetPool()
+    yield pool
+    pool.stop()
+
+
+@given(parsers.parse("a healthy {scenario} fleet"), target_fixture="world")
+def healthy_fleet(fleet_pool: FleetPool, scenario: str) -> Iterator[World]:
+    world = World(fleet_pool.healthy(scenario))
+    yield world
+    _end(world)
+
+
+def _end(world: World) -> None:
+    """Leave nothing behind that would disturb the next scenario."""
+    if world.traffic is not None:
+        world.traffic.stop()
+    world.fleet.recover()
+    drained = world.notes.pop("drained_path", "")
+    if drained:
+        world.operator.set(drained, [])
+    if world.batch and world.job_now().get("status") not in FINAL_STATES:
+        world.batch_callers()[0].cancel_job(world.batch["id"])
+
+
+@given(parsers.parse("an accepted job of {count:d} items"))
+def accepted_job(world: World, count: int) -> None:
+    _submit(world, count, {})
+
+
+@given(parsers.parse("an accepted job of {count:d} items that may not be repeated"))
+def accepted_unrepeatable_job(world: World, count: int) -> None:
+    _submit(world, count, {"X-Repeat": "never"})
+
+
+def _submit(world: World, count: int, headers: dict[str, str]) -> None:
+    world.notes["lines"] = world.job_lines(count)
+    world.batch = world.batch_callers()[0].submit_job(
+        world.notes["lines"], idempotency_key=world.label, headers=headers
+    )
+    assert world.batch.get("status") in ("in_progress", "completed"), world.batch
+
+
+@given("some of its items have run")
+def some_items_have_run(world: World) -> None:
+    world.wait(lambda: len(world.fleet.executions(world.label)) > 20, "items run")
+
+
+@given("online traffic")
+def online_traffic(world: World) -> None:
+    world.traffic = world.fleet.online_traffic(world.label)
+    world.traffic.__enter__()
+    assert world.traffic.wait_more(TRAFFIC_ANSWERS), "the traffic gets no answers"
+
+
+@given(parsers.re(r"(?P<fault>(a|the|every|an|nothing) .*)"))
+@when(parsers.re(r"(?P<fault>(a|the leader|the machine|every|an|nothing|nobody) .*)"))
+def fault_strikes(world: World, fault: str) -> None:
+    strike(world, fault)
+
+
+@when(parsers.parse("the next answers of every runner are {word}"))
+def answers_go_wrong(world: World, word: str) -> None:
+    set_answer_faults(world, word, online_runners(world))
+
+
+@when(parsers.parse("the next answers of one runner are {word}"))
+def answers_of_one_go_wrong(world: World, word: str) -> None:
+    set_answer_faults(world, word, online_runners(world)[:1])
+
+
+@then("the fault has struck")
+def fault_has_struck(world: World) -> None:
+    assert faults_struck(world) > 0
+
+
+@when("the fault passes")
+@then("the fault passes")
+def fault_passes(world: World) -> None:
+    world.fleet.recover()
+
+
+@when(parsers.re(r"(?P<control>control-\d) loses its disk"))
+def control_loses_disk(world: World, control: str) -> None:
+    lose_disk(world, control)
+
+
+@when("its repair is reported done")
+def repair_reported(world: World) -> None:
+    control, lost_ids = world.notes["wiped"], world.notes["lost_ids"]
+    world.wait(lambda: is_repaired(world, control, lost_ids), f"{control} is repaired")
+
+
+@given("the job completes")
+@then("the job completes")
+def job_completes(world: World) -> None:
+    world.wait(
+        lambda: world.job_now().get("status") == "completed",
+        "the job is completed",
+        lambda: str(world.job_now()),
+    )
+
+
+@then("every item has exactly one right result through every gateway")
+def every_item_once(world: World) -> None:
+    first: list[dict[str, object]] = []
+    for caller in world.batch_callers():
+        lines = caller.results(world.batch["id"])
+        assert sorted(line["custom_id"] for line in lines) == sorted(world.contents)
+        for line in lines:
+            assert result_text(line) == world.expected_item(line["custom_id"]), line
+        first = first or lines
+        assert lines == first, "results differ between gateways"
+
+
+@when(parsers.parse("{count:d} more answers have come"))
+@then(parsers.parse("{count:d} more answers have come"))
+def more_answers(world: World, count: int) -> None:
+    assert world.traffic is not None
+    assert world.traffic.wait_more(count), "the traffic stopped"
+
+
+@then("no online request was cut")
+def nothing_cut(world: World) -> None:
+    assert world.traffic is not None
+    world.traffic.stop()  # so that the last answers, too, are looked at
+    sent = world.traffic.sent()
+    cut = [request for request in sent if request.is_cut]
+    assert not cut, cut[:3]
+    refused = [request for request in sent if request.is_refused]
+    begun = {execution.prompt for execution in world.fleet.executions(world.label)}
+    untrue = [r for r in refused if any(r.content in prompt for prompt in begun)]
+    assert not untrue, untrue[:3]
+
+
+@then("every online request is answered whole")
+def answered_whole(world: World) -> None:
+    expected = world.notes["expected"]
+    assert len(world.answers) == len(expected)
+    for answer, text in zip(world.answers, expected, strict=True):
+        assert answer.whole and answer.text == text, answer
--- /dev/null
+++ b/tests/features/strikes.py
@@ -0,0 +1,123 @@
+"""Faults by the words that the features use for them."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+
+from tests.features.world import World, leader_of, replica_ids
+
+from testbed.engine.faults import AnswerFault, FaultKind
+from testbed.fleet.plan import ProcessKind
+
+LATE_S = 1.0
+ANSWERS_STRUCK = 2
+PROBE_TOKENS = 1
+
+ANSWER_FAULTS = {
+    "late": AnswerFault(kind=FaultKind.LATE, delay_s=LATE_S, count=ANSWERS_STRUCK),
+    "crossed": AnswerFault(kind=FaultKind.CROSSED, count=ANSWERS_STRUCK),
+    "broken": AnswerFault(kind=FaultKind.BROKEN, count=ANSWERS_STRUCK),
+}
+
+
+def strike(world: World, fault: str) -> None:
+    """Bring a fault about."""
+    STRIKES[fault](world)
+
+
+def job_leader(world: World) -> str:
+    """Return the control process that leads the group of the scenario's job."""
+    group = str(world.batch["id"]).removeprefix("batch_").rpartition(".")[0]
+    return leader_of(world, group)
+
+
+def runner_of(world: World) -> str:
+    """Return a runner of the service that the scenario's online requests call."""
+    return f"{world.fleet.scenario.online_service}-1"
+
+
+def online_runners(world: World) -> list[str]:
+    """Return all runners of the service that online requests call."""
+    service = world.fleet.scenario.online_service
+    names = world.fleet.names(ProcessKind.ENGINE)
+    return [name for name in names if name.startswith(f"{service}-")]
+
+
+def set_answer_faults(world: World, word: str, runners: list[str]) -> None:
+    """Let the next answers of some runners go wrong."""
+    for runner in runners:
+        world.fleet.add_answer_fault(runner, ANSWER_FAULTS[word])
+
+
+def lose_disk(world: World, control: str) -> None:
+    """Wipe a control process, remembering which replicas are lost."""
+    world.notes["wiped"] = control
+    world.notes["lost_ids"] = replica_ids(world, control)
+    world.fleet.wipe(control)
+
+
+def _refuse_everywhere(world: World) -> None:
+    refused = AnswerFault(kind=FaultKind.REFUSED, count=100)
+    for runner in online_runners(world):
+        world.fleet.add_answer_fault(runner, refused)
+
+
+def _leave_everywhere(world: World) -> None:
+    for runner in online_runners(world):
+        world.fleet.leave(runner)
+    for gateway in world.fleet.gateway_names():
+        world.wait(lambda: not serves(world, gateway), f"{gateway} knows that all are leaving")  # noqa: B023
+
+
+def serves(world: World, gateway: str, model: str = "") -> bool:
+    """Return whether a gateway answers a request for a model (by default the online one) now."""
+    content = f"probe {uuid.uuid4().hex}"
+    asked = model or world.fleet.scenario.online_model()
+    return world.caller(gateway).chat(asked, content, PROBE_TOKENS).whole
+
+
+def _drain(world: World) -> None:
+    _mark_nobody(world)
+    path = f"services/{world.fleet.scenario.online_service}/draining_runners"
+    world.notes["drained_path"] = path
+    version = world.operator.set(path, [world.notes["runner"]]).version
+    world.wait(
+        lambda: world.operator.status()["settings_version"] >= version, "the mark is in force"
+    )
+
+
+def _leave(world: World) -> None:
+    _mark_nobody(world)
+    world.fleet.leave(world.notes["runner"])
+    world.wait(lambda: world.fleet.is_listed_leaving(world.notes["runner"]), "it is listed so")
+
+
+def _mark_nobody(world: World) -> None:
+    world.notes["runner"] = runner_of(world)
+
+
+def _freeze_controls(world: World) -> None:
+    for control in world.fleet.control_names():
+        world.fleet.freeze(control)
+
+
+STRIKES: dict[str, Callable[[World], None]] = {
+    "nothing goes wrong": lambda world: None,
+    "a gateway is killed": lambda world: world.fleet.kill("gateway-1"),
+    "a gateway is frozen": lambda world: world.fleet.freeze("gateway-1"),
+    "a gateway is cut off": lambda world: world.fleet.cut("gateway-1"),
+    "a runner is killed": lambda world: world.fleet.kill(runner_of(world)),
+    "a zone is cut off": lambda world: world.fleet.cut(world.fleet.scenario.zones[0]),
+    "a control process loses its disk": lambda world: lose_disk(world, "control-2"),
+    "every control process is frozen": _freeze_controls,
+    "the leader of the job is killed": lambda world: world.fleet.kill(job_leader(world)),
+    "the leader of the job is frozen": lambda world: world.fleet.freeze(job_leader(world)),
+    "the leader of the root group is killed": lambda w: w.fleet.kill(leader_of(w, "root")),
+    "the leader of the root group is frozen": lambda w: w.fleet.freeze(leader_of(w, "root")),
+    "every runner refuses": _refuse_everywhere,
+    "every runner is leaving": _leave_everywhere,
+    "the machine list says that a runner is leaving": _leave,
+    "an operator drains a runner": _drain,
+    "nobody marks a runner": _mark_nobody,
+}
