Control: frozen hubs, late syncs and placement records bring nothing old back

Change: a process in which nothing happened for 2 s warms up again and forgets its own readings; syncs carry a sequence; placement records carry a revision, are passed on by every hub, count as told by the receiver's own answer, and a successor waits until it has heard most hubs; a failed read of the machine list asks the hub with the newest one; LeaseExpiry uses the duration that holders are told.

Excluded: one reader of the machine list for all hubs (2.5 s for a leaving runner where 2 s are promised).

--- a/src/leverjunction/control/fanout.py
+++ b/src/leverjunction/control/fanout.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -31,8 +31,8 @@
     def __init__(self, incarnation: int) -> None:
         self.incarnation = incarnation
         self.stamp = 0
-        self.hubs: list[str] = []
-        self.hubs_version = 0
+        self._hubs: list[str] = []
+        self._hubs_version: int | None = None
         self._reported: dict[str, RunnerDigest] = {}
         self._sent: dict[str, _Sent] = {}
         self._told_unhealthy: set[str] = set()
@@ -45,8 +45,8 @@
         self._sent.clear()
         self._told_unhealthy.clear()
         self._told_jobs.clear()
-        self.hubs = []
-        self.hubs_version = 0
+        self._hubs = []
+        self._hubs_version = None
 
     def report(self, digests: Iterable[RunnerDigest]) -> None:
         """Note the gateway's own digests, which need not go back to it."""
@@ -70,6 +70,17 @@
         self._told_jobs = current
         return fresh
 
+    def untold_hubs(self, settings_version: int, order: Callable[[], list[str]]) -> list[str]:
+        """Return the order of hubs unless it was told; it can change only with the settings."""
+        if self._hubs_version == settings_version:
+            return []
+        self._hubs_version = settings_version
+        hubs = order()
+        if hubs == self._hubs:
+            return []
+        self._hubs = hubs
+        return hubs
+
     def digests(self, membership: Membership, zone: str) -> list[RunnerDigest]:
         """Return the most useful digests with news for a gateway of ``zone`` that fit in a reply.
 
--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -6,11 +6,14 @@
 from collections.abc import Callable, Iterable
 
 import msgspec
+from loguru import logger
 
 from leverjunction.clock import Clock
 from leverjunction.control.fanout import GatewaySession
+from leverjunction.control.hub_peers import PeerBook
 from leverjunction.control.hub_types import (
     ClusterPicture,
+    HubIdentity,
     old_incarnation,
     settings_held_back,
     warming_up,
@@ -23,11 +26,13 @@
     HubSync,
     HubSyncReply,
     PlacementRecord,
+    PlacementStamp,
     RenewedLeases,
     RunnerReading,
 )
 from leverjunction.control.renewals import RenewalBook
 from leverjunction.control.settings_mirror import SettingsMirror, SettingsStep
+from leverjunction.control.warm_up import WarmUp
 from leverjunction.errors import Failure
 from leverjunction.platform.machine_list import MachineList
 from leverjunction.settings.commands import GetSettings, SettingsDelta
@@ -39,30 +44,7 @@
     RunnerState,
 )
 
-WARM_UP_S = 3.0
-"""A hub that started less than this ago, and has not heard all others, gives no view yet."""
-
-
-class HubIdentity(msgspec.Struct, frozen=True, kw_only=True):
-    """What does not change while this process runs.
-
-    Attributes:
-        name: Name of this control process.
-        rpc_address: ``host:port`` of its internal RPC.
-        zone: Zone it runs in.
-        incarnation: Start time in milliseconds.
-        peers: RPC addresses of all control processes, by name, this one included.
-        zones: Their zones, by name.
-        job_groups: Number of job groups.
-    """
-
-    name: str
-    rpc_address: str
-    zone: str
-    incarnation: int
-    peers: dict[str, str]
-    zones: dict[str, str]
-    job_groups: int
+__all__ = ["Hub", "HubIdentity"]
 
 
 class Hub:
@@ -90,10 +72,8 @@
         self._membership = Membership()
         self._sessions: dict[str, GatewaySession] = {}
         self._renewals = RenewalBook()
-        self._acknowledged: dict[str, int] = {}
-        self._started_s = clock.monotonic_s()
-        self._runners_read = False
-        self._warm = False
+        self._peers = PeerBook()
+        self._warm_up = WarmUp(clock.monotonic_s())
 
     def exchange(self, request: ExchangeRequest) -> ExchangeReply | Failure:
         """Answer a gateway's exchange."""
@@ -125,7 +105,7 @@
         """Return the reply without settings rows."""
         quorum_age_s = self._quorum_age_s()
         with self._lock:
-            now_s = self._clock.monotonic_s()
+            now_s = self._note_alive()
             if not self._is_warm(now_s):
                 return warming_up()
             if not self._membership.gateway_heard(request.gateway, now_s):
@@ -152,7 +132,7 @@
                 digests=session.digests(self._membership, request.gateway.zone),
                 lost_lease_ids=session.take_lost(),
                 cancelled_jobs=session.untold_jobs(self._renewals.cancelled_jobs()),
-                hubs=self._hubs_for(request.gateway, session, full=since == 0),
+                hubs=self._hubs_news(request.gateway, session),
                 quorum_age_s=round(quorum_age_s, 2),
                 job_groups=self._identity.job_groups,
             )
@@ -160,50 +140,52 @@
     def sync_received(self, sync: HubSync) -> HubSyncReply:
         """Take another hub's message."""
         with self._lock:
-            version = self._membership.sync_received(sync, self._clock.monotonic_s())
-        return HubSyncReply(have_version=version)
+            version = self._membership.sync_received(sync, self._note_alive())
+            return HubSyncReply(version, self._placement_stamp())
 
     def sync_for(self, peer: str, state: HubState) -> HubSync:
         """Return the message for another hub: what changed since its last answer."""
         with self._lock:
-            own = self._membership
-            since = self._acknowledged.get(peer, 0)
-            if not (own.own_gateways.covers(since) and own.own_readings.covers(since)):
-                since = 0
-            gateways = own.own_gateways.since(since)
-            readings = own.own_readings.since(since)
-            return HubSync(
-                hub=state,
-                from_version=since,
-                to_version=own.own_counter.value,
-                full=since == 0,
-                gateways=gateways.changed,
-                gone_gateways=gateways.removed if since else [],
-                readings=readings.changed,
-                gone_readings=readings.removed if since else [],
-                digests=own.own_digests.since(since).changed,
-            )
+            self._note_alive()
+            return self._peers.message(peer, state, self._membership)
 
     def sync_answered(self, peer: str, reply: HubSyncReply | Failure) -> None:
         """Note what another hub has; after a failure the same is sent again, or all of it."""
         with self._lock:
             if isinstance(reply, Failure):
                 return
-            self._acknowledged[peer] = reply.have_version
+            self._peers.answered(peer, reply)
 
     def machines_listed(self, listed: MachineList) -> None:
         """Take a reading of the platform's machine list."""
         with self._lock:
             self._membership.machines_listed(listed)
 
-    def runners_read(self, readings: Iterable[RunnerReading], unwatched: Iterable[str]) -> None:
-        """Take this hub's readings of the runners that it watches, and of those no longer."""
+    def standstills(self) -> int:
+        """Return how often this process was found to have stood still."""
+        with self._lock:
+            self._note_alive()
+            return self._warm_up.standstills
+
+    def runners_read(
+        self, readings: Iterable[RunnerReading], unwatched: Iterable[str], standstills: int = 0
+    ) -> None:
+        """Take this hub's readings of the runners that it watches, and of those no longer.
+
+        Args:
+            readings: The readings.
+            unwatched: Runners that it watches no longer.
+            standstills: What ``standstills`` gave when the reading began.
+        """
         with self._lock:
+            self._note_alive()
+            if standstills != self._warm_up.standstills:
+                return
             for reading in readings:
                 self._membership.runner_read(reading)
             for runner_id in unwatched:
                 self._membership.runner_dropped(runner_id)
-            self._runners_read = self._membership.machine_list_as_of_ms > 0
+            self._warm_up.runners_read = self._membership.machine_list_as_of_ms > 0
 
     def drains_set(self, runner_ids: Iterable[str]) -> None:
         """Take the operators' drain marks in force."""
@@ -221,6 +203,19 @@
         with self._lock:
             return self._membership.placement
 
+    def placement_told_most(self, stamp: PlacementStamp) -> bool:
+        """Return whether most hubs, this one included, have a record of placement or a later one.
+
+        A later one of the same term: what a successor says in its term says nothing of this one.
+        """
+        with self._lock:
+            return self._is_majority(self._peers.placement_known_by(stamp) + 1)
+
+    def hears_majority(self) -> bool:
+        """Return whether most hubs, this one included, were heard since it started, and lately."""
+        with self._lock:
+            return self._is_majority(len(self._membership.live_hubs()) + 1)
+
     def reading(self, runner_id: str) -> RunnerReading | None:
         """Return the best reading of a runner."""
         with self._lock:
@@ -248,11 +243,16 @@
     def expire(self) -> None:
         """Drop gateways and hubs that have gone silent."""
         with self._lock:
-            self._membership.expire(self._clock.monotonic_s())
+            self._membership.expire(self._note_alive())
             for gateway_id in list(self._sessions):
                 if gateway_id not in self._membership.own_gateways:
                     del self._sessions[gateway_id]
 
+    def machine_list(self) -> MachineList:
+        """Return the last reading of the platform's machine list."""
+        with self._lock:
+            return self._membership.listed()
+
     def machine_list_as_of_ms(self) -> int:
         """Return the platform's time of the last reading of the machine list."""
         with self._lock:
@@ -300,17 +300,26 @@
                 hubs=own.live_hubs(),
             )
 
-    def _is_warm(self, now_s: float) -> bool:
-        """Return whether this hub knows enough to give a full view.
+    def _placement_stamp(self) -> PlacementStamp:
+        record = self._membership.placement
+        return record.stamp if record is not None else PlacementStamp()
 
-        A gateway replaces its view by a full one, so a hub that has just started must not hand
-        out an empty one: the gateway then stays with, or goes to, another hub.
-        """
-        if not self._warm:
-            heard = len(self._membership.live_hubs()) + 1
-            complete = self._runners_read and heard == len(self._identity.peers)
-            self._warm = complete or now_s - self._started_s > WARM_UP_S
-        return self._warm
+    def _is_majority(self, hubs: int) -> bool:
+        return hubs * 2 > len(self._identity.peers)
+
+    def _note_alive(self) -> float:
+        """Return the time; after a standstill forget what this hub knew at first hand."""
+        now_s = self._clock.monotonic_s()
+        stood_s = self._warm_up.alive(now_s)
+        if stood_s > 0:
+            logger.warning("this process stood still for {:.1f} s, warms up again", stood_s)
+            self._membership.own_readings_outdated()
+            self._membership.expire(now_s)
+        return now_s
+
+    def _is_warm(self, now_s: float) -> bool:
+        heard = len(self._membership.live_hubs()) + 1
+        return self._warm_up.is_warm(now_s, heard == len(self._identity.peers))
 
     def _session(self, request: ExchangeRequest) -> tuple[GatewaySession, int]:
         """Return the gateway's session, and the view version since which to send changes."""
@@ -328,20 +337,17 @@
         covered = covered and known.runners.covers(request.view_version)
         return session, request.view_version if covered else 0
 
-    def _hubs_for(self, gateway: GatewayState, session: GatewaySession, full: bool) -> list[str]:
+    def _hubs_news(self, gateway: GatewayState, session: GatewaySession) -> list[str]:
         """Return the hubs for a gateway if it does not know them in this order yet."""
-        version = self._mirror.version
-        if not full and session.hubs_version == version:
-            return []
-        session.hubs_version = version
-        hubs = hubs_for_gateway(
-            gateway.gateway_id,
-            gateway.zone,
-            self._identity.peers,
-            self._identity.zones,
-            self._mirror.settings.region_of_zone,
-        )
-        if not full and session.hubs == hubs:
-            return []
-        session.hubs = hubs
-        return hubs
+
+        def order() -> list[str]:
+            identity, settings = self._identity, self._mirror.settings
+            return hubs_for_gateway(
+                gateway.gateway_id,
+                gateway.zone,
+                identity.peers,
+                identity.zones,
+                settings.region_of_zone,
+            )
+
+        return session.untold_hubs(self._mirror.version, order)
--- a/src/leverjunction/control/hub_sync.py
+++ b/src/leverjunction/control/hub_sync.py
@@ -6,7 +6,6 @@
 
 from loguru import logger
 
-from leverjunction.clock import Clock
 from leverjunction.control.group_host import GroupHost
 from leverjunction.control.hub import Hub
 from leverjunction.control.lease_expiry import LeaseExpiry
@@ -31,7 +30,6 @@
         rpc: Client towards the other hubs.
         peers: RPC addresses of the other hubs, by name.
         state: Returns this process's state as it is now.
-        clock: Source of monotonic time.
     """
 
     def __init__(
@@ -40,15 +38,11 @@
         rpc: RpcClient,
         peers: dict[str, str],
         state: Callable[[], HubState],
-        clock: Clock,
     ) -> None:
         self._hub = hub
         self._rpc = rpc
-        self._clock = clock
         self._state = state
-        self._peer_count = len(peers)
         self._silent: set[str] = set()
-        self._told_s: dict[str, float] = {}
         self._tasks = [
             PeriodicTask(f"sync-{name}", SYNC_INTERVAL_S, self._loop_for(name, address))
             for name, address in peers.items()
@@ -59,11 +53,6 @@
         for task in self._tasks:
             task.start()
 
-    def told_most_since(self, at_s: float) -> bool:
-        """Return whether this process and the hubs told since then are a majority of all."""
-        told = sum(1 for told_s in list(self._told_s.values()) if told_s >= at_s)
-        return (told + 1) * 2 > self._peer_count + 1
-
     def stop(self) -> None:
         """Stop all loops."""
         for task in self._tasks:
@@ -73,14 +62,11 @@
         return lambda: self._tell(name, address)
 
     def _tell(self, name: str, address: str) -> None:
-        began_s = self._clock.monotonic_s()
         message = self._hub.sync_for(name, self._state())
         reply = self._rpc.call(
             address, MessageKind.HUB_SYNC, message, HubSyncReply, timeout_s=SYNC_TIMEOUT_S
         )
         self._hub.sync_answered(name, reply)
-        if not isinstance(reply, Failure) and reply.have_version > 0:
-            self._told_s[name] = began_s
         self._note(name, reply)
 
     def _note(self, name: str, reply: HubSyncReply | Failure) -> None:
--- a/src/leverjunction/control/hub_types.py
+++ b/src/leverjunction/control/hub_types.py
@@ -1,4 +1,4 @@
-"""What a hub hands out besides its messages: the picture of the cluster, and its refusals."""
+"""Who a hub is, its picture of the cluster, and its refusals."""
 
 from __future__ import annotations
 
@@ -9,6 +9,28 @@
 from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
 
 
+class HubIdentity(msgspec.Struct, frozen=True, kw_only=True):
+    """What does not change while this process runs.
+
+    Attributes:
+        name: Name of this control process.
+        rpc_address: ``host:port`` of its internal RPC.
+        zone: Zone it runs in.
+        incarnation: Start time in milliseconds.
+        peers: RPC addresses of all control processes, by name, this one included.
+        zones: Their zones, by name.
+        job_groups: Number of job groups.
+    """
+
+    name: str
+    rpc_address: str
+    zone: str
+    incarnation: int
+    peers: dict[str, str]
+    zones: dict[str, str]
+    job_groups: int
+
+
 class ClusterPicture(msgspec.Struct, frozen=True, kw_only=True):
     """A copy of the hub's view for status, placement and the watch of runners."""
 
--- a/src/leverjunction/control/lease_expiry.py
+++ b/src/leverjunction/control/lease_expiry.py
@@ -25,6 +25,7 @@
     ListJobs,
 )
 from leverjunction.batch.lease_keeper import LeaseKeeper
+from leverjunction.batch.leasing import LEASE_DURATION_S
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import GroupStatus, ReplicatedGroup
 from leverjunction.control.messages import HeldLeases, RenewedLeases, RenewLeases
@@ -70,11 +71,14 @@
     Args:
         replicas: Local replicas of the job groups, by group.
         clock: Source of monotonic time.
-        duration_s: How long a lease holds without renewal.
+        duration_s: How long a lease holds without renewal: what holders are told with the grant.
     """
 
     def __init__(
-        self, replicas: dict[str, ReplicatedGroup], clock: Clock, duration_s: float
+        self,
+        replicas: dict[str, ReplicatedGroup],
+        clock: Clock,
+        duration_s: float = LEASE_DURATION_S,
     ) -> None:
         self._replicas = replicas
         self._clock = clock
--- a/src/leverjunction/control/membership.py
+++ b/src/leverjunction/control/membership.py
@@ -44,6 +44,7 @@
     def __init__(self, incarnation: int) -> None:
         self.incarnation = incarnation
         self.version = 0
+        self.sequence = 0
         self.heard_s = 0.0
         self.state: HubState | None = None
         self.gateways: dict[str, GatewayState] = {}
@@ -111,6 +112,18 @@
             if before.get(runner_id) != self._machines.get(runner_id):
                 self._merge_runner(runner_id)
 
+    def listed(self) -> MachineList:
+        """Return the last reading of the platform's list."""
+        return MachineList(
+            as_of_ms=self.machine_list_as_of_ms, machines=list(self._machines.values())
+        )
+
+    def own_readings_outdated(self) -> None:
+        """Forget this hub's own readings: it stood still, and others read the runners since."""
+        outdated = self.own_readings.keys()
+        for runner_id in outdated:
+            self.runner_dropped(runner_id)
+
     def runner_read(self, reading: RunnerReading) -> None:
         """Take this hub's own reading of a runner that it watches."""
         self._last_readings[reading.runner_id] = reading
@@ -131,11 +144,11 @@
             self._merge_runner(runner_id)
 
     def placement_set(self, record: PlacementRecord) -> None:
-        """Take what the process that leads placement says; one of an older term is ignored.
+        """Take a record of placement; one that is older than the known one is ignored.
 
         It stays in force when that process is silent, until a successor says something else.
         """
-        if self.placement is not None and record.term < self.placement.term:
+        if self.placement is not None and record.stamp < self.placement.stamp:
             return
         self.placement = record
         self._set_withdrawn(frozenset(record.withdrawn))
@@ -150,6 +163,10 @@
         peer = self._peers.get(name)
         if peer is not None and peer.incarnation > sync.hub.incarnation:
             return 0
+        same_process = peer is not None and peer.incarnation == sync.hub.incarnation
+        if peer is not None and same_process and sync.sequence < peer.sequence:
+            # A late one: what it says is older than what is known.
+            return peer.version
         if sync.full or peer is None or peer.incarnation != sync.hub.incarnation:
             if not sync.full:
                 return 0
@@ -158,9 +175,9 @@
         elif sync.from_version > peer.version:
             return 0
         elif sync.to_version < peer.version:
-            # A late one: what it says is older than what is known.
             return peer.version
         peer.heard_s = now_s
+        peer.sequence = sync.sequence
         peer.version = sync.to_version
         peer.state = sync.hub
         self._take_lists(peer, sync)
--- a/src/leverjunction/control/messages.py
+++ b/src/leverjunction/control/messages.py
@@ -44,19 +44,35 @@
     order: Order
 
 
+class PlacementStamp(msgspec.Struct, frozen=True, order=True):
+    """Age of a placement record: by term, then by revision; zeros for none."""
+
+    term: int = 0
+    revision: int = 0
+
+
 class PlacementRecord(msgspec.Struct, frozen=True, kw_only=True):
     """What a successor of the process that leads placement has to know.
 
+    Every hub passes on the newest one it knows, so it outlives the process that made it.
+
     Attributes:
         term: Term of group root in which it leads.
+        revision: Rises with each change within a term.
         withdrawn: Withdrawals in force.
         orders: Orders in progress, at most one for each runner.
     """
 
     term: int
+    revision: int = 0
     withdrawn: list[Withdrawal]
     orders: list[PendingOrder]
 
+    @property
+    def stamp(self) -> PlacementStamp:
+        """What orders records by age."""
+        return PlacementStamp(self.term, self.revision)
+
 
 class HubState(msgspec.Struct, frozen=True, kw_only=True):
     """A control process as the others and the operators see it.
@@ -70,7 +86,7 @@
         quorum_age_s: Seconds since it heard the leader of group root.
         machine_list_as_of_ms: The platform's time of its last reading of the machine list.
         groups: Its replicas of consensus groups.
-        placement: Given by the process that leads placement, None on the others.
+        placement: The newest record of placement that it knows; None when the receiver has it.
     """
 
     name: str
@@ -97,6 +113,7 @@
         readings: Readings of the runners that the sender watches.
         gone_readings: Ids of runners that it no longer watches.
         digests: Load digests that its gateways gave.
+        sequence: Rises with each message of one incarnation, so that a late one is known as such.
     """
 
     hub: HubState
@@ -108,12 +125,19 @@
     readings: list[RunnerReading]
     gone_readings: list[str]
     digests: list[RunnerDigest]
+    sequence: int = 0
 
 
 class HubSyncReply(msgspec.Struct, frozen=True):
-    """Version of the sender's records that the receiver now has; 0 asks for a full message."""
+    """What the receiver now has.
+
+    Attributes:
+        have_version: Version of the sender's records; 0 asks for a full message.
+        placement: Stamp of the newest record of placement that it knows.
+    """
 
     have_version: int
+    placement: PlacementStamp = PlacementStamp()
 
 
 class HeldLeases(msgspec.Struct, frozen=True):
--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -22,6 +22,7 @@
 from leverjunction.control.hub_sync import HubSyncTasks, RenewalTask
 from leverjunction.control.layout import ROOT_GROUP, group_names, job_group_names, voters_of
 from leverjunction.control.lease_expiry import TICK_INTERVAL_S, LeaseExpiry
+from leverjunction.control.machine_source import MachineSource
 from leverjunction.control.messages import HubState
 from leverjunction.control.periodic import PeriodicTask
 from leverjunction.control.placement_runner import PlacementRunner
@@ -32,7 +33,6 @@
 from leverjunction.control.runner_watch import WATCH_INTERVAL_S, RunnerWatch
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.control.status import ClusterStatus, cluster_status
-from leverjunction.errors import Failure
 from leverjunction.platform.machine_list import MachineListClient
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcServer
@@ -70,7 +70,7 @@
         )
         groups: dict[str, ReplicatedGroup] = dict(self.replicas)
         jobs = {name: groups[name] for name in job_group_names(config.job_groups) if name in groups}
-        self._expiry = LeaseExpiry(jobs, clock, config.lease_duration_s)
+        self._expiry = LeaseExpiry(jobs, clock)
         self.host = GroupHost(
             self._address,
             groups,
@@ -96,11 +96,10 @@
         listen = config.listen
         self._rpc_server = RpcServer(listen.host, listen.rpc_port, endpoint, RPC_THREADS)
         self._http_server = self._build_http(registry)
-        self._machines = MachineListClient(config.machine_list_url)
-        self._machines_failing = False
+        machines = MachineSource(MachineListClient(config.machine_list_url), self.hub, self._rpc)
         peers = {peer.name: peer.rpc_address for peer in config.peers if peer.name != config.name}
         zones = {peer.name: peer.zone for peer in config.peers}
-        self._sync = HubSyncTasks(self.hub, self._rpc, peers, self.state, clock)
+        self._sync = HubSyncTasks(self.hub, self._rpc, peers, self.state)
         self._watch = RunnerWatch(self.hub, self._engines, config.name, zones)
         job_names = job_group_names(config.job_groups)
         self._renewals = RenewalTask(self.hub, self.host, self._expiry, job_names)
@@ -115,12 +114,11 @@
             random=random_module.Random(),
             counters=self._counters,
             max_loads=config.max_loads_at_once,
-            told_since=self._sync.told_most_since,
         )
         self._tasks = [
             PeriodicTask("placement", config.placement_interval_s, self._placement.tick),
             PeriodicTask("settings", MIRROR_INTERVAL_S, self._follow_settings),
-            PeriodicTask("machine-list", config.machine_list_interval_s, self._read_machines),
+            PeriodicTask("machine-list", config.machine_list_interval_s, machines.tick),
             PeriodicTask("runner-watch", WATCH_INTERVAL_S, self._watch.tick),
             PeriodicTask("lease-expiry", TICK_INTERVAL_S, self._expiry.tick),
             PeriodicTask("membership", EXPIRY_INTERVAL_S, self._expire),
@@ -173,7 +171,6 @@
             quorum_age_s=round(self._root.quorum_age_s(), 3),
             machine_list_as_of_ms=self.hub.machine_list_as_of_ms(),
             groups=self.host.statuses(),
-            placement=self._placement.record(),
         )
 
     def status(self) -> ClusterStatus:
@@ -228,18 +225,6 @@
             drains = [settings.draining_runners(name) for name in settings.names("services")]
             self.hub.drains_set(runner for names in drains for runner in names)
 
-    def _read_machines(self) -> None:
-        listed = self._machines.read()
-        failing = isinstance(listed, Failure)
-        if isinstance(listed, Failure):
-            if not self._machines_failing:
-                logger.warning("{}; the last reading stays in force", listed.reason)
-        else:
-            if self._machines_failing:
-                logger.info("the machine list can be read again")
-            self.hub.machines_listed(listed)
-        self._machines_failing = failing
-
     def _expire(self) -> None:
         self.hub.expire()
         age_s = self._root.quorum_age_s()
--- a/src/leverjunction/control/placement_runner.py
+++ b/src/leverjunction/control/placement_runner.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import random as random_module
-from collections.abc import Callable
 
 import msgspec
 from loguru import logger
@@ -23,7 +22,13 @@
 from leverjunction.control.hub import Hub
 from leverjunction.control.hub_types import ClusterPicture
 from leverjunction.control.layout import ROOT_GROUP
-from leverjunction.control.messages import PendingOrder, PlacementRecord, RunnerReading, Withdrawal
+from leverjunction.control.messages import (
+    PendingOrder,
+    PlacementRecord,
+    PlacementStamp,
+    RunnerReading,
+    Withdrawal,
+)
 from leverjunction.control.placement import RunnerFacts, WantedModel, WantedOrder, is_done, plan
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.control.status import PlacementStatus
@@ -43,15 +48,13 @@
 
 LEADER = "leader"
 
-ToldSince = Callable[[float], bool]
-"""Whether most of the other hubs have been told the record since a monotonic time."""
-
 
 class _InProgress(msgspec.Struct, kw_only=True):
     """An order of this leader's term, and how far it is."""
 
     pending: PendingOrder
     began_s: float
+    told: PlacementStamp | None = None
     sent: bool = False
     incarnation: int = 0
 
@@ -70,7 +73,6 @@
         random: Source of order ids.
         counters: Counts orders.
         max_loads: Weight loads in progress at most.
-        told_since: Whether the other hubs know the record.
     """
 
     def __init__(
@@ -85,7 +87,6 @@
         random: random_module.Random,
         counters: ControlCounters,
         max_loads: int,
-        told_since: ToldSince,
     ) -> None:
         self._name = name
         self._replica = replica
@@ -97,8 +98,8 @@
         self._random = random
         self._counters = counters
         self._max_loads = max_loads
-        self._told_since = told_since
         self._term = 0
+        self._record: PlacementRecord | None = None
         self._orders: dict[str, _InProgress] = {}
         self._withdrawn: dict[Withdrawal, float] = {}
         self._blocked: list[str] = []
@@ -117,18 +118,24 @@
         picture = self._hub.picture()
         self._settle(picture, now_s)
         self._plan(picture, now_s)
-        self._hub.placement_set(self.record())
+        self._publish(term)
         self._send_told()
 
-    def record(self) -> PlacementRecord | None:
-        """Return what the other hubs have to know; None unless this process leads placement."""
-        if self._term == 0:
-            return None
-        return PlacementRecord(
-            term=self._term,
+    def _publish(self, term: int) -> None:
+        """Give the hubs what they have to know, under a new revision if it changed."""
+        last = self._record
+        record = PlacementRecord(
+            term=term,
+            revision=last.revision if last is not None else 0,
             withdrawn=sorted(self._withdrawn),
-            orders=[order.pending for order in list(self._orders.values())],
+            orders=[order.pending for order in self._orders.values()],
         )
+        if record != last:
+            record = msgspec.structs.replace(record, revision=record.revision + 1)
+            self._record = record
+            for order in self._orders.values():
+                order.told = order.told or record.stamp
+        self._hub.placement_set(record)
 
     def status(self) -> PlacementStatus:
         """Return what the operators see."""
@@ -155,12 +162,19 @@
             return
         logger.info("placement: no longer leads")
         self._term = 0
+        self._record = None
         self._orders.clear()
         self._withdrawn.clear()
         self._blocked = []
 
     def _take_over(self, term: int) -> bool:
-        """Go on where the last leader was; return False while this process is not up to date."""
+        """Go on where the last leader was; return False while this process is not up to date.
+
+        Each order was told to most hubs before it was sent. So a process that has heard most of
+        them since it started knows each order that may have been sent.
+        """
+        if not self._hub.hears_majority():
+            return False
         query = GetSettings(after_version=self._mirror.version)
         # Answered through the quorum: tells whether a change is committed but not applied here.
         delta = self._host.query(ROOT_GROUP, query, SettingsDelta, FENCE_TIMEOUT_S)
@@ -175,6 +189,7 @@
             order.runner_id: _InProgress(pending=order, began_s=now_s) for order in orders
         }
         self._term = term
+        self._record = None
         logger.info("placement: leads in term {}, {} orders in progress", term, len(orders))
         return True
 
@@ -242,7 +257,8 @@
 
     def _send_told(self) -> None:
         for order in list(self._orders.values()):
-            if not order.sent and self._told_since(order.began_s):
+            told = order.told is not None and self._hub.placement_told_most(order.told)
+            if told and not order.sent and self._led_term() == self._term:
                 self._send(order)
 
     def _send(self, order: _InProgress) -> None:
--- a/src/leverjunction/control/rpc_handlers.py
+++ b/src/leverjunction/control/rpc_handlers.py
@@ -53,6 +53,10 @@
     def on_local_query(envelope: Envelope, peer: str) -> bytes:
         return serve_local_query(hub, envelope, peer)
 
+    def on_machine_list(_envelope: Envelope, _peer: str) -> bytes:
+        return encode_reply(hub.machine_list())
+
+    endpoint.register(MessageKind.MACHINE_LIST, on_machine_list)
     endpoint.register(MessageKind.RAFT, on_raft)
     endpoint.register(MessageKind.PROPOSE, host.serve_client)
     endpoint.register(MessageKind.QUERY, host.serve_client)
--- a/src/leverjunction/control/runner_watch.py
+++ b/src/leverjunction/control/runner_watch.py
@@ -50,9 +50,15 @@
         self._readers = ThreadPoolExecutor(READERS, thread_name_prefix="runner-watch")
         self._last: dict[str, RunnerReading] = {}
         self._failures: dict[str, int] = {}
+        self._standstills = 0
 
     def tick(self) -> None:
         """Read all watched runners once. Called by a background task."""
+        standstills = self._hub.standstills()
+        if standstills != self._standstills:
+            self._standstills = standstills
+            self._last.clear()
+            self._failures.clear()
         live = [self._name, *(hub.name for hub in self._hub.live_hubs())]
         runners = self._hub.runners()
         watched = [one for one in runners if watcher_of(one, live, self._zones) == self._name]
@@ -62,7 +68,7 @@
         for runner_id in unwatched:
             del self._last[runner_id]
             self._failures.pop(runner_id, None)
-        self._hub.runners_read(readings, unwatched)
+        self._hub.runners_read(readings, unwatched, standstills)
 
     def close(self) -> None:
         """Stop the readers."""
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -49,6 +49,7 @@
     HUB_SYNC = 11
     RENEW_LEASES = 12
     LOCAL_QUERY = 13
+    MACHINE_LIST = 14
 
 
 _ENVELOPE = Struct(
--- /dev/null
+++ b/tests/unit/test_control_machine_source.py
@@ -0,0 +1,106 @@
+"""A hub that cannot read the platform's machine list follows the hub with the newest one."""
+
+from __future__ import annotations
+
+from typing import cast
+
+from leverjunction.batch.leasing import LEASE_DURATION_S
+from leverjunction.clock import SystemClock
+from leverjunction.consensus.api import ReplicatedGroup
+from leverjunction.control.hub import Hub, HubIdentity
+from leverjunction.control.lease_expiry import LeaseExpiry
+from leverjunction.control.machine_source import MachineSource
+from leverjunction.control.messages import HubState, HubSync
+from leverjunction.control.settings_mirror import SettingsMirror
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.platform.machine_list import (
+    Machine,
+    MachineList,
+    MachineListClient,
+    MachineState,
+)
+from leverjunction.settings.commands import SettingsDelta
+from leverjunction.wire.codec import encode_reply
+from leverjunction.wire.envelope import Envelope, MessageKind
+from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
+
+KEY = b"cluster key of the tests"
+
+
+class Platform:
+    """The platform's list, which may be out of reach."""
+
+    def __init__(self) -> None:
+        self.answer: MachineList | Failure = Failure(
+            kind=FailureKind.UNREACHABLE, reason="cut off", step=Step.EXCHANGING
+        )
+
+    def read(self) -> MachineList | Failure:
+        return self.answer
+
+
+def listed(as_of_ms: int, state: str) -> MachineList:
+    machine = Machine(
+        id="r1", address="127.0.0.1:9", zone="z", service="s", state=MachineState(state),
+        incarnation=1,
+    )  # fmt: skip
+    return MachineList(as_of_ms=as_of_ms, machines=[machine])
+
+
+def hub_beside(peer_address: str, peer_as_of_ms: int) -> Hub:
+    peers = {"c1": "a:1", "c2": peer_address}
+    identity = HubIdentity(
+        name="c1", rpc_address="a:1", zone="z", incarnation=1, peers=peers,
+        zones=dict.fromkeys(peers, "z"), job_groups=1,
+    )  # fmt: skip
+    mirror = SettingsMirror(lambda _query: SettingsDelta(version=0, rows=[]))
+    hub = Hub(identity, mirror, SystemClock(), lambda: 0.0)
+    state = HubState(
+        name="c2", rpc_address=peer_address, zone="z", incarnation=1,
+        machine_list_as_of_ms=peer_as_of_ms,
+    )  # fmt: skip
+    hub.sync_received(
+        HubSync(
+            hub=state, from_version=0, to_version=2, full=True, gateways=[], gone_gateways=[],
+            readings=[], gone_readings=[], digests=[],
+        )
+    )  # fmt: skip
+    return hub
+
+
+def test_a_hub_without_the_platform_learns_of_a_leaving_runner_from_another_hub() -> None:
+    asked: list[Envelope] = []
+
+    def on_machine_list(envelope: Envelope, _peer: str) -> bytes:
+        asked.append(envelope)
+        return encode_reply(listed(20, "leaving"))
+
+    endpoint = RpcEndpoint(KEY, incarnation=1)
+    endpoint.register(MessageKind.MACHINE_LIST, on_machine_list)
+    server = RpcServer("127.0.0.1", 0, endpoint, threads=1)
+    server.start()
+    try:
+        hub = hub_beside(server.address, peer_as_of_ms=20)
+        hub.machines_listed(listed(10, "live"))
+        assert not hub.runners()[0].leaving
+        platform = Platform()
+        source = MachineSource(cast(MachineListClient, platform), hub, RpcClient(KEY, 1))
+        source.tick()
+        assert hub.runners()[0].leaving
+        source.tick()
+        assert len(asked) == 1, "nobody has a newer reading, and yet it asks again"
+        platform.answer = listed(30, "live")
+        source.tick()
+        assert not hub.runners()[0].leaving
+    finally:
+        server.stop()
+
+
+def test_the_leader_keeps_leases_as_long_as_holders_were_told() -> None:
+    """Found by the simulator: 6 s here and 10 s at the holder let an item run at two gateways."""
+    expiry = LeaseExpiry({"jobs-0": cast(ReplicatedGroup, None)}, SystemClock())
+    keeper = expiry._groups["jobs-0"].keeper
+    keeper.granted("lease", 0.0)
+    assert keeper.expired(LEASE_DURATION_S - 0.1) == []
+    assert keeper.expired(LEASE_DURATION_S + 0.1) == ["lease"]
--- /dev/null
+++ b/tests/unit/test_control_standstill.py
@@ -0,0 +1,200 @@
+"""A hub that was frozen, and messages between hubs that come late, bring nothing old back."""
+
+from __future__ import annotations
+
+import pytest
+
+from leverjunction.control.hub import Hub, HubIdentity
+from leverjunction.control.messages import (
+    HubState,
+    HubSync,
+    HubSyncReply,
+    PlacementRecord,
+    RunnerReading,
+    Withdrawal,
+)
+from leverjunction.control.settings_mirror import SettingsMirror
+from leverjunction.control.warm_up import STANDSTILL_S, WARM_UP_S
+from leverjunction.errors import Failure, FailureKind
+from leverjunction.platform.machine_list import Machine, MachineList, MachineState
+from leverjunction.settings.commands import SettingsDelta
+from leverjunction.wire.messages import ExchangeReply, ExchangeRequest, GatewayState, RunnerState
+
+PEERS = {"c1": "a:1", "c2": "a:2", "c3": "a:3"}
+FROZEN_S = 60.0
+
+
+class FakeClock:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    def wall_ms(self) -> int:
+        return int(self.now_s * 1000)
+
+
+def machine_list() -> MachineList:
+    machine = Machine(
+        id="r1", address="127.0.0.1:9", zone="z", service="s", state=MachineState.LIVE,
+        incarnation=1,
+    )  # fmt: skip
+    return MachineList(as_of_ms=1, machines=[machine])
+
+
+def reading(*models: str) -> RunnerReading:
+    return RunnerReading(runner_id="r1", reachable=True, incarnation=1, models=list(models))
+
+
+class Cluster:
+    """Three hubs that sync by hand."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.hubs = {name: self._hub(name) for name in PEERS}
+        for hub in self.hubs.values():
+            hub.machines_listed(machine_list())
+            hub.runners_read([], [])
+
+    def _hub(self, name: str) -> Hub:
+        identity = HubIdentity(
+            name=name, rpc_address=PEERS[name], zone="z", incarnation=1, peers=PEERS,
+            zones=dict.fromkeys(PEERS, "z"), job_groups=1,
+        )  # fmt: skip
+        mirror = SettingsMirror(lambda _query: SettingsDelta(version=0, rows=[]))
+        return Hub(identity, mirror, self.clock, lambda: 0.0)
+
+    def state(self, name: str) -> HubState:
+        return HubState(name=name, rpc_address=PEERS[name], zone="z", incarnation=1)
+
+    def message(self, sender: str, receiver: str) -> HubSync:
+        return self.hubs[sender].sync_for(receiver, self.state(sender))
+
+    def deliver(self, message: HubSync, receiver: str) -> HubSyncReply:
+        reply = self.hubs[receiver].sync_received(message)
+        self.hubs[message.hub.name].sync_answered(receiver, reply)
+        return reply
+
+    def sync(self, *live: str) -> None:
+        for sender in live:
+            for receiver in live:
+                if sender != receiver:
+                    self.deliver(self.message(sender, receiver), receiver)
+
+    def run(self, seconds: float, *live: str) -> None:
+        for _ in range(int(seconds)):
+            self.clock.now_s += 1.0
+            for name in live:
+                self.hubs[name].expire()
+            self.sync(*live)
+
+    def runner(self, hub: str) -> RunnerState:
+        return self.hubs[hub].runners()[0]
+
+
+def exchange(hub: Hub) -> ExchangeReply | Failure:
+    gateway = GatewayState(
+        gateway_id="g1", address="a:8", rpc_address="a:9", zone="z", incarnation=1
+    )
+    return hub.exchange(
+        ExchangeRequest(gateway=gateway, settings_version=0, view_version=0, hub_incarnation=0)
+    )
+
+
+@pytest.fixture
+def cluster() -> Cluster:
+    made = Cluster()
+    made.hubs["c1"].runners_read([reading("old")], [])
+    made.sync(*PEERS)
+    made.sync(*PEERS)
+    assert isinstance(exchange(made.hubs["c1"]), ExchangeReply)
+    assert made.runner("c2").models == ["old"]
+    return made
+
+
+def test_a_hub_that_was_frozen_tells_no_old_readings(cluster: Cluster) -> None:
+    cluster.run(FROZEN_S, "c2", "c3")
+    cluster.hubs["c2"].runners_read([reading("new")], [])
+    cluster.sync("c2", "c3")
+    for receiver in ("c2", "c3"):
+        assert cluster.message("c1", receiver).readings == []
+    cluster.sync(*PEERS)
+    cluster.sync(*PEERS)
+    assert [cluster.runner(name).models for name in PEERS] == [["new"]] * 3
+
+
+def test_a_reading_that_began_before_the_freeze_is_dropped(cluster: Cluster) -> None:
+    hub = cluster.hubs["c1"]
+    before = hub.standstills()
+    cluster.clock.now_s += FROZEN_S
+    hub.runners_read([reading("old")], [], before)
+    assert cluster.message("c1", "c2").readings == []
+    hub.runners_read([reading("new")], [], hub.standstills())
+    assert cluster.message("c1", "c2").readings == [reading("new")]
+
+
+def test_a_hub_that_was_frozen_gives_no_view_until_it_has_heard_the_others(
+    cluster: Cluster,
+) -> None:
+    hub = cluster.hubs["c1"]
+    cluster.run(FROZEN_S, "c2", "c3")
+    refused = exchange(hub)
+    assert isinstance(refused, Failure)
+    assert refused.kind is FailureKind.STALE
+    cluster.sync(*PEERS)
+    cluster.sync(*PEERS)
+    hub.runners_read([], [], hub.standstills())
+    assert isinstance(exchange(hub), ExchangeReply)
+
+
+def test_a_hub_that_was_cut_off_after_a_freeze_serves_again_after_the_warm_up(
+    cluster: Cluster,
+) -> None:
+    hub = cluster.hubs["c1"]
+    cluster.clock.now_s += FROZEN_S
+    assert isinstance(exchange(hub), Failure)
+    for _ in range(int(WARM_UP_S) + 1):
+        cluster.clock.now_s += STANDSTILL_S / 2
+        hub.expire()
+    assert isinstance(exchange(hub), ExchangeReply)
+
+
+def test_a_late_message_of_a_hub_changes_nothing(cluster: Cluster) -> None:
+    late = cluster.message("c1", "c2")
+    late_full = HubSync(
+        hub=late.hub, from_version=0, to_version=late.to_version, full=True, gateways=[],
+        gone_gateways=[], readings=[reading("older")], gone_readings=[], digests=[],
+        sequence=late.sequence,
+    )  # fmt: skip
+    cluster.sync("c1", "c2")
+    have = cluster.hubs["c2"].sync_received(late_full).have_version
+    assert have == late.to_version
+    assert cluster.runner("c2").models == ["old"]
+
+
+def record(term: int, revision: int) -> PlacementRecord:
+    withdrawn = [Withdrawal(f"r{revision}", "m")]
+    return PlacementRecord(term=term, revision=revision, withdrawn=withdrawn, orders=[])
+
+
+def test_an_older_placement_record_never_replaces_a_newer_one(cluster: Cluster) -> None:
+    hub = cluster.hubs["c2"]
+    hub.placement_set(record(2, 5))
+    for older in (record(2, 4), record(1, 9)):
+        hub.placement_set(older)
+        assert hub.placement_record() == record(2, 5)
+    hub.placement_set(record(3, 1))
+    assert hub.placement_record() == record(3, 1)
+
+
+def test_placement_records_outlive_their_maker_and_are_told_once(cluster: Cluster) -> None:
+    newest = record(2, 1)
+    cluster.hubs["c1"].placement_set(newest)
+    assert not cluster.hubs["c1"].placement_told_most(newest.stamp)
+    cluster.sync("c1", "c2")
+    assert cluster.hubs["c1"].placement_told_most(newest.stamp)
+    assert not cluster.hubs["c1"].placement_told_most(record(1, 1).stamp)
+    cluster.sync("c2", "c3")
+    assert cluster.hubs["c3"].placement_record() == newest
+    assert cluster.message("c2", "c3").hub.placement is None
