--- a/src/testbed/simulation/checkers/jobs.py
+++ b/src/testbed/simulation/checkers/jobs.py
@@ -10,8 +10,8 @@
 from leverjunction.batch.commands import ItemState, JobState, ResultLine
 from testbed.simulation.checkers.base import Finding, settled_s
 from testbed.simulation.history import (
-    EngineRun,
     FINAL_JOB_STATES,
+    EngineRun,
     History,
     JobAction,
     JobAnswer,
--- a/src/testbed/simulation/engine_client.py
+++ b/src/testbed/simulation/engine_client.py
@@ -1,4 +1,4 @@
-"""Stands in for ``backends.client.EngineClient``: the engine protocol over simulated connections."""
+"""Stands in for ``backends.client.EngineClient`` over simulated connections."""
 
 from __future__ import annotations
 
--- a/src/testbed/simulation/job_callers.py
+++ b/src/testbed/simulation/job_callers.py
@@ -70,7 +70,7 @@
         for record in self._parts.history.jobs.values():
             if record.accepted_s == NEVER_S:
                 continue
-            view = self._until(lambda front, r=record: front.show(r.tenant, r.job_id), AUDIT_TRIES)
+            view = self._show(record)
             if isinstance(view, Failure):
                 continue
             record.final_state = view.state
@@ -86,6 +86,9 @@
                     record.final_lines = lines
                     break
 
+    def _show(self, record: JobRecord) -> JobView | Failure:
+        return self._until(lambda front: front.show(record.tenant, record.job_id), AUDIT_TRIES)
+
     def _spawn_at(self, moment_s: float, life: Callable[[], None]) -> None:
         self._parts.scheduler.after(moment_s, lambda: self._fibers.spawn(self._machine, life))
 
--- a/src/testbed/simulation/online_callers.py
+++ b/src/testbed/simulation/online_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -91,7 +92,7 @@
             pause_s = RESEND_PAUSE_S * (0.5 + self._random.random()) * sends
             self._parts.scheduler.after(pause_s, lambda: self.send(request, sends + 1))
 
-    def _asker(self, service: ServicePlan) -> object:
+    def _asker(self, service: ServicePlan) -> Callable[[], None]:
         def ask() -> None:
             request = self._new_request(service)
             self.send(request, 1)
--- a/src/testbed/simulation/product_modules.py
+++ b/src/testbed/simulation/product_modules.py
@@ -14,8 +14,9 @@
 from testbed.simulation.virtual_sockets import VirtualSelectors, VirtualSocketModule
 from testbed.simulation.virtual_threads import VirtualThreading
 
-HARVEST_TICK_S = 0.1
-LOAD_POLL_S = 0.4
+HARVEST_TICK_S = 0.15
+LEASE_CHECK_S = 0.25
+LOAD_POLL_S = 0.5
 CHUNK_ITEMS = 4
 """Coarser than the product's, so that a run is cheap; the order of events stays the same kind."""
 
@@ -38,6 +39,7 @@
 _CONSTANTS: dict[str, dict[str, object]] = {
     "leverjunction.api.batches_upload": {"CHUNK_ITEMS": CHUNK_ITEMS},
     "leverjunction.batch.harvester": {"TICK_S": HARVEST_TICK_S},
+    "leverjunction.batch.lease_fetcher": {"CHECK_INTERVAL_S": LEASE_CHECK_S},
     "leverjunction.gateway.owner": {"POLL_INTERVAL_S": LOAD_POLL_S},
 }
 
--- a/src/testbed/simulation/run.py
+++ b/src/testbed/simulation/run.py
@@ -70,4 +70,4 @@
     # A fresh process now and then gives back what a run leaves behind (counters, threads).
     context = multiprocessing.get_context("spawn")
     with context.Pool(workers, maxtasksperchild=50) as pool:
-        yield from pool.imap_unordered(_run_task, tasks)
+        yield from pool.imap(_run_task, tasks)
