Harvest: ration of long prompt steps stays out of the p99 for targets far below them

The ration was the square of target over prompt step, 0.46% of steps at an interference of 0.10, though such a step exceeds that target seven times. Excluded: steps already running at the arrival (3 to 6 gaps of about 9,000), decoding of the floor (steps of at most 12.0 ms). Change: fourth power, so that the ration rises only as the target comes near a prompt step. Tests: 15 passed in tests/unit/test_batch_harvest.py; the new line fails with the square.

--- a/src/leverjunction/batch/harvest.py
+++ b/src/leverjunction/batch/harvest.py
@@ -34,6 +34,10 @@
 """Share of steps that may exceed the target for a prompt: a fifth of what the p99 shows, as online
 prompts themselves use up the rest."""
 
+LONG_STEP_POWER = 4
+"""How steeply the ration grows as the target comes near the length of a prompt step: so that the
+share of longer steps stays out of the 99th percentile until the target is a third of one."""
+
 REFILL_HOLD_S = 0.15
 """Online must be gone this long before a refill: above a report's usual lag, far below 1 s."""
 
@@ -283,11 +287,11 @@
         """Return the share of steps that may read batch prompts beside online work.
 
         Within the target every step may. Longer ones are rationed: so few that the p99 shows none
-        when the target is tight, more the closer the target comes to their length.
+        while the target is far below their length, more only as it comes near.
         """
         budget_ms = step_ms * self.targets.interference * (1.0 - DECODE_SHARE)
         share = budget_ms / self.step_time.prefill_ms
-        return min(1.0, max(RARE_STEP_RATIO, share**2))
+        return min(1.0, max(RARE_STEP_RATIO, share**LONG_STEP_POWER))
 
     def _earn_credit(self, now_s: float, step_ms: float) -> None:
         """Earn steps that may read batch prompts beside online work."""
--- a/tests/unit/test_batch_harvest.py
+++ b/tests/unit/test_batch_harvest.py
@@ -155,6 +155,8 @@
 
     assert starts(0.05) < starts(0.5) < starts(2.0)
     assert starts(0.05) <= 0.005 * 60_000 / BASE_MS
+    # A target of 10% is far below a prompt step of 80%: such steps must stay out of the p99.
+    assert starts(0.1) <= 0.0025 * 60_000 / BASE_MS
     assert starts(2.0) >= 600
 
 
