--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Model checks of the core protocols: small specifications, explored whole."""
