--- a/src/leverjunction/config/control.py
+++ b/src/leverjunction/config/control.py
@@ -42,4 +42,3 @@
     max_loads_at_once: int = Field(
         default=4, ge=1, description="weight loads in progress in the whole cluster"
     )
-    lease_duration_s: float = Field(default=6.0, gt=0, description="batch lease without renewal")
--- a/src/leverjunction/settings/state_machine.py
+++ b/src/leverjunction/settings/state_machine.py
@@ -2,7 +2,8 @@
 
 State is kept in SQLite tables, written inside the group's own transaction. The rules:
 
-* A change id is answered once: a resend gets the first outcome, accepted or refused.
+* A change id is answered once: a resend gets the first outcome, accepted or refused. Another
+  change under the same id is refused.
 * A change is accepted only on the current version, so of two changes on one base one wins.
 * Versions rise by one with each accepted change and never fall.
 * The sender's content hash must match the tree after the change, so that a sender that saw
@@ -45,7 +46,7 @@
     wall_ms INTEGER NOT NULL, content_hash TEXT NOT NULL, paths BLOB NOT NULL
 );
 CREATE TABLE IF NOT EXISTS sm_settings_outcome (
-    change_id TEXT PRIMARY KEY, outcome BLOB NOT NULL
+    change_id TEXT PRIMARY KEY, content_hash TEXT NOT NULL, outcome BLOB NOT NULL
 ) WITHOUT ROWID;
 CREATE TABLE IF NOT EXISTS sm_placement_fence (
     name TEXT PRIMARY KEY, term INTEGER NOT NULL, sequence INTEGER NOT NULL
@@ -102,21 +103,28 @@
 def _apply_change(
     connection: sqlite3.Connection, context: ApplyContext, change: ApplyChange
 ) -> ChangeOutcome:
-    first = _first_outcome(connection, change.change_id)
+    first = _first_outcome(connection, change)
     if first is not None:
-        return msgspec.structs.replace(first, replayed=True)
+        return first
     outcome = _decide(connection, context, change)
     connection.execute(
-        "INSERT INTO sm_settings_outcome VALUES (?, ?)", (change.change_id, encode(outcome))
+        "INSERT INTO sm_settings_outcome VALUES (?, ?, ?)",
+        (change.change_id, change.content_hash, encode(outcome)),
     )
     return outcome
 
 
-def _first_outcome(connection: sqlite3.Connection, change_id: str) -> ChangeOutcome | None:
+def _first_outcome(connection: sqlite3.Connection, change: ApplyChange) -> ChangeOutcome | None:
     row = connection.execute(
-        "SELECT outcome FROM sm_settings_outcome WHERE change_id = ?", (change_id,)
+        "SELECT content_hash, outcome FROM sm_settings_outcome WHERE change_id = ?",
+        (change.change_id,),
     ).fetchone()
-    return msgspec.json.decode(row[0], type=ChangeOutcome) if row else None
+    if row is None:
+        return None
+    if row[0] != change.content_hash:
+        reason = f"change id {change.change_id} was used for another change; choose a new one"
+        return _refused(_head(connection), reason)
+    return msgspec.structs.replace(msgspec.json.decode(row[1], type=ChangeOutcome), replayed=True)
 
 
 def _decide(
@@ -160,7 +168,7 @@
         winner_ms=head.wall_ms,
         differing_paths=named,
         reason=f"base version {change.base_version} is no longer in force: {head.author} made "
-        f"version {head.version}; {len(rows)} paths differ, {len(named)} are named",
+        f"version {head.version}; differing paths: {len(rows)}, named here: {len(named)}",
     )
 
 
--- a/tests/unit/test_settings_state_machine.py
+++ b/tests/unit/test_settings_state_machine.py
@@ -11,6 +11,7 @@
 import pytest
 
 from leverjunction.consensus.api import ApplyContext
+from leverjunction.consensus.snapshot import SnapshotSource, SnapshotStage
 from leverjunction.errors import Failure
 from leverjunction.settings.commands import (
     ApplyChange,
@@ -95,6 +96,56 @@
     assert replica.query(GetSettings(0), SettingsDelta).version == 2
 
 
+def test_a_change_id_stands_for_one_change_only() -> None:
+    replica = Replica()
+    first = plan("one", 0, {}, {"a/b": 1})
+    assert replica.change(first).accepted
+    other = plan("one", 1, {"a/b": 1}, {"a/b": 2})
+    outcome = replica.change(other)
+    assert not outcome.accepted
+    assert "another change" in outcome.reason
+    assert replica.leaves() == {"a/b": 1}
+    assert replica.change(first).accepted, "the resend of the first one is still answered"
+
+
+def test_first_outcomes_survive_hundreds_of_changes_a_restart_and_a_snapshot(
+    tmp_path: Path,
+) -> None:
+    path = str(tmp_path / "root.db")
+    replica = Replica(path)
+    tree: dict[str, object] = {}
+    sent: list[tuple[ApplyChange, ChangeOutcome]] = []
+    for number in range(300):
+        new: dict[str, object] = {**tree, "a/b": number}
+        stale = plan(f"stale{number}", max(0, number - 5), tree, new)
+        change = plan(f"c{number}", number, tree, new)
+        sent += [(each, replica.change(each)) for each in (change, stale)]
+        tree = new
+    assert [outcome.accepted for _, outcome in sent[10:]] == [True, False] * 295
+    replica.connection.close()
+    restarted = Replica(path)
+    for holder in (restarted, copy_by_snapshot(restarted)):
+        for change, first in sent:
+            assert holder.change(change) == msgspec.structs.replace(first, replayed=True)
+        assert holder.leaves() == tree
+        assert holder.query(GetSettings(0), SettingsDelta).version == 300
+
+
+def copy_by_snapshot(source: Replica) -> Replica:
+    """A replica that got its tables as a learner does: streamed in parts and swapped in."""
+    target = Replica()
+    sender = SnapshotSource(source.connection, part_bytes=4096)
+    stage = SnapshotStage(target.connection)
+    stage.begin()
+    is_last = False
+    while not is_last:
+        part, is_last = sender.next_part()
+        stage.store(part)
+    sender.close()
+    stage.install()
+    return target
+
+
 CLASH = {"a/b": 1, "a/b/c": 2}
 
 
