--- a/src/testbed/simulation/cli.py
+++ b/src/testbed/simulation/cli.py
@@ -64,6 +64,10 @@
     _summarize(report)
     if json_file:
         Path(json_file).write_text(json.dumps(report.as_json(), indent=1) + "\n")
+    if break_rule:
+        caught = any(is_caught(result, break_rule) for result in report.failing)
+        print(f"{break_rule}: {'caught' if caught else 'NOT caught'}")
+        return EXIT_VIOLATED if caught else EXIT_HOLDS
     return EXIT_VIOLATED if report.failing else EXIT_HOLDS
 
 
@@ -80,7 +84,13 @@
         f"--first-seed {result.seed}{rule}",
         flush=True,
     )
-    return not break_rule
+    return not (break_rule and is_caught(result, break_rule))
+
+
+def is_caught(result: SeedResult, break_rule: str) -> bool:
+    """Return whether the checker that shall notice a broken rule has noticed it."""
+    caught_by = RULES[break_rule].caught_by
+    return any(text.startswith(f"{caught_by}:") for text in result.violations)
 
 
 def _summarize(report: Report) -> None:
--- a/src/testbed/simulation/gateway_node.py
+++ b/src/testbed/simulation/gateway_node.py
@@ -34,7 +34,7 @@
 from testbed.simulation.channel import Connections
 from testbed.simulation.engine_client import SimulatedEngines
 from testbed.simulation.gateway_front import GatewayFront
-from testbed.simulation.history import GatewayStop, History, VersionInForce
+from testbed.simulation.history import GatewayStop, History, Span, VersionInForce
 from testbed.simulation.machine import Machine
 from testbed.simulation.operators import settings_content
 from testbed.simulation.rpc import RpcBoard, SimulatedRpc
@@ -45,6 +45,21 @@
 DRAIN_TIMEOUT_S = 60.0
 
 
+class RecordingExchange(ExchangeLoop):
+    """The product's exchange loop, which records the spans in which no hub answered."""
+
+    on_unheard: Callable[[float], None]
+    now_s: Callable[[], float]
+
+    def exchange_once(self) -> Failure | None:
+        """Do one exchange."""
+        began_s = self.now_s()
+        failure = super().exchange_once()
+        if failure is not None:
+            self.on_unheard(began_s)
+        return failure
+
+
 class NoCacheFeed:
     """Stands in for the reader of cache events: the simulator has none."""
 
@@ -240,7 +255,7 @@
             self.harvest.observe_load,
             NoCacheFeed(),  # type: ignore[arg-type]
         )
-        self.exchange = ExchangeLoop(
+        self.exchange = RecordingExchange(
             self.control,
             self.identity,
             self.view,
@@ -251,6 +266,8 @@
             EXCHANGE_INTERVAL_S,
             self._on_view,
         )
+        self.exchange.now_s = machine.monotonic_s
+        self.exchange.on_unheard = self._record_unheard
         self.gate = AdmissionGate(machine, self.counters)
         self.relay = RelayLoop(self.counters)
         self.service = self._online_service()
@@ -302,6 +319,10 @@
             self.harvest.notice_arrived(notice.runner_id)
         return encode_reply(Acknowledged())
 
+    def _record_unheard(self, began_s: float) -> None:
+        span = Span(began_s, self.machine.monotonic_s())
+        self.history.unheard.setdefault(self.name, []).append(span)
+
     def _record_version(self, settings: ResolvedSettings) -> None:
         self.history.in_force.append(
             VersionInForce(
--- a/src/testbed/simulation/history.py
+++ b/src/testbed/simulation/history.py
@@ -244,6 +244,7 @@
         leaving: When each leaving back end was listed as leaving.
         stops: Planned stops of gateways.
         gateway_impaired: Spans in which a gateway was down, frozen or cut off, by name.
+        unheard: Spans of unanswered exchanges, by gateway.
         control_impaired: Spans in which fewer than a majority of control machines were well.
         ended_s: End of the run.
         batch_allowed: Batch requests that a back end may hold beside online work.
@@ -267,6 +268,7 @@
     stops: list[GatewayStop] = field(default_factory=list)
     gateway_impaired: dict[str, list[Span]] = field(default_factory=dict)
     control_impaired: list[Span] = field(default_factory=list)
+    unheard: dict[str, list[Span]] = field(default_factory=dict)
     ended_s: float = 0.0
     batch_allowed: int = 0
     faults: Counter[str] = field(default_factory=Counter)
--- a/src/testbed/simulation/run.py
+++ b/src/testbed/simulation/run.py
@@ -4,12 +4,14 @@
 
 import multiprocessing
 import time
+import traceback
 from collections.abc import Callable, Iterable, Iterator
 
 from loguru import logger
 
 from testbed.simulation.breaks import BrokenRule
 from testbed.simulation.checkers import all_checkers
+from testbed.simulation.history import History
 from testbed.simulation.result import Report, SeedResult
 from testbed.simulation.scenario import SCENARIOS
 from testbed.simulation.world import World
@@ -25,15 +27,32 @@
     began_s = time.process_time()
     with BrokenRule(broken_rule):
         world = World(SCENARIOS[scenario], seed)
-        history = world.run()
+        history = world.parts.history
+        result = SeedResult(seed, faults=history.faults, counts=history.counts)
+        try:
+            world.run()
+        except Exception as error:
+            # A crash is a finding too: the rest of the run is lost, other seeds go on.
+            text = traceback.format_exception_only(error)[-1].strip()
+            result.violations.append(f"run_ends: {text} at {_place(error)}")
+            world.end()
     history.internal_errors += errors
-    result = SeedResult(seed, faults=history.faults, counts=history.counts)
+    if not result.violations:
+        _check(history, result)
+    result.cpu_s = time.process_time() - began_s
+    return result
+
+
+def _check(history: History, result: SeedResult) -> None:
     for checker in all_checkers():
         finding = checker.check(history)
         result.checks[checker.name] += finding.checks
         result.violations += [f"{checker.name}: {text}" for text in finding.violations]
-    result.cpu_s = time.process_time() - began_s
-    return result
+
+
+def _place(error: Exception) -> str:
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{frame.filename.rpartition('/')[2]}:{frame.lineno} {frame.name}"
 
 
 def run_seeds(
--- a/src/testbed/simulation/world.py
+++ b/src/testbed/simulation/world.py
@@ -103,7 +103,7 @@
         self._audit()
         while self._audits_open and scheduler.now_s < chaos_end_s + CALM_S + AUDIT_S:
             scheduler.run_until(scheduler.now_s + 1.0)
-        self._end()
+        self.end()
         return self.parts.history
 
     def _begin_calm(self) -> None:
@@ -128,7 +128,7 @@
 
         return run
 
-    def _end(self) -> None:
+    def end(self) -> None:
         """End every process, so that no fiber's thread is left over."""
         self.parts.history.counts.update(self.parts.network.counts)
         for machine in self.parts.network.machines.values():
