--- a/src/testbed/scale/resources.py
+++ b/src/testbed/scale/resources.py
@@ -129,7 +129,8 @@
 ) -> float:
     """Return a process's TCP traffic, both ways, with packet headers.
 
-    Only connections towards ``peer_ports`` count when they are given. Connections that were closed between the readings are missing, so it is a lower bound.
+    Only connections towards ``peer_ports`` count when they are given. Connections that were closed
+    between the readings are missing, so it is a lower bound.
     """
     payload = 0
     segments = 0
