watch follows gateways that start or come back later

Cause: watch opened one stream to each gateway that was live when it began; one that restarted was lost for the rest of the session, in silence. It now looks every 2 s for gateways that it does not follow, says when one's decisions end, and says that ordinary requests are sampled.

--- a/src/leverjunction/cli/watch.py
+++ b/src/leverjunction/cli/watch.py
@@ -4,6 +4,7 @@
 
 import queue
 import threading
+import time
 from datetime import UTC, datetime
 
 import msgspec
@@ -24,6 +25,7 @@
 from leverjunction.wire.messages import GatewayState
 
 QUEUE_DECISIONS = 10_000
+RELIST_S = 2.0
 _MS_PER_S = 1000
 
 
@@ -79,32 +81,71 @@
     gateways = live_gateways(client)
     if isinstance(gateways, Failure):
         return print_failure(gateways)
-    if not gateways:
-        print_progress("no gateway is live")
-        return ExitCode.FAILED
-    arrived: queue.Queue[SeenDecision | None] = queue.Queue(QUEUE_DECISIONS)
     parameters = {"request": request_id, "service": service}
-    for gateway in gateways:
-        threading.Thread(
-            target=_follow,
-            args=(options, gateway, {k: v for k, v in parameters.items() if v}, arrived),
-            daemon=True,
-        ).start()
-    print_progress(f"watching {len(gateways)} gateways, interrupt to end")
-    open_streams = len(gateways)
+    watcher = Watcher(options, {key: value for key, value in parameters.items() if value})
+    watcher.follow(gateways)
+    print_progress(
+        f"watching {len(gateways)} gateways, interrupt to end; ordinary requests are sampled"
+    )
+    threading.Thread(target=watcher.follow_new, args=(client,), daemon=True).start()
     try:
-        while open_streams:
-            item = arrived.get()
-            if item is None:
-                open_streams -= 1
-            elif options.as_json:
+        while True:
+            item = watcher.arrived.get()
+            if options.as_json:
                 print_json_line(item)
             else:
                 print(describe(item), flush=True)
     except KeyboardInterrupt:
         return ExitCode.OK
-    print_progress("all streams have ended")
-    return ExitCode.UNREACHABLE
+
+
+class Watcher:
+    """Follows the decisions of every live gateway, also of those that start or return later.
+
+    Args:
+        options: Shared options.
+        parameters: What to ask the gateways for.
+    """
+
+    def __init__(self, options: Options, parameters: dict[str, str]) -> None:
+        self.arrived: queue.Queue[SeenDecision] = queue.Queue(QUEUE_DECISIONS)
+        self._options = options
+        self._parameters = parameters
+        self._followed: set[str] = set()
+        self._lock = threading.Lock()
+
+    def follow(self, gateways: list[GatewayState]) -> None:
+        """Follow gateways that are not followed yet, each in a thread."""
+        for gateway in gateways:
+            with self._lock:
+                if gateway.address in self._followed:
+                    continue
+                self._followed.add(gateway.address)
+            threading.Thread(target=self._follow, args=(gateway,), daemon=True).start()
+
+    def follow_new(self, client: OperatorClient) -> None:
+        """Look for gateways that have started, for ever."""
+        while True:
+            time.sleep(RELIST_S)
+            gateways = live_gateways(client)
+            if not isinstance(gateways, Failure):
+                self.follow(gateways)
+
+    def _follow(self, gateway: GatewayState) -> None:
+        client = self._options.client_of([gateway.address])
+        if isinstance(client, Failure):
+            print_failure(client)
+            return
+        for data in client.events("/operator/decisions/stream", self._parameters):
+            if isinstance(data, Failure):
+                print_failure(data)
+                break
+            decision = decode(data, Decision, gateway.address)
+            if not isinstance(decision, Failure):
+                self.arrived.put(SeenDecision(gateway=gateway.gateway_id, decision=decision))
+        print_progress(f"{gateway.gateway_id}: its decisions end, until it is back")
+        with self._lock:
+            self._followed.discard(gateway.address)
 
 
 def _decisions_of(
@@ -116,24 +157,6 @@
     return client.get("/operator/decisions", list[Decision], {"request": request_id})
 
 
-def _follow(
-    options: Options,
-    gateway: GatewayState,
-    parameters: dict[str, str],
-    arrived: queue.Queue[SeenDecision | None],
-) -> None:
-    client = options.client_of([gateway.address])
-    if not isinstance(client, Failure):
-        for data in client.events("/operator/decisions/stream", parameters):
-            if isinstance(data, Failure):
-                print_failure(data)
-                break
-            decision = decode(data, Decision, gateway.address)
-            if not isinstance(decision, Failure):
-                arrived.put(SeenDecision(gateway=gateway.gateway_id, decision=decision))
-    arrived.put(None)
-
-
 def describe(item: SeenDecision) -> str:
     """Return a decision as one line of text, with its candidates below."""
     decision = item.decision
