--- a/tests/unit/test_cli_watch.py
+++ b/tests/unit/test_cli_watch.py
@@ -5,13 +5,13 @@
 from collections.abc import Iterator
 
 import pytest
+from tests.unit.cli_support import gateway_state
 
 from leverjunction.cli.options import Options
 from leverjunction.cli.watch import Watcher
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.observability.decisions import Decision, DecisionOutcome
 from leverjunction.wire.codec import encode
-from tests.unit.cli_support import gateway_state
 
 WAIT_S = 10.0
 
