Hub: age of the leader's contact goes on through an election; tasks stop side by side

Cause, from a trial with three processes: as soon as no leader was known a hub said 3,600 s instead of 0.6 s, so each election made every hub stale and moved its gateways, each with a full view; and loops to many peers were stopped one after another (up to 0.8 s each). Change: LocalRoot counts from the last contact it saw; loops are told to stop before any is waited for.

--- a/src/leverjunction/control/hub_sync.py
+++ b/src/leverjunction/control/hub_sync.py
@@ -10,7 +10,7 @@
 from leverjunction.control.hub import Hub
 from leverjunction.control.lease_expiry import LeaseExpiry
 from leverjunction.control.messages import HubState, HubSyncReply, RenewedLeases, RenewLeases
-from leverjunction.control.periodic import PeriodicTask
+from leverjunction.control.periodic import PeriodicTask, stop_all
 from leverjunction.errors import Failure
 from leverjunction.wire.codec import decode_reply, encode, encode_reply
 from leverjunction.wire.envelope import MessageKind
@@ -55,8 +55,7 @@
 
     def stop(self) -> None:
         """Stop all loops."""
-        for task in self._tasks:
-            task.stop()
+        stop_all(self._tasks)
 
     def _loop_for(self, name: str, address: str) -> Callable[[], None]:
         return lambda: self._tell(name, address)
@@ -101,8 +100,7 @@
 
     def stop(self) -> None:
         """Stop all loops."""
-        for task in self._tasks:
-            task.stop()
+        stop_all(self._tasks)
 
     def _loop_for(self, group: str) -> Callable[[], None]:
         return lambda: self._renew(group)
--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -24,7 +24,7 @@
 from leverjunction.control.lease_expiry import TICK_INTERVAL_S, LeaseExpiry
 from leverjunction.control.machine_source import MachineSource
 from leverjunction.control.messages import HubState
-from leverjunction.control.periodic import PeriodicTask
+from leverjunction.control.periodic import PeriodicTask, stop_all
 from leverjunction.control.placement_runner import PlacementRunner
 from leverjunction.control.quorum import LocalRoot, RemoteRoot
 from leverjunction.control.raft_transport import RpcRaftTransport
@@ -146,8 +146,7 @@
         """Stop as planned: give up leadership, finish the calls in progress, close the files."""
         self._stopping = True
         logger.info("stopping")
-        for task in self._tasks:
-            task.stop()
+        stop_all(self._tasks)
         self._renewals.stop()
         self._sync.stop()
         # The replicas hand their leads over while peers and gateways can still reach this process.
@@ -188,7 +187,7 @@
     def _root_follower(self) -> LocalRoot | RemoteRoot:
         replica = self.replicas.get(ROOT_GROUP)
         if replica is not None:
-            return LocalRoot(replica)
+            return LocalRoot(replica, self._clock)
         return RemoteRoot(self._rpc, _addresses(voters_of(ROOT_GROUP, self.config)))
 
     def _identity(self) -> HubIdentity:
--- a/src/leverjunction/control/periodic.py
+++ b/src/leverjunction/control/periodic.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
@@ -29,9 +29,13 @@
         """Start the loop; the first run is at once."""
         self._thread.start()
 
+    def ask_stop(self) -> None:
+        """Begin no further run."""
+        self._stopped.set()
+
     def stop(self) -> None:
         """Stop after the run in progress and wait for it."""
-        self._stopped.set()
+        self.ask_stop()
         if self._thread.is_alive():
             self._thread.join(JOIN_TIMEOUT_S)
 
@@ -51,3 +55,12 @@
         if self._failing:
             logger.info("task {} works again", self._name)
         self._failing = False
+
+
+def stop_all(tasks: Iterable[PeriodicTask]) -> None:
+    """Stop tasks together: the runs in progress end side by side, not one after another."""
+    stopping = list(tasks)
+    for task in stopping:
+        task.ask_stop()
+    for task in stopping:
+        task.stop()
--- a/src/leverjunction/control/quorum.py
+++ b/src/leverjunction/control/quorum.py
@@ -9,6 +9,7 @@
 
 from typing import Protocol
 
+from leverjunction.clock import Clock
 from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.control.hub import Hub
 from leverjunction.control.layout import ROOT_GROUP
@@ -37,19 +38,36 @@
 
 
 class LocalRoot:
-    """Follows the replica of group root that lives in this process."""
+    """Follows the replica of group root that lives in this process.
 
-    def __init__(self, replica: ReplicatedGroup) -> None:
+    Args:
+        replica: The replica.
+        clock: Source of monotonic time; without one the age is unknown during an election.
+    """
+
+    def __init__(self, replica: ReplicatedGroup, clock: Clock | None = None) -> None:
         self._replica = replica
+        self._clock = clock
+        self._heard_s: float | None = None
 
     def read(self, query: GetSettings) -> SettingsDelta | Failure:
         """Return what the local replica has applied."""
         return decode_reply(self._replica.query_local(encode(query)), SettingsDelta)
 
     def quorum_age_s(self) -> float:
-        """Return the replica's own age of contact; a blank one has never heard a leader."""
+        """Return the seconds since a leader was heard; a blank replica has never heard one.
+
+        No leader is known during an election. The age goes on from the last contact then, so
+        that a short election makes no hub stale and moves no gateway.
+        """
         status = self._replica.status()
-        return status.leader_contact_age_s if status.leader_address else NEVER_HEARD_S
+        if self._clock is None:
+            return status.leader_contact_age_s if status.leader_address else NEVER_HEARD_S
+        now_s = self._clock.monotonic_s()
+        if status.leader_address:
+            contact_s = now_s - status.leader_contact_age_s
+            self._heard_s = max(contact_s, self._heard_s or contact_s)
+        return NEVER_HEARD_S if self._heard_s is None else now_s - self._heard_s
 
 
 class RemoteRoot:
