--- a/src/leverjunction/config/common.py
+++ b/src/leverjunction/config/common.py
@@ -3,8 +3,22 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
+
+HIGHEST_PORT = 65535
+
+
+def _checked_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or int(port) > HIGHEST_PORT:
+        raise ValueError("host:port")
+    return text
+
+
+Address = Annotated[str, AfterValidator(_checked_address)]
+"""``host:port`` of another process."""
 
 
 class ListenConfig(BaseModel):
@@ -22,7 +36,9 @@
 
     model_config = ConfigDict(extra="forbid")
 
-    level: str = Field(default="INFO", description="loguru level")
+    level: Literal["TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL"] = Field(
+        default="INFO", description="loguru level"
+    )
     json_lines: bool = Field(default=False, description="one JSON object a line")
 
 
--- a/src/leverjunction/config/control.py
+++ b/src/leverjunction/config/control.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Self
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
-from leverjunction.config.common import ProcessConfig
+from leverjunction.config.common import Address, ProcessConfig
 
 
 class ControlPeer(BaseModel):
@@ -15,7 +16,7 @@
     model_config = ConfigDict(extra="forbid")
 
     name: str
-    rpc_address: str = Field(description="host:port of its internal RPC")
+    rpc_address: Address = Field(description="host:port of its internal RPC")
     zone: str
 
 
@@ -42,3 +43,18 @@
     max_loads_at_once: int = Field(
         default=4, ge=1, description="weight loads in progress in the whole cluster"
     )
+
+    @model_validator(mode="after")
+    def _check_peers(self) -> Self:
+        names = [peer.name for peer in self.peers]
+        if len(set(names)) < len(names):
+            raise ValueError(f"each name once in peers, got {', '.join(sorted(names))}")
+        unknown = sorted({self.name, *self.root_voters} - set(names))
+        if unknown:
+            missing = ", ".join(unknown)
+            raise ValueError(
+                f"peers to name this process and every root voter: {missing} not in peers"
+            )
+        if self.heartbeat_interval_s >= self.election_timeout_s:
+            raise ValueError("heartbeat_interval_s below election_timeout_s")
+        return self
--- a/src/leverjunction/config/gateway.py
+++ b/src/leverjunction/config/gateway.py
@@ -6,13 +6,13 @@
 
 from pydantic import Field
 
-from leverjunction.config.common import ProcessConfig
+from leverjunction.config.common import Address, ProcessConfig
 
 
 class GatewayConfig(ProcessConfig):
     """A gateway: callers' HTTP, routing and batch harvest. Needs no durable data."""
 
-    hubs: list[str] = Field(
+    hubs: list[Address] = Field(
         min_length=1, description="RPC addresses of control processes, own zone first"
     )
     request_threads: int = Field(default=256, ge=4, description="CherryPy worker threads")
