Gateway: honest limits, claims that close, no key in logs, a stop that serves who waits

What was lacking or wrong, and the change: - A handler's fault made CherryPy log the request's headers, the caller's key among them: its header and traceback logs are off; the fault itself is logged without frames' variables. - A refusal before the body (401, busy, too large) waited for the whole body, up to 10 s a read: it is written at once, and the connection lingers 1 s at most so that the caller can read it. - Content-Length -5 gave 500; it is 400 now. Idempotency-Key was cut at 256 characters, so that two keys could be taken for one: longer ones are refused. - All 256 threads could be held by waiting or whole requests, and then not even a refusal or /health came: an eighth stays free, and at most half may wait in queues; above that 503 at once. - Retry-After without a known drain rate was up to 60 s; it is the queue's timeout now, and for a tenant's concurrency it follows from the tenant's own drain rate. A queue's wait ends with the request's deadline. - Runners of other zones with room were never chosen while the own zone was full (every candidate was counted as roomy); now they are, and a full runner only takes who lost a race for the last slot. - A planned stop refused those who waited in a queue; they get their turn now. - A claim stayed open for ever when its answer was lost or its repeatable request failed: it is given up. A resend waits up to 3 s for the send that holds the claim, so it gets the same answer instead of a second run. - What is known of runners that left or restarted was never dropped (RunnerPool.forget had no caller). - Decisions tell now that a request had to wait and that it probes an ejected runner. - /metrics has leverjunction_usable_runners by service.

--- a/src/leverjunction/api/app.py
+++ b/src/leverjunction/api/app.py
@@ -69,6 +69,10 @@
         "request.process_request_body": False,
         "request.show_tracebacks": False,
         "request.show_mismatched_params": False,
+        # CherryPy would log a failed request's headers, the caller's key among them; the fault
+        # itself is logged by request.error_response.
+        "tools.log_headers.on": False,
+        "tools.log_tracebacks.on": False,
         "error_page.default": _error_page,
         "request.error_response": _unexpected,
         "tools.trailing_slash.on": False,
--- a/src/leverjunction/api/completions.py
+++ b/src/leverjunction/api/completions.py
@@ -10,7 +10,7 @@
 from leverjunction.api.errors import error_response
 from leverjunction.backends.types import CHAT_PATH, COMPLETION_PATH
 from leverjunction.errors import Failure, FailureKind, Step
-from leverjunction.gateway.http_server import HANDOVER_KEY, REQUEST_KEY, body_is_read
+from leverjunction.gateway.http_server import HANDOVER_KEY, body_is_read, refuse_body
 from leverjunction.gateway.inflight import Inflight
 from leverjunction.gateway.online import (
     SSE_TYPE,
@@ -25,6 +25,7 @@
 NEVER = "never"
 MAX_KEY_CHARACTERS = 256
 STOPPING_RETRY_AFTER_S = 1.0
+BUSY_RETRY_AFTER_S = 1.0
 
 
 class CompletionsApi:
@@ -58,21 +59,26 @@
         request_id = new_request_id()
         with self._inflight.track() as accepted:
             if not accepted:
-                return self._refuse(stopping_failure(), request_id)
+                stopping = self._inflight.stopping
+                return self._refuse(stopping_failure() if stopping else _busy(), request_id)
             tenant = authenticate(cherrypy.request, self._settings())
             if isinstance(tenant, Failure):
                 return self._refuse(tenant, request_id)
+            headers = cherrypy.request.headers
+            key = headers.get("Idempotency-Key", "")
+            if len(key) > MAX_KEY_CHARACTERS:
+                reason = f"Idempotency-Key is longer than {MAX_KEY_CHARACTERS} characters"
+                return self._refuse(_bad_request(reason), request_id)
             body = self._read_body()
             if isinstance(body, Failure):
                 return self._refuse(body, request_id)
-            headers = cherrypy.request.headers
             answer = self._service.serve(
                 CallerRequest(
                     request_id=request_id,
                     tenant=tenant,
                     path=path,
                     body=body,
-                    idempotency_key=headers.get("Idempotency-Key", "")[:MAX_KEY_CHARACTERS],
+                    idempotency_key=key,
                     never_repeat=headers.get("X-Repeat", "").strip().lower() == NEVER,
                 )
             )
@@ -81,27 +87,23 @@
     def _read_body(self) -> bytes | Failure:
         """Read the body up to its bound, in the bounds of the slow-sender guard."""
         request = cherrypy.request
-        length = request.headers.get("Content-Length")
-        if length is not None and int(length) > self._max_body_bytes:
+        length = _declared_bytes(request.headers.get("Content-Length"))
+        if isinstance(length, Failure):
+            return length
+        if length is not None and length > self._max_body_bytes:
             return self._too_large()
         body: bytes = request.rfile.read(self._max_body_bytes + 1)
         body_is_read(request.wsgi_environ)
         if len(body) > self._max_body_bytes:
             return self._too_large()
-        if length is not None and len(body) < int(length):
-            return Failure(
-                kind=FailureKind.BAD_REQUEST,
-                reason=f"the body ended after {len(body)} of {length} bytes, or came too slowly",
-                step=Step.PARSING,
+        if length is not None and len(body) < length:
+            return _bad_request(
+                f"the body ended after {len(body)} of {length} bytes, or came too slowly"
             )
         return body
 
     def _refuse(self, failure: Failure, request_id: str) -> bytes:
-        environ = cherrypy.request.wsgi_environ
-        length = int(cherrypy.request.headers.get("Content-Length") or 0)
-        if length > self._max_body_bytes:
-            # The rest of an oversized body is not read: the connection cannot be used again.
-            _close_after_answer(environ)
+        refuse_body(cherrypy.request.wsgi_environ)
         return error_response(failure, request_id)
 
     def _too_large(self) -> Failure:
@@ -122,6 +124,29 @@
     )
 
 
+def _busy() -> Failure:
+    return Failure(
+        kind=FailureKind.OVERLOADED,
+        reason="all request threads of this gateway are in use; send the request to another one",
+        step=Step.ADMISSION,
+        retry_after_s=BUSY_RETRY_AFTER_S,
+    )
+
+
+def _declared_bytes(header: str | None) -> int | Failure | None:
+    """Return the declared length of a body, None when none is declared."""
+    if header is None:
+        return None
+    # int() alone would take signs, spaces and underscores as well.
+    if not (header.isascii() and header.isdigit()):
+        return _bad_request(f"Content-Length {header!r} is not a number of bytes")
+    return int(header)
+
+
+def _bad_request(reason: str) -> Failure:
+    return Failure(kind=FailureKind.BAD_REQUEST, reason=reason, step=Step.PARSING)
+
+
 def _write(answer: Answer, request_id: str) -> bytes:
     if isinstance(answer, Failure):
         return error_response(answer, request_id)
@@ -138,10 +163,3 @@
     response.status = answer.status
     response.headers["Content-Type"] = answer.content_type
     return answer.body
-
-
-def _close_after_answer(environ: dict[str, object]) -> None:
-    request = environ.get(REQUEST_KEY)
-    if request is not None:
-        request.close_connection = True  # type: ignore[attr-defined]
-        cherrypy.response.headers["Connection"] = "close"
--- a/src/leverjunction/api/models.py
+++ b/src/leverjunction/api/models.py
@@ -37,7 +37,6 @@
     def __init__(self, settings: Callable[[], ResolvedSettings]) -> None:
         self._settings = settings
 
-    @cherrypy.expose
     @cherrypy.expose
     def serve(self, *path: str) -> bytes:
         """Serve ``/v1/models`` or ``/v1/models/{id}``."""
--- a/src/leverjunction/api/probes.py
+++ b/src/leverjunction/api/probes.py
@@ -16,14 +16,12 @@
         self._registry = registry
         self._not_ready = not_ready
 
-    @cherrypy.expose
     @cherrypy.expose
     def health(self) -> bytes:
         """Answer 200 while the process runs."""
         cherrypy.response.headers["Content-Type"] = "text/plain"
         return b"ok\n"
 
-    @cherrypy.expose
     @cherrypy.expose
     def ready(self) -> bytes:
         """Answer 200 when the process takes requests, else 503 and why not."""
@@ -34,7 +32,6 @@
         cherrypy.response.status = 503
         return f"not ready: {reason}\n".encode()
 
-    @cherrypy.expose
     @cherrypy.expose
     def metrics(self) -> bytes:
         """Answer all counters in the Prometheus text format."""
--- a/src/leverjunction/gateway/claims.py
+++ b/src/leverjunction/gateway/claims.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import threading
 import uuid
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from typing import Protocol, TypeVar
 
 import msgspec
@@ -19,6 +21,11 @@
 CLAIM_TIMEOUT_S = 5.0
 MAX_RECORDED_BYTES = 1024 * 1024
 OPEN_CLAIM_RETRY_S = 1.0
+OPEN_CLAIM_WAITS_S = (0.2, 0.4, 0.8, 1.6)
+"""A resend waits so long, in turn, for the answer of the send that holds the claim."""
+
+RELEASE_THREADS = 2
+MAX_RELEASES = 64
 
 
 class Proposer(Protocol):
@@ -54,42 +61,68 @@
         self._control = control
         self._groups = groups
         self._gateway_id = gateway_id
+        self._pause = threading.Event()
+        self._releases = ThreadPoolExecutor(RELEASE_THREADS, thread_name_prefix="claim-release")
+        self._lock = threading.Lock()
+        self._releasing = 0
 
     def claim(self, tenant: str, key: str, body: bytes) -> HeldClaim | RecordedAnswer | Failure:
         """Claim a key before the first send.
 
+        A claim that another send holds is waited for, for ``OPEN_CLAIM_WAITS_S``.
+
         Returns:
             The claim; the recorded answer of an earlier send; KEY_REUSED when the key came with
-            another body; OUTCOME_UNKNOWN while another send holds the claim, or when its gateway
-            died with it.
+            another body; OUTCOME_UNKNOWN while another send still holds the claim, or when its
+            gateway died with it.
         """
+        request = ClaimRequest(
+            tenant=tenant,
+            key=key,
+            content_hash=xxhash.xxh128_hexdigest(body),
+            gateway=self._gateway_id,
+            attempt_id=uuid.uuid4().hex,
+        )
         group = group_for_key(self._groups(), tenant, key)
-        content_hash = xxhash.xxh128_hexdigest(body)
-        attempt_id = uuid.uuid4().hex
-        claim = self._control.propose(
-            group,
-            ClaimRequest(
-                tenant=tenant,
-                key=key,
-                content_hash=content_hash,
-                gateway=self._gateway_id,
-                attempt_id=attempt_id,
-            ),
-            Claim,
-            CLAIM_TIMEOUT_S,
+        outcome = self._ask(group, request)
+        for wait_s in OPEN_CLAIM_WAITS_S:
+            if not isinstance(outcome, Failure) or outcome.kind is not FailureKind.OUTCOME_UNKNOWN:
+                break
+            self._pause.wait(wait_s)
+            outcome = self._ask(group, request)
+        return outcome
+
+    def _ask(self, group: str, request: ClaimRequest) -> HeldClaim | RecordedAnswer | Failure:
+        claim = self._control.propose(group, request, Claim, CLAIM_TIMEOUT_S)
+        held = HeldClaim(
+            group=group, tenant=request.tenant, key=request.key, attempt_id=request.attempt_id
         )
         if isinstance(claim, Failure):
             # Whether or not the claim was committed, this gateway sends nothing.
+            self._release_later(held)
             return msgspec.structs.replace(
                 claim, step=Step.CLAIMING, execution=Execution.NOT_RUN, retry_after_s=1.0
             )
-        if claim.content_hash != content_hash:
-            return _key_reused(key)
+        if claim.content_hash != request.content_hash:
+            return _key_reused(request.key)
         if claim.finished:
             return RecordedAnswer(status=claim.status_code, body=claim.body.encode())
-        if not claim.granted:
-            return _outcome_unknown(key)
-        return HeldClaim(group=group, tenant=tenant, key=key, attempt_id=attempt_id)
+        return held if claim.granted else _outcome_unknown(request.key)
+
+    def _release_later(self, held: HeldClaim) -> None:
+        """Give up a claim that may have been committed, so that a resend need not find it open."""
+        with self._lock:
+            if self._releasing >= MAX_RELEASES:
+                return
+            self._releasing += 1
+        self._releases.submit(self._release, held)
+
+    def _release(self, held: HeldClaim) -> None:
+        try:
+            self.give_up(held)
+        finally:
+            with self._lock:
+                self._releasing -= 1
 
     def finish(self, held: HeldClaim, status: int, body: bytes) -> None:
         """Record the answer, so that resends get the same one."""
@@ -100,7 +133,7 @@
         self._finish(held, status, body.decode("utf8", "replace"), not_run=False)
 
     def give_up(self, held: HeldClaim) -> None:
-        """Release a claim whose request no back end can have received."""
+        """Release a claim: no back end can have received the request, or it may run twice."""
         self._finish(held, 0, "", not_run=True)
 
     def _finish(self, held: HeldClaim, status: int, body: str, *, not_run: bool) -> None:
--- a/src/leverjunction/gateway/gate.py
+++ b/src/leverjunction/gateway/gate.py
@@ -16,13 +16,21 @@
 
 
 class AdmissionGate:
-    """Called by request threads; a waiting request holds its thread."""
+    """Called by request threads; a waiting request holds its thread.
 
-    def __init__(self, clock: Clock, counters: GatewayCounters) -> None:
+    Args:
+        clock: Time.
+        counters: Counters.
+        max_waiting: Most requests that may wait in all queues together, None for no bound.
+    """
+
+    def __init__(
+        self, clock: Clock, counters: GatewayCounters, max_waiting: int | None = None
+    ) -> None:
         self._clock = clock
         self._counters = counters
         self._lock = threading.Lock()
-        self._admission = Admission()
+        self._admission = Admission(max_waiting)
         self._granted: dict[str, threading.Event] = {}
         self._stopping = threading.Event()
 
@@ -34,35 +42,36 @@
     def leave(self, tenant: str) -> None:
         """Give a tenant's place back."""
         with self._lock:
-            self._admission.leave(tenant)
+            self._admission.leave(tenant, self._clock.monotonic_s())
 
     def pass_or_wait(
         self,
         service: str,
         ticket_id: str,
-        tenant: str,
         limits: QueueLimits,
         free_slots: Callable[[], int],
+        on_queued: Callable[[int], None] = lambda _ahead: None,
     ) -> float | Failure:
         """Return once the request may be sent: the seconds it waited, or its refusal.
 
         Args:
             service: Service asked for.
             ticket_id: Id of the request.
-            tenant: Its tenant.
             limits: The service's queue settings.
             free_slots: Returns the requests that usable runners may take now.
+            on_queued: Called with the number of requests ahead when the request has to wait.
         """
         started_s = self._clock.monotonic_s()
         slots = free_slots()
         with self._lock:
-            decision = self._admission.arrive(service, ticket_id, tenant, limits, slots, started_s)
+            decision = self._admission.arrive(service, ticket_id, limits, slots, started_s)
             if isinstance(decision, Failure):
                 return decision
             if not isinstance(decision, Queued):
                 return 0.0
             granted = self._granted[ticket_id] = threading.Event()
             self._counters.queued.set(self._admission.waiting())
+        on_queued(decision.ahead)
         try:
             refusal = self._wait(service, ticket_id, granted, free_slots)
         finally:
@@ -92,8 +101,7 @@
     def pump(self, service: str, free_slots: int) -> None:
         """Let waiting requests of a service go on, as many as there are slots."""
         with self._lock:
-            now_s = self._clock.monotonic_s()
-            for ticket_id in self._admission.next_tickets(service, free_slots, now_s):
+            for ticket_id in self._admission.next_tickets(service, free_slots):
                 self._granted[ticket_id].set()
 
     def drained(self, service: str) -> None:
--- a/src/leverjunction/gateway/http_server.py
+++ b/src/leverjunction/gateway/http_server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -23,6 +24,10 @@
 KEEP_ALIVE_CONNECTIONS = 4096
 SOCKET_TIMEOUT_S = 10
 MAX_HEADER_BYTES = 64 * 1024
+LINGER_S = 1.0
+"""A refused caller that still sends its body gets so long to take the answer."""
+
+DISCARD_BYTES = 65536
 
 
 class ClientConnection(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,6 +71,7 @@
     def __init__(self, server: Any, sock: Any, makefile: Any = MakeFile) -> None:
         super().__init__(server, sock, makefile)
         self._pending: tuple[Handover, bool, bool] | None = None
+        self._body_is_unread = False
 
     def communicate(self) -> bool:
         guard = cast(StreamingServer, self.server).guard
@@ -79,10 +85,16 @@
         """Arrange that the worker's ``close`` passes the connection to ``handover``."""
         self._pending = (handover, chunked, keep)
 
+    def leave_body_unread(self) -> None:
+        """Arrange that ``close`` lets the caller read its answer although its body is unread."""
+        self._body_is_unread = True
+
     def close(self) -> None:
         # The worker closes a connection as the last thing that it does with it: only then may
         # another thread use it.
         if self._pending is None:
+            if self._body_is_unread:
+                self._discard_body()
             super().close()
             return
         handover, chunked, keep = self._pending
@@ -95,6 +107,21 @@
             )
         )
 
+    def _discard_body(self) -> None:
+        """Read on for a while: closing with unread bytes resets the connection, and the caller
+        may lose the answer.
+        """
+        end_s = time.monotonic() + LINGER_S
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            while (left_s := end_s - time.monotonic()) > 0:
+                self.socket.settimeout(left_s)
+                if not self.socket.recv(DISCARD_BYTES):
+                    return
+        except OSError:
+            # It closed first, or sends nothing more.
+            return
+
     def _release(self, reusable: bool) -> None:
         if not reusable:
             super().close()
@@ -142,6 +169,20 @@
         request.server.guard.done(request.conn)
 
 
+def refuse_body(environ: dict[str, Any]) -> None:
+    """Tell the server that a request is refused although its body is not read to its end.
+
+    The answer is written at once and the connection closed after it.
+    """
+    request = environ.get(REQUEST_KEY)
+    if request is None:
+        return
+    is_read = not request.chunked_read and request.rfile.remaining <= 0
+    if not is_read:
+        request.close_connection = True
+        request.conn.leave_body_unread()
+
+
 class StreamingServer(wsgi.Server):
     """Server of the callers' HTTP port."""
 
--- a/src/leverjunction/gateway/inflight.py
+++ b/src/leverjunction/gateway/inflight.py
@@ -8,9 +8,15 @@
 
 
 class Inflight:
-    """Thread-safe count with a stopping mark."""
+    """Thread-safe count with a stopping mark.
 
-    def __init__(self) -> None:
+    Args:
+        limit: Most requests in progress; each holds a thread, and some threads must stay free for
+            probes, operators and refusals. None for no limit.
+    """
+
+    def __init__(self, limit: int | None = None) -> None:
+        self._limit = limit
         self._changed = threading.Condition()
         self._count = 0
         self._stopping = False
@@ -27,12 +33,13 @@
 
     @contextmanager
     def track(self) -> Iterator[bool]:
-        """Count a request while the block runs; yields False when it must be refused.
+        """Count a request while the block runs; yields False when it must be refused at once.
 
         The check and the count are one step, so that a stop misses no request.
         """
         with self._changed:
-            accepted = not self._stopping
+            is_full = self._limit is not None and self._count >= self._limit
+            accepted = not self._stopping and not is_full
             if accepted:
                 self._count += 1
         try:
--- a/src/leverjunction/gateway/journal.py
+++ b/src/leverjunction/gateway/journal.py
@@ -48,6 +48,26 @@
             )
         )
 
+    def queued(self, request: OnlineRequest, ahead: int) -> None:
+        """Record that a request has to wait."""
+        self.note(
+            request,
+            DecisionOutcome.QUEUED,
+            Step.QUEUEING,
+            f"all usable runners are full; {ahead} requests wait before it",
+        )
+
+    def probed(self, request: OnlineRequest, attempt: Attempt) -> None:
+        """Record that a request tries a runner whose ejection has ended."""
+        self.note(
+            request,
+            DecisionOutcome.PROBED,
+            Step.ROUTING,
+            "its ejection has ended: this request tries it",
+            attempt.runner_id,
+            attempt.number,
+        )
+
     def ejected(self, request: OnlineRequest, attempt: Attempt, ejected_s: float) -> None:
         """Record that a runner gets no requests for a while."""
         self.note(
--- a/src/leverjunction/gateway/online.py
+++ b/src/leverjunction/gateway/online.py
@@ -163,7 +163,7 @@
             return self._relayed(request, claim, answer)
         self._gate.leave(request.tenant)
         if isinstance(answer, Failure):
-            self._finish_failed(claim, answer)
+            self._finish_failed(request, claim, answer)
             return self._refuse(request.request_id, request.service, answer)
         if claim is not None:
             self._claims.finish(claim, answer.status, answer.body)
@@ -207,7 +207,9 @@
         self._counters.requests.labels(request.service, status).inc()
         reason = "the whole stream was passed on" if failure is None else failure.reason
         self._journal.note(request, outcome, Step.RELAYING, reason)
-        if claim is not None and failure is None:
+        if failure is not None:
+            self._finish_failed(request, claim, failure)
+        elif claim is not None:
             self._claims.finish(claim, 200, transcript)
 
     def _completed(self, request: OnlineRequest, answer: WholeAnswer) -> None:
@@ -222,9 +224,13 @@
             answer.attempt.number,
         )
 
-    def _finish_failed(self, claim: HeldClaim | None, failure: Failure) -> None:
-        """Give a claim up only if no back end can have run the request."""
-        if claim is not None and failure.execution is Execution.NOT_RUN:
+    def _finish_failed(
+        self, request: OnlineRequest, claim: HeldClaim | None, failure: Failure
+    ) -> None:
+        """Give a claim up unless a back end may have run what must not run again."""
+        if claim is None:
+            return
+        if request.repeatable or failure.execution is Execution.NOT_RUN:
             self._claims.give_up(claim)
 
     def _refuse(self, request_id: str, service: str, failure: Failure) -> Failure:
--- a/src/leverjunction/gateway/prompt.py
+++ b/src/leverjunction/gateway/prompt.py
@@ -72,7 +72,7 @@
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Failure(
             kind=FailureKind.BAD_REQUEST,
-            reason=f"the body is not a valid request: {error}",
+            reason=f"the body is not a valid JSON request: {error}",
             step=Step.PARSING,
         )
     prompt = text.prompt if isinstance(text.prompt, str) else " ".join(text.prompt)
--- a/src/leverjunction/gateway/runner_pool.py
+++ b/src/leverjunction/gateway/runner_pool.py
@@ -37,6 +37,18 @@
     tried: frozenset[str] = frozenset()
 
 
+class SendStart(msgspec.Struct, frozen=True, kw_only=True):
+    """What the pool knew when a send started.
+
+    Attributes:
+        open_before: Own sends that were open on the runner.
+        is_probe: True when the send tries a runner that was ejected.
+    """
+
+    open_before: int
+    is_probe: bool
+
+
 class RunnerPool:
     """Thread-safe shell around the pure cores of routing."""
 
@@ -51,6 +63,7 @@
         self._ledger = SendLedger()
         self._prefixes = PrefixIndex()
         self._ejection = Ejection()
+        self._incarnations: dict[str, int] = {}
 
     def candidates(self, needs: RouteNeeds) -> list[Candidate]:
         """Return all runners of the service, with the reason for each that is left out."""
@@ -61,28 +74,31 @@
             blocked = self._ejection.blocked([item.runner_id for item in runners], now_s)
             return [self._candidate(item, needs, snapshot, blocked) for item in runners]
 
-    def choose(
-        self, candidates: list[Candidate], needs: RouteNeeds, *, ignore_full: bool = False
-    ) -> Choice:
-        """Choose a runner; ``ignore_full`` for a request whose turn in the queue has come."""
+    def choose(self, candidates: list[Candidate], needs: RouteNeeds) -> Choice:
+        """Choose a runner for a request whose turn has come.
+
+        Slots are counted, not held: when a race took the last one, the request goes to a full
+        runner rather than back into the queue.
+        """
         query = RouteQuery(
             zone=self._zone,
             prompt_blocks=len(needs.blocks),
             prefix_weight=needs.serving.prefix_weight,
         )
-        if ignore_full:
-            candidates = [_roomy(candidate) for candidate in candidates]
         with self._lock:
-            return choose(candidates, query, self._random)
+            choice = choose(candidates, query, self._random)
+            if choice.full:
+                choice = choose(map(_roomy, candidates), query, self._random)
+            return choice
 
-    def sent(self, runner_id: str, attempt_key: str, blocks: Sequence[str]) -> int:
-        """Note a send; returns the own sends that were open on the runner before it."""
+    def sent(self, runner_id: str, attempt_key: str, blocks: Sequence[str]) -> SendStart:
+        """Note a send that starts now."""
         with self._lock:
             before = self._ledger.open_count(runner_id)
             self._ledger.sent(runner_id, attempt_key, self._clock.wall_ms())
             self._prefixes.sent(runner_id, blocks)
-            self._ejection.chosen(runner_id, self._clock.monotonic_s())
-            return before
+            is_probe = self._ejection.chosen(runner_id, self._clock.monotonic_s())
+            return SendStart(open_before=before, is_probe=is_probe)
 
     def finished(self, runner_id: str, attempt_key: str) -> None:
         """Note that a send ended."""
@@ -109,12 +125,31 @@
         with self._lock:
             return self._prefixes.apply(runner_id, event)
 
-    def forget(self, runner_id: str) -> None:
-        """Drop what is known of a runner that is gone."""
+    def follow(self, snapshot: ClusterSnapshot) -> None:
+        """Drop what is known of runners that are gone, and the caches of restarted ones."""
+        incarnations = {item.runner_id: item.incarnation for item in snapshot.runners.values()}
         with self._lock:
-            self._ledger.forget(runner_id)
-            self._prefixes.forget(runner_id)
-            self._ejection.succeeded(runner_id)
+            for runner_id, known in self._incarnations.items():
+                if incarnations.get(runner_id) != known:
+                    self._prefixes.forget(runner_id)
+                if runner_id not in incarnations:
+                    self._ejection.succeeded(runner_id)
+                    self._ledger.forget(runner_id)
+            self._incarnations = incarnations
+
+    def usable_runners(self, snapshot: ClusterSnapshot) -> dict[str, int]:
+        """Return by service the runners that are neither leaving, unreachable nor ejected."""
+        by_service: dict[str, list[str]] = {}
+        for runner in snapshot.runners.values():
+            by_service.setdefault(runner.service, [])
+            if not runner.leaving and self.is_healthy(runner.runner_id):
+                by_service[runner.service].append(runner.runner_id)
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            return {
+                service: len(ids) - len(self._ejection.blocked(ids, now_s))
+                for service, ids in by_service.items()
+            }
 
     def is_healthy(self, runner_id: str) -> bool:
         """Return whether a runner is listed and its owner can reach it."""
--- a/src/leverjunction/gateway/runtime.py
+++ b/src/leverjunction/gateway/runtime.py
@@ -46,7 +46,9 @@
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcServer
 
-STOP_EXCHANGES = 3
+FREE_THREADS_MIN = 2
+FREE_THREADS_SHARE = 8
+"""One request thread in so many stays free."""
 
 
 class GatewayRuntime:
@@ -60,7 +62,7 @@
         cluster_key = _read_secret(config.cluster_key_file)
         self.counters = GatewayCounters()
         self.ring = DecisionRing(random.Random())
-        self.inflight = Inflight()
+        self.inflight = Inflight(config.request_threads - _free_threads(config.request_threads))
         self.view = ClusterView()
         config.data_folder.mkdir(parents=True, exist_ok=True)
         self.settings = SettingsStore(SettingsCache(config.data_folder))
@@ -90,7 +92,7 @@
             config.exchange_interval_s,
             self._on_view,
         )
-        self.gate = AdmissionGate(self.clock, self.counters)
+        self.gate = AdmissionGate(self.clock, self.counters, config.request_threads // 2)
         self.relay = RelayLoop(self.counters)
         self.online = self._online_service()
         endpoint = build_endpoint(
@@ -99,6 +101,7 @@
         self.rpc_server = RpcServer(config.listen.host, config.listen.rpc_port, endpoint)
         self.http_server = self._http_server()
         self._http_thread: threading.Thread | None = None
+        self._services_seen: set[str] = set()
 
     @property
     def http_address(self) -> str:
@@ -151,8 +154,9 @@
         deadline_s = time.monotonic() + self.config.drain_timeout_s
         self.exchange.exchange_once()
         self.harvest.stop()
-        self.gate.stop()
+        # Requests that wait in a queue were accepted: they get their turn, or their refusal.
         idle = self.inflight.wait_idle(max(0.0, deadline_s - time.monotonic()))
+        self.gate.stop()
         idle = self.relay.wait_idle(max(0.0, deadline_s - time.monotonic())) and idle
         if not idle:
             logger.warning("requests were still open after {} s", self.config.drain_timeout_s)
@@ -186,9 +190,19 @@
                 self.config.name, snapshot.runners.values(), snapshot.gateways.values()
             )
         self.counters.owned_runners.set(len(owned))
+        self.pool.follow(snapshot)
+        self._count_usable(snapshot)
         self.owner.update(owned)
         self.harvest.update(owned, self.settings.current, self.job_groups())
 
+    def _count_usable(self, snapshot: ClusterSnapshot) -> None:
+        usable = self.pool.usable_runners(snapshot)
+        for service in self._services_seen - set(usable):
+            usable[service] = 0
+        self._services_seen = set(usable)
+        for service, count in usable.items():
+            self.counters.usable_runners.labels(service).set(count)
+
     def _online_service(self) -> OnlineService:
         journal = Journal(self.ring, self.clock)
         sender = Sender(
@@ -247,5 +261,10 @@
         )
 
 
+def _free_threads(request_threads: int) -> int:
+    """Return how many threads stay free for probes, operators and refusals."""
+    return max(FREE_THREADS_MIN, request_threads // FREE_THREADS_SHARE)
+
+
 def _read_secret(path: Path) -> bytes:
     return path.read_bytes().strip()
--- a/src/leverjunction/gateway/sender.py
+++ b/src/leverjunction/gateway/sender.py
@@ -121,30 +121,35 @@
             waited_s = self._gate.pass_or_wait(
                 request.service,
                 request.request_id,
-                request.tenant,
-                QueueLimits(
-                    max_queue=request.serving.max_queue,
-                    queue_timeout_s=request.serving.queue_timeout_s,
-                ),
+                self._queue_limits(request),
                 lambda: free_slots(self._pool.candidates(needs)),
+                lambda ahead: self._journal.queued(request, ahead),
             )
             if isinstance(waited_s, Failure):
                 return waited_s
             if waited_s > 0:
                 candidates = self._pool.candidates(needs)
-        # Whoever passed the gate holds a slot; a repeated send must not wait for another one.
-        choice = self._pool.choose(candidates, needs, ignore_full=True)
+        choice = self._pool.choose(candidates, needs)
         self._journal.routed(request, number, choice)
         if choice.chosen is None:
             return _no_runner(request, choice)
         return choice.chosen
 
+    def _queue_limits(self, request: OnlineRequest) -> QueueLimits:
+        left_s = request.deadline_s - self._clock.monotonic_s()
+        return QueueLimits(
+            max_queue=request.serving.max_queue,
+            queue_timeout_s=max(0.0, min(request.serving.queue_timeout_s, left_s)),
+        )
+
     def _attempt(
         self, request: OnlineRequest, attempt: Attempt
     ) -> OpenAnswer | WholeAnswer | Failure:
         key = attempt.key(request.request_id)
-        open_before = self._pool.sent(attempt.runner_id, key, request.blocks)
-        self._notifier.arrived(attempt.runner_id, open_before)
+        start = self._pool.sent(attempt.runner_id, key, request.blocks)
+        if start.is_probe:
+            self._journal.probed(request, attempt)
+        self._notifier.arrived(attempt.runner_id, start.open_before)
         answer = self._call(request, attempt)
         if isinstance(answer, OpenAnswer):
             self._pool.succeeded(attempt.runner_id)
--- a/src/leverjunction/observability/counters.py
+++ b/src/leverjunction/observability/counters.py
@@ -48,6 +48,13 @@
             registry=self.registry,
         )
 
+        self.usable_runners = Gauge(
+            "leverjunction_usable_runners",
+            "Runners listed that are neither leaving, unreachable nor ejected.",
+            ["service"],
+            registry=self.registry,
+        )
+
     def _counter(self, name: str, text: str, labels: list[str] | None = None) -> Counter:
         return Counter(f"leverjunction_{name}", text, labels or [], registry=self.registry)
 
--- /dev/null
+++ b/tests/unit/test_gateway_cores.py
@@ -0,0 +1,214 @@
+"""The pure cores of admission, routing, ejection, retries and the prefix index."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from leverjunction.backends.types import CacheEvent, CacheEventKind
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.gateway.admission import Admission, Admitted, Queued, QueueLimits
+from leverjunction.gateway.drain_rate import DrainRate
+from leverjunction.gateway.ejection import FAILURES_TO_EJECT, MAX_EJECTION_S, Ejection
+from leverjunction.gateway.prefix_index import PrefixIndex
+from leverjunction.gateway.retry import MAX_SAVED_RETRIES, RetryBudget, may_repeat
+from leverjunction.gateway.routing import Candidate, Exclusion, RouteQuery, choose
+from leverjunction.settings.resolved import ResolvedLimits
+
+LIMITS = ResolvedLimits(requests_per_s=2.0, burst=3, concurrency=10, max_job_items=1)
+QUEUE = QueueLimits(max_queue=2, queue_timeout_s=5.0)
+
+
+def refused(outcome: object) -> Failure:
+    assert isinstance(outcome, Failure)
+    assert outcome.execution is Execution.NOT_RUN
+    return outcome
+
+
+def test_token_bucket_refuses_above_the_burst_and_refills() -> None:
+    admission = Admission()
+    for _ in range(LIMITS.burst):
+        assert admission.enter("acme", LIMITS, 0.0) is None
+    refusal = refused(admission.enter("acme", LIMITS, 0.0))
+    assert refusal.kind is FailureKind.RATE_LIMITED
+    assert refusal.retry_after_s == pytest.approx(0.5)
+    assert admission.enter("other", LIMITS, 0.0) is None
+    assert admission.enter("acme", LIMITS, 0.5) is None
+    refused(admission.enter("acme", LIMITS, 0.5))
+
+
+def test_concurrency_limit_tells_when_a_place_will_be_free() -> None:
+    limits = ResolvedLimits(requests_per_s=100.0, burst=100, concurrency=2, max_job_items=1)
+    admission = Admission()
+    assert [admission.enter("acme", limits, 0.0) for _ in range(2)] == [None, None]
+    refused(admission.enter("acme", limits, 0.0))
+    admission.leave("acme", 1.0)
+    assert admission.enter("acme", limits, 1.0) is None
+    refusal = refused(admission.enter("acme", limits, 1.0))
+    assert refusal.retry_after_s == pytest.approx(10.0)
+
+
+def test_queue_goes_in_order_and_is_bounded() -> None:
+    admission = Admission()
+    assert admission.arrive("llm", "a", QUEUE, 1, 0.0) == Admitted()
+    assert admission.arrive("llm", "b", QUEUE, 0, 0.0) == Queued(ahead=0)
+    # A slot is free, but it belongs to the one that waits.
+    assert admission.arrive("llm", "c", QUEUE, 1, 0.0) == Queued(ahead=1)
+    full = refused(admission.arrive("llm", "d", QUEUE, 0, 0.0))
+    assert (full.kind, full.step) == (FailureKind.OVERLOADED, Step.QUEUEING)
+    assert admission.next_tickets("llm", 1) == ["b"]
+    assert admission.next_tickets("llm", 5) == ["c"]
+
+
+def test_a_wait_beyond_the_deadline_is_refused_at_once_with_the_time_to_come_back() -> None:
+    admission = Admission()
+    for second in range(5):
+        admission.drained("llm", second * 2.0)
+    admission.arrive("llm", "a", QUEUE, 0, 8.0)
+    refusal = refused(admission.arrive("llm", "b", QUEUE, 0, 8.0))
+    rate = DrainRate()
+    for second in range(5):
+        rate.ended(second * 2.0)
+    wait_s = rate.wait_s(2, 8.0)
+    assert wait_s is not None
+    assert refusal.retry_after_s == pytest.approx(wait_s - QUEUE.queue_timeout_s)
+
+
+def test_a_ticket_expires_at_its_deadline() -> None:
+    admission = Admission()
+    admission.arrive("llm", "a", QUEUE, 0, 0.0)
+    assert admission.expired("llm", "a", 4.9) is None
+    assert refused(admission.expired("llm", "a", 5.0)).step is Step.QUEUEING
+    assert admission.waiting() == 0
+
+
+def test_all_queues_together_are_bounded() -> None:
+    admission = Admission(max_waiting=2)
+    admission.arrive("llm", "a", QUEUE, 0, 0.0)
+    admission.arrive("status", "b", QUEUE, 0, 0.0)
+    assert "in this gateway" in refused(admission.arrive("llm", "c", QUEUE, 0, 0.0)).reason
+    admission.drop("status", "b")
+    assert admission.arrive("llm", "c", QUEUE, 0, 0.0) == Queued(ahead=1)
+
+
+def candidate(name: str, **fields: object) -> Candidate:
+    values = {"address": name, "zone": "z1", "load": 0.0, "capacity": 4} | fields
+    return Candidate(runner_id=name, **values)  # type: ignore[arg-type]
+
+
+def chosen(candidates: list[Candidate], prefix_weight: float = 1.0) -> str | None:
+    query = RouteQuery(zone="z1", prompt_blocks=10, prefix_weight=prefix_weight)
+    choice = choose(candidates, query, random.Random(1))
+    return choice.chosen.runner_id if choice.chosen is not None else None
+
+
+@pytest.mark.parametrize(
+    ("candidates", "expected"),
+    [
+        ([candidate("near", load=3.0), candidate("far", zone="z2")], "near"),
+        ([candidate("near", load=4.0), candidate("far", zone="z2")], "far"),
+        ([candidate("a", load=2.0), candidate("b", load=1.0)], "b"),
+        ([candidate("a", load=1.0, overlap_blocks=10), candidate("b", load=0.5)], "a"),
+        ([candidate("a", load=3.0, overlap_blocks=10), candidate("b", load=0.5)], "b"),
+        ([candidate("a", excluded=Exclusion.LEAVING), candidate("b", load=3.0)], "b"),
+        ([candidate("a", excluded=Exclusion.EJECTED)], None),
+        ([candidate("a", load=4.0)], None),
+    ],
+)
+def test_choice_of_a_runner(candidates: list[Candidate], expected: str | None) -> None:
+    assert chosen(candidates) == expected
+
+
+def test_gateways_with_the_same_reports_do_not_all_choose_the_same_runner() -> None:
+    runners = [candidate(f"e{index}", load=float(index % 2)) for index in range(8)]
+    query = RouteQuery(zone="z1", prompt_blocks=0, prefix_weight=1.0)
+    names = set()
+    for seed in range(40):
+        choice = choose(runners, query, random.Random(seed))
+        assert choice.chosen is not None
+        names.add(choice.chosen.runner_id)
+    assert len(names) >= 4
+
+
+def test_ejection_backs_off_and_one_request_probes() -> None:
+    ejection, generator = Ejection(), random.Random(1)
+    ids = ["a", "b", "c"]
+    for _ in range(FAILURES_TO_EJECT - 1):
+        assert ejection.failed("a", 0.0, generator) is None
+    first_s = ejection.failed("a", 0.0, generator)
+    assert first_s is not None
+    assert ejection.blocked(ids, 0.0) == {"a"}
+    assert ejection.blocked(ids, first_s) == set()
+    assert ejection.chosen("a", first_s)
+    assert ejection.blocked(ids, first_s) == {"a"}, "only one request probes"
+    second_s = ejection.failed("a", first_s, generator)
+    assert second_s is not None
+    assert second_s > 1.5 * first_s
+    ejection.succeeded("a")
+    assert ejection.blocked(ids, first_s) == set()
+    for _ in range(40):
+        last_s = ejection.failed("a", 0.0, generator)
+    assert last_s is not None
+    assert last_s <= MAX_EJECTION_S * 1.2
+
+
+def test_a_fault_common_to_most_runners_ejects_none() -> None:
+    ejection, generator = Ejection(), random.Random(1)
+    for runner_id in ("a", "b"):
+        for _ in range(FAILURES_TO_EJECT):
+            ejection.failed(runner_id, 0.0, generator)
+    assert ejection.blocked(["a", "b", "c"], 0.0) == set()
+    assert ejection.blocked(["a", "b", "c", "d"], 0.0) == {"a", "b"}
+
+
+def test_retries_are_a_share_of_the_traffic() -> None:
+    budget = RetryBudget()
+    while budget.take("llm", 0.0):
+        pass
+    for _ in range(100):
+        budget.request("llm", 0.1, 0.0)
+    taken = 0
+    while budget.take("llm", 0.0):
+        taken += 1
+    assert taken in (9, 10)
+    assert budget.take("llm", 2.0), "a quiet service earns a retry with time"
+    assert budget.take("other", 0.0)
+    assert taken <= MAX_SAVED_RETRIES
+
+
+@pytest.mark.parametrize(
+    ("kind", "execution", "repeatable", "expected"),
+    [
+        (FailureKind.UNREACHABLE, Execution.NOT_RUN, False, True),
+        (FailureKind.OVERLOADED, Execution.NOT_RUN, False, True),
+        (FailureKind.BACKEND_FAILED, Execution.UNKNOWN, False, False),
+        (FailureKind.BACKEND_MISMATCH, Execution.UNKNOWN, False, False),
+        (FailureKind.BACKEND_FAILED, Execution.UNKNOWN, True, True),
+        (FailureKind.DEADLINE_EXCEEDED, Execution.NOT_RUN, True, False),
+    ],
+)
+def test_what_may_be_repeated(
+    kind: FailureKind, execution: Execution, repeatable: bool, expected: bool
+) -> None:
+    failure = Failure(kind=kind, reason="", step=Step.SENDING, execution=execution)
+    assert may_repeat(failure, repeatable) is expected
+
+
+def event(sequence: int, kind: CacheEventKind, *blocks: str) -> CacheEvent:
+    return CacheEvent(sequence=sequence, as_of_ms=0, kind=kind, blocks=list(blocks))
+
+
+def test_prefix_index_follows_events_and_tells_of_gaps() -> None:
+    index = PrefixIndex(max_blocks_per_runner=3)
+    assert index.apply("e1", event(4, CacheEventKind.SNAPSHOT, "a", "b"))
+    assert index.overlap("e1", ["a", "b", "c"]) == 2
+    assert index.apply("e1", event(5, CacheEventKind.STORED, "c"))
+    assert index.apply("e1", event(5, CacheEventKind.REMOVED, "c")), "a repeated event"
+    assert index.overlap("e1", ["a", "b", "c"]) == 3
+    assert not index.apply("e1", event(7, CacheEventKind.REMOVED, "a")), "a gap"
+    assert index.overlap("e1", ["a", "b", "c"]) == 0
+    index.sent("e1", ["x", "y"])
+    assert index.overlap("e1", ["x", "y"]) == 2
+    index.forget("e1")
+    assert index.overlap("e1", ["x", "y"]) == 0
