Exchange: come back soon after a lost one

Change: the first retry comes after 0.1 to 0.3 s, at the hub that the client has moved to; the wait doubles up to the interval while none answers. Excluded: a retry without a pause, which would let all gateways of a dead hub strike the next one at once. New unit tests of the wait and of digests that are sent again; the former code has no such wait to test.

--- a/src/leverjunction/gateway/exchange.py
+++ b/src/leverjunction/gateway/exchange.py
@@ -23,6 +23,10 @@
 )
 
 BUSY_REFRESH_MS = 2000
+FIRST_RETRY_S = 0.2
+"""Wait after the first failed exchange, for the next hub; doubles up to the interval."""
+
+MAX_DOUBLINGS = 8
 
 
 class LeaseHolder(Protocol):
@@ -116,6 +120,7 @@
         self._counters = counters
         self._interval_s = interval_s
         self._wait_s = interval_s
+        self._failures = 0
         self._random = random.Random()
         self._on_view = on_view
         self._wake = threading.Event()
@@ -143,6 +148,11 @@
                 logger.exception("exchange failed")
             self._wake.wait(self._wait_s)
 
+    @property
+    def wait_s(self) -> float:
+        """Time until the next exchange."""
+        return self._wait_s
+
     def exchange_once(self) -> Failure | None:
         """Do one exchange; also called directly to tell the hub of a stop at once."""
         with self._lock:
@@ -155,7 +165,10 @@
         if isinstance(reply, Failure):
             self._outbox.restore(digests)
             self._note_lost(reply)
+            self._wait_s = self._spread(FIRST_RETRY_S * 2.0**self._failures)
+            self._failures = min(self._failures + 1, MAX_DOUBLINGS)
             return reply
+        self._failures = 0
         self._counters.exchanges.labels("ok").inc()
         self._apply(reply)
         return None
@@ -180,8 +193,7 @@
             logger.info("settings version {} in force", version)
         if reply.settings_retry_after_s > 0:
             # The hub serves only so many whole sets of settings at once: ask again, but spread.
-            spread_s = reply.settings_retry_after_s * (0.5 + self._random.random())
-            self._wait_s = min(self._interval_s, spread_s)
+            self._wait_s = self._spread(reply.settings_retry_after_s)
         after = self._view.apply(reply)
         self._counters.hub_quorum_age_s.set(reply.quorum_age_s)
         if not self._connected or before.hub_incarnation != after.hub_incarnation:
@@ -192,6 +204,10 @@
             self._leases.revoke(reply.lost_lease_ids, reply.cancelled_jobs)
         self._on_view(after)
 
+    def _spread(self, wait_s: float) -> float:
+        """Return a random wait of about ``wait_s``, never above the interval."""
+        return min(self._interval_s, wait_s * (0.5 + self._random.random()))
+
     def _note_lost(self, failure: Failure) -> None:
         self._counters.exchanges.labels("failed").inc()
         if self._connected:
--- /dev/null
+++ b/tests/unit/test_gateway_exchange.py
@@ -0,0 +1,119 @@
+"""When the next exchange comes: sooner after a failure or when settings were held back."""
+
+from __future__ import annotations
+
+import msgspec
+
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.gateway.exchange import DigestOutbox, ExchangeLoop
+from leverjunction.gateway.settings_store import SettingsStore
+from leverjunction.gateway.view import ClusterView
+from leverjunction.observability.counters import GatewayCounters
+from leverjunction.settings.resolved import ResolvedSettings
+from leverjunction.wire.messages import (
+    ExchangeReply,
+    ExchangeRequest,
+    GatewayState,
+    RunnerDigest,
+)
+
+INTERVAL_S = 1.0
+GATEWAY = GatewayState(
+    gateway_id="g1", address="a", rpc_address="r", zone="z1", incarnation=1, settings_version=0
+)
+REPLY = ExchangeReply(
+    settings_version=0,
+    settings=[],
+    view_version=1,
+    hub_incarnation=1,
+    full_view=True,
+    gateways=[],
+    gone_gateways=[],
+    runners=[],
+    gone_runners=[],
+    digests=[],
+    lost_lease_ids=[],
+    cancelled_jobs=[],
+    hubs=[],
+    quorum_age_s=0.0,
+)
+LOST = Failure(kind=FailureKind.TIMEOUT, reason="no answer", step=Step.EXCHANGING)
+
+
+class StubControl:
+    hub = "h1"
+
+    def __init__(self) -> None:
+        self.reply: ExchangeReply | Failure = REPLY
+        self.requests: list[ExchangeRequest] = []
+
+    def exchange(self, request: ExchangeRequest) -> ExchangeReply | Failure:
+        self.requests.append(request)
+        return self.reply
+
+
+class NoCache:
+    def save(self, _settings: ResolvedSettings) -> None:
+        return None
+
+
+class NoLeases:
+    def lease_ids(self) -> dict[str, list[str]]:
+        return {}
+
+    def revoke(self, _lost_lease_ids: list[str], _cancelled_jobs: list[str]) -> None:
+        return None
+
+
+def make_loop(outbox: DigestOutbox | None = None) -> tuple[ExchangeLoop, StubControl]:
+    control = StubControl()
+    loop = ExchangeLoop(
+        control,  # type: ignore[arg-type]
+        lambda: GATEWAY,
+        ClusterView(),
+        SettingsStore(NoCache()),  # type: ignore[arg-type]
+        outbox or DigestOutbox(),
+        NoLeases(),
+        GatewayCounters(),
+        INTERVAL_S,
+        lambda _snapshot: None,
+    )
+    return loop, control
+
+
+def test_a_lost_exchange_is_repeated_soon_and_then_less_often() -> None:
+    loop, control = make_loop()
+    control.reply = LOST
+    assert loop.exchange_once() is LOST
+    assert loop.wait_s <= 0.3
+    for _ in range(8):
+        loop.exchange_once()
+    assert loop.wait_s == INTERVAL_S
+    control.reply = REPLY
+    assert loop.exchange_once() is None
+    assert loop.wait_s == INTERVAL_S
+    control.reply = LOST
+    loop.exchange_once()
+    assert loop.wait_s <= 0.3
+
+
+def test_settings_that_were_held_back_are_asked_for_again_soon() -> None:
+    loop, control = make_loop()
+    control.reply = msgspec.structs.replace(REPLY, settings_retry_after_s=0.2)
+    loop.exchange_once()
+    assert 0.1 <= loop.wait_s <= 0.3
+
+
+def test_digests_of_a_lost_exchange_are_sent_again() -> None:
+    outbox = DigestOutbox()
+    loop, control = make_loop(outbox)
+    loop.exchange_once()
+    digest = RunnerDigest(
+        runner_id="e1", running=1, waiting=0, batch_running=0, kv_used_ratio=0.0, as_of_ms=1
+    )
+    outbox.put(digest)
+    control.reply = LOST
+    loop.exchange_once()
+    control.reply = REPLY
+    loop.exchange_once()
+    assert [request.digests for request in control.requests] == [[], [digest], [digest]]
