Hubs tell each other news at once; operators' API refuses a change that breaks the settings

Change: the loops towards other hubs are woken by a change at first hand and gather for 0.2 s; apply checks the proposal against what is in force, read through the quorum; both CherryPy tools are off.

--- a/src/leverjunction/api/operators.py
+++ b/src/leverjunction/api/operators.py
@@ -27,6 +27,7 @@
     GetSettings,
     SettingsDelta,
 )
+from leverjunction.settings.proposal import check_proposal
 from leverjunction.wire.codec import decode, encode
 
 T = TypeVar("T")
@@ -124,9 +125,18 @@
         change = body if isinstance(body, Failure) else _decode_change(body)
         if isinstance(change, Failure):
             return _answer(change)
+        invalid = self._check(change)
+        if invalid is not None:
+            return _answer(invalid)
         outcome = self._groups.propose(ROOT_GROUP, change, ChangeOutcome, CALL_TIMEOUT_S)
         return _answer(outcome)
 
+    def _check(self, change: ApplyChange) -> Failure | None:
+        """Return why a change must not be proposed: it would make the settings invalid."""
+        query = GetSettings(after_version=0)
+        in_force = self._groups.query(ROOT_GROUP, query, SettingsDelta, CALL_TIMEOUT_S)
+        return in_force if isinstance(in_force, Failure) else check_proposal(change, in_force)
+
 
 @cherrypy.popargs("job_id")
 class JobsApi:
--- a/src/leverjunction/api/operators_app.py
+++ b/src/leverjunction/api/operators_app.py
@@ -54,6 +54,9 @@
         "request.error_response": _unexpected,
         "error_page.default": _error_page,
         "tools.trailing_slash.on": False,
+        # Both write to stderr; the headers hold the operators' token.
+        "tools.log_headers.on": False,
+        "tools.log_tracebacks.on": False,
         "tools.encode.on": False,
         "checker.on": False,
     }
--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from leverjunction.clock import Clock
-from leverjunction.control.fanout import GatewaySession
+from leverjunction.control.gateway_desk import GatewayDesk
 from leverjunction.control.hub_peers import PeerBook
 from leverjunction.control.hub_types import (
     ClusterPicture,
@@ -18,7 +18,6 @@
     settings_held_back,
     warming_up,
 )
-from leverjunction.control.layout import hubs_for_gateway
 from leverjunction.control.membership import Membership
 from leverjunction.control.messages import (
     HeldLeases,
@@ -40,7 +39,6 @@
 from leverjunction.wire.messages import (
     ExchangeReply,
     ExchangeRequest,
-    GatewayState,
     RunnerState,
 )
 
@@ -50,6 +48,9 @@
 class Hub:
     """Thread-safe shell around the membership, the gateways' sessions and the renewals.
 
+    Attributes:
+        on_news: Called when a gateway or a watched runner changed; must not block or call back.
+
     Args:
         identity: This process.
         mirror: Settings in force here.
@@ -70,8 +71,9 @@
         self._quorum_age_s = quorum_age_s
         self._lock = threading.Lock()
         self._membership = Membership()
-        self._sessions: dict[str, GatewaySession] = {}
         self._renewals = RenewalBook()
+        self._desk = GatewayDesk(identity, mirror, self._membership, self._renewals)
+        self.on_news: Callable[[], None] = _nobody_to_tell
         self._peers = PeerBook()
         self._warm_up = WarmUp(clock.monotonic_s())
 
@@ -108,34 +110,11 @@
             now_s = self._note_alive()
             if not self._is_warm(now_s):
                 return warming_up()
+            known = self._membership.own_counter.value
             if not self._membership.gateway_heard(request.gateway, now_s):
                 return old_incarnation(request.gateway)
-            session, since = self._session(request)
-            session.report(request.digests)
-            self._membership.digests_heard(request.digests)
-            self._renewals.held(request.gateway.gateway_id, request.lease_ids)
-            gateways = self._membership.gateways.since(since)
-            runners = self._membership.runners.since(since)
-            # A stamp of its own for each reply: the next request tells whether this one arrived.
-            session.stamp = self._membership.view_counter.next()
-            return ExchangeReply(
-                settings_version=step.version,
-                settings=[],
-                settings_retry_after_s=step.retry_after_s,
-                view_version=session.stamp,
-                hub_incarnation=self._identity.incarnation,
-                full_view=since == 0,
-                gateways=gateways.changed,
-                gone_gateways=gateways.removed if since else [],
-                runners=runners.changed,
-                gone_runners=runners.removed if since else [],
-                digests=session.digests(self._membership, request.gateway.zone),
-                lost_lease_ids=session.take_lost(),
-                cancelled_jobs=session.untold_jobs(self._renewals.cancelled_jobs()),
-                hubs=self._hubs_news(request.gateway, session),
-                quorum_age_s=round(quorum_age_s, 2),
-                job_groups=self._identity.job_groups,
-            )
+            self._tell_news(known)
+            return self._desk.answer(request, step, quorum_age_s)
 
     def sync_received(self, sync: HubSync) -> HubSyncReply:
         """Take another hub's message."""
@@ -181,8 +160,10 @@
             self._note_alive()
             if standstills != self._warm_up.standstills:
                 return
+            known = self._membership.own_counter.value
             for reading in readings:
                 self._membership.runner_read(reading)
+            self._tell_news(known)
             for runner_id in unwatched:
                 self._membership.runner_dropped(runner_id)
             self._warm_up.runners_read = self._membership.machine_list_as_of_ms > 0
@@ -236,17 +217,13 @@
                 return
             self._renewals.answered(group, answer)
             for lost in answer.lost:
-                session = self._sessions.get(lost.owner)
-                if session is not None:
-                    session.lose(lost.lease_ids)
+                self._desk.lose(lost.owner, lost.lease_ids)
 
     def expire(self) -> None:
         """Drop gateways and hubs that have gone silent."""
         with self._lock:
             self._membership.expire(self._note_alive())
-            for gateway_id in list(self._sessions):
-                if gateway_id not in self._membership.own_gateways:
-                    del self._sessions[gateway_id]
+            self._desk.forget_gone()
 
     def machine_list(self) -> MachineList:
         """Return the last reading of the platform's machine list."""
@@ -307,6 +284,11 @@
     def _is_majority(self, hubs: int) -> bool:
         return hubs * 2 > len(self._identity.peers)
 
+    def _tell_news(self, known_version: int) -> None:
+        """Have the other hubs told at once of gateways and runners that changed here."""
+        if self._membership.own_counter.value != known_version:
+            self.on_news()
+
     def _note_alive(self) -> float:
         """Return the time; after a standstill forget what this hub knew at first hand."""
         now_s = self._clock.monotonic_s()
@@ -321,33 +303,6 @@
         heard = len(self._membership.live_hubs()) + 1
         return self._warm_up.is_warm(now_s, heard == len(self._identity.peers))
 
-    def _session(self, request: ExchangeRequest) -> tuple[GatewaySession, int]:
-        """Return the gateway's session, and the view version since which to send changes."""
-        gateway = request.gateway
-        session = self._sessions.get(gateway.gateway_id)
-        if session is None or session.incarnation != gateway.incarnation:
-            session = self._sessions[gateway.gateway_id] = GatewaySession(gateway.incarnation)
-        if request.hub_incarnation != self._identity.incarnation:
-            session.reset()
-            return session, 0
-        if request.view_version != session.stamp:
-            session.reset()
-        known = self._membership
-        covered = known.gateways.covers(request.view_version)
-        covered = covered and known.runners.covers(request.view_version)
-        return session, request.view_version if covered else 0
-
-    def _hubs_news(self, gateway: GatewayState, session: GatewaySession) -> list[str]:
-        """Return the hubs for a gateway if it does not know them in this order yet."""
-
-        def order() -> list[str]:
-            identity, settings = self._identity, self._mirror.settings
-            return hubs_for_gateway(
-                gateway.gateway_id,
-                gateway.zone,
-                identity.peers,
-                identity.zones,
-                settings.region_of_zone,
-            )
 
-        return session.untold_hubs(self._mirror.version, order)
+def _nobody_to_tell() -> None:
+    """Stand in for the task that tells the other hubs."""
--- a/src/leverjunction/control/hub_sync.py
+++ b/src/leverjunction/control/hub_sync.py
@@ -53,6 +53,11 @@
         for task in self._tasks:
             task.start()
 
+    def wake(self) -> None:
+        """Tell the other hubs soon: something changed that they should not hear a second late."""
+        for task in self._tasks:
+            task.wake()
+
     def stop(self) -> None:
         """Stop all loops."""
         stop_all(self._tasks)
--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -100,6 +100,7 @@
         peers = {peer.name: peer.rpc_address for peer in config.peers if peer.name != config.name}
         zones = {peer.name: peer.zone for peer in config.peers}
         self._sync = HubSyncTasks(self.hub, self._rpc, peers, self.state)
+        self.hub.on_news = self._sync.wake
         self._watch = RunnerWatch(self.hub, self._engines, config.name, zones)
         job_names = job_group_names(config.job_groups)
         self._renewals = RenewalTask(self.hub, self.host, self._expiry, job_names)
--- a/src/leverjunction/control/periodic.py
+++ b/src/leverjunction/control/periodic.py
@@ -8,6 +8,8 @@
 from loguru import logger
 
 JOIN_TIMEOUT_S = 5.0
+WOKEN_PAUSE_S = 0.2
+"""Between being woken and the run: gathers what happens at the same time."""
 
 
 class PeriodicTask:
@@ -22,6 +24,7 @@
         self._interval_s = interval_s
         self._run = run
         self._stopped = threading.Event()
+        self._woken = threading.Event()
         self._failing = False
         self._thread = threading.Thread(target=self._loop, name=name, daemon=True)
 
@@ -32,6 +35,11 @@
     def ask_stop(self) -> None:
         """Begin no further run."""
         self._stopped.set()
+        self._woken.set()
+
+    def wake(self) -> None:
+        """Run soon instead of after the interval; what is woken for meanwhile is one run."""
+        self._woken.set()
 
     def stop(self) -> None:
         """Stop after the run in progress and wait for it."""
@@ -42,7 +50,9 @@
     def _loop(self) -> None:
         while not self._stopped.is_set():
             self._run_once()
-            self._stopped.wait(self._interval_s)
+            if self._woken.wait(self._interval_s):
+                self._stopped.wait(WOKEN_PAUSE_S)
+                self._woken.clear()
 
     def _run_once(self) -> None:
         try:
--- a/tests/unit/test_control_standstill.py
+++ b/tests/unit/test_control_standstill.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import queue
+
 import pytest
 
 from leverjunction.control.hub import Hub, HubIdentity
@@ -13,6 +15,7 @@
     RunnerReading,
     Withdrawal,
 )
+from leverjunction.control.periodic import PeriodicTask
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.control.warm_up import STANDSTILL_S, WARM_UP_S
 from leverjunction.errors import Failure, FailureKind
@@ -93,9 +96,14 @@
         return self.hubs[hub].runners()[0]
 
 
-def exchange(hub: Hub) -> ExchangeReply | Failure:
+def exchange(hub: Hub, stopping: bool = False) -> ExchangeReply | Failure:
     gateway = GatewayState(
-        gateway_id="g1", address="a:8", rpc_address="a:9", zone="z", incarnation=1
+        gateway_id="g1",
+        address="a:8",
+        rpc_address="a:9",
+        zone="z",
+        incarnation=1,
+        stopping=stopping,
     )
     return hub.exchange(
         ExchangeRequest(gateway=gateway, settings_version=0, view_version=0, hub_incarnation=0)
@@ -198,3 +206,28 @@
     cluster.sync("c2", "c3")
     assert cluster.hubs["c3"].placement_record() == newest
     assert cluster.message("c2", "c3").hub.placement is None
+
+
+def test_what_changed_at_first_hand_is_told_at_once(cluster: Cluster) -> None:
+    hub = cluster.hubs["c1"]
+    told: list[str] = []
+    hub.on_news = lambda: told.append("woken")
+    exchange(hub)
+    hub.runners_read([reading("old")], [])
+    assert told == []
+    hub.runners_read([reading("new")], [])
+    assert len(told) == 1
+    exchange(hub, stopping=True)
+    assert len(told) == 2
+
+
+def test_a_woken_task_runs_before_its_interval() -> None:
+    runs: queue.Queue[int] = queue.Queue()
+    task = PeriodicTask("test", FROZEN_S, lambda: runs.put(1))
+    task.start()
+    runs.get(timeout=10)
+    task.wake()
+    task.wake()
+    runs.get(timeout=10)
+    task.stop()
+    assert runs.empty()
