Harvest: shorter idle steps, and the ration counts an item's own prompt

Change: an idle step may grow by 0.5 + 5 x interference instead of 0.5 + 12 x interference; a start is paid by the length of the item's body and of the text that it goes on from. Tests: 32 passed in tests/unit/test_batch_harvest.py and test_batch_harvester.py.

--- a/src/leverjunction/batch/harvest.py
+++ b/src/leverjunction/batch/harvest.py
@@ -51,7 +51,7 @@
 """Without a report for this long the runner's state is unknown and nothing new starts."""
 
 IDLE_GROWTH_BASE = 0.5
-IDLE_GROWTH_PER_INTERFERENCE = 12.0
+IDLE_GROWTH_PER_INTERFERENCE = 5.0
 """Idle steps may grow by base + factor * interference: what an arriving request may find."""
 
 PREFILL_CHUNK_TOKENS = 128
--- a/src/leverjunction/batch/harvest_state.py
+++ b/src/leverjunction/batch/harvest_state.py
@@ -36,6 +36,9 @@
 """An item that several engines answered with an error of their own fails with that error."""
 
 MAX_TRIES = 20
+BYTES_PER_TOKEN = 4
+"""Usual length of a token of text; only the ration of prompt steps depends on it."""
+
 STOCK_RATIO = 1.0
 MIN_STOCK = 4
 """Items held ahead, against what the owned runners hold when they are full."""
@@ -250,7 +253,12 @@
             started_s=now_s,
         )
         self.runs[id(run)] = run
-        runner.controller.started(id(run), now_s, may_park=work.leased.may_repeat)
+        runner.controller.started(
+            id(run),
+            now_s,
+            may_park=work.leased.may_repeat,
+            prompt_tokens=_prompt_tokens(work),
+        )
         return run
 
     def _park(self, run: Run, plan: Plan, now_s: float) -> None:
@@ -341,5 +349,10 @@
         return max(0, stock - self.work.waiting(service))
 
 
+def _prompt_tokens(work: WorkItem) -> int:
+    """Estimate what a runner has to read before it goes on with an item."""
+    return max(1, (len(work.leased.item.body) + len(work.continue_text)) // BYTES_PER_TOKEN)
+
+
 def _unknown_body(reason: str) -> str:
     return _MAY_HAVE_RUN % reason.replace('"', "'").replace("\\", "/")
