--- a/src/testbed/fleet/commands.py
+++ b/src/testbed/fleet/commands.py
@@ -91,6 +91,21 @@
         """Cut the traffic between two zones or processes in silence; "*" is any."""
         return _send(json, FaultAction.CUT, first, second)
 
+    def soak(
+        self, scenario: str = "kilimo", minutes: float = 5.0, seed: int = 1, json: str = ""
+    ) -> int:
+        """Start a fleet, load it, and bring random faults about; every answer is checked.
+
+        Args:
+            scenario: kilimo or hanbit.
+            minutes: How long faults strike.
+            seed: Seed of the faults' order, targets and times.
+            json: File for the report as one JSON object.
+        """
+        from testbed.faults.soak import soak
+
+        return soak(scenario, minutes, seed, json)
+
     def heal(self, json: str, first: str, second: str = "*") -> int:
         """Undo a cut."""
         return _send(json, FaultAction.HEAL, first, second)
@@ -105,7 +120,13 @@
         temporary = Path(json_file + ".partial")
         temporary.write_bytes(encoded)
         temporary.rename(json_file)
-    print(encoded.decode(), flush=True)
+    print(f"# {len(description.processes)} processes; files and logs are in {description.folder}")
+    print(f"export LEVERJUNCTION_CONTROL={','.join(description.control)}")
+    print(f"export LEVERJUNCTION_TOKEN_FILE={description.operator_token_file}")
+    print(f"export GATEWAY={description.gateways[0].removeprefix('http://')}")
+    for url in description.gateways:
+        print(f"# gateway {url}")
+    print("# ready; Ctrl-C stops the fleet", flush=True)
 
 
 def _send(json_file: str, action: FaultAction, target: str, other: str = "*") -> int:
--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shutil
 import signal
 import subprocess
 import sys
@@ -24,6 +25,7 @@
 
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 20.0
+DRAIN_TIMEOUT_S = 60.0
 POLL_S = 0.05
 CALL_TIMEOUT_S = 5.0
 APPLY_TIMEOUT_S = 30.0
@@ -47,7 +49,7 @@
     Args:
         scenario: Deployment to run.
         options: Differences from the scenario.
-        folder: Run folder; a temporary one when None.
+        folder: Run folder; None makes a temporary one, which is removed when all went well.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         folder: Path | None = None,
     ) -> None:
         self.scenario = scenario
+        self._is_folder_temporary = folder is None
         self.folder = folder or Path(tempfile.mkdtemp(prefix="leverjunction-fleet-"))
         self.plan: FleetPlan = FleetPlanner(
             scenario, options or FleetOptions(), self.folder
@@ -64,6 +67,8 @@
         self.http = urllib3.PoolManager(num_pools=64, maxsize=128, retries=False)
         self._processes = {p.name: FleetProcess(p) for p in self.plan.processes}
         self._cuts: set[tuple[str, str]] = set()
+        self._frozen: set[str] = set()
+        self._stopping: set[str] = set()
         self._leaving: set[str] = set()
         self._answer_faults: set[str] = set()
 
@@ -76,9 +81,11 @@
             raise
         return self
 
-    def __exit__(self, *_exc: object) -> None:
-        """Stop the fleet."""
+    def __exit__(self, kind: type[BaseException] | None, *_exc: object) -> None:
+        """Stop the fleet; its files stay when something went wrong."""
         self.stop()
+        if kind is None and self._is_folder_temporary:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def start(self) -> None:
         """Start all processes, apply the settings and wait until gateways are ready."""
@@ -132,14 +139,17 @@
 
     def freeze(self, name: str) -> None:
         """SIGSTOP a process: it lives, but does nothing and says nothing."""
+        self._frozen.add(name)
         self._processes[name].signal(signal.SIGSTOP)
 
     def thaw(self, name: str) -> None:
         """SIGCONT a frozen process."""
+        self._frozen.discard(name)
         self._processes[name].signal(signal.SIGCONT)
 
     def terminate(self, name: str) -> None:
         """SIGTERM a process: a planned stop."""
+        self._stopping.add(name)
         self._processes[name].signal(signal.SIGTERM)
 
     def restart(self, name: str) -> None:
@@ -165,6 +175,16 @@
         self._cuts.discard((first, second))
         self._set_cut(CutRequest(first=first, second=second, cut=False))
 
+    def is_struck(self, name: str) -> bool:
+        """Return whether a process is down, frozen, or cut off from all others."""
+        is_frozen = name in self._frozen
+        return is_frozen or not self._processes[name].is_running() or self.is_cut_off(name)
+
+    def is_cut_off(self, name: str) -> bool:
+        """Return whether a process, or its zone, is cut off from all others."""
+        places = {name, self.planned(name).zone}
+        return any(first in places and second == "*" for first, second in self._cuts)
+
     def leave(self, runner: str) -> None:
         """Mark a runner as leaving in the machine list."""
         self._leaving.add(runner)
@@ -183,7 +203,10 @@
         for first, second in list(self._cuts):
             self.heal(first, second)
         for name, process in self._processes.items():
-            process.signal(signal.SIGCONT)
+            self.thaw(name)
+            if name in self._stopping:
+                self._stopping.discard(name)
+                process.wait(DRAIN_TIMEOUT_S)
             if not process.is_running():
                 self.restart(name)
         for runner in list(self._leaving):
--- a/src/testbed/fleet/operator.py
+++ b/src/testbed/fleet/operator.py
@@ -8,7 +8,7 @@
 from leverjunction.cli_client import OperatorClient
 from leverjunction.errors import Failure
 from leverjunction.settings.change import plan_change, to_command
-from leverjunction.settings.commands import ApplyChange, ChangeOutcome, SettingsDelta
+from leverjunction.settings.commands import ApplyChange, ChangeOutcome, ChangeRecord, SettingsDelta
 from leverjunction.settings.flatten import leaves_of
 from leverjunction.wire.messages import GatewayState
 from testbed.fleet.fleet import Fleet, FleetError
@@ -46,6 +46,11 @@
         """Return all settings in force."""
         return _checked(self._client.get("/operator/settings", SettingsDelta, {"after": "0"}))
 
+    def history(self, limit: int) -> list[ChangeRecord]:
+        """Return the accepted changes, newest first."""
+        query = {"limit": str(limit)}
+        return _checked(self._client.get("/operator/settings/history", list[ChangeRecord], query))
+
     def value(self, path: str) -> object:
         """Return the value of one leaf in force; None when it is not set."""
         return leaves_of(self.settings().rows).get(path)
--- a/tests/features/conftest.py
+++ b/tests/features/conftest.py
@@ -2,82 +2,81 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 
 import pytest
 from pytest_bdd import given, parsers, then, when
 from tests.features.steps_online import faults_struck
-from tests.features.strikes import lose_disk, online_runners, serves, set_answer_faults, strike
-from tests.features.world import FINAL_STATES, World, is_repaired
+from tests.features.strikes import STRIKES, lose_disk, online_runners, set_answer_faults, strike
+from tests.features.world import FINAL_STATES, WAIT_S, World
 
 from testbed.fleet.caller import result_text
 from testbed.fleet.fleet import Fleet, FleetError
+from testbed.fleet.health import is_repaired, is_whole
 from testbed.fleet.plan import FleetOptions
 from testbed.scenarios import load_scenario
 
+DEFAULT_SCENARIO = "kilimo"
 ENGINE_SPEED = 2.0
 TRAFFIC_ANSWERS = 12
 
 
-class FleetPool:
-    """Fleets that run for the whole session, by scenario; a broken one is replaced."""
-
-    def __init__(self) -> None:
-        self._fleets: dict[str, Fleet] = {}
-
-    def healthy(self, scenario: str) -> Fleet:
-        """Return a fleet in which nothing is wrong."""
-        fleet = self._fleets.get(scenario)
-        if fleet is not None:
-            try:
-                _make_whole(fleet)
-                return fleet
-            except FleetError:
-                fleet.stop()
-        self.stop()
-        fleet = Fleet(load_scenario(scenario), FleetOptions(engine_speed=ENGINE_SPEED))
-        self._fleets[scenario] = fleet
-        fleet.__enter__()
-        return fleet
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Run the scenarios of one deployment after those of the other: each fleet starts once."""
+    items.sort(key=_deployment)
 
-    def stop(self) -> None:
-        """Stop all fleets."""
-        for fleet in self._fleets.values():
-            fleet.stop()
-        self._fleets.clear()
 
+def _deployment(item: pytest.Item) -> str:
+    callspec = getattr(item, "callspec", None)
+    example = callspec.params.get("_pytest_bdd_example", {}) if callspec else {}
+    return str(example.get("scenario", DEFAULT_SCENARIO))
 
-def _make_whole(fleet: Fleet) -> None:
-    fleet.recover()
-    world = World(fleet)
-    world.wait(lambda: _is_whole(world), "the fleet is whole again", lambda: str(fleet.folder))
 
+class FleetPool:
+    """The running fleet, which scenarios share; another deployment replaces it."""
 
-def _is_whole(world: World) -> bool:
-    try:
-        status = world.operator.status()
-    except FleetError:
-        return False
-    if status["silent_hubs"] or len(status["gateways"]) < len(world.fleet.gateway_names()):
-        return False
-    groups = [group for hub in status["hubs"] for group in hub["groups"]]
-    if any(group["role"] not in ("leader", "follower") for group in groups):
-        return False
-    ready = {reading["runner_id"] for reading in status["readings"] if reading["reachable"]}
-    return ready >= set(world.fleet.plan.machines) and _is_served(world)
+    def __init__(self, folders: pytest.TempPathFactory) -> None:
+        self._folders = folders
+        self._fleet: Fleet | None = None
 
+    def healthy(self, scenario: str) -> Fleet:
+        """Return a fleet in which nothing is wrong."""
+        if self._fleet is not None and self._fleet.scenario.name != scenario:
+            self.stop()
+        if self._fleet is None:
+            options = FleetOptions(engine_speed=ENGINE_SPEED)
+            self._fleet = Fleet(load_scenario(scenario), options, self._folders.mktemp(scenario))
+            self._fleet.start()
+        self.make_whole()
+        return self._fleet
+
+    def make_whole(self) -> None:
+        """Undo all faults and wait until the fleet has got over them.
+
+        Raises:
+            FleetError: It has not; the fleet is stopped, so that the next scenario gets a new one.
+        """
+        fleet = self._fleet
+        assert fleet is not None
+        try:
+            fleet.recover()
+            fleet.wait_for(lambda: is_whole(fleet), "the fleet is whole", lambda: "", WAIT_S)
+        except FleetError:
+            self.stop()
+            raise
 
-def _is_served(world: World) -> bool:
-    """Return whether every gateway can use every service: they learn of changes one by one."""
-    models = [service.models[0] for service in world.fleet.scenario.services.values()]
-    gateways = world.fleet.gateway_names()
-    return all(serves(world, gateway, model) for gateway in gateways for model in models)
+    def stop(self) -> None:
+        """Stop the fleet."""
+        if self._fleet is not None:
+            self._fleet.stop()
+        self._fleet = None
 
 
 @pytest.fixture(scope="session")
-def fleet_pool() -> Iterator[FleetPool]:
+def fleet_pool(tmp_path_factory: pytest.TempPathFactory) -> Iterator[FleetPool]:
     """Give the session's fleets, and stop them at its end."""
-    pool = FleetPool()
+    pool = FleetPool(tmp_path_factory)
     yield pool
     pool.stop()
 
@@ -86,14 +85,14 @@
 def healthy_fleet(fleet_pool: FleetPool, scenario: str) -> Iterator[World]:
     world = World(fleet_pool.healthy(scenario))
     yield world
-    _end(world)
-
-
-def _end(world: World) -> None:
-    """Leave nothing behind that would disturb the next scenario."""
     if world.traffic is not None:
         world.traffic.stop()
-    world.fleet.recover()
+    fleet_pool.make_whole()
+    _leave_nothing(world)
+
+
+def _leave_nothing(world: World) -> None:
+    """Leave no mark and no job behind that would disturb the next scenario."""
     drained = world.notes.pop("drained_path", "")
     if drained:
         world.operator.set(drained, [])
@@ -131,8 +130,7 @@
     assert world.traffic.wait_more(TRAFFIC_ANSWERS), "the traffic gets no answers"
 
 
-@given(parsers.re(r"(?P<fault>(a|the|every|an|nothing) .*)"))
-@when(parsers.re(r"(?P<fault>(a|the leader|the machine|every|an|nothing|nobody) .*)"))
+@when(parsers.re(f"(?P<fault>{'|'.join(map(re.escape, STRIKES))})"))
 def fault_strikes(world: World, fault: str) -> None:
     strike(world, fault)
 
@@ -166,7 +164,7 @@
 @when("its repair is reported done")
 def repair_reported(world: World) -> None:
     control, lost_ids = world.notes["wiped"], world.notes["lost_ids"]
-    world.wait(lambda: is_repaired(world, control, lost_ids), f"{control} is repaired")
+    world.wait(lambda: is_repaired(world.fleet, control, lost_ids), f"{control} is repaired")
 
 
 @given("the job completes")
--- a/tests/features/online_first.feature
+++ b/tests/features/online_first.feature
@@ -7,6 +7,7 @@
     When <fault>
     And 30 online requests are sent to the batch job's own runners
     Then every online request is answered whole
+    And every online request had a higher priority at its runner than every item
     And at least half of the job was still unfinished then
     And the fault passes
 
--- a/tests/features/strikes.py
+++ b/tests/features/strikes.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import uuid
 from collections.abc import Callable
 
-from tests.features.world import World, leader_of, replica_ids
+from tests.features.world import World
 
 from testbed.engine.faults import AnswerFault, FaultKind
+from testbed.fleet.health import ROOT_GROUP, leader_of, replica_ids, serves
 from testbed.fleet.plan import ProcessKind
 
 LATE_S = 1.0
 ANSWERS_STRUCK = 2
-PROBE_TOKENS = 1
 
 ANSWER_FAULTS = {
     "late": AnswerFault(kind=FaultKind.LATE, delay_s=LATE_S, count=ANSWERS_STRUCK),
@@ -24,12 +23,18 @@
 def strike(world: World, fault: str) -> None:
     """Bring a fault about."""
     STRIKES[fault](world)
+    world.notes["items_run"] = world.items_run()
 
 
 def job_leader(world: World) -> str:
     """Return the control process that leads the group of the scenario's job."""
     group = str(world.batch["id"]).removeprefix("batch_").rpartition(".")[0]
-    return leader_of(world, group)
+    return leader_of(world.fleet, group)
+
+
+def root_leader(world: World) -> str:
+    """Return the control process that leads the root group."""
+    return leader_of(world.fleet, ROOT_GROUP)
 
 
 def runner_of(world: World) -> str:
@@ -53,7 +58,7 @@
 def lose_disk(world: World, control: str) -> None:
     """Wipe a control process, remembering which replicas are lost."""
     world.notes["wiped"] = control
-    world.notes["lost_ids"] = replica_ids(world, control)
+    world.notes["lost_ids"] = replica_ids(world.fleet, control)
     world.fleet.wipe(control)
 
 
@@ -66,15 +71,11 @@
 def _leave_everywhere(world: World) -> None:
     for runner in online_runners(world):
         world.fleet.leave(runner)
-    for gateway in world.fleet.gateway_names():
-        world.wait(lambda: not serves(world, gateway), f"{gateway} knows that all are leaving")  # noqa: B023
-
-
-def serves(world: World, gateway: str, model: str = "") -> bool:
-    """Return whether a gateway answers a request for a model (by default the online one) now."""
-    content = f"probe {uuid.uuid4().hex}"
-    asked = model or world.fleet.scenario.online_model()
-    return world.caller(gateway).chat(asked, content, PROBE_TOKENS).whole
+    model = world.fleet.scenario.online_model()
+    world.wait(
+        lambda: not any(serves(world.fleet, each, model) for each in world.fleet.gateway_names()),
+        "every gateway knows that all are leaving",
+    )
 
 
 def _drain(world: World) -> None:
@@ -108,13 +109,15 @@
     "a gateway is frozen": lambda world: world.fleet.freeze("gateway-1"),
     "a gateway is cut off": lambda world: world.fleet.cut("gateway-1"),
     "a runner is killed": lambda world: world.fleet.kill(runner_of(world)),
+    "a runner is frozen": lambda world: world.fleet.freeze(runner_of(world)),
     "a zone is cut off": lambda world: world.fleet.cut(world.fleet.scenario.zones[0]),
     "a control process loses its disk": lambda world: lose_disk(world, "control-2"),
+    "a control process is cut off": lambda world: world.fleet.cut("control-1"),
     "every control process is frozen": _freeze_controls,
     "the leader of the job is killed": lambda world: world.fleet.kill(job_leader(world)),
     "the leader of the job is frozen": lambda world: world.fleet.freeze(job_leader(world)),
-    "the leader of the root group is killed": lambda w: w.fleet.kill(leader_of(w, "root")),
-    "the leader of the root group is frozen": lambda w: w.fleet.freeze(leader_of(w, "root")),
+    "the leader of the root group is killed": lambda w: w.fleet.kill(root_leader(w)),
+    "the leader of the root group is frozen": lambda w: w.fleet.freeze(root_leader(w)),
     "every runner refuses": _refuse_everywhere,
     "every runner is leaving": _leave_everywhere,
     "the machine list says that a runner is leaving": _leave,
--- a/tests/features/test_online_first.py
+++ b/tests/features/test_online_first.py
@@ -33,10 +33,17 @@
         list(pool.map(ask, range(count)))
     world.answers = [results[number] for number in range(count)]  # type: ignore[misc]
     world.notes["expected"] = [expected_text(model, text, ONLINE_TOKENS) for text in contents]
-    finished = [e for e in world.fleet.executions(f"{world.label} item") if e.finish == "length"]
-    world.notes["finished_items"] = len({execution.prompt for execution in finished})
+    world.notes["items_run"] = world.items_run()
 
 
 @then("at least half of the job was still unfinished then")
 def job_unfinished(world: World) -> None:
-    assert world.notes["finished_items"] < len(world.contents) / 2
+    assert world.notes["items_run"] < len(world.contents) / 2
+
+
+@then("every online request had a higher priority at its runner than every item")
+def higher_priority(world: World) -> None:
+    online = [e.priority for e in world.fleet.executions(f"{world.label} online")]
+    items = [e.priority for e in world.fleet.executions(f"{world.label} item")]
+    assert len(online) >= len(world.answers)
+    assert min(online) > max(items)
--- a/tests/features/world.py
+++ b/tests/features/world.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from testbed.engine.types import FinishReason
 from testbed.fleet.caller import Caller, CallerAnswer, expected_text, job_line
-from testbed.fleet.fleet import Fleet, FleetError
+from testbed.fleet.fleet import Fleet
 from testbed.fleet.operator import Operator
 from testbed.fleet.traffic import Traffic
 
@@ -59,15 +60,23 @@
         self.contents = {f"item-{i}": f"{self.label} item {i}" for i in range(count)}
         return [job_line(name, model, text, ITEM_TOKENS) for name, text in self.contents.items()]
 
+    def items_run(self) -> int:
+        """Return how many items of the job have been run to their end by an engine."""
+        executions = self.fleet.executions(f"{self.label} item")
+        return len({e.prompt for e in executions if e.finish == FinishReason.LENGTH})
+
     def expected_item(self, custom_id: str) -> str:
         """Return the right text of an item."""
         model = self.fleet.scenario.batch_model()
         return expected_text(model, self.contents[custom_id], ITEM_TOKENS)
 
     def job_now(self) -> dict[str, Any]:
-        """Return the batch object from the first gateway that gives it."""
-        for caller in self.batch_callers():
-            job = caller.job(self.batch["id"])
+        """Return the batch object from the first gateway that gives it; empty if none does."""
+        key = self.fleet.scenario.batch_key
+        for name in self.fleet.gateway_names():
+            if self.fleet.is_struck(name):
+                continue
+            job = self.caller(name, key).job(self.batch["id"])
             if "status" in job:
                 return job
         return {}
@@ -84,46 +93,3 @@
 def now_ms() -> int:
     """Return the wall clock in milliseconds."""
     return int(time.time() * 1000)
-
-
-def leader_of(world: World, group: str) -> str:
-    """Return the name of the control process that leads a group, waiting until there is one."""
-    found: list[str] = []
-
-    def is_led() -> bool:
-        for hub in world.operator.status()["hubs"]:
-            for status in hub["groups"]:
-                if status["group"] == group and status["role"] == "leader":
-                    found.append(hub["name"])
-                    return True
-        return False
-
-    world.wait(is_led, f"group {group} has a leader")
-    return found[0]
-
-
-def replica_ids(world: World, control: str) -> dict[str, str]:
-    """Return the replica id of each group on one control process, by its own word."""
-    own = Operator(world.fleet, control).status()["hubs"][0]
-    assert own["name"] == control
-    return {status["group"]: status["replica_id"] for status in own["groups"]}
-
-
-def is_repaired(world: World, control: str, lost_ids: dict[str, str]) -> bool:
-    """Return whether every group that lost a replica has a full member in its place again."""
-    try:
-        hubs = world.operator.status()["hubs"]
-        own = Operator(world.fleet, control).status()["hubs"][0]
-    except FleetError:
-        return False
-    members = {status["group"]: status for status in own["groups"]}
-    leaders = {s["group"]: s for hub in hubs for s in hub["groups"] if s["role"] == "leader"}
-    for group, lost_id in lost_ids.items():
-        leader, member = leaders.get(group), members.get(group)
-        if leader is None or member is None or member["replica_id"] == lost_id:
-            return False
-        if member["role"] not in ("follower", "leader") or leader["learners"]:
-            return False
-        if len(leader["voters"]) != len(set(leader["voters"])):
-            return False
-    return True
