--- a/src/leverjunction/cli_client.py
+++ b/src/leverjunction/cli_client.py
@@ -173,10 +173,11 @@
     exceptions = urllib3.exceptions
     if isinstance(error, exceptions.NameResolutionError):
         reason = f"cannot connect to {address}: its host name is not known"
-    elif isinstance(error, exceptions.ConnectTimeoutError):
-        reason = f"cannot connect to {address} within {CONNECT_TIMEOUT_S:.0f} s"
     elif isinstance(error, exceptions.NewConnectionError):
+        # Before its base class, the timeout.
         reason = f"cannot connect to {address}: nothing listens there"
+    elif isinstance(error, exceptions.ConnectTimeoutError):
+        reason = f"cannot connect to {address} within {CONNECT_TIMEOUT_S:.0f} s"
     elif isinstance(error, exceptions.ReadTimeoutError):
         reason = f"no answer from {address} in time"
     else:
--- a/tests/unit/test_cli_operators.py
+++ b/tests/unit/test_cli_operators.py
@@ -172,7 +172,7 @@
     shared = ["--control", "127.0.0.1:9", "--token-file", str(operator.token_file)]
     assert run_command("status", *shared) == ExitCode.UNREACHABLE
     told = capsys.readouterr().err
-    assert "cannot connect to 127.0.0.1:9" in told
+    assert "cannot connect to 127.0.0.1:9: nothing listens there" in told
     assert "trying again for" in told
 
 
