Harm experiment: prompts are estimated as the product estimates them

Cause: the controller's ration counts an item's own prompt since, and the experiment passed the default length. Excluded: the exact token count, which the product does not know (it has no tokenizer). Change: started() gets bytes over BYTES_PER_TOKEN of prompt and continued text. Conclusion: experiment and product feed the controller the same estimate.

--- a/src/testbed/load/harm/batch_feed.py
+++ b/src/testbed/load/harm/batch_feed.py
@@ -8,6 +8,7 @@
 
 from leverjunction.backends.types import LoadReport
 from leverjunction.batch.harvest import HarvestController, HarvestTargets
+from leverjunction.batch.harvest_state import BYTES_PER_TOKEN
 from testbed.engine.types import Emission, EngineRequest, FinishReason, LoadReading
 from testbed.load.harm.batch_supply import BatchItem, Supply
 from testbed.load.harm.virtual_runner import VirtualRunner
@@ -27,8 +28,8 @@
 class FeedPolicy(Protocol):
     """Decides how much batch work one runner holds."""
 
-    def started(self, request: int, now_s: float) -> None:
-        """Take note that an item was sent."""
+    def started(self, request: int, now_s: float, prompt_tokens: int) -> None:
+        """Take note that an item was sent, with the product's estimate of its prompt."""
         ...
 
     def ended(self, request: int) -> None:
@@ -47,7 +48,7 @@
     slots: int
     _held: int = 0
 
-    def started(self, request: int, now_s: float) -> None:
+    def started(self, request: int, now_s: float, prompt_tokens: int) -> None:
         """Take note that an item was sent."""
         self._held += 1
 
@@ -66,9 +67,9 @@
     def __init__(self, targets: HarvestTargets) -> None:
         self.controller = HarvestController(targets)
 
-    def started(self, request: int, now_s: float) -> None:
+    def started(self, request: int, now_s: float, prompt_tokens: int) -> None:
         """Take note that an item was sent."""
-        self.controller.started(request, now_s)
+        self.controller.started(request, now_s, prompt_tokens=prompt_tokens)
 
     def ended(self, request: int) -> None:
         """Take note that an item has left the runner."""
@@ -139,7 +140,7 @@
         self._sequence += 1
         run = _Run(item, self._sequence, f"{item.arrival.request_id}/{item.run}")
         self._running[run.key] = run
-        self.policy.started(run.key, self.scheduler.now_s)
+        self.policy.started(run.key, self.scheduler.now_s, _estimated_tokens(item))
         request = EngineRequest(
             request_id=run.request_id,
             model=self.model,
@@ -184,6 +185,11 @@
         self.scheduler.after(self.delay_s, callback)
 
 
+def _estimated_tokens(item: BatchItem) -> int:
+    """Estimate a prompt as the product does, which does not know the engine's tokenizer."""
+    return max(1, (len(item.arrival.prompt) + len(item.continue_text)) // BYTES_PER_TOKEN)
+
+
 def report_of(reading: LoadReading) -> LoadReport:
     """Return a reading of the engine model as the product's client gives it."""
     return LoadReport(
