Pending items: order of turns by index, sums of a service kept in a row

Cause: each turn of a grant sorted all tenants of the service (0.91 us x tenants an item), and a grant and each poll summed over them. Change: sm_turns holds (service, model, served, tenant) with an index, so the next tenant is the least of one index head a model; sm_waiting keeps tenants and pending items of a service; a dropped job deletes its runnable rows by key. The choice itself is the same. A test compares turns and sums with those counted from the items after each of 40 random changes. The jobs bench takes the number of tenants and the items of the further jobs.

--- a/src/leverjunction/batch/tables.py
+++ b/src/leverjunction/batch/tables.py
@@ -106,6 +106,28 @@
         PRIMARY KEY (service, tenant)
     ) WITHOUT ROWID
     """,
+    "CREATE INDEX IF NOT EXISTS sm_shares_served ON sm_shares (service, served)",
+    # Whose turn it is: tenants with pending items of a model; ``served`` is their share's.
+    """
+    CREATE TABLE IF NOT EXISTS sm_turns (
+        service TEXT NOT NULL,
+        tenant TEXT NOT NULL,
+        model TEXT NOT NULL,
+        served INTEGER NOT NULL,
+        PRIMARY KEY (service, tenant, model)
+    ) WITHOUT ROWID
+    """,
+    """
+    CREATE INDEX IF NOT EXISTS sm_turns_order ON sm_turns (service, model, served, tenant)
+    """,
+    # Sums over the shares of a service.
+    """
+    CREATE TABLE IF NOT EXISTS sm_waiting (
+        service TEXT PRIMARY KEY,
+        tenants INTEGER NOT NULL,
+        pending INTEGER NOT NULL
+    ) WITHOUT ROWID
+    """,
     # Outcomes, keyed by the cursor in the order in which items became final.
     """
     CREATE TABLE IF NOT EXISTS sm_results (
--- a/src/testbed/load/jobs_bench.py
+++ b/src/testbed/load/jobs_bench.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import random
 import sqlite3
 import statistics
 import tempfile
@@ -60,6 +59,8 @@
     Attributes:
         items: Items of the big job.
         other_jobs: Further jobs that are pending meanwhile, spread over the tenants.
+        other_items: Items of each of them.
+        tenants: Tenants that the further jobs belong to.
         append_items_per_s: Items committed by AppendItems, in chunks of ``CHUNK_ITEMS``.
         run_items_per_s: Items granted and completed, in leases of ``LEASE_ITEMS``.
         grant_ms_p50: Median time of a GrantLease with its commit.
@@ -75,6 +76,8 @@
 
     items: int
     other_jobs: int
+    other_items: int
+    tenants: int
     append_items_per_s: float
     run_items_per_s: float
     grant_ms_p50: float
@@ -180,13 +183,19 @@
                 return count
 
 
-def measure(items: int, other_jobs: int, body_bytes: int, path: Path) -> JobsBenchReport:
+def measure(
+    items: int,
+    other_jobs: int,
+    body_bytes: int,
+    path: Path,
+    tenants: int = TENANTS,
+    other_items: int = 1,
+) -> JobsBenchReport:
     """Run the bench on a new database file."""
     bench = JobsBench(path, body_bytes)
     before_bytes = bench.resident_bytes()
-    generator = random.Random(1)
     for number in range(other_jobs):
-        bench.submit(f"other-{number}", f"tenant-{generator.randrange(TENANTS)}", 1)
+        bench.submit(f"other-{number}", f"tenant-{number % tenants}", other_items)
     started_s = time.perf_counter()
     bench.submit("big", "tenant-0", items)
     append_s = time.perf_counter() - started_s
@@ -206,6 +215,8 @@
     return JobsBenchReport(
         items=items,
         other_jobs=other_jobs,
+        other_items=other_items,
+        tenants=tenants,
         append_items_per_s=items / append_s,
         run_items_per_s=sum(lease[0] for lease in leases) / run_s,
         grant_ms_p50=statistics.median(grants),
@@ -220,10 +231,18 @@
     )
 
 
-def run(items: int = 100_000, other_jobs: int = 1_600, body_bytes: int = 500) -> None:
+def run(
+    items: int = 100_000,
+    other_jobs: int = 1_600,
+    body_bytes: int = 500,
+    tenants: int = TENANTS,
+    other_items: int = 1,
+) -> None:
     """Run the bench and print its figures as JSON."""
     with tempfile.TemporaryDirectory() as folder:
-        report = measure(items, other_jobs, body_bytes, Path(folder) / "jobs.sqlite")
+        report = measure(
+            items, other_jobs, body_bytes, Path(folder) / "jobs.sqlite", tenants, other_items
+        )
     print(msgspec.json.format(msgspec.json.encode(report), indent=2).decode())
 
 
--- /dev/null
+++ b/tests/unit/test_batch_pending.py
@@ -0,0 +1,78 @@
+"""The queue of pending items."""
+
+from __future__ import annotations
+
+import random
+import sqlite3
+
+import pytest
+from tests.unit.batch_machine import START_MS, Machine, items, outcome, spec
+
+from leverjunction.batch.commands import (
+    AcceptJob,
+    AppendItems,
+    CancelJob,
+    ExpireDeadlines,
+    ExpiredLeases,
+    ExpireLeases,
+    JobView,
+    OpenedJob,
+    OpenJob,
+)
+
+
+@pytest.fixture
+def machine() -> Machine:
+    return Machine()
+
+
+def test_turns_and_sums_follow_every_change(machine: Machine) -> None:
+    generator = random.Random(5)
+    for number in range(40):
+        job_id, tenant = f"j{number}", f"t{generator.randrange(4)}"
+        terms = {"tenant": tenant, "deadline_ms": START_MS + 1_000 + generator.randrange(900)}
+        machine.apply(OpenJob(spec(job_id, item_count=4, **terms)), OpenedJob)
+        machine.apply(AppendItems(job_id, 0, items(2) + items(2, model="n")), JobView)
+        machine.apply(AcceptJob(job_id), JobView)
+        models = generator.choice([("m",), ("n",), ("m", "n")])
+        lease = machine.grant(f"l{number}", generator.randrange(1, 8), models)
+        match generator.randrange(5):
+            case 0:
+                machine.apply(ExpireLeases([lease.lease_id]), ExpiredLeases)
+            case 1:
+                machine.complete(lease.lease_id, *[outcome(item) for item in lease.items])
+            case 2:
+                machine.apply(CancelJob(f"j{generator.randrange(number + 1)}"), JobView)
+            case 3:
+                # A late result takes an item that has returned out of the queue again.
+                machine.apply(ExpireLeases([lease.lease_id]), ExpiredLeases)
+                machine.complete(lease.lease_id, *[outcome(item) for item in lease.items])
+        if number == 30:
+            machine.wall_ms = START_MS + 1_500
+            machine.apply(ExpireDeadlines(), ExpiredLeases)
+        check_queue(machine.connection)
+
+
+def check_queue(connection: sqlite3.Connection) -> None:
+    """Compare the kept order of turns and sums with those worked out from the items."""
+    turns = connection.execute(
+        "SELECT service, tenant, model, served FROM sm_turns ORDER BY 1, 2, 3"
+    )
+    expected = connection.execute(
+        """
+        SELECT DISTINCT job.service, job.tenant, item.model, share.served
+        FROM sm_pending AS item JOIN sm_jobs AS job ON job.number = item.job
+        JOIN sm_shares AS share USING (service, tenant)
+        WHERE job.state = 'accepted' ORDER BY 1, 2, 3
+        """
+    )
+    assert turns.fetchall() == expected.fetchall()
+    sums = connection.execute("SELECT service, tenants, pending FROM sm_waiting WHERE pending > 0")
+    counted = connection.execute(
+        """
+        SELECT job.service, COUNT(DISTINCT job.tenant), COUNT(*)
+        FROM sm_pending AS item JOIN sm_jobs AS job ON job.number = item.job
+        WHERE job.state = 'accepted' GROUP BY job.service
+        """
+    )
+    assert sums.fetchall() == counted.fetchall()
