--- a/src/leverjunction/config/control.py
+++ b/src/leverjunction/config/control.py
@@ -18,6 +18,10 @@
     name: str
     rpc_address: Address = Field(description="host:port of its internal RPC")
     zone: str
+    region: str = Field(
+        default="",
+        description="region of its zone; voters of a group are spread over regions first",
+    )
 
 
 class ControlConfig(ProcessConfig):
