Groups: voters spread over regions, evenly over machines; leaders move them after a change of peers

Cause: voters were neighbours in the order of zone names, so at 15 zones in 6 regions a region held three of root's five (cut off, it took the majority with it); and one more peer moved the voters of most groups in the configuration while nothing moved the replicas, whose old holders stopped running them.

Change: different regions first (new optional key peers[].region), then fair shares, then zones, then rendezvous hash; the leader tells its group the wanted addresses once a term; a process runs a replica whose file it has until the group has moved.

Excluded: rotation (as before) and plain rendezvous hash (uneven).

--- a/src/leverjunction/control/layout.py
+++ b/src/leverjunction/control/layout.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-from itertools import zip_longest
+import math
+from collections import Counter
+from collections.abc import Callable, Collection, Mapping
 
 import xxhash
 
@@ -24,28 +25,47 @@
 
 
 def voters_of(group: str, config: ControlConfig) -> list[ControlPeer]:
-    """Return the first voters of a group.
+    """Return the control processes that shall hold a group.
 
-    With more peers than ``replicas_per_group`` the voters are spread over zones, and each job
-    group starts at another peer, so that leaders and disks share the work.
+    They are all of them, or ``replicas_per_group``: in different regions as far as possible, then
+    in different zones, so that a region that is cut off holds a minority of every group. Within
+    that the groups are spread evenly; the rest is by rendezvous hash, so that another process more
+    or less moves few replicas.
     """
-    if group == ROOT_GROUP and config.root_voters:
-        return [peer for peer in config.peers if peer.name in config.root_voters]
-    ordered = _across_zones(config.peers)
-    count = min(config.replicas_per_group, len(ordered))
-    offset = 0 if group == ROOT_GROUP else 1 + int(group.removeprefix(JOB_GROUP_PREFIX))
-    start = offset * count % len(ordered)
-    rotated = ordered[start:] + ordered[:start]
-    return rotated[:count]
-
-
-def _across_zones(peers: list[ControlPeer]) -> list[ControlPeer]:
-    """Order peers so that neighbours are in different zones as far as possible."""
-    by_zone: dict[str, list[ControlPeer]] = {}
-    for peer in sorted(peers, key=lambda peer: peer.name):
-        by_zone.setdefault(peer.zone, []).append(peer)
-    rounds = zip_longest(*(by_zone[zone] for zone in sorted(by_zone)))
-    return [peer for one_round in rounds for peer in one_round if peer is not None]
+    return _layout(config)[group]
+
+
+def _layout(config: ControlConfig) -> dict[str, list[ControlPeer]]:
+    groups = group_names(config)
+    count = min(config.replicas_per_group, len(config.peers))
+    held: Counter[str] = Counter()
+    fair = math.ceil(len(groups) * count / len(config.peers))
+    layout: dict[str, list[ControlPeer]] = {}
+    for group in groups:
+        named = group == ROOT_GROUP and config.root_voters
+        chosen = (
+            [peer for peer in config.peers if peer.name in config.root_voters]
+            if named
+            else _choose(group, config.peers, count, {name for name in held if held[name] >= fair})
+        )
+        held.update(peer.name for peer in chosen)
+        layout[group] = chosen
+    return layout
+
+
+def _choose(
+    group: str, peers: list[ControlPeer], count: int, full: Collection[str]
+) -> list[ControlPeer]:
+    chosen: list[ControlPeer] = []
+
+    def rank(peer: ControlPeer) -> tuple[int, bool, int, int]:
+        same_region = sum(1 for one in chosen if one.region == peer.region)
+        same_zone = sum(1 for one in chosen if one.zone == peer.zone)
+        return same_region, peer.name in full, same_zone, -_rendezvous(group, peer.name)
+
+    while len(chosen) < count:
+        chosen.append(min((peer for peer in peers if peer not in chosen), key=rank))
+    return chosen
 
 
 def hubs_for_gateway(
@@ -76,5 +96,5 @@
     return [peers[name] for name in sorted(peers, key=rank)]
 
 
-def _rendezvous(gateway_id: str, hub: str) -> int:
-    return xxhash.xxh64_intdigest(f"{gateway_id}\0{hub}".encode())
+def _rendezvous(key: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -33,6 +33,7 @@
 from leverjunction.control.runner_watch import WATCH_INTERVAL_S, RunnerWatch
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.control.status import ClusterStatus, cluster_status
+from leverjunction.control.voter_placement import VoterPlacement
 from leverjunction.platform.machine_list import MachineListClient
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcServer
@@ -43,6 +44,7 @@
 
 MIRROR_INTERVAL_S = 0.1
 EXPIRY_INTERVAL_S = 0.5
+VOTERS_INTERVAL_S = 2.0
 STALE_QUORUM_S = 2.0
 
 
@@ -68,13 +70,14 @@
         self.replicas = build_replicas(
             config, self._address, RpcRaftTransport(self._rpc), clock, random_module.Random()
         )
+        wanted = {name: _addresses(voters_of(name, config)) for name in group_names(config)}
         groups: dict[str, ReplicatedGroup] = dict(self.replicas)
         jobs = {name: groups[name] for name in job_group_names(config.job_groups) if name in groups}
         self._expiry = LeaseExpiry(jobs, clock)
         self.host = GroupHost(
             self._address,
             groups,
-            {name: _addresses(voters_of(name, config)) for name in group_names(config)},
+            wanted,
             self._rpc,
             clock,
             self._expiry.committed,
@@ -116,6 +119,7 @@
             counters=self._counters,
             max_loads=config.max_loads_at_once,
         )
+        voters = VoterPlacement(self.replicas, wanted)
         self._tasks = [
             PeriodicTask("placement", config.placement_interval_s, self._placement.tick),
             PeriodicTask("settings", MIRROR_INTERVAL_S, self._follow_settings),
@@ -123,6 +127,7 @@
             PeriodicTask("runner-watch", WATCH_INTERVAL_S, self._watch.tick),
             PeriodicTask("lease-expiry", TICK_INTERVAL_S, self._expiry.tick),
             PeriodicTask("membership", EXPIRY_INTERVAL_S, self._expire),
+            PeriodicTask("voters", VOTERS_INTERVAL_S, voters.tick),
         ]
 
     def start(self) -> None:
@@ -186,10 +191,11 @@
         )
 
     def _root_follower(self) -> LocalRoot | RemoteRoot:
-        replica = self.replicas.get(ROOT_GROUP)
-        if replica is not None:
-            return LocalRoot(replica, self._clock)
-        return RemoteRoot(self._rpc, _addresses(voters_of(ROOT_GROUP, self.config)))
+        voters = _addresses(voters_of(ROOT_GROUP, self.config))
+        if self._address in voters:
+            return LocalRoot(self.replicas[ROOT_GROUP], self._clock)
+        # Also beside a replica that the layout puts here no longer: it will be left behind.
+        return RemoteRoot(self._rpc, voters)
 
     def _identity(self) -> HubIdentity:
         config = self.config
--- a/src/leverjunction/control/replicas.py
+++ b/src/leverjunction/control/replicas.py
@@ -29,6 +29,9 @@
 ) -> dict[str, GroupReplica]:
     """Return a replica of each group that this process holds, by group, not started yet.
 
+    One that the layout no longer puts here, but whose file is here, is run as well: it may be
+    needed for the quorum until the others have taken over (see ``voter_placement``).
+
     Args:
         config: This process's configuration.
         address: RPC address under which the peers know this process.
@@ -41,7 +44,7 @@
     replicas: dict[str, GroupReplica] = {}
     for group in group_names(config):
         members = [peer.rpc_address for peer in voters_of(group, config)]
-        if address not in members:
+        if address not in members and not _data_path(folder, group).exists():
             continue
         own_random = random_module.Random(random.getrandbits(64))
         group_config = _group_config(config, group, address, members, folder)
@@ -50,6 +53,10 @@
     return replicas
 
 
+def _data_path(folder: Path, group: str) -> Path:
+    return folder / f"{group}.sqlite"
+
+
 def _machine_of(group: str) -> StateMachine:
     return SettingsStateMachine() if group == ROOT_GROUP else JobsStateMachine()
 
@@ -61,7 +68,7 @@
         group=group,
         address=address,
         first_members=tuple(sorted(members)),
-        data_path=str(folder / f"{group}.sqlite"),
+        data_path=str(_data_path(folder, group)),
         heartbeat_interval_s=config.heartbeat_interval_s,
         election_timeout_min_s=config.election_timeout_s,
         election_timeout_max_s=config.election_timeout_s * ELECTION_TIMEOUT_SPREAD,
--- a/tests/unit/test_config_load.py
+++ b/tests/unit/test_config_load.py
@@ -91,7 +91,7 @@
         ({"heartbeat_interval_s": 2}, "heartbeat_interval_s below election_timeout_s"),
         ({"peers": [{"name": "c1", "rpc_address": "127.0.0.1:1", "zone": "z"}] * 2}, "each name"),
         ({"peers": [{"name": "c1", "rpc_address": "h", "zone": "z"}]}, "key peers.0.rpc_address"),
-        ({"peers": [{"nam": "c1"}]}, "one of name, rpc_address, zone"),
+        ({"peers": [{"nam": "c1"}]}, "one of name, region, rpc_address, zone"),
     ],
 )
 def test_bad_control_files(tmp_path: Path, overrides: dict[str, object], told: str) -> None:
