Lease expiry: looks for what has fallen due by the group's own next due time

Cause: deadlines were looked for every 5 s while items were pending, so abandoned uploads and old results were never deleted in an idle group, and a busy one logged a command each 5 s for nothing. Change: the leader waits for Backlog.next_due_ms, then proposes at most once a second.

--- a/src/leverjunction/control/lease_expiry.py
+++ b/src/leverjunction/control/lease_expiry.py
@@ -38,8 +38,8 @@
 RECONCILE_INTERVAL_S = 2.0
 """How often the open leases of the applied state are compared with those that are kept."""
 
-DEADLINE_INTERVAL_S = 5.0
-"""How often passed deadlines are looked for, while items are pending."""
+DEADLINE_INTERVAL_S = 1.0
+"""Between two commands for what has fallen due: deadlines, abandoned uploads, old results."""
 
 CANCELLED_TOLD_S = 30.0
 """How long a cancelled job is told to the hubs: far longer than any exchange takes."""
@@ -60,7 +60,7 @@
         self.term = 0
         self.reconciled_s = 0.0
         self.deadlines_s = 0.0
-        self.has_pending = False
+        self.due_ms = 0
         self.granted_lately: set[str] = set()
         self.cancelled: dict[str, float] = {}
 
@@ -146,7 +146,8 @@
         if now_s - led.reconciled_s >= RECONCILE_INTERVAL_S:
             self._reconcile(replica, led)
         self._expire_leases(group, replica, led, now_s)
-        if led.has_pending and now_s - led.deadlines_s >= DEADLINE_INTERVAL_S:
+        is_due = 0 < led.due_ms <= self._clock.wall_ms()
+        if is_due and now_s - led.deadlines_s >= DEADLINE_INTERVAL_S:
             led.deadlines_s = now_s
             _propose(replica, ExpireDeadlines(), ExpiredLeases)
 
@@ -168,7 +169,7 @@
             for job in jobs:
                 if job.state is JobState.CANCELLED:
                     led.cancelled[job.spec.job_id] = now_s + CANCELLED_TOLD_S
-            led.has_pending = bool(backlog.pending_by_service)
+            led.due_ms = backlog.next_due_ms
             led.reconciled_s = now_s
             led.term = status.term
         logger.info("leads {} in term {}: {} open leases", group, status.term, len(open_leases))
@@ -184,7 +185,7 @@
         with led.lock:
             # Granted while the state was read: not in it yet, and open all the same.
             led.keeper.retain(_open_leases(backlog) | led.granted_lately, now_s)
-            led.has_pending = bool(backlog.pending_by_service)
+            led.due_ms = backlog.next_due_ms
             led.reconciled_s = now_s
 
     def _expire_leases(
