--- a/src/testbed/faults/api.py
+++ b/src/testbed/faults/api.py
@@ -44,7 +44,7 @@
         request = msgspec.json.decode(cherrypy.request.body.fp.read(), type=FaultRequest)
         try:
             carry_out(self._fleet, request)
-        except (KeyError, FleetError) as error:
+        except FleetError as error:
             cherrypy.response.status = 400
             return msgspec.json.encode({"error": str(error)})
         return b"{}"
--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -16,8 +16,8 @@
 
 from testbed.engine.executions import Execution, read_executions
 from testbed.engine.faults import AnswerFault
-from testbed.fleet.machine_list import MachineListing
-from testbed.fleet.network import CutRequest
+from testbed.fleet.machine_marks import MachineMarks
+from testbed.fleet.network import ANY_PLACE, CLIENT_ZONE, CutRequest
 from testbed.fleet.plan import FleetOptions, FleetPlan, FleetPlanner, PlannedProcess, ProcessKind
 from testbed.fleet.process import FleetProcess
 from testbed.fleet.traffic import Traffic
@@ -69,7 +69,8 @@
         self._cuts: set[tuple[str, str]] = set()
         self._frozen: set[str] = set()
         self._stopping: set[str] = set()
-        self._leaving: set[str] = set()
+        address = self.plan.named("machines").address
+        self._marks = MachineMarks(self.http, address, self.plan.machines)
         self._answer_faults: set[str] = set()
 
     def __enter__(self) -> Fleet:
@@ -126,51 +127,61 @@
         return self.names(ProcessKind.GATEWAY)
 
     def process(self, name: str) -> FleetProcess:
-        """Return a process by name."""
+        """Return a process by name.
+
+        Raises:
+            FleetError: There is none of that name.
+        """
+        if name not in self._processes:
+            raise FleetError(f"no process {name!r}; there are {', '.join(self._processes)}")
         return self._processes[name]
 
     def planned(self, name: str) -> PlannedProcess:
         """Return the plan of a process by name."""
-        return self._processes[name].plan
+        return self.process(name).plan
 
     def kill(self, name: str) -> None:
         """SIGKILL a process."""
-        self._processes[name].kill()
+        self.process(name).kill()
 
     def freeze(self, name: str) -> None:
         """SIGSTOP a process: it lives, but does nothing and says nothing."""
+        self.process(name).signal(signal.SIGSTOP)
         self._frozen.add(name)
-        self._processes[name].signal(signal.SIGSTOP)
 
     def thaw(self, name: str) -> None:
         """SIGCONT a frozen process."""
         self._frozen.discard(name)
-        self._processes[name].signal(signal.SIGCONT)
+        self.process(name).signal(signal.SIGCONT)
 
     def terminate(self, name: str) -> None:
         """SIGTERM a process: a planned stop."""
+        self.process(name).signal(signal.SIGTERM)
         self._stopping.add(name)
-        self._processes[name].signal(signal.SIGTERM)
 
     def restart(self, name: str) -> None:
         """Start a process again, after ending it if it runs, and wait until it is healthy."""
-        self._processes[name].kill()
-        self._processes[name].start()
-        self._relist(name)
+        self.process(name).kill()
+        self.process(name).start()
+        if self._marks.is_runner(name):
+            self._marks.list_live(name)
         self.wait_health(name)
 
     def wipe(self, name: str) -> None:
         """Lose a process's disk: kill it, empty its data folder and start it again."""
-        self._processes[name].kill()
-        self._processes[name].wipe()
-        self._processes[name].start()
+        self.process(name).kill()
+        self.process(name).wipe()
+        self.process(name).start()
 
-    def cut(self, first: str, second: str = "*") -> None:
+    def cut(self, first: str, second: str = ANY_PLACE) -> None:
         """Cut all traffic between two places (zone or process names) in silence."""
+        for place in (first, second):
+            if place not in (*self._processes, *self.scenario.zones, CLIENT_ZONE, ANY_PLACE):
+                raise FleetError(f"no zone or process {place!r}")
         self._cuts.add((first, second))
         self._set_cut(CutRequest(first=first, second=second, cut=True))
 
-    def heal(self, first: str, second: str = "*") -> None:
+    def heal(self, first: str, second: str = ANY_PLACE) -> None:
         """Undo the ``cut`` with the same arguments."""
         self._cuts.discard((first, second))
         self._set_cut(CutRequest(first=first, second=second, cut=False))
@@ -178,25 +189,22 @@
     def is_struck(self, name: str) -> bool:
         """Return whether a process is down, frozen, or cut off from all others."""
         is_frozen = name in self._frozen
-        return is_frozen or not self._processes[name].is_running() or self.is_cut_off(name)
+        return is_frozen or not self.process(name).is_running() or self.is_cut_off(name)
 
     def is_cut_off(self, name: str) -> bool:
         """Return whether a process, or its zone, is cut off from all others."""
         places = {name, self.planned(name).zone}
-        return any(first in places and second == "*" for first, second in self._cuts)
+        return any(first in places and second == ANY_PLACE for first, second in self._cuts)
 
     def leave(self, runner: str) -> None:
         """Mark a runner as leaving in the machine list."""
-        self._leaving.add(runner)
-        machine = msgspec.structs.replace(self.plan.machines[runner], state="leaving")
-        self._list_machine(runner, msgspec.json.encode(machine))
+        if not self._marks.is_runner(runner):
+            raise FleetError(f"no runner {runner!r}; there are {', '.join(self.plan.machines)}")
+        self._marks.leave(runner)
 
     def is_listed_leaving(self, runner: str) -> bool:
         """Return whether the machine list shows a runner as leaving, its lag being over."""
-        url = f"http://{self.planned('machines').address}/machines"
-        response = self.http.request("GET", url, timeout=CALL_TIMEOUT_S)
-        listing = msgspec.json.decode(response.data, type=MachineListing)
-        return any(m.id == runner and m.state == "leaving" for m in listing.machines)
+        return self._marks.is_listed_leaving(runner)
 
     def recover(self) -> None:
         """Undo every fault: heal cuts, thaw, start again what does not run, list all as live."""
@@ -209,9 +217,7 @@
                 process.wait(DRAIN_TIMEOUT_S)
             if not process.is_running():
                 self.restart(name)
-        for runner in list(self._leaving):
-            self._leaving.discard(runner)
-            self._relist(runner)
+        self._marks.recover()
         for runner in list(self._answer_faults):
             self._answer_faults.discard(runner)
             self.http.request("DELETE", self._faults_url(runner), timeout=CALL_TIMEOUT_S)
@@ -313,23 +319,13 @@
 
     def _wait_status(self, name: str, path: str) -> None:
         def answered() -> bool:
-            process = self._processes[name]
+            process = self.process(name)
             if not process.is_running():
                 raise FleetError(f"{name} ended with {process.exit_code}: {process.plan.log_file}")
             return self.status_of(name, path) == 200
 
         self.wait_for(answered, f"{name} answers /{path}")
 
-    def _relist(self, name: str) -> None:
-        machine = self.plan.machines.get(name)
-        if machine is not None:
-            now_ms = int(time.time() * 1000)
-            machine = msgspec.structs.replace(machine, incarnation=now_ms)
-            self._list_machine(name, msgspec.json.encode(machine))
-
-    def _list_machine(self, runner: str, body: bytes) -> None:
-        self._post(f"http://{self.planned('machines').address}/machines/{runner}", body)
-
     def _faults_url(self, runner: str) -> str:
         return f"http://{self.planned(runner).direct_address}/testbed/faults"
 
--- a/src/testbed/fleet/network.py
+++ b/src/testbed/fleet/network.py
@@ -19,6 +19,7 @@
 from testbed.fleet.relay import FrontListener, Link
 
 CLIENT_ZONE = "clients"
+ANY_PLACE = "*"
 CONTROL_THREADS = 4
 
 
@@ -62,7 +63,7 @@
     """Cut or heal all traffic between two places (process or zone names); "*" is any."""
 
     first: str
-    second: str = "*"
+    second: str = ANY_PLACE
     cut: bool = True
 
 
@@ -107,7 +108,7 @@
         return self._config.zone_delay_ms / 1000
 
     def _is_cut(self, source: Source, target: Source) -> bool:
-        ends = ({source.process, source.zone, "*"}, {target.process, target.zone, "*"})
+        ends = ({source.process, source.zone, ANY_PLACE}, {target.process, target.zone, ANY_PLACE})
         return any(
             (first in ends[0] and second in ends[1]) or (second in ends[0] and first in ends[1])
             for first, second in self._cuts
