--- a/src/testbed/simulation/gateway_node.py
+++ b/src/testbed/simulation/gateway_node.py
@@ -60,6 +60,18 @@
         return failure
 
 
+class OrderedSet(dict[object, None]):
+    """A set in the order of insertion, as far as the relay loop uses it."""
+
+    def add(self, item: object) -> None:
+        """Add an item."""
+        self[item] = None
+
+    def discard(self, item: object) -> None:
+        """Remove an item if it is there."""
+        self.pop(item, None)
+
+
 class NoCacheFeed:
     """Stands in for the reader of cache events: the simulator has none."""
 
@@ -270,6 +282,8 @@
         self.exchange.on_unheard = self._record_unheard
         self.gate = AdmissionGate(machine, self.counters)
         self.relay = RelayLoop(self.counters)
+        # A set of objects is ordered by their addresses, which differ from run to run.
+        self.relay._streams = OrderedSet()  # type: ignore[assignment]
         self.service = self._online_service()
         self.front = GatewayFront(self)
 
--- a/src/testbed/simulation/product_modules.py
+++ b/src/testbed/simulation/product_modules.py
@@ -20,22 +20,9 @@
 CHUNK_ITEMS = 4
 """Coarser than the product's, so that a run is cheap; the order of events stays the same kind."""
 
-_PACKAGES = (
-    "leverjunction.batch.harvester",
-    "leverjunction.batch.lease_fetcher",
-    "leverjunction.batch.result_sender",
-    "leverjunction.gateway.claims",
-    "leverjunction.gateway.exchange",
-    "leverjunction.gateway.gate",
-    "leverjunction.gateway.harvest",
-    "leverjunction.gateway.inflight",
-    "leverjunction.gateway.online",
-    "leverjunction.gateway.owner",
-    "leverjunction.gateway.relay",
-    "leverjunction.gateway.sender",
-    "leverjunction.gateway.stream_session",
-    "leverjunction.gateway.yielding",
-)
+_PREFIXES = ("leverjunction.batch.", "leverjunction.gateway.")
+"""The modules in which names of the standard library are replaced."""
+
 _CONSTANTS: dict[str, dict[str, object]] = {
     "leverjunction.api.batches_upload": {"CHUNK_ITEMS": CHUNK_ITEMS},
     "leverjunction.batch.harvester": {"TICK_S": HARVEST_TICK_S},
@@ -59,11 +46,16 @@
         "random": SimpleNamespace(Random=lambda: random.Random(generator.getrandbits(64))),
     }
     with ExitStack() as stack:
-        for name in _PACKAGES:
-            module = importlib.import_module(name)
+        for name in sorted(sys.modules):
+            if not name.startswith(_PREFIXES):
+                continue
+            module = sys.modules[name]
             for attribute, substitute in substitutes.items():
                 if hasattr(module, attribute):
                     stack.enter_context(mock.patch.object(module, attribute, substitute))
+        # Addresses of objects differ from run to run; the harvester breaks ties by them.
+        runs = importlib.import_module("leverjunction.batch.harvest_state")
+        stack.enter_context(mock.patch.object(runs, "id", _Numbers(), create=True))
         for name, constants in _CONSTANTS.items():
             importlib.import_module(name)
             for attribute, value in constants.items():
@@ -71,5 +63,19 @@
         yield
 
 
+class _Numbers:
+    """Stands in for ``id``: numbers objects in the order in which they are first seen."""
+
+    def __init__(self) -> None:
+        self._last = 0
+
+    def __call__(self, thing: object) -> int:
+        number = thing.__dict__.get("simulated_id")
+        if number is None:
+            self._last += 1
+            number = thing.__dict__["simulated_id"] = self._last
+        return int(number)
+
+
 def _identifier(generator: random.Random) -> SimpleNamespace:
     return SimpleNamespace(hex=f"{generator.getrandbits(128):032x}")
--- a/src/testbed/simulation/result.py
+++ b/src/testbed/simulation/result.py
@@ -17,6 +17,7 @@
         faults: Faults that really struck, by kind.
         counts: Other counts, such as acknowledged items and refusals checked.
         cpu_s: Processor time of the run.
+        digest: Hash of the record; the same for every run of the seed.
     """
 
     seed: int
@@ -25,6 +26,7 @@
     faults: Counter[str] = field(default_factory=Counter)
     counts: Counter[str] = field(default_factory=Counter)
     cpu_s: float = 0.0
+    digest: str = ""
 
 
 @dataclass
--- a/src/testbed/simulation/run.py
+++ b/src/testbed/simulation/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import multiprocessing
 import time
 import traceback
@@ -37,12 +38,27 @@
             result.violations.append(f"run_ends: {text} at {_place(error)}")
             world.end()
     history.internal_errors += errors
+    result.digest = digest_of(history)
     if not result.violations:
         _check(history, result)
     result.cpu_s = time.process_time() - began_s
     return result
 
 
+def digest_of(history: History) -> str:
+    """Return a hash over everything that is recorded, to tell two runs of a seed apart."""
+    recorded = (
+        history.runs,
+        history.online,
+        history.settings,
+        history.in_force,
+        history.stops,
+        [(key, job.pages, job.operations, job.final_lines) for key, job in history.jobs.items()],
+        sorted(history.faults.items()),
+    )
+    return hashlib.sha256(repr(recorded).encode()).hexdigest()
+
+
 def _check(history: History, result: SeedResult) -> None:
     for checker in all_checkers():
         finding = checker.check(history)
