--- a/src/testbed/load/settings_bench.py
+++ b/src/testbed/load/settings_bench.py
@@ -115,11 +115,15 @@
 
 
 def measure(
-    scenario: str, changes: int, seed: int, tell: Callable[[str], None]
+    scenario: str,
+    changes: int,
+    seed: int,
+    tell: Callable[[str], None],
+    folder: Path | None = None,
 ) -> SettingsBenchReport:
     """Run both phases on a fleet and return the figures."""
     generator = random.Random(seed)
-    with Fleet(load_scenario(scenario)) as fleet:
+    with Fleet(load_scenario(scenario), folder=folder) as fleet:
         phases = [_phase(fleet, "all control processes", changes, generator, tell)]
         leader = _root_leader(fleet)
         fleet.kill(leader)
@@ -203,7 +207,13 @@
     print(f"goal (in force within {report.goal_s} s): {'met' if report.goal_met else 'NOT met'}")
 
 
-def bench(scenario: str = "kilimo", changes: int = 50, seed: int = 1, json: str = "") -> int:
+def _tell(line: str) -> None:
+    print(line, file=sys.stderr, flush=True)
+
+
+def bench(
+    scenario: str = "kilimo", changes: int = 50, seed: int = 1, json: str = "", folder: str = ""
+) -> int:
     """Measure how long changes of the settings take to be in force at every gateway.
 
     Args:
@@ -211,11 +221,15 @@
         changes: Changes in each phase.
         seed: Seed of the values and pauses.
         json: File to write the figures to.
+        folder: Folder for the fleet's files, kept afterwards; a temporary one by default.
 
     Returns:
         0 when the goal was met, 1 when it was not.
     """
-    report = measure(scenario, changes, seed, lambda line: print(line, file=sys.stderr, flush=True))
+    run_folder = Path(folder) if folder else None
+    if run_folder is not None:
+        run_folder.mkdir(parents=True, exist_ok=True)
+    report = measure(scenario, changes, seed, _tell, run_folder)
     _print(report)
     if json:
         Path(json).write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=2))
--- a/tests/unit/test_cli_operators.py
+++ b/tests/unit/test_cli_operators.py
@@ -8,6 +8,7 @@
 
 import pytest
 from tests.unit.cli_support import (
+    TOKEN,
     Operator,
     OperatorsStub,
     cluster_status,
@@ -20,6 +21,10 @@
 from leverjunction.cli import apply
 from leverjunction.cli.output import ExitCode
 from leverjunction.cli.pending import STATE_FOLDER_VARIABLE
+from leverjunction.cli_client import OperatorClient
+from leverjunction.errors import Failure, FailureKind
+from leverjunction.settings.change import plan_change, to_command
+from leverjunction.settings.commands import ChangeOutcome, SettingsDelta
 
 Capture = pytest.CaptureFixture[str]
 
@@ -187,3 +192,17 @@
     told = capsys.readouterr().err
     assert "cannot connect to 127.0.0.1:9" in told
     assert "not known" not in told
+
+
+def test_a_change_that_is_posted_raw_is_checked_too(operator: Operator, tmp_path: Path) -> None:
+    operator.run("settings", "apply", str(settings_folder(tmp_path, 1)))
+    client = OperatorClient([operator.address], TOKEN, retry_for_s=0)
+    bad: dict[str, object] = {"defaults/serving/max_queue": "lots", "services/s/models/m": {}}
+    in_force = client.get("/operator/settings", SettingsDelta, {"after": "0"})
+    assert not isinstance(in_force, Failure)
+    change = to_command(plan_change(in_force, bad), "raw", "script")
+    refusal = client.post("/operator/settings/apply", change, ChangeOutcome)
+    assert isinstance(refusal, Failure)
+    assert refusal.kind is FailureKind.BAD_REQUEST
+    assert "defaults/serving/max_queue: expected a valid integer" in refusal.reason
+    assert operator.stub.proposals == 1, "only the apply before was proposed"
