Retention of batch results: removed a bounded number of rows a command, then known as expired

Reads answer NOT_FOUND with the detail results_expired from the mark on, so never a part. The job row stays 30 days more: a resend of its key does not run it again. GetBacklog tells the leader when the next thing falls due (next_due_ms), so that abandoned uploads go also while nothing is pending, once the control process uses it. Tests changed: NO_BACKLOG and the backlog of test_lists_and_backlog state next_due_ms, as the reply has one field more; all else in them is as it was.

--- a/src/leverjunction/batch/commands.py
+++ b/src/leverjunction/batch/commands.py
@@ -103,6 +103,7 @@
         batch_class: Batch class, when it is known only now.
         deadline_ms: Deadline, when it is known only now.
         may_repeat: Whether items may run more than once, when it is known only now.
+        retention_ms: How long results are kept after the job's end; 0 takes the built-in time.
     """
 
     job_id: str
@@ -111,6 +112,7 @@
     batch_class: str = ""
     deadline_ms: int = 0
     may_repeat: bool | None = None
+    retention_ms: int = 0
 
 
 class SealJob(msgspec.Struct, frozen=True, tag="seal_job"):
@@ -237,16 +239,27 @@
 
 
 class ExpireDeadlines(msgspec.Struct, frozen=True, tag="expire_deadlines"):
-    """Expire pending items whose deadline has passed (by the entry's wall clock).
+    """End what is due by the entry's wall clock: pending items past their deadline, uploads that
+    were given up, results past their retention. Bounded; the next one goes on.
     Reply: ExpiredLeases with the number of items."""
 
 
 class ExpiredLeases(msgspec.Struct, frozen=True, kw_only=True):
-    """Counts of an expiry."""
+    """Counts of an expiry.
+
+    Attributes:
+        returned: Items that are pending again.
+        unknown: Items that may not repeat, and may have run.
+        expired: Items whose deadline has passed.
+        removed_jobs: Jobs whose results are past their retention.
+        removed_rows: Rows of removed jobs and uploads that were deleted.
+    """
 
     returned: int
     unknown: int
     expired: int = 0
+    removed_jobs: int = 0
+    removed_rows: int = 0
 
 
 class ClaimRequest(msgspec.Struct, frozen=True, tag="claim_request"):
@@ -301,7 +314,10 @@
 
 
 class JobView(msgspec.Struct, frozen=True, kw_only=True):
-    """A job as callers and operators see it."""
+    """A job as callers and operators see it.
+
+    ``keep_until_ms`` is when the results of a final job are removed, ``removed_ms`` when they were.
+    """
 
     spec: JobSpec
     state: JobState
@@ -316,6 +332,8 @@
     cancelled: int
     expired: int
     discarded: int
+    keep_until_ms: int = 0
+    removed_ms: int = 0
 
 
 class GetJob(msgspec.Struct, frozen=True, tag="get_job"):
@@ -332,7 +350,8 @@
 
 
 class GetResults(msgspec.Struct, frozen=True, tag="get_results"):
-    """Query final items in the order in which they became final. Reply: ResultPage.
+    """Query final items in the order in which they became final. Reply: ResultPage, or NOT_FOUND
+    with the detail ``results_expired`` past their retention.
 
     ``after`` is the cursor of the last page, 0 at first.
     """
@@ -371,10 +390,15 @@
 
 
 class Backlog(msgspec.Struct, frozen=True, kw_only=True):
-    """Pending items by service; open leases by owner gateway."""
+    """Pending items by service; open leases by owner gateway.
+
+    ``next_due_ms`` is the wall-clock time from which ExpireDeadlines has something to do, 0 for
+    never; it is given with the leases only.
+    """
 
     pending_by_service: dict[str, int]
     leases_by_owner: dict[str, list[str]]
+    next_due_ms: int = 0
 
 
 JobCommand = (
--- a/src/leverjunction/batch/job_queries.py
+++ b/src/leverjunction/batch/job_queries.py
@@ -4,7 +4,7 @@
 
 import sqlite3
 
-from leverjunction.batch import pending
+from leverjunction.batch import pending, retention
 from leverjunction.batch.commands import (
     Backlog,
     GetBacklog,
@@ -17,7 +17,13 @@
     ResultLine,
     ResultPage,
 )
-from leverjunction.batch.job_rows import JobRow, job_by_id, job_not_found, newest_jobs
+from leverjunction.batch.job_rows import (
+    JobRow,
+    job_by_id,
+    job_not_found,
+    newest_jobs,
+    results_removed,
+)
 from leverjunction.batch.tables import row_key, split_key
 from leverjunction.errors import Failure
 
@@ -63,6 +69,8 @@
     job = job_by_id(connection, query.job_id)
     if job is None:
         return job_not_found(query.job_id)
+    if job.removed_ms:
+        return results_removed(job)
     after = max(0, query.after)
     limit = max(1, min(query.limit, MAX_PAGE_LINES))
     lines = _stored_lines(connection, job, after, limit)
@@ -74,10 +82,11 @@
 
 
 def get_backlog(connection: sqlite3.Connection, query: GetBacklog) -> Backlog:
-    """Return pending items by service and, if asked for, the open leases of each owner."""
+    """Return pending items by service and, if asked for, open leases and what is due next."""
     return Backlog(
         pending_by_service=pending.pending_by_service(connection),
         leases_by_owner=_open_leases(connection) if query.with_leases else {},
+        next_due_ms=retention.next_due_ms(connection) if query.with_leases else 0,
     )
 
 
--- a/src/leverjunction/batch/job_rows.py
+++ b/src/leverjunction/batch/job_rows.py
@@ -8,6 +8,14 @@
 from leverjunction.batch.commands import JobSpec, JobState, JobView
 from leverjunction.errors import Failure, FailureKind, Step
 
+RESULTS_RETENTION_MS = 7 * 24 * 3600 * 1000
+"""How long results stay readable after the end of a job that does not say otherwise."""
+
+RESULTS_EXPIRED = "results_expired"
+"""Detail of the failure for results that were removed."""
+
+MS_PER_S = 1000
+
 FINAL_JOB_STATES = frozenset({JobState.COMPLETED, JobState.CANCELLED, JobState.EXPIRED})
 
 
@@ -17,6 +25,7 @@
 
     ``closed`` is set when no pending item may start any more (cancel or deadline, or final).
     ``items_hash`` is the hash over the items received so far (``submission.items_hash``).
+    ``keep_until_ms`` is set with ``finished_ms``; ``removed_ms`` once the results are removed.
     """
 
     number: int
@@ -43,6 +52,9 @@
     cancelled: int = 0
     expired: int = 0
     discarded: int = 0
+    retention_ms: int = RESULTS_RETENTION_MS
+    keep_until_ms: int = 0
+    removed_ms: int = 0
 
     @property
     def is_final(self) -> bool:
@@ -58,8 +70,13 @@
         """Make an accepted job final when none of its items is pending or leased."""
         if self.state != JobState.ACCEPTED or self.pending or self.leased:
             return
-        self.state = JobState.EXPIRED if self.expired else JobState.COMPLETED
+        self.finish(JobState.EXPIRED if self.expired else JobState.COMPLETED, wall_ms)
+
+    def finish(self, state: JobState, wall_ms: int) -> None:
+        """Make the job final."""
+        self.state = state
         self.finished_ms = wall_ms
+        self.keep_until_ms = wall_ms + self.retention_ms
         self.closed = 1
 
     def view(self) -> JobView:
@@ -89,6 +106,8 @@
             cancelled=self.cancelled,
             expired=self.expired,
             discarded=self.discarded,
+            keep_until_ms=self.keep_until_ms,
+            removed_ms=self.removed_ms,
         )
 
 
@@ -151,6 +170,27 @@
     return [JobRow(*row) for row in rows]
 
 
+def jobs_past_retention(connection: sqlite3.Connection, wall_ms: int, limit: int) -> list[JobRow]:
+    """Return final jobs whose results are kept no longer, oldest first."""
+    rows = connection.execute(
+        f"{_SELECT} WHERE keep_until_ms > 0 AND removed_ms = 0 AND keep_until_ms <= ? "
+        "ORDER BY keep_until_ms, number LIMIT ?",
+        (wall_ms, limit),
+    )
+    return [JobRow(*row) for row in rows]
+
+
+def results_removed(job: JobRow) -> Failure:
+    """Return the failure for results that are past their retention."""
+    return Failure(
+        kind=FailureKind.NOT_FOUND,
+        reason=f"the results of job {job.job_id!r} have expired: they were kept for "
+        f"{job.retention_ms // MS_PER_S} s after its end and then removed",
+        step=Step.QUERYING,
+        detail=RESULTS_EXPIRED,
+    )
+
+
 def job_not_found(job_id: str) -> Failure:
     """Return the failure for a job that this group does not hold."""
     return Failure(
--- a/src/leverjunction/batch/retention.py
+++ b/src/leverjunction/batch/retention.py
@@ -1,7 +1,10 @@
-"""What time alone ends: deadlines of jobs, abandoned uploads, old claims and ended leases.
+"""What time alone ends: deadlines of jobs, abandoned uploads, old results, claims and leases.
 
 Every limit is compared with the entry's wall clock, so all replicas delete the same rows at the
 same entry. Each command deletes a bounded number of rows; the next one goes on.
+
+A job whose results were removed keeps its row for a while: it tells readers why the results are
+gone, and a resend of its key finds it instead of running it again.
 """
 
 from __future__ import annotations
@@ -10,7 +13,18 @@
 
 from leverjunction.batch import pending
 from leverjunction.batch.commands import ExpireDeadlines, ExpiredLeases, JobState
-from leverjunction.batch.job_rows import JobRow, jobs_past_deadline, save_job
+from leverjunction.batch.job_rows import (
+    JobRow,
+    jobs_past_deadline,
+    jobs_past_retention,
+    save_job,
+)
+from leverjunction.batch.removal import (
+    ROWS_PER_COMMAND,
+    delete_queued_rows,
+    has_queued_rows,
+    queue_removal,
+)
 from leverjunction.batch.submission import delete_open_job
 from leverjunction.consensus.api import ApplyContext
 
@@ -20,8 +34,13 @@
 LEASE_RETENTION_MS = 10 * 60 * 1000
 """A late resend of a grant is recognised for this long; clients give up after seconds."""
 
+REMOVED_JOB_RETENTION_MS = 30 * 24 * 3600 * 1000
+"""How long a job whose results were removed is still known."""
+
 JOBS_PER_COMMAND = 20
-ROWS_PER_COMMAND = 2_000
+
+DUE_NOW_MS = 1
+"""``next_due_ms`` while rows wait to be deleted: any time that has passed."""
 
 
 def expire_deadlines(
@@ -31,9 +50,30 @@
     expired = 0
     for job in jobs_past_deadline(connection, context.wall_ms, JOBS_PER_COMMAND):
         expired += _close_job(connection, job, context.wall_ms)
+    ended = jobs_past_retention(connection, context.wall_ms, JOBS_PER_COMMAND)
+    for job in ended:
+        job.removed_ms = context.wall_ms
+        save_job(connection, job)
+        queue_removal(connection, job.number)
+    removed_rows = delete_queued_rows(connection, ROWS_PER_COMMAND)
     forget_claims(connection, context.wall_ms, ROWS_PER_COMMAND)
     _forget_leases(connection, context.wall_ms)
-    return ExpiredLeases(returned=0, unknown=0, expired=expired)
+    _forget_removed_jobs(connection, context.wall_ms)
+    return ExpiredLeases(
+        returned=0,
+        unknown=0,
+        expired=expired,
+        removed_jobs=len(ended),
+        removed_rows=removed_rows,
+    )
+
+
+def next_due_ms(connection: sqlite3.Connection) -> int:
+    """Return the time from which ``expire_deadlines`` has something to do, 0 for never."""
+    if has_queued_rows(connection):
+        return DUE_NOW_MS
+    times = [connection.execute(query).fetchone()[0] for query in _DUE_TIMES]
+    return min((int(time) for time in times if time is not None), default=0)
 
 
 def forget_claims(connection: sqlite3.Connection, wall_ms: int, limit: int) -> None:
@@ -48,6 +88,15 @@
     )
 
 
+_DUE_TIMES = (
+    "SELECT MIN(deadline_ms) FROM sm_jobs WHERE closed = 0",
+    "SELECT MIN(keep_until_ms) FROM sm_jobs WHERE keep_until_ms > 0 AND removed_ms = 0",
+    f"SELECT MIN(removed_ms) + {REMOVED_JOB_RETENTION_MS} FROM sm_jobs WHERE removed_ms > 0",
+    f"SELECT MIN(claimed_ms) + {CLAIM_RETENTION_MS} FROM sm_claims",
+    f"SELECT MIN(granted_ms) + {LEASE_RETENTION_MS} FROM sm_leases WHERE open_items = 0",
+)
+
+
 def _close_job(connection: sqlite3.Connection, job: JobRow, wall_ms: int) -> int:
     """Expire the pending items of a job; leased ones may still finish."""
     if job.state == JobState.OPEN:
@@ -74,3 +123,15 @@
         """,
         (wall_ms - LEASE_RETENTION_MS, ROWS_PER_COMMAND),
     )
+
+
+def _forget_removed_jobs(connection: sqlite3.Connection, wall_ms: int) -> None:
+    connection.execute(
+        """
+        DELETE FROM sm_jobs WHERE number IN (
+            SELECT number FROM sm_jobs WHERE removed_ms > 0 AND removed_ms < ?
+            AND number NOT IN (SELECT job FROM sm_removals) ORDER BY removed_ms, number LIMIT ?
+        )
+        """,
+        (wall_ms - REMOVED_JOB_RETENTION_MS, JOBS_PER_COMMAND),
+    )
--- a/src/leverjunction/batch/submission.py
+++ b/src/leverjunction/batch/submission.py
@@ -30,11 +30,18 @@
     job_not_found,
     save_job,
 )
+from leverjunction.batch.removal import (
+    ROWS_PER_COMMAND,
+    delete_queued_rows,
+    next_job_number,
+    queue_removal,
+)
 from leverjunction.batch.tables import MAX_ITEMS_PER_JOB, row_key
 from leverjunction.consensus.api import ApplyContext
 from leverjunction.errors import Failure, FailureKind, Step
 
 MAX_CHUNK_ITEMS = 2_000
+MAX_RETENTION_MS = 400 * 24 * 3600 * 1000
 MAX_DEADLINE_MS = 30 * 24 * 3600 * 1000
 """A job's deadline is clamped to this long after it was opened."""
 
@@ -69,9 +76,8 @@
     refusal = _check_spec(spec, context.wall_ms)
     if refusal is not None:
         return refusal
-    (number,) = connection.execute("SELECT COALESCE(MAX(number), 0) + 1 FROM sm_jobs").fetchone()
     job = JobRow(
-        number=number,
+        number=next_job_number(connection),
         job_id=spec.job_id,
         tenant=spec.tenant,
         idempotency_key=spec.idempotency_key,
@@ -139,6 +145,7 @@
     job.deadline_ms = min(command.deadline_ms or job.deadline_ms, context.wall_ms + MAX_DEADLINE_MS)
     if command.may_repeat is not None:
         job.may_repeat = int(command.may_repeat)
+    job.retention_ms = min(command.retention_ms or job.retention_ms, MAX_RETENTION_MS)
     job.state = JobState.ACCEPTED
     pending.enqueue_job(connection, job)
     save_job(connection, job)
@@ -184,9 +191,7 @@
     job.cancelled += job.pending + job.leased
     job.pending = 0
     job.leased = 0
-    job.state = JobState.CANCELLED
-    job.finished_ms = context.wall_ms
-    job.closed = 1
+    job.finish(JobState.CANCELLED, context.wall_ms)
     save_job(connection, job)
     return job.view()
 
@@ -194,22 +199,19 @@
 def discard_job(
     connection: sqlite3.Connection, context: ApplyContext, command: DiscardJob
 ) -> Discarded:
-    """Drop an open job with its items, so that its key may be used again."""
+    """Drop an open job, so that its key may be used again; a large one's items go by and by."""
     job = job_by_id(connection, command.job_id)
     if job is None or job.state != JobState.OPEN:
         return Discarded(dropped=False)
     delete_open_job(connection, job)
+    delete_queued_rows(connection, ROWS_PER_COMMAND)
     return Discarded(dropped=True)
 
 
 def delete_open_job(connection: sqlite3.Connection, job: JobRow) -> None:
-    """Delete all rows of an open job."""
-    connection.execute("DELETE FROM sm_pending WHERE job = ?", (job.number,))
-    connection.execute(
-        "DELETE FROM sm_items WHERE item_key >= ? AND item_key < ?",
-        (row_key(job.number, 0), row_key(job.number + 1, 0)),
-    )
+    """Forget an open job; its items are deleted by and by."""
     connection.execute("DELETE FROM sm_jobs WHERE number = ?", (job.number,))
+    queue_removal(connection, job.number)
 
 
 def _reopen(job: JobRow, spec: JobSpec) -> OpenedJob | Failure:
--- a/src/leverjunction/batch/tables.py
+++ b/src/leverjunction/batch/tables.py
@@ -40,7 +40,10 @@
         unknown INTEGER NOT NULL,
         cancelled INTEGER NOT NULL,
         expired INTEGER NOT NULL,
-        discarded INTEGER NOT NULL
+        discarded INTEGER NOT NULL,
+        retention_ms INTEGER NOT NULL,
+        keep_until_ms INTEGER NOT NULL,
+        removed_ms INTEGER NOT NULL
     )
     """,
     """
@@ -53,6 +56,14 @@
     CREATE INDEX IF NOT EXISTS sm_jobs_deadline ON sm_jobs (deadline_ms)
     WHERE closed = 0
     """,
+    # Final jobs whose results are kept, and jobs whose results were removed.
+    """
+    CREATE INDEX IF NOT EXISTS sm_jobs_kept ON sm_jobs (keep_until_ms)
+    WHERE keep_until_ms > 0 AND removed_ms = 0
+    """,
+    "CREATE INDEX IF NOT EXISTS sm_jobs_removed ON sm_jobs (removed_ms) WHERE removed_ms > 0",
+    # Numbers of jobs whose items and results are being deleted, some rows a command.
+    "CREATE TABLE IF NOT EXISTS sm_removals (job INTEGER PRIMARY KEY)",
     # Immutable inputs.
     """
     CREATE TABLE IF NOT EXISTS sm_items (
--- a/tests/unit/batch_machine.py
+++ b/tests/unit/batch_machine.py
@@ -26,13 +26,17 @@
     OpenJob,
     ResultPage,
 )
+from leverjunction.batch.retention import LEASE_RETENTION_MS
 from leverjunction.batch.state_machine import JobsStateMachine
 from leverjunction.consensus.api import ApplyContext
 from leverjunction.wire.codec import decode_reply, encode
 
 START_MS = 1_000_000
 DEADLINE_MS = START_MS + 60_000
-NO_BACKLOG = Backlog(pending_by_service={}, leases_by_owner={})
+NO_BACKLOG = Backlog(
+    pending_by_service={}, leases_by_owner={}, next_due_ms=START_MS + LEASE_RETENTION_MS
+)
+"""Nothing pending and no open lease; the next thing to do is to forget an ended lease."""
 
 
 class Machine:
--- a/tests/unit/test_batch_state_machine.py
+++ b/tests/unit/test_batch_state_machine.py
@@ -329,7 +329,9 @@
     own = machine.query(ListJobs("kilimo"), list[JobView])
     assert [view.spec.job_id for view in own] == ["a"]
     assert machine.query(GetBacklog(), Backlog) == Backlog(
-        pending_by_service={"llm": 3}, leases_by_owner={"gateway-1": ["l"]}
+        pending_by_service={"llm": 3},
+        leases_by_owner={"gateway-1": ["l"]},
+        next_due_ms=DEADLINE_MS,
     )
 
 
