Batch API: a body that breaks off between two lines is refused, not taken for the whole job

Cause: POST /v1/batches read until the first empty read. A caller that died between two lines, or that the gateway stopped reading for its slowness (its answer can still be written), had the lines so far accepted as the job, with 200; a resend of the whole under the same key was then refused as other content. Chunked bodies and forms that broke off ended as 500 with a page of HTML. Change: the bytes received are compared with Content-Length; broken chunks and forms are caught; all answer 400 with "nothing was accepted", and the upload is abandoned (kept open under a key, so that a resend goes on). Refusals no longer read the rest of a body first (refuse_body).

--- a/src/leverjunction/api/batches.py
+++ b/src/leverjunction/api/batches.py
@@ -26,11 +26,11 @@
     BatchContext,
     answer_json,
     bad_request,
-    body_pieces,
     drain_body,
     fail,
     idempotency_key,
     method_not_allowed,
+    read_body,
     request_id,
 )
 from leverjunction.api.batches_terms import deadline_ms, may_repeat
@@ -192,9 +192,8 @@
             self._context.service_lookup(tenant), settings.limits(tenant).max_job_items
         )
         upload = JobUpload(self._context.directory, reader, terms)
-        for piece in body_pieces():
-            upload.write(piece)
-        job = upload.finish()
+        broken = read_body(upload.write)
+        job = upload.finish() if broken is None else upload.abandon(broken)
         return fail(job) if isinstance(job, Failure) else answer_json(batch_object(job))
 
     def _list(self, tenant: str, query: dict[str, str]) -> bytes:
--- a/src/leverjunction/api/batches_files.py
+++ b/src/leverjunction/api/batches_files.py
@@ -24,6 +24,7 @@
     BatchContext,
     answer_json,
     bad_request,
+    broken_body,
     fail,
     idempotency_key,
     method_not_allowed,
@@ -93,7 +94,10 @@
 
         body = cherrypy.request.body
         body.part_class = UploadPart
-        body.process()
+        try:
+            body.process()
+        except (EOFError, OSError, ValueError) as error:
+            return fail(upload.abandon(broken_body(f"in the form ({error})")))
         if not filenames:
             return fail(bad_request("no file in the form; send multipart/form-data with 'file'"))
         job = upload.finish()
--- a/src/leverjunction/api/batches_support.py
+++ b/src/leverjunction/api/batches_support.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random as random_module
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import cherrypy
 import msgspec
@@ -12,6 +12,7 @@
 from leverjunction.batch.directory import JobDirectory
 from leverjunction.clock import Clock
 from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.gateway.http_server import refuse_body
 from leverjunction.settings.resolved import ResolvedSettings
 from leverjunction.wire.codec import encode
 
@@ -53,20 +54,44 @@
     return str(cherrypy.request.headers.get("Idempotency-Key", ""))[:MAX_KEY_CHARACTERS]
 
 
-def body_pieces() -> Iterator[bytes]:
-    """Yield the request's body as it arrives."""
+def read_body(take: Callable[[bytes], object]) -> Failure | None:
+    """Pass the request's body on piece by piece, as it arrives.
+
+    A body may break off between two of its lines: its caller has died, or sends so slowly that
+    the server has stopped reading. Only its declared end tells that from the whole.
+
+    Args:
+        take: Called with each piece.
+
+    Returns:
+        None when the whole body has been read.
+    """
     source = cherrypy.request.rfile
-    while True:
-        piece = source.read(READ_BYTES)
-        if not piece:
-            return
-        yield piece
+    declared = cherrypy.request.headers.get("Content-Length")
+    received = 0
+    try:
+        while piece := source.read(READ_BYTES):
+            received += len(piece)
+            take(piece)
+    except (OSError, ValueError) as error:
+        # A chunked body that breaks off: its next chunk has no head.
+        return broken_body(f"after {received} bytes ({error})")
+    if declared is not None and declared.isdigit() and received < int(declared):
+        return broken_body(f"after {received} of {declared} bytes")
+    return None
+
+
+def broken_body(where: str) -> Failure:
+    """Return the failure of a body that ended too early."""
+    return bad_request(
+        f"nothing was accepted: the body broke off {where}, or came too slowly; send it again, "
+        "under the same Idempotency-Key if it had one"
+    )
 
 
 def drain_body() -> None:
     """Read and drop the rest of the body, so that a refusal reaches a caller that still sends."""
-    for _piece in body_pieces():
-        pass
+    read_body(len)
 
 
 def answer_json(body: object) -> bytes:
@@ -78,7 +103,8 @@
 
 
 def fail(failure: Failure) -> bytes:
-    """Return a failure as the answer of the current request."""
+    """Return a failure as the answer of the current request, whether its body is read or not."""
+    refuse_body(cherrypy.request.wsgi_environ)
     return error_response(failure, request_id())
 
 
--- a/src/leverjunction/api/batches_upload.py
+++ b/src/leverjunction/api/batches_upload.py
@@ -98,6 +98,12 @@
             return self._failure
         return self._conclude()
 
+    def abandon(self, failure: Failure) -> Failure:
+        """End an upload whose body broke off: nothing is accepted."""
+        self._failure = self._failure or failure
+        self._discard()
+        return self._failure
+
     def _take(self, items: list[ItemInput]) -> None:
         if self._reader.errors:
             # Errors are still collected, but nothing more is stored.
--- a/tests/unit/test_batch_api.py
+++ b/tests/unit/test_batch_api.py
@@ -5,6 +5,7 @@
 import hashlib
 import json
 import random
+import socket
 import threading
 from collections.abc import Iterator
 
@@ -57,6 +58,7 @@
         self._server.prepare()
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
         self._thread.start()
+        self.address = ("127.0.0.1", self._server.bind_addr[1])
         self.url = f"http://127.0.0.1:{self._server.bind_addr[1]}/v1"
         self._pool = urllib3.PoolManager(retries=False)
 
@@ -201,6 +203,47 @@
     assert server.request("POST", "/batches", lines(1), Idempotency_Key="k").status == 200
 
 
+MULTIPART_HEAD = (
+    b'--cut\r\nContent-Disposition: form-data; name="file"; filename="in.jsonl"\r\n'
+    b"Content-Type: application/jsonl\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "sent"),
+    [
+        ("batches", b"Content-Type: application/jsonl\r\nContent-Length: 5000", lines(3) + b"\n"),
+        (
+            "batches",
+            b"Content-Type: application/jsonl\r\nTransfer-Encoding: chunked",
+            f"{len(lines(3)) + 1:x}\r\n".encode() + lines(3) + b"\n\r\n",
+        ),
+        (
+            "files",
+            b"Content-Type: multipart/form-data; boundary=cut\r\nContent-Length: 5000",
+            MULTIPART_HEAD + lines(3) + b"\n",
+        ),
+    ],
+)
+def test_body_that_breaks_off_between_two_lines_is_not_taken_for_the_whole(
+    server: Server, path: str, headers: bytes, sent: bytes
+) -> None:
+    # A gateway ends the reading of a body that comes too slowly in the same way.
+    head = f"POST /v1/{path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-kilimo\r\n".encode()
+    with socket.create_connection(server.address) as connection:
+        connection.sendall(head + b"Idempotency-Key: k\r\n" + headers + b"\r\n\r\n" + sent)
+        connection.shutdown(socket.SHUT_WR)
+        answer = connection.makefile("rb").read()
+    assert answer.startswith(b"HTTP/1.1 400"), answer
+    assert json.loads(answer.rpartition(b"\r\n\r\n")[2])["error"]["execution"] == "not_run"
+    for connection_ in server.control.connections.values():
+        sealed = connection_.execute("SELECT COUNT(*) FROM sm_jobs WHERE content_hash != ''")
+        assert sealed.fetchone() == (0,)
+    # The whole body under the same key is the job.
+    whole = server.request("POST", "/batches", lines(5), Idempotency_Key="k")
+    assert json.loads(whole.data)["request_counts"]["total"] == 5
+
+
 def test_upload_that_lost_its_quorum_goes_on_with_a_resend(server: Server) -> None:
     lost = Failure(
         kind=FailureKind.NO_QUORUM,
