--- a/src/leverjunction/cli/commands.py
+++ b/src/leverjunction/cli/commands.py
@@ -7,7 +7,6 @@
 
 import sys
 from collections.abc import Sequence
-from importlib.metadata import version
 from pathlib import Path
 from typing import TypeVar
 
@@ -146,6 +145,8 @@
     """Run the command line and exit with the command's status."""
     given = sys.argv[1:] if arguments is None else arguments
     if list(given) == ["--version"]:
+        from importlib.metadata import version
+
         print(f"leverjunction {version(PACKAGE)}")
         sys.exit(ExitCode.OK)
     result = fire.Fire(
