--- a/src/leverjunction/api/batches_terms.py
+++ b/src/leverjunction/api/batches_terms.py
@@ -28,7 +28,12 @@
         batch_class: Class that the caller named; empty for the default class.
         window: Completion window such as ``24h``; empty for the class's own.
     """
-    window_s = context.settings().batch_class(batch_class or DEFAULT_BATCH_CLASS).deadline_s
+    settings = context.settings()
+    known = settings.names("batch_classes")
+    if batch_class and batch_class not in (DEFAULT_BATCH_CLASS, *known):
+        named = ", ".join(sorted({DEFAULT_BATCH_CLASS, *known}))
+        return bad_request(f"no batch class {batch_class!r}; known: {named}")
+    window_s = settings.batch_class(batch_class or DEFAULT_BATCH_CLASS).deadline_s
     if window:
         match = _WINDOW.fullmatch(window)
         if match is None or int(match[1]) == 0:
--- a/tests/unit/test_batch_api.py
+++ b/tests/unit/test_batch_api.py
@@ -35,6 +35,7 @@
     leaves: dict[str, object] = {
         "services/llm/models/m/version": "1",
         "services/docs/models/d/version": "1",
+        "batch_classes/night/deadline_s": 7200.0,
         "tenants/kilimo/limits/max_job_items": 1500,
     }
     for tenant in ("kilimo", "hanbit"):
@@ -286,6 +287,15 @@
     assert bad.status == 400
 
 
+def test_batch_class_must_be_in_the_settings(server: Server) -> None:
+    refused = server.request("POST", "/batches", lines(1), X_Batch_Class="nihgt")
+    assert refused.status == 400
+    assert "known: default, night" in json.loads(refused.data)["error"]["message"]
+    created = server.request("POST", "/batches", lines(1), X_Batch_Class="night")
+    batch = json.loads(created.data)
+    assert batch["expires_at"] - batch["created_at"] in (7199, 7200)
+
+
 def test_key_of_a_file_batch_is_bound_to_its_file(server: Server) -> None:
     client = openai.OpenAI(api_key="key-kilimo", base_url=server.url, max_retries=0)
     ids = [client.files.create(file=("in.jsonl", lines(1)), purpose="batch").id for _ in range(2)]
