Scale run: changes resent under their id, gateways that start over a time, election timeouts

Cause: at 340 gateways and 15 control processes on a busy machine the run gave up when a change lost its answer (its resend had a new id and was refused), and a kept folder with old data of other ports kept the groups from electing a leader.

--- a/src/testbed/scale/cli.py
+++ b/src/testbed/scale/cli.py
@@ -23,7 +23,7 @@
 
     Args:
         json: File that gets the result as one JSON object.
-        keep: Folder for the run's files; a temporary one is used and removed when empty.
+        keep: Empty or new folder for the run's files; without it a temporary one is used.
         sizes: Fields of ``ScaleOptions``, such as ``--gateways=340 --runners=1200 --controls=3``.
     """
     # The processes have log files of their own; here only the run itself speaks.
@@ -33,7 +33,7 @@
     )
     try:
         if keep:
-            Path(keep).mkdir(parents=True, exist_ok=True)
+            _make_empty(Path(keep))
             result = run_scale(options, Path(keep))
         else:
             with tempfile.TemporaryDirectory(prefix="scale-") as folder:
@@ -47,6 +47,13 @@
     return 0
 
 
+def _make_empty(folder: Path) -> None:
+    """Make a folder; one with files is refused, since old data would join the new fleet."""
+    folder.mkdir(parents=True, exist_ok=True)
+    if any(folder.iterdir()):
+        raise ScaleError(f"--keep={folder}: expected an empty or a new folder")
+
+
 def main() -> None:
     """Entry point."""
     sys.exit(fire.Fire(scale, serialize=lambda _: None))
--- a/src/testbed/scale/cluster.py
+++ b/src/testbed/scale/cluster.py
@@ -140,12 +140,19 @@
         "data_folder": str(data_folder),
         "log": {"level": LOG_LEVEL},
         "peers": [
-            {"name": peer.name, "rpc_address": peer.rpc_address, "zone": peer.zone}
+            {
+                "name": peer.name,
+                "rpc_address": peer.rpc_address,
+                "zone": peer.zone,
+                "region": peer.region,
+            }
             for peer in controls
         ],
         "job_groups": options.job_groups,
         "operator_token_file": shared.operator_token_file,
         "machine_list_url": machine_list_url,
+        "election_timeout_s": options.election_timeout_s,
+        "heartbeat_interval_s": options.heartbeat_interval_s,
     }
     return _start("control", control.name, document, folder)
 
--- a/src/testbed/scale/fleet.py
+++ b/src/testbed/scale/fleet.py
@@ -185,6 +185,7 @@
             result_bytes=options.item_bytes,
             digest_change_ratio=options.digest_change_ratio,
             exchange_interval_s=options.exchange_interval_s,
+            start_spread_s=options.start_spread_s,
             seed=options.seed * 1000 + len(self.gateway_workers),
             report_path=str(report),
         )
--- a/src/testbed/scale/gateway_worker.py
+++ b/src/testbed/scale/gateway_worker.py
@@ -38,6 +38,7 @@
     result_bytes: int
     digest_change_ratio: float
     exchange_interval_s: float
+    start_spread_s: float
     seed: int
     report_path: str
 
@@ -124,7 +125,8 @@
             profile, control, clock, random_module.Random(seed + 1), spec.digest_change_ratio
         )
         self._gateways.append(gateway)
-        offset_s = random_module.Random(seed + 2).random() * spec.exchange_interval_s
+        spread_s = max(spec.exchange_interval_s, spec.start_spread_s)
+        offset_s = random_module.Random(seed + 2).random() * spread_s
         threads = [
             threading.Thread(target=self._exchange_loop, args=(gateway, offset_s), daemon=True)
         ]
--- a/src/testbed/scale/operators.py
+++ b/src/testbed/scale/operators.py
@@ -32,6 +32,7 @@
 CHANGE_TIMEOUT_S = 10.0
 LEAVES_PER_CHANGE = 2000
 ITEMS_PER_CHUNK = 1000
+MAX_ERROR_CHARS = 300
 JOB_DEADLINE_MS = 24 * 3600 * 1000
 
 
@@ -43,6 +44,13 @@
     acknowledged_s: float
 
 
+class _Unanswered(msgspec.Struct, frozen=True, kw_only=True):
+    """A change that was sent and has no outcome yet."""
+
+    change_id: str
+    sent_s: float
+
+
 class ScaleError(RuntimeError):
     """The run cannot go on; the text says why."""
 
@@ -56,6 +64,7 @@
         self._leaves: dict[str, object] = {}
         self._hash = EMPTY_HASH
         self._version = 0
+        self._unanswered: _Unanswered | None = None
 
     @property
     def version(self) -> int:
@@ -63,24 +72,34 @@
         return self._version
 
     def change(self, added: dict[str, object]) -> ChangeTime:
-        """Commit one change and return when it was sent and acknowledged."""
+        """Commit one change and return when it was sent and acknowledged.
+
+        After a failure the same change has to be sent again, with the same id: it then gets the
+        outcome of the first time, and its time counts from there.
+        """
+        attempt = self._unanswered or _Unanswered(
+            change_id=f"{self._random.getrandbits(128):032x}", sent_s=time.monotonic()
+        )
+        self._unanswered = attempt
         removed = {path: self._leaves[path] for path in added if path in self._leaves}
         new_hash = update_hash(self._hash, removed, added)
         command = ApplyChange(
-            change_id=f"{self._random.getrandbits(128):032x}",
+            change_id=attempt.change_id,
             base_version=self._version,
             content_hash=new_hash,
             author="scale",
             changes=[LeafChange(path=path, value=value) for path, value in added.items()],
         )
-        sent_s = time.monotonic()
         outcome = self._control.propose(ROOT, command, ChangeOutcome, CHANGE_TIMEOUT_S)
         if isinstance(outcome, Failure) or not outcome.accepted:
-            raise ScaleError(f"settings change failed: {outcome}")
+            raise ScaleError(f"settings change failed: {outcome}"[:MAX_ERROR_CHARS])
+        self._unanswered = None
         self._leaves.update(added)
         self._hash = new_hash
         self._version = outcome.version
-        return ChangeTime(version=outcome.version, sent_s=sent_s, acknowledged_s=time.monotonic())
+        return ChangeTime(
+            version=outcome.version, sent_s=attempt.sent_s, acknowledged_s=time.monotonic()
+        )
 
     def seed(self, options: ScaleOptions) -> None:
         """Commit the settings that the run starts from."""
--- a/src/testbed/scale/options.py
+++ b/src/testbed/scale/options.py
@@ -27,6 +27,10 @@
         item_bytes: Size of an item's request body; its result has the same size.
         digest_change_ratio: Share of owned runners whose load reading changes each second.
         exchange_interval_s: Time between two exchanges of a gateway.
+        election_timeout_s: Of the control processes; more than the default for a machine so busy
+            that processes stand still for longer.
+        heartbeat_interval_s: Of the control processes.
+        start_spread_s: Time over which the gateways start; 0 starts all within one interval.
         changes: Settings changes made during the window.
         warmup_s: Time before the window, after all gateways are in step.
         window_s: Measured time.
@@ -49,6 +53,9 @@
     item_bytes: int = 600
     digest_change_ratio: float = 1.0
     exchange_interval_s: float = 1.0
+    election_timeout_s: float = 0.6
+    heartbeat_interval_s: float = 0.1
+    start_spread_s: float = 0.0
     changes: int = 0
     warmup_s: float = 3.0
     window_s: float = 15.0
--- a/src/testbed/scale/run.py
+++ b/src/testbed/scale/run.py
@@ -72,7 +72,8 @@
     jobs_submitted_s = _submit_jobs(control, fleet, random)
     started_s = time.monotonic()
     fleet.start_gateways()
-    in_step = wait_until(lambda: fleet.in_step(operator.version), IN_STEP_TIMEOUT_S)
+    in_step_timeout_s = IN_STEP_TIMEOUT_S + options.start_spread_s
+    in_step = wait_until(lambda: fleet.in_step(operator.version), in_step_timeout_s)
     start_s = time.monotonic() - started_s
     logger.info("gateways in step: {} after {:.1f} s", in_step, start_s)
     time.sleep(options.warmup_s)
@@ -109,7 +110,6 @@
         self._fleet = fleet
         self._operator = operator
         self._changes: list[ChangeTime] = []
-        self._change_errors: list[str] = []
         self._killed: ChildProcess | None = None
         self._killed_s: float | None = None
         self.seconds = 0.0
@@ -121,15 +121,15 @@
         polls = self._fleet.machine_list.polls
         self._reports_before = self._fleet.reports()
         self._before = self._snapshot()
-        ends_s = time.monotonic() + options.window_s
+        self._ends_s = time.monotonic() + options.window_s
         operator = threading.Thread(target=self._make_changes, daemon=True)
         operator.start()
         if options.kill_control:
             time.sleep(options.window_s / 2)
             self._kill()
-        while time.monotonic() < ends_s:
+        while time.monotonic() < self._ends_s:
             self._fleet.check_memory()
-            time.sleep(min(MEMORY_CHECK_S, max(0.0, ends_s - time.monotonic())))
+            time.sleep(min(MEMORY_CHECK_S, max(0.0, self._ends_s - time.monotonic())))
         self._after = self._snapshot()
         self._reports_after = self._fleet.reports()
         self.seconds = self._after.monotonic_s - self._before.monotonic_s
@@ -181,11 +181,19 @@
         pause_s = options.window_s / (options.changes + 1)
         for number in range(options.changes):
             time.sleep(pause_s)
+            if not self._make_change(number):
+                return
+
+    def _make_change(self, number: int) -> bool:
+        """Send one change until it has an outcome, or the window is long over."""
+        give_up_s = self._ends_s + CHANGE_SETTLE_S
+        while time.monotonic() < give_up_s:
             try:
                 self._changes.append(self._operator.small_change(number))
+                return True
             except ScaleError as error:
-                self._change_errors.append(str(error))
                 logger.warning("{}", error)
+        return False
 
     def _kill(self) -> None:
         # The last one: with groups led anywhere, any process is as good a choice as another.
