--- a/tests/unit/test_scale_operator.py
+++ b/tests/unit/test_scale_operator.py
@@ -12,6 +12,18 @@
 LOST_ANSWER = Failure(kind=FailureKind.TIMEOUT, reason="lost", step=Step.RESPONDING, peer="hub")
 
 
+def accepted(version: int) -> ChangeOutcome:
+    return ChangeOutcome(
+        accepted=True,
+        version=version,
+        replayed=False,
+        winner="",
+        winner_ms=0,
+        differing_paths=[],
+        reason="",
+    )
+
+
 class ForgetfulControl:
     """Commits every change, and loses the answer to chosen tries."""
 
@@ -23,8 +35,7 @@
     def propose(self, group: str, command: ApplyChange, *_: object) -> ChangeOutcome | Failure:
         self.commands.append(command)
         version = command.base_version + 1
-        accepted = ChangeOutcome(accepted=True, version=version, replayed=False)
-        outcome = self._outcomes.setdefault(command.change_id, accepted)
+        outcome = self._outcomes.setdefault(command.change_id, accepted(version))
         return LOST_ANSWER if len(self.commands) in self._lost_tries else outcome
 
 
