--- a/src/leverjunction/cli/commands.py
+++ b/src/leverjunction/cli/commands.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -24,7 +25,7 @@
 )
 from leverjunction.cli.jobs import JobsCommands
 from leverjunction.cli.options import make_options
-from leverjunction.cli.output import ExitCode, print_failure
+from leverjunction.cli.output import ExitCode, print_failure, print_progress
 from leverjunction.cli.settings import SettingsCommands
 from leverjunction.cli.status import status
 from leverjunction.cli.watch import watch, why
@@ -34,6 +35,10 @@
 from leverjunction.errors import Failure, FailureKind, Step
 
 PACKAGE = "leverjunction"
+EXIT_INTERRUPTED = 130
+EXIT_READER_GONE = 141
+"""Both as a shell gives them for SIGINT and SIGPIPE."""
+
 ConfigT = TypeVar("ConfigT", bound=BaseModel)
 
 
@@ -155,7 +160,20 @@
         name="leverjunction",
         serialize=_shown,
     )
-    sys.exit(run_deferred(result) if isinstance(result, Deferred) else ExitCode.OK)
+    sys.exit(_run(result) if isinstance(result, Deferred) else ExitCode.OK)
+
+
+def _run(deferred: Deferred) -> int:
+    """Run a command; one that is interrupted, or whose reader has gone, ends without a trace."""
+    try:
+        return run_deferred(deferred)
+    except KeyboardInterrupt:
+        print_progress("interrupted")
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # Python flushes standard output once more at exit, which must not fail again.
+        sys.stdout = open(os.devnull, "w")  # noqa: SIM115
+        return EXIT_READER_GONE
 
 
 def _shown(result: object) -> object:
--- a/src/leverjunction/cli/jobs.py
+++ b/src/leverjunction/cli/jobs.py
@@ -22,7 +22,6 @@
     exit_code,
     print_failure,
     print_json,
-    print_json_line,
     print_progress,
     print_table,
     when,
@@ -187,7 +186,7 @@
         if isinstance(job, Failure):
             return print_failure(job)
         if self._options.as_json:
-            print_json_line(job)
+            print_json(job)
             return ExitCode.OK
         print_table("job", JOB_COLUMNS, [job_row(job)])
         return ExitCode.OK
--- a/tests/unit/test_cli_command.py
+++ b/tests/unit/test_cli_command.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from leverjunction.cli import commands
 from leverjunction.cli.command import prepare_arguments
 from leverjunction.cli.commands import main, parse_assignments
 from leverjunction.cli.options import CONTROL_VARIABLE, TOKEN_FILE_VARIABLE, make_options
@@ -77,6 +78,17 @@
     assert told in capsys.readouterr().err
 
 
+@pytest.mark.parametrize(("raised", "code"), [(KeyboardInterrupt(), 130), (BrokenPipeError(), 141)])
+def test_an_interrupted_command_ends_without_a_traceback(
+    raised: BaseException, code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def end(_deferred: object) -> int:
+        raise raised
+
+    monkeypatch.setattr(commands, "run_deferred", end)
+    assert run("settings", "check", EXAMPLE) == code
+
+
 def test_flags_win_over_the_environment(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setenv(CONTROL_VARIABLE, "127.0.0.1:1, 127.0.0.1:2")
     monkeypatch.setenv(TOKEN_FILE_VARIABLE, "env")
