Harvester: lost grants are asked for again, faults and dead runners hold no items

Found by reading the batch path against the promises; each test failed before: - The answer of a committed grant was lost: its items waited for the lease to end, and those that may not repeat ended as unknown though nobody had run them. The same grant is asked for again, also once at a stop, and the group repeats its answer. - An exception in a run's thread left the item with the run for ever, and its lease was renewed. It counts as a broken run now. - Runs on a runner that the machine list had dropped (machine lost, connections silent) ended only by their timeout of 600 s.

--- a/src/leverjunction/batch/harvest_state.py
+++ b/src/leverjunction/batch/harvest_state.py
@@ -8,13 +8,11 @@
 import dataclasses
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
-
-import msgspec
 
 from leverjunction.batch.batch_counters import HarvestCounters
 from leverjunction.batch.commands import ItemResult, ItemState
 from leverjunction.batch.harvest import HarvestController, HarvestTargets
+from leverjunction.batch.harvest_types import GiveBack, OwnedRunner, Plan, Run, Verdict
 from leverjunction.batch.held_work import HeldWork, WorkItem
 from leverjunction.batch.item_run import RunEnd, RunResult
 from leverjunction.batch.lease_fetcher import Demand
@@ -47,56 +45,6 @@
 _MAY_HAVE_RUN = '{"error":{"message":"%s","type":"outcome_unknown"}}'
 
 
-@dataclass
-class Run:
-    """One run of an item on an engine."""
-
-    work: WorkItem
-    runner_id: str
-    address: str
-    priority: int
-    started_s: float
-    parking: bool = False
-    dropped: bool = False
-    cancelled_s: float = -math.inf
-
-
-@dataclass
-class OwnedRunner:
-    """A runner with its controller; it stays known until its last run has ended."""
-
-    state: RunnerState
-    controller: HarvestController
-    owned: bool = True
-    not_before_s: float = 0.0
-    note: str = ""
-
-
-class Verdict(msgspec.Struct, frozen=True, kw_only=True):
-    """A final outcome to commit."""
-
-    group: str
-    lease_id: str
-    result: ItemResult
-
-
-class GiveBack(msgspec.Struct, frozen=True):
-    """An item to put back into the queue of its job."""
-
-    work: WorkItem
-    group: str
-
-
-@dataclass
-class Plan:
-    """What to carry out after a round of decisions."""
-
-    starts: list[Run] = field(default_factory=list)
-    cancels: list[Run] = field(default_factory=list)
-    verdicts: list[Verdict] = field(default_factory=list)
-    give_back: list[GiveBack] = field(default_factory=list)
-
-
 class HarvestState:
     """See the module. Not safe for threads."""
 
@@ -265,6 +213,7 @@
         if run.parking or run.dropped:
             return
         run.parking = True
+        run.parked_s = now_s
         run.cancelled_s = now_s
         plan.cancels.append(run)
 
@@ -276,14 +225,10 @@
 
     def _give_up_runs(self, runner: OwnedRunner, plan: Plan, now_s: float) -> None:
         """Give up the runs of a runner that has not been heard of for long."""
-        silent_s = runner.controller.seconds_without_report(now_s)
         for run in self._runs_on(runner.state.runner_id):
-            if run.dropped or not runner.owned:
-                continue
-            # A runner that never reported is silent since its run began.
-            silent_for_s = min(silent_s, now_s - run.started_s)
             repeatable = run.work.leased.may_repeat
-            if silent_for_s < (LOST_RUNNER_S if repeatable else LOST_RUNNER_UNREPEATABLE_S):
+            limit_s = LOST_RUNNER_S if repeatable else LOST_RUNNER_UNREPEATABLE_S
+            if run.dropped or _silent_s(runner, run, now_s) < limit_s:
                 continue
             run.dropped = True
             runner.controller.ended(id(run))
@@ -349,6 +294,18 @@
         return max(0, stock - self.work.waiting(service))
 
 
+def _silent_s(runner: OwnedRunner, run: Run, now_s: float) -> float:
+    """Return how long a runner has been silent about a run.
+
+    Another gateway gets the reports of a runner that is no longer owned. Such a run is told to
+    stop, and is silent from then on; one that may not repeat goes on to its own end.
+    """
+    if not runner.owned:
+        return now_s - run.parked_s
+    # A runner that never reported is silent since its run began.
+    return min(runner.controller.seconds_without_report(now_s), now_s - run.started_s)
+
+
 def _prompt_tokens(work: WorkItem) -> int:
     """Estimate what a runner has to read before it goes on with an item."""
     return max(1, (len(work.leased.item.body) + len(work.continue_text)) // BYTES_PER_TOKEN)
--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -26,13 +26,9 @@
 )
 from leverjunction.batch.directory import Control
 from leverjunction.batch.harvest import HarvestTargets
-from leverjunction.batch.harvest_state import (
-    GiveBack,
-    HarvestState,
-    Run,
-    Verdict,
-)
-from leverjunction.batch.item_run import Engines, RunResult, request_id_of, run_item
+from leverjunction.batch.harvest_state import HarvestState
+from leverjunction.batch.harvest_types import GiveBack, Run, Verdict
+from leverjunction.batch.item_run import Engines, RunEnd, RunResult, request_id_of, run_item
 from leverjunction.batch.lease_fetcher import Demand, LeaseFetcher
 from leverjunction.batch.result_sender import ResultSender
 from leverjunction.clock import Clock
@@ -43,8 +39,9 @@
 TICK_S = 0.02
 MAX_RUN_THREADS = 512
 CANCEL_THREADS = 32
-STOP_WAIT_S = 10.0
-"""How long a planned stop waits for items that may not repeat."""
+STOP_WAIT_S = 60.0
+"""How long a planned stop waits for items that may not repeat: half of what a gateway waits for
+its open requests, of which they are some."""
 
 STOP_COMMIT_S = 5.0
 
@@ -262,7 +259,12 @@
             may_start = self._state.begins(run, self._clock.monotonic_s())
         if not may_start:
             return
-        result = run_item(self._engines, run.work, run.address, run.priority)
+        try:
+            result = run_item(self._engines, run.work, run.address, run.priority)
+        except Exception as error:
+            # Whatever broke, the item must not stay with a run that has ended.
+            logger.exception("run of {} failed", request_id_of(run.work))
+            result = RunResult(end=RunEnd.BROKEN, reason=repr(error))
         self._ended(run, result)
 
     def _ended(self, run: Run, result: RunResult) -> None:
--- a/src/leverjunction/batch/lease_fetcher.py
+++ b/src/leverjunction/batch/lease_fetcher.py
@@ -11,7 +11,7 @@
 from leverjunction.batch.commands import Backlog, GetBacklog, GrantLease, Lease
 from leverjunction.batch.directory import Control
 from leverjunction.clock import Clock
-from leverjunction.errors import Failure
+from leverjunction.errors import Execution, Failure
 
 CHECK_INTERVAL_S = 0.1
 EMPTY_POLL_S = 0.5
@@ -31,6 +31,9 @@
         self.wanted = wanted
 
 
+_Place = tuple[str, str]
+"""Group and service."""
+
 Granted = Callable[[str, str, Lease, float], None]
 """Called with group, service, lease and the monotonic time at which it was asked for."""
 
@@ -63,8 +66,9 @@
         self._demands = demands
         self._granted = granted
         self._groups: list[str] = []
-        self._next_poll_s: dict[tuple[str, str], float] = {}
-        self._empty_polls: dict[tuple[str, str], int] = {}
+        self._next_poll_s: dict[_Place, float] = {}
+        self._empty_polls: dict[_Place, int] = {}
+        self._unanswered: dict[_Place, GrantLease] = {}
         self._stopped = threading.Event()
         self._failing = False
         self._thread = threading.Thread(target=self._run, name="batch-leases", daemon=True)
@@ -74,10 +78,12 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """End the thread; a grant that is under way is waited for, so that it can be returned."""
+        """End the thread; grants under way are waited for, so that they can be returned."""
         self._stopped.set()
         if self._thread.is_alive():
             self._thread.join(CALL_TIMEOUT_S * 2)
+        for place, command in list(self._unanswered.items()):
+            self._ask(place, command)
 
     def update(self, groups: list[str]) -> None:
         """Take the names of the job groups."""
@@ -105,25 +111,39 @@
         now_s = self._clock.monotonic_s()
         if now_s < self._next_poll_s.get(place, 0.0) or not demand.models:
             return 0
-        if not self._has_work(group, demand):
+        command = self._unanswered.get(place)
+        if command is None and self._has_work(group, demand):
+            command = self._new_grant(demand)
+        count = 0 if command is None else self._ask(place, command)
+        if count == 0:
             self._wait_longer(place, now_s)
-            return 0
+        return count
+
+    def _new_grant(self, demand: Demand) -> GrantLease:
         count = min(demand.wanted, MAX_GRANT_ITEMS)
         lease_id = f"{self._gateway_id}.{self._random.getrandbits(96):024x}"
-        command = GrantLease(lease_id, self._gateway_id, demand.service, demand.models, count)
+        return GrantLease(lease_id, self._gateway_id, demand.service, demand.models, count)
+
+    def _ask(self, place: _Place, command: GrantLease) -> int:
+        """Ask for a lease and return how many items it has.
+
+        A grant whose answer was lost may be committed, so the same one is asked for again: the
+        group repeats its answer. Forgotten, its items would wait for the lease to end, and those
+        that may not repeat would end as unknown.
+        """
+        group, service = place
         asked_s = self._clock.monotonic_s()
         lease = self._control.propose(group, command, Lease, CALL_TIMEOUT_S)
         if isinstance(lease, Failure):
-            # A grant that was committed all the same is not renewed and returns by itself.
             self._note_failure(lease)
-            self._wait_longer(place, now_s)
-            return 0
-        if not lease.items:
-            self._wait_longer(place, now_s)
+            if lease.execution is not Execution.NOT_RUN:
+                self._unanswered[place] = command
             return 0
+        self._unanswered.pop(place, None)
         self._failing = False
-        self._empty_polls.pop(place, None)
-        self._granted(group, demand.service, lease, asked_s)
+        if lease.items:
+            self._empty_polls.pop(place, None)
+            self._granted(group, service, lease, asked_s)
         return len(lease.items)
 
     def _has_work(self, group: str, demand: Demand) -> bool:
--- a/tests/unit/test_batch_harvester.py
+++ b/tests/unit/test_batch_harvester.py
@@ -273,3 +273,17 @@
     world.harvester.revoke(lost, [])
     world.engines.wait_open(0)
     assert set(lost).isdisjoint(world.harvester.lease_ids().get("jobs-0", []))
+
+
+def test_fault_in_a_run_does_not_lose_its_item(world: World) -> None:
+    normal = world.engines.answer
+
+    def once(call: EngineCall) -> FakeStream | Failure:
+        if len(world.engines.calls) == 1:
+            raise RuntimeError("a fault of the program")
+        return normal(call)
+
+    world.engines.answer = once
+    world.submit(2)
+    world.start()
+    assert world.wait_job(is_completed).done == 2
--- /dev/null
+++ b/tests/unit/test_batch_lease_fetcher.py
@@ -0,0 +1,107 @@
+"""Leases asked for ahead, over state machines in this process."""
+
+from __future__ import annotations
+
+import random
+from typing import TypeVar
+
+import msgspec
+import pytest
+from tests.unit.batch_machine import DEADLINE_MS, START_MS, items, spec
+from tests.unit.batch_support import LocalControl
+
+from leverjunction.batch.commands import (
+    AcceptJob,
+    AppendItems,
+    Backlog,
+    GetBacklog,
+    GrantLease,
+    JobView,
+    Lease,
+    OpenedJob,
+    OpenJob,
+)
+from leverjunction.batch.lease_fetcher import Demand, LeaseFetcher
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+
+T = TypeVar("T")
+
+
+class LossyControl(LocalControl):
+    """Applies commands, but the answers to the first grants get lost."""
+
+    def __init__(self, lost_answers: int) -> None:
+        super().__init__(lambda: START_MS)
+        self.lost_answers = lost_answers
+
+    def propose(
+        self, group: str, command: msgspec.Struct, reply_type: type[T], timeout_s: float = 5.0
+    ) -> T | Failure:
+        reply = super().propose(group, command, reply_type, timeout_s)
+        if isinstance(command, GrantLease) and self.lost_answers > 0:
+            self.lost_answers -= 1
+            return Failure(
+                kind=FailureKind.TIMEOUT,
+                reason="no answer",
+                step=Step.PROPOSING,
+                execution=Execution.UNKNOWN,
+            )
+        return reply
+
+
+class Clock:
+    """Time that the test moves."""
+
+    now_s = 0.0
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    def wall_ms(self) -> int:
+        return START_MS
+
+
+class Fetching:
+    """A fetcher with one job of items that may not repeat."""
+
+    def __init__(self, lost_answers: int) -> None:
+        self.control = LossyControl(lost_answers)
+        self.clock = Clock()
+        self.leases: list[Lease] = []
+        self.fetcher = LeaseFetcher(
+            self.control,
+            self.clock,
+            random.Random(1),
+            "gateway-1",
+            lambda: [Demand("llm", ["m"], 8)],
+            lambda _group, _service, lease, _asked_s: self.leases.append(lease),
+        )
+        self.fetcher.update(["jobs-0"])
+        job = spec("jobs-0.a", item_count=8, may_repeat=False, deadline_ms=DEADLINE_MS)
+        self.control.propose("jobs-0", OpenJob(job), OpenedJob)
+        self.control.propose("jobs-0", AppendItems("jobs-0.a", 0, items(8)), JobView)
+        self.control.propose("jobs-0", AcceptJob("jobs-0.a"), JobView)
+
+    def open_leases(self) -> int:
+        backlog = self.control.query("jobs-0", GetBacklog(), Backlog)
+        assert isinstance(backlog, Backlog)
+        return sum(len(ids) for ids in backlog.leases_by_owner.values())
+
+
+@pytest.mark.parametrize("lost_answers", [1, 3])
+def test_lost_answer_of_a_grant_is_asked_for_again(lost_answers: int) -> None:
+    # Else its items, which nobody runs, would end as unknown with their lease.
+    fetching = Fetching(lost_answers)
+    for _ in range(lost_answers + 1):
+        fetching.fetcher.fetch_once()
+        fetching.clock.now_s += 10.0
+    assert sum(len(lease.items) for lease in fetching.leases) == 8
+    assert fetching.open_leases() == 1
+
+
+def test_stop_asks_once_more_for_a_lost_grant() -> None:
+    fetching = Fetching(1)
+    fetching.fetcher.fetch_once()
+    assert fetching.leases == []
+    fetching.fetcher.stop()
+    assert [len(lease.items) for lease in fetching.leases] == [8]
