Failure kind expired: HTTP 410

Cause: results past their retention were answered as not found, with a detail string to tell them apart. Excluded: a detail of NOT_FOUND, which clients would have to parse. Change: FailureKind.EXPIRED, 410 in the callers' API, read back by the command line. Conclusion: batch may switch over.

--- a/src/leverjunction/api/errors.py
+++ b/src/leverjunction/api/errors.py
@@ -15,6 +15,7 @@
     FailureKind.UNAUTHENTICATED: 401,
     FailureKind.FORBIDDEN: 403,
     FailureKind.NOT_FOUND: 404,
+    FailureKind.EXPIRED: 410,
     FailureKind.CONFLICT: 409,
     FailureKind.KEY_REUSED: 422,
     FailureKind.TOO_LARGE: 413,
--- a/src/leverjunction/cli_client.py
+++ b/src/leverjunction/cli_client.py
@@ -220,6 +220,7 @@
         401: FailureKind.UNAUTHENTICATED,
         403: FailureKind.FORBIDDEN,
         404: FailureKind.NOT_FOUND,
+        410: FailureKind.EXPIRED,
         409: FailureKind.CONFLICT,
         503: FailureKind.OVERLOADED,
     }
--- a/src/leverjunction/errors.py
+++ b/src/leverjunction/errors.py
@@ -19,6 +19,7 @@
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
+    EXPIRED = "expired"
     CONFLICT = "conflict"
     KEY_REUSED = "key_reused"
     TOO_LARGE = "too_large"
