Outcomes: a sender for each job group; an answer too large to commit fails its item

Cause, by reading: one thread proposed the outcomes of all groups in turn. A group without a leader takes 5 s a try, so it held up every other group's results (and their jobs' ends), and they gathered in memory. And an answer above the RPC's 64 MB was proposed again for ever, with its lease renewed. Change: ResultSenders keeps one sender (thread) a group; answers above 16 MB end as failed.

--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -30,7 +30,7 @@
 from leverjunction.batch.harvest_types import GiveBack, Run, Verdict
 from leverjunction.batch.item_run import Engines, RunEnd, RunResult, request_id_of, run_item
 from leverjunction.batch.lease_fetcher import Demand, LeaseFetcher
-from leverjunction.batch.result_sender import ResultSender
+from leverjunction.batch.result_sender import ResultSenders
 from leverjunction.clock import Clock
 from leverjunction.errors import Failure
 from leverjunction.settings.resolved import ResolvedServing
@@ -79,7 +79,7 @@
         self._renewal: tuple[float, list[str]] = (0.0, [])
         self._run_threads = ThreadPoolExecutor(MAX_RUN_THREADS, thread_name_prefix="batch-run")
         self._cancel_threads = ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="batch-cancel")
-        self._sender = ResultSender(control, self._committed)
+        self._sender = ResultSenders(control, self._committed)
         self._fetcher = LeaseFetcher(
             control, clock, random, gateway_id, self._demands, self._granted
         )
@@ -221,7 +221,6 @@
             if self._started or self._stopping:
                 return
             self._started = True
-        self._sender.start()
         self._fetcher.start()
         self._thread.start()
 
--- a/src/leverjunction/batch/item_run.py
+++ b/src/leverjunction/batch/item_run.py
@@ -18,6 +18,10 @@
 TRIES_PER_ATTEMPT = 1_000
 """Attempt numbers of a lease's attempt: its runs on engines, so that no two are the same."""
 
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""A larger answer could not be committed: it fails its item instead of holding up its lease."""
+
+_TOO_LARGE_BODY = '{"error":{"message":"the answer of %d bytes is too large","type":"too_large"}}'
 _NOT_RUN_STATUSES = frozenset({404, 429, 503})
 _CANCELLED = "cancelled"
 
@@ -100,6 +104,9 @@
 
 def read_answer(status: int, body: bytes, continue_text: str) -> RunResult:
     """Interpret an engine's answer to a run that went on after ``continue_text``."""
+    if len(body) > MAX_ANSWER_BYTES:
+        refusal = _TOO_LARGE_BODY % len(body)
+        return RunResult(end=RunEnd.REFUSED, status_code=status, body=refusal, reason=refusal)
     text = body.decode("utf8", "replace")
     if status in _NOT_RUN_STATUSES:
         return RunResult(end=RunEnd.NOT_RUN, status_code=status, body=text, reason=text[:200])
--- a/src/leverjunction/batch/result_sender.py
+++ b/src/leverjunction/batch/result_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 
 from loguru import logger
@@ -21,6 +22,42 @@
 """Called with the lease id, the outcomes sent and the reply, after the commit."""
 
 
+class ResultSenders:
+    """A sender for each job group, so that one without a leader holds up no other's outcomes."""
+
+    def __init__(self, control: Control, committed: Committed) -> None:
+        self._control = control
+        self._committed = committed
+        self._lock = threading.Lock()
+        self._senders: dict[str, ResultSender] = {}
+
+    def put(self, group: str, lease_id: str, result: ItemResult) -> None:
+        """Queue an outcome."""
+        with self._lock:
+            sender = self._senders.get(group)
+            if sender is None:
+                sender = self._senders[group] = ResultSender(self._control, self._committed)
+                sender.start()
+        sender.put(group, lease_id, result)
+
+    def pending(self) -> int:
+        """Return how many outcomes are not committed yet."""
+        return sum(sender.pending() for sender in self._all())
+
+    def stop(self, timeout_s: float) -> None:
+        """Send what is queued, for at most ``timeout_s`` altogether, and end the threads."""
+        deadline_s = time.monotonic() + timeout_s
+        senders = self._all()
+        for sender in senders:
+            sender.begin_stop()
+        for sender in senders:
+            sender.join(max(0.0, deadline_s - time.monotonic()))
+
+    def _all(self) -> list[ResultSender]:
+        with self._lock:
+            return list(self._senders.values())
+
+
 class ResultSender:
     """One thread that proposes ``CompleteItems``. Outcomes stay queued until they are committed.
 
@@ -52,11 +89,14 @@
         with self._changed:
             return self._sending + sum(len(results) for results in self._queued.values())
 
-    def stop(self, timeout_s: float) -> None:
-        """Send what is queued, for at most ``timeout_s``, and end the thread."""
+    def begin_stop(self) -> None:
+        """Let the thread end once all that is queued is committed."""
         with self._changed:
             self._stopping = True
             self._changed.notify_all()
+
+    def join(self, timeout_s: float) -> None:
+        """Wait for the thread's end."""
         if self._thread.is_alive():
             self._thread.join(timeout_s)
 
--- /dev/null
+++ b/tests/unit/test_batch_result_sender.py
@@ -0,0 +1,59 @@
+"""Outcomes on their way to the job groups."""
+
+from __future__ import annotations
+
+import threading
+from typing import TypeVar
+
+import msgspec
+from tests.unit.batch_support import WAIT_S
+
+from leverjunction.batch.commands import CompletedItems, ItemResult, ItemState
+from leverjunction.batch.result_sender import ResultSenders
+from leverjunction.errors import Failure
+
+T = TypeVar("T")
+RESULT = ItemResult(
+    job_id="j", index=0, attempt=1, state=ItemState.DONE, status_code=200, body="{}"
+)
+
+
+class OneGroupIsStuck:
+    """A control client whose group "stuck" does not answer until it is told to."""
+
+    def __init__(self) -> None:
+        self.answer = threading.Event()
+
+    def propose(
+        self, group: str, command: msgspec.Struct, reply_type: type[T], timeout_s: float = 5.0
+    ) -> T | Failure:
+        if group == "stuck":
+            assert self.answer.wait(WAIT_S)
+        return reply_type(accepted=1, discarded=0, cancelled_jobs=[])
+
+    def query(
+        self, group: str, query: msgspec.Struct, reply_type: type[T], timeout_s: float = 5.0
+    ) -> T | Failure:
+        raise AssertionError("no query is expected")
+
+
+def test_group_without_an_answer_holds_up_no_other() -> None:
+    control = OneGroupIsStuck()
+    committed: list[str] = []
+    changed = threading.Condition()
+
+    def note(lease_id: str, _results: list[ItemResult], _reply: CompletedItems) -> None:
+        with changed:
+            committed.append(lease_id)
+            changed.notify_all()
+
+    senders = ResultSenders(control, note)
+    senders.put("stuck", "lease-1", RESULT)
+    senders.put("well", "lease-2", RESULT)
+    with changed:
+        assert changed.wait_for(lambda: "lease-2" in committed, WAIT_S)
+    assert senders.pending() == 1
+    control.answer.set()
+    senders.stop(WAIT_S)
+    assert committed == ["lease-2", "lease-1"]
+    assert senders.pending() == 0
