Scale run: the killed control process is the one that leads group root

Cause: a kill of just any process measured little; the root leader is the worst case for a settings change. Change: the leader is asked for over the operators' API before the kill (highest term counts); the last process only when none says so.

--- a/src/testbed/scale/fleet.py
+++ b/src/testbed/scale/fleet.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from testbed.scale.cluster import (
+    HOST,
     ControlAddress,
     hubs_for_zone,
     make_secrets,
@@ -19,9 +20,10 @@
 )
 from testbed.scale.gateway_worker import GatewayWorkerReport, GatewayWorkerSpec
 from testbed.scale.hollow_gateway import GatewayProfile
+from testbed.scale.leadership import leader_of
 from testbed.scale.lease_traffic import MODELS, SERVICE
 from testbed.scale.machine_list import Machine, MachineList
-from testbed.scale.operators import ScaleError
+from testbed.scale.operators import ROOT, ScaleError
 from testbed.scale.options import (
     GATEWAYS_PER_PROCESS,
     RUNNERS_PER_PROCESS,
@@ -121,6 +123,13 @@
         for child in self.gateway_workers:
             os.kill(child.process_id, signal.SIGUSR1)
 
+    def control_leader(self) -> ChildProcess:
+        """Return the control process that leads group root; the last one when none says so."""
+        addresses = [f"{HOST}:{control.http_port}" for control in self.controls]
+        name = leader_of(ROOT, addresses, self.secrets.operator_token)
+        by_name = {child.name: child for child in self.control_processes}
+        return by_name.get(name or "", self.control_processes[-1])
+
     def in_step(self, version: int) -> bool:
         """Return whether all hollow gateways have ``version`` in force and own all runners."""
         self.check_memory()
--- a/src/testbed/scale/options.py
+++ b/src/testbed/scale/options.py
@@ -34,7 +34,8 @@
         changes: Settings changes made during the window.
         warmup_s: Time before the window, after all gateways are in step.
         window_s: Measured time.
-        kill_control: Whether one control process is killed half-way through the window.
+        kill_control: Whether the control process that leads group root is killed half-way through
+            the window.
         seed: Seed of every random choice.
     """
 
--- a/src/testbed/scale/run.py
+++ b/src/testbed/scale/run.py
@@ -196,8 +196,7 @@
         return False
 
     def _kill(self) -> None:
-        # The last one: with groups led anywhere, any process is as good a choice as another.
-        self._killed = self._fleet.control_processes[-1]
+        self._killed = self._fleet.control_leader()
         self._killed_s = time.monotonic()
         logger.info("kill {} (process {})", self._killed.name, self._killed.process_id)
         self._killed.kill()
