apply: a change that was refused before it was proposed is not called unknown

Cause: an answer of 400, 401, 403 or 413 was told as "the outcome is not known: run again", and its change id was kept for a resend. Such answers come before a proposal, so the record is dropped (the test failed before). What the command prints about an outcome is one function now, beside the sending.

--- a/src/leverjunction/cli/apply.py
+++ b/src/leverjunction/cli/apply.py
@@ -6,16 +6,26 @@
 
 import msgspec
 
-from leverjunction.cli.output import ExitCode, print_failure, print_progress, when
+from leverjunction.cli.output import ExitCode, print_failure, print_json, print_progress, when
 from leverjunction.cli.pending import PendingRecord
 from leverjunction.cli_client import OperatorClient
-from leverjunction.errors import Failure
+from leverjunction.errors import Failure, FailureKind
 from leverjunction.settings.change import gateways_behind
 from leverjunction.settings.commands import ApplyChange, ChangeOutcome, SettingsDelta
 from leverjunction.wire.messages import GatewayState
 
 POLL_S = 0.3
 
+NOT_PROPOSED = frozenset(
+    {
+        FailureKind.BAD_REQUEST,
+        FailureKind.TOO_LARGE,
+        FailureKind.UNAUTHENTICATED,
+        FailureKind.FORBIDDEN,
+    }
+)
+"""Failures that are answered before a change is proposed: nothing can have been committed."""
+
 
 class GatewayVersions(msgspec.Struct, frozen=True, kw_only=True):
     """The part of ``/operator/status`` that says which gateways are live and how far they are."""
@@ -44,11 +54,34 @@
         )
     pending.save(change)
     outcome = client.post("/operator/settings/apply", change, ChangeOutcome)
-    if not isinstance(outcome, Failure):
+    if not isinstance(outcome, Failure) or outcome.kind in NOT_PROPOSED:
         pending.clear()
     return outcome
 
 
+def report_outcome(
+    outcome: ChangeOutcome | Failure,
+    change: ApplyChange,
+    client: OperatorClient,
+    directory: str,
+    as_json: bool,
+) -> ExitCode:
+    """Print what became of a change, and how to go on when it was not made."""
+    if isinstance(outcome, Failure):
+        if outcome.kind not in NOT_PROPOSED:
+            print_progress("the outcome is not known: run the same command again to learn it")
+        return print_failure(outcome)
+    if as_json:
+        print_json(outcome)
+    if not outcome.accepted:
+        return tell_refusal(outcome, change.base_version, directory)
+    if not as_json:
+        print(outcome.reason or f"version {outcome.version} is committed")
+    if outcome.replayed:
+        tell_newer_version(client, outcome.version)
+    return ExitCode.OK
+
+
 def tell_refusal(outcome: ChangeOutcome, base_version: int, directory: str) -> ExitCode:
     """Print who changed the settings first, when and where, and how to go on."""
     if not outcome.winner:
--- a/src/leverjunction/cli/settings.py
+++ b/src/leverjunction/cli/settings.py
@@ -10,7 +10,7 @@
 import msgspec
 import yaml
 
-from leverjunction.cli.apply import apply_plan, tell_newer_version, tell_refusal, wait_in_force
+from leverjunction.cli.apply import apply_plan, report_outcome, wait_in_force
 from leverjunction.cli.command import command, number, operators_command
 from leverjunction.cli.explain import explain_path
 from leverjunction.cli.options import Options
@@ -123,19 +123,9 @@
         if isinstance(change, Failure):
             return print_failure(change)
         outcome = apply_plan(client, change, pending)
-        if isinstance(outcome, Failure):
-            print_progress("the outcome is not known: run the same command again to learn it")
-            return print_failure(outcome)
-        if self._options.as_json:
-            print_json(outcome)
-        if not outcome.accepted:
-            return tell_refusal(outcome, change.base_version, directory)
-        if not self._options.as_json:
-            print(outcome.reason or f"version {outcome.version} is committed")
-        if outcome.replayed:
-            tell_newer_version(client, outcome.version)
-        if not wait:
-            return ExitCode.OK
+        code = report_outcome(outcome, change, client, directory, self._options.as_json)
+        if isinstance(outcome, Failure) or code is not ExitCode.OK or not wait:
+            return code
         return wait_in_force(client, outcome.version, time.monotonic() + longest_s)
 
     @operators_command
--- a/tests/unit/cli_support.py
+++ b/tests/unit/cli_support.py
@@ -110,6 +110,7 @@
     def __init__(self) -> None:
         self.current = cluster_status()
         self.lost_answers = 0
+        self.refusals: list[Failure] = []
         self.job_answers: dict[type[msgspec.Struct], list[msgspec.Struct]] = {}
         self.proposals = 0
         self._lock = threading.Lock()
@@ -124,6 +125,8 @@
         self, group: str, command: msgspec.Struct, reply_type: type[T], timeout_s: float
     ) -> T | Failure:
         with self._lock:
+            if self.refusals:
+                return self.refusals.pop()
             self.proposals += 1
             context = ApplyContext(index=self.proposals, term=1, wall_ms=self.proposals * 1000)
             body = self._machine.apply(self._connection, context, encode(command))
--- a/tests/unit/test_cli_operators.py
+++ b/tests/unit/test_cli_operators.py
@@ -22,7 +22,7 @@
 from leverjunction.cli.output import ExitCode
 from leverjunction.cli.pending import STATE_FOLDER_VARIABLE
 from leverjunction.cli_client import OperatorClient
-from leverjunction.errors import Failure, FailureKind
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.settings.change import plan_change, to_command
 from leverjunction.settings.commands import ChangeOutcome, SettingsDelta
 
@@ -101,6 +101,20 @@
     assert "version 2 is in force by now" in captured.err
 
 
+def test_a_change_that_was_not_proposed_is_not_called_unknown_nor_sent_again(
+    operator: Operator, tmp_path: Path, capsys: Capture
+) -> None:
+    folder = str(settings_folder(tmp_path, 1))
+    refusal = Failure(kind=FailureKind.BAD_REQUEST, reason="no good", step=Step.PROPOSING)
+    operator.stub.refusals = [refusal]
+    assert operator.run("settings", "apply", folder) == ExitCode.BAD_INPUT
+    told = capsys.readouterr().err
+    assert "no good" in told
+    assert "not known" not in told
+    assert operator.run("settings", "apply", folder) == ExitCode.OK
+    assert "resending" not in capsys.readouterr().err
+
+
 def test_wait_names_the_gateways_that_lag(
     operator: Operator, tmp_path: Path, capsys: Capture
 ) -> None:
