Consensus: a malformed message is refused, and no fault ends the thread that sends to a peer

Cause: a fuzz test of the codec raised struct.error from compiled construct structures, which only the parser's own errors were caught for. In a peer's answer it ended the sender thread, and so cut that peer off until a restart; any other fault of the transport did the same. Change: all errors of the parts that decode are a CORRUPT failure; the sender logs a fault and goes on, since a lost message does no harm. Tests: 4,000 damaged frames; a transport that raises.

--- a/src/leverjunction/consensus/codec.py
+++ b/src/leverjunction/consensus/codec.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Callable, Iterable
 from functools import lru_cache
 from typing import Any
@@ -24,6 +25,7 @@
     Prefixed,
     Struct,
 )
+from msgspec import MsgspecError
 
 from leverjunction.consensus import messages
 from leverjunction.consensus.log_view import decode_configuration, encode_configuration
@@ -116,6 +118,10 @@
 _COMPILED = [layout.compile() for layout in _LAYOUTS.values()]
 
 
+# Compiled construct structures raise the errors of the parts that they are made of.
+_MALFORMED = (ConstructError, MsgspecError, struct.error, ValueError, LookupError)
+
+
 def encode_messages(batch: Iterable[Message]) -> bytes:
     """Return the frame that holds the messages in order."""
     items = []
@@ -130,7 +136,7 @@
     """Return the messages of a frame, or a CORRUPT failure if it is not well formed."""
     try:
         return [_decode(item.kind, item.body) for item in _FRAME.parse(frame)]
-    except (ConstructError, ValueError, IndexError, UnicodeDecodeError) as error:
+    except _MALFORMED as error:
         return Failure(
             kind=FailureKind.CORRUPT,
             reason=f"malformed consensus message: {error}",
--- a/src/leverjunction/consensus/transport.py
+++ b/src/leverjunction/consensus/transport.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from loguru import logger
+
 from leverjunction.consensus.codec import decode_messages, encode_messages
 from leverjunction.consensus.messages import Message, SnapshotChunk
 from leverjunction.errors import Failure
@@ -78,7 +80,12 @@
             batch = self._take()
             if not batch:
                 return
-            reply = self._transport.send(self._address, self._group, encode_messages(batch))
+            try:
+                reply = self._transport.send(self._address, self._group, encode_messages(batch))
+            except Exception:
+                # A lost message does no harm; a sender that ended would cut the peer off for good.
+                logger.exception("group {}: a message to {} is lost", self._group, self._address)
+                continue
             if not isinstance(reply, bytes) or not reply:
                 continue
             answers = decode_messages(reply)
