--- a/src/leverjunction/gateway/harvest.py
+++ b/src/leverjunction/gateway/harvest.py
@@ -61,6 +61,10 @@
         """Return the leases held, by job group."""
         return self._harvester.lease_ids()
 
+    def holds_work(self) -> bool:
+        """Return whether any batch lease is held."""
+        return self._harvester.stats().leases > 0
+
     def revoke(self, lost_lease_ids: list[str], cancelled_jobs: list[str]) -> None:
         """Drop lost leases and the work of cancelled jobs."""
         self._harvester.revoke(lost_lease_ids, cancelled_jobs)
--- a/src/leverjunction/gateway/online.py
+++ b/src/leverjunction/gateway/online.py
@@ -135,6 +135,7 @@
             blocks=block_hashes(parsed.prompt),
             repeatable=not caller.never_repeat,
             serving=serving,
+            region_zones=_zones_of(settings, self._place.region),
             arrived_s=now_s,
             deadline_s=now_s + serving.deadline_s,
         )
@@ -243,6 +244,10 @@
         self._counters.first_byte_s.labels(request.service).observe(spent_s)
 
 
+def _zones_of(settings: ResolvedSettings, region: str) -> frozenset[str]:
+    return frozenset(zone for zone in settings.zones() if settings.region_of_zone(zone) == region)
+
+
 def new_request_id() -> str:
     """Return an id for a request; always this gateway's own, so that no two can be crossed."""
     return f"req-{uuid.uuid4().hex}"
--- a/src/leverjunction/gateway/online_request.py
+++ b/src/leverjunction/gateway/online_request.py
@@ -23,6 +23,7 @@
         blocks: Hashes of the prompt's cache blocks.
         repeatable: False when it may run at most once.
         serving: Settings in force for it when it arrived.
+        region_zones: Zones of the gateway's region.
         arrived_s: Monotonic time of arrival.
         deadline_s: Monotonic time by which the whole answer must be there.
     """
@@ -37,6 +38,7 @@
     blocks: list[str]
     repeatable: bool
     serving: ResolvedServing
+    region_zones: frozenset[str]
     arrived_s: float
     deadline_s: float
 
@@ -47,6 +49,7 @@
             model=self.model,
             blocks=self.blocks,
             serving=self.serving,
+            region_zones=self.region_zones,
             tried=tried,
         )
 
--- a/src/leverjunction/gateway/owner.py
+++ b/src/leverjunction/gateway/owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 
@@ -18,13 +19,26 @@
 from leverjunction.wire.messages import RunnerDigest, RunnerState
 
 POLL_INTERVAL_S = 0.2
+IDLE_POLL_INTERVAL_S = 1.0
+"""A runner without any work is read so often: each reading costs its owner processor time."""
+
 POLL_THREADS = 16
 POLL_TIMEOUT_S = 0.6
 FAILURES_TO_UNHEALTHY = 3
 
 
 class OwnerLoop:
-    """Polls owned runners in its own thread."""
+    """Polls owned runners in its own thread.
+
+    Args:
+        engines: Client of the runners.
+        view: Takes in the digests.
+        pool: Knows the own sends.
+        outbox: Digests for the hub.
+        observe_load: Takes in whole load reports.
+        feed: Follows cache events.
+        has_batch: Returns whether batch work is at hand, so that readings must be fresh.
+    """
 
     def __init__(
         self,
@@ -34,6 +48,7 @@
         outbox: DigestOutbox,
         observe_load: Callable[[str, LoadReport], None],
         feed: CacheFeed,
+        has_batch: Callable[[], bool] = lambda: True,
     ) -> None:
         self._engines = engines
         self._view = view
@@ -41,6 +56,8 @@
         self._outbox = outbox
         self._observe_load = observe_load
         self._feed = feed
+        self._has_batch = has_batch
+        self._idle_read_s: dict[str, float] = {}
         self._owned: dict[str, RunnerState] = {}
         self._failures: dict[str, int] = {}
         self._polling: dict[str, Future[None]] = {}
@@ -67,24 +84,39 @@
         self._owned = {runner.runner_id: runner for runner in owned}
         for runner_id in set(self._failures) - ids:
             del self._failures[runner_id]
+        for runner_id in set(self._idle_read_s) - ids:
+            self._idle_read_s.pop(runner_id, None)
         self._outbox.retain(ids)
         self._feed.update(owned)
 
     def _run(self) -> None:
         while not self._stopped.wait(POLL_INTERVAL_S):
+            has_batch = self._has_batch()
             for runner in list(self._owned.values()):
                 last = self._polling.get(runner.runner_id)
                 # A poll that hangs must not hold up the others, nor be joined by a second one.
-                if last is None or last.done():
+                if (last is None or last.done()) and self._is_due(runner.runner_id, has_batch):
                     self._polling[runner.runner_id] = self._threads.submit(self._poll, runner)
 
+    def _is_due(self, runner_id: str, has_batch: bool) -> bool:
+        """Return whether a runner must be read now: a busy one always, an idle one seldom."""
+        read_s = self._idle_read_s.get(runner_id)
+        if read_s is None or has_batch or self._pool.open_sends(runner_id) > 0:
+            return True
+        return time.monotonic() - read_s >= IDLE_POLL_INTERVAL_S
+
     def _poll(self, runner: RunnerState) -> None:
         report = self._engines.load(runner.address, POLL_TIMEOUT_S)
         if self._stopped.is_set() or runner.runner_id not in self._owned:
             return
         if isinstance(report, Failure):
+            self._idle_read_s.pop(runner.runner_id, None)
             self._note_failure(runner, report)
             return
+        if report.running + report.waiting > 0:
+            self._idle_read_s.pop(runner.runner_id, None)
+        else:
+            self._idle_read_s[runner.runner_id] = time.monotonic()
         if self._failures.pop(runner.runner_id, 0) >= FAILURES_TO_UNHEALTHY:
             logger.info("runner {} answers again", runner.runner_id)
         self._publish(digest_of(runner.runner_id, report))
--- a/src/leverjunction/gateway/routing.py
+++ b/src/leverjunction/gateway/routing.py
@@ -8,14 +8,20 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from enum import StrEnum
 
 import msgspec
+import xxhash
 
 from leverjunction.observability.decisions import CandidateScore
 
 RANDOM_CHOICES = 2
+MIN_FAR_BLOCKS = 16
+"""Blocks (of 16 tokens) that take far longer to read than the way to another zone takes."""
+
+MIN_HOME_BLOCKS = 16
+HOME_GROWTH = 2
 
 
 class Exclusion(StrEnum):
@@ -67,23 +73,56 @@
     reason: str
 
 
+class PrefixHome(msgspec.Struct, frozen=True, kw_only=True):
+    """A leading part of a prompt that all gateways send to the same runner, its home.
+
+    They need not tell each other: the home follows from rendezvous hashing.
+
+    Attributes:
+        block: Hash of the part's last block; it covers all blocks before it.
+        blocks: Length of the part.
+    """
+
+    block: str
+    blocks: int
+
+
+def prefix_home(blocks: Sequence[str]) -> PrefixHome | None:
+    """Return the part of a prompt by which its home is chosen, None when it is too short.
+
+    Its length is a power of ``HOME_GROWTH``, so that a conversation that grows keeps its home but
+    for the few turns in which it passes such a length.
+    """
+    depth = MIN_HOME_BLOCKS
+    if len(blocks) < depth:
+        return None
+    while depth * HOME_GROWTH <= len(blocks):
+        depth *= HOME_GROWTH
+    return PrefixHome(block=blocks[depth - 1], blocks=depth)
+
+
 class RouteQuery(msgspec.Struct, frozen=True, kw_only=True):
     """What the request and its service's settings bring to the choice.
 
     Attributes:
         zone: Zone of the gateway.
+        region_zones: Zones so near that a long cached prefix there outweighs the way.
         prompt_blocks: Whole cache blocks of the prompt.
         prefix_weight: Requests of load that a wholly cached prompt outweighs.
+        home: Prefix whose home is likely to hold it, None for a short prompt.
     """
 
     zone: str
     prompt_blocks: int
     prefix_weight: float
+    region_zones: frozenset[str] = frozenset()
+    home: PrefixHome | None = None
 
 
 def choose(candidates: Iterable[Candidate], query: RouteQuery, generator: random.Random) -> Choice:
     """Return the runner for a request; deterministic for a given state of ``generator``."""
     known = sorted(candidates, key=lambda candidate: candidate.runner_id)
+    known = _with_home(known, query)
     usable = [candidate for candidate in known if candidate.excluded is None]
     roomy = [candidate for candidate in usable if candidate.load < candidate.capacity]
     near = [candidate for candidate in roomy if candidate.zone == query.zone]
@@ -93,6 +132,7 @@
         reason = "all usable runners are full" if usable else "no usable runner"
         return Choice(chosen=None, full=bool(usable), candidates=record, reason=reason)
     compared = _compared(pool, generator)
+    compared += _with_prefix(roomy, pool, query, compared)
     chosen = min(compared, key=lambda candidate: (_score(candidate, query), candidate.runner_id))
     return Choice(
         chosen=chosen, full=False, candidates=record, reason=_reason(chosen, query, len(compared))
@@ -109,13 +149,47 @@
 
 
 def _compared(pool: list[Candidate], generator: random.Random) -> list[Candidate]:
-    """Return the candidates that are compared, each at most once."""
-    compared = generator.sample(pool, min(RANDOM_CHOICES, len(pool)))
-    # Random choice alone would seldom meet the one runner that holds the prefix.
-    best = max(pool, key=lambda candidate: candidate.overlap_blocks)
-    if best.overlap_blocks > 0 and best not in compared:
-        compared.append(best)
-    return compared
+    """Return candidates drawn at random, each at most once."""
+    return generator.sample(pool, min(RANDOM_CHOICES, len(pool)))
+
+
+def _with_prefix(
+    roomy: list[Candidate], pool: list[Candidate], query: RouteQuery, compared: list[Candidate]
+) -> list[Candidate]:
+    """Return the runner that holds the longest prefix, which chance alone would seldom meet.
+
+    One of another zone of the region is taken only when it holds ``MIN_FAR_BLOCKS`` more.
+    """
+    if query.prefix_weight <= 0:
+        return []
+    best = max(pool, key=_overlap)
+    far = [candidate for candidate in roomy if candidate.zone in query.region_zones]
+    farthest = max(far, key=_overlap, default=best)
+    if _overlap(farthest) >= _overlap(best) + MIN_FAR_BLOCKS:
+        best = farthest
+    return [best] if _overlap(best) > 0 and best not in compared else []
+
+
+def _with_home(known: list[Candidate], query: RouteQuery) -> list[Candidate]:
+    """Return the candidates with the prompt's home thought to hold its part."""
+    if query.home is None or query.prefix_weight <= 0:
+        return known
+    zones = query.region_zones | {query.zone}
+    near = [item for item in known if item.excluded is None and item.zone in zones]
+    block = query.home.block
+    home = max(near, key=lambda item: _home_weight(block, item.runner_id), default=None)
+    if home is None or home.overlap_blocks >= query.home.blocks:
+        return known
+    thought = msgspec.structs.replace(home, overlap_blocks=query.home.blocks)
+    return [thought if item is home else item for item in known]
+
+
+def _home_weight(block: str, runner_id: str) -> int:
+    return xxhash.xxh64_intdigest(f"{block}\0{runner_id}".encode())
+
+
+def _overlap(candidate: Candidate) -> int:
+    return candidate.overlap_blocks
 
 
 def _score(candidate: Candidate, query: RouteQuery) -> float:
@@ -138,5 +212,10 @@
 
 
 def _reason(chosen: Candidate, query: RouteQuery, compared: int) -> str:
-    place = "own zone" if chosen.zone == query.zone else f"zone {chosen.zone}, own zone has no room"
+    place = "own zone"
+    if chosen.zone != query.zone:
+        why = (
+            "it is thought to hold the prefix" if chosen.overlap_blocks else "own zone has no room"
+        )
+        place = f"zone {chosen.zone}, {why}"
     return f"lowest score of {compared} compared, {place}, load {chosen.load:g}"
--- a/src/leverjunction/gateway/runner_pool.py
+++ b/src/leverjunction/gateway/runner_pool.py
@@ -12,7 +12,14 @@
 from leverjunction.clock import Clock
 from leverjunction.gateway.ejection import Ejection
 from leverjunction.gateway.prefix_index import PrefixIndex
-from leverjunction.gateway.routing import Candidate, Choice, Exclusion, RouteQuery, choose
+from leverjunction.gateway.routing import (
+    Candidate,
+    Choice,
+    Exclusion,
+    RouteQuery,
+    choose,
+    prefix_home,
+)
 from leverjunction.gateway.send_ledger import SendLedger
 from leverjunction.gateway.view import ClusterSnapshot, ClusterView
 from leverjunction.settings.resolved import ResolvedServing
@@ -27,6 +34,7 @@
         model: ``model`` or ``model:adapter``.
         blocks: Hashes of its prompt's cache blocks.
         serving: Settings in force for it.
+        region_zones: Zones of the gateway's region.
         tried: Runners that failed it before.
     """
 
@@ -34,6 +42,7 @@
     model: str
     blocks: Sequence[str]
     serving: ResolvedServing
+    region_zones: frozenset[str] = frozenset()
     tried: frozenset[str] = frozenset()
 
 
@@ -84,6 +93,8 @@
             zone=self._zone,
             prompt_blocks=len(needs.blocks),
             prefix_weight=needs.serving.prefix_weight,
+            region_zones=needs.region_zones,
+            home=prefix_home(needs.blocks),
         )
         with self._lock:
             choice = choose(candidates, query, self._random)
@@ -105,6 +116,11 @@
         with self._lock:
             self._ledger.finished(runner_id, attempt_key, self._clock.wall_ms())
 
+    def open_sends(self, runner_id: str) -> int:
+        """Return the number of own sends that are open on a runner."""
+        with self._lock:
+            return self._ledger.open_count(runner_id)
+
     def succeeded(self, runner_id: str) -> None:
         """Note a proper answer of a runner."""
         with self._lock:
--- a/src/leverjunction/gateway/runtime.py
+++ b/src/leverjunction/gateway/runtime.py
@@ -79,7 +79,13 @@
         )
         self.feed = CacheFeed(self.engines, self.pool, self.counters)
         self.owner = OwnerLoop(
-            self.engines, self.view, self.pool, self.outbox, self.harvest.observe_load, self.feed
+            self.engines,
+            self.view,
+            self.pool,
+            self.outbox,
+            self.harvest.observe_load,
+            self.feed,
+            has_batch=self.harvest.holds_work,
         )
         self.exchange = ExchangeLoop(
             self.control,
--- a/tests/unit/test_gateway_cores.py
+++ b/tests/unit/test_gateway_cores.py
@@ -13,7 +13,7 @@
 from leverjunction.gateway.ejection import FAILURES_TO_EJECT, MAX_EJECTION_S, Ejection
 from leverjunction.gateway.prefix_index import PrefixIndex
 from leverjunction.gateway.retry import MAX_SAVED_RETRIES, RetryBudget, may_repeat
-from leverjunction.gateway.routing import Candidate, Exclusion, RouteQuery, choose
+from leverjunction.gateway.routing import Candidate, Exclusion, RouteQuery, choose, prefix_home
 from leverjunction.settings.resolved import ResolvedLimits
 
 LIMITS = ResolvedLimits(requests_per_s=2.0, burst=3, concurrency=10, max_job_items=1)
@@ -120,6 +120,80 @@
     assert chosen(candidates) == expected
 
 
+def blocks_of(conversation: str, count: int) -> list[str]:
+    return [f"{conversation}-{index}" for index in range(count)]
+
+
+def chosen_for(blocks: list[str], runners: list[Candidate], seed: int, zone: str = "z1") -> str:
+    query = RouteQuery(
+        zone=zone,
+        prompt_blocks=len(blocks),
+        prefix_weight=4.0,
+        region_zones=frozenset({"z1", "z2"}),
+        home=prefix_home(blocks),
+    )
+    choice = choose(runners, query, random.Random(seed))
+    assert choice.chosen is not None
+    return choice.chosen.runner_id
+
+
+def test_all_gateways_send_a_conversation_to_the_same_home() -> None:
+    runners = [candidate(f"e{index}", zone=f"z{index % 2 + 1}") for index in range(6)]
+    homes = set()
+    for number in range(20):
+        blocks = blocks_of(f"c{number}", 40)
+        chosen_by_all = {
+            chosen_for(blocks[:length], runners, seed, zone)
+            for seed, (length, zone) in enumerate([(33, "z1"), (36, "z2"), (40, "z1")])
+        }
+        assert len(chosen_by_all) == 1
+        homes |= chosen_by_all
+    assert len(homes) > 2, "conversations spread over the runners"
+
+
+def test_a_home_that_is_gone_moves_only_its_own_conversations() -> None:
+    runners = [candidate(f"e{index}") for index in range(6)]
+    before = {number: chosen_for(blocks_of(f"c{number}", 32), runners, 1) for number in range(30)}
+    left = [item for item in runners if item.runner_id != "e3"]
+    for number, home in before.items():
+        if home != "e3":
+            assert chosen_for(blocks_of(f"c{number}", 32), left, 1) == home
+
+
+def test_a_loaded_home_gives_way() -> None:
+    blocks = blocks_of("c", 32)
+    runners = [candidate(f"e{index}", capacity=20) for index in range(4)]
+    home = chosen_for(blocks, runners, 1)
+    loaded = [
+        candidate(item.runner_id, capacity=20, load=10.0 if item.runner_id == home else 0.0)
+        for item in runners
+    ]
+    assert chosen_for(blocks, loaded, 1) != home
+
+
+def test_a_short_prompt_has_no_home_and_the_length_grows_in_steps() -> None:
+    blocks = blocks_of("c", 70)
+    assert prefix_home(blocks[:15]) is None
+    lengths = [16, 31, 32, 63, 64, 70]
+    homes = [prefix_home(blocks[:length]) for length in lengths]
+    assert [home.blocks for home in homes if home is not None] == [16, 16, 32, 32, 64, 64]
+
+
+def test_a_far_prefix_is_worth_the_way_only_when_it_is_much_longer() -> None:
+    query = RouteQuery(
+        zone="z1", prompt_blocks=40, prefix_weight=4.0, region_zones=frozenset({"z1", "z2"})
+    )
+    for far_blocks, expected in ((8, "near"), (30, "far")):
+        runners = [candidate("near"), candidate("far", zone="z2", overlap_blocks=far_blocks)]
+        choice = choose(runners, query, random.Random(1))
+        assert choice.chosen is not None
+        assert choice.chosen.runner_id == expected
+    other_region = [candidate("near"), candidate("far", zone="z9", overlap_blocks=40)]
+    choice = choose(other_region, query, random.Random(1))
+    assert choice.chosen is not None
+    assert choice.chosen.runner_id == "near"
+
+
 def test_gateways_with_the_same_reports_do_not_all_choose_the_same_runner() -> None:
     runners = [candidate(f"e{index}", load=float(index % 2)) for index in range(8)]
     query = RouteQuery(zone="z1", prompt_blocks=0, prefix_weight=1.0)
