Batch: expired results answer 410; the backlog names the jobs cancelled last

- Results past their retention are EXPIRED (HTTP 410) instead of NOT_FOUND; a batch shows results_expire_at, and no output file once it is removed.
- Cause: a new leader tells lease holders of cancelled jobs from the newest 100 jobs; a job of a week's archive is older than that, so its cancel was told only with the next committed result.
Backlog.cancelled_jobs lists the last 100 cancels by their time, whatever the jobs' age (index); the control process is to use it at a take-over (asked of its owner).

--- a/src/leverjunction/api/batches_shapes.py
+++ b/src/leverjunction/api/batches_shapes.py
@@ -63,6 +63,7 @@
     metadata: dict[str, str]
     service: str
     may_repeat: bool
+    results_expire_at: int | None
 
 
 class BatchList(msgspec.Struct, frozen=True, kw_only=True):
@@ -117,6 +118,7 @@
     """Return a job in OpenAI's shape."""
     spec = job.spec
     is_final = job.finished_ms > 0
+    has_results = is_final and not job.removed_ms
     finished_at = {job.state: job.finished_ms // 1000} if is_final else {}
     window_s = max(0, spec.deadline_ms - job.created_ms) // 1000
     return BatchObject(
@@ -127,7 +129,7 @@
         input_file_id=FILE_PREFIX + spec.job_id,
         completion_window=f"{window_s}s",
         status=_STATUS[job.state],
-        output_file_id=OUTPUT_FILE_PREFIX + spec.job_id if is_final else None,
+        output_file_id=OUTPUT_FILE_PREFIX + spec.job_id if has_results else None,
         error_file_id=None,
         created_at=job.created_ms // 1000,
         in_progress_at=None if job.state == JobState.OPEN else job.created_ms // 1000,
@@ -139,6 +141,7 @@
         metadata={"batch_class": spec.batch_class},
         service=spec.service,
         may_repeat=spec.may_repeat,
+        results_expire_at=job.keep_until_ms // 1000 if is_final else None,
     )
 
 
--- a/src/leverjunction/batch/commands.py
+++ b/src/leverjunction/batch/commands.py
@@ -350,8 +350,8 @@
 
 
 class GetResults(msgspec.Struct, frozen=True, tag="get_results"):
-    """Query final items in the order in which they became final. Reply: ResultPage, or NOT_FOUND
-    with the detail ``results_expired`` past their retention.
+    """Query final items in the order in which they became final. Reply: ResultPage, or
+    EXPIRED past their retention.
 
     ``after`` is the cursor of the last page, 0 at first.
     """
@@ -392,13 +392,19 @@
 class Backlog(msgspec.Struct, frozen=True, kw_only=True):
     """Pending items by service; open leases by owner gateway.
 
-    ``next_due_ms`` is the wall-clock time from which ExpireDeadlines has something to do, 0 for
-    never; it is given with the leases only.
+    Attributes:
+        pending_by_service: Items that may be leased.
+        leases_by_owner: Open leases.
+        next_due_ms: Wall-clock time from which ExpireDeadlines has something to do, 0 for never;
+            given with the leases only.
+        cancelled_jobs: The jobs cancelled last, newest first; given with the leases only. A new
+            leader tells the lease holders of them again.
     """
 
     pending_by_service: dict[str, int]
     leases_by_owner: dict[str, list[str]]
     next_due_ms: int = 0
+    cancelled_jobs: list[str] = []
 
 
 JobCommand = (
--- a/src/leverjunction/batch/job_queries.py
+++ b/src/leverjunction/batch/job_queries.py
@@ -30,6 +30,8 @@
 MAX_PAGE_LINES = 2_000
 MAX_PAGE_BYTES = 4_000_000
 MAX_LISTED_JOBS = 1_000
+MAX_CANCELLED_JOBS = 100
+"""Cancels of far more than the time in which every lease holder is told."""
 
 _STORED = """
 SELECT result.result_key, result.item_index, item.custom_id, result.state, result.status_code,
@@ -87,9 +89,21 @@
         pending_by_service=pending.pending_by_service(connection),
         leases_by_owner=_open_leases(connection) if query.with_leases else {},
         next_due_ms=retention.next_due_ms(connection) if query.with_leases else 0,
+        cancelled_jobs=_cancelled_last(connection) if query.with_leases else [],
     )
 
 
+def _cancelled_last(connection: sqlite3.Connection) -> list[str]:
+    rows = connection.execute(
+        """
+        SELECT job_id FROM sm_jobs WHERE state = 'cancelled'
+        ORDER BY finished_ms DESC, number DESC LIMIT ?
+        """,
+        (MAX_CANCELLED_JOBS,),
+    )
+    return [str(job_id) for (job_id,) in rows]
+
+
 def _open_leases(connection: sqlite3.Connection) -> dict[str, list[str]]:
     leases: dict[str, list[str]] = {}
     rows = connection.execute(
--- a/src/leverjunction/batch/job_rows.py
+++ b/src/leverjunction/batch/job_rows.py
@@ -11,9 +11,6 @@
 RESULTS_RETENTION_MS = 7 * 24 * 3600 * 1000
 """How long results stay readable after the end of a job that does not say otherwise."""
 
-RESULTS_EXPIRED = "results_expired"
-"""Detail of the failure for results that were removed."""
-
 MS_PER_S = 1000
 
 FINAL_JOB_STATES = frozenset({JobState.COMPLETED, JobState.CANCELLED, JobState.EXPIRED})
@@ -183,11 +180,10 @@
 def results_removed(job: JobRow) -> Failure:
     """Return the failure for results that are past their retention."""
     return Failure(
-        kind=FailureKind.NOT_FOUND,
+        kind=FailureKind.EXPIRED,
         reason=f"the results of job {job.job_id!r} have expired: they were kept for "
         f"{job.retention_ms // MS_PER_S} s after its end and then removed",
         step=Step.QUERYING,
-        detail=RESULTS_EXPIRED,
     )
 
 
--- a/src/leverjunction/batch/tables.py
+++ b/src/leverjunction/batch/tables.py
@@ -62,6 +62,10 @@
     WHERE keep_until_ms > 0 AND removed_ms = 0
     """,
     "CREATE INDEX IF NOT EXISTS sm_jobs_removed ON sm_jobs (removed_ms) WHERE removed_ms > 0",
+    """
+    CREATE INDEX IF NOT EXISTS sm_jobs_cancelled ON sm_jobs (finished_ms, number)
+    WHERE state = 'cancelled'
+    """,
     # Numbers of jobs whose items and results are being deleted, some rows a command.
     "CREATE TABLE IF NOT EXISTS sm_removals (job INTEGER PRIMARY KEY)",
     # Immutable inputs.
--- a/tests/unit/test_batch_api.py
+++ b/tests/unit/test_batch_api.py
@@ -20,6 +20,8 @@
 from leverjunction.batch.commands import (
     CompletedItems,
     CompleteItems,
+    ExpireDeadlines,
+    ExpiredLeases,
     GrantLease,
     ItemResult,
     ItemState,
@@ -310,3 +312,21 @@
     assert create(ids[1]).status == 422
     assert json.loads(server.request("DELETE", f"/files/{ids[1]}").data)["deleted"]
     assert server.request("GET", f"/files/{ids[1]}").status == 404
+
+
+def test_results_past_their_retention_are_gone_and_the_batch_says_so(server: Server) -> None:
+    batch_id = json.loads(server.request("POST", "/batches", lines(3)).data)["id"]
+    server.run_all()
+    batch = json.loads(server.request("GET", f"/batches/{batch_id}").data)
+    results = f"/batches/{batch_id}/results"
+    assert server.request("GET", results).status == 200
+    late_ms = batch["results_expire_at"] * 1000 + 1000
+    server.control.wall_ms = lambda: late_ms
+    for group in GROUPS:
+        server.control.propose(group, ExpireDeadlines(), ExpiredLeases)
+    for path in (results, f"/files/{batch['output_file_id']}/content"):
+        refused = server.request("GET", path)
+        assert (refused.status, json.loads(refused.data)["error"]["code"]) == (410, "expired")
+    after = json.loads(server.request("GET", f"/batches/{batch_id}").data)
+    assert (after["status"], after["output_file_id"]) == ("completed", None)
+    assert after["request_counts"]["completed"] == 3
