--- a/src/testbed/simulation/control_node.py
+++ b/src/testbed/simulation/control_node.py
@@ -27,7 +27,6 @@
 from testbed.simulation.rpc import RpcBoard, SimulatedRpc
 
 ROOT_GROUP = "root"
-LEASE_DURATION_S = 6.0
 HUB_SYNC_INTERVAL_S = 1.0
 MACHINE_LIST_INTERVAL_S = 1.0
 MIRROR_INTERVAL_S = 0.4
@@ -120,7 +119,7 @@
             self.machine,
             self.expiry.committed,
         )
-        self._root = LocalRoot(groups[ROOT_GROUP])
+        self._root = LocalRoot(groups[ROOT_GROUP], self.machine)
         self.mirror = SettingsMirror(self._root.read)
         self.hub = Hub(self._identity(), self.mirror, self.machine, self._root.quorum_age_s)
         self._renewals = RenewalTask(self.hub, self.host, self.expiry, self._job_groups)
@@ -137,7 +136,7 @@
 
     def new_expiry(self, jobs: dict[str, ReplicatedGroup]) -> LeaseExpiry:
         """Return the lease expiry of a starting process; a broken rule replaces this."""
-        return LeaseExpiry(jobs, self.machine, LEASE_DURATION_S)
+        return LeaseExpiry(jobs, self.machine)
 
     def _identity(self) -> HubIdentity:
         return HubIdentity(
--- a/src/testbed/simulation/engine_client.py
+++ b/src/testbed/simulation/engine_client.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from types import SimpleNamespace
-
 import msgspec
 
-from leverjunction.backends import client as product_client
+from leverjunction.backends.echo import ATTEMPT_HEADER, REQUEST_ID_HEADER, answer_mismatch
 from leverjunction.backends.stream import DetachedSocket
 from leverjunction.backends.types import EngineCall, LoadReport
 from leverjunction.errors import Execution, Failure, FailureKind, Step
@@ -53,8 +51,8 @@
             self.head = message
             self.status = message.status
             self.headers = {
-                product_client.REQUEST_ID_HEADER: message.request_id,
-                product_client.ATTEMPT_HEADER: str(message.attempt),
+                REQUEST_ID_HEADER: message.request_id,
+                ATTEMPT_HEADER: str(message.attempt),
             }
         elif isinstance(message, Part):
             self._take(message)
@@ -167,8 +165,7 @@
 
     def mismatch(self, stream: SimulatedStream, call: EngineCall) -> Failure | None:
         """Check the echo of an answer, as the product does."""
-        response = SimpleNamespace(headers=stream.headers)
-        return product_client._mismatch(response, call.request_id, call.attempt, call.address)  # type: ignore[arg-type]
+        return answer_mismatch(stream.headers, call.request_id, call.attempt, call.address)
 
     def cancel(self, address: str, request_id: str) -> Failure | None:
         """Cancel a request at its engine."""
--- a/src/testbed/simulation/gateway_node.py
+++ b/src/testbed/simulation/gateway_node.py
@@ -205,8 +205,8 @@
         end_s = self.machine.monotonic_s() + DRAIN_TIMEOUT_S
         self.exchange.exchange_once()
         self.harvest.stop()
-        self.gate.stop()
         self.inflight.wait_idle(max(0.0, end_s - self.machine.monotonic_s()))
+        self.gate.stop()
         self.relay.wait_idle(max(0.0, end_s - self.machine.monotonic_s()))
 
     def kill(self) -> None:
--- a/src/testbed/simulation/local_group.py
+++ b/src/testbed/simulation/local_group.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from leverjunction.consensus.api import GroupStatus
-from leverjunction.consensus.group import _status_of
+from leverjunction.consensus.status import status_of
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from testbed.simulation.fiber import Fibers, Resume
 from testbed.simulation.machine import Machine
@@ -39,7 +39,7 @@
 
     def status(self) -> GroupStatus:
         """Return what this replica knows of its group."""
-        return _status_of(self._replica.engine, self._machine.monotonic_s())
+        return status_of(self._replica.engine, self._machine.monotonic_s())
 
     def _wait(
         self, begin: Callable[[Reply], None], timeout_s: float, execution: Execution
