--- a/tests/unit/test_batch_state_machine.py
+++ b/tests/unit/test_batch_state_machine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from tests.unit.batch_machine import (
     DEADLINE_MS,
