Consensus: no second founding while any process that may hold the group answers with one

Cause: the first members follow the layout of the configuration. When its peers change so that all new voters of a group are blank machines, "every first member answers blank" holds, and the lowest of them founded a second, empty group beside the old one. A test showed it (three new machines, the three old ones running): it fails without witnesses. Change: GroupConfig.witnesses names the other processes; the founder asks them too, gives them half an attempt to answer, and founds nothing when one knows of a founding. Blank answers count only from first members. Control has to pass the witnesses (seam to its owner).

--- a/src/leverjunction/consensus/core_founding.py
+++ b/src/leverjunction/consensus/core_founding.py
@@ -1,6 +1,7 @@
 """First start of a group, and the identity messages that tell a blank replica from a voter.
 
-A new group forms only if every first member answers "blank". The founder (the lowest first
+A new group forms only if every first member answers "blank" and no witness (another process that
+may hold a replica) answers that the group is founded. The founder (the lowest first
 address) then sends the founding record, which lists the replica ids that answered, and becomes a
 voter itself only after all the others have stored it. A replica whose id is in the record has
 never voted or acknowledged anything, since its id is as old as its data; so it may start as a
@@ -30,6 +31,8 @@
 
 NONCE_BITS = 63
 FOUNDING_ID_BITS = 128
+WITNESS_WAIT_SHARE = 0.5
+"""How long the witnesses have to answer, as a share of the time that an attempt lasts."""
 
 
 @dataclass
@@ -42,6 +45,7 @@
         blank_ids: Replica id of each first member that answered "blank", by address.
         founding_id: Chosen once all have answered; empty before.
         stored: Replica ids that have stored the founding record.
+        founded_elsewhere: True when somebody answered that the group is founded already.
     """
 
     nonce: int
@@ -49,6 +53,7 @@
     blank_ids: dict[str, str] = field(default_factory=dict)
     founding_id: str = ""
     stored: set[str] = field(default_factory=set)
+    founded_elsewhere: bool = False
 
 
 class FoundingCore(CoreBase):
@@ -87,12 +92,22 @@
             return
         for address in self._others():
             if address not in attempt.blank_ids:
-                query = IdentityQuery(header=self.header(""), nonce=attempt.nonce)
-                self._send(address, query)
+                self._ask_identity(address, attempt)
+        for address in self.config.witnesses:
+            self._ask_identity(address, attempt)
+
+    def _ask_identity(self, address: str, attempt: FoundingAttempt) -> None:
+        self._send(address, IdentityQuery(header=self.header(""), nonce=attempt.nonce))
 
     def _may_found(self, attempt: FoundingAttempt) -> bool:
-        """Return whether every first member has answered "blank" in this attempt."""
-        return all(address in attempt.blank_ids for address in self._others())
+        """Return whether every first member is blank and nobody knows of a founding.
+
+        A witness that holds no replica does not answer, so all have some time to do so.
+        """
+        wait_s = WITNESS_WAIT_SHARE * self.config.election_timeout_max_s
+        waited = not self.config.witnesses or self._now_s - attempt.started_s >= wait_s
+        all_blank = all(address in attempt.blank_ids for address in self._others())
+        return all_blank and waited and not attempt.founded_elsewhere
 
     def _advance_founding(self, attempt: FoundingAttempt) -> None:
         if not attempt.founding_id and self._may_found(attempt):
@@ -145,7 +160,9 @@
         attempt = self.attempt
         if attempt is None or message.nonce != attempt.nonce or attempt.founding_id:
             return
-        if message.header.founding_id == "":
+        if message.header.founding_id != "":
+            attempt.founded_elsewhere = True
+        elif message.header.from_address in self.config.first_members:
             attempt.blank_ids[message.header.from_address] = message.header.from_id
             self._advance_founding(attempt)
 
--- a/src/leverjunction/consensus/types.py
+++ b/src/leverjunction/consensus/types.py
@@ -153,6 +153,9 @@
         address: RPC address of this replica.
         first_members: RPC addresses of the members that found the group, the same everywhere.
             The lowest one founds it, once every one of them has answered that it is blank.
+        witnesses: RPC addresses of other processes that may hold a replica of the group, such as
+            its voters before a change of the configuration. They are asked before a founding: one
+            that answers with a founding of the group forbids another one.
         data_path: The replica's SQLite file; ``:memory:`` in the simulator.
         heartbeat_interval_s: Longest pause between two messages of a leader to a peer.
         election_timeout_min_s: Shortest silence after which a follower campaigns; a leader
@@ -171,6 +174,7 @@
     group: str
     address: str
     first_members: tuple[str, ...]
+    witnesses: tuple[str, ...] = ()
     data_path: str = ":memory:"
     heartbeat_interval_s: float = HEARTBEAT_INTERVAL_S
     election_timeout_min_s: float = ELECTION_TIMEOUT_MIN_S
--- a/tests/unit/consensus_support.py
+++ b/tests/unit/consensus_support.py
@@ -67,17 +67,17 @@
     def path(self, address: str) -> Path:
         return self.folder / f"{address.split(':')[0]}.db"
 
-    def start(self, address: str) -> Failure | None:
+    def start(self, address: str, **settings: object) -> Failure | None:
+        """Start a replica; ``settings`` go before those of the cluster."""
         self._starts += 1
         config = GroupConfig(
             group="root",
             address=address,
-            first_members=tuple(self.addresses),
             data_path=str(self.path(address)),
             heartbeat_interval_s=0.05,
             election_timeout_min_s=0.5,
             election_timeout_max_s=1.0,
-            **self.settings,  # type: ignore[arg-type]
+            **{"first_members": tuple(self.addresses), **self.settings, **settings},  # type: ignore[arg-type]
         )
         replica = GroupReplica(
             config, LogMachine(), Link(self, address), SystemClock(), Random(self._starts)
--- a/tests/unit/test_consensus_group.py
+++ b/tests/unit/test_consensus_group.py
@@ -100,3 +100,31 @@
     wait_for(lambda: cluster.replicas[address].query_local(b"*") == state)
     assert len(cluster.leader().status().voters) == 3
     cluster.stop_all()
+
+
+def test_new_voters_found_no_second_group_while_an_old_one_answers(tmp_path: Path) -> None:
+    """All first members of the changed configuration are blank, but the group exists."""
+    cluster = Cluster(tmp_path, 3)
+    cluster.start_all()
+    cluster.propose(b"a=1")
+    old = set(cluster.addresses)
+    new = tuple(f"10.0.1.{number}:1" for number in range(3))
+    for address in new:
+        assert cluster.start(address, first_members=new, witnesses=tuple(old)) is None
+    founder = cluster.replicas[min(new)]
+    first_attempt = wait_for(lambda: founder._engine and founder._engine.core.attempt)
+    wait_for(lambda: founder._engine and founder._engine.core.attempt is not first_attempt)
+    assert {cluster.replicas[address].status().role for address in new} == {"blank"}
+
+    def moved() -> bool:
+        leader = cluster.leader()
+        if set(leader.status().voters) == set(new):
+            return True
+        leader.change_members(list(new), 1.0)
+        return False
+
+    wait_for(moved)
+    for address in old:
+        cluster.stop(address)
+    wait_for(lambda: cluster.leader().query(b"a", 2.0) == b"1")
+    cluster.stop_all()
