Settings: infinite numbers and empty versions are refused

Cause: `deadline_s: .inf` passed the check and was stored as JSON's null, so the parent's value came into force in silence; an empty version would have been ordered from engines. Both tests failed before.

--- a/src/leverjunction/settings/schema.py
+++ b/src/leverjunction/settings/schema.py
@@ -12,7 +12,7 @@
 
 
 class _Strict(BaseModel):
-    model_config = ConfigDict(extra="forbid")
+    model_config = ConfigDict(extra="forbid", allow_inf_nan=False)
 
 
 class Serving(_Strict):
@@ -66,14 +66,14 @@
 class Adapter(_Strict):
     """An adapter of a model."""
 
-    version: str = "1"
+    version: str = Field(default="1", min_length=1)
     serving: Serving = Serving()
 
 
 class Model(_Strict):
     """A model of a service: desired version and number of runners that hold it."""
 
-    version: str = "1"
+    version: str = Field(default="1", min_length=1)
     replicas: int = Field(default=0, ge=0, description="0: on every runner of the service")
     serving: Serving = Serving()
     adapters: dict[str, Adapter] = {}
