Page checksums: one call a page, neighbouring sums written together

Cause: in a profile of the group on 64-item commands the sums took about a tenth of the leader's time, an object and three calls a page. Change: xxh3 with the page number as its seed, one write for a run of neighbouring pages.

--- a/src/leverjunction/consensus/page_sums.py
+++ b/src/leverjunction/consensus/page_sums.py
@@ -14,8 +14,9 @@
 import os
 import struct
 from array import array
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
+from typing import NamedTuple
 
 import xxhash
 
@@ -24,27 +25,24 @@
 UNKNOWN = 0
 """Sum of a page that was never written by a commit, or is being recovered."""
 
-_SUM = struct.Struct("=Q")
 _WAL_HEADER_BYTES = 32
 _SALTS = slice(16, 24)
 _FRAME_HEADER = struct.Struct(">II8s8s")
 _FRAME_BYTES = _FRAME_HEADER.size + PAGE_BYTES
-_FRAMES_PER_READ = 8
+_FRAMES_PER_READ = 16
 
 
-class _Frame:
-    """One frame of the write-ahead log: a page, and whether it ends a transaction."""
+class _Frame(NamedTuple):
+    """One frame of the write-ahead log: a page's number and sum, and whether it ends a commit."""
 
-    def __init__(self, data: memoryview) -> None:
-        self.number, pages_after, self.salts, _ = _FRAME_HEADER.unpack(data[: _FRAME_HEADER.size])
-        self.ends_commit = pages_after != 0
-        self.sum = _page_sum(self.number, data[_FRAME_HEADER.size :])
+    number: int
+    page_sum: int
+    ends_commit: bool
 
 
 def _page_sum(number: int, page: bytes | memoryview) -> int:
-    digest = xxhash.xxh3_64(number.to_bytes(4, "big"))
-    digest.update(page)
-    return digest.intdigest() or 1
+    # The number is the seed, so a page in the place of another is noticed.
+    return xxhash.xxh3_64_intdigest(page, number) or 1
 
 
 class PageSums:
@@ -90,20 +88,21 @@
 
     def begin_recovery(self) -> None:
         """Before SQLite moves the write-ahead log into the file: forget those pages' sums."""
-        for number in self._unknown:
-            self._put(number, UNKNOWN)
+        self._put(dict.fromkeys(self._unknown, UNKNOWN))
         os.fsync(self._descriptor)
 
     def end_recovery(self) -> None:
         """After it: sum the pages that SQLite has recovered, by its own checksums."""
         if not self._unknown:
             return
+        sums: dict[int, int] = {}
         with self._database.open("rb") as file:
-            for number in sorted(self._unknown):
+            for number in self._unknown:
                 file.seek((number - 1) * PAGE_BYTES)
                 page = file.read(PAGE_BYTES)
                 if len(page) == PAGE_BYTES:
-                    self._put(number, _page_sum(number, page))
+                    sums[number] = _page_sum(number, page)
+        self._put(sums)
         self._unknown.clear()
         os.fsync(self._descriptor)
 
@@ -116,16 +115,18 @@
         salts = os.pread(self._wal_descriptor, _WAL_HEADER_BYTES, 0)[_SALTS]
         if salts != self._salts:
             self._salts, self._offset = salts, _WAL_HEADER_BYTES
-        pending: list[_Frame] = []
-        for frame in self._frames(self._wal_descriptor, self._offset, salts):
-            pending.append(frame)
-            if not frame.ends_commit:
-                continue
-            for written in pending:
-                self._put(written.number, written.sum)
-            self._offset += len(pending) * _FRAME_BYTES
-            self.frames_since_sync += len(pending)
-            pending.clear()
+        committed: dict[int, int] = {}
+        pending: dict[int, int] = {}
+        frames = 0
+        for count, frame in enumerate(self._frames(self._wal_descriptor, self._offset, salts), 1):
+            pending[frame.number] = frame.page_sum
+            if frame.ends_commit:
+                committed |= pending
+                pending.clear()
+                frames = count
+        self._put(committed)
+        self._offset += frames * _FRAME_BYTES
+        self.frames_since_sync += frames
 
     def sync(self) -> None:
         """Make the sums durable; due before a checkpoint."""
@@ -138,12 +139,24 @@
         if self._wal_descriptor is not None:
             os.close(self._wal_descriptor)
 
-    def _put(self, number: int, page_sum: int) -> None:
-        os.pwrite(self._descriptor, _SUM.pack(page_sum), (number - 1) * _SUM.size)
+    def _put(self, sums: Mapping[int, int]) -> None:
+        """Write sums by page number; those of neighbouring pages go in one call."""
+        run = array("Q")
+        first = 0
+        for number in sorted(sums):
+            if number != first + len(run):
+                self._put_run(first, run)
+                first, run = number, array("Q")
+            run.append(sums[number])
+        self._put_run(first, run)
+
+    def _put_run(self, first: int, run: array[int]) -> None:
+        if run:
+            os.pwrite(self._descriptor, run.tobytes(), (first - 1) * run.itemsize)
 
     def _stored(self) -> array[int]:
         stored = array("Q")
-        size = os.fstat(self._descriptor).st_size // _SUM.size * _SUM.size
+        size = os.fstat(self._descriptor).st_size // stored.itemsize * stored.itemsize
         stored.frombytes(os.pread(self._descriptor, size, 0))
         return stored
 
@@ -170,10 +183,11 @@
         while data := os.pread(descriptor, _FRAME_BYTES * _FRAMES_PER_READ, offset):
             view = memoryview(data)
             for start in range(0, len(data) - _FRAME_BYTES + 1, _FRAME_BYTES):
-                frame = _Frame(view[start : start + _FRAME_BYTES])
-                if frame.salts != salts:
+                number, pages_after, frame_salts, _ = _FRAME_HEADER.unpack_from(data, start)
+                if frame_salts != salts:
                     return
-                yield frame
+                page = view[start + _FRAME_HEADER.size : start + _FRAME_BYTES]
+                yield _Frame(number, _page_sum(number, page), pages_after != 0)
             if len(data) < _FRAME_BYTES * _FRAMES_PER_READ:
                 return
             offset += len(data)
