Fairness: the weight of a batch class counts

Cause, by reading: operators could set batch_classes/*/weight, and nothing read it. Change: a job is accepted with its class's weight; an item adds 1/weight to its tenant's share. Integers in thousandths, so that all replicas work out the same shares.

--- a/src/leverjunction/api/batches.py
+++ b/src/leverjunction/api/batches.py
@@ -33,7 +33,7 @@
     read_body,
     request_id,
 )
-from leverjunction.api.batches_terms import deadline_ms, may_repeat
+from leverjunction.api.batches_terms import job_terms, may_repeat
 from leverjunction.api.batches_upload import JobUpload, UploadTerms
 from leverjunction.batch.commands import (
     AcceptJob,
@@ -139,13 +139,17 @@
             return fail(refusal)
         batch_class = (create.metadata or {}).get("batch_class", "")
         window = "" if batch_class else create.completion_window
-        deadline = deadline_ms(self._context, batch_class, window)
-        if isinstance(deadline, Failure):
-            return fail(deadline)
+        agreed = job_terms(self._context, batch_class, window)
+        if isinstance(agreed, Failure):
+            return fail(agreed)
         # Without the header here, the mark that the file was uploaded with stays.
         repeat = None if may_repeat() else False
         command = AcceptJob(
-            job_id, batch_class=batch_class, deadline_ms=deadline, may_repeat=repeat
+            job_id,
+            batch_class=batch_class,
+            deadline_ms=agreed.deadline_ms,
+            may_repeat=repeat,
+            weight_milli=agreed.weight_milli,
         )
         return self._propose(job, command)
 
@@ -174,18 +178,19 @@
         headers = cherrypy.request.headers
         batch_class = query.get("batch_class", "") or headers.get("X-Batch-Class", "")
         window = query.get("completion_window", "")
-        deadline = deadline_ms(self._context, batch_class, window)
-        if isinstance(deadline, Failure):
+        agreed = job_terms(self._context, batch_class, window)
+        if isinstance(agreed, Failure):
             drain_body()
-            return fail(deadline)
+            return fail(agreed)
         key = idempotency_key()
         terms = UploadTerms(
             tenant=tenant,
             idempotency_key=f"batch:{key}" if key else "",
             batch_class=batch_class,
             may_repeat=may_repeat(),
-            deadline_ms=deadline,
+            deadline_ms=agreed.deadline_ms,
             accept=True,
+            weight_milli=agreed.weight_milli,
         )
         settings = self._context.settings()
         reader = LineReader(
--- a/src/leverjunction/api/batches_terms.py
+++ b/src/leverjunction/api/batches_terms.py
@@ -5,8 +5,10 @@
 import re
 
 import cherrypy
+import msgspec
 
 from leverjunction.api.batches_support import BatchContext, bad_request
+from leverjunction.batch.job_rows import MS_PER_S, WEIGHT_ONE_MILLI
 from leverjunction.errors import Failure
 
 DEFAULT_BATCH_CLASS = "default"
@@ -20,8 +22,20 @@
     return str(cherrypy.request.headers.get("X-Repeat", "")).lower() != "never"
 
 
-def deadline_ms(context: BatchContext, batch_class: str, window: str) -> int | Failure:
-    """Return the deadline of a job that is submitted now, in wall-clock milliseconds.
+class JobTerms(msgspec.Struct, frozen=True, kw_only=True):
+    """What a job's class and window mean.
+
+    Attributes:
+        deadline_ms: Wall-clock time after which pending items expire.
+        weight_milli: Thousandths of the class's weight.
+    """
+
+    deadline_ms: int
+    weight_milli: int
+
+
+def job_terms(context: BatchContext, batch_class: str, window: str) -> JobTerms | Failure:
+    """Return the terms of a job that is submitted now.
 
     Args:
         context: Gives the clock and the settings.
@@ -33,10 +47,14 @@
     if batch_class and batch_class not in (DEFAULT_BATCH_CLASS, *known):
         named = ", ".join(sorted({DEFAULT_BATCH_CLASS, *known}))
         return bad_request(f"no batch class {batch_class!r}; known: {named}")
-    window_s = settings.batch_class(batch_class or DEFAULT_BATCH_CLASS).deadline_s
+    resolved = settings.batch_class(batch_class or DEFAULT_BATCH_CLASS)
+    window_s = resolved.deadline_s
     if window:
         match = _WINDOW.fullmatch(window)
         if match is None or int(match[1]) == 0:
             return bad_request(f"completion_window {window!r}; want a number and s, m, h or d")
         window_s = int(match[1]) * _UNIT_S[match[2]]
-    return context.clock.wall_ms() + int(min(window_s, MAX_WINDOW_S) * 1000)
+    return JobTerms(
+        deadline_ms=context.clock.wall_ms() + int(min(window_s, MAX_WINDOW_S) * MS_PER_S),
+        weight_milli=round(resolved.weight * WEIGHT_ONE_MILLI),
+    )
--- a/src/leverjunction/api/batches_upload.py
+++ b/src/leverjunction/api/batches_upload.py
@@ -23,6 +23,7 @@
     SealJob,
 )
 from leverjunction.batch.directory import JobDirectory
+from leverjunction.batch.job_rows import WEIGHT_ONE_MILLI
 from leverjunction.batch.submission import items_hash
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 
@@ -42,6 +43,7 @@
         may_repeat: Whether items may run more than once.
         deadline_ms: Wall-clock time after which pending items expire.
         accept: True to accept the job at the end, False to leave it as a sealed file.
+        weight_milli: Thousandths of the class's weight.
     """
 
     tenant: str
@@ -50,6 +52,7 @@
     may_repeat: bool
     deadline_ms: int
     accept: bool
+    weight_milli: int = WEIGHT_ONE_MILLI
 
 
 class JobUpload:
@@ -163,7 +166,9 @@
         job_id = self._job.spec.job_id
         command: AcceptJob | SealJob = SealJob(job_id, self._sent, self._digest)
         if self._terms.accept:
-            command = AcceptJob(job_id, self._sent, self._digest)
+            command = AcceptJob(
+                job_id, self._sent, self._digest, weight_milli=self._terms.weight_milli
+            )
         return self._directory.control.propose(self._group, command, JobView, UPLOAD_TIMEOUT_S)
 
     def _discard(self) -> None:
--- a/src/leverjunction/batch/commands.py
+++ b/src/leverjunction/batch/commands.py
@@ -104,6 +104,8 @@
         deadline_ms: Deadline, when it is known only now.
         may_repeat: Whether items may run more than once, when it is known only now.
         retention_ms: How long results are kept after the job's end; 0 takes the built-in time.
+        weight_milli: Thousandths of the class's weight: an item counts 1/weight in its tenant's
+            share of the service; 0 takes a weight of one.
     """
 
     job_id: str
@@ -113,6 +115,7 @@
     deadline_ms: int = 0
     may_repeat: bool | None = None
     retention_ms: int = 0
+    weight_milli: int = 0
 
 
 class SealJob(msgspec.Struct, frozen=True, tag="seal_job"):
--- a/src/leverjunction/batch/job_rows.py
+++ b/src/leverjunction/batch/job_rows.py
@@ -12,6 +12,7 @@
 """How long results stay readable after the end of a job that does not say otherwise."""
 
 MS_PER_S = 1000
+WEIGHT_ONE_MILLI = 1000
 
 FINAL_JOB_STATES = frozenset({JobState.COMPLETED, JobState.CANCELLED, JobState.EXPIRED})
 
@@ -50,6 +51,7 @@
     expired: int = 0
     discarded: int = 0
     retention_ms: int = RESULTS_RETENTION_MS
+    weight_milli: int = WEIGHT_ONE_MILLI
     keep_until_ms: int = 0
     removed_ms: int = 0
 
--- a/src/leverjunction/batch/pending.py
+++ b/src/leverjunction/batch/pending.py
@@ -1,8 +1,9 @@
 """The queue of pending items: what may be leased, by service, model, tenant and deadline.
 
 Fairness between tenants is start-time fair queueing (Goyal et al., 1996): every item leased adds
-one to its tenant's served share, the tenant with the smallest share goes first, and a tenant that
-joins starts at the smallest share of those present, so that idleness earns no credit.
+one over its class's weight to its tenant's served share, the tenant with the smallest share goes
+first, and a tenant that joins starts at the smallest share of those present, so that idleness earns
+no credit.
 
 The order of turns is kept in an index by model, and the sums of a service in a row, so that what
 a grant costs does not grow with the number of tenants.
@@ -14,7 +15,10 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from leverjunction.batch.job_rows import JobRow
+from leverjunction.batch.job_rows import WEIGHT_ONE_MILLI, JobRow
+
+SHARE_UNIT_MILLI = 1000 * WEIGHT_ONE_MILLI
+"""What an item of weight one adds to a share; integers, so that all replicas agree."""
 
 _RUNNABLE_KEY = "service = ? AND model = ? AND tenant = ? AND deadline_ms = ? AND job = ?"
 
@@ -83,7 +87,7 @@
         [(job.number, model, index) for index in indexes],
     )
     _remove_runnable(connection, job, model, len(indexes))
-    _serve_share(connection, job.service, job.tenant, len(indexes))
+    _serve_share(connection, job, len(indexes))
     return indexes
 
 
@@ -201,18 +205,19 @@
     connection.execute(_ADD_WAITING, (service, joined, count))
 
 
-def _serve_share(connection: sqlite3.Connection, service: str, tenant: str, count: int) -> None:
-    key = (service, tenant)
+def _serve_share(connection: sqlite3.Connection, job: JobRow, count: int) -> None:
+    key = (job.service, job.tenant)
+    served = count * SHARE_UNIT_MILLI // job.weight_milli
     row = connection.execute(
         "UPDATE sm_shares SET served = served + ? WHERE service = ? AND tenant = ? "
         "RETURNING served",
-        (count, *key),
+        (served, *key),
     ).fetchone()
     if row is not None:
         connection.execute(
             "UPDATE sm_turns SET served = ? WHERE service = ? AND tenant = ?", (row[0], *key)
         )
-    _remove_share(connection, service, tenant, count)
+    _remove_share(connection, job.service, job.tenant, count)
 
 
 def _remove_share(connection: sqlite3.Connection, service: str, tenant: str, count: int) -> None:
--- a/src/leverjunction/batch/submission.py
+++ b/src/leverjunction/batch/submission.py
@@ -41,6 +41,7 @@
 from leverjunction.errors import Failure, FailureKind, Step
 
 MAX_CHUNK_ITEMS = 2_000
+MIN_WEIGHT_MILLI = 1
 MAX_RETENTION_MS = 400 * 24 * 3600 * 1000
 MAX_DEADLINE_MS = 30 * 24 * 3600 * 1000
 """A job's deadline is clamped to this long after it was opened."""
@@ -145,6 +146,7 @@
     job.deadline_ms = min(command.deadline_ms or job.deadline_ms, context.wall_ms + MAX_DEADLINE_MS)
     if command.may_repeat is not None:
         job.may_repeat = int(command.may_repeat)
+    job.weight_milli = max(MIN_WEIGHT_MILLI, command.weight_milli or job.weight_milli)
     job.retention_ms = min(command.retention_ms or job.retention_ms, MAX_RETENTION_MS)
     job.state = JobState.ACCEPTED
     pending.enqueue_job(connection, job)
--- a/src/leverjunction/batch/tables.py
+++ b/src/leverjunction/batch/tables.py
@@ -42,6 +42,7 @@
         expired INTEGER NOT NULL,
         discarded INTEGER NOT NULL,
         retention_ms INTEGER NOT NULL,
+        weight_milli INTEGER NOT NULL,
         keep_until_ms INTEGER NOT NULL,
         removed_ms INTEGER NOT NULL
     )
--- a/tests/unit/test_batch_api.py
+++ b/tests/unit/test_batch_api.py
@@ -38,6 +38,7 @@
         "services/llm/models/m/version": "1",
         "services/docs/models/d/version": "1",
         "batch_classes/night/deadline_s": 7200.0,
+        "batch_classes/night/weight": 0.25,
         "tenants/kilimo/limits/max_job_items": 1500,
     }
     for tenant in ("kilimo", "hanbit"):
@@ -296,6 +297,12 @@
     created = server.request("POST", "/batches", lines(1), X_Batch_Class="night")
     batch = json.loads(created.data)
     assert batch["expires_at"] - batch["created_at"] in (7199, 7200)
+    weights = [
+        weight
+        for connection in server.control.connections.values()
+        for (weight,) in connection.execute("SELECT weight_milli FROM sm_jobs")
+    ]
+    assert weights == [250]
 
 
 def test_key_of_a_file_batch_is_bound_to_its_file(server: Server) -> None:
--- a/tests/unit/test_batch_pending.py
+++ b/tests/unit/test_batch_pending.py
@@ -53,6 +53,19 @@
         check_queue(machine.connection)
 
 
+@pytest.mark.parametrize(("weight_milli", "served"), [(500, 10), (1000, 15), (2000, 20)])
+def test_share_of_a_tenant_follows_the_weight_of_its_class(
+    machine: Machine, weight_milli: int, served: int
+) -> None:
+    for job_id, tenant, weight in (("a", "kilimo", weight_milli), ("b", "hanbit", 1000)):
+        machine.apply(OpenJob(spec(job_id, item_count=100, tenant=tenant)), OpenedJob)
+        machine.apply(AppendItems(job_id, 0, items(100)), JobView)
+        machine.apply(AcceptJob(job_id, weight_milli=weight), JobView)
+    leases = [machine.grant(f"l{number}", max_items=2) for number in range(15)]
+    tenants = [item.tenant for lease in leases for item in lease.items]
+    assert abs(tenants.count("kilimo") - served) <= 1
+
+
 def check_queue(connection: sqlite3.Connection) -> None:
     """Compare the kept order of turns and sums with those worked out from the items."""
     turns = connection.execute(
