--- a/src/leverjunction/settings/resolved.py
+++ b/src/leverjunction/settings/resolved.py
@@ -35,6 +35,7 @@
 _DEFAULT_VERSION = "1"
 _BATCH_DEADLINE_S = 86_400.0
 _BATCH_WEIGHT = 1.0
+_BATCH_RESULTS_RETENTION_S = 604_800.0
 
 
 class ResolvedServing(msgspec.Struct, frozen=True, kw_only=True):
@@ -64,10 +65,17 @@
 
 
 class ResolvedBatchClass(msgspec.Struct, frozen=True, kw_only=True):
-    """A class of batch jobs: time until its items expire, and share between classes."""
+    """A class of batch jobs.
+
+    Attributes:
+        deadline_s: Time until items that have not run expire.
+        weight: Share between classes.
+        results_retention_s: How long results stay readable after the job's end.
+    """
 
     deadline_s: float
     weight: float
+    results_retention_s: float
 
 
 class ResolvedModel(msgspec.Struct, frozen=True, kw_only=True):
@@ -193,9 +201,11 @@
         """Return a class of batch jobs; an unknown name gets the built-in one."""
         deadline_s = self.lookup(f"batch_classes/{name}/deadline_s")
         weight = self.lookup(f"batch_classes/{name}/weight")
+        retention_s = self.lookup(f"batch_classes/{name}/results_retention_s")
         return ResolvedBatchClass(
             deadline_s=_number(deadline_s, _BATCH_DEADLINE_S),
             weight=_number(weight, _BATCH_WEIGHT),
+            results_retention_s=_number(retention_s, _BATCH_RESULTS_RETENTION_S),
         )
 
     def names(self, section: str) -> list[str]:
--- a/src/leverjunction/settings/schema.py
+++ b/src/leverjunction/settings/schema.py
@@ -100,6 +100,9 @@
 
     deadline_s: float = Field(default=86400.0, gt=0)
     weight: float = Field(default=1.0, gt=0)
+    results_retention_s: float = Field(
+        default=604_800.0, gt=0, description="how long results stay readable after the job's end"
+    )
 
 
 class SettingsTree(_Strict):
--- a/tests/unit/test_settings_resolved.py
+++ b/tests/unit/test_settings_resolved.py
@@ -28,7 +28,7 @@
         "empty": {},
     },
     "tenants": {"acme": {"api_key_hashes": [KEY_HASH], "limits": {"concurrency": 3}}},
-    "batch_classes": {"night": {"deadline_s": 60.0}},
+    "batch_classes": {"night": {"deadline_s": 60.0, "results_retention_s": 90.0}},
 }
 
 
@@ -68,7 +68,9 @@
     assert settings.service_for_model("none") is None
     assert settings.region_of_zone("b") == "coast"
     assert settings.batch_class("night").deadline_s == 60.0
+    assert settings.batch_class("night").results_retention_s == 90.0
     assert settings.batch_class("unknown").weight == 1.0
+    assert settings.batch_class("unknown").results_retention_s == 7 * 86_400
     assert settings.names("services") == ["chat", "empty"]
     assert settings.draining_runners("chat") == ["r1"]
     models = [(item.name, item.version, item.adapters) for item in settings.models("chat")]
