--- a/src/testbed/simulation/breaks.py
+++ b/src/testbed/simulation/breaks.py
@@ -17,6 +17,7 @@
 from leverjunction.api.batches_upload import UploadTerms
 from leverjunction.backends.types import LoadReport
 from leverjunction.batch import leasing, pending
+from leverjunction.batch.commands import JobState
 from leverjunction.batch.harvest import HarvestController
 from leverjunction.batch.harvest_state import HarvestState
 from leverjunction.batch.harvester import Harvester
@@ -201,6 +202,17 @@
     return [mock.patch.object(GatewayFront, "submit", without_key)]
 
 
+def _cancel_before_commit() -> list[Any]:
+    def acknowledge(front: GatewayFront, tenant: str, job_id: str) -> Any:
+        job = front.show(tenant, job_id)
+        if isinstance(job, Failure) or job.state is not JobState.ACCEPTED:
+            return job
+        left = job.pending + job.leased
+        return msgspec.structs.replace(job, state=JobState.CANCELLED, cancelled=left)
+
+    return [mock.patch.object(GatewayFront, "cancel", acknowledge)]
+
+
 def _never_expire_leases() -> list[Any]:
     return [mock.patch.object(LeaseKeeper, "expired", lambda _self, _now_s: [])]
 
@@ -336,7 +348,10 @@
         "most commits are acknowledged and never synced", _IN_FORCE, _acknowledge_before_sync
     ),
     "read_from_any_replica": Rule(
-        "reads are answered from any replica's applied state", _JOBS, _read_from_any_replica
+        "reads are answered from any replica's applied state", _SETTINGS, _read_from_any_replica
+    ),
+    "cancel_before_commit": Rule(
+        "a cancellation is acknowledged and not yet committed", _JOBS, _cancel_before_commit
     ),
     "ignore_base_version": Rule(
         "a change is accepted on any base version", _SETTINGS, _ignore_base_version
--- a/src/testbed/simulation/checkers/jobs.py
+++ b/src/testbed/simulation/checkers/jobs.py
@@ -49,6 +49,7 @@
             if job.final_lines is None or job.final_state is None:
                 finding.expect(False, f"{job.key}: its results could not be read at the end")
                 continue
+            history.counts.update(f"items_{line.state.value}" for line in job.final_lines)
             self._check_job(job, job.final_lines, finding)
         return finding
 
--- a/src/testbed/simulation/checkers/online.py
+++ b/src/testbed/simulation/checkers/online.py
@@ -30,6 +30,7 @@
         """Compare every text with the right answer."""
         finding = Finding()
         for record in history.online:
+            history.counts[f"online_{_end_of(record)}"] += 1
             prefix = record.expected[: len(record.text)]
             finding.expect(
                 record.text == prefix,
@@ -54,6 +55,16 @@
         )
 
 
+def _end_of(record: OnlineRecord) -> str:
+    if record.whole:
+        return "whole"
+    if record.explicit_error:
+        return "error_event"
+    if record.execution is not None:
+        return f"refused_{record.execution.value}"
+    return "connection_lost" if record.broken else "given_up"
+
+
 class NotRunIsTrue:
     """A refusal that says "not run" is true."""
 
--- a/src/testbed/simulation/online_callers.py
+++ b/src/testbed/simulation/online_callers.py
@@ -73,7 +73,6 @@
     def over(self, request: OnlineWork, record: OnlineRecord, sends: int) -> None:
         """An answer is whole, refused or broken: send again where a careful caller would."""
         if record.whole:
-            self._parts.history.counts["online_whole"] += 1
             return
         not_run = record.execution is Execution.NOT_RUN and not record.broken
         if request.key or (not_run and record.status):
