Lease model: removal of a final job at any moment

A final job may be removed while leases, grants and results are still on their way. Two invariants' worth: a removed job is final, and nothing late gives an item a second outcome; two seeded bugs (remove an unfinished job; accept a result of a removed item) are found.

--- a/specs/lease.py
+++ b/specs/lease.py
@@ -1,9 +1,10 @@
-"""Model of the lease, result and cancel protocol, checked over its whole state space.
+"""Model of the lease, result, cancel and removal protocol, checked over its whole state space.
 
 Two gateways lease the items of one job one by one, run them and send outcomes. What is left out
 is time: a lease may be ended at any moment, whatever any clock says. That covers a frozen holder
 that wakes up late, a leader that was replaced, and leaders whose clocks differ; so safety does
-not hang on clocks, which only decide how soon a lost item runs again.
+not hang on clocks, which only decide how soon a lost item runs again. For the same reason a final
+job may be removed at any moment, not only after its retention.
 
 Messages are never consumed: each may be applied late, in any order and again, as resends through
 another leader are. A grant's answer may be lost. A gateway may crash and forget all.
@@ -34,6 +35,8 @@
     RESULT_AFTER_CANCEL = "accept a result after the cancel"
     GRANT_AFTER_CANCEL = "grant items of a cancelled job"
     START_AFTER_RETURN = "start an item that was given back"
+    REMOVE_UNFINISHED = "remove a job while its items are not final"
+    RESULT_AFTER_REMOVAL = "accept a result of a removed item"
 
 
 class Item(NamedTuple):
@@ -67,6 +70,7 @@
     """A state of the model; the last three fields only record what happened."""
 
     cancelled: bool
+    removed: bool
     items: tuple[Item, ...]
     held: tuple[tuple[Held, ...], ...]
     sent: frozenset[Message]
@@ -99,6 +103,7 @@
         """Return the state after the job was accepted."""
         return State(
             cancelled=False,
+            removed=False,
             items=(Item("pending", 0, ""),) * self.items,
             held=((_NOT_HELD,) * self.items,) * len(GATEWAYS),
             sent=frozenset(),
@@ -121,6 +126,11 @@
                 "one_outcome_per_item": lambda s: max(s["outcomes"]) <= 1,
                 "at_most_one_run": lambda s: self.may_repeat or max(s["runs"]) <= 1,
                 "cancel_is_final": lambda s: not s["broken_cancel"],
+                "removed_job_is_final": lambda s: (
+                    not s["removed"]
+                    or s["cancelled"]
+                    or all(item[0] in _FINAL for item in s["items"])
+                ),
                 "final_items_have_an_outcome": lambda s: all(
                     (item[0] in _FINAL) == (count >= 1)
                     for item, count in zip(s["items"], s["outcomes"], strict=True)
@@ -130,8 +140,10 @@
 
     def transitions(self, state: State) -> Iterator[tuple[str, State]]:
         """Yield every possible step with its label."""
-        if not state.cancelled:
+        if not state.cancelled and not state.removed:
             yield "cancel", self._cancel(state)
+        if not state.removed and self._may_remove(state):
+            yield "remove", state._replace(removed=True)
         for number, gateway in enumerate(GATEWAYS):
             yield from self._grants(state, number, gateway)
             yield from self._gateway_steps(state, number, gateway)
@@ -141,15 +153,19 @@
             if after != state:
                 yield label, after
         for index, item in enumerate(state.items):
-            if item.status == "leased":
+            if item.status == "leased" and not state.removed:
                 yield f"expire {item.holder} {index} {item.attempt}", self._expire(state, index)
 
+    def _may_remove(self, state: State) -> bool:
+        is_final = state.cancelled or all(item.status in _FINAL for item in state.items)
+        return is_final or self.rule is Rule.REMOVE_UNFINISHED
+
     def _cancel(self, state: State) -> State:
         return state._replace(cancelled=True)
 
     def _grants(self, state: State, number: int, gateway: str) -> Iterator[tuple[str, State]]:
         """Grant the first pending item; the answer arrives or is lost."""
-        closed = state.cancelled and self.rule is not Rule.GRANT_AFTER_CANCEL
+        closed = state.removed or (state.cancelled and self.rule is not Rule.GRANT_AFTER_CANCEL)
         pending = [i for i, item in enumerate(state.items) if item.status == "pending"]
         if closed or not pending:
             return
@@ -192,7 +208,9 @@
         """Send a grant again whose answer was lost: it is repeated while the lease is open."""
         held = state.held[number][index]
         item = state.items[index]
-        is_open = item == Item("leased", held.attempt, GATEWAYS[number]) and not state.cancelled
+        is_open = item == Item("leased", held.attempt, GATEWAYS[number]) and not (
+            state.cancelled or state.removed
+        )
         phase = Held("held", held.attempt) if is_open else _NOT_HELD
         return _with_held(state, number, index, phase)
 
@@ -206,10 +224,18 @@
 
     def deliver(self, state: State, message: Message) -> State:
         """Apply a message that was sent; it may be late, and applied before."""
+        if state.removed:
+            return self._deliver_removed(state, message)
         if message.kind == "done":
             return self._complete(state, message)
         return self._return(state, message)
 
+    def _deliver_removed(self, state: State, message: Message) -> State:
+        """Nothing of a removed item is left that a message could change."""
+        if self.rule is Rule.RESULT_AFTER_REMOVAL and message.kind == "done":
+            return _with_outcome(state, message.item, Item("done", message.attempt, ""))
+        return state
+
     def _complete(self, state: State, message: Message) -> State:
         item = state.items[message.item]
         if item.status in _FINAL and self.rule is not Rule.SECOND_RESULT:
--- a/tests/unit/test_batch_lease_spec.py
+++ b/tests/unit/test_batch_lease_spec.py
@@ -14,6 +14,7 @@
     CancelJob,
     CompletedItems,
     CompleteItems,
+    ExpireDeadlines,
     ExpiredLeases,
     ExpireLeases,
     GetJob,
@@ -27,6 +28,7 @@
     OpenedJob,
     OpenJob,
 )
+from leverjunction.batch.job_rows import RESULTS_RETENTION_MS
 from leverjunction.batch.state_machine import JobsStateMachine
 from leverjunction.consensus.api import ApplyContext
 from leverjunction.wire.codec import decode_reply, encode
@@ -34,6 +36,7 @@
 ITEMS = 2
 ATTEMPTS = 4
 WALKS = 150
+PAYLOAD_TABLES = ("sm_items", "sm_item_states", "sm_results", "sm_pending")
 STEPS = 30
 
 
@@ -57,6 +60,8 @@
         (Rule.START_AFTER_RETURN, "at_most_one_run"),
         (Rule.RESULT_AFTER_CANCEL, "cancel_is_final"),
         (Rule.GRANT_AFTER_CANCEL, "cancel_is_final"),
+        (Rule.REMOVE_UNFINISHED, "removed_job_is_final"),
+        (Rule.RESULT_AFTER_REMOVAL, "one_outcome_per_item"),
     ],
 )
 def test_seeded_bug_is_found(rule: Rule, broken: str) -> None:
@@ -97,6 +102,9 @@
         if kind == "cancel":
             self._apply(CancelJob("j"), JobView)
             return
+        if kind == "remove":
+            self._apply(ExpireDeadlines(), ExpiredLeases, RESULTS_RETENTION_MS + 1)
+            return
         gateway, index, attempt = rest[0], int(rest[1]), int(rest[2])
         lease_id = f"{gateway}-{index}-{attempt}"
         if kind in ("grant", "regrant"):
@@ -119,15 +127,21 @@
         known = {key & 1: state for key, state in rows}
         return [known.get(index, "pending") for index in range(ITEMS)]
 
+    def rows_and_holds(self) -> int:
+        """Return how many rows the items have, and how many of them leases hold."""
+        queries = [f"SELECT COUNT(*) FROM {name}" for name in PAYLOAD_TABLES]
+        queries.append("SELECT COALESCE(SUM(open_items), 0) FROM sm_leases")
+        return sum(self._connection.execute(query).fetchone()[0] for query in queries)
+
     def view(self) -> JobView:
         """Return the job with its counters."""
         view = decode_reply(self._machine.query(self._connection, encode(GetJob("j"))), JobView)
         assert isinstance(view, JobView)
         return view
 
-    def _apply(self, command: object, reply_type: type) -> object:
+    def _apply(self, command: object, reply_type: type, wall_ms: int = 1) -> object:
         self._index += 1
-        context = ApplyContext(index=self._index, term=1, wall_ms=1)
+        context = ApplyContext(index=self._index, term=1, wall_ms=wall_ms)
         return decode_reply(
             self._machine.apply(self._connection, context, encode(command)), reply_type
         )
@@ -158,7 +172,7 @@
 @pytest.mark.parametrize("may_repeat", [True, False])
 def test_real_state_machine_follows_the_traces_of_the_model(may_repeat: bool) -> None:
     taken = _follow_random_traces(LeaseModel(ITEMS, ATTEMPTS, may_repeat))
-    assert taken == {"cancel", "grant", "regrant", "local", "done", "return", "expire"}
+    assert taken == {"cancel", "grant", "regrant", "local", "done", "return", "expire", "remove"}
 
 
 @pytest.mark.parametrize(
@@ -173,9 +187,13 @@
     view = real.view()
     statuses = [item.status for item in state.items]
     assert (view.done, view.unknown) == (statuses.count("done"), statuses.count("unknown"))
+    if state.removed:
+        assert real.rows_and_holds() == 0
     if state.cancelled and view.finished_ms and view.state == "cancelled":
         assert (view.pending, view.leased) == (0, 0)
         assert view.cancelled == statuses.count("pending") + statuses.count("leased")
+    elif state.removed:
+        assert (view.pending, view.leased) == (0, 0)
     else:
         assert real.statuses() == statuses
         assert (view.pending, view.leased) == (statuses.count("pending"), statuses.count("leased"))
