--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -18,6 +18,22 @@
       | the leader of the root group is killed       | one by one      |
       | a gateway is killed                          | one by one      |
 
+  Scenario Outline: The gateway fails that has begun the request
+    Given a healthy kilimo fleet
+    When a request that may not be repeated runs through gateway-1
+    And <fault>
+    And it is sent again through the other gateways
+    And the fault passes
+    And it is sent again through every gateway
+    Then it has run at most once
+    And no resend says that it has not run
+
+    Examples:
+      | fault                |
+      | a gateway is killed  |
+      | a gateway is frozen  |
+      | a gateway is cut off |
+
   Scenario Outline: A batch job that may not be repeated
     Given a healthy kilimo fleet
     And an accepted job of 300 items that may not be repeated
--- /dev/null
+++ b/tests/features/leaving_runner.feature
@@ -0,0 +1,19 @@
+Feature: A leaving back end gets no new work after a few seconds
+
+  Scenario Outline: A runner leaves while it is under load
+    Given a healthy <scenario> fleet
+    And an accepted job of 3000 items
+    And online traffic
+    When <event>
+    And <limit> s have passed
+    And 60 more answers have come
+    Then the runner <work> since
+    And no online request was cut
+    And the fault passes
+
+    Examples: The third row shows that the others can fail
+      | scenario | event                                          | limit | work                |
+      | kilimo   | the machine list says that a runner is leaving | 3     | has got no new work |
+      | kilimo   | an operator drains a runner                    | 2     | has got no new work |
+      | kilimo   | nobody marks a runner                          | 2     | has got new work    |
+      | hanbit   | the machine list says that a runner is leaving | 3     | has got no new work |
--- a/tests/features/test_at_most_once.py
+++ b/tests/features/test_at_most_once.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -14,22 +15,51 @@
 pytestmark = pytest.mark.fleet
 
 TOKENS = 32
+LONG_TOKENS = 400
 
 scenarios("at_most_once.feature")
 
 
-@when(parsers.parse("a request that may not be repeated is sent through every gateway {manner}"))
-def sent_everywhere(world: World, manner: str) -> None:
+def ask_once(world: World, gateway: str, tokens: int) -> CallerAnswer:
+    """Send the scenario's request, which may not be repeated, through a gateway."""
     model = world.fleet.scenario.online_model()
     headers = {"X-Repeat": "never", "Idempotency-Key": world.label}
+    content = f"{world.label} once"
+    return world.caller(gateway).chat(model, content, tokens, stream=False, headers=headers)
 
-    def ask(gateway: str) -> CallerAnswer:
-        caller = world.caller(gateway)
-        return caller.chat(model, f"{world.label} once", TOKENS, stream=False, headers=headers)
 
+@when(parsers.parse("a request that may not be repeated is sent through every gateway {manner}"))
+def sent_everywhere(world: World, manner: str) -> None:
     names = world.fleet.gateway_names()
     with ThreadPoolExecutor(len(names) if manner == "at once" else 1) as pool:
-        world.answers = list(pool.map(ask, names))
+        world.answers = list(pool.map(lambda name: ask_once(world, name, TOKENS), names))
+
+
+@when("a request that may not be repeated runs through gateway-1")
+def runs_through_first(world: World) -> Iterator[None]:
+    pool = ThreadPoolExecutor(1)
+    world.notes["first"] = pool.submit(ask_once, world, "gateway-1", LONG_TOKENS)
+    world.wait(lambda: bool(world.fleet.executions(world.label)), "the request runs")
+    yield
+    pool.shutdown()
+
+
+@when("it is sent again through the other gateways")
+def resent_elsewhere(world: World) -> None:
+    names = world.fleet.gateway_names()[1:]
+    world.answers += [ask_once(world, name, LONG_TOKENS) for name in names]
+
+
+@when("it is sent again through every gateway")
+def resent_everywhere(world: World) -> None:
+    names = world.fleet.gateway_names()
+    world.answers += [ask_once(world, name, LONG_TOKENS) for name in names]
+
+
+@then("no resend says that it has not run")
+def resends_are_true(world: World) -> None:
+    untrue = [answer for answer in world.answers if answer.execution == "not_run"]
+    assert not untrue, untrue
 
 
 @then("it has run at most once")
--- /dev/null
+++ b/tests/features/test_leaving_runner.py
@@ -0,0 +1,38 @@
+"""Promise: a leaving back end gets no new work after a few seconds."""
+
+from __future__ import annotations
+
+import pytest
+from pytest_bdd import parsers, scenarios, then, when
+from tests.features.world import World, now_ms
+
+from testbed.engine.executions import Execution
+
+pytestmark = pytest.mark.fleet
+
+scenarios("leaving_runner.feature")
+
+
+@when(parsers.parse("{limit:d} s have passed"))
+def limit_passed(world: World, limit: int) -> None:
+    world.notes["limit_ms"] = now_ms() + limit * 1000
+    world.wait_until_ms(world.notes["limit_ms"])
+
+
+@then("the runner has got no new work since")
+def no_new_work(world: World) -> None:
+    late = _late(world)
+    assert not late, late[:3]
+
+
+@then("the runner has got new work since")
+def new_work(world: World) -> None:
+    assert _late(world)
+
+
+def _late(world: World) -> list[Execution]:
+    """Return what the runner began after the limit; it must have worked before."""
+    runner = world.notes["runner"]
+    executions = [e for e in world.fleet.executions(world.label) if e.runner_id == runner]
+    assert executions, "the runner had no work before the event"
+    return [execution for execution in executions if execution.started_ms > world.notes["limit_ms"]]
