--- a/src/testbed/scale/sweep.py
+++ b/src/testbed/scale/sweep.py
@@ -9,6 +9,7 @@
 from testbed.scale.result import ControlResult, ScaleResult
 from testbed.scale.slopes import LineFit, Point, fit_line
 
+COMPLETED_ITEMS_PER_S = "completed_items_per_s"
 MILLI = 1e3
 KILOBYTE = 1e3
 MEGABYTE = 1e6
@@ -54,7 +55,8 @@
     """Fit the costs of complete runs over one of their options.
 
     Args:
-        by: Name of a numeric field of ``ScaleOptions``.
+        by: Name of a numeric field of ``ScaleOptions``, or ``completed_items_per_s``: the rate that
+            was reached, which may be below the one that was asked for.
         runs: At least two, with at least two values of that option.
 
     Raises:
@@ -63,7 +65,7 @@
     for run in runs:
         if run.outcome != "complete":
             raise SweepError(f"{run.command}: {run.outcome}")
-    sizes = [float(getattr(run.options, by)) for run in runs]
+    sizes = [_size(by, run) for run in runs]
     slopes = []
     for name, unit, cost in _COSTS:
         points = [Point(size, cost(run)) for size, run in zip(sizes, runs, strict=True)]
@@ -76,6 +78,15 @@
     )
 
 
+def _size(by: str, run: ScaleResult) -> float:
+    if by == COMPLETED_ITEMS_PER_S:
+        return run.gateways.leases.completed_items / run.window_s
+    size = getattr(run.options, by, None)
+    if not isinstance(size, int | float):
+        raise SweepError(f"by {by}: no size of a run has this name")
+    return float(size)
+
+
 def _fit(by: str, points: list[Point]) -> LineFit:
     try:
         return fit_line(points)
--- a/tests/unit/test_scale_sweep.py
+++ b/tests/unit/test_scale_sweep.py
@@ -23,7 +23,9 @@
     )
 
 
-def run_of(gateways: int, outcome: str = "complete") -> ScaleResult:
+def run_of(
+    gateways: int, outcome: str = "complete", leases: LeaseCount | None = None
+) -> ScaleResult:
     core_ratio = BASE_CORE + CORE_PER_GATEWAY * gateways
     return ScaleResult(
         options=ScaleOptions(gateways=gateways),
@@ -50,7 +52,7 @@
             digests_per_gateway_s=3.0,
             core_ratio_per_gateway=0.002,
             rss_bytes_per_gateway=1e6,
-            leases=LeaseCount(),
+            leases=leases or LeaseCount(),
             failure_reasons={},
         ),
         real_gateways=[],
@@ -83,3 +85,15 @@
 def test_runs_that_do_not_differ_in_the_option_are_refused() -> None:
     with pytest.raises(SweepError, match="by runners"):
         fit_sweep("runners", [run_of(40), run_of(80)])
+
+
+def test_the_rate_that_was_reached_is_a_size() -> None:
+    few = run_of(40, leases=LeaseCount(completed_items=100))
+    many = run_of(340, leases=LeaseCount(completed_items=400))
+    sweep = fit_sweep("completed_items_per_s", [few, many])
+    assert [point.size for point in sweep.slopes[0].points] == [10.0, 40.0]
+
+
+def test_a_size_that_runs_do_not_have_is_refused() -> None:
+    with pytest.raises(SweepError, match="by adapters"):
+        fit_sweep("adapters", [run_of(40), run_of(80)])
