Batch API: results are kept as long as the batch class says

A job is accepted with its class's results_retention_s (settings: 7 days built in). Test: a class of an hour, over HTTP: readable, then 410. 119 tests collected in tests/unit/test_batch_*.py, all pass.

--- a/src/leverjunction/api/batches.py
+++ b/src/leverjunction/api/batches.py
@@ -150,6 +150,7 @@
             deadline_ms=agreed.deadline_ms,
             may_repeat=repeat,
             weight_milli=agreed.weight_milli,
+            retention_ms=agreed.retention_ms,
         )
         return self._propose(job, command)
 
@@ -191,6 +192,7 @@
             deadline_ms=agreed.deadline_ms,
             accept=True,
             weight_milli=agreed.weight_milli,
+            retention_ms=agreed.retention_ms,
         )
         settings = self._context.settings()
         reader = LineReader(
--- a/src/leverjunction/api/batches_terms.py
+++ b/src/leverjunction/api/batches_terms.py
@@ -28,10 +28,12 @@
     Attributes:
         deadline_ms: Wall-clock time after which pending items expire.
         weight_milli: Thousandths of the class's weight.
+        retention_ms: How long results are kept after the job's end.
     """
 
     deadline_ms: int
     weight_milli: int
+    retention_ms: int
 
 
 def job_terms(context: BatchContext, batch_class: str, window: str) -> JobTerms | Failure:
@@ -57,4 +59,5 @@
     return JobTerms(
         deadline_ms=context.clock.wall_ms() + int(min(window_s, MAX_WINDOW_S) * MS_PER_S),
         weight_milli=round(resolved.weight * WEIGHT_ONE_MILLI),
+        retention_ms=max(1, round(resolved.results_retention_s * MS_PER_S)),
     )
--- a/src/leverjunction/api/batches_upload.py
+++ b/src/leverjunction/api/batches_upload.py
@@ -23,7 +23,7 @@
     SealJob,
 )
 from leverjunction.batch.directory import JobDirectory
-from leverjunction.batch.job_rows import WEIGHT_ONE_MILLI
+from leverjunction.batch.job_rows import RESULTS_RETENTION_MS, WEIGHT_ONE_MILLI
 from leverjunction.batch.submission import items_hash
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 
@@ -44,6 +44,7 @@
         deadline_ms: Wall-clock time after which pending items expire.
         accept: True to accept the job at the end, False to leave it as a sealed file.
         weight_milli: Thousandths of the class's weight.
+        retention_ms: How long results are kept after the job's end.
     """
 
     tenant: str
@@ -53,6 +54,7 @@
     deadline_ms: int
     accept: bool
     weight_milli: int = WEIGHT_ONE_MILLI
+    retention_ms: int = RESULTS_RETENTION_MS
 
 
 class JobUpload:
@@ -167,7 +169,11 @@
         command: AcceptJob | SealJob = SealJob(job_id, self._sent, self._digest)
         if self._terms.accept:
             command = AcceptJob(
-                job_id, self._sent, self._digest, weight_milli=self._terms.weight_milli
+                job_id,
+                self._sent,
+                self._digest,
+                weight_milli=self._terms.weight_milli,
+                retention_ms=self._terms.retention_ms,
             )
         return self._directory.control.propose(self._group, command, JobView, UPLOAD_TIMEOUT_S)
 
--- a/tests/unit/test_batch_api.py
+++ b/tests/unit/test_batch_api.py
@@ -39,6 +39,7 @@
         "services/docs/models/d/version": "1",
         "batch_classes/night/deadline_s": 7200.0,
         "batch_classes/night/weight": 0.25,
+        "batch_classes/night/results_retention_s": 3600.0,
         "tenants/kilimo/limits/max_job_items": 1500,
     }
     for tenant in ("kilimo", "hanbit"):
@@ -322,9 +323,11 @@
 
 
 def test_results_past_their_retention_are_gone_and_the_batch_says_so(server: Server) -> None:
-    batch_id = json.loads(server.request("POST", "/batches", lines(3)).data)["id"]
+    created = server.request("POST", "/batches", lines(3), X_Batch_Class="night")
+    batch_id = json.loads(created.data)["id"]
     server.run_all()
     batch = json.loads(server.request("GET", f"/batches/{batch_id}").data)
+    assert 3600 <= batch["results_expire_at"] - batch["completed_at"] <= 3601
     results = f"/batches/{batch_id}/results"
     assert server.request("GET", results).status == 200
     late_ms = batch["results_expire_at"] * 1000 + 1000
