--- a/src/leverjunction/gateway/exchange.py
+++ b/src/leverjunction/gateway/exchange.py
@@ -14,7 +14,7 @@
 from leverjunction.gateway.settings_store import SettingsStore
 from leverjunction.gateway.view import ClusterSnapshot, ClusterView
 from leverjunction.observability.counters import GatewayCounters
-from leverjunction.wire.control_client import ControlClient
+from leverjunction.wire.control_client import MAX_QUORUM_AGE_S, ControlClient
 from leverjunction.wire.messages import (
     ExchangeReply,
     ExchangeRequest,
@@ -27,6 +27,8 @@
 """Wait after the first failed exchange, for the next hub; doubles up to the interval."""
 
 MAX_DOUBLINGS = 8
+REPORT_VERSION_S = 0.1
+"""Wait before the exchange that reports a new version in force."""
 
 
 class LeaseHolder(Protocol):
@@ -187,13 +189,7 @@
 
     def _apply(self, reply: ExchangeReply) -> None:
         before = self._view.snapshot
-        if self._settings.apply(reply.settings, reply.settings_version):
-            version = self._settings.current.version
-            self._counters.settings_version.set(version)
-            logger.info("settings version {} in force", version)
-        if reply.settings_retry_after_s > 0:
-            # The hub serves only so many whole sets of settings at once: ask again, but spread.
-            self._wait_s = self._spread(reply.settings_retry_after_s)
+        self._apply_settings(reply)
         after = self._view.apply(reply)
         self._counters.hub_quorum_age_s.set(reply.quorum_age_s)
         if not self._connected or before.hub_incarnation != after.hub_incarnation:
@@ -204,6 +200,22 @@
             self._leases.revoke(reply.lost_lease_ids, reply.cancelled_jobs)
         self._on_view(after)
 
+    def _apply_settings(self, reply: ExchangeReply) -> None:
+        if self._settings.current.version == 0 and reply.quorum_age_s > MAX_QUORUM_AGE_S:
+            # Without a copy this gateway cannot tell whether it had a newer version in force: a hub
+            # that is cut off from the quorum must not take it back to an older one.
+            self._wait_s = self._spread(FIRST_RETRY_S)
+            return
+        if self._settings.apply(reply.settings, reply.settings_version):
+            version = self._settings.current.version
+            self._counters.settings_version.set(version)
+            logger.info("settings version {} in force", version)
+            # The next exchange tells the hub, so that operators see soon where it is in force.
+            self._wait_s = self._spread(REPORT_VERSION_S)
+        elif reply.settings_retry_after_s > 0:
+            # The hub serves only so many whole sets of settings at once: ask again, but spread.
+            self._wait_s = self._spread(reply.settings_retry_after_s)
+
     def _spread(self, wait_s: float) -> float:
         """Return a random wait of about ``wait_s``, never above the interval."""
         return min(self._interval_s, wait_s * (0.5 + self._random.random()))
--- a/tests/unit/test_gateway_exchange.py
+++ b/tests/unit/test_gateway_exchange.py
@@ -15,6 +15,7 @@
     ExchangeRequest,
     GatewayState,
     RunnerDigest,
+    SettingRow,
 )
 
 INTERVAL_S = 1.0
@@ -104,6 +105,41 @@
     assert 0.1 <= loop.wait_s <= 0.3
 
 
+SETTINGS = msgspec.structs.replace(
+    REPLY,
+    settings_version=3,
+    settings=[SettingRow("services/llm/models/m/version", "1", 3)],
+)
+
+
+def test_a_new_version_is_reported_soon() -> None:
+    loop, control = make_loop()
+    control.reply = SETTINGS
+    loop.exchange_once()
+    assert loop.wait_s <= 0.15
+    loop.exchange_once()
+    assert loop.wait_s == INTERVAL_S
+    assert [request.settings_version for request in control.requests] == [0, 3]
+
+
+def test_a_gateway_without_a_copy_takes_no_settings_from_a_cut_off_hub() -> None:
+    loop, control = make_loop()
+    control.reply = msgspec.structs.replace(SETTINGS, quorum_age_s=5.0)
+    loop.exchange_once()
+    loop.exchange_once()
+    assert [request.settings_version for request in control.requests] == [0, 0]
+    assert loop.wait_s <= 0.3
+    control.reply = SETTINGS
+    loop.exchange_once()
+    newer = [SettingRow("services/llm/models/m/version", "2", 4)]
+    control.reply = msgspec.structs.replace(
+        SETTINGS, settings_version=4, settings=newer, quorum_age_s=5.0
+    )
+    loop.exchange_once()
+    loop.exchange_once()
+    assert control.requests[-1].settings_version == 4, "with a version in force they only rise"
+
+
 def test_digests_of_a_lost_exchange_are_sent_again() -> None:
     outbox = DigestOutbox()
     loop, control = make_loop(outbox)
