Batch: deadlines by the monotonic clock; a fault while sending loses no outcome

By reading; the tests failed before: - A holder compared deadlines with its own wall clock. One that is an hour fast would return each item at once, and the group would lease it out again, for an hour. The grant's reply carries the wall time of its entry now, and the holder counts from there by its monotonic clock. - An exception in the sender's thread ended it: outcomes gathered and were never committed, while the leases were renewed.

--- a/src/leverjunction/batch/commands.py
+++ b/src/leverjunction/batch/commands.py
@@ -184,12 +184,15 @@
         items: The items.
         duration_s: How long it holds without renewal; the exchange renews it.
         pending: Items of the service still pending in the group after this grant.
+        granted_ms: Wall-clock time of the grant's entry, from which holders work out deadlines, as
+            their own wall clocks may differ.
     """
 
     lease_id: str
     items: list[LeasedItem]
     duration_s: float
     pending: int
+    granted_ms: int
 
 
 class ItemResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/batch/harvest_state.py
+++ b/src/leverjunction/batch/harvest_state.py
@@ -92,12 +92,12 @@
             if count > 0
         ]
 
-    def plan(self, now_s: float, wall_ms: int) -> Plan:
+    def plan(self, now_s: float) -> Plan:
         """Decide for every runner."""
         plan = Plan(give_back=self._unservable())
         for runner in self.runners.values():
             if runner.owned and not runner.state.leaving:
-                self._plan_runner(runner, plan, now_s, wall_ms)
+                self._plan_runner(runner, plan, now_s)
             else:
                 self._park_all(runner, plan, now_s)
             self._give_up_runs(runner, plan, now_s)
@@ -175,7 +175,7 @@
         }
         return self._give_back(self.work.take_unservable(servable))
 
-    def _plan_runner(self, runner: OwnedRunner, plan: Plan, now_s: float, wall_ms: int) -> None:
+    def _plan_runner(self, runner: OwnedRunner, plan: Plan, now_s: float) -> None:
         decision = runner.controller.decide(now_s)
         runner.note = decision.reason
         for token in decision.park:
@@ -186,7 +186,7 @@
             work = self.work.take(runner.state.service, runner.state.models, now_s)
             if work is None:
                 return
-            if work.leased.deadline_ms <= wall_ms:
+            if work.deadline_s <= now_s:
                 plan.give_back += self._give_back([work])
                 continue
             plan.starts.append(self._start(runner, work, now_s))
--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -241,7 +241,7 @@
         with self._changed:
             if self._stopping:
                 return
-            plan = self._state.plan(self._clock.monotonic_s(), self._clock.wall_ms())
+            plan = self._state.plan(self._clock.monotonic_s())
             self.counters.running.set(len(self._state.runs))
             self.counters.waiting.set(self._state.work.waiting_total())
         for run in plan.cancels:
@@ -304,7 +304,9 @@
     def _granted(self, group: str, service: str, lease: Lease, asked_s: float) -> None:
         self.counters.leased.inc(len(lease.items))
         with self._changed:
-            self._state.work.add_lease(lease, group, service, asked_s + lease.duration_s)
+            valid_until_s = asked_s + lease.duration_s
+            now_s = self._clock.monotonic_s()
+            self._state.work.add_lease(lease, group, service, valid_until_s, now_s)
             self._changed.notify_all()
 
 
--- a/src/leverjunction/batch/held_work.py
+++ b/src/leverjunction/batch/held_work.py
@@ -11,18 +11,24 @@
 START_MARGIN_S = 2.0
 """An item that may not repeat starts only while its lease holds for this much longer."""
 
+MS_PER_S = 1000
+
 ItemKey = tuple[str, int]
 """Job id and index: an item is held at most once at a time."""
 
 
 @dataclass
 class WorkItem:
-    """An item of a lease, with the text that earlier runs of it have generated."""
+    """An item of a lease, with the text that earlier runs of it have generated.
+
+    ``deadline_s`` is the job's deadline by this process's monotonic clock.
+    """
 
     leased: LeasedItem
     lease_id: str
     service: str
     sequence: int
+    deadline_s: float
     continue_text: str = ""
     tries: int = 0
 
@@ -51,13 +57,16 @@
         self._waiting: dict[tuple[str, str], deque[WorkItem]] = {}
         self._sequence = 0
 
-    def add_lease(self, lease: Lease, group: str, service: str, valid_until_s: float) -> None:
+    def add_lease(
+        self, lease: Lease, group: str, service: str, valid_until_s: float, now_s: float
+    ) -> None:
         """Take a granted lease and queue its items."""
         held = HeldLease(lease.lease_id, group, lease.duration_s, valid_until_s)
         self.leases[lease.lease_id] = held
         for leased in lease.items:
             self._sequence += 1
-            work = WorkItem(leased, lease.lease_id, service, self._sequence)
+            deadline_s = now_s + (leased.deadline_ms - lease.granted_ms) / MS_PER_S
+            work = WorkItem(leased, lease.lease_id, service, self._sequence, deadline_s)
             held.open_items.add(work.key)
             self._queue(work).append(work)
 
--- a/src/leverjunction/batch/leasing.py
+++ b/src/leverjunction/batch/leasing.py
@@ -19,8 +19,9 @@
     Lease,
     LeasedItem,
 )
-from leverjunction.batch.job_rows import JobRow, job_by_id, job_by_number, save_job
+from leverjunction.batch.job_rows import JobRow
 from leverjunction.batch.tables import row_key, split_key
+from leverjunction.batch.touched_jobs import TouchedJobs
 from leverjunction.consensus.api import ApplyContext
 
 LEASE_DURATION_S = 10.0
@@ -37,39 +38,6 @@
 _FINAL_OUTCOMES = frozenset({ItemState.DONE, ItemState.FAILED, ItemState.UNKNOWN})
 
 
-class _Jobs:
-    """The job rows that one command touches: each is loaded once and saved once."""
-
-    def __init__(self, connection: sqlite3.Connection) -> None:
-        self._connection = connection
-        self._by_number: dict[int, JobRow] = {}
-        self._by_id: dict[str, JobRow | None] = {}
-
-    def by_number(self, number: int) -> JobRow:
-        job = self._by_number.get(number)
-        if job is None:
-            job = job_by_number(self._connection, number)
-            self._remember(job)
-        return job
-
-    def by_id(self, job_id: str) -> JobRow | None:
-        if job_id not in self._by_id:
-            job = job_by_id(self._connection, job_id)
-            self._by_id[job_id] = job
-            if job is not None:
-                self._remember(job)
-        return self._by_id[job_id]
-
-    def save(self, wall_ms: int) -> None:
-        for job in self._by_number.values():
-            job.finish_if_complete(wall_ms)
-            save_job(self._connection, job)
-
-    def _remember(self, job: JobRow) -> None:
-        job = self._by_number.setdefault(job.number, job)
-        self._by_id[job.job_id] = job
-
-
 def grant_lease(
     connection: sqlite3.Connection, context: ApplyContext, command: GrantLease
 ) -> Lease:
@@ -78,9 +46,10 @@
         "SELECT number FROM sm_leases WHERE lease_id = ?", (command.lease_id,)
     ).fetchone()
     if row is not None:
-        return _lease_reply(connection, command, list(_leased_items(connection, int(row[0]))))
+        items = list(_leased_items(connection, int(row[0])))
+        return _lease_reply(connection, context, command, items)
     (number,) = connection.execute("SELECT COALESCE(MAX(number), 0) + 1 FROM sm_leases").fetchone()
-    jobs = _Jobs(connection)
+    jobs = TouchedJobs(connection)
     items = list(_choose_items(connection, command, number, jobs))
     connection.execute(
         """
@@ -90,14 +59,14 @@
         (number, command.lease_id, command.owner, command.service, context.wall_ms, len(items)),
     )
     jobs.save(context.wall_ms)
-    return _lease_reply(connection, command, items)
+    return _lease_reply(connection, context, command, items)
 
 
 def complete_items(
     connection: sqlite3.Connection, context: ApplyContext, command: CompleteItems
 ) -> CompletedItems:
     """Commit outcomes: the first final one of an item wins, all others are counted and dropped."""
-    jobs = _Jobs(connection)
+    jobs = TouchedJobs(connection)
     lease = _lease_number(connection, command.lease_id)
     accepted = 0
     for result in command.results:
@@ -121,7 +90,7 @@
     connection: sqlite3.Connection, context: ApplyContext, command: ExpireLeases
 ) -> ExpiredLeases:
     """End leases whose holders did not renew: items return, or end as UNKNOWN."""
-    jobs = _Jobs(connection)
+    jobs = TouchedJobs(connection)
     returned = 0
     unknown = 0
     for lease_id in command.lease_ids:
@@ -133,7 +102,7 @@
 
 
 def _choose_items(
-    connection: sqlite3.Connection, command: GrantLease, lease: int, jobs: _Jobs
+    connection: sqlite3.Connection, command: GrantLease, lease: int, jobs: TouchedJobs
 ) -> Iterator[LeasedItem]:
     remaining = min(command.max_items, MAX_LEASE_ITEMS)
     models = sorted(set(command.models))
@@ -191,7 +160,7 @@
 
 def _leased_items(connection: sqlite3.Connection, lease: int) -> Iterator[LeasedItem]:
     """Yield the items that a lease still holds, for a resent grant."""
-    jobs = _Jobs(connection)
+    jobs = TouchedJobs(connection)
     for key, attempt in _open_items(connection, lease):
         number, index = split_key(key)
         job = jobs.by_number(number)
@@ -200,18 +169,22 @@
 
 
 def _lease_reply(
-    connection: sqlite3.Connection, command: GrantLease, items: list[LeasedItem]
+    connection: sqlite3.Connection,
+    context: ApplyContext,
+    command: GrantLease,
+    items: list[LeasedItem],
 ) -> Lease:
     return Lease(
         lease_id=command.lease_id,
         items=items,
         duration_s=LEASE_DURATION_S,
+        granted_ms=context.wall_ms,
         pending=pending.pending_in_service(connection, command.service),
     )
 
 
 def _commit_result(
-    connection: sqlite3.Connection, jobs: _Jobs, lease: int, result: ItemResult
+    connection: sqlite3.Connection, jobs: TouchedJobs, lease: int, result: ItemResult
 ) -> bool:
     """Apply one outcome; False when it is discarded."""
     job = jobs.by_id(result.job_id)
@@ -315,7 +288,7 @@
     return True
 
 
-def _end_lease(connection: sqlite3.Connection, jobs: _Jobs, lease: int) -> ExpiredLeases:
+def _end_lease(connection: sqlite3.Connection, jobs: TouchedJobs, lease: int) -> ExpiredLeases:
     """End a lease: items that may repeat return, others end as UNKNOWN (they may have run)."""
     returned = 0
     unknown = 0
--- a/src/leverjunction/batch/result_sender.py
+++ b/src/leverjunction/batch/result_sender.py
@@ -10,7 +10,7 @@
 
 from leverjunction.batch.commands import CompletedItems, CompleteItems, ItemResult
 from leverjunction.batch.directory import Control
-from leverjunction.errors import Failure
+from leverjunction.errors import Failure, FailureKind, Step
 
 FLUSH_INTERVAL_S = 0.1
 MAX_RESULTS = 200
@@ -112,7 +112,12 @@
                     self._changed.wait(FLUSH_INTERVAL_S)
                 group, lease_id, results = self._take()
                 self._sending = len(results)
-            self._send(group, lease_id, results)
+            try:
+                self._send(group, lease_id, results)
+            except Exception as error:
+                # Outcomes must survive any fault; sending one again changes nothing.
+                logger.exception("sending outcomes to {} failed", group)
+                self._requeue(group, lease_id, results, _fault(error))
 
     def _take(self) -> tuple[str, str, list[ItemResult]]:
         """Take one batch of one lease, oldest lease first."""
@@ -154,3 +159,7 @@
             later = self._queued.get((group, lease_id), [])
             self._queued[(group, lease_id)] = results + later
             self._changed.wait(RETRY_PAUSE_S)
+
+
+def _fault(error: Exception) -> Failure:
+    return Failure(kind=FailureKind.INTERNAL, reason=repr(error), step=Step.PROPOSING)
--- a/tests/unit/test_batch_result_sender.py
+++ b/tests/unit/test_batch_result_sender.py
@@ -57,3 +57,22 @@
     senders.stop(WAIT_S)
     assert committed == ["lease-2", "lease-1"]
     assert senders.pending() == 0
+
+
+def test_fault_while_sending_loses_no_outcome() -> None:
+    class BrokenOnce(OneGroupIsStuck):
+        faults = 1
+
+        def propose(
+            self, group: str, command: msgspec.Struct, reply_type: type[T], timeout_s: float = 5.0
+        ) -> T | Failure:
+            if self.faults:
+                self.faults -= 1
+                raise RuntimeError("a fault of the program")
+            return super().propose(group, command, reply_type, timeout_s)
+
+    committed = threading.Event()
+    senders = ResultSenders(BrokenOnce(), lambda _lease, _results, _reply: committed.set())
+    senders.put("well", "lease", RESULT)
+    assert committed.wait(WAIT_S)
+    senders.stop(WAIT_S)
