Routing: prompts that continue no conversation go by load alone

Change: a prompt has a home only when it holds an earlier answer (an assistant message), or when the service's prefix_weight is 2 or more, which says that its prompts do come again.

--- a/src/leverjunction/gateway/online.py
+++ b/src/leverjunction/gateway/online.py
@@ -133,6 +133,7 @@
             body=caller.body,
             stream=parsed.stream,
             blocks=block_hashes(parsed.prompt),
+            continues=parsed.continues,
             repeatable=not caller.never_repeat,
             serving=serving,
             region_zones=_zones_of(settings, self._place.region),
--- a/src/leverjunction/gateway/online_request.py
+++ b/src/leverjunction/gateway/online_request.py
@@ -21,6 +21,7 @@
         body: Body as it came, or with ``continue_text`` for a continuation.
         stream: True when the answer is SSE.
         blocks: Hashes of the prompt's cache blocks.
+        continues: Whether the prompt goes on with an earlier one.
         repeatable: False when it may run at most once.
         serving: Settings in force for it when it arrived.
         region_zones: Zones of the gateway's region.
@@ -36,6 +37,7 @@
     body: bytes
     stream: bool
     blocks: list[str]
+    continues: bool
     repeatable: bool
     serving: ResolvedServing
     region_zones: frozenset[str]
@@ -50,6 +52,7 @@
             blocks=self.blocks,
             serving=self.serving,
             region_zones=self.region_zones,
+            continues=self.continues,
             tried=tried,
         )
 
--- a/src/leverjunction/gateway/prompt.py
+++ b/src/leverjunction/gateway/prompt.py
@@ -11,6 +11,7 @@
 BLOCK_WORDS = 16
 MAX_BLOCKS = 512
 """Longer prompts are compared by their first blocks only; this bounds the hashing."""
+ANSWER_ROLE = "assistant"
 _ROOT_PARENT = 0
 
 
@@ -51,11 +52,13 @@
         model: ``model`` or ``model:adapter``.
         stream: True when the caller wants SSE.
         prompt: The prompt's text, as the engine hashes it.
+        continues: Whether it holds an earlier answer, so that it goes on with a conversation.
     """
 
     model: str
     stream: bool
     prompt: str
+    continues: bool = False
 
 
 _CHAT_DECODER = msgspec.json.Decoder(ChatBody)
@@ -67,7 +70,12 @@
     try:
         if path == CHAT_PATH:
             chat = _CHAT_DECODER.decode(body)
-            return ParsedRequest(model=chat.model, stream=chat.stream, prompt=_chat_text(chat))
+            return ParsedRequest(
+                model=chat.model,
+                stream=chat.stream,
+                prompt=_chat_text(chat),
+                continues=any(message.role == ANSWER_ROLE for message in chat.messages),
+            )
         text = _COMPLETION_DECODER.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Failure(
--- a/src/leverjunction/gateway/routing.py
+++ b/src/leverjunction/gateway/routing.py
@@ -22,6 +22,8 @@
 
 MIN_HOME_BLOCKS = 16
 HOME_GROWTH = 2
+FIRST_TURN_WEIGHT = 2.0
+"""From this ``prefix_weight`` on, prompts that continue no earlier one go to a home as well."""
 
 
 class Exclusion(StrEnum):
@@ -87,14 +89,23 @@
     blocks: int
 
 
-def prefix_home(blocks: Sequence[str]) -> PrefixHome | None:
-    """Return the part of a prompt by which its home is chosen, None when it is too short.
+def prefix_home(
+    blocks: Sequence[str], *, continues: bool, prefix_weight: float
+) -> PrefixHome | None:
+    """Return the part of a prompt by which its home is chosen, None when there is none.
 
     Its length is a power of ``HOME_GROWTH``, so that a conversation that grows keeps its home but
-    for the few turns in which it passes such a length.
+    for the few turns in which it passes such a length. A prompt that may never come again is better
+    sent by load alone: it has a home only where the service's weight says that prompts do come
+    again.
+
+    Args:
+        blocks: Hashes of the prompt's cache blocks.
+        continues: Whether the prompt goes on with an earlier one.
+        prefix_weight: Weight of the service.
     """
     depth = MIN_HOME_BLOCKS
-    if len(blocks) < depth:
+    if len(blocks) < depth or not (continues or prefix_weight >= FIRST_TURN_WEIGHT):
         return None
     while depth * HOME_GROWTH <= len(blocks):
         depth *= HOME_GROWTH
--- a/src/leverjunction/gateway/runner_pool.py
+++ b/src/leverjunction/gateway/runner_pool.py
@@ -35,6 +35,7 @@
         blocks: Hashes of its prompt's cache blocks.
         serving: Settings in force for it.
         region_zones: Zones of the gateway's region.
+        continues: Whether its prompt goes on with an earlier one.
         tried: Runners that failed it before.
     """
 
@@ -43,6 +44,7 @@
     blocks: Sequence[str]
     serving: ResolvedServing
     region_zones: frozenset[str] = frozenset()
+    continues: bool = False
     tried: frozenset[str] = frozenset()
 
 
@@ -94,7 +96,11 @@
             prompt_blocks=len(needs.blocks),
             prefix_weight=needs.serving.prefix_weight,
             region_zones=needs.region_zones,
-            home=prefix_home(needs.blocks),
+            home=prefix_home(
+                needs.blocks,
+                continues=needs.continues,
+                prefix_weight=needs.serving.prefix_weight,
+            ),
         )
         with self._lock:
             choice = choose(candidates, query, self._random)
--- a/src/testbed/load/prefix_run.py
+++ b/src/testbed/load/prefix_run.py
@@ -13,7 +13,7 @@
 from leverjunction.gateway.ownership import owner_of
 from leverjunction.gateway.prefix_index import PrefixIndex
 from leverjunction.gateway.prompt import block_hashes
-from leverjunction.gateway.routing import Candidate, RouteQuery, choose, prefix_home
+from leverjunction.gateway.routing import Candidate, PrefixHome, RouteQuery, choose, prefix_home
 from leverjunction.gateway.send_ledger import SendLedger
 from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
 from testbed.engine.types import CacheEvent as EngineCacheEvent
@@ -144,7 +144,7 @@
             prompt_blocks=len(blocks),
             prefix_weight=self._weight,
             region_zones=frozenset(self._scenario.zones),
-            home=prefix_home(blocks) if self._source is not PrefixSource.TRUTH else None,
+            home=self._home(blocks, caller.has_history),
         )
         chosen = choose(candidates, query, self._random).chosen
         self._measures.requests += 1
@@ -170,6 +170,11 @@
             delay_s, lambda: self._arrive(runner, request, answer, blocks, chosen.overlap_blocks)
         )
 
+    def _home(self, blocks: list[str], continues: bool) -> PrefixHome | None:
+        if self._source is PrefixSource.TRUTH:
+            return None
+        return prefix_home(blocks, continues=continues, prefix_weight=self._weight)
+
     def first_token(self, sent_s: float) -> None:
         """Record the first token of an answer."""
         self._measures.first_token.record(self._scheduler.now_s - sent_s)
@@ -287,6 +292,11 @@
         self._history = conversation.instructions
         self._next_turn = 0
 
+    @property
+    def has_history(self) -> bool:
+        """Whether an answer was given before."""
+        return self._next_turn > 1
+
     def begin(self) -> None:
         """Schedule the first turn."""
         self._run.scheduler.after(self._conversation.begins_s, self._send)
--- a/tests/unit/test_gateway_cores.py
+++ b/tests/unit/test_gateway_cores.py
@@ -6,14 +6,22 @@
 
 import pytest
 
-from leverjunction.backends.types import CacheEvent, CacheEventKind
+from leverjunction.backends.types import CHAT_PATH, CacheEvent, CacheEventKind
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.admission import Admission, Admitted, Queued, QueueLimits
 from leverjunction.gateway.drain_rate import DrainRate
 from leverjunction.gateway.ejection import FAILURES_TO_EJECT, MAX_EJECTION_S, Ejection
 from leverjunction.gateway.prefix_index import PrefixIndex
+from leverjunction.gateway.prompt import parse_request
 from leverjunction.gateway.retry import MAX_SAVED_RETRIES, RetryBudget, may_repeat
-from leverjunction.gateway.routing import Candidate, Exclusion, RouteQuery, choose, prefix_home
+from leverjunction.gateway.routing import (
+    Candidate,
+    Exclusion,
+    PrefixHome,
+    RouteQuery,
+    choose,
+    prefix_home,
+)
 from leverjunction.settings.resolved import ResolvedLimits
 
 LIMITS = ResolvedLimits(requests_per_s=2.0, burst=3, concurrency=10, max_job_items=1)
@@ -130,7 +138,7 @@
         prompt_blocks=len(blocks),
         prefix_weight=4.0,
         region_zones=frozenset({"z1", "z2"}),
-        home=prefix_home(blocks),
+        home=prefix_home(blocks, continues=True, prefix_weight=4.0),
     )
     choice = choose(runners, query, random.Random(seed))
     assert choice.chosen is not None
@@ -171,11 +179,27 @@
     assert chosen_for(blocks, loaded, 1) != home
 
 
+def home_of(
+    blocks: list[str], *, continues: bool = True, prefix_weight: float = 1.0
+) -> PrefixHome | None:
+    return prefix_home(blocks, continues=continues, prefix_weight=prefix_weight)
+
+
+def test_a_first_turn_has_a_home_only_where_the_weight_says_that_prompts_come_again() -> None:
+    blocks = blocks_of("c", 20)
+    assert home_of(blocks, continues=False) is None
+    assert home_of(blocks, continues=False, prefix_weight=4.0) is not None
+    answered = '{"model": "m", "messages": [{"role": "%s", "content": "x"}]}'
+    for role, continues in (("user", False), ("assistant", True)):
+        parsed = parse_request(CHAT_PATH, (answered % role).encode())
+        assert not isinstance(parsed, Failure)
+        assert parsed.continues is continues
+
+
 def test_a_short_prompt_has_no_home_and_the_length_grows_in_steps() -> None:
     blocks = blocks_of("c", 70)
-    assert prefix_home(blocks[:15]) is None
-    lengths = [16, 31, 32, 63, 64, 70]
-    homes = [prefix_home(blocks[:length]) for length in lengths]
+    assert home_of(blocks[:15]) is None
+    homes = [home_of(blocks[:length]) for length in (16, 31, 32, 63, 64, 70)]
     assert [home.blocks for home in homes if home is not None] == [16, 16, 32, 32, 64, 64]
 
 
