Consensus codec: payloads follow their structures, so large messages are freed at once

Found with tracemalloc: the cache of encoded entries kept up to 4,096 entries of any size twice, and a parsed construct container refers to itself, so it held each message's bytes until the collector of cycles ran. A frame that ends early is refused instead of being read in part. Open: wire/envelope.py parses whole bodies in the same way (told to its owner).

--- a/src/leverjunction/consensus/codec.py
+++ b/src/leverjunction/consensus/codec.py
@@ -1,13 +1,16 @@
 """Binary form of the messages between replicas (compiled construct structures).
 
 A frame is a sequence of messages: kind, length, body. Entries are encoded one by one and joined,
-so an entry that goes to several peers is encoded once.
+so a small entry that goes to several peers is encoded once.
+
+Payloads of entries and rows of snapshots follow their structures instead of being fields of them:
+a parsed structure refers to itself, so it would hold megabytes until the collector of cycles runs.
 """
 
 from __future__ import annotations
 
 import struct
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from functools import lru_cache
 from typing import Any
 
@@ -16,7 +19,6 @@
     ConstructError,
     Flag,
     GreedyBytes,
-    GreedyRange,
     Int8ub,
     Int32sb,
     Int32ub,
@@ -39,6 +41,8 @@
 from leverjunction.errors import Failure, FailureKind, Step
 
 ENTRY_CACHE_SIZE = 4_096
+ENTRY_CACHE_PAYLOAD_BYTES = 1_024
+"""Only entries up to this size are cached: copying a large one costs little and holds memory."""
 
 _NAME = PascalString(Int8ub, "utf8")
 _BLOB = Prefixed(Int32ub, GreedyBytes)
@@ -49,24 +53,16 @@
     "to_id" / _NAME,
     "header_term" / Int64ub,
 )
-_FRAME = GreedyRange(Struct("kind" / Int8ub, "body" / _BLOB)).compile()
-_FRAME_ITEM = Struct("kind" / Int8ub, "body" / _BLOB).compile()
-_ENTRY = Struct(
+_FRAME_HEAD = Struct("kind" / Int8ub, "body_bytes" / Int32ub).compile()
+_FRAME_HEAD_BYTES = 5
+_ENTRY_HEAD = Struct(
     "index" / Int64ub,
     "term" / Int64ub,
     "kind" / Int8ub,
     "wall_ms" / Int64ub,
-    "payload" / _BLOB,
-).compile()
-_ENTRIES = GreedyRange(
-    Struct(
-        "index" / Int64ub,
-        "term" / Int64ub,
-        "kind" / Int8ub,
-        "wall_ms" / Int64ub,
-        "payload" / _BLOB,
-    )
+    "payload_bytes" / Int32ub,
 ).compile()
+_ENTRY_HEAD_BYTES = 29
 _LAYOUTS = {
     messages.VoteRequest: Struct(
         *_HEADER_FIELDS,
@@ -84,7 +80,7 @@
         "previous_index" / Int64ub,
         "commit_index" / Int64ub,
         "sequence" / Int64ub,
-        "entries" / _BLOB,
+        "tail_bytes" / Int32ub,
     ),
     messages.AppendReply: Struct(
         *_HEADER_FIELDS, "sequence" / Int64ub, "accepted" / Flag, "index" / Int64ub
@@ -95,11 +91,11 @@
         "number" / Int32ub,
         "start_term" / Int64ub,
         "start_index" / Int64ub,
-        "data" / _BLOB,
         "is_final" / Flag,
         "final_term" / Int64ub,
         "final_index" / Int64ub,
         "configuration" / _BLOB,
+        "tail_bytes" / Int32ub,
     ),
     messages.SnapshotReply: Struct(
         *_HEADER_FIELDS,
@@ -124,18 +120,31 @@
 
 def encode_messages(batch: Iterable[Message]) -> bytes:
     """Return the frame that holds the messages in order."""
-    items = []
+    parts: list[bytes] = []
     for message in batch:
         kind = _KIND_OF[type(message)]
-        body = _COMPILED[kind].build(_fields(message))
-        items.append(_FRAME_ITEM.build({"kind": kind, "body": body}))
-    return b"".join(items)
+        tail = _tail(message)
+        body = _COMPILED[kind].build(_fields(message) | {"tail_bytes": len(tail)})
+        head = _FRAME_HEAD.build({"kind": kind, "body_bytes": len(body) + len(tail)})
+        parts += [head, body, tail]
+    return b"".join(parts)
+
+
+def _tail(message: Message) -> bytes:
+    """Return the bytes that follow a message's structure."""
+    match message:
+        case messages.AppendRequest():
+            return b"".join(_encode_entry(entry) for entry in message.entries)
+        case messages.SnapshotChunk():
+            return message.data
+        case _:
+            return b""
 
 
 def decode_messages(frame: bytes) -> list[Message] | Failure:
     """Return the messages of a frame, or a CORRUPT failure if it is not well formed."""
     try:
-        return [_decode(item.kind, item.body) for item in _FRAME.parse(frame)]
+        return [_decode(kind, body) for kind, body in _split_frame(frame)]
     except _MALFORMED as error:
         return Failure(
             kind=FailureKind.CORRUPT,
@@ -144,32 +153,63 @@
         )
 
 
-@lru_cache(maxsize=ENTRY_CACHE_SIZE)
 def _encode_entry(entry: LogEntry) -> bytes:
-    return bytes(
-        _ENTRY.build(
-            {
-                "index": entry.index,
-                "term": entry.term,
-                "kind": int(entry.kind),
-                "wall_ms": entry.wall_ms,
-                "payload": entry.payload,
-            }
-        )
+    if len(entry.payload) <= ENTRY_CACHE_PAYLOAD_BYTES:
+        return _encode_small(entry)
+    return _build_entry(entry)
+
+
+@lru_cache(maxsize=ENTRY_CACHE_SIZE)
+def _encode_small(entry: LogEntry) -> bytes:
+    return _build_entry(entry)
+
+
+def _build_entry(entry: LogEntry) -> bytes:
+    head = _ENTRY_HEAD.build(
+        {
+            "index": entry.index,
+            "term": entry.term,
+            "kind": int(entry.kind),
+            "wall_ms": entry.wall_ms,
+            "payload_bytes": len(entry.payload),
+        }
     )
+    return bytes(head) + entry.payload
+
+
+def _split_frame(frame: bytes) -> Iterator[tuple[int, bytes]]:
+    """Yield kind and body of each message of a frame."""
+    offset = 0
+    while offset < len(frame):
+        head = _FRAME_HEAD.parse(frame[offset : offset + _FRAME_HEAD_BYTES])
+        offset += _FRAME_HEAD_BYTES
+        yield head.kind, _part(frame, offset, head.body_bytes)
+        offset += head.body_bytes
+
+
+def _part(data: bytes, offset: int, size: int) -> bytes:
+    part = data[offset : offset + size]
+    if len(part) < size:
+        raise ValueError(f"{size} bytes announced, {len(part)} are there")
+    return part
 
 
 def _decode_entries(blob: bytes) -> tuple[LogEntry, ...]:
-    return tuple(
-        LogEntry(
-            index=item.index,
-            term=item.term,
-            kind=EntryKind(item.kind),
-            wall_ms=item.wall_ms,
-            payload=bytes(item.payload),
+    entries: list[LogEntry] = []
+    offset = 0
+    while offset < len(blob):
+        head = _ENTRY_HEAD.parse(blob[offset : offset + _ENTRY_HEAD_BYTES])
+        offset += _ENTRY_HEAD_BYTES
+        entry = LogEntry(
+            index=head.index,
+            term=head.term,
+            kind=EntryKind(head.kind),
+            wall_ms=head.wall_ms,
+            payload=_part(blob, offset, head.payload_bytes),
         )
-        for item in _ENTRIES.parse(blob)
-    )
+        entries.append(entry)
+        offset += head.payload_bytes
+    return tuple(entries)
 
 
 def _header_fields(header: Header) -> dict[str, Any]:
@@ -192,7 +232,6 @@
                 "previous_index": message.previous.index,
                 "commit_index": message.commit_index,
                 "sequence": message.sequence,
-                "entries": b"".join(_encode_entry(entry) for entry in message.entries),
             }
         case messages.VoteRequest():
             fields |= {
@@ -218,7 +257,6 @@
         "number": chunk.number,
         "start_term": chunk.start.term,
         "start_index": chunk.start.index,
-        "data": chunk.data,
         "is_final": chunk.final is not None,
         "final_term": final.term,
         "final_index": final.index,
@@ -238,23 +276,24 @@
     )
     special = _SPECIAL_DECODERS.get(message_type)
     if special is not None:
-        return special(header, parsed)
+        size = parsed.get("tail_bytes", 0)
+        return special(header, parsed, _part(body, len(body) - size, size) if size else b"")
     names = (name for name in message_type.__struct_fields__ if name != "header")  # type: ignore[attr-defined]
     message: Message = message_type(header=header, **{name: parsed[name] for name in names})
     return message
 
 
-def _decode_append(header: Header, parsed: Any) -> Message:
+def _decode_append(header: Header, parsed: Any, tail: bytes) -> Message:
     return messages.AppendRequest(
         header=header,
         previous=LogPosition(term=parsed.previous_term, index=parsed.previous_index),
         commit_index=parsed.commit_index,
         sequence=parsed.sequence,
-        entries=_decode_entries(parsed.entries),
+        entries=_decode_entries(tail),
     )
 
 
-def _decode_vote_request(header: Header, parsed: Any) -> Message:
+def _decode_vote_request(header: Header, parsed: Any, _tail: bytes) -> Message:
     return messages.VoteRequest(
         header=header,
         last=LogPosition(term=parsed.last_term, index=parsed.last_index),
@@ -263,7 +302,7 @@
     )
 
 
-def _decode_chunk(header: Header, parsed: Any) -> Message:
+def _decode_chunk(header: Header, parsed: Any, tail: bytes) -> Message:
     final = LogPosition(term=parsed.final_term, index=parsed.final_index)
     configuration: Configuration = decode_configuration(parsed.configuration)
     return messages.SnapshotChunk(
@@ -271,19 +310,19 @@
         stream_id=parsed.stream_id,
         number=parsed.number,
         start=LogPosition(term=parsed.start_term, index=parsed.start_index),
-        data=bytes(parsed.data),
+        data=tail,
         final=final if parsed.is_final else None,
         configuration=configuration,
     )
 
 
-def _decode_found_request(header: Header, parsed: Any) -> Message:
+def _decode_found_request(header: Header, parsed: Any, _tail: bytes) -> Message:
     return messages.FoundRequest(
         header=header, configuration=decode_configuration(parsed.configuration)
     )
 
 
-_SPECIAL_DECODERS: dict[type, Callable[[Header, Any], Message]] = {
+_SPECIAL_DECODERS: dict[type, Callable[[Header, Any, bytes], Message]] = {
     messages.AppendRequest: _decode_append,
     messages.VoteRequest: _decode_vote_request,
     messages.SnapshotChunk: _decode_chunk,
--- a/tests/unit/test_consensus_codec.py
+++ b/tests/unit/test_consensus_codec.py
@@ -4,6 +4,7 @@
 
 import random
 import threading
+import tracemalloc
 
 from tests.unit.consensus_support import WAIT_S, wait_for
 
@@ -106,3 +107,20 @@
     sender.join(WAIT_S)
     assert transport.calls > 1
     assert delivered[0] == MESSAGES[:1]
+
+
+def test_large_entries_are_not_held_after_they_are_sent() -> None:
+    entries = tuple(
+        LogEntry(index=n, term=1, kind=EntryKind.COMMAND, wall_ms=0, payload=b"%d" % n * 100_000)
+        for n in range(10, 30)
+    )
+    request = AppendRequest(
+        header=HEADER, previous=POSITION, commit_index=0, sequence=1, entries=entries
+    )
+    tracemalloc.start()
+    try:
+        encode_messages([request])
+        held_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert held_bytes < len(entries[0].payload)
