Consensus codec: tails are cut off before a structure is parsed

Cause: a container keeps the stream that it was parsed from, so the tails were still held by it. Test: with the collector of cycles off, decoding 4 MB of entries leaves less than one of them held.

--- a/src/leverjunction/consensus/codec.py
+++ b/src/leverjunction/consensus/codec.py
@@ -1,10 +1,11 @@
 """Binary form of the messages between replicas (compiled construct structures).
 
-A frame is a sequence of messages: kind, length, body. Entries are encoded one by one and joined,
-so a small entry that goes to several peers is encoded once.
+A frame is a sequence of messages: kind, lengths, body and tail. Entries are encoded one by one and
+joined, so a small entry that goes to several peers is encoded once.
 
-Payloads of entries and rows of snapshots follow their structures instead of being fields of them:
-a parsed structure refers to itself, so it would hold megabytes until the collector of cycles runs.
+Payloads of entries and rows of snapshots are tails, apart from the structures: a parsed structure
+refers to itself and to what it was parsed from, so it would hold megabytes until the collector of
+cycles runs.
 """
 
 from __future__ import annotations
@@ -53,8 +54,8 @@
     "to_id" / _NAME,
     "header_term" / Int64ub,
 )
-_FRAME_HEAD = Struct("kind" / Int8ub, "body_bytes" / Int32ub).compile()
-_FRAME_HEAD_BYTES = 5
+_FRAME_HEAD = Struct("kind" / Int8ub, "body_bytes" / Int32ub, "tail_bytes" / Int32ub).compile()
+_FRAME_HEAD_BYTES = 9
 _ENTRY_HEAD = Struct(
     "index" / Int64ub,
     "term" / Int64ub,
@@ -80,7 +81,6 @@
         "previous_index" / Int64ub,
         "commit_index" / Int64ub,
         "sequence" / Int64ub,
-        "tail_bytes" / Int32ub,
     ),
     messages.AppendReply: Struct(
         *_HEADER_FIELDS, "sequence" / Int64ub, "accepted" / Flag, "index" / Int64ub
@@ -95,7 +95,6 @@
         "final_term" / Int64ub,
         "final_index" / Int64ub,
         "configuration" / _BLOB,
-        "tail_bytes" / Int32ub,
     ),
     messages.SnapshotReply: Struct(
         *_HEADER_FIELDS,
@@ -124,8 +123,8 @@
     for message in batch:
         kind = _KIND_OF[type(message)]
         tail = _tail(message)
-        body = _COMPILED[kind].build(_fields(message) | {"tail_bytes": len(tail)})
-        head = _FRAME_HEAD.build({"kind": kind, "body_bytes": len(body) + len(tail)})
+        body = _COMPILED[kind].build(_fields(message))
+        head = _FRAME_HEAD.build({"kind": kind, "body_bytes": len(body), "tail_bytes": len(tail)})
         parts += [head, body, tail]
     return b"".join(parts)
 
@@ -144,7 +143,7 @@
 def decode_messages(frame: bytes) -> list[Message] | Failure:
     """Return the messages of a frame, or a CORRUPT failure if it is not well formed."""
     try:
-        return [_decode(kind, body) for kind, body in _split_frame(frame)]
+        return [_decode(kind, body, tail) for kind, body, tail in _split_frame(frame)]
     except _MALFORMED as error:
         return Failure(
             kind=FailureKind.CORRUPT,
@@ -177,14 +176,16 @@
     return bytes(head) + entry.payload
 
 
-def _split_frame(frame: bytes) -> Iterator[tuple[int, bytes]]:
-    """Yield kind and body of each message of a frame."""
+def _split_frame(frame: bytes) -> Iterator[tuple[int, bytes, bytes]]:
+    """Yield kind, body and tail of each message of a frame."""
     offset = 0
     while offset < len(frame):
         head = _FRAME_HEAD.parse(frame[offset : offset + _FRAME_HEAD_BYTES])
         offset += _FRAME_HEAD_BYTES
-        yield head.kind, _part(frame, offset, head.body_bytes)
+        body = _part(frame, offset, head.body_bytes)
         offset += head.body_bytes
+        yield head.kind, body, _part(frame, offset, head.tail_bytes)
+        offset += head.tail_bytes
 
 
 def _part(data: bytes, offset: int, size: int) -> bytes:
@@ -264,7 +265,7 @@
     }
 
 
-def _decode(kind: int, body: bytes) -> Message:
+def _decode(kind: int, body: bytes, tail: bytes) -> Message:
     message_type = _KINDS[kind]
     parsed = _COMPILED[kind].parse(body)
     header = Header(
@@ -276,8 +277,7 @@
     )
     special = _SPECIAL_DECODERS.get(message_type)
     if special is not None:
-        size = parsed.get("tail_bytes", 0)
-        return special(header, parsed, _part(body, len(body) - size, size) if size else b"")
+        return special(header, parsed, tail)
     names = (name for name in message_type.__struct_fields__ if name != "header")  # type: ignore[attr-defined]
     message: Message = message_type(header=header, **{name: parsed[name] for name in names})
     return message
--- a/tests/unit/test_consensus_codec.py
+++ b/tests/unit/test_consensus_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import random
 import threading
 import tracemalloc
@@ -117,10 +118,12 @@
     request = AppendRequest(
         header=HEADER, previous=POSITION, commit_index=0, sequence=1, entries=entries
     )
+    gc.disable()
     tracemalloc.start()
     try:
-        encode_messages([request])
+        decode_messages(encode_messages([request]))
         held_bytes, _ = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
+        gc.enable()
     assert held_bytes < len(entries[0].payload)
