--- a/tests/unit/test_gateway_http.py
+++ b/tests/unit/test_gateway_http.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import pytest
+import urllib3
 from loguru import logger
 from tests.unit.gateway_support import (
     API_KEY,
@@ -24,6 +25,7 @@
     wait_until,
 )
 
+from leverjunction.api import decisions
 from leverjunction.backends.types import CHAT_PATH
 
 MAX_BODY_BYTES = 100_000
@@ -265,6 +267,35 @@
     assert [record["request_id"] for record in seen] == [response.headers["X-Request-Id"]]
 
 
+def test_followers_of_decisions_are_bounded(fleet: Fleet, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(decisions, "MAX_FOLLOWERS", 1)
+    url = f"{fleet.url}/operator/decisions/stream"
+
+    held: list[urllib3.BaseHTTPResponse] = []
+
+    def follow() -> urllib3.BaseHTTPResponse:
+        return fleet.http.request("GET", url, headers=OPERATOR, preload_content=False)
+
+    def becomes_follower() -> bool:
+        # One that left is noticed when the next record cannot be written to it.
+        fleet.post(CHAT | {"model": "none"})
+        response = follow()
+        if response.status != 200:
+            response.close()
+            return False
+        held.append(response)
+        return True
+
+    wait_until(becomes_follower, "followers of earlier tests are gone")
+    assert held[0].read1(1) == b":"
+    refused = follow()
+    assert (refused.status, refused.headers["Retry-After"]) == (503, "5")
+    assert error_of(refused.data)["execution"] == "not_run"
+    held[0].close()
+    wait_until(becomes_follower, "the place is free again")
+    held[1].close()
+
+
 def test_models_lists_what_a_tenant_may_call(fleet: Fleet) -> None:
     headers = {"Authorization": f"Bearer {API_KEY}"}
     listed = json.loads(fleet.http.request("GET", f"{fleet.url}/v1/models", headers=headers).data)
