Gateways stay with a hub when several in a row hear no quorum

Change: after three stale hubs in a row the one in use is kept for 10 s; a silent or refusing one is left at once, and a hub with a quorum ends the stay. In the test a gateway makes at most 9 moves in 60 s among 15 stale hubs. Excluded: staying with the first stale hub, which would not find the side of a cut that has the quorum.

--- a/src/leverjunction/wire/control_client.py
+++ b/src/leverjunction/wire/control_client.py
@@ -152,7 +152,7 @@
         if isinstance(reply, Failure):
             self._note_failed(hub, reply.reason, answered=reply.kind is FailureKind.STALE)
         elif reply.quorum_age_s > MAX_QUORUM_AGE_S:
-            self._note_failed(hub, f"no quorum for {reply.quorum_age_s:.1f} s", answered=True)
+            self._note_stale(hub, f"no quorum for {reply.quorum_age_s:.1f} s")
         else:
             with self._lock:
                 self._selector.succeeded(hub)
@@ -214,6 +214,15 @@
             elif not isinstance(reply, Failure):
                 self._backoff.answered()
 
+    def _note_stale(self, hub: str, reason: str) -> None:
+        with self._lock:
+            newly = self._selector.stale(hub, self._clock.monotonic_s())
+            now_used = self._selector.current
+        if newly and now_used != hub:
+            logger.warning("left hub {} for {}: {}", hub, now_used, reason)
+        elif newly:
+            logger.warning("stays with hub {}, the others are no better: {}", hub, reason)
+
     def _note_failed(self, hub: str, reason: str, *, answered: bool = False) -> None:
         with self._lock:
             newly = self._selector.failed(hub, self._clock.monotonic_s(), answered=answered)
--- a/src/leverjunction/wire/hub_selector.py
+++ b/src/leverjunction/wire/hub_selector.py
@@ -10,6 +10,12 @@
 STALE_SUSPICION_S = 3.0
 """The same for a hub that answered, but hears no quorum or has only just started."""
 
+STALE_HUBS_TRIED = 3
+"""After so many hubs in a row that serve without a quorum the next ones will hardly hear one."""
+
+STALE_STAY_S = 10.0
+"""How long such a hub is kept then: each move would cost a full view, for nothing."""
+
 MAX_SUSPICION_S = 80.0
 """Upper bound of the suspicion, which doubles with each failure in a row."""
 
@@ -31,6 +37,8 @@
         self._hubs = list(hubs)
         self._current = hubs[0]
         self._suspicions: dict[str, _Suspicion] = {}
+        self._stale: set[str] = set()
+        self._stay_until_s = 0.0
 
     @property
     def current(self) -> str:
@@ -62,6 +70,8 @@
         Returns:
             True when the hub was trusted until now: a change of state, worth a log line.
         """
+        if hub == self._current:
+            self._stay_until_s = 0.0
         known = self._suspicions.get(hub)
         first_s = STALE_SUSPICION_S if answered else SUSPICION_S
         length_s = min(known.length_s * 2, MAX_SUSPICION_S) if known else first_s
@@ -74,12 +84,29 @@
                 self._current = self._after(hub)
         return known is None
 
+    def stale(self, hub: str, now_s: float) -> bool:
+        """Note that ``hub`` serves, but hears no quorum; return as ``failed`` does.
+
+        It is left for another one, unless several in a row were like it.
+        """
+        self._stale.add(hub)
+        if len(self._stale) < STALE_HUBS_TRIED:
+            return self.failed(hub, now_s, answered=True)
+        newly = now_s >= self._stay_until_s
+        if newly:
+            self._stay_until_s = now_s + STALE_STAY_S
+        return newly and hub not in self._suspicions
+
     def succeeded(self, hub: str) -> None:
         """Note that ``hub`` answered and hears a quorum."""
         self._suspicions.pop(hub, None)
+        self._stale.clear()
+        self._stay_until_s = 0.0
 
     def reconsider(self, now_s: float) -> str:
         """Return to the most preferred hub whose suspicion is over; return the hub in use."""
+        if now_s < self._stay_until_s:
+            return self._current
         trusted = self._first_trusted(now_s)
         if trusted is not None:
             self._current = trusted
--- a/tests/unit/test_wire_control_client.py
+++ b/tests/unit/test_wire_control_client.py
@@ -13,7 +13,13 @@
 from leverjunction.wire.codec import decode, encode_reply
 from leverjunction.wire.control_client import ControlClient
 from leverjunction.wire.envelope import Envelope, MessageKind
-from leverjunction.wire.hub_selector import MAX_SUSPICION_S, SUSPICION_S, HubSelector
+from leverjunction.wire.hub_selector import (
+    MAX_SUSPICION_S,
+    STALE_HUBS_TRIED,
+    STALE_STAY_S,
+    SUSPICION_S,
+    HubSelector,
+)
 from leverjunction.wire.messages import (
     Acknowledged,
     ExchangeReply,
@@ -242,3 +248,43 @@
     assert refused.retry_after_s is not None
     clock.now_s += refused.retry_after_s
     assert isinstance(client.exchange(EXCHANGE), ExchangeReply)
+
+
+def moves_among(hubs: list[str], seconds: int, stale: bool) -> int:
+    """Count the moves of a gateway that exchanges once a second."""
+    selector = HubSelector(hubs)
+    moves, last = 0, selector.current
+    for second in range(seconds):
+        hub = selector.reconsider(float(second))
+        moves += hub != last
+        last = hub
+        if stale:
+            selector.stale(hub, float(second))
+        else:
+            selector.succeeded(hub)
+    return moves
+
+
+def test_a_gateway_does_not_wander_when_no_hub_hears_a_quorum() -> None:
+    """Found by the scale run: each move costs a full view, and the next hub is as stale."""
+    hubs = [f"hub-{number}:1" for number in range(15)]
+    assert moves_among(hubs, 60, stale=True) <= STALE_HUBS_TRIED + 60 / STALE_STAY_S
+
+
+def test_a_gateway_that_stays_with_a_stale_hub_leaves_it_once_it_is_silent() -> None:
+    selector = HubSelector(["a", "b", "c", "d"])
+    for second in range(STALE_HUBS_TRIED):
+        selector.stale(selector.reconsider(float(second)), float(second))
+    kept = selector.current
+    assert selector.reconsider(5.0) == kept
+    selector.failed(kept, 5.0)
+    assert selector.reconsider(5.0) != kept
+
+
+def test_a_hub_with_a_quorum_ends_the_stay() -> None:
+    selector = HubSelector(["a", "b", "c", "d"])
+    for second in range(STALE_HUBS_TRIED):
+        selector.stale(selector.reconsider(float(second)), float(second))
+    assert selector.current == "c"
+    selector.succeeded("c")
+    assert selector.reconsider(9.0) == "a"
