--- a/src/leverjunction/batch/harvest_state.py
+++ b/src/leverjunction/batch/harvest_state.py
@@ -14,7 +14,7 @@
 from leverjunction.batch.harvest import HarvestController, HarvestTargets
 from leverjunction.batch.harvest_types import GiveBack, OwnedRunner, Plan, Run, Verdict
 from leverjunction.batch.held_work import HeldWork, WorkItem
-from leverjunction.batch.item_run import RunEnd, RunResult
+from leverjunction.batch.item_run import TRIES_PER_ATTEMPT, RunEnd, RunResult
 from leverjunction.batch.lease_fetcher import Demand
 from leverjunction.wire.messages import RunnerState
 
@@ -34,6 +34,8 @@
 """An item that several engines answered with an error of their own fails with that error."""
 
 MAX_TRIES = 20
+"""An item is handed back after so many fruitless runs; those parked for online do not count."""
+
 BYTES_PER_TOKEN = 4
 """Usual length of a token of text; only the ration of prompt steps depends on it."""
 
@@ -131,6 +133,7 @@
             case RunEnd.REFUSED:
                 return self._verdict(run, ItemState.FAILED, result.status_code, result.body)
             case RunEnd.NOT_RUN:
+                run.work.fruitless_runs += 1
                 self._pause(run.runner_id, now_s + REFUSED_PAUSE_S)
                 return self._retry(run, missing_model=result.status_code == 404)
             case RunEnd.PARKED if repeatable:
@@ -138,8 +141,10 @@
                 run.work.continue_text = result.text
                 return self._retry(run)
             case RunEnd.BROKEN if repeatable:
+                run.work.fruitless_runs += 1
+                run.work.broken_runs += 1
                 self._pause(run.runner_id, now_s + BROKEN_PAUSE_S)
-                if result.status_code >= 500 and run.work.tries >= MAX_BROKEN_RUNS:
+                if result.status_code >= 500 and run.work.broken_runs >= MAX_BROKEN_RUNS:
                     return self._verdict(run, ItemState.FAILED, result.status_code, result.body)
                 return self._retry(run)
         # What may not repeat and did not end by itself may have run: it is never run again.
@@ -242,10 +247,12 @@
 
     def _retry(self, run: Run, missing_model: bool = False) -> GiveBack | None:
         """Keep an item for another run here, or give it back when that is no use."""
-        if missing_model or run.work.tries >= MAX_TRIES:
-            given = self._give_back([run.work])
+        work = run.work
+        is_spent = work.fruitless_runs >= MAX_TRIES or work.tries >= TRIES_PER_ATTEMPT - 1
+        if missing_model or is_spent:
+            given = self._give_back([work])
             return given[0] if given else None
-        self.work.put_back(run.work)
+        self.work.put_back(work)
         return None
 
     def _verdict(self, run: Run, state: ItemState, status_code: int, body: str) -> Verdict | None:
--- a/src/leverjunction/batch/held_work.py
+++ b/src/leverjunction/batch/held_work.py
@@ -21,7 +21,8 @@
 class WorkItem:
     """An item of a lease, with the text that earlier runs of it have generated.
 
-    ``deadline_s`` is the job's deadline by this process's monotonic clock.
+    ``deadline_s`` is the job's deadline by this process's monotonic clock. Of the ``tries``, those
+    are fruitless that ended neither with an answer nor by being parked; broken ones may have run.
     """
 
     leased: LeasedItem
@@ -31,6 +32,8 @@
     deadline_s: float
     continue_text: str = ""
     tries: int = 0
+    fruitless_runs: int = 0
+    broken_runs: int = 0
 
     @property
     def key(self) -> ItemKey:
--- a/tests/unit/test_batch_harvest_state.py
+++ b/tests/unit/test_batch_harvest_state.py
@@ -7,9 +7,16 @@
 
 from leverjunction.backends.types import LoadReport
 from leverjunction.batch.batch_counters import HarvestCounters
-from leverjunction.batch.commands import ItemInput, Lease, LeasedItem
+from leverjunction.batch.commands import ItemInput, ItemState, Lease, LeasedItem
 from leverjunction.batch.harvest import HarvestTargets
-from leverjunction.batch.harvest_state import LOST_RUNNER_S, HarvestState
+from leverjunction.batch.harvest_state import (
+    LOST_RUNNER_S,
+    MAX_BROKEN_RUNS,
+    MAX_TRIES,
+    HarvestState,
+)
+from leverjunction.batch.harvest_types import GiveBack, Run, Verdict
+from leverjunction.batch.item_run import RunEnd, RunResult
 from leverjunction.wire.messages import RunnerState
 
 RUNNER = RunnerState(runner_id="r1", address="a:1", zone="z", service="llm", models=["m"])
@@ -72,3 +79,40 @@
     state.runners["r1"].controller.observe(REPORT, now_s)
     plan = state.plan(now_s)
     assert (len(plan.starts), len(plan.give_back)) == (started, given_back)
+
+
+def finish(state: HarvestState, run: Run, result: RunResult) -> Verdict | GiveBack | None:
+    """End a run as its thread does."""
+    return state.ended(run, result, now_s=1.0)
+
+
+def test_parked_runs_count_neither_as_broken_nor_as_fruitless() -> None:
+    # An item that has often given way to online work is as good as a new one: the first error of
+    # an engine must not fail it, and it must not be handed back, which would lose its text.
+    state = held_state(may_repeat=True)
+    parked = RunResult(end=RunEnd.PARKED, status_code=200, text="so far")
+    for _ in range(2 * MAX_TRIES):
+        (run, _other) = state.plan(0.0).starts
+        assert finish(state, run, parked) is None
+        assert finish(state, _other, parked) is None
+    (run, _other) = state.plan(0.0).starts
+    broken = RunResult(end=RunEnd.BROKEN, status_code=500, body="{}")
+    assert finish(state, run, broken) is None
+    assert run.work.continue_text == "so far"
+
+
+def test_item_that_several_engines_break_on_fails() -> None:
+    state = held_state(may_repeat=True)
+    broken = RunResult(end=RunEnd.BROKEN, status_code=500, body="{}")
+    verdicts = []
+    for round_number in range(MAX_BROKEN_RUNS):
+        # Each broken run keeps its runner free of starts for a moment.
+        now_s = 10.0 * round_number
+        state.runners["r1"].controller.observe(REPORT, now_s)
+        run = next(run for run in state.plan(now_s).starts if run.work.leased.index == 0)
+        verdicts.append(state.ended(run, broken, now_s))
+        for other in list(state.runs.values()):
+            state.ended(other, RunResult(end=RunEnd.PARKED), now_s)
+    assert verdicts[:-1] == [None] * (MAX_BROKEN_RUNS - 1)
+    assert isinstance(verdicts[-1], Verdict)
+    assert verdicts[-1].result.state == ItemState.FAILED
