--- a/src/leverjunction/cli/output.py
+++ b/src/leverjunction/cli/output.py
@@ -14,6 +14,10 @@
 from leverjunction.errors import Failure, FailureKind
 
 MAX_LINE_CHARACTERS = 4000
+UNREACHABLE_HINT = (
+    "the command may be run again as it was; 'leverjunction status' shows which control processes "
+    "are heard, and whether they hear a quorum"
+)
 _MS_PER_S = 1000
 
 
@@ -53,7 +57,10 @@
     """Print a failure on stderr, with step and peer, and return the exit code."""
     peer = f", peer {failure.peer}" if failure.peer else ""
     print(f"error: {failure.reason} (step {failure.step}{peer})", file=sys.stderr)
-    return exit_code(failure) if code is None else code
+    shown = exit_code(failure) if code is None else code
+    if shown is ExitCode.UNREACHABLE:
+        print_progress(UNREACHABLE_HINT)
+    return shown
 
 
 def print_progress(text: str) -> None:
--- a/tests/unit/test_cli_operators.py
+++ b/tests/unit/test_cli_operators.py
@@ -193,6 +193,7 @@
     told = capsys.readouterr().err
     assert "cannot connect to 127.0.0.1:9: nothing listens there" in told
     assert "trying again for" in told
+    assert "whether they hear a quorum" in told
 
 
 def test_a_job_that_was_never_sent_is_known_not_to_exist(
