--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -28,7 +28,8 @@
 DRAIN_TIMEOUT_S = 60.0
 POLL_S = 0.05
 CALL_TIMEOUT_S = 5.0
-APPLY_TIMEOUT_S = 30.0
+COMMAND_TIMEOUT_S = 60.0
+APPLY_WAIT_S = "10"
 
 _STOP_ORDER = (
     ProcessKind.GATEWAY,
@@ -268,7 +269,7 @@
         command += ["--control", ",".join(c.removeprefix("http://") for c in self.control_urls())]
         command += ["--token_file", str(self.plan.operator_token_file)]
         return subprocess.run(
-            command, capture_output=True, text=True, timeout=APPLY_TIMEOUT_S, check=False
+            command, capture_output=True, text=True, timeout=COMMAND_TIMEOUT_S, check=False
         )
 
     def apply_settings(self, folder: Path) -> None:
@@ -277,7 +278,8 @@
 
         def applied() -> bool:
             nonlocal last
-            result = self.operator_command("settings", "apply", str(folder), "--wait")
+            arguments = ("settings", "apply", str(folder), "--wait", "--wait_s", APPLY_WAIT_S)
+            result = self.operator_command(*arguments)
             last = result.stdout + result.stderr
             return result.returncode == 0
 
--- a/src/testbed/fleet/plan.py
+++ b/src/testbed/fleet/plan.py
@@ -184,7 +184,11 @@
             planned, rpc_port = self._product(f"control-{number}", ProcessKind.CONTROL, zone)
             controls.append(planned)
             listens.append(rpc_port)
-        peers = [{"name": c.name, "rpc_address": c.rpc_address, "zone": c.zone} for c in controls]
+        region = self._scenario.region
+        peers = [
+            {"name": c.name, "rpc_address": c.rpc_address, "zone": c.zone, "region": region}
+            for c in controls
+        ]
         for control, rpc_port in zip(controls, listens, strict=True):
             document = self._common(control, rpc_port, key_file) | {
                 "peers": peers,
--- a/tests/features/world.py
+++ b/tests/features/world.py
@@ -27,7 +27,8 @@
         label: Unique word in every prompt of this scenario, to find its executions by.
         contents: Prompt of each item of the job, by custom id.
         batch: Batch object of the accepted job.
-        undo: Actions that end the fault, besides ``Fleet.recover``.
+        answers: Answers to the online requests of this scenario, in their order.
+        traffic: Online requests in the background, if there are any.
         notes: Anything one step leaves for another.
     """
 
