--- a/src/testbed/scale/cli.py
+++ b/src/testbed/scale/cli.py
@@ -28,10 +28,8 @@
     """
     # The processes have log files of their own; here only the run itself speaks.
     logger.disable("leverjunction")
-    options = msgspec.convert(
-        {name.replace("-", "_"): value for name, value in sizes.items()}, ScaleOptions
-    )
     try:
+        options = _options(sizes)
         if keep:
             _make_empty(Path(keep))
             result = run_scale(options, Path(keep))
@@ -47,6 +45,19 @@
     return 0
 
 
+def _options(sizes: dict[str, float]) -> ScaleOptions:
+    """Return the options; a name that is not one of theirs is refused, not left out."""
+    values = {name.replace("-", "_"): value for name, value in sizes.items()}
+    unknown = sorted(set(values) - set(ScaleOptions.__struct_fields__))
+    if unknown:
+        known = ", ".join(ScaleOptions.__struct_fields__)
+        raise ScaleError(f"unknown: {', '.join(unknown)}; expected some of: {known}")
+    try:
+        return msgspec.convert(values, ScaleOptions)
+    except msgspec.ValidationError as error:
+        raise ScaleError(str(error)) from error
+
+
 def _make_empty(folder: Path) -> None:
     """Make a folder; one with files is refused, since old data would join the new fleet."""
     folder.mkdir(parents=True, exist_ok=True)
--- a/tests/unit/test_scale_operator.py
+++ b/tests/unit/test_scale_operator.py
@@ -59,3 +59,15 @@
     (folder / "control-0").mkdir()
     assert scale(keep=str(folder), gateways=1, runners=1) == 1
     assert [entry.name for entry in folder.iterdir()] == ["control-0"]
+
+
+@pytest.mark.parametrize("name", ["help", "gatways", "gateway"])
+def test_an_unknown_size_is_refused_before_anything_starts(
+    name: str, capfd: pytest.CaptureFixture[str]
+) -> None:
+    assert scale(**{name: 1}) == 1
+    assert capfd.readouterr().out == ""
+
+
+def test_a_size_of_the_wrong_type_is_refused() -> None:
+    assert scale(gateways="many") == 1  # type: ignore[arg-type]
