Lease fetcher: an idle fleet polls for work every 5 to 10 s at most

Change: the pause goes on growing by 0.5 s a poll up to 10 s (2 s before), so the longest pause comes after some two minutes without work; a job group with work resets it. Weighed against it: a first job after a long idle time waits at most 10 s at one gateway, and far less at the first of many. The effect on bytes is not measured yet. Tests: tests/unit/test_batch_*.py pass.

--- a/src/leverjunction/batch/lease_fetcher.py
+++ b/src/leverjunction/batch/lease_fetcher.py
@@ -15,8 +15,10 @@
 
 CHECK_INTERVAL_S = 0.1
 EMPTY_POLL_S = 0.5
-MAX_EMPTY_POLL_S = 2.0
-"""A group without work is asked again after this, longer each time, spread by half."""
+MAX_EMPTY_POLL_S = 10.0
+"""A group without work is asked again after this, longer each time, spread by half: the longest
+wait is reached after some two minutes without work, so it bounds what an idle fleet's polls cost
+and hardly matters to heaps of jobs that come every 10 s."""
 
 CALL_TIMEOUT_S = 3.0
 MAX_GRANT_ITEMS = 256
