Known red: requests to a runner that freezes before the head of its answer

Cause: the gateway waits for the head of the answer until the service's deadline (30 s) and answers 504 `unknown`, although the request may be repeated, the runner's load reports fail meanwhile and five other runners are whole. "A runner is killed" and a runner frozen in the middle of a stream pass.

--- a/tests/features/whole_answer.feature
+++ b/tests/features/whole_answer.feature
@@ -51,3 +51,4 @@
     Examples:
       | fault              | kind      |
       | a runner is killed | streaming |
+      | a runner is frozen | streaming |
