--- a/src/leverjunction/backends/client.py
+++ b/src/leverjunction/backends/client.py
@@ -71,7 +71,7 @@
         )
         if isinstance(response, Failure):
             return response
-        mismatch = _mismatch(response, call.request_id, call.attempt, call.address)
+        mismatch = answer_mismatch(response.headers, call.request_id, call.attempt, call.address)
         if mismatch is not None:
             _discard(response)
             return mismatch
@@ -150,7 +150,7 @@
         response = self._request(self._pool, method, address, path, body, headers, timeout_s)
         if isinstance(response, Failure):
             return response
-        mismatch = _mismatch(response, request_id, 1, address)
+        mismatch = answer_mismatch(response.headers, request_id, 1, address)
         if mismatch is not None:
             _discard(response)
             return mismatch
@@ -218,12 +218,6 @@
     return f"/v1/requests/{request_id}/stream"
 
 
-def _mismatch(
-    response: urllib3.BaseHTTPResponse, request_id: str, attempt: int, address: str
-) -> Failure | None:
-    return answer_mismatch(response.headers, request_id, attempt, address)
-
-
 def _discard(response: urllib3.BaseHTTPResponse) -> None:
     """Drop an answer and close its connection, so that nothing later is read from it."""
     response.close()
