--- a/src/testbed/simulation/checkers/jobs.py
+++ b/src/testbed/simulation/checkers/jobs.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from leverjunction.batch.commands import ItemState, JobState, ResultLine
-from testbed.simulation.checkers.base import Finding, settled_s
+from testbed.simulation.checkers.base import Finding, settled_s, undisturbed_by
 from testbed.simulation.history import (
     FINAL_JOB_STATES,
     EngineRun,
@@ -23,6 +23,9 @@
 START_GRACE_S = 4.0
 """No item of a cancelled job begins later than this, from a gateway that is well."""
 
+END_GRACE_S = 5.0
+"""What runs when its job is cancelled ends within this, with gateway and back end well."""
+
 STOPPED_WITHIN_S = 12.0
 """Longest time from an acknowledged cancellation until no item starts any more, from any gateway.
 
@@ -125,6 +128,19 @@
             run.ended_s < history.ended_s,
             f"{run.work_id} still runs at the end, cancelled at {cancelled_s:.2f} s",
         )
+        if run.received_s > cancelled_s:
+            return
+        impaired = [
+            *history.gateway_impaired.get(run.gateway, []),
+            *history.runner_impaired.get(run.runner, []),
+            *history.control_impaired,
+        ]
+        end_s = undisturbed_by(cancelled_s, END_GRACE_S, impaired)
+        finding.expect(
+            run.ended_s <= end_s,
+            f"{run.work_id} ran on {run.runner} until {run.ended_s:.2f} s, cancelled at "
+            f"{cancelled_s:.2f} s",
+        )
 
 
 class LinearizableJobs:
--- a/src/testbed/simulation/history.py
+++ b/src/testbed/simulation/history.py
@@ -147,6 +147,7 @@
         online_since_s: Since when online work has been there without a break.
         online: Online requests in the step.
         batch: Batch requests in the step.
+        parkable: Gateways that sent those of them that may be run again elsewhere.
         waiting: Online requests that were not in it.
     """
 
@@ -156,6 +157,7 @@
     online_since_s: float
     online: int
     batch: int
+    parkable: tuple[str, ...]
     waiting: tuple[str, ...]
 
 
@@ -245,6 +247,7 @@
         stops: Planned stops of gateways.
         gateway_impaired: Spans in which a gateway was down, frozen or cut off, by name.
         unheard: Spans of unanswered exchanges, by gateway.
+        runner_impaired: Spans in which a back end was down, frozen or cut off, by name.
         control_impaired: Spans in which fewer than a majority of control machines were well.
         ended_s: End of the run.
         batch_allowed: Batch requests that a back end may hold beside online work.
@@ -267,6 +270,7 @@
     leaving: dict[str, float] = field(default_factory=dict)
     stops: list[GatewayStop] = field(default_factory=list)
     gateway_impaired: dict[str, list[Span]] = field(default_factory=dict)
+    runner_impaired: dict[str, list[Span]] = field(default_factory=dict)
     control_impaired: list[Span] = field(default_factory=list)
     unheard: dict[str, list[Span]] = field(default_factory=dict)
     ended_s: float = 0.0
@@ -280,6 +284,12 @@
     return prompt.startswith(BATCH_MARK)
 
 
+def job_key_of(work_id: str) -> tuple[str, str]:
+    """Return the tenant and key of the job whose item a work id names."""
+    _, tenant, key, _ = work_id.split("/")
+    return tenant, key
+
+
 FINAL_ITEM_STATES = frozenset(
     {
         ItemState.DONE,
--- a/src/testbed/simulation/impairment.py
+++ b/src/testbed/simulation/impairment.py
@@ -28,6 +28,8 @@
         self._note("", not self._quorum_is_well())
         for name in parts.gateways:
             self._note(name, not self._gateway_is_well(name))
+        for name in parts.runners:
+            self._note(name, not self._runner_is_well(name))
         parts.scheduler.after(LOOK_INTERVAL_S, self._look)
 
     def _quorum_is_well(self) -> bool:
@@ -47,6 +49,10 @@
         hubs = [hub for hub in self._parts.control if self._linked(name, hub)]
         return len(hubs) > len(self._parts.control) // 2
 
+    def _runner_is_well(self, name: str) -> bool:
+        """Return whether a back end runs and every gateway reaches it."""
+        return self._runs(name) and all(self._linked(name, g) for g in self._parts.gateways)
+
     def _runs(self, name: str) -> bool:
         machine = self._parts.network.machines[name]
         return machine.up and not machine.frozen
@@ -65,7 +71,12 @@
 
     def _put(self, name: str, span: Span) -> None:
         history = self._parts.history
-        spans = history.gateway_impaired.setdefault(name, []) if name else history.control_impaired
+        spans = history.control_impaired
+        if name:
+            machines = history.runner_impaired
+            if name in self._parts.gateways:
+                machines = history.gateway_impaired
+            spans = machines.setdefault(name, [])
         if spans and spans[-1].begin_s == span.begin_s:
             spans.pop()
         spans.append(span)
