--- a/src/leverjunction/consensus/group.py
+++ b/src/leverjunction/consensus/group.py
@@ -350,7 +350,3 @@
         step=Step.STOPPING,
         execution=Execution.UNKNOWN,
     )
-
-
-_status_of = status_of
-"""Former name, while the simulator still imports it."""
