--- a/tests/unit/test_docs_commands.py
+++ b/tests/unit/test_docs_commands.py
@@ -56,3 +56,13 @@
         "```yaml\nleverjunction: 1\n```\nleverjunction prose\n```\nleverjunction why X | wc\n```\n"
     )
     assert list(commands(text)) == ["why X"]
+
+
+LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
+LINKING = sorted((ROOT / "docs" / "operators").glob("*.md"))
+
+
+@pytest.mark.parametrize("page", LINKING, ids=lambda page: page.name)
+def test_links_lead_to_files(page: Path) -> None:
+    targets = LINK.findall(page.read_text(encoding="utf8"))
+    assert [target for target in targets if not (page.parent / target).exists()] == []
