Gateway: a request leaves a runner that freezes before its answer's head

Cause: Sender waited for the head in one read whose timeout is the request's deadline. A runner that froze (SIGSTOP) with a request held it for 30 s, then 504, though five others were well. Excluded: a shorter read timeout (a whole answer gives its head only at its end); a second thread for each wait. Change: connections look every 0.25 s whether the wait is hopeless, here once the runner's owner cannot reach it; then a request that may repeat goes to another runner, and the old one is cancelled. One that may not be repeated waits on. Conclusion: mended; the row for whole answers is back in the feature.

--- a/src/leverjunction/backends/client.py
+++ b/src/leverjunction/backends/client.py
@@ -6,6 +6,7 @@
 import urllib3
 
 from leverjunction.backends.echo import ATTEMPT_HEADER, REQUEST_ID_HEADER, answer_mismatch
+from leverjunction.backends.head_wait import IsHopeless, WatchedConnection, give_up_when
 from leverjunction.backends.stream import EngineStream
 from leverjunction.backends.types import EngineCall, LoadReport, Order, OrderOutcome
 from leverjunction.errors import Execution, Failure, FailureKind, Step
@@ -24,7 +25,7 @@
 MONITOR_REQUEST_ID = "monitor"
 
 
-class _PlainConnection(urllib3.connection.HTTPConnection):
+class _PlainConnection(WatchedConnection):
     """Asks in HTTP/1.0: the answer carries no transfer coding and ends with the connection."""
 
     _http_vsn = 10
@@ -35,6 +36,10 @@
     ConnectionCls = _PlainConnection
 
 
+class _WatchedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = WatchedConnection
+
+
 class _FenceRefusal(msgspec.Struct, frozen=True):
     fence: Fence
 
@@ -43,13 +48,18 @@
     """Calls engines. Safe to share between threads; never retries by itself."""
 
     def __init__(self) -> None:
-        self._pool = _new_pool()
-        self._plain_pool = _new_pool()
-        self._plain_pool.pool_classes_by_scheme = {"http": _PlainPool}
+        self._pool = _new_pool(_WatchedPool)
+        self._plain_pool = _new_pool(_PlainPool)
 
-    def open(self, call: EngineCall) -> EngineStream | Failure:
+    def open(
+        self, call: EngineCall, is_hopeless: IsHopeless | None = None
+    ) -> EngineStream | Failure:
         """Send a request (or a resume) and return its answer once the head has arrived.
 
+        Args:
+            call: What to send.
+            is_hopeless: Looked at while the head has not come; True ends the wait with a failure.
+
         Returns:
             The answer, whatever its status; or a failure of step CONNECTING (the engine received
             nothing), SENDING or RESPONDING (the engine may have run it).
@@ -60,15 +70,16 @@
         headers[PRIORITY_HEADER] = str(call.priority)
         if call.last_event_id is not None:
             headers[LAST_EVENT_ID_HEADER] = call.last_event_id
-        response = self._request(
-            self._plain_pool if call.raw_stream else self._pool,
-            method,
-            call.address,
-            path,
-            call.body if method == "POST" else None,
-            headers,
-            call.timeout_s,
-        )
+        with give_up_when(is_hopeless):
+            response = self._request(
+                self._plain_pool if call.raw_stream else self._pool,
+                method,
+                call.address,
+                path,
+                call.body if method == "POST" else None,
+                headers,
+                call.timeout_s,
+            )
         if isinstance(response, Failure):
             return response
         mismatch = answer_mismatch(response.headers, call.request_id, call.attempt, call.address)
@@ -200,10 +211,12 @@
             )
 
 
-def _new_pool() -> urllib3.PoolManager:
-    return urllib3.PoolManager(
+def _new_pool(pool_class: type[urllib3.HTTPConnectionPool]) -> urllib3.PoolManager:
+    manager = urllib3.PoolManager(
         num_pools=MAX_ENGINES, maxsize=CONNECTIONS_PER_ENGINE, block=False, retries=False
     )
+    manager.pool_classes_by_scheme = {"http": pool_class}
+    return manager
 
 
 def _headers(request_id: str, attempt: int) -> dict[str, str]:
--- /dev/null
+++ b/src/leverjunction/backends/head_wait.py
@@ -0,0 +1,62 @@
+"""Connections whose wait for an answer's head can be given up before its timeout.
+
+urllib3 waits in one call until the head comes or the read timeout ends. A caller's deadline is
+that timeout, so a back end that froze would hold the request for the whole of it although another
+one could serve it. These connections look in between whether the wait is still of use.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import Callable, Iterator
+from contextvars import ContextVar
+
+import urllib3
+from urllib3.util.wait import wait_for_read
+
+CHECK_INTERVAL_S = 0.25
+
+IsHopeless = Callable[[], bool]
+"""Returns True once the answer is not to be waited for any more."""
+
+_is_hopeless: ContextVar[IsHopeless | None] = ContextVar("is_hopeless", default=None)
+
+
+class WaitGivenUpError(urllib3.exceptions.HTTPError):
+    """The head was not waited for to the end; the back end may have run the request."""
+
+
+class WatchedConnection(urllib3.connection.HTTPConnection):
+    """A connection that obeys ``give_up_when`` of the thread that uses it."""
+
+    def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
+        """Return the answer once its head has come.
+
+        Raises:
+            WaitGivenUpError: The wait became hopeless.
+            TimeoutError: The read timeout passed.
+        """
+        is_hopeless = _is_hopeless.get()
+        if is_hopeless is not None:
+            self._wait_for_head(is_hopeless)
+        return super().getresponse()
+
+    def _wait_for_head(self, is_hopeless: IsHopeless) -> None:
+        limit_s = float("inf") if self.timeout is None else float(self.timeout)
+        end_s = time.monotonic() + limit_s
+        while not wait_for_read(self.sock, timeout=CHECK_INTERVAL_S):
+            if is_hopeless():
+                raise WaitGivenUpError("the back end became unreachable before its answer began")
+            if time.monotonic() >= end_s:
+                raise TimeoutError("timed out")
+
+
+@contextlib.contextmanager
+def give_up_when(is_hopeless: IsHopeless | None) -> Iterator[None]:
+    """Let calls of this thread inside the block give up their wait when it is hopeless."""
+    token = _is_hopeless.set(is_hopeless)
+    try:
+        yield
+    finally:
+        _is_hopeless.reset(token)
--- a/src/leverjunction/gateway/sender.py
+++ b/src/leverjunction/gateway/sender.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from leverjunction.backends.client import EngineClient
+from leverjunction.backends.head_wait import IsHopeless
 from leverjunction.backends.stream import EngineStream
 from leverjunction.backends.types import EngineCall
 from leverjunction.clock import Clock
@@ -178,7 +179,8 @@
                 priority=request.serving.online_priority,
                 timeout_s=max(left_s, MIN_CALL_TIMEOUT_S),
                 raw_stream=request.stream,
-            )
+            ),
+            self._hopelessness(request, attempt),
         )
         if isinstance(stream, Failure):
             return stream
@@ -186,6 +188,16 @@
             return OpenAnswer(stream=stream, attempt=attempt)
         return self._read_whole(stream, attempt)
 
+    def _hopelessness(self, request: OnlineRequest, attempt: Attempt) -> IsHopeless | None:
+        """Return when to stop waiting for a head: once the runner's owner cannot reach it.
+
+        A request that may not be repeated waits on: its answer may still come, and nothing else
+        could be done with it.
+        """
+        if not request.repeatable:
+            return None
+        return lambda: not self._pool.is_healthy(attempt.runner_id)
+
     def _read_whole(self, stream: EngineStream, attempt: Attempt) -> WholeAnswer | Failure:
         body = stream.read_all()
         if isinstance(body, Failure):
--- a/tests/features/whole_answer.feature
+++ b/tests/features/whole_answer.feature
@@ -52,3 +52,4 @@
       | fault              | kind      |
       | a runner is killed | streaming |
       | a runner is frozen | streaming |
+      | a runner is frozen | whole     |
--- a/tests/unit/gateway_support.py
+++ b/tests/unit/gateway_support.py
@@ -41,6 +41,7 @@
 MESSAGES = [{"role": "user", "content": "why did it crash"}]
 CHAT = {"model": MODEL, "messages": MESSAGES}
 WAIT_S = 30.0
+FROZEN_S = 120.0
 
 # A busy machine must not make a stub engine look dead.
 owner.POLL_TIMEOUT_S = WAIT_S
@@ -50,7 +51,8 @@
     """An engine that answers ``WORDS``; tests change its public attributes to make it misbehave.
 
     ``status`` other than 200 refuses; ``break_after`` cuts a stream after so many tokens, once;
-    ``wrong_echo`` answers with another request's id; ``hold`` blocks before each token while clear.
+    ``wrong_echo`` answers with another request's id; ``hold`` blocks before each token while clear;
+    ``freezes`` lets it answer nothing at all from its next request on, until ``thaw`` is set.
     """
 
     def __init__(self, name: str) -> None:
@@ -68,6 +70,9 @@
         self.cancel_seen = threading.Event()
         self.start_seen = threading.Event()
         self.leaving = False
+        self.freezes = False
+        self.thaw = threading.Event()
+        self._is_frozen = False
         self._server = wsgi.Server(("127.0.0.1", 0), self._app, numthreads=24)
         self._server.prepare()
         threading.Thread(target=self._server.serve, daemon=True).start()
@@ -79,6 +84,7 @@
 
     def stop(self) -> None:
         self.hold.set()
+        self.thaw.set()
         self._server.shutdown_timeout = 0
         self._server.stop()
 
@@ -88,6 +94,8 @@
         attempt = environ.get("HTTP_X_ATTEMPT", "")
         echo = "another" if self.wrong_echo and path.startswith("/v1/c") else request_id
         headers = [("X-Request-Id", echo), ("X-Attempt", attempt)]
+        if self._is_frozen:
+            self.thaw.wait(FROZEN_S)
         if path == "/load":
             return self._answer(start, headers, encode(self._report()))
         if path == "/cache/events":
@@ -101,6 +109,9 @@
         body = json.loads(environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"])))
         self.started.append(body | {"priority": environ.get("HTTP_X_PRIORITY")})
         self.start_seen.set()
+        if self.freezes:
+            self._is_frozen = True
+            self.thaw.wait(FROZEN_S)
         if self.status != 200:
             return self._answer(start, headers, b'{"error": "no"}', f"{self.status} Refused")
         done = len(body.get("continue_text", "").split())
--- a/tests/unit/test_gateway_claims.py
+++ b/tests/unit/test_gateway_claims.py
@@ -81,7 +81,10 @@
     seen: list[int] = []
     engines = fleet.gateway.engines
     original = engines.open
-    engines.open = lambda call: (seen.append(len(fleet.hub.claims)), original(call))[1]  # type: ignore[method-assign]
+    engines.open = lambda call, *rest: (  # type: ignore[method-assign]
+        seen.append(len(fleet.hub.claims)),
+        original(call, *rest),
+    )[1]
     assert fleet.post(CHAT, **ONCE).status == 200
     assert seen == [1]
 
--- a/tests/unit/test_gateway_limits.py
+++ b/tests/unit/test_gateway_limits.py
@@ -11,10 +11,21 @@
 
 import pytest
 import urllib3
-from tests.unit.gateway_support import CHAT, SERVICE, TEXT, WAIT_S, Fleet, StubEngine, wait_until
+from tests.unit.gateway_support import (
+    CHAT,
+    FROZEN_S,
+    SERVICE,
+    TEXT,
+    WAIT_S,
+    WORDS,
+    Fleet,
+    StubEngine,
+    wait_until,
+)
 
 from leverjunction.gateway import ejection, retry
 from leverjunction.gateway.ejection import FAILURES_TO_EJECT
+from leverjunction.gateway.owner import unhealthy_digest
 from leverjunction.gateway.retry import MAX_SAVED_RETRIES
 
 SERVING = f"services/{SERVICE}/serving"
@@ -282,3 +293,41 @@
 
     answers = list(threads.map(call, range(8)))
     assert all(b"w11" in answer for answer in answers)
+
+
+def submit_until_frozen(
+    fleet: Fleet, threads: ThreadPoolExecutor, body: dict[str, object], **headers: str
+) -> list[Answer]:
+    """Send requests until the first engine has one, which freezes it, and report it unreachable."""
+    frozen = fleet.engines[0]
+    frozen.freezes = True
+    answers: list[Answer] = []
+    while not frozen.started:
+        answers.append(threads.submit(fleet.post, body, **headers))
+        wait_until(lambda: fleet.started() == len(answers), "a runner has the request")
+    view = fleet.gateway.view
+    view.observe(unhealthy_digest(frozen.name, view))
+    return answers
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_a_request_leaves_a_runner_that_freezes_before_its_answer(
+    start: StartFleet, threads: ThreadPoolExecutor, stream: bool
+) -> None:
+    """Found by whole_answer.feature: it waited for its whole deadline and ended with 504."""
+    fleet = start({f"{SERVING}/deadline_s": FROZEN_S})
+    for answer in submit_until_frozen(fleet, threads, CHAT | {"stream": stream}):
+        assert answer.result().status == 200
+        assert WORDS[-1] in answer.result().data.decode()
+    assert not fleet.engines[0].thaw.is_set()
+    assert "retried" in outcomes(fleet)
+
+
+def test_a_request_that_may_not_repeat_stays_with_a_frozen_runner(
+    start: StartFleet, threads: ThreadPoolExecutor
+) -> None:
+    fleet = start({f"{SERVING}/deadline_s": FROZEN_S})
+    answers = submit_until_frozen(fleet, threads, CHAT, **{"X-Repeat": "never"})
+    fleet.engines[0].thaw.set()
+    assert [answer.result().status for answer in answers] == [200] * len(answers)
+    assert len(fleet.engines[0].started) == 1
