Hub choice: a stay with a hub that hears no quorum is 3 s, not 10 s

Cause: a gateway that met three stale hubs stayed for 10 s with the last, although a change is to be in force within 4 s; when the quorum is back and just that hub is still cut off, it would miss it. Change: STALE_STAY_S 10 -> 3. Before: the new test fails with 10 s. After: it passes; a full view each 3 s while all hubs are stale.

--- a/src/leverjunction/wire/hub_selector.py
+++ b/src/leverjunction/wire/hub_selector.py
@@ -13,8 +13,9 @@
 STALE_HUBS_TRIED = 3
 """After so many hubs in a row that serve without a quorum the next ones will hardly hear one."""
 
-STALE_STAY_S = 10.0
-"""How long such a hub is kept then: each move would cost a full view, for nothing."""
+STALE_STAY_S = 3.0
+"""How long such a hub is kept then: each move costs a full view. Short beside the 4 s in which a
+change is to be in force: the quorum may be back while just this hub is still cut off from it."""
 
 MAX_SUSPICION_S = 80.0
 """Upper bound of the suspicion, which doubles with each failure in a row."""
--- a/tests/unit/test_wire_control_client.py
+++ b/tests/unit/test_wire_control_client.py
@@ -30,6 +30,9 @@
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
 
+IN_FORCE_EVERYWHERE_S = 4.0
+"""Time in which an accepted change has to be in force."""
+
 KEY = b"cluster key of the tests"
 DEAD = "127.0.0.1:1"
 
@@ -288,3 +291,14 @@
     assert selector.current == "c"
     selector.succeeded("c")
     assert selector.reconsider(9.0) == "a"
+
+
+def test_a_gateway_hears_a_quorum_again_well_within_the_time_for_a_change() -> None:
+    """Suspected in a simulated run: it stayed with the one hub that was still cut off for 10 s."""
+    selector = HubSelector(["a", "b", "c"])
+    for second in range(3):
+        selector.stale(selector.reconsider(float(second)), float(second))
+    kept = selector.current
+    assert selector.reconsider(2.0 + STALE_STAY_S - 0.1) == kept
+    assert selector.reconsider(2.0 + STALE_STAY_S) != kept
+    assert STALE_STAY_S < IN_FORCE_EVERYWHERE_S
