Decisions: a follower sees every one, and ordinary requests are kept while they are few

Excluded: keeping all always: at 65 requests/s of a node, refusals would leave the ring within 20 s. Change: all are kept while somebody follows; without a follower 20 ordinary records a second, beyond that the sample by request as before. Conclusion: watch shows all; the ring stays bounded (4,096 records).

--- a/src/leverjunction/observability/decisions.py
+++ b/src/leverjunction/observability/decisions.py
@@ -1,6 +1,8 @@
 """Typed records of decisions in a bounded ring, for operators to watch.
 
-Refusals, moves and slow requests are always kept until the ring is full; of the rest a sample.
+Refusals, moves and slow requests are always kept until the ring is full. Ordinary ones are kept
+too while they are few or somebody watches; else a sample of them, so that they do not drive the
+others out of the ring.
 """
 
 from __future__ import annotations
@@ -16,6 +18,10 @@
 RING_RECORDS = 4096
 SAMPLE_RATIO = 0.1
 SLOW_S = 1.0
+ORDINARY_RECORDS_PER_S = 20
+"""Records of ordinary requests that are kept in each second before sampling begins."""
+
+MS_PER_S = 1000
 
 
 class DecisionOutcome(StrEnum):
@@ -105,12 +111,15 @@
         self._changed = threading.Condition()
         self._next_sequence = 1
         self._closed = False
+        self._followers = 0
+        self._second = 0
+        self._ordinary_in_second = 0
 
     def add(self, decision: Decision) -> bool:
-        """Keep a decision if it matters or is sampled; returns whether it was kept."""
-        if not self._keeps(decision):
-            return False
+        """Keep a decision if it matters, is watched or is sampled; returns whether it was kept."""
         with self._changed:
+            if not self._keeps(decision):
+                return False
             numbered = msgspec.structs.replace(decision, sequence=self._next_sequence)
             self._next_sequence += 1
             self._records.append(numbered)
@@ -118,11 +127,23 @@
         return True
 
     def _keeps(self, decision: Decision) -> bool:
-        if decision.outcome in ALWAYS_KEPT or decision.waited_ms >= SLOW_S * 1000:
+        if decision.outcome in ALWAYS_KEPT or decision.waited_ms >= SLOW_S * MS_PER_S:
+            return True
+        are_few = self._are_few(decision.wall_ms)
+        if are_few or self._followers > 0:
             return True
         # Sampling is by request, so that all records of a sampled request are kept together.
         return random.Random(decision.request_id).random() < self._sample_ratio
 
+    def _are_few(self, wall_ms: int) -> bool:
+        """Count an ordinary record; return whether its second has had few of them."""
+        second = wall_ms // MS_PER_S
+        if second != self._second:
+            self._second = second
+            self._ordinary_in_second = 0
+        self._ordinary_in_second += 1
+        return self._ordinary_in_second <= ORDINARY_RECORDS_PER_S
+
     def find(self, request_id: str = "", service: str = "", limit: int = 1000) -> list[Decision]:
         """Return kept decisions, oldest first, of one request or service (empty: any)."""
         with self._changed:
@@ -133,9 +154,19 @@
     def follow(
         self, request_id: str = "", service: str = "", idle_s: float = 5.0
     ) -> Iterator[Decision | None]:
-        """Yield new decisions as they are made, and None after ``idle_s`` without one."""
+        """Yield every new decision as it is made, and None after ``idle_s`` without one."""
         with self._changed:
             last = self._next_sequence - 1
+            self._followers += 1
+        try:
+            yield from self._follow(last, request_id, service, idle_s)
+        finally:
+            with self._changed:
+                self._followers -= 1
+
+    def _follow(
+        self, last: int, request_id: str, service: str, idle_s: float
+    ) -> Iterator[Decision | None]:
         while True:
             with self._changed:
                 if self._next_sequence <= last + 1 and not self._closed:
