watch: its first line no longer says that requests are sampled

Cause: a follower sees every decision since; seen when the README's commands were run. Excluded: nothing. Change: the half sentence is gone. Conclusion: the text is true again.

--- a/src/leverjunction/cli/watch.py
+++ b/src/leverjunction/cli/watch.py
@@ -84,9 +84,7 @@
     parameters = {"request": request_id, "service": service}
     watcher = Watcher(options, {key: value for key, value in parameters.items() if value})
     watcher.follow(gateways)
-    print_progress(
-        f"watching {len(gateways)} gateways, interrupt to end; ordinary requests are sampled"
-    )
+    print_progress(f"watching {len(gateways)} gateways, interrupt to end")
     threading.Thread(target=watcher.follow_new, args=(client,), daemon=True).start()
     try:
         while True:
