Lease fetcher: a lost grant is asked for again at once; an idle fleet polls every 2 s again

Since a gateway polls an idle group only every 5 to 10 s; a grant whose answer was lost waited out that backoff, while its items were leased.

--- a/src/leverjunction/batch/lease_fetcher.py
+++ b/src/leverjunction/batch/lease_fetcher.py
@@ -15,10 +15,9 @@
 
 CHECK_INTERVAL_S = 0.1
 EMPTY_POLL_S = 0.5
-MAX_EMPTY_POLL_S = 10.0
-"""A group without work is asked again after this, longer each time, spread by half: the longest
-wait is reached after some two minutes without work, so it bounds what an idle fleet's polls cost
-and hardly matters to heaps of jobs that come every 10 s."""
+MAX_EMPTY_POLL_S = 2.0
+"""A group without work is asked again after this, longer each time, spread by half. Most jobs come
+in heaps 10 s apart, so a longest wait near that would leave the fleet idle for much of it."""
 
 CALL_TIMEOUT_S = 3.0
 MAX_GRANT_ITEMS = 256
@@ -159,6 +158,9 @@
     def _wait_longer(self, place: tuple[str, str], now_s: float) -> None:
         polls = self._empty_polls.get(place, 0) + 1
         self._empty_polls[place] = polls
+        if place in self._unanswered:
+            # Its items may be leased to this gateway already, and would wait for the lease's end.
+            polls = 1
         wait_s = min(EMPTY_POLL_S * polls, MAX_EMPTY_POLL_S) * self._random.uniform(0.5, 1.0)
         self._next_poll_s[place] = now_s + wait_s
 
