Feature of leaving runners: the mark comes after every runner has worked

Cause: run in three parts beside each other, the drain row failed with 'the runner had no work before the event': the row before had taken the same runner away, it had just been listed again, and the mark came before its first work. The precondition is the test's own; nothing got late work. Excluded: new work after the mark (none was seen). Change: a step waits until every runner of the online service has worked, then the mark is made. Conclusion: as strict as before, and no longer a matter of timing.

--- a/tests/features/leaving_runner.feature
+++ b/tests/features/leaving_runner.feature
@@ -4,6 +4,7 @@
     Given a healthy <scenario> fleet
     And an accepted job of 3000 items
     And online traffic
+    And every runner of the online service has worked
     When <event>
     And <limit> s have passed
     And 40 more answers have come
--- a/tests/features/test_leaving_runner.py
+++ b/tests/features/test_leaving_runner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from pytest_bdd import parsers, scenarios, then, when
+from pytest_bdd import given, parsers, scenarios, then, when
 from tests.features.world import World, now_ms
 
 from testbed.engine.executions import Execution
@@ -13,6 +13,18 @@
 scenarios("leaving_runner.feature")
 
 
+@given("every runner of the online service has worked")
+def all_have_worked(world: World) -> None:
+    """Also the one that an earlier scenario took away and that has just come back."""
+    scenario = world.fleet.scenario
+    count = scenario.services[scenario.online_service].runners
+    runners = {f"{scenario.online_service}-{number}" for number in range(1, count + 1)}
+    world.wait(
+        lambda: runners <= {e.runner_id for e in world.fleet.executions(world.label)},
+        "every runner has worked",
+    )
+
+
 @when(parsers.parse("{limit:d} s have passed"))
 def limit_passed(world: World, limit: int) -> None:
     world.notes["limit_ms"] = now_ms() + limit * 1000
