--- a/src/leverjunction/api/batches.py
+++ b/src/leverjunction/api/batches.py
@@ -54,6 +54,7 @@
 MAX_LISTED = 100
 DEFAULT_LISTED = 20
 DEFAULT_PAGE_LINES = 1_000
+MAX_CURSOR = (1 << 62) - 1
 JSON_TYPE = "application/json"
 
 
@@ -204,8 +205,16 @@
         return fail(job) if isinstance(job, Failure) else answer_json(batch_object(job))
 
     def _list(self, tenant: str, query: dict[str, str]) -> bytes:
-        limit = _number(query.get("limit"), DEFAULT_LISTED, MAX_LISTED)
-        jobs = self._context.directory.list_accepted(tenant, limit + 1)
+        """Answer one page of the tenant's batches; ``after`` is the last id of the page before."""
+        limit = _number("limit", query, DEFAULT_LISTED, 1, MAX_LISTED)
+        if isinstance(limit, Failure):
+            return fail(limit)
+        after = query.get("after", "")
+        before = self._find(tenant, after) if after else None
+        if isinstance(before, Failure):
+            return fail(before)
+        # One more than the page holds tells whether there is another page.
+        jobs = self._context.directory.list_accepted(tenant, limit + 1, before)
         if isinstance(jobs, Failure):
             return fail(jobs)
         return answer_json(batch_list(jobs[:limit], has_more=len(jobs) > limit))
@@ -230,8 +239,12 @@
         job = self._find(tenant, batch_id)
         if isinstance(job, Failure):
             return fail(job)
-        after = _number(query.get("after"), 0, 1 << 62)
-        limit = _number(query.get("limit"), DEFAULT_PAGE_LINES, DEFAULT_PAGE_LINES)
+        after = _number("after", query, 0, 0, MAX_CURSOR)
+        if isinstance(after, Failure):
+            return fail(after)
+        limit = _number("limit", query, DEFAULT_PAGE_LINES, 1, DEFAULT_PAGE_LINES)
+        if isinstance(limit, Failure):
+            return fail(limit)
         job_id = job.spec.job_id
         page = self._context.directory.control.query(
             job_id.rpartition(".")[0], GetResults(job_id, after, limit), ResultPage
@@ -250,8 +263,13 @@
         return self._context.directory.find(tenant, batch_id.removeprefix(BATCH_PREFIX))
 
 
-def _number(text: str | None, default: int, maximum: int) -> int:
-    """Return a query's number within 0 to ``maximum``, or its default when it is none."""
-    if text is None or not text.isdigit():
+def _number(
+    name: str, query: dict[str, str], default: int, minimum: int, maximum: int
+) -> int | Failure:
+    """Return a number of the query, or its default when it does not stand there."""
+    text = query.get(name)
+    if text is None:
         return default
-    return min(int(text), maximum)
+    if text.isdecimal() and text.isascii() and minimum <= int(text) <= maximum:
+        return int(text)
+    return bad_request(f"{name}: expected a whole number from {minimum} to {maximum}, got {text!r}")
--- a/src/leverjunction/batch/commands.py
+++ b/src/leverjunction/batch/commands.py
@@ -348,11 +348,27 @@
     job_id: str
 
 
+class JobCursor(msgspec.Struct, frozen=True):
+    """Place of a job in a listing: newest first, jobs of one millisecond by falling id."""
+
+    created_ms: int
+    job_id: str
+
+
 class ListJobs(msgspec.Struct, frozen=True, tag="list_jobs"):
-    """Query jobs, newest first; an empty tenant means all. Reply: list[JobView]."""
+    """Query jobs, newest first. Reply: list[JobView].
+
+    Attributes:
+        tenant: Owner; empty for the jobs of all tenants.
+        limit: How many at most.
+        before: Only jobs that stand behind this place; None for the newest.
+        accepted_only: Leave out uploads that were not accepted as a job.
+    """
 
     tenant: str
     limit: int = 100
+    before: JobCursor | None = None
+    accepted_only: bool = False
 
 
 class GetResults(msgspec.Struct, frozen=True, tag="get_results"):
--- a/src/leverjunction/batch/directory.py
+++ b/src/leverjunction/batch/directory.py
@@ -9,7 +9,7 @@
 import msgspec
 import xxhash
 
-from leverjunction.batch.commands import GetJob, JobState, JobView, ListJobs
+from leverjunction.batch.commands import GetJob, JobCursor, JobView, ListJobs
 from leverjunction.errors import Failure, FailureKind, Step
 
 T = TypeVar("T")
@@ -80,14 +80,24 @@
             return job
         return job if job.spec.tenant == tenant else _not_found(job_id)
 
-    def list_accepted(self, tenant: str, limit: int) -> list[JobView] | Failure:
-        """Return a tenant's newest accepted jobs over all groups."""
+    def list_accepted(
+        self, tenant: str, limit: int, before: JobView | None = None
+    ) -> list[JobView] | Failure:
+        """Return a tenant's newest accepted jobs over all groups.
+
+        Args:
+            tenant: Owner.
+            limit: How many at most.
+            before: Last job of the page before this one; None for the first page.
+        """
+        cursor = None if before is None else JobCursor(before.created_ms, before.spec.job_id)
+        query = ListJobs(tenant, limit, cursor, accepted_only=True)
         jobs: list[JobView] = []
         for group in self._groups():
-            page = self.control.query(group, ListJobs(tenant, limit), list[JobView])
+            page = self.control.query(group, query, list[JobView])
             if isinstance(page, Failure):
                 return page
-            jobs += [job for job in page if job.state != JobState.OPEN]
+            jobs += page
         jobs.sort(key=lambda job: (job.created_ms, job.spec.job_id), reverse=True)
         return jobs[:limit]
 
--- a/src/leverjunction/batch/job_queries.py
+++ b/src/leverjunction/batch/job_queries.py
@@ -56,9 +56,9 @@
 
 
 def list_jobs(connection: sqlite3.Connection, query: ListJobs) -> list[JobView]:
-    """Return the newest jobs of a tenant, or of all tenants."""
+    """Return one page of a listing of jobs."""
     limit = max(0, min(query.limit, MAX_LISTED_JOBS))
-    return [job.view() for job in newest_jobs(connection, query.tenant, limit)]
+    return [job.view() for job in newest_jobs(connection, query, limit)]
 
 
 def get_results(connection: sqlite3.Connection, query: GetResults) -> ResultPage | Failure:
--- a/src/leverjunction/batch/job_rows.py
+++ b/src/leverjunction/batch/job_rows.py
@@ -5,7 +5,7 @@
 import sqlite3
 from dataclasses import dataclass, fields
 
-from leverjunction.batch.commands import JobSpec, JobState, JobView
+from leverjunction.batch.commands import JobSpec, JobState, JobView, ListJobs
 from leverjunction.errors import Failure, FailureKind, Step
 
 RESULTS_RETENTION_MS = 7 * 24 * 3600 * 1000
@@ -150,13 +150,23 @@
     return None if row is None else JobRow(*row)
 
 
-def newest_jobs(connection: sqlite3.Connection, tenant: str, limit: int) -> list[JobRow]:
-    """Return the newest jobs of a tenant, or of all when ``tenant`` is empty."""
-    if tenant:
-        query, parameters = f"{_SELECT} WHERE tenant = ?", [tenant]
-    else:
-        query, parameters = _SELECT, []
-    rows = connection.execute(f"{query} ORDER BY number DESC LIMIT ?", [*parameters, limit])
+def newest_jobs(connection: sqlite3.Connection, query: ListJobs, limit: int) -> list[JobRow]:
+    """Return the jobs of a listing, newest first."""
+    conditions: list[str] = []
+    parameters: list[str | int] = []
+    if query.tenant:
+        conditions.append("tenant = ?")
+        parameters.append(query.tenant)
+    if query.before is not None:
+        conditions.append("(created_ms, job_id) < (?, ?)")
+        parameters += [query.before.created_ms, query.before.job_id]
+    if query.accepted_only:
+        conditions.append("state != ?")
+        parameters.append(JobState.OPEN.value)
+    where = f"WHERE {' AND '.join(conditions)}" if conditions else ""
+    rows = connection.execute(
+        f"{_SELECT} {where} ORDER BY created_ms DESC, job_id DESC LIMIT ?", [*parameters, limit]
+    )
     return [JobRow(*row) for row in rows]
 
 
--- a/src/leverjunction/batch/tables.py
+++ b/src/leverjunction/batch/tables.py
@@ -51,7 +51,9 @@
     CREATE UNIQUE INDEX IF NOT EXISTS sm_jobs_key ON sm_jobs (tenant, idempotency_key)
     WHERE idempotency_key != ''
     """,
-    "CREATE INDEX IF NOT EXISTS sm_jobs_tenant ON sm_jobs (tenant, number)",
+    # Listings, newest first: of one tenant, and of all.
+    "CREATE INDEX IF NOT EXISTS sm_jobs_listed ON sm_jobs (tenant, created_ms, job_id)",
+    "CREATE INDEX IF NOT EXISTS sm_jobs_created ON sm_jobs (created_ms, job_id)",
     # Jobs that a deadline can still change; ExpireDeadlines reads its head.
     """
     CREATE INDEX IF NOT EXISTS sm_jobs_deadline ON sm_jobs (deadline_ms)
--- a/tests/unit/test_batch_api.py
+++ b/tests/unit/test_batch_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import itertools
 import json
 import random
 import socket
@@ -161,6 +162,39 @@
     assert ids == ["c0", "c1", "c2"]
 
 
+def test_official_client_pages_through_all_batches(server: Server) -> None:
+    client = openai.OpenAI(api_key="key-kilimo", base_url=server.url, max_retries=0)
+    created = []
+    for _ in range(7):
+        # A file that no batch was made of must not take a place on a page.
+        server.request("POST", "/batches", lines(1), tenant="hanbit")
+        client.files.create(file=("in.jsonl", lines(1)), purpose="batch")
+        created.append(json.loads(server.request("POST", "/batches", lines(1)).data)["id"])
+    # An endless listing would give each batch again and again.
+    listed = [batch.id for batch in itertools.islice(client.batches.list(limit=2), 20)]
+    assert sorted(listed) == sorted(created)
+    times = [client.batches.retrieve(batch_id).created_at for batch_id in listed]
+    assert times == sorted(times, reverse=True)
+    page = client.batches.list(limit=7)
+    assert (len(page.data), page.has_more) == (7, False)
+
+
+@pytest.mark.parametrize(
+    ("query", "status", "reason"),
+    [
+        ("limit=0", 400, "limit: expected a whole number from 1 to 100, got '0'"),
+        ("limit=many", 400, "limit: expected a whole number from 1 to 100, got 'many'"),
+        ("after=batch_jobs-0.00", 404, "no job 'jobs-0.00'"),
+    ],
+)
+def test_listing_refuses_a_page_that_it_cannot_give(
+    server: Server, query: str, status: int, reason: str
+) -> None:
+    refused = server.request("GET", f"/batches?{query}")
+    assert refused.status == status, refused.data
+    assert reason in json.loads(refused.data)["error"]["message"]
+
+
 def test_tenants_see_only_their_own_jobs(server: Server) -> None:
     batch = json.loads(server.request("POST", "/batches", lines(1)).data)["id"]
     job_id = batch.removeprefix("batch_")
