Scale run: loses a whole zone, or silences a region

A change counts over the spared gateways; those of a silenced region count from the end of the silence.

Excluded: cutting the region's links. The hollow fleet connects directly; a relay for each of its some thousand connections would be measured in place of the fleet.

Tests: the split of a change's figures, and the workers of one zone.

--- a/src/testbed/scale/figures.py
+++ b/src/testbed/scale/figures.py
@@ -18,6 +18,7 @@
 from testbed.scale.operators import ChangeTime
 from testbed.scale.resources import Usage
 from testbed.scale.result import ChangeResult, GatewaySide, Quantiles
+from testbed.scale.strikes import Struck
 
 US_PER_MS = 1000.0
 
@@ -84,23 +85,37 @@
 
 
 def change_result(
-    change: ChangeTime, records: Sequence[InForce], killed_s: float | None
+    change: ChangeTime, records: Sequence[InForce], struck: Struck | None
 ) -> ChangeResult:
     """Return how long a change took to be in force, over the gateways that got it."""
-    first: dict[str, float] = {}
-    for record in records:
-        if record.version >= change.version:
-            earlier = first.get(record.gateway_id, record.monotonic_s)
-            first[record.gateway_id] = min(earlier, record.monotonic_s)
+    zones = frozenset[str]() if struck is None else struck.zones
+    spared = _first_in_force([each for each in records if each.zone not in zones], change.version)
+    hit = _first_in_force([each for each in records if each.zone in zones], change.version)
+    caught_up: list[float] = []
+    if struck is not None and struck.until_s is not None:
+        # A change that was in force before the strike has nothing to catch up with.
+        since_s = max(change.sent_s, struck.until_s)
+        caught_up = [time_s - since_s for time_s in hit if time_s > struck.at_s]
     return ChangeResult(
         version=change.version,
         acknowledged_s=change.acknowledged_s - change.sent_s,
-        in_force_s=quantiles([time_s - change.sent_s for time_s in first.values()]),
-        reached=len(first),
-        after_kill=killed_s is not None and change.sent_s > killed_s,
+        in_force_s=quantiles([time_s - change.sent_s for time_s in spared]),
+        reached=len(spared) + len(hit),
+        caught_up_s=quantiles(caught_up),
+        after_strike=struck is not None and change.sent_s > struck.at_s,
     )
 
 
+def _first_in_force(records: Sequence[InForce], version: int) -> list[float]:
+    """Return when each gateway first had a version, or a later one, in force."""
+    first: dict[str, float] = {}
+    for record in records:
+        if record.version >= version:
+            earlier = first.get(record.gateway_id, record.monotonic_s)
+            first[record.gateway_id] = min(earlier, record.monotonic_s)
+    return list(first.values())
+
+
 def _total(reports: Sequence[GatewayWorkerReport], field: str) -> int:
     return sum(int(getattr(report, field)) for report in reports)
 
--- a/src/testbed/scale/fleet.py
+++ b/src/testbed/scale/fleet.py
@@ -4,7 +4,9 @@
 
 import os
 import signal
+from collections.abc import Sequence
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 from loguru import logger
@@ -28,6 +30,7 @@
     GATEWAYS_PER_PROCESS,
     RUNNERS_PER_PROCESS,
     ScaleOptions,
+    region_name,
     zone_name,
 )
 from testbed.scale.processes import (
@@ -42,6 +45,8 @@
 
 RUNNER_START_TIMEOUT_S = 60.0
 
+Profile = TypeVar("Profile", GatewayProfile, RunnerProfile)
+
 
 class Fleet:
     """Processes of one run, in the order in which they start."""
@@ -57,6 +62,7 @@
         self.real_gateways: list[ChildProcess] = []
         self.machine_list: MachineList | None = None
         self._report_paths: list[Path] = []
+        self._zones: dict[str, str] = {}
 
     @property
     def groups(self) -> list[str]:
@@ -66,9 +72,7 @@
     def start_runners(self) -> None:
         """Start the hollow runners and list them."""
         profiles = [self._runner(index) for index in range(self.options.runners)]
-        paths = []
-        for start in range(0, len(profiles), RUNNERS_PER_PROCESS):
-            paths.append(self._start_runner_worker(profiles[start : start + RUNNERS_PER_PROCESS]))
+        paths = [self._start_runner_worker(part) for part in by_zone(profiles, RUNNERS_PER_PROCESS)]
         if not wait_until(lambda: all(path.exists() for path in paths), RUNNER_START_TIMEOUT_S):
             raise ScaleError("the hollow runners did not start")
         addresses: dict[str, str] = {}
@@ -98,15 +102,17 @@
                 self.secrets,
                 self.machine_list.url,
             )
+            self._zones[child.name] = control.zone
             self.control_processes.append(child)
 
     def start_gateways(self) -> None:
         """Start the hollow gateways and the real ones."""
         profiles = [self._gateway(index) for index in range(self.options.gateways)]
-        for start in range(0, len(profiles), GATEWAYS_PER_PROCESS):
-            self._start_gateway_worker(profiles[start : start + GATEWAYS_PER_PROCESS])
+        for part in by_zone(profiles, GATEWAYS_PER_PROCESS):
+            self._start_gateway_worker(part)
         for index in range(self.options.real_gateways):
             child = start_gateway(index, self.controls, self.options, self.folder, self.secrets)
+            self._zones[child.name] = zone_name(index, self.options.zones)
             self.real_gateways.append(child)
         self._check_size()
 
@@ -130,6 +136,23 @@
         by_name = {child.name: child for child in self.control_processes}
         return by_name.get(name or "", self.control_processes[-1])
 
+    def zone_of(self, child: ChildProcess) -> str:
+        """Return the zone in which a process stands."""
+        return self._zones[child.name]
+
+    def zones_beside(self, zone: str) -> frozenset[str]:
+        """Return the zones of a zone's region."""
+        options = self.options
+        regions = {
+            zone_name(index, options.zones): region_name(index, options.zones, options.regions)
+            for index in range(options.zones)
+        }
+        return frozenset(each for each, region in regions.items() if region == regions[zone])
+
+    def children_in(self, zones: frozenset[str]) -> list[ChildProcess]:
+        """Return every process of some zones."""
+        return [child for child in self._children() if self.zone_of(child) in zones]
+
     def in_step(self, version: int) -> bool:
         """Return whether all hollow gateways have ``version`` in force and own all runners."""
         self.check_memory()
@@ -174,6 +197,7 @@
 
     def _start_runner_worker(self, profiles: list[RunnerProfile]) -> Path:
         name = f"runners-{len(self.runner_workers)}"
+        self._zones[name] = profiles[0].zone
         addresses = self.folder / f"{name}.addresses.json"
         spec = RunnerWorkerSpec(
             profiles=profiles, seed=self.options.seed, addresses_path=str(addresses)
@@ -184,6 +208,7 @@
     def _start_gateway_worker(self, profiles: list[GatewayProfile]) -> None:
         options = self.options
         name = f"gateways-{len(self.gateway_workers)}"
+        self._zones[name] = profiles[0].zone
         report = self.folder / f"{name}.report.json"
         spec = GatewayWorkerSpec(
             profiles=profiles,
@@ -225,3 +250,15 @@
         logger.info("{} processes", count)
         if count > MAX_PROCESSES:
             raise ScaleError(f"{count} processes are more than {MAX_PROCESSES}")
+
+
+def by_zone(profiles: Sequence[Profile], most: int) -> list[list[Profile]]:
+    """Deal profiles to worker processes: of one zone each, so that a zone can fail as a whole."""
+    zones: dict[str, list[Profile]] = {}
+    for profile in profiles:
+        zones.setdefault(profile.zone, []).append(profile)
+    return [
+        members[start : start + most]
+        for members in zones.values()
+        for start in range(0, len(members), most)
+    ]
--- a/src/testbed/scale/hollow_gateway.py
+++ b/src/testbed/scale/hollow_gateway.py
@@ -37,6 +37,7 @@
     """A settings version came into force in a gateway, at a monotonic time of this machine."""
 
     gateway_id: str
+    zone: str
     version: int
     monotonic_s: float
 
@@ -152,7 +153,12 @@
         if reply.settings_version > self._settings_version:
             self._settings_version = reply.settings_version
             self.in_force.append(
-                InForce(self.profile.gateway_id, reply.settings_version, self._clock.monotonic_s())
+                InForce(
+                    self.profile.gateway_id,
+                    self.profile.zone,
+                    reply.settings_version,
+                    self._clock.monotonic_s(),
+                )
             )
         self._view_version = reply.view_version
         self._hub_incarnation = reply.hub_incarnation
--- a/src/testbed/scale/options.py
+++ b/src/testbed/scale/options.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from testbed.scale.strikes import Strike
+
 GATEWAYS_PER_PROCESS = 43
 RUNNERS_PER_PROCESS = 150
 
@@ -34,8 +36,8 @@
         changes: Settings changes made during the window.
         warmup_s: Time before the window, after all gateways are in step.
         window_s: Measured time.
-        kill_control: Whether the control process that leads group root is killed half-way through
-            the window.
+        strike: What fails half-way through the window.
+        silence_s: How long a silenced region stands still.
         seed: Seed of every random choice.
     """
 
@@ -60,7 +62,8 @@
     changes: int = 0
     warmup_s: float = 3.0
     window_s: float = 15.0
-    kill_control: bool = False
+    strike: Strike = Strike.NONE
+    silence_s: float = 8.0
     seed: int = 1
 
 
--- a/src/testbed/scale/processes.py
+++ b/src/testbed/scale/processes.py
@@ -45,10 +45,22 @@
         return self._process.poll() is None
 
     def kill(self) -> None:
-        """End it at once, as a machine failure would."""
+        """End it at once, as a machine failure would, and wait for the end."""
         self._process.kill()
         self._process.wait(STOP_TIMEOUT_S)
 
+    def send_kill(self) -> None:
+        """End it at once, without waiting."""
+        self._process.kill()
+
+    def freeze(self) -> None:
+        """Let it stand still until :meth:`thaw`."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self._process.send_signal(signal.SIGCONT)
+
     def ask_to_stop(self) -> None:
         """Send SIGTERM."""
         if self.running:
--- a/src/testbed/scale/report.py
+++ b/src/testbed/scale/report.py
@@ -22,6 +22,9 @@
     )
     console.print(_control_table(result))
     console.print(_gateway_table(result))
+    if result.struck is not None:
+        zones = ", ".join(sorted(result.struck.zones)) or "no whole zone"
+        console.print(f"struck: {len(result.struck.processes)} processes, {zones}")
     if result.changes:
         console.print(_change_table(result))
 
@@ -31,7 +34,7 @@
     for control in result.controls:
         usage = control.usage
         if usage is None:
-            table.add_row(control.name, "killed" if control.killed else "gone")
+            table.add_row(control.name, "struck" if control.struck else "gone")
             continue
         table.add_row(
             control.name,
@@ -76,7 +79,16 @@
 
 
 def _change_table(result: ScaleResult) -> Table:
-    table = Table("change", "acknowledged s", "p50 s", "p99 s", "max s", "gateways", "after kill")
+    table = Table(
+        "change",
+        "acknowledged s",
+        "p50 s",
+        "p99 s",
+        "max s",
+        "gateways",
+        "after strike",
+        "struck caught up, max s",
+    )
     for change in result.changes:
         table.add_row(
             str(change.version),
@@ -85,6 +97,9 @@
             f"{change.in_force_s.p99:.3f}",
             f"{change.in_force_s.maximum:.3f}",
             str(change.reached),
-            "yes" if change.after_kill else "",
+            "yes" if change.after_strike else "",
+            f"{change.caught_up_s.maximum:.3f} ({change.caught_up_s.count})"
+            if change.caught_up_s.count
+            else "",
         )
     return table
--- a/src/testbed/scale/result.py
+++ b/src/testbed/scale/result.py
@@ -7,6 +7,7 @@
 from testbed.scale.lease_traffic import LeaseCount
 from testbed.scale.options import ScaleOptions
 from testbed.scale.resources import Usage
+from testbed.scale.strikes import Struck
 
 
 class Quantiles(msgspec.Struct, frozen=True):
@@ -25,14 +26,14 @@
         name: Its name.
         usage: Processor time, memory and disk.
         wire_bytes_per_s: Its TCP traffic, both ways, with packet headers.
-        killed: Whether the run killed it.
+        struck: Whether the run's strike hit it.
         data_bytes: Size of its data folder at the end.
     """
 
     name: str
     usage: Usage | None
     wire_bytes_per_s: float
-    killed: bool
+    struck: bool
     data_bytes: int
 
 
@@ -76,16 +77,19 @@
     Attributes:
         version: Its version.
         acknowledged_s: From sending it to its acknowledgement.
-        in_force_s: From sending it until it was in force, over all gateways that got it.
-        reached: Gateways that had it in force.
-        after_kill: Whether it was sent after the control process was killed.
+        in_force_s: From sending it until it was in force, over all gateways that got it and are
+            not in a zone that the strike hit.
+        reached: Gateways that had it in force, those in such zones included.
+        caught_up_s: From the end of a silence until it was in force at the gateways that it hit.
+        after_strike: Whether it was sent after the strike.
     """
 
     version: int
     acknowledged_s: float
     in_force_s: Quantiles
     reached: int
-    after_kill: bool
+    caught_up_s: Quantiles
+    after_strike: bool
 
 
 class ScaleResult(msgspec.Struct, frozen=True, kw_only=True):
@@ -106,6 +110,7 @@
             and runners.
         real_gateway_control_bytes_per_s: Of these, towards control processes.
         changes: Settings changes.
+        struck: What the strike hit; None when there was none.
         machine_list_polls_per_s: Polls of the machine list, all control processes together.
         jobs_submitted_s: Time that it took to submit the jobs.
         outcome: ``complete``, or what was not reached.
@@ -124,6 +129,7 @@
     real_gateway_wire_bytes_per_s: list[float]
     real_gateway_control_bytes_per_s: list[float]
     changes: list[ChangeResult]
+    struck: Struck | None
     machine_list_polls_per_s: float
     jobs_submitted_s: float
     outcome: str
--- a/src/testbed/scale/run.py
+++ b/src/testbed/scale/run.py
@@ -32,6 +32,7 @@
     wire_bytes_per_s,
 )
 from testbed.scale.result import ChangeResult, ControlResult, GatewaySide, ScaleResult
+from testbed.scale.strikes import Strike, Struck, kill, silence
 
 QUORUM_TIMEOUT_S = 40.0
 IN_STEP_TIMEOUT_S = 60.0
@@ -97,6 +98,7 @@
             frozenset(control.rpc_port for control in fleet.controls)
         ),
         changes=window.change_results(),
+        struck=window.struck,
         machine_list_polls_per_s=window.polls_per_s,
         jobs_submitted_s=jobs_submitted_s,
         outcome="complete" if in_step else "not all gateways came into step",
@@ -104,14 +106,13 @@
 
 
 class _Window:
-    """The measured window: readings at both ends, changes and a kill in between."""
+    """The measured window: readings at both ends, changes and a strike in between."""
 
     def __init__(self, fleet: Fleet, operator: Operator) -> None:
         self._fleet = fleet
         self._operator = operator
         self._changes: list[ChangeTime] = []
-        self._killed: ChildProcess | None = None
-        self._killed_s: float | None = None
+        self._struck: Struck | None = None
         self.seconds = 0.0
         self.polls_per_s = 0.0
 
@@ -124,9 +125,9 @@
         self._ends_s = time.monotonic() + options.window_s
         operator = threading.Thread(target=self._make_changes, daemon=True)
         operator.start()
-        if options.kill_control:
+        if options.strike is not Strike.NONE:
             time.sleep(options.window_s / 2)
-            self._kill()
+            self._struck = self._strike(options)
         while time.monotonic() < self._ends_s:
             self._fleet.check_memory()
             time.sleep(min(MEMORY_CHECK_S, max(0.0, self._ends_s - time.monotonic())))
@@ -148,7 +149,7 @@
                     name=child.name,
                     usage=usage,
                     wire_bytes_per_s=self._wire(child) if usage is not None else 0.0,
-                    killed=child is self._killed,
+                    struck=self._struck is not None and child.name in self._struck.processes,
                     data_bytes=folder_bytes(self._fleet.folder / child.name),
                 )
             )
@@ -172,7 +173,12 @@
 
     def change_results(self) -> list[ChangeResult]:
         records = [record for report in self._reports_last for record in report.in_force]
-        return [change_result(change, records, self._killed_s) for change in self._changes]
+        return [change_result(change, records, self._struck) for change in self._changes]
+
+    @property
+    def struck(self) -> Struck | None:
+        """What the strike hit; None when there was none."""
+        return self._struck
 
     def _make_changes(self) -> None:
         options = self._fleet.options
@@ -195,11 +201,16 @@
                 logger.warning("{}", error)
         return False
 
-    def _kill(self) -> None:
-        self._killed = self._fleet.control_leader()
-        self._killed_s = time.monotonic()
-        logger.info("kill {} (process {})", self._killed.name, self._killed.process_id)
-        self._killed.kill()
+    def _strike(self, options: ScaleOptions) -> Struck:
+        leader = self._fleet.control_leader()
+        if options.strike is Strike.KILL_LEADER:
+            return kill([leader], frozenset())
+        zone = self._fleet.zone_of(leader)
+        if options.strike is Strike.LOSE_ZONE:
+            zones = frozenset({zone})
+            return kill(self._fleet.children_in(zones), zones)
+        zones = self._fleet.zones_beside(zone)
+        return silence(self._fleet.children_in(zones), zones, options.silence_s)
 
     def _snapshot(self) -> Snapshot:
         fleet = self._fleet
--- a/tests/unit/test_scale_resources.py
+++ b/tests/unit/test_scale_resources.py
@@ -4,10 +4,13 @@
 
 from testbed.scale.cluster import FIRST_PORT, LAST_PORT, free_ports
 from testbed.scale.figures import change_result, quantiles
+from testbed.scale.fleet import by_zone
 from testbed.scale.hollow_gateway import InForce
 from testbed.scale.operators import ChangeTime, initial_leaves
 from testbed.scale.options import ScaleOptions, region_name
 from testbed.scale.resources import SocketCount, parse_sockets, wire_bytes_per_s
+from testbed.scale.runner_worker import RunnerProfile
+from testbed.scale.strikes import Struck
 
 LISTING = (
     'ESTAB 0 0 127.0.0.1:40112 127.0.0.1:9000 users:(("python",pid=71,fd=9)) '
@@ -58,9 +61,41 @@
     records: list[tuple[str, int, float]], reached: int, maximum: float
 ) -> None:
     change = ChangeTime(version=3, sent_s=10.0, acknowledged_s=10.1)
-    result = change_result(change, [InForce(*record) for record in records], killed_s=9.0)
+    struck = Struck(zones=frozenset(), processes=frozenset({"control-0"}), at_s=9.0)
+    in_force = [InForce(gateway, "zone-00", *when) for gateway, *when in records]
+    result = change_result(change, in_force, struck)
     assert (result.reached, result.in_force_s.maximum) == (reached, maximum)
-    assert result.after_kill
+    assert result.after_strike
+
+
+@pytest.mark.parametrize(
+    ("sent_s", "records", "spared", "caught_up"),
+    [
+        pytest.param(12.0, [("a", "spared", 12.5), ("b", "hit", 21.0)], 0.5, 1.0, id="during"),
+        pytest.param(22.0, [("a", "spared", 22.5), ("b", "hit", 23.0)], 0.5, 1.0, id="after"),
+        pytest.param(5.0, [("a", "spared", 5.5), ("b", "hit", 6.0)], 0.5, 0.0, id="before"),
+    ],
+)
+def test_gateways_of_a_silenced_region_count_from_the_end_of_the_silence(
+    sent_s: float, records: list[tuple[str, str, float]], spared: float, caught_up: float
+) -> None:
+    change = ChangeTime(version=3, sent_s=sent_s, acknowledged_s=sent_s + 0.1)
+    struck = Struck(
+        zones=frozenset({"hit"}), processes=frozenset({"gateways-0"}), at_s=10.0, until_s=20.0
+    )
+    in_force = [InForce(gateway, zone, 3, time_s) for gateway, zone, time_s in records]
+    result = change_result(change, in_force, struck)
+    assert result.in_force_s.maximum == spared
+    assert (result.caught_up_s.maximum, result.reached) == (caught_up, 2)
+
+
+def test_workers_hold_members_of_one_zone() -> None:
+    profiles = [
+        RunnerProfile(runner_id=str(index), zone=f"zone-{index % 2}", service="s", models=[])
+        for index in range(5)
+    ]
+    workers = [[profile.runner_id for profile in worker] for worker in by_zone(profiles, 2)]
+    assert workers == [["0", "2"], ["4"], ["1", "3"]]
 
 
 def test_quantiles_of_nothing_and_of_much() -> None:
--- a/tests/unit/test_scale_sweep.py
+++ b/tests/unit/test_scale_sweep.py
@@ -18,7 +18,7 @@
         name=name,
         usage=None if killed else usage,
         wire_bytes_per_s=2000.0,
-        killed=killed,
+        struck=killed,
         data_bytes=1,
     )
 
@@ -59,6 +59,7 @@
         real_gateway_wire_bytes_per_s=[],
         real_gateway_control_bytes_per_s=[],
         changes=[],
+        struck=None,
         machine_list_polls_per_s=1.0,
         jobs_submitted_s=0.0,
         outcome=outcome,
