Repair bench counts what all replicas send, not a leader that was lost

Cause: the bench took the sent bytes of the replica that led before the disk was lost. Three runs with the leader frozen for 2 s beside the start of the blank process (scratch script, 3 MB, load 7): old leader 0.013, 2.49 (it led again) and 0.069 MB, new leader 2.49 and 2.51 MB.

Excluded: that a repair is reported before the replica holds everything. In the same runs the repaired replica's files held 3.05 to 3.16 MB when the repair was reported, and it had applied up to the survivors' index. In 11 runs without a change of leader beside two busy processes 2.27 to 2.35 MB were sent by the leader each time.

Change: sent bytes are summed over all replicas, any replica's report ends the wait, and the report holds the size of the repaired replica's files at that moment.

Test: the repair test has a row with a change of leader (5 replicas), seen failing before the change with 0.0 MB of 3 MB; it now also asserts the size of the repaired replica's files, so it is stricter.

--- a/src/testbed/load/consensus_bench.py
+++ b/src/testbed/load/consensus_bench.py
@@ -168,9 +168,17 @@
 
 
 def repair(
-    replicas: int = 3, megabytes: int = 200, foreground_s: float = 10.0, json: str = NO_FILE
+    replicas: int = 3,
+    megabytes: int = 200,
+    foreground_s: float = 10.0,
+    change_leader: bool = False,
+    json: str = NO_FILE,
 ) -> None:
-    """Measure the repair of a wiped replica, and the foreground's latency meanwhile."""
+    """Measure the repair of a wiped replica, and the foreground's latency meanwhile.
+
+    With ``change_leader`` the leader is frozen before the blank process starts, until another
+    one leads; that takes five replicas, since one of them is lost already.
+    """
     with _folder() as folder, ReplicaCluster(replicas, Path(folder)) as cluster:
         _fill(cluster, megabytes)
         cluster.wait_settled()
@@ -184,26 +192,37 @@
         victim = next(address for address in cluster.addresses if address != leader)
         cluster.kill(victim)
         cluster.wipe(victim)
-        sent_before = _sent_bytes(cluster, leader)
+        survivors = [address for address in cluster.addresses if address != victim]
+        sent_before = _sent_bytes(cluster, survivors)
         load.reset()
+        if change_leader:
+            _change_leader(cluster, leader)
         started_s = time.perf_counter()
         cluster.start(victim)
         wait_until(
-            lambda: _status(cluster, leader).repairs > 0, REPAIR_TIMEOUT_S, "the repair is reported"
+            lambda: any(status.repairs for status in cluster.statuses()),
+            REPAIR_TIMEOUT_S,
+            "the repair is reported",
         )
         seconds = time.perf_counter() - started_s
         during = load.reset()
-        sent = _sent_bytes(cluster, leader) - sent_before
+        # All replicas: a leader that is lost in between leaves the transfer to the next one.
+        sent = _sent_bytes(cluster, cluster.addresses) - sent_before
+        repaired = cluster.data_bytes(victim)
         load.stop()
         cluster.wait_settled()
         report = RepairReport(
             replicas=replicas,
             held_mb=held / BYTES_PER_MB,
+            repaired_mb=repaired / BYTES_PER_MB,
             seconds=seconds,
             sent_mb=sent / BYTES_PER_MB,
             before=before,
             during=during,
-            leader_peak_mb=_status(cluster, leader).resident_peak_bytes / BYTES_PER_MB,
+            survivor_peak_mb=max(
+                _status(cluster, address).resident_peak_bytes / BYTES_PER_MB
+                for address in survivors
+            ),
             repaired_peak_mb=_status(cluster, victim).resident_peak_bytes / BYTES_PER_MB,
         )
     _give(report, json)
@@ -261,6 +280,15 @@
     return min(acknowledged_s) - struck_s
 
 
+def _change_leader(cluster: ReplicaCluster, leader: str) -> None:
+    """Freeze the leader until another replica leads."""
+    cluster.freeze(leader)
+    wait_until(
+        lambda: cluster.leader() not in ("", leader), FAILOVER_TIMEOUT_S, "another replica leads"
+    )
+    cluster.thaw(leader)
+
+
 def _fill(cluster: ReplicaCluster, megabytes: int) -> None:
     """Put items of so many megabytes into the group."""
     commands = megabytes * BYTES_PER_MB // (FILL_ITEMS * FILL_BODY_BYTES)
@@ -285,8 +313,9 @@
     return status
 
 
-def _sent_bytes(cluster: ReplicaCluster, address: str) -> int:
-    return int(_status(cluster, address).sent_bytes)
+def _sent_bytes(cluster: ReplicaCluster, addresses: list[str]) -> int:
+    """Return what these replicas have sent to their peers since each was started."""
+    return sum(int(_status(cluster, address).sent_bytes) for address in addresses)
 
 
 def _leader_processor_s(cluster: ReplicaCluster) -> float:
--- a/src/testbed/load/consensus_reports.py
+++ b/src/testbed/load/consensus_reports.py
@@ -40,20 +40,22 @@
         replicas: Replicas of the group.
         held_mb: Size of the leader's files before the disk was lost.
         seconds: From the start of the blank process until the lost id is dropped.
-        sent_mb: What the leader sent to its peers in that time.
+        repaired_mb: Size of the repaired replica's files when the repair is reported.
+        sent_mb: What all replicas sent to their peers in that time.
         before: Foreground acknowledgement latency before the loss.
         during: The same during the repair.
-        leader_peak_mb: Highest resident memory of the leader.
+        survivor_peak_mb: Highest resident memory of a replica that kept its disk.
         repaired_peak_mb: Highest resident memory of the repaired replica.
     """
 
     replicas: int
     held_mb: float
+    repaired_mb: float
     seconds: float
     sent_mb: float
     before: LatencySummary
     during: LatencySummary
-    leader_peak_mb: float
+    survivor_peak_mb: float
     repaired_peak_mb: float
 
 
--- a/tests/unit/test_consensus_bench.py
+++ b/tests/unit/test_consensus_bench.py
@@ -13,14 +13,19 @@
 pytestmark = pytest.mark.fleet
 
 BODY_SHARE = 0.5
-"""Least share of the state's size that a repair sends; log, indexes and free pages are not sent."""
+"""Least share of the state's size that a repair sends and stores; log, indexes and free pages
+are not sent."""
 
 
-def test_a_wiped_replica_is_repaired_with_as_many_bytes_as_it_held(tmp_path: Path) -> None:
+@pytest.mark.parametrize(("replicas", "change_leader"), [(3, False), (5, True)])
+def test_a_wiped_replica_is_repaired_with_as_many_bytes_as_it_held(
+    tmp_path: Path, replicas: int, change_leader: bool
+) -> None:
     file = tmp_path / "repair.json"
-    repair(megabytes=3, foreground_s=0.5, json=str(file))
+    repair(replicas, megabytes=3, foreground_s=0.5, change_leader=change_leader, json=str(file))
     report = msgspec.json.decode(file.read_bytes(), type=RepairReport)
     assert report.sent_mb > 3 * BODY_SHARE
+    assert report.repaired_mb > 3 * BODY_SHARE
     assert report.during.count > 0
 
 
