--- a/src/leverjunction/control/process.py
+++ b/src/leverjunction/control/process.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from prometheus_client import REGISTRY
 
+from leverjunction.allocator import return_large_buffers
 from leverjunction.clock import SystemClock
 from leverjunction.config.control import ControlConfig
 from leverjunction.control.node import ControlNode
@@ -23,6 +24,7 @@
     Returns:
         0 after a planned stop; 1 when it could not start.
     """
+    return_large_buffers()
     setup_logging(config.log, config.name)
     stop_asked = threading.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/src/testbed/load/consensus_worker.py
+++ b/src/testbed/load/consensus_worker.py
@@ -16,6 +16,7 @@
 import psutil
 from loguru import logger
 
+from leverjunction.allocator import return_large_buffers
 from leverjunction.batch.state_machine import JobsStateMachine
 from leverjunction.clock import SystemClock
 from leverjunction.consensus.group import GroupReplica
@@ -171,6 +172,7 @@
         members: RPC addresses of the group, separated by commas.
         data_path: Its SQLite file.
     """
+    return_large_buffers()
     logger.remove()
     Worker(address, members.split(","), Path(data_path)).run()
 
