Bench of the bytes that a job group's replica writes, by table and index

Change: testbed.load.written_bytes drives one replica's engine, store and job state machine command by command, and counts the frames of the write-ahead log by the table or index that owns their page.

Conclusion: a lease takes one item from each of 16 tenants, so grant and completion change a page of each of 16 jobs in three tables.

Test: the causes add up to the log's bytes.

--- /dev/null
+++ b/tests/unit/test_written_bytes.py
@@ -0,0 +1,22 @@
+"""What a replica writes for its items is counted whole, and by its cause."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from testbed.load.written_bytes import WrittenReport, measure
+
+
+def test_causes_add_up_to_what_the_log_took(tmp_path: Path) -> None:
+    report = measure(tmp_path / "group.sqlite", jobs=2, items_per_job=64, lease_items=16)
+    assert report.items == 128
+    total = sum(cause.bytes_per_item for cause in report.causes)
+    assert total == pytest.approx(report.log_bytes_per_item)
+    assert _pages(report, "raft_log") >= 1
+
+
+def _pages(report: WrittenReport, name: str) -> float:
+    """Return the pages for a commit that belong to a table or index."""
+    return sum(cause.pages_per_commit for cause in report.causes if cause.name == name)
