Commits leave indexes alone whose keys have not changed

Cause: each commit wrote two whole pages for indexes in which nothing changed. The group's own values (applied index, commit number) were put by INSERT OR REPLACE, which gives the row a new rowid and so rewrites the key's index; and a job row was saved by one UPDATE of all columns, which makes SQLite write every index of a column that is set, also to the same value.

Change: an upsert keeps the row in its place; columns of jobs that an index reads are set only when one of them differs. No change of the schema or of files.

--- a/src/leverjunction/batch/job_rows.py
+++ b/src/leverjunction/batch/job_rows.py
@@ -114,7 +114,15 @@
 _SELECT = f"SELECT {', '.join(_COLUMNS)} FROM sm_jobs"
 _INSERT = f"INSERT INTO sm_jobs ({', '.join(_COLUMNS)}) VALUES ({', '.join('?' for _ in _COLUMNS)})"
 _CHANGING = _COLUMNS[_COLUMNS.index("content_hash") :]
-_UPDATE = f"UPDATE sm_jobs SET {', '.join(f'{c} = ?' for c in _CHANGING)} WHERE number = ?"
+# Columns that an index reads. SQLite writes the index anew whenever a statement sets one of them,
+# also to the same value, so they are set only when they differ.
+_INDEXED = ("deadline_ms", "state", "finished_ms", "closed", "keep_until_ms", "removed_ms")
+_PLAIN = tuple(column for column in _CHANGING if column not in _INDEXED)
+_UPDATE_PLAIN = f"UPDATE sm_jobs SET {', '.join(f'{c} = ?' for c in _PLAIN)} WHERE number = ?"
+_UPDATE_INDEXED = (
+    f"UPDATE sm_jobs SET {', '.join(f'{c} = ?' for c in _INDEXED)} WHERE number = ?"
+    f" AND ({', '.join(_INDEXED)}) IS NOT ({', '.join('?' for _ in _INDEXED)})"
+)
 
 
 def insert_job(connection: sqlite3.Connection, job: JobRow) -> None:
@@ -124,8 +132,10 @@
 
 def save_job(connection: sqlite3.Connection, job: JobRow) -> None:
     """Write the changed columns of a loaded row."""
-    values = [getattr(job, column) for column in _CHANGING]
-    connection.execute(_UPDATE, [*values, job.number])
+    plain = [getattr(job, column) for column in _PLAIN]
+    connection.execute(_UPDATE_PLAIN, [*plain, job.number])
+    indexed = [getattr(job, column) for column in _INDEXED]
+    connection.execute(_UPDATE_INDEXED, [*indexed, job.number, *indexed])
 
 
 def job_by_id(connection: sqlite3.Connection, job_id: str) -> JobRow | None:
--- a/src/leverjunction/consensus/store.py
+++ b/src/leverjunction/consensus/store.py
@@ -50,6 +50,11 @@
     "SELECT idx, term, kind, wall_ms, checksum, payload FROM raft_log"
     " WHERE idx BETWEEN ? AND ? ORDER BY idx"
 )
+# Not INSERT OR REPLACE: a row that stays in place leaves the pages of the key's index alone.
+_PUT_META = """
+INSERT INTO raft_meta VALUES (?, ?, ?)
+ON CONFLICT DO UPDATE SET value = excluded.value, checksum = excluded.checksum
+"""
 _INSERT_ENTRY = "INSERT INTO raft_log VALUES (?, ?, ?, ?, ?, ?)"
 
 
@@ -259,10 +264,7 @@
             )
 
     def _put(self, key: str, value: bytes) -> None:
-        self.connection.execute(
-            "INSERT OR REPLACE INTO raft_meta VALUES (?, ?, ?)",
-            (key, value, _checksum(key.encode(), value)),
-        )
+        self.connection.execute(_PUT_META, (key, value, _checksum(key.encode(), value)))
 
     def _put_sequence(self, sequence: int) -> None:
         self._put("commit_sequence", str(sequence).encode())
--- a/tests/unit/test_written_bytes.py
+++ b/tests/unit/test_written_bytes.py
@@ -17,6 +17,15 @@
     assert _pages(report, "raft_log") >= 1
 
 
+@pytest.mark.parametrize("index", ["sm_jobs_deadline", "sqlite_autoindex_raft_meta_1"])
+def test_a_lease_leaves_indexes_alone_whose_keys_it_does_not_change(
+    tmp_path: Path, index: str
+) -> None:
+    report = measure(tmp_path / "group.sqlite", jobs=1, items_per_job=256, lease_items=16)
+    assert report.commits > 30
+    assert _pages(report, index) < 0.1
+
+
 def _pages(report: WrittenReport, name: str) -> float:
     """Return the pages for a commit that belong to a table or index."""
     return sum(cause.pages_per_commit for cause in report.causes if cause.name == name)
