Replica does not write zeros over freed pages

Cause: Debian builds SQLite with SECURE_DELETE, so each page that a removed log entry (or result, or table after a repair) frees is written again as zeros, to the write-ahead log and by the checkpoint. Every entry of the log was so written twice, and a compaction of the log was one transaction as large as what it removed.

Change: PRAGMA secure_delete=FAST: zeros are written only into pages that are written anyway. Free pages keep what they held, and the sum that goes with it.

Tests: test_removed_log_entries_are_not_written_again, seen failing before (1,009 pages written by the removal of 1,000, now under 40). The test of a killed process' files at any moment has a second row in which the log is compacted and its pages are used again, with three times larger entries: passes before and after. test_consensus_corruption.py passes whole.

--- a/src/leverjunction/consensus/store.py
+++ b/src/leverjunction/consensus/store.py
@@ -328,6 +328,8 @@
     connection.execute("PRAGMA cell_size_check=ON")
     # Delete triggers must also fire for rows that REPLACE removes (see consensus.snapshot).
     connection.execute("PRAGMA recursive_triggers=ON")
+    # Some builds (Debian's) write zeros over each freed page: as much as the removed log held.
+    connection.execute("PRAGMA secure_delete=FAST")
     connection.execute("PRAGMA temp_store=MEMORY")
     # The store itself checkpoints, once the sums of the pages are durable.
     connection.execute("PRAGMA wal_autocheckpoint=0")
--- a/tests/unit/test_consensus_corruption.py
+++ b/tests/unit/test_consensus_corruption.py
@@ -14,12 +14,19 @@
 from leverjunction.consensus.status import status_of
 from leverjunction.consensus.store import Store, open_store
 from leverjunction.consensus.store_faults import failure_of
-from leverjunction.consensus.types import EntryKind, LogEntry, Role
+from leverjunction.consensus.types import (
+    Configuration,
+    EntryKind,
+    LogEntry,
+    LogPosition,
+    Role,
+)
 from leverjunction.errors import Failure, FailureKind
 
 KEYS = 60
 VALUE_PART = 40
 MOMENT_S = 0.001
+COMPACT_EVERY = 10
 
 
 def value(number: int) -> bytes:
@@ -131,8 +138,9 @@
     cluster.stop_all()
 
 
+@pytest.mark.parametrize("compacts", [False, True])
 def test_files_of_a_killed_process_are_good_at_any_moment(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, compacts: bool
 ) -> None:
     monkeypatch.setattr(store_module, "WAL_CHECKPOINT_PAGES", 20)
     source = tmp_path / "group.db"
@@ -140,9 +148,13 @@
     assert isinstance(opened, Store)
     for index in range(1, 80):
         entry = LogEntry(
-            index=index, term=1, kind=EntryKind.COMMAND, wall_ms=0, payload=value(index) * 20
+            index=index, term=1, kind=EntryKind.COMMAND, wall_ms=0, payload=value(index) * 60
         )
         opened.append([entry])
+        if compacts and index % COMPACT_EVERY == 0:
+            # The pages of the removed entries become free and are used again.
+            base = LogPosition(term=1, index=index - COMPACT_EVERY // 2)
+            opened.compact(base, Configuration())
         opened.commit()
         copied = copy_files(source, tmp_path / str(index))
         again = open_store(str(copied), random.Random(2))
--- a/tests/unit/test_written_bytes.py
+++ b/tests/unit/test_written_bytes.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 from pathlib import Path
+from random import Random
 
 import pytest
 
-from testbed.load.written_bytes import WrittenReport, measure
+from leverjunction.consensus.page_sums import PAGE_BYTES
+from leverjunction.consensus.store import Store, open_store
+from leverjunction.consensus.types import Configuration, EntryKind, LogEntry, LogPosition
+from testbed.load.written_bytes import LogReader, WrittenReport, measure
+
+ENTRIES = 40
+PAGES_PER_ENTRY = 25
 
 
 def test_causes_add_up_to_what_the_log_took(tmp_path: Path) -> None:
@@ -26,6 +33,31 @@
     assert _pages(report, index) < 0.1
 
 
+def test_removed_log_entries_are_not_written_again(tmp_path: Path) -> None:
+    path = tmp_path / "group.sqlite"
+    store = open_store(str(path), Random(1))
+    assert isinstance(store, Store)
+    log = LogReader(path.with_name(path.name + "-wal"), PAGE_BYTES)
+    store.append(
+        [
+            LogEntry(
+                index=index,
+                term=1,
+                kind=EntryKind.COMMAND,
+                wall_ms=0,
+                payload=b"x" * PAGES_PER_ENTRY * PAGE_BYTES,
+            )
+            for index in range(1, ENTRIES + 1)
+        ]
+    )
+    store.commit()
+    assert len(log.new_pages()) > ENTRIES * PAGES_PER_ENTRY
+    store.compact(LogPosition(term=1, index=ENTRIES), Configuration())
+    store.commit()
+    assert len(log.new_pages()) < ENTRIES
+    store.close()
+
+
 def _pages(report: WrittenReport, name: str) -> float:
     """Return the pages for a commit that belong to a table or index."""
     return sum(cause.pages_per_commit for cause in report.causes if cause.name == name)
