Hub choice: while the hub in use is stale, the doubted ones are tried in turn

With every hub in doubt a stale one was kept until the first doubt was over; its own doubt grew to 80 s meanwhile.

Excluded: the cause that was suspected (a hub that is cut off in one direction takes heartbeats for contact). A trace of each hub's age shows 3600 s at the blank hub all the time, and below 0.5 s at the other two, whose reads succeeded; the gateways saw the age and kept the hub all the same.

Found beside it by the new tests: with three stale hubs in a row a gateway went back to the nearest after its stay and kept that one for as long as it was stale, never asking the others again.

Change: a stale hub is kept for 2 s (was 3 s) when no other is trusted or three in a row were stale; then the hub that was not tried for longest is tried, in doubt or not. When that one is silent the gateway goes back to the stale hub at once. A failure within a doubt renews it and does not double it. `failed` had a flag for stale refusals; these now go to `stale`, so both kinds have one path.

Tests: four new ones, each seen failing before the change. Two old ones changed: one called the flag that is gone (same assertion, asked by `reconsider`), one had the literal time 4.0 s for "within the stay", now computed from the constants.

--- a/src/leverjunction/wire/control_client.py
+++ b/src/leverjunction/wire/control_client.py
@@ -143,14 +143,16 @@
             before = self._selector.current
             hub = self._selector.reconsider(self._clock.monotonic_s())
         if hub != before:
-            logger.info("back to hub {} from {}", hub, before)
+            logger.debug("tries hub {} instead of {}", hub, before)
         timeout_s = EXCHANGE_TIMEOUT_S if request.settings_version else FULL_EXCHANGE_TIMEOUT_S
         reply = self._rpc.call(
             hub, MessageKind.EXCHANGE, request, ExchangeReply, timeout_s=timeout_s
         )
         self._note_in_time(reply)
-        if isinstance(reply, Failure):
-            self._note_failed(hub, reply.reason, answered=reply.kind is FailureKind.STALE)
+        if isinstance(reply, Failure) and reply.kind is FailureKind.STALE:
+            self._note_stale(hub, reply.reason)
+        elif isinstance(reply, Failure):
+            self._note_failed(hub, reply.reason)
         elif reply.quorum_age_s > MAX_QUORUM_AGE_S:
             self._note_stale(hub, f"no quorum for {reply.quorum_age_s:.1f} s")
         else:
@@ -223,9 +225,9 @@
         elif newly:
             logger.warning("stays with hub {}, the others are no better: {}", hub, reason)
 
-    def _note_failed(self, hub: str, reason: str, *, answered: bool = False) -> None:
+    def _note_failed(self, hub: str, reason: str) -> None:
         with self._lock:
-            newly = self._selector.failed(hub, self._clock.monotonic_s(), answered=answered)
+            newly = self._selector.failed(hub, self._clock.monotonic_s())
             now_used = self._selector.current
         if newly:
             logger.warning("left hub {} for {}: {}", hub, now_used, reason)
--- a/src/leverjunction/wire/hub_selector.py
+++ b/src/leverjunction/wire/hub_selector.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 SUSPICION_S = 10.0
@@ -13,18 +15,31 @@
 STALE_HUBS_TRIED = 3
 """After so many hubs in a row that serve without a quorum the next ones will hardly hear one."""
 
-STALE_STAY_S = 3.0
-"""How long such a hub is kept then: each move costs a full view. Short beside the 4 s in which a
-change is to be in force: the quorum may be back while just this hub is still cut off from it."""
+STALE_STAY_S = 2.0
+"""How long a stale hub is kept when no other is trusted, or several were stale: each move costs a
+full view. The stay, an interval between exchanges and a lost one are together shorter than the
+4 s in which a change is to be in force: just this hub may be cut off from the quorum."""
 
 MAX_SUSPICION_S = 80.0
 """Upper bound of the suspicion, which doubles with each failure in a row."""
 
 
 class _Suspicion(msgspec.Struct, frozen=True):
-    until_s: float
+    """Doubt in a hub.
+
+    Attributes:
+        noted_s: When it last failed or was stale.
+        length_s: How long it is passed over from then on.
+    """
+
+    noted_s: float
     length_s: float
 
+    @property
+    def until_s(self) -> float:
+        """When the hub is trusted again."""
+        return self.noted_s + self.length_s
+
 
 class HubSelector:
     """Keeps the order of preference and who failed lately. Not safe between threads by itself.
@@ -32,6 +47,9 @@
     The hub in use changes when it fails. The way back to a nearer hub is taken only by
     ``reconsider``, which the background exchange calls, so that no request of a caller pays for
     trying a hub that is perhaps still dead.
+
+    A stale hub serves, so it is better than a silent one; but a doubt is only a memory: while the
+    hub in use is stale the doubted ones are tried in turn, long before their doubt is over.
     """
 
     def __init__(self, hubs: list[str]) -> None:
@@ -39,7 +57,7 @@
         self._current = hubs[0]
         self._suspicions: dict[str, _Suspicion] = {}
         self._stale: set[str] = set()
-        self._stay_until_s = 0.0
+        self._stay_until_s: float | None = None
 
     @property
     def current(self) -> str:
@@ -59,60 +77,63 @@
         if self._current not in self._hubs:
             self._current = self._hubs[0]
 
-    def failed(self, hub: str, now_s: float, *, answered: bool = False) -> bool:
-        """Note that ``hub`` did not answer, or answered as one without a quorum.
-
-        Args:
-            hub: The hub that was called.
-            now_s: Monotonic time in seconds.
-            answered: True when it answered but is stale. With every hub in doubt a stale one is
-                kept, since another is no better; one that is silent is left in any case.
+    def failed(self, hub: str, now_s: float) -> bool:
+        """Note that ``hub`` did not answer, and leave it if it is in use.
 
         Returns:
             True when the hub was trusted until now: a change of state, worth a log line.
         """
+        newly = self._doubt(hub, now_s, SUSPICION_S)
+        self._stale.discard(hub)
         if hub == self._current:
-            self._stay_until_s = 0.0
-        known = self._suspicions.get(hub)
-        first_s = STALE_SUSPICION_S if answered else SUSPICION_S
-        length_s = min(known.length_s * 2, MAX_SUSPICION_S) if known else first_s
-        self._suspicions[hub] = _Suspicion(until_s=now_s + length_s, length_s=length_s)
-        if hub == self._current:
-            trusted = self._first_trusted(now_s)
-            if trusted is not None:
-                self._current = trusted
-            elif not answered:
-                self._current = self._after(hub)
-        return known is None
+            self._stay_until_s = None
+            self._current = self._first_trusted(now_s) or self._best_doubted(hub)
+        return newly
 
     def stale(self, hub: str, now_s: float) -> bool:
-        """Note that ``hub`` serves, but hears no quorum; return as ``failed`` does.
+        """Note that ``hub`` serves, but hears no quorum or has just started.
 
-        It is left for another one, unless several in a row were like it.
+        It is left for a trusted one, unless several in a row were like it; else it is kept for a
+        while, since another is hardly better. Returns as ``failed`` does.
         """
+        newly = self._doubt(hub, now_s, STALE_SUSPICION_S)
         self._stale.add(hub)
-        if len(self._stale) < STALE_HUBS_TRIED:
-            return self.failed(hub, now_s, answered=True)
-        newly = now_s >= self._stay_until_s
-        if newly:
+        if hub != self._current or self._stay_until_s is not None:
+            return newly
+        trusted = self._first_trusted(now_s)
+        if trusted is not None and len(self._stale) < STALE_HUBS_TRIED:
+            self._current = trusted
+        else:
             self._stay_until_s = now_s + STALE_STAY_S
-        return newly and hub not in self._suspicions
+        return newly
 
     def succeeded(self, hub: str) -> None:
         """Note that ``hub`` answered and hears a quorum."""
         self._suspicions.pop(hub, None)
         self._stale.clear()
-        self._stay_until_s = 0.0
+        self._stay_until_s = None
 
     def reconsider(self, now_s: float) -> str:
-        """Return to the most preferred hub whose suspicion is over; return the hub in use."""
-        if now_s < self._stay_until_s:
-            return self._current
-        trusted = self._first_trusted(now_s)
-        if trusted is not None:
-            self._current = trusted
+        """Return the hub to use now: after the stay with a stale one another, else the nearest."""
+        if self._stay_until_s is None:
+            self._current = self._first_trusted(now_s) or self._current
+        elif now_s >= self._stay_until_s:
+            self._stay_until_s = None
+            self._current = self._longest_untried(self._current)
         return self._current
 
+    def _doubt(self, hub: str, now_s: float, length_s: float) -> bool:
+        """Pass a hub over, twice as long as before when it fails after its doubt was over.
+
+        Calls that fail together, and tries of a doubted hub, are one failure.
+        """
+        known = self._suspicions.get(hub)
+        if known is not None:
+            doubled = known.length_s * 2 if now_s >= known.until_s else known.length_s
+            length_s = min(max(length_s, doubled), MAX_SUSPICION_S)
+        self._suspicions[hub] = _Suspicion(noted_s=now_s, length_s=length_s)
+        return known is None
+
     def _first_trusted(self, now_s: float) -> str | None:
         return next((hub for hub in self._hubs if self._is_trusted(hub, now_s)), None)
 
@@ -120,6 +141,17 @@
         suspicion = self._suspicions.get(hub)
         return suspicion is None or suspicion.until_s <= now_s
 
-    def _after(self, hub: str) -> str:
-        position = self._hubs.index(hub)
-        return self._hubs[(position + 1) % len(self._hubs)]
+    def _best_doubted(self, silent: str) -> str:
+        """Return the stale hub that served last, or the hub that was not tried for longest."""
+        stale = [hub for hub in self._hubs if hub in self._stale]
+        if stale:
+            return max(stale, key=self._noted_s)
+        return self._longest_untried(silent)
+
+    def _longest_untried(self, left: str) -> str:
+        others = [hub for hub in self._hubs if hub != left]
+        return min(others, key=self._noted_s, default=left)
+
+    def _noted_s(self, hub: str) -> float:
+        suspicion = self._suspicions.get(hub)
+        return -math.inf if suspicion is None else suspicion.noted_s
--- a/tests/unit/test_wire_control_client.py
+++ b/tests/unit/test_wire_control_client.py
@@ -195,9 +195,9 @@
 
 def test_selector_keeps_a_stale_hub_when_all_are_in_doubt() -> None:
     selector = HubSelector(["a", "b"])
-    selector.failed("a", 0.0, answered=True)
-    selector.failed("b", 0.0, answered=True)
-    assert selector.current == "b"
+    selector.stale("a", 0.0)
+    selector.stale("b", 0.0)
+    assert selector.reconsider(1.0) == "b"
     selector.failed("b", 1.0)
     assert selector.current == "a"
 
@@ -279,9 +279,10 @@
     for second in range(STALE_HUBS_TRIED):
         selector.stale(selector.reconsider(float(second)), float(second))
     kept = selector.current
-    assert selector.reconsider(4.0) == kept
-    selector.failed(kept, 4.0)
-    assert selector.reconsider(4.0) != kept
+    failed_s = STALE_HUBS_TRIED - 1 + STALE_STAY_S - 0.1
+    assert selector.reconsider(failed_s) == kept
+    selector.failed(kept, failed_s)
+    assert selector.reconsider(failed_s) != kept
 
 
 def test_a_hub_with_a_quorum_ends_the_stay() -> None:
@@ -302,3 +303,51 @@
     assert selector.reconsider(2.0 + STALE_STAY_S - 0.1) == kept
     assert selector.reconsider(2.0 + STALE_STAY_S) != kept
     assert STALE_STAY_S < IN_FORCE_EVERYWHERE_S
+
+
+def hubs_tried(selector: HubSelector, begin_s: float, end_s: float) -> set[str]:
+    """Return the hubs that an exchange a second is sent to, while every one of them is stale."""
+    tried = set()
+    while begin_s <= end_s:
+        hub = selector.reconsider(begin_s)
+        tried.add(hub)
+        selector.stale(hub, begin_s)
+        begin_s += 1.0
+    return tried
+
+
+def test_a_doubted_hub_is_tried_in_time_for_a_change_while_the_one_in_use_is_stale() -> None:
+    """Simulated, hanbit 1086: a repaired replica's hub was kept for 10 s beside two healthy ones.
+
+    Both had been silent once, for a second, and were in doubt for 20 s.
+    """
+    selector = HubSelector(["a", "b", "c"])
+    selector.failed("a", 0.0)
+    selector.failed("b", 0.2)
+    assert selector.current == "c"
+    assert hubs_tried(selector, 0.4, 0.4 + IN_FORCE_EVERYWHERE_S) > {"c"}
+
+
+def test_after_a_fruitless_try_the_gateway_is_back_at_the_hub_that_serves() -> None:
+    selector = HubSelector(["a", "b", "c"])
+    selector.failed("a", 0.0)
+    selector.failed("b", 0.0)
+    selector.stale("c", 0.0)
+    assert selector.reconsider(STALE_STAY_S) == "a"
+    selector.failed("a", STALE_STAY_S)
+    assert selector.current == "c"
+    selector.stale("c", STALE_STAY_S)
+    assert selector.reconsider(2 * STALE_STAY_S) == "b"
+
+
+def test_every_stale_hub_is_asked_again_in_turn() -> None:
+    selector = HubSelector(["a", "b", "c", "d"])
+    hubs_tried(selector, 0.0, 20.0)
+    assert hubs_tried(selector, 21.0, 41.0) == {"a", "b", "c", "d"}
+
+
+def test_calls_that_fail_together_are_one_failure() -> None:
+    selector = HubSelector(["a", "b"])
+    for call in range(5):
+        selector.failed("a", call * 0.1)
+    assert selector.reconsider(0.4 + SUSPICION_S) == "a"
