Checker of leaving back ends: the time of sending counts

The checker took the time of reading as that of the sending, so it reported a request "from gateway-2 at 26.47 s".

Excluded: a send to a back end that was known to leave (the recorded time of sending is 7 s before).

Change: the simulator's submit carries when it was sent, and the checker compares this with the grace. It is as strict: whatever a gateway sends after the grace is reported, read or late, and a request that is read after the mark though it was sent before needs no grace any more. No wider bound, no new excuse.

New test on a history made by hand, both ways; it cannot be built on the old record.

--- a/src/testbed/simulation/checkers/online.py
+++ b/src/testbed/simulation/checkers/online.py
@@ -159,17 +159,21 @@
     name = "leaving_back_end_gets_no_new_work"
 
     def check(self, history: History) -> Finding:
-        """Look at what each leaving back end received, and from whom."""
+        """Look at what was sent to each leaving back end, and by whom.
+
+        The time of sending counts: a request that was sent in time may lie in the socket of a back
+        end that is frozen, and nobody can take it back from there.
+        """
         finding = Finding()
         for run in history.runs:
             since_s = history.leaving.get(run.runner)
-            if since_s is None or run.received_s < since_s:
+            if since_s is None or run.sent_s < since_s:
                 continue
             due_s = settled_s(history, run.gateway, since_s, LEAVING_GRACE_S)
             finding.expect(
-                run.received_s <= due_s,
-                f"{run.runner} leaves since {since_s:.2f} s and got {run.work_id} from "
-                f"{run.gateway} at {run.received_s:.2f} s",
+                run.sent_s <= due_s,
+                f"{run.runner} leaves since {since_s:.2f} s and was sent {run.work_id} by "
+                f"{run.gateway} at {run.sent_s:.2f} s",
             )
         finding.checks += len(history.leaving)
         return finding
--- a/src/testbed/simulation/engine_client.py
+++ b/src/testbed/simulation/engine_client.py
@@ -201,7 +201,8 @@
             return Resume(call.request_id, call.attempt, int(call.last_event_id))
         body = msgspec.json.decode(call.body, type=OpenAiRequest)
         request = to_engine_request(body, call.request_id, call.attempt, call.priority)
-        return Submit(request, self._machine.name, stream=body.stream)
+        now_s = self._machine.monotonic_s()
+        return Submit(request, self._machine.name, stream=body.stream, sent_s=now_s)
 
     def _connects(self, address: str, timeout_s: float) -> bool:
         network = self._board.network
--- a/src/testbed/simulation/engine_messages.py
+++ b/src/testbed/simulation/engine_messages.py
@@ -20,11 +20,13 @@
         request: The request as the engine runs it.
         gateway: Gateway that sends it.
         stream: True when tokens are sent one by one, False for one answer at the end.
+        sent_s: When it was sent, in virtual seconds.
     """
 
     request: EngineRequest
     gateway: str
     stream: bool
+    sent_s: float
 
 
 @dataclass(frozen=True)
--- a/src/testbed/simulation/history.py
+++ b/src/testbed/simulation/history.py
@@ -119,7 +119,8 @@
         runner: Back end.
         gateway: Gateway that sent it.
         batch: True for batch work.
-        received_s: When the back end received it.
+        sent_s: When the gateway sent it.
+        received_s: When the back end read it; a frozen one reads what was sent once it wakes.
         started_s: When it was first part of a step; NEVER_S if it never was.
         ended_s: When it ended; NEVER_S while it runs.
         tokens: Number of tokens generated.
@@ -130,6 +131,7 @@
     runner: str
     gateway: str
     batch: bool
+    sent_s: float
     received_s: float
     started_s: float = NEVER_S
     ended_s: float = NEVER_S
--- a/src/testbed/simulation/runner_node.py
+++ b/src/testbed/simulation/runner_node.py
@@ -161,6 +161,7 @@
             runner=self.machine.name,
             gateway=message.gateway,
             batch=is_batch_work(request.prompt),
+            sent_s=message.sent_s,
             received_s=self.machine.monotonic_s(),
         )
         self._history.runs.append(run)
--- a/tests/unit/test_simulation_checkers.py
+++ b/tests/unit/test_simulation_checkers.py
@@ -55,8 +55,11 @@
     return record
 
 
-def _run(work_id: str = "online/1", received_s: float = 10.1) -> EngineRun:
-    return EngineRun(work_id, "gateway-0-1", "llm-0", "gateway-0", False, received_s)
+def _run(
+    work_id: str = "online/1", received_s: float = 10.1, sent_s: float | None = None
+) -> EngineRun:
+    sent_s = received_s if sent_s is None else sent_s
+    return EngineRun(work_id, "gateway-0-1", "llm-0", "gateway-0", False, sent_s, received_s)
 
 
 def _read(call_s: float, version: int) -> Operation[SettingsRequest, SettingsAnswer]:
@@ -141,6 +144,14 @@
     assert LeavingGetsNoWork().check(history).violations == []
 
 
+def test_leaving_checker_counts_the_time_of_sending() -> None:
+    """Kilimo 1029: a frozen back end read, when it woke, what was sent before it was to leave."""
+    history = History(runs=[_run(received_s=17.0, sent_s=9.0)], leaving={"llm-0": 10.0})
+    assert LeavingGetsNoWork().check(history).violations == []
+    history.runs = [_run(received_s=17.0, sent_s=16.9)]
+    assert LeavingGetsNoWork().check(history).violations != []
+
+
 def test_planned_stop_checker() -> None:
     broken = _record(broken=True, whole=False, ended_s=12.0)
     history = History(online=[broken], stops=[GatewayStop("gateway-0", 11.0, 12.0)])
