Planned stop: whoever has connected to a gateway is answered before it closes its port

Change: the connection manager of the callers' port takes in what the system has accepted, then closes the listening socket, then hands over kept connections that can be read. Workers answer them (503 STOPPING, not_run). From the SIGTERM on each answer carries "Connection: close".

Left: one connection between the last look and the closing.

--- a/src/leverjunction/gateway/http_server.py
+++ b/src/leverjunction/gateway/http_server.py
@@ -14,13 +14,14 @@
 import msgspec
 from cheroot import server as cheroot_server
 from cheroot import wsgi
+from cheroot.connections import ConnectionManager
 from cheroot.makefile import MakeFile
 
+from leverjunction.gateway.listener import LISTEN_BACKLOG, DrainedConnections
 from leverjunction.gateway.slow_senders import SlowSenderGuard
 
 HANDOVER_KEY = "leverjunction.handover"
 REQUEST_KEY = "leverjunction.http_request"
-LISTEN_BACKLOG = 512
 KEEP_ALIVE_CONNECTIONS = 4096
 SOCKET_TIMEOUT_S = 10
 MAX_HEADER_BYTES = 64 * 1024
@@ -65,9 +66,20 @@
     """Do nothing."""
 
 
+class _Request(cheroot_server.HTTPRequest):
+    """Request whose answer ends its connection when the server is about to stop."""
+
+    def send_headers(self) -> None:
+        if cast(StreamingServer, self.server).is_leaving:
+            self.close_connection = True
+        super().send_headers()
+
+
 class _Connection(cheroot_server.HTTPConnection):
     """Connection that a worker thread passes on instead of closing it."""
 
+    RequestHandlerClass = _Request
+
     def __init__(self, server: Any, sock: Any, makefile: Any = MakeFile) -> None:
         super().__init__(server, sock, makefile)
         self._pending: tuple[Handover, bool, bool] | None = None
@@ -184,12 +196,18 @@
 
 
 class StreamingServer(wsgi.Server):
-    """Server of the callers' HTTP port."""
+    """Server of the callers' HTTP port.
+
+    Attributes:
+        is_leaving: True once a stop was asked for: each answer ends its connection, so that callers
+            turn to another gateway and none is idle on a connection that is about to end.
+    """
 
     ConnectionClass = _Connection
     request_queue_size = LISTEN_BACKLOG
     keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     max_request_header_size = MAX_HEADER_BYTES
+    _connections: ConnectionManager
 
     def __init__(self, host: str, port: int, app: Any, threads: int, name: str) -> None:
         super().__init__(
@@ -202,6 +220,13 @@
         )
         self.gateway = _Gateway
         self.guard = SlowSenderGuard()
+        self.is_leaving = False
+
+    def prepare(self) -> None:
+        """Bind, listen and start the workers; raises OSError when the address is taken."""
+        super().prepare()
+        self._connections.close()
+        self._connections = DrainedConnections(self)
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Drop cheroot's lines about callers that went away: counters tell of them."""
