Orphaned batch: the next owner of a runner cancels what a dead gateway left

Cause: an engine goes on with a request whose reader is gone. A gateway that was killed, frozen or cut off left its batch on its runners; the gateway that came back, or the next owner, did not know of it, so it ran to its natural end, also after the job's cancel.

Excluded: a cancel that was lost, and the checker.

Change: batch requests carry an owner label (X-Owner: gateway, incarnation, may it repeat), engines list them (GET /v1/requests), and the owner of a runner cancels those of gateways that are gone: when it takes the runner over, when any gateway has gone, and 2 s and 12 s later. What may not repeat stays until its gateway has been missing for a whole lease. The view of a hub without a quorum is not acted on. The core is pure and runs in the simulator, too.

--- a/src/leverjunction/backends/client.py
+++ b/src/leverjunction/backends/client.py
@@ -8,7 +8,14 @@
 from leverjunction.backends.echo import ATTEMPT_HEADER, REQUEST_ID_HEADER, answer_mismatch
 from leverjunction.backends.head_wait import IsHopeless, WatchedConnection, give_up_when
 from leverjunction.backends.stream import EngineStream
-from leverjunction.backends.types import EngineCall, LoadReport, Order, OrderOutcome
+from leverjunction.backends.types import (
+    EngineCall,
+    HeldRequest,
+    HeldRequests,
+    LoadReport,
+    Order,
+    OrderOutcome,
+)
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.settings.commands import Fence
 from leverjunction.wire.codec import decode, encode
@@ -17,10 +24,12 @@
 LOAD_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 5.0
 CANCEL_TIMEOUT_S = 1.0
+HELD_REQUESTS_TIMEOUT_S = 1.0
 CONNECTIONS_PER_ENGINE = 64
 MAX_ENGINES = 2048
 
 PRIORITY_HEADER = "X-Priority"
+OWNER_HEADER = "X-Owner"
 LAST_EVENT_ID_HEADER = "Last-Event-ID"
 MONITOR_REQUEST_ID = "monitor"
 
@@ -68,6 +77,8 @@
         path = call.path if call.last_event_id is None else _stream_path(call.request_id)
         headers = _headers(call.request_id, call.attempt)
         headers[PRIORITY_HEADER] = str(call.priority)
+        if call.owner:
+            headers[OWNER_HEADER] = call.owner
         if call.last_event_id is not None:
             headers[LAST_EVENT_ID_HEADER] = call.last_event_id
         with give_up_when(is_hopeless):
@@ -99,6 +110,18 @@
             return _bad_status(address, body[0], body[1])
         return None
 
+    def held_requests(self, address: str) -> list[HeldRequest] | Failure:
+        """List the requests that an engine holds and that were sent with an owner label."""
+        body = self._exchange(
+            "GET", address, "/v1/requests", MONITOR_REQUEST_ID, None, HELD_REQUESTS_TIMEOUT_S
+        )
+        if isinstance(body, Failure):
+            return body
+        if body[0] != 200:
+            return _bad_status(address, body[0], body[1])
+        held = decode(body[1], HeldRequests, address)
+        return held if isinstance(held, Failure) else held.requests
+
     def load(self, address: str, timeout_s: float = LOAD_TIMEOUT_S) -> LoadReport | Failure:
         """Read an engine's load report."""
         body = self._exchange("GET", address, "/load", MONITOR_REQUEST_ID, None, timeout_s)
--- a/src/leverjunction/backends/types.py
+++ b/src/leverjunction/backends/types.py
@@ -26,6 +26,8 @@
         priority: 0 (lowest) to 9.
         timeout_s: Longest silence of the engine before the call counts as broken.
         last_event_id: When set, resumes the stream of ``request_id`` after this event.
+        owner: Label of the process that reads the answer; empty for a request that ends with its
+            reader in any case.
         raw_stream: True for an answer whose body is passed on as it comes: it is asked for in
             HTTP/1.0, so that it ends with the connection and carries no transfer coding.
     """
@@ -38,9 +40,23 @@
     priority: int
     timeout_s: float
     last_event_id: str | None = None
+    owner: str = ""
     raw_stream: bool = False
 
 
+class HeldRequest(msgspec.Struct, frozen=True):
+    """A request that an engine holds, running or waiting, with the owner label it was sent with."""
+
+    request_id: str
+    owner: str
+
+
+class HeldRequests(msgspec.Struct, frozen=True):
+    """Answer to ``GET /v1/requests``: the requests that carry an owner label."""
+
+    requests: list[HeldRequest]
+
+
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
     """An engine's load at its own time ``as_of_ms``; it lags behind.
 
--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -30,6 +30,7 @@
 from leverjunction.batch.harvest_types import GiveBack, Run, Verdict
 from leverjunction.batch.item_run import Engines, RunEnd, RunResult, request_id_of, run_item
 from leverjunction.batch.lease_fetcher import Demand, LeaseFetcher
+from leverjunction.batch.orphan_sweep import RequestOwner
 from leverjunction.batch.result_sender import ResultSenders
 from leverjunction.clock import Clock
 from leverjunction.errors import Failure
@@ -56,6 +57,7 @@
         random: Source of lease ids and of the spread between polls.
         gateway_id: Owner of the leases.
         registry: Where the counters are registered; a registry of its own when None.
+        incarnation: This process's start time, in milliseconds.
     """
 
     def __init__(
@@ -66,7 +68,10 @@
         random: random_module.Random,
         gateway_id: str,
         registry: CollectorRegistry | None = None,
+        incarnation: int = 0,
     ) -> None:
+        self._gateway_id = gateway_id
+        self._incarnation = incarnation
         self._control = control
         self._engines = engines
         self._clock = clock
@@ -259,13 +264,18 @@
         if not may_start:
             return
         try:
-            result = run_item(self._engines, run.work, run.address, run.priority)
+            owner = self._owner_label(run)
+            result = run_item(self._engines, run.work, run.address, run.priority, owner)
         except Exception as error:
             # Whatever broke, the item must not stay with a run that has ended.
             logger.exception("run of {} failed", request_id_of(run.work))
             result = RunResult(end=RunEnd.BROKEN, reason=repr(error))
         self._ended(run, result)
 
+    def _owner_label(self, run: Run) -> str:
+        may_repeat = run.work.leased.may_repeat
+        return RequestOwner(self._gateway_id, self._incarnation, may_repeat).label()
+
     def _ended(self, run: Run, result: RunResult) -> None:
         self.counters.ends.labels(result.end.value).inc()
         with self._changed:
--- a/src/leverjunction/batch/item_run.py
+++ b/src/leverjunction/batch/item_run.py
@@ -72,8 +72,18 @@
     return f"{work.leased.job_id}-{work.leased.index}"
 
 
-def run_item(engines: Engines, work: WorkItem, address: str, priority: int) -> RunResult:
-    """Run an item to its end, or until it is cancelled. Called by a worker thread."""
+def run_item(
+    engines: Engines, work: WorkItem, address: str, priority: int, owner: str
+) -> RunResult:
+    """Run an item to its end, or until it is cancelled. Called by a worker thread.
+
+    Args:
+        engines: Client of the engines.
+        work: The item.
+        address: ``host:port`` of the engine.
+        priority: Priority in the engine, 0 to 9.
+        owner: Label of this process, by which the request is cancelled should it die.
+    """
     stream = engines.open(
         EngineCall(
             address=address,
@@ -83,6 +93,7 @@
             body=engine_body(work.leased.item.body, work.continue_text),
             priority=priority,
             timeout_s=ANSWER_TIMEOUT_S,
+            owner=owner,
         )
     )
     if isinstance(stream, Failure):
--- a/src/leverjunction/gateway/harvest.py
+++ b/src/leverjunction/gateway/harvest.py
@@ -26,9 +26,12 @@
         clock: Clock,
         config: GatewayConfig,
         registry: CollectorRegistry,
+        incarnation: int,
     ) -> None:
         self._config = config
-        self._harvester = Harvester(control, engines, clock, random.Random(), config.name, registry)
+        self._harvester = Harvester(
+            control, engines, clock, random.Random(), config.name, registry, incarnation
+        )
 
     def update(
         self, owned: list[RunnerState], settings: ResolvedSettings, groups: list[str]
--- a/src/leverjunction/gateway/runtime.py
+++ b/src/leverjunction/gateway/runtime.py
@@ -28,6 +28,7 @@
 from leverjunction.gateway.internal_rpc import build_endpoint
 from leverjunction.gateway.journal import Journal
 from leverjunction.gateway.online import OnlineService, Place
+from leverjunction.gateway.orphan_sweeper import OrphanSweeper
 from leverjunction.gateway.owner import OwnerLoop
 from leverjunction.gateway.ownership import owned_runners
 from leverjunction.gateway.relay import RelayLoop
@@ -72,7 +73,15 @@
         self.pool = RunnerPool(self.view, config.zone, self.clock, generator)
         self.outbox = DigestOutbox()
         self.harvest = BatchHarvest(
-            self.control, self.engines, self.clock, config, self.counters.registry
+            self.control,
+            self.engines,
+            self.clock,
+            config,
+            self.counters.registry,
+            self.incarnation,
+        )
+        self.sweeper = OrphanSweeper(
+            self.engines, self.clock, self.counters, config.name, self.incarnation
         )
         self.notifier = YieldNotifier(
             config.name, self.view, self.control, self.harvest, self.clock, self.counters
@@ -174,6 +183,7 @@
         self.ring.close()
         self.exchange.stop()
         self.owner.stop()
+        self.sweeper.stop()
         self.notifier.stop()
         self.http_server.stop()
         self.http_server.guard.stop()
@@ -201,6 +211,7 @@
         self._count_usable(snapshot)
         self.owner.update(owned)
         self.harvest.update(owned, self.settings.current, self.job_groups())
+        self.sweeper.update(owned, snapshot)
 
     def _count_usable(self, snapshot: ClusterSnapshot) -> None:
         usable = self.pool.usable_runners(snapshot)
--- a/src/leverjunction/observability/counters.py
+++ b/src/leverjunction/observability/counters.py
@@ -33,6 +33,9 @@
         self.cache_event_gaps = self._counter(
             "cache_event_gaps_total", "Gaps in engines' cache events."
         )
+        self.orphans_cancelled = self._counter(
+            "batch_orphans_cancelled_total", "Batch requests of dead gateways that were cancelled."
+        )
         self.open_streams = self._gauge("open_streams", "Streams being relayed.")
         self.queued = self._gauge("queued_requests", "Requests waiting for admission.")
         self.settings_version = self._gauge("settings_version", "Version of settings in force.")
--- a/src/testbed/engine/http_api.py
+++ b/src/testbed/engine/http_api.py
@@ -102,8 +102,10 @@
         return _complete(self._runtime, self._faults, is_chat=False)
 
     @cherrypy.expose
-    def requests(self, request_id: str, stream: str = "") -> bytes | Iterator[bytes]:
-        """Cancel a request (DELETE), or resume its stream (GET .../stream)."""
+    def requests(self, request_id: str = "", stream: str = "") -> bytes | Iterator[bytes]:
+        """List owned requests (GET), cancel one (DELETE), or resume a stream (GET .../stream)."""
+        if not request_id:
+            return _json({"requests": self._runtime.held_requests()})
         if cherrypy.request.method == "DELETE":
             self._runtime.cancel(request_id)
             return b"{}"
@@ -192,6 +194,7 @@
         headers.get("X-Request-Id", ""),
         int(headers.get("X-Attempt", "1")),
         int(headers.get("X-Priority", DEFAULT_PRIORITY)),
+        headers.get("X-Owner", ""),
     )
     fault = faults.take()
     if fault is not None and fault.kind is FaultKind.REFUSED:
--- a/src/testbed/engine/model.py
+++ b/src/testbed/engine/model.py
@@ -23,6 +23,7 @@
     EngineConfig,
     EngineOrder,
     EngineRequest,
+    HeldRequest,
     LoadReading,
     OrderAnswer,
     StepOutcome,
@@ -92,6 +93,14 @@
             self._waiting.remove(sequence)
         return sequence.cancelled()
 
+    def held_requests(self) -> list[HeldRequest]:
+        """Return the requests here that were sent with an owner label."""
+        return [
+            HeldRequest(request_id, sequence.owner)
+            for request_id, sequence in self._by_id.items()
+            if sequence.owner
+        ]
+
     def set_priority(self, request_id: str, priority: int) -> bool:
         """Change the priority of a request that is here."""
         sequence = self._by_id.get(request_id)
--- a/src/testbed/engine/openai_bodies.py
+++ b/src/testbed/engine/openai_bodies.py
@@ -28,7 +28,7 @@
 
 
 def to_engine_request(
-    body: OpenAiRequest, request_id: str, attempt: int, priority: int
+    body: OpenAiRequest, request_id: str, attempt: int, priority: int, owner: str = ""
 ) -> EngineRequest:
     """Return the request as the model runs it."""
     return EngineRequest(
@@ -40,6 +40,7 @@
         max_tokens=body.max_tokens or body.max_completion_tokens or 0,
         min_tokens=body.min_tokens,
         continue_text=body.continue_text,
+        owner=owner,
     )
 
 
--- a/src/testbed/engine/runtime.py
+++ b/src/testbed/engine/runtime.py
@@ -16,6 +16,7 @@
     EngineOrder,
     EngineRequest,
     FinishReason,
+    HeldRequest,
     LoadReading,
     OrderAnswer,
     Submission,
@@ -133,6 +134,11 @@
             live.publish(emission)
             self._record(live)
 
+    def held_requests(self) -> list[HeldRequest]:
+        """Return the requests that run or wait and were sent with an owner label."""
+        with self._changed:
+            return self._model.held_requests()
+
     def load_report(self) -> LoadReading:
         """Return the lagging load report."""
         with self._changed:
--- a/src/testbed/engine/types.py
+++ b/src/testbed/engine/types.py
@@ -66,6 +66,7 @@
         max_tokens: Limit of the whole answer, continued text included; 0 means none.
         min_tokens: The answer does not stop by itself before this many tokens.
         continue_text: Text already generated elsewhere; its tokens are not sent again.
+        owner: Value of ``X-Owner``, empty when there was none.
     """
 
     request_id: str
@@ -76,6 +77,14 @@
     max_tokens: int = 0
     min_tokens: int = 0
     continue_text: str = ""
+    owner: str = ""
+
+
+class HeldRequest(msgspec.Struct, frozen=True):
+    """A request that the engine holds, in the form that ``GET /v1/requests`` lists."""
+
+    request_id: str
+    owner: str
 
 
 class Submission(StrEnum):
--- a/src/testbed/simulation/breaks.py
+++ b/src/testbed/simulation/breaks.py
@@ -124,6 +124,11 @@
     "run_on_after_cancel": Rule(
         "gateways ignore that a job was cancelled", _CANCEL, broken_state.run_on_after_cancel
     ),
+    "skip_takeover_sweep": Rule(
+        "nobody looks for the batch that a dead gateway left on its runners",
+        _CANCEL,
+        broken_state.skip_takeover_sweep,
+    ),
     "rerun_unknown_items": Rule(
         "an item that may not repeat is run again after its run broke",
         _AT_MOST,
--- a/src/testbed/simulation/broken_state.py
+++ b/src/testbed/simulation/broken_state.py
@@ -16,6 +16,7 @@
 from leverjunction.batch.harvester import Harvester
 from leverjunction.batch.item_run import RunEnd, RunResult
 from leverjunction.batch.lease_keeper import LeaseKeeper
+from leverjunction.batch.orphan_sweep import OrphanSweep
 from leverjunction.batch.result_sender import ResultSender
 from leverjunction.consensus.core_base import CoreBase
 from leverjunction.consensus.core_founding import FoundingCore
@@ -204,6 +205,11 @@
     return [mock.patch.object(Harvester, "revoke", only_leases)]
 
 
+def skip_takeover_sweep() -> list[Any]:
+    """Return the patches."""
+    return [mock.patch.object(OrphanSweep, "take_due", lambda _self, _now_s: [])]
+
+
 def rerun_unknown_items() -> list[Any]:
     """Return the patches."""
     ended = HarvestState.ended
--- a/src/testbed/simulation/engine_client.py
+++ b/src/testbed/simulation/engine_client.py
@@ -7,7 +7,7 @@
 from leverjunction.backends.echo import ATTEMPT_HEADER, REQUEST_ID_HEADER, answer_mismatch
 from leverjunction.backends.head_wait import CHECK_INTERVAL_S, IsHopeless
 from leverjunction.backends.stream import DetachedSocket
-from leverjunction.backends.types import EngineCall, LoadReport
+from leverjunction.backends.types import EngineCall, HeldRequest, LoadReport
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from testbed.engine.openai_bodies import DONE_EVENT, OpenAiRequest, to_engine_request
 from testbed.engine.types import FinishReason
@@ -22,6 +22,7 @@
 
 CONNECT_TIMEOUT_S = 0.5
 CANCEL_TIMEOUT_S = 1.0
+HELD_REQUESTS_TIMEOUT_S = 1.0
 
 
 class SimulatedStream:
@@ -189,6 +190,15 @@
         answer = self._ask(address, handle, CANCEL_TIMEOUT_S)
         return answer if isinstance(answer, Failure) else None
 
+    def held_requests(self, address: str) -> list[HeldRequest] | Failure:
+        """List the owned requests that an engine holds."""
+        runner = self._runners[address]
+        answer = self._ask(
+            address, lambda reply: reply(runner.held_requests()), HELD_REQUESTS_TIMEOUT_S
+        )
+        assert isinstance(answer, list | Failure)
+        return answer
+
     def load(self, address: str, timeout_s: float = 1.0) -> LoadReport | Failure:
         """Read an engine's load report."""
         runner = self._runners[address]
@@ -200,7 +210,7 @@
         if call.last_event_id is not None:
             return Resume(call.request_id, call.attempt, int(call.last_event_id))
         body = msgspec.json.decode(call.body, type=OpenAiRequest)
-        request = to_engine_request(body, call.request_id, call.attempt, call.priority)
+        request = to_engine_request(body, call.request_id, call.attempt, call.priority, call.owner)
         now_s = self._machine.monotonic_s()
         return Submit(request, self._machine.name, stream=body.stream, sent_s=now_s)
 
--- a/src/testbed/simulation/gateway_node.py
+++ b/src/testbed/simulation/gateway_node.py
@@ -14,6 +14,7 @@
 from leverjunction.gateway.inflight import Inflight
 from leverjunction.gateway.journal import Journal
 from leverjunction.gateway.online import OnlineService, Place
+from leverjunction.gateway.orphan_sweeper import OrphanSweeper
 from leverjunction.gateway.owner import OwnerLoop
 from leverjunction.gateway.ownership import owned_runners
 from leverjunction.gateway.relay import RelayLoop
@@ -255,6 +256,10 @@
             machine,
             SimpleNamespace(name=self.name, region=self._region),  # type: ignore[arg-type]
             self.counters.registry,
+            self._incarnation_ms,
+        )
+        self.sweeper = OrphanSweeper(
+            self.engines, machine, self.counters, self.name, self._incarnation_ms
         )
         self.notifier = YieldNotifier(
             self.name, self.view, self.control, self.harvest, machine, self.counters
@@ -326,6 +331,7 @@
             owned = owned_runners(self.name, snapshot.runners.values(), snapshot.gateways.values())
         self.owner.update(owned)
         self.harvest.update(owned, self.settings.current, self.job_groups())
+        self.sweeper.update(owned, snapshot)
 
     def _on_notice(self, envelope: Envelope, peer: str) -> bytes:
         notice = decode(envelope.body, YieldNotice, peer)
--- a/src/testbed/simulation/runner_node.py
+++ b/src/testbed/simulation/runner_node.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
-from leverjunction.backends.types import LoadReport
+from leverjunction.backends.types import HeldRequest, LoadReport
 from testbed.engine.model import EngineModel
 from testbed.engine.types import (
     Emission,
@@ -110,6 +110,10 @@
             leaving=reading.leaving,
         )
 
+    def held_requests(self) -> list[HeldRequest]:
+        """Return the owned requests that the engine holds."""
+        return [HeldRequest(held.request_id, held.owner) for held in self.engine.held_requests()]
+
     def restart(self) -> None:
         """Begin with an empty engine after a kill."""
         self.machine.start()
--- a/tests/features/conftest.py
+++ b/tests/features/conftest.py
@@ -102,16 +102,21 @@
 
 @given(parsers.parse("an accepted job of {count:d} items"))
 def accepted_job(world: World, count: int) -> None:
-    _submit(world, count, {})
+    _submit(world, world.job_lines(count), {})
+
+
+@given(parsers.parse("an accepted job of {count:d} items of {tokens:d} tokens"))
+def accepted_job_of_long_items(world: World, count: int, tokens: int) -> None:
+    _submit(world, world.job_lines(count, tokens), {})
 
 
 @given(parsers.parse("an accepted job of {count:d} items that may not be repeated"))
 def accepted_unrepeatable_job(world: World, count: int) -> None:
-    _submit(world, count, {"X-Repeat": "never"})
+    _submit(world, world.job_lines(count), {"X-Repeat": "never"})
 
 
-def _submit(world: World, count: int, headers: dict[str, str]) -> None:
-    world.notes["lines"] = world.job_lines(count)
+def _submit(world: World, lines: list[dict[str, object]], headers: dict[str, str]) -> None:
+    world.notes["lines"] = lines
     world.batch = world.batch_callers()[0].submit_job(
         world.notes["lines"], idempotency_key=world.label, headers=headers
     )
--- a/tests/features/test_cancelled_job.py
+++ b/tests/features/test_cancelled_job.py
@@ -33,6 +33,12 @@
     assert not late, late[:3]
 
 
+@then("no engine runs an item of the job")
+def nothing_runs(world: World) -> None:
+    running = [e for e in world.fleet.executions(world.label) if not e.finish]
+    assert not running, running[:3]
+
+
 @then("the job stays cancelled with items that never ran")
 def stays_cancelled(world: World) -> None:
     job = world.job_now()
--- a/tests/features/world.py
+++ b/tests/features/world.py
@@ -55,11 +55,11 @@
         key = self.fleet.scenario.batch_key
         return [self.caller(name, key) for name in self.fleet.gateway_names()]
 
-    def job_lines(self, count: int) -> list[dict[str, object]]:
+    def job_lines(self, count: int, tokens: int = ITEM_TOKENS) -> list[dict[str, object]]:
         """Return the lines of a job, and remember their prompts."""
         model = self.fleet.scenario.batch_model()
         self.contents = {f"item-{i}": f"{self.label} item {i}" for i in range(count)}
-        return [job_line(name, model, text, ITEM_TOKENS) for name, text in self.contents.items()]
+        return [job_line(name, model, text, tokens) for name, text in self.contents.items()]
 
     def items_run(self) -> int:
         """Return how many items of the job have been run to their end by an engine."""
--- a/tests/unit/gateway_support.py
+++ b/tests/unit/gateway_support.py
@@ -14,7 +14,7 @@
 import urllib3
 from cheroot import wsgi
 
-from leverjunction.backends.types import LoadReport
+from leverjunction.backends.types import HeldRequest, HeldRequests, LoadReport
 from leverjunction.batch.commands import Claim, ClaimRequest, FinishClaim
 from leverjunction.config.common import ListenConfig
 from leverjunction.config.gateway import GatewayConfig
@@ -70,6 +70,7 @@
         self.cancel_seen = threading.Event()
         self.start_seen = threading.Event()
         self.leaving = False
+        self.held: list[HeldRequest] = []
         self.freezes = False
         self.thaw = threading.Event()
         self._is_frozen = False
@@ -100,6 +101,8 @@
             return self._answer(start, headers, encode(self._report()))
         if path == "/cache/events":
             return self._answer(start, headers, b"", "404 Not Found")
+        if path == "/v1/requests":
+            return self._answer(start, headers, encode(HeldRequests(self.held)))
         if environ["REQUEST_METHOD"] == "DELETE":
             self.cancelled.append(path.split("/")[3])
             self.cancel_seen.set()
--- a/tests/unit/test_batch_harvester.py
+++ b/tests/unit/test_batch_harvester.py
@@ -127,6 +127,7 @@
     assert (view.done, view.discarded) == (10, 0)
     assert len(world.engines.calls) == 10
     assert {call.priority for call in world.engines.calls} == {world.serving.batch_priority}
+    assert {call.owner for call in world.engines.calls} == {"gateway-1/0/repeat"}
     assert json.loads(world.bodies()[0])["choices"][0]["text"] == " done"
 
 
--- /dev/null
+++ b/tests/unit/test_batch_orphan_sweep.py
@@ -0,0 +1,190 @@
+"""Batch of dead gateways: whose requests are cancelled, when, and that engines list them."""
+
+from __future__ import annotations
+
+import random
+import threading
+
+import pytest
+
+from leverjunction.backends.types import HeldRequest
+from leverjunction.batch.leasing import LEASE_DURATION_S
+from leverjunction.batch.orphan_sweep import LATER_LOOKS_S, OrphanSweep, RequestOwner
+from leverjunction.clock import SystemClock
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.gateway.orphan_sweeper import OrphanSweeper
+from leverjunction.gateway.view import ClusterSnapshot
+from leverjunction.observability.counters import GatewayCounters
+from leverjunction.wire.messages import GatewayState, RunnerState
+from testbed.engine.model import EngineModel
+from testbed.engine.types import EngineConfig, EngineRequest
+
+RUNNER = RunnerState(runner_id="r1", address="a", zone="z", service="llm")
+ME, MY_INCARNATION = "gateway-1", 50
+WAIT_S = 20.0
+UNREACHABLE = Failure(kind=FailureKind.UNREACHABLE, reason="", step=Step.CONNECTING)
+
+
+def gateway(name: str, incarnation: int) -> GatewayState:
+    return GatewayState(
+        gateway_id=name, address="", rpc_address="", zone="z", incarnation=incarnation
+    )
+
+
+def held(name: str, incarnation: int, may_repeat: bool = True) -> HeldRequest:
+    owner = RequestOwner(name, incarnation, may_repeat)
+    return HeldRequest(f"{name}-{incarnation}", owner.label())
+
+
+def sweep_with(*others: GatewayState) -> OrphanSweep:
+    sweep = OrphanSweep(ME, MY_INCARNATION)
+    sweep.follow([RUNNER], others, 0.0)
+    return sweep
+
+
+@pytest.mark.parametrize("may_repeat", [True, False])
+@pytest.mark.parametrize("name", ["gateway-1", "zone/a/gateway"])
+def test_a_label_names_its_owner(name: str, may_repeat: bool) -> None:
+    owner = RequestOwner(name, 17, may_repeat)
+    assert RequestOwner.from_label(owner.label()) == owner
+
+
+@pytest.mark.parametrize("label", ["", "x", "g/1", "g/x/repeat", "g/1/often"])
+def test_a_label_of_another_kind_is_left_alone(label: str) -> None:
+    assert RequestOwner.from_label(label) is None
+    assert sweep_with().answered("r1", [HeldRequest("x", label)], 0.0) == []
+
+
+@pytest.mark.parametrize(
+    ("request_held", "is_cancelled"),
+    [
+        (held(ME, MY_INCARNATION), False),
+        (held(ME, MY_INCARNATION - 1), True),
+        (held(ME, MY_INCARNATION - 1, may_repeat=False), True),
+        (held("gateway-2", 7), False),
+        (held("gateway-2", 6), True),
+        (held("gateway-2", 8), False),
+        (held("gone", 7), True),
+        (held("gone", 7, may_repeat=False), False),
+    ],
+)
+def test_whose_requests_are_cancelled_at_once(
+    request_held: HeldRequest, is_cancelled: bool
+) -> None:
+    cancelled = sweep_with(gateway("gateway-2", 7)).answered("r1", [request_held], 0.0)
+    assert cancelled == ([request_held.request_id] if is_cancelled else [])
+
+
+def test_what_may_not_repeat_stays_while_its_lease_may_be_renewed() -> None:
+    sweep, once = sweep_with(), held("gone", 7, may_repeat=False)
+    assert sweep.answered("r1", [once], 1.0) == []
+    assert sweep.answered("r1", [once], LEASE_DURATION_S + 0.9) == []
+    assert sweep.answered("r1", [once], LEASE_DURATION_S + 1.0) == [once.request_id]
+
+
+def test_a_gateway_that_came_back_counts_as_missing_from_its_next_loss_on() -> None:
+    sweep, once = sweep_with(), held("gateway-2", 7, may_repeat=False)
+    assert sweep.answered("r1", [once], 0.0) == []
+    sweep.follow([RUNNER], [gateway("gateway-2", 7)], 5.0)
+    sweep.follow([RUNNER], [], 9.0)
+    assert sweep.answered("r1", [once], LEASE_DURATION_S) == []
+
+
+def test_a_runner_taken_over_is_looked_at_until_no_dead_gateway_can_start_more() -> None:
+    sweep, now_s, looks = sweep_with(), 0.0, []
+    while now_s < 60.0:
+        for runner in sweep.take_due(now_s):
+            looks.append(now_s)
+            sweep.answered(runner.runner_id, [], now_s)
+        now_s += 1.0
+    assert looks == [0.0, LATER_LOOKS_S[0], sum(LATER_LOOKS_S)]
+    assert looks[-1] > LEASE_DURATION_S
+
+
+@pytest.mark.parametrize(
+    ("others", "is_due"),
+    [
+        ([gateway("gateway-2", 7)], False),
+        ([gateway("gateway-2", 7), gateway("gateway-3", 1)], False),
+        ([gateway("gateway-2", 8)], True),
+        ([], True),
+    ],
+)
+def test_the_loss_of_any_gateway_begins_new_looks(others: list[GatewayState], is_due: bool) -> None:
+    sweep = sweep_with(gateway("gateway-2", 7))
+    for now_s in (0.0, 2.0, 12.0):
+        assert sweep.take_due(now_s) == [RUNNER]
+        sweep.answered("r1", [], now_s)
+    sweep.follow([RUNNER], others, 20.0)
+    assert bool(sweep.take_due(20.0)) is is_due
+
+
+def test_a_runner_that_does_not_answer_is_asked_again() -> None:
+    sweep = sweep_with()
+    assert sweep.take_due(0.0) == [RUNNER]
+    assert sweep.take_due(1.0) == [], "one look at a time"
+    sweep.failed("r1", 1.0)
+    assert sweep.take_due(1.0) == [RUNNER]
+
+
+def test_a_runner_of_another_gateway_is_not_looked_at() -> None:
+    sweep = sweep_with()
+    sweep.follow([], [], 1.0)
+    assert sweep.take_due(1.0) == []
+    assert sweep.answered("r1", [held("gone", 7)], 1.0) == []
+
+
+def test_an_engine_lists_what_has_an_owner_and_still_runs_or_waits() -> None:
+    engine = EngineModel(EngineConfig(models=["m"], max_running=1), random.Random(1))
+    for name, owner in (("a", "x/1/repeat"), ("b", "x/1/repeat"), ("c", ""), ("d", "y/2/once")):
+        engine.submit(EngineRequest(request_id=name, model="m", prompt="p", owner=owner), 0.0)
+    engine.step(0.0)
+    engine.cancel("a")
+    assert [(each.request_id, each.owner) for each in engine.held_requests()] == [
+        ("b", "x/1/repeat"),
+        ("d", "y/2/once"),
+    ]
+
+
+class StubEngines:
+    """Engines that hold one orphan; a cancel may fail."""
+
+    def __init__(self) -> None:
+        self.looks = 0
+        self.cancelled: list[str] = []
+        self.cancel_answer: Failure | None = None
+        self.done = threading.Semaphore(0)
+
+    def held_requests(self, _address: str) -> list[HeldRequest] | Failure:
+        self.looks += 1
+        return [held("gone", 7), held(ME, MY_INCARNATION)]
+
+    def cancel(self, _address: str, request_id: str) -> Failure | None:
+        self.cancelled.append(request_id)
+        self.done.release()
+        return self.cancel_answer
+
+
+@pytest.mark.parametrize(("quorum_age_s", "looks"), [(0.0, 1), (60.0, 0)])
+def test_the_sweeper_acts_only_on_the_view_of_a_hub_with_a_quorum(
+    quorum_age_s: float, looks: int
+) -> None:
+    engines = StubEngines()
+    sweeper = OrphanSweeper(engines, SystemClock(), GatewayCounters(), ME, MY_INCARNATION)
+    sweeper.update([RUNNER], ClusterSnapshot(quorum_age_s=quorum_age_s))
+    if looks:
+        assert engines.done.acquire(timeout=WAIT_S)
+    sweeper._threads.shutdown(wait=True)
+    assert engines.looks == looks
+    assert engines.cancelled == ["gone-7"] * looks
+
+
+def test_a_cancel_that_failed_is_sent_again_by_the_next_look() -> None:
+    engines = StubEngines()
+    engines.cancel_answer = UNREACHABLE
+    sweeper = OrphanSweeper(engines, SystemClock(), GatewayCounters(), ME, MY_INCARNATION)
+    for _ in range(2):
+        while not engines.done.acquire(timeout=0.01):
+            sweeper.update([RUNNER], ClusterSnapshot())
+    sweeper.stop()
+    assert engines.cancelled[:2] == ["gone-7", "gone-7"]
--- a/tests/unit/test_gateway_serving.py
+++ b/tests/unit/test_gateway_serving.py
@@ -8,7 +8,19 @@
 
 import openai
 import pytest
-from tests.unit.gateway_support import CHAT, MESSAGES, MODEL, TEXT, Fleet
+from tests.unit.gateway_support import (
+    CHAT,
+    MESSAGES,
+    MODEL,
+    TEXT,
+    WAIT_S,
+    Fleet,
+    StubEngine,
+    StubHub,
+    start_gateway,
+)
+
+from leverjunction.backends.types import HeldRequest
 
 
 @pytest.fixture
@@ -52,3 +64,15 @@
     pieces += [chunk.choices[0].delta.content for chunk in stream]
     assert "".join(pieces) == TEXT
     assert [engine.resumed for engine in fleet.engines] == [[], []]
+
+
+def test_a_gateway_cancels_the_batch_that_its_former_incarnation_left(tmp_path: Path) -> None:
+    engine = StubEngine("e1")
+    engine.held = [HeldRequest("left-behind", "g1/1/repeat"), HeldRequest("not-batch", "other")]
+    hub = StubHub([engine])
+    gateway = start_gateway(tmp_path, [hub.address])
+    assert engine.cancel_seen.wait(WAIT_S)
+    gateway.stop()
+    engine.stop()
+    hub.stop()
+    assert set(engine.cancelled) == {"left-behind"}
--- a/tests/unit/test_simulation.py
+++ b/tests/unit/test_simulation.py
@@ -2,11 +2,20 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+
 import pytest
 
 from testbed.simulation.breaks import RULES, RUN_ENDS
 from testbed.simulation.checkers import all_checkers
-from testbed.simulation.cli import EXIT_BAD_ARGUMENT, EXIT_HOLDS, is_caught, simulate
+from testbed.simulation.cli import (
+    EXIT_BAD_ARGUMENT,
+    EXIT_HOLDS,
+    EXIT_VIOLATED,
+    is_caught,
+    simulate,
+)
 from testbed.simulation.result import SeedResult
 from testbed.simulation.run import run_seed
 
@@ -29,6 +38,24 @@
     assert run_seed("kilimo", 3).digest == results["kilimo"].digest
 
 
+@pytest.mark.parametrize(
+    ("options", "status", "told"),
+    [
+        ([], EXIT_HOLDS, " 0 failing seeds"),
+        (["--break", "skip_takeover_sweep"], EXIT_VIOLATED, "skip_takeover_sweep: caught"),
+    ],
+)
+def test_a_cancelled_job_stops_though_its_gateway_was_killed(
+    options: list[str], status: int, told: str
+) -> None:
+    # In a process of its own: this seed meets the fault only in the order of a fixed hash seed.
+    seed = ["--scenario", "kilimo", "--seeds", "1", "--first-seed", "1010"]
+    command = [sys.executable, "-m", "testbed.simulation.cli", "simulate", *seed, *options]
+    done = subprocess.run(command, check=False, capture_output=True, text=True)
+    assert done.returncode == status
+    assert told in done.stdout
+
+
 @pytest.mark.parametrize(("rule", "seed"), [("exit_at_once", 5), ("forget_job_keys", 3)])
 def test_a_broken_rule_is_caught(rule: str, seed: int) -> None:
     assert is_caught(run_seed("kilimo", seed, rule), rule)
