Batch: an item that kills each engine that runs it fails after five of them

Cause: a broken connection made an item run again, up to 20 times at one gateway, and then it went back to its job with nothing noted; the next gateway began anew. An item under which engines die was tried for ever.

Excluded: the number of grants as the bound (it also grows by planned stops and by models that are not loaded); a count at the gateway only (a gateway's few runners load their weights for minutes, so the item moves on to the next gateway before any bound).

Change: runs that lost their runner (connection broken off, runner silent) are counted, the count goes back to the group with the item (table sm_item_losses) and on to its next holder. At batch_max_lost_runs (a new serving setting, built-in 5, 3 to 100) the item ends as failed, type runner_lost. An item with two lost runs is a suspect, and a runner runs one suspect at a time, so that those that died beside the culprit do not fail with it. Text of failed lines in the output file: "the request failed for good; the response says why".

Tests seen failing: without the bound, without suspects, without the count at the group and without its removal, the tests of each failed, and so did the feature without the bound.

Conclusion: bounded. Not counted: lost runs under a lease that ends with its gateway's death.

--- a/src/leverjunction/api/batches_shapes.py
+++ b/src/leverjunction/api/batches_shapes.py
@@ -20,7 +20,7 @@
 }
 
 _ERROR_MESSAGE = {
-    ItemState.FAILED: "the back end refused the request; the response says why",
+    ItemState.FAILED: "the request failed for good; the response says why",
     ItemState.UNKNOWN: "the request may have run, and may not be repeated",
     ItemState.CANCELLED: "the batch was cancelled before the request finished",
     ItemState.EXPIRED: "the batch reached its deadline before the request started",
--- a/src/leverjunction/batch/commands.py
+++ b/src/leverjunction/batch/commands.py
@@ -165,7 +165,7 @@
 
 
 class LeasedItem(msgspec.Struct, frozen=True, kw_only=True):
-    """An item as its lease holder gets it."""
+    """An item as its lease holder gets it; ``lost_runs`` is what former holders counted."""
 
     job_id: str
     index: int
@@ -174,6 +174,7 @@
     may_repeat: bool
     deadline_ms: int
     item: ItemInput
+    lost_runs: int = 0
 
 
 class Lease(msgspec.Struct, frozen=True, kw_only=True):
@@ -205,6 +206,7 @@
         state: DONE, FAILED or UNKNOWN; PENDING gives an unstarted or repeatable item back.
         status_code: HTTP status of the back end, 0 when there was none.
         body: Response body or error, JSON text.
+        lost_runs: For PENDING, how many runs of the item have lost their runner in all.
     """
 
     job_id: str
@@ -213,6 +215,7 @@
     state: ItemState
     status_code: int
     body: str
+    lost_runs: int = 0
 
 
 class CompleteItems(msgspec.Struct, frozen=True, tag="complete_items"):
--- a/src/leverjunction/batch/harvest_state.py
+++ b/src/leverjunction/batch/harvest_state.py
@@ -36,6 +36,9 @@
 MAX_TRIES = 20
 """An item is handed back after so many fruitless runs; those parked for online do not count."""
 
+LOST_STATUS = 502
+"""Status of the result of an item that fails since its runners were lost."""
+
 BYTES_PER_TOKEN = 4
 """Usual length of a token of text; only the ration of prompt steps depends on it."""
 
@@ -45,6 +48,9 @@
 
 DEFAULT_TARGETS = HarvestTargets(interference=0.0, batch_floor=0, batch_max_running=0)
 _MAY_HAVE_RUN = '{"error":{"message":"%s","type":"outcome_unknown"}}'
+_RUNNERS_LOST = (
+    '{"error":{"message":"%d runners were lost while they ran the item","type":"runner_lost"}}'
+)
 
 
 class HarvestState:
@@ -57,6 +63,7 @@
         self._counters = counters
         self._targets: Mapping[str, HarvestTargets] = {}
         self._priorities: Mapping[str, int] = {}
+        self._max_lost_runs: Mapping[str, int] = {}
 
     def set_runners(self, owned: list[RunnerState], targets: Mapping[str, HarvestTargets]) -> None:
         """Take the runners owned now; the runs of others are parked by the next plan."""
@@ -79,6 +86,10 @@
         """Take the engine priority of batch in each service."""
         self._priorities = priorities
 
+    def set_max_lost_runs(self, limits: Mapping[str, int]) -> None:
+        """Take how many runners an item of each service may lose before it fails."""
+        self._max_lost_runs = limits
+
     def demands(self) -> list[Demand]:
         """Return how many items each service's runners want held ahead."""
         capacity: dict[str, int] = {}
@@ -146,7 +157,8 @@
                 self._pause(run.runner_id, now_s + BROKEN_PAUSE_S)
                 if result.status_code >= 500 and run.work.broken_runs >= MAX_BROKEN_RUNS:
                     return self._verdict(run, ItemState.FAILED, result.status_code, result.body)
-                return self._retry(run)
+                run.work.lost_runs += 1 if result.runner_lost else 0
+                return self._failed_by_losses(run, run.work.lost_runs) or self._retry(run)
         # What may not repeat and did not end by itself may have run: it is never run again.
         self._pause(run.runner_id, now_s + BROKEN_PAUSE_S)
         if result.status_code >= 500:
@@ -187,13 +199,16 @@
             self._park(self.runs[token], plan, now_s)
         if now_s < runner.not_before_s:
             return
+        state = runner.state
+        has_suspect = any(run.work.is_suspect for run in self._runs_on(state.runner_id))
         for _ in range(decision.start):
-            work = self.work.take(runner.state.service, runner.state.models, now_s)
+            work = self.work.take(state.service, state.models, now_s, may_suspect=not has_suspect)
             if work is None:
                 return
             if work.deadline_s <= now_s:
                 plan.give_back += self._give_back([work])
                 continue
+            has_suspect = has_suspect or work.is_suspect
             plan.starts.append(self._start(runner, work, now_s))
 
     def _start(self, runner: OwnedRunner, work: WorkItem, now_s: float) -> Run:
@@ -237,14 +252,29 @@
                 continue
             run.dropped = True
             runner.controller.ended(id(run))
-            if repeatable:
-                self.work.put_back(dataclasses.replace(run.work))
-                continue
-            body = _unknown_body("the runner was lost while the item ran; it may not repeat")
-            verdict = self._verdict(run, ItemState.UNKNOWN, 0, body)
+            verdict = self._give_up_run(run, runner.owned)
             if verdict is not None:
                 plan.verdicts.append(verdict)
 
+    def _give_up_run(self, run: Run, is_owned: bool) -> Verdict | None:
+        """Have an item run again, or return its outcome. A runner of another gateway is silent
+        here as its reports go there, which says nothing against the item."""
+        if not run.work.leased.may_repeat:
+            body = _unknown_body("the runner was lost while the item ran; it may not repeat")
+            return self._verdict(run, ItemState.UNKNOWN, 0, body)
+        lost_runs = run.work.lost_runs + (1 if is_owned else 0)
+        verdict = self._failed_by_losses(run, lost_runs)
+        if verdict is None:
+            # The run's thread may still use the work that it began with.
+            self.work.put_back(dataclasses.replace(run.work, lost_runs=lost_runs))
+        return verdict
+
+    def _failed_by_losses(self, run: Run, lost_runs: int) -> Verdict | None:
+        """Return the failure of an item under which too many runners were lost."""
+        if lost_runs < self._max_lost_runs.get(run.work.service, math.inf):
+            return None
+        return self._verdict(run, ItemState.FAILED, LOST_STATUS, _RUNNERS_LOST % lost_runs)
+
     def _retry(self, run: Run, missing_model: bool = False) -> GiveBack | None:
         """Keep an item for another run here, or give it back when that is no use."""
         work = run.work
--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -107,6 +107,8 @@
             self._state.work.renew(lease_ids, asked_s)
             self._state.set_runners(owned, {name: _targets(s) for name, s in services.items()})
             self._state.set_priorities({name: s.batch_priority for name, s in services.items()})
+            lost_runs = {name: s.batch_max_lost_runs for name, s in services.items()}
+            self._state.set_max_lost_runs(lost_runs)
             self._fetcher.update(groups)
             self._changed.notify_all()
         self._start_threads()
@@ -206,11 +208,13 @@
             unstarted = self._state.work.drain_waiting()
             self._state.work.drop_leases([lease.lease_id for lease in leases])
         for lease in leases:
-            # Items that may repeat return with the release; the others only by name.
+            # Items that may repeat return with the release; the others only by name, and so do
+            # those with something to tell their next holder.
             results = [
                 give_back_result(GiveBack(work, lease.group))
                 for work in unstarted
-                if work.lease_id == lease.lease_id and not work.leased.may_repeat
+                if work.lease_id == lease.lease_id
+                and (work.lost_runs > 0 or not work.leased.may_repeat)
             ]
             reply = self._control.propose(
                 lease.group,
@@ -330,6 +334,7 @@
         state=ItemState.PENDING,
         status_code=0,
         body="",
+        lost_runs=item.work.lost_runs,
     )
 
 
--- a/src/leverjunction/batch/held_work.py
+++ b/src/leverjunction/batch/held_work.py
@@ -11,6 +11,10 @@
 START_MARGIN_S = 2.0
 """An item that may not repeat starts only while its lease holds for this much longer."""
 
+SUSPECT_LOST_RUNS = 2
+"""An item under which so many runners were lost is suspected to kill them. A runner runs at most
+one suspect at a time, so that those that ran beside the culprit are not lost with it again."""
+
 MS_PER_S = 1000
 
 ItemKey = tuple[str, int]
@@ -22,7 +26,8 @@
     """An item of a lease, with the text that earlier runs of it have generated.
 
     ``deadline_s`` is the job's deadline by this process's monotonic clock. Of the ``tries``, those
-    are fruitless that ended neither with an answer nor by being parked; broken ones may have run.
+    are fruitless that ended neither with an answer nor by being parked; broken ones may have run,
+    and of the ``lost_runs``, which count those of former leases too, the runner may have died.
     """
 
     leased: LeasedItem
@@ -34,12 +39,18 @@
     tries: int = 0
     fruitless_runs: int = 0
     broken_runs: int = 0
+    lost_runs: int = 0
 
     @property
     def key(self) -> ItemKey:
         """Key of the item in the whole group."""
         return (self.leased.job_id, self.leased.index)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the item may be what kills its runners."""
+        return self.lost_runs >= SUSPECT_LOST_RUNS
+
 
 @dataclass
 class HeldLease:
@@ -69,7 +80,14 @@
         for leased in lease.items:
             self._sequence += 1
             deadline_s = now_s + (leased.deadline_ms - lease.granted_ms) / MS_PER_S
-            work = WorkItem(leased, lease.lease_id, service, self._sequence, deadline_s)
+            work = WorkItem(
+                leased,
+                lease.lease_id,
+                service,
+                self._sequence,
+                deadline_s,
+                lost_runs=leased.lost_runs,
+            )
             held.open_items.add(work.key)
             self._queue(work).append(work)
 
@@ -85,17 +103,20 @@
         """Return how many waiting items have run in part."""
         return sum(1 for work in self._all_waiting() if work.continue_text)
 
-    def take(self, service: str, models: Iterable[str], now_s: float) -> WorkItem | None:
+    def take(
+        self, service: str, models: Iterable[str], now_s: float, may_suspect: bool = True
+    ) -> WorkItem | None:
         """Return the next item that a runner with these models may start, or None.
 
-        Parked items come first, since they were put back at the front of their queue.
+        Parked items come first, since they were put back at the front of their queue. Suspects
+        are passed over unless ``may_suspect``.
         """
         queues = [self._waiting.get((service, model)) for model in models]
         heads = [queue for queue in queues if queue]
         heads.sort(key=lambda queue: queue[0].sequence)
         for queue in heads:
             for position, work in enumerate(queue):
-                if self._may_start(work, now_s):
+                if self._may_start(work, now_s) and (may_suspect or not work.is_suspect):
                     del queue[position]
                     return work
         return None
--- a/src/leverjunction/batch/item_run.py
+++ b/src/leverjunction/batch/item_run.py
@@ -10,7 +10,7 @@
 from leverjunction.backends.stream import EngineStream
 from leverjunction.backends.types import EngineCall
 from leverjunction.batch.held_work import WorkItem
-from leverjunction.errors import Execution, Failure
+from leverjunction.errors import Execution, Failure, FailureKind
 
 ANSWER_TIMEOUT_S = 600.0
 """An answer that is not streamed is silent until its end; a dead runner is noticed by its load."""
@@ -46,6 +46,7 @@
         body: Answer or error, JSON text.
         text: For PARKED, the whole text generated so far.
         reason: Why, for the record.
+        runner_lost: For BROKEN, True when the connection broke off: its runner may have died.
     """
 
     end: RunEnd
@@ -53,6 +54,7 @@
     body: str = ""
     text: str = ""
     reason: str = ""
+    runner_lost: bool = False
 
 
 class Engines(Protocol):
@@ -147,5 +149,8 @@
 
 
 def _from_failure(failure: Failure) -> RunResult:
-    is_clean = failure.execution == Execution.NOT_RUN
-    return RunResult(end=RunEnd.NOT_RUN if is_clean else RunEnd.BROKEN, reason=failure.reason)
+    if failure.execution == Execution.NOT_RUN:
+        return RunResult(end=RunEnd.NOT_RUN, reason=failure.reason)
+    # The answer to another request, too, is broken, but its runner lives.
+    is_lost = failure.kind == FailureKind.BACKEND_FAILED
+    return RunResult(end=RunEnd.BROKEN, reason=failure.reason, runner_lost=is_lost)
--- a/src/leverjunction/batch/leasing.py
+++ b/src/leverjunction/batch/leasing.py
@@ -143,8 +143,11 @@
 
 
 def _read_item(connection: sqlite3.Connection, job: JobRow, index: int, attempt: int) -> LeasedItem:
-    row = connection.execute(
-        "SELECT custom_id, model, url, body FROM sm_items WHERE item_key = ?",
+    *item, lost_runs = connection.execute(
+        """
+        SELECT custom_id, model, url, body, COALESCE(lost_runs, 0)
+        FROM sm_items LEFT JOIN sm_item_losses USING (item_key) WHERE item_key = ?
+        """,
         (row_key(job.number, index),),
     ).fetchone()
     return LeasedItem(
@@ -154,7 +157,8 @@
         tenant=job.tenant,
         may_repeat=bool(job.may_repeat),
         deadline_ms=job.deadline_ms,
-        item=ItemInput(*row),
+        item=ItemInput(*item),
+        lost_runs=lost_runs,
     )
 
 
@@ -202,6 +206,8 @@
         # An unknown outcome of an item that may repeat is no outcome: it runs again.
         result.state == ItemState.UNKNOWN and bool(job.may_repeat)
     )
+    if gives_back and holds:
+        _note_losses(connection, key, result.lost_runs)
     if gives_back:
         return holds and _give_back(connection, job, key)
     if job.is_final and holds:
@@ -218,6 +224,15 @@
     return True
 
 
+def _note_losses(connection: sqlite3.Connection, key: int, lost_runs: int) -> None:
+    """Keep the count for the item's next holder, so that it ends however often it moves."""
+    if lost_runs > 0:
+        connection.execute(
+            "INSERT OR REPLACE INTO sm_item_losses (item_key, lost_runs) VALUES (?, ?)",
+            (key, lost_runs),
+        )
+
+
 def _discard(job: JobRow) -> bool:
     job.discarded += 1
     return False
--- a/src/leverjunction/batch/removal.py
+++ b/src/leverjunction/batch/removal.py
@@ -24,7 +24,11 @@
 )
 """
 
-_KEYED_TABLES = (("sm_results", "result_key"), ("sm_items", "item_key"))
+_KEYED_TABLES = (
+    ("sm_results", "result_key"),
+    ("sm_item_losses", "item_key"),
+    ("sm_items", "item_key"),
+)
 
 
 def next_job_number(connection: sqlite3.Connection) -> int:
--- a/src/leverjunction/batch/tables.py
+++ b/src/leverjunction/batch/tables.py
@@ -102,6 +102,13 @@
     """
     CREATE INDEX IF NOT EXISTS sm_item_states_lease ON sm_item_states (lease) WHERE lease > 0
     """,
+    # Items whose runner was lost while they ran, with how often; most items have no row.
+    """
+    CREATE TABLE IF NOT EXISTS sm_item_losses (
+        item_key INTEGER PRIMARY KEY,
+        lost_runs INTEGER NOT NULL
+    )
+    """,
     # Accepted jobs with pending items, by model: what a grant chooses from.
     """
     CREATE TABLE IF NOT EXISTS sm_runnable (
--- a/src/leverjunction/settings/inheritance.py
+++ b/src/leverjunction/settings/inheritance.py
@@ -26,6 +26,7 @@
     "batch_priority": 1,
     "batch_max_running": 256,
     "batch_floor": 1,
+    "batch_max_lost_runs": 5,
 }
 
 LIMITS_BUILT_IN: dict[str, object] = {
--- a/src/leverjunction/settings/resolved.py
+++ b/src/leverjunction/settings/resolved.py
@@ -53,6 +53,7 @@
     batch_priority: int
     batch_max_running: int
     batch_floor: int
+    batch_max_lost_runs: int
 
 
 class ResolvedLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/settings/schema.py
+++ b/src/leverjunction/settings/schema.py
@@ -32,6 +32,9 @@
     batch_priority: int | None = Field(default=None, ge=0, le=9)
     batch_max_running: int | None = Field(default=None, ge=0)
     batch_floor: int | None = Field(default=None, ge=0)
+    batch_max_lost_runs: int | None = Field(
+        default=None, ge=3, le=100, description="runs of an item that may lose their runner"
+    )
 
 
 class TenantLimits(_Strict):
--- a/tests/features/exactly_once.feature
+++ b/tests/features/exactly_once.feature
@@ -46,3 +46,10 @@
       | fault                           |
       | nothing goes wrong              |
       | the leader of the job is killed |
+
+  Scenario: An item kills each engine that runs it
+    Given a healthy kilimo fleet
+    And an accepted job of 12 items of 300 tokens
+    When each engine that runs the first item is killed until the job has ended
+    Then the job completes
+    And the first item has failed after 5 lost engines, and every other one has its right result
--- a/tests/unit/test_batch_harvest_state.py
+++ b/tests/unit/test_batch_harvest_state.py
@@ -5,7 +5,7 @@
 import pytest
 from prometheus_client import CollectorRegistry
 
-from leverjunction.backends.types import LoadReport
+from leverjunction.backends.types import EngineCall, LoadReport
 from leverjunction.batch.batch_counters import HarvestCounters
 from leverjunction.batch.commands import ItemInput, ItemState, Lease, LeasedItem
 from leverjunction.batch.harvest import HarvestTargets
@@ -16,7 +16,9 @@
     HarvestState,
 )
 from leverjunction.batch.harvest_types import GiveBack, Run, Verdict
-from leverjunction.batch.item_run import RunEnd, RunResult
+from leverjunction.batch.held_work import SUSPECT_LOST_RUNS
+from leverjunction.batch.item_run import RunEnd, RunResult, run_item
+from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.messages import RunnerState
 
 RUNNER = RunnerState(runner_id="r1", address="a:1", zone="z", service="llm", models=["m"])
@@ -116,3 +118,93 @@
     assert verdicts[:-1] == [None] * (MAX_BROKEN_RUNS - 1)
     assert isinstance(verdicts[-1], Verdict)
     assert verdicts[-1].result.state == ItemState.FAILED
+
+
+MAX_LOST_RUNS = 5
+LOST = RunResult(end=RunEnd.BROKEN, runner_lost=True)
+DONE = RunResult(end=RunEnd.DONE, status_code=200, body="{}")
+
+
+def round_of_starts(state: HarvestState, now_s: float) -> list[Run]:
+    state.runners["r1"].controller.observe(REPORT, now_s)
+    return state.plan(now_s).starts
+
+
+def test_an_item_that_kills_its_runners_fails_and_those_beside_it_do_not() -> None:
+    state = held_state(may_repeat=True)
+    state.set_max_lost_runs({"llm": MAX_LOST_RUNS})
+    ended: list[Verdict] = []
+    killed = 0
+    for number in range(20):
+        now_s = 2.0 * number
+        runs = round_of_starts(state, now_s)
+        kills = any(run.work.leased.index == 0 for run in runs)
+        killed += kills
+        verdicts = [state.ended(run, LOST if kills else DONE, now_s) for run in runs]
+        ended += [verdict for verdict in verdicts if isinstance(verdict, Verdict)]
+    assert killed == MAX_LOST_RUNS
+    assert {(each.result.index, each.result.state) for each in ended} == {
+        (0, ItemState.FAILED),
+        (1, ItemState.DONE),
+    }
+    assert len(ended) == 2
+    failed = next(each.result for each in ended if each.result.state == ItemState.FAILED)
+    assert (failed.status_code, "runner_lost" in failed.body) == (502, True)
+
+
+def test_a_runner_runs_one_suspect_at_a_time() -> None:
+    state = held_state(may_repeat=True)
+    for number in range(SUSPECT_LOST_RUNS):
+        runs = round_of_starts(state, 2.0 * number)
+        assert len(runs) == 2
+        for run in runs:
+            state.ended(run, LOST, 2.0 * number)
+    (first,) = round_of_starts(state, 10.0)
+    assert round_of_starts(state, 11.0) == []
+    state.ended(first, DONE, 11.0)
+    assert len(round_of_starts(state, 12.0)) == 1
+
+
+@pytest.mark.parametrize(("is_owned", "lost_runs"), [(True, 1), (False, 0)])
+def test_a_silent_runner_counts_as_lost_while_its_reports_should_come_here(
+    is_owned: bool, lost_runs: int
+) -> None:
+    state = held_state(may_repeat=True)
+    assert len(state.plan(0.0).starts) == 2
+    state.set_runners([RUNNER] if is_owned else [], TARGETS)
+    state.plan(0.1)
+    state.plan(0.2 + LOST_RUNNER_S)
+    state.set_runners([], TARGETS)
+    given_back = state.plan(0.3 + LOST_RUNNER_S).give_back
+    assert [item.work.lost_runs for item in given_back] == [lost_runs] * 2
+
+
+class BrokenEngines:
+    """Engines that answer each request with the same failure."""
+
+    def __init__(self, failure: Failure) -> None:
+        self._failure = failure
+
+    def open(self, _call: EngineCall) -> Failure:
+        return self._failure
+
+    def cancel(self, _address: str, _request_id: str) -> None:
+        return None
+
+
+@pytest.mark.parametrize(
+    ("kind", "execution", "end", "runner_lost"),
+    [
+        (FailureKind.BACKEND_FAILED, Execution.UNKNOWN, RunEnd.BROKEN, True),
+        (FailureKind.BACKEND_MISMATCH, Execution.UNKNOWN, RunEnd.BROKEN, False),
+        (FailureKind.UNREACHABLE, Execution.NOT_RUN, RunEnd.NOT_RUN, False),
+    ],
+)
+def test_only_a_broken_connection_says_that_a_runner_was_lost(
+    kind: FailureKind, execution: Execution, end: RunEnd, runner_lost: bool
+) -> None:
+    work = held_state(may_repeat=True).work.take("llm", ["m"], 0.0)
+    assert work is not None
+    failure = Failure(kind=kind, reason="", step=Step.RESPONDING, execution=execution)
+    result = run_item(BrokenEngines(failure), work, "a:1", 1, "")
+    assert (result.end, result.runner_lost) == (end, runner_lost)
--- a/tests/unit/test_batch_retention.py
+++ b/tests/unit/test_batch_retention.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from tests.unit.batch_machine import DEADLINE_MS, START_MS, Machine, items, outcome, spec
 
@@ -15,6 +16,7 @@
     ExpireLeases,
     GetBacklog,
     GetResults,
+    ItemState,
     JobState,
     JobView,
     OpenedJob,
@@ -27,7 +29,14 @@
 from leverjunction.batch.submission import MAX_CHUNK_ITEMS
 from leverjunction.errors import Failure, FailureKind
 
-PAYLOAD_TABLES = ("sm_items", "sm_results", "sm_item_states", "sm_pending", "sm_removals")
+PAYLOAD_TABLES = (
+    "sm_items",
+    "sm_results",
+    "sm_item_states",
+    "sm_item_losses",
+    "sm_pending",
+    "sm_removals",
+)
 
 
 @pytest.fixture
@@ -133,6 +142,16 @@
     assert machine.job("a").cancelled == 3
 
 
+def test_counts_of_lost_runs_are_removed_with_their_job(machine: Machine) -> None:
+    machine.submit("jobs-0.a", 2)
+    lease = machine.grant("l")
+    back = outcome(lease.items[0], ItemState.PENDING)
+    machine.complete("l", msgspec.structs.replace(back, lost_runs=1), release=True)
+    machine.apply(CancelJob("jobs-0.a"), JobView)
+    expire(machine, machine.wall_ms + RESULTS_RETENTION_MS)
+    assert rows(machine) == 0
+
+
 def test_new_job_shares_nothing_with_an_upload_that_is_being_deleted(machine: Machine) -> None:
     machine.apply(OpenJob(spec("given-up", item_count=0)), OpenedJob)
     for first in range(0, 2 * ROWS_PER_COMMAND, 500):
--- a/tests/unit/test_batch_state_machine.py
+++ b/tests/unit/test_batch_state_machine.py
@@ -125,6 +125,19 @@
     assert machine.complete("l2", outcome(again)).accepted == 1
 
 
+def test_lost_runs_are_told_to_the_items_next_holder(machine: Machine) -> None:
+    machine.submit("jobs-0.a", 2)
+    first = machine.grant("l1")
+    given_back = outcome(first.items[0], ItemState.PENDING)
+    lost = msgspec.structs.replace(given_back, lost_runs=3)
+    machine.complete("l1", lost, outcome(first.items[1], ItemState.PENDING))
+    second = machine.grant("l2")
+    assert {item.index: item.lost_runs for item in second.items} == {0: 3, 1: 0}
+    late = msgspec.structs.replace(given_back, lost_runs=9)
+    machine.complete("l1", late)
+    assert {item.lost_runs for item in machine.grant("l2").items} == {3, 0}, "a late return"
+
+
 def test_cancel_stops_grants_and_discards_late_results(machine: Machine) -> None:
     machine.submit("j", 4)
     lease = machine.grant("l", max_items=2)
