Scale runs: processor time of a real gateway by thread, and runners without work

Cause: what a real gateway costs was known as a whole; by thread only from trials. Hollow runners always report a changing load, so an idle fleet could not be measured at all. Excluded: reading threads from outside (they have no names there), ticks of 10 ms (too coarse for threads of 0.1%).

--- a/src/testbed/scale/cluster.py
+++ b/src/testbed/scale/cluster.py
@@ -154,7 +154,9 @@
         "election_timeout_s": options.election_timeout_s,
         "heartbeat_interval_s": options.heartbeat_interval_s,
     }
-    return _start("control", control.name, document, folder)
+    path = _write(control.name, document, folder)
+    arguments = ["-m", "leverjunction.cli", "control", "--config", str(path)]
+    return ChildProcess(control.name, arguments, folder / f"{control.name}.log")
 
 
 def start_gateway(
@@ -181,11 +183,19 @@
         "hubs": hubs_for_zone(zone, controls),
         "exchange_interval_s": options.exchange_interval_s,
     }
-    return _start("gateway", name, document, folder)
+    path = _write(name, document, folder)
+    report = str(thread_report_path(name, folder))
+    arguments = ["-m", "testbed.scale.watched_gateway", report, "gateway", "--config", str(path)]
+    return ChildProcess(name, arguments, folder / f"{name}.log")
+
 
+def thread_report_path(name: str, folder: Path) -> Path:
+    """Return where a real gateway writes the processor times of its threads."""
+    return folder / f"{name}.threads.json"
 
-def _start(role: str, name: str, document: dict[str, object], folder: Path) -> ChildProcess:
+
+def _write(name: str, document: dict[str, object], folder: Path) -> Path:
+    """Write the settings file of a process and return its path."""
     path = folder / f"{name}.yaml"
     path.write_text(yaml.safe_dump(document), encoding="utf8")
-    arguments = ["-m", "leverjunction.cli", role, "--config", str(path)]
-    return ChildProcess(name, arguments, folder / f"{name}.log")
+    return path
--- a/src/testbed/scale/fleet.py
+++ b/src/testbed/scale/fleet.py
@@ -19,6 +19,7 @@
     plan_controls,
     start_control,
     start_gateway,
+    thread_report_path,
 )
 from testbed.scale.gateway_worker import GatewayWorkerReport, GatewayWorkerSpec
 from testbed.scale.hollow_gateway import GatewayProfile
@@ -42,8 +43,10 @@
     wait_until,
 )
 from testbed.scale.runner_worker import RunnerProfile, RunnerWorkerSpec
+from testbed.scale.watched_gateway import ThreadReport, ThreadTime
 
 RUNNER_START_TIMEOUT_S = 60.0
+THREAD_REPORT_TIMEOUT_S = 10.0
 
 Profile = TypeVar("Profile", GatewayProfile, RunnerProfile)
 
@@ -129,6 +132,21 @@
         for child in self.gateway_workers:
             os.kill(child.process_id, signal.SIGUSR1)
 
+    def gateway_threads(self) -> list[list[ThreadTime]]:
+        """Return the processor times of the real gateways' threads, as of now."""
+        paths = [thread_report_path(child.name, self.folder) for child in self.real_gateways]
+        known = [_read_threads(path).number for path in paths]
+        for child in self.real_gateways:
+            os.kill(child.process_id, signal.SIGUSR1)
+
+        def all_written() -> bool:
+            numbers = [_read_threads(path).number for path in paths]
+            return all(new > old for new, old in zip(numbers, known, strict=True))
+
+        if not wait_until(all_written, THREAD_REPORT_TIMEOUT_S):
+            raise ScaleError("a real gateway does not report its threads")
+        return [_read_threads(path).threads for path in paths]
+
     def control_leader(self) -> ChildProcess:
         """Return the control process that leads group root; the last one when none says so."""
         addresses = [f"{HOST}:{control.http_port}" for control in self.controls]
@@ -184,7 +202,11 @@
     def _runner(self, index: int) -> RunnerProfile:
         zone = zone_name(index, self.options.zones)
         return RunnerProfile(
-            runner_id=f"{SERVICE}-{zone}-r{index:04d}", zone=zone, service=SERVICE, models=MODELS
+            runner_id=f"{SERVICE}-{zone}-r{index:04d}",
+            zone=zone,
+            service=SERVICE,
+            models=MODELS,
+            is_idle=self.options.idle_runners,
         )
 
     def _gateway(self, index: int) -> GatewayProfile:
@@ -262,3 +284,10 @@
         for members in zones.values()
         for start in range(0, len(members), most)
     ]
+
+
+def _read_threads(path: Path) -> ThreadReport:
+    """Return the last report of a real gateway, an empty one before the first."""
+    if not path.exists():
+        return ThreadReport(0, [])
+    return msgspec.json.decode(path.read_bytes(), type=ThreadReport)
--- a/src/testbed/scale/hollow_runner.py
+++ b/src/testbed/scale/hollow_runner.py
@@ -22,15 +22,22 @@
 
 
 class HollowRunner:
-    """WSGI application of one hollow runner."""
-
-    def __init__(self, runner_id: str, models: list[str], random: random_module.Random) -> None:
+    """WSGI application of one hollow runner; an idle one reports no work."""
+
+    def __init__(
+        self,
+        runner_id: str,
+        models: list[str],
+        random: random_module.Random,
+        is_idle: bool = False,
+    ) -> None:
         self.runner_id = runner_id
         self.calls = 0
         self._models = list(models)
         self._random = random
         self._incarnation = time.time_ns() // 1_000_000
-        self._running = random.randrange(MAX_RUNNING)
+        self._max_running = 0 if is_idle else MAX_RUNNING
+        self._running = min(self._max_running, random.randrange(MAX_RUNNING))
         self._lock = threading.Lock()
 
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
@@ -54,7 +61,7 @@
     def _load(self) -> dict[str, object]:
         with self._lock:
             step = self._random.choice((-2, -1, 0, 1, 2))
-            self._running = min(MAX_RUNNING, max(0, self._running + step))
+            self._running = min(self._max_running, max(0, self._running + step))
             return {
                 "as_of_ms": time.time_ns() // 1_000_000,
                 "incarnation": self._incarnation,
--- a/src/testbed/scale/options.py
+++ b/src/testbed/scale/options.py
@@ -27,6 +27,8 @@
         items_per_s: Rate at which all hollow gateways together lease and complete items.
         lease_items: Items asked for by one GrantLease.
         item_bytes: Size of an item's request body; its result has the same size.
+        idle_runners: Whether the hollow runners report no work, instead of a load that changes
+            with each reading.
         digest_change_ratio: Share of owned runners whose load reading changes each second.
         exchange_interval_s: Time between two exchanges of a gateway.
         election_timeout_s: Of the control processes; more than the default for a machine so busy
@@ -54,6 +56,7 @@
     items_per_s: float = 0.0
     lease_items: int = 4
     item_bytes: int = 600
+    idle_runners: bool = False
     digest_change_ratio: float = 1.0
     exchange_interval_s: float = 1.0
     election_timeout_s: float = 0.6
--- a/src/testbed/scale/report.py
+++ b/src/testbed/scale/report.py
@@ -9,6 +9,8 @@
 
 MEGABYTE = 1e6
 KILOBYTE = 1e3
+SHOWN_CORE_RATIO = 0.0002
+"""Threads that use less of a core are left out."""
 
 
 def print_result(result: ScaleResult) -> None:
@@ -68,10 +70,17 @@
     table.add_row(
         "grants, empty, failures", f"{leases.grants}, {leases.empty_grants}, {leases.failures}"
     )
-    for usage, wire in zip(result.real_gateways, result.real_gateway_wire_bytes_per_s, strict=True):
+    for index, usage in enumerate(result.real_gateways):
         table.add_row(
-            "real gateway core %, RSS MB, wire B/s",
-            f"{usage.core_ratio:.2%}, {usage.rss_bytes / MEGABYTE:.0f}, {wire:.0f}",
+            "real gateway core %, RSS MB, wire B/s, of it control",
+            f"{usage.core_ratio:.2%}, {usage.rss_bytes / MEGABYTE:.0f}, "
+            f"{result.real_gateway_wire_bytes_per_s[index]:.0f}, "
+            f"{result.real_gateway_control_bytes_per_s[index]:.0f}",
+        )
+        threads = result.real_gateway_threads[index]
+        shown = [thread for thread in threads if thread.core_ratio >= SHOWN_CORE_RATIO]
+        table.add_row(
+            "by thread", ", ".join(f"{thread.name} {thread.core_ratio:.2%}" for thread in shown)
         )
     for reason, count in gateways.failure_reasons.items():
         table.add_row(reason, str(count))
--- a/src/testbed/scale/resources.py
+++ b/src/testbed/scale/resources.py
@@ -12,6 +12,7 @@
 import psutil
 
 from testbed.scale.counting import PACKET_OVERHEAD_BYTES, SEGMENT_PAYLOAD_BYTES
+from testbed.scale.watched_gateway import ThreadTime
 
 SOCKET_LIST = ("ss", "-tinpHO", "state", "established")
 SOCKET_LIST_TIMEOUT_S = 20
@@ -59,6 +60,13 @@
     threads: int
 
 
+class ThreadUsage(msgspec.Struct, frozen=True):
+    """Processor time over wall time of the threads of one name; 1.0 is one core."""
+
+    name: str
+    core_ratio: float
+
+
 class SocketCount(msgspec.Struct, frozen=True):
     """Kernel counts of one TCP connection."""
 
@@ -95,6 +103,18 @@
     )
 
 
+def threads_between(
+    before: list[ThreadTime], after: list[ThreadTime], seconds: float
+) -> list[ThreadUsage]:
+    """Return what threads used between two reports of one gateway, the largest first."""
+    earlier = {thread.name: thread.cpu_s for thread in before}
+    used = [
+        ThreadUsage(thread.name, (thread.cpu_s - earlier.get(thread.name, 0.0)) / seconds)
+        for thread in after
+    ]
+    return sorted(used, key=lambda usage: usage.core_ratio, reverse=True)
+
+
 def read_sockets() -> dict[tuple[int, int], SocketCount]:
     """Return the counts of all TCP connections of our processes, by process id and descriptor."""
     listing = subprocess.run(
--- a/src/testbed/scale/result.py
+++ b/src/testbed/scale/result.py
@@ -6,7 +6,7 @@
 
 from testbed.scale.lease_traffic import LeaseCount
 from testbed.scale.options import ScaleOptions
-from testbed.scale.resources import Usage
+from testbed.scale.resources import ThreadUsage, Usage
 from testbed.scale.strikes import Struck
 
 
@@ -109,6 +109,7 @@
         real_gateway_wire_bytes_per_s: Traffic of the real gateways between themselves, control
             and runners.
         real_gateway_control_bytes_per_s: Of these, towards control processes.
+        real_gateway_threads: Processor time of each real gateway's threads, largest first.
         changes: Settings changes.
         struck: What the strike hit; None when there was none.
         machine_list_polls_per_s: Polls of the machine list, all control processes together.
@@ -128,6 +129,7 @@
     real_gateways: list[Usage]
     real_gateway_wire_bytes_per_s: list[float]
     real_gateway_control_bytes_per_s: list[float]
+    real_gateway_threads: list[list[ThreadUsage]] = []
     changes: list[ChangeResult]
     struck: Struck | None
     machine_list_polls_per_s: float
--- a/src/testbed/scale/run.py
+++ b/src/testbed/scale/run.py
@@ -23,16 +23,19 @@
 from testbed.scale.resources import (
     Reading,
     SocketCount,
+    ThreadUsage,
     Usage,
     folder_bytes,
     load_average,
     read_process,
     read_sockets,
+    threads_between,
     usage_between,
     wire_bytes_per_s,
 )
 from testbed.scale.result import ChangeResult, ControlResult, GatewaySide, ScaleResult
 from testbed.scale.strikes import Strike, Struck, kill, silence
+from testbed.scale.watched_gateway import ThreadTime
 
 QUORUM_TIMEOUT_S = 40.0
 IN_STEP_TIMEOUT_S = 60.0
@@ -49,6 +52,7 @@
     monotonic_s: float
     processes: dict[int, Reading]
     sockets: dict[tuple[int, int], SocketCount]
+    gateway_threads: list[list[ThreadTime]]
 
 
 def run_scale(options: ScaleOptions, folder: Path) -> ScaleResult:
@@ -97,6 +101,7 @@
         real_gateway_control_bytes_per_s=window.real_gateway_wire(
             frozenset(control.rpc_port for control in fleet.controls)
         ),
+        real_gateway_threads=window.real_gateway_threads(),
         changes=window.change_results(),
         struck=window.struck,
         machine_list_polls_per_s=window.polls_per_s,
@@ -171,6 +176,10 @@
     def real_gateway_wire(self, peer_ports: frozenset[int] | None) -> list[float]:
         return [self._wire(child, peer_ports) for child in self._fleet.real_gateways]
 
+    def real_gateway_threads(self) -> list[list[ThreadUsage]]:
+        pairs = zip(self._before.gateway_threads, self._after.gateway_threads, strict=True)
+        return [threads_between(before, after, self.seconds) for before, after in pairs]
+
     def change_results(self) -> list[ChangeResult]:
         records = [record for report in self._reports_last for record in report.in_force]
         return [change_result(change, records, self._struck) for change in self._changes]
@@ -220,6 +229,7 @@
             monotonic_s=time.monotonic(),
             processes={key: value for key, value in readings.items() if value is not None},
             sockets=read_sockets(),
+            gateway_threads=fleet.gateway_threads(),
         )
 
     def _usage(self, child: ChildProcess) -> Usage | None:
--- a/src/testbed/scale/runner_worker.py
+++ b/src/testbed/scale/runner_worker.py
@@ -24,6 +24,7 @@
     zone: str
     service: str
     models: list[str]
+    is_idle: bool = False
 
 
 class RunnerWorkerSpec(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,7 +44,9 @@
     addresses: dict[str, str] = {}
     for index, profile in enumerate(spec.profiles):
         random = random_module.Random(spec.seed * 1_000_003 + index)
-        server = start_server(HollowRunner(profile.runner_id, profile.models, random))
+        server = start_server(
+            HollowRunner(profile.runner_id, profile.models, random, profile.is_idle)
+        )
         host, port = server.bind_addr[:2]
         addresses[profile.runner_id] = f"{host}:{port}"
     path = Path(spec.addresses_path)
--- a/tests/unit/test_scale_resources.py
+++ b/tests/unit/test_scale_resources.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import threading
+
 import pytest
 
 from testbed.scale.cluster import FIRST_PORT, LAST_PORT, free_ports
@@ -8,9 +10,16 @@
 from testbed.scale.hollow_gateway import InForce
 from testbed.scale.operators import ChangeTime, initial_leaves
 from testbed.scale.options import ScaleOptions, region_name
-from testbed.scale.resources import SocketCount, parse_sockets, wire_bytes_per_s
+from testbed.scale.resources import (
+    SocketCount,
+    ThreadUsage,
+    parse_sockets,
+    threads_between,
+    wire_bytes_per_s,
+)
 from testbed.scale.runner_worker import RunnerProfile
 from testbed.scale.strikes import Struck
+from testbed.scale.watched_gateway import ThreadTime, read_threads
 
 LISTING = (
     'ESTAB 0 0 127.0.0.1:40112 127.0.0.1:9000 users:(("python",pid=71,fd=9)) '
@@ -119,3 +128,26 @@
     ports = free_ports(50)
     assert len(set(ports)) == 50
     assert all(FIRST_PORT <= port < LAST_PORT for port in ports)
+
+
+def test_threads_between_two_reports() -> None:
+    before = [ThreadTime("exchange", 1.0), ThreadTime("owner", 2.0)]
+    after = [ThreadTime("exchange", 1.5), ThreadTime("owner", 4.0), ThreadTime("new", 1.0)]
+    assert threads_between(before, after, 10.0) == [
+        ThreadUsage("owner", 0.2),
+        ThreadUsage("new", 0.1),
+        ThreadUsage("exchange", 0.05),
+    ]
+
+
+def test_threads_of_a_pool_are_read_under_one_name() -> None:
+    done = threading.Event()
+    threads = [threading.Thread(target=done.wait, name=f"pool_{number}") for number in range(2)]
+    for thread in threads:
+        thread.start()
+    names = [thread.name for thread in read_threads()]
+    done.set()
+    for thread in threads:
+        thread.join()
+    assert names.count("pool") == 1
+    assert "MainThread" in names
