Harvester sleeps until there is batch work

Cause: it planned 50 times a second, also when no item was held: 0.95 to 1.2% of a core of every gateway, the largest part of an idle one. Excluded: a longer tick for all (it decides how soon batch refills and parks are sent again). Change: without a run or a waiting item the thread waits for an event alone. The controller's credit of prompt steps was counted from the last round, so idle time between rounds would have earned some; it now starts when the runner becomes busy. Tests, both seen failing before: no wait with a time without work; no credit from 60 s of idle time.

--- a/src/leverjunction/batch/harvest.py
+++ b/src/leverjunction/batch/harvest.py
@@ -145,10 +145,10 @@
 
     def online_arrived(self, now_s: float) -> None:
         """An online request is about to be sent to the runner through this process."""
+        self._be_busy(now_s, now_s + REFILL_HOLD_S)
         self._local_online += 1
         self._last_arrival_s = now_s
         self._empty_reports = 0
-        self._busy_until_s = max(self._busy_until_s, now_s + REFILL_HOLD_S)
 
     def online_finished(self, now_s: float) -> None:
         """An online request that was announced by ``online_arrived`` has ended."""
@@ -157,16 +157,18 @@
 
     def notice_arrived(self, now_s: float) -> None:
         """Another process has sent an online request to the runner (yield notice)."""
+        self._be_busy(now_s, now_s + NOTICE_HOLD_S)
         self._notice_until_s = now_s + NOTICE_HOLD_S
-        self._busy_until_s = max(self._busy_until_s, self._notice_until_s)
 
     def observe(self, report: LoadReport, now_s: float) -> None:
         """Take a load report, which may lag behind the events above."""
         batch = report.batch_running + report.batch_waiting
-        self._reported_online = max(0, report.running + report.waiting - batch)
+        online = max(0, report.running + report.waiting - batch)
+        if online:
+            self._be_busy(now_s, now_s + REFILL_HOLD_S)
+        self._reported_online = online
         self._reported_s = now_s
-        if self._reported_online:
-            self._busy_until_s = max(self._busy_until_s, now_s + REFILL_HOLD_S)
+        if online:
             self._empty_reports = 0
         elif now_s - self._last_arrival_s > FORGET_ONLINE_S:
             self._empty_reports += 1
@@ -247,6 +249,15 @@
             return self._decide_idle(now_s)
         return self._decide_busy(now_s)
 
+    def _be_busy(self, now_s: float, until_s: float) -> None:
+        """Count as busy until a time, or for longer if more says so.
+
+        Idle time earns no prompt steps, also when nobody asked for a decision meanwhile.
+        """
+        if not self.is_busy(now_s):
+            self._credit_s = now_s
+        self._busy_until_s = max(self._busy_until_s, until_s)
+
     def _reading(self, now_s: float) -> int:
         """Return how many batch prompts were still being read at the time of a usual report."""
         then_s = now_s - REPORT_LAG_S
--- a/src/leverjunction/batch/harvest_state.py
+++ b/src/leverjunction/batch/harvest_state.py
@@ -105,6 +105,10 @@
             if count > 0
         ]
 
+    def has_work(self) -> bool:
+        """Return whether any item runs or waits, so that plans are of use."""
+        return bool(self.runs) or self.work.waiting_total() > 0
+
     def plan(self, now_s: float) -> Plan:
         """Decide for every runner."""
         plan = Plan(give_back=self._unservable())
--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -79,6 +79,7 @@
         self._changed = threading.Condition()
         self._state = HarvestState(self.counters)
         self._completed = 0
+        self._had_work = False
         self._started = False
         self._stopping = False
         self._renewal: tuple[float, list[str]] = (0.0, [])
@@ -234,17 +235,27 @@
         self._thread.start()
 
     def _run(self) -> None:
-        while True:
-            with self._changed:
-                self._changed.wait(TICK_S)
-                if self._stopping:
-                    return
+        while self._wait_for_round():
             try:
                 self.tick()
             except Exception:
                 # The decisions must go on after any fault of one round.
                 logger.exception("harvest round failed")
 
+    def _wait_for_round(self) -> bool:
+        """Wait until the next round is due; False when there is none any more.
+
+        Without work there is nothing to decide, so the thread sleeps until some comes. The round
+        after the last work shows in the counters that there is none.
+        """
+        with self._changed:
+            if self._had_work:
+                self._changed.wait(TICK_S)
+            else:
+                self._changed.wait_for(lambda: self._stopping or self._state.has_work())
+            self._had_work = self._state.has_work()
+            return not self._stopping
+
     def tick(self) -> None:
         """Decide for every runner and carry the decisions out."""
         with self._changed:
--- a/tests/unit/test_batch_harvest.py
+++ b/tests/unit/test_batch_harvest.py
@@ -160,6 +160,13 @@
     assert starts(2.0) >= 600
 
 
+def test_idle_time_without_decisions_earns_no_prompt_steps() -> None:
+    made = controller(floor=2)
+    made.observe(report(), 60.0)
+    made.online_arrived(60.0)
+    assert made.decide(60.0).start == 0
+
+
 def test_idle_fill_grows_with_the_target() -> None:
     counts = [controller(interference).idle_capacity() for interference in (0.0, 0.05, 0.5)]
     assert counts == sorted(counts)
--- a/tests/unit/test_batch_harvester.py
+++ b/tests/unit/test_batch_harvester.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import threading
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -163,6 +164,29 @@
     assert len(world.engines.calls) == 2
 
 
+class ObservedCondition(threading.Condition):
+    """Tells when a thread waits for an event alone, without a time at which it looks again."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sleeps = threading.Event()
+
+    def wait(self, timeout: float | None = None) -> bool:
+        if timeout is None:
+            self.sleeps.set()
+        return super().wait(timeout)
+
+
+def test_without_work_no_round_is_made_until_there_is_some(world: World) -> None:
+    changed = world.harvester._changed = ObservedCondition()
+    world.start()
+    assert changed.sleeps.wait(WAIT_S)
+    changed.sleeps.clear()
+    world.submit(4)
+    assert world.wait_job(is_completed).done == 4
+    assert changed.sleeps.wait(WAIT_S)
+
+
 def _failure(kind: FailureKind, execution: Execution) -> Failure:
     return Failure(kind=kind, reason='broke "off"', step=Step.RESPONDING, execution=execution)
 
