Idle gateways do not poll job groups: the exchange tells where work is pending

Cause: with nothing pending a gateway asked each job group each 1 to 2 s for each service: 0.32 to 0.36% of a core, 1.1 KB/s, and a query at the group's leader each time. The fetcher also worked out what its runners could use ten times a second. Change: the leader names the services with pending items in its answer to the hubs' renewals (read at most each 0.25 s); the exchange's reply carries the list when it changed; batch/lease_polls.py (pure) decides when to ask: as before where work is named or the hub knows nothing, each 15 to 30 s elsewhere. News of work wake the fetcher; while it is quiet it looks once a second. Tests: schedule, fetcher, leader's answer, session, exchange. Seen failing with the old pauses in the new schedule: the two rows without work, and the idle fleet's count of queries.

--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -35,7 +35,7 @@
 from leverjunction.clock import Clock
 from leverjunction.errors import Failure
 from leverjunction.settings.resolved import ResolvedServing
-from leverjunction.wire.messages import RunnerState
+from leverjunction.wire.messages import PendingWork, RunnerState
 
 TICK_S = 0.02
 MAX_RUN_THREADS = 512
@@ -164,6 +164,10 @@
         for run in dropped:
             self._cancel_threads.submit(self._cancel, run)
 
+    def pending_told(self, work: list[PendingWork]) -> None:
+        """Take the hub's word of where work is pending: when to ask for leases."""
+        self._fetcher.pending_told(work)
+
     def stats(self) -> HarvestStats:
         """Return what the harvester is doing now."""
         with self._changed:
--- a/src/leverjunction/batch/lease_fetcher.py
+++ b/src/leverjunction/batch/lease_fetcher.py
@@ -10,14 +10,14 @@
 
 from leverjunction.batch.commands import Backlog, GetBacklog, GrantLease, Lease
 from leverjunction.batch.directory import Control
+from leverjunction.batch.lease_polls import Place, PollSchedule
 from leverjunction.clock import Clock
 from leverjunction.errors import Execution, Failure
+from leverjunction.wire.messages import PendingWork
 
 CHECK_INTERVAL_S = 0.1
-EMPTY_POLL_S = 0.5
-MAX_EMPTY_POLL_S = 2.0
-"""A group without work is asked again after this, longer each time, spread by half. Most jobs come
-in heaps 10 s apart, so a longest wait near that would leave the fleet idle for much of it."""
+QUIET_CHECK_INTERVAL_S = 1.0
+"""Between two looks at what is wanted while no work is said to be; news of work end the wait."""
 
 CALL_TIMEOUT_S = 3.0
 MAX_GRANT_ITEMS = 256
@@ -32,9 +32,6 @@
         self.wanted = wanted
 
 
-_Place = tuple[str, str]
-"""Group and service."""
-
 Granted = Callable[[str, str, Lease, float], None]
 """Called with group, service, lease and the monotonic time at which it was asked for."""
 
@@ -67,9 +64,10 @@
         self._demands = demands
         self._granted = granted
         self._groups: list[str] = []
-        self._next_poll_s: dict[_Place, float] = {}
-        self._empty_polls: dict[_Place, int] = {}
-        self._unanswered: dict[_Place, GrantLease] = {}
+        self._lock = threading.Lock()
+        self._polls = PollSchedule(random)
+        self._unanswered: dict[Place, GrantLease] = {}
+        self._wake = threading.Event()
         self._stopped = threading.Event()
         self._failing = False
         self._thread = threading.Thread(target=self._run, name="batch-leases", daemon=True)
@@ -81,6 +79,7 @@
     def stop(self) -> None:
         """End the thread; grants under way are waited for, so that they can be returned."""
         self._stopped.set()
+        self._wake.set()
         if self._thread.is_alive():
             self._thread.join(CALL_TIMEOUT_S * 2)
         for place, command in list(self._unanswered.items()):
@@ -90,14 +89,30 @@
         """Take the names of the job groups."""
         self._groups = list(groups)
 
+    def pending_told(self, work: list[PendingWork]) -> None:
+        """Take the hub's word of where work is pending."""
+        with self._lock:
+            is_news = self._polls.told(work)
+        if is_news:
+            self._wake.set()
+
     def _run(self) -> None:
-        while not self._stopped.wait(CHECK_INTERVAL_S):
+        while True:
+            self._wake.wait(self._check_interval_s())
+            self._wake.clear()
+            if self._stopped.is_set():
+                return
             try:
                 self.fetch_once()
             except Exception:
                 # Batch must go on after any fault of one round.
                 logger.exception("fetching leases failed")
 
+    def _check_interval_s(self) -> float:
+        with self._lock:
+            is_quiet = self._polls.is_quiet(self._groups) and not self._unanswered
+        return QUIET_CHECK_INTERVAL_S if is_quiet else CHECK_INTERVAL_S
+
     def fetch_once(self) -> None:
         """Ask for what is wanted, group by group from a random one on."""
         for demand in self._demands():
@@ -108,16 +123,22 @@
                     demand.wanted -= self._fetch(group, demand)
 
     def _fetch(self, group: str, demand: Demand) -> int:
-        place = (group, demand.service)
+        place = Place(group, demand.service)
         now_s = self._clock.monotonic_s()
-        if now_s < self._next_poll_s.get(place, 0.0) or not demand.models:
+        with self._lock:
+            is_due = self._polls.is_due(place, now_s)
+        if not is_due or not demand.models:
             return 0
         command = self._unanswered.get(place)
         if command is None and self._has_work(group, demand):
             command = self._new_grant(demand)
         count = 0 if command is None else self._ask(place, command)
-        if count == 0:
-            self._wait_longer(place, now_s)
+        with self._lock:
+            if count > 0:
+                self._polls.had_items(place)
+            else:
+                is_unanswered = place in self._unanswered
+                self._polls.was_empty(place, now_s, is_unanswered=is_unanswered)
         return count
 
     def _new_grant(self, demand: Demand) -> GrantLease:
@@ -125,16 +146,15 @@
         lease_id = f"{self._gateway_id}.{self._random.getrandbits(96):024x}"
         return GrantLease(lease_id, self._gateway_id, demand.service, demand.models, count)
 
-    def _ask(self, place: _Place, command: GrantLease) -> int:
+    def _ask(self, place: Place, command: GrantLease) -> int:
         """Ask for a lease and return how many items it has.
 
         A grant whose answer was lost may be committed, so the same one is asked for again: the
         group repeats its answer. Forgotten, its items would wait for the lease to end, and those
         that may not repeat would end as unknown.
         """
-        group, service = place
         asked_s = self._clock.monotonic_s()
-        lease = self._control.propose(group, command, Lease, CALL_TIMEOUT_S)
+        lease = self._control.propose(place.group, command, Lease, CALL_TIMEOUT_S)
         if isinstance(lease, Failure):
             self._note_failure(lease)
             if lease.execution is not Execution.NOT_RUN:
@@ -143,8 +163,7 @@
         self._unanswered.pop(place, None)
         self._failing = False
         if lease.items:
-            self._empty_polls.pop(place, None)
-            self._granted(group, service, lease, asked_s)
+            self._granted(place.group, place.service, lease, asked_s)
         return len(lease.items)
 
     def _has_work(self, group: str, demand: Demand) -> bool:
@@ -155,15 +174,6 @@
             return False
         return backlog.pending_by_service.get(demand.service, 0) > 0
 
-    def _wait_longer(self, place: tuple[str, str], now_s: float) -> None:
-        polls = self._empty_polls.get(place, 0) + 1
-        self._empty_polls[place] = polls
-        if place in self._unanswered:
-            # Its items may be leased to this gateway already, and would wait for the lease's end.
-            polls = 1
-        wait_s = min(EMPTY_POLL_S * polls, MAX_EMPTY_POLL_S) * self._random.uniform(0.5, 1.0)
-        self._next_poll_s[place] = now_s + wait_s
-
     def _note_failure(self, failure: Failure) -> None:
         if not self._failing:
             logger.warning("no leases for now: {}", failure.reason)
--- a/src/leverjunction/control/fanout.py
+++ b/src/leverjunction/control/fanout.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from leverjunction.control.membership import Membership
-from leverjunction.wire.messages import RunnerDigest
+from leverjunction.wire.messages import PendingWork, RunnerDigest
 
 MAX_DIGESTS_PER_REPLY = 16
 """Digests in one reply: about 1 KB of a node's budget of 3 KB/s."""
@@ -22,7 +22,7 @@
 
 
 class GatewaySession:
-    """Digests, lost leases and cancelled jobs that one gateway has been told.
+    """Digests, lost leases, cancelled jobs and pending work that one gateway has been told.
 
     A gateway confirms a reply by sending its ``view_version`` with the next exchange. When it
     sends another one, the reply was lost: what was told since then is told again.
@@ -39,12 +39,14 @@
         self._exchanges = 0
         self._lost: set[str] = set()
         self._told_jobs: set[str] = set()
+        self._told_work: list[PendingWork] | None = None
 
     def reset(self) -> None:
         """Forget what was told: the gateway knows nothing, or a reply was lost."""
         self._sent.clear()
         self._told_unhealthy.clear()
         self._told_jobs.clear()
+        self._told_work = None
         self._hubs = []
         self._hubs_version = None
 
@@ -70,6 +72,13 @@
         self._told_jobs = current
         return fresh
 
+    def untold_work(self, pending: list[PendingWork]) -> list[PendingWork] | None:
+        """Return where work is pending, None when just that was told last."""
+        if pending == self._told_work:
+            return None
+        self._told_work = pending
+        return pending
+
     def untold_hubs(self, settings_version: int, order: Callable[[], list[str]]) -> list[str]:
         """Return the order of hubs unless it was told; it can change only with the settings."""
         if self._hubs_version == settings_version:
--- a/src/leverjunction/control/gateway_desk.py
+++ b/src/leverjunction/control/gateway_desk.py
@@ -65,6 +65,7 @@
             hubs=self._hubs_news(request.gateway, session),
             quorum_age_s=round(quorum_age_s, 2),
             job_groups=self._identity.job_groups,
+            pending_work=session.untold_work(self._renewals.pending_work()),
         )
 
     def lose(self, owner: str, lease_ids: Iterable[str]) -> None:
--- a/src/leverjunction/control/lease_expiry.py
+++ b/src/leverjunction/control/lease_expiry.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from typing import TypeVar
 
@@ -38,6 +39,9 @@
 DEADLINE_INTERVAL_S = 1.0
 """Between two commands for what has fallen due: deadlines, abandoned uploads, old results."""
 
+PENDING_INTERVAL_S = 0.25
+"""How long a list of the services with pending work is told again: every hub asks for it."""
+
 CANCELLED_TOLD_S = 30.0
 """How long a cancelled job is told to the hubs: far longer than any exchange takes."""
 
@@ -60,6 +64,8 @@
         self.due_ms = 0
         self.granted_lately: set[str] = set()
         self.cancelled: dict[str, float] = {}
+        self.pending: list[str] | None = None
+        self.pending_read_s = -math.inf
 
 
 class LeaseExpiry:
@@ -116,7 +122,23 @@
         with led.lock:
             led.cancelled = {job: until for job, until in led.cancelled.items() if until > now_s}
             cancelled = list(led.cancelled)
-        return RenewedLeases([held for held in lost if held.lease_ids], cancelled)
+        pending = self._pending_services(replica, led, now_s)
+        return RenewedLeases([held for held in lost if held.lease_ids], cancelled, pending)
+
+    def _pending_services(
+        self, replica: ReplicatedGroup, led: _LedGroup, now_s: float
+    ) -> list[str] | None:
+        """Return the services with pending work, None when that cannot be read."""
+        with led.lock:
+            if now_s - led.pending_read_s < PENDING_INTERVAL_S:
+                return led.pending
+            led.pending_read_s = now_s
+        answer = replica.query_local(encode(GetBacklog(with_leases=False)))
+        backlog = decode_reply(answer, Backlog)
+        services = None if isinstance(backlog, Failure) else sorted(backlog.pending_by_service)
+        with led.lock:
+            led.pending = services
+        return services
 
     def _renew_owner(
         self, replica: ReplicatedGroup, led: _LedGroup, held: HeldLeases
--- a/src/leverjunction/control/messages.py
+++ b/src/leverjunction/control/messages.py
@@ -154,7 +154,14 @@
 
 
 class RenewedLeases(msgspec.Struct, frozen=True):
-    """The leader's answer: leases that are no longer valid, and jobs cancelled lately."""
+    """The leader's answer.
+
+    Attributes:
+        lost: Leases that are no longer valid.
+        cancelled_jobs: Jobs cancelled lately.
+        pending_services: Services with pending items; None when the leader cannot tell.
+    """
 
     lost: list[HeldLeases]
     cancelled_jobs: list[str]
+    pending_services: list[str] | None = None
--- a/src/leverjunction/gateway/exchange.py
+++ b/src/leverjunction/gateway/exchange.py
@@ -19,6 +19,7 @@
     ExchangeReply,
     ExchangeRequest,
     GatewayState,
+    PendingWork,
     RunnerDigest,
 )
 
@@ -42,6 +43,10 @@
         """Drop leases that are no longer valid and work of cancelled jobs."""
         ...
 
+    def pending_told(self, work: list[PendingWork]) -> None:
+        """Take the hub's word of where work is pending."""
+        ...
+
 
 class DigestOutbox:
     """Digests of owned runners that the hub has not confirmed yet. Thread-safe."""
@@ -198,6 +203,8 @@
             logger.info("connected to hub {}", self._control.hub)
         if reply.lost_lease_ids or reply.cancelled_jobs:
             self._leases.revoke(reply.lost_lease_ids, reply.cancelled_jobs)
+        if reply.pending_work is not None:
+            self._leases.pending_told(reply.pending_work)
         self._on_view(after)
 
     def _apply_settings(self, reply: ExchangeReply) -> None:
--- a/src/leverjunction/gateway/harvest.py
+++ b/src/leverjunction/gateway/harvest.py
@@ -13,7 +13,7 @@
 from leverjunction.config.gateway import GatewayConfig
 from leverjunction.settings.resolved import ResolvedSettings
 from leverjunction.wire.control_client import ControlClient
-from leverjunction.wire.messages import RunnerState
+from leverjunction.wire.messages import PendingWork, RunnerState
 
 
 class BatchHarvest:
@@ -72,6 +72,10 @@
         """Drop lost leases and the work of cancelled jobs."""
         self._harvester.revoke(lost_lease_ids, cancelled_jobs)
 
+    def pending_told(self, work: list[PendingWork]) -> None:
+        """Take the hub's word of where work is pending."""
+        self._harvester.pending_told(work)
+
     def stop(self) -> None:
         """Hand all leases back."""
         self._harvester.stop()
--- a/src/leverjunction/wire/messages.py
+++ b/src/leverjunction/wire/messages.py
@@ -91,6 +91,16 @@
     deleted: bool = False
 
 
+class PendingWork(msgspec.Struct, frozen=True):
+    """Services that had pending items in one job group lately.
+
+    A hint that may be late or lost: it says when to ask for leases, never whether there are any.
+    """
+
+    group: str
+    services: list[str]
+
+
 class ExchangeRequest(msgspec.Struct, frozen=True, kw_only=True):
     """What a gateway tells its hub once a second; deltas only.
 
@@ -132,6 +142,8 @@
         job_groups: Number of job groups, ``jobs-0`` to ``jobs-(job_groups - 1)``.
         settings_retry_after_s: Above 0 when the hub held settings back because many ask at once;
             the next exchange may come that soon, with jitter.
+        pending_work: Where work is pending, for all job groups of which the hub knows; None when
+            that is what the gateway was told last.
     """
 
     settings_version: int
@@ -150,6 +162,7 @@
     quorum_age_s: float
     job_groups: int = 2
     settings_retry_after_s: float = 0.0
+    pending_work: list[PendingWork] | None = None
 
 
 class YieldNotice(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/unit/test_batch_lease_fetcher.py
+++ b/tests/unit/test_batch_lease_fetcher.py
@@ -21,13 +21,10 @@
     OpenedJob,
     OpenJob,
 )
-from leverjunction.batch.lease_fetcher import (
-    EMPTY_POLL_S,
-    MAX_EMPTY_POLL_S,
-    Demand,
-    LeaseFetcher,
-)
+from leverjunction.batch.lease_fetcher import CHECK_INTERVAL_S, Demand, LeaseFetcher
+from leverjunction.batch.lease_polls import EMPTY_POLL_S, MAX_EMPTY_POLL_S, SAFETY_POLL_S
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.wire.messages import PendingWork
 
 T = TypeVar("T")
 
@@ -38,6 +35,13 @@
     def __init__(self, lost_answers: int) -> None:
         super().__init__(lambda: START_MS)
         self.lost_answers = lost_answers
+        self.queries = 0
+
+    def query(
+        self, group: str, query: msgspec.Struct, reply_type: type[T], timeout_s: float = 5.0
+    ) -> T | Failure:
+        self.queries += 1
+        return super().query(group, query, reply_type, timeout_s)
 
     def propose(
         self, group: str, command: msgspec.Struct, reply_type: type[T], timeout_s: float = 5.0
@@ -129,3 +133,26 @@
     fetching.clock.now_s += EMPTY_POLL_S
     fetching.fetcher.fetch_once()
     assert [len(lease.items) for lease in fetching.leases] == [8]
+
+
+def test_an_idle_fleet_is_hardly_polled_and_work_is_begun_at_the_hubs_word() -> None:
+    fetching = Fetching(0, has_job=False)
+    fetching.fetcher.pending_told([PendingWork("jobs-0", [])])
+    for _ in range(600):
+        fetching.fetcher.fetch_once()
+        fetching.clock.now_s += CHECK_INTERVAL_S
+    assert fetching.control.queries <= 60.0 / (SAFETY_POLL_S / 2) + 1
+    fetching.add_job()
+    fetching.fetcher.pending_told([PendingWork("jobs-0", ["llm"])])
+    fetching.fetcher.fetch_once()
+    assert [len(lease.items) for lease in fetching.leases] == [8]
+
+
+def test_work_of_which_the_word_was_lost_is_found() -> None:
+    fetching = Fetching(0, has_job=False)
+    fetching.fetcher.pending_told([PendingWork("jobs-0", [])])
+    fetching.fetcher.fetch_once()
+    fetching.add_job()
+    fetching.clock.now_s += SAFETY_POLL_S
+    fetching.fetcher.fetch_once()
+    assert [len(lease.items) for lease in fetching.leases] == [8]
--- a/tests/unit/test_control_fanout.py
+++ b/tests/unit/test_control_fanout.py
@@ -10,9 +10,10 @@
 from leverjunction.control.fanout import REFRESH_MS, GatewaySession, is_material
 from leverjunction.control.layout import hubs_for_gateway
 from leverjunction.control.membership import FEW_RUNNERS, Membership
-from leverjunction.control.messages import RunnerReading
+from leverjunction.control.messages import RenewedLeases, RunnerReading
+from leverjunction.control.renewals import RenewalBook
 from leverjunction.platform.machine_list import Machine, MachineList, MachineState
-from leverjunction.wire.messages import RunnerDigest
+from leverjunction.wire.messages import PendingWork, RunnerDigest
 
 ZONES = [f"zone-{number:02}" for number in range(15)]
 PEERS = {f"control-{number}": f"10.0.0.{number}:1" for number in range(15)}
@@ -131,3 +132,16 @@
     )
     assert len(used) == len(PEERS) - len(dead)
     assert max(used.values()) < 1.35 * 340 / len(used)
+
+
+def test_pending_work_is_told_once_and_again_after_a_lost_reply() -> None:
+    book, session = RenewalBook(), GatewaySession(1)
+    assert session.untold_work(book.pending_work()) == []
+    book.answered("jobs-0", RenewedLeases([], [], ["llm"]))
+    work = [PendingWork("jobs-0", ["llm"])]
+    assert session.untold_work(book.pending_work()) == work
+    assert session.untold_work(book.pending_work()) is None
+    session.reset()
+    assert session.untold_work(book.pending_work()) == work
+    book.answered("jobs-0", RenewedLeases([], []))
+    assert session.untold_work(book.pending_work()) == []
--- a/tests/unit/test_control_lease_expiry.py
+++ b/tests/unit/test_control_lease_expiry.py
@@ -14,7 +14,11 @@
 )
 from leverjunction.batch.leasing import LEASE_DURATION_S
 from leverjunction.consensus.api import GroupStatus
-from leverjunction.control.lease_expiry import DEADLINE_INTERVAL_S, LeaseExpiry
+from leverjunction.control.lease_expiry import (
+    DEADLINE_INTERVAL_S,
+    PENDING_INTERVAL_S,
+    LeaseExpiry,
+)
 from leverjunction.control.messages import HeldLeases, RenewLeases
 from leverjunction.errors import Failure, FailureKind
 from leverjunction.wire.codec import encode, encode_reply
@@ -32,6 +36,7 @@
         self.term = 1
         self.due_ms = 0
         self.leases = {"g1": ["lease-1"]}
+        self.pending = {"s": 5}
         self.proposed: list[bytes] = []
 
     def monotonic_s(self) -> float:
@@ -52,7 +57,7 @@
     def query_local(self, _query: bytes) -> bytes:
         return encode_reply(
             Backlog(
-                pending_by_service={"s": 5},
+                pending_by_service=self.pending,
                 leases_by_owner=self.leases,
                 next_due_ms=self.due_ms,
                 cancelled_jobs=["old-job"],
@@ -146,3 +151,17 @@
     answer = expiry.renew(GROUP, RenewLeases([]))
     assert not isinstance(answer, Failure)
     assert answer.cancelled_jobs == ["old-job"]
+
+
+def test_the_answer_to_renewals_names_the_services_with_pending_work(
+    expiry: LeaseExpiry, replica: Replica
+) -> None:
+    def told() -> list[str] | None:
+        answer = expiry.renew(GROUP, RenewLeases([]))
+        assert not isinstance(answer, Failure)
+        return answer.pending_services
+
+    assert told() == ["s"]
+    replica.pending = {}
+    replica.now_s += PENDING_INTERVAL_S
+    assert told() == []
--- a/tests/unit/test_gateway_exchange.py
+++ b/tests/unit/test_gateway_exchange.py
@@ -14,6 +14,7 @@
     ExchangeReply,
     ExchangeRequest,
     GatewayState,
+    PendingWork,
     RunnerDigest,
     SettingRow,
 )
@@ -59,6 +60,12 @@
 
 
 class NoLeases:
+    def __init__(self) -> None:
+        self.told: list[list[PendingWork]] = []
+
+    def pending_told(self, work: list[PendingWork]) -> None:
+        self.told.append(work)
+
     def lease_ids(self) -> dict[str, list[str]]:
         return {}
 
@@ -66,7 +73,9 @@
         return None
 
 
-def make_loop(outbox: DigestOutbox | None = None) -> tuple[ExchangeLoop, StubControl]:
+def make_loop(
+    outbox: DigestOutbox | None = None, leases: NoLeases | None = None
+) -> tuple[ExchangeLoop, StubControl]:
     control = StubControl()
     loop = ExchangeLoop(
         control,  # type: ignore[arg-type]
@@ -74,7 +83,7 @@
         ClusterView(),
         SettingsStore(NoCache()),  # type: ignore[arg-type]
         outbox or DigestOutbox(),
-        NoLeases(),
+        leases or NoLeases(),
         GatewayCounters(),
         INTERVAL_S,
         lambda _snapshot: None,
@@ -153,3 +162,14 @@
     control.reply = REPLY
     loop.exchange_once()
     assert [request.digests for request in control.requests] == [[], [digest], [digest]]
+
+
+def test_pending_work_is_passed_on_when_the_hub_tells_it() -> None:
+    leases = NoLeases()
+    loop, control = make_loop(leases=leases)
+    loop.exchange_once()
+    assert leases.told == []
+    work = [PendingWork("jobs-0", ["llm"])]
+    control.reply = msgspec.structs.replace(REPLY, pending_work=work)
+    loop.exchange_once()
+    assert leases.told == [work]
