--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -17,7 +17,7 @@
 from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.control.counters import ControlCounters
 from leverjunction.control.group_host import GroupHost
-from leverjunction.control.http_server import HttpServer
+from leverjunction.control.http_server import operators_server
 from leverjunction.control.hub import Hub, HubIdentity
 from leverjunction.control.hub_sync import HubSyncTasks, RenewalTask
 from leverjunction.control.layout import ROOT_GROUP, group_names, job_group_names, voters_of
@@ -35,6 +35,7 @@
 from leverjunction.control.status import ClusterStatus, cluster_status
 from leverjunction.control.voter_placement import VoterPlacement
 from leverjunction.platform.machine_list import MachineListClient
+from leverjunction.wire.http_thread import HttpServer
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcServer
 
@@ -215,7 +216,7 @@
             self.host, job_group_names(self.config.job_groups), self.status, token
         )
         app = build_operators_app(operators, ProbesApi(registry, self._not_ready))
-        return HttpServer(self.config.listen.host, self.config.listen.http_port, app)
+        return operators_server(self.config.listen.host, self.config.listen.http_port, app)
 
     def _not_ready(self) -> str | None:
         if self._stopping:
--- a/src/leverjunction/wire/rpc_server.py
+++ b/src/leverjunction/wire/rpc_server.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import threading
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import cherrypy
-from cheroot import wsgi
 from loguru import logger
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
@@ -19,13 +17,13 @@
     decode_envelope,
     encode_envelope,
 )
+from leverjunction.wire.http_thread import HttpServer, HttpServerOptions
 from leverjunction.wire.rpc_client import RPC_PATH
 
 RpcHandler = Callable[[Envelope, str], bytes]
 """Handles an authenticated envelope from a peer address and returns an encoded reply body."""
 
 IDLE_TIMEOUT_S = 10
-"""For a kept connection, and for a sender that stops in the middle: it holds a thread."""
 
 LISTEN_BACKLOG = 512
 KEEP_ALIVE_CONNECTIONS = 4096
@@ -123,8 +121,8 @@
             )
 
 
-class RpcServer:
-    """Serves an endpoint on its own port with cheroot, CherryPy's HTTP server.
+class RpcServer(HttpServer):
+    """Serves an endpoint on its own port.
 
     Args:
         host: IP number to listen on.
@@ -134,35 +132,14 @@
     """
 
     def __init__(self, host: str, port: int, endpoint: RpcEndpoint, threads: int = 16) -> None:
-        self._server = wsgi.Server(
-            (host, port),
-            endpoint.wsgi_app,
-            numthreads=threads,
-            request_queue_size=LISTEN_BACKLOG,
-            timeout=IDLE_TIMEOUT_S,
-            server_name="leverjunction-rpc",
+        options = HttpServerOptions(
+            name="rpc-server",
+            threads=threads,
+            backlog=LISTEN_BACKLOG,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+            keep_alive_connections=KEEP_ALIVE_CONNECTIONS,
         )
-        self._server.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
-        self._thread: threading.Thread | None = None
-
-    @property
-    def address(self) -> str:
-        """``host:port`` that it listens on, known once ``start`` has returned."""
-        host, port = self._server.bind_addr[:2]
-        return f"{host}:{port}"
-
-    def start(self) -> None:
-        """Bind and serve in a thread; raises OSError when the address is taken."""
-        self._server.prepare()
-        self._thread = threading.Thread(target=self._server.serve, name="rpc-server", daemon=True)
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stop serving; calls in progress get cheroot's shutdown time to finish."""
-        self._server.stop()
-        if self._thread is not None:
-            self._thread.join()
-            self._thread = None
+        super().__init__(host, port, endpoint.wsgi_app, options)
 
 
 def _after_a_fault(kind: MessageKind) -> Execution:
--- a/tests/unit/cli_support.py
+++ b/tests/unit/cli_support.py
@@ -18,7 +18,7 @@
 from leverjunction.api.probes import ProbesApi
 from leverjunction.cli.commands import main
 from leverjunction.consensus.api import ApplyContext
-from leverjunction.control.http_server import HttpServer
+from leverjunction.control.http_server import operators_server
 from leverjunction.control.messages import HubState
 from leverjunction.control.status import ClusterStatus, PlacementStatus, RunnerLoad
 from leverjunction.errors import Failure, FailureKind, Step
@@ -180,7 +180,7 @@
     """Serve the stub on a free port and yield ``host:port``."""
     operators = OperatorsApi(stub, ["jobs-0"], stub.status, TOKEN)
     probes = ProbesApi(CollectorRegistry(), lambda: None)
-    server = HttpServer("127.0.0.1", 0, build_operators_app(operators, probes))
+    server = operators_server("127.0.0.1", 0, build_operators_app(operators, probes))
     server.start()
     try:
         yield server.address
