Scale runs: a gateway's report of its threads is outside of the measured window

Cause: the report that opens the window (some 70 files read) was charged to the gateway: 0.07 to 0.1% of a core in 20 s. The commit was shown without "+" for a changed work tree, as the path was looked up below the module's folder. Change: reports before the first and after the last reading; the path is from the repository's root.

--- a/src/testbed/scale/run.py
+++ b/src/testbed/scale/run.py
@@ -35,7 +35,6 @@
 )
 from testbed.scale.result import ChangeResult, ControlResult, GatewaySide, ScaleResult
 from testbed.scale.strikes import Strike, Struck, kill, silence
-from testbed.scale.watched_gateway import ThreadTime
 
 QUORUM_TIMEOUT_S = 40.0
 IN_STEP_TIMEOUT_S = 60.0
@@ -52,7 +51,6 @@
     monotonic_s: float
     processes: dict[int, Reading]
     sockets: dict[tuple[int, int], SocketCount]
-    gateway_threads: list[list[ThreadTime]]
 
 
 def run_scale(options: ScaleOptions, folder: Path) -> ScaleResult:
@@ -126,6 +124,8 @@
         assert self._fleet.machine_list is not None
         polls = self._fleet.machine_list.polls
         self._reports_before = self._fleet.reports()
+        # The reports cost the gateways processor time, so the readings lie between them.
+        self._threads_before = self._fleet.gateway_threads()
         self._before = self._snapshot()
         self._ends_s = time.monotonic() + options.window_s
         operator = threading.Thread(target=self._make_changes, daemon=True)
@@ -137,6 +137,7 @@
             self._fleet.check_memory()
             time.sleep(min(MEMORY_CHECK_S, max(0.0, self._ends_s - time.monotonic())))
         self._after = self._snapshot()
+        self._threads_after = self._fleet.gateway_threads()
         self._reports_after = self._fleet.reports()
         self.seconds = self._after.monotonic_s - self._before.monotonic_s
         self.polls_per_s = (self._fleet.machine_list.polls - polls) / self.seconds
@@ -177,7 +178,7 @@
         return [self._wire(child, peer_ports) for child in self._fleet.real_gateways]
 
     def real_gateway_threads(self) -> list[list[ThreadUsage]]:
-        pairs = zip(self._before.gateway_threads, self._after.gateway_threads, strict=True)
+        pairs = zip(self._threads_before, self._threads_after, strict=True)
         return [threads_between(before, after, self.seconds) for before, after in pairs]
 
     def change_results(self) -> list[ChangeResult]:
@@ -229,7 +230,6 @@
             monotonic_s=time.monotonic(),
             processes={key: value for key, value in readings.items() if value is not None},
             sockets=read_sockets(),
-            gateway_threads=fleet.gateway_threads(),
         )
 
     def _usage(self, child: ChildProcess) -> Usage | None:
@@ -301,7 +301,7 @@
 def current_commit() -> str:
     """Return the short commit id, with ``+`` when the work tree's sources differ from it."""
     head = _git("rev-parse", "--short", "HEAD")
-    return head + ("+" if _git("status", "--porcelain", "--", "src") else "")
+    return head + ("+" if _git("status", "--porcelain", "--", ":/src") else "")
 
 
 def _git(*arguments: str) -> str:
