Hollow runner: it answers the list of owned requests

Cause: an owner gateway asks a runner that does not answer GET /v1/requests again at each exchange; hollow runners answered 404, so real gateways in a scale run would have carried calls that no fleet makes. Change: an empty list. The test of it was seen failing before.

--- a/src/testbed/scale/hollow_runner.py
+++ b/src/testbed/scale/hollow_runner.py
@@ -49,6 +49,8 @@
                 return _json(start, headers, "200 OK", self._load())
             case "/health":
                 return _json(start, headers, "200 OK", {"status": "ok"})
+            case "/v1/requests":
+                return _json(start, headers, "200 OK", {"requests": []})
             case "/orders":
                 order = json.loads(environ["wsgi.input"].read())
                 return _json(start, headers, "202 Accepted", self._obey(order))
