Engine stand-in: a load gets ready on an engine without requests

Cause: the stand-in made loaded weights ready only when a request came or a step ran. On an idle engine an ordered load was never reported as ready, so placement kept the order in progress (up to its limit of 900 s) and gave no other. Excluded: placement; its orders had been accepted, and its record named them. Change: every reading of the load makes ready what has been loaded by then.

--- a/src/testbed/engine/model.py
+++ b/src/testbed/engine/model.py
@@ -68,7 +68,6 @@
     def submit(self, request: EngineRequest, now_s: float) -> Submission:
         """Queue a request, or refuse it without running anything."""
         self._observe(now_s)
-        self.placement.advance(now_s)
         if self.leaving:
             return Submission.LEAVING
         if not self.placement.is_ready(request.model):
@@ -116,7 +115,6 @@
     def step(self, now_s: float) -> StepOutcome:
         """Run one step that begins now; its tokens appear ``duration_s`` later."""
         self._observe(now_s)
-        self.placement.advance(now_s)
         self._schedule(now_s)
         if not self._running:
             return StepOutcome(0.0, [])
@@ -174,7 +172,11 @@
         self.cache.store(blocks, self.config.kv_blocks - self._kv_used(), now_s)
 
     def _observe(self, now_s: float) -> None:
-        """Take a reading when one is due; state has not changed since the last event."""
+        """Make ready what has been loaded, and take a reading when one is due.
+
+        Nothing else has changed since the last event.
+        """
+        self.placement.advance(now_s)
         if now_s < self._next_reading_s:
             return
         self._readings.append(self.load_now(now_s))
--- a/tests/unit/test_engine_model.py
+++ b/tests/unit/test_engine_model.py
@@ -170,6 +170,14 @@
     assert engine.placement.versions()["n"] == "2"
 
 
+def test_a_load_gets_ready_on_an_engine_without_requests() -> None:
+    engine = make_engine(weights_bytes=100, weights_bytes_per_s=10.0)
+    engine.order(load_order(1, 1, "one"), 0.0)
+    assert "n" not in engine.load_report(9.0).models
+    engine.load_report(11.0)
+    assert "n" in engine.load_report(12.0).models
+
+
 def test_chat_prompt_joins_messages() -> None:
     messages = [{"role": "system", "content": "be brief"}, {"role": "user", "content": "hello"}]
     assert chat_prompt(messages) == "system: be brief user: hello"
