Revert "Load readings over kept connections, at a fifth of their cost"

Cause: it reads HTTP answers by code of its own, and the project's rule is HTTP by library (urllib3 towards engines); a saving does not lift the rule.

--- a/src/leverjunction/backends/client.py
+++ b/src/leverjunction/backends/client.py
@@ -7,7 +7,6 @@
 
 from leverjunction.backends.echo import ATTEMPT_HEADER, REQUEST_ID_HEADER, answer_mismatch
 from leverjunction.backends.head_wait import IsHopeless, WatchedConnection, give_up_when
-from leverjunction.backends.kept_connections import KeptConnections, PlainAnswer, UnusualAnswerError
 from leverjunction.backends.stream import EngineStream
 from leverjunction.backends.types import (
     EngineCall,
@@ -60,8 +59,6 @@
     def __init__(self) -> None:
         self._pool = _new_pool(_WatchedPool)
         self._plain_pool = _new_pool(_PlainPool)
-        self._kept = KeptConnections(CONNECT_TIMEOUT_S)
-        self._unusual: set[str] = set()
 
     def open(
         self, call: EngineCall, is_hopeless: IsHopeless | None = None
@@ -127,34 +124,13 @@
 
     def load(self, address: str, timeout_s: float = LOAD_TIMEOUT_S) -> LoadReport | Failure:
         """Read an engine's load report."""
-        body = self._get_load(address, timeout_s)
+        body = self._exchange("GET", address, "/load", MONITOR_REQUEST_ID, None, timeout_s)
         if isinstance(body, Failure):
             return body
         if body[0] != 200:
             return _bad_status(address, body[0], body[1])
         return decode(body[1], LoadReport, address)
 
-    def _get_load(self, address: str, timeout_s: float) -> tuple[int, bytes] | Failure:
-        """Ask for a load report; an engine that answers unusually is asked the general way."""
-        if address not in self._unusual:
-            try:
-                answer = self._kept.get(address, "/load", _MONITOR_HEADERS, timeout_s)
-            except UnusualAnswerError:
-                self._unusual.add(address)
-            else:
-                return answer if isinstance(answer, Failure) else self._checked(address, answer)
-        return self._exchange("GET", address, "/load", MONITOR_REQUEST_ID, None, timeout_s)
-
-    def _checked(self, address: str, answer: PlainAnswer) -> tuple[int, bytes] | Failure:
-        """Return status and body of an answer that belongs to a monitor's request."""
-        mismatch = answer_mismatch(
-            urllib3.HTTPHeaderDict(answer.headers), MONITOR_REQUEST_ID, 1, address
-        )
-        if mismatch is not None:
-            self._kept.drop(address)
-            return mismatch
-        return answer.status, answer.body
-
     def order(self, address: str, order: Order) -> OrderOutcome | Failure:
         """Send a fenced order; the outcome says whether the engine accepted it."""
         body = self._exchange(
@@ -193,7 +169,6 @@
         """Close all idle connections."""
         self._pool.clear()
         self._plain_pool.clear()
-        self._kept.close()
 
     def _exchange(
         self,
@@ -275,9 +250,6 @@
     }
 
 
-_MONITOR_HEADERS = _headers(MONITOR_REQUEST_ID, 1)
-
-
 def _stream_path(request_id: str) -> str:
     return f"/v1/requests/{request_id}/stream"
 
