Age of contact: since a replica held all that is committed, since a hub's last read succeeded

Change: leader_contact_age_s, which only the hub uses, counts from the last append that showed that the replica holds everything up to the leader's commit index. Elections go by leader_contact_s as before. RemoteRoot's age is at least the time since the sending of its last read that succeeded.

The age of a blank replica under repair: 0.0 s before, 3600 s after (unit test). Left: a message that is held back on its way counts from its arrival, not from its sending.

Tests: three new ones, seen failing without the change (for RemoteRoot: without the last read's age).

--- a/src/leverjunction/consensus/api.py
+++ b/src/leverjunction/consensus/api.py
@@ -59,7 +59,9 @@
         applied_index: Highest index applied here.
         voters: RPC addresses of the voters.
         learners: RPC addresses of the learners.
-        leader_contact_age_s: Seconds since a leader (or, on a leader, a quorum) was heard.
+        leader_contact_age_s: Seconds since a leader's message showed that this replica holds all
+            that is committed, or, on a leader, since a quorum was heard. A leader that is heard
+            during a repair does not count: what is applied here may be old, or nothing at all.
     """
 
     group: str
--- a/src/leverjunction/consensus/core_base.py
+++ b/src/leverjunction/consensus/core_base.py
@@ -45,6 +45,8 @@
         self.leader_address = ""
         # A restarted voter may have answered a leader right before, so it honours that lease.
         self.leader_contact_s = now_s
+        self.caught_up_s = -math.inf
+        """When a leader's message last showed that this replica holds all that is committed."""
         self.election_deadline_s = math.inf
         self.progress: dict[str, Progress] = {}
         self.leader_since_s = 0.0
--- a/src/leverjunction/consensus/core_follower.py
+++ b/src/leverjunction/consensus/core_follower.py
@@ -53,6 +53,7 @@
             return
         if message.previous.index < self.log.base.index and not entries:
             self._reply_append(message, True, self.log.base.index)
+            self._note_progress(message, self.log.base.index)
             return
         self._store(entries)
         matched = message.previous.index + len(message.entries)
@@ -60,6 +61,12 @@
         commit_index = min(message.commit_index, matched)
         if commit_index > self.commit_index:
             self._commit(commit_index)
+        self._note_progress(message, matched)
+
+    def _note_progress(self, message: AppendRequest, matched: int) -> None:
+        """Note that this replica lacks nothing; a leader heard in a repair does not say so."""
+        if matched >= message.commit_index:
+            self.caught_up_s = self._now_s
 
     def _accept_leader(self, header: Header) -> bool:
         """Check a leader's message; follow it, or tell its sender why not."""
--- a/src/leverjunction/consensus/status.py
+++ b/src/leverjunction/consensus/status.py
@@ -6,11 +6,14 @@
 from leverjunction.consensus.engine import ReplicaEngine
 from leverjunction.consensus.types import GroupConfig, Role
 
+OLDEST_CONTACT_S = 3600.0
+"""Age of contact of a replica that has never held all that was committed; an age is never above."""
+
 
 def status_of(engine: ReplicaEngine, now_s: float) -> GroupStatus:
     """Return what a running replica knows of its group at monotonic time ``now_s``."""
     core = engine.core
-    contact_s = core.quorum_contact_s() if core.role is Role.LEADER else core.leader_contact_s
+    contact_s = core.quorum_contact_s() if core.role is Role.LEADER else core.caught_up_s
     members = core.configuration.members
     role = core.role
     others = core.configuration.voter_ids() - {core.replica_id}
@@ -27,7 +30,7 @@
         applied_index=engine.applied_index,
         voters=[member.address for member in members if member.voter],
         learners=[member.address for member in members if not member.voter],
-        leader_contact_age_s=max(0.0, now_s - contact_s),
+        leader_contact_age_s=min(max(0.0, now_s - contact_s), OLDEST_CONTACT_S),
     )
 
 
--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -196,7 +196,7 @@
         if self._address in voters:
             return LocalRoot(self.replicas[ROOT_GROUP], self._clock)
         # Also beside a replica that the layout puts here no longer: it will be left behind.
-        return RemoteRoot(self._rpc, voters)
+        return RemoteRoot(self._rpc, voters, self._clock)
 
     def _identity(self) -> HubIdentity:
         config = self.config
--- a/src/leverjunction/control/quorum.py
+++ b/src/leverjunction/control/quorum.py
@@ -74,15 +74,30 @@
     """Follows the voters of group root, which are other processes.
 
     ``hub`` is set once it exists: it is where the voters' states come in.
+
+    Args:
+        rpc: Client towards the voters.
+        voters: Their RPC addresses.
+        clock: Source of monotonic time.
     """
 
-    def __init__(self, rpc: RpcClient, voters: list[str]) -> None:
+    def __init__(self, rpc: RpcClient, voters: list[str], clock: Clock) -> None:
         self._rpc = rpc
         self._voters = voters
+        self._clock = clock
+        self._level_s: float | None = None
         self.hub: Hub | None = None
 
     def read(self, query: GetSettings) -> SettingsDelta | Failure:
         """Read from the voter that is furthest ahead, if it is ahead of the asker at all."""
+        sent_s = self._clock.monotonic_s()
+        delta = self._read(query)
+        if not isinstance(delta, Failure):
+            # What it shows is at least as new as the sending.
+            self._level_s = sent_s
+        return delta
+
+    def _read(self, query: GetSettings) -> SettingsDelta | Failure:
         states = self.hub.live_hubs() if self.hub is not None else []
         ahead = [
             (state.settings_version, state.rpc_address)
@@ -101,16 +116,21 @@
         )
 
     def quorum_age_s(self) -> float:
-        """Return the best age of contact that a live voter told, with the time since then."""
-        if self.hub is None:
+        """Return the best age of contact that a live voter told, with the time since then.
+
+        It is at least the time since the last read that succeeded: a voter may be heard while the
+        calls to it fail, and the settings here then fall behind.
+        """
+        if self.hub is None or self._level_s is None:
             return NEVER_HEARD_S
+        read_age_s = self._clock.monotonic_s() - self._level_s
         heard = self.hub.hub_heard_ages_s()
         ages = [
             state.quorum_age_s + heard[state.name]
             for state in self.hub.live_hubs()
             if state.rpc_address in self._voters and state.name in heard
         ]
-        return min(ages, default=NEVER_HEARD_S)
+        return max(min(ages, default=NEVER_HEARD_S), read_age_s)
 
 
 def serve_local_query(hub: Hub, envelope: Envelope, peer: str) -> bytes:
--- /dev/null
+++ b/tests/unit/test_consensus_caught_up.py
@@ -0,0 +1,42 @@
+"""The age of contact with a leader: it counts from when a replica held all that was committed."""
+
+from __future__ import annotations
+
+from random import Random
+from types import SimpleNamespace
+from typing import cast
+
+from leverjunction.consensus.core import RaftCore
+from leverjunction.consensus.engine import ReplicaEngine
+from leverjunction.consensus.events import Received
+from leverjunction.consensus.messages import AppendRequest, Header, Message, SnapshotChunk
+from leverjunction.consensus.status import OLDEST_CONTACT_S, status_of
+from leverjunction.consensus.types import DurableState, GroupConfig, LogPosition
+
+HEADER = Header(founding_id="g", from_id="b", from_address="b:1", to_id="a", term=1)
+START = LogPosition(term=1, index=40)
+
+
+def age_after(message: Message, founding_id: str) -> float:
+    """Return the age of contact at the moment at which a replica hears a message."""
+    config = GroupConfig(group="root", address="a:1", first_members=("a:1", "b:1", "c:1"))
+    durable = DurableState(replica_id="a", founding_id=founding_id)
+    core = RaftCore(config, durable, Random(1), 0.0)
+    core.handle(Received(message), 1.0)
+    engine = cast(ReplicaEngine, SimpleNamespace(core=core, applied_index=0))
+    status = status_of(engine, 1.0)
+    assert status.leader_address == "b:1"
+    return status.leader_contact_age_s
+
+
+def test_a_blank_replica_that_is_being_repaired_is_not_in_contact() -> None:
+    """Simulated, kilimo 8: its hub said 0.4 s and had no settings, so gateways stayed with it."""
+    chunk = SnapshotChunk(header=HEADER, stream_id="s", number=0, start=START, data=b"")
+    assert age_after(chunk, founding_id="") == OLDEST_CONTACT_S
+
+
+def test_a_replica_that_lacks_committed_entries_is_not_in_contact() -> None:
+    behind = AppendRequest(header=HEADER, previous=LogPosition(), commit_index=5, sequence=1)
+    assert age_after(behind, founding_id="g") == OLDEST_CONTACT_S
+    level = AppendRequest(header=HEADER, previous=LogPosition(), commit_index=0, sequence=1)
+    assert age_after(level, founding_id="g") == 0.0
--- a/tests/unit/test_control_quorum.py
+++ b/tests/unit/test_control_quorum.py
@@ -7,7 +7,12 @@
 import pytest
 
 from leverjunction.consensus.api import GroupStatus, ReplicatedGroup
-from leverjunction.control.quorum import NEVER_HEARD_S, LocalRoot
+from leverjunction.control.hub import Hub
+from leverjunction.control.messages import HubState
+from leverjunction.control.quorum import NEVER_HEARD_S, LocalRoot, RemoteRoot
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.settings.commands import GetSettings, SettingsDelta
+from leverjunction.wire.rpc_client import RpcClient
 
 
 class Replica:
@@ -62,3 +67,43 @@
     replica.leader = "a:2"
     replica.contact_s = -500.0
     assert root.quorum_age_s() == pytest.approx(1.0)
+
+
+class Voter:
+    """A voter that is heard, through a hub and an RPC client that reaches it or not."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.is_reached = True
+
+    def live_hubs(self) -> list[HubState]:
+        state = HubState(
+            name="v", rpc_address="v:1", zone="z", incarnation=1,
+            settings_version=self.version, quorum_age_s=0.1,
+        )  # fmt: skip
+        return [state]
+
+    def hub_heard_ages_s(self) -> dict[str, float]:
+        return {"v": 0.2}
+
+    def call(self, *_arguments: object, **_options: object) -> SettingsDelta | Failure:
+        if self.is_reached:
+            return SettingsDelta(version=self.version, rows=[])
+        return Failure(kind=FailureKind.TIMEOUT, reason="cut", step=Step.RESPONDING)
+
+
+def test_a_hub_that_hears_a_voter_but_cannot_read_grows_stale() -> None:
+    """The cut of one direction: the voter's messages arrive, the calls to it do not."""
+    clock, voter = Replica(), Voter()
+    root = RemoteRoot(cast(RpcClient, voter), ["v:1"], clock)
+    root.hub = cast(Hub, voter)
+    assert root.quorum_age_s() == NEVER_HEARD_S
+    root.read(GetSettings(after_version=1))
+    assert root.quorum_age_s() == pytest.approx(0.3)
+    voter.version, voter.is_reached = 2, False
+    clock.now_s += 5.0
+    root.read(GetSettings(after_version=1))
+    assert root.quorum_age_s() == pytest.approx(5.0)
+    voter.is_reached = True
+    root.read(GetSettings(after_version=1))
+    assert root.quorum_age_s() == pytest.approx(0.3)
