Simulator: the time to yield counts from when online work came to the back end

The recorder said that online work had been there since 0.0 s: it took the time of the last step without online work, and an idle engine makes no steps. So the checker's grace of 2.5 s was over before the work came.

Excluded: the yield itself (0.66 s from arrival to parking, notice and report lag included).

Change: the recorder notes the arrival of online work at a back end that holds none. The bound is tightened, as with the true moment hardly any step is 2.5 s old: YIELD_GRACE_S 1.5 (2.5), FEWEST_CROWDED_STEPS 1 (3).

--- a/src/testbed/simulation/checkers/online.py
+++ b/src/testbed/simulation/checkers/online.py
@@ -9,12 +9,12 @@
 from testbed.simulation.history import EngineRun, History, OnlineRecord, SharedStep
 from testbed.simulation.linearizability import NEVER_S
 
-YIELD_GRACE_S = 2.5
+YIELD_GRACE_S = 1.5
 """Batch must have yielded this long after online work came: reports lag, and steps are long."""
 
 LEAVING_GRACE_S = 5.0
 MOST_CROWDED_SHARE = 0.02
-FEWEST_CROWDED_STEPS = 3
+FEWEST_CROWDED_STEPS = 1
 """Steps beside online work, after the grace, that may hold more batch than allowed."""
 
 ORPHAN_S = 12.0
--- a/src/testbed/simulation/runner_node.py
+++ b/src/testbed/simulation/runner_node.py
@@ -169,6 +169,9 @@
             received_s=self.machine.monotonic_s(),
         )
         self._history.runs.append(run)
+        if not run.batch and not self._holds_online():
+            # An idle engine makes no steps, so the last step does not tell when online work came.
+            self._online_since_s = run.received_s
         crossed = self._crossed_answer(request.request_id)
         self._forget_old()
         self._answers[request.request_id] = _Answer(
@@ -180,6 +183,13 @@
             channel.send(self.machine, head)
         self._wake_engine()
 
+    def _holds_online(self) -> bool:
+        """Return whether online work is running or waiting."""
+        now_s = self.machine.monotonic_s()
+        return any(
+            not answer.run.batch and answer.run.ended_s > now_s for answer in self._answers.values()
+        )
+
     def _end_replaced(self, request_id: str) -> None:
         """A submission under a known id replaces what ran under it, as the engine does."""
         former = self._answers.pop(request_id, None)
