Simulator: crossed answers strike a whole service half of the times

Change: with the upper half of the targets all back ends of the service cross, as a mixed-up proxy before them does. Schedules of other faults are the same.

--- a/src/testbed/simulation/fault_injector.py
+++ b/src/testbed/simulation/fault_injector.py
@@ -12,6 +12,9 @@
 from testbed.simulation.world_parts import WorldParts
 
 CROSSED_SHARE = 0.8
+WHOLE_SERVICE_FROM = 1 << 15
+"""Crossed answers with a target from here on, half of all, strike all back ends of a service."""
+
 STOP_GRACE_S = 30.0
 
 
@@ -187,13 +190,20 @@
             runner.restart()
 
     def _cross_answers(self, fault: Fault) -> bool:
-        runner = self._runner(fault)
-        if runner is None:
+        """Cross the answers of one back end, or of its whole service as a proxy before it may."""
+        target = self._runner(fault)
+        if target is None:
             return False
-        runner.crossing = CROSSED_SHARE
+        struck = [target]
+        if fault.target >= WHOLE_SERVICE_FROM:
+            runners = self._parts.runners.values()
+            struck = [runner for runner in runners if runner.service == target.service]
+        for runner in struck:
+            runner.crossing = CROSSED_SHARE
 
         def end() -> None:
-            runner.crossing = 0.0
+            for runner in struck:
+                runner.crossing = 0.0
 
         self._after(fault.duration_s, end)
         return True
