Batch: a run whose answer is lost is stopped at its engine before the item runs again

Online requests were stopped in this case already.

Change: run_item cancels at the engine whatever ended without an answer and may have run, and returns after that, so that the late cancel cannot meet the item's next run. It costs a dead or frozen engine's items one more call that fails or runs out of its time.

New test seen failing before; unit tests of batch pass.

--- a/src/leverjunction/batch/item_run.py
+++ b/src/leverjunction/batch/item_run.py
@@ -99,10 +99,10 @@
         )
     )
     if isinstance(stream, Failure):
-        return _from_failure(stream)
+        return _given_up(engines, work, address, stream)
     body = stream.read_all()
     if isinstance(body, Failure):
-        return _from_failure(body)
+        return _given_up(engines, work, address, body)
     return read_answer(stream.status, body, work.continue_text)
 
 
@@ -148,9 +148,15 @@
     return RunResult(end=RunEnd.DONE, status_code=200, body=body)
 
 
-def _from_failure(failure: Failure) -> RunResult:
+def _given_up(engines: Engines, work: WorkItem, address: str, failure: Failure) -> RunResult:
+    """Return the result of a run without an answer, after stopping what may still run.
+
+    Nobody reads it any more, so nobody would stop it when its job is cancelled. The item waits for
+    the call, so that it cannot stop the item's next run on the same engine.
+    """
     if failure.execution == Execution.NOT_RUN:
         return RunResult(end=RunEnd.NOT_RUN, reason=failure.reason)
+    engines.cancel(address, request_id_of(work))
     # The answer to another request, too, is broken, but its runner lives.
     is_lost = failure.kind == FailureKind.BACKEND_FAILED
     return RunResult(end=RunEnd.BROKEN, reason=failure.reason, runner_lost=is_lost)
--- a/tests/unit/test_batch_harvester.py
+++ b/tests/unit/test_batch_harvester.py
@@ -9,7 +9,14 @@
 
 import msgspec
 import pytest
-from tests.unit.batch_support import GROUPS, WAIT_S, FakeEngines, FakeStream, LocalControl
+from tests.unit.batch_support import (
+    GROUPS,
+    WAIT_S,
+    FakeEngines,
+    FakeStream,
+    LocalControl,
+    whole_answer,
+)
 
 from leverjunction.backends.types import EngineCall, LoadReport
 from leverjunction.batch.commands import (
@@ -228,6 +235,23 @@
         json.loads(body)
 
 
+def test_a_run_whose_answer_is_lost_is_stopped_before_the_item_runs_again(world: World) -> None:
+    """Simulated, hanbit 2060: crossed answers left runs that a cancelled job could not stop."""
+    cancelled_before: list[list[str]] = []
+
+    def mismatch_first(call: EngineCall) -> FakeStream | Failure:
+        cancelled_before.append(list(world.engines.cancels))
+        lost = _failure(FailureKind.BACKEND_MISMATCH, Execution.UNKNOWN)
+        return lost if len(cancelled_before) == 1 else whole_answer(call)
+
+    world.engines.answer = mismatch_first
+    world.submit(1)
+    world.start()
+    world.wait_job(is_completed)
+    request_id = world.engines.calls[0].request_id
+    assert cancelled_before == [[], [request_id]]
+
+
 def test_cancelled_job_is_stopped_on_its_engines(world: World) -> None:
     world.engines.held = True
     world.submit(5)
