Repair bench counts what a replica sends in answers to its peers' calls

A blank replica calls by itself when its address is the lowest (it would found the group), so it depends on which replica is wiped, and on load.

Excluded: that the repair is reported too early.

Change: the bench's replica counts the answers to its peers as well.

--- a/src/testbed/load/consensus_worker.py
+++ b/src/testbed/load/consensus_worker.py
@@ -46,7 +46,7 @@
         voters: Addresses of the voters, a replaced one still among them until it is dropped.
         learners: Addresses of the learners.
         repairs: Repairs seen committed since the start.
-        sent_bytes: Bytes sent to peers since the start.
+        sent_bytes: Bytes sent to peers since the start, in calls and in answers to theirs.
         resident_bytes: Resident memory.
         resident_peak_bytes: Highest resident memory since the start.
         processor_s: Processor time used since the start.
@@ -67,7 +67,11 @@
 
 
 class CountingTransport:
-    """The product's transport; counts the bytes that it is given."""
+    """The product's transport; counts the bytes that a replica gives out to its peers.
+
+    They leave by calls of its own or in the answers to the peers' calls: a whole snapshot travels
+    in answers when its receiver was the one that called first.
+    """
 
     def __init__(self, transport: RpcRaftTransport) -> None:
         self._transport = transport
@@ -76,9 +80,17 @@
 
     def send(self, peer_address: str, group: str, body: bytes) -> bytes | Failure:
         """Send to a peer."""
+        self._count(body)
+        return self._transport.send(peer_address, group, body)
+
+    def answer(self, body: bytes) -> bytes:
+        """Return the answer to a peer's call, counted."""
+        self._count(body)
+        return body
+
+    def _count(self, body: bytes) -> None:
         with self._lock:
             self.sent_bytes += len(body)
-        return self._transport.send(peer_address, group, body)
 
 
 class MemoryWatch:
@@ -107,7 +119,12 @@
 
 
 class Worker:
-    """The replica with its server."""
+    """The replica with its server.
+
+    Attributes:
+        replica: The replica.
+        endpoint: Where peers and the bench call it.
+    """
 
     def __init__(self, address: str, members: list[str], data_path: Path) -> None:
         random = SystemRandom()
@@ -121,12 +138,14 @@
             config, JobsStateMachine(), self._transport, SystemClock(), random
         )
         self._memory = MemoryWatch()
-        endpoint = RpcEndpoint(CLUSTER_KEY, 1)
-        endpoint.register(MessageKind.RAFT, lambda envelope, _: self.replica.receive(envelope.body))
-        endpoint.register(MessageKind.PROPOSE, self._propose)
-        endpoint.register(MessageKind.STATUS, lambda _envelope, _peer: encode_reply(self.status()))
+        self.endpoint = RpcEndpoint(CLUSTER_KEY, 1)
+        self.endpoint.register(MessageKind.RAFT, self._receive)
+        self.endpoint.register(MessageKind.PROPOSE, self._propose)
+        self.endpoint.register(
+            MessageKind.STATUS, lambda _envelope, _peer: encode_reply(self.status())
+        )
         host, _, port = address.rpartition(":")
-        self._server = RpcServer(host, int(port), endpoint, RPC_THREADS)
+        self._server = RpcServer(host, int(port), self.endpoint, RPC_THREADS)
 
     def run(self) -> None:
         """Serve until SIGTERM."""
@@ -159,6 +178,9 @@
             processor_s=self._memory.processor_s(),
         )
 
+    def _receive(self, envelope: Envelope, _peer: str) -> bytes:
+        return self._transport.answer(self.replica.receive(envelope.body))
+
     def _propose(self, envelope: Envelope, _peer: str) -> bytes:
         reply = self.replica.propose(envelope.body, PROPOSE_TIMEOUT_S)
         return encode_reply(reply) if isinstance(reply, Failure) else reply
--- a/tests/unit/test_consensus_bench.py
+++ b/tests/unit/test_consensus_bench.py
@@ -7,8 +7,17 @@
 import msgspec
 import pytest
 
+from leverjunction.consensus.codec import encode_messages
+from leverjunction.consensus.messages import Header, IdentityQuery
+from leverjunction.wire.envelope import (
+    Envelope,
+    MessageKind,
+    decode_envelope,
+    encode_envelope,
+)
 from testbed.load.consensus_bench import failover, repair
 from testbed.load.consensus_reports import FailoverReport, RepairReport
+from testbed.load.consensus_worker import CLUSTER_KEY, GROUP, Worker
 
 pytestmark = pytest.mark.fleet
 
@@ -29,6 +38,25 @@
     assert report.during.count > 0
 
 
+def test_bytes_in_answers_to_a_peer_are_counted(tmp_path: Path) -> None:
+    peer, own = "127.0.0.1:1", "127.0.0.1:2"
+    worker = Worker(own, [peer, own], tmp_path / "group.sqlite")
+    assert worker.replica.start() is None
+    header = Header(founding_id="", from_id="p", from_address=peer, to_id="", term=0)
+    asked = Envelope(
+        kind=MessageKind.RAFT,
+        group=GROUP,
+        incarnation=1,
+        body=encode_messages([IdentityQuery(header=header, nonce=1)]),
+    )
+    answered = decode_envelope(
+        worker.endpoint.dispatch(encode_envelope(asked, CLUSTER_KEY), peer), CLUSTER_KEY, peer
+    )
+    assert isinstance(answered, Envelope)
+    assert worker.status().sent_bytes == len(answered.body) > 0
+    worker.replica.stop()
+
+
 @pytest.mark.parametrize("fault", ["kill", "freeze"])
 def test_another_replica_leads_after_a_fault_of_the_leader(tmp_path: Path, fault: str) -> None:
     file = tmp_path / "failover.json"
