Placement: a model's adapters are withdrawn with it

Cause: a withdrawal named the model only. Gateways went on sending requests of the model's adapters to the runner whose weights were about to be replaced. Under steady adapter traffic the runner never got idle, so it was changed at the drain limit (60 s) with requests on it. The planner also took the model from the only runner that served one of its adapters. Excluded: the engine stand-in; it lists and serves adapters as it is told to. Change: hubs hide an adapter where its model is withdrawn. The planner does not take a model from the last runner that serves one of its wanted adapters, and does not count an adapter as served where its model is withdrawn. Tests, seen failing before the change: test_a_withdrawn_model_hides_its_adapters_too and test_the_only_runner_of_an_adapter_is_not_taken_for_its_model[b]. The guard against waiting for adapters that the settings do not name passed before and after: test_an_adapter_that_the_settings_do_not_name_holds_up_no_rollout. Conclusion: the rule that no request meets a model that is being replaced now covers adapters.

--- a/src/leverjunction/control/membership.py
+++ b/src/leverjunction/control/membership.py
@@ -312,7 +312,9 @@
             self._near.clear()
 
     def _may_use(self, runner_id: str, model: str) -> bool:
-        return Withdrawal(runner_id, model) not in self._withdrawn
+        # An adapter cannot run while the weights under it are replaced.
+        base = model.partition(":")[0]
+        return not self._withdrawn & {Withdrawal(runner_id, model), Withdrawal(runner_id, base)}
 
     def _merge_digest(self, digest: RunnerDigest) -> bool:
         known = self.digests.get(digest.runner_id)
--- a/src/leverjunction/control/messages.py
+++ b/src/leverjunction/control/messages.py
@@ -30,7 +30,10 @@
 
 
 class Withdrawal(msgspec.Struct, frozen=True, order=True):
-    """A model that gateways may not use on a runner, because it is about to be changed there."""
+    """A model that gateways may not use on a runner, because it is about to be changed there.
+
+    It covers the adapters of the model as well.
+    """
 
     runner_id: str
     model: str
--- a/src/leverjunction/control/placement.py
+++ b/src/leverjunction/control/placement.py
@@ -6,6 +6,7 @@
   the wanted version are kept first, so a change moves as little as possible.
 * Before a model is unloaded or reloaded on a runner it is withdrawn there: gateways stop using
   it, and the change waits until the runner is idle. So no request meets an unloaded model.
+* A withdrawal of a model covers its adapters, and waits until another runner has each of them.
 * A withdrawal never takes the last ready runner, and leaves three quarters of a larger pool. A
   single replica is replaced by loading a spare runner first; without a spare the change is blocked
   and says so.
@@ -125,11 +126,13 @@
         max_loads: Most loads in progress.
         now_s: Monotonic time in seconds.
     """
-    planner = _Planner(withdrawn, max_loads - loads_in_progress, now_s)
+    entries = sorted(wanted, key=lambda one: (one.service, one.model, one.adapter))
+    adapters = [one for one in entries if one.adapter]
+    planner = _Planner(adapters, withdrawn, max_loads - loads_in_progress, now_s)
     known = list(runners)
     placed: dict[tuple[str, str], list[RunnerFacts]] = {}
     # Models before their adapters, which go where the model is.
-    for entry in sorted(wanted, key=lambda one: (one.service, one.model, one.adapter)):
+    for entry in entries:
         pool = [one for one in known if one.service == entry.service and one.usable]
         if entry.adapter:
             chosen = placed.get((entry.service, entry.model), [])
@@ -145,11 +148,16 @@
     """Collects the steps of one round."""
 
     def __init__(
-        self, withdrawn: Mapping[Withdrawal, float], load_slots: int, now_s: float
+        self,
+        adapters: list[WantedModel],
+        withdrawn: Mapping[Withdrawal, float],
+        load_slots: int,
+        now_s: float,
     ) -> None:
         self.orders: list[WantedOrder] = []
         self.kept: dict[Withdrawal, float] = {}
         self.blocked: list[str] = []
+        self._adapters = adapters
         self._withdrawn = withdrawn
         self._load_slots = load_slots
         self._now_s = now_s
@@ -161,11 +169,7 @@
         for runner in chosen:
             if name not in runner.models:
                 self._load(entry, runner)
-        serving = [
-            one
-            for one in pool
-            if name in one.models and Withdrawal(one.runner_id, name) not in self._withdrawn
-        ]
+        serving = [one for one in pool if self._serves(one, entry)]
         outdated = [one for one in chosen if name in one.models and not _is_current(entry, one)]
         for runner in outdated:
             if self._take_out(entry, runner, serving, len(chosen)):
@@ -197,6 +201,8 @@
         if since_s is None:
             if not _may_take_down(len(serving), target) or runner.ordered:
                 return False
+            if self._is_last_with_an_adapter(entry, runner, serving):
+                return False
             serving.remove(runner)
             self.kept[withdrawal] = self._now_s
             return False
@@ -204,12 +210,37 @@
         age_s = self._now_s - since_s
         return age_s >= SETTLE_S and (runner.busy == 0 or age_s >= DRAIN_LIMIT_S)
 
+    def _serves(self, runner: RunnerFacts, entry: WantedModel) -> bool:
+        """Return whether gateways may use a model or an adapter on a runner."""
+        covering = {
+            Withdrawal(runner.runner_id, entry.name),
+            Withdrawal(runner.runner_id, entry.model),
+        }
+        is_withdrawn = any(one in self._withdrawn or one in self.kept for one in covering)
+        return entry.name in runner.models and not is_withdrawn
+
+    def _is_last_with_an_adapter(
+        self, entry: WantedModel, runner: RunnerFacts, serving: list[RunnerFacts]
+    ) -> bool:
+        """Return whether no other runner serves one of the wanted adapters of a model."""
+        if entry.adapter:
+            return False
+        held = [
+            one
+            for one in self._adapters
+            if (one.service, one.model) == (entry.service, entry.model)
+            and one.name in runner.models
+        ]
+        others = [one for one in serving if one is not runner]
+        return any(not any(self._serves(other, one) for other in others) for one in held)
+
     def _add_spare(
         self, entry: WantedModel, pool: list[RunnerFacts], serving: list[RunnerFacts]
     ) -> None:
         """With a single ready runner left, load another one first, or say that there is none."""
         taken_down = any(
-            withdrawal.model == entry.name and withdrawal.runner_id in {o.runner_id for o in pool}
+            withdrawal.model in (entry.name, entry.model)
+            and withdrawal.runner_id in {o.runner_id for o in pool}
             for withdrawal in self.kept
         )
         if len(serving) != 1 or taken_down:
--- a/tests/unit/test_control_membership.py
+++ b/tests/unit/test_control_membership.py
@@ -222,6 +222,19 @@
     assert state.models == ["m", "n"]
 
 
+def test_a_withdrawn_model_hides_its_adapters_too() -> None:
+    view = Membership()
+    view.machines_listed(machines(1, r1="live"))
+    view.runner_read(reading(models=["m", "m:x", "mm:x", "n:x"]))
+    out = PlacementRecord(
+        term=3, withdrawn=[Withdrawal("r1", "m"), Withdrawal("r1", "n:x")], orders=[]
+    )
+    view.placement_set(out)
+    state = view.runners.get("r1")
+    assert state is not None
+    assert state.models == ["mm:x"]
+
+
 @pytest.mark.parametrize(
     ("message", "answer", "known"),
     [
--- a/tests/unit/test_control_placement.py
+++ b/tests/unit/test_control_placement.py
@@ -129,6 +129,23 @@
     assert {(one.runner_id, one.adapter) for one in orders} == {("a", "x"), ("b", "")}
 
 
+@pytest.mark.parametrize("holder", ["a", "b", "c"])
+def test_the_only_runner_of_an_adapter_is_not_taken_for_its_model(holder: str) -> None:
+    entries = [wanted("2"), wanted(adapter="x")]
+    held = {"models": ["m", "m:x"], "versions": {"m": "1", "m:x": "1"}}
+    runners = [runner(name, "1", **(held if name == holder else {})) for name in "abc"]
+    result = steps(entries, runners)
+    taken = [withdrawal.runner_id for withdrawal in result.withdrawn]
+    assert len(taken) == 1
+    assert taken != [holder]
+
+
+def test_an_adapter_that_the_settings_do_not_name_holds_up_no_rollout() -> None:
+    alone = runner("a", "1", models=["m", "m:x"], versions={"m": "1", "m:x": "1"})
+    result = steps([wanted("2")], [alone, runner("b", "2")])
+    assert list(result.withdrawn) == [OUT_A]
+
+
 @pytest.mark.parametrize("count", [2, 3, 6, 9, 20])
 @pytest.mark.parametrize("replicas", [0, 2])
 def test_a_rollout_always_leaves_ready_runners(count: int, replicas: int) -> None:
