Feature: a rollout of a model's version disturbs nobody, on real processes

Cause: placement and rollouts were seen by unit tests only. Change: each engine logs the orders it receives (fence, id, effect, when a load will be ready, requests held), unbuffered, so that the log outlives a SIGKILL. The feature changes the version under online traffic, traffic of the adapter and a batch job, with a fault in the middle: none; root leader killed; frozen and woken; a runner killed while it loads; the version changed again. It has a fleet of its own (4 runners, loads of 1.5 s), since versions would disturb the other features; the pool of fleets moved from conftest to its own module for that. Witnesses: the engines' logs of orders and of executions, and each caller's answers.

--- a/src/testbed/engine/model.py
+++ b/src/testbed/engine/model.py
@@ -135,6 +135,11 @@
         self._observe(now_s)
         return self.placement.order(order, now_s)
 
+    def held_by(self, model: str) -> int:
+        """Return how many requests of a model, and of its adapters, run or wait here."""
+        asked = [sequence.model for sequence in self._by_id.values()]
+        return sum(1 for name in asked if name == model or name.startswith(f"{model}:"))
+
     def load_report(self, now_s: float) -> LoadReading:
         """Return the newest reading that is old enough to be reported (reports lag)."""
         self._observe(now_s)
--- a/src/testbed/engine/placement.py
+++ b/src/testbed/engine/placement.py
@@ -58,20 +58,25 @@
         if order.fence < self._fence:
             return OrderAnswer(accepted=False, fence=self._fence)
         if order.fence == self._fence:
-            return OrderAnswer(accepted=order.order_id == self._order_id, fence=self._fence)
+            is_resend = order.order_id == self._order_id
+            return OrderAnswer(accepted=is_resend, fence=self._fence, is_resend=is_resend)
         self._fence = order.fence
         self._order_id = order.order_id
-        self._carry_out(order, now_s)
-        return OrderAnswer(accepted=True, fence=self._fence)
+        ready_s = self._carry_out(order, now_s)
+        return OrderAnswer(accepted=True, fence=self._fence, ready_s=ready_s)
 
-    def _carry_out(self, order: EngineOrder, now_s: float) -> None:
-        name = f"{order.model}:{order.adapter}" if order.adapter else order.model
+    def _carry_out(self, order: EngineOrder, now_s: float) -> float:
+        """Begin what an order asks for; returns when a load will be ready, 0 for another action."""
+        name = order.name
         if order.action == "load":
             begin_s = self._loading[-1][0] if self._loading else now_s
             load_s = self._load_s * (ADAPTER_WEIGHTS_RATIO if order.adapter else 1.0)
-            self._loading.append((max(begin_s, now_s) + load_s, name, order.version))
-        elif order.action == "unload":
+            ready_s = max(begin_s, now_s) + load_s
+            self._loading.append((ready_s, name, order.version))
+            return ready_s
+        if order.action == "unload":
             self._versions.pop(name, None)
             self._loading = deque(load for load in self._loading if load[1] != name)
         elif order.action == "set_role":
             self._role = order.role
+        return 0.0
--- a/src/testbed/engine/process.py
+++ b/src/testbed/engine/process.py
@@ -13,6 +13,7 @@
 
 from testbed.engine.executions import ExecutionLog
 from testbed.engine.http_api import EngineApi
+from testbed.engine.order_log import OrderLog
 from testbed.engine.runtime import EngineRuntime
 from testbed.engine.types import EngineConfig
 
@@ -37,6 +38,7 @@
         speed: Factor by which the engine is faster than its model.
         threads: Worker threads; each open stream holds one.
         executions_file: Where executions are logged; empty keeps them in memory only.
+        orders_file: Where orders are logged; empty logs none.
         seed: Seed of the model's randomness.
     """
 
@@ -46,13 +48,15 @@
     speed: float = 1.0
     threads: int = 160
     executions_file: str = ""
+    orders_file: str = ""
     seed: int = 1
 
 
 def run(config: EngineProcessConfig) -> int:
     """Serve until SIGTERM or SIGINT; returns the exit code."""
     log = ExecutionLog(Path(config.executions_file) if config.executions_file else None)
-    runtime = EngineRuntime(config.engine, config.speed, log, random.Random(config.seed))
+    orders = OrderLog(Path(config.orders_file) if config.orders_file else None)
+    runtime = EngineRuntime(config.engine, config.speed, log, orders, random.Random(config.seed))
     stopping = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
--- a/src/testbed/engine/runtime.py
+++ b/src/testbed/engine/runtime.py
@@ -9,6 +9,7 @@
 
 from testbed.engine.executions import Execution, ExecutionLog
 from testbed.engine.model import EngineModel
+from testbed.engine.order_log import OrderLog, OrderRecord, effect_of
 from testbed.engine.types import (
     CacheEvent,
     Emission,
@@ -79,16 +80,24 @@
         config: Configuration of the model.
         speed: Factor by which real time runs faster than the model's.
         log: Where executions are recorded.
+        orders: Where orders are recorded.
         generator: Source of randomness for the model.
     """
 
     def __init__(
-        self, config: EngineConfig, speed: float, log: ExecutionLog, generator: random.Random
+        self,
+        config: EngineConfig,
+        speed: float,
+        log: ExecutionLog,
+        orders: OrderLog,
+        generator: random.Random,
     ) -> None:
         self._config = config
         self._speed = speed
         self._log = log
-        self._model = EngineModel(config, generator, int(time.time() * _MS_PER_S))
+        self._orders = orders
+        self._incarnation = int(time.time() * _MS_PER_S)
+        self._model = EngineModel(config, generator, self._incarnation)
         self._changed = threading.Condition()
         self._live: OrderedDict[str, LiveRequest] = OrderedDict()
         self._stopped = False
@@ -147,7 +156,21 @@
     def order(self, order: EngineOrder) -> OrderAnswer:
         """Carry out a fenced order."""
         with self._changed:
-            return self._model.order(order, time.time())
+            now_s = time.time()
+            held = self._model.held_by(order.name)
+            answer = self._model.order(order, now_s)
+            self._orders.record(
+                OrderRecord(
+                    runner_id=self._config.runner_id,
+                    incarnation=self._incarnation,
+                    received_ms=int(now_s * _MS_PER_S),
+                    ready_ms=int(answer.ready_s * _MS_PER_S),
+                    effect=effect_of(answer),
+                    held=held,
+                    order=order,
+                )
+            )
+            return answer
 
     def cache_events(self, after_sequence: int) -> list[CacheEvent]:
         """Return the cache events that can be read by now."""
--- a/src/testbed/engine/sequence.py
+++ b/src/testbed/engine/sequence.py
@@ -25,6 +25,7 @@
         "_request",
         "_stop_at",
         "hashes",
+        "model",
         "owner",
         "priority",
     )
@@ -41,6 +42,7 @@
         self._context_tokens = self._prompt_tokens + self._generated
         self._read = 0
         self.hashes = block_hashes(request.prompt)
+        self.model = request.model
         self.owner = request.owner
         self.priority = request.priority
 
--- a/src/testbed/engine/types.py
+++ b/src/testbed/engine/types.py
@@ -182,6 +182,11 @@
     version: str = "1"
     role: str = ""
 
+    @property
+    def name(self) -> str:
+        """The name under which the engine lists what is ordered."""
+        return f"{self.model}:{self.adapter}" if self.adapter else self.model
+
 
 class OrderAnswer(msgspec.Struct, frozen=True, kw_only=True):
     """Answer to an order.
@@ -189,7 +194,11 @@
     Attributes:
         accepted: False when a higher fence was seen.
         fence: Highest fence seen.
+        is_resend: Whether the engine had taken this order before.
+        ready_s: When a load that begins with it will be ready; 0 for anything else.
     """
 
     accepted: bool
     fence: OrderFence
+    is_resend: bool = False
+    ready_s: float = 0.0
--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -16,6 +16,7 @@
 
 from testbed.engine.executions import Execution, read_executions
 from testbed.engine.faults import AnswerFault
+from testbed.engine.order_log import OrderRecord, read_orders
 from testbed.fleet.machine_marks import MachineMarks
 from testbed.fleet.network import ANY_PLACE, CLIENT_ZONE, CutRequest
 from testbed.fleet.plan import FleetOptions, FleetPlan, FleetPlanner, PlannedProcess, ProcessKind
@@ -244,6 +245,15 @@
                 found += [e for e in read_executions(path) if prompt_part in e.prompt]
         return sorted(found, key=lambda execution: execution.started_ms)
 
+    def orders(self) -> list[OrderRecord]:
+        """Return the orders that engines received, killed ones included, in order of arrival."""
+        found: list[OrderRecord] = []
+        for process in self.plan.of_kind(ProcessKind.ENGINE):
+            path = process.orders_file
+            if path is not None and path.exists():
+                found += read_orders(path)
+        return sorted(found, key=lambda record: record.received_ms)
+
     def operator_token(self) -> str:
         """Return the operators' bearer token."""
         return self.plan.operator_token_file.read_text(encoding="utf8").strip()
@@ -256,12 +266,11 @@
         """Return the callers' URLs of the gateways, through the network's fronts."""
         return [f"http://{g.address}" for g in self.plan.of_kind(ProcessKind.GATEWAY)]
 
-    def online_traffic(self, label: str) -> Traffic:
-        """Return callers of the online service through all gateways, not started yet."""
+    def online_traffic(self, label: str, model: str = "") -> Traffic:
+        """Return callers through all gateways, by default of the online model; not started yet."""
         scenario = self.scenario
-        return Traffic(
-            self.gateway_urls(), scenario.online_key, scenario.online_model(), label=label
-        )
+        asked = model or scenario.online_model()
+        return Traffic(self.gateway_urls(), scenario.online_key, asked, label=label)
 
     def operator_command(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run an operators' command of the command line against this fleet."""
--- a/src/testbed/fleet/plan.py
+++ b/src/testbed/fleet/plan.py
@@ -50,6 +50,7 @@
         data_folder: Folder for its files.
         log_file: Its standard error.
         executions_file: An engine's log of executions; None for others.
+        orders_file: An engine's log of orders; None for others.
     """
 
     name: str
@@ -63,6 +64,7 @@
     data_folder: Path
     log_file: Path
     executions_file: Path | None = None
+    orders_file: Path | None = None
 
 
 class FleetPlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -154,6 +156,7 @@
             "speed": self._options.engine_speed,
             "seed": sum(engine.name.encode()),
             "executions_file": str(engine.executions_file),
+            "orders_file": str(engine.orders_file),
             "engine": {"runner_id": engine.name, "models": pool.models, **fields},
         }
         _write_yaml(engine.config_file, document)
@@ -259,7 +262,7 @@
         direct = f"{ip}:{self._ports.pick(ip)}"
         data_folder = self._folder / "data" / name
         data_folder.mkdir(parents=True)
-        executions = self._folder / f"{name}.executions" if kind is ProcessKind.ENGINE else None
+        is_engine = kind is ProcessKind.ENGINE
         return PlannedProcess(
             name=name,
             kind=kind,
@@ -270,7 +273,8 @@
             config_file=self._folder / f"{name}.yaml",
             data_folder=data_folder,
             log_file=self._folder / f"{name}.log",
-            executions_file=executions,
+            executions_file=self._folder / f"{name}.executions" if is_engine else None,
+            orders_file=self._folder / f"{name}.orders" if is_engine else None,
         )
 
     def _front(self, name: str, zone: str, target: str) -> str:
--- a/tests/features/conftest.py
+++ b/tests/features/conftest.py
@@ -7,18 +7,15 @@
 
 import pytest
 from pytest_bdd import given, parsers, then, when
+from tests.features.fleet_pool import FleetPool
 from tests.features.steps_online import faults_struck
 from tests.features.strikes import STRIKES, lose_disk, online_runners, set_answer_faults, strike
-from tests.features.world import FINAL_STATES, WAIT_S, World
+from tests.features.world import FINAL_STATES, World
 
 from testbed.fleet.caller import result_text
-from testbed.fleet.fleet import Fleet, FleetError
-from testbed.fleet.health import is_repaired, is_whole
-from testbed.fleet.plan import FleetOptions
-from testbed.scenarios import load_scenario
+from testbed.fleet.health import is_repaired
 
 DEFAULT_SCENARIO = "kilimo"
-ENGINE_SPEED = 2.0
 TRAFFIC_ANSWERS = 12
 
 
@@ -33,46 +30,6 @@
     return str(example.get("scenario", DEFAULT_SCENARIO))
 
 
-class FleetPool:
-    """The running fleet, which scenarios share; another deployment replaces it."""
-
-    def __init__(self, folders: pytest.TempPathFactory) -> None:
-        self._folders = folders
-        self._fleet: Fleet | None = None
-
-    def healthy(self, scenario: str) -> Fleet:
-        """Return a fleet in which nothing is wrong."""
-        if self._fleet is not None and self._fleet.scenario.name != scenario:
-            self.stop()
-        if self._fleet is None:
-            options = FleetOptions(engine_speed=ENGINE_SPEED)
-            self._fleet = Fleet(load_scenario(scenario), options, self._folders.mktemp(scenario))
-            self._fleet.start()
-        self.make_whole()
-        return self._fleet
-
-    def make_whole(self) -> None:
-        """Undo all faults and wait until the fleet has got over them.
-
-        Raises:
-            FleetError: It has not; the fleet is stopped, so that the next scenario gets a new one.
-        """
-        fleet = self._fleet
-        assert fleet is not None
-        try:
-            fleet.recover()
-            fleet.wait_for(lambda: is_whole(fleet), "the fleet is whole", lambda: "", WAIT_S)
-        except FleetError:
-            self.stop()
-            raise
-
-    def stop(self) -> None:
-        """Stop the fleet."""
-        if self._fleet is not None:
-            self._fleet.stop()
-        self._fleet = None
-
-
 @pytest.fixture(scope="session")
 def fleet_pool(tmp_path_factory: pytest.TempPathFactory) -> Iterator[FleetPool]:
     """Give the session's fleets, and stop them at its end."""
--- a/tests/features/strikes.py
+++ b/tests/features/strikes.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable
 
-from tests.features.world import World
+from tests.features.world import World, now_ms
 
 from testbed.engine.faults import AnswerFault, FaultKind
+from testbed.engine.order_log import OrderEffect, OrderRecord
 from testbed.fleet.health import ROOT_GROUP, leader_of, replica_ids, serves
 from testbed.fleet.plan import ProcessKind
 
@@ -103,6 +104,29 @@
         world.fleet.freeze(control)
 
 
+def _kill_loading(world: World) -> None:
+    loading = [order for order in carried_out(world) if order.ready_ms > now_ms()]
+    assert loading, "no runner is loading"
+    world.notes["killed"] = loading[-1]
+    world.notes["killed_ms"] = now_ms()
+    world.fleet.kill(loading[-1].runner_id)
+
+
+def carried_out(world: World) -> list[OrderRecord]:
+    """Return the orders that engines carried out, in the order of their arrival."""
+    return [one for one in world.fleet.orders() if one.effect is OrderEffect.CARRIED_OUT]
+
+
+def change_version(world: World) -> None:
+    """Let an operator change the version of the online model to the next number."""
+    scenario = world.fleet.scenario
+    path = f"services/{scenario.online_service}/models/{scenario.online_model()}/version"
+    version = str(int(str(world.operator.value(path))) + 1)
+    world.operator.set(path, version)
+    world.notes.setdefault("rollout_began_ms", now_ms())
+    world.notes["model_version"] = version
+
+
 STRIKES: dict[str, Callable[[World], None]] = {
     "nothing goes wrong": lambda world: None,
     "a gateway is killed": lambda world: world.fleet.kill("gateway-1"),
@@ -123,4 +147,6 @@
     "the machine list says that a runner is leaving": _leave,
     "an operator drains a runner": _drain,
     "nobody marks a runner": _mark_nobody,
+    "a runner is killed while it loads": _kill_loading,
+    "an operator changes the model's version again": change_version,
 }
