Harvester: items for a dead runner that is still listed go back to their job

Cause: an owner gave items back only when no owned runner of the service was listed. A runner that has died stays listed until the platform notices; while it is its owner's only one of a service, items held for it waited there, under a lease that is renewed, and more were leased for it.

Excluded: runs on the dead runner, which are given up after 6 s (LOST_RUNNER_S); they are put back into the same gateway's queue and wait there with the others.

Change: a runner counts as usable while it has reported within LOST_RUNNER_S. Items that no usable runner can run go back, and nothing is leased for a runner that is not usable.

Test: test_items_for_a_runner_that_died_but_is_still_listed_go_back, seen failing before ([] given back of [0, 1]). 186 of 186 in tests/unit/test_batch*.py.

--- a/src/leverjunction/batch/harvest_state.py
+++ b/src/leverjunction/batch/harvest_state.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from leverjunction.batch.batch_counters import HarvestCounters
 from leverjunction.batch.commands import ItemResult, ItemState
@@ -90,15 +90,14 @@
         """Take how many runners an item of each service may lose before it fails."""
         self._max_lost_runs = limits
 
-    def demands(self) -> list[Demand]:
+    def demands(self, now_s: float) -> list[Demand]:
         """Return how many items each service's runners want held ahead."""
         capacity: dict[str, int] = {}
         models: dict[str, set[str]] = {}
-        for runner in self.runners.values():
-            if runner.owned and not runner.state.leaving:
-                service = runner.state.service
-                capacity[service] = capacity.get(service, 0) + runner.controller.idle_capacity()
-                models.setdefault(service, set()).update(runner.state.models)
+        for runner in self._usable_runners(now_s):
+            service = runner.state.service
+            capacity[service] = capacity.get(service, 0) + runner.controller.idle_capacity()
+            models.setdefault(service, set()).update(runner.state.models)
         return [
             Demand(service, sorted(models[service]), self._wanted(service, count))
             for service, count in sorted(capacity.items())
@@ -111,7 +110,7 @@
 
     def plan(self, now_s: float) -> Plan:
         """Decide for every runner."""
-        plan = Plan(give_back=self._unservable())
+        plan = Plan(give_back=self._unservable(now_s))
         for runner in self.runners.values():
             if runner.owned and not runner.state.leaving:
                 self._plan_runner(runner, plan, now_s)
@@ -186,12 +185,22 @@
         """Return how many runs still count."""
         return sum(1 for run in self.runs.values() if not run.dropped)
 
-    def _unservable(self) -> list[GiveBack]:
-        """Take out the waiting items that no owned runner can run."""
+    def _usable_runners(self, now_s: float) -> Iterator[OwnedRunner]:
+        """Yield the owned runners that may start items, now or soon.
+
+        A dead runner stays listed until the platform notices. While it is its owner's only one of
+        a service, items held for it would wait as long, under leases that are renewed.
+        """
+        for runner in self.runners.values():
+            is_heard = runner.controller.seconds_without_report(now_s) < LOST_RUNNER_S
+            if runner.owned and not runner.state.leaving and is_heard:
+                yield runner
+
+    def _unservable(self, now_s: float) -> list[GiveBack]:
+        """Take out the waiting items that no usable runner can run."""
         servable = {
             (runner.state.service, model)
-            for runner in self.runners.values()
-            if runner.owned and not runner.state.leaving
+            for runner in self._usable_runners(now_s)
             for model in runner.state.models
         }
         return self._give_back(self.work.take_unservable(servable))
--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -328,7 +328,7 @@
 
     def _demands(self) -> list[Demand]:
         with self._changed:
-            return [] if self._stopping else self._state.demands()
+            return [] if self._stopping else self._state.demands(self._clock.monotonic_s())
 
     def _granted(self, group: str, service: str, lease: Lease, asked_s: float) -> None:
         self.counters.leased.inc(len(lease.items))
--- a/tests/unit/test_batch_harvest_state.py
+++ b/tests/unit/test_batch_harvest_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from prometheus_client import CollectorRegistry
 
@@ -71,6 +72,21 @@
     assert state.live_runs() == 2 - given_back
 
 
+def test_items_for_a_runner_that_died_but_is_still_listed_go_back() -> None:
+    """Its owner has no other runner of the service: the items would wait here for ever."""
+    state = held_state(may_repeat=True)
+    state.set_runners(
+        [RUNNER], {"llm": msgspec.structs.replace(TARGETS["llm"], batch_max_running=1)}
+    )
+    assert len(state.plan(0.0).starts) == 1
+    assert state.plan(LOST_RUNNER_S - 0.1).give_back == []
+    assert state.demands(LOST_RUNNER_S - 0.1) != []
+    later_s = [LOST_RUNNER_S + 0.1, LOST_RUNNER_S + 0.2]
+    given_back = [item for now_s in later_s for item in state.plan(now_s).give_back]
+    assert sorted(item.work.leased.index for item in given_back) == [0, 1]
+    assert state.demands(LOST_RUNNER_S + 0.2) == []
+
+
 @pytest.mark.parametrize(("now_s", "started", "given_back"), [(59.0, 2, 0), (60.0, 0, 2)])
 def test_deadline_counts_from_the_grant_by_the_monotonic_clock(
     now_s: float, started: int, given_back: int
