--- a/tests/features/rollout.feature
+++ b/tests/features/rollout.feature
@@ -30,4 +30,5 @@
       | the leader of the root group is killed        |
       | the leader of the root group is frozen        |
       | a runner is killed while it loads             |
+      | a control process is cut off                  |
       | an operator changes the model's version again |
