--- a/src/leverjunction/consensus/core_replication.py
+++ b/src/leverjunction/consensus/core_replication.py
@@ -154,9 +154,18 @@
         if progress.state is ProgressState.PROBE:
             return not progress.probe_sent
         if progress.state is ProgressState.REPLICATE:
-            return len(progress.inflight) < self.config.max_inflight_batches
+            window_open = len(progress.inflight) < self.config.max_inflight_batches
+            return window_open or self._window_compacted(progress)
         return False
 
+    def _window_compacted(self, progress: Progress) -> bool:
+        """Return whether the log no longer reaches back to the end of what is in flight.
+
+        If that was lost, no heartbeat finds out: its previous position is gone from the log. And
+        if it was not, what comes next needs a snapshot all the same.
+        """
+        return self.log.term_at(progress.next_index - 1) is None
+
     def _send_append(self, replica_id: str, previous_index: int, last: int) -> None:
         member = self.configuration.find(replica_id)
         if member is None:
