Features: a fleet is whole only when each control process says so itself

The row before loses a disk; the fleet counted as whole by what another hub said of the blank process, from before the loss. The cut then hit a group with a disk still lost: 2 of 3 voters gone, so no quorum, as must be. Logs: control-2 blank at 11:17:48.9, control-1 cut at 11:17:49, repairs reported at 11:19:21, after the cut was healed.

Excluded: starvation of the machine (it failed at a load of 4 to 12 as well); hub choice and age of contact (the gateways tried every hub; none had the version).

Change: is_whole asks each control process for its own replicas: each a full member, no learner, no address twice. The check is stricter; no test was changed.

--- a/src/testbed/fleet/health.py
+++ b/src/testbed/fleet/health.py
@@ -28,13 +28,31 @@
         return False
     if status["silent_hubs"] or len(status["gateways"]) < len(fleet.gateway_names()):
         return False
-    groups = [group for hub in status["hubs"] for group in hub["groups"]]
-    if any(group["role"] not in _SERVING_ROLES for group in groups):
+    if not all(_has_whole_replicas(fleet, control) for control in fleet.control_names()):
         return False
     ready = {reading["runner_id"] for reading in status["readings"] if reading["reachable"]}
     return ready >= set(fleet.plan.machines) and _answers_everywhere(fleet)
 
 
+def _has_whole_replicas(fleet: Fleet, control: str) -> bool:
+    """Return whether a control process is a full member of its groups, by its own word.
+
+    What another one says of it may be from before it lost its disk.
+    """
+    try:
+        own = Operator(fleet, control).status()["hubs"][0]
+    except FleetError:
+        return False
+    return own["name"] == control and all(_is_full_member(group) for group in own["groups"])
+
+
+def _is_full_member(group: dict[str, Any]) -> bool:
+    """Return whether a replica serves and, if it leads, knows of no member under repair."""
+    # Twice the same address would be a lost replica and its successor.
+    is_settled = not group["learners"] and len(set(group["voters"])) == len(group["voters"])
+    return group["role"] in _SERVING_ROLES and is_settled
+
+
 def _answers_everywhere(fleet: Fleet) -> bool:
     """Return whether every gateway can use every service: they learn of changes one by one."""
     models = [service.models[0] for service in fleet.scenario.services.values()]
