--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+UNIT_WORKERS ?= 7
+FEATURE_WORKERS ?= 3
 
 .PHONY: setup check test demo lock clean
 
@@ -18,8 +20,10 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 
+# Unit tests side by side one by one, features (whole fleets) a file at a time.
 test: setup
-	$(BIN)/pytest
+	$(BIN)/pytest -n $(UNIT_WORKERS) --dist worksteal tests/unit
+	$(BIN)/pytest -n $(FEATURE_WORKERS) --dist loadfile tests/features
 
 demo: setup
 	$(BIN)/testbed demo
--- a/src/leverjunction/cli_client.py
+++ b/src/leverjunction/cli_client.py
@@ -18,6 +18,10 @@
 
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 10.0
+FIRST_READ_TIMEOUT_S = 1.0
+"""Silence of an address after which the next one is asked, as long as there is another: a frozen
+process still takes connections. Only when all were silent are they given the whole time.
+"""
 RETRY_FOR_S = 10.0
 RETRY_PAUSE_S = 0.3
 STREAM_SILENCE_S = 60.0
@@ -76,13 +80,11 @@
             retry_for_s: How long to try again, ``RETRY_FOR_S`` by default.
             tell: Told, once a call, why it takes longer.
         """
-        self._addresses = addresses
+        self._addresses = list(addresses)
         self._token = token
         self._retry_for_s = RETRY_FOR_S if retry_for_s is None else retry_for_s
         self._tell = tell
-        self._pool = urllib3.PoolManager(
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S), retries=False
-        )
+        self._pool = urllib3.PoolManager(retries=False)
 
     def get(
         self, path: str, reply_type: type[T], parameters: Mapping[str, str] | None = None
@@ -104,16 +106,20 @@
         parameters: Mapping[str, str],
     ) -> T | Failure:
         give_up_s = time.monotonic() + self._retry_for_s
+        read_timeout_s = FIRST_READ_TIMEOUT_S if len(self._addresses) > 1 else READ_TIMEOUT_S
         told = False
         while True:
             failure: Failure = _bad("no address given, use --control host:port")
-            for address in self._addresses:
-                reply = self._call(address, method, path, body, parameters)
+            for address in list(self._addresses):
+                reply = self._call(address, method, path, body, parameters, read_timeout_s)
                 if not isinstance(reply, Failure):
                     return decode(reply, reply_type, address)
                 failure = reply
                 if failure.kind not in TRY_NEXT:
                     return failure
+                if failure.kind is FailureKind.UNREACHABLE:
+                    self._ask_last(address)
+            read_timeout_s = READ_TIMEOUT_S
             if time.monotonic() >= give_up_s or not self._addresses:
                 return failure
             if self._tell is not None and not told:
@@ -121,8 +127,19 @@
                 self._tell(f"{failure.reason}: trying again for {self._retry_for_s:.0f} s")
             time.sleep(RETRY_PAUSE_S)
 
+    def _ask_last(self, address: str) -> None:
+        """Remember that an address did not answer: the next call begins with another."""
+        self._addresses.remove(address)
+        self._addresses.append(address)
+
     def _call(
-        self, address: str, method: str, path: str, body: bytes, parameters: Mapping[str, str]
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        parameters: Mapping[str, str],
+        read_timeout_s: float,
     ) -> bytes | Failure:
         headers = {"Authorization": f"Bearer {self._token}", "Content-Type": "application/json"}
         try:
@@ -132,6 +149,7 @@
                 fields=dict(parameters) if method == "GET" else None,
                 body=body if method == "POST" else None,
                 headers=headers,
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=read_timeout_s),
             )
         except urllib3.exceptions.HTTPError as error:
             return unreachable(address, error)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
+from loguru import logger
 
 KNOWN_RED_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 KNOWN_RED_LIMIT = 3
@@ -21,6 +23,13 @@
     return {entry[0].strip(): entry[-1].strip() for entry in entries}
 
 
+@pytest.fixture(autouse=True)
+def _logging_is_on() -> Iterator[None]:
+    """Undo what a command under test does to its process: some switch the product's lines off."""
+    yield
+    logger.enable("leverjunction")
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Let exactly the listed tests fail without failing the run."""
     known_red = _known_red()
--- a/tests/unit/test_cli_operators.py
+++ b/tests/unit/test_cli_operators.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import socket
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -221,3 +223,18 @@
     assert refusal.kind is FailureKind.BAD_REQUEST
     assert "defaults/serving/max_queue: expected a valid integer" in refusal.reason
     assert operator.stub.proposals == 1, "only the apply before was proposed"
+
+
+def test_a_frozen_process_costs_one_call_a_second(operator: Operator) -> None:
+    """A frozen process takes connections and says nothing; the next call begins with another."""
+    with socket.create_server(("127.0.0.1", 0)) as frozen:
+        host, port = frozen.getsockname()
+        client = OperatorClient([f"{host}:{port}", operator.address], TOKEN)
+        durations_s = []
+        for _ in range(2):
+            started_s = time.monotonic()
+            reply = client.get("/operator/settings", SettingsDelta, {"after": "0"})
+            durations_s.append(time.monotonic() - started_s)
+            assert isinstance(reply, SettingsDelta)
+    assert durations_s[0] < 3.0
+    assert durations_s[1] < 1.0
