--- /dev/null
+++ b/deploy/start.py
@@ -0,0 +1,15 @@
+"""Starts one role of leverjunction on the users' platform: ``start.py gateway|control|store``."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+# The package's own folder must never be on the path: its platform/ would hide the standard
+# library's module of that name.
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from leverjunction.platform.roles import main
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/leverjunction/control/group_host.py
+++ b/src/leverjunction/control/group_host.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol, TypeVar
 
 import msgspec
@@ -68,8 +68,8 @@
     def __init__(
         self,
         address: str,
-        local: dict[str, ReplicatedGroup],
-        voters: dict[str, list[str]],
+        local: Mapping[str, ReplicatedGroup],
+        voters: Mapping[str, list[str]],
         rpc: RawCaller,
         clock: Clock,
         committed: Committed | None = None,
--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -8,6 +8,7 @@
 import msgspec
 from loguru import logger
 
+from leverjunction.backends.machine_list import MachineList
 from leverjunction.clock import Clock
 from leverjunction.control.gateway_desk import GatewayDesk
 from leverjunction.control.hub_peers import PeerBook
@@ -33,7 +34,6 @@
 from leverjunction.control.settings_mirror import SettingsMirror, SettingsStep
 from leverjunction.control.warm_up import WarmUp
 from leverjunction.errors import Failure
-from leverjunction.platform.machine_list import MachineList
 from leverjunction.settings.commands import GetSettings, SettingsDelta
 from leverjunction.wire.codec import encode_reply
 from leverjunction.wire.messages import (
--- a/src/leverjunction/control/machine_source.py
+++ b/src/leverjunction/control/machine_source.py
@@ -10,9 +10,9 @@
 
 from loguru import logger
 
+from leverjunction.backends.machine_list import MachineList, MachineListClient
 from leverjunction.control.hub import Hub
 from leverjunction.errors import Failure
-from leverjunction.platform.machine_list import MachineList, MachineListClient
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.messages import Acknowledged
 from leverjunction.wire.rpc_client import RpcClient
--- a/src/leverjunction/control/membership.py
+++ b/src/leverjunction/control/membership.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from leverjunction.backends.machine_list import Machine, MachineList, MachineState
 from leverjunction.control.messages import (
     HubState,
     HubSync,
@@ -25,7 +26,6 @@
     Withdrawal,
 )
 from leverjunction.control.versioned import VersionCounter, VersionedMap
-from leverjunction.platform.machine_list import Machine, MachineList, MachineState
 from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
 
 GATEWAY_TIMEOUT_S = 3.5
--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -12,6 +12,7 @@
 from leverjunction.api.operators_app import build_operators_app
 from leverjunction.api.probes import ProbesApi
 from leverjunction.backends.client import EngineClient
+from leverjunction.backends.machine_list import MachineListClient
 from leverjunction.clock import Clock
 from leverjunction.config.control import ControlConfig, ControlPeer
 from leverjunction.consensus.api import ReplicatedGroup
@@ -34,7 +35,6 @@
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.control.status import ClusterStatus, cluster_status
 from leverjunction.control.voter_placement import VoterPlacement
-from leverjunction.platform.machine_list import MachineListClient
 from leverjunction.wire.http_thread import HttpServer
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcServer
--- /dev/null
+++ b/src/leverjunction/lots/commands.py
@@ -0,0 +1,164 @@
+"""Commands and queries of the group that keeps lots (batch jobs of opaque items)."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+
+class ItemState(StrEnum):
+    """How an item ended."""
+
+    DONE = "done"
+    DEAD = "dead"
+
+
+class LotItem(msgspec.Struct, frozen=True, kw_only=True):
+    """One item as it was submitted.
+
+    Attributes:
+        item_id: Unique in its lot; also the id of the request that runs it.
+        path: Path of that request.
+        headers: Its header fields.
+        body: Its body.
+        tokens: Prompt and longest answer together.
+    """
+
+    item_id: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int
+
+
+class SubmitLot(msgspec.Struct, frozen=True, kw_only=True, tag="submit_lot"):
+    """Take a lot; one with the same id that is here already is left as it is.
+
+    Attributes:
+        lot_id: The caller's id.
+        host: Host of its route; its items' requests name it.
+        path: Path that it was sent to.
+        max_attempts: Failed runs after which an item is given up.
+        give_up_s: Time after which an item may be given up.
+        due_ms: Time in which all items are due.
+        items: At least one.
+    """
+
+    lot_id: str
+    host: str
+    path: str
+    max_attempts: int
+    give_up_s: float
+    due_ms: float
+    items: tuple[LotItem, ...]
+
+
+class ItemResult(msgspec.Struct, frozen=True, kw_only=True):
+    """How one item ended; ``text`` is its whole output when it is done."""
+
+    lot_id: str
+    item_id: str
+    state: ItemState
+    text: str = ""
+
+
+class ItemFailure(msgspec.Struct, frozen=True, kw_only=True):
+    """A run of an item failed at a back end."""
+
+    lot_id: str
+    item_id: str
+
+
+class RecordRuns(msgspec.Struct, frozen=True, kw_only=True, tag="record_runs"):
+    """List results, first ones only, and count failed runs."""
+
+    results: tuple[ItemResult, ...] = ()
+    failures: tuple[ItemFailure, ...] = ()
+
+
+class EndLot(msgspec.Struct, frozen=True, tag="end_lot"):
+    """The caller ends a lot: nothing of it runs any more, what is listed stays."""
+
+    lot_id: str
+
+
+class ForgetLots(msgspec.Struct, frozen=True, tag="forget_lots"):
+    """Drop lots that are complete or ended and older than a time of the leader's clock."""
+
+    before_ms: int
+
+
+class ReadResults(msgspec.Struct, frozen=True, tag="read_results"):
+    """Read results from a position on; at least one if there is any."""
+
+    lot_id: str
+    after: int
+    most_bytes: int
+
+
+class ReadBody(msgspec.Struct, frozen=True, tag="read_body"):
+    """Read the body of an item that is not listed yet."""
+
+    lot_id: str
+    item_id: str
+
+
+class ReadOpenItems(msgspec.Struct, frozen=True, tag="read_open_items"):
+    """Read what is to be run, without the bodies."""
+
+
+LotCommand = SubmitLot | RecordRuns | EndLot | ForgetLots
+LotQuery = ReadResults | ReadBody | ReadOpenItems
+
+
+class LotTaken(msgspec.Struct, frozen=True):
+    """Reply to ``SubmitLot`` and ``EndLot``."""
+
+    lot_id: str
+
+
+class Recorded(msgspec.Struct, frozen=True):
+    """Reply to ``RecordRuns`` and ``ForgetLots``: how many rows changed."""
+
+    count: int
+
+
+class ResultsPage(msgspec.Struct, frozen=True, kw_only=True):
+    """Reply to ``ReadResults``: items of the lot, and results from the position asked for on."""
+
+    total: int
+    results: tuple[ItemResult, ...]
+
+
+class ItemBody(msgspec.Struct, frozen=True):
+    """Reply to ``ReadBody``."""
+
+    body: bytes
+
+
+class OpenItem(msgspec.Struct, frozen=True, kw_only=True):
+    """One item that is to be run.
+
+    Attributes:
+        accepted_ms: When its lot was accepted, by the then leader's clock.
+        failures: Runs that failed at a back end so far.
+    """
+
+    lot_id: str
+    item_id: str
+    host: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    tokens: int
+    max_attempts: int
+    give_up_s: float
+    due_ms: float
+    accepted_ms: int
+    failures: int
+
+
+class OpenItems(msgspec.Struct, frozen=True):
+    """Reply to ``ReadOpenItems``, the ones that are due first in front."""
+
+    items: tuple[OpenItem, ...]
--- /dev/null
+++ b/src/leverjunction/lots/item_stream.py
@@ -0,0 +1,59 @@
+"""Collects the events of one item's runs into its text. Pure."""
+
+from __future__ import annotations
+
+DATA_FIELD = b"data"
+ID_FIELD = b"id"
+
+
+class ItemStream:
+    """Events of an item so far; a later run continues after the last whole event.
+
+    Attributes:
+        last_id: Id of the last whole event, empty before the first.
+    """
+
+    __slots__ = ("_events", "_pending", "last_id")
+
+    def __init__(self) -> None:
+        self._events: list[str] = []
+        self._pending = b""
+        self.last_id = ""
+
+    def feed(self, data: bytes) -> int:
+        """Add bytes of the current run; return how many events became whole."""
+        self._pending += data.replace(b"\r\n", b"\n")
+        *blocks, self._pending = self._pending.split(b"\n\n")
+        for block in blocks:
+            self._take(block)
+        return len(blocks)
+
+    def broken(self) -> None:
+        """The run broke off: drop the event that is not whole."""
+        self._pending = b""
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether no event is half received."""
+        return not self._pending
+
+    @property
+    def count(self) -> int:
+        """Number of whole events."""
+        return len(self._events)
+
+    def text(self) -> str:
+        """Return the data of all events in order, separated by line feeds."""
+        return "\n".join(self._events)
+
+    def _take(self, block: bytes) -> None:
+        data: list[bytes] = []
+        for line in block.split(b"\n"):
+            name, _, value = line.partition(b":")
+            value = value.removeprefix(b" ")
+            if name == DATA_FIELD:
+                data.append(value)
+            elif name == ID_FIELD:
+                self.last_id = value.decode("latin-1")
+        if data:
+            self._events.append(b"\n".join(data).decode("utf8", "replace"))
--- /dev/null
+++ b/src/leverjunction/lots/node.py
@@ -0,0 +1,225 @@
+"""The process of a store machine: a replica of the group that keeps lots, and its runner."""
+
+from __future__ import annotations
+
+import threading
+from pathlib import Path
+from random import Random
+
+from loguru import logger
+
+from leverjunction.clock import Clock
+from leverjunction.config.machine import MachineConfig
+from leverjunction.consensus.group import GroupReplica
+from leverjunction.consensus.types import GroupConfig
+from leverjunction.control.group_host import GroupHost
+from leverjunction.control.periodic import PeriodicTask, stop_all
+from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
+from leverjunction.errors import Failure
+from leverjunction.lots.commands import ForgetLots, Recorded
+from leverjunction.lots.runner import LotsRunner
+from leverjunction.lots.state_machine import LotsStateMachine
+from leverjunction.proxy.dialect import Dialect
+from leverjunction.registry.commands import Done, JobsPlaces, JoinMember
+from leverjunction.registry.follower import RegistryFollower, Snapshot
+from leverjunction.registry.node import CLUSTER_KEY, ELECTION_MAX_S, ELECTION_MIN_S, HEARTBEAT_S
+from leverjunction.registry.records import (
+    REGISTRY_GROUP,
+    GroupRecord,
+    MemberRecord,
+    MemberRole,
+)
+from leverjunction.registry.steward import JOBS_GROUP
+from leverjunction.wire.codec import encode_reply
+from leverjunction.wire.envelope import Envelope, MessageKind
+from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
+
+RPC_THREADS = 48
+JOIN_INTERVAL_S = 0.5
+PLACES_INTERVAL_S = 0.5
+ASK_AGAIN_S = 3.0
+COMMAND_TIMEOUT_S = 1.0
+FORGET_INTERVAL_S = 30.0
+FORGET_MARGIN_S = 60.0
+LOG_KEPT_BYTES = 16 * 1024 * 1024
+
+
+class LotsNode:
+    """One store process."""
+
+    def __init__(
+        self, config: MachineConfig, dialect: Dialect, clock: Clock, random: Random
+    ) -> None:
+        self._config = config
+        self._dialect = dialect
+        self._clock = clock
+        self._random = random
+        self._address = config.listen.rpc
+        self._rpc = RpcClient(CLUSTER_KEY, clock.wall_ms())
+        self._voters: dict[str, list[str]] = {JOBS_GROUP: []}
+        self._local: dict[str, GroupReplica] = {}
+        self.host = GroupHost(self._address, self._local, self._voters, self._rpc, clock)
+        self._follower = RegistryFollower(
+            self._rpc, config.seed_addresses(), config.name, clock, random, self._on_registry
+        )
+        host, _, port = self._address.rpartition(":")
+        self._server = RpcServer(host, int(port), self._endpoint(), RPC_THREADS)
+        self._runner: LotsRunner | None = None
+        self._starting = threading.Lock()
+        self._joined = False
+        self._asked: tuple[str, ...] = ()
+        self._asked_s = 0.0
+        self._forgot_s = clock.monotonic_s()
+        self._tasks = [
+            PeriodicTask("join", JOIN_INTERVAL_S, self._join),
+            PeriodicTask("places", PLACES_INTERVAL_S, self._keep_places),
+        ]
+
+    def start(self) -> Failure | None:
+        """Start serving; the replica follows once the registry says who founds the group."""
+        self._server.start()
+        self._follower.start()
+        for task in self._tasks:
+            task.start()
+        logger.info("store process started at {}", self._address)
+        return None
+
+    def stop(self) -> None:
+        """Hand the lead over, then stop."""
+        logger.info("stopping")
+        stop_all(self._tasks)
+        if self._runner is not None:
+            self._runner.stop()
+        for replica in self._local.values():
+            replica.stop()
+        self._follower.stop()
+        self._server.stop()
+        self._rpc.close()
+        logger.info("stopped")
+
+    def _on_registry(self, snapshot: Snapshot) -> None:
+        group = snapshot.view.group(JOBS_GROUP)
+        if group is not None:
+            self._voters[JOBS_GROUP] = list(group.voters)
+            self._start_replica(group)
+        if self._runner is not None:
+            self._runner.set_registry(snapshot)
+
+    def _start_replica(self, group: GroupRecord) -> None:
+        with self._starting:
+            if JOBS_GROUP in self._local:
+                return
+            machine = LotsStateMachine(self._applied)
+            replica = GroupReplica(
+                self._group_config(group),
+                machine,
+                RpcRaftTransport(self._rpc),
+                self._clock,
+                Random(self._random.getrandbits(64)),
+            )
+            fault = replica.start()
+            if fault is not None:
+                logger.error("the replica cannot start: {}", fault.reason)
+                return
+            self._runner = LotsRunner(
+                replica, self._config.zone, self._dialect, self._clock, self._random
+            )
+            self._local[JOBS_GROUP] = replica
+            self._runner.start()
+
+    def _group_config(self, group: GroupRecord) -> GroupConfig:
+        assert self._config.data_folder is not None
+        folder = Path(self._config.data_folder)
+        folder.mkdir(parents=True, exist_ok=True)
+        founds = self._address in group.founders
+        return GroupConfig(
+            group=group.name,
+            address=self._address,
+            first_members=group.founders if founds else (),
+            data_path=str(folder / f"{group.name}.sqlite"),
+            heartbeat_interval_s=HEARTBEAT_S,
+            election_timeout_min_s=ELECTION_MIN_S,
+            election_timeout_max_s=ELECTION_MAX_S,
+            log_kept_bytes=LOG_KEPT_BYTES,
+            rejoin_when_corrupt=True,
+        )
+
+    def _applied(self) -> None:
+        if self._runner is not None:
+            self._runner.changed()
+
+    def _endpoint(self) -> RpcEndpoint:
+        endpoint = RpcEndpoint(CLUSTER_KEY, self._clock.wall_ms())
+        endpoint.register(MessageKind.RAFT, self._on_raft)
+        for kind in (MessageKind.PROPOSE, MessageKind.QUERY):
+            endpoint.register(kind, self.host.serve_client)
+        for kind in (MessageKind.FORWARDED_PROPOSE, MessageKind.FORWARDED_QUERY):
+            endpoint.register(kind, self.host.serve_forwarded)
+        endpoint.register(MessageKind.STATUS, self._on_status)
+        return endpoint
+
+    def _on_raft(self, envelope: Envelope, _peer: str) -> bytes:
+        receivers = {name: replica.receive for name, replica in self._local.items()}
+        return serve_raft(receivers, envelope)
+
+    def _on_status(self, _envelope: Envelope, _peer: str) -> bytes:
+        replica = self._local.get(JOBS_GROUP)
+        if replica is None:
+            return encode_reply(JobsPlaces(leads=False, voters=(), members=()))
+        status = replica.status()
+        return encode_reply(
+            JobsPlaces(
+                leads=status.role == "leader",
+                voters=tuple(status.voters),
+                members=(*status.voters, *status.learners),
+            )
+        )
+
+    def _join(self) -> None:
+        if self._joined:
+            return
+        record = MemberRecord(
+            name=self._config.name,
+            role=MemberRole.STORE,
+            address=self._address,
+            zone=self._config.zone,
+        )
+        for hub in self._follower.hubs():
+            reply = self._rpc.call(
+                hub,
+                MessageKind.PROPOSE,
+                JoinMember(record),
+                Done,
+                group=REGISTRY_GROUP,
+                timeout_s=COMMAND_TIMEOUT_S,
+            )
+            if not isinstance(reply, Failure):
+                self._joined = True
+                logger.info("joined through {}", hub)
+                return
+
+    def _keep_places(self) -> None:
+        """As leader, work towards the voters that the registry names; forget old lots."""
+        replica = self._local.get(JOBS_GROUP)
+        snapshot = self._follower.snapshot()
+        if replica is None or snapshot is None:
+            return
+        status = replica.status()
+        group = snapshot.view.group(JOBS_GROUP)
+        if status.role != "leader" or group is None:
+            return
+        now_s = self._clock.monotonic_s()
+        wanted = tuple(sorted(group.voters))
+        if set(status.voters) != set(wanted) and (
+            self._asked != wanted or now_s - self._asked_s >= ASK_AGAIN_S
+        ):
+            logger.info("the group's voters shall be {}, are {}", wanted, status.voters)
+            reply = replica.change_members(list(wanted), COMMAND_TIMEOUT_S)
+            if not isinstance(reply, Failure):
+                self._asked, self._asked_s = wanted, now_s
+        if now_s - self._forgot_s >= FORGET_INTERVAL_S:
+            self._forgot_s = now_s
+            kept_ms = (self._config.bounds.status_s + FORGET_MARGIN_S) * 1000
+            command = ForgetLots(before_ms=self._clock.wall_ms() - int(kept_ms))
+            self.host.propose(JOBS_GROUP, command, Recorded, COMMAND_TIMEOUT_S)
--- /dev/null
+++ b/src/leverjunction/lots/state_machine.py
@@ -0,0 +1,250 @@
+"""Replicated state machine of the group that keeps lots.
+
+State is kept in SQLite tables, written inside the group's own transaction. The rules:
+
+* A lot is taken once, whatever is resent.
+* The first result of an item stands, at a position that never changes; later ones are dropped.
+* After its end a lot gets no more results.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Callable
+
+import msgspec
+
+from leverjunction.consensus.api import ApplyContext
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.lots import commands
+from leverjunction.lots.commands import ItemResult, ItemState
+from leverjunction.wire.codec import encode, encode_reply
+
+_TABLES = """
+CREATE TABLE IF NOT EXISTS sm_lot (
+    lot TEXT PRIMARY KEY, host TEXT NOT NULL, max_attempts INTEGER NOT NULL,
+    give_up_s REAL NOT NULL, due_ms REAL NOT NULL, accepted_ms INTEGER NOT NULL,
+    ended INTEGER NOT NULL, total INTEGER NOT NULL, listed INTEGER NOT NULL
+) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS sm_lot_item (
+    lot TEXT NOT NULL, item TEXT NOT NULL, place INTEGER NOT NULL, path TEXT NOT NULL,
+    headers BLOB NOT NULL, tokens INTEGER NOT NULL, failures INTEGER NOT NULL,
+    PRIMARY KEY (lot, item)
+) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS sm_lot_body (
+    lot TEXT NOT NULL, item TEXT NOT NULL, body BLOB NOT NULL, PRIMARY KEY (lot, item)
+);
+CREATE TABLE IF NOT EXISTS sm_lot_result (
+    lot TEXT NOT NULL, position INTEGER NOT NULL, item TEXT NOT NULL, state TEXT NOT NULL,
+    text TEXT NOT NULL, PRIMARY KEY (lot, position)
+) WITHOUT ROWID;
+"""
+_OPEN_ITEMS = """
+SELECT i.lot, i.item, l.host, i.path, i.headers, i.tokens, l.max_attempts, l.give_up_s, l.due_ms,
+    l.accepted_ms, i.failures
+FROM sm_lot_item i JOIN sm_lot l ON l.lot = i.lot
+WHERE l.ended = 0
+ORDER BY l.accepted_ms + l.due_ms, i.lot, i.place
+"""
+_COMMANDS = msgspec.json.Decoder(commands.LotCommand)
+_QUERIES = msgspec.json.Decoder(commands.LotQuery)
+_HEADERS = msgspec.json.Decoder(tuple[tuple[str, str], ...])
+
+
+class LotsStateMachine:
+    """State machine of a group of lots (``consensus.api.StateMachine``).
+
+    Args:
+        changed: Called after a command was applied; must not block.
+    """
+
+    def __init__(self, changed: Callable[[], None] | None = None) -> None:
+        self._changed = changed
+
+    def create_tables(self, connection: sqlite3.Connection) -> None:
+        """Create the tables if they are missing."""
+        for statement in _TABLES.split(";"):
+            if statement.strip():
+                connection.execute(statement)
+
+    def apply(self, connection: sqlite3.Connection, context: ApplyContext, command: bytes) -> bytes:
+        """Apply one committed command and return its encoded reply."""
+        try:
+            decoded = _COMMANDS.decode(command)
+        except msgspec.MsgspecError as error:
+            return encode_reply(_not_decoded(error, Step.APPLYING))
+        if isinstance(decoded, commands.SubmitLot):
+            reply: msgspec.Struct = _submit(connection, context, decoded)
+        elif isinstance(decoded, commands.RecordRuns):
+            reply = _record(connection, decoded)
+        elif isinstance(decoded, commands.EndLot):
+            reply = _end(connection, decoded)
+        else:
+            reply = _forget(connection, decoded)
+        if self._changed is not None:
+            self._changed()
+        return encode_reply(reply)
+
+    def query(self, connection: sqlite3.Connection, query: bytes) -> bytes:
+        """Answer a read and return its encoded reply."""
+        try:
+            decoded = _QUERIES.decode(query)
+        except msgspec.MsgspecError as error:
+            return encode_reply(_not_decoded(error, Step.QUERYING))
+        if isinstance(decoded, commands.ReadResults):
+            return encode_reply(_results(connection, decoded))
+        if isinstance(decoded, commands.ReadBody):
+            return encode_reply(_body(connection, decoded))
+        return encode_reply(_open_items(connection))
+
+
+def _not_decoded(error: msgspec.MsgspecError, step: Step) -> Failure:
+    return Failure(kind=FailureKind.CORRUPT, reason=f"not for a group of lots: {error}", step=step)
+
+
+def _submit(
+    connection: sqlite3.Connection, context: ApplyContext, lot: commands.SubmitLot
+) -> commands.LotTaken:
+    known = connection.execute("SELECT 1 FROM sm_lot WHERE lot = ?", (lot.lot_id,)).fetchone()
+    if known is not None:
+        return commands.LotTaken(lot.lot_id)
+    connection.execute(
+        "INSERT INTO sm_lot VALUES (?, ?, ?, ?, ?, ?, 0, ?, 0)",
+        (
+            lot.lot_id,
+            lot.host,
+            lot.max_attempts,
+            lot.give_up_s,
+            lot.due_ms,
+            context.wall_ms,
+            len(lot.items),
+        ),
+    )
+    for place, item in enumerate(lot.items):
+        connection.execute(
+            "INSERT INTO sm_lot_item VALUES (?, ?, ?, ?, ?, ?, 0)",
+            (lot.lot_id, item.item_id, place, item.path, encode(item.headers), item.tokens),
+        )
+        connection.execute(
+            "INSERT INTO sm_lot_body VALUES (?, ?, ?)", (lot.lot_id, item.item_id, item.body)
+        )
+    return commands.LotTaken(lot.lot_id)
+
+
+def _record(connection: sqlite3.Connection, runs: commands.RecordRuns) -> commands.Recorded:
+    count = sum(_list_result(connection, result) for result in runs.results)
+    for failure in runs.failures:
+        cursor = connection.execute(
+            "UPDATE sm_lot_item SET failures = failures + 1 WHERE lot = ? AND item = ?",
+            (failure.lot_id, failure.item_id),
+        )
+        count += cursor.rowcount
+    return commands.Recorded(count)
+
+
+def _list_result(connection: sqlite3.Connection, result: ItemResult) -> int:
+    key = (result.lot_id, result.item_id)
+    lot = connection.execute(
+        "SELECT listed, ended FROM sm_lot WHERE lot = ?", (result.lot_id,)
+    ).fetchone()
+    if lot is None or lot[1]:
+        return 0
+    # An item that is listed has no row any more: the first result stands.
+    removed = connection.execute("DELETE FROM sm_lot_item WHERE lot = ? AND item = ?", key)
+    if removed.rowcount == 0:
+        return 0
+    connection.execute("DELETE FROM sm_lot_body WHERE lot = ? AND item = ?", key)
+    connection.execute(
+        "INSERT INTO sm_lot_result VALUES (?, ?, ?, ?, ?)",
+        (result.lot_id, lot[0], result.item_id, result.state.value, result.text),
+    )
+    connection.execute("UPDATE sm_lot SET listed = listed + 1 WHERE lot = ?", (result.lot_id,))
+    return 1
+
+
+def _end(connection: sqlite3.Connection, end: commands.EndLot) -> commands.LotTaken | Failure:
+    cursor = connection.execute("UPDATE sm_lot SET ended = 1 WHERE lot = ?", (end.lot_id,))
+    if cursor.rowcount == 0:
+        return _no_lot(end.lot_id, Step.APPLYING)
+    # Nothing of it runs any more, so nobody needs the bodies.
+    connection.execute("DELETE FROM sm_lot_body WHERE lot = ?", (end.lot_id,))
+    connection.execute("DELETE FROM sm_lot_item WHERE lot = ?", (end.lot_id,))
+    return commands.LotTaken(end.lot_id)
+
+
+def _forget(connection: sqlite3.Connection, old: commands.ForgetLots) -> commands.Recorded:
+    rows = connection.execute(
+        "SELECT lot FROM sm_lot WHERE accepted_ms < ? AND (ended = 1 OR listed = total)",
+        (old.before_ms,),
+    ).fetchall()
+    for (lot,) in rows:
+        for table in ("sm_lot", "sm_lot_item", "sm_lot_body", "sm_lot_result"):
+            connection.execute(f"DELETE FROM {table} WHERE lot = ?", (lot,))
+    return commands.Recorded(len(rows))
+
+
+def _results(
+    connection: sqlite3.Connection, query: commands.ReadResults
+) -> commands.ResultsPage | Failure:
+    lot = connection.execute("SELECT total FROM sm_lot WHERE lot = ?", (query.lot_id,)).fetchone()
+    if lot is None:
+        return _no_lot(query.lot_id, Step.QUERYING)
+    results: list[ItemResult] = []
+    size_bytes = 0
+    for item, state, text in connection.execute(
+        "SELECT item, state, text FROM sm_lot_result WHERE lot = ? AND position >= ?"
+        " ORDER BY position",
+        (query.lot_id, query.after),
+    ):
+        size_bytes += len(text)
+        if results and size_bytes > query.most_bytes:
+            break
+        results.append(
+            ItemResult(lot_id=query.lot_id, item_id=item, state=ItemState(state), text=text)
+        )
+    return commands.ResultsPage(total=lot[0], results=tuple(results))
+
+
+def _body(connection: sqlite3.Connection, query: commands.ReadBody) -> commands.ItemBody | Failure:
+    row = connection.execute(
+        "SELECT body FROM sm_lot_body WHERE lot = ? AND item = ?", (query.lot_id, query.item_id)
+    ).fetchone()
+    if row is None:
+        return _no_lot(f"{query.lot_id}, item {query.item_id}", Step.QUERYING)
+    return commands.ItemBody(row[0])
+
+
+def _open_items(connection: sqlite3.Connection) -> commands.OpenItems:
+    items = [
+        commands.OpenItem(
+            lot_id=lot,
+            item_id=item,
+            host=host,
+            path=path,
+            headers=_HEADERS.decode(headers),
+            tokens=tokens,
+            max_attempts=max_attempts,
+            give_up_s=give_up_s,
+            due_ms=due_ms,
+            accepted_ms=accepted_ms,
+            failures=failures,
+        )
+        for (
+            lot,
+            item,
+            host,
+            path,
+            headers,
+            tokens,
+            max_attempts,
+            give_up_s,
+            due_ms,
+            accepted_ms,
+            failures,
+        ) in connection.execute(_OPEN_ITEMS)
+    ]
+    return commands.OpenItems(tuple(items))
+
+
+def _no_lot(name: str, step: Step) -> Failure:
+    return Failure(kind=FailureKind.NOT_FOUND, reason=f"there is no lot {name}", step=step)
--- a/src/leverjunction/platform/__init__.py
+++ b/src/leverjunction/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Package; see its modules."""
+"""Translation between the users' platform and the product: words, headers and shapes only."""
--- /dev/null
+++ b/src/leverjunction/platform/control_calls.py
@@ -0,0 +1,153 @@
+"""The platform's calls to a control process: runners and the operator (WSGI)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+from leverjunction.errors import Failure, FailureKind
+from leverjunction.platform.table_form import read_table
+from leverjunction.registry.node import RegistryNode
+from leverjunction.registry.records import RunnerRecord, RunnerState
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+MAX_BODY_BYTES = 8 * 1024 * 1024
+UNSURE = 503
+_STATUS = {
+    FailureKind.BAD_REQUEST: 400,
+    FailureKind.NOT_FOUND: 404,
+    FailureKind.CONFLICT: 409,
+    FailureKind.TOO_LARGE: 413,
+}
+_STATES = {"ready": RunnerState.READY, "draining": RunnerState.LEAVING}
+
+
+class _BeatForm(msgspec.Struct, rename="pascal"):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    sequence: int = 0
+
+
+class _StateForm(msgspec.Struct, rename="pascal"):
+    state: str
+
+
+Answer = tuple[int, bytes]
+Call = Callable[["ControlCalls", str, bytes], Answer]
+_CALLS: dict[tuple[str, str], Call] = {}
+
+
+def _call(method: str, path: str) -> Callable[[Call], Call]:
+    """Register a call; a path that ends with a slash takes a name after it."""
+
+    def register(call: Call) -> Call:
+        _CALLS[method, path] = call
+        return call
+
+    return register
+
+
+class ControlCalls:
+    """WSGI application of the platform's calls."""
+
+    def __init__(self, node: RegistryNode) -> None:
+        self.node = node
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Answer one call."""
+        status, body = self._answer(environ)
+        start_response(
+            f"{status} {'OK' if status < 300 else 'Refused'}",
+            [("Content-Type", "application/json"), ("Content-Length", str(len(body)))],
+        )
+        return [body]
+
+    def _answer(self, environ: dict[str, Any]) -> Answer:
+        path = environ["PATH_INFO"]
+        folder, _, name = path.rpartition("/")
+        method = environ["REQUEST_METHOD"]
+        call = _CALLS.get((method, path)) or _CALLS.get((method, folder + "/"))
+        if call is None:
+            return 404, b"{}"
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        if length > MAX_BODY_BYTES:
+            return 413, b"{}"
+        if environ.get("HTTP_TRANSFER_ENCODING"):
+            body = environ["wsgi.input"].read()
+        else:
+            body = environ["wsgi.input"].read(length) if length > 0 else b""
+        return call(self, name, body)
+
+
+def _refused(failure: Failure) -> Answer:
+    status = _STATUS.get(failure.kind, UNSURE)
+    return status, msgspec.json.encode({"Error": failure.reason})
+
+
+def _outcome(failure: Failure | None) -> Answer:
+    return (200, b"{}") if failure is None else _refused(failure)
+
+
+@_call("POST", "/api/Config.Replace")
+def _replace(calls: ControlCalls, _name: str, body: bytes) -> Answer:
+    table = read_table(body)
+    if isinstance(table, Failure):
+        return _refused(table)
+    held = calls.node.put_table(table, body.decode("utf8"))
+    if isinstance(held, Failure):
+        logger.warning("route table {} is not taken: {}", table.version, held.reason)
+        return _refused(held)
+    return 200, b"{}"
+
+
+@_call("GET", "/api/Config.Get")
+def _get(calls: ControlCalls, _name: str, _body: bytes) -> Answer:
+    source = calls.node.table_source()
+    if isinstance(source, Failure):
+        return _refused(source)
+    if not source.source:
+        return UNSURE, b"{}"
+    return 200, source.source.encode()
+
+
+@_call("POST", "/api/Instances.Heartbeat/")
+def _heartbeat(calls: ControlCalls, name: str, body: bytes) -> Answer:
+    try:
+        form = msgspec.json.decode(body, type=_BeatForm)
+        state = _STATES[form.state]
+    except (msgspec.MsgspecError, KeyError) as error:
+        return 400, msgspec.json.encode({"Error": str(error)})
+    record = RunnerRecord(
+        runner_id=name,
+        service=form.service,
+        address=form.address,
+        zone=form.zone,
+        slots=form.slots,
+        state=state,
+        sequence=form.sequence,
+    )
+    return _outcome(calls.node.runner_heard(record))
+
+
+@_call("POST", "/api/Instances.Leave/")
+def _leave(calls: ControlCalls, name: str, _body: bytes) -> Answer:
+    return _outcome(calls.node.runner_left(name))
+
+
+@_call("POST", "/api/Retire.Start/")
+def _retire(calls: ControlCalls, name: str, _body: bytes) -> Answer:
+    return _outcome(calls.node.start_retirement(name))
+
+
+@_call("GET", "/api/Retire.Get/")
+def _retired(calls: ControlCalls, name: str, _body: bytes) -> Answer:
+    done = calls.node.is_retired(name)
+    if isinstance(done, Failure):
+        return _refused(done)
+    return 200, msgspec.json.encode(_StateForm("done" if done else "running"))
--- /dev/null
+++ b/src/leverjunction/platform/headers.py
@@ -0,0 +1,140 @@
+"""The platform's header fields."""
+
+from __future__ import annotations
+
+from leverjunction.proxy.dialect import (
+    AnswerFacts,
+    EngineLoad,
+    PromptPart,
+    RawHeaders,
+    RequestFacts,
+)
+
+REQUEST_ID = b"Leverjunction-Request-Id"
+DEADLINE_MS = b"Leverjunction-Deadline-Ms"
+PROMPT_PREFIX = b"Leverjunction-Prompt-Prefix"
+TOKEN_COUNT = b"Leverjunction-Token-Count"
+EXPECT_INSTANCE = b"Leverjunction-Expect-Instance"
+LAST_EVENT_ID = b"Last-Event-Id"
+SERVER_STAMP = b"Leverjunction-Server-Stamp"
+NOT_EXECUTED = b"Leverjunction-Not-Executed"
+INSTANCE_LOAD = b"Leverjunction-Instance-Load"
+RETRY_AFTER = b"Retry-After"
+
+_READ = {
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        DEADLINE_MS,
+        PROMPT_PREFIX,
+        TOKEN_COUNT,
+        LAST_EVENT_ID,
+        SERVER_STAMP,
+        NOT_EXECUTED,
+        INSTANCE_LOAD,
+        b"Keep-Alive",
+        b"Connection",
+    )
+}
+_SET = {name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE)}
+
+
+class PlatformDialect:
+    """Implements ``proxy.dialect.Dialect``."""
+
+    def read_request(self, headers: RawHeaders) -> RequestFacts:
+        """Return what a caller's headers say; what is malformed counts as absent."""
+        fields = _fields(headers)
+        tokens_in, tokens_out = _pair(fields.get(TOKEN_COUNT.lower(), ""))
+        return RequestFacts(
+            request_id=fields.get(REQUEST_ID.lower(), ""),
+            deadline_ms=_number(fields.get(DEADLINE_MS.lower(), "")),
+            parts=_parts(fields.get(PROMPT_PREFIX.lower(), "")),
+            tokens_in=tokens_in,
+            tokens_out=tokens_out,
+            last_event_id=fields.get(LAST_EVENT_ID.lower(), ""),
+        )
+
+    def forwarded(
+        self, headers: RawHeaders, left_ms: float, runner_id: str, last_event_id: str
+    ) -> RawHeaders:
+        """Return the headers for a back end."""
+        own = [
+            (DEADLINE_MS, b"%d" % max(1, int(left_ms))),
+            (EXPECT_INSTANCE, runner_id.encode()),
+        ]
+        replaced = _SET
+        if last_event_id:
+            own.append((LAST_EVENT_ID, last_event_id.encode()))
+            replaced = _SET | {LAST_EVENT_ID.lower()}
+        return [item for item in headers if item[0].lower() not in replaced] + own
+
+    def item_headers(self, headers: RawHeaders, host: str, item_id: str) -> RawHeaders:
+        """Return the headers of the request that runs an item of a batch job."""
+        own = {b"host", REQUEST_ID.lower()}
+        kept = [item for item in headers if item[0].lower() not in own]
+        return [(b"Host", host.encode()), *kept, (REQUEST_ID, item_id.encode())]
+
+    def read_answer(self, headers: RawHeaders) -> AnswerFacts:
+        """Return what a back end's headers say."""
+        fields = _fields(headers)
+        return AnswerFacts(
+            request_id=fields.get(REQUEST_ID.lower(), ""),
+            signed=SERVER_STAMP.lower() in fields,
+            not_run=NOT_EXECUTED.lower() in fields,
+            load=_load(fields.get(INSTANCE_LOAD.lower(), "")),
+            keep_alive_s=_keep_alive_s(fields.get(b"keep-alive", "")),
+            closes="close" in fields.get(b"connection", "").lower(),
+        )
+
+    def own_answer(self, request_id: str, retry_after_s: float | None) -> RawHeaders:
+        """Return the headers of an answer that the proxy gives by itself."""
+        headers = [(REQUEST_ID, request_id.encode("latin-1"))] if request_id else []
+        if retry_after_s is not None:
+            headers.append((RETRY_AFTER, b"%.3f" % retry_after_s))
+        return headers
+
+
+def _fields(headers: RawHeaders) -> dict[bytes, str]:
+    return {
+        name.lower(): value.decode("latin-1").strip()
+        for name, value in headers
+        if name.lower() in _READ
+    }
+
+
+def _number(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if value >= 0 else None
+
+
+def _pair(text: str) -> tuple[int, int]:
+    first, _, second = text.partition(",")
+    return int(_number(first) or 0), int(_number(second) or 0)
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in text.split(",") if text else []:
+        key, _, tokens = item.strip().rpartition(":")
+        parts.append(PromptPart(key, int(_number(tokens) or 0)))
+    return tuple(parts)
+
+
+def _load(text: str) -> EngineLoad | None:
+    numbers = [_number(item) for item in text.split(",")] if text else []
+    if len(numbers) != 3 or None in numbers:
+        return None
+    running, waiting, slots = (int(number or 0) for number in numbers)
+    return EngineLoad(running, waiting, slots)
+
+
+def _keep_alive_s(text: str) -> float | None:
+    for item in text.split(","):
+        name, _, value = item.strip().partition("=")
+        if name.lower() == "timeout":
+            return _number(value)
+    return None
--- /dev/null
+++ b/src/leverjunction/platform/roles.py
@@ -0,0 +1,131 @@
+"""Starts the processes of the users' platform from their settings file."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from random import Random
+
+from loguru import logger
+
+from leverjunction.allocator import return_large_buffers
+from leverjunction.clock import SystemClock
+from leverjunction.config.load import load_config
+from leverjunction.config.machine import MachineConfig
+from leverjunction.errors import Failure
+
+SETTINGS_VARIABLE = "LEVERJUNCTION_SETTINGS"
+EXIT_STOPPED = 0
+EXIT_CANNOT_START = 1
+EXIT_USAGE = 2
+CONTROL_THREADS = 24
+CONTROL_BACKLOG = 512
+CONTROL_IDLE_TIMEOUT_S = 10
+CONTROL_KEPT_CONNECTIONS = 512
+
+Role = Callable[[MachineConfig], int]
+_ROLES: dict[str, Role] = {}
+
+
+def _role(name: str) -> Callable[[Role], Role]:
+    def register(role: Role) -> Role:
+        _ROLES[name] = role
+        return role
+
+    return register
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run a role until it is asked to stop; returns the exit status."""
+    if len(arguments) != 1 or arguments[0] not in _ROLES:
+        print(f"usage: start.py {'|'.join(_ROLES)}", file=sys.stderr)
+        return EXIT_USAGE
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        print(f"the variable {SETTINGS_VARIABLE} must name the settings file", file=sys.stderr)
+        return EXIT_USAGE
+    config = load_config(Path(path), MachineConfig, {})
+    if isinstance(config, Failure):
+        print(config.reason, file=sys.stderr)
+        return EXIT_CANNOT_START
+    return_large_buffers()
+    logger.remove()
+    logger.add(sys.stdout, level="INFO", format="{time:HH:mm:ss.SSS} {level} {message}")
+    return _ROLES[arguments[0]](config)
+
+
+@_role("gateway")
+def _gateway(config: MachineConfig) -> int:
+    import asyncio
+
+    from leverjunction.platform.front_calls import READY_PATH, make_front_calls
+    from leverjunction.platform.headers import PlatformDialect
+    from leverjunction.proxy.process import ProxyNode
+
+    async def run() -> None:
+        node = ProxyNode(config, PlatformDialect(), READY_PATH, make_front_calls)
+        await node.run()
+
+    asyncio.run(run())
+    return EXIT_STOPPED
+
+
+@_role("control")
+def _control(config: MachineConfig) -> int:
+    from leverjunction.platform.control_calls import ControlCalls
+    from leverjunction.registry.node import RegistryNode
+    from leverjunction.wire.http_thread import HttpServer, HttpServerOptions
+
+    node = RegistryNode(config, SystemClock(), Random())
+    host, _, port = config.listen.control.rpartition(":")
+    server = HttpServer(
+        host,
+        int(port),
+        ControlCalls(node),
+        HttpServerOptions(
+            name="control-calls",
+            server_name="leverjunction",
+            threads=CONTROL_THREADS,
+            backlog=CONTROL_BACKLOG,
+            idle_timeout_s=CONTROL_IDLE_TIMEOUT_S,
+            keep_alive_connections=CONTROL_KEPT_CONNECTIONS,
+        ),
+    )
+    stop_asked = _stop_event()
+    fault = node.start()
+    if fault is not None:
+        logger.error("cannot start: {}", fault.reason)
+        return EXIT_CANNOT_START
+    server.start()
+    stop_asked.wait()
+    server.stop()
+    node.stop()
+    return EXIT_STOPPED
+
+
+@_role("store")
+def _store(config: MachineConfig) -> int:
+    from leverjunction.lots.node import LotsNode
+    from leverjunction.platform.headers import PlatformDialect
+
+    node = LotsNode(config, PlatformDialect(), SystemClock(), Random())
+    stop_asked = _stop_event()
+    fault = node.start()
+    if fault is not None:
+        logger.error("cannot start: {}", fault.reason)
+        return EXIT_CANNOT_START
+    stop_asked.wait()
+    node.stop()
+    return EXIT_STOPPED
+
+
+def _stop_event() -> threading.Event:
+    stop_asked = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda _number, _frame: stop_asked.set())
+    signal.signal(signal.SIGHUP, lambda _number, _frame: None)
+    return stop_asked
--- /dev/null
+++ b/src/leverjunction/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway for routed requests with opaque bodies; see docs/operators/proxy.md."""
--- /dev/null
+++ b/src/leverjunction/proxy/attempt.py
@@ -0,0 +1,223 @@
+"""One send of a request to one back end, up to the head of its answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.proxy.balancer import Balancer, RunnerSeat
+from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.dialect import AnswerFacts, Dialect, RawHeaders, RequestFacts
+from leverjunction.proxy.headers import end_to_end, find
+from leverjunction.proxy.runner_connection import AnswerHead, RunnerConnection, RunnerPool
+
+CONNECT_TIMEOUT_S = 0.4
+REPEATABLE_IDLE_SHARE = 0.8
+ONCE_IDLE_SHARE = 0.3
+"""A request that may run once goes only on connections that were used a short while ago."""
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request was not run."""
+
+MISDIRECTED = 421
+
+
+class OpenedAnswer:
+    """A back end's answer whose head has come.
+
+    Attributes:
+        head: Status and headers.
+        facts: What the headers say.
+        connection: Where its body comes.
+        seat: The back end.
+    """
+
+    __slots__ = ("connection", "facts", "head", "seat")
+
+    def __init__(
+        self,
+        head: AnswerHead,
+        facts: AnswerFacts,
+        connection: RunnerConnection,
+        seat: RunnerSeat,
+    ) -> None:
+        self.head = head
+        self.facts = facts
+        self.connection = connection
+        self.seat = seat
+
+
+class Sender:
+    """Sends requests to back ends; used by one event loop."""
+
+    __slots__ = ("_balancer", "_dialect", "_loop", "_pool")
+
+    def __init__(self, pool: RunnerPool, balancer: Balancer, dialect: Dialect) -> None:
+        self._pool = pool
+        self._balancer = balancer
+        self._dialect = dialect
+        self._loop = asyncio.get_running_loop()
+
+    async def send(
+        self,
+        request: CallerRequest,
+        facts: RequestFacts,
+        seat: RunnerSeat,
+        *,
+        repeatable: bool,
+        last_event_id: str,
+        until_s: float,
+        head_until_s: float,
+    ) -> OpenedAnswer | Failure:
+        """Send a request and wait for the head of the answer.
+
+        Args:
+            request: The caller's request.
+            facts: What its headers say.
+            seat: Where to; counted there until ``finish``.
+            repeatable: It may run more than once.
+            last_event_id: Continue a stream after this event.
+            until_s: When the whole answer must be there.
+            head_until_s: How long to wait for the head.
+
+        Returns:
+            The answer; or a failure that says whether the request may have run.
+        """
+        seat.own += 1
+        try:
+            opened = await self._open(
+                request, facts, seat, repeatable, last_event_id, until_s, head_until_s
+            )
+        except BaseException:
+            seat.own -= 1
+            raise
+        if isinstance(opened, Failure):
+            seat.own -= 1
+        return opened
+
+    def finish(self, answer: OpenedAnswer, whole: bool) -> None:
+        """End the use of an answer; one that is not whole costs its connection."""
+        answer.seat.own -= 1
+        self._pool.give_back(answer.connection, keep=whole and not answer.facts.closes)
+
+    async def _open(
+        self,
+        request: CallerRequest,
+        facts: RequestFacts,
+        seat: RunnerSeat,
+        repeatable: bool,
+        last_event_id: str,
+        until_s: float,
+        head_until_s: float,
+    ) -> OpenedAnswer | Failure:
+        idle_share = REPEATABLE_IDLE_SHARE if repeatable else ONCE_IDLE_SHARE
+        connection = await self._pool.take(seat.record.address, idle_share, CONNECT_TIMEOUT_S)
+        if isinstance(connection, Failure):
+            self._balancer.failed(seat, self._loop.time())
+            return connection
+        try:
+            left_ms = (until_s - self._loop.time()) * 1000
+            if left_ms < 1:
+                connection.close()
+                return _late(seat, Execution.NOT_RUN)
+            headers = self._dialect.forwarded(
+                end_to_end(request.headers), left_ms, seat.record.runner_id, last_event_id
+            )
+            connection.send(request.method, request.target, headers, request.body)
+            return await self._head(connection, facts, seat, head_until_s)
+        except BaseException:
+            connection.close()
+            raise
+
+    async def _head(
+        self,
+        connection: RunnerConnection,
+        facts: RequestFacts,
+        seat: RunnerSeat,
+        head_until_s: float,
+    ) -> OpenedAnswer | Failure:
+        try:
+            async with asyncio.timeout_at(head_until_s):
+                head = await connection.next_event()
+        except TimeoutError:
+            connection.close()
+            return _late(seat, Execution.UNKNOWN)
+        if not isinstance(head, AnswerHead):
+            self._balancer.failed(seat, self._loop.time())
+            connection.close()
+            return head if isinstance(head, Failure) else _mismatch(seat, "no head")
+        answer = self._dialect.read_answer(head.headers)
+        if answer.load is not None:
+            seat.told(answer.load, self._loop.time())
+        opened = OpenedAnswer(head, answer, connection, seat)
+        refusal = await self._refusal(opened, facts)
+        if refusal is not None:
+            return refusal
+        connection.keep_alive_s = answer.keep_alive_s
+        self._balancer.succeeded(seat)
+        return opened
+
+    async def _refusal(self, answer: OpenedAnswer, facts: RequestFacts) -> Failure | None:
+        """Return a failure for an answer that is not the caller's, or says "not run"."""
+        seat = answer.seat
+        if answer.facts.not_run or answer.head.status == MISDIRECTED:
+            await self._drop_refusal(answer)
+            return Failure(
+                kind=FailureKind.OVERLOADED,
+                reason=f"back end {seat.record.runner_id} refused: HTTP {answer.head.status}",
+                step=Step.RESPONDING,
+                peer=seat.record.address,
+            )
+        answer.connection.keep_alive_s = answer.facts.keep_alive_s
+        if answer.facts.request_id and answer.facts.request_id != facts.request_id:
+            answer.connection.close()
+            self._balancer.failed(seat, self._loop.time())
+            return _mismatch(seat, "it answers another request")
+        unsigned = not answer.facts.signed or not answer.facts.request_id
+        encoded = find(answer.head.headers, b"content-encoding") is not None
+        if unsigned or encoded or answer.head.status in NOT_RUN_STATUSES:
+            answer.connection.close()
+            self._balancer.failed(seat, self._loop.time())
+            return _mismatch(seat, f"HTTP {answer.head.status} is no answer of a back end")
+        return None
+
+    async def _drop_refusal(self, answer: OpenedAnswer) -> None:
+        """Read a refusal's short body, so that the connection can be used again."""
+        connection = answer.connection
+        connection.keep_alive_s = answer.facts.keep_alive_s
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_S):
+                while isinstance(await connection.next_event(), bytes):
+                    pass
+        except TimeoutError:
+            connection.close()
+            return
+        self._pool.give_back(connection, keep=not answer.facts.closes)
+
+
+REFUSAL_BODY_S = 0.05
+
+
+def own_headers(dialect: Dialect, facts: RequestFacts, failure: Failure) -> RawHeaders:
+    """Return the headers of the proxy's own answer."""
+    return dialect.own_answer(facts.request_id, failure.retry_after_s)
+
+
+def _late(seat: RunnerSeat, execution: Execution) -> Failure:
+    return Failure(
+        kind=FailureKind.DEADLINE_EXCEEDED,
+        reason="no answer in time",
+        step=Step.RESPONDING,
+        peer=seat.record.address,
+        execution=execution,
+    )
+
+
+def _mismatch(seat: RunnerSeat, reason: str) -> Failure:
+    return Failure(
+        kind=FailureKind.BACKEND_MISMATCH,
+        reason=reason,
+        step=Step.RESPONDING,
+        peer=seat.record.address,
+        execution=Execution.UNKNOWN,
+    )
--- /dev/null
+++ b/src/leverjunction/proxy/balancer.py
@@ -0,0 +1,195 @@
+"""Chooses the back end of a request. Pure: the clock and the generator are passed in.
+
+What a back end tells of its load is some requests old, and other gateways send to it too. So its
+load is what it told last, less what this gateway had there then, fading with age; plus what this
+gateway has there now.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterable
+from random import Random
+
+import xxhash
+
+from leverjunction.proxy.dialect import EngineLoad, PromptPart
+from leverjunction.registry.records import RunnerRecord, RunnerState
+
+LOAD_FADES_S = 1.0
+"""Time in which what others have at a back end fades to a third, as far as this gateway knows."""
+
+READ_TOKENS_PER_MS = 80.0
+"""Speed at which an engine reads a prompt: what a part that it holds already saves."""
+
+BUSY_COST_MS = 6.0
+"""Cost of each request that already runs at a back end."""
+
+QUEUED_COST_MS = 250.0
+"""Cost of each request beyond the back end's slots."""
+
+OTHER_ZONE_COST_MS = 4.0
+FAILED_COST_MS = 2_000.0
+SHARED_TOKENS_MIN = 512
+"""Shorter shared parts are read faster than it takes to keep them together."""
+
+EJECT_FIRST_S = 0.5
+EJECT_MOST_S = 8.0
+
+
+class RunnerSeat:
+    """What this gateway knows of one back end.
+
+    Attributes:
+        record: Its record in the registry.
+        own: Requests of this gateway that it works on.
+        others: Requests of others, as of ``told_s``.
+        told_s: When it last told its load.
+        slots: Requests that it can work on.
+        failures: Failures in a row.
+        ejected_until_s: Until then it gets no work as long as there is another.
+    """
+
+    __slots__ = ("ejected_until_s", "failures", "others", "own", "record", "slots", "told_s")
+
+    def __init__(self, record: RunnerRecord) -> None:
+        self.record = record
+        self.own = 0
+        self.others = 0.0
+        self.told_s = 0.0
+        self.slots = max(1, record.slots)
+        self.failures = 0
+        self.ejected_until_s = 0.0
+
+    def load(self, now_s: float) -> float:
+        """Return the requests that it probably has, running and waiting."""
+        return self.own + self.others * math.exp((self.told_s - now_s) / LOAD_FADES_S)
+
+    def told(self, load: EngineLoad, now_s: float) -> None:
+        """Take the load that came with an answer of a request that is still counted here."""
+        self.others = max(0.0, load.running + load.waiting - self.own)
+        self.slots = max(1, load.slots)
+        self.told_s = now_s
+
+
+class Choice:
+    """A chosen back end.
+
+    Attributes:
+        seat: The back end.
+        load: Requests that it probably had.
+        candidates: Back ends that were weighed.
+    """
+
+    __slots__ = ("candidates", "load", "seat")
+
+    def __init__(self, seat: RunnerSeat, load: float, candidates: int) -> None:
+        self.seat = seat
+        self.load = load
+        self.candidates = candidates
+
+
+class Balancer:
+    """All back ends, by service. Used by one thread only."""
+
+    __slots__ = ("_by_service", "_random", "_seats", "_zone")
+
+    def __init__(self, zone: str, random: Random) -> None:
+        self._zone = zone
+        self._random = random
+        self._seats: dict[str, RunnerSeat] = {}
+        self._by_service: dict[str, list[RunnerSeat]] = {}
+
+    def replace(self, records: Iterable[RunnerRecord]) -> None:
+        """Take the registry's records; what is known of a runner that stays is kept."""
+        seats: dict[str, RunnerSeat] = {}
+        by_service: dict[str, list[RunnerSeat]] = {}
+        for record in records:
+            seat = self._seats.get(record.runner_id) or RunnerSeat(record)
+            seat.record = record
+            seats[record.runner_id] = seat
+            by_service.setdefault(record.service, []).append(seat)
+        self._seats = seats
+        self._by_service = by_service
+
+    def seats(self, service: str) -> list[RunnerSeat]:
+        """Return the back ends of a service that take new work."""
+        known = self._by_service.get(service, [])
+        ready = [seat for seat in known if seat.record.state is RunnerState.READY]
+        # Silence may be a fault of the path to the control processes alone.
+        return ready or [seat for seat in known if seat.record.state is RunnerState.SILENT]
+
+    def choose(
+        self,
+        service: str,
+        parts: tuple[PromptPart, ...],
+        avoided: Collection[str],
+        now_s: float,
+    ) -> Choice | None:
+        """Return the cheapest back end, None when there is none.
+
+        Args:
+            service: Service of the request.
+            parts: Parts of its prompt.
+            avoided: Ids of back ends that were tried already.
+            now_s: Monotonic time.
+        """
+        seats = [seat for seat in self.seats(service) if seat.record.runner_id not in avoided]
+        if not seats:
+            return None
+        sound = [seat for seat in seats if seat.ejected_until_s <= now_s] or seats
+        home = _home_of(parts, sound)
+        best = min(sound, key=lambda seat: self._cost_ms(seat, home, parts, now_s))
+        return Choice(best, best.load(now_s), len(sound))
+
+    def free_slots(self, service: str, now_s: float) -> float:
+        """Return how many more requests a service's back ends can work on at once."""
+        return sum(max(0.0, seat.slots - seat.load(now_s)) for seat in self.seats(service))
+
+    def failed(self, seat: RunnerSeat, now_s: float) -> None:
+        """Note that a back end did not do what it should."""
+        seat.failures += 1
+        pause_s = min(EJECT_MOST_S, EJECT_FIRST_S * 2 ** (seat.failures - 1))
+        seat.ejected_until_s = now_s + pause_s
+
+    def succeeded(self, seat: RunnerSeat) -> None:
+        """Note that a back end answered."""
+        seat.failures = 0
+        seat.ejected_until_s = 0.0
+
+    def _cost_ms(
+        self,
+        seat: RunnerSeat,
+        home: str,
+        parts: tuple[PromptPart, ...],
+        now_s: float,
+    ) -> float:
+        load = seat.load(now_s)
+        cost_ms = load * BUSY_COST_MS + max(0.0, load + 1 - seat.slots) * QUEUED_COST_MS
+        if seat.record.zone != self._zone:
+            cost_ms += OTHER_ZONE_COST_MS
+        if home and seat.record.runner_id != home:
+            cost_ms += _shared_tokens(parts) / READ_TOKENS_PER_MS
+        if seat.failures:
+            cost_ms += FAILED_COST_MS
+        # Several gateways that see the same loads must not all choose the same back end.
+        return cost_ms + self._random.uniform(0, BUSY_COST_MS)
+
+
+def _shared_tokens(parts: tuple[PromptPart, ...]) -> int:
+    """Return the tokens that other requests may share: the last part is the request's own."""
+    return sum(part.tokens for part in parts[:-1])
+
+
+def _home_of(parts: tuple[PromptPart, ...], seats: list[RunnerSeat]) -> str:
+    """Return the back end on which requests with the same large shared part are kept together.
+
+    Rendezvous hashing: all gateways choose the same one, and few move when back ends come and go.
+    """
+    if _shared_tokens(parts) < SHARED_TOKENS_MIN:
+        return ""
+    key = max(parts[:-1], key=lambda part: part.tokens).key
+    return max(
+        (seat.record.runner_id for seat in seats),
+        key=lambda runner_id: xxhash.xxh64_intdigest(f"{key}|{runner_id}".encode()),
+    )
--- /dev/null
+++ b/src/leverjunction/proxy/forwarding.py
@@ -0,0 +1,333 @@
+"""Answers a routed request: route, send, repeat where that is allowed, pass the answer on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.proxy.answers import (
+    no_route,
+    no_runner,
+    no_table,
+    out_of_time,
+    status_of,
+)
+from leverjunction.proxy.attempt import OpenedAnswer, Sender
+from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.caller_connection import CallerRequest, Responder
+from leverjunction.proxy.dialect import Dialect, RequestFacts
+from leverjunction.proxy.events import EventSplitter
+from leverjunction.proxy.headers import end_to_end, find
+from leverjunction.proxy.journal import ProxyJournal
+from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
+from leverjunction.routes.matching import RouteIndex, draw_service
+from leverjunction.routes.types import Route, RouteKind
+
+BUFFERED_BODY_BYTES = 512 * 1024
+"""A longer answer is passed on as it comes, so it can no longer be replaced by another."""
+
+DECLINED_MOST = 4
+"""Back ends that may decline a request before the caller is told to come back."""
+
+SILENT_TARGETS = 3.0
+SILENT_MIN_S = 0.4
+STREAM_SILENCE_S = 2.0
+"""Silence after which a stream that may be continued moves to another back end."""
+
+DEFAULT_TIMEOUT_MS = 30_000.0
+
+LocalHandler = Callable[[CallerRequest, Responder, RouteIndex, Route | None], Awaitable[bool]]
+"""Answers what is no request for a back end; returns whether it did."""
+
+
+class Work:
+    """One request on its way.
+
+    Attributes:
+        request: The caller's request.
+        facts: What its headers say.
+        route: Its route.
+        service: Service that was drawn for it.
+        until_s: When its answer must be complete.
+        tried: Ids of back ends that were asked.
+        runs: Back ends on which it may have run.
+        execution: Whether it may have run.
+    """
+
+    __slots__ = (
+        "execution",
+        "facts",
+        "request",
+        "route",
+        "runs",
+        "service",
+        "tried",
+        "until_s",
+    )
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        facts: RequestFacts,
+        route: Route,
+        service: str,
+        until_s: float,
+    ) -> None:
+        self.request = request
+        self.facts = facts
+        self.route = route
+        self.service = service
+        self.until_s = until_s
+        self.tried: set[str] = set()
+        self.runs = 0
+        self.execution = Execution.NOT_RUN
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether another back end may be asked after one that may have run it."""
+        return self.route.repeatable and self.runs < max(1, self.route.max_attempts)
+
+
+class Forwarder:
+    """Thin over ``Sender``; used by one event loop."""
+
+    def __init__(
+        self,
+        sender: Sender,
+        balancer: Balancer,
+        dialect: Dialect,
+        journal: ProxyJournal,
+        random: Random,
+        local: LocalHandler,
+    ) -> None:
+        self._sender = sender
+        self._balancer = balancer
+        self._dialect = dialect
+        self._journal = journal
+        self._random = random
+        self._local = local
+        self._loop = asyncio.get_running_loop()
+        self._index: RouteIndex | None = None
+
+    def set_table(self, index: RouteIndex) -> None:
+        """Take a newer route table; requests under way keep theirs."""
+        self._index = index
+
+    async def handle(self, request: CallerRequest, responder: Responder) -> None:
+        """Answer one request."""
+        facts = self._dialect.read_request(request.headers)
+        index = self._index
+        if index is None:
+            self._refuse(request, facts, responder, no_table())
+            return
+        host = (find(request.headers, b"host") or b"").decode("latin-1")
+        route = index.find(host, request.path)
+        if await self._local(request, responder, index, route):
+            return
+        if route is None:
+            self._refuse(request, facts, responder, no_route(host, request.path))
+            return
+        timeout_ms = min(facts.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
+        until_s = request.arrived_s + timeout_ms / 1000
+        work = Work(request, facts, route, draw_service(route, self._random), until_s)
+        try:
+            await self._forward(work, responder)
+        except asyncio.CancelledError:
+            self._journal.ended(work, "cancelled", "the caller left")
+            raise
+
+    async def _forward(self, work: Work, responder: Responder) -> None:
+        answer = await self._answer(work, "")
+        while not isinstance(answer, Failure):
+            streams = work.route.kind is RouteKind.STREAM and answer.head.status == 200
+            passed = await (
+                self._pass_stream(work, answer, responder)
+                if streams
+                else self._pass_whole(work, answer, responder)
+            )
+            if passed is None:
+                self._journal.ended(work, "answered", str(answer.head.status))
+                return
+            if responder.started or not work.may_run_again:
+                answer = passed
+                break
+            answer = await self._answer(work, "")
+        if responder.started:
+            self._journal.ended(work, "broken_off", answer.reason)
+            responder.break_off()
+            return
+        self._refuse(work.request, work.facts, responder, _told(answer, work.execution))
+
+    async def _answer(self, work: Work, last_event_id: str) -> OpenedAnswer | Failure:
+        """Return the first head that a back end gives."""
+        declined = 0
+        while True:
+            now_s = self._loop.time()
+            if now_s >= work.until_s:
+                return out_of_time(work.execution)
+            choice = self._balancer.choose(
+                work.service, work.facts.parts, work.tried, now_s
+            ) or self._balancer.choose(work.service, work.facts.parts, (), now_s)
+            if choice is None:
+                return no_runner(work.service)
+            seat = choice.seat
+            work.tried.add(seat.record.runner_id)
+            answer = await self._sender.send(
+                work.request,
+                work.facts,
+                seat,
+                repeatable=work.route.repeatable,
+                last_event_id=last_event_id,
+                until_s=work.until_s,
+                head_until_s=self._head_until_s(work, now_s),
+            )
+            self._journal.sent(work, choice, answer)
+            if not isinstance(answer, Failure):
+                work.runs += 1
+                work.execution = Execution.UNKNOWN
+                return answer
+            if answer.execution is Execution.NOT_RUN:
+                declined += 1
+                if declined >= DECLINED_MOST:
+                    return no_runner(work.service)
+                continue
+            work.runs += 1
+            work.execution = Execution.UNKNOWN
+            if not work.may_run_again:
+                return answer
+
+    def _head_until_s(self, work: Work, now_s: float) -> float:
+        """Return how long to wait for a head before another back end is asked instead."""
+        if not work.route.repeatable or work.runs + 1 >= max(1, work.route.max_attempts):
+            return work.until_s
+        patience_s = max(SILENT_MIN_S, work.route.target_ms * SILENT_TARGETS / 1000)
+        return min(work.until_s, now_s + patience_s)
+
+    async def _pass_whole(
+        self, work: Work, answer: OpenedAnswer, responder: Responder
+    ) -> Failure | None:
+        """Pass an ordinary answer on; returns a failure when it did not come whole."""
+        whole = False
+        body: list[bytes] = []
+        size_bytes = 0
+        headers = end_to_end(answer.head.headers)
+        try:
+            async with asyncio.timeout_at(work.until_s):
+                while True:
+                    event = await answer.connection.next_event()
+                    if isinstance(event, AnswerEnd):
+                        whole = True
+                        break
+                    if isinstance(event, Failure):
+                        return event
+                    if isinstance(event, AnswerHead):
+                        return _stray(answer)
+                    size_bytes += len(event)
+                    body.append(event)
+                    if size_bytes > BUFFERED_BODY_BYTES:
+                        if not responder.started:
+                            responder.head(answer.head.status, headers)
+                        await responder.data(b"".join(body))
+                        body = []
+        except TimeoutError:
+            return out_of_time(Execution.UNKNOWN)
+        finally:
+            self._sender.finish(answer, whole)
+        if responder.started:
+            if body:
+                await responder.data(b"".join(body))
+            responder.end()
+        else:
+            responder.whole(answer.head.status, headers, b"".join(body))
+        return None
+
+    async def _pass_stream(
+        self, work: Work, answer: OpenedAnswer, responder: Responder
+    ) -> Failure | None:
+        """Pass a stream on, event by event; continue it elsewhere where that is allowed."""
+        splitter = EventSplitter(work.facts.last_event_id)
+        while True:
+            broken = await self._relay(work, answer, splitter, responder)
+            if broken is None:
+                responder.end()
+                return None
+            if not work.may_run_again or self._loop.time() >= work.until_s:
+                return broken
+            self._balancer.failed(answer.seat, self._loop.time())
+            again = await self._answer(work, splitter.last_id)
+            if isinstance(again, Failure):
+                return broken
+            if again.head.status != 200:
+                self._sender.finish(again, False)
+                return broken
+            answer = again
+            splitter = EventSplitter(splitter.last_id)
+
+    async def _relay(
+        self,
+        work: Work,
+        answer: OpenedAnswer,
+        splitter: EventSplitter,
+        responder: Responder,
+    ) -> Failure | None:
+        whole = False
+        try:
+            while True:
+                async with asyncio.timeout_at(self._silent_until_s(work)):
+                    event = await answer.connection.next_event()
+                if isinstance(event, Failure):
+                    return event
+                if isinstance(event, AnswerHead):
+                    return _stray(answer)
+                if not responder.started:
+                    responder.head(answer.head.status, end_to_end(answer.head.headers))
+                if isinstance(event, AnswerEnd):
+                    if splitter.pending_bytes:
+                        return _stray(answer)
+                    whole = True
+                    return None
+                events = splitter.feed(event)
+                if events:
+                    await responder.data(events)
+        except TimeoutError:
+            return out_of_time(Execution.UNKNOWN)
+        finally:
+            self._sender.finish(answer, whole)
+
+    def _silent_until_s(self, work: Work) -> float:
+        if not work.may_run_again:
+            return work.until_s
+        return min(work.until_s, self._loop.time() + STREAM_SILENCE_S)
+
+    def _refuse(
+        self, request: CallerRequest, facts: RequestFacts, responder: Responder, failure: Failure
+    ) -> None:
+        status = status_of(failure)
+        self._journal.refused(facts, status, failure)
+        headers = self._dialect.own_answer(facts.request_id, failure.retry_after_s)
+        responder.whole(status, headers, failure.reason.encode())
+
+
+def _told(failure: Failure, execution: Execution) -> Failure:
+    """Return a failure that says "not run" only when no back end can have run the request."""
+    if execution is Execution.NOT_RUN or failure.execution is execution:
+        return failure
+    return Failure(
+        kind=failure.kind,
+        reason=failure.reason,
+        step=failure.step,
+        peer=failure.peer,
+        execution=execution,
+    )
+
+
+def _stray(answer: OpenedAnswer) -> Failure:
+    return Failure(
+        kind=FailureKind.BACKEND_MISMATCH,
+        reason="the answer did not end where it should",
+        step=Step.RELAYING,
+        peer=answer.seat.record.address,
+        execution=Execution.UNKNOWN,
+    )
--- /dev/null
+++ b/src/leverjunction/proxy/process.py
@@ -0,0 +1,139 @@
+"""The gateway process of a deployment with routed requests."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+from random import Random
+
+from loguru import logger
+from prometheus_client import CollectorRegistry
+
+from leverjunction.clock import SystemClock
+from leverjunction.config.machine import MachineConfig
+from leverjunction.proxy.attempt import Sender
+from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.caller_connection import (
+    CallerConnection,
+    CallerPort,
+    CallerRequest,
+    Responder,
+)
+from leverjunction.proxy.counters import ProxyCounters
+from leverjunction.proxy.dialect import Dialect
+from leverjunction.proxy.forwarding import Forwarder, LocalHandler
+from leverjunction.proxy.journal import ProxyJournal
+from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.registry.follower import RegistryFollower, Snapshot
+from leverjunction.registry.node import CLUSTER_KEY
+from leverjunction.routes.matching import RouteIndex
+from leverjunction.routes.types import RequestLimits
+from leverjunction.wire.rpc_client import RpcClient
+
+LISTEN_BACKLOG = 1024
+KEEP_TAKING_S = 3.0
+"""After a stop was asked for: callers are sent here until the platform has looked twice."""
+
+STOP_MARGIN_S = 0.7
+"""Left of the grace time for the end itself."""
+
+POLL_S = 0.05
+
+MakeLocal = Callable[[RpcClient, RegistryFollower], LocalHandler]
+"""Makes the handler of what is no request for a back end."""
+
+
+class ProxyNode:
+    """One gateway: callers' port, readiness port, follower of the registry."""
+
+    def __init__(
+        self,
+        config: MachineConfig,
+        dialect: Dialect,
+        ready_path: str,
+        make_local: MakeLocal,
+    ) -> None:
+        self._config = config
+        self._ready_path = ready_path
+        self._loop = asyncio.get_running_loop()
+        self._random = Random()
+        clock = SystemClock()
+        self._rpc = RpcClient(CLUSTER_KEY, clock.wall_ms())
+        self._balancer = Balancer(config.zone, self._random)
+        self._pool = RunnerPool()
+        journal = ProxyJournal(clock, ProxyCounters(CollectorRegistry()))
+        self._index: RouteIndex | None = None
+        self._follower = RegistryFollower(
+            self._rpc, config.seed_addresses(), "", clock, self._random, self._on_registry
+        )
+        self._forwarder = Forwarder(
+            Sender(self._pool, self._balancer, dialect),
+            self._balancer,
+            dialect,
+            journal,
+            self._random,
+            make_local(self._rpc, self._follower),
+        )
+        self._port = CallerPort(self._forwarder.handle, self._limits)
+        self._ready_port = CallerPort(self._answer_ready, RequestLimits)
+        self._stopping = False
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then stop without cutting a request."""
+        stop_asked = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, stop_asked.set)
+        self._loop.add_signal_handler(signal.SIGHUP, lambda: logger.info("settings may change"))
+        callers = await self._listen(self._port, self._config.listen.callers)
+        ready = await self._listen(self._ready_port, self._config.listen.ready)
+        self._follower.start()
+        logger.info("gateway {} started", self._config.name)
+        await stop_asked.wait()
+        await self._stop(callers)
+        ready.close()
+        self._follower.stop()
+        self._pool.close()
+        logger.info("stopped")
+
+    async def _listen(self, port: CallerPort, address: str) -> asyncio.Server:
+        host, _, number = address.rpartition(":")
+        return await self._loop.create_server(
+            lambda: CallerConnection(port), host, int(number), backlog=LISTEN_BACKLOG
+        )
+
+    async def _stop(self, callers: asyncio.Server) -> None:
+        """Not ready at once; take what still comes for a while; answer all."""
+        logger.info("stopping")
+        self._stopping = True
+        self._port.leaving = True
+        started_s = self._loop.time()
+        await asyncio.sleep(KEEP_TAKING_S)
+        callers.close()
+        end_s = started_s + self._config.bounds.stop_grace_s - STOP_MARGIN_S
+        while self._loop.time() < end_s:
+            self._port.close_idle()
+            if not self._port.busy():
+                return
+            await asyncio.sleep(POLL_S)
+
+    def _limits(self) -> RequestLimits:
+        return RequestLimits() if self._index is None else self._index.table.limits
+
+    def _on_registry(self, snapshot: Snapshot) -> None:
+        """Take a newer registry (follower's thread)."""
+        self._loop.call_soon_threadsafe(self._apply, snapshot)
+
+    def _apply(self, snapshot: Snapshot) -> None:
+        self._balancer.replace(snapshot.view.runners)
+        held = self._index.table.version if self._index is not None else 0
+        if snapshot.table.version > held:
+            self._index = RouteIndex(snapshot.table)
+            self._forwarder.set_table(self._index)
+
+    async def _answer_ready(self, request: CallerRequest, responder: Responder) -> None:
+        if request.path != self._ready_path:
+            responder.whole(404, [], b"")
+            return
+        ready = self._index is not None and not self._stopping
+        responder.whole(200 if ready else 503, [], b"")
--- /dev/null
+++ b/src/leverjunction/registry/commands.py
@@ -0,0 +1,196 @@
+"""Commands and queries of the registry group, and their replies."""
+
+from __future__ import annotations
+
+import msgspec
+
+from leverjunction.registry.records import (
+    FleetView,
+    GroupRecord,
+    MemberRecord,
+    RunnerRecord,
+)
+from leverjunction.routes.types import RouteTable
+
+
+class PutTable(msgspec.Struct, frozen=True, tag="put_table"):
+    """Replace the route table if its version is higher than the one held.
+
+    Attributes:
+        table: The checked table.
+        source: The operator's own text of it, which reads return unchanged.
+    """
+
+    table: RouteTable
+    source: str
+
+
+class PutRunner(msgspec.Struct, frozen=True, tag="put_runner"):
+    """Register a runner or change its record; never brings back one that is gone."""
+
+    record: RunnerRecord
+
+
+class RemoveRunner(msgspec.Struct, frozen=True, tag="remove_runner"):
+    """A runner said that it ends."""
+
+    runner_id: str
+
+
+class ExpireRunners(msgspec.Struct, frozen=True, tag="expire_runners"):
+    """Runners fell silent; they return with their next message."""
+
+    runner_ids: tuple[str, ...]
+
+
+class JoinMember(msgspec.Struct, frozen=True, tag="join_member"):
+    """A machine that may hold replicas has started."""
+
+    record: MemberRecord
+
+
+class DropMember(msgspec.Struct, frozen=True, tag="drop_member"):
+    """A machine is gone for good."""
+
+    name: str
+
+
+class PutGroup(msgspec.Struct, frozen=True, tag="put_group"):
+    """Found a group, or set where its voters shall be."""
+
+    name: str
+    voters: tuple[str, ...]
+
+
+class StartRetirement(msgspec.Struct, frozen=True, tag="start_retirement"):
+    """An operator asks that a machine be emptied.
+
+    Attributes:
+        name: Name of the machine.
+        least_members: Machines of its role that must remain.
+    """
+
+    name: str
+    least_members: int
+
+
+class GetView(msgspec.Struct, frozen=True, tag="get_view"):
+    """Read the registry without the route table."""
+
+
+class GetTable(msgspec.Struct, frozen=True, tag="get_table"):
+    """Read the route table."""
+
+
+class GetTableSource(msgspec.Struct, frozen=True, tag="get_table_source"):
+    """Read the operator's own text of the route table."""
+
+
+RegistryCommand = (
+    PutTable
+    | PutRunner
+    | RemoveRunner
+    | ExpireRunners
+    | JoinMember
+    | DropMember
+    | PutGroup
+    | StartRetirement
+)
+RegistryQuery = GetView | GetTable | GetTableSource
+
+
+class TableHeld(msgspec.Struct, frozen=True):
+    """Reply to ``PutTable``: the version held now."""
+
+    version: int
+
+
+class Done(msgspec.Struct, frozen=True):
+    """Reply to a command that always succeeds."""
+
+
+class TableSource(msgspec.Struct, frozen=True):
+    """Reply to ``GetTableSource``; version 0 when there is none."""
+
+    version: int
+    source: str
+
+
+class WatchRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask a control process for what is newer than the sender knows.
+
+    Attributes:
+        table_version: Version of the sender's table, -1 when it has none yet.
+        revision: Revision of the sender's view, -1 when it has none yet.
+        wait_ms: The answer may be held for so long until something is newer.
+        member: Name of the sending machine if it may hold replicas, else empty.
+        fresh: Ask the group's leader, as a process must that has known nothing so far.
+    """
+
+    table_version: int
+    revision: int
+    wait_ms: int
+    member: str = ""
+    fresh: bool = False
+
+
+class WatchReply(msgspec.Struct, frozen=True, kw_only=True):
+    """What is newer; None for what the sender has already.
+
+    Attributes:
+        table: The table.
+        view: The rest of the registry.
+        controls: RPC addresses of the control processes.
+        contact_age_s: Seconds since the answering process knew all that is committed.
+    """
+
+    table: RouteTable | None
+    view: FleetView | None
+    controls: tuple[str, ...]
+    contact_age_s: float
+
+
+class Heard(msgspec.Struct, frozen=True):
+    """A control process tells the leader whom it has heard since its last message."""
+
+    runner_ids: tuple[str, ...]
+    members: tuple[str, ...]
+
+
+class JobsPlaces(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a replica sees its group: RPC addresses.
+
+    Attributes:
+        leads: True when it leads the group.
+        voters: Voters alone.
+        members: Voters and learners.
+    """
+
+    leads: bool
+    voters: tuple[str, ...]
+    members: tuple[str, ...]
+
+
+__all__ = [
+    "Done",
+    "DropMember",
+    "ExpireRunners",
+    "GetTable",
+    "GetTableSource",
+    "GetView",
+    "GroupRecord",
+    "Heard",
+    "JobsPlaces",
+    "JoinMember",
+    "PutGroup",
+    "PutRunner",
+    "PutTable",
+    "RegistryCommand",
+    "RegistryQuery",
+    "RemoveRunner",
+    "StartRetirement",
+    "TableHeld",
+    "TableSource",
+    "WatchReply",
+    "WatchRequest",
+]
--- /dev/null
+++ b/src/leverjunction/registry/follower.py
@@ -0,0 +1,152 @@
+"""Keeps a gateway's or a store's copy of the registry up to date."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+from loguru import logger
+
+from leverjunction.clock import Clock
+from leverjunction.errors import Failure
+from leverjunction.registry.commands import WatchReply, WatchRequest
+from leverjunction.registry.records import FleetView
+from leverjunction.routes.types import RouteTable
+from leverjunction.wire.envelope import MessageKind
+from leverjunction.wire.rpc_client import RpcClient
+
+WAIT_MS = 900
+CALL_TIMEOUT_S = 1.3
+"""Above the time for which an answer may be held."""
+
+FIRST_TIMEOUT_S = 1.0
+RETRY_PAUSE_S = 0.1
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """What a process knows of the registry.
+
+    Attributes:
+        table: The route table in force.
+        view: The runners and the machines.
+    """
+
+    table: RouteTable
+    view: FleetView
+
+
+class RegistryFollower:
+    """One thread that asks one control process at a time, the next one when that is silent.
+
+    Args:
+        rpc: Client of the internal RPC.
+        seeds: RPC addresses to begin with.
+        member: Name of this machine if it may hold replicas, else empty.
+        clock: Source of monotonic time.
+        random: Chooses where to begin.
+        changed: Called with each newer state, from this thread.
+    """
+
+    def __init__(
+        self,
+        rpc: RpcClient,
+        seeds: tuple[str, ...],
+        member: str,
+        clock: Clock,
+        random: Random,
+        changed: Callable[[Snapshot], None],
+    ) -> None:
+        self._rpc = rpc
+        self._member = member
+        self._clock = clock
+        self._random = random
+        self._changed = changed
+        self._hubs = list(seeds)
+        self._seeds = seeds
+        random.shuffle(self._hubs)
+        self._snapshot: Snapshot | None = None
+        self._answered_s = clock.monotonic_s()
+        self._in_touch = False
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="registry-follower", daemon=True)
+
+    def start(self) -> None:
+        """Start following."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ask the thread to end."""
+        self._stopped.set()
+
+    def snapshot(self) -> Snapshot | None:
+        """Return the newest state, None before the first."""
+        return self._snapshot
+
+    def hubs(self) -> list[str]:
+        """Return the RPC addresses of control processes, the one that answers first."""
+        return list(self._hubs)
+
+    def age_s(self) -> float:
+        """Return the seconds since a control process last answered."""
+        return self._clock.monotonic_s() - self._answered_s
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            reply = self._ask(self._hubs[0])
+            if isinstance(reply, Failure):
+                self._note_silence(reply)
+                self._hubs.append(self._hubs.pop(0))
+                self._stopped.wait(RETRY_PAUSE_S * self._random.uniform(0.5, 1.5))
+                continue
+            self._answered_s = self._clock.monotonic_s()
+            self._note_answer()
+            self._learn_hubs(reply.controls)
+            self._take(reply)
+
+    def _ask(self, hub: str) -> WatchReply | Failure:
+        known = self._snapshot
+        request = WatchRequest(
+            table_version=known.table.version if known else -1,
+            revision=known.view.revision if known else -1,
+            wait_ms=WAIT_MS if known else 0,
+            member=self._member,
+            fresh=known is None,
+        )
+        timeout_s = CALL_TIMEOUT_S if known else FIRST_TIMEOUT_S
+        return self._rpc.call(
+            hub, MessageKind.REGISTRY_WATCH, request, WatchReply, timeout_s=timeout_s
+        )
+
+    def _take(self, reply: WatchReply) -> None:
+        known = self._snapshot or Snapshot(RouteTable(), FleetView())
+        table = known.table
+        if reply.table is not None and reply.table.version > table.version:
+            table = reply.table
+        view = known.view
+        if reply.view is not None and reply.view.revision > view.revision:
+            view = reply.view
+        if self._snapshot is not None and table is known.table and view is known.view:
+            return
+        if table is not known.table:
+            logger.info("route table {} is in force, after {}", table.version, known.table.version)
+        self._snapshot = Snapshot(table, view)
+        self._changed(self._snapshot)
+
+    def _learn_hubs(self, controls: tuple[str, ...]) -> None:
+        known = dict.fromkeys([self._hubs[0], *controls, *self._seeds])
+        if set(known) != set(self._hubs):
+            others = [hub for hub in known if hub != self._hubs[0]]
+            self._random.shuffle(others)
+            self._hubs = [self._hubs[0], *others]
+
+    def _note_silence(self, failure: Failure) -> None:
+        if self._in_touch:
+            logger.warning("control process {} is lost: {}", self._hubs[0], failure.reason)
+        self._in_touch = False
+
+    def _note_answer(self) -> None:
+        if not self._in_touch:
+            logger.info("following control process {}", self._hubs[0])
+        self._in_touch = True
--- /dev/null
+++ b/src/leverjunction/registry/node.py
@@ -0,0 +1,313 @@
+"""The control process of a deployment whose machines find each other by seeds."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+from typing import TypeVar
+
+from loguru import logger
+
+from leverjunction.clock import Clock
+from leverjunction.config.machine import MachineConfig
+from leverjunction.consensus.group import GroupReplica
+from leverjunction.consensus.types import GroupConfig
+from leverjunction.control.group_host import GroupHost
+from leverjunction.control.periodic import PeriodicTask, stop_all
+from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.registry.commands import (
+    Done,
+    GetTableSource,
+    Heard,
+    JobsPlaces,
+    JoinMember,
+    PutRunner,
+    PutTable,
+    RegistryCommand,
+    RemoveRunner,
+    StartRetirement,
+    TableHeld,
+    TableSource,
+    WatchRequest,
+)
+from leverjunction.registry.hub import RegistryHub
+from leverjunction.registry.records import (
+    REGISTRY_GROUP,
+    MemberRecord,
+    MemberRole,
+    RunnerRecord,
+    RunnerState,
+    runner_key,
+)
+from leverjunction.registry.state_machine import RegistryStateMachine
+from leverjunction.registry.steward import JOBS_GROUP, Steward, StewardLimits
+from leverjunction.routes.checks import check_table
+from leverjunction.routes.types import RouteTable
+from leverjunction.storage import read_founders, write_founders
+from leverjunction.wire.codec import decode, encode, encode_reply
+from leverjunction.wire.envelope import Envelope, MessageKind
+from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
+
+T = TypeVar("T")
+
+CLUSTER_KEY = b"leverjunction-seeded-cluster"
+"""Processes of such a deployment have no secret in common: the key only tells a peer from a
+stranger that happens to use the port.
+"""
+
+RPC_THREADS = 64
+HEARTBEAT_S = 0.2
+ELECTION_MIN_S = 0.8
+ELECTION_MAX_S = 1.6
+COMMAND_TIMEOUT_S = 0.85
+"""Below a second, after which callers turn to another control process."""
+
+HEARD_INTERVAL_S = 0.7
+STEWARD_INTERVAL_S = 0.4
+HEARD_TIMEOUT_S = 0.6
+
+
+class RegistryNode:
+    """One control process: a replica of the registry, and what it serves to the others."""
+
+    def __init__(self, config: MachineConfig, clock: Clock, random: Random) -> None:
+        self._config = config
+        self._clock = clock
+        self._address = config.listen.rpc
+        incarnation = clock.wall_ms()
+        self._rpc = RpcClient(CLUSTER_KEY, incarnation)
+        self._machine = RegistryStateMachine(self._applied)
+        self._replica = GroupReplica(
+            _group_config(config), self._machine, RpcRaftTransport(self._rpc), clock, random
+        )
+        self._voters = {REGISTRY_GROUP: list(config.seed_addresses())}
+        self.host = GroupHost(
+            self._address, {REGISTRY_GROUP: self._replica}, self._voters, self._rpc, clock
+        )
+        self.hub = RegistryHub(self._replica, self.host, clock)
+        self._heard_runners: set[str] = set()
+        self._heard_members: set[str] = set()
+        self._steward: Steward | None = None
+        self._limits = StewardLimits(losses=config.losses)
+        host, _, port = self._address.rpartition(":")
+        self._server = RpcServer(host, int(port), self._endpoint(incarnation), RPC_THREADS)
+        self._tasks = [
+            PeriodicTask("join", HEARD_INTERVAL_S, self._join),
+            PeriodicTask("heard", HEARD_INTERVAL_S, self._tell_heard),
+            PeriodicTask("steward", STEWARD_INTERVAL_S, self._steer),
+        ]
+        self._joined = False
+
+    def start(self) -> Failure | None:
+        """Start the replica, the RPC port and the background tasks."""
+        fault = self._replica.start()
+        if fault is not None:
+            return fault
+        self._server.start()
+        for task in self._tasks:
+            task.start()
+        logger.info("control process started at {}", self._address)
+        return None
+
+    def stop(self) -> None:
+        """Hand the lead over, then stop."""
+        logger.info("stopping")
+        stop_all(self._tasks)
+        self._replica.stop()
+        self._server.stop()
+        self._rpc.close()
+        logger.info("stopped")
+
+    def put_table(self, table: RouteTable, source: str) -> TableHeld | Failure:
+        """Check and replicate a route table; an older one is acknowledged and changes nothing."""
+        fault = check_table(table)
+        if fault is not None:
+            return fault
+        return self._propose(PutTable(table, source), TableHeld)
+
+    def table_source(self) -> TableSource | Failure:
+        """Return the operator's text of the newest table, or say that it is not sure."""
+        return self.host.query(REGISTRY_GROUP, GetTableSource(), TableSource, COMMAND_TIMEOUT_S)
+
+    def runner_heard(self, record: RunnerRecord) -> Failure | None:
+        """Take a runner's message; it is acknowledged once what it changes is replicated."""
+        stale = self.hub.stale()
+        if stale is not None:
+            return stale
+        known = next(
+            (item for item in self.hub.view().runners if item.runner_id == record.runner_id), None
+        )
+        self._heard_runners.add(record.runner_id)
+        if known is not None and _says_nothing_new(record, known):
+            return None
+        reply = self._propose(PutRunner(record), Done)
+        return reply if isinstance(reply, Failure) else None
+
+    def runner_left(self, runner_id: str) -> Failure | None:
+        """Take a runner's last word."""
+        reply = self._propose(RemoveRunner(runner_id), Done)
+        return reply if isinstance(reply, Failure) else None
+
+    def start_retirement(self, name: str) -> Failure | None:
+        """Have a store machine emptied."""
+        reply = self._propose(StartRetirement(name, self._limits.voters), Done)
+        return reply if isinstance(reply, Failure) else None
+
+    def is_retired(self, name: str) -> bool | Failure:
+        """Return whether a machine that was to be emptied holds nothing any more."""
+        stale = self.hub.stale()
+        if stale is not None:
+            return stale
+        view = self.hub.view()
+        member = next((item for item in view.members if item.name == name), None)
+        if member is None or not member.retiring:
+            return Failure(
+                kind=FailureKind.NOT_FOUND,
+                reason=f"no machine {name!r} is to be emptied",
+                step=Step.QUERYING,
+            )
+        group = view.group(JOBS_GROUP)
+        if group is None or member.address in group.voters:
+            return False
+        return self._has_left(member.address, group.voters)
+
+    def _has_left(self, address: str, voters: tuple[str, ...]) -> bool:
+        """Return whether the group's leader says that a machine holds no replica any more."""
+        for voter in voters:
+            status = self._rpc.call(
+                voter, MessageKind.STATUS, Done(), JobsPlaces, timeout_s=HEARD_TIMEOUT_S
+            )
+            if isinstance(status, Failure) or not status.leads:
+                continue
+            return address not in status.members and set(status.voters) == set(voters)
+        return False
+
+    def _propose(self, command: RegistryCommand, reply_type: type[T]) -> T | Failure:
+        return self.host.propose(REGISTRY_GROUP, command, reply_type, COMMAND_TIMEOUT_S)
+
+    def _applied(self) -> None:
+        self.hub.changed()
+
+    def _endpoint(self, incarnation: int) -> RpcEndpoint:
+        endpoint = RpcEndpoint(CLUSTER_KEY, incarnation)
+        receivers = {REGISTRY_GROUP: self._replica.receive}
+        endpoint.register(MessageKind.RAFT, lambda envelope, _: serve_raft(receivers, envelope))
+        for kind in (MessageKind.PROPOSE, MessageKind.QUERY):
+            endpoint.register(kind, self.host.serve_client)
+        for kind in (MessageKind.FORWARDED_PROPOSE, MessageKind.FORWARDED_QUERY):
+            endpoint.register(kind, self.host.serve_forwarded)
+        endpoint.register(MessageKind.REGISTRY_WATCH, self._on_watch)
+        endpoint.register(MessageKind.REGISTRY_HEARD, self._on_heard)
+        return endpoint
+
+    def _on_watch(self, envelope: Envelope, peer: str) -> bytes:
+        request = decode(envelope.body, WatchRequest, peer)
+        if isinstance(request, Failure):
+            return encode_reply(request)
+        if request.member:
+            self._heard_members.add(request.member)
+        return encode_reply(self.hub.watch(request))
+
+    def _on_heard(self, envelope: Envelope, peer: str) -> bytes:
+        word = decode(envelope.body, Heard, peer)
+        if isinstance(word, Failure):
+            return encode_reply(word)
+        steward = self._steward
+        if steward is None:
+            return encode_reply(_does_not_lead())
+        steward.heard(word, self._clock.monotonic_s())
+        return encode_reply(Done())
+
+    def _join(self) -> None:
+        if self._joined:
+            return
+        record = MemberRecord(
+            name=self._config.name,
+            role=MemberRole.CONTROL,
+            address=self._address,
+            zone=self._config.zone,
+        )
+        reply = self._propose(JoinMember(record), Done)
+        self._joined = not isinstance(reply, Failure)
+
+    def _tell_heard(self) -> None:
+        """Tell the leader whom this process has heard."""
+        runners, self._heard_runners = self._heard_runners, set()
+        members, self._heard_members = self._heard_members, set()
+        word = Heard(tuple(runners), (*members, self._config.name))
+        body = encode(word)
+        self.host.at_leader(
+            REGISTRY_GROUP,
+            MessageKind.REGISTRY_HEARD,
+            body,
+            lambda: self._heard_here(word),
+            HEARD_TIMEOUT_S,
+        )
+
+    def _heard_here(self, word: Heard) -> bytes | Failure:
+        steward = self._steward
+        if steward is None:
+            return _does_not_lead()
+        steward.heard(word, self._clock.monotonic_s())
+        return encode_reply(Done())
+
+    def _steer(self) -> None:
+        """Do what the leader does on its own."""
+        status = self._replica.status()
+        if status.voters:
+            self._voters[REGISTRY_GROUP] = list(
+                dict.fromkeys([*status.voters, *self._config.seed_addresses()])
+            )
+        now_s = self._clock.monotonic_s()
+        if status.role != "leader":
+            self._steward = None
+            return
+        if self._steward is None:
+            self._steward = Steward(self._limits, now_s)
+        steward = self._steward
+        view = self.hub.view()
+        places = tuple(sorted({*status.voters, *status.learners}))
+        for command in steward.step(view, places, now_s):
+            logger.info("{}", command)
+            self._propose(command, Done)
+        wanted = steward.control_voters(view, places, now_s)
+        if wanted != places:
+            logger.info("control processes shall be {}, were {}", wanted, places)
+            self._replica.change_members(list(wanted), COMMAND_TIMEOUT_S)
+
+
+def _says_nothing_new(record: RunnerRecord, known: RunnerRecord) -> bool:
+    if known.state is RunnerState.LEAVING and record.state is not RunnerState.LEAVING:
+        # An old word that came late.
+        return True
+    return runner_key(record) == runner_key(known)
+
+
+def _does_not_lead() -> Failure:
+    return Failure(
+        kind=FailureKind.NOT_LEADER,
+        reason="this process does not lead the registry",
+        step=Step.EXCHANGING,
+    )
+
+
+def _group_config(config: MachineConfig) -> GroupConfig:
+    assert config.data_folder is not None
+    folder = Path(config.data_folder)
+    founders = read_founders(folder)
+    if config.first_start and not founders:
+        founders = tuple(sorted(config.seed_addresses()))
+        write_founders(folder, founders)
+    return GroupConfig(
+        group=REGISTRY_GROUP,
+        address=config.listen.rpc,
+        # Empty on a machine that came later: it joins, and never founds.
+        first_members=founders,
+        data_path=str(folder / f"{REGISTRY_GROUP}.sqlite"),
+        heartbeat_interval_s=HEARTBEAT_S,
+        election_timeout_min_s=ELECTION_MIN_S,
+        election_timeout_max_s=ELECTION_MAX_S,
+        rejoin_when_corrupt=True,
+    )
--- /dev/null
+++ b/src/leverjunction/registry/records.py
@@ -0,0 +1,109 @@
+"""Records of the registry, as they are replicated and as gateways see them."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+REGISTRY_GROUP = "registry"
+"""Name of the consensus group that holds the registry."""
+
+
+class RunnerState(StrEnum):
+    """What a runner is to the gateways."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+    SILENT = "silent"
+    GONE = "gone"
+
+
+class MemberRole(StrEnum):
+    """What a machine that holds state does."""
+
+    CONTROL = "control"
+    STORE = "store"
+
+
+class RunnerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One start of a runner; another start has another id.
+
+    Attributes:
+        runner_id: Id of this start.
+        service: Service that it belongs to.
+        address: ``host:port`` of its HTTP port; may have been another runner's before.
+        zone: Zone it runs in.
+        slots: Requests that it works on at a time.
+        state: Whether it gets new work.
+        sequence: Highest number of its own messages that was taken into account.
+    """
+
+    runner_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: RunnerState = RunnerState.READY
+    sequence: int = 0
+
+
+def runner_key(record: RunnerRecord) -> tuple[str, str, str, int, RunnerState]:
+    """Return what must be replicated when it changes."""
+    return (record.service, record.address, record.zone, record.slots, record.state)
+
+
+class MemberRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One machine that may hold replicas.
+
+    Attributes:
+        name: Unique name of the machine.
+        role: What it holds.
+        address: RPC address, ``host:port``.
+        zone: Zone it runs in.
+        retiring: True once an operator asked that it be emptied.
+    """
+
+    name: str
+    role: MemberRole
+    address: str
+    zone: str
+    retiring: bool = False
+
+
+class GroupRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a group's voters shall be.
+
+    Attributes:
+        name: Name of the group.
+        founders: RPC addresses of the members that found it; never changes.
+        voters: RPC addresses that shall hold its voters.
+    """
+
+    name: str
+    founders: tuple[str, ...]
+    voters: tuple[str, ...]
+
+
+class FleetView(msgspec.Struct, frozen=True, kw_only=True):
+    """The registry without the route table.
+
+    Attributes:
+        revision: Log index of the last change.
+        runners: All runners that are not gone.
+        members: Machines that may hold replicas.
+        groups: Groups besides the registry.
+    """
+
+    revision: int = 0
+    runners: tuple[RunnerRecord, ...] = ()
+    members: tuple[MemberRecord, ...] = ()
+    groups: tuple[GroupRecord, ...] = ()
+
+    def group(self, name: str) -> GroupRecord | None:
+        """Return a group by its name."""
+        return next((group for group in self.groups if group.name == name), None)
+
+    def addresses(self, role: MemberRole) -> list[str]:
+        """Return the RPC addresses of the members with a role."""
+        return [member.address for member in self.members if member.role is role]
--- /dev/null
+++ b/src/leverjunction/routes/__init__.py
@@ -0,0 +1,25 @@
+"""Route table: which service answers a host and path, by which rules."""
+
+from leverjunction.routes.checks import check_table
+from leverjunction.routes.matching import RouteIndex
+from leverjunction.routes.types import (
+    EngineSpec,
+    RequestLimits,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceSpec,
+    WeightedService,
+)
+
+__all__ = [
+    "EngineSpec",
+    "RequestLimits",
+    "Route",
+    "RouteIndex",
+    "RouteKind",
+    "RouteTable",
+    "ServiceSpec",
+    "WeightedService",
+    "check_table",
+]
--- /dev/null
+++ b/src/leverjunction/routes/matching.py
@@ -0,0 +1,43 @@
+"""Finds the route of a request: by host, then by the longest prefix of the path."""
+
+from __future__ import annotations
+
+from random import Random
+
+from leverjunction.routes.types import Route, RouteTable, ServiceSpec
+
+
+class RouteIndex:
+    """A table, indexed for look-ups. Immutable, so safe to share."""
+
+    __slots__ = ("_by_host", "_services", "table")
+
+    def __init__(self, table: RouteTable) -> None:
+        self.table = table
+        self._services = {service.name: service for service in table.services}
+        self._by_host: dict[str, list[Route]] = {}
+        for route in table.routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for routes in self._by_host.values():
+            # The longest prefix comes first, so the first match is the right one.
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a host (a port in it is ignored) and a path, or None."""
+        name = host.partition(":")[0].lower()
+        for route in self._by_host.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def service(self, name: str) -> ServiceSpec | None:
+        """Return a service by its name."""
+        return self._services.get(name)
+
+
+def draw_service(route: Route, random: Random) -> str:
+    """Return the service of one request: each part of a split gets its weight's share."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    weights = [part.weight for part in route.services]
+    return random.choices(route.services, weights)[0].service
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -49,6 +49,8 @@
     RENEW_LEASES = 12
     LOCAL_QUERY = 13
     MACHINE_LIST = 14
+    REGISTRY_WATCH = 15
+    REGISTRY_HEARD = 16
 
 
 _HEADER = Struct(
--- a/src/testbed/scale/slopes_exchange.py
+++ b/src/testbed/scale/slopes_exchange.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
+from leverjunction.backends.machine_list import Machine, MachineList, MachineState
 from leverjunction.clock import SystemClock
 from leverjunction.control.hub import Hub, HubIdentity
 from leverjunction.control.messages import HubState, HubSync, RunnerReading
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.errors import Failure
-from leverjunction.platform.machine_list import Machine, MachineList, MachineState
 from leverjunction.settings.commands import GetSettings, SettingsDelta
 from leverjunction.wire.codec import decode, encode, encode_reply
 from leverjunction.wire.messages import (
--- a/src/testbed/simulation/control_node.py
+++ b/src/testbed/simulation/control_node.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 
+from leverjunction.backends.machine_list import MachineList
 from leverjunction.backends.types import LoadReport
 from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.control.group_host import GroupHost
@@ -16,7 +17,6 @@
 from leverjunction.control.runner_watch import RunnerWatch, watcher_of
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.errors import Failure, FailureKind, Step
-from leverjunction.platform.machine_list import MachineList
 from leverjunction.wire.codec import decode, encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.messages import ExchangeRequest
--- a/src/testbed/simulation/world.py
+++ b/src/testbed/simulation/world.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable, Sequence
 from contextlib import ExitStack
 
+from leverjunction.backends.machine_list import Machine as ListedMachine
+from leverjunction.backends.machine_list import MachineList, MachineState
 from leverjunction.backends.types import LoadReport
 from leverjunction.batch.state_machine import JobsStateMachine
 from leverjunction.consensus.api import StateMachine
 from leverjunction.consensus.types import GroupConfig
-from leverjunction.platform.machine_list import Machine as ListedMachine
-from leverjunction.platform.machine_list import MachineList, MachineState
 from leverjunction.settings.state_machine import SettingsStateMachine
 from leverjunction.wire.control_client import ControlClient
 from testbed.simulation.channel import Connections
--- a/tests/unit/test_backends_machine_list.py
+++ b/tests/unit/test_backends_machine_list.py
@@ -8,8 +8,8 @@
 import pytest
 from cheroot import wsgi
 
+from leverjunction.backends.machine_list import MachineList, MachineListClient, MachineState
 from leverjunction.errors import FailureKind, is_failure
-from leverjunction.platform.machine_list import MachineList, MachineListClient, MachineState
 
 GOOD = (
     b'{"as_of_ms": 5, "machines": [{"id": "r1", "address": "127.0.0.1:9", "zone": "a",'
--- a/tests/unit/test_control_fanout.py
+++ b/tests/unit/test_control_fanout.py
@@ -7,12 +7,12 @@
 import msgspec
 import pytest
 
+from leverjunction.backends.machine_list import Machine, MachineList, MachineState
 from leverjunction.control.fanout import REFRESH_MS, GatewaySession, is_material
 from leverjunction.control.layout import hubs_for_gateway
 from leverjunction.control.membership import FEW_RUNNERS, Membership
 from leverjunction.control.messages import RenewedLeases, RunnerReading
 from leverjunction.control.renewals import RenewalBook
-from leverjunction.platform.machine_list import Machine, MachineList, MachineState
 from leverjunction.wire.messages import PendingWork, RunnerDigest
 
 ZONES = [f"zone-{number:02}" for number in range(15)]
--- a/tests/unit/test_control_machine_source.py
+++ b/tests/unit/test_control_machine_source.py
@@ -4,6 +4,12 @@
 
 from typing import cast
 
+from leverjunction.backends.machine_list import (
+    Machine,
+    MachineList,
+    MachineListClient,
+    MachineState,
+)
 from leverjunction.batch.leasing import LEASE_DURATION_S
 from leverjunction.clock import SystemClock
 from leverjunction.consensus.api import ReplicatedGroup
@@ -13,12 +19,6 @@
 from leverjunction.control.messages import HubState, HubSync
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.errors import Failure, FailureKind, Step
-from leverjunction.platform.machine_list import (
-    Machine,
-    MachineList,
-    MachineListClient,
-    MachineState,
-)
 from leverjunction.settings.commands import SettingsDelta
 from leverjunction.wire.codec import encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
--- a/tests/unit/test_control_membership.py
+++ b/tests/unit/test_control_membership.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from leverjunction.backends.machine_list import Machine, MachineList, MachineState
 from leverjunction.control.membership import GATEWAY_TIMEOUT_S, HUB_TIMEOUT_S, Membership
 from leverjunction.control.messages import (
     HubState,
@@ -14,7 +15,6 @@
     Withdrawal,
 )
 from leverjunction.control.versioned import VersionCounter, VersionedMap
-from leverjunction.platform.machine_list import Machine, MachineList, MachineState
 from leverjunction.wire.messages import GatewayState, RunnerDigest
 
 
--- a/tests/unit/test_control_placement_fences.py
+++ b/tests/unit/test_control_placement_fences.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry
 
 from leverjunction.backends.client import EngineClient
+from leverjunction.backends.machine_list import Machine, MachineList, MachineState
 from leverjunction.backends.types import Order, OrderOutcome
 from leverjunction.consensus.api import GroupStatus, ReplicatedGroup
 from leverjunction.control.counters import ControlCounters
@@ -20,7 +21,6 @@
 from leverjunction.control.placement_runner import PlacementRunner
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.errors import Failure, FailureKind, Step
-from leverjunction.platform.machine_list import Machine, MachineList, MachineState
 from leverjunction.settings.commands import Fence, GetSettings, SettingsDelta
 from leverjunction.wire.messages import SettingRow
 from testbed.engine.placement import Placement
--- a/tests/unit/test_control_settings_mirror.py
+++ b/tests/unit/test_control_settings_mirror.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
+from leverjunction.backends.machine_list import MachineList
 from leverjunction.clock import SystemClock
 from leverjunction.control.hub import Hub, HubIdentity
 from leverjunction.control.settings_mirror import (
@@ -15,7 +16,6 @@
     SettingsMirror,
 )
 from leverjunction.errors import Failure
-from leverjunction.platform.machine_list import MachineList
 from leverjunction.settings.commands import GetSettings, SettingsDelta
 from leverjunction.wire.codec import decode_reply
 from leverjunction.wire.messages import ExchangeReply, ExchangeRequest, GatewayState, SettingRow
--- a/tests/unit/test_control_standstill.py
+++ b/tests/unit/test_control_standstill.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from leverjunction.backends.machine_list import Machine, MachineList, MachineState
 from leverjunction.control.hub import Hub, HubIdentity
 from leverjunction.control.messages import (
     HubState,
@@ -19,7 +20,6 @@
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.control.warm_up import STANDSTILL_S, WARM_UP_S
 from leverjunction.errors import Failure, FailureKind
-from leverjunction.platform.machine_list import Machine, MachineList, MachineState
 from leverjunction.settings.commands import SettingsDelta
 from leverjunction.wire.messages import ExchangeReply, ExchangeRequest, GatewayState, RunnerState
 
