--- a/src/leverjunction/platform/front_calls.py
+++ b/src/leverjunction/platform/front_calls.py
@@ -25,7 +25,7 @@
 from leverjunction.proxy.headers import find
 from leverjunction.registry.follower import RegistryFollower
 from leverjunction.routes.matching import RouteIndex
-from leverjunction.routes.types import Route, RouteKind
+from leverjunction.routes.types import Route, RouteClass
 from leverjunction.wire.rpc_client import RpcClient
 
 READY_PATH = "/api/ready"
@@ -90,9 +90,9 @@
     ) -> bool:
         folder, _, name = request.path.rpartition("/")
         call = _CALLS.get((request.method, folder + "/"))
-        if call is not None and (route is None or route.kind is RouteKind.BATCH):
+        if call is not None and (route is None or route.kind is RouteClass.BATCH):
             reply = await call(client, request, name)
-        elif route is not None and route.kind is RouteKind.BATCH:
+        elif route is not None and route.kind is RouteClass.BATCH:
             reply = await _submit(client, request, route)
         else:
             return False
--- a/src/leverjunction/platform/table_form.py
+++ b/src/leverjunction/platform/table_form.py
@@ -9,17 +9,17 @@
     EngineSpec,
     RequestLimits,
     Route,
-    RouteKind,
+    RouteClass,
     RouteTable,
     ServiceSpec,
     WeightedService,
 )
 
 _KINDS = {
-    "idempotent": RouteKind.REPEATABLE,
-    "non_idempotent": RouteKind.ONCE,
-    "streaming": RouteKind.STREAM,
-    "batch": RouteKind.BATCH,
+    "idempotent": RouteClass.REPEATABLE,
+    "non_idempotent": RouteClass.ONCE,
+    "streaming": RouteClass.STREAM,
+    "batch": RouteClass.BATCH,
 }
 
 
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -23,7 +23,7 @@
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.routes.matching import RouteIndex, draw_service
-from leverjunction.routes.types import Route, RouteKind
+from leverjunction.routes.types import Route, RouteClass
 
 BUFFERED_BODY_BYTES = 512 * 1024
 """A longer answer is passed on as it comes, so it can no longer be replaced by another."""
@@ -141,7 +141,7 @@
     async def _forward(self, work: Work, responder: Responder) -> None:
         answer = await self._answer(work, "")
         while not isinstance(answer, Failure):
-            streams = work.route.kind is RouteKind.STREAM and answer.head.status == 200
+            streams = work.route.kind is RouteClass.STREAM and answer.head.status == 200
             passed = await (
                 self._pass_stream(work, answer, responder)
                 if streams
--- a/src/leverjunction/routes/types.py
+++ b/src/leverjunction/routes/types.py
@@ -7,7 +7,7 @@
 import msgspec
 
 
-class RouteKind(StrEnum):
+class RouteClass(StrEnum):
     """How often a request of a route may run, and how its answer comes."""
 
     REPEATABLE = "repeatable"
@@ -50,7 +50,7 @@
     name: str
     host: str
     prefix: str
-    kind: RouteKind
+    kind: RouteClass
     timeout_ms: float
     target_ms: float
     priority: int
@@ -64,8 +64,8 @@
     @property
     def repeatable(self) -> bool:
         """Return whether a request may run more than once."""
-        return self.kind is RouteKind.REPEATABLE or (
-            self.kind is RouteKind.STREAM and self.resumable
+        return self.kind is RouteClass.REPEATABLE or (
+            self.kind is RouteClass.STREAM and self.resumable
         )
 
 
--- /dev/null
+++ b/src/testbed/routed/__init__.py
@@ -0,0 +1,16 @@
+"""Stand-ins on loopback for the callers and back ends of routed requests."""
+
+from testbed.routed.caller import RawCaller, RawReply
+from testbed.routed.runner import RunnerStandIn, Seen
+from testbed.routed.table import HOST, SERVICE, make_route, make_table
+
+__all__ = [
+    "HOST",
+    "SERVICE",
+    "RawCaller",
+    "RawReply",
+    "RunnerStandIn",
+    "Seen",
+    "make_route",
+    "make_table",
+]
--- /dev/null
+++ b/src/testbed/routed/runner.py
@@ -0,0 +1,368 @@
+"""A back end on loopback that answers as it is told, misbehaviours included.
+
+It runs in a thread of its own. Each request takes the next behaviour of the queue, or the usual
+one when the queue is empty.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import threading
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+import h11
+
+ID_HEADER = "Leverjunction-Request-Id"
+STAMP_HEADER = "Leverjunction-Server-Stamp"
+NOT_RUN_HEADER = "Leverjunction-Not-Executed"
+EXPECT_HEADER = "leverjunction-expect-instance"
+EVENTS = 5
+READ_BYTES = 65536
+SILENCE_S = 30.0
+
+
+class Seen:
+    """One request as it reached the back end.
+
+    Attributes:
+        method: Its method.
+        target: Path and query.
+        headers: Fields by lower-case name.
+        body: Its body.
+        gone_after_s: When the sender closed the connection while the answer was under way, counted
+            from the request; None when it did not.
+    """
+
+    __slots__ = ("body", "gone_after_s", "headers", "method", "target")
+
+    def __init__(self, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.gone_after_s: float | None = None
+
+
+Behaviour = Callable[["_Exchange"], Awaitable[None]]
+BEHAVIOURS: dict[str, Behaviour] = {}
+
+
+def _behaviour(name: str) -> Callable[[Behaviour], Behaviour]:
+    def register(behaviour: Behaviour) -> Behaviour:
+        BEHAVIOURS[name] = behaviour
+        return behaviour
+
+    return register
+
+
+class RunnerStandIn:
+    """One start of a back end.
+
+    Attributes:
+        runner_id: Its id; a request that expects another is answered 421.
+        seen: Requests that came, oldest first.
+        accepted: Connections that were taken.
+    """
+
+    def __init__(self, runner_id: str = "i-1", usual: str = "whole") -> None:
+        self.runner_id = runner_id
+        self.usual = usual
+        self.seen: list[Seen] = []
+        self.accepted = 0
+        self.address = ""
+        self._next: deque[str] = deque()
+        self._started = threading.Event()
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def __enter__(self) -> RunnerStandIn:
+        self._thread.start()
+        self._started.wait()
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def then(self, *behaviours: str) -> None:
+        """Set how the next requests are answered."""
+        self._next.extend(behaviours)
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        server = self._loop.run_until_complete(asyncio.start_server(self._serve, "127.0.0.1", 0))
+        host, port = server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        self._started.set()
+        self._loop.run_forever()
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._loop.run_until_complete(asyncio.sleep(0))
+        self._loop.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        parser = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                seen = await _read_request(parser, reader)
+                if seen is None:
+                    break
+                self.seen.append(seen)
+                name = self._next.popleft() if self._next else self.usual
+                if seen.headers.get(EXPECT_HEADER, self.runner_id) != self.runner_id:
+                    name = "another"
+                exchange = _Exchange(seen, parser, reader, writer)
+                await BEHAVIOURS[name](exchange)
+                if parser.our_state is not h11.DONE or writer.is_closing():
+                    break
+                parser.start_next_cycle()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
+class _Exchange:
+    """One request and the means to answer it."""
+
+    __slots__ = ("_parser", "_reader", "_writer", "seen")
+
+    def __init__(
+        self,
+        seen: Seen,
+        parser: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.seen = seen
+        self._parser = parser
+        self._reader = reader
+        self._writer = writer
+
+    def headers(self, request_id: str = "", **more: str) -> list[tuple[str, str]]:
+        own_id = request_id or self.seen.headers.get(ID_HEADER.lower(), "")
+        fields = [(ID_HEADER, own_id), (STAMP_HEADER, "stamp"), ("Keep-Alive", "timeout=20")]
+        return [*fields, *((name.replace("_", "-"), value) for name, value in more.items())]
+
+    def head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self.raw(self._parser.send(h11.Response(status_code=status, headers=headers)))
+
+    def data(self, data: bytes) -> None:
+        self.raw(self._parser.send(h11.Data(data=data)))
+
+    def end(self) -> None:
+        self.raw(self._parser.send(h11.EndOfMessage()))
+
+    def raw(self, data: bytes | None) -> None:
+        if data:
+            self._writer.write(data)
+
+    async def flush(self) -> None:
+        await self._writer.drain()
+
+    def close(self) -> None:
+        self._writer.close()
+
+    def reset(self) -> None:
+        """Close so that the sender gets a reset, not an orderly end."""
+        linger_off = struct.pack("ii", 1, 0)
+        connection = self._writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_off)
+        self._writer.transport.abort()
+
+    async def until_gone(self) -> None:
+        """Wait until the sender closes the connection."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        try:
+            async with asyncio.timeout(SILENCE_S):
+                if not await self._reader.read(READ_BYTES):
+                    self.seen.gone_after_s = loop.time() - started_s
+        except (TimeoutError, ConnectionError):
+            self.seen.gone_after_s = loop.time() - started_s
+
+    def events(self) -> list[bytes]:
+        """Return the events that this request asked for."""
+        first = int(self.seen.headers.get("last-event-id", "0")) + 1
+        return [b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(first, EVENTS + 1)]
+
+
+async def _read_request(parser: h11.Connection, reader: asyncio.StreamReader) -> Seen | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            parser.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            assert head is not None
+            fields = {
+                name.decode().lower(): value.decode() for name, value in head.headers.raw_items()
+            }
+            return Seen(head.method.decode(), head.target.decode(), fields, body)
+        else:
+            return None
+
+
+@_behaviour("whole")
+async def _whole(exchange: _Exchange) -> None:
+    body = b"answer to " + exchange.seen.target.encode()
+    exchange.head(200, [*exchange.headers(), ("Content-Length", str(len(body)))])
+    exchange.data(body)
+    exchange.end()
+
+
+@_behaviour("unprocessable")
+async def _unprocessable(exchange: _Exchange) -> None:
+    exchange.head(422, [*exchange.headers(), ("Content-Length", "3")])
+    exchange.data(b"bad")
+    exchange.end()
+
+
+@_behaviour("fault")
+async def _fault(exchange: _Exchange) -> None:
+    exchange.head(500, [*exchange.headers(), ("Content-Length", "5")])
+    exchange.data(b"fault")
+    exchange.end()
+
+
+@_behaviour("no length")
+async def _no_length(exchange: _Exchange) -> None:
+    exchange.raw(b"HTTP/1.1 200 OK\r\n")
+    for name, value in exchange.headers():
+        exchange.raw(f"{name}: {value}\r\n".encode())
+    exchange.raw(b"Connection: close\r\n\r\nuntil the end")
+    await exchange.flush()
+    exchange.close()
+
+
+@_behaviour("no length, reset")
+async def _no_length_reset(exchange: _Exchange) -> None:
+    exchange.raw(b"HTTP/1.1 200 OK\r\n")
+    for name, value in exchange.headers():
+        exchange.raw(f"{name}: {value}\r\n".encode())
+    exchange.raw(b"Connection: close\r\n\r\nuntil the")
+    await exchange.flush()
+    await asyncio.sleep(0.05)
+    exchange.reset()
+
+
+@_behaviour("cut body")
+async def _cut_body(exchange: _Exchange) -> None:
+    exchange.head(200, [*exchange.headers(), ("Content-Length", "1000")])
+    exchange.data(b"only this")
+    await exchange.flush()
+    await asyncio.sleep(0.05)
+    exchange.close()
+
+
+@_behaviour("no answer")
+async def _no_answer(exchange: _Exchange) -> None:
+    exchange.close()
+
+
+@_behaviour("reset")
+async def _reset(exchange: _Exchange) -> None:
+    exchange.reset()
+
+
+@_behaviour("no bytes of HTTP")
+async def _garbage(exchange: _Exchange) -> None:
+    exchange.raw(b"\x00\x01 this is no answer\r\n\r\n")
+    await exchange.flush()
+    await asyncio.sleep(0.05)
+    exchange.close()
+
+
+@_behaviour("silent")
+async def _silent(exchange: _Exchange) -> None:
+    await exchange.until_gone()
+
+
+@_behaviour("not run")
+async def _not_run(exchange: _Exchange) -> None:
+    headers = [*exchange.headers(), (NOT_RUN_HEADER, "1"), ("Content-Length", "0")]
+    exchange.head(503, headers)
+    exchange.end()
+
+
+@_behaviour("another")
+async def _another(exchange: _Exchange) -> None:
+    exchange.head(421, [*exchange.headers(), ("Content-Length", "0")])
+    exchange.end()
+
+
+@_behaviour("503 without a word")
+async def _bare_503(exchange: _Exchange) -> None:
+    exchange.head(503, [*exchange.headers(), ("Content-Length", "0")])
+    exchange.end()
+
+
+@_behaviour("crossed")
+async def _crossed(exchange: _Exchange) -> None:
+    headers = exchange.headers("of-another")
+    exchange.head(200, [*headers, ("Content-Length", "7")])
+    exchange.data(b"crossed")
+    exchange.end()
+
+
+@_behaviour("unsigned")
+async def _unsigned(exchange: _Exchange) -> None:
+    exchange.head(200, [("Content-Length", "8")])
+    exchange.data(b"unsigned")
+    exchange.end()
+
+
+@_behaviour("surplus")
+async def _surplus(exchange: _Exchange) -> None:
+    await _whole(exchange)
+    exchange.raw(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nsurplus")
+    await exchange.flush()
+
+
+@_behaviour("stream")
+async def _stream(exchange: _Exchange) -> None:
+    exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
+    for event in exchange.events():
+        exchange.data(event)
+        await exchange.flush()
+        await asyncio.sleep(0.01)
+    exchange.end()
+
+
+@_behaviour("stream in halves")
+async def _stream_in_halves(exchange: _Exchange) -> None:
+    exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
+    for event in exchange.events():
+        for half in (event[:7], event[7:]):
+            exchange.data(half)
+            await exchange.flush()
+            await asyncio.sleep(0.01)
+    exchange.end()
+
+
+@_behaviour("stream cut in an event")
+async def _stream_cut(exchange: _Exchange) -> None:
+    exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
+    events = exchange.events()
+    exchange.data(events[0])
+    exchange.data(events[1][:9])
+    await exchange.flush()
+    await asyncio.sleep(0.05)
+    exchange.reset()
+
+
+@_behaviour("stream that stops")
+async def _stream_stops(exchange: _Exchange) -> None:
+    exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
+    exchange.data(exchange.events()[0])
+    await exchange.flush()
+    await exchange.until_gone()
--- /dev/null
+++ b/tests/unit/proxy_support.py
@@ -0,0 +1,111 @@
+"""A gateway's proxy on loopback, in a thread, for contract tests."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Iterable
+from random import Random
+
+from prometheus_client import CollectorRegistry
+
+from leverjunction.clock import SystemClock
+from leverjunction.platform.headers import PlatformDialect
+from leverjunction.proxy.attempt import Sender
+from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.caller_connection import (
+    CallerConnection,
+    CallerPort,
+    CallerRequest,
+    Responder,
+)
+from leverjunction.proxy.counters import ProxyCounters
+from leverjunction.proxy.forwarding import Forwarder
+from leverjunction.proxy.journal import ProxyJournal
+from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.registry.records import RunnerRecord
+from leverjunction.routes import Route, RouteIndex, RouteTable
+from testbed.routed import HOST, SERVICE, RawCaller, RawReply, RunnerStandIn
+
+ZONE = "z1"
+
+
+class Proxy:
+    """The proxy's parts as a gateway process puts them together."""
+
+    def __init__(self, table: RouteTable | None, runners: Iterable[RunnerStandIn]) -> None:
+        self._table = table
+        self._runners = list(runners)
+        self._loop = asyncio.new_event_loop()
+        self._started = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.address = ""
+
+    def __enter__(self) -> Proxy:
+        self._thread.start()
+        self._started.wait()
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def caller(self) -> RawCaller:
+        return RawCaller(self.address)
+
+    def ask(self, path: str, body: bytes = b"ask", **headers: str) -> RawReply:
+        caller = self.caller()
+        try:
+            return caller.ask("POST", path, request_headers(**headers), body)
+        finally:
+            caller.close()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_until_complete(self._build())
+        self._started.set()
+        self._loop.run_forever()
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._loop.run_until_complete(asyncio.sleep(0))
+        self._loop.close()
+
+    async def _build(self) -> None:
+        balancer = Balancer(ZONE, Random(1))
+        balancer.replace(
+            RunnerRecord(
+                runner_id=runner.runner_id,
+                service=SERVICE,
+                address=runner.address,
+                zone=ZONE,
+                slots=4,
+            )
+            for runner in self._runners
+        )
+        dialect = PlatformDialect()
+        self.forwarder = Forwarder(
+            Sender(RunnerPool(), balancer, dialect),
+            balancer,
+            dialect,
+            ProxyJournal(SystemClock(), ProxyCounters(CollectorRegistry())),
+            Random(1),
+            _nothing_local,
+        )
+        if self._table is not None:
+            self.forwarder.set_table(RouteIndex(self._table))
+        port = CallerPort(self.forwarder.handle, lambda: (self._table or RouteTable()).limits)
+        server = await self._loop.create_server(lambda: CallerConnection(port), "127.0.0.1", 0)
+        host, number = server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{number}"
+
+
+async def _nothing_local(
+    _request: CallerRequest, _responder: Responder, _index: RouteIndex, _route: Route | None
+) -> bool:
+    return False
+
+
+def request_headers(**headers: str) -> dict[str, str]:
+    fields = {"Host": HOST, "Leverjunction-Request-Id": "r1", "Leverjunction-Deadline-Ms": "2000"}
+    fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+    return fields
--- /dev/null
+++ b/tests/unit/test_lots_state_machine.py
@@ -0,0 +1,164 @@
+"""Lots: taken once, first result stands, stable positions, nothing runs after the end."""
+
+from __future__ import annotations
+
+import sqlite3
+
+import msgspec
+import pytest
+
+from leverjunction.consensus.api import ApplyContext
+from leverjunction.errors import Failure, FailureKind
+from leverjunction.lots.commands import (
+    EndLot,
+    ForgetLots,
+    ItemBody,
+    ItemFailure,
+    ItemResult,
+    ItemState,
+    LotItem,
+    LotTaken,
+    OpenItems,
+    ReadBody,
+    ReadOpenItems,
+    ReadResults,
+    Recorded,
+    RecordRuns,
+    ResultsPage,
+    SubmitLot,
+)
+from leverjunction.lots.state_machine import LotsStateMachine
+from leverjunction.wire.codec import decode_reply, encode
+
+
+class Lots:
+    """The state machine on a database in memory."""
+
+    def __init__(self) -> None:
+        self.machine = LotsStateMachine()
+        self.connection = sqlite3.connect(":memory:")
+        self.machine.create_tables(self.connection)
+        self.index = 0
+
+    def apply(self, command: msgspec.Struct, reply_type: type = Recorded) -> object:
+        self.index += 1
+        context = ApplyContext(index=self.index, term=1, wall_ms=self.index * 1000)
+        raw = self.machine.apply(self.connection, context, encode(command))
+        return decode_reply(raw, reply_type)
+
+    def ask(self, query: msgspec.Struct, reply_type: type) -> object:
+        return decode_reply(self.machine.query(self.connection, encode(query)), reply_type)
+
+    def page(self, after: int = 0, most_bytes: int = 1000) -> ResultsPage:
+        page = self.ask(ReadResults(lot_id="lot", after=after, most_bytes=most_bytes), ResultsPage)
+        assert isinstance(page, ResultsPage)
+        return page
+
+    def open_items(self) -> list[str]:
+        opened = self.ask(ReadOpenItems(), OpenItems)
+        assert isinstance(opened, OpenItems)
+        return [item.item_id for item in opened.items]
+
+    def done(self, item: str, text: str = "text") -> object:
+        result = ItemResult(lot_id="lot", item_id=item, state=ItemState.DONE, text=text)
+        return self.apply(RecordRuns(results=(result,)))
+
+
+def submit(*items: str, lot: str = "lot") -> SubmitLot:
+    return SubmitLot(
+        lot_id=lot,
+        host="h",
+        path="/p/",
+        max_attempts=3,
+        give_up_s=60.0,
+        due_ms=20000.0,
+        items=tuple(
+            LotItem(item_id=item, path="/p/x", headers=(("a", "b"),), body=b"\xff\x00", tokens=9)
+            for item in items
+        ),
+    )
+
+
+@pytest.fixture
+def lots() -> Lots:
+    lots = Lots()
+    assert lots.apply(submit("a", "b", "c"), LotTaken) == LotTaken("lot")
+    return lots
+
+
+def test_a_lot_that_is_sent_again_is_taken_once(lots: Lots) -> None:
+    assert lots.apply(submit("a", "b", "c"), LotTaken) == LotTaken("lot")
+    assert lots.open_items() == ["a", "b", "c"]
+    assert lots.page().total == 3
+
+
+def test_results_keep_their_positions(lots: Lots) -> None:
+    for item in ("b", "a"):
+        assert lots.done(item) == Recorded(1)
+    assert [item.item_id for item in lots.page().results] == ["b", "a"]
+    lots.done("c")
+    assert [item.item_id for item in lots.page(after=1).results] == ["a", "c"]
+    assert lots.open_items() == []
+
+
+def test_the_first_result_stands(lots: Lots) -> None:
+    lots.done("a", "first")
+    assert lots.done("a", "second") == Recorded(0)
+    assert [item.text for item in lots.page().results] == ["first"]
+
+
+def test_a_page_holds_at_least_one_result(lots: Lots) -> None:
+    for item in ("a", "b", "c"):
+        lots.done(item, "x" * 600)
+    assert len(lots.page(most_bytes=10).results) == 1
+    assert len(lots.page(most_bytes=1250).results) == 2
+
+
+def test_a_result_of_an_unknown_item_is_dropped(lots: Lots) -> None:
+    assert lots.done("z") == Recorded(0)
+    assert lots.page().results == ()
+
+
+def test_bodies_return_as_they_came_until_the_item_is_listed(lots: Lots) -> None:
+    assert lots.ask(ReadBody("lot", "a"), ItemBody) == ItemBody(b"\xff\x00")
+    lots.done("a")
+    assert isinstance(lots.ask(ReadBody("lot", "a"), ItemBody), Failure)
+
+
+def test_after_its_end_nothing_runs_and_what_is_listed_stays(lots: Lots) -> None:
+    lots.done("a")
+    assert lots.apply(EndLot("lot"), LotTaken) == LotTaken("lot")
+    assert lots.apply(EndLot("lot"), LotTaken) == LotTaken("lot")
+    assert lots.open_items() == []
+    assert lots.done("b") == Recorded(0)
+    assert [item.item_id for item in lots.page().results] == ["a"]
+    assert lots.page().total == 3
+    # A late resend of the lot does not begin it anew.
+    lots.apply(submit("a", "b", "c"), LotTaken)
+    assert lots.open_items() == []
+
+
+def test_failed_runs_are_counted(lots: Lots) -> None:
+    failure = ItemFailure(lot_id="lot", item_id="b")
+    lots.apply(RecordRuns(failures=(failure, failure)))
+    opened = lots.ask(ReadOpenItems(), OpenItems)
+    assert isinstance(opened, OpenItems)
+    assert [item.failures for item in opened.items] == [0, 2, 0]
+
+
+def test_an_unknown_lot_is_not_found(lots: Lots) -> None:
+    for query, reply_type in (
+        (ReadResults("x", 0, 10), ResultsPage),
+        (ReadBody("x", "a"), ItemBody),
+    ):
+        failure = lots.ask(query, reply_type)
+        assert isinstance(failure, Failure)
+        assert failure.kind is FailureKind.NOT_FOUND
+
+
+def test_only_lots_that_are_over_are_forgotten(lots: Lots) -> None:
+    lots.apply(submit("a", lot="old"), LotTaken)
+    lots.apply(EndLot("old"), LotTaken)
+    assert lots.apply(ForgetLots(before_ms=10**9)) == Recorded(1)
+    assert isinstance(lots.ask(ReadResults("old", 0, 10), ResultsPage), Failure)
+    assert lots.page().total == 3
--- /dev/null
+++ b/tests/unit/test_proxy_contract.py
@@ -0,0 +1,258 @@
+"""What the proxy promises its callers, for each way in which a back end can misbehave."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+import pytest
+from tests.unit.proxy_support import Proxy, request_headers
+
+from leverjunction.routes import RequestLimits, RouteClass, RouteTable
+from testbed.routed import RunnerStandIn, make_route, make_table
+
+REPEATABLE = "/repeatable/x?y=1"
+ONCE = "/once/x"
+STREAM = "/stream/x"
+RESUMABLE = "/resumable/x"
+WHOLE_STREAM = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 6))
+
+
+def full_table() -> RouteTable:
+    routes = [make_route(kind) for kind in RouteClass]
+    resumable = make_route(
+        RouteClass.STREAM, name="resumable", prefix="/resumable/", resumable=True, timeout_ms=5000.0
+    )
+    slow = make_route(RouteClass.ONCE, name="short", prefix="/short/", timeout_ms=300.0)
+    return make_table(*routes, resumable, slow)
+
+
+@pytest.fixture
+def first() -> Iterator[RunnerStandIn]:
+    with RunnerStandIn("i-1") as runner:
+        yield runner
+
+
+@pytest.fixture
+def second() -> Iterator[RunnerStandIn]:
+    with RunnerStandIn("i-2") as runner:
+        yield runner
+
+
+@pytest.fixture
+def alone(first: RunnerStandIn) -> Iterator[Proxy]:
+    """A proxy in front of one back end."""
+    with Proxy(full_table(), [first]) as proxy:
+        yield proxy
+
+
+def both_take(first: RunnerStandIn, second: RunnerStandIn, behaviour: str) -> None:
+    """Have whichever back end is asked first misbehave once."""
+    first.then(behaviour)
+    second.then(behaviour)
+
+
+def test_method_path_body_and_headers_reach_the_back_end_unchanged(
+    alone: Proxy, first: RunnerStandIn
+) -> None:
+    reply = alone.ask(REPEATABLE, b"\x00body", X_Own="kept", Connection="X-Hop", X_Hop="dropped")
+    assert (reply.status, reply.complete) == (200, True)
+    assert reply.headers["leverjunction-server-stamp"] == "stamp"
+    seen = first.seen[0]
+    assert (seen.method, seen.target, seen.body) == ("POST", REPEATABLE, b"\x00body")
+    assert seen.headers["x-own"] == "kept"
+    assert "x-hop" not in seen.headers
+    assert seen.headers["leverjunction-request-id"] == "r1"
+    assert seen.headers["leverjunction-expect-instance"] == "i-1"
+
+
+def test_the_back_end_is_given_what_is_left_of_the_time(alone: Proxy, first: RunnerStandIn) -> None:
+    alone.ask("/short/x")
+    assert 200 <= int(first.seen[0].headers["leverjunction-deadline-ms"]) <= 300
+
+
+@pytest.mark.parametrize("behaviour", ["unprocessable", "fault"])
+def test_a_back_ends_own_failure_is_passed_on_as_it_is(
+    alone: Proxy, first: RunnerStandIn, behaviour: str
+) -> None:
+    first.then(behaviour)
+    reply = alone.ask(ONCE)
+    assert reply.status == {"unprocessable": 422, "fault": 500}[behaviour]
+    assert reply.headers["leverjunction-server-stamp"] == "stamp"
+
+
+def test_an_answer_without_length_is_whole_when_it_ends_cleanly(
+    alone: Proxy, first: RunnerStandIn
+) -> None:
+    first.then("no length")
+    reply = alone.ask(ONCE)
+    assert (reply.status, reply.body, reply.complete) == (200, b"until the end", True)
+
+
+BROKEN = [
+    "cut body",
+    "no length, reset",
+    "no answer",
+    "reset",
+    "no bytes of HTTP",
+    "crossed",
+    "unsigned",
+    "503 without a word",
+]
+
+
+@pytest.mark.parametrize("behaviour", BROKEN)
+def test_what_may_run_once_is_sent_once_and_promises_nothing(
+    first: RunnerStandIn, second: RunnerStandIn, behaviour: str
+) -> None:
+    both_take(first, second, behaviour)
+    with Proxy(full_table(), [first, second]) as proxy:
+        reply = proxy.ask(ONCE)
+    assert reply.status in (502, 504)
+    assert "retry-after" not in reply.headers
+    assert "leverjunction-server-stamp" not in reply.headers
+    assert len(first.seen) + len(second.seen) == 1
+
+
+@pytest.mark.parametrize("behaviour", BROKEN)
+def test_what_may_be_repeated_is_answered_by_another_back_end(
+    first: RunnerStandIn, second: RunnerStandIn, behaviour: str
+) -> None:
+    first.then(behaviour)
+    first.usual = behaviour
+    with Proxy(full_table(), [first, second]) as proxy:
+        replies = [proxy.ask(REPEATABLE) for _ in range(4)]
+    assert [(reply.status, reply.complete) for reply in replies] == [(200, True)] * 4
+    assert all(reply.body.startswith(b"answer") for reply in replies)
+    assert len(first.seen) >= 1
+
+
+@pytest.mark.parametrize("path", [ONCE, STREAM])
+def test_a_declined_request_goes_to_another_back_end(
+    first: RunnerStandIn, second: RunnerStandIn, path: str
+) -> None:
+    first.usual = "not run"
+    with Proxy(full_table(), [first, second]) as proxy:
+        replies = [proxy.ask(path) for _ in range(3)]
+    assert [reply.status for reply in replies] == [200] * 3
+
+
+def test_a_request_that_all_decline_is_refused_as_not_run(
+    alone: Proxy, first: RunnerStandIn
+) -> None:
+    first.usual = "not run"
+    reply = alone.ask(ONCE)
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+    assert reply.after_s < 0.5
+
+
+def test_a_back_end_that_is_not_the_expected_one_runs_nothing(first: RunnerStandIn) -> None:
+    with Proxy(full_table(), [first]) as proxy:
+        first.runner_id = "i-9"
+        reply = proxy.ask(ONCE)
+    assert reply.status == 503
+    assert "leverjunction-server-stamp" not in reply.headers
+
+
+def test_a_surplus_answer_costs_its_connection_and_reaches_nobody(
+    alone: Proxy, first: RunnerStandIn
+) -> None:
+    first.then("surplus")
+    caller = alone.caller()
+    for number in range(3):
+        reply = caller.ask("POST", f"/once/{number}", request_headers())
+        assert reply.body == f"answer to /once/{number}".encode()
+        time.sleep(0.05)
+    assert first.accepted == 2
+
+
+def test_a_kept_connection_is_used_again(alone: Proxy, first: RunnerStandIn) -> None:
+    caller = alone.caller()
+    assert [caller.ask("POST", ONCE, request_headers()).status for _ in range(3)] == [200] * 3
+    assert first.accepted == 1
+
+
+@pytest.mark.parametrize("behaviour", ["silent", "stream that stops"])
+def test_a_caller_that_leaves_frees_the_back_end(
+    alone: Proxy, first: RunnerStandIn, behaviour: str
+) -> None:
+    first.then(behaviour)
+    caller = alone.caller()
+    caller.send("POST", STREAM, request_headers(), b"ask")
+    time.sleep(0.2)
+    caller.close()
+    until_s = time.monotonic() + 2
+    while first.seen[0].gone_after_s is None and time.monotonic() < until_s:
+        time.sleep(0.01)
+    assert first.seen[0].gone_after_s is not None
+    assert first.seen[0].gone_after_s < 0.5
+
+
+def test_a_silent_back_end_ends_with_the_routes_timeout(alone: Proxy, first: RunnerStandIn) -> None:
+    first.then("silent")
+    reply = alone.ask("/short/x")
+    assert reply.status == 504
+    assert 0.25 < reply.after_s < 0.6
+
+
+@pytest.mark.parametrize("behaviour", ["stream", "stream in halves"])
+def test_a_stream_comes_whole(alone: Proxy, first: RunnerStandIn, behaviour: str) -> None:
+    first.then(behaviour)
+    reply = alone.ask(STREAM)
+    assert (reply.status, reply.body, reply.complete) == (200, WHOLE_STREAM, True)
+
+
+def test_a_resumed_stream_has_each_event_once(first: RunnerStandIn, second: RunnerStandIn) -> None:
+    first.usual = "stream cut in an event"
+    second.usual = "stream"
+    with Proxy(full_table(), [first, second]) as proxy:
+        headers = {"Leverjunction_Deadline_Ms": "5000"}
+        replies = [proxy.ask(RESUMABLE, **headers) for _ in range(4)]
+    assert [(reply.body, reply.complete) for reply in replies] == [(WHOLE_STREAM, True)] * 4
+    assert first.seen
+
+
+def test_a_stream_that_may_not_be_repeated_ends_unclean(alone: Proxy, first: RunnerStandIn) -> None:
+    first.then("stream cut in an event")
+    reply = alone.ask(STREAM)
+    assert reply.status == 200
+    assert not reply.complete
+    assert reply.body == WHOLE_STREAM[: len(reply.body)]
+    assert len(first.seen) == 1
+
+
+def test_without_a_table_nothing_is_denied(first: RunnerStandIn) -> None:
+    with Proxy(None, [first]) as proxy:
+        reply = proxy.ask(ONCE)
+    assert reply.status == 503
+    assert float(reply.headers["retry-after"]) > 0
+
+
+def test_a_path_without_route_is_denied(alone: Proxy) -> None:
+    assert alone.ask("/other/x").status == 404
+
+
+def test_a_body_beyond_the_limit_is_refused() -> None:
+    table = RouteTable(
+        version=1,
+        routes=full_table().routes,
+        services=full_table().services,
+        limits=RequestLimits(max_body_bytes=100),
+    )
+    with RunnerStandIn() as runner, Proxy(table, [runner]) as proxy:
+        assert proxy.ask(ONCE, b"x" * 101).status == 413
+        assert not runner.seen
+
+
+def test_a_head_that_does_not_end_is_refused(first: RunnerStandIn) -> None:
+    limits = RequestLimits(header_timeout_ms=200.0)
+    table = RouteTable(
+        version=1, routes=full_table().routes, services=full_table().services, limits=limits
+    )
+    with Proxy(table, [first]) as proxy:
+        caller = proxy.caller()
+        caller._socket.sendall(b"POST /once/x HTTP/1.1\r\nHost: ")
+        started_s = time.monotonic()
+        assert caller._socket.recv(100).startswith(b"HTTP/1.1 408")
+        assert time.monotonic() - started_s < 0.6
--- /dev/null
+++ b/tests/unit/test_registry_steward.py
@@ -0,0 +1,130 @@
+"""Who is expired, where groups are founded, and where their voters move."""
+
+from __future__ import annotations
+
+import pytest
+
+from leverjunction.registry import (
+    ExpireRunners,
+    FleetView,
+    GroupRecord,
+    MemberRecord,
+    MemberRole,
+    PutGroup,
+    RunnerRecord,
+)
+from leverjunction.registry.commands import DropMember, Heard, RegistryCommand
+from leverjunction.registry.steward import JOBS_GROUP, Steward, StewardLimits
+
+LIMITS = StewardLimits(losses=1)
+
+
+def member(name: str, role: MemberRole = MemberRole.STORE, zone: str = "z1") -> MemberRecord:
+    return MemberRecord(name=name, role=role, address=f"{name}:1", zone=zone)
+
+
+def view(*members: MemberRecord, voters: tuple[str, ...] = ()) -> FleetView:
+    addresses = tuple(f"{name}:1" for name in voters)
+    group = GroupRecord(name=JOBS_GROUP, founders=addresses, voters=addresses)
+    return FleetView(revision=1, members=members, groups=(group,) if voters else ())
+
+
+def put(*names: str) -> PutGroup:
+    return PutGroup(JOBS_GROUP, tuple(f"{name}:1" for name in names))
+
+
+def steps(
+    steward: Steward, seen: FleetView, until_s: float, heard: tuple[str, ...] = ()
+) -> list[RegistryCommand]:
+    """Step every half second; return all that was due, each once."""
+    due: list[RegistryCommand] = []
+    now_s = 0.0
+    while now_s <= until_s:
+        steward.heard(Heard((), heard), now_s)
+        due += [item for item in steward.step(seen, (), now_s) if item not in due]
+        now_s += 0.5
+    return due
+
+
+def test_the_group_is_founded_once_enough_stores_have_settled() -> None:
+    steward = Steward(LIMITS, 0.0)
+    stores = [member("a", zone="z1"), member("b", zone="z1"), member("c", zone="z2")]
+    assert steps(steward, view(*stores[:2]), 0.5) == []
+    assert steps(Steward(LIMITS, 0.0), view(*stores), 2.0) == [put("a", "b", "c")]
+
+
+def test_founders_are_spread_over_zones() -> None:
+    stores = [member(name, zone=zone) for name, zone in zip("abcd", "1123", strict=True)]
+    assert steps(Steward(LIMITS, 0.0), view(*stores), 2.0) == [put("a", "c", "d")]
+
+
+def test_with_too_few_stores_it_is_founded_in_the_end() -> None:
+    stores = [member("a"), member("b")]
+    assert steps(Steward(LIMITS, 0.0), view(*stores), 4.0) == []
+    assert steps(Steward(LIMITS, 0.0), view(*stores), 6.0) == [put("a", "b")]
+
+
+def test_a_silent_voter_is_replaced_by_a_spare() -> None:
+    stores = [member(name) for name in "abcd"]
+    seen = view(*stores, voters=("a", "b", "c"))
+    due = steps(Steward(LIMITS, 0.0), seen, 2.0, heard=("a", "b", "d"))
+    assert due == []
+    due = steps(Steward(LIMITS, 0.0), seen, 3.0, heard=("a", "b", "d"))
+    assert due == [put("a", "b", "d")]
+
+
+def test_without_a_spare_a_silent_voter_stays() -> None:
+    stores = [member(name) for name in "abc"]
+    due = steps(Steward(LIMITS, 0.0), view(*stores, voters=("a", "b", "c")), 9.0, ("a", "b"))
+    assert due == []
+
+
+def test_a_retiring_voter_moves_at_once() -> None:
+    retiring = MemberRecord(
+        name="a", role=MemberRole.STORE, address="a:1", zone="z1", retiring=True
+    )
+    stores = [retiring, member("b"), member("c"), member("d")]
+    due = steps(Steward(LIMITS, 0.0), view(*stores, voters=("a", "b", "c")), 0.5, tuple("abcd"))
+    assert due == [put("b", "c", "d")]
+
+
+def test_a_new_leader_gives_runners_the_whole_time() -> None:
+    runner = RunnerRecord(runner_id="i-1", service="s", address="a:1", zone="z", slots=1)
+    seen = FleetView(revision=1, runners=(runner,))
+    steward = Steward(LIMITS, 100.0)
+    assert steward.step(seen, (), 105.0) == []
+    assert steward.step(seen, (), 106.0) == [ExpireRunners(("i-1",))]
+
+
+def test_a_machine_that_is_silent_for_long_and_holds_nothing_is_dropped() -> None:
+    stores = [member(name) for name in "abcd"]
+    seen = view(*stores, voters=("a", "b", "c"))
+    due = steps(Steward(LIMITS, 0.0), seen, 12.0, heard=("a", "b", "c"))
+    assert due == [DropMember("d")]
+
+
+def controls(*names: str) -> FleetView:
+    return view(*(member(name, MemberRole.CONTROL) for name in names))
+
+
+@pytest.mark.parametrize(
+    ("current", "heard", "at_s", "wanted"),
+    [
+        ("abc", "abcde", 0.5, "abcde"),
+        ("abcde", "abcde", 20.0, "abcde"),
+        # A new machine takes the place of a silent one.
+        ("abcde", "abcdf", 3.0, "abcdf"),
+        # A silent one without successor is dropped later, as long as enough are left.
+        ("abcde", "abcd", 3.0, "abcde"),
+        ("abcde", "abcd", 11.0, "abcd"),
+        ("abc", "ab", 30.0, "abc"),
+    ],
+)
+def test_control_voters(current: str, heard: str, at_s: float, wanted: str) -> None:
+    steward = Steward(LIMITS, 0.0)
+    known = controls(*sorted(set(current) | set(heard)))
+    steward.step(known, (), at_s)
+    steward.heard(Heard((), tuple(heard)), at_s)
+    before = tuple(f"{name}:1" for name in current)
+    after = steward.control_voters(known, before, at_s)
+    assert after == tuple(f"{name}:1" for name in wanted)
--- /dev/null
+++ b/tests/unit/test_routes.py
@@ -0,0 +1,96 @@
+"""Route tables: what is refused, and which route a request takes."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from leverjunction.errors import Failure
+from leverjunction.routes import (
+    Route,
+    RouteClass,
+    RouteIndex,
+    RouteTable,
+    ServiceSpec,
+    WeightedService,
+    check_table,
+)
+from leverjunction.routes.matching import draw_service
+
+
+def route(name: str = "r", host: str = "h", prefix: str = "/a/", **changes: object) -> Route:
+    fields: dict[str, object] = dict(
+        name=name,
+        host=host,
+        prefix=prefix,
+        kind=RouteClass.REPEATABLE,
+        timeout_ms=100.0,
+        target_ms=50.0,
+        priority=0,
+        services=(WeightedService(service="s", weight=1),),
+        max_attempts=2,
+    )
+    fields.update(changes)
+    return Route(**fields)  # type: ignore[arg-type]
+
+
+def table(*routes: Route, version: int = 1) -> RouteTable:
+    service = ServiceSpec(name="s", health_path="/", max_connections=10)
+    return RouteTable(version=version, routes=routes, services=(service,))
+
+
+def split(*weights: int) -> tuple[WeightedService, ...]:
+    return tuple(WeightedService(service="s", weight=weight) for weight in weights)
+
+
+@pytest.mark.parametrize(
+    ("bad", "word"),
+    [
+        (table(route(), version=0), "version 0"),
+        (table(route(services=(WeightedService(service="x", weight=1),))), "unknown service 'x'"),
+        (table(route("one"), route("two")), "host and prefix of route 'one'"),
+        (table(route(services=split(0, 0))), "weights sum to 0"),
+        (table(route(services=split(-1, 2))), "negative weight"),
+        (table(route(timeout_ms=0.0)), "timeout of 0 ms"),
+        (table(route(prefix="/a")), "begin and end with a slash"),
+        (table(route(services=())), "names no service"),
+    ],
+)
+def test_an_invalid_table_is_refused_with_its_reason(bad: RouteTable, word: str) -> None:
+    fault = check_table(bad)
+    assert isinstance(fault, Failure)
+    assert word in fault.reason
+
+
+def test_a_sound_table_is_taken() -> None:
+    assert check_table(table(route(), route("two", prefix="/a/b/"))) is None
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("h", "/a/x", "short"),
+        ("H:8080", "/a/x", "short"),
+        ("h", "/a/b/x", "long"),
+        ("h", "/a/bx", "short"),
+        ("h", "/c/", None),
+        ("other", "/a/x", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(host: str, path: str, name: str | None) -> None:
+    index = RouteIndex(table(route("short"), route("long", prefix="/a/b/")))
+    found = index.find(host, path)
+    assert (found.name if found else None) == name
+
+
+def test_a_split_gives_each_part_its_share() -> None:
+    parts = (
+        WeightedService(service="a", weight=90),
+        WeightedService(service="b", weight=10),
+        WeightedService(service="c", weight=0),
+    )
+    random = Random(1)
+    drawn = [draw_service(route(services=parts), random) for _ in range(3000)]
+    assert 0.88 < drawn.count("a") / 3000 < 0.92
+    assert drawn.count("c") == 0
