Adapter: tests of the forms; limits of a table by a factory (type checker)

Cause: a frozen form below a plain one is refused by the type checker. Change: the default limits come from a factory; 18 rows on headers, tables and the proxy's own answers, malformed values included.

--- a/src/leverjunction/platform/table_form.py
+++ b/src/leverjunction/platform/table_form.py
@@ -61,7 +61,7 @@
     engine: _EngineForm | None = None
 
 
-class _LimitsForm(_Form, frozen=True):
+class _LimitsForm(_Form):
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 * 1024 * 1024
     header_timeout_ms: float = 3000.0
@@ -72,7 +72,7 @@
     version: int
     routes: list[_RouteForm]
     services: list[_ServiceForm]
-    limits: _LimitsForm = _LimitsForm()
+    limits: _LimitsForm = msgspec.field(default_factory=_LimitsForm)
 
 
 _DECODER = msgspec.json.Decoder(_TableForm)
--- /dev/null
+++ b/tests/unit/test_platform_forms.py
@@ -0,0 +1,158 @@
+"""The adapter's translations: headers, tables, calls."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from leverjunction.errors import Failure
+from leverjunction.platform.headers import PlatformDialect
+from leverjunction.platform.table_form import read_table
+from leverjunction.routes import RouteClass, RouteTable, check_table
+
+TABLE = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r1",
+            "Hostname": "App.Example",
+            "PathPrefix": "/a/",
+            "RouteKind": "streaming",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 300,
+            "Priority": 1,
+            "TrafficSplit": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}],
+            "MaxAttempts": 1,
+            "Resumable": True,
+            "Later": "a field that nobody knows yet",
+        },
+        {
+            "Name": "r2",
+            "Hostname": "app.example",
+            "PathPrefix": "/b/",
+            "RouteKind": "batch",
+            "TimeoutMs": 30000,
+            "TargetLatencyMs": 400,
+            "Priority": 2,
+            "Service": "s1",
+            "MaxAttempts": 3,
+            "DueMs": 20000,
+            "MaxWaitS": 60,
+        },
+    ],
+    "Services": [
+        {
+            "Name": "s1",
+            "HealthPath": "/health",
+            "MaxConnections": 200,
+            "Engine": {"Slots": 12, "KvCapacityTokens": 147261},
+        },
+        {"Name": "s2", "HealthPath": "/health", "MaxConnections": 100},
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 4194304,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
+    },
+}
+
+
+def test_a_table_is_translated_whole() -> None:
+    table = read_table(json.dumps(TABLE).encode())
+    assert isinstance(table, RouteTable)
+    assert check_table(table) is None
+    first, second = table.routes
+    assert (table.version, first.host, first.kind) == (7, "app.example", RouteClass.STREAM)
+    assert [(part.service, part.weight) for part in first.services] == [("s1", 90), ("s2", 10)]
+    assert (first.resumable, first.repeatable, second.repeatable) == (True, True, False)
+    assert (second.kind, second.due_ms, second.give_up_s) == (RouteClass.BATCH, 20000, 60)
+    assert table.services[0].engine is not None
+    assert table.services[0].engine.slots == 12
+    assert table.limits.idle_timeout_ms == 15000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"Version": "seven"},
+        {"Routes": None},
+        {"Routes": [{"Name": "r"}]},
+        {"Routes": [{**TABLE["Routes"][0], "RouteKind": "other"}]},  # type: ignore[index]
+    ],
+)
+def test_a_table_that_cannot_be_read_is_refused(change: dict[str, object]) -> None:
+    assert isinstance(read_table(json.dumps({**TABLE, **change}).encode()), Failure)
+
+
+def test_a_table_that_is_cut_short_is_refused() -> None:
+    assert isinstance(read_table(json.dumps(TABLE).encode()[:-9]), Failure)
+
+
+def test_what_a_request_says() -> None:
+    facts = PlatformDialect().read_request(
+        [
+            (b"leverjunction-request-id", b"9c41"),
+            (b"Leverjunction-Deadline-Ms", b"8000"),
+            (b"Leverjunction-Token-Count", b"1460,80"),
+            (b"Leverjunction-Prompt-Prefix", b"5c1e07a2:800,91bd3f06:410"),
+            (b"Last-Event-Id", b"7"),
+        ]
+    )
+    assert (facts.request_id, facts.deadline_ms, facts.last_event_id) == ("9c41", 8000.0, "7")
+    assert (facts.tokens_in, facts.tokens_out) == (1460, 80)
+    assert [(part.key, part.tokens) for part in facts.parts] == [
+        ("5c1e07a2", 800),
+        ("91bd3f06", 410),
+    ]
+
+
+@pytest.mark.parametrize("value", [b"", b"soon", b"-5", b"nan;"])
+def test_a_malformed_deadline_counts_as_absent(value: bytes) -> None:
+    facts = PlatformDialect().read_request([(b"Leverjunction-Deadline-Ms", value)])
+    assert facts.deadline_ms is None
+
+
+def test_what_goes_to_a_back_end() -> None:
+    headers = [(b"Host", b"h"), (b"leverjunction-deadline-ms", b"9"), (b"last-event-id", b"1")]
+    sent = PlatformDialect().forwarded(headers, 123.9, "i-1", "")
+    assert sent == [
+        (b"Host", b"h"),
+        (b"last-event-id", b"1"),
+        (b"Leverjunction-Deadline-Ms", b"123"),
+        (b"Leverjunction-Expect-Instance", b"i-1"),
+    ]
+    continued = PlatformDialect().forwarded(headers, 5.0, "i-1", "4")
+    assert (b"Last-Event-Id", b"4") in continued
+    assert (b"last-event-id", b"1") not in continued
+
+
+def test_what_an_answer_says() -> None:
+    answer = PlatformDialect().read_answer(
+        [
+            (b"Leverjunction-Request-Id", b"9c41"),
+            (b"Leverjunction-Server-Stamp", b"x"),
+            (b"Leverjunction-Instance-Load", b"3,1,8"),
+            (b"Keep-Alive", b"timeout=5, max=10"),
+            (b"Connection", b"Close"),
+        ]
+    )
+    assert (answer.request_id, answer.signed, answer.not_run) == ("9c41", True, False)
+    assert answer.load is not None
+    assert (answer.load.running, answer.load.waiting, answer.load.slots) == (3, 1, 8)
+    assert (answer.keep_alive_s, answer.closes) == (5.0, True)
+
+
+@pytest.mark.parametrize("value", [b"", b"3,1", b"3,x,8", b"busy"])
+def test_a_malformed_load_counts_as_absent(value: bytes) -> None:
+    answer = PlatformDialect().read_answer([(b"Leverjunction-Instance-Load", value)])
+    assert answer.load is None
+
+
+def test_the_proxys_own_answer() -> None:
+    assert PlatformDialect().own_answer("9c41", 0.25) == [
+        (b"Leverjunction-Request-Id", b"9c41"),
+        (b"Retry-After", b"0.250"),
+    ]
+    assert PlatformDialect().own_answer("", None) == []
