Registry: each control process's word reaches the leader; new machines are not taken for gone

And a machine that joined late was counted silent since the leader's start, so it was dropped as it joined. Excluded: the repair of a blank replica. The test of it failed for a fault of its own (one seed, so the blank replica drew the lost one's id); roles now seed by name, time and the machine's source. Change: the leader is named; silence counts from when somebody was first seen; a machine that was dropped joins again.

--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -67,7 +67,6 @@
         self._server = RpcServer(host, int(port), self._endpoint(), RPC_THREADS)
         self._runner: LotsRunner | None = None
         self._starting = threading.Lock()
-        self._joined = False
         self._asked: tuple[str, ...] = ()
         self._asked_s = 0.0
         self._forgot_s = clock.monotonic_s()
@@ -98,6 +97,10 @@
         self._rpc.close()
         logger.info("stopped")
 
+    def groups(self) -> list[str]:
+        """Return the groups of which a replica lives here."""
+        return list(self._local)
+
     def _on_registry(self, snapshot: Snapshot) -> None:
         group = snapshot.view.group(JOBS_GROUP)
         if group is not None:
@@ -177,14 +180,19 @@
         )
 
     def _join(self) -> None:
-        if self._joined:
-            return
         record = MemberRecord(
             name=self._config.name,
             role=MemberRole.STORE,
             address=self._address,
             zone=self._config.zone,
         )
+        snapshot = self._follower.snapshot()
+        if snapshot is not None and any(
+            (item.name, item.address) == (record.name, record.address)
+            for item in snapshot.view.members
+        ):
+            return
+        # Also again later, should the others have taken this machine for gone.
         for hub in self._follower.hubs():
             reply = self._rpc.call(
                 hub,
@@ -195,7 +203,6 @@
                 timeout_s=COMMAND_TIMEOUT_S,
             )
             if not isinstance(reply, Failure):
-                self._joined = True
                 logger.info("joined through {}", hub)
                 return
 
--- a/src/leverjunction/platform/roles.py
+++ b/src/leverjunction/platform/roles.py
@@ -80,7 +80,7 @@
     from leverjunction.registry.node import RegistryNode
     from leverjunction.wire.http_thread import HttpServer, HttpServerOptions
 
-    node = RegistryNode(config, SystemClock(), Random())
+    node = RegistryNode(config, SystemClock(), _random(config))
     host, _, port = config.listen.control.rpartition(":")
     server = HttpServer(
         host,
@@ -112,7 +112,7 @@
     from leverjunction.lots.node import LotsNode
     from leverjunction.platform.headers import PlatformDialect
 
-    node = LotsNode(config, PlatformDialect(), SystemClock(), Random())
+    node = LotsNode(config, PlatformDialect(), SystemClock(), _random(config))
     stop_asked = _stop_event()
     fault = node.start()
     if fault is not None:
@@ -123,6 +123,13 @@
     return EXIT_STOPPED
 
 
+def _random(config: MachineConfig) -> Random:
+    """Return a generator that differs from that of the process's last life, whatever the machine's
+    own source of randomness gives: replica ids are drawn from it.
+    """
+    return Random(f"{config.name} {SystemClock().wall_ms()} {os.urandom(16).hex()}")
+
+
 def _stop_event() -> threading.Event:
     stop_asked = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -98,7 +98,6 @@
             PeriodicTask("heard", HEARD_INTERVAL_S, self._tell_heard),
             PeriodicTask("steward", STEWARD_INTERVAL_S, self._steer),
         ]
-        self._joined = False
 
     def start(self) -> Failure | None:
         """Start the replica, the RPC port and the background tasks."""
@@ -173,6 +172,15 @@
             return False
         return self._has_left(member.address, group.voters)
 
+    def leads(self) -> bool:
+        """Return whether this process leads the registry."""
+        return self._replica.status().role == "leader"
+
+    def silence_s(self, name: str) -> float | None:
+        """Return since when the leader has not heard a machine or runner; None elsewhere."""
+        steward = self._steward
+        return None if steward is None else steward.silence_s(name, self._clock.monotonic_s())
+
     def _has_left(self, address: str, voters: tuple[str, ...]) -> bool:
         """Return whether the group's leader says that a machine holds no replica any more."""
         for voter in voters:
@@ -214,23 +222,19 @@
         word = decode(envelope.body, Heard, peer)
         if isinstance(word, Failure):
             return encode_reply(word)
-        steward = self._steward
-        if steward is None:
-            return encode_reply(_does_not_lead())
-        steward.heard(word, self._clock.monotonic_s())
-        return encode_reply(Done())
+        reply = self._heard_here(word)
+        return encode_reply(reply) if isinstance(reply, Failure) else reply
 
     def _join(self) -> None:
-        if self._joined:
-            return
         record = MemberRecord(
             name=self._config.name,
             role=MemberRole.CONTROL,
             address=self._address,
             zone=self._config.zone,
         )
-        reply = self._propose(JoinMember(record), Done)
-        self._joined = not isinstance(reply, Failure)
+        # Also again later, should the others have taken this process for gone.
+        if record not in self.hub.view().members:
+            self._propose(JoinMember(record), Done)
 
     def _tell_heard(self) -> None:
         """Tell the leader whom this process has heard."""
@@ -249,7 +253,7 @@
     def _heard_here(self, word: Heard) -> bytes | Failure:
         steward = self._steward
         if steward is None:
-            return _does_not_lead()
+            return _does_not_lead(self._replica.status().leader_address)
         steward.heard(word, self._clock.monotonic_s())
         return encode_reply(Done())
 
@@ -285,11 +289,12 @@
     return runner_key(record) == runner_key(known)
 
 
-def _does_not_lead() -> Failure:
+def _does_not_lead(leader: str) -> Failure:
     return Failure(
         kind=FailureKind.NOT_LEADER,
         reason="this process does not lead the registry",
         step=Step.EXCHANGING,
+        detail=leader,
     )
 
 
--- a/src/leverjunction/registry/steward.py
+++ b/src/leverjunction/registry/steward.py
@@ -77,7 +77,7 @@
             control_voters: Target addresses of the registry group itself.
             now_s: Monotonic time.
         """
-        self._forget(view)
+        self._meet(view, now_s)
         due: list[RegistryCommand] = []
         silent = self._silent_runners(view, now_s)
         if silent:
@@ -130,11 +130,18 @@
         longest = max(silences, default=(0.0, ""))
         return longest[1] if longest[0] >= silence_s else ""
 
+    def silence_s(self, name: str, now_s: float) -> float | None:
+        """Return since when a machine or runner was not heard, None if it is not known."""
+        return self._silence_s(name, now_s) if name in self._heard_s else None
+
     def _silence_s(self, name: str, now_s: float) -> float:
-        return now_s - self._heard_s.get(name, self._started_s)
+        return now_s - self._heard_s.get(name, now_s)
 
-    def _forget(self, view: FleetView) -> None:
+    def _meet(self, view: FleetView, now_s: float) -> None:
+        """Count the silence of those that are new from now on; forget those that are gone."""
         known = {item.runner_id for item in view.runners} | {item.name for item in view.members}
+        for name in known:
+            self._heard_s.setdefault(name, now_s)
         for name in [name for name in self._heard_s if name not in known]:
             del self._heard_s[name]
 
--- /dev/null
+++ b/tests/unit/test_registry_fleet.py
@@ -0,0 +1,110 @@
+"""Control and store processes that find each other by seeds, over real sockets and files."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from tests.unit.seeded_support import SeededFleet, wait_until
+from tests.unit.test_lots_state_machine import submit
+
+from leverjunction.errors import Failure
+from leverjunction.lots.commands import LotTaken, OpenItems, ReadOpenItems, SubmitLot
+from leverjunction.registry.records import MemberRole
+from leverjunction.registry.steward import JOBS_GROUP
+from leverjunction.routes import RouteClass
+from testbed.routed import make_route, make_table
+
+CONTROLS = 5
+STORES = 3
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[SeededFleet]:
+    fleet = SeededFleet(tmp_path_factory.mktemp("seeded"))
+    # The seeds last: nobody listens yet when the others start.
+    for number in range(CONTROLS, 0, -1):
+        fleet.start_control(number)
+    for number in range(1, STORES + 1):
+        fleet.start_store(number)
+    yield fleet
+    fleet.stop()
+
+
+def test_machines_that_know_only_seeds_become_one_registry(fleet: SeededFleet) -> None:
+    wait_until(lambda: fleet.leader() is not None)
+    for node in fleet.controls.values():
+        wait_until(lambda node=node: len(node.hub.status().voters) == CONTROLS)
+
+
+def test_the_leader_hears_all_through_every_process(fleet: SeededFleet) -> None:
+    """Words of some processes never came to a leader that was not among the first voters."""
+    wait_until(lambda: fleet.leader() is not None)
+    leader = fleet.leader()
+    assert leader is not None
+    names = {*fleet.controls, *fleet.stores}
+    wait_until(lambda: {item.name for item in leader.hub.view().members} == names)
+    wait_until(lambda: all(leader.silence_s(name) is not None for name in names))
+    time.sleep(2.5)
+    silences_s = {name: leader.silence_s(name) for name in names}
+    assert all(value is not None and value < 2.0 for value in silences_s.values()), silences_s
+
+
+def test_a_table_given_to_any_process_is_in_force_at_all(fleet: SeededFleet) -> None:
+    wait_until(lambda: fleet.leader() is not None)
+    route = make_route(RouteClass.ONCE)
+    for version, node in enumerate(fleet.controls.values(), 1):
+        held = node.put_table(make_table(route, version=version), f"text {version}")
+        assert not isinstance(held, Failure), held
+        for other in fleet.controls.values():
+            source = other.table_source()
+            assert not isinstance(source, Failure), source
+            assert (source.version, source.source) == (version, f"text {version}")
+
+
+def test_the_lots_group_is_founded_and_keeps_a_lot(fleet: SeededFleet) -> None:
+    wait_until(lambda: fleet.leader() is not None)
+    leader = fleet.leader()
+    assert leader is not None
+    wait_until(lambda: leader.hub.view().group(JOBS_GROUP) is not None)
+    stores = leader.hub.view().addresses(MemberRole.STORE)
+    group = leader.hub.view().group(JOBS_GROUP)
+    assert group is not None
+    assert set(group.voters) == set(stores)
+    node = fleet.stores["store-2"]
+
+    def accepted() -> bool:
+        command: SubmitLot = submit("a", "b")
+        return isinstance(node.host.propose(JOBS_GROUP, command, LotTaken, 1.0), LotTaken)
+
+    wait_until(accepted)
+    for store in fleet.stores.values():
+        wait_until(lambda store=store: JOBS_GROUP in store.groups())
+        opened = store.host.query(JOBS_GROUP, ReadOpenItems(), OpenItems, 1.0)
+        assert isinstance(opened, OpenItems), opened
+        assert [item.item_id for item in opened.items] == ["a", "b"]
+
+
+def test_a_machine_that_came_back_empty_is_repaired(tmp_path: Path) -> None:
+    fleet = SeededFleet(tmp_path)
+    try:
+        for number in (1, 2, 3):
+            fleet.start_control(number)
+        wait_until(lambda: fleet.leader() is not None)
+        leader = fleet.leader()
+        assert leader is not None
+        lost = next(name for name, node in fleet.controls.items() if node is not leader)
+        number = int(lost[-1])
+        route = make_route(RouteClass.ONCE)
+        assert not isinstance(leader.put_table(make_table(route, version=4), "four"), Failure)
+        fleet.controls.pop(lost).stop()
+        fleet.forget_disk(lost)
+        node = fleet.start_control(number, first=False)
+        wait_until(lambda: node.hub.status().role == "follower")
+        source = node.table_source()
+        assert not isinstance(source, Failure), source
+        assert source.version == 4
+    finally:
+        fleet.stop()
