A store or control process whose replica fails ends, to start anew; a misdirected runner is left alone

Cause: after a fault of its disk a replica served nothing for the rest of its process's life; an address that another runner has now was asked again and again. Change: the process ends a second after the fault; a 421 counts as a failure of the runner.

--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -97,6 +97,11 @@
         self._rpc.close()
         logger.info("stopped")
 
+    def fault(self) -> Failure | None:
+        """Return why this process serves nothing any more, None while it does."""
+        faults = [replica.fault() for replica in self._local.values()]
+        return next((fault for fault in faults if fault is not None), None)
+
     def groups(self) -> list[str]:
         """Return the groups of which a replica lives here."""
         return list(self._local)
--- a/src/leverjunction/platform/roles.py
+++ b/src/leverjunction/platform/roles.py
@@ -22,6 +22,11 @@
 EXIT_STOPPED = 0
 EXIT_CANNOT_START = 1
 EXIT_USAGE = 2
+EXIT_FAULT = 3
+FAULT_POLL_S = 0.5
+FAULT_PAUSE_S = 1.0
+"""Before an end by itself: a disk that refuses writes does so for seconds."""
+
 CONTROL_THREADS = 24
 CONTROL_BACKLOG = 512
 CONTROL_IDLE_TIMEOUT_S = 10
@@ -101,10 +106,10 @@
         logger.error("cannot start: {}", fault.reason)
         return EXIT_CANNOT_START
     server.start()
-    stop_asked.wait()
+    fault = _wait(stop_asked, node.fault)
     server.stop()
     node.stop()
-    return EXIT_STOPPED
+    return EXIT_STOPPED if fault is None else EXIT_FAULT
 
 
 @_role("store")
@@ -118,9 +123,9 @@
     if fault is not None:
         logger.error("cannot start: {}", fault.reason)
         return EXIT_CANNOT_START
-    stop_asked.wait()
+    fault = _wait(stop_asked, node.fault)
     node.stop()
-    return EXIT_STOPPED
+    return EXIT_STOPPED if fault is None else EXIT_FAULT
 
 
 def _random(config: MachineConfig) -> Random:
@@ -130,6 +135,17 @@
     return Random(f"{config.name} {SystemClock().wall_ms()} {os.urandom(16).hex()}")
 
 
+def _wait(stop_asked: threading.Event, fault: Callable[[], Failure | None]) -> Failure | None:
+    """Wait for a stop; return early with a fault that only another start can mend."""
+    while not stop_asked.wait(FAULT_POLL_S):
+        found = fault()
+        if found is not None:
+            logger.error("ending, to start anew: {}", found.reason)
+            stop_asked.wait(FAULT_PAUSE_S)
+            return found
+    return None
+
+
 def _stop_event() -> threading.Event:
     stop_asked = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -162,6 +162,9 @@
         seat = answer.seat
         if answer.facts.not_run or answer.head.status == MISDIRECTED:
             await self._drop_refusal(answer)
+            if answer.head.status == MISDIRECTED:
+                # Its address has been given to another one: it is not there any more.
+                self._balancer.failed(seat, self._loop.time())
             return Failure(
                 kind=FailureKind.OVERLOADED,
                 reason=f"back end {seat.record.runner_id} refused: HTTP {answer.head.status}",
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -172,6 +172,10 @@
             return False
         return self._has_left(member.address, group.voters)
 
+    def fault(self) -> Failure | None:
+        """Return why this process serves nothing any more, None while it does."""
+        return self._replica.fault()
+
     def leads(self) -> bool:
         """Return whether this process leads the registry."""
         return self._replica.status().role == "leader"
