Lots: batch keeps room for the online peak of the last 8 s, read from the engines' own reports

Excluded: too few back ends (70 of 114 slots are needed on average), uneven choice (busiest/mean 1.04). Change: reports are read four times a second while there is work; room is slots less the online peak of 8 s, at least a sixth if it is free now; nothing is added without a fresh reading; batch never waits in a back end's queue. Silence is borne for 10 s. The gateways' own knowledge of others' load fades in 3 s, not 1.

--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -14,7 +14,7 @@
 
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import ReplicatedGroup
-from leverjunction.errors import Execution, Failure, FailureKind
+from leverjunction.errors import Failure
 from leverjunction.lots.commands import (
     ItemBody,
     ItemFailure,
@@ -28,6 +28,7 @@
     RecordRuns,
 )
 from leverjunction.lots.item_stream import ItemStream
+from leverjunction.lots.room import BatchRoom
 from leverjunction.proxy.attempt import OpenedAnswer, Sender
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
 from leverjunction.proxy.caller_connection import CallerRequest
@@ -38,13 +39,14 @@
 from leverjunction.routes.types import Route
 from leverjunction.wire.codec import decode_reply, encode
 
-BATCH_SHARE = 0.6
-"""Share of a back end's slots up to which batch is added: the rest is kept for online requests."""
-
 STEP_S = 0.1
 IDLE_STEP_S = 0.5
 RUN_TIMEOUT_S = 60.0
-SILENCE_S = 3.0
+SILENCE_S = 10.0
+"""A run that is cut must be run again, so silence is borne for long."""
+
+READ_INTERVAL_S = 0.25
+READ_TIMEOUT_S = 0.6
 GIVE_UP_MARGIN_S = 3.0
 """Clocks of machines differ: an item is given up only when its time is surely over."""
 
@@ -97,6 +99,8 @@
         self._runs: dict[Key, _Run] = {}
         self._finished: dict[Key, ItemResult] = {}
         self._failures: list[ItemFailure] = []
+        self._rooms: dict[str, BatchRoom] = {}
+        self._reading: dict[str, asyncio.Task[None]] = {}
         self._dirty = True
         self._stopped = False
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -166,6 +170,8 @@
         if self._dirty:
             self._dirty = False
             self._read_open()
+        if self._runs:
+            self._read_loads()
         self._start_runs()
 
     def _take_registry(self) -> None:
@@ -173,6 +179,8 @@
         if snapshot is None:
             return
         self._balancer.replace(snapshot.view.runners)
+        ids = {record.runner_id for record in snapshot.view.runners}
+        self._rooms = {key: room for key, room in self._rooms.items() if key in ids}
         if self._index is None or self._index.table.version < snapshot.table.version:
             self._index = RouteIndex(snapshot.table)
 
@@ -183,6 +191,7 @@
         self._runs.clear()
         self._finished.clear()
         self._failures.clear()
+        self._rooms.clear()
 
     def _read_open(self) -> None:
         """Take new items in; stop those that are not open any more."""
@@ -217,6 +226,45 @@
             self._finished.pop((result.lot_id, result.item_id), None)
         del self._failures[: len(failures)]
 
+    def _read_loads(self) -> None:
+        """Ask every back end of the services in question for its load, a few times a second."""
+        if self._index is None:
+            return
+        services = {
+            part.service
+            for run in self._runs.values()
+            if (route := self._route(run.item)) is not None
+            for part in route.services
+        }
+        for service in services:
+            for seat in self._balancer.seats(service):
+                key = seat.record.runner_id
+                if key not in self._reading:
+                    task = asyncio.get_running_loop().create_task(self._read_load(seat))
+                    self._reading[key] = task
+
+    async def _read_load(self, seat: RunnerSeat) -> None:
+        path, headers = self._dialect.load_request()
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                body = await self._sender.fetch(seat.record.address, path, headers)
+            load = self._dialect.read_load(body) if isinstance(body, bytes) else None
+            if load is not None:
+                now_s = asyncio.get_running_loop().time()
+                self._room(seat).told(load.running, load.waiting, now_s)
+            await asyncio.sleep(READ_INTERVAL_S)
+        except TimeoutError:
+            # The reading grows old, and then nothing is added there.
+            pass
+        finally:
+            self._reading.pop(seat.record.runner_id, None)
+
+    def _room(self, seat: RunnerSeat) -> BatchRoom:
+        room = self._rooms.get(seat.record.runner_id)
+        if room is None:
+            room = self._rooms[seat.record.runner_id] = BatchRoom(seat.record.slots)
+        return room
+
     def _start_runs(self) -> None:
         for key, run in self._runs.items():
             if run.task is not None or key in self._finished:
@@ -227,10 +275,11 @@
             route = self._route(run.item)
             if route is None:
                 continue
-            seat = self._free_seat(draw_service(route, self._random), run.item)
+            seat = self._free_seat(draw_service(route, self._random))
             if seat is None:
                 continue
             # Counted at once, so that the next item sees this one.
+            self._room(seat).started()
             run.task = asyncio.get_running_loop().create_task(self._run(key, run, seat))
 
     def _route(self, item: OpenItem) -> Route | None:
@@ -240,22 +289,25 @@
         age_s = (self._clock.wall_ms() - item.accepted_ms) / 1000
         return item.give_up_s > 0 and age_s > item.give_up_s + GIVE_UP_MARGIN_S
 
-    def _free_seat(self, service: str, item: OpenItem) -> RunnerSeat | None:
-        """Return a back end with room for batch, None while online requests need all of it."""
-        headers = [(name.encode(), value.encode()) for name, value in item.headers]
-        facts = self._dialect.read_request(headers)
+    def _free_seat(self, service: str) -> RunnerSeat | None:
+        """Return the back end with most room for batch; None while online requests need it all."""
         now_s = asyncio.get_running_loop().time()
-        choice = self._balancer.choose(service, facts.parts, (), now_s)
-        if choice is None or choice.seat.ejected_until_s > now_s:
-            return None
-        room = choice.seat.slots * BATCH_SHARE
-        return choice.seat if choice.load + 1 <= max(1.0, room) else None
+        free = [
+            (self._room(seat).free(now_s), seat.record.runner_id, seat)
+            for seat in self._balancer.seats(service)
+            if seat.ejected_until_s <= now_s
+        ]
+        room, _, seat = max(free, default=(0, "", None))
+        return seat if room > 0 else None
 
     async def _run(self, key: Key, run: _Run, seat: RunnerSeat) -> None:
+        room = self._room(seat)
         try:
             failed = await self._attempt(run, seat)
+        finally:
+            room.ended()
+        try:
             if failed:
-                # Counted at the seat no more; another may be chosen after a pause.
                 await asyncio.sleep(RETRY_PAUSE_S)
         finally:
             run.task = None
@@ -277,13 +329,9 @@
             repeatable=True,
             last_event_id=run.stream.last_id,
             until_s=until_s,
-            head_until_s=loop.time() + SILENCE_S * 2,
+            head_until_s=loop.time() + SILENCE_S,
         )
         if isinstance(answer, Failure):
-            if answer.execution is Execution.NOT_RUN and answer.kind is FailureKind.OVERLOADED:
-                # Room for batch was misjudged; online requests go first.
-                seat.others = max(seat.others, float(seat.slots))
-                seat.told_s = loop.time()
             return True
         return await self._take_answer(run, answer)
 
--- a/src/leverjunction/platform/headers.py
+++ b/src/leverjunction/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from leverjunction.proxy.dialect import (
     AnswerFacts,
     EngineLoad,
@@ -20,6 +22,7 @@
 NOT_EXECUTED = b"Leverjunction-Not-Executed"
 INSTANCE_LOAD = b"Leverjunction-Instance-Load"
 RETRY_AFTER = b"Retry-After"
+REPORT_PATH = b"/api/report"
 
 _READ = {
     name.lower()
@@ -39,6 +42,11 @@
 _SET = {name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE)}
 
 
+class _ReportForm(msgspec.Struct, rename="pascal"):
+    running: int
+    waiting: int
+
+
 class PlatformDialect:
     """Implements ``proxy.dialect.Dialect``."""
 
@@ -87,6 +95,18 @@
             closes="close" in fields.get(b"connection", "").lower(),
         )
 
+    def load_request(self) -> tuple[bytes, RawHeaders]:
+        """Return path and headers of the call that reads a back end's load."""
+        return REPORT_PATH, []
+
+    def read_load(self, body: bytes) -> EngineLoad | None:
+        """Return the load that a back end tells when it is asked, None if it is malformed."""
+        try:
+            form = msgspec.json.decode(body, type=_ReportForm)
+        except msgspec.MsgspecError:
+            return None
+        return EngineLoad(form.running, form.waiting, 0)
+
     def own_answer(self, request_id: str, retry_after_s: float | None) -> RawHeaders:
         """Return the headers of an answer that the proxy gives by itself."""
         headers = [(REQUEST_ID, request_id.encode("latin-1"))] if request_id else []
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -9,7 +9,12 @@
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import AnswerFacts, Dialect, RawHeaders, RequestFacts
 from leverjunction.proxy.headers import end_to_end, find
-from leverjunction.proxy.runner_connection import AnswerHead, RunnerConnection, RunnerPool
+from leverjunction.proxy.runner_connection import (
+    AnswerEnd,
+    AnswerHead,
+    RunnerConnection,
+    RunnerPool,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 REPEATABLE_IDLE_SHARE = 0.8
@@ -100,6 +105,27 @@
         answer.seat.own -= 1
         self._pool.give_back(answer.connection, keep=whole and not answer.facts.closes)
 
+    async def fetch(self, address: str, path: bytes, headers: RawHeaders) -> bytes | Failure:
+        """Read a back end's page; its own load is not a request that counts."""
+        connection = await self._pool.take(address, REPEATABLE_IDLE_SHARE, CONNECT_TIMEOUT_S)
+        if isinstance(connection, Failure):
+            return connection
+        whole = False
+        body: list[bytes] = []
+        try:
+            connection.send(b"GET", path, [(b"Host", address.encode()), *headers], b"")
+            while True:
+                event = await connection.next_event()
+                if isinstance(event, AnswerEnd):
+                    whole = True
+                    return b"".join(body)
+                if isinstance(event, Failure):
+                    return event
+                if isinstance(event, bytes):
+                    body.append(event)
+        finally:
+            self._pool.give_back(connection, keep=whole)
+
     async def _open(
         self,
         request: CallerRequest,
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -16,7 +16,7 @@
 from leverjunction.proxy.dialect import EngineLoad, PromptPart
 from leverjunction.registry.records import RunnerRecord, RunnerState
 
-LOAD_FADES_S = 1.0
+LOAD_FADES_S = 3.0
 """Time in which what others have at a back end fades to a third, as far as this gateway knows."""
 
 READ_TOKENS_PER_MS = 80.0
--- a/src/leverjunction/proxy/dialect.py
+++ b/src/leverjunction/proxy/dialect.py
@@ -140,6 +140,14 @@
         """Return what a back end's headers say."""
         ...
 
+    def load_request(self) -> tuple[bytes, RawHeaders]:
+        """Return path and headers of the call that reads a back end's load."""
+        ...
+
+    def read_load(self, body: bytes) -> EngineLoad | None:
+        """Return the load that a back end tells when it is asked, None if it is malformed."""
+        ...
+
     def own_answer(self, request_id: str, retry_after_s: float | None) -> RawHeaders:
         """Return the headers of an answer that the proxy gives by itself."""
         ...
