--- a/src/leverjunction/lots/room.py
+++ b/src/leverjunction/lots/room.py
@@ -17,6 +17,11 @@
 FLOOR_DIVISOR = 6
 """A sixth of the slots is given to batch whatever the peak was, as long as it is free now."""
 
+UNSEEN_PEAK_SHARE = 0.6
+"""Share of the slots that online is taken to need while it was watched for less than the window,
+as after a change of leader: a lull would otherwise be filled just before the next burst.
+"""
+
 STALE_S = 1.5
 """Without a reading for so long nothing is added."""
 
@@ -29,7 +34,7 @@
         own: Batch runs of this process there.
     """
 
-    __slots__ = ("_online", "_online_now", "_read_s", "_since_read", "own", "slots")
+    __slots__ = ("_first_s", "_online", "_online_now", "_read_s", "_since_read", "own", "slots")
 
     def __init__(self, slots: int) -> None:
         self.slots = max(1, slots)
@@ -38,6 +43,7 @@
         self._online_now = 0
         self._read_s = float("-inf")
         self._since_read = 0
+        self._first_s: float | None = None
 
     def started(self) -> None:
         """Note a batch run that begins."""
@@ -55,6 +61,8 @@
         self._since_read = 0
         self._online_now = max(0, running + waiting - batch)
         self._read_s = now_s
+        if self._first_s is None:
+            self._first_s = now_s
         self._online.append((now_s, self._online_now))
         while self._online[0][0] < now_s - WINDOW_S:
             self._online.popleft()
@@ -68,6 +76,13 @@
         if self.is_stale(now_s):
             return 0
         now_free = self.slots - MARGIN_SLOTS - self._online_now - self.own
-        peak = max((count for _, count in self._online), default=0)
+        peak = self._peak(now_s)
         cap = max(self.slots - MARGIN_SLOTS - peak, self.slots // FLOOR_DIVISOR, 1)
         return max(0, min(now_free, cap - self.own))
+
+    def _peak(self, now_s: float) -> int:
+        seen = max((count for _, count in self._online), default=0)
+        watched_s = now_s - self._first_s if self._first_s is not None else 0.0
+        if watched_s >= WINDOW_S:
+            return seen
+        return max(seen, round(self.slots * UNSEEN_PEAK_SHARE))
