--- a/src/leverjunction/lots/room.py
+++ b/src/leverjunction/lots/room.py
@@ -115,6 +115,13 @@
         most = max(room, int(slots * FLOOR_SHARE))
         return max(0, most - sum(seat.own for seat in self.seats.values()))
 
+    def figures(self, now_s: float) -> tuple[int, int, int, int]:
+        """Return allowance, online peak, online now and slots, for a person."""
+        read = self._read(now_s)
+        slots = sum(seat.slots for seat in read)
+        online = sum(seat.online for seat in read)
+        return self.allowance(now_s), self._peak(slots, now_s), online, slots
+
     def _read(self, now_s: float) -> list[SeatRoom]:
         return [seat for seat in self.seats.values() if not seat.is_stale(now_s)]
 
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -54,6 +54,7 @@
 PROPOSE_TIMEOUT_S = 1.5
 RETRY_PAUSE_S = 0.3
 TYPICAL_RUN_S = 4.0
+TELL_INTERVAL_S = 5.0
 RUN_WEIGHT = 0.1
 """Of a run's time in the running average, which begins with the typical one."""
 
@@ -109,6 +110,7 @@
         self._failures: list[ItemFailure] = []
         self._rooms: dict[str, ServiceRoom] = {}
         self._run_s = TYPICAL_RUN_S
+        self._told_s = float("-inf")
         self._reading: dict[str, asyncio.Task[None]] = {}
         self._dirty = True
         self._stopped = False
@@ -181,6 +183,7 @@
             self._read_open()
         if self._runs:
             self._read_loads()
+            self._tell()
         self._start_runs()
 
     def _take_registry(self) -> None:
@@ -236,6 +239,23 @@
             self._finished.pop((result.lot_id, result.item_id), None)
         del self._failures[: len(failures)]
 
+    def _tell(self) -> None:
+        """Say every few seconds, while there is work, how much runs and why not more."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._told_s < TELL_INTERVAL_S:
+            return
+        self._told_s = now_s
+        running = sum(1 for run in self._runs.values() if run.task is not None)
+        for service, room in self._rooms.items():
+            logger.info(
+                "batch of {}: {} open, {} running, {} may be added; online peak {}, now {},"
+                " {} slots read",
+                service,
+                len(self._runs),
+                running,
+                *room.figures(now_s),
+            )
+
     def _read_loads(self) -> None:
         """Ask every back end of the services in question for its load, a few times a second."""
         if self._index is None:
