Proxy: a lost head is asked for elsewhere before the answer is late; slow back ends get less

Change: patience follows the heads of the route's last 64 answers (2.5 times their 0.9 quantile, at least half of the target); moves are bounded by the retry budget, spent when the request moves, not when it is sent. Heads that come late, beyond reading the prompt, cost a back end work for some seconds. Tests: lost answer, 60 requests at two silent back ends (at most 30 are moved), slow back end; seen failing on a budget that was only looked at.

--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -30,7 +30,7 @@
 )
 from leverjunction.lots.item_stream import ItemStream
 from leverjunction.lots.room import SeatRoom, ServiceRoom
-from leverjunction.proxy.attempt import OpenedAnswer, Sender
+from leverjunction.proxy.attempt import OpenedAnswer, Patience, Sender
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import Dialect
@@ -381,7 +381,7 @@
             repeatable=True,
             last_event_id=run.stream.last_id,
             until_s=until_s,
-            head_until_s=loop.time() + SILENCE_S,
+            patience=Patience.until(loop.time() + SILENCE_S),
         )
         if isinstance(answer, Failure):
             return True
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
@@ -11,6 +12,7 @@
 from leverjunction.proxy.headers import end_to_end, find
 from leverjunction.proxy.runner_connection import (
     AnswerEnd,
+    AnswerEvent,
     AnswerHead,
     RunnerConnection,
     RunnerPool,
@@ -27,6 +29,28 @@
 MISDIRECTED = 421
 
 
+class Patience:
+    """How long to wait for the head of an answer.
+
+    Attributes:
+        soft_s: From then on the request is given up here if ``may_move`` agrees.
+        hard_s: Then it is given up in any case.
+        may_move: Asked once, when the soft limit is reached.
+    """
+
+    __slots__ = ("hard_s", "may_move", "soft_s")
+
+    def __init__(self, hard_s: float, soft_s: float, may_move: Callable[[], bool]) -> None:
+        self.hard_s = hard_s
+        self.soft_s = soft_s
+        self.may_move = may_move
+
+    @classmethod
+    def until(cls, hard_s: float) -> Patience:
+        """Return the patience of a request that nobody else may run."""
+        return cls(hard_s, hard_s, lambda: True)
+
+
 class OpenedAnswer:
     """A back end's answer whose head has come.
 
@@ -72,7 +96,7 @@
         repeatable: bool,
         last_event_id: str,
         until_s: float,
-        head_until_s: float,
+        patience: Patience,
     ) -> OpenedAnswer | Failure:
         """Send a request and wait for the head of the answer.
 
@@ -83,7 +107,7 @@
             repeatable: It may run more than once.
             last_event_id: Continue a stream after this event.
             until_s: When the whole answer must be there.
-            head_until_s: How long to wait for the head.
+            patience: How long to wait for the head.
 
         Returns:
             The answer; or a failure that says whether the request may have run.
@@ -91,7 +115,7 @@
         seat.own += 1
         try:
             opened = await self._open(
-                request, facts, seat, repeatable, last_event_id, until_s, head_until_s
+                request, facts, seat, repeatable, last_event_id, until_s, patience
             )
         except BaseException:
             seat.own -= 1
@@ -134,7 +158,7 @@
         repeatable: bool,
         last_event_id: str,
         until_s: float,
-        head_until_s: float,
+        patience: Patience,
     ) -> OpenedAnswer | Failure:
         idle_share = REPEATABLE_IDLE_SHARE if repeatable else ONCE_IDLE_SHARE
         connection = await self._pool.take(seat.record.address, idle_share, CONNECT_TIMEOUT_S)
@@ -150,7 +174,12 @@
                 end_to_end(request.headers), left_ms, seat.record.runner_id, last_event_id
             )
             connection.send(request.method, request.target, headers, request.body)
-            return await self._head(connection, facts, seat, head_until_s)
+            sent_s = self._loop.time()
+            try:
+                return await self._head(connection, facts, seat, patience)
+            finally:
+                now_s = self._loop.time()
+                seat.answered(now_s - sent_s, facts.tokens_in, now_s)
         except BaseException:
             connection.close()
             raise
@@ -160,11 +189,10 @@
         connection: RunnerConnection,
         facts: RequestFacts,
         seat: RunnerSeat,
-        head_until_s: float,
+        patience: Patience,
     ) -> OpenedAnswer | Failure:
         try:
-            async with asyncio.timeout_at(head_until_s):
-                head = await connection.next_event()
+            head = await self._first_event(connection, patience)
         except TimeoutError:
             connection.close()
             return _late(seat, Execution.UNKNOWN)
@@ -183,6 +211,17 @@
         self._balancer.succeeded(seat)
         return opened
 
+    async def _first_event(self, connection: RunnerConnection, patience: Patience) -> AnswerEvent:
+        """Wait for a head; raises TimeoutError when it is to be waited for no longer."""
+        try:
+            async with asyncio.timeout_at(min(patience.soft_s, patience.hard_s)):
+                return await connection.next_event()
+        except TimeoutError:
+            if patience.soft_s >= patience.hard_s or patience.may_move():
+                raise
+        async with asyncio.timeout_at(patience.hard_s):
+            return await connection.next_event()
+
     async def _refusal(self, answer: OpenedAnswer, facts: RequestFacts) -> Failure | None:
         """Return a failure for an answer that is not the caller's, or says "not run"."""
         seat = answer.seat
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -28,6 +28,13 @@
 QUEUED_COST_MS = 250.0
 """Cost of each request beyond the back end's slots."""
 
+DELAY_WEIGHT = 0.2
+"""Of the newest head in the running average of a back end's delay."""
+
+DELAY_FADES_S = 4.0
+DELAY_COST = 0.5
+"""Cost of each millisecond by which a back end's heads were late: slow ones get less."""
+
 OTHER_ZONE_COST_MS = 4.0
 FAILED_COST_MS = 2_000.0
 SHARED_TOKENS_MIN = 512
@@ -50,7 +57,17 @@
         ejected_until_s: Until then it gets no work as long as there is another.
     """
 
-    __slots__ = ("ejected_until_s", "failures", "others", "own", "record", "slots", "told_s")
+    __slots__ = (
+        "_delay_ms",
+        "_delayed_s",
+        "ejected_until_s",
+        "failures",
+        "others",
+        "own",
+        "record",
+        "slots",
+        "told_s",
+    )
 
     def __init__(self, record: RunnerRecord) -> None:
         self.record = record
@@ -60,11 +77,24 @@
         self.slots = max(1, record.slots)
         self.failures = 0
         self.ejected_until_s = 0.0
+        self._delay_ms = 0.0
+        self._delayed_s = 0.0
 
     def load(self, now_s: float) -> float:
         """Return the requests that it probably has, running and waiting."""
         return self.own + self.others * math.exp((self.told_s - now_s) / LOAD_FADES_S)
 
+    def answered(self, head_s: float, tokens_in: int, now_s: float) -> None:
+        """Take the time to an answer's head; reading the prompt is not counted as delay."""
+        delay_ms = max(0.0, head_s * 1000 - tokens_in / READ_TOKENS_PER_MS)
+        known_ms = self.delay_ms(now_s)
+        self._delay_ms = known_ms + (delay_ms - known_ms) * DELAY_WEIGHT
+        self._delayed_s = now_s
+
+    def delay_ms(self, now_s: float) -> float:
+        """Return by how much its heads were late lately; forgotten when it is not asked."""
+        return self._delay_ms * math.exp((self._delayed_s - now_s) / DELAY_FADES_S)
+
     def told(self, load: EngineLoad, now_s: float) -> None:
         """Take the load that came with an answer of a request that is still counted here."""
         self.others = max(0.0, load.running + load.waiting - self.own)
@@ -170,6 +200,7 @@
             cost_ms += OTHER_ZONE_COST_MS
         if home and seat.record.runner_id != home:
             cost_ms += _shared_tokens(parts) / READ_TOKENS_PER_MS
+        cost_ms += seat.delay_ms(now_s) * DELAY_COST
         if seat.failures:
             cost_ms += FAILED_COST_MS
         # Several gateways that see the same loads must not all choose the same back end.
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.gateway.retry import RetryBudget
 from leverjunction.proxy.answers import (
     no_route,
     no_runner,
@@ -14,13 +15,14 @@
     out_of_time,
     status_of,
 )
-from leverjunction.proxy.attempt import OpenedAnswer, Sender
-from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.attempt import OpenedAnswer, Patience, Sender
+from leverjunction.proxy.balancer import READ_TOKENS_PER_MS, Balancer
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.dialect import Dialect, RequestFacts
 from leverjunction.proxy.events import EventSplitter
 from leverjunction.proxy.headers import end_to_end, find
 from leverjunction.proxy.journal import ProxyJournal
+from leverjunction.proxy.patience import MOVE_RATIO, HeadTimes
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass
@@ -31,8 +33,6 @@
 DECLINED_MOST = 4
 """Back ends that may decline a request before the caller is told to come back."""
 
-SILENT_TARGETS = 3.0
-SILENT_MIN_S = 0.4
 STREAM_SILENCE_S = 2.0
 """Silence after which a stream that may be continued moves to another back end."""
 
@@ -110,6 +110,8 @@
         self._local = local
         self._loop = asyncio.get_running_loop()
         self._index: RouteIndex | None = None
+        self._head_times: dict[str, HeadTimes] = {}
+        self._budget = RetryBudget()
 
     def set_table(self, index: RouteIndex) -> None:
         """Take a newer route table; requests under way keep theirs."""
@@ -132,6 +134,7 @@
         timeout_ms = min(facts.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
         until_s = request.arrived_s + timeout_ms / 1000
         work = Work(request, facts, route, draw_service(route, self._random), until_s)
+        self._budget.request(work.service, MOVE_RATIO, self._loop.time())
         try:
             await self._forward(work, responder)
         except asyncio.CancelledError:
@@ -174,6 +177,7 @@
                 return no_runner(work.service)
             seat = choice.seat
             work.tried.add(seat.record.runner_id)
+            sent_s = self._loop.time()
             answer = await self._sender.send(
                 work.request,
                 work.facts,
@@ -181,12 +185,13 @@
                 repeatable=work.route.repeatable,
                 last_event_id=last_event_id,
                 until_s=work.until_s,
-                head_until_s=self._head_until_s(work, now_s),
+                patience=self._patience(work, now_s),
             )
             self._journal.sent(work, choice, answer)
             if not isinstance(answer, Failure):
                 work.runs += 1
                 work.execution = Execution.UNKNOWN
+                self._times_of(work.route).note(self._loop.time() - sent_s)
                 return answer
             if answer.execution is Execution.NOT_RUN:
                 declined += 1
@@ -198,12 +203,19 @@
             if not work.may_run_again:
                 return answer
 
-    def _head_until_s(self, work: Work, now_s: float) -> float:
+    def _patience(self, work: Work, now_s: float) -> Patience:
         """Return how long to wait for a head before another back end is asked instead."""
         if not work.route.repeatable or work.runs + 1 >= max(1, work.route.max_attempts):
-            return work.until_s
-        patience_s = max(SILENT_MIN_S, work.route.target_ms * SILENT_TARGETS / 1000)
-        return min(work.until_s, now_s + patience_s)
+            return Patience.until(work.until_s)
+        patience_s = self._times_of(work.route).patience_s(work.route.target_ms)
+        soft_s = now_s + patience_s + work.facts.tokens_in / READ_TOKENS_PER_MS / 1000
+        return Patience(work.until_s, soft_s, lambda: self._may_move(work))
+
+    def _may_move(self, work: Work) -> bool:
+        return self._budget.take(work.service, self._loop.time())
+
+    def _times_of(self, route: Route) -> HeadTimes:
+        return self._head_times.setdefault(route.name, HeadTimes())
 
     async def _pass_whole(
         self, work: Work, answer: OpenedAnswer, responder: Responder
--- a/tests/unit/test_proxy_contract.py
+++ b/tests/unit/test_proxy_contract.py
@@ -256,3 +256,34 @@
         started_s = time.monotonic()
         assert caller._socket.recv(100).startswith(b"HTTP/1.1 408")
         assert time.monotonic() - started_s < 0.6
+
+
+def test_a_lost_answer_is_asked_for_again_before_it_is_late(
+    first: RunnerStandIn, second: RunnerStandIn
+) -> None:
+    with Proxy(full_table(), [first, second]) as proxy:
+        for _ in range(40):
+            assert proxy.ask(REPEATABLE).status == 200
+        first.usual = "silent"
+        replies = [proxy.ask(REPEATABLE) for _ in range(4)]
+    assert [reply.status for reply in replies] == [200] * 4
+    # The route aims at 200 ms.
+    assert max(reply.after_s for reply in replies) < 0.3
+
+
+def test_under_overload_requests_are_not_moved_without_end(
+    first: RunnerStandIn, second: RunnerStandIn
+) -> None:
+    with Proxy(full_table(), [first, second]) as proxy:
+        for _ in range(40):
+            assert proxy.ask(REPEATABLE).status == 200
+        served = len(first.seen) + len(second.seen)
+        first.usual = second.usual = "silent"
+        callers = [proxy.caller() for _ in range(60)]
+        headers = request_headers(Leverjunction_Deadline_Ms="900")
+        for caller in callers:
+            caller.send("POST", REPEATABLE, headers, b"ask")
+        replies = [caller.receive() for caller in callers]
+    assert {reply.status for reply in replies} == {504}
+    moved = len(first.seen) + len(second.seen) - served - len(callers)
+    assert moved <= 30
--- /dev/null
+++ b/tests/unit/test_proxy_patience.py
@@ -0,0 +1,67 @@
+"""How long a head is waited for, and which back ends are avoided for being slow."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.patience import FEW_HEADS, HeadTimes
+from leverjunction.registry import RunnerRecord
+
+
+def times(*heads_s: float) -> HeadTimes:
+    seen = HeadTimes()
+    for head_s in heads_s:
+        seen.note(head_s)
+    return seen
+
+
+@pytest.mark.parametrize(("target_ms", "patience_s"), [(50.0, 0.4), (500.0, 1.5)])
+def test_without_experience_a_head_is_waited_for_long(target_ms: float, patience_s: float) -> None:
+    seen = times(*[0.01] * (FEW_HEADS - 1))
+    assert seen.patience_s(target_ms) == pytest.approx(patience_s)
+
+
+@pytest.mark.parametrize(
+    ("head_s", "target_ms", "patience_s"), [(0.04, 125.0, 0.1), (0.01, 400.0, 0.2)]
+)
+def test_patience_follows_the_heads_that_came(
+    head_s: float, target_ms: float, patience_s: float
+) -> None:
+    assert times(*[head_s] * 30).patience_s(target_ms) == pytest.approx(patience_s)
+
+
+def test_rare_late_heads_do_not_make_it_patient() -> None:
+    assert times(*[0.03] * 60, 2.0, 2.0).patience_s(100.0) == pytest.approx(0.075)
+
+
+def test_overload_makes_it_patient() -> None:
+    assert times(*[0.5] * 40).patience_s(100.0) == pytest.approx(1.25)
+
+
+def balancer(count: int = 3) -> Balancer:
+    made = Balancer("z", Random(1))
+    made.replace(
+        RunnerRecord(runner_id=f"i-{number}", service="s", address="a:1", zone="z", slots=8)
+        for number in range(count)
+    )
+    return made
+
+
+def test_a_back_end_whose_heads_come_late_is_avoided_for_a_while() -> None:
+    made = balancer()
+    slow = made.seats("s")[0]
+    for _ in range(5):
+        slow.answered(0.5, tokens_in=0, now_s=10.0)
+    chosen = [made.choose("s", (), (), 10.0) for _ in range(20)]
+    assert all(choice is not None and choice.seat is not slow for choice in chosen)
+    later = [made.choose("s", (), (), 60.0) for _ in range(40)]
+    assert any(choice is not None and choice.seat is slow for choice in later)
+
+
+def test_reading_a_long_prompt_does_not_count_as_slow() -> None:
+    seat = balancer(1).seats("s")[0]
+    seat.answered(0.2, tokens_in=16_000, now_s=1.0)
+    assert seat.delay_ms(1.0) == 0
