--- /dev/null
+++ b/src/leverjunction/lots/load_watch.py
@@ -0,0 +1,109 @@
+"""Reads the back ends' load while there is batch work, and keeps the room that follows from it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from loguru import logger
+
+from leverjunction.lots.room import SeatRoom, ServiceRoom
+from leverjunction.proxy.attempt import Sender
+from leverjunction.proxy.balancer import Balancer, RunnerSeat
+from leverjunction.proxy.dialect import Dialect
+
+READ_INTERVAL_S = 0.25
+READ_TIMEOUT_S = 0.6
+TELL_INTERVAL_S = 5.0
+NEAR_ROOM = 3
+"""Slots that a back end in this zone must have free to be preferred to one with more elsewhere."""
+
+
+class LoadWatch:
+    """Used by one event loop."""
+
+    def __init__(self, sender: Sender, balancer: Balancer, dialect: Dialect, zone: str) -> None:
+        self._sender = sender
+        self._balancer = balancer
+        self._dialect = dialect
+        self._zone = zone
+        self._rooms: dict[str, ServiceRoom] = {}
+        self._reading: dict[str, asyncio.Task[None]] = {}
+        self._told_s = float("-inf")
+        self._loop = asyncio.get_running_loop()
+
+    def clear(self) -> None:
+        """Forget all: another store leads the group."""
+        self._rooms.clear()
+
+    def keep(self, runner_ids: frozenset[str]) -> None:
+        """Forget back ends that are gone."""
+        for room in self._rooms.values():
+            room.keep(runner_ids)
+
+    def read(self, services: Iterable[str]) -> None:
+        """Ask every back end of these services for its load, a few times a second."""
+        now_s = self._loop.time()
+        for service in services:
+            self._room(service).note(now_s)
+            for seat in self._balancer.seats(service):
+                key = seat.record.runner_id
+                if key not in self._reading:
+                    self._reading[key] = self._loop.create_task(self._read(seat))
+
+    def room_at(self, seat: RunnerSeat) -> SeatRoom:
+        """Return what is known of one back end."""
+        return self._room(seat.record.service).seat(seat.record.runner_id, seat.record.slots)
+
+    def free_seat(self, service: str) -> RunnerSeat | None:
+        """Return the back end with most room for batch; None while online requests need it all."""
+        now_s = self._loop.time()
+        if self._room(service).allowance(now_s) <= 0:
+            return None
+        free = [
+            (self.room_at(seat).free(now_s), seat)
+            for seat in self._balancer.seats(service)
+            if seat.ejected_until_s <= now_s
+        ]
+        room, seat = max(free, key=self._preference, default=(0, None))
+        return seat if room > 0 else None
+
+    def tell(self, open_items: int, running: int) -> None:
+        """Say every few seconds how much runs, and why not more."""
+        now_s = self._loop.time()
+        if now_s - self._told_s < TELL_INTERVAL_S:
+            return
+        self._told_s = now_s
+        for service, room in self._rooms.items():
+            logger.info(
+                "batch of {}: {} open, {} running, {} may be added; online peak {}, now {},"
+                " {} slots read",
+                service,
+                open_items,
+                running,
+                *room.figures(now_s),
+            )
+
+    def _room(self, service: str) -> ServiceRoom:
+        return self._rooms.setdefault(service, ServiceRoom())
+
+    def _preference(self, candidate: tuple[int, RunnerSeat]) -> tuple[bool, int, str]:
+        """Rank back ends: with room in this zone, as bodies are large; then by room."""
+        room, seat = candidate
+        near = seat.record.zone == self._zone and room >= NEAR_ROOM
+        return (near, room, seat.record.runner_id)
+
+    async def _read(self, seat: RunnerSeat) -> None:
+        path, headers = self._dialect.load_request()
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                body = await self._sender.fetch(seat.record.address, path, headers)
+            load = self._dialect.read_load(body) if isinstance(body, bytes) else None
+            if load is not None:
+                self.room_at(seat).told(load.running, load.waiting, self._loop.time())
+            await asyncio.sleep(READ_INTERVAL_S)
+        except TimeoutError:
+            # The reading grows old, and then nothing is added there.
+            pass
+        finally:
+            self._reading.pop(seat.record.runner_id, None)
--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -15,10 +15,13 @@
 
 import h11
 
-ID_HEADER = "Leverjunction-Request-Id"
-STAMP_HEADER = "Leverjunction-Server-Stamp"
-NOT_RUN_HEADER = "Leverjunction-Not-Executed"
-EXPECT_HEADER = "leverjunction-expect-instance"
+from leverjunction.platform import headers as names
+
+ID_HEADER = names.REQUEST_ID.decode()
+STAMP_HEADER = names.SERVER_STAMP.decode()
+NOT_RUN_HEADER = names.NOT_EXECUTED.decode()
+EXPECT_HEADER = names.EXPECT_INSTANCE.decode().lower()
+REPORT_TARGET = names.REPORT_PATH.decode()
 EVENTS = 5
 READ_BYTES = 65536
 SILENCE_S = 30.0
@@ -111,6 +114,10 @@
                 seen = await _read_request(parser, reader)
                 if seen is None:
                     break
+                if seen.target == REPORT_TARGET:
+                    await BEHAVIOURS["report"](_Exchange(seen, parser, reader, writer))
+                    parser.start_next_cycle()
+                    continue
                 self.seen.append(seen)
                 name = self._next.popleft() if self._next else self.usual
                 if seen.headers.get(EXPECT_HEADER, self.runner_id) != self.runner_id:
@@ -212,6 +219,14 @@
             return None
 
 
+@_behaviour("report")
+async def _report(exchange: _Exchange) -> None:
+    body = b'{"Running":0,"Waiting":0}'
+    exchange.head(200, [("Content-Length", str(len(body)))])
+    exchange.data(body)
+    exchange.end()
+
+
 @_behaviour("whole")
 async def _whole(exchange: _Exchange) -> None:
     body = b"answer to " + exchange.seen.target.encode()
--- /dev/null
+++ b/tests/unit/test_lots_runner.py
@@ -0,0 +1,189 @@
+"""Items run to their end at back ends that misbehave; results are listed once."""
+
+from __future__ import annotations
+
+import sqlite3
+import threading
+import time
+from collections.abc import Iterator
+from random import Random
+
+import pytest
+from tests.unit.seeded_support import wait_until
+
+from leverjunction.clock import SystemClock
+from leverjunction.consensus.api import ApplyContext, GroupStatus
+from leverjunction.errors import Failure
+from leverjunction.lots.commands import (
+    EndLot,
+    LotItem,
+    ReadResults,
+    ResultsPage,
+    SubmitLot,
+    encode_command,
+)
+from leverjunction.lots.runner import LotsRunner
+from leverjunction.lots.state_machine import LotsStateMachine
+from leverjunction.platform.headers import PlatformDialect
+from leverjunction.registry.follower import Snapshot
+from leverjunction.registry.records import FleetView, RunnerRecord
+from leverjunction.routes import RouteClass
+from leverjunction.wire.codec import decode_reply, encode
+from testbed.routed import HOST, SERVICE, RunnerStandIn, make_route, make_table
+
+WHOLE_TEXT = "\n".join(f"event {number}" for number in range(1, 6))
+
+
+class OneStore:
+    """A group of one replica, without a log."""
+
+    def __init__(self) -> None:
+        self.role = "leader"
+        self.runner: LotsRunner | None = None
+        self._lock = threading.Lock()
+        self._machine = LotsStateMachine()
+        self._connection = sqlite3.connect(":memory:", check_same_thread=False)
+        self._machine.create_tables(self._connection)
+        self._index = 0
+
+    def propose(self, command: bytes, timeout_s: float) -> bytes | Failure:
+        with self._lock:
+            self._index += 1
+            wall_ms = SystemClock().wall_ms()
+            context = ApplyContext(index=self._index, term=1, wall_ms=wall_ms)
+            reply = self._machine.apply(self._connection, context, command)
+        if self.runner is not None:
+            self.runner.changed()
+        return reply
+
+    def query(self, query: bytes, timeout_s: float) -> bytes | Failure:
+        return self.query_local(query)
+
+    def query_local(self, query: bytes) -> bytes:
+        with self._lock:
+            return self._machine.query(self._connection, query)
+
+    def status(self) -> GroupStatus:
+        return GroupStatus(
+            group="jobs-0",
+            replica_id="r",
+            role=self.role,
+            term=1,
+            leader_address="",
+            commit_index=self._index,
+            applied_index=self._index,
+            voters=[],
+            learners=[],
+            leader_contact_age_s=0.0,
+        )
+
+    def results(self, lot: str = "lot") -> dict[str, tuple[str, str]]:
+        """State and text of each listed item; fails when one is listed twice."""
+        page = decode_reply(self.query_local(encode(ReadResults(lot, 0, 10**6))), ResultsPage)
+        assert isinstance(page, ResultsPage)
+        listed = {item.item_id: (item.state.value, item.text) for item in page.results}
+        assert len(listed) == len(page.results)
+        return listed
+
+
+@pytest.fixture
+def store() -> OneStore:
+    return OneStore()
+
+
+@pytest.fixture
+def back_end() -> Iterator[RunnerStandIn]:
+    with RunnerStandIn("i-1", usual="stream") as runner:
+        yield runner
+
+
+@pytest.fixture
+def runner(store: OneStore, back_end: RunnerStandIn) -> Iterator[LotsRunner]:
+    made = LotsRunner(store, "z", PlatformDialect(), SystemClock(), Random(1))
+    store.runner = made
+    record = RunnerRecord(
+        runner_id="i-1", service=SERVICE, address=back_end.address, zone="z", slots=8
+    )
+    table = make_table(make_route(RouteClass.BATCH, max_attempts=3))
+    made.set_registry(Snapshot(table, FleetView(revision=1, runners=(record,))))
+    made.start()
+    yield made
+    made.stop()
+
+
+def submit(store: OneStore, count: int) -> list[str]:
+    names = [f"item-{number}" for number in range(count)]
+    lot = SubmitLot(
+        lot_id="lot",
+        host=HOST,
+        path="/batch/lot",
+        max_attempts=3,
+        give_up_s=60.0,
+        due_ms=20_000.0,
+        items=tuple(
+            LotItem(
+                item_id=name, path=f"/batch/{name}", headers=(("X-A", "b"),), body=b"b", tokens=9
+            )
+            for name in names
+        ),
+    )
+    store.propose(encode_command(lot), 1.0)
+    return names
+
+
+@pytest.mark.usefixtures("runner")
+def test_all_items_are_done_whole(store: OneStore, back_end: RunnerStandIn) -> None:
+    names = submit(store, 20)
+    wait_until(lambda: len(store.results()) == 20)
+    assert store.results() == {name: ("done", WHOLE_TEXT) for name in names}
+    seen = back_end.seen[0]
+    assert (seen.method, seen.headers["host"], seen.headers["x-a"]) == ("POST", HOST, "b")
+    ids = sorted(run.headers["leverjunction-request-id"] for run in back_end.seen)
+    assert ids == sorted(names)
+
+
+@pytest.mark.usefixtures("runner")
+@pytest.mark.parametrize(
+    "behaviour",
+    ["stream cut in an event", "reset", "no answer", "crossed", "not run", "no bytes of HTTP"],
+)
+def test_a_run_that_breaks_is_continued(
+    store: OneStore, back_end: RunnerStandIn, behaviour: str
+) -> None:
+    back_end.then(behaviour)
+    submit(store, 1)
+    wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)})
+    last = back_end.seen[-1].headers.get("last-event-id")
+    assert last == ("1" if behaviour == "stream cut in an event" else None)
+
+
+@pytest.mark.usefixtures("runner")
+@pytest.mark.parametrize(("behaviour", "runs"), [("unprocessable", 1), ("fault", 3)])
+def test_an_item_that_cannot_be_done_is_given_up(
+    store: OneStore, back_end: RunnerStandIn, behaviour: str, runs: int
+) -> None:
+    back_end.usual = behaviour
+    submit(store, 1)
+    wait_until(lambda: store.results() == {"item-0": ("dead", "")})
+    time.sleep(0.5)
+    assert len(back_end.seen) == runs
+
+
+@pytest.mark.usefixtures("runner")
+def test_an_ended_lot_frees_its_back_ends(store: OneStore, back_end: RunnerStandIn) -> None:
+    back_end.usual = "stream that stops"
+    submit(store, 3)
+    wait_until(lambda: len(back_end.seen) == 3)
+    store.propose(encode_command(EndLot("lot")), 1.0)
+    wait_until(lambda: all(run.gone_after_s is not None for run in back_end.seen), 2.0)
+
+
+@pytest.mark.usefixtures("runner")
+def test_a_store_that_does_not_lead_runs_nothing(store: OneStore, back_end: RunnerStandIn) -> None:
+    back_end.usual = "stream that stops"
+    submit(store, 2)
+    wait_until(lambda: len(back_end.seen) == 2)
+    store.role = "follower"
+    wait_until(lambda: all(run.gone_after_s is not None for run in back_end.seen), 2.0)
+    time.sleep(0.6)
+    assert len(back_end.seen) == 2
