Balancer: long prompts are read by a third of a service's back ends, short requests stay away

Change: readers by rendezvous hash of the service, the same at all gateways; long prompts (200 ms and more) go there, each shared part to its home; short ones pay 30 ms for a reader, only while long ones come; what is being read for this gateway counts as delay.

--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
-from leverjunction.proxy.balancer import Balancer, RunnerSeat
+from leverjunction.proxy.balancer import READ_TOKENS_PER_MS, Balancer, RunnerSeat
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import AnswerFacts, Dialect, RawHeaders, RequestFacts
 from leverjunction.proxy.headers import end_to_end, find
@@ -112,7 +112,9 @@
         Returns:
             The answer; or a failure that says whether the request may have run.
         """
+        read_ms = facts.tokens_in / READ_TOKENS_PER_MS
         seat.own += 1
+        seat.reading_ms += read_ms
         try:
             opened = await self._open(
                 request, facts, seat, repeatable, last_event_id, until_s, patience
@@ -120,6 +122,8 @@
         except BaseException:
             seat.own -= 1
             raise
+        finally:
+            seat.reading_ms -= read_ms
         if isinstance(opened, Failure):
             seat.own -= 1
         return opened
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -35,6 +35,17 @@
 DELAY_COST = 0.5
 """Cost of each millisecond by which a back end's heads were late: slow ones get less."""
 
+LONG_READ_MS = 200.0
+"""A prompt that takes so long to read is long: requests behind it would be late."""
+
+LONG_SEEN_S = 20.0
+READER_SHARE = 1 / 3
+READERS_FROM = 3
+"""Back ends that a service must have for some of them to be readers."""
+
+READER_COST_MS = 30.0
+"""Cost of a reader for other requests, which may find it reading: five requests' worth."""
+
 OTHER_ZONE_COST_MS = 4.0
 FAILED_COST_MS = 2_000.0
 SHARED_TOKENS_MIN = 512
@@ -44,12 +55,43 @@
 EJECT_MOST_S = 8.0
 
 
+class Prompt:
+    """What matters of a prompt for the choice.
+
+    Attributes:
+        parts: Its parts, in order; the last one is the request's own.
+        tokens: Its length.
+    """
+
+    __slots__ = ("parts", "tokens")
+
+    def __init__(self, parts: tuple[PromptPart, ...], tokens: int) -> None:
+        self.parts = parts
+        self.tokens = tokens
+
+    @property
+    def read_ms(self) -> float:
+        """Time to read it whole."""
+        return self.tokens / READ_TOKENS_PER_MS
+
+    @property
+    def is_long(self) -> bool:
+        """Whether requests behind it would be late."""
+        return self.read_ms >= LONG_READ_MS
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens that other requests may share."""
+        return sum(part.tokens for part in self.parts[:-1])
+
+
 class RunnerSeat:
     """What this gateway knows of one back end.
 
     Attributes:
         record: Its record in the registry.
         own: Requests of this gateway that it works on.
+        reading_ms: Time to read the prompts of those whose answers have not begun.
         others: Requests of others, as of ``told_s``.
         told_s: When it last told its load.
         slots: Requests that it can work on.
@@ -64,6 +106,7 @@
         "failures",
         "others",
         "own",
+        "reading_ms",
         "record",
         "slots",
         "told_s",
@@ -72,6 +115,7 @@
     def __init__(self, record: RunnerRecord) -> None:
         self.record = record
         self.own = 0
+        self.reading_ms = 0.0
         self.others = 0.0
         self.told_s = 0.0
         self.slots = max(1, record.slots)
@@ -122,13 +166,15 @@
 class Balancer:
     """All back ends, by service. Used by one thread only."""
 
-    __slots__ = ("_by_service", "_random", "_seats", "_zone")
+    __slots__ = ("_by_service", "_long_s", "_random", "_readers", "_seats", "_zone")
 
     def __init__(self, zone: str, random: Random) -> None:
         self._zone = zone
         self._random = random
         self._seats: dict[str, RunnerSeat] = {}
         self._by_service: dict[str, list[RunnerSeat]] = {}
+        self._readers: frozenset[str] = frozenset()
+        self._long_s: dict[str, float] = {}
 
     def replace(self, records: Iterable[RunnerRecord]) -> None:
         """Take the registry's records; what is known of a runner that stays is kept."""
@@ -141,6 +187,9 @@
             by_service.setdefault(record.service, []).append(seat)
         self._seats = seats
         self._by_service = by_service
+        self._readers = frozenset(
+            key for service, members in by_service.items() for key in _readers_of(service, members)
+        )
 
     def seats(self, service: str) -> list[RunnerSeat]:
         """Return the back ends of a service that take new work."""
@@ -152,7 +201,7 @@
     def choose(
         self,
         service: str,
-        parts: tuple[PromptPart, ...],
+        prompt: Prompt,
         avoided: Collection[str],
         now_s: float,
     ) -> Choice | None:
@@ -160,7 +209,7 @@
 
         Args:
             service: Service of the request.
-            parts: Parts of its prompt.
+            prompt: Its prompt.
             avoided: Ids of back ends that were tried already.
             now_s: Monotonic time.
         """
@@ -168,8 +217,10 @@
         if not seats:
             return None
         sound = [seat for seat in seats if seat.ejected_until_s <= now_s] or seats
-        home = _home_of(parts, sound)
-        best = min(sound, key=lambda seat: self._cost_ms(seat, home, parts, now_s))
+        if prompt.is_long:
+            self._long_s[service] = now_s
+        home = self._home_of(prompt, sound)
+        best = min(sound, key=lambda seat: self._cost_ms(seat, home, prompt, now_s))
         return Choice(best, best.load(now_s), len(sound))
 
     def free_slots(self, service: str, now_s: float) -> float:
@@ -191,7 +242,7 @@
         self,
         seat: RunnerSeat,
         home: str,
-        parts: tuple[PromptPart, ...],
+        prompt: Prompt,
         now_s: float,
     ) -> float:
         load = seat.load(now_s)
@@ -199,28 +250,51 @@
         if seat.record.zone != self._zone:
             cost_ms += OTHER_ZONE_COST_MS
         if home and seat.record.runner_id != home:
-            cost_ms += _shared_tokens(parts) / READ_TOKENS_PER_MS
+            cost_ms += prompt.shared_tokens / READ_TOKENS_PER_MS
+        cost_ms += seat.reading_ms
+        reads = seat.record.runner_id in self._readers
+        if prompt.is_long and not reads:
+            # What comes after it there waits until it is read.
+            cost_ms += prompt.read_ms
+        elif reads and not prompt.is_long and self._reads_long(seat.record.service, now_s):
+            cost_ms += READER_COST_MS
         cost_ms += seat.delay_ms(now_s) * DELAY_COST
         if seat.failures:
             cost_ms += FAILED_COST_MS
         # Several gateways that see the same loads must not all choose the same back end.
         return cost_ms + self._random.uniform(0, BUSY_COST_MS)
 
+    def _reads_long(self, service: str, now_s: float) -> bool:
+        """Return whether a service has had long prompts lately; others need no readers."""
+        return now_s - self._long_s.get(service, float("-inf")) <= LONG_SEEN_S
 
-def _shared_tokens(parts: tuple[PromptPart, ...]) -> int:
-    """Return the tokens that other requests may share: the last part is the request's own."""
-    return sum(part.tokens for part in parts[:-1])
+    def _home_of(self, prompt: Prompt, seats: list[RunnerSeat]) -> str:
+        """Return the back end on which requests with the same large shared part are kept together.
 
+        Rendezvous hashing: all gateways choose the same one, and few move when back ends come
+        and go. Long prompts have theirs among the readers, others elsewhere.
+        """
+        if prompt.shared_tokens < SHARED_TOKENS_MIN:
+            return ""
+        key = max(prompt.parts[:-1], key=lambda part: part.tokens).key
+        ids = [seat.record.runner_id for seat in seats]
+        fitting = [item for item in ids if (item in self._readers) is prompt.is_long]
+        return max(fitting or ids, key=lambda item: _rank(key, item))
 
-def _home_of(parts: tuple[PromptPart, ...], seats: list[RunnerSeat]) -> str:
-    """Return the back end on which requests with the same large shared part are kept together.
 
-    Rendezvous hashing: all gateways choose the same one, and few move when back ends come and go.
+def _readers_of(service: str, seats: list[RunnerSeat]) -> list[str]:
+    """Return the back ends that read long prompts; all gateways choose the same ones.
+
+    No gateway knows what the others have just sent. With long prompts anywhere, any short request
+    may find itself behind one; so they are kept to a third of the back ends, which get less of
+    the rest.
     """
-    if _shared_tokens(parts) < SHARED_TOKENS_MIN:
-        return ""
-    key = max(parts[:-1], key=lambda part: part.tokens).key
-    return max(
-        (seat.record.runner_id for seat in seats),
-        key=lambda runner_id: xxhash.xxh64_intdigest(f"{key}|{runner_id}".encode()),
-    )
+    ids = [seat.record.runner_id for seat in seats]
+    if len(ids) < READERS_FROM:
+        return []
+    ranked = sorted(ids, key=lambda item: _rank(service, item), reverse=True)
+    return ranked[: max(1, round(len(ids) * READER_SHARE))]
+
+
+def _rank(key: str, runner_id: str) -> int:
+    return xxhash.xxh64_intdigest(f"{key}|{runner_id}".encode())
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -16,7 +16,7 @@
     status_of,
 )
 from leverjunction.proxy.attempt import OpenedAnswer, Patience, Sender
-from leverjunction.proxy.balancer import READ_TOKENS_PER_MS, Balancer
+from leverjunction.proxy.balancer import Balancer, Prompt
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.dialect import Dialect, RequestFacts
 from leverjunction.proxy.events import EventSplitter
@@ -48,6 +48,7 @@
     Attributes:
         request: The caller's request.
         facts: What its headers say.
+        prompt: Its prompt.
         route: Its route.
         service: Service that was drawn for it.
         until_s: When its answer must be complete.
@@ -59,6 +60,7 @@
     __slots__ = (
         "execution",
         "facts",
+        "prompt",
         "request",
         "route",
         "runs",
@@ -77,6 +79,7 @@
     ) -> None:
         self.request = request
         self.facts = facts
+        self.prompt = Prompt(facts.parts, facts.tokens_in)
         self.route = route
         self.service = service
         self.until_s = until_s
@@ -171,8 +174,8 @@
             if now_s >= work.until_s:
                 return out_of_time(work.execution)
             choice = self._balancer.choose(
-                work.service, work.facts.parts, work.tried, now_s
-            ) or self._balancer.choose(work.service, work.facts.parts, (), now_s)
+                work.service, work.prompt, work.tried, now_s
+            ) or self._balancer.choose(work.service, work.prompt, (), now_s)
             if choice is None:
                 return no_runner(work.service)
             seat = choice.seat
@@ -208,7 +211,7 @@
         if not work.route.repeatable or work.runs + 1 >= max(1, work.route.max_attempts):
             return Patience.until(work.until_s)
         patience_s = self._times_of(work.route).patience_s(work.route.target_ms)
-        soft_s = now_s + patience_s + work.facts.tokens_in / READ_TOKENS_PER_MS / 1000
+        soft_s = now_s + patience_s + work.prompt.read_ms / 1000
         return Patience(work.until_s, soft_s, lambda: self._may_move(work))
 
     def _may_move(self, work: Work) -> bool:
--- /dev/null
+++ b/tests/unit/test_proxy_balancer.py
@@ -0,0 +1,121 @@
+"""Which back end a request goes to."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+from leverjunction.proxy.balancer import Balancer, Prompt
+from leverjunction.proxy.dialect import EngineLoad, PromptPart
+from leverjunction.registry import RunnerRecord, RunnerState
+
+SHORT = Prompt((), 500)
+
+
+def records(count: int, **states: RunnerState) -> list[RunnerRecord]:
+    return [
+        RunnerRecord(
+            runner_id=f"i{number}",
+            service="s",
+            address="a:1",
+            zone="z",
+            slots=8,
+            state=states.get(f"i{number}", RunnerState.READY),
+        )
+        for number in range(count)
+    ]
+
+
+def balancer(count: int, seed: int = 1, **states: RunnerState) -> Balancer:
+    made = Balancer("z", Random(seed))
+    made.replace(records(count, **states))
+    return made
+
+
+def chosen(made: Balancer, prompt: Prompt, times: int = 60, now_s: float = 1.0) -> Counter[str]:
+    """Choose without sending: all back ends stay as loaded as they are."""
+    choices = [made.choose("s", prompt, (), now_s) for _ in range(times)]
+    return Counter(choice.seat.record.runner_id for choice in choices if choice is not None)
+
+
+def long_prompt(key: str) -> Prompt:
+    return Prompt((PromptPart(key, 20_000), PromptPart("own", 4_000)), 24_000)
+
+
+def test_long_prompts_go_to_a_third_of_the_back_ends_and_others_stay_away() -> None:
+    made = balancer(6)
+    readers = set()
+    for number in range(40):
+        readers |= set(chosen(made, long_prompt(f"part-{number}"), times=3))
+    assert len(readers) == 2
+    assert not readers & set(chosen(made, SHORT))
+
+
+def test_all_gateways_choose_the_same_readers() -> None:
+    """No gateway knows what the others have sent; short requests met long ones at any back end."""
+    seen = [set(chosen(balancer(6, seed), long_prompt("part"))) for seed in range(5)]
+    assert all(item == seen[0] and len(item) == 1 for item in seen)
+
+
+def test_a_service_without_long_prompts_uses_all_alike() -> None:
+    made = balancer(6)
+    assert len(chosen(made, SHORT)) == 6
+    chosen(made, long_prompt("part"), times=1)
+    assert len(chosen(made, SHORT)) == 4
+    assert len(chosen(made, SHORT, now_s=60.0)) == 6
+
+
+def test_two_back_ends_read_all_prompts() -> None:
+    made = balancer(2)
+    assert len(chosen(made, SHORT)) == 2
+
+
+def test_readers_help_out_when_the_others_are_loaded() -> None:
+    made = balancer(6)
+    readers = {key for n in range(40) for key in chosen(made, long_prompt(f"part-{n}"), 3)}
+    for seat in made.seats("s"):
+        if seat.record.runner_id not in readers:
+            seat.told(EngineLoad(running=8, waiting=0, slots=8), 1.0)
+    assert set(chosen(made, SHORT)) <= readers
+
+
+def test_what_is_being_read_for_this_gateway_delays_what_comes_after_it() -> None:
+    made = balancer(2)
+    made.seats("s")[0].reading_ms = 300.0
+    assert set(chosen(made, SHORT)) == {"i1"}
+
+
+def test_leaving_silent_and_tried_back_ends_get_nothing() -> None:
+    made = balancer(3, i0=RunnerState.LEAVING, i1=RunnerState.SILENT)
+    assert set(chosen(made, SHORT)) == {"i2"}
+    assert made.choose("s", SHORT, {"i2"}, 1.0) is None
+    assert made.choose("other", SHORT, (), 1.0) is None
+
+
+def test_silence_towards_control_alone_does_not_stop_a_service() -> None:
+    made = balancer(2, i0=RunnerState.SILENT, i1=RunnerState.LEAVING)
+    assert set(chosen(made, SHORT)) == {"i0"}
+
+
+def test_a_back_end_that_failed_is_left_alone_for_a_while() -> None:
+    made = balancer(2)
+    failing = made.seats("s")[0]
+    made.failed(failing, 1.0)
+    assert set(chosen(made, SHORT, now_s=1.4)) == {"i1"}
+    made.failed(made.seats("s")[1], 1.0)
+    assert len(chosen(made, SHORT, now_s=1.4)) == 2
+
+
+def test_what_is_known_of_a_back_end_outlives_a_change_of_the_registry() -> None:
+    made = balancer(2)
+    made.seats("s")[0].own = 3
+    made.replace(records(3))
+    assert [seat.own for seat in made.seats("s")] == [3, 0, 0]
+
+
+def test_others_requests_fade_and_own_ones_do_not() -> None:
+    seat = balancer(1).seats("s")[0]
+    seat.own = 2
+    seat.told(EngineLoad(running=6, waiting=1, slots=8), 10.0)
+    assert seat.load(10.0) == 7
+    assert 2 < seat.load(15.0) < 4
--- a/tests/unit/test_proxy_patience.py
+++ b/tests/unit/test_proxy_patience.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.balancer import Balancer, Prompt
 from leverjunction.proxy.patience import FEW_HEADS, HeadTimes
 from leverjunction.registry import RunnerRecord
 
@@ -41,7 +41,10 @@
     assert times(*[0.5] * 40).patience_s(100.0) == pytest.approx(1.25)
 
 
-def balancer(count: int = 3) -> Balancer:
+SHORT = Prompt((), 500)
+
+
+def balancer(count: int = 2) -> Balancer:
     made = Balancer("z", Random(1))
     made.replace(
         RunnerRecord(runner_id=f"i-{number}", service="s", address="a:1", zone="z", slots=8)
@@ -55,9 +58,9 @@
     slow = made.seats("s")[0]
     for _ in range(5):
         slow.answered(0.5, tokens_in=0, now_s=10.0)
-    chosen = [made.choose("s", (), (), 10.0) for _ in range(20)]
+    chosen = [made.choose("s", SHORT, (), 10.0) for _ in range(20)]
     assert all(choice is not None and choice.seat is not slow for choice in chosen)
-    later = [made.choose("s", (), (), 60.0) for _ in range(40)]
+    later = [made.choose("s", SHORT, (), 60.0) for _ in range(40)]
     assert any(choice is not None and choice.seat is slow for choice in later)
 
 
