Lots: lulls are filled but for a reserve, and batch is parked as online requests come

Change: a reserve of 0.35 of the slots, up to the latest peak, is kept ahead of what is there now; what exceeds it is parked (closed, and continued later after its last whole event), first where online waits. A reading is bounded both ways by the runs that began and ended since the last one.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -33,15 +33,19 @@
         stream: Its events so far, kept from run to run.
         task: What runs it, None while nothing does.
         failures: Runs that failed, those not replicated yet included.
+        parking: Its run is being stopped, to go on later.
+        runner_id: Back end where it runs.
     """
 
-    __slots__ = ("failures", "item", "stream", "task")
+    __slots__ = ("failures", "item", "parking", "runner_id", "stream", "task")
 
     def __init__(self, item: OpenItem) -> None:
         self.item = item
         self.stream = ItemStream()
         self.task: asyncio.Task[None] | None = None
         self.failures = item.failures
+        self.parking = False
+        self.runner_id = ""
 
 
 class Attempts:
@@ -74,9 +78,14 @@
         )
         if isinstance(answer, Failure):
             return False
-        whole = await self._read_answer(run, answer)
+        whole = False
+        try:
+            whole = await self._read_answer(run, answer)
+        finally:
+            # Also when it is parked: a later run continues after the last whole event.
+            if not whole:
+                run.stream.broken()
         if not whole:
-            run.stream.broken()
             return False
         return self._judge(run, answer.head.status)
 
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -12,7 +12,7 @@
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
 from leverjunction.proxy.dialect import Dialect
 
-READ_INTERVAL_S = 0.25
+READ_INTERVAL_S = 0.2
 READ_TIMEOUT_S = 0.6
 TELL_INTERVAL_S = 5.0
 NEAR_ROOM = 3
@@ -68,6 +68,22 @@
         room, seat = max(free, key=self._preference, default=(0, None))
         return seat if room > 0 else None
 
+    def to_park(self) -> list[str]:
+        """Return the back ends at which a batch run should be parked, one entry for each run."""
+        now_s = self._loop.time()
+        parked: list[str] = []
+        for room in self._rooms.values():
+            here = {key: seat.excess(now_s) for key, seat in room.seats.items()}
+            left = room.excess(now_s) - sum(here.values())
+            own = {key: seat.own - here[key] for key, seat in room.seats.items()}
+            while left > 0 and any(own.values()):
+                fullest = max(own, key=lambda key: (own[key], key))
+                own[fullest] -= 1
+                here[fullest] += 1
+                left -= 1
+            parked += [key for key, count in here.items() for _ in range(count)]
+        return parked
+
     def tell(self, open_items: int, running: int) -> None:
         """Say every few seconds how much runs, and why not more."""
         now_s = self._loop.time()
--- a/src/leverjunction/lots/room.py
+++ b/src/leverjunction/lots/room.py
@@ -1,10 +1,11 @@
 """How much batch work a service's back ends may have beside their online requests. Pure.
 
-Online load comes in bursts of seconds and batch runs last for seconds, so a run that is started in
-a lull is still there in the next burst. Room is therefore kept for the most online requests that
-the service had lately, not for those of the moment. Gateways send online requests where there is
-room, so it is the service as a whole that must have it. Batch never waits in a back end's queue,
-where an online request would wait behind it.
+Online load comes in bursts of seconds, with lulls between them that are worth filling, but a burst
+is there sooner than a reading tells of it. So batch always leaves a reserve for the next arrivals,
+up to the most online requests that the service had lately; as they come, batch is parked, and the
+reserve is kept ahead of them. Gateways send online requests where there is room, so the service as
+a whole must have it. Batch never waits in a back end's queue, where an online request would wait
+behind it.
 """
 
 from __future__ import annotations
@@ -22,8 +23,14 @@
 MARGIN_SLOTS = 1
 """Slots of each back end that batch leaves free at any moment."""
 
-FLOOR_SHARE = 1 / 6
-"""Share of the slots that batch may have whatever the peak was, as long as they are free now."""
+RESERVE_SHARE = 0.35
+"""Share of the slots that is kept for online requests which may come before the next readings."""
+
+FLOOR_SHARE = 1 / 8
+"""Share of the slots that batch may have without a reserve, as long as they are free now."""
+
+SLACK_RUNS = 2
+"""Runs beyond what is allowed before any is parked: readings waver."""
 
 STALE_S = 1.5
 """Without a reading for so long nothing is added."""
@@ -38,36 +45,48 @@
         online: Online requests there when it was read last.
     """
 
-    __slots__ = ("_read_s", "_since_read", "online", "own", "slots")
+    __slots__ = ("_begun", "_ended", "_read_s", "online", "own", "slots")
 
     def __init__(self, slots: int) -> None:
         self.slots = max(1, slots)
         self.own = 0
         self.online = 0
         self._read_s = float("-inf")
-        self._since_read = 0
+        self._begun = 0
+        self._ended = 0
 
     def started(self) -> None:
         """Note a batch run that begins."""
         self.own += 1
-        self._since_read += 1
+        self._begun += 1
 
     def ended(self) -> None:
         """Note the end of a batch run."""
         self.own -= 1
+        self._ended += 1
 
     def told(self, running: int, waiting: int, now_s: float) -> None:
         """Take a reading of all requests there, online and batch together."""
-        # Runs begun since the last reading are perhaps not in this one, which is a little old.
-        batch = max(0, self.own - self._since_read)
-        self._since_read = 0
-        self.online = max(0, running + waiting - batch)
+        # A reading is a little old: runs begun since the last one are perhaps not in it, and
+        # runs ended since then perhaps still are. Between the two bounds, online is taken to be
+        # what it was.
+        total = running + waiting
+        least = max(0, total - self.own - self._ended)
+        most = max(least, total - self.own + self._begun)
+        self.online = min(max(self.online, least), most)
+        self._begun = self._ended = 0
         self._read_s = now_s
 
     def is_stale(self, now_s: float) -> bool:
         """Return whether the last reading is too old to go by."""
         return now_s - self._read_s > STALE_S
 
+    def excess(self, now_s: float) -> int:
+        """Return how many batch runs stand in the way of online requests here."""
+        if self.is_stale(now_s):
+            return 0
+        return max(0, min(self.own, self.online + self.own - self.slots))
+
     def free(self, now_s: float) -> int:
         """Return how many batch runs fit beside what is there now."""
         if self.is_stale(now_s):
@@ -109,11 +128,28 @@
 
     def allowance(self, now_s: float) -> int:
         """Return how many batch runs may be added to the service as a whole."""
+        return max(0, self._most(now_s) - self._own())
+
+    def excess(self, now_s: float) -> int:
+        """Return how many batch runs should be parked."""
+        if not self._read(now_s):
+            # Nothing is known: what runs may go on.
+            return 0
+        over = self._own() - self._most(now_s)
+        return over if over > SLACK_RUNS else 0
+
+    def _own(self) -> int:
+        return sum(seat.own for seat in self.seats.values())
+
+    def _most(self, now_s: float) -> int:
+        """Return how many batch runs the service may have now."""
         read = self._read(now_s)
         slots = sum(seat.slots for seat in read)
-        room = slots - len(read) * MARGIN_SLOTS - self._peak(slots, now_s)
-        most = max(room, int(slots * FLOOR_SHARE))
-        return max(0, most - sum(seat.own for seat in self.seats.values()))
+        online = sum(seat.online for seat in read)
+        free = slots - len(read) * MARGIN_SLOTS - online
+        wanted = min(self._peak(slots, now_s) - online, round(slots * RESERVE_SHARE))
+        floor = min(free, int(slots * FLOOR_SHARE))
+        return max(free - max(0, wanted), floor, 0)
 
     def figures(self, now_s: float) -> tuple[int, int, int, int]:
         """Return allowance, online peak, online now and slots, for a person."""
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -138,6 +138,7 @@
             self._loads.read(self._services())
             running = sum(1 for run in self._runs.values() if run.task is not None)
             self._loads.tell(len(self._runs), running)
+            self._park()
         self._start_runs()
 
     def _take_registry(self) -> None:
@@ -173,6 +174,21 @@
         routes = (self._route(run.item) for run in self._runs.values())
         return {part.service for route in routes if route is not None for part in route.services}
 
+    def _park(self) -> None:
+        """Give way to online requests: those runs stop that have most time left."""
+        for runner_id in self._loads.to_park():
+            here = [
+                run
+                for run in self._runs.values()
+                if run.runner_id == runner_id and run.task is not None and not run.parking
+            ]
+            if not here:
+                continue
+            run = max(here, key=self._urgency)
+            run.parking = True
+            if run.task is not None:
+                run.task.cancel()
+
     def _start_runs(self) -> None:
         full: set[str] = set()
         for run in sorted(self._runs.values(), key=self._urgency):
@@ -191,6 +207,8 @@
                 continue
             # Counted at once, so that the next item sees this one.
             self._loads.room_at(seat).started()
+            run.runner_id = seat.record.runner_id
+            run.parking = False
             run.task = asyncio.get_running_loop().create_task(self._run(run, seat))
 
     def _urgency(self, run: Run) -> tuple[bool, float]:
--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -68,6 +68,8 @@
         runner_id: Its id; a request that expects another is answered 421.
         seen: Requests that came, oldest first.
         accepted: Connections that were taken.
+        under_way: Requests that it answers at the moment.
+        online: Requests of others that it reports besides those under way here.
     """
 
     def __init__(self, runner_id: str = "i-1", usual: str = "whole") -> None:
@@ -75,6 +77,8 @@
         self.usual = usual
         self.seen: list[Seen] = []
         self.accepted = 0
+        self.online = 0
+        self.under_way = 0
         self.address = ""
         self._next: deque[str] = deque()
         self._started = threading.Event()
@@ -115,7 +119,7 @@
                 if seen is None:
                     break
                 if seen.target == REPORT_TARGET:
-                    await BEHAVIOURS["report"](_Exchange(seen, parser, reader, writer))
+                    await _report(_Exchange(seen, parser, reader, writer), self)
                     parser.start_next_cycle()
                     continue
                 self.seen.append(seen)
@@ -123,7 +127,11 @@
                 if seen.headers.get(EXPECT_HEADER, self.runner_id) != self.runner_id:
                     name = "another"
                 exchange = _Exchange(seen, parser, reader, writer)
-                await BEHAVIOURS[name](exchange)
+                self.under_way += 1
+                try:
+                    await BEHAVIOURS[name](exchange)
+                finally:
+                    self.under_way -= 1
                 if parser.our_state is not h11.DONE or writer.is_closing():
                     break
                 parser.start_next_cycle()
@@ -219,9 +227,8 @@
             return None
 
 
-@_behaviour("report")
-async def _report(exchange: _Exchange) -> None:
-    body = b'{"Running":0,"Waiting":0}'
+async def _report(exchange: _Exchange, runner: RunnerStandIn) -> None:
+    body = b'{"Running":%d,"Waiting":0}' % (runner.online + runner.under_way)
     exchange.head(200, [("Content-Length", str(len(body)))])
     exchange.data(body)
     exchange.end()
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -169,6 +169,22 @@
     assert len(back_end.seen) == runs
 
 
+def test_a_parked_run_goes_on_where_it_stopped(
+    store: OneStore, back_end: RunnerStandIn, runner: LotsRunner
+) -> None:
+    back_end.then("stream that stops")
+    submit(store, 1)
+    wait_until(lambda: len(back_end.seen) == 1)
+    time.sleep(0.2)
+    back_end.online = 8
+    wait_until(lambda: back_end.seen[0].gone_after_s is not None, 2.0)
+    time.sleep(0.6)
+    assert len(back_end.seen) == 1
+    back_end.online = 0
+    wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)})
+    assert back_end.seen[-1].headers["last-event-id"] == "1"
+
+
 @pytest.mark.usefixtures("runner")
 def test_an_ended_lot_frees_its_back_ends(store: OneStore, back_end: RunnerStandIn) -> None:
     back_end.usual = "stream that stops"
