One place for what state machines and seeded processes share

Cause: three state machines held the same loop and the same failure; stores took the cluster's key and election times from the control process's module. Change: consensus/schema.py, registry/cluster.py; names of groups stand with the records.

--- a/src/leverjunction/lots/client.py
+++ b/src/leverjunction/lots/client.py
@@ -11,7 +11,7 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.lots.commands import LotCommand, encode_command
 from leverjunction.registry.follower import RegistryFollower
-from leverjunction.registry.steward import JOBS_GROUP
+from leverjunction.registry.records import JOBS_GROUP
 from leverjunction.wire.codec import decode_reply, encode
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -20,16 +20,21 @@
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.lots.state_machine import LotsStateMachine
 from leverjunction.proxy.dialect import Dialect
+from leverjunction.registry.cluster import (
+    CLUSTER_KEY,
+    ELECTION_MAX_S,
+    ELECTION_MIN_S,
+    HEARTBEAT_S,
+)
 from leverjunction.registry.commands import Done, JobsPlaces, JoinMember
 from leverjunction.registry.follower import RegistryFollower, Snapshot
-from leverjunction.registry.node import CLUSTER_KEY, ELECTION_MAX_S, ELECTION_MIN_S, HEARTBEAT_S
 from leverjunction.registry.records import (
+    JOBS_GROUP,
     REGISTRY_GROUP,
     GroupRecord,
     MemberRecord,
     MemberRole,
 )
-from leverjunction.registry.steward import JOBS_GROUP
 from leverjunction.wire.codec import encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.rpc_client import RpcClient
--- a/src/leverjunction/lots/state_machine.py
+++ b/src/leverjunction/lots/state_machine.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from leverjunction.consensus.api import ApplyContext
+from leverjunction.consensus.schema import create_missing, not_decoded
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots import commands
 from leverjunction.lots.commands import ItemResult, ItemState
@@ -63,16 +64,14 @@
 
     def create_tables(self, connection: sqlite3.Connection) -> None:
         """Create the tables if they are missing."""
-        for statement in _TABLES.split(";"):
-            if statement.strip():
-                connection.execute(statement)
+        create_missing(connection, _TABLES)
 
     def apply(self, connection: sqlite3.Connection, context: ApplyContext, command: bytes) -> bytes:
         """Apply one committed command and return its encoded reply."""
         try:
             decoded = _COMMANDS.decode(command)
         except msgspec.MsgspecError as error:
-            return encode_reply(_not_decoded(error, Step.APPLYING))
+            return encode_reply(not_decoded("lots", error, Step.APPLYING))
         if isinstance(decoded, commands.SubmitLot):
             reply: msgspec.Struct = _submit(connection, context, decoded)
         elif isinstance(decoded, commands.RecordRuns):
@@ -90,7 +89,7 @@
         try:
             decoded = _QUERIES.decode(query)
         except msgspec.MsgspecError as error:
-            return encode_reply(_not_decoded(error, Step.QUERYING))
+            return encode_reply(not_decoded("lots", error, Step.QUERYING))
         if isinstance(decoded, commands.ReadResults):
             return encode_reply(_results(connection, decoded))
         if isinstance(decoded, commands.ReadBody):
@@ -98,10 +97,6 @@
         return encode_reply(_open_items(connection))
 
 
-def _not_decoded(error: msgspec.MsgspecError, step: Step) -> Failure:
-    return Failure(kind=FailureKind.CORRUPT, reason=f"not for a group of lots: {error}", step=step)
-
-
 def _submit(
     connection: sqlite3.Connection, context: ApplyContext, lot: commands.SubmitLot
 ) -> commands.LotTaken:
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -25,8 +25,8 @@
 from leverjunction.proxy.forwarding import Forwarder, LocalHandler
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import RegistryFollower, Snapshot
-from leverjunction.registry.node import CLUSTER_KEY
 from leverjunction.routes.matching import RouteIndex
 from leverjunction.routes.types import RequestLimits
 from leverjunction.wire.rpc_client import RpcClient
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -16,6 +16,12 @@
 from leverjunction.control.periodic import PeriodicTask, stop_all
 from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
 from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.registry.cluster import (
+    CLUSTER_KEY,
+    ELECTION_MAX_S,
+    ELECTION_MIN_S,
+    HEARTBEAT_S,
+)
 from leverjunction.registry.commands import (
     Done,
     GetTableSource,
@@ -33,6 +39,7 @@
 )
 from leverjunction.registry.hub import RegistryHub
 from leverjunction.registry.records import (
+    JOBS_GROUP,
     REGISTRY_GROUP,
     MemberRecord,
     MemberRole,
@@ -41,7 +48,7 @@
     runner_key,
 )
 from leverjunction.registry.state_machine import RegistryStateMachine
-from leverjunction.registry.steward import JOBS_GROUP, Steward, StewardLimits
+from leverjunction.registry.steward import Steward, StewardLimits
 from leverjunction.routes.checks import check_table
 from leverjunction.routes.types import RouteTable
 from leverjunction.storage import read_founders, write_founders
@@ -52,15 +59,7 @@
 
 T = TypeVar("T")
 
-CLUSTER_KEY = b"leverjunction-seeded-cluster"
-"""Processes of such a deployment have no secret in common: the key only tells a peer from a
-stranger that happens to use the port.
-"""
-
 RPC_THREADS = 64
-HEARTBEAT_S = 0.2
-ELECTION_MIN_S = 0.6
-ELECTION_MAX_S = 1.2
 COMMAND_TIMEOUT_S = 0.85
 """Below a second, after which callers turn to another control process."""
 
--- a/src/leverjunction/registry/records.py
+++ b/src/leverjunction/registry/records.py
@@ -10,6 +10,10 @@
 """Name of the consensus group that holds the registry."""
 
 
+JOBS_GROUP = "jobs-0"
+"""Name of the group that keeps batch jobs."""
+
+
 class RunnerState(StrEnum):
     """What a runner is to the gateways."""
 
--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -18,9 +18,11 @@
 import msgspec
 
 from leverjunction.consensus.api import ApplyContext
+from leverjunction.consensus.schema import create_missing, not_decoded
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.registry import commands
 from leverjunction.registry.records import (
+    REGISTRY_GROUP,
     FleetView,
     GroupRecord,
     MemberRecord,
@@ -82,16 +84,14 @@
 
     def create_tables(self, connection: sqlite3.Connection) -> None:
         """Create the tables if they are missing."""
-        for statement in _TABLES.split(";"):
-            if statement.strip():
-                connection.execute(statement)
+        create_missing(connection, _TABLES)
 
     def apply(self, connection: sqlite3.Connection, context: ApplyContext, command: bytes) -> bytes:
         """Apply one committed command and return its encoded reply."""
         try:
             decoded = _COMMANDS.decode(command)
         except msgspec.MsgspecError as error:
-            return encode_reply(_not_decoded(error, Step.APPLYING))
+            return encode_reply(not_decoded(REGISTRY_GROUP, error, Step.APPLYING))
         reply = _HANDLERS[type(decoded)](_Tables(connection, context.index), decoded)
         if self._changed is not None:
             self._changed()
@@ -102,7 +102,7 @@
         try:
             decoded = _QUERIES.decode(query)
         except msgspec.MsgspecError as error:
-            return encode_reply(_not_decoded(error, Step.QUERYING))
+            return encode_reply(not_decoded(REGISTRY_GROUP, error, Step.QUERYING))
         tables = _Tables(connection, 0)
         if isinstance(decoded, commands.GetView):
             return encode_reply(tables.view())
@@ -111,10 +111,6 @@
         return encode_reply(tables.source())
 
 
-def _not_decoded(error: msgspec.MsgspecError, step: Step) -> Failure:
-    return Failure(kind=FailureKind.CORRUPT, reason=f"not for group registry: {error}", step=step)
-
-
 class _Tables:
     """The tables, at the log index of the command under way."""
 
--- a/src/leverjunction/registry/steward.py
+++ b/src/leverjunction/registry/steward.py
@@ -16,14 +16,13 @@
     RegistryCommand,
 )
 from leverjunction.registry.records import (
+    JOBS_GROUP,
     FleetView,
     MemberRecord,
     MemberRole,
     RunnerState,
 )
 
-JOBS_GROUP = "jobs-0"
-
 
 class StewardLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Times and sizes.
--- a/src/leverjunction/settings/state_machine.py
+++ b/src/leverjunction/settings/state_machine.py
@@ -17,7 +17,8 @@
 import msgspec
 
 from leverjunction.consensus.api import ApplyContext
-from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.consensus.schema import create_missing, not_decoded
+from leverjunction.errors import Step
 from leverjunction.settings.commands import (
     ApplyChange,
     ChangeOutcome,
@@ -71,16 +72,14 @@
 
     def create_tables(self, connection: sqlite3.Connection) -> None:
         """Create the tables if they are missing."""
-        for statement in _TABLES.split(";"):
-            if statement.strip():
-                connection.execute(statement)
+        create_missing(connection, _TABLES)
 
     def apply(self, connection: sqlite3.Connection, context: ApplyContext, command: bytes) -> bytes:
         """Apply one committed command and return its encoded reply."""
         try:
             decoded = _COMMANDS.decode(command)
         except msgspec.MsgspecError as error:
-            return encode_reply(_not_decoded(error, Step.APPLYING))
+            return encode_reply(not_decoded("root", error, Step.APPLYING))
         if isinstance(decoded, ApplyChange):
             return encode_reply(_apply_change(connection, context, decoded))
         return encode_reply(_next_fence(connection, context))
@@ -90,16 +89,12 @@
         try:
             decoded = _QUERIES.decode(query)
         except msgspec.MsgspecError as error:
-            return encode_reply(_not_decoded(error, Step.QUERYING))
+            return encode_reply(not_decoded("root", error, Step.QUERYING))
         if isinstance(decoded, GetSettings):
             return encode_reply(_delta(connection, decoded.after_version))
         return encode_reply(_history(connection, decoded.limit))
 
 
-def _not_decoded(error: msgspec.MsgspecError, step: Step) -> Failure:
-    return Failure(kind=FailureKind.CORRUPT, reason=f"not for group root: {error}", step=step)
-
-
 def _apply_change(
     connection: sqlite3.Connection, context: ApplyContext, change: ApplyChange
 ) -> ChangeOutcome:
--- a/tests/unit/test_registry_fleet.py
+++ b/tests/unit/test_registry_fleet.py
@@ -18,8 +18,7 @@
     SubmitLot,
     encode_command,
 )
-from leverjunction.registry.records import MemberRole
-from leverjunction.registry.steward import JOBS_GROUP
+from leverjunction.registry.records import JOBS_GROUP, MemberRole
 from leverjunction.routes import RouteClass
 from leverjunction.wire.codec import decode_reply
 from leverjunction.wire.envelope import MessageKind
