--- a/src/leverjunction/platform/roles.py
+++ b/src/leverjunction/platform/roles.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from loguru import logger
+from prometheus_client import start_http_server
 
 from leverjunction.allocator import return_large_buffers
 from leverjunction.clock import SystemClock
@@ -105,6 +106,7 @@
     if fault is not None:
         logger.error("cannot start: {}", fault.reason)
         return EXIT_CANNOT_START
+    _serve_figures(config)
     server.start()
     fault = _wait(stop_asked, node.fault)
     server.stop()
@@ -123,11 +125,17 @@
     if fault is not None:
         logger.error("cannot start: {}", fault.reason)
         return EXIT_CANNOT_START
+    _serve_figures(config)
     fault = _wait(stop_asked, node.fault)
     node.stop()
     return EXIT_STOPPED if fault is None else EXIT_FAULT
 
 
+def _serve_figures(config: MachineConfig) -> None:
+    if config.metrics_port:
+        start_http_server(config.metrics_port, config.listen.rpc.rpartition(":")[0])
+
+
 def _random(config: MachineConfig) -> Random:
     """Return a generator that differs from that of the process's last life, whatever the machine's
     own source of randomness gives: replica ids are drawn from it.
--- a/src/leverjunction/proxy/counters.py
+++ b/src/leverjunction/proxy/counters.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+HEAD_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
 
 
 class ProxyCounters:
@@ -18,6 +20,21 @@
         self.sends = Counter(
             "proxy_sends_total", "Sends to back ends, by result", ["result"], registry=registry
         )
+        self.head_s = Histogram(
+            "proxy_head_seconds",
+            "Time from a request's arrival to the head of its answer, by route class",
+            ["route_class"],
+            buckets=HEAD_BUCKETS_S,
+            registry=registry,
+        )
+        self.table_version = Gauge(
+            "proxy_table_version", "Version of the route table in force", registry=registry
+        )
+        self.contact_age_s = Gauge(
+            "proxy_contact_age_seconds",
+            "Time since a control process last answered",
+            registry=registry,
+        )
         self.lines_lost = Counter(
             "log_lines_lost_total", "Decision lines lost to a slow reader", registry=registry
         )
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -190,7 +190,8 @@
                 until_s=work.until_s,
                 patience=self._patience(work, now_s),
             )
-            self._journal.sent(work, choice, answer)
+            waited_s = self._loop.time() - work.request.arrived_s
+            self._journal.sent(work, choice, answer, waited_s)
             if not isinstance(answer, Failure):
                 work.runs += 1
                 work.execution = Execution.UNKNOWN
--- a/src/leverjunction/proxy/journal.py
+++ b/src/leverjunction/proxy/journal.py
@@ -80,10 +80,20 @@
         self._counters = counters
         self._writer = LineWriter(counters)
 
-    def sent(self, work: Work, choice: Choice, answer: OpenedAnswer | Failure) -> None:
-        """Note a send and the head of its answer, or how it failed."""
+    def sent(
+        self, work: Work, choice: Choice, answer: OpenedAnswer | Failure, waited_s: float
+    ) -> None:
+        """Note a send and the head of its answer, or how it failed.
+
+        Args:
+            work: The request.
+            choice: Back end that was asked.
+            answer: Its answer.
+            waited_s: Time since the request arrived.
+        """
         if not isinstance(answer, Failure):
             self._counters.sends.labels("answered").inc()
+            self._counters.head_s.labels(work.route.kind.value).observe(waited_s)
             return
         self._counters.sends.labels(answer.kind.value).inc()
         self._put(
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -8,7 +8,7 @@
 from random import Random
 
 from loguru import logger
-from prometheus_client import CollectorRegistry
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
 
 from leverjunction.clock import SystemClock
 from leverjunction.config.machine import MachineConfig
@@ -62,7 +62,9 @@
         self._rpc = RpcClient(CLUSTER_KEY, clock.wall_ms())
         self._balancer = Balancer(config.zone, self._random)
         self._pool = RunnerPool()
-        journal = ProxyJournal(clock, ProxyCounters(CollectorRegistry()))
+        self._figures = CollectorRegistry()
+        self._counters = ProxyCounters(self._figures)
+        journal = ProxyJournal(clock, self._counters)
         self._index: RouteIndex | None = None
         self._follower = RegistryFollower(
             self._rpc, config.seed_addresses(), "", clock, self._random, self._on_registry
@@ -76,6 +78,7 @@
             make_local(self._rpc, self._follower),
         )
         self._port = CallerPort(self._forwarder.handle, self._limits)
+        self._figures_port = CallerPort(self._answer_figures, RequestLimits)
         self._ready_port = CallerPort(self._answer_ready, RequestLimits)
         self._stopping = False
 
@@ -87,6 +90,9 @@
         self._loop.add_signal_handler(signal.SIGHUP, lambda: logger.info("settings may change"))
         callers = await self._listen(self._port, self._config.listen.callers)
         ready = await self._listen(self._ready_port, self._config.listen.ready)
+        if self._config.metrics_port:
+            host = self._config.listen.ready.rpartition(":")[0]
+            await self._listen(self._figures_port, f"{host}:{self._config.metrics_port}")
         self._follower.start()
         logger.info("gateway {} started", self._config.name)
         await stop_asked.wait()
@@ -131,6 +137,13 @@
             self._index = RouteIndex(snapshot.table)
             self._forwarder.set_table(self._index)
 
+    async def _answer_figures(self, _request: CallerRequest, responder: Responder) -> None:
+        version = self._index.table.version if self._index is not None else 0
+        self._counters.table_version.set(version)
+        self._counters.contact_age_s.set(self._follower.age_s())
+        headers = [(b"Content-Type", CONTENT_TYPE_LATEST.encode())]
+        responder.whole(200, headers, generate_latest(self._figures))
+
     async def _answer_ready(self, request: CallerRequest, responder: Responder) -> None:
         if request.path != self._ready_path:
             responder.whole(404, [], b"")
