--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -9,7 +9,7 @@
 from leverjunction.lots.commands import ItemBody, OpenItem, ReadBody
 from leverjunction.lots.item_stream import ItemStream
 from leverjunction.lots.outbox import Outbox
-from leverjunction.proxy.attempt import OpenedAnswer, Patience, Sender
+from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
 from leverjunction.proxy.balancer import RunnerSeat
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import Dialect
@@ -68,13 +68,15 @@
             return False
         loop = asyncio.get_running_loop()
         answer = await self._sender.send(
-            request,
-            self._dialect.read_request(request.headers),
-            seat,
-            repeatable=True,
-            last_event_id=run.stream.last_id,
-            until_s=loop.time() + RUN_TIMEOUT_S,
-            patience=Patience.until(loop.time() + SILENCE_S),
+            Dispatch(
+                request,
+                self._dialect.read_request(request.headers),
+                seat,
+                repeatable=True,
+                last_event_id=run.stream.last_id,
+                until_s=loop.time() + RUN_TIMEOUT_S,
+                patience=Patience.until(loop.time() + SILENCE_S),
+            )
         )
         if isinstance(answer, Failure):
             return False
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -27,6 +27,8 @@
 """Statuses that promise a caller that its request was not run."""
 
 MISDIRECTED = 421
+REFUSAL_BODY_S = 0.05
+"""Longest wait for the body of a refusal, which is read so that its connection can be kept."""
 
 
 class Patience:
@@ -51,6 +53,49 @@
         return cls(hard_s, hard_s, lambda: True)
 
 
+class Dispatch:
+    """One send.
+
+    Attributes:
+        request: The caller's request.
+        facts: What its headers say.
+        seat: Back end that is asked.
+        repeatable: The request may run more than once.
+        last_event_id: Continue a stream after this event; empty for a whole one.
+        until_s: When the whole answer must be there.
+        patience: How long to wait for the head.
+    """
+
+    __slots__ = (
+        "facts",
+        "last_event_id",
+        "patience",
+        "repeatable",
+        "request",
+        "seat",
+        "until_s",
+    )
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        facts: RequestFacts,
+        seat: RunnerSeat,
+        *,
+        repeatable: bool,
+        last_event_id: str,
+        until_s: float,
+        patience: Patience,
+    ) -> None:
+        self.request = request
+        self.facts = facts
+        self.seat = seat
+        self.repeatable = repeatable
+        self.last_event_id = last_event_id
+        self.until_s = until_s
+        self.patience = patience
+
+
 class OpenedAnswer:
     """A back end's answer whose head has come.
 
@@ -87,38 +132,19 @@
         self._dialect = dialect
         self._loop = asyncio.get_running_loop()
 
-    async def send(
-        self,
-        request: CallerRequest,
-        facts: RequestFacts,
-        seat: RunnerSeat,
-        *,
-        repeatable: bool,
-        last_event_id: str,
-        until_s: float,
-        patience: Patience,
-    ) -> OpenedAnswer | Failure:
+    async def send(self, dispatch: Dispatch) -> OpenedAnswer | Failure:
         """Send a request and wait for the head of the answer.
 
-        Args:
-            request: The caller's request.
-            facts: What its headers say.
-            seat: Where to; counted there until ``finish``.
-            repeatable: It may run more than once.
-            last_event_id: Continue a stream after this event.
-            until_s: When the whole answer must be there.
-            patience: How long to wait for the head.
-
         Returns:
-            The answer; or a failure that says whether the request may have run.
+            The answer, counted at its back end until ``finish``; or a failure that says whether
+            the request may have run.
         """
-        read_ms = facts.tokens_in / READ_TOKENS_PER_MS
+        seat = dispatch.seat
+        read_ms = dispatch.facts.tokens_in / READ_TOKENS_PER_MS
         seat.own += 1
         seat.reading_ms += read_ms
         try:
-            opened = await self._open(
-                request, facts, seat, repeatable, last_event_id, until_s, patience
-            )
+            opened = await self._open(dispatch)
         except BaseException:
             seat.own -= 1
             raise
@@ -154,49 +180,48 @@
         finally:
             self._pool.give_back(connection, keep=whole)
 
-    async def _open(
-        self,
-        request: CallerRequest,
-        facts: RequestFacts,
-        seat: RunnerSeat,
-        repeatable: bool,
-        last_event_id: str,
-        until_s: float,
-        patience: Patience,
-    ) -> OpenedAnswer | Failure:
-        idle_share = REPEATABLE_IDLE_SHARE if repeatable else ONCE_IDLE_SHARE
+    async def _open(self, dispatch: Dispatch) -> OpenedAnswer | Failure:
+        seat = dispatch.seat
+        idle_share = REPEATABLE_IDLE_SHARE if dispatch.repeatable else ONCE_IDLE_SHARE
         connection = await self._pool.take(seat.record.address, idle_share, CONNECT_TIMEOUT_S)
         if isinstance(connection, Failure):
             self._balancer.failed(seat, self._loop.time())
             return connection
         try:
-            left_ms = (until_s - self._loop.time()) * 1000
+            left_ms = (dispatch.until_s - self._loop.time()) * 1000
             if left_ms < 1:
                 connection.close()
                 return _late(seat, Execution.NOT_RUN)
-            headers = self._dialect.forwarded(
-                end_to_end(request.headers), left_ms, seat.record.runner_id, last_event_id
-            )
-            connection.send(request.method, request.target, headers, request.body)
-            sent_s = self._loop.time()
-            try:
-                return await self._head(connection, facts, seat, patience)
-            finally:
-                now_s = self._loop.time()
-                seat.answered(now_s - sent_s, facts.tokens_in, now_s)
+            return await self._exchange(connection, dispatch, left_ms)
         except BaseException:
             connection.close()
             raise
 
+    async def _exchange(
+        self, connection: RunnerConnection, dispatch: Dispatch, left_ms: float
+    ) -> OpenedAnswer | Failure:
+        """Write the request on a connection and wait for the head."""
+        request = dispatch.request
+        headers = self._dialect.forwarded(
+            end_to_end(request.headers),
+            left_ms,
+            dispatch.seat.record.runner_id,
+            dispatch.last_event_id,
+        )
+        connection.send(request.method, request.target, headers, request.body)
+        sent_s = self._loop.time()
+        try:
+            return await self._head(connection, dispatch)
+        finally:
+            now_s = self._loop.time()
+            dispatch.seat.answered(now_s - sent_s, dispatch.facts.tokens_in, now_s)
+
     async def _head(
-        self,
-        connection: RunnerConnection,
-        facts: RequestFacts,
-        seat: RunnerSeat,
-        patience: Patience,
+        self, connection: RunnerConnection, dispatch: Dispatch
     ) -> OpenedAnswer | Failure:
+        seat = dispatch.seat
         try:
-            head = await self._first_event(connection, patience)
+            head = await self._first_event(connection, dispatch.patience)
         except TimeoutError:
             connection.close()
             return _late(seat, Execution.UNKNOWN)
@@ -208,10 +233,9 @@
         if answer.load is not None:
             seat.told(answer.load, self._loop.time())
         opened = OpenedAnswer(head, answer, connection, seat)
-        refusal = await self._refusal(opened, facts)
+        refusal = await self._refusal(opened, dispatch.facts)
         if refusal is not None:
             return refusal
-        connection.keep_alive_s = answer.keep_alive_s
         self._balancer.succeeded(seat)
         return opened
 
@@ -267,14 +291,6 @@
         self._pool.give_back(connection, keep=not answer.facts.closes)
 
 
-REFUSAL_BODY_S = 0.05
-
-
-def own_headers(dialect: Dialect, facts: RequestFacts, failure: Failure) -> RawHeaders:
-    """Return the headers of the proxy's own answer."""
-    return dialect.own_answer(facts.request_id, failure.retry_after_s)
-
-
 def _late(seat: RunnerSeat, execution: Execution) -> Failure:
     return Failure(
         kind=FailureKind.DEADLINE_EXCEEDED,
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -15,7 +15,7 @@
     out_of_time,
     status_of,
 )
-from leverjunction.proxy.attempt import OpenedAnswer, Patience, Sender
+from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
 from leverjunction.proxy.balancer import Balancer, Prompt
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.dialect import Dialect, RequestFacts
@@ -182,13 +182,15 @@
             work.tried.add(seat.record.runner_id)
             sent_s = self._loop.time()
             answer = await self._sender.send(
-                work.request,
-                work.facts,
-                seat,
-                repeatable=work.route.repeatable,
-                last_event_id=last_event_id,
-                until_s=work.until_s,
-                patience=self._patience(work, now_s),
+                Dispatch(
+                    work.request,
+                    work.facts,
+                    seat,
+                    repeatable=work.route.repeatable,
+                    last_event_id=last_event_id,
+                    until_s=work.until_s,
+                    patience=self._patience(work, now_s),
+                )
             )
             waited_s = self._loop.time() - work.request.arrived_s
             self._journal.sent(work, choice, answer, waited_s)
