Proxy: a refusal that belongs to another request does not say 'not run' of this one

Cause (by reading the diff): the refusal was looked at before the echoed id, so a surplus 'not run' of an earlier request would have let a request that may run once be sent a second time. Test: 'crossed refusal', for requests that may run once (was sent twice before) and that may be repeated.

--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -253,6 +253,11 @@
     async def _refusal(self, answer: OpenedAnswer, facts: RequestFacts) -> Failure | None:
         """Return a failure for an answer that is not the caller's, or says "not run"."""
         seat = answer.seat
+        # First of all: a surplus answer says nothing of this request, not even "not run".
+        if answer.facts.request_id and answer.facts.request_id != facts.request_id:
+            answer.connection.close()
+            self._balancer.failed(seat, self._loop.time())
+            return _mismatch(seat, "it answers another request")
         if answer.facts.not_run or answer.head.status == MISDIRECTED:
             await self._drop_refusal(answer)
             if answer.head.status == MISDIRECTED:
@@ -265,10 +270,6 @@
                 peer=seat.record.address,
             )
         answer.connection.keep_alive_s = answer.facts.keep_alive_s
-        if answer.facts.request_id and answer.facts.request_id != facts.request_id:
-            answer.connection.close()
-            self._balancer.failed(seat, self._loop.time())
-            return _mismatch(seat, "it answers another request")
         unsigned = not answer.facts.signed or not answer.facts.request_id
         encoded = find(answer.head.headers, b"content-encoding") is not None
         if unsigned or encoded or answer.head.status in NOT_RUN_STATUSES:
--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -336,6 +336,13 @@
     exchange.end()
 
 
+@_behaviour("crossed refusal")
+async def _crossed_refusal(exchange: _Exchange) -> None:
+    fields = [*exchange.headers("of-another"), (NOT_RUN_HEADER, "1"), ("Content-Length", "0")]
+    exchange.head(503, fields)
+    exchange.end()
+
+
 @_behaviour("unsigned")
 async def _unsigned(exchange: _Exchange) -> None:
     exchange.head(200, [("Content-Length", "8")])
--- a/tests/unit/test_proxy_contract.py
+++ b/tests/unit/test_proxy_contract.py
@@ -96,6 +96,7 @@
     "reset",
     "no bytes of HTTP",
     "crossed",
+    "crossed refusal",
     "unsigned",
     "503 without a word",
 ]
