Lots: a gateway's call to the stores is bounded at 3 s in all

Cause (by reading): with silent stores one call could hold one of eight threads for ten seconds, while its caller had long turned elsewhere. Test: silent stores; leader found and kept; what one store may have taken is not called 'not run'.

--- a/src/leverjunction/lots/client.py
+++ b/src/leverjunction/lots/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from concurrent.futures import ThreadPoolExecutor
 from typing import TypeVar
 
@@ -23,6 +24,11 @@
 """Above the time that a store waits for the group's leader."""
 
 ROUNDS = 2
+CALL_BUDGET_S = 3.0
+"""For all stores together: a caller has turned to another gateway by then, and the thread is
+needed for others.
+"""
+
 _TRY_NEXT = frozenset(
     {
         FailureKind.UNREACHABLE,
@@ -59,8 +65,12 @@
     def _call(self, kind: MessageKind, body: bytes, reply_type: type[T]) -> T | Failure:
         failure = _no_store()
         maybe_ran = False
+        until_s = time.monotonic() + CALL_BUDGET_S
         for store in self._stores() * ROUNDS:
-            raw = self._rpc.call_raw(store, kind, body, group=JOBS_GROUP, timeout_s=CALL_TIMEOUT_S)
+            timeout_s = min(CALL_TIMEOUT_S, until_s - time.monotonic())
+            if timeout_s <= 0:
+                break
+            raw = self._rpc.call_raw(store, kind, body, group=JOBS_GROUP, timeout_s=timeout_s)
             reply = raw if isinstance(raw, Failure) else decode_reply(raw, reply_type, store)
             if not isinstance(reply, Failure):
                 self._leader = store
--- /dev/null
+++ b/tests/unit/test_lots_client.py
@@ -0,0 +1,114 @@
+"""A gateway's calls to the stores: leader first, bounded in time, true about what may have run."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import pytest
+
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.lots import client as client_module
+from leverjunction.lots.client import LotsClient
+from leverjunction.lots.commands import EndLot, LotTaken
+from leverjunction.registry.follower import Snapshot
+from leverjunction.registry.records import JOBS_GROUP, FleetView, GroupRecord
+from leverjunction.routes.types import RouteTable
+from leverjunction.wire.codec import encode_reply
+
+STORES = ("a:1", "b:1", "c:1")
+Answer = Callable[[float], bytes | Failure]
+
+
+class Stores:
+    """Stands for the RPC client and for the follower."""
+
+    def __init__(self, **answers: Answer) -> None:
+        self.answers = answers
+        self.asked: list[str] = []
+
+    def snapshot(self) -> Snapshot:
+        group = GroupRecord(name=JOBS_GROUP, founders=STORES, voters=STORES)
+        return Snapshot(RouteTable(), FleetView(revision=1, groups=(group,)))
+
+    def call_raw(
+        self, peer: str, _kind: object, _body: bytes, *, group: str, timeout_s: float
+    ) -> bytes | Failure:
+        self.asked.append(peer[0])
+        return self.answers[peer[0]](timeout_s)
+
+
+def taken(_timeout_s: float) -> bytes:
+    return encode_reply(LotTaken("lot"))
+
+
+def refusing(kind: FailureKind, execution: Execution, detail: str = "") -> Answer:
+    failure = Failure(
+        kind=kind, reason="r", step=Step.PROPOSING, execution=execution, detail=detail
+    )
+    return lambda _timeout_s: encode_reply(failure)
+
+
+def silent(timeout_s: float) -> Failure:
+    time.sleep(timeout_s)
+    return Failure(
+        kind=FailureKind.TIMEOUT,
+        reason="no answer",
+        step=Step.RESPONDING,
+        execution=Execution.UNKNOWN,
+    )
+
+
+NOT_LEADER = refusing(FailureKind.NOT_LEADER, Execution.NOT_RUN)
+
+
+def call(client: LotsClient) -> LotTaken | Failure:
+    return asyncio.run(client.propose(EndLot("lot"), LotTaken))
+
+
+def make(stores: Stores) -> LotsClient:
+    return LotsClient(stores, stores)  # type: ignore[arg-type]
+
+
+def test_the_leader_is_found_and_asked_first_from_then_on() -> None:
+    stores = Stores(a=NOT_LEADER, b=NOT_LEADER, c=taken)
+    client = make(stores)
+    assert call(client) == LotTaken("lot")
+    assert call(client) == LotTaken("lot")
+    assert stores.asked == ["a", "b", "c", "c"]
+
+
+@pytest.mark.parametrize(
+    ("first", "execution"),
+    [
+        (NOT_LEADER, Execution.NOT_RUN),
+        (refusing(FailureKind.TIMEOUT, Execution.UNKNOWN), Execution.UNKNOWN),
+    ],
+)
+def test_what_may_have_been_taken_is_not_called_not_run(
+    first: Answer, execution: Execution
+) -> None:
+    """503 promises that nothing of a lot runs; one store may have taken it, the others refuse."""
+    reply = call(make(Stores(a=first, b=NOT_LEADER, c=NOT_LEADER)))
+    assert isinstance(reply, Failure)
+    assert reply.execution is execution
+
+
+def test_a_lot_that_does_not_exist_is_told_at_once() -> None:
+    stores = Stores(
+        a=refusing(FailureKind.NOT_FOUND, Execution.NOT_RUN), b=NOT_LEADER, c=NOT_LEADER
+    )
+    reply = call(make(stores))
+    assert isinstance(reply, Failure)
+    assert (reply.kind, stores.asked) == (FailureKind.NOT_FOUND, ["a"])
+
+
+def test_silent_stores_do_not_hold_a_call_for_long(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(client_module, "CALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(client_module, "CALL_BUDGET_S", 0.5)
+    started_s = time.monotonic()
+    reply = call(make(Stores(a=silent, b=silent, c=silent)))
+    assert isinstance(reply, Failure)
+    assert reply.execution is Execution.UNKNOWN
+    assert time.monotonic() - started_s < 0.8
