Seeded processes: calls that wait for a leader never hold all threads of the RPC port

Excluded: founding (the lot was accepted after the first store was gone), an end of a process (restarts 0). Change: 24 calls of each kind, and threads for both, for the replicas and (control) for held calls; of several silent voters the one that is silent longest moves first. Test: 100 callers at a process without a leader, votes within 0.5 s; fails with 48 threads and 32 calls.

--- a/src/leverjunction/control/group_host.py
+++ b/src/leverjunction/control/group_host.py
@@ -63,6 +63,8 @@
         rpc: Client towards the other control processes.
         clock: Source of monotonic time.
         committed: Called on the leader after each applied proposal.
+        calls_at_once: Calls in progress, for gateways and for other hubs each; the RPC server must
+            have more threads than twice as many.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         rpc: RawCaller,
         clock: Clock,
         committed: Committed | None = None,
+        calls_at_once: int = CALLS_AT_ONCE,
     ) -> None:
         self._address = address
         self._local = local
@@ -81,8 +84,8 @@
         self._clock = clock
         self._committed = committed
         self._leaders: dict[str, str] = {}
-        self._client_slots = threading.BoundedSemaphore(CALLS_AT_ONCE)
-        self._forward_slots = threading.BoundedSemaphore(CALLS_AT_ONCE)
+        self._client_slots = threading.BoundedSemaphore(calls_at_once)
+        self._forward_slots = threading.BoundedSemaphore(calls_at_once)
 
     @property
     def groups(self) -> list[str]:
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -21,10 +21,12 @@
 from leverjunction.lots.state_machine import LotsStateMachine
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.registry.cluster import (
+    CALLS_AT_ONCE,
     CLUSTER_KEY,
     ELECTION_MAX_S,
     ELECTION_MIN_S,
     HEARTBEAT_S,
+    RPC_THREADS,
 )
 from leverjunction.registry.commands import Done, JobsPlaces, JoinMember
 from leverjunction.registry.follower import RegistryFollower, Snapshot
@@ -40,7 +42,6 @@
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
 
-RPC_THREADS = 48
 JOIN_INTERVAL_S = 0.5
 PLACES_INTERVAL_S = 0.5
 ASK_AGAIN_S = 3.0
@@ -64,7 +65,14 @@
         self._rpc = RpcClient(CLUSTER_KEY, clock.wall_ms())
         self._voters: dict[str, list[str]] = {JOBS_GROUP: []}
         self._local: dict[str, GroupReplica] = {}
-        self.host = GroupHost(self._address, self._local, self._voters, self._rpc, clock)
+        self.host = GroupHost(
+            self._address,
+            self._local,
+            self._voters,
+            self._rpc,
+            clock,
+            calls_at_once=CALLS_AT_ONCE,
+        )
         self._follower = RegistryFollower(
             self._rpc, config.seed_addresses(), config.name, clock, random, self._on_registry
         )
--- a/src/leverjunction/registry/cluster.py
+++ b/src/leverjunction/registry/cluster.py
@@ -7,6 +7,17 @@
 stranger that happens to use the port.
 """
 
+CALLS_AT_ONCE = 24
+"""Proposals and queries in progress at a process, for clients and for forwarded ones each. Beyond
+it they are refused at once: without a leader each waits for over a second, and together they would
+hold all threads, so that no vote came through and no leader was ever elected.
+"""
+
+PEER_THREADS = 16
+"""Threads of the RPC server that are left for messages between replicas and for status."""
+
+RPC_THREADS = 2 * CALLS_AT_ONCE + PEER_THREADS
+
 HEARTBEAT_S = 0.2
 ELECTION_MIN_S = 0.6
 ELECTION_MAX_S = 1.2
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -17,10 +17,12 @@
 from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.registry.cluster import (
+    CALLS_AT_ONCE,
     CLUSTER_KEY,
     ELECTION_MAX_S,
     ELECTION_MIN_S,
     HEARTBEAT_S,
+    RPC_THREADS,
 )
 from leverjunction.registry.commands import (
     Done,
@@ -59,7 +61,9 @@
 
 T = TypeVar("T")
 
-RPC_THREADS = 64
+WATCHERS = 64
+"""Calls of gateways and stores that may be held at once; each keeps a thread of the RPC server."""
+
 COMMAND_TIMEOUT_S = 0.85
 """Below a second, after which callers turn to another control process."""
 
@@ -83,7 +87,12 @@
         )
         self._voters = {REGISTRY_GROUP: list(config.seed_addresses())}
         self.host = GroupHost(
-            self._address, {REGISTRY_GROUP: self._replica}, self._voters, self._rpc, clock
+            self._address,
+            {REGISTRY_GROUP: self._replica},
+            self._voters,
+            self._rpc,
+            clock,
+            calls_at_once=CALLS_AT_ONCE,
         )
         self.hub = RegistryHub(self._replica, self.host, clock)
         self._heard_runners: set[str] = set()
@@ -91,7 +100,9 @@
         self._steward: Steward | None = None
         self._limits = StewardLimits(losses=config.losses)
         host, _, port = self._address.rpartition(":")
-        self._server = RpcServer(host, int(port), self._endpoint(incarnation), RPC_THREADS)
+        self._server = RpcServer(
+            host, int(port), self._endpoint(incarnation), RPC_THREADS + WATCHERS
+        )
         self._tasks = [
             PeriodicTask("join", HEARD_INTERVAL_S, self._join),
             PeriodicTask("heard", HEARD_INTERVAL_S, self._tell_heard),
--- a/src/leverjunction/registry/steward.py
+++ b/src/leverjunction/registry/steward.py
@@ -191,7 +191,8 @@
         if len(kept) < self._limits.voters and spares:
             chosen = _best_spread([by_address[a] for a in kept if a in by_address], spares)
             return tuple(sorted([*kept, chosen.address]))
-        for address in voters:
+        # The one that is silent longest first: another may only seem silent for a moment.
+        for address in sorted(voters, key=lambda item: -self._voter_silence_s(item, stores, now_s)):
             member = by_address.get(address)
             must_move = member is None or member.retiring
             silent = member is None or (
@@ -205,6 +206,11 @@
             return tuple(sorted([*kept, chosen.address]))
         return voters
 
+    def _voter_silence_s(self, address: str, stores: list[MemberRecord], now_s: float) -> float:
+        """Return since when a voter was not heard; without end for one that is dropped."""
+        names = [item.name for item in stores if item.address == address]
+        return self._silence_s(names[0], now_s) if names else float("inf")
+
     def _gone_members(
         self, view: FleetView, control_voters: tuple[str, ...], now_s: float
     ) -> list[RegistryCommand]:
