A store whose disk is full as its replica starts ends, to start anew; the follower outlives a fault

Change: the start's fault ends the process (as one while running does); a receiver that fails is told again with the next answer.

--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sqlite3
 import threading
 from pathlib import Path
 from random import Random
@@ -15,7 +16,7 @@
 from leverjunction.control.group_host import GroupHost
 from leverjunction.control.periodic import PeriodicTask, stop_all
 from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
-from leverjunction.errors import Failure
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots.commands import ForgetLots, encode_command
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.lots.state_machine import LotsStateMachine
@@ -79,6 +80,7 @@
         host, _, port = self._address.rpartition(":")
         self._server = RpcServer(host, int(port), self._endpoint(), RPC_THREADS)
         self._runner: LotsRunner | None = None
+        self._start_fault: Failure | None = None
         self._starting = threading.Lock()
         self._asked: tuple[str, ...] = ()
         self._asked_s = 0.0
@@ -112,7 +114,7 @@
 
     def fault(self) -> Failure | None:
         """Return why this process serves nothing any more, None while it does."""
-        faults = [replica.fault() for replica in self._local.values()]
+        faults = [self._start_fault, *(replica.fault() for replica in self._local.values())]
         return next((fault for fault in faults if fault is not None), None)
 
     def groups(self) -> list[str]:
@@ -139,9 +141,10 @@
                 self._clock,
                 Random(self._random.getrandbits(64)),
             )
-            fault = replica.start()
+            fault = _started(replica)
             if fault is not None:
                 logger.error("the replica cannot start: {}", fault.reason)
+                self._start_fault = fault
                 return
             self._runner = LotsRunner(
                 replica, self._config.zone, self._dialect, self._clock, self._random
@@ -248,3 +251,15 @@
             kept_ms = (self._config.bounds.status_s + FORGET_MARGIN_S) * 1000
             command = ForgetLots(before_ms=self._clock.wall_ms() - int(kept_ms))
             replica.propose(encode_command(command), COMMAND_TIMEOUT_S)
+
+
+def _started(replica: GroupReplica) -> Failure | None:
+    """Start a replica; a disk that refuses to be written is a fault like any other."""
+    try:
+        return replica.start()
+    except (OSError, sqlite3.Error) as error:
+        return Failure(
+            kind=FailureKind.INTERNAL,
+            reason=f"{replica.config.data_path}: {error}",
+            step=Step.STORING,
+        )
--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -67,6 +67,7 @@
         self._seeds = seeds
         random.shuffle(self._hubs)
         self._snapshot: Snapshot | None = None
+        self._is_told = True
         self._answered_s = clock.monotonic_s()
         self._in_touch = False
         self._stopped = threading.Event()
@@ -127,12 +128,24 @@
         view = known.view
         if reply.view is not None and reply.view.revision > view.revision:
             view = reply.view
-        if self._snapshot is not None and table is known.table and view is known.view:
+        unchanged = table is known.table and view is known.view
+        if self._snapshot is not None and unchanged and self._is_told:
             return
         if table is not known.table:
             logger.info("route table {} is in force, after {}", table.version, known.table.version)
         self._snapshot = Snapshot(table, view)
-        self._changed(self._snapshot)
+        self._tell(self._snapshot)
+
+    def _tell(self, snapshot: Snapshot) -> None:
+        """Pass a state on; one whose receiver fails is passed on again with the next answer."""
+        self._is_told = False
+        try:
+            self._changed(snapshot)
+        except Exception:
+            # This thread must go on: without it the process would never hear of anything again.
+            logger.exception("a change of the registry could not be taken over")
+            return
+        self._is_told = True
 
     def _learn_hubs(self, controls: tuple[str, ...]) -> None:
         known = dict.fromkeys([self._hubs[0], *controls, *self._seeds])
