Contract test: a caller leaves after its request has reached the back end

Excluded: a fault of the proxy (the promise, half a second from the close, was not looked at yet). Change: the test waits for the request to arrive, at most 2 s, and fails if it does not.

--- a/tests/unit/test_proxy_contract.py
+++ b/tests/unit/test_proxy_contract.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 from tests.unit.proxy_support import Proxy, request_headers
@@ -46,6 +46,14 @@
         yield proxy
 
 
+def until(holds: Callable[[], bool], timeout_s: float = 2.0) -> bool:
+    """Wait for something to hold; return whether it did."""
+    until_s = time.monotonic() + timeout_s
+    while not holds() and time.monotonic() < until_s:
+        time.sleep(0.01)
+    return holds()
+
+
 def both_take(first: RunnerStandIn, second: RunnerStandIn, behaviour: str) -> None:
     """Have whichever back end is asked first misbehave once."""
     first.then(behaviour)
@@ -181,11 +189,11 @@
     first.then(behaviour)
     caller = alone.caller()
     caller.send("POST", STREAM, request_headers(), b"ask")
+    # On a busy machine the request may take its time; only what has reached the back end counts.
+    assert until(lambda: bool(first.seen))
     time.sleep(0.2)
     caller.close()
-    until_s = time.monotonic() + 2
-    while first.seen[0].gone_after_s is None and time.monotonic() < until_s:
-        time.sleep(0.01)
+    assert until(lambda: first.seen[0].gone_after_s is not None)
     assert first.seen[0].gone_after_s is not None
     assert first.seen[0].gone_after_s < 0.5
 
