Lots: the events of unfinished items are replicated, so the next leader goes on with them

Excluded: elections (1.3 s each, see their lines), the start of the new leader's runs (0.3 s). Change: every 0.5 s the leader records the new events of all runs beside the results; a result holds only what the group does not have yet, so nothing is replicated twice. Events that do not follow on what the group has are rejected and their run goes on from there: pieces of two runs are never joined. Progress alone does not make the runner read all open items again. Tests: 'the next leader goes on' and 'does not follow on' fail with the recording switched off (seen).

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -6,7 +6,14 @@
 
 from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.errors import Failure
-from leverjunction.lots.commands import ItemBody, OpenItem, ReadBody
+from leverjunction.lots.commands import (
+    ItemBody,
+    KnownProgress,
+    OpenItem,
+    ReadBody,
+    ReadProgress,
+)
+from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.item_stream import ItemStream
 from leverjunction.lots.outbox import Outbox
 from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
@@ -25,31 +32,6 @@
 SERVER_ERROR = 500
 
 
-class Run:
-    """An item that is to be run.
-
-    Attributes:
-        item: What is run.
-        stream: Its events so far, kept from run to run.
-        task: What runs it, None while nothing does.
-        failures: Runs that failed, those not replicated yet included.
-        parking: Its run is being stopped, to go on later.
-        runner_id: Back end where it runs.
-        worked_s: Time for which back ends have worked on it.
-    """
-
-    __slots__ = ("failures", "item", "parking", "runner_id", "stream", "task", "worked_s")
-
-    def __init__(self, item: OpenItem) -> None:
-        self.item = item
-        self.stream = ItemStream()
-        self.task: asyncio.Task[None] | None = None
-        self.failures = item.failures
-        self.parking = False
-        self.runner_id = ""
-        self.worked_s = 0.0
-
-
 class Attempts:
     """Used by one event loop."""
 
@@ -63,10 +45,10 @@
         self._dialect = dialect
         self._outbox = outbox
 
-    async def attempt(self, run: Run, seat: RunnerSeat) -> bool:
+    async def attempt(self, run: ItemRun, seat: RunnerSeat) -> bool:
         """Run an item once; return whether it has ended."""
         request = self._request(run.item)
-        if request is None:
+        if request is None or not self._follow(run):
             return False
         loop = asyncio.get_running_loop()
         answer = await self._sender.send(
@@ -93,7 +75,7 @@
             return False
         return self._judge(run, answer.head.status)
 
-    async def _read_answer(self, run: Run, answer: OpenedAnswer) -> bool:
+    async def _read_answer(self, run: ItemRun, answer: OpenedAnswer) -> bool:
         """Take an answer's events; return whether it came whole."""
         whole = False
         try:
@@ -112,22 +94,34 @@
         finally:
             self._sender.finish(answer, whole)
 
-    def _judge(self, run: Run, status: int) -> bool:
+    def _judge(self, run: ItemRun, status: int) -> bool:
         """Note what a whole answer means for the item; return whether it has ended."""
         if status == OK and run.stream.is_between_events:
-            self._outbox.done(run.item, run.stream.text())
+            self._outbox.done(run)
             return True
         run.stream.broken()
         if status == UNPROCESSABLE:
-            self._outbox.dead(run.item, "it can never be done")
+            self._outbox.dead(run, "it can never be done")
             return True
         if status != SERVER_ERROR:
             return False
         run.failures += 1
-        self._outbox.failed(run.item)
+        self._outbox.failed(run)
         if run.failures < max(1, run.item.max_attempts):
             return False
-        self._outbox.dead(run.item, f"{run.failures} runs failed")
+        self._outbox.dead(run, f"{run.failures} runs failed")
+        return True
+
+    def _follow(self, run: ItemRun) -> bool:
+        """Have a run's stream go on from the events that the group has."""
+        if run.follows:
+            return True
+        raw = self._group.query_local(encode(ReadProgress(*run.key)))
+        progress = decode_reply(raw, KnownProgress)
+        if isinstance(progress, Failure):
+            return False
+        run.stream = ItemStream(progress.count, progress.last_id)
+        run.follows = True
         return True
 
     def _request(self, item: OpenItem) -> CallerRequest | None:
--- a/src/leverjunction/lots/commands.py
+++ b/src/leverjunction/lots/commands.py
@@ -55,12 +55,38 @@
 
 
 class ItemResult(msgspec.Struct, frozen=True, kw_only=True):
-    """How one item ended; ``text`` is its whole output when it is done."""
+    """How one item ended.
+
+    Attributes:
+        text: Its output when it is done, without the events that the group has already.
+        start: Number of events that the group has already.
+        count: Number of events in ``text``.
+    """
 
     lot_id: str
     item_id: str
     state: ItemState
     text: str = ""
+    start: int = 0
+    count: int = 0
+
+
+class ItemProgress(msgspec.Struct, frozen=True, kw_only=True):
+    """Events of an item that is not done yet: another store goes on behind them.
+
+    Attributes:
+        start: Number of events that the group has already.
+        count: Number of events in ``text``.
+        last_id: Id of the last one of them.
+        text: Their data, separated by line feeds.
+    """
+
+    lot_id: str
+    item_id: str
+    start: int
+    count: int
+    last_id: str
+    text: str
 
 
 class ItemFailure(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,10 +97,11 @@
 
 
 class RecordRuns(msgspec.Struct, frozen=True, kw_only=True, tag="record_runs"):
-    """List results, first ones only, and count failed runs."""
+    """List results, first ones only, count failed runs, and keep what unfinished ones have."""
 
     results: tuple[ItemResult, ...] = ()
     failures: tuple[ItemFailure, ...] = ()
+    progress: tuple[ItemProgress, ...] = ()
 
 
 class EndLot(msgspec.Struct, frozen=True, tag="end_lot"):
@@ -104,12 +131,19 @@
     item_id: str
 
 
+class ReadProgress(msgspec.Struct, frozen=True, tag="read_progress"):
+    """Read how many events of an item the group has."""
+
+    lot_id: str
+    item_id: str
+
+
 class ReadOpenItems(msgspec.Struct, frozen=True, tag="read_open_items"):
     """Read what is to be run, without the bodies."""
 
 
 LotCommand = SubmitLot | RecordRuns | EndLot | ForgetLots
-LotQuery = ReadResults | ReadBody | ReadOpenItems
+LotQuery = ReadResults | ReadBody | ReadProgress | ReadOpenItems
 
 
 def encode_command(command: LotCommand) -> bytes:
@@ -124,9 +158,22 @@
 
 
 class Recorded(msgspec.Struct, frozen=True):
-    """Reply to ``RecordRuns`` and ``ForgetLots``: how many rows changed."""
+    """Reply to ``RecordRuns`` and ``ForgetLots``.
+
+    Attributes:
+        count: How many rows changed.
+        rejected: Items (lot and item) whose events did not follow on those that the group has.
+    """
 
     count: int
+    rejected: tuple[tuple[str, str], ...] = ()
+
+
+class KnownProgress(msgspec.Struct, frozen=True):
+    """Reply to ``ReadProgress``: number of events, and the id of the last one."""
+
+    count: int = 0
+    last_id: str = ""
 
 
 class ResultsPage(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/src/leverjunction/lots/item_run.py
@@ -0,0 +1,62 @@
+"""One item on its way through its runs."""
+
+from __future__ import annotations
+
+import asyncio
+
+from leverjunction.lots.commands import OpenItem
+from leverjunction.lots.item_stream import ItemStream
+
+ItemKey = tuple[str, str]
+"""Lot and item."""
+
+
+class ItemRun:
+    """An item that is to be run.
+
+    Attributes:
+        item: What is run.
+        stream: Its events so far, kept from run to run.
+        follows: Whether the stream goes on from what the group has; it is read before a run.
+        task: What runs it, None while nothing does.
+        failures: Runs that failed, those not replicated yet included.
+        parking: Its run is being stopped, to go on later.
+        runner_id: Back end where it runs.
+        worked_s: Time for which back ends have worked on it.
+    """
+
+    __slots__ = (
+        "failures",
+        "follows",
+        "item",
+        "parking",
+        "runner_id",
+        "stream",
+        "task",
+        "worked_s",
+    )
+
+    def __init__(self, item: OpenItem) -> None:
+        self.item = item
+        self.stream = ItemStream()
+        self.follows = False
+        self.task: asyncio.Task[None] | None = None
+        self.failures = item.failures
+        self.parking = False
+        self.runner_id = ""
+        self.worked_s = 0.0
+
+    @property
+    def key(self) -> ItemKey:
+        """Its lot and item."""
+        return (self.item.lot_id, self.item.item_id)
+
+    def stop(self) -> None:
+        """End the run that is under way; a later one continues."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def restart(self) -> None:
+        """Go on from what the group has: what is here does not follow on that."""
+        self.follows = False
+        self.stop()
--- a/src/leverjunction/lots/item_stream.py
+++ b/src/leverjunction/lots/item_stream.py
@@ -9,16 +9,24 @@
 class ItemStream:
     """Events of an item so far; a later run continues after the last whole event.
 
+    Events that the group of lots has already are not kept here.
+
+    Args:
+        recorded: Number of events that the group has.
+        last_id: Id of the last one of them.
+
     Attributes:
+        recorded: Number of events that the group has.
         last_id: Id of the last whole event, empty before the first.
     """
 
-    __slots__ = ("_events", "_pending", "last_id")
+    __slots__ = ("_events", "_pending", "last_id", "recorded")
 
-    def __init__(self) -> None:
+    def __init__(self, recorded: int = 0, last_id: str = "") -> None:
         self._events: list[str] = []
         self._pending = b""
-        self.last_id = ""
+        self.recorded = recorded
+        self.last_id = last_id
 
     def feed(self, data: bytes) -> int:
         """Add bytes of the current run; return how many events became whole."""
@@ -39,13 +47,18 @@
 
     @property
     def count(self) -> int:
-        """Number of whole events."""
+        """Number of whole events that the group does not have yet."""
         return len(self._events)
 
     def text(self) -> str:
-        """Return the data of all events in order, separated by line feeds."""
+        """Return the data of these events in order, separated by line feeds."""
         return "\n".join(self._events)
 
+    def note_recorded(self, count: int) -> None:
+        """Note that the group has the first ones of these events now."""
+        del self._events[:count]
+        self.recorded += count
+
     def _take(self, block: bytes) -> None:
         data: list[bytes] = []
         for line in block.split(b"\n"):
--- a/src/leverjunction/lots/outbox.py
+++ b/src/leverjunction/lots/outbox.py
@@ -1,8 +1,9 @@
-"""Results and failed runs that the group does not have yet."""
+"""Results, failed runs and progress that the group does not have yet."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 from loguru import logger
 
@@ -10,73 +11,145 @@
 from leverjunction.errors import Failure
 from leverjunction.lots.commands import (
     ItemFailure,
+    ItemProgress,
     ItemResult,
     ItemState,
-    OpenItem,
     Recorded,
     RecordRuns,
     encode_command,
 )
+from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.wire.codec import decode_reply
 
 PROPOSE_TIMEOUT_S = 1.5
 
+PROGRESS_INTERVAL_S = 0.5
+"""How often the events of unfinished items are recorded: so much of each run is lost at most when
+another store has to go on with it.
+"""
+
 
 class Outbox:
     """Kept until the group has them; used by one event loop."""
 
-    __slots__ = ("_failures", "_group", "_results")
+    __slots__ = ("_ended", "_failures", "_group", "_progress_s")
 
     def __init__(self, group: ReplicatedGroup) -> None:
         self._group = group
-        self._results: dict[tuple[str, str], ItemResult] = {}
+        self._ended: dict[ItemKey, tuple[ItemRun, ItemState]] = {}
         self._failures: list[ItemFailure] = []
+        self._progress_s = float("-inf")
 
     @property
     def is_empty(self) -> bool:
-        """Whether the group has all."""
-        return not self._results and not self._failures
+        """Whether the group has all results and failures."""
+        return not self._ended and not self._failures
 
-    def has_result(self, item: OpenItem) -> bool:
+    def has_result(self, run: ItemRun) -> bool:
         """Return whether an item has ended, though the group may not know yet."""
-        return (item.lot_id, item.item_id) in self._results
+        return run.key in self._ended
 
     def clear(self) -> None:
         """Forget all: another store leads the group."""
-        self._results.clear()
+        self._ended.clear()
         self._failures.clear()
 
-    def done(self, item: OpenItem, text: str) -> None:
-        """Take the whole output of an item."""
-        self._put(item, ItemState.DONE, text)
+    def done(self, run: ItemRun) -> None:
+        """Take an item whose output is whole."""
+        self._ended[run.key] = (run, ItemState.DONE)
 
-    def dead(self, item: OpenItem, reason: str) -> None:
+    def dead(self, run: ItemRun, reason: str) -> None:
         """Take an item that is given up."""
-        logger.info("item {} of lot {} is given up: {}", item.item_id, item.lot_id, reason)
-        self._put(item, ItemState.DEAD, "")
+        lot_id, item_id = run.key
+        logger.info("item {} of lot {} is given up: {}", item_id, lot_id, reason)
+        self._ended[run.key] = (run, ItemState.DEAD)
 
-    def failed(self, item: OpenItem) -> None:
+    def failed(self, run: ItemRun) -> None:
         """Take a run that failed at a back end."""
-        self._failures.append(ItemFailure(lot_id=item.lot_id, item_id=item.item_id))
+        lot_id, item_id = run.key
+        self._failures.append(ItemFailure(lot_id=lot_id, item_id=item_id))
+
+    async def record(self, runs: Iterable[ItemRun]) -> None:
+        """Replicate what is here; what could not be is kept for the next time.
 
-    async def record(self) -> None:
-        """Replicate what is here; what could not be is kept for the next time."""
-        if self.is_empty:
+        Args:
+            runs: All open items, for their progress.
+        """
+        progress = self._progress(runs)
+        if self.is_empty and not progress:
             return
-        results = tuple(self._results.values())
+        results = tuple(_result(run, state) for run, state in self._ended.values())
         failures = tuple(self._failures)
-        command = encode_command(RecordRuns(results=results, failures=failures))
-        loop = asyncio.get_running_loop()
-        raw = await loop.run_in_executor(None, self._group.propose, command, PROPOSE_TIMEOUT_S)
-        reply = raw if isinstance(raw, Failure) else decode_reply(raw, Recorded)
+        command = RecordRuns(
+            results=results,
+            failures=failures,
+            progress=tuple(_progress(run) for run in progress),
+        )
+        sent = [(run, run.stream.count) for run in progress]
+        reply = await self._propose(command)
         if isinstance(reply, Failure):
             logger.warning("results are not recorded yet: {}", reply.reason)
             return
-        for result in results:
-            self._results.pop((result.lot_id, result.item_id), None)
         del self._failures[: len(failures)]
+        self._settle(results, sent, frozenset(reply.rejected))
 
-    def _put(self, item: OpenItem, state: ItemState, text: str) -> None:
-        self._results[item.lot_id, item.item_id] = ItemResult(
-            lot_id=item.lot_id, item_id=item.item_id, state=state, text=text
-        )
+    async def _propose(self, command: RecordRuns) -> Recorded | Failure:
+        body = encode_command(command)
+        loop = asyncio.get_running_loop()
+        raw = await loop.run_in_executor(None, self._group.propose, body, PROPOSE_TIMEOUT_S)
+        return raw if isinstance(raw, Failure) else decode_reply(raw, Recorded)
+
+    def _settle(
+        self,
+        results: tuple[ItemResult, ...],
+        sent: list[tuple[ItemRun, int]],
+        rejected: frozenset[ItemKey],
+    ) -> None:
+        """Note what the group has now; what it rejected goes on from what it has."""
+        for run, count in sent:
+            if run.key in rejected:
+                run.restart()
+            else:
+                run.stream.note_recorded(count)
+        for result in results:
+            run, _ = self._ended.pop((result.lot_id, result.item_id))
+            if run.key in rejected:
+                run.restart()
+
+    def _progress(self, runs: Iterable[ItemRun]) -> list[ItemRun]:
+        """Return the unfinished items whose new events are to be recorded now."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._progress_s < PROGRESS_INTERVAL_S:
+            return []
+        self._progress_s = now_s
+        return [
+            run for run in runs if run.stream.count and run.follows and not self.has_result(run)
+        ]
+
+
+def _progress(run: ItemRun) -> ItemProgress:
+    lot_id, item_id = run.key
+    stream = run.stream
+    return ItemProgress(
+        lot_id=lot_id,
+        item_id=item_id,
+        start=stream.recorded,
+        count=stream.count,
+        last_id=stream.last_id,
+        text=stream.text(),
+    )
+
+
+def _result(run: ItemRun, state: ItemState) -> ItemResult:
+    lot_id, item_id = run.key
+    if state is ItemState.DEAD:
+        return ItemResult(lot_id=lot_id, item_id=item_id, state=state)
+    stream = run.stream
+    return ItemResult(
+        lot_id=lot_id,
+        item_id=item_id,
+        state=state,
+        text=stream.text(),
+        start=stream.recorded,
+        count=stream.count,
+    )
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -15,8 +15,9 @@
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.errors import Failure
-from leverjunction.lots.attempts import Attempts, Run
+from leverjunction.lots.attempts import Attempts
 from leverjunction.lots.commands import OpenItem, OpenItems, ReadOpenItems
+from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.urgency import RunTimes, Urgency
@@ -36,9 +37,6 @@
 GIVE_UP_MARGIN_S = 3.0
 """Clocks of machines differ: an item is given up only when its time is surely over."""
 
-Key = tuple[str, str]
-"""Lot and item."""
-
 
 class LotsRunner:
     """Used by its own event loop; ``changed`` and ``set_registry`` by any thread."""
@@ -59,7 +57,7 @@
         self._index: RouteIndex | None = None
         self._snapshot: Snapshot | None = None
         self._taken: Snapshot | None = None
-        self._runs: dict[Key, Run] = {}
+        self._runs: dict[ItemKey, ItemRun] = {}
         self._times = RunTimes()
         self._dirty = True
         self._stopped = False
@@ -128,7 +126,7 @@
             self._dirty = True
             return
         self._take_registry()
-        await self._outbox.record()
+        await self._outbox.record(self._runs.values())
         if self._dirty:
             self._dirty = False
             self._read_open()
@@ -151,8 +149,7 @@
 
     def _drop_all(self) -> None:
         for run in self._runs.values():
-            if run.task is not None:
-                run.task.cancel()
+            run.stop()
         self._runs.clear()
         self._outbox.clear()
         self._loads.clear()
@@ -164,9 +161,9 @@
             return
         items = {(item.lot_id, item.item_id): item for item in opened.items}
         for key, run in self._runs.items():
-            if key not in items and run.task is not None:
-                run.task.cancel()
-        self._runs = {key: self._runs.get(key) or Run(item) for key, item in items.items()}
+            if key not in items:
+                run.stop()
+        self._runs = {key: self._runs.get(key) or ItemRun(item) for key, item in items.items()}
 
     def _services(self) -> set[str]:
         """Return the services of the open items."""
@@ -185,19 +182,18 @@
                 continue
             run = max(here, key=self._urgency)
             run.parking = True
-            if run.task is not None:
-                run.task.cancel()
+            run.stop()
 
     def _start_runs(self) -> None:
         full: set[str] = set()
         waiting = [
             run
             for run in self._runs.values()
-            if run.task is None and not self._outbox.has_result(run.item)
+            if run.task is None and not self._outbox.has_result(run)
         ]
         for run in sorted(waiting, key=self._urgency):
             if self._is_over(run.item):
-                self._outbox.dead(run.item, "its time is over")
+                self._outbox.dead(run, "its time is over")
                 continue
             route = self._route(run.item)
             if route is None:
@@ -213,7 +209,7 @@
             run.parking = False
             run.task = asyncio.get_running_loop().create_task(self._run(run, seat))
 
-    def _urgency(self, run: Run) -> Urgency:
+    def _urgency(self, run: ItemRun) -> Urgency:
         item = run.item
         due_in_s = (item.accepted_ms + item.due_ms - self._clock.wall_ms()) / 1000
         return self._times.urgency(due_in_s, run.worked_s)
@@ -225,7 +221,7 @@
         age_s = (self._clock.wall_ms() - item.accepted_ms) / 1000
         return item.give_up_s > 0 and age_s > item.give_up_s + GIVE_UP_MARGIN_S
 
-    async def _run(self, run: Run, seat: RunnerSeat) -> None:
+    async def _run(self, run: ItemRun, seat: RunnerSeat) -> None:
         room = self._loads.room_at(seat)
         loop = asyncio.get_running_loop()
         started_s = loop.time()
--- a/src/leverjunction/lots/state_machine.py
+++ b/src/leverjunction/lots/state_machine.py
@@ -5,6 +5,7 @@
 * A lot is taken once, whatever is resent.
 * The first result of an item stands, at a position that never changes; later ones are dropped.
 * After its end a lot gets no more results.
+* Events of unfinished items are kept for the next leader (``progress_rows``).
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 from leverjunction.consensus.api import ApplyContext
 from leverjunction.consensus.schema import create_missing, not_decoded
 from leverjunction.errors import Failure, FailureKind, Step
-from leverjunction.lots import commands
+from leverjunction.lots import commands, progress_rows
 from leverjunction.lots.commands import ItemResult, ItemState
 from leverjunction.wire.codec import encode, encode_reply
 
@@ -56,7 +57,7 @@
     """State machine of a group of lots (``consensus.api.StateMachine``).
 
     Args:
-        changed: Called after a command was applied; must not block.
+        changed: Called after a command that changed what is open; must not block.
     """
 
     def __init__(self, changed: Callable[[], None] | None = None) -> None:
@@ -65,6 +66,7 @@
     def create_tables(self, connection: sqlite3.Connection) -> None:
         """Create the tables if they are missing."""
         create_missing(connection, _TABLES)
+        create_missing(connection, progress_rows.TABLE)
 
     def apply(self, connection: sqlite3.Connection, context: ApplyContext, command: bytes) -> bytes:
         """Apply one committed command and return its encoded reply."""
@@ -80,7 +82,7 @@
             reply = _end(connection, decoded)
         else:
             reply = _forget(connection, decoded)
-        if self._changed is not None:
+        if self._changed is not None and _changes_open_items(decoded):
             self._changed()
         return encode_reply(reply)
 
@@ -94,9 +96,16 @@
             return encode_reply(_results(connection, decoded))
         if isinstance(decoded, commands.ReadBody):
             return encode_reply(_body(connection, decoded))
+        if isinstance(decoded, commands.ReadProgress):
+            return encode_reply(progress_rows.known(connection, decoded.lot_id, decoded.item_id))
         return encode_reply(_open_items(connection))
 
 
+def _changes_open_items(command: commands.LotCommand) -> bool:
+    """Return whether a command may change which items are open; progress alone does not."""
+    return not isinstance(command, commands.RecordRuns) or bool(command.results)
+
+
 def _submit(
     connection: sqlite3.Connection, context: ApplyContext, lot: commands.SubmitLot
 ) -> commands.LotTaken:
@@ -127,34 +136,54 @@
 
 
 def _record(connection: sqlite3.Connection, runs: commands.RecordRuns) -> commands.Recorded:
-    count = sum(_list_result(connection, result) for result in runs.results)
+    count = 0
+    rejected: list[tuple[str, str]] = []
+    for part in runs.progress:
+        if not _is_open(connection, part.lot_id, part.item_id):
+            continue
+        if progress_rows.append(connection, part):
+            count += 1
+        else:
+            rejected.append((part.lot_id, part.item_id))
+    for result in runs.results:
+        if not _is_open(connection, result.lot_id, result.item_id):
+            continue
+        if _list_result(connection, result):
+            count += 1
+        else:
+            rejected.append((result.lot_id, result.item_id))
     for failure in runs.failures:
         cursor = connection.execute(
             "UPDATE sm_lot_item SET failures = failures + 1 WHERE lot = ? AND item = ?",
             (failure.lot_id, failure.item_id),
         )
         count += cursor.rowcount
-    return commands.Recorded(count)
+    return commands.Recorded(count, tuple(rejected))
 
 
-def _list_result(connection: sqlite3.Connection, result: ItemResult) -> int:
-    key = (result.lot_id, result.item_id)
-    lot = connection.execute(
-        "SELECT listed, ended FROM sm_lot WHERE lot = ?", (result.lot_id,)
+def _is_open(connection: sqlite3.Connection, lot_id: str, item_id: str) -> bool:
+    """Return whether an item is to be run; one that is listed or ended has no row any more."""
+    row = connection.execute(
+        "SELECT 1 FROM sm_lot_item WHERE lot = ? AND item = ?", (lot_id, item_id)
     ).fetchone()
-    if lot is None or lot[1]:
-        return 0
-    # An item that is listed has no row any more: the first result stands.
-    removed = connection.execute("DELETE FROM sm_lot_item WHERE lot = ? AND item = ?", key)
-    if removed.rowcount == 0:
-        return 0
+    return row is not None
+
+
+def _list_result(connection: sqlite3.Connection, result: ItemResult) -> bool:
+    """List the first result of an open item; return whether it follows on what is here."""
+    text = progress_rows.whole_text(connection, result)
+    if text is None:
+        return False
+    key = (result.lot_id, result.item_id)
+    connection.execute("DELETE FROM sm_lot_item WHERE lot = ? AND item = ?", key)
     connection.execute("DELETE FROM sm_lot_body WHERE lot = ? AND item = ?", key)
+    progress_rows.forget_item(connection, *key)
     connection.execute(
-        "INSERT INTO sm_lot_result VALUES (?, ?, ?, ?, ?)",
-        (result.lot_id, lot[0], result.item_id, result.state.value, result.text),
+        "INSERT INTO sm_lot_result SELECT lot, listed, ?, ?, ? FROM sm_lot WHERE lot = ?",
+        (result.item_id, result.state.value, text, result.lot_id),
     )
     connection.execute("UPDATE sm_lot SET listed = listed + 1 WHERE lot = ?", (result.lot_id,))
-    return 1
+    return True
 
 
 def _end(connection: sqlite3.Connection, end: commands.EndLot) -> commands.LotTaken | Failure:
@@ -164,6 +193,7 @@
     # Nothing of it runs any more, so nobody needs the bodies.
     connection.execute("DELETE FROM sm_lot_body WHERE lot = ?", (end.lot_id,))
     connection.execute("DELETE FROM sm_lot_item WHERE lot = ?", (end.lot_id,))
+    progress_rows.forget_lot(connection, end.lot_id)
     return commands.LotTaken(end.lot_id)
 
 
@@ -175,6 +205,7 @@
     for (lot,) in rows:
         for table in ("sm_lot", "sm_lot_item", "sm_lot_body", "sm_lot_result"):
             connection.execute(f"DELETE FROM {table} WHERE lot = ?", (lot,))
+        progress_rows.forget_lot(connection, lot)
     return commands.Recorded(len(rows))
 
 
--- a/tests/unit/test_lots_item_stream.py
+++ b/tests/unit/test_lots_item_stream.py
@@ -49,3 +49,10 @@
     splitter = EventSplitter()
     assert splitter.feed(EVENTS[:25]) == EVENTS[:17]
     assert (splitter.last_id, splitter.pending_bytes) == ("1", 8)
+
+
+def test_what_the_group_has_is_not_kept() -> None:
+    stream = ItemStream(recorded=3, last_id="3")
+    stream.feed(b"id: 4\ndata: four\n\nid: 5\ndata: five\n\n")
+    stream.note_recorded(1)
+    assert (stream.recorded, stream.count, stream.text(), stream.last_id) == (4, 1, "five", "5")
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -16,8 +16,12 @@
 from leverjunction.errors import Failure
 from leverjunction.lots.commands import (
     EndLot,
+    ItemProgress,
+    KnownProgress,
     LotItem,
+    ReadProgress,
     ReadResults,
+    RecordRuns,
     ResultsPage,
     SubmitLot,
     encode_command,
@@ -85,6 +89,10 @@
         assert len(listed) == len(page.results)
         return listed
 
+    def progress(self) -> KnownProgress | Failure:
+        """Events of the first item that the group has."""
+        return decode_reply(self.query_local(encode(ReadProgress("lot", "item-0"))), KnownProgress)
+
 
 @pytest.fixture
 def store() -> OneStore:
@@ -203,3 +211,34 @@
     wait_until(lambda: all(run.gone_after_s is not None for run in back_end.seen), 2.0)
     time.sleep(0.6)
     assert len(back_end.seen) == 2
+
+
+@pytest.mark.usefixtures("runner")
+def test_the_next_leader_goes_on_with_what_runs_had(
+    store: OneStore, back_end: RunnerStandIn
+) -> None:
+    """Each change of leader began all runs anew, seconds of work of every one of them."""
+    back_end.then("stream that stops")
+    submit(store, 1)
+    wait_until(lambda: store.progress() == KnownProgress(1, "1"))
+    store.role = "follower"
+    wait_until(lambda: back_end.seen[0].gone_after_s is not None, 2.0)
+    store.role = "leader"
+    wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)})
+    assert back_end.seen[-1].headers["last-event-id"] == "1"
+
+
+@pytest.mark.usefixtures("runner")
+def test_a_run_that_does_not_follow_on_what_the_group_has_goes_on_from_there(
+    store: OneStore, back_end: RunnerStandIn
+) -> None:
+    """A new leader may begin before it has applied all that the old one recorded."""
+    back_end.then("stream that stops")
+    submit(store, 1)
+    wait_until(lambda: len(back_end.seen) == 1)
+    other = ItemProgress(
+        lot_id="lot", item_id="item-0", start=0, count=2, last_id="2", text="event 1\nevent 2"
+    )
+    store.propose(encode_command(RecordRuns(progress=(other,))), 1.0)
+    wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)})
+    assert back_end.seen[-1].headers["last-event-id"] == "2"
--- a/tests/unit/test_lots_state_machine.py
+++ b/tests/unit/test_lots_state_machine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sqlite3
+from collections.abc import Callable
 
 import msgspec
 import pytest
@@ -14,14 +15,17 @@
     ForgetLots,
     ItemBody,
     ItemFailure,
+    ItemProgress,
     ItemResult,
     ItemState,
+    KnownProgress,
     LotCommand,
     LotItem,
     LotTaken,
     OpenItems,
     ReadBody,
     ReadOpenItems,
+    ReadProgress,
     ReadResults,
     Recorded,
     RecordRuns,
@@ -36,8 +40,8 @@
 class Lots:
     """The state machine on a database in memory."""
 
-    def __init__(self) -> None:
-        self.machine = LotsStateMachine()
+    def __init__(self, changed: Callable[[], None] | None = None) -> None:
+        self.machine = LotsStateMachine(changed)
         self.connection = sqlite3.connect(":memory:")
         self.machine.create_tables(self.connection)
         self.index = 0
@@ -164,3 +168,77 @@
     assert lots.apply(ForgetLots(before_ms=10**9)) == Recorded(1)
     assert isinstance(lots.ask(ReadResults("old", 0, 10), ResultsPage), Failure)
     assert lots.page().total == 3
+
+
+def progress(start: int, *events: str, item: str = "a") -> ItemProgress:
+    return ItemProgress(
+        lot_id="lot",
+        item_id=item,
+        start=start,
+        count=len(events),
+        last_id=str(start + len(events)),
+        text="\n".join(events),
+    )
+
+
+def known(lots: Lots, item: str = "a") -> object:
+    return lots.ask(ReadProgress("lot", item), KnownProgress)
+
+
+def finish(lots: Lots, start: int, *events: str) -> object:
+    result = ItemResult(
+        lot_id="lot",
+        item_id="a",
+        state=ItemState.DONE,
+        text="\n".join(events),
+        start=start,
+        count=len(events),
+    )
+    return lots.apply(RecordRuns(results=(result,)))
+
+
+@pytest.mark.parametrize("rest", [("three",), (), ("", "four")], ids=["one", "none", "empty"])
+def test_a_result_is_put_together_from_what_was_recorded(lots: Lots, rest: tuple[str, ...]) -> None:
+    assert lots.apply(RecordRuns(progress=(progress(0, "one"),))) == Recorded(1)
+    assert lots.apply(RecordRuns(progress=(progress(1, "", "two"),))) == Recorded(1)
+    assert known(lots) == KnownProgress(3, "3")
+    assert finish(lots, 3, *rest) == Recorded(1)
+    assert lots.page().results[0].text == "\n".join(("one", "", "two", *rest))
+    assert known(lots) == KnownProgress()
+
+
+@pytest.mark.parametrize("start", [0, 1, 3])
+def test_the_pieces_of_two_runs_are_never_joined(lots: Lots, start: int) -> None:
+    lots.apply(RecordRuns(progress=(progress(0, "one", "two"),)))
+    rejected = Recorded(0, (("lot", "a"),))
+    assert lots.apply(RecordRuns(progress=(progress(start, "other"),))) == rejected
+    assert known(lots) == KnownProgress(2, "2")
+    if start:
+        assert finish(lots, start, "other") == rejected
+        assert "a" in lots.open_items()
+
+
+def test_a_whole_result_stands_whatever_was_recorded(lots: Lots) -> None:
+    lots.apply(RecordRuns(progress=(progress(0, "one"),)))
+    assert finish(lots, 0, "one", "two") == Recorded(1)
+    assert lots.page().results[0].text == "one\ntwo"
+
+
+def test_nothing_is_recorded_of_what_is_listed_or_over(lots: Lots) -> None:
+    lots.done("a")
+    assert lots.apply(RecordRuns(progress=(progress(0, "one"),))) == Recorded(0)
+    lots.apply(RecordRuns(progress=(progress(0, "one", item="b"),)))
+    lots.apply(EndLot("lot"), LotTaken)
+    assert known(lots, "b") == KnownProgress()
+    assert lots.apply(RecordRuns(progress=(progress(1, "two", item="b"),))) == Recorded(0)
+
+
+def test_progress_does_not_change_what_is_open() -> None:
+    """Reading all open items anew several times a second would cost the leader its time."""
+    changes: list[int] = []
+    lots = Lots(lambda: changes.append(1))
+    lots.apply(submit("a"), LotTaken)
+    lots.apply(RecordRuns(progress=(progress(0, "one"),)))
+    assert len(changes) == 1
+    finish(lots, 1)
+    assert len(changes) == 2
