Lots: streams of items are read at a pace of 0.12 s, not event by event

Cause: the leading store is woken by every event of every item: some 30 ms apart, up to 60 streams. Excluded: late reads by callers (they look twice a second). Change: a connection whose reader is in no hurry pauses reading for 0.12 s after each read. Tests: a paced answer is whole and costs few reads; the one that follows on the connection, paced or not, is whole too; a connection closed at rest stays closed.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -24,6 +24,9 @@
 from leverjunction.wire.codec import decode_reply, encode
 
 RUN_TIMEOUT_S = 60.0
+READ_INTERVAL_S = 0.12
+"""Nobody waits for the single events of an item, and each would cost a wake-up."""
+
 SILENCE_S = 10.0
 """A run that is cut must be run again, so silence is borne for long."""
 
@@ -78,6 +81,7 @@
     async def _read_answer(self, run: ItemRun, answer: OpenedAnswer) -> bool:
         """Take an answer's events; return whether it came whole."""
         whole = False
+        answer.connection.pace(READ_INTERVAL_S)
         try:
             while True:
                 async with asyncio.timeout(SILENCE_S):
--- a/src/leverjunction/proxy/runner_connection.py
+++ b/src/leverjunction/proxy/runner_connection.py
@@ -52,6 +52,8 @@
         self._events: deque[AnswerEvent] = deque()
         self._unread_bytes = 0
         self._paused = False
+        self._pace_s = 0.0
+        self._rest: asyncio.TimerHandle | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._ended = False
         self._active = False
@@ -79,6 +81,8 @@
             return
         self._heard = True
         self._feed(data)
+        if self._pace_s:
+            self._take_rest()
 
     def eof_received(self) -> bool:
         """The back end closed: right after an answer without a length, a fault elsewhere."""
@@ -116,9 +120,18 @@
             self._resume()
         return event
 
+    def pace(self, interval_s: float) -> None:
+        """Take the rest of this answer only so often, several parts at a time.
+
+        A stream whose reader is in no hurry costs a wake-up for every event otherwise.
+        """
+        self._pace_s = interval_s
+
     def release(self) -> bool:
         """End the use for one request; return whether the connection may serve another."""
         self._active = False
+        self._pace_s = 0.0
+        self._end_rest()
         clean = (
             not self._ended
             and self._h11.our_state is h11.DONE
@@ -134,6 +147,8 @@
     def close(self) -> None:
         """Close at once; the back end drops what it runs for this connection."""
         self._ended = True
+        if self._rest is not None:
+            self._rest.cancel()
         if self._transport is not None:
             self._transport.abort()
 
@@ -190,16 +205,35 @@
         )
 
     def _pause(self) -> None:
-        if not self._paused and self._unread_bytes > PAUSE_BYTES and self._transport is not None:
-            self._paused = True
-            self._transport.pause_reading()
+        if self._unread_bytes > PAUSE_BYTES:
+            self._stop_reading()
 
     def _resume(self) -> None:
-        if self._paused and self._unread_bytes <= PAUSE_BYTES and self._transport is not None:
+        if self._rest is not None or self._unread_bytes > PAUSE_BYTES:
+            return
+        if self._paused and self._transport is not None:
             self._paused = False
             if not self._transport.is_closing():
                 self._transport.resume_reading()
 
+    def _stop_reading(self) -> None:
+        if self._paused or self._transport is None or self._transport.is_closing():
+            return
+        self._paused = True
+        self._transport.pause_reading()
+
+    def _take_rest(self) -> None:
+        if self._ended or self._rest is not None:
+            return
+        self._stop_reading()
+        self._rest = asyncio.get_running_loop().call_later(self._pace_s, self._end_rest)
+
+    def _end_rest(self) -> None:
+        if self._rest is not None:
+            self._rest.cancel()
+            self._rest = None
+        self._resume()
+
 
 class RunnerPool:
     """Idle connections, and how new ones are made."""
--- /dev/null
+++ b/tests/unit/test_proxy_runner_connection.py
@@ -0,0 +1,101 @@
+"""A back end's connection whose reader is in no hurry."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead, RunnerConnection
+
+PACE_S = 0.2
+EVENTS = 40
+EVENT_INTERVAL_S = 0.01
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class Reads(RunnerConnection):
+    """Counts how often it is given bytes."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address)
+        self.count = 0
+
+    def data_received(self, data: bytes) -> None:
+        self.count += 1
+        super().data_received(data)
+
+
+async def _stream(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while await reader.readuntil(b"\r\n\r\n"):
+        writer.write(HEAD)
+        for number in range(EVENTS):
+            writer.write(b"4\r\n%04d\r\n" % number)
+            await writer.drain()
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        writer.write(b"0\r\n\r\n")
+
+
+async def _read(connection: RunnerConnection, pace_s: float) -> bytes:
+    connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
+    body = b""
+    while True:
+        event = await connection.next_event()
+        if isinstance(event, AnswerHead):
+            connection.pace(pace_s)
+        elif isinstance(event, bytes):
+            body += event
+        else:
+            assert isinstance(event, AnswerEnd)
+            return body
+
+
+async def _answers(*paces_s: float) -> tuple[list[bytes], list[int], list[bool]]:
+    """Read one answer after the other on one connection."""
+    server = await asyncio.start_server(_stream, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(lambda: Reads("s"), "127.0.0.1", port)
+    bodies, reads, kept = [], [], []
+    for pace_s in paces_s:
+        before = connection.count
+        bodies.append(await _read(connection, pace_s))
+        reads.append(connection.count - before)
+        kept.append(connection.release())
+    connection.close()
+    server.close()
+    return bodies, reads, kept
+
+
+@pytest.mark.parametrize("paces_s", [(PACE_S, 0.0), (PACE_S, PACE_S)])
+def test_a_paced_answer_is_whole_and_costs_few_reads(paces_s: tuple[float, ...]) -> None:
+    """The stores spent their time on a wake-up for every event of every item."""
+    bodies, reads, kept = asyncio.run(_answers(*paces_s))
+    whole = b"".join(b"%04d" % number for number in range(EVENTS))
+    assert bodies == [whole, whole]
+    assert kept == [True, True]
+    assert reads[0] <= EVENTS * EVENT_INTERVAL_S / PACE_S + 8 < EVENTS
+    if not paces_s[1]:
+        assert reads[1] > reads[0]
+
+
+def test_a_connection_that_is_closed_at_rest_stays_closed() -> None:
+    async def close_at_rest() -> bool:
+        server = await asyncio.start_server(_stream, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(lambda: Reads("s"), "127.0.0.1", port)
+        connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
+        await connection.next_event()
+        connection.pace(PACE_S)
+        await connection.next_event()
+        connection.close()
+        count = connection.count
+        await asyncio.sleep(PACE_S * 2)
+        server.close()
+        return connection.count == count
+
+    started_s = time.monotonic()
+    assert asyncio.run(close_at_rest())
+    assert time.monotonic() - started_s < 5
