Stores remember their group; elections of 0.4 to 0.8 s as a checked setting

Cause: no batch job can be accepted while no store leads, and an answer after the route's target earns nothing: 1.3 s at each change of leader, 1.6 s after a start of all machines, as stores asked the registry, which was electing too, before they started their replica. Excluded: the lease (a replica that starts still refuses votes for the shortest timeout). Change: a store writes its group's record beside the replica, synced, and starts from it; the times of the groups are settings, checked against each other, 0.15, 0.4 and 0.8 s (0.2, 0.6 and 1.2 before).

--- a/src/leverjunction/config/machine.py
+++ b/src/leverjunction/config/machine.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Self
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 SEED_HELP = "host:port of the internal RPC of control processes"
 
@@ -36,6 +37,29 @@
     status_s: float = Field(default=120.0, gt=0)
 
 
+class MachineElections(_Section):
+    """Times of a consensus group; alike on all its machines.
+
+    While nobody leads, nothing can be accepted, and each change of leader costs about the shortest
+    timeout. It must outlast pauses of a process that is not dead: a quota of its core, a slow sync.
+
+    Attributes:
+        heartbeat_s: Longest pause between two messages of a leader.
+        timeout_min_s: Shortest silence after which a replica campaigns.
+        timeout_max_s: Longest silence after which it does.
+    """
+
+    heartbeat_s: float = Field(default=0.15, gt=0)
+    timeout_min_s: float = Field(default=0.4, gt=0)
+    timeout_max_s: float = Field(default=0.8, gt=0)
+
+    @model_validator(mode="after")
+    def _in_order(self) -> Self:
+        if not self.heartbeat_s * 2 <= self.timeout_min_s < self.timeout_max_s:
+            raise ValueError("twice heartbeat_s at most timeout_min_s, that below timeout_max_s")
+        return self
+
+
 class MachineConfig(_Section):
     """Settings of one process.
 
@@ -50,6 +74,7 @@
         losses: Machines whose disks may be lost at once.
         memory_mb: Memory that the process may use.
         bounds: Times that the deployment promises.
+        elections: Times of its consensus groups.
         metrics_port: Port of the figures, 0 for none.
     """
 
@@ -63,6 +88,7 @@
     losses: int = Field(default=1, ge=0)
     memory_mb: int = Field(default=256, gt=0)
     bounds: MachineBounds = MachineBounds()
+    elections: MachineElections = MachineElections()
     metrics_port: int = Field(default=0, ge=0, lt=65536)
 
     def seed_addresses(self) -> tuple[str, ...]:
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -18,15 +18,13 @@
 from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots.commands import ForgetLots, encode_command
+from leverjunction.lots.remembered import read_group, write_group
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.lots.state_machine import LotsStateMachine
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.registry.cluster import (
     CALLS_AT_ONCE,
     CLUSTER_KEY,
-    ELECTION_MAX_S,
-    ELECTION_MIN_S,
-    HEARTBEAT_S,
     RPC_THREADS,
 )
 from leverjunction.registry.commands import Done, JobsPlaces, JoinMember
@@ -91,8 +89,13 @@
         ]
 
     def start(self) -> Failure | None:
-        """Start serving; the replica follows once the registry says who founds the group."""
+        """Start serving; the replica follows once it is known who founds the group."""
         self._server.start()
+        remembered = read_group(self._data_folder)
+        if remembered is not None:
+            # After a restart nobody has to be asked: the control processes may be starting too.
+            self._voters[JOBS_GROUP] = list(remembered.voters)
+            self._start_replica(remembered)
         self._follower.start()
         for task in self._tasks:
             task.start()
@@ -146,15 +149,27 @@
                 logger.error("the replica cannot start: {}", fault.reason)
                 self._start_fault = fault
                 return
+            self._remember(group)
             self._runner = LotsRunner(
                 replica, self._config.zone, self._dialect, self._clock, self._random
             )
             self._local[JOBS_GROUP] = replica
             self._runner.start()
 
-    def _group_config(self, group: GroupRecord) -> GroupConfig:
+    def _remember(self, group: GroupRecord) -> None:
+        try:
+            write_group(self._data_folder, group)
+        except OSError as error:
+            # The next start asks the registry again.
+            logger.warning("the group is not remembered: {}", error)
+
+    @property
+    def _data_folder(self) -> Path:
         assert self._config.data_folder is not None
-        folder = Path(self._config.data_folder)
+        return Path(self._config.data_folder)
+
+    def _group_config(self, group: GroupRecord) -> GroupConfig:
+        folder = self._data_folder
         folder.mkdir(parents=True, exist_ok=True)
         founds = self._address in group.founders
         return GroupConfig(
@@ -162,9 +177,9 @@
             address=self._address,
             first_members=group.founders if founds else (),
             data_path=str(folder / f"{group.name}.sqlite"),
-            heartbeat_interval_s=HEARTBEAT_S,
-            election_timeout_min_s=ELECTION_MIN_S,
-            election_timeout_max_s=ELECTION_MAX_S,
+            heartbeat_interval_s=self._config.elections.heartbeat_s,
+            election_timeout_min_s=self._config.elections.timeout_min_s,
+            election_timeout_max_s=self._config.elections.timeout_max_s,
             log_kept_bytes=LOG_KEPT_BYTES,
             rejoin_when_corrupt=True,
         )
--- a/src/leverjunction/registry/cluster.py
+++ b/src/leverjunction/registry/cluster.py
@@ -17,8 +17,3 @@
 """Threads of the RPC server that are left for messages between replicas and for status."""
 
 RPC_THREADS = 2 * CALLS_AT_ONCE + PEER_THREADS
-
-HEARTBEAT_S = 0.2
-ELECTION_MIN_S = 0.6
-ELECTION_MAX_S = 1.2
-"""Times of all its consensus groups (``GroupConfig``)."""
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -19,9 +19,6 @@
 from leverjunction.registry.cluster import (
     CALLS_AT_ONCE,
     CLUSTER_KEY,
-    ELECTION_MAX_S,
-    ELECTION_MIN_S,
-    HEARTBEAT_S,
     RPC_THREADS,
 )
 from leverjunction.registry.commands import (
@@ -325,8 +322,8 @@
         # Empty on a machine that came later: it joins, and never founds.
         first_members=founders,
         data_path=str(folder / f"{REGISTRY_GROUP}.sqlite"),
-        heartbeat_interval_s=HEARTBEAT_S,
-        election_timeout_min_s=ELECTION_MIN_S,
-        election_timeout_max_s=ELECTION_MAX_S,
+        heartbeat_interval_s=config.elections.heartbeat_s,
+        election_timeout_min_s=config.elections.timeout_min_s,
+        election_timeout_max_s=config.elections.timeout_max_s,
         rejoin_when_corrupt=True,
     )
--- a/tests/unit/seeded_support.py
+++ b/tests/unit/seeded_support.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from leverjunction.clock import SystemClock
-from leverjunction.config.machine import MachineConfig, MachineListen
+from leverjunction.config.machine import MachineConfig, MachineElections, MachineListen
 from leverjunction.lots.node import LotsNode
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.registry.node import RegistryNode
@@ -23,6 +23,9 @@
 SEEDS = 3
 STORE_HOSTS = 100
 
+ELECTIONS = MachineElections(heartbeat_s=0.2, timeout_min_s=0.6, timeout_max_s=1.2)
+"""Many nodes share one interpreter here, perhaps beside busy processes."""
+
 
 def wait_until(condition: Callable[[], object], timeout_s: float = 15.0) -> None:
     """Wait for a condition; fails the test when it does not come true in time."""
@@ -80,4 +83,5 @@
             rpc_seed_port=RPC_PORT,
             data_folder=self._folder / name,
             first_start=first,
+            elections=ELECTIONS,
         )
--- a/tests/unit/test_registry_fleet.py
+++ b/tests/unit/test_registry_fleet.py
@@ -116,3 +116,22 @@
         assert source.version == 4
     finally:
         fleet.stop()
+
+
+def test_stores_lead_their_group_again_while_all_control_processes_are_down(
+    tmp_path: Path,
+) -> None:
+    """When all machines start at once, stores waited for a leader of the registry first."""
+    fleet = SeededFleet(tmp_path)
+    try:
+        for number in (1, 2, 3):
+            fleet.start_control(number)
+            fleet.start_store(number)
+        wait_until(lambda: all(JOBS_GROUP in store.groups() for store in fleet.stores.values()))
+        fleet.stop()
+        fleet.controls.clear()
+        for number in (1, 2, 3):
+            fleet.start_store(number, first=False)
+        wait_until(lambda: any(store.host.leads(JOBS_GROUP) for store in fleet.stores.values()))
+    finally:
+        fleet.stop()
