Gateways ask the store that leads; results are read from the own zone's store

Change: gateways use the call that is run there or refused; a refusal names the leader, who is asked next; a silent store is passed over after 0.25 s; rounds go on while the stores elect. Results are read from the store of the gateway's zone if its state is at most 0.4 s old; what it does not have is asked of the leader, who alone may say 'not there'.

--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -18,6 +18,7 @@
 from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots.commands import ForgetLots, encode_command
+from leverjunction.lots.recent_reads import answer_recent, no_replica
 from leverjunction.lots.remembered import read_group, write_group
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.lots.state_machine import LotsStateMachine
@@ -195,6 +196,7 @@
             endpoint.register(kind, self.host.serve_client)
         for kind in (MessageKind.FORWARDED_PROPOSE, MessageKind.FORWARDED_QUERY):
             endpoint.register(kind, self.host.serve_forwarded)
+        endpoint.register(MessageKind.RECENT_QUERY, self._on_recent_query)
         endpoint.register(MessageKind.STATUS, self._on_status)
         return endpoint
 
@@ -202,6 +204,12 @@
         receivers = {name: replica.receive for name, replica in self._local.items()}
         return serve_raft(receivers, envelope)
 
+    def _on_recent_query(self, envelope: Envelope, _peer: str) -> bytes:
+        replica = self._local.get(envelope.group)
+        if replica is None:
+            return encode_reply(no_replica(envelope.group))
+        return answer_recent(replica, envelope.body)
+
     def _on_status(self, _envelope: Envelope, _peer: str) -> bytes:
         replica = self._local.get(JOBS_GROUP)
         if replica is None:
--- a/src/leverjunction/platform/front_calls.py
+++ b/src/leverjunction/platform/front_calls.py
@@ -81,9 +81,9 @@
     return register
 
 
-def make_front_calls(rpc: RpcClient, follower: RegistryFollower) -> LocalHandler:
+def make_front_calls(rpc: RpcClient, follower: RegistryFollower, zone: str) -> LocalHandler:
     """Return the handler of the platform's calls."""
-    client = LotsClient(rpc, follower)
+    client = LotsClient(rpc, follower, zone)
 
     async def handle(
         request: CallerRequest, responder: Responder, _index: RouteIndex, route: Route | None
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -40,7 +40,7 @@
 
 POLL_S = 0.05
 
-MakeLocal = Callable[[RpcClient, RegistryFollower], LocalHandler]
+MakeLocal = Callable[[RpcClient, RegistryFollower, str], LocalHandler]
 """Makes the handler of what is no request for a back end."""
 
 
@@ -75,7 +75,7 @@
             dialect,
             journal,
             self._random,
-            make_local(self._rpc, self._follower),
+            make_local(self._rpc, self._follower, config.zone),
         )
         self._port = CallerPort(self._forwarder.handle, self._limits)
         self._figures_port = CallerPort(self._answer_figures, RequestLimits)
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -51,6 +51,7 @@
     MACHINE_LIST = 14
     REGISTRY_WATCH = 15
     REGISTRY_HEARD = 16
+    RECENT_QUERY = 17
 
 
 _HEADER = Struct(
--- a/tests/unit/test_lots_client.py
+++ b/tests/unit/test_lots_client.py
@@ -11,11 +11,18 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.lots import client as client_module
 from leverjunction.lots.client import LotsClient
-from leverjunction.lots.commands import EndLot, LotTaken
+from leverjunction.lots.commands import EndLot, LotTaken, ReadResults, ResultsPage
 from leverjunction.registry.follower import Snapshot
-from leverjunction.registry.records import JOBS_GROUP, FleetView, GroupRecord
+from leverjunction.registry.records import (
+    JOBS_GROUP,
+    FleetView,
+    GroupRecord,
+    MemberRecord,
+    MemberRole,
+)
 from leverjunction.routes.types import RouteTable
 from leverjunction.wire.codec import encode_reply
+from leverjunction.wire.envelope import MessageKind
 
 STORES = ("a:1", "b:1", "c:1")
 Answer = Callable[[float], bytes | Failure]
@@ -27,15 +34,21 @@
     def __init__(self, **answers: Answer) -> None:
         self.answers = answers
         self.asked: list[str] = []
+        self.kinds: list[MessageKind] = []
 
     def snapshot(self) -> Snapshot:
         group = GroupRecord(name=JOBS_GROUP, founders=STORES, voters=STORES)
-        return Snapshot(RouteTable(), FleetView(revision=1, groups=(group,)))
+        members = tuple(
+            MemberRecord(name=address, role=MemberRole.STORE, address=address, zone=f"z{number}")
+            for number, address in enumerate(STORES, 1)
+        )
+        return Snapshot(RouteTable(), FleetView(revision=1, groups=(group,), members=members))
 
     def call_raw(
-        self, peer: str, _kind: object, _body: bytes, *, group: str, timeout_s: float
+        self, peer: str, kind: MessageKind, _body: bytes, *, group: str, timeout_s: float
     ) -> bytes | Failure:
         self.asked.append(peer[0])
+        self.kinds.append(kind)
         return self.answers[peer[0]](timeout_s)
 
 
@@ -68,7 +81,7 @@
 
 
 def make(stores: Stores) -> LotsClient:
-    return LotsClient(stores, stores)  # type: ignore[arg-type]
+    return LotsClient(stores, stores, "z2")  # type: ignore[arg-type]
 
 
 def test_the_leader_is_found_and_asked_first_from_then_on() -> None:
@@ -79,6 +92,38 @@
     assert stores.asked == ["a", "b", "c", "c"]
 
 
+def test_a_store_that_does_not_lead_says_who_does() -> None:
+    stores = Stores(
+        a=refusing(FailureKind.NOT_LEADER, Execution.NOT_RUN, "c:1"), b=NOT_LEADER, c=taken
+    )
+    assert call(make(stores)) == LotTaken("lot")
+    assert stores.asked == ["a", "c"]
+
+
+def test_calls_are_not_passed_on_from_store_to_store() -> None:
+    """A store that was cut off held each call that it should pass on, for over a second."""
+    stores = Stores(a=NOT_LEADER, b=taken, c=taken)
+    assert call(make(stores)) == LotTaken("lot")
+    assert stores.kinds == [MessageKind.FORWARDED_PROPOSE] * 2
+
+
+def test_a_silent_store_is_passed_over_while_the_caller_still_waits() -> None:
+    started_s = time.monotonic()
+    assert call(make(Stores(a=silent, b=taken, c=taken))) == LotTaken("lot")
+    assert time.monotonic() - started_s < 0.4
+
+
+def test_an_election_is_waited_for() -> None:
+    refusals = iter([NOT_LEADER] * 4)
+    stores = Stores(
+        a=NOT_LEADER,
+        b=NOT_LEADER,
+        c=lambda timeout_s: next(refusals, taken)(timeout_s),
+    )
+    assert call(make(stores)) == LotTaken("lot")
+    assert len(stores.asked) == 15
+
+
 @pytest.mark.parametrize(
     ("first", "execution"),
     [
@@ -112,3 +157,26 @@
     assert isinstance(reply, Failure)
     assert reply.execution is Execution.UNKNOWN
     assert time.monotonic() - started_s < 0.8
+
+
+def page(_timeout_s: float) -> bytes:
+    return encode_reply(ResultsPage(total=1, results=()))
+
+
+@pytest.mark.parametrize(
+    ("near", "asked"),
+    [
+        (page, ["b"]),
+        (refusing(FailureKind.NOT_LEADER, Execution.NOT_RUN, "c:1"), ["b", "c"]),
+        (silent, ["b", "a", "c"]),
+    ],
+    ids=["recent", "old", "silent"],
+)
+def test_results_are_read_from_the_store_of_the_own_zone(near: Answer, asked: list[str]) -> None:
+    """Each page of results crossed zones twice: to a store that passed the call on, and back."""
+    stores = Stores(a=NOT_LEADER, b=near, c=page)
+    query = ReadResults(lot_id="lot", after=0, most_bytes=1000)
+    reply = asyncio.run(make(stores).query(query, ResultsPage))
+    assert reply == ResultsPage(total=1, results=())
+    assert stores.asked == asked
+    assert stores.kinds[0] is MessageKind.RECENT_QUERY
