Lots: items are ranked four times a second; the margin is part of the reserve

(1) A slot of each back end was left free beside the reserve, and readings that waver made the fastest rise large. Change: the reserve holds the margin, and is at most a third of the peak; a board of open items, pure, ranks them every 0.25 s, keeps each one's route, and is told of new lots only.

--- a/src/leverjunction/lots/commands.py
+++ b/src/leverjunction/lots/commands.py
@@ -138,12 +138,18 @@
     item_id: str
 
 
+class ReadOpenKeys(msgspec.Struct, frozen=True, tag="read_open_keys"):
+    """Read which items are to be run."""
+
+
 class ReadOpenItems(msgspec.Struct, frozen=True, tag="read_open_items"):
-    """Read what is to be run, without the bodies."""
+    """Read what is to be run of one lot, or of all of them, without the bodies."""
+
+    lot_id: str = ""
 
 
 LotCommand = SubmitLot | RecordRuns | EndLot | ForgetLots
-LotQuery = ReadResults | ReadBody | ReadProgress | ReadOpenItems
+LotQuery = ReadResults | ReadBody | ReadProgress | ReadOpenKeys | ReadOpenItems
 
 
 def encode_command(command: LotCommand) -> bytes:
@@ -214,3 +220,9 @@
     """Reply to ``ReadOpenItems``, the ones that are due first in front."""
 
     items: tuple[OpenItem, ...]
+
+
+class OpenKeys(msgspec.Struct, frozen=True):
+    """Reply to ``ReadOpenKeys``: lot and item of each."""
+
+    keys: tuple[tuple[str, str], ...]
--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -6,6 +6,8 @@
 
 from leverjunction.lots.commands import OpenItem
 from leverjunction.lots.item_stream import ItemStream
+from leverjunction.routes.matching import RouteIndex
+from leverjunction.routes.types import Route
 
 ItemKey = tuple[str, str]
 """Lot and item."""
@@ -26,6 +28,8 @@
     """
 
     __slots__ = (
+        "_route",
+        "_routed_by",
         "failures",
         "follows",
         "item",
@@ -45,12 +49,21 @@
         self.parking = False
         self.runner_id = ""
         self.worked_s = 0.0
+        self._route: Route | None = None
+        self._routed_by: RouteIndex | None = None
 
     @property
     def key(self) -> ItemKey:
         """Its lot and item."""
         return (self.item.lot_id, self.item.item_id)
 
+    def route(self, index: RouteIndex) -> Route | None:
+        """Return its route in a table."""
+        if self._routed_by is not index:
+            self._route = index.find(self.item.host, self.item.path)
+            self._routed_by = index
+        return self._route
+
     def stop(self) -> None:
         """End the run that is under way; a later one continues."""
         if self.task is not None:
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -107,11 +107,13 @@
             parked += [key for key, count in here.items() for _ in range(count)]
         return parked
 
+    def is_to_tell(self) -> bool:
+        """Return whether it is time for the next line."""
+        return self._loop.time() - self._told_s >= TELL_INTERVAL_S
+
     def tell(self, open_items: int, running: int) -> None:
-        """Say every few seconds how much runs, and why not more."""
+        """Say how much runs, and why not more."""
         now_s = self._loop.time()
-        if now_s - self._told_s < TELL_INTERVAL_S:
-            return
         self._told_s = now_s
         for service, room in self._rooms.items():
             logger.info(
--- a/src/leverjunction/lots/room.py
+++ b/src/leverjunction/lots/room.py
@@ -37,6 +37,9 @@
 FLOOR_SHARE = 1 / 8
 """Share of the slots that batch may have without a reserve, as long as they are free now."""
 
+ARRIVALS_SHARE = 1 / 3
+"""Of the peak: at most so much of it arrives in the reaction time, as requests last for longer."""
+
 SLACK_RUNS = 2
 """Runs beyond what is allowed before any is parked: readings waver."""
 
@@ -184,10 +187,12 @@
         read = self._read(now_s)
         slots = sum(seat.slots for seat in read)
         online = sum(seat.online for seat in read)
-        free = slots - len(read) * MARGIN_SLOTS - online
+        free = slots - online
+        margin = len(read) * MARGIN_SLOTS
         wanted = min(self._peak(slots, now_s) - online, self._reserve(slots, now_s))
-        floor = min(free, int(slots * FLOOR_SHARE))
-        return max(free - max(0, wanted), floor, 0)
+        floor = min(free - margin, int(slots * FLOOR_SHARE))
+        # Slots of the margin serve the next arrivals as well as any other.
+        return max(free - max(margin, wanted), floor, 0)
 
     def figures(self, now_s: float) -> tuple[int, int, int, int]:
         """Return allowance, online peak, online now and slots, for a person."""
@@ -206,7 +211,10 @@
 
     def _reserve(self, slots: int, now_s: float) -> int:
         most = round(slots * RESERVE_SHARE)
-        return min(self._rise_seen, most) if self._is_watched(now_s) else most
+        if not self._is_watched(now_s):
+            return most
+        # Readings waver, so a rise alone would overstate what can come.
+        return min(self._rise_seen, round(self._peak_seen * ARRIVALS_SHARE), most)
 
     def _is_watched(self, now_s: float) -> bool:
         """Return whether online requests were seen for long enough to know their bursts."""
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -9,15 +9,24 @@
 import asyncio
 import threading
 from random import Random
+from typing import TypeVar
 
+import msgspec
 from loguru import logger
 
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.errors import Failure
 from leverjunction.lots.attempts import Attempts
-from leverjunction.lots.commands import OpenItem, OpenItems, ReadOpenItems
-from leverjunction.lots.item_run import ItemKey, ItemRun
+from leverjunction.lots.board import Board
+from leverjunction.lots.commands import (
+    OpenItem,
+    OpenItems,
+    OpenKeys,
+    ReadOpenItems,
+    ReadOpenKeys,
+)
+from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.urgency import RunTimes, Urgency
@@ -27,9 +36,10 @@
 from leverjunction.proxy.runner_connection import RunnerPool
 from leverjunction.registry.follower import Snapshot
 from leverjunction.routes.matching import RouteIndex, draw_service
-from leverjunction.routes.types import Route
 from leverjunction.wire.codec import decode_reply, encode
 
+T = TypeVar("T")
+
 STEP_S = 0.1
 IDLE_STEP_S = 0.5
 STOP_TIMEOUT_S = 2.0
@@ -57,7 +67,7 @@
         self._index: RouteIndex | None = None
         self._snapshot: Snapshot | None = None
         self._taken: Snapshot | None = None
-        self._runs: dict[ItemKey, ItemRun] = {}
+        self._board = Board()
         self._times = RunTimes()
         self._dirty = True
         self._stopped = False
@@ -110,7 +120,7 @@
 
     async def _pause(self) -> None:
         assert self._wake is not None
-        busy = bool(self._runs) or not self._outbox.is_empty
+        busy = bool(self._board.runs) or not self._outbox.is_empty
         try:
             async with asyncio.timeout(STEP_S if busy else IDLE_STEP_S):
                 await self._wake.wait()
@@ -126,16 +136,18 @@
             self._dirty = True
             return
         self._take_registry()
-        await self._outbox.record(self._runs.values())
+        await self._outbox.record(self._board.runs.values())
         if self._dirty:
             self._dirty = False
             self._read_open()
-        if self._runs:
-            self._loads.read(self._services())
-            running = sum(1 for run in self._runs.values() if run.task is not None)
-            self._loads.tell(len(self._runs), running)
-            self._park()
-        self._start_runs()
+        index = self._index
+        if index is None or not self._board.runs:
+            return
+        self._loads.read(self._board.services(index))
+        self._tell()
+        self._park()
+        self._give_up_late()
+        self._start_runs(index)
 
     def _take_registry(self) -> None:
         snapshot = self._snapshot
@@ -148,75 +160,86 @@
             self._index = RouteIndex(snapshot.table)
 
     def _drop_all(self) -> None:
-        for run in self._runs.values():
+        for run in self._board.running():
             run.stop()
-        self._runs.clear()
+        self._board.clear()
         self._outbox.clear()
         self._loads.clear()
 
     def _read_open(self) -> None:
         """Take new items in; stop those that are not open any more."""
-        opened = decode_reply(self._group.query_local(encode(ReadOpenItems())), OpenItems)
-        if isinstance(opened, Failure):
+        opened = self._query(ReadOpenKeys(), OpenKeys)
+        if opened is None:
             return
-        items = {(item.lot_id, item.item_id): item for item in opened.items}
-        for key, run in self._runs.items():
-            if key not in items:
-                run.stop()
-        self._runs = {key: self._runs.get(key) or ItemRun(item) for key, item in items.items()}
+        for run in self._board.keep(frozenset(opened.keys)):
+            run.stop()
+        for lot_id in self._board.unknown_lots(opened.keys):
+            items = self._query(ReadOpenItems(lot_id), OpenItems)
+            if items is not None:
+                self._board.add(items.items)
 
-    def _services(self) -> set[str]:
-        """Return the services of the open items."""
-        routes = (self._route(run.item) for run in self._runs.values())
-        return {part.service for route in routes if route is not None for part in route.services}
+    def _query(self, query: msgspec.Struct, reply_type: type[T]) -> T | None:
+        reply = decode_reply(self._group.query_local(encode(query)), reply_type)
+        return None if isinstance(reply, Failure) else reply
+
+    def _tell(self) -> None:
+        if self._loads.is_to_tell():
+            self._loads.tell(len(self._board.runs), sum(1 for _ in self._board.running()))
 
     def _park(self) -> None:
         """Give way to online requests: those runs stop that have most time left."""
-        for runner_id in self._loads.to_park():
-            here = [
-                run
-                for run in self._runs.values()
-                if run.runner_id == runner_id and run.task is not None and not run.parking
-            ]
+        parked = self._loads.to_park()
+        if not parked:
+            return
+        running = [run for run in self._board.running() if not run.parking]
+        for runner_id in parked:
+            here = [run for run in running if run.runner_id == runner_id and not run.parking]
             if not here:
                 continue
             run = max(here, key=self._urgency)
             run.parking = True
             run.stop()
 
-    def _start_runs(self) -> None:
-        full: set[str] = set()
-        waiting = [
-            run
-            for run in self._runs.values()
-            if run.task is None and not self._outbox.has_result(run)
-        ]
-        for run in sorted(waiting, key=self._urgency):
-            if self._is_over(run.item):
+    def _give_up_late(self) -> None:
+        if not self._board.rank(asyncio.get_running_loop().time(), self._urgency):
+            return
+        for run in self._board.runs.values():
+            if run.task is None and self._is_over(run.item) and not self._outbox.has_result(run):
                 self._outbox.dead(run, "its time is over")
-                continue
-            route = self._route(run.item)
-            if route is None:
+
+    def _start_runs(self, index: RouteIndex) -> None:
+        """Start what is most urgent, as long as there is room for it."""
+        roomy = {item for item in self._board.services(index) if self._loads.free_seat(item)}
+        blocked: list[ItemRun] = []
+        waiting = self._board.take() if roomy else iter(())
+        for run in waiting:
+            route = run.route(index)
+            if route is None or self._outbox.has_result(run):
                 continue
             service = draw_service(route, self._random)
-            seat = None if service in full else self._loads.free_seat(service)
-            if seat is None:
-                full.add(service)
+            seat = self._loads.free_seat(service) if service in roomy else None
+            if seat is not None:
+                self._start(run, seat)
                 continue
-            # Counted at once, so that the next item sees this one.
-            self._loads.room_at(seat).started()
-            run.runner_id = seat.record.runner_id
-            run.parking = False
-            run.task = asyncio.get_running_loop().create_task(self._run(run, seat))
+            roomy.discard(service)
+            blocked.append(run)
+            if not roomy:
+                break
+        for run in reversed(blocked):
+            self._board.put_back(run)
+
+    def _start(self, run: ItemRun, seat: RunnerSeat) -> None:
+        # Counted at once, so that the next item sees this one.
+        self._loads.room_at(seat).started()
+        run.runner_id = seat.record.runner_id
+        run.parking = False
+        run.task = asyncio.get_running_loop().create_task(self._run(run, seat))
 
     def _urgency(self, run: ItemRun) -> Urgency:
         item = run.item
         due_in_s = (item.accepted_ms + item.due_ms - self._clock.wall_ms()) / 1000
         return self._times.urgency(due_in_s, run.worked_s)
 
-    def _route(self, item: OpenItem) -> Route | None:
-        return self._index.find(item.host, item.path) if self._index is not None else None
-
     def _is_over(self, item: OpenItem) -> bool:
         age_s = (self._clock.wall_ms() - item.accepted_ms) / 1000
         return item.give_up_s > 0 and age_s > item.give_up_s + GIVE_UP_MARGIN_S
--- a/src/leverjunction/lots/state_machine.py
+++ b/src/leverjunction/lots/state_machine.py
@@ -45,7 +45,7 @@
 SELECT i.lot, i.item, l.host, i.path, i.headers, i.tokens, l.max_attempts, l.give_up_s, l.due_ms,
     l.accepted_ms, i.failures
 FROM sm_lot_item i JOIN sm_lot l ON l.lot = i.lot
-WHERE l.ended = 0
+WHERE l.ended = 0 AND (?1 = '' OR i.lot = ?1)
 ORDER BY l.accepted_ms + l.due_ms, i.lot, i.place
 """
 _COMMANDS = msgspec.msgpack.Decoder(commands.LotCommand)
@@ -98,7 +98,9 @@
             return encode_reply(_body(connection, decoded))
         if isinstance(decoded, commands.ReadProgress):
             return encode_reply(progress_rows.known(connection, decoded.lot_id, decoded.item_id))
-        return encode_reply(_open_items(connection))
+        if isinstance(decoded, commands.ReadOpenKeys):
+            return encode_reply(_open_keys(connection))
+        return encode_reply(_open_items(connection, decoded.lot_id))
 
 
 def _changes_open_items(command: commands.LotCommand) -> bool:
@@ -240,7 +242,12 @@
     return commands.ItemBody(row[0])
 
 
-def _open_items(connection: sqlite3.Connection) -> commands.OpenItems:
+def _open_keys(connection: sqlite3.Connection) -> commands.OpenKeys:
+    # Items of an ended lot have no rows.
+    return commands.OpenKeys(tuple(connection.execute("SELECT lot, item FROM sm_lot_item")))
+
+
+def _open_items(connection: sqlite3.Connection, lot_id: str) -> commands.OpenItems:
     items = [
         commands.OpenItem(
             lot_id=lot,
@@ -267,7 +274,7 @@
             due_ms,
             accepted_ms,
             failures,
-        ) in connection.execute(_OPEN_ITEMS)
+        ) in connection.execute(_OPEN_ITEMS, (lot_id,))
     ]
     return commands.OpenItems(tuple(items))
 
--- a/tests/unit/test_lots_state_machine.py
+++ b/tests/unit/test_lots_state_machine.py
@@ -23,8 +23,10 @@
     LotItem,
     LotTaken,
     OpenItems,
+    OpenKeys,
     ReadBody,
     ReadOpenItems,
+    ReadOpenKeys,
     ReadProgress,
     ReadResults,
     Recorded,
@@ -242,3 +244,16 @@
     assert len(changes) == 1
     finish(lots, 1)
     assert len(changes) == 2
+
+
+def test_open_items_are_read_by_their_keys_or_by_lot(lots: Lots) -> None:
+    lots.apply(submit("x", lot="other"), LotTaken)
+    lots.done("b")
+    keys = lots.ask(ReadOpenKeys(), OpenKeys)
+    assert isinstance(keys, OpenKeys)
+    assert sorted(keys.keys) == [("lot", "a"), ("lot", "c"), ("other", "x")]
+    of_one = lots.ask(ReadOpenItems("other"), OpenItems)
+    assert isinstance(of_one, OpenItems)
+    assert [item.item_id for item in of_one.items] == ["x"]
+    lots.apply(EndLot("lot"), LotTaken)
+    assert lots.ask(ReadOpenKeys(), OpenKeys) == OpenKeys((("other", "x"),))
