Gateways tell the leader of batch their online requests, and hold what would be late

In bursts beyond the slots all online requests were late, first come first served. Change: gateways tell the leader of the jobs group, by datagrams, their requests at each back end as they change; it parks at once, keeps what can come in 30 ms, and tells each gateway what the others have, batch not counted. What reports show beyond that counts as before. Gateways send only what can be in time, hold the rest for a lull, refuse at once what surely cannot be served (503, not run, Retry-After worked out). One slot of each back end is kept free only while no gateway tells. Switches: policies.tell_online_loads, policies.hold_late_requests. Tests: admission and gate, told loads, datagrams over sockets, room, prospect; the rows of the room's margin are as strict as before where no gateway tells.

--- a/src/leverjunction/config/machine.py
+++ b/src/leverjunction/config/machine.py
@@ -63,6 +63,18 @@
             raise ValueError("twice heartbeat_s at most timeout_min_s, that below timeout_max_s")
 
 
+class MachinePolicies(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Switches of policies, to compare a deployment with and without them.
+
+    Attributes:
+        hold_late_requests: Gateways hold online requests that could not be in time now.
+        tell_online_loads: Gateways tell the leader of batch work their online requests.
+    """
+
+    hold_late_requests: bool = True
+    tell_online_loads: bool = True
+
+
 class MachineConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Settings of one process.
 
@@ -78,6 +90,7 @@
         memory_mb: Memory that the process may use.
         bounds: Times that the deployment promises.
         elections: Times of its consensus groups.
+        policies: Switches of policies.
         metrics_port: Port of the figures, 0 for none.
     """
 
@@ -92,6 +105,7 @@
     memory_mb: Annotated[int, Meta(gt=0)] = 256
     bounds: MachineBounds = MachineBounds()
     elections: MachineElections = MachineElections()
+    policies: MachinePolicies = MachinePolicies()
     metrics_port: Annotated[int, Meta(ge=0, lt=65536)] = 0
 
     def seed_addresses(self) -> tuple[str, ...]:
--- a/src/leverjunction/lots/client.py
+++ b/src/leverjunction/lots/client.py
@@ -154,8 +154,7 @@
 
     def _voters(self) -> tuple[str, ...]:
         snapshot = self._follower.snapshot()
-        group = snapshot.view.group(JOBS_GROUP) if snapshot is not None else None
-        return group.voters if group is not None else ()
+        return snapshot.view.voters(JOBS_GROUP) if snapshot is not None else ()
 
     def _near_store(self) -> str | None:
         """Return a store of the group in this zone, the leader if it is there."""
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -8,9 +8,9 @@
 from loguru import logger
 
 from leverjunction.lots.room import SeatRoom, ServiceRoom
+from leverjunction.lots.told_loads import ToldLoads
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
-from leverjunction.proxy.dialect import Dialect
 
 READ_INTERVAL_S = 0.1
 """Pause between two readings of a back end: how soon batch learns that it has to give way."""
@@ -18,8 +18,7 @@
 READS_PER_S = 200
 """Of all back ends of a service together: many of them are read less often."""
 
-READ_TIMEOUT_S = 0.6
-TELL_INTERVAL_S = 5.0
+LOG_INTERVAL_S = 5.0
 NEAR_ROOM = 3
 """Slots that a back end in this zone must have free to be preferred to one with more elsewhere."""
 
@@ -30,7 +29,6 @@
     Args:
         sender: Sends the readings.
         balancer: Knows the back ends.
-        dialect: Words of the readings.
         zone: Zone of this process.
         read: Called after each reading.
     """
@@ -39,18 +37,16 @@
         self,
         sender: Sender,
         balancer: Balancer,
-        dialect: Dialect,
         zone: str,
         read: Callable[[], None],
     ) -> None:
         self._sender = sender
         self._balancer = balancer
-        self._dialect = dialect
         self._zone = zone
         self._read_one = read
         self._rooms: dict[str, ServiceRoom] = {}
         self._reading: dict[str, asyncio.Task[None]] = {}
-        self._told_s = float("-inf")
+        self._logged_s = float("-inf")
         self._loop = asyncio.get_running_loop()
 
     def clear(self) -> None:
@@ -74,6 +70,22 @@
                 if key not in self._reading:
                     self._reading[key] = self._loop.create_task(self._read(seat, pause_s))
 
+    def tell(self, loads: ToldLoads) -> None:
+        """Take what gateways tell of their online requests."""
+        now_s = self._loop.time()
+        loads.expire(now_s)
+        for service, room in self._rooms.items():
+            for key, seat in room.seats.items():
+                seat.tell(loads.at_runner(key), now_s)
+            room.hear(loads.tellers, loads.interval_s(), loads.held(service))
+            room.note(now_s)
+
+    def online(self) -> dict[str, int]:
+        """Return the online requests at each back end whose load is known."""
+        now_s = self._loop.time()
+        rooms = self._rooms.values()
+        return {key: seat.online for room in rooms for key, seat in room.read(now_s)}
+
     def room_at(self, seat: RunnerSeat) -> SeatRoom:
         """Return what is known of one back end."""
         return self._room(seat.record.service).seat(seat.record.runner_id, seat.record.slots)
@@ -107,14 +119,14 @@
             parked += [key for key, count in here.items() for _ in range(count)]
         return parked
 
-    def is_to_tell(self) -> bool:
+    def is_to_log(self) -> bool:
         """Return whether it is time for the next line."""
-        return self._loop.time() - self._told_s >= TELL_INTERVAL_S
+        return self._loop.time() - self._logged_s >= LOG_INTERVAL_S
 
-    def tell(self, open_items: int, running: int) -> None:
+    def log(self, open_items: int, running: int) -> None:
         """Say how much runs, and why not more."""
         now_s = self._loop.time()
-        self._told_s = now_s
+        self._logged_s = now_s
         for service, room in self._rooms.items():
             logger.info(
                 "batch of {}: {} open, {} running, {} may be added; online peak {}, now {},"
@@ -135,17 +147,13 @@
         return (near, room, seat.record.runner_id)
 
     async def _read(self, seat: RunnerSeat, pause_s: float) -> None:
-        path, headers = self._dialect.load_request()
         try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
-                body = await self._sender.fetch(seat.record.address, path, headers)
-            load = self._dialect.read_load(body) if isinstance(body, bytes) else None
-            if load is not None:
-                self.room_at(seat).told(load.running, load.waiting, self._loop.time())
-                self._read_one()
+            load = await self._sender.read_load(seat)
+            if load is None:
+                # The last reading grows old, and then nothing is added there.
+                return
+            self.room_at(seat).read(load.running, load.waiting, self._loop.time())
+            self._read_one()
             await asyncio.sleep(pause_s)
-        except TimeoutError:
-            # The reading grows old, and then nothing is added there.
-            pass
         finally:
             self._reading.pop(seat.record.runner_id, None)
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -169,7 +169,12 @@
                 return
             self._remember(group)
             self._runner = LotsRunner(
-                replica, self._config.zone, self._dialect, self._clock, self._random
+                replica,
+                self._config.zone,
+                self._dialect,
+                self._clock,
+                self._random,
+                datagrams=self._address,
             )
             self._local[JOBS_GROUP] = replica
             self._runner.start()
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -28,6 +28,7 @@
     ReadOpenKeys,
 )
 from leverjunction.lots.item_run import ItemRun
+from leverjunction.lots.load_listener import LoadListener
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.urgency import RunTimes, Urgency
@@ -35,6 +36,7 @@
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import Snapshot
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.wire.codec import decode_reply, encode
@@ -59,7 +61,19 @@
         dialect: Dialect,
         clock: Clock,
         random: Random,
+        datagrams: str = "",
     ) -> None:
+        """Prepare a runner.
+
+        Args:
+            group: The group whose items are run.
+            zone: Zone of this process.
+            dialect: Words of the back ends.
+            clock: Source of time.
+            random: Draws the services of split routes.
+            datagrams: Address where gateways tell of their online requests; empty for none.
+        """
+        self._datagrams = datagrams
         self._group = group
         self._zone = zone
         self._dialect = dialect
@@ -110,16 +124,32 @@
         self._outbox = Outbox(self._group)
         self._attempts = Attempts(self._group, sender, self._dialect, self._outbox)
         self._recording: asyncio.Task[None] | None = None
-        self._loads = LoadWatch(sender, self._balancer, self._dialect, self._zone, self._wake.set)
+        self._loads = LoadWatch(sender, self._balancer, self._zone, self._wake.set)
+        self._listener = LoadListener(
+            CLUSTER_KEY, self._has_work, self._give_way, self._loads.online
+        )
+        if self._datagrams:
+            await self._listener.start(self._datagrams)
         while not self._stopped:
             try:
                 self._step()
             except Exception:
                 logger.exception("a step of the runner of lots failed")
             await self._pause()
+        self._listener.close()
         self._drop_all()
         pool.close()
 
+    def _has_work(self) -> bool:
+        return bool(self._board.runs)
+
+    def _give_way(self) -> None:
+        """Make room at once for online requests that a gateway told of; fill it a little later."""
+        self._loads.tell(self._listener.loads)
+        self._park()
+        assert self._wake is not None
+        self._wake.set()
+
     async def _pause(self) -> None:
         assert self._wake is not None
         busy = bool(self._board.runs) or not self._outbox.is_empty
@@ -146,7 +176,8 @@
         if index is None or not self._board.runs:
             return
         self._loads.read(self._board.services(index))
-        self._tell()
+        self._loads.tell(self._listener.loads)
+        self._log()
         self._park()
         self._give_up_late()
         self._start_runs(index)
@@ -190,9 +221,9 @@
         reply = decode_reply(self._group.query_local(encode(query)), reply_type)
         return None if isinstance(reply, Failure) else reply
 
-    def _tell(self) -> None:
-        if self._loads.is_to_tell():
-            self._loads.tell(len(self._board.runs), sum(1 for _ in self._board.running()))
+    def _log(self) -> None:
+        if self._loads.is_to_log():
+            self._loads.log(len(self._board.runs), sum(1 for _ in self._board.running()))
 
     def _park(self) -> None:
         """Give way to online requests: those runs stop that have most time left."""
--- a/src/leverjunction/platform/table_form.py
+++ b/src/leverjunction/platform/table_form.py
@@ -23,6 +23,14 @@
 }
 
 
+STREAM_GAP_LEAST_MS = 2000.0
+STREAM_GAP_TARGETS = 4.0
+STREAM_GAP_PAUSES = 8.0
+"""Callers leave a stream after a gap of two seconds, or so many target latencies, or so many of the
+longest pauses that are in time, whichever is longest; also before its first event.
+"""
+
+
 class _Form(msgspec.Struct, rename="pascal", kw_only=True):
     """Base of the forms: the platform's fields are the product's in Pascal case."""
 
@@ -45,6 +53,7 @@
     max_attempts: int = 1
     session_affinity: bool = False
     resumable: bool = False
+    gap_aim_ms: float = 0.0
     due_ms: float = 0.0
     max_wait_s: float = 0.0
 
@@ -113,11 +122,22 @@
         max_attempts=form.max_attempts,
         resumable=form.resumable,
         affinity=form.session_affinity,
+        head_within_ms=_head_within_ms(form),
         due_ms=form.due_ms,
         give_up_s=form.max_wait_s,
     )
 
 
+def _head_within_ms(form: _RouteForm) -> float:
+    if _KINDS[form.route_kind] is not RouteClass.STREAM:
+        return 0.0
+    return max(
+        STREAM_GAP_LEAST_MS,
+        STREAM_GAP_TARGETS * form.target_latency_ms,
+        STREAM_GAP_PAUSES * form.gap_aim_ms,
+    )
+
+
 def _service(form: _ServiceForm) -> ServiceSpec:
     engine = None
     if form.engine is not None:
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -8,7 +8,13 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.proxy.balancer import READ_TOKENS_PER_MS, Balancer, RunnerSeat
 from leverjunction.proxy.caller_connection import CallerRequest
-from leverjunction.proxy.dialect import AnswerFacts, Dialect, RawHeaders, RequestFacts
+from leverjunction.proxy.dialect import (
+    AnswerFacts,
+    Dialect,
+    EngineLoad,
+    RawHeaders,
+    RequestFacts,
+)
 from leverjunction.proxy.headers import end_to_end, find
 from leverjunction.proxy.runner_connection import (
     AnswerEnd,
@@ -27,6 +33,7 @@
 """Statuses that promise a caller that its request was not run."""
 
 MISDIRECTED = 421
+READ_LOAD_TIMEOUT_S = 0.6
 REFUSAL_BODY_S = 0.05
 """Longest wait for the body of a refusal, which is read so that its connection can be kept."""
 
@@ -122,12 +129,26 @@
 
 
 class Sender:
-    """Sends requests to back ends; used by one event loop."""
+    """Sends requests to back ends; used by one event loop.
+
+    Args:
+        pool: Connections to them.
+        balancer: Knows them.
+        dialect: Words of their headers.
+        changed: Called when a request begins or ends at a back end.
+    """
 
-    __slots__ = ("_balancer", "_dialect", "_loop", "_pool")
+    __slots__ = ("_balancer", "_changed", "_dialect", "_loop", "_pool")
 
-    def __init__(self, pool: RunnerPool, balancer: Balancer, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        pool: RunnerPool,
+        balancer: Balancer,
+        dialect: Dialect,
+        changed: Callable[[RunnerSeat], None] | None = None,
+    ) -> None:
         self._pool = pool
+        self._changed = changed
         self._balancer = balancer
         self._dialect = dialect
         self._loop = asyncio.get_running_loop()
@@ -141,24 +162,37 @@
         """
         seat = dispatch.seat
         read_ms = dispatch.facts.tokens_in / READ_TOKENS_PER_MS
-        seat.own += 1
+        self._count(seat, 1)
         seat.reading_ms += read_ms
         try:
             opened = await self._open(dispatch)
         except BaseException:
-            seat.own -= 1
+            self._count(seat, -1)
             raise
         finally:
             seat.reading_ms -= read_ms
         if isinstance(opened, Failure):
-            seat.own -= 1
+            self._count(seat, -1)
         return opened
 
     def finish(self, answer: OpenedAnswer, whole: bool) -> None:
         """End the use of an answer; one that is not whole costs its connection."""
-        answer.seat.own -= 1
+        self._count(answer.seat, -1)
         self._pool.give_back(answer.connection, keep=whole and not answer.facts.closes)
 
+    async def read_load(self, seat: RunnerSeat) -> EngineLoad | None:
+        """Ask a back end for its load; None when it does not tell it in time."""
+        path, headers = self._dialect.load_request()
+        try:
+            async with asyncio.timeout(READ_LOAD_TIMEOUT_S):
+                body = await self.fetch(seat.record.address, path, headers)
+        except TimeoutError:
+            return None
+        load = self._dialect.read_load(body) if isinstance(body, bytes) else None
+        if load is not None:
+            seat.told(load, self._loop.time())
+        return load
+
     async def fetch(self, address: str, path: bytes, headers: RawHeaders) -> bytes | Failure:
         """Read a back end's page; its own load is not a request that counts."""
         connection = await self._pool.take(address, REPEATABLE_IDLE_SHARE, CONNECT_TIMEOUT_S)
@@ -180,6 +214,11 @@
         finally:
             self._pool.give_back(connection, keep=whole)
 
+    def _count(self, seat: RunnerSeat, change: int) -> None:
+        seat.own += change
+        if self._changed is not None:
+            self._changed(seat)
+
     async def _open(self, dispatch: Dispatch) -> OpenedAnswer | Failure:
         seat = dispatch.seat
         idle_share = REPEATABLE_IDLE_SHARE if dispatch.repeatable else ONCE_IDLE_SHARE
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from random import Random
 
 import xxhash
 
+from leverjunction.proxy.admission import Prospect
 from leverjunction.proxy.dialect import EngineLoad, PromptPart
 from leverjunction.registry.records import RunnerRecord, RunnerState
 
@@ -60,6 +61,15 @@
 SHARED_TOKENS_MIN = 512
 """Shorter shared parts are read faster than it takes to keep them together."""
 
+SHARED_FOR_S = 0.4
+"""How long the leader's word goes before what answers tell: some of its words may be lost."""
+
+KNOWN_S = 0.5
+"""A load that was told longer ago holds no request back: sending one tells what it is now."""
+
+RUN_WEIGHT = 0.1
+"""Of the newest request in the running average of the time that a slot is taken."""
+
 EJECT_FIRST_S = 0.5
 EJECT_MOST_S = 8.0
 
@@ -110,6 +120,7 @@
     __slots__ = (
         "_delay_ms",
         "_delayed_s",
+        "_shared_s",
         "_suspected_s",
         "_suspicion",
         "ejected_until_s",
@@ -131,6 +142,7 @@
         self.ejected_until_s = 0.0
         self._delay_ms = 0.0
         self._delayed_s = 0.0
+        self._shared_s = float("-inf")
         self._suspicion = 0.0
         self._suspected_s = 0.0
 
@@ -168,10 +180,19 @@
 
     def told(self, load: EngineLoad, now_s: float) -> None:
         """Take the load that came with an answer of a request that is still counted here."""
+        if load.slots:
+            self.slots = load.slots
+        if now_s - self._shared_s <= SHARED_FOR_S:
+            # What it tells counts batch work too, which gives way.
+            return
         self.others = max(0.0, load.running + load.waiting - self.own)
-        self.slots = max(1, load.slots)
         self.told_s = now_s
 
+    def shared(self, online: int, now_s: float) -> None:
+        """Take the online requests that other gateways have here, as the leader of batch tells."""
+        self.others = online
+        self.told_s = self._shared_s = now_s
+
 
 class Choice:
     """A chosen back end.
@@ -193,7 +214,7 @@
 class Balancer:
     """All back ends, by service. Used by one thread only."""
 
-    __slots__ = ("_by_service", "_long_s", "_random", "_readers", "_seats", "_zone")
+    __slots__ = ("_by_service", "_long_s", "_random", "_readers", "_run_s", "_seats", "_zone")
 
     def __init__(self, zone: str, random: Random) -> None:
         self._zone = zone
@@ -202,6 +223,7 @@
         self._by_service: dict[str, list[RunnerSeat]] = {}
         self._readers: frozenset[str] = frozenset()
         self._long_s: dict[str, float] = {}
+        self._run_s: dict[str, float] = {}
 
     def replace(self, records: Iterable[RunnerRecord]) -> None:
         """Take the registry's records; what is known of a runner that stays is kept."""
@@ -250,9 +272,42 @@
         best = min(sound, key=lambda seat: self._cost_ms(seat, home, prompt, now_s))
         return Choice(best, best.load(now_s), len(sound))
 
-    def free_slots(self, service: str, now_s: float) -> float:
-        """Return how many more requests a service's back ends can work on at once."""
-        return sum(max(0.0, seat.slots - seat.load(now_s)) for seat in self.seats(service))
+    def shared(self, others: Mapping[str, int], now_s: float) -> None:
+        """Take the online requests of other gateways at all back ends that are named."""
+        for runner_id, online in others.items():
+            seat = self._seats.get(runner_id)
+            if seat is not None:
+                seat.shared(online, now_s)
+
+    def ran(self, service: str, run_s: float) -> None:
+        """Take the time for which a request had a slot; waiting in a queue is not counted."""
+        known_s = self._run_s.get(service, run_s)
+        self._run_s[service] = known_s + (run_s - known_s) * RUN_WEIGHT
+
+    def run_s(self, service: str) -> float | None:
+        """Return the usual time for which a request has a slot; None before the first."""
+        return self._run_s.get(service)
+
+    def prospect(self, service: str, now_s: float) -> Prospect | None:
+        """Return what one more request would meet; None while that is not known.
+
+        It is not while no request has ended yet, or when the back end that seems to have most room
+        has not told its load lately.
+        """
+        run_s = self._run_s.get(service)
+        seats = [seat for seat in self.seats(service) if seat.ejected_until_s <= now_s]
+        if run_s is None or not seats:
+            return None
+        best = min(seats, key=lambda seat: seat.load(now_s) - seat.slots)
+        if now_s - best.told_s > KNOWN_S:
+            return None
+        return Prospect(
+            queue=best.load(now_s) + 1 - best.slots,
+            slots=best.slots,
+            run_s=run_s,
+            backlog=sum(max(0.0, seat.load(now_s) - seat.slots) for seat in seats),
+            capacity=sum(seat.slots for seat in seats),
+        )
 
     def failed(self, seat: RunnerSeat, now_s: float) -> None:
         """Note that a back end did not do what it should."""
--- a/src/leverjunction/proxy/counters.py
+++ b/src/leverjunction/proxy/counters.py
@@ -20,6 +20,12 @@
         self.sends = Counter(
             "proxy_sends_total", "Sends to back ends, by result", ["result"], registry=registry
         )
+        self.holds = Counter(
+            "proxy_holds_total",
+            "Requests that waited at this gateway for a back end, by what became of them",
+            ["outcome"],
+            registry=registry,
+        )
         self.head_s = Histogram(
             "proxy_head_seconds",
             "Time from a request's arrival to the head of its answer, by route class",
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -8,6 +8,8 @@
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.retry import RetryBudget
+from leverjunction.proxy.admission import Ticket
+from leverjunction.proxy.admission_gate import AdmissionGate
 from leverjunction.proxy.answers import (
     no_route,
     no_runner,
@@ -30,6 +32,9 @@
 BUFFERED_BODY_BYTES = 512 * 1024
 """A longer answer is passed on as it comes, so it can no longer be replaced by another."""
 
+HELD_LEAST_S = 0.001
+"""A request that passed sooner did not wait: it was decided on in one step of the event loop."""
+
 DECLINED_MOST = 4
 """Back ends that may decline a request before the caller is told to come back."""
 
@@ -112,7 +117,19 @@
         journal: ProxyJournal,
         random: Random,
         local: LocalHandler,
+        gate: AdmissionGate | None = None,
     ) -> None:
+        """Prepare for requests.
+
+        Args:
+            sender: Sends them to back ends.
+            balancer: Chooses these.
+            dialect: Words of the headers.
+            journal: Takes the decisions.
+            random: Draws the services of split routes.
+            local: Answers what is no request for a back end.
+            gate: Holds requests that cannot be in time; None to send all at once.
+        """
         self._sender = sender
         self._balancer = balancer
         self._dialect = dialect
@@ -123,6 +140,7 @@
         self._index: RouteIndex | None = None
         self._head_times: dict[str, HeadTimes] = {}
         self._budget = RetryBudget()
+        self._gate = gate
 
     def set_table(self, index: RouteIndex) -> None:
         """Take a newer route table; requests under way keep theirs."""
@@ -154,8 +172,13 @@
             raise
 
     async def _forward(self, work: Work, responder: Responder) -> None:
+        refusal = await self._admit(work)
+        if refusal is not None:
+            self._refuse(work.request, work.facts, responder, refusal)
+            return
         answer = await self._answer(work, "")
         while not isinstance(answer, Failure):
+            headed_s = self._loop.time()
             streams = work.route.kind is RouteClass.STREAM and answer.head.status == 200
             passed = await (
                 self._pass_stream(work, answer, responder)
@@ -163,6 +186,7 @@
                 else self._pass_whole(work, answer, responder)
             )
             if passed is None:
+                self._note_run(work, headed_s)
                 self._journal.ended(work, "answered", "", self._loop.time())
                 return
             if responder.started or not work.may_run_again:
@@ -175,6 +199,17 @@
             return
         self._refuse(work.request, work.facts, responder, _told(answer, work.execution))
 
+    async def _admit(self, work: Work) -> Failure | None:
+        """Return once a request is to be sent, or its refusal."""
+        if self._gate is None:
+            return None
+        entered_s = self._loop.time()
+        refusal = await self._gate.enter(work.service, self._ticket(work))
+        now_s = self._loop.time()
+        if now_s - entered_s >= HELD_LEAST_S:
+            self._journal.held(work, "sent" if refusal is None else "refused", now_s)
+        return refusal
+
     async def _answer(self, work: Work, last_event_id: str) -> OpenedAnswer | Failure:
         """Return the first head that a back end gives."""
         declined = 0
@@ -219,6 +254,24 @@
             if not work.may_run_again:
                 return answer
 
+    def _ticket(self, work: Work) -> Ticket:
+        route, arrived_s = work.route, work.request.arrived_s
+        last_s = work.until_s - (self._balancer.run_s(work.service) or 0.0)
+        if route.head_within_ms:
+            last_s = min(last_s, arrived_s + route.head_within_ms / 1000)
+        return Ticket(
+            arrived_s=arrived_s,
+            aim_s=arrived_s + route.target_ms / 1000,
+            last_s=last_s,
+            head_s=self._times_of(route).unqueued_s() or 0.0,
+        )
+
+    def _note_run(self, work: Work, headed_s: float) -> None:
+        """Learn from an answer that came whole for how long a slot was taken."""
+        unqueued_s = self._times_of(work.route).unqueued_s()
+        if unqueued_s is not None and work.runs == 1:
+            self._balancer.ran(work.service, self._loop.time() - headed_s + unqueued_s)
+
     def _patience(self, work: Work, now_s: float) -> Patience:
         """Return how long to wait for a head before another back end is asked instead."""
         if not work.route.repeatable or work.runs + 1 >= max(1, work.route.max_attempts):
--- a/src/leverjunction/proxy/journal.py
+++ b/src/leverjunction/proxy/journal.py
@@ -141,6 +141,24 @@
             )
         )
 
+    def held(self, work: Work, outcome: str, now_s: float) -> None:
+        """Note a request that waited here before it was sent or refused."""
+        self._counters.holds.labels(outcome).inc()
+        self._put(
+            DecisionLine(
+                at_ms=self._clock.wall_ms(),
+                event="held",
+                request_id=work.facts.request_id,
+                table=work.table_version,
+                route=work.route.name,
+                service=work.service,
+                waited_ms=_ms(now_s - work.request.arrived_s),
+                allowed_ms=_ms(work.until_s - work.request.arrived_s),
+                execution=work.execution.value,
+                reason=f"no back end could answer in time; then {outcome}",
+            )
+        )
+
     def ended(self, work: Work, outcome: str, reason: str, now_s: float) -> None:
         """Note how a request ended that was passed on."""
         self._counters.requests.labels(outcome).inc()
--- a/src/leverjunction/proxy/patience.py
+++ b/src/leverjunction/proxy/patience.py
@@ -13,6 +13,9 @@
 KEPT_HEADS = 64
 FEW_HEADS = 16
 QUANTILE = 0.9
+UNQUEUED_QUANTILE = 0.1
+"""Of the latest heads: those that met no queue, also while most do."""
+
 FACTOR = 2.5
 TARGET_SHARE = 0.5
 """Of the route's target latency: never less patient than that."""
@@ -39,6 +42,12 @@
         """Take one answer's time."""
         self._heads_s.append(head_s)
 
+    def unqueued_s(self) -> float | None:
+        """Return the usual time to a head where nothing waits; None while few were seen."""
+        if len(self._heads_s) < FEW_HEADS:
+            return None
+        return sorted(self._heads_s)[int(len(self._heads_s) * UNQUEUED_QUANTILE)]
+
     def patience_s(self, target_ms: float) -> float:
         """Return how long to wait for the next head."""
         if len(self._heads_s) < FEW_HEADS:
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -12,6 +12,7 @@
 
 from leverjunction.clock import SystemClock
 from leverjunction.config.machine import MachineConfig
+from leverjunction.proxy.admission_gate import AdmissionGate
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.caller_connection import (
@@ -24,9 +25,11 @@
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.proxy.forwarding import Forwarder, LocalHandler
 from leverjunction.proxy.journal import ProxyJournal
+from leverjunction.proxy.load_port import LoadPort
 from leverjunction.proxy.runner_connection import RunnerPool
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import RegistryFollower, Snapshot
+from leverjunction.registry.records import JOBS_GROUP
 from leverjunction.routes.matching import RouteIndex
 from leverjunction.routes.types import RequestLimits
 from leverjunction.wire.rpc_client import RpcClient
@@ -69,13 +72,19 @@
         self._follower = RegistryFollower(
             self._rpc, config.seed_addresses(), "", clock, self._random, self._on_registry
         )
+        self._loads = LoadPort(
+            config.name, CLUSTER_KEY, clock.wall_ms(), self._stores, self._others_told
+        )
+        sender = Sender(self._pool, self._balancer, dialect, self._loads.runner_changed)
+        gate = AdmissionGate(self._balancer, sender, self._loads.held_changed)
         self._forwarder = Forwarder(
-            Sender(self._pool, self._balancer, dialect),
+            sender,
             self._balancer,
             dialect,
             journal,
             self._random,
             make_local(self._rpc, self._follower, config.zone),
+            gate if config.policies.hold_late_requests else None,
         )
         self._port = CallerPort(self._forwarder.handle, self._limits)
         self._figures_port = CallerPort(self._answer_figures, RequestLimits)
@@ -93,12 +102,15 @@
         if self._config.metrics_port:
             host = self._config.listen.ready.rpartition(":")[0]
             await self._listen(self._figures_port, f"{host}:{self._config.metrics_port}")
+        if self._config.policies.tell_online_loads:
+            await self._loads.start(self._config.listen.rpc)
         self._follower.start()
         logger.info("gateway {} started", self._config.name)
         await stop_asked.wait()
         await self._stop(callers)
         ready.close()
         self._follower.stop()
+        self._loads.stop()
         self._pool.close()
         logger.info("stopped")
 
@@ -126,6 +138,13 @@
     def _limits(self) -> RequestLimits:
         return RequestLimits() if self._index is None else self._index.table.limits
 
+    def _stores(self) -> tuple[str, ...]:
+        snapshot = self._follower.snapshot()
+        return snapshot.view.voters(JOBS_GROUP) if snapshot is not None else ()
+
+    def _others_told(self, others: dict[str, int]) -> None:
+        self._balancer.shared(others, self._loop.time())
+
     def _on_registry(self, snapshot: Snapshot) -> None:
         """Take a newer registry (follower's thread)."""
         self._loop.call_soon_threadsafe(self._apply, snapshot)
--- a/src/leverjunction/registry/records.py
+++ b/src/leverjunction/registry/records.py
@@ -108,6 +108,11 @@
         """Return a group by its name."""
         return next((group for group in self.groups if group.name == name), None)
 
+    def voters(self, name: str) -> tuple[str, ...]:
+        """Return where a group's voters shall be; nowhere before it is founded."""
+        group = self.group(name)
+        return group.voters if group is not None else ()
+
     def addresses(self, role: MemberRole) -> list[str]:
         """Return the RPC addresses of the members with a role."""
         return [member.address for member in self.members if member.role is role]
--- a/src/leverjunction/routes/types.py
+++ b/src/leverjunction/routes/types.py
@@ -43,6 +43,8 @@
         max_attempts: Back ends that one request may run on.
         resumable: A stream may be continued on another back end.
         affinity: Requests with the same prompt parts are kept together.
+        head_within_ms: Callers of a stream leave when its first event has not come by then; 0 where
+            only the request's own deadline counts.
         due_ms: Batch: time in which all items are due.
         give_up_s: Batch: time after which an item may be given up.
     """
@@ -58,6 +60,7 @@
     max_attempts: int
     resumable: bool = False
     affinity: bool = False
+    head_within_ms: float = 0.0
     due_ms: float = 0.0
     give_up_s: float = 0.0
 
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -52,6 +52,8 @@
     REGISTRY_WATCH = 15
     REGISTRY_HEARD = 16
     RECENT_QUERY = 17
+    ONLINE_LOADS = 18
+    LOADS_WANTED = 19
 
 
 _HEADER = Struct(
--- a/tests/unit/test_proxy_balancer.py
+++ b/tests/unit/test_proxy_balancer.py
@@ -5,7 +5,9 @@
 from collections import Counter
 from random import Random
 
-from leverjunction.proxy.balancer import Balancer, Prompt
+import pytest
+
+from leverjunction.proxy.balancer import KNOWN_S, Balancer, Prompt
 from leverjunction.proxy.dialect import EngineLoad, PromptPart
 from leverjunction.registry import RunnerRecord, RunnerState
 
@@ -152,3 +154,37 @@
     assert pauses_s[-1] > pauses_s[0]
     assert max(pauses_s) <= 8.0
     assert grey.suspicion(now_s) > 0.4
+
+
+def test_what_the_leader_of_batch_tells_goes_before_what_answers_tell() -> None:
+    """A back end full of batch work, which gives way, looked as loaded as one full of requests."""
+    made = balancer(2)
+    first, second = made.seats("s")
+    made.shared({"i0": 1, "i1": 8, "gone": 3}, 1.0)
+    first.told(EngineLoad(running=8, waiting=0, slots=8), 1.1)
+    second.told(EngineLoad(running=8, waiting=0, slots=8), 1.1)
+    assert (first.load(1.1) < 2, second.load(1.1) > 7) == (True, True)
+    assert set(chosen(made, SHORT, now_s=1.1)) == {"i0"}
+    first.told(EngineLoad(running=8, waiting=0, slots=8), 1.6)
+    assert first.load(1.6) == 8
+
+
+@pytest.mark.parametrize(
+    ("loads", "queue", "backlog"),
+    [((3, 8), -4, 0), ((8, 9), 1, 1), ((12, 11), 4, 7)],
+    ids=["a free slot", "all taken", "overload"],
+)
+def test_the_prospect_is_that_of_the_back_end_with_most_room(
+    loads: tuple[int, int], queue: float, backlog: float
+) -> None:
+    made = balancer(2)
+    assert made.prospect("s", 1.0) is None, "nothing has run yet"
+    made.ran("s", 0.8)
+    assert made.prospect("s", 1.0) is None, "nobody has told a load"
+    for seat, load in zip(made.seats("s"), loads, strict=True):
+        seat.told(EngineLoad(running=load, waiting=0, slots=8), 1.0)
+    prospect = made.prospect("s", 1.0)
+    assert prospect is not None
+    assert (prospect.queue, prospect.backlog) == (queue, backlog)
+    assert (prospect.slots, prospect.capacity, prospect.run_s) == (8, 16, 0.8)
+    assert made.prospect("s", 1.0 + KNOWN_S + 0.1) is None
