--- a/src/leverjunction/config/machine.py
+++ b/src/leverjunction/config/machine.py
@@ -69,12 +69,10 @@
     Attributes:
         hold_late_requests: Gateways hold online requests that could not be in time now.
         tell_online_loads: Gateways tell the leader of batch work their online requests.
-        let_items_go: Batch items that cannot be in time give way to those that can.
     """
 
     hold_late_requests: bool = True
     tell_online_loads: bool = True
-    let_items_go: bool = True
 
 
 class MachineConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/leverjunction/lots/board.py
+++ b/src/leverjunction/lots/board.py
@@ -70,15 +70,14 @@
             self._services_of = index
         return self._services
 
-    def is_to_rank(self, now_s: float) -> bool:
-        """Return whether the last ranking is old."""
-        return now_s - self._ranked_s >= RANKED_FOR_S
-
-    def rank(self, now_s: float, urgency: Callable[[ItemRun], Urgency]) -> None:
-        """Rank what waits."""
+    def rank(self, now_s: float, urgency: Callable[[ItemRun], Urgency]) -> bool:
+        """Rank what waits if the last ranking is old; return whether it was."""
+        if now_s - self._ranked_s < RANKED_FOR_S:
+            return False
         waiting = [run for run in self.runs.values() if run.task is None]
         self._queue = deque(sorted(waiting, key=urgency))
         self._ranked_s = now_s
+        return True
 
     def take(self) -> Iterator[ItemRun]:
         """Yield what waits, the most urgent first; what is yielded comes in no later call."""
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -103,10 +103,6 @@
         room, seat = max(free, key=self._preference, default=(0, None))
         return seat if room > 0 else None
 
-    def usual_slots(self, service: str) -> float | None:
-        """Return the slots that batch had on average lately; None while that is not known."""
-        return self._room(service).usual_slots
-
     def to_park(self) -> list[str]:
         """Return the back ends at which a batch run should be parked, one entry for each run."""
         now_s = self._loop.time()
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -175,7 +175,6 @@
                 self._clock,
                 self._random,
                 datagrams=self._address,
-                lets_go=self._config.policies.let_items_go,
             )
             self._local[JOBS_GROUP] = replica
             self._runner.start()
--- a/src/leverjunction/lots/room.py
+++ b/src/leverjunction/lots/room.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 
 WINDOW_S = 8.0
@@ -48,9 +47,6 @@
 of readings.
 """
 
-USUAL_S = 5.0
-"""Time constant of the slots that batch usually has: about the rhythm of bursts and lulls."""
-
 BUCKET_S = 0.25
 """Peaks are kept for each such interval, however often something is told."""
 
@@ -228,8 +224,6 @@
         "_sources",
         "_told_rise",
         "_untold_rise",
-        "_usual_s",
-        "_usual_slots",
         "held",
         "seats",
         "tellers",
@@ -246,8 +240,6 @@
         self._peak_seen = 0
         self._rise_seen = 0
         self._first_s: float | None = None
-        self._usual_slots: float | None = None
-        self._usual_s = 0.0
 
     def seat(self, key: str, slots: int) -> SeatRoom:
         """Return a back end's part, new if it is not known."""
@@ -293,24 +285,6 @@
         self._untold_rise.note(now_s, untold)
         self._peak_seen = self._peak.most(now_s)
         self._rise_seen = self._told_rise.most(now_s) + self._untold_rise.most(now_s)
-        self._note_usual(now_s, read)
-
-    def _note_usual(self, now_s: float, read: list[SeatRoom]) -> None:
-        if not read:
-            return
-        if self._usual_slots is None:
-            # Nothing is let go before it is known that there is too little room.
-            self._usual_slots = sum(seat.slots for seat in read)
-            self._usual_s = now_s
-            return
-        weight = 1 - math.exp((self._usual_s - now_s) / USUAL_S)
-        self._usual_slots += (self._most(now_s) - self._usual_slots) * weight
-        self._usual_s = now_s
-
-    @property
-    def usual_slots(self) -> float | None:
-        """Slots that batch had here on average lately; None before the first reading."""
-        return self._usual_slots
 
     def allowance(self, now_s: float) -> int:
         """Return how many batch runs may be added to the service as a whole."""
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -27,11 +27,11 @@
     ReadOpenItems,
     ReadOpenKeys,
 )
-from leverjunction.lots.item_run import ItemKey, ItemRun
+from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.load_listener import LoadListener
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.outbox import Outbox
-from leverjunction.lots.urgency import RunTimes, Task, Urgency, let_go
+from leverjunction.lots.urgency import RunTimes, Urgency
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
 from leverjunction.proxy.dialect import Dialect
@@ -62,8 +62,6 @@
         clock: Clock,
         random: Random,
         datagrams: str = "",
-        *,
-        lets_go: bool = True,
     ) -> None:
         """Prepare a runner.
 
@@ -74,9 +72,7 @@
             clock: Source of time.
             random: Draws the services of split routes.
             datagrams: Address where gateways tell of their online requests; empty for none.
-            lets_go: Items that cannot be in time give way to those that can.
         """
-        self._lets_go = lets_go
         self._datagrams = datagrams
         self._group = group
         self._zone = zone
@@ -88,7 +84,6 @@
         self._taken: Snapshot | None = None
         self._board = Board()
         self._times = RunTimes()
-        self._let_go: frozenset[ItemKey] = frozenset()
         self._dirty = True
         self._stopped = False
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -184,7 +179,7 @@
         self._loads.tell(self._listener.loads)
         self._log()
         self._park()
-        self._rank(index)
+        self._give_up_late()
         self._start_runs(index)
 
     def _record(self) -> None:
@@ -244,35 +239,13 @@
             run.parking = True
             run.stop()
 
-    def _rank(self, index: RouteIndex) -> None:
-        """Decide what can be in time, and give up what is over."""
-        now_s = asyncio.get_running_loop().time()
-        if not self._board.is_to_rank(now_s):
+    def _give_up_late(self) -> None:
+        if not self._board.rank(asyncio.get_running_loop().time(), self._urgency):
             return
-        if self._lets_go:
-            self._let_go = self._plan(index)
-        self._board.rank(now_s, self._urgency)
         for run in self._board.runs.values():
             if run.task is None and self._is_over(run.item) and not self._outbox.has_result(run):
                 self._outbox.dead(run, "its time is over")
 
-    def _plan(self, index: RouteIndex) -> frozenset[ItemKey]:
-        """Return the items that are let go so that the others are in time."""
-        tasks: dict[str, list[Task]] = {}
-        runs = list(self._board.runs.values())
-        for number, run in enumerate(runs):
-            route = run.route(index)
-            due_in_s, left_s = self._due_in_s(run), self._times.left_s(run.worked_s)
-            if route is not None and left_s <= due_in_s:
-                service = route.services[0].service
-                tasks.setdefault(service, []).append(Task(due_in_s, left_s, number))
-        gone: set[ItemKey] = set()
-        for service, wanted in tasks.items():
-            slots = self._loads.usual_slots(service)
-            if slots is not None:
-                gone.update(runs[number].key for number in let_go(wanted, slots))
-        return frozenset(gone)
-
     def _start_runs(self, index: RouteIndex) -> None:
         """Start what is most urgent, as long as there is room for it."""
         roomy = {item for item in self._board.services(index) if self._loads.free_seat(item)}
@@ -302,11 +275,9 @@
         run.task = asyncio.get_running_loop().create_task(self._run(run, seat))
 
     def _urgency(self, run: ItemRun) -> Urgency:
-        due_in_s = self._due_in_s(run)
-        return self._times.urgency(due_in_s, run.worked_s, run.key in self._let_go)
-
-    def _due_in_s(self, run: ItemRun) -> float:
-        return (run.item.accepted_ms + run.item.due_ms - self._clock.wall_ms()) / 1000
+        item = run.item
+        due_in_s = (item.accepted_ms + item.due_ms - self._clock.wall_ms()) / 1000
+        return self._times.urgency(due_in_s, run.worked_s)
 
     def _is_over(self, item: OpenItem) -> bool:
         age_s = (self._clock.wall_ms() - item.accepted_ms) / 1000
--- a/tests/unit/test_lots_board.py
+++ b/tests/unit/test_lots_board.py
@@ -45,8 +45,7 @@
 
 
 def test_what_waits_is_taken_by_urgency_and_once(board: Board) -> None:
-    assert board.is_to_rank(0.0)
-    board.rank(0.0, by_due)
+    assert board.rank(0.0, by_due)
     assert names(board) == ["a", "b", "c"]
     assert names(board) == []
 
@@ -54,18 +53,16 @@
 def test_a_ranking_is_used_for_a_while(board: Board) -> None:
     """Ranking hundreds of items at each step took the leader's time: it lost its lease."""
     board.rank(0.0, by_due)
-    assert not board.is_to_rank(RANKED_FOR_S / 2)
+    assert not board.rank(RANKED_FOR_S / 2, by_due)
     names(board)
-    assert board.is_to_rank(RANKED_FOR_S)
-    board.rank(RANKED_FOR_S, by_due)
+    assert board.rank(RANKED_FOR_S, by_due)
     assert names(board) == ["a", "b", "c"]
 
 
 def test_new_items_are_ranked_at_once(board: Board) -> None:
     board.rank(0.0, by_due)
     board.add([item("new", 0), item("a", 9)])
-    assert board.is_to_rank(0.01)
-    board.rank(0.01, by_due)
+    assert board.rank(0.01, by_due)
     assert names(board) == ["new", "a", "b", "c"]
 
 
@@ -73,8 +70,7 @@
     board.rank(0.0, by_due)
     gone = board.keep(frozenset({("lot", "a"), ("lot", "c")}))
     assert [run.item.item_id for run in gone] == ["b"]
-    assert board.is_to_rank(0.01)
-    board.rank(0.01, by_due)
+    assert board.rank(0.01, by_due)
     assert names(board) == ["a", "c"]
 
 
--- a/tests/unit/test_lots_room.py
+++ b/tests/unit/test_lots_room.py
@@ -261,14 +261,3 @@
     hear(room, NOW_S, 0, 0)
     kept = round(24 * MOST_RISE_SHARE_PER_S * TOLD_REACTION_S)
     assert room.allowance(NOW_S) == 24 - kept == 23
-
-
-def test_the_usual_room_follows_bursts_and_lulls() -> None:
-    room = ServiceRoom()
-    assert room.usual_slots is None
-    tell(room, NOW_S, 0, 0)
-    assert room.usual_slots == 24
-    for step in range(400):
-        tell(room, NOW_S + step / 10, *((12, 6) if step % 2 else (2, 0)))
-    assert room.usual_slots is not None
-    assert 6 < room.usual_slots < 18
--- a/tests/unit/test_lots_urgency.py
+++ b/tests/unit/test_lots_urgency.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leverjunction.lots.urgency import LEAST_LEFT_SHARE, TYPICAL_RUN_S, RunTimes, Task, let_go
+from leverjunction.lots.urgency import LEAST_LEFT_SHARE, TYPICAL_RUN_S, RunTimes
 
 ITEMS = {
     "due soon": (TYPICAL_RUN_S + 1, 0.0),
@@ -45,47 +45,3 @@
     for _ in range(60):
         times.ended(9.0)
     assert times.left_s(0.0) == pytest.approx(9.0, abs=0.1)
-
-
-def tasks(*due_and_left_s: tuple[float, float]) -> list[Task]:
-    return [Task(due_in_s, left_s, n) for n, (due_in_s, left_s) in enumerate(due_and_left_s)]
-
-
-@pytest.mark.parametrize(
-    ("wanted", "slots", "gone"),
-    [
-        ([], 1.0, set()),
-        ([(5, 4), (9, 4)], 1.0, set()),
-        ([(5, 4), (5, 4), (9, 4)], 1.0, {0}),
-        ([(5, 4), (5, 4), (9, 4)], 2.0, set()),
-        ([(6, 5), (8, 2), (9, 3)], 1.0, {0}),
-        ([(5, 4), (9, 4)], 0.0, {0, 1}),
-    ],
-    ids=[
-        "nothing",
-        "all in time",
-        "one of two that are due together",
-        "room for both",
-        "the longest, though due first",
-        "no slots",
-    ],
-)
-def test_the_fewest_are_let_go_that_leave_the_others_in_time(
-    wanted: list[tuple[float, float]], slots: float, gone: set[int]
-) -> None:
-    assert let_go(tasks(*wanted), slots) == gone
-
-
-def test_with_twice_the_work_half_is_in_time_where_first_due_first_has_nearly_none() -> None:
-    """Each item was begun in time, shared its slot's time with the others, and ended too late."""
-    wanted = [(4.0 + number / 4, 4.0) for number in range(64)]
-    kept = [pair for number, pair in enumerate(wanted) if number not in let_go(tasks(*wanted), 8)]
-    ends_s = [sum(left for _, left in kept[: n + 1]) / 8 for n in range(len(kept))]
-    assert all(end_s <= due_s for end_s, (due_s, _) in zip(ends_s, kept, strict=True))
-    assert len(kept) >= 32
-
-
-def test_what_is_let_go_comes_after_what_can_be_in_time() -> None:
-    times = RunTimes()
-    assert times.urgency(5.0, 0.0, let_go=True) > times.urgency(60.0, 0.0)
-    assert times.urgency(5.0, 2.0, let_go=True) < times.urgency(5.0, 0.0, let_go=True)
