Batch runs that are parked before their first step run again

A gateway's word can be handled in the same turn of the event loop in which a run was started; parking then cancelled the task before its first step, none of its code ran, so the item kept a finished task and its slot stayed counted. Change: what ends a run is a callback of its task; a taken slot is freed once. Test: test_a_run_that_is_parked_before_its_first_step_is_run_again, seen failing on the code before.

--- a/src/leverjunction/lots/room.py
+++ b/src/leverjunction/lots/room.py
@@ -207,6 +207,22 @@
         return max(0, self.slots - self.online - self.own)
 
 
+class TakenSlot:
+    """One batch run's slot at a back end; it is freed once, however often that is asked."""
+
+    __slots__ = ("_room",)
+
+    def __init__(self, room: SeatRoom) -> None:
+        self._room: SeatRoom | None = room
+        room.started()
+
+    def free(self) -> None:
+        """Note the end of the run."""
+        if self._room is not None:
+            self._room.ended()
+            self._room = None
+
+
 class ServiceRoom:
     """All back ends of one service.
 
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -31,6 +31,7 @@
 from leverjunction.lots.load_listener import LoadListener
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.outbox import Outbox
+from leverjunction.lots.room import TakenSlot
 from leverjunction.lots.urgency import RunTimes, Urgency
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
@@ -269,10 +270,18 @@
 
     def _start(self, run: ItemRun, seat: RunnerSeat) -> None:
         # Counted at once, so that the next item sees this one.
-        self._loads.room_at(seat).started()
+        slot = TakenSlot(self._loads.room_at(seat))
         run.runner_id = seat.record.runner_id
         run.parking = False
-        run.task = asyncio.get_running_loop().create_task(self._run(run, seat))
+        run.task = asyncio.get_running_loop().create_task(self._run(run, seat, slot))
+        # A task that is cancelled before its first step runs none of its own code.
+        run.task.add_done_callback(lambda _task: self._run_ended(run, slot))
+
+    def _run_ended(self, run: ItemRun, slot: TakenSlot) -> None:
+        slot.free()
+        run.task = None
+        if self._wake is not None:
+            self._wake.set()
 
     def _urgency(self, run: ItemRun) -> Urgency:
         item = run.item
@@ -283,25 +292,19 @@
         age_s = (self._clock.wall_ms() - item.accepted_ms) / 1000
         return item.give_up_s > 0 and age_s > item.give_up_s + GIVE_UP_MARGIN_S
 
-    async def _run(self, run: ItemRun, seat: RunnerSeat) -> None:
-        room = self._loads.room_at(seat)
+    async def _run(self, run: ItemRun, seat: RunnerSeat, slot: TakenSlot) -> None:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         ended = False
         try:
-            try:
-                ended = await self._attempts.attempt(run, seat)
-            finally:
-                room.ended()
-                run.worked_s += loop.time() - started_s
-            if ended:
-                self._times.ended(run.worked_s)
-            else:
-                await asyncio.sleep(RETRY_PAUSE_S)
+            ended = await self._attempts.attempt(run, seat)
         finally:
-            run.task = None
-            if self._wake is not None:
-                self._wake.set()
+            slot.free()
+            run.worked_s += loop.time() - started_s
+        if ended:
+            self._times.ended(run.worked_s)
+        else:
+            await asyncio.sleep(RETRY_PAUSE_S)
 
 
 async def _logged(work: Coroutine[None, None, None]) -> None:
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import socket
 import sqlite3
@@ -21,6 +22,8 @@
     ItemProgress,
     KnownProgress,
     LotItem,
+    OpenItems,
+    ReadOpenItems,
     ReadProgress,
     ReadResults,
     RecordRuns,
@@ -28,9 +31,12 @@
     SubmitLot,
     encode_command,
 )
+from leverjunction.lots.item_run import ItemRun
+from leverjunction.lots.room import SeatRoom
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.lots.state_machine import LotsStateMachine
 from leverjunction.platform.headers import PlatformDialect
+from leverjunction.proxy.balancer import RunnerSeat
 from leverjunction.proxy.online_loads import OnlineLoads
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import Snapshot
@@ -230,6 +236,40 @@
     assert all(run.gone_after_s is not None for run in back_end.seen[:4])
 
 
+class _NoLoads:
+    """Room at one back end."""
+
+    def __init__(self) -> None:
+        self.room = SeatRoom(8)
+
+    def room_at(self, _seat: RunnerSeat) -> SeatRoom:
+        return self.room
+
+
+def test_a_run_that_is_parked_before_its_first_step_is_run_again(store: OneStore) -> None:
+    """A gateway's word that was handled right after the start left the item lying for good, and
+    its slot counted as taken."""
+
+    async def play() -> None:
+        made = LotsRunner(store, "z", PlatformDialect(), SystemClock(), Random(1))
+        loads = _NoLoads()
+        made._loads = loads  # type: ignore[assignment]
+        made._wake = asyncio.Event()
+        submit(store, 1)
+        opened = decode_reply(store.query_local(encode(ReadOpenItems())), OpenItems)
+        assert isinstance(opened, OpenItems)
+        run = ItemRun(opened.items[0])
+        record = RunnerRecord(runner_id="i-1", service=SERVICE, address="a:1", zone="z", slots=8)
+        made._start(run, RunnerSeat(record))
+        assert loads.room.own == 1
+        run.stop()
+        await asyncio.sleep(0.05)
+        assert (run.task, loads.room.own) == (None, 0)
+        assert made._wake.is_set()
+
+    asyncio.run(play())
+
+
 @pytest.mark.usefixtures("runner")
 def test_batch_gives_way_while_a_commit_takes_long(
     store: OneStore, back_end: RunnerStandIn
