Stores tell why each open item does not run: figures, bounded lines, a word on a stall

Excluded: a look at each wake-up (forty a second with work); one line an item (hundreds wait in a backlog); times taken where decisions are made, which would have made the change wide.

Change: lots/standing.py gives each open item one reason from a closed set; lots/sight.py looks at the runner once a second, sets figures (lots/metrics.py) and writes JSON lines, four a kind in 5 s, and the number left out; lots/stall_watch.py says "stalled" when room is known and nothing moves; every 5 s the group's open keys are compared with the runner's. Runs and commands are noted by one-line calls in runner, attempts and outbox, which raise nothing into them and decide nothing. A store says what it found when it begins to lead, and when items wait for a first route table.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -16,6 +16,7 @@
 from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.item_stream import ItemStream
 from leverjunction.lots.outbox import Outbox
+from leverjunction.lots.run_trace import RunEnd
 from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
 from leverjunction.proxy.balancer import RunnerSeat
 from leverjunction.proxy.caller_connection import CallerRequest
@@ -52,6 +53,7 @@
         """Run an item once; return whether it has ended."""
         request = self._request(run.item)
         if request is None or not self._follow(run):
+            run.trace.over(RunEnd.NO_BODY if request is None else RunEnd.NO_PROGRESS)
             return False
         loop = asyncio.get_running_loop()
         answer = await self._sender.send(
@@ -66,7 +68,9 @@
             )
         )
         if isinstance(answer, Failure):
+            run.trace.not_answered(answer)
             return False
+        run.trace.heard(loop.time())
         whole = False
         try:
             whole = await self._read_answer(run, answer)
@@ -87,19 +91,23 @@
                 async with asyncio.timeout(SILENCE_S):
                     event = await answer.connection.next_event()
                 if isinstance(event, Failure | AnswerHead):
+                    run.trace.over(RunEnd.CUT, event.reason if isinstance(event, Failure) else "")
                     return False
                 if isinstance(event, AnswerEnd):
                     whole = True
                     return True
                 if answer.head.status == OK:
                     run.stream.feed(event)
+                run.trace.heard(asyncio.get_running_loop().time())
         except TimeoutError:
+            run.trace.over(RunEnd.SILENT, f"nothing came for {SILENCE_S} s")
             return False
         finally:
             self._sender.finish(answer, whole)
 
     def _judge(self, run: ItemRun, status: int) -> bool:
         """Note what a whole answer means for the item; return whether it has ended."""
+        run.trace.judged(status, run.stream.is_between_events)
         if status == OK and run.stream.is_between_events:
             self._outbox.done(run)
             return True
--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -6,6 +6,7 @@
 
 from leverjunction.lots.commands import OpenItem
 from leverjunction.lots.item_stream import ItemStream
+from leverjunction.lots.run_trace import RunTrace
 from leverjunction.routes.matching import RouteIndex
 from leverjunction.routes.types import Route
 
@@ -25,6 +26,7 @@
         parking: Its run is being stopped, to go on later.
         runner_id: Back end where it runs.
         worked_s: Time for which back ends have worked on it.
+        trace: What is noted of its runs; decides nothing.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "runner_id",
         "stream",
         "task",
+        "trace",
         "worked_s",
     )
 
@@ -49,6 +52,7 @@
         self.parking = False
         self.runner_id = ""
         self.worked_s = 0.0
+        self.trace = RunTrace()
         self._route: Route | None = None
         self._routed_by: RouteIndex | None = None
 
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from leverjunction.lots.room import SeatRoom, ServiceRoom
+from leverjunction.lots.standing import ServiceSight
 from leverjunction.lots.told_loads import ToldLoads
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
@@ -103,6 +104,26 @@
         room, seat = max(free, key=self._preference, default=(0, None))
         return seat if room > 0 else None
 
+    def sight(self, service: str) -> ServiceSight:
+        """Return what decides on the room of a service, for a person."""
+        now_s = self._loop.time()
+        seats = self._balancer.seats(service)
+        room = self._rooms.get(service)
+        if room is None:
+            return ServiceSight(known=len(seats))
+        sound = [seat for seat in seats if seat.ejected_until_s <= now_s]
+        read = {key: seat.free(now_s) for key, seat in room.read(now_s)}
+        free = {seat.record.runner_id: read.get(seat.record.runner_id, 0) for seat in seats}
+        good = [seat.record.runner_id for seat in sound]
+        return ServiceSight(
+            known=len(seats),
+            sound=len(sound),
+            read=sum(1 for key in good if key in read),
+            allowance=room.allowance(now_s),
+            free=max((free[key] for key in good), default=0),
+            free_ejected=max((count for key, count in free.items() if key not in good), default=0),
+        )
+
     def to_park(self) -> list[str]:
         """Return the back ends at which a batch run should be parked, one entry for each run."""
         now_s = self._loop.time()
--- a/src/leverjunction/lots/outbox.py
+++ b/src/leverjunction/lots/outbox.py
@@ -19,6 +19,7 @@
     encode_command,
 )
 from leverjunction.lots.item_run import ItemKey, ItemRun
+from leverjunction.lots.record_trace import RecordTrace
 from leverjunction.wire.codec import decode_reply
 
 PROPOSE_TIMEOUT_S = 1.5
@@ -32,10 +33,11 @@
 class Outbox:
     """Kept until the group has them; used by one event loop."""
 
-    __slots__ = ("_ended", "_failures", "_group", "_lead", "_progress_s")
+    __slots__ = ("_ended", "_failures", "_group", "_lead", "_progress_s", "_trace")
 
-    def __init__(self, group: ReplicatedGroup) -> None:
+    def __init__(self, group: ReplicatedGroup, trace: RecordTrace | None = None) -> None:
         self._group = group
+        self._trace = trace or RecordTrace()
         self._ended: dict[ItemKey, tuple[ItemRun, ItemState]] = {}
         self._failures: list[ItemFailure] = []
         self._progress_s = float("-inf")
@@ -47,6 +49,11 @@
         """Whether the group has all results and failures."""
         return not self._ended and not self._failures
 
+    @property
+    def waiting(self) -> int:
+        """Number of results that the group does not have yet."""
+        return len(self._ended)
+
     def has_result(self, run: ItemRun) -> bool:
         """Return whether an item has ended, though the group may not know yet."""
         return run.key in self._ended
@@ -56,6 +63,7 @@
         self._ended.clear()
         self._failures.clear()
         self._lead += 1
+        self._trace.clear()
 
     def done(self, run: ItemRun) -> None:
         """Take an item whose output is whole."""
@@ -90,7 +98,9 @@
         )
         sent = [(run, run.stream.count) for run in progress]
         lead = self._lead
+        self._trace.begin(command)
         reply = await self._propose(command)
+        self._trace.returned(reply)
         if lead != self._lead:
             return
         if isinstance(reply, Failure):
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -27,11 +27,12 @@
     ReadOpenItems,
     ReadOpenKeys,
 )
-from leverjunction.lots.item_run import ItemRun
+from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.load_listener import LoadListener
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.room import TakenSlot
+from leverjunction.lots.sight import RunnerSight, Scene
 from leverjunction.lots.urgency import RunTimes, Urgency
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer, RunnerSeat
@@ -85,6 +86,8 @@
         self._taken: Snapshot | None = None
         self._board = Board()
         self._times = RunTimes()
+        self._sight = RunnerSight(clock)
+        self._stepped_s = clock.monotonic_s()
         self._dirty = True
         self._stopped = False
         self._loop: asyncio.AbstractEventLoop | None = None
@@ -113,6 +116,10 @@
         self._snapshot = snapshot
         self.changed()
 
+    def step_age_s(self) -> float:
+        """Return the seconds since the loop last took a step."""
+        return self._clock.monotonic_s() - self._stepped_s
+
     def _run_loop(self) -> None:
         asyncio.run(self._main())
 
@@ -122,7 +129,7 @@
         pool = RunnerPool()
         self._balancer = Balancer(self._zone, self._random)
         sender = Sender(pool, self._balancer, self._dialect)
-        self._outbox = Outbox(self._group)
+        self._outbox = Outbox(self._group, self._sight.records)
         self._attempts = Attempts(self._group, sender, self._dialect, self._outbox)
         self._recording: asyncio.Task[None] | None = None
         self._loads = LoadWatch(sender, self._balancer, self._zone, self._wake.set)
@@ -136,11 +143,30 @@
                 self._step()
             except Exception:
                 logger.exception("a step of the runner of lots failed")
+            self._stepped_s = self._clock.monotonic_s()
+            self._sight.look(self._scene)
             await self._pause()
         self._listener.close()
         self._drop_all()
         pool.close()
 
+    def _scene(self) -> Scene:
+        """Return what there is to see; it changes nothing."""
+        return Scene(
+            status=self._group.status(),
+            index=self._index,
+            back_ends=0 if self._taken is None else len(self._taken.view.runners),
+            runs=self._board.runs,
+            service=self._loads.sight,
+            has_result=self._outbox.has_result,
+            waiting=self._outbox.waiting,
+            open_keys=self._open_keys,
+        )
+
+    def _open_keys(self) -> tuple[ItemKey, ...] | None:
+        opened = self._query(ReadOpenKeys(), OpenKeys)
+        return None if opened is None else opened.keys
+
     def _has_work(self) -> bool:
         return bool(self._board.runs)
 
@@ -217,6 +243,7 @@
             items = self._query(ReadOpenItems(lot_id), OpenItems)
             if items is not None:
                 self._board.add(items.items)
+                self._sight.taken_in(lot_id, items.items, self._group.status)
 
     def _query(self, query: msgspec.Struct, reply_type: type[T]) -> T | None:
         reply = decode_reply(self._group.query_local(encode(query)), reply_type)
@@ -273,13 +300,15 @@
         slot = TakenSlot(self._loads.room_at(seat))
         run.runner_id = seat.record.runner_id
         run.parking = False
+        self._sight.started(run)
         run.task = asyncio.get_running_loop().create_task(self._run(run, seat, slot))
         # A task that is cancelled before its first step runs none of its own code.
         run.task.add_done_callback(lambda _task: self._run_ended(run, slot))
 
     def _run_ended(self, run: ItemRun, slot: TakenSlot) -> None:
         slot.free()
-        run.task = None
+        task, run.task = run.task, None
+        self._sight.ended(run, task)
         if self._wake is not None:
             self._wake.set()
 
--- a/src/leverjunction/proxy/journal.py
+++ b/src/leverjunction/proxy/journal.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from prometheus_client import Counter
 
 from leverjunction.clock import Clock
 from leverjunction.errors import Failure
@@ -64,11 +65,11 @@
 
 
 class LineWriter:
-    """Writes lines to standard output from a thread of its own."""
+    """Writes lines to standard output from a thread of its own; counts those that are lost."""
 
-    def __init__(self, counters: ProxyCounters) -> None:
+    def __init__(self, lost: Counter) -> None:
         self._lines: deque[bytes] = deque()
-        self._counters = counters
+        self._lost = lost
         self._changed = threading.Condition()
         threading.Thread(target=self._run, name="decision-lines", daemon=True).start()
 
@@ -77,7 +78,7 @@
         with self._changed:
             if len(self._lines) >= LINES_KEPT:
                 self._lines.popleft()
-                self._counters.lines_lost.inc()
+                self._lost.inc()
             self._lines.append(line)
             self._changed.notify()
 
@@ -101,7 +102,7 @@
     def __init__(self, clock: Clock, counters: ProxyCounters) -> None:
         self._clock = clock
         self._counters = counters
-        self._writer = LineWriter(counters)
+        self._writer = LineWriter(counters.lines_lost)
 
     def sent(
         self, work: Work, choice: Choice, answer: OpenedAnswer | Failure, now_s: float
--- /dev/null
+++ b/tests/unit/test_lots_sight.py
@@ -0,0 +1,394 @@
+"""What a person sees of a runner whose items do not run: figures and lines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable, Iterator
+from random import Random
+
+import pytest
+from loguru import logger
+from prometheus_client import REGISTRY
+from tests.unit.seeded_support import wait_until
+from tests.unit.test_lots_board import item
+from tests.unit.test_lots_runner import OneStore, submit
+
+from leverjunction.clock import SystemClock
+from leverjunction.consensus.api import GroupStatus
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.lots import sight as sight_module
+from leverjunction.lots.item_lines import INTERVAL_S, LINES_PER_INTERVAL
+from leverjunction.lots.item_run import ItemKey, ItemRun
+from leverjunction.lots.run_trace import RunEnd
+from leverjunction.lots.runner import LotsRunner
+from leverjunction.lots.sight import TELL_AFTER_S, RunnerSight, Scene
+from leverjunction.lots.standing import ServiceSight
+from leverjunction.platform.headers import PlatformDialect
+from leverjunction.registry.follower import Snapshot
+from leverjunction.registry.records import FleetView, RunnerRecord
+from leverjunction.routes import RouteClass, RouteIndex, RouteTable
+from testbed.routed import SERVICE, RunnerStandIn, make_route, make_table
+
+Line = dict[str, object]
+ROUTED = make_table(make_route(RouteClass.BATCH, max_attempts=3), version=7)
+
+
+def figure(name: str, **labels: str) -> float:
+    return REGISTRY.get_sample_value(name, labels) or 0.0
+
+
+def shows(reason: str, count: int) -> Callable[[], bool]:
+    return lambda: figure("lots_open_items", reason=reason) == count
+
+
+class Seen:
+    """What was written so far."""
+
+    def __init__(self, capfd: pytest.CaptureFixture[str]) -> None:
+        self._capfd = capfd
+        self._text = ""
+
+    def lines(self, event: str) -> list[Line]:
+        self._text += self._capfd.readouterr().out
+        found = [json.loads(line) for line in self._text.splitlines() if line.startswith('{"event')]
+        return [line for line in found if line["event"] == event]
+
+    def wait(self, event: str, count: int = 1) -> list[Line]:
+        wait_until(lambda: len(self.lines(event)) >= count)
+        return self.lines(event)
+
+
+@pytest.fixture
+def seen(capfd: pytest.CaptureFixture[str]) -> Seen:
+    return Seen(capfd)
+
+
+@pytest.fixture
+def words() -> Iterator[list[str]]:
+    """Plain lines of the log."""
+    written: list[str] = []
+    handler = logger.add(lambda message: written.append(str(message)), format="{level} {message}")
+    yield written
+    logger.remove(handler)
+
+
+@pytest.fixture
+def store() -> OneStore:
+    return OneStore()
+
+
+@pytest.fixture
+def back_end() -> Iterator[RunnerStandIn]:
+    with RunnerStandIn("i-1", usual="stream") as runner:
+        yield runner
+
+
+@pytest.fixture
+def runner(store: OneStore, monkeypatch: pytest.MonkeyPatch) -> Iterator[LotsRunner]:
+    """A runner that has heard nothing of the registry, and is looked at often."""
+    monkeypatch.setattr(sight_module, "LOOK_INTERVAL_S", 0.1)
+    monkeypatch.setattr(sight_module, "TELL_AFTER_S", 0.6)
+    made = LotsRunner(store, "z", PlatformDialect(), SystemClock(), Random(1))
+    store.runner = made
+    made.start()
+    yield made
+    made.stop()
+
+
+def registry(table: RouteTable, *back_ends: RunnerStandIn, slots: int = 8) -> Snapshot:
+    records = tuple(
+        RunnerRecord(runner_id="i-1", service=SERVICE, address=each.address, zone="z", slots=slots)
+        for each in back_ends
+    )
+    return Snapshot(table, FleetView(revision=1, runners=records))
+
+
+def test_no_table(store: OneStore, runner: LotsRunner, seen: Seen, words: list[str]) -> None:
+    submit(store, 3)
+    wait_until(shows("no_table", 3))
+    lines = seen.wait("waits", 3)
+    assert {(line["lot"], line["item"], line["reason"]) for line in lines} == {
+        ("lot", f"item-{number}", "no_table") for number in range(3)
+    }
+    assert all(int(str(line["quiet_ms"])) >= 600 for line in lines)
+    (taken,) = seen.lines("lot_taken_in")
+    assert (taken["items"], taken["count"], taken["term"]) == (
+        ["item-0", "item-1", "item-2"],
+        3,
+        1,
+    )
+    assert "WARNING 3 open items wait: there is no route table yet\n" in words
+    assert figure("lots_oldest_open_seconds") > 0.5
+
+
+def test_no_route(store: OneStore, runner: LotsRunner, back_end: RunnerStandIn, seen: Seen) -> None:
+    elsewhere = make_table(make_route(RouteClass.BATCH, prefix="/elsewhere/"), version=9)
+    runner.set_registry(registry(elsewhere, back_end))
+    submit(store, 1)
+    wait_until(shows("no_route", 1))
+    (line,) = seen.wait("waits")
+    assert (line["reason"], line["table"]) == ("no_route", 9)
+
+
+def test_no_back_end(store: OneStore, runner: LotsRunner, seen: Seen) -> None:
+    runner.set_registry(registry(ROUTED))
+    submit(store, 1)
+    wait_until(shows("no_back_end", 1))
+    (line,) = seen.wait("waits")
+    assert (line["reason"], line["service"], line["figure"]) == ("no_back_end", SERVICE, 0)
+
+
+def test_no_room_and_then_room(
+    store: OneStore, runner: LotsRunner, back_end: RunnerStandIn, seen: Seen
+) -> None:
+    back_end.online = 8
+    runner.set_registry(registry(ROUTED, back_end))
+    submit(store, 1)
+    wait_until(shows("no_room", 1))
+    (line,) = seen.wait("waits")
+    assert (line["reason"], line["figure"], line["table"]) == ("no_room", 0, 7)
+    assert "0 free at the best back end; 1 back ends, 1 not ejected, 1 read" in str(line["detail"])
+    back_end.online = 0
+    wait_until(lambda: "item-0" in store.results())
+    (moved,) = seen.wait("moves_on")
+    assert (moved["item"], moved["detail"]) == ("item-0", "was no_room")
+    wait_until(lambda: figure("lots_oldest_open_seconds") == 0)
+
+
+def test_a_run_that_tells_nothing_more(
+    store: OneStore, runner: LotsRunner, back_end: RunnerStandIn, seen: Seen
+) -> None:
+    back_end.usual = "stream that stops"
+    runner.set_registry(registry(ROUTED, back_end))
+    starts = figure("lots_run_starts_total")
+    submit(store, 1)
+    wait_until(shows("runs", 1))
+    (line,) = seen.wait("waits")
+    assert (line["reason"], line["runner_id"], line["runs"], line["events"]) == (
+        "runs",
+        "i-1",
+        1,
+        1,
+    )
+    assert int(str(line["since_ms"])) >= int(str(line["quiet_ms"])) >= 600
+    assert figure("lots_run_starts_total") == starts + 1
+
+
+def test_a_result_that_is_not_recorded(
+    store: OneStore,
+    runner: LotsRunner,
+    back_end: RunnerStandIn,
+    seen: Seen,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    submit(store, 1)
+    taking = store.propose
+    refusal = Failure(kind=FailureKind.NO_QUORUM, reason="no quorum", step=Step.APPLYING)
+    monkeypatch.setattr(store, "propose", lambda _command, _timeout_s: refusal)
+    runner.set_registry(registry(ROUTED, back_end))
+    wait_until(shows("result_waits", 1))
+    assert figure("lots_records_waiting") == 1
+    (line,) = seen.wait("waits")
+    assert (line["reason"], line["detail"]) == ("result_waits", "no quorum")
+    assert int(str(line["tries"])) >= 2
+    assert figure("lots_records_total", result="no_quorum") >= 2
+    monkeypatch.setattr(store, "propose", taking)
+    (recorded,) = seen.wait("recorded")
+    assert (recorded["item"], recorded["detail"]) == ("item-0", "done")
+    assert int(str(recorded["tries"])) > int(str(line["tries"]))
+
+
+def test_a_command_that_raises_is_counted(
+    store: OneStore,
+    runner: LotsRunner,
+    back_end: RunnerStandIn,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    submit(store, 1)
+    before = figure("lots_records_total", result="raised")
+
+    def raising(_command: bytes, _timeout_s: float) -> bytes:
+        raise OSError("the disk")
+
+    monkeypatch.setattr(store, "propose", raising)
+    runner.set_registry(registry(ROUTED, back_end))
+    wait_until(lambda: figure("lots_records_total", result="raised") > before)
+
+
+def test_a_command_that_never_returns_is_seen(
+    store: OneStore,
+    runner: LotsRunner,
+    back_end: RunnerStandIn,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    submit(store, 1)
+    monkeypatch.setattr(store, "propose", lambda _command, _timeout_s: time.sleep(1.5))
+    runner.set_registry(registry(ROUTED, back_end))
+    wait_until(lambda: figure("lots_record_under_way_seconds") > 0.8)
+    assert figure("lots_records_waiting") == 1
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "end"),
+    [
+        ("stream cut in an event", RunEnd.CUT),
+        ("reset", RunEnd.NOT_ANSWERED),
+        ("not run", RunEnd.REFUSED),
+        ("fault", RunEnd.FAILED),
+    ],
+)
+def test_a_run_that_was_not_whole_has_a_line(
+    store: OneStore,
+    runner: LotsRunner,
+    back_end: RunnerStandIn,
+    seen: Seen,
+    behaviour: str,
+    end: RunEnd,
+) -> None:
+    back_end.then(behaviour)
+    done = figure("lots_runs_total", end="done")
+    runner.set_registry(registry(ROUTED, back_end))
+    submit(store, 1)
+    wait_until(lambda: "item-0" in store.results())
+    (ended,) = seen.wait("run_ended")
+    assert (ended["item"], ended["runner_id"], ended["reason"]) == ("item-0", "i-1", end.value)
+    assert seen.wait("run_started")[0]["runs"] == 2
+    # The run that was whole is only counted.
+    wait_until(lambda: figure("lots_runs_total", end="done") == done + 1)
+    assert len(seen.lines("run_ended")) == 1
+
+
+def test_a_store_says_when_it_begins_and_ceases_to_lead(
+    store: OneStore, runner: LotsRunner, back_end: RunnerStandIn, words: list[str]
+) -> None:
+    store.role = "follower"
+    runner.changed()
+    wait_until(lambda: any("runs items no longer: follower in term 1" in word for word in words))
+    submit(store, 2)
+    back_end.online = 8
+    runner.set_registry(registry(ROUTED, back_end))
+    store.role = "leader"
+    begins = (
+        "INFO runs the items of jobs-0 in term 1: 2 open in 1 lots, route table 7,"
+        " 1 back ends known\n"
+    )
+    wait_until(lambda: begins in words)
+    wait_until(shows("no_room", 2))
+    store.role = "follower"
+    wait_until(shows("no_room", 0))
+
+
+class _Clock:
+    """A clock that is set."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    def wall_ms(self) -> int:
+        return round(self.now_s * 1000)
+
+
+class _Left:
+    """A task that is over."""
+
+    def done(self) -> bool:
+        return True
+
+
+class Stage:
+    """A sight over items that are set up by hand, looked at once a second."""
+
+    def __init__(self, names: list[str], known: list[str]) -> None:
+        self.clock = _Clock()
+        self.sight = RunnerSight(self.clock)
+        self.runs = {run.key: run for run in (ItemRun(item(name)) for name in known)}
+        self.keys = {("lot", name) for name in names}
+        self.service = ServiceSight(known=1, sound=1, read=1, allowance=4, free=4)
+
+    def look(self, seconds: int = 1) -> None:
+        for _ in range(seconds):
+            self.clock.now_s += 1.0
+            self.sight.look(self._scene)
+
+    def _scene(self) -> Scene:
+        return Scene(
+            status=_leads(),
+            index=RouteIndex(ROUTED),
+            back_ends=1,
+            runs=self.runs,
+            service=lambda _name: self.service,
+            has_result=lambda _run: False,
+            waiting=0,
+            open_keys=self._open_keys,
+        )
+
+    def _open_keys(self) -> set[ItemKey]:
+        return self.keys
+
+
+def _leads() -> GroupStatus:
+    return OneStore().status()
+
+
+def test_an_item_that_the_runner_does_not_know_is_found(seen: Seen) -> None:
+    stage = Stage(["a", "lost"], ["a"])
+    stage.look(4)
+    assert shows("not_taken_in", 0)()
+    stage.look(4)
+    assert shows("not_taken_in", 1)()
+    lines = seen.wait("waits", 2)
+    assert [line["item"] for line in lines if line["reason"] == "not_taken_in"] == ["lost"]
+    stage.keys.discard(("lot", "lost"))
+    stage.look(5)
+    assert shows("not_taken_in", 0)()
+
+
+def test_a_task_that_is_over_and_not_given_back_stalls_the_store(
+    seen: Seen, words: list[str]
+) -> None:
+    """The state that the incident was suspected to have ended in."""
+    stage = Stage(["a"], ["a"])
+    left: asyncio.Task[None] = _Left()  # type: ignore[assignment]
+    stage.runs["lot", "a"].task = left
+    stage.look(1)
+    assert shows("pauses", 1)(), "a moment before its callback nothing is wrong"
+    stage.look(7)
+    assert shows("task_left", 1)()
+    assert figure("lots_stalled") == 1
+    assert [word for word in words if "stalled" in word] == [
+        "WARNING stalled: 1 open items, room for 4, no run started for 3.0 s, nothing recorded"
+        " for 3.0 s; 1 task_left\n"
+    ]
+    (line,) = seen.wait("waits")
+    assert (line["item"], line["reason"]) == ("a", "task_left")
+    stage.runs.clear()
+    stage.look()
+    assert figure("lots_stalled") == 0
+    assert "INFO stalled no longer, after 8.0 s: 0 open\n" in words
+
+
+def test_hundreds_of_items_have_few_lines(seen: Seen) -> None:
+    names = [f"n{number}" for number in range(300)]
+    stage = Stage(names, names)
+    stage.service = ServiceSight(known=1, sound=1, read=1)
+    stage.look(round(TELL_AFTER_S) + 2)
+    time.sleep(0.3)
+    assert shows("no_room", 300)()
+    assert len(seen.lines("waits")) == LINES_PER_INTERVAL
+    stage.look(round(INTERVAL_S))
+    (left_out,) = seen.wait("left_out")
+    assert (left_out["reason"], left_out["count"]) == ("waits no_room", 300 - LINES_PER_INTERVAL)
+
+
+def test_a_fault_of_the_sight_reaches_nobody(words: list[str]) -> None:
+    stage = Stage(["a"], ["a"])
+    before = figure("lots_sight_faults_total")
+    stage.runs["lot", "a"].item = None  # type: ignore[assignment]
+    stage.look(2)
+    assert figure("lots_sight_faults_total") == before + 2
+    assert sum("could not tell" in word for word in words) <= 1
--- /dev/null
+++ b/tests/unit/test_lots_stall_watch.py
@@ -0,0 +1,82 @@
+"""When work is said to lie still, and when not."""
+
+from __future__ import annotations
+
+import pytest
+
+from leverjunction.lots.item_lines import INTERVAL_S, LINES_PER_INTERVAL, LineBudget
+from leverjunction.lots.stall_watch import AGAIN_S, STALL_S, AgeWatch, StallWatch, Work
+
+NOW_S = 100.0
+
+
+def work(
+    *,
+    open_items: int = 3,
+    lively: int = 0,
+    room: int = 4,
+    started: float = 50,
+    recorded: float = 50,
+) -> Work:
+    return Work(
+        open_items=open_items,
+        lively=lively,
+        room=room,
+        started_s=started,
+        recorded_s=recorded,
+        reasons="3 task_left",
+    )
+
+
+@pytest.mark.parametrize(
+    ("figures", "stalled"),
+    [
+        (work(), True),
+        (work(open_items=0), False),
+        (work(lively=1), False),
+        (work(room=0), False),
+        (work(started=NOW_S - STALL_S / 2), False),
+        (work(recorded=NOW_S - STALL_S / 2), False),
+        (work(started=NOW_S - STALL_S, recorded=NOW_S - STALL_S), True),
+    ],
+)
+def test_what_is_a_stall(figures: Work, stalled: bool) -> None:
+    watch = StallWatch()
+    assert bool(watch.look(figures, NOW_S)) is stalled
+    assert watch.stalled is stalled
+
+
+def test_a_stall_is_told_once_in_a_while_and_when_it_is_over() -> None:
+    watch = StallWatch()
+    first = watch.look(work(), NOW_S)
+    assert first == (
+        "stalled: 3 open items, room for 4, no run started for 50.0 s, nothing recorded for"
+        " 50.0 s; 3 task_left"
+    )
+    assert watch.look(work(), NOW_S + 1) == ""
+    assert watch.look(work(), NOW_S + AGAIN_S).startswith("stalled:")
+    over = watch.look(work(lively=1), NOW_S + AGAIN_S + 1)
+    assert over == "stalled no longer, after 81.0 s: 3 open"
+    assert not watch.stalled
+    assert watch.look(work(lively=1), NOW_S + AGAIN_S + 2) == ""
+    assert watch.look(work(), NOW_S + AGAIN_S + 3).startswith("stalled:")
+
+
+def test_an_age_is_told_when_it_passes_its_limit_and_when_it_is_over() -> None:
+    watch = AgeWatch("nothing is heard of X", 5.0)
+    assert watch.look(4.9, 100.0) == ""
+    assert watch.look(5.5, 101.0) == "nothing is heard of X for 5.5 s"
+    assert watch.look(6.5, 102.0) == ""
+    assert watch.look(0.5, 103.0) == "nothing is heard of X: over, after 7.0 s"
+    assert watch.look(0.5, 104.0) == ""
+
+
+def test_lines_of_one_kind_do_not_take_the_place_of_another() -> None:
+    budget = LineBudget()
+    assert budget.renew(10.0) == {}
+    assert [budget.take("a") for _ in range(LINES_PER_INTERVAL + 3)].count(True) == 4
+    assert budget.take("b")
+    assert budget.renew(10.0 + INTERVAL_S / 2) == {}
+    assert budget.renew(10.0 + INTERVAL_S) == {"a": 3}
+    assert budget.take("a")
+    assert budget.renew(10.0 + 2 * INTERVAL_S) == {}
--- /dev/null
+++ b/tests/unit/test_lots_standing.py
@@ -0,0 +1,147 @@
+"""Each cause for which an open item does not run has its own reason."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+from tests.unit.test_lots_board import item
+
+from leverjunction.lots.item_run import ItemRun
+from leverjunction.lots.run_trace import RunEnd, RunTrace
+from leverjunction.lots.standing import Reason, ServiceSight, Standings
+from leverjunction.routes import RouteClass, RouteIndex
+from testbed.routed import SERVICE, make_route, make_table
+
+INDEX = RouteIndex(make_table(make_route(RouteClass.BATCH)))
+OTHER_INDEX = RouteIndex(make_table(make_route(RouteClass.BATCH, prefix="/elsewhere/")))
+ROOMY = ServiceSight(known=4, sound=3, read=3, allowance=5, free=2)
+
+
+class _Task:
+    """A task in one state."""
+
+    def __init__(self, done: bool) -> None:
+        self._done = done
+
+    def done(self) -> bool:
+        return self._done
+
+
+def standing(
+    run: ItemRun,
+    service: ServiceSight = ROOMY,
+    index: RouteIndex | None = INDEX,
+    has_result: bool = False,
+) -> Reason:
+    return Standings(index, lambda _name: service, lambda _run: has_result).of(run).reason
+
+
+def with_task(done: bool, prepare: Callable[[ItemRun], None] = lambda _run: None) -> ItemRun:
+    run = ItemRun(item("a"))
+    run.trace.start(1.0)
+    task: asyncio.Task[None] = _Task(done)  # type: ignore[assignment]
+    run.task = task
+    prepare(run)
+    return run
+
+
+@pytest.mark.parametrize(
+    ("service", "reason"),
+    [
+        (ServiceSight(), Reason.NO_BACK_END),
+        (ServiceSight(known=2, free_ejected=4, allowance=8), Reason.EJECTED),
+        (ServiceSight(known=2, sound=2), Reason.NOT_READ),
+        (ServiceSight(known=2, sound=2, read=2, allowance=0, free=4), Reason.NO_ROOM),
+        (ServiceSight(known=2, sound=2, read=1, allowance=3, free=0), Reason.NO_ROOM),
+        (
+            ServiceSight(known=2, sound=1, read=1, allowance=3, free=0, free_ejected=4),
+            Reason.EJECTED,
+        ),
+        (
+            ServiceSight(known=2, sound=1, read=1, allowance=0, free=0, free_ejected=4),
+            Reason.NO_ROOM,
+        ),
+        (ROOMY, Reason.WAITS_TURN),
+    ],
+)
+def test_an_item_that_waits_for_a_service(service: ServiceSight, reason: Reason) -> None:
+    assert standing(ItemRun(item("a")), service) is reason
+    assert (service.room > 0) is (reason is Reason.WAITS_TURN)
+
+
+def test_an_item_without_table_or_route() -> None:
+    assert standing(ItemRun(item("a")), index=None) is Reason.NO_TABLE
+    assert standing(ItemRun(item("a")), index=OTHER_INDEX) is Reason.NO_ROUTE
+
+
+def _parking(run: ItemRun) -> None:
+    run.parking = True
+
+
+def _ended(run: ItemRun) -> None:
+    run.trace.over(RunEnd.SILENT)
+
+
+def _no_body(run: ItemRun) -> None:
+    run.trace.over(RunEnd.NO_BODY)
+
+
+@pytest.mark.parametrize(
+    ("run", "reason"),
+    [
+        (with_task(False), Reason.RUNS),
+        (with_task(False, _parking), Reason.STOPS),
+        (with_task(False, _ended), Reason.PAUSES),
+        (with_task(True), Reason.TASK_LEFT),
+        (with_task(True, _ended), Reason.TASK_LEFT),
+        (with_task(False, _no_body), Reason.UNREADABLE),
+    ],
+)
+def test_an_item_with_a_run(run: ItemRun, reason: Reason) -> None:
+    assert standing(run) is reason
+    # It is known to run, whatever is not known of the way.
+    assert standing(run, index=None) is reason
+
+
+def test_an_item_that_has_ended_waits_for_the_group_only() -> None:
+    assert standing(with_task(False), has_result=True) is Reason.RESULT_WAITS
+    assert standing(ItemRun(item("a")), index=None, has_result=True) is Reason.RESULT_WAITS
+
+
+def test_a_left_task_is_told_even_where_there_is_no_room() -> None:
+    assert standing(with_task(True), ServiceSight()) is Reason.TASK_LEFT
+
+
+def test_each_service_is_asked_once_and_the_nearest_tells_why() -> None:
+    asked: list[str] = []
+
+    def service(name: str) -> ServiceSight:
+        asked.append(name)
+        return ROOMY
+
+    standings = Standings(INDEX, service, lambda _run: False)
+    runs = [ItemRun(item(str(number))) for number in range(50)]
+    assert {standings.of(run).reason for run in runs} == {Reason.WAITS_TURN}
+    assert asked == [SERVICE]
+    assert standings.of(runs[0]).name == SERVICE
+    assert standings.room(runs) == 2
+
+
+@pytest.mark.parametrize(
+    ("status", "between", "end"),
+    [
+        (200, True, RunEnd.DONE),
+        (200, False, RunEnd.CUT),
+        (422, True, RunEnd.IMPOSSIBLE),
+        (500, True, RunEnd.FAILED),
+        (429, True, RunEnd.REFUSED),
+    ],
+)
+def test_how_a_whole_answer_ends_a_run(status: int, between: bool, end: RunEnd) -> None:
+    trace = RunTrace()
+    trace.judged(status, between)
+    assert trace.end is end
+    trace.over(RunEnd.STOPPED)
+    assert trace.end is end, "the first word stands"
