Stores tell when their runner's loop hangs or no control process answers

Cause: nobody watched the thread that runs items, nor the one that follows the registry.

Excluded: a watch inside the loop itself, which could not tell of its own hang; asking the replica whether it leads, which may hang with it.

Change: a periodic task of the store process compares the ages of the last step and of the last answer with limits (3 s, 5 s), sets lots_step_age_seconds and lots_registry_age_seconds, and writes one line at the begin, with the calls in which the loop's thread is, and one when it is over.

Figures: no cost was measured; one wake-up a second and process.

--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -18,6 +18,7 @@
 from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots.commands import ForgetLots, encode_command
+from leverjunction.lots.node_watch import WATCH_INTERVAL_S, NodeWatch
 from leverjunction.lots.recent_reads import answer_recent, no_replica
 from leverjunction.lots.remembered import read_group, write_group
 from leverjunction.lots.runner import LotsRunner
@@ -100,9 +101,11 @@
         self._asked: tuple[str, ...] = ()
         self._asked_s = 0.0
         self._forgot_s = clock.monotonic_s()
+        self._watch = NodeWatch(clock)
         self._tasks = [
             PeriodicTask("join", JOIN_INTERVAL_S, self._join),
             PeriodicTask("places", PLACES_INTERVAL_S, self._keep_places),
+            PeriodicTask("watch", WATCH_INTERVAL_S, self._look_after),
         ]
 
     def start(self) -> Failure | None:
@@ -272,6 +275,13 @@
                 logger.info("joined through {}", hub)
                 return
 
+    def _look_after(self) -> None:
+        """Tell of threads of this process that have gone silent."""
+        self._watch.registry(self._follower.age_s())
+        runner = self._runner
+        if runner is not None:
+            self._watch.steps(runner.step_age_s(), runner.whereabouts)
+
     def _keep_places(self) -> None:
         """As leader, work towards the voters that the registry names; forget old lots."""
         replica = self._local.get(JOBS_GROUP)
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -30,6 +30,7 @@
 from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.load_listener import LoadListener
 from leverjunction.lots.load_watch import LoadWatch
+from leverjunction.lots.node_watch import stack_of
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.room import TakenSlot
 from leverjunction.lots.sight import RunnerSight, Scene
@@ -120,6 +121,10 @@
         """Return the seconds since the loop last took a step."""
         return self._clock.monotonic_s() - self._stepped_s
 
+    def whereabouts(self) -> str:
+        """Return where the loop's thread is, for a person."""
+        return stack_of(self._thread)
+
     def _run_loop(self) -> None:
         asyncio.run(self._main())
 
