A gateway tells how many requests it holds now, and for how long

Cause: a request that waits at a gateway has a line only once it has left.

Excluded: a line while it waits: it waits for seconds at most, and the line after it says how long.

Change: gauges proxy_held_requests and proxy_oldest_held_seconds by service, worked out when the figures are asked for, so that requests cost nothing more.

--- a/src/leverjunction/proxy/admission.py
+++ b/src/leverjunction/proxy/admission.py
@@ -102,6 +102,10 @@
         """Number of requests that wait."""
         return len(self._held)
 
+    def oldest_s(self, now_s: float) -> float:
+        """Return for how long the request that came first has been here; 0 when none waits."""
+        return max((now_s - ticket.arrived_s for ticket in self._held), default=0.0)
+
     def arrive(self, ticket: Ticket, prospect: Prospect | None, now_s: float) -> Verdict:
         """Decide on a request that has just come; one that is held is in the queue then.
 
--- a/src/leverjunction/proxy/admission_gate.py
+++ b/src/leverjunction/proxy/admission_gate.py
@@ -84,6 +84,11 @@
             queue.drop(ticket)
             self._tell(service)
 
+    def waiting(self) -> dict[str, tuple[int, float]]:
+        """Return, by service that ever held one, its held requests and the age of the oldest."""
+        now_s = self._loop.time()
+        return {name: (queue.held, queue.oldest_s(now_s)) for name, queue in self._queues.items()}
+
     def _tell(self, service: str) -> None:
         if self._changed is not None:
             self._changed(service, self._queues[service].held)
--- a/src/leverjunction/proxy/counters.py
+++ b/src/leverjunction/proxy/counters.py
@@ -26,6 +26,18 @@
             ["outcome"],
             registry=registry,
         )
+        self.held = Gauge(
+            "proxy_held_requests",
+            "Requests that wait at this gateway for a back end, by service",
+            ["service"],
+            registry=registry,
+        )
+        self.oldest_held_s = Gauge(
+            "proxy_oldest_held_seconds",
+            "Time since the arrival of the held request that came first, by service",
+            ["service"],
+            registry=registry,
+        )
         self.head_s = Histogram(
             "proxy_head_seconds",
             "Time from a request's arrival to the head of its answer, by route class",
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -76,7 +76,7 @@
             config.name, CLUSTER_KEY, clock.wall_ms(), self._stores, self._others_told
         )
         sender = Sender(self._pool, self._balancer, dialect, self._loads.runner_changed)
-        gate = AdmissionGate(self._balancer, sender, self._loads.held_changed)
+        self._gate = gate = AdmissionGate(self._balancer, sender, self._loads.held_changed)
         self._forwarder = Forwarder(
             sender,
             self._balancer,
@@ -160,6 +160,9 @@
         version = self._index.table.version if self._index is not None else 0
         self._counters.table_version.set(version)
         self._counters.contact_age_s.set(self._follower.age_s())
+        for service, (held, oldest_s) in self._gate.waiting().items():
+            self._counters.held.labels(service).set(held)
+            self._counters.oldest_held_s.labels(service).set(oldest_s)
         headers = [(b"Content-Type", CONTENT_TYPE_LATEST.encode())]
         responder.whole(200, headers, generate_latest(self._figures))
 
--- a/tests/unit/test_proxy_admission_gate.py
+++ b/tests/unit/test_proxy_admission_gate.py
@@ -74,6 +74,22 @@
     asyncio.run(play())
 
 
+def test_how_many_are_held_and_for_how_long_is_seen() -> None:
+    async def play() -> None:
+        loads = Loads()
+        loads.load = EngineLoad(SLOTS, 6, SLOTS)
+        gate, _ = gate_over(loads, 1, [])
+        assert gate.waiting() == {}
+        held = [asyncio.create_task(gate.enter(SERVICE, ticket())) for _ in range(2)]
+        await asyncio.sleep(0.2)
+        assert gate.waiting() == {SERVICE: (2, pytest.approx(0.2, abs=0.1))}
+        loads.load = EngineLoad(1, 0, SLOTS)
+        await asyncio.wait_for(asyncio.gather(*held), 1.0)
+        assert gate.waiting() == {SERVICE: (0, 0.0)}
+
+    asyncio.run(play())
+
+
 def test_a_request_that_is_too_late_is_refused_before_its_caller_leaves() -> None:
     async def play() -> None:
         loads = Loads()
