--- a/src/leverjunction/lots/sight.py
+++ b/src/leverjunction/lots/sight.py
@@ -280,10 +280,7 @@
         if now_s - self._compared_s < COMPARE_INTERVAL_S:
             return
         self._compared_s = now_s
-        opened = scene.open_keys()
-        if (opened is not None) != self._readable:
-            self._readable = opened is not None
-            logger.warning("what is open can{} be read", "" if self._readable else "not")
+        opened = self._open_keys(scene)
         if opened is None:
             return
         missing = frozenset(key for key in opened if key not in scene.runs)
@@ -295,6 +292,21 @@
             line = ItemLine(event="waits", lot=lot, item=item, reason=reason, table=scene.table)
             self._lines.put(line)
 
+    def _open_keys(self, scene: Scene) -> Collection[ItemKey] | None:
+        """Return what the group has open; None when that cannot be read, which is told."""
+        why = "the group's replica refuses"
+        opened: Collection[ItemKey] | None = None
+        try:
+            opened = scene.open_keys()
+        except Exception as error:
+            why = repr(error)
+        if opened is None and self._readable:
+            logger.warning("what is open cannot be read: {}", why)
+        elif opened is not None and not self._readable:
+            logger.info("what is open can be read again")
+        self._readable = opened is not None
+        return opened
+
     def _tell(
         self, untold: dict[str, list[tuple[ItemRun, Standing]]], scene: Scene, now_s: float
     ) -> None:
--- a/tests/unit/test_lots_sight.py
+++ b/tests/unit/test_lots_sight.py
@@ -309,6 +309,7 @@
         self.sight = RunnerSight(self.clock)
         self.runs = {run.key: run for run in (ItemRun(item(name)) for name in known)}
         self.keys = {("lot", name) for name in names}
+        self.error: Exception | None = None
         self.service = ServiceSight(known=1, sound=1, read=1, allowance=4, free=4)
 
     def look(self, seconds: int = 1) -> None:
@@ -329,6 +330,8 @@
         )
 
     def _open_keys(self) -> set[ItemKey]:
+        if self.error is not None:
+            raise self.error
         return self.keys
 
 
@@ -349,6 +352,21 @@
     assert shows("not_taken_in", 0)()
 
 
+def test_a_group_that_cannot_be_read_is_told_once_and_the_figures_go_on(
+    words: list[str],
+) -> None:
+    stage = Stage(["a"], ["a"])
+    stage.error = OSError("the disk")
+    stage.look(12)
+    assert shows("waits_turn", 1)()
+    stage.error = None
+    stage.look(6)
+    assert [word for word in words if "what is open" in word] == [
+        "WARNING what is open cannot be read: OSError('the disk')\n",
+        "INFO what is open can be read again\n",
+    ]
+
+
 def test_a_task_that_is_over_and_not_given_back_stalls_the_store(
     seen: Seen, words: list[str]
 ) -> None:
