--- a/tests/unit/consensus_support.py
+++ b/tests/unit/consensus_support.py
@@ -76,10 +76,14 @@
             group="root",
             address=address,
             data_path=str(self.path(address)),
-            heartbeat_interval_s=0.05,
-            election_timeout_min_s=0.5,
-            election_timeout_max_s=1.0,
-            **{"first_members": tuple(self.addresses), **self.settings, **settings},  # type: ignore[arg-type]
+            **{  # type: ignore[arg-type]
+                "heartbeat_interval_s": 0.05,
+                "election_timeout_min_s": 0.5,
+                "election_timeout_max_s": 1.0,
+                "first_members": tuple(self.addresses),
+                **self.settings,
+                **settings,
+            },
         )
         replica = GroupReplica(
             config,
