A replica whose steps are slow is patient, so that a group with slow syncs keeps its leader

Cause: one thread for messages and syncs; a lease of 0.36 s is shorter than what a round takes when syncs take 0.2 s and more (up to two steps on each side). Each leader was deposed, the next as well. Excluded: load alone; longer timeouts for everybody (each lost leader would cost more). Change: consensus.slow_steps measures steps that hold up what comes; timeouts and lease are stretched to four times what lasts, 3 s at most; answers are handled before the lease is judged.

--- a/src/leverjunction/consensus/core.py
+++ b/src/leverjunction/consensus/core.py
@@ -60,7 +60,9 @@
         """
         self._now_s = max(self._now_s, now_s)
         self._effects = []
-        self._check_lease()
+        if not (isinstance(event, Received) and isinstance(event.message, AppendReply)):
+            # An answer that waited here during a slow sync counts before the lease is judged.
+            self._check_lease()
         self._dispatch(event)
         if not isinstance(event, Propose | Read):
             self._after()
@@ -74,11 +76,6 @@
             return self.founding_due_s
         return self.next_election_step_s() if not self.blank else math.inf
 
-    def _check_lease(self) -> None:
-        """Step down first of all if no quorum was heard, also after a long freeze."""
-        if self.role is Role.LEADER and self._lease_ended():
-            self._follow(self.term, "no quorum was heard within the lease")
-
     def _dispatch(self, event: Event) -> None:
         match event:
             case Tick():
--- a/src/leverjunction/consensus/core_base.py
+++ b/src/leverjunction/consensus/core_base.py
@@ -9,6 +9,7 @@
 from leverjunction.consensus.log_view import LogView
 from leverjunction.consensus.messages import Header, IdentityReply, Message
 from leverjunction.consensus.progress import Progress
+from leverjunction.consensus.slow_steps import SlowSteps
 from leverjunction.consensus.types import (
     Configuration,
     DurableState,
@@ -21,6 +22,14 @@
 LEASE_SHARE = 0.9
 """A leader's lease is this share of the shortest election timeout, for clocks that drift."""
 
+STEPS_OF_A_ROUND = 4
+"""Steps that a leader's round may have to wait for: the one under way and the next, on both sides."""
+
+SLOW_TIMEOUT_MOST_S = 3.0
+"""Longest election timeout of a slow replica, in seconds: a leader that fell silent is replaced
+within it.
+"""
+
 LEADER_CHECK_HEARTBEATS = 1.5
 """Silence of a leader, in heartbeats, after which a follower asks whether its process lives."""
 
@@ -55,6 +64,7 @@
         self.election_deadline_s = math.inf
         self.progress: dict[str, Progress] = {}
         self.leader_since_s = 0.0
+        self.slow_steps = SlowSteps()
         self._random = random
         self._now_s = now_s
         self._effects: list[Effect] = []
@@ -76,10 +86,32 @@
         """True while this replica belongs to no founding of the group."""
         return self.founding_id == ""
 
+    @property
+    def _slowness(self) -> float:
+        """How many times longer than usual this replica is patient, 1 when its steps are fast.
+
+        With a fixed patience of 0.4 s and syncs of 0.3 s, no leader lasted until its first round
+        was answered. It may differ between replicas: nothing that must not happen twice hangs on
+        it, since commits and reads need the answers of a quorum in the leader's own term.
+        """
+        shortest_s = self.config.election_timeout_min_s
+        wanted = STEPS_OF_A_ROUND * self.slow_steps.lasting_s(self._now_s) / shortest_s
+        return max(1.0, min(wanted, SLOW_TIMEOUT_MOST_S / self.config.election_timeout_max_s))
+
+    @property
+    def timeout_min_s(self) -> float:
+        """Shortest silence of a leader after which this replica campaigns, in seconds."""
+        return self.config.election_timeout_min_s * self._slowness
+
+    @property
+    def timeout_max_s(self) -> float:
+        """Longest silence of a leader after which this replica campaigns, in seconds."""
+        return self.config.election_timeout_max_s * self._slowness
+
     @property
     def lease_s(self) -> float:
         """How long a leader leads on after it last heard a quorum, in seconds."""
-        return self.config.election_timeout_min_s * LEASE_SHARE
+        return self.timeout_min_s * LEASE_SHARE
 
     def is_voter(self) -> bool:
         """Return whether the configuration in force lists this replica as a voter."""
@@ -144,11 +176,8 @@
             # A sole voter has nobody to wait for.
             self.election_deadline_s = self._now_s
             return
-        shortest, longest = (
-            self.config.election_timeout_min_s,
-            self.config.election_timeout_max_s,
-        )
-        self.election_deadline_s = self._now_s + self._random.uniform(shortest, longest)
+        wait_s = self._random.uniform(self.timeout_min_s, self.timeout_max_s)
+        self.election_deadline_s = self._now_s + wait_s
 
     def silent_since(self, since_s: float) -> None:
         """Take into account, right after the start, that no leader was answered since ``since_s``.
--- a/src/leverjunction/consensus/core_election.py
+++ b/src/leverjunction/consensus/core_election.py
@@ -86,7 +86,7 @@
         self._reset_election_deadline()
         if pre_vote:
             share = self._random.uniform(PRE_VOTE_RETRY_SHARE, 2 * PRE_VOTE_RETRY_SHARE)
-            self.election_deadline_s = self._now_s + share * self.config.election_timeout_min_s
+            self.election_deadline_s = self._now_s + share * self.timeout_min_s
         else:
             self._persist_term(self.term + 1, self.replica_id)
         self._ask_votes(transfer)
@@ -161,7 +161,7 @@
         if self.role is Role.LEADER:
             return True
         silence_s = self._now_s - self.leader_contact_s
-        return silence_s < self.config.election_timeout_min_s
+        return silence_s < self.timeout_min_s
 
     def _on_vote_reply(self, message: VoteReply) -> None:
         if self.role is not Role.CANDIDATE or message.pre is not self.pre_vote:
--- a/src/leverjunction/consensus/core_membership.py
+++ b/src/leverjunction/consensus/core_membership.py
@@ -198,7 +198,7 @@
 
     def _start_transfer(self) -> None:
         if self.role is Role.LEADER:
-            self.transfer_deadline_s = self._now_s + self.config.election_timeout_max_s
+            self.transfer_deadline_s = self._now_s + self.timeout_max_s
             self.transfer_sent = False
 
     def _transfer(self) -> None:
--- a/src/leverjunction/consensus/core_replication.py
+++ b/src/leverjunction/consensus/core_replication.py
@@ -101,7 +101,7 @@
         """Send every peer what it lacks, or a heartbeat, under a new sequence number."""
         self.sequence += 1
         self.round_sent_s[self.sequence] = self._now_s
-        oldest_s = self._now_s - self.config.election_timeout_max_s
+        oldest_s = self._now_s - max(self.timeout_max_s, self.lease_s)
         self.round_sent_s = {
             number: sent_s for number, sent_s in self.round_sent_s.items() if sent_s >= oldest_s
         }
@@ -192,7 +192,7 @@
     def _start_snapshot(self, replica_id: str, progress: Progress) -> None:
         """Begin a snapshot transfer, unless one is under way or the peer is silent."""
         silence_s = self._now_s - progress.heard_s
-        if self.snapshot_peer or silence_s > self.config.election_timeout_max_s:
+        if self.snapshot_peer or silence_s > self.timeout_max_s:
             return
         member = self.configuration.find(replica_id)
         if member is None:
@@ -222,6 +222,9 @@
             return
         progress.heard_s = self._now_s
         self._answered(progress, message.sequence)
+        self._check_lease()
+        if self.role is not Role.LEADER:
+            return
         if message.accepted:
             self._accepted(progress, message.index)
         elif progress.state is not ProgressState.SNAPSHOT and message.index >= progress.match_index:
@@ -249,6 +252,11 @@
         contacts[self.replica_id] = self._now_s
         return max(self._quorum_of(contacts), self.leader_since_s)
 
+    def _check_lease(self) -> None:
+        """Step down first of all if no quorum was heard, also after a long freeze."""
+        if self.role is Role.LEADER and self._lease_ended():
+            self._follow(self.term, "no quorum was heard within the lease")
+
     def _lease_ended(self) -> bool:
         return self._now_s - self.quorum_contact_s() > self.lease_s
 
--- a/src/leverjunction/consensus/engine.py
+++ b/src/leverjunction/consensus/engine.py
@@ -27,6 +27,7 @@
     PersistFounding,
     PersistHardState,
     ReadReady,
+    Received,
     Refused,
     RepairDone,
     Send,
@@ -38,7 +39,7 @@
     StoreChunk,
     TruncateLog,
 )
-from leverjunction.consensus.messages import AppendRequest, Message, SnapshotChunk
+from leverjunction.consensus.messages import AppendReply, AppendRequest, Message, SnapshotChunk
 from leverjunction.consensus.requests import RequestTable
 from leverjunction.consensus.snapshot import SnapshotStage
 from leverjunction.consensus.snapshot_sender import SnapshotSender
@@ -123,7 +124,8 @@
         Messages that must wait for the sync leave at the end. Call ``apply_committed`` next.
         """
         self._now_s = now_s
-        for event in events:
+        # Answers first: they may renew the lease that the other events are judged by.
+        for event in sorted(events, key=_is_no_answer):
             self._run(self.core.handle(event, now_s))
         self._run(self.core.handle(Flush(), now_s))
         self._resend_snapshot()
@@ -332,6 +334,10 @@
             self._run(self.core.handle(ended, self._now_s))
 
 
+def _is_no_answer(event: Event) -> bool:
+    return not (isinstance(event, Received) and isinstance(event.message, AppendReply))
+
+
 def _rejected(error: Exception) -> Failure:
     return Failure(
         kind=FailureKind.INTERNAL,
--- a/src/leverjunction/consensus/group.py
+++ b/src/leverjunction/consensus/group.py
@@ -259,9 +259,16 @@
             more = engine.apply_committed()
             if not batch.requests_work and not more:
                 engine.commit_idle()
+            self._note_step(now_s, deadline_s)
         metrics.APPLIED_INDEX.labels(self.config.group).set(engine.applied_index)
         return more
 
+    def _note_step(self, begun_s: float, deadline_s: float) -> None:
+        """Have the core know by how much this step, and a late start of it, held up what came."""
+        assert self._engine is not None
+        now_s = self._clock.monotonic_s()
+        self._engine.core.slow_steps.note(now_s, now_s - min(begun_s, deadline_s))
+
     def _post(self, address: str, message: Message) -> None:
         """Send a message, in the answer to the peer's own call if one is being handled."""
         call = self._calls_by_peer.get(address)
--- /dev/null
+++ b/tests/unit/test_consensus_slow_steps.py
@@ -0,0 +1,63 @@
+"""Slow steps that last make a replica patient; a single one does not."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from leverjunction.consensus.core import RaftCore
+from leverjunction.consensus.slow_steps import SlowSteps
+from leverjunction.consensus.types import Configuration, DurableState, GroupConfig, Member
+
+
+@pytest.mark.parametrize(
+    ("steps", "now_s", "lasting_s"),
+    [
+        ([], 10.0, 0.0),
+        ([(1.0, 4.0)], 1.0, 0.0),
+        ([(1.0, 4.0), (2.0, 3.0)], 2.0, 0.0),
+        ([(1.0, 0.3), (2.0, 0.3), (3.0, 0.2)], 3.0, 0.2),
+        ([(1.0, 4.0), (2.0, 0.3), (3.0, 0.2), (3.5, 0.1)], 4.0, 0.2),
+        ([(1.0, 0.04), (2.0, 0.04), (3.0, 0.04)], 3.0, 0.0),
+        ([(1.0, 0.3), (2.0, 0.3), (3.0, 0.3)], 6.5, 0.0),
+    ],
+    ids=[
+        "none",
+        "one freeze",
+        "two",
+        "three syncs",
+        "the third longest",
+        "short ones",
+        "long ago",
+    ],
+)
+def test_what_lasts(steps: list[tuple[float, float]], now_s: float, lasting_s: float) -> None:
+    slow = SlowSteps()
+    for at_s, took_s in steps:
+        slow.note(at_s, took_s)
+    assert slow.lasting_s(now_s) == lasting_s
+
+
+@pytest.mark.parametrize(
+    ("took_s", "timeouts_s"),
+    [(0.06, (0.4, 0.8)), (0.2, (0.8, 1.6)), (0.3, (1.2, 2.4)), (5.0, (1.5, 3.0))],
+    ids=["fast enough", "slow", "slower", "bounded"],
+)
+def test_a_slow_replica_is_patient(took_s: float, timeouts_s: tuple[float, float]) -> None:
+    members = tuple(Member(replica_id=one, address=one) for one in ("a", "b", "c"))
+    durable = DurableState(
+        replica_id="a", founding_id="f", base_configuration=Configuration(members)
+    )
+    config = GroupConfig(
+        group="g",
+        address="a",
+        first_members=(),
+        election_timeout_min_s=0.4,
+        election_timeout_max_s=0.8,
+    )
+    core = RaftCore(config, durable, Random(1), 10.0)
+    for _ in range(3):
+        core.slow_steps.note(10.0, took_s)
+    assert (core.timeout_min_s, core.timeout_max_s) == pytest.approx(timeouts_s)
+    assert core.lease_s < core.timeout_min_s
