--- a/src/leverjunction/consensus/core_base.py
+++ b/src/leverjunction/consensus/core_base.py
@@ -23,7 +23,7 @@
 """A leader's lease is this share of the shortest election timeout, for clocks that drift."""
 
 STEPS_OF_A_ROUND = 4
-"""Steps that a leader's round may have to wait for: the one under way and the next, on both sides."""
+"""Steps that a leader's round may wait for: the one under way and the next, on both sides."""
 
 SLOW_TIMEOUT_MOST_S = 3.0
 """Longest election timeout of a slow replica, in seconds: a leader that fell silent is replaced
