A listener is told after entries are applied, and never undoes one

Cause: the state machines of lots and registry called their listener inside apply, where the engine takes whatever is raised for the command's own error and undoes the command on that replica alone. A second case of the same class, found while mending: damage of the file is the bare class sqlite3.DatabaseError, which was not among the faults that are raised, so a replica that met a damaged page while applying undid the command in silence and went on. Excluded: errors that a command itself brings about (keys that are there twice, wrong values); they are the same on all replicas and are undone as before, now with a line in the log. Change: apply calls nobody. A listener that raises is logged, the first time of a row, and told again with the next batch. LotsStateMachine only marks that open items may have changed; the store's node clears the mark once its runner knows. Damage met while applying ends the replica like damage met while reading. Replaced as strictly: "the state machine tells of each command" by "each replica tells once of a batch" and "an error of a listener", on whole groups; "progress does not change what is open" asks the mark. Conclusion: nothing outside the tables decides any more whether a command counts. Replicas that already differ on disk stay so; nothing compares replicas yet.

--- a/src/leverjunction/consensus/api.py
+++ b/src/leverjunction/consensus/api.py
@@ -29,8 +29,9 @@
 
     The group replica owns the connection and the transaction: the log entry's application and the
     applied index are committed together. ``apply`` neither commits nor rolls back, reads no clock
-    and draws no random number. Simulator and processes run the same code; the simulator's
-    connection is an in-memory database.
+    and draws no random number; it calls nobody, since whatever is raised meanwhile undoes the
+    command on this replica alone (see ``notice``). Simulator and processes run the same code; the
+    simulator's connection is an in-memory database.
     """
 
     def create_tables(self, connection: sqlite3.Connection) -> None:
--- a/src/leverjunction/consensus/engine.py
+++ b/src/leverjunction/consensus/engine.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-import sqlite3
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 
+from loguru import logger
+
 from leverjunction.consensus.api import ApplyContext, StateMachine
 from leverjunction.consensus.core import RaftCore
 from leverjunction.consensus.events import (
@@ -40,10 +41,12 @@
     TruncateLog,
 )
 from leverjunction.consensus.messages import AppendReply, AppendRequest, Message, SnapshotChunk
+from leverjunction.consensus.notice import ChangeNotice, Listener, nobody_listens
 from leverjunction.consensus.requests import RequestTable
 from leverjunction.consensus.snapshot import SnapshotStage
 from leverjunction.consensus.snapshot_sender import SnapshotSender
 from leverjunction.consensus.store import Store
+from leverjunction.consensus.store_faults import is_of_the_database
 from leverjunction.consensus.types import EntryKind, GroupConfig, LogEntry
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.codec import encode_reply
@@ -68,12 +71,14 @@
         answer: Results of proposals and reads.
         changed_role: Called after this replica became leader or stepped down.
         repaired: Called when a repair is done and committed.
+        listener: Told after commands were applied or a snapshot was installed.
     """
 
     outbox: Outbox
     answer: Answer
     changed_role: Callable[[BecameLeader | SteppedDown], None]
     repaired: Callable[[RepairDone], None]
+    listener: Listener = nobody_listens
 
 
 class ReplicaEngine:
@@ -112,6 +117,7 @@
         self.applied_index = self.core.applied_index
         self._now_s = now_s
         self._requests = RequestTable(callbacks.answer)
+        self._notice = ChangeNotice(config.group, callbacks.listener)
         self._sender = SnapshotSender(store.connection, config.snapshot_chunk_bytes, random)
         self._stage = SnapshotStage(store.connection)
         self._held: list[Send] = []
@@ -135,7 +141,7 @@
         self._release()
 
     def apply_committed(self) -> bool:
-        """Apply some committed entries and answer what waited for them.
+        """Apply some committed entries, answer what waited for them and tell the listener.
 
         Their transaction stays open and is committed with the next batch: what is applied can
         be applied again from the log.
@@ -152,6 +158,7 @@
             self.store.put_applied(self.applied_index)
             self._run(self.core.handle(Applied(self.applied_index), self._now_s))
         self._answer_reads()
+        self._notice.tell()
         return self.core.commit_index > self.applied_index
 
     def commit_idle(self) -> None:
@@ -253,14 +260,15 @@
         reply = b""
         if entry.kind is EntryKind.COMMAND:
             reply = self._apply_command(entry)
+            self._notice.note_applied()
         self.applied_index = entry.index
         self._requests.applied(entry.index, entry.term, reply)
 
     def _apply_command(self, entry: LogEntry) -> bytes:
         """Apply a command; one that the state machine cannot take changes nothing anywhere.
 
-        A fault of the database itself (no space, damage) is not the command's and is raised:
-        replicas would differ if it were answered as a result.
+        A fault of the database or the machine (no space, damage) is not the command's and is
+        raised: replicas would differ if it were answered as a result.
         """
         context = ApplyContext(index=entry.index, term=entry.term, wall_ms=entry.wall_ms)
         connection = self.store.connection
@@ -268,9 +276,16 @@
         connection.execute("SAVEPOINT entry")
         try:
             reply = self._machine.apply(connection, context, entry.payload)
-        except (sqlite3.OperationalError, sqlite3.InternalError, MemoryError):
-            raise
         except Exception as error:
+            if is_of_the_database(error):
+                raise
+            logger.error(
+                "group {}: entry {} of term {} changes nothing, the state machine raised {!r}",
+                self.config.group,
+                entry.index,
+                entry.term,
+                error,
+            )
             connection.execute("ROLLBACK TO entry")
             reply = encode_reply(_rejected(error))
         connection.execute("RELEASE entry")
@@ -305,6 +320,7 @@
         self.store.reset_log(chunk.header.founding_id, chunk.final, chunk.configuration)
         self._sync()
         self.applied_index = chunk.final.index
+        self._notice.note_replaced()
         self._requests.skipped_to(chunk.final.index)
         event = SnapshotInstalled(
             position=chunk.final, configuration=chunk.configuration, chunk=chunk
--- a/src/leverjunction/consensus/group.py
+++ b/src/leverjunction/consensus/group.py
@@ -34,6 +34,7 @@
 )
 from leverjunction.consensus.inbox import Inbox, PeerCall, Ticket
 from leverjunction.consensus.messages import Message
+from leverjunction.consensus.notice import Listener, nobody_listens
 from leverjunction.consensus.status import status_of, unknown_status
 from leverjunction.consensus.store_faults import (
     StoreCorruptError,
@@ -63,6 +64,7 @@
         random: Random,
         core_type: type[RaftCore] = RaftCore,
         silent_since_s: float | None = None,
+        listener: Listener = nobody_listens,
     ) -> None:
         """Prepare a replica; ``start`` opens its file.
 
@@ -75,6 +77,7 @@
             core_type: The core; a testbed may pass one with a rule broken.
             silent_since_s: Monotonic time since which no replica of this file has answered a
                 peer, such as the start of this process; None: its own start.
+            listener: Told, under the replica's lock, that the tables have changed.
         """
         self.config = config
         self._machine = machine
@@ -83,6 +86,7 @@
         self._random = random
         self._core_type = core_type
         self._silent_since_s = silent_since_s
+        self._listener = listener
         self._lock = threading.Lock()
         self._inbox = Inbox()
         self._request_ids = itertools.count(1)
@@ -112,6 +116,7 @@
             answer=self._answer,
             changed_role=self._role_changed,
             repaired=self._repair_done,
+            listener=self._listener,
         )
         try:
             self._engine = ReplicaEngine(
--- a/src/leverjunction/consensus/store_faults.py
+++ b/src/leverjunction/consensus/store_faults.py
@@ -11,6 +11,18 @@
     """Stored data does not match its checksum; the replica must stop serving."""
 
 
+def is_of_the_database(error: Exception) -> bool:
+    """Return whether an error is the machine's or its file's, whatever was asked of it.
+
+    Damage is the bare class ``DatabaseError``; what a command can bring about, such as a key that
+    is there twice, are its other subclasses.
+    """
+    of_the_machine = (sqlite3.OperationalError, sqlite3.InternalError, MemoryError, OSError)
+    return isinstance(error, (*of_the_machine, StoreCorruptError)) or (
+        type(error) is sqlite3.DatabaseError
+    )
+
+
 def corrupt_failure(path: str, reason: str) -> Failure:
     """Return the failure for damaged data, with the operator's way out."""
     return Failure(
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -156,7 +156,7 @@
         with self._starting:
             if JOBS_GROUP in self._local:
                 return
-            machine = LotsStateMachine(self._applied)
+            machine = LotsStateMachine()
             replica = GroupReplica(
                 self._group_config(group),
                 machine,
@@ -164,6 +164,7 @@
                 self._clock,
                 Random(self._random.getrandbits(64)),
                 silent_since_s=self._started_s,
+                listener=lambda replaced: self._applied(machine, replaced),
             )
             fault = _started(replica)
             if fault is not None:
@@ -210,9 +211,11 @@
             rejoin_when_corrupt=True,
         )
 
-    def _applied(self) -> None:
-        if self._runner is not None:
+    def _applied(self, machine: LotsStateMachine, replaced: bool) -> None:
+        """Pass on that other items may be open now; cleared only once the runner knows."""
+        if self._runner is not None and (replaced or machine.open_changed):
             self._runner.changed()
+            machine.open_changed = False
 
     def _endpoint(self) -> RpcEndpoint:
         endpoint = RpcEndpoint(CLUSTER_KEY, self._clock.wall_ms())
--- a/src/leverjunction/lots/state_machine.py
+++ b/src/leverjunction/lots/state_machine.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import sqlite3
-from collections.abc import Callable
 
 import msgspec
 
@@ -56,12 +55,15 @@
 class LotsStateMachine:
     """State machine of a group of lots (``consensus.api.StateMachine``).
 
-    Args:
-        changed: Called after a command that changed what is open; must not block.
+    Attributes:
+        open_changed: Set when a command may have changed which items are open; whoever is told of
+            applied commands clears it.
     """
 
-    def __init__(self, changed: Callable[[], None] | None = None) -> None:
-        self._changed = changed
+    __slots__ = ("open_changed",)
+
+    def __init__(self) -> None:
+        self.open_changed = False
 
     def create_tables(self, connection: sqlite3.Connection) -> None:
         """Create the tables if they are missing."""
@@ -82,8 +84,8 @@
             reply = _end(connection, decoded)
         else:
             reply = _forget(connection, decoded)
-        if self._changed is not None and _changes_open_items(decoded):
-            self._changed()
+        if _changes_open_items(decoded):
+            self.open_changed = True
         return encode_reply(reply)
 
     def query(self, connection: sqlite3.Connection, query: bytes) -> bytes:
--- a/src/leverjunction/registry/hub.py
+++ b/src/leverjunction/registry/hub.py
@@ -26,7 +26,7 @@
 """A process that has not heard the leader for so long says so, and is asked no more."""
 
 REFRESH_S = 0.5
-"""Longest age of the cached state; a snapshot changes it without a word."""
+"""Longest age of the cached state, should a notice be late."""
 
 FRESH_TIMEOUT_S = 0.8
 
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -93,14 +93,14 @@
         self._address = config.listen.rpc
         incarnation = clock.wall_ms()
         self._rpc = RpcClient(CLUSTER_KEY, incarnation)
-        self._machine = RegistryStateMachine(self._applied)
         self._replica = GroupReplica(
             _group_config(config),
-            self._machine,
+            RegistryStateMachine(),
             RpcRaftTransport(self._rpc),
             clock,
             random,
             silent_since_s=started_s,
+            listener=self._applied,
         )
         self._voters = {REGISTRY_GROUP: list(config.seed_addresses())}
         self.host = GroupHost(
@@ -228,7 +228,7 @@
     def _propose(self, command: RegistryCommand, reply_type: type[T]) -> T | Failure:
         return self.host.propose(REGISTRY_GROUP, command, reply_type, COMMAND_TIMEOUT_S)
 
-    def _applied(self) -> None:
+    def _applied(self, _replaced: bool) -> None:
         self.hub.changed()
 
     def _endpoint(self, incarnation: int) -> RpcEndpoint:
--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -73,14 +73,9 @@
 
 
 class RegistryStateMachine:
-    """State machine of group ``registry`` (``consensus.api.StateMachine``).
+    """State machine of group ``registry`` (``consensus.api.StateMachine``)."""
 
-    Args:
-        changed: Called after a command was applied; must not block.
-    """
-
-    def __init__(self, changed: Callable[[], None] | None = None) -> None:
-        self._changed = changed
+    __slots__ = ()
 
     def create_tables(self, connection: sqlite3.Connection) -> None:
         """Create the tables if they are missing."""
@@ -92,10 +87,7 @@
             decoded = _COMMANDS.decode(command)
         except msgspec.MsgspecError as error:
             return encode_reply(not_decoded(REGISTRY_GROUP, error, Step.APPLYING))
-        reply = _HANDLERS[type(decoded)](_Tables(connection, context.index), decoded)
-        if self._changed is not None:
-            self._changed()
-        return encode_reply(reply)
+        return encode_reply(_HANDLERS[type(decoded)](_Tables(connection, context.index), decoded))
 
     def query(self, connection: sqlite3.Connection, query: bytes) -> bytes:
         """Answer a read and return its encoded reply."""
--- a/tests/unit/consensus_simulation.py
+++ b/tests/unit/consensus_simulation.py
@@ -89,6 +89,9 @@
 class Simulation:
     """A group of ``size`` nodes; ``run`` plays events until a virtual time."""
 
+    kept_entries = 0
+    """Entries that each log keeps; 0: drawn anew at each start."""
+
     def __init__(self, seed: int, size: int, core_type: type[RaftCore] = RaftCore) -> None:
         self.random = Random(seed)
         self.core_type = core_type
@@ -112,6 +115,9 @@
         """Return the state machine of a replica that starts."""
         return CheckedMachine(self.applied)
 
+    def listen(self, address: str, replaced: bool) -> None:
+        """Be told that the tables of a replica have changed."""
+
     def at(self, delay_s: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._queue, (self.now_s + delay_s, next(self._numbers), action))
 
@@ -134,7 +140,7 @@
             group="root",
             address=address,
             first_members=tuple(self.addresses),
-            log_kept_entries=self.random.choice([2, 20, 1000]),
+            log_kept_entries=self.kept_entries or self.random.choice([2, 20, 1000]),
             snapshot_chunk_bytes=64,
             max_batch_entries=self.random.choice([1, 5, 100]),
         )
@@ -143,6 +149,7 @@
             answer=lambda request_id, result: self._answer(address, request_id, result),
             changed_role=lambda effect: self._role_changed(node, effect),
             repaired=self._repaired,
+            listener=lambda replaced: self.listen(address, replaced),
         )
         node.engine = ReplicaEngine(
             config,
--- a/tests/unit/test_consensus_listener.py
+++ b/tests/unit/test_consensus_listener.py
@@ -12,11 +12,14 @@
 
 from __future__ import annotations
 
+import sqlite3
+
 import pytest
 from tests.unit.consensus_simulation import Simulation
+from tests.unit.consensus_support import LogMachine
 from tests.unit.replica_tables import Rows, tables_of
 
-from leverjunction.consensus.api import StateMachine
+from leverjunction.consensus.api import ApplyContext, StateMachine
 from leverjunction.errors import Failure
 from leverjunction.lots.commands import LotItem, LotTaken, SubmitLot, encode_command
 from leverjunction.lots.state_machine import LotsStateMachine
@@ -26,7 +29,7 @@
 from leverjunction.wire.codec import decode_reply, encode
 
 SETTLE_S = 5.0
-MachineType = type[LotsStateMachine] | type[RegistryStateMachine]
+MachineType = type[LotsStateMachine] | type[RegistryStateMachine] | type[LogMachine]
 
 LOT = encode_command(
     SubmitLot(
@@ -49,21 +52,23 @@
 
 
 class ListenedGroup(Simulation):
-    """A group without faults; the listeners of some replicas raise each time."""
+    """A group without faults and with short logs; the listeners of some replicas raise."""
+
+    kept_entries = 2
 
     def __init__(self, machine_type: MachineType, size: int, raising: set[str]) -> None:
         self._machine_type = machine_type
         self.raising = raising
-        self.told: list[str] = []
+        self.told: list[tuple[str, bool]] = []
         super().__init__(1, size)
         self.faults.drop = self.faults.repeat = self.faults.crash_in_sync = 0.0
         self.run(self.now_s + SETTLE_S)
 
     def make_machine(self, address: str) -> StateMachine:
-        return self._machine_type(lambda: self._listen(address))
+        return self._machine_type()
 
-    def _listen(self, address: str) -> None:
-        self.told.append(address)
+    def listen(self, address: str, replaced: bool) -> None:
+        self.told.append((address, replaced))
         if address in self.raising:
             raise RuntimeError("Event loop is closed")
 
@@ -91,6 +96,18 @@
         }
 
 
+@pytest.mark.parametrize(("machine_type", "command", "reply_type"), CASES)
+def test_a_command_counts_though_the_leaders_listener_raises(
+    machine_type: MachineType, command: bytes, reply_type: type
+) -> None:
+    group = ListenedGroup(machine_type, 1, {"n0"})
+    reply = group.ask(command)
+    assert isinstance(reply, bytes)
+    assert isinstance(decode_reply(reply, reply_type), reply_type)
+    assert any(group.tables()["n0"].values())
+    assert ("n0", False) in group.told
+
+
 @pytest.mark.parametrize(("machine_type", "command", "reply_type"), CASES)
 def test_replicas_are_equal_though_the_listener_of_one_raises(
     machine_type: MachineType, command: bytes, reply_type: type
@@ -103,4 +120,53 @@
     first, *others = group.tables().values()
     assert any(first.values())
     assert others == [first, first]
-    assert set(group.told) == set(group.addresses)
+    assert {address for address, _ in group.told} == set(group.addresses)
+
+
+@pytest.mark.parametrize(("machine_type", "command", "reply_type"), CASES)
+def test_each_replica_tells_once_of_a_batch(
+    machine_type: MachineType, command: bytes, reply_type: type
+) -> None:
+    group = ListenedGroup(machine_type, 3, set())
+    assert group.told == []
+    group.ask(command)
+    assert sorted(group.told) == [(address, False) for address in group.addresses]
+
+
+def test_a_notice_that_failed_is_repeated() -> None:
+    group = ListenedGroup(RegistryStateMachine, 1, {"n0"})
+    group.ask(MEMBER)
+    assert len(group.told) > 1
+    group.raising.clear()
+    group.run(group.now_s + SETTLE_S)
+    told = len(group.told)
+    group.run(group.now_s + SETTLE_S)
+    assert len(group.told) == told
+
+
+def test_a_snapshot_is_told() -> None:
+    group = ListenedGroup(LotsStateMachine, 3, set())
+    group.ask(LOT)
+    follower = next(address for address in group.addresses if address != group.leader())
+    group.crash(follower)
+    group.nodes[follower].connection = None
+    for _ in range(5):
+        group.ask(LOT)
+    group.told.clear()
+    group.start(follower)
+    group.run(group.now_s + 10 * SETTLE_S)
+    assert (follower, True) in group.told
+    assert group.tables()[follower] == group.tables()[group.leader()]
+
+
+class RaisingMachine(LogMachine):
+    """Its tables are damaged on this machine."""
+
+    def apply(self, connection: sqlite3.Connection, context: ApplyContext, command: bytes) -> bytes:
+        raise sqlite3.DatabaseError("database disk image is malformed")
+
+
+def test_damage_that_is_met_while_applying_ends_the_replica_and_undoes_no_command() -> None:
+    group = ListenedGroup(RaisingMachine, 1, set())
+    with pytest.raises(sqlite3.DatabaseError, match="malformed"):
+        group.ask(b"a=1")
--- a/tests/unit/test_lots_state_machine.py
+++ b/tests/unit/test_lots_state_machine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import sqlite3
-from collections.abc import Callable
 
 import msgspec
 import pytest
@@ -42,8 +41,8 @@
 class Lots:
     """The state machine on a database in memory."""
 
-    def __init__(self, changed: Callable[[], None] | None = None) -> None:
-        self.machine = LotsStateMachine(changed)
+    def __init__(self) -> None:
+        self.machine = LotsStateMachine()
         self.connection = sqlite3.connect(":memory:")
         self.machine.create_tables(self.connection)
         self.index = 0
@@ -237,13 +236,15 @@
 
 def test_progress_does_not_change_what_is_open() -> None:
     """Reading all open items anew several times a second would cost the leader its time."""
-    changes: list[int] = []
-    lots = Lots(lambda: changes.append(1))
+    lots = Lots()
+    assert not lots.machine.open_changed
     lots.apply(submit("a"), LotTaken)
+    assert lots.machine.open_changed
+    lots.machine.open_changed = False
     lots.apply(RecordRuns(progress=(progress(0, "one"),)))
-    assert len(changes) == 1
+    assert not lots.machine.open_changed
     finish(lots, 1)
-    assert len(changes) == 2
+    assert lots.machine.open_changed
 
 
 def test_open_items_are_read_by_their_keys_or_by_lot(lots: Lots) -> None:
--- a/tests/unit/test_registry_hub.py
+++ b/tests/unit/test_registry_hub.py
@@ -11,7 +11,6 @@
 from leverjunction.registry.commands import WatchReply, WatchRequest
 from leverjunction.registry.hub import RegistryHub
 from leverjunction.registry.records import FleetView
-from leverjunction.registry.state_machine import RegistryStateMachine
 from leverjunction.routes.types import RouteTable
 from leverjunction.wire.codec import encode_reply
 
@@ -114,18 +113,3 @@
     reader.join(2)
     assert not stuck
     assert not reader.is_alive()
-
-
-def test_the_state_machine_tells_of_each_command() -> None:
-    import sqlite3
-
-    from leverjunction.consensus.api import ApplyContext
-    from leverjunction.registry.commands import RemoveRunner
-    from leverjunction.wire.codec import encode
-
-    told: list[int] = []
-    machine = RegistryStateMachine(lambda: told.append(1))
-    connection = sqlite3.connect(":memory:")
-    machine.create_tables(connection)
-    machine.apply(connection, ApplyContext(index=1, term=1, wall_ms=1), encode(RemoveRunner("x")))
-    assert told == [1]
