What a command of unknown outcome brings again is taken once

Cause: a proposal that timed out but was committed left the outbox with an older state than the group: later events and the result "did not follow on", all runs with new events were refused together, and a result was refused as long as no answer came in time; "one more failed run" counted again with each repetition. Excluded: a longer time to wait for commits (moves the bound only); reading the group's progress before each repetition (the command may still be on its way); recording without a check. Change: commands say that they may repeat; the state machine passes over events that it has word for word and refuses all else as before, a command of an older process is applied as it was then. Failed runs travel as their number. The outbox forgets what is not open any more, answer or not. The model of an item's progress has repetition, with one more seeded bug that is found. Seen once: test_batch_gives_way_to_a_request_that_no_report_shows_yet, "Address already in use" of its UDP port while other pytest processes ran on this machine (the address comes from the process id); four later runs of the file passed. Not traced to a process.

--- a/specs/item_progress.py
+++ b/specs/item_progress.py
@@ -23,6 +23,7 @@
     NONE = "none"
     ANY_PROGRESS = "progress is not compared with what the group has"
     ANY_RESULT = "a result is not compared with what the group has"
+    ANY_REPEAT = "repeated events are not compared with those that the group has"
     RUN_GOES_ON = "a rejected store goes on with its run from what the group has"
     REJECTED_COUNTS = "a rejected command counts as recorded"
 
@@ -194,15 +195,24 @@
             return _with_command(state, number, command._replace(outcome=True))
         bug = SeededBug.ANY_RESULT if command.ends else SeededBug.ANY_PROGRESS
         whole = command.ends and command.start == 0
-        taken = whole or command.start == len(state.parts) or self._bug == bug
+        follows = whole or self._follows_on(state.parts, command)
+        taken = follows or self._bug == bug
         after = _with_command(state, number, command._replace(outcome=taken))
         if not taken:
             return after
-        parts = () if whole else state.parts
+        parts = state.parts[: command.start] if follows else state.parts
         if command.ends:
             return after._replace(parts=(), result=(*parts, *command.pieces))
         return after._replace(parts=(*parts, *command.pieces))
 
+    def _follows_on(self, parts: tuple[Piece, ...], command: Command) -> bool:
+        """Return whether a command goes on from what the group has, perhaps repeating some."""
+        repeated = parts[command.start :]
+        begins = command.pieces[: len(repeated)]
+        if self._bug == SeededBug.ANY_REPEAT:
+            return command.start <= len(parts) and len(begins) == len(repeated)
+        return command.start <= len(parts) and begins == repeated
+
     def _answer_steps(self, state: State, number: int) -> list[tuple[str, State]]:
         command = state.commands[number]
         heard = _with_command(state, number, command._replace(awaited=False))
--- a/src/leverjunction/lots/commands.py
+++ b/src/leverjunction/lots/commands.py
@@ -90,18 +90,30 @@
 
 
 class ItemFailure(msgspec.Struct, frozen=True, kw_only=True):
-    """A run of an item failed at a back end."""
+    """A run of an item failed at a back end.
+
+    Attributes:
+        failures: Its failed runs so far, this one included: the same however often it is sent. 0
+            in commands of older processes, which count one more.
+    """
 
     lot_id: str
     item_id: str
+    failures: int = 0
 
 
 class RecordRuns(msgspec.Struct, frozen=True, kw_only=True, tag="record_runs"):
-    """List results, first ones only, count failed runs, and keep what unfinished ones have."""
+    """List results, first ones only, count failed runs, and keep what unfinished ones have.
+
+    Attributes:
+        repeats: Events may be among them that an earlier command of unknown outcome has brought
+            already. Commands of older processes lack it and are applied as they were then.
+    """
 
     results: tuple[ItemResult, ...] = ()
     failures: tuple[ItemFailure, ...] = ()
     progress: tuple[ItemProgress, ...] = ()
+    repeats: bool = False
 
 
 class EndLot(msgspec.Struct, frozen=True, tag="end_lot"):
--- a/src/leverjunction/lots/outbox.py
+++ b/src/leverjunction/lots/outbox.py
@@ -39,7 +39,7 @@
         self._group = group
         self._trace = trace or RecordTrace()
         self._ended: dict[ItemKey, tuple[ItemRun, ItemState]] = {}
-        self._failures: list[ItemFailure] = []
+        self._failures: dict[ItemKey, ItemFailure] = {}
         self._progress_s = float("-inf")
         self._lead = 0
         """Changes with each loss of the lead: an answer that comes later concerns nothing here."""
@@ -65,6 +65,13 @@
         self._lead += 1
         self._trace.clear()
 
+    def keep(self, keys: frozenset[ItemKey]) -> None:
+        """Forget what is not open any more: the group has it, though perhaps no answer said so."""
+        for key in self._ended.keys() - keys:
+            del self._ended[key]
+        for key in self._failures.keys() - keys:
+            del self._failures[key]
+
     def done(self, run: ItemRun) -> None:
         """Take an item whose output is whole."""
         self._ended[run.key] = (run, ItemState.DONE)
@@ -78,7 +85,7 @@
     def failed(self, run: ItemRun) -> None:
         """Take a run that failed at a back end."""
         lot_id, item_id = run.key
-        self._failures.append(ItemFailure(lot_id=lot_id, item_id=item_id))
+        self._failures[run.key] = ItemFailure(lot_id=lot_id, item_id=item_id, failures=run.failures)
 
     async def record(self, runs: Iterable[ItemRun]) -> None:
         """Replicate what is here; what could not be is kept for the next time.
@@ -90,11 +97,13 @@
         if self.is_empty and not progress:
             return
         results = tuple(_result(run, state) for run, state in self._ended.values())
-        failures = tuple(self._failures)
+        failures = tuple(self._failures.values())
         command = RecordRuns(
             results=results,
             failures=failures,
             progress=tuple(_progress(run) for run in progress),
+            # What could not be recorded may have been, and comes again.
+            repeats=True,
         )
         sent = [(run, run.stream.count) for run in progress]
         lead = self._lead
@@ -106,7 +115,7 @@
         if isinstance(reply, Failure):
             logger.warning("results are not recorded yet: {}", reply.reason)
             return
-        del self._failures[: len(failures)]
+        self._settle_failures(failures)
         self._settle(results, sent, frozenset(reply.rejected))
 
     async def _propose(self, command: RecordRuns) -> Recorded | Failure:
@@ -115,6 +124,13 @@
         raw = await loop.run_in_executor(None, self._group.propose, body, PROPOSE_TIMEOUT_S)
         return raw if isinstance(raw, Failure) else decode_reply(raw, Recorded)
 
+    def _settle_failures(self, failures: tuple[ItemFailure, ...]) -> None:
+        for failure in failures:
+            key = (failure.lot_id, failure.item_id)
+            # Another run may have failed meanwhile.
+            if self._failures.get(key) == failure:
+                del self._failures[key]
+
     def _settle(
         self,
         results: tuple[ItemResult, ...],
@@ -128,9 +144,9 @@
             else:
                 run.stream.note_recorded(count)
         for result in results:
-            run, _ = self._ended.pop((result.lot_id, result.item_id))
-            if run.key in rejected:
-                run.restart()
+            ended = self._ended.pop((result.lot_id, result.item_id), None)
+            if ended is not None and ended[0].key in rejected:
+                ended[0].restart()
 
     def _progress(self, runs: Iterable[ItemRun]) -> list[ItemRun]:
         """Return the unfinished items whose new events are to be recorded now."""
--- a/src/leverjunction/lots/progress_rows.py
+++ b/src/leverjunction/lots/progress_rows.py
@@ -2,7 +2,8 @@
 
 Rows are only added, each behind the ones before. Events that do not follow on what is here come
 from a run that did not go on from there, so they are refused: the pieces of two runs are never
-joined.
+joined. A sender that does not know the outcome of its last command repeats events; those that
+are here already, word for word, are passed over.
 """
 
 from __future__ import annotations
@@ -29,35 +30,49 @@
     return KnownProgress(*row) if row is not None else KnownProgress()
 
 
-def append(connection: sqlite3.Connection, progress: ItemProgress) -> bool:
-    """Add events of an open item; return whether they follow on what is here."""
-    if known(connection, progress.lot_id, progress.item_id).count != progress.start:
-        return False
+def append(connection: sqlite3.Connection, progress: ItemProgress, repeats: bool) -> bool:
+    """Add events of an open item; return whether they follow on what is here.
+
+    Args:
+        connection: Has the tables.
+        progress: The events.
+        repeats: Whether the first ones may be here already.
+    """
+    here = known(connection, progress.lot_id, progress.item_id).count
+    text = progress.text
+    if here != progress.start:
+        rest = _unrepeated(connection, progress, here) if repeats else None
+        if rest is None:
+            return False
+        text = rest
+    count = progress.start + progress.count - here
+    if not count:
+        return True
     connection.execute(
         "INSERT INTO sm_lot_part VALUES (?, ?, ?, ?, ?, ?)",
-        (
-            progress.lot_id,
-            progress.item_id,
-            progress.start,
-            progress.count,
-            progress.last_id,
-            progress.text,
-        ),
+        (progress.lot_id, progress.item_id, here, count, progress.last_id, text),
     )
     return True
 
 
-def whole_text(connection: sqlite3.Connection, result: ItemResult) -> str | None:
-    """Return the whole output of an item, None when the result does not follow on what is here."""
+def whole_text(connection: sqlite3.Connection, result: ItemResult, repeats: bool) -> str | None:
+    """Return the whole output of an item, None when the result does not follow on what is here.
+
+    Args:
+        connection: Has the tables.
+        result: How the item ended.
+        repeats: Whether the first ones of its events may be here already.
+    """
     if result.start == 0:
         return result.text
-    if known(connection, result.lot_id, result.item_id).count != result.start:
+    here = known(connection, result.lot_id, result.item_id).count
+    if here != result.start and (not repeats or _unrepeated(connection, result, here) is None):
         return None
     texts = [
         text
         for (text,) in connection.execute(
-            "SELECT text FROM sm_lot_part WHERE lot = ? AND item = ? ORDER BY start",
-            (result.lot_id, result.item_id),
+            "SELECT text FROM sm_lot_part WHERE lot = ? AND item = ? AND start < ? ORDER BY start",
+            (result.lot_id, result.item_id, result.start),
         )
     ]
     if result.count:
@@ -65,6 +80,30 @@
     return "\n".join(texts)
 
 
+def _unrepeated(
+    connection: sqlite3.Connection, part: ItemProgress | ItemResult, here: int
+) -> str | None:
+    """Return what a part adds to the events here, None unless it begins with just those.
+
+    Args:
+        connection: Has the tables.
+        part: Begins before the end of what is here.
+        here: Number of events that are here.
+    """
+    rows = connection.execute(
+        "SELECT start, text FROM sm_lot_part WHERE lot = ? AND item = ? AND start >= ?"
+        " ORDER BY start",
+        (part.lot_id, part.item_id, part.start),
+    ).fetchall()
+    if not rows or rows[0][0] != part.start or here > part.start + part.count:
+        return None
+    repeated = "\n".join(text for _, text in rows)
+    if here == part.start + part.count:
+        return "" if part.text == repeated else None
+    repeated += "\n"
+    return part.text[len(repeated) :] if part.text.startswith(repeated) else None
+
+
 def forget_item(connection: sqlite3.Connection, lot_id: str, item_id: str) -> None:
     """Drop the events of an item that is listed."""
     connection.execute("DELETE FROM sm_lot_part WHERE lot = ? AND item = ?", (lot_id, item_id))
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -242,8 +242,10 @@
         opened = self._query(ReadOpenKeys(), OpenKeys)
         if opened is None:
             return
-        for run in self._board.keep(frozenset(opened.keys)):
+        keys = frozenset(opened.keys)
+        for run in self._board.keep(keys):
             run.stop()
+        self._outbox.keep(keys)
         for lot_id in self._board.unknown_lots(opened.keys):
             items = self._query(ReadOpenItems(lot_id), OpenItems)
             if items is not None:
--- a/src/leverjunction/lots/state_machine.py
+++ b/src/leverjunction/lots/state_machine.py
@@ -145,23 +145,19 @@
     for part in runs.progress:
         if not _is_open(connection, part.lot_id, part.item_id):
             continue
-        if progress_rows.append(connection, part):
+        if progress_rows.append(connection, part, runs.repeats):
             count += 1
         else:
             rejected.append((part.lot_id, part.item_id))
     for result in runs.results:
         if not _is_open(connection, result.lot_id, result.item_id):
             continue
-        if _list_result(connection, result):
+        if _list_result(connection, result, runs.repeats):
             count += 1
         else:
             rejected.append((result.lot_id, result.item_id))
     for failure in runs.failures:
-        cursor = connection.execute(
-            "UPDATE sm_lot_item SET failures = failures + 1 WHERE lot = ? AND item = ?",
-            (failure.lot_id, failure.item_id),
-        )
-        count += cursor.rowcount
+        count += _count_failure(connection, failure)
     return commands.Recorded(count, tuple(rejected))
 
 
@@ -173,9 +169,20 @@
     return row is not None
 
 
-def _list_result(connection: sqlite3.Connection, result: ItemResult) -> bool:
+def _count_failure(connection: sqlite3.Connection, failure: commands.ItemFailure) -> int:
+    """Count a failed run of an open item; return how many rows changed."""
+    # A number, not one more: a command of unknown outcome comes again.
+    cursor = connection.execute(
+        "UPDATE sm_lot_item SET failures = CASE WHEN ?1 THEN max(failures, ?1) ELSE failures + 1"
+        " END WHERE lot = ?2 AND item = ?3",
+        (failure.failures, failure.lot_id, failure.item_id),
+    )
+    return cursor.rowcount
+
+
+def _list_result(connection: sqlite3.Connection, result: ItemResult, repeats: bool) -> bool:
     """List the first result of an open item; return whether it follows on what is here."""
-    text = progress_rows.whole_text(connection, result)
+    text = progress_rows.whole_text(connection, result, repeats)
     if text is None:
         return False
     key = (result.lot_id, result.item_id)
--- a/tests/unit/test_lots_outbox.py
+++ b/tests/unit/test_lots_outbox.py
@@ -171,3 +171,26 @@
         assert [run.item.failures for run in group.runs()] == [1]
 
     asyncio.run(play())
+
+
+def test_what_is_not_open_any_more_is_forgotten_without_an_answer() -> None:
+    """Results were sent again and again, each time with those that came since."""
+
+    async def play() -> None:
+        group = submitted(2)
+        runs = group.runs()
+        outbox = Outbox(group)
+        group.late = True
+        for run in runs:
+            feed(run, 1, EVENTS)
+            run.failures += 1
+            outbox.failed(run)
+        outbox.done(runs[0])
+        await outbox.record(runs)
+        outbox.keep(frozenset(run.key for run in group.runs()))
+        assert not outbox.has_result(runs[0])
+        assert not outbox.is_empty
+        outbox.keep(frozenset())
+        assert outbox.is_empty
+
+    asyncio.run(play())
--- a/tests/unit/test_lots_progress_spec.py
+++ b/tests/unit/test_lots_progress_spec.py
@@ -64,6 +64,7 @@
     [
         (SeededBug.ANY_PROGRESS, LONG_ITEM),
         (SeededBug.ANY_RESULT, LONG_ITEM),
+        (SeededBug.ANY_REPEAT, MANY_COMMANDS),
         (SeededBug.RUN_GOES_ON, MANY_COMMANDS),
         (SeededBug.REJECTED_COUNTS, MANY_COMMANDS),
     ],
@@ -144,7 +145,7 @@
                 start=command.start,
                 count=count,
             )
-            runs = RecordRuns(results=(result,))
+            runs = RecordRuns(results=(result,), repeats=True)
         else:
             progress = ItemProgress(
                 lot_id=KEY[0],
@@ -154,7 +155,7 @@
                 last_id=str(command.start + count),
                 text=text,
             )
-            runs = RecordRuns(progress=(progress,))
+            runs = RecordRuns(progress=(progress,), repeats=True)
         reply = self._apply(runs)
         assert isinstance(reply, Recorded)
         assert (KEY not in reply.rejected) is committed.outcome
--- a/tests/unit/test_lots_state_machine.py
+++ b/tests/unit/test_lots_state_machine.py
@@ -153,6 +153,14 @@
     assert [item.failures for item in opened.items] == [0, 2, 0]
 
 
+def test_failed_runs_that_come_with_their_number_are_not_counted_again(lots: Lots) -> None:
+    for count in (1, 2, 2, 1):
+        lots.apply(RecordRuns(failures=(ItemFailure(lot_id="lot", item_id="b", failures=count),)))
+    opened = lots.ask(ReadOpenItems(), OpenItems)
+    assert isinstance(opened, OpenItems)
+    assert [item.failures for item in opened.items] == [0, 2, 0]
+
+
 def test_an_unknown_lot_is_not_found(lots: Lots) -> None:
     for query, reply_type in (
         (ReadResults("x", 0, 10), ResultsPage),
@@ -186,7 +194,7 @@
     return lots.ask(ReadProgress("lot", item), KnownProgress)
 
 
-def finish(lots: Lots, start: int, *events: str) -> object:
+def finish(lots: Lots, start: int, *events: str, repeats: bool = False) -> object:
     result = ItemResult(
         lot_id="lot",
         item_id="a",
@@ -195,7 +203,7 @@
         start=start,
         count=len(events),
     )
-    return lots.apply(RecordRuns(results=(result,)))
+    return lots.apply(RecordRuns(results=(result,), repeats=repeats))
 
 
 @pytest.mark.parametrize("rest", [("three",), (), ("", "four")], ids=["one", "none", "empty"])
@@ -219,6 +227,60 @@
         assert "a" in lots.open_items()
 
 
+@pytest.fixture
+def recorded(lots: Lots) -> Lots:
+    """Four events of an item in three pieces."""
+    for part in (progress(0, "a"), progress(1, "b"), progress(2, "", "two")):
+        assert lots.apply(RecordRuns(progress=(part,))) == Recorded(1)
+    return lots
+
+
+@pytest.mark.parametrize(
+    ("start", "events"),
+    [
+        (2, ("", "two")),
+        (2, ("", "two", "three")),
+        (1, ("b", "", "two", "", "four")),
+        (0, ("a", "b", "", "two")),
+    ],
+)
+def test_events_that_come_again_are_taken_once(
+    recorded: Lots, start: int, events: tuple[str, ...]
+) -> None:
+    part = progress(start, *events)
+    # A command of an older process is applied as it was then, whoever applies it.
+    assert recorded.apply(RecordRuns(progress=(part,))) == Recorded(0, (("lot", "a"),))
+    for _ in range(2):
+        assert recorded.apply(RecordRuns(progress=(part,), repeats=True)) == Recorded(1)
+        assert known(recorded) == KnownProgress(start + len(events), str(start + len(events)))
+    assert finish(recorded, start, *events, "end", repeats=True) == Recorded(1)
+    whole = ("a", "b", "", "two")[:start] + events + ("end",)
+    assert recorded.page().results[0].text == "\n".join(whole)
+
+
+@pytest.mark.parametrize(
+    ("start", "events"),
+    [
+        (1, ("b",)),
+        (1, ("b", "")),
+        (1, ("x", "", "two")),
+        (1, ("x", "", "two", "three")),
+        (2, ("", "x", "three")),
+        (2, ("", "twofold", "three")),
+        (3, ("two", "three")),
+        (5, ("three",)),
+    ],
+)
+def test_events_that_are_not_those_recorded_are_refused(
+    recorded: Lots, start: int, events: tuple[str, ...]
+) -> None:
+    refused = Recorded(0, (("lot", "a"),))
+    part = progress(start, *events)
+    assert recorded.apply(RecordRuns(progress=(part,), repeats=True)) == refused
+    assert finish(recorded, start, *events, repeats=True) == refused
+    assert known(recorded) == KnownProgress(4, "4")
+
+
 def test_a_whole_result_stands_whatever_was_recorded(lots: Lots) -> None:
     lots.apply(RecordRuns(progress=(progress(0, "one"),)))
     assert finish(lots, 0, "one", "two") == Recorded(1)
