What is open is read until the read succeeds, and again now and then

Cause: a change was noted as read before it was, so a read that failed, of all keys or of one lot's items, was forgotten until something else changed; the registry's state likewise when taking it over failed. Excluded: repeating only the lot that failed (the runner then knows of two kinds of unread changes). Change: level instead of edge: a read counts once all of it succeeded, and what runs is compared with what is open every 2 s, less often where the read is long (at most 2 % of the loop's time). A state of the registry counts as taken once it is. Results are sent off before the other parts of a step, so a part that fails does not hold them. One line as reads begin to fail and as they succeed.

--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -50,6 +50,12 @@
 IDLE_STEP_S = 0.5
 STOP_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 0.3
+READ_AGAIN_S = 2.0
+"""What is open is read again after so long, whether a change was told or not."""
+
+READ_SHARE = 0.02
+"""Of this loop's time: with very many open items they are read again less often."""
+
 GIVE_UP_MARGIN_S = 3.0
 """Clocks of machines differ: an item is given up only when its time is surely over."""
 
@@ -90,6 +96,8 @@
         self._sight = RunnerSight(clock)
         self._stepped_s = clock.monotonic_s()
         self._dirty = True
+        self._read_again_s = 0.0
+        self._reads_fail = False
         self._stopped = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self._wake: asyncio.Event | None = None
@@ -199,11 +207,10 @@
             self._drop_all()
             self._dirty = True
             return
-        self._take_registry()
+        # First what is ready to be recorded: it must not wait for the rest to succeed.
         self._record()
-        if self._dirty:
-            self._dirty = False
-            self._read_open()
+        self._read_if_due()
+        self._take_registry()
         index = self._index
         if index is None or not self._board.runs:
             return
@@ -224,11 +231,11 @@
         snapshot = self._snapshot
         if snapshot is None or snapshot is self._taken:
             return
-        self._taken = snapshot
         self._balancer.replace(snapshot.view.runners)
         self._loads.keep(frozenset(record.runner_id for record in snapshot.view.runners))
         if self._index is None or self._index.table.version < snapshot.table.version:
             self._index = RouteIndex(snapshot.table)
+        self._taken = snapshot
 
     def _drop_all(self) -> None:
         for run in self._board.running():
@@ -237,20 +244,44 @@
         self._outbox.clear()
         self._loads.clear()
 
-    def _read_open(self) -> None:
-        """Take new items in; stop those that are not open any more."""
+    def _read_if_due(self) -> None:
+        """Read what is open after a change, after a read that failed, and now and then."""
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        if not self._dirty and begun_s < self._read_again_s:
+            return
+        self._dirty = False
+        whole = False
+        try:
+            whole = self._read_open()
+        finally:
+            ended_s = loop.time()
+            self._read_again_s = ended_s + max(READ_AGAIN_S, (ended_s - begun_s) / READ_SHARE)
+            if not whole:
+                # Nothing else tells of the change that this read was to take in.
+                self._dirty = True
+        if whole is self._reads_fail:
+            self._reads_fail = not whole
+            logger.warning("the open items are {}", "read again" if whole else "not read yet")
+
+    def _read_open(self) -> bool:
+        """Take new items in, stop those that are not open any more; return whether all was read."""
         opened = self._query(ReadOpenKeys(), OpenKeys)
         if opened is None:
-            return
+            return False
         keys = frozenset(opened.keys)
         for run in self._board.keep(keys):
             run.stop()
         self._outbox.keep(keys)
+        whole = True
         for lot_id in self._board.unknown_lots(opened.keys):
             items = self._query(ReadOpenItems(lot_id), OpenItems)
-            if items is not None:
+            if items is None:
+                whole = False
+            else:
                 self._board.add(items.items)
                 self._sight.taken_in(lot_id, items.items, self._group.status)
+        return whole
 
     def _query(self, query: msgspec.Struct, reply_type: type[T]) -> T | None:
         reply = decode_reply(self._group.query_local(encode(query)), reply_type)
