What is seen of a service's room is what is decided about it

Cause: a service none of whose back ends was ever read was seen as "ejected"; ejected back ends were sought in a list for each back end, a square of their number.

Excluded: taking the free seat's own answer as the reason: it says none, not why.

Change: one pass over the back ends. A table test compares what is seen with what free_seat decides.

--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -109,19 +109,19 @@
         now_s = self._loop.time()
         seats = self._balancer.seats(service)
         room = self._rooms.get(service)
-        if room is None:
-            return ServiceSight(known=len(seats))
-        sound = [seat for seat in seats if seat.ejected_until_s <= now_s]
-        read = {key: seat.free(now_s) for key, seat in room.read(now_s)}
-        free = {seat.record.runner_id: read.get(seat.record.runner_id, 0) for seat in seats}
-        good = [seat.record.runner_id for seat in sound]
+        free = {key: seat.free(now_s) for key, seat in room.read(now_s)} if room else {}
+        sound: list[int | None] = []
+        ejected: list[int | None] = []
+        for seat in seats:
+            kept = sound if seat.ejected_until_s <= now_s else ejected
+            kept.append(free.get(seat.record.runner_id))
         return ServiceSight(
             known=len(seats),
             sound=len(sound),
-            read=sum(1 for key in good if key in read),
-            allowance=room.allowance(now_s),
-            free=max((free[key] for key in good), default=0),
-            free_ejected=max((count for key, count in free.items() if key not in good), default=0),
+            read=sum(1 for count in sound if count is not None),
+            allowance=room.allowance(now_s) if room else 0,
+            free=max((count or 0 for count in sound), default=0),
+            free_ejected=max((count or 0 for count in ejected), default=0),
         )
 
     def to_park(self) -> list[str]:
--- /dev/null
+++ b/tests/unit/test_lots_load_watch.py
@@ -0,0 +1,89 @@
+"""What decides on a service's room, as a person sees it: it agrees with what is decided."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from random import Random
+
+import pytest
+
+from leverjunction.lots.load_watch import LoadWatch
+from leverjunction.lots.standing import Reason, ServiceSight
+from leverjunction.platform.headers import PlatformDialect
+from leverjunction.proxy.attempt import Sender
+from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.registry.records import RunnerRecord
+from testbed.routed import SERVICE
+
+SLOTS = 8
+
+
+def watch_over(count: int) -> tuple[LoadWatch, Balancer]:
+    balancer = Balancer("z", Random(1))
+    balancer.replace(
+        RunnerRecord(runner_id=f"i{n}", service=SERVICE, address="a:1", zone="z", slots=SLOTS)
+        for n in range(count)
+    )
+    sender = Sender(RunnerPool(), balancer, PlatformDialect())
+    return LoadWatch(sender, balancer, "z", lambda: None), balancer
+
+
+def seen(read: list[int], ejected: list[int], running: int) -> tuple[ServiceSight, bool]:
+    """Look at three back ends of which some were read and some are ejected."""
+
+    async def play() -> tuple[ServiceSight, bool]:
+        watch, balancer = watch_over(3)
+        now_s = asyncio.get_running_loop().time()
+        for number, seat in enumerate(balancer.seats(SERVICE)):
+            if number in read:
+                watch.room_at(seat).read(running, 0, now_s)
+            if number in ejected:
+                seat.ejected_until_s = now_s + 5.0
+        return watch.sight(SERVICE), watch.free_seat(SERVICE) is not None
+
+    return asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("read", "ejected", "running", "reason"),
+    [
+        ([0, 1, 2], [], 0, Reason.WAITS_TURN),
+        ([0, 1, 2], [0, 1], 0, Reason.WAITS_TURN),
+        ([0, 1, 2], [0, 1, 2], 0, Reason.EJECTED),
+        ([0, 1], [0, 1], 0, Reason.NOT_READ),
+        ([], [], 0, Reason.NOT_READ),
+        ([0, 1, 2], [], SLOTS, Reason.NO_ROOM),
+    ],
+)
+def test_what_is_seen_is_what_is_decided(
+    read: list[int], ejected: list[int], running: int, reason: Reason
+) -> None:
+    sight, has_seat = seen(read, ejected, running)
+    assert sight.reason() is reason
+    assert has_seat is (sight.room > 0)
+    assert (sight.known, sight.sound) == (3, 3 - len(ejected))
+
+
+def test_a_service_that_is_not_known_has_no_back_ends() -> None:
+    async def play() -> ServiceSight:
+        return watch_over(1)[0].sight("other")
+
+    assert asyncio.run(play()).reason() is Reason.NO_BACK_END
+
+
+def test_a_look_at_a_thousand_back_ends_is_short() -> None:
+    async def play() -> float:
+        watch, balancer = watch_over(1200)
+        now_s = asyncio.get_running_loop().time()
+        for seat in balancer.seats(SERVICE):
+            watch.room_at(seat).read(0, 0, now_s)
+            seat.ejected_until_s = now_s + 5.0 * (seat.record.runner_id.endswith("1"))
+        begun_s = time.thread_time()
+        assert watch.sight(SERVICE).room > 0
+        return time.thread_time() - begun_s
+
+    took_s = asyncio.run(play())
+    print(f"look at 1,200 back ends: {took_s * 1000:.1f} ms")
+    assert took_s < 0.05
