Looks at open items take at most a 200th of the loop's time

Cause: a look's time grows with the open items: reckoned from 750 of them, a hundred thousand would take 0.1 to 0.2 s of the loop each second, and the comparison reads all keys under the replica's lock.

Excluded: looking at a part of the items: the gauge by reason would then be no count.

Change: the pause after a look is at least 200 times the processor time that it took.

Conclusion: the sight stays cheap by what it measures, not by what was assumed.

--- a/src/leverjunction/lots/sight.py
+++ b/src/leverjunction/lots/sight.py
@@ -28,6 +28,9 @@
 LOOK_INTERVAL_S = 1.0
 """Seconds. With 750 open items a look takes milliseconds, and a person reads no faster."""
 
+LOOK_SHARE = 1 / 200
+"""Of the time that looks may take: with a hundred thousand open items they are less frequent."""
+
 TELL_AFTER_S = 5.0
 """Seconds without an event after which an item has a line: half of the silence that a run is borne
 for (``attempts.SILENCE_S``).
@@ -110,7 +113,7 @@
         self._lines = ItemLines(clock)
         self.records = RecordTrace(clock.monotonic_s, self._lines)
         self._stall = StallWatch()
-        self._looked_s = float("-inf")
+        self._next_s = float("-inf")
         self._compared_s = float("-inf")
         self._led_s: float | None = None
         self._started_s = float("-inf")
@@ -178,12 +181,14 @@
     def look(self, make_scene: Callable[[], Scene]) -> None:
         """Set the figures and write the lines that are due, at most once in an interval."""
         now_s = self._clock.monotonic_s()
-        if now_s - self._looked_s < LOOK_INTERVAL_S:
+        if now_s < self._next_s:
             return
-        self._looked_s = now_s
+        self._next_s = now_s + LOOK_INTERVAL_S
         begun_s = time.thread_time()
         self._look(make_scene(), now_s)
-        metrics.LOOK_S.inc(time.thread_time() - begun_s)
+        took_s = time.thread_time() - begun_s
+        self._next_s = now_s + max(LOOK_INTERVAL_S, took_s / LOOK_SHARE)
+        metrics.LOOK_S.inc(took_s)
 
     def _look(self, scene: Scene, now_s: float) -> None:
         self._lines.renew(now_s)
--- a/tests/unit/test_lots_sight.py
+++ b/tests/unit/test_lots_sight.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import time
 from collections.abc import Callable, Iterator
@@ -23,7 +24,7 @@
 from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.run_trace import RunEnd
 from leverjunction.lots.runner import LotsRunner
-from leverjunction.lots.sight import TELL_AFTER_S, RunnerSight, Scene
+from leverjunction.lots.sight import LOOK_SHARE, TELL_AFTER_S, RunnerSight, Scene
 from leverjunction.lots.standing import ServiceSight
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.registry.follower import Snapshot
@@ -315,9 +316,9 @@
     def look(self, seconds: int = 1) -> None:
         for _ in range(seconds):
             self.clock.now_s += 1.0
-            self.sight.look(self._scene)
+            self.sight.look(self.scene)
 
-    def _scene(self) -> Scene:
+    def scene(self) -> Scene:
         return Scene(
             status=_leads(),
             index=RouteIndex(ROUTED),
@@ -404,6 +405,26 @@
     assert (left_out["reason"], left_out["count"]) == ("waits no_room", 300 - ORDINARY_LINES)
 
 
+def test_looks_that_take_long_are_less_frequent() -> None:
+    """With a hundred thousand open items they would take a good part of the loop's time."""
+    stage = Stage(["a"], ["a"])
+    looked: list[float] = []
+
+    def slow() -> Scene:
+        looked.append(stage.clock.now_s)
+        until_s = time.thread_time() + 4.5 * LOOK_SHARE
+        while time.thread_time() < until_s:
+            pass
+        return stage.scene()
+
+    for _ in range(20):
+        stage.clock.now_s += 1.0
+        stage.sight.look(slow)
+    pauses = [after - before for before, after in itertools.pairwise(looked)]
+    assert min(pauses) >= 5.0
+    assert len(looked) >= 2
+
+
 def test_a_fault_of_the_sight_reaches_nobody(words: list[str]) -> None:
     stage = Stage(["a"], ["a"])
     before = figure("lots_sight_faults_total")
