--- a/tests/unit/consensus_simulation.py
+++ b/tests/unit/consensus_simulation.py
@@ -89,6 +89,7 @@
 class Simulation:
     """A group of ``size`` nodes; ``run`` plays events until a virtual time."""
 
+    chunk_bytes = 64
     kept_entries = 0
     """Entries that each log keeps; 0: drawn anew at each start."""
 
@@ -98,6 +99,7 @@
         self.faults = Faults()
         self.now_s = 100.0
         self.addresses = [f"n{number}" for number in range(size)]
+        self.founders = list(self.addresses)
         self.nodes = {address: Node(address) for address in self.addresses}
         self.applied: dict[int, bytes] = {}
         self.leaders: dict[int, str] = {}
@@ -139,9 +141,9 @@
         config = GroupConfig(
             group="root",
             address=address,
-            first_members=tuple(self.addresses),
+            first_members=tuple(self.founders),
             log_kept_entries=self.kept_entries or self.random.choice([2, 20, 1000]),
-            snapshot_chunk_bytes=64,
+            snapshot_chunk_bytes=self.chunk_bytes,
             max_batch_entries=self.random.choice([1, 5, 100]),
         )
         callbacks = EngineCallbacks(
--- /dev/null
+++ b/tests/unit/test_consensus_effect_order.py
@@ -0,0 +1,77 @@
+"""Effects are carried out in the order in which the core gives them.
+
+Symptom: a leader whose file is whole stops serving, "log entries 74 to 74 are not all there", and
+asks for its file to be moved away. Sequence: the last answer of a snapshot's receiver comes; the
+same event makes a membership change due, whose entry the core appends to its log. Cause: the
+engine, carrying out "the snapshot was answered", handed the core the next event and carried out
+that one's effects at once, before the rest of the first ones; among them was a message with the
+entry that was still to be written. Settled by the order of the calls on the store: ``entries(74)``
+with rows up to 73 in the file, the core's log at 74, and no append of 74 before it.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from tests.unit.consensus_support import LogMachine
+
+from leverjunction.consensus.core import RaftCore
+from leverjunction.consensus.engine import EngineCallbacks, ReplicaEngine
+from leverjunction.consensus.events import (
+    AppendEntries,
+    Effect,
+    Event,
+    SendEntries,
+    SnapshotAnswered,
+    SnapshotDelivered,
+    Tick,
+)
+from leverjunction.consensus.messages import AppendRequest, Message
+from leverjunction.consensus.snapshot_sender import AnswerOutcome
+from leverjunction.consensus.store import Store, open_store
+from leverjunction.consensus.types import EntryKind, GroupConfig, LogEntry, LogPosition
+
+ENTRY = LogEntry(index=1, term=1, kind=EntryKind.CONFIGURATION, wall_ms=0, payload=b"{}")
+
+
+class AnsweredCore(RaftCore):
+    """An answer makes an entry due, and the end of the transfer a message that holds it."""
+
+    def handle(self, event: Event, now_s: float) -> list[Effect]:
+        if isinstance(event, Tick):
+            answer = SnapshotAnswered(
+                replica_id="r", stream_id="s", next_number=-1, matched_index=0
+            )
+            return [answer, AppendEntries((ENTRY,))]
+        if isinstance(event, SnapshotDelivered):
+            request = AppendRequest(
+                header=self.header("r"), previous=LogPosition(), commit_index=0, sequence=1
+            )
+            return [SendEntries(address="b", request=request, first_index=1, last_index=1)]
+        return []
+
+
+def test_an_entry_is_written_before_a_later_event_sends_it() -> None:
+    store = open_store(":memory:", Random(1))
+    assert isinstance(store, Store)
+    sent: list[Message] = []
+    engine = ReplicaEngine(
+        GroupConfig(group="root", address="a", first_members=("a",)),
+        LogMachine(),
+        store,
+        Random(1),
+        0.0,
+        EngineCallbacks(
+            outbox=lambda _to, message: sent.append(message),
+            answer=lambda _id, _result: None,
+            changed_role=lambda _effect: None,
+            repaired=lambda _repair: None,
+        ),
+        AnsweredCore,
+    )
+    ended = AnswerOutcome(ended=SnapshotDelivered("r", 0))
+    engine._sender.answered = lambda _answer: ended  # type: ignore[method-assign]
+    engine._run(engine.core.handle(Tick(), 1.0))
+    engine._sync()
+    engine._release()
+    assert [message.entries for message in sent if isinstance(message, AppendRequest)] == [(ENTRY,)]
