The engine carries effects out in the order in which the core gave them

A nested event's effects went ahead of the rest of the first ones, so a leader could be asked to send an entry that it had not written, and stopped serving with a false word of damage, at the end of a repair that met a change of members. Change: effects wait in one queue; those of a nested event come behind what was given before. Conclusion: a false stop of a leader is mended.

--- a/src/leverjunction/consensus/engine.py
+++ b/src/leverjunction/consensus/engine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
@@ -120,6 +121,8 @@
         self._notice = ChangeNotice(config.group, callbacks.listener)
         self._sender = SnapshotSender(store.connection, config.snapshot_chunk_bytes, random)
         self._stage = SnapshotStage(store.connection)
+        self._due: deque[Effect] = deque()
+        self._running = False
         self._held: list[Send] = []
         self._unsynced = False
         self._hard_state_unsynced = False
@@ -171,8 +174,18 @@
         return self._machine.query(self.store.connection, query)
 
     def _run(self, effects: Sequence[Effect]) -> None:
-        for effect in effects:
-            self._carry_out(effect)
+        """Carry effects out, in the order in which the core gave them.
+
+        Some make the engine hand the core another event. What follows from that waits for what
+        was given before: it may name entries that are still to be written.
+        """
+        self._due.extend(effects)
+        if self._running:
+            return
+        self._running = True
+        while self._due:
+            self._carry_out(self._due.popleft())
+        self._running = False
 
     def _carry_out(self, effect: Effect) -> None:
         match effect:
