Two red tests: the threads that run items and follow the registry end unnoticed

Shows: an error outside the runner's step, or out of a question to a control process, ends the thread; the store leads on and runs nothing, or keeps its old table for good. No reachable sequence that raises there was found by reading; injected.

--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -300,6 +300,29 @@
     wait_until(lambda: len(store.results()) == 2)
 
 
+@pytest.mark.usefixtures("runner")
+def test_a_loop_that_ends_is_begun_anew(store: OneStore, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A store led on and ran nothing, and nobody noticed.
+
+    Sequence: an error outside the loop's step; the thread ends; items are accepted. Cause: nothing
+    began the loop anew or told the process. What settled it: no thread of that name, the replica
+    "leader", items open, no line of the runner after the error.
+    """
+    pause = LotsRunner._pause
+    ended: list[bool] = []
+
+    async def end_once(self: LotsRunner) -> None:
+        if not ended:
+            ended.append(True)
+            raise OSError("outside the step")
+        await pause(self)
+
+    monkeypatch.setattr(LotsRunner, "_pause", end_once)
+    wait_until(lambda: ended)
+    submit(store, 2)
+    wait_until(lambda: len(store.results()) == 2)
+
+
 @pytest.mark.usefixtures("runner")
 def test_batch_gives_way_while_a_commit_takes_long(
     store: OneStore, back_end: RunnerStandIn
--- a/tests/unit/test_registry_follower.py
+++ b/tests/unit/test_registry_follower.py
@@ -70,6 +70,27 @@
     assert told[:2] == [3, 3]
 
 
+def test_a_question_that_raises_is_asked_again() -> None:
+    """A process kept its old routes and back ends for good, though all others had newer ones.
+
+    Sequence: asking a control process raises what the client does not turn into a failure. Cause:
+    the thread ended, and nobody watches it. What settled it: no further question reached any
+    control process, and no line but the interpreter's own told of it.
+    """
+    raised: list[str] = []
+
+    def answer(hub: str, _request: WatchRequest) -> WatchReply:
+        if not raised:
+            raised.append(hub)
+            raise RuntimeError("can't start new thread")
+        return reply(3)
+
+    told: list[int] = []
+    follower = follow(Hubs(answer), lambda snapshot: told.append(snapshot.table.version))
+    wait_until(lambda: told == [3], 5.0)
+    follower.stop()
+
+
 def test_it_never_goes_back() -> None:
     versions = iter([5, 3, 4, 6])
     told: list[int] = []
