The loops that run items and follow the registry are begun anew; one that hangs is a fault

Cause: an error outside the guarded part of either loop ended its thread, and nobody watched them. A store then led on and ran nothing, or kept its old table. Excluded: ending the process for an error of the loop too (all state is in the group, so a new loop does the same at once); a shorter limit for a hang (a stalled disk holds the replica's lock, on which the loop waits). Change: the runner begins another loop after one that ended by an error, from the group's state; a loop without a step for 60 s is a fault of the process, counted by looks so that a process that was stopped does not take its loop for hanging. The follower logs what a question raises and asks the next process. Telling a loop that has just ended of a change cannot raise into the state machine, which would undo the command on that replica alone.

--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -138,6 +138,8 @@
     def fault(self) -> Failure | None:
         """Return why this process serves nothing any more, None while it does."""
         faults = [self._start_fault, *(replica.fault() for replica in self._local.values())]
+        if self._runner is not None:
+            faults.append(self._runner.fault())
         return next((fault for fault in faults if fault is not None), None)
 
     def groups(self) -> list[str]:
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import threading
+import time
 from collections.abc import Coroutine
 from random import Random
 from typing import TypeVar
@@ -17,7 +18,7 @@
 
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import ReplicatedGroup
-from leverjunction.errors import Failure
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots.attempts import Attempts
 from leverjunction.lots.board import Board
 from leverjunction.lots.commands import (
@@ -32,6 +33,7 @@
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.node_watch import stack_of
 from leverjunction.lots.outbox import Outbox
+from leverjunction.lots.pulse import Pulse
 from leverjunction.lots.room import TakenSlot
 from leverjunction.lots.sight import RunnerSight, Scene
 from leverjunction.lots.urgency import RunTimes, Urgency
@@ -50,6 +52,12 @@
 IDLE_STEP_S = 0.5
 STOP_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 0.3
+HANGS_S = 60.0
+"""A loop without a step for so long is a fault of the process, which ends to start anew: longer
+than a disk stalls under a replica that still takes part in its group.
+"""
+
+RENEW_PAUSE_S = 0.5
 READ_AGAIN_S = 2.0
 """What is open is read again after so long, whether a change was told or not."""
 
@@ -98,6 +106,7 @@
         self._dirty = True
         self._read_again_s = 0.0
         self._reads_fail = False
+        self._pulse = Pulse()
         self._stopped = False
         self._loop: asyncio.AbstractEventLoop | None = None
         self._wake: asyncio.Event | None = None
@@ -117,8 +126,14 @@
         """Note that the group's state changed."""
         self._dirty = True
         loop, wake = self._loop, self._wake
-        if loop is not None and wake is not None and not loop.is_closed():
+        if loop is None or wake is None:
+            return
+        try:
             loop.call_soon_threadsafe(wake.set)
+        except RuntimeError:
+            # The loop has ended: the next one reads all. An error here would undo the command
+            # that is being applied, on this replica alone.
+            logger.debug("no loop of the runner is told of a change")
 
     def set_registry(self, snapshot: Snapshot) -> None:
         """Take a newer registry."""
@@ -133,12 +148,34 @@
         """Return where the loop's thread is, for a person."""
         return stack_of(self._thread)
 
+    def fault(self) -> Failure | None:
+        """Return why no items are run any more, None while they are; to be asked regularly."""
+        silent_s = self._pulse.look(self._clock.monotonic_s())
+        if self._stopped or self._thread.ident is None or silent_s < HANGS_S:
+            return None
+        return Failure(
+            kind=FailureKind.INTERNAL,
+            reason=f"the loop that runs the items of lots has made no step for {silent_s:.0f} s",
+            step=Step.SENDING,
+        )
+
     def _run_loop(self) -> None:
-        asyncio.run(self._main())
+        """Run loops until asked to stop: after one that ends by an error comes another."""
+        while not self._stopped:
+            try:
+                asyncio.run(self._main())
+            except Exception:
+                # The replica may lead on: without a loop nothing of what it has would be run.
+                logger.exception("the loop that runs the items of lots has ended; another begins")
+                time.sleep(RENEW_PAUSE_S)
 
     async def _main(self) -> None:
         self._loop = asyncio.get_running_loop()
         self._wake = asyncio.Event()
+        # All is read from the group: what an earlier loop had belongs to its tasks.
+        self._board = Board()
+        self._taken = None
+        self._dirty = True
         pool = RunnerPool()
         self._balancer = Balancer(self._zone, self._random)
         sender = Sender(pool, self._balancer, self._dialect)
@@ -149,19 +186,22 @@
         self._listener = LoadListener(
             CLUSTER_KEY, self._has_work, self._give_way, self._loads.online
         )
-        if self._datagrams:
-            await self._listener.start(self._datagrams)
-        while not self._stopped:
-            try:
-                self._step()
-            except Exception:
-                logger.exception("a step of the runner of lots failed")
-            self._stepped_s = self._clock.monotonic_s()
-            self._sight.look(self._scene)
-            await self._pause()
-        self._listener.close()
-        self._drop_all()
-        pool.close()
+        try:
+            if self._datagrams:
+                await self._listener.start(self._datagrams)
+            while not self._stopped:
+                try:
+                    self._step()
+                except Exception:
+                    logger.exception("a step of the runner of lots failed")
+                self._pulse.beat()
+                self._stepped_s = self._clock.monotonic_s()
+                self._sight.look(self._scene)
+                await self._pause()
+        finally:
+            self._listener.close()
+            self._drop_all()
+            pool.close()
 
     def _scene(self) -> Scene:
         """Return what there is to see; it changes nothing."""
--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -95,16 +95,27 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            reply = self._ask(self._hubs[0])
-            if isinstance(reply, Failure):
-                self._note_silence(reply)
-                self._hubs.append(self._hubs.pop(0))
-                self._stopped.wait(RETRY_PAUSE_S * self._random.uniform(0.5, 1.5))
-                continue
-            self._answered_s = self._clock.monotonic_s()
-            self._note_answer()
-            self._learn_hubs(reply.controls)
-            self._take(reply)
+            try:
+                self._ask_once()
+            except Exception:
+                # This thread must go on: nothing else would learn of routes and back ends.
+                logger.exception("asking control process {} failed", self._hubs[0])
+                self._ask_another()
+
+    def _ask_once(self) -> None:
+        reply = self._ask(self._hubs[0])
+        if isinstance(reply, Failure):
+            self._note_silence(reply)
+            self._ask_another()
+            return
+        self._answered_s = self._clock.monotonic_s()
+        self._note_answer()
+        self._learn_hubs(reply.controls)
+        self._take(reply)
+
+    def _ask_another(self) -> None:
+        self._hubs.append(self._hubs.pop(0))
+        self._stopped.wait(RETRY_PAUSE_S * self._random.uniform(0.5, 1.5))
 
     def _ask(self, hub: str) -> WatchReply | Failure:
         known = self._snapshot
--- /dev/null
+++ b/tests/unit/test_lots_pulse.py
@@ -0,0 +1,72 @@
+"""A loop that hangs is told from one that steps, and from a process that was stopped."""
+
+from __future__ import annotations
+
+import threading
+from random import Random
+
+import pytest
+from tests.unit.seeded_support import wait_until
+from tests.unit.test_lots_outbox import LateGroup
+
+from leverjunction.clock import SystemClock
+from leverjunction.consensus.api import GroupStatus
+from leverjunction.errors import Failure
+from leverjunction.lots import runner as lots_runner
+from leverjunction.lots.pulse import Pulse
+from leverjunction.lots.runner import LotsRunner
+from leverjunction.platform.headers import PlatformDialect
+
+
+def test_silence_is_counted_from_the_last_beat_seen() -> None:
+    pulse = Pulse()
+    assert pulse.look(100.0) == 0.0
+    assert pulse.look(100.5) == 0.5
+    assert pulse.look(101.0) == 1.0
+    pulse.beat()
+    assert pulse.look(101.5) == 0.0
+
+
+def test_a_process_that_was_stopped_does_not_take_its_loop_for_hanging() -> None:
+    pulse = Pulse()
+    pulse.look(100.0)
+    assert pulse.look(500.0) == 1.0
+
+
+class StuckGroup(LateGroup):
+    """A group whose status is not told until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stuck = threading.Event()
+        self.go_on = threading.Event()
+        self.sticks = False
+
+    def status(self) -> GroupStatus:
+        if self.sticks:
+            self.stuck.set()
+            self.go_on.wait()
+        return super().status()
+
+
+def test_a_loop_that_hangs_is_a_fault(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A store would lead on and run nothing, and nobody would notice."""
+    monkeypatch.setattr(lots_runner, "HANGS_S", 1.5)
+    group = StuckGroup()
+    runner = LotsRunner(group, "z", PlatformDialect(), SystemClock(), Random(1))
+    runner.start()
+    found: list[Failure] = []
+
+    def look() -> bool:
+        fault = runner.fault()
+        found.extend([fault] if fault is not None else [])
+        return bool(found)
+
+    with pytest.raises(AssertionError):
+        wait_until(look, 2.5)
+    group.sticks = True
+    assert group.stuck.wait(5.0)
+    wait_until(look, 5.0)
+    assert "has made no step" in found[0].reason
+    group.go_on.set()
+    runner.stop()
