Failing test: a back end that does not tell its load holds up the others

Shows: 12 runs at a back end whose reading is old count against the 12 slots of one that is read and idle: 0 runs allowed there in place of 11.

--- a/tests/unit/test_lots_room.py
+++ b/tests/unit/test_lots_room.py
@@ -261,3 +261,24 @@
     hear(room, NOW_S, 0, 0)
     kept = round(24 * MOST_RISE_SHARE_PER_S * TOLD_REACTION_S)
     assert room.allowance(NOW_S) == 24 - kept == 23
+
+
+def test_a_back_end_that_does_not_tell_its_load_holds_up_no_other() -> None:
+    """Items were started and stopped again and again, or not started at all, beside free slots.
+
+    Sequence: one back end is full of batch and no reading of it comes any more; another one is
+    read and idle. Cause: the runs at all back ends were held against the slots of those that are
+    read. Settled by: loads told late by some back ends, runs of one event each (0.1 to 0.3 s), ten
+    and more of an item; with two back ends of 12 slots 0 runs allowed in place of 11.
+    """
+    room = service(0, 0)
+    for _ in range(SLOTS):
+        room.seats["0"].started()
+    tell(room, NOW_S + 1, SLOTS, 0)
+    now_s = NOW_S + 1 + STALE_S + 0.5
+    room.seats["1"].read(0, 0, now_s)
+    room.note(now_s)
+    assert room.allowance(now_s) == 11
+    for _ in range(11):
+        room.seats["1"].started()
+    assert (room.allowance(now_s), room.excess(now_s)) == (0, 0)
