Batch runs at back ends that are not read leave the others' slots alone

Cause: the runs of a service were counted at all its back ends, its slots only at those whose load was read lately. One silent back end full of batch kept as many slots of the others empty, and their runs were parked. Excluded: counting the slots of silent ones too (they may be gone). Change: runs are counted where slots are; parking chooses among back ends that are read.

--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -131,7 +131,7 @@
         for room in self._rooms.values():
             here = {key: seat.excess(now_s) for key, seat in room.seats.items()}
             left = room.excess(now_s) - sum(here.values())
-            own = {key: seat.own - here[key] for key, seat in room.seats.items()}
+            own = {key: seat.own - here[key] for key, seat in room.read(now_s)}
             while left > 0 and any(own.values()):
                 fullest = max(own, key=lambda key: (own[key], key))
                 own[fullest] -= 1
--- a/src/leverjunction/lots/room.py
+++ b/src/leverjunction/lots/room.py
@@ -304,18 +304,20 @@
 
     def allowance(self, now_s: float) -> int:
         """Return how many batch runs may be added to the service as a whole."""
-        return max(0, self._most(now_s) - self._own())
+        return max(0, self._most(now_s) - self._own(now_s))
 
     def excess(self, now_s: float) -> int:
         """Return how many batch runs should be parked."""
         if not self._read(now_s):
             # Nothing is known: what runs may go on.
             return 0
-        over = self._own() - self._most(now_s)
+        over = self._own(now_s) - self._most(now_s)
         return over if over > SLACK_RUNS else 0
 
-    def _own(self) -> int:
-        return sum(seat.own for seat in self.seats.values())
+    def _own(self, now_s: float) -> int:
+        # Runs at a back end that is not read take no slot of those that are: counted here, they
+        # kept the others empty for as long as it was silent.
+        return sum(seat.own for seat in self._read(now_s))
 
     def _most(self, now_s: float) -> int:
         """Return how many batch runs the service may have now."""
