Lost answers: regression tests that fail, and stand-ins that lose answers

Cause: a run whose answer, rest or end is lost while its connection stays open is ended by 10 s of silence only; and `next_event` after `close()` of the connection waits without end. Excluded: another cause of the wait; the back end was free, reported no request, and the run of the item was the only thing that held it.

--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -25,6 +25,9 @@
 EVENTS = 5
 READ_BYTES = 65536
 SILENCE_S = 30.0
+PAUSE_S = 3.5
+"""Of a run that lives on in silence, as one that was preempted."""
+
 WORK_S = 0.05
 """Of a request by path that is no stream: time for its connection to come to harm."""
 
@@ -53,6 +56,8 @@
 
 Behaviour = Callable[["_Exchange"], Awaitable[None]]
 BEHAVIOURS: dict[str, Behaviour] = {}
+ENDED_HERE = frozenset({"answer lost", "rest lost", "end lost"})
+"""The back end is done with the request, though its sender waits on: its report tells of none."""
 
 
 def _behaviour(name: str) -> Callable[[Behaviour], Behaviour]:
@@ -129,11 +134,12 @@
                 if seen.headers.get(EXPECT_HEADER, self.runner_id) != self.runner_id:
                     name = "another"
                 exchange = _Exchange(seen, parser, reader, writer)
-                self.under_way += 1
+                reported = int(name not in ENDED_HERE)
+                self.under_way += reported
                 try:
                     await BEHAVIOURS[name](exchange)
                 finally:
-                    self.under_way -= 1
+                    self.under_way -= reported
                 if parser.our_state is not h11.DONE or writer.is_closing():
                     break
                 parser.start_next_cycle()
@@ -399,6 +405,36 @@
     await exchange.until_gone()
 
 
+@_behaviour("answer lost")
+async def _answer_lost(exchange: _Exchange) -> None:
+    await exchange.until_gone()
+
+
+@_behaviour("rest lost")
+async def _rest_lost(exchange: _Exchange) -> None:
+    await _stream_stops(exchange)
+
+
+@_behaviour("end lost")
+async def _end_lost(exchange: _Exchange) -> None:
+    exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
+    for event in exchange.events():
+        exchange.data(event)
+    await exchange.flush()
+    await exchange.until_gone()
+
+
+@_behaviour("stream with a pause")
+async def _stream_with_a_pause(exchange: _Exchange) -> None:
+    exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
+    for event in exchange.events():
+        exchange.data(event)
+        await exchange.flush()
+        if event.startswith(b"id: 1\n"):
+            await asyncio.sleep(PAUSE_S)
+    exchange.end()
+
+
 @_behaviour("by path")
 async def _by_path(exchange: _Exchange) -> None:
     """Stream below the folders of streams and batches, answer whole elsewhere."""
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -196,6 +196,29 @@
     assert last == ("1" if behaviour == "stream cut in an event" else None)
 
 
+@pytest.mark.usefixtures("runner")
+def test_items_whose_answers_are_lost_are_run_again_soon(
+    store: OneStore, back_end: RunnerStandIn
+) -> None:
+    """Items lay open for ten seconds at each lost answer.
+
+    Symptom: accepted items are neither done nor given up, each with a run that its back end has
+    ended; the back ends have free slots, and the store starts nothing.
+    Sequence: a back end runs an item, and the answer, or the rest of it, or its end, is lost while
+    the connection stays open. Twice in a row for each item here.
+    Cause: only silence on the connection was watched, for 10 s at each run, since living runs may
+    be silent. That the back end itself reported fewer requests than the store had there was read
+    ten times a second and not used.
+    Settled by: one lost answer, done after 10.6 s with two runs, at the head, in the middle and
+    before the end alike; two in a row after 21 s. The line "batch of ..: N open, N running" kept
+    its N for as long, beside reports of no request at all.
+    """
+    back_end.then(*["answer lost", "rest lost", "end lost"] * 2)
+    names = submit(store, 3)
+    whole = {name: ("done", WHOLE_TEXT) for name in names}
+    wait_until(lambda: store.results() == whole, 9.0)
+
+
 @pytest.mark.usefixtures("runner")
 @pytest.mark.parametrize(("behaviour", "runs"), [("unprocessable", 1), ("fault", 3)])
 def test_an_item_that_cannot_be_done_is_given_up(
--- a/tests/unit/test_proxy_runner_connection.py
+++ b/tests/unit/test_proxy_runner_connection.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from leverjunction.errors import Failure
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead, RunnerConnection
 
 PACE_S = 0.2
@@ -99,3 +100,37 @@
     started_s = time.monotonic()
     assert asyncio.run(close_at_rest())
     assert time.monotonic() - started_s < 5
+
+
+async def _hold(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    await reader.read()
+
+
+def test_nobody_waits_at_a_connection_that_was_closed_here() -> None:
+    """A reader waited on for good, or until a limit of its own, for an answer that cannot come.
+
+    Symptom: a request holds its place after its connection has been closed by this process.
+    Sequence: a request is sent, the connection is closed here, the next event is asked for; or it
+    is asked for already when the connection closes.
+    Cause: only an end that the other side brought about was told to the reader.
+    Settled by: ``next_event`` after ``close`` did not return within a second.
+    """
+
+    async def play(waits: bool) -> object:
+        server = await asyncio.start_server(_hold, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(
+            lambda: RunnerConnection("s"), "127.0.0.1", port
+        )
+        connection.send(b"GET", b"/", [(b"Host", b"h")], b"")
+        reading = loop.create_task(connection.next_event()) if waits else None
+        await asyncio.sleep(0.05)
+        connection.close()
+        async with asyncio.timeout(1.0):
+            event = await (reading or connection.next_event())
+        server.close()
+        return event
+
+    for waits in (True, False):
+        assert isinstance(asyncio.run(play(waits)), Failure)
