Lots: runs whose back end has them no more are ended and run again

Cause: only 10 s of silence ended a run whose answer, rest or end was lost on an open connection. Excluded: a plain shorter limit. A run that was preempted or queues is silent and lives; 3 s of pause at a back end that reports the run goes on uncut (test). Change: `lots/lost_runs.py` (pure) compares reports, read ten times a second anyway, with the runs this store has there. If all reports of a second show fewer, as many are ended, the longest silent first; at most three in a row of an item. Silent runs at a back end that has left end after 2 s. Other silence: a fifth of the time in which an item is due, doubled with each silent run in a row, 10 s at most. Connections to back ends are probed (keep-alive, 4 s); no user time-out, as it ends connections on which a living back end leaves its window closed. `close()` tells a waiting reader. A line is logged for each run that ends so. A test failed once in a run of the file beside three busy processes: "a parked run goes on where it stopped", last run asked after event 3, not 1; alone 12 of 12 passed, before this change too.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -4,8 +4,10 @@
 
 import asyncio
 
+from loguru import logger
+
 from leverjunction.consensus.api import ReplicatedGroup
-from leverjunction.errors import Failure
+from leverjunction.errors import Failure, FailureKind
 from leverjunction.lots.commands import (
     ItemBody,
     KnownProgress,
@@ -15,6 +17,7 @@
 )
 from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.item_stream import ItemStream
+from leverjunction.lots.lost_runs import silence_s
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.run_trace import RunEnd
 from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
@@ -28,9 +31,6 @@
 READ_INTERVAL_S = 0.12
 """Nobody waits for the single events of an item, and each would cost a wake-up."""
 
-SILENCE_S = 10.0
-"""A run that is cut must be run again, so silence is borne for long."""
-
 OK = 200
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
@@ -56,6 +56,7 @@
             run.trace.over(RunEnd.NO_BODY if request is None else RunEnd.NO_PROGRESS)
             return False
         loop = asyncio.get_running_loop()
+        run.was_sent(loop.time())
         answer = await self._sender.send(
             Dispatch(
                 request,
@@ -64,11 +65,13 @@
                 repeatable=True,
                 last_event_id=run.stream.last_id,
                 until_s=loop.time() + RUN_TIMEOUT_S,
-                patience=Patience.until(loop.time() + SILENCE_S),
+                patience=Patience.until(loop.time() + silence_s(run.item.due_ms, run.silent)),
             )
         )
         if isinstance(answer, Failure):
             run.trace.not_answered(answer)
+            if answer.kind is FailureKind.DEADLINE_EXCEEDED:
+                _silent(run, loop.time())
             return False
         run.trace.heard(loop.time())
         whole = False
@@ -85,10 +88,12 @@
     async def _read_answer(self, run: ItemRun, answer: OpenedAnswer) -> bool:
         """Take an answer's events; return whether it came whole."""
         whole = False
+        loop = asyncio.get_running_loop()
         answer.connection.pace(READ_INTERVAL_S)
         try:
             while True:
-                async with asyncio.timeout(SILENCE_S):
+                run.was_heard(loop.time())
+                async with asyncio.timeout(silence_s(run.item.due_ms, run.silent)):
                     event = await answer.connection.next_event()
                 if isinstance(event, Failure | AnswerHead):
                     run.trace.over(RunEnd.CUT, event.reason if isinstance(event, Failure) else "")
@@ -96,11 +101,13 @@
                 if isinstance(event, AnswerEnd):
                     whole = True
                     return True
+                run.silent = 0
                 if answer.head.status == OK:
                     run.stream.feed(event)
-                run.trace.heard(asyncio.get_running_loop().time())
+                run.trace.heard(loop.time())
         except TimeoutError:
-            run.trace.over(RunEnd.SILENT, f"nothing came for {SILENCE_S} s")
+            run.trace.over(RunEnd.SILENT, f"nothing came for {loop.time() - run.heard_s:.1f} s")
+            _silent(run, loop.time())
             return False
         finally:
             self._sender.finish(answer, whole)
@@ -145,3 +152,16 @@
         headers = self._dialect.item_headers(headers, item.host, item.item_id)
         now_s = asyncio.get_running_loop().time()
         return CallerRequest(b"POST", item.path.encode(), headers, body.body, now_s)
+
+
+def _silent(run: ItemRun, now_s: float) -> None:
+    """Note that a run ends because nothing came."""
+    lot_id, item_id = run.key
+    run.silent += 1
+    logger.info(
+        "item {} of lot {} is run again: back end {} was silent for {:.1f} s",
+        item_id,
+        lot_id,
+        run.runner_id,
+        now_s - run.heard_s,
+    )
--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+from loguru import logger
+
 from leverjunction.lots.commands import OpenItem
 from leverjunction.lots.item_stream import ItemStream
-from leverjunction.lots.run_trace import RunTrace
+from leverjunction.lots.run_trace import RunEnd, RunTrace
 from leverjunction.routes.matching import RouteIndex
 from leverjunction.routes.types import Route
 
@@ -27,6 +29,9 @@
         runner_id: Back end where it runs.
         worked_s: Time for which back ends have worked on it.
         trace: What is noted of its runs; decides nothing.
+        sent_s: When it was sent to the back end where it runs, None while it is not.
+        heard_s: When that back end was last heard of it, the sending included.
+        silent: Runs in a row that were ended in silence, without a part of the item's output.
     """
 
     __slots__ = (
@@ -34,9 +39,12 @@
         "_routed_by",
         "failures",
         "follows",
+        "heard_s",
         "item",
         "parking",
         "runner_id",
+        "sent_s",
+        "silent",
         "stream",
         "task",
         "trace",
@@ -53,6 +61,9 @@
         self.runner_id = ""
         self.worked_s = 0.0
         self.trace = RunTrace()
+        self.sent_s: float | None = None
+        self.heard_s = 0.0
+        self.silent = 0
         self._route: Route | None = None
         self._routed_by: RouteIndex | None = None
 
@@ -68,11 +79,41 @@
             self._routed_by = index
         return self._route
 
+    def begin_at(self, runner_id: str) -> None:
+        """Note the back end where it is run from now on."""
+        self.runner_id = runner_id
+        self.parking = False
+        self.sent_s = None
+
+    def was_sent(self, now_s: float) -> None:
+        """Note that its back end is asked now."""
+        self.sent_s = self.heard_s = now_s
+
+    def was_heard(self, now_s: float) -> None:
+        """Note a sign of life of its run: the answer's head, or a part of it."""
+        self.heard_s = now_s
+
     def stop(self) -> None:
         """End the run that is under way; a later one continues."""
         if self.task is not None:
             self.task.cancel()
 
+    def lost(self, now_s: float) -> None:
+        """End the run whose back end does not have it any more; the next one continues."""
+        if self.parking:
+            return
+        self.silent += 1
+        self.trace.over(RunEnd.SILENT, "its back end has it no more")
+        logger.info(
+            "item {} of lot {} is run again: back end {} has it no more, silent for {:.1f} s",
+            self.item.item_id,
+            self.item.lot_id,
+            self.runner_id,
+            now_s - self.heard_s,
+        )
+        self.sent_s = None
+        self.stop()
+
     def restart(self) -> None:
         """Go on from what the group has: what is here does not follow on that."""
         self.follows = False
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from leverjunction.lots.lost_runs import LostRuns
 from leverjunction.lots.room import SeatRoom, ServiceRoom
 from leverjunction.lots.standing import ServiceSight
 from leverjunction.lots.told_loads import ToldLoads
@@ -32,6 +33,9 @@
         balancer: Knows the back ends.
         zone: Zone of this process.
         read: Called after each reading.
+
+    Attributes:
+        lost_runs: Takes each reading too.
     """
 
     def __init__(
@@ -48,16 +52,19 @@
         self._rooms: dict[str, ServiceRoom] = {}
         self._reading: dict[str, asyncio.Task[None]] = {}
         self._logged_s = float("-inf")
+        self.lost_runs = LostRuns()
         self._loop = asyncio.get_running_loop()
 
     def clear(self) -> None:
         """Forget all: another store leads the group."""
         self._rooms.clear()
+        self.lost_runs.clear()
 
     def keep(self, runner_ids: frozenset[str]) -> None:
         """Forget back ends that are gone."""
         for room in self._rooms.values():
             room.keep(runner_ids)
+        self.lost_runs.keep(runner_ids)
 
     def read(self, services: Iterable[str]) -> None:
         """Ask every back end of these services for its load, a few times a second."""
@@ -173,7 +180,9 @@
             if load is None:
                 # The last reading grows old, and then nothing is added there.
                 return
-            self.room_at(seat).read(load.running, load.waiting, self._loop.time())
+            now_s = self._loop.time()
+            self.room_at(seat).read(load.running, load.waiting, now_s)
+            self.lost_runs.note(seat.record.runner_id, load.running + load.waiting, now_s)
             self._read_one()
             await asyncio.sleep(pause_s)
         finally:
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -258,6 +258,7 @@
         self._loads.tell(self._listener.loads)
         self._log()
         self._park()
+        self._end_lost()
         self._give_up_late()
         self._start_runs(index)
 
@@ -345,6 +346,12 @@
             run.parking = True
             run.stop()
 
+    def _end_lost(self) -> None:
+        """End the runs that their back ends do not have any more."""
+        now_s = asyncio.get_running_loop().time()
+        for run in self._loads.lost_runs.find(self._board.running(), now_s):
+            run.lost(now_s)
+
     def _give_up_late(self) -> None:
         if not self._board.rank(asyncio.get_running_loop().time(), self._urgency):
             return
@@ -376,8 +383,7 @@
     def _start(self, run: ItemRun, seat: RunnerSeat) -> None:
         # Counted at once, so that the next item sees this one.
         slot = TakenSlot(self._loads.room_at(seat))
-        run.runner_id = seat.record.runner_id
-        run.parking = False
+        run.begin_at(seat.record.runner_id)
         self._sight.started(run)
         run.task = asyncio.get_running_loop().create_task(self._run(run, seat, slot))
         # A task that is cancelled before its first step runs none of its own code.
--- a/src/leverjunction/proxy/runner_connection.py
+++ b/src/leverjunction/proxy/runner_connection.py
@@ -9,6 +9,7 @@
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.proxy.dialect import RawHeaders
+from leverjunction.proxy.probes import probe
 
 MAX_HEAD_BYTES = 64 * 1024
 PAUSE_BYTES = 256 * 1024
@@ -73,6 +74,7 @@
         """Take the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        probe(transport)
 
     def data_received(self, data: bytes) -> None:
         """Take a part of an answer; bytes without a request belong to none."""
@@ -146,6 +148,9 @@
 
     def close(self) -> None:
         """Close at once; the back end drops what it runs for this connection."""
+        if self._active and not self._ended:
+            # Nothing comes any more, and a reader would not learn it from the transport.
+            self._push(self._broken("the connection was closed here"))
         self._ended = True
         if self._rest is not None:
             self._rest.cancel()
--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -25,7 +25,7 @@
 EVENTS = 5
 READ_BYTES = 65536
 SILENCE_S = 30.0
-PAUSE_S = 3.5
+PAUSE_S = 3.0
 """Of a run that lives on in silence, as one that was preempted."""
 
 WORK_S = 0.05
--- /dev/null
+++ b/tests/unit/test_lots_lost_runs.py
@@ -0,0 +1,143 @@
+"""Runs that their back end does not have any more are found, living ones are left alone."""
+
+from __future__ import annotations
+
+import pytest
+
+from leverjunction.lots.commands import OpenItem
+from leverjunction.lots.item_run import ItemRun
+from leverjunction.lots.lost_runs import (
+    CONFIRM_S,
+    GONE_SILENCE_S,
+    MOST_SILENCE_S,
+    SETTLE_S,
+    TRUSTED_ENDS,
+    LostRuns,
+    silence_s,
+)
+
+NOW_S = 100.0
+INTERVAL_S = 0.1
+
+
+def make_run(name: str, sent_s: float, heard_s: float, runner_id: str = "i-1") -> ItemRun:
+    item = OpenItem(
+        lot_id="lot",
+        item_id=name,
+        host="h",
+        path="/p",
+        headers=(),
+        tokens=1,
+        max_attempts=3,
+        failures=0,
+        accepted_ms=0,
+        due_ms=20_000.0,
+        give_up_s=0.0,
+    )
+    run = ItemRun(item)
+    run.begin_at(runner_id)
+    run.was_sent(sent_s)
+    run.was_heard(heard_s)
+    return run
+
+
+def make_reports(requests: int, from_s: float = NOW_S - 5.0, to_s: float = NOW_S) -> LostRuns:
+    lost_runs = LostRuns()
+    lost_runs.keep(frozenset({"i-1"}))
+    for step in range(round((to_s - from_s) / INTERVAL_S) + 1):
+        lost_runs.note("i-1", requests, from_s + step * INTERVAL_S)
+    return lost_runs
+
+
+def names(runs: list[ItemRun]) -> list[str]:
+    return [run.item.item_id for run in runs]
+
+
+def make_silent(count: int) -> list[ItemRun]:
+    return [make_run(f"{n}", NOW_S - 9, NOW_S - 9 + n) for n in range(count)]
+
+
+@pytest.mark.parametrize(("requests", "lost"), [(0, "012"), (1, "01"), (2, "0"), (3, ""), (9, "")])
+def test_as_many_are_lost_as_the_reports_lack_the_longest_silent_first(
+    requests: int, lost: str
+) -> None:
+    assert names(make_reports(requests).find(make_silent(3), NOW_S)) == list(lost)
+
+
+def test_one_report_that_shows_all_runs_counts_more_than_the_others() -> None:
+    lost_runs = make_reports(0, NOW_S - 5, NOW_S - 0.6)
+    lost_runs.note("i-1", 3, NOW_S - 0.5)
+    for step in range(5):
+        lost_runs.note("i-1", 0, NOW_S - 0.4 + step * INTERVAL_S)
+    assert lost_runs.find(make_silent(3), NOW_S) == []
+
+
+def test_a_run_is_lost_at_the_earliest_when_reports_must_show_it() -> None:
+    reports = make_reports(0)
+    soon_s = NOW_S - CONFIRM_S - SETTLE_S
+    assert names(reports.find([make_run("a", soon_s - 0.2, soon_s - 0.2)], NOW_S)) == ["a"]
+    assert reports.find([make_run("a", soon_s + 0.1, soon_s + 0.1)], NOW_S) == []
+
+
+def test_a_run_that_is_heard_of_is_counted_but_never_lost() -> None:
+    living = make_run("living", NOW_S - 9, NOW_S - 0.1)
+    silent = make_run("silent", NOW_S - 9, NOW_S - 8)
+    assert names(make_reports(1).find([living, silent], NOW_S)) == ["silent"]
+    assert make_reports(2).find([living, silent], NOW_S) == []
+    assert make_reports(0).find([living], NOW_S) == []
+
+
+def test_a_run_that_has_perhaps_just_ended_accuses_no_other() -> None:
+    """Its last events are on their way, and the report shows the silent living one only."""
+    ending = make_run("ending", NOW_S - 9, NOW_S - SETTLE_S - 0.2)
+    silent = make_run("silent", NOW_S - 9, NOW_S - 8)
+    assert make_reports(1).find([ending, silent], NOW_S) == []
+
+
+def test_requests_of_others_hide_a_lost_run() -> None:
+    """Online requests come and go: better late than a living run that is ended."""
+    assert make_reports(5).find(make_silent(3), NOW_S) == []
+
+
+def test_few_reports_or_old_ones_prove_nothing() -> None:
+    assert make_reports(0, NOW_S - 0.8).find(make_silent(2), NOW_S) == []
+    rare = LostRuns()
+    rare.keep(frozenset({"i-1"}))
+    rare.note("i-1", 0, NOW_S - 4)
+    rare.note("i-1", 0, NOW_S)
+    assert rare.find(make_silent(2), NOW_S) == []
+
+
+def test_rare_reports_count_when_there_are_enough() -> None:
+    rare = LostRuns()
+    rare.keep(frozenset({"i-1"}))
+    for ago_s in (4, 2, 0):
+        rare.note("i-1", 0, NOW_S - ago_s)
+    assert names(rare.find(make_silent(2), NOW_S)) == ["0", "1"]
+
+
+def test_reports_that_are_wrong_end_few_runs_of_an_item() -> None:
+    run = make_run("a", NOW_S - 9, NOW_S - 9)
+    run.silent = TRUSTED_ENDS - 1
+    assert names(make_reports(0).find([run], NOW_S)) == ["a"]
+    run.silent = TRUSTED_ENDS
+    assert make_reports(0).find([run], NOW_S) == []
+
+
+def test_a_silent_run_at_a_back_end_that_has_left_is_lost() -> None:
+    reports = make_reports(0)
+    silent_s = NOW_S - GONE_SILENCE_S
+    runs = [make_run("a", 0, silent_s, "i-2"), make_run("b", 0, silent_s + 0.1, "i-2")]
+    assert names(reports.find(runs, NOW_S)) == ["a"]
+
+
+def test_a_run_that_is_not_sent_yet_is_not_lost() -> None:
+    run = make_run("a", NOW_S - 9, NOW_S - 9)
+    run.begin_at("i-1")
+    assert make_reports(0).find([run], NOW_S) == []
+
+
+def test_two_silent_runs_and_a_third_fit_in_the_time_of_an_item() -> None:
+    assert silence_s(20_000.0, 0) + silence_s(20_000.0, 1) <= 0.6 * 20
+    assert [silence_s(0.0, 0), silence_s(86_400_000.0, 0)] == [MOST_SILENCE_S] * 2
+    assert silence_s(20_000.0, 1000) == MOST_SILENCE_S
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -219,6 +219,28 @@
     wait_until(lambda: store.results() == whole, 9.0)
 
 
+@pytest.mark.usefixtures("runner")
+def test_a_run_that_lives_on_in_silence_is_not_cut(
+    store: OneStore, back_end: RunnerStandIn
+) -> None:
+    """As one that was preempted: its back end reports it all the time."""
+    back_end.then("stream with a pause")
+    submit(store, 1)
+    wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)})
+    assert len(back_end.seen) == 1
+
+
+@pytest.mark.usefixtures("runner")
+def test_a_run_that_hangs_is_ended_in_a_share_of_the_time_of_its_item(
+    store: OneStore, back_end: RunnerStandIn
+) -> None:
+    """Its back end reports it all the time, so only its silence tells."""
+    back_end.then("silent")
+    submit(store, 1)
+    wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)}, 6.0)
+    assert back_end.seen[0].gone_after_s is not None
+
+
 @pytest.mark.usefixtures("runner")
 @pytest.mark.parametrize(("behaviour", "runs"), [("unprocessable", 1), ("fault", 3)])
 def test_an_item_that_cannot_be_done_is_given_up(
--- a/tests/unit/test_proxy_runner_connection.py
+++ b/tests/unit/test_proxy_runner_connection.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import pytest
 
 from leverjunction.errors import Failure
+from leverjunction.proxy.probes import PROBE_IDLE_S, PROBE_INTERVAL_S, PROBES
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead, RunnerConnection
 
 PACE_S = 0.2
@@ -134,3 +136,24 @@
 
     for waits in (True, False):
         assert isinstance(asyncio.run(play(waits)), Failure)
+
+
+def test_a_silent_connection_is_probed() -> None:
+    """A path that goes silent for good shows in nothing else."""
+
+    async def play() -> list[int]:
+        server = await asyncio.start_server(_hold, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        transport, connection = await asyncio.get_running_loop().create_connection(
+            lambda: RunnerConnection("s"), "127.0.0.1", port
+        )
+        sock = transport.get_extra_info("socket")
+        levels = [(socket.SOL_SOCKET, socket.SO_KEEPALIVE)]
+        for option in (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT):
+            levels.append((socket.IPPROTO_TCP, option))
+        figures = [sock.getsockopt(*level) for level in levels]
+        connection.close()
+        server.close()
+        return figures
+
+    assert asyncio.run(play()) == [1, PROBE_IDLE_S, PROBE_INTERVAL_S, PROBES]
