Lost runs: what gateways tell of hides none, and the pause after a run is none

One item was ended twice, as the pause before its next run counted as a run at its back end. Change: of the requests that a back end reports, those that gateways told of all through the second are not taken for batch; a run that has ended is not counted. A test for each; the second was seen failing without its line. Excluded: taking the told requests of the moment: they waver, and a living run would be ended.

--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from leverjunction.lots.lost_runs import LostRuns
+from leverjunction.lots.lost_runs import LostRuns, Report
 from leverjunction.lots.room import SeatRoom, ServiceRoom
 from leverjunction.lots.standing import ServiceSight
 from leverjunction.lots.told_loads import ToldLoads
@@ -181,8 +181,10 @@
                 # The last reading grows old, and then nothing is added there.
                 return
             now_s = self._loop.time()
-            self.room_at(seat).read(load.running, load.waiting, now_s)
-            self.lost_runs.note(seat.record.runner_id, load.running + load.waiting, now_s)
+            room = self.room_at(seat)
+            room.read(load.running, load.waiting, now_s)
+            report = Report(now_s, load.running + load.waiting, room.told)
+            self.lost_runs.note(seat.record.runner_id, report)
             self._read_one()
             await asyncio.sleep(pause_s)
         finally:
--- a/src/leverjunction/lots/lost_runs.py
+++ b/src/leverjunction/lots/lost_runs.py
@@ -63,10 +63,17 @@
 
 
 class Report(NamedTuple):
-    """Requests that a back end told of, running and waiting, of all senders."""
+    """What was known of a back end at one moment.
+
+    Attributes:
+        at_s: The moment.
+        requests: What it told of, running and waiting, of all senders.
+        others: Requests of other senders there, as these told.
+    """
 
     at_s: float
     requests: int
+    others: int
 
 
 class LostRuns:
@@ -87,11 +94,11 @@
         self._present = runner_ids
         self._reports = {key: held for key, held in self._reports.items() if key in runner_ids}
 
-    def note(self, runner_id: str, requests: int, now_s: float) -> None:
-        """Take a back end's report of this moment."""
+    def note(self, runner_id: str, report: Report) -> None:
+        """Take a back end's report."""
         held = self._reports.setdefault(runner_id, deque())
-        held.append(Report(now_s, requests))
-        while len(held) > LEAST_REPORTS and held[1].at_s <= now_s - CONFIRM_S:
+        held.append(report)
+        while len(held) > LEAST_REPORTS and held[1].at_s <= report.at_s - CONFIRM_S:
             held.popleft()
 
     def find(self, running: Iterable[ItemRun], now_s: float) -> list[ItemRun]:
@@ -118,7 +125,9 @@
         # What was heard of since the last report but for its way was there at all of them; what
         # was heard of last in between has perhaps just ended.
         living = sum(1 for run in settled if run.heard_s > held[-1].at_s - SETTLE_S)
-        missing = living + len(silent) - max(report.requests for report in held)
+        # Requests of others come and go: only those that were there all the time are told apart.
+        others = min(report.others for report in held)
+        missing = living + len(silent) + others - max(report.requests for report in held)
         if missing <= 0:
             return []
         silent.sort(key=lambda run: run.heard_s)
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -413,6 +413,7 @@
             ended = await self._attempts.attempt(run, seat)
         finally:
             slot.free()
+            run.sent_s = None
             run.worked_s += loop.time() - started_s
         if ended:
             self._times.ended(run.worked_s)
--- a/tests/unit/test_lots_lost_runs.py
+++ b/tests/unit/test_lots_lost_runs.py
@@ -13,6 +13,7 @@
     SETTLE_S,
     TRUSTED_ENDS,
     LostRuns,
+    Report,
     silence_s,
 )
 
@@ -41,11 +42,13 @@
     return run
 
 
-def make_reports(requests: int, from_s: float = NOW_S - 5.0, to_s: float = NOW_S) -> LostRuns:
+def make_reports(
+    requests: int, from_s: float = NOW_S - 5.0, to_s: float = NOW_S, others: int = 0
+) -> LostRuns:
     lost_runs = LostRuns()
     lost_runs.keep(frozenset({"i-1"}))
     for step in range(round((to_s - from_s) / INTERVAL_S) + 1):
-        lost_runs.note("i-1", requests, from_s + step * INTERVAL_S)
+        lost_runs.note("i-1", Report(from_s + step * INTERVAL_S, requests, others))
     return lost_runs
 
 
@@ -66,9 +69,9 @@
 
 def test_one_report_that_shows_all_runs_counts_more_than_the_others() -> None:
     lost_runs = make_reports(0, NOW_S - 5, NOW_S - 0.6)
-    lost_runs.note("i-1", 3, NOW_S - 0.5)
+    lost_runs.note("i-1", Report(NOW_S - 0.5, 3, 0))
     for step in range(5):
-        lost_runs.note("i-1", 0, NOW_S - 0.4 + step * INTERVAL_S)
+        lost_runs.note("i-1", Report(NOW_S - 0.4 + step * INTERVAL_S, 0, 0))
     assert lost_runs.find(make_silent(3), NOW_S) == []
 
 
@@ -99,12 +102,19 @@
     assert make_reports(5).find(make_silent(3), NOW_S) == []
 
 
+def test_requests_that_others_told_of_all_the_time_hide_nothing() -> None:
+    assert names(make_reports(5, others=4).find(make_silent(3), NOW_S)) == ["0", "1"]
+    fewer = make_reports(5, others=4)
+    fewer.note("i-1", Report(NOW_S, 5, 2))
+    assert fewer.find(make_silent(3), NOW_S) == []
+
+
 def test_few_reports_or_old_ones_prove_nothing() -> None:
     assert make_reports(0, NOW_S - 0.8).find(make_silent(2), NOW_S) == []
     rare = LostRuns()
     rare.keep(frozenset({"i-1"}))
-    rare.note("i-1", 0, NOW_S - 4)
-    rare.note("i-1", 0, NOW_S)
+    rare.note("i-1", Report(NOW_S - 4, 0, 0))
+    rare.note("i-1", Report(NOW_S, 0, 0))
     assert rare.find(make_silent(2), NOW_S) == []
 
 
@@ -112,7 +122,7 @@
     rare = LostRuns()
     rare.keep(frozenset({"i-1"}))
     for ago_s in (4, 2, 0):
-        rare.note("i-1", 0, NOW_S - ago_s)
+        rare.note("i-1", Report(NOW_S - ago_s, 0, 0))
     assert names(rare.find(make_silent(2), NOW_S)) == ["0", "1"]
 
 
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -230,6 +230,18 @@
     assert len(back_end.seen) == 1
 
 
+def test_a_run_that_has_ended_is_not_missed_at_its_back_end(
+    store: OneStore, back_end: RunnerStandIn, runner: LotsRunner
+) -> None:
+    """The pause before the next run counted as a run, and another was ended in its place."""
+    back_end.usual = "not run"
+    submit(store, 1)
+    wait_until(lambda: len(back_end.seen) == 1)
+    time.sleep(0.1)
+    (run,) = runner._board.runs.values()
+    assert (run.task is not None, run.sent_s) == (True, None)
+
+
 @pytest.mark.usefixtures("runner")
 def test_a_run_that_hangs_is_ended_in_a_share_of_the_time_of_its_item(
     store: OneStore, back_end: RunnerStandIn
