Callers that take nothing: a regression test that fails

Cause: of a stream, the wait for the caller has no bound, so a caller whose path has gone silent holds its slot at the back end. An answer that is no stream is bounded already. Figures: route timeout 2 s, the back end still had the request after 5 s.

--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -25,6 +25,7 @@
 EVENTS = 5
 READ_BYTES = 65536
 SILENCE_S = 30.0
+LONG_EVENTS = 2000
 PAUSE_S = 3.0
 """Of a run that lives on in silence, as one that was preempted."""
 
@@ -435,6 +436,21 @@
     exchange.end()
 
 
+@_behaviour("long stream")
+async def _long_stream(exchange: _Exchange) -> None:
+    """Send more than any buffer holds, until the sender leaves."""
+    started_s = asyncio.get_running_loop().time()
+    exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
+    try:
+        for number in range(LONG_EVENTS):
+            exchange.data(b"id: %d\ndata: %s\n\n" % (number, b"x" * READ_BYTES))
+            await exchange.flush()
+    except ConnectionError:
+        exchange.seen.gone_after_s = asyncio.get_running_loop().time() - started_s
+        return
+    exchange.end()
+
+
 @_behaviour("by path")
 async def _by_path(exchange: _Exchange) -> None:
     """Stream below the folders of streams and batches, answer whole elsewhere."""
--- a/tests/unit/test_proxy_contract.py
+++ b/tests/unit/test_proxy_contract.py
@@ -205,6 +205,26 @@
     assert 0.25 < reply.after_s < 0.6
 
 
+@pytest.mark.parametrize("path", [STREAM, ONCE])
+def test_a_caller_that_does_not_read_holds_a_back_end_no_longer_than_its_route_allows(
+    alone: Proxy, first: RunnerStandIn, path: str
+) -> None:
+    """A caller whose path had gone silent held its slot until TCP gave up, many minutes.
+
+    Symptom: a back end works on a request long after the route's timeout, and nobody reads.
+    Sequence: a long answer is passed on, the caller stays connected and takes nothing.
+    Cause: waiting for a back end was bounded by the request's time, waiting for the caller was not.
+    Settled by: five seconds after a timeout of two the back end still had the request.
+    """
+    first.then("long stream")
+    caller = alone.caller()
+    caller.send("POST", path, request_headers(), b"ask")
+    assert until(lambda: bool(first.seen))
+    gone = until(lambda: first.seen[0].gone_after_s is not None, 5.0)
+    caller.close()
+    assert gone
+
+
 @pytest.mark.parametrize("behaviour", ["stream", "stream in halves"])
 def test_a_stream_comes_whole(alone: Proxy, first: RunnerStandIn, behaviour: str) -> None:
     first.then(behaviour)
