Callers that take nothing hold a back end no longer than their route allows

Cause: the relay of a stream waited for the caller without a bound. Excluded: a time-out object for each event (processor time on every event): it is made only while the caller's buffer is full. Change: Responder.data takes until when it may wait; whole answers use it for their last part too. Figures: route timeout 2 s; the back end's request ends before 5 s (test), not at all before.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -67,10 +67,14 @@
         self.started = True
         self._connection.write_head(status, headers)
 
-    async def data(self, data: bytes) -> None:
-        """Write a part of the body; waits while the caller does not read."""
+    async def data(self, data: bytes, until_s: float) -> None:
+        """Write a part of the body; waits while the caller does not read.
+
+        Raises:
+            TimeoutError: The caller took too little until then.
+        """
         self._connection.write_event(h11.Data(data=data))
-        await self._connection.writable()
+        await self._connection.writable(until_s)
 
     def end(self) -> None:
         """End the answer as complete."""
@@ -181,10 +185,11 @@
             self._writable.set_result(None)
         self._writable = None
 
-    async def writable(self) -> None:
-        """Wait until more may be written."""
+    async def writable(self, until_s: float) -> None:
+        """Wait until more may be written; raises TimeoutError when it takes too long."""
         if self._writable is not None:
-            await self._writable
+            async with asyncio.timeout_at(until_s):
+                await self._writable
 
     def write_head(self, status: int, headers: RawHeaders) -> None:
         """Write status and headers."""
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -310,15 +310,17 @@
                     if size_bytes > BUFFERED_BODY_BYTES:
                         if not responder.started:
                             responder.head(answer.head.status, headers)
-                        await responder.data(b"".join(body))
+                        await responder.data(b"".join(body), work.until_s)
                         body = []
         except TimeoutError:
             return out_of_time(Execution.UNKNOWN)
         finally:
             self._sender.finish(answer, whole)
         if responder.started:
-            if body:
-                await responder.data(b"".join(body))
+            try:
+                await responder.data(b"".join(body), work.until_s)
+            except TimeoutError:
+                return out_of_time(Execution.UNKNOWN)
             responder.end()
         else:
             responder.whole(answer.head.status, headers, b"".join(body))
@@ -371,7 +373,7 @@
                     return None
                 events = splitter.feed(event)
                 if events:
-                    await responder.data(events)
+                    await responder.data(events, work.until_s)
         except TimeoutError:
             return out_of_time(Execution.UNKNOWN)
         finally:
