After a silent run or reading, kept connections are not used

Cause: connections that go silent for good do so together. The next reading of a back end's load, and the next run of an item, took the next kept one: 0.6 s and a run's limit each, and no run is started without readings. Excluded: a wait of two whole limits by this alone; the readings drain the kept connections in 0.7 s each meanwhile. Change: a reading that is not answered and an item whose last run was silent have the idle connections to the back end closed; `testbed.routed.silent_path`; a test of each part.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -56,6 +56,9 @@
             run.trace.over(RunEnd.NO_BODY if request is None else RunEnd.NO_PROGRESS)
             return False
         loop = asyncio.get_running_loop()
+        if run.silent:
+            # A path that goes silent may concern kept connections to other back ends as well.
+            self._sender.distrust(seat)
         run.was_sent(loop.time())
         answer = await self._sender.send(
             Dispatch(
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -180,6 +180,10 @@
         self._count(answer.seat, -1)
         self._pool.give_back(answer.connection, keep=whole and not answer.facts.closes)
 
+    def distrust(self, seat: RunnerSeat) -> None:
+        """Have the next requests to a back end take new connections."""
+        self._pool.distrust(seat.record.address)
+
     async def read_load(self, seat: RunnerSeat) -> EngineLoad | None:
         """Ask a back end for its load; None when it does not tell it in time."""
         path, headers = self._dialect.load_request()
@@ -187,6 +191,7 @@
             async with asyncio.timeout(READ_LOAD_TIMEOUT_S):
                 body = await self.fetch(seat.record.address, path, headers)
         except TimeoutError:
+            self.distrust(seat)
             return None
         load = self._dialect.read_load(body) if isinstance(body, bytes) else None
         if load is not None:
--- a/src/leverjunction/proxy/runner_connection.py
+++ b/src/leverjunction/proxy/runner_connection.py
@@ -283,6 +283,11 @@
         if len(idle) > MAX_IDLE:
             idle.pop(0).close()
 
+    def distrust(self, address: str) -> None:
+        """Close the idle connections to a back end: one to it was silent, so these may be too."""
+        for connection in self._idle.pop(address, ()):
+            connection.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         for connections in self._idle.values():
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -48,6 +48,7 @@
 from leverjunction.wire.codec import decode_reply, encode, encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind, encode_envelope
 from testbed.routed import HOST, SERVICE, RunnerStandIn, make_route, make_table
+from testbed.routed.silent_path import SilentPath
 
 HOST_IP = f"127.{20 + os.getpid() % 200}.252.1"
 UDP_PORT = 19083
@@ -150,10 +151,10 @@
     made.stop()
 
 
-def submit(store: OneStore, count: int) -> list[str]:
+def submit(store: OneStore, count: int, lot_id: str = "lot") -> list[str]:
     names = [f"item-{number}" for number in range(count)]
     lot = SubmitLot(
-        lot_id="lot",
+        lot_id=lot_id,
         host=HOST,
         path="/batch/lot",
         max_attempts=3,
@@ -219,6 +220,38 @@
     wait_until(lambda: store.results() == whole, 9.0)
 
 
+def test_an_item_on_a_kept_connection_that_went_silent_is_run_again_soon(
+    store: OneStore, back_end: RunnerStandIn
+) -> None:
+    """Items lay open with at most one run each, while their store tried them again and again.
+
+    Symptom: accepted items are neither done nor given up, the back end works on none and sees no
+    run of them, the store says that they run.
+    Sequence: a store has run items at a back end and keeps connections to it for the next ones; all
+    open connections go silent for good, new ones work; an item is run.
+    Cause: a run on such a connection was waited for 10 s. The next reading of the load, and the
+    next run, took the next kept connection, silent as well, at the cost of the whole limit again.
+    Settled by: a lot of one item was open for 10.6 s, and the back end saw one run of it, the last.
+    """
+    with SilentPath(back_end.address) as path:
+        made = LotsRunner(store, "z", PlatformDialect(), SystemClock(), Random(1))
+        store.runner = made
+        record = RunnerRecord(
+            runner_id="i-1", service=SERVICE, address=path.address, zone="z", slots=8
+        )
+        table = make_table(make_route(RouteClass.BATCH, max_attempts=3))
+        made.set_registry(Snapshot(table, FleetView(revision=1, runners=(record,))))
+        made.start()
+        try:
+            submit(store, 8)
+            wait_until(lambda: len(store.results()) == 8)
+            path.silence()
+            submit(store, 1, "next")
+            wait_until(lambda: store.results("next") == {"item-0": ("done", WHOLE_TEXT)}, 5.0)
+        finally:
+            made.stop()
+
+
 @pytest.mark.usefixtures("runner")
 def test_a_run_that_lives_on_in_silence_is_not_cut(
     store: OneStore, back_end: RunnerStandIn
--- a/tests/unit/test_proxy_runner_connection.py
+++ b/tests/unit/test_proxy_runner_connection.py
@@ -10,7 +10,12 @@
 
 from leverjunction.errors import Failure
 from leverjunction.proxy.probes import PROBE_IDLE_S, PROBE_INTERVAL_S, PROBES
-from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead, RunnerConnection
+from leverjunction.proxy.runner_connection import (
+    AnswerEnd,
+    AnswerHead,
+    RunnerConnection,
+    RunnerPool,
+)
 
 PACE_S = 0.2
 EVENTS = 40
@@ -157,3 +162,28 @@
         return figures
 
     assert asyncio.run(play()) == [1, PROBE_IDLE_S, PROBE_INTERVAL_S, PROBES]
+
+
+def test_a_back_end_that_was_silent_is_sent_nothing_more_on_kept_connections() -> None:
+    """When a path goes silent, it does so for all connections that are open."""
+
+    async def play() -> tuple[bool, bool]:
+        server = await asyncio.start_server(_stream, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = RunnerPool()
+        taken = [await pool.take(address, 0.8, 1.0) for _ in range(2)]
+        kept = [connection for connection in taken if isinstance(connection, RunnerConnection)]
+        for connection in kept:
+            await _read(connection, 0.0)
+            pool.give_back(connection, keep=True)
+        used_again = await pool.take(address, 0.8, 1.0) in kept
+        pool.distrust(address)
+        after = await pool.take(address, 0.8, 1.0)
+        assert isinstance(after, RunnerConnection)
+        closed = after not in kept and not kept[0].is_usable
+        after.close()
+        pool.close()
+        server.close()
+        return used_again, closed
+
+    assert asyncio.run(play()) == (True, True)
