Red test: one part that the state machine cannot take holds all results of a store

Shows: an error at one item's part undoes the whole command, and the outbox sends the same parts again. No reachable part that raises was found by reading; injected.

--- a/tests/unit/test_lots_outbox.py
+++ b/tests/unit/test_lots_outbox.py
@@ -5,12 +5,16 @@
 import asyncio
 import sqlite3
 
+import pytest
+
 from leverjunction.consensus.api import ApplyContext, GroupStatus
 from leverjunction.consensus.status import unknown_status
 from leverjunction.consensus.types import GroupConfig
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.lots import progress_rows
 from leverjunction.lots.commands import (
     KnownProgress,
+    ItemResult,
     LotItem,
     OpenItems,
     ReadOpenItems,
@@ -23,7 +27,7 @@
 from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.outbox import PROGRESS_INTERVAL_S, Outbox
 from leverjunction.lots.state_machine import LotsStateMachine
-from leverjunction.wire.codec import decode_reply, encode
+from leverjunction.wire.codec import decode_reply, encode, encode_reply
 
 EVENTS = 6
 WHOLE_TEXT = "\n".join(f"event {number}" for number in range(1, EVENTS + 1))
@@ -34,19 +38,31 @@
 
     Attributes:
         late: Whether each commit comes after its proposer has stopped waiting.
+        largest_bytes: Of the commands so far.
     """
 
     def __init__(self) -> None:
         self.late = False
+        self.largest_bytes = 0
         self._machine = LotsStateMachine()
-        self._connection = sqlite3.connect(":memory:", check_same_thread=False)
+        self._connection = sqlite3.connect(
+            ":memory:", check_same_thread=False, isolation_level=None
+        )
         self._machine.create_tables(self._connection)
         self._index = 0
 
     def propose(self, command: bytes, timeout_s: float) -> bytes | Failure:
         self._index += 1
         context = ApplyContext(index=self._index, term=1, wall_ms=1000)
-        reply = self._machine.apply(self._connection, context, command)
+        self._connection.execute("SAVEPOINT entry")
+        try:
+            reply = self._machine.apply(self._connection, context, command)
+        except sqlite3.IntegrityError as error:
+            # As the engine does with a command that the state machine cannot take.
+            self._connection.execute("ROLLBACK TO entry")
+            reply = encode_reply(_refused(error))
+        self._connection.execute("RELEASE entry")
+        self.largest_bytes = max(self.largest_bytes, len(command))
         if not self.late:
             return reply
         return Failure(
@@ -84,6 +100,15 @@
         return decode_reply(self.query_local(encode(ReadProgress("lot", "item-0"))), KnownProgress)
 
 
+def _refused(error: Exception) -> Failure:
+    return Failure(
+        kind=FailureKind.INTERNAL,
+        reason=f"the state machine did not take the command: {error!r}",
+        step=Step.APPLYING,
+        execution=Execution.NOT_RUN,
+    )
+
+
 def submitted(count: int) -> LateGroup:
     group = LateGroup()
     lot = SubmitLot(
@@ -173,6 +198,38 @@
     asyncio.run(play())
 
 
+def test_a_part_that_cannot_be_taken_holds_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No result of a store would be listed any more, because of one.
+
+    Sequence: the state machine raises at one part of a command; all of it is undone; the outbox
+    sends the same parts again. Cause: parts of many items share a command's fate. What settled it:
+    "the state machine did not take the command" at each try, nothing listed, the outbox full.
+    """
+    whole_text = progress_rows.whole_text
+
+    def fail_at_one(connection: sqlite3.Connection, result: ItemResult, repeats: bool) -> object:
+        if result.item_id == "item-1":
+            raise sqlite3.IntegrityError("UNIQUE constraint failed")
+        return whole_text(connection, result, repeats)
+
+    monkeypatch.setattr(progress_rows, "whole_text", fail_at_one)
+
+    async def play() -> None:
+        group = submitted(3)
+        runs = group.runs()
+        outbox = Outbox(group)
+        for run in runs:
+            feed(run, 1, EVENTS)
+            outbox.done(run)
+        await outbox.record(runs)
+        assert group.results() == {f"item-{n}": ("done", WHOLE_TEXT) for n in (0, 2)}
+        # It is run again, from what the group has.
+        assert not outbox.has_result(runs[1])
+        assert not runs[1].follows
+
+    asyncio.run(play())
+
+
 def test_what_is_not_open_any_more_is_forgotten_without_an_answer() -> None:
     """Results were sent again and again, each time with those that came since."""
 
