Each part of a command is taken or refused by itself; commands have a bounded size

Cause: an error at one item's part undid the whole command, which the outbox sent again with the same parts; and all that had gathered went as one command, however large: past 64 MB no replica could be sent it. Excluded: finding the part by sending ever smaller commands (tried on paper: progress is made up anew each time, so its part would not be found while others before it succeed). Change: the state machine takes each part in a savepoint and refuses one that raises, so that its run goes on from what the group has; faults of the database itself are raised as before, commands of older processes are applied as before. A command carries 1 MB of text and the part that passes it; progress that would lose most goes first.

--- a/src/leverjunction/lots/commands.py
+++ b/src/leverjunction/lots/commands.py
@@ -107,7 +107,8 @@
 
     Attributes:
         repeats: Events may be among them that an earlier command of unknown outcome has brought
-            already. Commands of older processes lack it and are applied as they were then.
+            already, and each part is taken or refused by itself. Commands of older processes lack
+            it and are applied as they were then.
     """
 
     results: tuple[ItemResult, ...] = ()
--- a/src/leverjunction/lots/outbox.py
+++ b/src/leverjunction/lots/outbox.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from typing import TypeVar
 
 from loguru import logger
 
@@ -22,6 +23,8 @@
 from leverjunction.lots.record_trace import RecordTrace
 from leverjunction.wire.codec import decode_reply
 
+Part = TypeVar("Part", ItemResult, ItemProgress)
+
 PROPOSE_TIMEOUT_S = 1.5
 
 PROGRESS_INTERVAL_S = 0.5
@@ -30,6 +33,12 @@
 """
 
 
+COMMAND_BYTES = 1024 * 1024
+"""Text in one command, and the part that passes it: what gathers in a long stall goes in several,
+each far below what a message between replicas may have.
+"""
+
+
 class Outbox:
     """Kept until the group has them; used by one event loop."""
 
@@ -96,16 +105,18 @@
         progress = self._progress(runs)
         if self.is_empty and not progress:
             return
-        results = tuple(_result(run, state) for run, state in self._ended.values())
+        results = tuple(_bounded(_result(run, state) for run, state in self._ended.values()))
         failures = tuple(self._failures.values())
+        left = COMMAND_BYTES - sum(len(result.text) for result in results)
+        parts = tuple(_bounded((_progress(run) for run in progress), left))
         command = RecordRuns(
             results=results,
             failures=failures,
-            progress=tuple(_progress(run) for run in progress),
+            progress=parts,
             # What could not be recorded may have been, and comes again.
             repeats=True,
         )
-        sent = [(run, run.stream.count) for run in progress]
+        sent = [(run, part.count) for run, part in zip(progress, parts, strict=False)]
         lead = self._lead
         self._trace.begin(command)
         reply = await self._propose(command)
@@ -154,9 +165,20 @@
         if now_s - self._progress_s < PROGRESS_INTERVAL_S:
             return []
         self._progress_s = now_s
-        return [
+        waiting = [
             run for run in runs if run.stream.count and run.follows and not self.has_result(run)
         ]
+        # Should there be too much for one command, those come first that would lose most.
+        return sorted(waiting, key=lambda run: run.stream.count, reverse=True)
+
+
+def _bounded(parts: Iterable[Part], most_bytes: int = COMMAND_BYTES) -> Iterator[Part]:
+    """Yield parts until their text passes a bound."""
+    for part in parts:
+        if most_bytes <= 0:
+            return
+        most_bytes -= len(part.text)
+        yield part
 
 
 def _progress(run: ItemRun) -> ItemProgress:
--- a/src/leverjunction/lots/state_machine.py
+++ b/src/leverjunction/lots/state_machine.py
@@ -11,11 +11,15 @@
 from __future__ import annotations
 
 import sqlite3
+from collections.abc import Callable
+from functools import partial
 
 import msgspec
+from loguru import logger
 
 from leverjunction.consensus.api import ApplyContext
 from leverjunction.consensus.schema import create_missing, not_decoded
+from leverjunction.consensus.store_faults import is_of_the_database
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots import commands, progress_rows
 from leverjunction.lots.commands import ItemResult, ItemState
@@ -145,14 +149,16 @@
     for part in runs.progress:
         if not _is_open(connection, part.lot_id, part.item_id):
             continue
-        if progress_rows.append(connection, part, runs.repeats):
+        append = partial(progress_rows.append, connection, part, runs.repeats)
+        if _is_taken(connection, append, runs):
             count += 1
         else:
             rejected.append((part.lot_id, part.item_id))
     for result in runs.results:
         if not _is_open(connection, result.lot_id, result.item_id):
             continue
-        if _list_result(connection, result, runs.repeats):
+        listed = partial(_list_result, connection, result, runs.repeats)
+        if _is_taken(connection, listed, runs):
             count += 1
         else:
             rejected.append((result.lot_id, result.item_id))
@@ -161,6 +167,27 @@
     return commands.Recorded(count, tuple(rejected))
 
 
+def _is_taken(
+    connection: sqlite3.Connection, take: Callable[[], bool], runs: commands.RecordRuns
+) -> bool:
+    """Take one item's part; one that cannot be taken is refused and changes nothing."""
+    if not runs.repeats:
+        return take()
+    connection.execute("SAVEPOINT part")
+    try:
+        taken = take()
+    except Exception as error:
+        if is_of_the_database(error):
+            # Not the part's fault: other replicas may take it.
+            raise
+        # The parts of other items must not share its fate, now and each time they come again.
+        logger.exception("a part of what runs brought cannot be taken")
+        connection.execute("ROLLBACK TO part")
+        taken = False
+    connection.execute("RELEASE part")
+    return taken
+
+
 def _is_open(connection: sqlite3.Connection, lot_id: str, item_id: str) -> bool:
     """Return whether an item is to be run; one that is listed or ended has no row any more."""
     row = connection.execute(
--- a/tests/unit/test_lots_outbox.py
+++ b/tests/unit/test_lots_outbox.py
@@ -13,8 +13,8 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.lots import progress_rows
 from leverjunction.lots.commands import (
-    KnownProgress,
     ItemResult,
+    KnownProgress,
     LotItem,
     OpenItems,
     ReadOpenItems,
@@ -25,7 +25,7 @@
     encode_command,
 )
 from leverjunction.lots.item_run import ItemRun
-from leverjunction.lots.outbox import PROGRESS_INTERVAL_S, Outbox
+from leverjunction.lots.outbox import COMMAND_BYTES, PROGRESS_INTERVAL_S, Outbox
 from leverjunction.lots.state_machine import LotsStateMachine
 from leverjunction.wire.codec import decode_reply, encode, encode_reply
 
@@ -82,7 +82,7 @@
         return unknown_status(GroupConfig(group="jobs-0", address="a:1", data_path=""))
 
     def results(self) -> dict[str, tuple[str, str]]:
-        page = decode_reply(self.query_local(encode(ReadResults("lot", 0, 10**6))), ResultsPage)
+        page = decode_reply(self.query_local(encode(ReadResults("lot", 0, 10**8))), ResultsPage)
         assert isinstance(page, ResultsPage)
         return {item.item_id: (item.state.value, item.text) for item in page.results}
 
@@ -230,6 +230,28 @@
     asyncio.run(play())
 
 
+def test_what_gathers_in_a_stall_goes_in_commands_of_bounded_size() -> None:
+    size_bytes = COMMAND_BYTES // 2
+
+    async def play() -> None:
+        group = submitted(9)
+        runs = group.runs()
+        outbox = Outbox(group)
+        for number, run in enumerate(runs):
+            run.stream.feed(b"id: 1\ndata: %s\n\n" % (b"x" * size_bytes))
+            if number < 5:
+                outbox.done(run)
+        while not outbox.is_empty:
+            await outbox.record(runs)
+        for _ in range(3):
+            await record(outbox, runs)
+        assert len(group.results()) == 5
+        assert [run.stream.recorded for run in runs] == [0] * 5 + [1] * 4
+        assert group.largest_bytes < 2 * COMMAND_BYTES
+
+    asyncio.run(play())
+
+
 def test_what_is_not_open_any_more_is_forgotten_without_an_answer() -> None:
     """Results were sent again and again, each time with those that came since."""
 
