--- a/tests/unit/test_lots_outbox.py
+++ b/tests/unit/test_lots_outbox.py
@@ -8,8 +8,6 @@
 import pytest
 
 from leverjunction.consensus.api import ApplyContext, GroupStatus
-from leverjunction.consensus.status import unknown_status
-from leverjunction.consensus.types import GroupConfig
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.lots import progress_rows
 from leverjunction.lots.commands import (
@@ -79,7 +77,7 @@
         return self._machine.query(self._connection, query)
 
     def status(self) -> GroupStatus:
-        return unknown_status(GroupConfig(group="jobs-0", address="a:1", data_path=""))
+        return status_as("leader")
 
     def results(self) -> dict[str, tuple[str, str]]:
         page = decode_reply(self.query_local(encode(ReadResults("lot", 0, 10**8))), ResultsPage)
@@ -100,6 +98,22 @@
         return decode_reply(self.query_local(encode(ReadProgress("lot", "item-0"))), KnownProgress)
 
 
+def status_as(role: str) -> GroupStatus:
+    """Return the status of a group's only replica."""
+    return GroupStatus(
+        group="jobs-0",
+        replica_id="r",
+        role=role,
+        term=1,
+        leader_address="",
+        commit_index=1,
+        applied_index=1,
+        voters=[],
+        learners=[],
+        leader_contact_age_s=0.0,
+    )
+
+
 def _refused(error: Exception) -> Failure:
     return Failure(
         kind=FailureKind.INTERNAL,
