--- a/tests/unit/test_lots_conserved.py
+++ b/tests/unit/test_lots_conserved.py
@@ -65,7 +65,7 @@
         self.runner: LotsRunner | None = None
         self._random = random
         self._lock = threading.Lock()
-        self._machine = LotsStateMachine(self._told)
+        self._machine = LotsStateMachine()
         self._connection = sqlite3.connect(
             ":memory:", check_same_thread=False, isolation_level=None
         )
@@ -117,9 +117,10 @@
     def status(self) -> GroupStatus:
         return status_as(self.role)
 
-    def _told(self) -> None:
-        if self.runner is not None:
+    def _tell(self) -> None:
+        if self.runner is not None and self._machine.open_changed:
             self.runner.changed()
+            self._machine.open_changed = False
 
     def _wait(self, replies: list[bytes], timeout_s: float) -> bytes | Failure:
         with self._grown:
@@ -142,6 +143,7 @@
                 self._index += 1
                 context = ApplyContext(index=self._index, term=1, wall_ms=SystemClock().wall_ms())
                 reply = self._machine.apply(self._connection, context, command)
+                self._tell()
             with self._grown:
                 replies.append(reply)
                 self._grown.notify_all()
