--- a/tests/unit/test_lots_replicas.py
+++ b/tests/unit/test_lots_replicas.py
@@ -29,4 +29,4 @@
 
 def test_a_change_of_machines_falls_on_the_end_of_a_snapshot() -> None:
     """The leader once met, at this seed, an entry of its log that it had not written yet."""
-    assert play(221, 3, ROUNDS, 120).faults.struck["machine replaced"]
+    assert play(1051, 3, ROUNDS, 120).faults.struck["machine replaced"]
