Fault soak: threads that take turns often, runners that garble, answers lost as a last blow

Cause: a fault of threads may need another interleaving than the interpreter's own turns of 5 ms give; runners only answered well or not at all.

Change: a third of the seeds starts the programs with turns of 20 us (hurried); a runner answers some runs of items with what no one may take for an answer (garbles); four more last blows: answers lost at all runners, the same with the leader killed, the leading store or both followers paused through a commit. The second check at rest is left out once the first one has failed.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -39,6 +39,9 @@
 MORE_TRAFFIC_S = (3.0, 8.0)
 """How long traffic goes on after the last blow."""
 
+TURNS_US = (0, 0, 20)
+"""Turns of the programs' threads, of which the seed draws one; 0 is the interpreter's own."""
+
 POLL_S = 0.1
 EXIT_ENDED = 143
 """Of a soak that was asked to end; all that it started is ended first."""
@@ -52,6 +55,7 @@
     program_tree: str = "",
     machines: int = MACHINES,
     closing: str = "",
+    turn_us: int = -1,
     keep: str = "",
 ) -> None:
     """Run a soak; ends the process with its verdict.
@@ -64,6 +68,8 @@
         program_tree: Work tree whose programs are started; empty for this one's.
         machines: Processes of the system.
         closing: Kind of the last blow, ``none`` for none; empty to have the seed draw it.
+        turn_us: Longest turn of a thread of the programs, in microseconds; 0 for the usual one; the
+            seed draws it if it is negative.
         keep: Folder under which the logs are kept; a temporary one if empty.
     """
     seed = seed or SystemRandom().randrange(1, 10**6)
@@ -73,11 +79,13 @@
     _check("closing", closing, {**CLOSINGS, "none": None})
     closing = closing or Random(f"{seed} kind of closing").choice(sorted(CLOSINGS))
     signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(EXIT_ENDED))
-    print(f"seed {seed}, closing: {closing}", flush=True)
+    if turn_us < 0:
+        turn_us = Random(f"{seed} turns").choice(TURNS_US)
+    print(f"seed {seed}, closing: {closing}, turns of threads: {turn_us or 5000} us", flush=True)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep or None))
     records = Records()
     OwnFaults(records).watch()
-    deployment = Machines(folder, Programs(program_tree, rule), Sizes(machines))
+    deployment = Machines(folder, Programs(program_tree, rule, turn_us), Sizes(machines))
     traffic = Traffic(deployment, records, seed)
     hands = Hands(deployment, traffic, records, seed, kinds)
     ended = threading.Event()
@@ -143,8 +151,7 @@
         broken.append("the newest configuration was not in force at all gateways at the end")
     if not traffic.accepts_again():
         broken.append("no batch job was accepted after the faults")
-    broken += Rest(machines, records, traffic).judge()
-    return broken
+    return broken or Rest(machines, records, traffic).judge()
 
 
 def _revive(machines: Machines, ended: threading.Event) -> None:
--- a/deploy/soak/closing.py
+++ b/deploy/soak/closing.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 
-from faults import LATE_S, Scene
+from faults import LATE_S, THROUGH_A_COMMIT_S, Scene
 from machines import Machine
 
 ACCEPTED_TIMEOUT_S = 12.0
@@ -82,3 +82,38 @@
     leader = _leader_or_any(scene)
     scene.disks.lose(leader)
     return [leader]
+
+
+@_closing
+def _answers_lost_at_all_runners(scene: Scene) -> list[Machine]:
+    for runner in scene.traffic.backends.now:
+        runner.relay.lose_answers()
+    return []
+
+
+@_closing
+def _answers_lost_and_leader_killed(scene: Scene) -> list[Machine]:
+    leader = _leader_or_any(scene)
+    _answers_lost_at_all_runners(scene)
+    return _kill([leader])
+
+
+@_closing
+def _leader_paused_through_a_commit(scene: Scene) -> list[Machine]:
+    leader = _leader_or_any(scene)
+    leader.pause()
+    scene.last(*THROUGH_A_COMMIT_S)
+    leader.go_on()
+    return [leader]
+
+
+@_closing
+def _followers_paused_through_a_commit(scene: Scene) -> list[Machine]:
+    leader = _leader_or_any(scene)
+    followers = [machine for machine in scene.machines.of("store") if machine is not leader]
+    for machine in followers:
+        machine.pause()
+    scene.last(*THROUGH_A_COMMIT_S)
+    for machine in followers:
+        machine.go_on()
+    return followers
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -27,6 +27,21 @@
 
 MOST_AT_ONCE = 3
 STORM_CHANGES = (8, 25)
+GARBLED = (
+    "no bytes of HTTP",
+    "no answer",
+    "reset",
+    "silent",
+    "cut body",
+    "crossed",
+    "unsigned",
+    "not run",
+    "stream cut in an event",
+    "stream that stops",
+)
+"""Behaviours of a stand-in that no run of an item may take for an answer."""
+
+GARBLED_RUNS = (1, 12)
 MOVES: tuple[words.Shares, ...] = (
     {words.SERVICE: 1},
     {words.SIDE_SERVICE: 1},
@@ -272,6 +287,13 @@
     scene.any_relay().lose_answers()
 
 
+@_fault("runners")
+def _runner_garbles(scene: Scene) -> None:
+    runner = scene.traffic.backends.now[scene.any_runner()]
+    garbled = scene.random.choices(GARBLED, k=scene.random.randint(*GARBLED_RUNS))
+    runner.stand_in.then_below(words.BATCH_FOLDER, *garbled)
+
+
 @_fault("runners")
 def _connections_reset(scene: Scene) -> None:
     for runner in scene.traffic.backends.now:
--- a/deploy/soak/rest.py
+++ b/deploy/soak/rest.py
@@ -27,7 +27,7 @@
 """Nothing was listed for so long: the work stands still."""
 
 POLL_S = 0.25
-AFTERWARDS_S = 40.0
+AFTERWARDS_S = 25.0
 """How long what is late is watched on, to see whether it comes at all."""
 
 BUSY_LOAD = 1.5
--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -125,6 +125,7 @@
         self.under_way = 0
         self.address = ""
         self._next: deque[str] = deque()
+        self._next_below: dict[str, deque[str]] = {}
         self._started = threading.Event()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -142,6 +143,18 @@
         """Set how the next requests are answered."""
         self._next.extend(behaviours)
 
+    def then_below(self, folder: str, *behaviours: str) -> None:
+        """Set how the next requests below a folder are answered."""
+        self._next_below.setdefault(folder, deque()).extend(behaviours)
+
+    def _behaviour_for(self, seen: Seen) -> str:
+        if seen.headers.get(EXPECT_HEADER, self.runner_id) != self.runner_id:
+            return "another"
+        for folder, behaviours in self._next_below.items():
+            if behaviours and seen.target.startswith(folder):
+                return behaviours.popleft()
+        return self._next.popleft() if self._next else self.usual
+
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         server = self._loop.run_until_complete(asyncio.start_server(self._serve, "127.0.0.1", 0))
@@ -170,9 +183,7 @@
                     continue
                 seen.peer = (writer.get_extra_info("peername") or ("", 0))[1]
                 self.seen.append(seen)
-                name = self._next.popleft() if self._next else self.usual
-                if seen.headers.get(EXPECT_HEADER, self.runner_id) != self.runner_id:
-                    name = "another"
+                name = self._behaviour_for(seen)
                 seen.behaviour = name
                 exchange = _Exchange(seen, parser, reader, writer, self._places)
                 reported = int(name not in ENDED_HERE)
@@ -457,8 +468,8 @@
 async def _stream_cut(exchange: _Exchange) -> None:
     exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
     events = exchange.events()
-    exchange.data(events[0])
-    exchange.data(events[1][:9])
+    for piece in (*events[:1], *(event[:9] for event in events[1:2])):
+        exchange.data(piece)
     await exchange.flush()
     await asyncio.sleep(0.05)
     exchange.reset()
@@ -467,7 +478,8 @@
 @_behaviour("stream that stops")
 async def _stream_stops(exchange: _Exchange) -> None:
     exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
-    exchange.data(exchange.events()[0])
+    for event in exchange.events()[:1]:
+        exchange.data(event)
     await exchange.flush()
     await exchange.until_gone()
 
