--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -58,6 +58,7 @@
     machines: int = MACHINES,
     closing: str = "",
     turn_us: int = -1,
+    sync_ms: int = 0,
     ebb: int = -1,
     keep: str = "",
 ) -> None:
@@ -73,6 +74,7 @@
         closing: Kind of the last blow, ``none`` for none; empty to have the seed draw it.
         turn_us: Longest turn of a thread of the programs, in microseconds; 0 for the usual one; the
             seed draws it if it is negative.
+        sync_ms: Time that each sync of a store takes longer, in milliseconds.
         ebb: How many items are open at most before the last blow, 0 for the usual number; the seed
             draws it if it is negative.
         keep: Folder under which the logs are kept; a temporary one if empty.
@@ -93,7 +95,7 @@
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep or None))
     records = Records()
     OwnFaults(records).watch()
-    deployment = Machines(folder, Programs(program_tree, rule, turn_us), Sizes(machines))
+    deployment = Machines(folder, Programs(program_tree, rule, turn_us, sync_ms), Sizes(machines))
     traffic = Traffic(deployment, records, seed)
     hands = Hands(deployment, traffic, records, seed, kinds)
     ended = threading.Event()
--- a/deploy/soak/machines.py
+++ b/deploy/soak/machines.py
@@ -18,7 +18,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 BROKEN = Path(__file__).resolve().parent / "broken.py"
-HURRIED = Path(__file__).resolve().parent / "hurried.py"
+ALTERED = Path(__file__).resolve().parent / "altered.py"
 RPC_PORT = 19100
 CONTROL_PORT = 19101
 CALLERS_PORT = 19102
@@ -58,18 +58,19 @@
         tree: Work tree whose programs are started; this one's if empty.
         rule: Rule that the programs break on purpose, empty for none.
         turn_us: Longest turn of a thread while others wait, in microseconds; 0 for the usual one.
+        sync_ms: Time that each sync of a store takes longer, in milliseconds.
     """
 
     __slots__ = ("_caches", "command")
 
-    def __init__(self, tree: str = "", rule: str = "", turn_us: int = 0) -> None:
+    def __init__(self, tree: str = "", rule: str = "", turn_us: int = 0, sync_ms: int = 0) -> None:
         own = not tree or Path(tree).resolve() == ROOT
         start = (ROOT if own else Path(tree).resolve()) / "deploy" / "start.py"
         words = [str(start)]
         if rule:
             words = [str(BROKEN), rule]
-        elif turn_us:
-            words = [str(HURRIED), str(start), str(turn_us)]
+        elif turn_us or sync_ms:
+            words = [str(ALTERED), str(start), str(turn_us), str(sync_ms)]
         self.command = [sys.executable, *words]
         self._caches = "" if own else str(Path(tempfile.gettempdir()) / f"soak-{os.getuid()}-pyc")
 
