--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -31,6 +31,8 @@
         trace: What is noted of its runs; decides nothing.
         sent_s: When it was sent to the back end where it runs, None while it is not.
         heard_s: When that back end was last heard of it, the sending included.
+        lost_runs: Runs that were ended since their back end did not report them any more.
+        raised: Runs in a row that an error here ended.
         silent: Runs in a row that were ended in silence, without a part of the item's output.
     """
 
@@ -41,7 +43,9 @@
         "follows",
         "heard_s",
         "item",
+        "lost_runs",
         "parking",
+        "raised",
         "runner_id",
         "sent_s",
         "silent",
@@ -64,6 +68,8 @@
         self.sent_s: float | None = None
         self.heard_s = 0.0
         self.silent = 0
+        self.lost_runs = 0
+        self.raised = 0
         self._route: Route | None = None
         self._routed_by: RouteIndex | None = None
 
@@ -103,6 +109,7 @@
         if self.parking:
             return
         self.silent += 1
+        self.lost_runs += 1
         self.trace.over(RunEnd.SILENT, "its back end has it no more")
         logger.info(
             "item {} of lot {} is run again: back end {} has it no more, silent for {:.1f} s",
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -178,12 +178,13 @@
         try:
             load = await self._sender.read_load(seat)
             if load is None:
+                self._sender.distrust(seat)
                 # The last reading grows old, and then nothing is added there.
                 return
             now_s = self._loop.time()
             room = self.room_at(seat)
             room.read(load.running, load.waiting, now_s)
-            report = Report(now_s, load.running + load.waiting, room.told)
+            report = Report(now_s, load.running + load.waiting)
             self.lost_runs.note(seat.record.runner_id, report)
             self._read_one()
             await asyncio.sleep(pause_s)
--- a/src/leverjunction/lots/lost_runs.py
+++ b/src/leverjunction/lots/lost_runs.py
@@ -32,12 +32,15 @@
 """
 
 TRUSTED_ENDS = 3
-"""Runs in a row that reports may end before an item is heard of: more, and the reports are wrong
-rather than the answers lost. From then on only silence ends its runs.
+"""Runs of an item that reports may end: more, and the reports are wrong rather than the answers
+lost. From then on only silence ends its runs.
 """
 
-MOST_SILENCE_S = 10.0
-"""Seconds of silence that end any run, whatever its back end reports."""
+FIRST_SILENCE_MOST_S = 10.0
+"""Seconds of silence that are borne of an item's first run at most, and where none is due."""
+
+MOST_SILENCE_S = 60.0
+"""Seconds of silence that end any run: as long as a whole run may take (``attempts``)."""
 
 LEAST_SILENCE_S = 2.0
 """Seconds of silence that are borne however soon an item is due; a queue takes that long."""
@@ -56,9 +59,9 @@
         silent: Runs in a row that were ended in silence: each doubles the time, so that an item
             whose runs begin slowly everywhere is run to its end after all.
     """
-    if due_ms <= 0:
-        return MOST_SILENCE_S
-    first_s = max(LEAST_SILENCE_S, due_ms / 1000 * SILENCE_DUE_SHARE)
+    first_s = FIRST_SILENCE_MOST_S
+    if due_ms > 0:
+        first_s = min(first_s, max(LEAST_SILENCE_S, due_ms / 1000 * SILENCE_DUE_SHARE))
     return min(MOST_SILENCE_S, first_s * 2.0 ** min(silent, 8))
 
 
@@ -68,12 +71,10 @@
     Attributes:
         at_s: The moment.
         requests: What it told of, running and waiting, of all senders.
-        others: Requests of other senders there, as these told.
     """
 
     at_s: float
     requests: int
-    others: int
 
 
 class LostRuns:
@@ -125,10 +126,10 @@
         # What was heard of since the last report but for its way was there at all of them; what
         # was heard of last in between has perhaps just ended.
         living = sum(1 for run in settled if run.heard_s > held[-1].at_s - SETTLE_S)
-        # Requests of others come and go: only those that were there all the time are told apart.
-        others = min(report.others for report in held)
-        missing = living + len(silent) + others - max(report.requests for report in held)
+        # What gateways tell of is not counted: a request of theirs that hangs, or the word of one
+        # that was killed, would end runs that live.
+        missing = living + len(silent) - max(report.requests for report in held)
         if missing <= 0:
             return []
         silent.sort(key=lambda run: run.heard_s)
-        return [run for run in silent if run.silent < TRUSTED_ENDS][:missing]
+        return [run for run in silent if run.lost_runs < TRUSTED_ENDS][:missing]
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -52,6 +52,9 @@
 IDLE_STEP_S = 0.5
 STOP_TIMEOUT_S = 2.0
 RETRY_PAUSE_S = 0.3
+RAISED_PAUSE_MOST_S = 5.0
+"""Longest pause after runs that an error here ended; it doubles from the usual one."""
+
 HANGS_S = 60.0
 """A loop without a step for so long is a fault of the process, which ends to start anew: longer
 than a disk stalls under a replica that still takes part in its group.
@@ -411,6 +414,15 @@
         ended = False
         try:
             ended = await self._attempts.attempt(run, seat)
+            run.raised = 0
+        except Exception:
+            # An item that cannot be sent would be tried at each ranking, each time on a new
+            # connection: 11 times in 3 s.
+            slot.free()
+            run.sent_s = None
+            run.raised += 1
+            await asyncio.sleep(min(RAISED_PAUSE_MOST_S, RETRY_PAUSE_S * 2.0**run.raised))
+            raise
         finally:
             slot.free()
             run.sent_s = None
--- a/src/leverjunction/lots/sight.py
+++ b/src/leverjunction/lots/sight.py
@@ -33,7 +33,7 @@
 
 TELL_AFTER_S = 5.0
 """Seconds without an event after which an item has a line: half of the silence that a run is borne
-for (``lost_runs.MOST_SILENCE_S``).
+for (``lost_runs.FIRST_SILENCE_MOST_S``).
 """
 
 COMPARE_INTERVAL_S = 5.0
--- a/src/leverjunction/lots/stall_watch.py
+++ b/src/leverjunction/lots/stall_watch.py
@@ -9,7 +9,7 @@
 
 LIVELY_S = 5.0
 """Seconds. A run that was started, or told something, so lately moves: longer than the reading of a
-long prompt, half of the silence that a run is borne for (``attempts.SILENCE_S``).
+long prompt, half of the silence that a run is borne for (``lost_runs.FIRST_SILENCE_MOST_S``).
 """
 
 AGAIN_S = 30.0
--- a/src/leverjunction/platform/front_calls.py
+++ b/src/leverjunction/platform/front_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs
 
@@ -31,6 +32,8 @@
 READY_PATH = "/api/ready"
 PAGE_BYTES = 900 * 1024
 MOST_ITEMS = 200
+_TARGET = re.compile(r"/[!-~]*")
+_CONTROLS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 RETRY_AFTER_S = b"0.5"
 _JSON = (b"Content-Type", b"application/json")
 
@@ -105,6 +108,13 @@
     return handle
 
 
+def _is_sendable(item: _ItemForm) -> bool:
+    """Return whether HTTP can carry what an item names; it would be tried in vain for good."""
+    words = (*item.headers, *item.headers.values())
+    sendable = _TARGET.fullmatch(item.path) is not None
+    return sendable and not any(_CONTROLS.search(word) for word in words)
+
+
 async def _submit(client: LotsClient, request: CallerRequest, route: Route) -> Reply:
     lot_id = (find(request.headers, REQUEST_ID.lower()) or b"").decode("latin-1")
     try:
@@ -113,6 +123,10 @@
         return Reply(400, msgspec.json.encode({"Error": str(error)}))
     if not lot_id or not 0 < len(form.items) <= MOST_ITEMS:
         return Reply(400, msgspec.json.encode({"Error": "an id and 1 to 200 items are expected"}))
+    unsendable = next((item.id for item in form.items if not _is_sendable(item)), None)
+    if unsendable is not None:
+        reason = f"HTTP cannot carry the path or a header of item {unsendable}"
+        return Reply(400, msgspec.json.encode({"Error": reason}))
     command = SubmitLot(
         lot_id=lot_id,
         host=route.host,
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -191,7 +191,6 @@
             async with asyncio.timeout(READ_LOAD_TIMEOUT_S):
                 body = await self.fetch(seat.record.address, path, headers)
         except TimeoutError:
-            self.distrust(seat)
             return None
         load = self._dialect.read_load(body) if isinstance(body, bytes) else None
         if load is not None:
--- /dev/null
+++ b/tests/unit/test_lots_late_heads.py
@@ -0,0 +1,55 @@
+"""A run that lives must end some day, however long its back end is silent before its first event.
+
+Symptom: an item is run again and again and never ends, each run cut at the same second. Sequence:
+its first event takes longer everywhere than the longest silence that is borne (a full queue, a long
+prompt on a slowed back end). Cause: the limit doubles up to a fixed 10 s and no further, though a
+run may take 60 s. Settled by: limits at a tenth, a head after 1.2 s: 9 runs in 12 s, never done.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from tests.unit import test_lots_runner as base
+from tests.unit.seeded_support import wait_until
+from tests.unit.test_lots_runner import WHOLE_TEXT, OneStore, submit
+
+from leverjunction.lots import lost_runs
+from leverjunction.lots.attempts import RUN_TIMEOUT_S
+from testbed.routed import RunnerStandIn
+from testbed.routed.runner import _behaviour, _Exchange
+
+store = base.store
+back_end = base.back_end
+runner = base.runner
+
+FIRST_EVENT_S = 12.0
+
+
+@_behaviour("late head")
+async def _late_head(exchange: _Exchange) -> None:
+    await asyncio.sleep(FIRST_EVENT_S / 10)
+    exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
+    for event in exchange.events():
+        exchange.data(event)
+    exchange.end()
+
+
+def test_the_silence_that_is_borne_grows_until_a_slow_run_ends() -> None:
+    borne_s = [lost_runs.silence_s(20_000.0, silent) for silent in range(20)]
+    assert max(borne_s) > FIRST_EVENT_S, f"at most {max(borne_s)} s of {RUN_TIMEOUT_S}"
+
+
+@pytest.mark.usefixtures("runner")
+def test_an_item_whose_first_event_always_comes_late_ends(
+    store: OneStore, back_end: RunnerStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All limits a tenth, so that it takes seconds: the head comes after 1.2 s, not 12."""
+    monkeypatch.setattr(lost_runs, "MOST_SILENCE_S", 6.0)
+    monkeypatch.setattr(lost_runs, "FIRST_SILENCE_MOST_S", 1.0)
+    monkeypatch.setattr(lost_runs, "LEAST_SILENCE_S", 0.2)
+    monkeypatch.setattr(lost_runs, "SILENCE_DUE_SHARE", 0.02)
+    back_end.usual = "late head"
+    submit(store, 1)
+    wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)}, 12.0)
--- a/tests/unit/test_lots_lost_runs.py
+++ b/tests/unit/test_lots_lost_runs.py
@@ -8,6 +8,7 @@
 from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.lost_runs import (
     CONFIRM_S,
+    FIRST_SILENCE_MOST_S,
     GONE_SILENCE_S,
     MOST_SILENCE_S,
     SETTLE_S,
@@ -42,13 +43,11 @@
     return run
 
 
-def make_reports(
-    requests: int, from_s: float = NOW_S - 5.0, to_s: float = NOW_S, others: int = 0
-) -> LostRuns:
+def make_reports(requests: int, from_s: float = NOW_S - 5.0, to_s: float = NOW_S) -> LostRuns:
     lost_runs = LostRuns()
     lost_runs.keep(frozenset({"i-1"}))
     for step in range(round((to_s - from_s) / INTERVAL_S) + 1):
-        lost_runs.note("i-1", Report(from_s + step * INTERVAL_S, requests, others))
+        lost_runs.note("i-1", Report(from_s + step * INTERVAL_S, requests))
     return lost_runs
 
 
@@ -69,9 +68,9 @@
 
 def test_one_report_that_shows_all_runs_counts_more_than_the_others() -> None:
     lost_runs = make_reports(0, NOW_S - 5, NOW_S - 0.6)
-    lost_runs.note("i-1", Report(NOW_S - 0.5, 3, 0))
+    lost_runs.note("i-1", Report(NOW_S - 0.5, 3))
     for step in range(5):
-        lost_runs.note("i-1", Report(NOW_S - 0.4 + step * INTERVAL_S, 0, 0))
+        lost_runs.note("i-1", Report(NOW_S - 0.4 + step * INTERVAL_S, 0))
     assert lost_runs.find(make_silent(3), NOW_S) == []
 
 
@@ -102,19 +101,25 @@
     assert make_reports(5).find(make_silent(3), NOW_S) == []
 
 
-def test_requests_that_others_told_of_all_the_time_hide_nothing() -> None:
-    assert names(make_reports(5, others=4).find(make_silent(3), NOW_S)) == ["0", "1"]
-    fewer = make_reports(5, others=4)
-    fewer.note("i-1", Report(NOW_S, 5, 2))
-    assert fewer.find(make_silent(3), NOW_S) == []
+def test_a_living_run_is_not_ended_on_the_word_of_a_gateway() -> None:
+    """Living runs were ended because a gateway's word outlived its request.
+
+    Sequence: a gateway tells of a request that its back end has no more, since it hangs on a silent
+    path or the gateway was killed; beside it a batch run is silent and lives. Cause: what was told
+    was taken for present, so the report of one request seemed to lack the run. So reports have
+    nothing but what the back end itself says.
+    """
+    living = make_run("living", NOW_S - 3, NOW_S - 3)
+    assert Report._fields == ("at_s", "requests")
+    assert make_reports(1).find([living], NOW_S) == []
 
 
 def test_few_reports_or_old_ones_prove_nothing() -> None:
     assert make_reports(0, NOW_S - 0.8).find(make_silent(2), NOW_S) == []
     rare = LostRuns()
     rare.keep(frozenset({"i-1"}))
-    rare.note("i-1", Report(NOW_S - 4, 0, 0))
-    rare.note("i-1", Report(NOW_S, 0, 0))
+    rare.note("i-1", Report(NOW_S - 4, 0))
+    rare.note("i-1", Report(NOW_S, 0))
     assert rare.find(make_silent(2), NOW_S) == []
 
 
@@ -122,15 +127,19 @@
     rare = LostRuns()
     rare.keep(frozenset({"i-1"}))
     for ago_s in (4, 2, 0):
-        rare.note("i-1", Report(NOW_S - ago_s, 0, 0))
+        rare.note("i-1", Report(NOW_S - ago_s, 0))
     assert names(rare.find(make_silent(2), NOW_S)) == ["0", "1"]
 
 
 def test_reports_that_are_wrong_end_few_runs_of_an_item() -> None:
     run = make_run("a", NOW_S - 9, NOW_S - 9)
-    run.silent = TRUSTED_ENDS - 1
-    assert names(make_reports(0).find([run], NOW_S)) == ["a"]
-    run.silent = TRUSTED_ENDS
+    for _ in range(TRUSTED_ENDS):
+        assert names(make_reports(0).find([run], NOW_S)) == ["a"]
+        run.lost(NOW_S)
+        # It is heard of again, and goes silent again: a back end that does not report a run that it
+        # has preempted would have it ended at every pause.
+        run.silent = 0
+        run.was_sent(NOW_S - 9)
     assert make_reports(0).find([run], NOW_S) == []
 
 
@@ -149,5 +158,5 @@
 
 def test_two_silent_runs_and_a_third_fit_in_the_time_of_an_item() -> None:
     assert silence_s(20_000.0, 0) + silence_s(20_000.0, 1) <= 0.6 * 20
-    assert [silence_s(0.0, 0), silence_s(86_400_000.0, 0)] == [MOST_SILENCE_S] * 2
+    assert [silence_s(0.0, 0), silence_s(86_400_000.0, 0)] == [FIRST_SILENCE_MOST_S] * 2
     assert silence_s(20_000.0, 1000) == MOST_SILENCE_S
--- /dev/null
+++ b/tests/unit/test_lots_unsendable.py
@@ -0,0 +1,54 @@
+"""One item that cannot be sent must cost the store and its back ends next to nothing.
+
+Symptom: a store logs four errors a second for each such item and opens as many connections.
+Sequence: a lot is accepted whose item has a header value (or a path) that HTTP/1.1 cannot carry.
+Cause: what the item carries is not checked as the lot is taken; the run raises before the pause after
+a run, so it was begun anew at each ranking, on a new connection, until its wait was over.
+Settled by: 11 tries and 12 new connections in 3 s.
+"""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+from tests.unit import test_lots_runner as base
+from tests.unit.test_lots_runner import OneStore
+
+from leverjunction.lots.attempts import Attempts
+from leverjunction.lots.commands import LotItem, SubmitLot, encode_command
+from testbed.routed import HOST, RunnerStandIn
+
+store = base.store
+back_end = base.back_end
+runner = base.runner
+
+
+@pytest.mark.usefixtures("runner")
+def test_an_item_that_cannot_be_sent_is_not_tried_without_a_pause(
+    store: OneStore, back_end: RunnerStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    tries: list[float] = []
+    attempt = Attempts.attempt
+
+    async def counted(self: Attempts, run: object, seat: object) -> bool:
+        tries.append(time.monotonic())
+        return await attempt(self, run, seat)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(Attempts, "attempt", counted)
+    item = LotItem(
+        item_id="item-0", path="/batch/x", headers=(("X-Note", "a\nb"),), body=b"b", tokens=9
+    )
+    lot = SubmitLot(
+        lot_id="lot",
+        host=HOST,
+        path="/batch/lot",
+        max_attempts=3,
+        give_up_s=600.0,
+        due_ms=20_000.0,
+        items=(item,),
+    )
+    store.propose(encode_command(lot), 1.0)
+    time.sleep(3.0)
+    assert len(tries) <= 6
+    assert back_end.accepted <= 4
--- a/tests/unit/test_platform_forms.py
+++ b/tests/unit/test_platform_forms.py
@@ -7,6 +7,7 @@
 import pytest
 
 from leverjunction.errors import Failure
+from leverjunction.platform import front_calls
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.platform.table_form import read_table
 from leverjunction.routes import RouteClass, RouteTable, check_table
@@ -156,3 +157,21 @@
         (b"Retry-After", b"0.250"),
     ]
     assert PlatformDialect().own_answer("", None) == []
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "sendable"),
+    [
+        ("/batch/1?q=2", {"X-Note": "a b\tc"}, True),
+        ("/batch/1", {"X-Note": "a\nb"}, False),
+        ("/batch/1", {"X\rNote": "a"}, False),
+        ("/batch/1 HTTP/1.1", {}, False),
+        ("batch", {}, False),
+        ("", {}, False),
+    ],
+)
+def test_an_item_that_http_cannot_carry_is_told_apart(
+    path: str, headers: dict[str, str], sendable: bool
+) -> None:
+    item = front_calls._ItemForm(id="i", path=path, headers=headers, body=b"", tokens=1)
+    assert front_calls._is_sendable(item) is sendable
