--- a/tests/unit/test_lots_unsendable.py
+++ b/tests/unit/test_lots_unsendable.py
@@ -2,8 +2,8 @@
 
 Symptom: a store logs four errors a second for each such item and opens as many connections.
 Sequence: a lot is accepted whose item has a header value (or a path) that HTTP/1.1 cannot carry.
-Cause: what the item carries is not checked as the lot is taken; the run raises before the pause after
-a run, so it was begun anew at each ranking, on a new connection, until its wait was over.
+Cause: what the item carries was not checked as the lot was taken; the run raised before the pause
+after a run, so it was begun anew at each ranking, on a new connection, until its wait was over.
 Settled by: 11 tries and 12 new connections in 3 s.
 """
 
