testbed experiment placement: hundreds of gateways before shared back ends in virtual time

The product's own balancer, admission, load port, load listener, load watch, room, board and urgency run on an event loop whose time jumps; emulated are back ends (slots, first come first served, reports 50 ms old), the network, callers and jobs. Patterns are shares of the slots, so they fit any fleet: bursts of twice the mean, a heap, batch overload, lost back ends.

In bursts 20 requests queue at each of some 15 back ends while 100 of 320 slots have nothing to do.

--- a/src/leverjunction/lots/state_machine.py
+++ b/src/leverjunction/lots/state_machine.py
@@ -281,9 +281,10 @@
 
 
 def _refused(connection: sqlite3.Connection, parts: commands.ReadRefused) -> commands.Refused:
+    brought: list[commands.ItemProgress | ItemResult] = [*parts.progress, *parts.results]
     keys = {
         (part.lot_id, part.item_id): None
-        for part in (*parts.progress, *parts.results)
+        for part in brought
         if _is_open(connection, part.lot_id, part.item_id)
         and not progress_rows.follows(connection, part)
     }
--- a/src/testbed/cli.py
+++ b/src/testbed/cli.py
@@ -16,8 +16,8 @@
     """testbed runs leverjunction's stand-ins, fleets, faults and experiments.
 
     Besides the commands below there are, each with its own ``--help``:
-    ``simulate``, ``scale``, ``experiment harm|prefix``, ``bench relay|consensus|settings|jobs``
-    and ``load``.
+    ``simulate``, ``scale``, ``experiment harm|prefix|placement``,
+    ``bench relay|consensus|settings|jobs`` and ``load``.
     """
 
     def __init__(self) -> None:
--- a/src/testbed/delegates.py
+++ b/src/testbed/delegates.py
@@ -37,6 +37,7 @@
     Delegate(("load",), "testbed.fleet.load_command"),
     Delegate(("experiment", "harm"), "testbed.load.harm.cli"),
     Delegate(("experiment", "prefix"), "testbed.load.prefix_experiment"),
+    Delegate(("experiment", "placement"), "testbed.placement.cli"),
     Delegate(("bench", "relay"), "testbed.load.relay_bench"),
     Delegate(("bench", "consensus"), "testbed.load.consensus_bench"),
     Delegate(("bench", "settings"), "testbed.load.settings_bench"),
--- /dev/null
+++ b/src/testbed/placement/batch.py
@@ -0,0 +1,168 @@
+"""The leader of batch in the emulation: the product's room, ranking and told loads."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from random import Random
+
+from leverjunction.lots.board import Board
+from leverjunction.lots.commands import OpenItem
+from leverjunction.lots.item_run import ItemRun
+from leverjunction.lots.load_listener import LoadListener
+from leverjunction.lots.load_watch import LoadWatch
+from leverjunction.lots.room import TakenSlot
+from leverjunction.lots.runner import IDLE_STEP_S, STEP_S
+from leverjunction.lots.urgency import RunTimes, Urgency
+from leverjunction.proxy.balancer import Balancer, RunnerSeat
+from leverjunction.registry.records import RunnerRecord
+from testbed.placement.back_ends import BackEnd
+from testbed.placement.gateway import CLUSTER_KEY, WAY_S, LoadReader
+from testbed.placement.loads import SERVICE
+
+READ_S = 0.01
+"""Time to read an item's prompt, at each run anew."""
+
+
+class BatchLeader:
+    """Used by one event loop.
+
+    Attributes:
+        done_s: When each item was done, by its id.
+        cuts: Runs that were ended to give way.
+        runs: Runs that were begun.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        address: str,
+        records: list[RunnerRecord],
+        back_ends: Mapping[str, BackEnd],
+        item_s: float,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._address = address
+        self._back_ends = back_ends
+        self._item_s = item_s
+        self._wake = asyncio.Event()
+        self._balancer = Balancer(zone, Random(0))
+        self._balancer.replace(records)
+        self._board = Board()
+        self._times = RunTimes()
+        self.done_s: dict[str, float] = {}
+        self.cuts = 0
+        self.runs = 0
+        reader = LoadReader(back_ends)
+        self._loads = LoadWatch(reader, self._balancer, zone, self._wake.set)  # type: ignore[arg-type]
+        self._listener = LoadListener(
+            CLUSTER_KEY, lambda: bool(self._board.runs), self._give_way, self._loads.online
+        )
+
+    async def run(self) -> None:
+        """Run items until cancelled."""
+        await self._listener.start(self._address)
+        while True:
+            self._step()
+            await self._pause()
+
+    def submit(self, items: list[OpenItem]) -> None:
+        """Take items."""
+        self._board.add(items)
+        self._wake.set()
+
+    @property
+    def open_items(self) -> int:
+        """Items that are not done."""
+        return len(self._board.runs)
+
+    async def _pause(self) -> None:
+        try:
+            async with asyncio.timeout(STEP_S if self._board.runs else IDLE_STEP_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
+        await asyncio.sleep(STEP_S / 4)
+
+    def _give_way(self) -> None:
+        self._loads.tell(self._listener.loads)
+        self._park()
+        self._wake.set()
+
+    def _step(self) -> None:
+        if not self._board.runs:
+            return
+        self._loads.read([SERVICE])
+        self._loads.tell(self._listener.loads)
+        self._park()
+        self._board.rank(self._loop.time(), self._urgency)
+        for run in self._board.take():
+            seat = self._loads.free_seat(SERVICE)
+            if seat is None:
+                self._board.put_back(run)
+                return
+            self._start(run, seat)
+
+    def _park(self) -> None:
+        parked = self._loads.to_park()
+        running = [run for run in self._board.running() if not run.parking]
+        for runner_id in parked:
+            here = [run for run in running if run.runner_id == runner_id and not run.parking]
+            if here:
+                run = max(here, key=self._urgency)
+                run.parking = True
+                self.cuts += 1
+                run.stop()
+
+    def _start(self, run: ItemRun, seat: RunnerSeat) -> None:
+        slot = TakenSlot(self._loads.room_at(seat))
+        run.begin_at(seat.record.runner_id)
+        self.runs += 1
+        run.task = self._loop.create_task(self._run(run, slot))
+        run.task.add_done_callback(lambda _task: self._ended(run, slot))
+
+    def _ended(self, run: ItemRun, slot: TakenSlot) -> None:
+        slot.free()
+        run.task = None
+        self._wake.set()
+
+    async def _run(self, run: ItemRun, slot: TakenSlot) -> None:
+        back_end = self._back_ends[run.runner_id]
+        await asyncio.sleep(WAY_S)
+        engine_run = back_end.come(is_batch=True)
+        try:
+            await engine_run.began
+            await asyncio.sleep(READ_S)
+            begun_s = self._loop.time()
+            try:
+                await asyncio.sleep(max(0.0, self._item_s - run.worked_s))
+            finally:
+                run.worked_s += self._loop.time() - begun_s
+        finally:
+            self._loop.call_later(WAY_S, back_end.leave, engine_run)
+        self._times.ended(run.worked_s)
+        self.done_s[run.item.item_id] = self._loop.time()
+        keys = frozenset(key for key in self._board.runs if key != run.key)
+        self._board.keep(keys)
+
+    def _urgency(self, run: ItemRun) -> Urgency:
+        due_in_s = run.item.due_ms / 1000 + run.item.accepted_ms / 1000 - self._loop.time()
+        return self._times.urgency(due_in_s, run.worked_s)
+
+
+def open_item(job: int, place: int, now_s: float, due_s: float) -> OpenItem:
+    """Return an item as the group of lots has it."""
+    return OpenItem(
+        lot_id=f"job-{job}",
+        item_id=f"{job}-{place}",
+        host="h",
+        path="/batch",
+        headers=(),
+        tokens=2000,
+        max_attempts=3,
+        give_up_s=600.0,
+        due_ms=due_s * 1000,
+        accepted_ms=round(now_s * 1000),
+        failures=0,
+    )
