--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -21,10 +21,10 @@
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.run_trace import RunEnd
 from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
-from leverjunction.proxy.balancer import RunnerSeat
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
+from leverjunction.proxy.runner_seat import RunnerSeat
 from leverjunction.wire.codec import decode_reply, encode
 
 RUN_TIMEOUT_S = 60.0
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -12,7 +12,8 @@
 from leverjunction.lots.standing import ServiceSight
 from leverjunction.lots.told_loads import ToldLoads
 from leverjunction.proxy.attempt import Sender
-from leverjunction.proxy.balancer import Balancer, RunnerSeat
+from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.runner_seat import RunnerSeat
 
 READ_INTERVAL_S = 0.1
 """Pause between two readings of a back end: how soon batch learns that it has to give way."""
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -38,9 +38,10 @@
 from leverjunction.lots.sight import RunnerSight, Scene
 from leverjunction.lots.urgency import RunTimes, Urgency
 from leverjunction.proxy.attempt import Sender
-from leverjunction.proxy.balancer import Balancer, RunnerSeat
+from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.proxy.runner_seat import RunnerSeat
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import Snapshot
 from leverjunction.routes.matching import RouteIndex, draw_service
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
-from leverjunction.proxy.balancer import READ_TOKENS_PER_MS, Balancer, RunnerSeat
+from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import (
     AnswerFacts,
@@ -16,6 +16,7 @@
     RequestFacts,
 )
 from leverjunction.proxy.headers import end_to_end, find
+from leverjunction.proxy.prompt import READ_TOKENS_PER_MS
 from leverjunction.proxy.runner_connection import (
     AnswerEnd,
     AnswerEvent,
@@ -23,6 +24,7 @@
     RunnerConnection,
     RunnerPool,
 )
+from leverjunction.proxy.runner_seat import RunnerSeat
 
 CONNECT_TIMEOUT_S = 0.4
 REPEATABLE_IDLE_SHARE = 0.8
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -1,50 +1,27 @@
-"""Chooses the back end of a request. Pure: the clock and the generator are passed in.
-
-What a back end tells of its load is some requests old, and other gateways send to it too. So its
-load is what it told last, less what this gateway had there then, fading with age; plus what this
-gateway has there now.
-"""
+"""Chooses the back end of a request. Pure: the clock and the generator are passed in."""
 
 from __future__ import annotations
 
-import math
 from collections.abc import Collection, Iterable, Mapping
 from random import Random
 
-import xxhash
-
 from leverjunction.proxy.admission import Prospect
-from leverjunction.proxy.dialect import EngineLoad, PromptPart
+from leverjunction.proxy.homes import home_of, readers_of
+from leverjunction.proxy.prompt import READ_TOKENS_PER_MS, Prompt
+from leverjunction.proxy.runner_seat import RunnerSeat
 from leverjunction.proxy.spread import Place, Steps, draw, shares
 from leverjunction.registry.records import RunnerRecord, RunnerState
 
-LOAD_FADES_S = 3.0
-"""Time in which what others have at a back end fades to a third, as far as this gateway knows."""
-
-READ_TOKENS_PER_MS = 80.0
-"""Speed at which an engine reads a prompt: what a part that it holds already saves."""
-
 BUSY_COST_MS = 6.0
 """Cost of each request that already runs at a back end."""
 
 QUEUED_COST_MS = 250.0
 """Cost of each request beyond the back end's slots."""
 
-DELAY_WEIGHT = 0.2
-"""Of the newest head in the running average of a back end's delay."""
-
-DELAY_FADES_S = 4.0
 DELAY_COST = 0.5
 """Cost of each millisecond by which a back end's heads were late: slow ones get less."""
 
-LONG_READ_MS = 200.0
-"""A prompt that takes so long to read is long: requests behind it would be late."""
-
 LONG_SEEN_S = 20.0
-READER_SHARE = 1 / 3
-READERS_FROM = 3
-"""Back ends that a service must have for some of them to be readers."""
-
 READER_COST_MS = 30.0
 """Cost of a reader for other requests, which may find it reading: five requests' worth."""
 
@@ -52,175 +29,15 @@
 SUSPECT_COST_MS = 400.0
 """Cost of a back end that has just failed once."""
 
-SUSPICION_FADES_S = 4.0
-"""Time in which the suspicion of a back end fades to a third: it is then tried again."""
-
-SUSPICION_MOST = 5.0
-TRUSTED_SHARE = 0.5
-"""What an answer leaves of the suspicion: one that fails every other request stays suspect."""
-
-SHARED_TOKENS_MIN = 512
-"""Shorter shared parts are read faster than it takes to keep them together."""
-
-SHARED_FOR_S = 0.4
-"""How long the leader's word goes before what answers tell: some of its words may be lost."""
-
 KNOWN_S = 0.5
 """A load that was told longer ago holds no request back: sending one tells what it is now."""
 
 FIRST_RUN_S = 1.0
 """Time that a slot is taken, while no request has ended here."""
 
-BURST_FACTOR = 2.0
-"""Requests that come for each that the loads tell of: these are from before a burst. In time of
-165 gateways' requests in bursts of five times the lull: 0.968 with 1, 0.984 with 2 (emulator, means
-of three seeds).
-"""
-
 RUN_WEIGHT = 0.1
 """Of the newest request in the running average of the time that a slot is taken."""
 
-EJECT_FIRST_S = 0.5
-EJECT_MOST_S = 8.0
-
-
-class Prompt:
-    """What matters of a prompt for the choice.
-
-    Attributes:
-        parts: Its parts, in order; the last one is the request's own.
-        tokens: Its length.
-    """
-
-    __slots__ = ("parts", "tokens")
-
-    def __init__(self, parts: tuple[PromptPart, ...], tokens: int) -> None:
-        self.parts = parts
-        self.tokens = tokens
-
-    @property
-    def read_ms(self) -> float:
-        """Time to read it whole."""
-        return self.tokens / READ_TOKENS_PER_MS
-
-    @property
-    def is_long(self) -> bool:
-        """Whether requests behind it would be late."""
-        return self.read_ms >= LONG_READ_MS
-
-    @property
-    def shared_tokens(self) -> int:
-        """Tokens that other requests may share."""
-        return sum(part.tokens for part in self.parts[:-1])
-
-
-class RunnerSeat:
-    """What this gateway knows of one back end.
-
-    Attributes:
-        record: Its record in the registry.
-        own: Requests of this gateway that it works on.
-        reading_ms: Time to read the prompts of those whose answers have not begun.
-        others: Requests of others, as of ``told_s``.
-        told_s: When it last told its load.
-        slots: Requests that it can work on.
-        ejected_until_s: Until then it gets no work as long as there is another.
-    """
-
-    __slots__ = (
-        "_delay_ms",
-        "_delayed_s",
-        "_lag_s",
-        "_shared_s",
-        "_suspected_s",
-        "_suspicion",
-        "ejected_until_s",
-        "others",
-        "own",
-        "reading_ms",
-        "record",
-        "slots",
-        "told_s",
-    )
-
-    def __init__(self, record: RunnerRecord) -> None:
-        self.record = record
-        self.own = 0
-        self.reading_ms = 0.0
-        self.others = 0.0
-        self.told_s = 0.0
-        self.slots = max(1, record.slots)
-        self.ejected_until_s = 0.0
-        self._delay_ms = 0.0
-        self._delayed_s = 0.0
-        self._shared_s = float("-inf")
-        self._lag_s = 0.0
-        self._suspicion = 0.0
-        self._suspected_s = 0.0
-
-    def unseen(self, now_s: float, run_s: float) -> float:
-        """Return how many requests of others have probably come since it told its load.
-
-        As many begin as end: in the time of a run, as many as it has, and more in a burst.
-        """
-        age_s = min(now_s - self.told_s + self._lag_s, run_s)
-        return self.others * BURST_FACTOR * age_s / run_s
-
-    def load(self, now_s: float) -> float:
-        """Return the requests that it probably has, running and waiting."""
-        return self.own + self.others * math.exp((self.told_s - now_s) / LOAD_FADES_S)
-
-    def answered(self, head_s: float, tokens_in: int, now_s: float) -> None:
-        """Take the time to an answer's head; reading the prompt is not counted as delay."""
-        delay_ms = max(0.0, head_s * 1000 - tokens_in / READ_TOKENS_PER_MS)
-        known_ms = self.delay_ms(now_s)
-        self._delay_ms = known_ms + (delay_ms - known_ms) * DELAY_WEIGHT
-        self._delayed_s = now_s
-
-    def delay_ms(self, now_s: float) -> float:
-        """Return by how much its heads were late lately; forgotten when it is not asked."""
-        return self._delay_ms * math.exp((self._delayed_s - now_s) / DELAY_FADES_S)
-
-    def suspicion(self, now_s: float) -> float:
-        """Return how much it is mistrusted: 1 right after a failure that came alone, then less."""
-        return self._suspicion * math.exp((self._suspected_s - now_s) / SUSPICION_FADES_S)
-
-    def failed(self, now_s: float) -> None:
-        """Leave it alone for a while, longer each time."""
-        self._suspicion = min(SUSPICION_MOST, self.suspicion(now_s) + 1)
-        self._suspected_s = now_s
-        pause_s = min(EJECT_MOST_S, EJECT_FIRST_S * 2 ** (self._suspicion - 1))
-        self.ejected_until_s = max(self.ejected_until_s, now_s + pause_s)
-
-    def succeeded(self, now_s: float) -> None:
-        """Trust it more, unless the answer is to a request from before its last failure."""
-        if now_s >= self.ejected_until_s:
-            self._suspicion = self.suspicion(now_s) * TRUSTED_SHARE
-            self._suspected_s = now_s
-
-    def told(self, load: EngineLoad, now_s: float) -> None:
-        """Take the load that came with an answer of a request that is still counted here."""
-        if load.slots:
-            self.slots = load.slots
-        if now_s - self._shared_s <= SHARED_FOR_S:
-            # What it tells counts batch work too, which gives way.
-            return
-        self.others = max(0.0, load.running + load.waiting - self.own)
-        self.told_s = now_s
-        self._lag_s = 0.0
-
-    def shared(self, online: int, now_s: float, lag_s: float = 0.0) -> None:
-        """Take the online requests that other gateways have here, as the leader of batch tells.
-
-        Args:
-            online: Their number.
-            now_s: Monotonic time.
-            lag_s: How old what gateways have told the leader is on average.
-        """
-        self.others = online
-        self.told_s = self._shared_s = now_s
-        self._lag_s = lag_s
-
 
 class Choice:
     """A chosen back end.
@@ -265,7 +82,9 @@
         self._seats = seats
         self._by_service = by_service
         self._readers = frozenset(
-            key for service, members in by_service.items() for key in _readers_of(service, members)
+            key
+            for service, members in by_service.items()
+            for key in readers_of(service, _ids(members))
         )
 
     def seats(self, service: str) -> list[RunnerSeat]:
@@ -296,7 +115,7 @@
         sound = [seat for seat in seats if seat.ejected_until_s <= now_s] or seats
         if prompt.is_long:
             self._long_s[service] = now_s
-        home = self._home_of(prompt, sound)
+        home = home_of(prompt, _ids(sound), self._readers)
         best = self._draw(sound, home, prompt, now_s)
         return Choice(best, best.load(now_s), len(sound))
 
@@ -390,33 +209,6 @@
         """Return whether a service has had long prompts lately; others need no readers."""
         return now_s - self._long_s.get(service, float("-inf")) <= LONG_SEEN_S
 
-    def _home_of(self, prompt: Prompt, seats: list[RunnerSeat]) -> str:
-        """Return the back end on which requests with the same large shared part are kept together.
-
-        Rendezvous hashing: all gateways choose the same one, and few move when back ends come
-        and go. Long prompts have theirs among the readers, others elsewhere.
-        """
-        if prompt.shared_tokens < SHARED_TOKENS_MIN:
-            return ""
-        key = max(prompt.parts[:-1], key=lambda part: part.tokens).key
-        ids = [seat.record.runner_id for seat in seats]
-        fitting = [item for item in ids if (item in self._readers) is prompt.is_long]
-        return max(fitting or ids, key=lambda item: _rank(key, item))
-
-
-def _readers_of(service: str, seats: list[RunnerSeat]) -> list[str]:
-    """Return the back ends that read long prompts; all gateways choose the same ones.
-
-    No gateway knows what the others have just sent. With long prompts anywhere, any short request
-    may find itself behind one; so they are kept to a third of the back ends, which get less of
-    the rest.
-    """
-    ids = [seat.record.runner_id for seat in seats]
-    if len(ids) < READERS_FROM:
-        return []
-    ranked = sorted(ids, key=lambda item: _rank(service, item), reverse=True)
-    return ranked[: max(1, round(len(ids) * READER_SHARE))]
-
 
-def _rank(key: str, runner_id: str) -> int:
-    return xxhash.xxh64_intdigest(f"{key}|{runner_id}".encode())
+def _ids(seats: list[RunnerSeat]) -> list[str]:
+    return [seat.record.runner_id for seat in seats]
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -18,13 +18,14 @@
     status_of,
 )
 from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
-from leverjunction.proxy.balancer import Balancer, Prompt
+from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.dialect import Dialect, RequestFacts
 from leverjunction.proxy.events import EventSplitter
 from leverjunction.proxy.headers import end_to_end, find
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.patience import MOVE_RATIO, HeadTimes
+from leverjunction.proxy.prompt import Prompt
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass
--- a/src/leverjunction/proxy/load_port.py
+++ b/src/leverjunction/proxy/load_port.py
@@ -9,13 +9,13 @@
 from loguru import logger
 
 from leverjunction.errors import Failure
-from leverjunction.proxy.balancer import RunnerSeat
 from leverjunction.proxy.online_loads import (
     WHOLE_INTERVAL_S,
     LoadsWanted,
     LoadTeller,
     OnlineLoads,
 )
+from leverjunction.proxy.runner_seat import RunnerSeat
 from leverjunction.registry.records import JOBS_GROUP
 from leverjunction.wire.codec import decode, encode
 from leverjunction.wire.envelope import Envelope, MessageKind, decode_envelope, encode_envelope
--- a/tests/unit/test_proxy_balancer.py
+++ b/tests/unit/test_proxy_balancer.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from leverjunction.proxy.balancer import KNOWN_S, Balancer, Prompt
+from leverjunction.proxy.balancer import KNOWN_S, Balancer
 from leverjunction.proxy.dialect import EngineLoad, PromptPart
+from leverjunction.proxy.prompt import Prompt
 from leverjunction.registry import RunnerRecord, RunnerState
 
 SHORT = Prompt((), 500)
