The level of costs is found exactly; of more than 64 back ends a sample is weighed

Cause: the level was found by halving an interval that grows with the requests, to some 6 ms, a request's step; and a choice among 1,200 back ends took 12 ms. Change: the level follows from the sorted bends of the costs; a sample of 64 and the prompt's own back end are weighed.

--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -30,6 +30,11 @@
 SUSPECT_COST_MS = 400.0
 """Cost of a back end that has just failed once."""
 
+WEIGHED_MOST = 64
+"""Back ends that are weighed for a request: 0.3 ms of a gateway's processor; all of 1,200 would
+take 12 ms. The best of so many is among the best 5 in 100 of all, but for one time in 27.
+"""
+
 KNOWN_S = 0.5
 """A load that was told longer ago holds no request back: sending one tells what it is now."""
 
@@ -132,9 +137,16 @@
         if prompt.is_long:
             self._long_s[service] = now_s
         home = home_of(prompt, _ids(sound), self._readers)
-        best = self._draw(sound, home, prompt, now_s)
+        best = self._draw(self._sample(sound, home), home, prompt, now_s)
         return Choice(best, best.load(now_s), len(sound))
 
+    def _sample(self, seats: list[RunnerSeat], home: str) -> list[RunnerSeat]:
+        """Return the back ends that are weighed: of very many some, and the prompt's own one."""
+        if len(seats) <= WEIGHED_MOST:
+            return seats
+        drawn = self._random.sample(seats, WEIGHED_MOST)
+        return drawn + [seat for seat in seats if seat.record.runner_id == home]
+
     def _draw(self, seats: list[RunnerSeat], home: str, prompt: Prompt, now_s: float) -> RunnerSeat:
         """Return a back end: gateways that see the same loads must not all choose the same."""
         unseen = self._unseen(seats, now_s)
--- a/src/leverjunction/proxy/spread.py
+++ b/src/leverjunction/proxy/spread.py
@@ -14,9 +14,6 @@
 from collections.abc import Sequence
 from random import Random
 
-SEARCH_STEPS = 12
-"""Halvings of the interval in which the level is looked for: to a four-thousandth of it."""
-
 
 class Place:
     """One back end, as far as its cost goes.
@@ -56,16 +53,28 @@
         unseen: Requests that others have probably sent since the loads were true.
         steps: How costs rise.
     """
-    wanted = unseen + 1.0
-    low_ms = min(place.cost_ms for place in places)
-    high_ms = low_ms + wanted * steps.queued_ms
-    for _ in range(SEARCH_STEPS):
-        level_ms = (low_ms + high_ms) / 2
-        if sum(_fill(place, level_ms, steps) for place in places) < wanted:
-            low_ms = level_ms
-        else:
-            high_ms = level_ms
-    return [_fill(place, high_ms, steps) for place in places]
+    level_ms = _level_ms(places, unseen + 1.0, steps)
+    return [_fill(place, level_ms, steps) for place in places]
+
+
+def _level_ms(places: Sequence[Place], wanted: float, steps: Steps) -> float:
+    """Return the cost to which so many requests raise the cheapest places."""
+    bends: list[tuple[float, float]] = []
+    for place in places:
+        full_ms = place.cost_ms + max(0.0, place.free) * steps.busy_ms
+        bends.append((place.cost_ms, 1 / steps.busy_ms))
+        bends.append((full_ms, 1 / steps.queued_ms - 1 / steps.busy_ms))
+    bends.sort()
+    level_ms = bends[0][0]
+    per_ms = 0.0
+    for bend_ms, change in bends:
+        taken = (bend_ms - level_ms) * per_ms
+        if taken >= wanted:
+            break
+        wanted -= taken
+        level_ms = bend_ms
+        per_ms += change
+    return level_ms + wanted / per_ms
 
 
 def draw(weights: Sequence[float], random: Random) -> int:
--- a/tests/unit/test_proxy_balancer.py
+++ b/tests/unit/test_proxy_balancer.py
@@ -189,3 +189,24 @@
     assert (prospect.queue, prospect.backlog) == (queue, backlog)
     assert (prospect.slots, prospect.capacity, prospect.run_s) == (8, 16, 0.8)
     assert made.prospect("s", 1.0 + KNOWN_S + 0.1) is None
+
+
+def test_requests_of_others_that_cannot_be_seen_yet_are_allowed_for() -> None:
+    """Of 165 gateways each sent to the back end that had been least loaded 0.2 s ago."""
+    made = balancer(10)
+    made.ran("s", 0.7)
+    made.shared({f"i{number}": 4 + (number > 0) for number in range(10)}, 1.0, lag_s=0.1)
+    fresh = chosen(made, SHORT, times=400, now_s=1.0)
+    late = chosen(made, SHORT, times=400, now_s=1.2)
+    assert late["i0"] < fresh["i0"] < 200
+    assert len(late) == 10
+
+
+def test_of_very_many_back_ends_some_are_weighed_and_the_prompts_own_one() -> None:
+    made = balancer(1200)
+    choice = made.choose("s", SHORT, (), 1.0)
+    assert choice is not None
+    assert choice.candidates == 1200
+    prompt = Prompt((PromptPart("k", 6_000), PromptPart("own", 100)), 6_100)
+    homes = chosen(made, prompt, times=20)
+    assert len(homes) == 1, "kept together, though a sample seldom holds it"
--- a/tests/unit/test_proxy_spread.py
+++ b/tests/unit/test_proxy_spread.py
@@ -32,7 +32,7 @@
 def test_cheapest_places_fill_first(
     known: tuple[tuple[float, float], ...], unseen: float, expected: tuple[float, ...]
 ) -> None:
-    assert shares(places(*known), unseen, STEPS) == pytest.approx(expected, abs=0.12)
+    assert shares(places(*known), unseen, STEPS) == pytest.approx(expected, abs=0.01)
 
 
 @given(
