--- a/src/leverjunction/config/machine.py
+++ b/src/leverjunction/config/machine.py
@@ -69,10 +69,12 @@
     Attributes:
         hold_late_requests: Gateways hold online requests that could not be in time now.
         tell_online_loads: Gateways tell the leader of batch work their online requests.
+        spread_requests: Gateways allow for what others have sent since the loads were true.
     """
 
     hold_late_requests: bool = True
     tell_online_loads: bool = True
+    spread_requests: bool = True
 
 
 class MachineConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -65,6 +65,11 @@
 class Balancer:
     """All back ends, by service. Used by one thread only.
 
+    Args:
+        zone: Zone of this process.
+        random: Draws.
+        spread: Whether to allow for what others have sent; else the cheapest back end is chosen.
+
     Attributes:
         order: All of them, as rows of loads have them.
     """
@@ -76,12 +81,14 @@
         "_readers",
         "_run_s",
         "_seats",
+        "_spread",
         "_zone",
         "order",
     )
 
-    def __init__(self, zone: str, random: Random) -> None:
+    def __init__(self, zone: str, random: Random, spread: bool = True) -> None:
         self._zone = zone
+        self._spread = spread
         self._random = random
         self._seats: dict[str, RunnerSeat] = {}
         self.order = BackEndOrder(())
@@ -157,6 +164,8 @@
             )
             for seat in seats
         ]
+        if not self._spread:
+            return min(zip(seats, places, strict=True), key=lambda pair: pair[1].cost_ms)[0]
         weights = shares(places, unseen, Steps(BUSY_COST_MS, QUEUED_COST_MS))
         return seats[draw(weights, self._random)]
 
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -63,7 +63,7 @@
         self._random = Random()
         clock = SystemClock()
         self._rpc = RpcClient(CLUSTER_KEY, clock.wall_ms())
-        self._balancer = Balancer(config.zone, self._random)
+        self._balancer = Balancer(config.zone, self._random, config.policies.spread_requests)
         self._pool = RunnerPool()
         self._figures = CollectorRegistry()
         self._counters = ProxyCounters(self._figures)
--- a/src/testbed/placement/cli.py
+++ b/src/testbed/placement/cli.py
@@ -22,6 +22,7 @@
     pattern: str = "bursts",
     gateways: int = 165,
     back_ends: int = 0,
+    spread: bool = True,
     seeds: int = 1,
     first_seed: int = 1,
     json_file: str = "",
@@ -32,6 +33,7 @@
         pattern: Name of the pattern; ``list`` prints the names.
         gateways: Number of gateways.
         back_ends: Number of back ends of 8 slots; 0 for a quarter of the gateways.
+        spread: False has each gateway take the back end that seems cheapest.
         seeds: Plays.
         first_seed: Seed of the first.
         json_file: File that gets the figures of each play.
@@ -48,7 +50,9 @@
     if min(gateways, seeds) < 1 or back_ends < 0:
         return _refuse("gateways and seeds are at least 1, back ends not below 0")
     fleet = Fleet(
-        gateways=gateways, back_ends=back_ends or max(2, round(gateways * BACK_END_SHARE))
+        gateways=gateways,
+        back_ends=back_ends or max(2, round(gateways * BACK_END_SHARE)),
+        spread=spread,
     )
     played = []
     for seed in range(first_seed, first_seed + seeds):
--- a/src/testbed/placement/experiment.py
+++ b/src/testbed/placement/experiment.py
@@ -31,11 +31,12 @@
 
 
 class Fleet(msgspec.Struct, frozen=True, kw_only=True):
-    """How large a fleet is."""
+    """How large a fleet is, and whether its gateways spread their requests."""
 
     gateways: int = 165
     back_ends: int = 40
     slots: int = 8
+    spread: bool = True
 
 
 class Figures(msgspec.Struct, frozen=True, kw_only=True):
@@ -114,6 +115,7 @@
                 records,
                 back_ends,
                 Random(random.getrandbits(64)),
+                self._fleet.spread,
             )
             for n in range(self._fleet.gateways)
         ]
--- a/src/testbed/placement/gateway.py
+++ b/src/testbed/placement/gateway.py
@@ -77,11 +77,12 @@
         records: list[RunnerRecord],
         back_ends: Mapping[str, BackEnd],
         random: Random,
+        spread: bool,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._back_ends = back_ends
         self._address = address
-        self._balancer = Balancer(zone, random)
+        self._balancer = Balancer(zone, random, spread)
         self._balancer.replace(records)
         self._port = LoadPort(
             name,
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -26,6 +26,11 @@
     assert bursts.refused == 0.0
 
 
+def test_without_the_spread_they_do() -> None:
+    figures = play("short-bursts", Fleet(gateways=100, back_ends=24, spread=False), 1)
+    assert figures.in_time < 0.95
+
+
 def test_batch_is_in_time_beside_them(bursts: Figures) -> None:
     assert bursts.items_in_time == 1.0
 
