--- a/deploy/worth.py
+++ b/deploy/worth.py
@@ -2,6 +2,7 @@
 
 ``worth.py SITE REPORT...`` prints a line for each report that ``run --report`` wrote to a file
 ``DAY-SEED.json``: the worth, its parts, what each kind of request earned, the share of a bound.
+``worth.py --entry JOURNAL-ENTRY`` prints for each day of a score how much each part and price took.
 ``worth.py --paired BEFORE AFTER`` compares two folders whose reports have the same names: mean
 difference, spread, standard error.
 
@@ -21,10 +22,18 @@
 from pathlib import Path
 from typing import Any
 
+USAGE = (
+    "usage: worth.py SITE REPORT... | worth.py --entry JOURNAL-ENTRY"
+    " | worth.py --paired BEFORE AFTER"
+)
+
 Site = dict[str, Any]
 Report = dict[str, Any]
 
 STEP_S = 0.2
+LEAST_LOSS = 0.0015
+"""Smaller ones are left out of what a day lost."""
+
 TAKEN_AWAY = "scale_in"
 CRASHED = "srv_crash"
 """Events of a report that take back ends away; the others leave as many as there were."""
@@ -134,6 +143,18 @@
     )
 
 
+def losses(day: Report) -> str:
+    """Return what one day of a score lost by each part, weighted, and by each price."""
+    parts = [(f"{name}", weight * (1 - share)) for name, weight, share in day["parts"]]
+    taken = [*parts, *((name, price) for name, _, price in day["prices"])]
+    ranked = sorted(taken, key=lambda pair: pair[1], reverse=True)
+    lost = ", ".join(f"{name} {loss:.3f}" for name, loss in ranked if loss >= LEAST_LOSS)
+    return (
+        f"{day['name']}: worth {day['G']:.3f}, failed {day['failed']:.4f}, refused"
+        f" {day['refused']:.4f}; lost: {lost}"
+    )
+
+
 def paired(before: Path, after: Path) -> list[str]:
     """Return the comparison of two folders, by day and of all plays together."""
     differences: dict[str, list[float]] = {}
@@ -157,8 +178,12 @@
     if len(arguments) == 3 and arguments[0] == "--paired":
         print("\n".join(paired(Path(arguments[1]), Path(arguments[2]))))
         return 0
+    if len(arguments) == 2 and arguments[0] == "--entry":
+        days = json.loads(Path(arguments[1]).read_text())["days"]
+        print("\n".join(losses(day) for day in days))
+        return 0
     if len(arguments) < 2:
-        print("usage: worth.py SITE REPORT... | worth.py --paired BEFORE AFTER", file=sys.stderr)
+        print(USAGE, file=sys.stderr)
         return 2
     site = tomllib.loads(Path(arguments[0]).read_text())
     for name in arguments[1:]:
--- a/tests/unit/test_worth.py
+++ b/tests/unit/test_worth.py
@@ -124,6 +124,23 @@
     assert "share of it 0.900" in result.stdout
 
 
+def test_an_entry_tells_what_each_day_lost_the_most_first(tmp_path: Path) -> None:
+    day = {
+        **report(0.55),
+        "name": "calm",
+        "failed": 0.02,
+        "refused": 0.0,
+        "parts": [["whole day", 0.4, 0.9], ["nines", 0.35, 0.5], ["worst class", 0.1, 1.0]],
+    }
+    path = tmp_path / "entry.json"
+    path.write_text(json.dumps({"days": [day]}))
+    result = run("--entry", path)
+    assert result.stdout == (
+        "calm: worth 0.550, failed 0.0200, refused 0.0000;"
+        " lost: nines 0.175, machine-seconds 0.100, whole day 0.040\n"
+    )
+
+
 def test_pairs_are_compared_by_day_and_together(tmp_path: Path) -> None:
     figures = {"a-1": (0.5, 0.6), "a-2": (0.5, 0.8), "b-1": (0.7, 0.7), "b-2": (0.7, None)}
     for name, values in figures.items():
