--- a/src/leverjunction/lots/told_loads.py
+++ b/src/leverjunction/lots/told_loads.py
@@ -26,8 +26,8 @@
 """
 
 SHARED_BYTES_PER_S = 6000.0
-"""To each gateway, so that the pause grows with the back ends: by design 50 ms up to some 100, 0.3 s
-at 1,200.
+"""To each gateway, so that the pause grows with the back ends: by design 50 ms up to some 100, and
+0.3 s at 1,200.
 """
 
 Address = tuple[str, int]
