--- a/src/testbed/placement/experiment.py
+++ b/src/testbed/placement/experiment.py
@@ -20,6 +20,7 @@
     Pattern,
     job_times,
     online_times,
+    pooled_in_time,
 )
 from testbed.placement.virtual_loop import VirtualLoop
 
@@ -45,6 +46,8 @@
     Attributes:
         online: Online requests.
         in_time: Share of them whose answer began within the aim.
+        pooled: The same if all waited in one queue before all slots, and there were no batch: a
+            bound for first come, first served.
         refused: Share that was refused.
         p99_s: Time to the first part that 99 of 100 met.
         behind_batch: Share that waited at a back end where batch had a slot.
@@ -59,6 +62,7 @@
 
     online: int
     in_time: float
+    pooled: float
     refused: float
     p99_s: float
     behind_batch: float
@@ -80,6 +84,7 @@
         self._seed = seed
         self._kind = OnlineKind()
         self._outcomes: list[Outcome] = []
+        self._came: list[tuple[float, float]] = []
         self._accepted_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -92,8 +97,8 @@
         loop = asyncio.get_running_loop()
         assert isinstance(loop, VirtualLoop)
         random = Random(self._seed)
-        there = max(1, round(self._fleet.back_ends * (1 - self._pattern.lost_share)))
-        back_ends = {f"b{n}": BackEnd(f"b{n}", self._fleet.slots) for n in range(there)}
+        names = [f"b{n}" for n in range(self._there())]
+        back_ends = {name: BackEnd(name, self._fleet.slots) for name in names}
         records = [
             RunnerRecord(
                 runner_id=key,
@@ -134,11 +139,16 @@
             task.cancel()
         return figures
 
+    def _there(self) -> int:
+        """Return the number of back ends that are there."""
+        return max(1, round(self._fleet.back_ends * (1 - self._pattern.lost_share)))
+
     async def _online(self, gateways: list[EmulatedGateway], random: Random) -> None:
         slots = self._fleet.back_ends * self._fleet.slots
         for at_s in online_times(self._pattern, slots, self._kind, random):
             await self._until(WARM_S + at_s)
             run_s = self._kind.run_s * random.uniform(0.6, 1.4)
+            self._came.append((at_s, run_s))
             self._begin(self._serve(random.choice(gateways), run_s))
 
     def _start(self, gateway: EmulatedGateway) -> None:
@@ -180,6 +190,7 @@
         return Figures(
             online=len(outcomes),
             in_time=sum(1 for head in heads if head <= late_s) / count,
+            pooled=pooled_in_time(self._came, self._there() * self._fleet.slots, self._kind),
             refused=sum(1 for out in outcomes if out.head_s is None) / count,
             p99_s=heads[int(len(heads) * 0.99)] if heads else 0.0,
             behind_batch=sum(1 for out in waited if out.behind_batch) / count,
--- a/src/testbed/placement/loads.py
+++ b/src/testbed/placement/loads.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import heapq
+from collections.abc import Iterator, Sequence
 from random import Random
 
 import msgspec
@@ -98,3 +99,20 @@
         if now_s >= pattern.length_s:
             return
         yield now_s
+
+
+def pooled_in_time(came: Sequence[tuple[float, float]], slots: int, kind: OnlineKind) -> float:
+    """Return the share in time if all waited in one queue before all slots, without batch.
+
+    Args:
+        came: When each request came and for how long it has a slot, in seconds, in order.
+        slots: Slots of all back ends.
+        kind: Kind of the requests.
+    """
+    free_s = [0.0] * slots
+    in_time = 0
+    for came_s, run_s in came:
+        begun_s = max(came_s, heapq.heappop(free_s))
+        heapq.heappush(free_s, begun_s + kind.read_s + run_s)
+        in_time += begun_s + kind.read_s - came_s <= kind.aim_s
+    return in_time / max(1, len(came))
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -5,6 +5,7 @@
 import pytest
 
 from testbed.placement.experiment import Figures, Fleet, play
+from testbed.placement.loads import OnlineKind, pooled_in_time
 
 MANY = Fleet(gateways=100, back_ends=24)
 FEW = Fleet(gateways=6, back_ends=6)
@@ -24,6 +25,7 @@
     assert bursts.in_time > 0.95
     assert bursts.p99_s < 0.8
     assert bursts.refused == 0.0
+    assert bursts.in_time > bursts.pooled - 0.05
 
 
 def test_without_the_spread_they_do() -> None:
@@ -44,3 +46,14 @@
 def test_a_play_repeats() -> None:
     small = Fleet(gateways=4, back_ends=3)
     assert play("short-bursts", small, 5) == play("short-bursts", small, 5)
+
+
+@pytest.mark.parametrize(
+    ("runs", "share"),
+    [([1.0, 1.0], 1.0), ([1.0, 1.0, 1.0], 2 / 3), ([0.1, 0.1, 0.1, 0.1], 1.0)],
+    ids=["a slot for each", "one too many", "short ones wait and are in time"],
+)
+def test_the_bound_is_one_queue_before_all_slots(runs: list[float], share: float) -> None:
+    kind = OnlineKind(aim_s=0.3, read_s=0.01)
+    came = [(0.0, run_s) for run_s in runs]
+    assert pooled_in_time(came, 2, kind) == pytest.approx(share)
