Gateways tell of each lost run its back end and the key of its request

Lines named the attempt only; a stream broken after its head had no back end in its line, and nothing said that two attempts carry the same request. A line 'run_lost' and the counter proxy_lost_runs_total tell both. No decision changes.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -14,6 +14,8 @@
 from loguru import logger
 
 from leverjunction.proxy.dialect import RawHeaders
+from leverjunction.proxy.headers import find
+from leverjunction.quarantine.request_key import RequestContent
 from leverjunction.routes.types import RequestLimits
 
 CONTINUE = 100
@@ -53,6 +55,17 @@
         return self.target.partition(b"?")[2].decode("latin-1")
 
 
+def content_of(request: CallerRequest) -> RequestContent:
+    """Return what stays when a caller sends its request again."""
+    return RequestContent(
+        host=find(request.headers, b"host") or b"",
+        method=request.method,
+        target=request.target,
+        credentials=find(request.headers, b"authorization") or b"",
+        body=request.body,
+    )
+
+
 class Responder:
     """Writes the answer to one request."""
 
--- a/src/leverjunction/proxy/counters.py
+++ b/src/leverjunction/proxy/counters.py
@@ -20,6 +20,11 @@
         self.sends = Counter(
             "proxy_sends_total", "Sends to back ends, by result", ["result"], registry=registry
         )
+        self.lost_runs = Counter(
+            "proxy_lost_runs_total",
+            "Runs that their back end broke off after the whole request was sent",
+            registry=registry,
+        )
         self.holds = Counter(
             "proxy_holds_total",
             "Requests that waited at this gateway for a back end, by what became of them",
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from random import Random
+from typing import TypeGuard
 
-from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.errors import Execution, Failure, FailureKind, Step, is_failure
 from leverjunction.gateway.retry import RetryBudget
 from leverjunction.proxy.admission import Ticket
 from leverjunction.proxy.admission_gate import AdmissionGate
@@ -186,6 +187,8 @@
                 if streams
                 else self._pass_whole(work, answer, responder)
             )
+            if is_lost_run(passed) and not streams:
+                self._lost(work, answer, passed)
             if passed is None:
                 self._note_run(work, headed_s)
                 self._journal.ended(work, "answered", "", self._loop.time())
@@ -238,6 +241,8 @@
                 )
             )
             self._journal.sent(work, choice, answer, self._loop.time())
+            if is_lost_run(answer):
+                self._journal.run_lost(work, seat.record.runner_id, answer, self._loop.time())
             if not isinstance(answer, Failure):
                 work.runs += 1
                 work.execution = Execution.UNKNOWN
@@ -255,6 +260,10 @@
             if not work.may_run_again:
                 return answer
 
+    def _lost(self, work: Work, answer: OpenedAnswer, failure: Failure) -> None:
+        runner_id = answer.seat.record.runner_id
+        self._journal.run_lost(work, runner_id, failure, self._loop.time())
+
     def _ticket(self, work: Work) -> Ticket:
         route, arrived_s = work.route, work.request.arrived_s
         last_s = work.until_s - (self._balancer.run_s(work.service) or 0.0)
@@ -337,6 +346,8 @@
             if broken is None:
                 responder.end()
                 return None
+            if is_lost_run(broken):
+                self._lost(work, answer, broken)
             if not work.may_run_again or self._loop.time() >= work.until_s:
                 return broken
             self._balancer.failed(answer.seat, self._loop.time())
@@ -396,6 +407,15 @@
         responder.whole(status, headers, failure.reason.encode())
 
 
+def is_lost_run(outcome: object) -> TypeGuard[Failure]:
+    """Return whether a back end broke a run off that it may have begun."""
+    return (
+        is_failure(outcome)
+        and outcome.kind is FailureKind.UNREACHABLE
+        and outcome.execution is not Execution.NOT_RUN
+    )
+
+
 def _is_fault(status: int) -> bool:
     """Return whether an answer speaks against its back end, though it is passed on as it is.
 
--- a/src/leverjunction/proxy/journal.py
+++ b/src/leverjunction/proxy/journal.py
@@ -13,8 +13,10 @@
 from leverjunction.clock import Clock
 from leverjunction.errors import Failure
 from leverjunction.proxy.balancer import Choice
+from leverjunction.proxy.caller_connection import content_of
 from leverjunction.proxy.counters import ProxyCounters
 from leverjunction.proxy.dialect import RequestFacts
+from leverjunction.quarantine.request_key import request_key
 
 if TYPE_CHECKING:
     from leverjunction.proxy.attempt import OpenedAnswer
@@ -37,6 +39,7 @@
         waited_ms: Time since the request arrived.
         allowed_ms: Time that its caller and its route allow.
         runner_id: Back end that was asked.
+        request_key: The same for all attempts that carry the same request.
         load: Requests that it probably had.
         load_age_ms: Age of what it last told of its load; None if it never did.
         candidates: Back ends that were weighed.
@@ -55,6 +58,7 @@
     waited_ms: int = 0
     allowed_ms: int = 0
     runner_id: str = ""
+    request_key: str = ""
     load: float = 0.0
     load_age_ms: int | None = None
     candidates: int = 0
@@ -160,6 +164,33 @@
             )
         )
 
+    def run_lost(self, work: Work, runner_id: str, failure: Failure, now_s: float) -> None:
+        """Note a run that its back end broke off: which request, and where.
+
+        Args:
+            work: The request.
+            runner_id: Back end that had the run.
+            failure: How its answer ended.
+            now_s: Monotonic time.
+        """
+        self._counters.lost_runs.inc()
+        self._put(
+            DecisionLine(
+                at_ms=self._clock.wall_ms(),
+                event="run_lost",
+                request_id=work.facts.request_id,
+                table=work.table_version,
+                route=work.route.name,
+                service=work.service,
+                waited_ms=_ms(now_s - work.request.arrived_s),
+                runner_id=runner_id,
+                request_key=request_key(content_of(work.request)),
+                execution=failure.execution.value,
+                step=failure.step.value,
+                reason=failure.reason,
+            )
+        )
+
     def ended(self, work: Work, outcome: str, reason: str, now_s: float) -> None:
         """Note how a request ended that was passed on."""
         self._counters.requests.labels(outcome).inc()
