Failing test: a request that ends the back ends which run it goes on doing so

A gateway's start and end are methods of their own, so that a test can have several in one process. Stand-in: a back end that ends under a given body and starts again at its address.

--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -95,6 +95,8 @@
         self._figures_port = CallerPort(self._answer_figures, RequestLimits)
         self._ready_port = CallerPort(self._answer_ready, RequestLimits)
         self._stopping = False
+        self._callers: asyncio.Server | None = None
+        self._ready: asyncio.Server | None = None
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop without cutting a request."""
@@ -102,8 +104,16 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, stop_asked.set)
         self._loop.add_signal_handler(signal.SIGHUP, lambda: logger.info("settings may change"))
-        callers = await self._listen(self._port, self._config.listen.callers)
-        ready = await self._listen(self._ready_port, self._config.listen.ready)
+        await self.start()
+        await stop_asked.wait()
+        await self._drain()
+        self.close()
+        logger.info("stopped")
+
+    async def start(self) -> None:
+        """Listen, and follow the registry."""
+        self._callers = await self._listen(self._port, self._config.listen.callers)
+        self._ready = await self._listen(self._ready_port, self._config.listen.ready)
         if self._config.metrics_port:
             host = self._config.listen.ready.rpartition(":")[0]
             await self._listen(self._figures_port, f"{host}:{self._config.metrics_port}")
@@ -111,13 +121,15 @@
             await self._loads.start(self._config.listen.rpc)
         self._follower.start()
         logger.info("gateway {} started", self._config.name)
-        await stop_asked.wait()
-        await self._stop(callers)
-        ready.close()
+
+    def close(self) -> None:
+        """Close all, answered or not."""
+        for server in (self._callers, self._ready):
+            if server is not None:
+                server.close()
         self._follower.stop()
         self._loads.stop()
         self._pool.close()
-        logger.info("stopped")
 
     async def _listen(self, port: CallerPort, address: str) -> asyncio.Server:
         host, _, number = address.rpartition(":")
@@ -125,14 +137,15 @@
             lambda: CallerConnection(port), host, int(number), backlog=LISTEN_BACKLOG
         )
 
-    async def _stop(self, callers: asyncio.Server) -> None:
+    async def _drain(self) -> None:
         """Not ready at once; take what still comes for a while; answer all."""
         logger.info("stopping")
         self._stopping = True
         self._port.leaving = True
         started_s = self._loop.time()
         await asyncio.sleep(KEEP_TAKING_S)
-        callers.close()
+        if self._callers is not None:
+            self._callers.close()
         end_s = started_s + self._config.bounds.stop_grace_s - STOP_MARGIN_S
         while self._loop.time() < end_s:
             self._port.close_idle()
--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -113,8 +113,11 @@
         slots: Requests by path that it works on at once, others wait; 0 for any number.
     """
 
-    def __init__(self, runner_id: str = "i-1", usual: str = "whole", slots: int = 0) -> None:
+    def __init__(
+        self, runner_id: str = "i-1", usual: str = "whole", slots: int = 0, port: int = 0
+    ) -> None:
         self.runner_id = runner_id
+        self._port = port
         self.slots = slots
         self._places = asyncio.Semaphore(slots or MANY)
         self.usual = usual
@@ -136,9 +139,15 @@
         return self
 
     def __exit__(self, *_error: object) -> None:
-        self._loop.call_soon_threadsafe(self._loop.stop)
+        if not self._loop.is_closed():
+            self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether its thread is over, and nobody listens at its address."""
+        return not self._thread.is_alive()
+
     def then(self, *behaviours: str) -> None:
         """Set how the next requests are answered."""
         self._next.extend(behaviours)
@@ -157,7 +166,9 @@
 
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
-        server = self._loop.run_until_complete(asyncio.start_server(self._serve, "127.0.0.1", 0))
+        server = self._loop.run_until_complete(
+            asyncio.start_server(self._serve, "127.0.0.1", self._port)
+        )
         host, port = server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         self._started.set()
--- a/tests/unit/seeded_support.py
+++ b/tests/unit/seeded_support.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import os
 import shutil
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
+import msgspec
+
 from leverjunction.clock import SystemClock
 from leverjunction.config.machine import MachineConfig, MachineElections, MachineListen
 from leverjunction.lots.node import LotsNode
+from leverjunction.platform.front_calls import READY_PATH, make_front_calls
 from leverjunction.platform.headers import PlatformDialect
+from leverjunction.proxy.process import ProxyNode
 from leverjunction.registry.node import RegistryNode
+from testbed.routed import RawCaller
 
 FIRST_NET = 20
 NETS = 200
@@ -22,6 +29,9 @@
 RPC_PORT = 19071
 SEEDS = 3
 STORE_HOSTS = 100
+GATEWAY_HOSTS = 150
+CALLERS_PORT = 19072
+READY_PORT = 19073
 
 ELECTIONS = MachineElections(heartbeat_s=0.2, timeout_min_s=0.6, timeout_max_s=1.2)
 """Many nodes share one interpreter here, perhaps beside busy processes."""
@@ -35,6 +45,52 @@
         time.sleep(0.05)
 
 
+class GatewayThread:
+    """A gateway with an event loop in a thread of its own.
+
+    Attributes:
+        address: Where it takes callers.
+    """
+
+    def __init__(self, config: MachineConfig) -> None:
+        self._config = config
+        self.address = config.listen.callers
+        self._loop = asyncio.new_event_loop()
+        self._started = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+        assert self._started.wait(10), "the gateway does not listen"
+
+    def stop(self) -> None:
+        """End it as a kill does."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def is_ready(self) -> bool:
+        """Return whether it says that it has a route table."""
+        caller = RawCaller(self._config.listen.ready)
+        try:
+            return caller.ask("GET", READY_PATH, {"Host": "any"}).status == 200
+        finally:
+            caller.close()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        node = self._loop.run_until_complete(self._start())
+        self._started.set()
+        self._loop.run_forever()
+        node.close()
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+        self._loop.run_until_complete(asyncio.sleep(0))
+        self._loop.close()
+
+    async def _start(self) -> ProxyNode:
+        node = ProxyNode(self._config, PlatformDialect(), READY_PATH, make_front_calls)
+        await node.start()
+        return node
+
+
 class SeededFleet:
     """Machines by name; each keeps its folder when it is stopped."""
 
@@ -44,6 +100,7 @@
         self._folder = folder
         self.controls: dict[str, RegistryNode] = {}
         self.stores: dict[str, LotsNode] = {}
+        self.gateways: dict[str, GatewayThread] = {}
 
     def start_control(self, number: int, *, first: bool = True) -> RegistryNode:
         name = f"core-{number}"
@@ -61,6 +118,16 @@
         self.stores[name] = node
         return node
 
+    def start_gateway(self, number: int) -> GatewayThread:
+        name = f"front-{number}"
+        host = f"{self._net}.{GATEWAY_HOSTS + number}"
+        listen = MachineListen(
+            rpc=f"{host}:{RPC_PORT}", callers=f"{host}:{CALLERS_PORT}", ready=f"{host}:{READY_PORT}"
+        )
+        config = msgspec.structs.replace(self._config(name, host, False), listen=listen)
+        self.gateways[name] = GatewayThread(config)
+        return self.gateways[name]
+
     def store_address(self, number: int) -> str:
         """Return the RPC address of a store machine."""
         return f"{self._net}.{STORE_HOSTS + number}:{RPC_PORT}"
@@ -70,6 +137,8 @@
         shutil.rmtree(self._folder / name)
 
     def stop(self) -> None:
+        for gateway in self.gateways.values():
+            gateway.stop()
         for node in (*self.stores.values(), *self.controls.values()):
             node.stop()
 
--- /dev/null
+++ b/tests/unit/test_deadly_requests.py
@@ -0,0 +1,131 @@
+"""A request that ends the back ends which run it must not go on doing so.
+
+A caller sent one request again and again: same path, same body, each time with another id and to
+another gateway. Every back end that began it ended, and with it all that ran beside. Each gateway
+treated each try as a new request, since nothing tied a try to the ones before or to what became of
+their back ends: 13 back ends ended in 12 s, 8 of them after the third. The lines of a recorded day
+settled it, eleven ends like this one, each under a try of the same key at another gateway:
+
+    46.7202 front-2 run_lost i-11c7af38de ... relaying, peer closed connection without sending
+    complete message body
+    47.0807 front-6 run_lost i-b1d1608502 ... relaying, peer closed connection without sending
+    complete message body
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from tests.unit.proxy_support import request_headers
+from tests.unit.seeded_support import GatewayThread, SeededFleet, wait_until
+
+from leverjunction.errors import Failure
+from leverjunction.routes import RouteClass
+from testbed.routed import MortalRunner, RawCaller, RawReply, make_route, make_table
+
+CONTROLS = 3
+GATEWAYS = 2
+RUNNERS = 6
+RESTART_S = 1.0
+TRIES = 16
+PAUSE_S = 0.4
+ENOUGH = 3
+"""Ended back ends under one request that tell it apart from those that ran beside one."""
+
+SPREAD_S = 1.0
+"""Time in which all gateways must know."""
+
+SENT_MEANWHILE = 2
+"""Tries that may reach a back end in that time."""
+
+
+class Stage:
+    """Control processes, gateways and back ends that end under one body."""
+
+    def __init__(self, folder: Path) -> None:
+        self.fleet = SeededFleet(folder)
+        self.runners: list[MortalRunner] = []
+
+    def start(self) -> None:
+        for number in range(1, CONTROLS + 1):
+            self.fleet.start_control(number)
+        wait_until(lambda: self.fleet.leader() is not None)
+        node = next(iter(self.fleet.controls.values()))
+        routes = (
+            make_route(RouteClass.STREAM),
+            make_route(RouteClass.STREAM, name="resumed", prefix="/stream/r/", resumable=True),
+            make_route(RouteClass.REPEATABLE),
+            make_route(RouteClass.ONCE),
+        )
+        wait_until(lambda: not isinstance(node.put_table(make_table(*routes), "{}"), Failure))
+        for number in range(RUNNERS):
+            runner = MortalRunner(f"i-{number}", b"deadly", RESTART_S, node.runner_heard)
+            self.runners.append(runner)
+        for number in range(1, GATEWAYS + 1):
+            gateway = self.fleet.start_gateway(number)
+            wait_until(gateway.is_ready)
+        wait_until(lambda: len(node.hub.view().runners) == RUNNERS)
+        time.sleep(0.5)
+
+    @property
+    def gateways(self) -> list[GatewayThread]:
+        return list(self.fleet.gateways.values())
+
+    def sends(self, path: str) -> list[float]:
+        """Return when the deadly request came to a back end, in monotonic seconds."""
+        seen = [item for runner in self.runners for item in runner.seen(b"deadly")]
+        return sorted(item.began_s for item in seen if item.target == path)
+
+    def ends(self, path: str) -> int:
+        ended = [item for runner in self.runners for item in runner.ends]
+        return sum(1 for item in ended if item.target == path)
+
+    def stop(self) -> None:
+        for runner in self.runners:
+            runner.stop()
+        self.fleet.stop()
+
+
+@pytest.fixture
+def stage(tmp_path: Path) -> Iterator[Stage]:
+    stage = Stage(tmp_path)
+    try:
+        stage.start()
+        yield stage
+    finally:
+        stage.stop()
+
+
+def ask(gateway: GatewayThread, path: str, body: bytes, request_id: str) -> RawReply:
+    caller = RawCaller(gateway.address)
+    try:
+        headers = request_headers(Leverjunction_Request_Id=request_id)
+        return caller.ask("POST", path, headers, body)
+    finally:
+        caller.close()
+
+
+PATHS = {"once": ("/stream/a", "/once/a"), "repeated": ("/stream/r/a", "/repeatable/a")}
+
+
+@pytest.mark.parametrize("paths", PATHS.values(), ids=PATHS)
+def test_tries_end_no_more_than_a_few_back_ends(stage: Stage, paths: tuple[str, ...]) -> None:
+    for path in paths:
+        replies: list[RawReply] = []
+        for number in range(TRIES):
+            gateway = stage.gateways[number % GATEWAYS]
+            replies.append(ask(gateway, path, b"deadly", f"r{number}"))
+            time.sleep(PAUSE_S)
+        sends = stage.sends(path)
+        assert stage.ends(path) >= ENOUGH, "the fault did not strike"
+        later = [at_s for at_s in sends if at_s > sends[ENOUGH - 1] + SPREAD_S]
+        assert later == []
+        assert len(sends) <= ENOUGH + SENT_MEANWHILE
+        # Told at once and finally: a sensible caller does not come again.
+        assert [reply.status for reply in replies[-4:]] == [400] * 4
+        assert max(reply.after_s for reply in replies[-4:]) < 0.5
+        # Another body under the same path is another request.
+        assert ask(stage.gateways[0], path, b"sound", "other").status == 200
