A request under which three back ends ended is refused, at all gateways

Cause: nothing tied a try to the ones before or to what became of their back ends, so each was sent on as if it were new (class: repeats whose only limit is the caller's patience).

Excluded: repeats within a try (one send each on the recorded route); back ends that ended by themselves (the common key in run_lost lines).

Change: quarantine/ is one pure module. Evidence is a run that had been sent whole and whose back end's START then proved ended: nobody listens at its address, the registry tells of its silence or a successor; leaving ones prove nothing. Each start counts once. The registry replicates the records and tells them to all gateways beside the route table, with a revision of their own. From two starts on a request runs once at a time at a gateway, never early at a second back end; a suspect goes to the back end with fewest requests, no two to one. Three starts: 400 at once. A whole answer clears. A verdict lasts 10 minutes, then one more end renews it for twice as long. Without a quorum a gateway goes by what it saw. The others pay one truth test a request.

Test, before/after: 16 tries a route: 16 sends (32 where repeatable) -> at most 5; refused with 400.

--- a/src/leverjunction/errors.py
+++ b/src/leverjunction/errors.py
@@ -16,6 +16,8 @@
     """The sentinel that names what went wrong, in terms a caller can act on."""
 
     BAD_REQUEST = "bad_request"
+    HARMFUL = "harmful"
+    """Back ends ended under this very request: no other one is given it."""
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     NOT_FOUND = "not_found"
--- a/src/leverjunction/proxy/answers.py
+++ b/src/leverjunction/proxy/answers.py
@@ -9,11 +9,15 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 
 RETRY_SOON_S = 0.2
+RETRY_UNDER_WAY_S = 1.0
+"""Until a run of the same suspect request may be over."""
+
 RETRY_TABLE_S = 1.5
 """A process that has no table waits for the control processes, which may just have started too."""
 
 _STATUS = {
     FailureKind.BAD_REQUEST: 400,
+    FailureKind.HARMFUL: 400,
     FailureKind.NOT_FOUND: 404,
     FailureKind.TOO_LARGE: 413,
     FailureKind.RATE_LIMITED: 429,
@@ -67,3 +71,24 @@
         execution=execution,
         retry_after_s=RETRY_SOON_S if execution is Execution.NOT_RUN else None,
     )
+
+
+def harmful(key: str, execution: Execution) -> Failure:
+    """Return the answer to a request under which back ends ended; coming back does not help."""
+    return Failure(
+        kind=FailureKind.HARMFUL,
+        reason=f"back ends ended under this request (key {key}); it is not run again for a while",
+        step=Step.ROUTING,
+        execution=execution,
+    )
+
+
+def suspect_under_way(execution: Execution) -> Failure:
+    """Return the refusal of a suspect request that is being run for another attempt."""
+    return Failure(
+        kind=FailureKind.OVERLOADED,
+        reason="back ends ended under this request; another attempt of it is being run",
+        step=Step.ROUTING,
+        execution=execution,
+        retry_after_s=RETRY_UNDER_WAY_S,
+    )
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -148,6 +148,22 @@
         best = self._draw(self._sample(sound, home), home, prompt, now_s)
         return Choice(best, best.load(now_s), len(sound))
 
+    def choose_quiet(self, service: str, avoided: Collection[str], now_s: float) -> Choice | None:
+        """Return the back end with fewest requests, for one that may end it; None without any.
+
+        Args:
+            service: Service of the request.
+            avoided: Ids of back ends that are taken only if there is no other.
+            now_s: Monotonic time.
+        """
+        seats = self.seats(service)
+        sound = [seat for seat in seats if seat.ejected_until_s <= now_s] or seats
+        free = [seat for seat in sound if seat.record.runner_id not in avoided] or sound
+        if not free:
+            return None
+        best = min(free, key=lambda seat: (seat.load(now_s), self._random.random()))
+        return Choice(best, best.load(now_s), len(free))
+
     def _sample(self, seats: list[RunnerSeat], home: str) -> list[RunnerSeat]:
         """Return the back ends that are weighed: of very many some, and the prompt's own one."""
         if len(seats) <= WEIGHED_MOST:
--- a/src/leverjunction/proxy/counters.py
+++ b/src/leverjunction/proxy/counters.py
@@ -25,6 +25,17 @@
             "Runs that their back end broke off after the whole request was sent",
             registry=registry,
         )
+        self.suspects = Gauge(
+            "proxy_suspect_requests",
+            "Requests under which back ends ended, by how they are treated",
+            ["standing"],
+            registry=registry,
+        )
+        self.ended_runs = Gauge(
+            "proxy_ended_runs",
+            "Runs since the start under which their back end was found to have ended",
+            registry=registry,
+        )
         self.holds = Counter(
             "proxy_holds_total",
             "Requests that waited at this gateway for a back end, by what became of them",
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -12,14 +12,16 @@
 from leverjunction.proxy.admission import Ticket
 from leverjunction.proxy.admission_gate import AdmissionGate
 from leverjunction.proxy.answers import (
+    harmful,
     no_route,
     no_runner,
     no_table,
     out_of_time,
     status_of,
+    suspect_under_way,
 )
 from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
-from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.balancer import Balancer, Choice
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.dialect import Dialect, RequestFacts
 from leverjunction.proxy.events import EventSplitter
@@ -27,7 +29,10 @@
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.patience import MOVE_RATIO, HeadTimes
 from leverjunction.proxy.prompt import Prompt
+from leverjunction.proxy.quarantine import Quarantine
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
+from leverjunction.proxy.runner_seat import RunnerSeat
+from leverjunction.quarantine.verdicts import Standing
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass
 
@@ -67,17 +72,21 @@
         tried: Ids of back ends that were asked.
         runs: Back ends on which it may have run.
         execution: Whether it may have run.
+        key: Its key while it is a suspect, else empty.
+        trials: Back ends to which it was sent as a suspect.
     """
 
     __slots__ = (
         "execution",
         "facts",
+        "key",
         "prompt",
         "request",
         "route",
         "runs",
         "service",
         "table_version",
+        "trials",
         "tried",
         "until_s",
     )
@@ -101,6 +110,8 @@
         self.tried: set[str] = set()
         self.runs = 0
         self.execution = Execution.NOT_RUN
+        self.key = ""
+        self.trials: list[str] = []
 
     @property
     def may_run_again(self) -> bool:
@@ -120,6 +131,7 @@
         random: Random,
         local: LocalHandler,
         gate: AdmissionGate | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
         """Prepare for requests.
 
@@ -131,6 +143,8 @@
             random: Draws the services of split routes.
             local: Answers what is no request for a back end.
             gate: Holds requests that cannot be in time; None to send all at once.
+            quarantine: Knows requests under which back ends ended; None for one that only sees
+                what passes here.
         """
         self._sender = sender
         self._balancer = balancer
@@ -143,6 +157,7 @@
         self._head_times: dict[str, HeadTimes] = {}
         self._budget = RetryBudget()
         self._gate = gate
+        self._quarantine = quarantine or Quarantine()
 
     def set_table(self, index: RouteIndex) -> None:
         """Take a newer route table; requests under way keep theirs."""
@@ -172,9 +187,12 @@
         except asyncio.CancelledError:
             self._journal.ended(work, "cancelled", "the caller left", self._loop.time())
             raise
+        finally:
+            for runner_id in work.trials:
+                self._quarantine.over(work.key, runner_id)
 
     async def _forward(self, work: Work, responder: Responder) -> None:
-        refusal = await self._admit(work)
+        refusal = self._held_back(work) or await self._admit(work)
         if refusal is not None:
             self._refuse(work.request, work.facts, responder, refusal)
             return
@@ -188,8 +206,9 @@
                 else self._pass_whole(work, answer, responder)
             )
             if is_lost_run(passed) and not streams:
-                self._lost(work, answer, passed)
+                await self._lost(work, answer.seat, passed)
             if passed is None:
+                self._clear(work)
                 self._note_run(work, headed_s)
                 self._journal.ended(work, "answered", "", self._loop.time())
                 return
@@ -221,9 +240,10 @@
             now_s = self._loop.time()
             if now_s >= work.until_s:
                 return out_of_time(work.execution)
-            choice = self._balancer.choose(
-                work.service, work.prompt, work.tried, now_s
-            ) or self._balancer.choose(work.service, work.prompt, (), now_s)
+            held_back = self._held_back(work)
+            if held_back is not None:
+                return held_back
+            choice = self._choose(work, now_s)
             if choice is None:
                 return no_runner(work.service)
             seat = choice.seat
@@ -241,8 +261,6 @@
                 )
             )
             self._journal.sent(work, choice, answer, self._loop.time())
-            if is_lost_run(answer):
-                self._journal.run_lost(work, seat.record.runner_id, answer, self._loop.time())
             if not isinstance(answer, Failure):
                 work.runs += 1
                 work.execution = Execution.UNKNOWN
@@ -250,6 +268,8 @@
                 if _is_fault(answer.head.status):
                     self._balancer.failed(seat, self._loop.time())
                 return answer
+            if answer.kind is FailureKind.NOT_LISTENING:
+                self._quarantine.not_listening(seat.record)
             if answer.execution is Execution.NOT_RUN:
                 declined += 1
                 if declined >= DECLINED_MOST:
@@ -257,12 +277,51 @@
                 continue
             work.runs += 1
             work.execution = Execution.UNKNOWN
+            if is_lost_run(answer):
+                await self._lost(work, seat, answer)
             if not work.may_run_again:
                 return answer
 
-    def _lost(self, work: Work, answer: OpenedAnswer, failure: Failure) -> None:
-        runner_id = answer.seat.record.runner_id
+    def _choose(self, work: Work, now_s: float) -> Choice | None:
+        """Return the back end of the next send."""
+        if not work.key:
+            return self._balancer.choose(
+                work.service, work.prompt, work.tried, now_s
+            ) or self._balancer.choose(work.service, work.prompt, (), now_s)
+        # It may end its back end: where few others run, and no other suspect does.
+        avoided = work.tried | self._quarantine.taken_places()
+        choice = self._balancer.choose_quiet(work.service, avoided, now_s)
+        if choice is not None:
+            runner_id = choice.seat.record.runner_id
+            work.trials.append(runner_id)
+            self._quarantine.began(work.key, runner_id)
+        return choice
+
+    def _held_back(self, work: Work) -> Failure | None:
+        """Return the refusal of a request under which too many back ends ended."""
+        if not work.key:
+            work.key = self._quarantine.find(work.request)
+        standing = self._quarantine.standing(work.key)
+        if standing is Standing.REFUSED:
+            return harmful(work.key, work.execution)
+        repeated = standing is Standing.CAREFUL and not work.trials
+        if repeated and self._quarantine.is_under_way(work.key):
+            return suspect_under_way(work.execution)
+        return None
+
+    async def _lost(self, work: Work, seat: RunnerSeat, failure: Failure) -> None:
+        """Note a run that its back end broke off; before another one, know why it did."""
+        runner_id = seat.record.runner_id
         self._journal.run_lost(work, runner_id, failure, self._loop.time())
+        self._quarantine.lost(work.request, work.route.name, work.facts.request_id, seat.record)
+        if work.may_run_again:
+            await self._quarantine.settle(seat.record)
+
+    def _clear(self, work: Work) -> None:
+        """Note a whole answer: if the request was a suspect, it is none."""
+        key = work.key or self._quarantine.find(work.request)
+        if key:
+            self._quarantine.answered(key)
 
     def _ticket(self, work: Work) -> Ticket:
         route, arrived_s = work.route, work.request.arrived_s
@@ -284,7 +343,9 @@
 
     def _patience(self, work: Work, now_s: float) -> Patience:
         """Return how long to wait for a head before another back end is asked instead."""
-        if not work.route.repeatable or work.runs + 1 >= max(1, work.route.max_attempts):
+        # A suspect is never asked of two back ends at once: each run may end one.
+        last_run = work.runs + 1 >= max(1, work.route.max_attempts)
+        if not work.route.repeatable or last_run or work.key:
             return Patience.until(work.until_s)
         patience_s = self._times_of(work.route).patience_s(work.route.target_ms)
         soft_s = now_s + patience_s + work.prompt.read_ms / 1000
@@ -347,7 +408,7 @@
                 responder.end()
                 return None
             if is_lost_run(broken):
-                self._lost(work, answer, broken)
+                await self._lost(work, answer.seat, broken)
             if not work.may_run_again or self._loop.time() >= work.until_s:
                 return broken
             self._balancer.failed(answer.seat, self._loop.time())
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -26,10 +26,12 @@
 from leverjunction.proxy.forwarding import Forwarder, LocalHandler
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.load_port import LoadPort
+from leverjunction.proxy.quarantine import Quarantine
 from leverjunction.proxy.runner_connection import RunnerPool
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import RegistryFollower, Snapshot
 from leverjunction.registry.records import JOBS_GROUP
+from leverjunction.registry.run_reporter import RunReporter
 from leverjunction.routes.matching import RouteIndex
 from leverjunction.routes.types import RequestLimits
 from leverjunction.wire.rpc_client import RpcClient
@@ -80,6 +82,8 @@
             lambda: self._balancer.order,
             self._others_told,
         )
+        self._reporter = RunReporter(self._rpc, self._follower.hubs, clock)
+        self._quarantine = Quarantine(self._reporter)
         sender = Sender(self._pool, self._balancer, dialect, self._loads.runner_changed)
         self._gate = gate = AdmissionGate(self._balancer, sender, self._loads.held_changed)
         self._forwarder = Forwarder(
@@ -90,6 +94,7 @@
             self._random,
             make_local(self._rpc, self._follower, config.zone),
             gate if config.policies.hold_late_requests else None,
+            self._quarantine,
         )
         self._port = CallerPort(self._forwarder.handle, self._limits)
         self._figures_port = CallerPort(self._answer_figures, RequestLimits)
@@ -120,6 +125,7 @@
         if self._config.policies.tell_online_loads:
             await self._loads.start(self._config.listen.rpc)
         self._follower.start()
+        self._reporter.start()
         logger.info("gateway {} started", self._config.name)
 
     def close(self) -> None:
@@ -128,6 +134,7 @@
             if server is not None:
                 server.close()
         self._follower.stop()
+        self._reporter.stop()
         self._loads.stop()
         self._pool.close()
 
@@ -169,6 +176,7 @@
 
     def _apply(self, snapshot: Snapshot) -> None:
         self._balancer.replace(snapshot.view.runners)
+        self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
         held = self._index.table.version if self._index is not None else 0
         if snapshot.table.version > held:
             self._index = RouteIndex(snapshot.table)
@@ -178,6 +186,10 @@
         version = self._index.table.version if self._index is not None else 0
         self._counters.table_version.set(version)
         self._counters.contact_age_s.set(self._follower.age_s())
+        suspects, refused = self._quarantine.counts()
+        self._counters.suspects.labels("suspect").set(suspects - refused)
+        self._counters.suspects.labels("refused").set(refused)
+        self._counters.ended_runs.set(self._quarantine.ended_runs)
         for service, (held, oldest_s) in self._gate.waiting().items():
             self._counters.held.labels(service).set(held)
             self._counters.oldest_held_s.labels(service).set(oldest_s)
--- a/src/leverjunction/proxy/runner_connection.py
+++ b/src/leverjunction/proxy/runner_connection.py
@@ -303,8 +303,9 @@
                     lambda: RunnerConnection(address), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
+            refused = isinstance(error, ConnectionRefusedError)
             return Failure(
-                kind=FailureKind.UNREACHABLE,
+                kind=FailureKind.NOT_LISTENING if refused else FailureKind.UNREACHABLE,
                 reason=f"no connection: {error or 'timed out'}",
                 step=Step.CONNECTING,
                 peer=address,
--- a/src/leverjunction/registry/commands.py
+++ b/src/leverjunction/registry/commands.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from leverjunction.quarantine.records import EndedRun, SuspectList
 from leverjunction.registry.records import (
     FleetView,
     GroupRecord,
@@ -74,6 +75,34 @@
     least_members: int
 
 
+class NoteRuns(msgspec.Struct, frozen=True, kw_only=True, tag="note_runs"):
+    """A process tells what became of runs of suspect requests.
+
+    Attributes:
+        ended: Runs under which their back ends ended.
+        answered: Keys of suspects that were answered whole, which clears them.
+    """
+
+    ended: tuple[EndedRun, ...] = ()
+    answered: tuple[str, ...] = ()
+
+
+class ReviewSuspects(msgspec.Struct, frozen=True, kw_only=True, tag="review_suspects"):
+    """Change records of suspects, by their keys.
+
+    Attributes:
+        on_trial: Their verdict is over.
+        forgotten: Nothing is held against them any more.
+    """
+
+    on_trial: tuple[str, ...] = ()
+    forgotten: tuple[str, ...] = ()
+
+
+class GetSuspects(msgspec.Struct, frozen=True, tag="get_suspects"):
+    """Read the suspect requests."""
+
+
 class GetView(msgspec.Struct, frozen=True, tag="get_view"):
     """Read the registry without the route table."""
 
@@ -95,8 +124,10 @@
     | DropMember
     | PutGroup
     | StartRetirement
+    | NoteRuns
+    | ReviewSuspects
 )
-RegistryQuery = GetView | GetTable | GetTableSource
+RegistryQuery = GetView | GetTable | GetTableSource | GetSuspects
 
 
 class TableHeld(msgspec.Struct, frozen=True):
@@ -125,6 +156,8 @@
         wait_ms: The answer may be held for so long until something is newer.
         member: Name of the sending machine if it may hold replicas, else empty.
         fresh: Ask the group's leader, as a process must that has known nothing so far.
+        suspects_revision: Revision of the sender's list of suspects; None from a process that does
+            not know of such lists.
     """
 
     table_version: int
@@ -132,6 +165,7 @@
     wait_ms: int
     member: str = ""
     fresh: bool = False
+    suspects_revision: int | None = None
 
 
 class WatchReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -142,12 +176,14 @@
         view: The rest of the registry.
         controls: RPC addresses of the control processes.
         contact_age_s: Seconds since the answering process knew all that is committed.
+        suspects: The suspect requests.
     """
 
     table: RouteTable | None
     view: FleetView | None
     controls: tuple[str, ...]
     contact_age_s: float
+    suspects: SuspectList | None = None
 
 
 class Heard(msgspec.Struct, frozen=True):
@@ -175,6 +211,7 @@
     "Done",
     "DropMember",
     "ExpireRunners",
+    "GetSuspects",
     "GetTable",
     "GetTableSource",
     "GetView",
@@ -182,12 +219,14 @@
     "Heard",
     "JobsPlaces",
     "JoinMember",
+    "NoteRuns",
     "PutGroup",
     "PutRunner",
     "PutTable",
     "RegistryCommand",
     "RegistryQuery",
     "RemoveRunner",
+    "ReviewSuspects",
     "StartRetirement",
     "TableHeld",
     "TableSource",
--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -11,6 +11,7 @@
 
 from leverjunction.clock import Clock
 from leverjunction.errors import Failure
+from leverjunction.quarantine.records import SuspectList
 from leverjunction.registry.commands import WatchReply, WatchRequest
 from leverjunction.registry.records import FleetView
 from leverjunction.routes.types import RouteTable
@@ -31,10 +32,12 @@
     Attributes:
         table: The route table in force.
         view: The runners and the machines.
+        suspects: Requests under which back ends ended.
     """
 
     table: RouteTable
     view: FleetView
+    suspects: SuspectList = SuspectList()
 
 
 class RegistryFollower:
@@ -125,6 +128,7 @@
             wait_ms=WAIT_MS if known else 0,
             member=self._member,
             fresh=known is None,
+            suspects_revision=known.suspects.revision if known else 0,
         )
         timeout_s = CALL_TIMEOUT_S if known else FIRST_TIMEOUT_S
         return self._rpc.call(
@@ -139,12 +143,15 @@
         view = known.view
         if reply.view is not None and reply.view.revision > view.revision:
             view = reply.view
-        unchanged = table is known.table and view is known.view
+        suspects = known.suspects
+        if reply.suspects is not None and reply.suspects.revision > suspects.revision:
+            suspects = reply.suspects
+        unchanged = table is known.table and view is known.view and suspects is known.suspects
         if self._snapshot is not None and unchanged and self._is_told:
             return
         if table is not known.table:
             logger.info("route table {} is in force, after {}", table.version, known.table.version)
-        self._snapshot = Snapshot(table, view)
+        self._snapshot = Snapshot(table, view, suspects)
         self._tell(self._snapshot)
 
     def _tell(self, snapshot: Snapshot) -> None:
--- a/src/leverjunction/registry/hub.py
+++ b/src/leverjunction/registry/hub.py
@@ -10,7 +10,9 @@
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import GroupStatus, ReplicatedGroup
 from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.quarantine.records import SuspectList
 from leverjunction.registry.commands import (
+    GetSuspects,
     GetTable,
     GetView,
     WatchReply,
@@ -57,6 +59,7 @@
         self._read_s = 0.0
         self._table = RouteTable()
         self._view = FleetView()
+        self._suspects = SuspectList()
 
     def changed(self) -> None:
         """Note that a command was applied; called by the replica's own thread."""
@@ -69,6 +72,11 @@
         self._refresh()
         return self._view
 
+    def suspects(self) -> SuspectList:
+        """Return the suspect requests as applied here."""
+        self._refresh()
+        return self._suspects
+
     def status(self) -> GroupStatus:
         """Return what the local replica knows of its group."""
         return self._replica.status()
@@ -107,18 +115,34 @@
         return self.stale() or self._reply(
             table if table.version > request.table_version else None,
             view if view.revision > request.revision else None,
+            self._newer_suspects(request),
         )
 
     def _is_newer(self, request: WatchRequest) -> bool:
-        return self._table.version > request.table_version or self._view.revision > request.revision
+        return (
+            self._table.version > request.table_version
+            or self._view.revision > request.revision
+            or self._newer_suspects(request) is not None
+        )
 
-    def _reply(self, table: RouteTable | None, view: FleetView | None) -> WatchReply:
+    def _newer_suspects(self, request: WatchRequest) -> SuspectList | None:
+        known = request.suspects_revision
+        is_newer = known is not None and self._suspects.revision > known
+        return self._suspects if is_newer else None
+
+    def _reply(
+        self,
+        table: RouteTable | None,
+        view: FleetView | None,
+        suspects: SuspectList | None = None,
+    ) -> WatchReply:
         status = self._replica.status()
         return WatchReply(
             table=table,
             view=view,
             controls=tuple(status.voters),
             contact_age_s=status.leader_contact_age_s,
+            suspects=suspects,
         )
 
     def _fresh(self) -> WatchReply | Failure:
@@ -145,4 +169,7 @@
             table = decode_reply(self._replica.query_local(encode(GetTable())), RouteTable)
             if not isinstance(table, Failure) and table.version >= self._table.version:
                 self._table = table
+            suspects = decode_reply(self._replica.query_local(encode(GetSuspects())), SuspectList)
+            if not isinstance(suspects, Failure) and suspects.revision >= self._suspects.revision:
+                self._suspects = suspects
             return changes
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -306,7 +306,7 @@
         steward = self._steward
         view = self.hub.view()
         places = tuple(sorted({*status.voters, *status.learners}))
-        for command in steward.step(view, places, now_s):
+        for command in steward.step(view, places, now_s, self.hub.suspects()):
             logger.info("{}", command)
             self._propose(command, Done)
         wanted = steward.control_voters(view, places, now_s)
--- a/src/leverjunction/registry/records.py
+++ b/src/leverjunction/registry/records.py
@@ -51,6 +51,11 @@
     state: RunnerState = RunnerState.READY
     sequence: int = 0
 
+    @property
+    def start(self) -> str:
+        """What tells this start from all others."""
+        return self.runner_id
+
 
 def runner_key(record: RunnerRecord) -> tuple[str, str, str, int, RunnerState]:
     """Return what must be replicated when it changes."""
--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -7,6 +7,7 @@
 * A runner that is gone never returns: another start has another id. A message with a lower number
   than one taken before changes nothing.
 * A group's founders are set once.
+* Of a suspect request each ended start of a back end counts once; a whole answer clears it.
 """
 
 from __future__ import annotations
@@ -20,52 +21,42 @@
 from leverjunction.consensus.api import ApplyContext
 from leverjunction.consensus.schema import create_missing, not_decoded
 from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.quarantine.records import SuspectRecord
+from leverjunction.quarantine.verdicts import on_trial, with_end
 from leverjunction.registry import commands
 from leverjunction.registry.records import (
     REGISTRY_GROUP,
-    FleetView,
     GroupRecord,
     MemberRecord,
     RunnerRecord,
     RunnerState,
 )
-from leverjunction.routes.types import RouteTable
-from leverjunction.wire.codec import encode, encode_reply
-
-GONE_KEPT = 2_000
-"""Runners that are gone whose ids are remembered, so that a late message does not revive them."""
-
-_TABLES = """
-CREATE TABLE IF NOT EXISTS sm_registry_meta (
-    key TEXT PRIMARY KEY, value INTEGER NOT NULL
-) WITHOUT ROWID;
-CREATE TABLE IF NOT EXISTS sm_registry_table (
-    id INTEGER PRIMARY KEY, version INTEGER NOT NULL, content BLOB NOT NULL, source TEXT NOT NULL
-);
-CREATE TABLE IF NOT EXISTS sm_registry_record (
-    kind TEXT NOT NULL, name TEXT NOT NULL, content BLOB NOT NULL, changed INTEGER NOT NULL,
-    PRIMARY KEY (kind, name)
-) WITHOUT ROWID;
-"""
-_REVISION = "revision"
-_RUNNER = "runner"
-_MEMBER = "member"
-_GROUP = "group"
+from leverjunction.registry.tables import (
+    GROUP,
+    MEMBER,
+    RUNNER,
+    SUSPECT,
+    TABLES,
+    RegistryTables,
+)
+from leverjunction.wire.codec import encode_reply
+
 _COMMANDS = msgspec.json.Decoder(commands.RegistryCommand)
 _QUERIES = msgspec.json.Decoder(commands.RegistryQuery)
 
-R = TypeVar("R", RunnerRecord, MemberRecord, GroupRecord)
 C = TypeVar("C", bound=msgspec.Struct)
-Handler = Callable[["_Tables", Any], msgspec.Struct]
+Handler = Callable[["RegistryTables", Any], msgspec.Struct]
 _HANDLERS: dict[type[msgspec.Struct], Handler] = {}
 
 
 def _handles(
     command: type[C],
-) -> Callable[[Callable[[_Tables, C], msgspec.Struct]], Callable[[_Tables, C], msgspec.Struct]]:
+) -> Callable[
+    [Callable[[RegistryTables, C], msgspec.Struct]], Callable[[RegistryTables, C], msgspec.Struct]
+]:
     def register(
-        handler: Callable[[_Tables, C], msgspec.Struct],
-    ) -> Callable[[_Tables, C], msgspec.Struct]:
+        handler: Callable[[RegistryTables, C], msgspec.Struct],
+    ) -> Callable[[RegistryTables, C], msgspec.Struct]:
         _HANDLERS[command] = handler
         return handler
 
@@ -79,7 +70,7 @@
 
     def create_tables(self, connection: sqlite3.Connection) -> None:
         """Create the tables if they are missing."""
-        create_missing(connection, _TABLES)
+        create_missing(connection, TABLES)
 
     def apply(self, connection: sqlite3.Connection, context: ApplyContext, command: bytes) -> bytes:
         """Apply one committed command and return its encoded reply."""
@@ -87,7 +78,9 @@
             decoded = _COMMANDS.decode(command)
         except msgspec.MsgspecError as error:
             return encode_reply(not_decoded(REGISTRY_GROUP, error, Step.APPLYING))
-        return encode_reply(_HANDLERS[type(decoded)](_Tables(connection, context.index), decoded))
+        return encode_reply(
+            _HANDLERS[type(decoded)](RegistryTables(connection, context.index), decoded)
+        )
 
     def query(self, connection: sqlite3.Connection, query: bytes) -> bytes:
         """Answer a read and return its encoded reply."""
@@ -95,106 +88,18 @@
             decoded = _QUERIES.decode(query)
         except msgspec.MsgspecError as error:
             return encode_reply(not_decoded(REGISTRY_GROUP, error, Step.QUERYING))
-        tables = _Tables(connection, 0)
+        tables = RegistryTables(connection, 0)
         if isinstance(decoded, commands.GetView):
             return encode_reply(tables.view())
         if isinstance(decoded, commands.GetTable):
             return encode_reply(tables.route_table())
+        if isinstance(decoded, commands.GetSuspects):
+            return encode_reply(tables.suspects())
         return encode_reply(tables.source())
 
 
-class _Tables:
-    """The tables, at the log index of the command under way."""
-
-    __slots__ = ("_connection", "_index")
-
-    def __init__(self, connection: sqlite3.Connection, index: int) -> None:
-        self._connection = connection
-        self._index = index
-
-    def route_table(self) -> RouteTable:
-        row = self._connection.execute("SELECT content FROM sm_registry_table").fetchone()
-        return msgspec.json.decode(row[0], type=RouteTable) if row else RouteTable()
-
-    def source(self) -> commands.TableSource:
-        row = self._connection.execute("SELECT version, source FROM sm_registry_table").fetchone()
-        return commands.TableSource(*row) if row else commands.TableSource(0, "")
-
-    def table_version(self) -> int:
-        row = self._connection.execute("SELECT version FROM sm_registry_table").fetchone()
-        return int(row[0]) if row else 0
-
-    def set_table(self, change: commands.PutTable) -> None:
-        self._connection.execute(
-            "INSERT OR REPLACE INTO sm_registry_table VALUES (0, ?, ?, ?)",
-            (change.table.version, encode(change.table), change.source),
-        )
-
-    def view(self) -> FleetView:
-        row = self._connection.execute(
-            "SELECT value FROM sm_registry_meta WHERE key = ?", (_REVISION,)
-        ).fetchone()
-        runners = self.records(_RUNNER, RunnerRecord)
-        return FleetView(
-            revision=int(row[0]) if row else 0,
-            runners=tuple(item for item in runners if item.state is not RunnerState.GONE),
-            members=tuple(self.records(_MEMBER, MemberRecord)),
-            groups=tuple(self.records(_GROUP, GroupRecord)),
-        )
-
-    def records(self, kind: str, record_type: type[R]) -> list[R]:
-        rows = self._connection.execute(
-            "SELECT content FROM sm_registry_record WHERE kind = ? ORDER BY name", (kind,)
-        )
-        return [msgspec.json.decode(row[0], type=record_type) for row in rows]
-
-    def record(self, kind: str, name: str, record_type: type[R]) -> R | None:
-        row = self._connection.execute(
-            "SELECT content FROM sm_registry_record WHERE kind = ? AND name = ?", (kind, name)
-        ).fetchone()
-        return msgspec.json.decode(row[0], type=record_type) if row else None
-
-    def put(self, kind: str, name: str, record: RunnerRecord | MemberRecord | GroupRecord) -> None:
-        row = self._connection.execute(
-            "SELECT content FROM sm_registry_record WHERE kind = ? AND name = ?", (kind, name)
-        ).fetchone()
-        content = encode(record)
-        if row is not None and row[0] == content:
-            return
-        self._connection.execute(
-            "INSERT OR REPLACE INTO sm_registry_record VALUES (?, ?, ?, ?)",
-            (kind, name, content, self._index),
-        )
-        self._touch()
-
-    def delete(self, kind: str, name: str) -> None:
-        self._connection.execute(
-            "DELETE FROM sm_registry_record WHERE kind = ? AND name = ?", (kind, name)
-        )
-        self._touch()
-
-    def forget_old_runners(self) -> None:
-        """Forget the ids of those that are gone longest."""
-        rows = self._connection.execute(
-            "SELECT name, content FROM sm_registry_record WHERE kind = ? ORDER BY changed DESC",
-            (_RUNNER,),
-        ).fetchall()
-        gone = [
-            name
-            for name, content in rows
-            if msgspec.json.decode(content, type=RunnerRecord).state is RunnerState.GONE
-        ]
-        for name in gone[GONE_KEPT:]:
-            self.delete(_RUNNER, name)
-
-    def _touch(self) -> None:
-        self._connection.execute(
-            "INSERT OR REPLACE INTO sm_registry_meta VALUES (?, ?)", (_REVISION, self._index)
-        )
-
-
 @_handles(commands.PutTable)
-def _put_table(tables: _Tables, change: commands.PutTable) -> commands.TableHeld:
+def _put_table(tables: RegistryTables, change: commands.PutTable) -> commands.TableHeld:
     held = tables.table_version()
     if change.table.version <= held:
         return commands.TableHeld(held)
@@ -203,11 +108,11 @@
 
 
 @_handles(commands.PutRunner)
-def _put_runner(tables: _Tables, change: commands.PutRunner) -> commands.Done:
+def _put_runner(tables: RegistryTables, change: commands.PutRunner) -> commands.Done:
     record = change.record
-    known = tables.record(_RUNNER, record.runner_id, RunnerRecord)
+    known = tables.record(RUNNER, record.runner_id, RunnerRecord)
     if known is None or _supersedes(record, known):
-        tables.put(_RUNNER, record.runner_id, record)
+        tables.put(RUNNER, record.runner_id, record)
     return commands.Done()
 
 
@@ -221,59 +126,61 @@
 
 
 @_handles(commands.RemoveRunner)
-def _remove_runner(tables: _Tables, change: commands.RemoveRunner) -> commands.Done:
-    known = tables.record(_RUNNER, change.runner_id, RunnerRecord)
+def _remove_runner(tables: RegistryTables, change: commands.RemoveRunner) -> commands.Done:
+    known = tables.record(RUNNER, change.runner_id, RunnerRecord)
     if known is None:
         # Remembered all the same: its first message may still be on its way.
         known = RunnerRecord(runner_id=change.runner_id, service="", address="", zone="", slots=0)
     gone = msgspec.structs.replace(known, state=RunnerState.GONE)
-    tables.put(_RUNNER, change.runner_id, gone)
+    tables.put(RUNNER, change.runner_id, gone)
     tables.forget_old_runners()
     return commands.Done()
 
 
 @_handles(commands.ExpireRunners)
-def _expire_runners(tables: _Tables, change: commands.ExpireRunners) -> commands.Done:
+def _expire_runners(tables: RegistryTables, change: commands.ExpireRunners) -> commands.Done:
     for runner_id in change.runner_ids:
-        known = tables.record(_RUNNER, runner_id, RunnerRecord)
+        known = tables.record(RUNNER, runner_id, RunnerRecord)
         if known is None:
             continue
         if known.state is RunnerState.LEAVING:
             gone = msgspec.structs.replace(known, state=RunnerState.GONE)
-            tables.put(_RUNNER, runner_id, gone)
+            tables.put(RUNNER, runner_id, gone)
         elif known.state is RunnerState.READY:
             silent = msgspec.structs.replace(known, state=RunnerState.SILENT)
-            tables.put(_RUNNER, runner_id, silent)
+            tables.put(RUNNER, runner_id, silent)
     return commands.Done()
 
 
 @_handles(commands.JoinMember)
-def _join_member(tables: _Tables, change: commands.JoinMember) -> commands.Done:
-    known = tables.record(_MEMBER, change.record.name, MemberRecord)
+def _join_member(tables: RegistryTables, change: commands.JoinMember) -> commands.Done:
+    known = tables.record(MEMBER, change.record.name, MemberRecord)
     retiring = known is not None and known.retiring
     record = msgspec.structs.replace(change.record, retiring=retiring)
-    tables.put(_MEMBER, record.name, record)
+    tables.put(MEMBER, record.name, record)
     return commands.Done()
 
 
 @_handles(commands.DropMember)
-def _drop_member(tables: _Tables, change: commands.DropMember) -> commands.Done:
-    tables.delete(_MEMBER, change.name)
+def _drop_member(tables: RegistryTables, change: commands.DropMember) -> commands.Done:
+    tables.delete(MEMBER, change.name)
     return commands.Done()
 
 
 @_handles(commands.PutGroup)
-def _put_group(tables: _Tables, change: commands.PutGroup) -> commands.Done:
-    known = tables.record(_GROUP, change.name, GroupRecord)
+def _put_group(tables: RegistryTables, change: commands.PutGroup) -> commands.Done:
+    known = tables.record(GROUP, change.name, GroupRecord)
     founders = known.founders if known is not None else change.voters
     group = GroupRecord(name=change.name, founders=founders, voters=change.voters)
-    tables.put(_GROUP, change.name, group)
+    tables.put(GROUP, change.name, group)
     return commands.Done()
 
 
 @_handles(commands.StartRetirement)
-def _start_retirement(tables: _Tables, change: commands.StartRetirement) -> commands.Done | Failure:
-    member = tables.record(_MEMBER, change.name, MemberRecord)
+def _start_retirement(
+    tables: RegistryTables, change: commands.StartRetirement
+) -> commands.Done | Failure:
+    member = tables.record(MEMBER, change.name, MemberRecord)
     if member is None:
         return Failure(
             kind=FailureKind.NOT_FOUND,
@@ -284,7 +191,7 @@
         return commands.Done()
     others = [
         other
-        for other in tables.records(_MEMBER, MemberRecord)
+        for other in tables.records(MEMBER, MemberRecord)
         if other.role is member.role and not other.retiring and other.name != member.name
     ]
     if len(others) < change.least_members:
@@ -293,5 +200,29 @@
             reason=f"{len(others)} machines would be left, at least {change.least_members} must",
             step=Step.APPLYING,
         )
-    tables.put(_MEMBER, member.name, msgspec.structs.replace(member, retiring=True))
+    tables.put(MEMBER, member.name, msgspec.structs.replace(member, retiring=True))
+    return commands.Done()
+
+
+@_handles(commands.NoteRuns)
+def _note_runs(tables: RegistryTables, change: commands.NoteRuns) -> commands.Done:
+    for run in change.ended:
+        known = tables.record(SUSPECT, run.key, SuspectRecord)
+        tables.put(SUSPECT, run.key, with_end(known, run))
+        tables.limit_suspects(run.route)
+    for key in change.answered:
+        if tables.record(SUSPECT, key, SuspectRecord) is not None:
+            tables.delete(SUSPECT, key)
+    return commands.Done()
+
+
+@_handles(commands.ReviewSuspects)
+def _review_suspects(tables: RegistryTables, change: commands.ReviewSuspects) -> commands.Done:
+    for key in change.on_trial:
+        known = tables.record(SUSPECT, key, SuspectRecord)
+        if known is not None:
+            tables.put(SUSPECT, key, on_trial(known))
+    for key in change.forgotten:
+        if tables.record(SUSPECT, key, SuspectRecord) is not None:
+            tables.delete(SUSPECT, key)
     return commands.Done()
--- a/src/leverjunction/registry/steward.py
+++ b/src/leverjunction/registry/steward.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from leverjunction.quarantine.records import SuspectList
 from leverjunction.registry.commands import (
     DropMember,
     ExpireRunners,
@@ -22,6 +23,7 @@
     MemberRole,
     RunnerState,
 )
+from leverjunction.registry.suspect_review import SuspectReview
 
 
 class StewardLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,7 +54,7 @@
 class Steward:
     """Follows who is alive and says what to change. Not safe between threads."""
 
-    __slots__ = ("_heard_s", "_limits", "_members_since_s", "_names", "_started_s")
+    __slots__ = ("_heard_s", "_limits", "_members_since_s", "_names", "_review", "_started_s")
 
     def __init__(self, limits: StewardLimits, now_s: float) -> None:
         self._limits = limits
@@ -60,6 +62,7 @@
         self._heard_s: dict[str, float] = {}
         self._names: frozenset[str] = frozenset()
         self._members_since_s = now_s
+        self._review = SuspectReview()
 
     def heard(self, word: Heard, now_s: float) -> None:
         """Note who was heard lately."""
@@ -67,7 +70,11 @@
             self._heard_s[name] = now_s
 
     def step(
-        self, view: FleetView, control_voters: tuple[str, ...], now_s: float
+        self,
+        view: FleetView,
+        control_voters: tuple[str, ...],
+        now_s: float,
+        suspects: SuspectList | None = None,
     ) -> list[RegistryCommand]:
         """Return the commands that are due.
 
@@ -75,6 +82,7 @@
             view: The registry as applied on the leader.
             control_voters: Target addresses of the registry group itself.
             now_s: Monotonic time.
+            suspects: The suspect requests, None when they are not known.
         """
         self._meet(view, now_s)
         due: list[RegistryCommand] = []
@@ -83,6 +91,8 @@
             due.append(ExpireRunners(silent))
         due.extend(self._jobs_group(view, now_s))
         due.extend(self._gone_members(view, control_voters, now_s))
+        if suspects is not None:
+            due.extend(self._review.due(suspects, now_s))
         return due
 
     def control_voters(
--- /dev/null
+++ b/src/leverjunction/registry/suspect_review.py
@@ -0,0 +1,57 @@
+"""When the registry's leader changes the records of suspect requests by itself. Pure.
+
+Counted from when this leader first saw a record as it is: another leader begins anew, so a verdict
+may last longer than meant, never shorter.
+"""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from leverjunction.quarantine.records import SuspectList, SuspectRecord
+from leverjunction.quarantine.verdicts import Standing, kept_s, standing_of
+from leverjunction.registry.commands import RegistryCommand, ReviewSuspects
+
+
+class SuspectReview:
+    """Used by one thread; the time is passed in."""
+
+    __slots__ = ("_seen",)
+
+    def __init__(self) -> None:
+        self._seen: dict[str, tuple[SuspectRecord, float]] = {}
+
+    def due(self, suspects: SuspectList, now_s: float) -> list[RegistryCommand]:
+        """Return the changes that are due; verdicts that are new get a line."""
+        self._meet(suspects, now_s)
+        over = [
+            record for record, since_s in self._seen.values() if now_s - since_s >= kept_s(record)
+        ]
+        if not over:
+            return []
+        refused = [item.key for item in over if _is_refused(item)]
+        others = [item.key for item in over if not _is_refused(item)]
+        return [ReviewSuspects(on_trial=tuple(refused), forgotten=tuple(others))]
+
+    def _meet(self, suspects: SuspectList, now_s: float) -> None:
+        known, self._seen = self._seen, {}
+        for record in suspects.suspects:
+            before = known.get(record.key)
+            if before is not None and before[0] == record:
+                self._seen[record.key] = before
+                continue
+            self._seen[record.key] = (record, now_s)
+            if _is_refused(record) and (before is None or not _is_refused(before[0])):
+                logger.warning(
+                    "request {} of route {} is refused for {:.0f} s: back ends {} ended under it"
+                    " (last attempt {})",
+                    record.key,
+                    record.route,
+                    kept_s(record),
+                    ", ".join(record.starts),
+                    record.request_id,
+                )
+
+
+def _is_refused(record: SuspectRecord) -> bool:
+    return standing_of(len(record.starts)) is Standing.REFUSED
--- a/tests/unit/test_deadly_requests.py
+++ b/tests/unit/test_deadly_requests.py
@@ -10,6 +10,9 @@
     complete message body
     47.0807 front-6 run_lost i-b1d1608502 ... relaying, peer closed connection without sending
     complete message body
+
+Mended by a record of each request under which back ends ended, replicated and told to all gateways:
+three distinct starts without a whole answer in between, and it is answered 400 at once.
 """
 
 from __future__ import annotations
