--- a/src/testbed/routed/mortal.py
+++ b/src/testbed/routed/mortal.py
@@ -9,7 +9,7 @@
 from testbed.routed.runner import RunnerStandIn, Seen
 from testbed.routed.table import SERVICE
 
-STREAM_FOLDER = "/stream/"
+STREAM_FOLDERS = ("/stream/", "/batch/")
 ENDS_AFTER_S = 0.03
 """From the arrival of a deadly request to the end: it has begun by then."""
 
@@ -39,7 +39,7 @@
         usual = super()._behaviour_for(seen)
         if usual != self.usual:
             return usual
-        streams = seen.target.startswith(STREAM_FOLDER)
+        streams = seen.target.startswith(STREAM_FOLDERS)
         if seen.body != self._deadly:
             return "stream" if streams else "whole"
         if self.ended_by is None:
