An item under which three back ends ended is held, by the same evidence as online requests

Cause: lots count runs that a back end answers with a failure; one that ends its back end is never answered. Change: the store's runner uses the gateway's quarantine: the same key, evidence and replicated records; an item that is refused waits for the end of the verdict or of its own time. It is not given up earlier: callers were promised that time. Suspects run one to a back end.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from leverjunction.consensus.api import ReplicatedGroup
-from leverjunction.errors import Failure, FailureKind
+from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.lots.commands import (
     ItemBody,
     KnownProgress,
@@ -23,6 +23,7 @@
 from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import Dialect
+from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.proxy.runner_seat import RunnerSeat
 from leverjunction.wire.codec import decode_reply, encode
@@ -35,19 +36,32 @@
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 
+NOT_HEARD = Failure(
+    kind=FailureKind.DEADLINE_EXCEEDED,
+    reason="the run was ended here, or nothing more came of it",
+    step=Step.RELAYING,
+    execution=Execution.UNKNOWN,
+)
+
 
 class Attempts:
     """Used by one event loop."""
 
-    __slots__ = ("_dialect", "_group", "_outbox", "_sender")
+    __slots__ = ("_dialect", "_group", "_outbox", "_quarantine", "_sender")
 
     def __init__(
-        self, group: ReplicatedGroup, sender: Sender, dialect: Dialect, outbox: Outbox
+        self,
+        group: ReplicatedGroup,
+        sender: Sender,
+        dialect: Dialect,
+        outbox: Outbox,
+        quarantine: Quarantine,
     ) -> None:
         self._group = group
         self._sender = sender
         self._dialect = dialect
         self._outbox = outbox
+        self._quarantine = quarantine
 
     async def attempt(self, run: ItemRun, seat: RunnerSeat) -> bool:
         """Run an item once; return whether it has ended."""
@@ -55,6 +69,15 @@
         if request is None or not self._follow(run):
             run.trace.over(RunEnd.NO_BODY if request is None else RunEnd.NO_PROGRESS)
             return False
+        run.suspect_key = self._quarantine.find(request)
+        if not self._quarantine.may_begin(run.suspect_key, seat.record.runner_id):
+            run.trace.over(RunEnd.QUARANTINED)
+            return False
+        with self._quarantine.trial(run.suspect_key, seat.record.runner_id):
+            return await self._run(run, seat, request)
+
+    async def _run(self, run: ItemRun, seat: RunnerSeat, request: CallerRequest) -> bool:
+        """Send an item's request and take its answer; return whether the item has ended."""
         loop = asyncio.get_running_loop()
         if run.silent:
             # A path that goes silent may concern kept connections to other back ends as well.
@@ -73,23 +96,37 @@
         )
         if isinstance(answer, Failure):
             run.trace.not_answered(answer)
+            self._note_end(run, seat, request, answer)
             if answer.kind is FailureKind.DEADLINE_EXCEEDED:
                 _silent(run, loop.time())
             return False
         run.trace.heard(loop.time())
-        whole = False
+        broken: Failure | None = NOT_HEARD
         try:
-            whole = await self._read_answer(run, answer)
+            broken = await self._read_answer(run, answer)
         finally:
             # Also when it is parked: a later run continues after the last whole event.
-            if not whole:
+            if broken is not None:
                 run.stream.broken()
-        if not whole:
+        if broken is not None:
+            self._note_end(run, seat, request, broken)
             return False
+        run.suspect_key = run.suspect_key or self._quarantine.find(request)
+        if run.suspect_key:
+            self._quarantine.answered(run.suspect_key)
         return self._judge(run, answer.head.status)
 
-    async def _read_answer(self, run: ItemRun, answer: OpenedAnswer) -> bool:
-        """Take an answer's events; return whether it came whole."""
+    def _note_end(
+        self, run: ItemRun, seat: RunnerSeat, request: CallerRequest, failure: Failure
+    ) -> None:
+        """Note what a failed run says of its back end, and of the item itself."""
+        if failure.kind is FailureKind.NOT_LISTENING:
+            self._quarantine.not_listening(seat.record)
+        if is_lost_run(failure):
+            self._quarantine.lost(request, run.route_name, run.item.item_id, seat.record)
+
+    async def _read_answer(self, run: ItemRun, answer: OpenedAnswer) -> Failure | None:
+        """Take an answer's events; return why it did not come whole, None if it did."""
         whole = False
         loop = asyncio.get_running_loop()
         answer.connection.pace(READ_INTERVAL_S)
@@ -100,10 +137,10 @@
                     event = await answer.connection.next_event()
                 if isinstance(event, Failure | AnswerHead):
                     run.trace.over(RunEnd.CUT, event.reason if isinstance(event, Failure) else "")
-                    return False
+                    return event if isinstance(event, Failure) else NOT_HEARD
                 if isinstance(event, AnswerEnd):
                     whole = True
-                    return True
+                    return None
                 run.silent = 0
                 if answer.head.status == OK:
                     run.stream.feed(event)
@@ -111,7 +148,7 @@
         except TimeoutError:
             run.trace.over(RunEnd.SILENT, f"nothing came for {loop.time() - run.heard_s:.1f} s")
             _silent(run, loop.time())
-            return False
+            return NOT_HEARD
         finally:
             self._sender.finish(answer, whole)
 
--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -34,6 +34,7 @@
         lost_runs: Runs that were ended since their back end did not report them any more.
         raised: Runs in a row that an error here ended.
         silent: Runs in a row that were ended in silence, without a part of the item's output.
+        suspect_key: Its key once a back end ended under it, else empty.
     """
 
     __slots__ = (
@@ -50,6 +51,7 @@
         "sent_s",
         "silent",
         "stream",
+        "suspect_key",
         "task",
         "trace",
         "worked_s",
@@ -70,6 +72,7 @@
         self.silent = 0
         self.lost_runs = 0
         self.raised = 0
+        self.suspect_key = ""
         self._route: Route | None = None
         self._routed_by: RouteIndex | None = None
 
@@ -85,6 +88,11 @@
             self._routed_by = index
         return self._route
 
+    @property
+    def route_name(self) -> str:
+        """Name of the route that it was last found on, empty before."""
+        return self._route.name if self._route is not None else ""
+
     def begin_at(self, runner_id: str) -> None:
         """Note the back end where it is run from now on."""
         self.runner_id = runner_id
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -38,6 +38,7 @@
     MemberRecord,
     MemberRole,
 )
+from leverjunction.registry.run_reporter import RunReporter
 from leverjunction.wire.codec import encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.rpc_client import RpcClient
@@ -93,6 +94,7 @@
         self._follower = RegistryFollower(
             self._rpc, config.seed_addresses(), config.name, clock, random, self._on_registry
         )
+        self._reporter = RunReporter(self._rpc, self._follower.hubs, clock)
         host, _, port = self._address.rpartition(":")
         self._server = RpcServer(host, int(port), self._endpoint(), RPC_THREADS)
         self._runner: LotsRunner | None = None
@@ -117,6 +119,7 @@
             self._voters[JOBS_GROUP] = list(remembered.voters)
             self._start_replica(remembered)
         self._follower.start()
+        self._reporter.start()
         for task in self._tasks:
             task.start()
         logger.info("store process started at {}", self._address)
@@ -131,6 +134,7 @@
         for replica in self._local.values():
             replica.stop()
         self._follower.stop()
+        self._reporter.stop()
         self._server.stop()
         self._rpc.close()
         logger.info("stopped")
@@ -181,6 +185,7 @@
                 self._clock,
                 self._random,
                 datagrams=self._address,
+                report=self._reporter,
             )
             self._local[JOBS_GROUP] = replica
             self._runner.start()
--- a/src/leverjunction/lots/run_trace.py
+++ b/src/leverjunction/lots/run_trace.py
@@ -35,6 +35,9 @@
     NO_PROGRESS = "no_progress"
     """How many events the group has cannot be read."""
 
+    QUARANTINED = "quarantined"
+    """Back ends ended under this item: it is not run for a while."""
+
     RAISED = "raised"
 
 
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -40,8 +40,10 @@
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.dialect import Dialect
+from leverjunction.proxy.quarantine import EvidenceTaker, Quarantine
 from leverjunction.proxy.runner_connection import RunnerPool
 from leverjunction.proxy.runner_seat import RunnerSeat
+from leverjunction.quarantine.verdicts import Standing
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import Snapshot
 from leverjunction.routes.matching import RouteIndex, draw_service
@@ -83,6 +85,7 @@
         clock: Clock,
         random: Random,
         datagrams: str = "",
+        report: EvidenceTaker | None = None,
     ) -> None:
         """Prepare a runner.
 
@@ -93,7 +96,9 @@
             clock: Source of time.
             random: Draws the services of split routes.
             datagrams: Address where gateways tell of their online requests; empty for none.
+            report: Takes the evidence against items under which back ends end.
         """
+        self._report = report
         self._datagrams = datagrams
         self._group = group
         self._zone = zone
@@ -184,7 +189,10 @@
         self._balancer = Balancer(self._zone, self._random)
         sender = Sender(pool, self._balancer, self._dialect)
         self._outbox = Outbox(self._group, self._sight.records)
-        self._attempts = Attempts(self._group, sender, self._dialect, self._outbox)
+        self._quarantine = Quarantine(self._report)
+        self._attempts = Attempts(
+            self._group, sender, self._dialect, self._outbox, self._quarantine
+        )
         self._recording: asyncio.Task[None] | None = None
         self._loads = LoadWatch(sender, self._balancer, self._zone, self._wake.set)
         self._listener = LoadListener(
@@ -281,6 +289,7 @@
         if snapshot is None or snapshot is self._taken:
             return
         self._balancer.replace(snapshot.view.runners)
+        self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
         self._loads.keep(frozenset(record.runner_id for record in snapshot.view.runners))
         if self._index is None or self._index.table.version < snapshot.table.version:
             self._index = RouteIndex(snapshot.table)
@@ -374,7 +383,7 @@
         waiting = self._board.take() if roomy else iter(())
         for run in waiting:
             route = run.route(index)
-            if route is None or self._outbox.has_result(run):
+            if route is None or self._outbox.has_result(run) or self._is_held(run):
                 continue
             service = draw_service(route, self._random)
             seat = self._loads.free_seat(service) if service in roomy else None
@@ -388,6 +397,13 @@
         for run in reversed(blocked):
             self._board.put_back(run)
 
+    def _is_held(self, run: ItemRun) -> bool:
+        """Return whether an item waits until it may be run again without harm.
+
+        It is not given up earlier than others: its time decides, and a verdict may end before.
+        """
+        return self._quarantine.standing(run.suspect_key) is Standing.REFUSED
+
     def _start(self, run: ItemRun, seat: RunnerSeat) -> None:
         # Counted at once, so that the next item sees this one.
         slot = TakenSlot(self._loads.room_at(seat))
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -5,9 +5,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from random import Random
-from typing import TypeGuard
 
-from leverjunction.errors import Execution, Failure, FailureKind, Step, is_failure
+from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.retry import RetryBudget
 from leverjunction.proxy.admission import Ticket
 from leverjunction.proxy.admission_gate import AdmissionGate
@@ -29,7 +28,7 @@
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.patience import MOVE_RATIO, HeadTimes
 from leverjunction.proxy.prompt import Prompt
-from leverjunction.proxy.quarantine import Quarantine
+from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.proxy.runner_seat import RunnerSeat
 from leverjunction.quarantine.verdicts import Standing
@@ -468,15 +467,6 @@
         responder.whole(status, headers, failure.reason.encode())
 
 
-def is_lost_run(outcome: object) -> TypeGuard[Failure]:
-    """Return whether a back end broke a run off that it may have begun."""
-    return (
-        is_failure(outcome)
-        and outcome.kind is FailureKind.UNREACHABLE
-        and outcome.execution is not Execution.NOT_RUN
-    )
-
-
 def _is_fault(status: int) -> bool:
     """Return whether an answer speaks against its back end, though it is passed on as it is.
 
--- a/src/leverjunction/proxy/quarantine.py
+++ b/src/leverjunction/proxy/quarantine.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Iterable
-from typing import Protocol
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from typing import Protocol, TypeGuard
 
 from loguru import logger
 
+from leverjunction.errors import Execution, Failure, FailureKind, is_failure
 from leverjunction.proxy.caller_connection import CallerRequest, content_of
 from leverjunction.quarantine.end_watch import EndWatch
 from leverjunction.quarantine.records import EndedRun, SuspectList
@@ -29,6 +31,15 @@
 EXPIRE_INTERVAL_S = 1.0
 
 
+def is_lost_run(outcome: object) -> TypeGuard[Failure]:
+    """Return whether a back end broke a run off that it may have begun."""
+    return (
+        is_failure(outcome)
+        and outcome.kind is FailureKind.UNREACHABLE
+        and outcome.execution is not Execution.NOT_RUN
+    )
+
+
 class EvidenceTaker(Protocol):
     """Tells the registry (``registry.run_reporter``)."""
 
@@ -101,6 +112,15 @@
         """Return the ids of back ends that run a suspect of this process."""
         return {runner_id for runner_id, count in self._places.items() if count > 0}
 
+    def may_begin(self, key: str, runner_id: str) -> bool:
+        """Return whether a request may run at a back end now, by what is known of it."""
+        standing = self.standing(key)
+        if standing is Standing.SOUND:
+            return True
+        if standing is Standing.REFUSED or self._places[runner_id] > 0:
+            return False
+        return standing is not Standing.CAREFUL or not self.is_under_way(key)
+
     def began(self, key: str, runner_id: str) -> None:
         """Note that a suspect is sent to a back end."""
         self._under_way[key] += 1
@@ -111,6 +131,18 @@
         self._under_way -= Counter({key: 1})
         self._places -= Counter({runner_id: 1})
 
+    @contextmanager
+    def trial(self, key: str, runner_id: str) -> Iterator[None]:
+        """Count the run of a suspect while the block lasts; of others nothing is counted."""
+        if not key:
+            yield
+            return
+        self.began(key, runner_id)
+        try:
+            yield
+        finally:
+            self.over(key, runner_id)
+
     def replace(self, runners: Iterable[RunnerRecord], suspects: SuspectList) -> None:
         """Take a newer registry: it may prove the end of back ends."""
         self._runners = {record.runner_id: record for record in runners}
@@ -216,4 +248,4 @@
         self._records = {key: at for key, at in self._records.items() if key in waited_for}
 
 
-__all__ = ["EvidenceTaker", "Quarantine"]
+__all__ = ["EvidenceTaker", "Quarantine", "is_lost_run"]
