A start of a back end is its id and the moment it began

Cause: the id alone was the key, and counts were compared across starts. Now a word's 'born' orders starts; a later one replaces whatever was known (also one that leaves or is gone), words and farewells of an earlier one change nothing; silence is counted by start. What gateways and the leader of batch know (loads, ejection, rows, rooms, reports, trials) is kept by start, so it dies with it; homes of prompt parts stay by id: another start has read as little as any other back end.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -70,10 +70,10 @@
             run.trace.over(RunEnd.NO_BODY if request is None else RunEnd.NO_PROGRESS)
             return False
         run.suspect_key = self._quarantine.find(request)
-        if not self._quarantine.may_begin(run.suspect_key, seat.record.runner_id):
+        if not self._quarantine.may_begin(run.suspect_key, seat.record.start):
             run.trace.over(RunEnd.QUARANTINED)
             return False
-        with self._quarantine.trial(run.suspect_key, seat.record.runner_id):
+        with self._quarantine.trial(run.suspect_key, seat.record.start):
             return await self._run(run, seat, request)
 
     async def _run(self, run: ItemRun, seat: RunnerSeat, request: CallerRequest) -> bool:
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -75,7 +75,7 @@
             seats = self._balancer.seats(service)
             pause_s = max(READ_INTERVAL_S, len(seats) / READS_PER_S)
             for seat in seats:
-                key = seat.record.runner_id
+                key = seat.record.start
                 if key not in self._reading:
                     self._reading[key] = self._loop.create_task(self._read(seat, pause_s))
 
@@ -97,7 +97,7 @@
 
     def room_at(self, seat: RunnerSeat) -> SeatRoom:
         """Return what is known of one back end."""
-        return self._room(seat.record.service).seat(seat.record.runner_id, seat.record.slots)
+        return self._room(seat.record.service).seat(seat.record.start, seat.record.slots)
 
     def free_seat(self, service: str) -> RunnerSeat | None:
         """Return the back end with most room for batch; None while online requests need it all."""
@@ -122,7 +122,7 @@
         ejected: list[int | None] = []
         for seat in seats:
             kept = sound if seat.ejected_until_s <= now_s else ejected
-            kept.append(free.get(seat.record.runner_id))
+            kept.append(free.get(seat.record.start))
         return ServiceSight(
             known=len(seats),
             sound=len(sound),
@@ -173,7 +173,7 @@
         """Rank back ends: with room in this zone, as bodies are large; then by room."""
         room, seat = candidate
         near = seat.record.zone == self._zone and room >= NEAR_ROOM
-        return (near, room, seat.record.runner_id)
+        return (near, room, seat.record.start)
 
     async def _read(self, seat: RunnerSeat, pause_s: float) -> None:
         try:
@@ -186,8 +186,8 @@
             room = self.room_at(seat)
             room.read(load.running, load.waiting, now_s)
             report = Report(now_s, load.running + load.waiting)
-            self.lost_runs.note(seat.record.runner_id, report)
+            self.lost_runs.note(seat.record.start, report)
             self._read_one()
             await asyncio.sleep(pause_s)
         finally:
-            self._reading.pop(seat.record.runner_id, None)
+            self._reading.pop(seat.record.start, None)
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -290,7 +290,7 @@
             return
         self._balancer.replace(snapshot.view.runners)
         self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
-        self._loads.keep(frozenset(record.runner_id for record in snapshot.view.runners))
+        self._loads.keep(frozenset(record.start for record in snapshot.view.runners))
         if self._index is None or self._index.table.version < snapshot.table.version:
             self._index = RouteIndex(snapshot.table)
         self._taken = snapshot
@@ -407,7 +407,7 @@
     def _start(self, run: ItemRun, seat: RunnerSeat) -> None:
         # Counted at once, so that the next item sees this one.
         slot = TakenSlot(self._loads.room_at(seat))
-        run.begin_at(seat.record.runner_id)
+        run.begin_at(seat.record.start)
         self._sight.started(run)
         run.task = asyncio.get_running_loop().create_task(self._run(run, seat, slot))
         # A task that is cancelled before its first step runs none of its own code.
--- a/src/leverjunction/platform/control_calls.py
+++ b/src/leverjunction/platform/control_calls.py
@@ -32,6 +32,12 @@
     slots: int
     state: str
     sequence: int = 0
+    born: int = msgspec.field(default=0, name="born")
+    """When the runner started, in Unix milliseconds; the only field in lower case."""
+
+
+class _LeaveForm(msgspec.Struct):
+    born: int = 0
 
 
 class _StateForm(msgspec.Struct, rename="pascal"):
@@ -131,13 +137,18 @@
         slots=form.slots,
         state=state,
         sequence=form.sequence,
+        born_ms=form.born,
     )
     return _outcome(calls.node.runner_heard(record))
 
 
 @_call("POST", "/api/Instances.Leave/")
-def _leave(calls: ControlCalls, name: str, _body: bytes) -> Answer:
-    return _outcome(calls.node.runner_left(name))
+def _leave(calls: ControlCalls, name: str, body: bytes) -> Answer:
+    try:
+        form = msgspec.json.decode(body, type=_LeaveForm) if body else _LeaveForm()
+    except msgspec.MsgspecError as error:
+        return 400, msgspec.json.encode({"Error": str(error)})
+    return _outcome(calls.node.runner_left(name, form.born))
 
 
 @_call("POST", "/api/Retire.Start/")
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -99,13 +99,13 @@
         self._run_s: dict[str, float] = {}
 
     def replace(self, records: Iterable[RunnerRecord]) -> None:
-        """Take the registry's records; what is known of a runner that stays is kept."""
+        """Take the registry's records; only of starts that stay is kept what is known of them."""
         seats: dict[str, RunnerSeat] = {}
         by_service: dict[str, list[RunnerSeat]] = {}
         for record in records:
-            seat = self._seats.get(record.runner_id) or RunnerSeat(record)
+            seat = self._seats.get(record.start) or RunnerSeat(record)
             seat.record = record
-            seats[record.runner_id] = seat
+            seats[record.start] = seat
             by_service.setdefault(record.service, []).append(seat)
         self._seats = seats
         self.order = BackEndOrder(seats)
@@ -135,10 +135,10 @@
         Args:
             service: Service of the request.
             prompt: Its prompt.
-            avoided: Ids of back ends that were tried already.
+            avoided: Starts of back ends that were tried already.
             now_s: Monotonic time.
         """
-        seats = [seat for seat in self.seats(service) if seat.record.runner_id not in avoided]
+        seats = [seat for seat in self.seats(service) if seat.record.start not in avoided]
         if not seats:
             return None
         sound = [seat for seat in seats if seat.ejected_until_s <= now_s] or seats
@@ -153,12 +153,12 @@
 
         Args:
             service: Service of the request.
-            avoided: Ids of back ends that are taken only if there is no other.
+            avoided: Starts of back ends that are taken only if there is no other.
             now_s: Monotonic time.
         """
         seats = self.seats(service)
         sound = [seat for seat in seats if seat.ejected_until_s <= now_s] or seats
-        free = [seat for seat in sound if seat.record.runner_id not in avoided] or sound
+        free = [seat for seat in sound if seat.record.start not in avoided] or sound
         if not free:
             return None
         best = min(free, key=lambda seat: (seat.load(now_s), self._random.random()))
@@ -194,8 +194,8 @@
 
     def shared(self, others: Mapping[str, int], now_s: float, lag_s: float = 0.0) -> None:
         """Take the online requests of other gateways at all back ends that are named."""
-        for runner_id, online in others.items():
-            seat = self._seats.get(runner_id)
+        for start, online in others.items():
+            seat = self._seats.get(start)
             if seat is not None:
                 seat.shared(online, now_s, lag_s)
 
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -68,7 +68,7 @@
         service: Service that was drawn for it.
         table_version: Version of the route table that it follows.
         until_s: When its answer must be complete.
-        tried: Ids of back ends that were asked.
+        tried: Starts of back ends that were asked.
         runs: Back ends on which it may have run.
         execution: Whether it may have run.
         key: Its key while it is a suspect, else empty.
@@ -187,8 +187,8 @@
             self._journal.ended(work, "cancelled", "the caller left", self._loop.time())
             raise
         finally:
-            for runner_id in work.trials:
-                self._quarantine.over(work.key, runner_id)
+            for start in work.trials:
+                self._quarantine.over(work.key, start)
 
     async def _forward(self, work: Work, responder: Responder) -> None:
         refusal = self._held_back(work) or await self._admit(work)
@@ -246,7 +246,7 @@
             if choice is None:
                 return no_runner(work.service)
             seat = choice.seat
-            work.tried.add(seat.record.runner_id)
+            work.tried.add(seat.record.start)
             sent_s = self._loop.time()
             answer = await self._sender.send(
                 Dispatch(
@@ -291,9 +291,9 @@
         avoided = work.tried | self._quarantine.taken_places()
         choice = self._balancer.choose_quiet(work.service, avoided, now_s)
         if choice is not None:
-            runner_id = choice.seat.record.runner_id
-            work.trials.append(runner_id)
-            self._quarantine.began(work.key, runner_id)
+            start = choice.seat.record.start
+            work.trials.append(start)
+            self._quarantine.began(work.key, start)
         return choice
 
     def _held_back(self, work: Work) -> Failure | None:
@@ -310,8 +310,7 @@
 
     async def _lost(self, work: Work, seat: RunnerSeat, failure: Failure) -> None:
         """Note a run that its back end broke off; before another one, know why it did."""
-        runner_id = seat.record.runner_id
-        self._journal.run_lost(work, runner_id, failure, self._loop.time())
+        self._journal.run_lost(work, seat.record.start, failure, self._loop.time())
         self._quarantine.lost(work.request, work.route.name, work.facts.request_id, seat.record)
         if work.may_run_again:
             await self._quarantine.settle(seat.record)
--- a/src/leverjunction/proxy/journal.py
+++ b/src/leverjunction/proxy/journal.py
@@ -38,7 +38,7 @@
         service: The service that was drawn for it.
         waited_ms: Time since the request arrived.
         allowed_ms: Time that its caller and its route allow.
-        runner_id: Back end that was asked.
+        runner_id: Start of the back end that was asked.
         request_key: The same for all attempts that carry the same request.
         load: Requests that it probably had.
         load_age_ms: Age of what it last told of its load; None if it never did.
@@ -136,7 +136,7 @@
                 service=work.service,
                 waited_ms=_ms(now_s - work.request.arrived_s),
                 allowed_ms=_ms(work.until_s - work.request.arrived_s),
-                runner_id=choice.seat.record.runner_id,
+                runner_id=choice.seat.record.start,
                 load=round(choice.load, 2),
                 load_age_ms=_ms(now_s - told_s) if told_s else None,
                 candidates=choice.candidates,
--- a/src/leverjunction/proxy/load_port.py
+++ b/src/leverjunction/proxy/load_port.py
@@ -77,7 +77,7 @@
 
     def runner_changed(self, seat: RunnerSeat) -> None:
         """Take the count of a back end at which a request of this gateway began or ended."""
-        self._teller.runner_changed(seat.record.runner_id, seat.own)
+        self._teller.runner_changed(seat.record.start, seat.own)
         self._schedule()
 
     def held_changed(self, service: str, count: int) -> None:
--- a/src/leverjunction/proxy/quarantine.py
+++ b/src/leverjunction/proxy/quarantine.py
@@ -109,39 +109,39 @@
         return self._under_way[key] > 0
 
     def taken_places(self) -> set[str]:
-        """Return the ids of back ends that run a suspect of this process."""
-        return {runner_id for runner_id, count in self._places.items() if count > 0}
+        """Return the starts of back ends that run a suspect of this process."""
+        return {start for start, count in self._places.items() if count > 0}
 
-    def may_begin(self, key: str, runner_id: str) -> bool:
+    def may_begin(self, key: str, start: str) -> bool:
         """Return whether a request may run at a back end now, by what is known of it."""
         standing = self.standing(key)
         if standing is Standing.SOUND:
             return True
-        if standing is Standing.REFUSED or self._places[runner_id] > 0:
+        if standing is Standing.REFUSED or self._places[start] > 0:
             return False
         return standing is not Standing.CAREFUL or not self.is_under_way(key)
 
-    def began(self, key: str, runner_id: str) -> None:
+    def began(self, key: str, start: str) -> None:
         """Note that a suspect is sent to a back end."""
         self._under_way[key] += 1
-        self._places[runner_id] += 1
+        self._places[start] += 1
 
-    def over(self, key: str, runner_id: str) -> None:
+    def over(self, key: str, start: str) -> None:
         """Note that such a run is over, however it ended."""
         self._under_way -= Counter({key: 1})
-        self._places -= Counter({runner_id: 1})
+        self._places -= Counter({start: 1})
 
     @contextmanager
-    def trial(self, key: str, runner_id: str) -> Iterator[None]:
+    def trial(self, key: str, start: str) -> Iterator[None]:
         """Count the run of a suspect while the block lasts; of others nothing is counted."""
         if not key:
             yield
             return
-        self.began(key, runner_id)
+        self.began(key, start)
         try:
             yield
         finally:
-            self.over(key, runner_id)
+            self.over(key, start)
 
     def replace(self, runners: Iterable[RunnerRecord], suspects: SuspectList) -> None:
         """Take a newer registry: it may prove the end of back ends."""
--- a/src/leverjunction/registry/commands.py
+++ b/src/leverjunction/registry/commands.py
@@ -27,19 +27,36 @@
 
 
 class PutRunner(msgspec.Struct, frozen=True, tag="put_runner"):
-    """Register a runner or change its record; never brings back one that is gone."""
+    """Register a start of a runner or change its record; never brings back one that is gone.
+
+    Attributes:
+        record: The record.
+        shown_alive: It replaces a start that claims to be later: this one was heard for so long
+            that its words can be no late ones.
+    """
 
     record: RunnerRecord
+    shown_alive: bool = False
 
 
 class RemoveRunner(msgspec.Struct, frozen=True, tag="remove_runner"):
-    """A runner said that it ends."""
+    """A runner said that it ends.
+
+    Attributes:
+        runner_id: Its id.
+        born_ms: Which start of it; 0 for the one that is known.
+    """
 
     runner_id: str
+    born_ms: int = 0
 
 
 class ExpireRunners(msgspec.Struct, frozen=True, tag="expire_runners"):
-    """Runners fell silent; they return with their next message."""
+    """Runners fell silent; they return with their next message.
+
+    Attributes:
+        runner_ids: Their starts (``RunnerRecord.start``).
+    """
 
     runner_ids: tuple[str, ...]
 
@@ -187,7 +204,12 @@
 
 
 class Heard(msgspec.Struct, frozen=True):
-    """A control process tells the leader whom it has heard since its last message."""
+    """A control process tells the leader whom it has heard since its last message.
+
+    Attributes:
+        runner_ids: Starts of runners (``RunnerRecord.start``).
+        members: Names of machines.
+    """
 
     runner_ids: tuple[str, ...]
     members: tuple[str, ...]
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from pathlib import Path
 from random import Random
 from typing import TypeVar
@@ -37,6 +38,7 @@
     WatchRequest,
 )
 from leverjunction.registry.hub import RegistryHub
+from leverjunction.registry.late_starts import LateStarts
 from leverjunction.registry.records import (
     JOBS_GROUP,
     REGISTRY_GROUP,
@@ -114,6 +116,8 @@
         self.hub = RegistryHub(self._replica, self.host, clock)
         self._heard_runners: set[str] = set()
         self._heard_members: set[str] = set()
+        self._late_starts = LateStarts()
+        self._late_starts_lock = threading.Lock()
         self._steward: Steward | None = None
         self._limits = StewardLimits(losses=config.losses)
         host, _, port = self._address.rpartition(":")
@@ -167,15 +171,30 @@
         known = next(
             (item for item in self.hub.view().runners if item.runner_id == record.runner_id), None
         )
-        self._heard_runners.add(record.runner_id)
+        self._heard_runners.add(record.start)
+        shown_alive = False
+        if known is not None and record.born_ms < known.born_ms:
+            shown_alive = self._is_alive(record)
+            if not shown_alive:
+                return None
+            logger.warning(
+                "{} goes on, though {} seems to have started later: a clock was set back",
+                record.start,
+                known.start,
+            )
         if known is not None and _says_nothing_new(record, known):
             return None
-        reply = self._propose(PutRunner(record), Done)
+        reply = self._propose(PutRunner(record, shown_alive), Done)
         return reply if isinstance(reply, Failure) else None
 
-    def runner_left(self, runner_id: str) -> Failure | None:
-        """Take a runner's last word."""
-        reply = self._propose(RemoveRunner(runner_id), Done)
+    def _is_alive(self, record: RunnerRecord) -> bool:
+        with self._late_starts_lock:
+            now_s = self._clock.monotonic_s()
+            return self._late_starts.is_alive(record.start, record.sequence, now_s)
+
+    def runner_left(self, runner_id: str, born_ms: int = 0) -> Failure | None:
+        """Take a runner's last word; ``born_ms`` is 0 when it does not name its start."""
+        reply = self._propose(RemoveRunner(runner_id, born_ms), Done)
         return reply if isinstance(reply, Failure) else None
 
     def start_retirement(self, name: str) -> Failure | None:
@@ -316,6 +335,8 @@
 
 
 def _says_nothing_new(record: RunnerRecord, known: RunnerRecord) -> bool:
+    if record.born_ms != known.born_ms:
+        return False
     if known.state is RunnerState.LEAVING and record.state is not RunnerState.LEAVING:
         # An old word that came late.
         return True
--- a/src/leverjunction/registry/records.py
+++ b/src/leverjunction/registry/records.py
@@ -31,16 +31,19 @@
 
 
 class RunnerRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """One start of a runner; another start has another id.
+    """One start of a runner; a later one may have the same id.
 
     Attributes:
-        runner_id: Id of this start.
+        runner_id: Id of the runner; the only name that it knows itself by.
         service: Service that it belongs to.
         address: ``host:port`` of its HTTP port; may have been another runner's before.
         zone: Zone it runs in.
         slots: Requests that it works on at a time.
         state: Whether it gets new work.
-        sequence: Highest number of its own messages that was taken into account.
+        sequence: Highest number of its own messages that was taken into account; each start
+            counts anew.
+        born_ms: When this start began, by its own clock, in milliseconds since the Unix epoch; 0
+            when it does not say.
     """
 
     runner_id: str
@@ -50,16 +53,18 @@
     slots: int
     state: RunnerState = RunnerState.READY
     sequence: int = 0
+    born_ms: int = 0
 
     @property
     def start(self) -> str:
-        """What tells this start from all others."""
-        return self.runner_id
+        """What tells this start from all others: key of all that is known of it elsewhere."""
+        return f"{self.runner_id}@{self.born_ms}" if self.born_ms else self.runner_id
 
 
-def runner_key(record: RunnerRecord) -> tuple[str, str, str, int, RunnerState]:
+def runner_key(record: RunnerRecord) -> tuple[str, str, str, int, RunnerState, int]:
     """Return what must be replicated when it changes."""
-    return (record.service, record.address, record.zone, record.slots, record.state)
+    place = (record.service, record.address, record.zone)
+    return (*place, record.slots, record.state, record.born_ms)
 
 
 class MemberRecord(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -4,8 +4,8 @@
 
 * A route table replaces another only by a higher version; an equal or lower one changes nothing
   and is acknowledged.
-* A runner that is gone never returns: another start has another id. A message with a lower number
-  than one taken before changes nothing.
+* A start of a runner that is gone never returns. Of two starts under one id the later one counts;
+  within one, a message with a lower number than one taken before changes nothing.
 * A group's founders are set once.
 * Of a suspect request each ended start of a back end counts once; a whole answer clears it.
 """
@@ -111,15 +111,18 @@
 def _put_runner(tables: RegistryTables, change: commands.PutRunner) -> commands.Done:
     record = change.record
     known = tables.record(RUNNER, record.runner_id, RunnerRecord)
-    if known is None or _supersedes(record, known):
+    if known is None or _supersedes(record, known, change.shown_alive):
         tables.put(RUNNER, record.runner_id, record)
     return commands.Done()
 
 
-def _supersedes(record: RunnerRecord, known: RunnerRecord) -> bool:
+def _supersedes(record: RunnerRecord, known: RunnerRecord, shown_alive: bool) -> bool:
+    if record.born_ms != known.born_ms:
+        # Of two starts the later one counts: its predecessor has ended, whatever its last word was.
+        return record.born_ms > known.born_ms or shown_alive
     if known.state is RunnerState.GONE:
         return False
-    # One that leaves does not come back under the same id, however late another word comes.
+    # One that leaves does not come back in the same start, however late another word comes.
     if known.state is RunnerState.LEAVING and record.state is not RunnerState.LEAVING:
         return False
     return record.sequence >= known.sequence or record.state is RunnerState.LEAVING
@@ -128,9 +131,19 @@
 @_handles(commands.RemoveRunner)
 def _remove_runner(tables: RegistryTables, change: commands.RemoveRunner) -> commands.Done:
     known = tables.record(RUNNER, change.runner_id, RunnerRecord)
-    if known is None:
+    if known is None or known.born_ms < change.born_ms:
         # Remembered all the same: its first message may still be on its way.
-        known = RunnerRecord(runner_id=change.runner_id, service="", address="", zone="", slots=0)
+        known = RunnerRecord(
+            runner_id=change.runner_id,
+            service="",
+            address="",
+            zone="",
+            slots=0,
+            born_ms=change.born_ms,
+        )
+    if change.born_ms and change.born_ms != known.born_ms:
+        # The farewell of an earlier start.
+        return commands.Done()
     gone = msgspec.structs.replace(known, state=RunnerState.GONE)
     tables.put(RUNNER, change.runner_id, gone)
     tables.forget_old_runners()
@@ -139,16 +152,16 @@
 
 @_handles(commands.ExpireRunners)
 def _expire_runners(tables: RegistryTables, change: commands.ExpireRunners) -> commands.Done:
-    for runner_id in change.runner_ids:
-        known = tables.record(RUNNER, runner_id, RunnerRecord)
-        if known is None:
+    silent = frozenset(change.runner_ids)
+    for known in tables.records(RUNNER, RunnerRecord):
+        if known.start not in silent:
             continue
         if known.state is RunnerState.LEAVING:
             gone = msgspec.structs.replace(known, state=RunnerState.GONE)
-            tables.put(RUNNER, runner_id, gone)
+            tables.put(RUNNER, known.runner_id, gone)
         elif known.state is RunnerState.READY:
-            silent = msgspec.structs.replace(known, state=RunnerState.SILENT)
-            tables.put(RUNNER, runner_id, silent)
+            expired = msgspec.structs.replace(known, state=RunnerState.SILENT)
+            tables.put(RUNNER, known.runner_id, expired)
     return commands.Done()
 
 
--- a/src/leverjunction/registry/steward.py
+++ b/src/leverjunction/registry/steward.py
@@ -148,7 +148,7 @@
 
     def _meet(self, view: FleetView, now_s: float) -> None:
         """Count the silence of those that are new from now on; forget those that are gone."""
-        known = {item.runner_id for item in view.runners} | {item.name for item in view.members}
+        known = {item.start for item in view.runners} | {item.name for item in view.members}
         for name in known:
             self._heard_s.setdefault(name, now_s)
         for name in [name for name in self._heard_s if name not in known]:
@@ -156,10 +156,10 @@
 
     def _silent_runners(self, view: FleetView, now_s: float) -> tuple[str, ...]:
         return tuple(
-            item.runner_id
+            item.start
             for item in view.runners
             if item.state is not RunnerState.SILENT
-            and self._silence_s(item.runner_id, now_s) >= self._limits.runner_silence_s
+            and self._silence_s(item.start, now_s) >= self._limits.runner_silence_s
         )
 
     def _jobs_group(self, view: FleetView, now_s: float) -> list[RegistryCommand]:
--- a/src/testbed/routed/mortal.py
+++ b/src/testbed/routed/mortal.py
@@ -88,9 +88,13 @@
         self._lives.join()
         self._beats.join()
 
-    def seen(self, body: bytes) -> list[Seen]:
-        """Return the requests with a body that came to any of its starts."""
-        return [seen for start in self.starts for seen in start.seen if seen.body == body]
+    def begun(self, body: bytes) -> list[Seen]:
+        """Return the requests with a body that any of its starts began to run.
+
+        One that was meant for an earlier start at the same address is declined, not run.
+        """
+        came = [seen for start in self.starts for seen in start.seen if seen.body == body]
+        return [seen for seen in came if seen.behaviour != "another"]
 
     @property
     def ends(self) -> list[Seen]:
--- a/tests/unit/test_deadly_requests.py
+++ b/tests/unit/test_deadly_requests.py
@@ -79,7 +79,7 @@
 
     def sends(self, path: str) -> list[float]:
         """Return when the deadly request came to a back end, in monotonic seconds."""
-        seen = [item for runner in self.runners for item in runner.seen(b"deadly")]
+        seen = [item for runner in self.runners for item in runner.begun(b"deadly")]
         return sorted(item.began_s for item in seen if item.target == path)
 
     def ends(self, path: str) -> int:
--- a/tests/unit/test_lots_quarantine.py
+++ b/tests/unit/test_lots_quarantine.py
@@ -97,6 +97,6 @@
     submit(store, {"bad": b"deadly", **sound})
     wait_until(lambda: len(store.results()) == len(sound))
     time.sleep(WATCHED_S)
-    sends = [seen for back_end in back.all for seen in back_end.seen(b"deadly")]
+    sends = [seen for back_end in back.all for seen in back_end.begun(b"deadly")]
     assert len(sends) == ENOUGH
     assert store.results() == {name: ("done", WHOLE_TEXT) for name in sound}
--- a/tests/unit/test_registry_starts.py
+++ b/tests/unit/test_registry_starts.py
@@ -12,17 +12,22 @@
 from __future__ import annotations
 
 import io
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 from itertools import count
+from random import Random
 
 import msgspec
 import pytest
 from tests.unit.seeded_support import SeededFleet, wait_until
 
 from leverjunction.platform.control_calls import ControlCalls
+from leverjunction.proxy.balancer import Balancer
+from leverjunction.registry.late_starts import ALIVE_S, LateStarts
 from leverjunction.registry.records import RunnerRecord, RunnerState
 
 CONTROLS = 3
+SOON_S = 1.0
 _IDS = count(1)
 
 
@@ -38,6 +43,15 @@
     fleet.stop()
 
 
+def _soon(condition: Callable[[], bool]) -> bool:
+    until_s = time.monotonic() + SOON_S
+    while not condition():
+        if time.monotonic() > until_s:
+            return False
+        time.sleep(0.01)
+    return True
+
+
 class BackEnd:
     """Says what a back end says, through the platform's calls."""
 
@@ -67,6 +81,17 @@
         runners = self._calls.node.hub.view().runners
         return next((item for item in runners if item.runner_id == self.runner_id), None)
 
+    def is_at(self, address: str, state: RunnerState = RunnerState.READY) -> bool:
+        """Return whether it is known there, waiting a moment: the view follows the answer."""
+        return _soon(lambda: self._is(address, state))
+
+    def is_gone(self) -> bool:
+        return _soon(lambda: self.known() is None)
+
+    def _is(self, address: str, state: RunnerState) -> bool:
+        known = self.known()
+        return known is not None and (known.address, known.state) == (address, state)
+
     def _post(self, folder: str, form: object) -> str:
         body = msgspec.json.encode(form)
         environ = {
@@ -87,29 +112,31 @@
         if before == "left":
             back_end.leave(1_000)
         assert back_end.beat(2_000, 1, address="b:1").startswith("200")
+        assert back_end.is_at("b:1"), before
         known = back_end.known()
-        assert known is not None, before
-        assert (known.address, known.state, known.sequence) == ("b:1", RunnerState.READY, 1)
+        assert known is not None
+        assert known.sequence == 1
 
 
 def test_each_word_concerns_its_own_start(calls: ControlCalls) -> None:
     back_end = BackEnd(calls)
     back_end.beat(2_000, 1, address="b:1")
+    assert back_end.is_at("b:1")
     assert back_end.beat(1_000, 99, address="a:1").startswith("200")
     assert back_end.beat(1_000, 100, state="draining").startswith("200")
     assert back_end.leave(1_000).startswith("200")
-    known = back_end.known()
-    assert known is not None
-    assert (known.address, known.state) == ("b:1", RunnerState.READY)
+    time.sleep(0.2)
+    assert back_end.is_at("b:1")
     back_end = BackEnd(calls)
     back_end.leave(1_000)
-    assert back_end.known() is None
+    assert back_end.is_gone()
     back_end.beat(1_000, 3)
-    assert back_end.known() is None
+    time.sleep(0.2)
+    assert back_end.is_gone()
     back_end.beat(2_000, 1)
-    assert back_end.known() is not None
+    assert back_end.is_at("a:1")
     back_end.leave(2_000)
-    assert back_end.known() is None
+    assert back_end.is_gone()
 
 
 def test_without_the_moment_of_its_start_one_that_left_stays_away(calls: ControlCalls) -> None:
@@ -117,7 +144,8 @@
     back_end.beat(None, 5)
     back_end.leave()
     back_end.beat(None, 6)
-    assert back_end.known() is None
+    time.sleep(0.2)
+    assert back_end.is_gone()
 
 
 def test_thirty_starts_in_a_row(calls: ControlCalls) -> None:
@@ -125,6 +153,35 @@
     for number in range(30):
         back_end.beat(1_000 + number, 1, address=f"a:{number + 1}")
         back_end.beat(1_000 + number, 2, address=f"a:{number + 1}")
-    known = back_end.known()
-    assert known is not None
-    assert known.address == "a:30"
+    assert back_end.is_at("a:30")
+
+
+def test_a_start_that_seems_earlier_but_goes_on_is_taken() -> None:
+    """A machine's clock was set back between two starts of its back end."""
+    starts = LateStarts()
+    assert not starts.is_alive("i-1@5", 1, 0.0)
+    assert not starts.is_alive("i-1@5", 9, ALIVE_S - 0.1)
+    # An old word that comes late does not count, however late it comes.
+    assert not starts.is_alive("i-1@5", 2, ALIVE_S + 60)
+    assert starts.is_alive("i-1@5", 10, ALIVE_S)
+
+
+def test_what_was_known_of_an_earlier_start_dies_with_it() -> None:
+    balancer = Balancer("z", Random(1))
+    first = RunnerRecord(
+        runner_id="i-1", service="s", address="a:1", zone="z", slots=4, born_ms=1_000
+    )
+    balancer.replace([first])
+    seat = balancer.seats("s")[0]
+    for _ in range(5):
+        balancer.failed(seat, 10.0)
+    balancer.shared({first.start: 4}, 10.0)
+    balancer.replace([msgspec.structs.replace(first, sequence=9)])
+    assert balancer.seats("s")[0] is seat
+    second = msgspec.structs.replace(first, born_ms=2_000)
+    balancer.replace([second])
+    [fresh] = balancer.seats("s")
+    assert (fresh.suspicion(10.0), fresh.others, fresh.ejected_until_s) == (0.0, 0.0, 0.0)
+    # What a process that has not heard of the new start tells of the old one is not taken for it.
+    balancer.shared({first.start: 4}, 11.0)
+    assert fresh.others == 0.0
