Words of other writers name nothing to use, and hide or end nothing else

Found by property tests (300 examples a reader): a caller's 'inf' tokens and a word nested 100,000 deep raised instead of being answered; an address without a port, an id with a line feed or 10^18 slots were listed and raised, or drew all work, where they were used; one unreadable entry of the machine list hid all others. Now one module reads what others send, with bounds; unreadable words are counted by reader and reason, with a line each 10 s at most. An entry that cannot be read does not make a machine that is in use leave. A check is replaced: a list with an unknown state was refused whole; now its entry is named and no machine, the others are read, and the membership keeps what it had of it (a test more).

--- a/src/leverjunction/backends/machine_list.py
+++ b/src/leverjunction/backends/machine_list.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import Any
 
 import msgspec
 import urllib3
 
 from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.untrusted import convert, is_address, is_name, note_unreadable, read_json
 
 REQUEST_TIMEOUT_S = 2.0
 
@@ -40,13 +42,55 @@
 
 
 class MachineList(msgspec.Struct, frozen=True, kw_only=True):
-    """A reading of the list; ``as_of_ms`` is the platform's own time of it."""
+    """A reading of the list.
+
+    Attributes:
+        as_of_ms: The platform's own time of it.
+        machines: The machines.
+        unreadable: Ids of entries that name no machine to use; one that is in use stays as it was.
+    """
 
     as_of_ms: int
     machines: list[Machine]
+    unreadable: list[str] = []
 
 
-_DECODER = msgspec.json.Decoder(MachineList)
+class _ListForm(msgspec.Struct):
+    as_of_ms: int
+    machines: list[Any]
+
+
+_LISTS = msgspec.json.Decoder(_ListForm)
+
+
+def read_machine_list(data: bytes) -> MachineList | Failure:
+    """Return the machines of a list; entries of another form name none, and hide no other."""
+    form = read_json(data, _LISTS)
+    if isinstance(form, Failure):
+        return form
+    machines: list[Machine] = []
+    unreadable: list[str] = []
+    for entry in form.machines:
+        machine = _read_machine(entry)
+        if not isinstance(machine, Failure):
+            machines.append(machine)
+            continue
+        machine_id = entry.get("id") if isinstance(entry, dict) else None
+        note_unreadable("entry of the machine list", str(machine_id), machine.reason)
+        if isinstance(machine_id, str):
+            unreadable.append(machine_id)
+    return MachineList(as_of_ms=form.as_of_ms, machines=machines, unreadable=unreadable)
+
+
+def _read_machine(entry: object) -> Machine | Failure:
+    machine = convert(entry, Machine)
+    if isinstance(machine, Failure) or (is_name(machine.id) and is_address(machine.address)):
+        return machine
+    return Failure(
+        kind=FailureKind.BAD_REQUEST,
+        reason="an id that is no name, or an address that is not HOST:PORT",
+        step=Step.DECODING,
+    )
 
 
 class MachineListClient:
@@ -65,10 +109,10 @@
             return self._failure(FailureKind.UNREACHABLE, str(error))
         if response.status != 200:
             return self._failure(FailureKind.UNREACHABLE, f"HTTP status {response.status}")
-        try:
-            return _DECODER.decode(response.data)
-        except msgspec.MsgspecError as error:
-            return self._failure(FailureKind.CORRUPT, str(error))
+        listed = read_machine_list(response.data)
+        if isinstance(listed, Failure):
+            return self._failure(FailureKind.CORRUPT, listed.reason)
+        return listed
 
     def _failure(self, kind: FailureKind, reason: str) -> Failure:
         return Failure(
--- a/src/leverjunction/control/membership.py
+++ b/src/leverjunction/control/membership.py
@@ -103,6 +103,10 @@
         self.machine_list_as_of_ms = listed.as_of_ms
         before = self._machines
         self._machines = {machine.id: machine for machine in listed.machines}
+        for machine_id in listed.unreadable:
+            # An entry that cannot be read is no word that a machine in use has left.
+            if machine_id in before:
+                self._machines.setdefault(machine_id, before[machine_id])
         for runner_id in self._machines:
             self._unlisted.pop(runner_id, None)
         for runner_id, machine in before.items():
--- a/src/leverjunction/lots/item_stream.py
+++ b/src/leverjunction/lots/item_stream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from leverjunction.proxy.events import sendable_id
+
 DATA_FIELD = b"data"
 ID_FIELD = b"id"
 
@@ -67,6 +69,6 @@
             if name == DATA_FIELD:
                 data.append(value)
             elif name == ID_FIELD:
-                self.last_id = value.decode("latin-1")
+                self.last_id = sendable_id(value.strip())
         if data:
             self._events.append(b"\n".join(data).decode("utf8", "replace"))
--- a/src/leverjunction/platform/control_calls.py
+++ b/src/leverjunction/platform/control_calls.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 from loguru import logger
 
-from leverjunction.errors import Failure, FailureKind
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.platform.table_form import read_table
 from leverjunction.registry.node import RegistryNode
 from leverjunction.registry.records import RunnerRecord, RunnerState
+from leverjunction.untrusted import is_address, is_name, note_unreadable, read_json
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -25,19 +26,30 @@
 _STATES = {"ready": RunnerState.READY, "draining": RunnerState.LEAVING}
 
 
+SLOTS_MOST = 100_000
+"""Requests at a time at one runner; more is a mistake, and would draw all work there."""
+
+WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+UnixMs = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+
+
 class _BeatForm(msgspec.Struct, rename="pascal"):
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(gt=0, le=SLOTS_MOST)]
     state: str
-    sequence: int = 0
-    born: int = msgspec.field(default=0, name="born")
+    sequence: WholeNumber = 0
+    born: UnixMs = msgspec.field(default=0, name="born")
     """When the runner started, in Unix milliseconds; the only field in lower case."""
 
 
 class _LeaveForm(msgspec.Struct):
-    born: int = 0
+    born: UnixMs = 0
+
+
+_BEATS = msgspec.json.Decoder(_BeatForm)
+_LEAVES = msgspec.json.Decoder(_LeaveForm)
 
 
 class _StateForm(msgspec.Struct, rename="pascal"):
@@ -124,12 +136,26 @@
 
 @_call("POST", "/api/Instances.Heartbeat/")
 def _heartbeat(calls: ControlCalls, name: str, body: bytes) -> Answer:
-    try:
-        form = msgspec.json.decode(body, type=_BeatForm)
-        state = _STATES[form.state]
-    except (msgspec.MsgspecError, KeyError) as error:
-        return 400, msgspec.json.encode({"Error": str(error)})
-    record = RunnerRecord(
+    record = _read_beat(name, body)
+    if isinstance(record, Failure):
+        note_unreadable("heartbeat", name, record.reason)
+        return _refused(record)
+    return _outcome(calls.node.runner_heard(record))
+
+
+def _read_beat(name: str, body: bytes) -> RunnerRecord | Failure:
+    """Return the record that a heartbeat tells, or why it names no runner to use."""
+    form = read_json(body, _BEATS)
+    if isinstance(form, Failure):
+        return form
+    state = _STATES.get(form.state)
+    if state is None:
+        return _unreadable("a state that is not known")
+    if not (is_name(name) and is_name(form.service) and is_name(form.zone)):
+        return _unreadable("an id, a service or a zone that is no name")
+    if not is_address(form.address):
+        return _unreadable("an address that is not HOST:PORT")
+    return RunnerRecord(
         runner_id=name,
         service=form.service,
         address=form.address,
@@ -139,18 +165,27 @@
         sequence=form.sequence,
         born_ms=form.born,
     )
-    return _outcome(calls.node.runner_heard(record))
 
 
 @_call("POST", "/api/Instances.Leave/")
 def _leave(calls: ControlCalls, name: str, body: bytes) -> Answer:
-    try:
-        form = msgspec.json.decode(body, type=_LeaveForm) if body else _LeaveForm()
-    except msgspec.MsgspecError as error:
-        return 400, msgspec.json.encode({"Error": str(error)})
+    form = _read_farewell(name, body)
+    if isinstance(form, Failure):
+        note_unreadable("farewell", name, form.reason)
+        return _refused(form)
     return _outcome(calls.node.runner_left(name, form.born))
 
 
+def _read_farewell(name: str, body: bytes) -> _LeaveForm | Failure:
+    if not is_name(name):
+        return _unreadable("an id that is no name")
+    return read_json(body or b"{}", _LEAVES)
+
+
+def _unreadable(reason: str) -> Failure:
+    return Failure(kind=FailureKind.BAD_REQUEST, reason=reason, step=Step.DECODING)
+
+
 @_call("POST", "/api/Retire.Start/")
 def _retire(calls: ControlCalls, name: str, _body: bytes) -> Answer:
     return _outcome(calls.node.start_retirement(name))
--- a/src/leverjunction/platform/headers.py
+++ b/src/leverjunction/platform/headers.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from leverjunction.errors import Failure
 from leverjunction.proxy.dialect import (
     AnswerFacts,
     EngineLoad,
@@ -11,6 +14,14 @@
     RawHeaders,
     RequestFacts,
 )
+from leverjunction.untrusted import (
+    COUNT_MOST,
+    TOKENS_MOST,
+    finite_number,
+    note_unreadable,
+    read_json,
+    whole_number,
+)
 
 REQUEST_ID = b"Leverjunction-Request-Id"
 DEADLINE_MS = b"Leverjunction-Deadline-Ms"
@@ -42,9 +53,15 @@
 _SET = {name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE)}
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MOST)]
+
+
 class _ReportForm(msgspec.Struct, rename="pascal"):
-    running: int
-    waiting: int
+    running: Count
+    waiting: Count
+
+
+_REPORTS = msgspec.json.Decoder(_ReportForm)
 
 
 class PlatformDialect:
@@ -56,7 +73,7 @@
         tokens_in, tokens_out = _pair(fields.get(TOKEN_COUNT.lower(), ""))
         return RequestFacts(
             request_id=fields.get(REQUEST_ID.lower(), ""),
-            deadline_ms=_number(fields.get(DEADLINE_MS.lower(), "")),
+            deadline_ms=finite_number(fields.get(DEADLINE_MS.lower(), "")),
             parts=_parts(fields.get(PROMPT_PREFIX.lower(), "")),
             tokens_in=tokens_in,
             tokens_out=tokens_out,
@@ -101,9 +118,9 @@
 
     def read_load(self, body: bytes) -> EngineLoad | None:
         """Return the load that a back end tells when it is asked, None if it is malformed."""
-        try:
-            form = msgspec.json.decode(body, type=_ReportForm)
-        except msgspec.MsgspecError:
+        form = read_json(body, _REPORTS)
+        if isinstance(form, Failure):
+            note_unreadable("report", "a back end", form.reason)
             return None
         return EngineLoad(form.running, form.waiting, 0)
 
@@ -123,38 +140,30 @@
     }
 
 
-def _number(text: str) -> float | None:
-    try:
-        value = float(text)
-    except ValueError:
-        return None
-    return value if value >= 0 else None
-
-
 def _pair(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
-    return int(_number(first) or 0), int(_number(second) or 0)
+    return whole_number(first, TOKENS_MOST), whole_number(second, TOKENS_MOST)
 
 
 def _parts(text: str) -> tuple[PromptPart, ...]:
     parts = []
     for item in text.split(",") if text else []:
         key, _, tokens = item.strip().rpartition(":")
-        parts.append(PromptPart(key, int(_number(tokens) or 0)))
+        parts.append(PromptPart(key, whole_number(tokens, TOKENS_MOST)))
     return tuple(parts)
 
 
 def _load(text: str) -> EngineLoad | None:
-    numbers = [_number(item) for item in text.split(",")] if text else []
-    if len(numbers) != 3 or None in numbers:
+    numbers = [finite_number(item) for item in text.split(",")] if text else []
+    if len(numbers) != 3:
         return None
-    running, waiting, slots = (int(number or 0) for number in numbers)
-    return EngineLoad(running, waiting, slots)
+    counts = [int(number) for number in numbers if number is not None and number <= COUNT_MOST]
+    return EngineLoad(*counts) if len(counts) == len(numbers) else None
 
 
 def _keep_alive_s(text: str) -> float | None:
     for item in text.split(","):
         name, _, value = item.strip().partition("=")
         if name.lower() == "timeout":
-            return _number(value)
+            return finite_number(value)
     return None
--- a/src/leverjunction/platform/table_form.py
+++ b/src/leverjunction/platform/table_form.py
@@ -14,6 +14,7 @@
     ServiceSpec,
     WeightedService,
 )
+from leverjunction.untrusted import read_json
 
 _KINDS = {
     "idempotent": RouteClass.REPEATABLE,
@@ -89,20 +90,26 @@
 
 def read_table(body: bytes) -> RouteTable | Failure:
     """Read a whole table; what it means is checked by ``routes.check_table``."""
+    form = read_json(body, _DECODER)
+    if isinstance(form, Failure):
+        return _unreadable(form.reason)
     try:
-        form = _DECODER.decode(body)
         return RouteTable(
             version=form.version,
             routes=tuple(_route(route) for route in form.routes),
             services=tuple(_service(service) for service in form.services),
             limits=RequestLimits(**msgspec.structs.asdict(form.limits)),
         )
-    except (msgspec.MsgspecError, KeyError) as error:
-        return Failure(
-            kind=FailureKind.BAD_REQUEST,
-            reason=f"the table cannot be read: {error}",
-            step=Step.PARSING,
-        )
+    except KeyError as error:
+        return _unreadable(f"no route is of kind {error}")
+
+
+def _unreadable(reason: str) -> Failure:
+    return Failure(
+        kind=FailureKind.BAD_REQUEST,
+        reason=f"the table cannot be read: {reason}",
+        step=Step.PARSING,
+    )
 
 
 def _route(form: _RouteForm) -> Route:
--- a/src/leverjunction/proxy/events.py
+++ b/src/leverjunction/proxy/events.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
+
 _ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 MAX_EVENT_BYTES = 1024 * 1024
+_SENDABLE = re.compile(rb"[!-~](?:[ -~]{0,198}[!-~])?")
 
 
 class EventSplitter:
@@ -11,22 +14,30 @@
 
     Attributes:
         last_id: Id of the last whole event, empty before the first with an id.
+        passed: Whether any whole event came.
     """
 
-    __slots__ = ("_pending", "last_id")
+    __slots__ = ("_pending", "last_id", "passed")
 
     def __init__(self, last_id: str = "") -> None:
         self._pending = b""
         self.last_id = last_id
+        self.passed = False
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes as they came; return those of the events that are whole now."""
         pending = self._pending + data
         end = max(_end_of_last(pending, mark) for mark in _ENDS)
         whole, self._pending = pending[:end], pending[end:]
+        self.passed = self.passed or bool(whole)
         self._note_id(whole)
         return whole
 
+    @property
+    def can_continue(self) -> bool:
+        """Whether another run can go on where this one ended, without an event twice."""
+        return bool(self.last_id) or not self.passed
+
     @property
     def pending_bytes(self) -> int:
         """Bytes of the event that is not whole yet."""
@@ -37,7 +48,14 @@
         if at < 0:
             return
         line = whole[at:].lstrip(b"\n").splitlines()[0]
-        self.last_id = line.partition(b":")[2].strip().decode("latin-1")
+        self.last_id = sendable_id(line.partition(b":")[2].strip())
+
+
+def sendable_id(raw: bytes) -> str:
+    """Return an event's id as a header field can carry it; empty for any other, which no run can
+    be continued after.
+    """
+    return raw.decode("ascii") if _SENDABLE.fullmatch(raw) else ""
 
 
 def _end_of_last(data: bytes, mark: bytes) -> int:
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -407,16 +407,17 @@
                 return None
             if is_lost_run(broken):
                 await self._lost(work, answer.seat, broken)
-            if not work.may_run_again or self._loop.time() >= work.until_s:
+            again = work.may_run_again and splitter.can_continue
+            if not again or self._loop.time() >= work.until_s:
                 return broken
             self._balancer.failed(answer.seat, self._loop.time())
-            again = await self._answer(work, splitter.last_id)
-            if isinstance(again, Failure):
+            continued = await self._answer(work, splitter.last_id)
+            if isinstance(continued, Failure):
                 return broken
-            if again.head.status != 200:
-                self._sender.finish(again, False)
+            if continued.head.status != 200:
+                self._sender.finish(continued, False)
                 return broken
-            answer = again
+            answer = continued
             splitter = EventSplitter(splitter.last_id)
 
     async def _relay(
