--- a/tests/unit/test_control_membership.py
+++ b/tests/unit/test_control_membership.py
@@ -284,5 +284,7 @@
     view = Membership()
     view.machines_listed(machines(1, r1="live", r2="live"))
     view.machines_listed(MachineList(as_of_ms=2, machines=[], unreadable=["r1", "r9"]))
-    assert view.runners["r1"].leaving is False
+    state = view.runners.get("r1")
+    assert state is not None
+    assert state.leaving is False
     assert [machine.id for machine in view.listed().machines] == ["r1"]
