One steady clock for the product, which counts the time of a suspended machine

Waits of threading and sockets go by the other clock: one that a suspension interrupts ends later by its length and is then judged by the steady one.

--- a/src/leverjunction/backends/head_wait.py
+++ b/src/leverjunction/backends/head_wait.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 import contextlib
-import time
 from collections.abc import Callable, Iterator
 from contextvars import ContextVar
 
 import urllib3
 from urllib3.util.wait import wait_for_read
 
+from leverjunction.clock import steady_s
+
 CHECK_INTERVAL_S = 0.25
 
 IsHopeless = Callable[[], bool]
@@ -44,11 +45,11 @@
 
     def _wait_for_head(self, is_hopeless: IsHopeless) -> None:
         limit_s = float("inf") if self.timeout is None else float(self.timeout)
-        end_s = time.monotonic() + limit_s
+        end_s = steady_s() + limit_s
         while not wait_for_read(self.sock, timeout=CHECK_INTERVAL_S):
             if is_hopeless():
                 raise WaitGivenUpError("the back end became unreachable before its answer began")
-            if time.monotonic() >= end_s:
+            if steady_s() >= end_s:
                 raise TimeoutError("timed out")
 
 
--- a/src/leverjunction/batch/result_sender.py
+++ b/src/leverjunction/batch/result_sender.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 
 from loguru import logger
 
 from leverjunction.batch.commands import CompletedItems, CompleteItems, ItemResult
 from leverjunction.batch.directory import Control
+from leverjunction.clock import steady_s
 from leverjunction.errors import Failure, FailureKind, Step
 
 FLUSH_INTERVAL_S = 0.1
@@ -46,12 +46,12 @@
 
     def stop(self, timeout_s: float) -> None:
         """Send what is queued, for at most ``timeout_s`` altogether, and end the threads."""
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = steady_s() + timeout_s
         senders = self._all()
         for sender in senders:
             sender.begin_stop()
         for sender in senders:
-            sender.join(max(0.0, deadline_s - time.monotonic()))
+            sender.join(max(0.0, deadline_s - steady_s()))
 
     def _all(self) -> list[ResultSender]:
         with self._lock:
--- a/src/leverjunction/cli/apply.py
+++ b/src/leverjunction/cli/apply.py
@@ -9,6 +9,7 @@
 from leverjunction.cli.output import ExitCode, print_failure, print_json, print_progress, when
 from leverjunction.cli.pending import PendingRecord
 from leverjunction.cli_client import OperatorClient
+from leverjunction.clock import steady_s
 from leverjunction.errors import Failure, FailureKind
 from leverjunction.settings.change import gateways_behind
 from leverjunction.settings.commands import ApplyChange, ChangeOutcome, SettingsDelta
@@ -134,7 +135,7 @@
                 print_progress(f"version {version} is in force at all {live} gateways")
                 return ExitCode.OK
             told = _tell(behind, version, told)
-        if time.monotonic() >= give_up_s:
+        if steady_s() >= give_up_s:
             break
         time.sleep(POLL_S)
     if failure is not None:
--- a/src/leverjunction/cli/settings.py
+++ b/src/leverjunction/cli/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import getpass
-import time
 from pathlib import Path
 from uuid import uuid4
 
@@ -24,6 +23,7 @@
 )
 from leverjunction.cli.pending import PendingRecord, default_folder
 from leverjunction.cli_client import OperatorClient
+from leverjunction.clock import steady_s
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.settings.change import Plan, PlannedLeaf, plan_change, to_command
 from leverjunction.settings.commands import ApplyChange, ChangeRecord, SettingsDelta
@@ -126,7 +126,7 @@
         code = report_outcome(outcome, change, client, directory, self._options.as_json)
         if isinstance(outcome, Failure) or code is not ExitCode.OK or not wait:
             return code
-        return wait_in_force(client, outcome.version, time.monotonic() + longest_s)
+        return wait_in_force(client, outcome.version, steady_s() + longest_s)
 
     @operators_command
     def show(self, path: str = "") -> int:
--- a/src/leverjunction/cli_client.py
+++ b/src/leverjunction/cli_client.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from leverjunction.api.errors import ErrorBody
+from leverjunction.clock import steady_s
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.codec import decode, encode
 
@@ -106,7 +107,7 @@
         body: bytes,
         parameters: Mapping[str, str],
     ) -> T | Failure:
-        give_up_s = time.monotonic() + self._retry_for_s
+        give_up_s = steady_s() + self._retry_for_s
         read_timeout_s = FIRST_READ_TIMEOUT_S if len(self._addresses) > 1 else READ_TIMEOUT_S
         told = False
         while True:
@@ -121,7 +122,7 @@
                 if failure.kind is FailureKind.UNREACHABLE:
                     self._ask_last(address)
             read_timeout_s = READ_TIMEOUT_S
-            if time.monotonic() >= give_up_s or not self._addresses:
+            if steady_s() >= give_up_s or not self._addresses:
                 return failure
             if self._tell is not None and not told:
                 told = True
--- a/src/leverjunction/clock.py
+++ b/src/leverjunction/clock.py
@@ -2,10 +2,35 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import Protocol
 
-LOADED_S = time.monotonic()
+_STEADY_CLOCK: int = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""Counts the time for which the machine was suspended, where the system has such a clock. Judged by
+one that does not, a leader that wakes after seconds holds its lease for valid, and a gateway its
+table for fresh.
+"""
+
+
+def steady_s() -> float:
+    """Return seconds that never go back and stand still for nothing; all waits are judged by it.
+
+    ``threading`` and sockets wait by the other clock: a wait that a suspension interrupts ends
+    later by its length, and what it waited for is then judged by this one.
+    """
+    return time.clock_gettime(_STEADY_CLOCK)
+
+
+class SteadyLoop(asyncio.SelectorEventLoop):
+    """Event loop whose timers and deadlines count the time of a suspension."""
+
+    def time(self) -> float:
+        """Return steady seconds."""
+        return steady_s()
+
+
+LOADED_S = steady_s()
 """When this process began to load its code: programs import this module before all others."""
 
 
@@ -25,8 +50,8 @@
     """Clock of this machine."""
 
     def monotonic_s(self) -> float:
-        """Return the machine's monotonic clock, in seconds."""
-        return time.monotonic()
+        """Return the machine's steady clock, in seconds."""
+        return steady_s()
 
     def wall_ms(self) -> int:
         """Return the machine's wall clock, in milliseconds since the Unix epoch."""
--- a/src/leverjunction/control/rpc_handlers.py
+++ b/src/leverjunction/control/rpc_handlers.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Mapping
 
+from leverjunction.clock import steady_s
 from leverjunction.consensus.group import GroupReplica
 from leverjunction.control.counters import ControlCounters
 from leverjunction.control.group_host import GroupHost
@@ -70,11 +70,11 @@
 
 
 def _exchange(hub: Hub, counters: ControlCounters, envelope: Envelope, peer: str) -> bytes:
-    began_s = time.perf_counter()
+    began_s = steady_s()
     request = decode(envelope.body, ExchangeRequest, peer)
     body = encode_reply(request) if isinstance(request, Failure) else hub.exchange_encoded(request)
     counters.exchanges.labels("refused" if is_failure_reply(body) else "ok").inc()
     counters.exchange_bytes.labels("in").inc(len(envelope.body))
     counters.exchange_bytes.labels("out").inc(len(body))
-    counters.exchange_s.observe(time.perf_counter() - began_s)
+    counters.exchange_s.observe(steady_s() - began_s)
     return body
--- a/src/leverjunction/gateway/http_server.py
+++ b/src/leverjunction/gateway/http_server.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import socket
-import time
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -17,6 +16,7 @@
 from cheroot.connections import ConnectionManager
 from cheroot.makefile import MakeFile
 
+from leverjunction.clock import steady_s
 from leverjunction.gateway.listener import LISTEN_BACKLOG, DrainedConnections
 from leverjunction.gateway.slow_senders import SlowSenderGuard
 
@@ -123,10 +123,10 @@
         """Read on for a while: closing with unread bytes resets the connection, and the caller
         may lose the answer.
         """
-        end_s = time.monotonic() + LINGER_S
+        end_s = steady_s() + LINGER_S
         try:
             self.socket.shutdown(socket.SHUT_WR)
-            while (left_s := end_s - time.monotonic()) > 0:
+            while (left_s := end_s - steady_s()) > 0:
                 self.socket.settimeout(left_s)
                 if not self.socket.recv(DISCARD_BYTES):
                     return
--- a/src/leverjunction/gateway/owner.py
+++ b/src/leverjunction/gateway/owner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 
@@ -11,6 +10,7 @@
 
 from leverjunction.backends.client import EngineClient
 from leverjunction.backends.types import LoadReport
+from leverjunction.clock import steady_s
 from leverjunction.errors import Failure
 from leverjunction.gateway.cache_feed import CacheFeed
 from leverjunction.gateway.exchange import DigestOutbox
@@ -103,7 +103,7 @@
         read_s = self._idle_read_s.get(runner_id)
         if read_s is None or has_batch or self._pool.open_sends(runner_id) > 0:
             return True
-        return time.monotonic() - read_s >= IDLE_POLL_INTERVAL_S
+        return steady_s() - read_s >= IDLE_POLL_INTERVAL_S
 
     def _poll(self, runner: RunnerState) -> None:
         report = self._engines.load(runner.address, POLL_TIMEOUT_S)
@@ -116,7 +116,7 @@
         if report.running + report.waiting > 0:
             self._idle_read_s.pop(runner.runner_id, None)
         else:
-            self._idle_read_s[runner.runner_id] = time.monotonic()
+            self._idle_read_s[runner.runner_id] = steady_s()
         if self._failures.pop(runner.runner_id, 0) >= FAILURES_TO_UNHEALTHY:
             logger.info("runner {} answers again", runner.runner_id)
         self._publish(digest_of(runner.runner_id, report))
--- a/src/leverjunction/gateway/relay.py
+++ b/src/leverjunction/gateway/relay.py
@@ -10,13 +10,13 @@
 import selectors
 import socket
 import threading
-import time
 from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 from loguru import logger
 
+from leverjunction.clock import steady_s
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.relay_caller import CallerSide
 from leverjunction.gateway.relay_stream import (
@@ -49,7 +49,7 @@
             gone=self._caller_gone,
             written=self._caller_caught_up,
             full=self._pause_engine,
-            now_s=lambda: time.monotonic(),
+            now_s=steady_s,
         )
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
@@ -113,11 +113,11 @@
                 self._fault(stream)
 
     def _run(self) -> None:
-        next_scan_s = time.monotonic() + SCAN_INTERVAL_S
+        next_scan_s = steady_s() + SCAN_INTERVAL_S
         while not self._stopped:
             for key, mask in self._selector.select(SCAN_INTERVAL_S):
                 self._handle(key.data, mask)
-            now_s = time.monotonic()
+            now_s = steady_s()
             if now_s >= next_scan_s:
                 next_scan_s = now_s + SCAN_INTERVAL_S
                 self._scan(now_s)
@@ -149,7 +149,7 @@
 
     def _begin(self, stream: RelayStream) -> None:
         self._streams.add(stream)
-        stream.last_byte_s = time.monotonic()
+        stream.last_byte_s = steady_s()
         self._callers.open(stream)
         if stream.engine is not None:
             self._attach(stream, stream.engine)
@@ -184,7 +184,7 @@
         self._pass_on(stream, data)
 
     def _pass_on(self, stream: RelayStream, data: bytes) -> None:
-        stream.last_byte_s = time.monotonic()
+        stream.last_byte_s = steady_s()
         events = stream.whole_events(data)
         if not events:
             return
@@ -219,7 +219,7 @@
     def _resume_engine(self, stream: RelayStream) -> None:
         if stream.engine is not None and stream.paused:
             stream.paused = False
-            stream.last_byte_s = time.monotonic()
+            stream.last_byte_s = steady_s()
             watch = Watch(stream, lambda _mask: self._on_engine(stream))
             self._selector.register(stream.engine.connection, selectors.EVENT_READ, watch)
 
--- a/src/leverjunction/gateway/runtime.py
+++ b/src/leverjunction/gateway/runtime.py
@@ -4,7 +4,6 @@
 
 import random
 import threading
-import time
 from pathlib import Path
 
 from loguru import logger
@@ -16,7 +15,7 @@
 from leverjunction.api.models import ModelsApi
 from leverjunction.api.probes import ProbesApi
 from leverjunction.backends.client import EngineClient
-from leverjunction.clock import SystemClock
+from leverjunction.clock import SystemClock, steady_s
 from leverjunction.config.gateway import GatewayConfig
 from leverjunction.gateway.cache_feed import CacheFeed
 from leverjunction.gateway.claims import ClaimDesk
@@ -168,13 +167,13 @@
         logger.info("stopping: new requests are refused")
         self.inflight.begin_stop()
         self.http_server.is_leaving = True
-        deadline_s = time.monotonic() + self.config.drain_timeout_s
+        deadline_s = steady_s() + self.config.drain_timeout_s
         self.exchange.exchange_once()
         self.harvest.stop()
         # Requests that wait in a queue were accepted: they get their turn, or their refusal.
-        idle = self.inflight.wait_idle(max(0.0, deadline_s - time.monotonic()))
+        idle = self.inflight.wait_idle(max(0.0, deadline_s - steady_s()))
         self.gate.stop()
-        idle = self.relay.wait_idle(max(0.0, deadline_s - time.monotonic())) and idle
+        idle = self.relay.wait_idle(max(0.0, deadline_s - steady_s())) and idle
         if not idle:
             logger.warning("requests were still open after {} s", self.config.drain_timeout_s)
         return idle
--- a/src/leverjunction/gateway/slow_senders.py
+++ b/src/leverjunction/gateway/slow_senders.py
@@ -7,9 +7,10 @@
 
 import socket
 import threading
-import time
 from typing import Protocol
 
+from leverjunction.clock import steady_s
+
 REQUEST_READ_TIMEOUT_S = 15.0
 CHECK_INTERVAL_S = 1.0
 MIN_BODY_BYTES_PER_S = 64 * 1024
@@ -33,14 +34,14 @@
     def reading(self, connection: ReadingConnection) -> None:
         """A worker starts to read a request from a connection."""
         with self._lock:
-            self._due_s[connection] = time.monotonic() + self._timeout_s
+            self._due_s[connection] = steady_s() + self._timeout_s
 
     def extend(self, connection: ReadingConnection, body_bytes: int) -> None:
         """The head is read; its body of so many bytes gets time in proportion."""
         with self._lock:
             if connection in self._due_s:
                 extra_s = body_bytes / MIN_BODY_BYTES_PER_S
-                self._due_s[connection] = time.monotonic() + self._timeout_s + extra_s
+                self._due_s[connection] = steady_s() + self._timeout_s + extra_s
 
     def done(self, connection: ReadingConnection) -> None:
         """The request is read, or its connection is let go."""
@@ -67,7 +68,7 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(CHECK_INTERVAL_S):
-            self.check(time.monotonic())
+            self.check(steady_s())
 
 
 def _end_reading(connection: socket.socket) -> None:
--- a/src/leverjunction/lots/client.py
+++ b/src/leverjunction/lots/client.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from leverjunction.clock import steady_s
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.lots.commands import LotCommand, encode_command
 from leverjunction.registry.follower import RegistryFollower
@@ -113,11 +114,11 @@
     ) -> T | Failure:
         """Ask the stores until the leader answers; ``last`` did not answer a moment ago."""
         sending_s = len(body) / SLOWEST_BYTES_PER_S
-        until_s = time.monotonic() + CALL_BUDGET_S + sending_s
+        until_s = steady_s() + CALL_BUDGET_S + sending_s
         failure = _no_store()
         maybe_ran = False
         for store, timeout_s in self._tries(until_s, last):
-            most_s = min(timeout_s + sending_s, until_s - time.monotonic())
+            most_s = min(timeout_s + sending_s, until_s - steady_s())
             raw = self._rpc.call_raw(store, kind, body, group=JOBS_GROUP, timeout_s=most_s)
             reply = raw if isinstance(raw, Failure) else decode_reply(raw, reply_type, store)
             if not isinstance(reply, Failure):
@@ -138,11 +139,11 @@
         while True:
             asked: set[str] = set()
             while store := next((item for item in self._stores(last) if item not in asked), None):
-                if time.monotonic() >= until_s:
+                if steady_s() >= until_s:
                     return
                 asked.add(store)
                 yield store, timeout_s
-            if time.monotonic() + ROUND_PAUSE_S >= until_s:
+            if steady_s() + ROUND_PAUSE_S >= until_s:
                 return
             time.sleep(ROUND_PAUSE_S)
             timeout_s = CALL_TIMEOUT_S
--- a/src/leverjunction/lots/record_trace.py
+++ b/src/leverjunction/lots/record_trace.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
+from leverjunction.clock import steady_s
 from leverjunction.errors import Failure
 from leverjunction.lots import metrics
 from leverjunction.lots.commands import Recorded, RecordRuns
@@ -44,7 +44,7 @@
     __slots__ = ("_command", "_lines", "_now_s", "_tries", "begun_s", "last_failure", "taken_s")
 
     def __init__(
-        self, now_s: Callable[[], float] = time.monotonic, lines: ItemLines | None = None
+        self, now_s: Callable[[], float] = steady_s, lines: ItemLines | None = None
     ) -> None:
         self._now_s = now_s
         self._lines = lines
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -16,7 +16,7 @@
 import msgspec
 from loguru import logger
 
-from leverjunction.clock import Clock
+from leverjunction.clock import Clock, SteadyLoop
 from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots.attempts import Attempts
@@ -172,7 +172,8 @@
         """Run loops until asked to stop: after one that ends by an error comes another."""
         while not self._stopped:
             try:
-                asyncio.run(self._main())
+                with asyncio.Runner(loop_factory=SteadyLoop) as loop_runner:
+                    loop_runner.run(self._main())
             except Exception:
                 # The replica may lead on: without a loop nothing of what it has would be run.
                 logger.exception("the loop that runs the items of lots has ended; another begins")
--- a/src/leverjunction/platform/roles.py
+++ b/src/leverjunction/platform/roles.py
@@ -14,7 +14,7 @@
 from prometheus_client import start_http_server
 
 from leverjunction.allocator import return_large_buffers
-from leverjunction.clock import SystemClock
+from leverjunction.clock import SteadyLoop, SystemClock
 from leverjunction.config.machine import MachineConfig, load_machine_config
 from leverjunction.errors import Failure
 
@@ -82,7 +82,8 @@
         node = ProxyNode(config, PlatformDialect(), READY_PATH, make_front_calls)
         await node.run()
 
-    asyncio.run(run())
+    with asyncio.Runner(loop_factory=SteadyLoop) as runner:
+        runner.run(run())
     return EXIT_STOPPED
 
 
--- a/src/leverjunction/untrusted.py
+++ b/src/leverjunction/untrusted.py
@@ -7,13 +7,13 @@
 
 import math
 import re
-import time
 from typing import Any, TypeVar
 
 import msgspec
 from loguru import logger
 from prometheus_client import Counter
 
+from leverjunction.clock import steady_s
 from leverjunction.errors import Failure, FailureKind, Step
 
 T = TypeVar("T")
@@ -91,7 +91,7 @@
     # Without what was got, which may be anything: the label's values are to stay few.
     kind = str(reason).partition(" - at ")[0].partition(",")[0][:60]
     UNREADABLE.labels(reader, kind).inc()
-    now_s = time.monotonic()
+    now_s = steady_s()
     if now_s - _last_lines.get((reader, kind), -math.inf) < LINE_PAUSE_S:
         return
     _last_lines[reader, kind] = now_s
--- a/src/testbed/simulation/breaks.py
+++ b/src/testbed/simulation/breaks.py
@@ -84,6 +84,11 @@
         _IN_FORCE,
         broken_state.acknowledge_before_sync,
     ),
+    "clock_stands_while_frozen": Rule(
+        "leases and freshness are judged by a clock that stands still while a machine is suspended",
+        _CANCEL,
+        broken_state.clock_stands_while_frozen,
+    ),
     "read_from_any_replica": Rule(
         "reads are answered from any replica's applied state",
         _SETTINGS,
--- a/src/testbed/simulation/broken_state.py
+++ b/src/testbed/simulation/broken_state.py
@@ -27,6 +27,7 @@
 from testbed.simulation.gateway_front import GatewayFront
 from testbed.simulation.gateway_node import SettingsDisk
 from testbed.simulation.local_group import LocalGroup
+from testbed.simulation.machine import Machine
 from testbed.simulation.replica import ReplicaDisk
 
 UNSYNCED_SHARE = 20
@@ -35,6 +36,11 @@
 # Consensus.
 
 
+def clock_stands_while_frozen() -> list[Any]:
+    """Return the patches."""
+    return [mock.patch.object(Machine, "clock_counts_frozen_time", False)]
+
+
 def found_alone() -> list[Any]:
     """Return the patches."""
     return [mock.patch.object(FoundingCore, "_may_found", lambda _self, _attempt: True)]
--- a/src/testbed/simulation/machine.py
+++ b/src/testbed/simulation/machine.py
@@ -22,8 +22,12 @@
         up: False between a kill and the next start.
         frozen: True between a freeze and the wake-up.
         on_kill: Called when the process is killed.
+        clock_counts_frozen_time: Its steady clock goes on while it is frozen, as the product's does
+            while a machine is suspended.
     """
 
+    clock_counts_frozen_time = True
+
     def __init__(self, name: str, zone: str, scheduler: Scheduler, wall_offset_ms: int = 0) -> None:
         self.name = name
         self.zone = zone
@@ -34,10 +38,13 @@
         self._scheduler = scheduler
         self._wall_offset_ms = wall_offset_ms
         self._held_back: list[tuple[int, Callback]] = []
+        self._frozen_s = 0.0
+        self._uncounted_s = 0.0
 
     def monotonic_s(self) -> float:
-        """Return the machine's monotonic clock, in seconds."""
-        return self._scheduler.now_s
+        """Return the machine's steady clock, in seconds."""
+        uncounted_s = 0.0 if self.clock_counts_frozen_time else self._uncounted_s
+        return self._scheduler.now_s - uncounted_s
 
     def wall_ms(self) -> int:
         """Return the machine's wall clock, which may be off by a constant, in milliseconds."""
@@ -79,12 +86,14 @@
     def freeze(self) -> None:
         """Stop the process without ending it."""
         self.frozen = self.up
+        self._frozen_s = self._scheduler.now_s
 
     def wake(self) -> None:
         """Let a frozen process go on: all that fell due meanwhile runs now."""
         if not self.frozen:
             return
         self.frozen = False
+        self._uncounted_s += self._scheduler.now_s - self._frozen_s
         held_back, self._held_back = self._held_back, []
         for incarnation, callback in held_back:
             self._run(incarnation, callback)
--- a/src/testbed/simulation/product_modules.py
+++ b/src/testbed/simulation/product_modules.py
@@ -42,7 +42,7 @@
         "ThreadPoolExecutor": threading.ThreadPoolExecutor,
         "selectors": VirtualSelectors(threading),
         "socket": VirtualSocketModule(),
-        "time": SimpleNamespace(monotonic=lambda: scheduler.now_s),
+        "steady_s": lambda: scheduler.now_s,
         "uuid": SimpleNamespace(uuid4=lambda: _identifier(generator)),
         "random": SimpleNamespace(Random=lambda: random.Random(generator.getrandbits(64))),
     }
--- a/tests/unit/test_clock.py
+++ b/tests/unit/test_clock.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from leverjunction.clock import SystemClock, SteadyLoop, steady_s
+from leverjunction.clock import SteadyLoop, SystemClock, steady_s
 
 SUSPENDED_S = 30.0
 
--- a/tests/unit/test_simulation.py
+++ b/tests/unit/test_simulation.py
@@ -136,7 +136,13 @@
 
 
 @pytest.mark.parametrize(
-    ("rule", "seed"), [("exit_at_once", 5), ("forget_job_keys", 3), ("skip_echo_check", 7)]
+    ("rule", "seed"),
+    [
+        ("exit_at_once", 5),
+        ("forget_job_keys", 3),
+        ("skip_echo_check", 7),
+        ("clock_stands_while_frozen", 142),
+    ],
 )
 def test_a_broken_rule_is_caught(rule: str, seed: int) -> None:
     assert is_caught(run_seed(Plan("kilimo", rule), seed), rule)
