Operators list suspect requests and clear one; a suspect that is cleared elsewhere is cleared here

The registry's leader writes a line when a verdict is made and when a suspect is none any more. A gateway's own evidence goes with the registry's, else a cleared request was refused there for up to 60 s more.

--- a/src/leverjunction/cli/commands.py
+++ b/src/leverjunction/cli/commands.py
@@ -28,6 +28,7 @@
 from leverjunction.cli.output import ExitCode, print_failure, print_progress
 from leverjunction.cli.settings import SettingsCommands
 from leverjunction.cli.status import status
+from leverjunction.cli.suspects import SuspectsCommands
 from leverjunction.cli.watch import watch, why
 from leverjunction.config.control import ControlConfig
 from leverjunction.config.gateway import GatewayConfig
@@ -65,6 +66,7 @@
         self._options = make_options(control, str(token_file), bool(json))
         self.settings = SettingsCommands(self._options)
         self.jobs = JobsCommands(self._options)
+        self.suspects = SuspectsCommands(self._options)
 
     @command
     def gateway(self, config: str, set: str = "") -> int:
--- a/src/leverjunction/cli/options.py
+++ b/src/leverjunction/cli/options.py
@@ -30,6 +30,11 @@
 
     def client(self) -> OperatorClient | Failure:
         """Return a client of the control processes."""
+        addresses = self.addresses()
+        return addresses if isinstance(addresses, Failure) else self.client_of(addresses)
+
+    def addresses(self) -> list[str] | Failure:
+        """Return the checked addresses of the control processes, at least one."""
         if not self.control:
             return _bad(f"no control process given: use --control host:port or {CONTROL_VARIABLE}")
         addresses: list[str] = []
@@ -38,7 +43,7 @@
             if isinstance(address, Failure):
                 return address
             addresses.append(address)
-        return self.client_of(addresses)
+        return addresses
 
     def client_of(self, addresses: list[str]) -> OperatorClient | Failure:
         """Return a client of other processes that take the operators' token."""
--- a/src/leverjunction/quarantine/suspects.py
+++ b/src/leverjunction/quarantine/suspects.py
@@ -54,8 +54,13 @@
         return not self._paths
 
     def replace(self, told: SuspectList) -> None:
-        """Take what the registry tells; it replaces what it told before."""
-        self._told = {record.key: record for record in told.suspects}
+        """Take what the registry tells; it replaces what it told before.
+
+        What it tells no more was cleared, by a whole answer elsewhere, by time, or by an operator.
+        """
+        before, self._told = self._told, {record.key: record for record in told.suspects}
+        for key in before.keys() - self._told.keys():
+            self._own.pop(key, None)
         self._index_paths()
 
     def ended(self, run: EndedRun, now_s: float) -> None:
--- a/src/leverjunction/registry/suspect_review.py
+++ b/src/leverjunction/registry/suspect_review.py
@@ -35,6 +35,8 @@
 
     def _meet(self, suspects: SuspectList, now_s: float) -> None:
         known, self._seen = self._seen, {}
+        for key in known.keys() - {record.key for record in suspects.suspects}:
+            logger.info("request {} is no suspect any more", key)
         for record in suspects.suspects:
             before = known.get(record.key)
             if before is not None and before[0] == record:
--- a/tests/unit/seeded_support.py
+++ b/tests/unit/seeded_support.py
@@ -128,6 +128,10 @@
         self.gateways[name] = GatewayThread(config)
         return self.gateways[name]
 
+    def control_addresses(self) -> list[str]:
+        """Return the RPC addresses of the control machines that are up."""
+        return [f"{self._net}.{name.rpartition('-')[2]}:{RPC_PORT}" for name in self.controls]
+
     def store_address(self, number: int) -> str:
         """Return the RPC address of a store machine."""
         return f"{self._net}.{STORE_HOSTS + number}:{RPC_PORT}"
--- a/tests/unit/test_deadly_requests.py
+++ b/tests/unit/test_deadly_requests.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -25,6 +26,8 @@
 from tests.unit.proxy_support import request_headers
 from tests.unit.seeded_support import GatewayThread, SeededFleet, wait_until
 
+from leverjunction.cli.commands import main
+from leverjunction.cli.output import ExitCode
 from leverjunction.errors import Failure
 from leverjunction.routes import RouteClass
 from testbed.routed import MortalRunner, RawCaller, RawReply, make_route, make_table
@@ -132,3 +135,27 @@
         assert max(reply.after_s for reply in replies[-4:]) < 0.5
         # Another body under the same path is another request.
         assert ask(stage.gateways[0], path, b"sound", "other").status == 200
+
+
+def test_an_operator_sees_and_clears_a_verdict(
+    stage: Stage, capsys: pytest.CaptureFixture[str]
+) -> None:
+    for number in range(4):
+        ask(stage.gateways[number % GATEWAYS], "/once/a", b"deadly", f"r{number}")
+    node = next(iter(stage.fleet.controls.values()))
+    wait_until(lambda: any(len(item.starts) >= ENOUGH for item in node.hub.suspects().suspects))
+    control = f"--control={stage.fleet.control_addresses()[1]}"
+    assert run("suspects", "list", "--json", control) == ExitCode.OK
+    [record] = json.loads(capsys.readouterr().out)["suspects"]
+    assert record["route"] == "once"
+    assert run("suspects", "clear", "0123", control) != ExitCode.OK
+    assert run("suspects", "clear", record["key"][:10], control) == ExitCode.OK
+    wait_until(lambda: not node.hub.suspects().suspects)
+    assert run("suspects", "list", "--control=127.0.0.1:1") != ExitCode.OK
+
+
+def run(*arguments: str) -> int:
+    with pytest.raises(SystemExit) as caught:
+        main(arguments)
+    assert isinstance(caught.value.code, int)
+    return caught.value.code
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -134,6 +134,17 @@
     assert suspects.find(content()) == ""
 
 
+def test_what_is_cleared_elsewhere_is_cleared_here() -> None:
+    suspects = Suspects()
+    for start in ("a", "b", "c"):
+        suspects.ended(ended(start), 0.0)
+    suspects.replace(SuspectList(revision=1))
+    assert suspects.standing("k") is Standing.REFUSED, "not told of yet"
+    suspects.replace(SuspectList(revision=2, suspects=(record_of("a", "b", "c"),)))
+    suspects.replace(SuspectList(revision=3))
+    assert suspects.standing("k") is Standing.SOUND
+
+
 def test_own_evidence_is_bounded_in_time_and_number() -> None:
     suspects = Suspects()
     for number in range(OWN_MOST + 10):
