Soak: runners start again under their id, and requests end the runners that begin them

Checked from outside: 3 s after a request has ended three runners, at most 3 more runs by machines in touch.

--- a/deploy/soak/backends.py
+++ b/deploy/soak/backends.py
@@ -20,6 +20,11 @@
 """Slots of a runner, as on the deployment of the incident."""
 
 RECENT_REQUESTS = 100
+ENDS_AFTER_S = 0.03
+"""From the arrival of a deadly request to the end of its runner: it has begun by then."""
+
+REBORN_S = 1.5
+"""From such an end to the next start under the same id."""
 
 Control = Callable[[str, str, bytes], bytes | None]
 """Calls control processes by method, path and body until one takes it."""
@@ -48,6 +53,30 @@
         self.whole = seen.whole
 
 
+class MortalStandIn(RunnerStandIn):
+    """A stand-in whose process ends soon after it began a deadly request.
+
+    Args:
+        runner_id: Its id.
+        slots: Requests that it works on at once.
+        ended: Called, by a thread of its own, when it is to end.
+    """
+
+    def __init__(self, runner_id: str, slots: int, ended: Callable[[], None]) -> None:
+        super().__init__(runner_id, usual="by path", slots=slots)
+        self._ended = ended
+        self._is_ending = False
+
+    def _behaviour_for(self, seen: Seen) -> str:
+        chosen = super()._behaviour_for(seen)
+        if not seen.body.startswith(words.DEADLY) or chosen != self.usual:
+            return chosen
+        if not self._is_ending:
+            self._is_ending = True
+            threading.Timer(ENDS_AFTER_S, self._ended).start()
+        return "silent"
+
+
 class Runner:
     """One start of a runner behind its relay.
 
@@ -56,10 +85,23 @@
         service: What it serves.
         slots: Requests that it works on at once.
         owners: Know who connects.
+        ended: Called when it ends under a request.
+
+    Attributes:
+        ended_s: When it ended under a request, in monotonic seconds; None while it did not.
     """
 
-    def __init__(self, runner_id: str, service: str, slots: int, owners: Owners) -> None:
-        self.stand_in = RunnerStandIn(runner_id, usual="by path", slots=slots)
+    def __init__(
+        self,
+        runner_id: str,
+        service: str,
+        slots: int,
+        owners: Owners,
+        ended: Callable[[Runner], None],
+    ) -> None:
+        self.ended_s: float | None = None
+        self.born_ms = int(time.time() * 1000)
+        self.stand_in = MortalStandIn(runner_id, slots, lambda: ended(self))
         self.stand_in.__enter__()
         self.relay = Relay(self.stand_in.address, owners.note)
         self._owners = owners
@@ -78,6 +120,15 @@
         """Tell of itself no more."""
         self._ending.set()
 
+    def crash(self) -> None:
+        """End without a word: nobody listens at its address any more."""
+        self.silence()
+        self.relay.close()
+
+    def deadly(self, body: bytes) -> list[float]:
+        """Return when it began requests with a deadly body, in monotonic seconds."""
+        return [seen.began_s for seen in self._own(self.stand_in.seen[:]) if seen.body == body]
+
     def executions(self) -> list[str]:
         """Return the ids that it ran, those sent to another one left out."""
         return [_id_of(seen) for seen in self._own(self.stand_in.seen[:])]
@@ -124,7 +175,9 @@
             self._sequence += 1
             slots = self.stand_in.slots
             address = self.relay.address
-            body = words.beat(address, self._sequence, self.service, slots, self.state)
+            body = words.beat(
+                address, self._sequence, self.service, slots, self.state, self.born_ms
+            )
             control("POST", path, body)
 
 
@@ -145,6 +198,7 @@
         self._lock = threading.Lock()
         self.gone: list[Runner] = []
         self._made = 0
+        self._closing = False
         self.now = [self._make(number) for number in range(count)]
 
     def start(self) -> None:
@@ -161,6 +215,27 @@
             old.relay.reset()
             self._succeed(number)
 
+    def reborn(self, number: int, pause_s: float) -> None:
+        """End a runner without a word; after a pause it starts again under its id."""
+        with self._lock:
+            old = self.now[number]
+            old.crash()
+        time.sleep(pause_s)
+        with self._lock:
+            if self.now[number] is old:
+                self._succeed(number, old.stand_in.runner_id)
+
+    def deadly(self, body: bytes) -> list[float]:
+        """Return when any runner began requests with a deadly body, oldest first."""
+        return sorted(began_s for runner in self.all() for began_s in runner.deadly(body))
+
+    def _ended(self, runner: Runner) -> None:
+        runner.ended_s = time.monotonic()
+        with self._lock:
+            number = self.now.index(runner) if runner in self.now else None
+        if number is not None and not self._closing:
+            self.reborn(number, REBORN_S)
+
     def leave(self, number: int, drain_s: float) -> None:
         """Let a runner leave as planned: it drains, says so, and another one takes its place."""
         with self._lock:
@@ -171,7 +246,8 @@
             if self.now[number] is not old:
                 return
             old.silence()
-            self._control("POST", words.LEAVE_PATH + old.stand_in.runner_id, b"")
+            path = words.LEAVE_PATH + old.stand_in.runner_id
+            self._control("POST", path, words.farewell(old.born_ms))
             self._succeed(number)
 
     def all(self) -> list[Runner]:
@@ -206,22 +282,23 @@
 
     def close(self) -> None:
         """End all."""
+        self._closing = True
         for runner in self.all():
             runner.silence()
         for runner in self.all():
             runner.close()
         self._owners.close()
 
-    def _make(self, number: int) -> Runner:
+    def _make(self, number: int, runner_id: str = "") -> Runner:
         self._made += 1
-        runner_id = f"i-{self._made}"
+        runner_id = runner_id or f"i-{self._made}"
         slots = self._random.randint(LEAST_SLOTS, MOST_SLOTS)
         service = words.SERVICES[number % len(words.SERVICES)]
-        return Runner(runner_id, service, slots, self._owners)
+        return Runner(runner_id, service, slots, self._owners, self._ended)
 
-    def _succeed(self, number: int) -> None:
+    def _succeed(self, number: int, runner_id: str = "") -> None:
         self.gone.append(self.now[number])
-        new = self._make(number)
+        new = self._make(number, runner_id)
         self.now[number] = new
         new.beat(self._control)
 
--- a/deploy/soak/broken.py
+++ b/deploy/soak/broken.py
@@ -15,6 +15,8 @@
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.platform.roles import main
 from leverjunction.proxy import caller_connection, forwarding
+from leverjunction.quarantine import suspects
+from leverjunction.quarantine.verdicts import Standing
 
 RULES: dict[str, Callable[[], None]] = {}
 
@@ -30,6 +32,12 @@
     forwarding.Work.may_run_again = property(lambda work: work.runs < 3)  # type: ignore[assignment, method-assign]
 
 
+@_rule
+def _forget_suspects() -> None:
+    """What became of back ends under a request is never held against it."""
+    suspects.Suspects.standing = lambda _self, _key: Standing.SOUND  # type: ignore[method-assign]
+
+
 @_rule
 def _end_what_was_cut() -> None:
     """An answer that broke off looks whole."""
--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -18,6 +18,7 @@
 """On a connection that is kept, between an answer and the next request."""
 
 CALL_TIMEOUT_S = 4.0
+BODY = b"ask"
 KINDS = ("once", "repeatable", "stream")
 
 
@@ -82,23 +83,25 @@
         return kept
 
 
-def ask(machine: Machine, request_id: str, target: str) -> OnlineRecord:
+def ask(machine: Machine, request_id: str, target: str, body: bytes = BODY) -> OnlineRecord:
     """Send one request to a gateway; return what came."""
     try:
         caller = _connect(machine)
     except OSError:
         return OnlineRecord(request_id, "", target, 0, False, b"")
     try:
-        return _ask_on(caller, request_id, target)[0]
+        return _ask_on(caller, request_id, target, body)[0]
     finally:
         caller.close()
 
 
-def _ask_on(caller: RawCaller, request_id: str, target: str) -> tuple[OnlineRecord, bool]:
+def _ask_on(
+    caller: RawCaller, request_id: str, target: str, body: bytes = BODY
+) -> tuple[OnlineRecord, bool]:
     """Send one request on a connection; return what came, and whether it can be used again."""
     headers = {"Host": words.HOST, words.REQUEST_ID: request_id, words.DEADLINE_MS: "3000"}
     try:
-        reply = caller.ask("POST", target, headers, b"ask")
+        reply = caller.ask("POST", target, headers, body)
     except OSError:
         return OnlineRecord(request_id, "", target, 0, False, b""), False
     record = OnlineRecord(request_id, "", target, reply.status, reply.complete, reply.body)
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -27,6 +27,20 @@
 
 MOST_AT_ONCE = 3
 STORM_CHANGES = (8, 25)
+DEADLY_TRIES = (16, 32)
+DEADLY_PAUSE_S = (0.1, 0.6)
+ENOUGH = 3
+"""Ended runners that show a request to be the cause."""
+
+KNOWN_S = 3.0
+"""After the last of them: all machines in touch know by then."""
+
+LATE_RUNS = 3
+"""Runs after that which are borne."""
+
+IN_TOUCH_S = 3.0
+"""A machine is in touch if nothing struck it for so long."""
+
 GARBLED = (
     "no bytes of HTTP",
     "no answer",
@@ -120,6 +134,11 @@
         name = self.traffic.backends.latest_store()
         return next((machine for machine in self.machines.all if machine.name == name), None)
 
+    def is_in_touch(self) -> bool:
+        """Return whether no machine of the system was struck lately."""
+        calm_s = time.monotonic() - IN_TOUCH_S
+        return all(item.runs and item.disturbed_s < calm_s for item in self.machines.all)
+
     def any_runner(self) -> int:
         """Return the number of a runner."""
         return self.random.randrange(len(self.traffic.backends.now))
@@ -326,6 +345,31 @@
     relay.reset()
 
 
+@_fault("starts")
+def _runner_reborn(scene: Scene) -> None:
+    scene.traffic.backends.reborn(scene.any_runner(), scene.random.uniform(0.3, 3.0))
+
+
+@_fault("deadly requests")
+def _deadly_request(scene: Scene) -> None:
+    """A caller sends one request again and again that ends each runner which begins it."""
+    body = words.DEADLY + f"{scene.random.getrandbits(48):012x}".encode()
+    kind = scene.random.choice(("once", "repeatable", "stream"))
+    late = 0
+    for _ in range(scene.random.randint(*DEADLY_TRIES)):
+        began = scene.traffic.backends.deadly(body)
+        known = len(began) >= ENOUGH and time.monotonic() - began[ENOUGH - 1] > KNOWN_S
+        in_touch = scene.is_in_touch()
+        scene.traffic.ask_deadly(kind, body, scene.random)
+        if known and in_touch and scene.is_in_touch():
+            late += len(scene.traffic.backends.deadly(body)) - len(began)
+        scene.last(*DEADLY_PAUSE_S)
+    if late > LATE_RUNS:
+        scene.traffic.note_broken(
+            f"a request ended {late} runners more, {KNOWN_S:.0f} s after it had ended {ENOUGH}"
+        )
+
+
 @_fault("configuration")
 def _batch_route_moved(scene: Scene) -> None:
     scene.traffic.operator.move(dict(scene.random.choice(MOVES)))
--- a/deploy/soak/hands.py
+++ b/deploy/soak/hands.py
@@ -17,6 +17,8 @@
     "stores": (1, 1.0, 6.0),
     "runners": (1, 0.0, 3.0),
     "configuration": (1, 1.0, 6.0),
+    "starts": (1, 1.0, 6.0),
+    "deadly requests": (1, 2.0, 8.0),
 }
 """How many hands strike from a list, and the shortest and longest pause of each between two blows,
 in seconds.
--- a/deploy/soak/records.py
+++ b/deploy/soak/records.py
@@ -114,6 +114,7 @@
         acknowledged: Times and numbers of configurations.
         older_reads: Configurations that were read back though newer ones were in force.
         own_faults: Errors of the soak itself.
+        seen_broken: Promises that were seen broken while faults struck.
         notes: What is told, but no broken promise.
         struck: How often each kind of fault struck.
         blows: A line for each, with its wall times.
@@ -129,6 +130,7 @@
         self.acknowledged: list[tuple[float, int]] = []
         self.older_reads: list[str] = []
         self.own_faults: list[str] = []
+        self.seen_broken: list[str] = []
         self.notes: list[str] = []
         self.struck: Counter[str] = Counter()
         self.blows: list[str] = []
@@ -172,6 +174,7 @@
     """
     broken = [f"the soak itself: {fault}" for fault in records.own_faults]
     broken += records.older_reads
+    broken += records.seen_broken
     for record in records.online:
         broken += _of_request(record, executions[record.request_id])
     for lot in records.lots:
--- a/deploy/soak/relay.py
+++ b/deploy/soak/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 import threading
@@ -80,21 +81,27 @@
 
     def reset(self) -> None:
         """Reset all connections."""
-        self._loop.call_soon_threadsafe(self._reset_all)
+        self._call(self._reset_all)
 
     def lose_answers(self) -> None:
         """Swallow the answers of all connections that are open now; they stay open."""
-        self._loop.call_soon_threadsafe(self._lose_answers)
+        self._call(self._lose_answers)
 
     def fall_silent(self) -> None:
         """Carry nothing more on all connections that are open now; they stay open."""
-        self._loop.call_soon_threadsafe(self._fall_silent)
+        self._call(self._fall_silent)
 
     def close(self) -> None:
-        """Stop."""
-        self._loop.call_soon_threadsafe(self._loop.stop)
+        """Stop; nobody listens there then. A relay that was stopped before stays so."""
+        if not self._loop.is_closed():
+            self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
+    def _call(self, action: Callable[[], None]) -> None:
+        """Have something done by the loop; of one that was stopped nothing is left to harm."""
+        with contextlib.suppress(RuntimeError):
+            self._loop.call_soon_threadsafe(action)
+
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         server = self._loop.run_until_complete(asyncio.start_server(self._serve, "127.0.0.1", 0))
--- a/deploy/soak/traffic.py
+++ b/deploy/soak/traffic.py
@@ -115,6 +115,18 @@
             ask(machine, "check", "/repeatable/check").status == 200 for machine in gateways
         )
 
+    def ask_deadly(self, kind: str, body: bytes, random: Random) -> None:
+        """Send one try of a request that ends the runners which begin it, to any gateway."""
+        machine = random.choice(self._machines.of("gateway"))
+        request_id = f"d{random.getrandbits(48):012x}"
+        record = ask(machine, request_id, f"/{kind}/deadly", body)
+        record.kind = kind
+        self._records.answered(record)
+
+    def note_broken(self, line: str) -> None:
+        """Note a broken promise that was seen while faults struck."""
+        self._records.seen_broken.append(line)
+
     def in_force(self) -> bool:
         """Return whether every gateway serves the newest acknowledged configuration."""
         if not self._records.acknowledged:
--- a/deploy/soak/words.py
+++ b/deploy/soak/words.py
@@ -24,6 +24,9 @@
 LOTS_PATH = "/api/lots/"
 REQUEST_ID = "Leverjunction-Request-Id"
 DEADLINE_MS = "Leverjunction-Deadline-Ms"
+DEADLY = b"deadly "
+"""Beginning of the bodies of requests under which a runner's process ends."""
+
 EXPECTED_RUNNER = "leverjunction-expect-instance"
 DUE_MS = 20_000
 MAX_WAIT_S = 900
@@ -59,10 +62,18 @@
     return int(json.loads(body)["Version"])
 
 
-def beat(address: str, sequence: int, service: str, slots: int, state: str) -> bytes:
-    """Return what a runner says of itself."""
+def beat(
+    address: str, sequence: int, service: str, slots: int, state: str, born_ms: int = 0
+) -> bytes:
+    """Return what a runner says of itself; ``born_ms`` is 0 if it doesn't tell when it started."""
     fields = {"Service": service, "Address": address, "Zone": "z1", "Slots": slots}
-    return json.dumps({**fields, "State": state, "Sequence": sequence}).encode()
+    born = {"born": born_ms} if born_ms else {}
+    return json.dumps({**fields, **born, "State": state, "Sequence": sequence}).encode()
+
+
+def farewell(born_ms: int) -> bytes:
+    """Return the last word of a start of a runner."""
+    return json.dumps({"born": born_ms}).encode()
 
 
 def lot(lot_id: str, works_ms: list[int], bad: frozenset[int] = frozenset()) -> bytes:
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -296,6 +296,16 @@
     assert re.search(r"lists 0 of \d+ items", done.stdout)
 
 
+DEADLY = ("--minutes", "0.5", "--seed", "21", "--closing", "none", "--only", "deadly request")
+
+
+@pytest.mark.parametrize("rule", ["", "forget_suspects"])
+def test_a_request_that_ends_runners_is_stopped(rule: str) -> None:
+    done = run(*DEADLY, *(("--rule", rule) if rule else ()))
+    told = re.search(r"a request ended \d+ runners more", done.stdout)
+    assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
+
+
 def test_items_that_nothing_works_on_are_told_with_their_runs() -> None:
     rule = ("--rule", "leave_what_was_cut", "--only", "connections reset", "--closing", "none")
     done = run("--minutes", "0.1", "--seed", "4", "--ebb", "0", *rule)
