--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,13 @@
 setup: $(STAMP)
 
 $(STAMP): requirements.lock pyproject.toml
-	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q --require-hashes -r requirements.lock
-	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
-	touch $(STAMP)
+	@echo "Making $(VENV) and installing the locked packages into it (a minute or two) ..."
+	@$(PYTHON) -m venv $(VENV)
+	@# Twice quiet: errors alone are told, not warnings on how this machine's pip is set up.
+	@$(BIN)/pip install -qq --require-hashes -r requirements.lock
+	@$(BIN)/pip install -qq --no-deps --no-build-isolation -e .
+	@echo "Done: $(BIN)/leverjunction, $(BIN)/testbed"
+	@touch $(STAMP)
 
 check: setup
 	$(BIN)/ruff format --check .
