--- a/src/testbed/load/consensus_worker.py
+++ b/src/testbed/load/consensus_worker.py
@@ -27,6 +27,7 @@
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
+from testbed.orphans import end_with_starter
 
 GROUP = "jobs-0"
 CLUSTER_KEY = b"consensus-bench"
@@ -148,9 +149,10 @@
         self._server = RpcServer(host, int(port), self.endpoint, RPC_THREADS)
 
     def run(self) -> None:
-        """Serve until SIGTERM."""
+        """Serve until SIGTERM, or until nobody is left to send one."""
         stop = threading.Event()
         signal.signal(signal.SIGTERM, lambda *_: stop.set())
+        end_with_starter(stop.set)
         # First: a port that refuses connections says that no leader lives behind it.
         self._server.start()
         failure = self.replica.start()
--- a/src/testbed/scale/gateway_worker.py
+++ b/src/testbed/scale/gateway_worker.py
@@ -18,6 +18,7 @@
 from leverjunction.clock import SystemClock
 from leverjunction.errors import Failure
 from leverjunction.wire.control_client import ControlClient
+from testbed.orphans import end_with_starter
 from testbed.scale.counting import CountingRpcClient, WireCount, WireCounter
 from testbed.scale.hollow_gateway import GatewayProfile, HollowGateway, InForce
 from testbed.scale.lease_traffic import LeaseCount, LeaseTraffic
@@ -200,6 +201,7 @@
     worker = GatewayWorker(spec)
     signal.signal(signal.SIGTERM, lambda *_: worker.stop())
     signal.signal(signal.SIGINT, lambda *_: worker.stop())
+    end_with_starter(worker.stop)
     signal.signal(signal.SIGUSR1, lambda *_: worker.forget_latencies())
     worker.run()
     return 0
--- a/src/testbed/scale/runner_worker.py
+++ b/src/testbed/scale/runner_worker.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from testbed.orphans import end_with_starter
 from testbed.scale.hollow_runner import HollowRunner, start_server
 
 
@@ -40,6 +41,7 @@
     stop = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.set())
     signal.signal(signal.SIGINT, lambda *_: stop.set())
+    end_with_starter(stop.set)
     spec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=RunnerWorkerSpec)
     addresses: dict[str, str] = {}
     for index, profile in enumerate(spec.profiles):
