--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -27,10 +27,10 @@
 from leverjunction.proxy.headers import end_to_end, find
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.patience import MOVE_RATIO, HeadTimes
-from leverjunction.proxy.prompt import Prompt
 from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.proxy.runner_seat import RunnerSeat
+from leverjunction.proxy.work import Work
 from leverjunction.quarantine.verdicts import Standing
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass
@@ -57,67 +57,6 @@
 """Answers what is no request for a back end; returns whether it did."""
 
 
-class Work:
-    """One request on its way.
-
-    Attributes:
-        request: The caller's request.
-        facts: What its headers say.
-        prompt: Its prompt.
-        route: Its route.
-        service: Service that was drawn for it.
-        table_version: Version of the route table that it follows.
-        until_s: When its answer must be complete.
-        tried: Starts of back ends that were asked.
-        runs: Back ends on which it may have run.
-        execution: Whether it may have run.
-        key: Its key while it is a suspect, else empty.
-        trials: Back ends to which it was sent as a suspect.
-    """
-
-    __slots__ = (
-        "execution",
-        "facts",
-        "key",
-        "prompt",
-        "request",
-        "route",
-        "runs",
-        "service",
-        "table_version",
-        "trials",
-        "tried",
-        "until_s",
-    )
-
-    def __init__(
-        self,
-        request: CallerRequest,
-        facts: RequestFacts,
-        route: Route,
-        service: str,
-        table_version: int,
-        until_s: float,
-    ) -> None:
-        self.request = request
-        self.facts = facts
-        self.prompt = Prompt(facts.parts, facts.tokens_in)
-        self.route = route
-        self.service = service
-        self.table_version = table_version
-        self.until_s = until_s
-        self.tried: set[str] = set()
-        self.runs = 0
-        self.execution = Execution.NOT_RUN
-        self.key = ""
-        self.trials: list[str] = []
-
-    @property
-    def may_run_again(self) -> bool:
-        """Whether another back end may be asked after one that may have run it."""
-        return self.route.repeatable and self.runs < max(1, self.route.max_attempts)
-
-
 class Forwarder:
     """Thin over ``Sender``; used by one event loop."""
 
--- a/src/leverjunction/proxy/journal.py
+++ b/src/leverjunction/proxy/journal.py
@@ -16,11 +16,11 @@
 from leverjunction.proxy.caller_connection import content_of
 from leverjunction.proxy.counters import ProxyCounters
 from leverjunction.proxy.dialect import RequestFacts
+from leverjunction.proxy.work import Work
 from leverjunction.quarantine.request_key import request_key
 
 if TYPE_CHECKING:
     from leverjunction.proxy.attempt import OpenedAnswer
-    from leverjunction.proxy.forwarding import Work
 
 LINES_KEPT = 2_000
 """Lines that may wait for a slow reader of the log; beyond it the oldest are lost and counted."""
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -185,7 +185,11 @@
         if known is not None and _says_nothing_new(record, known):
             return None
         reply = self._propose(PutRunner(record, shown_alive), Done)
-        return reply if isinstance(reply, Failure) else None
+        if isinstance(reply, Failure):
+            return reply
+        if known is not None and known.start != record.start:
+            logger.info("back end {} has started again, after {}", record.start, known.start)
+        return None
 
     def _is_alive(self, record: RunnerRecord) -> bool:
         with self._late_starts_lock:
