--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -26,6 +26,7 @@
 from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.proxy.runner_seat import RunnerSeat
+from leverjunction.quarantine.verdicts import ran_on
 from leverjunction.wire.codec import decode_reply, encode
 
 RUN_TIMEOUT_S = 60.0
@@ -123,7 +124,13 @@
         if failure.kind is FailureKind.NOT_LISTENING:
             self._quarantine.not_listening(seat.record)
         if is_lost_run(failure):
-            self._quarantine.lost(request, run.route_name, run.item.item_id, seat.record)
+            self._quarantine.lost(
+                request,
+                run.route_name,
+                run.item.item_id,
+                seat.record,
+                ran_on=ran_on(run.first_output_s, asyncio.get_running_loop().time()),
+            )
 
     async def _read_answer(self, run: ItemRun, answer: OpenedAnswer) -> Failure | None:
         """Take an answer's events; return why it did not come whole, None if it did."""
@@ -142,6 +149,7 @@
                     whole = True
                     return None
                 run.silent = 0
+                run.note_output(loop.time())
                 if answer.head.status == OK:
                     run.stream.feed(event)
                 run.trace.heard(loop.time())
--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -34,6 +34,7 @@
         lost_runs: Runs that were ended since their back end did not report them any more.
         raised: Runs in a row that an error here ended.
         silent: Runs in a row that were ended in silence, without a part of the item's output.
+        first_output_s: When the first part of the answer came in its last run, None while none has.
         suspect_key: Its key once a back end ended under it, else empty.
     """
 
@@ -41,6 +42,7 @@
         "_route",
         "_routed_by",
         "failures",
+        "first_output_s",
         "follows",
         "heard_s",
         "item",
@@ -73,6 +75,7 @@
         self.lost_runs = 0
         self.raised = 0
         self.suspect_key = ""
+        self.first_output_s: float | None = None
         self._route: Route | None = None
         self._routed_by: RouteIndex | None = None
 
@@ -102,11 +105,17 @@
     def was_sent(self, now_s: float) -> None:
         """Note that its back end is asked now."""
         self.sent_s = self.heard_s = now_s
+        self.first_output_s = None
 
     def was_heard(self, now_s: float) -> None:
         """Note a sign of life of its run: the answer's head, or a part of it."""
         self.heard_s = now_s
 
+    def note_output(self, now_s: float) -> None:
+        """Note that a part of its answer has come."""
+        if self.first_output_s is None:
+            self.first_output_s = now_s
+
     def stop(self) -> None:
         """End the run that is under way; a later one continues."""
         if self.task is not None:
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -31,7 +31,7 @@
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.proxy.runner_seat import RunnerSeat
 from leverjunction.proxy.work import Work
-from leverjunction.quarantine.verdicts import Standing
+from leverjunction.quarantine.verdicts import Standing, ran_on
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass
 
@@ -186,6 +186,7 @@
                 return no_runner(work.service)
             seat = choice.seat
             work.tried.add(seat.record.start)
+            work.first_output_s = None
             sent_s = self._loop.time()
             answer = await self._sender.send(
                 Dispatch(
@@ -237,9 +238,11 @@
 
     def _held_back(self, work: Work) -> Failure | None:
         """Return the refusal of a request under which too many back ends ended."""
-        if not work.key:
-            work.key = self._quarantine.find(work.request)
-        standing = self._quarantine.standing(work.key)
+        key = work.key or self._quarantine.find(work.request)
+        standing = self._quarantine.standing(key)
+        if standing is Standing.SOUND:
+            return None
+        work.key = key
         if standing is Standing.REFUSED:
             return harmful(work.key, work.execution)
         repeated = standing is Standing.CAREFUL and not work.trials
@@ -250,7 +253,13 @@
     async def _lost(self, work: Work, seat: RunnerSeat, failure: Failure) -> None:
         """Note a run that its back end broke off; before another one, know why it did."""
         self._journal.run_lost(work, seat.record.start, failure, self._loop.time())
-        self._quarantine.lost(work.request, work.route.name, work.facts.request_id, seat.record)
+        self._quarantine.lost(
+            work.request,
+            work.route.name,
+            work.facts.request_id,
+            seat.record,
+            ran_on=ran_on(work.first_output_s, self._loop.time()),
+        )
         if work.may_run_again:
             await self._quarantine.settle(seat.record)
 
@@ -313,6 +322,7 @@
                         return event
                     if isinstance(event, AnswerHead):
                         return _stray(answer)
+                    work.note_output(self._loop.time())
                     size_bytes += len(event)
                     body.append(event)
                     if size_bytes > BUFFERED_BODY_BYTES:
@@ -382,6 +392,7 @@
                         return _stray(answer)
                     whole = True
                     return None
+                work.note_output(self._loop.time())
                 events = splitter.feed(event)
                 if events:
                     await responder.data(events, work.until_s)
--- a/src/leverjunction/proxy/quarantine.py
+++ b/src/leverjunction/proxy/quarantine.py
@@ -150,7 +150,15 @@
         for start in self._watch.pending():
             self._judge(start)
 
-    def lost(self, request: CallerRequest, route: str, request_id: str, at: RunnerRecord) -> None:
+    def lost(
+        self,
+        request: CallerRequest,
+        route: str,
+        request_id: str,
+        at: RunnerRecord,
+        *,
+        ran_on: bool,
+    ) -> None:
         """Take a run that its back end broke off after it had the whole request.
 
         Args:
@@ -158,13 +166,14 @@
             route: Name of its route.
             request_id: Its caller's id of this attempt.
             at: The back end's record when it was sent.
+            ran_on: Its answer had come for a while (``verdicts.ran_on``).
         """
         now = self._runners.get(at.runner_id, at if not self._runners else None)
         if now is None or now.state is RunnerState.LEAVING:
             # Its end was announced, so it was not brought about by what it ran.
             return
         key = request_key(content_of(request))
-        run = EndedRun(key=key, start=at.start, route=route, request_id=request_id)
+        run = EndedRun(key=key, start=at.start, route=route, request_id=request_id, ran_on=ran_on)
         self._records[at.start] = at
         self._take(self._watch.lost(run, self._loop.time()))
         if self._watch.waits_for(at.start) and at.start not in self._probes:
--- a/src/leverjunction/proxy/work.py
+++ b/src/leverjunction/proxy/work.py
@@ -25,11 +25,14 @@
         execution: Whether it may have run.
         key: Its key while it is a suspect, else empty.
         trials: Back ends to which it was sent as a suspect.
+        first_output_s: When the first part of the answer's body came in its last run, in the
+            loop's seconds; None while none has.
     """
 
     __slots__ = (
         "execution",
         "facts",
+        "first_output_s",
         "key",
         "prompt",
         "request",
@@ -63,6 +66,12 @@
         self.execution = Execution.NOT_RUN
         self.key = ""
         self.trials: list[str] = []
+        self.first_output_s: float | None = None
+
+    def note_output(self, now_s: float) -> None:
+        """Note that a part of the answer's body has come."""
+        if self.first_output_s is None:
+            self.first_output_s = now_s
 
     @property
     def may_run_again(self) -> bool:
--- a/src/leverjunction/quarantine/records.py
+++ b/src/leverjunction/quarantine/records.py
@@ -13,12 +13,14 @@
         start: The start of the back end.
         route: Name of the request's route.
         request_id: Its caller's id of the attempt, for a person.
+        ran_on: Its answer had come for a while before, so it did not end its back end as it began.
     """
 
     key: str
     start: str
     route: str = ""
     request_id: str = ""
+    ran_on: bool = False
 
 
 class SuspectRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -26,8 +28,9 @@
 
     Attributes:
         key: Its key.
-        starts: Starts of back ends that ended under it, oldest first; each counts once, however
-            many attempts and gateways tell of it.
+        starts: Starts of back ends that ended under it as it began, oldest first; each
+            counts once, however many attempts and gateways tell of it.
+        late_starts: Starts that ended after it had run on for a while.
         route: Name of its route.
         request_id: Id of the attempt that was told last.
         verdicts: How often it was found to be the cause.
@@ -35,6 +38,7 @@
 
     key: str
     starts: tuple[str, ...] = ()
+    late_starts: tuple[str, ...] = ()
     route: str = ""
     request_id: str = ""
     verdicts: int = 0
--- a/src/leverjunction/quarantine/suspects.py
+++ b/src/leverjunction/quarantine/suspects.py
@@ -12,7 +12,7 @@
     path_part,
     request_key,
 )
-from leverjunction.quarantine.verdicts import Standing, standing_of
+from leverjunction.quarantine.verdicts import Standing, evidence_of, standing_of
 
 OWN_KEPT_S = 60.0
 """How long this process's own evidence counts beside what the registry tells: an election and the
@@ -27,14 +27,16 @@
     """Ended starts of one request that this process saw.
 
     Attributes:
-        starts: The starts.
+        starts: Those that ended as it began.
+        late_starts: Those that ended after it had run on for a while.
         seen_s: When the last one was seen, in seconds of the caller's clock.
     """
 
-    __slots__ = ("seen_s", "starts")
+    __slots__ = ("late_starts", "seen_s", "starts")
 
     def __init__(self) -> None:
         self.starts: set[str] = set()
+        self.late_starts: set[str] = set()
         self.seen_s = 0.0
 
 
@@ -66,7 +68,7 @@
     def ended(self, run: EndedRun, now_s: float) -> None:
         """Take evidence that this process has seen."""
         own = self._own.pop(run.key, None) or OwnEvidence()
-        own.starts.add(run.start)
+        (own.late_starts if run.ran_on else own.starts).add(run.start)
         own.seen_s = now_s
         self._own[run.key] = own
         if len(self._own) > OWN_MOST:
@@ -100,10 +102,13 @@
 
     def standing(self, key: str) -> Standing:
         """Return how a request is to be treated."""
-        told = self._told.get(key)
-        own = self._own.get(key)
-        starts = set(told.starts) if told is not None else set()
-        return standing_of(len(starts | own.starts if own is not None else starts))
+        starts: set[str] = set()
+        late_starts: set[str] = set()
+        for known in (self._told.get(key), self._own.get(key)):
+            if known is not None:
+                starts |= set(known.starts)
+                late_starts |= set(known.late_starts)
+        return standing_of(evidence_of(len(starts), len(late_starts - starts)))
 
     def counts(self) -> tuple[int, int]:
         """Return how many requests are suspects, and how many of these are refused."""
--- a/src/leverjunction/registry/suspect_review.py
+++ b/src/leverjunction/registry/suspect_review.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from leverjunction.quarantine.records import SuspectList, SuspectRecord
-from leverjunction.quarantine.verdicts import Standing, kept_s, standing_of
+from leverjunction.quarantine.verdicts import Standing, kept_s, standing
 from leverjunction.registry.commands import RegistryCommand, ReviewSuspects
 
 
@@ -50,10 +50,10 @@
                     record.key,
                     record.route,
                     kept_s(record),
-                    ", ".join(record.starts),
+                    ", ".join([*record.starts, *record.late_starts]),
                     record.request_id,
                 )
 
 
 def _is_refused(record: SuspectRecord) -> bool:
-    return standing_of(len(record.starts)) is Standing.REFUSED
+    return standing(record) is Standing.REFUSED
