--- a/src/leverjunction/quarantine/verdicts.py
+++ b/src/leverjunction/quarantine/verdicts.py
@@ -30,7 +30,7 @@
 """
 
 JUST_BEGUN_S = 0.25
-"""Time from the first part of an answer in which its run has just begun: four times what requests
+"""Time from the first part of an answer in which its run has just begun: over twice what requests
 took that ended their back ends (2 to 105 ms), a quarter of a run of a second.
 """
 
