Failing tests: late words of a dead leader count as its life; an old repair is reported as that of a new loss

Excluded: an election that does not end (the only voter left campaigns to the end and gets no answer but blank ones).

--- a/tests/unit/test_consensus_leader_gone.py
+++ b/tests/unit/test_consensus_leader_gone.py
@@ -11,11 +11,13 @@
 
 from leverjunction.clock import SystemClock
 from leverjunction.consensus.core import RaftCore
-from leverjunction.consensus.events import Effect, PeerGone, Received, Send, Tick
+from leverjunction.consensus.events import AppendEntries, Effect, PeerGone, Received, Send, Tick
 from leverjunction.consensus.messages import (
+    AppendReply,
     AppendRequest,
     Header,
     IdentityQuery,
+    IdentityReply,
     VoteReply,
     VoteRequest,
 )
@@ -23,8 +25,10 @@
 from leverjunction.consensus.types import (
     Configuration,
     DurableState,
+    EntryKind,
     GroupConfig,
     HardState,
+    LogEntry,
     LogPosition,
     Member,
 )
@@ -135,6 +139,134 @@
     assert not pre_vote_is_granted(core, HEARD_S + 0.3)
 
 
+def late_append(*entries: LogEntry) -> AppendRequest:
+    """Return a message that the leader ``c`` sent before its process ended."""
+    return AppendRequest(
+        header=header("c"), previous=LogPosition(), commit_index=0, sequence=2, entries=entries
+    )
+
+
+def test_a_late_message_of_a_leader_that_ended_is_stored_and_does_not_stand_for_its_life() -> None:
+    """A message that was under way when the leader's process ended holds up no election.
+
+    Symptom: simulator, hanbit 77320183: all three gateways were one version behind for 4.0 s and
+    more, with every exchange answered. Sequence: a change is acknowledged, 70 ms later the leader's
+    disk is lost; one follower learns at once that the process ended; 2.3 s later a message of the
+    dead leader arrives there. The follower then has a leader again and refuses its vote to the
+    other one for a whole election timeout: 3.2 s without a leader in place of some 0.7 s.
+    """
+    core = follower()
+    told_s = HEARD_S + 0.3
+    core.handle(PeerGone(address="c", term=TERM), told_s)
+    entry = LogEntry(index=1, term=TERM, kind=EntryKind.NO_OP, wall_ms=0, payload=b"")
+    effects = core.handle(Received(late_append(entry)), told_s + 0.05)
+    assert any(isinstance(effect, AppendEntries) for effect in effects)
+    assert sent(effects, AppendReply) == ["c"]
+    assert core.leader_address == ""
+    assert core.next_deadline_s() <= told_s + SHORTEST_S / 4
+    request = VoteRequest(
+        header=header("b", TERM + 1), last=LogPosition(term=TERM, index=1), pre=True
+    )
+    replies = core.handle(Received(request), told_s + 0.06)
+    assert [effect.message.granted for effect in replies if isinstance(effect, Send)] == [True]
+
+
+def test_a_candidate_goes_on_though_a_late_message_of_the_ended_leader_comes() -> None:
+    core = follower()
+    core.handle(PeerGone(address="c", term=TERM), HEARD_S + 0.3)
+    core.handle(Tick(), HEARD_S + 0.45)
+    assert core.role == "candidate"
+    core.handle(Received(late_append()), HEARD_S + 0.46)
+    assert core.role == "candidate"
+
+
+def test_a_leader_that_was_taken_for_ended_and_is_heard_on_leads_again() -> None:
+    """A refused connection is no proof for ever: a port may have been refused by a mistake."""
+    core = follower()
+    core.handle(PeerGone(address="c", term=TERM), HEARD_S + 0.3)
+    core.handle(Received(late_append()), HEARD_S + 0.3 + 2 * LONGEST_S)
+    assert core.leader_address == "c"
+
+
+def test_an_ended_leader_that_leads_a_later_term_is_followed() -> None:
+    core = follower()
+    core.handle(PeerGone(address="c", term=TERM), HEARD_S + 0.3)
+    newer = AppendRequest(
+        header=header("c", TERM + 1), previous=LogPosition(), commit_index=0, sequence=1
+    )
+    core.handle(Received(newer), HEARD_S + 0.4)
+    assert core.leader_address == "c"
+
+
+def test_a_leader_whose_address_answers_with_another_replica_has_ended() -> None:
+    """A leader that lost its disk and is started again at once never refuses a connection.
+
+    Symptom and sequence as above: the other follower asked the dead leader whether it lives when
+    a blank process was up at its address already, and did nothing with that answer.
+    """
+    core = follower()
+    answer = IdentityReply(
+        header=Header(founding_id="", from_id="new", from_address="c", to_id="a", term=0), nonce=0
+    )
+    told_s = HEARD_S + 0.3
+    core.handle(Received(answer), told_s)
+    assert core.leader_address == ""
+    assert core.next_deadline_s() <= told_s + SHORTEST_S / 4
+    assert pre_vote_is_granted(core, told_s)
+
+
+@pytest.mark.parametrize(
+    ("from_id", "from_address"), [("c", "c"), ("b", "b")], ids=["the leader", "another member"]
+)
+def test_other_answers_do_not_end_a_leader(from_id: str, from_address: str) -> None:
+    core = follower()
+    answer = IdentityReply(
+        header=Header(
+            founding_id="f", from_id=from_id, from_address=from_address, to_id="a", term=TERM
+        ),
+        nonce=0,
+    )
+    core.handle(Received(answer), HEARD_S + 0.3)
+    assert core.leader_address == "c"
+
+
+def test_a_leader_that_campaigns_itself_leads_no_more() -> None:
+    core = follower()
+    request = VoteRequest(header=header("c", TERM + 1), last=LogPosition(), pre=True)
+    effects = core.handle(Received(request), HEARD_S + 0.3)
+    assert [effect.message.granted for effect in effects if isinstance(effect, Send)] == [True]
+    assert core.leader_address == ""
+
+
+def test_a_campaign_from_before_the_leader_led_says_nothing() -> None:
+    core = follower()
+    request = VoteRequest(header=header("c", TERM), last=LogPosition(), pre=True)
+    core.handle(Received(request), HEARD_S + 0.3)
+    assert core.leader_address == "c"
+
+
+def test_a_restarted_leader_that_is_taken_for_one_campaigns_at_once() -> None:
+    """Its followers ask it whether it lives, and would wait for its lease in vain."""
+    members = tuple(Member(replica_id=one, address=one) for one in IDS)
+    durable = DurableState(
+        replica_id="a",
+        founding_id="f",
+        hard_state=HardState(term=TERM, voted_for="a"),
+        base_configuration=Configuration(members, IDS),
+    )
+    core = RaftCore(config(), durable, Random(1), START_S)
+    asked_s = START_S + 0.1
+    core.handle(Received(IdentityQuery(header=header("b"), nonce=0)), asked_s)
+    assert core.next_deadline_s() <= asked_s + SHORTEST_S / 4
+    assert sent(core.handle(Tick(), asked_s + SHORTEST_S / 4), VoteRequest) == ["b", "c"]
+
+
+def test_a_voter_that_led_nothing_does_not_campaign_when_it_is_asked() -> None:
+    core = voter()
+    core.handle(Received(IdentityQuery(header=header("b"), nonce=0)), START_S + 0.1)
+    assert core.next_deadline_s() >= START_S + SHORTEST_S
+
+
 def test_a_leader_does_not_mind_peers_that_are_gone() -> None:
     core = follower()
     core.handle(PeerGone(address="c", term=TERM), HEARD_S + 0.2)
--- a/tests/unit/test_simulation.py
+++ b/tests/unit/test_simulation.py
@@ -135,6 +135,27 @@
     assert told in done.stdout
 
 
+@pytest.mark.parametrize(
+    "seed",
+    [
+        # The settings' group had no leader to the end of the run. A control process that crashed
+        # in a sync told an earlier repair once more after its restart, at an address whose disk
+        # had been lost again meanwhile; whoever waits for the report before the next machine is
+        # touched (here the fault injector) then lost the second of three disks.
+        # Lines: "repair told by control-0: old fd36, new 5f38, control-2" at 26.7 and at 31.9 s,
+        # control-2 blank as 2f68 since 29.3 s.
+        148,
+        # All gateways were one version behind for more than 4 s: a late message of a dead leader
+        # counted as its life, so the two others had none for 3.2 s. Its blank successor at the
+        # same address had been asked, and the answer was not used.
+        77320183,
+    ],
+)
+def test_a_seed_that_failed_holds(seed: int) -> None:
+    result = run_seed(Plan("hanbit"), seed)
+    assert result.violations == []
+
+
 @pytest.mark.parametrize(
     ("rule", "seed"),
     [
