--- a/src/testbed/simulation/breaks.py
+++ b/src/testbed/simulation/breaks.py
@@ -86,7 +86,7 @@
     ),
     "clock_stands_while_frozen": Rule(
         "leases and freshness are judged by a clock that stands still while a machine is suspended",
-        _CANCEL,
+        _ONCE,
         broken_state.clock_stands_while_frozen,
     ),
     "read_from_any_replica": Rule(
--- a/src/testbed/simulation/fault_injector.py
+++ b/src/testbed/simulation/fault_injector.py
@@ -24,6 +24,7 @@
     def __init__(self, parts: WorldParts) -> None:
         self._parts = parts
         self._control = ControlFaults(parts)
+        self.on_strike: Callable[[Fault, bool], None] = lambda _fault, _struck: None
 
     def plan(self, faults: list[Fault]) -> None:
         """Set up all faults of a schedule."""
@@ -65,7 +66,9 @@
         }
         if self._parts.calm:
             return
-        if handlers[fault.kind](fault):
+        struck = handlers[fault.kind](fault)
+        self.on_strike(fault, struck)
+        if struck:
             self._parts.history.faults[fault.kind] += 1
 
     def _after(self, delay_s: float, action: Callable[[], None]) -> None:
--- a/tests/unit/test_simulation_checkers.py
+++ b/tests/unit/test_simulation_checkers.py
@@ -7,7 +7,7 @@
 from leverjunction.batch.commands import JobState
 from leverjunction.errors import Execution
 from testbed.simulation.checkers.base import undisturbed_by
-from testbed.simulation.checkers.jobs import JobsModel
+from testbed.simulation.checkers.jobs import CancelledJobStops, JobsModel
 from testbed.simulation.checkers.online import (
     AtMostOnce,
     LeavingGetsNoWork,
@@ -23,6 +23,7 @@
     History,
     JobAction,
     JobAnswer,
+    JobRecord,
     JobRequest,
     OnlineRecord,
     SettingsAnswer,
@@ -74,6 +75,34 @@
     return Operation(call_s, call_s + 0.5, request, SettingsAnswer(version, accepted))
 
 
+@pytest.mark.parametrize(
+    ("sent_s", "received_s", "ended_s", "problems"),
+    [
+        (20.5, 24.8, 24.9, 0),
+        (20.5, 24.8, 29.9, 1),
+        (24.1, 24.2, 24.3, 1),
+        (19.0, 19.1, 24.9, 0),
+        (19.0, 19.1, 25.1, 1),
+    ],
+    ids=[
+        "sent before the gateway knew, held up on its way",
+        "held up on its way and left running",
+        "sent when the gateway had to know",
+        "ran already and was stopped",
+        "ran already and was left running",
+    ],
+)
+def test_items_of_a_cancelled_job(
+    sent_s: float, received_s: float, ended_s: float, problems: int
+) -> None:
+    """Cancelled at 20 s; 4 s to learn of it, 5 s to stop what runs or still arrives."""
+    job = JobRecord("bima", "job-1", 1, True, 0, [""], cancelled_s=20.0)
+    run = _run(job.work_id(0), received_s, sent_s)
+    run.ended_s = ended_s
+    history = History(batch_allowed=2, jobs={"job-1": job}, runs=[run], ended_s=76.0)
+    assert len(CancelledJobStops().check(history).violations) == problems
+
+
 def test_settings_history_in_order_is_linearizable() -> None:
     history = [_change(0, 0, 1, True), _read(1, 1), _change(2, 0, 1, False), _read(3, 1)]
     assert is_linearizable(SettingsModel(), history)
