--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Generator, Iterator
+from collections.abc import Callable, Generator, Iterator
 from pathlib import Path
 
 import pytest
@@ -36,6 +36,13 @@
     logger.enable("leverjunction")
 
 
+@pytest.fixture
+def paused_s(request: pytest.FixtureRequest) -> Callable[[], float]:
+    """Return a function that tells for how long this process did not run since the test began."""
+    watch, began_s = request.config.stash[WATCH], request.node.stash[BEGAN_S]
+    return lambda: watch.paused_s(began_s)
+
+
 def pytest_addoption(parser: pytest.Parser) -> None:
     """Add the option that brings pauses of the interpreter about."""
     parser.addoption(
--- a/tests/kept_failures.py
+++ b/tests/kept_failures.py
@@ -23,6 +23,9 @@
 """Of a test's output; the end of it is kept."""
 
 TIMER_S = 0.05
+NOTED_FROM_S = 0.02
+"""Timers that are less late say nothing: that much they are on a machine that idles."""
+
 LATENESSES_KEPT = 1_200
 """Latenesses of the last minute."""
 
@@ -46,6 +49,18 @@
         """Return the latenesses since a moment, in seconds, longest first."""
         return sorted((late for at_s, late in self.late_s if at_s >= began_s), reverse=True)
 
+    def paused_s(self, began_s: float) -> float:
+        """Return for how long this process did not run since a moment, in seconds.
+
+        A bound that is measured here is the promise's plus this: a pause of the test's own process
+        is no fault of what it watches, and without one the bound is as it was.
+        """
+        now_s = time.monotonic()
+        late_s = [*self.late_s]
+        under_way_s = now_s - late_s[-1][0] - TIMER_S if late_s else 0.0
+        lateness_s = [late for at_s, late in late_s if at_s >= began_s and late > NOTED_FROM_S]
+        return sum(lateness_s) + (under_way_s if under_way_s > NOTED_FROM_S else 0.0)
+
 
 def threads() -> str:
     """Return where every thread of this process is."""
