--- a/src/leverjunction/control/placement_runner.py
+++ b/src/leverjunction/control/placement_runner.py
@@ -43,6 +43,13 @@
 LOAD_LIMIT_S = 900.0
 """A load that is not done after this long is dropped and planned anew."""
 
+SILENT_LIMIT_S = 30.0
+"""An order to a runner that nobody has reached for this long is dropped and planned anew, so that a
+dead one that stays listed does not hold a place for loads until ``LOAD_LIMIT_S``. As long as for
+one that could not be delivered. A later order has a higher fence, so an engine that was only cut
+off refuses what is late.
+"""
+
 REFUSED_PAUSE_S = 10.0
 """A runner whose engine refused an order gets no other one for this long."""
 
@@ -50,13 +57,23 @@
 
 
 class _InProgress(msgspec.Struct, kw_only=True):
-    """An order of this leader's term, and how far it is."""
+    """An order of this leader's term, and how far it is.
+
+    Attributes:
+        pending: What is ordered, and of whom.
+        began_s: When it was planned or taken over.
+        told: From when on most hubs have to know it; None before it was told.
+        sent: Whether the engine has accepted it.
+        incarnation: The runner's when it did, 0 when that is not known.
+        reached_s: When the runner was last known to be reached, since it began.
+    """
 
     pending: PendingOrder
     began_s: float
     told: PlacementStamp | None = None
     sent: bool = False
     incarnation: int = 0
+    reached_s: float = 0.0
 
 
 class PlacementRunner:
@@ -209,7 +226,11 @@
             logger.warning("placement: {} is not done after {:.0f} s", order.pending, age_s)
             return True
         if reading is None or not reading.reachable:
-            return False
+            silent_s = now_s - max(order.reached_s, order.began_s)
+            if silent_s > SILENT_LIMIT_S:
+                logger.warning("placement: {} is silent for {:.0f} s", order.pending, silent_s)
+            return silent_s > SILENT_LIMIT_S
+        order.reached_s = now_s
         if order.incarnation and reading.incarnation != order.incarnation:
             return True
         return is_done(_wanted_of(order.pending), reading.models, reading.versions)
