--- a/src/testbed/simulation/breaks.py
+++ b/src/testbed/simulation/breaks.py
@@ -67,6 +67,7 @@
 _IN_FORCE = "settings_in_force"
 _SETTINGS = "linearizable_settings"
 _JOBS = "linearizable_jobs"
+_MOVES = "moves_again_after_the_last_fault"
 
 RULES: dict[str, Rule] = {
     "found_alone": Rule(
@@ -74,6 +75,11 @@
         _IN_FORCE,
         broken_state.found_alone,
     ),
+    "elect_only_once": Rule(
+        "a replica that has seen a leader never campaigns again",
+        _MOVES,
+        broken_state.elect_only_once,
+    ),
     "leader_commits_alone": Rule(
         "a leader commits, and goes on leading, without a quorum",
         RUN_ENDS,
--- a/src/testbed/simulation/broken_state.py
+++ b/src/testbed/simulation/broken_state.py
@@ -19,6 +19,7 @@
 from leverjunction.batch.orphan_sweep import OrphanSweep
 from leverjunction.batch.result_sender import ResultSender
 from leverjunction.consensus.core_base import CoreBase
+from leverjunction.consensus.core_election import ElectionCore
 from leverjunction.consensus.core_founding import FoundingCore
 from leverjunction.control.settings_mirror import SettingsMirror, SettingsStep
 from leverjunction.errors import Failure
@@ -46,6 +47,16 @@
     return [mock.patch.object(FoundingCore, "_may_found", lambda _self, _attempt: True)]
 
 
+def elect_only_once() -> list[Any]:
+    """Return the patches."""
+    may_campaign = ElectionCore._may_campaign
+
+    def only_at_first(core: ElectionCore) -> bool:
+        return core.term == 0 and may_campaign(core)
+
+    return [mock.patch.object(ElectionCore, "_may_campaign", only_at_first)]
+
+
 def leader_commits_alone() -> list[Any]:
     """Return the patches."""
 
--- a/src/testbed/simulation/checkers/__init__.py
+++ b/src/testbed/simulation/checkers/__init__.py
@@ -4,6 +4,7 @@
 
 from testbed.simulation.checkers.base import Checker
 from testbed.simulation.checkers.jobs import CancelledJobStops, ExactlyOnce, LinearizableJobs
+from testbed.simulation.checkers.liveness import MovesAgain
 from testbed.simulation.checkers.online import (
     AtMostOnce,
     LeavingGetsNoWork,
@@ -30,5 +31,6 @@
         SettingsInForce(),
         LinearizableSettings(),
         LinearizableJobs(),
+        MovesAgain(),
         NoInternalErrors(),
     ]
--- a/src/testbed/simulation/history.py
+++ b/src/testbed/simulation/history.py
@@ -228,6 +228,25 @@
     exited_s: float
 
 
+@dataclass(frozen=True)
+class GroupAtRest:
+    """A group of control processes some seconds after the last fault.
+
+    Attributes:
+        name: The group.
+        moment_s: When it was looked at.
+        whole_voters: Voters whose data is there, by the disks.
+        quorum: Voters that an election takes.
+        commits: Whether a leader has committed an entry of its own term.
+    """
+
+    name: str
+    moment_s: float
+    whole_voters: int
+    quorum: int
+    commits: bool
+
+
 @dataclass
 class History:
     """Record of one run.
@@ -251,6 +270,7 @@
         unheard: Spans of unanswered exchanges, by gateway.
         runner_impaired: Spans in which a back end was down, frozen or cut off, by name.
         control_impaired: Spans in which fewer than a majority of control machines were well.
+        groups_at_rest: Each group some seconds after the last fault.
         ended_s: End of the run.
         batch_allowed: Batch requests that a back end may hold beside online work.
         faults: Number of faults that really struck, by kind.
@@ -275,6 +295,7 @@
     runner_impaired: dict[str, list[Span]] = field(default_factory=dict)
     control_impaired: list[Span] = field(default_factory=list)
     unheard: dict[str, list[Span]] = field(default_factory=dict)
+    groups_at_rest: list[GroupAtRest] = field(default_factory=list)
     ended_s: float = 0.0
     batch_allowed: int = 0
     faults: Counter[str] = field(default_factory=Counter)
--- a/src/testbed/simulation/world.py
+++ b/src/testbed/simulation/world.py
@@ -29,6 +29,7 @@
 from testbed.simulation.operators import Operator, audit_settings
 from testbed.simulation.product_modules import product_on_fibers
 from testbed.simulation.replica import Replica
+from testbed.simulation.rest import groups_at_rest
 from testbed.simulation.rpc import RpcBoard, SimulatedRpc
 from testbed.simulation.runner_node import RunnerNode
 from testbed.simulation.scenario import Scenario
@@ -41,6 +42,10 @@
 CHAOS_S = 30.0
 CALM_S = 40.0
 AUDIT_S = 20.0
+AT_REST_AFTER_S = 8.0
+"""Time after the last fault in which each group has to commit again: the longest time from an
+acknowledged change to its being in force, which holds an election.
+"""
 ONLINE_AFTER_CHAOS_S = 3.0
 FEWER_CONTROL = 3
 MORE_CONTROL = 5
@@ -125,6 +130,8 @@
         self._impairment.start()
         scheduler.run_until(chaos_end_s)
         self._begin_calm()
+        scheduler.run_until(chaos_end_s + AT_REST_AFTER_S)
+        self.parts.history.groups_at_rest = groups_at_rest(self.parts)
         scheduler.run_until(chaos_end_s + CALM_S)
         self.parts.history.ended_s = scheduler.now_s
         self._audit()
--- a/tests/unit/test_simulation.py
+++ b/tests/unit/test_simulation.py
@@ -166,6 +166,7 @@
 @pytest.mark.parametrize(
     ("rule", "seed"),
     [
+        ("elect_only_once", 1),
         ("exit_at_once", 5),
         ("forget_job_keys", 3),
         ("skip_echo_check", 7),
--- a/tests/unit/test_simulation_checkers.py
+++ b/tests/unit/test_simulation_checkers.py
@@ -8,6 +8,7 @@
 from leverjunction.errors import Execution
 from testbed.simulation.checkers.base import undisturbed_by
 from testbed.simulation.checkers.jobs import CancelledJobStops, JobsModel
+from testbed.simulation.checkers.liveness import MovesAgain
 from testbed.simulation.checkers.online import (
     AtMostOnce,
     LeavingGetsNoWork,
@@ -20,6 +21,7 @@
 from testbed.simulation.history import (
     EngineRun,
     GatewayStop,
+    GroupAtRest,
     History,
     JobAction,
     JobAnswer,
@@ -103,6 +105,27 @@
     assert len(CancelledJobStops().check(history).violations) == problems
 
 
+@pytest.mark.parametrize(
+    ("whole_voters", "commits", "problems"),
+    [(3, True, 0), (2, False, 1), (1, False, 0)],
+    ids=["moves", "stands still with a majority of disks", "has lost a majority of disks"],
+)
+def test_a_group_commits_again_while_a_majority_of_disks_is_whole(
+    whole_voters: int, commits: bool, problems: int
+) -> None:
+    group = GroupAtRest("root", 44.0, whole_voters, 2, commits)
+    history = History(batch_allowed=2, groups_at_rest=[group])
+    assert len(MovesAgain().check(history).violations) == problems
+
+
+def test_a_gateway_that_ends_behind_the_others_is_told() -> None:
+    in_force = [VersionInForce(1.0, name, 1, 7, {}) for name in ("gateway-0", "gateway-1")]
+    in_force.append(VersionInForce(2.0, "gateway-0", 1, 8, {}))
+    history = History(batch_allowed=2, in_force=in_force)
+    (text,) = MovesAgain().check(history).violations
+    assert "gateway-1 ends with version 7" in text
+
+
 def test_settings_history_in_order_is_linearizable() -> None:
     history = [_change(0, 0, 1, True), _read(1, 1), _change(2, 0, 1, False), _read(3, 1)]
     assert is_linearizable(SettingsModel(), history)
