A leader that ended is followed in a later term, whoever raised it

Found on reading the diff: the verdict on an ended leader fell only when its term ended by another's message, not when the replica itself campaigned; a restarted leader that won that very term was not heard by this replica for two election timeouts.

--- a/src/leverjunction/consensus/core_base.py
+++ b/src/leverjunction/consensus/core_base.py
@@ -164,6 +164,9 @@
         return header.to_id == self.replica_id
 
     def _persist_term(self, term: int, voted_for: str) -> None:
+        if term > self.term:
+            # Whoever ended in the old term may lead the new one.
+            self.gone_leader_id = ""
         self.hard_state = HardState(term=term, voted_for=voted_for)
         self._emit(PersistHardState(hard_state=self.hard_state))
 
@@ -174,7 +177,6 @@
             self._persist_term(term, "")
             self.leader_id = ""
             self.leader_address = ""
-            self.gone_leader_id = ""
         if was_leader:
             self._emit(SteppedDown(term=self.term, reason=reason))
             self._leader_stopped()
--- a/tests/unit/test_consensus_leader_gone.py
+++ b/tests/unit/test_consensus_leader_gone.py
@@ -198,6 +198,21 @@
     assert core.leader_address == "c"
 
 
+def test_an_ended_leader_is_followed_in_the_term_in_which_this_replica_campaigned() -> None:
+    """Found on reading: the verdict outlived its term when the replica itself had raised it."""
+    core = follower()
+    core.handle(PeerGone(address="c", term=TERM), HEARD_S + 0.3)
+    core.handle(Tick(), HEARD_S + 0.45)
+    vote = VoteReply(header=header("b"), campaign_term=TERM + 1, granted=True, pre=True)
+    core.handle(Received(vote), HEARD_S + 0.46)
+    assert (core.term, core.role) == (TERM + 1, "candidate")
+    won = AppendRequest(
+        header=header("c", TERM + 1), previous=LogPosition(), commit_index=0, sequence=1
+    )
+    core.handle(Received(won), HEARD_S + 0.47)
+    assert (core.role, core.leader_address) == ("follower", "c")
+
+
 def test_a_leader_whose_address_answers_with_another_replica_has_ended() -> None:
     """A leader that lost its disk and is started again at once never refuses a connection.
 
