--- /dev/null
+++ b/src/testbed/simulation/arguments.py
@@ -0,0 +1,111 @@
+"""Reads what ``testbed simulate`` is asked for; bad input gets a sentence with what there is."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from typing import TypeVar
+
+from testbed.simulation.breaks import RULES
+from testbed.simulation.faults import FaultKind
+from testbed.simulation.run import Plan
+from testbed.simulation.scenario import SCENARIOS
+from testbed.simulation.variation import Source, Variation, variations
+
+Named = TypeVar("Named", bound=StrEnum)
+
+LIST = "list"
+NO_SEED = -1
+"""Stands for a seed that was not given; seeds are numbers from 0."""
+
+Names = str | tuple[str, ...]
+"""Names as fire gives them: it makes a tuple of those that are separated by commas."""
+
+Positions = str | int | tuple[int, ...]
+
+
+class BadArgumentError(Exception):
+    """Says what was expected."""
+
+
+@dataclass(frozen=True)
+class Asked:
+    """Histories to run.
+
+    Attributes:
+        plan: What they have in common.
+        runs: Plan and seed of each.
+    """
+
+    plan: Plan
+    runs: list[tuple[Plan, int]]
+
+
+def listing(break_rule: str, faults: Names, source: Names) -> list[str]:
+    """Return the lines that an option with the value ``list`` asks for; none without one."""
+    if break_rule == LIST:
+        return [f"{name:36} {rule.summary} [{rule.caught_by}]" for name, rule in RULES.items()]
+    if faults == LIST:
+        return list(FaultKind)
+    return list(Source) if source == LIST else []
+
+
+def read_plan(scenario: str, break_rule: str, faults: Names, draw: str, without: Positions) -> Plan:
+    """Return the plan that the options name.
+
+    Raises:
+        BadArgumentError: One of them names nothing.
+    """
+    if scenario not in SCENARIOS or (break_rule and break_rule not in RULES):
+        raise BadArgumentError(
+            f"unknown scenario or rule; scenarios: {', '.join(SCENARIOS)}; --break list"
+        )
+    only = _members(FaultKind, faults, f"unknown fault in {faults!r}; see --faults list")
+    return Plan(scenario, break_rule, only, _variation(draw), _positions(without))
+
+
+def read_runs(plan: Plan, seeds: int, first_seed: int, near: int, source: Names) -> Asked:
+    """Return the histories: of seeds in a row, or beside the seed ``near``.
+
+    Raises:
+        BadArgumentError: There are none, or a source that is not known.
+    """
+    if seeds < 1:
+        raise BadArgumentError(f"--seeds takes a number from 1, not {seeds}")
+    unknown = f"unknown source in {source!r}; there are: {', '.join(Source)}"
+    sources = _members(Source, source, unknown)
+    if near == NO_SEED:
+        return Asked(plan, [(plan, first_seed + number) for number in range(seeds)])
+    beside = variations(seeds, sources)
+    return Asked(plan, [(replace(plan, variation=one), near) for one in beside])
+
+
+def _members(kind: type[Named], names: Names, otherwise: str) -> tuple[Named, ...]:
+    """Return the named members, none for an empty text."""
+    given = names.split(",") if isinstance(names, str) else names
+    try:
+        return tuple(kind(name) for name in given if name)
+    except ValueError as error:
+        raise BadArgumentError(otherwise) from error
+
+
+def _variation(draw: str) -> Variation | None:
+    if not draw:
+        return None
+    variation = Variation.from_name(draw)
+    if variation is None:
+        raise BadArgumentError(
+            f"{draw!r} is no history: SOURCE:NUMBER, with a source of {', '.join(Source)}"
+        )
+    return variation
+
+
+def _positions(given: Positions) -> tuple[int, ...]:
+    numbers = [
+        number for number in (given if isinstance(given, tuple) else (given,)) if number != ""
+    ]
+    if not all(isinstance(number, int) and number >= 0 for number in numbers):
+        raise BadArgumentError(
+            f"--without takes positions of faults from 0, separated by commas, not {given!r}"
+        )
+    return tuple(int(number) for number in numbers)
--- a/src/testbed/simulation/cli.py
+++ b/src/testbed/simulation/cli.py
@@ -6,23 +6,27 @@
 import os
 import sys
 from dataclasses import replace
-from enum import StrEnum
 from pathlib import Path
-from typing import TypeVar
 
 import fire
 
+from testbed.simulation.arguments import (
+    NO_SEED,
+    Asked,
+    BadArgumentError,
+    Names,
+    Positions,
+    listing,
+    read_plan,
+    read_runs,
+)
 from testbed.simulation.breaks import RULES
-from testbed.simulation.faults import FaultKind
 from testbed.simulation.result import Report, SeedResult
 from testbed.simulation.run import Plan, run_plans, run_seed
-from testbed.simulation.scenario import SCENARIOS
 from testbed.simulation.shrink import shrink as shrunk
-from testbed.simulation.variation import Source, Variation, variations
+from testbed.simulation.variation import Variation
 from testbed.simulation.world import planned_faults
 
-Named = TypeVar("Named", bound=StrEnum)
-
 DEFAULT_SEEDS = 20
 DEFAULT_WORKERS = 4
 SHOWN_VIOLATIONS = 5
@@ -30,9 +34,6 @@
 EXIT_VIOLATED = 1
 EXIT_BAD_ARGUMENT = 2
 HASH_SEED = "PYTHONHASHSEED"
-LIST = "list"
-NO_SEED = -1
-"""Stands for a seed that was not given; seeds are numbers from 0."""
 
 
 def simulate(
@@ -40,13 +41,13 @@
     first_seed: int = 1,
     scenario: str = "kilimo",
     break_rule: str = "",
-    faults: str = "",
+    faults: Names = "",
     workers: int = DEFAULT_WORKERS,
     json_file: str = "",
     near: int = NO_SEED,
-    source: str = "",
+    source: Names = "",
     draw: str = "",
-    without: str = "",
+    without: Positions = "",
     shrink: bool = False,
     timeline: bool = False,
 ) -> int:
@@ -75,74 +76,36 @@
         0 when every promise held, 1 after a violation, 2 for a bad argument. With a broken rule a
         violation is what the run is for, and 1 means that it was caught.
     """
-    if break_rule == LIST:
-        for name, rule in RULES.items():
-            print(f"{name:36} {rule.summary} [{rule.caught_by}]")
-        return EXIT_HOLDS
-    if faults == LIST:
-        print("\n".join(FaultKind))
-        return EXIT_HOLDS
-    if source == LIST:
-        print("\n".join(Source))
+    lines = listing(break_rule, faults, source)
+    if lines:
+        print("\n".join(lines))
         return EXIT_HOLDS
-    only = _members(FaultKind, faults)
-    sources = _members(Source, source)
-    if only is None:
-        print(f"unknown fault in {faults!r}; see --faults list")
-        return EXIT_BAD_ARGUMENT
-    if sources is None:
-        print(f"unknown source in {source!r}; there are: {', '.join(Source)}")
-        return EXIT_BAD_ARGUMENT
-    variation = Variation.from_name(draw) if draw else None
-    if draw and variation is None:
-        print(f"{draw!r} is no history: SOURCE:NUMBER, with a source of {', '.join(Source)}")
-        return EXIT_BAD_ARGUMENT
-    left_out = _positions(without)
-    if left_out is None:
-        print(f"--without takes positions of faults from 0, separated by commas, not {without!r}")
-        return EXIT_BAD_ARGUMENT
-    if seeds < 1:
-        print(f"--seeds takes a number from 1, not {seeds}")
-        return EXIT_BAD_ARGUMENT
-    if scenario not in SCENARIOS or (break_rule and break_rule not in RULES):
-        print(f"unknown scenario or rule; scenarios: {', '.join(SCENARIOS)}; --break list")
+    try:
+        plan = read_plan(scenario, break_rule, faults, draw, without)
+        asked = read_runs(plan, seeds, first_seed, near, source)
+    except BadArgumentError as error:
+        print(error)
         return EXIT_BAD_ARGUMENT
-    plan = Plan(scenario, break_rule, only, variation, left_out)
-    runs = [(plan, first_seed + number) for number in range(seeds)]
-    if near != NO_SEED:
-        runs = [(replace(plan, variation=one), near) for one in variations(seeds, sources)]
-    report = run_plans(runs, min(workers, seeds), lambda result: _tell(result, plan))
-    _summarize(report, beside=near != NO_SEED)
+    return _play(asked, workers, shrink, timeline, json_file)
+
+
+def _play(asked: Asked, workers: int, shrink: bool, timeline: bool, json_file: str) -> int:
+    """Run the histories, tell of them, and return the exit status."""
+    plan, broken_rule = asked.plan, asked.plan.broken_rule
+    workers = min(workers, len(asked.runs))
+    report = run_plans(asked.runs, workers, lambda result: _tell(result, plan))
+    _summarize(report, beside=any(one.variation for one, _ in asked.runs))
     for result in report.failing if shrink or timeline else []:
         _examine(plan, result, shrink, timeline)
     if json_file:
         Path(json_file).write_text(json.dumps(report.as_json(), indent=1) + "\n")
-    if break_rule:
-        caught = any(is_caught(result, break_rule) for result in report.failing)
-        print(f"{break_rule}: {'caught' if caught else 'NOT caught'}")
+    if broken_rule:
+        caught = any(is_caught(result, broken_rule) for result in report.failing)
+        print(f"{broken_rule}: {'caught' if caught else 'NOT caught'}")
         return EXIT_VIOLATED if caught else EXIT_HOLDS
     return EXIT_VIOLATED if report.failing else EXIT_HOLDS
 
 
-def _members(kind: type[Named], names: str | tuple[str, ...]) -> tuple[Named, ...] | None:
-    """Return the named members, none for an empty text; None when one of them is unknown."""
-    # fire makes a tuple of names that are separated by commas.
-    given = names.split(",") if isinstance(names, str) else names
-    try:
-        return tuple(kind(name) for name in given if name)
-    except ValueError:
-        return None
-
-
-def _positions(text: str | int | tuple[int, ...]) -> tuple[int, ...] | None:
-    """Return the positions, as fire makes a number or a tuple of them; None for anything else."""
-    given = text if isinstance(text, tuple) else (text,)
-    numbers = [number for number in given if number != ""]
-    if not all(isinstance(number, int) and number >= 0 for number in numbers):
-        return None
-    return tuple(int(number) for number in numbers)
-
-
 def _varied(plan: Plan, result: SeedResult) -> Plan:
     return replace(plan, variation=Variation.from_name(result.variation))
 
