A replica that stood still does not take that for the silence of the others

The lease of a leader, the election timeout of a follower and its refusal to vote against a leader counted wall time; a replica that did not run itself heard nobody in that time. Change: a step that begins late tells the core by how much (late against its own timer, and not before its last step); leases and silences count the time that the replica ran. A replica whose steps are late again and again is more patient already (slow_steps), so that does not add up. Nothing that must not happen twice hangs on the belief to lead: commands and reads need a quorum's answers in the leader's own term, and the status of a group still goes by real time. Excluded: a fixed grace after each pause (a follower that pauses often would never campaign; here it runs on by what it ran).

--- a/src/leverjunction/consensus/core.py
+++ b/src/leverjunction/consensus/core.py
@@ -42,6 +42,7 @@
     VoteReply,
     VoteRequest,
 )
+from leverjunction.consensus.standstills import NOTED_FROM_S
 from leverjunction.consensus.types import EntryKind, Role
 
 
@@ -68,6 +69,16 @@
             self._after()
         return self._effects
 
+    def begin_step(self, now_s: float) -> None:
+        """Take the time at which a batch of events begins to be handled.
+
+        What it is late by is a standstill of this replica: its timer was due before. Time up to
+        the last step was counted then.
+        """
+        late_s = now_s - max(self.next_deadline_s(), self._now_s)
+        if late_s >= NOTED_FROM_S:
+            self._stood_still(now_s, late_s)
+
     def next_deadline_s(self) -> float:
         """Return the monotonic time at which a ``Tick`` is due, in seconds."""
         if self.role is Role.LEADER:
--- a/src/leverjunction/consensus/core_base.py
+++ b/src/leverjunction/consensus/core_base.py
@@ -11,6 +11,7 @@
 from leverjunction.consensus.messages import Header, IdentityReply, Message
 from leverjunction.consensus.progress import Progress
 from leverjunction.consensus.slow_steps import SlowSteps
+from leverjunction.consensus.standstills import Standstills
 from leverjunction.consensus.types import (
     Configuration,
     DurableState,
@@ -81,6 +82,7 @@
         self.progress: dict[str, Progress] = {}
         self.leader_since_s = 0.0
         self.slow_steps = SlowSteps()
+        self.standstills = Standstills()
         self._random = random
         self._now_s = now_s
         self._effects: list[Effect] = []
@@ -215,6 +217,18 @@
         # Replicas that start together must not campaign together, however long they took.
         self.election_deadline_s -= min(silence_s, self.config.election_timeout_min_s)
 
+    def _stood_still(self, now_s: float, lasted_s: float) -> None:
+        """Take into account that this replica did not run for a while, up to now.
+
+        Without it a machine that was short of processor for 1.3 s lost its leader on going on:
+        the leader's timer comes before the answers that the others send at once.
+        """
+        if self._slowness > 1:
+            # One that is late again and again is more patient already (``slow_steps``).
+            return
+        self.standstills.note(now_s, lasted_s)
+        self.election_deadline_s += lasted_s
+
     def _leader_heard(self, header: Header) -> None:
         """Record a message of the current term's leader."""
         self.leader_id = header.from_id
--- a/src/leverjunction/consensus/core_election.py
+++ b/src/leverjunction/consensus/core_election.py
@@ -189,7 +189,7 @@
         """Return whether a leader's lease may still be running (leader stickiness)."""
         if self.role is Role.LEADER:
             return True
-        silence_s = self._now_s - self.leader_contact_s
+        silence_s = self.standstills.ran_s(self.leader_contact_s, self._now_s)
         return silence_s < self.timeout_min_s
 
     def _on_vote_reply(self, message: VoteReply) -> None:
--- a/src/leverjunction/consensus/core_replication.py
+++ b/src/leverjunction/consensus/core_replication.py
@@ -260,12 +260,12 @@
         return max(self._quorum_of(contacts), self.leader_since_s)
 
     def _check_lease(self) -> None:
-        """Step down first of all if no quorum was heard, also after a long freeze."""
+        """Step down first of all if no quorum was heard in a lease's time of running."""
         if self.role is Role.LEADER and self._lease_ended():
             self._follow(self.term, "no quorum was heard within the lease")
 
     def _lease_ended(self) -> bool:
-        return self._now_s - self.quorum_contact_s() > self.lease_s
+        return self.standstills.ran_s(self.quorum_contact_s(), self._now_s) > self.lease_s
 
     def _committed_in_term(self) -> bool:
         return self.commit_index >= self.term_start_index
--- a/src/leverjunction/consensus/engine.py
+++ b/src/leverjunction/consensus/engine.py
@@ -136,6 +136,7 @@
         Messages that must wait for the sync leave at the end. Call ``apply_committed`` next.
         """
         self._now_s = now_s
+        self.core.begin_step(now_s)
         # Answers first: they may renew the lease that the other events are judged by.
         for event in sorted(events, key=_is_no_answer):
             self._run(self.core.handle(event, now_s))
