Failing tests: gateways a version behind after a loss of quorum; sight; a check that looked too soon

Sight: the lines of a timeline name the machine that wrote them. Cause, by the exchanges of the gateways that were late: (1) a reply of a hub without a quorum ends an exchange as a good one does, so the next comes after a whole second, twice in a row at the same hub or at a worse one; (2) a hub that has just caught up calls itself fresh before it has read the settings. The check asks for 8 s after the last fault; a burst's restart now counts as one.

--- a/src/testbed/simulation/control_faults.py
+++ b/src/testbed/simulation/control_faults.py
@@ -19,6 +19,14 @@
 CRASH_PATIENCE_S = 1.0
 
 
+RESTART_MOST_S = 4.0
+
+
+def restart_s(fault: Fault) -> float:
+    """Return for how long all control processes are down when a fault restarts them."""
+    return min(fault.duration_s, RESTART_MOST_S)
+
+
 class ControlFaults:
     """Strikes control machines; each fault returns whether it found a target."""
 
@@ -177,5 +185,5 @@
         for node in self._parts.control.values():
             if node.machine.up:
                 self._down_control(node)
-            self._after(min(fault.duration_s, 4.0), partial(self.recover, node))
+            self._after(restart_s(fault), partial(self.recover, node))
         return True
--- a/src/testbed/simulation/fault_injector.py
+++ b/src/testbed/simulation/fault_injector.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from testbed.simulation.control_faults import ControlFaults
+from testbed.simulation.control_faults import ControlFaults, restart_s
 from testbed.simulation.faults import Fault, FaultKind
 from testbed.simulation.gateway_node import GatewayNode
 from testbed.simulation.runner_node import RunnerNode
@@ -16,12 +16,21 @@
 """Crossed answers with a target from here on, half of all, strike all back ends of a service."""
 
 STOP_GRACE_S = 30.0
+BURST_S = 12.0
+"""Length of a burst of changes, after which all control machines are started again."""
 
 
 class FaultInjector:
-    """Strikes the machines of a world."""
+    """Strikes the machines of a world.
+
+    Attributes:
+        on_strike: Called with each fault, and whether it found a target.
+        quiet_from_s: When the last fault that outlasts the schedule is over: a burst of changes
+            ends with a restart of all control machines, perhaps after the others have ended.
+    """
 
     def __init__(self, parts: WorldParts) -> None:
+        self.quiet_from_s = 0.0
         self._parts = parts
         self._control = ControlFaults(parts)
         self.on_strike: Callable[[Fault, bool], None] = lambda _fault, _struck: None
@@ -222,5 +231,7 @@
                 operator.pause_s = 4.0
             self._control.restart_all_control(fault)
 
-        self._after(12.0, end)
+        self._after(BURST_S, end)
+        over_s = self._parts.scheduler.now_s + BURST_S + restart_s(fault)
+        self.quiet_from_s = max(self.quiet_from_s, over_s)
         return True
--- a/src/testbed/simulation/timeline.py
+++ b/src/testbed/simulation/timeline.py
@@ -32,12 +32,17 @@
         world.injector.on_strike = self._struck
         threads = world.fibers.threads
         logger.add(
-            lambda message: self.note(f"log   {str(message).rstrip()}"),
+            lambda message: self.note(f"log   {self._machine()}{str(message).rstrip()}"),
             level=LOG_LEVEL,
             format="{name}: {message}",
             filter=lambda record: record["thread"].id in threads,
         )
 
+    def _machine(self) -> str:
+        """Return the name of the machine whose process runs now, as the head of a line."""
+        fiber = self._world.fibers.current
+        return f"{fiber.machine.name}: " if fiber is not None else ""
+
     def note(self, text: str) -> None:
         """Add a line of this moment."""
         self.lines.append(f"{self._world.parts.scheduler.now_s:9.3f}  {text}")
--- a/src/testbed/simulation/world.py
+++ b/src/testbed/simulation/world.py
@@ -130,7 +130,7 @@
         self._impairment.start()
         scheduler.run_until(chaos_end_s)
         self._begin_calm()
-        scheduler.run_until(chaos_end_s + AT_REST_AFTER_S)
+        scheduler.run_until(max(chaos_end_s, self.injector.quiet_from_s) + AT_REST_AFTER_S)
         self.parts.history.groups_at_rest = groups_at_rest(self.parts)
         scheduler.run_until(chaos_end_s + CALM_S)
         self.parts.history.ended_s = scheduler.now_s
--- a/tests/unit/test_control_quorum.py
+++ b/tests/unit/test_control_quorum.py
@@ -12,6 +12,7 @@
 from leverjunction.control.quorum import NEVER_HEARD_S, LocalRoot, RemoteRoot
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.settings.commands import GetSettings, SettingsDelta
+from leverjunction.wire.codec import encode_reply
 from leverjunction.wire.rpc_client import RpcClient
 
 
@@ -36,6 +37,9 @@
             leader_contact_age_s=self.now_s - self.contact_s,
         )  # fmt: skip
 
+    def query_local(self, _query: bytes) -> bytes:
+        return encode_reply(SettingsDelta(version=0, rows=[]))
+
     def hear(self, leader: str) -> None:
         self.leader = leader
         self.contact_s = self.now_s
@@ -69,6 +73,27 @@
     assert root.quorum_age_s() == pytest.approx(1.0)
 
 
+def test_what_a_hub_serves_is_as_old_as_its_last_reading() -> None:
+    """A gateway had settings one version too old for 4.1 s, a second of it for this.
+
+    A hub whose disk was lost had caught up, and told gateways that it heard a quorum 0.08 s ago.
+    It read the settings from its replica 0.2 s later: what it served until then was its blank
+    replica's, and a gateway that takes a hub for fresh asks again only after a second.
+    """
+    replica = Replica()
+    root = LocalRoot(cast(ReplicatedGroup, replica), replica)
+    root.read(GetSettings(after_version=0))
+    replica.now_s += 1.0
+    replica.hear("a:1")
+    assert root.quorum_age_s() > 60.0
+    replica.now_s += 0.2
+    root.read(GetSettings(after_version=0))
+    assert root.quorum_age_s() == pytest.approx(0.2)
+    replica.now_s += 0.3
+    replica.hear("a:1")
+    assert root.quorum_age_s() == pytest.approx(0.5)
+
+
 class Voter:
     """A voter that is heard, through a hub and an RPC client that reaches it or not."""
 
--- a/tests/unit/test_gateway_exchange.py
+++ b/tests/unit/test_gateway_exchange.py
@@ -114,6 +114,27 @@
     assert 0.1 <= loop.wait_s <= 0.3
 
 
+def test_while_the_hub_hears_no_quorum_it_is_asked_more_often() -> None:
+    """Gateways were a version behind for 4.1 and 7.8 s after most control processes had ended.
+
+    Each asked a hub without a quorum once a second. The new leader was there, and its hub had the
+    version, 0.6 s before the next exchange; then the stay with that hub was over and the gateway
+    moved to one that was blank, and stayed there for two exchanges more. In the simulator:
+    "gateway-2 has 7: ok qage=3600.00 v=7" at 18.2, 19.2 (another hub) and 20.2 s, the version in
+    force at the first hub at 19.0 s, at the gateway at 21.2 s.
+    """
+    loop, control = make_loop()
+    control.reply = SETTINGS
+    loop.exchange_once()
+    control.reply = msgspec.structs.replace(REPLY, settings_version=3, quorum_age_s=3600.0)
+    for _ in range(5):
+        loop.exchange_once()
+        assert loop.wait_s <= INTERVAL_S / 2
+    control.reply = msgspec.structs.replace(control.reply, quorum_age_s=0.1)
+    loop.exchange_once()
+    assert loop.wait_s == INTERVAL_S
+
+
 SETTINGS = msgspec.structs.replace(
     REPLY,
     settings_version=3,
--- a/tests/unit/test_simulation.py
+++ b/tests/unit/test_simulation.py
@@ -139,7 +139,7 @@
 
 
 @pytest.mark.parametrize(
-    "seed",
+    ("scenario", "seed"),
     [
         # The settings' group had no leader to the end of the run. A control process that crashed
         # in a sync told an earlier repair once more after its restart, at an address whose disk
@@ -147,19 +147,28 @@
         # touched (here the fault injector) then lost the second of three disks.
         # Lines: "repair told by control-0: old fd36, new 5f38, control-2" at 26.7 and at 31.9 s,
         # control-2 blank as 2f68 since 29.3 s.
-        148,
+        ("hanbit", 148),
         # An item was received 4.3 s after its job's cancel. Traced: sent 0.7 s after the cancel,
         # before the gateway could know; held up on its way for 3.6 s; it ran for 0.09 s. The
         # checker goes by the time of sending since, and asks for the end of what arrives late.
-        77330144,
+        ("hanbit", 77330144),
         # All gateways were one version behind for more than 4 s: a late message of a dead leader
         # counted as its life, so the two others had none for 3.2 s. Its blank successor at the
         # same address had been asked, and the answer was not used.
-        77320183,
+        ("hanbit", 77320183),
+        # Gateways were a version behind for 4.1 and 7.8 s, after most control processes had ended
+        # and one had lost its disk: they asked a hub without a quorum only once a second, and one
+        # that had just caught up called itself fresh before it had read the settings.
+        ("hanbit", 90000051),
+        ("kilimo", 90000084),
+        # Nothing was wrong: all control processes are started again at the end of a burst of
+        # changes, here at 42.7 s, and the groups were looked at 0.9 s later. They are looked at
+        # 8 s after the last fault since, a burst's restart included.
+        ("hanbit", 90000115),
     ],
 )
-def test_a_seed_that_failed_holds(seed: int) -> None:
-    result = run_seed(Plan("hanbit"), seed)
+def test_a_seed_that_failed_holds(scenario: str, seed: int) -> None:
+    result = run_seed(Plan(scenario), seed)
     assert result.violations == []
 
 
