--- a/tests/unit/consensus_support.py
+++ b/tests/unit/consensus_support.py
@@ -61,7 +61,10 @@
             these may have been applied, beside the last one.
     """
 
-    def __init__(self, folder: Path, size: int, **settings: object) -> None:
+    def __init__(
+        self, folder: Path, size: int, link_type: type[Link] | None = None, **settings: object
+    ) -> None:
+        self._link_type = link_type or Link
         self.unknown: Counter[bytes] = Counter()
         self.addresses = [f"10.0.0.{number}:1" for number in range(1, size + 1)]
         self.folder = folder
@@ -95,7 +98,7 @@
         replica = GroupReplica(
             config,
             LogMachine(),
-            Link(self, address),
+            self._link_type(self, address),
             SystemClock(),
             Random(self._starts),
             silent_since_s=silent_since_s,
