Failing test: a large call never gets through a slow link

Cause: the library bounds the sending of a body by the connection's time limit, here 0.5 s, whatever limit the call has. Found on reading what a large entry of a group meets on its way; with a reader at 2 MB/s a body of 4 MB fails.

--- a/tests/unit/test_wire_rpc.py
+++ b/tests/unit/test_wire_rpc.py
@@ -7,6 +7,7 @@
 import hmac
 import socket
 import threading
+import time
 import tracemalloc
 from collections.abc import Callable, Iterator
 
@@ -208,3 +209,39 @@
         reply = connection.recv(65536)
     server.stop()
     assert _header_names(reply) == {b"content-length", b"date", b"server"}
+
+
+SLOW_BYTES_PER_S = 2_000_000
+SLOW_BODY_BYTES = 4_000_000
+SMALL_BUFFER_BYTES = 16_384
+
+
+def read_slowly(listener: socket.socket) -> None:
+    """Take one call as over a link of limited speed, and answer it."""
+    connection, _ = listener.accept()
+    with connection:
+        read_bytes = 0
+        while read_bytes < SLOW_BODY_BYTES:
+            read_bytes += len(connection.recv(SMALL_BUFFER_BYTES))
+            time.sleep(SMALL_BUFFER_BYTES / SLOW_BYTES_PER_S)
+        body = encode_envelope(
+            Envelope(kind=MessageKind.QUERY, group="", incarnation=1, body=b"whole"), KEY
+        )
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        connection.sendall(head.encode() + body)
+
+
+def test_a_large_call_gets_through_a_slow_link() -> None:
+    """A call was cut off half a second after its beginning, whatever its time limit.
+
+    The time in which a connection must come bounded the sending of the body as well, so an entry
+    that takes longer than that on its way never reached a replica, however often it was sent.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        host, port = listener.getsockname()
+        threading.Thread(target=read_slowly, args=(listener,), daemon=True).start()
+        reply = RpcClient(KEY, 1).call_raw(
+            f"{host}:{port}", MessageKind.QUERY, bytes(SLOW_BODY_BYTES), timeout_s=30.0
+        )
+    assert reply == b"whole"
