--- a/src/leverjunction/consensus/codec.py
+++ b/src/leverjunction/consensus/codec.py
@@ -107,6 +107,8 @@
     messages.IdentityReply: Struct(*_HEADER_FIELDS, "nonce" / Int64ub),
     messages.FoundRequest: Struct(*_HEADER_FIELDS, "configuration" / _BLOB),
     messages.FoundReply: Struct(*_HEADER_FIELDS, "marker" / Const(b"F")),
+    messages.ContactRequest: Struct(*_HEADER_FIELDS, "sequence" / Int64ub),
+    messages.ContactReply: Struct(*_HEADER_FIELDS, "sequence" / Int64ub),
 }
 _KINDS = list(_LAYOUTS)
 _KIND_OF = {message_type: number for number, message_type in enumerate(_KINDS)}
--- a/src/leverjunction/consensus/core.py
+++ b/src/leverjunction/consensus/core.py
@@ -31,6 +31,8 @@
 from leverjunction.consensus.messages import (
     AppendReply,
     AppendRequest,
+    ContactReply,
+    ContactRequest,
     FoundReply,
     FoundRequest,
     IdentityQuery,
@@ -46,6 +48,11 @@
 from leverjunction.consensus.types import EntryKind, Role
 
 
+def is_answer_to_leader(event: Event) -> bool:
+    """Return whether an event may renew a leader's lease."""
+    return isinstance(event, Received) and isinstance(event.message, AppendReply | ContactReply)
+
+
 class RaftCore(ElectionCore):
     """One replica of one group. Not thread-safe; one driver calls it."""
 
@@ -61,7 +68,7 @@
         """
         self._now_s = max(self._now_s, now_s)
         self._effects = []
-        if not (isinstance(event, Received) and isinstance(event.message, AppendReply)):
+        if not is_answer_to_leader(event):
             # An answer that waited here during a slow sync counts before the lease is judged.
             self._check_lease()
         self._dispatch(event)
@@ -144,7 +151,7 @@
         self._emit(Appended(request_id=event.request_id, position=position))
 
     def _receive(self, message: Message) -> None:
-        if isinstance(message, VoteReply | AppendReply | SnapshotReply):
+        if isinstance(message, VoteReply | AppendReply | ContactReply | SnapshotReply):
             self._receive_reply(message)
             return
         match message:
@@ -152,6 +159,8 @@
                 self._on_vote_request(message)
             case AppendRequest():
                 self._on_append_request(message)
+            case ContactRequest():
+                self._on_contact_request(message)
             case SnapshotChunk():
                 self._on_snapshot_chunk(message)
             case TimeoutNow():
@@ -165,7 +174,9 @@
             case FoundReply():
                 self._on_found_reply(message)
 
-    def _receive_reply(self, message: VoteReply | AppendReply | SnapshotReply) -> None:
+    def _receive_reply(
+        self, message: VoteReply | AppendReply | ContactReply | SnapshotReply
+    ) -> None:
         """Handle a reply that counts for a quorum; it must be for this very replica."""
         header = message.header
         from_blank_learner = header.founding_id == "" and isinstance(message, SnapshotReply)
@@ -180,5 +191,7 @@
                 self._on_vote_reply(message)
             case AppendReply():
                 self._on_append_reply(message)
+            case ContactReply():
+                self._on_contact_reply(message)
             case SnapshotReply():
                 self._on_snapshot_reply(message)
--- a/src/leverjunction/consensus/core_follower.py
+++ b/src/leverjunction/consensus/core_follower.py
@@ -15,6 +15,8 @@
 from leverjunction.consensus.messages import (
     AppendReply,
     AppendRequest,
+    ContactReply,
+    ContactRequest,
     Header,
     SnapshotChunk,
     SnapshotReply,
@@ -64,6 +66,13 @@
             self._commit(commit_index)
         self._note_progress(message, matched)
 
+    def _on_contact_request(self, message: ContactRequest) -> None:
+        """Tell a leader that it is followed; what is committed is told with the entries."""
+        if self._accept_leader(message.header):
+            header = self.header(message.header.from_id)
+            reply = ContactReply(header=header, sequence=message.sequence)
+            self._send(message.header.from_address, reply)
+
     def _note_progress(self, message: AppendRequest, matched: int) -> None:
         """Note that this replica lacks nothing; a leader heard in a repair does not say so."""
         if self._is_gone(message.header.from_id):
--- a/src/leverjunction/consensus/core_replication.py
+++ b/src/leverjunction/consensus/core_replication.py
@@ -18,6 +18,7 @@
 from leverjunction.consensus.messages import (
     AppendReply,
     AppendRequest,
+    ContactReply,
     Header,
     IdentityQuery,
 )
@@ -240,6 +241,16 @@
         self._finish_reads()
         self._send_entries_to(message.header.from_id, progress)
 
+    def _on_contact_reply(self, message: ContactReply) -> None:
+        """Take the answer of a peer to which entries are still on their way."""
+        progress = self.progress.get(message.header.from_id)
+        if self.role is not Role.LEADER or message.header.term != self.term or progress is None:
+            return
+        progress.heard_s = self._now_s
+        self._answered(progress, message.sequence)
+        self._check_lease()
+        self._finish_reads()
+
     def _accepted(self, progress: Progress, index: int) -> None:
         if progress.state is ProgressState.SNAPSHOT:
             return
--- a/src/leverjunction/consensus/engine.py
+++ b/src/leverjunction/consensus/engine.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from leverjunction.consensus.api import ApplyContext, StateMachine
-from leverjunction.consensus.core import RaftCore
+from leverjunction.consensus.core import RaftCore, is_answer_to_leader
 from leverjunction.consensus.events import (
     Appended,
     AppendEntries,
@@ -30,7 +30,6 @@
     PersistFounding,
     PersistHardState,
     ReadReady,
-    Received,
     Refused,
     RepairDone,
     Send,
@@ -42,7 +41,7 @@
     StoreChunk,
     TruncateLog,
 )
-from leverjunction.consensus.messages import AppendReply, AppendRequest, Message, SnapshotChunk
+from leverjunction.consensus.messages import AppendRequest, Message, SnapshotChunk
 from leverjunction.consensus.notice import ChangeNotice, Listener, nobody_listens
 from leverjunction.consensus.requests import RequestTable
 from leverjunction.consensus.snapshot import SnapshotStage
@@ -370,7 +369,7 @@
 
 
 def _is_no_answer(event: Event) -> bool:
-    return not (isinstance(event, Received) and isinstance(event.message, AppendReply))
+    return not is_answer_to_leader(event)
 
 
 def _rejected(error: Exception) -> Failure:
--- a/src/leverjunction/consensus/messages.py
+++ b/src/leverjunction/consensus/messages.py
@@ -165,6 +165,25 @@
     header: Header
 
 
+class ContactRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A heartbeat without a position: entries are on their way that it overtakes.
+
+    Attributes:
+        header: Sender and receiver.
+        sequence: Leader's message round, as in ``AppendRequest``.
+    """
+
+    header: Header
+    sequence: int
+
+
+class ContactReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer to a ``ContactRequest``: the sender takes the receiver for the leader of its term."""
+
+    header: Header
+    sequence: int
+
+
 Message = (
     VoteRequest
     | VoteReply
@@ -177,4 +196,6 @@
     | IdentityReply
     | FoundRequest
     | FoundReply
+    | ContactRequest
+    | ContactReply
 )
--- a/src/leverjunction/control/raft_transport.py
+++ b/src/leverjunction/control/raft_transport.py
@@ -6,9 +6,12 @@
 
 from leverjunction.errors import Failure
 from leverjunction.wire.envelope import Envelope, MessageKind
-from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.rpc_client import SLOWEST_BYTES_PER_S, RpcClient
 
 SEND_TIMEOUT_S = 1.0
+"""For a small message. A large one is given its time on the way besides: it is sent once it lies in
+this machine's buffers, long before it has arrived.
+"""
 
 Receive = Callable[[bytes], bytes]
 """A local replica's ``receive``: takes encoded messages, returns its encoded replies."""
@@ -25,8 +28,9 @@
 
     def send(self, peer_address: str, group: str, body: bytes) -> bytes | Failure:
         """Call a peer's replica and return the body of its answer."""
+        timeout_s = SEND_TIMEOUT_S + len(body) / SLOWEST_BYTES_PER_S
         return self._rpc.call_raw(
-            peer_address, MessageKind.RAFT, body, group=group, timeout_s=SEND_TIMEOUT_S
+            peer_address, MessageKind.RAFT, body, group=group, timeout_s=timeout_s
         )
 
 
--- a/src/leverjunction/wire/rpc_client.py
+++ b/src/leverjunction/wire/rpc_client.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import urllib3
+from urllib3.connection import HTTPConnection
 from urllib3.util import SKIP_HEADER
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
@@ -23,11 +24,45 @@
 CONNECT_TIMEOUT_S = 0.5
 DEFAULT_TIMEOUT_S = 2.0
 CONNECTIONS_PER_PEER = 8
+SLOWEST_BYTES_PER_S = 250_000
+"""Speed of the slowest link over which a large body still gets through, as 2 Mbit/s."""
 
 _HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
 """Nobody reads these: a gateway pays for each byte of a head once a second."""
 
 
+def sending_s(size_bytes: int) -> float:
+    """Return how long a body of a size may take on its way to a peer, in seconds."""
+    return CONNECT_TIMEOUT_S + size_bytes / SLOWEST_BYTES_PER_S
+
+
+class _Connection(HTTPConnection):
+    """A connection that gives a body the time that its size needs.
+
+    The library bounds the sending by the time in which a connection must come (0.5 s here), or by
+    the last call's time for reading: a large body over a slow link was cut off each time.
+    """
+
+    _sending_s = CONNECT_TIMEOUT_S
+
+    def connect(self) -> None:
+        super().connect()
+        self._allow_sending()
+
+    def request(self, method: str, url: str, body: Any = None, *rest: Any, **options: Any) -> None:
+        self._sending_s = sending_s(len(body))
+        self._allow_sending()
+        super().request(method, url, body, *rest, **options)
+
+    def _allow_sending(self) -> None:
+        if self.sock is not None:
+            self.sock.settimeout(self._sending_s)
+
+
+class _ConnectionPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 class RpcClient:
     """Calls other processes of the cluster. Safe to share between threads.
 
@@ -40,6 +75,7 @@
         self._pool = urllib3.PoolManager(
             num_pools=512, maxsize=CONNECTIONS_PER_PEER, block=False, retries=False
         )
+        self._pool.pool_classes_by_scheme = {"http": _ConnectionPool}
 
     def call(
         self,
