Model of the election: a repair that is reported once more after its machine was lost again

Change: the step, taken only where the rule is broken (a report names a replica, and one whose machine was lost again does not live there); a seeded bug for it. A crash in a sync is this step: what is applied and not synced is learnt again, which the log of the model has anyway.

--- a/specs/election.py
+++ b/specs/election.py
@@ -38,6 +38,7 @@
     CHANGE_EARLY = "a change starts before the last one is committed"
     KEEP_ID = "a machine that lost its disk comes back as the voter it was"
     VOTE_TWICE = "a replica forgets its vote"
+    REPORT_AGAIN = "a repair is reported once more after its machine was lost again"
 
 
 class Bounds(NamedTuple):
@@ -55,6 +56,10 @@
 """One more entry, for ``python -m specs.election``."""
 
 
+LOST_AGAIN_BOUNDS = Bounds(terms=1, entries=4, losses=3)
+"""A machine that is lost again after its repair, and a third loss; it takes no second election."""
+
+
 class Entry(NamedTuple):
     """A log entry; ``voters`` and ``learners`` are empty for a command or a no-op."""
 
@@ -157,6 +162,7 @@
             yield from self._lose(group, number)
             yield from self._append(group, number)
             yield from self._change(group, number)
+            yield from self._report_again(group, number)
             for other in MACHINES:
                 if other != number:
                     yield from self._vote(group, number, other)
@@ -269,6 +275,16 @@
             return group._replace(lost=None)
         return group
 
+    def _report_again(self, group: Group, number: int) -> Iterator[tuple[str, Group]]:
+        """A replica that crashed in a sync learns once more that an old repair is committed.
+
+        It is reported only while the replica that it names lives at its address. Otherwise it is
+        taken for the repair of the present loss, and the next machine is touched.
+        """
+        lost_again = group.lost is not None and group.lost[0] == number and group.lost[1] > 1
+        if lost_again and self.broken is Rule.REPORT_AGAIN:
+            yield f"report {number}", group._replace(lost=None)
+
     def _change(self, group: Group, number: int) -> Iterator[tuple[str, Group]]:
         """The leader makes the next change of a repair."""
         leader = group.machines[number]
@@ -384,11 +400,12 @@
 
 def main() -> None:
     """Check the wide bounds and each broken rule; ``python -m specs.election``."""
-    for bounds in (BOUNDS, WIDE_BOUNDS):
+    for bounds in (BOUNDS, WIDE_BOUNDS, LOST_AGAIN_BOUNDS):
         _print(bounds, check(bounds))
     for broken in Rule:
         if broken is not Rule.NONE:
-            _print(broken.value, check(WIDE_BOUNDS, broken))
+            again = broken is Rule.REPORT_AGAIN
+            _print(broken.value, check(LOST_AGAIN_BOUNDS if again else WIDE_BOUNDS, broken))
 
 
 def _print(name: object, result: dict[str, Any]) -> None:
--- a/tests/unit/test_consensus_election_spec.py
+++ b/tests/unit/test_consensus_election_spec.py
@@ -8,6 +8,7 @@
 import pytest
 from specs.election import (
     INITIAL,
+    LOST_AGAIN_BOUNDS,
     MACHINES,
     WIDE_BOUNDS,
     ElectionModel,
@@ -45,6 +46,12 @@
     assert broken in failed_invariants(found)
 
 
+def test_a_repair_that_is_reported_once_more_is_found() -> None:
+    """A group lost its second disk so: see the seed 148 of the simulator (test_simulation)."""
+    found = check(LOST_AGAIN_BOUNDS, Rule.REPORT_AGAIN, SEEDED_BUG_STATES)
+    assert "quorum_survives" in failed_invariants(found)
+
+
 def _follow_random_traces(model: ElectionModel) -> Counter[str]:
     """Walk through the model and real cores side by side; returns how often each step came."""
     generator = random.Random(5)
