--- a/src/leverjunction/consensus/core_replication.py
+++ b/src/leverjunction/consensus/core_replication.py
@@ -225,13 +225,8 @@
         self._send_entries_to(replica_id, progress)
 
     def _on_append_reply(self, message: AppendReply) -> None:
-        progress = self.progress.get(message.header.from_id)
-        if self.role is not Role.LEADER or message.header.term != self.term or progress is None:
-            return
-        progress.heard_s = self._now_s
-        self._answered(progress, message.sequence)
-        self._check_lease()
-        if self.role is not Role.LEADER:
+        progress = self._follower_answered(message.header, message.sequence)
+        if progress is None:
             return
         if message.accepted:
             self._accepted(progress, message.index)
@@ -243,13 +238,18 @@
 
     def _on_contact_reply(self, message: ContactReply) -> None:
         """Take the answer of a peer to which entries are still on their way."""
-        progress = self.progress.get(message.header.from_id)
-        if self.role is not Role.LEADER or message.header.term != self.term or progress is None:
-            return
+        if self._follower_answered(message.header, message.sequence) is not None:
+            self._finish_reads()
+
+    def _follower_answered(self, header: Header, sequence: int) -> Progress | None:
+        """Count an answer for the lease; return what is known of its sender while this leads."""
+        progress = self.progress.get(header.from_id)
+        if self.role is not Role.LEADER or header.term != self.term or progress is None:
+            return None
         progress.heard_s = self._now_s
-        self._answered(progress, message.sequence)
+        self._answered(progress, sequence)
         self._check_lease()
-        self._finish_reads()
+        return progress if self.role is Role.LEADER else None
 
     def _accepted(self, progress: Progress, index: int) -> None:
         if progress.state is ProgressState.SNAPSHOT:
