Stand-in back end: requests, behaviours and the back end itself are three modules

No change of behaviour: test_proxy_contract, test_lots_late_heads, test_lots_quarantine, test_lots_runner, test_soak, 110: pass (two of them after a missing import was put right).

--- a/deploy/soak/words.py
+++ b/deploy/soak/words.py
@@ -5,7 +5,7 @@
 import base64
 import json
 
-from testbed.routed.runner import BEHAVIOUR_HEADER, EVENTS_HEADER, WORK_MS_HEADER
+from testbed.routed.exchange import BEHAVIOUR_HEADER, EVENTS_HEADER, WORK_MS_HEADER
 
 HOST = "app.example"
 SERVICE = "pool"
--- /dev/null
+++ b/src/testbed/routed/exchange.py
@@ -0,0 +1,177 @@
+"""One request as it reached a back end, and the means to answer it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+
+import h11
+
+from leverjunction.platform import headers as names
+
+ID_HEADER = names.REQUEST_ID.decode()
+STAMP_HEADER = names.SERVER_STAMP.decode()
+EVENTS = 5
+EVENTS_HEADER = "Stand-In-Events"
+WORK_MS_HEADER = "Stand-In-Work-Ms"
+BEHAVIOUR_HEADER = "Stand-In-Behaviour"
+"""Fields of a request by which its sender says how many events a stream has, how long the whole
+stream takes, and how it is to be answered by path.
+"""
+
+READ_BYTES = 65536
+SILENCE_S = 30.0
+EVENT_PAUSE_S = 0.01
+
+
+class Seen:
+    """One request as it reached the back end.
+
+    Attributes:
+        method: Its method.
+        target: Path and query.
+        headers: Fields by lower-case name.
+        body: Its body.
+        gone_after_s: When the sender closed the connection while the answer was under way, counted
+            from the request; None when it did not.
+        behaviour: How it is answered.
+        began_s: When it came, in monotonic seconds.
+        ended_s: When its answer ended, None while it is under way.
+        whole: Its answer was written to its end.
+        peer: Port of the connection's other end.
+    """
+
+    __slots__ = (
+        "began_s",
+        "behaviour",
+        "body",
+        "ended_s",
+        "gone_after_s",
+        "headers",
+        "method",
+        "peer",
+        "target",
+        "whole",
+    )
+
+    def __init__(self, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
+        self.began_s = time.monotonic()
+        self.ended_s: float | None = None
+        self.whole = False
+        self.peer = 0
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.gone_after_s: float | None = None
+        self.behaviour = ""
+
+
+class Exchange:
+    """One request and the means to answer it."""
+
+    __slots__ = ("_parser", "_reader", "_writer", "places", "seen")
+
+    def __init__(
+        self,
+        seen: Seen,
+        parser: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        places: asyncio.Semaphore,
+    ) -> None:
+        self.seen = seen
+        self.places = places
+        self._parser = parser
+        self._reader = reader
+        self._writer = writer
+
+    def headers(self, request_id: str = "", **more: str) -> list[tuple[str, str]]:
+        """Return the fields of an answer to this request, or to another one by its id."""
+        own_id = request_id or self.seen.headers.get(ID_HEADER.lower(), "")
+        fields = [(ID_HEADER, own_id), (STAMP_HEADER, "stamp"), ("Keep-Alive", "timeout=20")]
+        return [*fields, *((name.replace("_", "-"), value) for name, value in more.items())]
+
+    def head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        """Send the head of an answer."""
+        self.raw(self._parser.send(h11.Response(status_code=status, headers=headers)))
+
+    def data(self, data: bytes) -> None:
+        """Send a part of its body."""
+        self.raw(self._parser.send(h11.Data(data=data)))
+
+    def end(self) -> None:
+        """Send the end of its body."""
+        self.raw(self._parser.send(h11.EndOfMessage()))
+
+    def raw(self, data: bytes | None) -> None:
+        """Send bytes as they are."""
+        if data:
+            self._writer.write(data)
+
+    async def flush(self) -> None:
+        """Wait until what was sent is on its way."""
+        await self._writer.drain()
+
+    def close(self) -> None:
+        """Close the connection in order."""
+        self._writer.close()
+
+    def reset(self) -> None:
+        """Close so that the sender gets a reset, not an orderly end."""
+        linger_off = struct.pack("ii", 1, 0)
+        connection = self._writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_off)
+        self._writer.transport.abort()
+
+    async def until_gone(self) -> None:
+        """Wait until the sender closes the connection."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        try:
+            async with asyncio.timeout(SILENCE_S):
+                if not await self._reader.read(READ_BYTES):
+                    self.seen.gone_after_s = loop.time() - started_s
+        except (TimeoutError, ConnectionError):
+            self.seen.gone_after_s = loop.time() - started_s
+
+    def events(self) -> list[bytes]:
+        """Return the events that this request asked for."""
+        first = int(self.seen.headers.get("last-event-id", "0")) + 1
+        return [b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(first, self._count() + 1)]
+
+    def pause_s(self) -> float:
+        """Return the pause after each event."""
+        work_ms = self.seen.headers.get(WORK_MS_HEADER.lower())
+        return EVENT_PAUSE_S if work_ms is None else int(work_ms) / 1000 / self._count()
+
+    def is_gone(self) -> bool:
+        """Return whether the sender has left."""
+        return self._reader.at_eof()
+
+    def _count(self) -> int:
+        return int(self.seen.headers.get(EVENTS_HEADER.lower(), EVENTS))
+
+
+async def read_request(parser: h11.Connection, reader: asyncio.StreamReader) -> Seen | None:
+    """Read the next request of a connection; None when there is none."""
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            parser.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            assert head is not None
+            fields = {
+                name.decode().lower(): value.decode() for name, value in head.headers.raw_items()
+            }
+            return Seen(head.method.decode(), head.target.decode(), fields, body)
+        else:
+            return None
--- a/src/testbed/routed/mortal.py
+++ b/src/testbed/routed/mortal.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from leverjunction.registry.records import RunnerRecord
-from testbed.routed.runner import RunnerStandIn, Seen
+from testbed.routed.exchange import Seen
+from testbed.routed.runner import RunnerStandIn
 from testbed.routed.table import SERVICE
 
 STREAM_FOLDERS = ("/stream/", "/batch/")
--- a/tests/unit/test_lots_late_heads.py
+++ b/tests/unit/test_lots_late_heads.py
@@ -18,7 +18,8 @@
 from leverjunction.lots import lost_runs
 from leverjunction.lots.attempts import RUN_TIMEOUT_S
 from testbed.routed import RunnerStandIn
-from testbed.routed.runner import _behaviour, _Exchange
+from testbed.routed.behaviours import behaviour
+from testbed.routed.exchange import Exchange
 
 store = base.store
 back_end = base.back_end
@@ -27,8 +28,8 @@
 FIRST_EVENT_S = 12.0
 
 
-@_behaviour("late head")
-async def _late_head(exchange: _Exchange) -> None:
+@behaviour("late head")
+async def _late_head(exchange: Exchange) -> None:
     await asyncio.sleep(FIRST_EVENT_S / 10)
     exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
     for event in exchange.events():
--- a/tests/unit/test_lots_quarantine.py
+++ b/tests/unit/test_lots_quarantine.py
@@ -26,8 +26,8 @@
 from leverjunction.routes import RouteClass
 from leverjunction.wire.codec import decode_reply, encode
 from testbed.routed import HOST, MortalRunner, make_route, make_table
+from testbed.routed.exchange import EVENTS_HEADER
 from testbed.routed.mortal import MortalStart
-from testbed.routed.runner import EVENTS_HEADER
 
 BACK_ENDS = 4
 RESTART_S = 0.5
