Batch: runs that their engine does not list any more are run again; an old run's cancel meets no newer one

Change: while a run is older than 5 s its runner is asked each 2 s for its list of labelled requests (it has been there for orphans); a run that all lists lack for 2 s, sent 2 s before the first, is taken out and its item run again, one that may not repeat after 30 s as unknown. Cancels are repeated only while no newer run of the item is on that runner. Counter leverjunction_batch_lost_answers_total. Excluded: a shorter limit for answers (long items are silent to their end); the load reports (they count, and name nothing). Cost: one small request a runner each 2 s while it has a run older than 5 s.

--- a/src/leverjunction/batch/batch_counters.py
+++ b/src/leverjunction/batch/batch_counters.py
@@ -54,6 +54,11 @@
         self.lost_leases = Counter(
             "leverjunction_batch_lost_leases_total", "Leases lost before their end.", registry=own
         )
+        self.lost_answers = Counter(
+            "leverjunction_batch_lost_answers_total",
+            "Runs that their runner does not have any more, though no answer came.",
+            registry=own,
+        )
         self.running = Gauge("leverjunction_batch_running_items", "Items on engines.", registry=own)
         self.waiting = Gauge(
             "leverjunction_batch_waiting_items", "Leased items that wait.", registry=own
--- a/src/leverjunction/batch/harvest_state.py
+++ b/src/leverjunction/batch/harvest_state.py
@@ -16,6 +16,7 @@
 from leverjunction.batch.held_work import HeldWork, WorkItem
 from leverjunction.batch.item_run import TRIES_PER_ATTEMPT, RunEnd, RunResult
 from leverjunction.batch.lease_fetcher import Demand
+from leverjunction.batch.lost_answers import find_lost, looks_due
 from leverjunction.wire.messages import RunnerState
 
 RECANCEL_S = 0.3
@@ -117,17 +118,56 @@
             else:
                 self._park_all(runner, plan, now_s)
             self._give_up_runs(runner, plan, now_s)
+        self._cancel_again(plan, now_s)
+        due = looks_due(self.runners.values(), self.runs.values(), now_s)
+        plan.looks = [self.runners[runner_id].state for runner_id in due]
+        return plan
+
+    def looked(self, runner_id: str, held: set[str], asked_s: float) -> Plan:
+        """Take what a runner has, as it said when asked at ``asked_s``: runs may be lost."""
+        plan = Plan()
+        for run in find_lost(self._runs_on(runner_id), held, asked_s):
+            was_dropped, run.dropped = run.dropped, True
+            self._remove(run)
+            if was_dropped:
+                continue
+            self._counters.lost_answers.inc()
+            if not run.work.leased.may_repeat:
+                body = _unknown_body("the answer was lost while the item ran; it may not repeat")
+                verdict = self._verdict(run, ItemState.UNKNOWN, 0, body)
+                plan.verdicts += [verdict] if verdict is not None else []
+                continue
+            # The run's thread may still use the work that it began with.
+            work = dataclasses.replace(run.work, fruitless_runs=run.work.fruitless_runs + 1)
+            given = self._retry(dataclasses.replace(run, work=work))
+            plan.give_back += [given] if given is not None else []
+        return plan
+
+    def _cancel_again(self, plan: Plan, now_s: float) -> None:
+        """Repeat cancels until their runs end, but never one that a newer run would obey.
+
+        Runs of an item share their id at an engine: a run whose answer was lost had each later
+        one cancelled within 0.3 s, until the item's tries were spent.
+        """
+        wanted = {
+            (run.runner_id, run.work.key)
+            for run in self.runs.values()
+            if not (run.parking or run.dropped)
+        }
         for run in self.runs.values():
-            if (run.parking or run.dropped) and now_s - run.cancelled_s >= RECANCEL_S:
+            is_over = run.parking or run.dropped
+            if not is_over or (run.runner_id, run.work.key) in wanted:
+                continue
+            if now_s - run.cancelled_s >= RECANCEL_S:
                 run.cancelled_s = now_s
                 plan.cancels.append(run)
-        return plan
 
     def begins(self, run: Run, now_s: float) -> bool:
         """Return whether a planned run may still be sent; called just before it is."""
         lease = self.work.leases.get(run.work.lease_id)
         holds = lease is not None and (run.work.leased.may_repeat or now_s < lease.valid_until_s)
         if holds and not run.dropped and not run.parking:
+            run.begun_s = now_s
             return True
         if id(run) in self.runs:
             self._remove(run)
--- a/src/leverjunction/batch/harvest_types.py
+++ b/src/leverjunction/batch/harvest_types.py
@@ -9,13 +9,17 @@
 
 from leverjunction.batch.commands import ItemResult
 from leverjunction.batch.harvest import HarvestController
-from leverjunction.batch.held_work import WorkItem
+from leverjunction.batch.held_work import WorkItem, request_id_of
 from leverjunction.wire.messages import RunnerState
 
 
 @dataclass
 class Run:
-    """One run of an item on an engine; ``parked_s`` is when it was first told to stop."""
+    """One run of an item on an engine.
+
+    ``parked_s`` is when it was first told to stop, ``begun_s`` when it was sent, and
+    ``missing_since_s`` since when its runner does not list it.
+    """
 
     work: WorkItem
     runner_id: str
@@ -26,6 +30,13 @@
     parked_s: float = math.inf
     dropped: bool = False
     cancelled_s: float = -math.inf
+    begun_s: float | None = None
+    missing_since_s: float | None = None
+
+    @property
+    def request_id(self) -> str:
+        """Id under which its engine knows it."""
+        return request_id_of(self.work)
 
 
 @dataclass
@@ -37,6 +48,7 @@
     owned: bool = True
     not_before_s: float = 0.0
     note: str = ""
+    looked_s: float = -math.inf
 
 
 class Verdict(msgspec.Struct, frozen=True, kw_only=True):
@@ -62,3 +74,4 @@
     cancels: list[Run] = field(default_factory=list)
     verdicts: list[Verdict] = field(default_factory=list)
     give_back: list[GiveBack] = field(default_factory=list)
+    looks: list[RunnerState] = field(default_factory=list)
--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -27,7 +27,7 @@
 from leverjunction.batch.directory import Control
 from leverjunction.batch.harvest import HarvestTargets
 from leverjunction.batch.harvest_state import HarvestState
-from leverjunction.batch.harvest_types import GiveBack, Run, Verdict
+from leverjunction.batch.harvest_types import GiveBack, Plan, Run, Verdict
 from leverjunction.batch.item_run import Engines, RunEnd, RunResult, request_id_of, run_item
 from leverjunction.batch.lease_fetcher import Demand, LeaseFetcher
 from leverjunction.batch.orphan_sweep import RequestOwner
@@ -273,6 +273,25 @@
         for run in plan.starts:
             self.counters.starts.inc()
             self._run_threads.submit(self._execute, run)
+        for runner in plan.looks:
+            self._cancel_threads.submit(self._look, runner)
+        self._settle_all(plan)
+
+    def _look(self, runner: RunnerState) -> None:
+        """Ask a runner which requests it has; some runs may be lost."""
+        asked_s = self._clock.monotonic_s()
+        held = self._engines.held_requests(runner.address)
+        if isinstance(held, Failure):
+            logger.debug("runner {} does not list its requests: {}", runner.runner_id, held.reason)
+            return
+        with self._changed:
+            plan = self._state.looked(
+                runner.runner_id, {request.request_id for request in held}, asked_s
+            )
+            self._changed.notify_all()
+        self._settle_all(plan)
+
+    def _settle_all(self, plan: Plan) -> None:
         for verdict in plan.verdicts:
             self._settle(verdict)
         self._return_all(plan.give_back)
--- a/src/leverjunction/batch/held_work.py
+++ b/src/leverjunction/batch/held_work.py
@@ -52,6 +52,11 @@
         return self.lost_runs >= SUSPECT_LOST_RUNS
 
 
+def request_id_of(work: WorkItem) -> str:
+    """Return the request id under which engines know an item."""
+    return f"{work.leased.job_id}-{work.leased.index}"
+
+
 @dataclass
 class HeldLease:
     """A lease by this process's monotonic clock."""
--- a/src/leverjunction/batch/item_run.py
+++ b/src/leverjunction/batch/item_run.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from leverjunction.backends.stream import EngineStream
-from leverjunction.backends.types import EngineCall
-from leverjunction.batch.held_work import WorkItem
+from leverjunction.backends.types import EngineCall, HeldRequest
+from leverjunction.batch.held_work import WorkItem, request_id_of
 from leverjunction.errors import Execution, Failure, FailureKind
 
 ANSWER_TIMEOUT_S = 600.0
@@ -68,10 +68,9 @@
         """Cancel a request; see ``EngineClient``."""
         ...
 
-
-def request_id_of(work: WorkItem) -> str:
-    """Return the request id under which engines know an item."""
-    return f"{work.leased.job_id}-{work.leased.index}"
+    def held_requests(self, address: str) -> list[HeldRequest] | Failure:
+        """List the owned requests that an engine holds; see ``EngineClient``."""
+        ...
 
 
 def run_item(
