Failing tests: a control process whose start has failed keeps gateways on an old table

What callers saw: 404 on routes that had been acknowledged over two seconds before, at one gateway, for good.

Two tests that fail on this code, both each time they were run: five control processes over real sockets with one whose start raises (version 1 stays in force for 15 s), and the real program with a disk that takes no bytes (20 s later it is still up, port open).

--- a/tests/unit/seeded_support.py
+++ b/tests/unit/seeded_support.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import os
 import shutil
@@ -92,24 +93,37 @@
 
 
 class SeededFleet:
-    """Machines by name; each keeps its folder when it is stopped."""
+    """Machines by name; each keeps its folder when it is stopped.
+
+    Attributes:
+        net: First three numbers of its loopback addresses.
+    """
 
     def __init__(self, folder: Path) -> None:
         # Own loopback addresses for each fleet and test process: tests run side by side.
-        self._net = f"127.{FIRST_NET + os.getpid() % NETS}.{next(_FLEETS)}"
+        self.net = f"127.{FIRST_NET + os.getpid() % NETS}.{next(_FLEETS)}"
         self._folder = folder
         self.controls: dict[str, RegistryNode] = {}
         self.stores: dict[str, LotsNode] = {}
         self.gateways: dict[str, GatewayThread] = {}
+        self._failed: list[RegistryNode] = []
 
     def start_control(self, number: int, *, first: bool = True) -> RegistryNode:
         name = f"core-{number}"
-        config = self._config(name, f"{self._net}.{number}", first)
+        config = self._config(name, f"{self.net}.{number}", first)
         node = RegistryNode(config, SystemClock(), Random())
         assert node.start() is None
         self.controls[name] = node
         return node
 
+    def try_to_start_control(self, number: int) -> None:
+        """Start a control process whose start may fail; it is no member of the fleet."""
+        config = self._config(f"core-{number}", f"{self.net}.{number}", True)
+        node = RegistryNode(config, SystemClock(), Random())
+        self._failed.append(node)
+        with contextlib.suppress(OSError):
+            node.start()
+
     def start_store(self, number: int, *, first: bool = True) -> LotsNode:
         name = f"store-{number}"
         config = self._config(name, self.store_address(number).partition(":")[0], first)
@@ -120,7 +134,7 @@
 
     def start_gateway(self, number: int) -> GatewayThread:
         name = f"front-{number}"
-        host = f"{self._net}.{GATEWAY_HOSTS + number}"
+        host = f"{self.net}.{GATEWAY_HOSTS + number}"
         listen = MachineListen(
             rpc=f"{host}:{RPC_PORT}", callers=f"{host}:{CALLERS_PORT}", ready=f"{host}:{READY_PORT}"
         )
@@ -130,11 +144,11 @@
 
     def control_addresses(self) -> list[str]:
         """Return the RPC addresses of the control machines that are up."""
-        return [f"{self._net}.{name.rpartition('-')[2]}:{RPC_PORT}" for name in self.controls]
+        return [f"{self.net}.{name.rpartition('-')[2]}:{RPC_PORT}" for name in self.controls]
 
     def store_address(self, number: int) -> str:
         """Return the RPC address of a store machine."""
-        return f"{self._net}.{STORE_HOSTS + number}:{RPC_PORT}"
+        return f"{self.net}.{STORE_HOSTS + number}:{RPC_PORT}"
 
     def forget_disk(self, name: str) -> None:
         """Lose a stopped machine's disk."""
@@ -143,7 +157,7 @@
     def stop(self) -> None:
         for gateway in self.gateways.values():
             gateway.stop()
-        for node in (*self.stores.values(), *self.controls.values()):
+        for node in (*self.stores.values(), *self.controls.values(), *self._failed):
             node.stop()
 
     def leader(self) -> RegistryNode | None:
@@ -156,7 +170,7 @@
             name=name,
             zone=f"z{name[-1]}",
             listen=MachineListen(rpc=f"{host}:{RPC_PORT}"),
-            seeds=tuple(f"{self._net}.{number}:1" for number in range(1, SEEDS + 1)),
+            seeds=tuple(f"{self.net}.{number}:1" for number in range(1, SEEDS + 1)),
             rpc_seed_port=RPC_PORT,
             data_folder=str(self._folder / name),
             first_start=first,
--- /dev/null
+++ b/tests/unit/test_changes_in_force.py
@@ -0,0 +1,93 @@
+"""An accepted route table is in force at each gateway in time, whatever its control process does."""
+
+from __future__ import annotations
+
+import errno
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from random import Random
+
+import pytest
+from tests.unit.seeded_support import RPC_PORT, SeededFleet, wait_until
+
+from leverjunction.clock import SystemClock
+from leverjunction.consensus.group import GroupReplica
+from leverjunction.errors import Failure
+from leverjunction.registry.cluster import CLUSTER_KEY
+from leverjunction.registry.commands import TableHeld
+from leverjunction.registry.follower import RegistryFollower
+from leverjunction.registry.node import RegistryNode
+from leverjunction.wire.rpc_client import RpcClient
+from testbed.routed import make_table
+
+CONTROLS = 5
+IN_FORCE_S = 2.0
+"""What the seeded deployments promise."""
+
+
+class InOrder(Random):
+    """Leaves the control processes in the order in which they are given."""
+
+    def shuffle(self, x: object) -> None:
+        pass
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[SeededFleet]:
+    fleet = SeededFleet(tmp_path)
+    for number in range(1, CONTROLS + 1):
+        fleet.start_control(number)
+    yield fleet
+    fleet.stop()
+
+
+def put(node: RegistryNode, version: int) -> None:
+    table = make_table(version=version)
+
+    def is_held() -> bool:
+        return node.put_table(table, str(version)) == TableHeld(version)
+
+    wait_until(is_held)
+
+
+def test_a_gateway_leaves_a_control_process_whose_start_failed(
+    fleet: SeededFleet,
+    monkeypatch: pytest.MonkeyPatch,
+    paused_s: Callable[[], float],
+) -> None:
+    """Its port stayed open, and it said "nothing newer" for good to the gateway that came to it."""
+    leader = fleet.controls["core-1"]
+    wait_until(lambda: len(leader.hub.status().voters) == CONTROLS)
+    put(leader, 1)
+    fleet.controls.pop("core-3").stop()
+    start = GroupReplica.start
+    broken = f"{fleet.net}.3:{RPC_PORT}"
+
+    def on_a_full_disk(replica: GroupReplica) -> Failure | None:
+        if replica.config.address == broken:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        return start(replica)
+
+    monkeypatch.setattr(GroupReplica, "start", on_a_full_disk)
+    # The interpreter prints what a start raises; threads that were started before go on.
+    fleet.try_to_start_control(3)
+    seeds = (f"{fleet.net}.2:{RPC_PORT}", broken, *fleet.control_addresses())
+    rpc = RpcClient(CLUSTER_KEY, 1)
+    follower = RegistryFollower(rpc, seeds, "", SystemClock(), InOrder(), lambda _snapshot: None)
+    follower.start()
+    try:
+        wait_until(lambda: version_of(follower) == 1)
+        fleet.controls.pop("core-2").stop()
+        put(leader, 2)
+        began_s, before_s = time.monotonic(), paused_s()
+        wait_until(lambda: version_of(follower) == 2)
+        assert time.monotonic() - began_s - (paused_s() - before_s) < IN_FORCE_S
+    finally:
+        follower.stop()
+        rpc.close()
+
+
+def version_of(follower: RegistryFollower) -> int:
+    snapshot = follower.snapshot()
+    return -1 if snapshot is None else snapshot.table.version
--- a/tests/unit/test_deploy_start.py
+++ b/tests/unit/test_deploy_start.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -142,3 +143,33 @@
         process.terminate()
         output, _ = process.communicate(timeout=10)
     assert "WARNING no control process has answered for " in output
+
+
+def test_a_control_process_that_cannot_write_its_disk_never_serves_and_ends(
+    tmp_path: Path,
+) -> None:
+    """It stayed up without a replica, and gateways that came to it never heard of a change."""
+    data = tmp_path / "data"
+    data.mkdir()
+    (data / "registry.sqlite").touch()
+    # Takes no bytes, as a full disk.
+    (data / "registry.sqlite.pages").symlink_to("/dev/full")
+    host = f"127.{20 + os.getpid() % 200}.250.2"
+    listen = {"control": f"{host}:8000", "rpc": f"{host}:9002"}
+    process = start("control", write(tmp_path, settings(data_folder=str(data), listen=listen)))
+    try:
+        output = process.communicate(timeout=20)[0]
+    except subprocess.TimeoutExpired:
+        reached = is_listening(host, 9002)
+        process.kill()
+        pytest.fail(f"it did not end; its RPC port is open: {reached}; {process.communicate()[0]}")
+    assert process.returncode not in (None, 0)
+    assert "registry.sqlite" in output
+
+
+def is_listening(host: str, port: int) -> bool:
+    try:
+        with socket.create_connection((host, port), timeout=2.0):
+            return True
+    except OSError:
+        return False
