A control process without a replica serves nothing: its start fails whole, and its status says that it knows nothing

Cause: a replica's start raises on a full disk (OSError, where only damage was told by a Failure). RegistryNode.start had opened the RPC port before; the exception ended the main thread alone, and the interpreter waits for the threads that serve the port. The replica's status before a start said 'leader heard 0.0 s ago', so the hub called itself fresh, had nothing newer, and kept each gateway that came to it. Class: *no knowledge told as fresh knowledge*, by *a process that has half ended*. Change: errors of disk and database in a replica's start are a failure (start_replica, which stores had for themselves and the other control process lacked); the port is closed then; a role pauses and ends, and the program ends whatever threads are left; what a role raises is logged and ends it. A replica that has not started, or has stopped, reports the oldest contact instead of none.

--- a/src/leverjunction/consensus/group.py
+++ b/src/leverjunction/consensus/group.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import itertools
+import sqlite3
 import threading
 from random import Random
 
@@ -36,7 +37,7 @@
 from leverjunction.consensus.inbox import Inbox, PeerCall, Ticket
 from leverjunction.consensus.messages import Message
 from leverjunction.consensus.notice import Listener, nobody_listens
-from leverjunction.consensus.status import status_of, unknown_status
+from leverjunction.consensus.status import status_of, stopped_status, unknown_status
 from leverjunction.consensus.store_faults import (
     StoreCorruptError,
     corrupt_failure,
@@ -108,9 +109,19 @@
             None; or the CORRUPT failure of a damaged file, in which case nothing was started and
             every call answers with this failure.
         """
+        self._fault = self._open()
+        if self._fault is not None:
+            return self._fault
+        self._thread = threading.Thread(
+            target=self._drive, name=f"raft-{self.config.group}", daemon=True
+        )
+        self._thread.start()
+        return None
+
+    def _open(self) -> Failure | None:
+        """Make the engine on the replica's file."""
         store = open_or_rejoin(self.config, self._random)
         if isinstance(store, Failure):
-            self._fault = store
             return store
         callbacks = EngineCallbacks(
             outbox=self._post,
@@ -132,14 +143,9 @@
             )
         except StoreCorruptError as error:
             store.abandon()
-            self._fault = corrupt_failure(self.config.data_path, str(error))
-            return self._fault
+            return corrupt_failure(self.config.data_path, str(error))
         if self._silent_since_s is not None:
             self._engine.core.silent_since(self._silent_since_s)
-        self._thread = threading.Thread(
-            target=self._drive, name=f"raft-{self.config.group}", daemon=True
-        )
-        self._thread.start()
         return None
 
     def stop(self) -> None:
@@ -218,7 +224,8 @@
         with self._lock:
             if self._engine is None:
                 return unknown_status(self.config)
-            return status_of(self._engine, self._clock.monotonic_s())
+            status = status_of(self._engine, self._clock.monotonic_s())
+            return status if self._fault is None else stopped_status(status)
 
     def fault(self) -> Failure | None:
         """Return why this replica serves nothing, or None while it runs."""
@@ -369,6 +376,14 @@
             )
 
 
+def start_replica(replica: GroupReplica) -> Failure | None:
+    """Start a replica; a disk that refuses to be read or written is a fault like any other."""
+    try:
+        return replica.start()
+    except (OSError, sqlite3.Error) as error:
+        return failure_of(replica.config.data_path, error)
+
+
 def _timed_out(timeout_s: float, execution: Execution) -> Failure:
     return Failure(
         kind=FailureKind.TIMEOUT,
--- a/src/leverjunction/consensus/status.py
+++ b/src/leverjunction/consensus/status.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from leverjunction.consensus.api import GroupStatus
 from leverjunction.consensus.engine import ReplicaEngine
 from leverjunction.consensus.types import GroupConfig, Role
@@ -47,5 +49,15 @@
         applied_index=0,
         voters=[],
         learners=[],
-        leader_contact_age_s=0.0,
+        leader_contact_age_s=OLDEST_CONTACT_S,
+    )
+
+
+def stopped_status(last: GroupStatus) -> GroupStatus:
+    """Return the status of a replica that serves nothing any more, from its last one."""
+    return msgspec.structs.replace(
+        last,
+        role=Role.BLANK.value,
+        leader_address="",
+        leader_contact_age_s=OLDEST_CONTACT_S,
     )
--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -16,6 +16,7 @@
 from leverjunction.clock import Clock
 from leverjunction.config.control import ControlConfig, ControlPeer
 from leverjunction.consensus.api import ReplicatedGroup
+from leverjunction.consensus.group import start_replica
 from leverjunction.control.counters import ControlCounters
 from leverjunction.control.group_host import GroupHost
 from leverjunction.control.http_server import operators_server
@@ -135,7 +136,7 @@
         """Start everything; raises OSError when a port is taken."""
         self._rpc_server.start()
         for name, replica in self.replicas.items():
-            fault = replica.start()
+            fault = start_replica(replica)
             if fault is not None:
                 logger.error("group {} does not start: {}", name, fault.reason)
         self._http_server.start()
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sqlite3
 import threading
 from pathlib import Path
 from random import Random
@@ -11,12 +10,12 @@
 
 from leverjunction.clock import Clock
 from leverjunction.config.machine import MachineConfig
-from leverjunction.consensus.group import GroupReplica
+from leverjunction.consensus.group import GroupReplica, start_replica
 from leverjunction.consensus.types import GroupConfig
 from leverjunction.control.group_host import GroupHost
 from leverjunction.control.periodic import PeriodicTask, stop_all
 from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
-from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.errors import Failure
 from leverjunction.lots.commands import ForgetLots, encode_command
 from leverjunction.lots.node_watch import WATCH_INTERVAL_S, NodeWatch
 from leverjunction.lots.recent_reads import answer_recent, no_replica
@@ -172,7 +171,7 @@
                 silent_since_s=self._started_s,
                 listener=lambda replaced: self._applied(machine, replaced),
             )
-            fault = _started(replica)
+            fault = start_replica(replica)
             if fault is not None:
                 logger.error("the replica cannot start: {}", fault.reason)
                 self._start_fault = fault
@@ -316,15 +315,3 @@
             kept_ms = (self._config.bounds.status_s + FORGET_MARGIN_S) * 1000
             command = ForgetLots(before_ms=self._clock.wall_ms() - int(kept_ms))
             replica.propose(encode_command(command), COMMAND_TIMEOUT_S)
-
-
-def _started(replica: GroupReplica) -> Failure | None:
-    """Start a replica; a disk that refuses to be written is a fault like any other."""
-    try:
-        return replica.start()
-    except (OSError, sqlite3.Error) as error:
-        return Failure(
-            kind=FailureKind.INTERNAL,
-            reason=f"{replica.config.data_path}: {error}",
-            step=Step.STORING,
-        )
--- a/src/leverjunction/platform/roles.py
+++ b/src/leverjunction/platform/roles.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from random import Random
+from typing import NoReturn
 
 from loguru import logger
 from prometheus_client import start_http_server
@@ -25,7 +26,7 @@
 EXIT_FAULT = 3
 FAULT_POLL_S = 0.5
 FAULT_PAUSE_S = 1.0
-"""Before an end by itself: a disk that refuses writes does so for seconds."""
+"""Before an end by itself, also in the start: a disk that refuses writes does so for seconds."""
 
 CONTROL_THREADS = 24
 CONTROL_BACKLOG = 512
@@ -67,7 +68,22 @@
     return_large_buffers()
     logger.remove()
     logger.add(sys.stdout, level="INFO", format="{time:HH:mm:ss.SSS} {level} {message}")
-    return _ROLES[arguments[0]](config, started_s)
+    try:
+        return _ROLES[arguments[0]](config, started_s)
+    except Exception:
+        logger.exception("role {} ends", arguments[0])
+        return EXIT_FAULT
+
+
+def end(status: int) -> NoReturn:
+    """End the process, whatever threads are left.
+
+    The interpreter waits for those that serve a port: a process whose start had failed went on
+    answering its peers, without a replica.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)
 
 
 @_role("gateway")
@@ -111,8 +127,7 @@
     stop_asked = _stop_event()
     fault = node.start()
     if fault is not None:
-        logger.error("cannot start: {}", fault.reason)
-        return EXIT_CANNOT_START
+        return _not_started(fault, stop_asked)
     _serve_figures(config)
     server.start()
     fault = _wait(stop_asked, node.fault)
@@ -130,8 +145,7 @@
     stop_asked = _stop_event()
     fault = node.start()
     if fault is not None:
-        logger.error("cannot start: {}", fault.reason)
-        return EXIT_CANNOT_START
+        return _not_started(fault, stop_asked)
     _serve_figures(config)
     fault = _wait(stop_asked, node.fault)
     node.stop()
@@ -150,6 +164,13 @@
     return Random(f"{config.name} {SystemClock().wall_ms()} {os.urandom(16).hex()}")
 
 
+def _not_started(fault: Failure, stop_asked: threading.Event) -> int:
+    """Say why a role does not start, and pause: its supervisor may start it again at once."""
+    logger.error("cannot start: {}", fault.reason)
+    stop_asked.wait(FAULT_PAUSE_S)
+    return EXIT_CANNOT_START
+
+
 def _wait(stop_asked: threading.Event, fault: Callable[[], Failure | None]) -> Failure | None:
     """Wait for a stop; return early with a fault that only another start can mend."""
     while not stop_asked.wait(FAULT_POLL_S):
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -11,7 +11,7 @@
 
 from leverjunction.clock import Clock
 from leverjunction.config.machine import MachineConfig
-from leverjunction.consensus.group import GroupReplica
+from leverjunction.consensus.group import GroupReplica, start_replica
 from leverjunction.consensus.types import GroupConfig
 from leverjunction.control.group_host import GroupHost
 from leverjunction.control.periodic import PeriodicTask, stop_all
@@ -134,7 +134,7 @@
         """Start the RPC port, the replica and the background tasks."""
         # First: a port that refuses connections is the proof that no leader lives behind it.
         self._server.start()
-        fault = self._replica.start()
+        fault = start_replica(self._replica)
         if fault is not None:
             self._server.stop()
             return fault
--- a/tests/unit/test_changes_in_force.py
+++ b/tests/unit/test_changes_in_force.py
@@ -1,4 +1,4 @@
-"""An accepted route table is in force at each gateway in time, whatever its control process does."""
+"""An accepted route table is in force at each gateway in time, whatever control processes do."""
 
 from __future__ import annotations
 
