A control process is as fresh as what it has read: versions, age and time held are told with each answer

What callers could see: a gateway that stays with a control process whose state is old, and a table that is late by the time for which a call was held. Cause: registry.hub judged itself by the age of its replica's contact alone, on entry and at the end of a held call. Change: the age counts from a status taken before the read, and only where all that is committed was applied; a call is not held beyond that; a read that fails is said and proves nothing. Answers carry version, revision, age and time held.

--- a/src/leverjunction/registry/commands.py
+++ b/src/leverjunction/registry/commands.py
@@ -192,8 +192,12 @@
         table: The table.
         view: The rest of the registry.
         controls: RPC addresses of the control processes.
-        contact_age_s: Seconds since the answering process knew all that is committed.
+        contact_age_s: Seconds since what is told here was known to be all that is committed.
         suspects: The suspect requests.
+        table_version: Version of the table that the answering process holds; -1 from one that does
+            not say.
+        revision: Revision of the view that it holds; -1 from one that does not say.
+        held_s: How long the answer was held.
     """
 
     table: RouteTable | None
@@ -201,6 +205,9 @@
     controls: tuple[str, ...]
     contact_age_s: float
     suspects: SuspectList | None = None
+    table_version: int = -1
+    revision: int = -1
+    held_s: float = 0.0
 
 
 class Heard(msgspec.Struct, frozen=True):
--- a/src/leverjunction/registry/hub.py
+++ b/src/leverjunction/registry/hub.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from typing import Protocol, TypeVar
 
 import msgspec
+from loguru import logger
 
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import GroupStatus, ReplicatedGroup
@@ -31,6 +33,7 @@
 """Longest age of the cached state, should a notice be late."""
 
 FRESH_TIMEOUT_S = 0.8
+NEVER_COMPLETE_S = 3600.0
 
 
 class LeaderQueries(Protocol):
@@ -57,6 +60,9 @@
         self._refreshing = threading.Lock()
         self._read_changes = -1
         self._read_s = 0.0
+        self._complete_s = -math.inf
+        """Until when what was read is known to be all that was committed."""
+        self._failing = False
         self._table = RouteTable()
         self._view = FleetView()
         self._suspects = SuspectList()
@@ -82,8 +88,9 @@
         return self._replica.status()
 
     def stale(self) -> Failure | None:
-        """Return a failure while this process may be cut off from the group."""
-        age_s = self._replica.status().leader_contact_age_s
+        """Return a failure while what is served here may be old."""
+        self._refresh()
+        age_s = self._age_s()
         if age_s <= STALE_CONTACT_S:
             return None
         return Failure(
@@ -94,28 +101,39 @@
 
     def watch(self, request: WatchRequest) -> WatchReply | Failure:
         """Return what is newer than the sender knows, waiting a while for it."""
-        stale = self.stale()
-        if stale is not None:
-            return stale
+        began_s = self._clock.monotonic_s()
         if request.fresh:
-            return self._fresh()
-        until_s = self._clock.monotonic_s() + request.wait_ms / 1000
+            return self.stale() or self._fresh()
+        until_s = began_s + request.wait_ms / 1000
         while True:
-            seen = self._refresh()
-            if self._is_newer(request):
-                break
+            with self._notice:
+                seen = self._changes
+            stale = self.stale()
+            if stale is not None:
+                return stale
             left_s = until_s - self._clock.monotonic_s()
-            if left_s <= 0:
+            if left_s <= 0 or self._is_newer(request):
                 break
+            # A process that is cut off meanwhile says so when its contact is too old, not later.
+            fresh_s = STALE_CONTACT_S - self._age_s()
             with self._notice:
                 if self._changes == seen:
-                    self._notice.wait(min(left_s, REFRESH_S))
+                    self._notice.wait(max(0.0, min(left_s, REFRESH_S, fresh_s)))
+        return self._news(request, self._clock.monotonic_s() - began_s)
+
+    def _news(self, request: WatchRequest, held_s: float) -> WatchReply:
+        # Before the table: a later age would say more than was read.
+        age_s = self._age_s()
         table, view = self._table, self._view
-        # It may have been cut off while the answer was held.
-        return self.stale() or self._reply(
-            table if table.version > request.table_version else None,
-            view if view.revision > request.revision else None,
-            self._newer_suspects(request),
+        return WatchReply(
+            table=table if table.version > request.table_version else None,
+            view=view if view.revision > request.revision else None,
+            controls=tuple(self._replica.status().voters),
+            contact_age_s=age_s,
+            suspects=self._newer_suspects(request),
+            table_version=table.version,
+            revision=view.revision,
+            held_s=held_s,
         )
 
     def _is_newer(self, request: WatchRequest) -> bool:
@@ -130,46 +148,58 @@
         is_newer = known is not None and self._suspects.revision > known
         return self._suspects if is_newer else None
 
-    def _reply(
-        self,
-        table: RouteTable | None,
-        view: FleetView | None,
-        suspects: SuspectList | None = None,
-    ) -> WatchReply:
-        status = self._replica.status()
-        return WatchReply(
-            table=table,
-            view=view,
-            controls=tuple(status.voters),
-            contact_age_s=status.leader_contact_age_s,
-            suspects=suspects,
-        )
-
     def _fresh(self) -> WatchReply | Failure:
         """Read at the leader: a process that starts must not go back behind what others saw."""
+        asked_s = self._clock.monotonic_s()
         view = self._leader.query(REGISTRY_GROUP, GetView(), FleetView, FRESH_TIMEOUT_S)
         if isinstance(view, Failure):
             return view
         table = self._leader.query(REGISTRY_GROUP, GetTable(), RouteTable, FRESH_TIMEOUT_S)
-        return table if isinstance(table, Failure) else self._reply(table, view)
+        if isinstance(table, Failure):
+            return table
+        return WatchReply(
+            table=table,
+            view=view,
+            controls=tuple(self._replica.status().voters),
+            contact_age_s=self._clock.monotonic_s() - asked_s,
+            table_version=table.version,
+            revision=view.revision,
+        )
+
+    def _age_s(self) -> float:
+        """Return how old what was read last may be, in seconds."""
+        return min(self._clock.monotonic_s() - self._complete_s, NEVER_COMPLETE_S)
 
-    def _refresh(self) -> int:
-        """Read what was applied since the last time; return how many changes that covers."""
+    def _refresh(self) -> None:
+        """Read what was applied since the last time, and note how far that is complete."""
         with self._refreshing:
+            # First: what is applied after it can only make what is read newer.
+            now_s = self._clock.monotonic_s()
+            status = self._replica.status()
             with self._notice:
                 changes = self._changes
-            now_s = self._clock.monotonic_s()
-            if changes == self._read_changes and now_s - self._read_s < REFRESH_S:
-                return changes
-            self._read_changes = changes
-            self._read_s = now_s
-            view = decode_reply(self._replica.query_local(encode(GetView())), FleetView)
-            if not isinstance(view, Failure) and view.revision >= self._view.revision:
-                self._view = view
-            table = decode_reply(self._replica.query_local(encode(GetTable())), RouteTable)
-            if not isinstance(table, Failure) and table.version >= self._table.version:
-                self._table = table
-            suspects = decode_reply(self._replica.query_local(encode(GetSuspects())), SuspectList)
-            if not isinstance(suspects, Failure) and suspects.revision >= self._suspects.revision:
-                self._suspects = suspects
-            return changes
+            is_due = changes != self._read_changes or now_s - self._read_s >= REFRESH_S
+            if is_due and not self._read():
+                return
+            if is_due:
+                self._read_changes, self._read_s = changes, now_s
+            if status.applied_index >= status.commit_index:
+                complete_s = now_s - status.leader_contact_age_s
+                self._complete_s = max(self._complete_s, complete_s)
+
+    def _read(self) -> bool:
+        """Read the replica's tables; return whether all could be read."""
+        view = decode_reply(self._replica.query_local(encode(GetView())), FleetView)
+        table = decode_reply(self._replica.query_local(encode(GetTable())), RouteTable)
+        suspects = decode_reply(self._replica.query_local(encode(GetSuspects())), SuspectList)
+        failed = next((item for item in (view, table, suspects) if isinstance(item, Failure)), None)
+        if failed is not None and not self._failing:
+            logger.warning("the registry cannot be read here: {}", failed.reason)
+        self._failing = failed is not None
+        if not isinstance(view, Failure) and view.revision >= self._view.revision:
+            self._view = view
+        if not isinstance(table, Failure) and table.version >= self._table.version:
+            self._table = table
+        if not isinstance(suspects, Failure) and suspects.revision >= self._suspects.revision:
+            self._suspects = suspects
+        return failed is None
--- a/tests/unit/test_registry_hub.py
+++ b/tests/unit/test_registry_hub.py
@@ -4,13 +4,18 @@
 
 import threading
 import time
+from pathlib import Path
+from random import Random
 
 from leverjunction.clock import SystemClock
 from leverjunction.consensus.api import GroupStatus
-from leverjunction.errors import Failure, FailureKind
+from leverjunction.consensus.group import GroupReplica
+from leverjunction.consensus.types import GroupConfig
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.registry.commands import WatchReply, WatchRequest
 from leverjunction.registry.hub import RegistryHub
 from leverjunction.registry.records import FleetView
+from leverjunction.registry.state_machine import RegistryStateMachine
 from leverjunction.routes.types import RouteTable
 from leverjunction.wire.codec import encode_reply
 
@@ -23,10 +28,14 @@
         self.table = RouteTable(version=1)
         self.view = FleetView(revision=1)
         self.age_s = 0.1
+        self.commit_index = 1
+        self.fault: Failure | None = None
         self.hub: RegistryHub | None = None
 
     def query_local(self, query: bytes) -> bytes:
         with self.lock:
+            if self.fault is not None:
+                return encode_reply(self.fault)
             return encode_reply(self.table if b"get_table" in query else self.view)
 
     def status(self) -> GroupStatus:
@@ -36,7 +45,7 @@
             role="follower",
             term=1,
             leader_address="",
-            commit_index=1,
+            commit_index=self.commit_index,
             applied_index=1,
             voters=["a:1"],
             learners=[],
@@ -90,6 +99,57 @@
     assert reply.kind is FailureKind.STALE
 
 
+def test_a_replica_that_never_started_makes_no_process_fresh(tmp_path: Path) -> None:
+    """It was told as heard 0 s ago: gateways stayed with a process that had no state."""
+    config = GroupConfig(
+        group="registry", address="a:1", first_members=(), data_path=str(tmp_path / "r.sqlite")
+    )
+    replica = GroupReplica(
+        config,
+        RegistryStateMachine(),
+        None,  # type: ignore[arg-type]
+        SystemClock(),
+        Random(1),
+    )
+    hub = RegistryHub(replica, None, SystemClock())  # type: ignore[arg-type]
+    reply = watch(hub, 5, 0)
+    assert isinstance(reply, Failure)
+    assert reply.kind is FailureKind.STALE
+
+
+def test_what_cannot_be_read_is_not_fresh() -> None:
+    hub, replica = make_hub()
+    replica.fault = Failure(kind=FailureKind.CORRUPT, reason="damaged", step=Step.QUERYING)
+    assert isinstance(watch(hub, 1, 0), Failure)
+    replica.fault = None
+    assert isinstance(watch(hub, 1, 0), WatchReply)
+
+
+def test_contact_makes_nothing_fresh_that_is_still_to_be_applied() -> None:
+    hub, replica = make_hub()
+    replica.commit_index = 2
+    assert isinstance(watch(hub, 1, 0), Failure)
+
+
+def test_a_held_call_ends_when_the_contact_is_too_old() -> None:
+    """It was held to its end: 1.2 s of contact and 0.9 s of holding were above the bound."""
+    hub, replica = make_hub()
+    threading.Timer(0.1, lambda: setattr(replica, "age_s", 5.0)).start()
+    started_s = time.monotonic()
+    assert isinstance(watch(hub, 1, 3000), Failure)
+    assert time.monotonic() - started_s < 1.6
+
+
+def test_an_answer_tells_what_it_rests_on() -> None:
+    hub, replica = make_hub()
+    replica.table = RouteTable(version=7)
+    reply = watch(hub, 7, 200)
+    assert isinstance(reply, WatchReply)
+    assert (reply.table, reply.table_version, reply.revision) == (None, 7, 1)
+    assert 0.05 < reply.contact_age_s < 0.5
+    assert 0.15 < reply.held_s < 0.4
+
+
 def test_notices_and_reads_never_wait_for_each_other() -> None:
     """A notice under the replica's lock met a read under the hub's lock: both stood for good."""
     hub, replica = make_hub()
