Gateways: what one part cannot take over keeps no news of the registry from the others

What callers could see: 404 on new routes at one gateway, until something else of the registry changes, and again with each change while the cause lasts. Cause: one callback replaced back ends, then suspects, then the route table; an error in the first kept the table from being replaced, the follower counted it as told, and no later answer brought it again.

--- a/src/leverjunction/proxy/counters.py
+++ b/src/leverjunction/proxy/counters.py
@@ -69,6 +69,16 @@
             "Time since a control process last answered",
             registry=registry,
         )
+        self.table_age_s = Gauge(
+            "proxy_table_age_seconds",
+            "Age of what is known of routes and back ends: later changes may be missing",
+            registry=registry,
+        )
+        self.failing_receivers = Gauge(
+            "proxy_registry_receivers_failing",
+            "Parts of this gateway that did not take the registry's newest state",
+            registry=registry,
+        )
         self.lines_lost = Counter(
             "log_lines_lost_total", "Decision lines lost to a slow reader", registry=registry
         )
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -27,6 +27,7 @@
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.load_port import LoadPort
 from leverjunction.proxy.quarantine import Quarantine
+from leverjunction.proxy.registry_intake import RegistryIntake
 from leverjunction.proxy.runner_connection import RunnerPool
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import RegistryFollower, Snapshot
@@ -96,6 +97,13 @@
             gate if config.policies.hold_late_requests else None,
             self._quarantine,
         )
+        self._intake = RegistryIntake(
+            {
+                "route table": self._take_table,
+                "back ends": self._take_back_ends,
+                "suspects": self._take_suspects,
+            }
+        )
         self._port = CallerPort(self._forwarder.handle, self._limits)
         self._figures_port = CallerPort(self._answer_figures, RequestLimits)
         self._ready_port = CallerPort(self._answer_ready, RequestLimits)
@@ -134,6 +142,7 @@
             if server is not None:
                 server.close()
         self._follower.stop()
+        self._intake.close()
         self._reporter.stop()
         self._loads.stop()
         self._pool.close()
@@ -172,20 +181,27 @@
 
     def _on_registry(self, snapshot: Snapshot) -> None:
         """Take a newer registry (follower's thread)."""
-        self._loop.call_soon_threadsafe(self._apply, snapshot)
+        self._loop.call_soon_threadsafe(self._intake.take, snapshot)
 
-    def _apply(self, snapshot: Snapshot) -> None:
-        self._balancer.replace(snapshot.view.runners)
-        self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
+    def _take_table(self, snapshot: Snapshot) -> None:
         held = self._index.table.version if self._index is not None else 0
         if snapshot.table.version > held:
-            self._index = RouteIndex(snapshot.table)
-            self._forwarder.set_table(self._index)
+            index = RouteIndex(snapshot.table)
+            self._forwarder.set_table(index)
+            self._index = index
+
+    def _take_back_ends(self, snapshot: Snapshot) -> None:
+        self._balancer.replace(snapshot.view.runners)
+
+    def _take_suspects(self, snapshot: Snapshot) -> None:
+        self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
 
     async def _answer_figures(self, _request: CallerRequest, responder: Responder) -> None:
         version = self._index.table.version if self._index is not None else 0
         self._counters.table_version.set(version)
         self._counters.contact_age_s.set(self._follower.age_s())
+        self._counters.table_age_s.set(self._follower.table_age_s())
+        self._counters.failing_receivers.set(self._intake.failing())
         suspects, refused = self._quarantine.counts()
         self._counters.suspects.labels("suspect").set(suspects - refused)
         self._counters.suspects.labels("refused").set(refused)
--- a/tests/unit/test_changes_in_force.py
+++ b/tests/unit/test_changes_in_force.py
@@ -14,6 +14,7 @@
 from leverjunction.clock import SystemClock
 from leverjunction.consensus.group import GroupReplica
 from leverjunction.errors import Failure
+from leverjunction.proxy.balancer import Balancer
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.commands import TableHeld
 from leverjunction.registry.follower import RegistryFollower
@@ -88,6 +89,21 @@
         rpc.close()
 
 
+def test_an_error_on_back_ends_keeps_no_route_table_from_a_gateway(
+    fleet: SeededFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """What was done before the table in the same callback raised: it was never in force."""
+
+    def fails(_balancer: Balancer, _records: object) -> None:
+        raise KeyError("i-1")
+
+    monkeypatch.setattr(Balancer, "replace", fails)
+    wait_until(lambda: fleet.leader() is not None)
+    put(fleet.controls["core-1"], 1)
+    gateway = fleet.start_gateway(1)
+    wait_until(gateway.is_ready, 5.0)
+
+
 def version_of(follower: RegistryFollower) -> int:
     snapshot = follower.snapshot()
     return -1 if snapshot is None else snapshot.table.version
