A gateway denies a route only while its table is known to be the one in force

Cause: the answer did not depend on whether the gateway had heard of changes at all. Weighed: with a table older than the bound the request may well have a route, so 404 may be false, and callers do not ask again after it; 503 with a short Retry-After is true (nothing ran) and brings them back, likely to another gateway. Requests on known routes go on: they lose nothing by an old table. Change: bounds.in_force_ms (2,000 by default, from the platform's bound); beyond it an unmatched request gets 503. Tests: three rows of test_proxy_contract; 404 within the bound stays (its old test).

--- a/src/leverjunction/config/machine.py
+++ b/src/leverjunction/config/machine.py
@@ -35,11 +35,13 @@
         stop_grace_s: Time between being asked to stop and being killed.
         drain_ms: Time in which a leaving runner gets no new work anywhere.
         status_s: Time for which an ended batch job stays readable.
+        in_force_ms: Time in which an accepted change of routes is in force at all gateways.
     """
 
     stop_grace_s: PositiveNumber = 8.0
     drain_ms: PositiveNumber = 2000.0
     status_s: PositiveNumber = 120.0
+    in_force_ms: PositiveNumber = 2000.0
 
 
 class MachineElections(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/leverjunction/proxy/answers.py
+++ b/src/leverjunction/proxy/answers.py
@@ -52,6 +52,19 @@
     )
 
 
+def unsure_of_route(host: str, path: str, table_age_s: float) -> Failure:
+    """Return the refusal of a request whose route may be newer than what is known here."""
+    return Failure(
+        kind=FailureKind.STALE,
+        reason=(
+            f"no route for {host}{path} is known, and this gateway has heard of no change "
+            f"for {table_age_s:.1f} s"
+        ),
+        step=Step.ROUTING,
+        retry_after_s=RETRY_SOON_S,
+    )
+
+
 def no_runner(service: str) -> Failure:
     """Return the refusal of a request that no back end can take now."""
     return Failure(
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -18,6 +19,7 @@
     out_of_time,
     status_of,
     suspect_under_way,
+    unsure_of_route,
 )
 from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
 from leverjunction.proxy.balancer import Balancer, Choice
@@ -70,6 +72,8 @@
         local: LocalHandler,
         gate: AdmissionGate | None = None,
         quarantine: Quarantine | None = None,
+        table_age_s: Callable[[], float] = lambda: 0.0,
+        in_force_s: float = math.inf,
     ) -> None:
         """Prepare for requests.
 
@@ -83,6 +87,9 @@
             gate: Holds requests that cannot be in time; None to send all at once.
             quarantine: Knows requests under which back ends ended; None for one that only sees
                 what passes here.
+            table_age_s: Returns how old the route table may be, in seconds.
+            in_force_s: Time in which a change is to be in force; with an older table no caller is
+                told that a route does not exist.
         """
         self._sender = sender
         self._balancer = balancer
@@ -96,6 +103,8 @@
         self._budget = RetryBudget()
         self._gate = gate
         self._quarantine = quarantine or Quarantine()
+        self._table_age_s = table_age_s
+        self._in_force_s = in_force_s
 
     def set_table(self, index: RouteIndex) -> None:
         """Take a newer route table; requests under way keep theirs."""
@@ -113,7 +122,7 @@
         if await self._local(request, responder, index, route):
             return
         if route is None:
-            self._refuse(request, facts, responder, no_route(host, request.path))
+            self._refuse(request, facts, responder, self._no_route(host, request.path))
             return
         timeout_ms = min(facts.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
         until_s = request.arrived_s + timeout_ms / 1000
@@ -129,6 +138,13 @@
             for start in work.trials:
                 self._quarantine.over(work.key, start)
 
+    def _no_route(self, host: str, path: str) -> Failure:
+        """Return "not found" only while the table is known to be the one in force."""
+        age_s = self._table_age_s()
+        if age_s > self._in_force_s:
+            return unsure_of_route(host, path, age_s)
+        return no_route(host, path)
+
     async def _forward(self, work: Work, responder: Responder) -> None:
         refusal = self._held_back(work) or await self._admit(work)
         if refusal is not None:
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -96,6 +96,8 @@
             make_local(self._rpc, self._follower, config.zone),
             gate if config.policies.hold_late_requests else None,
             self._quarantine,
+            self._follower.table_age_s,
+            config.bounds.in_force_ms / 1000,
         )
         self._intake = RegistryIntake(
             {
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -32,7 +32,11 @@
 
 
 class Proxy:
-    """The proxy's parts as a gateway process puts them together."""
+    """The proxy's parts as a gateway process puts them together.
+
+    Attributes:
+        table_age_s: How old its route table may be.
+    """
 
     def __init__(self, table: RouteTable | None, runners: Iterable[RunnerStandIn]) -> None:
         self._table = table
@@ -41,6 +45,7 @@
         self._started = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
         self.address = ""
+        self.table_age_s = 0.0
 
     def __enter__(self) -> Proxy:
         self._thread.start()
@@ -97,6 +102,8 @@
             Random(1),
             _nothing_local,
             AdmissionGate(balancer, sender),
+            table_age_s=lambda: self.table_age_s,
+            in_force_s=2.0,
         )
         if self._table is not None:
             self.forwarder.set_table(RouteIndex(self._table))
--- a/tests/unit/test_proxy_contract.py
+++ b/tests/unit/test_proxy_contract.py
@@ -264,6 +264,19 @@
     assert alone.ask("/other/x").status == 404
 
 
+@pytest.mark.parametrize(("table_age_s", "status"), [(0.3, 404), (1.9, 404), (2.1, 503)])
+def test_a_route_is_denied_only_while_the_table_is_known_to_be_in_force(
+    alone: Proxy, table_age_s: float, status: int
+) -> None:
+    """404 said that a route did not exist, of which the gateway had not heard yet."""
+    alone.table_age_s = table_age_s
+    reply = alone.ask("/other/x")
+    assert reply.status == status
+    assert ("retry-after" in reply.headers) == (status == 503)
+    # Whoever asks for a route that is known loses nothing by an old table.
+    assert alone.ask(REPEATABLE).status == 200
+
+
 def test_a_body_beyond_the_limit_is_refused() -> None:
     table = RouteTable(
         version=1,
