A replica is in contact only by a leader that knows what is committed

What callers could see: a control process that calls itself fresh without a change that was acknowledged under the leader before. Cause: a new leader's commit index is that of its last message from the old one. Until an entry of its own term is committed, an acknowledged entry may lie in its log and in a follower's without either knowing that it is committed; both said 'level with the leader, 0.0 s ago'. Change: contact counts from messages whose commit index is of the leader's own term, and on a leader once it has committed in its term. The lease is judged as before.

--- a/src/leverjunction/consensus/core_follower.py
+++ b/src/leverjunction/consensus/core_follower.py
@@ -77,9 +77,18 @@
         """Note that this replica lacks nothing; a leader heard in a repair does not say so."""
         if self._is_gone(message.header.from_id):
             return
-        if matched >= message.commit_index:
+        if matched >= message.commit_index and self._knows_commits(message):
             self.caught_up_s = self._now_s
 
+    def _knows_commits(self, message: AppendRequest) -> bool:
+        """Return whether its sender knows all that is committed: once an entry of its term is.
+
+        A new leader may hold entries that its predecessor has committed and acknowledged, without
+        knowing that they are.
+        """
+        index = message.commit_index
+        return index == 0 or self.log.term_at(index) == message.header.term
+
     def _accept_leader(self, header: Header) -> bool:
         """Check a leader's message; follow it, or tell its sender why not."""
         if self.blank or not self._is_addressed(header):
--- a/src/leverjunction/consensus/core_membership.py
+++ b/src/leverjunction/consensus/core_membership.py
@@ -84,7 +84,7 @@
         """Return whether the last change is committed, and an entry of this term too."""
         return (
             self.role is Role.LEADER
-            and self._committed_in_term()
+            and self.knows_commits()
             and self.log.configuration_index <= self.commit_index
         )
 
--- a/src/leverjunction/consensus/core_replication.py
+++ b/src/leverjunction/consensus/core_replication.py
@@ -123,7 +123,7 @@
         """Replicate what the batch of events appended and start a round for waiting reads."""
         if self.role is not Role.LEADER:
             return
-        if self.reads_waiting and not self.reads_in_round and self._committed_in_term():
+        if self.reads_waiting and not self.reads_in_round and self.knows_commits():
             self._start_read_round()
             return
         for replica_id, progress in self.progress.items():
@@ -278,7 +278,8 @@
     def _lease_ended(self) -> bool:
         return self.standstills.ran_s(self.quorum_contact_s(), self._now_s) > self.lease_s
 
-    def _committed_in_term(self) -> bool:
+    def knows_commits(self) -> bool:
+        """Return whether this leader knows all that is committed: once an entry of its term is."""
         return self.commit_index >= self.term_start_index
 
     def _advance_commit(self) -> None:
--- a/src/leverjunction/consensus/status.py
+++ b/src/leverjunction/consensus/status.py
@@ -15,13 +15,17 @@
 def status_of(engine: ReplicaEngine, now_s: float) -> GroupStatus:
     """Return what a running replica knows of its group at monotonic time ``now_s``."""
     core = engine.core
-    contact_s = core.quorum_contact_s() if core.role is Role.LEADER else core.caught_up_s
+    contact_s = core.caught_up_s
     members = core.configuration.members
     role = core.role
     others = core.configuration.voter_ids() - {core.replica_id}
-    if role is Role.LEADER and others and now_s - contact_s > core.lease_s:
-        # After a long freeze the core learns of the time only with its next event.
-        role = Role.FOLLOWER
+    if role is Role.LEADER:
+        quorum_s = core.quorum_contact_s()
+        if core.knows_commits():
+            contact_s = quorum_s
+        if others and now_s - quorum_s > core.lease_s:
+            # After a long freeze the core learns of the time only with its next event.
+            role = Role.FOLLOWER
     return GroupStatus(
         group=core.config.group,
         replica_id=core.replica_id,
--- a/tests/unit/test_consensus_caught_up.py
+++ b/tests/unit/test_consensus_caught_up.py
@@ -6,12 +6,20 @@
 from types import SimpleNamespace
 from typing import cast
 
+import msgspec
+
 from leverjunction.consensus.core import RaftCore
 from leverjunction.consensus.engine import ReplicaEngine
 from leverjunction.consensus.events import Received
 from leverjunction.consensus.messages import AppendRequest, Header, Message, SnapshotChunk
 from leverjunction.consensus.status import OLDEST_CONTACT_S, status_of
-from leverjunction.consensus.types import DurableState, GroupConfig, LogPosition
+from leverjunction.consensus.types import (
+    DurableState,
+    EntryKind,
+    GroupConfig,
+    LogEntry,
+    LogPosition,
+)
 
 HEADER = Header(founding_id="g", from_id="b", from_address="b:1", to_id="a", term=1)
 START = LogPosition(term=1, index=40)
@@ -40,3 +48,18 @@
     assert age_after(behind, founding_id="g") == OLDEST_CONTACT_S
     level = AppendRequest(header=HEADER, previous=LogPosition(), commit_index=0, sequence=1)
     assert age_after(level, founding_id="g") == 0.0
+
+
+def test_a_new_leader_that_has_committed_nothing_proves_nothing() -> None:
+    """An acknowledged entry may be in the log of both, not known to be committed by either."""
+    entries = tuple(
+        LogEntry(index=index, term=term, kind=EntryKind.NO_OP, wall_ms=0, payload=b"")
+        for index, term in ((1, 1), (2, 1), (3, 2))
+    )
+    header = msgspec.structs.replace(HEADER, term=2)
+    early = AppendRequest(
+        header=header, previous=LogPosition(), commit_index=1, sequence=1, entries=entries
+    )
+    assert age_after(early, founding_id="g") == OLDEST_CONTACT_S
+    later = msgspec.structs.replace(early, commit_index=3)
+    assert age_after(later, founding_id="g") == 0.0
