--- a/src/leverjunction/control/gateway_desk.py
+++ b/src/leverjunction/control/gateway_desk.py
@@ -66,6 +66,7 @@
             quorum_age_s=round(quorum_age_s, 2),
             job_groups=self._identity.job_groups,
             pending_work=session.untold_work(self._renewals.pending_work()),
+            hub_settings_version=self._mirror.version,
         )
 
     def lose(self, owner: str, lease_ids: Iterable[str]) -> None:
--- a/src/leverjunction/wire/control_client.py
+++ b/src/leverjunction/wire/control_client.py
@@ -154,6 +154,9 @@
             self._note_stale(hub, reply.reason)
         elif isinstance(reply, Failure):
             self._note_failed(hub, reply.reason)
+        elif 0 <= reply.hub_settings_version < request.settings_version:
+            # It may have lost its disk: nothing newer is heard from it before it is repaired.
+            self._note_failed(hub, f"has settings version {reply.hub_settings_version}")
         elif reply.quorum_age_s > MAX_QUORUM_AGE_S:
             self._note_stale(hub, f"no quorum for {reply.quorum_age_s:.1f} s")
         else:
--- a/src/leverjunction/wire/messages.py
+++ b/src/leverjunction/wire/messages.py
@@ -144,6 +144,7 @@
             the next exchange may come that soon, with jitter.
         pending_work: Where work is pending, for all job groups of which the hub knows; None when
             that is what the gateway was told last.
+        hub_settings_version: Version that the hub itself has; -1 from one that does not say.
     """
 
     settings_version: int
@@ -163,6 +164,7 @@
     job_groups: int = 2
     settings_retry_after_s: float = 0.0
     pending_work: list[PendingWork] | None = None
+    hub_settings_version: int = -1
 
 
 class YieldNotice(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/unit/test_simulation.py
+++ b/tests/unit/test_simulation.py
@@ -173,6 +173,9 @@
         # changes, here at 42.7 s, and the groups were looked at 0.9 s later. They are looked at
         # 8 s after the last fault since, a burst's restart included.
         ("hanbit", 90000115),
+        # A gateway was a version behind for 4 s: it went to a hub that had come back without its
+        # disk and stayed until that was repaired, while two others had the version.
+        ("kilimo", 95100059),
     ],
 )
 def test_a_seed_that_failed_holds(scenario: str, seed: int) -> None:
--- a/tests/unit/test_wire_control_client.py
+++ b/tests/unit/test_wire_control_client.py
@@ -62,6 +62,7 @@
         self.script: list[Failure] = []
         self.calls: list[Envelope] = []
         self.quorum_age_s = 0.1
+        self.settings_version = 1
         self.notices: list[YieldNotice] = []
         endpoint = RpcEndpoint(KEY, incarnation=1)
         endpoint.register(MessageKind.PROPOSE, self._propose)
@@ -85,6 +86,7 @@
                 settings_version=1, settings=[], view_version=1, hub_incarnation=1, full_view=True,
                 gateways=[], gone_gateways=[], runners=[], gone_runners=[], digests=[],
                 lost_lease_ids=[], cancelled_jobs=[], hubs=[], quorum_age_s=self.quorum_age_s,
+                hub_settings_version=self.settings_version,
             )
         )  # fmt: skip
 
@@ -184,6 +186,18 @@
     assert client.hub == near.address
 
 
+@pytest.mark.parametrize(("hub_version", "is_left"), [(0, True), (4, True), (5, False)])
+def test_a_hub_that_knows_less_than_the_gateway_is_left(
+    make_hub: Callable[[], FakeHub], hub_version: int, is_left: bool
+) -> None:
+    """It had come back without its disk, and was kept until it was repaired (1.2 s too long)."""
+    near, far = make_hub(), make_hub()
+    client = client_of(near.address, far.address)
+    near.settings_version = hub_version
+    client.exchange(msgspec.structs.replace(EXCHANGE, settings_version=5))
+    assert (client.hub == far.address) == is_left
+
+
 def test_yield_notice_reaches_the_owner(make_hub: Callable[[], FakeHub]) -> None:
     owner = make_hub()
     client = client_of(DEAD)
