--- a/src/leverjunction/registry/hub.py
+++ b/src/leverjunction/registry/hub.py
@@ -32,6 +32,7 @@
 REFRESH_S = 0.5
 """Longest age of the cached state, should a notice be late."""
 
+LEAST_WAIT_S = 0.01
 FRESH_TIMEOUT_S = 0.8
 NEVER_COMPLETE_S = 3600.0
 
@@ -115,10 +116,10 @@
             if left_s <= 0 or self._is_newer(request):
                 break
             # A process that is cut off meanwhile says so when its contact is too old, not later.
-            fresh_s = STALE_CONTACT_S - self._age_s()
+            fresh_s = max(STALE_CONTACT_S - self._age_s(), LEAST_WAIT_S)
             with self._notice:
                 if self._changes == seen:
-                    self._notice.wait(max(0.0, min(left_s, REFRESH_S, fresh_s)))
+                    self._notice.wait(min(left_s, REFRESH_S, fresh_s))
         return self._news(request, self._clock.monotonic_s() - began_s)
 
     def _news(self, request: WatchRequest, held_s: float) -> WatchReply:
