A process whose start failed ends: no thread that serves a port keeps it

Cause: ControlNode.start opens the RPC port and starts its replicas, then the operators' port; when that is taken, run() returns 1, and the interpreter waits for the workers of the first port, which are no daemon threads. The same holds for whatever a start raises. Change: HttpServer prepares its server in its own daemon thread, and workers inherit that; a planned stop still waits for calls in progress (HttpServer.stop).

--- a/src/leverjunction/wire/http_thread.py
+++ b/src/leverjunction/wire/http_thread.py
@@ -52,6 +52,8 @@
         )
         self._server.keep_alive_conn_limit = options.keep_alive_connections
         self._thread: threading.Thread | None = None
+        self._listening = threading.Event()
+        self._fault: OSError | None = None
 
     @property
     def address(self) -> str:
@@ -61,9 +63,23 @@
 
     def start(self) -> None:
         """Bind and serve in a thread; raises OSError when the address is taken."""
-        self._server.prepare()
-        self._thread = threading.Thread(target=self._server.serve, name=self._name, daemon=True)
+        self._thread = threading.Thread(target=self._serve, name=self._name, daemon=True)
         self._thread.start()
+        self._listening.wait()
+        if self._fault is not None:
+            raise self._fault
+
+    def _serve(self) -> None:
+        # Here, so that the workers are daemon threads as well: a process whose start failed after
+        # its port was opened went on answering for good, since the interpreter waited for them.
+        try:
+            self._server.prepare()
+        except OSError as error:
+            self._fault = error
+            return
+        finally:
+            self._listening.set()
+        self._server.serve()
 
     def stop(self) -> None:
         """Stop serving; requests in progress get cheroot's shutdown time to finish."""
