A leader takes back ends' messages before it knows what is committed; a test that raced

Cause: since a leader has no contact before an entry of its term is committed, and runner_heard refuses without contact, where it waited for the commit before. Callers: a back end is told to ask another process, though this one leads. Change: the leader replicates such a message, and uses no view that may be old to say that nothing is new. Test: test_a_leader_takes_messages_before_it_knows_what_is_committed. test_registry_follower, 'the age of the table': the test asked for an age before the first answer of a thread that had been started, and lost that race; it asks before the start now.

--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -166,11 +166,10 @@
     def runner_heard(self, record: RunnerRecord) -> Failure | None:
         """Take a runner's message; it is acknowledged once what it changes is replicated."""
         stale = self.hub.stale()
-        if stale is not None:
+        if stale is not None and not self.leads():
             return stale
-        known = next(
-            (item for item in self.hub.view().runners if item.runner_id == record.runner_id), None
-        )
+        # A leader that has just been elected replicates the message, whatever it knows by then.
+        known = None if stale is not None else self._known_runner(record.runner_id)
         self._heard_runners.add(record.start)
         shown_alive = False
         if known is not None and record.born_ms < known.born_ms:
@@ -191,6 +190,10 @@
             logger.info("back end {} has started again, after {}", record.start, known.start)
         return None
 
+    def _known_runner(self, runner_id: str) -> RunnerRecord | None:
+        runners = self.hub.view().runners
+        return next((item for item in runners if item.runner_id == runner_id), None)
+
     def _is_alive(self, record: RunnerRecord) -> bool:
         with self._late_starts_lock:
             now_s = self._clock.monotonic_s()
--- a/tests/unit/test_registry_follower.py
+++ b/tests/unit/test_registry_follower.py
@@ -179,9 +179,17 @@
     def answer(_hub: str, _request: WatchRequest) -> WatchReply:
         return msgspec.structs.replace(reply(3), contact_age_s=0.7)
 
-    follower = follow(Hubs(answer), lambda _snapshot: None)
+    hubs = Hubs(answer)
+    follower = RegistryFollower(
+        hubs,  # type: ignore[arg-type]
+        ("a:1",),
+        "",
+        SystemClock(),
+        Random(1),
+        lambda _snapshot: None,
+    )
     assert follower.table_age_s() > 1000
-    wait_until(lambda: follower.snapshot() is not None, 5.0)
+    follower.start()
     wait_until(lambda: follower.table_age_s() < 1.0, 5.0)
     assert follower.table_age_s() >= 0.7
     follower.stop()
--- a/tests/unit/test_registry_starts.py
+++ b/tests/unit/test_registry_starts.py
@@ -21,9 +21,12 @@
 import pytest
 from tests.unit.seeded_support import SeededFleet, wait_until
 
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.platform.control_calls import ControlCalls
 from leverjunction.proxy.balancer import Balancer
+from leverjunction.registry.hub import RegistryHub
 from leverjunction.registry.late_starts import ALIVE_S, LateStarts
+from leverjunction.registry.node import RegistryNode
 from leverjunction.registry.records import RunnerRecord, RunnerState
 
 CONTROLS = 3
@@ -118,6 +121,18 @@
         assert known.sequence == 1
 
 
+def test_a_leader_takes_messages_before_it_knows_what_is_committed(
+    calls: ControlCalls, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Right after a founding, back ends were told to ask another process; it is the leader."""
+    leader = BackEnd(calls)
+    stale = Failure(kind=FailureKind.STALE, reason="no contact yet", step=Step.EXCHANGING)
+    monkeypatch.setattr(RegistryHub, "stale", lambda _hub: stale)
+    assert leader.beat(1_000, 1).startswith("200")
+    monkeypatch.setattr(RegistryNode, "leads", lambda _node: False)
+    assert leader.beat(1_000, 2).startswith("503")
+
+
 def test_each_word_concerns_its_own_start(calls: ControlCalls) -> None:
     back_end = BackEnd(calls)
     back_end.beat(2_000, 1, address="b:1")
