Simulator: both scenarios are played, recorded and checked by the same steps

run_seed had the seeded scenario's run beside the first one's, with the catching of errors, crashes and checks written twice. A parameter of the asking plan says what it means (has_state).

--- a/src/leverjunction/registry/asking_plan.py
+++ b/src/leverjunction/registry/asking_plan.py
@@ -49,14 +49,14 @@
         self._unanswered = False
         self._silences = 0
 
-    def next_ask(self, knows_all: bool, processes: int) -> Ask:
+    def next_ask(self, has_state: bool, processes: int) -> Ask:
         """Return how to ask.
 
         Args:
-            knows_all: The asker has had a state before.
+            has_state: The asker has had a state before.
             processes: Control processes that are known.
         """
-        if not knows_all:
+        if not has_state:
             return Ask(0, FIRST_TIMEOUT_S)
         if not self._unanswered:
             return Ask(WAIT_MS, CALL_TIMEOUT_S)
--- a/src/testbed/simulation/run.py
+++ b/src/testbed/simulation/run.py
@@ -13,6 +13,7 @@
 
 from testbed.simulation.breaks import RUN_ENDS, BrokenRule
 from testbed.simulation.checkers import all_checkers
+from testbed.simulation.checkers.base import Finding
 from testbed.simulation.faults import Fault, FaultKind
 from testbed.simulation.history import History
 from testbed.simulation.result import Report, SeedResult
@@ -60,78 +61,81 @@
 
 def run_seed(plan: Plan, seed: int, timeline: list[str] | None = None) -> SeedResult:
     """Run one seed and check every promise; ``timeline`` gets a line for all that happened."""
-    if plan.scenario == SEEDED:
-        return _run_seeded(plan, seed, timeline)
-    errors: list[str] = []
     logger.remove()
     began_s = time.process_time()
+    play = _play_seeded if plan.scenario == SEEDED else _play
     with BrokenRule(plan.broken_rule):
-        scenario = SCENARIOS[plan.scenario]
-        world = World(scenario, seed, _kinds(plan), plan.variation, plan.without)
-        threads = world.fibers.threads
-        logger.add(
-            errors.append,
-            level="ERROR",
-            format="{name}: {message}",
-            # Threads that earlier runs left in this process have errors of their own.
-            filter=lambda record: record["thread"].id in threads,
-        )
-        if timeline is not None:
-            follow(world, timeline)
-        history = world.parts.history
-        result = SeedResult(seed, faults=history.faults, counts=history.counts)
-        try:
-            world.run()
-        except Exception as error:
-            # A crash is a finding too: the rest of the run is lost, other seeds go on.
-            text = traceback.format_exception_only(error)[-1].strip()
-            result.violations.append(f"{RUN_ENDS}: {text} at {_place(error)}")
-            world.end()
+        result = play(plan, seed, timeline)
+    result.variation = plan.variation.name if plan.variation else ""
+    result.cpu_s = time.process_time() - began_s
+    return result
+
+
+def _play(plan: Plan, seed: int, timeline: list[str] | None) -> SeedResult:
+    scenario = SCENARIOS[plan.scenario]
+    world = World(scenario, seed, _kinds(plan), plan.variation, plan.without)
+    errors = _errors_of(world.fibers.threads)
+    if timeline is not None:
+        follow(world, timeline)
+    history = world.parts.history
+    result = SeedResult(seed, faults=history.faults, counts=history.counts)
+    _run(world, result)
     history.internal_errors += errors
     result.digest = digest_of(history)
-    result.variation = plan.variation.name if plan.variation else ""
     if not result.violations:
-        _check(history, result)
-    result.cpu_s = time.process_time() - began_s
+        for checker in all_checkers():
+            _note(result, checker.name, checker.check(history))
     return result
 
 
-def _run_seeded(plan: Plan, seed: int, timeline: list[str] | None) -> SeedResult:
-    errors: list[str] = []
-    logger.remove()
-    began_s = time.process_time()
+def _play_seeded(plan: Plan, seed: int, timeline: list[str] | None) -> SeedResult:
     kinds = [kind for kind in plan.only if isinstance(kind, SeededFaultKind)]
-    with BrokenRule(plan.broken_rule):
-        world = SeededWorld(seed, kinds, plan.variation, plan.without)
-        threads = world.fibers.threads
-        logger.add(
-            errors.append,
-            level="ERROR",
-            format="{name}: {message}",
-            filter=lambda record: record["thread"].id in threads,
-        )
-        if timeline is not None:
-            follow_seeded(world, timeline)
-        history = world.history
-        result = SeedResult(seed, faults=history.faults, counts=history.counts)
-        try:
-            world.run()
-        except Exception as error:
-            text = traceback.format_exception_only(error)[-1].strip()
-            result.violations.append(f"{RUN_ENDS}: {text} at {_place(error)}")
-            world.end()
+    world = SeededWorld(seed, kinds, plan.variation, plan.without)
+    errors = _errors_of(world.fibers.threads)
+    if timeline is not None:
+        follow_seeded(world, timeline)
+    history = world.history
+    result = SeedResult(seed, faults=history.faults, counts=history.counts)
+    _run(world, result)
     result.violations += [f"internal_errors: {text.strip()}" for text in errors]
-    recorded = (history.acknowledged, history.in_force, history.reads, sorted(history.faults))
-    result.digest = hashlib.sha256(repr(recorded).encode()).hexdigest()
-    result.variation = plan.variation.name if plan.variation else ""
+    result.digest = _hash(
+        (history.acknowledged, history.in_force, history.reads, sorted(history.faults.items()))
+    )
     for checker in SEEDED_CHECKERS:
-        finding = checker.check(history)
-        result.checks[checker.name] += finding.checks
-        result.violations += [f"{checker.name}: {text}" for text in finding.violations]
-    result.cpu_s = time.process_time() - began_s
+        _note(result, checker.name, checker.check(history))
     return result
 
 
+def _errors_of(threads: set[int]) -> list[str]:
+    """Return a list that gets the errors that the product logs in a run.
+
+    Threads that earlier runs left in this process have errors of their own.
+    """
+    errors: list[str] = []
+    logger.add(
+        errors.append,
+        level="ERROR",
+        format="{name}: {message}",
+        filter=lambda record: record["thread"].id in threads,
+    )
+    return errors
+
+
+def _run(world: World | SeededWorld, result: SeedResult) -> None:
+    try:
+        world.run()
+    except Exception as error:
+        # A crash is a finding too: the rest of the run is lost, other seeds go on.
+        text = traceback.format_exception_only(error)[-1].strip()
+        result.violations.append(f"{RUN_ENDS}: {text} at {_place(error)}")
+        world.end()
+
+
+def _note(result: SeedResult, checker: str, finding: Finding) -> None:
+    result.checks[checker] += finding.checks
+    result.violations += [f"{checker}: {text}" for text in finding.violations]
+
+
 def digest_of(history: History) -> str:
     """Return a hash over everything that is recorded, to tell two runs of a seed apart."""
     recorded = (
@@ -143,14 +147,11 @@
         [(key, job.pages, job.operations, job.final_lines) for key, job in history.jobs.items()],
         sorted(history.faults.items()),
     )
-    return hashlib.sha256(repr(recorded).encode()).hexdigest()
+    return _hash(recorded)
 
 
-def _check(history: History, result: SeedResult) -> None:
-    for checker in all_checkers():
-        finding = checker.check(history)
-        result.checks[checker.name] += finding.checks
-        result.violations += [f"{checker.name}: {text}" for text in finding.violations]
+def _hash(recorded: object) -> str:
+    return hashlib.sha256(repr(recorded).encode()).hexdigest()
 
 
 def _place(error: Exception) -> str:
