Fleets of tests: each has loopback addresses of its own

What was seen: once in 18 runs, six fleets at once: 'gateway-3 ended with 1' before it was ready. Its log was gone with the folder of the test, so that this was its cause is not shown.

Cause that would fit: each fleet drew ports of 127.0.0.N between 10,000 and 32,000, free at that moment, and its processes listened seconds later; fleets that start side by side can draw the same.

Change: the two middle numbers of the addresses are drawn for each fleet.

--- a/src/testbed/fleet/plan.py
+++ b/src/testbed/fleet/plan.py
@@ -119,6 +119,8 @@
         self._sources: dict[str, Source] = {}
         self._machines: dict[str, Machine] = {}
         self._next_host = FIRST_HOST_NUMBER
+        # Fleets that start side by side would else pick the same ports before either listens.
+        self._network = f"127.{secrets.randbelow(254) + 1}.{secrets.randbelow(256)}"
 
     def write(self) -> FleetPlan:
         """Plan all processes and write their files."""
@@ -256,7 +258,7 @@
     def _process(
         self, name: str, kind: ProcessKind, zone: str, *, front: bool = True
     ) -> PlannedProcess:
-        ip = f"127.0.0.{self._next_host}"
+        ip = f"{self._network}.{self._next_host}"
         self._next_host += 1
         self._sources[ip] = Source(process=name, zone=zone)
         direct = f"{ip}:{self._ports.pick(ip)}"
