Gateway: a head that is late is waited for while another back end is asked

With a back end that answers after 0.15 s beside a silent one, three of three sends failed.

Cause: a back end that let a request wait for longer than the learned patience (0.1 s) was given up for good, its connection closed, and the last try that the route allows went to the other one. When that is the silent one, the caller gets nothing, though a sound back end was about to answer. The times of heads that were given up were never learned either, so the patience stayed too short.

Excluded: load alone (stand-in that sleeps 0.15 s: each time); the choice of the back end (a rule 'never move to one that was silent last' would hold on to one that has come back).

Change: the late send stays open (LateHead); another back end is asked beside it (hedging.py), the first answer is taken, the other way is closed. The limits are the same: only what may repeat, never a suspect, the route's attempts, the budget of 5 percent. The only back end of a service is given up and asked again, as before.

--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -19,7 +19,6 @@
 from leverjunction.proxy.prompt import READ_TOKENS_PER_MS
 from leverjunction.proxy.runner_connection import (
     AnswerEnd,
-    AnswerEvent,
     AnswerHead,
     RunnerConnection,
     RunnerPool,
@@ -44,17 +43,17 @@
     """How long to wait for the head of an answer.
 
     Attributes:
-        soft_s: From then on the request is given up here if ``may_move`` agrees.
-        hard_s: Then it is given up in any case.
-        may_move: Asked once, when the soft limit is reached.
+        soft_s: From then on the head is late if ``may_hedge`` agrees.
+        hard_s: Then the request is given up in any case.
+        may_hedge: Asked once, when the soft limit is reached.
     """
 
-    __slots__ = ("hard_s", "may_move", "soft_s")
+    __slots__ = ("hard_s", "may_hedge", "soft_s")
 
-    def __init__(self, hard_s: float, soft_s: float, may_move: Callable[[], bool]) -> None:
+    def __init__(self, hard_s: float, soft_s: float, may_hedge: Callable[[], bool]) -> None:
         self.hard_s = hard_s
         self.soft_s = soft_s
-        self.may_move = may_move
+        self.may_hedge = may_hedge
 
     @classmethod
     def until(cls, hard_s: float) -> Patience:
@@ -130,6 +129,33 @@
         self.seat = seat
 
 
+class LateHead:
+    """A request that was sent and whose head has not come by the soft limit.
+
+    Its connection is open and it is counted at its back end until ``Sender.wait`` or
+    ``Sender.abandon``.
+
+    Attributes:
+        dispatch: The send.
+        connection: Where its answer comes.
+        sent_s: When it was written, in the loop's seconds.
+        taken: Somebody waits for it, or it was abandoned.
+    """
+
+    __slots__ = ("connection", "dispatch", "sent_s", "taken")
+
+    def __init__(self, dispatch: Dispatch, connection: RunnerConnection, sent_s: float) -> None:
+        self.dispatch = dispatch
+        self.connection = connection
+        self.sent_s = sent_s
+        self.taken = False
+
+    @property
+    def failure(self) -> Failure:
+        """What the send has come to if nothing more comes of it."""
+        return _late(self.dispatch.seat, Execution.UNKNOWN)
+
+
 class Sender:
     """Sends requests to back ends; used by one event loop.
 
@@ -156,12 +182,21 @@
         self._loop = asyncio.get_running_loop()
 
     async def send(self, dispatch: Dispatch) -> OpenedAnswer | Failure:
-        """Send a request and wait for the head of the answer.
+        """Send a request and wait for the head of the answer, until the hard limit.
 
         Returns:
             The answer, counted at its back end until ``finish``; or a failure that says whether
             the request may have run.
         """
+        opened = await self.begin(dispatch)
+        return await self.wait(opened) if isinstance(opened, LateHead) else opened
+
+    async def begin(self, dispatch: Dispatch) -> OpenedAnswer | LateHead | Failure:
+        """Send a request and wait for the head of the answer, until the soft limit.
+
+        Returns:
+            As ``send``, or that the head is late.
+        """
         seat = dispatch.seat
         read_ms = dispatch.facts.tokens_in / READ_TOKENS_PER_MS
         self._count(seat, 1)
@@ -177,6 +212,28 @@
             self._count(seat, -1)
         return opened
 
+    async def wait(self, late: LateHead) -> OpenedAnswer | Failure:
+        """Wait on for a late head, until the send's hard limit."""
+        late.taken = True
+        try:
+            opened = await self._head(late.connection, late.dispatch, late.sent_s)
+        except BaseException:
+            self._drop(late)
+            raise
+        if isinstance(opened, Failure):
+            self._count(late.dispatch.seat, -1)
+        return opened
+
+    def abandon(self, late: LateHead) -> None:
+        """Have a back end drop a request whose head is late, unless somebody waits for it."""
+        if not late.taken:
+            late.taken = True
+            self._drop(late)
+
+    def _drop(self, late: LateHead) -> None:
+        late.connection.close()
+        self._count(late.dispatch.seat, -1)
+
     def finish(self, answer: OpenedAnswer, whole: bool) -> None:
         """End the use of an answer; one that is not whole costs its connection."""
         self._count(answer.seat, -1)
@@ -225,7 +282,7 @@
         if self._changed is not None:
             self._changed(seat)
 
-    async def _open(self, dispatch: Dispatch) -> OpenedAnswer | Failure:
+    async def _open(self, dispatch: Dispatch) -> OpenedAnswer | LateHead | Failure:
         seat = dispatch.seat
         idle_share = REPEATABLE_IDLE_SHARE if dispatch.repeatable else ONCE_IDLE_SHARE
         connection = await self._pool.take(seat.record.address, idle_share, CONNECT_TIMEOUT_S)
@@ -237,15 +294,16 @@
             if left_ms < 1:
                 connection.close()
                 return _late(seat, Execution.NOT_RUN)
-            return await self._exchange(connection, dispatch, left_ms)
+            sent_s = self._write(connection, dispatch, left_ms)
+            if await self._is_late(connection, dispatch, sent_s):
+                return LateHead(dispatch, connection, sent_s)
+            return await self._head(connection, dispatch, sent_s)
         except BaseException:
             connection.close()
             raise
 
-    async def _exchange(
-        self, connection: RunnerConnection, dispatch: Dispatch, left_ms: float
-    ) -> OpenedAnswer | Failure:
-        """Write the request on a connection and wait for the head."""
+    def _write(self, connection: RunnerConnection, dispatch: Dispatch, left_ms: float) -> float:
+        """Write the request on a connection; returns when, in the loop's seconds."""
         request = dispatch.request
         headers = self._dialect.forwarded(
             end_to_end(request.headers),
@@ -254,22 +312,35 @@
             dispatch.last_event_id,
         )
         connection.send(request.method, request.target, headers, request.body)
-        sent_s = self._loop.time()
+        return self._loop.time()
+
+    async def _is_late(
+        self, connection: RunnerConnection, dispatch: Dispatch, sent_s: float
+    ) -> bool:
+        """Wait for a head until the soft limit; returns whether another back end may be asked."""
+        patience = dispatch.patience
+        if patience.soft_s >= patience.hard_s:
+            return False
         try:
-            return await self._head(connection, dispatch)
-        finally:
-            now_s = self._loop.time()
-            dispatch.seat.answered(now_s - sent_s, dispatch.facts.tokens_in, now_s)
+            async with asyncio.timeout_at(patience.soft_s):
+                await connection.wait_event()
+        except TimeoutError:
+            self._note_delay(dispatch, sent_s)
+            return patience.may_hedge()
+        return False
 
     async def _head(
-        self, connection: RunnerConnection, dispatch: Dispatch
+        self, connection: RunnerConnection, dispatch: Dispatch, sent_s: float
     ) -> OpenedAnswer | Failure:
         seat = dispatch.seat
         try:
-            head = await self._first_event(connection, dispatch.patience)
+            async with asyncio.timeout_at(dispatch.patience.hard_s):
+                head = await connection.next_event()
         except TimeoutError:
             connection.close()
             return _late(seat, Execution.UNKNOWN)
+        finally:
+            self._note_delay(dispatch, sent_s)
         if not isinstance(head, AnswerHead):
             self._balancer.failed(seat, self._loop.time())
             connection.close()
@@ -284,16 +355,9 @@
         self._balancer.succeeded(seat, self._loop.time())
         return opened
 
-    async def _first_event(self, connection: RunnerConnection, patience: Patience) -> AnswerEvent:
-        """Wait for a head; raises TimeoutError when it is to be waited for no longer."""
-        try:
-            async with asyncio.timeout_at(min(patience.soft_s, patience.hard_s)):
-                return await connection.next_event()
-        except TimeoutError:
-            if patience.soft_s >= patience.hard_s or patience.may_move():
-                raise
-        async with asyncio.timeout_at(patience.hard_s):
-            return await connection.next_event()
+    def _note_delay(self, dispatch: Dispatch, sent_s: float) -> None:
+        now_s = self._loop.time()
+        dispatch.seat.answered(now_s - sent_s, dispatch.facts.tokens_in, now_s)
 
     async def _refusal(self, answer: OpenedAnswer, facts: RequestFacts) -> Failure | None:
         """Return a failure for an answer that is not the caller's, or says "not run"."""
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -21,14 +21,15 @@
     suspect_under_way,
     unsure_of_route,
 )
-from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
+from leverjunction.proxy.attempt import Dispatch, LateHead, OpenedAnswer, Patience, Sender
 from leverjunction.proxy.balancer import Balancer, Choice
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.dialect import Dialect, RequestFacts
 from leverjunction.proxy.events import EventSplitter
 from leverjunction.proxy.headers import end_to_end, find
+from leverjunction.proxy.hedging import first_opened
 from leverjunction.proxy.journal import ProxyJournal
-from leverjunction.proxy.patience import MOVE_RATIO, HeadTimes
+from leverjunction.proxy.patience import HEDGE_RATIO, HeadTimes
 from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.proxy.runner_seat import RunnerSeat
@@ -128,7 +129,7 @@
         until_s = request.arrived_s + timeout_ms / 1000
         service = draw_service(route, self._random)
         work = Work(request, facts, route, service, index.table.version, until_s)
-        self._budget.request(work.service, MOVE_RATIO, self._loop.time())
+        self._budget.request(work.service, HEDGE_RATIO, self._loop.time())
         try:
             await self._forward(work, responder)
         except asyncio.CancelledError:
@@ -200,43 +201,95 @@
             choice = self._choose(work, now_s)
             if choice is None:
                 return no_runner(work.service)
-            seat = choice.seat
-            work.tried.add(seat.record.start)
-            work.first_output_s = None
-            sent_s = self._loop.time()
-            answer = await self._sender.send(
-                Dispatch(
-                    work.request,
-                    work.facts,
-                    seat,
-                    repeatable=work.route.repeatable,
-                    last_event_id=last_event_id,
-                    until_s=work.until_s,
-                    patience=self._patience(work, now_s),
-                )
-            )
-            self._journal.sent(work, choice, answer, self._loop.time())
-            if not isinstance(answer, Failure):
-                work.runs += 1
-                work.execution = Execution.UNKNOWN
-                self._times_of(work.route).note(self._loop.time() - sent_s)
-                if _is_fault(answer.head.status):
-                    self._balancer.failed(seat, self._loop.time())
+            answer = await self._send(work, choice, last_event_id)
+            if isinstance(answer, LateHead):
+                if self._has_untried(work):
+                    return await self._hedge(work, choice, answer, last_event_id)
+                self._sender.abandon(answer)
+                answer = answer.failure
+            elif not isinstance(answer, Failure):
                 return answer
-            if answer.kind is FailureKind.NOT_LISTENING:
-                self._quarantine.not_listening(seat.record)
             if answer.execution is Execution.NOT_RUN:
                 declined += 1
                 if declined >= DECLINED_MOST:
                     return no_runner(work.service)
                 continue
-            work.runs += 1
-            work.execution = Execution.UNKNOWN
-            if is_lost_run(answer):
-                await self._lost(work, seat, answer)
             if not work.may_run_again:
                 return answer
 
+    async def _send(
+        self, work: Work, choice: Choice, last_event_id: str
+    ) -> OpenedAnswer | LateHead | Failure:
+        """Send a request to a back end and note what comes of it."""
+        seat = choice.seat
+        work.tried.add(seat.record.start)
+        work.first_output_s = None
+        sent_s = self._loop.time()
+        answer = await self._sender.begin(
+            Dispatch(
+                work.request,
+                work.facts,
+                seat,
+                repeatable=work.route.repeatable,
+                last_event_id=last_event_id,
+                until_s=work.until_s,
+                patience=self._patience(work, sent_s),
+            )
+        )
+        if isinstance(answer, LateHead):
+            self._journal.sent(work, choice, answer.failure, self._loop.time())
+            work.note_run()
+            return answer
+        if not isinstance(answer, Failure) or answer.execution is not Execution.NOT_RUN:
+            work.note_run()
+        await self._note(work, choice, answer, sent_s)
+        return answer
+
+    async def _note(
+        self, work: Work, choice: Choice, answer: OpenedAnswer | Failure, sent_s: float
+    ) -> None:
+        """Learn from the head of an answer, or from its failure."""
+        seat = choice.seat
+        self._journal.sent(work, choice, answer, self._loop.time())
+        if not isinstance(answer, Failure):
+            self._times_of(work.route).note(self._loop.time() - sent_s)
+            if _is_fault(answer.head.status):
+                self._balancer.failed(seat, self._loop.time())
+            return
+        if answer.kind is FailureKind.NOT_LISTENING:
+            self._quarantine.not_listening(seat.record)
+        if answer.execution is not Execution.NOT_RUN and is_lost_run(answer):
+            await self._lost(work, seat, answer)
+
+    def _has_untried(self, work: Work) -> bool:
+        return any(
+            seat.record.start not in work.tried for seat in self._balancer.seats(work.service)
+        )
+
+    async def _hedge(
+        self, work: Work, choice: Choice, late: LateHead, last_event_id: str
+    ) -> OpenedAnswer | Failure:
+        """Ask another back end while a late head is waited for; return what comes first.
+
+        The one that is late may be sound, and the other one silent.
+        """
+        try:
+            return await first_opened(
+                self._late_answer(work, choice, late),
+                self._answer(work, last_event_id),
+                lambda answer: self._sender.finish(answer, whole=False),
+            )
+        finally:
+            # A task that is cancelled before its first step never gets to wait for the head.
+            self._sender.abandon(late)
+
+    async def _late_answer(
+        self, work: Work, choice: Choice, late: LateHead
+    ) -> OpenedAnswer | Failure:
+        answer = await self._sender.wait(late)
+        await self._note(work, choice, answer, late.sent_s)
+        return answer
+
     def _choose(self, work: Work, now_s: float) -> Choice | None:
         """Return the back end of the next send."""
         if not work.key:
@@ -304,16 +357,16 @@
             self._balancer.ran(work.service, self._loop.time() - headed_s + unqueued_s)
 
     def _patience(self, work: Work, now_s: float) -> Patience:
-        """Return how long to wait for a head before another back end is asked instead."""
+        """Return how long to wait for a head before another back end is asked too."""
         # A suspect is never asked of two back ends at once: each run may end one.
         last_run = work.runs + 1 >= max(1, work.route.max_attempts)
         if not work.route.repeatable or last_run or work.key:
             return Patience.until(work.until_s)
         patience_s = self._times_of(work.route).patience_s(work.route.target_ms)
         soft_s = now_s + patience_s + work.prompt.read_ms / 1000
-        return Patience(work.until_s, soft_s, lambda: self._may_move(work))
+        return Patience(work.until_s, soft_s, lambda: self._may_hedge(work))
 
-    def _may_move(self, work: Work) -> bool:
+    def _may_hedge(self, work: Work) -> bool:
         return self._budget.take(work.service, self._loop.time())
 
     def _times_of(self, route: Route) -> HeadTimes:
--- a/src/leverjunction/proxy/patience.py
+++ b/src/leverjunction/proxy/patience.py
@@ -1,9 +1,9 @@
-"""How long to wait for the head of an answer before another back end is asked instead. Pure.
+"""How long to wait for the head of an answer before another back end is asked too. Pure.
 
 Only for requests that may run again. A head that does not come is mostly lost: its back end died,
-hangs, or lost the answer. Waiting as long as the caller would makes the answer late for certain;
-asking too early runs requests twice for nothing. So the patience follows the heads that came
-lately, and a budget bounds how many requests are asked for again.
+hangs, or lost the answer. Waiting for it alone makes the answer late for certain; asking too early
+runs requests twice for nothing. So the patience follows the heads that came lately, a budget bounds
+how many requests are asked for again, and a head that was only late is still taken.
 """
 
 from __future__ import annotations
@@ -29,9 +29,9 @@
 UNKNOWN_MIN_S = 0.4
 """Patience while few heads were seen: so many targets, and at least this."""
 
-MOVE_RATIO = 0.05
+HEDGE_RATIO = 0.05
 """Requests that may be asked for again, as a share of all: under overload heads are late
-everywhere, and moving requests would only add load.
+everywhere, and asking twice would only add load.
 """
 
 
--- a/src/leverjunction/proxy/runner_connection.py
+++ b/src/leverjunction/proxy/runner_connection.py
@@ -113,15 +113,19 @@
 
     async def next_event(self) -> AnswerEvent:
         """Return the next part of the answer; after its end or a failure, nothing more comes."""
-        while not self._events:
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
+        await self.wait_event()
         event = self._events.popleft()
         if isinstance(event, bytes):
             self._unread_bytes -= len(event)
             self._resume()
         return event
 
+    async def wait_event(self) -> None:
+        """Return once ``next_event`` has a part of the answer to return."""
+        while not self._events:
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+
     def pace(self, interval_s: float) -> None:
         """Take the rest of this answer only so often, several parts at a time.
 
--- a/src/leverjunction/proxy/work.py
+++ b/src/leverjunction/proxy/work.py
@@ -68,6 +68,11 @@
         self.trials: list[str] = []
         self.first_output_s: float | None = None
 
+    def note_run(self) -> None:
+        """Note that a back end may have run it."""
+        self.runs += 1
+        self.execution = Execution.UNKNOWN
+
     def note_output(self, now_s: float) -> None:
         """Note that a part of the answer's body has come."""
         if self.first_output_s is None:
--- a/src/testbed/routed/behaviours.py
+++ b/src/testbed/routed/behaviours.py
@@ -18,6 +18,9 @@
 
 Behaviour = Callable[[Exchange], Awaitable[None]]
 BEHAVIOURS: dict[str, Behaviour] = {}
+LATE_S = 0.15
+"""Time to the head of an answer that is late but whole."""
+
 ENDED_HERE = frozenset({"answer lost", "rest lost", "end lost"})
 """The back end is done with the request, though its sender waits on: its report tells of none."""
 
@@ -40,6 +43,12 @@
     exchange.end()
 
 
+@behaviour("late")
+async def _late(exchange: Exchange) -> None:
+    await asyncio.sleep(LATE_S)
+    await _whole(exchange)
+
+
 @behaviour("unprocessable")
 async def _unprocessable(exchange: Exchange) -> None:
     exchange.head(422, [*exchange.headers(), ("Content-Length", "3")])
