Simulator: a second shape of the seeded deployment, with slow disks and links, stepped clocks, a rival operator

Change: what a deployment consists of is data (SeededShape); 'seeded' keeps its kinds of faults, so its seeds draw as before, and 'seeded-wide' has four kinds more and a rival. Kinds and schedules have a module of their own. A kind that a shape does not have is refused with those there are.

Failed try: the first operator took an answer with a version above its own for a refusal, and would have sent for good once the rival was ahead; the protocol acknowledges it.

Not shown: a fault of the product; none was found.

--- a/src/testbed/simulation/arguments.py
+++ b/src/testbed/simulation/arguments.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import TypeVar
@@ -12,8 +13,8 @@
 from testbed.simulation.run import Plan
 from testbed.simulation.scenario import SCENARIOS
 from testbed.simulation.seeded.broken import SEEDED_RULES
-from testbed.simulation.seeded.faults import SeededFaultKind
-from testbed.simulation.seeded.world import SEEDED
+from testbed.simulation.seeded.fault_kinds import SeededFaultKind
+from testbed.simulation.seeded.shape import SHAPES
 from testbed.simulation.variation import Source, Variation, variations
 
 Named = TypeVar("Named", bound=StrEnum)
@@ -51,7 +52,7 @@
         rules = _rules(scenario).items()
         return [f"{name:36} {rule.summary} [{rule.caught_by}]" for name, rule in rules]
     if faults == LIST:
-        return list(_kinds(scenario))
+        return [kind.value for kind in _kinds(scenario)]
     return list(Source) if source == LIST else []
 
 
@@ -61,10 +62,10 @@
     Raises:
         BadArgumentError: One of them names nothing.
     """
-    known = scenario in SCENARIOS or scenario == SEEDED
+    known = scenario in SCENARIOS or scenario in SHAPES
     if not known or (break_rule and break_rule not in _rules(scenario)):
         raise BadArgumentError(
-            f"unknown scenario or rule; scenarios: {', '.join([*SCENARIOS, SEEDED])}; --break list"
+            f"unknown scenario or rule; scenarios: {', '.join([*SCENARIOS, *SHAPES])}; --break list"
         )
     only = _members(_kinds(scenario), faults, f"unknown fault in {faults!r}; see --faults list")
     return Plan(scenario, break_rule, only, _variation(draw), _positions(without))
@@ -79,7 +80,7 @@
     if seeds < 1:
         raise BadArgumentError(f"--seeds takes a number from 1, not {seeds}")
     unknown = f"unknown source in {source!r}; there are: {', '.join(Source)}"
-    sources = _members(Source, source, unknown)
+    sources = _members(list(Source), source, unknown)
     if near == NO_SEED:
         return Asked(plan, [(plan, first_seed + number) for number in range(seeds)])
     beside = variations(seeds, sources)
@@ -87,19 +88,20 @@
 
 
 def _rules(scenario: str) -> dict[str, Rule]:
-    return SEEDED_RULES if scenario == SEEDED else RULES
+    return SEEDED_RULES if scenario in SHAPES else RULES
 
 
-def _kinds(scenario: str) -> type[FaultKind] | type[SeededFaultKind]:
-    return SeededFaultKind if scenario == SEEDED else FaultKind
+def _kinds(scenario: str) -> list[FaultKind | SeededFaultKind]:
+    return list(SHAPES[scenario].weights) if scenario in SHAPES else list(FaultKind)
 
 
-def _members(kind: type[Named], names: Names, otherwise: str) -> tuple[Named, ...]:
+def _members(kinds: Sequence[Named], names: Names, otherwise: str) -> tuple[Named, ...]:
     """Return the named members, none for an empty text."""
     given = names.split(",") if isinstance(names, str) else names
+    known = {kind.value: kind for kind in kinds}
     try:
-        return tuple(kind(name) for name in given if name)
-    except ValueError as error:
+        return tuple(known[name] for name in given if name)
+    except KeyError as error:
         raise BadArgumentError(otherwise) from error
 
 
--- a/src/testbed/simulation/machine.py
+++ b/src/testbed/simulation/machine.py
@@ -51,6 +51,10 @@
         elapsed_ms = int(self._scheduler.now_s * SECONDS_TO_MS)
         return WALL_EPOCH_MS + elapsed_ms + self._wall_offset_ms
 
+    def step_wall_clock(self, by_ms: int) -> None:
+        """Set the wall clock forward, or back by a negative number."""
+        self._wall_offset_ms += by_ms
+
     def after(self, delay_s: float, callback: Callback) -> None:
         """Set a timer of the running incarnation."""
         incarnation = self.incarnation
--- a/src/testbed/simulation/network.py
+++ b/src/testbed/simulation/network.py
@@ -57,6 +57,7 @@
         self._random = randomness
         self._profile = profile
         self._cut_links: set[tuple[str, str]] = set()
+        self._slow_s: dict[str, float] = {}
 
     def add(self, machine: Machine) -> Machine:
         """Attach a machine under its name."""
@@ -81,6 +82,10 @@
         """Repair every cut link."""
         self._cut_links.clear()
 
+    def slow(self, name: str, delay_s: float) -> None:
+        """Have all messages of a machine, in both directions, take longer; 0 for no longer."""
+        self._slow_s[name] = delay_s
+
     def calm(self) -> None:
         """From now on lose, duplicate and hold back nothing: the end phase of a run."""
         self._profile = NetworkProfile(loss=0.0, duplication=0.0, straggler=0.0)
@@ -168,7 +173,7 @@
         if self._chance(self._profile.straggler):
             self.counts["message_late"] += 1
             delay_s += self._random.random() * self._profile.straggler_s
-        return delay_s
+        return delay_s + self._slow_s.get(source, 0.0) + self._slow_s.get(destination, 0.0)
 
     def _zone(self, name: str) -> str:
         machine = self.machines.get(name)
--- a/src/testbed/simulation/replica.py
+++ b/src/testbed/simulation/replica.py
@@ -50,12 +50,16 @@
         store: The product's store, in memory.
         crash_in_sync: Set by a fault: the next sync ends the process.
         commits: Number of syncs.
+        slow_sync_s: Longest further time of a sync.
+        stalled_until_s: No sync ends before, by the steady clock of its machine.
     """
 
     def __init__(self, generator: random.Random) -> None:
         self._random = generator
         self.crash_in_sync = False
         self.commits = 0
+        self.slow_sync_s = 0.0
+        self.stalled_until_s = 0.0
         self.store = self._new_store()
 
     def wipe(self) -> None:
@@ -226,7 +230,9 @@
         duration_s = SYNC_FASTEST_S + self._random.expovariate(1.0) * SYNC_MEAN_S
         if self._random.random() < SYNC_STALL_SHARE:
             duration_s += self._random.random() * SYNC_STALL_S
-        return duration_s
+        if self.disk.slow_sync_s > 0.0:
+            duration_s += self._random.random() * self.disk.slow_sync_s
+        return max(duration_s, self.disk.stalled_until_s - self._machine.monotonic_s())
 
     def _synced(self) -> None:
         """The sync's time is over: what waited for it leaves, and the next batch begins."""
--- a/src/testbed/simulation/run.py
+++ b/src/testbed/simulation/run.py
@@ -19,9 +19,10 @@
 from testbed.simulation.result import Report, SeedResult
 from testbed.simulation.scenario import SCENARIOS
 from testbed.simulation.seeded.checkers import CHECKERS as SEEDED_CHECKERS
-from testbed.simulation.seeded.faults import SeededFault, SeededFaultKind
+from testbed.simulation.seeded.fault_kinds import SeededFault, SeededFaultKind
+from testbed.simulation.seeded.shape import SHAPES
 from testbed.simulation.seeded.timeline import follow as follow_seeded
-from testbed.simulation.seeded.world import SEEDED, SeededWorld
+from testbed.simulation.seeded.world import SeededWorld
 from testbed.simulation.seeded.world import planned_faults as seeded_faults
 from testbed.simulation.timeline import follow
 from testbed.simulation.variation import Variation
@@ -49,9 +50,9 @@
 
 def faults_of(plan: Plan, seed: int) -> Sequence[Fault | SeededFault]:
     """Return the schedule of faults of a seed; ``Plan.without`` names positions in it."""
-    if plan.scenario == SEEDED:
+    if plan.scenario in SHAPES:
         kinds = [kind for kind in plan.only if isinstance(kind, SeededFaultKind)]
-        return seeded_faults(seed, kinds, plan.variation)
+        return seeded_faults(SHAPES[plan.scenario], seed, kinds, plan.variation)
     return planned_faults(seed, _kinds(plan), plan.variation)
 
 
@@ -63,7 +64,7 @@
     """Run one seed and check every promise; ``timeline`` gets a line for all that happened."""
     logger.remove()
     began_s = time.process_time()
-    play = _play_seeded if plan.scenario == SEEDED else _play
+    play = _play_seeded if plan.scenario in SHAPES else _play
     with BrokenRule(plan.broken_rule):
         result = play(plan, seed, timeline)
     result.variation = plan.variation.name if plan.variation else ""
@@ -90,7 +91,7 @@
 
 def _play_seeded(plan: Plan, seed: int, timeline: list[str] | None) -> SeedResult:
     kinds = [kind for kind in plan.only if isinstance(kind, SeededFaultKind)]
-    world = SeededWorld(seed, kinds, plan.variation, plan.without)
+    world = SeededWorld(SHAPES[plan.scenario], seed, kinds, plan.variation, plan.without)
     errors = _errors_of(world.fibers.threads)
     if timeline is not None:
         follow_seeded(world, timeline)
--- a/src/testbed/simulation/seeded/broken.py
+++ b/src/testbed/simulation/seeded/broken.py
@@ -11,7 +11,7 @@
 from leverjunction.consensus.status import unknown_status
 from leverjunction.consensus.types import GroupConfig
 from leverjunction.errors import Failure, FailureKind
-from leverjunction.registry import follower
+from leverjunction.registry import follower, node
 from leverjunction.registry.asking_plan import RETRY_PAUSE_S, AskingPlan
 from leverjunction.registry.commands import TableHeld, TableSource, WatchRequest
 from leverjunction.registry.follower import RegistryFollower
@@ -101,6 +101,11 @@
     return [mock.patch.object(RegistryNode, "put_table", hopeful)]
 
 
+def take_any_table() -> list[Any]:
+    """Return the patches: a table is replicated without a check."""
+    return [mock.patch.object(node, "check_table", lambda _table: None)]
+
+
 def wait_for_good_after_a_silence() -> list[Any]:
     """Return the patches."""
 
@@ -117,6 +122,7 @@
 _IN_FORCE = "routes_in_force"
 _BACK = "routes_never_back"
 _READS = "reads_are_fresh"
+_ONE = "one_table_per_version"
 _MOVES = "moves_again_after_the_last_fault"
 
 SEEDED_RULES: dict[str, Rule] = {
@@ -138,6 +144,7 @@
     "acknowledge_a_table_before_commit": Rule(
         "a table is acknowledged whatever became of it", _IN_FORCE, acknowledge_before_commit
     ),
+    "take_any_table": Rule("an invalid table is replicated", _ONE, take_any_table),
     "wait_for_good_after_a_silence": Rule(
         "a gateway asks nobody any more once its control process was silent",
         _MOVES,
--- a/src/testbed/simulation/seeded/checkers.py
+++ b/src/testbed/simulation/seeded/checkers.py
@@ -123,6 +123,29 @@
         return finding
 
 
+class OneTablePerVersion:
+    """All gateways have the same table under a version, and no invalid one."""
+
+    name = "one_table_per_version"
+
+    def check(self, history: SeededHistory) -> Finding:
+        """Check the routes of each version at each gateway."""
+        finding = Finding()
+        known: dict[int, InForce] = {}
+        for entry in history.in_force:
+            first = known.setdefault(entry.version, entry)
+            finding.expect(
+                entry.routes == first.routes,
+                f"version {entry.version} has the routes {entry.routes} at {entry.gateway} and "
+                f"{first.routes} at {first.gateway}",
+            )
+            finding.expect(
+                len(set(entry.routes)) == len(entry.routes),
+                f"{entry.gateway} has an invalid table in force, version {entry.version}",
+            )
+        return finding
+
+
 def majority_well(control: dict[str, list[Span]], begin_s: float, end_s: float) -> bool:
     """Return whether at most a minority of the control processes was disturbed in a stretch."""
     disturbed = sum(overlaps(spans, begin_s, end_s) for spans in control.values())
@@ -136,4 +159,4 @@
     return list(first.values())
 
 
-CHECKERS = (RoutesInForce(), NeverBack(), ReadsAreFresh(), MovesAgain())
+CHECKERS = (RoutesInForce(), NeverBack(), ReadsAreFresh(), MovesAgain(), OneTablePerVersion())
--- /dev/null
+++ b/src/testbed/simulation/seeded/fault_kinds.py
@@ -0,0 +1,97 @@
+"""Kinds of faults of a simulated seeded deployment, and schedules of them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from testbed.simulation.faults import together_moments
+
+FEWEST_FAULTS = 3
+MOST_FAULTS = 10
+SHORTEST_S = 0.3
+LONGEST_S = 8.0
+
+
+class SeededFaultKind(StrEnum):
+    """Kinds of faults, as they are counted in a report."""
+
+    KILL_CONTROL = "kill_control"
+    START_ON_FULL_DISK = "start_on_full_disk"
+    LOSE_DISK = "lose_disk"
+    FREEZE_CONTROL = "freeze_control"
+    CUT_CONTROL = "cut_control"
+    CUT_CONTROL_ONE_WAY = "cut_control_one_way"
+    RESTART_ALL_CONTROL = "restart_all_control"
+    KILL_GATEWAY = "kill_gateway"
+    FREEZE_GATEWAY = "freeze_gateway"
+    CUT_GATEWAY = "cut_gateway"
+    SLOW_DISK = "slow_disk"
+    STALL_DISK = "stall_disk"
+    SLOW_LINKS = "slow_links"
+    STEP_CLOCK = "step_clock"
+
+
+WEIGHTS: dict[SeededFaultKind, float] = {
+    SeededFaultKind.KILL_CONTROL: 3,
+    SeededFaultKind.START_ON_FULL_DISK: 2,
+    SeededFaultKind.LOSE_DISK: 2,
+    SeededFaultKind.FREEZE_CONTROL: 3,
+    SeededFaultKind.CUT_CONTROL: 2,
+    SeededFaultKind.CUT_CONTROL_ONE_WAY: 2,
+    SeededFaultKind.RESTART_ALL_CONTROL: 0.5,
+    SeededFaultKind.KILL_GATEWAY: 1,
+    SeededFaultKind.FREEZE_GATEWAY: 1,
+    SeededFaultKind.CUT_GATEWAY: 1,
+}
+
+WIDE_WEIGHTS: dict[SeededFaultKind, float] = {
+    **WEIGHTS,
+    SeededFaultKind.SLOW_DISK: 3,
+    SeededFaultKind.STALL_DISK: 2,
+    SeededFaultKind.SLOW_LINKS: 3,
+    SeededFaultKind.STEP_CLOCK: 2,
+}
+
+
+@dataclass(frozen=True)
+class SeededFault:
+    """One fault of a schedule.
+
+    Attributes:
+        at_s: When it strikes.
+        kind: What goes wrong.
+        duration_s: How long it lasts.
+        target: Number that chooses the target among those there are.
+        at_leader: True when a control fault shall strike the leader.
+    """
+
+    at_s: float
+    kind: SeededFaultKind
+    duration_s: float
+    target: int
+    at_leader: bool
+
+
+def schedule(
+    generator: random.Random,
+    begin_s: float,
+    end_s: float,
+    weights: Mapping[SeededFaultKind, float],
+    only: Sequence[SeededFaultKind] = (),
+) -> list[SeededFault]:
+    """Return a random schedule between two moments, in order of time."""
+    count = generator.randint(FEWEST_FAULTS, MOST_FAULTS)
+    kinds = list(only) or list(weights)
+    return [
+        SeededFault(
+            at_s=moment_s,
+            kind=generator.choices(kinds, [weights[kind] for kind in kinds])[0],
+            duration_s=float(SHORTEST_S * (LONGEST_S / SHORTEST_S) ** generator.random()),
+            target=generator.randrange(1 << 16),
+            at_leader=generator.random() < 0.5,
+        )
+        for moment_s in together_moments(generator, count, begin_s, end_s)
+    ]
--- a/src/testbed/simulation/seeded/faults.py
+++ b/src/testbed/simulation/seeded/faults.py
@@ -2,94 +2,26 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
-from enum import StrEnum
 from functools import partial
 from typing import TYPE_CHECKING
 
 from leverjunction.consensus.events import RepairDone
-from testbed.simulation.faults import together_moments
 from testbed.simulation.history import Span
+from testbed.simulation.seeded.fault_kinds import SeededFault, SeededFaultKind
 
 if TYPE_CHECKING:
     from testbed.simulation.seeded.processes import ControlProcess, GatewayProcess
     from testbed.simulation.seeded.world import SeededWorld
 
-FEWEST_FAULTS = 3
-MOST_FAULTS = 10
-SHORTEST_S = 0.3
-LONGEST_S = 8.0
-
-
-class SeededFaultKind(StrEnum):
-    """Kinds of faults, as they are counted in a report."""
-
-    KILL_CONTROL = "kill_control"
-    START_ON_FULL_DISK = "start_on_full_disk"
-    LOSE_DISK = "lose_disk"
-    FREEZE_CONTROL = "freeze_control"
-    CUT_CONTROL = "cut_control"
-    CUT_CONTROL_ONE_WAY = "cut_control_one_way"
-    RESTART_ALL_CONTROL = "restart_all_control"
-    KILL_GATEWAY = "kill_gateway"
-    FREEZE_GATEWAY = "freeze_gateway"
-    CUT_GATEWAY = "cut_gateway"
-
-
-WEIGHTS: dict[SeededFaultKind, float] = {
-    SeededFaultKind.KILL_CONTROL: 3,
-    SeededFaultKind.START_ON_FULL_DISK: 2,
-    SeededFaultKind.LOSE_DISK: 2,
-    SeededFaultKind.FREEZE_CONTROL: 3,
-    SeededFaultKind.CUT_CONTROL: 2,
-    SeededFaultKind.CUT_CONTROL_ONE_WAY: 2,
-    SeededFaultKind.RESTART_ALL_CONTROL: 0.5,
-    SeededFaultKind.KILL_GATEWAY: 1,
-    SeededFaultKind.FREEZE_GATEWAY: 1,
-    SeededFaultKind.CUT_GATEWAY: 1,
-}
-
-
-@dataclass(frozen=True)
-class SeededFault:
-    """One fault of a schedule.
-
-    Attributes:
-        at_s: When it strikes.
-        kind: What goes wrong.
-        duration_s: How long it lasts.
-        target: Number that chooses the target among those there are.
-        at_leader: True when a control fault shall strike the leader.
-    """
-
-    at_s: float
-    kind: SeededFaultKind
-    duration_s: float
-    target: int
-    at_leader: bool
-
-
-def schedule(
-    generator: random.Random,
-    begin_s: float,
-    end_s: float,
-    only: Sequence[SeededFaultKind] = (),
-) -> list[SeededFault]:
-    """Return a random schedule between two moments, in order of time."""
-    count = generator.randint(FEWEST_FAULTS, MOST_FAULTS)
-    kinds = list(only) or list(WEIGHTS)
-    return [
-        SeededFault(
-            at_s=moment_s,
-            kind=generator.choices(kinds, [WEIGHTS[kind] for kind in kinds])[0],
-            duration_s=float(SHORTEST_S * (LONGEST_S / SHORTEST_S) ** generator.random()),
-            target=generator.randrange(1 << 16),
-            at_leader=generator.random() < 0.5,
-        )
-        for moment_s in together_moments(generator, count, begin_s, end_s)
-    ]
+SLOW_SYNC_S = 0.3
+"""Longest sync of a slow disk; half of it on average."""
+
+SLOW_LINK_S = 0.15
+"""One way over a slow link."""
+
+CLOCK_STEP_MS = 600_000
+"""By how much a wall clock is set forward or back."""
 
 
 class SeededFaults:
@@ -119,6 +51,10 @@
             SeededFaultKind.KILL_GATEWAY: self._kill_gateway,
             SeededFaultKind.FREEZE_GATEWAY: self._freeze_gateway,
             SeededFaultKind.CUT_GATEWAY: self._cut_gateway,
+            SeededFaultKind.SLOW_DISK: self._slow_disk,
+            SeededFaultKind.STALL_DISK: self._stall_disk,
+            SeededFaultKind.SLOW_LINKS: self._slow_links,
+            SeededFaultKind.STEP_CLOCK: self._step_clock,
         }
         struck = handlers[fault.kind](fault)
         self.on_strike(fault, struck)
@@ -278,3 +214,38 @@
         self._world.network.isolate(name, list(self._world.control))
         self._later(fault, lambda: self._world.network.heal(name))
         return True
+
+    def _slow_disk(self, fault: SeededFault) -> bool:
+        """Have each sync take long; the process runs, so that every promise holds."""
+        process = self._control(fault)
+        if process is None:
+            return False
+        disk = process.place.replica.disk
+        disk.slow_sync_s = SLOW_SYNC_S
+        self._later(fault, lambda: setattr(disk, "slow_sync_s", 0.0))
+        return True
+
+    def _stall_disk(self, fault: SeededFault) -> bool:
+        """Have no sync end before the fault does."""
+        process = self._control(fault)
+        if process is None:
+            return False
+        self._note_control(process, fault.duration_s)
+        process.place.replica.disk.stalled_until_s = self._world.scheduler.now_s + fault.duration_s
+        return True
+
+    def _slow_links(self, fault: SeededFault) -> bool:
+        """Slow all links of a control process, which every promise outlives."""
+        process = self._control(fault)
+        if process is None:
+            return False
+        self._world.network.slow(process.name, SLOW_LINK_S)
+        self._later(fault, lambda: self._world.network.slow(process.name, 0.0))
+        return True
+
+    def _step_clock(self, fault: SeededFault) -> bool:
+        """Set a wall clock for good; nothing may hang on it."""
+        machines = sorted(self._world.network.machines.values(), key=lambda one: one.name)
+        machine = machines[fault.target % len(machines)]
+        machine.step_wall_clock(CLOCK_STEP_MS if fault.at_leader else -CLOCK_STEP_MS)
+        return True
--- a/src/testbed/simulation/seeded/history.py
+++ b/src/testbed/simulation/seeded/history.py
@@ -19,12 +19,21 @@
 
 @dataclass(frozen=True)
 class InForce:
-    """A gateway put a version in force; ``incarnation`` counts its starts."""
+    """A gateway put a version in force.
+
+    Attributes:
+        gateway: Its name.
+        incarnation: Number of its start.
+        version: Version of the table.
+        at_s: When.
+        routes: Names of the table's routes.
+    """
 
     gateway: str
     incarnation: int
     version: int
     at_s: float
+    routes: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/testbed/simulation/seeded/operators.py
+++ b/src/testbed/simulation/seeded/operators.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from leverjunction.errors import Failure
 from leverjunction.registry.commands import TableHeld, TableSource
-from testbed.routed import make_table
+from leverjunction.registry.node import RegistryNode
+from leverjunction.routes import RouteClass
+from testbed.routed import make_route, make_table
 from testbed.simulation.fiber import Fibers, Resume
 from testbed.simulation.machine import Machine
 from testbed.simulation.network import Network, Reply
@@ -20,10 +22,18 @@
 LULL_SHARE = 0.05
 READ_SHARE = 0.4
 RESEND_SHARE = 0.1
+INVALID_SHARE = 0.3
+INVALID_AHEAD = 1000
+"""Versions by which an invalid table is ahead: accepted by mistake it would prevail."""
 
+RIVAL = "rival"
+INVALID = "invalid"
 
-class TableOperator:
-    """One operator; works in a fiber of its own machine."""
+Ask = Callable[[RegistryNode], object]
+
+
+class Operator:
+    """Calls control processes from a fiber of its own machine."""
 
     def __init__(
         self,
@@ -40,12 +50,44 @@
         self._fibers = fibers
         self._history = history
         self._random = generator
-        self._version = 0
 
     def start(self) -> None:
         """Begin to work."""
         self._fibers.spawn(self._machine, self._work)
 
+    def _work(self) -> None:
+        raise NotImplementedError
+
+    def _any_control(self) -> str:
+        return self._random.choice(sorted(self._control))
+
+    def _call(self, name: str, what: str, ask: Ask) -> object:
+        """Call a control process over its platform port; blocks the operator's fiber."""
+        process = self._control[name]
+
+        def handle(reply: Reply) -> None:
+            node = process.node
+            if node is not None:
+                self._fibers.spawn(process.place.machine, lambda: reply(ask(node)))
+
+        def arm(resume: Resume) -> None:
+            self._network.call(self._machine, name, handle, resume, CALL_TIMEOUT_S)
+
+        result = self._fibers.wait(arm)
+        failed = isinstance(result, Failure)
+        self._history.counts[f"{what}_{'failed' if failed else 'answered'}"] += 1
+        return result
+
+
+class TableOperator(Operator):
+    """Sends table after table, each under a higher version.
+
+    Attributes:
+        version: Version that it has sent last.
+    """
+
+    version = 0
+
     def _work(self) -> None:
         while True:
             self._change()
@@ -56,8 +98,8 @@
 
     def _change(self) -> None:
         """Send the next table until a machine accepts it."""
-        self._version += 1
-        version = self._version
+        self.version += 1
+        version = self.version
         while not self._put(version):
             self._fibers.sleep(self._machine, PAUSE_S / 3)
         if self._random.random() < RESEND_SHARE:
@@ -65,35 +107,55 @@
             self._put(version)
 
     def _put(self, version: int) -> bool:
-        name = self._random.choice(sorted(self._control))
+        name = self._any_control()
         table = make_table(version=version)
         held = self._call(name, "put", lambda node: node.put_table(table, str(version)))
-        if not isinstance(held, TableHeld) or held.version != version:
+        # A machine that holds a later version acknowledges an earlier one too.
+        if not isinstance(held, TableHeld) or held.version < version:
             return False
         at_s = self._machine.monotonic_s()
         self._history.acknowledged.append(Acknowledged(version, at_s, name))
         return True
 
     def _read(self) -> None:
-        name = self._random.choice(sorted(self._control))
+        name = self._any_control()
         called_s = self._machine.monotonic_s()
         source = self._call(name, "read", lambda node: node.table_source())
         if isinstance(source, TableSource):
             self._history.reads.append(Read(name, called_s, source.version))
 
-    def _call(self, name: str, what: str, ask) -> object:  # type: ignore[no-untyped-def]
-        """Call a control process over its platform port; blocks the operator's fiber."""
-        process = self._control[name]
 
-        def handle(reply: Reply) -> None:
-            node = process.node
-            if node is not None:
-                self._fibers.spawn(process.place.machine, lambda: reply(ask(node)))
+class RivalOperator(Operator):
+    """Sends other tables under another operator's versions, and tables that are invalid."""
 
-        def arm(resume: Resume) -> None:
-            self._network.call(self._machine, name, handle, resume, CALL_TIMEOUT_S)
+    def __init__(
+        self,
+        machine: Machine,
+        control: Mapping[str, ControlProcess],
+        network: Network,
+        fibers: Fibers,
+        history: SeededHistory,
+        generator: random.Random,
+        rivalled: TableOperator,
+    ) -> None:
+        super().__init__(machine, control, network, fibers, history, generator)
+        self._rivalled = rivalled
 
-        result = self._fibers.wait(arm)
-        failed = isinstance(result, Failure)
-        self._history.counts[f"{what}_{'failed' if failed else 'answered'}"] += 1
-        return result
+    def _work(self) -> None:
+        while True:
+            if self._random.random() < INVALID_SHARE:
+                self._send_invalid()
+            else:
+                self._send_other()
+            self._fibers.sleep(self._machine, self._random.random() * PAUSE_S * 2)
+
+    def _send_other(self) -> None:
+        # The version that the other one sends next: either of the two may come first.
+        version = self._rivalled.version + self._random.randrange(2)
+        table = make_table(make_route(RouteClass.ONCE, name="rival"), version=max(1, version))
+        self._call(self._any_control(), "rival", lambda node: node.put_table(table, RIVAL))
+
+    def _send_invalid(self) -> None:
+        route = make_route(RouteClass.ONCE, name=INVALID)
+        table = make_table(route, route, version=self._rivalled.version + INVALID_AHEAD)
+        self._call(self._any_control(), INVALID, lambda node: node.put_table(table, INVALID))
--- a/src/testbed/simulation/seeded/processes.py
+++ b/src/testbed/simulation/seeded/processes.py
@@ -135,5 +135,6 @@
             return
         self._version = version
         machine = self.machine
-        entry = InForce(machine.name, machine.incarnation, version, machine.monotonic_s())
+        routes = tuple(route.name for route in snapshot.table.routes)
+        entry = InForce(machine.name, machine.incarnation, version, machine.monotonic_s(), routes)
         self._history.in_force.append(entry)
--- /dev/null
+++ b/src/testbed/simulation/seeded/shape.py
@@ -0,0 +1,47 @@
+"""Shapes of the simulated seeded deployment: sizes, faults and operators, by scenario."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from testbed.simulation.seeded.fault_kinds import WEIGHTS, WIDE_WEIGHTS, SeededFaultKind
+
+SEEDED = "seeded"
+SEEDED_WIDE = "seeded-wide"
+
+
+@dataclass(frozen=True)
+class SeededShape:
+    """What a deployment consists of; a seed draws within it.
+
+    Attributes:
+        control_sizes: Numbers of control processes to draw from.
+        fewest_gateways: Least number of gateways.
+        most_gateways: Greatest number of gateways.
+        zones: Zones, over which machines are spread in turn.
+        weights: Kinds of faults, and how often each strikes beside the others.
+        has_rival: A second operator sends other tables under the first one's versions, and
+            invalid ones.
+    """
+
+    control_sizes: tuple[int, ...] = (3, 5, 5)
+    fewest_gateways: int = 3
+    most_gateways: int = 9
+    zones: tuple[str, ...] = ("a", "b", "c")
+    weights: Mapping[SeededFaultKind, float] = field(default_factory=lambda: WEIGHTS)
+    has_rival: bool = False
+
+
+SHAPES: dict[str, SeededShape] = {
+    SEEDED: SeededShape(),
+    SEEDED_WIDE: SeededShape(
+        control_sizes=(4, 7, 9),
+        fewest_gateways=2,
+        most_gateways=16,
+        zones=("a", "b"),
+        weights=WIDE_WEIGHTS,
+        has_rival=True,
+    ),
+}
+"""Shapes by the name of their scenario on the command line."""
--- a/src/testbed/simulation/seeded/timeline.py
+++ b/src/testbed/simulation/seeded/timeline.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from testbed.simulation.seeded.faults import SeededFault
+from testbed.simulation.seeded.fault_kinds import SeededFault
 
 if TYPE_CHECKING:
     from testbed.simulation.seeded.world import SeededWorld
--- a/src/testbed/simulation/seeded/world.py
+++ b/src/testbed/simulation/seeded/world.py
@@ -17,24 +17,19 @@
 from testbed.simulation.replica import Replica
 from testbed.simulation.rpc import RpcBoard
 from testbed.simulation.scheduler import Scheduler
-from testbed.simulation.seeded.faults import SeededFault, SeededFaultKind, SeededFaults, schedule
+from testbed.simulation.seeded.fault_kinds import SeededFault, SeededFaultKind, schedule
+from testbed.simulation.seeded.faults import SeededFaults
 from testbed.simulation.seeded.history import SeededHistory
-from testbed.simulation.seeded.operators import TableOperator
+from testbed.simulation.seeded.operators import RivalOperator, TableOperator
 from testbed.simulation.seeded.processes import ControlProcess, GatewayProcess
+from testbed.simulation.seeded.shape import SeededShape
 from testbed.simulation.seeded.stand_ins import ControlMachine
 from testbed.simulation.variation import Variation
 from testbed.simulation.virtual_threads import VirtualThreading
 
-SEEDED = "seeded"
-"""Name of the scenario on the command line."""
-
 START_S = 6.0
 CHAOS_S = 30.0
 CALM_S = 16.0
-ZONES = ("a", "b", "c")
-CONTROL_SIZES = (3, 5, 5)
-FEWEST_GATEWAYS = 3
-MOST_GATEWAYS = 9
 SEEDS = 3
 RPC_PORT = 1
 PROFILE = NetworkProfile(loss=0.0, duplication=0.0, straggler=0.0)
@@ -42,11 +37,14 @@
 
 
 def planned_faults(
-    seed: int, only: Sequence[SeededFaultKind] = (), variation: Variation | None = None
+    shape: SeededShape,
+    seed: int,
+    only: Sequence[SeededFaultKind] = (),
+    variation: Variation | None = None,
 ) -> list[SeededFault]:
     """Return the schedule of faults of a seed, moved if that is what varies."""
     generator = random.Random(f"{seed}/faults")
-    faults = schedule(generator, START_S, START_S + CHAOS_S, only)
+    faults = schedule(generator, START_S, START_S + CHAOS_S, shape.weights, only)
     return variation.moved(faults, seed, START_S) if variation else faults
 
 
@@ -63,6 +61,7 @@
         faults: Strikes them.
 
     Args:
+        shape: What it consists of.
         seed: Seed of every random choice.
         only: Kinds of faults that strike; empty for all.
         variation: What is drawn otherwise than in the seed's own history; None for nothing.
@@ -71,14 +70,16 @@
 
     def __init__(
         self,
+        shape: SeededShape,
         seed: int,
         only: Sequence[SeededFaultKind] = (),
         variation: Variation | None = None,
         without: Sequence[int] = (),
     ) -> None:
         self.seed = seed
+        self._shape = shape
         self._variation = variation
-        planned = planned_faults(seed, only, variation)
+        planned = planned_faults(shape, seed, only, variation)
         self._planned = [fault for place, fault in enumerate(planned) if place not in without]
         self.scheduler = Scheduler()
         self.network = Network(self.scheduler, self.generator("network"), PROFILE)
@@ -93,8 +94,8 @@
         self.control: dict[str, ControlProcess] = {}
         self.gateways: dict[str, GatewayProcess] = {}
         sizes = self.generator("size")
-        self._build_control(sizes.choice(CONTROL_SIZES))
-        self._build_gateways(sizes.randint(FEWEST_GATEWAYS, MOST_GATEWAYS))
+        self._build_control(sizes.choice(shape.control_sizes))
+        self._build_gateways(sizes.randint(shape.fewest_gateways, shape.most_gateways))
         self.faults = SeededFaults(self)
 
     def generator(self, purpose: str) -> random.Random:
@@ -105,7 +106,7 @@
     def run(self) -> SeededHistory:
         """Run everything and return the record."""
         self.faults.plan(self._planned)
-        machine = self._machine("operator", ZONES[0])
+        machine = self._machine("operator", self._zone(0))
         operator = TableOperator(
             machine,
             self.control,
@@ -115,6 +116,8 @@
             self.generator("operator"),
         )
         operator.start()
+        if self._shape.has_rival:
+            self._start_rival(operator)
         self.scheduler.run_until(START_S + CHAOS_S + CALM_S)
         self.history.ended_s = self.scheduler.now_s
         self.end()
@@ -126,6 +129,21 @@
             machine.kill()
         self._substitutes.close()
 
+    def _start_rival(self, operator: TableOperator) -> None:
+        rival = RivalOperator(
+            self._machine("rival", self._zone(1)),
+            self.control,
+            self.network,
+            self.fibers,
+            self.history,
+            self.generator("rival"),
+            operator,
+        )
+        rival.start()
+
+    def _zone(self, number: int) -> str:
+        return self._shape.zones[number % len(self._shape.zones)]
+
     def _machine(self, name: str, zone: str) -> Machine:
         return self.network.add(Machine(name, zone, self.scheduler))
 
@@ -134,7 +152,7 @@
         seeds = names[:SEEDS]
         replicas: dict[str, dict[str, Replica]] = {}
         for number, name in enumerate(names):
-            machine = self._machine(name, ZONES[number % len(ZONES)])
+            machine = self._machine(name, self._zone(number))
             config = GroupConfig(
                 group=REGISTRY_GROUP,
                 address=name,
@@ -161,7 +179,7 @@
         seeds = list(self.control)[:SEEDS]
         for number in range(count):
             name = f"front-{number}"
-            machine = self._machine(name, ZONES[number % len(ZONES)])
+            machine = self._machine(name, self._zone(number))
             self.gateways[name] = GatewayProcess(
                 machine,
                 seeds,
--- a/src/testbed/simulation/variation.py
+++ b/src/testbed/simulation/variation.py
@@ -13,7 +13,7 @@
 from typing import TypeVar
 
 from testbed.simulation.faults import Fault
-from testbed.simulation.seeded.faults import SeededFault
+from testbed.simulation.seeded.fault_kinds import SeededFault
 
 AnyFault = TypeVar("AnyFault", Fault, SeededFault)
 
--- a/tests/features/test_leaving_runner.py
+++ b/tests/features/test_leaving_runner.py
@@ -34,7 +34,8 @@
 @then("the runner has got no new work since")
 def no_new_work(world: World) -> None:
     late = _late(world)
-    assert not late, late[:3]
+    limit_ms = world.notes["limit_ms"]
+    assert not late, (limit_ms, [e.started_ms - limit_ms for e in late], late[:3])
 
 
 @then("the runner has got new work since")
--- a/tests/unit/test_simulation_seeded.py
+++ b/tests/unit/test_simulation_seeded.py
@@ -13,8 +13,8 @@
 from testbed.simulation.run import Plan, faults_of, run_seed
 from testbed.simulation.seeded.broken import SEEDED_RULES
 from testbed.simulation.seeded.checkers import CHECKERS
-from testbed.simulation.seeded.faults import SeededFaultKind
-from testbed.simulation.seeded.world import SEEDED
+from testbed.simulation.seeded.fault_kinds import SeededFaultKind
+from testbed.simulation.seeded.shape import SEEDED, SEEDED_WIDE, SHAPES
 from testbed.simulation.shrink import shrink
 from testbed.simulation.variation import Source, Variation
 
@@ -35,6 +35,26 @@
     assert all(result.checks[checker.name] for checker in CHECKERS)
 
 
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_every_promise_holds_in_another_shape(seed: int) -> None:
+    result = run_seed(Plan(SEEDED_WIDE), seed)
+    assert result.violations == []
+    assert result.counts["rival_answered"] > 20
+    assert result.counts["invalid_failed"] > 10
+    assert result.counts["invalid_answered"] == 0
+
+
+@pytest.mark.parametrize("kind", SeededFaultKind)
+def test_every_kind_of_fault_strikes_and_the_promises_hold(kind: SeededFaultKind) -> None:
+    result = run_seed(Plan(SEEDED_WIDE, only=(kind,)), 50)
+    assert result.violations == []
+    assert result.faults[kind] > 0
+
+
+def test_an_invalid_table_is_noticed() -> None:
+    assert is_caught(run_seed(Plan(SEEDED_WIDE, "take_any_table"), 1), "take_any_table")
+
+
 @pytest.mark.parametrize(
     ("rule", "seed", "only"),
     [
@@ -101,4 +121,9 @@
     assert simulate(scenario=SEEDED, break_rule="never_yield") == EXIT_BAD_ARGUMENT
     capsys.readouterr()
     assert simulate(scenario=SEEDED, faults="list") == EXIT_HOLDS
+    assert simulate(scenario="seedless") == EXIT_BAD_ARGUMENT
+    printed = capsys.readouterr().out
+    assert all(name in printed for name in SHAPES)
+    assert simulate(scenario=SEEDED, faults="slow_disk") == EXIT_BAD_ARGUMENT
+    assert simulate(scenario=SEEDED, faults="list") == EXIT_HOLDS
     assert "start_on_full_disk" in capsys.readouterr().out.split()
