testbed experiment changes: time until a change is in force everywhere, at any size

Change: a shape can have its own schedule of faults and number of routes; three cases (quiet, a control process ended beside a frozen one, all control processes started at once); the record of the operators and gateways gives the times, the calls' board the bytes of the answers.

--- a/src/testbed/cli.py
+++ b/src/testbed/cli.py
@@ -16,7 +16,7 @@
     """testbed runs leverjunction's stand-ins, fleets, faults and experiments.
 
     Besides the commands below there are, each with its own ``--help``:
-    ``simulate``, ``scale``, ``experiment harm|prefix|placement``,
+    ``simulate``, ``scale``, ``experiment harm|prefix|placement|changes``,
     ``bench relay|consensus|settings|jobs`` and ``load``.
     """
 
--- a/src/testbed/delegates.py
+++ b/src/testbed/delegates.py
@@ -38,6 +38,7 @@
     Delegate(("experiment", "harm"), "testbed.load.harm.cli"),
     Delegate(("experiment", "prefix"), "testbed.load.prefix_experiment"),
     Delegate(("experiment", "placement"), "testbed.placement.cli"),
+    Delegate(("experiment", "changes"), "testbed.simulation.seeded.changes_cli"),
     Delegate(("bench", "relay"), "testbed.load.relay_bench"),
     Delegate(("bench", "consensus"), "testbed.load.consensus_bench"),
     Delegate(("bench", "settings"), "testbed.load.settings_bench"),
--- a/src/testbed/simulation/rpc.py
+++ b/src/testbed/simulation/rpc.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import TypeVar
 
@@ -23,11 +24,16 @@
 
 
 class RpcBoard:
-    """The handlers of all machines, by name and kind."""
+    """The handlers of all machines, by name and kind.
+
+    Attributes:
+        answered_bytes: Bytes of the answers that each machine has sent.
+    """
 
     def __init__(self, network: Network, fibers: Fibers) -> None:
         self.network = network
         self.fibers = fibers
+        self.answered_bytes: Counter[str] = Counter()
         self._handlers: dict[str, Mapping[MessageKind, Handler]] = {}
         self._quick: dict[str, Mapping[MessageKind, Handler]] = {}
 
@@ -53,15 +59,20 @@
 
     def handle(self, machine: Machine, envelope: Envelope, peer: str, reply: Reply) -> None:
         """Run the handler of a call and send back its answer."""
+
+        def answer(body: bytes) -> None:
+            self.answered_bytes[machine.name] += len(body)
+            reply(body)
+
         quick = self._quick[machine.name].get(envelope.kind)
         if quick is not None:
-            reply(quick(envelope, peer))
+            answer(quick(envelope, peer))
             return
         handler = self._handlers[machine.name].get(envelope.kind)
         if handler is None:
             # Its port was closed while the call was on its way.
             return
-        self.fibers.spawn(machine, lambda: reply(handler(envelope, peer)))
+        self.fibers.spawn(machine, lambda: answer(handler(envelope, peer)))
 
 
 class SimulatedRpc:
--- a/src/testbed/simulation/seeded/operators.py
+++ b/src/testbed/simulation/seeded/operators.py
@@ -8,7 +8,7 @@
 from leverjunction.errors import Failure
 from leverjunction.registry.commands import TableHeld, TableSource
 from leverjunction.registry.node import RegistryNode
-from leverjunction.routes import RouteClass
+from leverjunction.routes import Route, RouteClass
 from testbed.routed import make_route, make_table
 from testbed.simulation.fiber import Fibers, Resume
 from testbed.simulation.machine import Machine
@@ -86,7 +86,19 @@
         version: Version that it has sent last.
     """
 
-    version = 0
+    def __init__(
+        self,
+        machine: Machine,
+        control: Mapping[str, ControlProcess],
+        network: Network,
+        fibers: Fibers,
+        history: SeededHistory,
+        generator: random.Random,
+        routes: int,
+    ) -> None:
+        super().__init__(machine, control, network, fibers, history, generator)
+        self.version = 0
+        self._routes = _routes(routes)
 
     def _work(self) -> None:
         while True:
@@ -108,7 +120,7 @@
 
     def _put(self, version: int) -> bool:
         name = self._any_control()
-        table = make_table(version=version)
+        table = make_table(*self._routes, version=version)
         held = self._call(name, "put", lambda node: node.put_table(table, str(version)))
         # A machine that holds a later version acknowledges an earlier one too.
         if not isinstance(held, TableHeld) or held.version < version:
@@ -159,3 +171,12 @@
         route = make_route(RouteClass.ONCE, name=INVALID)
         table = make_table(route, route, version=self._rivalled.version + INVALID_AHEAD)
         self._call(self._any_control(), INVALID, lambda node: node.put_table(table, INVALID))
+
+
+def _routes(count: int) -> tuple[Route, ...]:
+    """Return one route of each kind in turn, each with a place of its own."""
+    kinds = list(RouteClass)
+    return tuple(
+        make_route(kinds[n % len(kinds)], name=f"route-{n}", prefix=f"/route-{n}/")
+        for n in range(count)
+    )
--- a/src/testbed/simulation/seeded/shape.py
+++ b/src/testbed/simulation/seeded/shape.py
@@ -5,7 +5,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from testbed.simulation.seeded.fault_kinds import WEIGHTS, WIDE_WEIGHTS, SeededFaultKind
+from testbed.simulation.seeded.fault_kinds import (
+    WEIGHTS,
+    WIDE_WEIGHTS,
+    SeededFault,
+    SeededFaultKind,
+)
 
 SEEDED = "seeded"
 SEEDED_WIDE = "seeded-wide"
@@ -23,6 +28,8 @@
         weights: Kinds of faults, and how often each strikes beside the others.
         has_rival: A second operator sends other tables under the first one's versions, and
             invalid ones.
+        routes: Routes of a table.
+        fixed_faults: The schedule of faults; None to draw one from the seed.
     """
 
     control_sizes: tuple[int, ...] = (3, 5, 5)
@@ -31,6 +38,8 @@
     zones: tuple[str, ...] = ("a", "b", "c")
     weights: Mapping[SeededFaultKind, float] = field(default_factory=lambda: WEIGHTS)
     has_rival: bool = False
+    routes: int = 4
+    fixed_faults: tuple[SeededFault, ...] | None = None
 
 
 SHAPES: dict[str, SeededShape] = {
--- a/src/testbed/simulation/seeded/world.py
+++ b/src/testbed/simulation/seeded/world.py
@@ -43,6 +43,8 @@
     variation: Variation | None = None,
 ) -> list[SeededFault]:
     """Return the schedule of faults of a seed, moved if that is what varies."""
+    if shape.fixed_faults is not None:
+        return list(shape.fixed_faults)
     generator = random.Random(f"{seed}/faults")
     faults = schedule(generator, START_S, START_S + CHAOS_S, shape.weights, only)
     return variation.moved(faults, seed, START_S) if variation else faults
@@ -59,6 +61,7 @@
         control: Control processes.
         gateways: Gateways.
         faults: Strikes them.
+        board: Their calls.
 
     Args:
         shape: What it consists of.
@@ -90,7 +93,7 @@
         self._substitutes.enter_context(
             product_on_fibers(self._threading, self.scheduler, self.generator("product"))
         )
-        self._board = RpcBoard(self.network, self.fibers)
+        self.board = RpcBoard(self.network, self.fibers)
         self.control: dict[str, ControlProcess] = {}
         self.gateways: dict[str, GatewayProcess] = {}
         sizes = self.generator("size")
@@ -103,8 +106,8 @@
         suffix = self._variation.suffix(purpose) if self._variation else ""
         return random.Random(f"{self.seed}/{purpose}{suffix}")
 
-    def run(self) -> SeededHistory:
-        """Run everything and return the record."""
+    def run(self, calm_s: float = CALM_S) -> SeededHistory:
+        """Run everything and return the record; ``calm_s`` follow the stretch of faults."""
         self.faults.plan(self._planned)
         machine = self._machine("operator", self._zone(0))
         operator = TableOperator(
@@ -114,11 +117,12 @@
             self.fibers,
             self.history,
             self.generator("operator"),
+            self._shape.routes,
         )
         operator.start()
         if self._shape.has_rival:
             self._start_rival(operator)
-        self.scheduler.run_until(START_S + CHAOS_S + CALM_S)
+        self.scheduler.run_until(START_S + CHAOS_S + calm_s)
         self.history.ended_s = self.scheduler.now_s
         self.end()
         return self.history
@@ -167,7 +171,7 @@
                 replicas,
             )
             replicas[name] = {REGISTRY_GROUP: replica}
-            place = ControlMachine(machine, self._board, self.scheduler, replica)
+            place = ControlMachine(machine, self.board, self.scheduler, replica)
             self.control[name] = ControlProcess(
                 place, seeds, self._threading, self.generator(f"control/{name}")
             )
@@ -183,7 +187,7 @@
             self.gateways[name] = GatewayProcess(
                 machine,
                 seeds,
-                self._board,
+                self.board,
                 self._threading,
                 self.history,
                 partial(self._gateway_generator, name),
