Gateway: asking back ends has a module of its own

Change: Asker (asking.py) has what leads to a head, Forwarder the rest; lines are moved, not changed.

--- /dev/null
+++ b/src/leverjunction/proxy/asking.py
@@ -0,0 +1,224 @@
+"""Asks back ends for the answer to a request, until one of them gives its head."""
+
+from __future__ import annotations
+
+import asyncio
+
+from leverjunction.errors import Execution, Failure, FailureKind
+from leverjunction.gateway.retry import RetryBudget
+from leverjunction.proxy.answers import harmful, no_runner, out_of_time, suspect_under_way
+from leverjunction.proxy.attempt import Dispatch, LateHead, OpenedAnswer, Patience, Sender
+from leverjunction.proxy.balancer import Balancer, Choice
+from leverjunction.proxy.hedging import first_opened
+from leverjunction.proxy.journal import ProxyJournal
+from leverjunction.proxy.patience import HEDGE_RATIO, HeadTimes
+from leverjunction.proxy.quarantine import Quarantine, is_lost_run
+from leverjunction.proxy.runner_seat import RunnerSeat
+from leverjunction.proxy.work import Work
+from leverjunction.quarantine.verdicts import Standing, ran_on
+from leverjunction.routes.types import Route
+
+DECLINED_MOST = 4
+"""Back ends that may decline a request before the caller is told to come back."""
+
+SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
+"""A back end says so at the request's own deadline, which tells nothing of the back end."""
+
+
+class Asker:
+    """Chooses back ends, sends, and repeats where that is allowed; used by one event loop.
+
+    Args:
+        sender: Sends requests.
+        balancer: Chooses back ends.
+        journal: Takes the decisions.
+        quarantine: Knows requests under which back ends ended.
+    """
+
+    def __init__(
+        self, sender: Sender, balancer: Balancer, journal: ProxyJournal, quarantine: Quarantine
+    ) -> None:
+        self._sender = sender
+        self._balancer = balancer
+        self._journal = journal
+        self._quarantine = quarantine
+        self._loop = asyncio.get_running_loop()
+        self._head_times: dict[str, HeadTimes] = {}
+        self._budget = RetryBudget()
+
+    def admitted(self, work: Work) -> None:
+        """Note a request that is about to be sent: it earns a share of a second send."""
+        self._budget.request(work.service, HEDGE_RATIO, self._loop.time())
+
+    async def answer(self, work: Work, last_event_id: str) -> OpenedAnswer | Failure:
+        """Return the first head that a back end gives."""
+        declined = 0
+        while True:
+            now_s = self._loop.time()
+            if now_s >= work.until_s:
+                return out_of_time(work.execution)
+            held_back = self.held_back(work)
+            if held_back is not None:
+                return held_back
+            choice = self._choose(work, now_s)
+            if choice is None:
+                return no_runner(work.service)
+            answer = await self._send(work, choice, last_event_id)
+            if isinstance(answer, LateHead):
+                if self._has_untried(work):
+                    return await self._hedge(work, choice, answer, last_event_id)
+                self._sender.abandon(answer)
+                answer = answer.failure
+            elif not isinstance(answer, Failure):
+                return answer
+            if answer.execution is Execution.NOT_RUN:
+                declined += 1
+                if declined >= DECLINED_MOST:
+                    return no_runner(work.service)
+                continue
+            if not work.may_run_again:
+                return answer
+
+    async def _send(
+        self, work: Work, choice: Choice, last_event_id: str
+    ) -> OpenedAnswer | LateHead | Failure:
+        """Send a request to a back end and note what comes of it."""
+        seat = choice.seat
+        work.tried.add(seat.record.start)
+        work.first_output_s = None
+        sent_s = self._loop.time()
+        answer = await self._sender.begin(
+            Dispatch(
+                work.request,
+                work.facts,
+                seat,
+                repeatable=work.route.repeatable,
+                last_event_id=last_event_id,
+                until_s=work.until_s,
+                patience=self._patience(work, sent_s),
+            )
+        )
+        if isinstance(answer, LateHead):
+            self._journal.sent(work, choice, answer.failure, self._loop.time())
+            work.note_run()
+            return answer
+        if not isinstance(answer, Failure) or answer.execution is not Execution.NOT_RUN:
+            work.note_run()
+        await self._note(work, choice, answer, sent_s)
+        return answer
+
+    async def _note(
+        self, work: Work, choice: Choice, answer: OpenedAnswer | Failure, sent_s: float
+    ) -> None:
+        """Learn from the head of an answer, or from its failure."""
+        seat = choice.seat
+        self._journal.sent(work, choice, answer, self._loop.time())
+        if not isinstance(answer, Failure):
+            self.times_of(work.route).note(self._loop.time() - sent_s)
+            if _is_fault(answer.head.status):
+                self._balancer.failed(seat, self._loop.time())
+            return
+        if answer.kind is FailureKind.NOT_LISTENING:
+            self._quarantine.not_listening(seat.record)
+        if answer.execution is not Execution.NOT_RUN and is_lost_run(answer):
+            await self.lost(work, seat, answer)
+
+    def _has_untried(self, work: Work) -> bool:
+        return any(
+            seat.record.start not in work.tried for seat in self._balancer.seats(work.service)
+        )
+
+    async def _hedge(
+        self, work: Work, choice: Choice, late: LateHead, last_event_id: str
+    ) -> OpenedAnswer | Failure:
+        """Ask another back end while a late head is waited for; return what comes first.
+
+        The one that is late may be sound, and the other one silent.
+        """
+        try:
+            return await first_opened(
+                self._late_answer(work, choice, late),
+                self.answer(work, last_event_id),
+                lambda answer: self._sender.finish(answer, whole=False),
+            )
+        finally:
+            # A task that is cancelled before its first step never gets to wait for the head.
+            self._sender.abandon(late)
+
+    async def _late_answer(
+        self, work: Work, choice: Choice, late: LateHead
+    ) -> OpenedAnswer | Failure:
+        answer = await self._sender.wait(late)
+        await self._note(work, choice, answer, late.sent_s)
+        return answer
+
+    def held_back(self, work: Work) -> Failure | None:
+        """Return the refusal of a request under which too many back ends ended."""
+        key = work.key or self._quarantine.find(work.request)
+        standing = self._quarantine.standing(key)
+        if standing is Standing.SOUND:
+            return None
+        work.key = key
+        if standing is Standing.REFUSED:
+            return harmful(work.key, work.execution)
+        repeated = standing is Standing.CAREFUL and not work.trials
+        if repeated and self._quarantine.is_under_way(work.key):
+            return suspect_under_way(work.execution)
+        return None
+
+    async def lost(self, work: Work, seat: RunnerSeat, failure: Failure) -> None:
+        """Note a run that its back end broke off; before another one, know why it did."""
+        self._journal.run_lost(work, seat.record.start, failure, self._loop.time())
+        self._quarantine.lost(
+            work.request,
+            work.route.name,
+            work.facts.request_id,
+            seat.record,
+            ran_on=ran_on(work.first_output_s, self._loop.time()),
+        )
+        if work.may_run_again:
+            await self._quarantine.settle(seat.record)
+
+    def _choose(self, work: Work, now_s: float) -> Choice | None:
+        """Return the back end of the next send."""
+        if not work.key:
+            return self._balancer.choose(
+                work.service, work.prompt, work.tried, now_s
+            ) or self._balancer.choose(work.service, work.prompt, (), now_s)
+        # It may end its back end: where few others run, and no other suspect does.
+        avoided = work.tried | self._quarantine.taken_places()
+        choice = self._balancer.choose_quiet(work.service, avoided, now_s)
+        if choice is not None:
+            start = choice.seat.record.start
+            work.trials.append(start)
+            self._quarantine.began(work.key, start)
+        return choice
+
+    def _patience(self, work: Work, now_s: float) -> Patience:
+        """Return how long to wait for a head before another back end is asked too."""
+        # A suspect is never asked of two back ends at once: each run may end one.
+        last_run = work.runs + 1 >= max(1, work.route.max_attempts)
+        if not work.route.repeatable or last_run or work.key:
+            return Patience.until(work.until_s)
+        patience_s = self.times_of(work.route).patience_s(work.route.target_ms)
+        soft_s = now_s + patience_s + work.prompt.read_ms / 1000
+        return Patience(work.until_s, soft_s, lambda: self._may_hedge(work))
+
+    def _may_hedge(self, work: Work) -> bool:
+        return self._budget.take(work.service, self._loop.time())
+
+    def times_of(self, route: Route) -> HeadTimes:
+        """Return the times to the heads of a route's latest answers."""
+        return self._head_times.setdefault(route.name, HeadTimes())
+
+
+def _is_fault(status: int) -> bool:
+    """Return whether an answer speaks against its back end, though it is passed on as it is.
+
+    Only online requests are asked: an item of a batch that can never be done fails everywhere.
+    """
+    return status >= SERVER_ERROR and status != GATEWAY_TIMEOUT
+
+
+__all__ = ["Asker"]
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -8,33 +8,26 @@
 from random import Random
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
-from leverjunction.gateway.retry import RetryBudget
 from leverjunction.proxy.admission import Ticket
 from leverjunction.proxy.admission_gate import AdmissionGate
 from leverjunction.proxy.answers import (
-    harmful,
     no_route,
-    no_runner,
     no_table,
     out_of_time,
     status_of,
-    suspect_under_way,
     unsure_of_route,
 )
-from leverjunction.proxy.attempt import Dispatch, LateHead, OpenedAnswer, Patience, Sender
-from leverjunction.proxy.balancer import Balancer, Choice
+from leverjunction.proxy.asking import Asker
+from leverjunction.proxy.attempt import OpenedAnswer, Sender
+from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.dialect import Dialect, RequestFacts
 from leverjunction.proxy.events import EventSplitter
 from leverjunction.proxy.headers import end_to_end, find
-from leverjunction.proxy.hedging import first_opened
 from leverjunction.proxy.journal import ProxyJournal
-from leverjunction.proxy.patience import HEDGE_RATIO, HeadTimes
 from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
-from leverjunction.proxy.runner_seat import RunnerSeat
 from leverjunction.proxy.work import Work
-from leverjunction.quarantine.verdicts import Standing, ran_on
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass
 
@@ -44,13 +37,6 @@
 HELD_LEAST_S = 0.001
 """A request that passed sooner did not wait: it was decided on in one step of the event loop."""
 
-DECLINED_MOST = 4
-"""Back ends that may decline a request before the caller is told to come back."""
-
-SERVER_ERROR = 500
-GATEWAY_TIMEOUT = 504
-"""A back end says so at the request's own deadline, which tells nothing of the back end."""
-
 STREAM_SILENCE_S = 2.0
 """Silence after which a stream that may be continued moves to another back end."""
 
@@ -100,10 +86,9 @@
         self._local = local
         self._loop = asyncio.get_running_loop()
         self._index: RouteIndex | None = None
-        self._head_times: dict[str, HeadTimes] = {}
-        self._budget = RetryBudget()
         self._gate = gate
         self._quarantine = quarantine or Quarantine()
+        self._asker = Asker(sender, balancer, journal, self._quarantine)
         self._table_age_s = table_age_s
         self._in_force_s = in_force_s
 
@@ -129,7 +114,7 @@
         until_s = request.arrived_s + timeout_ms / 1000
         service = draw_service(route, self._random)
         work = Work(request, facts, route, service, index.table.version, until_s)
-        self._budget.request(work.service, HEDGE_RATIO, self._loop.time())
+        self._asker.admitted(work)
         try:
             await self._forward(work, responder)
         except asyncio.CancelledError:
@@ -147,11 +132,11 @@
         return no_route(host, path)
 
     async def _forward(self, work: Work, responder: Responder) -> None:
-        refusal = self._held_back(work) or await self._admit(work)
+        refusal = self._asker.held_back(work) or await self._admit(work)
         if refusal is not None:
             self._refuse(work.request, work.facts, responder, refusal)
             return
-        answer = await self._answer(work, "")
+        answer = await self._asker.answer(work, "")
         while not isinstance(answer, Failure):
             headed_s = self._loop.time()
             streams = work.route.kind is RouteClass.STREAM and answer.head.status == 200
@@ -161,7 +146,7 @@
                 else self._pass_whole(work, answer, responder)
             )
             if is_lost_run(passed) and not streams:
-                await self._lost(work, answer.seat, passed)
+                await self._asker.lost(work, answer.seat, passed)
             if passed is None:
                 self._clear(work)
                 self._note_run(work, headed_s)
@@ -170,7 +155,7 @@
             if responder.started or not work.may_run_again:
                 answer = passed
                 break
-            answer = await self._answer(work, "")
+            answer = await self._asker.answer(work, "")
         if responder.started:
             self._journal.ended(work, "broken_off", answer.reason, self._loop.time())
             responder.break_off()
@@ -188,150 +173,6 @@
             self._journal.held(work, "sent" if refusal is None else "refused", now_s)
         return refusal
 
-    async def _answer(self, work: Work, last_event_id: str) -> OpenedAnswer | Failure:
-        """Return the first head that a back end gives."""
-        declined = 0
-        while True:
-            now_s = self._loop.time()
-            if now_s >= work.until_s:
-                return out_of_time(work.execution)
-            held_back = self._held_back(work)
-            if held_back is not None:
-                return held_back
-            choice = self._choose(work, now_s)
-            if choice is None:
-                return no_runner(work.service)
-            answer = await self._send(work, choice, last_event_id)
-            if isinstance(answer, LateHead):
-                if self._has_untried(work):
-                    return await self._hedge(work, choice, answer, last_event_id)
-                self._sender.abandon(answer)
-                answer = answer.failure
-            elif not isinstance(answer, Failure):
-                return answer
-            if answer.execution is Execution.NOT_RUN:
-                declined += 1
-                if declined >= DECLINED_MOST:
-                    return no_runner(work.service)
-                continue
-            if not work.may_run_again:
-                return answer
-
-    async def _send(
-        self, work: Work, choice: Choice, last_event_id: str
-    ) -> OpenedAnswer | LateHead | Failure:
-        """Send a request to a back end and note what comes of it."""
-        seat = choice.seat
-        work.tried.add(seat.record.start)
-        work.first_output_s = None
-        sent_s = self._loop.time()
-        answer = await self._sender.begin(
-            Dispatch(
-                work.request,
-                work.facts,
-                seat,
-                repeatable=work.route.repeatable,
-                last_event_id=last_event_id,
-                until_s=work.until_s,
-                patience=self._patience(work, sent_s),
-            )
-        )
-        if isinstance(answer, LateHead):
-            self._journal.sent(work, choice, answer.failure, self._loop.time())
-            work.note_run()
-            return answer
-        if not isinstance(answer, Failure) or answer.execution is not Execution.NOT_RUN:
-            work.note_run()
-        await self._note(work, choice, answer, sent_s)
-        return answer
-
-    async def _note(
-        self, work: Work, choice: Choice, answer: OpenedAnswer | Failure, sent_s: float
-    ) -> None:
-        """Learn from the head of an answer, or from its failure."""
-        seat = choice.seat
-        self._journal.sent(work, choice, answer, self._loop.time())
-        if not isinstance(answer, Failure):
-            self._times_of(work.route).note(self._loop.time() - sent_s)
-            if _is_fault(answer.head.status):
-                self._balancer.failed(seat, self._loop.time())
-            return
-        if answer.kind is FailureKind.NOT_LISTENING:
-            self._quarantine.not_listening(seat.record)
-        if answer.execution is not Execution.NOT_RUN and is_lost_run(answer):
-            await self._lost(work, seat, answer)
-
-    def _has_untried(self, work: Work) -> bool:
-        return any(
-            seat.record.start not in work.tried for seat in self._balancer.seats(work.service)
-        )
-
-    async def _hedge(
-        self, work: Work, choice: Choice, late: LateHead, last_event_id: str
-    ) -> OpenedAnswer | Failure:
-        """Ask another back end while a late head is waited for; return what comes first.
-
-        The one that is late may be sound, and the other one silent.
-        """
-        try:
-            return await first_opened(
-                self._late_answer(work, choice, late),
-                self._answer(work, last_event_id),
-                lambda answer: self._sender.finish(answer, whole=False),
-            )
-        finally:
-            # A task that is cancelled before its first step never gets to wait for the head.
-            self._sender.abandon(late)
-
-    async def _late_answer(
-        self, work: Work, choice: Choice, late: LateHead
-    ) -> OpenedAnswer | Failure:
-        answer = await self._sender.wait(late)
-        await self._note(work, choice, answer, late.sent_s)
-        return answer
-
-    def _choose(self, work: Work, now_s: float) -> Choice | None:
-        """Return the back end of the next send."""
-        if not work.key:
-            return self._balancer.choose(
-                work.service, work.prompt, work.tried, now_s
-            ) or self._balancer.choose(work.service, work.prompt, (), now_s)
-        # It may end its back end: where few others run, and no other suspect does.
-        avoided = work.tried | self._quarantine.taken_places()
-        choice = self._balancer.choose_quiet(work.service, avoided, now_s)
-        if choice is not None:
-            start = choice.seat.record.start
-            work.trials.append(start)
-            self._quarantine.began(work.key, start)
-        return choice
-
-    def _held_back(self, work: Work) -> Failure | None:
-        """Return the refusal of a request under which too many back ends ended."""
-        key = work.key or self._quarantine.find(work.request)
-        standing = self._quarantine.standing(key)
-        if standing is Standing.SOUND:
-            return None
-        work.key = key
-        if standing is Standing.REFUSED:
-            return harmful(work.key, work.execution)
-        repeated = standing is Standing.CAREFUL and not work.trials
-        if repeated and self._quarantine.is_under_way(work.key):
-            return suspect_under_way(work.execution)
-        return None
-
-    async def _lost(self, work: Work, seat: RunnerSeat, failure: Failure) -> None:
-        """Note a run that its back end broke off; before another one, know why it did."""
-        self._journal.run_lost(work, seat.record.start, failure, self._loop.time())
-        self._quarantine.lost(
-            work.request,
-            work.route.name,
-            work.facts.request_id,
-            seat.record,
-            ran_on=ran_on(work.first_output_s, self._loop.time()),
-        )
-        if work.may_run_again:
-            await self._quarantine.settle(seat.record)
-
     def _clear(self, work: Work) -> None:
         """Note a whole answer: if the request was a suspect, it is none."""
         key = work.key or self._quarantine.find(work.request)
@@ -347,31 +188,15 @@
             arrived_s=arrived_s,
             aim_s=arrived_s + route.target_ms / 1000,
             last_s=last_s,
-            head_s=self._times_of(route).unqueued_s() or 0.0,
+            head_s=self._asker.times_of(route).unqueued_s() or 0.0,
         )
 
     def _note_run(self, work: Work, headed_s: float) -> None:
         """Learn from an answer that came whole for how long a slot was taken."""
-        unqueued_s = self._times_of(work.route).unqueued_s()
+        unqueued_s = self._asker.times_of(work.route).unqueued_s()
         if unqueued_s is not None and work.runs == 1:
             self._balancer.ran(work.service, self._loop.time() - headed_s + unqueued_s)
 
-    def _patience(self, work: Work, now_s: float) -> Patience:
-        """Return how long to wait for a head before another back end is asked too."""
-        # A suspect is never asked of two back ends at once: each run may end one.
-        last_run = work.runs + 1 >= max(1, work.route.max_attempts)
-        if not work.route.repeatable or last_run or work.key:
-            return Patience.until(work.until_s)
-        patience_s = self._times_of(work.route).patience_s(work.route.target_ms)
-        soft_s = now_s + patience_s + work.prompt.read_ms / 1000
-        return Patience(work.until_s, soft_s, lambda: self._may_hedge(work))
-
-    def _may_hedge(self, work: Work) -> bool:
-        return self._budget.take(work.service, self._loop.time())
-
-    def _times_of(self, route: Route) -> HeadTimes:
-        return self._head_times.setdefault(route.name, HeadTimes())
-
     async def _pass_whole(
         self, work: Work, answer: OpenedAnswer, responder: Responder
     ) -> Failure | None:
@@ -424,12 +249,12 @@
                 responder.end()
                 return None
             if is_lost_run(broken):
-                await self._lost(work, answer.seat, broken)
+                await self._asker.lost(work, answer.seat, broken)
             again = work.may_run_again and splitter.can_continue
             if not again or self._loop.time() >= work.until_s:
                 return broken
             self._balancer.failed(answer.seat, self._loop.time())
-            continued = await self._answer(work, splitter.last_id)
+            continued = await self._asker.answer(work, splitter.last_id)
             if isinstance(continued, Failure):
                 return broken
             if continued.head.status != 200:
@@ -486,14 +311,6 @@
         responder.whole(status, headers, failure.reason.encode())
 
 
-def _is_fault(status: int) -> bool:
-    """Return whether an answer speaks against its back end, though it is passed on as it is.
-
-    Only online requests are asked: an item of a batch that can never be done fails everywhere.
-    """
-    return status >= SERVER_ERROR and status != GATEWAY_TIMEOUT
-
-
 def _told(failure: Failure, execution: Execution) -> Failure:
     """Return a failure that says "not run" only when no back end can have run the request."""
     if execution is Execution.NOT_RUN or failure.execution is execution:
