--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -20,9 +20,10 @@
 from leverjunction.lots.lost_runs import silence_s
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.run_trace import RunEnd
-from leverjunction.proxy.attempt import Dispatch, OpenedAnswer, Patience, Sender
+from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import Dialect
+from leverjunction.proxy.dispatch import Dispatch, OpenedAnswer, Patience
 from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.runner_connection import AnswerEnd, AnswerHead
 from leverjunction.proxy.runner_seat import RunnerSeat
--- a/src/leverjunction/proxy/asking.py
+++ b/src/leverjunction/proxy/asking.py
@@ -7,8 +7,9 @@
 from leverjunction.errors import Execution, Failure, FailureKind
 from leverjunction.gateway.retry import RetryBudget
 from leverjunction.proxy.answers import harmful, no_runner, out_of_time, suspect_under_way
-from leverjunction.proxy.attempt import Dispatch, LateHead, OpenedAnswer, Patience, Sender
+from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer, Choice
+from leverjunction.proxy.dispatch import Dispatch, LateHead, OpenedAnswer, Patience
 from leverjunction.proxy.hedging import first_opened
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.patience import HEDGE_RATIO, HeadTimes
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -18,10 +18,11 @@
     unsure_of_route,
 )
 from leverjunction.proxy.asking import Asker
-from leverjunction.proxy.attempt import OpenedAnswer, Sender
+from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.dialect import Dialect, RequestFacts
+from leverjunction.proxy.dispatch import OpenedAnswer
 from leverjunction.proxy.events import EventSplitter
 from leverjunction.proxy.headers import end_to_end, find
 from leverjunction.proxy.journal import ProxyJournal
--- a/src/leverjunction/proxy/hedging.py
+++ b/src/leverjunction/proxy/hedging.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from leverjunction.errors import Failure
-from leverjunction.proxy.attempt import OpenedAnswer
+from leverjunction.proxy.dispatch import OpenedAnswer
 
 Outcome = OpenedAnswer | Failure
 
--- a/src/leverjunction/proxy/journal.py
+++ b/src/leverjunction/proxy/journal.py
@@ -20,7 +20,7 @@
 from leverjunction.quarantine.request_key import request_key
 
 if TYPE_CHECKING:
-    from leverjunction.proxy.attempt import OpenedAnswer
+    from leverjunction.proxy.dispatch import OpenedAnswer
 
 LINES_KEPT = 2_000
 """Lines that may wait for a slow reader of the log; beyond it the oldest are lost and counted."""
--- a/tests/unit/test_proxy_first_opened.py
+++ b/tests/unit/test_proxy_first_opened.py
@@ -8,7 +8,7 @@
 import pytest
 
 from leverjunction.errors import Failure, FailureKind, Step
-from leverjunction.proxy.attempt import OpenedAnswer
+from leverjunction.proxy.dispatch import OpenedAnswer
 from leverjunction.proxy.hedging import Outcome, first_opened
 
 ANSWER = cast(OpenedAnswer, object.__new__(OpenedAnswer))
