Failing features keep the logs of their processes

Cause: 'gateway-3 ended with 1' (once in 18 runs of a feature, six fleets at once) left nothing to trace it by: the log was gone with pytest's folder.

--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -336,7 +336,10 @@
         def answered() -> bool:
             process = self.process(name)
             if not process.is_running():
-                raise FleetError(f"{name} ended with {process.exit_code}: {process.plan.log_file}")
+                raise FleetError(
+                    f"{name} ended with {process.exit_code}: {process.plan.log_file}\n"
+                    f"{process.last_lines()}"
+                )
             return self.status_of(name, path) == 200
 
         self.wait_for(answered, f"{name} answers /{path}")
--- a/src/testbed/fleet/process.py
+++ b/src/testbed/fleet/process.py
@@ -18,6 +18,10 @@
 }
 
 
+LINES_TOLD = 8
+"""Of the log of a process that ended before it was ready."""
+
+
 class FleetProcess:
     """A process that the launcher starts and ends, by its own id only."""
 
@@ -39,6 +43,11 @@
         """Return whether it runs (a frozen one does)."""
         return self._process is not None and self._process.poll() is None
 
+    def last_lines(self, count: int = LINES_TOLD) -> str:
+        """Return the last lines of its log."""
+        text = self.plan.log_file.read_text(encoding="utf8", errors="replace")
+        return "\n".join(text.splitlines()[-count:])
+
     def start(self) -> None:
         """Start it; its data folder is kept from an earlier run."""
         program, subcommand = _SUBCOMMANDS[self.plan.kind]
--- a/tests/features/fleet_pool.py
+++ b/tests/features/fleet_pool.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from pathlib import Path
 
 import pytest
 from tests.features.world import WAIT_S
+from tests.kept_failures import LOG_SOURCES
 
 from testbed.fleet.fleet import Fleet, FleetError
 from testbed.fleet.health import is_whole
@@ -36,6 +38,8 @@
             engine_speed=ENGINE_SPEED, engine_overrides=dict(engine_overrides or {})
         )
         self._fleet: Fleet | None = None
+        self._logs: list[Path] = []
+        LOG_SOURCES.append(lambda: self._logs)
 
     def healthy(self, scenario: str) -> Fleet:
         """Return a fleet in which nothing is wrong."""
@@ -44,6 +48,7 @@
         if self._fleet is None:
             folder = self._folders.mktemp(scenario)
             self._fleet = Fleet(self._scenarios(scenario), self._options, folder)
+            self._logs = [process.log_file for process in self._fleet.plan.processes]
             self._fleet.start()
         self.make_whole()
         return self._fleet
--- a/tests/kept_failures.py
+++ b/tests/kept_failures.py
@@ -13,6 +13,7 @@
 import threading
 import time
 import traceback
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import pytest
@@ -22,6 +23,12 @@
 MOST_CHARACTERS = 400_000
 """Of a test's output; the end of it is kept."""
 
+LOG_BYTES = 64 * 1024
+"""Of each process's log; the end of it is kept."""
+
+LOG_SOURCES: list[Callable[[], Iterable[Path]]] = []
+"""Give the logs of the processes that tests have started."""
+
 TIMER_S = 0.05
 NOTED_FROM_S = 0.02
 """Timers that are less late say nothing: that much they are on a machine that idles."""
@@ -92,7 +99,17 @@
     text = f"{report.longreprtext}\n{output}"
     (folder / "output.txt").write_text(text[-MOST_CHARACTERS:], encoding="utf8")
     (folder / "threads.txt").write_text(threads()[-MOST_CHARACTERS:], encoding="utf8")
+    _keep_logs(folder / "logs")
     old = sorted(path for path in FOLDER.iterdir() if path.is_dir())[:-FOLDERS_KEPT]
     for path in old:
         shutil.rmtree(path, ignore_errors=True)
     return folder
+
+
+def _keep_logs(folder: Path) -> None:
+    logs = [path for source in LOG_SOURCES for path in source() if path.exists()]
+    for path in logs:
+        folder.mkdir(exist_ok=True)
+        with path.open("rb") as log:
+            log.seek(max(0, path.stat().st_size - LOG_BYTES))
+            (folder / path.name).write_bytes(log.read())
--- a/tests/unit/test_kept_failures.py
+++ b/tests/unit/test_kept_failures.py
@@ -3,18 +3,26 @@
 from __future__ import annotations
 
 import os
+import shutil
 import subprocess
 import sys
 import time
 from pathlib import Path
 
-from tests.kept_failures import FOLDERS_KEPT, TimerWatch
+from tests.kept_failures import FOLDERS_KEPT, LOG_BYTES, TimerWatch
 from tests.pauses import LONGEST_S, SHORTEST_S
 
 ROOT = Path(__file__).parents[2]
 FAILING = """
+from pathlib import Path
+
+from tests.kept_failures import LOG_SOURCES
+
+
 def test_fails():
     print("a word of the test")
+    LOG_SOURCES.append(lambda: [Path("process.log"), Path("never_written.log")])
+    Path("process.log").write_text("x" * 100_000 + "a word of the process")
     assert False
 """
 
@@ -38,12 +46,14 @@
         for word in ("test_it.py::test_fails", "PYTHONHASHSEED", "load of the machine", "timers"):
             assert word in facts
         assert "a word of the test" in (folder / "output.txt").read_text(encoding="utf8")
+        (log,) = (folder / "logs").iterdir()
+        assert log.name == "process.log"
+        assert log.stat().st_size == LOG_BYTES
+        assert log.read_text(encoding="utf8").endswith("a word of the process")
         assert "MainThread" in (folder / "threads.txt").read_text(encoding="utf8")
         assert len(list(folder.parent.iterdir())) <= FOLDERS_KEPT
     finally:
-        for path in folder.iterdir():
-            path.unlink()
-        folder.rmdir()
+        shutil.rmtree(folder)
 
 
 def test_a_pause_of_the_interpreter_shows_as_late_timers() -> None:
