Placement: an order ends when its engine has started again

An order ended on a restart only at the leader that had seen it accepted; a successor did not know for which life of the engine it was made.

Change: a pending order carries the incarnation of the engine that it was planned for. It ends when the runner's reading names another, and the leader reads the engine itself before each send, since the hubs' readings lag by a second or two.

Before: both rows of the new test fail (the new engine takes the old order).

--- a/src/leverjunction/control/messages.py
+++ b/src/leverjunction/control/messages.py
@@ -40,11 +40,20 @@
 
 
 class PendingOrder(msgspec.Struct, frozen=True, kw_only=True):
-    """An order that was, or is about to be, sent to the engine of a runner."""
+    """An order that was, or is about to be, sent to the engine of a runner.
+
+    Attributes:
+        runner_id: The runner.
+        address: ``host:port`` of its engine.
+        order: The order with its fence.
+        incarnation: Start time of the engine that it was planned for, in milliseconds; 0 if that
+            is not known. An engine that started later knows no fence and takes any order.
+    """
 
     runner_id: str
     address: str
     order: Order
+    incarnation: int = 0
 
 
 class PlacementStamp(msgspec.Struct, frozen=True, order=True):
--- a/src/leverjunction/control/placement_runner.py
+++ b/src/leverjunction/control/placement_runner.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from leverjunction.backends.client import EngineClient
-from leverjunction.backends.types import Order, OrderAction
+from leverjunction.backends.types import LoadReport, Order, OrderAction
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import ReplicatedGroup
 from leverjunction.control.counters import ControlCounters
@@ -64,7 +64,6 @@
         began_s: When it was planned or taken over.
         told: From when on most hubs have to know it; None before it was told.
         sent: Whether the engine has accepted it.
-        incarnation: The runner's when it did, 0 when that is not known.
         reached_s: When the runner was last known to be reached, since it began.
     """
 
@@ -72,7 +71,6 @@
     began_s: float
     told: PlacementStamp | None = None
     sent: bool = False
-    incarnation: int = 0
     reached_s: float = 0.0
 
 
@@ -220,6 +218,9 @@
 
     def _is_over(self, order: _InProgress, reading: RunnerReading | None, now_s: float) -> bool:
         age_s = now_s - order.began_s
+        if reading is not None and reading.reachable and _is_for_another_life(order, reading):
+            logger.info("placement: {} started again, its order ends", order.pending.runner_id)
+            return True
         if not order.sent:
             return age_s > SEND_LIMIT_S
         if age_s > LOAD_LIMIT_S:
@@ -231,8 +232,6 @@
                 logger.warning("placement: {} is silent for {:.0f} s", order.pending, silent_s)
             return silent_s > SILENT_LIMIT_S
         order.reached_s = now_s
-        if order.incarnation and reading.incarnation != order.incarnation:
-            return True
         return is_done(_wanted_of(order.pending), reading.models, reading.versions)
 
     def _plan(self, picture: ClusterPicture, now_s: float) -> None:
@@ -259,12 +258,15 @@
             )
             if isinstance(fence, Failure):
                 return
+            reading = picture.readings[wanted.runner_id]
             self._orders[wanted.runner_id] = _InProgress(
-                pending=self._pending(wanted, addresses[wanted.runner_id], fence),
+                pending=self._pending(wanted, addresses[wanted.runner_id], reading, fence),
                 began_s=self._clock.monotonic_s(),
             )
 
-    def _pending(self, wanted: WantedOrder, address: str, fence: Fence) -> PendingOrder:
+    def _pending(
+        self, wanted: WantedOrder, address: str, reading: RunnerReading, fence: Fence
+    ) -> PendingOrder:
         order = Order(
             fence=fence,
             order_id=f"{self._random.getrandbits(64):016x}",
@@ -274,7 +276,12 @@
             version=wanted.version,
         )
         logger.info("placement: {} {} on {}", wanted.action, wanted, address)
-        return PendingOrder(runner_id=wanted.runner_id, address=address, order=order)
+        return PendingOrder(
+            runner_id=wanted.runner_id,
+            address=address,
+            order=order,
+            incarnation=reading.incarnation,
+        )
 
     def _send_told(self) -> None:
         for order in list(self._orders.values()):
@@ -284,6 +291,13 @@
 
     def _send(self, order: _InProgress) -> None:
         pending = order.pending
+        report = self._engines.load(pending.address)
+        if isinstance(report, Failure):
+            self._counters.orders.labels("failed").inc()
+            return
+        if _is_for_another_life(order, report):
+            # The reading of the hub that watches it will tell, and the order ends.
+            return
         outcome = self._engines.order(pending.address, pending.order)
         if isinstance(outcome, Failure):
             # Sent again as it is in the next round: the engine knows a resend by fence and id.
@@ -291,9 +305,7 @@
             return
         if outcome.accepted:
             self._counters.orders.labels("accepted").inc()
-            reading = self._hub.reading(pending.runner_id)
             order.sent = True
-            order.incarnation = reading.incarnation if reading is not None else 0
             return
         self._counters.orders.labels("refused").inc()
         logger.warning("placement: {} refused the order: {}", pending.runner_id, outcome.reason)
@@ -348,6 +360,16 @@
     return wanted
 
 
+def _is_for_another_life(order: _InProgress, word: RunnerReading | LoadReport) -> bool:
+    """Return whether the engine that gives its word is not the one that an order was planned for.
+
+    One that started again has the fences of before no longer, and serves what it loaded at its
+    start: an order that waited for a withdrawal in its life before would meet requests.
+    """
+    planned = order.pending.incarnation
+    return planned != 0 and word.incarnation != planned
+
+
 def _wanted_of(pending: PendingOrder) -> WantedOrder:
     order = pending.order
     return WantedOrder(
--- a/tests/unit/test_control_placement_fences.py
+++ b/tests/unit/test_control_placement_fences.py
@@ -11,7 +11,7 @@
 
 from leverjunction.backends.client import EngineClient
 from leverjunction.backends.machine_list import Machine, MachineList, MachineState
-from leverjunction.backends.types import Order, OrderOutcome
+from leverjunction.backends.types import LoadReport, Order, OrderOutcome
 from leverjunction.consensus.api import GroupStatus, ReplicatedGroup
 from leverjunction.control.counters import ControlCounters
 from leverjunction.control.group_host import GroupHost
@@ -40,6 +40,7 @@
         self.fences = 0
         self.rows = [SettingRow(path="services/s/models/m/version", value="2", version=1)]
         self.engine = Placement([], weights_bytes=1000, bytes_per_s=1.0)
+        self.engine_incarnation = 1
         self.taken: list[Order] = []
         self.lost_answers = 0
         self.nodes = {name: Node(self, name) for name in NAMES}
@@ -63,6 +64,18 @@
             return Failure(kind=FailureKind.TIMEOUT, reason="lost", step=Step.RESPONDING)
         return OrderOutcome(accepted=answer.accepted, status_code=200)
 
+    def load(self, _address: str, *_timeout: float) -> LoadReport:
+        """Stand in for the client of the engines."""
+        return LoadReport(
+            as_of_ms=self.wall_ms(), incarnation=self.engine_incarnation, running=0, waiting=0,
+            batch_running=0, batch_waiting=0, kv_blocks_used=0, kv_blocks_total=1, step_ms=1.0,
+            models=self.engine.models(), versions=self.engine.versions(),
+        )  # fmt: skip
+
+    def restart_engine(self) -> None:
+        self.engine = Placement(["m"], weights_bytes=1000, bytes_per_s=1.0)
+        self.engine_incarnation += 1
+
     def loads_in_engine(self) -> int:
         return len(self.engine._loading)
 
@@ -131,7 +144,7 @@
         self.hub.machines_listed(MachineList(as_of_ms=self.world.wall_ms(), machines=[machine]))
         self.world.engine.advance(self.world.now_s)
         reading = RunnerReading(
-            runner_id="r1", reachable=reachable, incarnation=1,
+            runner_id="r1", reachable=reachable, incarnation=self.world.engine_incarnation,
             models=self.world.engine.models(), versions=self.world.engine.versions(),
         )  # fmt: skip
         self.hub.runners_read([reading], [], self.hub.standstills())
@@ -238,6 +251,29 @@
     assert world.loads_in_engine() == 1
 
 
+@pytest.mark.parametrize("is_read", [True, False], ids=["its start is known", "nobody read it yet"])
+def test_an_engine_that_started_again_is_not_sent_an_order_of_its_life_before(
+    world: World, is_read: bool
+) -> None:
+    """It takes any fence and serves at once: a load would meet its requests."""
+    world.lost_answers = 1
+    while not world.taken:
+        world.run(1, *NAMES)
+    before = len(world.taken)
+    world.elect("c2")
+    world.restart_engine()
+    if is_read:
+        world.run(8, "c2", "c3")
+    else:
+        for _ in range(8):
+            world.now_s += 1.0
+            world.sync("c2", "c3")
+            world.nodes["c2"].placement.tick()
+    assert world.nodes["c2"].placement.status().leads
+    assert world.taken[before:] == []
+    assert world.loads_in_engine() == 0
+
+
 def test_a_frozen_leaders_late_order_is_refused_by_the_engine(world: World) -> None:
     world.lost_answers = 1
     while not world.taken:
