Placement: the engine's own word of its load decides whether a model is changed

What callers would see: requests on a runner whose weights are replaced under them.

That one is up to two seconds old (an exchange and a sync between hubs), is 0 for a runner without a digest, and 0 for one that nobody reached. With a withdrawal told within those seconds, a reading from before a request can stand for the time after it. Beside it: an order that was planned was sent even when its withdrawal was lifted in between, as when an operator takes a version back.

Change: before an order that changes a model which the engine holds, the leader asks the engine: with requests there it waits, up to the limit for draining; without a withdrawal the order ends.

--- a/src/leverjunction/control/placement.py
+++ b/src/leverjunction/control/placement.py
@@ -57,7 +57,7 @@
     @property
     def name(self) -> str:
         """The name under which engines list it."""
-        return f"{self.model}:{self.adapter}" if self.adapter else self.model
+        return listed_name(self.model, self.adapter)
 
 
 class RunnerFacts(msgspec.Struct, frozen=True, kw_only=True):
@@ -278,9 +278,14 @@
         return True
 
 
+def listed_name(model: str, adapter: str) -> str:
+    """Return the name under which engines list a model, or an adapter of one."""
+    return f"{model}:{adapter}" if adapter else model
+
+
 def is_done(order: WantedOrder, models: Iterable[str], versions: Mapping[str, str]) -> bool:
     """Return whether an engine's reading shows that an order was carried out."""
-    name = f"{order.model}:{order.adapter}" if order.adapter else order.model
+    name = listed_name(order.model, order.adapter)
     if order.action is OrderAction.UNLOAD:
         return name not in models
     return name in models and versions.get(name, order.version) == order.version
--- a/src/leverjunction/control/placement_runner.py
+++ b/src/leverjunction/control/placement_runner.py
@@ -29,7 +29,15 @@
     RunnerReading,
     Withdrawal,
 )
-from leverjunction.control.placement import RunnerFacts, WantedModel, WantedOrder, is_done, plan
+from leverjunction.control.placement import (
+    DRAIN_LIMIT_S,
+    RunnerFacts,
+    WantedModel,
+    WantedOrder,
+    is_done,
+    listed_name,
+    plan,
+)
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.control.status import PlacementStatus
 from leverjunction.errors import Failure
@@ -298,6 +306,8 @@
         if _is_for_another_life(order, report):
             # The reading of the hub that watches it will tell, and the order ends.
             return
+        if not self._may_change(order, report):
+            return
         outcome = self._engines.order(pending.address, pending.order)
         if isinstance(outcome, Failure):
             # Sent again as it is in the next round: the engine knows a resend by fence and id.
@@ -312,6 +322,24 @@
         del self._orders[pending.runner_id]
         self._paused_until_s[pending.runner_id] = self._clock.monotonic_s() + REFUSED_PAUSE_S
 
+    def _may_change(self, order: _InProgress, report: LoadReport) -> bool:
+        """Return whether no request meets the change by the engine's own word.
+
+        The planner knows its load from digests, which are seconds old. An order whose withdrawal
+        was lifted meanwhile is no longer wanted, and ends.
+        """
+        pending = order.pending
+        name = listed_name(pending.order.model, pending.order.adapter)
+        if name not in report.models:
+            return True
+        since_s = self._withdrawn.get(Withdrawal(pending.runner_id, name))
+        if since_s is None:
+            logger.info("placement: {} is in use on {}, its order ends", name, pending.runner_id)
+            del self._orders[pending.runner_id]
+            return False
+        is_idle = report.running + report.waiting == 0
+        return is_idle or self._clock.monotonic_s() - since_s >= DRAIN_LIMIT_S
+
     def _facts(self, picture: ClusterPicture, now_s: float) -> list[RunnerFacts]:
         busy = {one.runner_id: one.running + one.waiting for one in picture.digests}
         facts = []
