Placement: a model is changed once every live gateway has its withdrawal

What callers would see: requests that meet a runner whose weights are replaced, while one gateway is late with its exchange.

A sync and an exchange take two; one lost reply, a hub that is behind, or a busy machine makes it more.

Change: gateways say in their exchange which placement record they have in force; each hub tells the oldest of its gateways in its syncs (one stamp, whatever their number, so no gateway's state changes for the others); a change waits for all, and 1 s more since engines' loads lag. The limit for draining (60 s) holds as before. Control processes that do not say it are not waited for.

Before: test_a_live_gateway_that_was_not_told_yet_holds_up_the_change fails (both runners are changed while a live gateway uses them).

--- a/src/leverjunction/control/fanout.py
+++ b/src/leverjunction/control/fanout.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from leverjunction.control.membership import Membership
-from leverjunction.wire.messages import PendingWork, RunnerDigest
+from leverjunction.wire.messages import PendingWork, PlacementStamp, RunnerDigest
 
 MAX_DIGESTS_PER_REPLY = 16
 """Digests in one reply: about 1 KB of a node's budget of 3 KB/s."""
@@ -40,6 +40,7 @@
         self._lost: set[str] = set()
         self._told_jobs: set[str] = set()
         self._told_work: list[PendingWork] | None = None
+        self._told_placement: PlacementStamp | None = None
 
     def reset(self) -> None:
         """Forget what was told: the gateway knows nothing, or a reply was lost."""
@@ -47,6 +48,7 @@
         self._told_unhealthy.clear()
         self._told_jobs.clear()
         self._told_work = None
+        self._told_placement = None
         self._hubs = []
         self._hubs_version = None
 
@@ -79,6 +81,13 @@
         self._told_work = pending
         return pending
 
+    def untold_placement(self, stamp: PlacementStamp) -> PlacementStamp | None:
+        """Return which placement record the view reflects, None when just that was told last."""
+        if stamp == self._told_placement:
+            return None
+        self._told_placement = stamp
+        return stamp
+
     def untold_hubs(self, settings_version: int, order: Callable[[], list[str]]) -> list[str]:
         """Return the order of hubs unless it was told; it can change only with the settings."""
         if self._hubs_version == settings_version:
--- a/src/leverjunction/control/gateway_desk.py
+++ b/src/leverjunction/control/gateway_desk.py
@@ -43,6 +43,7 @@
         session, since = self._session(request)
         session.report(request.digests)
         self._membership.digests_heard(request.digests)
+        self._membership.withdrawals_heard(request.gateway.gateway_id, request.placement)
         self._renewals.held(request.gateway.gateway_id, request.lease_ids)
         gateways = self._membership.gateways.since(since)
         runners = self._membership.runners.since(since)
@@ -67,6 +68,7 @@
             job_groups=self._identity.job_groups,
             pending_work=session.untold_work(self._renewals.pending_work()),
             hub_settings_version=self._mirror.version,
+            placement=session.untold_placement(self._membership.placement_stamp),
         )
 
     def lose(self, owner: str, lease_ids: Iterable[str]) -> None:
--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -26,7 +26,6 @@
     HubSync,
     HubSyncReply,
     PlacementRecord,
-    PlacementStamp,
     RenewedLeases,
     RunnerReading,
 )
@@ -39,6 +38,7 @@
 from leverjunction.wire.messages import (
     ExchangeReply,
     ExchangeRequest,
+    PlacementStamp,
     RunnerState,
 )
 
@@ -120,7 +120,7 @@
         """Take another hub's message."""
         with self._lock:
             version = self._membership.sync_received(sync, self._note_alive())
-            return HubSyncReply(version, self._placement_stamp())
+            return HubSyncReply(version, self._membership.placement_stamp)
 
     def sync_for(self, peer: str, state: HubState) -> HubSync:
         """Return the message for another hub: what changed since its last answer."""
@@ -184,6 +184,11 @@
         with self._lock:
             return self._membership.placement
 
+    def placement_in_force(self) -> PlacementStamp | None:
+        """Return the oldest record whose withdrawals a live gateway has in force, None without."""
+        with self._lock:
+            return self._membership.in_force()
+
     def placement_told_most(self, stamp: PlacementStamp) -> bool:
         """Return whether most hubs, this one included, have a record of placement or a later one.
 
@@ -277,10 +282,6 @@
                 hubs=own.live_hubs(),
             )
 
-    def _placement_stamp(self) -> PlacementStamp:
-        record = self._membership.placement
-        return record.stamp if record is not None else PlacementStamp()
-
     def _is_majority(self, hubs: int) -> bool:
         return hubs * 2 > len(self._identity.peers)
 
--- a/src/leverjunction/control/hub_peers.py
+++ b/src/leverjunction/control/hub_peers.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from leverjunction.control.membership import Membership
-from leverjunction.control.messages import HubState, HubSync, HubSyncReply, PlacementStamp
+from leverjunction.control.messages import HubState, HubSync, HubSyncReply
+from leverjunction.wire.messages import PlacementStamp
 
 
 class PeerBook:
@@ -37,7 +38,7 @@
             record = None
         self._sequence += 1
         return HubSync(
-            hub=msgspec.structs.replace(state, placement=record),
+            hub=msgspec.structs.replace(state, placement=record, in_force=own.own_in_force()),
             sequence=self._sequence,
             from_version=since,
             to_version=own.own_counter.value,
--- a/src/leverjunction/control/membership.py
+++ b/src/leverjunction/control/membership.py
@@ -26,7 +26,12 @@
     Withdrawal,
 )
 from leverjunction.control.versioned import VersionCounter, VersionedMap
-from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
+from leverjunction.wire.messages import (
+    GatewayState,
+    PlacementStamp,
+    RunnerDigest,
+    RunnerState,
+)
 
 GATEWAY_TIMEOUT_S = 3.5
 """A gateway is no longer live after this long without an exchange: three missed ones."""
@@ -72,6 +77,7 @@
         self.placement: PlacementRecord | None = None
         self.unhealthy: set[str] = set()
         self._heard_s: dict[str, float] = {}
+        self._in_force: dict[str, PlacementStamp] = {}
         self._machines: dict[str, Machine] = {}
         self._unlisted: dict[str, Machine] = {}
         self._peers: dict[str, _PeerHub] = {}
@@ -154,11 +160,30 @@
 
         It stays in force when that process is silent, until a successor says something else.
         """
-        if self.placement is not None and record.stamp < self.placement.stamp:
+        if record.stamp < self.placement_stamp:
             return
         self.placement = record
         self._set_withdrawn(frozenset(record.withdrawn))
 
+    @property
+    def placement_stamp(self) -> PlacementStamp:
+        """Age of the newest record of placement that is known here."""
+        return self.placement.stamp if self.placement is not None else PlacementStamp()
+
+    def withdrawals_heard(self, gateway_id: str, stamp: PlacementStamp) -> None:
+        """Note which placement record's withdrawals a gateway of this hub has in force."""
+        self._in_force[gateway_id] = stamp
+
+    def own_in_force(self) -> PlacementStamp | None:
+        """Return the oldest record that one of this hub's gateways has in force."""
+        return min(self._in_force.values(), default=None)
+
+    def in_force(self) -> PlacementStamp | None:
+        """Return the oldest record that any live gateway has in force, None without gateways."""
+        told = [hub.in_force for hub in self.live_hubs()]
+        known = [stamp for stamp in [*told, self.own_in_force()] if stamp is not None]
+        return min(known, default=None)
+
     def sync_received(self, sync: HubSync, now_s: float) -> int:
         """Take another hub's message; return the version that this hub now has of it.
 
@@ -196,6 +221,7 @@
         for gateway_id, heard_s in list(self._heard_s.items()):
             if now_s - heard_s > GATEWAY_TIMEOUT_S:
                 del self._heard_s[gateway_id]
+                self._in_force.pop(gateway_id, None)
                 self.own_gateways.remove(gateway_id)
                 self._merge_gateway(gateway_id)
         for name, peer in list(self._peers.items()):
--- a/src/leverjunction/control/messages.py
+++ b/src/leverjunction/control/messages.py
@@ -6,7 +6,7 @@
 
 from leverjunction.backends.types import Order
 from leverjunction.consensus.api import GroupStatus
-from leverjunction.wire.messages import GatewayState, RunnerDigest
+from leverjunction.wire.messages import GatewayState, PlacementStamp, RunnerDigest
 
 
 class RunnerReading(msgspec.Struct, frozen=True, kw_only=True):
@@ -56,13 +56,6 @@
     incarnation: int = 0
 
 
-class PlacementStamp(msgspec.Struct, frozen=True, order=True):
-    """Age of a placement record: by term, then by revision; zeros for none."""
-
-    term: int = 0
-    revision: int = 0
-
-
 class PlacementRecord(msgspec.Struct, frozen=True, kw_only=True):
     """What a successor of the process that leads placement has to know.
 
@@ -99,6 +92,8 @@
         machine_list_as_of_ms: The platform's time of its last reading of the machine list.
         groups: Its replicas of consensus groups.
         placement: The newest record of placement that it knows; None when the receiver has it.
+        in_force: Oldest placement record whose withdrawals one of its gateways has in force; None
+            without gateways.
     """
 
     name: str
@@ -110,6 +105,7 @@
     machine_list_as_of_ms: int = 0
     groups: list[GroupStatus] = []
     placement: PlacementRecord | None = None
+    in_force: PlacementStamp | None = None
 
 
 class HubSync(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/control/placement.py
+++ b/src/leverjunction/control/placement.py
@@ -5,7 +5,8 @@
 * A model is wanted on ``replicas`` runners of its service, or on all of them. Runners that hold
   the wanted version are kept first, so a change moves as little as possible.
 * Before a model is unloaded or reloaded on a runner it is withdrawn there: gateways stop using
-  it, and the change waits until the runner is idle. So no request meets an unloaded model.
+  it, and the change waits until all of them have and the runner is idle. So no request meets an
+  unloaded model.
 * A withdrawal of a model covers its adapters, and waits until another runner has each of them.
 * A withdrawal never takes the last ready runner, and leaves three quarters of a larger pool. A
   single replica is replaced by loading a spare runner first; without a spare the change is blocked
@@ -17,7 +18,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 import xxhash
@@ -26,10 +27,12 @@
 from leverjunction.control.messages import Withdrawal
 
 SETTLE_S = 3.0
-"""From a withdrawal until every gateway has it: a sync between hubs and an exchange."""
+"""A withdrawal lasts at least this long before the change: a sync between hubs and an exchange, for
+gateways of which no hub knows at the moment.
+"""
 
 DRAIN_LIMIT_S = 60.0
-"""A withdrawn runner that is still busy after this long is changed all the same."""
+"""A withdrawn runner that is still in use after this long is changed all the same."""
 
 START_GRACE_S = 3.0
 """A runner that has just started may still be loading by itself."""
@@ -112,6 +115,7 @@
     wanted: Iterable[WantedModel],
     runners: Iterable[RunnerFacts],
     withdrawn: Mapping[Withdrawal, float],
+    kept_to: Collection[Withdrawal],
     loads_in_progress: int,
     max_loads: int,
     now_s: float,
@@ -122,13 +126,14 @@
         wanted: All models and adapters of all services.
         runners: All listed runners.
         withdrawn: Withdrawals in force, with the time at which each began.
+        kept_to: Those of them that every gateway keeps to.
         loads_in_progress: Load orders that are not done yet.
         max_loads: Most loads in progress.
         now_s: Monotonic time in seconds.
     """
     entries = sorted(wanted, key=lambda one: (one.service, one.model, one.adapter))
     adapters = [one for one in entries if one.adapter]
-    planner = _Planner(adapters, withdrawn, max_loads - loads_in_progress, now_s)
+    planner = _Planner(adapters, withdrawn, kept_to, max_loads - loads_in_progress, now_s)
     known = list(runners)
     placed: dict[tuple[str, str], list[RunnerFacts]] = {}
     # Models before their adapters, which go where the model is.
@@ -151,6 +156,7 @@
         self,
         adapters: list[WantedModel],
         withdrawn: Mapping[Withdrawal, float],
+        kept_to: Collection[Withdrawal],
         load_slots: int,
         now_s: float,
     ) -> None:
@@ -159,6 +165,7 @@
         self.blocked: list[str] = []
         self._adapters = adapters
         self._withdrawn = withdrawn
+        self._kept_to = kept_to
         self._load_slots = load_slots
         self._now_s = now_s
         self._ordered: set[str] = set()
@@ -208,7 +215,8 @@
             return False
         self.kept[withdrawal] = since_s
         age_s = self._now_s - since_s
-        return age_s >= SETTLE_S and (runner.busy == 0 or age_s >= DRAIN_LIMIT_S)
+        is_drained = withdrawal in self._kept_to and runner.busy == 0
+        return age_s >= SETTLE_S and (is_drained or age_s >= DRAIN_LIMIT_S)
 
     def _serves(self, runner: RunnerFacts, entry: WantedModel) -> bool:
         """Return whether gateways may use a model or an adapter on a runner."""
--- a/src/leverjunction/control/placement_runner.py
+++ b/src/leverjunction/control/placement_runner.py
@@ -25,7 +25,6 @@
 from leverjunction.control.messages import (
     PendingOrder,
     PlacementRecord,
-    PlacementStamp,
     RunnerReading,
     Withdrawal,
 )
@@ -40,9 +39,11 @@
 )
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.control.status import PlacementStatus
+from leverjunction.control.withdrawals import Withdrawals
 from leverjunction.errors import Failure
 from leverjunction.settings.commands import Fence, GetSettings, PlacementFence, SettingsDelta
 from leverjunction.settings.resolved import ResolvedSettings
+from leverjunction.wire.messages import PlacementStamp
 
 FENCE_TIMEOUT_S = 2.0
 SEND_LIMIT_S = 30.0
@@ -124,7 +125,7 @@
         self._term = 0
         self._record: PlacementRecord | None = None
         self._orders: dict[str, _InProgress] = {}
-        self._withdrawn: dict[Withdrawal, float] = {}
+        self._withdrawals = Withdrawals()
         self._blocked: list[str] = []
         self._paused_until_s: dict[str, float] = {}
         self._first_seen: dict[str, tuple[int, float]] = {}
@@ -150,12 +151,13 @@
         record = PlacementRecord(
             term=term,
             revision=last.revision if last is not None else 0,
-            withdrawn=sorted(self._withdrawn),
+            withdrawn=sorted(self._withdrawals.since_s),
             orders=[order.pending for order in self._orders.values()],
         )
         if record != last:
             record = msgspec.structs.replace(record, revision=record.revision + 1)
             self._record = record
+            self._withdrawals.told(record.stamp)
             for order in self._orders.values():
                 order.told = order.told or record.stamp
         self._hub.placement_set(record)
@@ -170,7 +172,7 @@
                 f"version {one.order.version}"
                 for one in orders
             ],
-            withdrawn=sorted(self._withdrawn),
+            withdrawn=sorted(self._withdrawals.since_s),
             blocked=self._blocked,
         )
 
@@ -187,7 +189,7 @@
         self._term = 0
         self._record = None
         self._orders.clear()
-        self._withdrawn.clear()
+        self._withdrawals.take_over(None, 0.0)
         self._blocked = []
 
     def _take_over(self, term: int) -> bool:
@@ -205,9 +207,8 @@
             return False
         now_s = self._clock.monotonic_s()
         last = self._hub.placement_record()
-        withdrawn = last.withdrawn if last is not None else []
+        self._withdrawals.take_over(last, now_s)
         orders = last.orders if last is not None else []
-        self._withdrawn = {withdrawal: now_s for withdrawal in withdrawn}
         self._orders = {
             order.runner_id: _InProgress(pending=order, began_s=now_s) for order in orders
         }
@@ -246,10 +247,12 @@
         loads = [
             one for one in self._orders.values() if one.pending.order.action is OrderAction.LOAD
         ]
+        self._withdrawals.heard(self._hub.placement_in_force(), now_s)
         steps = plan(
             wanted_models(self._mirror.settings),
             self._facts(picture, now_s),
-            self._withdrawn,
+            self._withdrawals.since_s,
+            self._withdrawals.kept(now_s),
             len(loads),
             self._max_loads,
             now_s,
@@ -257,7 +260,7 @@
         if steps.blocked != self._blocked:
             for reason in steps.blocked:
                 logger.warning("placement: blocked: {}", reason)
-        self._withdrawn = steps.withdrawn
+        self._withdrawals.replace(steps.withdrawn)
         self._blocked = steps.blocked
         addresses = {runner.runner_id: runner.address for runner in picture.runners}
         for wanted in steps.orders:
@@ -332,7 +335,7 @@
         name = listed_name(pending.order.model, pending.order.adapter)
         if name not in report.models:
             return True
-        since_s = self._withdrawn.get(Withdrawal(pending.runner_id, name))
+        since_s = self._withdrawals.since_s.get(Withdrawal(pending.runner_id, name))
         if since_s is None:
             logger.info("placement: {} is in use on {}, its order ends", name, pending.runner_id)
             del self._orders[pending.runner_id]
--- a/src/leverjunction/gateway/exchange.py
+++ b/src/leverjunction/gateway/exchange.py
@@ -198,6 +198,7 @@
             hub_incarnation=snapshot.hub_incarnation,
             digests=digests,
             lease_ids=self._leases.lease_ids(),
+            placement=snapshot.placement,
         )
 
     def _apply(self, reply: ExchangeReply) -> None:
--- a/src/leverjunction/gateway/view.py
+++ b/src/leverjunction/gateway/view.py
@@ -9,6 +9,7 @@
 from leverjunction.wire.messages import (
     ExchangeReply,
     GatewayState,
+    PlacementStamp,
     RunnerDigest,
     RunnerState,
 )
@@ -28,6 +29,7 @@
         hubs: RPC addresses of the hubs, nearest first.
         quorum_age_s: Age of the hub's contact with the root group's leader.
         job_groups: Number of job groups.
+        placement: Placement record whose withdrawals the runners' models reflect.
     """
 
     view_version: int = 0
@@ -38,6 +40,7 @@
     hubs: list[str] = []
     quorum_age_s: float = 0.0
     job_groups: int = DEFAULT_JOB_GROUPS
+    placement: PlacementStamp = PlacementStamp()
 
 
 def apply_reply(state: ClusterSnapshot, reply: ExchangeReply) -> ClusterSnapshot:
@@ -71,6 +74,7 @@
         hubs=list(reply.hubs) or state.hubs,
         quorum_age_s=reply.quorum_age_s,
         job_groups=getattr(reply, "job_groups", state.job_groups),
+        placement=state.placement if reply.placement is None else reply.placement,
     )
 
 
--- a/src/leverjunction/wire/messages.py
+++ b/src/leverjunction/wire/messages.py
@@ -53,6 +53,13 @@
     batch_waiting: int = 0
 
 
+class PlacementStamp(msgspec.Struct, frozen=True, order=True):
+    """Age of a placement record: by term, then by revision; zeros for none."""
+
+    term: int = 0
+    revision: int = 0
+
+
 class GatewayState(msgspec.Struct, frozen=True, kw_only=True):
     """A live gateway.
 
@@ -111,6 +118,7 @@
         hub_incarnation: Incarnation of the hub that gave ``view_version``.
         digests: Changed load digests of the runners that it owns.
         lease_ids: Batch leases that it still holds, by group: a renewal.
+        placement: Placement record whose withdrawals the gateway has in force.
     """
 
     gateway: GatewayState
@@ -119,6 +127,7 @@
     hub_incarnation: int
     digests: list[RunnerDigest] = []
     lease_ids: dict[str, list[str]] = {}
+    placement: PlacementStamp = PlacementStamp()
 
 
 class ExchangeReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -145,6 +154,8 @@
         pending_work: Where work is pending, for all job groups of which the hub knows; None when
             that is what the gateway was told last.
         hub_settings_version: Version that the hub itself has; -1 from one that does not say.
+        placement: Placement record whose withdrawals the runners' models reflect; None when the
+            gateway was told it last.
     """
 
     settings_version: int
@@ -165,6 +176,7 @@
     settings_retry_after_s: float = 0.0
     pending_work: list[PendingWork] | None = None
     hub_settings_version: int = -1
+    placement: PlacementStamp | None = None
 
 
 class YieldNotice(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/testbed/scale/hollow_gateway.py
+++ b/src/testbed/scale/hollow_gateway.py
@@ -19,6 +19,7 @@
     ExchangeReply,
     ExchangeRequest,
     GatewayState,
+    PlacementStamp,
     RunnerDigest,
 )
 
@@ -71,6 +72,7 @@
         self._settings_version = 0
         self._view_version = 0
         self._hub_incarnation = 0
+        self._placement = PlacementStamp()
         self._zone_gateways: set[str] = set()
         self._zone_runners: set[str] = set()
         self._owned: list[str] = []
@@ -117,6 +119,7 @@
             hub_incarnation=self._hub_incarnation,
             digests=digests,
             lease_ids=lease_ids,
+            placement=self._placement,
         )
 
     def _state(self) -> GatewayState:
@@ -162,6 +165,8 @@
             )
         self._view_version = reply.view_version
         self._hub_incarnation = reply.hub_incarnation
+        if reply.placement is not None:
+            self._placement = reply.placement
         self._drop_lost_leases(set(reply.lost_lease_ids))
         if self._apply_view(reply):
             self._owned = self._compute_owned()
--- a/tests/unit/test_control_placement.py
+++ b/tests/unit/test_control_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import msgspec
 import pytest
 
@@ -43,11 +45,13 @@
     runners: list[RunnerFacts],
     withdrawn: dict[Withdrawal, float] | None = None,
     *,
+    kept_to: Collection[Withdrawal] | None = None,
     loads: int = 0,
     max_loads: int = 4,
     now_s: float = 1000.0,
 ) -> Plan:
-    return plan(entries, runners, withdrawn or {}, loads, max_loads, now_s)
+    kept_to = (withdrawn or {}) if kept_to is None else kept_to
+    return plan(entries, runners, withdrawn or {}, kept_to, loads, max_loads, now_s)
 
 
 OUT_A = Withdrawal("a", "m")
@@ -91,6 +95,13 @@
     assert result.withdrawn == {OUT_A: 1000.0 - age_s}
 
 
+@pytest.mark.parametrize(("age_s", "reloaded"), [(SETTLE_S, False), (DRAIN_LIMIT_S, True)])
+def test_a_withdrawal_that_a_gateway_does_not_keep_to_waits(age_s: float, reloaded: bool) -> None:
+    runners = [runner("a", "1"), runner("b", "1"), runner("c", "1")]
+    result = steps([wanted("2")], runners, {OUT_A: 1000.0 - age_s}, kept_to=())
+    assert [order.runner_id for order in result.orders] == (["a"] if reloaded else [])
+
+
 def test_a_change_taken_back_lifts_the_withdrawal() -> None:
     runners = [runner("a", "1"), runner("b", "1")]
     result = steps([wanted("1")], runners, {OUT_A: 999.0})
--- a/tests/unit/test_control_placement_drain.py
+++ b/tests/unit/test_control_placement_drain.py
@@ -57,6 +57,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.view = ClusterView()
+        self.loses_replies = False
 
     def exchange(self, hub: Hub, digests: list[RunnerDigest]) -> None:
         snapshot = self.view.snapshot
@@ -67,9 +68,10 @@
         request = ExchangeRequest(
             gateway=state, settings_version=1, view_version=snapshot.view_version,
             hub_incarnation=snapshot.hub_incarnation, digests=digests,
+            placement=snapshot.placement,
         )  # fmt: skip
         reply = hub.exchange(request)
-        if isinstance(reply, ExchangeReply):
+        if isinstance(reply, ExchangeReply) and not self.loses_replies:
             self.view.apply(reply)
 
     def uses(self, runner_id: str) -> bool:
@@ -254,3 +256,20 @@
         engine.running = 0
     world.run(ROLLOUT_S)
     assert world.changed() == []
+
+
+def test_a_live_gateway_that_was_not_told_yet_holds_up_the_change(world: World) -> None:
+    late = world.gateways["g2"]
+    late.loses_replies = True
+    world.run(ROLLOUT_S)
+    assert world.changed() == []
+    late.loses_replies = False
+    world.run(ROLLOUT_S)
+    assert sorted(world.changed()) == sorted(RUNNERS)
+    assert [users for _, users in world.used_at_order] == [[], []]
+
+
+def test_a_gateway_that_ended_holds_up_nothing(world: World) -> None:
+    del world.gateways["g2"]
+    world.run(ROLLOUT_S)
+    assert sorted(world.changed()) == sorted(RUNNERS)
