Placement: records of one term go on from the last revision

Change: a take-over in the same term goes on from the last known revision.

Before: test_a_leader_that_steps_down_and_leads_on_in_its_term_is_still_heard fails, both gateways use the model at each order. After: it passes.

--- a/src/leverjunction/control/placement_runner.py
+++ b/src/leverjunction/control/placement_runner.py
@@ -124,6 +124,7 @@
         self._max_loads = max_loads
         self._term = 0
         self._record: PlacementRecord | None = None
+        self._revision = 0
         self._orders: dict[str, _InProgress] = {}
         self._withdrawals = Withdrawals()
         self._blocked: list[str] = []
@@ -150,12 +151,13 @@
         last = self._record
         record = PlacementRecord(
             term=term,
-            revision=last.revision if last is not None else 0,
+            revision=self._revision,
             withdrawn=sorted(self._withdrawals.since_s),
             orders=[order.pending for order in self._orders.values()],
         )
         if record != last:
-            record = msgspec.structs.replace(record, revision=record.revision + 1)
+            self._revision += 1
+            record = msgspec.structs.replace(record, revision=self._revision)
             self._record = record
             self._withdrawals.told(record.stamp)
             for order in self._orders.values():
@@ -214,6 +216,8 @@
         }
         self._term = term
         self._record = None
+        # Within one term records go on from the last one: an older one would not be taken.
+        self._revision = last.revision if last is not None and last.term == term else 0
         logger.info("placement: leads in term {}, {} orders in progress", term, len(orders))
         return True
 
--- a/tests/unit/test_control_placement_drain.py
+++ b/tests/unit/test_control_placement_drain.py
@@ -90,6 +90,7 @@
         self.fences = 0
         self.version = "1"
         self.settings_version = 1
+        self.role = "leader"
         self._mirror = SettingsMirror(self._settings)
         assert self._mirror.refresh()
         identity = HubIdentity(
@@ -155,7 +156,7 @@
     def status(self) -> GroupStatus:
         """Stand in for the replica of group root."""
         return GroupStatus(
-            group="root", replica_id="c1", role="leader", term=1, leader_address="c1:1",
+            group="root", replica_id="c1", role=self.role, term=1, leader_address="c1:1",
             commit_index=1, applied_index=1, voters=["c1:1"], learners=[],
             leader_contact_age_s=0.0,
         )  # fmt: skip
@@ -273,3 +274,15 @@
     del world.gateways["g2"]
     world.run(ROLLOUT_S)
     assert sorted(world.changed()) == sorted(RUNNERS)
+
+
+def test_a_leader_that_steps_down_and_leads_on_in_its_term_is_still_heard(world: World) -> None:
+    """Its records went on from revision 1, which is older than what all knew: none was taken."""
+    world.run(ROLLOUT_S)
+    world.role = "follower"
+    world.run(ROUND_S)
+    world.role = "leader"
+    world.change_version("3")
+    before = len(world.used_at_order)
+    world.run(ROLLOUT_S)
+    assert [users for _, users in world.used_at_order[before:]] == [[], []]
