Placement: hubs tell each other at once of records, and of the last gateway that has one

Cause: each step waited for the next sync (1 s) on its way to the gateways and back, and the engines' lag (1 s) was waited for before the order was made, not while hubs were told of it.

Change: a new record, and a hub's last gateway to confirm one, wake the sync between hubs, as changed gateways do (one message more a hub and record, whatever the number of gateways). The lag is asked for when the order is sent.

Before: the two new tests fail. After: they pass, 142 of the control process.

--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -111,10 +111,14 @@
             if not self._is_warm(now_s):
                 return warming_up()
             known = self._membership.own_counter.value
+            in_force = self._membership.own_in_force()
             if not self._membership.gateway_heard(request.gateway, now_s):
                 return old_incarnation(request.gateway)
             self._tell_news(known)
-            return self._desk.answer(request, step, quorum_age_s)
+            reply = self._desk.answer(request, step, quorum_age_s)
+            if self._membership.own_in_force() != in_force:
+                self.on_news()
+            return reply
 
     def sync_received(self, sync: HubSync) -> HubSyncReply:
         """Take another hub's message."""
@@ -177,7 +181,10 @@
         """Take the record of placement; called only by the process that leads it."""
         if record is not None:
             with self._lock:
+                before = self._membership.placement_stamp
                 self._membership.placement_set(record)
+                if self._membership.placement_stamp != before:
+                    self.on_news()
 
     def placement_record(self) -> PlacementRecord | None:
         """Return the last known record of placement, of whichever process led it."""
--- a/src/leverjunction/control/placement_runner.py
+++ b/src/leverjunction/control/placement_runner.py
@@ -256,7 +256,7 @@
             wanted_models(self._mirror.settings),
             self._facts(picture, now_s),
             self._withdrawals.since_s,
-            self._withdrawals.kept(now_s),
+            self._withdrawals.kept_to(),
             len(loads),
             self._max_loads,
             now_s,
@@ -339,13 +339,16 @@
         name = listed_name(pending.order.model, pending.order.adapter)
         if name not in report.models:
             return True
-        since_s = self._withdrawals.since_s.get(Withdrawal(pending.runner_id, name))
+        withdrawal = Withdrawal(pending.runner_id, name)
+        since_s = self._withdrawals.since_s.get(withdrawal)
         if since_s is None:
             logger.info("placement: {} is in use on {}, its order ends", name, pending.runner_id)
             del self._orders[pending.runner_id]
             return False
+        now_s = self._clock.monotonic_s()
         is_idle = report.running + report.waiting == 0
-        return is_idle or self._clock.monotonic_s() - since_s >= DRAIN_LIMIT_S
+        is_drained = is_idle and self._withdrawals.shows_all(withdrawal, now_s)
+        return is_drained or now_s - since_s >= DRAIN_LIMIT_S
 
     def _facts(self, picture: ClusterPicture, now_s: float) -> list[RunnerFacts]:
         busy = {one.runner_id: one.running + one.waiting for one in picture.digests}
--- a/src/leverjunction/control/withdrawals.py
+++ b/src/leverjunction/control/withdrawals.py
@@ -52,10 +52,11 @@
             else:
                 self._in_force_s.pop(withdrawal, None)
 
-    def kept(self, now_s: float) -> set[Withdrawal]:
-        """Return those that all gateways have kept to for ``REPORT_LAG_S``."""
-        return {
-            withdrawal
-            for withdrawal, since_s in self._in_force_s.items()
-            if now_s - since_s >= REPORT_LAG_S
-        }
+    def kept_to(self) -> set[Withdrawal]:
+        """Return those that all gateways have in force."""
+        return set(self._in_force_s)
+
+    def shows_all(self, withdrawal: Withdrawal, now_s: float) -> bool:
+        """Return whether a load report of now shows each request sent before the withdrawal."""
+        since_s = self._in_force_s.get(withdrawal)
+        return since_s is not None and now_s - since_s >= REPORT_LAG_S
--- a/tests/unit/test_control_placement_drain.py
+++ b/tests/unit/test_control_placement_drain.py
@@ -286,3 +286,24 @@
     before = len(world.used_at_order)
     world.run(ROLLOUT_S)
     assert [users for _, users in world.used_at_order[before:]] == [[], []]
+
+
+def test_the_other_hubs_are_told_of_a_withdrawal_at_once(world: World) -> None:
+    told: list[float] = []
+    world.hub.on_news = lambda: told.append(world.now_s)
+    world.run(ROUND_S)
+    assert told == [world.now_s]
+
+
+def test_the_other_hubs_are_told_at_once_when_its_last_gateway_has_a_withdrawal(
+    world: World,
+) -> None:
+    world.run(ROUND_S)
+    told: list[float] = []
+    world.hub.on_news = lambda: told.append(world.now_s)
+    late = world.gateways.pop("g2")
+    world.run(2 * ROUND_S)
+    assert told == []
+    late.exchange(world.hub, [])
+    late.exchange(world.hub, [])
+    assert len(told) == 1
