Simulator: whole gateways, callers and back ends in virtual time

Change: VirtualLoop, asyncio's base loop with the machine's clock, waiting in a fiber, whose connections are the simulated network's (cuts, freezes, resets, silence for good, keep-alive probes). Channels can go silent.

--- a/src/testbed/simulation/arguments.py
+++ b/src/testbed/simulation/arguments.py
@@ -14,6 +14,7 @@
 from testbed.simulation.scenario import SCENARIOS
 from testbed.simulation.seeded.broken import SEEDED_RULES
 from testbed.simulation.seeded.fault_kinds import SeededFaultKind
+from testbed.simulation.seeded.routed.broken import ROUTED_RULES
 from testbed.simulation.seeded.shape import SHAPES
 from testbed.simulation.variation import Source, Variation, variations
 
@@ -88,7 +89,9 @@
 
 
 def _rules(scenario: str) -> dict[str, Rule]:
-    return SEEDED_RULES if scenario in SHAPES else RULES
+    if scenario not in SHAPES:
+        return RULES
+    return SEEDED_RULES | ROUTED_RULES if SHAPES[scenario].back_ends else SEEDED_RULES
 
 
 def _kinds(scenario: str) -> list[FaultKind | SeededFaultKind]:
--- a/src/testbed/simulation/channel.py
+++ b/src/testbed/simulation/channel.py
@@ -52,6 +52,10 @@
         channel.on_closed = self._forget
         return channel
 
+    def of(self, machine: Machine) -> list[Channel]:
+        """Return the open channels of a machine."""
+        return list(self._open.get(machine.name, ()))
+
     def _resetter(self, machine: Machine) -> Callable[[], None]:
         def reset() -> None:
             for channel in list(self._open[machine.name]):
@@ -67,6 +71,13 @@
 class Channel:
     """A connection between two machines.
 
+    Attributes:
+        client: Machine that opened it.
+        server: Machine that serves it.
+        closed: One end has closed it.
+        silent: Its path is gone for good: nothing arrives any more, and nobody is told.
+        on_closed: Called when it is closed.
+
     Args:
         scheduler: Virtual time.
         network: Network that carries the messages.
@@ -80,6 +91,7 @@
         self.client = client
         self.server = server
         self.closed = False
+        self.silent = False
         self.on_closed: Callable[[Channel], None] = lambda _channel: None
         self._scheduler = scheduler
         self._network = network
@@ -116,6 +128,12 @@
         self._carry(self._other(dead), lambda end: end.broken(self))
         self._end()
 
+    def reaches_both_ways(self) -> bool:
+        """Return whether a packet, and the answer to it, would arrive now."""
+        names = self.client.name, self.server.name
+        linked = self._network.linked(*names) and self._network.linked(*reversed(names))
+        return linked and not self.silent
+
     def _end(self) -> None:
         self.closed = True
         self.on_closed(self)
@@ -134,6 +152,9 @@
         waiting = self._on_way[destination.name]
         if not waiting:
             return
+        if self.silent:
+            waiting.clear()
+            return
         source = self._other(destination)
         if not self._network.linked(source.name, destination.name):
             self._wait_for_link(destination)
--- a/src/testbed/simulation/seeded/fault_kinds.py
+++ b/src/testbed/simulation/seeded/fault_kinds.py
@@ -32,6 +32,11 @@
     STALL_DISK = "stall_disk"
     SLOW_LINKS = "slow_links"
     STEP_CLOCK = "step_clock"
+    KILL_BACK_END = "kill_back_end"
+    FREEZE_BACK_END = "freeze_back_end"
+    LEAVE_BACK_END = "leave_back_end"
+    CUT_BACK_END = "cut_back_end"
+    SILENCE_CONNECTIONS = "silence_connections"
 
 
 WEIGHTS: dict[SeededFaultKind, float] = {
@@ -56,6 +61,16 @@
 }
 
 
+ROUTED_WEIGHTS: dict[SeededFaultKind, float] = {
+    **WEIGHTS,
+    SeededFaultKind.KILL_BACK_END: 4,
+    SeededFaultKind.FREEZE_BACK_END: 3,
+    SeededFaultKind.LEAVE_BACK_END: 4,
+    SeededFaultKind.CUT_BACK_END: 3,
+    SeededFaultKind.SILENCE_CONNECTIONS: 3,
+}
+
+
 @dataclass(frozen=True)
 class SeededFault:
     """One fault of a schedule.
--- a/src/testbed/simulation/seeded/faults.py
+++ b/src/testbed/simulation/seeded/faults.py
@@ -9,10 +9,11 @@
 from leverjunction.consensus.events import RepairDone
 from testbed.simulation.history import Span
 from testbed.simulation.seeded.fault_kinds import SeededFault, SeededFaultKind
+from testbed.simulation.seeded.routed.faults import BackEndFaults
 
 if TYPE_CHECKING:
-    from testbed.simulation.seeded.processes import ControlProcess, GatewayProcess
-    from testbed.simulation.seeded.world import SeededWorld
+    from testbed.simulation.seeded.processes import ControlProcess
+    from testbed.simulation.seeded.world import Gateway, SeededWorld
 
 SLOW_SYNC_S = 0.3
 """Longest sync of a slow disk; half of it on average."""
@@ -29,6 +30,7 @@
 
     def __init__(self, world: SeededWorld) -> None:
         self._world = world
+        self._back_ends = BackEndFaults(world)
         self._lost_s: dict[str, float] = {}
         for process in world.control.values():
             process.place.replica.on_repair = self._repaired
@@ -55,6 +57,7 @@
             SeededFaultKind.STALL_DISK: self._stall_disk,
             SeededFaultKind.SLOW_LINKS: self._slow_links,
             SeededFaultKind.STEP_CLOCK: self._step_clock,
+            **self._back_ends.handlers(),
         }
         struck = handlers[fault.kind](fault)
         self.on_strike(fault, struck)
@@ -176,7 +179,7 @@
             self._later(fault, process.start)
         return True
 
-    def _gateway(self, fault: SeededFault) -> GatewayProcess | None:
+    def _gateway(self, fault: SeededFault) -> Gateway | None:
         gateways = [
             gateway
             for gateway in self._world.gateways.values()
@@ -184,7 +187,7 @@
         ]
         return gateways[fault.target % len(gateways)] if gateways else None
 
-    def _note_gateway(self, gateway: GatewayProcess, lasts_s: float) -> None:
+    def _note_gateway(self, gateway: Gateway, lasts_s: float) -> None:
         self._note(self._world.history.gateway_disturbed, gateway.machine.name, lasts_s)
 
     def _kill_gateway(self, fault: SeededFault) -> bool:
--- a/src/testbed/simulation/seeded/history.py
+++ b/src/testbed/simulation/seeded/history.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from leverjunction.routes import RouteClass
 from testbed.simulation.history import Span
 
 
@@ -45,6 +46,52 @@
     version: int
 
 
+@dataclass(frozen=True)
+class Asked:
+    """A caller's request and what became of it.
+
+    Attributes:
+        request_id: Its id.
+        gateway: Name of the gateway.
+        route: Name of the route, whether it exists or not.
+        kind: How often it may run.
+        at_s: When it was sent.
+        ended_s: When its answer ended, or the caller gave up.
+        status: Status of the answer; 0 for none.
+        is_whole: The answer came to its end, and is the one to this request.
+        says_not_run: The answer says that no back end has run it.
+    """
+
+    request_id: str
+    gateway: str
+    route: str
+    kind: RouteClass
+    at_s: float
+    ended_s: float
+    status: int
+    is_whole: bool
+    says_not_run: bool
+
+
+@dataclass(frozen=True)
+class Run:
+    """A back end began to work on a request.
+
+    Attributes:
+        request_id: The request.
+        back_end: Name of the back end's machine.
+        start: Number of its start.
+        at_s: When.
+        gateway: Gateway that sent it.
+    """
+
+    request_id: str
+    back_end: str
+    start: int
+    at_s: float
+    gateway: str
+
+
 @dataclass
 class SeededHistory:
     """Record of one run.
@@ -54,6 +101,10 @@
         in_force: What gateways put in force.
         reads: What machines answered to reads.
         started: When each life of a gateway began, by gateway and incarnation.
+        asked: Callers' requests.
+        runs: Work that back ends began.
+        left: When a control process acknowledged that a back end leaves, by name and start.
+        back_end_disturbed: Back ends that a fault had in its hands, by name.
         control_disturbed: Control processes that a fault had in its hands, by name.
         gateway_disturbed: The same for gateways.
         faults: Faults that struck.
@@ -65,6 +116,10 @@
     in_force: list[InForce] = field(default_factory=list)
     reads: list[Read] = field(default_factory=list)
     started: dict[tuple[str, int], float] = field(default_factory=dict)
+    asked: list[Asked] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    left: dict[tuple[str, int], float] = field(default_factory=dict)
+    back_end_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     control_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     gateway_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     faults: Counter[str] = field(default_factory=Counter)
--- /dev/null
+++ b/src/testbed/simulation/seeded/routed/gateway.py
@@ -0,0 +1,145 @@
+"""A gateway of the simulated deployment: the product's ``ProxyNode`` on an event loop."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from unittest import mock
+
+from loguru import logger
+
+from leverjunction.config.machine import MachineConfig, MachineListen, MachinePolicies
+from leverjunction.platform.headers import PlatformDialect
+from leverjunction.proxy import journal as journal_module
+from leverjunction.proxy import process as process_module
+from leverjunction.proxy.caller_connection import CallerRequest, Responder
+from leverjunction.proxy.forwarding import LocalHandler
+from leverjunction.proxy.process import ProxyNode
+from leverjunction.registry.follower import RegistryFollower, Snapshot
+from leverjunction.routes import Route
+from leverjunction.routes.matching import RouteIndex
+from leverjunction.wire.rpc_client import RpcClient
+from testbed.simulation.fiber import Fibers
+from testbed.simulation.machine import Machine
+from testbed.simulation.rpc import RpcBoard, SimulatedRpc
+from testbed.simulation.seeded.history import InForce, SeededHistory
+from testbed.simulation.virtual_loop import StreamBoard, VirtualLoop
+
+CALLERS_PORT = 80
+READY_PORT = 81
+RPC_PORT = 1
+READY_PATH = "/ready"
+
+
+class RoutedGateway:
+    """One gateway; its machine outlives the process.
+
+    Args:
+        machine: The machine.
+        seeds: Control processes that it first asks.
+        board: Their RPC handlers.
+        streams: Connections of the run.
+        fibers: Fibers of the run.
+        history: Takes what it puts in force.
+        generator: Returns the source of randomness of one life.
+    """
+
+    def __init__(
+        self,
+        machine: Machine,
+        seeds: Sequence[str],
+        board: RpcBoard,
+        streams: StreamBoard,
+        fibers: Fibers,
+        history: SeededHistory,
+        generator: Callable[[int], random.Random],
+    ) -> None:
+        self.machine = machine
+        self._seeds = tuple(seeds)
+        self._board = board
+        self._streams = streams
+        self._fibers = fibers
+        self._history = history
+        self._generator = generator
+
+    def start(self) -> None:
+        """Start the process."""
+        machine = self.machine
+        machine.start()
+        self._history.started[machine.name, machine.incarnation] = machine.monotonic_s()
+        VirtualLoop(machine, self._fibers, self._streams).begin(self._serve)
+
+    async def _serve(self) -> None:
+        with self._virtual_parts():
+            node = _ObservedProxy(self._config(), self.machine, self._history)
+        await node.start()
+
+    def _config(self) -> MachineConfig:
+        name = self.machine.name
+        return MachineConfig(
+            name=name,
+            zone=self.machine.zone,
+            listen=MachineListen(
+                callers=f"{name}:{CALLERS_PORT}", ready=f"{name}:{READY_PORT}", rpc=f"{name}:2"
+            ),
+            seeds=self._seeds,
+            rpc_seed_port=RPC_PORT,
+            policies=MachinePolicies(tell_online_loads=False),
+        )
+
+    @contextmanager
+    def _virtual_parts(self) -> Iterator[None]:
+        """Have a ``ProxyNode`` that is made in the block live on the simulated machine."""
+        machine = self.machine
+        drawn = self._generator(machine.incarnation)
+        substitutes: dict[str, object] = {
+            "SystemClock": lambda: machine,
+            "Random": lambda: drawn,
+            "RpcClient": lambda _key, _incarnation: SimulatedRpc(machine, self._board),
+        }
+        with ExitStack() as stack:
+            for name, substitute in substitutes.items():
+                stack.enter_context(mock.patch.object(process_module, name, substitute))
+            stack.enter_context(mock.patch.object(journal_module, "LineWriter", _LoggedLines))
+            yield
+
+
+class _LoggedLines:
+    """Stands in for the thread that writes the journal's lines."""
+
+    def __init__(self, _lost: object) -> None:
+        pass
+
+    def put(self, line: bytes) -> None:
+        logger.info("{}", line.decode())
+
+
+class _ObservedProxy(ProxyNode):
+    """Notes each table that it has put in force."""
+
+    def __init__(self, config: MachineConfig, machine: Machine, history: SeededHistory) -> None:
+        self._machine = machine
+        self._history = history
+        super().__init__(config, PlatformDialect(), READY_PATH, _make_nothing_local)
+
+    def _take_table(self, snapshot: Snapshot) -> None:
+        before = self._index
+        super()._take_table(snapshot)
+        if self._index is None or self._index is before:
+            return
+        table, machine = self._index.table, self._machine
+        routes = tuple(route.name for route in table.routes)
+        self._history.in_force.append(
+            InForce(machine.name, machine.incarnation, table.version, machine.monotonic_s(), routes)
+        )
+
+
+def _make_nothing_local(_rpc: RpcClient, _follower: RegistryFollower, _zone: str) -> LocalHandler:
+    return _nothing_local
+
+
+async def _nothing_local(
+    _request: CallerRequest, _responder: Responder, _index: RouteIndex, _route: Route | None
+) -> bool:
+    return False
--- a/src/testbed/simulation/seeded/shape.py
+++ b/src/testbed/simulation/seeded/shape.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from testbed.simulation.seeded.fault_kinds import (
+    ROUTED_WEIGHTS,
     WEIGHTS,
     WIDE_WEIGHTS,
     SeededFault,
@@ -14,6 +15,7 @@
 
 SEEDED = "seeded"
 SEEDED_WIDE = "seeded-wide"
+SEEDED_ROUTED = "seeded-routed"
 
 
 @dataclass(frozen=True)
@@ -29,6 +31,8 @@
         has_rival: A second operator sends other tables under the first one's versions, and
             invalid ones.
         routes: Routes of a table.
+        added_routes: Routes besides these: each version adds one, and drops the oldest.
+        back_ends: Back ends; with any, the gateways are whole and have callers.
         fixed_faults: The schedule of faults; None to draw one from the seed.
     """
 
@@ -39,6 +43,8 @@
     weights: Mapping[SeededFaultKind, float] = field(default_factory=lambda: WEIGHTS)
     has_rival: bool = False
     routes: int = 4
+    added_routes: int = 0
+    back_ends: int = 0
     fixed_faults: tuple[SeededFault, ...] | None = None
 
 
@@ -52,5 +58,13 @@
         weights=WIDE_WEIGHTS,
         has_rival=True,
     ),
+    SEEDED_ROUTED: SeededShape(
+        control_sizes=(3, 3, 5),
+        fewest_gateways=2,
+        most_gateways=4,
+        weights=ROUTED_WEIGHTS,
+        added_routes=30,
+        back_ends=5,
+    ),
 }
 """Shapes by the name of their scenario on the command line."""
