Placement: an order in progress has a module of its own

Change: lines moved to control/order_in_progress.py; one name for what engines list. No change of behaviour.

--- a/src/leverjunction/control/placement_runner.py
+++ b/src/leverjunction/control/placement_runner.py
@@ -28,13 +28,12 @@
     RunnerReading,
     Withdrawal,
 )
+from leverjunction.control.order_in_progress import OrderInProgress
 from leverjunction.control.placement import (
     DRAIN_LIMIT_S,
     RunnerFacts,
     WantedModel,
     WantedOrder,
-    is_done,
-    listed_name,
     plan,
 )
 from leverjunction.control.settings_mirror import SettingsMirror
@@ -43,46 +42,14 @@
 from leverjunction.errors import Failure
 from leverjunction.settings.commands import Fence, GetSettings, PlacementFence, SettingsDelta
 from leverjunction.settings.resolved import ResolvedSettings
-from leverjunction.wire.messages import PlacementStamp
 
 FENCE_TIMEOUT_S = 2.0
-SEND_LIMIT_S = 30.0
-"""An order that could not be delivered for this long is dropped and planned anew."""
-
-LOAD_LIMIT_S = 900.0
-"""A load that is not done after this long is dropped and planned anew."""
-
-SILENT_LIMIT_S = 30.0
-"""An order to a runner that nobody has reached for this long is dropped and planned anew, so that a
-dead one that stays listed does not hold a place for loads until ``LOAD_LIMIT_S``. As long as for
-one that could not be delivered. A later order has a higher fence, so an engine that was only cut
-off refuses what is late.
-"""
-
 REFUSED_PAUSE_S = 10.0
 """A runner whose engine refused an order gets no other one for this long."""
 
 LEADER = "leader"
 
 
-class _InProgress(msgspec.Struct, kw_only=True):
-    """An order of this leader's term, and how far it is.
-
-    Attributes:
-        pending: What is ordered, and of whom.
-        began_s: When it was planned or taken over.
-        told: From when on most hubs have to know it; None before it was told.
-        sent: Whether the engine has accepted it.
-        reached_s: When the runner was last known to be reached, since it began.
-    """
-
-    pending: PendingOrder
-    began_s: float
-    told: PlacementStamp | None = None
-    sent: bool = False
-    reached_s: float = 0.0
-
-
 class PlacementRunner:
     """One round of placement for each tick. Called by one background task.
 
@@ -125,7 +92,7 @@
         self._term = 0
         self._record: PlacementRecord | None = None
         self._revision = 0
-        self._orders: dict[str, _InProgress] = {}
+        self._orders: dict[str, OrderInProgress] = {}
         self._withdrawals = Withdrawals()
         self._blocked: list[str] = []
         self._paused_until_s: dict[str, float] = {}
@@ -212,7 +179,7 @@
         self._withdrawals.take_over(last, now_s)
         orders = last.orders if last is not None else []
         self._orders = {
-            order.runner_id: _InProgress(pending=order, began_s=now_s) for order in orders
+            order.runner_id: OrderInProgress(pending=order, began_s=now_s) for order in orders
         }
         self._term = term
         self._record = None
@@ -226,27 +193,9 @@
         listed = {runner.runner_id for runner in picture.runners}
         for runner_id, order in list(self._orders.items()):
             reading = picture.readings.get(runner_id)
-            if runner_id not in listed or self._is_over(order, reading, now_s):
+            if runner_id not in listed or order.is_over(reading, now_s):
                 del self._orders[runner_id]
 
-    def _is_over(self, order: _InProgress, reading: RunnerReading | None, now_s: float) -> bool:
-        age_s = now_s - order.began_s
-        if reading is not None and reading.reachable and _is_for_another_life(order, reading):
-            logger.info("placement: {} started again, its order ends", order.pending.runner_id)
-            return True
-        if not order.sent:
-            return age_s > SEND_LIMIT_S
-        if age_s > LOAD_LIMIT_S:
-            logger.warning("placement: {} is not done after {:.0f} s", order.pending, age_s)
-            return True
-        if reading is None or not reading.reachable:
-            silent_s = now_s - max(order.reached_s, order.began_s)
-            if silent_s > SILENT_LIMIT_S:
-                logger.warning("placement: {} is silent for {:.0f} s", order.pending, silent_s)
-            return silent_s > SILENT_LIMIT_S
-        order.reached_s = now_s
-        return is_done(_wanted_of(order.pending), reading.models, reading.versions)
-
     def _plan(self, picture: ClusterPicture, now_s: float) -> None:
         loads = [
             one for one in self._orders.values() if one.pending.order.action is OrderAction.LOAD
@@ -274,7 +223,7 @@
             if isinstance(fence, Failure):
                 return
             reading = picture.readings[wanted.runner_id]
-            self._orders[wanted.runner_id] = _InProgress(
+            self._orders[wanted.runner_id] = OrderInProgress(
                 pending=self._pending(wanted, addresses[wanted.runner_id], reading, fence),
                 began_s=self._clock.monotonic_s(),
             )
@@ -304,13 +253,13 @@
             if told and not order.sent and self._led_term() == self._term:
                 self._send(order)
 
-    def _send(self, order: _InProgress) -> None:
+    def _send(self, order: OrderInProgress) -> None:
         pending = order.pending
         report = self._engines.load(pending.address)
         if isinstance(report, Failure):
             self._counters.orders.labels("failed").inc()
             return
-        if _is_for_another_life(order, report):
+        if order.is_for_another_life(report):
             # The reading of the hub that watches it will tell, and the order ends.
             return
         if not self._may_change(order, report):
@@ -329,14 +278,14 @@
         del self._orders[pending.runner_id]
         self._paused_until_s[pending.runner_id] = self._clock.monotonic_s() + REFUSED_PAUSE_S
 
-    def _may_change(self, order: _InProgress, report: LoadReport) -> bool:
+    def _may_change(self, order: OrderInProgress, report: LoadReport) -> bool:
         """Return whether no request meets the change by the engine's own word.
 
         The planner knows its load from digests, which are seconds old. An order whose withdrawal
         was lifted meanwhile is no longer wanted, and ends.
         """
         pending = order.pending
-        name = listed_name(pending.order.model, pending.order.adapter)
+        name = order.listed_name
         if name not in report.models:
             return True
         withdrawal = Withdrawal(pending.runner_id, name)
@@ -396,24 +345,3 @@
                 for adapter, version in versions.items()
             ]
     return wanted
-
-
-def _is_for_another_life(order: _InProgress, word: RunnerReading | LoadReport) -> bool:
-    """Return whether the engine that gives its word is not the one that an order was planned for.
-
-    One that started again has the fences of before no longer, and serves what it loaded at its
-    start: an order that waited for a withdrawal in its life before would meet requests.
-    """
-    planned = order.pending.incarnation
-    return planned != 0 and word.incarnation != planned
-
-
-def _wanted_of(pending: PendingOrder) -> WantedOrder:
-    order = pending.order
-    return WantedOrder(
-        runner_id=pending.runner_id,
-        action=order.action,
-        model=order.model,
-        adapter=order.adapter,
-        version=order.version,
-    )
