Proxy: a planned stop waits for the first request of a new connection

What callers saw: a connection that was opened while a gateway stopped as planned, and closed without an answer.

Cause: at the end of its 3 s of taking requests the gateway closes its port and each connection on which nothing is under way. One that was opened a moment before counted as idle though its first request was on its way.

Change: a connection counts as busy for 0.5 s from its opening, or until its first request; the stop waits for it within its grace time.

Before: test_a_planned_stop_waits_for_the_request_of_a_connection_that_was_just_opened fails. Left: a connection that the kernel has accepted and the process has not when the port closes is reset.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -19,6 +19,11 @@
 from leverjunction.routes.types import RequestLimits
 
 CONTINUE = 100
+FIRST_REQUEST_S = 0.5
+"""Time in which a caller that has just connected sends its request: it is on its way by then, and a
+planned stop waits for it.
+"""
+
 _REASONS = {400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large"}
 
 
@@ -127,11 +132,11 @@
         self.connections: set[CallerConnection] = set()
 
     def busy(self) -> int:
-        """Return how many requests are being received or answered."""
+        """Return on how many connections a request is under way, or about to come."""
         return sum(1 for connection in self.connections if connection.is_busy)
 
     def close_idle(self) -> None:
-        """Close the connections on which nothing is under way."""
+        """Close the connections on which nothing is under way, nor about to come."""
         for connection in list(self.connections):
             if not connection.is_busy:
                 connection.close()
@@ -153,16 +158,19 @@
         self._body_bytes = 0
         self._receiving = False
         self._writable: asyncio.Future[None] | None = None
+        self._first_until_s = 0.0
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being received or answered."""
-        return self._receiving or self._task is not None
+        """Whether a request is being received or answered, or about to come on a new connection."""
+        is_new = self._loop.time() < self._first_until_s
+        return self._receiving or self._task is not None or is_new
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._first_until_s = self._loop.time() + FIRST_REQUEST_S
         self._port.connections.add(self)
         self._wait_idle()
 
@@ -273,6 +281,7 @@
 
     def _start(self) -> None:
         self._stop_timer()
+        self._first_until_s = 0.0
         head = self._request
         assert head is not None
         request = CallerRequest(
--- a/tests/unit/test_simulation_routed.py
+++ b/tests/unit/test_simulation_routed.py
@@ -67,6 +67,11 @@
     assert run_seed(Plan(SEEDED_ROUTED, "", only), seed).violations == []
 
 
+def test_a_planned_stop_waits_for_the_request_of_a_connection_that_was_just_opened() -> None:
+    """It was closed as idle, 1.8 ms after it was opened and with its request on the way."""
+    assert run_seed(Plan(SEEDED_ROUTED, only=STOPS), 309).violations == []
+
+
 def test_every_checker_has_a_rule_that_breaks_it() -> None:
     caught_by = {rule.caught_by for rule in ROUTED_RULES.values()}
     assert caught_by == {checker.name for checker in ROUTED_CHECKERS}
