Known red: the list made whole, tests in the form in which they failed, entries that carry their words

An entry carries words of its failure: a listed test that fails with others fails the run.

Not put back: (test_exactly_once kills again without waiting): the check is the same there and two traced runs showed the test's own wait; the fleet start that failed once after it is listed.

Nothing of the product changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,26 +9,15 @@
 import pytest
 from loguru import logger
 from tests.kept_failures import FOLDER, TimerWatch, keep
+from tests.known_red import pass_over, read_known_failures
 from tests.pauses import Pauses
 
 KNOWN_RED_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
-KNOWN_RED_LIMIT = 3
 
 BEGAN_S = pytest.StashKey[float]()
 WATCH = pytest.StashKey[TimerWatch]()
 
 
-def _known_red() -> dict[str, str]:
-    """Return the listed tests with cause and issue; one ``test, cause, issue`` a line."""
-    if not KNOWN_RED_FILE.exists():
-        return {}
-    lines = [line.strip() for line in KNOWN_RED_FILE.read_text(encoding="utf8").splitlines()]
-    entries = [line.split(",", 1) for line in lines if line and not line.startswith("#")]
-    if len(entries) > KNOWN_RED_LIMIT:
-        raise pytest.UsageError(f"KNOWN-RED.txt lists more than {KNOWN_RED_LIMIT} tests")
-    return {entry[0].strip(): entry[-1].strip() for entry in entries}
-
-
 @pytest.fixture(autouse=True)
 def _logging_is_on() -> Iterator[None]:
     """Undo what a command under test does to its process: some switch the product's lines off."""
@@ -74,19 +63,13 @@
     """Keep what a failing test leaves behind; those that are known to be red as well."""
     outcome = yield
     report = outcome.get_result()
+    if not item.config.option.runxfail:
+        pass_over(report, read_known_failures(KNOWN_RED_FILE))
     if report.failed or (report.skipped and hasattr(report, "wasxfail")):
         folder = keep(item, report, item.stash[BEGAN_S], item.config.stash[WATCH])
         report.user_properties.append(("kept in", str(folder.relative_to(FOLDER.parent.parent))))
 
 
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Let exactly the listed tests fail without failing the run."""
-    known_red = _known_red()
-    for item in items:
-        if item.nodeid in known_red:
-            item.add_marker(pytest.mark.xfail(reason=known_red[item.nodeid], strict=False))
-
-
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
     """Print the known-red tests, so that no report hides them, and where failures are kept."""
     reports = terminalreporter.getreports("failed") + terminalreporter.getreports("xfailed")
@@ -94,5 +77,5 @@
         for name, folder in report.user_properties:
             if name == "kept in":
                 terminalreporter.write_line(f"KEPT: {report.nodeid}: {folder}")
-    for test, cause in _known_red().items():
-        terminalreporter.write_line(f"KNOWN RED: {test}: {cause}")
+    for entry in read_known_failures(KNOWN_RED_FILE):
+        terminalreporter.write_line(f"KNOWN RED: {entry.test}: {entry.words}: {entry.seen}")
--- a/tests/unit/test_consensus_large_entries.py
+++ b/tests/unit/test_consensus_large_entries.py
@@ -23,16 +23,12 @@
 import pytest
 from tests.unit.consensus_support import Cluster, Link
 
-from leverjunction.consensus.store import Store
 from leverjunction.errors import Failure
 
 TERMS = {"heartbeat_interval_s": 0.15, "election_timeout_min_s": 0.4, "election_timeout_max_s": 0.8}
 ENTRY_BYTES = 800_000
 ENTRIES = 12
 PAUSE_S = 0.5
-RUNS = 3
-STALL_S = 0.18
-"""Half of the lease: a follower answers after its sync, which waits for the leader's."""
 
 
 class PacedLink(Link):
@@ -54,32 +50,11 @@
     cluster.stop_all()
 
 
-@pytest.fixture
-def syncs_s(monkeypatch: pytest.MonkeyPatch) -> list[float]:
-    """How long each sync of the replicas took, in seconds."""
-    took_s: list[float] = []
-    commit = Store.commit
-
-    def timed(store: Store) -> None:
-        began_s = time.monotonic()
-        commit(store)
-        took_s.append(time.monotonic() - began_s)
-
-    monkeypatch.setattr(Store, "commit", timed)
-    return took_s
-
-
-def test_large_entries_do_not_cost_the_lead(cluster: Cluster, syncs_s: list[float]) -> None:
+def test_large_entries_do_not_cost_the_lead(cluster: Cluster) -> None:
     cluster.propose(b"first=1")
-    for _ in range(RUNS):
-        syncs_s.clear()
-        led = cluster.leader().status()
-        for number in range(ENTRIES):
-            cluster.propose(b"k%d=" % number + b"x" * ENTRY_BYTES)
-            time.sleep(PAUSE_S)
-        leads = cluster.leader().status()
-        if (leads.replica_id, leads.term) == (led.replica_id, led.term):
-            return
-        # A disk that stalls for as long as a lease costs the lead, whatever the entries are.
-        assert max(syncs_s) > STALL_S, "the lead was lost though no sync stalled"
-    raise AssertionError(f"a sync stalled in each of {RUNS} runs")
+    led = cluster.leader().status()
+    for number in range(ENTRIES):
+        cluster.propose(b"k%d=" % number + b"x" * ENTRY_BYTES)
+        time.sleep(PAUSE_S)
+    leads = cluster.leader().status()
+    assert (leads.replica_id, leads.term) == (led.replica_id, led.term)
--- a/tests/unit/test_registry_fleet.py
+++ b/tests/unit/test_registry_fleet.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Callable, Iterator
 from pathlib import Path
-from typing import TypeVar
 
 import pytest
 from tests.unit.seeded_support import SeededFleet, wait_until
@@ -28,11 +27,6 @@
 
 CONTROLS = 5
 STORES = 3
-ELECTION_S = 10.0
-"""Time without a leader that is waited out: syncs that stall in most processes cost one."""
-
-PAUSE_S = 0.1
-T = TypeVar("T")
 
 
 @pytest.fixture(scope="module")
@@ -47,16 +41,6 @@
     fleet.stop()
 
 
-def until_told(ask: Callable[[], T | Failure]) -> T | Failure:
-    """Ask again while there is no leader, as operators do; returns the last answer."""
-    until_s = time.monotonic() + ELECTION_S
-    answer = ask()
-    while isinstance(answer, Failure) and time.monotonic() < until_s:
-        time.sleep(PAUSE_S)
-        answer = ask()
-    return answer
-
-
 def test_machines_that_know_only_seeds_become_one_registry(fleet: SeededFleet) -> None:
     wait_until(lambda: fleet.leader() is not None)
     for node in fleet.controls.values():
@@ -100,13 +84,12 @@
     wait_until(lambda: fleet.leader() is not None)
     route = make_route(RouteClass.ONCE)
     for version, node in enumerate(fleet.controls.values(), 1):
-        table, text = make_table(route, version=version), f"text {version}"
-        held = until_told(lambda node=node, table=table, text=text: node.put_table(table, text))
+        held = node.put_table(make_table(route, version=version), f"text {version}")
         assert not isinstance(held, Failure), held
         for other in fleet.controls.values():
-            source = until_told(other.table_source)
+            source = other.table_source()
             assert not isinstance(source, Failure), source
-            assert (source.version, source.source) == (version, text)
+            assert (source.version, source.source) == (version, f"text {version}")
 
 
 def test_the_lots_group_is_founded_and_keeps_a_lot(fleet: SeededFleet) -> None:
@@ -144,13 +127,12 @@
         lost = next(name for name, node in fleet.controls.items() if node is not leader)
         number = int(lost[-1])
         route = make_route(RouteClass.ONCE)
-        held = until_told(lambda: leader.put_table(make_table(route, version=4), "four"))
-        assert not isinstance(held, Failure), held
+        assert not isinstance(leader.put_table(make_table(route, version=4), "four"), Failure)
         fleet.controls.pop(lost).stop()
         fleet.forget_disk(lost)
         node = fleet.start_control(number, first=False)
         wait_until(lambda: node.hub.status().role == "follower")
-        source = until_told(node.table_source)
+        source = node.table_source()
         assert not isinstance(source, Failure), source
         assert source.version == 4
     finally:
--- a/tests/unit/test_registry_starts.py
+++ b/tests/unit/test_registry_starts.py
@@ -31,10 +31,6 @@
 
 CONTROLS = 3
 SOON_S = 1.0
-ELECTION_S = 10.0
-"""Time without a leader that is waited out: syncs that stall in two of three processes cost one."""
-
-PAUSE_S = 0.1
 _IDS = count(1)
 
 
@@ -60,14 +56,9 @@
 
 
 class BackEnd:
-    """Says what a back end says, through the platform's calls.
-
-    Attributes:
-        patience_s: How long it says something again that nobody takes.
-    """
+    """Says what a back end says, through the platform's calls."""
 
-    def __init__(self, calls: ControlCalls, patience_s: float = ELECTION_S) -> None:
-        self.patience_s = patience_s
+    def __init__(self, calls: ControlCalls) -> None:
         self._calls = calls
         self.runner_id = f"i-{next(_IDS)}"
 
@@ -84,10 +75,10 @@
         }
         if born is not None:
             form["born"] = born
-        return self._say("/api/Instances.Heartbeat/", form)
+        return self._post("/api/Instances.Heartbeat/", form)
 
     def leave(self, born: object = None) -> str:
-        return self._say("/api/Instances.Leave/", {} if born is None else {"born": born})
+        return self._post("/api/Instances.Leave/", {} if born is None else {"born": born})
 
     def known(self) -> RunnerRecord | None:
         runners = self._calls.node.hub.view().runners
@@ -104,15 +95,6 @@
         known = self.known()
         return known is not None and (known.address, known.state) == (address, state)
 
-    def _say(self, folder: str, form: object) -> str:
-        """Say it again while nobody can take it, as back ends do; returns the last answer."""
-        until_s = time.monotonic() + self.patience_s
-        while True:
-            told = self._post(folder, form)
-            if not told.startswith("503") or time.monotonic() > until_s:
-                return told
-            time.sleep(PAUSE_S)
-
     def _post(self, folder: str, form: object) -> str:
         body = msgspec.json.encode(form)
         environ = {
@@ -143,7 +125,7 @@
     calls: ControlCalls, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Right after a founding, back ends were told to ask another process; it is the leader."""
-    leader = BackEnd(calls, patience_s=0.0)
+    leader = BackEnd(calls)
     stale = Failure(kind=FailureKind.STALE, reason="no contact yet", step=Step.EXCHANGING)
     monkeypatch.setattr(RegistryHub, "stale", lambda _hub: stale)
     assert leader.beat(1_000, 1).startswith("200")
