After a standstill of its own a process asks before it sends: a leaving runner got work

Callers saw: a runner that the machine list names as leaving got online requests later than 3 s after it (test_leaving_runner, listed; six requests, 3.6 to 5.8 s late).

Cause: all processes of the fleet had stood still together. The gateways went on with the view from before: their next exchange was refused by hubs that warm up again after a standstill (1 to 3 s), and leases count that time but the choice of a back end did not. Three things made the warm-up long: a reading of runners that met the standstill was dropped until the next interval, a hub that had forgotten the others was told all only with the message after next, and a hub answered before it had read the machine list again.

Change: Freshness tells a doubt of one's own making (a step that came late, and nobody asked since) from silence of others. Gateways hold requests, runs of items and continued streams until their hub has answered, for 3 s at most and never past the request's deadline; the same on the routed side (proxy.doubt, the registry's follower, which then asks without being held, and the stores' runner). A hub that stood still reads the machine list before it answers, reads runners again at once, and tells all at once to one that knows nothing. Without a standstill nothing waits, also while control is silent.

Looked at and left: between the choice of a back end and the sending of the request a standstill is not seen.

--- a/src/leverjunction/batch/harvest_state.py
+++ b/src/leverjunction/batch/harvest_state.py
@@ -162,11 +162,17 @@
                 run.cancelled_s = now_s
                 plan.cancels.append(run)
 
-    def begins(self, run: Run, now_s: float) -> bool:
-        """Return whether a planned run may still be sent; called just before it is."""
+    def begins(self, run: Run, now_s: float, *, is_in_doubt: bool = False) -> bool:
+        """Return whether a planned run may still be sent; called just before it is.
+
+        Args:
+            run: The run.
+            now_s: Monotonic time in seconds.
+            is_in_doubt: Whether the runner may be leaving by now: its item waits for a new plan.
+        """
         lease = self.work.leases.get(run.work.lease_id)
         holds = lease is not None and (run.work.leased.may_repeat or now_s < lease.valid_until_s)
-        if holds and not run.dropped and not run.parking:
+        if holds and not (run.dropped or run.parking or is_in_doubt):
             run.begun_s = now_s
             return True
         if id(run) in self.runs:
--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -9,7 +9,7 @@
 
 import random as random_module
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 
 from loguru import logger
@@ -58,6 +58,8 @@
         gateway_id: Owner of the leases.
         registry: Where the counters are registered; a registry of its own when None.
         incarnation: This process's start time, in milliseconds.
+        is_in_doubt: Returns whether runners may have been marked as leaving, or withdrawn, while
+            this process stood still: nothing is planned or sent until a hub has told.
     """
 
     def __init__(
@@ -69,7 +71,9 @@
         gateway_id: str,
         registry: CollectorRegistry | None = None,
         incarnation: int = 0,
+        is_in_doubt: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_in_doubt = is_in_doubt
         self._gateway_id = gateway_id
         self._incarnation = incarnation
         self._control = control
@@ -263,7 +267,7 @@
     def tick(self) -> None:
         """Decide for every runner and carry the decisions out."""
         with self._changed:
-            if self._stopping:
+            if self._stopping or self._is_in_doubt():
                 return
             plan = self._state.plan(self._clock.monotonic_s())
             self.counters.running.set(len(self._state.runs))
@@ -298,7 +302,9 @@
 
     def _execute(self, run: Run) -> None:
         with self._changed:
-            may_start = self._state.begins(run, self._clock.monotonic_s())
+            may_start = self._state.begins(
+                run, self._clock.monotonic_s(), is_in_doubt=self._is_in_doubt()
+            )
         if not may_start:
             return
         try:
--- a/src/leverjunction/consensus/core.py
+++ b/src/leverjunction/consensus/core.py
@@ -44,8 +44,8 @@
     VoteReply,
     VoteRequest,
 )
-from leverjunction.consensus.standstills import NOTED_FROM_S
 from leverjunction.consensus.types import EntryKind, Role
+from leverjunction.standstills import NOTED_FROM_S
 
 
 def is_answer_to_leader(event: Event) -> bool:
--- a/src/leverjunction/consensus/core_base.py
+++ b/src/leverjunction/consensus/core_base.py
@@ -11,7 +11,6 @@
 from leverjunction.consensus.messages import Header, IdentityReply, Message
 from leverjunction.consensus.progress import Progress
 from leverjunction.consensus.slow_steps import SlowSteps
-from leverjunction.consensus.standstills import Standstills
 from leverjunction.consensus.types import (
     Configuration,
     DurableState,
@@ -20,6 +19,7 @@
     LogPosition,
     Role,
 )
+from leverjunction.standstills import Standstills
 
 LEASE_SHARE = 0.9
 """A leader's lease is this share of the shortest election timeout, for clocks that drift."""
--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -15,6 +15,7 @@
 from leverjunction.control.hub_types import (
     ClusterPicture,
     HubIdentity,
+    list_unread,
     old_incarnation,
     settings_held_back,
     warming_up,
@@ -34,6 +35,7 @@
 from leverjunction.control.warm_up import WarmUp
 from leverjunction.errors import Failure
 from leverjunction.settings.commands import GetSettings, SettingsDelta
+from leverjunction.standstills import Freshness
 from leverjunction.wire.codec import encode_reply
 from leverjunction.wire.messages import (
     ExchangeReply,
@@ -44,6 +46,12 @@
 
 __all__ = ["Hub", "HubIdentity"]
 
+LIST_STANDSTILL_S = 0.4
+"""Shortest standstill after which the machine list is read before a gateway is answered."""
+
+LIST_DOUBT_S = 1.0
+"""How long gateways are put off when that reading does not succeed: two tries."""
+
 
 class Hub:
     """Thread-safe shell around the membership, the gateways' sessions and the renewals.
@@ -76,6 +84,7 @@
         self.on_news: Callable[[], None] = _nobody_to_tell
         self._peers = PeerBook()
         self._warm_up = WarmUp(clock.monotonic_s())
+        self._listing = Freshness(LIST_STANDSTILL_S, LIST_DOUBT_S)
 
     def exchange(self, request: ExchangeRequest) -> ExchangeReply | Failure:
         """Answer a gateway's exchange."""
@@ -110,6 +119,8 @@
             now_s = self._note_alive()
             if not self._is_warm(now_s):
                 return warming_up()
+            if self._listing.is_in_doubt(now_s):
+                return list_unread()
             known = self._membership.own_counter.value
             in_force = self._membership.own_in_force()
             if not self._membership.gateway_heard(request.gateway, now_s):
@@ -139,10 +150,23 @@
                 return
             self._peers.answered(peer, reply)
 
-    def machines_listed(self, listed: MachineList) -> None:
-        """Take a reading of the platform's machine list."""
+    def listing_begins(self, longest_s: float) -> float:
+        """Note that a reading of the machine list, or the pause after one, begins.
+
+        Returns:
+            The time, in monotonic seconds.
+        """
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            self._listing.step_begins(now_s, longest_s)
+            return now_s
+
+    def machines_listed(self, listed: MachineList, asked_s: float | None = None) -> None:
+        """Take a reading of the platform's machine list that was asked for at a moment."""
         with self._lock:
             self._membership.machines_listed(listed)
+            if asked_s is not None:
+                self._listing.refreshed(asked_s)
 
     def standstills(self) -> int:
         """Return how often this process was found to have stood still."""
@@ -152,18 +176,21 @@
 
     def runners_read(
         self, readings: Iterable[RunnerReading], unwatched: Iterable[str], standstills: int = 0
-    ) -> None:
+    ) -> bool:
         """Take this hub's readings of the runners that it watches, and of those no longer.
 
         Args:
             readings: The readings.
             unwatched: Runners that it watches no longer.
             standstills: What ``standstills`` gave when the reading began.
+
+        Returns:
+            False when this process stood still meanwhile: what was read is out of date.
         """
         with self._lock:
             self._note_alive()
             if standstills != self._warm_up.standstills:
-                return
+                return False
             known = self._membership.own_counter.value
             for reading in readings:
                 self._membership.runner_read(reading)
@@ -171,6 +198,7 @@
             for runner_id in unwatched:
                 self._membership.runner_dropped(runner_id)
             self._warm_up.runners_read = self._membership.machine_list_as_of_ms > 0
+            return True
 
     def drains_set(self, runner_ids: Iterable[str]) -> None:
         """Take the operators' drain marks in force."""
--- a/src/leverjunction/control/hub_sync.py
+++ b/src/leverjunction/control/hub_sync.py
@@ -18,6 +18,9 @@
 
 SYNC_INTERVAL_S = 1.0
 SYNC_TIMEOUT_S = 0.8
+NOTHING_KNOWN = 0
+"""Version that a hub answers with when a message does not follow on what it knows."""
+
 RENEWAL_INTERVAL_S = 0.5
 RENEWAL_TIMEOUT_S = 1.0
 
@@ -66,12 +69,19 @@
         return lambda: self._tell(name, address)
 
     def _tell(self, name: str, address: str) -> None:
+        reply = self._send(name, address)
+        if isinstance(reply, HubSyncReply) and reply.have_version == NOTHING_KNOWN:
+            # It has just started, or stood still, and gives out no view before it has heard all.
+            reply = self._send(name, address)
+        self._note(name, reply)
+
+    def _send(self, name: str, address: str) -> HubSyncReply | Failure:
         message = self._hub.sync_for(name, self._state())
         reply = self._rpc.call(
             address, MessageKind.HUB_SYNC, message, HubSyncReply, timeout_s=SYNC_TIMEOUT_S
         )
         self._hub.sync_answered(name, reply)
-        self._note(name, reply)
+        return reply
 
     def _note(self, name: str, reply: HubSyncReply | Failure) -> None:
         if isinstance(reply, Failure):
--- a/src/leverjunction/control/hub_types.py
+++ b/src/leverjunction/control/hub_types.py
@@ -51,6 +51,16 @@
     )
 
 
+def list_unread() -> Failure:
+    """Return the refusal of a hub that has not read the machine list since it stood still."""
+    return Failure(
+        kind=FailureKind.STALE,
+        reason="this hub stood still and reads the machine list first",
+        step=Step.EXCHANGING,
+        retry_after_s=0.1,
+    )
+
+
 def settings_held_back(retry_after_s: float) -> Failure:
     """Return the refusal of a large settings step while others are given out."""
     return Failure(
--- a/src/leverjunction/control/machine_source.py
+++ b/src/leverjunction/control/machine_source.py
@@ -10,7 +10,11 @@
 
 from loguru import logger
 
-from leverjunction.backends.machine_list import MachineList, MachineListClient
+from leverjunction.backends.machine_list import (
+    REQUEST_TIMEOUT_S,
+    MachineList,
+    MachineListClient,
+)
 from leverjunction.control.hub import Hub
 from leverjunction.errors import Failure
 from leverjunction.wire.envelope import MessageKind
@@ -18,6 +22,7 @@
 from leverjunction.wire.rpc_client import RpcClient
 
 PEER_TIMEOUT_S = 0.5
+LONGEST_READ_S = REQUEST_TIMEOUT_S + PEER_TIMEOUT_S
 
 
 class MachineSource:
@@ -27,9 +32,13 @@
         platform: Client of the platform.
         hub: Takes the readings, and knows which other hub has the newest one.
         rpc: Client towards the other hubs.
+        interval_s: Time between two readings.
     """
 
-    def __init__(self, platform: MachineListClient, hub: Hub, rpc: RpcClient) -> None:
+    def __init__(
+        self, platform: MachineListClient, hub: Hub, rpc: RpcClient, interval_s: float
+    ) -> None:
+        self._interval_s = interval_s
         self._platform = platform
         self._hub = hub
         self._rpc = rpc
@@ -37,12 +46,14 @@
 
     def tick(self) -> None:
         """Read once; the last reading stays in force when nobody has a newer one."""
+        asked_s = self._hub.listing_begins(LONGEST_READ_S)
         listed = self._platform.read()
         self._note(listed)
         if isinstance(listed, Failure):
             listed = self._read_from_hub(listed)
         if isinstance(listed, MachineList):
-            self._hub.machines_listed(listed)
+            self._hub.machines_listed(listed, asked_s)
+        self._hub.listing_begins(self._interval_s)
 
     def _read_from_hub(self, failure: Failure) -> MachineList | Failure:
         own_ms = self._hub.machine_list_as_of_ms()
--- a/src/leverjunction/control/node.py
+++ b/src/leverjunction/control/node.py
@@ -101,7 +101,12 @@
         listen = config.listen
         self._rpc_server = RpcServer(listen.host, listen.rpc_port, endpoint, RPC_THREADS)
         self._http_server = self._build_http(registry)
-        machines = MachineSource(MachineListClient(config.machine_list_url), self.hub, self._rpc)
+        machines = MachineSource(
+            MachineListClient(config.machine_list_url),
+            self.hub,
+            self._rpc,
+            config.machine_list_interval_s,
+        )
         peers = {peer.name: peer.rpc_address for peer in config.peers if peer.name != config.name}
         zones = {peer.name: peer.zone for peer in config.peers}
         self._sync = HubSyncTasks(self.hub, self._rpc, peers, self.state)
--- a/src/leverjunction/control/runner_watch.py
+++ b/src/leverjunction/control/runner_watch.py
@@ -53,7 +53,11 @@
         self._standstills = 0
 
     def tick(self) -> None:
-        """Read all watched runners once. Called by a background task."""
+        """Read all watched runners, once more after a standstill. Called by a background task."""
+        if not self._read_watched():
+            self._read_watched()
+
+    def _read_watched(self) -> bool:
         standstills = self._hub.standstills()
         if standstills != self._standstills:
             self._standstills = standstills
@@ -68,7 +72,7 @@
         for runner_id in unwatched:
             del self._last[runner_id]
             self._failures.pop(runner_id, None)
-        self._hub.runners_read(readings, unwatched, standstills)
+        return self._hub.runners_read(readings, unwatched, standstills)
 
     def close(self) -> None:
         """Stop the readers."""
--- a/src/leverjunction/gateway/exchange.py
+++ b/src/leverjunction/gateway/exchange.py
@@ -14,7 +14,12 @@
 from leverjunction.gateway.settings_store import SettingsStore
 from leverjunction.gateway.view import ClusterSnapshot, ClusterView
 from leverjunction.observability.counters import GatewayCounters
-from leverjunction.wire.control_client import MAX_QUORUM_AGE_S, ControlClient
+from leverjunction.wire.control_client import (
+    EXCHANGE_TIMEOUT_S,
+    FULL_EXCHANGE_TIMEOUT_S,
+    MAX_QUORUM_AGE_S,
+    ControlClient,
+)
 from leverjunction.wire.messages import (
     ExchangeReply,
     ExchangeRequest,
@@ -141,6 +146,7 @@
         self._connected = False
         self._lock = threading.Lock()
         self._thread = threading.Thread(target=self._run, name="exchange", daemon=True)
+        view.on_doubt = self._ask_soon
 
     def start(self) -> None:
         """Start the thread."""
@@ -160,6 +166,7 @@
                 # The exchange carries the heartbeat: it must outlive any fault.
                 logger.exception("exchange failed")
             self._wake.wait(self._wait_s)
+            self._wake.clear()
 
     @property
     def wait_s(self) -> float:
@@ -169,9 +176,19 @@
     def exchange_once(self) -> Failure | None:
         """Do one exchange; also called directly to tell the hub of a stop at once."""
         with self._lock:
-            return self._exchange_once()
-
-    def _exchange_once(self) -> Failure | None:
+            has_settings = self._settings.current.version > 0
+            longest_s = EXCHANGE_TIMEOUT_S if has_settings else FULL_EXCHANGE_TIMEOUT_S
+            asked_s = self._view.step_begins(longest_s)
+            failure = self._exchange_once(asked_s)
+            self._view.step_begins(self._wait_s)
+            return failure
+
+    def _ask_soon(self) -> None:
+        """Exchange now rather than after the interval; after failures the pauses stay."""
+        if not self._failures:
+            self._wake.set()
+
+    def _exchange_once(self, asked_s: float) -> Failure | None:
         self._wait_s = self._interval_s
         digests = self._outbox.take()
         reply = self._control.exchange(self._request(digests))
@@ -186,6 +203,7 @@
         if reply.quorum_age_s > MAX_QUORUM_AGE_S:
             self._wait_s = self._interval_s * STALE_SHARE
         self._apply(reply)
+        self._view.refreshed(asked_s, reply.quorum_age_s)
         return None
 
     def _request(self, digests: list[RunnerDigest]) -> ExchangeRequest:
--- a/src/leverjunction/gateway/harvest.py
+++ b/src/leverjunction/gateway/harvest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from prometheus_client import CollectorRegistry
 
@@ -27,10 +28,18 @@
         config: GatewayConfig,
         registry: CollectorRegistry,
         incarnation: int,
+        is_in_doubt: Callable[[], bool],
     ) -> None:
         self._config = config
         self._harvester = Harvester(
-            control, engines, clock, random.Random(), config.name, registry, incarnation
+            control,
+            engines,
+            clock,
+            random.Random(),
+            config.name,
+            registry,
+            incarnation,
+            is_in_doubt,
         )
 
     def update(
--- a/src/leverjunction/gateway/runner_pool.py
+++ b/src/leverjunction/gateway/runner_pool.py
@@ -76,6 +76,10 @@
         self._ejection = Ejection()
         self._incarnations: dict[str, int] = {}
 
+    def wait_told(self, deadline_s: float) -> None:
+        """Wait for a hub's word after a standstill of this process, or until a deadline."""
+        self._view.wait_told(deadline_s)
+
     def candidates(self, needs: RouteNeeds) -> list[Candidate]:
         """Return all runners of the service, with the reason for each that is left out."""
         snapshot = self._view.snapshot
--- a/src/leverjunction/gateway/runtime.py
+++ b/src/leverjunction/gateway/runtime.py
@@ -63,7 +63,7 @@
         self.counters = GatewayCounters()
         self.ring = DecisionRing(random.Random())
         self.inflight = Inflight(config.request_threads - _free_threads(config.request_threads))
-        self.view = ClusterView()
+        self.view = ClusterView(self.clock)
         config.data_folder.mkdir(parents=True, exist_ok=True)
         self.settings = SettingsStore(SettingsCache(config.data_folder))
         self.rpc_client = RpcClient(cluster_key, self.incarnation)
@@ -78,6 +78,7 @@
             config,
             self.counters.registry,
             self.incarnation,
+            self.view.is_in_doubt,
         )
         self.sweeper = OrphanSweeper(
             self.engines, self.clock, self.counters, config.name, self.incarnation
--- a/src/leverjunction/gateway/sender.py
+++ b/src/leverjunction/gateway/sender.py
@@ -116,6 +116,7 @@
         self, request: OnlineRequest, number: int, tried: frozenset[str], may_queue: bool
     ) -> Candidate | Failure:
         needs = request.needs(tried)
+        self._pool.wait_told(request.deadline_s)
         candidates = self._pool.candidates(needs)
         waited_s: float | Failure = 0.0
         if may_queue and any(candidate.excluded is None for candidate in candidates):
--- a/src/leverjunction/gateway/view.py
+++ b/src/leverjunction/gateway/view.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
 import msgspec
 
+from leverjunction.clock import Clock, SystemClock
+from leverjunction.standstills import Freshness
 from leverjunction.wire.messages import (
     ExchangeReply,
     GatewayState,
@@ -16,6 +19,17 @@
 
 DEFAULT_JOB_GROUPS = 2
 
+STANDSTILL_S = 1.0
+"""Shortest standstill after which a hub is asked before work is sent. With the interval between two
+exchanges it is below the 2 s in which a leaving runner is known to every gateway.
+"""
+
+DOUBT_S = 3.0
+"""How long work waits for a hub after a standstill: a hub that stood still as well warms up."""
+
+LOOK_S = 0.05
+"""Interval at which waiting work looks whether the doubt is over."""
+
 
 class ClusterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
     """One immutable state of the view; replaced as a whole, so readers need no lock.
@@ -93,11 +107,22 @@
 
 
 class ClusterView:
-    """Holds the current snapshot. Written by the exchange and the owner loop, read by all."""
+    """Holds the current snapshot. Written by the exchange and the owner loop, read by all.
+
+    Attributes:
+        on_doubt: Called when work waits for a hub's word; must not block.
+
+    Args:
+        clock: Source of monotonic time.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or SystemClock()
         self._lock = threading.Lock()
+        self._told = threading.Condition()
+        self._freshness = Freshness(STANDSTILL_S, DOUBT_S)
         self._snapshot = ClusterSnapshot()
+        self.on_doubt: Callable[[], None] = _nobody_asks
 
     @property
     def snapshot(self) -> ClusterSnapshot:
@@ -114,3 +139,37 @@
         """Take in this gateway's own reading of a runner that it owns."""
         with self._lock:
             self._snapshot = put_digest(self._snapshot, digest)
+
+    def step_begins(self, longest_s: float) -> float:
+        """Note that the exchange begins a step of ``longest_s`` at most; returns the time."""
+        now_s = self._clock.monotonic_s()
+        with self._told:
+            self._freshness.step_begins(now_s, longest_s)
+        return now_s
+
+    def refreshed(self, asked_s: float, quorum_age_s: float) -> None:
+        """Note that a hub, asked at a moment, told what it knows.
+
+        A hub that stood still as well knows no more than this process until it hears its leader.
+        """
+        known_s = asked_s if quorum_age_s < STANDSTILL_S else asked_s - quorum_age_s
+        with self._told:
+            self._freshness.refreshed(known_s)
+            self._told.notify_all()
+
+    def is_in_doubt(self) -> bool:
+        """Return whether this process stood still and has not heard a hub since."""
+        return self._freshness.is_in_doubt(self._clock.monotonic_s())
+
+    def wait_told(self, deadline_s: float) -> None:
+        """Return once the view is not in doubt, or when a deadline has passed."""
+        if not self.is_in_doubt():
+            return
+        self.on_doubt()
+        with self._told:
+            while self.is_in_doubt() and self._clock.monotonic_s() < deadline_s:
+                self._told.wait(LOOK_S)
+
+
+def _nobody_asks() -> None:
+    """Stand in for the exchange."""
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -185,6 +185,7 @@
                 self._random,
                 datagrams=self._address,
                 report=self._reporter,
+                is_in_doubt=self._follower.is_in_doubt,
             )
             self._local[JOBS_GROUP] = replica
             self._runner.start()
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -9,7 +9,7 @@
 import asyncio
 import threading
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from random import Random
 from typing import TypeVar
 
@@ -86,6 +86,7 @@
         random: Random,
         datagrams: str = "",
         report: EvidenceTaker | None = None,
+        is_in_doubt: Callable[[], bool] = lambda: False,
     ) -> None:
         """Prepare a runner.
 
@@ -97,8 +98,11 @@
             random: Draws the services of split routes.
             datagrams: Address where gateways tell of their online requests; empty for none.
             report: Takes the evidence against items under which back ends end.
+            is_in_doubt: Returns whether this process stood still and has not heard the registry
+                since; nothing new is run meanwhile.
         """
         self._report = report
+        self._is_in_doubt = is_in_doubt
         self._datagrams = datagrams
         self._group = group
         self._zone = zone
@@ -277,7 +281,8 @@
         self._park()
         self._end_lost()
         self._give_up_late()
-        self._start_runs(index)
+        if not self._is_in_doubt():
+            self._start_runs(index)
 
     def _record(self) -> None:
         """Replicate what is new, beside all else: batch gives way also in a long commit."""
--- a/src/leverjunction/proxy/asking.py
+++ b/src/leverjunction/proxy/asking.py
@@ -10,6 +10,7 @@
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer, Choice
 from leverjunction.proxy.dispatch import Dispatch, LateHead, OpenedAnswer, Patience
+from leverjunction.proxy.doubt import Doubt
 from leverjunction.proxy.hedging import first_opened
 from leverjunction.proxy.journal import ProxyJournal
 from leverjunction.proxy.patience import HEDGE_RATIO, HeadTimes
@@ -35,11 +36,18 @@
         balancer: Chooses back ends.
         journal: Takes the decisions.
         quarantine: Knows requests under which back ends ended.
+        doubt: Holds requests while the back ends may have changed unnoticed.
     """
 
     def __init__(
-        self, sender: Sender, balancer: Balancer, journal: ProxyJournal, quarantine: Quarantine
+        self,
+        sender: Sender,
+        balancer: Balancer,
+        journal: ProxyJournal,
+        quarantine: Quarantine,
+        doubt: Doubt,
     ) -> None:
+        self._doubt = doubt
         self._sender = sender
         self._balancer = balancer
         self._journal = journal
@@ -56,6 +64,7 @@
         """Return the first head that a back end gives."""
         declined = 0
         while True:
+            await self._doubt.over(work.until_s)
             now_s = self._loop.time()
             if now_s >= work.until_s:
                 return out_of_time(work.execution)
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -23,6 +23,7 @@
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.dialect import Dialect, RequestFacts
 from leverjunction.proxy.dispatch import OpenedAnswer
+from leverjunction.proxy.doubt import Doubt
 from leverjunction.proxy.events import EventSplitter
 from leverjunction.proxy.headers import end_to_end, find
 from leverjunction.proxy.journal import ProxyJournal
@@ -62,6 +63,7 @@
         quarantine: Quarantine | None = None,
         table_age_s: Callable[[], float] = lambda: 0.0,
         in_force_s: float = math.inf,
+        is_in_doubt: Callable[[], bool] = lambda: False,
     ) -> None:
         """Prepare for requests.
 
@@ -78,6 +80,8 @@
             table_age_s: Returns how old the route table may be, in seconds.
             in_force_s: Time in which a change is to be in force; with an older table no caller is
                 told that a route does not exist.
+            is_in_doubt: Returns whether this process stood still and has not heard the registry
+                since; requests wait meanwhile.
         """
         self._sender = sender
         self._balancer = balancer
@@ -89,7 +93,8 @@
         self._index: RouteIndex | None = None
         self._gate = gate
         self._quarantine = quarantine or Quarantine()
-        self._asker = Asker(sender, balancer, journal, self._quarantine)
+        self._doubt = Doubt(is_in_doubt)
+        self._asker = Asker(sender, balancer, journal, self._quarantine, self._doubt)
         self._table_age_s = table_age_s
         self._in_force_s = in_force_s
 
@@ -100,6 +105,7 @@
     async def handle(self, request: CallerRequest, responder: Responder) -> None:
         """Answer one request."""
         facts = self._dialect.read_request(request.headers)
+        await self._doubt.over(request.arrived_s + (facts.deadline_ms or DEFAULT_TIMEOUT_MS) / 1000)
         index = self._index
         if index is None:
             self._refuse(request, facts, responder, no_table())
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -98,6 +98,7 @@
             self._quarantine,
             self._follower.table_age_s,
             config.bounds.in_force_ms / 1000,
+            self._follower.is_in_doubt,
         )
         self._intake = RegistryIntake(
             {
--- a/src/leverjunction/registry/asking_plan.py
+++ b/src/leverjunction/registry/asking_plan.py
@@ -49,16 +49,17 @@
         self._unanswered = False
         self._silences = 0
 
-    def next_ask(self, has_state: bool, processes: int) -> Ask:
+    def next_ask(self, has_state: bool, processes: int, *, at_once: bool = False) -> Ask:
         """Return how to ask.
 
         Args:
             has_state: The asker has had a state before.
             processes: Control processes that are known.
+            at_once: Somebody waits for the answer, whether there is news or not.
         """
         if not has_state:
             return Ask(0, FIRST_TIMEOUT_S)
-        if not self._unanswered:
+        if not (self._unanswered or at_once):
             return Ask(WAIT_MS, CALL_TIMEOUT_S)
         # All in a row may be slow, not silent: large answers to many processes that start at once.
         is_quick = self._silences <= processes
--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -17,11 +17,20 @@
 from leverjunction.registry.commands import WatchReply, WatchRequest
 from leverjunction.registry.records import FleetView
 from leverjunction.routes.types import RouteTable
+from leverjunction.standstills import Freshness
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 
 NEVER_COMPLETE_S = 3600.0
 
+STANDSTILL_S = 0.5
+"""Shortest standstill after which a control process is asked before back ends are chosen. With the
+longest wait for an answer it is below the 2 s in which news are to be in force.
+"""
+
+DOUBT_S = 2.0
+"""How long requests wait for that answer: two silent control processes, and an election."""
+
 
 class Snapshot(msgspec.Struct, frozen=True):
     """What a process knows of the registry.
@@ -73,6 +82,7 @@
         self._complete_s = -math.inf
         """Until when the newest state is known to be all that was committed."""
         self._in_touch = False
+        self._freshness = Freshness(STANDSTILL_S, DOUBT_S)
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="registry-follower", daemon=True)
 
@@ -100,6 +110,10 @@
         """Return how old the newest state may be, in seconds: what changed since is not known."""
         return min(self._clock.monotonic_s() - self._complete_s, NEVER_COMPLETE_S)
 
+    def is_in_doubt(self) -> bool:
+        """Return whether this process stood still and has not been told the newest state since."""
+        return self._freshness.is_in_doubt(self._clock.monotonic_s())
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             try:
@@ -124,14 +138,18 @@
         self._take(reply)
         complete_s = sent_s + reply.held_s - reply.contact_age_s
         self._complete_s = max(self._complete_s, complete_s)
+        # A hub that answers has heard its leader lately; one that stood still as well says so.
+        self._freshness.refreshed(sent_s)
 
     def _ask_another(self, pause_s: float) -> None:
+        self._freshness.step_begins(self._clock.monotonic_s(), pause_s)
         self._hubs.append(self._hubs.pop(0))
         self._stopped.wait(pause_s)
 
     def _ask(self, hub: str) -> WatchReply | Failure:
         known = self._snapshot
-        ask = self._plan.next_ask(known is not None, len(self._hubs))
+        ask = self._plan.next_ask(known is not None, len(self._hubs), at_once=self.is_in_doubt())
+        self._freshness.step_begins(self._clock.monotonic_s(), ask.timeout_s)
         request = WatchRequest(
             table_version=known.table.version if known else -1,
             revision=known.view.revision if known else -1,
--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -8,7 +8,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import msgspec
@@ -156,6 +157,17 @@
         self._frozen.discard(name)
         self.process(name).signal(signal.SIGCONT)
 
+    @contextmanager
+    def standing_still(self) -> Iterator[None]:
+        """Stop all processes together, as a machine that is short of processor does."""
+        for name in self._processes:
+            self.freeze(name)
+        try:
+            yield
+        finally:
+            for name in self._processes:
+                self.thaw(name)
+
     def terminate(self, name: str) -> None:
         """SIGTERM a process: a planned stop."""
         self.process(name).signal(signal.SIGTERM)
--- a/src/testbed/simulation/control_node.py
+++ b/src/testbed/simulation/control_node.py
@@ -235,13 +235,14 @@
 
     def _read_machines(self) -> None:
         hub = self.hub
+        asked_s = hub.listing_begins(MACHINE_LIST_INTERVAL_S)
 
         def handle(reply: Reply) -> None:
             reply(self._platform.listed())
 
         def receive(result: object) -> None:
             if isinstance(result, MachineList):
-                hub.machines_listed(result)
+                hub.machines_listed(result, asked_s)
 
         server = self._platform.machine.name
         self._network.call(self.machine, server, handle, receive, CALL_TIMEOUT_S)
--- a/src/testbed/simulation/gateway_node.py
+++ b/src/testbed/simulation/gateway_node.py
@@ -247,7 +247,7 @@
         self.engines = self.engines_type(machine, self.board, self._connections, self._runners)
         self.counters = GatewayCounters()
         self.inflight = Inflight()
-        self.view = ClusterView()
+        self.view = ClusterView(machine)
         self.settings = self.store_type(self._disk, self._record_version)
         self.pool = RunnerPool(self.view, machine.zone, machine, self.random)
         self.outbox = DigestOutbox()
@@ -258,6 +258,7 @@
             SimpleNamespace(name=self.name, region=self._region),  # type: ignore[arg-type]
             self.counters.registry,
             self._incarnation_ms,
+            self.view.is_in_doubt,
         )
         self.sweeper = OrphanSweeper(
             self.engines, machine, self.counters, self.name, self._incarnation_ms
--- a/src/testbed/simulation/seeded/faults.py
+++ b/src/testbed/simulation/seeded/faults.py
@@ -204,6 +204,7 @@
         if gateway is None:
             return False
         self._note_gateway(gateway, fault.duration_s)
+        self._note(self._world.history.gateway_frozen, gateway.machine.name, fault.duration_s)
         gateway.machine.freeze()
         self._later(fault, gateway.machine.wake)
         return True
--- a/src/testbed/simulation/seeded/history.py
+++ b/src/testbed/simulation/seeded/history.py
@@ -123,6 +123,7 @@
         back_end_disturbed: Back ends that a fault had in its hands, by name.
         control_disturbed: Control processes that a fault had in its hands, by name.
         gateway_disturbed: The same for gateways.
+        gateway_frozen: Of these the standstills: what a gateway does after one is its own doing.
         faults: Faults that struck.
         counts: Calls by outcome.
         ended_s: End of the run.
@@ -139,6 +140,7 @@
     back_end_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     control_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     gateway_disturbed: dict[str, list[Span]] = field(default_factory=dict)
+    gateway_frozen: dict[str, list[Span]] = field(default_factory=dict)
     faults: Counter[str] = field(default_factory=Counter)
     counts: Counter[str] = field(default_factory=Counter)
     ended_s: float = 0.0
--- a/src/testbed/simulation/seeded/routed/checkers.py
+++ b/src/testbed/simulation/seeded/routed/checkers.py
@@ -129,6 +129,21 @@
         return finding
 
 
+def _could_know(history: SeededHistory, run: Run, left_s: float) -> bool:
+    """Return whether a gateway could know that a back end leaves when it sent a request there.
+
+    One that stood still, and did nothing else, could ask the control processes before it sent.
+    """
+    frozen = history.gateway_frozen[run.gateway]
+    others = [span for span in history.gateway_disturbed[run.gateway] if span not in frozen]
+    if overlaps(others, left_s, run.at_s):
+        return False
+    if not overlaps(frozen, left_s, run.at_s):
+        return True
+    control = history.control_disturbed.values()
+    return not any(overlaps(spans, left_s, run.at_s) for spans in control)
+
+
 class LeavingGetsNothingNew:
     """A back end that leaves gets no new request after the promised time."""
 
@@ -143,7 +158,7 @@
         for place, left_s in history.left.items():
             for run in runs[place]:
                 late = run.at_s > left_s + LEAVING_S
-                well = not overlaps(history.gateway_disturbed[run.gateway], left_s, run.at_s)
+                well = _could_know(history, run, left_s)
                 finding.expect(
                     not (late and well),
                     f"{run.gateway} sends {run.request_id} to {run.back_end} at {run.at_s:.3f} s, "
--- a/src/testbed/simulation/seeded/world.py
+++ b/src/testbed/simulation/seeded/world.py
@@ -192,6 +192,7 @@
             machine = self._machine(name, self._zone(number))
             self.gateways[name] = self._gateway(machine, seeds)
             self.history.gateway_disturbed[name] = []
+            self.history.gateway_frozen[name] = []
         for gateway in self.gateways.values():
             gateway.start()
 
--- a/tests/features/test_leaving_runner.py
+++ b/tests/features/test_leaving_runner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 from tests.features.world import World, now_ms
@@ -31,6 +33,19 @@
     world.wait_until_ms(world.notes["limit_ms"])
 
 
+@when(parsers.parse("{limit:d} s are allowed from then on"))
+def limit_set(world: World, limit: int) -> None:
+    world.notes["limit_ms"] = now_ms() + limit * 1000
+
+
+@when(parsers.parse("all processes stand still {after:g} s later, for {pause:g} s"))
+def all_stand_still(world: World, after: float, pause: float) -> None:
+    """A machine that is short of processor stops a whole fleet, but not who looks at it."""
+    time.sleep(after)
+    with world.fleet.standing_still():
+        time.sleep(pause)
+
+
 @then("the runner has got no new work since")
 def no_new_work(world: World) -> None:
     late = _late(world)
--- a/tests/unit/gateway_support.py
+++ b/tests/unit/gateway_support.py
@@ -208,13 +208,19 @@
 
 
 class StubHub:
-    """A hub that knows the given engines and keeps claims in memory."""
+    """A hub that knows the given engines and keeps claims in memory.
+
+    Attributes:
+        answers: Exchanges wait while it is clear.
+    """
 
     def __init__(self, engines: list[StubEngine], rows: dict[str, object] | None = None) -> None:
         self.engines = engines
         self.version = 1
         self.rows = default_rows() | (rows or {})
         self.requests: list[ExchangeRequest] = []
+        self.answers = threading.Event()
+        self.answers.set()
         self.leaving: set[str] = set()
         self.claims: dict[tuple[str, str], Claim] = {}
         self.commands: list[object] = []
@@ -230,10 +236,12 @@
         return self._server.address
 
     def stop(self) -> None:
+        self.answers.set()
         self._server.stop()
 
     def _exchange(self, envelope: Envelope, _peer: str) -> bytes:
         request = msgspec.json.decode(envelope.body, type=ExchangeRequest)
+        self.answers.wait(WAIT_S)
         self.requests.append(request)
         rows = [SettingRow(path, value, self.version) for path, value in self.rows.items()]
         return encode_reply(
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -36,6 +36,7 @@
 
     Attributes:
         table_age_s: How old its route table may be.
+        is_in_doubt: Whether its process stood still and has not heard the registry since.
     """
 
     def __init__(self, table: RouteTable | None, runners: Iterable[RunnerStandIn]) -> None:
@@ -46,6 +47,7 @@
         self._thread = threading.Thread(target=self._run, daemon=True)
         self.address = ""
         self.table_age_s = 0.0
+        self.is_in_doubt = False
 
     def __enter__(self) -> Proxy:
         self._thread.start()
@@ -104,6 +106,7 @@
             AdmissionGate(balancer, sender),
             table_age_s=lambda: self.table_age_s,
             in_force_s=2.0,
+            is_in_doubt=lambda: self.is_in_doubt,
         )
         if self._table is not None:
             self.forwarder.set_table(RouteIndex(self._table))
--- a/tests/unit/test_batch_harvest_state.py
+++ b/tests/unit/test_batch_harvest_state.py
@@ -224,3 +224,14 @@
     failure = Failure(kind=kind, reason="", step=Step.RESPONDING, execution=execution)
     result = run_item(BrokenEngines(failure), work, "a:1", 1, "")
     assert (result.end, result.runner_lost) == (end, runner_lost)
+
+
+@pytest.mark.parametrize("doubted", [False, True])
+def test_an_item_that_was_planned_before_a_standstill_waits_for_another_plan(
+    doubted: bool,
+) -> None:
+    """Its runner may be leaving by now: a plan lives from the decision to the run's thread."""
+    state = held_state(may_repeat=True)
+    (run, _other) = state.plan(0.0).starts
+    assert state.begins(run, 0.0, is_in_doubt=doubted) is not doubted
+    assert state.work.waiting_total() == int(doubted)
--- a/tests/unit/test_consensus_standstill.py
+++ b/tests/unit/test_consensus_standstill.py
@@ -25,8 +25,8 @@
 from hypothesis import strategies as st
 from tests.unit.consensus_simulation import Faults, Simulation
 
-from leverjunction.consensus.standstills import Standstills
 from leverjunction.consensus.types import Role
+from leverjunction.standstills import Standstills
 
 SIZE = 3
 SETTLE_S = 5.0
--- a/tests/unit/test_control_machine_source.py
+++ b/tests/unit/test_control_machine_source.py
@@ -85,7 +85,7 @@
         hub.machines_listed(listed(10, "live"))
         assert not hub.runners()[0].leaving
         platform = Platform()
-        source = MachineSource(cast(MachineListClient, platform), hub, RpcClient(KEY, 1))
+        source = MachineSource(cast(MachineListClient, platform), hub, RpcClient(KEY, 1), 0.5)
         source.tick()
         assert hub.runners()[0].leaving
         source.tick()
--- a/tests/unit/test_control_standstill.py
+++ b/tests/unit/test_control_standstill.py
@@ -7,7 +7,9 @@
 import pytest
 
 from leverjunction.backends.machine_list import Machine, MachineList, MachineState
-from leverjunction.control.hub import Hub, HubIdentity
+from leverjunction.backends.types import LoadReport
+from leverjunction.control.hub import LIST_DOUBT_S, Hub, HubIdentity
+from leverjunction.control.hub_sync import HubSyncTasks
 from leverjunction.control.messages import (
     HubState,
     HubSync,
@@ -17,6 +19,7 @@
     Withdrawal,
 )
 from leverjunction.control.periodic import PeriodicTask
+from leverjunction.control.runner_watch import RunnerWatch
 from leverjunction.control.settings_mirror import SettingsMirror
 from leverjunction.control.warm_up import STANDSTILL_S, WARM_UP_S
 from leverjunction.errors import Failure, FailureKind
@@ -38,10 +41,9 @@
         return int(self.now_s * 1000)
 
 
-def machine_list() -> MachineList:
+def machine_list(state: MachineState = MachineState.LIVE) -> MachineList:
     machine = Machine(
-        id="r1", address="127.0.0.1:9", zone="z", service="s", state=MachineState.LIVE,
-        incarnation=1,
+        id="r1", address="127.0.0.1:9", zone="z", service="s", state=state, incarnation=1
     )  # fmt: skip
     return MachineList(as_of_ms=1, machines=[machine])
 
@@ -168,6 +170,89 @@
     assert isinstance(exchange(hub), ExchangeReply)
 
 
+def test_a_hub_that_stood_still_reads_the_machine_list_before_it_answers(
+    cluster: Cluster,
+) -> None:
+    """Its gateways asked first, and were told what it had known before the standstill."""
+    hub = cluster.hubs["c1"]
+    hub.listing_begins(0.5)
+    cluster.clock.now_s += 1.5
+    refused = exchange(hub)
+    assert isinstance(refused, Failure)
+    assert refused.kind is FailureKind.STALE
+    asked_s = hub.listing_begins(2.0)
+    hub.machines_listed(machine_list(MachineState.LEAVING), asked_s)
+    told = exchange(hub)
+    assert isinstance(told, ExchangeReply)
+    assert [runner.leaving for runner in told.runners] == [True]
+
+
+def test_a_hub_that_cannot_read_the_machine_list_answers_all_the_same(cluster: Cluster) -> None:
+    hub = cluster.hubs["c1"]
+    hub.listing_begins(0.5)
+    cluster.clock.now_s += 1.5
+    assert isinstance(exchange(hub), Failure)
+    for _ in range(4):
+        cluster.clock.now_s += LIST_DOUBT_S / 4
+        hub.listing_begins(2.0)
+    assert isinstance(exchange(hub), ExchangeReply)
+
+
+class Engines:
+    """Stands for the client of engines; the process may stand still while it reads."""
+
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
+        self.stands_s: list[float] = []
+
+    def load(self, _address: str, _timeout_s: float) -> LoadReport:
+        self.clock.now_s += self.stands_s.pop() if self.stands_s else 0.0
+        return LoadReport(
+            as_of_ms=1, incarnation=1, running=0, waiting=0, batch_running=0, batch_waiting=0,
+            kv_blocks_used=0, kv_blocks_total=1, step_ms=1.0, models=["new"],
+        )  # fmt: skip
+
+
+def test_runners_are_read_again_at_once_when_a_standstill_met_their_reading(
+    cluster: Cluster,
+) -> None:
+    """Until the next interval the hub gave out no view, and gateways went on with theirs."""
+    hub, engines = cluster.hubs["c1"], Engines(cluster.clock)
+    zones = {"c1": "z", "c2": "y", "c3": "y"}
+    watch = RunnerWatch(hub, engines, "c1", zones)  # type: ignore[arg-type]
+    engines.stands_s = [FROZEN_S]
+    watch.tick()
+    watch.close()
+    assert cluster.message("c1", "c2").readings == [reading("new")]
+
+
+class Peer:
+    """Stands for the RPC client: a hub that takes deltas only of what it knows."""
+
+    def __init__(self, receiver: Hub) -> None:
+        self.receiver = receiver
+        self.full: list[bool] = []
+
+    def call(self, _address: str, _kind: object, sync: HubSync, *_: object, **__: object) -> object:
+        self.full.append(sync.full)
+        return self.receiver.sync_received(sync)
+
+
+def test_a_hub_that_knows_nothing_any_more_is_told_all_at_once(cluster: Cluster) -> None:
+    """It gives out no view before, which took the interval until the next message."""
+    cluster.run(FROZEN_S, "c1", "c3")
+    peer = Peer(cluster.hubs["c2"])
+    tasks = HubSyncTasks(
+        cluster.hubs["c1"],
+        peer,  # type: ignore[arg-type]
+        {},
+        lambda: cluster.state("c1"),
+    )
+    tasks._tell("c2", PEERS["c2"])
+    assert peer.full == [False, True]
+    assert [hub.name for hub in cluster.hubs["c2"].live_hubs()] == ["c1"]
+
+
 def test_a_late_message_of_a_hub_changes_nothing(cluster: Cluster) -> None:
     late = cluster.message("c1", "c2")
     late_full = HubSync(
--- a/tests/unit/test_registry_follower.py
+++ b/tests/unit/test_registry_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sqlite3
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -219,3 +220,50 @@
         assert "disk is full" in fault.reason
     finally:
         fleet.stop()
+
+
+class SteppedClock(SystemClock):
+    """The machine's clock, which a test can put forward: the process stood still."""
+
+    stood_s = 0.0
+
+    def monotonic_s(self) -> float:
+        return super().monotonic_s() + self.stood_s
+
+
+def test_after_a_standstill_what_is_known_is_in_doubt_until_a_process_answers_at_once() -> None:
+    """A gateway that woke up sent requests to back ends that had left meanwhile.
+
+    The next question was held at the control process like all others, for 0.9 s without news.
+    """
+    clock, answers = SteppedClock(), threading.Event()
+    answers.set()
+
+    def answer(_hub: str, request: WatchRequest) -> WatchReply:
+        if request.fresh:
+            return reply(3)
+        answers.wait(5.0)
+        time.sleep(request.wait_ms / 1000)
+        return reply(3)
+
+    hubs = Hubs(answer)
+    follower = RegistryFollower(
+        hubs,  # type: ignore[arg-type]
+        ("a:1",),
+        "",
+        clock,
+        Random(1),
+        lambda _snapshot: None,
+    )
+    follower.start()
+    wait_until(lambda: len(hubs.asked) > 1, 5.0)
+    assert not follower.is_in_doubt()
+    answers.clear()
+    clock.stood_s = 5.0
+    assert follower.is_in_doubt()
+    asked = len(hubs.asked)
+    answers.set()
+    wait_until(lambda: not follower.is_in_doubt(), 5.0)
+    follower.stop()
+    # The one under way says nothing of the time in which the process stood still.
+    assert hubs.asked[asked][1].wait_ms == 0
