--- a/src/leverjunction/gateway/exchange.py
+++ b/src/leverjunction/gateway/exchange.py
@@ -147,6 +147,7 @@
         self._lock = threading.Lock()
         self._thread = threading.Thread(target=self._run, name="exchange", daemon=True)
         view.on_doubt = self._ask_soon
+        view.on_standstill = self._note_standstill
 
     def start(self) -> None:
         """Start the thread."""
@@ -188,6 +189,10 @@
         if not self._failures:
             self._wake.set()
 
+    def _note_standstill(self, stood_s: float) -> None:
+        self._counters.standstills.inc()
+        logger.warning("this process stood still for {:.1f} s; work waits for a hub", stood_s)
+
     def _exchange_once(self, asked_s: float) -> Failure | None:
         self._wait_s = self._interval_s
         digests = self._outbox.take()
--- a/src/leverjunction/gateway/view.py
+++ b/src/leverjunction/gateway/view.py
@@ -111,6 +111,7 @@
 
     Attributes:
         on_doubt: Called when work waits for a hub's word; must not block.
+        on_standstill: Called with the seconds for which this process stood still.
 
     Args:
         clock: Source of monotonic time.
@@ -123,6 +124,7 @@
         self._freshness = Freshness(STANDSTILL_S, DOUBT_S)
         self._snapshot = ClusterSnapshot()
         self.on_doubt: Callable[[], None] = _nobody_asks
+        self.on_standstill: Callable[[float], None] = _nobody_is_told
 
     @property
     def snapshot(self) -> ClusterSnapshot:
@@ -144,7 +146,9 @@
         """Note that the exchange begins a step of ``longest_s`` at most; returns the time."""
         now_s = self._clock.monotonic_s()
         with self._told:
-            self._freshness.step_begins(now_s, longest_s)
+            stood_s = self._freshness.step_begins(now_s, longest_s)
+        if stood_s > 0:
+            self.on_standstill(stood_s)
         return now_s
 
     def refreshed(self, asked_s: float, quorum_age_s: float) -> None:
@@ -173,3 +177,7 @@
 
 def _nobody_asks() -> None:
     """Stand in for the exchange."""
+
+
+def _nobody_is_told(_stood_s: float) -> None:
+    """Stand in for who counts standstills."""
--- a/src/leverjunction/observability/counters.py
+++ b/src/leverjunction/observability/counters.py
@@ -30,6 +30,9 @@
         self.client_gone = self._counter("client_gone_total", "Callers gone before their answer.")
         self.yield_notices = self._counter("yield_notices_total", "Yield notices.", ["direction"])
         self.exchanges = self._counter("exchanges_total", "Exchanges with hubs.", ["outcome"])
+        self.standstills = self._counter(
+            "standstills_total", "Times that this process did not run for a second and more."
+        )
         self.cache_event_gaps = self._counter(
             "cache_event_gaps_total", "Gaps in engines' cache events."
         )
--- a/src/leverjunction/proxy/counters.py
+++ b/src/leverjunction/proxy/counters.py
@@ -36,6 +36,11 @@
             "Runs since the start under which their back end was found to have ended",
             registry=registry,
         )
+        self.standstills = Gauge(
+            "proxy_standstills",
+            "Times since the start that this process did not run for half a second and more",
+            registry=registry,
+        )
         self.holds = Counter(
             "proxy_holds_total",
             "Requests that waited at this gateway for a back end, by what became of them",
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -204,6 +204,7 @@
         self._counters.table_version.set(version)
         self._counters.contact_age_s.set(self._follower.age_s())
         self._counters.table_age_s.set(self._follower.table_age_s())
+        self._counters.standstills.set(self._follower.standstills)
         self._counters.failing_receivers.set(self._intake.failing())
         suspects, refused = self._quarantine.counts()
         self._counters.suspects.labels("suspect").set(suspects - refused)
--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -49,6 +49,9 @@
 class RegistryFollower:
     """One thread that asks one control process at a time, the next one when that is silent.
 
+    Attributes:
+        standstills: How often this process was found to have stood still.
+
     Args:
         rpc: Client of the internal RPC.
         seeds: RPC addresses to begin with.
@@ -83,6 +86,7 @@
         """Until when the newest state is known to be all that was committed."""
         self._in_touch = False
         self._freshness = Freshness(STANDSTILL_S, DOUBT_S)
+        self.standstills = 0
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="registry-follower", daemon=True)
 
@@ -141,15 +145,21 @@
         # A hub that answers has heard its leader lately; one that stood still as well says so.
         self._freshness.refreshed(sent_s)
 
+    def _step_begins(self, longest_s: float) -> None:
+        stood_s = self._freshness.step_begins(self._clock.monotonic_s(), longest_s)
+        if stood_s > 0:
+            self.standstills += 1
+            logger.warning("this process stood still for {:.1f} s; work waits for news", stood_s)
+
     def _ask_another(self, pause_s: float) -> None:
-        self._freshness.step_begins(self._clock.monotonic_s(), pause_s)
+        self._step_begins(pause_s)
         self._hubs.append(self._hubs.pop(0))
         self._stopped.wait(pause_s)
 
     def _ask(self, hub: str) -> WatchReply | Failure:
         known = self._snapshot
         ask = self._plan.next_ask(known is not None, len(self._hubs), at_once=self.is_in_doubt())
-        self._freshness.step_begins(self._clock.monotonic_s(), ask.timeout_s)
+        self._step_begins(ask.timeout_s)
         request = WatchRequest(
             table_version=known.table.version if known else -1,
             revision=known.view.revision if known else -1,
--- a/src/leverjunction/standstills.py
+++ b/src/leverjunction/standstills.py
@@ -59,10 +59,16 @@
         self._asked_s = -math.inf
         self._woke_s = -math.inf
 
-    def step_begins(self, now_s: float, longest_s: float) -> None:
-        """Note that the next step of the refreshing begins, and how long it takes at most."""
+    def step_begins(self, now_s: float, longest_s: float) -> float:
+        """Note that the next step of the refreshing begins, and how long it takes at most.
+
+        Returns:
+            For how long the process stood still before, in seconds; 0 when it is not late.
+        """
         self._note_standstill(now_s)
+        late_s = now_s - self._due_s
         self._due_s = now_s + longest_s
+        return late_s if late_s >= self._from_s else 0.0
 
     def refreshed(self, asked_s: float) -> None:
         """Take that all is known that was true when somebody was asked."""
--- a/tests/unit/test_gateway_standstill.py
+++ b/tests/unit/test_gateway_standstill.py
@@ -58,6 +58,8 @@
         caller.join()
     assert statuses == [200] * 6
     assert [len(engine.started) for engine in fleet.engines] == [0, 6]
+    told = fleet.gateway.counters.registry.get_sample_value("leverjunction_standstills_total")
+    assert told == 1
 
 
 def test_without_a_hub_requests_are_sent_after_a_while(
--- a/tests/unit/test_standstills.py
+++ b/tests/unit/test_standstills.py
@@ -59,3 +59,10 @@
     freshness = refreshed_at(0.0, 5.0, 6.0)
     assert not freshness.is_in_doubt(6.5)
     assert freshness.is_in_doubt(9.0)
+
+
+def test_how_long_the_process_stood_still_is_told_once() -> None:
+    freshness = refreshed_at(0.0)
+    assert freshness.is_in_doubt(6.0)
+    assert freshness.step_begins(6.0, STEP_S) == pytest.approx(5.0)
+    assert freshness.step_begins(6.5, STEP_S) == 0.0
