Hub: a reading of the machine list may be a second late before gateways are put off

Cause: by reading, a last look at the mend of standstills: with 0.4 s a control process whose threads are late, as at 340 gateways, would refuse exchanges and send its gateways to others with full views. Change: 1.0 s; the sum for a leaving runner (0.5 s list, 1.0 s late, 1.0 s exchange) stays below 3 s. Not measured at full size.

--- a/src/leverjunction/control/hub.py
+++ b/src/leverjunction/control/hub.py
@@ -46,8 +46,12 @@
 
 __all__ = ["Hub", "HubIdentity"]
 
-LIST_STANDSTILL_S = 0.4
-"""Shortest standstill after which the machine list is read before a gateway is answered."""
+LIST_STANDSTILL_S = 1.0
+"""Shortest standstill after which the machine list is read before a gateway is answered: with the
+pauses between readings and exchanges, half a second and a second, it is below the 3 s in which a
+leaving runner gets its last work. On a control process that is short of processor a shorter one
+would turn gateways away.
+"""
 
 LIST_DOUBT_S = 1.0
 """How long gateways are put off when that reading does not succeed: two tries."""
