--- a/src/testbed/fleet/fleet.py
+++ b/src/testbed/fleet/fleet.py
@@ -41,6 +41,8 @@
     ProcessKind.NETWORK,
 )
 
+_STANDING_STILL = (ProcessKind.GATEWAY, ProcessKind.CONTROL, ProcessKind.MACHINE_LIST)
+
 
 class FleetError(Exception):
     """The fleet did not do what the launcher waited for; the message names logs to read."""
@@ -159,13 +161,22 @@
 
     @contextmanager
     def standing_still(self) -> Iterator[None]:
-        """Stop all processes together, as a machine that is short of processor does."""
-        for name in self._processes:
+        """Stop the product and the machine list together, as a machine short of processor does.
+
+        Engines and the network run on: what was sent before begins before the processes go on.
+        """
+        stopped = [
+            name
+            for kind in _STANDING_STILL
+            for name in self.names(kind)
+            if not self.is_struck(name)
+        ]
+        for name in stopped:
             self.freeze(name)
         try:
             yield
         finally:
-            for name in self._processes:
+            for name in stopped:
                 self.thaw(name)
 
     def terminate(self, name: str) -> None:
