Registry, gateway: versions of back ends are read, logged and counted

It is part of the runner's record and of what must be replicated when it changes, stands in the decision lines send_failed and run_lost, and is counted by proxy_back_ends{service, version}. A version that is no name is refused like an id that is none. No decision uses it yet.

--- a/src/leverjunction/platform/control_calls.py
+++ b/src/leverjunction/platform/control_calls.py
@@ -47,6 +47,7 @@
     slots: Annotated[int, msgspec.Meta(gt=0, le=MAX_SLOTS)]
     state: str
     sequence: WholeNumber = 0
+    version: str = ""
     born: UnixMs = msgspec.field(default=0, name="born")
     """Time at which the runner started, in Unix milliseconds; the only lower-case field name."""
 
@@ -166,6 +167,8 @@
         return _invalid("a state that is not known")
     if not (is_name(name) and is_name(payload.service) and is_name(payload.zone)):
         return _invalid("an id, a service or a zone that is no name")
+    if payload.version and not is_name(payload.version):
+        return _invalid("a version that is no name")
     if not is_address(payload.address):
         return _invalid("an address that is not HOST:PORT")
     return RunnerRecord(
@@ -177,6 +180,7 @@
         state=state,
         sequence=payload.sequence,
         born_ms=payload.born,
+        version=payload.version,
     )
 
 
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 from random import Random
 
@@ -141,6 +142,14 @@
         # They may be silent only because they can't reach the control processes.
         return ready or [runner for runner in known if runner.record.state is RunnerState.SILENT]
 
+    def counts(self) -> Counter[tuple[str, str]]:
+        """Return the number of back ends that accept new work, by service and version."""
+        return Counter(
+            (service, runner.record.version)
+            for service in self._by_service
+            for runner in self.available(service)
+        )
+
     def choose(
         self,
         service: str,
--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -21,6 +21,7 @@
 from leverjunction.proxy.metrics import ProxyMetrics
 from leverjunction.proxy.routed_request import RoutedRequest
 from leverjunction.quarantine.request_key import request_key
+from leverjunction.registry.records import RunnerRecord
 
 if TYPE_CHECKING:
     from leverjunction.proxy.dispatch import OpenedResponse
@@ -44,6 +45,7 @@
         waited_ms: Time since the request arrived, in milliseconds.
         allowed_ms: Time limit of the request by its caller and its route, in milliseconds.
         runner_id: Id and start of the back end that the request was sent to.
+        version: Version of that back end's software.
         request_key: Key shared by all attempts with the same request content.
         load: Estimated requests at the back end when it was chosen.
         load_age_ms: Age of the back end's last load report, in milliseconds; None if there was
@@ -64,6 +66,7 @@
     waited_ms: int = 0
     allowed_ms: int = 0
     runner_id: str = ""
+    version: str = ""
     request_key: str = ""
     load: float = 0.0
     load_age_ms: int | None = None
@@ -151,6 +154,7 @@
                 waited_ms=_ms(now_s - routed.request.arrived_s),
                 allowed_ms=_ms(routed.until_s - routed.request.arrived_s),
                 runner_id=choice.runner.record.start,
+                version=choice.runner.record.version,
                 load=round(choice.load, 2),
                 load_age_ms=_ms(now_s - load_at_s) if load_at_s else None,
                 candidates=choice.candidates,
@@ -185,13 +189,13 @@
         )
 
     def run_lost(
-        self, routed: RoutedRequest, runner_id: str, failure: Failure, now_s: float
+        self, routed: RoutedRequest, runner: RunnerRecord, failure: Failure, now_s: float
     ) -> None:
         """Record a run that was lost because the back end's connection broke.
 
         Args:
             routed: The request.
-            runner_id: Id and start of the back end.
+            runner: The back end.
             failure: Failure that ended the response.
             now_s: Current time in monotonic seconds.
         """
@@ -205,7 +209,8 @@
                 route=routed.route.name,
                 service=routed.service,
                 waited_ms=_ms(now_s - routed.request.arrived_s),
-                runner_id=runner_id,
+                runner_id=runner.start,
+                version=runner.version,
                 request_key=request_key(request_content(routed.request)),
                 execution=failure.execution.value,
                 step=failure.step.value,
--- a/src/leverjunction/proxy/metrics.py
+++ b/src/leverjunction/proxy/metrics.py
@@ -41,6 +41,12 @@
             "Times since the start that this process did not run for half a second and more",
             registry=registry,
         )
+        self.back_ends = Gauge(
+            "proxy_back_ends",
+            "Back ends that accept new work, by service and version of their software",
+            ["service", "version"],
+            registry=registry,
+        )
         self.holds = Counter(
             "proxy_holds_total",
             "Requests that waited at this gateway for a back end, by what became of them",
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -223,6 +223,9 @@
         self._metrics.suspects.labels("suspect").set(suspects - refused)
         self._metrics.suspects.labels("refused").set(refused)
         self._metrics.ended_runs.set(self._quarantine.ended_runs)
+        self._metrics.back_ends.clear()
+        for (service, software), count in self._balancer.counts().items():
+            self._metrics.back_ends.labels(service, software).set(count)
         for service, (held, oldest_s) in self._gate.waiting().items():
             self._metrics.held.labels(service).set(held)
             self._metrics.oldest_held_s.labels(service).set(oldest_s)
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -197,7 +197,7 @@
 
         If the request may run again, waits briefly to find out whether the back end has crashed.
         """
-        self._decision_log.run_lost(routed, runner.record.start, failure, self._loop.time())
+        self._decision_log.run_lost(routed, runner.record, failure, self._loop.time())
         self._quarantine.run_lost(
             routed.request,
             routed.route.name,
--- a/src/leverjunction/registry/records.py
+++ b/src/leverjunction/registry/records.py
@@ -48,6 +48,8 @@
             begin anew with each start.
         born_ms: Start time by the runner's own clock, in milliseconds since the Unix epoch; 0 if
             the runner does not send it.
+        version: Version of the runner's software; empty if the runner does not report it. Parts of
+            one response that different versions wrote do not fit together.
     """
 
     runner_id: str
@@ -58,6 +60,7 @@
     state: RunnerState = RunnerState.READY
     sequence: int = 0
     born_ms: int = 0
+    version: str = ""
 
     @property
     def start(self) -> str:
@@ -65,10 +68,10 @@
         return f"{self.runner_id}@{self.born_ms}" if self.born_ms else self.runner_id
 
 
-def runner_key(record: RunnerRecord) -> tuple[str, str, str, int, RunnerState, int]:
+def runner_key(record: RunnerRecord) -> tuple[str, str, str, int, RunnerState, int, str]:
     """Return the fields whose change must be replicated; all but the id and sequence number."""
     location = (record.service, record.address, record.zone)
-    return (*location, record.slots, record.state, record.born_ms)
+    return (*location, record.slots, record.state, record.born_ms, record.version)
 
 
 class MemberRecord(msgspec.Struct, frozen=True, kw_only=True):
