--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -26,6 +26,7 @@
     """One start of a back end.
 
     Attributes:
+        version: Version of its software; empty if it tells none.
         runner_id: Its id; a request that expects another is answered 421.
         seen: Requests that came, oldest first.
         held: Those that it works on or that wait for a slot.
@@ -36,9 +37,15 @@
     """
 
     def __init__(
-        self, runner_id: str = "i-1", usual: str = "whole", slots: int = 0, port: int = 0
+        self,
+        runner_id: str = "i-1",
+        usual: str = "whole",
+        slots: int = 0,
+        port: int = 0,
+        version: str = "",
     ) -> None:
         self.runner_id = runner_id
+        self.version = version
         self._port = port
         self.slots = slots
         self._places = asyncio.Semaphore(slots or MANY)
--- a/src/testbed/simulation/run.py
+++ b/src/testbed/simulation/run.py
@@ -20,7 +20,7 @@
 from testbed.simulation.scenario import SCENARIOS
 from testbed.simulation.seeded.checkers import CHECKERS as SEEDED_CHECKERS
 from testbed.simulation.seeded.fault_kinds import SeededFault, SeededFaultKind
-from testbed.simulation.seeded.routed.checkers import ROUTED_CHECKERS
+from testbed.simulation.seeded.routed.checkers import ROUTED_CHECKERS, STREAM_CHECKERS
 from testbed.simulation.seeded.shape import SHAPES
 from testbed.simulation.seeded.timeline import follow as follow_seeded
 from testbed.simulation.seeded.world import SeededWorld
@@ -110,7 +110,11 @@
             sorted(history.faults.items()),
         )
     )
-    checkers = [*SEEDED_CHECKERS, *(ROUTED_CHECKERS if world.back_ends else ())]
+    checkers = [
+        *SEEDED_CHECKERS,
+        *(ROUTED_CHECKERS if world.back_ends else ()),
+        *(STREAM_CHECKERS if world.history.streams else ()),
+    ]
     for checker in checkers:
         _note(result, checker.name, checker.check(history))
     return result
--- a/src/testbed/simulation/seeded/fault_kinds.py
+++ b/src/testbed/simulation/seeded/fault_kinds.py
@@ -72,6 +72,14 @@
     SeededFaultKind.STOP_GATEWAY: 2,
 }
 
+VERSIONS_WEIGHTS: dict[SeededFaultKind, float] = {
+    **ROUTED_WEIGHTS,
+    SeededFaultKind.KILL_GATEWAY: 12,
+    SeededFaultKind.CUT_GATEWAY: 2,
+    SeededFaultKind.KILL_BACK_END: 8,
+}
+"""More of what breaks streams."""
+
 
 @dataclass(frozen=True)
 class SeededFault:
--- a/src/testbed/simulation/seeded/history.py
+++ b/src/testbed/simulation/seeded/history.py
@@ -92,6 +92,58 @@
     gateway: str
 
 
+@dataclass(frozen=True)
+class StreamTry:
+    """One request for a stream, or for the rest of it.
+
+    Attributes:
+        gateway: Gateway that was asked.
+        at_s: When.
+        is_refused: The gateway answered with a status other than success, or not at all.
+        events: Number and version of each event that came.
+    """
+
+    gateway: str
+    at_s: float
+    is_refused: bool
+    events: tuple[tuple[int, str], ...]
+
+
+@dataclass(frozen=True)
+class Streamed:
+    """A stream over all tries of its caller.
+
+    Attributes:
+        request_id: Id of the first try.
+        tries: The tries, oldest first.
+        is_whole: The last event came.
+    """
+
+    request_id: str
+    tries: tuple[StreamTry, ...]
+    is_whole: bool
+
+    @property
+    def events(self) -> list[tuple[int, str]]:
+        """Number and version of each event, in the order in which they came."""
+        return [event for one in self.tries for event in one.events]
+
+
+@dataclass(frozen=True)
+class BackEndStart:
+    """A start of a back end.
+
+    Attributes:
+        back_end: Name of its machine.
+        version: Version of its software.
+        at_s: When.
+    """
+
+    back_end: str
+    version: str
+    at_s: float
+
+
 @dataclass(frozen=True)
 class PlannedStop:
     """A gateway was asked to stop, and ended.
@@ -120,6 +172,8 @@
         runs: Work that back ends began.
         left: When a control process acknowledged that a back end leaves, by name and start.
         stops: Planned stops of gateways.
+        streams: Streams that callers take up again.
+        back_end_starts: Starts of back ends.
         back_end_disturbed: Back ends that a fault had in its hands, by name.
         control_disturbed: Control processes that a fault had in its hands, by name.
         gateway_disturbed: The same for gateways.
@@ -137,6 +191,8 @@
     runs: list[Run] = field(default_factory=list)
     left: dict[tuple[str, int], float] = field(default_factory=dict)
     stops: list[PlannedStop] = field(default_factory=list)
+    streams: list[Streamed] = field(default_factory=list)
+    back_end_starts: list[BackEndStart] = field(default_factory=list)
     back_end_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     control_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     gateway_disturbed: dict[str, list[Span]] = field(default_factory=dict)
--- a/src/testbed/simulation/seeded/operators.py
+++ b/src/testbed/simulation/seeded/operators.py
@@ -24,6 +24,7 @@
 INVALID_AHEAD = 1000
 """Versions by which an invalid table is ahead: accepted by mistake it would prevail."""
 
+RESUMABLE_PREFIX = "/resumable/"
 RIVAL = "rival"
 INVALID = "invalid"
 
@@ -81,10 +82,12 @@
         version: Version that it has sent last.
     """
 
-    def __init__(self, place: OperatorPlace, routes: int, added_routes: int = 0) -> None:
+    def __init__(
+        self, place: OperatorPlace, routes: int, added_routes: int = 0, has_streams: bool = False
+    ) -> None:
         super().__init__(place)
         self.version = 0
-        self._routes = _routes(routes)
+        self._routes = (*_routes(routes), *([resumable_route()] if has_streams else []))
         self._added_routes = added_routes
 
     def _work(self) -> None:
@@ -166,6 +169,17 @@
     return make_route(RouteClass.REPEATABLE, name=f"added-{version}", prefix=f"/added-{version}/")
 
 
+def resumable_route() -> Route:
+    """Return the route of the streams that callers take up again."""
+    return make_route(
+        RouteClass.STREAM,
+        name="resumable",
+        prefix=RESUMABLE_PREFIX,
+        resumable=True,
+        timeout_ms=5000.0,
+    )
+
+
 def _routes(count: int) -> tuple[Route, ...]:
     """Return one route of each kind in turn, each with a place of its own."""
     kinds = list(RouteClass)
--- a/src/testbed/simulation/seeded/routed/back_end.py
+++ b/src/testbed/simulation/seeded/routed/back_end.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 
 import h11
 
@@ -14,7 +15,8 @@
 from testbed.simulation.fiber import Fibers
 from testbed.simulation.machine import Machine
 from testbed.simulation.seeded.control_port import ControlPort
-from testbed.simulation.seeded.history import Run, SeededHistory
+from testbed.simulation.seeded.history import BackEndStart, Run, SeededHistory
+from testbed.simulation.seeded.operators import RESUMABLE_PREFIX
 from testbed.simulation.virtual_loop import StreamBoard, VirtualLoop
 
 PORT = 80
@@ -25,6 +27,8 @@
 EVENTS = 4
 EVENT_PAUSE_S = 0.05
 STREAM_PREFIX = b"/route-2/"
+LONG_EVENTS = 20
+LONG_EVENT_PAUSE_S = 0.08
 KEEP_ALIVE = "timeout=20"
 GATEWAY_HEADER = "via-gateway"
 """Set by callers, so that a run shows which gateway was asked."""
@@ -43,6 +47,7 @@
         fibers: Fibers of the run.
         history: Takes what it works on.
         generator: Draws times of work and control processes.
+        versions: Versions of its software, of which each start draws one; empty for none.
     """
 
     def __init__(
@@ -52,7 +57,10 @@
         fibers: Fibers,
         history: SeededHistory,
         generator: random.Random,
+        versions: Sequence[str] = (),
     ) -> None:
+        self.version = ""
+        self._versions = versions
         self.machine: Machine = control.machine
         self.leaving = False
         self._control = control
@@ -79,6 +87,10 @@
         self.leaving = False
         self._load = _Load()
         self._sequence = 0
+        if self._versions:
+            self.version = self._random.choice(self._versions)
+            at_s = self.machine.monotonic_s()
+            self._history.back_end_starts.append(BackEndStart(self.name, self.version, at_s))
         VirtualLoop(self.machine, self._fibers, self._streams).begin(self._serve)
         born_ms = self.machine.wall_ms()
         self.machine.after(
@@ -106,6 +118,7 @@
             state=RunnerState.LEAVING if self.leaving else RunnerState.READY,
             sequence=self._sequence,
             born_ms=born_ms,
+            version=self.version,
         )
         name = self._random.choice(self._control.names())
         answer = self._control.call(name, lambda node: node.handle_heartbeat(record) or Done())
@@ -178,7 +191,10 @@
         elif fields.get(names.EXPECT_INSTANCE.decode().lower(), "") != self._back_end.name:
             self._whole(421, [(names.NOT_EXECUTED.decode(), "1")], b"")
         else:
-            await self._run(fields, is_stream=target.startswith(STREAM_PREFIX))
+            if target.startswith(RESUMABLE_PREFIX.encode()):
+                await self._run_long(fields)
+            else:
+                await self._run(fields, is_stream=target.startswith(STREAM_PREFIX))
         if self._transport is not None and not self._transport.is_closing():
             self._task = None
             self._h11.start_next_cycle()
@@ -203,6 +219,19 @@
             await asyncio.sleep(EVENT_PAUSE_S)
         self._send(h11.EndOfMessage())
 
+    async def _run_long(self, fields: dict[str, str]) -> None:
+        """Send the events of a long stream from the one after the named one."""
+        request_id = fields[names.REQUEST_ID.decode().lower()]
+        own = [(names.REQUEST_ID.decode(), request_id), (names.SERVER_STAMP.decode(), "stamp")]
+        await self._back_end.work(request_id, fields.get(GATEWAY_HEADER, ""))
+        self._send(h11.Response(status_code=200, headers=own))
+        last = int(fields.get(names.LAST_EVENT_ID.decode().lower(), "0"))
+        version = self._back_end.version.encode()
+        for number in range(last + 1, LONG_EVENTS + 1):
+            self._send(h11.Data(data=b"id: %d\ndata: %s\n\n" % (number, version)))
+            await asyncio.sleep(LONG_EVENT_PAUSE_S)
+        self._send(h11.EndOfMessage())
+
     def _whole(self, status: int, fields: list[tuple[str, str]], body: bytes) -> None:
         headers = [*fields, ("Content-Length", str(len(body)))]
         self._send(h11.Response(status_code=status, headers=headers))
--- a/src/testbed/simulation/seeded/routed/checkers.py
+++ b/src/testbed/simulation/seeded/routed/checkers.py
@@ -8,7 +8,14 @@
 from leverjunction.routes import RouteClass
 from testbed.simulation.checkers.base import Finding, overlaps
 from testbed.simulation.seeded.checkers import IN_FORCE_S
-from testbed.simulation.seeded.history import Asked, PlannedStop, Run, SeededHistory
+from testbed.simulation.seeded.history import (
+    Asked,
+    BackEndStart,
+    PlannedStop,
+    Run,
+    SeededHistory,
+    StreamTry,
+)
 from testbed.simulation.seeded.routed.callers import DEADLINE_S
 from testbed.simulation.seeded.routed.faults import STOP_LASTS_S
 
@@ -22,6 +29,10 @@
 QUIET_BEFORE_S = 6.0
 """Stretch without a fault at a gateway or back end after which each request is served."""
 
+IN_TOUCH_S = 3.0
+FEWEST_OF_VERSION = 2
+FEWEST_GONE_ON = 12
+
 LEAVING_S = 3.0
 """Time from the acknowledgement that a back end leaves to its last new request."""
 
@@ -237,6 +248,81 @@
     return disturbed == 0 or (asked.kind is RouteClass.REPEATABLE and disturbed < MOST_ATTEMPTS)
 
 
+class StreamsKeepTheirVersion:
+    """All events of a stream come from one version of the back ends, each event once, in order."""
+
+    name = "streams_keep_their_version"
+
+    def check(self, history: SeededHistory) -> Finding:
+        """Check each stream over all tries of its caller."""
+        finding = Finding()
+        for stream in history.streams:
+            versions = sorted({version for _, version in stream.events})
+            finding.expect(
+                len(versions) <= 1,
+                f"stream {stream.request_id} holds events of {versions}, by way of "
+                f"{[(one.gateway, round(one.at_s, 3)) for one in stream.tries]}",
+            )
+            numbers = [number for number, _ in stream.events]
+            finding.expect(
+                numbers == list(range(1, len(numbers) + 1)),
+                f"stream {stream.request_id} has the events {numbers}",
+            )
+        return finding
+
+
+class StreamsGoOn:
+    """While two back ends of their version serve, streams go on half as often as new ones begin."""
+
+    name = "streams_go_on"
+
+    def check(self, history: SeededHistory) -> Finding:
+        """Compare the shares over a whole run, if enough streams were taken up again."""
+        finding = Finding()
+        begun: list[bool] = []
+        gone_on: list[bool] = []
+        for stream in history.streams:
+            version = stream.events[0][1] if stream.events else ""
+            seen = 0
+            for one in stream.tries:
+                if _is_in_touch(history, one):
+                    if not seen:
+                        begun.append(not one.is_refused)
+                    elif _serving(history, version, one.at_s) >= FEWEST_OF_VERSION:
+                        gone_on.append(not one.is_refused)
+                seen += len(one.events)
+        if len(gone_on) < FEWEST_GONE_ON or not begun:
+            return finding
+        share, share_begun = sum(gone_on) / len(gone_on), sum(begun) / len(begun)
+        finding.expect(
+            share >= share_begun / 2,
+            f"{share:.2f} of {len(gone_on)} streams went on, {share_begun:.2f} of new ones began",
+        )
+        return finding
+
+
+def _is_in_touch(history: SeededHistory, one: StreamTry) -> bool:
+    """Return whether no fault had a gateway or a control process in its hands lately."""
+    begin_s = one.at_s - IN_TOUCH_S
+    control = history.control_disturbed.values()
+    return not overlaps(history.gateway_disturbed[one.gateway], begin_s, one.at_s) and not any(
+        overlaps(spans, begin_s, one.at_s) for spans in control
+    )
+
+
+def _serving(history: SeededHistory, version: str, at_s: float) -> int:
+    """Return how many back ends of a version serve undisturbed around a moment."""
+    newest: dict[str, BackEndStart] = {}
+    for start in history.back_end_starts:
+        if start.at_s <= at_s - IN_TOUCH_S:
+            newest[start.back_end] = start
+    return sum(
+        start.version == version
+        and not overlaps(history.back_end_disturbed[name], at_s - IN_TOUCH_S, at_s + DEADLINE_S)
+        for name, start in newest.items()
+    )
+
+
 ROUTED_CHECKERS = (
     RoutesAreFound(),
     CallersAreAnswered(),
@@ -246,3 +332,5 @@
     LeavingGetsNothingNew(),
     PlannedStopsCutNothing(),
 )
+
+STREAM_CHECKERS = (StreamsKeepTheirVersion(), StreamsGoOn())
--- a/src/testbed/simulation/seeded/shape.py
+++ b/src/testbed/simulation/seeded/shape.py
@@ -7,6 +7,7 @@
 
 from testbed.simulation.seeded.fault_kinds import (
     ROUTED_WEIGHTS,
+    VERSIONS_WEIGHTS,
     WEIGHTS,
     WIDE_WEIGHTS,
     SeededFault,
@@ -16,6 +17,7 @@
 SEEDED = "seeded"
 SEEDED_WIDE = "seeded-wide"
 SEEDED_ROUTED = "seeded-routed"
+SEEDED_VERSIONS = "seeded-versions"
 
 
 @dataclass(frozen=True)
@@ -32,6 +34,8 @@
             invalid ones.
         routes: Routes of a table.
         added_routes: Routes besides these: each version adds one, and drops the oldest.
+        versions: Versions of the back ends' software, of which each start draws one; with any,
+            callers take up broken streams again.
         back_ends: Back ends; with any, the gateways are whole and have callers.
         fixed_faults: The schedule of faults; None to draw one from the seed.
     """
@@ -45,6 +49,7 @@
     routes: int = 4
     added_routes: int = 0
     back_ends: int = 0
+    versions: tuple[str, ...] = ()
     fixed_faults: tuple[SeededFault, ...] | None = None
 
 
@@ -66,5 +71,14 @@
         added_routes=30,
         back_ends=5,
     ),
+    SEEDED_VERSIONS: SeededShape(
+        control_sizes=(3, 3, 5),
+        fewest_gateways=2,
+        most_gateways=4,
+        weights=VERSIONS_WEIGHTS,
+        added_routes=30,
+        back_ends=8,
+        versions=("v1", "v1.1"),
+    ),
 }
 """Shapes by the name of their scenario on the command line."""
--- a/src/testbed/simulation/seeded/world.py
+++ b/src/testbed/simulation/seeded/world.py
@@ -26,6 +26,7 @@
 from testbed.simulation.seeded.routed.back_end import BackEnd
 from testbed.simulation.seeded.routed.callers import Callers
 from testbed.simulation.seeded.routed.gateway import RoutedGateway
+from testbed.simulation.seeded.routed.streamers import Streamers
 from testbed.simulation.seeded.shape import SeededShape
 from testbed.simulation.seeded.stand_ins import ControlMachine
 from testbed.simulation.variation import Variation
@@ -122,11 +123,16 @@
         """Run everything and return the record; ``calm_s`` follow the stretch of faults."""
         self.faults.plan(self._planned)
         operator = TableOperator(
-            self._operator_place("operator", 0), self._shape.routes, self._shape.added_routes
+            self._operator_place("operator", 0),
+            self._shape.routes,
+            self._shape.added_routes,
+            has_streams=bool(self._shape.versions),
         )
         operator.start()
         if self.back_ends:
             self._build_callers(operator).start(START_S, START_S + CHAOS_S + calm_s)
+        if self._shape.versions:
+            self._build_streamers().start(START_S, START_S + CHAOS_S + calm_s)
         if self._shape.has_rival:
             RivalOperator(self._operator_place("rival", 1), operator).start()
         self.scheduler.run_until(START_S + CHAOS_S + calm_s)
@@ -215,6 +221,7 @@
                 self.fibers,
                 self.history,
                 self.generator(f"back-end/{name}"),
+                self._shape.versions,
             )
         for back_end in self.back_ends.values():
             back_end.start()
@@ -230,5 +237,15 @@
             self.generator("callers"),
         )
 
+    def _build_streamers(self) -> Streamers:
+        return Streamers(
+            self._machine("streamers", self._zone(1)),
+            list(self.gateways),
+            self.streams,
+            self.fibers,
+            self.history,
+            self.generator("streamers"),
+        )
+
     def _gateway_generator(self, name: str, incarnation: int) -> random.Random:
         return self.generator(f"gateway/{name}/{incarnation}")
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -63,6 +63,21 @@
         """Schedule a call on the proxy's thread."""
         self._loop.call_soon_threadsafe(action)
 
+    def replace_runners(self, runners: Iterable[RunnerStandIn]) -> None:
+        """Replace the back ends that the proxy knows; call it on the proxy's thread."""
+        records = [
+            RunnerRecord(
+                runner_id=runner.runner_id,
+                service=SERVICE,
+                address=runner.address,
+                zone=ZONE,
+                slots=4,
+                version=runner.version,
+            )
+            for runner in runners
+        ]
+        self.balancer.replace(records)
+
     def caller(self) -> RawCaller:
         return RawCaller(self.address)
 
@@ -85,16 +100,7 @@
 
     async def _build(self) -> None:
         self.balancer = balancer = Balancer(ZONE, Random(1))
-        balancer.replace(
-            RunnerRecord(
-                runner_id=runner.runner_id,
-                service=SERVICE,
-                address=runner.address,
-                zone=ZONE,
-                slots=4,
-            )
-            for runner in self._runners
-        )
+        self.replace_runners(self._runners)
         dialect = PlatformDialect()
         sender = Sender(RunnerPool(), balancer, dialect)
         self.forwarder = Forwarder(
--- /dev/null
+++ b/tests/unit/test_proxy_versions.py
@@ -0,0 +1,181 @@
+"""Tests that a stream holds the events of one version of the back ends' software only."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import ExitStack
+
+import pytest
+from tests.unit.proxy_support import Proxy
+from tests.unit.test_proxy_contract import (
+    RESUMABLE,
+    WHOLE_STREAM,
+    make_full_table,
+    wait_until,
+)
+
+from testbed.routed import RunnerStandIn
+
+OLD, NEW = "v1", "v1.1"
+CUT = "stream cut in an event"
+
+
+@pytest.fixture
+def stack() -> Iterator[ExitStack]:
+    with ExitStack() as entered:
+        yield entered
+
+
+def start_runners(stack: ExitStack, *versions: str) -> list[RunnerStandIn]:
+    return [
+        stack.enter_context(RunnerStandIn(f"i-{number}", "stream", version=version))
+        for number, version in enumerate(versions)
+    ]
+
+
+def start_proxy(stack: ExitStack, runners: list[RunnerStandIn]) -> Proxy:
+    proxy = stack.enter_context(Proxy(make_full_table(), runners))
+    return proxy
+
+
+def know(proxy: Proxy, runners: list[RunnerStandIn]) -> None:
+    """Have a proxy know these back ends from now on."""
+    known: list[bool] = []
+
+    def replace() -> None:
+        proxy.replace_runners(runners)
+        known.append(True)
+
+    proxy.call(replace)
+    assert wait_until(lambda: bool(known))
+
+
+def versions_of(runners: list[RunnerStandIn], request_id: str) -> set[str]:
+    """Return the versions that ran a request, given by the id that the back ends saw."""
+    return {
+        runner.version
+        for runner in runners
+        for seen in runner.seen
+        if seen.headers["leverjunction-request-id"] == request_id
+    }
+
+
+def test_a_broken_stream_does_not_go_on_at_another_version_in_the_same_answer(
+    stack: ExitStack,
+) -> None:
+    runners = start_runners(stack, OLD, NEW)
+    proxy = start_proxy(stack, runners)
+    for runner in runners:
+        runner.then(CUT)
+    assert proxy.ask(RESUMABLE).status == 200
+    assert len(versions_of(runners, "r1")) == 1
+
+
+def test_a_broken_stream_goes_on_at_a_back_end_of_its_own_version(stack: ExitStack) -> None:
+    runners = start_runners(stack, OLD, OLD, NEW, NEW)
+    proxy = start_proxy(stack, runners)
+    for number in range(6):
+        for runner in runners:
+            runner._next.clear()
+            runner.then(CUT)
+        # Whoever gets the first run cuts it; a second one at another back end would be cut too.
+        request_id = f"r{number}"
+        caller = proxy.caller()
+        reply = caller.ask(
+            "POST",
+            RESUMABLE,
+            {
+                "Host": "app.example",
+                "Leverjunction-Request-Id": request_id,
+                "Leverjunction-Deadline-Ms": "2000",
+            },
+        )
+        caller.close()
+        assert reply.status == 200
+        assert len(versions_of(runners, request_id)) == 1, request_id
+
+
+def test_a_stream_without_any_event_begins_anew_at_any_version(stack: ExitStack) -> None:
+    runners = start_runners(stack, OLD, NEW)
+    proxy = start_proxy(stack, runners)
+    for runner in runners:
+        runner.then("no answer")
+    runners[0].then("stream")
+    runners[1]._next.clear()
+    runners[1].then("stream")
+    reply = proxy.ask(RESUMABLE)
+    assert (reply.status, reply.body, reply.complete) == (200, WHOLE_STREAM, True)
+
+
+def test_a_stream_taken_up_again_goes_on_at_its_version_only(stack: ExitStack) -> None:
+    """The first gateway still knows it."""
+    old, new = start_runners(stack, OLD, NEW)
+    proxy = start_proxy(stack, [old])
+    old.then(CUT, CUT)
+    assert not proxy.ask(RESUMABLE, Leverjunction_Request_Id="first").complete
+    know(proxy, [old, new])
+    for number in range(8):
+        reply = proxy.ask(
+            RESUMABLE,
+            Leverjunction_Request_Id=f"again-{number}",
+            Leverjunction_Resumes="first",
+            Last_Event_Id="2",
+        )
+        assert (reply.status, reply.complete) == (200, True)
+    assert not new.seen
+
+
+def test_a_stream_of_whose_version_nothing_is_left_is_refused_for_good(stack: ExitStack) -> None:
+    old, new = start_runners(stack, OLD, NEW)
+    proxy = start_proxy(stack, [old])
+    old.then(CUT, CUT)
+    assert not proxy.ask(RESUMABLE, Leverjunction_Request_Id="first").complete
+    know(proxy, [new])
+    reply = proxy.ask(
+        RESUMABLE,
+        Leverjunction_Request_Id="again",
+        Leverjunction_Resumes="first",
+        Last_Event_Id="2",
+    )
+    assert reply.status == 503
+    assert "retry-after" not in reply.headers
+    assert not new.seen
+
+
+@pytest.mark.parametrize("resumes", ["", "of-nobody", "x" * 4096, '"\\u0000'])
+def test_a_stream_of_unknown_origin_is_refused_while_several_versions_serve(
+    stack: ExitStack, resumes: str
+) -> None:
+    runners = start_runners(stack, OLD, NEW)
+    proxy = start_proxy(stack, runners)
+    reply = proxy.ask(RESUMABLE, Leverjunction_Resumes=resumes, Last_Event_Id="2")
+    assert reply.status == 503
+    assert not any(runner.seen for runner in runners)
+
+
+def test_a_stream_of_unknown_origin_goes_on_where_there_is_one_version(stack: ExitStack) -> None:
+    runners = start_runners(stack, OLD, OLD)
+    proxy = start_proxy(stack, runners)
+    reply = proxy.ask(RESUMABLE, Leverjunction_Resumes="of-nobody", Last_Event_Id="2")
+    assert (reply.status, reply.complete) == (200, True)
+
+
+def test_a_version_that_has_just_ended_may_have_begun_a_stream(stack: ExitStack) -> None:
+    old, new = start_runners(stack, OLD, NEW)
+    proxy = start_proxy(stack, [old, new])
+    know(proxy, [new])
+    reply = proxy.ask(RESUMABLE, Leverjunction_Resumes="of-nobody", Last_Event_Id="2")
+    assert reply.status == 503
+
+
+def test_an_attempt_of_another_path_tells_nothing_of_a_stream(stack: ExitStack) -> None:
+    old, new = start_runners(stack, OLD, NEW)
+    proxy = start_proxy(stack, [old, new])
+    assert proxy.ask(RESUMABLE, Leverjunction_Request_Id="first").complete
+    reply = proxy.ask(
+        RESUMABLE + "other",
+        Leverjunction_Request_Id="again",
+        Leverjunction_Resumes="first",
+        Last_Event_Id="2",
+    )
+    assert reply.status == 503
--- /dev/null
+++ b/tests/unit/test_simulation_versions.py
@@ -0,0 +1,24 @@
+"""Streams in the simulator, while back ends of two versions serve side by side."""
+
+from __future__ import annotations
+
+import pytest
+
+from testbed.simulation.run import Plan, run_seed
+from testbed.simulation.seeded.fault_kinds import SeededFaultKind
+from testbed.simulation.seeded.shape import SEEDED_VERSIONS
+
+BREAKING = (SeededFaultKind.KILL_GATEWAY, SeededFaultKind.KILL_BACK_END)
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_streams_go_on_at_their_version_whatever_fails(seed: int) -> None:
+    result = run_seed(Plan(SEEDED_VERSIONS), seed)
+    assert result.violations == []
+    assert result.checks["streams_keep_their_version"] > 100
+
+
+@pytest.mark.parametrize("seed", range(11, 15))
+def test_streams_of_killed_gateways_and_back_ends_go_on(seed: int) -> None:
+    result = run_seed(Plan(SEEDED_VERSIONS, only=BREAKING), seed)
+    assert result.violations == []
