Gateway: a stream goes on only at the version that began it

Callers saw streams with events of two versions of a back end, which do not fit together. Cause: a decision that needs the identity of what began was taken by a part that never learned it. Within one answer a broken stream went to any back end of its service; a gateway that was asked to take a stream up knew nothing of the first attempt, whose gateway may be gone.

A request has an origin (service, version) from its first event on, and the balancer offers only back ends of that version. A gateway keeps the origins of its streams for a minute and, while a service has or lately had several versions, reports each to two control processes in different zones, which keep them in memory; if one starts again, it gets all of them with the next report. A gateway that is asked for a stream it does not know asks all control processes. An origin that nobody knows is refused while there are several versions and goes on while there is one; proxy_resumptions_total{source} counts both, the decision line "resumed" tells the first attempt and the version. A stream of whose version nothing is left is refused without a time to come back. A split route gives a continued stream the part that its first attempt drew.

--- a/src/leverjunction/platform/headers.py
+++ b/src/leverjunction/platform/headers.py
@@ -46,6 +46,7 @@
         TOKEN_COUNT,
         MODEL,
         LAST_EVENT_ID,
+        RESUMES,
         SERVER_STAMP,
         NOT_EXECUTED,
         INSTANCE_LOAD,
@@ -82,6 +83,7 @@
             tokens_out=tokens_out,
             last_event_id=fields.get(LAST_EVENT_ID.lower(), ""),
             model=fields.get(MODEL.lower(), ""),
+            resumes=fields.get(RESUMES.lower(), ""),
         )
 
     def forwarded_headers(
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -135,9 +135,16 @@
             for key in long_prompt_runners(service, _ids(members))
         )
 
-    def available(self, service: str) -> list[TrackedRunner]:
-        """Return the back ends of a service that accept new work."""
+    def available(self, service: str, version: str | None = None) -> list[TrackedRunner]:
+        """Return the back ends of a service that accept new work.
+
+        Args:
+            service: The service.
+            version: Version of their software; None for any.
+        """
         known = self._by_service.get(service, [])
+        if version is not None:
+            known = [runner for runner in known if runner.record.version == version]
         ready = [runner for runner in known if runner.record.state is RunnerState.READY]
         # They may be silent only because they can't reach the control processes.
         return ready or [runner for runner in known if runner.record.state is RunnerState.SILENT]
@@ -156,6 +163,7 @@
         prompt: Prompt,
         avoided: Collection[str],
         now_s: float,
+        version: str | None = None,
     ) -> Choice | None:
         """Choose a back end, with a preference for cheap ones; None if there is none.
 
@@ -164,9 +172,12 @@
             prompt: Prompt of the request.
             avoided: Starts of back ends that were already tried.
             now_s: Monotonic time in seconds.
+            version: Version of the software that the back end must have; None for any.
         """
         runners = [
-            runner for runner in self.available(service) if runner.record.start not in avoided
+            runner
+            for runner in self.available(service, version)
+            if runner.record.start not in avoided
         ]
         if not runners:
             return None
@@ -178,7 +189,7 @@
         return Choice(best, best.load(now_s), len(healthy))
 
     def choose_least_loaded(
-        self, service: str, avoided: Collection[str], now_s: float
+        self, service: str, avoided: Collection[str], now_s: float, version: str | None = None
     ) -> Choice | None:
         """Return the least loaded back end, for a request that may crash it; None if there is none.
 
@@ -186,8 +197,9 @@
             service: Service of the request.
             avoided: Starts of back ends to use only if there is no other.
             now_s: Monotonic time in seconds.
+            version: Version of the software that the back end must have; None for any.
         """
-        runners = self.available(service)
+        runners = self.available(service, version)
         healthy = [runner for runner in runners if runner.ejected_until_s <= now_s] or runners
         preferred = [runner for runner in healthy if runner.record.start not in avoided] or healthy
         if not preferred:
--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -30,6 +30,10 @@
 """Limit of lines queued for a slow reader of the log; beyond it the oldest are dropped."""
 
 
+MAX_LOGGED_ID = 250
+"""Length at which an id that a caller chose is cut off."""
+
+
 class DecisionLine(msgspec.Struct, omit_defaults=True):
     """A decision about one request, with the data that it is based on.
 
@@ -46,6 +50,8 @@
         allowed_ms: Time limit of the request by its caller and its route, in milliseconds.
         runner_id: Id and start of the back end that the request was sent to.
         version: Version of that back end's software.
+        origin: Version that began the stream, if the request continues one.
+        resumes: The caller's id of the attempt that began the stream.
         request_key: Key shared by all attempts with the same request content.
         load: Estimated requests at the back end when it was chosen.
         load_age_ms: Age of the back end's last load report, in milliseconds; None if there was
@@ -67,6 +73,8 @@
     allowed_ms: int = 0
     runner_id: str = ""
     version: str = ""
+    origin: str = ""
+    resumes: str = ""
     request_key: str = ""
     load: float = 0.0
     load_age_ms: int | None = None
@@ -155,6 +163,7 @@
                 allowed_ms=_ms(routed.until_s - routed.request.arrived_s),
                 runner_id=choice.runner.record.start,
                 version=choice.runner.record.version,
+                origin=routed.version or "",
                 load=round(choice.load, 2),
                 load_age_ms=_ms(now_s - load_at_s) if load_at_s else None,
                 candidates=choice.candidates,
@@ -211,6 +220,7 @@
                 waited_ms=_ms(now_s - routed.request.arrived_s),
                 runner_id=runner.start,
                 version=runner.version,
+                origin=routed.version or "",
                 request_key=request_key(request_content(routed.request)),
                 execution=failure.execution.value,
                 step=failure.step.value,
@@ -218,6 +228,30 @@
             )
         )
 
+    def resumed(self, routed: RoutedRequest, source: str, now_s: float) -> None:
+        """Record a stream that a caller continues, before it is sent or refused.
+
+        Args:
+            routed: The request.
+            source: Where its origin is known from (``stream_origins.Resumption``).
+            now_s: Current time in monotonic seconds.
+        """
+        self._metrics.resumptions.labels(source).inc()
+        self._write(
+            DecisionLine(
+                at_ms=self._clock.wall_ms(),
+                event="resumed",
+                request_id=routed.metadata.request_id,
+                table=routed.table_version,
+                route=routed.route.name,
+                service=routed.service,
+                waited_ms=_ms(now_s - routed.request.arrived_s),
+                origin=routed.version or "",
+                resumes=routed.metadata.resumes[:MAX_LOGGED_ID],
+                reason=f"origin: {source}",
+            )
+        )
+
     def ended(self, routed: RoutedRequest, outcome: str, reason: str, now_s: float) -> None:
         """Record the end of a request that was forwarded.
 
--- a/src/leverjunction/proxy/dialect.py
+++ b/src/leverjunction/proxy/dialect.py
@@ -39,6 +39,8 @@
         last_event_id: Id of the event after which the stream continues; empty for a stream from
             its start.
         model: Name of the model; empty if not stated.
+        resumes: The caller's id of the attempt that brought the first event of the stream that
+            continues; empty if not stated.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "model",
         "parts",
         "request_id",
+        "resumes",
         "tokens_in",
         "tokens_out",
     )
@@ -60,6 +63,7 @@
         tokens_out: int = 0,
         last_event_id: str = "",
         model: str = "",
+        resumes: str = "",
     ) -> None:
         self.request_id = request_id
         self.deadline_ms = deadline_ms
@@ -68,6 +72,7 @@
         self.tokens_out = tokens_out
         self.last_event_id = last_event_id
         self.model = model
+        self.resumes = resumes
 
     @property
     def declared_prompt(self) -> str:
--- a/src/leverjunction/proxy/failures.py
+++ b/src/leverjunction/proxy/failures.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.registry.origins import StreamOrigin
 
 RETRY_SOON_S = 0.2
 RETRY_SUSPECT_S = 1.0
@@ -75,6 +76,39 @@
     )
 
 
+def no_runner_of_version(origin: StreamOrigin) -> Failure:
+    """Return the refusal of a stream of whose version no back end is left; a retry is useless."""
+    return Failure(
+        kind=FailureKind.NO_BACKEND,
+        reason=(
+            f"the stream began at version {origin.version!r} of service {origin.service}, of which"
+            " no back end is available"
+        ),
+        step=Step.ROUTING,
+    )
+
+
+def service_not_routed(origin: StreamOrigin) -> Failure:
+    """Return the refusal of a stream whose service its route no longer uses."""
+    return Failure(
+        kind=FailureKind.NO_BACKEND,
+        reason=f"the stream began at service {origin.service}, which its route no longer uses",
+        step=Step.ROUTING,
+    )
+
+
+def unknown_origin(service: str, attempt_id: str) -> Failure:
+    """Return the refusal of a stream that may have begun at any of several versions."""
+    return Failure(
+        kind=FailureKind.NO_BACKEND,
+        reason=(
+            f"service {service} has several versions, and which of them began the stream of"
+            f" attempt {attempt_id!r} is not known"
+        ),
+        step=Step.ROUTING,
+    )
+
+
 def out_of_time(execution: Execution) -> Failure:
     """Return the failure of a request whose deadline has passed."""
     return Failure(
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -25,7 +25,9 @@
     no_table,
     out_of_time,
     route_unconfirmed,
+    service_not_routed,
     status_of,
+    unknown_origin,
 )
 from leverjunction.proxy.freshness import FreshnessGate
 from leverjunction.proxy.headers import end_to_end, find
@@ -33,6 +35,8 @@
 from leverjunction.proxy.retrying_sender import RetryingSender
 from leverjunction.proxy.routed_request import RoutedRequest
 from leverjunction.proxy.runner_connection import ResponseEnd, ResponseHead
+from leverjunction.proxy.stream_origins import StreamOrigins, stream_key
+from leverjunction.registry.origins import StreamOrigin
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass
 
@@ -70,6 +74,7 @@
         table_age_s: Callable[[], float] = lambda: 0.0,
         in_force_s: float = math.inf,
         is_in_doubt: Callable[[], bool] = lambda: False,
+        origins: StreamOrigins | None = None,
     ) -> None:
         """Create a forwarder without a route table.
 
@@ -89,6 +94,8 @@
                 While the table is older, an unknown route is refused as 503 instead of 404.
             is_in_doubt: Returns whether this process stalled and has not heard from the registry
                 since; requests wait until it has.
+            origins: Knows which version began a stream; None to create one that knows only the
+                streams of this gateway.
         """
         self._sender = sender
         self._balancer = balancer
@@ -100,6 +107,7 @@
         self._index: RouteIndex | None = None
         self._gate = gate
         self._quarantine = quarantine or Quarantine()
+        self._origins = origins or StreamOrigins()
         self._freshness = FreshnessGate(is_in_doubt)
         self._retrying_sender = RetryingSender(
             sender, balancer, decision_log, self._quarantine, self._freshness
@@ -130,8 +138,12 @@
             return
         timeout_ms = min(metadata.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
         until_s = request.arrived_s + timeout_ms / 1000
-        service = draw_service(route, self._random)
+        stream = _stream_of(request, route)
+        # A caller that continues a stream must be given the same part of a split route again.
+        random = self._random if stream is None else Random(stream)
+        service = draw_service(route, random)
         routed = RoutedRequest(request, metadata, route, service, index.table.version, until_s)
+        routed.stream = stream
         self._retrying_sender.record_admission(routed)
         try:
             await self._forward(routed, responder)
@@ -152,7 +164,11 @@
         return no_route(host, path)
 
     async def _forward(self, routed: RoutedRequest, responder: Responder) -> None:
-        refusal = self._retrying_sender.quarantine_refusal(routed) or await self._admit(routed)
+        refusal = (
+            self._retrying_sender.quarantine_refusal(routed)
+            or await self._find_origin(routed)
+            or await self._admit(routed)
+        )
         if refusal is not None:
             self._refuse(routed.request, routed.metadata, responder, refusal)
             return
@@ -184,6 +200,29 @@
             routed.request, routed.metadata, responder, _with_execution(response, routed.execution)
         )
 
+    async def _find_origin(self, routed: RoutedRequest) -> Failure | None:
+        """Find what began a stream that the caller continues; return why it is refused, or None."""
+        if routed.route.kind is not RouteClass.STREAM or not routed.metadata.last_event_id:
+            return None
+        resumes = routed.metadata.resumes
+        stream = stream_key(routed.request, resumes)
+        resumption = await self._origins.find(stream, routed.service)
+        routed.origin = origin = resumption.origin
+        self._decision_log.resumed(routed, resumption.source, self._loop.time())
+        if origin is None:
+            return unknown_origin(routed.service, resumes)
+        if all(part.service != origin.service for part in routed.route.services):
+            return service_not_routed(origin)
+        routed.service = origin.service
+        return None
+
+    def _begin_stream(self, routed: RoutedRequest, response: OpenedResponse) -> None:
+        """Record what began a stream, before its first event is passed on."""
+        if routed.origin is None:
+            routed.origin = StreamOrigin(routed.service, response.runner.record.version)
+        if routed.stream is not None:
+            self._origins.began(routed.stream, routed.origin)
+
     async def _admit(self, routed: RoutedRequest) -> Failure | None:
         """Wait for the admission gate; return None to send the request, or its refusal."""
         if self._gate is None:
@@ -310,8 +349,11 @@
                     whole = True
                     return None
                 routed.note_output(self._loop.time())
+                is_first = not splitter.has_events
                 events = splitter.feed(event)
                 if events:
+                    if is_first:
+                        self._begin_stream(routed, response)
                     await responder.send_data(events, routed.until_s)
         except TimeoutError:
             return out_of_time(Execution.UNKNOWN)
@@ -340,6 +382,15 @@
         responder.respond(status, headers, failure.reason.encode())
 
 
+def _stream_of(request: CallerRequest, route: Route) -> int | None:
+    """Return the key by which a caller may continue a stream, None if it cannot."""
+    metadata = request.metadata
+    attempt_id = metadata.resumes if metadata.last_event_id else metadata.request_id
+    if route.kind is not RouteClass.STREAM or not route.repeatable or not attempt_id:
+        return None
+    return stream_key(request, attempt_id)
+
+
 def _with_execution(failure: Failure, execution: Execution) -> Failure:
     """Return a failure with the request's execution state, unless the request has not run.
 
--- a/src/leverjunction/proxy/metrics.py
+++ b/src/leverjunction/proxy/metrics.py
@@ -41,6 +41,12 @@
             "Times since the start that this process did not run for half a second and more",
             registry=registry,
         )
+        self.resumptions = Counter(
+            "proxy_resumptions_total",
+            "Streams that callers continue, by where the version that began them is known from",
+            ["source"],
+            registry=registry,
+        )
         self.back_ends = Gauge(
             "proxy_back_ends",
             "Back ends that accept new work, by service and version of their software",
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -29,9 +29,11 @@
 from leverjunction.proxy.quarantine import Quarantine
 from leverjunction.proxy.runner_connection import RunnerPool
 from leverjunction.proxy.snapshot_publisher import SnapshotPublisher
+from leverjunction.proxy.stream_origins import StreamOrigins
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import RegistryFollower, Snapshot
-from leverjunction.registry.records import JOBS_GROUP
+from leverjunction.registry.origin_client import OriginClient, rank_holders
+from leverjunction.registry.records import JOBS_GROUP, MemberRole
 from leverjunction.registry.run_reporter import RunReporter
 from leverjunction.routes.matching import RouteIndex
 from leverjunction.routes.types import RequestLimits
@@ -95,6 +97,11 @@
         )
         self._reporter = RunReporter(self._rpc, self._follower.hubs, clock)
         self._quarantine = Quarantine(self._reporter)
+        self._origins = StreamOrigins()
+        self._origin_client = OriginClient(
+            self._rpc, self._origin_holders, self._follower.hubs, self._origins.live
+        )
+        self._origins.directory = self._origin_client
         sender = Sender(self._pool, self._balancer, dialect, self._loads.runner_changed)
         self._gate = gate = AdmissionGate(self._balancer, sender, self._loads.held_changed)
         self._forwarder = Forwarder(
@@ -109,6 +116,7 @@
             self._follower.table_age_s,
             config.bounds.in_force_ms / 1000,
             self._follower.is_in_doubt,
+            self._origins,
         )
         self._snapshot_publisher = SnapshotPublisher(
             {
@@ -147,6 +155,7 @@
             await self._loads.start(self._config.listen.rpc)
         self._follower.start()
         self._reporter.start()
+        self._origin_client.start()
         logger.info("gateway {} started", self._config.name)
 
     def close(self) -> None:
@@ -157,6 +166,7 @@
         self._follower.stop()
         self._snapshot_publisher.close()
         self._reporter.stop()
+        self._origin_client.stop()
         self._loads.stop()
         self._pool.close()
 
@@ -192,6 +202,16 @@
         snapshot = self._follower.snapshot()
         return snapshot.view.voters(JOBS_GROUP) if snapshot is not None else ()
 
+    def _origin_holders(self, number: int) -> list[str]:
+        """Return the control processes to which a reporter of origins reports."""
+        snapshot = self._follower.snapshot()
+        controls = [] if snapshot is None else snapshot.view.members
+        return rank_holders(
+            self._config.name,
+            [item for item in controls if item.role is MemberRole.CONTROL],
+            number,
+        )
+
     def _set_shared_loads(self, others: dict[str, int], lag_s: float) -> None:
         self._balancer.set_other_loads(others, self._loop.time(), lag_s)
 
@@ -208,6 +228,7 @@
 
     def _take_back_ends(self, snapshot: Snapshot) -> None:
         self._balancer.replace(snapshot.view.runners)
+        self._origins.update(snapshot.view)
 
     def _take_suspects(self, snapshot: Snapshot) -> None:
         self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -10,7 +10,13 @@
 from leverjunction.proxy.balancer import Balancer, Choice
 from leverjunction.proxy.decision_log import DecisionLog
 from leverjunction.proxy.dispatch import Dispatch, HeadTimeouts, LateHead, OpenedResponse
-from leverjunction.proxy.failures import harmful, no_runner, out_of_time, suspect_under_way
+from leverjunction.proxy.failures import (
+    harmful,
+    no_runner,
+    no_runner_of_version,
+    out_of_time,
+    suspect_under_way,
+)
 from leverjunction.proxy.freshness import FreshnessGate
 from leverjunction.proxy.hedge_delay import HEDGE_RATIO, HeadLatencies
 from leverjunction.proxy.hedging import first_response
@@ -80,6 +86,8 @@
             if refusal is not None:
                 return refusal
             choice = self._choose(routed, now_s)
+            if choice is None and routed.origin is not None:
+                return no_runner_of_version(routed.origin)
             if choice is None:
                 return no_runner(routed.service)
             response = await self._send_once(routed, choice, last_event_id)
@@ -149,7 +157,7 @@
     def _has_untried(self, routed: RoutedRequest) -> bool:
         return any(
             runner.record.start not in routed.tried
-            for runner in self._balancer.available(routed.service)
+            for runner in self._balancer.available(routed.service, routed.version)
         )
 
     async def _hedge(
@@ -212,11 +220,11 @@
         """Choose the back end of the next attempt."""
         if not routed.key:
             return self._balancer.choose(
-                routed.service, routed.prompt, routed.tried, now_s
-            ) or self._balancer.choose(routed.service, routed.prompt, (), now_s)
+                routed.service, routed.prompt, routed.tried, now_s, routed.version
+            ) or self._balancer.choose(routed.service, routed.prompt, (), now_s, routed.version)
         # It may crash its back end: prefer one with few requests and without another suspect.
         avoided = routed.tried | self._quarantine.occupied_starts()
-        choice = self._balancer.choose_least_loaded(routed.service, avoided, now_s)
+        choice = self._balancer.choose_least_loaded(routed.service, avoided, now_s, routed.version)
         if choice is not None:
             start = choice.runner.record.start
             routed.trials.append(start)
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -6,6 +6,7 @@
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import RequestMetadata
 from leverjunction.proxy.prompt import Prompt
+from leverjunction.registry.origins import StreamOrigin
 from leverjunction.routes.types import Route
 
 
@@ -18,6 +19,8 @@
         prompt: Length and shared parts of its prompt.
         route: Route that matches the request.
         service: Service that was chosen for the request.
+        origin: What began the stream, None before its first event; it is continued only there.
+        stream: Key of the stream by its first attempt, None if no caller can continue it.
         table_version: Version of the route table that applies to the request.
         until_s: Deadline for the complete response, in the loop's seconds.
         tried: Ids and starts of the back ends that it was sent to.
@@ -34,11 +37,13 @@
         "first_output_s",
         "key",
         "metadata",
+        "origin",
         "prompt",
         "request",
         "route",
         "runs",
         "service",
+        "stream",
         "table_version",
         "trials",
         "tried",
@@ -59,6 +64,8 @@
         self.prompt = Prompt(metadata.parts, metadata.tokens_in)
         self.route = route
         self.service = service
+        self.origin: StreamOrigin | None = None
+        self.stream: int | None = None
         self.table_version = table_version
         self.until_s = until_s
         self.tried: set[str] = set()
@@ -78,6 +85,11 @@
         if self.first_output_s is None:
             self.first_output_s = now_s
 
+    @property
+    def version(self) -> str | None:
+        """Version of the back ends that may run the request, None if all may."""
+        return None if self.origin is None else self.origin.version
+
     @property
     def may_run_again(self) -> bool:
         """Whether the request may be sent again although a back end may have run it."""
--- /dev/null
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -0,0 +1,131 @@
+"""The origins of the streams that a gateway relays or is asked to continue.
+
+A caller continues a stream by a new request that names its first attempt, mostly at another
+gateway than the one that relayed it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from typing import Protocol
+
+import xxhash
+
+from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.headers import find
+from leverjunction.registry.origins import OriginTable, StreamOrigin
+from leverjunction.registry.records import FleetView
+from leverjunction.registry.version_history import VersionHistory
+
+MAX_OWN_STREAMS = 20_000
+REVIEW_INTERVAL_S = 5.0
+"""Interval at which it is checked whether a service still has several versions."""
+
+
+class OriginDirectory(Protocol):
+    """Shares origins between gateways, as ``registry.origin_client`` does."""
+
+    def report(self, streams: dict[int, StreamOrigin]) -> None:
+        """Report origins without waiting."""
+        ...
+
+    async def find(self, stream: int, service: str) -> StreamOrigin | None:
+        """Return the origin of a stream that another gateway relayed, None if it is unknown."""
+        ...
+
+
+class Resumption:
+    """What a gateway knows of a stream that it is asked to continue.
+
+    Attributes:
+        origin: Its origin, None if it is unknown.
+        source: Where that is known from, for logs and metrics.
+    """
+
+    __slots__ = ("origin", "source")
+
+    def __init__(self, origin: StreamOrigin | None, source: str) -> None:
+        self.origin = origin
+        self.source = source
+
+
+class StreamOrigins:
+    """Knows which version began each stream. Used by one event loop, except for ``live``.
+
+    Origins are shared only while a service has several versions; otherwise there is no doubt.
+
+    Args:
+        directory: Shares origins with other gateways; None to keep them in this process.
+    """
+
+    def __init__(self, directory: OriginDirectory | None = None) -> None:
+        self.directory = directory
+        self._streams = OriginTable(MAX_OWN_STREAMS)
+        self._lock = threading.Lock()
+        self._history = VersionHistory()
+        self._ambiguous: set[str] = set()
+        self._reviewed_s = 0.0
+        self._loop = asyncio.get_running_loop()
+
+    def update(self, view: FleetView) -> None:
+        """Apply a newer state of the registry; report what a new version puts in doubt."""
+        now_s = self._loop.time()
+        self._history.update(view, now_s)
+        known = self._ambiguous
+        self._review(now_s)
+        if self.directory is not None and self._ambiguous - known:
+            # The streams that began before there was any doubt.
+            self.directory.report(self.live())
+
+    def began(self, stream: int, origin: StreamOrigin) -> None:
+        """Record the origin of a stream; call it before the first event is passed on."""
+        now_s = self._loop.time()
+        with self._lock:
+            self._streams.put(stream, origin, now_s)
+        if now_s - self._reviewed_s >= REVIEW_INTERVAL_S:
+            self._review(now_s)
+        if self.directory is not None and origin.service in self._ambiguous:
+            self.directory.report({stream: origin})
+
+    def live(self) -> dict[int, StreamOrigin]:
+        """Return the origins of all streams that may be continued; may be called by any thread."""
+        with self._lock:
+            return self._streams.all(self._loop.time())
+
+    async def find(self, stream: int, service: str) -> Resumption:
+        """Return what began a stream that a caller continues.
+
+        Args:
+            stream: Key of the stream.
+            service: Service that the stream would be sent to.
+        """
+        now_s = self._loop.time()
+        own = self._streams.get(stream, now_s)
+        if own is not None:
+            return Resumption(own, "own")
+        only = self._history.only_version(service, now_s)
+        if only is not None:
+            return Resumption(StreamOrigin(service, only), "only version")
+        found = await self.directory.find(stream, service) if self.directory else None
+        return Resumption(found, "unknown" if found is None else "directory")
+
+    def _review(self, now_s: float) -> None:
+        self._reviewed_s = now_s
+        self._ambiguous = self._history.ambiguous(now_s)
+
+
+def stream_key(request: CallerRequest, attempt_id: str) -> int:
+    """Return the key of a stream, equal in the request that began it and in those that continue it.
+
+    Args:
+        request: One of these requests.
+        attempt_id: The caller's id of the attempt that brought the first event.
+    """
+    host = find(request.headers, b"host") or b""
+    fields = (host.lower(), request.target, attempt_id.encode("latin-1", "replace"))
+    # The lengths prevent equal keys when bytes move from one field to the next.
+    return xxhash.xxh64_intdigest(b"".join(b"%d:%b" % (len(item), item) for item in fields))
+
+
+__all__ = ["OriginDirectory", "Resumption", "StreamOrigins", "stream_key"]
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -43,6 +43,7 @@
     WatchRequest,
 )
 from leverjunction.registry.hub import RegistryHub
+from leverjunction.registry.origin_directory import OriginDirectory
 from leverjunction.registry.reconciler import Reconciler, ReconcilerLimits
 from leverjunction.registry.records import (
     JOBS_GROUP,
@@ -126,6 +127,7 @@
             max_concurrent_calls=CALLS_AT_ONCE,
         )
         self.hub = RegistryHub(self._replica, self.host, clock)
+        self._origins = OriginDirectory(self.hub, clock, incarnation)
         self._live_runners: set[str] = set()
         self._live_members: set[str] = set()
         self._start_liveness = StartLiveness()
@@ -320,6 +322,7 @@
             endpoint.register(kind, self.host.serve_forwarded)
         endpoint.register(MessageKind.REGISTRY_WATCH, self._on_watch)
         endpoint.register(MessageKind.REGISTRY_HEARD, self._on_liveness)
+        self._origins.register(endpoint)
         return endpoint
 
     def _on_watch(self, envelope: Envelope, peer: str) -> bytes:
@@ -350,6 +353,7 @@
 
     def _report_liveness(self) -> None:
         """Report to the leader which runners and machines contacted this process."""
+        self._origins.refresh()
         runners, self._live_runners = self._live_runners, set()
         members, self._live_members = self._live_members, set()
         report = LivenessReport(tuple(runners), (*members, self._config.name))
--- /dev/null
+++ b/src/leverjunction/registry/origins.py
@@ -0,0 +1,123 @@
+"""Origins of streams: which version of a service's software began a stream.
+
+Parts that different versions of the software wrote do not fit together, so that a stream may be
+continued only by a back end of the version that began it. Performs no I/O.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import msgspec
+
+STREAM_LIFETIME_S = 60.0
+"""Time after the last sign of a stream, or of a version, within which a caller may continue one."""
+
+
+class StreamOrigin(msgspec.Struct, frozen=True):
+    """What began a stream.
+
+    Attributes:
+        service: Service whose back end sent the first event.
+        version: Version of that back end's software; empty if it does not report one.
+    """
+
+    service: str
+    version: str
+
+
+class ReportOrigins(msgspec.Struct, frozen=True, kw_only=True):
+    """Message of a gateway: origins of streams that it relays.
+
+    Attributes:
+        streams: Origins by the key of the stream.
+    """
+
+    streams: dict[int, StreamOrigin]
+
+
+class OriginsStored(msgspec.Struct, frozen=True, kw_only=True):
+    """Reply to ``ReportOrigins``.
+
+    Attributes:
+        incarnation: Start of the replying process. Origins that were reported to an earlier start
+            are lost.
+    """
+
+    incarnation: int
+
+
+class FindOrigin(msgspec.Struct, frozen=True, kw_only=True):
+    """Question of a gateway that is asked to continue a stream which it did not begin.
+
+    Attributes:
+        stream: Key of the stream.
+        service: Service that the stream would be sent to.
+    """
+
+    stream: int
+    service: str
+
+
+class FoundOrigin(msgspec.Struct, frozen=True, kw_only=True):
+    """Reply to ``FindOrigin``.
+
+    Attributes:
+        origin: Origin of the stream; None if it was not reported.
+        only_version: The one version of the service that can have begun a stream which is still
+            alive; None if there were several, or if the replying process cannot tell.
+    """
+
+    origin: StreamOrigin | None = None
+    only_version: str | None = None
+
+
+class OriginTable:
+    """Origins by the key of the stream, forgotten after ``STREAM_LIFETIME_S``. Not thread-safe.
+
+    Args:
+        max_streams: Size at which the oldest entries are dropped.
+    """
+
+    __slots__ = ("_entries", "_max_streams")
+
+    def __init__(self, max_streams: int) -> None:
+        self._max_streams = max_streams
+        self._entries: OrderedDict[int, tuple[StreamOrigin, float]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def put(self, stream: int, origin: StreamOrigin, now_s: float) -> None:
+        """Set the origin of a stream, and drop what is too old or too much."""
+        self._entries[stream] = (origin, now_s)
+        self._entries.move_to_end(stream)
+        while self._entries:
+            _, put_s = next(iter(self._entries.values()))
+            if len(self._entries) <= self._max_streams and now_s - put_s <= STREAM_LIFETIME_S:
+                return
+            self._entries.popitem(last=False)
+
+    def get(self, stream: int, now_s: float) -> StreamOrigin | None:
+        """Return the origin of a stream, None if it is not known."""
+        origin, put_s = self._entries.get(stream, (None, 0.0))
+        return origin if now_s - put_s <= STREAM_LIFETIME_S else None
+
+    def all(self, now_s: float) -> dict[int, StreamOrigin]:
+        """Return all origins that are not too old."""
+        return {
+            stream: origin
+            for stream, (origin, put_s) in self._entries.items()
+            if now_s - put_s <= STREAM_LIFETIME_S
+        }
+
+
+__all__ = [
+    "STREAM_LIFETIME_S",
+    "FindOrigin",
+    "FoundOrigin",
+    "OriginTable",
+    "OriginsStored",
+    "ReportOrigins",
+    "StreamOrigin",
+]
--- a/src/leverjunction/registry/records.py
+++ b/src/leverjunction/registry/records.py
@@ -114,12 +114,15 @@
         runners: All runners except those that are gone.
         members: Machines that may hold replicas.
         groups: Consensus groups other than the registry group.
+        former_versions: Versions of the software of runners that are gone, by service, as far as
+            their records are kept.
     """
 
     revision: int = 0
     runners: tuple[RunnerRecord, ...] = ()
     members: tuple[MemberRecord, ...] = ()
     groups: tuple[GroupRecord, ...] = ()
+    former_versions: tuple[tuple[str, tuple[str, ...]], ...] = ()
 
     def group(self, name: str) -> GroupRecord | None:
         """Return the group with a name, None if it is not founded."""
--- a/src/leverjunction/registry/tables.py
+++ b/src/leverjunction/registry/tables.py
@@ -17,6 +17,7 @@
     RunnerRecord,
     RunnerState,
 )
+from leverjunction.registry.version_history import former_versions
 from leverjunction.routes.types import RouteTable
 from leverjunction.wire.codec import encode
 
@@ -102,6 +103,11 @@
             runners=tuple(item for item in runners if item.state is not RunnerState.GONE),
             members=tuple(self.records(MEMBER, MemberRecord)),
             groups=tuple(self.records(GROUP, GroupRecord)),
+            former_versions=former_versions(
+                (item.service, item.version)
+                for item in runners
+                if item.state is RunnerState.GONE and item.service
+            ),
         )
 
     def suspects(self) -> SuspectList:
--- /dev/null
+++ b/src/leverjunction/registry/version_history.py
@@ -0,0 +1,92 @@
+"""Versions of the back ends' software that may have begun a stream which is still alive.
+
+Performs no I/O: the time is passed in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from leverjunction.registry.origins import STREAM_LIFETIME_S
+from leverjunction.registry.records import FleetView
+
+
+class VersionHistory:
+    """The versions of each service: those of its back ends, and those that ended lately."""
+
+    __slots__ = ("_ended_s", "_former", "_live", "_view")
+
+    def __init__(self) -> None:
+        self._live: dict[str, set[str]] = {}
+        self._former: set[tuple[str, str]] = set()
+        self._ended_s: dict[tuple[str, str], float] = {}
+        self._view: FleetView | None = None
+
+    def update(self, view: FleetView, now_s: float) -> None:
+        """Apply a newer state of the registry.
+
+        A process that has just started does not know when the former versions ended: as far as it
+        can tell, they just did.
+
+        Args:
+            view: The registry.
+            now_s: Monotonic time in seconds.
+        """
+        if view is self._view:
+            return
+        self._view = view
+        before = {(service, item) for service, items in self._live.items() for item in items}
+        self._live = {}
+        for record in view.runners:
+            self._live.setdefault(record.service, set()).add(record.version)
+        former = {(service, item) for service, items in view.former_versions for item in items}
+        for ended in before | (former - self._former):
+            self._ended_s[ended] = now_s
+        self._former = former
+        self._ended_s = {
+            key: ended_s
+            for key, ended_s in self._ended_s.items()
+            if now_s - ended_s <= STREAM_LIFETIME_S
+        }
+
+    def versions(self, service: str, now_s: float) -> set[str]:
+        """Return the versions of a service that may have begun a stream which is still alive."""
+        ended = {
+            version
+            for (name, version), ended_s in self._ended_s.items()
+            if name == service and now_s - ended_s <= STREAM_LIFETIME_S
+        }
+        return self._live.get(service, set()) | ended
+
+    def only_version(self, service: str, now_s: float) -> str | None:
+        """Return the version of a service if there is only one, otherwise None."""
+        versions = self.versions(service, now_s)
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    def ambiguous(self, now_s: float) -> set[str]:
+        """Return the services with several versions."""
+        services = {*self._live, *(service for service, _ in self._ended_s)}
+        return {name for name in services if len(self.versions(name, now_s)) > 1}
+
+    def ever(self, service: str) -> set[str]:
+        """Return the versions of a service in all records that the registry has kept."""
+        return self._live.get(service, set()) | {
+            version for name, version in self._former if name == service
+        }
+
+
+def former_versions(
+    gone: Iterable[tuple[str, str]],
+) -> tuple[tuple[str, tuple[str, ...]], ...]:
+    """Return the versions of ended back ends by service, in the form of ``FleetView``.
+
+    Args:
+        gone: Service and version of each back end that has ended.
+    """
+    by_service: dict[str, set[str]] = {}
+    for service, version in gone:
+        by_service.setdefault(service, set()).add(version)
+    return tuple((service, tuple(sorted(by_service[service]))) for service in sorted(by_service))
+
+
+__all__ = ["VersionHistory", "former_versions"]
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -55,6 +55,8 @@
     ONLINE_LOADS = 18
     LOADS_WANTED = 19
     CRASH_EVIDENCE = 20
+    REPORT_ORIGINS = 21
+    FIND_ORIGIN = 22
 
 
 _HEADER = Struct(
--- a/src/testbed/simulation/arguments.py
+++ b/src/testbed/simulation/arguments.py
@@ -15,6 +15,7 @@
 from testbed.simulation.seeded.broken import SEEDED_RULES
 from testbed.simulation.seeded.fault_kinds import SeededFaultKind
 from testbed.simulation.seeded.routed.broken import ROUTED_RULES
+from testbed.simulation.seeded.routed.broken_streams import STREAM_RULES
 from testbed.simulation.seeded.shape import SHAPES
 from testbed.simulation.variation import Source, Variation, variations
 
@@ -91,7 +92,9 @@
 def _rules(scenario: str) -> dict[str, Rule]:
     if scenario not in SHAPES:
         return RULES
-    return SEEDED_RULES | ROUTED_RULES if SHAPES[scenario].back_ends else SEEDED_RULES
+    shape = SHAPES[scenario]
+    routed = ROUTED_RULES if shape.back_ends else {}
+    return SEEDED_RULES | routed | (STREAM_RULES if shape.versions else {})
 
 
 def _kinds(scenario: str) -> list[FaultKind | SeededFaultKind]:
--- a/src/testbed/simulation/breaks.py
+++ b/src/testbed/simulation/breaks.py
@@ -12,6 +12,7 @@
 from testbed.simulation.rule import Rule
 from testbed.simulation.seeded.broken import SEEDED_RULES
 from testbed.simulation.seeded.routed.broken import ROUTED_RULES
+from testbed.simulation.seeded.routed.broken_streams import STREAM_RULES
 
 RUN_ENDS = "run_ends"
 """Stands for a checker where the product's own assertion ends the run."""
@@ -170,4 +171,4 @@
 
 def rule_of(name: str) -> Rule:
     """Return a rule of any scenario by its name."""
-    return (RULES | SEEDED_RULES | ROUTED_RULES)[name]
+    return (RULES | SEEDED_RULES | ROUTED_RULES | STREAM_RULES)[name]
--- /dev/null
+++ b/src/testbed/simulation/seeded/routed/broken_streams.py
@@ -0,0 +1,48 @@
+"""Broken rules of streams that are taken up again; each function returns the patches of one."""
+
+from __future__ import annotations
+
+from typing import Any
+from unittest import mock
+
+from leverjunction.proxy.routed_request import RoutedRequest
+from leverjunction.proxy.stream_origins import Resumption, StreamOrigins
+from leverjunction.registry.origin_client import OriginClient
+from testbed.simulation.rule import Rule
+
+
+def continue_at_any_version() -> list[Any]:
+    """Return the patches: the version that began a stream does not limit where it goes on."""
+    return [mock.patch.object(RoutedRequest, "version", property(lambda _self: None))]
+
+
+def refuse_streams_of_others() -> list[Any]:
+    """Return the patches: a gateway continues only what it has begun itself."""
+    find = StreamOrigins.find
+
+    async def own(self: StreamOrigins, stream: int, service: str) -> Resumption:
+        found = await find(self, stream, service)
+        return found if found.source == "own" else Resumption(None, "unknown")
+
+    return [mock.patch.object(StreamOrigins, "find", own)]
+
+
+def report_no_origins() -> list[Any]:
+    """Return the patches: no gateway tells the control processes what it has begun."""
+    return [mock.patch.object(OriginClient, "report", lambda _self, _streams: None)]
+
+
+_KEEP = "streams_keep_their_version"
+_GO_ON = "streams_go_on"
+
+STREAM_RULES: dict[str, Rule] = {
+    "continue_at_any_version": Rule(
+        "a stream goes on at any version of the back ends", _KEEP, continue_at_any_version
+    ),
+    "refuse_streams_of_others": Rule(
+        "a gateway refuses streams that another one has begun", _GO_ON, refuse_streams_of_others
+    ),
+    "report_no_origins": Rule(
+        "a gateway tells no control process what began its streams", _GO_ON, report_no_origins
+    ),
+}
--- a/src/testbed/simulation/seeded/routed/streamers.py
+++ b/src/testbed/simulation/seeded/routed/streamers.py
@@ -24,7 +24,7 @@
 """Time after which a caller gives up one try."""
 
 MOST_TRIES = 4
-STREAMERS_PER_GATEWAY = 3
+STREAMERS_PER_GATEWAY = 6
 
 Events = list[tuple[int, str]]
 
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -24,7 +24,8 @@
 from leverjunction.proxy.forwarding import Forwarder
 from leverjunction.proxy.metrics import ProxyMetrics
 from leverjunction.proxy.runner_connection import RunnerPool
-from leverjunction.registry.records import RunnerRecord
+from leverjunction.proxy.stream_origins import OriginDirectory, StreamOrigins
+from leverjunction.registry.records import FleetView, RunnerRecord
 from leverjunction.routes import Route, RouteIndex, RouteTable
 from testbed.routed import HOST, SERVICE, RawCaller, RawReply, RunnerStandIn
 
@@ -40,7 +41,13 @@
         is_in_doubt: Whether its process stalled and has not heard from the registry since.
     """
 
-    def __init__(self, table: RouteTable | None, runners: Iterable[RunnerStandIn]) -> None:
+    def __init__(
+        self,
+        table: RouteTable | None,
+        runners: Iterable[RunnerStandIn],
+        directory: OriginDirectory | None = None,
+    ) -> None:
+        self._directory = directory
         self._table = table
         self._runners = list(runners)
         self._loop = asyncio.new_event_loop()
@@ -77,6 +84,7 @@
             for runner in runners
         ]
         self.balancer.replace(records)
+        self.origins.update(FleetView(runners=tuple(records)))
 
     def caller(self) -> RawCaller:
         return RawCaller(self.address)
@@ -100,6 +108,7 @@
 
     async def _build(self) -> None:
         self.balancer = balancer = Balancer(ZONE, Random(1))
+        self.origins = StreamOrigins(self._directory)
         self.replace_runners(self._runners)
         dialect = PlatformDialect()
         sender = Sender(RunnerPool(), balancer, dialect)
@@ -114,6 +123,7 @@
             table_age_s=lambda: self.table_age_s,
             in_force_s=2.0,
             is_in_doubt=lambda: self.is_in_doubt,
+            origins=self.origins,
         )
         if self._table is not None:
             self.forwarder.set_table(RouteIndex(self._table))
--- /dev/null
+++ b/tests/unit/test_registry_origins.py
@@ -0,0 +1,310 @@
+"""Tests of the origins of streams: what is kept, for how long, and how gateways share it.
+
+The calls between gateways and control processes go over real sockets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+
+import pytest
+
+from leverjunction.clock import SystemClock
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.registry.cluster import CLUSTER_KEY
+from leverjunction.registry.origin_client import HOLDERS, OriginClient, rank_holders
+from leverjunction.registry.origin_directory import OriginDirectory
+from leverjunction.registry.origins import STREAM_LIFETIME_S, OriginTable, StreamOrigin
+from leverjunction.registry.records import (
+    FleetView,
+    MemberRecord,
+    MemberRole,
+    RunnerRecord,
+    RunnerState,
+)
+from leverjunction.registry.version_history import VersionHistory, former_versions
+from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
+
+SERVICE = "pool"
+OLD, NEW = StreamOrigin(SERVICE, "v1"), StreamOrigin(SERVICE, "v1.1")
+
+
+def runner(version: str, state: RunnerState = RunnerState.READY) -> RunnerRecord:
+    return RunnerRecord(
+        runner_id=f"i-{version}",
+        service=SERVICE,
+        address="10.0.0.1:80",
+        zone="a",
+        slots=4,
+        state=state,
+        version=version,
+    )
+
+
+def view(*versions: str, former: tuple[str, ...] = ()) -> FleetView:
+    return FleetView(
+        runners=tuple(runner(version) for version in versions),
+        former_versions=former_versions((SERVICE, version) for version in former),
+    )
+
+
+class TestVersionHistory:
+    def test_a_version_counts_until_no_stream_of_it_can_be_alive(self) -> None:
+        history = VersionHistory()
+        history.update(view("v1"), 0.0)
+        assert history.only_version(SERVICE, 0.0) == "v1"
+        history.update(view("v1", "v1.1"), 10.0)
+        history.update(view("v1.1"), 20.0)
+        assert history.versions(SERVICE, 20.0 + STREAM_LIFETIME_S) == {"v1", "v1.1"}
+        assert history.only_version(SERVICE, 20.1 + STREAM_LIFETIME_S) == "v1.1"
+
+    def test_a_process_that_starts_does_not_know_when_former_versions_ended(self) -> None:
+        history = VersionHistory()
+        history.update(view("v1.1", former=("v1",)), 5.0)
+        assert history.ambiguous(5.0) == {SERVICE}
+        # The same record in a later state does not say that the version ended again.
+        history.update(view("v1.1", "v1.1", former=("v1",)), 50.0)
+        assert history.only_version(SERVICE, 5.1 + STREAM_LIFETIME_S) == "v1.1"
+
+    def test_a_version_that_came_and_went_between_two_states_counts(self) -> None:
+        history = VersionHistory()
+        history.update(view("v1"), 0.0)
+        history.update(view("v1", former=("v1.1",)), 10.0)
+        assert history.ambiguous(10.0) == {SERVICE}
+
+    def test_a_back_end_that_reports_no_version_is_not_of_the_others(self) -> None:
+        history = VersionHistory()
+        history.update(view("v1", ""), 0.0)
+        assert history.only_version(SERVICE, 0.0) is None
+        assert history.only_version("another", 0.0) is None
+
+
+class TestOriginTable:
+    def test_an_origin_is_forgotten_after_the_lifetime_of_a_stream(self) -> None:
+        table = OriginTable(10)
+        table.put(1, OLD, 0.0)
+        assert table.get(1, STREAM_LIFETIME_S) == OLD
+        assert table.get(1, STREAM_LIFETIME_S + 0.1) is None
+        table.put(2, NEW, STREAM_LIFETIME_S + 0.1)
+        assert len(table) == 1
+        assert table.all(STREAM_LIFETIME_S + 0.1) == {2: NEW}
+
+    def test_the_oldest_origins_are_dropped_if_there_are_too_many(self) -> None:
+        table = OriginTable(3)
+        for stream in range(5):
+            table.put(stream, OLD, float(stream))
+        table.put(2, OLD, 5.0)
+        table.put(5, NEW, 6.0)
+        assert sorted(table.all(6.0)) == [2, 4, 5]
+
+
+def member(number: int, zone: str) -> MemberRecord:
+    return MemberRecord(
+        name=f"core-{number}", role=MemberRole.CONTROL, address=f"10.0.0.{number}:1", zone=zone
+    )
+
+
+def test_an_origin_is_reported_to_different_zones() -> None:
+    controls = [member(number, "abc"[number % 3]) for number in range(5)]
+    zones = {item.address: item.zone for item in controls}
+    first = set()
+    for gateway in (f"front-{number}" for number in range(20)):
+        ranked = [rank_holders(gateway, controls, number) for number in range(HOLDERS)]
+        assert all(sorted(order) == sorted(zones) for order in ranked)
+        assert len({zones[order[0]] for order in ranked}) == HOLDERS
+        first.add(ranked[0][0])
+    assert len(first) > 2, "all gateways report to the same control processes"
+
+
+class StandInHub:
+    """The registry as one control process knows it."""
+
+    def __init__(self, known: FleetView) -> None:
+        self.known = known
+        self.is_stale = False
+
+    def view(self) -> FleetView:
+        return self.known
+
+    def stale(self) -> Failure | None:
+        if not self.is_stale:
+            return None
+        return Failure(kind=FailureKind.STALE, reason="cut off", step=Step.EXCHANGING)
+
+
+class Control:
+    """A control process as gateways see it; it may start again at its address, empty."""
+
+    def __init__(self, stack: ExitStack, known: FleetView, *, is_older: bool = False) -> None:
+        self.hub = StandInHub(known)
+        self._endpoint = RpcEndpoint(CLUSTER_KEY, 1)
+        self._starts = 0
+        if not is_older:
+            self.start_again()
+        self._server = RpcServer("127.0.0.1", 0, self._endpoint, threads=4)
+        self._server.start()
+        self.address = self._server.address
+        stack.callback(self._server.stop)
+
+    def start_again(self) -> None:
+        """Have another start of the process, which has nothing in memory, at the same address."""
+        self._starts += 1
+        self.directory = OriginDirectory(self.hub, SystemClock(), self._starts)  # type: ignore[arg-type]
+        self.directory.register(self._endpoint)
+
+    def stop(self) -> None:
+        self._server.stop()
+
+
+class Gateway:
+    """What a gateway keeps of its own streams, and how it shares them."""
+
+    def __init__(self, stack: ExitStack, controls: list[Control]) -> None:
+        self.live: dict[int, StreamOrigin] = {}
+        self.client = OriginClient(
+            RpcClient(CLUSTER_KEY, 1),
+            lambda number: [item.address for item in (*controls[number:], *controls[:number])],
+            lambda: [item.address for item in controls],
+            lambda: dict(self.live),
+        )
+        self.client.start()
+        stack.callback(self.client.stop)
+
+    def begin(self, stream: int, origin: StreamOrigin) -> None:
+        self.live[stream] = origin
+        self.client.report({stream: origin})
+
+
+@pytest.fixture
+def stack() -> Iterator[ExitStack]:
+    with ExitStack() as entered:
+        yield entered
+
+
+async def comes_true(condition: Callable[[], bool], timeout_s: float = 5.0) -> bool:
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + timeout_s
+    while not condition() and loop.time() < until_s:
+        await asyncio.sleep(0.01)
+    return condition()
+
+
+def knows(control: Control, stream: int) -> bool:
+    return control.directory._streams.get(stream, SystemClock().monotonic_s()) is not None
+
+
+def count_knowing(controls: list[Control], stream: int) -> int:
+    return sum(knows(control, stream) for control in controls)
+
+
+def start_controls(stack: ExitStack, count: int, known: FleetView) -> list[Control]:
+    return [Control(stack, known) for _ in range(count)]
+
+
+BOTH = view("v1", "v1.1")
+
+
+def test_another_gateway_finds_what_began_a_stream(stack: ExitStack) -> None:
+    async def run() -> None:
+        controls = start_controls(stack, 3, BOTH)
+        first, second = Gateway(stack, controls), Gateway(stack, controls)
+        first.begin(7, NEW)
+        assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
+        assert await second.client.find(7, SERVICE) == NEW
+        assert await second.client.find(8, SERVICE) is None
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("number", range(HOLDERS))
+def test_an_origin_outlives_its_gateway_and_one_of_its_holders(
+    stack: ExitStack, number: int
+) -> None:
+    async def run() -> None:
+        controls = start_controls(stack, 3, BOTH)
+        first, second = Gateway(stack, controls), Gateway(stack, controls)
+        first.begin(7, NEW)
+        assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
+        first.client.stop()
+        controls[number].stop()
+        assert await second.client.find(7, SERVICE) == NEW
+
+    asyncio.run(run())
+
+
+def test_an_origin_that_ended_with_gateway_and_holders_is_unknown(stack: ExitStack) -> None:
+    async def run() -> None:
+        controls = start_controls(stack, 3, BOTH)
+        first, second = Gateway(stack, controls), Gateway(stack, controls)
+        first.begin(7, NEW)
+        assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
+        first.client.stop()
+        for control in controls[:HOLDERS]:
+            control.start_again()
+        assert await second.client.find(7, SERVICE) is None
+
+    asyncio.run(run())
+
+
+def test_a_holder_that_starts_again_gets_all_streams_with_the_next_report(
+    stack: ExitStack,
+) -> None:
+    async def run() -> None:
+        controls = start_controls(stack, 2, BOTH)
+        gateway = Gateway(stack, controls)
+        gateway.begin(7, NEW)
+        assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
+        controls[0].start_again()
+        assert not knows(controls[0], 7)
+        gateway.begin(8, OLD)
+        assert await comes_true(lambda: knows(controls[0], 7) and knows(controls[0], 8))
+
+    asyncio.run(run())
+
+
+def test_another_control_process_takes_the_place_of_one_that_is_down(stack: ExitStack) -> None:
+    async def run() -> None:
+        controls = start_controls(stack, 3, BOTH)
+        controls[0].stop()
+        gateway = Gateway(stack, controls)
+        gateway.begin(7, NEW)
+        assert await comes_true(lambda: count_knowing(controls[1:], 7) >= 1)
+        assert await gateway.client.find(7, SERVICE) == NEW
+
+    asyncio.run(run())
+
+
+def test_a_control_process_of_an_older_build_is_passed_over(stack: ExitStack) -> None:
+    async def run() -> None:
+        older = Control(stack, BOTH, is_older=True)
+        controls = [older, *start_controls(stack, 1, BOTH)]
+        gateway = Gateway(stack, controls)
+        gateway.begin(7, NEW)
+        assert await comes_true(lambda: knows(controls[1], 7))
+        assert await gateway.client.find(7, SERVICE) == NEW
+
+    asyncio.run(run())
+
+
+def test_a_stream_of_the_only_version_needs_no_report(stack: ExitStack) -> None:
+    """A gateway that has just started takes an ended version for one that has just ended."""
+
+    async def run() -> None:
+        controls = start_controls(stack, 3, view("v1.1"))
+        assert await Gateway(stack, controls).client.find(7, SERVICE) == NEW
+
+    asyncio.run(run())
+
+
+def test_a_control_process_that_is_cut_off_does_not_vouch_for_one_version(
+    stack: ExitStack,
+) -> None:
+    async def run() -> None:
+        (control,) = start_controls(stack, 1, view("v1"))
+        control.hub.is_stale = True
+        assert await Gateway(stack, [control]).client.find(7, SERVICE) is None
+
+    asyncio.run(run())
