Batch: an item goes on only at the version that began its output

The first recorded part of an output carries its origin, kept in a table of its own, which older builds do not know and whose commands they read without it. Nothing of the new run is recorded before its result, which replaces the recorded events in one replicated step, so no reader sees joined text and old replicas apply the command alike. Events recorded without an origin go on where the registry knows of no other version of the service.

One check of test_lots_runner compares the recorded progress as a whole and now names its origin too.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -28,6 +28,8 @@
 from leverjunction.proxy.quarantine import is_lost_run
 from leverjunction.proxy.runner_connection import ResponseEnd, ResponseHead
 from leverjunction.proxy.tracked_runner import TrackedRunner
+from leverjunction.registry.origins import StreamOrigin
+from leverjunction.registry.records import RunnerRecord
 from leverjunction.wire.codec import decode_reply, encode
 
 RUN_TIMEOUT_S = 60.0
@@ -72,7 +74,7 @@
     async def attempt(self, run: ItemRun, runner: TrackedRunner) -> bool:
         """Run an item once at a back end; return whether the item has ended."""
         request = self._build_request(run.item)
-        if request is None or not self._load_progress(run):
+        if request is None or not self.load_progress(run):
             run.trace.set_end(RunEnd.NO_BODY if request is None else RunEnd.NO_PROGRESS)
             return False
         run.suspect_key = self._quarantine.find(request)
@@ -164,7 +166,7 @@
                 run.silent_runs = 0
                 run.note_output(loop.time())
                 if response.head.status == OK:
-                    run.stream.feed(event)
+                    _feed(run.stream, event, response.runner.record)
                 run.trace.mark_heard(loop.time())
         except TimeoutError:
             run.trace.set_end(RunEnd.SILENT, f"no data for {loop.time() - run.heard_s:.1f} s")
@@ -192,7 +194,7 @@
         self._outbox.give_up(run, f"{run.failures} runs failed")
         return True
 
-    def _load_progress(self, run: ItemRun) -> bool:
+    def load_progress(self, run: ItemRun) -> bool:
         """Make a run's stream continue after the events that the group has.
 
         Returns:
@@ -204,7 +206,7 @@
         progress = decode_reply(raw, RecordedProgress)
         if isinstance(progress, Failure):
             return False
-        run.stream = ItemStream(progress.count, progress.last_id)
+        run.stream = ItemStream(progress.count, progress.last_id, progress.origin)
         run.progress_loaded = True
         return True
 
@@ -223,6 +225,14 @@
         return request
 
 
+def _feed(stream: ItemStream, data: bytes, runner: RunnerRecord) -> None:
+    """Add a part of the output; its first event sets what began it."""
+    is_begun = stream.has_events
+    stream.feed(data)
+    if not is_begun and stream.has_events:
+        stream.origin = StreamOrigin(runner.service, runner.version)
+
+
 def _note_silence(run: ItemRun, now_s: float) -> None:
     """Count and log a run that ends because its back end sent nothing."""
     lot_id, item_id = run.key
--- a/src/leverjunction/lots/commands.py
+++ b/src/leverjunction/lots/commands.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from leverjunction.registry.origins import StreamOrigin
+
 
 class ItemState(StrEnum):
     """Final state of an item: its output is complete (``DONE``) or it was given up (``DEAD``)."""
@@ -87,6 +89,8 @@
         count: Number of events in ``text``.
         last_id: Id of the last event in ``text``.
         text: Data of the events, separated by line feeds.
+        origin: What began the item's output; None in commands of older versions. Of all parts of an
+            output, that of the first one counts.
     """
 
     lot_id: str
@@ -95,6 +99,7 @@
     count: int
     last_id: str
     text: str
+    origin: StreamOrigin | None = None
 
 
 class ItemFailure(msgspec.Struct, frozen=True, kw_only=True):
@@ -222,10 +227,13 @@
 
 
 class RecordedProgress(msgspec.Struct, frozen=True):
-    """Reply to ``ReadProgress``: number of recorded events, and the id of the last one."""
+    """Reply to ``ReadProgress``: number of recorded events, the id of the last one, and what began
+    the output, None if that was not recorded.
+    """
 
     count: int = 0
     last_id: str = ""
+    origin: StreamOrigin | None = None
 
 
 class ResultsPage(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/lots/isolation.py
+++ b/src/leverjunction/lots/isolation.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from leverjunction.lots.broken_runs import BrokenRun, BrokenRuns
 from leverjunction.lots.crash_limits import CrashLimits, Origin, Suspicion
@@ -299,10 +299,22 @@
         waiting, self._waiting = self._waiting, {}
         return [run for run in (*waiting.values(), *self._strong_suspects) if run.task is None]
 
-    def pick_runner(self, run: ItemRun, service: str, loads: LoadWatch) -> TrackedRunner | None:
+    def pick_runner(
+        self,
+        run: ItemRun,
+        service: str,
+        loads: LoadWatch,
+        may_use: Callable[[str], bool] = lambda _start: True,
+    ) -> TrackedRunner | None:
         """Return a back end for an item that is to run apart, None while there is none.
 
         While the item waits for an idle back end, one is kept free of other items.
+
+        Args:
+            run: The item.
+            service: Service that it is sent to.
+            loads: Knows the load of the back ends.
+            may_use: Returns whether a start may run the item.
         """
         now_s = self._loop.time()
         if run.wants_idle_s is None or now_s - run.asked_idle_s > MAX_IDLE_GAP_S:
@@ -311,18 +323,22 @@
         is_patient = now_s - run.wants_idle_s < self._patience_s(run)
         runner = None
         if not is_patient or service not in self._busy_services:
-            runner = self._pick_runner(service, loads, is_patient)
+            runner = self._pick_runner(service, loads, is_patient, may_use)
         if runner is None:
             self._busy_services.add(service)
             self._waiting[run.key] = run
         return runner
 
     def _pick_runner(
-        self, service: str, loads: LoadWatch, is_patient: bool
+        self, service: str, loads: LoadWatch, is_patient: bool, may_use: Callable[[str], bool]
     ) -> TrackedRunner | None:
         choice = loads.pick_idlest(
             service,
-            lambda start: start not in self._apart and not self._quarantine.has_crashed(start),
+            lambda start: (
+                start not in self._apart
+                and not self._quarantine.has_crashed(start)
+                and may_use(start)
+            ),
         )
         if choice is None:
             return None
--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -44,6 +44,8 @@
         alone_starts: Those of them at which nothing else ran.
         crashed_s: When the last of them was known to have crashed.
         placement: How the item might run when that was last decided.
+        wants_version_s: Since when it has been waiting for a back end of the version that began its
+            output, None if it does not.
         wants_idle_s: Since when it has been waiting for an idle back end, None if it does not.
         asked_idle_s: When one was last asked for.
     """
@@ -73,6 +75,7 @@
         "task",
         "trace",
         "wants_idle_s",
+        "wants_version_s",
         "worked_s",
     )
 
@@ -96,6 +99,7 @@
         self.alone_starts: set[str] = set()
         self.crashed_s = 0.0
         self.placement = Placement.SHARED
+        self.wants_version_s: float | None = None
         self.wants_idle_s: float | None = None
         self.asked_idle_s = 0.0
         self.first_output_s: float | None = None
@@ -124,6 +128,7 @@
         """Set the back end of the run that starts now."""
         self.runner_id = runner_id
         self.parking = False
+        self.wants_version_s = None
         self.sent_s = None
 
     def mark_sent(self, now_s: float) -> None:
@@ -180,6 +185,14 @@
         self.sent_s = None
         self.stop()
 
+    def begin_anew(self, reason: str) -> None:
+        """Discard the output so far, recorded events included: the next run writes all of it."""
+        logger.info(
+            "item {} of lot {} begins anew: {}", self.item.item_id, self.item.lot_id, reason
+        )
+        self.stream = ItemStream(replaces=True)
+        self.wants_version_s = None
+
     def restart(self) -> None:
         """Stop the run and discard its local events, to continue after those that the group has."""
         self.progress_loaded = False
--- a/src/leverjunction/lots/item_stream.py
+++ b/src/leverjunction/lots/item_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from leverjunction.proxy.events import sendable_id
+from leverjunction.registry.origins import StreamOrigin
 
 DATA_FIELD = b"data"
 ID_FIELD = b"id"
@@ -14,15 +15,28 @@
     Args:
         recorded: Number of events of the item that the lots group has recorded.
         last_id: Id of the last recorded event.
+        origin: What began the recorded events, None if that was not recorded.
+        replaces: Whether the output replaces the events that the group has recorded.
 
     Attributes:
         recorded: Number of events of the item that the lots group has recorded.
         last_id: Id of the last whole event, empty before the first one.
+        origin: What began the output, None before its first event and if it is unknown.
+        replaces: Whether the output replaces the events that the group has recorded. It is then
+            recorded as a whole, so that no reader sees events of both.
     """
 
-    __slots__ = ("_events", "_partial", "last_id", "recorded")
-
-    def __init__(self, recorded: int = 0, last_id: str = "") -> None:
+    __slots__ = ("_events", "_partial", "last_id", "origin", "recorded", "replaces")
+
+    def __init__(
+        self,
+        recorded: int = 0,
+        last_id: str = "",
+        origin: StreamOrigin | None = None,
+        replaces: bool = False,
+    ) -> None:
+        self.origin = origin
+        self.replaces = replaces
         self._events: list[str] = []
         self._partial = b""
         self.recorded = recorded
@@ -36,6 +50,11 @@
             self._append_event(block)
         return len(blocks)
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the output has any whole event, recorded or not."""
+        return bool(self.recorded or self._events)
+
     def discard_partial(self) -> None:
         """Drop the incomplete event after a run broke off."""
         self._partial = b""
--- a/src/leverjunction/lots/outbox.py
+++ b/src/leverjunction/lots/outbox.py
@@ -233,7 +233,10 @@
         unfinished = [
             run
             for run in runs
-            if run.stream.count and run.progress_loaded and not self.has_result(run)
+            if run.stream.count
+            and run.progress_loaded
+            and not run.stream.replaces
+            and not self.has_result(run)
         ]
         # Longest first: if not all fit into one command, the items that would lose most are sent.
         return sorted(unfinished, key=lambda run: run.stream.count, reverse=True)
@@ -263,6 +266,7 @@
         count=stream.count,
         last_id=stream.last_id,
         text=stream.text(),
+        origin=stream.origin,
     )
 
 
--- a/src/leverjunction/lots/progress_rows.py
+++ b/src/leverjunction/lots/progress_rows.py
@@ -4,6 +4,8 @@
 the row before it. Events that do not continue the recorded ones come from a different run and are
 rejected, so that the output of two runs is never mixed. A sender that does not know the outcome of
 its last command repeats events; repeated events that equal the recorded ones are skipped.
+
+What began the output is kept in a table of its own, which older versions do not know.
 """
 
 from __future__ import annotations
@@ -11,25 +13,39 @@
 import sqlite3
 
 from leverjunction.lots.commands import ItemProgress, ItemResult, RecordedProgress
+from leverjunction.registry.origins import StreamOrigin
 
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS sm_lot_part (
     lot TEXT NOT NULL, item TEXT NOT NULL, start INTEGER NOT NULL, count INTEGER NOT NULL,
     last_id TEXT NOT NULL, text TEXT NOT NULL, PRIMARY KEY (lot, item, start)
 ) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS sm_lot_origin (
+    lot TEXT NOT NULL, item TEXT NOT NULL, service TEXT NOT NULL, version TEXT NOT NULL,
+    PRIMARY KEY (lot, item)
+) WITHOUT ROWID;
 """
 
 
 def recorded_progress(
     connection: sqlite3.Connection, lot_id: str, item_id: str
 ) -> RecordedProgress:
-    """Return how many events of an item are recorded, and the id of the last one."""
+    """Return how many events of an item are recorded, the id of the last one, and their origin."""
     row = connection.execute(
         "SELECT start + count, last_id FROM sm_lot_part WHERE lot = ? AND item = ?"
         " ORDER BY start DESC LIMIT 1",
         (lot_id, item_id),
     ).fetchone()
-    return RecordedProgress(*row) if row is not None else RecordedProgress()
+    if row is None:
+        return RecordedProgress()
+    origin = connection.execute(
+        "SELECT service, version FROM sm_lot_origin WHERE lot = ? AND item = ?", (lot_id, item_id)
+    ).fetchone()
+    return RecordedProgress(
+        count=row[0],
+        last_id=row[1],
+        origin=None if origin is None else StreamOrigin(*origin),
+    )
 
 
 def append(connection: sqlite3.Connection, progress: ItemProgress, repeats: bool) -> bool:
@@ -51,6 +67,12 @@
         "INSERT INTO sm_lot_part VALUES (?, ?, ?, ?, ?, ?)",
         (progress.lot_id, progress.item_id, recorded_count, count, progress.last_id, text),
     )
+    if progress.origin is not None and recorded_count == 0:
+        origin = progress.origin
+        connection.execute(
+            "INSERT OR REPLACE INTO sm_lot_origin VALUES (?, ?, ?, ?)",
+            (progress.lot_id, progress.item_id, origin.service, origin.version),
+        )
     return True
 
 
@@ -132,9 +154,11 @@
 
 def delete_item(connection: sqlite3.Connection, lot_id: str, item_id: str) -> None:
     """Delete the recorded events of an item that has a result."""
-    connection.execute("DELETE FROM sm_lot_part WHERE lot = ? AND item = ?", (lot_id, item_id))
+    for table in ("sm_lot_part", "sm_lot_origin"):
+        connection.execute(f"DELETE FROM {table} WHERE lot = ? AND item = ?", (lot_id, item_id))
 
 
 def delete_lot(connection: sqlite3.Connection, lot_id: str) -> None:
     """Delete the recorded events of all items of a lot."""
-    connection.execute("DELETE FROM sm_lot_part WHERE lot = ?", (lot_id,))
+    for table in ("sm_lot_part", "sm_lot_origin"):
+        connection.execute(f"DELETE FROM {table} WHERE lot = ?", (lot_id,))
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -31,6 +31,7 @@
     ReadOpenItems,
     ReadOpenKeys,
 )
+from leverjunction.lots.continuation import Continuation, Placing
 from leverjunction.lots.isolation import Isolation
 from leverjunction.lots.item_queue import ItemQueue
 from leverjunction.lots.item_run import ItemKey, ItemRun
@@ -50,7 +51,9 @@
 from leverjunction.proxy.tracked_runner import TrackedRunner
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import Snapshot
+from leverjunction.registry.version_history import VersionHistory
 from leverjunction.routes.matching import RouteIndex, draw_service
+from leverjunction.routes.types import Route
 from leverjunction.wire.codec import decode_reply, encode
 
 T = TypeVar("T")
@@ -215,6 +218,8 @@
         self._is_adopted = False
         pool = RunnerPool()
         self._balancer = Balancer(self._zone, self._random)
+        self._history = VersionHistory()
+        self._continuation = Continuation(self._balancer, self._history)
         sender = Sender(pool, self._balancer, self._dialect)
         self._outbox = Outbox(self._group, self._monitor.records)
         self._isolation = Isolation(self._report)
@@ -327,6 +332,7 @@
         if snapshot is None or snapshot is self._applied_snapshot:
             return
         self._balancer.replace(snapshot.view.runners)
+        self._history.update(snapshot.view, asyncio.get_running_loop().time())
         self._isolation.set_registry(snapshot)
         self._loads.retain(frozenset(record.start for record in snapshot.view.runners))
         if self._index is None or self._index.table.version < snapshot.table.version:
@@ -446,18 +452,25 @@
             placement = self._isolation.placement(run)
             if placement is Placement.HELD:
                 continue
-            service = draw_service(route, self._random)
-            if placement is Placement.APART:
-                runner = self._isolation.pick_runner(run, service, self._loads)
+            is_apart = placement is Placement.APART
+            if not is_apart and (run.item.lot_id in starting or self._isolation.is_starting(run)):
+                continue
+            if not self._attempts.load_progress(run):
+                continue
+            placing = self._continuation.place(run, route, self._draw_service)
+            service = placing.service
+            if is_apart:
+                runner = self._isolation.pick_runner(run, service, self._loads, placing.may_use)
                 if runner is not None:
                     self._start_placed(run, runner)
                 continue
-            if run.item.lot_id in starting or self._isolation.is_starting(run):
-                continue
-            runner = self._pick_shared(run, service) if service in with_capacity else None
+            runner = self._pick_shared(run, placing) if service in with_capacity else None
             if runner is not None:
                 self._start_placed(run, runner)
                 continue
+            if placing.starts is not None and service in with_capacity:
+                self._continuation.wait(run, asyncio.get_running_loop().time())
+                continue
             if service in with_capacity and self._loads.has_capacity(service):
                 # Its lot is limited, or what is free is reserved; both end within a ranking or two.
                 starting.add(run.item.lot_id)
@@ -469,9 +482,15 @@
         for run in reversed(blocked):
             self._queue.put_back(run)
 
-    def _pick_shared(self, run: ItemRun, service: str) -> TrackedRunner | None:
+    def _draw_service(self, route: Route) -> str:
+        return draw_service(route, self._random)
+
+    def _pick_shared(self, run: ItemRun, placing: Placing) -> TrackedRunner | None:
         """Return the best back end for an item beside other requests."""
-        return self._loads.pick_runner(service, lambda start: self._isolation.may_share(run, start))
+        return self._loads.pick_runner(
+            placing.service,
+            lambda start: placing.may_use(start) and self._isolation.may_share(run, start),
+        )
 
     def _start_placed(self, run: ItemRun, runner: TrackedRunner) -> None:
         """Start an item at a back end that was chosen by its placement."""
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -43,6 +43,7 @@
 from leverjunction.proxy.tracked_runner import TrackedRunner
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import Snapshot
+from leverjunction.registry.origins import StreamOrigin
 from leverjunction.registry.records import FleetView, RunnerRecord
 from leverjunction.routes import RouteClass
 from leverjunction.wire.codec import decode_reply, encode, encode_reply
@@ -452,7 +453,8 @@
     """Guards against each change of leader restarting all runs, at the cost of seconds of work."""
     back_end.then("stream that stops")
     submit(store, 1)
-    wait_until(lambda: store.progress() == RecordedProgress(1, "1"))
+    began = RecordedProgress(1, "1", StreamOrigin(SERVICE, ""))
+    wait_until(lambda: store.progress() == began)
     store.role = "follower"
     wait_until(lambda: back_end.seen[0].gone_after_s is not None, 2.0)
     store.role = "leader"
