Soak: runners of two versions, and callers who take broken streams up again

Each start of a runner draws one of two versions and reports it. Six callers read long streams, name the first attempt where they go on at another gateway, and a stream that holds events of two versions, or misses one, is a broken promise. The report counts the tries to go on and the refused ones.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -217,6 +217,7 @@
 
 def _report(machines: Machines, records: Records, traffic: Traffic, broken: list[str]) -> None:
     whole = sum(1 for item in records.online if item.status == 200 and item.complete)
+    _report_streams(records)
     accepted = [lot for lot in records.lots if lot.accepted]
     listed = sum(len(lot.listed) for lot in accepted)
     struck = ", ".join(f"{kind} {count}" for kind, count in sorted(records.struck.items()))
@@ -241,6 +242,14 @@
     print(f"{len(broken)} promises broken")
 
 
+def _report_streams(records: Records) -> None:
+    streams = records.streams
+    whole = sum(stream.is_whole for stream in streams)
+    resumed = sum(stream.resumed for stream in streams)
+    refused = sum(stream.refused for stream in streams)
+    print(f"streams: {len(streams)}, whole {whole}; tries to go on: {resumed}, refused {refused}")
+
+
 def _crash_lines(records: Records, traffic: Traffic) -> list[str]:
     """Return a line for each crash and for each run of a deadly item, in order of time."""
     wall_s = time.time() - time.monotonic()
--- a/deploy/soak/backends.py
+++ b/deploy/soak/backends.py
@@ -17,6 +17,8 @@
 BEAT_S = 0.4
 LEAST_SLOTS = 8
 MOST_SLOTS = 19
+VERSIONS = ("v1", "v1.1")
+"""Versions of the software, of which each start of a runner draws one."""
 """Slots of a runner, as on the deployment of the incident."""
 
 RECENT_REQUESTS = 100
@@ -76,14 +78,15 @@
     Args:
         runner_id: Its id.
         slots: Requests that it works on at once.
+        version: Version of its software.
         ended: Called, by a thread of its own, when it is to end.
 
     Attributes:
         begun: Deadly requests that it began; the first one ends it.
     """
 
-    def __init__(self, runner_id: str, slots: int, ended: Callable[[], None]) -> None:
-        super().__init__(runner_id, usual="by path", slots=slots)
+    def __init__(self, runner_id: str, slots: int, version: str, ended: Callable[[], None]) -> None:
+        super().__init__(runner_id, usual="by path", slots=slots, version=version)
         self._ended = ended
         self.begun: list[Seen] = []
 
@@ -104,6 +107,7 @@
         runner_id: Its id.
         service: What it serves.
         slots: Requests that it works on at once.
+        version: Version of its software.
         owners: Know who connects.
         ended: Called when it ends under a request.
 
@@ -116,12 +120,13 @@
         runner_id: str,
         service: str,
         slots: int,
+        version: str,
         owners: Owners,
         ended: Callable[[Runner], None],
     ) -> None:
         self.ended_s: float | None = None
         self.born_ms = int(time.time() * 1000)
-        self.stand_in = MortalStandIn(runner_id, slots, lambda: ended(self))
+        self.stand_in = MortalStandIn(runner_id, slots, version, lambda: ended(self))
         self.stand_in.__enter__()
         self.relay = Relay(self.stand_in.address, owners.note)
         self._owners = owners
@@ -206,8 +211,9 @@
             self._sequence += 1
             slots = self.stand_in.slots
             address = self.relay.address
+            version = self.stand_in.version
             body = words.beat(
-                address, self._sequence, self.service, slots, self.state, self.born_ms
+                address, self._sequence, self.service, slots, self.state, self.born_ms, version
             )
             control("POST", path, body)
 
@@ -224,6 +230,7 @@
 
     def __init__(self, count: int, seed: int, control: Control, owners: Owners) -> None:
         self._random = Random(f"{seed} runners")
+        self._versions = Random(f"{seed} versions")
         self._control = control
         self._owners = owners
         self._lock = threading.Lock()
@@ -341,7 +348,8 @@
         runner_id = runner_id or f"i-{self._made}"
         slots = self._random.randint(LEAST_SLOTS, MOST_SLOTS)
         service = words.SERVICES[number % len(words.SERVICES)]
-        return Runner(runner_id, service, slots, self._owners, self._ended)
+        version = self._versions.choice(VERSIONS)
+        return Runner(runner_id, service, slots, version, self._owners, self._ended)
 
     def _succeed(self, number: int, runner_id: str = "") -> None:
         self.gone.append(self.now[number])
--- a/deploy/soak/broken.py
+++ b/deploy/soak/broken.py
@@ -57,6 +57,12 @@
     SlowStart.is_full = lambda *_arguments: False  # type: ignore[method-assign]
 
 
+@_rule
+def _continue_anywhere() -> None:
+    """A stream goes on at any version of the runners' software."""
+    forwarding.RoutedRequest.version = property(lambda _routed: None)  # type: ignore[assignment, method-assign]
+
+
 @_rule
 def _end_what_was_cut() -> None:
     """An answer that broke off looks whole."""
--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -8,9 +8,10 @@
 
 import words
 from machines import CALLERS_PORT, Machine, Machines
-from records import OnlineRecord, Records
+from records import OnlineRecord, Records, StreamRecord
 
 from testbed.routed import RawCaller
+from testbed.routed.exchange import EVENTS_HEADER, RESUMABLE_FOLDER, WORK_MS_HEADER
 
 CALLER_PAUSE_S = 0.15
 KEEPER_PAUSE_S = 0.1
@@ -18,6 +19,9 @@
 """On a connection that is kept, between an answer and the next request."""
 
 CALL_TIMEOUT_S = 4.0
+EVENTS_OF_STREAM = 20
+STREAM_MS = 1_500
+STREAM_PATIENCE_S = 6.0
 BODY = b"ask"
 KINDS = ("once", "repeatable", "stream")
 
@@ -71,6 +75,20 @@
             finally:
                 caller.close()
 
+    def stream(self, random: Random) -> None:
+        """Read one long stream after the other; take up again elsewhere what broke off."""
+        while not self._is_over():
+            time.sleep(CALLER_PAUSE_S * random.random())
+            record = StreamRecord(f"s{random.getrandbits(48):012x}")
+            until_s = time.monotonic() + STREAM_PATIENCE_S
+            while not record.is_whole and time.monotonic() < until_s:
+                machine = random.choice(self._machines.of("gateway"))
+                _go_on(machine, record, f"t{random.getrandbits(48):012x}")
+                time.sleep(CALLER_PAUSE_S * random.random())
+            self._records.streamed(record)
+            if self._ending.is_set():
+                return
+
     def _is_over(self) -> bool:
         return self._calm.is_set() or self._ending.is_set()
 
@@ -95,6 +113,34 @@
         caller.close()
 
 
+def _go_on(machine: Machine, record: StreamRecord, request_id: str) -> None:
+    """Ask a gateway for a stream, or for what is missing of it."""
+    events = record.events
+    first = not events
+    headers = {
+        "Host": words.HOST,
+        words.REQUEST_ID: record.first_id if first else request_id,
+        words.DEADLINE_MS: "3000",
+        EVENTS_HEADER: str(EVENTS_OF_STREAM),
+        WORK_MS_HEADER: str(STREAM_MS),
+    }
+    if first:
+        record.first_id = headers[words.REQUEST_ID] = request_id
+    else:
+        headers |= {words.LAST_EVENT_ID: str(events[-1][0]), words.RESUMES: record.first_id}
+    try:
+        caller = _connect(machine)
+    except OSError:
+        return
+    try:
+        reply = caller.ask("POST", f"{RESUMABLE_FOLDER}x", headers, BODY)
+    except OSError:
+        return
+    finally:
+        caller.close()
+    record.took(reply.status, reply.body, EVENTS_OF_STREAM)
+
+
 def _ask_on(
     caller: RawCaller, request_id: str, target: str, body: bytes = BODY
 ) -> tuple[OnlineRecord, bool]:
--- a/deploy/soak/records.py
+++ b/deploy/soak/records.py
@@ -44,6 +44,56 @@
         self.body = body
 
 
+class StreamRecord:
+    """A stream over all tries of its caller.
+
+    Attributes:
+        first_id: Id of the try that brought its first event.
+        events: Number of each event that came, and the version that wrote it.
+        resumed: Tries to take it up again that were answered.
+        refused: Tries to take it up again that were refused.
+        is_whole: Whether its last event came.
+    """
+
+    __slots__ = ("events", "first_id", "is_whole", "refused", "resumed")
+
+    def __init__(self, first_id: str) -> None:
+        self.first_id = first_id
+        self.events: list[tuple[int, str]] = []
+        self.resumed = 0
+        self.refused = 0
+        self.is_whole = False
+
+    def took(self, status: int, body: bytes, events: int) -> None:
+        """Add what came of one try.
+
+        Args:
+            status: Status of the answer, 0 for none.
+            body: As much of its body as came.
+            events: Number of the last event of the whole stream.
+        """
+        if self.events and status:
+            self.resumed += status == OK
+            self.refused += status != OK
+        if status != OK:
+            return
+        for block in body.decode().split("\n\n")[:-1]:
+            fields = dict(line.split(": ", 1) for line in block.split("\n"))
+            self.events.append((int(fields["id"]), fields["data"].rpartition(" ")[2]))
+        self.is_whole = bool(self.events) and self.events[-1][0] >= events
+
+    def broken(self) -> list[str]:
+        """Return a line for each broken promise."""
+        versions = sorted({version for _, version in self.events})
+        numbers = [number for number, _ in self.events]
+        lines = []
+        if len(versions) > 1:
+            lines.append(f"stream {self.first_id} holds events of {versions}")
+        if numbers != list(range(1, len(numbers) + 1)):
+            lines.append(f"stream {self.first_id} has the events {numbers}")
+        return lines
+
+
 class LotRecord:
     """One batch job and what its client got.
 
@@ -150,6 +200,7 @@
     Attributes:
         online: Online requests and their ends.
         lots: Batch jobs.
+        streams: Streams that were taken up again where they broke off.
         acknowledged: Times and numbers of configurations.
         older_reads: Configurations that were read back though newer ones were in force.
         own_faults: Errors of the soak itself.
@@ -167,6 +218,7 @@
     def __init__(self) -> None:
         self.online: list[OnlineRecord] = []
         self.lots: list[LotRecord] = []
+        self.streams: list[StreamRecord] = []
         self.acknowledged: list[tuple[float, int]] = []
         self.older_reads: list[str] = []
         self.own_faults: list[str] = []
@@ -192,6 +244,11 @@
         with self.lock:
             self.online.append(record)
 
+    def streamed(self, record: StreamRecord) -> None:
+        """Take a stream, whole or given up."""
+        with self.lock:
+            self.streams.append(record)
+
     def configured(self, version: int, now_s: float) -> None:
         """Take the acknowledgement of a configuration."""
         with self.lock:
@@ -218,6 +275,8 @@
     broken += records.seen_broken
     for record in records.online:
         broken += _of_request(record, executions[record.request_id])
+    for stream in records.streams:
+        broken += stream.broken()
     for lot in records.lots:
         broken += _of_lot(lot, executions, whole_text)
     return broken
--- a/deploy/soak/traffic.py
+++ b/deploy/soak/traffic.py
@@ -24,6 +24,7 @@
 
 CALLERS = 3
 KEEPERS = 3
+STREAMERS = 6
 SUBMITTERS = 2
 SAMPLE_S = 0.5
 PROBE_TIMEOUT_S = 3.0
@@ -67,6 +68,7 @@
             *[self.lots.submit] * SUBMITTERS,
             *[self._callers.call] * CALLERS,
             *[self._callers.keep] * KEEPERS,
+            *[self._callers.stream] * STREAMERS,
         ]
         for number, work in enumerate(works):
             random = Random(f"{self._seed} {number}")
--- a/deploy/soak/words.py
+++ b/deploy/soak/words.py
@@ -5,7 +5,12 @@
 import base64
 import json
 
-from testbed.routed.exchange import BEHAVIOUR_HEADER, EVENTS_HEADER, WORK_MS_HEADER
+from testbed.routed.exchange import (
+    BEHAVIOUR_HEADER,
+    EVENTS_HEADER,
+    RESUMABLE_FOLDER,
+    WORK_MS_HEADER,
+)
 
 HOST = "app.example"
 SERVICE = "pool"
@@ -17,6 +22,8 @@
 EVENTS_OF_ITEM = 12
 WHOLE_TEXT = "\n".join(f"event {number}" for number in range(1, EVENTS_OF_ITEM + 1))
 BATCH_FOLDER = "/batch/"
+LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Leverjunction-Resumes"
 REPLACE_PATH = "/api/Config.Replace"
 READ_BACK_PATH = "/api/Config.Get"
 BEAT_PATH = "/api/Instances.Heartbeat/"
@@ -47,6 +54,7 @@
         del batch["Service"]
         split = [{"Service": name, "Weight": weight} for name, weight in shares.items()]
         routes.append({**batch, "TrafficSplit": split})
+    routes.append(_route("resumable", RESUMABLE_FOLDER, "streaming", Resumable=True))
     routes.append(_route("version", version_folder(version), "idempotent"))
     services = [{"Name": name, "HealthPath": "/health", "MaxConnections": 200} for name in SERVICES]
     return json.dumps({"Version": version, "Routes": routes, "Services": services}).encode()
@@ -63,10 +71,17 @@
 
 
 def beat(
-    address: str, sequence: int, service: str, slots: int, state: str, born_ms: int = 0
+    address: str,
+    sequence: int,
+    service: str,
+    slots: int,
+    state: str,
+    born_ms: int = 0,
+    version: str = "",
 ) -> bytes:
     """Return what a runner says of itself; ``born_ms`` is 0 if it doesn't tell when it started."""
     fields = {"Service": service, "Address": address, "Zone": "z1", "Slots": slots}
+    fields |= {"Version": version} if version else {}
     born = {"born": born_ms} if born_ms else {}
     return json.dumps({**fields, **born, "State": state, "Sequence": sequence}).encode()
 
--- a/src/testbed/routed/behaviours.py
+++ b/src/testbed/routed/behaviours.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from leverjunction.platform import headers as names
-from testbed.routed.exchange import BEHAVIOUR_HEADER, READ_BYTES, Exchange
+from testbed.routed.exchange import BEHAVIOUR_HEADER, READ_BYTES, RESUMABLE_FOLDER, Exchange
 
 NOT_RUN_HEADER = names.NOT_EXECUTED.decode()
 LONG_EVENTS = 2000
@@ -263,7 +263,7 @@
         asked = exchange.seen.headers.get(BEHAVIOUR_HEADER.lower(), "")
         if asked:
             await BEHAVIOURS[asked](exchange)
-        elif exchange.seen.target.startswith(("/stream/", "/batch/")):
+        elif exchange.seen.target.startswith(("/stream/", "/batch/", RESUMABLE_FOLDER)):
             await _stream(exchange)
         else:
             await asyncio.sleep(WORK_S)
--- a/src/testbed/routed/exchange.py
+++ b/src/testbed/routed/exchange.py
@@ -22,6 +22,9 @@
 stream takes, how it is to be answered by path, and which gate holds its first event back.
 """
 
+RESUMABLE_FOLDER = "/resumed/"
+"""Streams below it name in each event the version of the back end that wrote it."""
+
 OPEN_GATES: set[str] = set()
 """Names of the gates that are open; a stream without a gate never waits."""
 
@@ -78,7 +81,7 @@
 class Exchange:
     """One request and the means to answer it."""
 
-    __slots__ = ("_parser", "_reader", "_writer", "places", "seen")
+    __slots__ = ("_parser", "_reader", "_version", "_writer", "places", "seen")
 
     def __init__(
         self,
@@ -87,7 +90,9 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         places: asyncio.Semaphore,
+        version: str = "",
     ) -> None:
+        self._version = version
         self.seen = seen
         self.places = places
         self._parser = parser
@@ -146,7 +151,11 @@
     def events(self) -> list[bytes]:
         """Return the events that this request asked for."""
         first = int(self.seen.headers.get("last-event-id", "0")) + 1
-        return [b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(first, self._count() + 1)]
+        numbers = range(first, self._count() + 1)
+        if self.seen.target.startswith(RESUMABLE_FOLDER) and self._version:
+            version = self._version.encode()
+            return [b"id: %d\ndata: event %d %s\n\n" % (n, n, version) for n in numbers]
+        return [b"id: %d\ndata: event %d\n\n" % (n, n) for n in numbers]
 
     def pause_s(self) -> float:
         """Return the pause after each event."""
--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -122,7 +122,7 @@
                 self.seen.append(seen)
                 name = self._behaviour_for(seen)
                 seen.behaviour = name
-                exchange = Exchange(seen, parser, reader, writer, self._places)
+                exchange = Exchange(seen, parser, reader, writer, self._places, self.version)
                 reported = int(name not in ENDED_HERE)
                 self.under_way += reported
                 self.held.append(seen)
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -92,6 +92,28 @@
     assert len(records.broken_promises(seen, Counter(), WHOLE)) == broken
 
 
+@pytest.mark.parametrize(
+    ("tries", "broken"),
+    [
+        (["1 v1,2 v1", "3 v1"], 0),
+        (["1 v1,2 v1", "3 v1.1"], 1),
+        (["1 v1,2 v1.1"], 1),
+        (["1 v1", "3 v1"], 1),
+        (["1 v1,2 v1", "2 v1"], 1),
+    ],
+    ids=["one version", "another gateway", "one answer", "one is missing", "one twice"],
+)
+def test_what_a_stream_that_is_taken_up_again_may_hold(tries: list[str], broken: int) -> None:
+    seen = records.Records()
+    stream = records.StreamRecord("s")
+    for events in tries:
+        parts = [item.split() for item in events.split(",")]
+        body = "".join(f"id: {number}\ndata: event {number} {text}\n\n" for number, text in parts)
+        stream.took(200, body.encode(), 3)
+    seen.streamed(stream)
+    assert len(records.broken_promises(seen, Counter(), WHOLE)) == broken
+
+
 def test_an_item_that_is_not_whole_and_a_refused_job_that_ran_are_told() -> None:
     seen = records.Records()
     spoilt, refused, unsure = (records.LotRecord(name, 1) for name in ("a", "b", "c"))
@@ -393,6 +415,17 @@
     assert re.search(r"runners ended by each: \[[1-9]", done.stdout), done.stdout
 
 
+CUT_STREAMS = ("--minutes", "0.1", "--seed", "48", "--closing", "none")
+CUT_BY = ("--only", "process killed,connections reset,runner reborn")
+
+
+@pytest.mark.parametrize("rule", ["", "continue_anywhere"])
+def test_a_stream_goes_on_at_the_version_that_began_it(rule: str) -> None:
+    done = run(*CUT_STREAMS, *CUT_BY, *(("--rule", rule) if rule else ()))
+    told = re.search(r"stream \w+ holds events of \['v1', 'v1.1'\]", done.stdout)
+    assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
+
+
 def test_items_that_nothing_works_on_are_told_with_their_runs() -> None:
     rule = ("--rule", "leave_what_was_cut", "--only", "connections reset", "--closing", "none")
     done = run("--minutes", "0.1", "--seed", "4", "--ebb", "0", *rule)
