Gateway: a lost run is logged with the parts of its prompt

The line run_lost named the request, the back end and its version, but not what requests that are not alike have in common. It now has the ids of the first 16 parts.

--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -34,6 +34,9 @@
 """Length at which an id that a caller chose is cut off."""
 
 
+MAX_LOGGED_PARTS = 16
+
+
 class DecisionLine(msgspec.Struct, omit_defaults=True):
     """A decision about one request, with the data that it is based on.
 
@@ -52,6 +55,7 @@
         version: Version of that back end's software.
         origin: Version that began the stream, if the request continues one.
         resumes: The caller's id of the attempt that began the stream.
+        parts: Ids of the parts of the prompt, the first ones.
         request_key: Key shared by all attempts with the same request content.
         load: Estimated requests at the back end when it was chosen.
         load_age_ms: Age of the back end's last load report, in milliseconds; None if there was
@@ -75,6 +79,7 @@
     version: str = ""
     origin: str = ""
     resumes: str = ""
+    parts: tuple[str, ...] = ()
     request_key: str = ""
     load: float = 0.0
     load_age_ms: int | None = None
@@ -221,6 +226,9 @@
                 runner_id=runner.start,
                 version=runner.version,
                 origin=routed.version or "",
+                parts=tuple(
+                    part.key[:MAX_LOGGED_ID] for part in routed.metadata.parts[:MAX_LOGGED_PARTS]
+                ),
                 request_key=request_key(request_content(routed.request)),
                 execution=failure.execution.value,
                 step=failure.step.value,
