Gateway: a part of prompts that crashes back ends is refused

Callers lost requests to back ends that crashed one after the other: up to 21 in half a minute. Cause: evidence was kept by the whole request, or the whole declared prompt. Requests with one part in common, no two alike, share no key, so each was a new one and no verdict was ever reached.

A run that is lost early to a crash now also counts against each part of its prompt but the last, by caller and route, with the evidence that is replicated already; three crashes are a verdict. A part that got a complete response at this gateway in the last 10 s is not accused, and a complete response clears it everywhere, so the parts that sound requests share stay sound. Back ends that crash together count once at a gateway. Of parts that came together each time, one alone does not get a request refused: it runs with care until the answer tells. Items of batch jobs are not judged by parts.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -15,6 +15,7 @@
 
 from leverjunction.proxy.dialect import RawHeaders, RequestMetadata
 from leverjunction.proxy.headers import find
+from leverjunction.quarantine.prompt_parts import MAX_PARTS, PartId
 from leverjunction.quarantine.request_key import RequestContent
 from leverjunction.routes.types import RequestLimits
 
@@ -73,6 +74,13 @@
     return RequestContent(host, request.method, request.target, b"", b"")
 
 
+def request_parts(request: CallerRequest, route: str) -> tuple[PartId, ...]:
+    """Return the parts of a request's prompt that others may share, which is all but the last."""
+    credentials = find(request.headers, b"authorization") or b""
+    parts = request.metadata.parts[:-1][:MAX_PARTS]
+    return tuple((route, credentials, part.key) for part in parts)
+
+
 def request_content(request: CallerRequest) -> RequestContent:
     """Return the parts of a request that are the same when its caller sends it again."""
     credentials = find(request.headers, b"authorization") or b""
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -36,6 +36,7 @@
 from leverjunction.proxy.routed_request import RoutedRequest
 from leverjunction.proxy.runner_connection import ResponseEnd, ResponseHead
 from leverjunction.proxy.stream_origins import StreamOrigins, stream_key
+from leverjunction.quarantine.prompt_parts import is_part_key
 from leverjunction.registry.origins import StreamOrigin
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass
@@ -153,8 +154,8 @@
             )
             raise
         finally:
-            for start in routed.trials:
-                self._quarantine.trial_ended(routed.key, start)
+            for key, start in routed.trials:
+                self._quarantine.trial_ended(key, start)
 
     def _no_route(self, host: str, path: str) -> Failure:
         """Return NOT_FOUND only while the table is recent enough to be in force."""
@@ -235,8 +236,10 @@
         return refusal
 
     def _clear_suspect(self, routed: RoutedRequest) -> None:
-        """Clear a suspect request, which has now been answered completely."""
-        if routed.key or self._quarantine.find(routed.request):
+        """Clear a suspect request, which has now been answered completely, and its parts."""
+        self._quarantine.parts_answered(routed.request, routed.route.name)
+        is_suspect = bool(routed.key) and not is_part_key(routed.key)
+        if is_suspect or self._quarantine.find(routed.request):
             self._quarantine.answered(routed.request)
 
     def _admission_ticket(self, routed: RoutedRequest) -> Ticket:
--- a/src/leverjunction/proxy/quarantine.py
+++ b/src/leverjunction/proxy/quarantine.py
@@ -14,8 +14,14 @@
 from loguru import logger
 
 from leverjunction.errors import Execution, Failure, FailureKind, is_failure
-from leverjunction.proxy.caller_connection import CallerRequest, request_address, request_content
+from leverjunction.proxy.caller_connection import (
+    CallerRequest,
+    request_address,
+    request_content,
+    request_parts,
+)
 from leverjunction.quarantine.crash_detector import CrashDetector
+from leverjunction.quarantine.prompt_parts import ProvenParts, judge, part_key
 from leverjunction.quarantine.records import EndedRun, SuspectList, SuspectRecord
 from leverjunction.quarantine.request_key import all_keys
 from leverjunction.quarantine.suspects import Suspects
@@ -74,6 +80,7 @@
         "_loop",
         "_occupied",
         "_probes",
+        "_proven",
         "_records",
         "_report",
         "_runners",
@@ -85,6 +92,7 @@
     def __init__(self, report: EvidenceReporter | None = None) -> None:
         self._report = report
         self._suspects = Suspects()
+        self._proven = ProvenParts()
         self._crash_detector = CrashDetector()
         self._records: dict[str, RunnerRecord] = {}
         self._runners: dict[str, RunnerRecord] = {}
@@ -104,6 +112,58 @@
             return ""
         return self._suspects.find(request_content(request))
 
+    def judge_parts(self, request: CallerRequest, route: str) -> tuple[str, Standing]:
+        """Return the accused part of an online request's prompt, and how to treat the request.
+
+        Args:
+            request: The request.
+            route: Name of its route.
+
+        Returns:
+            The key of the part, empty if no part is accused, and the treatment.
+        """
+        accused = self._suspects.parts
+        if not accused:
+            return "", Standing.SOUND
+        self.expire()
+        now_s = self._loop.time()
+        own = {part_key(part): part for part in request_parts(request, route)}
+        for key in own.keys() & accused:
+            if self._proven.has(own[key], now_s):
+                self._clear_part(key)
+        accused = self._suspects.parts
+        if not own.keys() & accused:
+            return "", Standing.SOUND
+        return judge(own.keys(), {key: self._suspects.early_starts(key) for key in accused})
+
+    def parts_answered(self, request: CallerRequest, route: str) -> None:
+        """Record a complete response, which clears all parts of its prompt."""
+        parts = request_parts(request, route)
+        self._proven.add(parts, self._loop.time())
+        if self._suspects.parts:
+            for key in self._suspects.parts.intersection(part_key(part) for part in parts):
+                self._clear_part(key)
+
+    def _clear_part(self, key: str) -> None:
+        self._suspects.answered(key)
+        logger.info("{} cleared by a complete response", key)
+        if self._report is not None:
+            self._report.answered(key)
+
+    def _accused_parts(self, request: CallerRequest, route: str, sent_s: float) -> list[str]:
+        """Return the keys of the parts that a crash early in a run counts against."""
+        now_s = self._loop.time()
+        keys = []
+        for part in request_parts(request, route):
+            if self._proven.has(part, now_s):
+                continue
+            key = part_key(part)
+            own = self._suspects.own(key)
+            # Back ends that crash together, as in a power failure, count once.
+            if own is None or own.seen_s < sent_s:
+                keys.append(key)
+        return keys
+
     def standing(self, key: str) -> Standing:
         """Return how the request with a key from ``find`` is to be treated."""
         return self._suspects.standing(key) if key else Standing.SOUND
@@ -164,6 +224,7 @@
         runner: RunnerRecord,
         *,
         ran_on: bool,
+        sent_s: float | None = None,
     ) -> None:
         """Record a run that its back end broke off after receiving the whole request.
 
@@ -173,6 +234,8 @@
             request_id: The caller's id of this attempt.
             runner: The back end's record at the time of sending.
             ran_on: Whether the response had been arriving for a while (``verdicts.ran_on``).
+            sent_s: When the request was sent, in the loop's seconds; None if the parts of its
+                prompt are not to be judged.
         """
         current = self._runners.get(runner.runner_id, runner if not self._runners else None)
         if current is None or current.state is RunnerState.LEAVING:
@@ -180,7 +243,10 @@
             return
         self._records[runner.start] = runner
         ended: list[EndedRun] = []
-        for key in all_keys(request_content(request)):
+        keys = list(all_keys(request_content(request)))
+        if sent_s is not None and not ran_on:
+            keys += self._accused_parts(request, route, sent_s)
+        for key in keys:
             run = EndedRun(
                 key=key, start=runner.start, route=route, request_id=request_id, ran_on=ran_on
             )
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -23,7 +23,8 @@
 from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.routed_request import RoutedRequest
 from leverjunction.proxy.tracked_runner import TrackedRunner
-from leverjunction.quarantine.verdicts import Standing, ran_on
+from leverjunction.quarantine.prompt_parts import is_part_key
+from leverjunction.quarantine.verdicts import SEVERITY, Standing, ran_on
 from leverjunction.routes.types import Route
 
 MAX_DECLINES = 4
@@ -113,7 +114,7 @@
         runner = choice.runner
         routed.tried.add(runner.record.start)
         routed.first_output_s = None
-        sent_s = self._loop.time()
+        routed.sent_s = sent_s = self._loop.time()
         response = await self._sender.begin(
             Dispatch(
                 routed.request,
@@ -186,9 +187,10 @@
 
     def quarantine_refusal(self, routed: RoutedRequest) -> Failure | None:
         """Return the refusal of a request that has crashed too many back ends, otherwise None."""
-        key = routed.key or self._quarantine.find(routed.request)
-        standing = self._quarantine.standing(key)
+        key, standing = self._judge(routed)
         if standing is Standing.SOUND:
+            if is_part_key(routed.key):
+                routed.key = ""
             return None
         routed.key = key
         if standing is Standing.REFUSED:
@@ -198,6 +200,16 @@
             return suspect_under_way(routed.execution)
         return None
 
+    def _judge(self, routed: RoutedRequest) -> tuple[str, Standing]:
+        """Return the key under which a request is suspect, and how to treat it."""
+        known = "" if is_part_key(routed.key) else routed.key
+        key = known or self._quarantine.find(routed.request)
+        standing = self._quarantine.standing(key)
+        part, part_standing = self._quarantine.judge_parts(routed.request, routed.route.name)
+        if SEVERITY[part_standing] > SEVERITY[standing]:
+            return part, part_standing
+        return key, standing
+
     async def run_lost(
         self, routed: RoutedRequest, runner: TrackedRunner, failure: Failure
     ) -> None:
@@ -212,6 +224,7 @@
             routed.metadata.request_id,
             runner.record,
             ran_on=ran_on(routed.first_output_s, self._loop.time()),
+            sent_s=routed.sent_s,
         )
         if routed.may_run_again:
             await self._quarantine.wait_for_probe(runner.record)
@@ -227,7 +240,7 @@
         choice = self._balancer.choose_least_loaded(routed.service, avoided, now_s, routed.version)
         if choice is not None:
             start = choice.runner.record.start
-            routed.trials.append(start)
+            routed.trials.append((routed.key, start))
             self._quarantine.trial_started(routed.key, start)
         return choice
 
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -26,8 +26,10 @@
         tried: Ids and starts of the back ends that it was sent to.
         runs: Number of back ends on which it may have run.
         execution: Whether a back end may have run the request.
-        key: Key of the request while it is suspected of crashing back ends, else empty.
-        trials: Ids and starts of the back ends that it was sent to as a suspect.
+        key: Key of the request, or of a part of its prompt, while it is suspected of crashing back
+            ends, else empty.
+        trials: Key, and id and start of the back end, of each time it was sent as a suspect.
+        sent_s: When it was last sent, in the loop's seconds.
         first_output_s: Time of the first part of the response body in the last run, in the loop's
             seconds; None until it arrives.
     """
@@ -42,6 +44,7 @@
         "request",
         "route",
         "runs",
+        "sent_s",
         "service",
         "stream",
         "table_version",
@@ -72,7 +75,8 @@
         self.runs = 0
         self.execution = Execution.NOT_RUN
         self.key = ""
-        self.trials: list[str] = []
+        self.trials: list[tuple[str, str]] = []
+        self.sent_s = 0.0
         self.first_output_s: float | None = None
 
     def note_run(self) -> None:
--- a/src/leverjunction/quarantine/suspects.py
+++ b/src/leverjunction/quarantine/suspects.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Iterable, Iterator
 
+from leverjunction.quarantine.prompt_parts import is_part_key
 from leverjunction.quarantine.records import EndedRun, SuspectList, SuspectRecord
 from leverjunction.quarantine.request_key import (
     PATH_DIGITS,
@@ -56,16 +57,22 @@
 class Suspects:
     """Combines the registry's evidence with the process's own. Not thread-safe."""
 
-    __slots__ = ("_own", "_paths", "_reported")
+    __slots__ = ("_own", "_parts", "_paths", "_reported")
 
     def __init__(self) -> None:
         self._reported: dict[str, SuspectRecord] = {}
         self._own: dict[str, OwnEvidence] = {}
         self._paths: frozenset[str] = frozenset()
+        self._parts: frozenset[str] = frozenset()
+
+    @property
+    def parts(self) -> frozenset[str]:
+        """Keys of the accused parts of prompts (``prompt_parts``)."""
+        return self._parts
 
     @property
     def is_empty(self) -> bool:
-        """Whether there are no suspect requests."""
+        """Whether there are no suspect requests; parts of prompts do not count."""
         return not self._paths
 
     def replace(self, reported: SuspectList) -> None:
@@ -146,6 +153,11 @@
         """Return how the request with this key is to be treated."""
         return standing_of(self.crashes(key))
 
+    def early_starts(self, key: str) -> set[str]:
+        """Return the starts that crashed early in runs of the request or part with this key."""
+        known = (self._reported.get(key), self._own.get(key))
+        return {start for item in known if item is not None for start in item.starts}
+
     def crashes(self, key: str) -> int:
         """Return how many crashes count against the request with this key."""
         starts: set[str] = set()
@@ -168,7 +180,9 @@
         return len(keys), refused
 
     def _index_paths(self) -> None:
-        self._paths = frozenset(key[:PATH_DIGITS] for key in (*self._reported, *self._own))
+        keys = (*self._reported, *self._own)
+        self._parts = frozenset(key for key in keys if is_part_key(key))
+        self._paths = frozenset(key[:PATH_DIGITS] for key in keys if not is_part_key(key))
 
 
 __all__ = ["OWN_EVIDENCE_TTL_S", "OwnEvidence", "Suspects"]
--- a/src/leverjunction/quarantine/verdicts.py
+++ b/src/leverjunction/quarantine/verdicts.py
@@ -76,6 +76,9 @@
     REFUSED = "refused"
 
 
+SEVERITY = {standing: number for number, standing in enumerate(Standing)}
+
+
 def evidence_of(starts: int, late_starts: int) -> int:
     """Return how many crashes count against a request.
 
@@ -158,6 +161,7 @@
 __all__ = [
     "LATE_STARTS_PER_START",
     "REFUSAL_THRESHOLD",
+    "SEVERITY",
     "Standing",
     "eviction_weight",
     "evidence_of",
