Soak: callers whose prompts share a part that ends runners

A fault of its own, "deadly part", in soaks that name it: 70 requests, no two alike, every other one with a part that ends each runner which begins it, all with the same first part. More than three runs later than 3 s after the fifth end is a broken promise, and so is a sound request that is refused for good.

--- a/deploy/soak/backends.py
+++ b/deploy/soak/backends.py
@@ -158,8 +158,9 @@
         self.relay.close()
 
     def deadly(self, body: bytes) -> list[float]:
-        """Return when it began requests with a deadly body, in monotonic seconds."""
-        return [seen.began_s for seen in self._own(self.stand_in.seen[:]) if seen.body == body]
+        """Return when it began requests whose bodies begin so, in monotonic seconds."""
+        own = self._own(self.stand_in.seen[:])
+        return [seen.began_s for seen in own if seen.body.startswith(body)]
 
     def executions(self) -> list[str]:
         """Return the ids that it ran, those sent to another one left out."""
@@ -265,7 +266,7 @@
                 self._succeed(number, old.stand_in.runner_id)
 
     def deadly(self, body: bytes) -> list[float]:
-        """Return when any runner began requests with a deadly body, oldest first."""
+        """Return when any runner began requests whose bodies begin so, oldest first."""
         return sorted(began_s for runner in self.all() for began_s in runner.deadly(body))
 
     def _ended(self, runner: Runner) -> None:
--- a/deploy/soak/broken.py
+++ b/deploy/soak/broken.py
@@ -57,6 +57,12 @@
     SlowStart.is_full = lambda *_arguments: False  # type: ignore[method-assign]
 
 
+@_rule
+def _judge_no_parts() -> None:
+    """Back ends that crash under requests with a part in common are not held against it."""
+    suspects.Suspects.parts = property(lambda _self: frozenset())  # type: ignore[assignment, method-assign]
+
+
 @_rule
 def _continue_anywhere() -> None:
     """A stream goes on at any version of the runners' software."""
--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -101,14 +101,16 @@
         return kept
 
 
-def ask(machine: Machine, request_id: str, target: str, body: bytes = BODY) -> OnlineRecord:
-    """Send one request to a gateway; return what came."""
+def ask(
+    machine: Machine, request_id: str, target: str, body: bytes = BODY, parts: str = ""
+) -> OnlineRecord:
+    """Send one request to a gateway, with the parts of its prompt if any; return what came."""
     try:
         caller = _connect(machine)
     except OSError:
         return OnlineRecord(request_id, "", target, 0, False, b"")
     try:
-        return _ask_on(caller, request_id, target, body)[0]
+        return _ask_on(caller, request_id, target, body, parts)[0]
     finally:
         caller.close()
 
@@ -142,10 +144,11 @@
 
 
 def _ask_on(
-    caller: RawCaller, request_id: str, target: str, body: bytes = BODY
+    caller: RawCaller, request_id: str, target: str, body: bytes = BODY, parts: str = ""
 ) -> tuple[OnlineRecord, bool]:
     """Send one request on a connection; return what came, and whether it can be used again."""
     headers = {"Host": words.HOST, words.REQUEST_ID: request_id, words.DEADLINE_MS: "3000"}
+    headers |= {words.PROMPT_PREFIX: parts} if parts else {}
     try:
         reply = caller.ask("POST", target, headers, body)
     except OSError:
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -38,9 +38,17 @@
 BAD_LOTS = (1, 1, 2, 3)
 """Jobs with bad items that are sent at once."""
 
-ONLY_NAMED = frozenset({"bad items"})
+ONLY_NAMED = frozenset({"bad items", "deadly part"})
 """Kinds that strike only in a soak that names them, so that seeds strike what they always did."""
 
+PART_TRIES = 70
+BAD_OF_PARTS = 2
+"""One request in so many has the deadly part."""
+
+PART_ENOUGH = 5
+PART_PAUSE_S = (0.02, 0.1)
+HARMFUL_STATUS = 400
+
 LATE_RUNS = 3
 """Runs after that which are borne."""
 
@@ -376,6 +384,36 @@
         )
 
 
+@_fault("deadly part")
+def _deadly_part(scene: Scene) -> None:
+    """Callers send prompts, no two alike, of which one part ends each runner that begins one.
+
+    Others share the first part with them, and their caller.
+    """
+    first, bad = (f"{scene.random.getrandbits(32):08x}" for _ in range(2))
+    body = words.DEADLY + bad.encode()
+    kind = scene.random.choice(("once", "repeatable", "stream"))
+    late = 0
+    for number in range(PART_TRIES):
+        is_bad = number % BAD_OF_PARTS == 0
+        began = scene.traffic.backends.deadly(body)
+        known = len(began) >= PART_ENOUGH and time.monotonic() - began[PART_ENOUGH - 1] > KNOWN_S
+        in_touch = scene.is_in_touch()
+        middle = bad if is_bad else f"c{number % 5}"
+        sent = body + b" %d" % number if is_bad else b"ask"
+        parts = f"{first}:100,{middle}:50,{number:x}:10"
+        status = scene.traffic.ask_with_parts(kind, sent, parts, scene.random)
+        if is_bad and known and in_touch and scene.is_in_touch():
+            late += len(scene.traffic.backends.deadly(body)) - len(began)
+        if not is_bad and status == HARMFUL_STATUS:
+            scene.traffic.note_broken(f"a sound request beside part {bad} was refused for good")
+        scene.last(*PART_PAUSE_S)
+    if late > LATE_RUNS:
+        scene.traffic.note_broken(
+            f"a part ended {late} runners more, {KNOWN_S:.0f} s after it had ended {PART_ENOUGH}"
+        )
+
+
 @_fault("bad items")
 def _bad_items(scene: Scene) -> None:
     """Clients send batch jobs of which one in ten items ends each runner that begins it."""
--- a/deploy/soak/hands.py
+++ b/deploy/soak/hands.py
@@ -20,6 +20,7 @@
     "starts": (1, 1.0, 6.0),
     "deadly requests": (1, 2.0, 8.0),
     "bad items": (1, 2.0, 16.0),
+    "deadly part": (1, 0.2, 0.6),
 }
 """How many hands strike from a list, and the shortest and longest pause of each between two blows,
 in seconds.
--- a/deploy/soak/traffic.py
+++ b/deploy/soak/traffic.py
@@ -125,6 +125,15 @@
         record.kind = kind
         self._records.answered(record)
 
+    def ask_with_parts(self, kind: str, body: bytes, parts: str, random: Random) -> int:
+        """Send a request that declares the parts of its prompt; return the status."""
+        machine = random.choice(self._machines.of("gateway"))
+        request_id = f"p{random.getrandbits(48):012x}"
+        record = ask(machine, request_id, f"/{kind}/{request_id}", body, parts)
+        record.kind = kind
+        self._records.answered(record)
+        return record.status
+
     def note_broken(self, line: str) -> None:
         """Note a broken promise that was seen while faults struck."""
         self._records.seen_broken.append(line)
--- a/deploy/soak/words.py
+++ b/deploy/soak/words.py
@@ -24,6 +24,7 @@
 BATCH_FOLDER = "/batch/"
 LAST_EVENT_ID = "Last-Event-Id"
 RESUMES = "Leverjunction-Resumes"
+PROMPT_PREFIX = "Leverjunction-Prompt-Prefix"
 REPLACE_PATH = "/api/Config.Replace"
 READ_BACK_PATH = "/api/Config.Get"
 BEAT_PATH = "/api/Instances.Heartbeat/"
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -415,6 +415,16 @@
     assert re.search(r"runners ended by each: \[[1-9]", done.stdout), done.stdout
 
 
+PART = ("--minutes", "0.3", "--seed", "49", "--closing", "none", "--only", "deadly part")
+
+
+@pytest.mark.parametrize("rule", ["", "judge_no_parts"])
+def test_a_part_that_ends_runners_is_stopped_and_sound_requests_go_on(rule: str) -> None:
+    done = run(*PART, *(("--rule", rule) if rule else ()))
+    told = re.search(r"a part ended \d+ runners more", done.stdout)
+    assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
+
+
 CUT_STREAMS = ("--minutes", "0.1", "--seed", "48", "--closing", "none")
 CUT_BY = ("--only", "process killed,connections reset,runner reborn")
 
