Test: streams that come without a length, online and as items

A table of answers that end with their connection: whole, ended inside an event, and reset. An item is whole only at the end of an event and goes on after its last one; a resumable stream is relayed whole, one that may run once is broken off.

--- a/src/testbed/routed/behaviours.py
+++ b/src/testbed/routed/behaviours.py
@@ -200,6 +200,45 @@
     exchange.reset()
 
 
+def _begin_without_length(exchange: Exchange) -> None:
+    exchange.raw(b"HTTP/1.1 200 OK\r\n")
+    fields = [*exchange.headers(), ("Content-Type", "text/event-stream"), ("Connection", "close")]
+    for name, value in fields:
+        exchange.raw(f"{name}: {value}\r\n".encode())
+    exchange.raw(b"\r\n")
+
+
+@behaviour("stream without length")
+async def _stream_without_length(exchange: Exchange) -> None:
+    _begin_without_length(exchange)
+    for event in exchange.events():
+        exchange.raw(event)
+        await exchange.flush()
+        await asyncio.sleep(exchange.pause_s())
+    exchange.close()
+
+
+@behaviour("stream without length, ends in an event")
+async def _stream_without_length_cut(exchange: Exchange) -> None:
+    _begin_without_length(exchange)
+    events = exchange.events()
+    for piece in (*events[:1], *(event[:9] for event in events[1:2])):
+        exchange.raw(piece)
+    await exchange.flush()
+    await asyncio.sleep(0.05)
+    exchange.close()
+
+
+@behaviour("stream without length, reset")
+async def _stream_without_length_reset(exchange: Exchange) -> None:
+    _begin_without_length(exchange)
+    for event in exchange.events()[:1]:
+        exchange.raw(event)
+    await exchange.flush()
+    await asyncio.sleep(0.05)
+    exchange.reset()
+
+
 @behaviour("stream that stops")
 async def _stream_stops(exchange: Exchange) -> None:
     exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -476,3 +476,21 @@
     store.propose(encode_command(RecordRuns(progress=(other,))), 1.0)
     wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)})
     assert back_end.seen[-1].headers["last-event-id"] == "2"
+
+
+@pytest.mark.usefixtures("runner")
+@pytest.mark.parametrize(
+    ("behaviour", "continued"),
+    [
+        ("stream without length", None),
+        ("stream without length, ends in an event", "1"),
+        ("stream without length, reset", "1"),
+    ],
+)
+def test_an_output_without_length_is_whole_only_at_the_end_of_an_event(
+    store: OneStore, back_end: RunnerStandIn, behaviour: str, continued: str | None
+) -> None:
+    back_end.then(behaviour)
+    submit(store, 1)
+    wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)})
+    assert back_end.seen[-1].headers.get("last-event-id") == continued
--- a/tests/unit/test_proxy_contract.py
+++ b/tests/unit/test_proxy_contract.py
@@ -348,3 +348,43 @@
     assert 500 in statuses
     assert statuses.count(500) <= 4
     assert len(first.seen) == statuses.count(500)
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        "stream without length",
+        "stream without length, ends in an event",
+        "stream without length, reset",
+    ],
+)
+def test_a_resumable_stream_without_length_is_relayed_whole(
+    first: RunnerStandIn, second: RunnerStandIn, behaviour: str
+) -> None:
+    for runner in (first, second):
+        runner.usual = "stream"
+    first.then(behaviour)
+    with Proxy(make_full_table(), [first, second]) as proxy:
+        replies = [proxy.ask(RESUMABLE) for _ in range(6)]
+    assert behaviour in {seen.behaviour for seen in first.seen}
+    assert {(reply.status, reply.complete, reply.body) for reply in replies} == {
+        (200, True, WHOLE_STREAM)
+    }
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "is_complete"),
+    [
+        ("stream without length", True),
+        ("stream without length, ends in an event", False),
+        ("stream without length, reset", False),
+    ],
+)
+def test_a_stream_without_length_that_may_run_once_is_not_completed(
+    proxy: Proxy, first: RunnerStandIn, behaviour: str, is_complete: bool
+) -> None:
+    first.then(behaviour)
+    reply = proxy.ask(STREAM)
+    assert reply.complete is is_complete
+    assert WHOLE_STREAM.startswith(reply.body)
+    assert (reply.body == WHOLE_STREAM) is is_complete
