Batch: an item does not wait for a version of which only silent back ends are left

Cause, in the fix of the items' versions: where no back end of a version is ready, the balancer offers its silent ones, which is right for a request that has no other choice. Items were limited to these, and a suspect that waits for an idle back end is not among those that begin anew after a while.

--- a/src/leverjunction/lots/continuation.py
+++ b/src/leverjunction/lots/continuation.py
@@ -67,17 +67,19 @@
             if len(self._history.ever(service)) > 1:
                 run.begin_anew(UNKNOWN)
             return Placing(service)
-        runners = self._balancer.available(origin.service, origin.version)
+        # Not ``available(service, version)``: a silent back end may be all that it offers.
+        available = self._balancer.available(origin.service)
+        runners = [runner for runner in available if runner.record.version == origin.version]
         is_routed = any(part.service == origin.service for part in route.services)
         if not runners or not is_routed:
             run.begin_anew(f"no back end of version {origin.version!r} of {origin.service} is left")
             return Placing(draw(route))
-        if len(runners) == len(self._balancer.available(origin.service)):
+        if len(runners) == len(available):
             return Placing(origin.service)
         return Placing(origin.service, {runner.record.start for runner in runners})
 
     def wait(self, run: ItemRun, now_s: float) -> None:
-        """Record that no back end of an item's version has room, while others of its service have.
+        """Record that no back end of an item's version can take it, while others may.
 
         After ``VERSION_PATIENCE_S`` the item begins anew.
         """
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -463,6 +463,8 @@
                 runner = self._isolation.pick_runner(run, service, self._loads, placing.may_use)
                 if runner is not None:
                     self._start_placed(run, runner)
+                elif placing.starts is not None:
+                    self._continuation.wait(run, asyncio.get_running_loop().time())
                 continue
             runner = self._pick_shared(run, placing) if service in with_capacity else None
             if runner is not None:
--- a/tests/unit/test_lots_versions.py
+++ b/tests/unit/test_lots_versions.py
@@ -7,6 +7,7 @@
 from contextlib import ExitStack
 from random import Random
 
+import msgspec
 import pytest
 from tests.unit.seeded_support import wait_until
 from tests.unit.test_lots_runner import WHOLE_TEXT, OneStore, submit
@@ -16,8 +17,9 @@
 from leverjunction.lots.commands import ItemProgress, RecordRuns, encode_command
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.platform.headers import PlatformDialect
+from leverjunction.quarantine.records import SuspectList, SuspectRecord
 from leverjunction.registry.follower import Snapshot
-from leverjunction.registry.records import FleetView, RunnerRecord
+from leverjunction.registry.records import FleetView, RunnerRecord, RunnerState
 from leverjunction.routes import RouteClass
 from testbed.routed import SERVICE, RunnerStandIn, make_route, make_table
 
@@ -177,3 +179,47 @@
     wait_until(lambda: store.results() == DONE, 15.0)
     assert continued(new) == []
     assert time.monotonic() - began_s < 12.0
+
+
+def test_an_item_does_not_wait_for_a_version_whose_back_ends_are_silent(
+    stack: ExitStack, store: OneStore
+) -> None:
+    old, new = start_runners(stack, OLD, NEW)
+    old.then(STOPS)
+    lots = start(stack, store, [old])
+    submit(store, 1)
+    wait_until(lambda: has_progress(store))
+    lots.stop()
+    began_s = time.monotonic()
+    lots = LotsRunner(store, "z", PlatformDialect(), SystemClock(), Random(1))
+    store.runner = lots
+    known = snapshot([new, old])
+    silent = msgspec.structs.replace(known.view.runners[1], state=RunnerState.SILENT)
+    view = FleetView(revision=1, runners=(known.view.runners[0], silent))
+    lots.set_registry(Snapshot(known.table, view))
+    lots.start()
+    stack.callback(lots.stop)
+    wait_until(lambda: store.results() == DONE, 3.0)
+    assert continued(new) == []
+    assert time.monotonic() - began_s < 3.0
+
+
+def test_a_suspect_that_waits_for_an_idle_back_end_begins_anew_elsewhere(
+    stack: ExitStack, store: OneStore
+) -> None:
+    old, new = start_runners(stack, OLD, NEW)
+    old.then(STOPS)
+    lots = start(stack, store, [old])
+    submit(store, 1)
+    wait_until(lambda: has_progress(store))
+    lots.stop()
+    old.online = 2
+    lots = LotsRunner(store, "z", PlatformDialect(), SystemClock(), Random(1))
+    store.runner = lots
+    suspect = SuspectRecord(key="a" * 48, starts=("i-8", "i-9"), request_id="item-0", route="batch")
+    suspects = SuspectList(revision=1, suspects=(suspect,))
+    known = snapshot([new, old])
+    lots.set_registry(Snapshot(known.table, known.view, suspects))
+    lots.start()
+    stack.callback(lots.stop)
+    wait_until(lambda: store.results() == DONE, 15.0)
