Registry: a start under a known id does not erase the former version

Trace: the last back end of v1 crashed and started again under its id as v1.1, which replaces its record; a gateway that started two seconds later found v1.1 to be the only version, now and in the records of ended back ends, and went on there ("origin: only version"), while the others, which had seen v1, refused.

A record that is replaced by one of another version leaves that version among the ended ones. A version that is only now reported by a start is none that ended.

--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -116,9 +116,20 @@
     known = tables.record(RUNNER, record.runner_id, RunnerRecord)
     if known is None or _supersedes(record, known, change.shown_alive):
         tables.put(RUNNER, record.runner_id, record)
+        if known is not None and _replaces_version(record, known):
+            # Streams of the former version may still be continued; its record is replaced.
+            gone = msgspec.structs.replace(known, state=RunnerState.GONE)
+            tables.put(RUNNER, f"{known.runner_id} {known.version}", gone)
+            tables.prune_gone_runners()
     return commands.Done()
 
 
+def _replaces_version(record: RunnerRecord, known: RunnerRecord) -> bool:
+    """Return whether a record is of another version; one that was not reported before is not."""
+    is_reported_late = record.start == known.start and not known.version
+    return record.version != known.version and not is_reported_late
+
+
 def _supersedes(record: RunnerRecord, known: RunnerRecord, shown_alive: bool) -> bool:
     if record.born_ms != known.born_ms:
         # The later start wins: the earlier process has ended, whatever state it last reported.
--- a/tests/unit/test_registry_state_machine.py
+++ b/tests/unit/test_registry_state_machine.py
@@ -189,3 +189,41 @@
     registry.apply(StartRetirement("store-0", 3))
     registry.apply(JoinMember(store(0)))
     assert registry.view().members[0].retiring
+
+
+def started(version: str, born_ms: int, sequence: int = 1) -> RunnerRecord:
+    return RunnerRecord(
+        runner_id="i-1",
+        service="pool",
+        address="10.0.0.1:80",
+        zone="a",
+        slots=4,
+        sequence=sequence,
+        born_ms=born_ms,
+        version=version,
+    )
+
+
+@pytest.mark.parametrize(
+    ("records", "former"),
+    [
+        ([started("v1", 1), started("v1.1", 2)], ("v1",)),
+        ([started("v1", 1), started("v1", 2)], ()),
+        ([started("v1", 1), started("v1.1", 2), started("v1", 3)], ("v1", "v1.1")),
+        # The message of the former start is late.
+        ([started("v1", 1), started("v1.1", 2), started("v1", 1, 9)], ("v1",)),
+        # An older control process did not read the version of this start.
+        ([started("", 1), started("v1", 1, 2)], ()),
+        ([started("v1", 0), started("v1.1", 0, 2)], ("v1",)),
+    ],
+)
+def test_a_start_under_a_known_id_leaves_its_former_version(
+    records: list[RunnerRecord], former: tuple[str, ...]
+) -> None:
+    """A gateway that started after it took the newer version for the only one."""
+    registry = Registry()
+    for record in records:
+        registry.apply(PutRunner(record))
+    view = registry.view()
+    assert len(view.runners) == 1
+    assert dict(view.former_versions).get("pool", ()) == former
