Gateway: one that is cut off does not vouch for a single version

By reading: a gateway without contact to the control processes knows only the versions of before, and would take a stream up at one of these though another version has come since; the rule holds for machines out of touch too. It trusts its view only while that is as fresh as changes of routes must be (2 s), and asks the control processes otherwise.

--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -97,7 +97,9 @@
         )
         self._reporter = RunReporter(self._rpc, self._follower.hubs, clock)
         self._quarantine = Quarantine(self._reporter)
-        self._origins = StreamOrigins()
+        self._origins = StreamOrigins(
+            view_age_s=self._follower.table_age_s, max_view_age_s=config.bounds.in_force_ms / 1000
+        )
         self._origin_client = OriginClient(
             self._rpc, self._origin_holders, self._follower.hubs, self._origins.live
         )
--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import threading
+from collections.abc import Callable
 from typing import Protocol
 
 import xxhash
@@ -57,10 +59,20 @@
 
     Args:
         directory: Shares origins with other gateways; None to keep them in this process.
+        view_age_s: Returns the maximum age of the registry's state here, in seconds.
+        max_view_age_s: Age up to which that state tells all versions. A gateway that is cut off
+            from the control processes may not know of the latest one.
     """
 
-    def __init__(self, directory: OriginDirectory | None = None) -> None:
+    def __init__(
+        self,
+        directory: OriginDirectory | None = None,
+        view_age_s: Callable[[], float] = lambda: 0.0,
+        max_view_age_s: float = math.inf,
+    ) -> None:
         self.directory = directory
+        self._view_age_s = view_age_s
+        self._max_view_age_s = max_view_age_s
         self._streams = OriginTable(MAX_OWN_STREAMS)
         self._lock = threading.Lock()
         self._history = VersionHistory()
@@ -105,7 +117,7 @@
         if own is not None:
             return Resumption(own, "own")
         only = self._history.only_version(service, now_s)
-        if only is not None:
+        if only is not None and self._view_age_s() <= self._max_view_age_s:
             return Resumption(StreamOrigin(service, only), "only version")
         found = await self.directory.find(stream, service) if self.directory else None
         return Resumption(found, "unknown" if found is None else "directory")
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -108,7 +108,7 @@
 
     async def _build(self) -> None:
         self.balancer = balancer = Balancer(ZONE, Random(1))
-        self.origins = StreamOrigins(self._directory)
+        self.origins = StreamOrigins(self._directory, lambda: self.table_age_s, 2.0)
         self.replace_runners(self._runners)
         dialect = PlatformDialect()
         sender = Sender(RunnerPool(), balancer, dialect)
--- a/tests/unit/test_proxy_versions.py
+++ b/tests/unit/test_proxy_versions.py
@@ -179,3 +179,14 @@
         Last_Event_Id="2",
     )
     assert reply.status == 503
+
+
+def test_a_gateway_that_is_cut_off_does_not_take_the_version_it_knows_for_the_only_one(
+    stack: ExitStack,
+) -> None:
+    runners = start_runners(stack, OLD, OLD)
+    proxy = start_proxy(stack, runners)
+    for age_s, status in ((1.9, 200), (2.1, 503)):
+        proxy.table_age_s = age_s
+        reply = proxy.ask(RESUMABLE, Leverjunction_Resumes=f"nobody-{age_s}", Last_Event_Id="2")
+        assert reply.status == status
