--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -135,7 +135,7 @@
     except OSError:
         return
     try:
-        reply = caller.ask("POST", f"{RESUMABLE_FOLDER}x", headers, BODY)
+        reply = caller.ask("POST", f"{RESUMABLE_FOLDER}{record.name}", headers, BODY)
     except OSError:
         return
     finally:
--- a/deploy/soak/records.py
+++ b/deploy/soak/records.py
@@ -48,6 +48,7 @@
     """A stream over all tries of its caller.
 
     Attributes:
+        name: Its path, which no other stream has.
         first_id: Id of the try that brought its first event.
         events: Number of each event that came, and the version that wrote it.
         resumed: Tries to take it up again that were answered.
@@ -55,10 +56,11 @@
         is_whole: Whether its last event came.
     """
 
-    __slots__ = ("events", "first_id", "is_whole", "refused", "resumed")
+    __slots__ = ("events", "first_id", "is_whole", "name", "refused", "resumed")
 
-    def __init__(self, first_id: str) -> None:
-        self.first_id = first_id
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.first_id = ""
         self.events: list[tuple[int, str]] = []
         self.resumed = 0
         self.refused = 0
@@ -88,9 +90,9 @@
         numbers = [number for number, _ in self.events]
         lines = []
         if len(versions) > 1:
-            lines.append(f"stream {self.first_id} holds events of {versions}")
+            lines.append(f"stream {self.name} holds events of {versions}, first {self.first_id}")
         if numbers != list(range(1, len(numbers) + 1)):
-            lines.append(f"stream {self.first_id} has the events {numbers}")
+            lines.append(f"stream {self.name} has the events {numbers}")
         return lines
 
 
