--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -141,7 +141,8 @@
         until_s = request.arrived_s + timeout_ms / 1000
         stream = _stream_of(request, route)
         # A caller that continues a stream must be given the same part of a split route again.
-        random = self._random if stream is None else Random(stream)
+        is_split = len(route.services) > 1
+        random = self._random if stream is None or not is_split else Random(stream)
         service = draw_service(route, random)
         routed = RoutedRequest(request, metadata, route, service, index.table.version, until_s)
         routed.stream = stream
