Test: the gateway of lost origins has ended before its holders start again

A reporter sends all origins to a holder that it has not told before, right after the first report; the test started the holders again between the two, so the gateway, which counts as ended there, told them once more. The test now waits until both reporters are done; what it demands is the same.

--- a/tests/unit/test_registry_origins.py
+++ b/tests/unit/test_registry_origins.py
@@ -241,6 +241,8 @@
         first, second = Gateway(stack, controls), Gateway(stack, controls)
         first.begin(7, NEW)
         assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
+        # A report that is still under way would tell the new starts.
+        assert await comes_true(lambda: all(item._told for item in first.client._reporters))
         first.client.stop()
         for control in controls[:HOLDERS]:
             control.start_again()
