Lots: why an item ended late, and why slots stay idle while items wait

No line said whether a late item had waited, been parked or run, and nothing counted idle slots. Each item's end now has a line (outcome, time before its first run, running, parked) and counters by phase; slot-seconds while items wait are summed by use, idle ones by reason; a gauge has the late items. No change of logic.

--- a/src/leverjunction/lots/batch_capacity.py
+++ b/src/leverjunction/lots/batch_capacity.py
@@ -362,13 +362,13 @@
         return [runner for _, runner in self.fresh_runners(now_s)]
 
     def _expected_peak(self, slots: int, now_s: float) -> int:
-        if self._is_watched(now_s):
+        if self.is_watched(now_s):
             return self._online_peak
         return max(self._online_peak, round(slots * DEFAULT_PEAK_SHARE))
 
     def _reserve(self, slots: int, now_s: float) -> int:
         maximum = round(slots * MAX_RESERVE_SHARE)
-        if not self._is_watched(now_s):
+        if not self.is_watched(now_s):
             return min(maximum, round(slots * MAX_RISE_SHARE_PER_S * self._reaction_s()))
         # Load samples fluctuate, so the largest rise alone would overestimate the arrivals.
         return min(self._online_rise, round(self._online_peak * MAX_ARRIVALS_SHARE), maximum)
@@ -377,6 +377,6 @@
         """Return the time in seconds in which batch yields here."""
         return self._reported_rise.reaction_s if self.gateway_count else REACTION_S
 
-    def _is_watched(self, now_s: float) -> bool:
+    def is_watched(self, now_s: float) -> bool:
         """Return whether online requests were watched for long enough to know their bursts."""
         return self._watched_since_s is not None and now_s - self._watched_since_s >= WINDOW_S
--- a/src/leverjunction/lots/item_lines.py
+++ b/src/leverjunction/lots/item_lines.py
@@ -23,7 +23,14 @@
 """
 
 FREQUENT_KINDS = frozenset(
-    {"waits no_room", "waits waits_turn", "moves_on runs", "run_started", "run_ended parked"}
+    {
+        "ended in_time",
+        "waits no_room",
+        "waits waits_turn",
+        "moves_on runs",
+        "run_started",
+        "run_ended parked",
+    }
 )
 """Kinds that are frequent while there is a backlog and its runs yield to online requests."""
 
@@ -34,7 +41,7 @@
     Attributes:
         at_ms: Wall-clock time in milliseconds.
         event: ``lot_taken_in``, ``run_started``, ``run_ended``, ``waits``, ``moves_on``,
-            ``recorded``, ``record_refused`` or ``left_out``.
+            ``recorded``, ``record_refused``, ``ended`` or ``left_out``.
         lot: Id of the lot.
         item: Id of the item.
         items: Ids of a lot's items, only the first ones of a large lot.
@@ -53,6 +60,11 @@
         term: Term of the group's leader.
         index: Log index that the group had applied.
         count: Number of items, or of lines that were left out.
+        age_ms: Time from acceptance to the end of the item.
+        due_ms: Time from acceptance within which the item was due.
+        before_ms: Time before the first run by this store.
+        running_ms: Time that its runs took.
+        parked_ms: Time between its runs.
     """
 
     event: str
@@ -75,6 +87,11 @@
     term: int = 0
     index: int = 0
     count: int = 0
+    age_ms: int | None = None
+    due_ms: int | None = None
+    before_ms: int | None = None
+    running_ms: int | None = None
+    parked_ms: int | None = None
 
 
 class LineBudget:
--- a/src/leverjunction/lots/item_queue.py
+++ b/src/leverjunction/lots/item_queue.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
+from operator import itemgetter
 
 from leverjunction.lots.commands import OpenItem
 from leverjunction.lots.item_run import ItemKey, ItemRun
@@ -24,12 +25,14 @@
 
     Attributes:
         runs: Open items by their key, waiting or running.
+        late: Waiting items that were late in the last ranking.
     """
 
-    __slots__ = ("_queue", "_ranked_s", "_services", "_services_index", "runs")
+    __slots__ = ("_queue", "_ranked_s", "_services", "_services_index", "late", "runs")
 
     def __init__(self) -> None:
         self.runs: dict[ItemKey, ItemRun] = {}
+        self.late = 0
         self._queue: deque[ItemRun] = deque()
         self._ranked_s = float("-inf")
         self._services: frozenset[str] = frozenset()
@@ -68,6 +71,11 @@
         """Return the items that are being run."""
         return (run for run in self.runs.values() if run.task is not None)
 
+    @property
+    def waiting(self) -> int:
+        """Number of items that are not being run."""
+        return sum(1 for run in self.runs.values() if run.task is None)
+
     def services(self, index: RouteIndex) -> frozenset[str]:
         """Return the services that the routes of the open items lead to."""
         if self._services_index is not index:
@@ -82,8 +90,10 @@
         """Rank the waiting items unless that was done recently; return whether it was done now."""
         if now_s - self._ranked_s < RANKING_MAX_AGE_S:
             return False
-        waiting = [run for run in self.runs.values() if run.task is None]
-        self._queue = deque(sorted(waiting, key=urgency))
+        waiting = [(urgency(run), run) for run in self.runs.values() if run.task is None]
+        waiting.sort(key=itemgetter(0))
+        self._queue = deque(run for _, run in waiting)
+        self.late = sum(1 for rank, _ in waiting if rank.late)
         self._ranked_s = now_s
         return True
 
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -7,10 +7,12 @@
 
 from loguru import logger
 
+from leverjunction.lots import metrics
 from leverjunction.lots.batch_capacity import RunnerCapacity, ServiceCapacity
 from leverjunction.lots.gateway_loads import GatewayLoads
 from leverjunction.lots.item_status import ServiceAvailability
 from leverjunction.lots.lost_runs import LoadSample, LostRuns
+from leverjunction.lots.slot_use import SlotSeconds, current_use
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.tracked_runner import TrackedRunner
@@ -58,12 +60,14 @@
         self._capacities: dict[str, ServiceCapacity] = {}
         self._polls: dict[str, asyncio.Task[None]] = {}
         self._logged_s = float("-inf")
+        self._slot_seconds: dict[str, SlotSeconds] = {}
         self.lost_runs = LostRuns()
         self._loop = asyncio.get_running_loop()
 
     def clear(self) -> None:
         """Forget everything: another store leads the group."""
         self._capacities.clear()
+        self._slot_seconds.clear()
         self.lost_runs.clear()
 
     def retain(self, runner_ids: frozenset[str]) -> None:
@@ -213,6 +217,19 @@
             parked += [key for key, count in to_park_at.items() for _ in range(count)]
         return parked
 
+    def account(self, waiting: int) -> None:
+        """Account for the use of all slots since the last call.
+
+        Args:
+            waiting: Items of all services that wait now.
+        """
+        now_s = self._loop.time()
+        for service, capacity in self._capacities.items():
+            seconds = self._slot_seconds.setdefault(service, SlotSeconds())
+            use = current_use(capacity, waiting, now_s) if waiting else {}
+            for kind, slot_s in seconds.record(now_s, use).items():
+                metrics.SLOT_S.labels(kind.value).inc(slot_s)
+
     def is_to_log(self) -> bool:
         """Return whether the next log line is due."""
         return self._loop.time() - self._logged_s >= LOG_INTERVAL_S
@@ -235,6 +252,12 @@
                 running,
                 *capacity.summary(now_s),
             )
+            if service in self._slot_seconds:
+                logger.info(
+                    "slot-seconds of {} while items waited: {}",
+                    service,
+                    self._slot_seconds[service],
+                )
 
     def _capacity(self, service: str) -> ServiceCapacity:
         return self._capacities.setdefault(service, ServiceCapacity())
--- a/src/leverjunction/lots/metrics.py
+++ b/src/leverjunction/lots/metrics.py
@@ -14,6 +14,16 @@
 LONGEST_QUIET_S = Gauge(
     "lots_longest_quiet_seconds", "Longest time for which an open item got no event"
 )
+ENDED = Counter(
+    "lots_ended_items", "Items that are no longer open, by outcome: when, and how", ["outcome"]
+)
+ENDED_S = Counter(
+    "lots_ended_item_seconds", "Time that ended items spent in each phase", ["outcome", "phase"]
+)
+LATE_ITEMS = Gauge("lots_late_items", "Waiting items that are not expected to be done when due")
+SLOT_S = Counter(
+    "lots_slot_seconds", "Slot-seconds while items wait, by use, or why they are idle", ["use"]
+)
 STARTS = Counter("lots_run_starts", "Runs that were started at a back end")
 RUNS = Counter("lots_runs", "Runs that ended, by how", ["end"])
 RECORDS = Counter("lots_records", "Commands with results, failures and progress", ["result"])
--- a/src/leverjunction/lots/run_trace.py
+++ b/src/leverjunction/lots/run_trace.py
@@ -54,6 +54,9 @@
     Attributes:
         runs: Runs that this process started.
         started_s: When the last run was started.
+        ended_s: When it ended.
+        running_s: Time that ended runs took.
+        parked_s: Time between runs.
         heard_s: Last sign of life: an event or the head of a response, else the monitor's first
             update.
         parts: Parts of the response that arrived in the last run.
@@ -68,10 +71,13 @@
     __slots__ = (
         "detail",
         "end",
+        "ended_s",
         "heard_s",
         "logged_s",
         "logged_status",
+        "parked_s",
         "parts",
+        "running_s",
         "runs",
         "started_s",
         "status",
@@ -81,6 +87,9 @@
     def __init__(self) -> None:
         self.runs = 0
         self.started_s = 0.0
+        self.ended_s = 0.0
+        self.running_s = 0.0
+        self.parked_s = 0.0
         self.heard_s = 0.0
         self.parts = 0
         self.end: RunEnd | None = None
@@ -92,12 +101,19 @@
 
     def start(self, now_s: float) -> None:
         """Note the start of a run."""
+        if self.runs:
+            self.parked_s += now_s - self.ended_s
         self.runs += 1
         self.started_s = now_s
         self.parts = 0
         self.end = None
         self.detail = ""
 
+    def stop(self, now_s: float) -> None:
+        """Note that the run is over, whatever its end was."""
+        self.running_s += now_s - self.started_s
+        self.ended_s = now_s
+
     def mark_heard(self, now_s: float) -> None:
         """Note a part of the response."""
         self.heard_s = now_s
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -263,6 +263,7 @@
             has_result=self._outbox.has_result,
             pending_results=self._outbox.pending_results,
             open_keys=self._open_keys,
+            late_items=self._queue.late,
         )
 
     def _open_keys(self) -> tuple[ItemKey, ...] | None:
@@ -317,6 +318,7 @@
         self._give_up_overdue()
         if not self._is_in_doubt():
             self._start_runs(index)
+        self._loads.account(self._queue.waiting)
 
     def _record(self) -> None:
         """Replicate new results in a separate task.
@@ -384,6 +386,7 @@
         keys = frozenset(opened.keys)
         for run in self._queue.retain(keys):
             run.stop()
+            self._monitor.item_ended(run)
         self._outbox.retain(keys)
         self._isolation.retain_lots({lot_id for lot_id, _ in keys})
         complete = True
--- a/src/leverjunction/lots/runner_monitor.py
+++ b/src/leverjunction/lots/runner_monitor.py
@@ -57,6 +57,7 @@
     Attributes:
         status: Status of the group's local replica.
         index: Route table, None before the first one was received.
+        late_items: Waiting items that were late in the last ranking.
         back_ends: Number of known back ends.
         runs: Open items that the runner knows.
         service: Returns the figures that decide whether runs of a service can start.
@@ -69,6 +70,7 @@
         "back_ends",
         "has_result",
         "index",
+        "late_items",
         "open_keys",
         "pending_results",
         "runs",
@@ -87,6 +89,7 @@
         has_result: Callable[[ItemRun], bool],
         pending_results: int,
         open_keys: Callable[[], Collection[ItemKey] | None],
+        late_items: int = 0,
     ) -> None:
         self.status = status
         self.index = index
@@ -96,6 +99,7 @@
         self.has_result = has_result
         self.pending_results = pending_results
         self.open_keys = open_keys
+        self.late_items = late_items
 
     @property
     def table(self) -> int:
@@ -161,6 +165,7 @@
     def run_ended(self, run: ItemRun, task: asyncio.Task[None] | None) -> None:
         """Count the end of a run whose task has ended, and log it unless the item is done."""
         trace = run.trace
+        trace.stop(self._clock.monotonic_s())
         error = task.exception() if task is not None and not task.cancelled() else None
         if error is not None:
             trace.set_end(RunEnd.RAISED, repr(error))
@@ -186,6 +191,32 @@
             )
         )
 
+    @suppress_errors
+    def item_ended(self, run: ItemRun) -> None:
+        """Count an item that is no longer open, and log how long it spent in each phase."""
+        outcome = _outcome(run, self._clock.wall_ms())
+        trace = run.trace
+        now_s = self._clock.monotonic_s()
+        age_s = (self._clock.wall_ms() - run.item.accepted_ms) / 1000
+        recording_s = now_s - trace.ended_s if trace.runs else 0.0
+        # Whatever is not accounted for here came before: under an earlier leader, or in the queue.
+        before_s = max(0.0, age_s - trace.running_s - trace.parked_s - recording_s)
+        metrics.ENDED.labels(outcome).inc()
+        for phase, phase_s in (
+            ("before_first_run", before_s),
+            ("running", trace.running_s),
+            ("parked", trace.parked_s),
+            ("recording", recording_s),
+        ):
+            metrics.ENDED_S.labels(outcome, phase).inc(max(0.0, phase_s))
+        line = _make_line("ended", run, reason=outcome, runs=trace.runs, events=run.stream.recorded)
+        line.age_ms = ms(age_s)
+        line.due_ms = round(run.item.due_ms)
+        line.before_ms = ms(before_s)
+        line.running_ms = ms(trace.running_s)
+        line.parked_ms = ms(trace.parked_s)
+        self._lines.write(line)
+
     @suppress_errors
     def update(self, take_snapshot: Callable[[], RunnerSnapshot]) -> None:
         """Set the metrics and write the log lines that are due, at most once per interval.
@@ -233,6 +264,7 @@
         self._log_resumed(snapshot, now_s)
         counts[Reason.NOT_TAKEN_IN.value] = self._unknown_count
         _set_open_gauges(counts, (wall_ms - oldest_ms) / 1000, now_s - heard_s)
+        metrics.LATE_ITEMS.set(snapshot.late_items)
         self._set_record_gauges(snapshot.pending_results, now_s)
         startable_runs = (
             classifier.startable_runs(snapshot.runs.values())
@@ -291,6 +323,7 @@
         self._stall = StallWatch()
         _set_open_gauges({}, 0.0, 0.0)
         for gauge in (
+            metrics.LATE_ITEMS,
             metrics.RECORDS_WAITING,
             metrics.RECORD_UNDER_WAY_S,
             metrics.SINCE_START_S,
@@ -416,6 +449,14 @@
 TASK_LEFT_ONCE = "task_left_once"
 
 
+def _outcome(run: ItemRun, wall_ms: int) -> str:
+    """Return how an item that is no longer open has ended."""
+    if run.trace.end is RunEnd.DONE:
+        is_late = wall_ms - run.item.accepted_ms > run.item.due_ms > 0
+        return "late" if is_late else "in_time"
+    return "impossible" if run.trace.end is RunEnd.IMPOSSIBLE else "removed"
+
+
 def _update_trace(trace: RunTrace, status: str, now_s: float) -> str:
     """Update an item's status in its trace; return the status under which it is counted."""
     if status != trace.status:
