Test: items of an overload are late together

The emulator gets longer overloads of 1.3 to 3 times the batch that fits, items of different lengths, a power cut with a backlog, and a bound: what the same slots can do in time, whatever the order.

--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -12,7 +12,7 @@
 from leverjunction.lots.gateway_loads import GatewayLoads
 from leverjunction.lots.item_status import ServiceAvailability
 from leverjunction.lots.lost_runs import LoadSample, LostRuns
-from leverjunction.lots.slot_use import SlotSeconds, current_use
+from leverjunction.lots.slot_use import SlotSeconds, SlotUse, current_use
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.tracked_runner import TrackedRunner
@@ -230,6 +230,10 @@
             for kind, slot_s in seconds.record(now_s, use).items():
                 metrics.SLOT_S.labels(kind.value).inc(slot_s)
 
+    def slot_seconds(self, service: str) -> dict[SlotUse, float]:
+        """Return the slot-seconds of each use so far, while items waited."""
+        return self._slot_seconds.setdefault(service, SlotSeconds()).totals
+
     def is_to_log(self) -> bool:
         """Return whether the next log line is due."""
         return self._loop.time() - self._logged_s >= LOG_INTERVAL_S
--- a/src/testbed/placement/batch.py
+++ b/src/testbed/placement/batch.py
@@ -13,6 +13,7 @@
 from leverjunction.lots.load_listener import LoadListener
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.runner import IDLE_STEP_S, STEP_S
+from leverjunction.lots.slot_use import SlotUse
 from leverjunction.lots.urgency import RunTimes, Urgency
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.tracked_runner import TrackedRunner
@@ -40,12 +41,13 @@
         address: str,
         records: list[RunnerRecord],
         back_ends: Mapping[str, BackEnd],
-        item_s: float,
     ) -> None:
+        self._zone = zone
         self._loop = asyncio.get_running_loop()
         self._address = address
         self._back_ends = back_ends
-        self._item_s = item_s
+        self._left_s: dict[str, float] = {}
+        self._leads = True
         self._wake = asyncio.Event()
         self._balancer = Balancer(zone, Random(0))
         self._balancer.replace(records)
@@ -71,11 +73,34 @@
             self._step()
             await self._pause()
 
-    def submit(self, items: list[OpenItem]) -> None:
-        """Take items."""
+    def submit(self, items: Mapping[OpenItem, float]) -> None:
+        """Take items, each with the time in seconds for which it has a slot."""
+        self._left_s.update({item.item_id: time_s for item, time_s in items.items()})
         self._queue.add(items)
         self._wake.set()
 
+    def stop(self) -> None:
+        """End all runs, and run nothing until another leader continues."""
+        self._leads = False
+        for run in self._queue.running():
+            run.stop()
+
+    def lead(self) -> None:
+        """Continue as another leader, which knows the open items and what they have written."""
+        items = [run.item for run in self._queue.runs.values()]
+        self._queue = ItemQueue()
+        self._queue.add(items)
+        self._times = RunTimes()
+        self._loads.clear()
+        self._leads = True
+        self._wake.set()
+
+    def idle_and_batch_s(self) -> tuple[float, float]:
+        """Return the slot-seconds that were idle while items waited, and those of batch."""
+        totals = self._loads.slot_seconds(SERVICE)
+        idle = sum(totals[use] for use in SlotUse if use not in (SlotUse.ONLINE, SlotUse.BATCH))
+        return idle, totals[SlotUse.BATCH]
+
     @property
     def open_items(self) -> int:
         """Items that are not done."""
@@ -96,11 +121,15 @@
         self._wake.set()
 
     def _step(self) -> None:
-        if not self._queue.runs:
+        if not self._queue.runs or not self._leads:
             return
         self._loads.poll([SERVICE])
         self._loads.apply_gateway_loads(self._listener.loads)
         self._park()
+        self._start_runs()
+        self._loads.account(self._queue.waiting)
+
+    def _start_runs(self) -> None:
         self._queue.rank(self._loop.time(), self._urgency)
         for run in self._queue.take():
             runner = self._loads.pick_runner(SERVICE)
@@ -141,9 +170,11 @@
             await asyncio.sleep(READ_S)
             begun_s = self._loop.time()
             try:
-                await asyncio.sleep(max(0.0, self._item_s - run.worked_s))
+                await asyncio.sleep(self._left_s[run.item.item_id])
             finally:
-                run.worked_s += self._loop.time() - begun_s
+                worked_s = self._loop.time() - begun_s
+                run.worked_s += worked_s
+                self._left_s[run.item.item_id] -= worked_s
         finally:
             self._loop.call_later(WAY_S, back_end.leave, engine_run)
         self._times.record(run.worked_s)
--- a/src/testbed/placement/experiment.py
+++ b/src/testbed/placement/experiment.py
@@ -18,6 +18,8 @@
     SERVICE,
     OnlineKind,
     Pattern,
+    item_time,
+    items_bound,
     job_times,
     online_times,
     pooled_in_time,
@@ -54,6 +56,8 @@
         misplaced: Share that waited although no online request had some slot elsewhere.
         items: Batch items.
         items_in_time: Share of them that was done when due.
+        items_bound: A bound on that share for any order in which items could run.
+        idle_share: Idle slot-seconds while items waited, as a share of those and batch's own.
         item_p50_s: Median time to an item's end.
         cuts: Batch runs that were ended to give way, an item.
         words_per_s: Datagrams, a gateway and second.
@@ -69,6 +73,8 @@
     misplaced: float
     items: int
     items_in_time: float
+    items_bound: float
+    idle_share: float
     item_p50_s: float
     cuts: float
     words_per_s: float
@@ -86,6 +92,7 @@
         self._outcomes: list[Outcome] = []
         self._came: list[tuple[float, float]] = []
         self._accepted_s: dict[str, float] = {}
+        self._items: list[tuple[float, float]] = []
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def run(self) -> Figures:
@@ -109,7 +116,7 @@
             )
             for n, key in enumerate(back_ends)
         ]
-        leader = BatchLeader("z0", STORE, records, back_ends, self._pattern.item_s)
+        leader = BatchLeader("z0", STORE, records, back_ends)
         self._begin(leader.run())
         gateways = [
             EmulatedGateway(
@@ -127,6 +134,8 @@
         for gateway in gateways:
             loop.call_later(random.random(), self._start, gateway)
         await asyncio.sleep(WARM_S)
+        if self._pattern.cut_s:
+            loop.call_later(self._pattern.cut_s, self._cut, leader)
         await asyncio.gather(self._online(gateways, random), self._jobs(leader, random))
         while (
             leader.open_items
@@ -151,6 +160,11 @@
             self._came.append((at_s, run_s))
             self._begin(self._serve(random.choice(gateways), run_s))
 
+    def _cut(self, leader: BatchLeader) -> None:
+        """Cut the power: runs end, and the next leader continues after a while."""
+        leader.stop()
+        asyncio.get_running_loop().call_later(self._pattern.cut_for_s, leader.lead)
+
     def _start(self, gateway: EmulatedGateway) -> None:
         self._begin(gateway.start())
 
@@ -163,12 +177,13 @@
         for job, at_s in enumerate(job_times(self._pattern, slots, random)):
             await self._until(WARM_S + at_s)
             now_s = loop.time()
-            items = [
-                open_item(job, place, now_s, self._pattern.due_s)
+            times_s = {
+                open_item(job, place, now_s, self._pattern.due_s): item_time(self._pattern, random)
                 for place in range(self._pattern.job_items)
-            ]
-            self._accepted_s.update({item.item_id: now_s for item in items})
-            leader.submit(items)
+            }
+            self._accepted_s.update({item.item_id: now_s for item in times_s})
+            self._items += [(at_s, time_s) for time_s in times_s.values()]
+            leader.submit(times_s)
 
     async def _until(self, at_s: float) -> None:
         await asyncio.sleep(max(0.0, at_s - asyncio.get_running_loop().time()))
@@ -186,17 +201,21 @@
         times = sorted(done - self._accepted_s[key] for key, done in leader.done_s.items())
         items = len(self._accepted_s)
         span = loop.time() * self._fleet.gateways
+        slots = self._there() * self._fleet.slots
+        idle_s, batch_s = leader.idle_and_batch_s()
         waited = [out for out in outcomes if out.queued_s > 0]
         return Figures(
             online=len(outcomes),
             in_time=sum(1 for head in heads if head <= late_s) / count,
-            pooled=pooled_in_time(self._came, self._there() * self._fleet.slots, self._kind),
+            pooled=pooled_in_time(self._came, slots, self._kind),
             refused=sum(1 for out in outcomes if out.head_s is None) / count,
             p99_s=heads[int(len(heads) * 0.99)] if heads else 0.0,
             behind_batch=sum(1 for out in waited if out.behind_batch) / count,
             misplaced=sum(1 for out in waited if out.free_elsewhere > 0) / count,
             items=items,
             items_in_time=sum(1 for time in times if time <= self._pattern.due_s) / max(1, items),
+            items_bound=items_bound(self._came, self._items, slots, self._pattern),
+            idle_share=idle_s / max(1.0, idle_s + batch_s),
             item_p50_s=times[len(times) // 2] if times else 0.0,
             cuts=leader.cuts / max(1, items),
             words_per_s=loop.datagrams.sent / span,
--- a/src/testbed/placement/loads.py
+++ b/src/testbed/placement/loads.py
@@ -44,6 +44,9 @@
         length_s: Time in which load comes.
         heap_x: Factor of the batch rate between 0.3 and 0.4 of that time.
         lost_share: Share of the back ends that are not there.
+        item_spread: Relative standard deviation of an item's time.
+        cut_s: When all machines lose power, 0 for never.
+        cut_for_s: Time until another leader runs items.
     """
 
     online_share: float = 0.4
@@ -58,6 +61,9 @@
     length_s: float = 23.2
     heap_x: float = 1.0
     lost_share: float = 0.0
+    item_spread: float = 0.0
+    cut_s: float = 0.0
+    cut_for_s: float = 3.0
 
 
 PATTERNS: dict[str, Pattern] = {
@@ -68,11 +74,19 @@
     "heap": Pattern(heap_x=6.0),
     "batch-overload": Pattern(batch_share=2.4),
     "lost": Pattern(lost_share=0.33),
+    "overload": Pattern(lost_share=0.33, length_s=40.6, item_spread=0.25),
+    "overload-2": Pattern(lost_share=0.33, length_s=40.6, item_spread=0.25, batch_share=0.55),
+    "overload-3": Pattern(lost_share=0.33, length_s=40.6, item_spread=0.25, batch_share=0.8),
+    "overload-cut": Pattern(lost_share=0.33, length_s=40.6, item_spread=0.25, cut_s=20.0),
 }
 """By name: even load; bursts of twice the mean; a quarter more online; a heap of jobs; three times
-the batch that fits; a third of the back ends gone.
+the batch that fits; a third of the back ends gone; the same for longer, with 1.3, 2.1 and 3 times
+the batch that fits beside online requests, and with a power cut.
 """
 
+LEAST_ITEM_SHARE = 0.3
+"""Shortest item, as a share of the mean."""
+
 
 def online_times(pattern: Pattern, slots: int, kind: OnlineKind, random: Random) -> Iterator[float]:
     """Yield when online requests come, in seconds."""
@@ -101,6 +115,68 @@
         yield now_s
 
 
+def item_time(pattern: Pattern, random: Random) -> float:
+    """Return the time in seconds for which one item has a slot."""
+    if not pattern.item_spread:
+        return pattern.item_s
+    return pattern.item_s * max(LEAST_ITEM_SHARE, random.gauss(1.0, pattern.item_spread))
+
+
+STEP_S = 0.1
+"""Resolution of the bound on items in time."""
+
+
+def items_bound(
+    came: Sequence[tuple[float, float]],
+    items: Sequence[tuple[float, float]],
+    slots: int,
+    pattern: Pattern,
+) -> float:
+    """Return a bound on the share of items in time, for any order in which they could run.
+
+    Online requests take the slots first, as if all waited in one queue before all slots. Items
+    share what is left as a fluid, the earliest due first, each at most one slot: that does the most
+    work before it is due. A part of an item counts as that part.
+
+    Args:
+        came: When each online request came and for how long it has a slot, in seconds, in order.
+        items: When each item came and for how long it has a slot, in seconds, in order.
+        slots: Slots of all back ends.
+        pattern: The load pattern, whose power cut leaves no slots.
+    """
+    end_s = pattern.length_s + pattern.due_s
+    busy = _online_slots(came, slots, end_s)
+    left = [run_s for _, run_s in items]
+    first = 0
+    for step, taken in enumerate(busy):
+        now_s = step * STEP_S
+        if pattern.cut_s and pattern.cut_s <= now_s < pattern.cut_s + pattern.cut_for_s:
+            continue
+        free_s = (slots - taken) * STEP_S
+        while first < len(items) and items[first][0] + pattern.due_s <= now_s:
+            first += 1
+        for index in range(first, len(items)):
+            if items[index][0] > now_s or free_s <= 0:
+                break
+            part_s = min(STEP_S, left[index], free_s)
+            left[index] -= part_s
+            free_s -= part_s
+    shares = [1 - rest_s / run_s for rest_s, (_, run_s) in zip(left, items, strict=True)]
+    return sum(shares) / max(1, len(shares))
+
+
+def _online_slots(came: Sequence[tuple[float, float]], slots: int, end_s: float) -> list[float]:
+    """Return how many slots online requests take in each step, all waiting in one queue."""
+    free_s = [0.0] * slots
+    busy = [0.0] * (int(end_s / STEP_S) + 1)
+    for came_s, run_s in came:
+        begun_s = max(came_s, heapq.heappop(free_s))
+        heapq.heappush(free_s, begun_s + run_s)
+        for step in range(int(begun_s / STEP_S), min(len(busy), int((begun_s + run_s) / STEP_S))):
+            busy[step] += 1
+    return busy
+
+
 def pooled_in_time(came: Sequence[tuple[float, float]], slots: int, kind: OnlineKind) -> float:
     """Return the share in time if all waited in one queue before all slots, without batch.
 
