Lots: the reserve for online arrivals goes by their rate, not by lumps

Cause: the reserve was the most requests reported within 36 ms in the last 8 s. Reports that a busy leader or gateway handles together counted as one rise, so the cap of a third of the slots was nearly always reached. Change: the rise is taken over 0.2 s, and the reserve is its share for the time in which batch yields. Reserves by load samples alone are unchanged. Four table rows, failing before.

--- a/src/leverjunction/lots/batch_capacity.py
+++ b/src/leverjunction/lots/batch_capacity.py
@@ -2,9 +2,10 @@
 
 Online load comes in bursts of seconds, and the lulls between them are worth filling with batch
 work. Batch always leaves a reserve of free slots for the next online requests. The reserve is the
-largest number that recently arrived within the time that batch needs to yield, and never more than
-the recent peak of the service's online requests. That time is short for requests that gateways
-report, and ten times as long for those that show only in a back end's load samples.
+largest number that may arrive within the time that batch needs to yield, by the fastest recent
+rise, and never more than the recent peak of the service's online requests. That time is short for
+requests that gateways report, and ten times as long for those that show only in a back end's load
+samples.
 
 As online requests arrive, batch runs are parked, that is, stopped to be continued later, and the
 reserve is kept ahead of them. Gateways send online requests wherever there is capacity, so the
@@ -249,6 +250,7 @@
     """
 
     __slots__ = (
+        "_gateway_reaction_s",
         "_online_peak",
         "_online_rise",
         "_peak",
@@ -267,7 +269,8 @@
         self.gateway_count = 0
         self._sources = (0, 0)
         self._peak = SlidingMaximum(WINDOW_S)
-        self._reported_rise = RiseTracker(GATEWAY_REACTION_S)
+        self._reported_rise = RiseTracker(REACTION_S)
+        self._gateway_reaction_s = GATEWAY_REACTION_S
         self._unreported_rise = RiseTracker(REACTION_S)
         self._online_peak = 0
         self._online_rise = 0
@@ -299,7 +302,8 @@
         """
         self.gateway_count = gateway_count
         self.waiting_online = waiting_online
-        self._reported_rise.reaction_s = GATEWAY_REACTION_S + interval_s
+        self._gateway_reaction_s = GATEWAY_REACTION_S + interval_s
+        self._reported_rise.reaction_s = max(REACTION_S, self._gateway_reaction_s)
 
     def update(self, now_s: float) -> None:
         """Record the current totals for the online peak and the fastest rise."""
@@ -318,9 +322,17 @@
         self._reported_rise.record(now_s, reported_online)
         self._unreported_rise.record(now_s, unreported_online)
         self._online_peak = self._peak.maximum(now_s)
-        self._online_rise = self._reported_rise.maximum(now_s) + self._unreported_rise.maximum(
-            now_s
-        )
+        self._online_rise = self._expected_reports(now_s) + self._unreported_rise.maximum(now_s)
+
+    def _expected_reports(self, now_s: float) -> int:
+        """Return how many requests gateways may report within the time in which batch yields.
+
+        Reports that arrive together after a pause of this process or of a gateway are not a rate,
+        so the rate is taken over a longer time than that.
+        """
+        measured_s = self._reported_rise.reaction_s
+        rise = self._reported_rise.maximum(now_s)
+        return round(rise * self._gateway_reaction_s / measured_s)
 
     def allowance(self, now_s: float) -> int:
         """Return how many batch runs may be added to the service as a whole."""
@@ -375,7 +387,7 @@
 
     def _reaction_s(self) -> float:
         """Return the time in seconds in which batch yields here."""
-        return self._reported_rise.reaction_s if self.gateway_count else REACTION_S
+        return self._gateway_reaction_s if self.gateway_count else REACTION_S
 
     def is_watched(self, now_s: float) -> bool:
         """Return whether online requests were watched for long enough to know their bursts."""
--- a/tests/unit/test_lots_batch_capacity.py
+++ b/tests/unit/test_lots_batch_capacity.py
@@ -247,6 +247,21 @@
     assert reported.allowance(NOW_S + 5) == 24 - 1
 
 
+@pytest.mark.parametrize("together", [1, 2, 5, 10])
+def test_reports_that_come_together_do_not_enlarge_the_reserve(together: int) -> None:
+    """Guards against a third of batch's slots staying idle in each lull.
+
+    The largest number of reports in one step of a busy leader was taken for the arrival rate.
+    """
+    capacity = reported_service(0, 0)
+    at_s = NOW_S + 3
+    for count in range(0, 11, together):
+        report(capacity, at_s + count * REACTION_S / 10.5, count, 0)
+    report(capacity, NOW_S + 5, 0, 0)
+    sample(capacity, NOW_S + 5, 0, 0)
+    assert capacity.allowance(NOW_S + 5) == 24 - round(10 * GATEWAY_REACTION_S / REACTION_S)
+
+
 def test_the_reports_of_one_more_gateway_are_no_rise() -> None:
     """Guards against taking all running requests for a burst, for 8 s after a change of leader."""
     capacity = ServiceCapacity()
