Batch: items that cannot be in time beside the others come after those that can

Cause: an item counted as late only by its own remaining time, as if it had a slot for itself. With more items than slots, the earliest due ran, were parked and ended just too late, one heap after the other. Class: a feasibility check of each one alone where all share one supply. Change: Moore and Hodgson's rule over the open items of the same services, by the runs that batch had on average over bursts and lulls (12 s; until the online load was watched, by the assumed share). What is crowded out runs after the rest, those with least left first, so nothing waits beside free slots.

--- a/src/leverjunction/lots/batch_capacity.py
+++ b/src/leverjunction/lots/batch_capacity.py
@@ -25,6 +25,11 @@
 bursts.
 """
 
+SUPPLY_WINDOW_S = 12.0
+"""Time constant of the average of the runs that a service may have: longer than a burst and the
+lull after it.
+"""
+
 DEFAULT_PEAK_SHARE = 0.6
 """Share of the slots assumed to be the online peak until a service has been watched for the whole
 window, as after a change of leader. Otherwise a lull would be filled just before the next burst.
@@ -104,6 +109,34 @@
         )
 
 
+class MovingAverage:
+    """The average of a value over time, in which older values count ever less.
+
+    Attributes:
+        mean: The average so far, 0 before anything was recorded for any time.
+    """
+
+    __slots__ = ("_recorded_s", "_since_s", "_value", "_window_s", "mean")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._since_s: float | None = None
+        self._recorded_s = 0.0
+        self._value = 0.0
+        self.mean = 0.0
+
+    def record(self, now_s: float, value: float) -> None:
+        """Record the current value; the previous one was in force until now."""
+        if self._since_s is None:
+            self._since_s = self._recorded_s = now_s
+        elapsed_s = now_s - self._recorded_s
+        if elapsed_s > 0:
+            window_s = min(self._window_s, now_s - self._since_s)
+            self.mean += (self._value - self.mean) * min(1.0, elapsed_s / window_s)
+        self._recorded_s = now_s
+        self._value = value
+
+
 class RiseTracker:
     """Tracks by how much a value recently rose within the reaction time.
 
@@ -256,6 +289,7 @@
         "_peak",
         "_reported_rise",
         "_sources",
+        "_supply",
         "_unreported_rise",
         "_watched_since_s",
         "gateway_count",
@@ -274,6 +308,7 @@
         self._unreported_rise = RiseTracker(REACTION_S)
         self._online_peak = 0
         self._online_rise = 0
+        self._supply = MovingAverage(SUPPLY_WINDOW_S)
         self._watched_since_s: float | None = None
 
     def runner(self, key: str, slots: int) -> RunnerCapacity:
@@ -324,6 +359,9 @@
         self._online_peak = self._peak.maximum(now_s)
         self._online_rise = self._expected_reports(now_s) + self._unreported_rise.maximum(now_s)
 
+        if fresh:
+            self._supply.record(now_s, self._max_runs(now_s))
+
     def _expected_reports(self, now_s: float) -> int:
         """Return how many requests gateways may report within the time in which batch yields.
 
@@ -334,6 +372,13 @@
         rise = self._reported_rise.maximum(now_s)
         return round(rise * self._gateway_reaction_s / measured_s)
 
+    def mean_runs(self, now_s: float) -> float:
+        """Return how many batch runs the service may have on average, over bursts and lulls."""
+        if self.is_watched(now_s):
+            return self._supply.mean
+        slots = sum(runner.slots for runner in self._fresh(now_s))
+        return max(self._supply.mean, slots * (1 - DEFAULT_PEAK_SHARE))
+
     def allowance(self, now_s: float) -> int:
         """Return how many batch runs may be added to the service as a whole."""
         return max(0, self._max_runs(now_s) - self._own_runs(now_s))
@@ -370,6 +415,15 @@
         online = sum(runner.online for runner in fresh)
         return self.allowance(now_s), self._expected_peak(slots, now_s), online, slots
 
+    def reserve_parts(self, now_s: float) -> tuple[int, int, int]:
+        """Return the reserve, and the arrivals expected by reports and samples, for a log line."""
+        slots = sum(runner.slots for runner in self._fresh(now_s))
+        return (
+            self._reserve(slots, now_s),
+            self._expected_reports(now_s),
+            self._unreported_rise.maximum(now_s),
+        )
+
     def _fresh(self, now_s: float) -> list[RunnerCapacity]:
         return [runner for _, runner in self.fresh_runners(now_s)]
 
--- a/src/leverjunction/lots/item_queue.py
+++ b/src/leverjunction/lots/item_queue.py
@@ -86,9 +86,26 @@
             self._services_index = index
         return self._services
 
+    def by_services(self, index: RouteIndex) -> dict[tuple[str, ...], list[ItemRun]]:
+        """Return the items by the services that their routes lead to."""
+        groups: dict[tuple[str, ...], list[ItemRun]] = {}
+        names: dict[int, tuple[str, ...]] = {}
+        for run in self.runs.values():
+            route = run.route(index)
+            if route is None:
+                continue
+            if id(route) not in names:
+                names[id(route)] = tuple(sorted(part.service for part in route.services))
+            groups.setdefault(names[id(route)], []).append(run)
+        return groups
+
+    def is_ranking_due(self, now_s: float) -> bool:
+        """Return whether the last ranking is too old to be used."""
+        return now_s - self._ranked_s >= RANKING_MAX_AGE_S
+
     def rank(self, now_s: float, urgency: Callable[[ItemRun], Urgency]) -> bool:
         """Rank the waiting items unless that was done recently; return whether it was done now."""
-        if now_s - self._ranked_s < RANKING_MAX_AGE_S:
+        if not self.is_ranking_due(now_s):
             return False
         waiting = [(urgency(run), run) for run in self.runs.values() if run.task is None]
         waiting.sort(key=itemgetter(0))
--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -43,6 +43,7 @@
         crashed_starts: Starts that crashed early in its runs, since its last complete response.
         alone_starts: Those of them at which nothing else ran.
         crashed_s: When the last of them was known to have crashed.
+        is_crowded_out: Whether other items leave no time for it before it is due.
         placement: How the item might run when that was last decided.
         wants_version_s: Since when it has been waiting for a back end of the version that began its
             output, None if it does not.
@@ -61,6 +62,7 @@
         "failures",
         "first_output_s",
         "heard_s",
+        "is_crowded_out",
         "item",
         "last_output_s",
         "lost_runs",
@@ -98,6 +100,7 @@
         self.crashed_starts: set[str] = set()
         self.alone_starts: set[str] = set()
         self.crashed_s = 0.0
+        self.is_crowded_out = False
         self.placement = Placement.SHARED
         self.wants_version_s: float | None = None
         self.wants_idle_s: float | None = None
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -174,6 +174,10 @@
             if runner.ejected_until_s <= now_s
         ]
 
+    def mean_runs(self, service: str) -> float:
+        """Return how many batch runs a service may have on average."""
+        return self._capacity(service).mean_runs(self._loop.time())
+
     def availability(self, service: str) -> ServiceAvailability:
         """Return the figures that decide whether runs of a service can start, for log lines."""
         now_s = self._loop.time()
@@ -256,6 +260,13 @@
                 running,
                 *capacity.summary(now_s),
             )
+            logger.info(
+                "batch of {}: {:.1f} runs on average, {} slots reserved for arrivals ({} reported,"
+                " {} sampled)",
+                service,
+                capacity.mean_runs(now_s),
+                *capacity.reserve_parts(now_s),
+            )
             if service in self._slot_seconds:
                 logger.info(
                     "slot-seconds of {} while items waited: {}",
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -32,6 +32,7 @@
     ReadOpenKeys,
 )
 from leverjunction.lots.continuation import Continuation, Placing
+from leverjunction.lots.due_plan import mark_crowded_out
 from leverjunction.lots.isolation import Isolation
 from leverjunction.lots.item_queue import ItemQueue
 from leverjunction.lots.item_run import ItemKey, ItemRun
@@ -315,7 +316,7 @@
         self._log()
         self._park()
         self._end_lost_runs()
-        self._give_up_overdue()
+        self._rank(index)
         if not self._is_in_doubt():
             self._start_runs(index)
         self._loads.account(self._queue.waiting)
@@ -429,10 +430,15 @@
         for run in self._loads.lost_runs.find(self._queue.running(), now_s):
             run.end_lost(now_s)
 
-    def _give_up_overdue(self) -> None:
-        """Give up waiting items whose time limit has passed, whenever the ranking is renewed."""
-        if not self._queue.rank(asyncio.get_running_loop().time(), self._urgency):
+    def _rank(self, index: RouteIndex) -> None:
+        """Renew the ranking if it is due, and give up waiting items whose time limit has passed."""
+        now_s = asyncio.get_running_loop().time()
+        if not self._queue.is_ranking_due(now_s):
             return
+        for services, runs in self._queue.by_services(index).items():
+            slots = sum(self._loads.mean_runs(service) for service in services)
+            mark_crowded_out(runs, self._due_in_s, self._times, slots)
+        self._queue.rank(now_s, self._urgency)
         self._isolation.rank_suspects(run for run in self._queue.runs.values() if run.task is None)
         for run in self._queue.runs.values():
             if run.task is None and self._is_overdue(run.item) and not self._outbox.has_result(run):
@@ -523,9 +529,10 @@
             self._wake.set()
 
     def _urgency(self, run: ItemRun) -> Urgency:
-        item = run.item
-        due_in_s = (item.accepted_ms + item.due_ms - self._clock.wall_ms()) / 1000
-        return self._times.urgency(due_in_s, run.worked_s)
+        return self._times.urgency(self._due_in_s(run), run.worked_s, run.is_crowded_out)
+
+    def _due_in_s(self, run: ItemRun) -> float:
+        return (run.item.accepted_ms + run.item.due_ms - self._clock.wall_ms()) / 1000
 
     def _is_overdue(self, item: OpenItem) -> bool:
         age_s = (self._clock.wall_ms() - item.accepted_ms) / 1000
--- a/src/leverjunction/lots/urgency.py
+++ b/src/leverjunction/lots/urgency.py
@@ -1,13 +1,14 @@
 """Which items run first, and which yield first. Pure.
 
-Items that can still meet their due time come first, the earliest due time leading. Items that are
-late, or would be, come last: with more work than time, running the earliest due first would make
-all of them late. The time already spent on an item counts: a run that was parked shortly before its
-end is not late.
+Items that can still meet their due time come first, the earliest due time leading; then those that
+could, but not beside the others (``due_plan``); then those that are late, or would be. With more
+work than time, running the earliest due first would make all of them late. The time already spent
+on an item counts: a run that was parked shortly before its end is not late.
 """
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import NamedTuple
 
 INITIAL_RUN_S = 4.0
@@ -21,12 +22,27 @@
 """
 
 
+class Prospect(IntEnum):
+    """Whether an item is expected to be done when it is due; the best prospect runs first."""
+
+    IN_TIME = 0
+    CROWDED_OUT = 1
+    """It could be in time on its own, but not beside the others."""
+
+    LATE = 2
+
+
 class Urgency(NamedTuple):
     """Rank of an item; the item with the smallest rank runs first."""
 
-    late: bool
+    prospect: Prospect
     rank_s: float
 
+    @property
+    def late(self) -> bool:
+        """Whether the item is late, whatever else runs."""
+        return self.prospect is Prospect.LATE
+
 
 class RunTimes:
     """Average time that items take at back ends, without the time spent waiting or parked."""
@@ -48,13 +64,17 @@
         """
         return max(self._average_s - worked_s, self._average_s * MIN_REMAINING_SHARE)
 
-    def urgency(self, due_in_s: float, worked_s: float) -> Urgency:
+    def urgency(self, due_in_s: float, worked_s: float, crowded_out: bool = False) -> Urgency:
         """Return an item's rank.
 
         Args:
             due_in_s: Time until it is due, negative if that has passed.
             worked_s: Time that back ends have already spent on it.
+            crowded_out: Whether other items leave no time for it before it is due.
         """
         remaining_s = self.remaining_s(worked_s)
-        late = due_in_s < remaining_s
-        return Urgency(late, remaining_s if late else due_in_s)
+        if due_in_s < remaining_s:
+            return Urgency(Prospect.LATE, remaining_s)
+        if crowded_out:
+            return Urgency(Prospect.CROWDED_OUT, remaining_s)
+        return Urgency(Prospect.IN_TIME, due_in_s)
--- a/src/testbed/placement/batch.py
+++ b/src/testbed/placement/batch.py
@@ -8,6 +8,7 @@
 
 from leverjunction.lots.batch_capacity import OccupiedSlot
 from leverjunction.lots.commands import OpenItem
+from leverjunction.lots.due_plan import mark_crowded_out
 from leverjunction.lots.item_queue import ItemQueue
 from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.load_listener import LoadListener
@@ -130,7 +131,7 @@
         self._loads.account(self._queue.waiting)
 
     def _start_runs(self) -> None:
-        self._queue.rank(self._loop.time(), self._urgency)
+        self._rank()
         for run in self._queue.take():
             runner = self._loads.pick_runner(SERVICE)
             if runner is None:
@@ -182,9 +183,19 @@
         keys = frozenset(key for key in self._queue.runs if key != run.key)
         self._queue.retain(keys)
 
+    def _rank(self) -> None:
+        if not self._queue.is_ranking_due(self._loop.time()):
+            return
+        mark_crowded_out(
+            self._queue.runs.values(), self._due_in_s, self._times, self._loads.mean_runs(SERVICE)
+        )
+        self._queue.rank(self._loop.time(), self._urgency)
+
     def _urgency(self, run: ItemRun) -> Urgency:
-        due_in_s = run.item.due_ms / 1000 + run.item.accepted_ms / 1000 - self._loop.time()
-        return self._times.urgency(due_in_s, run.worked_s)
+        return self._times.urgency(self._due_in_s(run), run.worked_s, run.is_crowded_out)
+
+    def _due_in_s(self, run: ItemRun) -> float:
+        return run.item.due_ms / 1000 + run.item.accepted_ms / 1000 - self._loop.time()
 
 
 def open_item(job: int, place: int, now_s: float, due_s: float) -> OpenItem:
