Lots: a new leader knows how far the open items have come

Seen: after a power cut with a full backlog (107 to 120 open) the new leader took nearly finished items for untouched ones, and let others go first. Cause: an item's progress was known as time spent by this process only; the recorded events were read when a run started, and told nothing to the ranking. Change: open items are read with the number of their recorded events, which counts by the measured time of an event (10 ms before any was measured). An item that begins anew has made no progress. Tests: a state machine row, two plan rows (failing before), the measured pace.

--- a/src/leverjunction/lots/commands.py
+++ b/src/leverjunction/lots/commands.py
@@ -257,11 +257,12 @@
 class OpenItem(msgspec.Struct, frozen=True, kw_only=True):
     """One open item, with the settings of its lot.
 
-    The fields are those of ``SubmitLot`` and ``LotItem``, and two more.
+    The fields are those of ``SubmitLot`` and ``LotItem``, and three more.
 
     Attributes:
         accepted_ms: Time at which the lot was accepted, by the clock of the leader at that time.
         failures: Number of runs that have failed at a back end so far.
+        events: Number of recorded events of its output so far.
     """
 
     lot_id: str
@@ -275,6 +276,7 @@
     due_ms: float
     accepted_ms: int
     failures: int
+    events: int = 0
 
 
 class OpenItems(msgspec.Struct, frozen=True):
--- a/src/leverjunction/lots/due_plan.py
+++ b/src/leverjunction/lots/due_plan.py
@@ -77,7 +77,7 @@
     claims: list[Claim[ItemRun]] = []
     for run in runs:
         run.is_crowded_out = False
-        claim = Claim(run, due_in_s(run), times.remaining_s(run.worked_s))
+        claim = Claim(run, due_in_s(run), times.remaining_s(run.spent_s(times.seconds_per_event)))
         if claim.due_in_s >= claim.remaining_s:
             claims.append(claim)
     for run in crowded_out(claims, slots):
--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -31,6 +31,7 @@
         parking: Whether the current run is being stopped, to be continued later.
         runner_id: Back end of the current or last run.
         worked_s: Time that back ends have spent on the item, in seconds.
+        earlier_events: Events of its output that other stores had recorded before.
         trace: Notes about its runs for log lines; nothing is decided by them.
         sent_s: When the item was sent to its current back end, None while it is not there.
         heard_s: When the item was sent to that back end or last heard from there.
@@ -59,6 +60,7 @@
         "consecutive_errors",
         "crashed_s",
         "crashed_starts",
+        "earlier_events",
         "failures",
         "first_output_s",
         "heard_s",
@@ -90,6 +92,7 @@
         self.parking = False
         self.runner_id = ""
         self.worked_s = 0.0
+        self.earlier_events = item.events
         self.trace = RunTrace()
         self.sent_s: float | None = None
         self.heard_s = 0.0
@@ -162,6 +165,10 @@
         """
         return ran_on(self.first_output_s, self.last_output_s)
 
+    def spent_s(self, seconds_per_event: float) -> float:
+        """Return the time that back ends have spent on its output, for other stores too."""
+        return self.worked_s + self.earlier_events * seconds_per_event
+
     def is_at(self, start: str) -> bool:
         """Return whether it is being run at a start, or its run there has just ended."""
         return self.task is not None and self.runner_id == start
@@ -194,6 +201,8 @@
             "item {} of lot {} begins anew: {}", self.item.item_id, self.item.lot_id, reason
         )
         self.stream = ItemStream(replaces=True)
+        self.worked_s = 0.0
+        self.earlier_events = 0
         self.wants_version_s = None
 
     def restart(self) -> None:
--- a/src/leverjunction/lots/item_stream.py
+++ b/src/leverjunction/lots/item_stream.py
@@ -50,6 +50,11 @@
             self._append_event(block)
         return len(blocks)
 
+    @property
+    def total(self) -> int:
+        """Number of whole events of the output so far, recorded or not."""
+        return self.recorded + len(self._events)
+
     @property
     def has_events(self) -> bool:
         """Whether the output has any whole event, recorded or not."""
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -529,7 +529,8 @@
             self._wake.set()
 
     def _urgency(self, run: ItemRun) -> Urgency:
-        return self._times.urgency(self._due_in_s(run), run.worked_s, run.is_crowded_out)
+        spent_s = run.spent_s(self._times.seconds_per_event)
+        return self._times.urgency(self._due_in_s(run), spent_s, run.is_crowded_out)
 
     def _due_in_s(self, run: ItemRun) -> float:
         return (run.item.accepted_ms + run.item.due_ms - self._clock.wall_ms()) / 1000
@@ -541,6 +542,7 @@
     async def _run(self, run: ItemRun, runner: TrackedRunner, slot: OccupiedSlot) -> None:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        earlier_events = run.stream.total
         ended = False
         try:
             ended = await self._attempts.attempt(run, runner)
@@ -556,9 +558,11 @@
         finally:
             slot.free()
             run.sent_s = None
-            run.worked_s += loop.time() - started_s
+            took_s = loop.time() - started_s
+            run.worked_s += took_s
+            self._times.record_output(run.stream.total - earlier_events, took_s)
         if ended:
-            self._times.record(run.worked_s)
+            self._times.record(run.spent_s(self._times.seconds_per_event))
         else:
             await asyncio.sleep(RETRY_PAUSE_S)
 
--- a/src/leverjunction/lots/state_machine.py
+++ b/src/leverjunction/lots/state_machine.py
@@ -48,7 +48,10 @@
 """
 _OPEN_ITEMS = """
 SELECT i.lot, i.item, l.host, i.path, i.headers, i.tokens, l.max_attempts, l.give_up_s, l.due_ms,
-    l.accepted_ms, i.failures
+    l.accepted_ms, i.failures, coalesce(
+        (SELECT max(p.start + p.count) FROM sm_lot_part p WHERE p.lot = i.lot AND p.item = i.item),
+        0
+    )
 FROM sm_lot_item i JOIN sm_lot l ON l.lot = i.lot
 WHERE l.ended = 0 AND (?1 = '' OR i.lot = ?1)
 ORDER BY l.accepted_ms + l.due_ms, i.lot, i.place
@@ -336,6 +339,7 @@
             due_ms=due_ms,
             accepted_ms=accepted_ms,
             failures=failures,
+            events=events,
         )
         for (
             lot,
@@ -349,6 +353,7 @@
             due_ms,
             accepted_ms,
             failures,
+            events,
         ) in connection.execute(_OPEN_ITEMS, (lot_id,))
     ]
     return commands.OpenItems(tuple(items))
--- a/src/leverjunction/lots/urgency.py
+++ b/src/leverjunction/lots/urgency.py
@@ -13,6 +13,8 @@
 
 INITIAL_RUN_S = 4.0
 """Assumed time of an item's run before any was measured."""
+INITIAL_EVENT_S = 0.01
+"""Assumed time of one event of the output before any was measured."""
 AVERAGE_WEIGHT = 0.1
 """Weight of a finished item's time in the moving average."""
 
@@ -45,17 +47,31 @@
 
 
 class RunTimes:
-    """Average time that items take at back ends, without the time spent waiting or parked."""
+    """Average time that items take at back ends, without the time spent waiting or parked.
 
-    __slots__ = ("_average_s",)
+    Attributes:
+        seconds_per_event: Average time of one event of their output.
+    """
+
+    __slots__ = ("_average_s", "_has_output", "seconds_per_event")
 
     def __init__(self) -> None:
         self._average_s = INITIAL_RUN_S
+        self._has_output = False
+        self.seconds_per_event = INITIAL_EVENT_S
 
     def record(self, worked_s: float) -> None:
         """Add the time of an item that has run to its end."""
         self._average_s += (worked_s - self._average_s) * AVERAGE_WEIGHT
 
+    def record_output(self, events: int, took_s: float) -> None:
+        """Add the events that a run has written, and the time that it took."""
+        if events <= 0:
+            return
+        weight = AVERAGE_WEIGHT if self._has_output else 1.0
+        self._has_output = True
+        self.seconds_per_event += (took_s / events - self.seconds_per_event) * weight
+
     def remaining_s(self, worked_s: float) -> float:
         """Return the expected remaining time of an item in seconds.
 
--- a/src/testbed/placement/batch.py
+++ b/src/testbed/placement/batch.py
@@ -6,6 +6,8 @@
 from collections.abc import Mapping
 from random import Random
 
+import msgspec
+
 from leverjunction.lots.batch_capacity import OccupiedSlot
 from leverjunction.lots.commands import OpenItem
 from leverjunction.lots.due_plan import mark_crowded_out
@@ -27,6 +29,10 @@
 """Time to read an item's prompt, at each run anew."""
 
 
+EVENTS_PER_S = 50
+"""Events of an item's output in a second with a slot."""
+
+
 class BatchLeader:
     """Used by one event loop.
 
@@ -48,6 +54,7 @@
         self._address = address
         self._back_ends = back_ends
         self._left_s: dict[str, float] = {}
+        self._events: dict[str, int] = {}
         self._leads = True
         self._wake = asyncio.Event()
         self._balancer = Balancer(zone, Random(0))
@@ -88,7 +95,10 @@
 
     def lead(self) -> None:
         """Continue as another leader, which knows the open items and what they have written."""
-        items = [run.item for run in self._queue.runs.values()]
+        items = [
+            msgspec.structs.replace(run.item, events=self._events.get(run.item.item_id, 0))
+            for run in self._queue.runs.values()
+        ]
         self._queue = ItemQueue()
         self._queue.add(items)
         self._times = RunTimes()
@@ -176,9 +186,12 @@
                 worked_s = self._loop.time() - begun_s
                 run.worked_s += worked_s
                 self._left_s[run.item.item_id] -= worked_s
+                events = int(worked_s * EVENTS_PER_S)
+                self._events[run.item.item_id] = self._events.get(run.item.item_id, 0) + events
+                self._times.record_output(events, worked_s)
         finally:
             self._loop.call_later(WAY_S, back_end.leave, engine_run)
-        self._times.record(run.worked_s)
+        self._times.record(run.spent_s(self._times.seconds_per_event))
         self.done_s[run.item.item_id] = self._loop.time()
         keys = frozenset(key for key in self._queue.runs if key != run.key)
         self._queue.retain(keys)
@@ -192,7 +205,8 @@
         self._queue.rank(self._loop.time(), self._urgency)
 
     def _urgency(self, run: ItemRun) -> Urgency:
-        return self._times.urgency(self._due_in_s(run), run.worked_s, run.is_crowded_out)
+        spent_s = run.spent_s(self._times.seconds_per_event)
+        return self._times.urgency(self._due_in_s(run), spent_s, run.is_crowded_out)
 
     def _due_in_s(self, run: ItemRun) -> float:
         return run.item.due_ms / 1000 + run.item.accepted_ms / 1000 - self._loop.time()
--- a/tests/unit/test_lots_due_plan.py
+++ b/tests/unit/test_lots_due_plan.py
@@ -72,7 +72,7 @@
     return True
 
 
-def make_run(name: str, worked_s: float = 0.0) -> ItemRun:
+def make_run(name: str, worked_s: float = 0.0, events: int = 0) -> ItemRun:
     run = ItemRun(
         OpenItem(
             lot_id="lot",
@@ -86,6 +86,7 @@
             due_ms=0.0,
             accepted_ms=0,
             failures=0,
+            events=events,
         )
     )
     run.worked_s = worked_s
@@ -112,6 +113,17 @@
     assert [run.item.item_id for run in runs if run.is_crowded_out] in (["a"], ["b"])
 
 
+@pytest.mark.parametrize("measured", [False, True])
+def test_a_new_leader_keeps_items_that_others_have_begun(measured: bool) -> None:
+    """Guards against a new leader that takes nearly finished items for untouched ones."""
+    times = RunTimes()
+    if measured:
+        times.record_output(events=100, took_s=2.0)
+    runs = [make_run("a"), make_run("begun", events=150), make_run("b")]
+    mark_crowded_out(runs, lambda _run: INITIAL_RUN_S, times, slots=1.0)
+    assert [run.item.item_id for run in runs if run.is_crowded_out] == ["a", "b"]
+
+
 def test_late_items_take_nothing_from_the_others() -> None:
     times = RunTimes()
     late, other = make_run("late"), make_run("other")
--- a/tests/unit/test_lots_state_machine.py
+++ b/tests/unit/test_lots_state_machine.py
@@ -313,6 +313,14 @@
     assert lots.machine.open_items_changed
 
 
+def test_open_items_come_with_the_number_of_their_events(lots: Lots) -> None:
+    lots.apply(RecordRuns(progress=(progress(0, "one"),)))
+    lots.apply(RecordRuns(progress=(progress(1, "two", "three"),)))
+    opened = lots.query(ReadOpenItems(), OpenItems)
+    assert isinstance(opened, OpenItems)
+    assert {item.item_id: item.events for item in opened.items if item.events} == {"a": 3}
+
+
 def test_open_items_are_queried_by_key_or_by_lot(lots: Lots) -> None:
     lots.apply(submit("x", lot="other"), LotAccepted)
     lots.done("b")
--- a/tests/unit/test_lots_urgency.py
+++ b/tests/unit/test_lots_urgency.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leverjunction.lots.urgency import INITIAL_RUN_S, MIN_REMAINING_SHARE, RunTimes
+from leverjunction.lots.urgency import INITIAL_EVENT_S, INITIAL_RUN_S, MIN_REMAINING_SHARE, RunTimes
 
 ITEMS = {
     "due soon": (INITIAL_RUN_S + 1, 0.0),
@@ -43,6 +43,16 @@
     assert RunTimes().remaining_s(worked_s) == INITIAL_RUN_S * MIN_REMAINING_SHARE
 
 
+def test_the_time_of_an_event_is_measured_from_the_first_run_on() -> None:
+    times = RunTimes()
+    times.record_output(events=0, took_s=5.0)
+    assert times.seconds_per_event == INITIAL_EVENT_S
+    times.record_output(events=100, took_s=2.0)
+    assert times.seconds_per_event == pytest.approx(0.02)
+    times.record_output(events=100, took_s=12.0)
+    assert times.seconds_per_event == pytest.approx(0.03)
+
+
 def test_the_average_follows_the_items() -> None:
     times = RunTimes()
     for _ in range(60):
