Lots: an item that has run harmlessly goes on without a second proof

Cause: since the bad items, a lot of fewer than 24 items starts two runs at a time until they are proven. An item that was parked had to prove itself again in each lull, so a lot of ten took 1.5 s of a lull of 3.8 s to go on. Change: an item that was proven, also by the run that was parked, is not limited when it goes on, until a back end crashes early in a run of its lot.

--- a/src/leverjunction/lots/isolation.py
+++ b/src/leverjunction/lots/isolation.py
@@ -279,7 +279,7 @@
             return False
         if self._quarantine.has_crashed(start):
             return False
-        return self._unproven.may_start(run.item.lot_id, start)
+        return self._unproven.may_start(run, start)
 
     def reserved_starts(self) -> set[str]:
         """Return the starts at which an item runs apart, or which are kept free for one."""
@@ -288,7 +288,11 @@
 
     def is_starting(self, run: ItemRun) -> bool:
         """Return whether an item waits until other runs of its lot are proven."""
-        return self._unproven.is_full(run.item.lot_id)
+        return self._unproven.is_full(run)
+
+    def is_proven(self, run: ItemRun) -> bool:
+        """Return whether an item has shown in an earlier run that it is harmless."""
+        return self._unproven.is_proven(run)
 
     def take_waiting(self) -> list[ItemRun]:
         """Return the items that come before the ranked ones, which fill each slot that is free.
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -463,7 +463,8 @@
             if placement is Placement.HELD:
                 continue
             is_apart = placement is Placement.APART
-            if not is_apart and (run.item.lot_id in starting or self._isolation.is_starting(run)):
+            is_limited = not is_apart and not self._isolation.is_proven(run)
+            if is_limited and (run.item.lot_id in starting or self._isolation.is_starting(run)):
                 continue
             if not self._attempts.load_progress(run):
                 continue
