Lots: the use of slots is accounted for four times a second

Change: slots are accounted for every 0.25 s and the average supply every 0.1 s; late items have four lines in 5 s like those in time.

--- a/src/leverjunction/lots/batch_capacity.py
+++ b/src/leverjunction/lots/batch_capacity.py
@@ -25,6 +25,9 @@
 bursts.
 """
 
+SUPPLY_INTERVAL_S = 0.1
+"""Interval at which the runs that a service may have are averaged: reports come more often."""
+
 SUPPLY_WINDOW_S = 12.0
 """Time constant of the average of the runs that a service may have: longer than a burst and the
 lull after it.
@@ -314,6 +317,7 @@
         "_reported_rise",
         "_sources",
         "_supply",
+        "_supply_due_s",
         "_unreported_rise",
         "_watched_since_s",
         "gateway_count",
@@ -333,6 +337,7 @@
         self._online_peak = 0
         self._online_rise = 0
         self._supply = MovingAverage(SUPPLY_WINDOW_S)
+        self._supply_due_s = float("-inf")
         self._watched_since_s: float | None = None
 
     def runner(self, key: str, slots: int) -> RunnerCapacity:
@@ -384,7 +389,8 @@
         self._online_peak = self._peak.maximum(now_s)
         self._online_rise = self._expected_reports(now_s) + self._unreported_rise.maximum(now_s)
 
-        if fresh:
+        if fresh and now_s >= self._supply_due_s:
+            self._supply_due_s = now_s + SUPPLY_INTERVAL_S
             self._supply.record(now_s, self._max_runs(now_s))
 
     def _expected_reports(self, now_s: float) -> int:
--- a/src/leverjunction/lots/item_lines.py
+++ b/src/leverjunction/lots/item_lines.py
@@ -25,6 +25,7 @@
 FREQUENT_KINDS = frozenset(
     {
         "ended in_time",
+        "ended late",
         "waits no_room",
         "waits waits_turn",
         "moves_on runs",
--- a/src/leverjunction/lots/item_queue.py
+++ b/src/leverjunction/lots/item_queue.py
@@ -86,9 +86,8 @@
         """Return the items that are being run."""
         return (run for run in self.runs.values() if run.task is not None)
 
-    @property
-    def waiting(self) -> int:
-        """Number of items that are not being run."""
+    def count_waiting(self) -> int:
+        """Return the number of items that are not being run."""
         return sum(1 for run in self.runs.values() if run.task is None)
 
     def services(self, index: RouteIndex) -> frozenset[str]:
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -25,6 +25,9 @@
 sampled less often.
 """
 
+ACCOUNT_INTERVAL_S = 0.25
+"""Interval at which the use of all slots is accounted for."""
+
 LOG_INTERVAL_S = 5.0
 MIN_LOCAL_SLOTS = 3
 """Free slots that a back end in this zone needs to be preferred to one with more in another zone.
@@ -61,6 +64,7 @@
         self._polls: dict[str, asyncio.Task[None]] = {}
         self._logged_s = float("-inf")
         self._lag = LoopLag()
+        self._account_due_s = float("-inf")
         self._slot_seconds: dict[str, SlotSeconds] = {}
         self.lost_runs = LostRuns()
         self._loop = asyncio.get_running_loop()
@@ -229,13 +233,17 @@
         """Record for how long the event loop has handled no report, in seconds."""
         self._lag.record(self._loop.time(), late_s)
 
-    def account(self, waiting: int) -> None:
-        """Account for the use of all slots since the last call.
+    def account(self, count_waiting: Callable[[], int]) -> None:
+        """Account for the use of all slots since it was last due.
 
         Args:
-            waiting: Items of all services that wait now.
+            count_waiting: Returns how many items of all services wait now.
         """
         now_s = self._loop.time()
+        if now_s < self._account_due_s:
+            return
+        self._account_due_s = now_s + ACCOUNT_INTERVAL_S
+        waiting = count_waiting()
         for service, capacity in self._capacities.items():
             seconds = self._slot_seconds.setdefault(service, SlotSeconds())
             use = current_use(capacity, waiting, now_s) if waiting else {}
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -325,7 +325,7 @@
         self._rank(index)
         if not self._is_in_doubt():
             self._start_runs(index)
-        self._loads.account(self._queue.waiting)
+        self._loads.account(self._queue.count_waiting)
 
     def _record(self) -> None:
         """Replicate new results in a separate task.
--- a/src/testbed/placement/batch.py
+++ b/src/testbed/placement/batch.py
@@ -138,7 +138,7 @@
         self._loads.apply_gateway_loads(self._listener.loads)
         self._park()
         self._start_runs()
-        self._loads.account(self._queue.waiting)
+        self._loads.account(self._queue.count_waiting)
 
     def _start_runs(self) -> None:
         self._rank()
