Lots: the lag of busy steps counts by half

Steps of the leader's loop are longest at the start of a burst, which is when batch has to yield; averaged over ten, they hardly counted.

--- a/src/leverjunction/lots/batch_capacity.py
+++ b/src/leverjunction/lots/batch_capacity.py
@@ -75,8 +75,10 @@
 longer than that.
 """
 
-LAG_WEIGHT = 0.1
-"""Weight of one timer in the average lag: a single stall says little about the next arrivals."""
+LAG_WEIGHT = 0.5
+"""Weight of one step in the average lag. Steps are longest when many requests arrive at once, which
+is when batch has to yield; a single stall alone counts by half.
+"""
 
 SLACK_RUNS = 2
 """Runs above the allowed number before any is parked, since load samples fluctuate."""
