--- a/src/leverjunction/config/machine.py
+++ b/src/leverjunction/config/machine.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 from typing import Annotated
 
@@ -14,6 +15,7 @@
 
 from leverjunction.config.document import bad_file, read_document
 from leverjunction.errors import Failure
+from leverjunction.quota.bounds import QuotaBounds
 
 Port = Annotated[int, Meta(gt=0, lt=65536)]
 PositiveNumber = Annotated[float, Meta(gt=0)]
@@ -36,12 +38,36 @@
         drain_ms: Milliseconds until a leaving runner gets no new work from any gateway.
         status_s: Seconds for which a finished batch job stays readable.
         in_force_ms: Milliseconds until an accepted route change is in force at all gateways.
+        quota_window_s: Length in seconds of the periods in which tenants' limits are checked.
+        quota_overshoot: Share beyond a tenant's limit that is tolerated in such a period.
+        quota_slack: Number of requests beyond that which is tolerated.
+        refuse_stale_keys: Refuse all API keys while the newest keys are not known for
+            ``revoke_ms``. Otherwise a gateway that is cut off serves the keys that it knows.
+        revoke_ms: Milliseconds until a removed key must be refused everywhere, if
+            ``refuse_stale_keys`` is set.
     """
 
     stop_grace_s: PositiveNumber = 8.0
     drain_ms: PositiveNumber = 2000.0
     status_s: PositiveNumber = 120.0
     in_force_ms: PositiveNumber = 2000.0
+    quota_window_s: PositiveNumber = 5.0
+    quota_overshoot: Annotated[float, Meta(ge=0)] = 0.0
+    quota_slack: Annotated[float, Meta(ge=0)] = 0.0
+    refuse_stale_keys: bool = False
+    revoke_ms: PositiveNumber = 5000.0
+
+    def quota(self) -> QuotaBounds:
+        """Return the tolerance of tenants' limits."""
+        return QuotaBounds(
+            window_s=self.quota_window_s,
+            overshoot=self.quota_overshoot,
+            slack=self.quota_slack,
+        )
+
+    def max_key_age_s(self) -> float:
+        """Return the age of the route table from which no API key is accepted, in seconds."""
+        return self.revoke_ms / 1000 if self.refuse_stale_keys else math.inf
 
 
 class MachineElections(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -20,6 +20,7 @@
 from leverjunction.lots.item_stream import ItemStream
 from leverjunction.lots.lost_runs import silence_s
 from leverjunction.lots.outbox import Outbox
+from leverjunction.lots.ownership import owner_of
 from leverjunction.lots.run_trace import RunEnd
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.caller_connection import CallerRequest
@@ -221,6 +222,7 @@
         now_s = asyncio.get_running_loop().time()
         request = CallerRequest(b"POST", item.path.encode(), headers, body.body, now_s)
         request.metadata = self._dialect.read_request(headers)
+        request.metadata.tenant = owner_of(item.lot_id)
         request.is_item = True
         return request
 
--- a/src/leverjunction/lots/commands.py
+++ b/src/leverjunction/lots/commands.py
@@ -41,13 +41,16 @@
     """Command to store a lot. A lot whose id is already stored is left unchanged.
 
     Attributes:
-        lot_id: Id chosen by the caller.
+        lot_id: Id under which the lot is stored (``ownership.stored_id``).
         host: Host of the lot's route, sent as the host of its items' requests.
         path: Path of the request that submitted the lot.
         max_attempts: Number of failed runs after which an item is given up.
         give_up_s: Seconds after acceptance from which an item may be given up; 0 for never.
         due_ms: Milliseconds after acceptance within which all items are due.
         items: The items, at least one.
+        route: Name of the lot's route; empty in commands of older versions.
+        max_queued_tokens: Tokens that the open items of one tenant may have on the route, these
+            included; 0 for no limit.
     """
 
     lot_id: str
@@ -57,6 +60,8 @@
     give_up_s: float
     due_ms: float
     items: tuple[LotItem, ...]
+    route: str = ""
+    max_queued_tokens: int = 0
 
 
 class ItemResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/lots/isolation.py
+++ b/src/leverjunction/lots/isolation.py
@@ -15,6 +15,7 @@
 from leverjunction.lots.crash_limits import CrashLimits, Origin, Suspicion
 from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.load_watch import LoadWatch
+from leverjunction.lots.ownership import owner_of
 from leverjunction.lots.placement import Placement
 from leverjunction.lots.unproven_runs import UNPROVEN_TIMEOUT_S, UnprovenRuns
 from leverjunction.proxy.quarantine import EvidenceReporter, Quarantine
@@ -454,7 +455,12 @@
 def _origins(run: ItemRun) -> tuple[Origin, ...]:
     """Return the origins of an item, its lot first."""
     lot = ("lot", run.item.lot_id)
-    credentials = [value for name, value in run.item.headers if name.lower() == AUTHORIZATION]
+    tenant = owner_of(run.item.lot_id)
+    credentials = (
+        [tenant]
+        if tenant
+        else [value for name, value in run.item.headers if name.lower() == AUTHORIZATION]
+    )
     if not credentials:
         return (lot,)
     return (lot, ("caller", run.item.host, run.route_name, *credentials))
--- a/src/leverjunction/lots/state_machine.py
+++ b/src/leverjunction/lots/state_machine.py
@@ -3,6 +3,8 @@
 A lot is a batch job of opaque items: each item is one HTTP request whose output is kept as text.
 State is stored in SQLite tables, written in the transaction that applies the log entry. Invariants:
 
+* The open items of one tenant on one route have no more tokens than the limit that was in force
+  when the last of their lots was submitted. An item is open until it has a result.
 * Submitting a lot is idempotent: a lot whose id is already stored is left unchanged.
 * The first result of an item is final and keeps its position; later results are ignored.
 * A lot that has ended accepts no more results.
@@ -25,6 +27,7 @@
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots import commands, progress_rows
 from leverjunction.lots.commands import ItemResult, ItemState
+from leverjunction.lots.ownership import owner_of
 from leverjunction.wire.codec import encode, encode_reply
 
 _TABLES = """
@@ -45,6 +48,9 @@
     lot TEXT NOT NULL, position INTEGER NOT NULL, item TEXT NOT NULL, state TEXT NOT NULL,
     text TEXT NOT NULL, PRIMARY KEY (lot, position)
 ) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS sm_lot_queue (
+    tenant TEXT NOT NULL, route TEXT NOT NULL, lot TEXT NOT NULL, PRIMARY KEY (tenant, route, lot)
+) WITHOUT ROWID;
 """
 _OPEN_ITEMS = """
 SELECT i.lot, i.item, l.host, i.path, i.headers, i.tokens, l.max_attempts, l.give_up_s, l.due_ms,
@@ -56,6 +62,10 @@
 WHERE l.ended = 0 AND (?1 = '' OR i.lot = ?1)
 ORDER BY l.accepted_ms + l.due_ms, i.lot, i.place
 """
+_QUEUED_TOKENS = """
+SELECT coalesce(sum(i.tokens), 0) FROM sm_lot_queue q JOIN sm_lot_item i ON i.lot = q.lot
+WHERE q.tenant = ? AND q.route = ?
+"""
 _COMMANDS = msgspec.msgpack.Decoder(commands.LotCommand)
 _QUERIES = msgspec.json.Decoder(commands.LotQuery)
 _HEADERS = msgspec.json.Decoder(tuple[tuple[str, str], ...])
@@ -125,10 +135,18 @@
 
 def _submit_lot(
     connection: sqlite3.Connection, context: ApplyContext, lot: commands.SubmitLot
-) -> commands.LotAccepted:
+) -> commands.LotAccepted | Failure:
     existing = connection.execute("SELECT 1 FROM sm_lot WHERE lot = ?", (lot.lot_id,)).fetchone()
     if existing is not None:
         return commands.LotAccepted(lot.lot_id)
+    refusal = _queue_refusal(connection, lot)
+    if refusal is not None:
+        return refusal
+    if lot.route:
+        connection.execute(
+            "INSERT INTO sm_lot_queue VALUES (?, ?, ?)",
+            (owner_of(lot.lot_id), lot.route, lot.lot_id),
+        )
     connection.execute(
         "INSERT INTO sm_lot VALUES (?, ?, ?, ?, ?, ?, 0, ?, 0)",
         (
@@ -152,6 +170,25 @@
     return commands.LotAccepted(lot.lot_id)
 
 
+def _queue_refusal(connection: sqlite3.Connection, lot: commands.SubmitLot) -> Failure | None:
+    """Return why a lot does not fit into its tenant's queue, None if it does."""
+    if not lot.max_queued_tokens:
+        return None
+    tenant = owner_of(lot.lot_id)
+    (queued,) = connection.execute(_QUEUED_TOKENS, (tenant, lot.route)).fetchone()
+    wanted = sum(item.tokens for item in lot.items)
+    if queued + wanted <= lot.max_queued_tokens:
+        return None
+    return Failure(
+        kind=FailureKind.RATE_LIMITED,
+        reason=(
+            f"tenant {tenant!r} has {queued} tokens queued on route {lot.route!r}; {wanted} more "
+            f"exceed its limit of {lot.max_queued_tokens}"
+        ),
+        step=Step.ADMISSION,
+    )
+
+
 def _record_runs(connection: sqlite3.Connection, runs: commands.RecordRuns) -> commands.Recorded:
     count = 0
     rejected: list[tuple[str, str]] = []
@@ -268,7 +305,7 @@
         (command.before_ms,),
     ).fetchall()
     for (lot,) in rows:
-        for table in ("sm_lot", "sm_lot_item", "sm_lot_body", "sm_lot_result"):
+        for table in ("sm_lot", "sm_lot_item", "sm_lot_body", "sm_lot_result", "sm_lot_queue"):
             connection.execute(f"DELETE FROM {table} WHERE lot = ?", (lot,))
         progress_rows.delete_lot(connection, lot)
     return commands.Recorded(len(rows))
--- a/src/leverjunction/platform/gateway_calls.py
+++ b/src/leverjunction/platform/gateway_calls.py
@@ -23,13 +23,16 @@
     ResultsPage,
     SubmitLot,
 )
+from leverjunction.lots.ownership import SEPARATOR, stored_id
 from leverjunction.platform.headers import REQUEST_ID
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
-from leverjunction.proxy.forwarding import LocalHandler
+from leverjunction.proxy.caller_identity import NO_KEY, require
+from leverjunction.proxy.failures import status_of, unauthenticated
+from leverjunction.proxy.forwarding import Caller, LocalHandler
 from leverjunction.proxy.headers import find
 from leverjunction.registry.follower import RegistryFollower
 from leverjunction.routes.matching import RouteIndex
-from leverjunction.routes.types import Route, RouteClass
+from leverjunction.routes.types import Route, RouteClass, Tenant
 from leverjunction.wire.rpc_client import RpcClient
 
 READY_PATH = "/api/ready"
@@ -76,6 +79,8 @@
 
 
 Handler = Callable[[LotsClient, CallerRequest, str], Awaitable[Response]]
+"""Answers a call; the last argument is the stored id of the lot that the call names."""
+
 _HANDLERS: dict[tuple[bytes, str], Handler] = {}
 
 
@@ -98,14 +103,24 @@
     client = LotsClient(rpc, follower, zone)
 
     async def handle(
-        request: CallerRequest, responder: Responder, _index: RouteIndex, route: Route | None
+        request: CallerRequest,
+        responder: Responder,
+        index: RouteIndex,
+        route: Route | None,
+        caller: Caller,
     ) -> bool:
         folder, _, name = request.path.rpartition("/")
         handler = _HANDLERS.get((request.method, folder + "/"))
         if handler is not None and (route is None or route.kind is RouteClass.BATCH):
-            response = await handler(client, request, name)
+            response = await _call_lot(handler, client, request, name, index, caller)
         elif route is not None and route.kind is RouteClass.BATCH:
-            response = await _submit(client, request, route)
+            refusal = require(index, route, caller)
+            tenant = caller.name if isinstance(caller, Tenant) else ""
+            response = (
+                await _submit(client, request, route, tenant)
+                if refusal is None
+                else Response(status_of(refusal))
+            )
         else:
             return False
         headers = [_JSON]
@@ -117,6 +132,24 @@
     return handle
 
 
+async def _call_lot(
+    handler: Handler,
+    client: LotsClient,
+    request: CallerRequest,
+    name: str,
+    index: RouteIndex,
+    caller: Caller,
+) -> Response:
+    """Answer a call on a lot; without a key only lots that belong to no tenant are found."""
+    if isinstance(caller, Failure):
+        return Response(status_of(caller))
+    tenant = "" if caller is None else caller.name
+    response = await handler(client, request, stored_id(tenant, name))
+    if response.status == 404 and caller is None and index.has_tenants:
+        return Response(status_of(unauthenticated(NO_KEY)))
+    return response
+
+
 def _is_sendable(item: _ItemPayload) -> bool:
     """Return whether HTTP can carry an item's path and headers; if not, every run would fail."""
     texts = (*item.headers, *item.headers.values())
@@ -124,22 +157,25 @@
     return sendable and not any(_CONTROL_CHARACTERS.search(text) for text in texts)
 
 
-async def _submit(client: LotsClient, request: CallerRequest, route: Route) -> Response:
+async def _submit(
+    client: LotsClient, request: CallerRequest, route: Route, tenant: str
+) -> Response:
     lot_id = (find(request.headers, REQUEST_ID.lower()) or b"").decode("latin-1")
     try:
         payload = msgspec.json.decode(request.body, type=_LotPayload)
     except msgspec.MsgspecError as error:
         return Response(400, msgspec.json.encode({"Error": str(error)}))
-    if not lot_id or not 0 < len(payload.items) <= MAX_ITEMS:
-        return Response(
-            400, msgspec.json.encode({"Error": "expected a request id and 1 to 200 items"})
-        )
+    if not lot_id or SEPARATOR in lot_id or not 0 < len(payload.items) <= MAX_ITEMS:
+        reason = f"expected a request id without {SEPARATOR!r} and 1 to 200 items"
+        return Response(400, msgspec.json.encode({"Error": reason}))
     unsendable = next((item.id for item in payload.items if not _is_sendable(item)), None)
     if unsendable is not None:
         reason = f"HTTP cannot carry the path or a header of item {unsendable}"
         return Response(400, msgspec.json.encode({"Error": reason}))
     command = SubmitLot(
-        lot_id=lot_id,
+        lot_id=stored_id(tenant, lot_id),
+        route=route.name,
+        max_queued_tokens=route.max_queued_tokens,
         host=route.host,
         path=request.path,
         max_attempts=route.max_attempts,
@@ -159,6 +195,8 @@
     accepted = await client.propose(command, LotAccepted)
     if not isinstance(accepted, Failure):
         return Response(202)
+    if accepted.kind is FailureKind.RATE_LIMITED:
+        return Response(429, msgspec.json.encode({"Error": accepted.reason}))
     # 503 promises that the lot will not run, but a store that did not answer may have accepted it.
     return Response(503 if accepted.execution is Execution.NOT_RUN else 504)
 
--- a/src/leverjunction/platform/headers.py
+++ b/src/leverjunction/platform/headers.py
@@ -6,9 +6,11 @@
 
 import msgspec
 
+from leverjunction.api_keys import MAX_KEY_BYTES, hash_key
 from leverjunction.errors import Failure
 from leverjunction.proxy.dialect import (
     EngineLoad,
+    PresentedKey,
     PromptPart,
     RawHeaders,
     RequestMetadata,
@@ -28,6 +30,8 @@
 PROMPT_PREFIX = b"Leverjunction-Prompt-Prefix"
 TOKEN_COUNT = b"Leverjunction-Token-Count"
 MODEL = b"Leverjunction-Model"
+API_KEY = b"Leverjunction-Key"
+TENANT = b"Leverjunction-Tenant"
 EXPECT_INSTANCE = b"Leverjunction-Expect-Instance"
 LAST_EVENT_ID = b"Last-Event-Id"
 RESUMES = b"Leverjunction-Resumes"
@@ -55,7 +59,7 @@
         b"Connection",
     )
 }
-_REPLACED_FIELDS = {name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE)}
+_REPLACED_FIELDS = {name.lower() for name in (DEADLINE_MS, EXPECT_INSTANCE, API_KEY, TENANT)}
 
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=COUNT_MOST)]
@@ -86,16 +90,24 @@
             model=fields.get(MODEL.lower(), ""),
             resumes=fields.get(RESUMES.lower(), ""),
             credentials=fields.get(b"authorization", ""),
+            key=_parse_key(headers),
         )
 
     def forwarded_headers(
-        self, headers: RawHeaders, left_ms: float, runner_id: str, last_event_id: str
+        self,
+        headers: RawHeaders,
+        left_ms: float,
+        runner_id: str,
+        last_event_id: str,
+        tenant: str = "",
     ) -> RawHeaders:
         """Return the headers of a request to a back end."""
         added = [
             (DEADLINE_MS, b"%d" % max(1, int(left_ms))),
             (EXPECT_INSTANCE, runner_id.encode()),
         ]
+        if tenant:
+            added.append((TENANT, tenant.encode()))
         replaced = _REPLACED_FIELDS
         if last_event_id:
             added.append((LAST_EVENT_ID, last_event_id.encode()))
@@ -148,6 +160,20 @@
     }
 
 
+def _parse_key(headers: RawHeaders) -> PresentedKey | None:
+    """Return the key of a request's headers, None if there is none."""
+    values = [value.strip() for name, value in headers if name.lower() == API_KEY.lower()]
+    if not values:
+        return None
+    if len(values) > 1:
+        return PresentedKey(problem="several API keys were sent")
+    if not 0 < len(values[0]) <= MAX_KEY_BYTES:
+        return PresentedKey(problem=f"the API key is empty or longer than {MAX_KEY_BYTES} bytes")
+    if not values[0].isascii():
+        return PresentedKey(problem="the API key is not ASCII")
+    return PresentedKey(key_hash=hash_key(values[0].decode("ascii")))
+
+
 def _parse_token_counts(text: str) -> tuple[int, int]:
     first, _, second = text.partition(",")
     return whole_number(first, TOKENS_MOST), whole_number(second, TOKENS_MOST)
--- a/src/leverjunction/platform/route_table.py
+++ b/src/leverjunction/platform/route_table.py
@@ -4,14 +4,17 @@
 
 import msgspec
 
+from leverjunction.api_keys import hash_key
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.routes.types import (
     EngineSpec,
+    RateLimit,
     RequestLimits,
     Route,
     RouteClass,
     RouteTable,
     ServiceSpec,
+    Tenant,
     WeightedService,
 )
 from leverjunction.untrusted import read_json
@@ -59,6 +62,8 @@
     gap_aim_ms: float = 0.0
     due_ms: float = 0.0
     max_wait_s: float = 0.0
+    public: bool = False
+    max_queued_tokens: int | None = None
 
 
 class _EnginePayload(_Payload):
@@ -80,11 +85,20 @@
     idle_timeout_ms: float = 15000.0
 
 
+class _TenantPayload(_Payload):
+    name: str
+    api_keys: list[str] = []
+    priority: int = 0
+    rate_per_s: float | None = None
+    burst: float | None = None
+
+
 class _TablePayload(_Payload):
     version: int
     routes: list[_RoutePayload]
     services: list[_ServicePayload]
     limits: _LimitsPayload = msgspec.field(default_factory=_LimitsPayload)
+    tenants: list[_TenantPayload] | None = None
 
 
 _DECODER = msgspec.json.Decoder(_TablePayload)
@@ -101,6 +115,7 @@
             routes=tuple(_route(route) for route in payload.routes),
             services=tuple(_service(service) for service in payload.services),
             limits=RequestLimits(**msgspec.structs.asdict(payload.limits)),
+            tenants=tuple(_tenant(tenant) for tenant in payload.tenants or ()),
         )
     except KeyError as error:
         return _invalid(f"unknown route kind {error}")
@@ -134,6 +149,8 @@
         head_within_ms=_head_within_ms(payload),
         due_ms=payload.due_ms,
         give_up_s=payload.max_wait_s,
+        is_public=payload.public,
+        max_queued_tokens=payload.max_queued_tokens or 0,
     )
 
 
@@ -147,6 +164,15 @@
     )
 
 
+def _tenant(payload: _TenantPayload) -> Tenant:
+    return Tenant(
+        name=payload.name,
+        key_hashes=tuple(hash_key(key) for key in payload.api_keys),
+        priority=payload.priority,
+        limit=RateLimit(per_s=payload.rate_per_s or 0.0, burst=payload.burst or 0.0),
+    )
+
+
 def _service(payload: _ServicePayload) -> ServiceSpec:
     engine = None
     if payload.engine is not None:
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -203,6 +203,7 @@
             left_ms,
             dispatch.runner.record.runner_id,
             dispatch.last_event_id,
+            dispatch.metadata.tenant,
         )
         connection.send(request.method, request.target, headers, request.body)
         return self._loop.time()
--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -77,13 +77,14 @@
 def request_parts(request: CallerRequest, route: str) -> list[PartId]:
     """Return the parts of a request's prompt that others may share, which is all but the last."""
     metadata = request.metadata
-    credentials = metadata.credentials
+    credentials = metadata.tenant or metadata.credentials
     return [(route, credentials, part.key) for part in metadata.parts[:-1][:MAX_PARTS]]
 
 
 def request_content(request: CallerRequest) -> RequestContent:
     """Return the parts of a request that are the same when its caller sends it again."""
-    credentials = find(request.headers, b"authorization") or b""
+    # A tenant may send a request again with another of its keys.
+    credentials = request.metadata.tenant.encode() or find(request.headers, b"authorization") or b""
     # An item only waits, but an online request would be refused for what somebody else declares,
     # unless credentials tell the callers apart.
     uses_prompt = request.is_item or credentials
--- a/src/leverjunction/proxy/dialect.py
+++ b/src/leverjunction/proxy/dialect.py
@@ -27,6 +27,21 @@
         self.tokens = tokens
 
 
+class PresentedKey:
+    """API key that a caller presented.
+
+    Attributes:
+        key_hash: Hash of the key (``api_keys.hash_key``); empty if it is malformed.
+        problem: Why the key is malformed; empty if it is not. Does not contain the key.
+    """
+
+    __slots__ = ("key_hash", "problem")
+
+    def __init__(self, key_hash: str = "", problem: str = "") -> None:
+        self.key_hash = key_hash
+        self.problem = problem
+
+
 class RequestMetadata:
     """Metadata of a request, parsed from its headers.
 
@@ -42,16 +57,22 @@
         model: Name of the model; empty if not stated.
         resumes: The caller's id of the attempt that brought the first event of the stream that
             continues; empty if not stated.
+        key: API key that the caller presented; None if it presented none.
+        tenant: Name of the tenant on whose behalf the request runs, which back ends receive; empty
+            if none. Never read from the headers: a gateway sets it once it has identified the
+            caller.
     """
 
     __slots__ = (
         "credentials",
         "deadline_ms",
+        "key",
         "last_event_id",
         "model",
         "parts",
         "request_id",
         "resumes",
+        "tenant",
         "tokens_in",
         "tokens_out",
     )
@@ -67,6 +88,7 @@
         model: str = "",
         resumes: str = "",
         credentials: str = "",
+        key: PresentedKey | None = None,
     ) -> None:
         self.request_id = request_id
         self.deadline_ms = deadline_ms
@@ -77,6 +99,8 @@
         self.model = model
         self.resumes = resumes
         self.credentials = credentials
+        self.key = key
+        self.tenant = ""
 
     @property
     def declared_prompt(self) -> str:
@@ -144,9 +168,14 @@
         ...
 
     def forwarded_headers(
-        self, headers: RawHeaders, left_ms: float, runner_id: str, last_event_id: str
+        self,
+        headers: RawHeaders,
+        left_ms: float,
+        runner_id: str,
+        last_event_id: str,
+        tenant: str = "",
     ) -> RawHeaders:
-        """Return the headers of a request to a back end.
+        """Return the headers of a request to a back end, without the caller's API key.
 
         Args:
             headers: The caller's headers without the hop-by-hop fields.
@@ -154,6 +183,7 @@
             runner_id: Id of the runner instance that must run the request; any other refuses it.
             last_event_id: Id of the event after which the stream continues; empty to leave the
                 caller's field as it is.
+            tenant: Name of the request's tenant, whatever the caller's headers say; empty if none.
         """
         ...
 
--- a/src/leverjunction/proxy/failures.py
+++ b/src/leverjunction/proxy/failures.py
@@ -19,6 +19,7 @@
 _STATUS_BY_KIND = {
     FailureKind.BAD_REQUEST: 400,
     FailureKind.HARMFUL: 400,
+    FailureKind.UNAUTHENTICATED: 401,
     FailureKind.NOT_FOUND: 404,
     FailureKind.TOO_LARGE: 413,
     FailureKind.RATE_LIMITED: 429,
@@ -66,6 +67,28 @@
     )
 
 
+def unauthenticated(reason: str) -> Failure:
+    """Return the refusal of a request without a valid API key.
+
+    Args:
+        reason: What is wrong with the key; must not contain it.
+    """
+    return Failure(kind=FailureKind.UNAUTHENTICATED, reason=reason, step=Step.AUTHENTICATION)
+
+
+def key_unconfirmed(table_age_s: float) -> Failure:
+    """Return the refusal of a request whose key may be newer than this gateway's table."""
+    return Failure(
+        kind=FailureKind.STALE,
+        reason=(
+            "the API key is not known, and this gateway's list of keys may be out of date: it was "
+            f"last confirmed {table_age_s:.1f} s ago"
+        ),
+        step=Step.AUTHENTICATION,
+        retry_after_s=RETRY_SOON_S,
+    )
+
+
 def no_runner(service: str) -> Failure:
     """Return the refusal of a request while no back end of its service is available."""
     return Failure(
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -16,6 +16,7 @@
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
+from leverjunction.proxy.caller_identity import CallerIdentity, require
 from leverjunction.proxy.decision_log import DecisionLog
 from leverjunction.proxy.dialect import Dialect, RequestMetadata
 from leverjunction.proxy.dispatch import OpenedResponse
@@ -37,9 +38,10 @@
 from leverjunction.proxy.runner_connection import ResponseEnd, ResponseHead
 from leverjunction.proxy.stream_origins import StreamOrigins, stream_key
 from leverjunction.quarantine.prompt_parts import is_part_key
+from leverjunction.quota.local_limiter import LocalLimiter
 from leverjunction.registry.origins import StreamOrigin
 from leverjunction.routes.matching import RouteIndex, draw_service
-from leverjunction.routes.types import Route, RouteClass
+from leverjunction.routes.types import Route, RouteClass, Tenant
 
 BUFFERED_BODY_BYTES = 512 * 1024
 """Bodies up to this size are held until complete, so that a retry can replace a broken response."""
@@ -52,7 +54,12 @@
 
 DEFAULT_TIMEOUT_MS = 30_000.0
 
-LocalHandler = Callable[[CallerRequest, Responder, RouteIndex, Route | None], Awaitable[bool]]
+Caller = Tenant | Failure | None
+"""Tenant of a request, None without a key or tenants, or why its key is refused."""
+
+LocalHandler = Callable[
+    [CallerRequest, Responder, RouteIndex, Route | None, Caller], Awaitable[bool]
+]
 """Answers requests that the gateway handles itself; returns whether it answered this one."""
 
 
@@ -76,6 +83,8 @@
         in_force_s: float = math.inf,
         is_in_doubt: Callable[[], bool] = lambda: False,
         origins: StreamOrigins | None = None,
+        max_key_age_s: float = math.inf,
+        limiter: LocalLimiter | None = None,
     ) -> None:
         """Create a forwarder without a route table.
 
@@ -97,6 +106,9 @@
                 since; requests wait until it has.
             origins: Knows which version began a stream; None to create one that knows only the
                 streams of this gateway.
+            max_key_age_s: Age of the route table from which no API key is accepted, in seconds.
+            limiter: Applies the tenants' limits; None to create one that knows only the requests of
+                this gateway.
         """
         self._sender = sender
         self._balancer = balancer
@@ -115,6 +127,8 @@
         )
         self._table_age_s = table_age_s
         self._in_force_s = in_force_s
+        self._identity = CallerIdentity(in_force_s, max_key_age_s)
+        self._limiter = limiter or LocalLimiter(random)
 
     def set_table(self, index: RouteIndex) -> None:
         """Replace the route table; requests in progress keep the table they started with."""
@@ -132,11 +146,18 @@
             return
         host = (find(request.headers, b"host") or b"").decode("latin-1")
         route = index.find(host, request.path)
-        if await self._local_handler(request, responder, index, route):
+        caller = self._identity.identify(index, metadata.key, self._table_age_s())
+        if await self._local_handler(request, responder, index, route, caller):
             return
         if route is None:
             self._refuse(request, metadata, responder, self._no_route(host, request.path))
             return
+        refusal = require(index, route, caller)
+        if refusal is not None:
+            self._refuse(request, metadata, responder, refusal)
+            return
+        tenant = caller if isinstance(caller, Tenant) else None
+        metadata.tenant = "" if tenant is None else tenant.name
         timeout_ms = min(metadata.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
         until_s = request.arrived_s + timeout_ms / 1000
         stream = _stream_of(request, route)
@@ -146,10 +167,18 @@
         service = draw_service(route, random)
         routed = RoutedRequest(request, metadata, route, service, index.table.version, until_s)
         routed.stream = stream
+        routed.tenant = tenant
+        refusal = None if tenant is None else self._limiter.admit(tenant, self._loop.time())
+        if refusal is not None:
+            self._refuse(request, metadata, responder, refusal)
+            return
         self._retrying_sender.record_admission(routed)
         try:
             await self._forward(routed, responder)
+            self._give_back_allowance(routed)
         except asyncio.CancelledError:
+            if not routed.sent_s:
+                self._give_back_allowance(routed)
             self._decision_log.ended(
                 routed, "cancelled", "the caller disconnected", self._loop.time()
             )
@@ -158,6 +187,11 @@
             for key, start in routed.trials:
                 self._quarantine.trial_ended(key, start)
 
+    def _give_back_allowance(self, routed: RoutedRequest) -> None:
+        """Return the allowance of a request that was answered although no back end ran it."""
+        if routed.tenant is not None and routed.execution is Execution.NOT_RUN:
+            self._limiter.give_back(routed.tenant)
+
     def _no_route(self, host: str, path: str) -> Failure:
         """Return NOT_FOUND only while the table is recent enough to be in force."""
         age_s = self._table_age_s()
--- a/src/leverjunction/proxy/load_socket.py
+++ b/src/leverjunction/proxy/load_socket.py
@@ -16,7 +16,9 @@
     LoadsWanted,
     OnlineLoads,
 )
+from leverjunction.proxy.quota_link import QuotaLink
 from leverjunction.proxy.tracked_runner import TrackedRunner
+from leverjunction.quota.messages import TenantUsage
 from leverjunction.registry.records import JOBS_GROUP
 from leverjunction.wire.codec import decode, encode
 from leverjunction.wire.envelope import Envelope, MessageKind, decode_envelope, encode_envelope
@@ -25,7 +27,9 @@
 
 
 class LoadSocket(asyncio.DatagramProtocol):
-    """Sends load reports, and receives the loads of other gateways. Used by one event loop.
+    """Datagram socket of a gateway; sends load reports, and receives the loads of other gateways.
+
+    Used by one event loop.
 
     Args:
         gateway: Name of this gateway.
@@ -35,6 +39,8 @@
         order: Returns the order of the back ends that this gateway knows.
         on_other_loads: Called with the number of other gateways' requests by start of the back
             end, and the average age of these numbers in seconds.
+        quota: Receives the messages on tenants' limits, and is given a way to send its own; None
+            for none.
     """
 
     def __init__(
@@ -45,6 +51,7 @@
         stores: Callable[[], tuple[str, ...]],
         order: Callable[[], BackEndOrder],
         on_other_loads: Callable[[dict[str, int], float], None],
+        quota: QuotaLink | None = None,
     ) -> None:
         self._reporter = LoadReporter(gateway)
         self._key = cluster_key
@@ -52,6 +59,7 @@
         self._stores = stores
         self._order = order
         self._on_other_loads = on_other_loads
+        self._quota = quota
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
         self._leader: Address | None = None
@@ -73,11 +81,15 @@
             logger.warning("cannot bind {}, online requests are not reported: {}", address, error)
             return
         self._report_task = self._loop.create_task(self._report_loop())
+        if self._quota is not None:
+            self._quota.start(self._send_quota, self._store_addresses)
 
     def stop(self) -> None:
         """Stop reporting and close the socket."""
         if self._report_task is not None:
             self._report_task.cancel()
+        if self._quota is not None:
+            self._quota.stop()
         if self._transport is not None:
             self._transport.close()
 
@@ -98,7 +110,11 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Process a message of the leader; others are ignored."""
         envelope = decode_envelope(data, self._key, addr[0])
-        if isinstance(envelope, Failure) or envelope.kind is not MessageKind.LOADS_WANTED:
+        if isinstance(envelope, Failure):
+            return
+        if envelope.kind is MessageKind.TENANT_LEVELS and self._quota is not None:
+            self._quota.receive(envelope.body, addr)
+        if envelope.kind is not MessageKind.LOADS_WANTED:
             return
         message = decode(envelope.body, LoadsWanted, addr[0])
         if isinstance(message, Failure):
@@ -147,14 +163,15 @@
         return [(host, int(port)) for host, _, port in parts]
 
     def _send(self, message: OnlineLoads, receivers: list[Address]) -> None:
+        self._send_body(MessageKind.ONLINE_LOADS, encode(message), receivers)
+
+    def _send_quota(self, message: TenantUsage, receivers: list[Address]) -> None:
+        self._send_body(MessageKind.TENANT_USAGE, encode(message), receivers)
+
+    def _send_body(self, kind: MessageKind, body: bytes, receivers: list[Address]) -> None:
         if self._transport is None:
             return
-        envelope = Envelope(
-            kind=MessageKind.ONLINE_LOADS,
-            group=JOBS_GROUP,
-            incarnation=self._incarnation,
-            body=encode(message),
-        )
+        envelope = Envelope(kind=kind, group=JOBS_GROUP, incarnation=self._incarnation, body=body)
         data = encode_envelope(envelope, self._key)
         for receiver in receivers:
             self._transport.sendto(data, receiver)
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -27,9 +27,11 @@
 from leverjunction.proxy.load_socket import LoadSocket
 from leverjunction.proxy.metrics import ProxyMetrics
 from leverjunction.proxy.quarantine import Quarantine
+from leverjunction.proxy.quota_link import QuotaLink
 from leverjunction.proxy.runner_connection import RunnerPool
 from leverjunction.proxy.snapshot_publisher import SnapshotPublisher
 from leverjunction.proxy.stream_origins import StreamOrigins
+from leverjunction.quota.local_limiter import LocalLimiter
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import RegistryFollower, Snapshot
 from leverjunction.registry.origin_client import OriginClient, rank_holders
@@ -87,6 +89,7 @@
         self._follower = RegistryFollower(
             self._rpc, config.seed_addresses(), "", clock, self._random, self._on_snapshot
         )
+        self._limiter = LocalLimiter(self._random, config.bounds.quota())
         self._loads = LoadSocket(
             config.name,
             CLUSTER_KEY,
@@ -94,6 +97,7 @@
             self._store_addresses,
             lambda: self._balancer.order,
             self._set_shared_loads,
+            QuotaLink(config.name, self._limiter, self._has_tenants),
         )
         self._reporter = RunReporter(self._rpc, self._follower.hubs, clock)
         self._quarantine = Quarantine(self._reporter)
@@ -119,6 +123,8 @@
             config.bounds.in_force_ms / 1000,
             self._follower.is_in_doubt,
             self._origins,
+            config.bounds.max_key_age_s(),
+            self._limiter,
         )
         self._snapshot_publisher = SnapshotPublisher(
             {
@@ -200,6 +206,9 @@
     def _request_limits(self) -> RequestLimits:
         return RequestLimits() if self._index is None else self._index.table.limits
 
+    def _has_tenants(self) -> bool:
+        return self._index is not None and self._index.has_tenants
+
     def _store_addresses(self) -> tuple[str, ...]:
         snapshot = self._follower.snapshot()
         return snapshot.view.voters(JOBS_GROUP) if snapshot is not None else ()
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -7,7 +7,7 @@
 from leverjunction.proxy.dialect import RequestMetadata
 from leverjunction.proxy.prompt import Prompt
 from leverjunction.registry.origins import StreamOrigin
-from leverjunction.routes.types import Route
+from leverjunction.routes.types import Route, Tenant
 
 
 class RoutedRequest:
@@ -21,6 +21,7 @@
         service: Service that was chosen for the request.
         origin: What began the stream, None before its first event; it is continued only there.
         stream: Key of the stream by its first attempt, None if no caller can continue it.
+        tenant: Tenant on whose behalf it runs; None if it has none.
         table_version: Version of the route table that applies to the request.
         until_s: Deadline for the complete response, in the loop's seconds.
         tried: Ids and starts of the back ends that it was sent to.
@@ -48,6 +49,7 @@
         "service",
         "stream",
         "table_version",
+        "tenant",
         "trials",
         "tried",
         "until_s",
@@ -69,6 +71,7 @@
         self.service = service
         self.origin: StreamOrigin | None = None
         self.stream: int | None = None
+        self.tenant: Tenant | None = None
         self.table_version = table_version
         self.until_s = until_s
         self.tried: set[str] = set()
--- /dev/null
+++ b/src/leverjunction/quota/__init__.py
@@ -0,0 +1,12 @@
+"""Rate limits of tenants that hold over all gateways together.
+
+Load pattern: a tenant's callers reach many gateways unevenly, and one gateway sees few of a
+tenant's requests per second. No request waits for another process: a gateway decides by what the
+*owner* last told it, and reports afterwards what it admitted.
+
+* ``LocalLimiter`` decides at each gateway.
+* ``Ledger`` keeps the token buckets of all tenants at the owner, which is the leader of batch work.
+* ``messages`` are the datagrams between them. A lost one is made up for by the next.
+
+``LocalLimiter`` and ``Ledger`` perform no I/O: the time is passed in.
+"""
--- /dev/null
+++ b/src/leverjunction/quota/local_limiter.py
@@ -0,0 +1,284 @@
+"""Decides at one gateway whether a request is within its tenant's limit.
+
+Three states, by what the owner of the limits last told:
+
+* The tenant is far below its limit: every request is admitted.
+* The tenant is near its limit: all gateways admit the same share of its requests, so that together
+  they use its rate and what is left in its bucket. A gateway needs no allowance of its own for that
+  and a tenant may send through any of them.
+* The owner is unreachable: the gateway allows itself the share of the tenant's rate that it had of
+  the tenant's requests before.
+
+Performs no I/O: the time and the random generator are passed in.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.quota.bounds import POOLED_SHARE, QuotaBounds
+from leverjunction.quota.demand import DemandAverage
+from leverjunction.quota.ledger import BUSY_SHARE, TIGHT_SHARE
+from leverjunction.quota.messages import TenantLevels, TenantUsage
+from leverjunction.quota.token_bucket import TokenBucket
+from leverjunction.routes.types import RateLimit, Tenant
+
+CONTACT_S = 0.6
+"""Age of the owner's last message from which on this gateway decides alone."""
+
+LEVEL_S = 0.7
+"""How long a level is used: longer than ``CONTACT_S``, so that a tight tenant stays so until this
+gateway decides alone. Levels of tight tenants are repeated several times in that time.
+"""
+
+DEMAND_S = 5.0
+"""How long the demand at all gateways is used."""
+
+DRAIN_S = 0.5
+"""Time in which the gateways together use up what is left in a bucket."""
+
+SHARE_LEASE_S = 12.0
+"""Time without the owner after which the former share lapses: the owner then gives it to others."""
+
+SHARE_MARGIN = 0.85
+"""Part of its former share that a gateway uses. Shares of a tenant whose demand is rising add up to
+more than 1, since gateways report and hear at different times.
+"""
+
+FIRST_SHARE = 0.1
+"""Share of a tenant's limit at a gateway that has not heard from any owner since its start."""
+
+MIN_RETRY_AFTER_S = 0.2
+MAX_RETRY_AFTER_S = 10.0
+RETRY_SPREAD = (0.75, 1.5)
+"""Range of the random factor that keeps a tenant's callers from returning together."""
+
+
+class _Account:
+    """What this gateway knows of one tenant."""
+
+    __slots__ = (
+        "admitted",
+        "alone",
+        "alone_share",
+        "demand",
+        "fleet_demand",
+        "fleet_demand_s",
+        "level",
+        "level_s",
+        "phase",
+        "reported",
+        "reported_demand",
+        "whole",
+    )
+
+    def __init__(self, phase: float) -> None:
+        self.admitted = 0
+        self.reported = 0
+        self.reported_demand = 0.0
+        self.demand = DemandAverage()
+        self.level = 0.0
+        self.level_s = float("-inf")
+        self.fleet_demand = 0.0
+        self.fleet_demand_s = float("-inf")
+        self.phase = phase
+        """Accumulates the admitted share; a request is admitted whenever it passes one."""
+        self.whole: TokenBucket | None = None
+        """The tenant's whole limit, which this gateway alone never exceeds."""
+        self.alone: TokenBucket | None = None
+        """Allowance since the owner became unreachable; None while it is reachable."""
+        self.alone_share = 0.0
+
+
+class LocalLimiter:
+    """Limits of all tenants at one gateway, used by one event loop.
+
+    Args:
+        random: Random generator.
+        bounds: Tolerance of the deployment.
+    """
+
+    __slots__ = (
+        "_accounts",
+        "_bounds",
+        "_changed",
+        "_gateways",
+        "_heard_s",
+        "_random",
+        "report_interval_s",
+    )
+
+    def __init__(self, random: Random, bounds: QuotaBounds | None = None) -> None:
+        self._random = random
+        self._bounds = bounds or QuotaBounds()
+        self._accounts: dict[str, _Account] = {}
+        self._changed: set[str] = set()
+        self._gateways = 0
+        self._heard_s = float("-inf")
+        self.report_interval_s = 0.0
+
+    def admit(self, tenant: Tenant, now_s: float) -> Failure | None:
+        """Count a request; return None if it is within the limit, otherwise its refusal."""
+        limit = tenant.limit
+        if not limit.is_limited:
+            return None
+        account = self._account(tenant.name)
+        account.demand.add(now_s)
+        self._changed.add(tenant.name)
+        whole = self._refill_whole(account, limit, now_s)
+        if whole.tokens < 1 or not self._has_allowance(account, limit, now_s):
+            return self._refusal(tenant, account, now_s)
+        whole.tokens -= 1
+        if account.alone is not None:
+            account.alone.tokens -= 1
+        account.admitted += 1
+        return None
+
+    def give_back(self, tenant: Tenant) -> None:
+        """Return the allowance of an admitted request that no back end has run."""
+        account = self._accounts.get(tenant.name)
+        if account is None or not tenant.limit.is_limited:
+            return
+        account.admitted -= 1
+        self._changed.add(tenant.name)
+        for bucket in (account.whole, account.alone):
+            if bucket is not None:
+                bucket.tokens += 1
+
+    def apply_levels(self, levels: TenantLevels, now_s: float) -> None:
+        """Apply a message of the owner."""
+        self._heard_s = now_s
+        self._gateways = levels.gateways
+        self.report_interval_s = levels.report_interval_s
+        for name, (level, demand) in levels.tenants.items():
+            account = self._account(name)
+            account.level, account.level_s = level, now_s
+            account.fleet_demand, account.fleet_demand_s = demand, now_s
+
+    def is_in_contact(self, now_s: float) -> bool:
+        """Return whether the owner was heard recently."""
+        return now_s - self._heard_s <= CONTACT_S
+
+    def contact_age_s(self, now_s: float) -> float:
+        """Return the seconds since the owner was heard; infinite if it never was."""
+        return now_s - self._heard_s
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether there is something to report to the owner."""
+        return bool(self._changed)
+
+    def report(self, gateway: str, now_s: float, whole: bool) -> TenantUsage:
+        """Return the report to the owner.
+
+        Args:
+            gateway: Name of this gateway.
+            now_s: Monotonic time in seconds.
+            whole: Whether to report all tenants with requests, also unchanged ones.
+        """
+        names = self._changed
+        if whole:
+            names = names | {
+                name
+                for name, account in self._accounts.items()
+                if account.demand.per_s(now_s) >= 0.001 or account.reported != account.admitted
+            }
+        tenants = {}
+        for name in sorted(names):
+            account = self._accounts[name]
+            demand = round(account.demand.per_s(now_s), 3)
+            tenants[name] = (account.admitted, demand)
+            account.reported, account.reported_demand = account.admitted, demand
+        self._changed = set()
+        return TenantUsage(gateway=gateway, tenants=tenants)
+
+    def _account(self, name: str) -> _Account:
+        account = self._accounts.get(name)
+        if account is None:
+            account = self._accounts[name] = _Account(self._random.random())
+        return account
+
+    def _refill_whole(self, account: _Account, limit: RateLimit, now_s: float) -> TokenBucket:
+        depth = self._bounds.depth(limit)
+        if account.whole is None:
+            account.whole = TokenBucket(depth, now_s)
+        account.whole.refill(limit.per_s, depth, now_s)
+        return account.whole
+
+    def _has_allowance(self, account: _Account, limit: RateLimit, now_s: float) -> bool:
+        if not self.is_in_contact(now_s):
+            return self._refill_alone(account, limit, now_s).tokens >= 1
+        account.alone = None
+        is_tight = now_s - account.level_s <= LEVEL_S and (
+            account.level < TIGHT_SHARE * self._bounds.depth(limit)
+        )
+        if not is_tight:
+            return True
+        account.phase += self._admitted_share(account, limit, now_s)
+        if account.phase < 1:
+            return False
+        account.phase -= 1
+        return True
+
+    def _admitted_share(self, account: _Account, limit: RateLimit, now_s: float) -> float:
+        """Return the share of a tight tenant's requests that all gateways admit."""
+        per_s = max(0.0, limit.per_s + account.level / DRAIN_S)
+        demand = max(account.fleet_demand, account.demand.per_s(now_s))
+        return min(1.0, per_s / demand) if demand > 0 else 1.0
+
+    def _refill_alone(self, account: _Account, limit: RateLimit, now_s: float) -> TokenBucket:
+        """Return this gateway's allowance while the owner is unreachable."""
+        depth = self._bounds.depth(limit)
+        if account.alone is None:
+            account.alone_share = self._former_share(account, limit, now_s)
+            account.alone = TokenBucket(self._first_allowance(account, limit), now_s)
+        has_lapsed = self._gateways and now_s - self._heard_s > SHARE_LEASE_S
+        share = 1 / self._gateways if has_lapsed else account.alone_share
+        per_s = share * limit.per_s
+        if self._gateways:
+            excess = POOLED_SHARE * self._bounds.excess(limit)
+            per_s = max(per_s, excess / self._gateways / self._bounds.window_s)
+        account.alone.refill(per_s, 1 + share * depth, now_s)
+        return account.alone
+
+    def _first_allowance(self, account: _Account, limit: RateLimit) -> float:
+        """Return the requests that are admitted at once when the owner becomes unreachable."""
+        tight_level = TIGHT_SHARE * self._bounds.depth(limit)
+        was_tight = self._heard_s - account.level_s <= LEVEL_S and account.level < tight_level
+        if was_tight:
+            return account.phase + account.alone_share * max(0.0, account.level)
+        spare = (1 - POOLED_SHARE) * self._bounds.excess(limit) / max(1, self._gateways)
+        # At least one: most gateways see fewer of a tenant's requests while there is no owner.
+        return max(1.0, min(1.0, spare) + account.alone_share * tight_level)
+
+    def _former_share(self, account: _Account, limit: RateLimit, now_s: float) -> float:
+        """Return the share of a tenant's requests that this gateway had."""
+        if not self._gateways:
+            return FIRST_SHARE
+        # Of the same time as the demand at all gateways: the sum of the shares is then at most 1.
+        own = account.reported_demand
+        is_known = now_s - account.fleet_demand_s <= DEMAND_S
+        fleet = account.fleet_demand if is_known else 0.0
+        return SHARE_MARGIN * own / max(fleet, own, BUSY_SHARE * limit.per_s)
+
+    def _refusal(self, tenant: Tenant, account: _Account, now_s: float) -> Failure:
+        limit = tenant.limit
+        is_told = now_s - account.level_s <= LEVEL_S
+        demand = max(account.demand.per_s(now_s), account.fleet_demand if is_told else 0.0)
+        owed = max(0.0, -account.level) if is_told else 0.0
+        wait_s = (1 + owed) / limit.per_s * max(1.0, demand / limit.per_s)
+        wait_s *= self._random.uniform(*RETRY_SPREAD)
+        level = f"{account.level:.1f}" if is_told else "unknown"
+        return Failure(
+            kind=FailureKind.RATE_LIMITED,
+            reason=(
+                f"tenant {tenant.name!r} exceeds its limit of {limit.per_s:g} requests/s: it sends "
+                f"{demand:.1f}/s, {level} left, limits last heard {now_s - self._heard_s:.1f} s ago"
+            ),
+            step=Step.ADMISSION,
+            retry_after_s=min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)),
+        )
+
+
+__all__ = ["LocalLimiter"]
--- /dev/null
+++ b/src/leverjunction/quota/messages.py
@@ -0,0 +1,37 @@
+"""Datagrams between gateways and the owner of the tenants' limits."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class TenantUsage(msgspec.Struct, frozen=True, kw_only=True):
+    """Report of a gateway to the owner.
+
+    Attributes:
+        gateway: Name of the gateway.
+        tenants: By name of the tenant: requests admitted since the gateway started, and requests
+            per second that callers currently send, refused ones included.
+    """
+
+    gateway: str
+    tenants: dict[str, tuple[int, float]]
+
+
+class TenantLevels(msgspec.Struct, frozen=True, kw_only=True):
+    """What the owner tells all gateways.
+
+    Attributes:
+        gateways: Number of gateways that the owner has recently heard from.
+        report_interval_s: Minimum interval between two reports of one gateway, in seconds.
+        tenants: By name of the tenant: tokens left in its bucket, negative if it was overdrawn, and
+            requests per second that its callers send at all gateways together. Tenants far below
+            their limit are left out.
+    """
+
+    gateways: int
+    report_interval_s: float
+    tenants: dict[str, tuple[float, float]]
+
+
+__all__ = ["TenantLevels", "TenantUsage"]
--- a/src/leverjunction/routes/checks.py
+++ b/src/leverjunction/routes/checks.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 
+from leverjunction.api_keys import EMPTY_KEY_HASH
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.routes.types import Route, RouteTable
+from leverjunction.untrusted import is_name
 
 Check = Callable[[RouteTable], Iterator[str]]
 """Yields one sentence for each problem that it finds in a table."""
@@ -87,5 +90,39 @@
             yield f"{_describe(route)}: a timeout of {route.timeout_ms:g} ms, expected above 0"
 
 
+@_register
+def _tenants_have_unique_names(table: RouteTable) -> Iterator[str]:
+    seen: set[str] = set()
+    for tenant in table.tenants:
+        if not is_name(tenant.name):
+            yield f"tenant name {tenant.name!r}: expected printable ASCII without spaces"
+        if tenant.name in seen:
+            yield f"tenant {tenant.name!r} is listed twice"
+        seen.add(tenant.name)
+
+
+@_register
+def _keys_belong_to_one_tenant(table: RouteTable) -> Iterator[str]:
+    owners: dict[str, str] = {}
+    for tenant in table.tenants:
+        for key_hash in tenant.key_hashes:
+            if key_hash == EMPTY_KEY_HASH:
+                yield f"tenant {tenant.name!r} has an empty key"
+            owner = owners.setdefault(key_hash, tenant.name)
+            if owner != tenant.name:
+                yield f"tenants {owner!r} and {tenant.name!r} share a key"
+
+
+@_register
+def _limits_are_not_negative(table: RouteTable) -> Iterator[str]:
+    for tenant in table.tenants:
+        for name, value in (("rate", tenant.limit.per_s), ("burst", tenant.limit.burst)):
+            if not 0 <= value < math.inf:
+                yield f"tenant {tenant.name!r}: a {name} of {value:g}, expected 0 or more"
+    for route in table.routes:
+        if route.max_queued_tokens < 0:
+            yield f"{_describe(route)}: {route.max_queued_tokens} queued tokens, expected 0 or more"
+
+
 def _describe(route: Route) -> str:
     return f"route {route.name!r}"
--- a/src/leverjunction/routes/types.py
+++ b/src/leverjunction/routes/types.py
@@ -50,6 +50,9 @@
             event, in milliseconds; 0 if only the request's own deadline applies.
         due_ms: For batch routes, time in which all items are due, in milliseconds.
         give_up_s: For batch routes, time after which an item may be given up, in seconds.
+        is_public: Callers need no key, also where the table has tenants.
+        max_queued_tokens: For batch routes, tokens that one tenant may have waiting at all stores
+            together; 0 for no limit.
     """
 
     name: str
@@ -66,6 +69,8 @@
     head_within_ms: float = 0.0
     due_ms: float = 0.0
     give_up_s: float = 0.0
+    is_public: bool = False
+    max_queued_tokens: int = 0
 
     @property
     def repeatable(self) -> bool:
@@ -120,10 +125,53 @@
     idle_timeout_ms: float = 15000.0
 
 
+class RateLimit(msgspec.Struct, frozen=True, kw_only=True):
+    """Limit on the requests of one tenant over all gateways: a token bucket.
+
+    Attributes:
+        per_s: Requests per second on average; 0 for no limit.
+        burst: Requests beyond that rate, in any period.
+    """
+
+    per_s: float = 0.0
+    burst: float = 0.0
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit."""
+        return self.per_s > 0
+
+
+class Tenant(msgspec.Struct, frozen=True, kw_only=True):
+    """A tenant, on whose behalf callers send requests.
+
+    Attributes:
+        name: Unique name; back ends receive it with each request.
+        key_hashes: Hashes of its API keys (``api_keys.hash_key``). The keys themselves are kept
+            only in the text that the operator wrote.
+        priority: Rank among the tenants, where 0 is the most urgent.
+        limit: Limit on its requests; items of batch jobs do not count.
+    """
+
+    name: str
+    key_hashes: tuple[str, ...] = ()
+    priority: int = 0
+    limit: RateLimit = RateLimit()
+
+
 class RouteTable(msgspec.Struct, frozen=True, kw_only=True):
-    """A complete route table; version 0 is the empty table before the first one is received."""
+    """A complete route table; version 0 is the empty table before the first one is received.
+
+    Attributes:
+        version: Version; the highest one is in force.
+        routes: The routes.
+        services: The services that they lead to.
+        limits: Limits on the size and duration of requests.
+        tenants: The tenants. If there are any, callers need a key except on public routes.
+    """
 
     version: int = 0
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceSpec, ...] = ()
     limits: RequestLimits = RequestLimits()
+    tenants: tuple[Tenant, ...] = ()
--- a/src/leverjunction/settings/resolved.py
+++ b/src/leverjunction/settings/resolved.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 
+from leverjunction.api_keys import hash_key
 from leverjunction.settings.flatten import PATH_SEPARATOR
 from leverjunction.settings.index import (
     Entities,
@@ -179,7 +179,7 @@
 
     def tenant_for_key(self, raw_key: str) -> str | None:
         """Return the tenant that an API key belongs to; the tree holds only SHA-256 hashes."""
-        return self._index.tenant_by_key_hash.get(hashlib.sha256(raw_key.encode()).hexdigest())
+        return self._index.tenant_by_key_hash.get(hash_key(raw_key))
 
     def may_call(self, tenant: str, service: str) -> bool:
         """Return whether a tenant may call a service (an empty list means all)."""
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -57,6 +57,8 @@
     CRASH_EVIDENCE = 20
     REPORT_ORIGINS = 21
     FIND_ORIGIN = 22
+    TENANT_USAGE = 23
+    TENANT_LEVELS = 24
 
 
 _HEADER = Struct(
--- a/src/testbed/simulation/seeded/routed/gateway.py
+++ b/src/testbed/simulation/seeded/routed/gateway.py
@@ -15,7 +15,7 @@
 from leverjunction.proxy import decision_log as decision_log_module
 from leverjunction.proxy import process as process_module
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
-from leverjunction.proxy.forwarding import LocalHandler
+from leverjunction.proxy.forwarding import Caller, LocalHandler
 from leverjunction.proxy.process import ProxyNode
 from leverjunction.registry.follower import RegistryFollower, Snapshot
 from leverjunction.routes import Route
@@ -178,6 +178,10 @@
 
 
 async def _nothing_local(
-    _request: CallerRequest, _responder: Responder, _index: RouteIndex, _route: Route | None
+    _request: CallerRequest,
+    _responder: Responder,
+    _index: RouteIndex,
+    _route: Route | None,
+    _caller: Caller,
 ) -> bool:
     return False
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -21,7 +21,7 @@
     Responder,
 )
 from leverjunction.proxy.decision_log import DecisionLog
-from leverjunction.proxy.forwarding import Forwarder
+from leverjunction.proxy.forwarding import Caller, Forwarder
 from leverjunction.proxy.metrics import ProxyMetrics
 from leverjunction.proxy.runner_connection import RunnerPool
 from leverjunction.proxy.stream_origins import OriginDirectory, StreamOrigins
@@ -134,7 +134,11 @@
 
 
 async def _answer_nothing(
-    _request: CallerRequest, _responder: Responder, _index: RouteIndex, _route: Route | None
+    _request: CallerRequest,
+    _responder: Responder,
+    _index: RouteIndex,
+    _route: Route | None,
+    _caller: Caller,
 ) -> bool:
     return False
 
--- a/tests/unit/test_lots_state_machine.py
+++ b/tests/unit/test_lots_state_machine.py
@@ -34,6 +34,7 @@
     SubmitLot,
     encode_command,
 )
+from leverjunction.lots.ownership import owner_of, stored_id
 from leverjunction.lots.state_machine import LotsStateMachine
 from leverjunction.wire.codec import decode_reply, encode
 
@@ -73,9 +74,11 @@
         return self.apply(RecordRuns(results=(result,)))
 
 
-def submit(*items: str, lot: str = "lot") -> SubmitLot:
+def submit(*items: str, lot: str = "lot", route: str = "", most: int = 0) -> SubmitLot:
     return SubmitLot(
         lot_id=lot,
+        route=route,
+        max_queued_tokens=most,
         host="h",
         path="/p/",
         max_attempts=3,
@@ -332,3 +335,41 @@
     assert [item.item_id for item in one_lot.items] == ["x"]
     lots.apply(EndLot("lot"), LotAccepted)
     assert lots.query(ReadOpenKeys(), OpenKeys) == OpenKeys((("other", "x"),))
+
+
+def test_queued_tokens_of_a_tenant_are_limited_by_route() -> None:
+    lots = Lots()
+    first, second, third = (stored_id("t", name) for name in ("1", "2", "3"))
+
+    def put(lot: str, route: str = "r", most: int = 27) -> object:
+        return lots.apply(submit("a", "b", lot=lot, route=route, most=most), LotAccepted)
+
+    assert put(first) == LotAccepted(first)
+    refused = put(second)
+    assert isinstance(refused, Failure)
+    assert refused.kind is FailureKind.RATE_LIMITED
+    assert "18 tokens queued" in refused.reason
+    assert put(first) == LotAccepted(first), "a lot that was taken is taken again"
+    assert put(stored_id("u", "2")) == LotAccepted(stored_id("u", "2")), "another tenant"
+    assert put(third, route="other") == LotAccepted(third), "another route"
+    result = ItemResult(lot_id=first, item_id="a", state=ItemState.DONE, text="x")
+    lots.apply(RecordRuns(results=(result,)))
+    assert put(second) == LotAccepted(second), "tokens of a finished item come back"
+
+
+def test_tokens_of_an_ended_lot_come_back() -> None:
+    lots = Lots()
+    first, second = stored_id("t", "1"), stored_id("t", "2")
+    assert lots.apply(submit("a", lot=first, route="r", most=9), LotAccepted) == LotAccepted(first)
+    lots.apply(EndLot(first), LotAccepted)
+    again = lots.apply(submit("a", lot=second, route="r", most=9), LotAccepted)
+    assert again == LotAccepted(second)
+
+
+def test_lots_of_tenants_do_not_meet() -> None:
+    lots = Lots()
+    for owner in ("t", "u", ""):
+        lot = stored_id(owner, "same")
+        assert lots.apply(submit("a", lot=lot), LotAccepted) == LotAccepted(lot)
+        assert owner_of(lot) == owner
+    assert len(lots.open_items()) == 3
--- a/tests/unit/test_platform_payloads.py
+++ b/tests/unit/test_platform_payloads.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from leverjunction.api_keys import hash_key
 from leverjunction.errors import Failure
 from leverjunction.platform import gateway_calls
 from leverjunction.platform.headers import PlatformDialect
@@ -179,3 +180,67 @@
 ) -> None:
     item = gateway_calls._ItemPayload(id="i", path=path, headers=headers, body=b"", tokens=1)
     assert gateway_calls._is_sendable(item) is sendable
+
+
+TENANTS = [
+    {"Name": "t1", "ApiKeys": ["k1", "k2"], "Priority": 1, "RatePerS": 99, "Burst": 50},
+    {"Name": "t2", "ApiKeys": []},
+]
+
+
+def test_tenants_are_translated_without_their_keys() -> None:
+    routes = [{**TABLE["Routes"][0], "Public": True}, {**TABLE["Routes"][1], "MaxQueuedTokens": 9}]  # type: ignore[index]
+    table = read_table(json.dumps({**TABLE, "Routes": routes, "Tenants": TENANTS}).encode())
+    assert isinstance(table, RouteTable)
+    assert check_table(table) is None
+    first, second = table.tenants
+    assert (first.name, first.priority, first.limit.per_s, first.limit.burst) == ("t1", 1, 99, 50)
+    assert first.key_hashes == (hash_key("k1"), hash_key("k2"))
+    assert (second.key_hashes, second.limit.is_limited) == ((), False)
+    assert [route.is_public for route in table.routes] == [True, False]
+    assert [route.max_queued_tokens for route in table.routes] == [0, 9]
+
+
+@pytest.mark.parametrize("tenants", [[{"ApiKeys": ["k"]}], [{"Name": "t", "RatePerS": "many"}], 7])
+def test_malformed_tenants_are_refused(tenants: object) -> None:
+    assert isinstance(read_table(json.dumps({**TABLE, "Tenants": tenants}).encode()), Failure)
+
+
+KEY = b"Leverjunction-Key"
+
+
+@pytest.mark.parametrize(
+    ("headers", "problem"),
+    [
+        ([(KEY, b"")], "empty or longer"),
+        ([(KEY, b"k" * 257)], "empty or longer"),
+        ([(KEY, b"k\xe9")], "not ASCII"),
+        ([(KEY, b"k"), (b"leverjunction-key", b"k")], "several"),
+    ],
+)
+def test_a_malformed_key_is_told_from_none(
+    headers: list[tuple[bytes, bytes]], problem: str
+) -> None:
+    key = PlatformDialect().read_request(headers).key
+    assert key is not None
+    assert problem in key.problem
+    assert key.key_hash == ""
+    assert PlatformDialect().read_request([]).key is None
+
+
+def test_a_key_is_known_by_its_hash_only() -> None:
+    metadata = PlatformDialect().read_request([(KEY, b" k1 ")])
+    assert metadata.key is not None
+    assert (metadata.key.key_hash, metadata.key.problem) == (hash_key("k1"), "")
+    assert metadata.tenant == ""
+
+
+def test_a_back_end_gets_the_tenant_and_never_the_key() -> None:
+    headers = [(KEY, b"k1"), (b"leverjunction-tenant", b"somebody"), (b"Host", b"h")]
+    sent = PlatformDialect().forwarded_headers(headers, 5.0, "i-1", "", "t1")
+    assert [item for item in sent if item[0].lower() == b"leverjunction-tenant"] == [
+        (b"Leverjunction-Tenant", b"t1")
+    ]
+    assert not [item for item in sent if item[0].lower() == KEY.lower()]
+    without = PlatformDialect().forwarded_headers(headers, 5.0, "i-1", "")
+    assert not [item for item in without if item[0].lower() == b"leverjunction-tenant"]
--- /dev/null
+++ b/tests/unit/test_quota_limiter.py
@@ -0,0 +1,206 @@
+"""Tests the limits of tenants over many gateways: the cores alone, and played in virtual time."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from leverjunction.quota.bounds import QuotaBounds
+from leverjunction.quota.ledger import FORGOTTEN_S, SILENT_S, TAKEOVER_WAIT_S, Ledger
+from leverjunction.quota.local_limiter import CONTACT_S, MAX_RETRY_AFTER_S, LocalLimiter
+from leverjunction.quota.messages import TenantLevels, TenantUsage
+from leverjunction.routes.types import RateLimit, Tenant
+from testbed.quota.experiment import Outcome, Play, run
+
+BOUNDS = QuotaBounds(window_s=5.0, overshoot=0.1, slack=20.0)
+LIMIT = RateLimit(per_s=5.0, burst=5.0)
+ACME = Tenant(name="acme", limit=LIMIT)
+STEADY_REFUSALS_MOST = 1 / 2000
+FAULT_REFUSALS_MOST = 1 / 200
+
+
+def told(level: float, demand: float, gateways: int = 10) -> TenantLevels:
+    return TenantLevels(gateways=gateways, report_interval_s=0.1, tenants={"acme": (level, demand)})
+
+
+def admitted(limiter: LocalLimiter, count: int, from_s: float, to_s: float) -> int:
+    """Return how many of some evenly spaced requests are admitted."""
+    times = [from_s + (to_s - from_s) * number / count for number in range(count)]
+    return sum(limiter.admit(ACME, now_s) is None for now_s in times)
+
+
+def usage(gateway: str, count: int, demand: float) -> TenantUsage:
+    return TenantUsage(gateway=gateway, tenants={"acme": (count, demand)})
+
+
+def owner(*reports: TenantUsage, now_s: float = 0.0) -> Ledger:
+    """A ledger that has taken over, after first reports."""
+    ledger = Ledger(BOUNDS)
+    ledger.set_limits({"acme": LIMIT}, now_s)
+    for number, report in enumerate(reports):
+        ledger.apply_usage(report, 1, ("h", number), now_s)
+    ledger.levels(now_s + TAKEOVER_WAIT_S)
+    return ledger
+
+
+def level(ledger: Ledger, now_s: float) -> float:
+    return ledger.usage(now_s)["acme"][2]
+
+
+def test_a_tenant_without_a_limit_is_never_refused() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    free = Tenant(name="free")
+    assert all(limiter.admit(free, 0.0) is None for _ in range(1000))
+    assert not limiter.has_changes
+
+
+def test_gateways_admit_the_same_share_of_a_tight_tenant() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    for step in range(40):
+        limiter.apply_levels(told(0.0, 20.0), step * 0.25)
+        limiter.admit(ACME, step * 0.25)
+    count = 0
+    for step in range(40, 80):
+        limiter.apply_levels(told(0.0, 20.0), step * 0.25)
+        count += limiter.admit(ACME, step * 0.25) is None
+    assert count == pytest.approx(40 * 5 / 20, abs=1)
+
+
+def test_an_overdrawn_bucket_admits_nothing_until_it_is_repaid() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    limiter.apply_levels(told(-5.0, 20.0), 0.0)
+    assert admitted(limiter, 20, 0.0, 0.4) == 0
+
+
+def test_one_gateway_never_admits_more_than_the_whole_limit() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    limiter.apply_levels(TenantLevels(gateways=10, report_interval_s=0.1, tenants={}), 0.0)
+    assert admitted(limiter, 500, 0.0, 0.5) <= BOUNDS.depth(LIMIT) + 0.5 * LIMIT.per_s
+
+
+def test_a_gateway_that_is_cut_off_goes_by_its_former_share() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    for step in range(100):
+        limiter.admit(ACME, step * 0.5)
+        limiter.report("g", step * 0.5, whole=True)
+        limiter.apply_levels(told(10.0, 4.0), step * 0.5)
+    cut_s = 49.5 + CONTACT_S + 0.1
+    count = admitted(limiter, 200, cut_s, cut_s + 5.0)
+    # Half of the demand, so at most half of the rate, what was left, and one request more.
+    assert 5 <= count <= 0.5 * (5.0 * 5 + BOUNDS.depth(LIMIT)) + 1
+
+
+def test_given_back_allowances_are_reported() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    limiter.apply_levels(told(10.0, 1.0), 0.0)
+    assert limiter.admit(ACME, 0.0) is None
+    assert limiter.report("g", 0.1, whole=False).tenants["acme"][0] == 1
+    limiter.give_back(ACME)
+    assert limiter.has_changes
+    assert limiter.report("g", 0.2, whole=False).tenants["acme"][0] == 0
+
+
+def test_refused_callers_do_not_return_together() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    limiter.apply_levels(told(-3.0, 20.0), 0.0)
+    refusals = [limiter.admit(ACME, 0.01) for _ in range(20)]
+    waits = [refusal.retry_after_s for refusal in refusals if refusal is not None]
+    assert len(waits) == 20
+    assert len(set(waits)) > 15
+    assert all(wait is not None and 0.2 <= wait <= MAX_RETRY_AFTER_S for wait in waits)
+
+
+def test_reports_that_are_lost_doubled_or_late_are_charged_once() -> None:
+    ledger = owner(usage("g", 100, 2.0))
+    before = level(ledger, 1.0)
+    ledger.apply_usage(usage("g", 103, 2.0), 1, ("h", 0), 1.0)
+    ledger.apply_usage(usage("g", 103, 2.0), 1, ("h", 0), 1.0)
+    assert level(ledger, 1.0) == pytest.approx(before - 3)
+    ledger.apply_usage(usage("g", 50, 2.0), 0, ("h", 0), 1.0)
+    assert level(ledger, 1.0) == pytest.approx(before - 3), "of the gateway's former start"
+    ledger.apply_usage(usage("g", 2, 2.0), 2, ("h", 0), 1.0)
+    assert level(ledger, 1.0) == pytest.approx(before - 5), "a new start counts from 0"
+
+
+def test_the_rate_of_a_silent_gateway_is_withheld_and_settled() -> None:
+    ledger = owner(usage("g", 0, 2.0), usage("h", 0, 2.0))
+    ledger.apply_usage(usage("g", 0, 2.0), 1, ("h", 0), 1.0)
+    ledger.apply_usage(usage("h", 0, 2.0), 1, ("h", 1), 1.0)
+    silent_s = 1.0 + SILENT_S + 0.1
+    ledger.apply_usage(usage("h", 20, 2.0), 1, ("h", 1), silent_s)
+    ledger.levels(silent_s)
+    before = level(ledger, silent_s)
+    assert level(ledger, silent_s + 1) - before == pytest.approx(LIMIT.per_s / 2)
+    # It comes back having used just what was withheld for it.
+    ledger.apply_usage(usage("g", 5, 2.0), 1, ("h", 0), silent_s + 2)
+    assert level(ledger, silent_s + 2) - before == pytest.approx(LIMIT.per_s)
+
+
+def test_a_dead_gateway_is_forgotten() -> None:
+    ledger = owner(usage("g", 0, 2.0))
+    assert ledger.addresses()
+    ledger.levels(FORGOTTEN_S + 1)
+    assert not ledger.addresses()
+
+
+def test_a_lower_limit_takes_effect_at_once() -> None:
+    ledger = owner(usage("g", 0, 2.0))
+    assert level(ledger, 60.0) == pytest.approx(BOUNDS.depth(LIMIT))
+    lower = RateLimit(per_s=1.0, burst=1.0)
+    ledger.set_limits({"acme": lower}, 60.0)
+    assert level(ledger, 60.1) <= BOUNDS.depth(lower)
+
+
+CASES: dict[str, dict[str, object]] = {
+    "steady": {},
+    "many entries": {"clients": 1000},
+    "near the limit": {"use": 0.8},
+    "one entry": {"clients": 1, "use": 0.8},
+    "moves": {"moves": 15.0, "use": 0.8},
+    "owner lost": {"owner_lost": (10.0, 12.0)},
+    "restart": {"restart": 15.0},
+    "hot": {"hot": (10.0, 20.0)},
+    "hot, many entries": {"hot": (10.0, 20.0), "clients": 1000},
+    "hot, one entry": {"hot": (10.0, 20.0), "clients": 1},
+    "hot, owner lost": {"hot": (10.0, 20.0), "owner_lost": (12.0, 15.0)},
+    "hot as the owner is lost": {"hot": (12.0, 22.0), "owner_lost": (11.0, 14.0)},
+    "hot, a third cut off": {"hot": (8.0, 18.0), "cut": (10.0, 20.0), "cut_share": 0.33},
+    "hot, restart": {"hot": (10.0, 20.0), "restart": 15.0},
+}
+"""Load patterns of one tenant at 50 gateways."""
+
+
+def play(name: str, per_s: float, gateways: int = 50, seeds: int = 3) -> list[Outcome]:
+    made = Play(per_s=per_s, gateways=gateways, **CASES[name])  # type: ignore[arg-type]
+    return [run(made, seed, BOUNDS) for seed in range(seeds)]
+
+
+@pytest.mark.parametrize("per_s", [5.0, 60.0])
+@pytest.mark.parametrize("name", CASES)
+def test_a_limit_holds_over_all_gateways(name: str, per_s: float) -> None:
+    assert max(outcome.over for outcome in play(name, per_s)) <= 0
+
+
+@pytest.mark.parametrize("per_s", [5.0, 60.0])
+@pytest.mark.parametrize("name", ["steady", "many entries", "near the limit", "one entry", "moves"])
+def test_within_the_limit_hardly_anything_is_refused(name: str, per_s: float) -> None:
+    outcomes = play(name, per_s)
+    within = sum(outcome.within for outcome in outcomes)
+    refused = sum(outcome.refused_within for outcome in outcomes)
+    assert refused <= within * STEADY_REFUSALS_MOST
+
+
+@pytest.mark.parametrize("per_s", [5.0, 60.0])
+@pytest.mark.parametrize("name", ["owner lost", "restart"])
+def test_beside_a_fault_few_requests_within_the_limit_are_refused(name: str, per_s: float) -> None:
+    outcomes = play(name, per_s)
+    within = sum(outcome.within for outcome in outcomes)
+    refused = sum(outcome.refused_within for outcome in outcomes)
+    assert refused <= within * FAULT_REFUSALS_MOST
+
+
+@pytest.mark.parametrize("gateways", [6, 165, 340])
+@pytest.mark.parametrize("name", ["steady", "hot", "hot, owner lost"])
+def test_a_limit_holds_at_other_sizes(name: str, gateways: int) -> None:
+    assert max(outcome.over for outcome in play(name, 60.0, gateways, seeds=1)) <= 0
