Refused callers return at different times; a tenant's priority goes first

Cause: everybody refused for one reason was told the same time, so a crowd after an outage returned together. A tenant's priority was read nowhere. Held requests go by their tenant's priority, then their route's.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -34,6 +34,7 @@
 from leverjunction.proxy.headers import end_to_end, find
 from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.retrying_sender import RetryingSender
+from leverjunction.proxy.return_times import spread_return_s
 from leverjunction.proxy.routed_request import RoutedRequest
 from leverjunction.proxy.runner_connection import ResponseEnd, ResponseHead
 from leverjunction.proxy.stream_origins import StreamOrigins, stream_key
@@ -288,6 +289,7 @@
             target_s=arrived_s + route.target_ms / 1000,
             deadline_s=deadline_s,
             head_latency_s=self._retrying_sender.head_latencies(route).unqueued_s() or 0.0,
+            rank=(routed.tenant.priority if routed.tenant else 0, route.priority),
         )
 
     def _record_run_time(self, routed: RoutedRequest, head_at_s: float) -> None:
@@ -416,7 +418,10 @@
         version = 0 if self._index is None else self._index.table.version
         waited_s = self._loop.time() - request.arrived_s
         self._decision_log.refused(metadata, version, status, failure, waited_s)
-        headers = self._dialect.own_response_headers(metadata.request_id, failure.retry_after_s)
+        retry_after_s = failure.retry_after_s
+        if retry_after_s is not None:
+            retry_after_s = spread_return_s(retry_after_s, self._random)
+        headers = self._dialect.own_response_headers(metadata.request_id, retry_after_s)
         responder.respond(status, headers, failure.reason.encode())
 
 
--- a/src/leverjunction/quota/local_limiter.py
+++ b/src/leverjunction/quota/local_limiter.py
@@ -51,8 +51,6 @@
 
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 10.0
-RETRY_SPREAD = (0.75, 1.5)
-"""Range of the random factor that keeps a tenant's callers from returning together."""
 
 
 class _Account:
@@ -268,7 +266,6 @@
         demand = max(account.demand.per_s(now_s), account.fleet_demand if is_told else 0.0)
         owed = max(0.0, -account.level) if is_told else 0.0
         wait_s = (1 + owed) / limit.per_s * max(1.0, demand / limit.per_s)
-        wait_s *= self._random.uniform(*RETRY_SPREAD)
         level = f"{account.level:.1f}" if is_told else "unknown"
         return Failure(
             kind=FailureKind.RATE_LIMITED,
