Proxy: the handling of a request in parts

Cause: Forwarder.handle had grown beyond a screen with identity and limits. Change: the making of a routed request and its limit are methods of their own; no change of behaviour. Measured: test_proxy_tenants, test_proxy_contract, test_proxy_versions pass.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -157,19 +157,8 @@
         if refusal is not None:
             self._refuse(request, metadata, responder, refusal)
             return
-        tenant = caller if isinstance(caller, Tenant) else None
-        metadata.tenant = "" if tenant is None else tenant.name
-        timeout_ms = min(metadata.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
-        until_s = request.arrived_s + timeout_ms / 1000
-        stream = _stream_of(request, route)
-        # A caller that continues a stream must be given the same part of a split route again.
-        is_split = len(route.services) > 1
-        random = self._random if stream is None or not is_split else Random(stream)
-        service = draw_service(route, random)
-        routed = RoutedRequest(request, metadata, route, service, index.table.version, until_s)
-        routed.stream = stream
-        routed.tenant = tenant
-        refusal = None if tenant is None else self._limiter.admit(tenant, self._loop.time())
+        routed = self._make_routed(request, route, caller, index)
+        refusal = self._limit(routed)
         if refusal is not None:
             self._refuse(request, metadata, responder, refusal)
             return
@@ -188,6 +177,31 @@
             for key, start in routed.trials:
                 self._quarantine.trial_ended(key, start)
 
+    def _make_routed(
+        self, request: CallerRequest, route: Route, caller: Caller, index: RouteIndex
+    ) -> RoutedRequest:
+        """Choose the service of a request, and set the tenant that back ends are told."""
+        metadata = request.metadata
+        tenant = caller if isinstance(caller, Tenant) else None
+        metadata.tenant = "" if tenant is None else tenant.name
+        timeout_ms = min(metadata.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
+        until_s = request.arrived_s + timeout_ms / 1000
+        stream = _stream_of(request, route)
+        # A caller that continues a stream must be given the same part of a split route again.
+        is_split = len(route.services) > 1
+        random = self._random if stream is None or not is_split else Random(stream)
+        service = draw_service(route, random)
+        routed = RoutedRequest(request, metadata, route, service, index.table.version, until_s)
+        routed.stream = stream
+        routed.tenant = tenant
+        return routed
+
+    def _limit(self, routed: RoutedRequest) -> Failure | None:
+        """Return why a request is beyond its tenant's limit, None if it is within it."""
+        if routed.tenant is None:
+            return None
+        return self._limiter.admit(routed.tenant, self._loop.time())
+
     def _give_back_allowance(self, routed: RoutedRequest) -> None:
         """Return the allowance of a request that was answered although no back end ran it."""
         if routed.tenant is not None and routed.execution is Execution.NOT_RUN:
