--- a/src/leverjunction/lots/quota_owner.py
+++ b/src/leverjunction/lots/quota_owner.py
@@ -81,13 +81,20 @@
     async def _run(self, broadcast: Broadcast) -> None:
         while True:
             await asyncio.sleep(self._ledger.interval_s())
-            addresses = self._ledger.addresses()
-            if not addresses or not self._leads():
-                continue
-            now_s = self._loop.time()
-            for levels in self._ledger.levels(now_s):
-                broadcast(encode(levels), addresses)
-            self._log(now_s)
+            try:
+                self._tell(broadcast)
+            except Exception:
+                # The task must survive: without it all gateways decide alone.
+                logger.exception("telling the levels of tenants' limits failed")
+
+    def _tell(self, broadcast: Broadcast) -> None:
+        addresses = self._ledger.addresses()
+        if not addresses or not self._leads():
+            return
+        now_s = self._loop.time()
+        for levels in self._ledger.levels(now_s):
+            broadcast(encode(levels), addresses)
+        self._log(now_s)
 
     def _log(self, now_s: float) -> None:
         """Log the tenants that use most of their rate, at intervals."""
--- a/src/leverjunction/proxy/quota_link.py
+++ b/src/leverjunction/proxy/quota_link.py
@@ -69,8 +69,12 @@
 
     async def _run(self, send: Send, stores: Callable[[], list[Address]]) -> None:
         while True:
-            if self._has_tenants():
-                self._report(send, stores)
+            try:
+                if self._has_tenants():
+                    self._report(send, stores)
+            except Exception:
+                # The task must survive: without its reports the owner takes this gateway for dead.
+                logger.exception("reporting the use of tenants' limits failed")
             await asyncio.sleep(max(MIN_INTERVAL_S, self._limiter.report_interval_s))
 
     def _report(self, send: Send, stores: Callable[[], list[Address]]) -> None:
--- a/src/leverjunction/quota/local_limiter.py
+++ b/src/leverjunction/quota/local_limiter.py
@@ -54,7 +54,23 @@
 
 
 class _Account:
-    """What this gateway knows of one tenant."""
+    """What this gateway knows of one tenant.
+
+    Attributes:
+        admitted: Requests admitted since the start, less those whose allowance was given back.
+        reported: The same as of the last report to the owner.
+        demand: Requests per second that callers send here, refused ones included.
+        reported_demand: The same as of the last report to the owner.
+        level: Tokens that the owner last told to be left.
+        level_s: When it did.
+        fleet_demand: Requests per second at all gateways, as the owner last told.
+        fleet_demand_s: When it did.
+        phase: Accumulates the share of requests that is admitted; whenever it passes 1, a request
+            is.
+        whole: The tenant's whole limit, which this gateway alone never exceeds.
+        alone: Allowance while the owner is unreachable; None while it is not.
+        alone_share: Share of the tenant's rate that refills it.
+    """
 
     __slots__ = (
         "admitted",
@@ -81,11 +97,8 @@
         self.fleet_demand = 0.0
         self.fleet_demand_s = float("-inf")
         self.phase = phase
-        """Accumulates the admitted share; a request is admitted whenever it passes one."""
         self.whole: TokenBucket | None = None
-        """The tenant's whole limit, which this gateway alone never exceeds."""
         self.alone: TokenBucket | None = None
-        """Allowance since the owner became unreachable; None while it is reachable."""
         self.alone_share = 0.0
 
 
@@ -95,6 +108,9 @@
     Args:
         random: Random generator.
         bounds: Tolerance of the deployment.
+
+    Attributes:
+        report_interval_s: Minimum interval between two reports, as the owner wants it, in seconds.
     """
 
     __slots__ = (
@@ -158,10 +174,6 @@
         """Return whether the owner was heard recently."""
         return now_s - self._heard_s <= CONTACT_S
 
-    def contact_age_s(self, now_s: float) -> float:
-        """Return the seconds since the owner was heard; infinite if it never was."""
-        return now_s - self._heard_s
-
     @property
     def has_changes(self) -> bool:
         """Whether there is something to report to the owner."""
@@ -231,7 +243,7 @@
         if account.alone is None:
             account.alone_share = self._former_share(account, limit, now_s)
             account.alone = TokenBucket(self._first_allowance(account, limit), now_s)
-        has_lapsed = self._gateways and now_s - self._heard_s > SHARE_LEASE_S
+        has_lapsed = self._gateways > 0 and now_s - self._heard_s > SHARE_LEASE_S
         share = 1 / self._gateways if has_lapsed else account.alone_share
         per_s = share * limit.per_s
         if self._gateways:
