--- a/src/leverjunction/lots/gateway_loads.py
+++ b/src/leverjunction/lots/gateway_loads.py
@@ -111,10 +111,6 @@
         """Return the number of online requests of a service that wait at gateways."""
         return self._waiting[service]
 
-    def all_waiting(self) -> dict[str, int]:
-        """Return the number of online requests that wait at gateways, by service."""
-        return dict(self._waiting)
-
     def addresses(self) -> list[Address]:
         """Return the datagram addresses of the live gateways."""
         return [gateway.address for gateway in self._gateways.values()]
--- a/src/leverjunction/lots/load_listener.py
+++ b/src/leverjunction/lots/load_listener.py
@@ -127,7 +127,6 @@
             for_s=SUBSCRIPTION_S,
             order=order.key,
             row=order.pack(self._totals()),
-            held=self.loads.all_waiting(),
         )
         envelope = Envelope(kind=MessageKind.LOADS_WANTED, group=JOBS_GROUP, body=encode(broadcast))
         return encode_envelope(envelope, self._cluster_key)
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -15,7 +15,6 @@
 from leverjunction.lots.slot_use import SlotSeconds, SlotUse, current_use
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.slot_share import held_for_want_of_slots
 from leverjunction.proxy.tracked_runner import TrackedRunner
 
 POLL_INTERVAL_S = 0.1
@@ -101,12 +100,10 @@
         for service, capacity in self._capacities.items():
             for key, runner in capacity.runners.items():
                 runner.report_online(loads.at_back_end(key), now_s)
-            online = sum(loads.at_back_end(key) for key in capacity.runners)
-            slots = sum(runner.slots for runner in capacity.runners.values())
             capacity.set_gateway_reports(
                 loads.gateway_count,
                 loads.update_interval_s(),
-                held_for_want_of_slots(loads.waiting(service), online, slots),
+                loads.waiting(service),
                 self._lag.recent_s,
             )
             capacity.update(now_s)
--- a/src/leverjunction/proxy/admission.py
+++ b/src/leverjunction/proxy/admission.py
@@ -3,8 +3,7 @@
 A back end accepts requests in order of arrival. Once more arrive than its slots can serve, first
 come, first served makes all of them late. Therefore only requests that can still meet their target
 are sent. The others are held at the gateway, where they delay nobody, until the next lull. A
-request that certainly can't be served is refused at once. How long a request would queue is
-computed by ``slot_share`` where the loads of all gateways are known.
+request that certainly can't be served is refused at once.
 
 Performs no I/O: the time is passed in.
 """
@@ -32,28 +31,19 @@
     """Estimated load that one more request to a service would meet.
 
     Attributes:
-        queue: Number of requests that must finish at a back end before one more starts there;
-            negative if there are free slots.
+        queue: Number of requests that must finish at the least loaded back end before one more
+            starts there; negative if it has free slots.
         slots: Number of slots of that back end.
         run_s: Average time in seconds for which a request occupies a slot.
-        backlog: Number of requests that wait at all back ends and at other gateways.
+        backlog: Number of requests that wait at all back ends.
         capacity: Number of slots of all back ends.
-        lull_s: When slots were last seen to be free at all back ends together, so that held
-            requests were sent, in monotonic seconds; None if only ``queue`` is known.
     """
 
-    __slots__ = ("backlog", "capacity", "lull_s", "queue", "run_s", "slots")
+    __slots__ = ("backlog", "capacity", "queue", "run_s", "slots")
 
     def __init__(
-        self,
-        queue: float,
-        slots: int,
-        run_s: float,
-        backlog: float,
-        capacity: int,
-        lull_s: float | None = None,
+        self, queue: float, slots: int, run_s: float, backlog: float, capacity: int
     ) -> None:
-        self.lull_s = lull_s
         self.queue = queue
         self.slots = slots
         self.run_s = run_s
@@ -146,10 +136,7 @@
                 response reports the load.
             now_s: Monotonic time in seconds.
         """
-        if estimate is None:
-            return Decision.SEND
-        self._note_lull(estimate, now_s)
-        if estimate.queue <= MAX_LATE_QUEUE or ticket.meets_target(estimate, now_s):
+        if estimate is None or self._can_send(ticket, estimate, now_s):
             return Decision.SEND
         if ticket.is_expired(now_s + estimate.drain_s(self.held)) or self._cannot_be_served(
             ticket, now_s
@@ -173,12 +160,12 @@
         """
         if estimate is None:
             return self._pop_first(self._held)
-        self._note_lull(estimate, now_s)
         in_time = [ticket for ticket in self._held if ticket.meets_target(estimate, now_s)]
         if in_time:
             return self._pop_first(in_time)
         if estimate.queue > MAX_LATE_QUEUE:
             return None
+        self._last_lull_s = now_s
         return self._pop_first(self._held)
 
     def discard(self, ticket: Ticket) -> None:
@@ -193,12 +180,11 @@
         self._held.remove(first)
         return first
 
-    def _note_lull(self, estimate: LoadEstimate, now_s: float) -> None:
-        """Note when there was a lull, also one while no request came here."""
+    def _can_send(self, ticket: Ticket, estimate: LoadEstimate, now_s: float) -> bool:
         if estimate.queue <= MAX_LATE_QUEUE:
             self._last_lull_s = now_s
-        elif estimate.lull_s is not None:
-            self._last_lull_s = max(self._last_lull_s, estimate.lull_s)
+            return True
+        return ticket.meets_target(estimate, now_s)
 
     def _cannot_be_served(self, ticket: Ticket, now_s: float) -> bool:
         """Return whether the last lull is longer ago than this request could wait for one."""
--- a/src/leverjunction/proxy/admission_gate.py
+++ b/src/leverjunction/proxy/admission_gate.py
@@ -99,10 +99,8 @@
         }
 
     def _notify(self, service: str) -> None:
-        held = self._queues[service].held
-        self._balancer.set_own_held(service, held)
         if self._on_change is not None:
-            self._on_change(service, held)
+            self._on_change(service, self._queues[service].held)
 
     def _ensure_worker(self, service: str) -> None:
         worker = self._workers.get(service)
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -13,7 +13,6 @@
 from leverjunction.proxy.affinity import affinity_runner, long_prompt_runners
 from leverjunction.proxy.load_row import BackEndOrder
 from leverjunction.proxy.prompt import PREFILL_TOKENS_PER_MS, Prompt
-from leverjunction.proxy.slot_share import LULL_SHARE, FleetLoad
 from leverjunction.proxy.tracked_runner import TrackedRunner
 from leverjunction.proxy.water_filling import (
     Candidate,
@@ -58,9 +57,6 @@
 DEFAULT_RUN_S = 1.0
 """Assumed time for which a request occupies a slot, until the first request has finished."""
 
-FLEET_LOAD_S = 0.4
-"""How long the numbers of held requests that the leader of batch work sent are used."""
-
 RUN_AVERAGE_WEIGHT = 0.1
 """Weight of the newest request in the moving average of the run time."""
 
@@ -97,13 +93,9 @@
 
     __slots__ = (
         "_by_service",
-        "_held",
-        "_held_s",
         "_last_long_prompt_s",
         "_long_prompt_ids",
-        "_lull_s",
         "_mean_run_s",
-        "_own_held",
         "_random",
         "_runners",
         "_spread",
@@ -121,10 +113,6 @@
         self._long_prompt_ids: frozenset[str] = frozenset()
         self._last_long_prompt_s: dict[str, float] = {}
         self._mean_run_s: dict[str, float] = {}
-        self._own_held: dict[str, int] = {}
-        self._held: Mapping[str, int] = {}
-        self._held_s = float("-inf")
-        self._lull_s: dict[str, float] = {}
 
     def replace(self, records: Iterable[RunnerRecord]) -> None:
         """Replace the back ends by the registry's records.
@@ -268,23 +256,6 @@
             if runner is not None:
                 runner.set_other_load(online, now_s, lag_s)
 
-    def set_held(self, held: Mapping[str, int], now_s: float) -> None:
-        """Set the number of requests that all gateways hold, by service.
-
-        The numbers of requests at back ends of the same time must have been set before.
-        """
-        self._held = held
-        self._held_s = now_s
-        for service in self._by_service:
-            runners = self.available(service)
-            running = sum(runner.load(now_s) for runner in runners)
-            if running <= LULL_SHARE * sum(runner.slots for runner in runners):
-                self._lull_s[service] = now_s
-
-    def set_own_held(self, service: str, held: int) -> None:
-        """Set the number of requests of a service that this gateway holds."""
-        self._own_held[service] = held
-
     def record_run(self, service: str, run_s: float) -> None:
         """Record for how many seconds a request occupied a slot, without its time in a queue."""
         known_s = self._mean_run_s.get(service, run_s)
@@ -307,34 +278,12 @@
         best = min(runners, key=lambda runner: runner.load(now_s) - runner.slots)
         if now_s - best.load_updated_s > MAX_LOAD_AGE_S:
             return None
-        fleet = self._fleet_load(service, runners, run_s, now_s)
-        queue = best.load(now_s) + 1 - best.slots
-        own_held = self._own_held.get(service, 0)
         return LoadEstimate(
-            queue=queue if fleet is None else fleet.queue(),
+            queue=best.load(now_s) + 1 - best.slots,
             slots=best.slots,
             run_s=run_s,
-            backlog=sum(max(0.0, runner.load(now_s) - runner.slots) for runner in runners)
-            + (0 if fleet is None else fleet.held - own_held),
+            backlog=sum(max(0.0, runner.load(now_s) - runner.slots) for runner in runners),
             capacity=sum(runner.slots for runner in runners),
-            lull_s=self._lull_s.get(service),
-        )
-
-    def _fleet_load(
-        self, service: str, runners: list[TrackedRunner], run_s: float, now_s: float
-    ) -> FleetLoad | None:
-        """Return the requests of all gateways; None while they are not known."""
-        if now_s - self._held_s > FLEET_LOAD_S:
-            return None
-        own_held = self._own_held.get(service, 0)
-        return FleetLoad(
-            slots=sum(runner.slots for runner in runners),
-            back_ends=len(runners),
-            running=sum(runner.load(now_s) for runner in runners),
-            unreported=sum(runner.unreported(now_s, run_s) for runner in runners),
-            held=max(own_held, self._held.get(service, 0)),
-            own_running=sum(runner.own_requests for runner in runners),
-            own_held=own_held,
         )
 
     def failed(self, runner: TrackedRunner, now_s: float) -> None:
--- a/src/leverjunction/proxy/load_socket.py
+++ b/src/leverjunction/proxy/load_socket.py
@@ -39,7 +39,6 @@
         order: Returns the order of the back ends that this gateway knows.
         on_other_loads: Called with the number of other gateways' requests by start of the back
             end, and the average age of these numbers in seconds.
-        on_held: Called with the number of requests that all gateways hold, by service.
         quota: Receives the messages on tenants' limits, and is given a way to send its own; None
             for none.
     """
@@ -52,7 +51,6 @@
         stores: Callable[[], tuple[str, ...]],
         order: Callable[[], BackEndOrder],
         on_other_loads: Callable[[dict[str, int], float], None],
-        on_held: Callable[[dict[str, int]], None] = lambda held: None,
         quota: QuotaLink | None = None,
     ) -> None:
         self._reporter = LoadReporter(gateway)
@@ -61,7 +59,6 @@
         self._stores = stores
         self._order = order
         self._on_other_loads = on_other_loads
-        self._on_held = on_held
         self._quota = quota
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
@@ -138,8 +135,6 @@
         self._on_other_loads(
             self._reporter.other_loads(order.unpack(message.row)), message.interval_s / 2
         )
-        if message.held is not None:
-            self._on_held(message.held)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore the error: the next full report reaches a store that was down."""
--- a/src/leverjunction/proxy/online_loads.py
+++ b/src/leverjunction/proxy/online_loads.py
@@ -56,15 +56,12 @@
         order: Key of the order of ``row``.
         row: Number of online requests of all gateways at each back end. Batch work is not counted,
             since it yields to online requests.
-        held: Number of requests that all gateways hold, by service; None from a release that does
-            not send it.
     """
 
     interval_s: float
     for_s: float
     order: int = 0
     row: bytes = b""
-    held: dict[str, int] | None = None
 
 
 class LoadReporter:
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -97,7 +97,6 @@
             self._store_addresses,
             lambda: self._balancer.order,
             self._set_shared_loads,
-            self._set_held,
             QuotaLink(config.name, self._limiter, self._has_tenants),
         )
         self._reporter = RunReporter(self._rpc, self._follower.hubs, clock)
@@ -227,9 +226,6 @@
     def _set_shared_loads(self, others: dict[str, int], lag_s: float) -> None:
         self._balancer.set_other_loads(others, self._loop.time(), lag_s)
 
-    def _set_held(self, held: dict[str, int]) -> None:
-        self._balancer.set_held(held, self._loop.time())
-
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         """Pass a newer registry snapshot to the event loop; called on the follower's thread."""
         self._loop.call_soon_threadsafe(self._snapshot_publisher.publish, snapshot)
--- a/src/testbed/placement/gateway.py
+++ b/src/testbed/placement/gateway.py
@@ -91,7 +91,6 @@
             lambda: (store,),
             lambda: self._balancer.order,
             self._others_told,
-            lambda held: self._balancer.set_held(held, self._loop.time()),
         )
         self._gate = AdmissionGate(
             self._balancer,
