Logs and metrics tell why the origin of a resumed stream is unknown

Cause: 'resumed' lines and proxy_resumptions_total{source} said 'unknown' whether nobody was asked, no control process answered in time, a holder had restarted, or all answered that they do not know: the hypotheses of the incident could not be told apart. Change: sources not asked, no answer, restarted, nobody knows; 'N of M answered' in the line; a histogram of the lookup's time; control processes tell for how long they have kept records. No decision changes.

--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -21,6 +21,7 @@
 from leverjunction.proxy.metrics import ProxyMetrics
 from leverjunction.proxy.routed_request import RoutedRequest
 from leverjunction.quarantine.request_key import request_key
+from leverjunction.registry.origins import Resumption
 from leverjunction.registry.records import RunnerRecord
 
 if TYPE_CHECKING:
@@ -236,15 +237,20 @@
             )
         )
 
-    def resumed(self, routed: RoutedRequest, source: str, now_s: float) -> None:
+    def resumed(
+        self, routed: RoutedRequest, resumption: Resumption, lookup_s: float, now_s: float
+    ) -> None:
         """Record a stream that a caller continues, before it is sent or refused.
 
         Args:
             routed: The request.
-            source: Where its origin is known from (``stream_origins.Resumption``).
+            resumption: What is known of the stream.
+            lookup_s: Time that it took to find out, in seconds.
             now_s: Current time in monotonic seconds.
         """
-        self._metrics.resumptions.labels(source).inc()
+        self._metrics.resumptions.labels(resumption.source.value).inc()
+        self._metrics.origin_lookup_s.observe(lookup_s)
+        answers = f", {resumption.answered} of {resumption.asked} answered"
         self._write(
             DecisionLine(
                 at_ms=self._clock.wall_ms(),
@@ -256,7 +262,7 @@
                 waited_ms=_ms(now_s - routed.request.arrived_s),
                 origin=routed.version or "",
                 resumes=routed.metadata.resumes[:MAX_LOGGED_ID],
-                reason=f"origin: {source}",
+                reason=f"origin: {resumption.source}{answers if resumption.asked else ''}",
             )
         )
 
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -257,9 +257,11 @@
             return None
         resumes = routed.metadata.resumes
         stream = stream_key(routed.request, resumes)
+        asked_s = self._loop.time()
         resumption = await self._origins.find(stream, routed.service)
         routed.origin = origin = resumption.origin
-        self._decision_log.resumed(routed, resumption.source, self._loop.time())
+        now_s = self._loop.time()
+        self._decision_log.resumed(routed, resumption, now_s - asked_s, now_s)
         if origin is None:
             return unknown_origin(routed.service, resumes)
         if all(part.service != origin.service for part in routed.route.services):
--- a/src/leverjunction/proxy/metrics.py
+++ b/src/leverjunction/proxy/metrics.py
@@ -6,6 +6,8 @@
 
 RESPONSE_HEAD_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
 
+ORIGIN_LOOKUP_BUCKETS_S = (0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1.0)
+
 
 class ProxyMetrics:
     """Metrics of one gateway, registered in a collector registry."""
@@ -43,10 +45,17 @@
         )
         self.resumptions = Counter(
             "proxy_resumptions_total",
-            "Streams that callers continue, by where the version that began them is known from",
+            "Streams that callers continue, by where the version that began them is known from, or"
+            " why it is unknown",
             ["source"],
             registry=registry,
         )
+        self.origin_lookup_s = Histogram(
+            "proxy_origin_lookup_seconds",
+            "Time to find which version began a stream that a caller continues",
+            buckets=ORIGIN_LOOKUP_BUCKETS_S,
+            registry=registry,
+        )
         self.back_ends = Gauge(
             "proxy_back_ends",
             "Back ends that accept new work, by service and version of their software",
--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -16,7 +16,7 @@
 
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.headers import find
-from leverjunction.registry.origins import OriginTable, StreamOrigin
+from leverjunction.registry.origins import OriginSource, OriginTable, Resumption, StreamOrigin
 from leverjunction.registry.records import FleetView
 from leverjunction.registry.version_history import VersionHistory
 
@@ -32,26 +32,11 @@
         """Report origins without waiting."""
         ...
 
-    async def find(self, stream: int, service: str) -> StreamOrigin | None:
-        """Return the origin of a stream that another gateway relayed, None if it is unknown."""
+    async def find(self, stream: int, service: str) -> Resumption:
+        """Return the origin of a stream that another gateway relayed, or why it is unknown."""
         ...
 
 
-class Resumption:
-    """What a gateway knows of a stream that it is asked to continue.
-
-    Attributes:
-        origin: Its origin, None if it is unknown.
-        source: Where that is known from, for logs and metrics.
-    """
-
-    __slots__ = ("origin", "source")
-
-    def __init__(self, origin: StreamOrigin | None, source: str) -> None:
-        self.origin = origin
-        self.source = source
-
-
 class StreamOrigins:
     """Knows which version began each stream. Used by one event loop, except for ``live``.
 
@@ -115,12 +100,13 @@
         now_s = self._loop.time()
         own = self._streams.get(stream, now_s)
         if own is not None:
-            return Resumption(own, "own")
+            return Resumption(own, OriginSource.OWN)
         only = self._history.only_version(service, now_s)
         if only is not None and self._view_age_s() <= self._max_view_age_s:
-            return Resumption(StreamOrigin(service, only), "only version")
-        found = await self.directory.find(stream, service) if self.directory else None
-        return Resumption(found, "unknown" if found is None else "directory")
+            return Resumption(StreamOrigin(service, only), OriginSource.ONLY_VERSION)
+        if self.directory is None:
+            return Resumption(None, OriginSource.NOT_ASKED)
+        return await self.directory.find(stream, service)
 
     def _review(self, now_s: float) -> None:
         self._reviewed_s = now_s
@@ -140,4 +126,4 @@
     return xxhash.xxh64_intdigest(b"".join(b"%d:%b" % (len(item), item) for item in fields))
 
 
-__all__ = ["OriginDirectory", "Resumption", "StreamOrigins", "stream_key"]
+__all__ = ["OriginDirectory", "StreamOrigins", "stream_key"]
--- a/src/leverjunction/registry/origin_client.py
+++ b/src/leverjunction/registry/origin_client.py
@@ -19,10 +19,13 @@
 from leverjunction.clock import steady_s
 from leverjunction.errors import Failure
 from leverjunction.registry.origins import (
+    STREAM_LIFETIME_S,
     FindOrigin,
     FoundOrigin,
+    OriginSource,
     OriginsStored,
     ReportOrigins,
+    Resumption,
     StreamOrigin,
 )
 from leverjunction.registry.records import MemberRecord
@@ -195,31 +198,32 @@
         for reporter in self._reporters:
             reporter.report(streams)
 
-    async def find(self, stream: int, service: str) -> StreamOrigin | None:
+    async def find(self, stream: int, service: str) -> Resumption:
         """Ask all control processes for the origin of a stream.
 
         Args:
             stream: Key of the stream.
             service: Service that the stream would be sent to.
-
-        Returns:
-            The origin, None if nobody knows it and the service has had several versions.
         """
         question = FindOrigin(stream=stream, service=service)
         asked = [self._in_thread(control, question) for control in self._controls()]
-        only: str | None = None
+        answers: list[FoundOrigin] = []
         try:
             async with asyncio.timeout(FIND_TIMEOUT_S):
                 for answer in asyncio.as_completed(asked):
                     found = await answer
                     if isinstance(found, Failure):
                         continue
+                    answers.append(found)
                     if found.origin is not None:
-                        return found.origin
-                    only = found.only_version if only is None else only
+                        return _resumption(found.origin, OriginSource.DIRECTORY, answers, asked)
         except TimeoutError:
             logger.debug("not all control processes answered for stream {:x}", stream)
-        return None if only is None else StreamOrigin(service, only)
+        only = next((item.only_version for item in answers if item.only_version is not None), None)
+        if only is not None:
+            origin = StreamOrigin(service, only)
+            return _resumption(origin, OriginSource.ONLY_VERSION, answers, asked)
+        return _resumption(None, _why_unknown(answers, len(asked)), answers, asked)
 
     def _in_thread(
         self, control: str, question: FindOrigin
@@ -234,6 +238,25 @@
         return future
 
 
+def _resumption(
+    origin: StreamOrigin | None,
+    source: OriginSource,
+    answers: Sequence[FoundOrigin],
+    asked: Sequence[object],
+) -> Resumption:
+    return Resumption(origin, source, answered=len(answers), asked=len(asked))
+
+
+def _why_unknown(answers: Sequence[FoundOrigin], asked: int) -> OriginSource:
+    if not asked:
+        return OriginSource.NOT_ASKED
+    if len(answers) < asked:
+        return OriginSource.NO_ANSWER
+    if any(item.kept_s < STREAM_LIFETIME_S for item in answers):
+        return OriginSource.RESTARTED
+    return OriginSource.NOBODY_KNOWS
+
+
 def _call(
     rpc: RpcClient, peer: str, kind: MessageKind, message: msgspec.Struct, reply_type: type[T]
 ) -> T | Failure:
--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -40,6 +40,7 @@
         self._hub = hub
         self._clock = clock
         self._incarnation = incarnation
+        self._started_s = clock.monotonic_s()
         self._lock = threading.Lock()
         self._streams = OriginTable(MAX_STREAMS)
         self._history = VersionHistory()
@@ -67,7 +68,7 @@
             origin = self._streams.get(question.stream, now_s)
             self._history.update(view, now_s)
             only = self._history.only_version(question.service, now_s) if is_current else None
-        return FoundOrigin(origin=origin, only_version=only)
+        return FoundOrigin(origin=origin, only_version=only, kept_s=now_s - self._started_s)
 
     def refresh(self) -> None:
         """Record the versions that serve now; call it regularly."""
--- a/src/leverjunction/registry/origins.py
+++ b/src/leverjunction/registry/origins.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from enum import StrEnum
 
 import msgspec
 
@@ -26,6 +27,39 @@
     version: str
 
 
+class OriginSource(StrEnum):
+    """Where the origin of a stream is known from, or why it is unknown.
+
+    ``NOT_ASKED``: no control process is known. ``NO_ANSWER``: not all of them answered in time, so
+    a later question may succeed. ``RESTARTED``: all answered, but some started after the stream may
+    have begun. ``NOBODY_KNOWS``: all answered, and another question is useless.
+    """
+
+    OWN = "own"
+    ONLY_VERSION = "only version"
+    DIRECTORY = "directory"
+    NOT_ASKED = "not asked"
+    NO_ANSWER = "no answer"
+    RESTARTED = "restarted"
+    NOBODY_KNOWS = "nobody knows"
+
+
+class Resumption(msgspec.Struct, frozen=True):
+    """What is known of a stream that a caller continues.
+
+    Attributes:
+        origin: Its origin, None if it is unknown.
+        source: Where that is known from, or why it is unknown.
+        answered: Number of control processes that answered.
+        asked: Number of control processes that were asked.
+    """
+
+    origin: StreamOrigin | None
+    source: OriginSource
+    answered: int = 0
+    asked: int = 0
+
+
 class ReportOrigins(msgspec.Struct, frozen=True, kw_only=True):
     """Message of a gateway: origins of streams that it relays.
 
@@ -66,10 +100,13 @@
         origin: Origin of the stream; None if it was not reported.
         only_version: The one version of the service that can have begun a stream which is still
             alive; None if there were several, or if the replying process cannot tell.
+        kept_s: Time since the start of the replying process, in seconds; what was reported to an
+            earlier start is lost.
     """
 
     origin: StreamOrigin | None = None
     only_version: str | None = None
+    kept_s: float = 0.0
 
 
 class OriginTable:
@@ -116,8 +153,10 @@
     "STREAM_LIFETIME_S",
     "FindOrigin",
     "FoundOrigin",
+    "OriginSource",
     "OriginTable",
     "OriginsStored",
     "ReportOrigins",
+    "Resumption",
     "StreamOrigin",
 ]
--- a/src/testbed/simulation/seeded/routed/broken_streams.py
+++ b/src/testbed/simulation/seeded/routed/broken_streams.py
@@ -6,8 +6,9 @@
 from unittest import mock
 
 from leverjunction.proxy.routed_request import RoutedRequest
-from leverjunction.proxy.stream_origins import Resumption, StreamOrigins
+from leverjunction.proxy.stream_origins import StreamOrigins
 from leverjunction.registry.origin_client import OriginClient
+from leverjunction.registry.origins import OriginSource, Resumption
 from testbed.simulation.rule import Rule
 
 
@@ -22,7 +23,8 @@
 
     async def own(self: StreamOrigins, stream: int, service: str) -> Resumption:
         found = await find(self, stream, service)
-        return found if found.source == "own" else Resumption(None, "unknown")
+        is_own = found.source is OriginSource.OWN
+        return found if is_own else Resumption(None, OriginSource.NOBODY_KNOWS)
 
     return [mock.patch.object(StreamOrigins, "find", own)]
 
--- a/tests/unit/test_registry_origins.py
+++ b/tests/unit/test_registry_origins.py
@@ -213,8 +213,8 @@
         first, second = Gateway(stack, controls), Gateway(stack, controls)
         first.begin(7, NEW)
         assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
-        assert await second.client.find(7, SERVICE) == NEW
-        assert await second.client.find(8, SERVICE) is None
+        assert (await second.client.find(7, SERVICE)).origin == NEW
+        assert (await second.client.find(8, SERVICE)).origin is None
 
     asyncio.run(run())
 
@@ -230,7 +230,7 @@
         assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
         first.client.stop()
         controls[number].stop()
-        assert await second.client.find(7, SERVICE) == NEW
+        assert (await second.client.find(7, SERVICE)).origin == NEW
 
     asyncio.run(run())
 
@@ -246,7 +246,7 @@
         first.client.stop()
         for control in controls[:HOLDERS]:
             control.start_again()
-        assert await second.client.find(7, SERVICE) is None
+        assert (await second.client.find(7, SERVICE)).origin is None
 
     asyncio.run(run())
 
@@ -274,7 +274,7 @@
         gateway = Gateway(stack, controls)
         gateway.begin(7, NEW)
         assert await comes_true(lambda: count_knowing(controls[1:], 7) >= 1)
-        assert await gateway.client.find(7, SERVICE) == NEW
+        assert (await gateway.client.find(7, SERVICE)).origin == NEW
 
     asyncio.run(run())
 
@@ -286,7 +286,7 @@
         gateway = Gateway(stack, controls)
         gateway.begin(7, NEW)
         assert await comes_true(lambda: knows(controls[1], 7))
-        assert await gateway.client.find(7, SERVICE) == NEW
+        assert (await gateway.client.find(7, SERVICE)).origin == NEW
 
     asyncio.run(run())
 
@@ -296,7 +296,7 @@
 
     async def run() -> None:
         controls = start_controls(stack, 3, view("v1.1"))
-        assert await Gateway(stack, controls).client.find(7, SERVICE) == NEW
+        assert (await Gateway(stack, controls).client.find(7, SERVICE)).origin == NEW
 
     asyncio.run(run())
 
@@ -307,6 +307,6 @@
     async def run() -> None:
         (control,) = start_controls(stack, 1, view("v1"))
         control.hub.is_stale = True
-        assert await Gateway(stack, [control]).client.find(7, SERVICE) is None
+        assert (await Gateway(stack, [control]).client.find(7, SERVICE)).origin is None
 
     asyncio.run(run())
