Tests: streams resumed after their gateway ended, on real processes

Cause: no test plays what happened to resumed streams beside a control process that stands still, control processes that are killed, or the first back ends of a second version; all earlier ones have control processes that answer. RawCaller shows an answer while it comes.

--- a/src/testbed/routed/caller.py
+++ b/src/testbed/routed/caller.py
@@ -19,9 +19,10 @@
         body: As much of its body as came.
         complete: True when the framing says that the body is whole.
         after_s: Time until the end of the answer or of the connection.
+        body_at_s: When the first bytes of its body came, in monotonic seconds; None before.
     """
 
-    __slots__ = ("after_s", "body", "complete", "headers", "status")
+    __slots__ = ("after_s", "body", "body_at_s", "complete", "headers", "status")
 
     def __init__(self) -> None:
         self.status = 0
@@ -29,6 +30,7 @@
         self.body = b""
         self.complete = False
         self.after_s = 0.0
+        self.body_at_s: float | None = None
 
 
 class RawCaller:
@@ -49,9 +51,14 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         self._socket.sendall(data)
 
-    def receive(self) -> RawReply:
-        """Read one answer, or what comes of it."""
-        reply = RawReply()
+    def receive(self, into: RawReply | None = None) -> RawReply:
+        """Read one answer, or what comes of it.
+
+        Args:
+            into: Filled while the answer comes, so that other threads can watch it; None for a
+                new one.
+        """
+        reply = into or RawReply()
         started_s = time.monotonic()
         try:
             while not reply.complete and self._take(reply):
@@ -83,6 +90,8 @@
             }
         elif isinstance(event, h11.Data):
             reply.body += bytes(event.data)
+            if reply.body_at_s is None:
+                reply.body_at_s = time.monotonic()
         elif isinstance(event, h11.EndOfMessage):
             reply.complete = True
         elif isinstance(event, h11.ConnectionClosed):
--- /dev/null
+++ b/tests/unit/test_resumed_streams.py
@@ -0,0 +1,24 @@
+"""Streams whose gateway ends are resumed at another one, on real processes.
+
+While at least two back ends of the version that began them serve, they go on at no less than half
+of the share at which new streams begin, and no stream holds events of two versions.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from tests.unit.resumed_streams_support import LEAST_RESUMED, LINES, play
+
+pytestmark = pytest.mark.fleet
+
+
+@pytest.mark.parametrize("line", LINES)
+def test_resumed_streams_go_on_where_new_ones_begin(line: str, tmp_path: Path) -> None:
+    counts = play(line, tmp_path)
+    assert not counts.broken, f"{counts.broken}; {counts.text()}"
+    assert counts.resumed >= LEAST_RESUMED, counts.text()
+    if LINES[line].is_promised:
+        assert counts.began > 0, f"no new stream began: {counts.text()}"
+        assert counts.keeps_promise(), counts.text()
