Resumed streams refused beside a silent control process: one question a process at a time

What callers saw: beside one control process that stands still, 16 of 70 resumed streams went on and 44 of 44 new ones began; each retry was refused with 503 too. Cause: OriginClient.find made a blocking call for each control process and stream, in one pool of eight threads. Calls to the silent process kept the threads for 0.3 s each, the calls of refused callers stayed queued, and retries added to them. Class: work for a caller that is gone, queued behind a silent peer; a cost of streams x peers. Evidence: 'no answer, 0 of 3 answered' at all 648 refusals; the healthy processes were never asked. Change: each control process has at most one question under way, for all streams that wait then (OriginQuestions, pure; OriginFinder, threads). The first positive answer ends a lookup; a lookup whose caller is gone gets into no further question. Processes of an older build are asked one by one, older gateways are answered as before. Unanswered and useless differ: only 'nobody knows' is without Retry-After. Why it works: a silent process holds its own question only.

--- a/src/leverjunction/proxy/failures.py
+++ b/src/leverjunction/proxy/failures.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
-from leverjunction.registry.origins import StreamOrigin
+from leverjunction.registry.origins import OriginSource, StreamOrigin
 
 RETRY_SOON_S = 0.2
 RETRY_SUSPECT_S = 1.0
@@ -16,6 +16,9 @@
 RETRY_TABLE_S = 1.5
 """Longer than ``RETRY_SOON_S``: the control processes that send the table may be starting too."""
 
+RETRY_ORIGIN_S = 0.4
+"""Longer than one call to a control process that does not answer."""
+
 _STATUS_BY_KIND = {
     FailureKind.BAD_REQUEST: 400,
     FailureKind.HARMFUL: 400,
@@ -120,15 +123,23 @@
     )
 
 
-def unknown_origin(service: str, attempt_id: str) -> Failure:
-    """Return the refusal of a stream that may have begun at any of several versions."""
+def unknown_origin(service: str, attempt_id: str, source: OriginSource) -> Failure:
+    """Return the refusal of a stream that may have begun at any of several versions.
+
+    Args:
+        service: Service of the stream.
+        attempt_id: The caller's id of the attempt that began the stream.
+        source: Why its origin is unknown.
+    """
     return Failure(
         kind=FailureKind.NO_BACKEND,
         reason=(
             f"service {service} has several versions, and which of them began the stream of"
-            f" attempt {attempt_id!r} is not known"
+            f" attempt {attempt_id!r} is not known: {source}"
         ),
         step=Step.ROUTING,
+        # If all have answered and kept their records, another question is useless.
+        retry_after_s=None if source is OriginSource.NOBODY_KNOWS else RETRY_ORIGIN_S,
     )
 
 
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -263,7 +263,7 @@
         now_s = self._loop.time()
         self._decision_log.resumed(routed, resumption, now_s - asked_s, now_s)
         if origin is None:
-            return unknown_origin(routed.service, resumes)
+            return unknown_origin(routed.service, resumes, resumption.source)
         if all(part.service != origin.service for part in routed.route.services):
             return service_not_routed(origin)
         routed.service = origin.service
--- a/src/leverjunction/registry/origin_client.py
+++ b/src/leverjunction/registry/origin_client.py
@@ -6,23 +6,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import threading
 from collections.abc import Callable, Sequence
-from concurrent.futures import ThreadPoolExecutor
-from typing import TypeVar
 
-import msgspec
 import xxhash
 from loguru import logger
 
-from leverjunction.clock import steady_s
 from leverjunction.errors import Failure
+from leverjunction.registry.origin_call import call_again
+from leverjunction.registry.origin_finder import FIND_TIMEOUT_S, OriginFinder
 from leverjunction.registry.origins import (
-    STREAM_LIFETIME_S,
-    FindOrigin,
-    FoundOrigin,
-    OriginSource,
     OriginsStored,
     ReportOrigins,
     Resumption,
@@ -32,22 +25,12 @@
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 
-T = TypeVar("T")
-
 HOLDERS = 2
 """Control processes that each origin is reported to."""
 
 COLLECT_S = 0.02
 """Time to collect reports: a gateway that ends in it loses them."""
 
-CALL_TIMEOUT_S = 0.3
-CALL_ATTEMPTS = 3
-"""Calls at once after one that failed at once: after a reset, kept connections are useless."""
-
-FIND_TIMEOUT_S = 0.5
-"""Longest wait of a caller for the origin of its stream."""
-
-FIND_THREADS = 8
 MAX_WAITING = 20_000
 RETRY_PAUSE_S = 0.2
 
@@ -153,7 +136,7 @@
 
     def _call(self, holder: str, streams: dict[int, StreamOrigin]) -> OriginsStored | Failure:
         message = ReportOrigins(streams=streams)
-        return _call(self._rpc, holder, MessageKind.REPORT_ORIGINS, message, OriginsStored)
+        return call_again(self._rpc, holder, MessageKind.REPORT_ORIGINS, message, OriginsStored)
 
 
 class OriginClient:
@@ -173,14 +156,11 @@
         controls: Callable[[], list[str]],
         live: Callable[[], dict[int, StreamOrigin]],
     ) -> None:
-        self._rpc = rpc
-        self._controls = controls
         self._reporters = [
             OriginReporter(rpc, lambda number=number: holders(number), live)  # type: ignore[misc]
             for number in range(HOLDERS)
         ]
-        self._threads = ThreadPoolExecutor(FIND_THREADS, thread_name_prefix="find-origin")
-        self._loop = asyncio.get_running_loop()
+        self._finder = OriginFinder(rpc, controls)
 
     def start(self) -> None:
         """Start the threads."""
@@ -191,7 +171,7 @@
         """Tell the threads to stop."""
         for reporter in self._reporters:
             reporter.stop()
-        self._threads.shutdown(wait=False, cancel_futures=True)
+        self._finder.stop()
 
     def report(self, streams: dict[int, StreamOrigin]) -> None:
         """Report origins without waiting."""
@@ -205,73 +185,7 @@
             stream: Key of the stream.
             service: Service that the stream would be sent to.
         """
-        question = FindOrigin(stream=stream, service=service)
-        asked = [self._in_thread(control, question) for control in self._controls()]
-        answers: list[FoundOrigin] = []
-        try:
-            async with asyncio.timeout(FIND_TIMEOUT_S):
-                for answer in asyncio.as_completed(asked):
-                    found = await answer
-                    if isinstance(found, Failure):
-                        continue
-                    answers.append(found)
-                    if found.origin is not None:
-                        return _resumption(found.origin, OriginSource.DIRECTORY, answers, asked)
-        except TimeoutError:
-            logger.debug("not all control processes answered for stream {:x}", stream)
-        only = next((item.only_version for item in answers if item.only_version is not None), None)
-        if only is not None:
-            origin = StreamOrigin(service, only)
-            return _resumption(origin, OriginSource.ONLY_VERSION, answers, asked)
-        return _resumption(None, _why_unknown(answers, len(asked)), answers, asked)
-
-    def _in_thread(
-        self, control: str, question: FindOrigin
-    ) -> asyncio.Future[FoundOrigin | Failure]:
-        future: asyncio.Future[FoundOrigin | Failure] = self._loop.create_future()
-
-        def ask() -> None:
-            reply = _call(self._rpc, control, MessageKind.FIND_ORIGIN, question, FoundOrigin)
-            self._loop.call_soon_threadsafe(_resolve, future, reply)
-
-        self._threads.submit(ask)
-        return future
-
-
-def _resumption(
-    origin: StreamOrigin | None,
-    source: OriginSource,
-    answers: Sequence[FoundOrigin],
-    asked: Sequence[object],
-) -> Resumption:
-    return Resumption(origin, source, answered=len(answers), asked=len(asked))
-
-
-def _why_unknown(answers: Sequence[FoundOrigin], asked: int) -> OriginSource:
-    if not asked:
-        return OriginSource.NOT_ASKED
-    if len(answers) < asked:
-        return OriginSource.NO_ANSWER
-    if any(item.kept_s < STREAM_LIFETIME_S for item in answers):
-        return OriginSource.RESTARTED
-    return OriginSource.NOBODY_KNOWS
-
-
-def _call(
-    rpc: RpcClient, peer: str, kind: MessageKind, message: msgspec.Struct, reply_type: type[T]
-) -> T | Failure:
-    """Call a process, again at once if the call fails at once; both messages may be repeated."""
-    until_s = steady_s() + CALL_TIMEOUT_S / 2
-    for _ in range(CALL_ATTEMPTS - 1):
-        reply = rpc.call(peer, kind, message, reply_type, timeout_s=CALL_TIMEOUT_S)
-        if not isinstance(reply, Failure) or steady_s() >= until_s:
-            return reply
-    return rpc.call(peer, kind, message, reply_type, timeout_s=CALL_TIMEOUT_S)
-
-
-def _resolve(future: asyncio.Future[FoundOrigin | Failure], reply: FoundOrigin | Failure) -> None:
-    if not future.done():
-        future.set_result(reply)
+        return await self._finder.find(stream, service, FIND_TIMEOUT_S)
 
 
 __all__ = ["OriginClient", "OriginReporter", "rank_holders"]
--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -13,10 +13,13 @@
 from leverjunction.registry.hub import RegistryHub
 from leverjunction.registry.origins import (
     FindOrigin,
+    FindOrigins,
     FoundOrigin,
+    FoundOrigins,
     OriginsStored,
     OriginTable,
     ReportOrigins,
+    StreamOrigin,
 )
 from leverjunction.registry.version_history import VersionHistory
 from leverjunction.wire.codec import decode, encode_reply
@@ -46,8 +49,10 @@
         self._history = VersionHistory()
 
     def register(self, endpoint: RpcEndpoint) -> None:
-        """Register the handlers of both messages."""
+        """Register the handlers of all messages."""
         endpoint.register(MessageKind.REPORT_ORIGINS, self._on_report)
+        endpoint.register(MessageKind.FIND_ORIGINS, self._on_find_all)
+        # Gateways of an older build ask for each stream.
         endpoint.register(MessageKind.FIND_ORIGIN, self._on_find)
 
     def store(self, report: ReportOrigins) -> OriginsStored:
@@ -58,17 +63,36 @@
                 self._streams.put(stream, origin, now_s)
         return OriginsStored(incarnation=self._incarnation)
 
-    def find(self, question: FindOrigin) -> FoundOrigin:
-        """Return what is known about the origin of a stream."""
+    def find_all(self, question: FindOrigins) -> FoundOrigins:
+        """Return what is known about the origins of streams."""
         now_s = self._clock.monotonic_s()
         # A process that is cut off may not know of the latest versions.
         is_current = self._hub.stale() is None
         view = self._hub.view()
+        origins: dict[int, StreamOrigin] = {}
+        only_versions: dict[str, str] = {}
         with self._lock:
-            origin = self._streams.get(question.stream, now_s)
             self._history.update(view, now_s)
-            only = self._history.only_version(question.service, now_s) if is_current else None
-        return FoundOrigin(origin=origin, only_version=only, kept_s=now_s - self._started_s)
+            for service, streams in question.services.items():
+                only = self._history.only_version(service, now_s) if is_current else None
+                if only is not None:
+                    only_versions[service] = only
+                for stream in streams:
+                    origin = self._streams.get(stream, now_s)
+                    if origin is not None:
+                        origins[stream] = origin
+        return FoundOrigins(
+            origins=origins, only_versions=only_versions, kept_s=now_s - self._started_s
+        )
+
+    def find(self, question: FindOrigin) -> FoundOrigin:
+        """Return what is known about the origin of one stream."""
+        found = self.find_all(FindOrigins(services={question.service: [question.stream]}))
+        return FoundOrigin(
+            origin=found.origins.get(question.stream),
+            only_version=found.only_versions.get(question.service),
+            kept_s=found.kept_s,
+        )
 
     def refresh(self) -> None:
         """Record the versions that serve now; call it regularly."""
@@ -80,6 +104,10 @@
         report = decode(envelope.body, ReportOrigins, peer)
         return encode_reply(report if isinstance(report, Failure) else self.store(report))
 
+    def _on_find_all(self, envelope: Envelope, peer: str) -> bytes:
+        question = decode(envelope.body, FindOrigins, peer)
+        return encode_reply(question if isinstance(question, Failure) else self.find_all(question))
+
     def _on_find(self, envelope: Envelope, peer: str) -> bytes:
         question = decode(envelope.body, FindOrigin, peer)
         return encode_reply(question if isinstance(question, Failure) else self.find(question))
--- /dev/null
+++ b/src/leverjunction/registry/origin_finder.py
@@ -0,0 +1,160 @@
+"""Asks the control processes for the origins of streams that other gateways relayed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from loguru import logger
+
+from leverjunction.errors import Failure, FailureKind
+from leverjunction.registry.origin_call import call_again
+from leverjunction.registry.origin_questions import Lookup, OriginQuestions
+from leverjunction.registry.origins import (
+    FindOrigin,
+    FindOrigins,
+    FoundOrigin,
+    FoundOrigins,
+    OriginSource,
+    Resumption,
+    StreamOrigin,
+)
+from leverjunction.wire.envelope import MessageKind
+from leverjunction.wire.rpc_client import RpcClient
+
+FIND_TIMEOUT_S = 0.5
+"""Longest wait of a caller for the origin of its stream."""
+
+MAX_PEERS = 64
+"""Limit of threads; each control process occupies at most one."""
+
+MAX_SINGLE_QUESTIONS = 50
+"""Streams asked one by one of a control process of an older build."""
+
+
+class _Waiting:
+    """Callers that wait for one lookup."""
+
+    __slots__ = ("callers", "result")
+
+    def __init__(self, result: asyncio.Future[Resumption]) -> None:
+        self.result = result
+        self.callers = 0
+
+
+class OriginFinder:
+    """Looks up origins for one event loop; calls that block run on threads.
+
+    Args:
+        rpc: Client of the internal RPC.
+        controls: Returns the addresses of all control processes.
+    """
+
+    def __init__(self, rpc: RpcClient, controls: Callable[[], list[str]]) -> None:
+        self._rpc = rpc
+        self._controls = controls
+        self._questions = OriginQuestions()
+        self._waiting: dict[Lookup, _Waiting] = {}
+        self._threads = ThreadPoolExecutor(MAX_PEERS, thread_name_prefix="find-origin")
+        self._loop = asyncio.get_running_loop()
+        self._is_sending = False
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Ask nothing any more."""
+        self._stopped = True
+        self._threads.shutdown(wait=False, cancel_futures=True)
+
+    async def find(self, stream: int, service: str, timeout_s: float) -> Resumption:
+        """Return what the control processes know of a stream.
+
+        A call that is cancelled, since its caller is gone, is not asked any further.
+
+        Args:
+            stream: Key of the stream.
+            service: Service that the stream would be sent to.
+            timeout_s: Longest wait in seconds.
+        """
+        peers = self._controls()
+        if not peers:
+            return Resumption(None, OriginSource.NOT_ASKED)
+        lookup = Lookup(stream, service)
+        waiting = self._waiting.get(lookup)
+        if waiting is None:
+            waiting = self._waiting[lookup] = _Waiting(self._loop.create_future())
+            self._questions.begin(lookup, peers)
+            self._schedule()
+        waiting.callers += 1
+        try:
+            await asyncio.wait([waiting.result], timeout=timeout_s)
+            if not waiting.result.done():
+                self._end(lookup, self._questions.give_up(lookup))
+            return waiting.result.result()
+        finally:
+            waiting.callers -= 1
+            if not waiting.callers and self._waiting.get(lookup) is waiting:
+                del self._waiting[lookup]
+                self._questions.drop(lookup)
+
+    def _end(self, lookup: Lookup, resumption: Resumption) -> None:
+        """Give the result to all callers; a later one begins a lookup of its own."""
+        waiting = self._waiting.pop(lookup, None)
+        if waiting is not None:
+            waiting.result.set_result(resumption)
+
+    def _schedule(self) -> None:
+        """Send what is due after all tasks that are ready have asked."""
+        if not self._is_sending:
+            self._is_sending = True
+            self._loop.call_soon(self._send_due)
+
+    def _send_due(self) -> None:
+        self._is_sending = False
+        if self._stopped:
+            return
+        for peer in sorted(self._questions.peers()):
+            question = self._questions.next_question(peer)
+            if question is not None:
+                self._threads.submit(self._ask, peer, question)
+
+    def _ask(self, peer: str, question: FindOrigins) -> None:
+        """Ask one control process; called on a thread."""
+        reply = call_again(self._rpc, peer, MessageKind.FIND_ORIGINS, question, FoundOrigins)
+        if isinstance(reply, Failure) and _is_of_older_build(reply):
+            reply = self._ask_one_by_one(peer, question)
+        self._loop.call_soon_threadsafe(self._answered, peer, reply)
+
+    def _ask_one_by_one(self, peer: str, question: FindOrigins) -> FoundOrigins | Failure:
+        """Ask a control process that knows no question about several streams."""
+        origins: dict[int, StreamOrigin] = {}
+        only_versions: dict[str, str] = {}
+        streams = [(item, name) for name, items in question.services.items() for item in items]
+        if len(streams) > MAX_SINGLE_QUESTIONS:
+            logger.debug("{} is asked about {} streams only", peer, MAX_SINGLE_QUESTIONS)
+        for stream, service in streams[:MAX_SINGLE_QUESTIONS]:
+            single = FindOrigin(stream=stream, service=service)
+            reply = call_again(self._rpc, peer, MessageKind.FIND_ORIGIN, single, FoundOrigin)
+            if isinstance(reply, Failure):
+                return reply
+            if reply.origin is not None:
+                origins[stream] = reply.origin
+            if reply.only_version is not None:
+                only_versions[service] = reply.only_version
+        return FoundOrigins(origins=origins, only_versions=only_versions)
+
+    def _answered(self, peer: str, reply: FoundOrigins | Failure) -> None:
+        if isinstance(reply, Failure):
+            logger.debug("{} was not heard about origins: {}", peer, reply.reason)
+        found = self._questions.answered(peer, None if isinstance(reply, Failure) else reply)
+        for lookup, resumption in found.items():
+            self._end(lookup, resumption)
+        self._schedule()
+
+
+def _is_of_older_build(failure: Failure) -> bool:
+    """Return whether the peer answered that it does not know the message."""
+    return failure.kind in (FailureKind.CORRUPT, FailureKind.NOT_FOUND)
+
+
+__all__ = ["FIND_TIMEOUT_S", "OriginFinder"]
--- /dev/null
+++ b/src/leverjunction/registry/origin_questions.py
@@ -0,0 +1,189 @@
+"""Questions of a gateway to the control processes about the origins of streams.
+
+Each control process is asked one question at a time, about all streams that wait for its answer
+then. The number of calls under way thus depends neither on the number of streams nor on how long a
+control process takes to answer. Performs no I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from leverjunction.registry.origins import (
+    STREAM_LIFETIME_S,
+    FindOrigins,
+    FoundOrigins,
+    OriginSource,
+    Resumption,
+    StreamOrigin,
+)
+
+MAX_STREAMS_ASKED = 2_000
+"""Streams in one question, of about 22 bytes each."""
+
+
+class Lookup(msgspec.Struct, frozen=True):
+    """What is looked up: the origin of one stream.
+
+    Attributes:
+        stream: Key of the stream.
+        service: Service that the stream would be sent to.
+    """
+
+    stream: int
+    service: str
+
+
+class OriginAnswer(msgspec.Struct, frozen=True):
+    """What one control process knows of one stream.
+
+    Attributes:
+        origin: Its origin; None if it was not reported there.
+        only_version: The one version of the service that can have begun it, if there is only one.
+        kept_s: For how long the control process has kept records, in seconds.
+    """
+
+    origin: StreamOrigin | None
+    only_version: str | None
+    kept_s: float
+
+
+Answers = Mapping[str, OriginAnswer | None]
+"""Answers by the address of the control process; None where the call has failed."""
+
+
+def conclude(service: str, answers: Answers, peers: int, *, is_over: bool) -> Resumption | None:
+    """Return what the answers say about a stream; None to wait for more.
+
+    Args:
+        service: Service that the stream would be sent to.
+        answers: Answers and failures so far.
+        peers: Number of control processes.
+        is_over: Whether no answer is waited for any longer.
+    """
+    known = [answer for answer in answers.values() if answer is not None]
+
+    def result(origin: StreamOrigin | None, source: OriginSource) -> Resumption:
+        return Resumption(origin, source, answered=len(known), asked=peers)
+
+    for answer in known:
+        if answer.origin is not None:
+            return result(answer.origin, OriginSource.DIRECTORY)
+    if len(answers) < peers and not is_over:
+        return None
+    for answer in known:
+        if answer.only_version is not None:
+            origin = StreamOrigin(service, answer.only_version)
+            return result(origin, OriginSource.ONLY_VERSION)
+    return result(None, _why_unknown(known, peers))
+
+
+def _why_unknown(known: list[OriginAnswer], peers: int) -> OriginSource:
+    if not peers:
+        return OriginSource.NOT_ASKED
+    if len(known) < peers:
+        return OriginSource.NO_ANSWER
+    if any(answer.kept_s < STREAM_LIFETIME_S for answer in known):
+        return OriginSource.RESTARTED
+    return OriginSource.NOBODY_KNOWS
+
+
+class _State:
+    """State of one lookup.
+
+    Attributes:
+        peers: Control processes that are to be asked.
+        asked: Those that were asked, or are being asked.
+        answers: Their answers; None where the call has failed.
+    """
+
+    __slots__ = ("answers", "asked", "peers")
+
+    def __init__(self, peers: Iterable[str]) -> None:
+        self.peers = frozenset(peers)
+        self.asked: set[str] = set()
+        self.answers: dict[str, OriginAnswer | None] = {}
+
+
+class OriginQuestions:
+    """Lookups that wait, and the question that each control process is being asked."""
+
+    __slots__ = ("_lookups", "_under_way")
+
+    def __init__(self) -> None:
+        self._lookups: dict[Lookup, _State] = {}
+        self._under_way: dict[str, tuple[Lookup, ...]] = {}
+
+    def __len__(self) -> int:
+        return len(self._lookups)
+
+    def begin(self, lookup: Lookup, peers: Iterable[str]) -> None:
+        """Add a lookup that is to be answered by control processes."""
+        self._lookups.setdefault(lookup, _State(peers))
+
+    def drop(self, lookup: Lookup) -> None:
+        """Remove a lookup whose caller is gone; it gets into no further question."""
+        self._lookups.pop(lookup, None)
+
+    def peers(self) -> set[str]:
+        """Return the control processes that lookups wait for and that are not being asked."""
+        waiting = {peer for state in self._lookups.values() for peer in state.peers - state.asked}
+        return waiting - self._under_way.keys()
+
+    def next_question(self, peer: str) -> FindOrigins | None:
+        """Return the next question to a control process; None while it is being asked."""
+        if peer in self._under_way:
+            return None
+        lookups: list[Lookup] = []
+        for lookup, state in self._lookups.items():
+            if peer in state.peers and peer not in state.asked:
+                lookups.append(lookup)
+                if len(lookups) == MAX_STREAMS_ASKED:
+                    break
+        if not lookups:
+            return None
+        services: dict[str, list[int]] = {}
+        for lookup in lookups:
+            self._lookups[lookup].asked.add(peer)
+            services.setdefault(lookup.service, []).append(lookup.stream)
+        self._under_way[peer] = tuple(lookups)
+        return FindOrigins(services=services)
+
+    def answered(self, peer: str, reply: FoundOrigins | None) -> dict[Lookup, Resumption]:
+        """Apply the reply to a question; return the lookups that end with it.
+
+        Args:
+            peer: The control process that was asked.
+            reply: Its reply; None if the call has failed.
+        """
+        ended: dict[Lookup, Resumption] = {}
+        for lookup in self._under_way.pop(peer, ()):
+            state = self._lookups.get(lookup)
+            if state is None:
+                continue
+            state.answers[peer] = None if reply is None else _answer_of(reply, lookup)
+            found = conclude(lookup.service, state.answers, len(state.peers), is_over=False)
+            if found is not None:
+                ended[lookup] = found
+                del self._lookups[lookup]
+        return ended
+
+    def give_up(self, lookup: Lookup) -> Resumption:
+        """End a lookup whose time is over, and return what the answers so far say."""
+        state = self._lookups.pop(lookup, None)
+        answers: Answers = {} if state is None else state.answers
+        peers = 0 if state is None else len(state.peers)
+        found = conclude(lookup.service, answers, peers, is_over=True)
+        assert found is not None
+        return found
+
+
+def _answer_of(reply: FoundOrigins, lookup: Lookup) -> OriginAnswer:
+    return OriginAnswer(
+        reply.origins.get(lookup.stream), reply.only_versions.get(lookup.service), reply.kept_s
+    )
+
+
+__all__ = ["Lookup", "OriginAnswer", "OriginQuestions", "conclude"]
--- a/src/leverjunction/registry/origins.py
+++ b/src/leverjunction/registry/origins.py
@@ -109,6 +109,32 @@
     kept_s: float = 0.0
 
 
+class FindOrigins(msgspec.Struct, frozen=True, kw_only=True):
+    """Question of a gateway that is asked to continue streams which it did not begin.
+
+    Attributes:
+        services: Keys of streams by the service that they would be sent to.
+    """
+
+    services: dict[str, list[int]]
+
+
+class FoundOrigins(msgspec.Struct, frozen=True, kw_only=True):
+    """Reply to ``FindOrigins``.
+
+    Attributes:
+        origins: Origins of the streams that were reported.
+        only_versions: By service, the one version that can have begun a stream which is still
+            alive; left out if there were several, or if the replying process cannot tell.
+        kept_s: Time since the start of the replying process, in seconds; what was reported to an
+            earlier start is lost.
+    """
+
+    origins: dict[int, StreamOrigin] = {}
+    only_versions: dict[str, str] = {}
+    kept_s: float = 0.0
+
+
 class OriginTable:
     """Origins by the key of the stream, forgotten after ``STREAM_LIFETIME_S``. Not thread-safe.
 
@@ -152,7 +178,9 @@
 __all__ = [
     "STREAM_LIFETIME_S",
     "FindOrigin",
+    "FindOrigins",
     "FoundOrigin",
+    "FoundOrigins",
     "OriginSource",
     "OriginTable",
     "OriginsStored",
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -59,6 +59,7 @@
     FIND_ORIGIN = 22
     TENANT_USAGE = 23
     TENANT_LEVELS = 24
+    FIND_ORIGINS = 25
 
 
 _HEADER = Struct(
--- a/tests/unit/test_proxy_versions.py
+++ b/tests/unit/test_proxy_versions.py
@@ -14,6 +14,7 @@
     wait_until,
 )
 
+from leverjunction.registry.origins import OriginSource, Resumption, StreamOrigin
 from testbed.routed import RunnerStandIn
 
 OLD, NEW = "v1", "v1.1"
@@ -190,3 +191,28 @@
         proxy.table_age_s = age_s
         reply = proxy.ask(RESUMABLE, Leverjunction_Resumes=f"nobody-{age_s}", Last_Event_Id="2")
         assert reply.status == status
+
+
+class Answering:
+    """A directory that gives one answer to every question."""
+
+    def __init__(self, source: OriginSource) -> None:
+        self._answer = Resumption(None, source, answered=2, asked=3)
+
+    def report(self, streams: dict[int, StreamOrigin]) -> None:
+        pass
+
+    async def find(self, stream: int, service: str) -> Resumption:
+        return self._answer
+
+
+@pytest.mark.parametrize("source", [OriginSource.NO_ANSWER, OriginSource.NOBODY_KNOWS])
+def test_only_a_question_that_was_not_answered_is_worth_another_try(
+    stack: ExitStack, source: OriginSource
+) -> None:
+    runners = start_runners(stack, OLD, NEW)
+    proxy = stack.enter_context(Proxy(make_full_table(), runners, Answering(source)))
+    reply = proxy.ask(RESUMABLE, Leverjunction_Resumes="first", Last_Event_Id="2")
+    assert reply.status == 503
+    assert ("retry-after" in reply.headers) == (source is OriginSource.NO_ANSWER)
+    assert not any(runner.seen for runner in runners)
--- a/tests/unit/test_registry_origins.py
+++ b/tests/unit/test_registry_origins.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
 
@@ -16,7 +17,13 @@
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.origin_client import HOLDERS, OriginClient, rank_holders
 from leverjunction.registry.origin_directory import OriginDirectory
-from leverjunction.registry.origins import STREAM_LIFETIME_S, OriginTable, StreamOrigin
+from leverjunction.registry.origins import (
+    STREAM_LIFETIME_S,
+    OriginSource,
+    OriginTable,
+    ReportOrigins,
+    StreamOrigin,
+)
 from leverjunction.registry.records import (
     FleetView,
     MemberRecord,
@@ -25,6 +32,7 @@
     RunnerState,
 )
 from leverjunction.registry.version_history import VersionHistory, former_versions
+from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
 
@@ -155,6 +163,10 @@
         self.directory = OriginDirectory(self.hub, SystemClock(), self._starts)  # type: ignore[arg-type]
         self.directory.register(self._endpoint)
 
+    def forget_kind(self, kind: MessageKind) -> None:
+        """Answer messages of a kind as a build does that does not know it."""
+        del self._endpoint._handlers[kind]
+
     def stop(self) -> None:
         self._server.stop()
 
@@ -310,3 +322,68 @@
         assert (await Gateway(stack, [control]).client.find(7, SERVICE)).origin is None
 
     asyncio.run(run())
+
+
+class SilentControl:
+    """A control process that stands still: the kernel accepts connections, and nobody answers."""
+
+    def __init__(self, stack: ExitStack) -> None:
+        listening = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=512))
+        self.address = "{}:{}".format(*listening.getsockname()[:2])
+
+
+@pytest.mark.parametrize("streams", [1, 70, 700])
+def test_a_silent_control_process_does_not_keep_callers_waiting(
+    stack: ExitStack, streams: int
+) -> None:
+    async def run() -> None:
+        controls = start_controls(stack, 2, BOTH)
+        first = Gateway(stack, controls)
+        for stream in range(streams):
+            first.begin(stream, NEW)
+        assert await comes_true(lambda: count_knowing(controls, streams - 1) == HOLDERS)
+        second = Gateway(stack, [SilentControl(stack), *controls])  # type: ignore[list-item]
+        found = await asyncio.gather(
+            *(second.client.find(stream, SERVICE) for stream in range(streams))
+        )
+        went_on = sum(item.origin == NEW for item in found)
+        assert went_on == streams, f"{went_on} of {streams}"
+
+    asyncio.run(run())
+
+
+def test_callers_who_come_again_do_not_wait_behind_their_former_questions(
+    stack: ExitStack,
+) -> None:
+    """Nobody answers at first; a control process that comes up is asked at once."""
+
+    async def run() -> None:
+        silent = SilentControl(stack)
+        (control,) = start_controls(stack, 1, BOTH)
+        control.directory.store(ReportOrigins(streams=dict.fromkeys(range(200), NEW)))
+        known: list[SilentControl | Control] = [silent]
+        gateway = Gateway(stack, known)  # type: ignore[arg-type]
+        for _ in range(3):
+            asked = [gateway.client.find(stream, SERVICE) for stream in range(200)]
+            found = await asyncio.gather(*asked)
+            assert {item.source for item in found} == {OriginSource.NO_ANSWER}
+        known.append(control)
+        asked = [gateway.client.find(stream, SERVICE) for stream in range(200)]
+        found = await asyncio.gather(*asked)
+        assert sum(item.origin == NEW for item in found) == 200
+
+    asyncio.run(run())
+
+
+def test_a_control_process_that_knows_single_questions_only_is_asked_for_each_stream(
+    stack: ExitStack,
+) -> None:
+    async def run() -> None:
+        (control,) = start_controls(stack, 1, BOTH)
+        control.directory.store(ReportOrigins(streams={7: NEW, 8: OLD}))
+        control.forget_kind(MessageKind.FIND_ORIGINS)
+        gateway = Gateway(stack, [control])
+        found = await asyncio.gather(*(gateway.client.find(item, SERVICE) for item in (7, 8, 9)))
+        assert [item.origin for item in found] == [NEW, OLD, None]
+
+    asyncio.run(run())
