--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -266,6 +266,10 @@
             )
         )
 
+    def origin_not_recorded(self) -> None:
+        """Record a stream that begins although its origin may be unknown to other gateways."""
+        self._metrics.origins_not_recorded.inc()
+
     def ended(self, routed: RoutedRequest, outcome: str, reason: str, now_s: float) -> None:
         """Record the end of a request that was forwarded.
 
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -40,7 +40,7 @@
 from leverjunction.proxy.stream_origins import StreamOrigins, stream_key
 from leverjunction.quarantine.prompt_parts import is_part_key
 from leverjunction.quota.local_limiter import LocalLimiter
-from leverjunction.registry.origins import StreamOrigin
+from leverjunction.registry.origins import RENEW_INTERVAL_S, StreamOrigin
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass, Tenant
 
@@ -55,6 +55,13 @@
 
 DEFAULT_TIMEOUT_MS = 30_000.0
 
+ORIGIN_NOT_RECORDED = Failure(
+    kind=FailureKind.UNREACHABLE,
+    reason="too few control processes stored what began the stream",
+    step=Step.RELAYING,
+    execution=Execution.UNKNOWN,
+)
+
 Caller = Tenant | Failure | None
 """Tenant of a request, None without a key or tenants, or why its key is refused."""
 
@@ -223,6 +230,8 @@
         if refusal is not None:
             self._refuse(routed.request, routed.metadata, responder, refusal)
             return
+        if routed.stream is not None:
+            routed.preferred_version = self._origins.preferred_version(routed.service)
         response = await self._retrying_sender.send(routed, "")
         while not isinstance(response, Failure):
             head_at_s = self._loop.time()
@@ -269,12 +278,41 @@
         routed.service = origin.service
         return None
 
-    def _begin_stream(self, routed: RoutedRequest, response: OpenedResponse) -> None:
-        """Record what began a stream, before its first event is passed on."""
+    async def _begin_stream(
+        self, routed: RoutedRequest, response: OpenedResponse
+    ) -> Failure | None:
+        """Record what began a stream, before its first event is passed on.
+
+        Returns:
+            ``ORIGIN_NOT_RECORDED`` if the stream is to begin anew at the base version, else None.
+        """
+        is_resumed = routed.origin is not None
         if routed.origin is None:
             routed.origin = StreamOrigin(routed.service, response.runner.record.version)
-        if routed.stream is not None:
-            self._origins.began(routed.stream, routed.origin)
+        if routed.stream is None:
+            return None
+        routed.origin_kept_s = self._loop.time()
+        if is_resumed:
+            self._origins.renew(routed.stream, routed.origin)
+            return None
+        if await self._origins.began(routed.stream, routed.origin):
+            return None
+        base = self._origins.base_version(routed.service)
+        has_base = base is not None and bool(self._balancer.available(routed.service, base))
+        if base is not None and has_base and routed.may_run_again:
+            routed.origin = StreamOrigin(routed.service, base)
+            return ORIGIN_NOT_RECORDED
+        self._decision_log.origin_not_recorded()
+        return None
+
+    def _renew_origin(self, routed: RoutedRequest) -> None:
+        """Keep the origin of a stream that goes on for as long as a caller may continue it."""
+        now_s = self._loop.time()
+        if routed.stream is None or routed.origin is None:
+            return
+        if now_s - routed.origin_kept_s >= RENEW_INTERVAL_S:
+            routed.origin_kept_s = now_s
+            self._origins.renew(routed.stream, routed.origin)
 
     async def _admit(self, routed: RoutedRequest) -> Failure | None:
         """Wait for the admission gate; return None to send the request, or its refusal."""
@@ -370,7 +408,11 @@
             may_continue = routed.may_run_again and splitter.can_continue
             if not may_continue or self._loop.time() >= routed.until_s:
                 return failure
-            self._balancer.failed(response.runner, self._loop.time())
+            if failure is ORIGIN_NOT_RECORDED:
+                # Its first events were not passed on.
+                splitter = EventSplitter(routed.metadata.last_event_id)
+            else:
+                self._balancer.failed(response.runner, self._loop.time())
             continued = await self._retrying_sender.send(routed, splitter.last_id)
             if isinstance(continued, Failure):
                 return failure
@@ -409,7 +451,10 @@
                 events = splitter.feed(event)
                 if events:
                     if is_first:
-                        self._begin_stream(routed, response)
+                        failure = await self._begin_stream(routed, response)
+                        if failure is not None:
+                            return failure
+                    self._renew_origin(routed)
                     await responder.send_data(events, routed.until_s)
         except TimeoutError:
             return out_of_time(Execution.UNKNOWN)
--- a/src/leverjunction/proxy/metrics.py
+++ b/src/leverjunction/proxy/metrics.py
@@ -56,6 +56,11 @@
             buckets=ORIGIN_LOOKUP_BUCKETS_S,
             registry=registry,
         )
+        self.origins_not_recorded = Counter(
+            "proxy_origins_not_recorded_total",
+            "Streams that began while too few control processes stored which version began them",
+            registry=registry,
+        )
         self.back_ends = Gauge(
             "proxy_back_ends",
             "Back ends that accept new work, by service and version of their software",
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -34,8 +34,9 @@
 from leverjunction.quota.local_limiter import LocalLimiter
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import RegistryFollower, Snapshot
-from leverjunction.registry.origin_client import OriginClient, rank_holders
-from leverjunction.registry.records import JOBS_GROUP, MemberRole
+from leverjunction.registry.origin_client import OriginClient
+from leverjunction.registry.origin_reporter import rank_holders
+from leverjunction.registry.records import JOBS_GROUP, MemberRecord, MemberRole
 from leverjunction.registry.run_reporter import RunReporter
 from leverjunction.routes.matching import RouteIndex
 from leverjunction.routes.types import RequestLimits
@@ -105,7 +106,7 @@
             view_age_s=self._follower.table_age_s, max_view_age_s=config.bounds.in_force_ms / 1000
         )
         self._origin_client = OriginClient(
-            self._rpc, self._origin_holders, self._follower.hubs, self._origins.live
+            self._rpc, self._origin_holders, self._controls, self._origins.live
         )
         self._origins.directory = self._origin_client
         sender = Sender(self._pool, self._balancer, dialect, self._loads.runner_changed)
@@ -215,13 +216,16 @@
 
     def _origin_holders(self, number: int) -> list[str]:
         """Return the control processes to which a reporter of origins reports."""
+        return rank_holders(self._config.name, self._control_members(), number)
+
+    def _control_members(self) -> list[MemberRecord]:
         snapshot = self._follower.snapshot()
-        controls = [] if snapshot is None else snapshot.view.members
-        return rank_holders(
-            self._config.name,
-            [item for item in controls if item.role is MemberRole.CONTROL],
-            number,
-        )
+        members = () if snapshot is None else snapshot.view.members
+        return [item for item in members if item.role is MemberRole.CONTROL]
+
+    def _controls(self) -> list[str]:
+        """Return the addresses of all control processes that may hold origins."""
+        return [item.address for item in self._control_members()] or self._follower.hubs()
 
     def _set_shared_loads(self, others: dict[str, int], lag_s: float) -> None:
         self._balancer.set_other_loads(others, self._loop.time(), lag_s)
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -231,6 +231,12 @@
 
     def _choose(self, routed: RoutedRequest, now_s: float) -> Choice | None:
         """Choose the back end of the next attempt."""
+        if routed.origin is None and routed.preferred_version is not None and not routed.key:
+            choice = self._balancer.choose(
+                routed.service, routed.prompt, routed.tried, now_s, routed.preferred_version
+            )
+            if choice is not None:
+                return choice
         if not routed.key:
             return self._balancer.choose(
                 routed.service, routed.prompt, routed.tried, now_s, routed.version
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -21,6 +21,8 @@
         service: Service that was chosen for the request.
         origin: What began the stream, None before its first event; it is continued only there.
         stream: Key of the stream by its first attempt, None if no caller can continue it.
+        preferred_version: Version at which the stream should begin if it can, None for any.
+        origin_kept_s: When its origin was last kept, in the loop's seconds.
         tenant: Tenant on whose behalf it runs; None if it has none.
         table_version: Version of the route table that applies to the request.
         until_s: Deadline for the complete response, in the loop's seconds.
@@ -41,6 +43,8 @@
         "key",
         "metadata",
         "origin",
+        "origin_kept_s",
+        "preferred_version",
         "prompt",
         "request",
         "route",
@@ -71,6 +75,8 @@
         self.service = service
         self.origin: StreamOrigin | None = None
         self.stream: int | None = None
+        self.preferred_version: str | None = None
+        self.origin_kept_s = 0.0
         self.tenant: Tenant | None = None
         self.table_version = table_version
         self.until_s = until_s
--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -16,11 +16,30 @@
 
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.headers import find
-from leverjunction.registry.origins import OriginSource, OriginTable, Resumption, StreamOrigin
+from leverjunction.registry.origins import (
+    STREAM_LIFETIME_S,
+    OriginSource,
+    OriginTable,
+    Resumption,
+    StreamOrigin,
+)
 from leverjunction.registry.records import FleetView
 from leverjunction.registry.version_history import VersionHistory
 
 MAX_OWN_STREAMS = 20_000
+FIND_TIMEOUT_S = 0.5
+"""Longest wait of a caller for the origin of its stream."""
+
+CONFIRM_TIMEOUT_S = 0.15
+"""Longest wait while the service has one version here: another may have begun without this gateway
+having heard of it.
+"""
+
+VIEW_LAG_S = 10.0
+"""Time by which a version ends earlier at the control processes than here, so that this gateway
+reports the streams of the next one for long enough.
+"""
+
 REVIEW_INTERVAL_S = 5.0
 """Interval at which it is checked whether a service still has several versions."""
 
@@ -28,11 +47,20 @@
 class OriginDirectory(Protocol):
     """Shares origins between gateways, as ``registry.origin_client`` does."""
 
+    @property
+    def is_recording(self) -> bool:
+        """Whether origins that are reported get stored."""
+        ...
+
     def report(self, streams: dict[int, StreamOrigin]) -> None:
         """Report origins without waiting."""
         ...
 
-    async def find(self, stream: int, service: str) -> Resumption:
+    async def record(self, stream: int, origin: StreamOrigin) -> bool:
+        """Report an origin and wait until it is stored; return whether it is."""
+        ...
+
+    async def find(self, stream: int, service: str, timeout_s: float) -> Resumption:
         """Return the origin of a stream that another gateway relayed, or why it is unknown."""
         ...
 
@@ -40,7 +68,9 @@
 class StreamOrigins:
     """Knows which version began each stream. Used by one event loop, except for ``live``.
 
-    Origins are shared only while a service has several versions; otherwise there is no doubt.
+    Origins are shared only while a service has several versions. A stream that is not of the base
+    version (``VersionHistory``) sends no event before its origin is stored, so that a stream which
+    nobody knows began at the base version.
 
     Args:
         directory: Shares origins with other gateways; None to keep them in this process.
@@ -60,7 +90,7 @@
         self._max_view_age_s = max_view_age_s
         self._streams = OriginTable(MAX_OWN_STREAMS)
         self._lock = threading.Lock()
-        self._history = VersionHistory()
+        self._history = VersionHistory(STREAM_LIFETIME_S + VIEW_LAG_S)
         self._ambiguous: set[str] = set()
         self._reviewed_s = 0.0
         self._loop = asyncio.get_running_loop()
@@ -75,16 +105,49 @@
             # The streams that began before there was any doubt.
             self.directory.report(self.live())
 
-    def began(self, stream: int, origin: StreamOrigin) -> None:
-        """Record the origin of a stream; call it before the first event is passed on."""
-        now_s = self._loop.time()
-        with self._lock:
-            self._streams.put(stream, origin, now_s)
+    async def began(self, stream: int, origin: StreamOrigin) -> bool:
+        """Record the origin of a stream; call it before the first event is passed on.
+
+        Returns:
+            Whether a gateway that is asked to continue the stream will find its origin.
+        """
+        now_s = self._keep(stream, origin)
         if now_s - self._reviewed_s >= REVIEW_INTERVAL_S:
             self._review(now_s)
+        if self.directory is None or origin.service not in self._ambiguous:
+            return True
+        if origin.version == self._history.base_version(origin.service, now_s):
+            self.directory.report({stream: origin})
+            return True
+        return await self.directory.record(stream, origin)
+
+    def renew(self, stream: int, origin: StreamOrigin) -> None:
+        """Keep the origin of a stream that goes on; call it each ``RENEW_INTERVAL_S``."""
+        self._keep(stream, origin)
         if self.directory is not None and origin.service in self._ambiguous:
             self.directory.report({stream: origin})
 
+    def preferred_version(self, service: str) -> str | None:
+        """Return the version at which a new stream should begin, None for any.
+
+        It is the base version while origins are not stored: streams of others could not be found.
+        """
+        if self.directory is None or self.directory.is_recording:
+            return None
+        return self.base_version(service)
+
+    def base_version(self, service: str) -> str | None:
+        """Return the base version of a service while it has several, None if it is unknown."""
+        if service not in self._ambiguous:
+            return None
+        return self._history.base_version(service, self._loop.time())
+
+    def _keep(self, stream: int, origin: StreamOrigin) -> float:
+        now_s = self._loop.time()
+        with self._lock:
+            self._streams.put(stream, origin, now_s)
+        return now_s
+
     def live(self) -> dict[int, StreamOrigin]:
         """Return the origins of all streams that may be continued; may be called by any thread."""
         with self._lock:
@@ -101,14 +164,23 @@
         own = self._streams.get(stream, now_s)
         if own is not None:
             return Resumption(own, OriginSource.OWN)
-        only = self._history.only_version(service, now_s)
-        if only is not None and self._view_age_s() <= self._max_view_age_s:
-            return Resumption(StreamOrigin(service, only), OriginSource.ONLY_VERSION)
+        only = self._only_version(service, now_s)
         if self.directory is None:
-            return Resumption(None, OriginSource.NOT_ASKED)
-        return await self.directory.find(stream, service)
+            return only or Resumption(None, OriginSource.NOT_ASKED)
+        timeout_s = FIND_TIMEOUT_S if only is None else CONFIRM_TIMEOUT_S
+        found = await self.directory.find(stream, service, timeout_s)
+        return found if only is None or found.origin is not None else only
+
+    def _only_version(self, service: str, now_s: float) -> Resumption | None:
+        """Return the service's version if it has only one, as far as this gateway can know."""
+        only = self._history.only_version(service, now_s)
+        if only is None or self._view_age_s() > self._max_view_age_s:
+            return None
+        return Resumption(StreamOrigin(service, only), OriginSource.ONLY_VERSION)
 
     def _review(self, now_s: float) -> None:
+        if self._view_age_s() <= self._max_view_age_s:
+            self._history.confirm(now_s)
         self._reviewed_s = now_s
         self._ambiguous = self._history.ambiguous(now_s)
 
--- a/src/leverjunction/registry/origin_client.py
+++ b/src/leverjunction/registry/origin_client.py
@@ -1,144 +1,28 @@
-"""Reports the origins of a gateway's streams to control processes, and asks them for others.
+"""Shares the origins of streams between gateways, by way of the control processes.
 
-Each origin is reported to ``HOLDERS`` control processes in different zones. They keep it in memory:
-all of them must end together with the gateway for an origin to be lost.
+Each origin is reported to ``HOLDERS`` control processes in different zones: all of them must end
+together with the gateway for an origin to be lost.
 """
 
 from __future__ import annotations
 
-import threading
+import asyncio
+import contextlib
 from collections.abc import Callable, Sequence
 
-import xxhash
-from loguru import logger
-
-from leverjunction.errors import Failure
-from leverjunction.registry.origin_call import call_again
-from leverjunction.registry.origin_finder import FIND_TIMEOUT_S, OriginFinder
-from leverjunction.registry.origins import (
-    OriginsStored,
-    ReportOrigins,
-    Resumption,
-    StreamOrigin,
-)
-from leverjunction.registry.records import MemberRecord
-from leverjunction.wire.envelope import MessageKind
+from leverjunction.registry.origin_acks import OriginAcks
+from leverjunction.registry.origin_finder import OriginFinder
+from leverjunction.registry.origin_reporter import COLLECT_S, OriginReporter
+from leverjunction.registry.origins import Resumption, StreamOrigin
 from leverjunction.wire.rpc_client import RpcClient
 
-HOLDERS = 2
-"""Control processes that each origin is reported to."""
-
-COLLECT_S = 0.02
-"""Time to collect reports: a gateway that ends in it loses them."""
-
-MAX_WAITING = 20_000
-RETRY_PAUSE_S = 0.2
+RECORD_TIMEOUT_S = 0.3
+"""Longest wait of a stream's first event until its origin is recorded."""
 
 Holders = Callable[[int], Sequence[str]]
 """Returns the addresses that a reporter with a number may report to, the best one first."""
 
 
-def rank_holders(gateway: str, controls: Sequence[MemberRecord], number: int) -> list[str]:
-    """Return the control processes in the order in which a reporter of a gateway uses them.
-
-    Different gateways prefer different ones, and the reporters of a gateway different zones.
-
-    Args:
-        gateway: Name of the gateway.
-        controls: The control processes.
-        number: Number of the reporter, from 0.
-    """
-    ranked = sorted(
-        controls, key=lambda item: xxhash.xxh64_intdigest(f"{gateway} {item.address}".encode())
-    )
-    used: list[MemberRecord] = []
-    for _ in range(number):
-        left = [item for item in ranked if item not in used]
-        zones = {item.zone for item in used}
-        used += [item for item in left if item.zone not in zones][:1] or left[:1]
-    zones = {item.zone for item in used}
-    others = [item for item in ranked if item not in used]
-    apart = [item for item in others if item.zone not in zones]
-    near = [item for item in others if item.zone in zones]
-    return [item.address for item in (*apart, *near, *used)]
-
-
-class OriginReporter:
-    """Sends reports to one control process at a time from a background thread. Thread-safe.
-
-    Args:
-        rpc: Client of the internal RPC.
-        holders: Returns the control processes to use, the best one first.
-        live: Returns all origins of the gateway, for a control process that has none of them.
-    """
-
-    def __init__(
-        self,
-        rpc: RpcClient,
-        holders: Callable[[], Sequence[str]],
-        live: Callable[[], dict[int, StreamOrigin]],
-    ) -> None:
-        self._rpc = rpc
-        self._holders = holders
-        self._live = live
-        self._waiting: dict[int, StreamOrigin] = {}
-        self._told: tuple[str, int] | None = None
-        self._changed = threading.Condition()
-        self._stopped = False
-        self._thread = threading.Thread(target=self._run, name="origin-reporter", daemon=True)
-
-    def start(self) -> None:
-        """Start the thread."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Tell the thread to stop."""
-        with self._changed:
-            self._stopped = True
-            self._changed.notify_all()
-
-    def report(self, streams: dict[int, StreamOrigin]) -> None:
-        """Queue origins; what a long outage piles up is dropped."""
-        with self._changed:
-            if len(self._waiting) < MAX_WAITING:
-                self._waiting.update(streams)
-            self._changed.notify_all()
-
-    def _run(self) -> None:
-        while True:
-            with self._changed:
-                while not (self._waiting or self._stopped):
-                    self._changed.wait()
-                if self._stopped:
-                    return
-                self._changed.wait_for(lambda: self._stopped, COLLECT_S)
-                streams, self._waiting = self._waiting, {}
-            if not self._send(streams):
-                with self._changed:
-                    self._waiting = {**streams, **self._waiting}
-                    self._changed.wait_for(lambda: self._stopped, RETRY_PAUSE_S)
-
-    def _send(self, streams: dict[int, StreamOrigin]) -> bool:
-        """Send origins to the best control process that answers; return whether one did."""
-        for holder in self._holders():
-            reply = self._call(holder, streams)
-            if isinstance(reply, Failure):
-                logger.debug("{} did not store origins: {}", holder, reply.reason)
-                continue
-            told = (holder, reply.incarnation)
-            if told != self._told:
-                # It has none of what was reported before: another one has, or its former start.
-                if isinstance(self._call(holder, self._live()), Failure):
-                    return False
-                self._told = told
-            return True
-        return False
-
-    def _call(self, holder: str, streams: dict[int, StreamOrigin]) -> OriginsStored | Failure:
-        message = ReportOrigins(streams=streams)
-        return call_again(self._rpc, holder, MessageKind.REPORT_ORIGINS, message, OriginsStored)
-
-
 class OriginClient:
     """Reports origins, and finds those of other gateways' streams. Used by one event loop.
 
@@ -156,11 +40,21 @@
         controls: Callable[[], list[str]],
         live: Callable[[], dict[int, StreamOrigin]],
     ) -> None:
+        self._controls = controls
         self._reporters = [
-            OriginReporter(rpc, lambda number=number: holders(number), live)  # type: ignore[misc]
-            for number in range(HOLDERS)
+            OriginReporter(
+                rpc,
+                lambda number=number: holders(number),  # type: ignore[misc]
+                live,
+                self._stored_on_thread,
+                collect_s,
+            )
+            for number, collect_s in enumerate(COLLECT_S)
         ]
         self._finder = OriginFinder(rpc, controls)
+        self._acks = OriginAcks()
+        self._recorded: dict[int, asyncio.Future[None]] = {}
+        self._loop = asyncio.get_running_loop()
 
     def start(self) -> None:
         """Start the threads."""
@@ -173,19 +67,56 @@
             reporter.stop()
         self._finder.stop()
 
+    @property
+    def is_recording(self) -> bool:
+        """Whether enough control processes store what is reported."""
+        return self._acks.is_recording
+
     def report(self, streams: dict[int, StreamOrigin]) -> None:
         """Report origins without waiting."""
         for reporter in self._reporters:
             reporter.report(streams)
 
-    async def find(self, stream: int, service: str) -> Resumption:
+    async def record(self, stream: int, origin: StreamOrigin) -> bool:
+        """Report an origin and wait until it is recorded; return whether it is.
+
+        While recording does not work, it is reported without waiting.
+        """
+        if not self._acks.is_recording:
+            self.report({stream: origin})
+            return False
+        future = self._recorded.setdefault(stream, self._loop.create_future())
+        self._acks.wait(stream)
+        self.report({stream: origin})
+        is_in_vain = False
+        try:
+            await asyncio.wait([future], timeout=RECORD_TIMEOUT_S)
+            is_in_vain = not future.done()
+            return future.done()
+        finally:
+            self._recorded.pop(stream, None)
+            self._acks.drop(stream, in_vain=is_in_vain)
+
+    async def find(self, stream: int, service: str, timeout_s: float) -> Resumption:
         """Ask all control processes for the origin of a stream.
 
         Args:
             stream: Key of the stream.
             service: Service that the stream would be sent to.
+            timeout_s: Longest wait in seconds.
         """
-        return await self._finder.find(stream, service, FIND_TIMEOUT_S)
+        return await self._finder.find(stream, service, timeout_s)
+
+    def _stored_on_thread(self, holder: str, streams: Sequence[int]) -> None:
+        # A reply may come after the loop of a process that ends was closed.
+        with contextlib.suppress(RuntimeError):
+            self._loop.call_soon_threadsafe(self._stored, holder, streams)
+
+    def _stored(self, holder: str, streams: Sequence[int]) -> None:
+        for stream in self._acks.stored(holder, streams, len(self._controls())):
+            future = self._recorded.get(stream)
+            if future is not None and not future.done():
+                future.set_result(None)
 
 
-__all__ = ["OriginClient", "OriginReporter", "rank_holders"]
+__all__ = ["OriginClient"]
--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import math
 import threading
 
 from leverjunction.clock import Clock
 from leverjunction.errors import Failure
 from leverjunction.registry.hub import RegistryHub
 from leverjunction.registry.origins import (
+    KEEP_ORIGIN_S,
     FindOrigin,
     FindOrigins,
     FoundOrigin,
@@ -21,13 +23,14 @@
     ReportOrigins,
     StreamOrigin,
 )
+from leverjunction.registry.records import FleetView
 from leverjunction.registry.version_history import VersionHistory
 from leverjunction.wire.codec import decode, encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.rpc_server import RpcEndpoint
 
 MAX_STREAMS = 400_000
-"""Streams of ``STREAM_LIFETIME_S`` at 6,600 per second, of about 200 bytes each."""
+"""Streams of ``KEEP_ORIGIN_S`` at 5,300 per second, of about 200 bytes each."""
 
 
 class OriginDirectory:
@@ -47,6 +50,8 @@
         self._lock = threading.Lock()
         self._streams = OriginTable(MAX_STREAMS)
         self._history = VersionHistory()
+        self._unsure_until_s = -math.inf
+        """Until then, a stream of any version may be unknown at all control processes."""
 
     def register(self, endpoint: RpcEndpoint) -> None:
         """Register the handlers of all messages."""
@@ -59,6 +64,8 @@
         """Store the origins that a gateway reports."""
         now_s = self._clock.monotonic_s()
         with self._lock:
+            if not report.is_recorded_first:
+                self._unsure_until_s = now_s + KEEP_ORIGIN_S
             for stream, origin in report.streams.items():
                 self._streams.put(stream, origin, now_s)
         return OriginsStored(incarnation=self._incarnation)
@@ -71,18 +78,25 @@
         view = self._hub.view()
         origins: dict[int, StreamOrigin] = {}
         only_versions: dict[str, str] = {}
+        base_versions: dict[str, str] = {}
         with self._lock:
-            self._history.update(view, now_s)
+            self._update_history(view, now_s, is_current)
             for service, streams in question.services.items():
                 only = self._history.only_version(service, now_s) if is_current else None
                 if only is not None:
                     only_versions[service] = only
+                base = self._history.base_version(service, now_s)
+                if base is not None and self._has_kept_all(now_s):
+                    base_versions[service] = base
                 for stream in streams:
                     origin = self._streams.get(stream, now_s)
                     if origin is not None:
                         origins[stream] = origin
         return FoundOrigins(
-            origins=origins, only_versions=only_versions, kept_s=now_s - self._started_s
+            origins=origins,
+            only_versions=only_versions,
+            base_versions=base_versions,
+            kept_s=now_s - self._started_s,
         )
 
     def find(self, question: FindOrigin) -> FoundOrigin:
@@ -96,9 +110,20 @@
 
     def refresh(self) -> None:
         """Record the versions that serve now; call it regularly."""
+        now_s = self._clock.monotonic_s()
+        is_current = self._hub.stale() is None
         view = self._hub.view()
         with self._lock:
-            self._history.update(view, self._clock.monotonic_s())
+            self._update_history(view, now_s, is_current)
+
+    def _update_history(self, view: FleetView, now_s: float, is_current: bool) -> None:
+        self._history.update(view, now_s)
+        if is_current:
+            self._history.confirm(now_s)
+
+    def _has_kept_all(self, now_s: float) -> bool:
+        """Return whether every origin reported here since the base version was alone is kept."""
+        return now_s >= self._unsure_until_s and now_s - self._streams.dropped_s > KEEP_ORIGIN_S
 
     def _on_report(self, envelope: Envelope, peer: str) -> bytes:
         report = decode(envelope.body, ReportOrigins, peer)
--- a/src/leverjunction/registry/origin_finder.py
+++ b/src/leverjunction/registry/origin_finder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -23,9 +24,6 @@
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 
-FIND_TIMEOUT_S = 0.5
-"""Longest wait of a caller for the origin of its stream."""
-
 MAX_PEERS = 64
 """Limit of threads; each control process occupies at most one."""
 
@@ -123,7 +121,9 @@
         reply = call_again(self._rpc, peer, MessageKind.FIND_ORIGINS, question, FoundOrigins)
         if isinstance(reply, Failure) and _is_of_older_build(reply):
             reply = self._ask_one_by_one(peer, question)
-        self._loop.call_soon_threadsafe(self._answered, peer, reply)
+        # A reply may come after the loop of a process that ends was closed.
+        with contextlib.suppress(RuntimeError):
+            self._loop.call_soon_threadsafe(self._answered, peer, reply)
 
     def _ask_one_by_one(self, peer: str, question: FindOrigins) -> FoundOrigins | Failure:
         """Ask a control process that knows no question about several streams."""
@@ -157,4 +157,4 @@
     return failure.kind in (FailureKind.CORRUPT, FailureKind.NOT_FOUND)
 
 
-__all__ = ["FIND_TIMEOUT_S", "OriginFinder"]
+__all__ = ["OriginFinder"]
--- a/src/leverjunction/registry/origin_questions.py
+++ b/src/leverjunction/registry/origin_questions.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from leverjunction.registry.origin_acks import stored_at
 from leverjunction.registry.origins import (
     STREAM_LIFETIME_S,
     FindOrigins,
@@ -42,11 +43,14 @@
     Attributes:
         origin: Its origin; None if it was not reported there.
         only_version: The one version of the service that can have begun it, if there is only one.
+        base_version: The version that began it if it was reported to no control process; None if
+            the control process cannot tell.
         kept_s: For how long the control process has kept records, in seconds.
     """
 
     origin: StreamOrigin | None
     only_version: str | None
+    base_version: str | None
     kept_s: float
 
 
@@ -71,6 +75,9 @@
     for answer in known:
         if answer.origin is not None:
             return result(answer.origin, OriginSource.DIRECTORY)
+    base = _agreed_base(known, peers)
+    if base is not None:
+        return result(StreamOrigin(service, base), OriginSource.BASE_VERSION)
     if len(answers) < peers and not is_over:
         return None
     for answer in known:
@@ -80,6 +87,13 @@
     return result(None, _why_unknown(known, peers))
 
 
+def _agreed_base(known: list[OriginAnswer], peers: int) -> str | None:
+    """Return the base version if so many tell it that one of them would know another origin."""
+    bases = [answer.base_version for answer in known if answer.base_version is not None]
+    needed = peers - stored_at(peers) + 1
+    return bases[0] if len(bases) >= needed and len(set(bases)) == 1 else None
+
+
 def _why_unknown(known: list[OriginAnswer], peers: int) -> OriginSource:
     if not peers:
         return OriginSource.NOT_ASKED
@@ -182,7 +196,10 @@
 
 def _answer_of(reply: FoundOrigins, lookup: Lookup) -> OriginAnswer:
     return OriginAnswer(
-        reply.origins.get(lookup.stream), reply.only_versions.get(lookup.service), reply.kept_s
+        reply.origins.get(lookup.stream),
+        reply.only_versions.get(lookup.service),
+        reply.base_versions.get(lookup.service),
+        reply.kept_s,
     )
 
 
--- /dev/null
+++ b/src/leverjunction/registry/origin_reporter.py
@@ -0,0 +1,161 @@
+"""Reports the origins of a gateway's streams to control processes, from background threads."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable, Sequence
+
+import xxhash
+from loguru import logger
+
+from leverjunction.clock import steady_s
+from leverjunction.errors import Failure
+from leverjunction.registry.origin_call import call_again
+from leverjunction.registry.origins import OriginsStored, ReportOrigins, StreamOrigin
+from leverjunction.registry.records import MemberRecord
+from leverjunction.wire.envelope import MessageKind
+from leverjunction.wire.rpc_client import RpcClient
+
+COLLECT_S = (0.02, 0.02)
+"""Shortest time between two reports, for each of the control processes that an origin is reported
+to.
+"""
+
+HOLDERS = len(COLLECT_S)
+"""Control processes that each origin is reported to."""
+
+MAX_WAITING = 20_000
+RETRY_PAUSE_S = 0.2
+AVOID_S = 2.0
+"""Time after a failed call in which other control processes are tried first."""
+
+Stored = Callable[[str, Sequence[int]], None]
+"""Called with the address of a control process and the streams whose origins it has stored."""
+
+
+def rank_holders(gateway: str, controls: Sequence[MemberRecord], number: int) -> list[str]:
+    """Return the control processes in the order in which a reporter of a gateway uses them.
+
+    Different gateways prefer different ones, and the reporters of a gateway different zones. After
+    its own, a reporter uses those that no other reporter prefers, then that of the last reporter.
+
+    Args:
+        gateway: Name of the gateway.
+        controls: The control processes.
+        number: Number of the reporter, from 0.
+    """
+    left = sorted(
+        controls, key=lambda item: xxhash.xxh64_intdigest(f"{gateway} {item.address}".encode())
+    )
+    preferred: list[MemberRecord] = []
+    for _ in range(min(HOLDERS, len(left))):
+        zones = {item.zone for item in preferred}
+        best = next((item for item in left if item.zone not in zones), left[0])
+        left.remove(best)
+        preferred.append(best)
+    own = preferred[number : number + 1]
+    others = [item for item in reversed(preferred) if item not in own]
+    return [item.address for item in (*own, *left, *others)]
+
+
+class OriginReporter:
+    """Sends reports to one control process at a time from a background thread. Thread-safe.
+
+    Args:
+        rpc: Client of the internal RPC.
+        holders: Returns the control processes to use, the best one first.
+        live: Returns all origins of the gateway, for a control process that has none of them.
+        stored: Called from the thread.
+        collect_s: Shortest time between two reports, in seconds.
+    """
+
+    def __init__(
+        self,
+        rpc: RpcClient,
+        holders: Callable[[], Sequence[str]],
+        live: Callable[[], dict[int, StreamOrigin]],
+        stored: Stored,
+        collect_s: float,
+    ) -> None:
+        self._rpc = rpc
+        self._holders = holders
+        self._live = live
+        self._stored = stored
+        self._collect_s = collect_s
+        self._sent_s = 0.0
+        self._avoided_until_s: dict[str, float] = {}
+        self._waiting: dict[int, StreamOrigin] = {}
+        self._told: tuple[str, int] | None = None
+        self._changed = threading.Condition()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="origin-reporter", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Tell the thread to stop."""
+        with self._changed:
+            self._stopped = True
+            self._changed.notify_all()
+
+    def report(self, streams: dict[int, StreamOrigin]) -> None:
+        """Queue origins; what a long outage piles up is dropped."""
+        with self._changed:
+            if len(self._waiting) < MAX_WAITING:
+                self._waiting.update(streams)
+            self._changed.notify_all()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                while not (self._waiting or self._stopped):
+                    self._changed.wait()
+                pause_s = self._sent_s + self._collect_s - steady_s()
+                if pause_s > 0:
+                    self._changed.wait_for(lambda: self._stopped, pause_s)
+                if self._stopped:
+                    return
+                streams, self._waiting = self._waiting, {}
+            self._sent_s = steady_s()
+            if not self._send(streams):
+                with self._changed:
+                    self._waiting = {**streams, **self._waiting}
+                    self._changed.wait_for(lambda: self._stopped, RETRY_PAUSE_S)
+
+    def _send(self, streams: dict[int, StreamOrigin]) -> bool:
+        """Send origins to the best control process that answers; return whether one did."""
+        now_s = steady_s()
+        holders = sorted(
+            self._holders(), key=lambda item: self._avoided_until_s.get(item, 0.0) > now_s
+        )
+        for holder in holders:
+            reply = self._call(holder, streams)
+            if isinstance(reply, Failure):
+                self._avoid(holder, reply)
+                continue
+            told = (holder, reply.incarnation)
+            if told != self._told:
+                # It has none of what was reported before: another one has, or its former start.
+                live = self._live()
+                if isinstance(self._call(holder, live), Failure):
+                    return False
+                self._told = told
+                self._stored(holder, tuple(live))
+            self._stored(holder, tuple(streams))
+            return True
+        return False
+
+    def _avoid(self, holder: str, failure: Failure) -> None:
+        now_s = steady_s()
+        if self._avoided_until_s.get(holder, 0.0) < now_s - AVOID_S:
+            logger.info("{} does not store origins: {}", holder, failure.reason)
+        self._avoided_until_s[holder] = now_s + AVOID_S
+
+    def _call(self, holder: str, streams: dict[int, StreamOrigin]) -> OriginsStored | Failure:
+        message = ReportOrigins(streams=streams, is_recorded_first=True)
+        return call_again(self._rpc, holder, MessageKind.REPORT_ORIGINS, message, OriginsStored)
+
+
+__all__ = ["COLLECT_S", "HOLDERS", "OriginReporter", "rank_holders"]
--- a/src/leverjunction/registry/origins.py
+++ b/src/leverjunction/registry/origins.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from enum import StrEnum
 
@@ -14,6 +15,12 @@
 STREAM_LIFETIME_S = 60.0
 """Time after the last sign of a stream, or of a version, within which a caller may continue one."""
 
+RENEW_INTERVAL_S = 15.0
+"""Interval at which the origin of a stream that goes on is reported again."""
+
+KEEP_ORIGIN_S = STREAM_LIFETIME_S + RENEW_INTERVAL_S
+"""Time for which an origin is kept after its last report."""
+
 
 class StreamOrigin(msgspec.Struct, frozen=True):
     """What began a stream.
@@ -30,14 +37,16 @@
 class OriginSource(StrEnum):
     """Where the origin of a stream is known from, or why it is unknown.
 
-    ``NOT_ASKED``: no control process is known. ``NO_ANSWER``: not all of them answered in time, so
-    a later question may succeed. ``RESTARTED``: all answered, but some started after the stream may
-    have begun. ``NOBODY_KNOWS``: all answered, and another question is useless.
+    ``BASE_VERSION``: enough control processes would know it if another version had begun the
+    stream. ``NOT_ASKED``: no control process is known. ``NO_ANSWER``: not all of them answered in
+    time, so a later question may succeed. ``RESTARTED``: all answered, but some started after the
+    stream may have begun. ``NOBODY_KNOWS``: all answered, and another question is useless.
     """
 
     OWN = "own"
     ONLY_VERSION = "only version"
     DIRECTORY = "directory"
+    BASE_VERSION = "base version"
     NOT_ASKED = "not asked"
     NO_ANSWER = "no answer"
     RESTARTED = "restarted"
@@ -65,9 +74,12 @@
 
     Attributes:
         streams: Origins by the key of the stream.
+        is_recorded_first: Whether the gateway passes on no event of a stream that is not of the
+            base version before the origin is stored; an older build does.
     """
 
     streams: dict[int, StreamOrigin]
+    is_recorded_first: bool = False
 
 
 class OriginsStored(msgspec.Struct, frozen=True, kw_only=True):
@@ -126,27 +138,34 @@
         origins: Origins of the streams that were reported.
         only_versions: By service, the one version that can have begun a stream which is still
             alive; left out if there were several, or if the replying process cannot tell.
+        base_versions: By service, the version that began every stream which is alive and was not
+            reported to any control process; left out if the replying process cannot tell.
         kept_s: Time since the start of the replying process, in seconds; what was reported to an
             earlier start is lost.
     """
 
     origins: dict[int, StreamOrigin] = {}
     only_versions: dict[str, str] = {}
+    base_versions: dict[str, str] = {}
     kept_s: float = 0.0
 
 
 class OriginTable:
-    """Origins by the key of the stream, forgotten after ``STREAM_LIFETIME_S``. Not thread-safe.
+    """Origins by the key of the stream, forgotten after ``KEEP_ORIGIN_S``. Not thread-safe.
 
     Args:
         max_streams: Size at which the oldest entries are dropped.
+
+    Attributes:
+        dropped_s: When an entry was last dropped before its time; -inf if never.
     """
 
-    __slots__ = ("_entries", "_max_streams")
+    __slots__ = ("_entries", "_max_streams", "dropped_s")
 
     def __init__(self, max_streams: int) -> None:
         self._max_streams = max_streams
         self._entries: OrderedDict[int, tuple[StreamOrigin, float]] = OrderedDict()
+        self.dropped_s = -math.inf
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -157,25 +176,30 @@
         self._entries.move_to_end(stream)
         while self._entries:
             _, put_s = next(iter(self._entries.values()))
-            if len(self._entries) <= self._max_streams and now_s - put_s <= STREAM_LIFETIME_S:
+            is_alive = now_s - put_s <= KEEP_ORIGIN_S
+            if len(self._entries) <= self._max_streams and is_alive:
                 return
             self._entries.popitem(last=False)
+            if is_alive:
+                self.dropped_s = now_s
 
     def get(self, stream: int, now_s: float) -> StreamOrigin | None:
         """Return the origin of a stream, None if it is not known."""
         origin, put_s = self._entries.get(stream, (None, 0.0))
-        return origin if now_s - put_s <= STREAM_LIFETIME_S else None
+        return origin if now_s - put_s <= KEEP_ORIGIN_S else None
 
     def all(self, now_s: float) -> dict[int, StreamOrigin]:
         """Return all origins that are not too old."""
         return {
             stream: origin
             for stream, (origin, put_s) in self._entries.items()
-            if now_s - put_s <= STREAM_LIFETIME_S
+            if now_s - put_s <= KEEP_ORIGIN_S
         }
 
 
 __all__ = [
+    "KEEP_ORIGIN_S",
+    "RENEW_INTERVAL_S",
     "STREAM_LIFETIME_S",
     "FindOrigin",
     "FindOrigins",
--- a/src/leverjunction/registry/version_history.py
+++ b/src/leverjunction/registry/version_history.py
@@ -12,11 +12,21 @@
 
 
 class VersionHistory:
-    """The versions of each service: those of its back ends, and those that ended lately."""
+    """The versions of each service: those of its back ends, and those that ended lately.
 
-    __slots__ = ("_ended_s", "_former", "_live", "_view")
+    The *base version* of a service is the last one that was the only one, as long as a stream of it
+    may be alive. Streams of all other versions began after this process had seen that.
 
-    def __init__(self) -> None:
+    Args:
+        lifetime_s: Time after the end of a version for which its streams may be alive, in seconds.
+    """
+
+    __slots__ = ("_base", "_ended_s", "_former", "_is_confirmed", "_lifetime_s", "_live", "_view")
+
+    def __init__(self, lifetime_s: float = STREAM_LIFETIME_S) -> None:
+        self._lifetime_s = lifetime_s
+        self._base: dict[str, str] = {}
+        self._is_confirmed = False
         self._live: dict[str, set[str]] = {}
         self._former: set[tuple[str, str]] = set()
         self._ended_s: dict[tuple[str, str], float] = {}
@@ -34,6 +44,10 @@
         """
         if view is self._view:
             return
+        if self._is_confirmed:
+            # A version that comes back must not become the base version again.
+            self._update_base(now_s)
+        self._is_confirmed = False
         self._view = view
         before = {(service, item) for service, items in self._live.items() for item in items}
         self._live = {}
@@ -46,15 +60,37 @@
         self._ended_s = {
             key: ended_s
             for key, ended_s in self._ended_s.items()
-            if now_s - ended_s <= STREAM_LIFETIME_S
+            if now_s - ended_s <= self._lifetime_s
         }
 
+    def confirm(self, now_s: float) -> None:
+        """Note that the last state is current: no version is missing in it.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        self._is_confirmed = True
+        self._update_base(now_s)
+
+    def _update_base(self, now_s: float) -> None:
+        for service in {*self._live, *self._base}:
+            versions = self.versions(service, now_s)
+            if len(versions) == 1:
+                self._base[service] = next(iter(versions))
+            elif self._base.get(service) not in versions:
+                self._base.pop(service, None)
+
+    def base_version(self, service: str, now_s: float) -> str | None:
+        """Return the base version of a service; None if this process does not know it."""
+        base = self._base.get(service)
+        return base if base in self.versions(service, now_s) else None
+
     def versions(self, service: str, now_s: float) -> set[str]:
         """Return the versions of a service that may have begun a stream which is still alive."""
         ended = {
             version
             for (name, version), ended_s in self._ended_s.items()
-            if name == service and now_s - ended_s <= STREAM_LIFETIME_S
+            if name == service and now_s - ended_s <= self._lifetime_s
         }
         return self._live.get(service, set()) | ended
 
--- a/src/testbed/simulation/seeded/routed/broken_streams.py
+++ b/src/testbed/simulation/seeded/routed/broken_streams.py
@@ -8,7 +8,7 @@
 from leverjunction.proxy.routed_request import RoutedRequest
 from leverjunction.proxy.stream_origins import StreamOrigins
 from leverjunction.registry.origin_client import OriginClient
-from leverjunction.registry.origins import OriginSource, Resumption
+from leverjunction.registry.origins import OriginSource, Resumption, StreamOrigin
 from testbed.simulation.rule import Rule
 
 
@@ -31,7 +31,14 @@
 
 def report_no_origins() -> list[Any]:
     """Return the patches: no gateway tells the control processes what it has begun."""
-    return [mock.patch.object(OriginClient, "report", lambda _self, _streams: None)]
+
+    async def record(_self: OriginClient, _stream: int, _origin: StreamOrigin) -> bool:
+        return True
+
+    return [
+        mock.patch.object(OriginClient, "report", lambda _self, _streams: None),
+        mock.patch.object(OriginClient, "record", record),
+    ]
 
 
 _KEEP = "streams_keep_their_version"
--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -23,7 +23,7 @@
 import urllib3
 from tests.unit.seeded_support import wait_until
 
-from leverjunction.registry.origin_client import rank_holders
+from leverjunction.registry.origin_reporter import rank_holders
 from leverjunction.registry.records import MemberRecord, MemberRole
 from testbed.routed import RawCaller, RawReply, RunnerStandIn
 from testbed.routed.exchange import EVENTS_HEADER, RESUMABLE_FOLDER, WORK_MS_HEADER
--- a/tests/unit/test_proxy_versions.py
+++ b/tests/unit/test_proxy_versions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from collections.abc import Iterator
 from contextlib import ExitStack
 
@@ -15,7 +17,7 @@
 )
 
 from leverjunction.registry.origins import OriginSource, Resumption, StreamOrigin
-from testbed.routed import RunnerStandIn
+from testbed.routed import SERVICE, RunnerStandIn
 
 OLD, NEW = "v1", "v1.1"
 CUT = "stream cut in an event"
@@ -199,10 +201,15 @@
     def __init__(self, source: OriginSource) -> None:
         self._answer = Resumption(None, source, answered=2, asked=3)
 
+    is_recording = True
+
     def report(self, streams: dict[int, StreamOrigin]) -> None:
         pass
 
-    async def find(self, stream: int, service: str) -> Resumption:
+    async def record(self, stream: int, origin: StreamOrigin) -> bool:
+        return True
+
+    async def find(self, stream: int, service: str, timeout_s: float) -> Resumption:
         return self._answer
 
 
@@ -216,3 +223,72 @@
     assert reply.status == 503
     assert ("retry-after" in reply.headers) == (source is OriginSource.NO_ANSWER)
     assert not any(runner.seen for runner in runners)
+
+
+class Recording:
+    """A directory that records after a time, or not at all."""
+
+    def __init__(self, delay_s: float = 0.0, *, is_recording: bool = True) -> None:
+        self._delay_s = delay_s
+        self.is_recording = is_recording
+        self.will_record = True
+        self.recorded: list[StreamOrigin] = []
+
+    def report(self, streams: dict[int, StreamOrigin]) -> None:
+        pass
+
+    async def record(self, stream: int, origin: StreamOrigin) -> bool:
+        await asyncio.sleep(self._delay_s)
+        self.recorded.append(origin)
+        return self.will_record
+
+    async def find(self, stream: int, service: str, timeout_s: float) -> Resumption:
+        return Resumption(None, OriginSource.NO_ANSWER)
+
+
+def start_with_base(stack: ExitStack, directory: Recording) -> tuple[Proxy, list[RunnerStandIn]]:
+    """Return a proxy that saw the old version alone, and a back end of each version."""
+    runners = start_runners(stack, OLD, NEW)
+    proxy = stack.enter_context(Proxy(make_full_table(), runners[:1], directory))
+    know(proxy, runners)
+    return proxy, runners
+
+
+def test_no_event_of_a_newer_version_is_sent_before_its_origin_is_recorded(
+    stack: ExitStack,
+) -> None:
+    directory = Recording(delay_s=0.2)
+    proxy, (_, new) = start_with_base(stack, directory)
+    times: dict[str, float] = {}
+    for number in range(10):
+        began_s = time.monotonic()
+        name = f"r{number}"
+        reply = proxy.ask(RESUMABLE, Leverjunction_Request_Id=name)
+        assert (reply.body, reply.complete) == (WHOLE_STREAM, True)
+        times[name] = time.monotonic() - began_s
+    at_new = {seen.headers["leverjunction-request-id"] for seen in new.seen}
+    assert 0 < len(at_new) < 10
+    assert all((taken_s >= 0.2) == (name in at_new) for name, taken_s in times.items())
+    assert directory.recorded == [StreamOrigin(SERVICE, NEW)] * len(at_new)
+
+
+def test_streams_begin_at_the_base_version_while_origins_are_not_recorded(
+    stack: ExitStack,
+) -> None:
+    proxy, (_, new) = start_with_base(stack, Recording(is_recording=False))
+    for number in range(10):
+        assert proxy.ask(RESUMABLE, Leverjunction_Request_Id=f"r{number}").complete
+    assert not new.seen
+
+
+def test_a_stream_whose_origin_is_not_recorded_begins_anew_at_the_base_version(
+    stack: ExitStack,
+) -> None:
+    directory = Recording()
+    directory.will_record = False
+    proxy, (old, new) = start_with_base(stack, directory)
+    for number in range(10):
+        reply = proxy.ask(RESUMABLE, Leverjunction_Request_Id=f"r{number}")
+        assert (reply.body, reply.complete) == (WHOLE_STREAM, True)
+    assert new.seen
+    assert len(old.seen) == 10
--- a/tests/unit/test_registry_origins.py
+++ b/tests/unit/test_registry_origins.py
@@ -14,10 +14,13 @@
 
 from leverjunction.clock import SystemClock
 from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.proxy.stream_origins import FIND_TIMEOUT_S
 from leverjunction.registry.cluster import CLUSTER_KEY
-from leverjunction.registry.origin_client import HOLDERS, OriginClient, rank_holders
+from leverjunction.registry.origin_client import OriginClient
 from leverjunction.registry.origin_directory import OriginDirectory
+from leverjunction.registry.origin_reporter import HOLDERS, rank_holders
 from leverjunction.registry.origins import (
+    KEEP_ORIGIN_S,
     STREAM_LIFETIME_S,
     OriginSource,
     OriginTable,
@@ -83,6 +86,37 @@
         history.update(view("v1", former=("v1.1",)), 10.0)
         assert history.ambiguous(10.0) == {SERVICE}
 
+    def test_the_last_version_that_was_alone_is_the_base_version(self) -> None:
+        history = VersionHistory()
+        history.update(view("v1"), 0.0)
+        assert history.base_version(SERVICE, 0.0) is None, "the state may be an old one"
+        history.confirm(0.0)
+        history.update(view("v1", "v1.1"), 10.0)
+        history.confirm(10.0)
+        assert history.base_version(SERVICE, 10.0) == "v1"
+        history.update(view("v1.1", "v1.2"), 20.0)
+        history.confirm(20.0 + STREAM_LIFETIME_S)
+        assert history.base_version(SERVICE, 20.0 + STREAM_LIFETIME_S) == "v1"
+        assert history.base_version(SERVICE, 20.1 + STREAM_LIFETIME_S) is None
+
+    def test_a_version_that_comes_back_is_not_the_base_version_again(self) -> None:
+        history = VersionHistory()
+        history.update(view("v1"), 0.0)
+        history.confirm(0.0)
+        history.update(view("v1.1"), 1.0)
+        history.confirm(1.0)
+        back_s = 1.1 + STREAM_LIFETIME_S
+        history.update(view("v1", "v1.1"), back_s)
+        history.confirm(back_s)
+        assert history.base_version(SERVICE, back_s) == "v1.1"
+
+    def test_a_process_that_starts_between_two_versions_knows_no_base_version(self) -> None:
+        history = VersionHistory()
+        for known in (view("v1", "v1.1"), view("v1", "v1.1", former=("v1",))):
+            history.update(known, 0.0)
+            history.confirm(0.0)
+            assert history.base_version(SERVICE, 0.0) is None
+
     def test_a_back_end_that_reports_no_version_is_not_of_the_others(self) -> None:
         history = VersionHistory()
         history.update(view("v1", ""), 0.0)
@@ -94,11 +128,11 @@
     def test_an_origin_is_forgotten_after_the_lifetime_of_a_stream(self) -> None:
         table = OriginTable(10)
         table.put(1, OLD, 0.0)
-        assert table.get(1, STREAM_LIFETIME_S) == OLD
-        assert table.get(1, STREAM_LIFETIME_S + 0.1) is None
-        table.put(2, NEW, STREAM_LIFETIME_S + 0.1)
+        assert table.get(1, KEEP_ORIGIN_S) == OLD
+        assert table.get(1, KEEP_ORIGIN_S + 0.1) is None
+        table.put(2, NEW, KEEP_ORIGIN_S + 0.1)
         assert len(table) == 1
-        assert table.all(STREAM_LIFETIME_S + 0.1) == {2: NEW}
+        assert table.all(KEEP_ORIGIN_S + 0.1) == {2: NEW}
 
     def test_the_oldest_origins_are_dropped_if_there_are_too_many(self) -> None:
         table = OriginTable(3)
@@ -189,6 +223,10 @@
         self.live[stream] = origin
         self.client.report({stream: origin})
 
+    async def record(self, stream: int, origin: StreamOrigin) -> bool:
+        self.live[stream] = origin
+        return await self.client.record(stream, origin)
+
 
 @pytest.fixture
 def stack() -> Iterator[ExitStack]:
@@ -225,8 +263,8 @@
         first, second = Gateway(stack, controls), Gateway(stack, controls)
         first.begin(7, NEW)
         assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
-        assert (await second.client.find(7, SERVICE)).origin == NEW
-        assert (await second.client.find(8, SERVICE)).origin is None
+        assert (await second.client.find(7, SERVICE, FIND_TIMEOUT_S)).origin == NEW
+        assert (await second.client.find(8, SERVICE, FIND_TIMEOUT_S)).origin is None
 
     asyncio.run(run())
 
@@ -242,7 +280,7 @@
         assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
         first.client.stop()
         controls[number].stop()
-        assert (await second.client.find(7, SERVICE)).origin == NEW
+        assert (await second.client.find(7, SERVICE, FIND_TIMEOUT_S)).origin == NEW
 
     asyncio.run(run())
 
@@ -258,7 +296,7 @@
         first.client.stop()
         for control in controls[:HOLDERS]:
             control.start_again()
-        assert (await second.client.find(7, SERVICE)).origin is None
+        assert (await second.client.find(7, SERVICE, FIND_TIMEOUT_S)).origin is None
 
     asyncio.run(run())
 
@@ -270,7 +308,7 @@
         controls = start_controls(stack, 2, BOTH)
         gateway = Gateway(stack, controls)
         gateway.begin(7, NEW)
-        assert await comes_true(lambda: count_knowing(controls, 7) == HOLDERS)
+        assert await comes_true(lambda: count_knowing(controls, 7) == len(controls))
         controls[0].start_again()
         assert not knows(controls[0], 7)
         gateway.begin(8, OLD)
@@ -286,7 +324,7 @@
         gateway = Gateway(stack, controls)
         gateway.begin(7, NEW)
         assert await comes_true(lambda: count_knowing(controls[1:], 7) >= 1)
-        assert (await gateway.client.find(7, SERVICE)).origin == NEW
+        assert (await gateway.client.find(7, SERVICE, FIND_TIMEOUT_S)).origin == NEW
 
     asyncio.run(run())
 
@@ -298,7 +336,7 @@
         gateway = Gateway(stack, controls)
         gateway.begin(7, NEW)
         assert await comes_true(lambda: knows(controls[1], 7))
-        assert (await gateway.client.find(7, SERVICE)).origin == NEW
+        assert (await gateway.client.find(7, SERVICE, FIND_TIMEOUT_S)).origin == NEW
 
     asyncio.run(run())
 
@@ -308,7 +346,9 @@
 
     async def run() -> None:
         controls = start_controls(stack, 3, view("v1.1"))
-        assert (await Gateway(stack, controls).client.find(7, SERVICE)).origin == NEW
+        assert (
+            await Gateway(stack, controls).client.find(7, SERVICE, FIND_TIMEOUT_S)
+        ).origin == NEW
 
     asyncio.run(run())
 
@@ -319,7 +359,9 @@
     async def run() -> None:
         (control,) = start_controls(stack, 1, view("v1"))
         control.hub.is_stale = True
-        assert (await Gateway(stack, [control]).client.find(7, SERVICE)).origin is None
+        assert (
+            await Gateway(stack, [control]).client.find(7, SERVICE, FIND_TIMEOUT_S)
+        ).origin is None
 
     asyncio.run(run())
 
@@ -341,10 +383,10 @@
         first = Gateway(stack, controls)
         for stream in range(streams):
             first.begin(stream, NEW)
-        assert await comes_true(lambda: count_knowing(controls, streams - 1) == HOLDERS)
+        assert await comes_true(lambda: count_knowing(controls, streams - 1) == len(controls))
         second = Gateway(stack, [SilentControl(stack), *controls])  # type: ignore[list-item]
         found = await asyncio.gather(
-            *(second.client.find(stream, SERVICE) for stream in range(streams))
+            *(second.client.find(stream, SERVICE, FIND_TIMEOUT_S) for stream in range(streams))
         )
         went_on = sum(item.origin == NEW for item in found)
         assert went_on == streams, f"{went_on} of {streams}"
@@ -364,11 +406,11 @@
         known: list[SilentControl | Control] = [silent]
         gateway = Gateway(stack, known)  # type: ignore[arg-type]
         for _ in range(3):
-            asked = [gateway.client.find(stream, SERVICE) for stream in range(200)]
+            asked = [gateway.client.find(stream, SERVICE, FIND_TIMEOUT_S) for stream in range(200)]
             found = await asyncio.gather(*asked)
             assert {item.source for item in found} == {OriginSource.NO_ANSWER}
         known.append(control)
-        asked = [gateway.client.find(stream, SERVICE) for stream in range(200)]
+        asked = [gateway.client.find(stream, SERVICE, FIND_TIMEOUT_S) for stream in range(200)]
         found = await asyncio.gather(*asked)
         assert sum(item.origin == NEW for item in found) == 200
 
@@ -383,7 +425,103 @@
         control.directory.store(ReportOrigins(streams={7: NEW, 8: OLD}))
         control.forget_kind(MessageKind.FIND_ORIGINS)
         gateway = Gateway(stack, [control])
-        found = await asyncio.gather(*(gateway.client.find(item, SERVICE) for item in (7, 8, 9)))
+        found = await asyncio.gather(
+            *(gateway.client.find(item, SERVICE, FIND_TIMEOUT_S) for item in (7, 8, 9))
+        )
         assert [item.origin for item in found] == [NEW, OLD, None]
 
     asyncio.run(run())
+
+
+def change_versions(controls: list[Control], known: FleetView) -> None:
+    for control in controls:
+        control.hub.known = known
+        control.directory.refresh()
+
+
+def start_with_base(stack: ExitStack, count: int) -> list[Control]:
+    """Return control processes that saw the old version alone, then both."""
+    controls = start_controls(stack, count, view("v1"))
+    change_versions(controls, view("v1"))
+    change_versions(controls, BOTH)
+    return controls
+
+
+def test_a_stream_that_began_before_the_second_version_goes_on_though_nobody_was_told(
+    stack: ExitStack,
+) -> None:
+    async def run() -> None:
+        controls = start_with_base(stack, 3)
+        found = await Gateway(stack, controls).client.find(7, SERVICE, FIND_TIMEOUT_S)
+        assert (found.origin, found.source) == (OLD, OriginSource.BASE_VERSION)
+        controls[1].stop()
+        found = await Gateway(stack, controls).client.find(7, SERVICE, FIND_TIMEOUT_S)
+        assert (found.origin, found.source) == (OLD, OriginSource.BASE_VERSION)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("lost", range(3))
+def test_a_recorded_stream_is_not_taken_for_one_of_the_base_version(
+    stack: ExitStack, lost: int
+) -> None:
+    """One control process may end: those that are left know it, or too few are left."""
+
+    async def run() -> None:
+        controls = start_with_base(stack, 3)
+        first, second = Gateway(stack, controls), Gateway(stack, controls)
+        assert await first.record(7, NEW)
+        first.client.stop()
+        controls[lost].stop()
+        assert (await second.client.find(7, SERVICE, FIND_TIMEOUT_S)).origin == NEW
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("restarted", [1, 2, 3])
+def test_control_processes_that_started_again_do_not_vouch_for_the_base_version(
+    stack: ExitStack, restarted: int
+) -> None:
+    async def run() -> None:
+        controls = start_with_base(stack, 3)
+        for control in controls[:restarted]:
+            control.start_again()
+        found = await Gateway(stack, controls).client.find(7, SERVICE, FIND_TIMEOUT_S)
+        assert found.origin == (OLD if restarted == 1 else None)
+
+    asyncio.run(run())
+
+
+def test_reports_of_an_older_build_prove_nothing_about_what_was_not_reported(
+    stack: ExitStack,
+) -> None:
+    async def run() -> None:
+        controls = start_with_base(stack, 3)
+        for control in controls[:2]:
+            control.directory.store(ReportOrigins(streams={1: NEW}))
+        found = await Gateway(stack, controls).client.find(7, SERVICE, FIND_TIMEOUT_S)
+        assert found.origin is None
+
+    asyncio.run(run())
+
+
+def test_recording_that_fails_delays_one_stream_and_is_found_to_work_again(
+    stack: ExitStack,
+) -> None:
+    async def run() -> None:
+        controls = start_with_base(stack, 1)
+        silent = [SilentControl(stack), SilentControl(stack)]
+        known: list[SilentControl | Control] = [*controls, *silent]
+        gateway = Gateway(stack, known)  # type: ignore[arg-type]
+        loop = asyncio.get_running_loop()
+        assert not await gateway.record(1, NEW)
+        assert not gateway.client.is_recording
+        began_s = loop.time()
+        assert not await gateway.record(2, NEW)
+        assert loop.time() - began_s < 0.1
+        known[1:] = start_with_base(stack, 2)
+        gateway.begin(3, OLD)
+        assert await comes_true(lambda: gateway.client.is_recording)
+        assert await gateway.record(4, NEW)
+
+    asyncio.run(run())
