Resumed streams refused once two control processes have ended: a third one holds each origin

Cause: each origin was held by two control processes, in memory. Class: holders end together. Cost: half as many reports again to a gateway's holders, at a fifth of the rate.

--- a/src/leverjunction/registry/origin_reporter.py
+++ b/src/leverjunction/registry/origin_reporter.py
@@ -16,9 +16,9 @@
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 
-COLLECT_S = (0.02, 0.02)
+COLLECT_S = (0.02, 0.02, 0.1)
 """Shortest time between two reports, for each of the control processes that an origin is reported
-to.
+to. Two of them suffice for an origin to be recorded; the last one is for their end.
 """
 
 HOLDERS = len(COLLECT_S)
--- a/tests/unit/test_registry_origins.py
+++ b/tests/unit/test_registry_origins.py
@@ -505,6 +505,18 @@
     asyncio.run(run())
 
 
+def test_an_origin_is_recorded_in_time_beside_a_silent_control_process(
+    stack: ExitStack,
+) -> None:
+    async def run() -> None:
+        controls = start_with_base(stack, 2)
+        gateway = Gateway(stack, [SilentControl(stack), *controls])  # type: ignore[list-item]
+        assert await gateway.record(7, NEW)
+        assert gateway.client.is_recording
+
+    asyncio.run(run())
+
+
 def test_recording_that_fails_delays_one_stream_and_is_found_to_work_again(
     stack: ExitStack,
 ) -> None:
