Origins of streams survive the end of all processes: a log at each holder

Cause: a control process kept the origins that gateways report in memory only. Change: registry.origin_log, an append-only log in the control process's data folder. What was read proves nothing about what was not: a power cut may cost the log its tail.

--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -44,6 +44,12 @@
 )
 from leverjunction.registry.hub import RegistryHub
 from leverjunction.registry.origin_directory import OriginDirectory
+from leverjunction.registry.origin_log import (
+    ORIGINS_FOLDER,
+    OriginLog,
+    SegmentFolder,
+    read_boot_id,
+)
 from leverjunction.registry.reconciler import Reconciler, ReconcilerLimits
 from leverjunction.registry.records import (
     JOBS_GROUP,
@@ -127,7 +133,10 @@
             max_concurrent_calls=CALLS_AT_ONCE,
         )
         self.hub = RegistryHub(self._replica, self.host, clock)
-        self._origins = OriginDirectory(self.hub, clock, incarnation)
+        self._origin_log = OriginLog(
+            SegmentFolder(_data_folder(config) / ORIGINS_FOLDER), clock, read_boot_id()
+        )
+        self._origins = OriginDirectory(self.hub, clock, incarnation, self._origin_log)
         self._live_runners: set[str] = set()
         self._live_members: set[str] = set()
         self._start_liveness = StartLiveness()
@@ -150,12 +159,14 @@
         Returns:
             The failure of the replica's start, None on success.
         """
+        self._origins.load()
         # The server starts first and ends after the replica: peers take a refused connection as
         # proof that this process leads no group.
         self._server.start()
         fault = start_replica(self._replica)
         if fault is not None:
             self._server.stop()
+            self._origin_log.close()
             return fault
         for task in self._tasks:
             task.start()
@@ -168,6 +179,7 @@
         stop_all(self._tasks)
         self._replica.stop()
         self._server.stop()
+        self._origin_log.close()
         self._rpc.close()
         logger.info("stopped")
 
@@ -416,9 +428,13 @@
     )
 
 
-def _group_config(config: MachineConfig) -> GroupConfig:
+def _data_folder(config: MachineConfig) -> Path:
     assert config.data_folder is not None
-    folder = Path(config.data_folder)
+    return Path(config.data_folder)
+
+
+def _group_config(config: MachineConfig) -> GroupConfig:
+    folder = _data_folder(config)
     founders = read_founders(folder)
     if config.first_start and not founders:
         founders = tuple(sorted(config.seed_addresses()))
--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -1,7 +1,7 @@
 """Directory of stream origins at a control process: in memory, and not replicated.
 
 A gateway reports the origins of its streams to several control processes. If the gateway ends, the
-one that a caller turns to next asks them.
+one that a caller turns to next asks them. A log on disk keeps them for the process's next start.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 from leverjunction.clock import Clock
 from leverjunction.errors import Failure
 from leverjunction.registry.hub import RegistryHub
+from leverjunction.registry.origin_log import OriginLog
 from leverjunction.registry.origins import (
     FindOrigin,
     FoundOrigin,
@@ -34,15 +35,32 @@
         hub: The registry as this process knows it.
         clock: Source of monotonic time.
         incarnation: Start time of this process, in milliseconds since the Unix epoch.
+        log: Keeps the origins on disk; None to keep them in memory only.
     """
 
-    def __init__(self, hub: RegistryHub, clock: Clock, incarnation: int) -> None:
+    def __init__(
+        self, hub: RegistryHub, clock: Clock, incarnation: int, log: OriginLog | None = None
+    ) -> None:
         self._hub = hub
         self._clock = clock
         self._incarnation = incarnation
         self._lock = threading.Lock()
         self._streams = OriginTable(MAX_STREAMS)
         self._history = VersionHistory()
+        self._log = log
+
+    def load(self) -> None:
+        """Read what former starts logged; call it before the first question is answered.
+
+        The log may lack some: it is no proof that nothing else was reported to those starts.
+        """
+        if self._log is None:
+            return
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            for age_s, streams in self._log.load():
+                for stream, origin in streams.items():
+                    self._streams.put(stream, origin, now_s - age_s)
 
     def register(self, endpoint: RpcEndpoint) -> None:
         """Register the handlers of both messages."""
@@ -55,6 +73,8 @@
         with self._lock:
             for stream, origin in report.streams.items():
                 self._streams.put(stream, origin, now_s)
+        if self._log is not None:
+            self._log.append(report.streams)
         return OriginsStored(incarnation=self._incarnation)
 
     def find(self, question: FindOrigin) -> FoundOrigin:
--- a/tests/unit/test_registry_origins.py
+++ b/tests/unit/test_registry_origins.py
@@ -8,15 +8,26 @@
 import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
+from pathlib import Path
 
 import pytest
+from tests.unit.seeded_support import SeededFleet
 
 from leverjunction.clock import SystemClock
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.origin_client import HOLDERS, OriginClient, rank_holders
 from leverjunction.registry.origin_directory import OriginDirectory
-from leverjunction.registry.origins import STREAM_LIFETIME_S, OriginTable, StreamOrigin
+from leverjunction.registry.origin_log import OriginLog, SegmentFolder, read_boot_id
+from leverjunction.registry.origins import (
+    STREAM_LIFETIME_S,
+    FindOrigin,
+    FoundOrigin,
+    OriginsStored,
+    OriginTable,
+    ReportOrigins,
+    StreamOrigin,
+)
 from leverjunction.registry.records import (
     FleetView,
     MemberRecord,
@@ -25,6 +36,7 @@
     RunnerState,
 )
 from leverjunction.registry.version_history import VersionHistory, former_versions
+from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
 
@@ -136,10 +148,22 @@
 
 
 class Control:
-    """A control process as gateways see it; it may start again at its address, empty."""
-
-    def __init__(self, stack: ExitStack, known: FleetView, *, is_older: bool = False) -> None:
+    """A control process as gateways see it; it may start again at its address.
+
+    It starts again empty unless it has a folder.
+    """
+
+    def __init__(
+        self,
+        stack: ExitStack,
+        known: FleetView,
+        *,
+        is_older: bool = False,
+        folder: Path | None = None,
+    ) -> None:
         self.hub = StandInHub(known)
+        self._stack = stack
+        self._folder = folder
         self._endpoint = RpcEndpoint(CLUSTER_KEY, 1)
         self._starts = 0
         if not is_older:
@@ -150,11 +174,23 @@
         stack.callback(self._server.stop)
 
     def start_again(self) -> None:
-        """Have another start of the process, which has nothing in memory, at the same address."""
+        """Have another start of the process, which has nothing in memory, at the same address.
+
+        The former start ends without a stop: its log is not closed.
+        """
         self._starts += 1
-        self.directory = OriginDirectory(self.hub, SystemClock(), self._starts)  # type: ignore[arg-type]
+        log = self._start_log()
+        self.directory = OriginDirectory(self.hub, SystemClock(), self._starts, log)  # type: ignore[arg-type]
+        self.directory.load()
         self.directory.register(self._endpoint)
 
+    def _start_log(self) -> OriginLog | None:
+        if self._folder is None:
+            return None
+        log = OriginLog(SegmentFolder(self._folder), SystemClock(), read_boot_id())
+        self._stack.callback(log.close)
+        return log
+
     def stop(self) -> None:
         self._server.stop()
 
@@ -251,6 +287,49 @@
     asyncio.run(run())
 
 
+def test_an_origin_outlives_the_end_of_all_its_holders(stack: ExitStack, tmp_path: Path) -> None:
+    async def run() -> None:
+        folders = [tmp_path / str(number) for number in range(3)]
+        controls = [Control(stack, BOTH, folder=folder) for folder in folders]
+        first, second = Gateway(stack, controls), Gateway(stack, controls)
+        first.begin(7, NEW)
+        assert await comes_true(lambda: all(item._told for item in first.client._reporters))
+        assert await comes_true(lambda: sum(map(has_logged, folders)) == HOLDERS)
+        first.client.stop()
+        for control in controls:
+            control.start_again()
+        assert await second.client.find(7, SERVICE) == NEW
+        assert await second.client.find(8, SERVICE) is None
+
+    asyncio.run(run())
+
+
+def has_logged(folder: Path) -> bool:
+    return any(path.stat().st_size for path in folder.glob("*"))
+
+
+def test_an_origin_outlives_the_end_of_all_control_processes(tmp_path: Path) -> None:
+    fleet = SeededFleet(tmp_path)
+    rpc = RpcClient(CLUSTER_KEY, 1)
+    try:
+        nodes = [fleet.start_control(number) for number in (1, 2, 3)]
+        holder, *_ = fleet.control_addresses()
+        report = ReportOrigins(streams={7: NEW})
+        stored = rpc.call(holder, MessageKind.REPORT_ORIGINS, report, OriginsStored, timeout_s=5.0)
+        assert isinstance(stored, OriginsStored)
+        for node in nodes:
+            node.stop()
+        for number in (1, 2, 3):
+            fleet.start_control(number)
+        question = FindOrigin(stream=7, service=SERVICE)
+        found = rpc.call(holder, MessageKind.FIND_ORIGIN, question, FoundOrigin, timeout_s=5.0)
+        assert isinstance(found, FoundOrigin)
+        assert found.origin == NEW
+    finally:
+        fleet.stop()
+        rpc.close()
+
+
 def test_a_holder_that_starts_again_gets_all_streams_with_the_next_report(
     stack: ExitStack,
 ) -> None:
