A service with one version is not in doubt after a restart: the leader settles former versions

Cause: a process that has just started takes each former version in the registry's 2,000 records of gone runners for one that ended just now. Change: the registry's leader watches former versions itself (registry.version_review). 70 s after it first saw one ended it proposes ForgetVersions, with the log index of the state in which it saw that. The state machine then lists the version among FleetView.settled_versions instead of former_versions, as long as none of its runners has ended at a later index; the gone records stay. Without that index a late command, or an end between two looks of the leader, would be forgotten with the earlier one. An end that leaves an identical record counts as another one; a record of a runner long gone that is moved to another name does not. VersionHistory.update is unchanged: a process that saw the version end later than the leader keeps its own minute. Items of jobs live longer than streams: VersionHistory.ever includes settled versions. A replica of an older build keeps listing them.

--- a/src/leverjunction/registry/commands.py
+++ b/src/leverjunction/registry/commands.py
@@ -10,6 +10,7 @@
     GroupRecord,
     MemberRecord,
     RunnerRecord,
+    SettledVersion,
 )
 from leverjunction.routes.types import RouteTable
 
@@ -119,6 +120,22 @@
     forgotten: tuple[str, ...] = ()
 
 
+class ForgetVersions(msgspec.Struct, frozen=True, tag="forget_versions"):
+    """No longer list versions as former ones; the records of their runners stay.
+
+    A version that serves again, or has ended again after the log index that is given for it, stays
+    as it is. A replica of a release without this command answers with a failure and keeps listing
+    the versions, also after its upgrade: until a leader that lists them too proposes this again, or
+    their records are pruned, a process that starts and reads that replica is in doubt about them
+    for ``STREAM_LIFETIME_S``.
+
+    Attributes:
+        versions: The versions.
+    """
+
+    versions: tuple[SettledVersion, ...]
+
+
 class GetSuspects(msgspec.Struct, frozen=True, tag="get_suspects"):
     """Read the suspect requests."""
 
@@ -146,6 +163,7 @@
     | StartRetirement
     | ReportRuns
     | ReviewSuspects
+    | ForgetVersions
 )
 RegistryQuery = GetView | GetTable | GetTableSource | GetSuspects
 
@@ -248,6 +266,7 @@
     "Done",
     "DropMember",
     "ExpireRunners",
+    "ForgetVersions",
     "GetSuspects",
     "GetTable",
     "GetTableSource",
--- a/src/leverjunction/registry/reconciler.py
+++ b/src/leverjunction/registry/reconciler.py
@@ -27,6 +27,7 @@
     RunnerState,
 )
 from leverjunction.registry.suspect_review import SuspectReview
+from leverjunction.registry.version_review import VersionReview
 
 
 class ReconcilerLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -66,6 +67,7 @@
         "_started_s",
         "_store_names",
         "_stores_changed_s",
+        "_version_review",
     )
 
     def __init__(self, limits: ReconcilerLimits, now_s: float) -> None:
@@ -75,6 +77,7 @@
         self._store_names: frozenset[str] = frozenset()
         self._stores_changed_s = now_s
         self._review = SuspectReview()
+        self._version_review = VersionReview()
 
     def record_contact(self, report: LivenessReport, now_s: float) -> None:
         """Record that the runners and machines of a report are alive.
@@ -110,6 +113,7 @@
         due.extend(self._drop_silent_members(view, control_voters, now_s))
         if suspects is not None:
             due.extend(self._review.due(suspects, now_s))
+        due.extend(self._version_review.due(view, now_s))
         return due
 
     def control_voters(
--- a/src/leverjunction/registry/records.py
+++ b/src/leverjunction/registry/records.py
@@ -106,6 +106,20 @@
     voters: tuple[str, ...]
 
 
+class SettledVersion(msgspec.Struct, frozen=True):
+    """A former version of a service's software of which no stream can be alive any more.
+
+    Attributes:
+        service: The service.
+        version: The version.
+        through: Log index up to which the ends of its runners are settled; a later end is not.
+    """
+
+    service: str
+    version: str
+    through: int
+
+
 class FleetView(msgspec.Struct, frozen=True, kw_only=True):
     """The registry without the route table.
 
@@ -115,7 +129,9 @@
         members: Machines that may hold replicas.
         groups: Consensus groups other than the registry group.
         former_versions: Versions of the software of runners that are gone, by service, as far as
-            their records are kept.
+            their records are kept and a stream of them may be alive.
+        settled_versions: The other versions in records of gone runners, by service; always empty
+            from a release that does not settle versions.
     """
 
     revision: int = 0
@@ -123,6 +139,7 @@
     members: tuple[MemberRecord, ...] = ()
     groups: tuple[GroupRecord, ...] = ()
     former_versions: tuple[tuple[str, tuple[str, ...]], ...] = ()
+    settled_versions: tuple[tuple[str, tuple[str, ...]], ...] = ()
 
     def group(self, name: str) -> GroupRecord | None:
         """Return the group with a name, None if it is not founded."""
--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -115,15 +115,24 @@
     record = change.record
     known = tables.record(RUNNER, record.runner_id, RunnerRecord)
     if known is None or _supersedes(record, known, change.shown_alive):
+        if known is None or not _replaces_version(record, known):
+            tables.put(RUNNER, record.runner_id, record)
+            return commands.Done()
+        # Streams of the former version may still be continued; its record is replaced.
+        _keep_former(tables, known)
         tables.put(RUNNER, record.runner_id, record)
-        if known is not None and _replaces_version(record, known):
-            # Streams of the former version may still be continued; its record is replaced.
-            gone = msgspec.structs.replace(known, state=RunnerState.GONE)
-            tables.put(RUNNER, f"{known.runner_id} {known.version}", gone)
-            tables.prune_gone_runners()
+        tables.prune_gone_runners()
     return commands.Done()
 
 
+def _keep_former(tables: RegistryTables, known: RunnerRecord) -> None:
+    name = f"{known.runner_id} {known.version}"
+    if known.state is RunnerState.GONE:
+        tables.copy_gone(known, name)
+    else:
+        tables.put_ended(name, known)
+
+
 def _replaces_version(record: RunnerRecord, known: RunnerRecord) -> bool:
     """Return whether a record is of another version; one that was not reported before is not."""
     is_reported_late = record.start == known.start and not known.version
@@ -158,9 +167,9 @@
     if change.born_ms and change.born_ms != known.born_ms:
         # The leave message belongs to an earlier start.
         return commands.Done()
-    gone = msgspec.structs.replace(known, state=RunnerState.GONE)
-    tables.put(RUNNER, change.runner_id, gone)
-    tables.prune_gone_runners()
+    if known.state is not RunnerState.GONE:
+        tables.put_ended(change.runner_id, known)
+        tables.prune_gone_runners()
     return commands.Done()
 
 
@@ -171,8 +180,7 @@
         if known.start not in silent:
             continue
         if known.state is RunnerState.LEAVING:
-            gone = msgspec.structs.replace(known, state=RunnerState.GONE)
-            tables.put(RUNNER, known.runner_id, gone)
+            tables.put_ended(known.runner_id, known)
         elif known.state is RunnerState.READY:
             expired = msgspec.structs.replace(known, state=RunnerState.SILENT)
             tables.put(RUNNER, known.runner_id, expired)
@@ -253,3 +261,17 @@
         if tables.record(SUSPECT, key, SuspectRecord) is not None:
             tables.delete(SUSPECT, key)
     return commands.Done()
+
+
+@_handles(commands.ForgetVersions)
+def _forget_versions(tables: RegistryTables, change: commands.ForgetVersions) -> commands.Done:
+    former = {(name, item) for name, items in tables.view().former_versions for item in items}
+    runners = tables.records(RUNNER, RunnerRecord)
+    live = {(item.service, item.version) for item in runners if item.state is not RunnerState.GONE}
+    ended = tables.ended_versions()
+    for item in change.versions:
+        key = (item.service, item.version)
+        if key in former - live and ended[key] <= item.through:
+            tables.settle(item)
+    tables.drop_unused_settled()
+    return commands.Done()
--- a/src/leverjunction/registry/tables.py
+++ b/src/leverjunction/registry/tables.py
@@ -16,6 +16,7 @@
     MemberRecord,
     RunnerRecord,
     RunnerState,
+    SettledVersion,
 )
 from leverjunction.registry.version_history import former_versions
 from leverjunction.routes.types import RouteTable
@@ -53,10 +54,11 @@
 MEMBER = "member"
 GROUP = "group"
 SUSPECT = "suspect"
+SETTLED = "settled"
 _REVISION = "revision"
 _SUSPECTS_REVISION = "suspects_revision"
 
-R = TypeVar("R", RunnerRecord, MemberRecord, GroupRecord, SuspectRecord)
+R = TypeVar("R", RunnerRecord, MemberRecord, GroupRecord, SuspectRecord, SettledVersion)
 
 
 class RegistryTables:
@@ -97,19 +99,45 @@
 
     def view(self) -> FleetView:
         """Return the registry without the route table."""
-        runners = self.records(RUNNER, RunnerRecord)
+        runners = self._runners()
+        ended, settled = _last_ends(runners), self._settled_through()
+        former = {key for key, index in ended.items() if index > settled.get(key, 0)}
         return FleetView(
             revision=self._revision(_REVISION),
-            runners=tuple(item for item in runners if item.state is not RunnerState.GONE),
+            runners=tuple(item for item, _ in runners if item.state is not RunnerState.GONE),
             members=tuple(self.records(MEMBER, MemberRecord)),
             groups=tuple(self.records(GROUP, GroupRecord)),
-            former_versions=former_versions(
-                (item.service, item.version)
-                for item in runners
-                if item.state is RunnerState.GONE and item.service
-            ),
+            former_versions=former_versions(former),
+            settled_versions=former_versions(ended.keys() - former),
         )
 
+    def ended_versions(self) -> dict[tuple[str, str], int]:
+        """Return the log index of the last end of a runner by service and version."""
+        return _last_ends(self._runners())
+
+    def settle(self, settled: SettledVersion) -> None:
+        """No longer list a version as a former one, except for ends of later log indexes."""
+        self.put(SETTLED, _settled_name(settled), settled)
+
+    def drop_unused_settled(self) -> None:
+        """Delete what is stored of settled versions without a record of a gone runner."""
+        ended = self.ended_versions()
+        for item in self.records(SETTLED, SettledVersion):
+            if (item.service, item.version) not in ended:
+                self.delete(SETTLED, _settled_name(item))
+
+    def _runners(self) -> list[tuple[RunnerRecord, int]]:
+        """Return the records of runners, ordered by name, with the log index of their change."""
+        rows = self._connection.execute(
+            "SELECT content, changed FROM sm_registry_record WHERE kind = ? ORDER BY name",
+            (RUNNER,),
+        )
+        return [(msgspec.json.decode(row[0], type=RunnerRecord), row[1]) for row in rows]
+
+    def _settled_through(self) -> dict[tuple[str, str], int]:
+        settled = self.records(SETTLED, SettledVersion)
+        return {(item.service, item.version): item.through for item in settled}
+
     def suspects(self) -> SuspectList:
         """Return the most serious suspects, at most as many as are sent to gateways."""
         records = sorted(self.records(SUSPECT, SuspectRecord), key=eviction_weight, reverse=True)
@@ -152,11 +180,26 @@
             "SELECT content FROM sm_registry_record WHERE kind = ? AND name = ?", (kind, name)
         ).fetchone()
         content = encode(record)
-        if row is not None and row[0] == content:
-            return
+        if row is None or row[0] != content:
+            self._write(kind, name, content, self._index)
+
+    def put_ended(self, name: str, record: RunnerRecord) -> None:
+        """Write the record of a runner that has ended now, though one may be identical."""
+        gone = msgspec.structs.replace(record, state=RunnerState.GONE)
+        self._write(RUNNER, name, encode(gone), self._index)
+
+    def copy_gone(self, record: RunnerRecord, name: str) -> None:
+        """Store the record of a gone runner under another name; that is not another end."""
+        (changed,) = self._connection.execute(
+            "SELECT changed FROM sm_registry_record WHERE kind = ? AND name = ?",
+            (RUNNER, record.runner_id),
+        ).fetchone()
+        self._write(RUNNER, name, encode(record), changed)
+
+    def _write(self, kind: str, name: str, content: bytes, changed: int) -> None:
         self._connection.execute(
             "INSERT OR REPLACE INTO sm_registry_record VALUES (?, ?, ?, ?)",
-            (kind, name, content, self._index),
+            (kind, name, content, changed),
         )
         self._set_revision(kind)
 
@@ -194,3 +237,16 @@
         self._connection.execute(
             "INSERT OR REPLACE INTO sm_registry_meta VALUES (?, ?)", (key, self._index)
         )
+
+
+def _last_ends(runners: list[tuple[RunnerRecord, int]]) -> dict[tuple[str, str], int]:
+    ends: dict[tuple[str, str], int] = {}
+    for item, changed in runners:
+        if item.state is RunnerState.GONE and item.service:
+            key = (item.service, item.version)
+            ends[key] = max(changed, ends.get(key, 0))
+    return ends
+
+
+def _settled_name(settled: SettledVersion) -> str:
+    return encode((settled.service, settled.version)).decode()
--- a/src/leverjunction/registry/version_history.py
+++ b/src/leverjunction/registry/version_history.py
@@ -14,11 +14,12 @@
 class VersionHistory:
     """The versions of each service: those of its back ends, and those that ended lately."""
 
-    __slots__ = ("_ended_s", "_former", "_live", "_view")
+    __slots__ = ("_ended_s", "_former", "_live", "_settled", "_view")
 
     def __init__(self) -> None:
         self._live: dict[str, set[str]] = {}
         self._former: set[tuple[str, str]] = set()
+        self._settled: set[tuple[str, str]] = set()
         self._ended_s: dict[tuple[str, str], float] = {}
         self._view: FleetView | None = None
 
@@ -26,7 +27,7 @@
         """Apply a newer state of the registry.
 
         A process that has just started does not know when the former versions ended: as far as it
-        can tell, they just did.
+        can tell, they just did. Those of which no stream can be alive are listed apart, as settled.
 
         Args:
             view: The registry.
@@ -40,6 +41,7 @@
         for record in view.runners:
             self._live.setdefault(record.service, set()).add(record.version)
         former = {(service, item) for service, items in view.former_versions for item in items}
+        self._settled = {(name, item) for name, items in view.settled_versions for item in items}
         for ended in before | (former - self._former):
             self._ended_s[ended] = now_s
         self._former = former
@@ -71,7 +73,7 @@
     def ever(self, service: str) -> set[str]:
         """Return the versions of a service in all records that the registry has kept."""
         return self._live.get(service, set()) | {
-            version for name, version in self._former if name == service
+            version for name, version in self._former | self._settled if name == service
         }
 
 
@@ -81,7 +83,7 @@
     """Return the versions of ended back ends by service, in the form of ``FleetView``.
 
     Args:
-        gone: Service and version of each back end that has ended.
+        gone: Service and version of back ends that have ended.
     """
     by_service: dict[str, set[str]] = {}
     for service, version in gone:
