Tests: resumed streams after the end of all processes, long after a release

Cause: a process that has just started takes each former version for one that ended just now, also in a service that has had one version for long. No row played that. Change: a row in which streams live 7 s for the processes, a release is 8 s ago, and all processes are killed and started again; altered_constants starts a program so. Failing tests keep the processes' logs.

--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -21,6 +21,7 @@
 
 import fire
 import urllib3
+from tests.kept_failures import LOG_SOURCES
 from tests.unit.seeded_support import wait_until
 
 from leverjunction.registry.origin_reporter import rank_holders
@@ -44,6 +45,12 @@
 
 OLD = "v1"
 NEW = "v1.1"
+ALTERED = Path(__file__).resolve().parent / "altered_constants.py"
+SHORT_LIFE_S = 7.0
+SHORT_LIFE = (f"leverjunction.registry.origins:STREAM_LIFETIME_S={SHORT_LIFE_S}",)
+"""Constants of processes for which a release is long ago after ``SHORT_LIFE_S``."""
+
+LONG_AGO_S = SHORT_LIFE_S + 1.0
 BACK_ENDS = 8
 SLOTS = 12
 STREAMS = 70
@@ -99,14 +106,18 @@
         self._thread = threading.Thread(target=self._beat, daemon=True)
         self._thread.start()
 
+    def silence(self) -> None:
+        """Tell of itself no more."""
+        self._ending.set()
+
     def crash(self) -> None:
         """End without a word: its connections break, nobody listens at its address any more."""
-        self._ending.set()
+        self.silence()
         self._stand_in.__exit__()
 
     def leave(self) -> None:
         """Tell that this start is over, then end."""
-        self._ending.set()
+        self.silence()
         self._thread.join()
         path = words.LEAVE_PATH + self._stand_in.runner_id
         self._control("POST", path, words.farewell(self._born_ms))
@@ -261,16 +272,23 @@
     Args:
         folder: Where processes keep settings, disks and logs.
         seed: Draws what is struck where a line leaves it open.
+        constants: Constants that the processes have otherwise, as ``altered_constants`` takes them.
     """
 
-    def __init__(self, folder: Path, seed: int) -> None:
+    def __init__(self, folder: Path, seed: int, constants: tuple[str, ...] = ()) -> None:
         self.folder = folder
         self.random = Random(f"{seed} resumed streams")
         sizes = machines.Sizes()
         sizes.control, sizes.store, sizes.gateway = 3, 0, 2
         self._ending = threading.Event()
         self._broke = threading.Event()
-        self.deployment = machines.Machines(folder, machines.Programs(), sizes)
+        programs = machines.Programs()
+        if constants:
+            start = str(SOAK.parent / "start.py")
+            programs.command = [sys.executable, str(ALTERED), start, *constants]
+        self.deployment = machines.Machines(folder, programs, sizes)
+        logs = [folder / machine.name / "log" for machine in self.deployment.all]
+        LOG_SOURCES.append(lambda: logs)
         self.controls = self.deployment.of("control")
         self.first, self.second = self.deployment.of("gateway")
         http = urllib3.PoolManager(retries=False, timeout=BEAT_TIMEOUT_S, maxsize=BACK_ENDS * 2)
@@ -337,8 +355,8 @@
         until_s = time.monotonic() + END_TIMEOUT_S
         for thread in self._threads:
             thread.join(max(0.0, until_s - time.monotonic()))
-        self._ending.set()
-        time.sleep(0.1)
+        unfinished = sum(thread.is_alive() for thread in self._threads)
+        assert not unfinished, f"{unfinished} callers are not done; logs: {self.folder}"
         logs = "".join(gateway.log() for gateway in (self.first, self.second))
         return Counts(self._streams, self._new, logs, self.folder)
 
@@ -346,6 +364,8 @@
         """End all that was started here."""
         self._ending.set()
         self.deployment.kill()
+        for back_end in self.back_ends:
+            back_end.silence()
         for back_end in self.back_ends:
             back_end.close()
         for thread in self._threads:
@@ -407,11 +427,13 @@
     Attributes:
         strike: Does it, and ends with the kill.
         versions: Versions of the back ends at the start.
+        prepare: Done when they serve, before the streams begin.
+        constants: Constants that the processes have otherwise.
         streams: Streams at the first gateway, at most.
         is_promised: At least two back ends of each version that began streams go on serving.
     """
 
-    __slots__ = ("is_promised", "streams", "strike", "versions")
+    __slots__ = ("constants", "is_promised", "prepare", "streams", "strike", "versions")
 
     def __init__(
         self,
@@ -419,7 +441,11 @@
         versions: tuple[str, ...] = (OLD, NEW) * (BACK_ENDS // 2),
         streams: int = STREAMS,
         is_promised: bool = True,
+        prepare: Strike | None = None,
+        constants: tuple[str, ...] = (),
     ) -> None:
+        self.prepare = prepare
+        self.constants = constants
         self.strike = strike
         self.versions = versions
         self.streams = streams
@@ -436,9 +462,11 @@
         seed: Draws what the line leaves open.
     """
     chosen = LINES[line]
-    play = Play(folder, seed)
+    play = Play(folder, seed, chosen.constants)
     try:
         play.start(list(chosen.versions))
+        if chosen.prepare is not None:
+            chosen.prepare(play)
         play.begin(min(streams, chosen.streams))
         chosen.strike(play)
         return play.finish()
@@ -509,6 +537,18 @@
     return strike
 
 
+def _release_long_ago(play: Play) -> None:
+    """Replace the back ends by others of a second version, and wait."""
+    former = play.back_ends[:]
+    for back_end in play.add_back_ends([NEW] * BACK_ENDS):
+        assert back_end.is_known.wait(START_TIMEOUT_S), "a heartbeat was not taken"
+    for back_end in former:
+        back_end.silence()
+    for back_end in former:
+        back_end.leave()
+    time.sleep(LONG_AGO_S)
+
+
 LINES: dict[str, Line] = {
     "nothing else": Line(_nothing_else),
     "both gateways killed": Line(_both_gateways),
@@ -520,6 +560,9 @@
     "a second version starts 0.6 s before": Line(_second_version(0.6), (OLD,) * BACK_ENDS),
     "two control processes killed": Line(_two_controls_killed),
     "all processes killed": Line(_all_killed),
+    "all processes killed long after a release": Line(
+        _all_killed, (OLD,) * BACK_ENDS, prepare=_release_long_ago, constants=SHORT_LIFE
+    ),
 }
 
 
