Simulator: resumed streams beside releases and ends of all holders

Cause: `streams_go_on` left out each try while a control process was disturbed, counted refused tries as streams, and looked at whole runs only; no scenario had a release beside a silent control process, an end of the control processes that hold origins, or an end of all. So streams that nobody could continue passed.

Change: `resumed_streams_go_on` compares the attempts to resume with those to begin, over the whole run and from 0.5 s before to 5 s after each strike: from 12 resumed streams on, no less than half of the share of new ones, by the version that began them and the back ends of it that served all the time. A broken promise tells both counts, the period and what gateways logged. `lose_questions_about_origins` is the broken rule; it is caught.

`seeded-versions` is judged by the new promise as well.

--- a/src/testbed/simulation/cli.py
+++ b/src/testbed/simulation/cli.py
@@ -57,7 +57,8 @@
         first_seed: The first one; a failing seed is replayed with ``--seeds 1 --first-seed S``.
         scenario: ``kilimo``, ``hanbit``, or ``seeded``: machines that find each other by seeds;
             ``seeded-wide`` for another shape of it, ``seeded-routed`` with callers and back ends,
-            ``seeded-versions`` with back ends of two versions and streams that are taken up again.
+            ``seeded-versions`` with back ends of two versions and streams that are taken up again,
+            ``seeded-releases`` with releases beside ends of what knows the origins of streams.
         break_rule: Rule to break on purpose (``--break``); ``list`` names all rules. The run then
             ends at the first seed that catches it.
         faults: Kinds of faults that strike, separated by commas; all when empty. ``list`` names
--- a/src/testbed/simulation/run.py
+++ b/src/testbed/simulation/run.py
@@ -20,7 +20,11 @@
 from testbed.simulation.scenario import SCENARIOS
 from testbed.simulation.seeded.checkers import CHECKERS as SEEDED_CHECKERS
 from testbed.simulation.seeded.fault_kinds import SeededFault, SeededFaultKind
-from testbed.simulation.seeded.routed.checkers import ROUTED_CHECKERS, STREAM_CHECKERS
+from testbed.simulation.seeded.routed.checkers import (
+    RELEASE_CHECKERS,
+    ROUTED_CHECKERS,
+    STREAM_CHECKERS,
+)
 from testbed.simulation.seeded.shape import SHAPES
 from testbed.simulation.seeded.timeline import follow as follow_seeded
 from testbed.simulation.seeded.world import SeededWorld
@@ -110,10 +114,12 @@
             sorted(history.faults.items()),
         )
     )
+    has_releases = SHAPES[plan.scenario].spare_back_ends > 0
     checkers = [
         *SEEDED_CHECKERS,
         *(ROUTED_CHECKERS if world.back_ends else ()),
-        *(STREAM_CHECKERS if world.history.streams else ()),
+        *(STREAM_CHECKERS if world.history.streams and not has_releases else ()),
+        *(RELEASE_CHECKERS if has_releases else ()),
     ]
     for checker in checkers:
         _note(result, checker.name, checker.check(history))
--- a/src/testbed/simulation/seeded/fault_kinds.py
+++ b/src/testbed/simulation/seeded/fault_kinds.py
@@ -38,6 +38,12 @@
     CUT_BACK_END = "cut_back_end"
     SILENCE_CONNECTIONS = "silence_connections"
     STOP_GATEWAY = "stop_gateway"
+    RELEASE = "release"
+    RELEASE_AND_KILL_GATEWAY = "release_and_kill_gateway"
+    HANG_CONTROL_AND_KILL_GATEWAY = "hang_control_and_kill_gateway"
+    KILL_HOLDERS = "kill_holders"
+    KILL_HOLDERS_AND_GATEWAY = "kill_holders_and_gateway"
+    KILL_ALL = "kill_all"
 
 
 WEIGHTS: dict[SeededFaultKind, float] = {
@@ -80,6 +86,23 @@
 }
 """More of what breaks streams."""
 
+RELEASES_WEIGHTS: dict[SeededFaultKind, float] = {
+    SeededFaultKind.RELEASE: 4,
+    SeededFaultKind.RELEASE_AND_KILL_GATEWAY: 4,
+    SeededFaultKind.HANG_CONTROL_AND_KILL_GATEWAY: 4,
+    SeededFaultKind.KILL_HOLDERS: 2,
+    SeededFaultKind.KILL_HOLDERS_AND_GATEWAY: 3,
+    SeededFaultKind.KILL_ALL: 2,
+    SeededFaultKind.KILL_GATEWAY: 4,
+    SeededFaultKind.FREEZE_GATEWAY: 1,
+    SeededFaultKind.CUT_GATEWAY: 1,
+    SeededFaultKind.FREEZE_CONTROL: 2,
+    SeededFaultKind.KILL_CONTROL: 1,
+    SeededFaultKind.KILL_BACK_END: 2,
+    SeededFaultKind.SILENCE_CONNECTIONS: 1,
+}
+"""Releases beside faults of what knows the origins of streams."""
+
 
 @dataclass(frozen=True)
 class SeededFault:
--- a/src/testbed/simulation/seeded/faults.py
+++ b/src/testbed/simulation/seeded/faults.py
@@ -9,7 +9,9 @@
 from leverjunction.consensus.events import RepairDone
 from testbed.simulation.history import Span
 from testbed.simulation.seeded.fault_kinds import SeededFault, SeededFaultKind
+from testbed.simulation.seeded.history import Strike
 from testbed.simulation.seeded.routed.faults import BackEndFaults
+from testbed.simulation.seeded.routed.release_faults import ReleaseFaults
 
 if TYPE_CHECKING:
     from testbed.simulation.seeded.processes import ControlProcess
@@ -31,6 +33,7 @@
     def __init__(self, world: SeededWorld) -> None:
         self._world = world
         self._back_ends = BackEndFaults(world)
+        self._releases = ReleaseFaults(world)
         self._lost_s: dict[str, float] = {}
         for process in world.control.values():
             process.place.replica.on_repair = self._repaired
@@ -58,11 +61,14 @@
             SeededFaultKind.SLOW_LINKS: self._slow_links,
             SeededFaultKind.STEP_CLOCK: self._step_clock,
             **self._back_ends.handlers(),
+            **self._releases.handlers(),
         }
         struck = handlers[fault.kind](fault)
         self.on_strike(fault, struck)
         if struck:
             self._world.history.faults[fault.kind] += 1
+            now_s = self._world.scheduler.now_s
+            self._world.history.strikes.append(Strike(fault.kind, now_s))
 
     def _later(self, fault: SeededFault, action: Callable[[], None]) -> None:
         self._world.scheduler.after(fault.duration_s, action)
--- a/src/testbed/simulation/seeded/history.py
+++ b/src/testbed/simulation/seeded/history.py
@@ -101,12 +101,16 @@
         at_s: When.
         is_refused: The gateway answered with a status other than success, or not at all.
         events: Number and version of each event that came.
+        is_answered: An answer came, whatever its status.
+        ended_s: When the first event of it came, or else when it ended.
     """
 
     gateway: str
     at_s: float
     is_refused: bool
     events: tuple[tuple[int, str], ...]
+    is_answered: bool = True
+    ended_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -159,6 +163,34 @@
     ended_s: float
 
 
+@dataclass(frozen=True)
+class Strike:
+    """A fault that struck.
+
+    Attributes:
+        kind: What went wrong.
+        at_s: When.
+    """
+
+    kind: str
+    at_s: float
+
+
+@dataclass(frozen=True)
+class ResumptionLogged:
+    """What a gateway logged of a stream that a caller resumes.
+
+    Attributes:
+        gateway: Its name.
+        at_s: When.
+        reason: Where the origin is known from, or why it is not.
+    """
+
+    gateway: str
+    at_s: float
+    reason: str
+
+
 @dataclass
 class SeededHistory:
     """Record of one run.
@@ -174,6 +206,8 @@
         stops: Planned stops of gateways.
         streams: Streams that callers take up again.
         back_end_starts: Starts of back ends.
+        strikes: Faults that struck, oldest first.
+        resumptions: What gateways logged of streams that callers resume.
         back_end_disturbed: Back ends that a fault had in its hands, by name.
         control_disturbed: Control processes that a fault had in its hands, by name.
         gateway_disturbed: The same for gateways.
@@ -193,6 +227,8 @@
     stops: list[PlannedStop] = field(default_factory=list)
     streams: list[Streamed] = field(default_factory=list)
     back_end_starts: list[BackEndStart] = field(default_factory=list)
+    strikes: list[Strike] = field(default_factory=list)
+    resumptions: list[ResumptionLogged] = field(default_factory=list)
     back_end_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     control_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     gateway_disturbed: dict[str, list[Span]] = field(default_factory=dict)
--- a/src/testbed/simulation/seeded/routed/back_end.py
+++ b/src/testbed/simulation/seeded/routed/back_end.py
@@ -20,7 +20,6 @@
 from testbed.simulation.virtual_loop import StreamBoard, VirtualLoop
 
 PORT = 80
-SLOTS = 8
 HEARTBEAT_S = 0.7
 SHORTEST_WORK_S = 0.01
 LONGEST_WORK_S = 0.3
@@ -40,6 +39,7 @@
     Attributes:
         machine: The machine.
         leaving: It tells that it leaves.
+        released: Version that each further start has; empty to draw one.
 
     Args:
         control: Control processes as it calls them.
@@ -48,6 +48,7 @@
         history: Takes what it works on.
         generator: Draws times of work and control processes.
         versions: Versions of its software, of which each start draws one; empty for none.
+        slots: Requests that it says it works on at once.
     """
 
     def __init__(
@@ -58,8 +59,11 @@
         history: SeededHistory,
         generator: random.Random,
         versions: Sequence[str] = (),
+        slots: int = 8,
     ) -> None:
         self.version = ""
+        self.released = ""
+        self._slots = slots
         self._versions = versions
         self.machine: Machine = control.machine
         self.leaving = False
@@ -88,7 +92,7 @@
         self._load = _Load()
         self._sequence = 0
         if self._versions:
-            self.version = self._random.choice(self._versions)
+            self.version = self.released or self._random.choice(self._versions)
             at_s = self.machine.monotonic_s()
             self._history.back_end_starts.append(BackEndStart(self.name, self.version, at_s))
         VirtualLoop(self.machine, self._fibers, self._streams).begin(self._serve)
@@ -114,7 +118,7 @@
             service=SERVICE,
             address=f"{self.name}:{PORT}",
             zone=self.machine.zone,
-            slots=SLOTS,
+            slots=self._slots,
             state=RunnerState.LEAVING if self.leaving else RunnerState.READY,
             sequence=self._sequence,
             born_ms=born_ms,
--- a/src/testbed/simulation/seeded/routed/broken_streams.py
+++ b/src/testbed/simulation/seeded/routed/broken_streams.py
@@ -8,6 +8,10 @@
 from leverjunction.proxy.routed_request import RoutedRequest
 from leverjunction.proxy.stream_origins import Resumption, StreamOrigins
 from leverjunction.registry.origin_client import OriginClient
+from leverjunction.wire.envelope import Envelope, MessageKind
+from testbed.simulation.machine import Machine
+from testbed.simulation.network import Reply
+from testbed.simulation.rpc import RpcBoard
 from testbed.simulation.rule import Rule
 
 
@@ -32,8 +36,22 @@
     return [mock.patch.object(OriginClient, "report", lambda _self, _streams: None)]
 
 
+def lose_questions_about_origins() -> list[Any]:
+    """Return the patches: no question about the origin of a stream is answered."""
+    handle = RpcBoard.handle
+
+    def answer_others(
+        self: RpcBoard, machine: Machine, envelope: Envelope, peer: str, reply: Reply
+    ) -> None:
+        if not envelope.kind.name.startswith(MessageKind.FIND_ORIGIN.name):
+            handle(self, machine, envelope, peer, reply)
+
+    return [mock.patch.object(RpcBoard, "handle", answer_others)]
+
+
 _KEEP = "streams_keep_their_version"
 _GO_ON = "streams_go_on"
+_RESUMED = "resumed_streams_go_on"
 
 STREAM_RULES: dict[str, Rule] = {
     "continue_at_any_version": Rule(
@@ -45,4 +63,7 @@
     "report_no_origins": Rule(
         "a gateway tells no control process what began its streams", _GO_ON, report_no_origins
     ),
+    "lose_questions_about_origins": Rule(
+        "no control process answers what began a stream", _RESUMED, lose_questions_about_origins
+    ),
 }
--- a/src/testbed/simulation/seeded/routed/checkers.py
+++ b/src/testbed/simulation/seeded/routed/checkers.py
@@ -18,6 +18,7 @@
 )
 from testbed.simulation.seeded.routed.callers import DEADLINE_S
 from testbed.simulation.seeded.routed.faults import STOP_LASTS_S
+from testbed.simulation.seeded.routed.resumption_checkers import ResumedStreamsGoOn
 
 NOT_FOUND = 404
 MOST_ATTEMPTS = 2
@@ -333,4 +334,7 @@
     PlannedStopsCutNothing(),
 )
 
-STREAM_CHECKERS = (StreamsKeepTheirVersion(), StreamsGoOn())
+STREAM_CHECKERS = (StreamsKeepTheirVersion(), StreamsGoOn(), ResumedStreamsGoOn())
+
+RELEASE_CHECKERS = (StreamsKeepTheirVersion(), ResumedStreamsGoOn())
+"""For callers that try often, of whom ``StreamsGoOn`` would count each refused try as a stream."""
--- a/src/testbed/simulation/seeded/routed/gateway.py
+++ b/src/testbed/simulation/seeded/routed/gateway.py
@@ -6,8 +6,10 @@
 import random
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
+from functools import partial
 from unittest import mock
 
+import msgspec
 from loguru import logger
 
 from leverjunction.config.machine import MachineConfig, MachineListen, MachinePolicies
@@ -15,6 +17,7 @@
 from leverjunction.proxy import decision_log as decision_log_module
 from leverjunction.proxy import process as process_module
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
+from leverjunction.proxy.decision_log import DecisionLine
 from leverjunction.proxy.forwarding import Caller, LocalHandler
 from leverjunction.proxy.process import ProxyNode
 from leverjunction.registry.follower import RegistryFollower, Snapshot
@@ -24,13 +27,20 @@
 from testbed.simulation.fiber import Fibers
 from testbed.simulation.machine import Machine
 from testbed.simulation.rpc import RpcBoard, SimulatedRpc
-from testbed.simulation.seeded.history import InForce, PlannedStop, SeededHistory
+from testbed.simulation.seeded.history import (
+    InForce,
+    PlannedStop,
+    ResumptionLogged,
+    SeededHistory,
+)
 from testbed.simulation.virtual_loop import StreamBoard, VirtualLoop
 
 CALLERS_PORT = 80
 READY_PORT = 81
 RPC_PORT = 1
 READY_PATH = "/ready"
+RESUMED = "resumed"
+"""Event of the decision about a stream that a caller resumes."""
 
 
 class RoutedGateway:
@@ -116,18 +126,24 @@
         with ExitStack() as stack:
             for name, substitute in substitutes.items():
                 stack.enter_context(mock.patch.object(process_module, name, substitute))
-            stack.enter_context(mock.patch.object(decision_log_module, "LineWriter", _LoggedLines))
+            lines = partial(_LoggedLines, machine, self._history)
+            stack.enter_context(mock.patch.object(decision_log_module, "LineWriter", lines))
             yield
 
 
 class _LoggedLines:
     """Stands in for the thread that writes the journal's lines."""
 
-    def __init__(self, _lost: object) -> None:
-        pass
+    def __init__(self, machine: Machine, history: SeededHistory, _lost: object) -> None:
+        self._machine = machine
+        self._history = history
 
     def put(self, line: bytes) -> None:
         logger.info("{}", line.decode())
+        decision = msgspec.json.decode(line, type=DecisionLine)
+        if decision.event == RESUMED:
+            name, now_s = self._machine.name, self._machine.monotonic_s()
+            self._history.resumptions.append(ResumptionLogged(name, now_s, decision.reason))
 
 
 class _ObservedProxy(ProxyNode):
--- a/src/testbed/simulation/seeded/routed/streamers.py
+++ b/src/testbed/simulation/seeded/routed/streamers.py
@@ -16,16 +16,15 @@
 from testbed.simulation.seeded.operators import RESUMABLE_PREFIX
 from testbed.simulation.seeded.routed.back_end import GATEWAY_HEADER, LONG_EVENTS
 from testbed.simulation.seeded.routed.gateway import CALLERS_PORT
+from testbed.simulation.seeded.shape import StreamersShape
 from testbed.simulation.virtual_loop import StreamBoard, VirtualLoop
 
 PAUSE_S = 0.25
-DEADLINE_S = 5.0
+"""Mean pause between two streams of a caller."""
+
 PATIENCE_S = 3.0
 """Time after which a caller gives up one try."""
 
-MOST_TRIES = 4
-STREAMERS_PER_GATEWAY = 6
-
 Events = list[tuple[int, str]]
 
 
@@ -39,6 +38,7 @@
         fibers: Fibers of the run.
         history: Takes what they saw.
         generator: Draws.
+        shape: How many there are, and how long they try.
     """
 
     def __init__(
@@ -49,6 +49,7 @@
         fibers: Fibers,
         history: SeededHistory,
         generator: random.Random,
+        shape: StreamersShape,
     ) -> None:
         self._machine = machine
         self._gateways = list(gateways)
@@ -56,6 +57,7 @@
         self._fibers = fibers
         self._history = history
         self._random = generator
+        self._shape = shape
         self._asked = 0
 
     def start(self, begin_s: float, end_s: float) -> None:
@@ -63,7 +65,7 @@
         loop = VirtualLoop(self._machine, self._fibers, self._streams)
 
         async def work() -> None:
-            for gateway in self._gateways * STREAMERS_PER_GATEWAY:
+            for gateway in self._gateways * self._shape.per_gateway:
                 loop.create_task(self._ask_all(gateway, begin_s, end_s))
 
         loop.begin(work)
@@ -71,33 +73,40 @@
     async def _ask_all(self, gateway: str, begin_s: float, end_s: float) -> None:
         loop = asyncio.get_running_loop()
         await asyncio.sleep(begin_s + self._random.random() * PAUSE_S - loop.time())
-        while loop.time() < end_s - DEADLINE_S:
+        while loop.time() < end_s - self._shape.deadline_s:
             self._history.streams.append(await self._stream(gateway))
             await asyncio.sleep(PAUSE_S * (0.5 + self._random.random()))
 
     async def _stream(self, gateway: str) -> Streamed:
         """Read one stream, over as many tries as it takes."""
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + DEADLINE_S
+        until_s = loop.time() + self._shape.deadline_s
         tries: list[StreamTry] = []
         first_id, last = "", 0
-        while len(tries) < MOST_TRIES and loop.time() < until_s:
+        while len(tries) < self._shape.most_tries and loop.time() < until_s:
             self._asked += 1
             request_id = f"{self._machine.name}-{self._asked}"
             first_id = first_id if last else request_id
             asked = _ask(gateway, request_id, first_id, last, until_s - loop.time())
             at_s = loop.time()
-            events, status = await self._try(gateway, asked)
-            tries.append(StreamTry(gateway, at_s, status != 200, tuple(events)))
+            events, status, ended_s = await self._try(gateway, asked)
+            tries.append(
+                StreamTry(gateway, at_s, status != 200, tuple(events), status != 0, ended_s)
+            )
             last = events[-1][0] if events else last
             if last >= LONG_EVENTS:
                 break
             gateway = self._random.choice(self._gateways)
-            await asyncio.sleep(PAUSE_S * self._random.random())
+            await asyncio.sleep(self._shape.pause_s * self._random.random())
         return Streamed(first_id, tuple(tries), last >= LONG_EVENTS)
 
-    async def _try(self, gateway: str, asked: h11.Request) -> tuple[Events, int]:
-        """Send one request; return the whole events that came, and the status, 0 for none."""
+    async def _try(self, gateway: str, asked: h11.Request) -> tuple[Events, int, float]:
+        """Send one request.
+
+        Returns:
+            The whole events that came, the status, 0 for none, and the time of the first event, or
+            of the end without one.
+        """
         loop = asyncio.get_running_loop()
         connection: _StreamConnection | None = None
         try:
@@ -109,9 +118,11 @@
         except (OSError, TimeoutError):
             pass
         if connection is None:
-            return [], 0
+            return [], 0, loop.time()
         connection.close()
-        return _read_events(connection.body), connection.status
+        events = _read_events(connection.body)
+        ended_s = connection.first_event_s if events else loop.time()
+        return events, connection.status, ended_s
 
 
 class _StreamConnection(asyncio.Protocol):
@@ -120,11 +131,13 @@
     Attributes:
         status: Status of the answer, 0 before it came.
         body: What came of its body.
+        first_event_s: When the first of it came.
     """
 
     def __init__(self) -> None:
         self.status = 0
         self.body = b""
+        self.first_event_s = 0.0
         self._h11 = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
         self._ended = asyncio.get_running_loop().create_future()
@@ -152,6 +165,7 @@
             if isinstance(event, h11.Response):
                 self.status = event.status_code
             elif isinstance(event, h11.Data):
+                self.first_event_s = self.first_event_s or asyncio.get_running_loop().time()
                 self.body += bytes(event.data)
             else:
                 if isinstance(event, h11.EndOfMessage):
--- a/src/testbed/simulation/seeded/world.py
+++ b/src/testbed/simulation/seeded/world.py
@@ -111,7 +111,7 @@
         sizes = self.generator("size")
         self._build_control(sizes.choice(shape.control_sizes))
         self._build_gateways(sizes.randint(shape.fewest_gateways, shape.most_gateways))
-        self._build_back_ends(shape.back_ends)
+        self._build_back_ends(shape.back_ends, shape.spare_back_ends)
         self.faults = SeededFaults(self)
 
     def generator(self, purpose: str) -> random.Random:
@@ -211,8 +211,8 @@
             )
         return GatewayProcess(machine, seeds, self.board, self._threading, self.history, generator)
 
-    def _build_back_ends(self, count: int) -> None:
-        for number in range(count):
+    def _build_back_ends(self, count: int, spare: int) -> None:
+        for number in range(count + spare):
             name = f"back-{number}"
             self.history.back_end_disturbed[name] = []
             self.back_ends[name] = BackEnd(
@@ -222,9 +222,13 @@
                 self.history,
                 self.generator(f"back-end/{name}"),
                 self._shape.versions,
+                self._shape.slots,
             )
-        for back_end in self.back_ends.values():
-            back_end.start()
+        for number, back_end in enumerate(self.back_ends.values()):
+            if number < count:
+                back_end.start()
+            else:
+                back_end.machine.kill()
 
     def _build_callers(self, operator: TableOperator) -> Callers:
         return Callers(
@@ -245,6 +249,7 @@
             self.fibers,
             self.history,
             self.generator("streamers"),
+            self._shape.streamers,
         )
 
     def _gateway_generator(self, name: str, incarnation: int) -> random.Random:
--- a/tests/unit/test_simulation_versions.py
+++ b/tests/unit/test_simulation_versions.py
@@ -9,7 +9,7 @@
 from testbed.simulation.seeded.fault_kinds import SeededFaultKind
 from testbed.simulation.seeded.routed.broken_streams import STREAM_RULES
 from testbed.simulation.seeded.routed.checkers import STREAM_CHECKERS
-from testbed.simulation.seeded.shape import SEEDED_VERSIONS
+from testbed.simulation.seeded.shape import SEEDED_RELEASES, SEEDED_VERSIONS
 
 BREAKING = (SeededFaultKind.KILL_GATEWAY, SeededFaultKind.KILL_BACK_END)
 
@@ -27,6 +27,13 @@
     assert result.violations == []
 
 
+@pytest.mark.parametrize("seed", [4, 10])
+def test_resumed_streams_go_on_beside_releases_and_ends_of_all_holders(seed: int) -> None:
+    result = run_seed(Plan(SEEDED_RELEASES), seed)
+    assert result.violations == []
+    assert result.checks["resumed_streams_go_on"] >= 3
+
+
 @pytest.mark.parametrize("rule", sorted(STREAM_RULES))
 def test_a_broken_rule_is_caught(rule: str) -> None:
     seeds = range(11, 31)
