--- a/src/testbed/simulation/seeded/routed/broken_streams.py
+++ b/src/testbed/simulation/seeded/routed/broken_streams.py
@@ -9,6 +9,10 @@
 from leverjunction.proxy.stream_origins import StreamOrigins
 from leverjunction.registry.origin_client import OriginClient
 from leverjunction.registry.origins import OriginSource, Resumption, StreamOrigin
+from leverjunction.wire.envelope import Envelope, MessageKind
+from testbed.simulation.machine import Machine
+from testbed.simulation.network import Reply
+from testbed.simulation.rpc import RpcBoard
 from testbed.simulation.rule import Rule
 
 
@@ -41,8 +45,22 @@
     ]
 
 
+def lose_questions_about_origins() -> list[Any]:
+    """Return the patches: no question about the origin of a stream is answered."""
+    handle = RpcBoard.handle
+
+    def answer_others(
+        self: RpcBoard, machine: Machine, envelope: Envelope, peer: str, reply: Reply
+    ) -> None:
+        if not envelope.kind.name.startswith(MessageKind.FIND_ORIGIN.name):
+            handle(self, machine, envelope, peer, reply)
+
+    return [mock.patch.object(RpcBoard, "handle", answer_others)]
+
+
 _KEEP = "streams_keep_their_version"
 _GO_ON = "streams_go_on"
+_RESUMED = "resumed_streams_go_on"
 
 STREAM_RULES: dict[str, Rule] = {
     "continue_at_any_version": Rule(
@@ -54,4 +72,7 @@
     "report_no_origins": Rule(
         "a gateway tells no control process what began its streams", _GO_ON, report_no_origins
     ),
+    "lose_questions_about_origins": Rule(
+        "no control process answers what began a stream", _RESUMED, lose_questions_about_origins
+    ),
 }
