--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -56,7 +56,7 @@
 DEFAULT_TIMEOUT_MS = 30_000.0
 
 ORIGIN_NOT_RECORDED = Failure(
-    kind=FailureKind.UNREACHABLE,
+    kind=FailureKind.NO_BACKEND,
     reason="too few control processes stored what began the stream",
     step=Step.RELAYING,
     execution=Execution.UNKNOWN,
@@ -248,7 +248,8 @@
                 self._record_run_time(routed, head_at_s)
                 self._decision_log.ended(routed, "answered", "", self._loop.time())
                 return
-            if responder.started or not routed.may_run_again:
+            is_final = failure is ORIGIN_NOT_RECORDED or not routed.may_run_again
+            if responder.started or is_final:
                 response = failure
                 break
             response = await self._retrying_sender.send(routed, "")
@@ -284,7 +285,8 @@
         """Record what began a stream, before its first event is passed on.
 
         Returns:
-            ``ORIGIN_NOT_RECORDED`` if the stream is to begin anew at the base version, else None.
+            ``ORIGIN_NOT_RECORDED`` if the stream must not begin, since another gateway would take
+            it for one of the base version.
         """
         is_resumed = routed.origin is not None
         if routed.origin is None:
@@ -297,13 +299,12 @@
             return None
         if await self._origins.began(routed.stream, routed.origin):
             return None
-        base = self._origins.base_version(routed.service)
-        has_base = base is not None and bool(self._balancer.available(routed.service, base))
-        if base is not None and has_base and routed.may_run_again:
-            routed.origin = StreamOrigin(routed.service, base)
-            return ORIGIN_NOT_RECORDED
         self._decision_log.origin_not_recorded()
-        return None
+        base = self._origins.preferred_version(routed.service)
+        if base is None or base == routed.origin.version:
+            return None
+        has_base = bool(self._balancer.available(routed.service, base))
+        return ORIGIN_NOT_RECORDED if has_base else None
 
     def _renew_origin(self, routed: RoutedRequest) -> None:
         """Keep the origin of a stream that goes on for as long as a caller may continue it."""
@@ -403,16 +404,14 @@
             if failure is None:
                 responder.finish()
                 return None
+            if failure is ORIGIN_NOT_RECORDED:
+                return failure
             if is_lost_run(failure):
                 await self._retrying_sender.run_lost(routed, response.runner, failure)
             may_continue = routed.may_run_again and splitter.can_continue
             if not may_continue or self._loop.time() >= routed.until_s:
                 return failure
-            if failure is ORIGIN_NOT_RECORDED:
-                # Its first events were not passed on.
-                splitter = EventSplitter(routed.metadata.last_event_id)
-            else:
-                self._balancer.failed(response.runner, self._loop.time())
+            self._balancer.failed(response.runner, self._loop.time())
             continued = await self._retrying_sender.send(routed, splitter.last_id)
             if isinstance(continued, Failure):
                 return failure
@@ -439,9 +438,9 @@
                     return event
                 if isinstance(event, ResponseHead):
                     return _unexpected_event(response)
-                if not responder.started:
-                    responder.send_head(response.head.status, end_to_end(response.head.headers))
                 if isinstance(event, ResponseEnd):
+                    if not responder.started:
+                        responder.send_head(response.head.status, end_to_end(response.head.headers))
                     if splitter.pending_bytes:
                         return _unexpected_event(response)
                     whole = True
@@ -454,6 +453,8 @@
                         failure = await self._begin_stream(routed, response)
                         if failure is not None:
                             return failure
+                    if not responder.started:
+                        responder.send_head(response.head.status, end_to_end(response.head.headers))
                     self._renew_origin(routed)
                     await responder.send_data(events, routed.until_s)
         except TimeoutError:
--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -36,8 +36,8 @@
 """
 
 VIEW_LAG_S = 10.0
-"""Time by which a version ends earlier at the control processes than here, so that this gateway
-reports the streams of the next one for long enough.
+"""Longest time by which this gateway may hear of an end later or earlier than a control process: a
+base version ends earlier here by so much, and the next one follows it later.
 """
 
 REVIEW_INTERVAL_S = 5.0
@@ -52,6 +52,11 @@
         """Whether origins that are reported get stored."""
         ...
 
+    @property
+    def told_bases(self) -> dict[str, str]:
+        """Base versions by service, as a control process last told them."""
+        ...
+
     def report(self, streams: dict[int, StreamOrigin]) -> None:
         """Report origins without waiting."""
         ...
@@ -90,7 +95,9 @@
         self._max_view_age_s = max_view_age_s
         self._streams = OriginTable(MAX_OWN_STREAMS)
         self._lock = threading.Lock()
-        self._history = VersionHistory(STREAM_LIFETIME_S + VIEW_LAG_S)
+        self._history = VersionHistory(
+            STREAM_LIFETIME_S + VIEW_LAG_S, STREAM_LIFETIME_S - VIEW_LAG_S
+        )
         self._ambiguous: set[str] = set()
         self._reviewed_s = 0.0
         self._loop = asyncio.get_running_loop()
@@ -131,16 +138,15 @@
         """Return the version at which a new stream should begin, None for any.
 
         It is the base version while origins are not stored: streams of others could not be found.
+        A gateway that has started since the service has several versions goes by what control
+        processes told; if they know no base version, they take no stream for one of it.
         """
         if self.directory is None or self.directory.is_recording:
             return None
-        return self.base_version(service)
-
-    def base_version(self, service: str) -> str | None:
-        """Return the base version of a service while it has several, None if it is unknown."""
         if service not in self._ambiguous:
             return None
-        return self._history.base_version(service, self._loop.time())
+        own = self._history.base_version(service, self._loop.time())
+        return own or self.directory.told_bases.get(service)
 
     def _keep(self, stream: int, origin: StreamOrigin) -> float:
         now_s = self._loop.time()
@@ -179,10 +185,14 @@
         return Resumption(StreamOrigin(service, only), OriginSource.ONLY_VERSION)
 
     def _review(self, now_s: float) -> None:
+        self._reviewed_s = now_s
+        ambiguous = self._history.ambiguous(now_s)
         if self._view_age_s() <= self._max_view_age_s:
             self._history.confirm(now_s)
-        self._reviewed_s = now_s
-        self._ambiguous = self._history.ambiguous(now_s)
+            self._ambiguous = ambiguous
+        else:
+            # A version may have come back without this gateway having heard of it.
+            self._ambiguous |= ambiguous
 
 
 def stream_key(request: CallerRequest, attempt_id: str) -> int:
--- a/src/leverjunction/registry/origin_client.py
+++ b/src/leverjunction/registry/origin_client.py
@@ -13,7 +13,7 @@
 from leverjunction.registry.origin_acks import OriginAcks
 from leverjunction.registry.origin_finder import OriginFinder
 from leverjunction.registry.origin_reporter import COLLECT_S, OriginReporter
-from leverjunction.registry.origins import Resumption, StreamOrigin
+from leverjunction.registry.origins import OriginsStored, Resumption, StreamOrigin
 from leverjunction.wire.rpc_client import RpcClient
 
 RECORD_TIMEOUT_S = 0.3
@@ -53,7 +53,8 @@
         ]
         self._finder = OriginFinder(rpc, controls)
         self._acks = OriginAcks()
-        self._recorded: dict[int, asyncio.Future[None]] = {}
+        self._recorded: dict[int, list[asyncio.Future[None]]] = {}
+        self._told_bases: dict[str, str] = {}
         self._loop = asyncio.get_running_loop()
 
     def start(self) -> None:
@@ -72,6 +73,11 @@
         """Whether enough control processes store what is reported."""
         return self._acks.is_recording
 
+    @property
+    def told_bases(self) -> dict[str, str]:
+        """Base versions by service, as a control process last told them."""
+        return self._told_bases
+
     def report(self, streams: dict[int, StreamOrigin]) -> None:
         """Report origins without waiting."""
         for reporter in self._reporters:
@@ -85,7 +91,9 @@
         if not self._acks.is_recording:
             self.report({stream: origin})
             return False
-        future = self._recorded.setdefault(stream, self._loop.create_future())
+        future: asyncio.Future[None] = self._loop.create_future()
+        waiting = self._recorded.setdefault(stream, [])
+        waiting.append(future)
         self._acks.wait(stream)
         self.report({stream: origin})
         is_in_vain = False
@@ -94,8 +102,11 @@
             is_in_vain = not future.done()
             return future.done()
         finally:
-            self._recorded.pop(stream, None)
-            self._acks.drop(stream, in_vain=is_in_vain)
+            waiting.remove(future)
+            if is_in_vain or not waiting:
+                self._acks.drop(stream, in_vain=is_in_vain)
+            if not waiting:
+                self._recorded.pop(stream, None)
 
     async def find(self, stream: int, service: str, timeout_s: float) -> Resumption:
         """Ask all control processes for the origin of a stream.
@@ -107,16 +118,17 @@
         """
         return await self._finder.find(stream, service, timeout_s)
 
-    def _stored_on_thread(self, holder: str, streams: Sequence[int]) -> None:
+    def _stored_on_thread(self, holder: str, streams: Sequence[int], reply: OriginsStored) -> None:
         # A reply may come after the loop of a process that ends was closed.
         with contextlib.suppress(RuntimeError):
-            self._loop.call_soon_threadsafe(self._stored, holder, streams)
+            self._loop.call_soon_threadsafe(self._stored, holder, streams, reply)
 
-    def _stored(self, holder: str, streams: Sequence[int]) -> None:
+    def _stored(self, holder: str, streams: Sequence[int], reply: OriginsStored) -> None:
+        self._told_bases = reply.base_versions
         for stream in self._acks.stored(holder, streams, len(self._controls())):
-            future = self._recorded.get(stream)
-            if future is not None and not future.done():
-                future.set_result(None)
+            for future in self._recorded.get(stream, ()):
+                if not future.done():
+                    future.set_result(None)
 
 
 __all__ = ["OriginClient"]
--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -24,7 +24,7 @@
     ReportOrigins,
     StreamOrigin,
 )
-from leverjunction.registry.records import FleetView
+from leverjunction.registry.records import FleetView, MemberRole
 from leverjunction.registry.version_history import VersionHistory
 from leverjunction.wire.codec import decode, encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
@@ -56,6 +56,10 @@
         self._history = VersionHistory()
         self._unsure_until_s = -math.inf
         """Until then, a stream of any version may be unknown at all control processes."""
+
+        self._controls_s: dict[str, float] = {}
+        """When each control process was last a member, by address."""
+
         self._log = log
 
     def load(self) -> None:
@@ -86,9 +90,10 @@
                 self._unsure_until_s = now_s + KEEP_ORIGIN_S
             for stream, origin in report.streams.items():
                 self._streams.put(stream, origin, now_s)
+            bases = self._base_versions(now_s)
         if self._log is not None:
             self._log.append(report.streams)
-        return OriginsStored(incarnation=self._incarnation)
+        return OriginsStored(incarnation=self._incarnation, base_versions=bases)
 
     def find_all(self, question: FindOrigins) -> FoundOrigins:
         """Return what is known about the origins of streams."""
@@ -101,13 +106,13 @@
         base_versions: dict[str, str] = {}
         with self._lock:
             self._update_history(view, now_s, is_current)
+            bases = self._base_versions(now_s)
             for service, streams in question.services.items():
                 only = self._history.only_version(service, now_s) if is_current else None
                 if only is not None:
                     only_versions[service] = only
-                base = self._history.base_version(service, now_s)
-                if base is not None and self._has_kept_all(now_s):
-                    base_versions[service] = base
+                if service in bases:
+                    base_versions[service] = bases[service]
                 for stream in streams:
                     origin = self._streams.get(stream, now_s)
                     if origin is not None:
@@ -117,6 +122,7 @@
             only_versions=only_versions,
             base_versions=base_versions,
             kept_s=now_s - self._started_s,
+            controls=len(self._controls_s),
         )
 
     def find(self, question: FindOrigin) -> FoundOrigin:
@@ -140,10 +146,20 @@
         self._history.update(view, now_s)
         if is_current:
             self._history.confirm(now_s)
-
-    def _has_kept_all(self, now_s: float) -> bool:
-        """Return whether every origin reported here since the base version was alone is kept."""
-        return now_s >= self._unsure_until_s and now_s - self._streams.dropped_s > KEEP_ORIGIN_S
+        for address in view.addresses(MemberRole.CONTROL):
+            self._controls_s[address] = now_s
+        self._controls_s = {
+            address: seen_s
+            for address, seen_s in self._controls_s.items()
+            if now_s - seen_s <= KEEP_ORIGIN_S
+        }
+
+    def _base_versions(self, now_s: float) -> dict[str, str]:
+        """Return the base versions if all origins are kept that were reported here since."""
+        has_dropped = now_s - self._streams.dropped_s <= KEEP_ORIGIN_S
+        if has_dropped or now_s < self._unsure_until_s:
+            return {}
+        return self._history.base_versions(now_s)
 
     def _on_report(self, envelope: Envelope, peer: str) -> bytes:
         report = decode(envelope.body, ReportOrigins, peer)
--- a/src/leverjunction/registry/origin_finder.py
+++ b/src/leverjunction/registry/origin_finder.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from leverjunction.errors import Failure, FailureKind
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.registry.origin_call import call_again
 from leverjunction.registry.origin_questions import Lookup, OriginQuestions
 from leverjunction.registry.origins import (
@@ -118,13 +118,24 @@
 
     def _ask(self, peer: str, question: FindOrigins) -> None:
         """Ask one control process; called on a thread."""
-        reply = call_again(self._rpc, peer, MessageKind.FIND_ORIGINS, question, FoundOrigins)
-        if isinstance(reply, Failure) and _is_of_older_build(reply):
-            reply = self._ask_one_by_one(peer, question)
+        try:
+            reply = self._call(peer, question)
+        except Exception as error:
+            # Without an answer, this control process would count as being asked for good.
+            logger.exception("asking {} for origins failed", peer)
+            reply = Failure(
+                kind=FailureKind.INTERNAL, reason=str(error), step=Step.SENDING, peer=peer
+            )
         # A reply may come after the loop of a process that ends was closed.
         with contextlib.suppress(RuntimeError):
             self._loop.call_soon_threadsafe(self._answered, peer, reply)
 
+    def _call(self, peer: str, question: FindOrigins) -> FoundOrigins | Failure:
+        reply = call_again(self._rpc, peer, MessageKind.FIND_ORIGINS, question, FoundOrigins)
+        if isinstance(reply, Failure) and _is_of_older_build(reply):
+            return self._ask_one_by_one(peer, question)
+        return reply
+
     def _ask_one_by_one(self, peer: str, question: FindOrigins) -> FoundOrigins | Failure:
         """Ask a control process that knows no question about several streams."""
         origins: dict[int, StreamOrigin] = {}
--- a/src/leverjunction/registry/origin_questions.py
+++ b/src/leverjunction/registry/origin_questions.py
@@ -46,12 +46,14 @@
         base_version: The version that began it if it was reported to no control process; None if
             the control process cannot tell.
         kept_s: For how long the control process has kept records, in seconds.
+        controls: Number of control processes that an origin may have been reported to.
     """
 
     origin: StreamOrigin | None
     only_version: str | None
     base_version: str | None
     kept_s: float
+    controls: int
 
 
 Answers = Mapping[str, OriginAnswer | None]
@@ -90,7 +92,8 @@
 def _agreed_base(known: list[OriginAnswer], peers: int) -> str | None:
     """Return the base version if so many tell it that one of them would know another origin."""
     bases = [answer.base_version for answer in known if answer.base_version is not None]
-    needed = peers - stored_at(peers) + 1
+    controls = max([peers, *(answer.controls for answer in known)])
+    needed = controls - stored_at(controls) + 1
     return bases[0] if len(bases) >= needed and len(set(bases)) == 1 else None
 
 
@@ -200,6 +203,7 @@
         reply.only_versions.get(lookup.service),
         reply.base_versions.get(lookup.service),
         reply.kept_s,
+        reply.controls,
     )
 
 
--- a/src/leverjunction/registry/origin_reporter.py
+++ b/src/leverjunction/registry/origin_reporter.py
@@ -29,8 +29,10 @@
 AVOID_S = 2.0
 """Time after a failed call in which other control processes are tried first."""
 
-Stored = Callable[[str, Sequence[int]], None]
-"""Called with the address of a control process and the streams whose origins it has stored."""
+Stored = Callable[[str, Sequence[int], OriginsStored], None]
+"""Called with the address of a control process, the streams whose origins it has stored, and its
+reply.
+"""
 
 
 def rank_holders(gateway: str, controls: Sequence[MemberRecord], number: int) -> list[str]:
@@ -119,11 +121,19 @@
                     return
                 streams, self._waiting = self._waiting, {}
             self._sent_s = steady_s()
-            if not self._send(streams):
+            if not self._try_to_send(streams):
                 with self._changed:
                     self._waiting = {**streams, **self._waiting}
                     self._changed.wait_for(lambda: self._stopped, RETRY_PAUSE_S)
 
+    def _try_to_send(self, streams: dict[int, StreamOrigin]) -> bool:
+        try:
+            return self._send(streams)
+        except Exception:
+            # The thread must survive: nothing else reports what began this gateway's streams.
+            logger.exception("reporting origins of streams failed")
+            return False
+
     def _send(self, streams: dict[int, StreamOrigin]) -> bool:
         """Send origins to the best control process that answers; return whether one did."""
         now_s = steady_s()
@@ -142,8 +152,8 @@
                 if isinstance(self._call(holder, live), Failure):
                     return False
                 self._told = told
-                self._stored(holder, tuple(live))
-            self._stored(holder, tuple(streams))
+                self._stored(holder, tuple(live), reply)
+            self._stored(holder, tuple(streams), reply)
             return True
         return False
 
--- a/src/leverjunction/registry/origins.py
+++ b/src/leverjunction/registry/origins.py
@@ -88,9 +88,11 @@
     Attributes:
         incarnation: Start of the replying process. Origins that were reported to an earlier start
             are lost.
+        base_versions: The base version of each service that has one, as the process knows them.
     """
 
     incarnation: int
+    base_versions: dict[str, str] = {}
 
 
 class FindOrigin(msgspec.Struct, frozen=True, kw_only=True):
@@ -142,12 +144,15 @@
             reported to any control process; left out if the replying process cannot tell.
         kept_s: Time since the start of the replying process, in seconds; what was reported to an
             earlier start is lost.
+        controls: Number of control processes that an origin which is kept may have been reported
+            to, with those that were removed since.
     """
 
     origins: dict[int, StreamOrigin] = {}
     only_versions: dict[str, str] = {}
     base_versions: dict[str, str] = {}
     kept_s: float = 0.0
+    controls: int = 0
 
 
 class OriginTable:
