Forwarded calls: a silent voter comes last

Cause: a control process that holds no replica of a group forwards a call to the leader it knows, else to the group's voters in their order. A call to a voter that accepts connections and answers nothing (SIGSTOP) lasts as long as the whole call may, ends as "outcome unknown", and the process forgets the leader. The next call begins with the same voter: while the first voter of the list stood still, no call of this process reached the leader that the others had elected.

Change: wire.silent_peers remembers which peers left their last call unanswered, and GroupHost calls these last. A voter that another one names as the leader is called next all the same.

Shown: test_the_new_leader_is_found_although_the_first_voter_is_silent failed on the code before (each of four calls timed out at the first voter); now the first call fails and the next three reach the leader.

--- a/src/leverjunction/control/group_host.py
+++ b/src/leverjunction/control/group_host.py
@@ -13,6 +13,7 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.codec import decode_reply, encode, encode_reply, is_failure_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
+from leverjunction.wire.silent_peers import SilentPeers
 
 T = TypeVar("T")
 
@@ -84,6 +85,7 @@
         self._clock = clock
         self._on_commit = on_commit
         self._leaders: dict[str, str] = {}
+        self._silent_peers = SilentPeers()
         self._client_slots = threading.BoundedSemaphore(max_concurrent_calls)
         self._forward_slots = threading.BoundedSemaphore(max_concurrent_calls)
 
@@ -200,6 +202,7 @@
                 break
             tried.add(target)
             reply = self._rpc.call_raw(target, kind, body, group=group, timeout_s=left_s)
+            self._silent_peers.record(target, reply, self._clock.monotonic_s())
             refusal = reply if isinstance(reply, Failure) else _refusal_of(reply)
             if refusal is None:
                 self._leaders[group] = target
@@ -212,7 +215,10 @@
         return reply
 
     def _next_target(self, group: str, tried: set[str]) -> str | None:
-        candidates = [self._leaders.get(group, ""), *self._voters[group]]
+        # A silent voter would use up the time of each call. It comes first again once another
+        # voter names it as the leader.
+        voters = self._silent_peers.in_order(self._voters[group])
+        candidates = [self._leaders.get(group, ""), *voters]
         return next((peer for peer in candidates if peer and peer not in tried), None)
 
     def _learn_leader(self, group: str, reply: bytes | Failure) -> None:
