Reports of crashed runs: a silent control process delays one

Cause: RunReporter begins each batch of reports with the first control process of the list, and waits 1.2 s for one that stands still. The same silent process delayed every batch, while the requests reported went on to further back ends.

Change: control processes that left their last call unanswered come last. SilentPeers takes a failure for silence only if it names the called peer: one that the peer returned is an answer.

Shown: test_a_silent_control_process_delays_one_report_only failed on the code before (1.25 s for the second report, bound 0.6 s), passes now; the core has tests of its own (test_wire_silent_peers).

--- a/src/leverjunction/registry/run_reporter.py
+++ b/src/leverjunction/registry/run_reporter.py
@@ -19,6 +19,7 @@
 from leverjunction.registry.records import REGISTRY_GROUP
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.silent_peers import SilentPeers
 
 COLLECT_S = 0.02
 """Time to collect reports: runs at a crashed back end end within milliseconds, and go into one
@@ -46,6 +47,7 @@
         self._rpc = rpc
         self._hubs = hubs
         self._clock = clock
+        self._silent_peers = SilentPeers()
         self._ended: dict[tuple[str, str], EndedRun] = {}
         self._answered: set[str] = set()
         self._waiting_since_s = 0.0
@@ -103,9 +105,12 @@
                 self._drop_old()
 
     def _send(self, command: ReportRuns) -> bool:
-        """Send a command to the control processes in turn; return whether one accepted it."""
+        """Send a command to the control processes in turn; return whether one accepted it.
+
+        Those that left their last call unanswered come last.
+        """
         reason = "no control process is known"
-        for hub in self._hubs():
+        for hub in self._silent_peers.in_order(self._hubs()):
             reply = self._rpc.call(
                 hub,
                 MessageKind.PROPOSE,
@@ -114,6 +119,7 @@
                 group=REGISTRY_GROUP,
                 timeout_s=CALL_TIMEOUT_S,
             )
+            self._silent_peers.record(hub, reply, self._clock.monotonic_s())
             if not isinstance(reply, Failure):
                 self._remove_sent(command)
                 return True
--- a/src/leverjunction/wire/silent_peers.py
+++ b/src/leverjunction/wire/silent_peers.py
@@ -31,13 +31,13 @@
 
         Args:
             peer: Address of the peer.
-            reply: What the RPC client returned, before it is decoded: a failure in the decoded
-                reply was sent by the peer, which has thus answered.
+            reply: What the RPC client returned. A failure that names another peer, or none, was
+                sent by this one, which has thus answered.
             now_s: Time at which the call ended, in monotonic seconds.
         """
         with self._lock:
             self._since_s.pop(peer, None)
-            if isinstance(reply, Failure) and reply.kind in _SILENCE:
+            if isinstance(reply, Failure) and reply.kind in _SILENCE and reply.peer == peer:
                 self._since_s[peer] = now_s
 
     def is_silent(self, peer: str) -> bool:
