Cancels at engines: a silent engine keeps one thread

Cause: Sender.cancel put each cancel into one pool of eight threads. An engine that accepts connections and answers nothing keeps a thread for a second for each of its callers that hang up; cancels for other engines queued behind these, and the requests of callers who had hung up there ran on meanwhile.

Change: wire.peer_calls runs calls to one peer one after the other, and peers whose last call failed keep half of the threads at most. Cancels that waited for 30 s are dropped with a log line.

Shown: test_a_cancel_is_sent_at_once_while_other_engines_are_silent failed on the code before (24 cancels for one and for eight silent engines, the next one sent after 1.50 and 1.47 s, bound 0.25 s), passes now; the core has tests of its own (test_wire_peer_calls).

--- a/src/leverjunction/gateway/sender.py
+++ b/src/leverjunction/gateway/sender.py
@@ -29,9 +29,12 @@
 from leverjunction.gateway.yielding import YieldNotifier
 from leverjunction.observability.counters import GatewayCounters
 from leverjunction.observability.decisions import DecisionOutcome
+from leverjunction.wire.peer_calls import PeerCalls
 
 MIN_CALL_TIMEOUT_S = 0.05
 CANCEL_THREADS = 8
+CANCEL_MAX_WAIT_S = 30.0
+"""Time after which a cancel that waits for a silent engine is dropped."""
 
 
 class Sender:
@@ -62,7 +65,12 @@
         self._counters = counters
         self._clock = clock
         self._budget_lock = threading.Lock()
-        self._cancel_threads = ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="cancel")
+        self._cancels = PeerCalls(
+            ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="cancel"),
+            CANCEL_THREADS,
+            clock,
+            CANCEL_MAX_WAIT_S,
+        )
 
     def note_request(self, request: OnlineRequest) -> None:
         """Record a new request, which adds its share to the retry budget of its service."""
@@ -77,7 +85,7 @@
             address: ``host:port`` of the engine.
             request_id: Id of the request.
         """
-        self._cancel_threads.submit(self._engines.cancel, address, request_id)
+        self._cancels.submit(address, lambda: self._engines.cancel(address, request_id))
 
     def send(
         self,
