Yield notices: a silent owner delays no other

Cause: YieldNotifier put each notice into one pool of four threads. A gateway that accepts connections and answers nothing keeps a thread for 0.5 s for each online request at a runner that it owns; notices to other owners queued behind these, and their batch work yielded seconds late.

Change: notices go through PeerCalls, one under way for each owner; one that waited for 1 s is dropped, as the owner reads the load meanwhile.

Shown: test_an_owner_hears_of_online_work_at_once_while_others_are_silent failed on the code before (24 notices for one and for four silent owners, the next one sent after 2.27 and 2.20 s, bound 0.25 s), passes now.

--- a/src/leverjunction/gateway/yielding.py
+++ b/src/leverjunction/gateway/yielding.py
@@ -11,8 +11,14 @@
 from leverjunction.observability.counters import GatewayCounters
 from leverjunction.wire.control_client import ControlClient
 from leverjunction.wire.messages import RunnerState, YieldNotice
+from leverjunction.wire.peer_calls import PeerCalls
 
 NOTICE_THREADS = 4
+NOTICE_MAX_WAIT_S = 1.0
+"""Time after which a notice that waits for a silent owner is dropped: the owner reads the runner's
+load more often.
+"""
+
 RECENT_BATCH_MS = 30_000
 """Time after the last digest that showed batch work during which a service may have batch work.
 
@@ -54,6 +60,7 @@
         self._clock = clock
         self._counters = counters
         self._threads = ThreadPoolExecutor(NOTICE_THREADS, thread_name_prefix="yield-notice")
+        self._notices = PeerCalls(self._threads, NOTICE_THREADS, clock, NOTICE_MAX_WAIT_S)
         self._batch_seen_ms: dict[str, int] = {}
 
     def request_arrived(self, runner_id: str, open_before: int) -> None:
@@ -76,7 +83,8 @@
         elif open_before == 0 and self._may_run_batch(runner, snapshot):
             notice = YieldNotice(runner_id=runner_id, sent_ms=self._clock.wall_ms())
             self._counters.yield_notices.labels("sent").inc()
-            self._threads.submit(self._control.notify_yield, owner.rpc_address, notice)
+            address = owner.rpc_address
+            self._notices.submit(address, lambda: self._control.notify_yield(address, notice))
 
     def request_finished(self, runner_id: str) -> None:
         """Notify this gateway's batch work of the end of an online request on an owned runner.
--- a/src/leverjunction/wire/peer_calls.py
+++ b/src/leverjunction/wire/peer_calls.py
@@ -107,7 +107,7 @@
             dropped += 1
         if dropped:
             text = "dropped {} calls to {} that waited for over {:g} s"
-            logger.info(text, dropped, peer, self._max_wait_s)
+            logger.debug(text, dropped, peer, self._max_wait_s)
         return queue.popleft()[1] if queue else None
 
     def _due_peers(self, peer: str) -> list[str]:
--- a/tests/unit/test_gateway_silent_peers.py
+++ b/tests/unit/test_gateway_silent_peers.py
@@ -15,8 +15,15 @@
 from leverjunction.backends.client import CANCEL_TIMEOUT_S, EngineClient
 from leverjunction.clock import SystemClock
 from leverjunction.gateway.sender import Sender
-
-CANCELS = 24
+from leverjunction.gateway.view import ClusterSnapshot, ClusterView
+from leverjunction.gateway.yielding import YieldNotifier
+from leverjunction.observability.counters import GatewayCounters
+from leverjunction.registry.cluster import CLUSTER_KEY
+from leverjunction.wire.control_client import YIELD_TIMEOUT_S, ControlClient
+from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
+from leverjunction.wire.rpc_client import RpcClient
+
+CALLS = 24
 NOTHING = cast(Any, None)
 
 
@@ -72,7 +79,7 @@
         silent = [stack.enter_context(SilentPeer()) for _ in range(silent_engines)]
         engines = EngineClient()
         sender = sender_of(engines)
-        for number in range(CANCELS):
+        for number in range(CALLS):
             sender.cancel(silent[number % silent_engines].address, f"request-{number}")
         time.sleep(CANCEL_TIMEOUT_S * 1.5)
         paused_before_s, started_s = paused_s(), time.monotonic()
@@ -81,3 +88,62 @@
         took_s = time.monotonic() - started_s - (paused_s() - paused_before_s)
         engines.close()
     assert took_s < CANCEL_TIMEOUT_S / 4
+
+
+class OwnersView(ClusterView):
+    """A view with one runner, of one gateway, in each zone; batch work runs on all of them."""
+
+    def __init__(self, owners: dict[str, str]) -> None:
+        super().__init__()
+        self._snapshot = ClusterSnapshot(
+            view_version=1,
+            gateways={
+                zone: GatewayState(
+                    gateway_id=zone, address="", rpc_address=address, zone=zone, incarnation=1
+                )
+                for zone, address in owners.items()
+            },
+            runners={
+                zone: RunnerState(
+                    runner_id=zone, address="", zone=zone, service="llm", models=["m"]
+                )
+                for zone in owners
+            },
+            digests={
+                zone: RunnerDigest(
+                    runner_id=zone,
+                    running=1,
+                    waiting=0,
+                    batch_running=1,
+                    kv_used_ratio=0.0,
+                    as_of_ms=0,
+                )
+                for zone in owners
+            },
+        )
+
+
+@pytest.mark.parametrize("silent_gateways", [1, 4])
+def test_an_owner_hears_of_online_work_at_once_while_others_are_silent(
+    silent_gateways: int, listener: Listener, paused_s: Callable[[], float]
+) -> None:
+    """Guards against yield notices that queue behind those for a gateway that stands still.
+
+    The failure: online requests for runners of a silent gateway came one after the other. Their
+    notices kept all threads for 0.5 s each, and batch work elsewhere yielded seconds late.
+    """
+    with ExitStack() as stack:
+        silent = [stack.enter_context(SilentPeer()) for _ in range(silent_gateways)]
+        owners = {f"z{number}": peer.address for number, peer in enumerate(silent)}
+        view = OwnersView({**owners, "near": listener.address})
+        control = ControlClient(RpcClient(CLUSTER_KEY, 1), ["127.0.0.1:1"])
+        notifier = YieldNotifier("other", view, control, NOTHING, SystemClock(), GatewayCounters())
+        for number in range(CALLS):
+            notifier.request_arrived(f"z{number % silent_gateways}", 0)
+        time.sleep(YIELD_TIMEOUT_S * 1.5)
+        paused_before_s, started_s = paused_s(), time.monotonic()
+        notifier.request_arrived("near", 0)
+        assert listener.arrived.wait(10)
+        took_s = time.monotonic() - started_s - (paused_s() - paused_before_s)
+        notifier.stop()
+    assert took_s < YIELD_TIMEOUT_S / 2
