Batch work: a silent engine does not keep others from yielding

Cause: the harvester put cancels of batch runs, and its questions for the requests that an engine holds, into one pool of 32 threads. At engines that accept connections and answer nothing each keeps a thread for a second, so batch work at other engines yielded to online requests late.

Change: these calls go through PeerCalls, which now allows several calls under way to a peer that has just answered (8 for batch work, 4 for the cancels of online requests), one to any other. A cancel that waited for 5 s is dropped: later it could hit the next run of the same request.

--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -10,8 +10,9 @@
 
 import random as random_module
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from loguru import logger
 from prometheus_client import CollectorRegistry
@@ -37,10 +38,17 @@
 from leverjunction.errors import Failure
 from leverjunction.settings.resolved import ResolvedServing
 from leverjunction.wire.messages import JobAlert, PendingWork, RunnerState
+from leverjunction.wire.peer_calls import PeerCalls
 
 TICK_S = 0.02
 MAX_RUN_THREADS = 512
 CANCEL_THREADS = 32
+CANCELS_PER_ENGINE = 8
+CANCEL_MAX_WAIT_S = 5.0
+"""Time after which a cancel that waits for a silent engine is dropped: later it could hit the next
+run of the same request.
+"""
+
 STOP_WAIT_S = 60.0
 """How long a planned stop waits for items that may not repeat.
 
@@ -92,6 +100,9 @@
         self._renewal: tuple[float, list[str]] = (0.0, [])
         self._run_threads = ThreadPoolExecutor(MAX_RUN_THREADS, thread_name_prefix="batch-run")
         self._cancel_threads = ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="batch-cancel")
+        self._engine_calls = PeerCalls(
+            self._cancel_threads, CANCEL_THREADS, clock, CANCEL_MAX_WAIT_S, CANCELS_PER_ENGINE
+        )
         self._sender = ResultSenders(control, self._committed)
         self._fetcher = LeaseFetcher(
             control, clock, random, gateway_id, self._demands, self._granted
@@ -169,8 +180,7 @@
             dropped = self._state.revoke(lost_lease_ids, cancelled_jobs)
         if lost:
             logger.warning("batch leases lost: {}", lost)
-        for run in dropped:
-            self._cancel_threads.submit(self._cancel, run)
+        self._cancel_later(dropped)
 
     def alerted(self, alerts: list[JobAlert]) -> None:
         """Take note of jobs that have lost runners lately, as reported by the hub."""
@@ -281,16 +291,16 @@
             plan = self._state.plan(self._clock.monotonic_s())
             self.counters.running.set(len(self._state.runs))
             self.counters.waiting.set(self._state.work.waiting_total())
-        for run in plan.cancels:
-            self._cancel_threads.submit(self._cancel, run)
+        self._cancel_later(plan.cancels)
         for run in plan.starts:
             self.counters.starts.inc()
             self._run_threads.submit(self._execute, run)
         for runner in plan.runners_to_query:
-            self._cancel_threads.submit(self._query_held_requests, runner)
+            query = partial(self._query_held_requests, runner)
+            self._engine_calls.submit(runner.address, query)
         self._send_outcomes(plan)
 
-    def _query_held_requests(self, runner: RunnerState) -> None:
+    def _query_held_requests(self, runner: RunnerState) -> Failure | None:
         """Ask a runner which requests it holds, to detect lost runs."""
         asked_s = self._clock.monotonic_s()
         held = self._engines.held_requests(runner.address)
@@ -298,13 +308,14 @@
             logger.debug(
                 "could not list the requests of runner {}: {}", runner.runner_id, held.reason
             )
-            return
+            return held
         with self._changed:
             plan = self._state.apply_request_list(
                 runner.runner_id, {request.request_id for request in held}, asked_s
             )
             self._changed.notify_all()
         self._send_outcomes(plan)
+        return None
 
     def _send_outcomes(self, plan: Plan) -> None:
         for outcome in plan.outcomes:
@@ -367,8 +378,12 @@
         if reply.cancelled_jobs:
             self.revoke([], reply.cancelled_jobs)
 
-    def _cancel(self, run: Run) -> None:
-        self._engines.cancel(run.address, request_id_of(run.work))
+    def _cancel_later(self, runs: Iterable[Run]) -> None:
+        for run in runs:
+            self._engine_calls.submit(run.address, partial(self._cancel, run))
+
+    def _cancel(self, run: Run) -> Failure | None:
+        return self._engines.cancel(run.address, request_id_of(run.work))
 
     def _demands(self) -> list[Demand]:
         with self._changed:
--- a/src/leverjunction/gateway/sender.py
+++ b/src/leverjunction/gateway/sender.py
@@ -33,8 +33,11 @@
 
 MIN_CALL_TIMEOUT_S = 0.05
 CANCEL_THREADS = 8
-CANCEL_MAX_WAIT_S = 30.0
-"""Time after which a cancel that waits for a silent engine is dropped."""
+CANCELS_PER_ENGINE = 4
+CANCEL_MAX_WAIT_S = 5.0
+"""Time after which a cancel that waits for a silent engine is dropped: later it could hit the next
+run of the same request.
+"""
 
 
 class Sender:
@@ -70,6 +73,7 @@
             CANCEL_THREADS,
             clock,
             CANCEL_MAX_WAIT_S,
+            CANCELS_PER_ENGINE,
         )
 
     def note_request(self, request: OnlineRequest) -> None:
--- a/src/leverjunction/wire/peer_calls.py
+++ b/src/leverjunction/wire/peer_calls.py
@@ -1,7 +1,7 @@
 """Runs blocking calls to many peers on few threads, so that silent peers do not delay the others.
 
-Calls to one peer run one after the other: a peer that accepts connections and never answers keeps
-one thread. Peers whose last call failed together keep a part of the threads only.
+A peer that accepts connections and never answers keeps one thread: only a peer that has just
+answered is called by several. Peers whose last call failed together keep a part of the threads.
 """
 
 from __future__ import annotations
@@ -34,68 +34,101 @@
         threads: Number of the pool's threads.
         clock: Source of monotonic time.
         max_wait_s: Time after which a call that waits is dropped, since it is of no use any more.
+        per_peer: Limit of calls under way to a peer that answers.
     """
 
-    def __init__(self, pool: Executor, threads: int, clock: Clock, max_wait_s: float) -> None:
+    def __init__(
+        self, pool: Executor, threads: int, clock: Clock, max_wait_s: float, per_peer: int = 1
+    ) -> None:
         self._pool = pool
         self._clock = clock
         self._max_wait_s = max_wait_s
+        self._per_peer = per_peer
         self._max_failing = max(1, int(threads * FAILING_SHARE))
         self._lock = threading.Lock()
         self._queues: dict[str, deque[tuple[float, Call]]] = {}
-        """Calls that wait, by peer; a peer with a call under way, or with a turn, has an entry."""
+        """Calls that wait, by peer."""
+        self._turns: dict[str, int] = {}
+        """Turns by peer: each is a thread that makes one call, or waits for its start."""
         self._failing: dict[str, float] = {}
         """Time of the last call, by peer, of those whose last call failed."""
+        self._answering: set[str] = set()
+        """Peers with calls that wait or are under way, whose last call did not fail."""
         self._parked: deque[str] = deque()
-        """Failing peers that wait for one of the threads that such peers may keep."""
+        """Peers of turns that wait for one of the threads that failing peers may keep."""
         self._failing_turns = 0
 
     def submit(self, peer: str, call: Call) -> None:
         """Run a call to a peer after those that wait for the same peer."""
-        entry = (self._clock.monotonic_s(), call)
         with self._lock:
-            queue = self._queues.get(peer)
-            if queue is not None:
-                queue.append(entry)
-                return
-            self._queues[peer] = deque([entry])
-            may_run = self._begin_turn(peer)
-        if may_run:
-            self._start(peer)
-
-    def _begin_turn(self, peer: str) -> bool:
-        """Return whether a peer may get a thread now; else it is parked. Needs the lock."""
-        if peer not in self._failing:
-            return True
-        if self._failing_turns >= self._max_failing:
-            self._parked.append(peer)
-            return False
-        self._failing_turns += 1
-        return True
+            queue = self._queues.setdefault(peer, deque())
+            queue.append((self._clock.monotonic_s(), call))
+            due = self._due_turns(peer)
+        self._start(due)
+
+    def _due_turns(self, peer: str) -> list[tuple[str, bool]]:
+        """Return the turns that begin now: peers, and whether they count as failing ones.
+
+        Needs the lock.
+        """
+        due = []
+        is_failing = peer in self._failing
+        limit = self._per_peer if peer in self._answering else 1
+        limit = min(limit, len(self._queues.get(peer, ())))
+        while self._turns.get(peer, 0) < limit:
+            self._turns[peer] = self._turns.get(peer, 0) + 1
+            if is_failing:
+                self._parked.append(peer)
+            else:
+                due.append((peer, False))
+        while self._parked and self._failing_turns < self._max_failing:
+            self._failing_turns += 1
+            due.append((self._parked.popleft(), True))
+        return due
 
-    def _start(self, peer: str) -> None:
-        try:
-            self._pool.submit(self._run_turn, peer)
-        except RuntimeError:
-            # The pool has been stopped, and with it everything that waits.
-            logger.debug("not calling {}: the calls are stopped", peer)
+    def _start(self, turns: list[tuple[str, bool]]) -> None:
+        for peer, is_failing in turns:
+            try:
+                self._pool.submit(self._run_turn, peer, is_failing)
+            except RuntimeError:
+                # The pool has been stopped, and with it everything that waits.
+                logger.debug("not calling {}: the calls are stopped", peer)
 
-    def _run_turn(self, peer: str) -> None:
-        """Run the next call to a peer, then give the thread to the next peer."""
+    def _run_turn(self, peer: str, is_failing: bool) -> None:
+        """Run the next call to a peer, then give the thread to the next turn."""
         with self._lock:
-            was_failing = peer in self._failing
-            call = self._next_call(peer)
-        has_failed = was_failing if call is None else _fails(peer, call)
+            # A call to the peer may have failed since the turn began: another turn is due then.
+            is_outdated = not is_failing and peer in self._failing
+            call = None if is_outdated else self._next_call(peer)
+        has_failed = None if call is None else _fails(peer, call)
         with self._lock:
-            if has_failed:
-                self._failing[peer] = self._clock.monotonic_s()
-            else:
-                self._failing.pop(peer, None)
-            if was_failing:
+            if has_failed is not None:
+                self._record(peer, has_failed=has_failed)
+            if is_failing:
                 self._failing_turns -= 1
-            due = self._due_peers(peer)
-        for following in due:
-            self._start(following)
+            self._end_turn(peer)
+            due = self._due_turns(peer)
+        self._start(due)
+
+    def _record(self, peer: str, *, has_failed: bool) -> None:
+        if has_failed:
+            self._failing[peer] = self._clock.monotonic_s()
+            self._answering.discard(peer)
+        else:
+            self._failing.pop(peer, None)
+            self._answering.add(peer)
+
+    def _end_turn(self, peer: str) -> None:
+        """Forget what is not needed any more. Needs the lock."""
+        self._turns[peer] -= 1
+        if self._turns[peer] == 0 and not self._queues[peer]:
+            del self._turns[peer]
+            del self._queues[peer]
+            self._answering.discard(peer)
+        before_s = self._clock.monotonic_s() - FAILING_S
+        for old in [item for item, at_s in self._failing.items() if at_s < before_s]:
+            if old not in self._turns:
+                del self._failing[old]
 
     def _next_call(self, peer: str) -> Call | None:
         """Take the next call to a peer, without those that waited too long. Needs the lock."""
@@ -110,27 +143,6 @@
             logger.debug(text, dropped, peer, self._max_wait_s)
         return queue.popleft()[1] if queue else None
 
-    def _due_peers(self, peer: str) -> list[str]:
-        """Return the peers whose turn begins when that of a peer has ended. Needs the lock."""
-        due = []
-        if not self._queues[peer]:
-            del self._queues[peer]
-            self._forget_failures()
-        elif self._begin_turn(peer):
-            due.append(peer)
-        while self._parked and self._failing_turns < self._max_failing:
-            self._failing_turns += 1
-            due.append(self._parked.popleft())
-        return due
-
-    def _forget_failures(self) -> None:
-        """Forget the failures of peers that are not called any more. Needs the lock."""
-        before_s = self._clock.monotonic_s() - FAILING_S
-        old = [peer for peer, at_s in self._failing.items() if at_s < before_s]
-        for peer in old:
-            if peer not in self._queues:
-                del self._failing[peer]
-
 
 def _fails(peer: str, call: Call) -> bool:
     try:
--- a/tests/unit/test_wire_peer_calls.py
+++ b/tests/unit/test_wire_peer_calls.py
@@ -48,11 +48,12 @@
         failing: Peers whose calls fail.
     """
 
-    def __init__(self, threads: int = 4) -> None:
+    def __init__(self, threads: int = 4, per_peer: int = 1) -> None:
         self.pool, self.clock = Pool(), Clock()
         self.called: list[str] = []
         self.failing: set[str] = set()
-        self.calls = PeerCalls(cast(Executor, self.pool), threads, self.clock, MAX_WAIT_S)
+        pool = cast(Executor, self.pool)
+        self.calls = PeerCalls(pool, threads, self.clock, MAX_WAIT_S, per_peer)
 
     def submit(self, *names: str) -> None:
         for name in names:
@@ -140,3 +141,32 @@
     peers.pool.run_all()
     peers.submit("a2", "b2")
     assert len(peers.pool.tasks) == 2
+
+
+def test_a_peer_that_answers_is_called_by_several_threads() -> None:
+    peers = Peers(threads=8, per_peer=3)
+    peers.submit("a1", "a2", "a3", "a4", "a5")
+    assert len(peers.pool.tasks) == 1
+    peers.pool.run_next()
+    assert len(peers.pool.tasks) == 3
+    peers.pool.run_all()
+    assert peers.called == ["a1", "a2", "a3", "a4", "a5"]
+
+
+def test_a_peer_that_fails_keeps_one_of_several_threads_until_it_answers() -> None:
+    peers = Peers(threads=8, per_peer=3)
+    peers.submit("a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8")
+    peers.pool.run_next()
+    peers.failing = {"a"}
+    peers.pool.run_next()
+    assert peers.called == ["a1", "a2"]
+    # The turns that began before the failure make no call, so that others get their threads.
+    for _ in range(2):
+        peers.pool.run_next()
+    assert peers.called == ["a1", "a2"]
+    assert len(peers.pool.tasks) == 1
+    peers.failing = set()
+    peers.pool.run_next()
+    assert len(peers.pool.tasks) == 3
+    peers.pool.run_all()
+    assert peers.called == [f"a{number}" for number in range(1, 9)]
