Evidence of crashes: a silent zone delays no other gateway

Cause: a gateway tells all others of each crash with a pool of eight threads. Each of the gateways of a zone that is cut off kept a thread for 0.5 s per crash, and a gateway that could be reached heard of the next crash after all of these; it sent the crashing request on meanwhile.

Change: notices and questions go through PeerCalls: gateways whose last call failed share half of the threads.

Shown: test_others_hear_of_a_crash_at_once_while_a_zone_is_silent failed on the code before (24 silent gateways, the one that answers heard after 1.81 s, bound 0.25 s), passes now. The very first crash after a zone went silent still occupies all threads for the length of these calls.

--- a/src/leverjunction/gateway/evidence_sharing.py
+++ b/src/leverjunction/gateway/evidence_sharing.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
+import math
 import random as random_module
 import threading
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 
 from loguru import logger
 
@@ -27,6 +29,7 @@
     SharedRecord,
 )
 from leverjunction.wire.messages import GatewayState
+from leverjunction.wire.peer_calls import PeerCalls
 
 HEARD_TIMEOUT_S = 0.1
 """Longest wait until the other gateways have heard of a crash. Afterwards the request may be sent
@@ -122,6 +125,8 @@
         self._next_pull_s: float | None = None
         self._stopped = False
         self._threads = ThreadPoolExecutor(SHARING_THREADS, thread_name_prefix="crash-evidence")
+        # What waits for a peer is joined in its outbox, so no call is dropped for its age.
+        self._calls = PeerCalls(self._threads, SHARING_THREADS, clock, max_wait_s=math.inf)
 
     def crashed(self, key: str) -> None:
         """Tell the other gateways of a crash; waits for them for at most ``HEARD_TIMEOUT_S``."""
@@ -172,7 +177,7 @@
                 outbox = self._outboxes.get(peer.rpc_address)
                 if outbox is None:
                     outbox = self._outboxes[peer.rpc_address] = _Outbox()
-                    self._threads.submit(self._empty, peer)
+                    self._calls.submit(peer.rpc_address, partial(self._empty, peer))
                 outbox.countdowns.append(countdown)
                 for key in keys:
                     if key in outbox.keys or len(outbox.keys) < MAX_PENDING_KEYS:
@@ -198,17 +203,19 @@
         with self._lock:
             if not self._stopped:
                 for peer in self._random.sample(peers, min(count, len(peers))):
-                    self._threads.submit(self._pull, peer)
+                    self._calls.submit(peer.rpc_address, partial(self._pull, peer))
 
-    def _empty(self, peer: GatewayState) -> None:
-        """Send a peer all that waits for it, one message at a time."""
+    def _empty(self, peer: GatewayState) -> Failure | None:
+        """Send a peer all that waits for it, one message at a time; return the last failure."""
+        failure = None
         while taken := self._take(peer.rpc_address):
             keys = list(taken.keys)
             for first in range(0, len(keys), MAX_SHARED_RECORDS):
                 records = self._requests.records(keys[first : first + MAX_SHARED_RECORDS])
-                self._call(peer, EvidenceNotice(records=tuple(records)))
+                failure = self._call(peer, EvidenceNotice(records=tuple(records)))
             for countdown in taken.countdowns:
                 countdown.count_down()
+        return failure
 
     def _take(self, address: str) -> _Outbox | None:
         """Return what waits for a peer; without anything the outbox is removed."""
@@ -219,24 +226,25 @@
             self._outboxes[address] = _Outbox()
             return outbox
 
-    def _pull(self, peer: GatewayState) -> None:
-        self._call(peer, EvidenceNotice(wants_all=True))
+    def _pull(self, peer: GatewayState) -> Failure | None:
+        return self._call(peer, EvidenceNotice(wants_all=True))
 
-    def _call(self, peer: GatewayState, notice: EvidenceNotice) -> None:
+    def _call(self, peer: GatewayState, notice: EvidenceNotice) -> Failure | None:
         try:
             reply = self._send(peer.rpc_address, notice)
             if isinstance(reply, Failure):
                 self._note_failure(peer, reply)
-                return
+                return reply
             self._merge(reply.records)
         except Exception:
             # Nobody reads the result of a pool's task, and others wait for the next messages.
             logger.exception("could not share evidence of crashes with {}", peer.gateway_id)
             self._counters.crash_evidence.labels("failed").inc()
-            return
+            return None
         self._counters.crash_evidence.labels("sent").inc()
         with self._lock:
             self._failing.discard(_name(peer))
+        return None
 
     def _merge(self, records: tuple[SharedRecord, ...]) -> None:
         if records:
--- a/tests/unit/test_gateway_silent_peers.py
+++ b/tests/unit/test_gateway_silent_peers.py
@@ -7,19 +7,25 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
+from random import Random
 from typing import Any, cast
 
 import pytest
-from silent_peer import SilentPeer
+from silent_peer import AnsweringPeer, SilentPeer
 
 from leverjunction.backends.client import CANCEL_TIMEOUT_S, EngineClient
 from leverjunction.clock import SystemClock
+from leverjunction.gateway.crashing_requests import CrashingRequests
+from leverjunction.gateway.evidence_sharing import EvidenceSharing
 from leverjunction.gateway.sender import Sender
 from leverjunction.gateway.view import ClusterSnapshot, ClusterView
 from leverjunction.gateway.yielding import YieldNotifier
 from leverjunction.observability.counters import GatewayCounters
+from leverjunction.quarantine.records import AgedStart, EvidenceReply, SharedRecord
 from leverjunction.registry.cluster import CLUSTER_KEY
-from leverjunction.wire.control_client import YIELD_TIMEOUT_S, ControlClient
+from leverjunction.wire.codec import encode_reply
+from leverjunction.wire.control_client import EVIDENCE_TIMEOUT_S, YIELD_TIMEOUT_S, ControlClient
+from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.messages import GatewayState, RunnerDigest, RunnerState
 from leverjunction.wire.rpc_client import RpcClient
 
@@ -147,3 +153,54 @@
         took_s = time.monotonic() - started_s - (paused_s() - paused_before_s)
         notifier.stop()
     assert took_s < YIELD_TIMEOUT_S / 2
+
+
+def test_others_hear_of_a_crash_at_once_while_a_zone_is_silent(
+    paused_s: Callable[[], float],
+) -> None:
+    """Guards against news of crashes that queue behind those for gateways that are cut off.
+
+    The failure: each crash was sent to all gateways of a silent zone, each of which kept a thread
+    for 0.5 s. A gateway that could be reached heard of the next crash after all of these, and sent
+    the crashing request to further engines.
+    """
+    silent_gateways = 24
+    requests = CrashingRequests(SystemClock(), lambda _address: True)
+    heard = threading.Event()
+
+    def hear(_: Envelope) -> bytes:
+        heard.set()
+        return encode_reply(EvidenceReply())
+
+    with ExitStack() as stack:
+        near = stack.enter_context(AnsweringPeer(hear, (MessageKind.CRASH_EVIDENCE,)))
+        silent = [stack.enter_context(SilentPeer()) for _ in range(silent_gateways)]
+        owners = {f"z{number}": peer.address for number, peer in enumerate(silent)}
+        control = ControlClient(RpcClient(CLUSTER_KEY, 1), ["127.0.0.1:1"])
+        sharing = EvidenceSharing(
+            "other",
+            "near",
+            requests,
+            OwnersView({**owners, "near": near.address}),
+            control.share_evidence,
+            SystemClock(),
+            GatewayCounters(),
+            Random(1),
+        )
+
+        def crash(number: int) -> None:
+            key = f"{number:048d}"
+            requests.merge((SharedRecord(key=key, starts=(AgedStart(f"e:{number}", 0),)),))
+            sharing.crashed(key)
+
+        crash(1)
+        time.sleep(EVIDENCE_TIMEOUT_S * silent_gateways / 8 + EVIDENCE_TIMEOUT_S)
+        crash(2)
+        time.sleep(EVIDENCE_TIMEOUT_S / 5)
+        heard.clear()
+        paused_before_s, started_s = paused_s(), time.monotonic()
+        crash(3)
+        assert heard.wait(10)
+        took_s = time.monotonic() - started_s - (paused_s() - paused_before_s)
+        sharing.stop()
+    assert took_s < EVIDENCE_TIMEOUT_S / 2
