Gateway's calls: none goes to a hub before it answers an exchange

Cause: the exchange loop tries the nearest hub again when its suspicion ends. It became the hub of all calls before it had answered: while it stood still, each call of that second (claims, jobs, leases, results) waited there for 2 s, again and again.

Change: while an exchange tries another hub, calls stay with the one that was in use, until the exchange ends.

Shown: test_no_call_waits_for_a_silent_hub_that_an_exchange_tries_again failed on the code before (1.96 s, bound 0.5 s), passes now.

--- a/src/leverjunction/wire/control_client.py
+++ b/src/leverjunction/wire/control_client.py
@@ -94,6 +94,8 @@
         self._random = random or random_module.Random()
         self._sleep = sleep
         self._selector = HubSelector(hubs)
+        self._hub_before_trial: str | None = None
+        """Hub that calls go to while an exchange tries another one, which may not answer."""
         self._backoff = TimeoutBackoff(self._random)
         self._lock = threading.Lock()
 
@@ -149,6 +151,7 @@
                 return _backoff_failure(self._selector.current, wait_s)
             before = self._selector.current
             hub = self._selector.select(self._clock.monotonic_s())
+            self._hub_before_trial = before if hub != before else None
         if hub != before:
             logger.debug("trying hub {} instead of {}", hub, before)
         timeout_s = EXCHANGE_TIMEOUT_S if request.settings_version else FULL_EXCHANGE_TIMEOUT_S
@@ -156,6 +159,16 @@
             hub, MessageKind.EXCHANGE, request, ExchangeReply, timeout_s=timeout_s
         )
         self._update_backoff(reply)
+        self._record_exchange(hub, request, reply)
+        with self._lock:
+            self._hub_before_trial = None
+        if not isinstance(reply, Failure):
+            self.set_hubs(reply.hubs)
+        return reply
+
+    def _record_exchange(
+        self, hub: str, request: ExchangeRequest, reply: ExchangeReply | Failure
+    ) -> None:
         if isinstance(reply, Failure) and reply.kind is FailureKind.STALE:
             self._record_stale(hub, reply.reason)
         elif isinstance(reply, Failure):
@@ -168,9 +181,6 @@
         else:
             with self._lock:
                 self._selector.record_success(hub)
-        if not isinstance(reply, Failure):
-            self.set_hubs(reply.hubs)
-        return reply
 
     def notify_yield(self, rpc_address: str, notice: YieldNotice) -> Failure | None:
         """Notify a runner's owner gateway that online work has arrived, without retry."""
@@ -202,7 +212,7 @@
         pause_s = RETRY_PAUSE_S
         unknown = False
         while True:
-            hub = self.hub
+            hub = self._hub_for_calls()
             left_s = deadline_s - self._clock.monotonic_s()
             reply = self._attempt(hub, kind, group, body, reply_type, left_s)
             if not isinstance(reply, Failure) or reply.kind not in _RETRYABLE:
@@ -216,6 +226,10 @@
             self._sleep(wait_s)
             pause_s = min(pause_s * 2, MAX_RETRY_PAUSE_S)
 
+    def _hub_for_calls(self) -> str:
+        with self._lock:
+            return self._hub_before_trial or self._selector.current
+
     def _attempt(
         self,
         hub: str,
@@ -248,6 +262,8 @@
     def _record_failure(self, hub: str, reason: str) -> None:
         with self._lock:
             newly_suspected = self._selector.record_failure(hub, self._clock.monotonic_s())
+            if hub == self._hub_before_trial:
+                self._hub_before_trial = None
             current = self._selector.current
         if newly_suspected:
             logger.warning("switched from hub {} to {}: {}", hub, current, reason)
--- a/tests/unit/test_wire_control_client.py
+++ b/tests/unit/test_wire_control_client.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import random
+import threading
+import time
 from collections.abc import Callable, Iterator
 
 import msgspec
 import pytest
+from silent_peer import SilentPeer
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step, is_failure
 from leverjunction.wire.backoff import FIRST_PAUSE_S, MAX_PAUSE_S, TimeoutBackoff
 from leverjunction.wire.codec import decode, encode_reply
-from leverjunction.wire.control_client import ControlClient
+from leverjunction.wire.control_client import EXCHANGE_TIMEOUT_S, ControlClient
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.hub_selector import (
     MAX_STALE_HUBS,
@@ -402,3 +405,31 @@
             selector.record_failure(selector.current, moment + 0.5)
     assert used[:3] == ["b", "c", "a"]
     assert selector.select(8.0 + STALE_HOLD_S - 0.1) == "a"
+
+
+def test_no_call_waits_for_a_silent_hub_that_an_exchange_tries_again(
+    make_hub: Callable[[], FakeHub], paused_s: Callable[[], float]
+) -> None:
+    """Guards against calls that go to a hub before it has answered.
+
+    The failure: the nearest hub stood still. Whenever its suspicion was over, an exchange tried it
+    for a second, and in that second each call went there as well and waited for two.
+    """
+    hub, clock = make_hub(), FakeClock()
+    known = msgspec.structs.replace(EXCHANGE, settings_version=1)
+    with SilentPeer() as silent:
+        client = client_of(silent.address, hub.address, clock=clock)
+        assert is_failure(client.exchange(known))
+        clock.now_s += MAX_PAUSE_S
+        assert not is_failure(client.exchange(known))
+        clock.now_s += SUSPICION_S
+        trial = threading.Thread(target=client.exchange, args=(known,), daemon=True)
+        trial.start()
+        time.sleep(EXCHANGE_TIMEOUT_S / 4)
+        assert client.hub == silent.address
+        started_s, paused_before_s = time.monotonic(), paused_s()
+        assert client.propose("jobs-0", Increment(1), int) == 1
+        took_s = time.monotonic() - started_s - (paused_s() - paused_before_s)
+        trial.join()
+    assert took_s < EXCHANGE_TIMEOUT_S / 2
+    assert client.hub == hub.address
