--- a/src/leverjunction/registry/origin_reporter.py
+++ b/src/leverjunction/registry/origin_reporter.py
@@ -15,6 +15,7 @@
 from leverjunction.registry.records import MemberRecord
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
+from leverjunction.wire.silent_peers import SilentPeers
 
 COLLECT_S = (0.02, 0.02, 0.1)
 """Shortest time between two reports, for each of the control processes that an origin is reported
@@ -26,9 +27,6 @@
 
 MAX_WAITING = 20_000
 RETRY_PAUSE_S = 0.2
-AVOID_S = 2.0
-"""Time after a failed call in which other control processes are tried first."""
-
 Stored = Callable[[str, Sequence[int], OriginsStored], None]
 """Called with the address of a control process, the streams whose origins it has stored, and its
 reply.
@@ -85,7 +83,7 @@
         self._stored = stored
         self._collect_s = collect_s
         self._sent_s = 0.0
-        self._avoided_until_s: dict[str, float] = {}
+        self._silent = SilentPeers()
         self._waiting: dict[int, StreamOrigin] = {}
         self._told: tuple[str, int] | None = None
         self._changed = threading.Condition()
@@ -105,8 +103,9 @@
     def report(self, streams: dict[int, StreamOrigin]) -> None:
         """Queue origins; what a long outage piles up is dropped."""
         with self._changed:
-            if len(self._waiting) < MAX_WAITING:
-                self._waiting.update(streams)
+            if len(self._waiting) >= MAX_WAITING:
+                streams = {key: streams[key] for key in streams if key in self._waiting}
+            self._waiting.update(streams)
             self._changed.notify_all()
 
     def _run(self) -> None:
@@ -136,14 +135,10 @@
 
     def _send(self, streams: dict[int, StreamOrigin]) -> bool:
         """Send origins to the best control process that answers; return whether one did."""
-        now_s = steady_s()
-        holders = sorted(
-            self._holders(), key=lambda item: self._avoided_until_s.get(item, 0.0) > now_s
-        )
-        for holder in holders:
+        for holder in self._silent.in_order(self._holders()):
             reply = self._call(holder, streams)
             if isinstance(reply, Failure):
-                self._avoid(holder, reply)
+                logger.debug("{} did not store origins: {}", holder, reply.reason)
                 continue
             told = (holder, reply.incarnation)
             if told != self._told:
@@ -157,15 +152,14 @@
             return True
         return False
 
-    def _avoid(self, holder: str, failure: Failure) -> None:
-        now_s = steady_s()
-        if self._avoided_until_s.get(holder, 0.0) < now_s - AVOID_S:
-            logger.info("{} does not store origins: {}", holder, failure.reason)
-        self._avoided_until_s[holder] = now_s + AVOID_S
-
     def _call(self, holder: str, streams: dict[int, StreamOrigin]) -> OriginsStored | Failure:
         message = ReportOrigins(streams=streams, is_recorded_first=True)
-        return call_again(self._rpc, holder, MessageKind.REPORT_ORIGINS, message, OriginsStored)
+        reply = call_again(self._rpc, holder, MessageKind.REPORT_ORIGINS, message, OriginsStored)
+        was_silent = self._silent.is_silent(holder)
+        self._silent.record(holder, reply, steady_s())
+        if self._silent.is_silent(holder) and not was_silent:
+            logger.info("{} does not answer reports of origins", holder)
+        return reply
 
 
 __all__ = ["COLLECT_S", "HOLDERS", "OriginReporter", "rank_holders"]
