Origins of streams: bounded questions and reports, and what the model found

Change: streams begin at the base version until a newer one is known for as long as a view is trusted, unless most back ends are of newer ones, so that a gateway that knows one version needs to ask nobody; origins are kept for two renewals more than a lifetime, an event waits for a renewal that is late, and a resumed stream is recorded again before its first event; per control process a queue of lookups; at most 50 questions a second from a gateway to all control processes together; reports at most each 50, 50 and 200 ms to the three holders.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -231,7 +231,7 @@
             self._refuse(routed.request, routed.metadata, responder, refusal)
             return
         if routed.stream is not None:
-            routed.preferred_version = self._origins.preferred_version(routed.service)
+            routed.preferred_version = self._preferred_version(routed.service)
         response = await self._retrying_sender.send(routed, "")
         while not isinstance(response, Failure):
             head_at_s = self._loop.time()
@@ -279,6 +279,20 @@
         routed.service = origin.service
         return None
 
+    def _preferred_version(self, service: str) -> str | None:
+        """Return the version at which a new stream should begin, None for any."""
+        preferred = self._origins.preferred_version(service)
+        if preferred is not None:
+            return preferred
+        known = self._origins.widely_known_version(service)
+        if known is None:
+            return None
+        # Not if it has too few back ends left for the service's load.
+        has_most = 2 * len(self._balancer.available(service, known)) >= len(
+            self._balancer.available(service)
+        )
+        return known if has_most else None
+
     async def _begin_stream(
         self, routed: RoutedRequest, response: OpenedResponse
     ) -> Failure | None:
@@ -288,16 +302,13 @@
             ``ORIGIN_NOT_RECORDED`` if the stream must not begin, since another gateway would take
             it for one of the base version.
         """
-        is_resumed = routed.origin is not None
+        is_known = routed.origin is not None
         if routed.origin is None:
             routed.origin = StreamOrigin(routed.service, response.runner.record.version)
-        if routed.stream is None:
+        if routed.stream is None or routed.origin_kept_s:
             return None
         routed.origin_kept_s = self._loop.time()
-        if is_resumed:
-            self._origins.renew(routed.stream, routed.origin)
-            return None
-        if await self._origins.began(routed.stream, routed.origin):
+        if await self._origins.began(routed.stream, routed.origin) or is_known:
             return None
         self._decision_log.origin_not_recorded()
         base = self._origins.preferred_version(routed.service)
@@ -306,14 +317,14 @@
         has_base = bool(self._balancer.available(routed.service, base))
         return ORIGIN_NOT_RECORDED if has_base else None
 
-    def _renew_origin(self, routed: RoutedRequest) -> None:
+    async def _renew_origin(self, routed: RoutedRequest) -> None:
         """Keep the origin of a stream that goes on for as long as a caller may continue it."""
-        now_s = self._loop.time()
         if routed.stream is None or routed.origin is None:
             return
-        if now_s - routed.origin_kept_s >= RENEW_INTERVAL_S:
+        kept_s, now_s = routed.origin_kept_s, self._loop.time()
+        if now_s - kept_s >= RENEW_INTERVAL_S:
             routed.origin_kept_s = now_s
-            self._origins.renew(routed.stream, routed.origin)
+            await self._origins.renew(routed.stream, routed.origin, kept_s)
 
     async def _admit(self, routed: RoutedRequest) -> Failure | None:
         """Wait for the admission gate; return None to send the request, or its refusal."""
@@ -455,7 +466,7 @@
                             return failure
                     if not responder.started:
                         responder.send_head(response.head.status, end_to_end(response.head.headers))
-                    self._renew_origin(routed)
+                    await self._renew_origin(routed)
                     await responder.send_data(events, routed.until_s)
         except TimeoutError:
             return out_of_time(Execution.UNKNOWN)
--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -17,6 +17,7 @@
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.headers import find
 from leverjunction.registry.origins import (
+    RENEW_LATEST_S,
     STREAM_LIFETIME_S,
     OriginSource,
     OriginTable,
@@ -30,11 +31,6 @@
 FIND_TIMEOUT_S = 0.5
 """Longest wait of a caller for the origin of its stream."""
 
-CONFIRM_TIMEOUT_S = 0.15
-"""Longest wait while the service has one version here: another may have begun without this gateway
-having heard of it.
-"""
-
 VIEW_LAG_S = 10.0
 """Longest time by which this gateway may hear of an end later or earlier than a control process: a
 base version ends earlier here by so much, and the next one follows it later.
@@ -99,6 +95,7 @@
             STREAM_LIFETIME_S + VIEW_LAG_S, STREAM_LIFETIME_S - VIEW_LAG_S
         )
         self._ambiguous: set[str] = set()
+        self._first_seen_s: dict[tuple[str, str], float] = {}
         self._reviewed_s = 0.0
         self._loop = asyncio.get_running_loop()
 
@@ -106,6 +103,8 @@
         """Apply a newer state of the registry; report what a new version puts in doubt."""
         now_s = self._loop.time()
         self._history.update(view, now_s)
+        live = {(record.service, record.version) for record in view.runners}
+        self._first_seen_s = {key: self._first_seen_s.get(key, now_s) for key in live}
         known = self._ambiguous
         self._review(now_s)
         if self.directory is not None and self._ambiguous - known:
@@ -128,8 +127,17 @@
             return True
         return await self.directory.record(stream, origin)
 
-    def renew(self, stream: int, origin: StreamOrigin) -> None:
-        """Keep the origin of a stream that goes on; call it each ``RENEW_INTERVAL_S``."""
+    async def renew(self, stream: int, origin: StreamOrigin, kept_s: float) -> None:
+        """Keep the origin of a stream that goes on; call it before each event is passed on.
+
+        Args:
+            stream: Key of the stream.
+            origin: Its origin.
+            kept_s: When it was last kept, in the loop's seconds.
+        """
+        if self._loop.time() - kept_s >= RENEW_LATEST_S:
+            await self.began(stream, origin)
+            return
         self._keep(stream, origin)
         if self.directory is not None and origin.service in self._ambiguous:
             self.directory.report({stream: origin})
@@ -138,12 +146,30 @@
         """Return the version at which a new stream should begin, None for any.
 
         It is the base version while origins are not stored: streams of others could not be found.
-        A gateway that has started since the service has several versions goes by what control
-        processes told; if they know no base version, they take no stream for one of it.
         """
         if self.directory is None or self.directory.is_recording:
             return None
-        if service not in self._ambiguous:
+        return self._base_version(service)
+
+    def widely_known_version(self, service: str) -> str | None:
+        """Return the base version while another gateway may not have heard of a newer one.
+
+        That gateway would take it for the only one. None if all versions are known long enough.
+        """
+        now_s = self._loop.time()
+        is_new = any(
+            name == service and now_s - first_seen_s <= self._max_view_age_s
+            for (name, _), first_seen_s in self._first_seen_s.items()
+        )
+        return self._base_version(service) if is_new else None
+
+    def _base_version(self, service: str) -> str | None:
+        """Return the base version of a service while it has several, None if it is unknown.
+
+        A gateway that has started since goes by what control processes told; if they know no base
+        version, they take no stream for one of it.
+        """
+        if self.directory is None or service not in self._ambiguous:
             return None
         own = self._history.base_version(service, self._loop.time())
         return own or self.directory.told_bases.get(service)
@@ -170,19 +196,12 @@
         own = self._streams.get(stream, now_s)
         if own is not None:
             return Resumption(own, OriginSource.OWN)
-        only = self._only_version(service, now_s)
-        if self.directory is None:
-            return only or Resumption(None, OriginSource.NOT_ASKED)
-        timeout_s = FIND_TIMEOUT_S if only is None else CONFIRM_TIMEOUT_S
-        found = await self.directory.find(stream, service, timeout_s)
-        return found if only is None or found.origin is not None else only
-
-    def _only_version(self, service: str, now_s: float) -> Resumption | None:
-        """Return the service's version if it has only one, as far as this gateway can know."""
         only = self._history.only_version(service, now_s)
-        if only is None or self._view_age_s() > self._max_view_age_s:
-            return None
-        return Resumption(StreamOrigin(service, only), OriginSource.ONLY_VERSION)
+        if only is not None and self._view_age_s() <= self._max_view_age_s:
+            return Resumption(StreamOrigin(service, only), OriginSource.ONLY_VERSION)
+        if self.directory is None:
+            return Resumption(None, OriginSource.NOT_ASKED)
+        return await self.directory.find(stream, service, FIND_TIMEOUT_S)
 
     def _review(self, now_s: float) -> None:
         self._reviewed_s = now_s
--- a/src/leverjunction/registry/origin_finder.py
+++ b/src/leverjunction/registry/origin_finder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -27,6 +28,11 @@
 MAX_PEERS = 64
 """Limit of threads; each control process occupies at most one."""
 
+QUESTIONS_PER_S = 50.0
+"""Limit of questions to all control processes together: what waits for the next one to a process is
+asked with it.
+"""
+
 MAX_SINGLE_QUESTIONS = 50
 """Streams asked one by one of a control process of an older build."""
 
@@ -56,7 +62,8 @@
         self._waiting: dict[Lookup, _Waiting] = {}
         self._threads = ThreadPoolExecutor(MAX_PEERS, thread_name_prefix="find-origin")
         self._loop = asyncio.get_running_loop()
-        self._is_sending = False
+        self._asked_s: dict[str, float] = {}
+        self._is_scheduled = False
         self._stopped = False
 
     def stop(self) -> None:
@@ -101,20 +108,29 @@
         if waiting is not None:
             waiting.result.set_result(resumption)
 
-    def _schedule(self) -> None:
-        """Send what is due after all tasks that are ready have asked."""
-        if not self._is_sending:
-            self._is_sending = True
-            self._loop.call_soon(self._send_due)
+    def _schedule(self, delay_s: float = 0.0) -> None:
+        """Send what is due, at the earliest after all tasks that are ready have asked."""
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self._loop.call_later(delay_s, self._send_due)
 
     def _send_due(self) -> None:
-        self._is_sending = False
-        if self._stopped:
-            return
-        for peer in sorted(self._questions.peers()):
+        self._is_scheduled = False
+        peers = [] if self._stopped else sorted(self._questions.peers())
+        now_s = self._loop.time()
+        interval_s = len(self._controls()) / QUESTIONS_PER_S
+        delays_s = []
+        for peer in peers:
+            delay_s = self._asked_s.get(peer, -math.inf) + interval_s - now_s
+            if delay_s > 0:
+                delays_s.append(delay_s)
+                continue
             question = self._questions.next_question(peer)
             if question is not None:
+                self._asked_s[peer] = now_s
                 self._threads.submit(self._ask, peer, question)
+        if delays_s:
+            self._schedule(min(delays_s))
 
     def _ask(self, peer: str, question: FindOrigins) -> None:
         """Ask one control process; called on a thread."""
--- a/src/leverjunction/registry/origin_questions.py
+++ b/src/leverjunction/registry/origin_questions.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping
+from itertools import islice
 
 import msgspec
 
@@ -111,61 +112,65 @@
     """State of one lookup.
 
     Attributes:
-        peers: Control processes that are to be asked.
-        asked: Those that were asked, or are being asked.
+        peers: Number of control processes that are asked.
         answers: Their answers; None where the call has failed.
     """
 
-    __slots__ = ("answers", "asked", "peers")
+    __slots__ = ("answers", "peers")
 
-    def __init__(self, peers: Iterable[str]) -> None:
-        self.peers = frozenset(peers)
-        self.asked: set[str] = set()
+    def __init__(self, peers: int) -> None:
+        self.peers = peers
         self.answers: dict[str, OriginAnswer | None] = {}
 
 
 class OriginQuestions:
     """Lookups that wait, and the question that each control process is being asked."""
 
-    __slots__ = ("_lookups", "_under_way")
+    __slots__ = ("_lookups", "_unasked", "_under_way")
 
     def __init__(self) -> None:
         self._lookups: dict[Lookup, _State] = {}
+        self._unasked: dict[str, dict[Lookup, None]] = {}
         self._under_way: dict[str, tuple[Lookup, ...]] = {}
 
     def __len__(self) -> int:
         return len(self._lookups)
 
-    def begin(self, lookup: Lookup, peers: Iterable[str]) -> None:
+    def begin(self, lookup: Lookup, peers: Collection[str]) -> None:
         """Add a lookup that is to be answered by control processes."""
-        self._lookups.setdefault(lookup, _State(peers))
+        if lookup in self._lookups:
+            return
+        self._lookups[lookup] = _State(len(peers))
+        for peer in peers:
+            self._unasked.setdefault(peer, {})[lookup] = None
 
     def drop(self, lookup: Lookup) -> None:
         """Remove a lookup whose caller is gone; it gets into no further question."""
-        self._lookups.pop(lookup, None)
+        if self._lookups.pop(lookup, None) is not None:
+            for unasked in self._unasked.values():
+                unasked.pop(lookup, None)
 
-    def peers(self) -> set[str]:
+    def peers(self) -> list[str]:
         """Return the control processes that lookups wait for and that are not being asked."""
-        waiting = {peer for state in self._lookups.values() for peer in state.peers - state.asked}
-        return waiting - self._under_way.keys()
+        return [
+            peer
+            for peer, unasked in self._unasked.items()
+            if unasked and peer not in self._under_way
+        ]
 
     def next_question(self, peer: str) -> FindOrigins | None:
         """Return the next question to a control process; None while it is being asked."""
-        if peer in self._under_way:
-            return None
-        lookups: list[Lookup] = []
-        for lookup, state in self._lookups.items():
-            if peer in state.peers and peer not in state.asked:
-                lookups.append(lookup)
-                if len(lookups) == MAX_STREAMS_ASKED:
-                    break
-        if not lookups:
+        unasked = self._unasked.get(peer)
+        if peer in self._under_way or not unasked:
             return None
+        lookups = tuple(islice(unasked, MAX_STREAMS_ASKED))
         services: dict[str, list[int]] = {}
         for lookup in lookups:
-            self._lookups[lookup].asked.add(peer)
+            del unasked[lookup]
             services.setdefault(lookup.service, []).append(lookup.stream)
-        self._under_way[peer] = tuple(lookups)
+        if not unasked:
+            del self._unasked[peer]
+        self._under_way[peer] = lookups
         return FindOrigins(services=services)
 
     def answered(self, peer: str, reply: FoundOrigins | None) -> dict[Lookup, Resumption]:
@@ -181,18 +186,17 @@
             if state is None:
                 continue
             state.answers[peer] = None if reply is None else _answer_of(reply, lookup)
-            found = conclude(lookup.service, state.answers, len(state.peers), is_over=False)
+            found = conclude(lookup.service, state.answers, state.peers, is_over=False)
             if found is not None:
                 ended[lookup] = found
-                del self._lookups[lookup]
+                self.drop(lookup)
         return ended
 
     def give_up(self, lookup: Lookup) -> Resumption:
         """End a lookup whose time is over, and return what the answers so far say."""
-        state = self._lookups.pop(lookup, None)
-        answers: Answers = {} if state is None else state.answers
-        peers = 0 if state is None else len(state.peers)
-        found = conclude(lookup.service, answers, peers, is_over=True)
+        state = self._lookups.get(lookup) or _State(0)
+        self.drop(lookup)
+        found = conclude(lookup.service, state.answers, state.peers, is_over=True)
         assert found is not None
         return found
 
--- a/src/leverjunction/registry/origin_reporter.py
+++ b/src/leverjunction/registry/origin_reporter.py
@@ -17,7 +17,7 @@
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.silent_peers import SilentPeers
 
-COLLECT_S = (0.02, 0.02, 0.1)
+COLLECT_S = (0.05, 0.05, 0.2)
 """Shortest time between two reports, for each of the control processes that an origin is reported
 to. Two of them suffice for an origin to be recorded; the last one is for their end.
 """
--- a/src/leverjunction/registry/origins.py
+++ b/src/leverjunction/registry/origins.py
@@ -18,7 +18,10 @@
 RENEW_INTERVAL_S = 15.0
 """Interval at which the origin of a stream that goes on is reported again."""
 
-KEEP_ORIGIN_S = STREAM_LIFETIME_S + RENEW_INTERVAL_S
+RENEW_LATEST_S = 2 * RENEW_INTERVAL_S - 5.0
+"""Time after the last report from which the next event waits until the origin is stored again."""
+
+KEEP_ORIGIN_S = STREAM_LIFETIME_S + 2 * RENEW_INTERVAL_S
 """Time for which an origin is kept after its last report."""
 
 
@@ -205,6 +208,7 @@
 __all__ = [
     "KEEP_ORIGIN_S",
     "RENEW_INTERVAL_S",
+    "RENEW_LATEST_S",
     "STREAM_LIFETIME_S",
     "FindOrigin",
     "FindOrigins",
--- a/tests/unit/test_origin_questions.py
+++ b/tests/unit/test_origin_questions.py
@@ -33,7 +33,7 @@
     begin(questions, 1)
     assert asked(questions, "a") == [1]
     begin(questions, 2, 3)
-    assert questions.peers() == {"b", "c"}
+    assert set(questions.peers()) == {"b", "c"}
     assert asked(questions, "a") == []
     assert asked(questions, "b") == [1, 2, 3]
     questions.answered("a", NONE_KNOWN)
--- a/tests/unit/test_origin_review.py
+++ b/tests/unit/test_origin_review.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Iterator
 from contextlib import ExitStack
 
 import pytest
 from tests.unit.proxy_support import Proxy
 from tests.unit.test_proxy_contract import RESUMABLE
-from tests.unit.test_proxy_versions import Recording, know, start_runners
+from tests.unit.test_proxy_versions import VIEW_AGE_S, Recording, know, start_runners
 from tests.unit.test_registry_origins import (
     NEW,
     OLD,
@@ -61,6 +62,7 @@
     )
     proxy = stack.enter_context(Proxy(make_table(resumable), runners[:1], directory))
     know(proxy, runners)
+    time.sleep(VIEW_AGE_S)
     sent = {}
     for number in range(10):
         name = f"r{number}"
--- a/tests/unit/test_proxy_versions.py
+++ b/tests/unit/test_proxy_versions.py
@@ -226,6 +226,10 @@
     assert not any(runner.seen for runner in runners)
 
 
+VIEW_AGE_S = 2.1
+"""Longer than the age up to which the proxy trusts its view."""
+
+
 class Recording:
     """A directory that records after a time, or not at all."""
 
@@ -254,6 +258,7 @@
     runners = start_runners(stack, OLD, NEW)
     proxy = stack.enter_context(Proxy(make_full_table(), runners[:1], directory))
     know(proxy, runners)
+    time.sleep(VIEW_AGE_S)
     return proxy, runners
 
 
@@ -306,3 +311,26 @@
     for number in range(10):
         assert proxy.ask(RESUMABLE, Leverjunction_Request_Id=f"r{number}").complete
     assert not runners[1].seen
+
+
+def test_streams_begin_at_a_version_that_all_gateways_know(stack: ExitStack) -> None:
+    """Another gateway may not have heard of the second version, and take the first for the only."""
+    runners = start_runners(stack, OLD, OLD, NEW)
+    proxy = stack.enter_context(Proxy(make_full_table(), runners[:2], Recording()))
+    know(proxy, runners)
+    for number in range(10):
+        assert proxy.ask(RESUMABLE, Leverjunction_Request_Id=f"early-{number}").complete
+    assert not runners[2].seen
+    time.sleep(VIEW_AGE_S)
+    for number in range(20):
+        assert proxy.ask(RESUMABLE, Leverjunction_Request_Id=f"late-{number}").complete
+    assert runners[2].seen
+
+
+def test_a_version_with_few_back_ends_left_does_not_take_all_streams(stack: ExitStack) -> None:
+    runners = start_runners(stack, OLD, NEW, NEW, NEW)
+    proxy = stack.enter_context(Proxy(make_full_table(), runners[:1], Recording()))
+    know(proxy, runners)
+    for number in range(20):
+        assert proxy.ask(RESUMABLE, Leverjunction_Request_Id=f"r{number}").complete
+    assert any(runner.seen for runner in runners[1:])
