Gateway's calls: a hub that waits for a silent leader is not left

Cause: a hub waits up to 1.5 s for the leader of a group, a gateway's attempt up to 2 s for its hub. But the last attempt of a call has only the rest of the call's time, and its timeout counted against the hub as well. While a leader stood still, gateways suspected healthy hubs for 10 s each and went from one to the next, which had to send the full view.

Change: a timeout counts against the hub only if the attempt had the whole 2 s. Exchanges, once a second, find a silent hub in any case.

Shown: test_a_hub_that_waits_for_a_silent_leader_is_not_left failed on the code before (the gateway went to the other hub), passes now; a hub that is silent for a whole attempt is still left.

--- a/src/leverjunction/wire/control_client.py
+++ b/src/leverjunction/wire/control_client.py
@@ -218,7 +218,7 @@
             if not isinstance(reply, Failure) or reply.kind not in _RETRYABLE:
                 return reply
             unknown = unknown or reply.execution is not Execution.NOT_RUN
-            if reply.peer == hub and _is_hub_down(reply):
+            if reply.peer == hub and _is_hub_down(reply, left_s):
                 self._record_failure(hub, reply.reason)
             wait_s = max(pause_s * (0.5 + self._random.random()), reply.retry_after_s or 0.0)
             if self._clock.monotonic_s() + wait_s >= deadline_s:
@@ -269,10 +269,16 @@
             logger.warning("switched from hub {} to {}: {}", hub, current, reason)
 
 
-def _is_hub_down(failure: Failure) -> bool:
-    """Return whether a failure with the hub as its peer means that the hub is down or hangs."""
+def _is_hub_down(failure: Failure, left_s: float) -> bool:
+    """Return whether a failure with the hub as its peer means that the hub is down or hangs.
+
+    Args:
+        failure: The failure of an attempt.
+        left_s: Time that the call had left when the attempt began. With less than a whole attempt
+            it may have ended while the hub was waiting for the leader.
+    """
     timed_out = failure.kind is FailureKind.TIMEOUT and failure.step is Step.RESPONDING
-    return timed_out or failure.kind in _HUB_DOWN
+    return (timed_out and left_s >= ATTEMPT_TIMEOUT_S) or failure.kind in _HUB_DOWN
 
 
 def _backoff_failure(hub: str, wait_s: float) -> Failure:
--- a/tests/unit/test_wire_control_client.py
+++ b/tests/unit/test_wire_control_client.py
@@ -14,7 +14,11 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step, is_failure
 from leverjunction.wire.backoff import FIRST_PAUSE_S, MAX_PAUSE_S, TimeoutBackoff
 from leverjunction.wire.codec import decode, encode_reply
-from leverjunction.wire.control_client import EXCHANGE_TIMEOUT_S, ControlClient
+from leverjunction.wire.control_client import (
+    ATTEMPT_TIMEOUT_S,
+    EXCHANGE_TIMEOUT_S,
+    ControlClient,
+)
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.hub_selector import (
     MAX_STALE_HUBS,
@@ -64,6 +68,7 @@
     def __init__(self) -> None:
         self.script: list[Failure] = []
         self.calls: list[Envelope] = []
+        self.delay_s = 0.0
         self.quorum_age_s = 0.1
         self.settings_version = 1
         self.notices: list[YieldNotice] = []
@@ -77,6 +82,7 @@
 
     def _propose(self, envelope: Envelope, peer: str) -> bytes:
         self.calls.append(envelope)
+        time.sleep(self.delay_s)
         if self.script:
             return encode_reply(self.script.pop(0))
         command = decode(envelope.body, Increment)
@@ -433,3 +439,30 @@
         trial.join()
     assert took_s < EXCHANGE_TIMEOUT_S / 2
     assert client.hub == hub.address
+
+
+def test_a_hub_that_waits_for_a_silent_leader_is_not_left(
+    make_hub: Callable[[], FakeHub],
+) -> None:
+    """Guards against gateways that take their hub for dead because a group's leader is silent.
+
+    The failure: a hub waits 1.5 s for a leader that stands still. The last attempt of a call has
+    less time than that, and its timeout counted against the hub: gateways went from hub to hub,
+    each of which had to send them the full view.
+    """
+    near, far = make_hub(), make_hub()
+    near.delay_s = ATTEMPT_TIMEOUT_S / 4
+    client = ControlClient(RpcClient(KEY, 7), [near.address, far.address])
+    reply = client.propose("jobs-0", Increment(1), int, timeout_s=ATTEMPT_TIMEOUT_S / 8)
+    assert is_failure(reply)
+    assert reply.kind is FailureKind.TIMEOUT
+    assert client.hub == near.address
+
+
+def test_a_hub_that_is_silent_for_a_whole_attempt_is_left(make_hub: Callable[[], FakeHub]) -> None:
+    """A hub answers within the time of an attempt even if no leader answers it."""
+    hub = make_hub()
+    with SilentPeer() as silent:
+        client = client_of(silent.address, hub.address)
+        assert client.propose("jobs-0", Increment(1), int) == 1
+        assert client.hub == hub.address
