Registry: followers do not hold the threads of votes

Cause: each held call of a gateway or store occupies a thread of the RPC server, and MAX_WATCHERS, the number meant for them, was not enforced. Where the other control processes are silent or gone, their followers come to the one that is left; messages between replicas queued behind up to 0.9 s of held calls, longer than an election timeout.

Calls that are not held are always answered.

The schedule's bound of 2 s for a change holds with a full process before two unresponsive ones.

--- a/src/leverjunction/registry/cluster.py
+++ b/src/leverjunction/registry/cluster.py
@@ -20,3 +20,8 @@
 """Threads of the RPC server reserved for messages between replicas and status calls."""
 
 RPC_THREADS = 2 * CALLS_AT_ONCE + PEER_THREADS
+
+MAX_WATCHERS = 128
+"""Limit of the calls of followers held at a control process at the same time; each occupies a
+thread of the RPC server.
+"""
--- a/src/leverjunction/registry/hub.py
+++ b/src/leverjunction/registry/hub.py
@@ -16,6 +16,7 @@
 from leverjunction.consensus.api import GroupStatus, ReplicatedGroup
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.quarantine.records import SuspectList
+from leverjunction.registry.cluster import MAX_WATCHERS
 from leverjunction.registry.commands import (
     GetSuspects,
     GetTable,
@@ -60,9 +61,17 @@
         replica: Local replica of the registry group.
         leader: Sends queries to the group's leader.
         clock: Source of monotonic time.
+        max_held: Limit of calls held at a time; more fail, so that their senders turn to another
+            process.
     """
 
-    def __init__(self, replica: ReplicatedGroup, leader: LeaderQueries, clock: Clock) -> None:
+    def __init__(
+        self,
+        replica: ReplicatedGroup,
+        leader: LeaderQueries,
+        clock: Clock,
+        max_held: int = MAX_WATCHERS,
+    ) -> None:
         self._replica = replica
         self._leader = leader
         self._clock = clock
@@ -70,6 +79,8 @@
         # that lock. To avoid a deadlock, ``_condition`` is never held during a refresh.
         self._condition = threading.Condition()
         self._changes = 0
+        self._max_held = max_held
+        self._held = 0
         self._refresh_lock = threading.Lock()
         self._read_changes = -1
         self._read_s = 0.0
@@ -119,12 +130,25 @@
             request: Versions that the sender has, and how long to wait.
 
         Returns:
-            The newer parts, or a failure if the state here may be out of date or if the leader
-            could not be reached for a fresh read.
+            The newer parts, or a failure if the state here may be out of date, if the leader could
+            not be reached for a fresh read, or if too many calls are held already.
         """
-        began_s = self._clock.monotonic_s()
         if request.fresh:
             return self.stale() or self._read_from_leader()
+        if request.wait_ms <= 0:
+            return self._watch(request)
+        with self._condition:
+            if self._held >= self._max_held:
+                return _too_many_held(self._max_held)
+            self._held += 1
+        try:
+            return self._watch(request)
+        finally:
+            with self._condition:
+                self._held -= 1
+
+    def _watch(self, request: WatchRequest) -> WatchReply | Failure:
+        began_s = self._clock.monotonic_s()
         until_s = began_s + request.wait_ms / 1000
         while True:
             with self._condition:
@@ -230,3 +254,11 @@
         if not isinstance(suspects, Failure) and suspects.revision >= self._suspects.revision:
             self._suspects = suspects
         return failed is None
+
+
+def _too_many_held(limit: int) -> Failure:
+    return Failure(
+        kind=FailureKind.OVERLOADED,
+        reason=f"{limit} calls are held already; use another process",
+        step=Step.EXCHANGING,
+    )
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -25,6 +25,7 @@
 from leverjunction.registry.cluster import (
     CALLS_AT_ONCE,
     CLUSTER_KEY,
+    MAX_WATCHERS,
     RPC_THREADS,
 )
 from leverjunction.registry.commands import (
@@ -66,11 +67,6 @@
 
 T = TypeVar("T")
 
-MAX_WATCHERS = 64
-"""Number of calls of gateways and stores that can be held at the same time; each occupies a thread
-of the RPC server.
-"""
-
 COMMAND_TIMEOUT_S = 0.85
 """Timeout of a proposal or query; callers switch to another control process after 1 s."""
 
@@ -126,7 +122,7 @@
             clock,
             max_concurrent_calls=CALLS_AT_ONCE,
         )
-        self.hub = RegistryHub(self._replica, self.host, clock)
+        self.hub = RegistryHub(self._replica, self.host, clock, MAX_WATCHERS)
         self._origins = OriginDirectory(self.hub, clock, incarnation)
         self._live_runners: set[str] = set()
         self._live_members: set[str] = set()
--- a/src/leverjunction/registry/watch_schedule.py
+++ b/src/leverjunction/registry/watch_schedule.py
@@ -25,6 +25,10 @@
 
 FIRST_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.1
+FULL_PAUSE_S = 0.4
+"""Pause after a process that holds too many calls. Where all are full, followers poll by it; it is
+well below the time in which a change must be in force.
+"""
 
 _NO_REPLY = frozenset({FailureKind.TIMEOUT, FailureKind.UNREACHABLE})
 
@@ -89,7 +93,8 @@
         self._has_failed = True
         if failure.kind in _NO_REPLY:
             self._timeouts += 1
-        pause_s = RETRY_PAUSE_S * self._random.uniform(0.5, 1.5)
+        is_full = failure.kind is FailureKind.OVERLOADED
+        pause_s = (FULL_PAUSE_S if is_full else RETRY_PAUSE_S) * self._random.uniform(0.5, 1.5)
         return max(0.0, pause_s - lasted_s)
 
 
--- a/tests/unit/test_registry_hub.py
+++ b/tests/unit/test_registry_hub.py
@@ -183,3 +183,18 @@
     reader.join(2)
     assert not stuck
     assert not reader.is_alive()
+
+
+def test_more_held_calls_than_the_limit_are_refused_and_others_answered() -> None:
+    replica = Replica()
+    hub = RegistryHub(replica, None, SystemClock(), max_held=1)  # type: ignore[arg-type]
+    replica.hub = hub
+    held = threading.Thread(target=watch, args=(hub, 1, 500), daemon=True)
+    held.start()
+    time.sleep(0.1)
+    refused = watch(hub, 1, 500)
+    assert isinstance(refused, Failure)
+    assert refused.kind is FailureKind.OVERLOADED
+    assert isinstance(watch(hub, 1, 0), WatchReply)
+    held.join()
+    assert isinstance(watch(hub, 1, 10), WatchReply)
--- a/tests/unit/test_registry_watch_schedule.py
+++ b/tests/unit/test_registry_watch_schedule.py
@@ -24,6 +24,7 @@
 UNRESPONSIVE = FailureKind.TIMEOUT
 OUT_OF_CONTACT = FailureKind.STALE
 ENDED = FailureKind.NOT_LISTENING
+FULL = FailureKind.OVERLOADED
 
 
 def failure(kind: FailureKind) -> Failure:
@@ -58,6 +59,8 @@
         (UNRESPONSIVE,),
         (OUT_OF_CONTACT,),
         (ENDED,),
+        (FULL,),
+        (FULL, UNRESPONSIVE, UNRESPONSIVE),
         (UNRESPONSIVE, UNRESPONSIVE),
         (UNRESPONSIVE, OUT_OF_CONTACT),
         (OUT_OF_CONTACT, UNRESPONSIVE),
