Origins are recorded nowhere once a gateway's own three control processes are silent

Cause: all reporters of a gateway fell back on the same one of the others, so that one control process stored what two have to (found by the review). Change: each reporter begins with another one of the others.

--- a/src/leverjunction/registry/origin_reporter.py
+++ b/src/leverjunction/registry/origin_reporter.py
@@ -37,7 +37,8 @@
     """Return the control processes in the order in which a reporter of a gateway uses them.
 
     Different gateways prefer different ones, and the reporters of a gateway different zones. After
-    its own, a reporter uses those that no other reporter prefers, then that of the last reporter.
+    its own, a reporter uses those that no other reporter prefers, each from another one on, then
+    that of the last reporter.
 
     Args:
         gateway: Name of the gateway.
@@ -55,6 +56,9 @@
         preferred.append(best)
     own = preferred[number : number + 1]
     others = [item for item in reversed(preferred) if item not in own]
+    if left:
+        first = number % len(left)
+        left = [*left[first:], *left[:first]]
     return [item.address for item in (*own, *left, *others)]
 
 
--- a/tests/unit/test_origin_review.py
+++ b/tests/unit/test_origin_review.py
@@ -17,6 +17,7 @@
     SERVICE,
     Gateway,
     SilentControl,
+    member,
     view,
 )
 
@@ -25,7 +26,12 @@
 from leverjunction.proxy.stream_origins import FIND_TIMEOUT_S, VIEW_LAG_S, StreamOrigins
 from leverjunction.registry.origin_finder import OriginFinder
 from leverjunction.registry.origin_questions import Lookup, OriginQuestions
-from leverjunction.registry.origin_reporter import MAX_WAITING, OriginReporter
+from leverjunction.registry.origin_reporter import (
+    HOLDERS,
+    MAX_WAITING,
+    OriginReporter,
+    rank_holders,
+)
 from leverjunction.registry.origins import (
     STREAM_LIFETIME_S,
     FoundOrigins,
@@ -212,3 +218,16 @@
         finder.stop()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("silent", [1, 2, 3])
+def test_reporters_whose_control_processes_are_silent_use_different_ones_of_the_others(
+    silent: int,
+) -> None:
+    """An origin is recorded once two different ones have stored it."""
+    controls = [member(number, "abc"[number % 3]) for number in range(6)]
+    for gateway in (f"front-{number}" for number in range(20)):
+        ranked = [rank_holders(gateway, controls, number) for number in range(HOLDERS)]
+        avoided = {order[0] for order in ranked[:silent]}
+        used = {next(item for item in order if item not in avoided) for order in ranked}
+        assert len(used) == HOLDERS, gateway
