--- a/src/testbed/simulation/seeded/faults.py
+++ b/src/testbed/simulation/seeded/faults.py
@@ -135,6 +135,7 @@
         self._lost_s[process.name] = self._world.scheduler.now_s
         process.kill()
         process.place.replica.disk.wipe()
+        process.place.segments.wipe()
         self._later(fault, process.start)
         return True
 
--- a/src/testbed/simulation/seeded/processes.py
+++ b/src/testbed/simulation/seeded/processes.py
@@ -55,6 +55,7 @@
     def kill(self) -> None:
         """End the process at once; what was not synced is lost."""
         self.place.replica.disk.crash()
+        self.place.segments.crash()
         self.place.board.serve(self.place.machine, {}, {})
         self.place.machine.kill()
         self.node = None
--- a/src/testbed/simulation/seeded/stand_ins.py
+++ b/src/testbed/simulation/seeded/stand_ins.py
@@ -19,6 +19,7 @@
 from testbed.simulation.replica import Replica
 from testbed.simulation.rpc import RpcBoard, SimulatedRpc
 from testbed.simulation.scheduler import Scheduler
+from testbed.simulation.seeded.segments import SimulatedSegments
 
 
 class ControlMachine:
@@ -30,6 +31,7 @@
         scheduler: Virtual time, which goes on while the process is down.
         replica: The simulated replica, whose disk outlives the process.
         disk_refuses: The disk takes no bytes: a start fails.
+        segments: Its log of origins on disk.
     """
 
     def __init__(
@@ -40,6 +42,7 @@
         self.scheduler = scheduler
         self.replica = replica
         self.disk_refuses = False
+        self.segments = SimulatedSegments(lambda: not self.disk_refuses)
         self.started_before = False
 
 
@@ -173,6 +176,8 @@
         "PeriodicTask": task,
         "RpcClient": client,
         "RpcRaftTransport": lambda _rpc: None,
+        "SegmentFolder": lambda _folder: place.segments,
+        "read_boot_id": lambda: 0,
         "read_founders": lambda _folder: tuple(founders),
     }
     with ExitStack() as stack:
