Batch leases: a group with a silent leader delays no other

Cause: one thread requested leases from all job groups in turn, with 3 s for each call. While the leader of one group stood still, each round waited for it, for each service anew, and items of the other groups were leased once a round.

Change: a second thread asks the groups whose last call failed. It sleeps while there is none.

Shown: test_items_of_a_group_are_leased_while_another_group_has_no_leader failed on the code before (the slowest of three jobs was leased after 5.60 s, bound 1.5 s), passes now.

--- a/src/leverjunction/batch/lease_fetcher.py
+++ b/src/leverjunction/batch/lease_fetcher.py
@@ -44,7 +44,10 @@
 
 
 class LeaseFetcher:
-    """Requests leases from the job groups in a thread of its own.
+    """Requests leases from the job groups in two threads of its own.
+
+    One asks the groups that answer, the other one those whose last call failed: a group whose
+    leader is silent delays no other.
 
     Args:
         control: Client of the control processes.
@@ -75,21 +78,34 @@
         self._polls = PollSchedule(random)
         self._unanswered_grants: dict[PollTarget, GrantLease] = {}
         self._group_epoch_ms: dict[str, int] = {}
+        self._has_failed: dict[str, bool] = {}
+        """Whether the last call to a group failed, if one was made in this round."""
+        self._failing_groups: set[str] = set()
         self._wake = threading.Event()
+        self._wake_failing = threading.Event()
         self._stopped = threading.Event()
         self._failing = False
-        self._thread = threading.Thread(target=self._run, name="batch-leases", daemon=True)
+        self._threads = [
+            threading.Thread(target=self._run, name="batch-leases", daemon=True),
+            threading.Thread(target=self._run_failing, name="batch-leases-failing", daemon=True),
+        ]
 
     def start(self) -> None:
-        """Start the thread."""
-        self._thread.start()
+        """Start the threads."""
+        for thread in self._threads:
+            thread.start()
 
     def stop(self) -> None:
-        """End the thread, then request the unanswered grants again so that they can be released."""
+        """End the threads, then request the unanswered grants again so that they can be released.
+
+        Waits for calls under way.
+        """
         self._stopped.set()
         self._wake.set()
-        if self._thread.is_alive():
-            self._thread.join(CALL_TIMEOUT_S * 2)
+        self._wake_failing.set()
+        for thread in self._threads:
+            if thread.is_alive():
+                thread.join(CALL_TIMEOUT_S * 2)
         for target, command in list(self._unanswered_grants.items()):
             self._request_lease(target, command)
 
@@ -103,6 +119,7 @@
             has_new_work = self._polls.update(work)
         if has_new_work:
             self._wake.set()
+            self._wake_failing.set()
 
     def _run(self) -> None:
         while True:
@@ -110,11 +127,24 @@
             self._wake.clear()
             if self._stopped.is_set():
                 return
-            try:
-                self.fetch_once()
-            except Exception:
-                # An unexpected error in one round must not end the thread.
-                logger.exception("requesting batch leases failed")
+            self._fetch_round(is_failing=False)
+
+    def _run_failing(self) -> None:
+        while True:
+            with self._lock:
+                has_groups = bool(self._failing_groups)
+            self._wake_failing.wait(self._check_interval_s() if has_groups else None)
+            self._wake_failing.clear()
+            if self._stopped.is_set():
+                return
+            self._fetch_round(is_failing=True)
+
+    def _fetch_round(self, *, is_failing: bool) -> None:
+        try:
+            self._fetch_from(lambda group: (group in self._failing_groups) is is_failing)
+        except Exception:
+            # An unexpected error in one round must not end the thread.
+            logger.exception("requesting batch leases failed")
 
     def _check_interval_s(self) -> float:
         with self._lock:
@@ -122,13 +152,27 @@
         return IDLE_CHECK_INTERVAL_S if is_idle else CHECK_INTERVAL_S
 
     def fetch_once(self) -> None:
-        """Request leases for the current demand, from the job groups in random order."""
+        """Request leases for the current demand, from all job groups in random order."""
+        self._fetch_from(lambda _group: True)
+
+    def _fetch_from(self, is_asked: Callable[[str], bool]) -> None:
         for demand in self._demands():
             groups = list(self._groups)
             self._random.shuffle(groups)
             for group in groups:
-                if demand.wanted > 0 and not self._stopped.is_set():
+                if demand.wanted > 0 and is_asked(group) and not self._stopped.is_set():
                     demand.wanted -= self._fetch(group, demand)
+                    self._sort_group(group)
+
+    def _sort_group(self, group: str) -> None:
+        """Leave a group to the thread that asks groups of its kind."""
+        with self._lock:
+            has_failed = self._has_failed.pop(group, None)
+            if has_failed is False:
+                self._failing_groups.discard(group)
+            elif has_failed:
+                self._failing_groups.add(group)
+                self._wake_failing.set()
 
     def _fetch(self, group: str, demand: Demand) -> int:
         target = PollTarget(group, demand.service)
@@ -164,11 +208,12 @@
         asked_s = self._clock.monotonic_s()
         lease = self._control.propose(target.group, command, Lease, CALL_TIMEOUT_S)
         if isinstance(lease, Failure):
-            self._log_failure(lease)
+            self._record_failure(target.group, lease)
             if lease.execution is not Execution.NOT_RUN:
                 self._unanswered_grants[target] = command
             return 0
         self._unanswered_grants.pop(target, None)
+        self._record_reply(target.group)
         self._failing = False
         self._group_epoch_ms[target.group] = lease.granted_ms - int(asked_s * MS_PER_S)
         if lease.items:
@@ -186,11 +231,18 @@
         query = GetBacklog(with_leases=False, owner=self._gateway_id, as_of_ms=as_of_ms)
         backlog = self._control.query(group, query, Backlog, CALL_TIMEOUT_S)
         if isinstance(backlog, Failure):
-            self._log_failure(backlog)
+            self._record_failure(group, backlog)
             return False
+        self._record_reply(group)
         return backlog.pending_by_service.get(demand.service, 0) > 0
 
-    def _log_failure(self, failure: Failure) -> None:
+    def _record_reply(self, group: str) -> None:
+        with self._lock:
+            self._has_failed[group] = False
+
+    def _record_failure(self, group: str, failure: Failure) -> None:
+        with self._lock:
+            self._has_failed[group] = True
         if not self._failing:
             logger.warning("cannot lease batch items: {}", failure.reason)
         self._failing = True
--- a/tests/unit/test_batch_lease_fetcher.py
+++ b/tests/unit/test_batch_lease_fetcher.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import random
+import threading
+import time
+from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
@@ -24,8 +27,14 @@
     OpenJob,
     ProvenRun,
 )
-from leverjunction.batch.lease_fetcher import CHECK_INTERVAL_S, Demand, LeaseFetcher
+from leverjunction.batch.lease_fetcher import (
+    CALL_TIMEOUT_S,
+    CHECK_INTERVAL_S,
+    Demand,
+    LeaseFetcher,
+)
 from leverjunction.batch.lease_polls import EMPTY_POLL_S, MAX_EMPTY_POLL_S, SAFETY_POLL_S
+from leverjunction.clock import SystemClock
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.messages import PendingWork
 
@@ -189,3 +198,71 @@
     )
     setup.fetcher.fetch_once()
     assert [len(lease.items) for lease in setup.leases] == [4]
+
+
+class OneSilentGroup(LocalControl):
+    """Control client whose calls on group jobs-0 last until their timeout."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda: START_MS)
+        self.asked = threading.Event()
+
+    def _wait(self, group: str, timeout_s: float) -> Failure | None:
+        if group != "jobs-0":
+            return None
+        self.asked.set()
+        time.sleep(timeout_s)
+        return Failure(kind=FailureKind.TIMEOUT, reason="no answer", step=Step.QUERYING)
+
+    def query(
+        self, group: str, query: msgspec.Struct, reply_type: type[T], timeout_s: float = 5.0
+    ) -> T | Failure:
+        return self._wait(group, timeout_s) or super().query(group, query, reply_type, timeout_s)
+
+    def propose(
+        self, group: str, command: msgspec.Struct, reply_type: type[T], timeout_s: float = 5.0
+    ) -> T | Failure:
+        return self._wait(group, timeout_s) or super().propose(
+            group, command, reply_type, timeout_s
+        )
+
+
+def test_items_of_a_group_are_leased_while_another_group_has_no_leader(
+    paused_s: Callable[[], float],
+) -> None:
+    """Guards against leases that wait for a group whose calls time out.
+
+    The failure: one thread asked all groups in turn. While the leader of one stood still, each
+    round waited 3 s for it, and the items of all other groups were leased once in that time.
+    """
+    control = OneSilentGroup()
+    leased = threading.Event()
+    fetcher = LeaseFetcher(
+        control,
+        SystemClock(),
+        random.Random(1),
+        "gateway-1",
+        lambda: [Demand("llm", ["m"], 8)],
+        lambda _group, _service, _lease, _asked_s: leased.set(),
+    )
+    fetcher.update(["jobs-0", "jobs-1"])
+    fetcher.start()
+    assert control.asked.wait(10)
+    # The first call has failed by then, and the next one is under way.
+    time.sleep(CALL_TIMEOUT_S + 1.5 * EMPTY_POLL_S)
+    longest_s = 0.0
+    for name in ("a", "b", "c"):
+        leased.clear()
+        job = spec(f"jobs-1.{name}", item_count=8, deadline_ms=DEADLINE_MS)
+        control.propose("jobs-1", OpenJob(job), OpenedJob)
+        control.propose("jobs-1", AppendItems(job.job_id, 0, items(8)), JobView)
+        started_s, paused_before_s = time.monotonic(), paused_s()
+        control.propose("jobs-1", AcceptJob(job.job_id), JobView)
+        fetcher.update_pending([PendingWork("jobs-1", ["llm"])])
+        assert leased.wait(10)
+        took_s = time.monotonic() - started_s - (paused_s() - paused_before_s)
+        longest_s = max(longest_s, took_s)
+        fetcher.update_pending([])
+        time.sleep(EMPTY_POLL_S)
+    fetcher.stop()
+    assert longest_s < CALL_TIMEOUT_S / 2
