State of a retirement: a silent store comes last

Cause: each question of an operator whether a machine is retired began with the first voter of the stores' group, and waited 0.6 s for it in a thread of the control port while it stood still.

Change: voters that left the last question unanswered come last.

Shown: test_a_silent_store_delays_one_question_about_a_retirement failed on the code before (four questions took 2.36 s, bound 0.6 s), passes now.

--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -64,6 +64,7 @@
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
+from leverjunction.wire.silent_peers import SilentPeers
 
 T = TypeVar("T")
 
@@ -124,6 +125,7 @@
         )
         self.hub = RegistryHub(self._replica, self.host, clock, MAX_WATCHERS)
         self._origins = OriginDirectory(self.hub, clock, incarnation)
+        self._silent_stores = SilentPeers()
         self._live_runners: set[str] = set()
         self._live_members: set[str] = set()
         self._start_liveness = StartLiveness()
@@ -293,10 +295,11 @@
 
     def _holds_no_replica(self, address: str, voters: tuple[str, ...]) -> bool:
         """Return whether the group's leader reports that a machine holds no replica."""
-        for voter in voters:
+        for voter in self._silent_stores.in_order(voters):
             status = self._rpc.call(
                 voter, MessageKind.STATUS, Done(), GroupMembership, timeout_s=CALL_TIMEOUT_S
             )
+            self._silent_stores.record(voter, status, self._clock.monotonic_s())
             if isinstance(status, Failure) or not status.leads:
                 continue
             return address not in status.members and set(status.voters) == set(voters)
