Watch of runners: silent runners delay no reading of the others

Cause: a hub reads the runners that it watches with 16 threads and delivered a round when the last of them had answered or timed out. With 40 silent runners a round took 2.4 s, so that news of the others (about to leave, models loaded) came after the 2 s that are promised.

Change: runners whose last read failed are read after the others, whose readings are delivered first, and 16 of them a round: those first that are not yet known to be unreachable, then those read longest ago.

Shown: test_a_runner_is_read_soon_while_many_others_are_silent failed on the code before (the runner that answers was read 2.41 s after the round began, bound 0.4 s), passes now. The round in which runners go silent still waits for all of them.

--- a/src/leverjunction/control/runner_watch.py
+++ b/src/leverjunction/control/runner_watch.py
@@ -41,7 +41,10 @@
 
 
 class RunnerWatch:
-    """Reads the load reports of the watched runners, several at a time."""
+    """Reads the load reports of the watched runners, several at a time.
+
+    Runners whose last read failed are read after the others, one for each thread in a round.
+    """
 
     def __init__(self, hub: Hub, engines: EngineClient, name: str, zones: dict[str, str]) -> None:
         self._hub = hub
@@ -51,6 +54,9 @@
         self._readers = ThreadPoolExecutor(READER_THREADS, thread_name_prefix="runner-watch")
         self._last: dict[str, RunnerReading] = {}
         self._failures: dict[str, int] = {}
+        self._round = 0
+        self._read_in_round: dict[str, int] = {}
+        """Last round in which a failing runner was read."""
         self._standstills = 0
 
     def tick(self) -> None:
@@ -72,13 +78,39 @@
         watched = [
             runner for runner in runners if watcher_of(runner, live, self._zones) == self._name
         ]
-        readings = list(self._readers.map(self._read, watched))
         ids = {runner.runner_id for runner in watched}
         unwatched = [runner_id for runner_id in self._last if runner_id not in ids]
         for runner_id in unwatched:
             del self._last[runner_id]
             self._failures.pop(runner_id, None)
-        return self._hub.update_readings(readings, unwatched, standstills)
+        answering = [runner for runner in watched if runner.runner_id not in self._failures]
+        failing = self._due_failing(watched)
+        # Those that may time out delay no reading of the others.
+        readings = list(self._readers.map(self._read, answering))
+        if not self._hub.update_readings(readings, unwatched, standstills):
+            return False
+        readings = list(self._readers.map(self._read, failing))
+        return not readings or self._hub.update_readings(readings, [], standstills)
+
+    def _due_failing(self, watched: Iterable[RunnerState]) -> list[RunnerState]:
+        """Return the failing runners to read in this round, at most one for each thread.
+
+        Those that are not yet known to be unreachable come first, then those read longest ago.
+        """
+        self._round += 1
+        failing = sorted(
+            (runner for runner in watched if runner.runner_id in self._failures),
+            key=lambda runner: (
+                self._failures[runner.runner_id] >= FAILURES_UNTIL_UNREACHABLE,
+                self._read_in_round.get(runner.runner_id, 0),
+            ),
+        )[:READER_THREADS]
+        self._read_in_round = {
+            runner_id: last
+            for runner_id, last in self._read_in_round.items()
+            if runner_id in self._failures
+        } | {runner.runner_id: self._round for runner in failing}
+        return failing
 
     def close(self) -> None:
         """Stop the reader threads without waiting for them."""
