Calls on batch jobs: a store that refuses a call as leader is remembered

Cause: the gateway's client remembered the leader only after a reply. A refusal that is final (no such job, too many queued) comes from the leader as well; calls after one looked for the leader again, one at a time since the search has a lock.

Change: a final refusal that the store sent names it as the leader.

Shown: test_leader_that_refuses_a_call_is_called_first_afterwards failed on the code before (stores called a, b, a, b), passes now.

--- a/src/leverjunction/lots/client.py
+++ b/src/leverjunction/lots/client.py
@@ -258,11 +258,12 @@
         sent_s = steady_s()
         reply = self._call(question, store, question.kind, timeout_s)
         question.take(reply)
-        if not isinstance(reply, Failure):
+        is_own_failure = isinstance(reply, Failure) and reply.peer == store
+        if question.is_final and not is_own_failure:
             self._leader = store
             self._leader_took_s = max(0.0, steady_s() - sent_s - transfer_s)
             self._answers += 1
-        elif not question.is_final:
+        elif isinstance(reply, Failure) and not question.is_final:
             self._leader = reply.detail or ("" if store == self._leader else self._leader)
         return question.is_final
 
--- a/tests/unit/test_lots_client.py
+++ b/tests/unit/test_lots_client.py
@@ -163,6 +163,16 @@
     assert (reply.kind, stores.asked) == (FailureKind.NOT_FOUND, ["a"])
 
 
+def test_leader_that_refuses_a_call_is_called_first_afterwards() -> None:
+    """Calls on lots that do not exist must not make each further call look for the leader."""
+    not_found = refusing(FailureKind.NOT_FOUND, Execution.NOT_RUN)
+    stores = Stores(a=NOT_LEADER, b=not_found, c=NOT_LEADER)
+    client = make(stores)
+    for _ in range(2):
+        assert isinstance(call(client), Failure)
+    assert stores.asked == ["a", "b", "b"]
+
+
 def test_time_of_a_call_to_silent_stores_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(client_module, "CALL_TIMEOUT_S", 0.2)
     monkeypatch.setattr(client_module, "CALL_BUDGET_S", 0.5)
