Tests: a second version starts while the gateway has just ended

It could as well have reported its streams before it was killed. Change: the gateway stands still before the back ends of the version start, and is killed 0.3 s after a control process has heard of them: it can never report, and the other gateway knows. The promise is the same.

--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -74,6 +74,9 @@
 
 TRY_PAUSE_S = 0.4
 NEW_PAUSE_S = 0.25
+NOTICE_S = 0.3
+"""From the end of a gateway to its callers' notice of it; others hear of a version meanwhile."""
+
 BEAT_S = 0.4
 BEAT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 9.0
@@ -342,6 +345,11 @@
         self.back_ends += added
         return added
 
+    def start_second_version(self) -> None:
+        """Start back ends of a second version, until a control process has taken a heartbeat."""
+        added = self.add_back_ends([NEW] * (BACK_ENDS // 2))
+        wait_until(lambda: any(back_end.is_known.is_set() for back_end in added))
+
     def best_holders(self, count: int) -> list[object]:
         """Return the control processes that the first gateway reports origins to, best first."""
         by_address = {f"{item.host}:{machines.RPC_PORT}": item for item in self.controls}
@@ -550,14 +558,18 @@
     play.break_streams()
 
 
-def _second_version(before_s: float) -> Strike:
-    def strike(play: Play) -> None:
-        added = play.add_back_ends([NEW] * (BACK_ENDS // 2))
-        wait_until(lambda: any(back_end.is_known.is_set() for back_end in added), poll_s=0.001)
-        time.sleep(before_s)
-        play.break_streams()
+def _second_version_starts(play: Play) -> None:
+    """Let the gateway end before it hears of the version, and its callers notice afterwards."""
+    play.first.pause()
+    play.start_second_version()
+    time.sleep(NOTICE_S)
+    play.break_streams()
 
-    return strike
+
+def _second_version_starts_before(play: Play) -> None:
+    play.start_second_version()
+    time.sleep(0.6)
+    play.break_streams()
 
 
 def _release_long_ago(play: Play) -> None:
@@ -579,8 +591,8 @@
     "one back end of the version left": Line(_one_back_end_left, streams=30, is_promised=False),
     "a control process stands still": Line(_one_control_stands_still),
     "a control process stands still 1 s before": Line(_one_control_stands_still_before),
-    "a second version starts": Line(_second_version(0.0), (OLD,) * BACK_ENDS),
-    "a second version starts 0.6 s before": Line(_second_version(0.6), (OLD,) * BACK_ENDS),
+    "a second version starts": Line(_second_version_starts, (OLD,) * BACK_ENDS),
+    "a second version starts 0.6 s before": Line(_second_version_starts_before, (OLD,) * BACK_ENDS),
     "two control processes killed": Line(_two_controls_killed),
     "all processes killed": Line(_all_killed),
     "all processes killed long after a release": Line(
--- a/tests/unit/seeded_support.py
+++ b/tests/unit/seeded_support.py
@@ -41,14 +41,12 @@
 """Longer than the defaults: many nodes share one interpreter on a machine that may be busy."""
 
 
-def wait_until(
-    condition: Callable[[], object], timeout_s: float = 15.0, poll_s: float = 0.05
-) -> None:
+def wait_until(condition: Callable[[], object], timeout_s: float = 15.0) -> None:
     """Wait for a condition; fail the test if it does not come true within ``timeout_s``."""
     until_s = time.monotonic() + timeout_s
     while not condition():
         assert time.monotonic() < until_s, "the condition did not come true in time"
-        time.sleep(poll_s)
+        time.sleep(0.05)
 
 
 class GatewayThread:
