--- a/tests/unit/test_origin_review.py
+++ b/tests/unit/test_origin_review.py
@@ -9,7 +9,7 @@
 
 import pytest
 from tests.unit.proxy_support import Proxy
-from tests.unit.test_proxy_contract import RESUMABLE
+from tests.unit.test_proxy_contract import RESUMABLE, make_full_table
 from tests.unit.test_proxy_versions import VIEW_AGE_S, Recording, know, start_runners
 from tests.unit.test_registry_origins import (
     NEW,
@@ -35,7 +35,9 @@
 from leverjunction.registry.origins import (
     STREAM_LIFETIME_S,
     FoundOrigins,
+    OriginSource,
     OriginsStored,
+    Resumption,
 )
 from leverjunction.registry.version_history import VersionHistory
 from leverjunction.routes import RouteClass
@@ -231,3 +233,22 @@
         avoided = {order[0] for order in ranked[:silent]}
         used = {next(item for item in order if item not in avoided) for order in ranked}
         assert len(used) == HOLDERS, gateway
+
+
+class KnowsTheBase(Recording):
+    """A directory in which nobody knows the stream, and all vouch for the base version."""
+
+    async def find(self, stream: int, service: str, timeout_s: float) -> Resumption:
+        return Resumption(OLD, OriginSource.BASE_VERSION, answered=3, asked=3)
+
+
+def test_a_caller_that_names_no_attempt_is_not_taken_for_one_of_the_base_version(
+    stack: ExitStack,
+) -> None:
+    """What began its stream is recorded under an id that it does not tell."""
+    runners = start_runners(stack, "v1", "v1.1")
+    proxy = stack.enter_context(Proxy(make_full_table(), runners[:1], KnowsTheBase()))
+    know(proxy, runners)
+    reply = proxy.ask(RESUMABLE, Leverjunction_Request_Id="again", Last_Event_Id="2")
+    assert reply.status == 503
+    assert not any(runner.seen for runner in runners)
