A caller that names no attempt is taken for one whose stream began at the base version

Cause: without Leverjunction-Resumes the stream is looked up under an id that nobody has, so that nobody knows it; its origin may be recorded under its own id. Until the base version was concluded, such a caller was refused while several versions serve. Change: it is refused again: nobody knows. Measured: test_a_caller_that_names_no_attempt_is_not_taken_for_one_of_the_base_version failed before (200) and passes; test_proxy_versions passes.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -40,7 +40,12 @@
 from leverjunction.proxy.stream_origins import StreamOrigins, stream_key
 from leverjunction.quarantine.prompt_parts import is_part_key
 from leverjunction.quota.local_limiter import LocalLimiter
-from leverjunction.registry.origins import RENEW_INTERVAL_S, StreamOrigin
+from leverjunction.registry.origins import (
+    RENEW_INTERVAL_S,
+    OriginSource,
+    Resumption,
+    StreamOrigin,
+)
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route, RouteClass, Tenant
 
@@ -269,6 +274,9 @@
         stream = stream_key(routed.request, resumes)
         asked_s = self._loop.time()
         resumption = await self._origins.find(stream, routed.service)
+        if not resumes and resumption.source is OriginSource.BASE_VERSION:
+            # Its origin may be recorded under the id that the caller does not name.
+            resumption = Resumption(None, OriginSource.NOBODY_KNOWS)
         routed.origin = origin = resumption.origin
         now_s = self._loop.time()
         self._decision_log.resumed(routed, resumption, now_s - asked_s, now_s)
