Resumed streams are not found where there are more than 25 control processes

Cause: a gateway asks all control processes together at most 50 questions a second, so that the next question to each of 30 leaves after 0.6 s, beyond the 0.5 s that a caller waits. Change: at most 0.3 s between two questions to one control process; beyond 15 of them a gateway asks more a second. Measured: the rows of 30 and 60 control processes failed before and pass; test_origin_questions passes.

--- a/src/leverjunction/registry/origin_finder.py
+++ b/src/leverjunction/registry/origin_finder.py
@@ -33,6 +33,11 @@
 asked with it.
 """
 
+MAX_INTERVAL_S = 0.3
+"""Longest time between two questions to one control process, whatever their number: the last part
+of a caller's wait (``FIND_TIMEOUT_S``) is for the answer.
+"""
+
 MAX_SINGLE_QUESTIONS = 50
 """Streams asked one by one of a control process of an older build."""
 
@@ -118,7 +123,7 @@
         self._is_scheduled = False
         peers = [] if self._stopped else sorted(self._questions.peers())
         now_s = self._loop.time()
-        interval_s = len(self._controls()) / QUESTIONS_PER_S
+        interval_s = min(len(self._controls()) / QUESTIONS_PER_S, MAX_INTERVAL_S)
         delays_s = []
         for peer in peers:
             delay_s = self._asked_s.get(peer, -math.inf) + interval_s - now_s
