Tests: a model of the origins of streams, and the histories in which it joined streams

Cause: whether a stream is continued at another version depends on the order of reports, views, ends and standstills in several processes, which tests of real processes reach by chance only. Change: a model in virtual time with the product's own decisions (StreamOrigins, OriginAcks, OriginDirectory, OriginQuestions, VersionHistory), and one row for each counterexample that it found.

--- /dev/null
+++ b/tests/unit/test_origin_losses.py
@@ -0,0 +1,258 @@
+"""Streams that went on, or go on, at another version than began them.
+
+Each test is the shortened history of one counterexample that the model found.
+"""
+
+from __future__ import annotations
+
+import pytest
+from tests.unit.origin_model import Gateway, Model, Stream, joined
+
+from leverjunction.registry.origins import STREAM_LIFETIME_S, Resumption
+
+
+def start_both() -> Model:
+    """Return a fleet with two versions, the second of which is widely known."""
+    model = Model(3)
+    model.put("i-1", "v2")
+    for _ in range(2):
+        model.advance(3.0)
+    return model
+
+
+def begin(model: Model, gateway: Gateway, version: str) -> Stream:
+    """Begin a stream, and give its origin time to be recorded."""
+    model.begin(gateway, gateway.known(version)[0])
+    model.advance(0.35)
+    (stream,) = (item for item in model.streams if item.gateway is gateway)
+    assert stream.version == version
+    return stream
+
+
+def begin_and_end(model: Model, gateway: Gateway, version: str) -> Stream | None:
+    """Begin a stream at a gateway that ends before it has reported anything.
+
+    Returns:
+        The stream; None if none of its events was passed on.
+    """
+    count = len(model.streams)
+    model.begin(gateway, gateway.known(version)[0])
+    model.end_gateway(gateway)
+    return model.streams[-1] if len(model.streams) > count else None
+
+
+def check_not_joined(
+    model: Model, stream: Stream | None, gateway: Gateway, found: Resumption | None = None
+) -> None:
+    if stream is None:
+        return
+    found = found or model.resume(stream, gateway)
+    if model.is_joined(stream, gateway, found):
+        pytest.fail(joined(stream, found), pytrace=False)
+
+
+def test_a_recorded_stream_is_found_after_its_gateway_ended() -> None:
+    model = start_both()
+    first, second = model.gateways
+    stream = begin(model, first, "v2")
+    model.end_gateway(first)
+    model.advance(59.0)
+    found = model.resume(stream, second)
+    assert found.origin == stream.origin
+
+
+def resume_as_late_as_allowed(model: Model, stream: Stream, gateway: Gateway) -> Resumption:
+    """Have the caller continue a stream as late as it may."""
+    model.advance(stream.last_s + STREAM_LIFETIME_S - model.clock.now_s)
+    return model.resume(stream, gateway)
+
+
+@pytest.mark.parametrize("ends_after_s", [0.01, 0.35])
+@pytest.mark.parametrize("resumed_after_s", [20.0, 40.0, 59.0])
+def test_a_stream_resumed_late_at_a_gateway_that_ends_at_once_is_not_joined(
+    resumed_after_s: float, ends_after_s: float
+) -> None:
+    model = start_both()
+    first, second = model.gateways
+    third = model.start_gateway()
+    stream = begin(model, first, "v2")
+    model.end_gateway(first)
+    model.advance(resumed_after_s)
+    assert model.resume(stream, second).origin == stream.origin
+    model.advance(ends_after_s)
+    model.end_gateway(second)
+    assert resume_as_late_as_allowed(model, stream, third).origin == stream.origin
+
+
+@pytest.mark.parametrize("ends_after_s", [0.0, 0.35])
+@pytest.mark.parametrize("paused_s", [14.0, 24.0, 26.0, 50.0, 85.0])
+def test_a_stream_that_paused_before_its_last_event_is_not_joined(
+    paused_s: float, ends_after_s: float
+) -> None:
+    model = start_both()
+    first, second = model.gateways
+    stream = begin(model, first, "v2")
+    model.advance(paused_s)
+    model.event(stream)
+    if ends_after_s:
+        model.advance(ends_after_s)
+    model.end_gateway(first)
+    if model.clock.now_s - stream.last_s <= STREAM_LIFETIME_S:
+        assert resume_as_late_as_allowed(model, stream, second).origin == stream.origin
+
+
+@pytest.mark.parametrize("away_s", [45.0, 49.0, 51.0, 58.0, 61.0, 64.0, 69.0, 71.0])
+def test_a_version_that_comes_back_after_a_minute_joins_no_streams(away_s: float) -> None:
+    model = start_both()
+    first, second = model.gateways
+    model.remove("i-0")
+    model.advance(away_s)
+    model.put("i-0", "v1")
+    model.advance(3.0)
+    third = model.start_gateway()
+    stream = begin_and_end(model, first, "v1")
+    check_not_joined(model, stream, second)
+    check_not_joined(model, begin_and_end(model, third, "v2"), second)
+
+
+@pytest.mark.parametrize("cut_off_s", [35.0, 45.0, 55.0, 65.0, 75.0])
+def test_a_gateway_cut_off_while_a_version_comes_back_joins_no_streams(cut_off_s: float) -> None:
+    model = start_both()
+    first, second = model.gateways
+    begin(model, first, "v2")
+    model.remove("i-0")
+    model.advance(2.0)
+    first.is_cut_off = True
+    model.advance(8.0)
+    model.put("i-2", "v1")
+    model.advance(cut_off_s - 8.0)
+    first.is_cut_off = False
+    model.advance(3.0)
+    stream = begin_and_end(model, first, "v2")
+    check_not_joined(model, stream, second)
+
+
+@pytest.mark.parametrize("cut_off_s", [5.0, 20.0, 80.0, 120.0])
+def test_a_stream_of_a_gateway_that_is_cut_off_for_long_is_not_joined(cut_off_s: float) -> None:
+    model = start_both()
+    first, second = model.gateways
+    stream = begin(model, first, "v2")
+    first.is_cut_off = True
+    model.flows = True
+    model.advance(cut_off_s)
+    model.end_gateway(first)
+    found = resume_as_late_as_allowed(model, stream, second)
+    check_not_joined(model, stream, second, found)
+
+
+def test_a_stream_passed_on_without_record_is_not_joined() -> None:
+    model = start_both()
+    model.remove("i-0")
+    model.advance(3.0)
+    first, second = model.gateways
+    for control in model.controls[:2]:
+        control.is_silent = True
+    stream = begin(model, first, "v2")
+    model.end_gateway(first)
+    for control in model.controls[:2]:
+        control.backlog.clear()
+        control.wake()
+    model.controls[2].is_silent = True
+    model.put("i-0", "v1")
+    model.advance(3.0)
+    check_not_joined(model, stream, second)
+
+
+def test_a_stream_that_is_not_recorded_sends_no_event() -> None:
+    """It does not begin anew under its key: a control process that is silent may know the key."""
+    model = start_both()
+    first, second = model.gateways
+    for control in model.controls:
+        control.is_silent = True
+    model.begin(first, first.known("v2")[0])
+    first.flush()
+    model.advance(0.35)
+    assert model.streams == []
+    # A new attempt, while recording does not work.
+    model.begin(first, first.known("v2")[0])
+    (stream,) = model.streams
+    assert stream.version == "v1"
+    model.end_gateway(first)
+    for control in model.controls:
+        control.wake()
+    model.advance(2.0)
+    assert model.resume(stream, second).origin == stream.origin
+
+
+def test_a_gateway_cut_off_as_a_version_starts_joins_no_streams() -> None:
+    """Streams begin at the version that is widely known for as long as others may be cut off."""
+    model = Model(3)
+    first, second = model.gateways
+    model.put("i-1", "v2")
+    for control in model.controls[:2]:
+        control.hear()
+    first.hear(model.controls[0])
+    second.is_cut_off = True
+    model.begin(first, first.known("v2")[0])
+    first.flush()
+    (stream,) = model.streams
+    assert stream.version == "v1"
+    model.end_gateway(first)
+    check_not_joined(model, stream, second)
+    third = model.start_gateway()
+    for _ in range(2):
+        model.advance(3.0)
+    stream = begin(model, third, "v2")
+    model.end_gateway(third)
+    check_not_joined(model, stream, second)
+
+
+def test_a_gateway_cut_off_as_most_back_ends_get_a_version_joins_no_streams() -> None:
+    model = Model(3)
+    first, second = model.gateways
+    for number in (1, 2):
+        model.put(f"i-{number}", "v2")
+    for control in model.controls[:2]:
+        control.hear()
+    first.hear(model.controls[0])
+    second.is_cut_off = True
+    model.begin(first, first.known("v2")[0])
+    first.flush()
+    (stream,) = model.streams
+    model.end_gateway(first)
+    check_not_joined(model, stream, second)
+
+
+def test_a_gateway_that_starts_beside_a_new_version_does_not_have_its_streams_joined() -> None:
+    model = Model(3)
+    second = model.gateways[1]
+    second.is_cut_off = True
+    model.put("i-1", "v2")
+    for control in model.controls[:2]:
+        control.hear()
+    third = model.start_gateway()
+    third.hear(model.controls[0])
+    model.begin(third, third.known("v2")[0])
+    third.flush()
+    (stream,) = model.streams
+    model.end_gateway(third)
+    check_not_joined(model, stream, second)
+
+
+def test_a_stream_of_an_older_gateway_that_reported_nothing_is_not_joined() -> None:
+    model = start_both()
+    model.start_gateway(is_older=True)
+    stream = begin_and_end(model, model.gateways[-1], "v2")
+    check_not_joined(model, stream, model.gateways[0])
+
+
+def test_control_processes_that_start_again_at_an_old_state_do_not_join_streams() -> None:
+    model = start_both()
+    first, second = model.gateways
+    stream = begin(model, first, "v2")
+    for control in model.controls:
+        control.start(views_lost=3)
+    model.end_gateway(first)
+    assert model.resume(stream, second).origin is None
+    model.advance(3.0)
+    assert model.resume(stream, second).origin is None
