Limits: serve what is within the limit right after the start

Cause: a gateway that had not heard from an owner since its start allowed itself a tenth of a tenant's rate, and one request at once. A new owner also stayed silent for 0.7 s after the first report, even if no gateway could have been admitting requests before.

Change: half of the limit for the first 2 s, then a tenth as before. The number of gateways is not known then, so all of them together may exceed the limit; what bounds it is the time until an owner answers. An owner that has heard no report for 1.3 s answers the first one at once. The only gateway keeps the whole limit.

Shown: three of the new rows fail on the code before (just started, the only gateway, answers the first at once).

--- a/src/leverjunction/quota/ledger.py
+++ b/src/leverjunction/quota/ledger.py
@@ -32,8 +32,14 @@
 """
 
 TAKEOVER_WAIT_S = 0.7
-"""Time from a new owner's first report until it tells levels. By then all gateways within reach
-have reported, and the demand that is told is not that of a few of them.
+"""Time from a new owner's first report until it tells levels, unless that report came later than
+``UNHEARD_S``. By then all gateways within reach have reported, and the demand that is told is not
+that of a few of them.
+"""
+
+UNHEARD_S = 1.3
+"""Time without any report after which a new owner knows that no gateway within reach was admitting
+requests: a gateway notices the loss of its former owner, and reports to all that may follow.
 """
 
 ALL_BUSY_INTERVAL_S = 1.0
@@ -97,6 +103,7 @@
 
     __slots__ = (
         "_accounts",
+        "_began_s",
         "_bounds",
         "_first_report_s",
         "_gateways",
@@ -109,6 +116,7 @@
         self._accounts: dict[str, _Account] = {}
         self._gateways: dict[str, _Gateway] = {}
         self._told_all_s = float("-inf")
+        self._began_s: float | None = None
         self._first_report_s: float | None = None
         self._has_taken_over = False
 
@@ -116,11 +124,14 @@
         """Forget everything: this process is no longer the owner."""
         self._accounts.clear()
         self._gateways.clear()
+        self._began_s = None
         self._first_report_s = None
         self._has_taken_over = False
 
     def set_limits(self, limits: Mapping[str, RateLimit], now_s: float) -> None:
         """Replace the limits by name of the tenant; buckets of known tenants keep their level."""
+        if self._began_s is None:
+            self._began_s = now_s
         accounts: dict[str, _Account] = {}
         for name, limit in limits.items():
             if not limit.is_limited:
@@ -155,6 +166,8 @@
             gateway = self._gateways[usage.gateway] = _Gateway(incarnation)
         if self._first_report_s is None:
             self._first_report_s = now_s
+            # Nothing was admitted by gateways that this owner does not know.
+            self._has_taken_over = self._began_s is not None and now_s - self._began_s > UNHEARD_S
         gateway.heard_s = now_s
         gateway.address = address
         prepaid = self._end_withholding(gateway, now_s)
@@ -170,9 +183,11 @@
     def levels(self, now_s: float) -> list[TenantLevels]:
         """Return the messages to all gateways: tight tenants, and at intervals all busy ones."""
         self._review_gateways(now_s)
-        if self._first_report_s is None or now_s - self._first_report_s < TAKEOVER_WAIT_S:
+        if self._first_report_s is None:
             return []
         if not self._has_taken_over:
+            if now_s - self._first_report_s < TAKEOVER_WAIT_S:
+                return []
             # Until now the gateways have admitted requests by their shares of the rate.
             self._has_taken_over = True
             for account in self._accounts.values():
--- a/src/leverjunction/quota/local_limiter.py
+++ b/src/leverjunction/quota/local_limiter.py
@@ -46,8 +46,15 @@
 more than 1, since gateways report and hear at different times.
 """
 
-FIRST_SHARE = 0.1
-"""Share of a tenant's limit at a gateway that has not heard from any owner since its start."""
+FIRST_SHARE = 0.5
+FIRST_S = 2.0
+"""Share of a tenant's limit at a gateway that has not heard from any owner since its start, and how
+long it applies from the first request on. The number of gateways is not known then: all of them
+together may exceed the limit, but an owner answers in a part of that time.
+"""
+
+UNKNOWN_SHARE = 0.1
+"""Share of a tenant's limit at a gateway that has heard from no owner for longer."""
 
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 10.0
@@ -69,7 +76,7 @@
             is.
         whole: The tenant's whole limit, which this gateway alone never exceeds.
         alone: Allowance while the owner is unreachable; None while it is not.
-        alone_share: Share of the tenant's rate that refills it.
+        alone_share: Former share of the tenant's requests, which refills it.
     """
 
     __slots__ = (
@@ -117,6 +124,7 @@
         "_accounts",
         "_bounds",
         "_changed",
+        "_first_s",
         "_gateways",
         "_heard_s",
         "_random",
@@ -130,6 +138,7 @@
         self._changed: set[str] = set()
         self._gateways = 0
         self._heard_s = float("-inf")
+        self._first_s: float | None = None
         self.report_interval_s = 0.0
 
     def admit(self, tenant: Tenant, now_s: float) -> Failure | None:
@@ -137,6 +146,8 @@
         limit = tenant.limit
         if not limit.is_limited:
             return None
+        if self._first_s is None:
+            self._first_s = now_s
         account = self._account(tenant.name)
         account.demand.add(now_s)
         self._changed.add(tenant.name)
@@ -243,8 +254,7 @@
         if account.alone is None:
             account.alone_share = self._former_share(account, limit, now_s)
             account.alone = TokenBucket(self._first_allowance(account, limit), now_s)
-        has_lapsed = self._gateways > 0 and now_s - self._heard_s > SHARE_LEASE_S
-        share = 1 / self._gateways if has_lapsed else account.alone_share
+        share = self._alone_share(account, now_s)
         per_s = share * limit.per_s
         if self._gateways:
             excess = POOLED_SHARE * self._bounds.excess(limit)
@@ -252,8 +262,21 @@
         account.alone.refill(per_s, 1 + share * depth, now_s)
         return account.alone
 
+    def _alone_share(self, account: _Account, now_s: float) -> float:
+        """Return the share of a tenant's rate that this gateway allows itself now."""
+        if not self._gateways:
+            return self._first_share(now_s)
+        has_lapsed = now_s - self._heard_s > SHARE_LEASE_S
+        return 1 / self._gateways if has_lapsed else account.alone_share
+
+    def _first_share(self, now_s: float) -> float:
+        is_starting = self._first_s is not None and now_s - self._first_s <= FIRST_S
+        return FIRST_SHARE if is_starting else UNKNOWN_SHARE
+
     def _first_allowance(self, account: _Account, limit: RateLimit) -> float:
         """Return the requests that are admitted at once when the owner becomes unreachable."""
+        if not self._gateways:
+            return 1 + account.alone_share * self._bounds.depth(limit)
         tight_level = TIGHT_SHARE * self._bounds.depth(limit)
         was_tight = self._heard_s - account.level_s <= LEVEL_S and account.level < tight_level
         if was_tight:
@@ -265,7 +288,9 @@
     def _former_share(self, account: _Account, limit: RateLimit, now_s: float) -> float:
         """Return the share of a tenant's requests that this gateway had."""
         if not self._gateways:
-            return FIRST_SHARE
+            return self._first_share(now_s)
+        if self._gateways == 1:
+            return 1.0
         # Of the same time as the demand at all gateways: the sum of the shares is then at most 1.
         own = account.reported_demand
         is_known = now_s - account.fleet_demand_s <= DEMAND_S
--- a/tests/unit/test_quota_limiter.py
+++ b/tests/unit/test_quota_limiter.py
@@ -7,8 +7,14 @@
 import pytest
 
 from leverjunction.quota.bounds import QuotaBounds
-from leverjunction.quota.ledger import FORGOTTEN_S, SILENT_S, TAKEOVER_WAIT_S, Ledger
-from leverjunction.quota.local_limiter import CONTACT_S, MAX_RETRY_AFTER_S, LocalLimiter
+from leverjunction.quota.ledger import FORGOTTEN_S, SILENT_S, TAKEOVER_WAIT_S, UNHEARD_S, Ledger
+from leverjunction.quota.local_limiter import (
+    CONTACT_S,
+    FIRST_S,
+    MAX_RETRY_AFTER_S,
+    UNKNOWN_SHARE,
+    LocalLimiter,
+)
 from leverjunction.quota.messages import TenantLevels, TenantUsage
 from leverjunction.routes.types import RateLimit, Tenant
 from testbed.quota.experiment import Outcome, Play, run
@@ -113,6 +119,45 @@
     assert 0.2 <= wait_s(0.0, 10.0) < wait_s(-3.0, 10.0) < wait_s(-3.0, 20.0) <= MAX_RETRY_AFTER_S
 
 
+START_LIMIT = RateLimit(per_s=20.0, burst=10.0)
+STARTED = Tenant(name="acme", limit=START_LIMIT)
+
+
+def test_a_gateway_that_has_just_started_serves_what_is_plainly_within_the_limit() -> None:
+    """Guards against refusals before the owner's first message: 11 of 15 requests of one second."""
+    for bounds in (BOUNDS, QuotaBounds()):
+        limiter = LocalLimiter(Random(1), bounds)
+        times = [number / 15.0 for number in range(15)]
+        assert all(limiter.admit(STARTED, now_s) is None for now_s in times)
+
+
+def test_a_gateway_that_never_hears_an_owner_allows_itself_a_small_share() -> None:
+    limiter = LocalLimiter(Random(1), QuotaBounds())
+    limiter.admit(STARTED, 0.0)
+    times = [FIRST_S + 0.1 + number / 100 for number in range(1000)]
+    count = sum(limiter.admit(STARTED, now_s) is None for now_s in times)
+    assert count <= UNKNOWN_SHARE * START_LIMIT.per_s * 10 + 0.5 * START_LIMIT.burst + 1
+
+
+def test_the_only_gateway_keeps_the_whole_limit_while_the_owner_is_lost() -> None:
+    limiter = LocalLimiter(Random(1), QuotaBounds())
+    limiter.apply_levels(TenantLevels(gateways=1, report_interval_s=0.1, tenants={}), 0.0)
+    times = [1.0 + number / 15.0 for number in range(15 * 30)]
+    assert all(limiter.admit(STARTED, now_s) is None for now_s in times)
+
+
+def test_an_owner_that_heard_no_gateway_for_long_answers_the_first_at_once() -> None:
+    ledger = Ledger(BOUNDS)
+    ledger.set_limits({"acme": LIMIT}, 0.0)
+    ledger.apply_usage(usage("g", 0, 2.0), 1, ("h", 0), UNHEARD_S + 0.1)
+    assert ledger.levels(UNHEARD_S + 0.1)
+    ledger.clear()
+    ledger.set_limits({"acme": LIMIT}, 10.0)
+    ledger.apply_usage(usage("g", 0, 2.0), 1, ("h", 0), 10.5)
+    assert not ledger.levels(10.6)
+    assert ledger.levels(10.51 + TAKEOVER_WAIT_S)
+
+
 def test_reports_that_are_lost_doubled_or_late_are_charged_once() -> None:
     ledger = owner(usage("g", 100, 2.0))
     before = level(ledger, 1.0)
@@ -206,3 +251,10 @@
 @pytest.mark.parametrize("name", ["steady", "hot", "hot, owner lost"])
 def test_a_limit_holds_at_other_sizes(name: str, gateways: int) -> None:
     assert max(outcome.over for outcome in play(name, 60.0, gateways, seeds=1)) <= 0
+
+
+@pytest.mark.parametrize("gateways", [1, 4, 6])
+@pytest.mark.parametrize("name", ["restart", "hot, restart"])
+def test_a_limit_holds_while_few_gateways_start_again(name: str, gateways: int) -> None:
+    for per_s in (5.0, 60.0):
+        assert max(outcome.over for outcome in play(name, per_s, gateways)) <= 0
