Limits: tell refused callers when their allowance returns

Cause: Retry-After was about the time of one request at the tenant's rate (0.2 to 0.3 s at 20 requests/s), the same for all refused callers. They came back at once, together, and were refused again. A refusal did not say whom its figures came from.

Change: the requests that were refused within the memory of the average (5 s) have their allowance one after the other at the tenant's rate. Each refusal names a random time in that period, 10 s at most. While a gateway decides alone, the rate is the one that it allows itself. The reason of a refusal has the allowance, its age and the owner's address.

Shown: of 20 requests/s at a limit of 5/s each refusal said 0.8 s before; now they are spread evenly up to 10 s.

--- a/src/leverjunction/quota/local_limiter.py
+++ b/src/leverjunction/quota/local_limiter.py
@@ -18,7 +18,7 @@
 
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.quota.bounds import POOLED_SHARE, QuotaBounds
-from leverjunction.quota.demand import DemandAverage
+from leverjunction.quota.demand import DEMAND_MEMORY_S, DemandAverage
 from leverjunction.quota.ledger import BUSY_SHARE, TIGHT_SHARE
 from leverjunction.quota.messages import TenantLevels, TenantUsage
 from leverjunction.quota.token_bucket import TokenBucket
@@ -77,11 +77,13 @@
         whole: The tenant's whole limit, which this gateway alone never exceeds.
         alone: Allowance while the owner is unreachable; None while it is not.
         alone_share: Former share of the tenant's requests, which refills it.
+        alone_per_s: Requests per second that currently refill it.
     """
 
     __slots__ = (
         "admitted",
         "alone",
+        "alone_per_s",
         "alone_share",
         "demand",
         "fleet_demand",
@@ -107,6 +109,7 @@
         self.whole: TokenBucket | None = None
         self.alone: TokenBucket | None = None
         self.alone_share = 0.0
+        self.alone_per_s = 0.0
 
 
 class LocalLimiter:
@@ -127,6 +130,7 @@
         "_first_s",
         "_gateways",
         "_heard_s",
+        "_owner",
         "_random",
         "report_interval_s",
     )
@@ -138,6 +142,7 @@
         self._changed: set[str] = set()
         self._gateways = 0
         self._heard_s = float("-inf")
+        self._owner = ""
         self._first_s: float | None = None
         self.report_interval_s = 0.0
 
@@ -171,9 +176,16 @@
             if bucket is not None:
                 bucket.tokens += 1
 
-    def apply_levels(self, levels: TenantLevels, now_s: float) -> None:
-        """Apply a message of the owner."""
+    def apply_levels(self, levels: TenantLevels, now_s: float, owner: str = "") -> None:
+        """Apply a message of the owner.
+
+        Args:
+            levels: The message.
+            now_s: Monotonic time in seconds.
+            owner: Name or address of the owner, for refusals.
+        """
         self._heard_s = now_s
+        self._owner = owner
         self._gateways = levels.gateways
         self.report_interval_s = levels.report_interval_s
         for name, (level, demand) in levels.tenants.items():
@@ -259,6 +271,7 @@
         if self._gateways:
             excess = POOLED_SHARE * self._bounds.excess(limit)
             per_s = max(per_s, excess / self._gateways / self._bounds.window_s)
+        account.alone_per_s = per_s
         account.alone.refill(per_s, 1 + share * depth, now_s)
         return account.alone
 
@@ -302,17 +315,45 @@
         is_told = now_s - account.level_s <= LEVEL_S
         demand = max(account.demand.per_s(now_s), account.fleet_demand if is_told else 0.0)
         owed = max(0.0, -account.level) if is_told else 0.0
-        wait_s = (1 + owed) / limit.per_s * max(1.0, demand / limit.per_s)
-        level = f"{account.level:.1f}" if is_told else "unknown"
+        is_alone = account.alone is not None and not self.is_in_contact(now_s)
+        per_s = account.alone_per_s if is_alone else limit.per_s
         return Failure(
             kind=FailureKind.RATE_LIMITED,
             reason=(
                 f"tenant {tenant.name!r} exceeds its limit of {limit.per_s:g} requests/s: it sends "
-                f"{demand:.1f}/s, {level} left, limits last heard {now_s - self._heard_s:.1f} s ago"
+                f"{demand:.1f}/s, {self._describe_allowance(account, is_told, now_s)}"
             ),
             step=Step.ADMISSION,
-            retry_after_s=min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)),
+            retry_after_s=self._retry_after_s(owed, per_s, demand),
         )
 
+    def _retry_after_s(self, owed: float, per_s: float, demand: float) -> float:
+        """Return when the allowance of a refused request returns.
+
+        Those refused within the memory of the average have their allowance one after the other, at
+        the tenant's rate. Each is given a time in that period, so that they do not return together.
+        """
+        if per_s <= 0:
+            return MAX_RETRY_AFTER_S
+        first_s = max(MIN_RETRY_AFTER_S, (1 + owed) / per_s)
+        last_s = first_s + max(1.0, DEMAND_MEMORY_S * (demand - per_s)) / per_s
+        earliest_s = min(first_s, MAX_RETRY_AFTER_S / 2)
+        return self._random.uniform(earliest_s, min(last_s, MAX_RETRY_AFTER_S))
+
+    def _describe_allowance(self, account: _Account, is_told: bool, now_s: float) -> str:
+        """Return what this gateway goes by, how old it is and whom it has it from."""
+        if not self._gateways:
+            return (
+                f"no owner of limits heard yet, {account.alone_per_s:.1f}/s allowed here meanwhile"
+            )
+        age_s = now_s - self._heard_s
+        if not self.is_in_contact(now_s):
+            return (
+                f"owner of limits {self._owner} silent for {age_s:.1f} s, "
+                f"{account.alone_per_s:.1f}/s allowed here meanwhile"
+            )
+        level = f"{account.level:.1f}" if is_told else "unknown"
+        return f"{level} left, limits last heard {age_s:.1f} s ago from {self._owner}"
+
 
 __all__ = ["LocalLimiter"]
--- a/src/testbed/quota/ways.py
+++ b/src/testbed/quota/ways.py
@@ -83,9 +83,9 @@
         account.admitted += 1
         return None
 
-    def apply_levels(self, levels: TenantLevels, now_s: float) -> None:
+    def apply_levels(self, levels: TenantLevels, now_s: float, owner: str = "") -> None:
         """Take over the level; a tenant that is not told has enough."""
-        super().apply_levels(levels, now_s)
+        super().apply_levels(levels, now_s, owner)
         level = next((item[0] for item in levels.tenants.values()), None)
         self._level = self._bounds.slack if level is None else level
         self._since = 0
--- a/tests/unit/test_quota_limiter.py
+++ b/tests/unit/test_quota_limiter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
 import pytest
@@ -119,6 +120,39 @@
     assert 0.2 <= wait_s(0.0, 10.0) < wait_s(-3.0, 10.0) < wait_s(-3.0, 20.0) <= MAX_RETRY_AFTER_S
 
 
+def test_refused_callers_do_not_return_together() -> None:
+    """Guards against refused callers that come back at once and are refused again."""
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    limiter.apply_levels(told(0.0, 20.0), 0.0)
+    refusals = [limiter.admit(ACME, 0.01) for _ in range(100)]
+    waits_s = [item.retry_after_s or 0.0 for item in refusals if item is not None]
+    # Of 20 requests/s 15 are refused: those of the last 5 s need 15 s of the rate, 10 s at most.
+    assert 4.0 <= sum(waits_s) / len(waits_s) <= 7.0
+    counts = Counter(int(wait_s) for wait_s in waits_s)
+    assert max(counts.values()) <= len(waits_s) / 4
+
+
+def test_a_caller_slightly_beyond_the_limit_waits_briefly() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    limiter.apply_levels(told(0.0, 5.5), 0.0)
+    refusals = [limiter.admit(ACME, 0.01) for _ in range(10)]
+    waits_s = [item.retry_after_s or 0.0 for item in refusals if item is not None]
+    assert max(waits_s) <= 1.0
+
+
+def test_a_refusal_tells_the_allowance_its_age_and_its_owner() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+
+    def reason(now_s: float) -> str:
+        refusals = [limiter.admit(ACME, now_s) for _ in range(100)]
+        return next(item for item in refusals if item is not None).reason
+
+    assert "no owner of limits heard yet, 2.5/s allowed here" in reason(0.0)
+    limiter.apply_levels(told(-3.0, 20.0), 1.0, "10.0.0.1")
+    assert "-3.0 left, limits last heard 0.5 s ago from 10.0.0.1" in reason(1.5)
+    assert "owner of limits 10.0.0.1 silent for 3.0 s, " in reason(4.0)
+
+
 START_LIMIT = RateLimit(per_s=20.0, burst=10.0)
 STARTED = Tenant(name="acme", limit=START_LIMIT)
 
