Limits: the owner's work no longer grows with tenants times gateways

Cause: before each message, several times a second, the ledger summed the demand and the withheld shares of every tenant over every gateway, and told tenants that nobody used.

Change: demand is kept as exact integer sums that reports update, withheld shares are summed over silent gateways only, and tenants without demand and with a full bucket are not visited.

--- a/src/leverjunction/quota/ledger.py
+++ b/src/leverjunction/quota/ledger.py
@@ -42,6 +42,9 @@
 requests: a gateway notices the loss of its former owner, and reports to all that may follow.
 """
 
+FORGOTTEN_MILLI = 1
+"""Demand in requests per 1,000 s that counts as none. Gateways stop reporting it there."""
+
 ALL_BUSY_INTERVAL_S = 1.0
 LEVELS_INTERVAL_S = 0.1
 LEVELS_DATAGRAMS_PER_S = 2000.0
@@ -59,6 +62,8 @@
     """Last report of one gateway.
 
     Attributes:
+        demand_milli: Requests per 1,000 s by tenant, as the gateway last reported them. Integers,
+            so that sums over all gateways stay exact as reports replace each other.
         withheld: Share of each tenant's rate that the gateway allows itself while it is silent;
             None while it is not.
         withheld_s: Since when it is withheld.
@@ -67,7 +72,7 @@
     __slots__ = (
         "address",
         "admitted",
-        "demand",
+        "demand_milli",
         "heard_s",
         "incarnation",
         "withheld",
@@ -79,7 +84,7 @@
         self.address: Address = ("", 0)
         self.heard_s = 0.0
         self.admitted: dict[str, int] = {}
-        self.demand: dict[str, float] = {}
+        self.demand_milli: dict[str, int] = {}
         self.withheld: dict[str, float] | None = None
         self.withheld_s = 0.0
 
@@ -103,11 +108,14 @@
 
     __slots__ = (
         "_accounts",
+        "_active",
         "_began_s",
         "_bounds",
+        "_demand_milli",
         "_first_report_s",
         "_gateways",
         "_has_taken_over",
+        "_silent",
         "_told_all_s",
     )
 
@@ -115,6 +123,10 @@
         self._bounds = bounds
         self._accounts: dict[str, _Account] = {}
         self._gateways: dict[str, _Gateway] = {}
+        # With thousands of tenants and hundreds of gateways only what changes may be visited.
+        self._silent: list[_Gateway] = []
+        self._active: set[str] = set()
+        self._demand_milli: dict[str, int] = {}
         self._told_all_s = float("-inf")
         self._began_s: float | None = None
         self._first_report_s: float | None = None
@@ -124,6 +136,9 @@
         """Forget everything: this process is no longer the owner."""
         self._accounts.clear()
         self._gateways.clear()
+        self._silent.clear()
+        self._active.clear()
+        self._demand_milli.clear()
         self._began_s = None
         self._first_report_s = None
         self._has_taken_over = False
@@ -162,6 +177,8 @@
         # What a gateway admitted before its first report to this owner is not charged, unless the
         # gateway was started since: then it began with nothing.
         is_first = gateway is None
+        if gateway is not None and incarnation > gateway.incarnation:
+            self._remove(gateway)
         if gateway is None or incarnation > gateway.incarnation:
             gateway = self._gateways[usage.gateway] = _Gateway(incarnation)
         if self._first_report_s is None:
@@ -174,7 +191,7 @@
         for name, (admitted, demand) in usage.tenants.items():
             known = gateway.admitted.get(name, admitted if is_first else 0)
             gateway.admitted[name] = admitted
-            gateway.demand[name] = demand
+            self._set_demand(gateway, name, demand)
             account = self._accounts.get(name)
             if account is not None:
                 self._refill(name, account, now_s)
@@ -196,9 +213,13 @@
         if tells_all:
             self._told_all_s = now_s
         told: dict[str, tuple[float, float]] = {}
-        for name, account in self._accounts.items():
+        self._active &= self._accounts.keys()
+        for name in list(self._active):
+            account = self._accounts[name]
             self._refill(name, account, now_s)
             level, demand = account.bucket.tokens, self._demand(name)
+            if not demand and level >= self._bounds.depth(account.limit):
+                self._active.discard(name)
             is_tight = level < TIGHT_SHARE * self._bounds.depth(account.limit)
             is_busy = demand >= BUSY_SHARE * account.limit.per_s
             if is_tight or (tells_all and is_busy):
@@ -236,31 +257,50 @@
 
     def _end_withholding(self, gateway: _Gateway, now_s: float) -> dict[str, float]:
         """Return the tokens that were withheld for a gateway that was silent until now."""
-        for name in gateway.withheld or ():
-            if name in self._accounts:
-                self._refill(name, self._accounts[name], now_s)
-        withheld, gateway.withheld = gateway.withheld, None
+        if gateway.withheld is None:
+            return {}
+        withheld = {
+            name: share for name, share in gateway.withheld.items() if name in self._accounts
+        }
+        for name in withheld:
+            self._refill(name, self._accounts[name], now_s)
+        gateway.withheld = None
+        self._silent.remove(gateway)
+        self._add_demand(gateway, 1)
         elapsed_s = now_s - gateway.withheld_s
         return {
             name: share * self._accounts[name].limit.per_s * elapsed_s
-            for name, share in (withheld or {}).items()
-            if name in self._accounts
+            for name, share in withheld.items()
         }
 
     def _demand(self, tenant: str) -> float:
         """Return a tenant's requests per second at the gateways that are not silent."""
-        return sum(
-            gateway.demand.get(tenant, 0.0)
-            for gateway in self._gateways.values()
-            if gateway.withheld is None
-        )
+        return self._demand_milli.get(tenant, 0) / 1000
+
+    def _set_demand(self, gateway: _Gateway, tenant: str, demand: float) -> None:
+        milli = round(1000 * demand)
+        if milli <= FORGOTTEN_MILLI:
+            milli = 0
+        before = gateway.demand_milli.pop(tenant, 0)
+        if milli:
+            gateway.demand_milli[tenant] = milli
+        self._demand_milli[tenant] = self._demand_milli.get(tenant, 0) + milli - before
+        self._active.add(tenant)
+
+    def _add_demand(self, gateway: _Gateway, sign: int) -> None:
+        for name, milli in gateway.demand_milli.items():
+            self._demand_milli[name] = self._demand_milli.get(name, 0) + sign * milli
+            self._active.add(name)
+
+    def _remove(self, gateway: _Gateway) -> None:
+        """Remove what a dead gateway, or the former start of one, has reported."""
+        if gateway.withheld is None:
+            self._add_demand(gateway, -1)
+        else:
+            self._silent.remove(gateway)
 
     def _refill(self, name: str, account: _Account, now_s: float) -> None:
-        withheld = sum(
-            gateway.withheld.get(name, 0.0)
-            for gateway in self._gateways.values()
-            if gateway.withheld is not None
-        )
+        withheld = sum((gateway.withheld or {}).get(name, 0.0) for gateway in self._silent)
         per_s = account.limit.per_s * max(0.0, 1 - withheld)
         account.bucket.refill(per_s, self._bounds.depth(account.limit), now_s)
 
@@ -270,20 +310,25 @@
         for name, gateway in list(self._gateways.items()):
             age_s = now_s - gateway.heard_s
             if age_s > FORGOTTEN_S:
+                self._remove(gateway)
                 del self._gateways[name]
             elif age_s > SILENT_S and gateway.withheld is None:
                 silent.append(gateway)
-        if not silent:
-            return
-        # As a gateway computes its own share: of the demand at the time of the last contact.
-        totals = {name: self._demand(name) for name in self._accounts}
         for gateway in silent:
             gateway.withheld_s = now_s
+            # As a gateway computes its own share: of the demand at the time of the last contact.
             gateway.withheld = {
-                name: demand / max(totals[name], BUSY_SHARE * self._accounts[name].limit.per_s)
-                for name, demand in gateway.demand.items()
-                if name in self._accounts and demand > 0
+                name: milli / 1000 / max(self._demand(name), BUSY_SHARE * limit.per_s)
+                for name, milli in gateway.demand_milli.items()
+                if (limit := self._limit(name)) is not None
             }
+        for gateway in silent:
+            self._add_demand(gateway, -1)
+        self._silent += silent
+
+    def _limit(self, tenant: str) -> RateLimit | None:
+        account = self._accounts.get(tenant)
+        return None if account is None else account.limit
 
 
 __all__ = ["BUSY_SHARE", "TIGHT_SHARE", "Ledger"]
--- a/tests/unit/test_quota_limiter.py
+++ b/tests/unit/test_quota_limiter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from random import Random
 
@@ -225,6 +226,53 @@
     assert not ledger.addresses()
 
 
+def test_the_demand_that_an_owner_tells_is_the_sum_over_gateways_that_report() -> None:
+    random = Random(5)
+    names = [f"t{number}" for number in range(6)]
+    ledger = Ledger(BOUNDS)
+    ledger.set_limits(dict.fromkeys(names, LIMIT), 0.0)
+    starts = dict.fromkeys("abcdef", 1)
+    reported: dict[str, dict[str, float]] = {gateway: {} for gateway in starts}
+    heard_s = dict.fromkeys(starts, float("-inf"))
+    now_s = 0.0
+    for _ in range(3000):
+        now_s += random.choice([0.05, 0.05, 0.05, 0.4, 1.0, 20.0])
+        gateway = random.choice(list(starts))
+        if random.random() < 0.2:
+            starts[gateway] += 1
+            reported[gateway] = {}
+        if now_s - heard_s[gateway] > FORGOTTEN_S:
+            reported[gateway] = {}
+        sent = {name: random.choice([0.0, 0.5, 2.25]) for name in random.sample(names, 2)}
+        # An owner notices silence when it tells the levels, several times a second.
+        ledger.levels(now_s)
+        reported[gateway] |= sent
+        heard_s[gateway] = now_s
+        report = TenantUsage(gateway=gateway, tenants={name: (0, sent[name]) for name in sent})
+        ledger.apply_usage(report, starts[gateway], ("h", 0), now_s)
+        ledger.levels(now_s)
+        heard = [item for item in starts if now_s - heard_s[item] <= SILENT_S]
+        for name, (demand, _, _) in ledger.usage(now_s).items():
+            expected = sum(reported[item].get(name, 0.0) for item in heard)
+            assert demand == pytest.approx(expected)
+
+
+def test_an_owner_keeps_up_with_thousands_of_tenants_at_hundreds_of_gateways() -> None:
+    """Guards against work that grows with tenants times gateways: 0.27 s for each message."""
+    ledger = Ledger(BOUNDS)
+    ledger.set_limits({f"t{number}": LIMIT for number in range(5600)}, 0.0)
+    spent_s = []
+    for step in range(12):
+        now_s = step * 0.2
+        for number in range(340):
+            report = TenantUsage(gateway=f"g{number}", tenants={f"t{number}": (0, 0.5)})
+            ledger.apply_usage(report, 1, ("h", number), now_s)
+        started_s = time.thread_time()
+        ledger.levels(now_s)
+        spent_s.append(time.thread_time() - started_s)
+    assert sorted(spent_s)[6] < 0.05
+
+
 def test_a_lower_limit_takes_effect_at_once() -> None:
     ledger = owner(usage("g", 0, 2.0))
     assert level(ledger, 60.0) == pytest.approx(BOUNDS.depth(LIMIT))
