Limits: take both parts of a former share from the same time

Cause: a gateway that had lost the owner divided its own requests as of its last report, which goes on without an owner, by the demand at all gateways as of the owner's last message. Where a tenant had paused in between, all shares were too small; where it rose, they added up to more than 1.

Change: a gateway remembers its own part of the demand that the owner tells.

Shown: the new row fails on the code before (5 of 10).

--- a/src/leverjunction/quota/local_limiter.py
+++ b/src/leverjunction/quota/local_limiter.py
@@ -72,6 +72,7 @@
         level_s: When it did.
         fleet_demand: Requests per second at all gateways, as the owner last told.
         fleet_demand_s: When it did.
+        own_part: This gateway's part of that demand.
         phase: Accumulates the share of requests that is admitted; whenever it passes 1, a request
             is.
         whole: The tenant's whole limit, which this gateway alone never exceeds.
@@ -90,6 +91,7 @@
         "fleet_demand_s",
         "level",
         "level_s",
+        "own_part",
         "phase",
         "reported",
         "reported_demand",
@@ -105,6 +107,7 @@
         self.level_s = float("-inf")
         self.fleet_demand = 0.0
         self.fleet_demand_s = float("-inf")
+        self.own_part = 0.0
         self.phase = phase
         self.whole: TokenBucket | None = None
         self.alone: TokenBucket | None = None
@@ -192,6 +195,7 @@
             account = self._account(name)
             account.level, account.level_s = level, now_s
             account.fleet_demand, account.fleet_demand_s = demand, now_s
+            account.own_part = account.reported_demand
 
     def is_in_contact(self, now_s: float) -> bool:
         """Return whether the owner was heard recently."""
@@ -305,8 +309,8 @@
         if self._gateways == 1:
             return 1.0
         # Of the same time as the demand at all gateways: the sum of the shares is then at most 1.
-        own = account.reported_demand
         is_known = now_s - account.fleet_demand_s <= DEMAND_S
+        own = account.own_part if is_known else account.reported_demand
         fleet = account.fleet_demand if is_known else 0.0
         return SHARE_MARGIN * own / max(fleet, own, BUSY_SHARE * limit.per_s)
 
--- a/tests/unit/test_quota_limiter.py
+++ b/tests/unit/test_quota_limiter.py
@@ -99,6 +99,23 @@
     assert 5 <= count <= 0.5 * (5.0 * 5 + BOUNDS.depth(LIMIT)) + 1
 
 
+def test_a_former_share_is_of_the_time_of_the_demand_at_all_gateways() -> None:
+    """Guards against refusals of a tenant that paused as the owner was lost.
+
+    The failure: its requests here were averaged over the pause, those at all gateways were not.
+    """
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    for step in range(100):
+        limiter.admit(ACME, step * 0.5)
+        limiter.report("g", step * 0.5, whole=True)
+        limiter.apply_levels(told(10.0, 4.0), step * 0.5)
+    for step in range(100, 106):
+        limiter.report("g", step * 0.5, whole=True)
+    count = admitted(limiter, 200, 53.0, 56.0)
+    # Half of the demand, so nearly half of the rate, and a part of what was left.
+    assert 0.8 * 0.5 * LIMIT.per_s * 3 + 2 <= count <= 0.5 * (LIMIT.per_s * 3 + 14) + 1
+
+
 def test_given_back_allowances_are_reported() -> None:
     limiter = LocalLimiter(Random(1), BOUNDS)
     limiter.apply_levels(told(10.0, 1.0), 0.0)
