Limits: the control process that leads the registry owns them

Cause: the owner of the tenants' limits was the leader of batch work. Without stores, or while they had no leader, gateways decided alone, and a tenant well within its limit was refused.

Change: quota.owner keeps the ledger at the control process that leads the registry group, and quota.owner_socket receives datagrams at the address of its internal RPC, in a thread of its own. Gateways without an owner report to all control processes that they know, and to the stores, which may be of an earlier release. A store no longer owns limits: the leader of batch work passes reports of gateways of an earlier release on, and the owner answers those directly. A store of an earlier release answers any report; the owner reports nothing to the stores twice a second and is silent until none has answered for 2 s, so that two owners never both grant the limit.

--- a/src/leverjunction/lots/load_listener.py
+++ b/src/leverjunction/lots/load_listener.py
@@ -13,7 +13,7 @@
 
 from leverjunction.errors import Failure
 from leverjunction.lots.gateway_loads import Address, GatewayLoads
-from leverjunction.lots.quota_owner import QuotaOwner
+from leverjunction.lots.quota_relay import QuotaRelay
 from leverjunction.proxy.load_row import BackEndOrder
 from leverjunction.proxy.online_loads import LoadsWanted, OnlineLoads
 from leverjunction.registry.records import JOBS_GROUP
@@ -33,7 +33,7 @@
         on_update: Called after each update that was applied.
         totals: Returns the number of online requests at each back end.
         order: Returns the known back ends in the order of a broadcast's row.
-        quota: Receives the gateways' reports on tenants; None for none.
+        quota: Passes on the gateways' reports on tenants; None for none.
 
     Attributes:
         loads: Counts reported by the gateways.
@@ -46,7 +46,7 @@
         on_update: Callable[[], None],
         totals: Callable[[], dict[str, int]],
         order: Callable[[], BackEndOrder],
-        quota: QuotaOwner | None = None,
+        quota: QuotaRelay | None = None,
     ) -> None:
         self._totals = totals
         self._order = order
@@ -75,15 +75,11 @@
             logger.warning("cannot receive load updates of gateways at {}: {}", address, error)
             return
         self._broadcast_task = self._loop.create_task(self._broadcast_forever())
-        if self._quota is not None:
-            self._quota.start(self._send_levels)
 
     def close(self) -> None:
         """Stop broadcasting and close the port."""
         if self._broadcast_task is not None:
             self._broadcast_task.cancel()
-        if self._quota is not None:
-            self._quota.stop()
         if self._transport is not None:
             self._transport.close()
 
@@ -97,7 +93,7 @@
         if isinstance(envelope, Failure):
             return
         if envelope.kind is MessageKind.TENANT_USAGE and self._quota is not None:
-            self._quota.receive(envelope, addr)
+            self._relay(self._quota, envelope, addr)
         if envelope.kind is not MessageKind.ONLINE_LOADS or not self._is_active():
             return
         update = decode(envelope.body, OnlineLoads, addr[0])
@@ -131,9 +127,11 @@
         envelope = Envelope(kind=MessageKind.LOADS_WANTED, group=JOBS_GROUP, body=encode(broadcast))
         return encode_envelope(envelope, self._cluster_key)
 
-    def _send_levels(self, body: bytes, receivers: list[Address]) -> None:
-        envelope = Envelope(kind=MessageKind.TENANT_LEVELS, group=JOBS_GROUP, body=body)
-        self._send_to(encode_envelope(envelope, self._cluster_key), receivers)
+    def _relay(self, quota: QuotaRelay, envelope: Envelope, sender: Address) -> None:
+        relayed = quota.relay(envelope, sender)
+        if relayed is not None:
+            message, receivers = relayed
+            self._send_to(encode_envelope(message, self._cluster_key), receivers)
 
     def _send_to_all(self, data: bytes) -> None:
         self._send_to(data, self.loads.addresses())
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -199,7 +199,6 @@
                 datagrams=self._address,
                 report=self._reporter,
                 is_in_doubt=self._follower.is_in_doubt,
-                quota_bounds=self._config.bounds.quota(),
             )
             self._local[JOBS_GROUP] = replica
             self._runner.start()
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -42,7 +42,7 @@
 from leverjunction.lots.node_watch import format_thread_stack
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.placement import Placement
-from leverjunction.lots.quota_owner import QuotaOwner
+from leverjunction.lots.quota_relay import QuotaRelay
 from leverjunction.lots.runner_monitor import RunnerMonitor, RunnerSnapshot
 from leverjunction.lots.urgency import RunTimes, Urgency
 from leverjunction.proxy.attempt import Sender
@@ -51,9 +51,9 @@
 from leverjunction.proxy.quarantine import EvidenceReporter
 from leverjunction.proxy.runner_connection import RunnerPool
 from leverjunction.proxy.tracked_runner import TrackedRunner
-from leverjunction.quota.bounds import QuotaBounds
 from leverjunction.registry.cluster import CLUSTER_KEY
 from leverjunction.registry.follower import Snapshot
+from leverjunction.registry.records import MemberRole
 from leverjunction.registry.version_history import VersionHistory
 from leverjunction.routes.matching import RouteIndex, draw_service
 from leverjunction.routes.types import Route
@@ -107,7 +107,6 @@
         datagrams: str = "",
         report: EvidenceReporter | None = None,
         is_in_doubt: Callable[[], bool] = lambda: False,
-        quota_bounds: QuotaBounds | None = None,
     ) -> None:
         """Prepare a runner.
 
@@ -122,11 +121,9 @@
             report: Receives the evidence against items whose back ends crash.
             is_in_doubt: Returns whether this process was suspended and has not heard from the
                 registry since; no run is started meanwhile.
-            quota_bounds: Tolerance of tenants' limits; None for none.
         """
         self._report = report
         self._is_in_doubt = is_in_doubt
-        self._quota_bounds = quota_bounds or QuotaBounds()
         self._datagrams = datagrams
         self._group = group
         self._zone = zone
@@ -233,14 +230,13 @@
         self._attempts = Attempts(self._group, sender, self._dialect, self._outbox, self._isolation)
         self._recording: asyncio.Task[None] | None = None
         self._loads = LoadWatch(sender, self._balancer, self._zone, self._wake.set)
-        self._quota_owner = QuotaOwner(self._quota_bounds, self._leads)
         self._listener = LoadListener(
             CLUSTER_KEY,
             self._has_work,
             self._yield_to_online,
             lambda: self._loads.online(self._isolation.reserved_starts()),
             lambda: self._balancer.order,
-            self._quota_owner,
+            QuotaRelay(self._leads, self._control_addresses),
         )
         try:
             if self._datagrams:
@@ -284,6 +280,10 @@
     def _leads(self) -> bool:
         return self._group.status().role == "leader"
 
+    def _control_addresses(self) -> list[str]:
+        snapshot = self._snapshot
+        return [] if snapshot is None else snapshot.view.addresses(MemberRole.CONTROL)
+
     def _has_work(self) -> bool:
         return bool(self._queue.runs)
 
@@ -316,7 +316,6 @@
     def _step(self) -> None:
         if not self._leads():
             self._drop_all()
-            self._quota_owner.clear()
             self._dirty = True
             self._is_adopted = False
             return
@@ -326,8 +325,6 @@
         self._apply_registry()
         self._adopt_suspects()
         index = self._index
-        if index is not None:
-            self._quota_owner.set_table(index)
         if index is None or not self._queue.runs:
             return
         self._loads.poll(self._queue.services(index))
--- a/src/leverjunction/proxy/load_socket.py
+++ b/src/leverjunction/proxy/load_socket.py
@@ -82,7 +82,7 @@
             return
         self._report_task = self._loop.create_task(self._report_loop())
         if self._quota is not None:
-            self._quota.start(self._send_quota, self._store_addresses)
+            self._quota.start(self._send_quota)
 
     def stop(self) -> None:
         """Stop reporting and close the socket."""
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -97,7 +97,7 @@
             self._store_addresses,
             lambda: self._balancer.order,
             self._set_shared_loads,
-            QuotaLink(config.name, self._limiter, self._has_tenants),
+            QuotaLink(config.name, self._limiter, self._has_tenants, self._quota_owners),
         )
         self._reporter = RunReporter(self._rpc, self._follower.hubs, clock)
         self._quarantine = Quarantine(self._reporter)
@@ -213,6 +213,10 @@
         snapshot = self._follower.snapshot()
         return snapshot.view.voters(JOBS_GROUP) if snapshot is not None else ()
 
+    def _quota_owners(self) -> list[str]:
+        # Stores of an earlier release own the limits until all of them are replaced.
+        return [*self._follower.hubs(), *self._store_addresses()]
+
     def _origin_holders(self, number: int) -> list[str]:
         """Return the control processes to which a reporter of origins reports."""
         snapshot = self._follower.snapshot()
--- a/src/leverjunction/proxy/quota_link.py
+++ b/src/leverjunction/proxy/quota_link.py
@@ -28,28 +28,33 @@
         gateway: Name of this gateway.
         limiter: Limiter of this gateway.
         has_tenants: Returns whether the route table has tenants; without, nothing is sent.
+        candidates: Returns the addresses of the processes that may be the owner.
     """
 
     def __init__(
-        self, gateway: str, limiter: LocalLimiter, has_tenants: Callable[[], bool]
+        self,
+        gateway: str,
+        limiter: LocalLimiter,
+        has_tenants: Callable[[], bool],
+        candidates: Callable[[], list[str]],
     ) -> None:
         self._gateway = gateway
         self._limiter = limiter
         self._has_tenants = has_tenants
+        self._candidates = candidates
         self._loop = asyncio.get_running_loop()
         self._owner: Address | None = None
         self._was_in_contact = False
         self._whole_report_s = float("-inf")
         self._task: asyncio.Task[None] | None = None
 
-    def start(self, send: Send, stores: Callable[[], list[Address]]) -> None:
+    def start(self, send: Send) -> None:
         """Start to report.
 
         Args:
             send: Sends a report to some addresses.
-            stores: Returns the addresses of the stores that may be the owner.
         """
-        self._task = self._loop.create_task(self._run(send, stores))
+        self._task = self._loop.create_task(self._run(send))
 
     def stop(self) -> None:
         """Stop reporting."""
@@ -65,19 +70,19 @@
         if self._owner != sender:
             logger.info("limits of tenants are kept by {}", sender[0])
         self._owner = sender
-        self._limiter.apply_levels(levels, self._loop.time())
+        self._limiter.apply_levels(levels, self._loop.time(), sender[0])
 
-    async def _run(self, send: Send, stores: Callable[[], list[Address]]) -> None:
+    async def _run(self, send: Send) -> None:
         while True:
             try:
                 if self._has_tenants():
-                    self._report(send, stores)
+                    self._report(send)
             except Exception:
                 # The task must survive: without its reports the owner takes this gateway for dead.
                 logger.exception("reporting the use of tenants' limits failed")
             await asyncio.sleep(max(MIN_INTERVAL_S, self._limiter.report_interval_s))
 
-    def _report(self, send: Send, stores: Callable[[], list[Address]]) -> None:
+    def _report(self, send: Send) -> None:
         now_s = self._loop.time()
         in_contact = self._limiter.is_in_contact(now_s)
         self._note_contact(in_contact)
@@ -86,9 +91,13 @@
             self._whole_report_s = now_s
         if not (is_whole_due or (in_contact and self._limiter.has_changes)):
             return
-        receivers = [self._owner] if in_contact and self._owner else stores()
+        receivers = [self._owner] if in_contact and self._owner else self._candidate_addresses()
         send(self._limiter.report(self._gateway, now_s, whole=is_whole_due), receivers)
 
+    def _candidate_addresses(self) -> list[Address]:
+        parts = [address.rpartition(":") for address in self._candidates()]
+        return [(host, int(port)) for host, _, port in parts]
+
     def _note_contact(self, in_contact: bool) -> None:
         if self._was_in_contact and not in_contact:
             logger.warning(
--- a/src/leverjunction/quota/__init__.py
+++ b/src/leverjunction/quota/__init__.py
@@ -5,8 +5,10 @@
 *owner* last told it, and reports afterwards what it admitted.
 
 * ``LocalLimiter`` decides at each gateway.
-* ``Ledger`` keeps the token buckets of all tenants at the owner, which is the leader of batch work.
+* ``Ledger`` keeps the token buckets of all tenants at the owner.
+* ``QuotaOwner`` is the owner, while its control process leads the registry group; ``OwnerSocket``
+  its datagram socket.
 * ``messages`` are the datagrams between them. A lost one is made up for by the next.
 
-``LocalLimiter`` and ``Ledger`` perform no I/O: the time is passed in.
+All but the socket perform no I/O: the time is passed in.
 """
--- a/src/leverjunction/quota/messages.py
+++ b/src/leverjunction/quota/messages.py
@@ -12,10 +12,12 @@
         gateway: Name of the gateway.
         tenants: By name of the tenant: requests admitted since the gateway started, and requests
             per second that callers currently send, refused ones included.
+        address: Host and port of the gateway if another process passes on its report, else empty.
     """
 
     gateway: str
     tenants: dict[str, tuple[int, float]]
+    address: str = ""
 
 
 class TenantLevels(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -22,6 +22,8 @@
 from leverjunction.control.periodic import PeriodicTask, stop_all
 from leverjunction.control.raft_transport import RpcRaftTransport, serve_raft
 from leverjunction.errors import Failure, FailureKind, Step
+from leverjunction.quota.owner import QuotaOwner
+from leverjunction.quota.owner_socket import OwnerSocket
 from leverjunction.registry.cluster import (
     CALLS_AT_ONCE,
     CLUSTER_KEY,
@@ -128,6 +130,8 @@
         )
         self.hub = RegistryHub(self._replica, self.host, clock)
         self._origins = OriginDirectory(self.hub, clock, incarnation)
+        quota_owner = QuotaOwner(config.bounds.quota(), self.hub, self.leads)
+        self._quota = OwnerSocket(self._address, CLUSTER_KEY, incarnation, quota_owner, clock)
         self._live_runners: set[str] = set()
         self._live_members: set[str] = set()
         self._start_liveness = StartLiveness()
@@ -159,12 +163,14 @@
             return fault
         for task in self._tasks:
             task.start()
+        self._quota.start()
         logger.info("control process started at {}", self._address)
         return None
 
     def stop(self) -> None:
         """Stop the replica, which hands over its leadership, and then the server."""
         logger.info("stopping")
+        self._quota.stop()
         stop_all(self._tasks)
         self._replica.stop()
         self._server.stop()
--- a/tests/unit/seeded_support.py
+++ b/tests/unit/seeded_support.py
@@ -19,7 +19,12 @@
 import msgspec
 
 from leverjunction.clock import SystemClock
-from leverjunction.config.machine import MachineConfig, MachineElections, MachineListen
+from leverjunction.config.machine import (
+    MachineBounds,
+    MachineConfig,
+    MachineElections,
+    MachineListen,
+)
 from leverjunction.lots.node import LotsNode
 from leverjunction.platform.gateway_calls import READY_PATH, make_gateway_calls
 from leverjunction.platform.headers import PlatformDialect
@@ -105,7 +110,8 @@
         gateways: Running gateways.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, bounds: MachineBounds | None = None) -> None:
+        self._bounds = bounds or MachineBounds()
         # Each fleet of each test process has its own loopback addresses, for parallel tests.
         self.net = f"127.{FIRST_NET + os.getpid() % NETS}.{next(_FLEETS)}"
         self._folder = folder
@@ -181,4 +187,5 @@
             data_folder=str(self._folder / name),
             first_start=first,
             elections=ELECTIONS,
+            bounds=self._bounds,
         )
