--- a/src/leverjunction/quota/local_limiter.py
+++ b/src/leverjunction/quota/local_limiter.py
@@ -18,7 +18,7 @@
 
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.quota.bounds import POOLED_SHARE, QuotaBounds
-from leverjunction.quota.demand import DemandAverage
+from leverjunction.quota.demand import DEMAND_MEMORY_S, DemandAverage
 from leverjunction.quota.ledger import BUSY_SHARE, TIGHT_SHARE
 from leverjunction.quota.messages import TenantLevels, TenantUsage
 from leverjunction.quota.token_bucket import TokenBucket
@@ -46,8 +46,15 @@
 more than 1, since gateways report and hear at different times.
 """
 
-FIRST_SHARE = 0.1
-"""Share of a tenant's limit at a gateway that has not heard from any owner since its start."""
+FIRST_SHARE = 0.5
+FIRST_S = 2.0
+"""Share of a tenant's limit at a gateway that has not heard from any owner since its start, and how
+long it applies from the first request on. The number of gateways is not known then: all of them
+together may exceed the limit, but an owner answers in a part of that time.
+"""
+
+UNKNOWN_SHARE = 0.1
+"""Share of a tenant's limit at a gateway that has heard from no owner for longer."""
 
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 10.0
@@ -65,22 +72,26 @@
         level_s: When it did.
         fleet_demand: Requests per second at all gateways, as the owner last told.
         fleet_demand_s: When it did.
+        own_part: This gateway's part of that demand.
         phase: Accumulates the share of requests that is admitted; whenever it passes 1, a request
             is.
         whole: The tenant's whole limit, which this gateway alone never exceeds.
         alone: Allowance while the owner is unreachable; None while it is not.
-        alone_share: Share of the tenant's rate that refills it.
+        alone_share: Former share of the tenant's requests, which refills it.
+        alone_per_s: Requests per second that currently refill it.
     """
 
     __slots__ = (
         "admitted",
         "alone",
+        "alone_per_s",
         "alone_share",
         "demand",
         "fleet_demand",
         "fleet_demand_s",
         "level",
         "level_s",
+        "own_part",
         "phase",
         "reported",
         "reported_demand",
@@ -96,10 +107,12 @@
         self.level_s = float("-inf")
         self.fleet_demand = 0.0
         self.fleet_demand_s = float("-inf")
+        self.own_part = 0.0
         self.phase = phase
         self.whole: TokenBucket | None = None
         self.alone: TokenBucket | None = None
         self.alone_share = 0.0
+        self.alone_per_s = 0.0
 
 
 class LocalLimiter:
@@ -117,8 +130,10 @@
         "_accounts",
         "_bounds",
         "_changed",
+        "_first_s",
         "_gateways",
         "_heard_s",
+        "_owner",
         "_random",
         "report_interval_s",
     )
@@ -130,6 +145,8 @@
         self._changed: set[str] = set()
         self._gateways = 0
         self._heard_s = float("-inf")
+        self._owner = ""
+        self._first_s: float | None = None
         self.report_interval_s = 0.0
 
     def admit(self, tenant: Tenant, now_s: float) -> Failure | None:
@@ -137,6 +154,8 @@
         limit = tenant.limit
         if not limit.is_limited:
             return None
+        if self._first_s is None:
+            self._first_s = now_s
         account = self._account(tenant.name)
         account.demand.add(now_s)
         self._changed.add(tenant.name)
@@ -160,15 +179,23 @@
             if bucket is not None:
                 bucket.tokens += 1
 
-    def apply_levels(self, levels: TenantLevels, now_s: float) -> None:
-        """Apply a message of the owner."""
+    def apply_levels(self, levels: TenantLevels, now_s: float, owner: str = "") -> None:
+        """Apply a message of the owner.
+
+        Args:
+            levels: The message.
+            now_s: Monotonic time in seconds.
+            owner: Name or address of the owner, for refusals.
+        """
         self._heard_s = now_s
+        self._owner = owner
         self._gateways = levels.gateways
         self.report_interval_s = levels.report_interval_s
         for name, (level, demand) in levels.tenants.items():
             account = self._account(name)
             account.level, account.level_s = level, now_s
             account.fleet_demand, account.fleet_demand_s = demand, now_s
+            account.own_part = account.reported_demand
 
     def is_in_contact(self, now_s: float) -> bool:
         """Return whether the owner was heard recently."""
@@ -243,17 +270,30 @@
         if account.alone is None:
             account.alone_share = self._former_share(account, limit, now_s)
             account.alone = TokenBucket(self._first_allowance(account, limit), now_s)
-        has_lapsed = self._gateways > 0 and now_s - self._heard_s > SHARE_LEASE_S
-        share = 1 / self._gateways if has_lapsed else account.alone_share
+        share = self._alone_share(account, now_s)
         per_s = share * limit.per_s
         if self._gateways:
             excess = POOLED_SHARE * self._bounds.excess(limit)
             per_s = max(per_s, excess / self._gateways / self._bounds.window_s)
+        account.alone_per_s = per_s
         account.alone.refill(per_s, 1 + share * depth, now_s)
         return account.alone
 
+    def _alone_share(self, account: _Account, now_s: float) -> float:
+        """Return the share of a tenant's rate that this gateway allows itself now."""
+        if not self._gateways:
+            return self._first_share(now_s)
+        has_lapsed = now_s - self._heard_s > SHARE_LEASE_S
+        return 1 / self._gateways if has_lapsed else account.alone_share
+
+    def _first_share(self, now_s: float) -> float:
+        is_starting = self._first_s is not None and now_s - self._first_s <= FIRST_S
+        return FIRST_SHARE if is_starting else UNKNOWN_SHARE
+
     def _first_allowance(self, account: _Account, limit: RateLimit) -> float:
         """Return the requests that are admitted at once when the owner becomes unreachable."""
+        if not self._gateways:
+            return 1 + account.alone_share * self._bounds.depth(limit)
         tight_level = TIGHT_SHARE * self._bounds.depth(limit)
         was_tight = self._heard_s - account.level_s <= LEVEL_S and account.level < tight_level
         if was_tight:
@@ -265,10 +305,12 @@
     def _former_share(self, account: _Account, limit: RateLimit, now_s: float) -> float:
         """Return the share of a tenant's requests that this gateway had."""
         if not self._gateways:
-            return FIRST_SHARE
+            return self._first_share(now_s)
+        if self._gateways == 1:
+            return 1.0
         # Of the same time as the demand at all gateways: the sum of the shares is then at most 1.
-        own = account.reported_demand
         is_known = now_s - account.fleet_demand_s <= DEMAND_S
+        own = account.own_part if is_known else account.reported_demand
         fleet = account.fleet_demand if is_known else 0.0
         return SHARE_MARGIN * own / max(fleet, own, BUSY_SHARE * limit.per_s)
 
@@ -277,17 +319,45 @@
         is_told = now_s - account.level_s <= LEVEL_S
         demand = max(account.demand.per_s(now_s), account.fleet_demand if is_told else 0.0)
         owed = max(0.0, -account.level) if is_told else 0.0
-        wait_s = (1 + owed) / limit.per_s * max(1.0, demand / limit.per_s)
-        level = f"{account.level:.1f}" if is_told else "unknown"
+        is_alone = account.alone is not None and not self.is_in_contact(now_s)
+        per_s = account.alone_per_s if is_alone else limit.per_s
         return Failure(
             kind=FailureKind.RATE_LIMITED,
             reason=(
                 f"tenant {tenant.name!r} exceeds its limit of {limit.per_s:g} requests/s: it sends "
-                f"{demand:.1f}/s, {level} left, limits last heard {now_s - self._heard_s:.1f} s ago"
+                f"{demand:.1f}/s, {self._describe_allowance(account, is_told, now_s)}"
             ),
             step=Step.ADMISSION,
-            retry_after_s=min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)),
+            retry_after_s=self._retry_after_s(owed, per_s, demand),
         )
 
+    def _retry_after_s(self, owed: float, per_s: float, demand: float) -> float:
+        """Return when the allowance of a refused request returns.
+
+        Those refused within the memory of the average have their allowance one after the other, at
+        the tenant's rate. Each is given a time in that period, so that they do not return together.
+        """
+        if per_s <= 0:
+            return MAX_RETRY_AFTER_S
+        first_s = max(MIN_RETRY_AFTER_S, (1 + owed) / per_s)
+        last_s = first_s + max(1.0, DEMAND_MEMORY_S * (demand - per_s)) / per_s
+        earliest_s = min(first_s, MAX_RETRY_AFTER_S / 2)
+        return self._random.uniform(earliest_s, min(last_s, MAX_RETRY_AFTER_S))
+
+    def _describe_allowance(self, account: _Account, is_told: bool, now_s: float) -> str:
+        """Return what this gateway goes by, how old it is and whom it has it from."""
+        if not self._gateways:
+            return (
+                f"no owner of limits heard yet, {account.alone_per_s:.1f}/s allowed here meanwhile"
+            )
+        age_s = now_s - self._heard_s
+        if not self.is_in_contact(now_s):
+            return (
+                f"owner of limits {self._owner} silent for {age_s:.1f} s, "
+                f"{account.alone_per_s:.1f}/s allowed here meanwhile"
+            )
+        level = f"{account.level:.1f}" if is_told else "unknown"
+        return f"{level} left, limits last heard {age_s:.1f} s ago from {self._owner}"
+
 
 __all__ = ["LocalLimiter"]
--- a/src/testbed/simulation/seeded/stand_ins.py
+++ b/src/testbed/simulation/seeded/stand_ins.py
@@ -129,6 +129,16 @@
         self._place.board.serve(self._place.machine, {}, {})
 
 
+class SocketStandIn:
+    """Stands in for ``OwnerSocket``: datagrams of limits are not simulated."""
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+
 class TaskStandIn:
     """Stands in for ``PeriodicTask``: a fiber that goes on whatever the task raises."""
 
@@ -176,6 +186,7 @@
         "PeriodicTask": task,
         "RpcClient": client,
         "RpcRaftTransport": lambda _rpc: None,
+        "OwnerSocket": lambda *_arguments: SocketStandIn(),
         "SegmentFolder": lambda _folder: place.segments,
         "read_boot_id": lambda: 0,
         "read_founders": lambda _folder: tuple(founders),
--- a/tests/unit/test_quota_limiter.py
+++ b/tests/unit/test_quota_limiter.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import time
+from collections import Counter
 from random import Random
 
 import pytest
 
 from leverjunction.quota.bounds import QuotaBounds
-from leverjunction.quota.ledger import FORGOTTEN_S, SILENT_S, TAKEOVER_WAIT_S, Ledger
-from leverjunction.quota.local_limiter import CONTACT_S, MAX_RETRY_AFTER_S, LocalLimiter
+from leverjunction.quota.ledger import FORGOTTEN_S, SILENT_S, TAKEOVER_WAIT_S, UNHEARD_S, Ledger
+from leverjunction.quota.local_limiter import (
+    CONTACT_S,
+    FIRST_S,
+    MAX_RETRY_AFTER_S,
+    UNKNOWN_SHARE,
+    LocalLimiter,
+)
 from leverjunction.quota.messages import TenantLevels, TenantUsage
 from leverjunction.routes.types import RateLimit, Tenant
 from testbed.quota.experiment import Outcome, Play, run
@@ -91,6 +99,23 @@
     assert 5 <= count <= 0.5 * (5.0 * 5 + BOUNDS.depth(LIMIT)) + 1
 
 
+def test_a_former_share_is_of_the_time_of_the_demand_at_all_gateways() -> None:
+    """Guards against refusals of a tenant that paused as the owner was lost.
+
+    The failure: its requests here were averaged over the pause, those at all gateways were not.
+    """
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    for step in range(100):
+        limiter.admit(ACME, step * 0.5)
+        limiter.report("g", step * 0.5, whole=True)
+        limiter.apply_levels(told(10.0, 4.0), step * 0.5)
+    for step in range(100, 106):
+        limiter.report("g", step * 0.5, whole=True)
+    count = admitted(limiter, 200, 53.0, 56.0)
+    # Half of the demand, so nearly half of the rate, and a part of what was left.
+    assert 0.8 * 0.5 * LIMIT.per_s * 3 + 2 <= count <= 0.5 * (LIMIT.per_s * 3 + 14) + 1
+
+
 def test_given_back_allowances_are_reported() -> None:
     limiter = LocalLimiter(Random(1), BOUNDS)
     limiter.apply_levels(told(10.0, 1.0), 0.0)
@@ -113,6 +138,78 @@
     assert 0.2 <= wait_s(0.0, 10.0) < wait_s(-3.0, 10.0) < wait_s(-3.0, 20.0) <= MAX_RETRY_AFTER_S
 
 
+def test_refused_callers_do_not_return_together() -> None:
+    """Guards against refused callers that come back at once and are refused again."""
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    limiter.apply_levels(told(0.0, 20.0), 0.0)
+    refusals = [limiter.admit(ACME, 0.01) for _ in range(100)]
+    waits_s = [item.retry_after_s or 0.0 for item in refusals if item is not None]
+    # Of 20 requests/s 15 are refused: those of the last 5 s need 15 s of the rate, 10 s at most.
+    assert 4.0 <= sum(waits_s) / len(waits_s) <= 7.0
+    counts = Counter(int(wait_s) for wait_s in waits_s)
+    assert max(counts.values()) <= len(waits_s) / 4
+
+
+def test_a_caller_slightly_beyond_the_limit_waits_briefly() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+    limiter.apply_levels(told(0.0, 5.5), 0.0)
+    refusals = [limiter.admit(ACME, 0.01) for _ in range(10)]
+    waits_s = [item.retry_after_s or 0.0 for item in refusals if item is not None]
+    assert max(waits_s) <= 1.0
+
+
+def test_a_refusal_tells_the_allowance_its_age_and_its_owner() -> None:
+    limiter = LocalLimiter(Random(1), BOUNDS)
+
+    def reason(now_s: float) -> str:
+        refusals = [limiter.admit(ACME, now_s) for _ in range(100)]
+        return next(item for item in refusals if item is not None).reason
+
+    assert "no owner of limits heard yet, 2.5/s allowed here" in reason(0.0)
+    limiter.apply_levels(told(-3.0, 20.0), 1.0, "10.0.0.1")
+    assert "-3.0 left, limits last heard 0.5 s ago from 10.0.0.1" in reason(1.5)
+    assert "owner of limits 10.0.0.1 silent for 3.0 s, " in reason(4.0)
+
+
+START_LIMIT = RateLimit(per_s=20.0, burst=10.0)
+STARTED = Tenant(name="acme", limit=START_LIMIT)
+
+
+def test_a_gateway_that_has_just_started_serves_what_is_plainly_within_the_limit() -> None:
+    """Guards against refusals before the owner's first message: 11 of 15 requests of one second."""
+    for bounds in (BOUNDS, QuotaBounds()):
+        limiter = LocalLimiter(Random(1), bounds)
+        times = [number / 15.0 for number in range(15)]
+        assert all(limiter.admit(STARTED, now_s) is None for now_s in times)
+
+
+def test_a_gateway_that_never_hears_an_owner_allows_itself_a_small_share() -> None:
+    limiter = LocalLimiter(Random(1), QuotaBounds())
+    limiter.admit(STARTED, 0.0)
+    times = [FIRST_S + 0.1 + number / 100 for number in range(1000)]
+    count = sum(limiter.admit(STARTED, now_s) is None for now_s in times)
+    assert count <= UNKNOWN_SHARE * START_LIMIT.per_s * 10 + 0.5 * START_LIMIT.burst + 1
+
+
+def test_the_only_gateway_keeps_the_whole_limit_while_the_owner_is_lost() -> None:
+    limiter = LocalLimiter(Random(1), QuotaBounds())
+    limiter.apply_levels(TenantLevels(gateways=1, report_interval_s=0.1, tenants={}), 0.0)
+    times = [1.0 + number / 15.0 for number in range(15 * 30)]
+    assert all(limiter.admit(STARTED, now_s) is None for now_s in times)
+
+
+def test_an_owner_that_heard_no_gateway_for_long_answers_the_first_at_once() -> None:
+    ledger = Ledger(BOUNDS)
+    ledger.set_limits({"acme": LIMIT}, 0.0)
+    ledger.apply_usage(usage("g", 0, 2.0), 1, ("h", 0), UNHEARD_S + 0.1)
+    assert ledger.levels(UNHEARD_S + 0.1)
+    ledger.clear()
+    ledger.set_limits({"acme": LIMIT}, 10.0)
+    ledger.apply_usage(usage("g", 0, 2.0), 1, ("h", 0), 10.5)
+    assert not ledger.levels(10.6)
+    assert ledger.levels(10.51 + TAKEOVER_WAIT_S)
+
+
 def test_reports_that_are_lost_doubled_or_late_are_charged_once() -> None:
     ledger = owner(usage("g", 100, 2.0))
     before = level(ledger, 1.0)
@@ -146,6 +243,53 @@
     assert not ledger.addresses()
 
 
+def test_the_demand_that_an_owner_tells_is_the_sum_over_gateways_that_report() -> None:
+    random = Random(5)
+    names = [f"t{number}" for number in range(6)]
+    ledger = Ledger(BOUNDS)
+    ledger.set_limits(dict.fromkeys(names, LIMIT), 0.0)
+    starts = dict.fromkeys("abcdef", 1)
+    reported: dict[str, dict[str, float]] = {gateway: {} for gateway in starts}
+    heard_s = dict.fromkeys(starts, float("-inf"))
+    now_s = 0.0
+    for _ in range(3000):
+        now_s += random.choice([0.05, 0.05, 0.05, 0.4, 1.0, 20.0])
+        gateway = random.choice(list(starts))
+        if random.random() < 0.2:
+            starts[gateway] += 1
+            reported[gateway] = {}
+        if now_s - heard_s[gateway] > FORGOTTEN_S:
+            reported[gateway] = {}
+        sent = {name: random.choice([0.0, 0.5, 2.25]) for name in random.sample(names, 2)}
+        # An owner notices silence when it tells the levels, several times a second.
+        ledger.levels(now_s)
+        reported[gateway] |= sent
+        heard_s[gateway] = now_s
+        report = TenantUsage(gateway=gateway, tenants={name: (0, sent[name]) for name in sent})
+        ledger.apply_usage(report, starts[gateway], ("h", 0), now_s)
+        ledger.levels(now_s)
+        heard = [item for item in starts if now_s - heard_s[item] <= SILENT_S]
+        for name, (demand, _, _) in ledger.usage(now_s).items():
+            expected = sum(reported[item].get(name, 0.0) for item in heard)
+            assert demand == pytest.approx(expected)
+
+
+def test_an_owner_keeps_up_with_thousands_of_tenants_at_hundreds_of_gateways() -> None:
+    """Guards against work that grows with tenants times gateways: 0.27 s for each message."""
+    ledger = Ledger(BOUNDS)
+    ledger.set_limits({f"t{number}": LIMIT for number in range(5600)}, 0.0)
+    spent_s = []
+    for step in range(12):
+        now_s = step * 0.2
+        for number in range(340):
+            report = TenantUsage(gateway=f"g{number}", tenants={f"t{number}": (0, 0.5)})
+            ledger.apply_usage(report, 1, ("h", number), now_s)
+        started_s = time.thread_time()
+        ledger.levels(now_s)
+        spent_s.append(time.thread_time() - started_s)
+    assert sorted(spent_s)[6] < 0.05
+
+
 def test_a_lower_limit_takes_effect_at_once() -> None:
     ledger = owner(usage("g", 0, 2.0))
     assert level(ledger, 60.0) == pytest.approx(BOUNDS.depth(LIMIT))
@@ -206,3 +350,10 @@
 @pytest.mark.parametrize("name", ["steady", "hot", "hot, owner lost"])
 def test_a_limit_holds_at_other_sizes(name: str, gateways: int) -> None:
     assert max(outcome.over for outcome in play(name, 60.0, gateways, seeds=1)) <= 0
+
+
+@pytest.mark.parametrize("gateways", [1, 4, 6])
+@pytest.mark.parametrize("name", ["restart", "hot, restart"])
+def test_a_limit_holds_while_few_gateways_start_again(name: str, gateways: int) -> None:
+    for per_s in (5.0, 60.0):
+        assert max(outcome.over for outcome in play(name, per_s, gateways)) <= 0
