Origins are no longer recorded after two of three control processes were silent one after the other

Cause: a reporter calls a control process that once left a call unanswered only when all others fail. After two of three were silent in turn, all reporters of a gateway report to the third one for good, where two different ones have to store an origin; and each process that was silent once loses the reports of all gateways. Change: a reporter whose own control process is silent asks it with an empty report, at most once a second and 0.1 s long, after another one was told. It goes back to it once it answers. The test of recording sends two reports now: the first one finds out who answers, only the second one shows that two store again.

--- a/src/leverjunction/registry/origin_reporter.py
+++ b/src/leverjunction/registry/origin_reporter.py
@@ -27,6 +27,10 @@
 
 MAX_WAITING = 20_000
 RETRY_PAUSE_S = 0.2
+
+PROBE_TIMEOUT_S = 0.1
+"""Time for the answer of a control process that was silent, while later reports wait."""
+
 Stored = Callable[[str, Sequence[int], OriginsStored], None]
 """Called with the address of a control process, the streams whose origins it has stored, and its
 reply.
@@ -131,7 +135,10 @@
 
     def _try_to_send(self, streams: dict[int, StreamOrigin]) -> bool:
         try:
-            return self._send(streams)
+            was_sent = self._send(streams)
+            if was_sent:
+                self._probe_own()
+            return was_sent
         except Exception:
             # The thread must survive: nothing else reports what began this gateway's streams.
             logger.exception("reporting origins of streams failed")
@@ -156,6 +163,21 @@
             return True
         return False
 
+    def _probe_own(self) -> None:
+        """Find out whether the best control process answers again, once another one was told.
+
+        Otherwise all reporters would end up at the last one that was never silent.
+        """
+        own = next(iter(self._holders()), None)
+        now_s = steady_s()
+        if own is None or not self._silent.is_silent(own) or not self._silent.may_try(own, now_s):
+            return
+        nothing = ReportOrigins(streams={}, is_recorded_first=True)
+        reply = self._rpc.call(
+            own, MessageKind.REPORT_ORIGINS, nothing, OriginsStored, timeout_s=PROBE_TIMEOUT_S
+        )
+        self._silent.record(own, reply, steady_s())
+
     def _call(self, holder: str, streams: dict[int, StreamOrigin]) -> OriginsStored | Failure:
         message = ReportOrigins(streams=streams, is_recorded_first=True)
         reply = call_again(self._rpc, holder, MessageKind.REPORT_ORIGINS, message, OriginsStored)
