The leave of a later start no longer erases the version that its id had before

Cause: a leave message that arrives before the first message of its start replaced the record of the former start under that id, whether it served or had gone, by one without service and version. A process that started after it took another version for the only one that can have begun a stream. Such a record could also replace one that had been kept of a version that was not reported. Change: the former start's record is kept under the name of its version, as when another version starts under the id; a record of which only the leave is known is not kept so.

--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -127,6 +127,9 @@
 
 def _keep_former(tables: RegistryTables, known: RunnerRecord) -> None:
     name = f"{known.runner_id} {known.version}"
+    if not known.service:
+        # Only the leave of that start is known; a record of the same name may be of a real one.
+        return
     if known.state is RunnerState.GONE:
         tables.copy_gone(known, name)
     else:
@@ -155,6 +158,8 @@
 def _remove_runner(tables: RegistryTables, change: commands.RemoveRunner) -> commands.Done:
     known = tables.record(RUNNER, change.runner_id, RunnerRecord)
     if known is None or known.born_ms < change.born_ms:
+        if known is not None:
+            _keep_former(tables, known)
         # The id is stored anyway, because the runner's first message may still be in transit.
         known = RunnerRecord(
             runner_id=change.runner_id,
--- a/tests/unit/test_registry_version_review.py
+++ b/tests/unit/test_registry_version_review.py
@@ -213,6 +213,23 @@
         assert (registry.former(), registry.settled()) == ((), ("v1",))
         assert registry.states()["i-1 v1"] == "gone"
 
+    @pytest.mark.parametrize("is_gone", [False, True])
+    def test_a_leave_of_a_later_start_does_not_erase_the_former_version(
+        self, is_gone: bool
+    ) -> None:
+        """It may come before the first message of that start."""
+        registry = Registry()
+        registry.apply(PutRunner(runner(1, "v1")))
+        if is_gone:
+            registry.apply(RemoveRunner("i-1", 1))
+            registry.apply(forget("v1", registry.index))
+        registry.apply(RemoveRunner("i-1", 2))
+        assert (registry.former(), registry.settled()) == (
+            ((), ("v1",)) if is_gone else (("v1",), ())
+        )
+        registry.apply(PutRunner(runner(1, "v1.1", born_ms=2)))
+        assert "i-1" not in [item.runner_id for item in registry.view().runners]
+
     def test_repeated_leave_messages_are_not_further_ends(self) -> None:
         registry = registry_after_release()
         registry.apply(forget("v1", registry.index))
@@ -319,6 +336,7 @@
     st.tuples(st.just("start without time"), NUMBERS, VERSIONS),
     st.tuples(st.just("come and go"), NUMBERS, VERSIONS),
     st.tuples(st.just("leave"), NUMBERS, st.none()),
+    st.tuples(st.just("leave of a later start"), NUMBERS, st.none()),
     st.tuples(st.just("expire"), NUMBERS, st.none()),
     st.tuples(st.just("wait"), st.sampled_from([5.0, 30.0, 61.0, 71.0, 71.0]), st.none()),
     st.tuples(st.just("new leader"), st.none(), st.none()),
@@ -347,6 +365,9 @@
             self._apply(PutRunner(runner(int(first or 0), str(second), self._born_ms)))
         elif what == "start without time":
             self._apply(PutRunner(runner(int(first or 0), str(second), 0)))
+        elif what == "leave of a later start":
+            self._born_ms += 1
+            self._apply(RemoveRunner(f"i-{first}", self._born_ms))
         elif what == "expire":
             self._expire(f"i-{first}")
         elif what == "wait":
