--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -296,10 +296,16 @@
         seed: Draws what is struck where a line leaves it open.
         constants: Constants that the processes have otherwise, as ``altered_constants`` takes them.
         rule: Rule that the processes break on purpose (``deploy/soak/broken.py``).
+        tree: Work tree whose programs are started; this one's if empty.
     """
 
     def __init__(
-        self, folder: Path, seed: int, constants: tuple[str, ...] = (), rule: str = ""
+        self,
+        folder: Path,
+        seed: int,
+        constants: tuple[str, ...] = (),
+        rule: str = "",
+        tree: str = "",
     ) -> None:
         self.folder = folder
         self.random = Random(f"{seed} resumed streams")
@@ -307,9 +313,9 @@
         sizes.control, sizes.store, sizes.gateway = 3, 0, 2
         self._ending = threading.Event()
         self._broke = threading.Event()
-        programs = machines.Programs(rule=rule)
+        programs = machines.Programs(tree, rule)
         if constants:
-            start = str(SOAK.parent / "start.py")
+            _, start = programs.command
             programs.command = [sys.executable, str(ALTERED), start, *constants]
         self.deployment = machines.Machines(folder, programs, sizes)
         logs = [folder / machine.name / "log" for machine in self.deployment.all]
@@ -482,7 +488,14 @@
         self.is_promised = is_promised
 
 
-def play(line: str, folder: Path, streams: int = STREAMS, seed: int = 1, rule: str = "") -> Counts:
+def play(
+    line: str,
+    folder: Path,
+    streams: int = STREAMS,
+    seed: int = 1,
+    rule: str = "",
+    tree: str = "",
+) -> Counts:
     """Play a line; all processes have ended when it returns or raises.
 
     Args:
@@ -491,9 +504,10 @@
         streams: Streams at the first gateway, if the line does not need fewer.
         seed: Draws what the line leaves open.
         rule: Rule that the processes break on purpose (``deploy/soak/broken.py``).
+        tree: Work tree whose programs are started; this one's if empty.
     """
     chosen = LINES[line]
-    play = Play(folder, seed, chosen.constants, rule)
+    play = Play(folder, seed, chosen.constants, rule, tree)
     try:
         play.start(list(chosen.versions))
         if chosen.prepare is not None:
@@ -631,7 +645,12 @@
 
 
 def main(
-    line: str = "", streams: int = STREAMS, seed: int = 1, rule: str = "", keep: str = ""
+    line: str = "",
+    streams: int = STREAMS,
+    seed: int = 1,
+    rule: str = "",
+    program_tree: str = "",
+    keep: str = "",
 ) -> None:
     """Play a line by hand and print its counts; without a line, print their names.
 
@@ -640,6 +659,7 @@
         streams: Streams at the first gateway.
         seed: Draws what the line leaves open.
         rule: Rule that the processes break on purpose (``deploy/soak/broken.py``).
+        program_tree: Work tree whose programs are started; this one's if empty.
         keep: Folder under which the logs are kept; a temporary one if empty.
     """
     if line not in LINES:
@@ -649,7 +669,7 @@
     if keep:
         Path(keep).mkdir(parents=True, exist_ok=True)
     folder = Path(tempfile.mkdtemp(prefix=f"resumed-{seed}-", dir=keep or None))
-    counts = play(line, folder, streams, seed, rule)
+    counts = play(line, folder, streams, seed, rule, program_tree)
     for broken in counts.broken:
         print(f"BROKEN {broken}")
     verdict = "kept" if counts.keeps_promise() else "BROKEN"
