Tests: the model of origins finds the streams that other rules would join

Cause: a model that finds nothing may only be too weak. Change: one history each for no acknowledgement, one acknowledgement, and no acknowledgement but 2 s before a version is used; reports of a gateway may reach a part of its control processes.

--- a/tests/unit/origin_model.py
+++ b/tests/unit/origin_model.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import math
-from collections.abc import Coroutine, Generator, Sequence
+from collections.abc import Collection, Coroutine, Generator, Sequence
 from typing import Any
 from unittest import mock
 
@@ -475,9 +475,11 @@
                 self.waits.remove(wait)
                 self._go_on(wait, wait.is_recorded)
 
-    def flush(self) -> None:
-        for reporter in self.reporters:
-            reporter.flush()
+    def flush(self, numbers: Collection[int] = range(HOLDERS)) -> None:
+        """Have the reporters with these numbers send what waits."""
+        for number, reporter in enumerate(self.reporters):
+            if number in numbers:
+                reporter.flush()
         if self.is_older and self._is_known_as_older():
             self._model.unrecorded.difference_update(self.origins.live())
         self.end_waits()
@@ -645,4 +647,4 @@
         ]
 
 
-__all__ = ["SERVICE", "Control", "Gateway", "Model", "Stream", "Ways", "joined"]
+__all__ = ["PRODUCT", "SERVICE", "Control", "Gateway", "Model", "Stream", "Ways", "joined"]
--- a/tests/unit/test_origin_losses.py
+++ b/tests/unit/test_origin_losses.py
@@ -6,14 +6,15 @@
 from __future__ import annotations
 
 import pytest
-from tests.unit.origin_model import Gateway, Model, Stream, joined
+from tests.unit.origin_model import PRODUCT, Gateway, Model, Stream, Ways, joined
 
+from leverjunction.registry.origin_reporter import rank_holders
 from leverjunction.registry.origins import STREAM_LIFETIME_S, Resumption
 
 
-def start_both() -> Model:
+def start_both(ways: Ways = PRODUCT) -> Model:
     """Return a fleet with two versions, the second of which is widely known."""
-    model = Model(3)
+    model = Model(3, ways)
     model.put("i-1", "v2")
     for _ in range(2):
         model.advance(3.0)
@@ -258,3 +259,40 @@
     assert model.resume(stream, second).origin is None
     model.advance(3.0)
     assert model.resume(stream, second).origin is None
+
+
+def lose_unacknowledged(ways: Ways) -> tuple[Model, Stream | None]:
+    """Have a gateway end as soon as one control process, or none if none is waited for, stored.
+
+    Returns:
+        The fleet, and the stream if it sent an event.
+    """
+    model = start_both(ways)
+    first = model.gateways[0]
+    model.begin(first, first.known("v2")[0])
+    first.flush([0] if ways.acks != 0 else [])
+    model.end_gateway(first)
+    model.advance(1.0)
+    holder = rank_holders(first.name, [item.member for item in model.controls], 0)[0]
+    model.slow = {item for item in model.controls if item.address == holder}
+    return model, next(iter(model.streams), None)
+
+
+@pytest.mark.parametrize(
+    ("ways", "is_joined"),
+    [
+        pytest.param(Ways(), False, id="as the product does"),
+        pytest.param(Ways(acks=0), True, id="no acknowledgement"),
+        pytest.param(Ways(acks=1), True, id="one acknowledgement"),
+        pytest.param(Ways(acks=0, use_after_s=2.0), True, id="2 s before a version is used"),
+    ],
+)
+def test_the_model_shows_streams_that_other_rules_would_join(ways: Ways, is_joined: bool) -> None:
+    """A model that found nothing wrong with them would show nothing for the product's rules."""
+    model, stream = lose_unacknowledged(ways)
+    found = None if stream is None else model.resume(stream, model.gateways[0])
+    assert is_joined == (
+        stream is not None
+        and found is not None
+        and model.is_joined(stream, model.gateways[0], found)
+    )
