Tests: back ends are known for 3 s before streams begin

Cause: a gateway may begin streams at the former version alone while another one may not have heard of the second, which is 2 s; the rig began after 1.2 s, so that its streams then waited for the slots of four back ends.

--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -81,8 +81,10 @@
 BEAT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 9.0
 START_TIMEOUT_S = 30.0
-SETTLE_S = 1.2
-"""From the last heartbeat's acknowledgement on: all gateways have learned of all back ends."""
+SETTLE_S = 3.0
+"""From the last heartbeat's acknowledgement on: all gateways have learned of all back ends, for
+longer than the 2 s by which one may hear of them later than others.
+"""
 
 END_TIMEOUT_S = 25.0
 EXIT_ENDED = 143
