New streams wait for a full version while another is free

Cause: the preference for the base version looked at the number of back ends, not at their room. Change: the base version is preferred only while the back end chosen there has a free slot; while origins cannot be recorded it is required as before.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -236,7 +236,7 @@
             self._refuse(routed.request, routed.metadata, responder, refusal)
             return
         if routed.stream is not None:
-            routed.preferred_version = self._preferred_version(routed.service)
+            self._set_preferred_version(routed)
         response = await self._retrying_sender.send(routed, "")
         while not isinstance(response, Failure):
             head_at_s = self._loop.time()
@@ -287,19 +287,19 @@
         routed.service = origin.service
         return None
 
-    def _preferred_version(self, service: str) -> str | None:
-        """Return the version at which a new stream should begin, None for any."""
-        preferred = self._origins.preferred_version(service)
-        if preferred is not None:
-            return preferred
-        known = self._origins.widely_known_version(service)
+    def _set_preferred_version(self, routed: RoutedRequest) -> None:
+        """Set the version at which a new stream should begin."""
+        required = self._origins.preferred_version(routed.service)
+        if required is not None:
+            routed.preferred_version, routed.waits_for_preferred = required, True
+            return
+        known = self._origins.widely_known_version(routed.service)
         if known is None:
-            return None
+            return
         # Not if it has too few back ends left for the service's load.
-        has_most = 2 * len(self._balancer.available(service, known)) >= len(
-            self._balancer.available(service)
-        )
-        return known if has_most else None
+        ready = len(self._balancer.available(routed.service, known))
+        if 2 * ready >= len(self._balancer.available(routed.service)):
+            routed.preferred_version = known
 
     async def _begin_stream(
         self, routed: RoutedRequest, response: OpenedResponse
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -231,12 +231,10 @@
 
     def _choose(self, routed: RoutedRequest, now_s: float) -> Choice | None:
         """Choose the back end of the next attempt."""
-        if routed.origin is None and routed.preferred_version is not None and not routed.key:
-            choice = self._balancer.choose(
-                routed.service, routed.prompt, routed.tried, now_s, routed.preferred_version
-            )
-            if choice is not None:
-                return choice
+        if not routed.key:
+            preferred = self._choose_preferred(routed, now_s)
+            if preferred is not None:
+                return preferred
         if not routed.key:
             return self._balancer.choose(
                 routed.service, routed.prompt, routed.tried, now_s, routed.version
@@ -250,6 +248,17 @@
             self._quarantine.trial_started(routed.key, start)
         return choice
 
+    def _choose_preferred(self, routed: RoutedRequest, now_s: float) -> Choice | None:
+        """Choose a back end of the version at which a stream should begin, None for any other."""
+        if routed.origin is not None or routed.preferred_version is None:
+            return None
+        choice = self._balancer.choose(
+            routed.service, routed.prompt, routed.tried, now_s, routed.preferred_version
+        )
+        if choice is None or routed.waits_for_preferred or choice.load < choice.runner.slots:
+            return choice
+        return None
+
     def _head_timeouts(self, routed: RoutedRequest, now_s: float) -> HeadTimeouts:
         """Return how long to wait for a response head, and when to hedge."""
         # A suspect never runs at two back ends at once: it may crash each of them.
--- a/tests/unit/test_proxy_versions.py
+++ b/tests/unit/test_proxy_versions.py
@@ -334,3 +334,22 @@
     for number in range(20):
         assert proxy.ask(RESUMABLE, Leverjunction_Request_Id=f"r{number}").complete
     assert any(runner.seen for runner in runners[1:])
+
+
+def test_new_streams_do_not_wait_for_a_full_version_while_another_is_free(
+    stack: ExitStack,
+) -> None:
+    runners = start_runners(stack, OLD, NEW)
+    proxy = stack.enter_context(Proxy(make_full_table(), runners[:1], Recording()))
+    know(proxy, runners)
+    known: list[bool] = []
+
+    def fill() -> None:
+        proxy.balancer.set_other_loads({"i-0": 8}, asyncio.get_running_loop().time())
+        known.append(True)
+
+    proxy.call(fill)
+    assert wait_until(lambda: bool(known))
+    assert proxy.ask(RESUMABLE).complete
+    assert runners[1].seen
+    assert not runners[0].seen
