--- a/src/leverjunction/batch/lease_fetcher.py
+++ b/src/leverjunction/batch/lease_fetcher.py
@@ -85,15 +85,11 @@
         self._wake_failing = threading.Event()
         self._stopped = threading.Event()
         self._failing = False
-        self._threads = [
-            threading.Thread(target=self._run, name="batch-leases", daemon=True),
-            threading.Thread(target=self._run_failing, name="batch-leases-failing", daemon=True),
-        ]
+        self._threads: list[threading.Thread] = []
 
     def start(self) -> None:
-        """Start the threads."""
-        for thread in self._threads:
-            thread.start()
+        """Start the thread that asks the groups that answer; the other one starts when needed."""
+        self._start_thread(self._run, "batch-leases")
 
     def stop(self) -> None:
         """End the threads, then request the unanswered grants again so that they can be released.
@@ -103,12 +99,17 @@
         self._stopped.set()
         self._wake.set()
         self._wake_failing.set()
-        for thread in self._threads:
+        for thread in list(self._threads):
             if thread.is_alive():
                 thread.join(CALL_TIMEOUT_S * 2)
         for target, command in list(self._unanswered_grants.items()):
             self._request_lease(target, command)
 
+    def _start_thread(self, run: Callable[[], None], name: str) -> None:
+        thread = threading.Thread(target=run, name=name, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
     def update(self, groups: list[str]) -> None:
         """Replace the names of the job groups."""
         self._groups = list(groups)
@@ -173,6 +174,9 @@
             elif has_failed:
                 self._failing_groups.add(group)
                 self._wake_failing.set()
+            needs_thread = bool(has_failed) and len(self._threads) == 1
+        if needs_thread:
+            self._start_thread(self._run_failing, "batch-leases-failing")
 
     def _fetch(self, group: str, demand: Demand) -> int:
         target = PollTarget(group, demand.service)
