--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -47,7 +47,10 @@
 NEW = "v1.1"
 ALTERED = Path(__file__).resolve().parent / "altered_constants.py"
 SHORT_LIFE_S = 8.0
-SHORT_LIFE = (f"leverjunction.registry.origins:STREAM_LIFETIME_S={SHORT_LIFE_S}",)
+SHORT_LIFE = (
+    f"leverjunction.registry.origins:STREAM_LIFETIME_S={SHORT_LIFE_S}",
+    "leverjunction.registry.version_review:SETTLE_MARGIN_S=0.3",
+)
 """Constants of processes for which a release is long ago after ``SHORT_LIFE_S``."""
 
 LONG_AGO_S = SHORT_LIFE_S + 1.0
