Simulator: more streams at a gateway, and a row for a silent control process

An attempt that failed also had to find two back ends for longer than one that went on.

Change: 32 callers at a gateway in `seeded-releases`. Back ends have to serve for the attempt, for 5 s at most. The sentence of a broken promise can count its seconds from another moment, for the soak.

--- a/src/testbed/routed/resumptions.py
+++ b/src/testbed/routed/resumptions.py
@@ -21,6 +21,11 @@
 AFTER_S = 5.0
 """Time before and after a strike that is judged as one period."""
 
+LONGEST_S = 5.0
+"""Time for which back ends have to serve after a stream broke off, if it does not go on before.
+Without it, attempts that fail would have to find back ends for longer than those that go on.
+"""
+
 Serving = Callable[[str, float, float], int]
 """Returns how many back ends of a version served during all of a stretch of time."""
 
@@ -91,19 +96,20 @@
         """Whether enough resumed streams went on."""
         return self.went_on * self.new >= LEAST_OF_NEW * self.began * self.resumed
 
-    def told(self, logged: Iterable[tuple[float, str]]) -> str:
+    def told(self, logged: Iterable[tuple[float, str]], origin_s: float = 0.0) -> str:
         """Return the counts as a sentence.
 
         Args:
             logged: What gateways logged of resumed streams: when, in seconds, and the reason.
+            origin_s: Moment from which the sentence counts seconds.
         """
         begin_s, end_s = self.period.begin_s, max(self.period.end_s, self.ended_s)
         reasons = Counter(reason for at_s, reason in logged if begin_s <= at_s <= end_s)
         named = ", ".join(f"{reason} {count}" for reason, count in reasons.most_common())
         return (
             f"{self.went_on} of {self.resumed} resumed streams went on, {self.began} of "
-            f"{self.new} new ones began ({self.period.name}, {begin_s:.1f} to "
-            f"{self.period.end_s:.1f} s); gateways logged: {named or 'nothing'}"
+            f"{self.new} new ones began ({self.period.name}, {begin_s - origin_s:.1f} to "
+            f"{self.period.end_s - origin_s:.1f} s); gateways logged: {named or 'nothing'}"
         )
 
 
@@ -126,11 +132,15 @@
     resumed = [
         one
         for one in attempts
-        if one.version and serving(one.version, one.at_s, one.ended_s) >= FEWEST_BACK_ENDS
+        if one.version and serving(one.version, one.at_s, _served_until_s(one)) >= FEWEST_BACK_ENDS
     ]
     return [_compare(period, resumed, new) for period in periods]
 
 
+def _served_until_s(attempt: Attempt) -> float:
+    return min(attempt.ended_s, attempt.at_s + LONGEST_S)
+
+
 def _compare(period: Period, resumed: Sequence[Attempt], new: Sequence[Attempt]) -> Comparison:
     resumed = [one for one in resumed if period.holds(one.at_s)]
     new = [one for one in new if period.holds(one.at_s)]
--- a/src/testbed/simulation/seeded/shape.py
+++ b/src/testbed/simulation/seeded/shape.py
@@ -115,7 +115,7 @@
         versions=("v1",),
         spare_back_ends=6,
         slots=16,
-        streamers=StreamersShape(per_gateway=18, deadline_s=14.0, most_tries=24, pause_s=0.8),
+        streamers=StreamersShape(per_gateway=32, deadline_s=14.0, most_tries=24, pause_s=0.8),
     ),
 }
 """Shapes by the name of their scenario on the command line."""
--- a/tests/unit/test_resumptions.py
+++ b/tests/unit/test_resumptions.py
@@ -6,6 +6,7 @@
 
 from testbed.routed.resumptions import (
     FEWEST_RESUMED,
+    LONGEST_S,
     Attempt,
     Comparison,
     Period,
@@ -72,8 +73,8 @@
         asked.append((version, begin_s, end_s))
         return 2
 
-    compare([], attempts(1, 1, 1, 1), serving)
-    assert asked == [("v1", 10.0, 11.0)]
+    compare([], [*attempts(1, 1, 1, 1), Attempt(20.0, 32.0, "v1.1", False)], serving)
+    assert asked == [("v1", 10.0, 11.0), ("v1.1", 20.0, 20.0 + LONGEST_S)]
 
 
 def test_a_broken_promise_tells_the_reasons_of_its_time() -> None:
--- a/tests/unit/test_simulation_versions.py
+++ b/tests/unit/test_simulation_versions.py
@@ -11,6 +11,7 @@
 from testbed.simulation.seeded.routed.checkers import STREAM_CHECKERS
 from testbed.simulation.seeded.shape import SEEDED_RELEASES, SEEDED_VERSIONS
 
+SILENT = (SeededFaultKind.RELEASE, SeededFaultKind.HANG_CONTROL_AND_KILL_GATEWAY)
 BREAKING = (SeededFaultKind.KILL_GATEWAY, SeededFaultKind.KILL_BACK_END)
 
 
@@ -34,6 +35,12 @@
     assert result.checks["resumed_streams_go_on"] >= 3
 
 
+def test_resumed_streams_go_on_beside_a_silent_control_process() -> None:
+    result = run_seed(Plan(SEEDED_RELEASES, only=SILENT), 22)
+    assert result.violations == []
+    assert result.checks["resumed_streams_go_on"] >= 3
+
+
 @pytest.mark.parametrize("rule", sorted(STREAM_RULES))
 def test_a_broken_rule_is_caught(rule: str) -> None:
     seeds = range(11, 31)
