Soak: resumed streams beside releases and ends of all holders

Cause: the soak counted tries to resume streams that were refused and held them against nothing, and no fault released versions. So a soak in which hardly any stream went on passed.

An attempt counts if events came, or if the gateway of a try served others since it was last struck. A broken promise tells both counts, the period and what gateways logged; the report tells the counts always. Faults, struck only if named, by two hands at the same time: release, two releases, control silent, two controls killed, gateway killed, all control and gateways killed, release beside strikes, strikes together, gateway killed beside silent control. A soak that names one of them begins with one version, 12 runners and 100 callers of streams. `lose_questions_about_origins` is the broken rule. Draws of other soaks stay: kinds only named, hands and versions with random streams of their own.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -22,14 +22,16 @@
 import words
 from broken import RULES
 from closing import AT_THE_END, CLOSINGS, close
-from faults import FAULTS, ONLY_NAMED
+from faults import FAULTS, ONLY_NAMED, RELEASES
 from figures import keep_figures
 from hands import Hands
 from machines import MACHINES, Machines, Programs, Sizes
 from own_faults import OwnFaults
 from records import FIRST_S, Records, broken_limits, broken_promises, clock, first_ends
 from rest import Rest
-from traffic import Traffic
+from resuming import Service, broken_resumptions, compared, logged_resumptions
+from traffic import RELEASES as WITH_RELEASES
+from traffic import Traffic, TrafficShape
 
 READY_TIMEOUT_S = 60.0
 SETTLE_TIMEOUT_S = 30.0
@@ -98,7 +100,8 @@
     records = Records()
     OwnFaults(records).watch()
     deployment = Machines(folder, Programs(program_tree, rule, turn_us, sync_ms), Sizes(machines))
-    traffic = Traffic(deployment, records, seed)
+    has_releases = any(FAULTS[kind].hand == RELEASES for kind in kinds)
+    traffic = Traffic(deployment, records, seed, WITH_RELEASES if has_releases else TrafficShape())
     hands = Hands(deployment, traffic, records, seed, kinds)
     ended = threading.Event()
     reviver = threading.Thread(target=_revive, args=(deployment, ended))
@@ -116,6 +119,9 @@
         traffic.backends.close()
     broken += broken_promises(records, traffic.backends.executions(), words.WHOLE_TEXT)
     broken += _broken_limits(records, traffic)
+    services = traffic.backends.served()
+    logs = (machine.log() for machine in deployment.of("gateway"))
+    broken += broken_resumptions(records, services, logs)
     _report(deployment, records, traffic, broken)
     (folder / "strikes.log").write_text("\n".join([*records.blows, "", *broken, ""]))
     (folder / "crashes.log").write_text("".join(_crash_lines(records, traffic)))
@@ -217,7 +223,7 @@
 
 def _report(machines: Machines, records: Records, traffic: Traffic, broken: list[str]) -> None:
     whole = sum(1 for item in records.online if item.status == 200 and item.complete)
-    _report_streams(records)
+    _report_streams(machines, records, traffic.backends.served())
     accepted = [lot for lot in records.lots if lot.accepted]
     listed = sum(len(lot.listed) for lot in accepted)
     struck = ", ".join(f"{kind} {count}" for kind, count in sorted(records.struck.items()))
@@ -242,12 +248,23 @@
     print(f"{len(broken)} promises broken")
 
 
-def _report_streams(records: Records) -> None:
+def _report_streams(machines: Machines, records: Records, services: list[Service]) -> None:
     streams = records.streams
     whole = sum(stream.is_whole for stream in streams)
     resumed = sum(stream.resumed for stream in streams)
     refused = sum(stream.refused for stream in streams)
     print(f"streams: {len(streams)}, whole {whole}; tries to go on: {resumed}, refused {refused}")
+    run, *strikes = compared(records, services)
+    judged = sum(one.is_judged for one in strikes)
+    print(
+        f"while two runners of their version served: {run.went_on} of {run.resumed} resumed streams"
+        f" went on, {run.began} of {run.new} new ones began; judged: {judged} of {len(strikes)}"
+        " strikes"
+    )
+    logs = [machine.log() for machine in machines.of("gateway")]
+    reasons = Counter(reason for log in logs for _, reason in logged_resumptions(log))
+    told = ", ".join(f"{reason} {count}" for reason, count in reasons.most_common())
+    print(f"gateways logged of resumed streams: {told or 'nothing'}")
 
 
 def _crash_lines(records: Records, traffic: Traffic) -> list[str]:
--- a/deploy/soak/backends.py
+++ b/deploy/soak/backends.py
@@ -5,12 +5,13 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from random import Random
 
 import words
 from owners import Owners
 from relay import Relay
+from resuming import Service
 
 from testbed.routed import RunnerStandIn, Seen
 
@@ -25,6 +26,7 @@
 ENDS_AFTER_S = 0.03
 """From the arrival of a deadly request to the end of its runner: it has begun by then."""
 
+MS_PER_S = 1000
 REBORN_S = 1.5
 """From such an end to the next start under the same id."""
 
@@ -32,6 +34,25 @@
 """Calls control processes by method, path and body until one takes it."""
 
 
+class RunnersShape:
+    """What the runners of a soak are.
+
+    Attributes:
+        versions: Versions of the software, of which each start draws one.
+        slots: Requests that each works on at once; 0 to draw it.
+        keeps_versions: Whether the successor of a runner has its version.
+    """
+
+    __slots__ = ("keeps_versions", "slots", "versions")
+
+    def __init__(
+        self, versions: Sequence[str] = VERSIONS, slots: int = 0, keeps_versions: bool = False
+    ) -> None:
+        self.versions = versions
+        self.slots = slots
+        self.keeps_versions = keeps_versions
+
+
 class Run:
     """One run of an item, as a runner saw it.
 
@@ -112,6 +133,7 @@
         ended: Called when it ends under a request.
 
     Attributes:
+        harmed_s: Moments at which something was done to its connections, in wall seconds.
         ended_s: When it ended under a request, in monotonic seconds; None while it did not.
     """
 
@@ -125,6 +147,8 @@
         ended: Callable[[Runner], None],
     ) -> None:
         self.ended_s: float | None = None
+        self.harmed_s: list[float] = []
+        self._left_s: float | None = None
         self.born_ms = int(time.time() * 1000)
         self.stand_in = MortalStandIn(runner_id, slots, version, lambda: ended(self))
         self.stand_in.__enter__()
@@ -144,8 +168,20 @@
 
     def silence(self) -> None:
         """Tell of itself no more."""
+        self._left_s = self._left_s or time.time()
         self._ending.set()
 
+    def drain(self) -> None:
+        """Tell that it takes no new work."""
+        self._left_s = self._left_s or time.time()
+        self.state = "draining"
+
+    def served(self) -> Service:
+        """Return when it served."""
+        return Service(
+            self.stand_in.version, self.born_ms / MS_PER_S, self._left_s, self.harmed_s[:]
+        )
+
     @property
     def has_crashed(self) -> bool:
         """Whether it has ended without a word."""
@@ -227,9 +263,13 @@
         seed: Draws their slots.
         control: Takes their beats.
         owners: Know who connects to them.
+        shape: What they are.
     """
 
-    def __init__(self, count: int, seed: int, control: Control, owners: Owners) -> None:
+    def __init__(
+        self, count: int, seed: int, control: Control, owners: Owners, shape: RunnersShape
+    ) -> None:
+        self._shape = shape
         self._random = Random(f"{seed} runners")
         self._versions = Random(f"{seed} versions")
         self._control = control
@@ -238,6 +278,8 @@
         self.gone: list[Runner] = []
         self._crashes: list[Crash] = []
         self._made = 0
+        self._released = 0
+        self._arriving: list[Runner] = []
         self._closing = False
         self.now = [self._make(number) for number in range(count)]
 
@@ -285,7 +327,7 @@
         """Let a runner leave as planned: it drains, says so, and another one takes its place."""
         with self._lock:
             old = self.now[number]
-            old.state = "draining"
+            old.drain()
         time.sleep(drain_s)
         with self._lock:
             if self.now[number] is not old:
@@ -298,7 +340,7 @@
     def all(self) -> list[Runner]:
         """Return all that there ever were."""
         with self._lock:
-            return [*self.gone, *self.now]
+            return [*self.gone, *self._arriving, *self.now]
 
     def executions(self) -> Counter[str]:
         """Return how often each id was run."""
@@ -344,17 +386,61 @@
             runner.close()
         self._owners.close()
 
-    def _make(self, number: int, runner_id: str = "") -> Runner:
+    def release(self, numbers: Sequence[int], overlap_s: float, drain_s: float) -> str:
+        """Start runners of a further version; those in whose place they come leave later.
+
+        Args:
+            numbers: Numbers of the runners that leave.
+            overlap_s: Time from the starts until the others drain.
+            drain_s: Time for which they drain.
+
+        Returns:
+            The version.
+        """
+        with self._lock:
+            self._released += 1
+            version = f"{VERSIONS[0]}.{self._released}"
+            arriving = {number: self._make(number, version=version) for number in numbers}
+            self._arriving += arriving.values()
+        for runner in arriving.values():
+            runner.beat(self._control)
+        time.sleep(overlap_s)
+        with self._lock:
+            for number in numbers:
+                self.now[number].drain()
+        time.sleep(drain_s)
+        for number, runner in arriving.items():
+            with self._lock:
+                old, self.now[number] = self.now[number], runner
+                self.gone.append(old)
+                self._arriving.remove(runner)
+                old.silence()
+            path = words.LEAVE_PATH + old.stand_in.runner_id
+            self._control("POST", path, words.farewell(old.born_ms))
+        return version
+
+    def served(self) -> list[Service]:
+        """Return when runners of streams that may be resumed served."""
+        return [runner.served() for runner in self.all() if runner.service == words.SERVICE]
+
+    def look(self) -> None:
+        """Note whose connections are harmed now."""
+        for runner in self.now:
+            if runner.relay.is_harmed:
+                runner.harmed_s.append(time.time())
+
+    def _make(self, number: int, runner_id: str = "", version: str = "") -> Runner:
         self._made += 1
         runner_id = runner_id or f"i-{self._made}"
-        slots = self._random.randint(LEAST_SLOTS, MOST_SLOTS)
+        slots = self._shape.slots or self._random.randint(LEAST_SLOTS, MOST_SLOTS)
         service = words.SERVICES[number % len(words.SERVICES)]
-        version = self._versions.choice(VERSIONS)
+        version = version or self._versions.choice(self._shape.versions)
         return Runner(runner_id, service, slots, version, self._owners, self._ended)
 
     def _succeed(self, number: int, runner_id: str = "") -> None:
         self.gone.append(self.now[number])
-        new = self._make(number, runner_id)
+        kept = self.now[number].stand_in.version if self._shape.keeps_versions else ""
+        new = self._make(number, runner_id, kept)
         self.now[number] = new
         new.beat(self._control)
 
--- a/deploy/soak/broken.py
+++ b/deploy/soak/broken.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "src"))
 
 from leverjunction.clock import LOADED_S
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.lots import client
 from leverjunction.lots.batch_capacity import OccupiedSlot
 from leverjunction.lots.commands import EndLot, LotAccepted, SubmitLot
@@ -20,6 +22,8 @@
 from leverjunction.proxy import caller_connection, forwarding
 from leverjunction.quarantine import suspects
 from leverjunction.quarantine.verdicts import Standing
+from leverjunction.wire.envelope import MessageKind
+from leverjunction.wire.rpc_client import DEFAULT_TIMEOUT_S, RpcClient
 
 RULES: dict[str, Callable[[], None]] = {}
 
@@ -69,6 +73,34 @@
     forwarding.RoutedRequest.version = property(lambda _routed: None)  # type: ignore[assignment, method-assign]
 
 
+@_rule
+def _lose_questions_about_origins() -> None:
+    """No control process answers within the time what began a stream."""
+    call = RpcClient.call
+
+    def answered_too_late(
+        client: RpcClient,
+        peer: str,
+        kind: MessageKind,
+        message: object,
+        result_type: type,
+        *,
+        group: str = "",
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> object:
+        if not kind.name.startswith(MessageKind.FIND_ORIGIN.name):
+            return call(client, peer, kind, message, result_type, group=group, timeout_s=timeout_s)
+        time.sleep(timeout_s)
+        return Failure(
+            kind=FailureKind.TIMEOUT,
+            reason="no answer in time",
+            step=Step.RESPONDING,
+            peer=peer,
+        )
+
+    RpcClient.call = answered_too_late  # type: ignore[method-assign, assignment]
+
+
 @_rule
 def _end_what_was_cut() -> None:
     """An answer that broke off looks whole."""
--- a/deploy/soak/callers.py
+++ b/deploy/soak/callers.py
@@ -8,7 +8,7 @@
 
 import words
 from machines import CALLERS_PORT, Machine, Machines
-from records import OnlineRecord, Records, StreamRecord
+from records import OK, OnlineRecord, Records, StreamRecord, StreamTry
 
 from testbed.routed import RawCaller
 from testbed.routed.exchange import EVENTS_HEADER, RESUMABLE_FOLDER, WORK_MS_HEADER
@@ -21,15 +21,37 @@
 CALL_TIMEOUT_S = 4.0
 EVENTS_OF_STREAM = 20
 STREAM_MS = 1_500
-STREAM_PATIENCE_S = 6.0
+FIRST_EVENT_S = 0.5
+"""Time in which the first event of an answer that has events has come."""
+
 BODY = b"ask"
 KINDS = ("once", "repeatable", "stream")
 
 
+class ServingGateways:
+    """The gateways that have served a request since they were last struck; used by any thread."""
+
+    __slots__ = ("_since",)
+
+    def __init__(self) -> None:
+        self._since: dict[str, tuple[float, float]] = {}
+
+    def answered(self, machine: Machine, asked_s: float) -> None:
+        """Note an answer of success to a request of a moment, in monotonic seconds."""
+        struck_s = machine.disturbed_s
+        if struck_s < asked_s and self._since.get(machine.name, (0.0, 0.0))[0] != struck_s:
+            self._since[machine.name] = struck_s, time.monotonic()
+
+    def all_since(self, machine: Machine, asked_s: float) -> bool:
+        """Return whether a gateway served all the time from a moment until now."""
+        struck_s, since_s = self._since.get(machine.name, (-1.0, 0.0))
+        return machine.runs and struck_s == machine.disturbed_s and since_s <= asked_s
+
+
 class Callers:
     """What all callers share."""
 
-    __slots__ = ("_calm", "_ending", "_machines", "_records")
+    __slots__ = ("_calm", "_ending", "_machines", "_patience_s", "_records", "_serving")
 
     def __init__(
         self,
@@ -37,11 +59,14 @@
         records: Records,
         ending: threading.Event,
         calm: threading.Event,
+        patience_s: float,
     ) -> None:
         self._machines = machines
         self._records = records
         self._ending = ending
         self._calm = calm
+        self._patience_s = patience_s
+        self._serving = ServingGateways()
 
     def call(self, random: Random) -> None:
         """Send requests until the end, each on a connection of its own."""
@@ -51,9 +76,10 @@
                 continue
             machine = random.choice(self._machines.of("gateway"))
             kind, request_id = _draw(random)
+            began_s = time.monotonic()
             record = ask(machine, request_id, f"/{kind}/{request_id}")
             record.kind = kind
-            self._records.answered(record)
+            self._take(record, machine, began_s)
 
     def keep(self, random: Random) -> None:
         """Send one request after the other on one connection, for as long as it lasts.
@@ -70,7 +96,7 @@
             except OSError:
                 continue
             try:
-                while not self._is_over() and self._ask_once_more(caller, random):
+                while not self._is_over() and self._ask_once_more(caller, machine, random):
                     time.sleep(NEXT_PAUSE_S)
             finally:
                 caller.close()
@@ -80,10 +106,10 @@
         while not self._is_over():
             time.sleep(CALLER_PAUSE_S * random.random())
             record = StreamRecord(f"s{random.getrandbits(48):012x}")
-            until_s = time.monotonic() + STREAM_PATIENCE_S
+            until_s = time.monotonic() + self._patience_s
             while not record.is_whole and time.monotonic() < until_s:
                 machine = random.choice(self._machines.of("gateway"))
-                _go_on(machine, record, f"t{random.getrandbits(48):012x}")
+                _try_on(machine, record, f"t{random.getrandbits(48):012x}", self._serving)
                 time.sleep(CALLER_PAUSE_S * random.random())
             self._records.streamed(record)
             if self._ending.is_set():
@@ -92,14 +118,20 @@
     def _is_over(self) -> bool:
         return self._calm.is_set() or self._ending.is_set()
 
-    def _ask_once_more(self, caller: RawCaller, random: Random) -> bool:
+    def _ask_once_more(self, caller: RawCaller, machine: Machine, random: Random) -> bool:
         kind, request_id = _draw(random)
         target = f"/{kind}/{request_id}"
+        began_s = time.monotonic()
         record, kept = _ask_on(caller, request_id, target)
         record.kind = kind
-        self._records.answered(record)
+        self._take(record, machine, began_s)
         return kept
 
+    def _take(self, record: OnlineRecord, machine: Machine, began_s: float) -> None:
+        if record.status == OK:
+            self._serving.answered(machine, began_s)
+        self._records.answered(record)
+
 
 def ask(
     machine: Machine, request_id: str, target: str, body: bytes = BODY, parts: str = ""
@@ -115,6 +147,21 @@
         caller.close()
 
 
+def _try_on(
+    machine: Machine, record: StreamRecord, request_id: str, serving: ServingGateways
+) -> None:
+    """Ask a gateway for what is missing of a stream, and note the try."""
+    at_s, began_s, before = time.time(), time.monotonic(), len(record.events)
+    _go_on(machine, record, request_id)
+    events = len(record.events) - before
+    took_s = time.monotonic() - began_s
+    ended_s = at_s + (min(took_s, FIRST_EVENT_S) if events else took_s)
+    if events:
+        serving.answered(machine, began_s)
+    counts = events > 0 or serving.all_since(machine, began_s)
+    record.tries.append(StreamTry(at_s, ended_s, events, counts))
+
+
 def _go_on(machine: Machine, record: StreamRecord, request_id: str) -> None:
     """Ask a gateway for a stream, or for what is missing of it."""
     events = record.events
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -38,7 +38,24 @@
 BAD_LOTS = (1, 1, 2, 3)
 """Jobs with bad items that are sent at once."""
 
-ONLY_NAMED = frozenset({"bad items", "deadly part"})
+RELEASES = "releases"
+"""Hand of the faults around releases; a soak that names one of them has the traffic for it."""
+
+ONLY_NAMED = frozenset(
+    {
+        "bad items",
+        "deadly part",
+        "release",
+        "two releases",
+        "control silent",
+        "two controls killed",
+        "gateway killed",
+        "all control and gateways killed",
+        "release beside strikes",
+        "strikes together",
+        "gateway killed beside silent control",
+    }
+)
 """Kinds that strike only in a soak that names them, so that seeds strike what they always did."""
 
 PART_TRIES = 70
@@ -52,6 +69,21 @@
 LATE_RUNS = 3
 """Runs after that which are borne."""
 
+MOST_RELEASED = 3
+OVERLAP_S = (0.3, 3.0)
+"""Shortest and longest time from the starts of a release until those before it drain."""
+
+DRAIN_S = (1.0, 3.0)
+SECOND_RELEASE_S = (0.1, 2.0)
+"""Shortest and longest time from the start of a release to that of one under way beside it."""
+
+KILLED_FIRST = 0.3
+"""Share of the strikes in which a gateway ends before a control process is silent."""
+
+SILENT_S = (4.0, 10.0)
+APART_S = 1.2
+"""Longest time between two strikes of one fault."""
+
 IN_TOUCH_S = 3.0
 """A machine is in touch if nothing struck it for so long."""
 
@@ -444,3 +476,114 @@
 @_fault("configuration")
 def _configuration_storm(scene: Scene) -> None:
     scene.traffic.operator.storm(scene.random.randint(*STORM_CHANGES))
+
+
+@_fault(RELEASES)
+def _release(scene: Scene) -> None:
+    """Start runners of a further version, and have as many of those before leave."""
+    pool = [
+        number
+        for number, runner in enumerate(scene.traffic.backends.now)
+        if runner.service == words.SERVICE
+    ]
+    numbers = scene.random.sample(pool, scene.random.randint(1, MOST_RELEASED))
+    overlap_s, drain_s = scene.random.uniform(*OVERLAP_S), scene.random.uniform(*DRAIN_S)
+    scene.traffic.backends.release(numbers, overlap_s, drain_s)
+
+
+@_fault(RELEASES)
+def _two_releases(scene: Scene) -> None:
+    _strike_apart(scene, [(_release, 0.0), (_release, scene.random.uniform(*SECOND_RELEASE_S))])
+
+
+@_fault(RELEASES)
+def _control_silent(scene: Scene) -> None:
+    """Have one control process stand still: its connections stay open, and nothing answers."""
+    machine = scene.random.choice(scene.machines.of("control"))
+    machine.pause()
+    scene.last(*SILENT_S)
+    machine.go_on()
+
+
+@_fault(RELEASES)
+def _two_controls_killed(scene: Scene) -> None:
+    machines = scene.random.sample(scene.machines.of("control"), 2)
+    for machine in machines:
+        machine.kill()
+    scene.last(0.5, 3.0)
+    scene.start_late(machines, 0.5)
+
+
+@_fault(RELEASES)
+def _gateway_killed(scene: Scene) -> None:
+    machine = scene.random.choice(scene.machines.of("gateway"))
+    machine.kill()
+    scene.last(0.5, 3.0)
+    machine.start()
+
+
+@_fault(RELEASES)
+def _all_control_and_gateways_killed(scene: Scene) -> None:
+    machines = scene.machines.of("control") + scene.machines.of("gateway")
+    for machine in machines:
+        machine.kill()
+    scene.last(0.0, 0.5)
+    scene.start_late(machines, 0.5)
+
+
+STRIKES = (
+    _control_silent,
+    _two_controls_killed,
+    _gateway_killed,
+    _all_control_and_gateways_killed,
+    _connections_reset,
+)
+"""What strikes beside a release or beside another of these."""
+
+
+@_fault(RELEASES)
+def _release_beside_strikes(scene: Scene) -> None:
+    """Release in the same moment as other strikes, or shortly before or after them."""
+    strikes = scene.random.sample(STRIKES, scene.random.randint(1, 3))
+    _strike_apart(scene, [(strike, _apart_s(scene)) for strike in [_release, *strikes]])
+
+
+@_fault(RELEASES)
+def _strikes_together(scene: Scene) -> None:
+    strikes = scene.random.sample(STRIKES, scene.random.randint(2, 3))
+    _strike_apart(scene, [(strike, _apart_s(scene)) for strike in strikes])
+
+
+@_fault(RELEASES)
+def _gateway_killed_beside_silent_control(scene: Scene) -> None:
+    """Kill a gateway while a control process is silent, or just before."""
+    strikes = [(_control_silent, 0.0), (_gateway_killed, _apart_s(scene))]
+    if scene.random.random() < KILLED_FIRST:
+        strikes = [(_control_silent, _apart_s(scene)), (_gateway_killed, 0.0)]
+    _strike_apart(scene, strikes)
+
+
+def _apart_s(scene: Scene) -> float:
+    return scene.random.choice((0.0, scene.random.uniform(0.0, APART_S)))
+
+
+def _strike_apart(scene: Scene, strikes: list[tuple[Strike, float]]) -> None:
+    """Bring about several faults, each after a time in seconds; return when all are over."""
+
+    def run(strike: Strike, own: Scene, after_s: float) -> None:
+        time.sleep(after_s)
+        began_s = time.time()
+        strike(own)
+        kind = next(name for name, fault in FAULTS.items() if fault.strike is strike)
+        scene.traffic.note_strike(kind, began_s)
+
+    threads = []
+    for strike, after_s in strikes:
+        own = Scene(
+            scene.machines, scene.traffic, Random(scene.random.getrandbits(48)), scene.disks
+        )
+        threads.append(threading.Thread(target=run, args=(strike, own, after_s), daemon=True))
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
--- a/deploy/soak/records.py
+++ b/deploy/soak/records.py
@@ -44,6 +44,25 @@
         self.body = body
 
 
+class StreamTry:
+    """One request for a stream, or for the rest of it.
+
+    Attributes:
+        at_s: When it was sent, in wall seconds.
+        ended_s: When its first event came, as far as is known, or when it ended without one.
+        events: Events that came.
+        counts: Whether events came, or the gateway was well all the time.
+    """
+
+    __slots__ = ("at_s", "counts", "ended_s", "events")
+
+    def __init__(self, at_s: float, ended_s: float, events: int, counts: bool) -> None:
+        self.at_s = at_s
+        self.ended_s = ended_s
+        self.events = events
+        self.counts = counts
+
+
 class StreamRecord:
     """A stream over all tries of its caller.
 
@@ -54,9 +73,10 @@
         resumed: Tries to take it up again that were answered.
         refused: Tries to take it up again that were refused.
         is_whole: Whether its last event came.
+        tries: All tries, oldest first.
     """
 
-    __slots__ = ("events", "first_id", "is_whole", "name", "refused", "resumed")
+    __slots__ = ("events", "first_id", "is_whole", "name", "refused", "resumed", "tries")
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -65,6 +85,7 @@
         self.resumed = 0
         self.refused = 0
         self.is_whole = False
+        self.tries: list[StreamTry] = []
 
     def took(self, status: int, body: bytes, events: int) -> None:
         """Add what came of one try.
@@ -210,6 +231,8 @@
         notes: What is told, but no broken promise.
         struck: How often each kind of fault struck.
         blows: A line for each, with its wall times.
+        strikes: Kind of each, and when it began, in wall seconds.
+        began_s: Start of the soak, in wall seconds.
         most_open: Most items that were open at once.
         under_way: Samples of the runs of items that were under way.
         report_s: How long a runner took to tell its load.
@@ -228,6 +251,8 @@
         self.notes: list[str] = []
         self.struck: Counter[str] = Counter()
         self.blows: list[str] = []
+        self.strikes: list[tuple[str, float]] = []
+        self.began_s = time.time()
         self.most_open = 0
         self.under_way: list[int] = []
         self.report_s: list[float] = []
@@ -239,6 +264,7 @@
         """Take a fault that has struck, with wall times."""
         with self.lock:
             self.struck[kind] += 1
+            self.strikes.append((kind, began_s))
             self.blows.append(f"{clock(began_s)} to {clock(ended_s)} {kind}")
 
     def answered(self, record: OnlineRecord) -> None:
--- a/deploy/soak/traffic.py
+++ b/deploy/soak/traffic.py
@@ -10,7 +10,7 @@
 
 import urllib3
 import words
-from backends import Backends
+from backends import VERSIONS, Backends, RunnersShape
 from callers import Callers, ask
 from configuring import CALL_TIMEOUT_S, Operator
 from lots import LEAST_ITEMS, LotClients
@@ -25,6 +25,7 @@
 CALLERS = 3
 KEEPERS = 3
 STREAMERS = 6
+STREAM_PATIENCE_S = 6.0
 SUBMITTERS = 2
 SAMPLE_S = 0.5
 PROBE_TIMEOUT_S = 3.0
@@ -32,6 +33,40 @@
 POOL_CONNECTIONS = 8
 
 
+class TrafficShape:
+    """How much of what there is.
+
+    Attributes:
+        runners: Runners, 0 for as many as the processes need.
+        shape: What the runners are.
+        streamers: Callers of streams that are resumed where they broke off.
+        patience_s: Time after which these give up a stream.
+    """
+
+    __slots__ = ("patience_s", "runners", "shape", "streamers")
+
+    def __init__(
+        self,
+        runners: int = 0,
+        shape: RunnersShape | None = None,
+        streamers: int = STREAMERS,
+        patience_s: float = STREAM_PATIENCE_S,
+    ) -> None:
+        self.runners = runners
+        self.shape = shape or RunnersShape()
+        self.streamers = streamers
+        self.patience_s = patience_s
+
+
+RELEASES = TrafficShape(
+    runners=12,
+    shape=RunnersShape(versions=VERSIONS[:1], slots=60, keeps_versions=True),
+    streamers=100,
+    patience_s=8.0,
+)
+"""One version at first, and many streams: what a soak with releases needs."""
+
+
 class Traffic:
     """Runners, callers, clients of batch jobs and the operator.
 
@@ -41,7 +76,10 @@
         lots: Clients of batch jobs.
     """
 
-    def __init__(self, machines: Machines, records: Records, seed: int) -> None:
+    def __init__(
+        self, machines: Machines, records: Records, seed: int, shape: TrafficShape
+    ) -> None:
+        self._shape = shape
         self._machines = machines
         self._records = records
         self._seed = seed
@@ -52,11 +90,11 @@
             retries=False, timeout=CALL_TIMEOUT_S, maxsize=POOL_CONNECTIONS, num_pools=1000
         )
         self.operator = Operator(machines, records, http, self._ending, self._calm)
-        runners = max(RUNNERS, round(len(machines.all) / MACHINES_OF_RUNNER))
-        self.backends = Backends(runners, seed, self.operator.call, Owners(machines))
+        runners = shape.runners or max(RUNNERS, round(len(machines.all) / MACHINES_OF_RUNNER))
+        self.backends = Backends(runners, seed, self.operator.call, Owners(machines), shape.shape)
         slots = self.backends.slots()
         self.lots = LotClients(machines, records, http, slots, self._ending, self._calm)
-        self._callers = Callers(machines, records, self._ending, self._calm)
+        self._callers = Callers(machines, records, self._ending, self._calm, shape.patience_s)
 
     def start(self) -> None:
         """Begin."""
@@ -68,7 +106,7 @@
             *[self.lots.submit] * SUBMITTERS,
             *[self._callers.call] * CALLERS,
             *[self._callers.keep] * KEEPERS,
-            *[self._callers.stream] * STREAMERS,
+            *[self._callers.stream] * self._shape.streamers,
         ]
         for number, work in enumerate(works):
             random = Random(f"{self._seed} {number}")
@@ -93,6 +131,7 @@
                 self._records.most_open = max(self._records.most_open, self.lots.open_items())
                 working = self.backends.working()
                 self._records.under_way.append(sum(item[0] == "l" for item in working if item))
+            self.backends.look()
             self._probe()
 
     def _probe(self) -> None:
@@ -138,6 +177,10 @@
         """Note a broken promise that was seen while faults struck."""
         self._records.seen_broken.append(line)
 
+    def note_strike(self, kind: str, began_s: float) -> None:
+        """Note a part of a fault that has struck, with the wall time at which it began."""
+        self._records.blow(kind, began_s, time.time())
+
     def in_force(self) -> bool:
         """Return whether every gateway serves the newest acknowledged configuration."""
         if not self._records.acknowledged:
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -40,6 +40,7 @@
 relays = load("relay")
 own_faults = load("own_faults")
 nets = load("nets")
+resuming = load("resuming")
 
 
 def run(*arguments: str) -> subprocess.CompletedProcess[str]:
@@ -114,6 +115,83 @@
     assert len(records.broken_promises(seen, Counter(), WHOLE)) == broken
 
 
+STRUCK_S = 1_000.0
+
+
+def resumed_streams(went_on: int, resumed: int, new: int) -> records.Records:
+    """Return what callers saw of streams that broke off at a strike, and of later new ones."""
+    seen = records.Records()
+    seen.began_s = STRUCK_S - 10.0
+    seen.blow("gateway killed", STRUCK_S, STRUCK_S + 1.0)
+    for number in range(resumed):
+        stream = records.StreamRecord(f"s{number}")
+        stream.events = [(1, "v1")]
+        stream.tries = [
+            records.StreamTry(STRUCK_S - 2.0, STRUCK_S - 1.9, 1, counts=True),
+            records.StreamTry(STRUCK_S + 0.1, STRUCK_S + 0.6, 0, counts=True),
+            records.StreamTry(STRUCK_S + 0.7, STRUCK_S + 0.9, int(number < went_on), counts=True),
+        ]
+        seen.streamed(stream)
+    for number in range(new):
+        stream = records.StreamRecord(f"n{number}")
+        stream.events = [(1, "v1")]
+        stream.tries = [records.StreamTry(STRUCK_S + 1.0, STRUCK_S + 1.1, 1, counts=True)]
+        seen.streamed(stream)
+    return seen
+
+
+def served(count: int, end_s: float | None = None) -> list[object]:
+    return [resuming.Service("v1", STRUCK_S - 10.0, end_s) for _ in range(count)]
+
+
+@pytest.mark.parametrize(
+    ("went_on", "resumed", "runners", "end_s", "periods"),
+    [
+        (5, 12, 2, None, 2),
+        (6, 12, 2, None, 0),
+        (0, 11, 2, None, 0),
+        (0, 12, 1, None, 0),
+        (0, 12, 2, STRUCK_S + 0.5, 0),
+        (0, 12, 2, STRUCK_S + 2.0, 2),
+    ],
+    ids=["too few", "half", "few streams", "one runner", "runners left", "they left later"],
+)
+def test_resumed_streams_go_on_half_as_often_as_new_ones_begin(
+    went_on: int, resumed: int, runners: int, end_s: float | None, periods: int
+) -> None:
+    seen = resumed_streams(went_on, resumed, 5)
+    log = (
+        f'{{"at_ms":{STRUCK_S * 1000 + 200:.0f},"event":"resumed","reason":"origin: unknown"}}\n'
+        '{"at_ms":1,"event":"resumed","reason":"earlier"}\n{"at_ms":2,"event":"resumed","rea'
+    )
+    broken = resuming.broken_resumptions(seen, served(runners, end_s), [log, log])
+    assert len(broken) == periods
+    for line in broken:
+        assert line.startswith(f"{went_on} of {resumed} resumed streams went on, ")
+        assert line.endswith("gateways logged: origin: unknown 2")
+
+
+def test_a_runner_serves_from_when_it_is_known_to_when_it_leaves() -> None:
+    service = resuming.Service("v1", 10.0, 20.0, harmed_s=[15.0])
+    assert service.covers("v1", 10.0 + resuming.KNOWN_S, 13.0)
+    assert not service.covers("v1.1", 10.0 + resuming.KNOWN_S, 13.0)
+    assert not service.covers("v1", 9.0 + resuming.KNOWN_S, 13.0)
+    assert not service.covers("v1", 14.0, 16.0)
+    assert not service.covers("v1", 18.0, 20.0)
+    assert service.covers("v1", 18.0, 19.9)
+
+
+def test_an_attempt_ends_with_the_first_event_and_counts_if_a_gateway_could_answer() -> None:
+    seen = resumed_streams(1, 1, 0)
+    (stream,) = seen.streams
+    stream.tries += [records.StreamTry(STRUCK_S + 3.0, STRUCK_S + 3.1, 0, counts=False)]
+    run = resuming.compared(seen, served(2))[0]
+    assert (run.went_on, run.resumed, run.began, run.new) == (1, 1, 1, 1)
+    stream.tries += [records.StreamTry(STRUCK_S + 3.2, STRUCK_S + 3.3, 0, counts=True)]
+    run = resuming.compared(seen, served(2))[0]
+    assert (run.went_on, run.resumed) == (1, 2)
+
+
 def test_an_item_that_is_not_whole_and_a_refused_job_that_ran_are_told() -> None:
     seen = records.Records()
     spoilt, refused, unsure = (records.LotRecord(name, 1) for name in ("a", "b", "c"))
@@ -436,6 +514,30 @@
     assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
 
 
+BESIDE_RELEASES = (
+    "--only",
+    "release,two releases,control silent,two controls killed,gateway killed,"
+    "all control and gateways killed,release beside strikes,strikes together",
+)
+
+
+def test_resumed_streams_go_on_beside_releases_and_ends_of_all_holders() -> None:
+    done = run("--minutes", "0.15", "--seed", "502", "--closing", "none", *BESIDE_RELEASES)
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert re.search(r"judged: [1-9]\d* of", done.stdout), done.stdout
+
+
+RELEASED = ("--minutes", "0.15", "--seed", "531", "--closing", "none", "--machines", "9")
+
+
+@pytest.mark.parametrize("rule", ["", "lose_questions_about_origins"])
+def test_resumed_streams_of_killed_gateways_go_on(rule: str) -> None:
+    killed = ("--only", "release,gateway killed")
+    done = run(*RELEASED, *killed, *(("--rule", rule) if rule else ()))
+    told = re.search(r"\d+ of \d+ resumed streams went on, .*origin: unknown", done.stdout)
+    assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
+
+
 def test_items_that_nothing_works_on_are_told_with_their_runs() -> None:
     rule = ("--rule", "leave_what_was_cut", "--only", "connections reset", "--closing", "none")
     done = run("--minutes", "0.1", "--seed", "4", "--ebb", "0", *rule)
