Tests: the drawn histories of origins end gateways at the moments that matter

Change: gateways end right after a stream began or paused, with a part of their reports sent; 150 examples each, and the search for streams that wait for no acknowledgement stops at the first.

--- a/tests/unit/test_origin_properties.py
+++ b/tests/unit/test_origin_properties.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import Any
 
 import pytest
@@ -33,7 +34,6 @@
 )
 from tests.unit.origin_model import Gateway, Model, Stream, Ways, joined
 
-from leverjunction.registry.origin_reporter import HOLDERS
 from leverjunction.registry.origins import (
     KEEP_ORIGIN_S,
     RENEW_LATEST_S,
@@ -41,7 +41,7 @@
 )
 
 EXAMPLES = settings(
-    max_examples=200,
+    max_examples=150,
     stateful_step_count=30,
     deadline=None,
     database=None,
@@ -52,14 +52,14 @@
 VERSIONS = ("v1", "v2", "v3")
 STEPS_S = (0.05, 0.35, 1.0, 1.9, 6.0, 14.0, 31.0, 59.0, 61.0, 64.0, 100.0)
 PAUSES_S = (14.0, 24.0, 26.0, 50.0, 80.0)
-AFTER = (0.0, 0.0, 0.01, 0.3, 0.99)
+PARTS = st.sampled_from((0.0, 0.0, 0.01, 0.3, 0.99))
 """Parts of a stream's lifetime after which its caller comes back."""
 
 MAX_GATEWAYS = 3
 MAX_UNREACHED_S = KEEP_ORIGIN_S - STREAM_LIFETIME_S - RENEW_LATEST_S
 NUMBERS = st.integers(0, 5)
 ORDERS = st.permutations(range(5))
-REPORTERS = st.sets(st.integers(0, HOLDERS - 1))
+REPORTERS = st.sampled_from(((), (), (0,), (1,), (0, 2), (0, 1, 2)))
 SLOW = st.sets(st.integers(0, 4), max_size=2)
 
 
@@ -89,10 +89,12 @@
     def stream(self, number: int) -> Stream:
         return self.model.streams[-1 - number % len(self.model.streams)]
 
-    @initialize(newer=st.sampled_from(["v2", "v2", "v2", ""]))
-    def release_begins(self, newer: str) -> None:
+    @initialize(newer=st.sampled_from(["v2", "v2", "v2", ""]), is_used=st.booleans())
+    def release_begins(self, newer: str, is_used: bool) -> None:
         if newer:
             self.back_end_starts_and_all_hear("i-1", newer)
+        if is_used:
+            self.stream_begins_and_is_recorded(0, 0)
 
     @rule(for_s=st.sampled_from(STEPS_S), flows=st.booleans())
     def time_passes(self, for_s: float, flows: bool) -> None:
@@ -116,11 +118,11 @@
         self.gateway(number).hear(self.model.controls[control % self.controls])
 
     @rule(number=NUMBERS, reporters=REPORTERS)
-    def reports_are_sent(self, number: int, reporters: set[int]) -> None:
+    def reports_are_sent(self, number: int, reporters: Collection[int]) -> None:
         self.gateway(number).flush(reporters)
 
     @rule(number=NUMBERS, runner=NUMBERS, reporters=REPORTERS)
-    def stream_begins(self, number: int, runner: int, reporters: set[int]) -> None:
+    def stream_begins(self, number: int, runner: int, reporters: Collection[int]) -> None:
         gateway = self.gateway(number)
         known = gateway.known()
         if known:
@@ -129,7 +131,7 @@
 
     @rule(number=NUMBERS, runner=NUMBERS)
     def stream_begins_and_is_recorded(self, number: int, runner: int) -> None:
-        self.stream_begins(number, runner, set())
+        self.stream_begins(number, runner, ())
         self.model.advance(0.35)
 
     @precondition(lambda self: self.model.streams)
@@ -146,8 +148,47 @@
         for _ in range(2):
             self.model.advance(3.0)
 
+    @rule(number=NUMBERS, runner=NUMBERS, reporters=REPORTERS, after=PARTS, order=ORDERS, slow=SLOW)
+    def stream_begins_and_its_gateway_ends(
+        self,
+        number: int,
+        runner: int,
+        reporters: Collection[int],
+        after: float,
+        order: list[int],
+        slow: set[int],
+    ) -> None:
+        count = len(self.model.streams)
+        self.stream_begins(number, runner, reporters)
+        if len(self.model.streams) > count:
+            self.gateway_of_a_stream_ends(0, after, order, slow)
+
+    @precondition(lambda self: self.model.streams)
+    @rule(
+        number=NUMBERS,
+        pause_s=st.sampled_from(PAUSES_S),
+        reporters=REPORTERS,
+        after=PARTS,
+        order=ORDERS,
+        slow=SLOW,
+    )
+    def stream_pauses_and_its_gateway_ends(
+        self,
+        number: int,
+        pause_s: float,
+        reporters: Collection[int],
+        after: float,
+        order: list[int],
+        slow: set[int],
+    ) -> None:
+        stream = self.stream(number)
+        self.stream_pauses(number, pause_s)
+        if stream.gateway is not None:
+            stream.gateway.flush(reporters)
+            self.gateway_of_a_stream_ends(number, after, order, slow)
+
     @precondition(lambda self: self.model.streams)
-    @rule(number=NUMBERS, after=st.sampled_from(AFTER), order=ORDERS, slow=SLOW)
+    @rule(number=NUMBERS, after=PARTS, order=ORDERS, slow=SLOW)
     def gateway_of_a_stream_ends(
         self, number: int, after: float, order: list[int], slow: set[int]
     ) -> None:
@@ -244,7 +285,7 @@
 @pytest.mark.parametrize("use_after_s", [0.0, 2.0])
 def test_streams_that_wait_for_no_acknowledgement_are_joined(use_after_s: float) -> None:
     """Otherwise the search would show nothing for streams that do wait."""
-    how = settings(EXAMPLES, phases=[Phase.generate])
+    how = settings(EXAMPLES, max_examples=1000, phases=[Phase.generate])
     ways = Ways(acks=0, use_after_s=use_after_s, max_unreached_s=MAX_UNREACHED_S)
     with pytest.raises(AssertionError, match="goes on at"):
         run(FaultyFleet, how, controls=3, ways=ways)
