Proposed: a gateway that has just started begins no stream at a version that others may not know

Cause: it knows no base version, so it preferred none; a gateway that was cut off for 2 s took the older version for the only one. Change: it goes by the back end that started first, for as long as a version is new.

--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -96,6 +96,7 @@
         )
         self._ambiguous: set[str] = set()
         self._first_seen_s: dict[tuple[str, str], float] = {}
+        self._oldest: dict[str, str] = {}
         self._reviewed_s = 0.0
         self._loop = asyncio.get_running_loop()
 
@@ -105,6 +106,10 @@
         self._history.update(view, now_s)
         live = {(record.service, record.version) for record in view.runners}
         self._first_seen_s = {key: self._first_seen_s.get(key, now_s) for key in live}
+        self._oldest = {
+            item.service: item.version
+            for item in sorted(view.runners, key=lambda item: item.born_ms, reverse=True)
+        }
         known = self._ambiguous
         self._review(now_s)
         if self.directory is not None and self._ambiguous - known:
@@ -154,14 +159,17 @@
     def widely_known_version(self, service: str) -> str | None:
         """Return the base version while another gateway may not have heard of a newer one.
 
-        That gateway would take it for the only one. None if all versions are known long enough.
+        That gateway would take it for the only one. None if all versions are known long enough. A
+        gateway that knows no base version goes by the back end that started first.
         """
         now_s = self._loop.time()
         is_new = any(
             name == service and now_s - first_seen_s <= self._max_view_age_s
             for (name, _), first_seen_s in self._first_seen_s.items()
         )
-        return self._base_version(service) if is_new else None
+        if not is_new or self.directory is None or service not in self._ambiguous:
+            return None
+        return self._base_version(service) or self._oldest.get(service)
 
     def _base_version(self, service: str) -> str | None:
         """Return the base version of a service while it has several, None if it is unknown.
