--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -219,7 +219,7 @@
         return [*self._follower.hubs(), *self._store_addresses()]
 
     def _origin_holders(self, number: int) -> list[str]:
-        """Return the control processes to which a reporter of origins reports."""
+        """Return the control processes that a reporter of origins uses, the best one first."""
         return rank_holders(self._config.name, self._control_members(), number)
 
     def _control_members(self) -> list[MemberRecord]:
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -71,7 +71,7 @@
         """Send a request until a back end gives a response head or no further attempt is allowed.
 
         Args:
-            work: The request and the state of its attempts.
+            routed: The request and the state of its attempts.
             last_event_id: Event after which to continue a stream; empty for a whole response.
 
         Returns:
--- a/src/leverjunction/registry/origin_questions.py
+++ b/src/leverjunction/registry/origin_questions.py
@@ -94,6 +94,7 @@
     """Return the base version if so many tell it that one of them would know another origin."""
     bases = [answer.base_version for answer in known if answer.base_version is not None]
     controls = max([peers, *(answer.controls for answer in known)])
+    # A recorded origin is at ``stored_at`` of them, so that many cannot all lack it.
     needed = controls - stored_at(controls) + 1
     return bases[0] if len(bases) >= needed and len(set(bases)) == 1 else None
 
--- a/src/leverjunction/registry/origins.py
+++ b/src/leverjunction/registry/origins.py
@@ -77,8 +77,8 @@
 
     Attributes:
         streams: Origins by the key of the stream.
-        is_recorded_first: Whether the gateway passes on no event of a stream that is not of the
-            base version before the origin is stored; an older build does.
+        is_recorded_first: Whether the gateway stores the origin of a stream that is not of the
+            base version before it passes on an event; False in reports of an older build.
     """
 
     streams: dict[int, StreamOrigin]
