Keep base versions in the registry, and trust them after a start

What callers saw: all control processes and gateways were killed as the first back ends of a second version started.

Cause: the streams had begun under one version, so they had been reported to nobody, and the base version, which tells what began an unreported stream, was known only to processes that had seen it alone. None of those was left. Class: knowledge that ends with the process, though what it was derived from is replicated.

Change: the registry's state machine keeps the base version of each service: the last one that was alone, as long as back ends of it serve in every state since. A start that is current takes it from there, unless its origin log shows that an acknowledged origin of another version may be missing. For that the first origin of a version is on disk before it is acknowledged, one more in each 30 s after it; a version is announced on disk 0.5 s after it is known, so reports rarely wait. A log that begins empty tells nothing of what was before, until the process has seen the service with one version.

Why that is enough: an acknowledged origin is at two control processes, both with a record of its version on disk from the last 30 s; the base version has to be told by all but one.

Changed checks: segments of the origin log are kept for 120 s in place of 90 s, the last one longer; a log that begins writes one record. The three rows that ask for it ask for the new bounds.

--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -8,11 +8,14 @@
 
 import math
 import threading
+from collections.abc import Iterable
 
 from leverjunction.clock import Clock
-from leverjunction.errors import Failure
+from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.registry.hub import RegistryHub
+from leverjunction.registry.origin_fence import OriginFence
 from leverjunction.registry.origin_log import OriginLog
+from leverjunction.registry.origin_segments import FENCE_S
 from leverjunction.registry.origins import (
     KEEP_ORIGIN_S,
     FindOrigin,
@@ -33,6 +36,15 @@
 MAX_STREAMS = 700_000
 """Streams of ``KEEP_ORIGIN_S`` at 7,700 per second, of about 200 bytes each."""
 
+SYNC_TIMEOUT_S = 0.25
+"""Longest time for which a report waits for the disk; the gateway waits 0.3 s."""
+
+MAX_WAITING_REPORTS = 8
+"""Reports that may wait for the disk at a time, each of which holds a thread."""
+
+ANNOUNCE_AFTER_S = 0.5
+"""Time after which a new version is on record; gateways use it when they know it for longer."""
+
 
 class OriginDirectory:
     """Stores what gateways report, and answers their questions. Thread-safe.
@@ -61,18 +73,24 @@
         """When each control process was last a member, by address."""
 
         self._log = log
+        self._fence = OriginFence()
+        self._newcomers_s: dict[StreamOrigin, float] = {}
+        """Since when each version is known that is not the base version of its service."""
 
-    def load(self) -> None:
-        """Read what former starts logged; call it before the first question is answered.
+        self._told_alone: set[StreamOrigin] = set()
+        self._waiting_reports = threading.BoundedSemaphore(MAX_WAITING_REPORTS)
+        if log is None:
+            self._fence.began(self._started_s)
 
-        The log may lack some: it is no proof that nothing else was reported to those starts.
-        """
+    def load(self) -> None:
+        """Read what former starts logged; call it before the first question is answered."""
         if self._log is None:
             return
         now_s = self._clock.monotonic_s()
         with self._lock:
-            for age_s, streams in self._log.load():
-                for stream, origin in streams.items():
+            for age_s, batch in self._log.load():
+                self._fence.load(batch, now_s - age_s)
+                for stream, origin in batch.streams().items():
                     self._streams.put(stream, origin, now_s - age_s)
 
     def register(self, endpoint: RpcEndpoint) -> None:
@@ -82,19 +100,42 @@
         # Gateways of an older build ask for each stream.
         endpoint.register(MessageKind.FIND_ORIGIN, self._on_find)
 
-    def store(self, report: ReportOrigins) -> OriginsStored:
-        """Store the origins that a gateway reports."""
+    def store(self, report: ReportOrigins) -> OriginsStored | Failure:
+        """Store the origins that a gateway reports.
+
+        Returns:
+            The reply; a failure if the disk did not take the first origin of a version in time.
+        """
         now_s = self._clock.monotonic_s()
+        view, is_current = self._hub.view(), self._hub.stale() is None
         with self._lock:
             if not report.is_recorded_first:
                 self._unsure_until_s = now_s + KEEP_ORIGIN_S
             for stream, origin in report.streams.items():
                 self._streams.put(stream, origin, now_s)
-            bases = self._base_versions(now_s)
+            bases = self._base_versions(view, now_s, is_current)
         if self._log is not None:
             self._log.append(report.streams)
+            newcomers = _newcomers(report.streams.values(), view)
+            if newcomers and not self._wait_synced(self._log, newcomers, now_s):
+                return Failure(
+                    kind=FailureKind.OVERLOADED,
+                    reason="the disk did not take the first origin of a version in time",
+                    step=Step.STORING,
+                )
         return OriginsStored(incarnation=self._incarnation, base_versions=bases)
 
+    def _wait_synced(self, log: OriginLog, newcomers: set[StreamOrigin], now_s: float) -> bool:
+        since_s = now_s - FENCE_S
+        if log.wait_synced(newcomers, since_s, timeout_s=0.0):
+            return True
+        if not self._waiting_reports.acquire(blocking=False):
+            return False
+        try:
+            return log.wait_synced(newcomers, since_s, SYNC_TIMEOUT_S)
+        finally:
+            self._waiting_reports.release()
+
     def find_all(self, question: FindOrigins) -> FoundOrigins:
         """Return what is known about the origins of streams."""
         now_s = self._clock.monotonic_s()
@@ -106,7 +147,7 @@
         base_versions: dict[str, str] = {}
         with self._lock:
             self._update_history(view, now_s, is_current)
-            bases = self._base_versions(now_s)
+            bases = self._base_versions(view, now_s, is_current)
             for service, streams in question.services.items():
                 only = self._history.only_version(service, now_s) if is_current else None
                 if only is not None:
@@ -141,6 +182,28 @@
         view = self._hub.view()
         with self._lock:
             self._update_history(view, now_s, is_current)
+            due = self._newcomers_due(view, now_s) | self._alone_due(now_s)
+        if self._log is not None:
+            self._log.announce(due)
+
+    def _newcomers_due(self, view: FleetView, now_s: float) -> set[StreamOrigin]:
+        """Return the versions of which a record is to be on disk before their first origin."""
+        serving = {StreamOrigin(record.service, record.version) for record in view.runners}
+        since_s = self._newcomers_s
+        self._newcomers_s = {
+            origin: since_s.get(origin, now_s) for origin in _newcomers(serving, view)
+        }
+        due = {item for item, at_s in self._newcomers_s.items() if now_s - at_s >= ANNOUNCE_AFTER_S}
+        for origin in due:
+            self._newcomers_s[origin] = now_s + FENCE_S / 2 - ANNOUNCE_AFTER_S
+        return due
+
+    def _alone_due(self, now_s: float) -> set[StreamOrigin]:
+        """Return the base versions that this start has seen alone, once each."""
+        bases = self._history.base_versions(now_s).items()
+        due = {StreamOrigin(service, version) for service, version in bases} - self._told_alone
+        self._told_alone |= due
+        return due
 
     def _update_history(self, view: FleetView, now_s: float, is_current: bool) -> None:
         self._history.update(view, now_s)
@@ -154,12 +217,18 @@
             if now_s - seen_s <= KEEP_ORIGIN_S
         }
 
-    def _base_versions(self, now_s: float) -> dict[str, str]:
+    def _base_versions(self, view: FleetView, now_s: float, is_current: bool) -> dict[str, str]:
         """Return the base versions if all origins are kept that were reported here since."""
         has_dropped = now_s - self._streams.dropped_s <= KEEP_ORIGIN_S
         if has_dropped or now_s < self._unsure_until_s:
             return {}
-        return self._history.base_versions(now_s)
+        recorded = view.base_versions if is_current else ()
+        bases = {
+            item.service: item.version
+            for item in recorded
+            if not self._fence.may_lack(item.service, item.version, now_s)
+        }
+        return bases | self._history.base_versions(now_s)
 
     def _on_report(self, envelope: Envelope, peer: str) -> bytes:
         report = decode(envelope.body, ReportOrigins, peer)
@@ -174,4 +243,10 @@
         return encode_reply(question if isinstance(question, Failure) else self.find(question))
 
 
+def _newcomers(origins: Iterable[StreamOrigin], view: FleetView) -> set[StreamOrigin]:
+    """Return the services and versions that are not those of a base version."""
+    bases = {StreamOrigin(item.service, item.version) for item in view.base_versions}
+    return set(origins) - bases
+
+
 __all__ = ["OriginDirectory"]
--- a/src/leverjunction/registry/origin_log.py
+++ b/src/leverjunction/registry/origin_log.py
@@ -1,17 +1,19 @@
 """Log of stream origins on the disk of a control process, so that they outlive its end.
 
-A background thread writes what was reported meanwhile and syncs it in groups: no reply waits for
-the disk. The end of the process loses what came in the last ``COLLECT_S``, a loss of power also
-what was not synced, and a disk that is full or stands still what comes meanwhile.
+A background thread writes what was reported meanwhile and syncs it in groups: replies wait for the
+disk only where no origin of their version was synced lately. The end of the process loses what came
+in the last ``COLLECT_S``, a loss of power also what was not synced, and a disk that is full or
+stands still what comes meanwhile.
 """
 
 from __future__ import annotations
 
 import errno
+import math
 import os
 import threading
 import zlib
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from pathlib import Path
 from typing import Protocol
 
@@ -19,6 +21,8 @@
 
 from leverjunction.clock import Clock
 from leverjunction.registry.origin_segments import (
+    DOUBT_S,
+    FENCE_S,
     Moment,
     OriginBatch,
     SegmentPlan,
@@ -27,7 +31,7 @@
     encode_batch,
     make_batch,
 )
-from leverjunction.registry.origins import KEEP_ORIGIN_S, StreamOrigin
+from leverjunction.registry.origins import StreamOrigin
 
 ORIGINS_FOLDER = "origins"
 
@@ -185,8 +189,17 @@
         self._changed = threading.Condition()
         self._thread: threading.Thread | None = None
         self._is_closing = False
+        self._begins = False
+        self._announced: set[StreamOrigin] = set()
+        self._waiting_for_sync = 0
         self._is_synced = True
         self._synced_s = 0.0
+        self._written: dict[StreamOrigin, float] = {}
+        """When an origin of each service and version was last written; of one start."""
+
+        self._on_disk: dict[StreamOrigin, float] = {}
+        """The same, as far as it is synced."""
+
         self._has_failed = False
         self._told_dropped = 0
         self.failed_writes = 0
@@ -196,28 +209,31 @@
         """Number of origins that were not written because too many waited for the disk."""
         return self._waiting.dropped
 
-    def load(self) -> list[tuple[float, dict[int, StreamOrigin]]]:
+    def load(self) -> list[tuple[float, OriginBatch]]:
         """Return what former starts of the process wrote; call it once, before ``append``.
 
         Returns:
-            Origins that may be of live streams, the oldest first, with their age in seconds. What
-            was not synced before a loss of power, or not written, is missing without a sign.
+            Records that matter still, with their least age in seconds, by segment. What was not
+            synced before a loss of power, or not written, is missing without a sign. A record
+            without origins tells that there is none from before.
         """
         now = self._now()
-        loaded: list[tuple[float, dict[int, StreamOrigin]]] = []
+        batches: list[OriginBatch] = []
+        is_complete = True
         for number in self._numbers():
-            batches = self._read(number, now.steady_s)
-            ages = [batch.age_s(now) for batch in batches]
-            loaded += [
-                (age_s, batch.streams())
-                for age_s, batch in zip(ages, batches, strict=True)
-                if age_s <= KEEP_ORIGIN_S
-            ]
-        if self._plan:
-            count = sum(len(streams) for _, streams in loaded)
-            logger.info("read {} origins of streams from disk", count)
-            with self._changed:
-                self._start_thread()
+            content = self._read(number)
+            is_complete = is_complete and content is not None
+            batches += self._adopt(number, content or b"", now.steady_s)
+        ages = [(batch.age_s(now), batch) for batch in batches]
+        loaded = [(age_s, batch) for age_s, batch in ages if age_s <= DOUBT_S]
+        if not batches or not is_complete:
+            self._begins = True
+            loaded.append((0.0, make_batch({}, now)))
+        count = sum(len(batch.streams()) for _, batch in loaded)
+        logger.info("read {} origins of streams from disk", count)
+        with self._changed:
+            self._start_thread()
+            self._changed.notify_all()
         return loaded
 
     def append(self, streams: Mapping[int, StreamOrigin]) -> None:
@@ -229,6 +245,42 @@
             self._start_thread()
             self._changed.notify_all()
 
+    def announce(self, origins: Collection[StreamOrigin]) -> None:
+        """Have groups without streams written, which announce these services and versions."""
+        with self._changed:
+            if self._is_closing or not origins:
+                return
+            self._announced.update(origins)
+            self._start_thread()
+            self._changed.notify_all()
+
+    def wait_synced(
+        self, origins: Collection[StreamOrigin], since_s: float, timeout_s: float
+    ) -> bool:
+        """Wait until each service and version has a record on disk that was written lately.
+
+        Args:
+            origins: The services and versions, of which origins were appended.
+            since_s: Time of the oldest record that counts, on the monotonic clock.
+            timeout_s: Longest wait in seconds.
+
+        Returns:
+            Whether all have one.
+        """
+
+        def is_on_disk() -> bool:
+            return all(self._on_disk.get(item, -math.inf) >= since_s for item in origins)
+
+        with self._changed:
+            if is_on_disk():
+                return True
+            self._waiting_for_sync += 1
+            self._changed.notify_all()
+            try:
+                return self._changed.wait_for(is_on_disk, timeout_s)
+            finally:
+                self._waiting_for_sync -= 1
+
     def close(self) -> None:
         """Write what waits, and end the thread; waits at most ``CLOSE_TIMEOUT_S`` for the disk."""
         with self._changed:
@@ -256,12 +308,14 @@
             logger.warning("cannot list the logs of stream origins: {}", error)
             return []
 
-    def _read(self, number: int, now_s: float) -> list[OriginBatch]:
+    def _read(self, number: int) -> bytes | None:
         try:
-            content = self._files.read(number)
+            return self._files.read(number)
         except OSError as error:
             logger.warning("cannot read log {} of stream origins: {}", number, error)
-            content = b""
+            return None
+
+    def _adopt(self, number: int, content: bytes, now_s: float) -> list[OriginBatch]:
         batches, used = decode_batches(content)
         if used < len(content):
             logger.info("log {} of stream origins: cut off {} bytes", number, len(content) - used)
@@ -271,42 +325,70 @@
     def _run(self) -> None:
         is_closing = False
         while not is_closing:
-            streams, is_closing = self._take()
-            if not self._step(streams, is_closing):
+            streams, announced, is_closing = self._take()
+            if not self._step(streams, announced, is_closing):
                 with self._changed:
                     self._waiting.put_back(streams)
+                    self._announced |= announced
                     self._changed.wait_for(lambda: self._is_closing, RETRY_PAUSE_S)
         self._files.close()
 
-    def _take(self) -> tuple[dict[int, StreamOrigin], bool]:
+    def _take(self) -> tuple[dict[int, StreamOrigin], set[StreamOrigin], bool]:
         """Wait until something is due; return what is to be written, and whether it is the last."""
         with self._changed:
             idle_s = REVIEW_INTERVAL_S if self._is_synced else SYNC_INTERVAL_S
-            self._changed.wait_for(lambda: self._is_closing or len(self._waiting) > 0, idle_s)
+            self._changed.wait_for(self._is_due, idle_s)
             self._changed.wait_for(lambda: self._is_closing, COLLECT_S)
-            return self._waiting.take(), self._is_closing
+            announced, self._announced = self._announced, set()
+            return self._waiting.take(), announced, self._is_closing
+
+    def _is_due(self) -> bool:
+        is_sync_due = self._waiting_for_sync > 0 and not self._is_synced
+        has_records = self._begins or len(self._waiting) > 0 or len(self._announced) > 0
+        return self._is_closing or is_sync_due or has_records
 
-    def _step(self, streams: dict[int, StreamOrigin], is_closing: bool) -> bool:
+    def _step(
+        self, streams: dict[int, StreamOrigin], announced: set[StreamOrigin], is_closing: bool
+    ) -> bool:
         """Write origins, sync and remove segments as due; return whether all of it succeeded."""
         now = self._now()
-        record = encode_batch(make_batch(streams, now)) if streams else b""
+        batch = make_batch(streams, now, announced)
+        record = encode_batch(batch) if batch.groups else b""
+        if self._begins:
+            record = encode_batch(make_batch({}, now)) + record
         try:
             for number in self._plan.unneeded(len(record), now.steady_s):
                 self._files.remove(number)
                 self._plan.remove(number)
             if record:
                 self._write(record, now.steady_s)
-            if not self._is_synced and (
-                is_closing or now.steady_s - self._synced_s >= SYNC_INTERVAL_S
-            ):
+                self._begins = False
+                self._written.update(dict.fromkeys(batch.origins(), now.steady_s))
+            if not self._is_synced and (is_closing or self._is_sync_due(now.steady_s)):
                 self._files.sync()
-                self._is_synced, self._synced_s = True, self._clock.monotonic_s()
+                self._record_sync()
         except OSError as error:
             self._record_failure(error)
             return False
         self._record_success()
         return True
 
+    def _is_sync_due(self, now_s: float) -> bool:
+        return self._waiting_for_sync > 0 or now_s - self._synced_s >= SYNC_INTERVAL_S
+
+    def _record_sync(self) -> None:
+        now_s = self._clock.monotonic_s()
+        self._is_synced, self._synced_s = True, now_s
+        with self._changed:
+            self._on_disk.update(self._written)
+            self._on_disk = {
+                origin: written_s
+                for origin, written_s in self._on_disk.items()
+                if now_s - written_s <= FENCE_S
+            }
+            self._changed.notify_all()
+        self._written = {}
+
     def _write(self, record: bytes, now_s: float) -> None:
         if self._files.free_bytes() < RESERVED_BYTES + len(record):
             raise OSError(errno.ENOSPC, "too little space is left")
--- a/src/leverjunction/registry/origin_segments.py
+++ b/src/leverjunction/registry/origin_segments.py
@@ -8,12 +8,18 @@
 
 import struct
 import zlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from leverjunction.registry.origins import KEEP_ORIGIN_S, StreamOrigin
 
+FENCE_S = 30.0
+"""Time after a record on disk within which origins of its version are acknowledged at once."""
+
+DOUBT_S = FENCE_S + KEEP_ORIGIN_S
+"""Time after a record on disk within which another one may be missing, of a stream that lives."""
+
 MAX_SEGMENT_BYTES = 8_000_000
 MAX_TOTAL_BYTES = 3 * MAX_SEGMENT_BYTES
 """Bytes of all segments: the disk also holds the consensus log. An origin takes about 20 bytes."""
@@ -62,7 +68,9 @@
         wall_ms: Wall clock time, in milliseconds since the Unix epoch.
         steady_s: Monotonic time, in seconds.
         boot: Start of the operating system within which ``steady_s`` counts; 0 if not known.
-        groups: The origins.
+        groups: The origins. A record without any tells that the log begins with it. A group
+            without streams announces a version: of a new one, that streams of it may begin; of the
+            base version, that it is the only one.
     """
 
     wall_ms: int
@@ -77,6 +85,10 @@
             origins.update(dict.fromkeys(group.streams, StreamOrigin(group.service, group.version)))
         return origins
 
+    def origins(self) -> list[StreamOrigin]:
+        """Return the services and versions in the batch."""
+        return [StreamOrigin(group.service, group.version) for group in self.groups]
+
     def age_s(self, now: Moment) -> float:
         """Return the least age that the batch can have, in seconds.
 
@@ -92,9 +104,19 @@
 _DECODER = msgspec.msgpack.Decoder(OriginBatch)
 
 
-def make_batch(streams: Mapping[int, StreamOrigin], now: Moment) -> OriginBatch:
-    """Return the batch of some origins; a key that is out of range is left out."""
-    groups: dict[tuple[str, str], list[int]] = {}
+def make_batch(
+    streams: Mapping[int, StreamOrigin], now: Moment, announced: Iterable[StreamOrigin] = ()
+) -> OriginBatch:
+    """Return the batch of some origins; a key that is out of range is left out.
+
+    Args:
+        streams: Origins by the key of the stream.
+        now: When the batch is written.
+        announced: Services and versions that are in the batch even without a stream.
+    """
+    groups: dict[tuple[str, str], list[int]] = {
+        (origin.service, origin.version): [] for origin in announced
+    }
     for stream, origin in streams.items():
         if 0 <= stream < _MAX_KEY:
             groups.setdefault((origin.service, origin.version), []).append(stream)
@@ -195,7 +217,7 @@
         return bool(self._closed) or self._number is not None
 
     def adopt(self, number: int, size: int, now_s: float) -> None:
-        """Keep a segment of a former start of the process for the lifetime of a stream."""
+        """Keep a segment of a former start of the process as long as its records matter."""
         self._closed.append((number, size, now_s))
 
     def select(self, size: int, now_s: float) -> int:
@@ -219,12 +241,15 @@
     def unneeded(self, size: int, now_s: float) -> list[int]:
         """Return the closed segments to remove before a record of some size is added.
 
-        These are the ones without a live stream, and the oldest if all would be too large.
+        These are the ones whose records no longer matter, and the oldest if all would be too
+        large. The last segment stays, since an empty log is taken for a lost one.
         """
         excess = size + self.size + sum(size for _, size, _ in self._closed) - MAX_TOTAL_BYTES
         numbers: list[int] = []
-        for number, held, closed_s in self._closed:
-            if now_s - closed_s <= KEEP_ORIGIN_S and excess <= 0:
+        is_last_kept = self._number is None and not size
+        removable = self._closed[:-1] if is_last_kept else self._closed
+        for number, held, closed_s in removable:
+            if now_s - closed_s <= DOUBT_S and excess <= 0:
                 break
             numbers.append(number)
             excess -= held
@@ -236,6 +261,8 @@
 
 
 __all__ = [
+    "DOUBT_S",
+    "FENCE_S",
     "MAX_SEGMENT_BYTES",
     "MAX_TOTAL_BYTES",
     "Moment",
--- a/src/leverjunction/registry/records.py
+++ b/src/leverjunction/registry/records.py
@@ -120,6 +120,18 @@
     through: int
 
 
+class BaseVersion(msgspec.Struct, frozen=True):
+    """The version of a service that was the only one last, while back ends of it serve.
+
+    Attributes:
+        service: The service.
+        version: The version.
+    """
+
+    service: str
+    version: str
+
+
 class FleetView(msgspec.Struct, frozen=True, kw_only=True):
     """The registry without the route table.
 
@@ -132,6 +144,8 @@
             their records are kept and a stream of them may be alive.
         settled_versions: The other versions in records of gone runners, by service; always empty
             from a release that does not settle versions.
+        base_versions: Base version of each service that has one; always empty from a release that
+            does not record them.
     """
 
     revision: int = 0
@@ -140,6 +154,7 @@
     groups: tuple[GroupRecord, ...] = ()
     former_versions: tuple[tuple[str, tuple[str, ...]], ...] = ()
     settled_versions: tuple[tuple[str, tuple[str, ...]], ...] = ()
+    base_versions: tuple[BaseVersion, ...] = ()
 
     def group(self, name: str) -> GroupRecord | None:
         """Return the group with a name, None if it is not founded."""
--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -117,14 +117,25 @@
     if known is None or _supersedes(record, known, change.shown_alive):
         if known is None or not _replaces_version(record, known):
             tables.put(RUNNER, record.runner_id, record)
-            return commands.Done()
-        # Streams of the former version may still be continued; its record is replaced.
-        _keep_former(tables, known)
-        tables.put(RUNNER, record.runner_id, record)
-        tables.prune_gone_runners()
+        else:
+            # Streams of the former version may still be continued; its record is replaced.
+            _keep_former(tables, known)
+            tables.put(RUNNER, record.runner_id, record)
+            tables.prune_gone_runners()
+        _update_base_versions(tables, record, known)
     return commands.Done()
 
 
+def _update_base_versions(
+    tables: RegistryTables, record: RunnerRecord, known: RunnerRecord | None
+) -> None:
+    if known is not None and (known.service, known.version) != (record.service, record.version):
+        tables.update_base_version(known.service)
+    # Another back end of the base version changes nothing.
+    if tables.base_version(record.service) != record.version:
+        tables.update_base_version(record.service)
+
+
 def _keep_former(tables: RegistryTables, known: RunnerRecord) -> None:
     name = f"{known.runner_id} {known.version}"
     if not known.service:
@@ -157,6 +168,7 @@
 @_handles(commands.RemoveRunner)
 def _remove_runner(tables: RegistryTables, change: commands.RemoveRunner) -> commands.Done:
     known = tables.record(RUNNER, change.runner_id, RunnerRecord)
+    service = known.service if known is not None else ""
     if known is None or known.born_ms < change.born_ms:
         if known is not None:
             _keep_former(tables, known)
@@ -175,20 +187,25 @@
     if known.state is not RunnerState.GONE:
         tables.put_ended(change.runner_id, known)
         tables.prune_gone_runners()
+        tables.update_base_version(service)
     return commands.Done()
 
 
 @_handles(commands.ExpireRunners)
 def _expire_runners(tables: RegistryTables, change: commands.ExpireRunners) -> commands.Done:
     silent = frozenset(change.runner_ids)
+    ended_services = set()
     for known in tables.records(RUNNER, RunnerRecord):
         if known.start not in silent:
             continue
         if known.state is RunnerState.LEAVING:
             tables.put_ended(known.runner_id, known)
+            ended_services.add(known.service)
         elif known.state is RunnerState.READY:
             expired = msgspec.structs.replace(known, state=RunnerState.SILENT)
             tables.put(RUNNER, known.runner_id, expired)
+    for service in sorted(ended_services):
+        tables.update_base_version(service)
     return commands.Done()
 
 
@@ -279,4 +296,6 @@
         if key in former - live and ended[key] <= item.through:
             tables.settle(item)
     tables.drop_unused_settled()
+    for service in sorted({item.service for item in change.versions}):
+        tables.update_base_version(service)
     return commands.Done()
--- a/src/leverjunction/registry/tables.py
+++ b/src/leverjunction/registry/tables.py
@@ -11,6 +11,7 @@
 from leverjunction.quarantine.verdicts import eviction_weight
 from leverjunction.registry import commands
 from leverjunction.registry.records import (
+    BaseVersion,
     FleetView,
     GroupRecord,
     MemberRecord,
@@ -18,7 +19,7 @@
     RunnerState,
     SettledVersion,
 )
-from leverjunction.registry.version_history import former_versions
+from leverjunction.registry.version_history import former_versions, next_base_version
 from leverjunction.routes.types import RouteTable
 from leverjunction.wire.codec import encode
 
@@ -55,10 +56,13 @@
 GROUP = "group"
 SUSPECT = "suspect"
 SETTLED = "settled"
+BASE = "base"
 _REVISION = "revision"
 _SUSPECTS_REVISION = "suspects_revision"
 
-R = TypeVar("R", RunnerRecord, MemberRecord, GroupRecord, SuspectRecord, SettledVersion)
+R = TypeVar(
+    "R", RunnerRecord, MemberRecord, GroupRecord, SuspectRecord, SettledVersion, BaseVersion
+)
 
 
 class RegistryTables:
@@ -109,8 +113,28 @@
             groups=tuple(self.records(GROUP, GroupRecord)),
             former_versions=former_versions(former),
             settled_versions=former_versions(ended.keys() - former),
+            base_versions=tuple(self.records(BASE, BaseVersion)),
         )
 
+    def base_version(self, service: str) -> str | None:
+        """Return the base version of a service, None if it has none."""
+        record = self.record(BASE, service, BaseVersion)
+        return record.version if record is not None else None
+
+    def update_base_version(self, service: str) -> None:
+        """Record the base version of a service after its back ends or former versions changed."""
+        runners = [(item, changed) for item, changed in self._runners() if item.service == service]
+        live = {item.version for item, _ in runners if item.state is not RunnerState.GONE}
+        settled = self._settled_through()
+        ends = _last_ends(runners).items()
+        former = {key[1] for key, index in ends if index > settled.get(key, 0)}
+        base = self.base_version(service)
+        following = next_base_version(base, live, former)
+        if following is not None:
+            self.put(BASE, service, BaseVersion(service, following))
+        elif base is not None:
+            self.delete(BASE, service)
+
     def ended_versions(self) -> dict[tuple[str, str], int]:
         """Return the log index of the last end of a runner by service and version."""
         return _last_ends(self._runners())
--- a/src/leverjunction/registry/version_history.py
+++ b/src/leverjunction/registry/version_history.py
@@ -131,6 +131,20 @@
         }
 
 
+def next_base_version(base: str | None, live: set[str], former: set[str]) -> str | None:
+    """Return the base version of a service in the registry's next state; None if it has none.
+
+    Args:
+        base: Base version in the former state.
+        live: Versions of the back ends that serve.
+        former: Versions that have ended and may have begun a stream which is still alive.
+    """
+    if len(live) == 1 and former <= live:
+        return next(iter(live))
+    # After a state without it, a gateway may have taken another version for the base.
+    return base if base in live else None
+
+
 def former_versions(
     gone: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, tuple[str, ...]], ...]:
@@ -145,4 +159,4 @@
     return tuple((service, tuple(sorted(by_service[service]))) for service in sorted(by_service))
 
 
-__all__ = ["VersionHistory", "former_versions"]
+__all__ = ["VersionHistory", "former_versions", "next_base_version"]
--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -585,6 +585,13 @@
     play.break_streams()
 
 
+def _all_killed_as_second_version_starts(play: Play) -> None:
+    play.first.pause()
+    play.start_second_version()
+    time.sleep(NOTICE_S)
+    _all_killed(play)
+
+
 def _second_version_starts_before(play: Play) -> None:
     play.start_second_version()
     time.sleep(0.6)
@@ -614,6 +621,9 @@
     "a second version starts 0.6 s before": Line(_second_version_starts_before, (OLD,) * BACK_ENDS),
     "two control processes killed": Line(_two_controls_killed),
     "all processes killed": Line(_all_killed),
+    "all processes killed as a second version starts": Line(
+        _all_killed_as_second_version_starts, (OLD,) * BACK_ENDS
+    ),
     "all processes killed long after a release": Line(
         _all_killed, (OLD,) * BACK_ENDS, prepare=_release_long_ago, constants=SHORT_LIFE
     ),
--- a/tests/unit/test_registry_origin_log.py
+++ b/tests/unit/test_registry_origin_log.py
@@ -19,6 +19,7 @@
 from leverjunction.registry import origin_log
 from leverjunction.registry.origin_log import OriginLog, SegmentFiles, SegmentFolder
 from leverjunction.registry.origin_segments import (
+    DOUBT_S,
     MAX_CLOCK_ERROR_S,
     MAX_SEGMENT_BYTES,
     MAX_TOTAL_BYTES,
@@ -132,8 +133,9 @@
             held.add(plan.select(30_000, float(second)))
             plan.grow(30_000)
             assert len(held) <= 3
-            written_s = min(second, KEEP_ORIGIN_S)
-            assert 30_000 * written_s <= _bytes(plan) <= 30_000 * (2 * KEEP_ORIGIN_S + 3)
+            written_s = min(second, DOUBT_S)
+            most_s = DOUBT_S + KEEP_ORIGIN_S + 3
+            assert 30_000 * written_s <= _bytes(plan) <= 30_000 * most_s
 
     @given(st.lists(st.tuples(st.integers(1, MAX_SEGMENT_BYTES), st.floats(0.0, 40.0))))
     def test_no_more_than_the_most_bytes_are_held(self, records: list[tuple[int, float]]) -> None:
@@ -153,9 +155,11 @@
         plan.adopt(2, MAX_SEGMENT_BYTES, 0.0)
         plan.adopt(3, MAX_SEGMENT_BYTES, 0.0)
         plan.adopt(4, MAX_SEGMENT_BYTES - 100, 0.0)
-        assert plan.unneeded(0, KEEP_ORIGIN_S) == []
+        assert plan.unneeded(0, DOUBT_S) == []
         assert plan.unneeded(50, 0.0) == [1]
-        assert plan.unneeded(0, KEEP_ORIGIN_S + 0.1) == [1, 2, 3, 4]
+        assert plan.unneeded(50, DOUBT_S + 0.1) == [1, 2, 3, 4]
+        # An empty log would be taken for a lost one.
+        assert plan.unneeded(0, DOUBT_S + 0.1) == [1, 2, 3]
         assert plan.select(50, 0.0) == 5
 
 
@@ -254,9 +258,10 @@
     """Return the log of a process that has just started, and what it read."""
     log = OriginLog(files, clock or SetClock(), boot, most_waiting=1000)
     loaded: dict[int, StreamOrigin] = {}
-    for age_s, streams in log.load():
-        assert 0.0 <= age_s <= KEEP_ORIGIN_S
-        loaded.update(streams)
+    for age_s, batch in log.load():
+        assert 0.0 <= age_s <= DOUBT_S
+        if age_s <= KEEP_ORIGIN_S:
+            loaded.update(batch.streams())
     stack.callback(log.close)
     return log, loaded
 
@@ -325,10 +330,14 @@
 
 
 def test_nothing_is_written_while_nothing_is_reported(stack: ExitStack, tmp_path: Path) -> None:
-    log, _ = start(stack, SegmentFolder(tmp_path / "origins"))
-    log.append({})
-    log.close()
-    assert list(tmp_path.iterdir()) == []
+    """But for the one record that tells when the log began."""
+    for _ in range(3):
+        log, _ = start(stack, SegmentFolder(tmp_path / "origins"))
+        log.append({})
+        log.close()
+        (segment,) = (tmp_path / "origins").iterdir()
+        (record,) = decode_batches(segment.read_bytes())[0]
+        assert not record.groups
 
 
 def test_a_full_disk_fails_no_report_and_is_written_again(stack: ExitStack, tmp_path: Path) -> None:
@@ -452,7 +461,7 @@
     skipped_s = 0.0
     monkeypatch.setattr(clock, "monotonic_s", lambda: steady_s() + skipped_s)
     log, _ = start(stack, SegmentFolder(tmp_path / "origins"), clock)
-    skipped_s = KEEP_ORIGIN_S + 1.0
+    skipped_s = DOUBT_S + 1.0
     log.append({2: NEW})
     assert comes_true(lambda: on_disk(tmp_path / "origins") == {2: NEW})
 
