Tests: spread those that start real processes over the run

Change: tests with the marker fleet, which the soaks have now, come evenly among the others. No test, bound or number of workers changes.

--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -19,6 +19,8 @@
 
 import pytest
 
+pytestmark = pytest.mark.fleet
+
 SOAK = Path(__file__).parent.parent.parent / "deploy" / "soak"
 WHOLE = "whole text"
 STREAM = b"".join(b"id: %d\ndata: e\n\n" % number for number in range(1, 6))
