A base version that did not serve for a moment is told no longer

What callers saw: none on record; the model joins a stream: the last back end of the base version ends, fewer than two control processes answer, so a gateway passes on a stream of the newer version without a record; the base version comes back, the gateway ends, and the stream goes on at v1.

Cause: control processes held a base version for the lifetime of its streams after its end. Streams that began unrecorded in that time count as its own once it serves again.

Change: control processes tell the base version that the registry records, which ends with its last back end, if they saw it alone themselves or their log leaves no doubt. The first command that changes a service's back ends records the base version of a state from a release without them, so that a release right after an upgrade has one.

Changed checks: the registry of the model and of test_registry_origins records the base version, as the product's does.

--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -222,13 +222,13 @@
         has_dropped = now_s - self._streams.dropped_s <= KEEP_ORIGIN_S
         if has_dropped or now_s < self._unsure_until_s:
             return {}
-        recorded = view.base_versions if is_current else ()
-        bases = {
+        seen_alone = self._history.base_versions(now_s)
+        return {
             item.service: item.version
-            for item in recorded
-            if not self._fence.may_lack(item.service, item.version, now_s)
+            for item in view.base_versions
+            if seen_alone.get(item.service) == item.version
+            or (is_current and not self._fence.may_lack(item.service, item.version, now_s))
         }
-        return bases | self._history.base_versions(now_s)
 
     def _on_report(self, envelope: Envelope, peer: str) -> bytes:
         report = decode(envelope.body, ReportOrigins, peer)
--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -114,6 +114,9 @@
 def _put_runner(tables: RegistryTables, change: commands.PutRunner) -> commands.Done:
     record = change.record
     known = tables.record(RUNNER, record.runner_id, RunnerRecord)
+    if tables.base_version(record.service) is None:
+        # The state may be from a release that does not record base versions.
+        tables.update_base_version(record.service)
     if known is None or _supersedes(record, known, change.shown_alive):
         if known is None or not _replaces_version(record, known):
             tables.put(RUNNER, record.runner_id, record)
--- a/tests/unit/origin_model.py
+++ b/tests/unit/origin_model.py
@@ -31,8 +31,14 @@
     Resumption,
     StreamOrigin,
 )
-from leverjunction.registry.records import FleetView, MemberRecord, MemberRole, RunnerRecord
-from leverjunction.registry.version_history import former_versions
+from leverjunction.registry.records import (
+    BaseVersion,
+    FleetView,
+    MemberRecord,
+    MemberRole,
+    RunnerRecord,
+)
+from leverjunction.registry.version_history import former_versions, next_base_version
 
 SERVICE = "pool"
 IN_FORCE_S = 2.0
@@ -88,6 +94,7 @@
         self.live: dict[str, RunnerRecord] = {}
         self.views: list[FleetView] = [FleetView()]
         self._gone: set[tuple[str, str]] = set()
+        self._base: str | None = None
         self._born = 0
 
     def put(self, runner_id: str, version: str) -> None:
@@ -121,11 +128,14 @@
             self._gone.add((record.service, record.version))
 
     def _append(self) -> None:
+        former = {version for _, version in self._gone}
+        self._base = next_base_version(self._base, self.versions(), former)
         self.views.append(
             FleetView(
                 revision=len(self.views),
                 runners=tuple(self.live[name] for name in sorted(self.live)),
                 former_versions=former_versions(self._gone),
+                base_versions=() if self._base is None else (BaseVersion(SERVICE, self._base),),
             )
         )
 
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -104,6 +104,13 @@
         registry.apply(ExpireRunners((leaving.start,)))
         assert base_of(registry) is None
 
+    def test_a_state_of_a_release_that_records_none_gets_one_before_a_second_version(self) -> None:
+        registry = Registry()
+        registry.apply(PutRunner(runner(1, "v1")))
+        registry.drop_base_versions()
+        registry.apply(PutRunner(runner(2, "v1.1")))
+        assert base_of(registry) == "v1"
+
     @given(st.lists(st.tuples(st.sampled_from("psrf"), st.integers(1, 3), st.integers(1, 3))))
     def test_a_base_version_was_alone_and_served_ever_since(
         self, steps: list[tuple[str, int, int]]
@@ -376,3 +383,12 @@
     for thread in threads:
         thread.join()
     assert all(isinstance(reply, Failure) for reply in replies)
+
+
+def test_a_base_version_that_did_not_serve_for_a_moment_is_told_no_longer(
+    process: Process,
+) -> None:
+    """A gateway may have passed on events of another version meanwhile, without a record."""
+    process.hub.known = msgspec.structs.replace(BOTH, base_versions=())
+    process.directory.refresh()
+    assert process.base_version() is None
--- a/tests/unit/test_registry_origins.py
+++ b/tests/unit/test_registry_origins.py
@@ -34,6 +34,7 @@
     StreamOrigin,
 )
 from leverjunction.registry.records import (
+    BaseVersion,
     FleetView,
     MemberRecord,
     MemberRole,
@@ -62,9 +63,11 @@
 
 
 def view(*versions: str, former: tuple[str, ...] = ()) -> FleetView:
+    """Return the registry with back ends of some versions, of which the first was alone before."""
     return FleetView(
         runners=tuple(runner(version) for version in versions),
         former_versions=former_versions((SERVICE, version) for version in former),
+        base_versions=() if former else (BaseVersion(SERVICE, versions[0]),),
     )
 
 
--- a/tests/unit/test_registry_version_review.py
+++ b/tests/unit/test_registry_version_review.py
@@ -77,6 +77,10 @@
         )
         return {name: msgspec.json.decode(content)["state"] for name, content in rows}
 
+    def drop_base_versions(self) -> None:
+        """Have the state of a release that does not record base versions."""
+        self._connection.execute("DELETE FROM sm_registry_record WHERE kind = 'base'")
+
     def count_settled(self) -> int:
         query = "SELECT count(*) FROM sm_registry_record WHERE kind = 'settled'"
         return int(self._connection.execute(query).fetchone()[0])
