--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -78,7 +78,7 @@
         """Since when each version is known that is not the base version of its service."""
 
         self._told_alone: set[StreamOrigin] = set()
-        self._waiting_reports = threading.BoundedSemaphore(MAX_WAITING_REPORTS)
+        self._waiting_reports = 0
         if log is None:
             self._fence.began(self._started_s)
 
@@ -129,12 +129,15 @@
         since_s = now_s - FENCE_S
         if log.wait_synced(newcomers, since_s, timeout_s=0.0):
             return True
-        if not self._waiting_reports.acquire(blocking=False):
-            return False
+        with self._lock:
+            if self._waiting_reports >= MAX_WAITING_REPORTS:
+                return False
+            self._waiting_reports += 1
         try:
             return log.wait_synced(newcomers, since_s, SYNC_TIMEOUT_S)
         finally:
-            self._waiting_reports.release()
+            with self._lock:
+                self._waiting_reports -= 1
 
     def find_all(self, question: FindOrigins) -> FoundOrigins:
         """Return what is known about the origins of streams."""
