A control process that is removed takes base versions with it

What callers saw: none on record; found by reading. Of five control processes two store the origin of a stream of the newer version and are removed; then all processes are killed. Those that start again know three members, so two of them are enough to tell the base version, and the stream would be joined.

Cause: how many members may have stored an origin is known to processes that saw the former members only.

Change: the command that removes a control process forgets the base versions of services with several versions.

--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -31,6 +31,7 @@
     REGISTRY_GROUP,
     GroupRecord,
     MemberRecord,
+    MemberRole,
     RunnerRecord,
     RunnerState,
 )
@@ -223,7 +224,11 @@
 
 @_handles(commands.DropMember)
 def _drop_member(tables: RegistryTables, change: commands.DropMember) -> commands.Done:
+    known = tables.record(MEMBER, change.name, MemberRecord)
     tables.delete(MEMBER, change.name)
+    if known is not None and known.role is MemberRole.CONTROL:
+        # What only the members that are gone had stored is not asked for any more.
+        tables.reset_base_versions()
     return commands.Done()
 
 
--- a/src/leverjunction/registry/tables.py
+++ b/src/leverjunction/registry/tables.py
@@ -135,6 +135,12 @@
         elif base is not None:
             self.delete(BASE, service)
 
+    def reset_base_versions(self) -> None:
+        """Forget the base versions of services with several versions."""
+        for item in self.records(BASE, BaseVersion):
+            self.delete(BASE, item.service)
+            self.update_base_version(item.service)
+
     def ended_versions(self) -> dict[tuple[str, str], int]:
         """Return the log index of the last end of a runner by service and version."""
         return _last_ends(self._runners())
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -23,6 +23,7 @@
     RunnerState,
     origin_directory,
 )
+from leverjunction.registry.commands import DropMember, JoinMember
 from leverjunction.registry.origin_directory import ANNOUNCE_AFTER_S, OriginDirectory
 from leverjunction.registry.origin_fence import OriginFence
 from leverjunction.registry.origin_log import OriginLog
@@ -40,7 +41,7 @@
     ReportOrigins,
     StreamOrigin,
 )
-from leverjunction.registry.records import BaseVersion
+from leverjunction.registry.records import BaseVersion, MemberRecord, MemberRole
 
 SERVICE = "pool"
 OLD, NEW = StreamOrigin(SERVICE, "v1"), StreamOrigin(SERVICE, "v1.1")
@@ -104,6 +105,22 @@
         registry.apply(ExpireRunners((leaving.start,)))
         assert base_of(registry) is None
 
+    @pytest.mark.parametrize(("role", "base"), [("control", None), ("store", "v1")])
+    def test_a_control_process_that_is_removed_takes_it_with_it(
+        self, role: str, base: str | None
+    ) -> None:
+        """After a start nobody knows how many of them may have stored an origin."""
+        registry = Registry()
+        registry.apply(PutRunner(runner(1, "v1")))
+        member = MemberRecord(name="m-1", role=MemberRole(role), address="10.0.1.1:1", zone="a")
+        registry.apply(JoinMember(member))
+        registry.apply(DropMember("m-1"))
+        assert base_of(registry) == "v1"
+        registry.apply(JoinMember(member))
+        registry.apply(PutRunner(runner(2, "v1.1")))
+        registry.apply(DropMember("m-1"))
+        assert base_of(registry) == base
+
     def test_a_state_of_a_release_that_records_none_gets_one_before_a_second_version(self) -> None:
         registry = Registry()
         registry.apply(PutRunner(runner(1, "v1")))
