Log when a failed request was sent, to whom, and whether output came

Callers saw resumed streams end with "the request's deadline has passed" and "no response in time". The gateways' lines did not tell whether the gateway sent them late (origin, admission, doubt after a stall), whether the back end never answered, or whether events came and the rest was late; a broken-off stream did not even name its back end.

send_failed and broken_off (and cancelled) now have sent_ms, the time from the arrival until it was sent, and broken_off has runner_id, origin and output_ms, the time of the first part of the body. No line is added; two numbers a line.

--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -52,6 +52,10 @@
         service: Service that was chosen for the request.
         waited_ms: Time since the request arrived, in milliseconds.
         allowed_ms: Time limit of the request by its caller and its route, in milliseconds.
+        sent_ms: Time from the request's arrival until it was sent to the back end, in milliseconds;
+            None if it was not sent. After several attempts, until the last one.
+        output_ms: Time from the request's arrival to the first part of the response body in the
+            last attempt, in milliseconds; None if there was none.
         runner_id: Id and start of the back end that the request was sent to.
         version: Version of that back end's software.
         origin: Version that began the stream, if the request continues one.
@@ -76,6 +80,8 @@
     service: str = ""
     waited_ms: int = 0
     allowed_ms: int = 0
+    sent_ms: int | None = None
+    output_ms: int | None = None
     runner_id: str = ""
     version: str = ""
     origin: str = ""
@@ -140,6 +146,7 @@
         routed: RoutedRequest,
         choice: Choice,
         response: OpenedResponse | Failure,
+        sent_s: float,
         now_s: float,
     ) -> None:
         """Record a send to a back end, once its response head has arrived or it has failed.
@@ -148,6 +155,7 @@
             routed: The request.
             choice: The back end that it was sent to.
             response: The response, or the failure.
+            sent_s: When it was sent, in monotonic seconds.
             now_s: Current time in monotonic seconds.
         """
         if not isinstance(response, Failure):
@@ -167,6 +175,7 @@
                 service=routed.service,
                 waited_ms=_ms(now_s - routed.request.arrived_s),
                 allowed_ms=_ms(routed.until_s - routed.request.arrived_s),
+                sent_ms=_ms(sent_s - routed.request.arrived_s),
                 runner_id=choice.runner.record.start,
                 version=choice.runner.record.version,
                 origin=routed.version or "",
@@ -292,6 +301,10 @@
                 service=routed.service,
                 waited_ms=_ms(now_s - routed.request.arrived_s),
                 allowed_ms=_ms(routed.until_s - routed.request.arrived_s),
+                sent_ms=_since_arrival_ms(routed, routed.sent_s or None),
+                output_ms=_since_arrival_ms(routed, routed.first_output_s),
+                runner_id=routed.runner_id,
+                origin=routed.version or "",
                 execution=routed.execution.value,
                 reason=reason,
             )
@@ -333,5 +346,9 @@
         self._writer.put(msgspec.json.encode(line))
 
 
+def _since_arrival_ms(routed: RoutedRequest, at_s: float | None) -> int | None:
+    return None if at_s is None else _ms(at_s - routed.request.arrived_s)
+
+
 def _ms(duration_s: float) -> int:
     return round(duration_s * 1000)
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -114,6 +114,7 @@
         runner = choice.runner
         routed.tried.add(runner.record.start)
         routed.first_output_s = None
+        routed.runner_id = runner.record.start
         routed.sent_s = sent_s = self._loop.time()
         response = await self._sender.begin(
             Dispatch(
@@ -127,7 +128,7 @@
             )
         )
         if isinstance(response, LateHead):
-            self._decision_log.sent(routed, choice, response.failure, self._loop.time())
+            self._decision_log.sent(routed, choice, response.failure, sent_s, self._loop.time())
             routed.note_run()
             return response
         if not isinstance(response, Failure) or response.execution is not Execution.NOT_RUN:
@@ -144,7 +145,7 @@
     ) -> None:
         """Record the response head or the failure of one attempt."""
         runner = choice.runner
-        self._decision_log.sent(routed, choice, response, self._loop.time())
+        self._decision_log.sent(routed, choice, response, sent_s, self._loop.time())
         if not isinstance(response, Failure):
             self.head_latencies(routed.route).record(self._loop.time() - sent_s)
             if _is_fault(response.head.status):
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -34,6 +34,7 @@
             ends, else empty.
         trials: Key, and id and start of the back end, of each time it was sent as a suspect.
         sent_s: When it was last sent, in the loop's seconds.
+        runner_id: Id and start of the back end that it was last sent to; empty before.
         first_output_s: Time of the first part of the response body in the last run, in the loop's
             seconds; None until it arrives.
     """
@@ -49,6 +50,7 @@
         "prompt",
         "request",
         "route",
+        "runner_id",
         "runs",
         "sent_s",
         "service",
@@ -89,6 +91,7 @@
         self.key = ""
         self.trials: list[tuple[str, str]] = []
         self.sent_s = 0.0
+        self.runner_id = ""
         self.first_output_s: float | None = None
 
     def note_run(self) -> None:
--- a/tests/unit/test_proxy_decision_log.py
+++ b/tests/unit/test_proxy_decision_log.py
@@ -44,6 +44,7 @@
     )
     assert (failed["table"], failed["allowed_ms"]) == (7, 300)
     assert 280 <= int(str(failed["waited_ms"])) <= 1000
+    assert 0 <= int(str(failed["sent_ms"])) < int(str(failed["waited_ms"]))
     # A back end that never reported its load differs from one that reported it just now.
     assert "load_age_ms" not in failed
     assert (refused["event"], refused["status"], refused["table"]) == ("refused", 504, 7)
@@ -67,3 +68,26 @@
         (refused,) = wait_for_lines(capfd, "early", 1)
     assert "table" not in refused
     assert "no route table" in str(refused["reason"])
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "has_output"), [("stream that stops", True), ("silent", False)]
+)
+def test_a_stream_that_breaks_off_is_logged_with_its_back_end_and_its_output(
+    capfd: pytest.CaptureFixture[str], behaviour: str, has_output: bool
+) -> None:
+    """Whether the gateway sent it late, or the back end did not answer, or stopped to."""
+    route = make_route(RouteClass.STREAM, name="short", prefix="/short/", timeout_ms=300.0)
+    with (
+        RunnerStandIn("i-1", usual=behaviour) as back_end,
+        Proxy(make_table(route), [back_end]) as proxy,
+    ):
+        proxy.ask("/short/x", Leverjunction_Request_Id="cut")
+        lines = wait_for_lines(capfd, "cut", 1 if has_output else 2)
+    (line,) = [item for item in lines if item["event"] in ("broken_off", "send_failed")]
+    assert (line["event"] == "broken_off") == has_output
+    assert line["runner_id"] == "i-1"
+    assert 0 <= int(str(line["sent_ms"])) < 280
+    assert ("output_ms" in line) == has_output
+    if has_output:
+        assert int(str(line["sent_ms"])) <= int(str(line["output_ms"])) < 300
