Soak: tell the longest wait for a slot

When resumed streams did not go on though their origin was known, nothing told whether they waited for a slot of their version or for something else. The stand-ins note when a request got its slot, and the soak prints the longest wait of all runs.

The new test fails without the figure (the method longest_wait_s is new).

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -233,6 +233,7 @@
     print(f"runs of items: {len(traffic.backends.runs())}, most open {records.most_open}")
     under_way = records.under_way or [0]
     print(f"runs under way: half of the time {median(under_way)}, at most {max(under_way)}")
+    print(f"requests waited for a slot at most {traffic.backends.longest_wait_s():.3f} s")
     report_s = sorted(records.report_s or [0.0])
     print(f"a load was told in {median(report_s):.3f} s, at most {report_s[-1]:.3f} s")
     print(f"all was at its end after {records.rest_s:.1f} s of calm")
--- a/deploy/soak/backends.py
+++ b/deploy/soak/backends.py
@@ -206,6 +206,13 @@
         """Return the ids that it works on now."""
         return [_id_of(seen) for seen in self._own(self.stand_in.held[:])]
 
+    def longest_wait_s(self) -> float:
+        """Return the longest time for which a request waited for a slot, in seconds."""
+        now_s = time.monotonic()
+        slotted = (seen for seen in self.stand_in.seen[:] if seen.behaviour == self.stand_in.usual)
+        waits = ((seen.placed_s or seen.ended_s or now_s) - seen.began_s for seen in slotted)
+        return max(waits, default=0.0)
+
     def runs(self) -> list[Run]:
         """Return its runs of items."""
         own = self.stand_in.runner_id
@@ -346,6 +353,10 @@
         """Return how often each id was run."""
         return Counter(item for runner in self.all() for item in runner.executions())
 
+    def longest_wait_s(self) -> float:
+        """Return the longest time for which a request waited for a slot, in seconds."""
+        return max(runner.longest_wait_s() for runner in self.all())
+
     def runs(self) -> list[Run]:
         """Return all runs of items."""
         return [run for runner in self.all() for run in runner.runs()]
--- a/src/testbed/routed/behaviours.py
+++ b/src/testbed/routed/behaviours.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 from leverjunction.platform import headers as names
@@ -297,6 +298,7 @@
 async def _by_path(exchange: Exchange) -> None:
     """Stream below the folders of streams and batches, answer whole elsewhere."""
     async with exchange.places:
+        exchange.seen.placed_s = time.monotonic()
         if exchange.is_gone():
             raise ConnectionResetError
         asked = exchange.seen.headers.get(BEHAVIOUR_HEADER.lower(), "")
--- a/src/testbed/routed/exchange.py
+++ b/src/testbed/routed/exchange.py
@@ -47,6 +47,7 @@
             from the request; None when it did not.
         behaviour: How it is answered.
         began_s: When it came, in monotonic seconds.
+        placed_s: When it got a slot, in monotonic seconds; None before, or if it needs none.
         ended_s: When its answer ended, None while it is under way.
         whole: Its answer was written to its end.
         peer: Port of the connection's other end.
@@ -61,12 +62,14 @@
         "headers",
         "method",
         "peer",
+        "placed_s",
         "target",
         "whole",
     )
 
     def __init__(self, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
         self.began_s = time.monotonic()
+        self.placed_s: float | None = None
         self.ended_s: float | None = None
         self.whole = False
         self.peer = 0
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -15,10 +15,12 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from types import ModuleType
+from types import ModuleType, SimpleNamespace
 
 import pytest
 
+from testbed.routed import RawCaller
+
 pytestmark = pytest.mark.fleet
 
 SOAK = Path(__file__).parent.parent.parent / "deploy" / "soak"
@@ -540,6 +542,31 @@
     assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
 
 
+def test_the_longest_wait_for_a_slot_is_told() -> None:
+    """Whether a request was late for want of slots, or for anything else."""
+    backends = load("backends")
+    owners = SimpleNamespace(note=lambda _ends: None)
+    runner = backends.Runner("i-1", "pool", 1, "v1", owners, lambda _runner: None)
+    headers = {"Host": "h", "Stand-In-Work-Ms": "300", "Leverjunction-Request-Id": "r"}
+
+    def ask() -> None:
+        caller = RawCaller(runner.relay.address)
+        assert caller.ask("POST", "/stream/x", headers, b"ask").complete
+        caller.close()
+
+    threads = [threading.Thread(target=ask) for _ in range(2)]
+    try:
+        ask()
+        assert runner.longest_wait_s() < 0.2
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        assert runner.longest_wait_s() >= 0.25
+    finally:
+        runner.close()
+
+
 def test_items_that_nothing_works_on_are_told_with_their_runs() -> None:
     rule = ("--rule", "leave_what_was_cut", "--only", "connections reset", "--closing", "none")
     done = run("--minutes", "0.1", "--seed", "4", "--ebb", "0", *rule)
