Judge new versions by a current state of the registry alone

What callers could see: a stream of one version goes on at another, after a control process that was cut off from the registry lost power.

Cause: an origin of another version than the base version has to be on disk before it is acknowledged. Which one is the base version was read from the registry as the process knows it, however old that is, and before it was asked whether that is current. A process that was cut off while the base version ended, was followed by another one and came back took its origins for those of the base version, acknowledged them from memory, and vouched for the new base version after a loss of power.

Change: a process without a current state has each version on disk first, and the state is read after the question whether it is current.

--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -107,7 +107,8 @@
             The reply; a failure if the disk did not take the first origin of a version in time.
         """
         now_s = self._clock.monotonic_s()
-        view, is_current = self._hub.view(), self._hub.stale() is None
+        is_current = self._hub.stale() is None
+        view = self._hub.view()
         with self._lock:
             if not report.is_recorded_first:
                 self._unsure_until_s = now_s + KEEP_ORIGIN_S
@@ -116,7 +117,9 @@
             bases = self._base_versions(view, now_s, is_current)
         if self._log is not None:
             self._log.append(report.streams)
-            newcomers = _newcomers(report.streams.values(), view)
+            # The base version may have changed since an old state.
+            known = view if is_current else FleetView()
+            newcomers = _newcomers(report.streams.values(), known)
             if newcomers and not self._wait_synced(self._log, newcomers, now_s):
                 return Failure(
                     kind=FailureKind.OVERLOADED,
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -271,10 +271,10 @@
         assert comes_true(lambda: origin in self.disk.synced_origins())
 
 
-def view_of(*versions: str) -> FleetView:
+def view_of(*versions: str, base: str = "v1") -> FleetView:
     return FleetView(
         runners=tuple(runner(number, version) for number, version in enumerate(versions)),
-        base_versions=(BaseVersion(SERVICE, "v1"),),
+        base_versions=(BaseVersion(SERVICE, base),),
     )
 
 
@@ -382,6 +382,18 @@
     assert process.base_version() == "v1"
 
 
+def test_an_origin_stored_by_a_process_that_was_cut_off_is_not_denied(process: Process) -> None:
+    """In its old state, the version of the origin is still the base version."""
+    process.clock.ahead_s += DOUBT_S + 1.0
+    process.hub.is_stale = True
+    process.disk.stands_still = True
+    is_stored = isinstance(process.store(1, OLD), OriginsStored)
+    process.restart_after_power_loss()
+    process.hub.is_stale = False
+    process.hub.known = view_of("v1", "v1.1", base="v1.1")
+    assert not is_stored or process.base_version() is None
+
+
 def test_only_few_reports_wait_for_the_disk_at_a_time(
     process: Process, monkeypatch: pytest.MonkeyPatch
 ) -> None:
