Announce new versions in a current state of the registry alone

What callers could see: a stream of one version goes on at another, after two starts of a control process in quick succession, the first with an empty disk.

Cause: an empty log tells nothing of what was before, until the process has seen the service with one version; it then announces that version. The same form of record announces a new version. While a process that lost its disk applied the registry's log again, it announced the new version of an old state. If that was the base version by now, its next start took the record for proof that it had been alone since the log began, and vouched for it, though the lost disk may have held acknowledged origins of a newer one.

Change: versions are announced in a current state only. A new version of a current state that is the base version of a later one was alone in between, after the log began.

Test: fails without the change with 'v1.1' in place of None, passes with it.

--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -188,7 +188,9 @@
         view = self._hub.view()
         with self._lock:
             self._update_history(view, now_s, is_current)
-            due = self._newcomers_due(view, now_s) | self._alone_due(now_s)
+            # Announced in an old state, a version would seem to have been alone since.
+            newcomers = self._newcomers_due(view, now_s) if is_current else set()
+            due = newcomers | self._alone_due(now_s)
         if self._log is not None:
             self._log.announce(due)
 
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -394,6 +394,23 @@
     assert not is_stored or process.base_version() is None
 
 
+def test_a_version_announced_in_an_old_state_of_the_registry_was_not_alone(
+    process: Process,
+) -> None:
+    """As after the loss of a disk, while the registry's log is applied again."""
+    process.hub.known = BOTH
+    process.hub.is_stale = True
+    process.disk = Disk()
+    process.start()
+    process.clock.ahead_s += ANNOUNCE_AFTER_S
+    process.directory.refresh()
+    assert comes_true(lambda: process.disk.syncs > 0)
+    process.restart_after_power_loss()
+    process.hub.is_stale = False
+    process.hub.known = view_of("v1.1", "v1.2", base="v1.1")
+    assert process.base_version() is None, "what the lost disk held is unknown"
+
+
 def test_only_few_reports_wait_for_the_disk_at_a_time(
     process: Process, monkeypatch: pytest.MonkeyPatch
 ) -> None:
