A back end that starts again for another service leaves its version in doubt

What callers could see: a stream of one version goes on at another, after the last back end of its version in a service started again for another service with the same version, and the control processes started again.

Cause: a record that is replaced leaves its version among the ended ones only if the version differs, not if the service does. The other version in the service then counted as the only one, and as the base version, at once. Two replaced records of one id and version, but of different services, replaced each other too.

Change: both are compared, and a kept record of another service has a name of its own.

Tests: two rows fail without the change ('v1.1' in place of None, () in place of ('v1',)) and pass with it.

--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -145,6 +145,9 @@
     if not known.service:
         # Only the leave of that start is known; a record of the same name may be of a real one.
         return
+    kept = tables.record(RUNNER, name, RunnerRecord)
+    if kept is not None and kept.service != known.service:
+        name = f"{name} {known.service}"
     if known.state is RunnerState.GONE:
         tables.copy_gone(known, name)
     else:
@@ -152,9 +155,13 @@
 
 
 def _replaces_version(record: RunnerRecord, known: RunnerRecord) -> bool:
-    """Return whether a record is of another version; one that was not reported before is not."""
+    """Return whether a record is of another version or service.
+
+    A version that was not reported before is not another one.
+    """
     is_reported_late = record.start == known.start and not known.version
-    return record.version != known.version and not is_reported_late
+    is_other = (record.service, record.version) != (known.service, known.version)
+    return is_other and not is_reported_late
 
 
 def _supersedes(record: RunnerRecord, known: RunnerRecord, shown_alive: bool) -> bool:
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -128,6 +128,24 @@
         registry.apply(PutRunner(runner(2, "v1.1")))
         assert base_of(registry) == "v1"
 
+    def test_a_back_end_that_starts_for_another_service_leaves_its_version_in_doubt(self) -> None:
+        registry = Registry()
+        registry.apply(PutRunner(runner(1, "v1")))
+        registry.apply(PutRunner(runner(2, "v1.1")))
+        moved = msgspec.structs.replace(runner(1, "v1", born_ms=2), service="another")
+        registry.apply(PutRunner(moved))
+        assert base_of(registry) is None, "streams of the former version may be alive"
+        assert registry.former() == ("v1",)
+
+    def test_former_versions_of_two_services_do_not_replace_each_other(self) -> None:
+        registry = Registry()
+        registry.apply(PutRunner(runner(2, "v1.1")))
+        registry.apply(PutRunner(runner(1, "v1")))
+        for born_ms, version in ((2, "v1"), (3, "v1.1")):
+            moved = msgspec.structs.replace(runner(1, version, born_ms), service="another")
+            registry.apply(PutRunner(moved))
+        assert registry.former() == ("v1",)
+
     @given(st.lists(st.tuples(st.sampled_from("psrf"), st.integers(1, 3), st.integers(1, 3))))
     def test_a_base_version_was_alone_and_served_ever_since(
         self, steps: list[tuple[str, int, int]]
