Keep a record of each ended version until it is settled

What callers could see: a stream of one version goes on at another, after a release beside some 2,000 other back ends that ended within a minute.

Cause: the longest-gone back ends beyond 2,000 are deleted, whatever their version. Once the last one of a version was, the other version of its service counted as the only one, and as the base version, while streams of the former one lived.

Test: fails without the change ('v1.1' in place of None), passes with it.

--- a/src/leverjunction/registry/tables.py
+++ b/src/leverjunction/registry/tables.py
@@ -241,18 +241,31 @@
         self._set_revision(kind)
 
     def prune_gone_runners(self) -> None:
-        """Delete the longest-gone runners beyond ``MAX_GONE_RUNNERS``."""
+        """Delete the longest-gone runners beyond ``MAX_GONE_RUNNERS``.
+
+        The last one of each version stays until the version is settled.
+        """
         rows = self._connection.execute(
-            "SELECT name, content FROM sm_registry_record WHERE kind = ? ORDER BY changed DESC",
+            "SELECT name, content, changed FROM sm_registry_record WHERE kind = ?"
+            " ORDER BY changed DESC",
             (RUNNER,),
         ).fetchall()
-        gone = [
-            name
-            for name, content in rows
-            if msgspec.json.decode(content, type=RunnerRecord).state is RunnerState.GONE
+        records = [
+            (name, msgspec.json.decode(content, type=RunnerRecord), changed)
+            for name, content, changed in rows
         ]
-        for name in gone[MAX_GONE_RUNNERS:]:
-            self.delete(RUNNER, name)
+        gone = [item for item in records if item[1].state is RunnerState.GONE]
+        if len(gone) <= MAX_GONE_RUNNERS:
+            return
+        settled = self._settled_through()
+        former = {
+            key: index
+            for key, index in _last_ends([(record, changed) for _, record, changed in gone]).items()
+            if index > settled.get(key, 0)
+        }
+        for name, record, changed in gone[MAX_GONE_RUNNERS:]:
+            if former.get((record.service, record.version)) != changed:
+                self.delete(RUNNER, name)
 
     def _revision(self, key: str) -> int:
         row = self._connection.execute(
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -22,6 +22,7 @@
     RemoveRunner,
     RunnerState,
     origin_directory,
+    tables,
 )
 from leverjunction.registry.commands import DropMember, JoinMember
 from leverjunction.registry.origin_directory import ANNOUNCE_AFTER_S, OriginDirectory
@@ -146,6 +147,25 @@
             registry.apply(PutRunner(moved))
         assert registry.former() == ("v1",)
 
+    def test_other_ended_back_ends_do_not_end_the_doubt_about_a_version(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(tables, "MAX_GONE_RUNNERS", 3)
+        registry = Registry()
+        registry.apply(PutRunner(runner(1, "v1")))
+        registry.apply(PutRunner(runner(2, "v1.1")))
+        registry.apply(RemoveRunner("i-1", 1))
+        for number in range(3, 8):
+            other = msgspec.structs.replace(runner(number, "v7"), service="another")
+            registry.apply(PutRunner(other))
+            registry.apply(RemoveRunner(f"i-{number}", 1))
+        registry.apply(PutRunner(runner(3, "v1.1", born_ms=2)))
+        registry.apply(RemoveRunner("i-3", 2))
+        assert base_of(registry) is None, "streams of the former version may be alive"
+        assert registry.former() == ("v1", "v1.1")
+        registry.apply(forget("v1", registry.index))
+        assert base_of(registry) == "v1.1"
+
     @given(st.lists(st.tuples(st.sampled_from("psrf"), st.integers(1, 3), st.integers(1, 3))))
     def test_a_base_version_was_alone_and_served_ever_since(
         self, steps: list[tuple[str, int, int]]
