A start counts the control processes that were removed before it

What callers could see, by reading: a stream of one version goes on at another, after one of four or more control processes ended for good and others started again within 90 s.

Cause: the base version has to be told by all control processes but one. Those removed in the last 90 s count too, since they may have stored an origin, but only processes that had seen them as members know of them.

Change: a start counts the control processes of its configuration as members until then. One that is neither configured nor a member is not counted; the registry forgets base versions when it is removed.

Cost: with two or more configured control processes dead for long, base versions are not told for 90 s after a start.

Test: fails without the change (3 control processes in place of 4). Announcing a version on disk already closes nearly every such history (by reading).

--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -135,7 +135,9 @@
         self._origin_log = OriginLog(
             SegmentFolder(_data_folder(config) / ORIGINS_FOLDER), clock, read_boot_id()
         )
-        self._origins = OriginDirectory(self.hub, clock, incarnation, self._origin_log)
+        self._origins = OriginDirectory(
+            self.hub, clock, incarnation, self._origin_log, config.seed_addresses()
+        )
         self._silent_stores = SilentPeers()
         quota_owner = QuotaOwner(config.bounds.quota(), self.hub, self.leads)
         self._quota = OwnerSocket(self._address, CLUSTER_KEY, incarnation, quota_owner, clock)
--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -54,10 +54,16 @@
         clock: Source of monotonic time.
         incarnation: Start time of this process, in milliseconds since the Unix epoch.
         log: Keeps the origins on disk; None to keep them in memory only.
+        controls: Addresses of the control processes that are configured.
     """
 
     def __init__(
-        self, hub: RegistryHub, clock: Clock, incarnation: int, log: OriginLog | None = None
+        self,
+        hub: RegistryHub,
+        clock: Clock,
+        incarnation: int,
+        log: OriginLog | None = None,
+        controls: Iterable[str] = (),
     ) -> None:
         self._hub = hub
         self._clock = clock
@@ -69,8 +75,11 @@
         self._unsure_until_s = -math.inf
         """Until then, a stream of any version may be unknown at all control processes."""
 
-        self._controls_s: dict[str, float] = {}
-        """When each control process was last a member, by address."""
+        self._controls_s = dict.fromkeys(controls, self._started_s)
+        """When each control process was last a member, by address.
+
+        One that is configured may have been removed just before this start.
+        """
 
         self._log = log
         self._fence = OriginFence()
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -37,6 +37,7 @@
     make_batch,
 )
 from leverjunction.registry.origins import (
+    KEEP_ORIGIN_S,
     FindOrigins,
     OriginsStored,
     ReportOrigins,
@@ -283,13 +284,14 @@
         self.disk = disk
         self.clock = SkippedClock()
         self.hub = StandInHub(ALONE)
+        self.configured: tuple[str, ...] = ()
         self.start()
 
     def start(self) -> None:
         """Start with the disk; the former start ends without a stop."""
         log = OriginLog(self.disk, self.clock, boot=1)
         self._stack.callback(log.close)
-        self.directory = OriginDirectory(self.hub, self.clock, 1, log)  # type: ignore[arg-type]
+        self.directory = OriginDirectory(self.hub, self.clock, 1, log, self.configured)  # type: ignore[arg-type]
         self.directory.load()
         self.directory.refresh()
 
@@ -449,6 +451,24 @@
     assert process.base_version() is None, "what the lost disk held is unknown"
 
 
+def test_a_start_counts_control_processes_that_were_removed_before_it(process: Process) -> None:
+    """Otherwise two starts of three that are left vouch for what the removed one has stored."""
+    removed, left = "10.1.0.4:1", ["10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1"]
+    members = tuple(
+        MemberRecord(name=address, role=MemberRole.CONTROL, address=address, zone="a")
+        for address in left
+    )
+    process.hub.known = msgspec.structs.replace(BOTH, members=members)
+    process.configured = (*left, removed)
+    process.restart_after_power_loss()
+    found = process.directory.find_all(FindOrigins(services={SERVICE: [404]}))
+    assert found.base_versions == {SERVICE: "v1"}
+    assert found.controls == 4
+    process.clock.ahead_s += KEEP_ORIGIN_S + 1.0
+    process.directory.refresh()
+    assert process.directory.find_all(FindOrigins(services={})).controls == 3
+
+
 def test_only_few_reports_wait_for_the_disk_at_a_time(
     process: Process, monkeypatch: pytest.MonkeyPatch
 ) -> None:
