The origin log tells that records were removed for want of space

What callers could see: a stream of one version goes on at another, after a control process started again whose log had removed records within their time.

Cause: beyond 24 MB the oldest segment is removed, however young. Its start then found a log without a sign of that, and without a record of the version whose acknowledged origins were in it, and vouched for the base version. All origins of a full control process are about 14 MB, and each gateway tells them anew to one that was silent or has started again.

Change: before a segment is removed that matters still, a record is on disk that the log begins anew.

Test: fails without the change ('v1' in place of None), passes with it.

--- a/src/leverjunction/registry/origin_log.py
+++ b/src/leverjunction/registry/origin_log.py
@@ -357,9 +357,7 @@
         if self._begins:
             record = encode_batch(make_batch({}, now)) + record
         try:
-            for number in self._plan.unneeded(len(record), now.steady_s):
-                self._files.remove(number)
-                self._plan.remove(number)
+            self._make_room(len(record), now)
             if record:
                 self._write(record, now.steady_s)
                 self._begins = False
@@ -373,6 +371,16 @@
         self._record_success()
         return True
 
+    def _make_room(self, size: int, now: Moment) -> None:
+        numbers = self._plan.unneeded(size, now.steady_s)
+        if self._plan.has_live(numbers, now.steady_s):
+            # Otherwise the log would not tell that it lacks records of live streams.
+            self._write(encode_batch(make_batch({}, now)), now.steady_s)
+            self._files.sync()
+        for number in numbers:
+            self._files.remove(number)
+            self._plan.remove(number)
+
     def _is_sync_due(self, now_s: float) -> bool:
         return self._waiting_for_sync > 0 or now_s - self._synced_s >= SYNC_INTERVAL_S
 
--- a/src/leverjunction/registry/origin_segments.py
+++ b/src/leverjunction/registry/origin_segments.py
@@ -8,7 +8,7 @@
 
 import struct
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
@@ -255,6 +255,13 @@
             excess -= held
         return numbers
 
+    def has_live(self, numbers: Collection[int], now_s: float) -> bool:
+        """Return whether records in one of some closed segments matter still."""
+        return any(
+            number in numbers and now_s - closed_s <= DOUBT_S
+            for number, _, closed_s in self._closed
+        )
+
     def remove(self, number: int) -> None:
         """Record that a closed segment was removed."""
         self._closed = [item for item in self._closed if item[0] != number]
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -22,6 +22,7 @@
     RemoveRunner,
     RunnerState,
     origin_directory,
+    origin_segments,
     tables,
 )
 from leverjunction.registry.commands import DropMember, JoinMember
@@ -257,6 +258,11 @@
     def close(self) -> None:
         pass
 
+    def written_streams(self) -> set[int]:
+        contents = list(self._written.values())
+        batches = [item for content in contents for item in decode_batches(content)[0]]
+        return {stream for item in batches for stream in item.streams()}
+
     def synced_origins(self) -> set[StreamOrigin]:
         contents = list(self._synced.values())
         batches = [item for content in contents for item in decode_batches(content)[0]]
@@ -469,6 +475,22 @@
     assert process.directory.find_all(FindOrigins(services={})).controls == 3
 
 
+def test_a_record_removed_for_want_of_space_is_not_taken_for_none(
+    process: Process, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(origin_segments, "MAX_SEGMENT_BYTES", 300)
+    monkeypatch.setattr(origin_segments, "MAX_TOTAL_BYTES", 900)
+    process.hub.known = BOTH
+    assert isinstance(process.store(1, NEW), OriginsStored)
+    process.wait_synced(NEW)
+    for stream in range(2, 40):
+        process.store(stream, OLD)
+        assert comes_true(lambda stream=stream: stream in process.disk.written_streams())  # type: ignore[misc]
+    assert 1 not in process.disk.written_streams()
+    process.restart_after_power_loss()
+    assert process.base_version() is None
+
+
 def test_only_few_reports_wait_for_the_disk_at_a_time(
     process: Process, monkeypatch: pytest.MonkeyPatch
 ) -> None:
