The model of origins keeps base versions, and has disks

The registry of the model keeps base versions by the product's rule, and its leader settles versions. Control processes have a log on a disk that loses what was not synced when the power fails, or all of it, and that may stand still; what a start concludes from it is the product's OriginFence.

Rows: all processes end at several moments of a release (killed, without power, one disk of three lost), beside disks that stand still; none of 252 joins a stream. One shows that they would without waiting for the disk, and the search finds joined streams if logs are not asked.

--- a/tests/unit/origin_model.py
+++ b/tests/unit/origin_model.py
@@ -1,7 +1,8 @@
 """Model of gateways and control processes that share the origins of streams, in virtual time.
 
 The decisions are the product's own (``StreamOrigins``, ``OriginAcks``, ``OriginDirectory``,
-``OriginQuestions``); threads, sockets and the replicated registry are replaced by what they may do.
+``OriginFence``, ``OriginQuestions``, ``VersionReview``); threads, sockets, disks and the replicated
+registry are replaced by what they may do.
 """
 
 from __future__ import annotations
@@ -16,12 +17,14 @@
 
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.proxy.stream_origins import StreamOrigins
+from leverjunction.registry.commands import ForgetVersions
 from leverjunction.registry.hub import MAX_CONTACT_AGE_S
 from leverjunction.registry.origin_acks import OriginAcks, stored_at
 from leverjunction.registry.origin_client import RECORD_TIMEOUT_S
 from leverjunction.registry.origin_directory import OriginDirectory
 from leverjunction.registry.origin_questions import Lookup, OriginQuestions
 from leverjunction.registry.origin_reporter import HOLDERS, rank_holders
+from leverjunction.registry.origin_segments import DOUBT_S, Moment, OriginBatch, make_batch
 from leverjunction.registry.origins import (
     RENEW_INTERVAL_S,
     STREAM_LIFETIME_S,
@@ -39,6 +42,7 @@
     RunnerRecord,
 )
 from leverjunction.registry.version_history import former_versions, next_base_version
+from leverjunction.registry.version_review import VersionReview
 
 SERVICE = "pool"
 IN_FORCE_S = 2.0
@@ -88,12 +92,19 @@
 
 
 class Registry:
-    """The states of the replicated registry, oldest first."""
+    """The states of the replicated registry, oldest first.
 
-    def __init__(self) -> None:
+    Its leader settles a version once it has been gone for as long as the product waits. It keeps
+    the base version by the product's rule.
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
         self.live: dict[str, RunnerRecord] = {}
         self.views: list[FleetView] = [FleetView()]
+        self._clock = clock
         self._gone: set[tuple[str, str]] = set()
+        self._settled: set[tuple[str, str]] = set()
+        self._review = VersionReview()
         self._base: str | None = None
         self._born = 0
 
@@ -126,20 +137,128 @@
         record = self.live.pop(runner_id, None)
         if record is not None:
             self._gone.add((record.service, record.version))
+            self._settled.discard((record.service, record.version))
+
+    def review(self) -> None:
+        """Have the leader settle the versions that are due."""
+        for command in self._review.due(self.views[-1], self._clock.now_s):
+            assert isinstance(command, ForgetVersions)
+            settled = {(item.service, item.version) for item in command.versions}
+            self._settled |= settled & self._gone - {(SERVICE, item) for item in self.versions()}
+            self._append()
 
     def _append(self) -> None:
-        former = {version for _, version in self._gone}
+        former = {version for _, version in self._gone - self._settled}
         self._base = next_base_version(self._base, self.versions(), former)
+        base_versions = () if self._base is None else (BaseVersion(SERVICE, self._base),)
         self.views.append(
             FleetView(
                 revision=len(self.views),
                 runners=tuple(self.live[name] for name in sorted(self.live)),
-                former_versions=former_versions(self._gone),
-                base_versions=() if self._base is None else (BaseVersion(SERVICE, self._base),),
+                former_versions=former_versions(self._gone - self._settled),
+                settled_versions=former_versions(self._settled),
+                base_versions=base_versions,
             )
         )
 
 
+class Disk:
+    """The log of a control process: records that are on disk, and ones that may still be lost.
+
+    The product's form of records, and its rule of when a log begins; what its thread does happens
+    when the model says so.
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self._boot = 1
+        self._synced: list[OriginBatch] = []
+        self._written: list[OriginBatch] = []
+        self._streams: dict[int, StreamOrigin] = {}
+        self._announced: set[StreamOrigin] = set()
+        self._begins = False
+        self._on_disk: dict[StreamOrigin, float] = {}
+        self.stands_still = False
+
+    def _now(self) -> Moment:
+        return Moment(self._clock.wall_ms(), self._clock.now_s, self._boot)
+
+    # What ``OriginLog`` does.
+
+    def load(self) -> list[tuple[float, OriginBatch]]:
+        now = self._now()
+        batches = [*self._synced, *self._written]
+        ages = [(batch.age_s(now), batch) for batch in batches]
+        loaded = [(age_s, batch) for age_s, batch in ages if age_s <= DOUBT_S]
+        if not batches:
+            self._begins = True
+            loaded.append((0.0, make_batch({}, now)))
+        return loaded
+
+    def append(self, streams: dict[int, StreamOrigin]) -> None:
+        self._streams.update(streams)
+
+    def announce(self, origins: Collection[StreamOrigin]) -> None:
+        self._announced.update(origins)
+
+    def wait_synced(
+        self, origins: Collection[StreamOrigin], since_s: float, timeout_s: float
+    ) -> bool:
+        def are_on_disk() -> bool:
+            return all(self._on_disk.get(item, -math.inf) >= since_s for item in origins)
+
+        if timeout_s and not are_on_disk():
+            self.write()
+            self.sync()
+        return are_on_disk()
+
+    def close(self) -> None:
+        pass
+
+    # What its thread, the kernel, and the machine do.
+
+    def write(self) -> None:
+        """Write what waits; a loss of power may still lose it."""
+        if self.stands_still:
+            return
+        if self._begins:
+            self._written.append(make_batch({}, self._now()))
+            self._begins = False
+        if self._streams or self._announced:
+            self._written.append(make_batch(self._streams, self._now(), self._announced))
+        self._streams, self._announced = {}, set()
+
+    def sync(self) -> None:
+        if self.stands_still:
+            return
+        for batch in self._written:
+            self._on_disk.update(dict.fromkeys(batch.origins(), batch.steady_s))
+        now_s = self._clock.now_s
+        # The product removes records in whole segments, and never the last one.
+        self._synced = [
+            item for item in [*self._synced, *self._written] if now_s - item.steady_s <= 2 * DOUBT_S
+        ] or [*self._synced, *self._written][-1:]
+        self._written = []
+
+    def end_process(self) -> None:
+        """Lose what waits in memory."""
+        self._streams, self._announced = {}, set()
+        self._on_disk = {}
+        self._begins = False
+
+    def lose_power(self, kept: int = 0) -> None:
+        """Lose what is not synced, except for some records; the system starts again."""
+        self.end_process()
+        self._synced += self._written[:kept]
+        self._written = []
+        self._boot += 1
+
+    def lose_all(self) -> None:
+        """Come back empty."""
+        self.lose_power()
+        self._synced = []
+
+
 class Hub:
     """The registry as one control process knows it."""
 
@@ -181,17 +300,35 @@
         self.backlog: list[ReportOrigins] = []
         self.starts = 0
         self.hub = Hub(clock, registry)
+        self.disk = Disk(clock)
         self.start()
 
     def start(self, views_lost: int = 0) -> None:
         """Start with nothing in memory, and with a state of the registry that may be older."""
         self.starts += 1
         self.backlog.clear()
+        self.disk.end_process()
         self.hub.seen = max(0, self.hub.seen - views_lost)
         self.hub.complete_s = -math.inf
-        self.directory = OriginDirectory(self.hub, self._clock, self.starts)  # type: ignore[arg-type]
+        self.directory = OriginDirectory(
+            self.hub,  # type: ignore[arg-type]
+            self._clock,
+            self.starts,
+            self.disk,  # type: ignore[arg-type]
+        )
+        self.directory.load()
         self.directory.refresh()
 
+    def restart_after_power_loss(self, views_lost: int = 0, kept: int = 0) -> None:
+        """Start with what was synced, and maybe some of what was written since."""
+        self.disk.lose_power(kept)
+        self.start(views_lost)
+
+    def restart_after_disk_loss(self) -> None:
+        """Start with an empty disk: the state of the registry is lost too."""
+        self.disk.lose_all()
+        self.start(views_lost=self.hub.seen)
+
     @property
     def is_following(self) -> bool:
         return not (self.is_silent or self.is_cut_off)
@@ -208,7 +345,9 @@
                 self.backlog.append(report)
             return None
         stored = self.directory.store(report)
-        return None if self.loses_replies else stored
+        if self.loses_replies or isinstance(stored, Failure):
+            return None
+        return stored
 
     def wake(self) -> None:
         self.is_silent = False
@@ -528,7 +667,7 @@
     def __init__(self, controls: int, ways: Ways = PRODUCT) -> None:
         self.ways = ways
         self.clock = ManualClock()
-        self.registry = Registry()
+        self.registry = Registry(self.clock)
         self.controls = [Control(self.clock, self.registry, item) for item in range(controls)]
         self.ask_order: list[Control] = list(self.controls)
         self.slow: set[Control] = set()
@@ -634,9 +773,23 @@
         if not gateway.is_cut_off and sum(not item.is_silent for item in self.controls) >= needed:
             gateway.reached_s = now_s
 
+    def lose_power(self, kept: int = 0, lost_disks: Collection[int] = ()) -> None:
+        """Have all control processes lose power in one moment, and some their disks."""
+        for number, control in enumerate(self.controls):
+            control.is_silent = False
+            if number in lost_disks:
+                control.restart_after_disk_loss()
+            else:
+                control.restart_after_power_loss(kept=kept)
+
     def _background(self) -> None:
         now_s = self.clock.now_s
+        if self.majority_follows():
+            self.registry.review()
         for control in self.controls:
+            if not control.is_silent:
+                control.disk.write()
+                control.disk.sync()
             if now_s - control.hub.complete_s > MAX_CONTACT_AGE_S:
                 control.hear()
             if not control.is_silent:
--- a/tests/unit/test_origin_losses.py
+++ b/tests/unit/test_origin_losses.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import pytest
-from tests.unit.origin_model import PRODUCT, Gateway, Model, Stream, Ways, joined
+from tests.unit.origin_model import PRODUCT, Disk, Gateway, Model, Stream, Ways, joined
 
 from leverjunction.registry.origin_reporter import rank_holders
 from leverjunction.registry.origins import STREAM_LIFETIME_S, Resumption
@@ -261,6 +261,76 @@
     assert model.resume(stream, second).origin is None
 
 
+LOSSES = ("killed", "power", "power and a disk", "power, and what was written is kept")
+
+
+def end_all(model: Model, loss: str, lost_disk: int = 0) -> Gateway:
+    """Have all control processes and gateways end; return the gateway that starts again."""
+    for gateway in list(model.gateways):
+        model.end_gateway(gateway)
+    if loss == "killed":
+        for control in model.controls:
+            control.start()
+    else:
+        kept = 2 if "kept" in loss else 0
+        model.lose_power(kept, [lost_disk] if "disk" in loss else [])
+    for control in model.controls:
+        control.hear()
+    gateway = model.start_gateway()
+    for control in model.controls:
+        gateway.hear(control)
+    return gateway
+
+
+@pytest.mark.parametrize("lost_disk", range(3))
+@pytest.mark.parametrize("loss", LOSSES)
+@pytest.mark.parametrize("known_s", [2.1, 2.5, 15.0, 31.0, 61.0, 119.0, 300.0])
+@pytest.mark.parametrize("stands_still", [(), (0,), (0, 1, 2)])
+def test_a_stream_recorded_just_before_all_end_is_not_joined(
+    known_s: float, loss: str, lost_disk: int, stands_still: tuple[int, ...]
+) -> None:
+    model = Model(3)
+    model.put("i-1", "v2")
+    for control in model.controls:
+        control.hear()
+        control.disk.stands_still = control in [model.controls[item] for item in stands_still]
+    for gateway in model.gateways:
+        gateway.hear(model.controls[0])
+    model.advance(known_s)
+    first = model.gateways[0]
+    model.begin(first, first.known("v2")[0])
+    first.flush()
+    streams = list(model.streams)
+    assert streams or len(stands_still) > 1
+    gateway = end_all(model, loss, lost_disk)
+    for stream in streams:
+        check_not_joined(model, stream, gateway)
+
+
+@pytest.mark.parametrize("loss", LOSSES)
+def test_a_stream_of_the_base_version_goes_on_after_all_end_as_another_one_starts(
+    loss: str,
+) -> None:
+    model = Model(3)
+    first = model.gateways[0]
+    model.begin(first, first.known()[0])
+    (stream,) = model.streams
+    model.put("i-1", "v2")
+    for control in model.controls:
+        control.hear()
+    gateway = end_all(model, loss)
+    assert model.resume(stream, gateway).origin == stream.origin
+
+
+def test_a_version_acknowledged_before_it_is_on_disk_would_be_joined(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Otherwise the rows above would show nothing."""
+    monkeypatch.setattr(Disk, "wait_synced", lambda *_, **__: True)
+    with pytest.raises(AssertionError, match="goes on at"):
+        test_a_stream_recorded_just_before_all_end_is_not_joined(2.1, "power", 0, (0, 1, 2))
+
+
 def lose_unacknowledged(ways: Ways) -> tuple[Model, Stream | None]:
     """Have a gateway end as soon as one control process, or none if none is waited for, stored.
 
--- a/tests/unit/test_origin_properties.py
+++ b/tests/unit/test_origin_properties.py
@@ -2,6 +2,7 @@
 
 What the model takes for granted, and what guarantees it:
 
+- A process that lost its disk was no part of a majority that lost theirs (consensus).
 - A registry change is applied by a majority of the control processes; one that does not hear of
   it knows after ``MAX_CONTACT_AGE_S`` that it is not current (consensus, ``RegistryHub.stale``).
 - A back end that has left the registry writes nothing more (nothing guarantees it for one that is
@@ -34,6 +35,7 @@
 )
 from tests.unit.origin_model import Gateway, Model, Stream, Ways, joined
 
+from leverjunction.registry.origin_fence import OriginFence
 from leverjunction.registry.origins import (
     KEEP_ORIGIN_S,
     RENEW_LATEST_S,
@@ -61,6 +63,10 @@
 ORDERS = st.permutations(range(5))
 REPORTERS = st.sampled_from(((), (), (0,), (1,), (0, 2), (0, 1, 2)))
 SLOW = st.sets(st.integers(0, 4), max_size=2)
+KEPT = st.integers(0, 2)
+"""Records that survive a loss of power though they were not synced."""
+
+LOST_DISKS = st.sets(st.integers(0, 4), max_size=2)
 
 
 class Fleet(RuleBasedStateMachine):
@@ -269,6 +275,79 @@
         gateway.is_cut_off = not gateway.is_cut_off
 
 
+class FleetWithoutPower(FaultyFleet):
+    """Control processes also lose power, and disks, of which as many as consensus survives."""
+
+    @rule(number=NUMBERS, kept=KEPT)
+    def control_loses_power(self, number: int, kept: int) -> None:
+        control = self.model.controls[number % self.controls]
+        control.is_silent = False
+        control.restart_after_power_loss(kept=kept)
+
+    @rule(number=NUMBERS)
+    def control_loses_its_disk(self, number: int) -> None:
+        control = self.model.controls[number % self.controls]
+        if self.controls > 2:
+            control.is_silent = False
+            control.restart_after_disk_loss()
+
+    @rule(number=NUMBERS)
+    def disk_stands_still_or_goes_on(self, number: int) -> None:
+        disk = self.model.controls[number % self.controls].disk
+        disk.stands_still = not disk.stands_still
+
+    @rule(kept=KEPT, lost=LOST_DISKS)
+    def all_controls_lose_power(self, kept: int, lost: set[int]) -> None:
+        self.model.lose_power(kept, sorted(lost)[: (self.controls - 1) // 2])
+
+    @rule()
+    def all_controls_are_killed(self) -> None:
+        for control in self.model.controls:
+            control.is_silent = False
+            control.start()
+
+    @rule(
+        number=NUMBERS,
+        runner=NUMBERS,
+        reporters=REPORTERS,
+        kept=KEPT,
+        lost=LOST_DISKS,
+        order=ORDERS,
+        slow=SLOW,
+    )
+    def stream_begins_and_all_lose_power(
+        self,
+        number: int,
+        runner: int,
+        reporters: Collection[int],
+        kept: int,
+        lost: set[int],
+        order: list[int],
+        slow: set[int],
+    ) -> None:
+        """Its gateway ends with the control processes; they are current when its caller is back."""
+        count = len(self.model.streams)
+        self.stream_begins(number, runner, reporters)
+        if len(self.model.streams) > count:
+            self.all_lose_power_beside_a_stream(0, kept, lost, order, slow)
+
+    @precondition(lambda self: self.model.streams)
+    @rule(number=NUMBERS, kept=KEPT, lost=LOST_DISKS, order=ORDERS, slow=SLOW)
+    def all_lose_power_beside_a_stream(
+        self, number: int, kept: int, lost: set[int], order: list[int], slow: set[int]
+    ) -> None:
+        stream = self.stream(number)
+        if stream.gateway is not None:
+            self.model.end_gateway(stream.gateway)
+        self.all_controls_lose_power(kept, lost)
+        for control in self.model.controls:
+            control.hear()
+        gateway = self.other_gateway(stream)
+        for control in self.model.controls:
+            gateway.hear(control)
+        self.resume(stream, gateway, order, slow)
+
+
 def run(base: type[Fleet], how: settings = EXAMPLES, **attributes: Any) -> None:
     run_state_machine_as_test(type(base.__name__, (base,), attributes), settings=how)
 
@@ -282,6 +361,11 @@
     run(FaultyFleet, controls=3, has_older_gateways=True)
 
 
+@pytest.mark.parametrize("controls", [1, 2, 3, 5])
+def test_a_stream_holds_the_events_of_one_version_whatever_loses_power(controls: int) -> None:
+    run(FleetWithoutPower, controls=controls)
+
+
 @pytest.mark.parametrize("use_after_s", [0.0, 2.0])
 def test_streams_that_wait_for_no_acknowledgement_are_joined(use_after_s: float) -> None:
     """Otherwise the search would show nothing for streams that do wait."""
@@ -289,3 +373,13 @@
     ways = Ways(acks=0, use_after_s=use_after_s, max_unreached_s=MAX_UNREACHED_S)
     with pytest.raises(AssertionError, match="goes on at"):
         run(FaultyFleet, how, controls=3, ways=ways)
+
+
+def test_streams_are_joined_by_starts_that_trust_the_registry_whatever_their_logs_say(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Otherwise the search would show nothing for the product's trust in base versions."""
+    monkeypatch.setattr(OriginFence, "may_lack", lambda *_: False)
+    how = settings(EXAMPLES, max_examples=1000, phases=[Phase.generate])
+    with pytest.raises(AssertionError, match="goes on at"):
+        run(FleetWithoutPower, how, controls=3)
