A gateway that missed the absence of a version takes it for the base version no longer

What callers could see: a stream of one version goes on at another. A gateway is cut off from the control processes for 66 s or more; meanwhile all back ends of the base version end, and later some start again. Once the gateway is connected again, it begins streams of that version without having them recorded first; it ends, and the control processes tell the version that was alone meanwhile.

Cause: a base version ends for a process when it sees its end, or no state of the registry that has it for a while. A process that saw the states before and after the absence, but none in between, kept it.

Change: a process that had no current state for longer than a base version lasts after its end keeps those that the registry records, too. An idle gateway does the same, since it does not look in between.

Test (model): 66, 75 and 130 s fail without the change, all five rows pass with it.

--- a/src/leverjunction/registry/version_history.py
+++ b/src/leverjunction/registry/version_history.py
@@ -27,6 +27,7 @@
     __slots__ = (
         "_base",
         "_base_lifetime_s",
+        "_confirmed_s",
         "_ended_s",
         "_former",
         "_lifetime_s",
@@ -41,6 +42,7 @@
         self._lifetime_s = lifetime_s
         self._base_lifetime_s = lifetime_s if base_lifetime_s is None else base_lifetime_s
         self._base: dict[str, str] = {}
+        self._confirmed_s = -math.inf
         self._live: dict[str, set[str]] = {}
         self._former: set[tuple[str, str]] = set()
         self._settled: set[tuple[str, str]] = set()
@@ -61,6 +63,8 @@
             return
         # A version that comes back is not the base version again.
         self._drop_ended_bases(now_s)
+        if now_s - self._confirmed_s > self._base_lifetime_s:
+            self._drop_doubtful_bases(view)
         self._view = view
         before = {(service, item) for service, items in self._live.items() for item in items}
         self._live = {}
@@ -84,6 +88,7 @@
             now_s: Monotonic time in seconds.
         """
         self._drop_ended_bases(now_s)
+        self._confirmed_s = now_s
         for service in self._live:
             only = self.only_version(service, now_s)
             if only is not None:
@@ -105,6 +110,13 @@
             if not is_live and now_s - ended_s > self._base_lifetime_s:
                 del self._base[service]
 
+    def _drop_doubtful_bases(self, view: FleetView) -> None:
+        """Keep what the registry agrees with: others may have ended and come back unnoticed."""
+        recorded = {item.service: item.version for item in view.base_versions}
+        self._base = {
+            service: base for service, base in self._base.items() if recorded.get(service) == base
+        }
+
     def versions(self, service: str, now_s: float) -> set[str]:
         """Return the versions of a service that may have begun a stream which is still alive."""
         ended = {
--- a/tests/unit/test_origin_losses.py
+++ b/tests/unit/test_origin_losses.py
@@ -146,6 +146,25 @@
     check_not_joined(model, stream, second, found)
 
 
+@pytest.mark.parametrize("away_s", [54.0, 60.0, 66.0, 75.0, 130.0])
+def test_a_gateway_that_missed_the_absence_of_a_version_joins_no_streams(away_s: float) -> None:
+    """It takes the version for the base version, which another one is by now."""
+    model = start_both()
+    first, second = model.gateways
+    first.is_cut_off = True
+    model.advance(2.0)
+    model.remove("i-0")
+    model.advance(away_s)
+    model.put("i-0", "v1")
+    for _ in range(2):
+        model.advance(3.0)
+    first.is_cut_off = False
+    for _ in range(2):
+        model.advance(3.0)
+    stream = begin_and_end(model, first, "v1")
+    check_not_joined(model, stream, second)
+
+
 def test_a_stream_passed_on_without_record_is_not_joined() -> None:
     model = start_both()
     model.remove("i-0")
