Base versions are recorded anew after an older release has applied commands

What callers could see: after an upgrade, resumed streams are refused when all processes end as a second version starts, as before; after a downgrade and an upgrade, a stream of one version goes on at another.

Cause: base versions were recorded with changes of back ends only. After an upgrade the first change may be the first back end of the second version, and then none was alone any more. Rows from before a downgrade stayed as they were while an older release applied commands, and another back end of that version did not have them looked at again.

Change: each change of the registry also notes that base versions are recorded up to it, which an older release does not. The first command after such a one records all of them anew, from the state before the command.

Tests: both rows fail without the change (None in place of 'v1', 'v1' in place of 'v1.1') and pass with it.

--- a/src/leverjunction/registry/state_machine.py
+++ b/src/leverjunction/registry/state_machine.py
@@ -82,9 +82,9 @@
             decoded = _COMMANDS.decode(command)
         except msgspec.MsgspecError as error:
             return encode_reply(decode_failure(REGISTRY_GROUP, error, Step.APPLYING))
-        return encode_reply(
-            _HANDLERS[type(decoded)](RegistryTables(connection, context.index), decoded)
-        )
+        tables = RegistryTables(connection, context.index)
+        tables.renew_base_versions()
+        return encode_reply(_HANDLERS[type(decoded)](tables, decoded))
 
     def query(self, connection: sqlite3.Connection, query: bytes) -> bytes:
         """Run a read-only query and return its encoded reply."""
@@ -115,9 +115,6 @@
 def _put_runner(tables: RegistryTables, change: commands.PutRunner) -> commands.Done:
     record = change.record
     known = tables.record(RUNNER, record.runner_id, RunnerRecord)
-    if tables.base_version(record.service) is None:
-        # The state may be from a release that does not record base versions.
-        tables.update_base_version(record.service)
     if known is None or _supersedes(record, known, change.shown_alive):
         if known is None or not _replaces_version(record, known):
             tables.put(RUNNER, record.runner_id, record)
--- a/src/leverjunction/registry/tables.py
+++ b/src/leverjunction/registry/tables.py
@@ -59,6 +59,8 @@
 BASE = "base"
 _REVISION = "revision"
 _SUSPECTS_REVISION = "suspects_revision"
+_BASES_REVISION = "bases_revision"
+"""Revision up to which base versions were recorded; a release that records none leaves it."""
 
 R = TypeVar(
     "R", RunnerRecord, MemberRecord, GroupRecord, SuspectRecord, SettledVersion, BaseVersion
@@ -136,10 +138,19 @@
             self.delete(BASE, service)
 
     def reset_base_versions(self) -> None:
-        """Forget the base versions of services with several versions."""
+        """Record the base versions of services with one version alone."""
         for item in self.records(BASE, BaseVersion):
             self.delete(BASE, item.service)
-            self.update_base_version(item.service)
+        for service in sorted({item.service for item, _ in self._runners()} - {""}):
+            self.update_base_version(service)
+
+    def renew_base_versions(self) -> None:
+        """Record all base versions anew if an older release has applied commands since."""
+        revision = self._revision(_REVISION)
+        if self._revision(_BASES_REVISION) == revision:
+            return
+        self.reset_base_versions()
+        self._put_meta(_BASES_REVISION, self._revision(_REVISION))
 
     def ended_versions(self) -> dict[tuple[str, str], int]:
         """Return the log index of the last end of a runner by service and version."""
@@ -276,9 +287,13 @@
     def _set_revision(self, kind: str) -> None:
         # Suspects have a revision of their own: each crash changes them, and the long list of back
         # ends must not be sent again for that.
-        key = _SUSPECTS_REVISION if kind == SUSPECT else _REVISION
+        keys = (_SUSPECTS_REVISION,) if kind == SUSPECT else (_REVISION, _BASES_REVISION)
+        for key in keys:
+            self._put_meta(key, self._index)
+
+    def _put_meta(self, key: str, value: int) -> None:
         self._connection.execute(
-            "INSERT OR REPLACE INTO sm_registry_meta VALUES (?, ?)", (key, self._index)
+            "INSERT OR REPLACE INTO sm_registry_meta VALUES (?, ?)", (key, value)
         )
 
 
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -55,6 +55,13 @@
     return bases.get(SERVICE)
 
 
+def play_older_build(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have commands applied as by a release that does not record base versions."""
+    nothing = lambda *_: None  # noqa: E731
+    monkeypatch.setattr(tables.RegistryTables, "update_base_version", nothing)
+    monkeypatch.setattr(tables, "_BASES_REVISION", "unused", raising=False)
+
+
 class TestStateMachine:
     def test_the_base_version_stays_while_another_one_starts(self) -> None:
         registry = Registry()
@@ -168,6 +175,29 @@
         registry.apply(forget("v1", registry.index))
         assert base_of(registry) == "v1.1"
 
+    def test_a_service_has_a_base_version_after_an_upgrade(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        registry = Registry()
+        with monkeypatch.context() as older:
+            play_older_build(older)
+            registry.apply(PutRunner(runner(1, "v1")))
+        registry.apply(PutRunner(runner(2, "v1.1")))
+        assert base_of(registry) == "v1"
+
+    def test_a_base_version_from_before_a_downgrade_is_not_trusted(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        registry = Registry()
+        registry.apply(PutRunner(runner(1, "v1")))
+        registry.apply(PutRunner(runner(2, "v1.1")))
+        with monkeypatch.context() as older:
+            play_older_build(older)
+            registry.apply(RemoveRunner("i-1", 1))
+            registry.apply(forget("v1", registry.index))
+        registry.apply(PutRunner(runner(3, "v1")))
+        assert base_of(registry) == "v1.1", "it was alone meanwhile"
+
     @given(st.lists(st.tuples(st.sampled_from("psrf"), st.integers(1, 3), st.integers(1, 3))))
     def test_a_base_version_was_alone_and_served_ever_since(
         self, steps: list[tuple[str, int, int]]
