A start doubts base versions after reports of older gateways

What callers could see: during an upgrade, a stream of one version goes on at another, after all control processes started again as a version starts.

Cause: a gateway of an older build passes on events of any version before it reports them, so that control processes that hear of one tell no base version for 90 s. Only the process knew that: its next start told the one of the registry, unless its log had a record of the other version, announced 0.5 s after it is known.

Change: the log then begins anew, at most once in 30 s, so that a start doubts for as long. One that loses power within the next 0.2 s does not know.

Test: fails without the change ('v1' in place of None), passes with it.

--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -75,6 +75,8 @@
         self._unsure_until_s = -math.inf
         """Until then, a stream of any version may be unknown at all control processes."""
 
+        self._unsure_logged_s = -math.inf
+
         self._controls_s = dict.fromkeys(controls, self._started_s)
         """When each control process was last a member, by address.
 
@@ -120,7 +122,7 @@
         view = self._hub.view()
         with self._lock:
             if not report.is_recorded_first:
-                self._unsure_until_s = now_s + KEEP_ORIGIN_S
+                self._note_older_gateway(now_s)
             for stream, origin in report.streams.items():
                 self._streams.put(stream, origin, now_s)
             bases = self._base_versions(view, now_s, is_current)
@@ -137,6 +139,13 @@
                 )
         return OriginsStored(incarnation=self._incarnation, base_versions=bases)
 
+    def _note_older_gateway(self, now_s: float) -> None:
+        self._unsure_until_s = now_s + KEEP_ORIGIN_S
+        if self._log is not None and now_s - self._unsure_logged_s > FENCE_S:
+            # So that the next start doubts base versions as long as this one does.
+            self._unsure_logged_s = now_s
+            self._log.begin_anew()
+
     def _wait_synced(self, log: OriginLog, newcomers: set[StreamOrigin], now_s: float) -> bool:
         since_s = now_s - FENCE_S
         if log.wait_synced(newcomers, since_s, timeout_s=0.0):
--- a/src/leverjunction/registry/origin_log.py
+++ b/src/leverjunction/registry/origin_log.py
@@ -254,6 +254,13 @@
             self._start_thread()
             self._changed.notify_all()
 
+    def begin_anew(self) -> None:
+        """Have a record written which tells that the log says nothing of what was before."""
+        with self._changed:
+            self._begins = True
+            self._start_thread()
+            self._changed.notify_all()
+
     def wait_synced(
         self, origins: Collection[StreamOrigin], since_s: float, timeout_s: float
     ) -> bool:
@@ -354,18 +361,21 @@
         now = self._now()
         batch = make_batch(streams, now, announced)
         record = encode_batch(batch) if batch.groups else b""
-        if self._begins:
+        with self._changed:
+            begins, self._begins = self._begins, False
+        if begins:
             record = encode_batch(make_batch({}, now)) + record
         try:
             self._make_room(len(record), now)
             if record:
                 self._write(record, now.steady_s)
-                self._begins = False
                 self._written.update(dict.fromkeys(batch.origins(), now.steady_s))
             if not self._is_synced and (is_closing or self._is_sync_due(now.steady_s)):
                 self._files.sync()
                 self._record_sync()
         except OSError as error:
+            with self._changed:
+                self._begins |= begins
             self._record_failure(error)
             return False
         self._record_success()
--- a/tests/unit/origin_model.py
+++ b/tests/unit/origin_model.py
@@ -201,6 +201,9 @@
     def announce(self, origins: Collection[StreamOrigin]) -> None:
         self._announced.update(origins)
 
+    def begin_anew(self) -> None:
+        self._begins = True
+
     def wait_synced(
         self, origins: Collection[StreamOrigin], since_s: float, timeout_s: float
     ) -> bool:
--- a/tests/unit/test_registry_base_versions.py
+++ b/tests/unit/test_registry_base_versions.py
@@ -521,6 +521,18 @@
     assert process.base_version() is None
 
 
+def test_a_start_vouches_for_nothing_after_reports_of_an_older_gateway(process: Process) -> None:
+    """It passes on events of any version before it reports them."""
+    process.clock.ahead_s += DOUBT_S + 1.0
+    syncs = process.disk.syncs
+    process.directory.store(ReportOrigins(streams={}))
+    process.hub.known = BOTH
+    assert process.base_version() is None
+    assert comes_true(lambda: process.disk.syncs > syncs)
+    process.restart_after_power_loss()
+    assert process.base_version() is None
+
+
 def test_only_few_reports_wait_for_the_disk_at_a_time(
     process: Process, monkeypatch: pytest.MonkeyPatch
 ) -> None:
