--- a/tests/unit/test_origin_properties.py
+++ b/tests/unit/test_origin_properties.py
@@ -366,6 +366,10 @@
     run(FleetWithoutPower, controls=controls)
 
 
+def test_a_stream_holds_the_events_of_one_version_beside_older_gateways_and_losses() -> None:
+    run(FleetWithoutPower, controls=3, has_older_gateways=True)
+
+
 @pytest.mark.parametrize("use_after_s", [0.0, 2.0])
 def test_streams_that_wait_for_no_acknowledgement_are_joined(use_after_s: float) -> None:
     """Otherwise the search would show nothing for streams that do wait."""
