--- a/tests/unit/test_registry_version_review.py
+++ b/tests/unit/test_registry_version_review.py
@@ -80,6 +80,7 @@
     def drop_base_versions(self) -> None:
         """Have the state of a release that does not record base versions."""
         self._connection.execute("DELETE FROM sm_registry_record WHERE kind = 'base'")
+        self._connection.execute("DELETE FROM sm_registry_meta WHERE key = 'bases_revision'")
 
     def count_settled(self) -> int:
         query = "SELECT count(*) FROM sm_registry_record WHERE kind = 'settled'"
