Send no request by a choice from before a standstill

What callers saw: nothing themselves, but a leaving runner began work too late. In test_all_processes_stand_still_while_a_runner_leaves (hanbit, machine list, 3 s) one online request began 2557 ms after the limit, some 57 ms after all processes went on.

Cause: a gateway checked that its view is current before it chose a runner, not when it sent. A request that was between the two when the process was paused was sent by the old choice as soon as the process went on. The same holds for a request that waited in the queue: it was admitted and routed by the view from before, without another check.

Why it works: a choice keeps the end of the last pause that was known before its view was read. The connection compares it again before each part of a request is written, after it was opened. If it has changed, the call ends with nothing whole sent, which no engine can have run, and the request is routed again by a current view. It uses up neither an attempt nor the retry budget, nor does it count against the runner. Since the comparison does not ask whether the doubt lasts, a hub's reply in between does not make an old choice valid.

What remains: the few instructions between the comparison and the system call that writes.

--- a/src/leverjunction/backends/client.py
+++ b/src/leverjunction/backends/client.py
@@ -6,7 +6,14 @@
 import urllib3
 
 from leverjunction.backends.echo import ATTEMPT_HEADER, REQUEST_ID_HEADER, response_mismatch
-from leverjunction.backends.head_wait import AbortableConnection, ShouldAbort, abort_wait_when
+from leverjunction.backends.head_wait import (
+    AbortableConnection,
+    IsOutdated,
+    RequestOutdatedError,
+    ShouldAbort,
+    abort_wait_when,
+    send_unless,
+)
 from leverjunction.backends.stream import EngineStream
 from leverjunction.backends.types import (
     EngineCall,
@@ -64,7 +71,10 @@
         self._http10_pool = _new_pool(_Http10Pool)
 
     def open(
-        self, call: EngineCall, should_abort: ShouldAbort | None = None
+        self,
+        call: EngineCall,
+        should_abort: ShouldAbort | None = None,
+        is_outdated: IsOutdated | None = None,
     ) -> EngineStream | Failure:
         """Send a request, or resume its stream, and return the response once its head has arrived.
 
@@ -72,10 +82,12 @@
             call: The request or resume to send.
             should_abort: Called repeatedly until the head has arrived; True aborts the wait with
                 a failure.
+            is_outdated: Called just before the request is sent; True ends the call with a failure
+                of kind STALE.
 
         Returns:
-            The response with any status; or a failure with step CONNECTING if the engine received
-            nothing, or SENDING or RESPONDING if the engine may have run the request.
+            The response with any status; or a failure, whose execution is NOT_RUN unless the
+            engine may have run the request.
         """
         method = "POST" if call.last_event_id is None else "GET"
         path = call.path if call.last_event_id is None else _stream_path(call.request_id)
@@ -85,7 +97,7 @@
             headers[OWNER_HEADER] = call.owner
         if call.last_event_id is not None:
             headers[LAST_EVENT_ID_HEADER] = call.last_event_id
-        with abort_wait_when(should_abort):
+        with abort_wait_when(should_abort), send_unless(is_outdated):
             response = self._request(
                 self._http10_pool if call.raw_stream else self._pool,
                 method,
@@ -243,6 +255,8 @@
                 step=Step.CONNECTING,
                 peer=address,
             )
+        except RequestOutdatedError:
+            return outdated_failure(address)
         except urllib3.exceptions.HTTPError as error:
             # The request may have been sent, so the engine may have run it.
             return Failure(
@@ -254,6 +268,16 @@
             )
 
 
+def outdated_failure(address: str) -> Failure:
+    """Return the failure of a call whose request was not sent because it was outdated."""
+    return Failure(
+        kind=FailureKind.STALE,
+        reason="the choice of the back end became outdated before the request was sent",
+        step=Step.SENDING,
+        peer=address,
+    )
+
+
 def _new_pool(pool_class: type[urllib3.HTTPConnectionPool]) -> urllib3.PoolManager:
     manager = urllib3.PoolManager(
         num_pools=MAX_ENGINES, maxsize=CONNECTIONS_PER_ENGINE, block=False, retries=False
--- a/src/leverjunction/gateway/runner_pool.py
+++ b/src/leverjunction/gateway/runner_pool.py
@@ -83,15 +83,22 @@
         self._ejection = Ejection()
         self._incarnations: dict[str, int] = {}
 
-    def wait_for_current_view(self, deadline_s: float) -> None:
+    def wait_for_current_view(self, deadline_s: float) -> float:
         """After a pause of this process, wait until a hub has replied or a deadline has passed.
 
         During a pause, for example while the machine is suspended, the view becomes outdated.
 
         Args:
             deadline_s: Monotonic time in seconds.
+
+        Returns:
+            Argument of ``was_paused_since`` for a choice that is made by this view.
         """
-        self._view.wait_until_current(deadline_s)
+        return self._view.wait_until_current(deadline_s)
+
+    def was_paused_since(self, pause_end_s: float) -> bool:
+        """Return whether this process was paused after ``wait_for_current_view`` returned."""
+        return self._view.last_pause_end_s() != pause_end_s
 
     def candidates(self, needs: RouteNeeds) -> list[Candidate]:
         """Return all runners of a service, each with the reason for its exclusion, if any."""
--- a/src/leverjunction/gateway/sender.py
+++ b/src/leverjunction/gateway/sender.py
@@ -40,6 +40,19 @@
 """
 
 
+class _Route(msgspec.Struct, frozen=True, kw_only=True):
+    """The choice of a runner.
+
+    Attributes:
+        runner: The runner.
+        pause_end_s: When the last pause of this process before the choice ended. After a later
+            one the runner may be leaving, so the choice must not be used any more.
+    """
+
+    runner: Candidate
+    pause_end_s: float
+
+
 class Sender:
     """Sends requests to runners.
 
@@ -119,18 +132,25 @@
             refusal = self.refusal(request, execution)
             if refusal is not None:
                 return refusal
-            candidate = self._route(
-                request, attempt_number, tried, may_queue and attempt_number == first_attempt
-            )
-            if isinstance(candidate, Failure):
+            route = self._route(request, attempt_number, tried, may_queue)
+            may_queue = False
+            if isinstance(route, Failure):
                 # The failure of an attempt is more useful to the caller than "no other runner".
-                return _with_execution(last_failure or candidate, execution)
+                return _with_execution(last_failure or route, execution)
             attempt = Attempt(
-                runner_id=candidate.runner_id, address=candidate.address, number=attempt_number
+                runner_id=route.runner.runner_id,
+                address=route.runner.address,
+                number=attempt_number,
             )
-            response = self._attempt(request, attempt)
+            response = self._attempt(request, attempt, route)
             if not isinstance(response, Failure):
                 return response
+            if response.kind is FailureKind.STALE:
+                # Nothing was sent, so this is no attempt: the request is routed again.
+                self._decision_log.note(
+                    request, DecisionOutcome.RETRIED, response.step, response.reason, response.peer
+                )
+                continue
             last_failure = response
             if response.execution is not Execution.NOT_RUN:
                 execution = Execution.UNKNOWN
@@ -190,9 +210,9 @@
 
     def _route(
         self, request: OnlineRequest, attempt_number: int, tried: frozenset[str], may_queue: bool
-    ) -> Candidate | Failure:
+    ) -> _Route | Failure:
         needs = request.needs(tried)
-        self._pool.wait_for_current_view(request.deadline_s)
+        pause_end_s = self._pool.wait_for_current_view(request.deadline_s)
         candidates = self._pool.candidates(needs)
         waited_s: float | Failure = 0.0
         if may_queue and any(candidate.excluded is None for candidate in candidates):
@@ -206,12 +226,13 @@
             if isinstance(waited_s, Failure):
                 return waited_s
             if waited_s > 0:
+                pause_end_s = self._pool.wait_for_current_view(request.deadline_s)
                 candidates = self._pool.candidates(needs)
         choice = self._pool.choose(candidates, needs)
         self._decision_log.routed(request, attempt_number, choice)
         if choice.chosen is None:
             return _no_runner_failure(request, choice)
-        return choice.chosen
+        return _Route(runner=choice.chosen, pause_end_s=pause_end_s)
 
     def _queue_limits(self, request: OnlineRequest) -> QueueLimits:
         remaining_s = request.deadline_s - self._clock.monotonic_s()
@@ -221,14 +242,14 @@
         )
 
     def _attempt(
-        self, request: OnlineRequest, attempt: Attempt
+        self, request: OnlineRequest, attempt: Attempt, route: _Route
     ) -> OpenResponse | CompleteResponse | Failure:
         key = attempt.key(request.request_id)
         send_start = self._pool.record_send(attempt.runner_id, key, request.blocks)
         if send_start.is_probe:
             self._decision_log.probed(request, attempt)
         self._notifier.request_arrived(attempt.runner_id, send_start.open_before)
-        response = self._call(request, attempt)
+        response = self._call(request, attempt, route)
         if isinstance(response, OpenResponse):
             self._pool.record_success(attempt.runner_id)
             self._counters.attempts.labels("ok").inc()
@@ -243,7 +264,7 @@
         return response
 
     def _call(
-        self, request: OnlineRequest, attempt: Attempt
+        self, request: OnlineRequest, attempt: Attempt, route: _Route
     ) -> OpenResponse | CompleteResponse | Failure:
         remaining_s = request.deadline_s - self._clock.monotonic_s()
         if remaining_s <= 0:
@@ -260,6 +281,7 @@
                 raw_stream=request.stream,
             ),
             self._abort_check(request, attempt),
+            lambda: self._pool.was_paused_since(route.pause_end_s),
         )
         if isinstance(stream, Failure):
             return stream
@@ -293,8 +315,8 @@
         )
 
     def _handle_failure(self, request: OnlineRequest, attempt: Attempt, failure: Failure) -> None:
-        if failure.kind in (FailureKind.OVERLOADED, FailureKind.NOT_FOUND):
-            # The runner is healthy but rejected the request.
+        if failure.kind in (FailureKind.OVERLOADED, FailureKind.NOT_FOUND, FailureKind.STALE):
+            # The runner is healthy but rejected the request, or it was not sent.
             self._pool.record_inconclusive(attempt.runner_id)
         else:
             ejected_s = self._pool.record_failure(attempt.runner_id)
--- a/src/leverjunction/gateway/view.py
+++ b/src/leverjunction/gateway/view.py
@@ -189,18 +189,31 @@
         """
         return self._freshness.is_in_doubt(self._clock.monotonic_s())
 
-    def wait_until_current(self, deadline_s: float) -> None:
+    def last_pause_end_s(self) -> float:
+        """Return when the last detected pause of this process ended; see ``Freshness``.
+
+        A decision by this view must not be carried out if the value has changed since.
+        """
+        return self._freshness.last_pause_end_s(self._clock.monotonic_s())
+
+    def wait_until_current(self, deadline_s: float) -> float:
         """Wait until the view is no longer in doubt.
 
         Args:
             deadline_s: Monotonic time at which the wait ends in any case.
+
+        Returns:
+            ``last_pause_end_s`` from before the view was found to be current.
         """
+        pause_end_s = self.last_pause_end_s()
         if not self.is_in_doubt():
-            return
+            return pause_end_s
         self.on_doubt()
         with self._updated:
             while self.is_in_doubt() and self._clock.monotonic_s() < deadline_s:
                 self._updated.wait(CHECK_INTERVAL_S)
+                pause_end_s = self.last_pause_end_s()
+        return pause_end_s
 
 
 def _ignore_doubt() -> None:
--- a/src/leverjunction/standstills.py
+++ b/src/leverjunction/standstills.py
@@ -90,6 +90,15 @@
             self._confirmed_s < self._resumed_s and now_s - self._resumed_s < self._reply_timeout_s
         )
 
+    def last_pause_end_s(self, now_s: float) -> float:
+        """Return when the last detected pause ended, in seconds; ``-inf`` if there was none.
+
+        A decision that is carried out later may be outdated by then. It is if this value differs
+        from the one that was read before the state for the decision.
+        """
+        self._note_standstill(now_s)
+        return self._resumed_s
+
     def _note_standstill(self, now_s: float) -> None:
         """Record the end of a pause, once for each step that it delayed."""
         if now_s - self._due_s >= self._min_standstill_s and self._resumed_s < self._due_s:
--- a/src/testbed/simulation/engine_client.py
+++ b/src/testbed/simulation/engine_client.py
@@ -4,8 +4,9 @@
 
 import msgspec
 
+from leverjunction.backends.client import outdated_failure
 from leverjunction.backends.echo import ATTEMPT_HEADER, REQUEST_ID_HEADER, response_mismatch
-from leverjunction.backends.head_wait import CHECK_INTERVAL_S, ShouldAbort
+from leverjunction.backends.head_wait import CHECK_INTERVAL_S, IsOutdated, ShouldAbort
 from leverjunction.backends.stream import DetachedSocket
 from leverjunction.backends.types import EngineCall, HeldRequest, LoadReport
 from leverjunction.errors import Execution, Failure, FailureKind, Step
@@ -156,11 +157,16 @@
         self._runners = runners
 
     def open(
-        self, call: EngineCall, should_abort: ShouldAbort | None = None
+        self,
+        call: EngineCall,
+        should_abort: ShouldAbort | None = None,
+        is_outdated: IsOutdated | None = None,
     ) -> SimulatedStream | Failure:
         """Send a request or a resume and return the answer once its head has come."""
         if not self._connects(call.address, min(CONNECT_TIMEOUT_S, call.timeout_s)):
             return _unreachable(call.address)
+        if is_outdated is not None and is_outdated():
+            return outdated_failure(call.address)
         stream = SimulatedStream(call, self._board, self._machine)
         runner = self._runners[call.address]
         channel = self._connections.open(self._machine, runner.machine)
--- a/tests/unit/test_gateway_standstill.py
+++ b/tests/unit/test_gateway_standstill.py
@@ -8,14 +8,18 @@
 import random
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
-from tests.unit.gateway_support import CHAT, Fleet
+from tests.unit.gateway_support import CHAT, SERVICE, Fleet, wait_until
 from tests.unit.test_batch_harvester import World
 
+from leverjunction.backends.client import EngineClient
+from leverjunction.backends.head_wait import AbortableConnection
 from leverjunction.batch.harvester import Harvester
+from leverjunction.gateway.runner_pool import RunnerPool
 
 pytestmark = pytest.mark.usefixtures("extended_poll_timeout")
 PAUSE_S = 5.0
@@ -67,6 +71,117 @@
     assert standstills == 1
 
 
+def list_as_leaving(fleet: Fleet, name: str) -> None:
+    """Mark one engine as leaving, and wait until the gateway knows."""
+    fleet.hub.leaving = {name}
+    runners = fleet.gateway.view
+    wait_until(
+        lambda: (
+            {item.runner_id for item in runners.snapshot.runners.values() if item.leaving} == {name}
+        ),
+        "the gateway knows of the leaving engine",
+    )
+
+
+def run_once_before(
+    monkeypatch: pytest.MonkeyPatch, owner: type, method: str, action: Callable[[], None]
+) -> threading.Event:
+    """Call ``action`` before the next call of a method by a request thread of the gateway."""
+    original = getattr(owner, method)
+    is_done = threading.Event()
+
+    def call(*args: Any, **kwargs: Any) -> Any:
+        if threading.current_thread().name.startswith("CP Server") and not is_done.is_set():
+            is_done.set()
+            action()
+        return original(*args, **kwargs)
+
+    monkeypatch.setattr(owner, method, call)
+    return is_done
+
+
+@pytest.mark.parametrize(
+    ("owner", "method"),
+    [
+        (RunnerPool, "choose"),
+        (RunnerPool, "record_send"),
+        (EngineClient, "open"),
+        (AbortableConnection, "connect"),
+        (AbortableConnection, "endheaders"),
+    ],
+)
+def test_a_request_is_not_sent_by_a_choice_from_before_a_standstill(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch, owner: type, method: str
+) -> None:
+    """A pause between the choice and the send must not let the request begin at a leaving runner.
+
+    All processes of a fleet were paused for 5 s. A request of which a gateway had chosen the runner
+    before was sent 57 ms after the pause, 2.6 s after the runner's last allowed start.
+    """
+    list_as_leaving(fleet, "e2")
+
+    def pause() -> None:
+        simulate_pause(fleet, monkeypatch)
+        fleet.hub.leaving = {"e1"}
+
+    paused = run_once_before(monkeypatch, owner, method, pause)
+    statuses: list[int] = []
+    body = CHAT | {"stream": True}
+    caller = threading.Thread(target=lambda: statuses.append(fleet.post(body).status))
+    caller.start()
+    wait_until(paused.is_set, "the request is about to be sent")
+    time.sleep(HOLD_S)
+    assert fleet.started() == 0
+    fleet.hub.may_reply.set()
+    caller.join()
+    assert statuses == [200]
+    assert [len(engine.started) for engine in fleet.engines] == [0, 1]
+    wait_until(lambda: fleet.open_streams() == 0, "the stream has ended")
+    for runner_id in ("e1", "e2"):
+        assert fleet.gateway.pool.open_sends(runner_id) == 0
+
+
+def test_a_queued_request_is_not_sent_by_a_view_from_before_a_standstill(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A slot that became free during a pause must not let a queued request use the old view."""
+    serving = f"services/{SERVICE}/serving"
+    rows: dict[str, object] = {
+        f"{serving}/max_running_per_runner": 1,
+        f"{serving}/queue_timeout_s": 60.0,
+    }
+    fleet = Fleet(tmp_path, rows)
+    try:
+        list_as_leaving(fleet, "e2")
+        leaving, staying = fleet.engines
+        leaving.proceed.clear()
+        statuses: list[int] = []
+        callers = [
+            threading.Thread(target=lambda: statuses.append(fleet.post(CHAT).status))
+            for _ in range(2)
+        ]
+        callers[0].start()
+        wait_until(lambda: len(leaving.started) == 1, "the first request runs")
+        callers[1].start()
+        registry = fleet.gateway.counters.registry
+        wait_until(
+            lambda: registry.get_sample_value("leverjunction_queued_requests") == 1,
+            "the second request is queued",
+        )
+        simulate_pause(fleet, monkeypatch)
+        fleet.hub.leaving = {"e1"}
+        leaving.proceed.set()
+        time.sleep(HOLD_S)
+        assert len(leaving.started) == 1
+        fleet.hub.may_reply.set()
+        for caller in callers:
+            caller.join()
+        assert statuses == [200, 200]
+        assert [len(leaving.started), len(staying.started)] == [1, 1]
+    finally:
+        fleet.stop()
+
+
 def test_without_a_hub_requests_are_sent_after_a_timeout(
     fleet: Fleet, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/unit/test_standstills.py
+++ b/tests/unit/test_standstills.py
@@ -61,6 +61,19 @@
     assert freshness.is_in_doubt(9.0)
 
 
+def test_each_standstill_outdates_the_decisions_made_before() -> None:
+    freshness = refreshed_at(0.0, 1.0)
+    decided = freshness.last_pause_end_s(1.9)
+    assert freshness.last_pause_end_s(2.9) == decided
+    assert freshness.last_pause_end_s(7.0) != decided
+    freshness.step_begins(7.1, STEP_S)
+    freshness.refreshed(7.1)
+    assert not freshness.is_in_doubt(7.2)
+    assert freshness.last_pause_end_s(7.2) != decided, "the reply does not make it valid again"
+    decided = freshness.last_pause_end_s(7.2)
+    assert freshness.last_pause_end_s(8.0) == decided
+
+
 def test_the_length_of_a_standstill_is_returned_once() -> None:
     freshness = refreshed_at(0.0)
     assert freshness.is_in_doubt(6.0)
