Send no batch item by a check from before a standstill

What was wrong: the harvester checks that the gateway's view is current when a run begins, then opens a connection and sends. A pause of the process in between let the item begin at a runner that had begun to leave meanwhile.

Why it works: the run keeps the end of the last pause that was known before the check, and the connection compares it just before it writes. An item that is held back was not run and waits again.

Measured: test_no_batch_item_is_sent_by_a_check_from_before_a_standstill fails if the comparison is not passed on (no run ends as not_run) and passes with it; before, there was no parameter for it.

--- a/src/leverjunction/batch/harvester.py
+++ b/src/leverjunction/batch/harvester.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import random as random_module
 import threading
 from collections.abc import Callable, Iterable, Mapping
@@ -71,6 +72,7 @@
         incarnation: Start time of this process, in milliseconds.
         is_in_doubt: Returns whether runners may have been marked as leaving, or withdrawn, while
             this process was paused. Nothing is planned or sent until a hub has confirmed the view.
+        last_pause_end_s: Returns when the last detected pause of this process ended, in seconds.
     """
 
     def __init__(
@@ -83,8 +85,10 @@
         registry: CollectorRegistry | None = None,
         incarnation: int = 0,
         is_in_doubt: Callable[[], bool] = lambda: False,
+        last_pause_end_s: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         self._is_in_doubt = is_in_doubt
+        self._last_pause_end_s = last_pause_end_s
         self._gateway_id = gateway_id
         self._incarnation = incarnation
         self._control = control
@@ -324,6 +328,7 @@
         self._send_reports(plan.reports)
 
     def _execute(self, run: Run) -> None:
+        pause_end_s = self._last_pause_end_s()
         with self._changed:
             may_start = self._state.try_begin(
                 run, self._clock.monotonic_s(), is_in_doubt=self._is_in_doubt()
@@ -332,7 +337,14 @@
             return
         try:
             owner = self._owner_label(run)
-            result = run_item(self._engines, run.work, run.address, run.priority, owner)
+            result = run_item(
+                self._engines,
+                run.work,
+                run.address,
+                run.priority,
+                owner,
+                lambda: self._last_pause_end_s() != pause_end_s,
+            )
         except Exception as error:
             # After any error the run must be recorded as ended, or its item would be stuck.
             logger.exception("batch request {} failed", request_id_of(run.work))
--- a/src/leverjunction/batch/item_run.py
+++ b/src/leverjunction/batch/item_run.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from leverjunction.backends.head_wait import IsOutdated
 from leverjunction.backends.stream import EngineStream
 from leverjunction.backends.types import EngineCall, HeldRequest
 from leverjunction.batch.held_work import WorkItem, request_id_of
@@ -68,7 +69,9 @@
 class Engines(Protocol):
     """The methods of ``backends.client.EngineClient`` that batch work uses."""
 
-    def open(self, call: EngineCall) -> EngineStream | Failure:
+    def open(
+        self, call: EngineCall, *, is_outdated: IsOutdated | None = None
+    ) -> EngineStream | Failure:
         """Send a request; see ``EngineClient``."""
         ...
 
@@ -82,7 +85,12 @@
 
 
 def run_item(
-    engines: Engines, work: WorkItem, address: str, priority: int, owner: str
+    engines: Engines,
+    work: WorkItem,
+    address: str,
+    priority: int,
+    owner: str,
+    is_outdated: IsOutdated | None = None,
 ) -> RunResult:
     """Run an item until it ends or is cancelled; blocks the calling worker thread.
 
@@ -93,6 +101,7 @@
         priority: Priority in the engine, 0 to 9.
         owner: Label of this process; other gateways use it to cancel the request if this process
             dies.
+        is_outdated: Called just before the request is sent; True prevents that.
     """
     stream = engines.open(
         EngineCall(
@@ -104,7 +113,8 @@
             priority=priority,
             timeout_s=RESPONSE_TIMEOUT_S,
             owner=owner,
-        )
+        ),
+        is_outdated=is_outdated,
     )
     if isinstance(stream, Failure):
         return _handle_failure(engines, work, address, stream)
--- a/src/leverjunction/gateway/harvest.py
+++ b/src/leverjunction/gateway/harvest.py
@@ -29,6 +29,7 @@
         incarnation: Start time of this process in milliseconds.
         is_in_doubt: Returns whether the gateway's view may be outdated, so that no batch item may
             be started.
+        last_pause_end_s: Returns when the last detected pause of this process ended, in seconds.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         registry: CollectorRegistry,
         incarnation: int,
         is_in_doubt: Callable[[], bool],
+        last_pause_end_s: Callable[[], float],
     ) -> None:
         self._config = config
         self._harvester = Harvester(
@@ -51,6 +53,7 @@
             registry,
             incarnation,
             is_in_doubt,
+            last_pause_end_s,
         )
 
     def update(
--- a/src/leverjunction/gateway/runtime.py
+++ b/src/leverjunction/gateway/runtime.py
@@ -89,6 +89,7 @@
             self.counters.registry,
             self.incarnation,
             self.view.is_in_doubt,
+            self.view.last_pause_end_s,
         )
         self.sweeper = OrphanSweeper(
             self.engines, self.clock, self.counters, config.name, self.incarnation
--- a/src/testbed/simulation/gateway_node.py
+++ b/src/testbed/simulation/gateway_node.py
@@ -259,6 +259,7 @@
             self.counters.registry,
             self._incarnation_ms,
             self.view.is_in_doubt,
+            self.view.last_pause_end_s,
         )
         self.sweeper = OrphanSweeper(
             self.engines, machine, self.counters, self.name, self._incarnation_ms
--- a/tests/unit/batch_support.py
+++ b/tests/unit/batch_support.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from leverjunction.backends.client import outdated_failure
+from leverjunction.backends.head_wait import IsOutdated
 from leverjunction.backends.types import EngineCall
 from leverjunction.batch.state_machine import JobsStateMachine
 from leverjunction.consensus.api import ApplyContext
@@ -86,7 +88,11 @@
         self.changed = threading.Condition()
         self._open: dict[str, EngineCall] = {}
 
-    def open(self, call: EngineCall) -> FakeStream | Failure:
+    def open(
+        self, call: EngineCall, *, is_outdated: IsOutdated | None = None
+    ) -> FakeStream | Failure:
+        if is_outdated is not None and is_outdated():
+            return outdated_failure(call.address)
         with self.changed:
             self.calls.append(call)
             self._open[call.request_id] = call
--- a/tests/unit/test_batch_harvest_state.py
+++ b/tests/unit/test_batch_harvest_state.py
@@ -6,6 +6,7 @@
 import pytest
 from prometheus_client import CollectorRegistry
 
+from leverjunction.backends.head_wait import IsOutdated
 from leverjunction.backends.types import EngineCall, LoadReport
 from leverjunction.batch.batch_counters import HarvestCounters
 from leverjunction.batch.commands import ItemInput, ItemState, Lease, LeasedItem
@@ -203,7 +204,7 @@
     def __init__(self, failure: Failure) -> None:
         self._failure = failure
 
-    def open(self, _call: EngineCall) -> Failure:
+    def open(self, _call: EngineCall, *, is_outdated: IsOutdated | None = None) -> Failure:
         return self._failure
 
     def cancel(self, _address: str, _request_id: str) -> None:
--- a/tests/unit/test_batch_lost_answers.py
+++ b/tests/unit/test_batch_lost_answers.py
@@ -21,6 +21,7 @@
 from tests.unit.test_batch_harvest_state import REPORT, held_state
 from tests.unit.test_batch_harvester import WAIT_S, World
 
+from leverjunction.backends.head_wait import IsOutdated
 from leverjunction.backends.types import EngineCall, HeldRequest
 from leverjunction.batch.commands import ItemState
 from leverjunction.batch.harvest_state import LOST_RUNNER_S
@@ -50,12 +51,14 @@
         self.lists: list[HeldRequest] | Failure = []
         self._asked: set[str] = set()
 
-    def open(self, call: EngineCall) -> FakeStream | Failure:
+    def open(
+        self, call: EngineCall, *, is_outdated: IsOutdated | None = None
+    ) -> FakeStream | Failure:
         with self.changed:
             is_first = call.request_id not in self._asked
             self._asked.add(call.request_id)
         if not is_first:
-            return super().open(call)
+            return super().open(call, is_outdated=is_outdated)
         self.finished.wait()
         reason = "the test is over"
         return Failure(
--- a/tests/unit/test_gateway_standstill.py
+++ b/tests/unit/test_gateway_standstill.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import pytest
+from prometheus_client import CollectorRegistry
 from tests.unit.gateway_support import CHAT, SERVICE, Fleet, wait_until
 from tests.unit.test_batch_harvester import World
 
@@ -220,3 +221,30 @@
     finally:
         world.engines.release()
         world.harvester.stop()
+
+
+def test_no_batch_item_is_sent_by_a_check_from_before_a_standstill() -> None:
+    """A pause between the last check and the send must not let an item begin at its runner."""
+    world = World()
+    world.harvester.stop()
+    registry = CollectorRegistry()
+    pause_ends_s = iter([-1.0, 5.0])
+    world.harvester = Harvester(
+        world.control,
+        world.engines,
+        world.clock,
+        random.Random(3),
+        "gateway-1",
+        registry,
+        last_pause_end_s=lambda: next(pause_ends_s, 5.0),
+    )
+    try:
+        world.submit(1)
+        world.start()
+        assert world.wait_job(lambda view: view.done == 1).discarded == 0
+        assert len(world.engines.calls) == 1
+        ends = registry.get_sample_value("leverjunction_batch_ends_total", {"end": "not_run"})
+        assert ends == 1
+    finally:
+        world.engines.release()
+        world.harvester.stop()
