Choose back ends again after a standstill on the routed side

Runs of items are placed in one step and sent by tasks of their own. A standstill in between sent them to a back end that had left meanwhile. Besides, a step of the store that leads jobs applied the registry's state before it asked whether that is in doubt: a reply between the two ended the doubt, and items were placed by the state from before.

Why it works: each attempt keeps the end of the last pause that was known before its state was read and compares it just before it writes, after the connection is open. A held back request was not sent: the back end is not counted as tried, nor the attempt as declined, and a back end is chosen again. An item waits for the next step. The store asks for the doubt before it applies the state.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -72,8 +73,19 @@
         self._isolation = isolation
         self._quarantine = isolation.quarantine
 
-    async def attempt(self, run: ItemRun, runner: TrackedRunner) -> bool:
-        """Run an item once at a back end; return whether the item has ended."""
+    async def attempt(
+        self,
+        run: ItemRun,
+        runner: TrackedRunner,
+        is_outdated: Callable[[], bool] = lambda: False,
+    ) -> bool:
+        """Run an item once at a back end; return whether the item has ended.
+
+        Args:
+            run: The item.
+            runner: The back end.
+            is_outdated: Called just before the request is sent; True prevents that.
+        """
         request = self._build_request(run.item)
         if request is None or not self.load_progress(run):
             run.trace.set_end(RunEnd.NO_BODY if request is None else RunEnd.NO_PROGRESS)
@@ -82,9 +94,15 @@
         if not self._isolation.may_send(run):
             run.trace.set_end(RunEnd.QUARANTINED)
             return False
-        return await self._run(run, runner, request)
+        return await self._run(run, runner, request, is_outdated)
 
-    async def _run(self, run: ItemRun, runner: TrackedRunner, request: CallerRequest) -> bool:
+    async def _run(
+        self,
+        run: ItemRun,
+        runner: TrackedRunner,
+        request: CallerRequest,
+        is_outdated: Callable[[], bool],
+    ) -> bool:
         """Send an item's request and read the response; return whether the item has ended."""
         loop = asyncio.get_running_loop()
         if run.silent_runs:
@@ -103,6 +121,7 @@
                 head_timeouts=HeadTimeouts.without_hedge(
                     loop.time() + silence_s(run.item.due_ms, run.silent_runs)
                 ),
+                is_outdated=is_outdated,
             )
         )
         if isinstance(response, Failure):
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -199,6 +199,7 @@
                 datagrams=self._address,
                 report=self._reporter,
                 is_in_doubt=self._follower.is_in_doubt,
+                last_pause_end_s=self._follower.last_pause_end_s,
             )
             self._local[JOBS_GROUP] = replica
             self._runner.start()
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+import math
 import threading
 import time
 from collections.abc import Callable, Coroutine
@@ -107,6 +108,7 @@
         datagrams: str = "",
         report: EvidenceReporter | None = None,
         is_in_doubt: Callable[[], bool] = lambda: False,
+        last_pause_end_s: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         """Prepare a runner.
 
@@ -121,9 +123,13 @@
             report: Receives the evidence against items whose back ends crash.
             is_in_doubt: Returns whether this process was suspended and has not heard from the
                 registry since; no run is started meanwhile.
+            last_pause_end_s: Returns when the last detected suspension of this process ended; a
+                run that was placed before it is not sent.
         """
         self._report = report
         self._is_in_doubt = is_in_doubt
+        self._last_pause_end_s = last_pause_end_s
+        self._pause_end_s = -math.inf
         self._datagrams = datagrams
         self._group = group
         self._zone = zone
@@ -322,6 +328,10 @@
         # Results come first: recording them must not depend on the success of the rest of the step.
         self._record()
         self._read_if_due()
+        self._pause_end_s = self._last_pause_end_s()
+        # Checked before the registry's state is applied: a reply in between makes only the next
+        # state current.
+        is_in_doubt = self._is_in_doubt()
         self._apply_registry()
         self._adopt_suspects()
         index = self._index
@@ -333,7 +343,7 @@
         self._park()
         self._end_lost_runs()
         self._rank(index)
-        if not self._is_in_doubt():
+        if not is_in_doubt:
             self._start_runs(index)
         self._loads.account(self._queue.count_waiting)
 
@@ -533,7 +543,9 @@
         slot = OccupiedSlot(self._loads.capacity_at(runner))
         run.assign_to(runner.record.start)
         self._monitor.run_started(run)
-        run.task = asyncio.get_running_loop().create_task(self._run(run, runner, slot))
+        run.task = asyncio.get_running_loop().create_task(
+            self._run(run, runner, slot, self._pause_end_s)
+        )
         # A task that is cancelled before its first step runs none of its own code, so a callback
         # cleans up.
         run.task.add_done_callback(lambda _task: self._run_ended(run, slot))
@@ -557,13 +569,17 @@
         age_s = (self._clock.wall_ms() - item.accepted_ms) / 1000
         return item.give_up_s > 0 and age_s > item.give_up_s + GIVE_UP_MARGIN_S
 
-    async def _run(self, run: ItemRun, runner: TrackedRunner, slot: OccupiedSlot) -> None:
+    async def _run(
+        self, run: ItemRun, runner: TrackedRunner, slot: OccupiedSlot, pause_end_s: float
+    ) -> None:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         earlier_events = run.stream.total
         ended = False
         try:
-            ended = await self._attempts.attempt(run, runner)
+            ended = await self._attempts.attempt(
+                run, runner, lambda: self._last_pause_end_s() != pause_end_s
+            )
             run.consecutive_errors = 0
         except Exception:
             # Without this pause an item that cannot be sent is retried at each ranking, each time
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -13,7 +13,13 @@
     RawHeaders,
     RequestMetadata,
 )
-from leverjunction.proxy.dispatch import Dispatch, LateHead, OpenedResponse, late_failure
+from leverjunction.proxy.dispatch import (
+    Dispatch,
+    LateHead,
+    OpenedResponse,
+    late_failure,
+    outdated_failure,
+)
 from leverjunction.proxy.headers import end_to_end, find
 from leverjunction.proxy.prompt import PREFILL_TOKENS_PER_MS
 from leverjunction.proxy.runner_connection import (
@@ -187,6 +193,9 @@
             if left_ms < 1:
                 connection.close()
                 return late_failure(runner, Execution.NOT_RUN)
+            if dispatch.is_outdated():
+                connection.close()
+                return outdated_failure(runner)
             sent_s = self._write(connection, dispatch, left_ms)
             if await self._head_is_late(connection, dispatch, sent_s):
                 return LateHead(dispatch, connection, sent_s)
--- a/src/leverjunction/proxy/dispatch.py
+++ b/src/leverjunction/proxy/dispatch.py
@@ -44,10 +44,13 @@
         last_event_id: Event after which to continue a stream; empty for a whole stream.
         until_s: When the whole response must be there, in the loop's time.
         head_timeouts: Limits of waiting for the response head.
+        is_outdated: Called just before the request is sent; True if the back end may be leaving
+            since, so that it must be chosen again.
     """
 
     __slots__ = (
         "head_timeouts",
+        "is_outdated",
         "last_event_id",
         "metadata",
         "repeatable",
@@ -66,6 +69,7 @@
         last_event_id: str,
         until_s: float,
         head_timeouts: HeadTimeouts,
+        is_outdated: Callable[[], bool] = lambda: False,
     ) -> None:
         self.request = request
         self.metadata = metadata
@@ -74,6 +78,7 @@
         self.last_event_id = last_event_id
         self.until_s = until_s
         self.head_timeouts = head_timeouts
+        self.is_outdated = is_outdated
 
 
 class OpenedResponse:
@@ -139,4 +144,21 @@
     )
 
 
-__all__ = ["Dispatch", "HeadTimeouts", "LateHead", "OpenedResponse", "late_failure"]
+def outdated_failure(runner: TrackedRunner) -> Failure:
+    """Return the failure of an attempt that was not sent because its choice is outdated."""
+    return Failure(
+        kind=FailureKind.STALE,
+        reason="the process was suspended after the choice of the back end",
+        step=Step.SENDING,
+        peer=runner.record.address,
+    )
+
+
+__all__ = [
+    "Dispatch",
+    "HeadTimeouts",
+    "LateHead",
+    "OpenedResponse",
+    "late_failure",
+    "outdated_failure",
+]
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -98,6 +98,7 @@
         origins: StreamOrigins | None = None,
         max_key_age_s: float = math.inf,
         limiter: LocalLimiter | None = None,
+        last_pause_end_s: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         """Create a forwarder without a route table.
 
@@ -122,6 +123,8 @@
             max_key_age_s: Age of the route table from which no API key is accepted, in seconds.
             limiter: Applies the tenants' limits; None to create one that knows only the requests of
                 this gateway.
+            last_pause_end_s: Returns when the last detected stall of this process ended; back ends
+                that were chosen before are chosen again.
         """
         self._sender = sender
         self._balancer = balancer
@@ -134,7 +137,7 @@
         self._gate = gate
         self._quarantine = quarantine or Quarantine()
         self._origins = origins or StreamOrigins()
-        self._freshness = FreshnessGate(is_in_doubt)
+        self._freshness = FreshnessGate(is_in_doubt, last_pause_end_s)
         self._retrying_sender = RetryingSender(
             sender, balancer, decision_log, self._quarantine, self._freshness
         )
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -126,6 +126,7 @@
             self._origins,
             config.bounds.max_key_age_s(),
             self._limiter,
+            self._follower.last_pause_end_s,
         )
         self._snapshot_publisher = SnapshotPublisher(
             {
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -79,7 +79,7 @@
         """
         declined = 0
         while True:
-            await self._freshness.wait(routed.until_s)
+            pause_end_s = await self._freshness.wait(routed.until_s)
             now_s = self._loop.time()
             if now_s >= routed.until_s:
                 return out_of_time(routed.execution)
@@ -91,7 +91,7 @@
                 return no_runner_of_version(routed.origin)
             if choice is None:
                 return no_runner(routed.service)
-            response = await self._send_once(routed, choice, last_event_id)
+            response = await self._send_once(routed, choice, last_event_id, pause_end_s)
             if isinstance(response, LateHead):
                 if self._has_untried(routed):
                     return await self._hedge(routed, choice, response, last_event_id)
@@ -99,6 +99,9 @@
                 response = response.failure
             elif not isinstance(response, Failure):
                 return response
+            elif response.kind is FailureKind.STALE:
+                # Nothing was sent, so this is no attempt: a back end is chosen again.
+                continue
             if response.execution is Execution.NOT_RUN:
                 declined += 1
                 if declined >= MAX_DECLINES:
@@ -108,10 +111,11 @@
                 return response
 
     async def _send_once(
-        self, routed: RoutedRequest, choice: Choice, last_event_id: str
+        self, routed: RoutedRequest, choice: Choice, last_event_id: str, pause_end_s: float
     ) -> OpenedResponse | LateHead | Failure:
         """Send a request to a back end once, and record the outcome."""
         runner = choice.runner
+        is_new = runner.record.start not in routed.tried
         routed.tried.add(runner.record.start)
         routed.first_output_s = None
         routed.runner_id = runner.record.start
@@ -125,8 +129,11 @@
                 last_event_id=last_event_id,
                 until_s=routed.until_s,
                 head_timeouts=self._head_timeouts(routed, sent_s),
+                is_outdated=lambda: self._freshness.was_suspended_since(pause_end_s),
             )
         )
+        if isinstance(response, Failure) and response.kind is FailureKind.STALE and is_new:
+            routed.tried.discard(runner.record.start)
         if isinstance(response, LateHead):
             self._decision_log.sent(routed, choice, response.failure, sent_s, self._loop.time())
             routed.note_run()
--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -126,6 +126,10 @@
         """Return whether this process stalled and has not confirmed its state since."""
         return self._freshness.is_in_doubt(self._clock.monotonic_s())
 
+    def last_pause_end_s(self) -> float:
+        """Return when the last detected stall of this process ended; see ``Freshness``."""
+        return self._freshness.last_pause_end_s(self._clock.monotonic_s())
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             try:
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -39,6 +39,7 @@
         address: ``host:port`` on which it listens.
         table_age_s: Maximum age of its route table, in seconds.
         is_in_doubt: Whether its process stalled and has not heard from the registry since.
+        pause_end_s: When the last stall of its process ended, in seconds.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self.address = ""
         self.table_age_s = 0.0
         self.is_in_doubt = False
+        self.pause_end_s = 0.0
 
     def __enter__(self) -> Proxy:
         self._thread.start()
@@ -124,6 +126,7 @@
             in_force_s=2.0,
             is_in_doubt=lambda: self.is_in_doubt,
             origins=self.origins,
+            last_pause_end_s=lambda: self.pause_end_s,
         )
         if self._table is not None:
             self.forwarder.set_table(RouteIndex(self._table))
