Do not take another hub's machine list for a fresh reading

What was wrong: a hub that was paused answers gateways only once it has read the machine list again. If the platform does not answer, the hub reads the list of another hub, and that ended the doubt although the other hub may have read it before the pause. Gateways then took the hub's view for current, and a runner that had begun to leave could get new work. Found by reading; not seen in a run of a fleet.

Why it works: such a list is applied, but only the platform's answer ends the doubt.

--- a/src/leverjunction/control/machine_source.py
+++ b/src/leverjunction/control/machine_source.py
@@ -49,25 +49,32 @@
         start_s = self._hub.begin_machine_list_read(MAX_READ_S)
         listed = self._platform.read()
         self._log_change(listed)
-        if isinstance(listed, Failure):
-            listed = self._read_from_hub(listed)
         if isinstance(listed, MachineList):
             self._hub.update_machine_list(listed, start_s)
+        else:
+            self._read_from_hub()
         self._hub.begin_machine_list_read(self._interval_s)
 
-    def _read_from_hub(self, failure: Failure) -> MachineList | Failure:
+    def _read_from_hub(self) -> None:
+        """Apply the list of another hub if it is newer than the own one.
+
+        It does not count as a reading from now: the other hub may have read it long ago, for
+        example before all processes were paused.
+        """
         own_ms = self._hub.machine_list_as_of_ms()
         newer = [hub for hub in self._hub.live_hubs() if hub.machine_list_as_of_ms > own_ms]
         if not newer:
-            return failure
+            return
         best = max(newer, key=lambda hub: hub.machine_list_as_of_ms)
-        return self._rpc.call(
+        listed = self._rpc.call(
             best.rpc_address,
             MessageKind.MACHINE_LIST,
             Acknowledged(),
             MachineList,
             timeout_s=PEER_TIMEOUT_S,
         )
+        if isinstance(listed, MachineList):
+            self._hub.update_machine_list(listed)
 
     def _log_change(self, listed: MachineList | Failure) -> None:
         if isinstance(listed, Failure) and not self._failing:
