Gateway: count a crash that is noticed late as the early one it was

A stream that crashes each engine after its first event crashed a fourth engine, where three are allowed: once in a whole test run at load 10 to 20, row "after the first event, which came late-two gateways". Its second and third crash were 0.84 s apart, the first and second 0.62 s.

A gateway or an engine that is slow between the event and the end of the connection turned an early crash into a late one. That this was the cause of that failure is not shown, since its log does not say which crash counted as late; the log says so now.

The age is now the time from the first event to the last one, as in lots.item_run: what was being produced, not when its end was noticed. Comments are no events.

Tests, before: 9 engines in both rows of "a while after the first event", and 4 in test_a_crash_that_is_noticed_late_counts_in_full (end read 0.4 s late, once), as in the failure. After: 3 in each. In the run of both files with this change (load 30 to 60) 26 pass and one fails with 4 engines; its row was not printed.

--- a/src/leverjunction/backends/sse.py
+++ b/src/leverjunction/backends/sse.py
@@ -33,6 +33,10 @@
 
 def has_event(data: bytes) -> bool:
     """Return whether complete server-sent data hold an event, besides comments."""
+    first, _, _ = data.partition(b"\n\n")
+    if first.startswith(b"data:") or b"\ndata:" in first:
+        # Called for each part of a stream: most need no parsing.
+        return True
     return any(True for _ in SseParser().feed(data))
 
 
--- a/src/leverjunction/gateway/crashing_requests.py
+++ b/src/leverjunction/gateway/crashing_requests.py
@@ -17,6 +17,7 @@
 from leverjunction.clock import Clock
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.online_request import OnlineRequest
+from leverjunction.gateway.relay_stream import OutputTimes
 from leverjunction.quarantine.records import EndedRun, SharedRecord
 from leverjunction.quarantine.request_key import RequestContent, request_key
 from leverjunction.quarantine.shared_evidence import SharedEvidence
@@ -87,7 +88,7 @@
         )
 
     def lost(
-        self, request: OnlineRequest, start: str, address: str, first_output_s: float | None
+        self, request: OnlineRequest, start: str, address: str, output: OutputTimes | None
     ) -> str:
         """Record a run that its engine broke off; it counts if the engine has crashed.
 
@@ -95,16 +96,22 @@
             request: The request.
             start: Runner and incarnation that ran it.
             address: ``host:port`` of the engine.
-            first_output_s: Monotonic time at which the response began; None if it did not.
+            output: Times of the response's events; None if it did not begin.
 
         Returns:
             The request's key, to be passed to ``on_crash``; empty if the engine has not crashed.
         """
-        has_run_on = ran_on(first_output_s, self._clock.monotonic_s())
+        has_run_on = output is not None and ran_on(output.first_s, output.last_s)
         if not self._has_crashed(address):
             return ""
         key = request_key(_content(request))
-        logger.warning("back end {} crashed while it ran request {} ({})", start, key, address)
+        logger.warning(
+            "back end {} crashed {} while it ran request {} ({})",
+            start,
+            "late" if has_run_on else "early",
+            key,
+            address,
+        )
         run = EndedRun(key=key, start=start, request_id=request.request_id, ran_on=has_run_on)
         with self._lock:
             self._evidence.ended(run, self._clock.monotonic_s())
--- a/src/leverjunction/gateway/relay.py
+++ b/src/leverjunction/gateway/relay.py
@@ -25,6 +25,7 @@
     DONE_EVENT,
     LAST_CHUNK,
     EngineSide,
+    OutputTimes,
     Registration,
     RelayStream,
     ResponseComplete,
@@ -186,7 +187,7 @@
         """Start to relay from an engine's side."""
         stream.engine = engine
         stream.partial = b""
-        stream.first_event_s = None
+        stream.output = None
         stream.paused = True
         engine.connection.setblocking(False)
         self._resume_engine(stream)
@@ -216,8 +217,8 @@
         events = stream.complete_events(data)
         if not events:
             return
-        if stream.first_event_s is None and has_event(events):
-            stream.first_event_s = stream.last_byte_s
+        if has_event(events):
+            stream.note_output(stream.last_byte_s)
         stream.transcript += events
         frame = stream.encode_body(events)
         if events.endswith(DONE_EVENT):
@@ -276,20 +277,18 @@
 
     def _request_repair(self, stream: RelayStream, failure: Failure) -> None:
         """Run the stream's repair callback in a helper thread."""
-        self._helpers.submit(
-            self._repair, stream, bytes(stream.transcript), failure, stream.first_event_s
-        )
+        self._helpers.submit(self._repair, stream, bytes(stream.transcript), failure, stream.output)
 
     def _repair(
         self,
         stream: RelayStream,
         transcript: bytes,
         failure: Failure,
-        first_event_s: float | None,
+        output: OutputTimes | None,
     ) -> None:
         outcome: EngineSide | ResponseComplete | Failure
         try:
-            outcome = stream.callbacks.repair(transcript, failure, first_event_s)
+            outcome = stream.callbacks.repair(transcript, failure, output)
         except Exception:
             logger.exception("unexpected error during the repair of a stream")
             outcome = failure
--- a/src/leverjunction/gateway/relay_stream.py
+++ b/src/leverjunction/gateway/relay_stream.py
@@ -16,21 +16,35 @@
 LAST_CHUNK = b"0\r\n\r\n"
 
 
+class OutputTimes(NamedTuple):
+    """When a run produced output, in monotonic seconds.
+
+    The end of a run is not among them: it is noticed late by a busy process.
+
+    Attributes:
+        first_s: Arrival of the first event.
+        last_s: Arrival of the last event.
+    """
+
+    first_s: float
+    last_s: float
+
+
 class StreamCallbacks(msgspec.Struct, frozen=True, kw_only=True):
     """Callbacks from the relay loop to the owner of a stream.
 
     Attributes:
         repair: Called in a helper thread when the engine's side failed before the end of the
-            stream, with the transcript, the failure, and the time of the first event from this
-            side, in monotonic seconds, or None. Returns a new engine's side, or that the response
-            was already complete, or the failure that ends the stream.
+            stream, with the transcript, the failure, and the times of the events from this side,
+            None without any. Returns a new engine's side, or that the response was already
+            complete, or the failure that ends the stream.
         on_end: Called in a helper thread at the end of the stream, with the transcript and the
             reason for an early end or None.
         error_event: Returns the server-sent event that reports a failure to the caller.
         runner_is_healthy: Returns whether the gateway that owns the runner can reach it.
     """
 
-    repair: Callable[[bytes, Failure, float | None], EngineSide | ResponseComplete | Failure]
+    repair: Callable[[bytes, Failure, OutputTimes | None], EngineSide | ResponseComplete | Failure]
     on_end: Callable[[bytes, Failure | None], None]
     error_event: Callable[[Failure], bytes]
     runner_is_healthy: Callable[[], bool]
@@ -88,9 +102,9 @@
         "engine",
         "failure",
         "finishing",
-        "first_event_s",
         "initial_failure",
         "last_byte_s",
+        "output",
         "partial",
         "paused",
         "queued",
@@ -118,10 +132,15 @@
         self.paused = False
         self.client_half_closed = False
         self.last_byte_s = 0.0
-        self.first_event_s: float | None = None
+        self.output: OutputTimes | None = None
         self.finishing = False
         self.failure: Failure | None = None
 
+    def note_output(self, now_s: float) -> None:
+        """Record that an event has arrived from the engine's side."""
+        first_s = now_s if self.output is None else self.output.first_s
+        self.output = OutputTimes(first_s, now_s)
+
     def complete_events(self, data: bytes) -> bytes:
         """Return the complete events in ``data`` and keep the rest for the next call.
 
--- a/src/leverjunction/gateway/sender.py
+++ b/src/leverjunction/gateway/sender.py
@@ -23,6 +23,7 @@
     OnlineRequest,
     OpenResponse,
 )
+from leverjunction.gateway.relay_stream import OutputTimes
 from leverjunction.gateway.retry import RetryBudget, may_retry
 from leverjunction.gateway.routing import Candidate, Choice, free_slots
 from leverjunction.gateway.runner_pool import RunnerPool
@@ -168,19 +169,19 @@
         return self._crashing_requests.refusal(request, execution)
 
     def run_lost(
-        self, request: OnlineRequest, attempt: Attempt, first_output_s: float | None
+        self, request: OnlineRequest, attempt: Attempt, output: OutputTimes | None
     ) -> None:
         """Record a run that its engine broke off; an engine that has crashed is ejected.
 
         Args:
             request: The request.
             attempt: The attempt.
-            first_output_s: Monotonic time at which the response began; None if it did not.
+            output: Times of the response's events; None if it did not begin.
         """
         start = self._pool.start_of(attempt.runner_id)
         if self._crashing_requests is None or not start:
             return
-        key = self._crashing_requests.lost(request, start, attempt.address, first_output_s)
+        key = self._crashing_requests.lost(request, start, attempt.address, output)
         if not key:
             return
         ejected_s = self._pool.record_crash(attempt.runner_id)
--- a/src/leverjunction/gateway/stream_session.py
+++ b/src/leverjunction/gateway/stream_session.py
@@ -21,6 +21,7 @@
 from leverjunction.gateway.online_request import Attempt, OnlineRequest, OpenResponse
 from leverjunction.gateway.relay_stream import (
     EngineSide,
+    OutputTimes,
     RelayStream,
     ResponseComplete,
     StreamCallbacks,
@@ -75,7 +76,7 @@
         self._segment_start = 0
         self._last_repair_length = -1
         self._repairs_without_progress = 0
-        self._first_event_s: float | None = None
+        self._output: OutputTimes | None = None
         self._on_end = on_end
         self._lock = threading.Lock()
         self._is_ended = False
@@ -115,14 +116,14 @@
         return b"event: error\ndata: %b\n\n" % error_body(failure, self._request.request_id)
 
     def repair(
-        self, transcript: bytes, failure: Failure, first_event_s: float | None
+        self, transcript: bytes, failure: Failure, output: OutputTimes | None
     ) -> EngineSide | ResponseComplete | Failure:
         """Reconnect a broken stream: on the same runner, on another runner, or not at all.
 
         Args:
             transcript: All events that were relayed to the caller so far.
             failure: The failure that broke the stream.
-            first_event_s: Monotonic time of the first event since the last repair, or None.
+            output: Times of the events since the last repair, None without any.
 
         Returns:
             The engine's side to relay from; ``ResponseComplete`` if the response was already
@@ -133,10 +134,12 @@
         if progress.finished:
             return ResponseComplete()
         # A resumed response belongs to the same run, which began with its very first event.
-        if self._first_event_s is None:
-            self._first_event_s = first_event_s
+        if self._output is None:
+            self._output = output
+        elif output is not None:
+            self._output = self._output._replace(last_s=output.last_s)
         # A continued response counts as the same request: its key is that of the received body.
-        self._dependencies.sender.run_lost(self._request, self._attempt, self._first_event_s)
+        self._dependencies.sender.run_lost(self._request, self._attempt, self._output)
         if not self._may_repair(len(transcript)):
             return self._give_up(failure, "it broke repeatedly without progress")
         resumed = self._resume(progress)
@@ -247,7 +250,7 @@
             is_ended = self._is_ended
             previous, self._attempt = self._attempt, self._attempt if is_ended else response.attempt
         self._attempt_number = response.attempt.number
-        self._first_event_s = None
+        self._output = None
         if is_ended:
             response.stream.close()
             self._close(response.attempt, cancel=True)
--- a/tests/unit/test_gateway_crashing_streams.py
+++ b/tests/unit/test_gateway_crashing_streams.py
@@ -23,6 +23,10 @@
     wait_until,
 )
 
+from leverjunction.backends.sse import has_event
+from leverjunction.gateway.relay import RelayLoop
+from leverjunction.gateway.relay_stream import RelayStream
+
 pytestmark = pytest.mark.usefixtures("extended_poll_timeout")
 
 ENGINES = 12
@@ -39,10 +43,12 @@
     Attributes:
         wait_s: Time before the first event, or before the crash without events.
         events: Events before the crash.
+        silence_s: Time between the last event and the crash.
     """
 
     wait_s: float
     events: int
+    silence_s: float = 0.0
 
 
 COURSES = {
@@ -50,6 +56,7 @@
     "after some events": Course(0.0, 2),
     "at the end of a long wait": Course(0.5, 0),
     "after the first event, which came late": Course(0.5, 1),
+    "a while after the first event": Course(0.0, 1, silence_s=0.5),
 }
 
 
@@ -75,6 +82,7 @@
         time.sleep(self.course.wait_s)
         for number in range(self.course.events):
             yield sse_chunk(number + 1, WORDS[done + number] + " ")
+        time.sleep(self.course.silence_s)
         self.is_crashed = True
         # The port refuses connections from now on, as after the end of the process.
         self._server.socket.close()
@@ -128,3 +136,44 @@
     assert fleet.crashes() <= MAX_CRASHES
     assert answers[-1].status == 400
     assert json.loads(answers[-1].data)["error"]["code"] == "harmful"
+
+
+def test_a_crash_that_is_noticed_late_counts_in_full(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against crashes that count a third because a busy gateway noticed them late.
+
+    The failure: an engine crashed after the first event, and the gateway read the end of its
+    connection over 0.25 s after the event. The stream crashed a fourth engine.
+    """
+    notice = RelayLoop._handle_engine_failure
+    delays_s = iter([0.0, 0.4])
+
+    def notice_late(self: RelayLoop, stream: RelayStream, reason: str) -> None:
+        time.sleep(next(delays_s, 0.0))
+        notice(self, stream, reason)
+
+    monkeypatch.setattr(RelayLoop, "_handle_engine_failure", notice_late)
+    fleet = CrashingFleet(tmp_path, 1, COURSES["after the first event, which came late"])
+    try:
+        answers = [fleet.send(0) for _ in range(TRIES)]
+    finally:
+        fleet.stop()
+    assert fleet.crashes() <= MAX_CRASHES
+    assert answers[-1].status == 400
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (b": comment\n\n", False),
+        (b": data: of a comment\n\n", False),
+        (b"event: without data\n\n", False),
+        (b": comment\n\ndata: x\n\n", True),
+        (b"id: 1\ndata: x\n\n", True),
+        (b"id: 1\r\ndata: x\r\n\r\n", True),
+        (b"data\n\n", True),
+    ],
+)
+def test_comments_are_no_output(data: bytes, expected: bool) -> None:
+    assert has_event(data) is expected
