Gateway: tell a caller of a verdict once other gateways have heard it

The crash from which a request is refused now waits for up to 1 s (two messages to a peer, one after the other) for all gateways that answer. It delays only the callers of refused requests. Gateways whose last message failed are waited for 0.1 s, as before.

--- a/src/leverjunction/gateway/crashing_requests.py
+++ b/src/leverjunction/gateway/crashing_requests.py
@@ -142,6 +142,11 @@
         with self._lock:
             return self._evidence.records(keys, self._clock.monotonic_s())
 
+    def is_refused(self, key: str) -> bool:
+        """Return whether the request with this key has crashed too many engines."""
+        with self._lock:
+            return self._suspects.standing(key) is Standing.REFUSED
+
     def newest_records(self) -> list[SharedRecord]:
         """Return what is known about the requests with the newest evidence."""
         with self._lock:
--- a/src/leverjunction/gateway/evidence_sharing.py
+++ b/src/leverjunction/gateway/evidence_sharing.py
@@ -28,6 +28,7 @@
     EvidenceReply,
     SharedRecord,
 )
+from leverjunction.wire.control_client import EVIDENCE_TIMEOUT_S
 from leverjunction.wire.messages import GatewayState
 from leverjunction.wire.peer_calls import PeerCalls
 
@@ -36,6 +37,12 @@
 again, here or by its caller at another gateway.
 """
 
+VERDICT_HEARD_TIMEOUT_S = 2 * EVIDENCE_TIMEOUT_S
+"""Longest wait until the gateways that answer have heard of the crash from which a request is
+refused: it ends here, and its caller may send it again elsewhere at once. A message to a gateway
+may wait for the one before it.
+"""
+
 SHARING_THREADS = 8
 MAX_PENDING_KEYS = 1_000
 """Maximum number of requests that wait for a message to one peer; more are not sent to it."""
@@ -129,9 +136,23 @@
         self._calls = PeerCalls(self._threads, SHARING_THREADS, clock, max_wait_s=math.inf)
 
     def crashed(self, key: str) -> None:
-        """Tell the other gateways of a crash; waits for them for at most ``HEARD_TIMEOUT_S``."""
-        if not self._publish(key).wait(HEARD_TIMEOUT_S):
+        """Tell the other gateways of a crash, and wait until they have heard of it.
+
+        The wait is longer if the request is refused from now on (``VERDICT_HEARD_TIMEOUT_S``), but
+        not for gateways whose last message failed.
+        """
+        began_s = self._clock.monotonic_s()
+        answering, failing = self._by_last_message(self._peers(self._view.snapshot))
+        heard, heard_by_failing = self._tell(answering, [key]), self._tell(failing, [key])
+        timeout_s = HEARD_TIMEOUT_S
+        if self._requests.is_refused(key):
+            timeout_s = VERDICT_HEARD_TIMEOUT_S
+        is_heard = heard.wait(timeout_s)
+        left_s = began_s + HEARD_TIMEOUT_S - self._clock.monotonic_s()
+        is_heard &= heard_by_failing.wait(max(0.0, left_s))
+        if not is_heard:
             self._counters.crash_evidence.labels("unheard").inc()
+            logger.info("some gateways may not have heard of a crash during request {} yet", key)
 
     def answered(self, key: str) -> None:
         """Tell the other gateways that a suspect request got a complete response."""
@@ -164,6 +185,17 @@
         ]
         return sorted(peers, key=lambda peer: peer.zone != self._zone)
 
+    def _by_last_message(
+        self, peers: list[GatewayState]
+    ) -> tuple[list[GatewayState], list[GatewayState]]:
+        """Return the peers whose last message did not fail, and the others."""
+        with self._lock:
+            failing = set(self._failing)
+        return (
+            [peer for peer in peers if _name(peer) not in failing],
+            [peer for peer in peers if _name(peer) in failing],
+        )
+
     def _publish(self, key: str) -> Countdown:
         return self._tell(self._peers(self._view.snapshot), [key])
 
--- a/tests/unit/test_evidence_sharing.py
+++ b/tests/unit/test_evidence_sharing.py
@@ -194,6 +194,38 @@
     proceed.set()
 
 
+def test_a_verdict_waits_for_gateways_that_answer_only(
+    make_sharing: Callable[..., Sharing], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(evidence_sharing, "VERDICT_HEARD_TIMEOUT_S", 30.0)
+    sharing = make_sharing(state_of(1), state_of(2))
+    proceed, slow = threading.Event(), threading.Event()
+
+    def silent() -> EvidenceReply:
+        proceed.wait(30.0)
+        return EvidenceReply()
+
+    def late() -> EvidenceReply:
+        slow.wait(4 * HEARD_TIMEOUT_S)
+        return EvidenceReply()
+
+    failure = Failure(kind=FailureKind.TIMEOUT, reason="no answer", step=Step.SENDING)
+    sharing.replies["127.0.0.1:1"] = lambda: failure
+    sharing.requests.merge([known("a")])
+    sharing.sharing.crashed(KEY)
+    wait_until(lambda: sharing.count("failed") == 1, "the first message has failed")
+    sharing.replies["127.0.0.1:1"] = silent
+    sharing.replies["127.0.0.1:2"] = late
+    sharing.requests.merge([known("b", "c")])
+    unheard = sharing.count("unheard")
+    began_s = steady_s()
+    sharing.sharing.crashed(KEY)
+    elapsed_s = steady_s() - began_s
+    proceed.set()
+    assert 4 * HEARD_TIMEOUT_S <= elapsed_s < 15.0
+    assert sharing.count("unheard") == unheard + 1
+
+
 def test_messages_to_one_gateway_are_joined(make_sharing: Callable[..., Sharing]) -> None:
     sharing = make_sharing(state_of(1))
     proceed, begun = threading.Event(), threading.Event()
--- a/tests/unit/test_gateway_crashing_streams.py
+++ b/tests/unit/test_gateway_crashing_streams.py
@@ -24,8 +24,11 @@
 )
 
 from leverjunction.backends.sse import has_event
+from leverjunction.errors import Failure
 from leverjunction.gateway.relay import RelayLoop
 from leverjunction.gateway.relay_stream import RelayStream
+from leverjunction.quarantine.records import EvidenceNotice, EvidenceReply
+from leverjunction.wire.control_client import EVIDENCE_TIMEOUT_S, ControlClient
 
 pytestmark = pytest.mark.usefixtures("extended_poll_timeout")
 
@@ -163,6 +166,32 @@
     assert answers[-1].status == 400
 
 
+def test_a_caller_is_refused_once_the_other_gateways_have_heard(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against verdicts that another gateway has not heard of when the stream comes to it.
+
+    The failure: the caller got its refusal 0.1 s after the third crash, while the message to the
+    other gateway took longer on a busy machine, and crashed a fourth engine there.
+    """
+    share = ControlClient.share_evidence
+
+    def share_late(
+        self: ControlClient, rpc_address: str, notice: EvidenceNotice
+    ) -> EvidenceReply | Failure:
+        time.sleep(EVIDENCE_TIMEOUT_S * 0.6)
+        return share(self, rpc_address, notice)
+
+    monkeypatch.setattr(ControlClient, "share_evidence", share_late)
+    fleet = CrashingFleet(tmp_path, 2, COURSES["at once"])
+    try:
+        answers = [fleet.send(number % 2) for number in range(TRIES)]
+    finally:
+        fleet.stop()
+    assert fleet.crashes() <= MAX_CRASHES
+    assert answers[-1].status == 400
+
+
 @pytest.mark.parametrize(
     ("data", "expected"),
     [
