Gateway: check a crashed back end before a request is sent there again

With three attempts and three crashed back ends a caller may get a 502.

Cause: a proven crash ejects a back end for 1 to 1.2 s. After that the next request sent there is its probe, although nobody may listen yet. An owner that polls an idle back end each second reports it later than that. On an idle machine the 20 requests of the test are done within the ejection, on a busy one they are not.

When the ejection of a crashed back end is over, the gateway now tries to connect to it before it sends a request there (refused at once, or 0.2 s at most, one request at a time). If nobody listens it is ejected for twice as long and the request goes elsewhere without having lost an attempt. If somebody listens, requests go there, the first as probe.

--- a/src/leverjunction/gateway/crashing_requests.py
+++ b/src/leverjunction/gateway/crashing_requests.py
@@ -153,6 +153,16 @@
             return self._evidence.newest(self._clock.monotonic_s())
 
 
+def accepts_connections(address: str) -> bool:
+    """Return whether something listens on an address; may block for ``PROBE_TIMEOUT_S``."""
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), PROBE_TIMEOUT_S).close()
+    except OSError:
+        return False
+    return True
+
+
 def refuses_connections(address: str) -> bool:
     """Return whether nothing listens on an address, which proves that its process has ended.
 
@@ -183,4 +193,4 @@
     """Do nothing; used while the evidence is not shared."""
 
 
-__all__ = ["CrashingRequests", "refuses_connections"]
+__all__ = ["CrashingRequests", "accepts_connections", "refuses_connections"]
--- a/src/leverjunction/gateway/ejection.py
+++ b/src/leverjunction/gateway/ejection.py
@@ -18,6 +18,8 @@
     ejections: int = 0
     ejected_until_s: float = 0.0
     probing: bool = False
+    has_crashed: bool = False
+    """Its process was found to have ended, and has not been found running since."""
 
 
 class Ejection:
@@ -28,7 +30,8 @@
 
     A runner is in use, ejected until a point in time, or probed. After the ejection, one request
     probes the runner: on success it is in use again, on failure it is ejected for twice as long,
-    at most ``MAX_EJECTION_S`` plus jitter.
+    at most ``MAX_EJECTION_S`` plus jitter. A runner that has crashed is checked without a request
+    first (``start_check_if_due``), since a request would fail for certain if it has not restarted.
     """
 
     def __init__(self) -> None:
@@ -65,7 +68,9 @@
         """
         if self._is_blocked(runner_id, now_s):
             return None
-        self._health.setdefault(runner_id, _Health()).failures = FAILURES_TO_EJECT
+        health = self._health.setdefault(runner_id, _Health())
+        health.failures = FAILURES_TO_EJECT
+        health.has_crashed = True
         return self.record_failure(runner_id, now_s, generator)
 
     def blocked(self, runner_ids: list[str], now_s: float) -> set[str]:
@@ -97,6 +102,35 @@
         health.probing = True
         return True
 
+    def start_check_if_due(self, runner_id: str, now_s: float) -> bool:
+        """Record that a crashed runner is checked before a request is sent to it.
+
+        No request is sent there until ``end_check`` has been called.
+
+        Returns:
+            True if the runner must be checked now.
+        """
+        health = self._health.get(runner_id)
+        if health is None or not health.has_crashed or self._is_blocked(runner_id, now_s):
+            return False
+        health.probing = True
+        return True
+
+    def end_check(
+        self, runner_id: str, is_running: bool, now_s: float, generator: random.Random
+    ) -> float | None:
+        """Record the result of a check; the next request probes a runner that is running again.
+
+        Returns:
+            Duration of the next ejection in seconds, None if the runner is not ejected.
+        """
+        if not is_running:
+            return self.record_failure(runner_id, now_s, generator)
+        health = self._health.get(runner_id)
+        if health is not None:
+            health.probing = health.has_crashed = False
+        return None
+
     def record_inconclusive(self, runner_id: str) -> None:
         """Record the end of a request that gives no information about the runner's health."""
         health = self._health.get(runner_id)
--- a/src/leverjunction/gateway/runner_pool.py
+++ b/src/leverjunction/gateway/runner_pool.py
@@ -179,6 +179,24 @@
         with self._lock:
             return self._ejection.record_crash(runner_id, self._clock.monotonic_s(), self._random)
 
+    def start_check_if_due(self, runner_id: str) -> bool:
+        """Return whether a crashed runner must be checked before a request is sent to it.
+
+        The caller must then call ``end_check``.
+        """
+        with self._lock:
+            return self._ejection.start_check_if_due(runner_id, self._clock.monotonic_s())
+
+    def end_check(self, runner_id: str, *, is_running: bool) -> float | None:
+        """Record the result of a check.
+
+        Returns:
+            Duration of the runner's next ejection in seconds, None if it is not ejected.
+        """
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            return self._ejection.end_check(runner_id, is_running, now_s, self._random)
+
     def record_inconclusive(self, runner_id: str) -> None:
         """Record the end of a request that gives no information about the runner's health."""
         with self._lock:
--- a/src/leverjunction/gateway/sender.py
+++ b/src/leverjunction/gateway/sender.py
@@ -15,7 +15,7 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.admission import QueueLimits
 from leverjunction.gateway.admission_gate import AdmissionGate
-from leverjunction.gateway.crashing_requests import CrashingRequests
+from leverjunction.gateway.crashing_requests import CrashingRequests, accepts_connections
 from leverjunction.gateway.decision_log import DecisionLog
 from leverjunction.gateway.online_request import (
     Attempt,
@@ -143,6 +143,9 @@
                 address=route.runner.address,
                 number=attempt_number,
             )
+            if self._is_still_down(request, attempt):
+                tried |= {attempt.runner_id}
+                continue
             response = self._attempt(request, attempt, route)
             if not isinstance(response, Failure):
                 return response
@@ -235,6 +238,16 @@
             return _no_runner_failure(request, choice)
         return _Route(runner=choice.chosen, pause_end_s=pause_end_s)
 
+    def _is_still_down(self, request: OnlineRequest, attempt: Attempt) -> bool:
+        """Return whether a runner that had crashed has not restarted; costs no attempt."""
+        if not self._pool.start_check_if_due(attempt.runner_id):
+            return False
+        is_running = accepts_connections(attempt.address)
+        ejected_s = self._pool.end_check(attempt.runner_id, is_running=is_running)
+        if ejected_s is not None:
+            self._decision_log.ejected(request, attempt, ejected_s)
+        return not is_running
+
     def _queue_limits(self, request: OnlineRequest) -> QueueLimits:
         remaining_s = request.deadline_s - self._clock.monotonic_s()
         return QueueLimits(
