Limits: shares of a demand that has just begun are not too low

Cause: a gateway's share without an owner was its average demand, of 5 s, over a quarter of the limit or the demand of all. While the average still rises, the shares of all gateways together are half of the rate and less.

Twice the demand is now divided in proportion, the rest of the rate equally. The shares still add up to 1 at most (test). The owner withholds the same shares for silent gateways; a gateway that the tenant did not use may have an equal part that is not withheld, half of the rate over the number of gateways at most.

--- a/src/leverjunction/quota/ledger.py
+++ b/src/leverjunction/quota/ledger.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 
 from leverjunction.quota.bounds import QuotaBounds
+from leverjunction.quota.former_share import BUSY_SHARE, former_share
 from leverjunction.quota.messages import TenantLevels, TenantUsage
 from leverjunction.quota.token_bucket import TokenBucket
 from leverjunction.routes.types import RateLimit
@@ -20,9 +21,6 @@
 FORGOTTEN_S = 15.0
 """Age after which a gateway is taken for dead. Longer than ``LocalLimiter.SHARE_LEASE_S``."""
 
-BUSY_SHARE = 0.25
-"""Share of its rate from which on a tenant's demand is told to gateways; below, they assume it."""
-
 TIGHT_SHARE = 0.5
 """Share of a bucket's depth below which its level is told to gateways in each message."""
 
@@ -318,7 +316,7 @@
             gateway.withheld_s = now_s
             # As a gateway computes its own share: of the demand at the time of the last contact.
             gateway.withheld = {
-                name: milli / 1000 / max(self._demand(name), BUSY_SHARE * limit.per_s)
+                name: former_share(limit, milli / 1000, self._demand(name), len(self._gateways))
                 for name, milli in gateway.demand_milli.items()
                 if (limit := self._limit(name)) is not None
             }
@@ -331,4 +329,4 @@
         return None if account is None else account.limit
 
 
-__all__ = ["BUSY_SHARE", "TIGHT_SHARE", "Ledger"]
+__all__ = ["TIGHT_SHARE", "Ledger"]
--- a/src/leverjunction/quota/local_limiter.py
+++ b/src/leverjunction/quota/local_limiter.py
@@ -19,7 +19,8 @@
 from leverjunction.errors import Failure, FailureKind, Step
 from leverjunction.quota.bounds import POOLED_SHARE, QuotaBounds
 from leverjunction.quota.demand import DEMAND_MEMORY_S, DemandAverage
-from leverjunction.quota.ledger import BUSY_SHARE, TIGHT_SHARE
+from leverjunction.quota.former_share import former_share
+from leverjunction.quota.ledger import TIGHT_SHARE
 from leverjunction.quota.messages import TenantLevels, TenantUsage
 from leverjunction.quota.token_bucket import TokenBucket
 from leverjunction.routes.types import RateLimit, Tenant
@@ -350,7 +351,7 @@
         is_known = now_s - account.fleet_demand_s <= DEMAND_S
         own = account.own_part if is_known else account.heard_demand
         fleet = account.fleet_demand if is_known else 0.0
-        return SHARE_MARGIN * own / max(fleet, own, BUSY_SHARE * limit.per_s)
+        return SHARE_MARGIN * former_share(limit, own, fleet, self._gateways)
 
     def _refusal(self, tenant: Tenant, account: _Account, now_s: float) -> Failure:
         limit = tenant.limit
--- a/tests/unit/test_quota_limiter.py
+++ b/tests/unit/test_quota_limiter.py
@@ -9,6 +9,7 @@
 import pytest
 
 from leverjunction.quota.bounds import QuotaBounds
+from leverjunction.quota.former_share import BUSY_SHARE, former_share
 from leverjunction.quota.ledger import FORGOTTEN_S, SILENT_S, TAKEOVER_WAIT_S, UNHEARD_S, Ledger
 from leverjunction.quota.local_limiter import (
     CONTACT_S,
@@ -157,6 +158,36 @@
     assert count <= START_LIMIT.per_s * 5 + START_LIMIT.burst + bounds.excess(START_LIMIT)
 
 
+def test_a_tenant_whose_demand_has_just_begun_keeps_its_rate_while_the_owner_is_lost() -> None:
+    """Guards against shares by an average that is still low: 2.7/s of 3.75/s sent were admitted.
+
+    Each of four gateways gets a quarter of three quarters of the limit, for 1.1 s so far.
+    """
+    limiter = LocalLimiter(Random(1), QuotaBounds(overshoot=0.1))
+    for step in range(12):
+        if step % 3 == 0:
+            assert limiter.admit(STARTED, step * 0.1) is None
+        limiter.report("g", step * 0.1, whole=True)
+        levels = TenantLevels(gateways=4, report_interval_s=0.1, tenants={})
+        limiter.apply_levels(levels, step * 0.1)
+    times = [1.1 + CONTACT_S + 0.1 + number / 3.75 for number in range(8)]
+    assert [limiter.admit(STARTED, now_s) for now_s in times] == [None] * len(times)
+
+
+def test_former_shares_add_up_to_the_whole_rate_at_most() -> None:
+    random = Random(2)
+    for _ in range(200):
+        gateways = random.randint(1, 50)
+        scale = random.choice([0.01, 0.1, 1.0, 10.0])
+        demands = [random.choice([0.0, scale * random.random()]) for _ in range(gateways)]
+        fleet = random.choice([0.0, sum(demands)])
+        is_told = fleet >= BUSY_SHARE * LIMIT.per_s
+        if sum(demands) >= BUSY_SHARE * LIMIT.per_s and not is_told:
+            continue
+        shares = [former_share(LIMIT, own, fleet, gateways) for own in demands]
+        assert sum(shares) <= 1 + 1e-9
+
+
 def test_given_back_allowances_are_reported() -> None:
     limiter = LocalLimiter(Random(1), BOUNDS)
     limiter.apply_levels(told(10.0, 1.0), 0.0)
