Limits: a new owner begins with what the gateways have left

Cause: a new owner began each bucket with a tenth of the tolerated excess, here 1.1 requests, and then charged the next report of each gateway whole. A gateway without an owner reports twice a second, so up to half a second of requests from before the takeover was charged to a bucket that had no tokens of that time. The other way round, what gateways had overdrawn was forgotten, and a tenant beyond its limit got a new allowance from each owner.

A gateway without an owner now reports what is left of its part of the bucket (TenantUsage.left, empty for gateways and owners of earlier releases). A new owner begins with the sum, and charges of the next report the time since its takeover only. A gateway that it hears later is charged for what it has overdrawn.

Both tests of a new owner fail without the change of the ledger (2.3 left in place of 4 and more, and 2.3 in place of -8).

--- a/src/leverjunction/quota/ledger.py
+++ b/src/leverjunction/quota/ledger.py
@@ -62,6 +62,7 @@
     Attributes:
         demand_milli: Requests per 1,000 s by tenant, as the gateway last reported them. Integers,
             so that sums over all gateways stay exact as reports replace each other.
+        left: What it last told to be left of its parts of the tenants' buckets.
         withheld: Share of each tenant's rate that the gateway allows itself while it is silent;
             None while it is not.
         withheld_s: Since when it is withheld.
@@ -73,6 +74,7 @@
         "demand_milli",
         "heard_s",
         "incarnation",
+        "left",
         "withheld",
         "withheld_s",
     )
@@ -83,6 +85,7 @@
         self.heard_s = 0.0
         self.admitted: dict[str, int] = {}
         self.demand_milli: dict[str, int] = {}
+        self.left: dict[str, float] = {}
         self.withheld: dict[str, float] | None = None
         self.withheld_s = 0.0
 
@@ -114,6 +117,7 @@
         "_gateways",
         "_has_taken_over",
         "_silent",
+        "_takeover_s",
         "_told_all_s",
     )
 
@@ -128,6 +132,7 @@
         self._told_all_s = float("-inf")
         self._began_s: float | None = None
         self._first_report_s: float | None = None
+        self._takeover_s = float("-inf")
         self._has_taken_over = False
 
     def clear(self) -> None:
@@ -139,6 +144,7 @@
         self._demand_milli.clear()
         self._began_s = None
         self._first_report_s = None
+        self._takeover_s = float("-inf")
         self._has_taken_over = False
 
     def set_limits(self, limits: Mapping[str, RateLimit], now_s: float) -> None:
@@ -179,12 +185,15 @@
             self._remove(gateway)
         if gateway is None or incarnation > gateway.incarnation:
             gateway = self._gateways[usage.gateway] = _Gateway(incarnation)
+            gateway.heard_s = now_s
         if self._first_report_s is None:
             self._first_report_s = now_s
             # Nothing was admitted by gateways that this owner does not know.
             self._has_taken_over = self._began_s is not None and now_s - self._began_s > UNHEARD_S
+        left_before, charged_share = gateway.left, self._charged_share(gateway.heard_s, now_s)
         gateway.heard_s = now_s
         gateway.address = address
+        gateway.left = usage.left
         prepaid = self._end_withholding(gateway, now_s)
         for name, (admitted, demand) in usage.tenants.items():
             known = gateway.admitted.get(name, admitted if is_first else 0)
@@ -193,7 +202,10 @@
             account = self._accounts.get(name)
             if account is not None:
                 self._refill(name, account, now_s)
-                account.bucket.tokens -= admitted - known - prepaid.get(name, 0.0)
+                charge = (admitted - known) * (charged_share if name in left_before else 1.0)
+                account.bucket.tokens -= charge - prepaid.get(name, 0.0)
+                if is_first and self._has_taken_over:
+                    account.bucket.tokens += min(0.0, usage.left.get(name, 0.0))
 
     def levels(self, now_s: float) -> list[TenantLevels]:
         """Return the messages to all gateways: tight tenants, and at intervals all busy ones."""
@@ -203,10 +215,7 @@
         if not self._has_taken_over:
             if now_s - self._first_report_s < TAKEOVER_WAIT_S:
                 return []
-            # Until now the gateways have admitted requests by their shares of the rate.
-            self._has_taken_over = True
-            for account in self._accounts.values():
-                account.bucket = TokenBucket(self._takeover_level(account.limit), now_s)
+            self._take_over(now_s)
         tells_all = now_s - self._told_all_s >= ALL_BUSY_INTERVAL_S
         if tells_all:
             self._told_all_s = now_s
@@ -250,6 +259,28 @@
             rows[name] = (self._demand(name), account.limit.per_s, account.bucket.tokens)
         return rows
 
+    def _take_over(self, now_s: float) -> None:
+        """Fill the buckets with what the gateways, which had no owner, have left of them."""
+        self._has_taken_over = True
+        self._takeover_s = now_s
+        left: dict[str, float] = {}
+        for gateway in self._gateways.values():
+            for name, tokens in gateway.left.items():
+                left[name] = left.get(name, 0.0) + tokens
+        for name, account in self._accounts.items():
+            level = self._takeover_level(account.limit) + left.get(name, 0.0)
+            account.bucket = TokenBucket(min(level, self._bounds.depth(account.limit)), now_s)
+
+    def _charged_share(self, before_s: float, now_s: float) -> float:
+        """Return the part of what a gateway admitted since its last report that is charged.
+
+        What it admitted before this process took over is taken from its own part of the bucket,
+        which was refilled at the same time.
+        """
+        if before_s >= self._takeover_s:
+            return 1.0
+        return (now_s - self._takeover_s) / (now_s - before_s)
+
     def _takeover_level(self, limit: RateLimit) -> float:
         return TAKEOVER_SHARE * self._bounds.excess(limit)
 
--- a/src/leverjunction/quota/local_limiter.py
+++ b/src/leverjunction/quota/local_limiter.py
@@ -74,6 +74,7 @@
         fleet_demand: Requests per second at all gateways, as the owner last told.
         fleet_demand_s: When it did.
         own_part: This gateway's part of that demand.
+        limit: The tenant's limit as of its last request.
         phase: Accumulates the share of requests that is admitted; whenever it passes 1, a request
             is.
         whole: The tenant's whole limit, which this gateway alone never exceeds.
@@ -100,6 +101,7 @@
         "heard_s",
         "level",
         "level_s",
+        "limit",
         "own_part",
         "phase",
         "reported",
@@ -118,6 +120,7 @@
         self.fleet_demand = 0.0
         self.fleet_demand_s = float("-inf")
         self.own_part = 0.0
+        self.limit: RateLimit | None = None
         self.phase = phase
         self.whole: TokenBucket | None = None
         self.heard_s = float("-inf")
@@ -171,6 +174,7 @@
         if self._first_s is None:
             self._first_s = now_s
         account = self._account(tenant.name)
+        account.limit = limit
         account.demand.add(now_s)
         self._changed.add(tenant.name)
         self._note_last_message(account)
@@ -239,13 +243,17 @@
                 if account.demand.per_s(now_s) >= 0.001 or account.reported != account.admitted
             }
         tenants = {}
+        left = {}
+        shares_bucket = self._gateways > 0 and not self.is_in_contact(now_s)
         for name in sorted(names):
             account = self._accounts[name]
             demand = round(account.demand.per_s(now_s), 3)
             tenants[name] = (account.admitted, demand)
             account.reported, account.reported_demand = account.admitted, demand
+            if shares_bucket and account.limit is not None:
+                left[name] = round(self._refill_alone(account, account.limit, now_s).tokens, 2)
         self._changed = set()
-        return TenantUsage(gateway=gateway, tenants=tenants)
+        return TenantUsage(gateway=gateway, tenants=tenants, left=left)
 
     def _account(self, name: str) -> _Account:
         account = self._accounts.get(name)
--- a/src/leverjunction/quota/messages.py
+++ b/src/leverjunction/quota/messages.py
@@ -13,11 +13,14 @@
         tenants: By name of the tenant: requests admitted since the gateway started, and requests
             per second that callers currently send, refused ones included.
         address: Host and port of the gateway if another process passes on its report, else empty.
+        left: By name of the tenant, while the gateway has no owner: what is left of its part of the
+            tenant's bucket, negative if it was overdrawn.
     """
 
     gateway: str
     tenants: dict[str, tuple[int, float]]
     address: str = ""
+    left: dict[str, float] = {}
 
 
 class TenantLevels(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/unit/test_quota_limiter.py
+++ b/tests/unit/test_quota_limiter.py
@@ -294,6 +294,49 @@
     assert level(ledger, 1.0) == pytest.approx(before - 5), "a new start counts from 0"
 
 
+def test_a_new_owner_does_not_charge_what_was_admitted_before_it() -> None:
+    """Guards against new owners that refuse a tenant within its limit: -6.1 left after 0.4 s."""
+    ledger = Ledger(BOUNDS)
+    ledger.set_limits({"acme": LIMIT}, 0.0)
+    part = {"acme": 1.0}
+    for number in range(4):
+        report = TenantUsage(gateway=str(number), tenants={"acme": (10, 1.0)}, left=part)
+        ledger.apply_usage(report, 1, ("h", number), 0.3)
+    took_over_s = 0.3 + TAKEOVER_WAIT_S
+    ledger.levels(took_over_s)
+    assert level(ledger, took_over_s) >= 4 * part["acme"]
+    before = level(ledger, took_over_s)
+    # Each gateway admitted one request a second since its report.
+    for number in range(4):
+        report = TenantUsage(gateway=str(number), tenants={"acme": (11, 1.0)})
+        ledger.apply_usage(report, 1, ("h", number), 1.3)
+    assert level(ledger, 1.3) == pytest.approx(before + 0.3 * LIMIT.per_s - 4 * 0.3)
+
+
+def test_a_new_owner_charges_what_gateways_overdrew_before_it() -> None:
+    """Guards against a tenant that gets its limit again from each new owner."""
+    ledger = Ledger(BOUNDS)
+    ledger.set_limits({"acme": LIMIT}, 0.0)
+    overdrawn = TenantUsage(gateway="g", tenants={"acme": (30, 20.0)}, left={"acme": -12.0})
+    ledger.apply_usage(overdrawn, 1, ("h", 0), 0.3)
+    ledger.levels(0.3 + TAKEOVER_WAIT_S)
+    assert level(ledger, 0.3 + TAKEOVER_WAIT_S) <= -8.0
+    before = level(ledger, 2.0)
+    late = TenantUsage(gateway="h", tenants={"acme": (30, 20.0)}, left={"acme": -5.0})
+    ledger.apply_usage(late, 1, ("h", 1), 2.0)
+    assert level(ledger, 2.0) == pytest.approx(before - 5.0)
+
+
+def test_a_gateway_without_an_owner_reports_what_it_has_left() -> None:
+    limiter = LocalLimiter(Random(1), QuotaBounds(overshoot=0.1))
+    in_contact_since(limiter, 0.0, 10.0)
+    assert not limiter.report("g", 10.0, whole=True).left
+    left = limiter.report("g", 11.0, whole=True).left["acme"]
+    assert 0 < left <= QuotaBounds(overshoot=0.1).depth(START_LIMIT) / FEW_GATEWAYS
+    assert limiter.admit(STARTED, 11.0) is None
+    assert limiter.report("g", 11.0, whole=True).left["acme"] == pytest.approx(left - 1)
+
+
 def test_the_rate_of_a_silent_gateway_is_withheld_and_settled() -> None:
     ledger = owner(usage("g", 0, 2.0), usage("h", 0, 2.0))
     ledger.apply_usage(usage("g", 0, 2.0), 1, ("h", 0), 1.0)
