--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -10,6 +10,7 @@
 import os
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from random import Random
 
 CALL_TIMEOUT_S = 4.0
 HEARTBEAT_S = 0.6
@@ -323,6 +324,101 @@
             self.running -= 1
 
 
+class Surplus:
+    """A fault of a runner: some of its answers come a second time, late.
+
+    Attributes:
+        share: Share of the answers.
+        least_s: Shortest delay of the second answer.
+        most_s: Longest delay.
+        is_on: Whether the fault is there.
+        sent: Second answers that were sent.
+    """
+
+    def __init__(self, share: float, least_s: float, most_s: float) -> None:
+        self.share = share
+        self.least_s = least_s
+        self.most_s = most_s
+        self.is_on = False
+        self.sent = 0
+
+
+class PlainRunner(Runner):
+    """A runner of opaque requests, which refuses what neither its slots nor its queue hold."""
+
+    def __init__(
+        self,
+        seeds: list[str],
+        service: str,
+        work_s: float,
+        slots: int,
+        queue: int,
+        zone: str,
+        surplus: Surplus | None = None,
+    ) -> None:
+        super().__init__(seeds, service, "v1", Work(1, work_s, 0.0), slots, zone)
+        self._places = asyncio.Semaphore(slots)
+        self._queue = queue
+        self._surplus = surplus
+        self._random = Random(self.id)
+        self.refused = 0
+        self.trace: dict[str, list[str]] = {}
+
+    async def _respond(
+        self,
+        writer: asyncio.StreamWriter,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> bool:
+        request_id = headers.get("leverjunction-request-id", "")
+        is_other = headers.get("leverjunction-expect-instance", self.id) != self.id
+        if method == "GET" or is_other:
+            return await super()._respond(writer, method, target, headers, body)
+        self._note(request_id, "arrives")
+        if self.running >= self.slots + self._queue:
+            self.refused += 1
+            self._note(request_id, "is refused")
+            more = ["Leverjunction-Not-Executed: 1", "Content-Length: 0"]
+            answer = self._head(503, request_id, more)
+        else:
+            answer = await self._work(request_id, body)
+        writer.write(answer)
+        await writer.drain()
+        surplus = self._surplus
+        if surplus is not None and surplus.is_on and self._random.random() < surplus.share:
+            late_s = self._random.uniform(surplus.least_s, surplus.most_s)
+            asyncio.get_running_loop().call_later(late_s, self._repeat, writer, answer, request_id)
+        return not writer.is_closing()
+
+    def _repeat(self, writer: asyncio.StreamWriter, answer: bytes, request_id: str) -> None:
+        if not writer.is_closing() and self._surplus is not None:
+            self._surplus.sent += 1
+            self._note(request_id, f"its {answer[9:12].decode()} is sent a second time")
+            writer.write(answer)
+
+    def _note(self, request_id: str, text: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.trace.setdefault(request_id, []).append(f"{now_s:.4f} at {self.id}: {text}")
+
+    async def _work(self, request_id: str, body: bytes) -> bytes:
+        self.running += 1
+        try:
+            async with self._places:
+                run = Run(request_id, self.id, self.version, 0)
+                self.runs.append(run)
+                self._note(request_id, "runs")
+                await asyncio.sleep(self.work.first_s)
+                run.whole = True
+                self._note(request_id, "has run")
+        finally:
+            self.running -= 1
+        content = b"answer to " + request_id.encode() + b" " + body[:20]
+        stamp = f"Leverjunction-Server-Stamp: {self.id}.{len(self.runs)}"
+        return self._head(200, request_id, [stamp, f"Content-Length: {len(content)}"]) + content
+
+
 @dataclass
 class Lot:
     """A batch job as its client knows it."""
