--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -137,6 +137,8 @@
             self.processes.append(process)
 
     def __enter__(self) -> Fleet:
+        # A case that is asked to end still ends what it started.
+        signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(CANNOT_RUN))
         try:
             for process in self.processes:
                 process.start()
