Review, case 2: a moved batch route lets a result hold events of two runs

The release of the earlier form asked more than the site's: it gives way to changes of the batch route, one each 3.4 s, while batch items write their first events and online requests press the service that the route leaves.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,46 +1,52 @@
-"""A release of a service's runners while batch items write their first events.
+"""The batch route moves to another service while batch items write their first events.
 
-Each round, the runners of one version of the software are replaced by those of the next one. The
-new ones start first; the old ones announce their end, serve on for ``DrainMs`` and longer, and end.
+Each round, a heap of batch jobs comes, the operator moves the batch route to the other service, and
+online requests of a route that stays come to the first one, so that batch items there make room.
 Every listed result has to be the whole output of its item.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
+import os
 import sys
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "lib"))
 
 from fleet import ZONES, CannotRunError, Fleet, Record, cannot_run, has_trouble
-from world import Lot, Runner, Work, call_control, new_lot, read_results, ready, submit
+from world import Lot, Runner, Work, call, call_control, new_lot, read_results, ready, submit
 
 HOST = "review.example"
 PREFIX = "/batch/"
-SERVICE = "models"
-RUNNERS = 12
-SLOTS = 12
-LOTS = 24
-ITEMS = 4
-ROUNDS = 8
-LOAD_SERVICE = "archive"
+SERVICES = ("models-a", "models-b")
+ONLINE = ("/online-a/", "/online-b/")
+RUNNERS = 2
+SLOTS = 19
+ITEMS = 6
+HEAP_LOTS = 4
+ROUNDS = 24
+ROUND_S = 3.4
+MOVE_AFTER_S = 0.5
+BURST_AFTER_S = 0.95
+BURSTS = 8
+BURST_GAP_S = 0.08
+BURST_REQUESTS = 5
+WORK = Work(events=30, first_s=1.0, event_s=0.04, pad=300)
+FINISH_S = 12.0
+READS_AT_ONCE = 40
 LOAD_PREFIX = "/archive/"
 LOAD_SENDERS = 3
-LOAD_EACH = 4
 LOAD_ITEMS = 20
 LOAD_BODY_BYTES = 100_000
-LOAD_AFTER_S = 2.4
-WORK = Work(events=15, first_s=2.8, event_s=0.08, pad=300)
-STAGGER_S = 0.04
-LONGER_S = 0.03
-ROUND_S = 9.0
-FINISH_S = 20.0
+LOAD_LENGTH_S = 1.6
 
 
-def configuration() -> dict[str, object]:
-    """Return the operator's configuration: one batch route and its service."""
-    route = {
+def configuration(version: int, service: str) -> dict[str, object]:
+    """Return a configuration: a batch route to one of two services, and an online route to each."""
+    batch = {
         "Name": "r-batch",
         "Hostname": HOST,
         "PathPrefix": PREFIX,
@@ -48,7 +54,7 @@
         "TimeoutMs": 30000,
         "TargetLatencyMs": 400,
         "Priority": 2,
-        "Service": SERVICE,
+        "Service": service,
         "MaxAttempts": 3,
         "DueMs": 60000,
         "MaxWaitS": 90,
@@ -56,27 +62,37 @@
         "Resumable": True,
         "GapAimMs": 500,
     }
+    online = [
+        {
+            "Name": f"r-{name}",
+            "Hostname": HOST,
+            "PathPrefix": prefix,
+            "RouteKind": "idempotent",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 1500,
+            "Priority": 0,
+            "Service": name,
+            "MaxAttempts": 1,
+        }
+        for name, prefix in zip(SERVICES, ONLINE, strict=True)
+    ]
+    archive = {**batch, "Name": "r-archive", "PathPrefix": LOAD_PREFIX, "Service": "archive"}
     engine = {"Slots": SLOTS, "KvCapacityTokens": 171000, "Models": [{"Name": "m"}]}
-    service = {
-        "Name": SERVICE,
-        "HealthPath": "/health",
-        "MaxConnections": 300,
-        "Protocol": "h1",
-        "Tls": False,
-        "Engine": engine,
+    services = [
+        {"Name": name, "HealthPath": "/health", "MaxConnections": 300, "Engine": engine}
+        for name in (*SERVICES, "archive")
+    ]
+    limits = {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 4194304,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
     }
-    archive = {**route, "Name": "r-archive", "PathPrefix": LOAD_PREFIX, "Service": LOAD_SERVICE}
-    others = {**service, "Name": LOAD_SERVICE}
     return {
-        "Version": 1,
-        "Routes": [route, archive],
-        "Services": [service, others],
-        "Limits": {
-            "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 4194304,
-            "HeaderTimeoutMs": 3000,
-            "IdleTimeoutMs": 15000,
-        },
+        "Version": version,
+        "Routes": [batch, archive, *online],
+        "Services": services,
+        "Limits": limits,
     }
 
 
@@ -86,63 +102,72 @@
     def __init__(self, fleet: Fleet, record: Record) -> None:
         self._fleet = fleet
         self._record = record
-        self._runners: list[Runner] = []
         self._all: list[Runner] = []
         self._lots: list[Lot] = []
-        self._drains: list[asyncio.Task[None]] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._is_over = False
+        self._online: Counter[int] = Counter()
         self.broken = 0
         self.listed = 0
 
     async def play(self) -> None:
         """Play all rounds, wait for the results and judge them."""
         fleet = self._fleet
-        answer = await call_control(fleet.seeds, "POST", "/api/Config.Replace", configuration())
-        if answer.status != 200:
-            raise CannotRunError(f"the configuration was answered {answer.status}")
+        await self._configure(1, SERVICES[0])
         if not await ready(fleet.ready, 20.0):
             raise CannotRunError("the gateways are not ready")
-        await self._start_runners(1)
+        for service in SERVICES:
+            for place in range(RUNNERS):
+                runner = Runner(fleet.seeds, service, "v1", WORK, SLOTS, ZONES[place])
+                await runner.start()
+                self._all.append(runner)
         await asyncio.sleep(2.0)
-        for number in range(1, ROUNDS + 1):
+        loop = asyncio.get_running_loop()
+        reader = loop.create_task(self._read_on())
+        for number in range(ROUNDS):
             await self._round(number)
-        await self._read_on(FINISH_S)
-        for drain in self._drains:
-            await drain
-        for runner in self._runners:
+        self._is_over = True
+        await asyncio.gather(reader, *self._tasks)
+        for runner in self._all:
             runner.end()
+        self._record.write(f"online requests were answered {dict(self._online)}")
         self._judge()
 
-    async def _start_runners(self, number: int) -> None:
-        runners = [
-            Runner(
-                self._fleet.seeds,
-                SERVICE,
-                f"v{number}",
-                Work(WORK.events, WORK.first_s + n * STAGGER_S, WORK.event_s, WORK.pad),
-                SLOTS,
-                ZONES[n % len(ZONES)],
-            )
-            for n in range(RUNNERS)
-        ]
-        await asyncio.gather(*(runner.start() for runner in runners))
-        self._record.write(f"runners of v{number} started: {[r.id for r in runners]}")
-        self._runners = runners
-        self._all += runners
+    async def _configure(self, version: int, service: str) -> None:
+        body = configuration(version, service)
+        answer = await call_control(self._fleet.seeds, "POST", "/api/Config.Replace", body)
+        self._record.write(f"version {version}, batch to {service}: {answer.status}")
+        if answer.status != 200:
+            raise CannotRunError(f"the configuration was answered {answer.status}")
 
     async def _round(self, number: int) -> None:
+        """Let batch jobs come, move their route, and let online requests come."""
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + ROUND_S
-        await asyncio.gather(*(self._submit() for _ in range(LOTS)))
-        await asyncio.sleep(0.15)
+        began_s = loop.time()
+        place = number % 2 if has_trouble() else 0
+        self._tasks += [loop.create_task(self._submit()) for _ in range(HEAP_LOTS)]
+        await asyncio.sleep(MOVE_AFTER_S)
         if has_trouble():
-            leaving = self._runners
-            await self._start_runners(number + 1)
-            for runner in leaving:
-                self._drains.append(loop.create_task(runner.drain(LONGER_S)))
-            self._record.write(f"runners of v{number} announce their end")
-        burst = loop.create_task(self._burst())
-        await self._read_on(until_s - loop.time())
-        await burst
+            await self._configure(number + 2, SERVICES[1 - place])
+        until_s = began_s + BURST_AFTER_S + LOAD_LENGTH_S
+        for _ in range(LOAD_SENDERS):
+            self._tasks.append(loop.create_task(self._submit_large(until_s)))
+        await asyncio.sleep(max(0.0, began_s + BURST_AFTER_S - loop.time()))
+        for _ in range(BURSTS):
+            for _ in range(BURST_REQUESTS):
+                self._tasks.append(loop.create_task(self._ask(ONLINE[place])))
+            await asyncio.sleep(BURST_GAP_S)
+        await asyncio.sleep(max(0.0, began_s + ROUND_S - loop.time()))
+
+    async def _ask(self, prefix: str) -> None:
+        headers = {
+            "Host": HOST,
+            "Leverjunction-Request-Id": os.urandom(8).hex(),
+            "Leverjunction-Deadline-Ms": "8000",
+        }
+        gateway = self._fleet.callers[len(self._tasks) % len(self._fleet.callers)]
+        answer = await call(gateway, "POST", f"{prefix}x", headers, b"x" * 100, 8.0)
+        self._online[answer.status] += 1
 
     async def _submit(self) -> None:
         lot, body = new_lot(PREFIX, ITEMS)
@@ -151,27 +176,27 @@
         if lot.accepted:
             self._lots.append(lot)
 
-    async def _burst(self) -> None:
-        """Let other clients submit large batch jobs of another route, as in a burst."""
-        await asyncio.sleep(LOAD_AFTER_S)
-        await asyncio.gather(*(self._submit_large() for _ in range(LOAD_SENDERS)))
-
-    async def _submit_large(self) -> None:
-        for _ in range(LOAD_EACH):
+    async def _submit_large(self, until_s: float) -> None:
+        """Submit large batch jobs of another route, as other clients do."""
+        while asyncio.get_running_loop().time() < until_s:
             lot, body = new_lot(LOAD_PREFIX, LOAD_ITEMS, LOAD_BODY_BYTES)
             await submit(self._fleet.callers, HOST, LOAD_PREFIX, lot, body)
             self._record.write(f"large lot {lot.id} sent: {lot.statuses}")
 
-    async def _read_on(self, for_s: float) -> None:
-        """Read results about twice a second until the time is over or all are there."""
+    async def _read_on(self) -> None:
+        """Read results about twice a second until all are there, or some time after the end."""
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + for_s
-        while loop.time() < until_s:
+        ends_s = math.inf
+        while loop.time() < ends_s:
+            if self._is_over:
+                ends_s = min(ends_s, loop.time() + FINISH_S)
             open_lots = [lot for lot in self._lots if len(lot.results) < len(lot.items)]
-            if not open_lots and for_s == FINISH_S:
+            if not open_lots and self._is_over:
                 return
-            for lot in open_lots:
-                await read_results(self._fleet.callers, HOST, lot)
+            reads = [
+                read_results(self._fleet.callers, HOST, lot) for lot in open_lots[:READS_AT_ONCE]
+            ]
+            await asyncio.gather(*reads)
             await asyncio.sleep(0.5)
 
     def _judge(self) -> None:
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -42,7 +42,7 @@
 
 
 def free_net() -> str:
-    """Return the first three numbers of a loopback net at which nothing listens."""
+    """Return the first three numbers of a loopback net, another one for each process id."""
     return f"127.{60 + os.getpid() % 150}.{(os.getpid() // 150) % 250}"
 
 
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -5,17 +5,14 @@
 import asyncio
 import base64
 import contextlib
-import itertools
 import json
 import os
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
 
 CALL_TIMEOUT_S = 4.0
 HEARTBEAT_S = 0.6
-DRAIN_S = 2.0
-MOST_LONGER_S = 4.0
 HEAD_END = b"\r\n\r\n"
 
 
@@ -139,8 +136,6 @@
 class Runner:
     """One start of a runner, which behaves as the pages say."""
 
-    _ports = itertools.count()
-
     def __init__(
         self,
         seeds: list[str],
@@ -201,22 +196,6 @@
             await asyncio.sleep(HEARTBEAT_S)
             await self.beat()
 
-    async def drain(self, longer_s: float) -> None:
-        """Announce the end, serve on for the time that the pages name and longer, and end.
-
-        Args:
-            longer_s: How much longer, counted from the first event of the runs that are under way.
-        """
-        self.state = "draining"
-        await self.beat()
-        await asyncio.sleep(DRAIN_S)
-        await until(lambda: any(run.sent and not run.whole for run in self.runs), MOST_LONGER_S)
-        await asyncio.sleep(longer_s)
-        leave = call_control(self._seeds, "POST", f"/api/Instances.Leave/{self.id}", {})
-        told = asyncio.get_running_loop().create_task(leave)
-        self.end()
-        await told
-
     def end(self) -> None:
         """End: all connections close."""
         if self._heart is not None:
@@ -477,16 +456,6 @@
         lot.results += json.loads(answer.body)["Results"]
 
 
-async def until(condition: Callable[[], bool], timeout_s: float) -> bool:
-    """Wait until a condition holds; return whether it did in time."""
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(timeout_s):
-            while not condition():
-                await asyncio.sleep(0.01)
-            return True
-    return False
-
-
 async def ready(addresses: list[str], timeout_s: float) -> bool:
     """Wait until all gateways call themselves ready."""
     with contextlib.suppress(TimeoutError):
