--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -57,7 +57,7 @@
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.proxy.quarantine import EvidenceReporter
-from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.proxy.tracked_runner import TrackedRunner
 from leverjunction.rates.rate_exchange import RateExchange
 from leverjunction.registry.cluster import CLUSTER_KEY
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -27,9 +27,9 @@
     ResponseEnd,
     ResponseHead,
     RunnerConnection,
-    RunnerPool,
     endless_failure,
 )
+from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.proxy.tracked_runner import TrackedRunner
 
 CONNECT_TIMEOUT_S = 0.4
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -32,7 +32,7 @@
 from leverjunction.proxy.metrics import MAX_BACK_ENDS, ProxyMetrics
 from leverjunction.proxy.quarantine import Quarantine
 from leverjunction.proxy.quota_link import QuotaLink
-from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.proxy.share_gate import ShareGate
 from leverjunction.proxy.snapshot_publisher import SnapshotPublisher
 from leverjunction.proxy.stream_origins import StreamOrigins
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -25,7 +25,7 @@
 from leverjunction.proxy.forwarding import Caller, Forwarder
 from leverjunction.proxy.kept_answers import KeptAnswers
 from leverjunction.proxy.metrics import ProxyMetrics
-from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.proxy.stream_origins import OriginDirectory, StreamOrigins
 from leverjunction.registry.records import FleetView, RunnerRecord
 from leverjunction.routes import Route, RouteIndex, RouteTable
--- a/tests/unit/test_lots_isolation_limits.py
+++ b/tests/unit/test_lots_isolation_limits.py
@@ -29,7 +29,7 @@
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.caller_connection import request_content
 from leverjunction.proxy.quarantine import Quarantine
-from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.quarantine.crash_detector import PROOF_TIMEOUT_S
 from leverjunction.quarantine.records import SuspectList, SuspectRecord
 from leverjunction.quarantine.request_key import request_key
--- a/tests/unit/test_lots_load_watch.py
+++ b/tests/unit/test_lots_load_watch.py
@@ -13,7 +13,7 @@
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.registry.records import RunnerRecord
 from testbed.routed import SERVICE
 
--- a/tests/unit/test_proxy_endless_answers.py
+++ b/tests/unit/test_proxy_endless_answers.py
@@ -17,7 +17,7 @@
 from leverjunction.proxy.answer_bounds import MAX_EVENT_BYTES, MAX_ITEM_OUTPUT_BYTES
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.events import EventSplitter
-from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.routes import RouteClass
 from testbed.routed import RawReply, RunnerStandIn, make_route, make_table
 from testbed.routed.behaviours import BEHAVIOURS
--- a/tests/unit/test_proxy_freshness.py
+++ b/tests/unit/test_proxy_freshness.py
@@ -19,7 +19,7 @@
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.proxy.attempt import Sender
-from leverjunction.proxy.runner_connection import RunnerPool
+from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.registry.records import RunnerRecord
 from leverjunction.routes import RouteIndex, RouteTable
 from testbed.routed import SERVICE, RawReply, RunnerStandIn, make_table
--- a/tests/unit/test_proxy_runner_connection.py
+++ b/tests/unit/test_proxy_runner_connection.py
@@ -14,8 +14,8 @@
     ResponseEnd,
     ResponseHead,
     RunnerConnection,
-    RunnerPool,
 )
+from leverjunction.proxy.runner_pool import RunnerPool
 
 READ_INTERVAL_S = 0.2
 EVENTS = 40
