Proxy: whose answer it is that arrives at a connection is counted and logged

Nothing told which connection carried a sending, how often it had been used, or whether an answer that was believed belonged to that sending: the hypotheses of the incident could not be told apart. proxy_back_end_answers_total and lots_back_end_answers count heads of answers by owner (own, ambiguous, earlier, foreign, unnamed); send_failed lines have the connection and its use. Decisions are as before.

--- a/src/leverjunction/lots/metrics.py
+++ b/src/leverjunction/lots/metrics.py
@@ -26,6 +26,11 @@
 )
 STARTS = Counter("lots_run_starts", "Runs that were started at a back end")
 RUNS = Counter("lots_runs", "Runs that ended, by how", ["end"])
+ANSWERS = Counter(
+    "lots_back_end_answers",
+    "Heads of answers of back ends, by the request that they belong to",
+    ["owner"],
+)
 PARKS = Counter("lots_parks", "Runs that were parked, by what needed their slot", ["reason"])
 RECORDS = Counter("lots_records", "Commands with results, failures and progress", ["result"])
 RECORDS_WAITING = Gauge("lots_records_waiting", "Results that the group does not have yet")
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -246,7 +246,12 @@
         self._history = VersionHistory()
         self._continuation = Continuation(self._balancer, self._history)
         self._park_order = ParkOrder(self._urgency, self._need, self._done_share)
-        sender = Sender(pool, self._balancer, self._dialect)
+        sender = Sender(
+            pool,
+            self._balancer,
+            self._dialect,
+            on_answer=lambda owner: metrics.ANSWERS.labels(owner.value).inc(),
+        )
         self._outbox = Outbox(self._group, self._monitor.records)
         self._isolation = Isolation(self._report)
         self._attempts = Attempts(self._group, sender, self._dialect, self._outbox, self._isolation)
--- /dev/null
+++ b/src/leverjunction/proxy/answer_owner.py
@@ -0,0 +1,57 @@
+"""To which request an answer belongs that arrives on a connection to a back end. No I/O.
+
+A back end may send an answer a second time, late, in the place of the answer to the next request on
+the connection. The id that each answer echoes tells whose it is, unless the connection has carried
+that id more than once.
+"""
+
+from __future__ import annotations
+
+from array import array
+from enum import StrEnum
+
+
+class AnswerOwner(StrEnum):
+    """The request that an answer belongs to."""
+
+    OWN = "own"
+    """The request that the connection carries now."""
+    AMBIGUOUS = "ambiguous"
+    """That request, or an earlier sending of it on the same connection."""
+    EARLIER = "earlier"
+    """A request that the connection carried before."""
+    FOREIGN = "foreign"
+    """A request that the connection never carried."""
+    UNNAMED = "unnamed"
+    """Unknown: the answer has no id."""
+
+
+class CarriedRequests:
+    """Ids of the requests that one connection has carried, as 64-bit hashes."""
+
+    __slots__ = ("_current_id", "_earlier")
+
+    def __init__(self) -> None:
+        self._earlier: array[int] = array("q")
+        self._current_id: str | None = None
+
+    def __len__(self) -> int:
+        return len(self._earlier) + (self._current_id is not None)
+
+    def add(self, request_id: str) -> None:
+        """Record that the connection carries a request now; empty for one without an id."""
+        if self._current_id is not None:
+            self._earlier.append(hash(self._current_id))
+        self._current_id = request_id
+
+    def owner_of(self, answer_id: str) -> AnswerOwner:
+        """Return whose answer it is that echoes an id; empty for an answer without one."""
+        is_earlier = hash(answer_id) in self._earlier
+        if answer_id == self._current_id:
+            return AnswerOwner.AMBIGUOUS if is_earlier else AnswerOwner.OWN
+        if is_earlier:
+            return AnswerOwner.EARLIER
+        return AnswerOwner.FOREIGN if answer_id else AnswerOwner.UNNAMED
+
+
+__all__ = ["AnswerOwner", "CarriedRequests"]
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -7,6 +7,7 @@
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.proxy.answer_bounds import MAX_DOCUMENT_BYTES, MAX_REFUSAL_BYTES
+from leverjunction.proxy.answer_owner import AnswerOwner
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.dialect import (
     Dialect,
@@ -60,9 +61,10 @@
         balancer: Informed of each success and failure.
         dialect: Translates headers.
         on_change: Called when a request begins or ends at a back end.
+        on_answer: Called with the owner of each answer, before the answer is judged.
     """
 
-    __slots__ = ("_balancer", "_dialect", "_loop", "_on_change", "_pool")
+    __slots__ = ("_balancer", "_dialect", "_loop", "_on_answer", "_on_change", "_pool")
 
     def __init__(
         self,
@@ -70,8 +72,10 @@
         balancer: Balancer,
         dialect: Dialect,
         on_change: Callable[[TrackedRunner], None] | None = None,
+        on_answer: Callable[[AnswerOwner], None] = lambda _owner: None,
     ) -> None:
         self._pool = pool
+        self._on_answer = on_answer
         self._on_change = on_change
         self._balancer = balancer
         self._dialect = dialect
@@ -225,7 +229,9 @@
             dispatch.last_event_id,
             dispatch.metadata.tenant,
         )
-        connection.send(request.method, request.target, headers, request.body)
+        request_id = dispatch.metadata.request_id
+        connection.send(request.method, request.target, headers, request.body, request_id)
+        dispatch.connection, dispatch.connection_use = connection.number, len(connection.carried)
         return self._loop.time()
 
     async def _head_is_late(
@@ -264,6 +270,7 @@
                 else _mismatch(runner, "a response without a head")
             )
         metadata = self._dialect.read_response(head.headers)
+        self._on_answer(connection.carried.owner_of(metadata.request_id))
         if metadata.load is not None:
             runner.report_load(metadata.load, self._loop.time())
         opened = OpenedResponse(head, metadata, connection, runner)
--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -25,7 +25,7 @@
 from leverjunction.registry.records import RunnerRecord
 
 if TYPE_CHECKING:
-    from leverjunction.proxy.dispatch import OpenedResponse
+    from leverjunction.proxy.dispatch import Dispatch, OpenedResponse
 
 MAX_QUEUED_LINES = 2_000
 """Limit of lines queued for a slow reader of the log; beyond it the oldest are dropped."""
@@ -57,6 +57,8 @@
         output_ms: Time from the request's arrival to the first part of the response body in the
             last attempt, in milliseconds; None if there was none.
         runner_id: Id and start of the back end that the request was sent to.
+        connection: Number of the connection to it, counted from the start of this process.
+        connection_use: How many requests that connection has carried, this one included.
         version: Version of that back end's software.
         origin: Version that began the stream, if the request continues one.
         resumes: The caller's id of the attempt that began the stream.
@@ -84,6 +86,8 @@
     sent_ms: int | None = None
     output_ms: int | None = None
     runner_id: str = ""
+    connection: int = 0
+    connection_use: int = 0
     version: str = ""
     origin: str = ""
     resumes: str = ""
@@ -148,6 +152,7 @@
         routed: RoutedRequest,
         choice: Choice,
         response: OpenedResponse | Failure,
+        dispatch: Dispatch,
         sent_s: float,
         now_s: float,
     ) -> None:
@@ -157,6 +162,7 @@
             routed: The request.
             choice: The back end that it was sent to.
             response: The response, or the failure.
+            dispatch: The attempt.
             sent_s: When it was sent, in monotonic seconds.
             now_s: Current time in monotonic seconds.
         """
@@ -179,6 +185,8 @@
                 allowed_ms=_ms(routed.until_s - routed.request.arrived_s),
                 sent_ms=_ms(sent_s - routed.request.arrived_s),
                 runner_id=choice.runner.record.start,
+                connection=dispatch.connection,
+                connection_use=dispatch.connection_use,
                 version=choice.runner.record.version,
                 origin=routed.version or "",
                 load=round(choice.load, 2),
--- a/src/leverjunction/proxy/dispatch.py
+++ b/src/leverjunction/proxy/dispatch.py
@@ -46,9 +46,13 @@
         head_timeouts: Limits of waiting for the response head.
         is_outdated: Called just before the request is sent; True if the back end may be leaving
             since, so that it must be chosen again.
+        connection: Number of the connection that carries it in this process; 0 before.
+        connection_use: How many requests that connection has carried, this one included.
     """
 
     __slots__ = (
+        "connection",
+        "connection_use",
         "head_timeouts",
         "is_outdated",
         "last_event_id",
@@ -79,6 +83,8 @@
         self.until_s = until_s
         self.head_timeouts = head_timeouts
         self.is_outdated = is_outdated
+        self.connection = 0
+        self.connection_use = 0
 
 
 class OpenedResponse:
--- a/src/leverjunction/proxy/metrics.py
+++ b/src/leverjunction/proxy/metrics.py
@@ -26,6 +26,12 @@
         self.sends = Counter(
             "proxy_sends_total", "Sends to back ends, by result", ["result"], registry=registry
         )
+        self.answers = Counter(
+            "proxy_back_end_answers_total",
+            "Heads of answers of back ends, by the request that they belong to",
+            ["owner"],
+            registry=registry,
+        )
         self.lost_runs = Counter(
             "proxy_lost_runs_total",
             "Runs that their back end broke off after the whole request was sent",
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -133,7 +133,13 @@
             self._rpc, self._origin_holders, self._controls, self._origins.live
         )
         self._origins.directory = self._origin_client
-        sender = Sender(self._pool, self._balancer, dialect, self._loads.runner_changed)
+        sender = Sender(
+            self._pool,
+            self._balancer,
+            dialect,
+            self._loads.runner_changed,
+            lambda owner: self._metrics.answers.labels(owner.value).inc(),
+        )
         self._gate = gate = AdmissionGate(
             self._balancer, sender, self._loads.held_changed, self._share_gate()
         )
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -120,27 +120,27 @@
         routed.first_output_s = None
         routed.runner_id = runner.record.start
         routed.sent_s = sent_s = self._loop.time()
-        response = await self._sender.begin(
-            Dispatch(
-                routed.request,
-                routed.metadata,
-                runner,
-                repeatable=routed.route.repeatable,
-                last_event_id=last_event_id,
-                until_s=routed.until_s,
-                head_timeouts=self._head_timeouts(routed, choice, sent_s),
-                is_outdated=lambda: self._freshness.was_suspended_since(pause_end_s),
-            )
+        dispatch = Dispatch(
+            routed.request,
+            routed.metadata,
+            runner,
+            repeatable=routed.route.repeatable,
+            last_event_id=last_event_id,
+            until_s=routed.until_s,
+            head_timeouts=self._head_timeouts(routed, choice, sent_s),
+            is_outdated=lambda: self._freshness.was_suspended_since(pause_end_s),
         )
+        response = await self._sender.begin(dispatch)
         if isinstance(response, Failure) and response.kind is FailureKind.STALE and is_new:
             routed.tried.discard(runner.record.start)
         if isinstance(response, LateHead):
-            self._decision_log.sent(routed, choice, response.failure, sent_s, self._loop.time())
+            now_s = self._loop.time()
+            self._decision_log.sent(routed, choice, response.failure, dispatch, sent_s, now_s)
             routed.note_run()
             return response
         if not isinstance(response, Failure) or response.execution is not Execution.NOT_RUN:
             routed.note_run()
-        await self._record_outcome(routed, choice, response, sent_s)
+        await self._record_outcome(routed, choice, response, dispatch, sent_s)
         return response
 
     async def _record_outcome(
@@ -148,11 +148,12 @@
         routed: RoutedRequest,
         choice: Choice,
         response: OpenedResponse | Failure,
+        dispatch: Dispatch,
         sent_s: float,
     ) -> None:
         """Record the response head or the failure of one attempt."""
         runner = choice.runner
-        self._decision_log.sent(routed, choice, response, sent_s, self._loop.time())
+        self._decision_log.sent(routed, choice, response, dispatch, sent_s, self._loop.time())
         if not isinstance(response, Failure):
             self.head_latencies(routed.route).record(self._loop.time() - sent_s)
             if _is_fault(response.head.status):
@@ -190,7 +191,7 @@
         self, routed: RoutedRequest, choice: Choice, late: LateHead
     ) -> OpenedResponse | Failure:
         response = await self._sender.wait(late)
-        await self._record_outcome(routed, choice, response, late.sent_s)
+        await self._record_outcome(routed, choice, response, late.dispatch, late.sent_s)
         return response
 
     def quarantine_refusal(self, routed: RoutedRequest) -> Failure | None:
--- a/src/leverjunction/proxy/runner_connection.py
+++ b/src/leverjunction/proxy/runner_connection.py
@@ -9,6 +9,7 @@
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.proxy.answer_bounds import MAX_HEAD_BYTES, AnswerBounds
+from leverjunction.proxy.answer_owner import CarriedRequests
 from leverjunction.proxy.dialect import RawHeaders
 from leverjunction.proxy.keepalive import enable_keepalive
 
@@ -54,13 +55,17 @@
 
     Attributes:
         address: ``host:port`` of the back end.
+        number: Its number in the pool, for log lines.
+        carried: The requests that it has carried.
         idle_since_s: Time at which the connection last became idle, in monotonic seconds.
         keep_alive_s: Time for which the back end keeps an idle connection open, in seconds; None
             if it has not stated one.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, number: int = 0) -> None:
         self.address = address
+        self.number = number
+        self.carried = CarriedRequests()
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -118,9 +123,25 @@
         """End the request in progress with a failure."""
         self._on_closed(f"the connection was lost ({exc})" if exc else "the connection was closed")
 
-    def send(self, method: bytes, target: bytes, headers: RawHeaders, body: bytes) -> None:
-        """Send a complete request; Content-Length is added where the method or body needs it."""
+    def send(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: RawHeaders,
+        body: bytes,
+        request_id: str = "",
+    ) -> None:
+        """Send a complete request; Content-Length is added where the method or body needs it.
+
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            headers: Header fields without Content-Length.
+            body: The whole body.
+            request_id: Id that the answer will echo; empty if the request has none.
+        """
         assert self._transport is not None
+        self.carried.add(request_id)
         self._in_use = True
         self._response_started = False
         self._response_ended = False
--- a/src/leverjunction/proxy/runner_pool.py
+++ b/src/leverjunction/proxy/runner_pool.py
@@ -89,7 +89,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await self._loop.create_connection(
-                    lambda: RunnerConnection(address), host, int(port)
+                    lambda: RunnerConnection(address, self.opened_total + 1), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
             is_refused = isinstance(error, ConnectionRefusedError)
--- /dev/null
+++ b/tests/unit/test_proxy_answer_owner.py
@@ -0,0 +1,32 @@
+"""Tells whose answer arrives on a connection that has carried several requests."""
+
+from __future__ import annotations
+
+import pytest
+
+from leverjunction.proxy.answer_owner import AnswerOwner, CarriedRequests
+
+
+@pytest.mark.parametrize(
+    ("carried", "answer_id", "owner"),
+    [
+        (["a"], "a", AnswerOwner.OWN),
+        (["a"], "b", AnswerOwner.FOREIGN),
+        (["a"], "", AnswerOwner.UNNAMED),
+        (["a", "b"], "b", AnswerOwner.OWN),
+        (["a", "b"], "a", AnswerOwner.EARLIER),
+        (["a", "b"], "c", AnswerOwner.FOREIGN),
+        (["a", "b", "a"], "a", AnswerOwner.AMBIGUOUS),
+        (["a", "b", "a"], "b", AnswerOwner.EARLIER),
+        (["", "b"], "", AnswerOwner.EARLIER),
+        (["", "b"], "b", AnswerOwner.OWN),
+    ],
+)
+def test_the_id_of_an_answer_tells_whose_it_is(
+    carried: list[str], answer_id: str, owner: AnswerOwner
+) -> None:
+    requests = CarriedRequests()
+    for request_id in carried:
+        requests.add(request_id)
+    assert len(requests) == len(carried)
+    assert requests.owner_of(answer_id) is owner
