--- a/src/testbed/routed/behaviours.py
+++ b/src/testbed/routed/behaviours.py
@@ -7,7 +7,13 @@
 from collections.abc import Awaitable, Callable
 
 from leverjunction.platform import headers as names
-from testbed.routed.exchange import BEHAVIOUR_HEADER, READ_BYTES, RESUMABLE_FOLDER, Exchange
+from testbed.routed.exchange import (
+    BEHAVIOUR_HEADER,
+    READ_BYTES,
+    RESUMABLE_FOLDER,
+    STAMP_HEADER,
+    Exchange,
+)
 
 NOT_RUN_HEADER = names.NOT_EXECUTED.decode()
 LONG_EVENTS = 2000
@@ -22,6 +28,11 @@
 
 Behaviour = Callable[[Exchange], Awaitable[None]]
 BEHAVIOURS: dict[str, Behaviour] = {}
+SURPLUS_S = 0.02
+"""Time from an answer to its late copy."""
+
+LARGE_SURPLUS_BYTES = 1024 * 1024
+
 LATE_S = 0.15
 """Time to the head of an answer that is late but whole."""
 
@@ -168,6 +179,47 @@
     await exchange.flush()
 
 
+@behaviour("not run, again late")
+async def _not_run_again_late(exchange: Exchange) -> None:
+    copy = exchange.answer_again(503, [*exchange.headers(), (NOT_RUN_HEADER, "1")], b"")
+    exchange.send_later(copy, SURPLUS_S)
+
+
+@behaviour("not run, again with the next")
+async def _not_run_again_with_the_next(exchange: Exchange) -> None:
+    copy = exchange.answer_again(503, [*exchange.headers(), (NOT_RUN_HEADER, "1")], b"")
+    exchange.send_with_next(copy)
+
+
+@behaviour("not run, without an id")
+async def _not_run_without_id(exchange: Exchange) -> None:
+    exchange.head(503, [(STAMP_HEADER, "stamp"), (NOT_RUN_HEADER, "1"), ("Content-Length", "0")])
+    exchange.end()
+
+
+@behaviour("another, without an id")
+async def _another_without_id(exchange: Exchange) -> None:
+    exchange.head(421, [(STAMP_HEADER, "stamp"), ("Content-Length", "0")])
+    exchange.end()
+
+
+@behaviour("fault, again with the next")
+async def _fault_again_with_the_next(exchange: Exchange) -> None:
+    exchange.send_with_next(exchange.answer_again(500, exchange.headers(), b"fault"))
+
+
+@behaviour("whole, again with the next")
+async def _whole_again_with_the_next(exchange: Exchange) -> None:
+    body = f"answer to {exchange.seen.target}".encode()
+    exchange.send_with_next(exchange.answer_again(200, exchange.headers(), body))
+
+
+@behaviour("large, again with the next")
+async def _large_again_with_the_next(exchange: Exchange) -> None:
+    body = b"x" * LARGE_SURPLUS_BYTES
+    exchange.send_with_next(exchange.answer_again(200, exchange.headers(), body))
+
+
 @behaviour("stream")
 async def _stream(exchange: Exchange) -> None:
     exchange.head(200, [*exchange.headers(), ("Content-Type", "text/event-stream")])
--- a/src/testbed/routed/exchange.py
+++ b/src/testbed/routed/exchange.py
@@ -90,6 +90,7 @@
         "_parser",
         "_reader",
         "_slowdown",
+        "_surplus",
         "_version",
         "_writer",
         "places",
@@ -106,7 +107,9 @@
         version: str = "",
         load: str = "",
         slowdown: float = 1.0,
+        surplus: list[bytes] | None = None,
     ) -> None:
+        self._surplus = [] if surplus is None else surplus
         self._version = version
         self._load = load
         self._slowdown = slowdown
@@ -136,6 +139,24 @@
         """Send the end of its body."""
         self.raw(self._parser.send(h11.EndOfMessage()))
 
+    def answer_again(self, status: int, headers: list[tuple[str, str]], body: bytes) -> bytes:
+        """Send a whole answer; return its bytes, for sending them once more."""
+        fields = [*headers, ("Content-Length", str(len(body)))]
+        lines = [f"HTTP/1.1 {status} ", *(f"{name}: {value}" for name, value in fields), "", ""]
+        self.head(status, fields)
+        if body:
+            self.data(body)
+        self.end()
+        return "\r\n".join(lines).encode() + body
+
+    def send_with_next(self, surplus: bytes) -> None:
+        """Send a surplus answer once the next request of this connection has come."""
+        self._surplus.append(surplus)
+
+    def send_later(self, surplus: bytes, delay_s: float) -> None:
+        """Send a surplus answer after a time."""
+        asyncio.get_running_loop().call_later(delay_s, self._writer.write, surplus)
+
     def raw(self, data: bytes | None) -> None:
         """Send bytes as they are."""
         if data:
--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -125,11 +125,14 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.accepted += 1
         parser = h11.Connection(h11.SERVER)
+        surplus: list[bytes] = []
         try:
             while True:
                 seen = await read_request(parser, reader)
                 if seen is None:
                     break
+                writer.write(b"".join(surplus))
+                surplus.clear()
                 if seen.target == REPORT_TARGET:
                     await _report(Exchange(seen, parser, reader, writer, self._places), self)
                     parser.start_next_cycle()
@@ -147,6 +150,7 @@
                     self.version,
                     self._load(),
                     self.slowdown,
+                    surplus,
                 )
                 reported = int(name not in ENDED_HERE)
                 self.under_way += reported
