Proxy: an answer belongs to one sending, not to one id

What callers saw: requests that may run once ran twice, or were answered 503 ("not run") and ran.

Cause: an answer was matched by the id of its request. A refused request went back to the same back end on the same connection; a second, late copy of the refusal carried the same id and passed for the answer to the second sending, which the back end ran. Class: an id taken for a sending.

Mend: a connection carries no id twice (it keeps 256 hashes and is replaced then), so the id of an answer tells its sending, also where a caller sends an id again. An answer to an earlier request of the connection is skipped, within bounds, instead of costing another request a 502. A refusal without an id proves nothing: every answer of a back end echoes the id of its request.

--- a/src/leverjunction/proxy/answer_bounds.py
+++ b/src/leverjunction/proxy/answer_bounds.py
@@ -31,6 +31,10 @@
 MAX_REFUSAL_BYTES = 64 * 1024
 """Bytes of a refusal's body that are read to keep its connection."""
 
+MAX_SURPLUS_ANSWERS = 8
+MAX_SURPLUS_BYTES = 64 * 1024
+"""Answers to earlier requests, and bytes of their bodies, that are skipped before an answer."""
+
 MAX_ITEM_OUTPUT_BYTES = 16 * 1024 * 1024
 """Bytes of the output that one run of a batch item may add; the stores replicate all of them."""
 
@@ -113,6 +117,8 @@
     "MAX_ITEM_OUTPUT_BYTES",
     "MAX_PARTS",
     "MAX_REFUSAL_BYTES",
+    "MAX_SURPLUS_ANSWERS",
+    "MAX_SURPLUS_BYTES",
     "PART_TIME_S",
     "AnswerBounds",
     "PartialBound",
--- a/src/leverjunction/proxy/answer_owner.py
+++ b/src/leverjunction/proxy/answer_owner.py
@@ -1,8 +1,8 @@
 """To which request an answer belongs that arrives on a connection to a back end. No I/O.
 
 A back end may send an answer a second time, late, in the place of the answer to the next request on
-the connection. The id that each answer echoes tells whose it is, unless the connection has carried
-that id more than once.
+the connection. The id that each answer echoes tells whose it is, as long as the connection carries
+no id twice.
 """
 
 from __future__ import annotations
@@ -16,8 +16,6 @@
 
     OWN = "own"
     """The request that the connection carries now."""
-    AMBIGUOUS = "ambiguous"
-    """That request, or an earlier sending of it on the same connection."""
     EARLIER = "earlier"
     """A request that the connection carried before."""
     FOREIGN = "foreign"
@@ -26,8 +24,15 @@
     """Unknown: the answer has no id."""
 
 
+MAX_CARRIED_REQUESTS = 256
+"""Requests after which a connection is replaced, so that all of its ids can be kept."""
+
+
 class CarriedRequests:
-    """Ids of the requests that one connection has carried, as 64-bit hashes."""
+    """Ids of the requests that one connection has carried, as 64-bit hashes.
+
+    Two ids with one hash cost a connection: the second one is sent on another.
+    """
 
     __slots__ = ("_current_id", "_earlier")
 
@@ -38,6 +43,15 @@
     def __len__(self) -> int:
         return len(self._earlier) + (self._current_id is not None)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection has carried as many requests as it may."""
+        return len(self) >= MAX_CARRIED_REQUESTS
+
+    def has(self, request_id: str) -> bool:
+        """Return whether the connection has carried a request."""
+        return request_id == self._current_id or hash(request_id) in self._earlier
+
     def add(self, request_id: str) -> None:
         """Record that the connection carries a request now; empty for one without an id."""
         if self._current_id is not None:
@@ -46,10 +60,9 @@
 
     def owner_of(self, answer_id: str) -> AnswerOwner:
         """Return whose answer it is that echoes an id; empty for an answer without one."""
-        is_earlier = hash(answer_id) in self._earlier
         if answer_id == self._current_id:
-            return AnswerOwner.AMBIGUOUS if is_earlier else AnswerOwner.OWN
-        if is_earlier:
+            return AnswerOwner.OWN
+        if hash(answer_id) in self._earlier:
             return AnswerOwner.EARLIER
         return AnswerOwner.FOREIGN if answer_id else AnswerOwner.UNNAMED
 
--- a/src/leverjunction/proxy/attempt.py
+++ b/src/leverjunction/proxy/attempt.py
@@ -9,12 +9,7 @@
 from leverjunction.proxy.answer_bounds import MAX_DOCUMENT_BYTES, MAX_REFUSAL_BYTES
 from leverjunction.proxy.answer_owner import AnswerOwner
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.dialect import (
-    Dialect,
-    EngineLoad,
-    RawHeaders,
-    RequestMetadata,
-)
+from leverjunction.proxy.dialect import Dialect, EngineLoad, RawHeaders
 from leverjunction.proxy.dispatch import (
     Dispatch,
     LateHead,
@@ -173,7 +168,13 @@
         body: list[bytes] = []
         size_bytes = 0
         try:
-            connection.send(b"GET", path, [(b"Host", address.encode()), *headers], b"")
+            connection.send(
+                b"GET",
+                path,
+                [(b"Host", address.encode()), *headers],
+                b"",
+                read_metadata=self._dialect.read_response,
+            )
             while True:
                 event = await connection.next_event()
                 if isinstance(event, ResponseEnd):
@@ -181,6 +182,8 @@
                     return b"".join(body)
                 if isinstance(event, Failure):
                     return event
+                if isinstance(event, ResponseHead) and event.metadata.request_id:
+                    return endless_failure(address, "it answers another request", False)
                 if isinstance(event, bytes):
                     body.append(event)
                     size_bytes += len(event)
@@ -199,7 +202,10 @@
     async def _open(self, dispatch: Dispatch) -> OpenedResponse | LateHead | Failure:
         runner = dispatch.runner
         idle_share = REPEATABLE_IDLE_SHARE if dispatch.repeatable else ONCE_IDLE_SHARE
-        connection = await self._pool.acquire(runner.record.address, idle_share, CONNECT_TIMEOUT_S)
+        request_id = dispatch.metadata.request_id
+        connection = await self._pool.acquire(
+            runner.record.address, idle_share, CONNECT_TIMEOUT_S, request_id
+        )
         if isinstance(connection, Failure):
             self._balancer.failed(runner, self._loop.time())
             return connection
@@ -230,7 +236,14 @@
             dispatch.metadata.tenant,
         )
         request_id = dispatch.metadata.request_id
-        connection.send(request.method, request.target, headers, request.body, request_id)
+        connection.send(
+            request.method,
+            request.target,
+            headers,
+            request.body,
+            request_id,
+            self._dialect.read_response,
+        )
         dispatch.connection, dispatch.connection_use = connection.number, len(connection.carried)
         return self._loop.time()
 
@@ -261,6 +274,8 @@
             return late_failure(runner, Execution.UNKNOWN)
         finally:
             self._note_delay(dispatch, sent_s)
+        for _ in range(connection.skipped):
+            self._on_answer(AnswerOwner.EARLIER)
         if not isinstance(head, ResponseHead):
             self._balancer.failed(runner, self._loop.time())
             connection.close()
@@ -269,12 +284,17 @@
                 if isinstance(head, Failure)
                 else _mismatch(runner, "a response without a head")
             )
-        metadata = self._dialect.read_response(head.headers)
-        self._on_answer(connection.carried.owner_of(metadata.request_id))
+        metadata = head.metadata
+        owner = connection.carried.owner_of(metadata.request_id)
+        self._on_answer(owner)
+        if owner is not AnswerOwner.OWN:
+            connection.close()
+            self._balancer.failed(runner, self._loop.time())
+            return _mismatch(runner, f"the response belongs to another request ({owner.value})")
         if metadata.load is not None:
             runner.report_load(metadata.load, self._loop.time())
         opened = OpenedResponse(head, metadata, connection, runner)
-        refusal = await self._response_failure(opened, dispatch.metadata)
+        refusal = await self._response_failure(opened)
         if refusal is not None:
             return refusal
         self._balancer.succeeded(runner, self._loop.time())
@@ -284,20 +304,13 @@
         now_s = self._loop.time()
         dispatch.runner.record_head(now_s - sent_s, dispatch.metadata.tokens_in, now_s)
 
-    async def _response_failure(
-        self, response: OpenedResponse, metadata: RequestMetadata
-    ) -> Failure | None:
-        """Return why a response must not be relayed, or None.
+    async def _response_failure(self, response: OpenedResponse) -> Failure | None:
+        """Return why the response to a request must not be relayed, or None.
 
-        Rejected are responses to another request, those that did not come from a back end of
-        this deployment, and those that state that the request was not run.
+        Rejected are those that did not come from a back end of this deployment, and those that
+        state that the request was not run.
         """
         runner = response.runner
-        # Checked first: a surplus response tells nothing about this request, not even "not run".
-        if response.metadata.request_id and response.metadata.request_id != metadata.request_id:
-            response.connection.close()
-            self._balancer.failed(runner, self._loop.time())
-            return _mismatch(runner, "the response belongs to another request")
         if response.metadata.not_run or response.head.status == MISDIRECTED_REQUEST:
             await self._discard_refusal(response)
             if response.head.status == MISDIRECTED_REQUEST:
--- a/src/leverjunction/proxy/runner_connection.py
+++ b/src/leverjunction/proxy/runner_connection.py
@@ -4,13 +4,19 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 import h11
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
-from leverjunction.proxy.answer_bounds import MAX_HEAD_BYTES, AnswerBounds
-from leverjunction.proxy.answer_owner import CarriedRequests
-from leverjunction.proxy.dialect import RawHeaders
+from leverjunction.proxy.answer_bounds import (
+    MAX_HEAD_BYTES,
+    MAX_SURPLUS_ANSWERS,
+    MAX_SURPLUS_BYTES,
+    AnswerBounds,
+)
+from leverjunction.proxy.answer_owner import AnswerOwner, CarriedRequests
+from leverjunction.proxy.dialect import RawHeaders, ResponseMetadata
 from leverjunction.proxy.keepalive import enable_keepalive
 
 MAX_UNREAD_BYTES = 256 * 1024
@@ -32,13 +38,18 @@
 
 
 class ResponseHead:
-    """Status and headers of a back end's response."""
+    """Status and headers of a back end's response, and what they say."""
 
-    __slots__ = ("headers", "status")
+    __slots__ = ("headers", "metadata", "status")
 
-    def __init__(self, status: int, headers: RawHeaders) -> None:
+    def __init__(self, status: int, headers: RawHeaders, metadata: ResponseMetadata) -> None:
         self.status = status
         self.headers = headers
+        self.metadata = metadata
+
+
+ReadMetadata = Callable[[RawHeaders], ResponseMetadata]
+"""Reads the headers of a response (``Dialect.read_response``)."""
 
 
 class ResponseEnd:
@@ -57,6 +68,7 @@
         address: ``host:port`` of the back end.
         number: Its number in the pool, for log lines.
         carried: The requests that it has carried.
+        skipped: Answers to earlier ones that came instead of the answer to the current one.
         idle_since_s: Time at which the connection last became idle, in monotonic seconds.
         keep_alive_s: Time for which the back end keeps an idle connection open, in seconds; None
             if it has not stated one.
@@ -66,6 +78,7 @@
         self.address = address
         self.number = number
         self.carried = CarriedRequests()
+        self.skipped = 0
         self.idle_since_s = 0.0
         self.keep_alive_s: float | None = None
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -81,6 +94,10 @@
         self._response_started = False
         self._response_ended = False
         self._bounds = AnswerBounds()
+        self._method = b""
+        self._read_metadata: ReadMetadata = _no_metadata
+        self._is_skipping = False
+        self._surplus_bytes = 0
 
     @property
     def is_usable(self) -> bool:
@@ -130,18 +147,25 @@
         headers: RawHeaders,
         body: bytes,
         request_id: str = "",
+        read_metadata: ReadMetadata | None = None,
     ) -> None:
         """Send a complete request; Content-Length is added where the method or body needs it.
 
+        Answers to earlier requests of this connection that arrive before the own one are skipped.
+
         Args:
             method: HTTP method.
             target: Path and query.
             headers: Header fields without Content-Length.
             body: The whole body.
             request_id: Id that the answer will echo; empty if the request has none.
+            read_metadata: Reads the headers of answers.
         """
         assert self._transport is not None
         self.carried.add(request_id)
+        self._method = method
+        self._read_metadata = read_metadata or _no_metadata
+        self.skipped = self._surplus_bytes = 0
         self._in_use = True
         self._response_started = False
         self._response_ended = False
@@ -257,18 +281,54 @@
         if event in (h11.NEED_DATA, h11.PAUSED):
             return False
         if isinstance(event, h11.Response):
-            self._bounds.head_ended()
-            self._emit(ResponseHead(event.status_code, event.headers.raw_items()))
-        elif isinstance(event, h11.Data):
-            self._emit(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
+            return self._take_head(event)
+        if isinstance(event, h11.Data):
+            return self._skip(len(event.data)) if self._is_skipping else self._take_body(event)
+        if isinstance(event, h11.EndOfMessage):
+            if self._is_skipping:
+                self._await_next_answer()
+                return True
             self._response_ended = True
             self._emit(ResponseEnd())
             return False
-        elif isinstance(event, h11.ConnectionClosed):
-            return False
+        return not isinstance(event, h11.ConnectionClosed)
+
+    def _take_head(self, event: h11.Response) -> bool:
+        """Emit the head of the own answer; begin to skip the answer to an earlier request."""
+        self._bounds.head_ended()
+        headers = event.headers.raw_items()
+        metadata = self._read_metadata(headers)
+        if self.carried.owner_of(metadata.request_id) is AnswerOwner.EARLIER:
+            self._is_skipping = True
+            self.skipped += 1
+            return self._skip(0)
+        self._emit(ResponseHead(event.status_code, headers, metadata))
         return True
 
+    def _take_body(self, event: h11.Data) -> bool:
+        self._emit(bytes(event.data))
+        return True
+
+    def _skip(self, size_bytes: int) -> bool:
+        """Skip a part of an answer to an earlier request; return whether to go on reading."""
+        self._surplus_bytes += size_bytes
+        if self._surplus_bytes <= MAX_SURPLUS_BYTES and self.skipped <= MAX_SURPLUS_ANSWERS:
+            return True
+        self._break_off("answers to earlier requests do not end")
+        return False
+
+    def _await_next_answer(self) -> None:
+        """Continue with the bytes after a skipped answer, which the own one may begin with.
+
+        The parser takes one answer for each request, so another one waits for the next answer.
+        """
+        rest, _ = self._h11.trailing_data
+        self._h11 = _waiting_parser(self._method)
+        self._is_skipping = self._response_started = False
+        self._bounds = AnswerBounds()
+        if rest:
+            self._h11.receive_data(rest)
+
     def _emit(self, event: ResponseEvent) -> None:
         if isinstance(event, bytes):
             self._unread_bytes += len(event) + PART_OVERHEAD_BYTES
@@ -333,6 +393,18 @@
         self._resume_if_drained()
 
 
+def _no_metadata(_headers: RawHeaders) -> ResponseMetadata:
+    return ResponseMetadata()
+
+
+def _waiting_parser(method: bytes) -> h11.Connection:
+    """Return a parser in the state in which a request has been sent and not been answered."""
+    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    parser.send(h11.Request(method=method, target=b"/", headers=[(b"Host", b"")]))
+    parser.send(h11.EndOfMessage())
+    return parser
+
+
 def endless_failure(address: str, reason: str, is_relaying: bool = True) -> Failure:
     """Return the failure of a request whose back end sends bytes that do not become an answer.
 
--- a/src/leverjunction/proxy/runner_pool.py
+++ b/src/leverjunction/proxy/runner_pool.py
@@ -29,28 +29,30 @@
         self.opened_total = 0
 
     async def acquire(
-        self, address: str, idle_share: float, connect_timeout_s: float
+        self, address: str, idle_share: float, connect_timeout_s: float, request_id: str = ""
     ) -> RunnerConnection | Failure:
         """Return an idle connection, or open a new one.
 
+        A connection carries no request id twice: a late copy of the first answer could not be told
+        from the second one.
+
         Args:
             address: ``host:port`` of the back end.
             idle_share: Share of the back end's keep-alive time after which an idle connection is
                 not reused. If the back end closes a connection just as a request is sent, it is
                 unknown whether the request ran.
             connect_timeout_s: Timeout for opening a new connection, in seconds.
+            request_id: Id of the request to send; empty if it has none.
         """
         idle = self._idle.get(address, [])
         now_s = self._loop.time()
-        while idle:
-            connection = idle.pop()
-            keep_alive_s = (
-                DEFAULT_KEEP_ALIVE_S if connection.keep_alive_s is None else connection.keep_alive_s
-            )
-            is_fresh = now_s - connection.idle_since_s <= keep_alive_s * idle_share
-            if is_fresh and connection.is_usable:
+        for connection in reversed(idle[:]):
+            if not _is_fresh(connection, idle_share, now_s):
+                idle.remove(connection)
+                connection.close()
+            elif not request_id or not connection.carried.has(request_id):
+                idle.remove(connection)
                 return connection
-            connection.close()
         return await self._connect(address, connect_timeout_s)
 
     def release(self, connection: RunnerConnection, keep: bool) -> None:
@@ -60,7 +62,7 @@
             connection: A connection from ``acquire``.
             keep: Whether it may be reused; if not, it is closed.
         """
-        if not connection.finish_request() or not keep:
+        if not connection.finish_request() or not keep or connection.carried.is_full:
             connection.close()
             return
         connection.idle_since_s = self._loop.time()
@@ -103,4 +105,12 @@
         return connection
 
 
+def _is_fresh(connection: RunnerConnection, idle_share: float, now_s: float) -> bool:
+    """Return whether a connection can be used, and its back end has no reason yet to close it."""
+    keep_alive_s = (
+        DEFAULT_KEEP_ALIVE_S if connection.keep_alive_s is None else connection.keep_alive_s
+    )
+    return now_s - connection.idle_since_s <= keep_alive_s * idle_share and connection.is_usable
+
+
 __all__ = ["RunnerPool"]
