Batch: the reply to a command marks the output that the command contains, not its successor's

Cause: when a route moves or a version's last back end leaves, an item begins anew and its output is replaced. The reply to a progress command that was under way then marked as many events of the new output as recorded, which dropped them from the result. Class: state that is looked up again after an await, by what it belongs to, and is another one by then.

Mend: what was sent keeps the output object that it was taken from; the reply marks that one, and an item restarts after a rejection only if that output is still its own.

--- a/src/leverjunction/lots/outbox.py
+++ b/src/leverjunction/lots/outbox.py
@@ -41,6 +41,31 @@
 """
 
 
+class _SentProgress:
+    """Progress of an item in a command whose reply is awaited.
+
+    The output may be discarded meanwhile, and another run of the item begin: what becomes of the
+    command concerns the output that it contains, not the one that stands there by then.
+
+    Attributes:
+        run: The item.
+        stream: Its output at the time.
+        count: How many of its events the command contains, from the first unrecorded one.
+    """
+
+    __slots__ = ("count", "run", "stream")
+
+    def __init__(self, run: ItemRun, count: int) -> None:
+        self.run = run
+        self.stream = run.stream
+        self.count = count
+
+    def restart(self) -> None:
+        """Restart the item from its recorded events, unless its output was discarded already."""
+        if self.run.stream is self.stream:
+            self.run.restart()
+
+
 class Outbox:
     """Keeps results and failed runs until the group has recorded them, and records progress.
 
@@ -140,7 +165,7 @@
             # A command of unknown outcome may have been applied, and its parts are sent again.
             repeats=True,
         )
-        sent = [(run, part.count) for run, part in zip(progress, parts, strict=False)]
+        sent = [_SentProgress(run, part.count) for run, part in zip(progress, parts, strict=False)]
         epoch = self._epoch
         self._trace.begin(command)
         reply = await self._propose(command)
@@ -149,12 +174,12 @@
             return
         if isinstance(reply, Failure):
             logger.warning("cannot record results and progress yet: {}", reply.reason)
-            await self._restart_refused(ReadRefused(results=results, progress=parts), progress)
+            await self._restart_refused(ReadRefused(results=results, progress=parts), sent)
             return
         self._remove_recorded_failures(failures)
         self._remove_recorded(results, sent, frozenset(reply.rejected))
 
-    async def _restart_refused(self, parts: ReadRefused, sent: list[ItemRun]) -> None:
+    async def _restart_refused(self, parts: ReadRefused, sent: list[_SentProgress]) -> None:
         """Restart items whose parts the group would reject now, from the events it has recorded.
 
         Called when a command failed or timed out. While commits take longer than the proposal
@@ -163,7 +188,7 @@
 
         Args:
             parts: Results and progress of the command.
-            sent: Unfinished items whose progress was due.
+            sent: Progress of the command.
         """
         epoch = self._epoch
         loop = asyncio.get_running_loop()
@@ -176,9 +201,9 @@
             return
         logger.info("restarting {} items from their recorded events", len(refused.keys))
         keys = frozenset(refused.keys)
-        for run in sent:
-            if run.key in keys:
-                run.restart()
+        for item in sent:
+            if item.run.key in keys:
+                item.restart()
         self._restart_ended(parts.results, keys)
 
     async def _propose(self, command: RecordRuns) -> Recorded | Failure:
@@ -197,21 +222,21 @@
     def _remove_recorded(
         self,
         results: tuple[ItemResult, ...],
-        sent: list[tuple[ItemRun, int]],
+        sent: list[_SentProgress],
         rejected: frozenset[ItemKey],
     ) -> None:
         """Remove what the group has recorded; restart items whose parts it rejected.
 
         Args:
             results: Results of the command.
-            sent: Unfinished items of the command and how many events of each it contained.
+            sent: Progress of the command.
             rejected: Keys of the items whose part was rejected.
         """
-        for run, count in sent:
-            if run.key in rejected:
-                run.restart()
+        for item in sent:
+            if item.run.key in rejected:
+                item.restart()
             else:
-                run.stream.mark_recorded(count)
+                item.stream.mark_recorded(item.count)
         self._restart_ended(results, rejected)
         for result in results:
             self._results.pop((result.lot_id, result.item_id), None)
--- a/tests/unit/test_lots_outbox.py
+++ b/tests/unit/test_lots_outbox.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sqlite3
+from collections.abc import Callable
 
 import pytest
 
@@ -11,6 +12,7 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.lots import progress_rows
 from leverjunction.lots.commands import (
+    ItemProgress,
     ItemResult,
     LotItem,
     OpenItems,
@@ -18,6 +20,7 @@
     ReadProgress,
     ReadResults,
     RecordedProgress,
+    RecordRuns,
     ResultsPage,
     SubmitLot,
     encode_command,
@@ -38,10 +41,12 @@
         times_out: Whether commits take longer than the proposal timeout: the proposer gets a
             failure of unknown outcome although the command is applied.
         largest_bytes: Size of the largest command so far.
+        meanwhile: Called while the reply to a command is awaited.
     """
 
     def __init__(self) -> None:
         self.times_out = False
+        self.meanwhile: Callable[[], None] = lambda: None
         self.largest_bytes = 0
         self._machine = LotsStateMachine()
         self._connection = sqlite3.connect(
@@ -62,6 +67,7 @@
             reply = encode_reply(_refused(error))
         self._connection.execute("RELEASE entry")
         self.largest_bytes = max(self.largest_bytes, len(command))
+        self.meanwhile()
         if not self.times_out:
             return reply
         return Failure(
@@ -189,6 +195,44 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("times_out", [False, True])
+@pytest.mark.parametrize("rejected", [False, True])
+def test_a_result_holds_events_of_one_run_though_its_item_began_anew_during_a_command(
+    times_out: bool, rejected: bool
+) -> None:
+    """The new run's events counted as those of the command that was under way for the old run."""
+
+    async def scenario() -> None:
+        group = group_with_lot(1)
+        (run,) = group.runs()
+        outbox = Outbox(group)
+        feed_events(run, 1, 2)
+        if rejected:
+            other = ItemProgress(
+                lot_id="lot", item_id="item-0", start=0, count=1, last_id="1", text="another 1"
+            )
+            group.propose(encode_command(RecordRuns(progress=(other,), repeats=True)), 1.0)
+
+        def begin_anew() -> None:
+            group.meanwhile = lambda: None
+            run.begin_anew("its service is gone")
+            for number in range(1, EVENTS):
+                run.stream.feed(b"id: %d\ndata: anew %d\n\n" % (number, number))
+
+        group.meanwhile = begin_anew
+        group.times_out = times_out
+        await record(outbox, [run])
+        group.times_out = False
+        assert run.progress_loaded
+        run.stream.feed(b"id: %d\ndata: anew %d\n\n" % (EVENTS, EVENTS))
+        outbox.complete(run)
+        await record(outbox, [run])
+        whole = "\n".join(f"anew {number}" for number in range(1, EVENTS + 1))
+        assert group.results() == {"item-0": ("done", whole)}
+
+    asyncio.run(scenario())
+
+
 def test_failed_run_counts_once_when_its_command_is_repeated() -> None:
     """Guards against items being given up after two failed runs where three are allowed.
 
