Soak: runners refuse requests and answer many of the refusals twice

The soak had no surplus answers and its runners refused nothing, so it never saw the incident. The kind "refusals answered twice" strikes where it is named (other seeds strike what they did); a refused request no longer counts as run.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -22,7 +22,7 @@
 import words
 from broken import RULES
 from closing import AT_THE_END, CLOSINGS, close
-from faults import FAULTS, ONLY_NAMED, RELEASES
+from faults import FAULTS, ONLY_NAMED, REFUSALS, RELEASES
 from figures import keep_figures
 from hands import Hands
 from machines import MACHINES, Machines, Programs, Sizes
@@ -30,6 +30,7 @@
 from records import FIRST_S, Records, broken_limits, broken_promises, clock, first_ends
 from rest import Rest
 from resuming import Service, broken_resumptions, compared, logged_resumptions
+from traffic import REFUSALS as WITH_REFUSALS
 from traffic import RELEASES as WITH_RELEASES
 from traffic import Traffic, TrafficShape
 
@@ -100,8 +101,7 @@
     records = Records()
     OwnFaults(records).watch()
     deployment = Machines(folder, Programs(program_tree, rule, turn_us, sync_ms), Sizes(machines))
-    has_releases = any(FAULTS[kind].hand == RELEASES for kind in kinds)
-    traffic = Traffic(deployment, records, seed, WITH_RELEASES if has_releases else TrafficShape())
+    traffic = Traffic(deployment, records, seed, _shape_for(kinds))
     hands = Hands(deployment, traffic, records, seed, kinds)
     ended = threading.Event()
     reviver = threading.Thread(target=_revive, args=(deployment, ended))
@@ -145,6 +145,14 @@
         sys.exit(2)
 
 
+def _shape_for(kinds: list[str]) -> TrafficShape:
+    """Return the traffic that faults of these kinds need."""
+    hands = {FAULTS[kind].hand for kind in kinds}
+    if RELEASES in hands:
+        return WITH_RELEASES
+    return WITH_REFUSALS if REFUSALS in hands else TrafficShape()
+
+
 def _play(
     machines: Machines,
     records: Records,
--- a/deploy/soak/backends.py
+++ b/deploy/soak/backends.py
@@ -23,6 +23,11 @@
 """Slots of a runner, as on the deployment of the incident."""
 
 RECENT_REQUESTS = 100
+NOT_RUN = "not run"
+ANSWERED_TWICE = (NOT_RUN, "not run, again late", "not run, again with the next")
+"""Refusals of a runner, some of which come a second time."""
+
+REFUSED_SHARE = 0.6
 ENDS_AFTER_S = 0.03
 """From the arrival of a deadly request to the end of its runner: it has begun by then."""
 
@@ -104,15 +109,20 @@
 
     Attributes:
         begun: Deadly requests that it began; the first one ends it.
+        refusals: Draws the requests that it refuses; None to take all.
     """
 
     def __init__(self, runner_id: str, slots: int, version: str, ended: Callable[[], None]) -> None:
         super().__init__(runner_id, usual="by path", slots=slots, version=version)
         self._ended = ended
         self.begun: list[Seen] = []
+        self.refusals: Random | None = None
 
     def _behaviour_for(self, seen: Seen) -> str:
         chosen = super()._behaviour_for(seen)
+        refusals = self.refusals
+        if chosen == self.usual and refusals and refusals.random() < REFUSED_SHARE:
+            return refusals.choice(ANSWERED_TWICE)
         if not seen.body.startswith(words.DEADLY) or chosen != self.usual:
             return chosen
         self.begun.append(seen)
@@ -199,8 +209,9 @@
         return [seen.began_s for seen in own if seen.body.startswith(body)]
 
     def executions(self) -> list[str]:
-        """Return the ids that it ran, those sent to another one left out."""
-        return [_id_of(seen) for seen in self._own(self.stand_in.seen[:])]
+        """Return the ids that it ran; those sent to another one, or refused, are left out."""
+        own = self._own(self.stand_in.seen[:])
+        return [_id_of(seen) for seen in own if not seen.behaviour.startswith(NOT_RUN)]
 
     def working(self) -> list[str]:
         """Return the ids that it works on now."""
@@ -304,6 +315,15 @@
             old.relay.reset()
             self._succeed(number)
 
+    def refuse(self, random: Random, for_s: float) -> None:
+        """Have all runners refuse most requests for a time, and answer many of these twice."""
+        refusing = [runner.stand_in for runner in self.now]
+        for stand_in in refusing:
+            stand_in.refusals = Random(random.random())
+        time.sleep(for_s)
+        for stand_in in refusing:
+            stand_in.refusals = None
+
     def reborn(self, number: int, pause_s: float) -> None:
         """End a runner without a word; after a pause it starts again under its id."""
         with self._lock:
--- a/deploy/soak/broken.py
+++ b/deploy/soak/broken.py
@@ -20,6 +20,7 @@
 from leverjunction.lots.slow_start import SlowStart
 from leverjunction.platform.roles import main
 from leverjunction.proxy import caller_connection, forwarding
+from leverjunction.proxy.answer_owner import CarriedRequests
 from leverjunction.quarantine import suspects
 from leverjunction.quarantine.verdicts import Standing
 from leverjunction.wire.envelope import MessageKind
@@ -102,6 +103,12 @@
     RpcClient.call = answered_too_late  # type: ignore[method-assign, assignment]
 
 
+@_rule
+def _repeat_ids() -> None:
+    """A connection to a runner carries the same request again after a refusal."""
+    CarriedRequests.has = lambda _self, _request_id: False  # type: ignore[method-assign]
+
+
 @_rule
 def _end_what_was_cut() -> None:
     """An answer that broke off looks whole."""
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -38,6 +38,12 @@
 BAD_LOTS = (1, 1, 2, 3)
 """Jobs with bad items that are sent at once."""
 
+REFUSALS = "refusals"
+"""Hand of the refusals that are answered twice; a soak that names them has few runners, so that a
+refused request comes to the same runner again.
+"""
+
+REFUSING_S = (0.5, 2.0)
 RELEASES = "releases"
 """Hand of the faults around releases; a soak that names one of them has the traffic for it."""
 
@@ -45,6 +51,7 @@
     {
         "bad items",
         "deadly part",
+        "refusals answered twice",
         "release",
         "two releases",
         "control silent",
@@ -364,6 +371,11 @@
     runner.stand_in.then_below(words.BATCH_FOLDER, *garbled)
 
 
+@_fault(REFUSALS)
+def _refusals_answered_twice(scene: Scene) -> None:
+    scene.traffic.backends.refuse(scene.random, scene.random.uniform(*REFUSING_S))
+
+
 @_fault("runners")
 def _connections_reset(scene: Scene) -> None:
     for runner in scene.traffic.backends.now:
--- a/deploy/soak/traffic.py
+++ b/deploy/soak/traffic.py
@@ -66,6 +66,9 @@
 )
 """One version at first, and many streams: what a soak with releases needs."""
 
+REFUSALS = TrafficShape(runners=4)
+"""Two runners of each service: a request that both refuse comes to the first one again."""
+
 
 class Traffic:
     """Runners, callers, clients of batch jobs and the operator.
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -516,6 +516,17 @@
     assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
 
 
+TWICE = ("--minutes", "0.2", "--seed", "6801", "--closing", "none")
+REFUSED = ("--only", "refusals answered twice,connections reset,process killed")
+
+
+@pytest.mark.parametrize("rule", ["", "repeat_ids"])
+def test_a_refusal_that_comes_twice_lets_no_request_run_twice(rule: str) -> None:
+    done = run(*TWICE, *REFUSED, *(("--rule", rule) if rule else ()))
+    told = re.search(r"\(once\) ran( \d+ times|, though it was answered)", done.stdout)
+    assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
+
+
 CUT_STREAMS = ("--minutes", "0.1", "--seed", "48", "--closing", "none")
 CUT_BY = ("--only", "process killed,connections reset,runner reborn")
 
