Batch: an item under which back ends crashed is placed again in calm

Cause: a verdict held an item for as long as it refuses online requests. A caller may give up and come again; an item is owed.

Mend: an item that has used up its runs rests 18 s before the next one and a minute before each further one, whatever the verdict lasts; it runs apart, as before. The bounds of bad items (six runs in the first minute, one in each further one) are kept.

Found beside it and listed: the other items of a lot beside which six back ends crashed by themselves are held for up to a minute, since nothing tells crash_limits of crashes of back ends without its items.

--- a/src/leverjunction/lots/crash_limits.py
+++ b/src/leverjunction/lots/crash_limits.py
@@ -44,10 +44,14 @@
 """
 
 MAX_ITEM_CRASHES = 6
-"""Crashes of one request from which it is no longer run while it is refused: the three that lead to
-the verdict and three more.
+"""Crashes of one request from which it runs only once in ``WINDOW_S`` while it is refused: the
+three that lead to the verdict and three more. Its item is still owed: the back ends may have
+crashed for other reasons, and then only another run can show it.
 """
 
+EXHAUSTED_PAUSE_S = 18.0
+"""Pause before the first run beyond ``MAX_ITEM_CRASHES``; ``WINDOW_S`` before each further one."""
+
 STRONG_SUSPECT_CRASHES = 2
 """Crashes from which a request is almost certainly harmful: at least one of them happened apart.
 One is enough if nothing else ran there.
@@ -134,9 +138,12 @@
         return self.crashes >= STRONG_SUSPECT_CRASHES or (self.crashes > 0 and self.crashed_alone)
 
     @property
-    def is_exhausted(self) -> bool:
-        """Whether the request has used up its runs until the verdict expires."""
-        return self.is_refused and (self.verdicts > 1 or self.crashes >= MAX_ITEM_CRASHES)
+    def exhausted_pause_s(self) -> float:
+        """Pause before the next run if the request has used up its runs, in seconds; else 0."""
+        if not self.is_refused or (self.verdicts <= 1 and self.crashes < MAX_ITEM_CRASHES):
+            return 0.0
+        is_first = self.verdicts <= 1 and self.crashes == MAX_ITEM_CRASHES
+        return EXHAUSTED_PAUSE_S if is_first else WINDOW_S
 
 
 NO_CAUSES: Mapping[str, ItemKey] = {}
@@ -400,7 +407,7 @@
 
     def _must_wait(self, origins: tuple[Origin, ...], suspicion: Suspicion, now_s: float) -> bool:
         """Return whether a suspect may not run yet."""
-        if suspicion.is_exhausted or self._running_keys[suspicion.key]:
+        if self._running_keys[suspicion.key] or self._is_exhausted(suspicion, now_s):
             return True
         if any(self._has_enough_suspects(origin, now_s) for origin in origins):
             return True
@@ -416,6 +423,11 @@
         own_s = crashed_s if suspicion.own_crashed_s is None else suspicion.own_crashed_s
         return now_s - own_s < pause_s
 
+    def _is_exhausted(self, suspicion: Suspicion, now_s: float) -> bool:
+        """Return whether a request has used up its runs and not rested for long enough."""
+        pause_s = suspicion.exhausted_pause_s
+        return bool(pause_s) and now_s - self._crashed_s.setdefault(suspicion.key, now_s) < pause_s
+
     def _strong_trials(self, now_s: float) -> int:
         """Return how many back ends strong suspects run at or have crashed just now."""
         for start, at_s in list(self._strong_crashed_s.items()):
--- a/tests/unit/test_lots_isolation_limits.py
+++ b/tests/unit/test_lots_isolation_limits.py
@@ -257,6 +257,49 @@
     assert limits.placement(LOT, suspicions[0], at_s) is Placement.APART
 
 
+UNLUCKY_S = [0.0, 1.0, 4.0, 19.0, 34.0, 49.0, 115.0]
+"""When back ends crashed while they ran one item that is not the cause."""
+
+
+@pytest.mark.parametrize(
+    ("crashes", "verdicts", "rest_s"),
+    [(6, 1, MAX_REST_S), (7, 1, WINDOW_S), (6, 2, WINDOW_S), (7, 4, WINDOW_S)],
+)
+def test_an_item_under_which_many_back_ends_crashed_is_placed_again_in_calm(
+    crashes: int, verdicts: int, rest_s: float
+) -> None:
+    """It was held for as long as the verdict lasts, which doubles with each further one."""
+    limits = CrashLimits()
+    limits.back_ends = 12
+    for number, at_s in enumerate(UNLUCKY_S[:crashes]):
+        lost = Suspicion("k", number + 1, own_crashes=number + 1, own_crashed_s=at_s)
+        limits.crashed(("lot", "unlucky"), LOT, f"s{number}", lost, at_s, apart=number > 1)
+    end_s = UNLUCKY_S[crashes - 1]
+    unlucky = Suspicion(
+        "k",
+        crashes,
+        verdicts,
+        is_refused=True,
+        own_crashes=crashes,
+        own_crashed_s=end_s,
+        crashed_alone=True,
+    )
+    assert limits.placement(LOT, unlucky, end_s + 1.0) is Placement.HELD
+    assert limits.placement(LOT, unlucky, end_s + rest_s) is Placement.APART
+
+
+def test_the_sound_items_of_a_lot_are_placed_again_in_calm_after_a_series_of_crashes() -> None:
+    """Back ends crashed for reasons of their own, six of them beside items of the lot."""
+    limits = CrashLimits()
+    limits.back_ends = 12
+    for number in range(MAX_ORIGIN_CRASHES):
+        unlucky = Suspicion(f"k{number}", 1, own_crashes=1, own_crashed_s=float(number))
+        item = ("lot", f"unlucky-{number}")
+        limits.crashed(item, LOT, f"s{number}", unlucky, float(number), apart=number > 1)
+    end_s = MAX_ORIGIN_CRASHES - 1.0
+    assert limits.placement(LOT, SOUND, end_s + MAX_REST_S) is not Placement.HELD
+
+
 def test_the_first_crash_of_an_item_alone_narrows_its_lot() -> None:
     """It says as much about the rest of the lot as a first crash beside others."""
     limits = CrashLimits()
