--- a/src/leverjunction/proxy/answer_owner.py
+++ b/src/leverjunction/proxy/answer_owner.py
@@ -31,40 +31,51 @@
 class CarriedRequests:
     """Ids of the requests that one connection has carried, as 64-bit hashes.
 
-    Two ids with one hash cost a connection: the second one is sent on another.
+    Two ids with one hash cost a connection: the second one is sent on another. Requests without an
+    id, such as reads of a load, may follow each other on one connection.
     """
 
-    __slots__ = ("_current_id", "_earlier")
+    __slots__ = ("_count", "_current_id", "_earlier", "_has_earlier_unnamed")
 
     def __init__(self) -> None:
+        self._count = 0
         self._earlier: array[int] = array("q")
+        self._has_earlier_unnamed = False
         self._current_id: str | None = None
 
     def __len__(self) -> int:
-        return len(self._earlier) + (self._current_id is not None)
+        return self._count
 
     @property
     def is_full(self) -> bool:
-        """Whether the connection has carried as many requests as it may."""
-        return len(self) >= MAX_CARRIED_REQUESTS
+        """Whether the connection has carried as many requests with an id as it may."""
+        return len(self._earlier) + 1 >= MAX_CARRIED_REQUESTS
 
     def has(self, request_id: str) -> bool:
         """Return whether the connection has carried a request."""
-        return request_id == self._current_id or hash(request_id) in self._earlier
+        return request_id == self._current_id or self._is_earlier(request_id)
 
     def add(self, request_id: str) -> None:
         """Record that the connection carries a request now; empty for one without an id."""
-        if self._current_id is not None:
+        if self._current_id:
             self._earlier.append(hash(self._current_id))
+        elif self._current_id is not None:
+            self._has_earlier_unnamed = True
         self._current_id = request_id
+        self._count += 1
 
     def owner_of(self, answer_id: str) -> AnswerOwner:
         """Return whose answer it is that echoes an id; empty for an answer without one."""
         if answer_id == self._current_id:
             return AnswerOwner.OWN
-        if hash(answer_id) in self._earlier:
+        if self._is_earlier(answer_id):
             return AnswerOwner.EARLIER
         return AnswerOwner.FOREIGN if answer_id else AnswerOwner.UNNAMED
 
+    def _is_earlier(self, request_id: str) -> bool:
+        if not request_id:
+            return self._has_earlier_unnamed
+        return hash(request_id) in self._earlier
 
-__all__ = ["AnswerOwner", "CarriedRequests"]
+
+__all__ = ["MAX_CARRIED_REQUESTS", "AnswerOwner", "CarriedRequests"]
