Proxy: callers that name no attempt of their stream are counted, and resumed streams by outcome

Callers saw: resumed streams refused while new ones began. Which of three causes it was, no line or figure told: a caller that names no attempt counted as a stream that nobody knows, and what became of a stream whose origin is known was in no figure at all.

A caller without an attempt gets no Retry-After once all control processes have answered: no later answer of theirs can help it. Otherwise no decision changes.

--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -11,15 +11,17 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from loguru import logger
 from prometheus_client import Counter
 
 from leverjunction.clock import Clock
-from leverjunction.errors import Failure
+from leverjunction.errors import Execution, Failure
 from leverjunction.proxy.balancer import Choice
 from leverjunction.proxy.caller_connection import request_content
 from leverjunction.proxy.dialect import RequestMetadata
 from leverjunction.proxy.metrics import ProxyMetrics
 from leverjunction.proxy.routed_request import RoutedRequest
+from leverjunction.proxy.unnamed_attempts import UnnamedAttempts
 from leverjunction.quarantine.request_key import request_key
 from leverjunction.registry.origins import Resumption
 from leverjunction.registry.records import RunnerRecord
@@ -146,6 +148,7 @@
         self._clock = clock
         self._metrics = metrics
         self._writer = LineWriter(metrics.lines_lost)
+        self._unnamed = UnnamedAttempts()
 
     def sent(
         self,
@@ -269,6 +272,7 @@
             now_s: Current time in monotonic seconds.
         """
         self._metrics.resumptions.labels(resumption.source.value).inc()
+        self._watch_unnamed(bool(routed.metadata.resumes))
         self._metrics.origin_lookup_s.observe(lookup_s)
         answers = f", {resumption.answered} of {resumption.asked} answered"
         self._write(
@@ -286,6 +290,49 @@
             )
         )
 
+    def _watch_unnamed(self, is_named: bool) -> None:
+        if not self._unnamed.note(is_named):
+            return
+        counts = self._unnamed.unnamed, self._unnamed.seen
+        if self._unnamed.is_reported:
+            logger.warning(
+                "{} of the last {} callers that resume a stream name no attempt; they are refused"
+                " while their service has several versions",
+                *counts,
+            )
+        else:
+            logger.info("{} of the last {} callers that resume a stream name no attempt", *counts)
+
+    def went_on(self, routed: RoutedRequest, now_s: float) -> None:
+        """Record the first event of a stream that a caller continues.
+
+        Args:
+            routed: The request.
+            now_s: Current time in monotonic seconds.
+        """
+        self._write(
+            DecisionLine(
+                at_ms=self._clock.wall_ms(),
+                event="went_on",
+                request_id=routed.metadata.request_id,
+                route=routed.route.name,
+                service=routed.service,
+                waited_ms=_ms(now_s - routed.request.arrived_s),
+                sent_ms=_since_arrival_ms(routed, routed.sent_s or None),
+                runner_id=routed.runner_id,
+                origin=routed.version or "",
+                resumes=routed.metadata.resumes[:MAX_LOGGED_ID],
+            )
+        )
+
+    def resumption_ended(self, routed: RoutedRequest) -> None:
+        """Count what became of a stream that a caller continues."""
+        if routed.went_on:
+            outcome = "went on"
+        else:
+            outcome = "not run" if routed.execution is Execution.NOT_RUN else "failed"
+        self._metrics.resumed_streams.labels(outcome).inc()
+
     def origin_not_recorded(self) -> None:
         """Record a stream that begins although its origin may be unknown to other gateways."""
         self._metrics.origins_not_recorded.inc()
--- a/src/leverjunction/proxy/failures.py
+++ b/src/leverjunction/proxy/failures.py
@@ -27,6 +27,9 @@
     FailureKind.TOO_LARGE: 413,
     FailureKind.RATE_LIMITED: 429,
 }
+_FINALLY_UNKNOWN = (OriginSource.NOBODY_KNOWS, OriginSource.NOT_NAMED)
+"""Why an origin is unknown if no later question can find it."""
+
 _NOT_RUN_STATUS = 503
 _TIMEOUT_STATUS = 504
 _BROKEN_STATUS = 502
@@ -152,8 +155,7 @@
             f" attempt {attempt_id!r} is not known: {source}"
         ),
         step=Step.ROUTING,
-        # If all have answered and kept their records, another question is useless.
-        retry_after_s=None if source is OriginSource.NOBODY_KNOWS else RETRY_ORIGIN_S,
+        retry_after_s=None if source in _FINALLY_UNKNOWN else RETRY_ORIGIN_S,
         execution=Execution.NOT_RUN,
     )
 
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -74,6 +74,13 @@
     execution=Execution.UNKNOWN,
 )
 
+_NEEDS_ATTEMPT_ID = (
+    OriginSource.BASE_VERSION,
+    OriginSource.NOBODY_KNOWS,
+    OriginSource.RESTARTED,
+)
+"""Results of a lookup that say something only of the attempt that the caller named."""
+
 Caller = Tenant | Failure | None
 """Tenant of a request, None without a key or tenants, or why its key is refused."""
 
@@ -199,6 +206,8 @@
             self._decision_log.ended(routed, "cancelled", reason, self._loop.time())
             raise
         finally:
+            if _is_resumption(routed):
+                self._decision_log.resumption_ended(routed)
             for key, start in routed.trials:
                 self._quarantine.trial_ended(key, start)
 
@@ -281,15 +290,14 @@
 
     async def _find_origin(self, routed: RoutedRequest) -> Failure | None:
         """Find what began a stream that the caller continues; return why it is refused, or None."""
-        if routed.route.kind is not RouteClass.STREAM or not routed.metadata.last_event_id:
+        if not _is_resumption(routed):
             return None
         resumes = routed.metadata.resumes
         stream = stream_key(routed.request, resumes)
         asked_s = self._loop.time()
         resumption = await self._origins.find(stream, routed.service)
-        if not resumes and resumption.source is OriginSource.BASE_VERSION:
-            # Its origin may be recorded under the id that the caller does not name.
-            resumption = Resumption(None, OriginSource.NOBODY_KNOWS)
+        if not resumes and resumption.source in _NEEDS_ATTEMPT_ID:
+            resumption = Resumption(None, OriginSource.NOT_NAMED)
         routed.origin = origin = resumption.origin
         now_s = self._loop.time()
         self._decision_log.resumed(routed, resumption, now_s - asked_s, now_s)
@@ -503,6 +511,7 @@
                 if events:
                     event_s = self._note_event(routed, response.runner, event_s)
                     if is_first:
+                        self._note_resumed(routed)
                         failure = await self._begin_stream(routed, response)
                         if failure is not None:
                             return failure
@@ -517,6 +526,12 @@
         finally:
             self._sender.finish(response, whole)
 
+    def _note_resumed(self, routed: RoutedRequest) -> None:
+        """Record the first event of a stream that its caller resumed."""
+        if _is_resumption(routed) and not routed.went_on:
+            routed.went_on = True
+            self._decision_log.went_on(routed, self._loop.time())
+
     def _note_endless(self, response: OpenedResponse, failure: Failure) -> Failure:
         """Count a back end as failed if its bytes are no answer; return the failure."""
         if failure.kind is FailureKind.BACKEND_MISMATCH:
@@ -565,6 +580,11 @@
     )
 
 
+def _is_resumption(routed: RoutedRequest) -> bool:
+    """Return whether the caller continues a stream that broke."""
+    return routed.route.kind is RouteClass.STREAM and bool(routed.metadata.last_event_id)
+
+
 def _stream_of(request: CallerRequest, route: Route) -> int | None:
     """Return the key by which a caller may continue a stream, None if it cannot."""
     metadata = request.metadata
--- a/src/leverjunction/proxy/metrics.py
+++ b/src/leverjunction/proxy/metrics.py
@@ -60,6 +60,13 @@
             ["source"],
             registry=registry,
         )
+        self.resumed_streams = Counter(
+            "proxy_resumed_streams_total",
+            "Streams that callers continue, by outcome: an event came (went on), none came though"
+            " a back end may have run the request (failed), or nothing was run (not run)",
+            ["outcome"],
+            registry=registry,
+        )
         self.origin_lookup_s = Histogram(
             "proxy_origin_lookup_seconds",
             "Time to find which version began a stream that a caller continues",
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -33,6 +33,7 @@
         key: Key of the request, or of a part of its prompt, while it is suspected of crashing back
             ends, else empty.
         trials: Key, and id and start of the back end, of each time it was sent as a suspect.
+        went_on: Whether an event of a stream that the caller resumes has been received.
         sent_s: When it was last sent, in the loop's seconds.
         runner_id: Id and start of the back end that it was last sent to; empty before.
         first_output_s: Time of the first part of the response body in the last run, in the loop's
@@ -61,6 +62,7 @@
         "tried",
         "until_s",
         "waits_for_preferred",
+        "went_on",
     )
 
     def __init__(
@@ -90,6 +92,7 @@
         self.execution = Execution.NOT_RUN
         self.key = ""
         self.trials: list[tuple[str, str]] = []
+        self.went_on = False
         self.sent_s = 0.0
         self.runner_id = ""
         self.first_output_s: float | None = None
--- a/src/leverjunction/registry/origins.py
+++ b/src/leverjunction/registry/origins.py
@@ -44,6 +44,8 @@
     stream. ``NOT_ASKED``: no control process is known. ``NO_ANSWER``: not all of them answered in
     time, so a later question may succeed. ``RESTARTED``: all answered, but some started after the
     stream may have begun. ``NOBODY_KNOWS``: all answered, and another question is useless.
+    ``NOT_NAMED``: the caller does not name the attempt that began the stream, so nobody can know
+    it while several versions may have.
     """
 
     OWN = "own"
@@ -54,6 +56,7 @@
     NO_ANSWER = "no answer"
     RESTARTED = "restarted"
     NOBODY_KNOWS = "nobody knows"
+    NOT_NAMED = "not named"
 
 
 class Resumption(msgspec.Struct, frozen=True):
--- a/tests/unit/test_proxy_versions.py
+++ b/tests/unit/test_proxy_versions.py
@@ -226,6 +226,27 @@
     assert not any(runner.seen for runner in runners)
 
 
+@pytest.mark.parametrize(
+    ("source", "status", "is_worth_a_retry"),
+    [
+        (OriginSource.NO_ANSWER, 503, True),
+        (OriginSource.RESTARTED, 503, False),
+        (OriginSource.NOBODY_KNOWS, 503, False),
+        (OriginSource.BASE_VERSION, 503, False),
+    ],
+)
+def test_a_caller_that_names_no_attempt_is_refused_for_good_once_all_have_answered(
+    stack: ExitStack, source: OriginSource, status: int, is_worth_a_retry: bool
+) -> None:
+    """Only a control process that knows a single version can help it."""
+    runners = start_runners(stack, OLD, NEW)
+    proxy = stack.enter_context(Proxy(make_full_table(), runners, Answering(source)))
+    reply = proxy.ask(RESUMABLE, Last_Event_Id="2")
+    assert reply.status == status
+    assert ("retry-after" in reply.headers) == is_worth_a_retry
+    assert not any(runner.seen for runner in runners)
+
+
 VIEW_AGE_S = 2.1
 """Longer than the age up to which the proxy trusts its view."""
 
