Proxy: a gateway that has just started knows the base version from the registry

Callers would have seen: streams that began at a newer version through a gateway that had just started beside two versions, and that lost touch with the control processes and then ended, were taken up elsewhere and went on at the base version (ORDER).

Cause: such a gateway knew the base version only from replies to its own reports. Before the first one, or after a reply of a control process that knows none, it took no version for the base and passed on events whose origin nobody had stored, while control processes answered that unknown streams began at the base version. What they answer is taken from the registry's base versions, which the gateway has too.

Why it works: without the gateway's own knowledge and without a reply, the registry's base version counts, so a stream of another one whose origin is not stored ends before its first event, and further ones begin at the base version. Streams at a gateway that knows the base version are as before.

Evidence: five rows of test_origins_at_new_gateways, in the model of origins, failed before with "a stream of v2 goes on at v1: base version" and pass now. test_origin_losses, test_origin_properties, test_origin_review and test_proxy_versions pass as before (with the four rows that are listed).

--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -97,6 +97,7 @@
         self._ambiguous: set[str] = set()
         self._first_seen_s: dict[tuple[str, str], float] = {}
         self._oldest: dict[str, str] = {}
+        self._registered_bases: dict[str, str] = {}
         self._reviewed_s = 0.0
         self._loop = asyncio.get_running_loop()
 
@@ -110,6 +111,7 @@
             item.service: item.version
             for item in sorted(view.runners, key=lambda item: item.born_ms, reverse=True)
         }
+        self._registered_bases = {item.service: item.version for item in view.base_versions}
         known = self._ambiguous
         self._review(now_s)
         if self.directory is not None and self._ambiguous - known:
@@ -174,13 +176,15 @@
     def _base_version(self, service: str) -> str | None:
         """Return the base version of a service while it has several, None if it is unknown.
 
-        A gateway that has started since goes by what control processes told; if they know no base
-        version, they take no stream for one of it.
+        A gateway that has started since goes by what control processes told, or else by the
+        registry: they take unknown streams only for ones of its base version. The one that told
+        last may know less than others, which answer later.
         """
         if self.directory is None or service not in self._ambiguous:
             return None
         own = self._history.base_version(service, self._loop.time())
-        return own or self.directory.told_bases.get(service)
+        told = own or self.directory.told_bases.get(service)
+        return told or self._registered_bases.get(service)
 
     def _keep(self, stream: int, origin: StreamOrigin) -> float:
         now_s = self._loop.time()
