Engines: a response whose head was cut is no response

Callers of the OpenAI side got a 200 with an empty body, framed as whole, when an engine stopped in the middle of its answer's head and closed the connection in order. Requests that may repeat were not tried elsewhere, orders counted as accepted and health checks as passed.

The standard library reads the end of a connection as the empty line that ends a head, so a head that was cut after the two echoed ids passed for a whole one: without the fields that frame the body, or after a line "Content-Length: 0", its body is empty. Cut before the ids it was refused by the check of the echo, and a reset was noticed.

The connections of the engine client now read the lines of a head through a reader that fails if the connection ends within one. The call then fails as one that may have run: it is repeated where that is allowed, otherwise the caller gets 502. A stream that may not repeat gets 502 too; such a head used to be taken for the begin of its stream, which was then resumed at the same engine.

--- a/src/leverjunction/backends/client.py
+++ b/src/leverjunction/backends/client.py
@@ -26,6 +26,7 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.settings.commands import Fence
 from leverjunction.wire.codec import decode, encode
+from leverjunction.wire.whole_heads import new_pool_manager
 
 CONNECT_TIMEOUT_S = 0.5
 LOAD_TIMEOUT_S = 1.0
@@ -281,11 +282,9 @@
 
 
 def _new_pool(pool_class: type[urllib3.HTTPConnectionPool]) -> urllib3.PoolManager:
-    manager = urllib3.PoolManager(
-        num_pools=MAX_ENGINES, maxsize=CONNECTIONS_PER_ENGINE, block=False, retries=False
+    return new_pool_manager(
+        pool_class, num_pools=MAX_ENGINES, maxsize=CONNECTIONS_PER_ENGINE, block=False
     )
-    manager.pool_classes_by_scheme = {"http": pool_class}
-    return manager
 
 
 def _headers(request_id: str, attempt: int) -> dict[str, str]:
--- a/src/leverjunction/backends/head_wait.py
+++ b/src/leverjunction/backends/head_wait.py
@@ -19,6 +19,7 @@
 from urllib3.util.wait import wait_for_read
 
 from leverjunction.clock import steady_s
+from leverjunction.wire.whole_heads import WholeHeadConnection
 
 CHECK_INTERVAL_S = 0.25
 
@@ -40,7 +41,7 @@
     """The request was not sent, or not completely, so the back end cannot have run it."""
 
 
-class AbortableConnection(urllib3.connection.HTTPConnection):
+class AbortableConnection(WholeHeadConnection):
     """A connection that applies ``abort_wait_when`` and ``send_unless`` of the thread using it."""
 
     def send(self, data: Any) -> None:
--- a/tests/unit/gateway_support.py
+++ b/tests/unit/gateway_support.py
@@ -395,10 +395,16 @@
     Args:
         folder: Folder for the gateway's files.
         rows: Settings in addition to the default ones.
+        engines: The engines, None for two plain ones.
     """
 
-    def __init__(self, folder: Path, rows: dict[str, object] | None = None) -> None:
-        self.engines = [StubEngine("e1"), StubEngine("e2")]
+    def __init__(
+        self,
+        folder: Path,
+        rows: dict[str, object] | None = None,
+        engines: list[StubEngine] | None = None,
+    ) -> None:
+        self.engines = engines or [StubEngine("e1"), StubEngine("e2")]
         self.hub = StubHub(self.engines, rows)
         self.gateway = start_gateway(folder, [self.hub.address])
         self.http = urllib3.PoolManager(retries=False)
