Wire: a reply whose head was cut is no reply

The same reading of the standard library as in the engine client: the end of a connection passed for the end of a head. A reply of another process that was cut there counted as an empty one ("malformed message: 0 bytes without a message header"), an answer of the wrong kind: a call to the stores ended with it instead of asking the next one, and a question about the origins of streams took it for the answer of an older build. The command line took such an answer of a submission for "not run", did not try the next address, and showed cut events as ended in order.

All clients (internal RPC, machine list, command line) use the connections that read whole heads. A cut reply is now a missing one, as a cut body already was.

--- a/src/leverjunction/backends/machine_list.py
+++ b/src/leverjunction/backends/machine_list.py
@@ -13,6 +13,7 @@
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.untrusted import convert, is_address, is_name, note_unreadable, read_json
+from leverjunction.wire.whole_heads import new_pool_manager
 
 REQUEST_TIMEOUT_S = 2.0
 
@@ -117,7 +118,7 @@
     def __init__(self, url: str, timeout_s: float = REQUEST_TIMEOUT_S) -> None:
         self._url = url
         self._timeout = urllib3.Timeout(total=timeout_s)
-        self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+        self._pool = new_pool_manager(num_pools=1, maxsize=1)
 
     def read(self) -> MachineList | Failure:
         """Return the current list, or the failure to fetch or decode it."""
--- a/src/leverjunction/cli/jobs.py
+++ b/src/leverjunction/cli/jobs.py
@@ -36,6 +36,7 @@
 )
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.codec import decode
+from leverjunction.wire.whole_heads import new_pool_manager
 
 SUBMIT_TIMEOUT_S = 120.0
 POLL_INTERVAL_S = 1.0
@@ -279,8 +280,8 @@
     }
     if batch_class:
         headers["X-Batch-Class"] = batch_class
-    pool = urllib3.PoolManager(
-        retries=False, timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=SUBMIT_TIMEOUT_S)
+    pool = new_pool_manager(
+        timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=SUBMIT_TIMEOUT_S)
     )
     try:
         response = pool.request("POST", f"http://{gateway}/v1/batches", body=body, headers=headers)
--- a/src/leverjunction/cli_client.py
+++ b/src/leverjunction/cli_client.py
@@ -14,6 +14,7 @@
 from leverjunction.clock import steady_s
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.codec import decode, encode
+from leverjunction.wire.whole_heads import new_pool_manager
 
 T = TypeVar("T")
 
@@ -96,7 +97,7 @@
         self._token = token
         self._retry_for_s = RETRY_FOR_S if retry_for_s is None else retry_for_s
         self._on_retry = on_retry
-        self._pool = urllib3.PoolManager(retries=False)
+        self._pool = new_pool_manager()
 
     def get(
         self, path: str, reply_type: type[T], parameters: Mapping[str, str] | None = None
--- a/src/leverjunction/wire/rpc_client.py
+++ b/src/leverjunction/wire/rpc_client.py
@@ -5,7 +5,6 @@
 from typing import Any, TypeVar
 
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.util import SKIP_HEADER
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
@@ -17,6 +16,7 @@
     decode_envelope,
     encode_envelope,
 )
+from leverjunction.wire.whole_heads import WholeHeadConnection, new_pool_manager
 
 T = TypeVar("T")
 
@@ -36,7 +36,7 @@
     return CONNECT_TIMEOUT_S + size_bytes / MIN_LINK_BYTES_PER_S
 
 
-class _Connection(HTTPConnection):
+class _Connection(WholeHeadConnection):
     """A connection whose send timeout depends on the size of the body.
 
     urllib3 sends with the connect timeout (0.5 s here) or with the read timeout of the previous
@@ -72,10 +72,9 @@
     def __init__(self, cluster_key: bytes, incarnation: int) -> None:
         self._cluster_key = cluster_key
         self._incarnation = incarnation
-        self._pool = urllib3.PoolManager(
-            num_pools=512, maxsize=CONNECTIONS_PER_PEER, block=False, retries=False
+        self._pool = new_pool_manager(
+            _ConnectionPool, num_pools=512, maxsize=CONNECTIONS_PER_PEER, block=False
         )
-        self._pool.pool_classes_by_scheme = {"http": _ConnectionPool}
 
     def call(
         self,
