Proxy: a cut head and the answer after it are not one answer

A back end that stops within the head of an answer and sends another answer on the same connection gave callers one answer made of both: 200 with the body of a failure (500), signed and framed as whole; and a request that was answered with 500, so it had run, was told "not run" (503) after the cut head of a refusal, and was sent to three more back ends although it may run at most once.

The status line of the second answer continued the line that was cut. In a reason or in the value of a field it is legal text, so the head was read as one. A head that holds a status line there is now an invalid response, as one is that holds it elsewhere: the request may have run, and the connection is closed. A back end whose fields quote a status line is refused too.

The test puts a whole 500 after four kinds of heads, cut after each byte, with connections that close or stay open.

--- a/src/leverjunction/proxy/runner_connection.py
+++ b/src/leverjunction/proxy/runner_connection.py
@@ -18,6 +18,7 @@
 from leverjunction.proxy.answer_owner import AnswerOwner, CarriedRequests
 from leverjunction.proxy.dialect import RawHeaders, ResponseMetadata
 from leverjunction.proxy.keepalive import enable_keepalive
+from leverjunction.wire.joined_heads import holds_status_line
 
 MAX_UNREAD_BYTES = 256 * 1024
 """Bytes of a response waiting for its reader above which reading from the socket is paused."""
@@ -297,6 +298,8 @@
         """Emit the head of the own answer; begin to skip the answer to an earlier request."""
         self._bounds.head_ended()
         headers = event.headers.raw_items()
+        if any(holds_status_line(text) for text in (event.reason, *(item[1] for item in headers))):
+            raise h11.RemoteProtocolError("a status line within the head")
         metadata = self._read_metadata(headers)
         if self.carried.owner_of(metadata.request_id) is AnswerOwner.EARLIER:
             self._is_skipping = True
--- a/tests/unit/test_proxy_cut_heads.py
+++ b/tests/unit/test_proxy_cut_heads.py
@@ -190,3 +190,47 @@
         isinstance(outcome, Failure) and outcome.execution is Execution.UNKNOWN
         for outcome in outcomes
     )
+
+
+SECOND = f"HTTP/1.1 500 Fault\r\n{FIELDS}Content-Length: 5\r\n\r\nfault"
+
+
+@pytest.mark.parametrize("stays_open", [False, True])
+@pytest.mark.parametrize("name", ["a length", "no length", "after 103", "a refusal"])
+def test_a_cut_head_and_the_answer_that_follows_it_are_not_one_answer(
+    proxy: Proxy,
+    runners: tuple[RunnerStandIn, RunnerStandIn],
+    cut: Cut,
+    name: str,
+    stays_open: bool,
+) -> None:
+    """The status and the fields of the first passed for those of the second: a failure became a
+    success, and a run a refusal.
+    """
+
+    async def answer_twice(exchange: Exchange) -> None:
+        request_id = exchange.seen.headers["leverjunction-request-id"]
+        second = SECOND.replace("%s", request_id).encode()
+        exchange.raw(cut.bytes_for(request_id)[: cut.size] + second)
+        await exchange.flush()
+        if stays_open:
+            await exchange.until_gone()
+        else:
+            exchange.close()
+
+    BEHAVIOURS["two answers"] = answer_twice
+    for runner in runners:
+        runner.usual = "two answers"
+    cut.head = HEADS[name]
+    wrong = {}
+    for size in range(1, len(cut.bytes_for("r000")) - 1):
+        cut.size = size
+        request_id = f"r{size:03}"
+        fields = {"Leverjunction_Request_Id": request_id, "Leverjunction_Deadline_Ms": "300"}
+        reply = proxy.ask("/once/x", **fields)
+        is_failure = reply.status in (502, 504) or (reply.status, reply.body) == (500, b"fault")
+        if not is_failure or _sent(runners, request_id) > 1:
+            end = cut.bytes_for(request_id)[:size][-20:]
+            wrong[size] = f"{reply.status} {reply.body!r} after {end!r}"
+    del BEHAVIOURS["two answers"]
+    assert not wrong
