Testbed: stand-ins state the platform's names by themselves

Callers that resumed a stream beside a second version were refused, because the product read another header than the one they send, and no test told. Stand-ins, simulator and soak took the header's name from the product, so that a wrong name agreed with itself.

--- a/deploy/soak/lots.py
+++ b/deploy/soak/lots.py
@@ -138,7 +138,7 @@
         url = f"http://{machine.host}:{CALLERS_PORT}{words.LOTS_PATH}{lot.lot_id}"
         try:
             reply = self._http.request(
-                "GET", f"{url}?AfterRevision={first}", headers={"Host": words.HOST}
+                "GET", f"{url}?{words.AFTER_REVISION}={first}", headers={"Host": words.HOST}
             )
         except urllib3.exceptions.HTTPError:
             return None
--- a/deploy/soak/traffic.py
+++ b/deploy/soak/traffic.py
@@ -146,7 +146,7 @@
         began_s = time.monotonic()
         try:
             with socket.create_connection((host, int(port)), PROBE_TIMEOUT_S) as probe:
-                probe.sendall(b"GET /api/report HTTP/1.1\r\nHost: x\r\n\r\n")
+                probe.sendall(f"GET {words.REPORT_PATH} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
                 probe.recv(PROBE_BYTES)
         except OSError:
             pass
--- a/deploy/soak/words.py
+++ b/deploy/soak/words.py
@@ -5,6 +5,21 @@
 import base64
 import json
 
+from testbed.platform_words import (
+    AFTER_REVISION,
+    BEAT_PATH,
+    DEADLINE_MS,
+    EXPECT_INSTANCE,
+    LAST_EVENT_ID,
+    LEAVE_PATH,
+    LOTS_PATH,
+    PROMPT_PREFIX,
+    READ_BACK_PATH,
+    REPLACE_PATH,
+    REPORT_PATH,
+    REQUEST_ID,
+    RESUMES,
+)
 from testbed.routed.exchange import (
     BEHAVIOUR_HEADER,
     EVENTS_HEADER,
@@ -12,6 +27,40 @@
     WORK_MS_HEADER,
 )
 
+__all__ = [
+    "AFTER_REVISION",
+    "BATCH_FOLDER",
+    "BEAT_PATH",
+    "DEADLINE_MS",
+    "DEADLY",
+    "DUE_MS",
+    "EVENTS_OF_ITEM",
+    "EXPECTED_RUNNER",
+    "HOST",
+    "LAST_EVENT_ID",
+    "LEAVE_PATH",
+    "LOTS_PATH",
+    "MAX_WAIT_S",
+    "PROMPT_PREFIX",
+    "READ_BACK_PATH",
+    "REPLACE_PATH",
+    "REPORT_PATH",
+    "REQUEST_ID",
+    "RESUMES",
+    "SERVICE",
+    "SERVICES",
+    "SIDE_SERVICE",
+    "WHOLE_TEXT",
+    "Shares",
+    "beat",
+    "farewell",
+    "item_id",
+    "lot",
+    "table",
+    "version_folder",
+    "version_of",
+]
+
 HOST = "app.example"
 SERVICE = "pool"
 SIDE_SERVICE = "side"
@@ -22,20 +71,10 @@
 EVENTS_OF_ITEM = 12
 WHOLE_TEXT = "\n".join(f"event {number}" for number in range(1, EVENTS_OF_ITEM + 1))
 BATCH_FOLDER = "/batch/"
-LAST_EVENT_ID = "Last-Event-Id"
-RESUMES = "Resumes"
-PROMPT_PREFIX = "Leverjunction-Prompt-Prefix"
-REPLACE_PATH = "/api/Config.Replace"
-READ_BACK_PATH = "/api/Config.Get"
-BEAT_PATH = "/api/Instances.Heartbeat/"
-LEAVE_PATH = "/api/Instances.Leave/"
-LOTS_PATH = "/api/lots/"
-REQUEST_ID = "Leverjunction-Request-Id"
-DEADLINE_MS = "Leverjunction-Deadline-Ms"
 DEADLY = b"deadly "
 """Beginning of the bodies of requests under which a runner's process ends."""
 
-EXPECTED_RUNNER = "leverjunction-expect-instance"
+EXPECTED_RUNNER = EXPECT_INSTANCE.lower()
 DUE_MS = 20_000
 MAX_WAIT_S = 900
 
--- a/src/testbed/routed/behaviours.py
+++ b/src/testbed/routed/behaviours.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
-from leverjunction.platform import headers as names
+from testbed import platform_words as words
 from testbed.routed.exchange import (
     BEHAVIOUR_HEADER,
     READ_BYTES,
@@ -15,7 +15,7 @@
     Exchange,
 )
 
-NOT_RUN_HEADER = names.NOT_EXECUTED.decode()
+NOT_RUN_HEADER = words.NOT_EXECUTED
 LONG_EVENTS = 2000
 ENDLESS_PAUSE_S = 0.02
 """Between two pieces of what never ends."""
--- a/src/testbed/routed/exchange.py
+++ b/src/testbed/routed/exchange.py
@@ -9,11 +9,12 @@
 
 import h11
 
-from leverjunction.platform import headers as names
+from testbed import platform_words as words
 
-ID_HEADER = names.REQUEST_ID.decode()
-STAMP_HEADER = names.SERVER_STAMP.decode()
-LOAD_HEADER = names.INSTANCE_LOAD.decode()
+ID_HEADER = words.REQUEST_ID
+STAMP_HEADER = words.SERVER_STAMP
+LOAD_HEADER = words.INSTANCE_LOAD
+KEPT_ALIVE = f"{words.KEEP_ALIVE_TIMEOUT}=20"
 EVENTS = 5
 EVENTS_HEADER = "Stand-In-Events"
 WORK_MS_HEADER = "Stand-In-Work-Ms"
@@ -122,7 +123,7 @@
     def headers(self, request_id: str = "", **more: str) -> list[tuple[str, str]]:
         """Return the fields of an answer to this request, or to another one by its id."""
         own_id = request_id or self.seen.headers.get(ID_HEADER.lower(), "")
-        fields = [(ID_HEADER, own_id), (STAMP_HEADER, "stamp"), ("Keep-Alive", "timeout=20")]
+        fields = [(ID_HEADER, own_id), (STAMP_HEADER, "stamp"), (words.KEEP_ALIVE, KEPT_ALIVE)]
         if self._load:
             fields.append((LOAD_HEADER, self._load))
         return [*fields, *((name.replace("_", "-"), value) for name, value in more.items())]
@@ -190,7 +191,7 @@
 
     def events(self) -> list[bytes]:
         """Return the events that this request asked for."""
-        first = int(self.seen.headers.get("last-event-id", "0")) + 1
+        first = int(self.seen.headers.get(words.LAST_EVENT_ID.lower(), "0")) + 1
         numbers = range(first, self._count() + 1)
         if self.seen.target.startswith(RESUMABLE_FOLDER) and self._version:
             version = self._version.encode()
--- a/src/testbed/routed/runner.py
+++ b/src/testbed/routed/runner.py
@@ -13,12 +13,12 @@
 
 import h11
 
-from leverjunction.platform import headers as names
+from testbed import platform_words as words
 from testbed.routed.behaviours import BEHAVIOURS, ENDED_HERE
 from testbed.routed.exchange import Exchange, Seen, read_request
 
-EXPECT_HEADER = names.EXPECT_INSTANCE.decode().lower()
-REPORT_TARGET = names.REPORT_PATH.decode()
+EXPECT_HEADER = words.EXPECT_INSTANCE.lower()
+REPORT_TARGET = words.REPORT_PATH
 MANY = 1_000_000
 
 
--- a/src/testbed/simulation/seeded/routed/back_end.py
+++ b/src/testbed/simulation/seeded/routed/back_end.py
@@ -8,9 +8,9 @@
 
 import h11
 
-from leverjunction.platform import headers as names
 from leverjunction.registry.commands import Done
 from leverjunction.registry.records import RunnerRecord, RunnerState
+from testbed import platform_words as words
 from testbed.routed import SERVICE
 from testbed.simulation.fiber import Fibers
 from testbed.simulation.machine import Machine
@@ -190,10 +190,10 @@
         assert self._request is not None
         fields = {name.decode(): value.decode() for name, value in self._request.headers}
         target = self._request.target
-        if target == names.REPORT_PATH:
+        if target == words.REPORT_PATH.encode():
             self._whole(200, [], self._back_end.report())
-        elif fields.get(names.EXPECT_INSTANCE.decode().lower(), "") != self._back_end.name:
-            self._whole(421, [(names.NOT_EXECUTED.decode(), "1")], b"")
+        elif fields.get(words.EXPECT_INSTANCE.lower(), "") != self._back_end.name:
+            self._whole(421, [(words.NOT_EXECUTED, "1")], b"")
         else:
             if target.startswith(RESUMABLE_PREFIX.encode()):
                 await self._run_long(fields)
@@ -205,11 +205,11 @@
             self._advance()
 
     async def _run(self, fields: dict[str, str], is_stream: bool) -> None:
-        request_id = fields[names.REQUEST_ID.decode().lower()]
+        request_id = fields[words.REQUEST_ID.lower()]
         own = [
-            (names.REQUEST_ID.decode(), request_id),
-            (names.SERVER_STAMP.decode(), "stamp"),
-            ("Keep-Alive", KEEP_ALIVE),
+            (words.REQUEST_ID, request_id),
+            (words.SERVER_STAMP, "stamp"),
+            (words.KEEP_ALIVE, KEEP_ALIVE),
         ]
         gateway = fields.get(GATEWAY_HEADER, "")
         if not is_stream:
@@ -225,11 +225,11 @@
 
     async def _run_long(self, fields: dict[str, str]) -> None:
         """Send the events of a long stream from the one after the named one."""
-        request_id = fields[names.REQUEST_ID.decode().lower()]
-        own = [(names.REQUEST_ID.decode(), request_id), (names.SERVER_STAMP.decode(), "stamp")]
+        request_id = fields[words.REQUEST_ID.lower()]
+        own = [(words.REQUEST_ID, request_id), (words.SERVER_STAMP, "stamp")]
         await self._back_end.work(request_id, fields.get(GATEWAY_HEADER, ""))
         self._send(h11.Response(status_code=200, headers=own))
-        last = int(fields.get(names.LAST_EVENT_ID.decode().lower(), "0"))
+        last = int(fields.get(words.LAST_EVENT_ID.lower(), "0"))
         version = self._back_end.version.encode()
         for number in range(last + 1, LONG_EVENTS + 1):
             self._send(h11.Data(data=b"id: %d\ndata: %s\n\n" % (number, version)))
--- a/src/testbed/simulation/seeded/routed/callers.py
+++ b/src/testbed/simulation/seeded/routed/callers.py
@@ -8,8 +8,8 @@
 
 import h11
 
-from leverjunction.platform import headers as names
 from leverjunction.routes import RouteClass
+from testbed import platform_words as words
 from testbed.routed import HOST
 from testbed.simulation.fiber import Fibers
 from testbed.simulation.machine import Machine
@@ -231,8 +231,8 @@
         target=f"/{route}/",
         headers=[
             ("Host", HOST),
-            (names.REQUEST_ID.decode(), request_id),
-            (names.DEADLINE_MS.decode(), str(deadline_ms)),
+            (words.REQUEST_ID, request_id),
+            (words.DEADLINE_MS, str(deadline_ms)),
             (GATEWAY_HEADER, gateway),
             ("Content-Length", str(len(request_id))),
         ],
--- a/src/testbed/simulation/seeded/routed/streamers.py
+++ b/src/testbed/simulation/seeded/routed/streamers.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from leverjunction.platform import headers as names
+from testbed import platform_words as words
 from testbed.routed import HOST
 from testbed.simulation.fiber import Fibers
 from testbed.simulation.machine import Machine
@@ -192,16 +192,16 @@
 
 def _ask(gateway: str, request_id: str, first_id: str, last: int, left_s: float) -> h11.Request:
     resumed = [
-        (names.LAST_EVENT_ID.decode(), str(last)),
-        (names.RESUMES.decode(), first_id),
+        (words.LAST_EVENT_ID, str(last)),
+        (words.RESUMES, first_id),
     ]
     return h11.Request(
         method="POST",
         target=f"{RESUMABLE_PREFIX}x",
         headers=[
             ("Host", HOST),
-            (names.REQUEST_ID.decode(), request_id),
-            (names.DEADLINE_MS.decode(), str(int(left_s * 1000))),
+            (words.REQUEST_ID, request_id),
+            (words.DEADLINE_MS, str(int(left_s * 1000))),
             (GATEWAY_HEADER, gateway),
             ("Content-Length", "0"),
             *(resumed if last else []),
--- a/tests/unit/seeded_support.py
+++ b/tests/unit/seeded_support.py
@@ -26,10 +26,11 @@
     MachineListen,
 )
 from leverjunction.lots.node import LotsNode
-from leverjunction.platform.gateway_calls import READY_PATH, make_gateway_calls
+from leverjunction.platform.gateway_calls import make_gateway_calls
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.proxy.process import ProxyNode
 from leverjunction.registry.node import RegistryNode
+from testbed.platform_words import READY_PATH
 from testbed.routed import RawCaller
 
 FIRST_NET = 20
--- a/tests/unit/test_platform_load_report.py
+++ b/tests/unit/test_platform_load_report.py
@@ -4,12 +4,13 @@
 
 import pytest
 
-from leverjunction.platform.headers import INSTANCE_LOAD, PlatformDialect
+from leverjunction.platform.headers import PlatformDialect
 from leverjunction.proxy.dialect import EngineLoad
+from testbed.platform_words import INSTANCE_LOAD
 
 
 def read(text: str) -> EngineLoad | None:
-    return PlatformDialect().read_response([(INSTANCE_LOAD, text.encode())]).load
+    return PlatformDialect().read_response([(INSTANCE_LOAD.encode(), text.encode())]).load
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/test_proxy_tenants.py
+++ b/tests/unit/test_proxy_tenants.py
@@ -9,15 +9,15 @@
 from tests.unit.proxy_support import Proxy
 
 from leverjunction.api_keys import hash_key
-from leverjunction.platform import headers as names
 from leverjunction.routes import RateLimit, RouteClass, RouteIndex, RouteTable, Tenant
+from testbed import platform_words as words
 from testbed.routed import RunnerStandIn, make_route, make_table
 
 PATH = "/repeatable/x"
 STREAM = "/resumable/x"
 PUBLIC = "/public/x"
-TENANT = names.TENANT.decode().lower()
-KEY = names.API_KEY.decode().lower()
+TENANT = words.TENANT.lower()
+KEY = words.API_KEY.lower()
 LIMIT = RateLimit(per_s=1.0, burst=3.0)
 
 
