--- a/src/testbed/platform_words.py
+++ b/src/testbed/platform_words.py
@@ -16,7 +16,7 @@
 PROMPT_PREFIX = "Leverjunction-Prompt-Prefix"
 LAST_EVENT_ID = "Last-Event-Id"
 
-# The page of issue 48: clients that take a stream up, and versions that serve side by side.
+# The page on versions of software that serve side by side.
 RESUMES = "Resumes"
 
 # shifted/LATER.md, Requests.
@@ -79,7 +79,7 @@
 RESULT_STATES = frozenset({"done", "dead"})
 LARGEST_LOT = 200
 
-# PROTOCOL.md, Service discovery; ``born`` is stated by the page of issue 27.
+# PROTOCOL.md, Service discovery; ``born`` by the page on starts of back ends.
 BEAT_PATH = "/api/Instances.Heartbeat/"
 LEAVE_PATH = "/api/Instances.Leave/"
 BEAT_FIELDS = frozenset(
