Proxy: a resumed stream is judged by the back ends of its version, and sent first

Callers saw their resumed streams refused within 2 ms ("no back end of service ... can answer in time; 0 requests are held") while new ones began.

Cause: a resumed stream may go to the back ends of one version, a new request to any. The admission gate judged both by the least loaded back end of all versions and by the time of the last lull, and sent both in the order of their targets, so that those with a choice took the slots of those without one. A resumed stream's deadline was shortened by a whole run time, though part of the stream is done.

Now the load, and the end of a held request's wait, are those of the version's back ends. Within a rank resumed streams go before new requests; ranks and the tenants' shares stay first. A resumed stream joins a queue in which it meets its deadline, and needs no lull: it has the first slot that new requests would have had. It is refused at once where the queue of its version outlasts its deadline.

--- a/src/leverjunction/proxy/admission.py
+++ b/src/leverjunction/proxy/admission.py
@@ -9,6 +9,9 @@
 sent only into room that the others leave. They are held while their share is expected to cover them
 before their deadline, otherwise refused at once.
 
+A stream that its caller resumed may go to the back ends of one version only. It is judged by their
+load, goes before new requests of its rank, and joins a queue in which it meets its deadline.
+
 Performs no I/O: the time is passed in.
 """
 
@@ -87,6 +90,8 @@
         tenant: Its tenant; empty if it has none.
         content: Returns a key of what is the same in all attempts of its caller.
         is_returning: Whether it was refused before; it then goes before others of its rank.
+        version: Version of the back ends that may continue a resumed stream; None for a new
+            request, which any back end may run.
         standing: Its standing among the tenants' shares.
         share_per_s: Requests per second of its tenant that the tenant's share covers here.
     """
@@ -102,6 +107,7 @@
         "standing",
         "target_s",
         "tenant",
+        "version",
     )
 
     def __init__(
@@ -113,8 +119,10 @@
         rank: tuple[int, int] = (0, 0),
         tenant: str = "",
         content: Callable[[], str] = str,
+        version: str | None = None,
     ) -> None:
         self.rank = rank
+        self.version = version
         self.tenant = tenant
         self.content = content
         self.is_returning = False
@@ -126,7 +134,12 @@
         self.head_latency_s = head_latency_s
 
     def meets_target(self, estimate: LoadEstimate, now_s: float) -> bool:
-        """Return whether the request would meet its target if it were sent now."""
+        """Return whether the request would meet its target if it were sent now.
+
+        A resumed stream is late already: it is to meet its deadline.
+        """
+        if self.version is not None:
+            return not self.is_expired(now_s + estimate.wait_s)
         return now_s + estimate.wait_s + self.head_latency_s <= self.target_s
 
     def is_expired(self, now_s: float) -> bool:
@@ -142,6 +155,10 @@
     REFUSE = "refuse"
 
 
+EstimateOf = Callable[[Ticket], LoadEstimate | None]
+"""Returns the load that a request would meet at the back ends that may run it, None if unknown."""
+
+
 class AdmissionQueue:
     """Requests of one service that are held at this gateway."""
 
@@ -177,8 +194,8 @@
 
         Args:
             ticket: The request.
-            estimate: Load of the service; None if unknown. The request is then sent, since its
-                response reports the load.
+            estimate: Load of the back ends that may run the request; None if unknown. The request
+                is then sent, since its response reports the load.
             now_s: Monotonic time in seconds.
             plan: Shares of the tenants; None while all are within their share.
             free: Slots of the service without an online request; used with a plan.
@@ -202,7 +219,7 @@
     ) -> Decision:
         if self._can_send(ticket, estimate, now_s):
             return Decision.SEND
-        ahead = self.held if plan is None else self._count(Standing.WITHIN)
+        ahead = self._ahead(ticket, plan)
         if ticket.is_expired(now_s + estimate.drain_s(ahead)) or self._cannot_be_served(
             ticket, now_s
         ):
@@ -223,35 +240,56 @@
         now_s: float,
         plan: SharePlan | None = None,
         free: float = 0.0,
+        estimate_of: EstimateOf | None = None,
     ) -> Ticket | None:
         """Remove and return the request to send next; None if none may be sent now.
 
-        Requests that can still meet their target go first, by rank and then in the order of their
-        targets. If there are none, late requests follow in the same order during a lull. With a
-        plan, requests of tenants within their share go before all others, late ones too.
+        Requests that can still meet their target go first, by rank, resumed streams before others,
+        and then in the order of their targets. If there are none, late requests follow in the same
+        order during a lull. With a plan, requests of tenants within their share go before all
+        others, late ones too.
+
+        Args:
+            estimate: Load of the service; None if unknown.
+            now_s: Monotonic time in seconds.
+            plan: Shares of the tenants; None while all are within their share.
+            free: Slots of the service without an online request; used with a plan.
+            estimate_of: Returns the load for one request; None if all back ends may run each.
         """
-        if estimate is None:
-            return self._pop_first(self._held)
+
+        def load_for(ticket: Ticket) -> LoadEstimate | None:
+            return estimate if estimate_of is None else estimate_of(ticket)
+
         if plan is None:
-            return self._pop_among(self._held, estimate, now_s)
+            return self._pop_among(self._held, load_for, now_s)
         for standing in Standing:
-            tickets = [ticket for ticket in self._held if ticket.standing is standing]
-            if tickets and _may_use_slot(standing, estimate, plan, free):
-                chosen = self._pop_among(tickets, estimate, now_s)
-                if chosen is not None:
-                    return chosen
+            tickets = [
+                ticket
+                for ticket in self._held
+                if ticket.standing is standing
+                and _may_use_slot(standing, load_for(ticket), plan, free)
+            ]
+            chosen = self._pop_among(tickets, load_for, now_s)
+            if chosen is not None:
+                return chosen
         return None
 
     def _pop_among(
-        self, tickets: list[Ticket], estimate: LoadEstimate, now_s: float
+        self, tickets: list[Ticket], load_for: EstimateOf, now_s: float
     ) -> Ticket | None:
-        in_time = [ticket for ticket in tickets if ticket.meets_target(estimate, now_s)]
+        in_time: list[Ticket] = []
+        late: list[Ticket] = []
+        for ticket in tickets:
+            estimate = load_for(ticket)
+            if estimate is None or ticket.meets_target(estimate, now_s):
+                in_time.append(ticket)
+            elif estimate.queue <= MAX_LATE_QUEUE:
+                late.append(ticket)
         if in_time:
             return self._pop_first(in_time)
-        if estimate.queue > MAX_LATE_QUEUE:
-            return None
-        self._last_lull_s = now_s
-        return self._pop_first(tickets)
+        if late:
+            self._last_lull_s = now_s
+        return self._pop_first(late)
 
     def discard(self, ticket: Ticket) -> None:
         """Remove a request whose caller has disconnected, if it is held."""
@@ -272,11 +310,20 @@
         return ticket.meets_target(estimate, now_s)
 
     def _cannot_be_served(self, ticket: Ticket, now_s: float) -> bool:
-        """Return whether the last lull is longer ago than this request could wait for one."""
+        """Return whether the last lull is longer ago than this request could wait for one.
+
+        A resumed stream needs none: it takes the first slot that new requests would have had.
+        """
+        if ticket.version is not None:
+            return False
         return now_s - self._last_lull_s > ticket.deadline_s - ticket.arrived_s
 
-    def _count(self, highest: Standing) -> int:
-        return sum(ticket.standing <= highest for ticket in self._held)
+    def _ahead(self, ticket: Ticket, plan: SharePlan | None) -> int:
+        """Return the number of held requests that go before one within its tenant's share."""
+        held = [other for other in self._held if plan is None or other.standing is Standing.WITHIN]
+        if ticket.version is None:
+            return len(held)
+        return sum(_may_precede(other, ticket) for other in held)
 
     def _is_outranked(self, ticket: Ticket) -> bool:
         """Return whether a held request goes before one that is beyond its tenant's share."""
@@ -310,11 +357,19 @@
         return not ticket.is_expired(now_s + self.place_s(ticket))
 
 
-def _order(ticket: Ticket) -> tuple[tuple[int, int], bool, float, float]:
-    return ticket.rank, not ticket.is_returning, ticket.target_s, ticket.deadline_s
+def _order(ticket: Ticket) -> tuple[tuple[int, int], bool, bool, float, float]:
+    is_new = ticket.version is None
+    return ticket.rank, is_new, not ticket.is_returning, ticket.target_s, ticket.deadline_s
+
+
+def _may_precede(other: Ticket, stream: Ticket) -> bool:
+    """Return whether a held request takes a slot that a resumed stream waits for."""
+    return _order(other) <= _order(stream) and other.version in (None, stream.version)
 
 
-def _may_use_slot(standing: Standing, estimate: LoadEstimate, plan: SharePlan, free: float) -> bool:
+def _may_use_slot(
+    standing: Standing, estimate: LoadEstimate | None, plan: SharePlan, free: float
+) -> bool:
     """Return whether a slot may go to a request of a standing.
 
     A request that its tenant's share covers takes a free slot, but joins no queue: those of tenants
@@ -323,7 +378,7 @@
     if standing is Standing.WITHIN:
         return True
     if standing is Standing.SHARE:
-        return estimate.queue <= 0
+        return estimate is None or estimate.queue <= 0
     return plan.has_room(free)
 
 
--- a/src/leverjunction/proxy/admission_gate.py
+++ b/src/leverjunction/proxy/admission_gate.py
@@ -9,6 +9,7 @@
 from leverjunction.proxy.admission import (
     AdmissionQueue,
     Decision,
+    EstimateOf,
     LoadEstimate,
     Ticket,
     retry_after_s,
@@ -84,8 +85,9 @@
     async def _enter(self, service: str, ticket: Ticket) -> Failure | None:
         now_s = self._loop.time()
         queue = self._queues.setdefault(service, AdmissionQueue(now_s))
-        estimate = self._balancer.estimate_load(service, now_s)
-        plan = self._enter_shares(service, ticket, estimate, now_s)
+        service_load = self._balancer.estimate_load(service, now_s)
+        plan = self._enter_shares(service, ticket, service_load, now_s)
+        estimate = self._estimate_for(service, ticket, now_s)
         decision = queue.admit(ticket, estimate, now_s, plan, self._free(service, plan, now_s))
         if self._shares is not None and plan is not None:
             self._shares.decided(service, ticket, decision)
@@ -126,6 +128,21 @@
         holds_surplus = self._queues[service].holds_surplus
         return self._shares.plan(service, estimate, now_s, holds_surplus=holds_surplus)
 
+    def _estimate_for(self, service: str, ticket: Ticket, now_s: float) -> LoadEstimate | None:
+        """Return the load of the back ends that may run a request."""
+        return self._balancer.estimate_load(service, now_s, ticket.version)
+
+    def _estimates(self, service: str, now_s: float) -> EstimateOf:
+        """Return a function for the loads of held requests that reads each load once."""
+        known: dict[str | None, LoadEstimate | None] = {}
+
+        def estimate_of(ticket: Ticket) -> LoadEstimate | None:
+            if ticket.version not in known:
+                known[ticket.version] = self._estimate_for(service, ticket, now_s)
+            return known[ticket.version]
+
+        return estimate_of
+
     def _free(self, service: str, plan: SharePlan | None, now_s: float) -> float:
         """Return the slots without an online request, as far as known; used with a plan only."""
         if plan is None:
@@ -155,8 +172,8 @@
                 last_read_s = now_s
                 self._read_loads(service)
             for ticket in queue.pop_expired(now_s):
-                estimate = self._balancer.estimate_load(service, now_s)
-                plan = self._plan(service, estimate, now_s)
+                plan = self._plan(service, self._balancer.estimate_load(service, now_s), now_s)
+                estimate = self._estimate_for(service, ticket, now_s)
                 self._resolve(ticket, self._refusal(service, ticket, estimate, plan))
             await self._release_ready(service, queue)
             await asyncio.sleep(RELEASE_INTERVAL_S)
@@ -166,7 +183,13 @@
             now_s = self._loop.time()
             estimate = self._balancer.estimate_load(service, now_s)
             plan = self._plan(service, estimate, now_s)
-            ticket = queue.pop_next(estimate, now_s, plan, self._free(service, plan, now_s))
+            ticket = queue.pop_next(
+                estimate,
+                now_s,
+                plan,
+                self._free(service, plan, now_s),
+                self._estimates(service, now_s),
+            )
             if ticket is None:
                 return
             self._resolve(ticket, None)
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -362,14 +362,23 @@
         """Return the average time in seconds for which a request occupies a slot, if known."""
         return self._mean_run_s.get(service)
 
-    def estimate_load(self, service: str, now_s: float) -> LoadEstimate | None:
+    def estimate_load(
+        self, service: str, now_s: float, version: str | None = None
+    ) -> LoadEstimate | None:
         """Return the load that one more request would meet; None if it is unknown.
 
         It is unknown until a first request has finished, and while the last known load of the
         least loaded back end is too old.
+
+        Args:
+            service: Service of the request.
+            now_s: Monotonic time in seconds.
+            version: Version of the software of the back ends that may run it; None for any.
         """
         run_s = self._mean_run_s.get(service)
-        runners = [runner for runner in self.available(service) if runner.ejected_until_s <= now_s]
+        runners = [
+            runner for runner in self.available(service, version) if runner.ejected_until_s <= now_s
+        ]
         if run_s is None or not runners:
             return None
         factors = self._factors(runners, now_s)
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -376,7 +376,9 @@
     def _admission_ticket(self, routed: RoutedRequest) -> Ticket:
         """Return the times by which the admission gate decides on a request."""
         route, arrived_s = routed.route, routed.request.arrived_s
-        deadline_s = routed.until_s - (self._balancer.mean_run_s(routed.service) or 0.0)
+        deadline_s = routed.until_s
+        if routed.origin is None:
+            deadline_s -= self._balancer.mean_run_s(routed.service) or 0.0
         if route.head_within_ms:
             deadline_s = min(deadline_s, arrived_s + route.head_within_ms / 1000)
         return Ticket(
@@ -387,6 +389,7 @@
             rank=(routed.tenant.priority if routed.tenant else 0, route.priority),
             tenant=routed.metadata.tenant,
             content=lambda: request_key(request_content(routed.request)),
+            version=routed.version,
         )
 
     def _record_run_time(
--- /dev/null
+++ b/tests/unit/test_resumed_streams_under_load.py
@@ -0,0 +1,120 @@
+"""Tests that resumed streams go on under load: only the back ends of one version may run them."""
+
+from __future__ import annotations
+
+import hashlib
+from random import Random
+
+from tests.unit.test_proxy_versions import NEW, OLD
+
+from leverjunction.proxy.admission import AdmissionQueue, Decision, LoadEstimate, Ticket
+from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.dialect import EngineLoad
+from leverjunction.registry.records import RunnerRecord
+
+NOW_S = 100.0
+SLOTS = 8
+RUN_S = 1.0
+
+
+def estimate(queue: float, backlog: float = 0.0) -> LoadEstimate:
+    return LoadEstimate(queue, SLOTS, RUN_S, backlog, SLOTS)
+
+
+def new(rank: tuple[int, int] = (0, 0), target_in_s: float = 0.3) -> Ticket:
+    return Ticket(NOW_S, NOW_S + target_in_s, NOW_S + 2.0, 0.05, rank)
+
+
+def resumed(rank: tuple[int, int] = (0, 0), version: str = OLD) -> Ticket:
+    return Ticket(NOW_S, NOW_S + 0.5, NOW_S + 2.0, 0.05, rank, version=version)
+
+
+def two_versions(old_load: int, new_load: int) -> Balancer:
+    """Return the balancer of a service with a back end of each version."""
+    balancer = Balancer("z", Random(1))
+    balancer.replace(
+        RunnerRecord(
+            runner_id=version, service="s", address="a:1", zone="z", slots=SLOTS, version=version
+        )
+        for version in (OLD, NEW)
+    )
+    balancer.record_run("s", RUN_S)
+    for runner in balancer.available("s"):
+        load = old_load if runner.record.version == OLD else new_load
+        runner.report_load(EngineLoad(min(load, SLOTS), max(0, load - SLOTS), SLOTS), NOW_S)
+    return balancer
+
+
+def test_the_load_for_a_resumed_stream_is_that_of_its_versions_back_ends() -> None:
+    balancer = two_versions(old_load=14, new_load=1)
+    loads = [balancer.estimate_load("s", NOW_S, version) for version in (None, OLD, NEW)]
+    assert [load.queue for load in loads if load is not None] == [-6, 7, -6]
+    assert [load.capacity for load in loads if load is not None] == [16, 8, 8]
+
+
+def test_a_resumed_stream_is_sent_before_new_requests_of_its_rank() -> None:
+    queue = AdmissionQueue(NOW_S)
+    tickets = [new(target_in_s=0.1), new(), resumed()]
+    for ticket in tickets:
+        assert queue.admit(ticket, estimate(18), NOW_S) is Decision.HOLD
+    assert queue.pop_next(estimate(0), NOW_S) is tickets[2]
+    assert queue.pop_next(estimate(0), NOW_S) is tickets[0]
+
+
+def test_a_request_of_a_higher_rank_is_sent_before_a_resumed_stream() -> None:
+    queue = AdmissionQueue(NOW_S)
+    tickets = [resumed(rank=(0, 1)), new(rank=(0, 0))]
+    for ticket in tickets:
+        assert queue.admit(ticket, estimate(18), NOW_S) is Decision.HOLD
+    assert queue.pop_next(estimate(0), NOW_S) is tickets[1]
+
+
+def test_a_resumed_stream_joins_a_queue_in_which_new_requests_would_be_late() -> None:
+    queue = AdmissionQueue(NOW_S)
+    assert queue.admit(new(), estimate(9), NOW_S) is Decision.HOLD
+    assert queue.admit(resumed(), estimate(9), NOW_S) is Decision.SEND
+
+
+def test_a_resumed_stream_is_not_refused_for_lack_of_a_lull() -> None:
+    """Symptom: "no back end can answer in time; 0 requests are held", 1 ms after it came."""
+    queue = AdmissionQueue(NOW_S - 10.0)
+    assert queue.admit(new(), estimate(9), NOW_S) is Decision.REFUSE
+    assert queue.admit(resumed(), estimate(18), NOW_S) is Decision.HOLD
+    assert queue.admit(resumed(), estimate(40, backlog=40), NOW_S) is Decision.REFUSE
+
+
+def test_a_stream_of_a_full_version_does_not_keep_others_from_free_back_ends() -> None:
+    loads = {None: estimate(-3), NEW: estimate(-3), OLD: estimate(30)}
+    queue = AdmissionQueue(NOW_S)
+    tickets = [resumed(version=OLD), new(), resumed(version=NEW)]
+    for ticket in tickets:
+        assert queue.admit(ticket, estimate(18), NOW_S) is Decision.HOLD
+    popped = [
+        queue.pop_next(loads[None], NOW_S, estimate_of=lambda ticket: loads[ticket.version])
+        for _ in tickets
+    ]
+    assert popped == [tickets[2], tickets[1], None]
+
+
+def test_without_resumed_streams_decisions_are_as_before() -> None:
+    """The digest is that of the decisions before resumed streams were told apart."""
+    random = Random(72)
+    queue, now_s, decisions = AdmissionQueue(0.0), 0.0, list[str]()
+    for number in range(4000):
+        now_s += random.expovariate(60)
+        load = random.choice([None, *[estimate(random.uniform(-4, 14)) for _ in range(9)]])
+        ticket = Ticket(
+            now_s,
+            now_s + random.uniform(0.1, 0.6),
+            now_s + random.uniform(0.7, 3.0),
+            0.05,
+            (random.randrange(2), random.randrange(3)),
+            content=lambda number=number: str(number),  # type: ignore[misc]
+        )
+        decisions.append(queue.admit(ticket, load, now_s).value)
+        decisions += [f"expired {each.content()}" for each in queue.pop_expired(now_s)]
+        sent = queue.pop_next(load, now_s)
+        decisions.append("none" if sent is None else sent.content())
+    assert {"send", "hold", "refuse"} <= set(decisions)
+    digest = hashlib.sha256(" ".join(decisions).encode()).hexdigest()
+    assert digest[:16] == "43169244c3773aa5"
