Proxy: a resumed stream that full back ends declined waits for the next slot

Callers saw their resumed streams end with "no back end of service ... can take a request now", or used up their retries, while new ones began: after a crash the back ends of the stream's version are full of requests that any version could run.

Cause: once up to four sends had been declined, the gateway gave the stream back to its caller, though its deadline was seconds away. A new request has other back ends to be sent to.

Now such a stream, of which nothing has run, waits at the admission gate, before new requests of its rank, and is sent again once its version's back ends have room, until its deadline. It isn't counted again as a request of its tenant. Attempts that may have run aren't sent again this way.

Evidence: a play in virtual time (tests/unit/resumed_load_support.py): the product's gate and balancer, six back ends of 8 slots, load 2.5 times the slots; half of the back ends crash and half of the gateways start again.

--- a/src/leverjunction/proxy/admission.py
+++ b/src/leverjunction/proxy/admission.py
@@ -227,6 +227,10 @@
         self._held.append(ticket)
         return Decision.HOLD
 
+    def hold(self, ticket: Ticket) -> None:
+        """Add a request that was sent, and that all back ends declined."""
+        self._held.append(ticket)
+
     def pop_expired(self, now_s: float) -> list[Ticket]:
         """Remove and return the requests that can no longer meet their deadline."""
         expired = [ticket for ticket in self._held if ticket.is_expired(now_s)]
--- a/src/leverjunction/proxy/admission_gate.py
+++ b/src/leverjunction/proxy/admission_gate.py
@@ -95,6 +95,25 @@
             return None
         if decision is Decision.REFUSE:
             return self._refusal(service, ticket, estimate, plan)
+        return await self._wait(service, ticket)
+
+    async def enter_again(self, service: str, ticket: Ticket) -> Failure | None:
+        """Wait until a request may be sent that has entered before and that was declined.
+
+        Returns:
+            None if the request may be sent, or the refusal of one that has not run.
+        """
+        now_s = self._loop.time()
+        queue = self._queues.setdefault(service, AdmissionQueue(now_s))
+        if ticket.is_expired(now_s):
+            estimate = self._estimate_for(service, ticket, now_s)
+            return self._refusal(service, ticket, estimate, None)
+        queue.hold(ticket)
+        return await self._wait(service, ticket)
+
+    async def _wait(self, service: str, ticket: Ticket) -> Failure | None:
+        """Wait until a held request is released or refused."""
+        queue = self._queues[service]
         waiter = self._waiters[ticket] = self._loop.create_future()
         self._notify(service)
         self._ensure_worker(service)
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -12,7 +12,7 @@
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.proxy.admission import SEND_MARGIN_S, Ticket
-from leverjunction.proxy.admission_gate import AdmissionGate
+from leverjunction.proxy.admission_gate import RELEASE_INTERVAL_S, AdmissionGate
 from leverjunction.proxy.answer_bounds import MAX_EVENT_BYTES, PART_TIME_S, PartialBound
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
@@ -259,7 +259,7 @@
             return
         if routed.stream is not None:
             self._set_preferred_version(routed)
-        response = await self._retrying_sender.send(routed, "")
+        response = await self._send_admitted(routed)
         while not isinstance(response, Failure):
             head_at_s = self._loop.time()
             is_stream = routed.route.kind is RouteClass.STREAM and response.head.status == 200
@@ -288,6 +288,34 @@
             routed.request, routed.metadata, responder, _with_execution(response, routed.execution)
         )
 
+    async def _send_admitted(self, routed: RoutedRequest) -> OpenedResponse | Failure:
+        """Send an admitted request; a resumed stream that was declined waits for the next slot.
+
+        The back ends of its version may be full of requests that any version could run.
+        """
+        while True:
+            response = await self._retrying_sender.send(routed, "")
+            if not self._may_wait_again(routed, response) or self._gate is None:
+                return response
+            routed.tried.clear()
+            await asyncio.sleep(RELEASE_INTERVAL_S)
+            entered_s = self._loop.time()
+            refusal = await self._gate.enter_again(routed.service, self._admission_ticket(routed))
+            self._log_hold(routed, refusal, entered_s)
+            if refusal is not None:
+                return refusal
+
+    def _may_wait_again(self, routed: RoutedRequest, response: OpenedResponse | Failure) -> bool:
+        """Return whether no back end has run a resumed stream, and some may take it later."""
+        return (
+            isinstance(response, Failure)
+            and response.kind is FailureKind.NO_BACKEND
+            and response.execution is Execution.NOT_RUN
+            and routed.execution is Execution.NOT_RUN
+            and routed.version is not None
+            and bool(self._balancer.available(routed.service, routed.version))
+        )
+
     async def _find_origin(self, routed: RoutedRequest) -> Failure | None:
         """Find what began a stream that the caller continues; return why it is refused, or None."""
         if not _is_resumption(routed):
@@ -361,10 +389,14 @@
             return None
         entered_s = self._loop.time()
         refusal = await self._gate.enter(routed.service, self._admission_ticket(routed))
+        self._log_hold(routed, refusal, entered_s)
+        return refusal
+
+    def _log_hold(self, routed: RoutedRequest, refusal: Failure | None, entered_s: float) -> None:
+        """Log that the admission gate held a request, unless it decided without waiting."""
         now_s = self._loop.time()
         if now_s - entered_s >= MIN_HOLD_S:
             self._decision_log.held(routed, "sent" if refusal is None else "refused", now_s)
-        return refusal
 
     def _clear_suspect(self, routed: RoutedRequest) -> None:
         """Clear a suspect request, which has now been answered completely, and its parts."""
--- a/tests/unit/test_resumed_streams_under_load.py
+++ b/tests/unit/test_resumed_streams_under_load.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Iterator
+from contextlib import ExitStack
 from random import Random
 
-from tests.unit.test_proxy_versions import NEW, OLD
+import pytest
+from tests.unit.resumed_load_support import Play, Shares, shares
+from tests.unit.test_proxy_contract import RESUMABLE
+from tests.unit.test_proxy_versions import CUT, NEW, OLD, know, start_proxy, start_runners
 
 from leverjunction.proxy.admission import AdmissionQueue, Decision, LoadEstimate, Ticket
 from leverjunction.proxy.balancer import Balancer
@@ -15,6 +20,11 @@
 NOW_S = 100.0
 SLOTS = 8
 RUN_S = 1.0
+DECLINED = "not run"
+
+OLD_ALONE = ("v1",) * 6
+EVEN = ("v1", "v1", "v1", "v2", "v2", "v2")
+TWO_OF_SIX = ("v1", "v1", "v2", "v2", "v2", "v2")
 
 
 def estimate(queue: float, backlog: float = 0.0) -> LoadEstimate:
@@ -29,6 +39,12 @@
     return Ticket(NOW_S, NOW_S + 0.5, NOW_S + 2.0, 0.05, rank, version=version)
 
 
+@pytest.fixture
+def stack() -> Iterator[ExitStack]:
+    with ExitStack() as entered:
+        yield entered
+
+
 def two_versions(old_load: int, new_load: int) -> Balancer:
     """Return the balancer of a service with a back end of each version."""
     balancer = Balancer("z", Random(1))
@@ -118,3 +134,43 @@
     assert {"send", "hold", "refuse"} <= set(decisions)
     digest = hashlib.sha256(" ".join(decisions).encode()).hexdigest()
     assert digest[:16] == "43169244c3773aa5"
+
+
+def test_a_resumed_stream_goes_on_though_its_versions_back_ends_are_full_at_first(
+    stack: ExitStack,
+) -> None:
+    old, newer = start_runners(stack, OLD, NEW)
+    proxy = start_proxy(stack, [old])
+    own = {"Host": "app.example", "Leverjunction-Deadline-Ms": "2000"}
+    old.then(CUT, CUT)
+    caller = proxy.caller()
+    caller.ask("POST", RESUMABLE, {**own, "Leverjunction-Request-Id": "first"})
+    caller.close()
+    know(proxy, [old, newer])
+    old.then(*[DECLINED] * 6)
+    caller = proxy.caller()
+    again = {"Leverjunction-Request-Id": "again", "Last-Event-Id": "2", "Resumes": "first"}
+    reply = caller.ask("POST", RESUMABLE, {**own, **again})
+    caller.close()
+    assert (reply.status, reply.complete) == (200, True)
+    assert not newer.seen
+
+
+def keeps_promise(play: Shares) -> bool:
+    """Return whether resumed streams go on at least half as often as new ones begin."""
+    return play.resumed < 12 or play.went_on >= play.began / 2
+
+
+@pytest.mark.parametrize("versions", [EVEN, TWO_OF_SIX, OLD_ALONE], ids=["even", "two", "one"])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_resumed_streams_go_on_at_least_half_as_often_as_new_ones_begin(
+    versions: tuple[str, ...], seed: int
+) -> None:
+    play = shares(Play(overload=2.5, versions=versions, seed=seed))
+    assert play.resumed >= 12
+    assert keeps_promise(play), play
+
+
+def test_the_play_finds_gateways_that_take_resumed_streams_for_new_ones() -> None:
+    plays = [shares(Play(overload=2.5, by_version=False, seed=seed)) for seed in (1, 2, 3)]
+    assert not all(keeps_promise(play) for play in plays), plays
