Proxy: streams held to one version are admitted by its load

Cause: StreamOrigins.preferred_version makes each new stream begin at the base version, whether its back ends have room or not, but the admission gate judged the stream by the least loaded back end of all versions, an idle one of the newer version.

Why it works: a ticket says at which version its stream must begin, and the gate reads the load of that version's back ends. A stream that may begin anywhere is judged as before.

--- a/src/leverjunction/proxy/admission.py
+++ b/src/leverjunction/proxy/admission.py
@@ -92,12 +92,14 @@
         is_returning: Whether it was refused before; it then goes before others of its rank.
         version: Version of the back ends that may continue a resumed stream; None for a new
             request, which any back end may run.
+        begins_at: Version at which a new stream must begin; None for any.
         standing: Its standing among the tenants' shares.
         share_per_s: Requests per second of its tenant that the tenant's share covers here.
     """
 
     __slots__ = (
         "arrived_s",
+        "begins_at",
         "content",
         "deadline_s",
         "head_latency_s",
@@ -120,9 +122,11 @@
         tenant: str = "",
         content: Callable[[], str] = str,
         version: str | None = None,
+        begins_at: str | None = None,
     ) -> None:
         self.rank = rank
         self.version = version
+        self.begins_at = begins_at
         self.tenant = tenant
         self.content = content
         self.is_returning = False
@@ -133,6 +137,11 @@
         self.deadline_s = deadline_s
         self.head_latency_s = head_latency_s
 
+    @property
+    def only_version(self) -> str | None:
+        """Version of the back ends that may run the request, None if all may."""
+        return self.begins_at if self.version is None else self.version
+
     def meets_target(self, estimate: LoadEstimate, now_s: float) -> bool:
         """Return whether the request would meet its target if it were sent now.
 
--- a/src/leverjunction/proxy/admission_gate.py
+++ b/src/leverjunction/proxy/admission_gate.py
@@ -149,16 +149,17 @@
 
     def _estimate_for(self, service: str, ticket: Ticket, now_s: float) -> LoadEstimate | None:
         """Return the load of the back ends that may run a request."""
-        return self._balancer.estimate_load(service, now_s, ticket.version)
+        return self._balancer.estimate_load(service, now_s, ticket.only_version)
 
     def _estimates(self, service: str, now_s: float) -> EstimateOf:
         """Return a function for the loads of held requests that reads each load once."""
         known: dict[str | None, LoadEstimate | None] = {}
 
         def estimate_of(ticket: Ticket) -> LoadEstimate | None:
-            if ticket.version not in known:
-                known[ticket.version] = self._estimate_for(service, ticket, now_s)
-            return known[ticket.version]
+            version = ticket.only_version
+            if version not in known:
+                known[version] = self._estimate_for(service, ticket, now_s)
+            return known[version]
 
         return estimate_of
 
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -336,6 +336,15 @@
         routed.service = origin.service
         return None
 
+    def _required_version(self, routed: RoutedRequest) -> str | None:
+        """Return the version at which a new stream must begin, whatever its load; None for any."""
+        if routed.stream is None or routed.origin is not None:
+            return None
+        required = self._origins.preferred_version(routed.service)
+        if required is None or not self._balancer.available(routed.service, required):
+            return None
+        return required
+
     def _set_preferred_version(self, routed: RoutedRequest) -> None:
         """Set the version at which a new stream should begin."""
         required = self._origins.preferred_version(routed.service)
@@ -422,6 +431,7 @@
             tenant=routed.metadata.tenant,
             content=lambda: request_key(request_content(routed.request)),
             version=routed.version,
+            begins_at=self._required_version(routed),
         )
 
     def _record_run_time(
