Failing tests: resumed streams are refused once a quorum is lost

Callers of a gateway that is killed 2.5 s after two of three control processes were killed, or stand still, have their streams refused with 503 at each try, while new ones begin: the service has one version all along, but no gateway's state is recent enough to show it, and the process that is left is not current.

--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -90,6 +90,9 @@
 """
 
 END_TIMEOUT_S = 25.0
+QUORUM_LOST_S = 2.5
+"""From the loss of the quorum on; longer than ``bounds.in_force_ms`` after any state was read."""
+
 EXIT_ENDED = 143
 OK = 200
 BODY = b"ask"
@@ -552,6 +555,20 @@
     play.break_streams()
 
 
+def _quorum_killed_before(play: Play) -> None:
+    for control in play.random.sample(play.controls, 2):
+        control.kill()
+    time.sleep(QUORUM_LOST_S)
+    play.break_streams()
+
+
+def _quorum_stands_still_before(play: Play) -> None:
+    for control in play.random.sample(play.controls, 2):
+        control.pause()
+    time.sleep(QUORUM_LOST_S)
+    play.break_streams()
+
+
 def _all_killed(play: Play) -> None:
     for machine in (*play.controls, play.second):
         machine.kill()
@@ -619,6 +636,12 @@
     "a control process stands still 1 s before": Line(_one_control_stands_still_before),
     "a second version starts": Line(_second_version_starts, (OLD,) * BACK_ENDS),
     "a second version starts 0.6 s before": Line(_second_version_starts_before, (OLD,) * BACK_ENDS),
+    "one version, two control processes killed 2.5 s before": Line(
+        _quorum_killed_before, (OLD,) * BACK_ENDS
+    ),
+    "one version, two control processes stand still 2.5 s before": Line(
+        _quorum_stands_still_before, (OLD,) * BACK_ENDS
+    ),
     "two control processes killed": Line(_two_controls_killed),
     "all processes killed": Line(_all_killed),
     "all processes killed as a second version starts": Line(
