A new version is used once every gateway knows it

Callers of a gateway that is out of step while back ends of a new version join (cut off, or following a control process that stands still) could have a stream joined: one that began at the new version through another gateway, broke, and was taken up there, went on at the old version. The gateway takes the version that it knows for the only one for as long as its state is recent enough (bounds.in_force_ms, 2 s).

Cause: others kept new streams off a new version for those 2 s only while that was convenient. They used it at once where most back ends were of it, where the back end chosen for the old version had no free slot, after a failed attempt, and for suspect requests; and an attempt after the first did not look whether a version had joined since.

Change: while another gateway may not know a version, a new stream begins at the base version as long as back ends of it are left, at each attempt. So that this costs no capacity where all are in step, gateways name themselves in their watch calls, which thereby acknowledge a revision; control processes report these to the registry's leader (registry.version_leases, lease_exchange), and a version is used as soon as every gateway has acknowledged it or can no longer trust an older state. Without such word it is held back for the 2 s of a gateway's state if all control processes know it, and for 8 s otherwise. Older builds decode the messages; beside them the times count.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -154,7 +154,12 @@
         self._first_table = FirstTable()
         self._freshness = FreshnessGate(is_in_doubt, last_pause_end_s)
         self._retrying_sender = RetryingSender(
-            sender, balancer, decision_log, self._quarantine, self._freshness
+            sender,
+            balancer,
+            decision_log,
+            self._quarantine,
+            self._freshness,
+            self._beginning_version,
         )
         self._table_age_s = table_age_s
         self._in_force_s = in_force_s
@@ -257,8 +262,6 @@
         if refusal is not None:
             self._refuse(routed.request, routed.metadata, responder, refusal)
             return
-        if routed.stream is not None:
-            self._set_preferred_version(routed)
         response = await self._retrying_sender.send(routed, "")
         while not isinstance(response, Failure):
             head_at_s = self._loop.time()
@@ -308,19 +311,10 @@
         routed.service = origin.service
         return None
 
-    def _set_preferred_version(self, routed: RoutedRequest) -> None:
-        """Set the version at which a new stream should begin."""
-        required = self._origins.preferred_version(routed.service)
-        if required is not None:
-            routed.preferred_version, routed.waits_for_preferred = required, True
-            return
-        known = self._origins.widely_known_version(routed.service)
-        if known is None:
-            return
-        # Not if it has too few back ends left for the service's load.
-        ready = len(self._balancer.available(routed.service, known))
-        if 2 * ready >= len(self._balancer.available(routed.service)):
-            routed.preferred_version = known
+    def _beginning_version(self, service: str) -> str | None:
+        """Return the version at which a new stream must begin, None for any."""
+        preferred = self._origins.preferred_version(service)
+        return self._origins.widely_known_version(service) if preferred is None else preferred
 
     async def _begin_stream(
         self, routed: RoutedRequest, response: OpenedResponse
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -109,6 +109,7 @@
             self._random,
             self._on_snapshot,
             config.zone,
+            config.name,
         )
         self._limiter = LocalLimiter(self._random, config.bounds.quota())
         self._shares = TenantShares(self._random) if config.policies.fair_tenants else None
@@ -127,7 +128,9 @@
         self._reporter = RunReporter(self._rpc, self._follower.hubs, clock)
         self._quarantine = Quarantine(self._reporter)
         self._origins = StreamOrigins(
-            view_age_s=self._follower.table_age_s, max_view_age_s=config.bounds.in_force_ms / 1000
+            view_age_s=self._follower.table_age_s,
+            max_view_age_s=config.bounds.in_force_ms / 1000,
+            shared=self._follower.shared_revisions,
         )
         self._origin_client = OriginClient(
             self._rpc, self._origin_holders, self._controls, self._origins.live
@@ -306,8 +309,9 @@
             self._index = index
 
     def _take_back_ends(self, snapshot: Snapshot) -> None:
-        self._balancer.replace(snapshot.view.runners)
+        # Acknowledged with the next watch call, even if the balancer cannot take the back ends.
         self._origins.update(snapshot.view)
+        self._balancer.replace(snapshot.view.runners)
 
     def _take_suspects(self, snapshot: Snapshot) -> None:
         self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from leverjunction.errors import Execution, Failure, FailureKind
 from leverjunction.gateway.retry import RetryBudget
@@ -44,6 +45,8 @@
         decision_log: Logs the decisions.
         quarantine: Knows the requests that crash back ends.
         freshness: Holds requests while the back ends may have changed unnoticed.
+        beginning_version: Returns the version of a service at which streams must begin while back
+            ends of it are left, None for any.
     """
 
     def __init__(
@@ -53,7 +56,9 @@
         decision_log: DecisionLog,
         quarantine: Quarantine,
         freshness: FreshnessGate,
+        beginning_version: Callable[[str], str | None],
     ) -> None:
+        self._beginning_version = beginning_version
         self._freshness = freshness
         self._sender = sender
         self._balancer = balancer
@@ -167,7 +172,7 @@
     def _has_untried(self, routed: RoutedRequest) -> bool:
         return any(
             runner.record.start not in routed.tried
-            for runner in self._balancer.available(routed.service, routed.version)
+            for runner in self._balancer.available(routed.service, self._required_version(routed))
         )
 
     async def _hedge(
@@ -240,33 +245,28 @@
 
     def _choose(self, routed: RoutedRequest, now_s: float) -> Choice | None:
         """Choose the back end of the next attempt."""
-        if not routed.key:
-            preferred = self._choose_preferred(routed, now_s)
-            if preferred is not None:
-                return preferred
+        version = self._required_version(routed)
         if not routed.key:
             return self._balancer.choose(
-                routed.service, routed.prompt, routed.tried, now_s, routed.version
-            ) or self._balancer.choose(routed.service, routed.prompt, (), now_s, routed.version)
+                routed.service, routed.prompt, routed.tried, now_s, version
+            ) or self._balancer.choose(routed.service, routed.prompt, (), now_s, version)
         # It may crash its back end: prefer one with few requests and without another suspect.
         avoided = routed.tried | self._quarantine.occupied_starts()
-        choice = self._balancer.choose_least_loaded(routed.service, avoided, now_s, routed.version)
+        choice = self._balancer.choose_least_loaded(routed.service, avoided, now_s, version)
         if choice is not None:
             start = choice.runner.record.start
             routed.trials.append((routed.key, start))
             self._quarantine.trial_started(routed.key, start)
         return choice
 
-    def _choose_preferred(self, routed: RoutedRequest, now_s: float) -> Choice | None:
-        """Choose a back end of the version at which a stream should begin, None for any other."""
-        if routed.origin is not None or routed.preferred_version is None:
-            return None
-        choice = self._balancer.choose(
-            routed.service, routed.prompt, routed.tried, now_s, routed.preferred_version
-        )
-        if choice is None or routed.waits_for_preferred or choice.load < choice.runner.slots:
-            return choice
-        return None
+    def _required_version(self, routed: RoutedRequest) -> str | None:
+        """Return the version that the back end of the next attempt must have, None for any."""
+        if routed.origin is not None or routed.stream is None:
+            return routed.version
+        # Asked before each attempt: another version may have joined since the last one.
+        version = self._beginning_version(routed.service)
+        has_back_ends = bool(self._balancer.available(routed.service, version))
+        return version if has_back_ends else None
 
     def _head_timeouts(self, routed: RoutedRequest, choice: Choice, now_s: float) -> HeadTimeouts:
         """Return how long to wait for a response head, and when to hedge."""
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -21,8 +21,6 @@
         service: Service that was chosen for the request.
         origin: What began the stream, None before its first event; it is continued only there.
         stream: Key of the stream by its first attempt, None if no caller can continue it.
-        preferred_version: Version at which the stream should begin if it can, None for any.
-        waits_for_preferred: Whether it goes there also while no back end of it has a free slot.
         origin_kept_s: When its origin was last kept, in the loop's seconds.
         tenant: Tenant on whose behalf it runs; None if it has none.
         table_version: Version of the route table that applies to the request.
@@ -47,7 +45,6 @@
         "metadata",
         "origin",
         "origin_kept_s",
-        "preferred_version",
         "prompt",
         "request",
         "route",
@@ -61,7 +58,6 @@
         "trials",
         "tried",
         "until_s",
-        "waits_for_preferred",
         "went_on",
     )
 
@@ -81,8 +77,6 @@
         self.service = service
         self.origin: StreamOrigin | None = None
         self.stream: int | None = None
-        self.preferred_version: str | None = None
-        self.waits_for_preferred = False
         self.origin_kept_s = 0.0
         self.tenant: Tenant | None = None
         self.table_version = table_version
--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -26,6 +26,7 @@
 )
 from leverjunction.registry.records import FleetView
 from leverjunction.registry.version_history import VersionHistory
+from leverjunction.registry.version_leases import FirstSeen, SharedRevisions
 
 MAX_OWN_STREAMS = 20_000
 FIND_TIMEOUT_S = 0.5
@@ -78,6 +79,7 @@
         view_age_s: Returns the maximum age of the registry's state here, in seconds.
         max_view_age_s: Age up to which that state tells all versions. A gateway that is cut off
             from the control processes may not know of the latest one.
+        shared: Returns which states of the registry all gateways and control processes have.
     """
 
     def __init__(
@@ -85,17 +87,19 @@
         directory: OriginDirectory | None = None,
         view_age_s: Callable[[], float] = lambda: 0.0,
         max_view_age_s: float = math.inf,
+        shared: Callable[[], SharedRevisions] = SharedRevisions,
     ) -> None:
         self.directory = directory
         self._view_age_s = view_age_s
         self._max_view_age_s = max_view_age_s
+        self._shared = shared
         self._streams = OriginTable(MAX_OWN_STREAMS)
         self._lock = threading.Lock()
         self._history = VersionHistory(
             STREAM_LIFETIME_S + VIEW_LAG_S, STREAM_LIFETIME_S - VIEW_LAG_S
         )
         self._ambiguous: set[str] = set()
-        self._first_seen_s: dict[tuple[str, str], float] = {}
+        self._first_seen: dict[tuple[str, str], FirstSeen] = {}
         self._oldest: dict[str, str] = {}
         self._reviewed_s = 0.0
         self._loop = asyncio.get_running_loop()
@@ -105,7 +109,8 @@
         now_s = self._loop.time()
         self._history.update(view, now_s)
         live = {(record.service, record.version) for record in view.runners}
-        self._first_seen_s = {key: self._first_seen_s.get(key, now_s) for key in live}
+        seen = FirstSeen(now_s, view.revision)
+        self._first_seen = {key: self._first_seen.get(key, seen) for key in live}
         self._oldest = {
             item.service: item.version
             for item in sorted(view.runners, key=lambda item: item.born_ms, reverse=True)
@@ -159,15 +164,14 @@
     def widely_known_version(self, service: str) -> str | None:
         """Return the base version while another gateway may not have heard of a newer one.
 
-        That gateway would take it for the only one. None if all versions are known long enough. A
+        That gateway would take it for the only one. None if all versions are widely known. A
         gateway that knows no base version goes by the back end that started first.
         """
-        now_s = self._loop.time()
-        is_new = any(
-            name == service and now_s - first_seen_s <= self._max_view_age_s
-            for (name, _), first_seen_s in self._first_seen_s.items()
-        )
-        if not is_new or self.directory is None or service not in self._ambiguous:
+        if self.directory is None or service not in self._ambiguous:
+            return None
+        now_s, shared = self._loop.time(), self._shared()
+        seen = [seen for (name, _), seen in self._first_seen.items() if name == service]
+        if all(item.is_widely_known(shared, now_s, self._max_view_age_s) for item in seen):
             return None
         return self._base_version(service) or self._oldest.get(service)
 
--- a/src/leverjunction/registry/commands.py
+++ b/src/leverjunction/registry/commands.py
@@ -12,6 +12,7 @@
     RunnerRecord,
     SettledVersion,
 )
+from leverjunction.registry.version_leases import SharedRevisions
 from leverjunction.registry.view_changes import ViewChanges
 from leverjunction.routes.table_changes import TableChanges
 from leverjunction.routes.types import RouteTable
@@ -218,6 +219,9 @@
         table_digest: Digest of the sender's table (``codec.digest_of``), which may then receive
             what changed since; empty if it needs a whole one.
         view_digest: The same for the sender's view.
+        gateway: Name of the sending gateway, which trusts the reply for ``bounds.in_force_ms`` and
+            uses no version before it is shared; empty from another process or an older release.
+        awaits_revision: Revision at which the sender waits for all gateways, -1 for none.
     """
 
     table_version: int
@@ -228,6 +232,8 @@
     suspects_revision: int | None = None
     table_digest: str = ""
     view_digest: str = ""
+    gateway: str = ""
+    awaits_revision: int = -1
 
 
 class WatchReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -250,6 +256,7 @@
         held_s: Time for which the reply was held, in seconds.
         table_changes: What changed since the requester's table, in place of a whole one.
         view_changes: What changed since the requester's view, in place of a whole one.
+        shared: Revisions that all processes have; None from a release that does not send it.
     """
 
     table: RouteTable | None
@@ -262,6 +269,7 @@
     held_s: float = 0.0
     table_changes: TableChanges | None = None
     view_changes: ViewChanges | None = None
+    shared: SharedRevisions | None = None
 
 
 class LivenessReport(msgspec.Struct, frozen=True):
--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -17,6 +17,7 @@
 from leverjunction.errors import Failure
 from leverjunction.registry.commands import WatchReply
 from leverjunction.registry.metrics import UNFIT_CHANGES
+from leverjunction.registry.version_leases import SharedRevisions, VersionChanges
 from leverjunction.registry.watch_schedule import (
     RETRY_PAUSE_S,
     WatchSchedule,
@@ -54,6 +55,8 @@
         random: Shuffles the order of the hubs and varies the pauses between calls.
         changed: Called with each newer state, from the follower's thread.
         zone: Zone of this machine: of the hubs that are known, those of the zone are polled first.
+        gateway: Name of this process if it is a gateway, else empty. Its calls then acknowledge
+            the versions of the back ends' software.
     """
 
     def __init__(
@@ -65,10 +68,14 @@
         random: Random,
         changed: Callable[[Snapshot], None],
         zone: str = "",
+        gateway: str = "",
     ) -> None:
         self._rpc = rpc
         self._member = member
         self._zone = zone
+        self._gateway = gateway
+        self._shared = SharedRevisions()
+        self._version_changes = VersionChanges()
         self._clock = clock
         self._random = random
         self._schedule = WatchSchedule(random)
@@ -99,6 +106,10 @@
         """Return the newest state, None before the first reply."""
         return self._state.snapshot
 
+    def shared_revisions(self) -> SharedRevisions:
+        """Return the revisions that all gateways and control processes have, as last told."""
+        return self._shared
+
     def hubs(self) -> list[str]:
         """Return the RPC addresses of all known hubs, beginning with the one being polled."""
         return list(self._hubs)
@@ -180,7 +191,9 @@
             has_state, len(self._hubs), at_once=self.is_in_doubt()
         )
         self._begin_step(options.timeout_s)
-        request = self._state.make_request(options.wait_ms, self._member)
+        request = self._state.make_request(
+            options.wait_ms, self._member, self._gateway, self._awaited_revision()
+        )
         reply = self._rpc.call(
             hub, MessageKind.REGISTRY_WATCH, request, WatchReply, timeout_s=options.timeout_s
         )
@@ -188,9 +201,19 @@
             return reply
         return check_not_behind(reply, request.table_version, request.revision) or reply
 
+    def _awaited_revision(self) -> int:
+        snapshot = self._state.snapshot
+        if snapshot is None or not self._gateway:
+            return -1
+        now_s = self._clock.monotonic_s()
+        self._version_changes.update(snapshot.view, now_s)
+        is_pending = self._version_changes.is_pending(self._shared, now_s)
+        return self._version_changes.revision if is_pending else -1
+
     def _merge_reply(self, reply: WatchReply) -> bool:
         """Take over a reply and deliver what is newer; return whether all of it fitted."""
         known = self._state.snapshot
+        self._shared = self._shared.merged(reply.shared)
         is_complete = self._state.merge(reply)
         snapshot = self._state.snapshot
         if not is_complete:
--- a/src/leverjunction/registry/hub.py
+++ b/src/leverjunction/registry/hub.py
@@ -27,6 +27,7 @@
 )
 from leverjunction.registry.fresh_read import LeaderQueries, read_state, read_versions
 from leverjunction.registry.records import FleetView
+from leverjunction.registry.version_leases import SharedRevisions
 from leverjunction.registry.watch_encoding import encode_watch_reply
 from leverjunction.routes import table_changes
 from leverjunction.routes.types import RouteTable
@@ -93,6 +94,7 @@
         self._table = self._tables.newest()
         self._view = self._views.newest()
         self._suspects = SuspectList()
+        self._shared = SharedRevisions()
 
     def notify_changed(self) -> None:
         """Wake waiting calls after a command was applied; called by the replica's thread."""
@@ -100,6 +102,22 @@
             self._changes += 1
             self._condition.notify_all()
 
+    def set_shared(self, shared: SharedRevisions, *, wake: bool) -> None:
+        """Set the revisions that all processes have, which replies tell.
+
+        Args:
+            shared: The revisions.
+            wake: Whether calls that are held may wait for them.
+        """
+        is_newer, self._shared = shared.gateways > self._shared.gateways, shared
+        if wake and is_newer:
+            self.notify_changed()
+
+    def age_s(self) -> float:
+        """Return the upper bound of the cached state's age, in seconds."""
+        self._refresh()
+        return self._age_s()
+
     def view(self) -> FleetView:
         """Return the registry as applied by the local replica."""
         self._refresh()
@@ -195,6 +213,7 @@
             held_s=held_s,
             table_changes=table.changes,
             view_changes=view.changes,
+            shared=self._shared,
         )
 
     def _is_newer(self, request: WatchRequest) -> bool:
@@ -202,6 +221,7 @@
             self._table.version > request.table_version
             or self._view.revision > request.revision
             or self._newer_suspects(request) is not None
+            or 0 <= request.awaits_revision <= self._shared.gateways
         )
 
     def _newer_suspects(self, request: WatchRequest) -> SuspectList | None:
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from typing import TypeVar
@@ -46,6 +47,7 @@
     WatchRequest,
 )
 from leverjunction.registry.hub import RegistryHub
+from leverjunction.registry.lease_exchange import LeaseExchange
 from leverjunction.registry.origin_directory import OriginDirectory
 from leverjunction.registry.origin_log import (
     ORIGINS_FOLDER,
@@ -65,6 +67,7 @@
 )
 from leverjunction.registry.start_liveness import StartLiveness
 from leverjunction.registry.state_machine import RegistryStateMachine
+from leverjunction.registry.version_leases import PENDING_INTERVAL_S
 from leverjunction.routes.checks import check_table
 from leverjunction.routes.types import RouteTable
 from leverjunction.storage import read_founders, write_founders
@@ -135,8 +138,20 @@
         self._origin_log = OriginLog(
             SegmentFolder(_data_folder(config) / ORIGINS_FOLDER), clock, read_boot_id()
         )
+        self._leases = LeaseExchange(
+            self._address,
+            self.hub,
+            clock,
+            self._send_views,
+            config.bounds.in_force_ms / 1000,
+            config.seed_addresses(),
+        )
         self._origins = OriginDirectory(
-            self.hub, clock, incarnation, self._origin_log, config.seed_addresses()
+            self.hub,
+            clock,
+            incarnation,
+            self._origin_log,
+            config.seed_addresses(),
         )
         self._silent_stores = SilentPeers()
         quota_owner = QuotaOwner(config.bounds.quota(), self.hub, self.leads)
@@ -154,6 +169,7 @@
         self._tasks = [
             PeriodicTask("join", LIVENESS_INTERVAL_S, self._join),
             PeriodicTask("heard", LIVENESS_INTERVAL_S, self._report_liveness),
+            PeriodicTask("leases", PENDING_INTERVAL_S, self._leases.step),
             PeriodicTask("steward", RECONCILE_INTERVAL_S, self._reconcile),
         ]
 
@@ -342,6 +358,7 @@
             endpoint.register(kind, self.host.serve_forwarded)
         endpoint.register(MessageKind.REGISTRY_WATCH, self._on_watch)
         endpoint.register(MessageKind.REGISTRY_HEARD, self._on_liveness)
+        endpoint.register(MessageKind.REGISTRY_VIEWS, self._leases.handle)
         self._origins.register(endpoint)
         return endpoint
 
@@ -351,7 +368,17 @@
             return encode_reply(request)
         if request.member:
             self._live_members.add(request.member)
-        return self.hub.watch_encoded(request)
+            return self.hub.watch_encoded(request)
+        self._leases.followed.asked(request.gateway, request.revision)
+        try:
+            return self.hub.watch_encoded(request)
+        finally:
+            self._leases.followed.replied(request.gateway, self._clock.monotonic_s())
+
+    def _send_views(self, body: bytes, record: Callable[[], bytes | Failure]) -> bytes | Failure:
+        return self.host.run_on_leader(
+            REGISTRY_GROUP, MessageKind.REGISTRY_VIEWS, body, record, CALL_TIMEOUT_S
+        )
 
     def _on_liveness(self, envelope: Envelope, peer: str) -> bytes:
         report = decode(envelope.body, LivenessReport, peer)
--- a/src/leverjunction/registry/watch_encoding.py
+++ b/src/leverjunction/registry/watch_encoding.py
@@ -13,6 +13,7 @@
 from leverjunction.quarantine.records import SuspectList
 from leverjunction.registry.commands import WatchReply
 from leverjunction.registry.metrics import WATCH_BYTES, WATCH_PARTS
+from leverjunction.registry.version_leases import SharedRevisions
 from leverjunction.wire.codec import encode_reply
 
 Encoder = Callable[[Any], bytes]
@@ -34,6 +35,7 @@
     held_s: float = 0.0
     table_changes: msgspec.Raw | None = None
     view_changes: msgspec.Raw | None = None
+    shared: SharedRevisions | None = None
 
 
 def encode_watch_reply(reply: WatchReply, encode_table: Encoder, encode_view: Encoder) -> bytes:
@@ -55,6 +57,7 @@
         held_s=reply.held_s,
         table_changes=_part(reply.table_changes, encode_table, "table", "changes"),
         view_changes=_part(reply.view_changes, encode_view, "view", "changes"),
+        shared=reply.shared,
     )
     return encode_reply(encoded)
 
--- a/src/leverjunction/registry/watched_state.py
+++ b/src/leverjunction/registry/watched_state.py
@@ -50,12 +50,16 @@
         self._table_digest = ""
         self._view_digest = ""
 
-    def make_request(self, wait_ms: int, member: str = "") -> WatchRequest:
+    def make_request(
+        self, wait_ms: int, member: str = "", gateway: str = "", awaits_revision: int = -1
+    ) -> WatchRequest:
         """Return the request for newer state.
 
         Args:
             wait_ms: Longest time for which the reply may be held, in milliseconds.
             member: Name of the sending machine if it may hold replicas, else empty.
+            gateway: Name of the sending gateway, empty for another process.
+            awaits_revision: Revision at which the sender waits for all gateways, -1 for none.
         """
         known = self.snapshot
         return WatchRequest(
@@ -67,6 +71,8 @@
             suspects_revision=known.suspects.revision if known else 0,
             table_digest=self._table_digest,
             view_digest=self._view_digest,
+            gateway=gateway,
+            awaits_revision=awaits_revision,
         )
 
     def merge(self, reply: WatchReply) -> bool:
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -60,6 +60,7 @@
     TENANT_USAGE = 23
     TENANT_LEVELS = 24
     FIND_ORIGINS = 25
+    REGISTRY_VIEWS = 26
 
 
 _HEADER = Struct(
--- a/tests/unit/test_origin_losses.py
+++ b/tests/unit/test_origin_losses.py
@@ -6,10 +6,21 @@
 from __future__ import annotations
 
 import pytest
-from tests.unit.origin_model import PRODUCT, Disk, Gateway, Model, Stream, Ways, joined
+from tests.unit.origin_model import (
+    IN_FORCE_S,
+    PRODUCT,
+    SERVICE,
+    Disk,
+    Gateway,
+    Model,
+    Stream,
+    Ways,
+    joined,
+)
 
 from leverjunction.registry.origin_reporter import rank_holders
 from leverjunction.registry.origins import STREAM_LIFETIME_S, Resumption
+from leverjunction.registry.version_leases import CONTROL_LEASE_S, FirstSeen
 
 
 def start_both(ways: Ways = PRODUCT) -> Model:
@@ -243,6 +254,98 @@
     check_not_joined(model, stream, second)
 
 
+AFTER_S = (0.1, 0.5, 1.5, 1.9, 2.1, 3.0, 5.0, 6.7, 6.9, 7.9, 8.1, 8.5, 15.0, 79.0)
+"""Times from the start of a version to the begin of a stream at it."""
+
+
+def follow(model: Model, for_s: float) -> None:
+    """Have time pass in which whoever is not cut off hears of each change at once."""
+    for _ in range(max(1, round(for_s / 0.1))):
+        for control in model.controls:
+            control.hear()
+        for gateway in model.gateways:
+            for control in model.controls:
+                gateway.hear(control)
+        model.advance(0.1)
+
+
+def take_up_where_a_version_was_missed(
+    after_s: float, new: int, out_of_step: str, *, has_lost_quorum: bool = False
+) -> Stream | None:
+    """Have a version start while a gateway, or a control process too, is cut off or stands still.
+
+    A stream that begins then at another gateway breaks and is taken up at the first one, before
+    that hears from a control process that knows the version.
+
+    Returns:
+        The stream, None if none began at the new version.
+    """
+    model = Model(3)
+    first, second = model.gateways
+    third = model.start_gateway()
+    follow(model, 12.0)
+    away = [second, third] if "gateways" in out_of_step else [second]
+    for gateway in away:
+        gateway.is_cut_off = True
+    lost = model.controls[2]
+    if "control" in out_of_step:
+        # It answers gateways again before it follows the leader again.
+        lost.is_silent = lost.loses_reports = lost.is_cut_off = True
+    for number in range(1, new + 1):
+        model.put(f"i-{number}", "v2")
+    follow(model, after_s)
+    model.begin(first, first.known("v2")[0])
+    follow(model, 0.1)
+    stream = next((item for item in model.streams if item.version == "v2"), None)
+    if has_lost_quorum:
+        for control in model.controls[:2]:
+            control.is_silent = True
+    model.end_gateway(first)
+    lost.is_silent = False
+    for gateway in away:
+        gateway.is_cut_off = "reach nobody" in out_of_step
+        check_not_joined(model, stream, gateway)
+    return stream
+
+
+OUT_OF_STEP = (
+    "a gateway",
+    "gateways",
+    "a gateway and a control process",
+    "gateways and a control process",
+    "gateways that reach nobody",
+)
+
+
+@pytest.mark.parametrize("has_lost_quorum", [False, True])
+@pytest.mark.parametrize("out_of_step", OUT_OF_STEP)
+@pytest.mark.parametrize("new", [1, 3])
+@pytest.mark.parametrize("after_s", AFTER_S)
+def test_a_gateway_out_of_step_during_a_release_joins_no_streams(
+    after_s: float, new: int, out_of_step: str, has_lost_quorum: bool
+) -> None:
+    stream = take_up_where_a_version_was_missed(
+        after_s, new, out_of_step, has_lost_quorum=has_lost_quorum
+    )
+    held_s = CONTROL_LEASE_S if "control" in out_of_step else IN_FORCE_S
+    assert (stream is not None) == (after_s > held_s)
+
+
+def test_streams_joined_if_a_version_was_used_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Otherwise the rows above would show nothing."""
+    monkeypatch.setattr(FirstSeen, "is_widely_known", lambda *_: True)
+    with pytest.raises(AssertionError, match="a stream of v2 goes on at v1: only version"):
+        take_up_where_a_version_was_missed(1.5, 3, "a gateway")
+
+
+def test_gateways_in_step_use_a_version_without_delay() -> None:
+    model = Model(3)
+    follow(model, 12.0)
+    model.put("i-1", "v2")
+    follow(model, 0.4)
+    assert all(item.origins.widely_known_version(SERVICE) is None for item in model.gateways)
+
+
 def test_a_gateway_that_starts_beside_a_new_version_does_not_have_its_streams_joined() -> None:
     model = Model(3)
     second = model.gateways[1]
