A control process tells of the only version though no quorum is left

Cause: what proved that a service has one version was a recent contact with the quorum, at the gateway (2 s) or at a control process (1.2 s). After its loss nobody could tell, though nothing had changed.

Change: a control process holds a lease on the set of versions. The leader grants it with its reply to the process's report of revisions; for 6.8 s after that, and after its own last contact, the process may tell gateways that a service has one version. In return a version that it has not reported is held back by all gateways for 8 s, or until the leader has not heard from the process for as long; a new leader waits for the leases of the former one. Without gateways that name themselves no lease is granted. Streams of other versions are recorded as before; a process that starts again holds no lease before its first contact.

Cost: while a control process is silent and its lease runs, a new version waits for up to 8 s in place of 2 s, as long as back ends of the former one are left.

--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -152,6 +152,7 @@
             incarnation,
             self._origin_log,
             config.seed_addresses(),
+            self._leases.is_valid,
         )
         self._silent_stores = SilentPeers()
         quota_owner = QuotaOwner(config.bounds.quota(), self.hub, self.leads)
--- a/src/leverjunction/registry/origin_directory.py
+++ b/src/leverjunction/registry/origin_directory.py
@@ -8,7 +8,7 @@
 
 import math
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from leverjunction.clock import Clock
 from leverjunction.errors import Execution, Failure, FailureKind, Step
@@ -55,6 +55,8 @@
         incarnation: Start time of this process, in milliseconds since the Unix epoch.
         log: Keeps the origins on disk; None to keep them in memory only.
         controls: Addresses of the control processes that are configured.
+        has_lease: Returns whether a version that this process has not heard of is not used yet,
+            though it may have lost touch with the others.
     """
 
     def __init__(
@@ -64,10 +66,12 @@
         incarnation: int,
         log: OriginLog | None = None,
         controls: Iterable[str] = (),
+        has_lease: Callable[[], bool] = lambda: False,
     ) -> None:
         self._hub = hub
         self._clock = clock
         self._incarnation = incarnation
+        self._has_lease = has_lease
         self._started_s = clock.monotonic_s()
         self._lock = threading.Lock()
         self._streams = OriginTable(MAX_STREAMS)
@@ -166,6 +170,7 @@
         now_s = self._clock.monotonic_s()
         # A process that is cut off may not know of the latest versions.
         is_current = self._hub.stale() is None
+        tells_all = is_current or self._has_lease()
         view = self._hub.view()
         origins: dict[int, StreamOrigin] = {}
         only_versions: dict[str, str] = {}
@@ -174,7 +179,7 @@
             self._update_history(view, now_s, is_current)
             bases = self._base_versions(view, now_s, is_current)
             for service, streams in question.services.items():
-                only = self._history.only_version(service, now_s) if is_current else None
+                only = self._history.only_version(service, now_s) if tells_all else None
                 if only is not None:
                     only_versions[service] = only
                 if service in bases:
--- a/tests/unit/origin_model.py
+++ b/tests/unit/origin_model.py
@@ -335,6 +335,7 @@
             self._clock,
             self.starts,
             self.disk,  # type: ignore[arg-type]
+            has_lease=self.has_lease,
         )
         self.directory.load()
         self.directory.refresh()
--- a/tests/unit/test_origin_losses.py
+++ b/tests/unit/test_origin_losses.py
@@ -338,6 +338,40 @@
         take_up_where_a_version_was_missed(1.5, 3, "a gateway")
 
 
+def test_streams_joined_if_control_processes_held_no_version_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """They tell of one version for longer than gateways do."""
+
+    def is_widely_known(seen: FirstSeen, _shared: object, now_s: float, lease_s: float) -> bool:
+        return now_s - seen.at_s > lease_s
+
+    monkeypatch.setattr(FirstSeen, "is_widely_known", is_widely_known)
+    with pytest.raises(AssertionError, match="a stream of v2 goes on at v1: only version"):
+        take_up_where_a_version_was_missed(
+            5.0, 1, "a gateway and a control process", has_lost_quorum=True
+        )
+
+
+def test_streams_go_on_though_the_quorum_is_lost() -> None:
+    """One version all along, and no gateway's state is recent enough to show it."""
+    model = Model(3)
+    first, second = model.gateways
+    follow(model, 12.0)
+    third = model.start_gateway()
+    follow(model, 2.5)
+    model.begin(first, first.known()[0])
+    (stream,) = model.streams
+    for control in model.controls[:2]:
+        control.is_silent = True
+    model.controls[2].is_cut_off = True
+    follow(model, 2.5)
+    model.end_gateway(first)
+    assert model.resume(stream, second).origin == stream.origin
+    model.advance(CONTROL_LEASE_S)
+    assert model.resume(stream, third).origin is None
+
+
 def test_gateways_in_step_use_a_version_without_delay() -> None:
     model = Model(3)
     follow(model, 12.0)
