--- a/src/leverjunction/proxy/admission.py
+++ b/src/leverjunction/proxy/admission.py
@@ -92,7 +92,8 @@
         is_returning: Whether it was refused before; it then goes before others of its rank.
         version: Version of the back ends that may continue a resumed stream; None for a new
             request, which any back end may run.
-        begins_at: Version at which a new stream must begin; None for any.
+        begins_at: Returns the version at which a new stream must begin, None for any; a later
+            version may be used while the request is held.
         standing: Its standing among the tenants' shares.
         share_per_s: Requests per second of its tenant that the tenant's share covers here.
     """
@@ -122,7 +123,7 @@
         tenant: str = "",
         content: Callable[[], str] = str,
         version: str | None = None,
-        begins_at: str | None = None,
+        begins_at: Callable[[], str | None] = lambda: None,
     ) -> None:
         self.rank = rank
         self.version = version
@@ -140,7 +141,7 @@
     @property
     def only_version(self) -> str | None:
         """Version of the back ends that may run the request, None if all may."""
-        return self.begins_at if self.version is None else self.version
+        return self.begins_at() if self.version is None else self.version
 
     def meets_target(self, estimate: LoadEstimate, now_s: float) -> bool:
         """Return whether the request would meet its target if it were sent now.
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -159,7 +159,12 @@
         self._first_table = FirstTable()
         self._freshness = FreshnessGate(is_in_doubt, last_pause_end_s)
         self._retrying_sender = RetryingSender(
-            sender, balancer, decision_log, self._quarantine, self._freshness
+            sender,
+            balancer,
+            decision_log,
+            self._quarantine,
+            self._freshness,
+            self._beginning_version,
         )
         self._table_age_s = table_age_s
         self._in_force_s = in_force_s
@@ -262,8 +267,6 @@
         if refusal is not None:
             self._refuse(routed.request, routed.metadata, responder, refusal)
             return
-        if routed.stream is not None:
-            self._set_preferred_version(routed)
         response = await self._send_admitted(routed)
         while not isinstance(response, Failure):
             head_at_s = self._loop.time()
@@ -344,28 +347,10 @@
         routed.service = origin.service
         return None
 
-    def _required_version(self, routed: RoutedRequest) -> str | None:
-        """Return the version at which a new stream must begin, whatever its load; None for any."""
-        if routed.stream is None or routed.origin is not None:
-            return None
-        required = self._origins.preferred_version(routed.service)
-        if required is None or not self._balancer.available(routed.service, required):
-            return None
-        return required
-
-    def _set_preferred_version(self, routed: RoutedRequest) -> None:
-        """Set the version at which a new stream should begin."""
-        required = self._origins.preferred_version(routed.service)
-        if required is not None:
-            routed.preferred_version, routed.waits_for_preferred = required, True
-            return
-        known = self._origins.widely_known_version(routed.service)
-        if known is None:
-            return
-        # Not if it has too few back ends left for the service's load.
-        ready = len(self._balancer.available(routed.service, known))
-        if 2 * ready >= len(self._balancer.available(routed.service)):
-            routed.preferred_version = known
+    def _beginning_version(self, service: str) -> str | None:
+        """Return the version at which a new stream must begin, None for any."""
+        preferred = self._origins.preferred_version(service)
+        return self._origins.widely_known_version(service) if preferred is None else preferred
 
     async def _begin_stream(
         self, routed: RoutedRequest, response: OpenedResponse
@@ -445,7 +430,7 @@
             tenant=routed.metadata.tenant,
             content=lambda: request_key(request_content(routed.request)),
             version=routed.version,
-            begins_at=self._required_version(routed),
+            begins_at=lambda: self._retrying_sender.required_version(routed),
         )
 
     def _record_run_time(
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -22,8 +22,6 @@
         service: Service that was chosen for the request.
         origin: What began the stream, None before its first event; it is continued only there.
         stream: Key of the stream by its first attempt, None if no caller can continue it.
-        preferred_version: Version at which the stream should begin if it can, None for any.
-        waits_for_preferred: Whether it goes there also while no back end of it has a free slot.
         origin_kept_s: When its origin was last kept, in the loop's seconds.
         ticket: Its ticket at the admission gate, None before it has entered.
         tenant: Tenant on whose behalf it runs; None if it has none.
@@ -49,7 +47,6 @@
         "metadata",
         "origin",
         "origin_kept_s",
-        "preferred_version",
         "prompt",
         "request",
         "route",
@@ -64,7 +61,6 @@
         "trials",
         "tried",
         "until_s",
-        "waits_for_preferred",
         "went_on",
     )
 
@@ -84,8 +80,6 @@
         self.service = service
         self.origin: StreamOrigin | None = None
         self.stream: int | None = None
-        self.preferred_version: str | None = None
-        self.waits_for_preferred = False
         self.origin_kept_s = 0.0
         self.ticket: Ticket | None = None
         self.tenant: Tenant | None = None
