Registry: what a former start of a gateway acknowledged does not count for the next one

Callers would see: a stream joined by a gateway that was restarted beside a release and followed a control process that lags: its former start's entry at another process hid that it knows an older state, so that the newer version was used while this gateway took the former one for the only one.

Cause: gateways were listed by name. Of two entries with one name the higher revision counts, which holds for a gateway that turned to another process, not for one that started again.

Why it works: each start sends a name of its own, so both are listed until their leases are over.

--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -73,7 +73,8 @@
         self._rpc = rpc
         self._member = member
         self._zone = zone
-        self._gateway = gateway
+        # Each start has a name of its own: what a former one acknowledged says nothing of this one.
+        self._gateway = f"{gateway}/{random.getrandbits(48):x}" if gateway else ""
         self._shared = SharedRevisions()
         self._version_changes = VersionChanges()
         self._clock = clock
--- a/src/leverjunction/registry/version_leases.py
+++ b/src/leverjunction/registry/version_leases.py
@@ -86,7 +86,8 @@
     Attributes:
         control: RPC address of the control process.
         revision: Revision of the registry that it has.
-        gateways: Revision by name of each gateway that may still trust a state received here.
+        gateways: Revision by name of each start of a gateway that may still trust a state received
+            here.
         is_unsure: Whether there may be gateways that are not listed.
     """
 
--- a/tests/unit/test_version_leases.py
+++ b/tests/unit/test_version_leases.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
+from tests.unit.seeded_support import wait_until
+from tests.unit.test_registry_follower import Hubs
 
+from leverjunction.clock import SystemClock
+from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.registry.commands import WatchRequest
+from leverjunction.registry.follower import RegistryFollower
 from leverjunction.registry.records import FleetView, RunnerRecord
 from leverjunction.registry.version_leases import (
     CONTROL_LEASE_S,
@@ -17,6 +25,12 @@
     ViewReports,
 )
 
+NOT_HEARD = Failure(
+    kind=FailureKind.UNREACHABLE,
+    reason="nobody listens",
+    step=Step.SENDING,
+    execution=Execution.NOT_RUN,
+)
 VIEW_LEASE_S = 2.0
 CONTROLS = ("c:1", "c:2", "c:3")
 HELD = SharedRevisions(controls=5, gateways=5, are_held=True)
@@ -51,6 +65,45 @@
     assert views.report("c:1", 5, 500.0).gateways == {"front-1": 4}
 
 
+def test_what_a_former_start_of_a_gateway_acknowledged_does_not_count_for_the_next() -> None:
+    """Symptom: a gateway that followed a lagging process after its restart was taken for current,
+    and took the former version of a service for the only one.
+    """
+    views = {control: followed_views() for control in CONTROLS}
+    starts = [first_gateway_name(seed) for seed in (1, 2)]
+    views["c:2"].asked(starts[0], 12)
+    views["c:2"].replied(starts[0], 100.0)
+    views["c:1"].asked(starts[1], 0)
+    views["c:1"].replied(starts[1], 100.5)
+    reports = ViewReports(0.0)
+    for control in CONTROLS:
+        reports.record(views[control].report(control, 12, 100.6), 100.6)
+    assert reports.shared(CONTROLS, 100.6).gateways < 12
+
+
+def first_gateway_name(seed: int) -> str:
+    """Return the name in the first watch call of a start of gateway ``front-1``."""
+    names: list[str] = []
+
+    def answer(_hub: str, request: WatchRequest) -> Failure:
+        names.append(request.gateway)
+        return NOT_HEARD
+
+    follower = RegistryFollower(
+        Hubs(answer),  # type: ignore[arg-type]
+        ("c:1",),
+        "",
+        SystemClock(),
+        Random(seed),
+        lambda _snapshot: None,
+        gateway="front-1",
+    )
+    follower.start()
+    wait_until(lambda: bool(names), 5.0)
+    follower.stop()
+    return names[0]
+
+
 def test_a_gateway_acknowledges_with_its_next_call() -> None:
     views = followed_views()
     views.asked("front-1", 4)
