Proxy: beside a second version, requests that wait for memory count as a queue

Cause: prompts of 17,000 tokens fill a back end's memory before its slots. It then reports waiting requests beside free slots, but the gateway compared their sum with the slots, so it sent more, new ones too, and a resumed stream waited behind them. A gateway can order what it holds, not what a back end queues.

While a service has several versions, and for each resumed stream, waiting requests of a report of the last 0.5 s count as a queue, which as many requests work off as run now; the choice counts them as any queued request. With one version, loads and choices for new requests are as before (a test).

--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -236,7 +236,9 @@
         if prompt.is_long:
             self._last_long_prompt_s[service] = now_s
         preferred_id = affinity_runner(prompt, _ids(healthy), self._long_prompt_ids)
-        best = self._pick(self._sample(healthy, preferred_id), preferred_id, prompt, now_s)
+        by_queue = version is not None or self._has_several_versions(service)
+        sample = self._sample(healthy, preferred_id)
+        best = self._pick(sample, preferred_id, prompt, now_s, by_queue)
         factor = self._factors([best], now_s)[0]
         return Choice(best, best.load(now_s), len(healthy), factor)
 
@@ -272,7 +274,12 @@
         return drawn + preferred
 
     def _pick(
-        self, runners: list[TrackedRunner], preferred_id: str, prompt: Prompt, now_s: float
+        self,
+        runners: list[TrackedRunner],
+        preferred_id: str,
+        prompt: Prompt,
+        now_s: float,
+        by_queue: bool,
     ) -> TrackedRunner:
         """Choose by weighted random: gateways with the same loads must not all choose alike."""
         factors = self._factors(runners, now_s)
@@ -280,7 +287,10 @@
         loads = [runner.load(now_s) for runner in runners]
         candidates = [
             Candidate(
-                self._cost_ms(runner, load, factor, preferred_id, prompt, now_s),
+                self._cost_ms(runner, load, factor, preferred_id, prompt, now_s)
+                + (
+                    _memory_queue(runner, load, now_s) * QUEUED_REQUEST_COST_MS if by_queue else 0.0
+                ),
                 runner.slots - load,
                 factor,
             )
@@ -384,8 +394,10 @@
         if not runners:
             return None
         factors = self._factors(runners, now_s)
+        by_queue = version is not None or self._has_several_versions(service)
+        excess = _queue_s if by_queue else _excess
         best, factor = min(
-            zip(runners, factors, strict=True), key=lambda pair: _excess(pair[0], pair[1], now_s)
+            zip(runners, factors, strict=True), key=lambda pair: excess(pair[0], pair[1], now_s)
         )
         capacity = sum(
             runner.slots * (factor / other) for runner, other in zip(runners, factors, strict=True)
@@ -395,14 +407,21 @@
             if not is_new_here or any(runner.pending_prefill_ms == 0 for runner in runners):
                 return None
             return LoadEstimate(best.slots, best.slots, run_s, 0.0, round(capacity))
+        queue, slots = (
+            best.queue(now_s) if by_queue else (best.load(now_s) + 1 - best.slots, best.slots)
+        )
         return LoadEstimate(
-            queue=best.load(now_s) + 1 - best.slots,
-            slots=best.slots,
+            queue=queue,
+            slots=slots,
             run_s=run_s * factor,
             backlog=sum(max(0.0, runner.load(now_s) - runner.slots) for runner in runners),
             capacity=round(capacity),
         )
 
+    def _has_several_versions(self, service: str) -> bool:
+        """Return whether some back ends of a service can't continue the streams of others."""
+        return len({runner.record.version for runner in self.available(service)}) > 1
+
     def failed(self, runner: TrackedRunner, now_s: float) -> None:
         """Record a failure of a back end."""
         runner.failed(now_s)
@@ -453,5 +472,17 @@
     return queue * factor if queue > 0 else queue / factor
 
 
+def _memory_queue(runner: TrackedRunner, load: float, now_s: float) -> float:
+    """Return how many requests wait at a back end beyond those that wait for a slot."""
+    queue, _ = runner.queue(now_s)
+    return max(0.0, queue - max(0.0, load + 1 - runner.slots))
+
+
+def _queue_s(runner: TrackedRunner, factor: float, now_s: float) -> float:
+    """Return the relative time until one more request starts, or less the more slots are free."""
+    queue, slots = runner.queue(now_s)
+    return queue * factor / slots if queue > 0 else queue / factor
+
+
 def _ids(runners: list[TrackedRunner]) -> list[str]:
     return [runner.record.runner_id for runner in runners]
--- a/src/leverjunction/proxy/tracked_runner.py
+++ b/src/leverjunction/proxy/tracked_runner.py
@@ -45,6 +45,9 @@
 means of three seeds).
 """
 
+MAX_QUEUE_AGE_S = 0.5
+"""Maximum age of a report that requests wait at a back end."""
+
 FIRST_EJECTION_S = 0.5
 
 MAX_EJECTION_S = 8.0
@@ -62,6 +65,9 @@
         rate: How fast it works.
         slots: Number of requests that the back end can run at once.
         ejected_until_s: Monotonic time until which it gets no work if there is another back end.
+        reported_waiting: Number of requests in its queue at the last load report.
+        reported_running: Number of requests that it was processing then.
+        reported_s: Monotonic time of that report.
     """
 
     __slots__ = (
@@ -78,6 +84,9 @@
         "pending_prefill_ms",
         "rate",
         "record",
+        "reported_running",
+        "reported_s",
+        "reported_waiting",
         "slots",
     )
 
@@ -90,6 +99,9 @@
         self.load_updated_s = 0.0
         self.slots = max(1, record.slots)
         self.ejected_until_s = 0.0
+        self.reported_waiting = 0
+        self.reported_running = 0
+        self.reported_s = float("-inf")
         self._delay_ms = 0.0
         self._delay_updated_s = 0.0
         self._shared_load_s = float("-inf")
@@ -116,6 +128,20 @@
             (self.load_updated_s - now_s) / LOAD_DECAY_S
         )
 
+    def queue(self, now_s: float) -> tuple[float, int]:
+        """Return how many requests must finish before one more starts, and how many run at once.
+
+        Requests that wait beside free slots wait for memory: then no more run at once than do now.
+
+        Args:
+            now_s: Monotonic time in seconds.
+        """
+        queue = self.load(now_s) + 1 - self.slots
+        waits = self.reported_waiting > 0 and now_s - self.reported_s <= MAX_QUEUE_AGE_S
+        if not waits or queue > self.reported_waiting:
+            return queue, self.slots
+        return self.reported_waiting + 1, max(1, min(self.slots, self.reported_running))
+
     def record_head(self, head_latency_s: float, tokens_in: int, now_s: float) -> None:
         """Record the latency of a response head; prefill time does not count as delay.
 
@@ -156,6 +182,8 @@
             self.slots = load.slots
         if load.slowdown is not None:
             self.rate.report(load.slowdown, now_s)
+        self.reported_waiting, self.reported_running = load.waiting, load.running
+        self.reported_s = now_s
         if now_s - self._shared_load_s <= SHARED_LOAD_PRECEDENCE_S:
             # The report also counts batch work, which yields to online requests.
             return
