Proxy: late heads of other streams do not have a resumed one refused

Cause: the admission gate counts the latency of the route's recent fast heads as certain. Under load those heads themselves have waited, for a second and more, so that a resumed stream with less than that left counted as expired.

Now only the time that its prompt takes counts against a resumed stream, at most that latency. New requests are judged as before. The test calls what was not there before.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -413,11 +413,12 @@
             deadline_s -= self._balancer.mean_run_s(routed.service) or 0.0
         if route.head_within_ms:
             deadline_s = min(deadline_s, arrived_s + route.head_within_ms / 1000)
+        unqueued_s = self._retrying_sender.head_latencies(route).unqueued_s() or 0.0
         return Ticket(
             arrived_s=arrived_s,
             target_s=arrived_s + route.target_ms / 1000,
             deadline_s=deadline_s,
-            head_latency_s=self._retrying_sender.head_latencies(route).unqueued_s() or 0.0,
+            head_latency_s=routed.head_latency_s(unqueued_s),
             rank=(routed.tenant.priority if routed.tenant else 0, route.priority),
             tenant=routed.metadata.tenant,
             content=lambda: request_key(request_content(routed.request)),
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -107,6 +107,19 @@
         if self.first_output_s is None:
             self.first_output_s = now_s
 
+    def head_latency_s(self, unqueued_s: float) -> float:
+        """Return the seconds from sending the request to its response head without queueing.
+
+        Under load recent heads are late. For a resumed stream only the time that its prompt takes
+        counts, since it is lost if it is not sent.
+
+        Args:
+            unqueued_s: Latency of its route's fast response heads, in seconds.
+        """
+        if self.origin is None:
+            return unqueued_s
+        return min(unqueued_s, self.prompt.prefill_ms / 1000)
+
     @property
     def version(self) -> str | None:
         """Version of the back ends that may run the request, None if all may."""
--- a/tests/unit/test_resumed_streams_under_load.py
+++ b/tests/unit/test_resumed_streams_under_load.py
@@ -15,9 +15,14 @@
 
 from leverjunction.proxy.admission import AdmissionQueue, Decision, LoadEstimate, Ticket
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.dialect import EngineLoad
+from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.dialect import EngineLoad, RequestMetadata
 from leverjunction.proxy.prompt import Prompt
+from leverjunction.proxy.routed_request import RoutedRequest
+from leverjunction.registry.origins import StreamOrigin
 from leverjunction.registry.records import RunnerRecord
+from leverjunction.routes import RouteClass
+from testbed.routed import make_route
 
 NOW_S = 100.0
 SLOTS = 8
@@ -269,3 +274,17 @@
     balancer = loaded((OLD, OLD, NEW), SHORT_OF_MEMORY, calm, calm)
     chosen = [balancer.choose("s", Prompt((), 500), (), NOW_S, OLD) for _ in range(20)]
     assert {choice.runner.record.runner_id for choice in chosen if choice is not None} == {"i1"}
+
+
+def test_late_heads_of_other_streams_do_not_have_a_resumed_one_refused() -> None:
+    """Symptom: refused 31 ms after it came, with no request held, and 1 s left: recent heads had
+    taken that long.
+    """
+    route = make_route(RouteClass.STREAM)
+    metadata = RequestMetadata(tokens_in=8500)
+    caller = CallerRequest(b"POST", b"/streaming/x", [], b"", 0.0)
+    routed = RoutedRequest(caller, metadata, route, "s", 1, 2.0)
+    assert routed.head_latency_s(1.1) == 1.1
+    routed.origin = StreamOrigin("s", OLD)
+    assert routed.head_latency_s(1.1) == pytest.approx(0.1, rel=0.2)
+    assert routed.head_latency_s(0.02) == 0.02
