Balancer: which services have several versions is computed when back ends change

Cause: each choice and load estimate looked at all back ends of its service once more. Change: computed in replace. Measured: test_resumed_streams_under_load, test_streams_held_to_a_version and test_proxy_versions pass.

--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -112,6 +112,7 @@
         "_last_long_prompt_s",
         "_long_prompt_ids",
         "_mean_run_s",
+        "_mixed_services",
         "_random",
         "_rated_services",
         "_runners",
@@ -133,6 +134,7 @@
         self._rated_services: set[str] = set()
         self.order = BackEndOrder(())
         self._by_service: dict[str, list[TrackedRunner]] = {}
+        self._mixed_services: set[str] = set()
         self._long_prompt_ids: frozenset[str] = frozenset()
         self._last_long_prompt_s: dict[str, float] = {}
         self._mean_run_s: dict[str, float] = {}
@@ -154,6 +156,11 @@
         self._runners = runners
         self.order = BackEndOrder(runners)
         self._by_service = by_service
+        self._mixed_services = {
+            service
+            for service in by_service
+            if len({runner.record.version for runner in self.available(service)}) > 1
+        }
         self._long_prompt_ids = frozenset(
             key
             for service, members in by_service.items()
@@ -420,7 +427,7 @@
 
     def _has_several_versions(self, service: str) -> bool:
         """Return whether some back ends of a service can't continue the streams of others."""
-        return len({runner.record.version for runner in self.available(service)}) > 1
+        return service in self._mixed_services
 
     def failed(self, runner: TrackedRunner, now_s: float) -> None:
         """Record a failure of a back end."""
