--- a/src/leverjunction/wire/rpc_server.py
+++ b/src/leverjunction/wire/rpc_server.py
@@ -154,6 +154,7 @@
         MessageKind.MACHINE_LIST,
         MessageKind.REGISTRY_WATCH,
         MessageKind.REGISTRY_HEARD,
+        MessageKind.REGISTRY_VIEWS,
         MessageKind.FIND_ORIGIN,
         MessageKind.FIND_ORIGINS,
     }
--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -125,6 +125,11 @@
         self._thread = threading.Thread(target=self._beat, daemon=True)
         self._thread.start()
 
+    @property
+    def has_run(self) -> bool:
+        """Whether a request has reached it."""
+        return bool(self._stand_in.seen)
+
     def silence(self) -> None:
         """Tell of itself no more."""
         self._ending.set()
@@ -364,6 +369,20 @@
         added = self.add_back_ends([NEW] * (BACK_ENDS // 2))
         wait_until(lambda: any(back_end.is_known.is_set() for back_end in added))
 
+    def begin_until_used(self, version: str) -> float:
+        """Begin streams at both gateways until one is at a version; return how long it took."""
+        began_s = time.monotonic()
+
+        def is_used() -> bool:
+            for gateway in (self.first, self.second):
+                stream = Stream(f"u{len(self._new)}")
+                self._new.append(stream)
+                self._in_thread(stream.ask, _callers(gateway), f"{stream.record.name}-0")
+            return any(item.has_run for item in self.back_ends if item.version == version)
+
+        wait_until(is_used)
+        return time.monotonic() - began_s
+
     def best_holders(self, count: int) -> list[object]:
         """Return the control processes that the first gateway reports origins to, best first."""
         by_address = {f"{item.host}:{machines.RPC_PORT}": item for item in self.controls}
