Tests: items after cut heads, and how often a cut head is tried again

An item whose back end stopped within its answer's head must run again: neither done with an empty text, nor failed once more (500), nor given up (422).

The row in test_proxy_cut_heads.py holds that: two cut heads of three are answered whole, three are 502.

--- a/tests/unit/test_proxy_cut_heads.py
+++ b/tests/unit/test_proxy_cut_heads.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from contextlib import ExitStack
 
 import pytest
 from tests.unit.proxy_support import Proxy
@@ -18,7 +19,8 @@
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.runner_pool import RunnerPool
-from testbed.routed import RawReply, RunnerStandIn
+from leverjunction.routes import RouteClass
+from testbed.routed import RawReply, RunnerStandIn, make_route, make_table
 from testbed.routed.behaviours import BEHAVIOURS
 from testbed.routed.exchange import Exchange
 
@@ -192,6 +194,36 @@
     )
 
 
+@pytest.mark.parametrize(("cuts", "answer"), [(2, (200, 3)), (3, (502, 3))])
+def test_cut_heads_are_tried_again_as_often_as_the_route_allows(
+    cuts: int, answer: tuple[int, int]
+) -> None:
+    head = HEADS["a length"].encode()
+    left = cuts
+
+    async def cut_first(exchange: Exchange) -> None:
+        nonlocal left
+        left -= 1
+        if left < 0:
+            await BEHAVIOURS["whole"](exchange)
+            return
+        exchange.raw(head[: len(head) // 2])
+        await exchange.flush()
+        exchange.close()
+
+    BEHAVIOURS["cut first"] = cut_first
+    route = make_route(RouteClass.REPEATABLE, max_attempts=3)
+    names = ("i-1", "i-2", "i-3", "i-4")
+    with ExitStack() as stack:
+        back_ends = [stack.enter_context(RunnerStandIn(name, "cut first")) for name in names]
+        proxy = stack.enter_context(Proxy(make_table(route), back_ends))
+        reply = proxy.ask("/repeatable/x")
+        sent = [len(back_end.seen) for back_end in back_ends]
+    del BEHAVIOURS["cut first"]
+    assert (reply.status, sum(sent)) == answer
+    assert max(sent) == 1
+
+
 SECOND = f"HTTP/1.1 500 Fault\r\n{FIELDS}Content-Length: 5\r\n\r\nfault"
 
 
