Proxy: a stream without length that ends before its first event is no whole answer

A resumable one was not tried elsewhere.

Cause: without length and chunks, an orderly end of the connection is the end of the answer, and only a part of an event told that it was broken off.

Why it works: such a stream that has not begun has been broken off: it is run again where its route allows that, otherwise answered with 502. One that its caller or this gateway continues may end without a further event, as before.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -33,7 +33,7 @@
 )
 from leverjunction.proxy.first_table import FirstTable
 from leverjunction.proxy.freshness import FreshnessGate
-from leverjunction.proxy.headers import end_to_end, find
+from leverjunction.proxy.headers import end_to_end, ends_with_connection, find
 from leverjunction.proxy.quarantine import Quarantine, is_lost_run
 from leverjunction.proxy.retrying_sender import RetryingSender
 from leverjunction.proxy.return_times import spread_return_s
@@ -534,6 +534,9 @@
                 if isinstance(event, ResponseHead):
                     return _unexpected_event(response)
                 if isinstance(event, ResponseEnd):
+                    begun = splitter.has_events or bool(splitter.last_id)
+                    if not begun and ends_with_connection(response.head.headers):
+                        return _unexpected_event(response)
                     if not responder.started:
                         responder.send_head(response.head.status, end_to_end(response.head.headers))
                     if splitter.pending_bytes:
--- a/src/leverjunction/proxy/headers.py
+++ b/src/leverjunction/proxy/headers.py
@@ -34,6 +34,14 @@
     ]
 
 
+def ends_with_connection(headers: RawHeaders) -> bool:
+    """Return whether a response with these fields ends when its connection does.
+
+    Nothing then tells a stream that ended before its first event from one that was broken off.
+    """
+    return find(headers, b"content-length") is None and find(headers, b"transfer-encoding") is None
+
+
 def find(headers: RawHeaders, name: bytes) -> bytes | None:
     """Return the value of the first field with a name in lower case, or None."""
     return next((value for key, value in headers if key.lower() == name), None)
--- a/src/testbed/routed/behaviours.py
+++ b/src/testbed/routed/behaviours.py
@@ -293,6 +293,13 @@
     exchange.close()
 
 
+@behaviour("stream without length, ends before an event")
+async def _stream_without_length_empty(exchange: Exchange) -> None:
+    _begin_without_length(exchange)
+    await exchange.flush()
+    exchange.close()
+
+
 @behaviour("stream without length, ends in an event")
 async def _stream_without_length_cut(exchange: Exchange) -> None:
     _begin_without_length(exchange)
--- a/tests/unit/test_proxy_contract.py
+++ b/tests/unit/test_proxy_contract.py
@@ -357,6 +357,7 @@
     "behaviour",
     [
         "stream without length",
+        "stream without length, ends before an event",
         "stream without length, ends in an event",
         "stream without length, reset",
     ],
@@ -391,3 +392,12 @@
     assert reply.complete is is_complete
     assert WHOLE_STREAM.startswith(reply.body)
     assert (reply.body == WHOLE_STREAM) is is_complete
+
+
+def test_a_stream_without_length_that_ends_before_an_event_is_no_whole_answer(
+    proxy: Proxy, first: RunnerStandIn
+) -> None:
+    """A back end that stops right after its head ends the connection like one that is done."""
+    first.then("stream without length, ends before an event")
+    reply = proxy.ask(STREAM)
+    assert (reply.status, len(first.seen)) == (502, 1)
