A gateway that starts does not take all versions for new

What callers would see: a gateway that starts while two versions serve sends new streams to the base version only, for up to 2 s, if the registry has just changed and another gateway was just killed and cannot acknowledge that change any more: half of the service, where resumed streams wait as well.

Cause: a gateway counted a version as new from the revision of its first state.

Change: a control process tells since which revision it has known all versions that serve (VersionChanges), and a gateway takes the earlier one. A process that did not run for as long as a stream may be taken up tells its newest state, since a version may have come back unseen.

Evidence: by reading and by the model, not seen on real processes; test_a_gateway_that_starts_uses_versions_that_all_know fails without what the process tells ('assert' on None, a trial with the former reply).

--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -109,7 +109,9 @@
         now_s = self._loop.time()
         self._history.update(view, now_s)
         live = {(record.service, record.version) for record in view.runners}
-        seen = FirstSeen(now_s, view.revision)
+        # All versions served from then on, so this state is no news for a gateway that starts.
+        versions = self._shared().versions
+        seen = FirstSeen(now_s, min(view.revision, versions) if versions >= 0 else view.revision)
         self._first_seen = {key: self._first_seen.get(key, seen) for key in live}
         self._oldest = {
             item.service: item.version
--- a/src/leverjunction/registry/hub.py
+++ b/src/leverjunction/registry/hub.py
@@ -8,6 +8,7 @@
 import math
 import threading
 
+import msgspec
 from loguru import logger
 
 from leverjunction.clock import Clock
@@ -27,7 +28,7 @@
 )
 from leverjunction.registry.fresh_read import LeaderQueries, read_state, read_versions
 from leverjunction.registry.records import FleetView
-from leverjunction.registry.version_leases import SharedRevisions
+from leverjunction.registry.version_leases import SharedRevisions, VersionChanges
 from leverjunction.registry.watch_encoding import encode_watch_reply
 from leverjunction.routes import table_changes
 from leverjunction.routes.types import RouteTable
@@ -95,6 +96,7 @@
         self._view = self._views.newest()
         self._suspects = SuspectList()
         self._shared = SharedRevisions()
+        self._version_changes = VersionChanges()
 
     def notify_changed(self) -> None:
         """Wake waiting calls after a command was applied; called by the replica's thread."""
@@ -213,9 +215,16 @@
             held_s=held_s,
             table_changes=table.changes,
             view_changes=view.changes,
-            shared=self._shared,
+            shared=self._shared_now(),
         )
 
+    def _shared_now(self) -> SharedRevisions:
+        """Return what all processes share; call it after the view was read.
+
+        A version that joined in between then counts as new for longer than needed.
+        """
+        return msgspec.structs.replace(self._shared, versions=self._version_changes.revision)
+
     def _is_newer(self, request: WatchRequest) -> bool:
         return (
             self._table.version > request.table_version
@@ -240,7 +249,10 @@
         leader = read_versions(self._leader)
         if not isinstance(leader, Failure):
             if self._reaches(leader, self._clock.monotonic_s() + CATCH_UP_S):
-                return self._make_fresh_reply((self._table, self._view), asked_s)
+                return msgspec.structs.replace(
+                    self._make_fresh_reply((self._table, self._view), asked_s),
+                    shared=self._shared_now(),
+                )
         elif leader.kind is not FailureKind.CORRUPT:
             return leader
         # The leader's release does not tell versions, or the replica here lags.
@@ -309,6 +321,7 @@
             logger.warning("cannot read the registry from the local replica: {}", failed.reason)
         self._failing = failed is not None
         if not isinstance(view, Failure) and view.revision >= self._view.revision:
+            self._version_changes.update(view, self._clock.monotonic_s())
             self._views.record(view)
             self._view = self._views.newest()
         if not isinstance(table, Failure) and table.version >= self._table.version:
--- a/src/leverjunction/registry/version_leases.py
+++ b/src/leverjunction/registry/version_leases.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from leverjunction.registry.origins import STREAM_LIFETIME_S
 from leverjunction.registry.records import FleetView
 
 CONTROL_LEASE_S = 8.0
@@ -38,11 +39,14 @@
             states, which they trust for ``bounds.in_force_ms`` at most.
         gateways: Revision of all control processes and gateways, -1 if it is not known.
         are_held: Whether no gateway uses a version sooner: all are of a build that holds them back.
+        versions: Revision from which on the control process that tells this knew all versions that
+            serve, -1 if it is not known.
     """
 
     controls: int = -1
     gateways: int = -1
     are_held: bool = False
+    versions: int = -1
 
     def merged(self, later: SharedRevisions | None) -> SharedRevisions:
         """Return what is known after a later message; a revision that all had, they still have."""
@@ -52,6 +56,7 @@
             controls=max(later.controls, self.controls),
             gateways=max(later.gateways, self.gateways),
             are_held=later.are_held,
+            versions=max(later.versions, self.versions),
         )
 
 
@@ -249,16 +254,21 @@
 class VersionChanges:
     """The revision at which a process first knew all versions that serve. Not thread-safe."""
 
-    __slots__ = ("_versions", "_view", "changed_s", "revision")
+    __slots__ = ("_updated_s", "_versions", "_view", "changed_s", "revision")
 
     def __init__(self) -> None:
         self._view: FleetView | None = None
         self._versions: set[tuple[str, str]] = set()
+        self._updated_s = -math.inf
         self.revision = -1
         self.changed_s = -math.inf
 
     def update(self, view: FleetView, now_s: float) -> None:
         """Apply a state of the registry."""
+        if now_s - self._updated_s > STREAM_LIFETIME_S:
+            # A version may have ended and come back, and others no longer reckon with it.
+            self._view, self._versions = None, set()
+        self._updated_s = now_s
         if view is self._view:
             return
         self._view = view
--- a/tests/unit/origin_model.py
+++ b/tests/unit/origin_model.py
@@ -47,6 +47,7 @@
     ControlLease,
     FollowedViews,
     SharedRevisions,
+    VersionChanges,
     ViewReports,
 )
 from leverjunction.registry.version_review import VersionReview
@@ -277,6 +278,7 @@
         self._registry = registry
         self.seen = 0
         self.complete_s = -math.inf
+        self.versions = VersionChanges()
 
     def view(self) -> FleetView:
         return self._registry.views[self.seen]
@@ -297,6 +299,7 @@
     def hear(self) -> None:
         self.seen = len(self._registry.views) - 1
         self.complete_s = self._clock.now_s
+        self.versions.update(self.view(), self.complete_s)
 
 
 class Control:
@@ -328,6 +331,7 @@
         self.disk.end_process()
         self.hub.seen = max(0, self.hub.seen - views_lost)
         self.hub.complete_s = -math.inf
+        self.hub.versions = VersionChanges()
         self.lease = ControlLease()
         self.followed = FollowedViews(IN_FORCE_S, self._clock.now_s)
         self.directory = OriginDirectory(
@@ -350,6 +354,11 @@
         self.disk.lose_all()
         self.start(views_lost=self.hub.seen)
 
+    def shared(self) -> SharedRevisions:
+        """Return what its replies tell."""
+        versions = self.hub.versions.revision
+        return msgspec.structs.replace(self.lease.shared, versions=versions)
+
     def has_lease(self) -> bool:
         return self.lease.is_valid(self.hub.age_s(), self._clock.now_s)
 
@@ -475,6 +484,10 @@
         self.heard_s: dict[str, float] = {}
         self.reached_s = model.clock.now_s
         self.shared = SharedRevisions()
+        for control in model.controls:
+            if control.hub.stale() is None and control.hub.seen == seen:
+                # Its first state comes with the same reply.
+                self.shared = control.shared()
         self.waits: list[Wait] = []
         self._acks = OriginAcks()
         self._told_bases: dict[str, str] = {}
@@ -502,7 +515,7 @@
         name = "" if self.is_older else self.name
         control.followed.asked(name, self.view.revision if self.complete_s > 0 else -1)
         control.followed.replied(name, self._model.clock.now_s)
-        self.shared = self.shared.merged(control.lease.shared)
+        self.shared = self.shared.merged(control.shared())
         self.complete_s = control.hub.complete_s
         if control.hub.seen > self.seen:
             self.seen = control.hub.seen
--- a/tests/unit/test_origin_losses.py
+++ b/tests/unit/test_origin_losses.py
@@ -372,6 +372,22 @@
     assert model.resume(stream, third).origin is None
 
 
+def test_a_gateway_that_starts_uses_versions_that_all_know() -> None:
+    """Though the registry has just changed, and a gateway that was killed has not acknowledged."""
+    model = Model(3)
+    model.put("i-1", "v2")
+    follow(model, 12.0)
+    model.end_gateway(model.gateways[0])
+    model.put("i-2", "v1")
+    for control in model.controls:
+        control.hear()
+    assert model.start_gateway().origins.widely_known_version(SERVICE) is None
+    model.put("i-2", "v3")
+    for control in model.controls:
+        control.hear()
+    assert model.start_gateway().origins.widely_known_version(SERVICE) is not None
+
+
 def test_gateways_in_step_use_a_version_without_delay() -> None:
     model = Model(3)
     follow(model, 12.0)
--- a/tests/unit/test_version_leases.py
+++ b/tests/unit/test_version_leases.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
+from leverjunction.registry.origins import STREAM_LIFETIME_S
 from leverjunction.registry.records import FleetView, RunnerRecord
 from leverjunction.registry.version_leases import (
     CONTROL_LEASE_S,
@@ -22,6 +24,12 @@
 HELD = SharedRevisions(controls=5, gateways=5, are_held=True)
 
 
+def runner(version: str, number: int = 0) -> RunnerRecord:
+    return RunnerRecord(
+        runner_id=f"i-{number}", service="pool", address="", zone="a", slots=1, version=version
+    )
+
+
 def report(control: str, revision: int, *, is_unsure: bool = False, **gateways: int) -> ReportViews:
     return ReportViews(control=control, revision=revision, gateways=gateways, is_unsure=is_unsure)
 
@@ -163,23 +171,23 @@
     assert seen.is_widely_known(shared, 100.1 + held_s, VIEW_LEASE_S)
 
 
+def test_a_version_that_may_have_come_back_unseen_waits_again() -> None:
+    view = FleetView(revision=3, runners=(runner("v1"),))
+    changes = VersionChanges()
+    changes.update(view, 0.0)
+    changes.update(msgspec.structs.replace(view, revision=9), STREAM_LIFETIME_S)
+    assert changes.revision == 3
+    changes.update(msgspec.structs.replace(view, revision=12), 0.1 + 2 * STREAM_LIFETIME_S)
+    assert changes.revision == 12
+
+
 def test_only_another_version_waits_for_acknowledgements() -> None:
     def view(revision: int, *versions: str) -> FleetView:
-        runners = tuple(
-            RunnerRecord(
-                runner_id=f"i-{number}",
-                service="pool",
-                address="",
-                zone="a",
-                slots=1,
-                version=version,
-            )
-            for number, version in enumerate(versions)
-        )
+        runners = tuple(runner(version, number) for number, version in enumerate(versions))
         return FleetView(revision=revision, runners=runners)
 
     changes = VersionChanges()
-    changes.update(view(3, "v1"), 0.0)
+    changes.update(view(3, "v1"), 99.0)
     changes.update(view(4, "v1", "v1"), 100.0)
     assert changes.revision == 3
     changes.update(view(5, "v1", "v2"), 100.0)
