--- a/src/leverjunction/proxy/admission.py
+++ b/src/leverjunction/proxy/admission.py
@@ -33,11 +33,6 @@
 before the caller gives up.
 """
 
-FRESH_LOAD_S = 0.1
-"""Maximum age of a load by which a resumed stream is refused: when many break at once, back ends
-become emptier than older loads tell. Loads are read as often while requests are held.
-"""
-
 MIN_RETRY_AFTER_S = 0.2
 """Minimum delay before a refused caller retries: an earlier retry would be refused again."""
 
@@ -55,21 +50,13 @@
         run_s: Average time in seconds for which a request occupies a slot.
         backlog: Number of requests that wait at all back ends.
         capacity: Number of slots of all back ends.
-        age_s: Time since the least loaded back end told its load, in seconds.
     """
 
-    __slots__ = ("age_s", "backlog", "capacity", "queue", "run_s", "slots")
+    __slots__ = ("backlog", "capacity", "queue", "run_s", "slots")
 
     def __init__(
-        self,
-        queue: float,
-        slots: int,
-        run_s: float,
-        backlog: float,
-        capacity: int,
-        age_s: float = 0.0,
+        self, queue: float, slots: int, run_s: float, backlog: float, capacity: int
     ) -> None:
-        self.age_s = age_s
         self.queue = queue
         self.slots = slots
         self.run_s = run_s
@@ -242,13 +229,10 @@
     ) -> Decision:
         if self._can_send(ticket, estimate, now_s):
             return Decision.SEND
-        if ticket.version is not None:
-            is_refused = self._is_hopeless(ticket, estimate, now_s)
-        else:
-            ahead = self._ahead(ticket, plan)
-            is_late = ticket.is_expired(now_s + estimate.drain_s(ahead))
-            is_refused = is_late or self._cannot_be_served(ticket, now_s)
-        if is_refused:
+        ahead = self._ahead(ticket, plan)
+        if ticket.is_expired(now_s + estimate.drain_s(ahead)) or self._cannot_be_served(
+            ticket, now_s
+        ):
             return Decision.REFUSE
         self._held.append(ticket)
         return Decision.HOLD
@@ -257,32 +241,9 @@
         """Add a request that was sent, and that all back ends declined."""
         self._held.append(ticket)
 
-    def _is_hopeless(self, ticket: Ticket, estimate: LoadEstimate | None, now_s: float) -> bool:
-        """Return whether a resumed stream can't meet its deadline, by a load that is fresh."""
-        if ticket.is_expired(now_s):
-            return True
-        if estimate is None or estimate.age_s > FRESH_LOAD_S:
-            return False
-        return ticket.is_expired(now_s + estimate.drain_s(self._ahead(ticket, None)))
-
-    def pop_expired(self, now_s: float, estimate_of: EstimateOf | None = None) -> list[Ticket]:
-        """Remove and return the requests that can no longer meet their deadline.
-
-        Args:
-            now_s: Monotonic time in seconds.
-            estimate_of: Returns the load for a resumed stream, which is refused by a fresh one;
-                None to look at deadlines only.
-        """
-        expired = [
-            ticket
-            for ticket in self._held
-            if ticket.is_expired(now_s)
-            or (
-                estimate_of is not None
-                and ticket.version is not None
-                and self._is_hopeless(ticket, estimate_of(ticket), now_s)
-            )
-        ]
+    def pop_expired(self, now_s: float) -> list[Ticket]:
+        """Remove and return the requests that can no longer meet their deadline."""
+        expired = [ticket for ticket in self._held if ticket.is_expired(now_s)]
         for ticket in expired:
             self._held.remove(ticket)
         return expired
@@ -367,6 +328,8 @@
 
         A resumed stream needs none: it takes the first slot that new requests would have had.
         """
+        if ticket.version is not None:
+            return False
         return now_s - self._last_lull_s > ticket.deadline_s - ticket.arrived_s
 
     def _ahead(self, ticket: Ticket, plan: SharePlan | None) -> int:
@@ -374,7 +337,7 @@
         held = [other for other in self._held if plan is None or other.standing is Standing.WITHIN]
         if ticket.version is None:
             return len(held)
-        return sum(other is not ticket and _may_precede(other, ticket) for other in held)
+        return sum(_may_precede(other, ticket) for other in held)
 
     def _is_outranked(self, ticket: Ticket) -> bool:
         """Return whether a held request goes before one that is beyond its tenant's share."""
--- a/src/leverjunction/proxy/admission_gate.py
+++ b/src/leverjunction/proxy/admission_gate.py
@@ -191,7 +191,7 @@
             if now_s - last_read_s >= LOAD_READ_INTERVAL_S:
                 last_read_s = now_s
                 self._read_loads(service)
-            for ticket in queue.pop_expired(now_s, self._estimates(service, now_s)):
+            for ticket in queue.pop_expired(now_s):
                 plan = self._plan(service, self._balancer.estimate_load(service, now_s), now_s)
                 estimate = self._estimate_for(service, ticket, now_s)
                 self._resolve(ticket, self._refusal(service, ticket, estimate, plan))
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -423,7 +423,6 @@
             run_s=run_s * factor,
             backlog=sum(max(0.0, runner.load(now_s) - runner.slots) for runner in runners),
             capacity=round(capacity),
-            age_s=now_s - best.load_updated_s,
         )
 
     def _has_several_versions(self, service: str) -> bool:
--- a/tests/unit/test_resumed_streams_under_load.py
+++ b/tests/unit/test_resumed_streams_under_load.py
@@ -314,17 +314,3 @@
     routed.origin = StreamOrigin("s", OLD)
     assert routed.head_latency_s(1.1) == pytest.approx(0.1, rel=0.2)
     assert routed.head_latency_s(0.02) == 0.02
-
-
-def test_a_resumed_stream_is_refused_by_a_fresh_load_only() -> None:
-    """Symptom: eight streams of both versions refused at once, with no request held, as the
-    callers of killed gateways came back: the loads told of what had just ended.
-    """
-    queue = AdmissionQueue(NOW_S)
-    stream = resumed()
-    old = LoadEstimate(40, SLOTS, RUN_S, 40, SLOTS, age_s=0.3)
-    assert queue.admit(stream, old, NOW_S) is Decision.HOLD
-    assert queue.pop_expired(NOW_S, lambda _: old) == []
-    assert queue.pop_expired(NOW_S, lambda _: estimate(9, backlog=9)) == []
-    assert queue.pop_expired(NOW_S, lambda _: estimate(40, backlog=40)) == [stream]
-    assert queue.admit(resumed(), old, NOW_S + 1.9) is Decision.REFUSE
