Tests: what the first whole run of units on showed

The check is as strict: a 503 to a request that a back end saw is wrong, and a request that none saw is asked again, so that each cut is still tried. - two rules that are broken on purpose are not found with seeds 1 and 8 of test_simulation_routed, whose histories changed. The rows stay and are listed; rows with seeds that find them are added.

--- a/tests/unit/test_proxy_cut_heads.py
+++ b/tests/unit/test_proxy_cut_heads.py
@@ -227,6 +227,22 @@
 SECOND = f"HTTP/1.1 500 Fault\r\n{FIELDS}Content-Length: 5\r\n\r\nfault"
 
 
+def _ask_until_sent(
+    proxy: Proxy, runners: tuple[RunnerStandIn, RunnerStandIn], request_id: str
+) -> tuple[RawReply, str]:
+    """Send a request that may run once; return the reply, and the id under which it was sent.
+
+    A pause of this process may use up its deadline before the proxy sends it: it is refused, truly
+    as not run, and another one takes its place.
+    """
+    while True:
+        fields = {"Leverjunction_Request_Id": request_id, "Leverjunction_Deadline_Ms": "300"}
+        reply = proxy.ask("/once/x", **fields)
+        if reply.status != 503 or _sent(runners, request_id):
+            return reply, request_id
+        request_id = chr(ord(request_id[0]) + 1) + request_id[1:]
+
+
 @pytest.mark.parametrize("stays_open", [False, True])
 @pytest.mark.parametrize("name", ["a length", "no length", "after 103", "a refusal"])
 def test_a_cut_head_and_the_answer_that_follows_it_are_not_one_answer(
@@ -257,9 +273,7 @@
     wrong = {}
     for size in range(1, len(cut.bytes_for("r000")) - 1):
         cut.size = size
-        request_id = f"r{size:03}"
-        fields = {"Leverjunction_Request_Id": request_id, "Leverjunction_Deadline_Ms": "300"}
-        reply = proxy.ask("/once/x", **fields)
+        reply, request_id = _ask_until_sent(proxy, runners, f"r{size:03}")
         is_failure = reply.status in (502, 504) or (reply.status, reply.body) == (500, b"fault")
         if not is_failure or _sent(runners, request_id) > 1:
             end = cut.bytes_for(request_id)[:size][-20:]
--- a/tests/unit/test_simulation_routed.py
+++ b/tests/unit/test_simulation_routed.py
@@ -53,9 +53,11 @@
     [
         ("answer_only_what_was_not_run", 1, LOST_RUNS),
         ("repeat_whatever_failed", 1, LOST_RUNS),
+        ("repeat_whatever_failed", 4, LOST_RUNS),
         ("say_not_run", 1, LOST_RUNS),
         ("repeat_nothing", 2, LOST_RUNS),
         ("take_a_part_for_the_whole", 8, (SeededFaultKind.KILL_BACK_END,)),
+        ("take_a_part_for_the_whole", 3, (SeededFaultKind.KILL_BACK_END,)),
         ("deny_routes_at_any_age", 1, (SeededFaultKind.CUT_GATEWAY,)),
         ("use_leaving_back_ends", 1, LEAVES),
         ("stop_at_once", 1, STOPS),
