--- a/tests/unit/test_resumed_streams_under_load.py
+++ b/tests/unit/test_resumed_streams_under_load.py
@@ -198,7 +198,7 @@
 
 
 MOST_SENDS = 32
-"""Of one stream in 2 s; there were 240 without pauses."""
+"""Sends of one stream within its 2 s."""
 
 
 def test_a_resumed_stream_that_is_always_declined_is_not_sent_again_and_again(
