Streams: resumed ones go on at the last back ends of their version while these leave

Callers saw each resumed stream of a version refused for good ("of which no back end is available") as soon as its last back ends reported that they drain, or left, though these serve for DrainMs and longer. New streams began at the other version meanwhile.

Cause: a leaving back end was unavailable to all requests at once, since a gateway does not hear when its leave was acknowledged, and requests may reach it for DrainMs after that only.

The acknowledgement follows the commit, so it cannot have been before the time up to which the gateway's former state, which has the back end as ready, is known to be complete. Until DrainMs after that time, less 0.3 s for the way, streams that can go on nowhere else are sent there (proxy.departures); checked again just before the request is written. New requests still go elsewhere. The same holds for back ends that leave without reporting that they drain; one that was removed after a silence, or whose address has another start, is not used.

--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -79,14 +79,22 @@
         load: Its estimated number of requests at the time of the choice.
         candidates: Number of back ends to choose from.
         factor: Expected time of work there as a multiple of the mean.
+        is_departing: Whether the back end is leaving: it may be sent requests for a while only.
     """
 
-    __slots__ = ("candidates", "factor", "load", "runner")
+    __slots__ = ("candidates", "factor", "is_departing", "load", "runner")
 
     def __init__(
-        self, runner: TrackedRunner, load: float, candidates: int, factor: float = 1.0
+        self,
+        runner: TrackedRunner,
+        load: float,
+        candidates: int,
+        factor: float = 1.0,
+        *,
+        is_departing: bool = False,
     ) -> None:
         self.factor = factor
+        self.is_departing = is_departing
         self.runner = runner
         self.load = load
         self.candidates = candidates
@@ -109,6 +117,7 @@
     __slots__ = (
         "_by_rate",
         "_by_service",
+        "_departed",
         "_last_long_prompt_s",
         "_long_prompt_ids",
         "_mean_run_s",
@@ -134,6 +143,7 @@
         self._rated_services: set[str] = set()
         self.order = BackEndOrder(())
         self._by_service: dict[str, list[TrackedRunner]] = {}
+        self._departed: dict[str, TrackedRunner] = {}
         self._mixed_services: set[str] = set()
         self._long_prompt_ids: frozenset[str] = frozenset()
         self._last_long_prompt_s: dict[str, float] = {}
@@ -141,18 +151,34 @@
         self._usual_run_s: dict[tuple[str, str], float] = {}
         self._usual_pause_s: dict[tuple[str, str], float] = {}
 
-    def replace(self, records: Iterable[RunnerRecord]) -> None:
+    def replace(
+        self, records: Iterable[RunnerRecord], departing: Collection[str] = frozenset()
+    ) -> None:
         """Replace the back ends by the registry's records.
 
         Loads and failures are kept for the starts (instances of a back end) that remain.
+
+        Args:
+            records: All back ends.
+            departing: Starts that are kept for resumed streams though they are no longer among
+                them, unless another start has their address.
         """
+        known = {**self._departed, **self._runners}
         runners: dict[str, TrackedRunner] = {}
         by_service: dict[str, list[TrackedRunner]] = {}
         for record in records:
-            runner = self._runners.get(record.start) or TrackedRunner(record)
+            runner = known.get(record.start) or TrackedRunner(record)
             runner.record = record
             runners[record.start] = runner
             by_service.setdefault(record.service, []).append(runner)
+        addresses = {runner.record.address for runner in runners.values()}
+        self._departed = {
+            start: known[start]
+            for start in departing
+            if start in known
+            and start not in runners
+            and known[start].record.address not in addresses
+        }
         self._runners = runners
         self.order = BackEndOrder(runners)
         self._by_service = by_service
@@ -207,6 +233,22 @@
         # They may be silent only because they can't reach the control processes.
         return ready or [runner for runner in known if runner.record.state is RunnerState.SILENT]
 
+    def departing(
+        self, service: str, version: str | None, starts: Collection[str]
+    ) -> list[TrackedRunner]:
+        """Return the back ends of a service and version with the given starts that are leaving."""
+        leaving = [
+            runner
+            for runner in self._by_service.get(service, [])
+            if runner.record.state is RunnerState.LEAVING
+        ]
+        return [
+            runner
+            for runner in (*leaving, *self._departed.values())
+            if runner.record.start in starts
+            and (runner.record.service, runner.record.version) == (service, version)
+        ]
+
     def counts(self) -> Counter[tuple[str, str]]:
         """Return the number of back ends that accept new work, by service and version."""
         return Counter(
@@ -222,6 +264,7 @@
         avoided: Collection[str],
         now_s: float,
         version: str | None = None,
+        departing: Collection[str] = frozenset(),
     ) -> Choice | None:
         """Choose a back end, with a preference for cheap ones; None if there is none.
 
@@ -231,12 +274,12 @@
             avoided: Starts of back ends that were already tried.
             now_s: Monotonic time in seconds.
             version: Version of the software that the back end must have; None for any.
+            departing: Starts of leaving back ends of that version, to be used if none is left that
+                accepts new work.
         """
-        runners = [
-            runner
-            for runner in self.available(service, version)
-            if runner.record.start not in avoided
-        ]
+        available = self.available(service, version)
+        known = available or self.departing(service, version, departing)
+        runners = [runner for runner in known if runner.record.start not in avoided]
         if not runners:
             return None
         healthy = [runner for runner in runners if runner.ejected_until_s <= now_s] or runners
@@ -247,10 +290,16 @@
         sample = self._sample(healthy, preferred_id)
         best = self._pick(sample, preferred_id, prompt, now_s, by_queue)
         factor = self._factors([best], now_s)[0]
-        return Choice(best, best.load(now_s), len(healthy), factor)
+        load = best.load(now_s)
+        return Choice(best, load, len(healthy), factor, is_departing=not available)
 
     def choose_least_loaded(
-        self, service: str, avoided: Collection[str], now_s: float, version: str | None = None
+        self,
+        service: str,
+        avoided: Collection[str],
+        now_s: float,
+        version: str | None = None,
+        departing: Collection[str] = frozenset(),
     ) -> Choice | None:
         """Return the least loaded back end, for a request that may crash it; None if there is none.
 
@@ -259,14 +308,16 @@
             avoided: Starts of back ends to use only if there is no other.
             now_s: Monotonic time in seconds.
             version: Version of the software that the back end must have; None for any.
+            departing: Starts of leaving back ends of that version, as for ``choose``.
         """
-        runners = self.available(service, version)
+        available = self.available(service, version)
+        runners = available or self.departing(service, version, departing)
         healthy = [runner for runner in runners if runner.ejected_until_s <= now_s] or runners
         preferred = [runner for runner in healthy if runner.record.start not in avoided] or healthy
         if not preferred:
             return None
         best = min(preferred, key=lambda runner: (runner.load(now_s), self._random.random()))
-        return Choice(best, best.load(now_s), len(preferred))
+        return Choice(best, best.load(now_s), len(preferred), is_departing=not available)
 
     def _sample(self, runners: list[TrackedRunner], preferred_id: str) -> list[TrackedRunner]:
         """Return the back ends to compare: a random sample, and always the preferred one."""
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -165,6 +165,7 @@
             self._quarantine,
             self._freshness,
             self._beginning_version,
+            self._origins.reachable_departures,
         )
         self._table_age_s = table_age_s
         self._in_force_s = in_force_s
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import socket
 from collections.abc import Callable
@@ -101,6 +102,8 @@
         self._metrics = ProxyMetrics(self._metrics_registry)
         decision_log = DecisionLog(clock, self._metrics)
         self._index: RouteIndex | None = None
+        self._replaced_until_s = math.inf
+        """Earliest time up to which a state that the next one replaces was known to be complete."""
         self._follower = RegistryFollower(
             self._rpc,
             config.seed_addresses(),
@@ -131,6 +134,7 @@
             view_age_s=self._follower.table_age_s,
             max_view_age_s=config.bounds.in_force_ms / 1000,
             shared=self._follower.shared_revisions,
+            drain_s=config.bounds.drain_ms / 1000,
         )
         self._origin_client = OriginClient(
             self._rpc, self._origin_holders, self._controls, self._origins.live
@@ -299,7 +303,14 @@
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         """Pass a newer registry snapshot to the event loop; called on the follower's thread."""
-        self._loop.call_soon_threadsafe(self._snapshot_publisher.publish, snapshot)
+        # The follower has confirmed only the state before it by now.
+        known_until_s = self._loop.time() - self._follower.table_age_s()
+        self._loop.call_soon_threadsafe(self._publish, snapshot, known_until_s)
+
+    def _publish(self, snapshot: Snapshot, known_until_s: float) -> None:
+        # A state that could not be taken is replaced together with the next one.
+        self._replaced_until_s = min(self._replaced_until_s, known_until_s)
+        self._snapshot_publisher.publish(snapshot)
 
     def _take_table(self, snapshot: Snapshot) -> None:
         current_version = self._index.table.version if self._index is not None else 0
@@ -310,8 +321,9 @@
 
     def _take_back_ends(self, snapshot: Snapshot) -> None:
         # Acknowledged with the next watch call, even if the balancer cannot take the back ends.
-        self._origins.update(snapshot.view)
-        self._balancer.replace(snapshot.view.runners)
+        self._origins.update(snapshot.view, self._replaced_until_s)
+        self._balancer.replace(snapshot.view.runners, self._origins.reachable_departures())
+        self._replaced_until_s = math.inf
 
     def _take_suspects(self, snapshot: Snapshot) -> None:
         self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -57,7 +57,9 @@
         quarantine: Quarantine,
         freshness: FreshnessGate,
         beginning_version: Callable[[str], str | None],
+        reachable_departures: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
+        self._reachable_departures = reachable_departures
         self._beginning_version = beginning_version
         self._freshness = freshness
         self._sender = sender
@@ -133,7 +135,7 @@
             last_event_id=last_event_id,
             until_s=routed.until_s,
             head_timeouts=self._head_timeouts(routed, choice, sent_s),
-            is_outdated=lambda: self._freshness.was_suspended_since(pause_end_s),
+            is_outdated=lambda: self._is_outdated(routed, choice, pause_end_s),
         )
         response = await self._sender.begin(dispatch)
         if isinstance(response, Failure) and response.kind is FailureKind.STALE and is_new:
@@ -246,19 +248,35 @@
     def _choose(self, routed: RoutedRequest, now_s: float) -> Choice | None:
         """Choose the back end of the next attempt."""
         version = self.required_version(routed)
+        departing = self._departing_for(routed)
         if not routed.key:
             return self._balancer.choose(
-                routed.service, routed.prompt, routed.tried, now_s, version
-            ) or self._balancer.choose(routed.service, routed.prompt, (), now_s, version)
+                routed.service, routed.prompt, routed.tried, now_s, version, departing
+            ) or self._balancer.choose(routed.service, routed.prompt, (), now_s, version, departing)
         # It may crash its back end: prefer one with few requests and without another suspect.
         avoided = routed.tried | self._quarantine.occupied_starts()
-        choice = self._balancer.choose_least_loaded(routed.service, avoided, now_s, version)
+        choice = self._balancer.choose_least_loaded(
+            routed.service, avoided, now_s, version, departing
+        )
         if choice is not None:
             start = choice.runner.record.start
             routed.trials.append((routed.key, start))
             self._quarantine.trial_started(routed.key, start)
         return choice
 
+    def _departing_for(self, routed: RoutedRequest) -> frozenset[str]:
+        """Return the starts of leaving back ends that a request may be sent to.
+
+        Only a stream that cannot go on at another version has them.
+        """
+        return frozenset() if routed.version is None else self._reachable_departures()
+
+    def _is_outdated(self, routed: RoutedRequest, choice: Choice, pause_end_s: float) -> bool:
+        """Return whether a chosen back end may have begun, or ended, to leave since."""
+        if self._freshness.was_suspended_since(pause_end_s):
+            return True
+        return choice.is_departing and choice.runner.record.start not in self._departing_for(routed)
+
     def required_version(self, routed: RoutedRequest) -> str | None:
         """Return the version that the back end of the next attempt must have, None for any."""
         if routed.origin is not None or routed.stream is None:
--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.departures import Departures
 from leverjunction.proxy.headers import find
 from leverjunction.registry.origins import (
     RENEW_LATEST_S,
@@ -37,6 +38,8 @@
 base version ends earlier here by so much, and the next one follows it later.
 """
 
+DRAIN_S = 2.0
+
 REVIEW_INTERVAL_S = 5.0
 """Interval at which it is checked whether a service still has several versions."""
 
@@ -80,6 +83,7 @@
         max_view_age_s: Age up to which that state tells all versions. A gateway that is cut off
             from the control processes may not know of the latest one.
         shared: Returns which states of the registry all gateways and control processes have.
+        drain_s: Time for which requests may reach a back end that leaves, in seconds.
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         view_age_s: Callable[[], float] = lambda: 0.0,
         max_view_age_s: float = math.inf,
         shared: Callable[[], SharedRevisions] = SharedRevisions,
+        drain_s: float = DRAIN_S,
     ) -> None:
         self.directory = directory
         self._view_age_s = view_age_s
@@ -103,11 +108,21 @@
         self._oldest: dict[str, str] = {}
         self._registered_bases: dict[str, str] = {}
         self._reviewed_s = 0.0
+        self._departures = Departures(drain_s)
         self._loop = asyncio.get_running_loop()
 
-    def update(self, view: FleetView) -> None:
-        """Apply a newer state of the registry; report what a new version puts in doubt."""
+    def update(self, view: FleetView, known_until_s: float | None = None) -> None:
+        """Apply a newer state of the registry; report what a new version puts in doubt.
+
+        Args:
+            view: The state.
+            known_until_s: Time up to which the state before it is known to contain all changes, in
+                the loop's seconds; None for the age of the registry's state here.
+        """
         now_s = self._loop.time()
+        if known_until_s is None:
+            known_until_s = now_s - self._view_age_s()
+        self._departures.update(view.runners, known_until_s, now_s)
         self._history.update(view, now_s)
         live = {(record.service, record.version) for record in view.runners}
         # All versions served from then on, so this state is no news for a gateway that starts.
@@ -156,6 +171,10 @@
         if self.directory is not None and origin.service in self._ambiguous:
             self.directory.report({stream: origin})
 
+    def reachable_departures(self) -> frozenset[str]:
+        """Return the starts of leaving back ends at which resumed streams may still go on."""
+        return self._departures.reachable(self._loop.time())
+
     def preferred_version(self, service: str) -> str | None:
         """Return the version at which a new stream should begin, None for any.
 
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -82,6 +82,9 @@
         """Schedule a call on the proxy's thread."""
         self._loop.call_soon_threadsafe(action)
 
+    def loop_s(self) -> float:
+        return self._loop.time()
+
     def replace_runners(self, runners: Iterable[RunnerStandIn]) -> None:
         """Replace the back ends that the proxy knows; call it on the proxy's thread."""
         records = [
--- a/tests/unit/test_streams_of_leaving_back_ends.py
+++ b/tests/unit/test_streams_of_leaving_back_ends.py
@@ -9,12 +9,16 @@
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack
+from random import Random
 
+import msgspec
 import pytest
 from tests.unit.proxy_support import ZONE, Proxy
 from tests.unit.test_proxy_contract import RESUMABLE, wait_until
 from tests.unit.test_proxy_versions import CUT, NEW, OLD, start_proxy, start_runners
 
+from leverjunction.proxy.balancer import Balancer
+from leverjunction.proxy.departures import Departures
 from leverjunction.registry.records import FleetView, RunnerRecord, RunnerState
 from testbed.routed import SERVICE, RawReply, RunnerStandIn
 
@@ -106,3 +110,71 @@
     for number in range(4):
         assert proxy.ask(RESUMABLE, Leverjunction_Request_Id=f"new-{number}").complete
     assert not any(runner.seen for runner in runners[:2])
+
+
+def remove(proxy: Proxy, left: list[RunnerStandIn], known_for_s: float = 0.0) -> None:
+    """Have a proxy hear that back ends have left, with a state of some age before it."""
+    records = tuple(
+        RunnerRecord(
+            runner_id=runner.runner_id,
+            service=SERVICE,
+            address=runner.address,
+            zone=ZONE,
+            slots=4,
+            version=runner.version,
+        )
+        for runner in left
+    )
+    known: list[bool] = []
+
+    def replace() -> None:
+        proxy.origins.update(FleetView(runners=records), proxy.loop_s() - known_for_s)
+        proxy.balancer.replace(records, proxy.origins.reachable_departures())
+        known.append(True)
+
+    proxy.call(replace)
+    assert wait_until(lambda: bool(known))
+
+
+@pytest.mark.parametrize(("known_for_s", "status"), [(0.0, 200), (DRAIN_S, 503)])
+def test_a_stream_goes_on_at_a_back_end_that_has_just_left_the_registry(
+    stack: ExitStack, known_for_s: float, status: int
+) -> None:
+    """Some back ends never report that they drain: they leave, and serve for as long."""
+    proxy, runners = start(stack)
+    remove(proxy, runners[2:], known_for_s)
+    assert resume(proxy).status == status
+    assert not runners[2].seen
+
+
+def test_a_stream_is_not_sent_to_the_next_start_at_the_address_of_one_that_left() -> None:
+    old = RunnerRecord(
+        runner_id="i", service=SERVICE, address="a:1", zone=ZONE, slots=4, version=OLD
+    )
+    new = RunnerRecord(
+        runner_id="j", service=SERVICE, address="a:1", zone=ZONE, slots=4, version=NEW
+    )
+    balancer = Balancer(ZONE, Random(1))
+    balancer.replace([old])
+    balancer.replace([new], {old.start})
+    assert balancer.departing(SERVICE, OLD, {old.start}) == []
+
+
+def test_a_back_end_that_serves_again_is_no_longer_departing() -> None:
+    departures = Departures(DRAIN_S)
+    ready = RunnerRecord(runner_id="i", service=SERVICE, address="a:1", zone=ZONE, slots=4)
+    departures.update([ready], 0.0, 0.0)
+    departures.update([], 1.0, 1.0)
+    assert departures.reachable(1.0) == {ready.start}
+    departures.update([ready], 1.5, 1.5)
+    departures.update([ready], 2.0, 2.0)
+    assert departures.reachable(2.0) == frozenset()
+
+
+def test_a_back_end_that_is_removed_after_a_silence_is_not_departing() -> None:
+    departures = Departures(DRAIN_S)
+    ready = RunnerRecord(runner_id="i", service=SERVICE, address="a:1", zone=ZONE, slots=4)
+    silent = msgspec.structs.replace(ready, state=RunnerState.SILENT)
+    for records in ([ready], [silent], []):
+        departures.update(records, 0.0, 0.0)
+        assert departures.reachable(0.0) == frozenset()
