Registry: one failure for calls to a process that does not lead; tests: streams break in one place

The failure stood in lease_exchange and in node; it has a module now. Two tests of resumed streams repeated how a stream breaks. A docstring named an issue. No behaviour changes.

--- a/src/leverjunction/registry/lease_exchange.py
+++ b/src/leverjunction/registry/lease_exchange.py
@@ -10,7 +10,8 @@
 
 from leverjunction.clock import Clock
 from leverjunction.consensus.api import GroupStatus
-from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.errors import Failure
+from leverjunction.registry.failures import not_leader
 from leverjunction.registry.hub import RegistryHub
 from leverjunction.registry.records import MemberRole
 from leverjunction.registry.version_leases import (
@@ -97,7 +98,7 @@
     def _record(self, report: ReportViews) -> bytes | Failure:
         status = self._hub.status()
         if status.role != "leader":
-            return _not_leader(status.leader_address)
+            return not_leader(status.leader_address)
         now_s = self._clock.monotonic_s()
         with self._lock:
             if self._reports is None or self._reports[0] != status.term:
@@ -111,14 +112,4 @@
         return {*status.voters, *status.learners, *members, *self._configured}
 
 
-def _not_leader(leader: str) -> Failure:
-    return Failure(
-        kind=FailureKind.NOT_LEADER,
-        reason="this process does not lead the registry",
-        step=Step.EXCHANGING,
-        detail=leader,
-        execution=Execution.NOT_RUN,
-    )
-
-
 __all__ = ["LeaseExchange"]
--- a/src/leverjunction/registry/node.py
+++ b/src/leverjunction/registry/node.py
@@ -46,6 +46,7 @@
     TableSource,
     WatchRequest,
 )
+from leverjunction.registry.failures import not_leader
 from leverjunction.registry.hub import RegistryHub
 from leverjunction.registry.lease_exchange import LeaseExchange
 from leverjunction.registry.origin_directory import OriginDirectory
@@ -417,7 +418,7 @@
     def _record_liveness(self, report: LivenessReport) -> bytes | Failure:
         reconciler = self._reconciler
         if reconciler is None:
-            return _not_leader(self._replica.status().leader_address)
+            return not_leader(self._replica.status().leader_address)
         reconciler.record_contact(report, self._clock.monotonic_s())
         return encode_reply(Done())
 
@@ -455,16 +456,6 @@
     return runner_key(record) == runner_key(known)
 
 
-def _not_leader(leader: str) -> Failure:
-    return Failure(
-        kind=FailureKind.NOT_LEADER,
-        reason="this process does not lead the registry",
-        step=Step.EXCHANGING,
-        detail=leader,
-        execution=Execution.NOT_RUN,
-    )
-
-
 def _data_folder(config: MachineConfig) -> Path:
     assert config.data_folder is not None
     return Path(config.data_folder)
--- a/src/testbed/load/harm/experiment.py
+++ b/src/testbed/load/harm/experiment.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True)
 class HarmSummary:
-    """What issue 5 asks of one scenario."""
+    """By how much batch work slows online requests in one scenario, as ratios of percentiles."""
 
     scenario: str
     seeds: list[int]
--- a/tests/unit/test_resumed_streams_under_load.py
+++ b/tests/unit/test_resumed_streams_under_load.py
@@ -9,6 +9,7 @@
 
 import msgspec
 import pytest
+from tests.unit.proxy_support import Proxy
 from tests.unit.resumed_load_support import Play, Shares, shares
 from tests.unit.test_proxy_contract import RESUMABLE
 from tests.unit.test_proxy_versions import CUT, NEW, OLD, know, start_proxy, start_runners
@@ -22,7 +23,7 @@
 from leverjunction.registry.origins import StreamOrigin
 from leverjunction.registry.records import RunnerRecord
 from leverjunction.routes import RouteClass
-from testbed.routed import make_route
+from testbed.routed import RawReply, RunnerStandIn, make_route
 
 NOW_S = 100.0
 SLOTS = 8
@@ -177,22 +178,38 @@
     assert balancer.estimate_load("s", NOW_S) is None
 
 
-def test_a_resumed_stream_goes_on_though_its_versions_back_ends_are_full_at_first(
-    stack: ExitStack,
-) -> None:
+def ask(proxy: Proxy, **headers: str) -> RawReply:
+    own = {"Host": "app.example", "Leverjunction-Deadline-Ms": "2000"}
+    caller = proxy.caller()
+    try:
+        return caller.ask("POST", RESUMABLE, {**own, **headers})
+    finally:
+        caller.close()
+
+
+def break_stream(stack: ExitStack) -> tuple[Proxy, RunnerStandIn, RunnerStandIn]:
+    """Return a proxy whose stream broke at the first of two back ends of different versions."""
     old, newer = start_runners(stack, OLD, NEW)
     proxy = start_proxy(stack, [old])
-    own = {"Host": "app.example", "Leverjunction-Deadline-Ms": "2000"}
     old.then(CUT, CUT)
-    caller = proxy.caller()
-    caller.ask("POST", RESUMABLE, {**own, "Leverjunction-Request-Id": "first"})
-    caller.close()
+    ask(proxy, **{"Leverjunction-Request-Id": "first"})
     know(proxy, [old, newer])
+    return proxy, old, newer
+
+
+def resume(proxy: Proxy) -> RawReply:
+    return ask(
+        proxy,
+        **{"Leverjunction-Request-Id": "again", "Last-Event-Id": "2", "Resumes": "first"},
+    )
+
+
+def test_a_resumed_stream_goes_on_though_its_versions_back_ends_are_full_at_first(
+    stack: ExitStack,
+) -> None:
+    proxy, old, newer = break_stream(stack)
     old.then(*[DECLINED] * 6)
-    caller = proxy.caller()
-    again = {"Leverjunction-Request-Id": "again", "Last-Event-Id": "2", "Resumes": "first"}
-    reply = caller.ask("POST", RESUMABLE, {**own, **again})
-    caller.close()
+    reply = resume(proxy)
     assert (reply.status, reply.complete) == (200, True)
     assert not newer.seen
 
@@ -205,20 +222,10 @@
     stack: ExitStack,
 ) -> None:
     """Its back end reports a load that does not tell why it declines."""
-    old, newer = start_runners(stack, OLD, NEW)
-    proxy = start_proxy(stack, [old])
-    own = {"Host": "app.example", "Leverjunction-Deadline-Ms": "2000"}
-    old.then(CUT, CUT)
-    caller = proxy.caller()
-    caller.ask("POST", RESUMABLE, {**own, "Leverjunction-Request-Id": "first"})
-    caller.close()
-    know(proxy, [old, newer])
+    proxy, old, _newer = break_stream(stack)
     old.then(*[DECLINED] * 400)
     before = len(old.seen)
-    caller = proxy.caller()
-    again = {"Leverjunction-Request-Id": "again", "Last-Event-Id": "2", "Resumes": "first"}
-    reply = caller.ask("POST", RESUMABLE, {**own, **again})
-    caller.close()
+    reply = resume(proxy)
     assert reply.status == 503
     assert 2 <= len(old.seen) - before <= MOST_SENDS
 
