Origins: the last control process hears of a burst of streams as soon as the others

Cause: the third control process got reports 0.2 s apart, the others 0.05 s apart.

The third one's reports now follow a token bucket: ten at 0.05 s after a pause, 0.2 s on average over time, so that its cost over time stays as it was.

--- a/src/leverjunction/registry/origin_client.py
+++ b/src/leverjunction/registry/origin_client.py
@@ -12,7 +12,7 @@
 
 from leverjunction.registry.origin_acks import OriginAcks
 from leverjunction.registry.origin_finder import OriginFinder
-from leverjunction.registry.origin_reporter import COLLECT_S, OriginReporter
+from leverjunction.registry.origin_reporter import COLLECT_S, MEAN_INTERVALS_S, OriginReporter
 from leverjunction.registry.origins import OriginsStored, Resumption, StreamOrigin
 from leverjunction.wire.rpc_client import RpcClient
 
@@ -47,9 +47,10 @@
                 lambda number=number: holders(number),  # type: ignore[misc]
                 live,
                 self._stored_on_thread,
-                collect_s,
+                COLLECT_S,
+                mean_s,
             )
-            for number, collect_s in enumerate(COLLECT_S)
+            for number, mean_s in enumerate(MEAN_INTERVALS_S)
         ]
         self._finder = OriginFinder(rpc, controls)
         self._acks = OriginAcks()
--- a/src/leverjunction/registry/origin_reporter.py
+++ b/src/leverjunction/registry/origin_reporter.py
@@ -13,16 +13,25 @@
 from leverjunction.registry.origin_call import call_again
 from leverjunction.registry.origins import OriginsStored, ReportOrigins, StreamOrigin
 from leverjunction.registry.records import MemberRecord
+from leverjunction.registry.report_pace import ReportPace
 from leverjunction.wire.envelope import MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.silent_peers import SilentPeers
 
-COLLECT_S = (0.05, 0.05, 0.2)
-"""Shortest time between two reports, for each of the control processes that an origin is reported
-to. Two of them suffice for an origin to be recorded; the last one is for their end.
+COLLECT_S = 0.05
+"""Shortest time between two reports."""
+
+MEAN_INTERVALS_S = (0.05, 0.05, 0.2)
+"""Mean time between reports that go on for long, for each of the control processes that an origin
+is reported to. Two of them suffice for an origin to be recorded; the last one is for their end.
+"""
+
+BURST_REPORTS = 10
+"""Reports that the last one gets as soon as the others: most streams of a gateway may begin within
+a moment, and the others may end right after it.
 """
 
-HOLDERS = len(COLLECT_S)
+HOLDERS = len(MEAN_INTERVALS_S)
 """Control processes that each origin is reported to."""
 
 MAX_WAITING = 20_000
@@ -75,6 +84,7 @@
         live: Returns all origins of the gateway, for a control process that has none of them.
         stored: Called from the thread.
         collect_s: Shortest time between two reports, in seconds.
+        mean_s: Mean time between reports that go on for long, in seconds.
     """
 
     def __init__(
@@ -84,13 +94,13 @@
         live: Callable[[], dict[int, StreamOrigin]],
         stored: Stored,
         collect_s: float,
+        mean_s: float = 0.0,
     ) -> None:
         self._rpc = rpc
         self._holders = holders
         self._live = live
         self._stored = stored
-        self._collect_s = collect_s
-        self._sent_s = 0.0
+        self._pace = ReportPace(collect_s, mean_s, BURST_REPORTS)
         self._silent = SilentPeers()
         self._waiting: dict[int, StreamOrigin] = {}
         self._told: tuple[str, int] | None = None
@@ -121,13 +131,13 @@
             with self._changed:
                 while not (self._waiting or self._stopped):
                     self._changed.wait()
-                pause_s = self._sent_s + self._collect_s - steady_s()
+                pause_s = self._pace.due_s() - steady_s()
                 if pause_s > 0:
                     self._changed.wait_for(lambda: self._stopped, pause_s)
                 if self._stopped:
                     return
                 streams, self._waiting = self._waiting, {}
-            self._sent_s = steady_s()
+            self._pace.sent(steady_s())
             if not self._try_to_send(streams):
                 with self._changed:
                     self._waiting = {**streams, **self._waiting}
@@ -188,4 +198,4 @@
         return reply
 
 
-__all__ = ["COLLECT_S", "HOLDERS", "OriginReporter", "rank_holders"]
+__all__ = ["COLLECT_S", "HOLDERS", "MEAN_INTERVALS_S", "OriginReporter", "rank_holders"]
