Batch items: a response that ends right after its head is no whole output

Readers got a result that was done with an empty text, for good, when a back end stopped right after the head of a response that ends with its connection (MIXED: the text is not the whole output).

Cause: without length and chunks, an orderly end of the connection is the end of the response, and only a part of an event told that it was broken off. Online streams have had a rule for it (proxy.forwarding); items went by the end alone.

Why it works: such a response that has brought nothing for an item without any event counts as broken off, so the item runs again. It is no failure that counts.

Evidence: test_an_item_runs_again_after_heads_that_were_cut[before a body that ends with the connection-False] failed before (done, empty text) and passes; test_lots_cut_heads whole passes.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -28,6 +28,7 @@
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.proxy.dispatch import Dispatch, HeadTimeouts, OpenedResponse
+from leverjunction.proxy.headers import ends_with_connection
 from leverjunction.proxy.quarantine import is_lost_run
 from leverjunction.proxy.runner_connection import ResponseEnd, ResponseHead, endless_failure
 from leverjunction.proxy.tracked_runner import TrackedRunner
@@ -183,6 +184,9 @@
                     )
                     return event if isinstance(event, Failure) else INCOMPLETE
                 if isinstance(event, ResponseEnd):
+                    if _is_cut(run.stream, response.head):
+                        run.trace.set_end(RunEnd.CUT, "it ended with its head")
+                        return INCOMPLETE
                     complete = True
                     return None
                 run.silent_runs = 0
@@ -255,6 +259,12 @@
         return request
 
 
+def _is_cut(stream: ItemStream, head: ResponseHead) -> bool:
+    """Return whether a response that has ended may have been broken off before its first event."""
+    is_begun = stream.has_events or not stream.is_between_events
+    return head.status == OK and not is_begun and ends_with_connection(head.headers)
+
+
 def _feed(stream: ItemStream, data: bytes, runner: RunnerRecord) -> None:
     """Add a part of the output; its first event sets what began it."""
     is_begun = stream.has_events
--- a/tests/unit/test_lots_cut_heads.py
+++ b/tests/unit/test_lots_cut_heads.py
@@ -34,6 +34,7 @@
     "HTTP/1.0": f"HTTP/1.0 200 OK\r\n{FIELDS}",
     "after an interim one": f"HTTP/1.1 103 Hints\r\n{FIELDS}\r\nHTTP/1.1 200 OK\r\n{FIELDS}",
     "a failure": f"HTTP/1.1 500 Fault\r\n{FIELDS}Content-Length: 0\r\n",
+    "before a body that ends with the connection": f"HTTP/1.1 200 OK\r\n{FIELDS}\r\n",
     "never to be done": f"HTTP/1.1 422 Bad\r\n{FIELDS}Content-Length: 0\r\n",
 }
 
