Streams: resumed ones go on at leaving back ends, also beside a silent one

Callers saw resumed streams refused while the last ready back ends of their version were leaving, if another one of that version had crashed: a crashed back end stays listed as silent, was taken for available, and every stream was sent to it alone.

Cause: leaving back ends were used only if no other was left, silent ones included. A silent one may have crashed; a leaving one was heard of recently, and requests may still reach it.

Why it works: ready back ends come first, then leaving ones while requests may reach them, then silent ones. A choice is marked as leaving by the back end that was chosen.

Evidence: test_a_stream_goes_on_at_a_leaving_back_end_though_a_crashed_one_is_still_listed failed before (the crashed one was chosen) and passes; test_streams_of_leaving_back_ends, test_proxy_balancer and test_proxy_versions: 60 passed, 1 xpassed.

--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -274,12 +274,9 @@
             avoided: Starts of back ends that were already tried.
             now_s: Monotonic time in seconds.
             version: Version of the software that the back end must have; None for any.
-            departing: Starts of leaving back ends of that version, to be used if none is left that
-                accepts new work.
+            departing: Starts of leaving back ends of that version, to be used if none is ready.
         """
-        available = self.available(service, version)
-        known = available or self.departing(service, version, departing)
-        runners = [runner for runner in known if runner.record.start not in avoided]
+        runners = self._candidates(service, version, avoided, departing)
         if not runners:
             return None
         healthy = [runner for runner in runners if runner.ejected_until_s <= now_s] or runners
@@ -291,7 +288,8 @@
         best = self._pick(sample, preferred_id, prompt, now_s, by_queue)
         factor = self._factors([best], now_s)[0]
         load = best.load(now_s)
-        return Choice(best, load, len(healthy), factor, is_departing=not available)
+        is_departing = best.record.start in departing
+        return Choice(best, load, len(healthy), factor, is_departing=is_departing)
 
     def choose_least_loaded(
         self,
@@ -310,14 +308,32 @@
             version: Version of the software that the back end must have; None for any.
             departing: Starts of leaving back ends of that version, as for ``choose``.
         """
-        available = self.available(service, version)
-        runners = available or self.departing(service, version, departing)
+        runners = self._candidates(service, version, (), departing)
         healthy = [runner for runner in runners if runner.ejected_until_s <= now_s] or runners
         preferred = [runner for runner in healthy if runner.record.start not in avoided] or healthy
         if not preferred:
             return None
         best = min(preferred, key=lambda runner: (runner.load(now_s), self._random.random()))
-        return Choice(best, best.load(now_s), len(preferred), is_departing=not available)
+        is_departing = best.record.start in departing
+        return Choice(best, best.load(now_s), len(preferred), is_departing=is_departing)
+
+    def _candidates(
+        self,
+        service: str,
+        version: str | None,
+        avoided: Collection[str],
+        departing: Collection[str],
+    ) -> list[TrackedRunner]:
+        """Return the back ends to choose from: ready ones, else leaving ones, else silent ones.
+
+        A back end that is leaving was heard of recently, a silent one may have crashed.
+        """
+        available = self.available(service, version)
+        left = [item for item in available if item.record.start not in avoided]
+        if any(item.record.state is RunnerState.READY for item in available):
+            return left
+        leaving = self.departing(service, version, departing)
+        return [item for item in leaving if item.record.start not in avoided] or left
 
     def _sample(self, runners: list[TrackedRunner], preferred_id: str) -> list[TrackedRunner]:
         """Return the back ends to compare: a random sample, and always the preferred one."""
--- a/tests/unit/test_streams_of_leaving_back_ends.py
+++ b/tests/unit/test_streams_of_leaving_back_ends.py
@@ -19,6 +19,7 @@
 
 from leverjunction.proxy.balancer import Balancer
 from leverjunction.proxy.departures import Departures
+from leverjunction.proxy.prompt import Prompt
 from leverjunction.registry.records import FleetView, RunnerRecord, RunnerState
 from testbed.routed import SERVICE, RawReply, RunnerStandIn
 
@@ -178,3 +179,26 @@
     for records in ([ready], [silent], []):
         departures.update(records, 0.0, 0.0)
         assert departures.reachable(0.0) == frozenset()
+
+
+def test_a_stream_goes_on_at_a_leaving_back_end_though_a_crashed_one_is_still_listed() -> None:
+    crashed, leaving = (
+        RunnerRecord(
+            runner_id=name, service=SERVICE, address=f"{name}:1", zone=ZONE, slots=4, version=OLD
+        )
+        for name in ("crashed", "leaving")
+    )
+    crashed = msgspec.structs.replace(crashed, state=RunnerState.SILENT)
+    balancer = Balancer(ZONE, Random(1))
+    balancer.replace([crashed, msgspec.structs.replace(leaving, state=RunnerState.LEAVING)])
+    departing = {leaving.start}
+    for choice in (
+        balancer.choose(SERVICE, Prompt((), 500), (), 1.0, OLD, departing),
+        balancer.choose_least_loaded(SERVICE, (), 1.0, OLD, departing),
+    ):
+        assert choice is not None
+        assert (choice.runner.record.runner_id, choice.is_departing) == ("leaving", True)
+    # It may be silent only because it cannot reach the control processes.
+    again = balancer.choose(SERVICE, Prompt((), 500), departing, 1.0, OLD, departing)
+    assert again is not None
+    assert (again.runner.record.runner_id, again.is_departing) == ("crashed", False)
