Proxy: a gateway that hears again goes by no state that it has not applied

Callers saw a stream that began at one version of the back ends go on at another: its gateway was killed during a release, and it was resumed at a gateway that had been cut off from the control processes and had just heard of them again.

Cause: the age of the registry's state was read from the thread that follows the registry, which has a newer state before the event loop has applied it. For that moment the event loop took the version in its former state for the only one, because the state seemed fresh. The age now goes through the event loop after the state that it belongs to; it is the age that route tables and API keys are judged by as well. What a state tells at its age is reviewed when it is confirmed.

--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from random import Random
 
 from loguru import logger
@@ -41,7 +42,7 @@
 from leverjunction.quota.local_limiter import LocalLimiter
 from leverjunction.rates.rate_exchange import RateExchange
 from leverjunction.registry.cluster import CLUSTER_KEY
-from leverjunction.registry.follower import RegistryFollower, Snapshot
+from leverjunction.registry.follower import MAX_AGE_S, RegistryFollower, Snapshot
 from leverjunction.registry.origin_client import OriginClient
 from leverjunction.registry.origin_reporter import rank_holders
 from leverjunction.registry.records import JOBS_GROUP, MemberRecord, MemberRole
@@ -89,7 +90,7 @@
         self._callers_listener = callers_listener
         self._loop = asyncio.get_running_loop()
         self._random = Random()
-        clock = SystemClock()
+        self._clock = clock = SystemClock()
         self._rpc = RpcClient(CLUSTER_KEY, clock.wall_ms())
         self._balancer = Balancer(
             config.zone,
@@ -113,7 +114,9 @@
             self._on_snapshot,
             config.zone,
             config.name,
+            self._on_confirmed,
         )
+        self._confirmed_s = -math.inf
         self._limiter = LocalLimiter(self._random, config.bounds.quota())
         self._shares = TenantShares(self._random) if config.policies.fair_tenants else None
         self._loads = LoadSocket(
@@ -131,7 +134,7 @@
         self._reporter = RunReporter(self._rpc, self._follower.hubs, clock)
         self._quarantine = Quarantine(self._reporter)
         self._origins = StreamOrigins(
-            view_age_s=self._follower.table_age_s,
+            view_age_s=self._applied_age_s,
             max_view_age_s=config.bounds.in_force_ms / 1000,
             shared=self._follower.shared_revisions,
             drain_s=config.bounds.drain_ms / 1000,
@@ -159,7 +162,7 @@
             make_local_handler(self._rpc, self._follower, config.zone),
             gate if config.policies.hold_late_requests else None,
             self._quarantine,
-            self._follower.table_age_s,
+            self._applied_age_s,
             config.bounds.in_force_ms / 1000,
             self._follower.is_in_doubt,
             self._origins,
@@ -312,6 +315,23 @@
         self._replaced_until_s = min(self._replaced_until_s, known_until_s)
         self._snapshot_publisher.publish(snapshot)
 
+    def _on_confirmed(self, until_s: float) -> None:
+        """Tell the event loop how new its state is; called on the follower's thread.
+
+        The follower knows of a newer state before the event loop has applied it.
+        """
+        # The loop has closed if the gateway stops.
+        with suppress(RuntimeError):
+            self._loop.call_soon_threadsafe(self._confirm, until_s)
+
+    def _confirm(self, until_s: float) -> None:
+        self._confirmed_s = until_s
+        self._origins.review()
+
+    def _applied_age_s(self) -> float:
+        """Return the upper bound of the age of the state that the event loop uses, in seconds."""
+        return min(self._clock.monotonic_s() - self._confirmed_s, MAX_AGE_S)
+
     def _take_table(self, snapshot: Snapshot) -> None:
         current_version = self._index.table.version if self._index is not None else 0
         if snapshot.table.version > current_version:
--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -79,7 +79,7 @@
 
     Args:
         directory: Shares origins with other gateways; None to keep them in this process.
-        view_age_s: Returns the maximum age of the registry's state here, in seconds.
+        view_age_s: Returns the maximum age of the state that ``update`` took last, in seconds.
         max_view_age_s: Age up to which that state tells all versions. A gateway that is cut off
             from the control processes may not know of the latest one.
         shared: Returns which states of the registry all gateways and control processes have.
@@ -140,6 +140,10 @@
             # The streams that began before there was any doubt.
             self.directory.report(self.live())
 
+    def review(self) -> None:
+        """Note what the state tells at its present age; call it when that has become less."""
+        self._review(self._loop.time())
+
     async def began(self, stream: int, origin: StreamOrigin) -> bool:
         """Record the origin of a stream; call it before the first event is passed on.
 
--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -57,6 +57,9 @@
         zone: Zone of this machine: of the hubs that are known, those of the zone are polled first.
         gateway: Name of this process if it is a gateway, else empty. Its calls then acknowledge
             the versions of the back ends' software.
+        confirmed: Called after each reply with which the newest state is complete, from the
+            follower's thread and after ``changed``: with the latest monotonic time, in seconds, up
+            to which that state includes all commits.
     """
 
     def __init__(
@@ -69,6 +72,7 @@
         changed: Callable[[Snapshot], None],
         zone: str = "",
         gateway: str = "",
+        confirmed: Callable[[float], None] = lambda _until_s: None,
     ) -> None:
         self._rpc = rpc
         self._member = member
@@ -81,6 +85,7 @@
         self._random = random
         self._schedule = WatchSchedule(random)
         self._changed = changed
+        self._confirmed = confirmed
         self._hubs = list(seeds)
         self._seeds = seeds
         random.shuffle(self._hubs)
@@ -168,6 +173,7 @@
             return
         complete_s = sent_s + reply.held_s - reply.contact_age_s
         self._complete_until_s = max(self._complete_until_s, complete_s)
+        self._confirmed(self._complete_until_s)
         # A hub without recent contact with its leader, for example after a stall of its own,
         # replies with a failure and never gets here.
         self._freshness.refreshed(sent_s)
