Soak: gateways out of step as a version joins

New kinds, struck only where they are named: gateways that are cut off from control processes and stores, not from callers and runners, or stand still, for 1, 3, 10 or 30 s, also beside a release while gateways end and connections are reset. The connections of a gateway that can be cut off go through relays; what is sent meanwhile comes later or is lost. Datagrams (loads, limits) are not cut.

The same as a line of resumed streams: streams that begin at a version that a gateway has not heard of are taken up there while it is cut off. A stream that is refused before its first event is asked for again in these lines only.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -22,7 +22,7 @@
 import words
 from broken import RULES
 from closing import AT_THE_END, CLOSINGS, close
-from faults import FAULTS, ONLY_NAMED, REFUSALS, RELEASES
+from faults import FAULTS, ONLY_NAMED, OUT_OF_STEP, REFUSALS, RELEASES, SEPARABLE
 from figures import keep_figures
 from hands import Hands
 from machines import MACHINES, Machines, Programs, Sizes
@@ -100,7 +100,9 @@
     folder = log_folder(seed, keep)
     records = Records()
     OwnFaults(records).watch()
-    deployment = Machines(folder, Programs(program_tree, rule, turn_us, sync_ms), Sizes(machines))
+    programs = Programs(program_tree, rule, turn_us, sync_ms)
+    separable = SEPARABLE if OUT_OF_STEP.intersection(kinds) else 0
+    deployment = Machines(folder, programs, Sizes(machines), separable)
     traffic = Traffic(deployment, records, seed, _shape_for(kinds))
     hands = Hands(deployment, traffic, records, seed, kinds)
     ended = threading.Event()
--- a/deploy/soak/broken.py
+++ b/deploy/soak/broken.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent.parent / "src"))
 
@@ -21,6 +22,7 @@
 from leverjunction.platform.roles import main
 from leverjunction.proxy import caller_connection, forwarding
 from leverjunction.proxy.answer_owner import CarriedRequests
+from leverjunction.proxy.stream_origins import StreamOrigins
 from leverjunction.quarantine import suspects
 from leverjunction.quarantine.verdicts import Standing
 from leverjunction.wire.envelope import MessageKind
@@ -74,6 +76,17 @@
     forwarding.RoutedRequest.version = property(lambda _routed: None)  # type: ignore[assignment, method-assign]
 
 
+@_rule
+def _trust_states_of_any_age() -> None:
+    """A gateway takes the version in its state for the only one, however old the state is."""
+    init = StreamOrigins.__init__
+
+    def trusting(origins: StreamOrigins, *arguments: Any, **options: Any) -> None:
+        init(origins, *arguments, **{**options, "view_age_s": lambda: 0.0})
+
+    StreamOrigins.__init__ = trusting  # type: ignore[method-assign]
+
+
 @_rule
 def _lose_questions_about_origins() -> None:
     """No control process answers within the time what began a stream."""
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -47,6 +47,9 @@
 RELEASES = "releases"
 """Hand of the faults around releases; a soak that names one of them has the traffic for it."""
 
+OUT_OF_STEP = frozenset({"gateways out of step", "release beside gateways out of step"})
+"""Kinds that need gateways whose connections to other machines go through relays."""
+
 ONLY_NAMED = frozenset(
     {
         "bad items",
@@ -61,6 +64,7 @@
         "release beside strikes",
         "strikes together",
         "gateway killed beside silent control",
+        *OUT_OF_STEP,
     }
 )
 """Kinds that strike only in a soak that names them, so that seeds strike what they always did."""
@@ -88,6 +92,13 @@
 """Share of the strikes in which a gateway ends before a control process is silent."""
 
 SILENT_S = (4.0, 10.0)
+SEPARABLE = 3
+"""Gateways that can be cut off from the other machines."""
+
+OUT_OF_STEP_S = (1.0, 3.0, 10.0, 30.0)
+BREAKS_S = (0.5, 6.0)
+"""Shortest and longest time from a cut until streams break beside it."""
+
 APART_S = 1.2
 """Longest time between two strikes of one fault."""
 
@@ -610,6 +621,37 @@
     _strike_apart(scene, strikes)
 
 
+@_fault(RELEASES)
+def _gateways_out_of_step(scene: Scene) -> None:
+    """Cut one or a few gateways off from the other machines, or have them stand still."""
+    left = scene.machines.separable()
+    for_s = scene.random.choice(OUT_OF_STEP_S)
+    struck = scene.random.sample(left, scene.random.randint(1, len(left)))
+    for machine in struck:
+        way = scene.random.choice(("held", "lost", "stands still"))
+        if way == "stands still":
+            machine.pause()
+        else:
+            machine.cut_off(is_held=way == "held")
+    time.sleep(for_s)
+    for machine in struck:
+        machine.go_on()
+        machine.join()
+
+
+@_fault(RELEASES)
+def _release_beside_gateways_out_of_step(scene: Scene) -> None:
+    """Release while gateways are out of step, and break streams meanwhile or right after."""
+    breaks = [
+        (
+            scene.random.choice((_connections_reset, _gateway_killed)),
+            scene.random.uniform(*BREAKS_S),
+        )
+        for _ in range(scene.random.randint(2, 4))
+    ]
+    _strike_apart(scene, [(_gateways_out_of_step, 0.0), (_release, _apart_s(scene)), *breaks])
+
+
 def _apart_s(scene: Scene) -> float:
     return scene.random.choice((0.0, scene.random.uniform(0.0, APART_S)))
 
--- a/deploy/soak/machines.py
+++ b/deploy/soak/machines.py
@@ -14,6 +14,7 @@
 import time
 from pathlib import Path
 
+from links import Links
 from nets import Net
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -92,6 +93,7 @@
         starts: How often it was started.
         ended_by_itself: Exit statuses of lives that nobody ended.
         disturbed_s: When it was last struck or came back.
+        links: Its connections to other machines if it can be cut off, else None.
     """
 
     __slots__ = (
@@ -106,6 +108,7 @@
         "disturbed_s",
         "ended_by_itself",
         "host",
+        "links",
         "name",
         "role",
         "starts",
@@ -134,6 +137,7 @@
         self.starts = 0
         self.ended_by_itself: list[int] = []
         self.disturbed_s = 0.0
+        self.links: Links | None = None
 
     @property
     def has_disk(self) -> bool:
@@ -159,9 +163,12 @@
             self._folder.mkdir(parents=True, exist_ok=True)
             path = self._folder / "settings.yaml"
             path.write_text(json.dumps(self._settings()))
+            command = self._programs.command
+            if self.links is not None:
+                command = self.links.command(command)
             with (self._folder / "log").open("ab") as log:
                 self._process = subprocess.Popen(
-                    [*self._programs.command, self.role],
+                    [*command, self.role],
                     env=self._programs.environment(path),
                     stdout=log,
                     stderr=log,
@@ -214,6 +221,25 @@
                 self._process.send_signal(signal.SIGCONT)
                 self._paused = False
 
+    def cut_off(self, *, is_held: bool) -> None:
+        """Cut it off from the other machines, not from callers and runners.
+
+        Args:
+            is_held: What is sent meanwhile comes after ``join``; otherwise it is lost.
+        """
+        assert self.links is not None
+        self.disturbed_s = time.monotonic()
+        if is_held:
+            self.links.hold()
+        else:
+            self.links.fall_silent()
+
+    def join(self) -> None:
+        """Connect it with the other machines again."""
+        if self.links is not None and self.links.is_cut:
+            self.disturbed_s = time.monotonic()
+            self.links.heal()
+
     def revive(self) -> None:
         """Start it again if it has ended by itself, as the platform does."""
         with self._lock:
@@ -270,9 +296,10 @@
         folder: Where they keep settings, disks and logs.
         programs: What they start.
         sizes: How many of each role there are.
+        separable: Gateways that can be cut off from the other machines.
     """
 
-    def __init__(self, folder: Path, programs: Programs, sizes: Sizes) -> None:
+    def __init__(self, folder: Path, programs: Programs, sizes: Sizes, separable: int = 0) -> None:
         self._net = Net(RPC_PORT)
         seeds = [f"{self._net.host(number)}:{CONTROL_PORT}" for number in range(sizes.control)]
         self.all: list[Machine] = []
@@ -280,11 +307,18 @@
             for number in range(1, getattr(sizes, role) + 1):
                 host = self._net.host(len(self.all))
                 self.all.append(Machine(folder, role, number, host, seeds, programs))
+        peers = [f"{machine.host}:{RPC_PORT}" for machine in self.with_disks()]
+        for gateway in self.of("gateway")[:separable]:
+            gateway.links = Links(folder / gateway.name / "links", peers)
 
     def of(self, role: str) -> list[Machine]:
         """Return the machines of a role."""
         return [machine for machine in self.all if machine.role == role]
 
+    def separable(self) -> list[Machine]:
+        """Return the gateways that can be cut off from the other machines."""
+        return [machine for machine in self.of("gateway") if machine.links is not None]
+
     def with_disks(self) -> list[Machine]:
         """Return the machines that keep state."""
         return [machine for machine in self.all if machine.has_disk]
@@ -297,6 +331,7 @@
     def heal(self) -> None:
         """Wake and start all."""
         for machine in self.all:
+            machine.join()
             machine.go_on()
             machine.start()
 
@@ -313,3 +348,5 @@
         """End all that were started here."""
         for machine in self.all:
             machine.kill()
+            if machine.links is not None:
+                machine.links.close()
--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -54,6 +54,7 @@
 """Constants of processes for which a release is long ago after ``SHORT_LIFE_S``."""
 
 LONG_AGO_S = SHORT_LIFE_S + 1.0
+GATEWAYS = 2
 BACK_ENDS = 8
 SLOTS = 12
 STREAMS = 70
@@ -310,6 +311,7 @@
         constants: Constants that the processes have otherwise, as ``altered_constants`` takes them.
         rule: Rule that the processes break on purpose (``deploy/soak/broken.py``).
         tree: Work tree whose programs are started; this one's if empty.
+        separable: Gateways that can be cut off from the control processes.
     """
 
     def __init__(
@@ -319,18 +321,19 @@
         constants: tuple[str, ...] = (),
         rule: str = "",
         tree: str = "",
+        separable: int = 0,
     ) -> None:
         self.folder = folder
         self.random = Random(f"{seed} resumed streams")
         sizes = machines.Sizes()
-        sizes.control, sizes.store, sizes.gateway = 3, 0, 2
+        sizes.control, sizes.store, sizes.gateway = 3, 0, GATEWAYS
         self._ending = threading.Event()
         self._broke = threading.Event()
         programs = machines.Programs(tree, rule)
         if constants:
             _, start = programs.command
             programs.command = [sys.executable, str(ALTERED), start, *constants]
-        self.deployment = machines.Machines(folder, programs, sizes)
+        self.deployment = machines.Machines(folder, programs, sizes, separable)
         logs = [folder / machine.name / "log" for machine in self.deployment.all]
         LOG_SOURCES.append(lambda: logs)
         self.controls = self.deployment.of("control")
@@ -343,6 +346,7 @@
         self._streams: list[Stream] = []
         self._new: list[Stream] = []
         self._threads: list[threading.Thread] = []
+        self._rejoins: list[threading.Timer] = []
 
     def start(self, versions: list[str]) -> None:
         """Start the processes, and a back end of each of these versions; wait until they serve."""
@@ -369,12 +373,38 @@
         added = self.add_back_ends([NEW] * (BACK_ENDS // 2))
         wait_until(lambda: any(back_end.is_known.is_set() for back_end in added))
 
-    def begin_until_used(self, version: str) -> float:
-        """Begin streams at both gateways until one is at a version; return how long it took."""
+    def put_out_of_step(self, way: str, for_s: float) -> None:
+        """Cut the second gateway off from control processes, or have it stand still, for a time.
+
+        Args:
+            way: ``held``: what is sent meanwhile comes afterwards; ``lost``: it never does;
+                ``stands still``.
+            for_s: How long, in seconds.
+        """
+        if way == "stands still":
+            self.second.pause()
+        else:
+            self.second.cut_off(is_held=way == "held")
+        rejoin = threading.Timer(for_s, self._rejoin)
+        rejoin.daemon = True
+        rejoin.start()
+        self._rejoins.append(rejoin)
+
+    def _rejoin(self) -> None:
+        self.second.go_on()
+        self.second.join()
+
+    def begin_until_used(self, version: str, *gateways: object) -> float:
+        """Begin streams at gateways until one is at a version; return how long it took.
+
+        Args:
+            version: The version.
+            gateways: The gateways; both if there are none.
+        """
         began_s = time.monotonic()
 
         def is_used() -> bool:
-            for gateway in (self.first, self.second):
+            for gateway in gateways or (self.first, self.second):
                 stream = Stream(f"u{len(self._new)}")
                 self._new.append(stream)
                 self._in_thread(stream.ask, _callers(gateway), f"{stream.record.name}-0")
@@ -395,11 +425,16 @@
         ranked = [rank_holders(self.first.name, members, number)[0] for number in range(count)]
         return [by_address[address] for address in ranked]
 
-    def begin(self, count: int) -> None:
-        """Begin streams at the first gateway, and wait until each has its first events."""
+    def begin(self, count: int, tries: int = 1) -> None:
+        """Begin streams at the first gateway, and wait until each has its first events.
+
+        Args:
+            count: Number of streams.
+            tries: Requests for each of them, while they are refused.
+        """
         self._streams = [Stream(f"s{number}") for number in range(count)]
         for stream in self._streams:
-            self._in_thread(self._read, stream)
+            self._in_thread(self._read, stream, tries)
 
         def all_began() -> bool:
             replies = [stream.reply for stream in self._streams]
@@ -429,6 +464,8 @@
     def close(self) -> None:
         """End all that was started here."""
         self._ending.set()
+        for rejoin in self._rejoins:
+            rejoin.cancel()
         self.deployment.kill()
         for back_end in self.back_ends:
             back_end.silence()
@@ -437,9 +474,12 @@
         for thread in self._threads:
             thread.join(READ_TIMEOUT_S)
 
-    def _read(self, stream: Stream) -> None:
+    def _read(self, stream: Stream, tries: int) -> None:
         """Read a stream; when it breaks off with its gateway, resume it at the other one."""
-        stream.ask(_callers(self.first), f"{stream.record.name}-0")
+        for number in range(tries):
+            stream.ask(_callers(self.first), f"{stream.record.name}-0" + "again" * number)
+            if stream.began:
+                break
         if not stream.record.is_whole and self._broke.wait(START_TIMEOUT_S):
             stream.resume(_callers(self.second), self._ending)
 
@@ -493,10 +533,21 @@
         prepare: Done when they serve, before the streams begin.
         constants: Constants that the processes have otherwise.
         streams: Streams at the first gateway, at most.
+        begin_tries: Requests for each of them, while they are refused.
         is_promised: At least two back ends of each version that began streams go on serving.
+        separable: Gateways that can be cut off from the control processes.
     """
 
-    __slots__ = ("constants", "is_promised", "prepare", "streams", "strike", "versions")
+    __slots__ = (
+        "begin_tries",
+        "constants",
+        "is_promised",
+        "prepare",
+        "separable",
+        "streams",
+        "strike",
+        "versions",
+    )
 
     def __init__(
         self,
@@ -506,7 +557,11 @@
         is_promised: bool = True,
         prepare: Strike | None = None,
         constants: tuple[str, ...] = (),
+        begin_tries: int = 1,
+        separable: int = 0,
     ) -> None:
+        self.separable = separable
+        self.begin_tries = begin_tries
         self.prepare = prepare
         self.constants = constants
         self.strike = strike
@@ -533,13 +588,13 @@
         rule: Rule that the processes break on purpose (``deploy/soak/broken.py``).
         tree: Work tree whose programs are started; this one's if empty.
     """
-    chosen = LINES[line]
-    play = Play(folder, seed, chosen.constants, rule, tree)
+    chosen = {**LINES, **BY_HAND}[line]
+    play = Play(folder, seed, chosen.constants, rule, tree, chosen.separable)
     try:
         play.start(list(chosen.versions))
         if chosen.prepare is not None:
             chosen.prepare(play)
-        play.begin(min(streams, chosen.streams))
+        play.begin(min(streams, chosen.streams), chosen.begin_tries)
         chosen.strike(play)
         return play.finish()
     finally:
@@ -634,6 +689,44 @@
     play.break_streams()
 
 
+class OutOfStep:
+    """The second gateway is out of step as a second version starts and begins streams.
+
+    Args:
+        way: As ``Play.put_out_of_step`` takes it.
+        for_s: How long, in seconds.
+        latest_break_s: Latest time from the version's first stream until all streams break off.
+    """
+
+    __slots__ = ("_for_s", "_latest_break_s", "_way")
+
+    def __init__(self, way: str, for_s: float, latest_break_s: float = 0.0) -> None:
+        self._way = way
+        self._for_s = for_s
+        self._latest_break_s = latest_break_s
+
+    def line(self, is_promised: bool) -> Line:
+        """Return the line."""
+        return Line(
+            self._break_streams,
+            (OLD,) * BACK_ENDS,
+            streams=30,
+            is_promised=is_promised,
+            prepare=self._start_version,
+            begin_tries=5,
+            separable=GATEWAYS,
+        )
+
+    def _start_version(self, play: Play) -> None:
+        play.put_out_of_step(self._way, self._for_s)
+        play.start_second_version()
+        play.begin_until_used(NEW, play.first)
+
+    def _break_streams(self, play: Play) -> None:
+        time.sleep(play.random.uniform(0.0, self._latest_break_s))
+        play.break_streams()
+
+
 def _release_long_ago(play: Play) -> None:
     """Replace the back ends by others of a second version, and wait."""
     former = play.back_ends[:]
@@ -666,11 +759,22 @@
     "all processes killed as a second version starts": Line(
         _all_killed_as_second_version_starts, (OLD,) * BACK_ENDS
     ),
+    "a gateway is cut off for 7 s as a second version starts": OutOfStep("lost", 7.0).line(
+        is_promised=True
+    ),
     "all processes killed long after a release": Line(
         _all_killed, (OLD,) * BACK_ENDS, prepare=_release_long_ago, constants=SHORT_LIFE
     ),
 }
 
+WAYS = ("held", "lost", "stands still")
+BY_HAND = {
+    f"{way} for {for_s:g} s": OutOfStep(way, for_s, latest_break_s=2.0).line(is_promised=False)
+    for way in WAYS
+    for for_s in (1.0, 3.0, 10.0, 30.0)
+}
+"""Lines that only ``main`` plays: a gateway out of step for more times than tests have."""
+
 
 def _callers(gateway: object) -> str:
     return f"{gateway.host}:{machines.CALLERS_PORT}"  # type: ignore[attr-defined]
@@ -719,8 +823,8 @@
         program_tree: Work tree whose programs are started; this one's if empty.
         keep: Folder under which the logs are kept; a temporary one if empty.
     """
-    if line not in LINES:
-        print("\n".join(LINES))
+    if line not in {**LINES, **BY_HAND}:
+        print("\n".join({**LINES, **BY_HAND}))
         sys.exit(2)
     signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(EXIT_ENDED))
     if keep:
--- a/tests/unit/test_resumed_streams.py
+++ b/tests/unit/test_resumed_streams.py
@@ -46,3 +46,9 @@
 def test_streams_that_go_on_at_any_version_are_found(tmp_path: Path) -> None:
     counts = play("nothing else", tmp_path, streams=24, rule="continue_anywhere")
     assert any("holds events of ['v1', 'v1.1']" in line for line in counts.broken), counts.text()
+
+
+def test_a_gateway_that_trusts_its_state_while_it_is_cut_off_is_found(tmp_path: Path) -> None:
+    line = "a gateway is cut off for 7 s as a second version starts"
+    counts = play(line, tmp_path, rule="trust_states_of_any_age")
+    assert any("holds events of ['v1', 'v1.1']" in line for line in counts.broken), counts.text()
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -44,6 +44,7 @@
 relays = load("relay")
 own_faults = load("own_faults")
 nets = load("nets")
+links = load("links")
 resuming = load("resuming")
 
 
@@ -385,6 +386,45 @@
         relay.close()
 
 
+ASKS_TWICE = """
+import socket, sys
+host, port = sys.argv[1].split(":")
+with socket.create_connection((host, int(port)), 0.5) as connection:
+    for _ in range(2):
+        connection.sendall(b"a")
+        try:
+            print(connection.recv(1))
+        except TimeoutError:
+            print("silent")
+        sys.stdin.readline()
+"""
+
+
+@pytest.mark.parametrize("is_held", [True, False])
+def test_a_program_that_is_cut_off_gets_no_answers_until_its_links_are_healed(
+    is_held: bool, tmp_path: Path
+) -> None:
+    program = tmp_path / "asks.py"
+    program.write_text(ASKS_TWICE)
+    with echoing() as target:
+        own = links.Links(tmp_path / "links", [target])
+        command = own.command([sys.executable, str(program)])
+        with subprocess.Popen(
+            [*command, target], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        ) as asking:
+            assert asking.stdin is not None
+            assert asking.stdout is not None
+            assert asking.stdout.readline() == "b'a'\n"
+            (own.hold if is_held else own.fall_silent)()
+            assert own.is_cut
+            print(file=asking.stdin, flush=True)
+            assert asking.stdout.readline() == "silent\n"
+            own.heal()
+            assert not own.is_cut
+            print(file=asking.stdin, flush=True)
+        own.close()
+
+
 def test_what_a_hanging_runner_holds_comes_later() -> None:
     with echoing() as target:
         relay = relays.Relay(target)
