Tests: what a gateway keeps is looked at once it has read the answer

The test looked as soon as the back end had written all 3 MB, which the sockets between back end and gateway take before the gateway has read them. It now waits, within the same 2 s, until the gateway counts the request at its back end no more: the moment from which all that is left is what it keeps.

--- a/tests/unit/test_proxy_slow_readers.py
+++ b/tests/unit/test_proxy_slow_readers.py
@@ -121,6 +121,18 @@
     return False
 
 
+def _wait_until_read(runner: RunnerStandIn, proxy: Proxy, timeout_s: float) -> bool:
+    """Wait until the gateway has read the only answer to its end, behind the sockets' buffers."""
+    until_s = time.monotonic() + timeout_s
+    if not _wait_until_ended(runner, 1, timeout_s):
+        return False
+    while _requests_under_way(proxy):
+        if time.monotonic() > until_s:
+            return False
+        time.sleep(0.02)
+    return True
+
+
 @pytest.mark.parametrize(("kept_limit_bytes", "is_freed"), [(64 * MB, True), (0, False)])
 def test_a_back_end_is_free_while_its_caller_still_has_to_read(
     runner: RunnerStandIn, kept_limit_bytes: int, is_freed: bool
@@ -217,7 +229,7 @@
     monkeypatch.setattr("leverjunction.proxy.answer_buffer.STANDSTILL_S", 0.5)
     with _proxy(runner, 64 * MB) as proxy:
         caller = SlowCaller(proxy.address, deadline_ms=2500)
-        assert _wait_until_ended(runner, 1, timeout_s=2.0)
+        assert _wait_until_read(runner, proxy, timeout_s=2.0)
         assert proxy.kept.buffer.total_bytes > 0
         time.sleep(1.2)
         assert proxy.dropped == []
