Soak: a deadly part is sent until it is judged

Cause: the strike is 70 prompts, however they are answered. Prompts that find no back end are refused at once. Neither a refusal for good nor an ended runner was seen, and that counted as kept.

The strike now goes on after its 70 prompts until more than LATE_RUNS runners were ended late, or the part was refused for good ten times, at most for 60 s. All prompts that were sent before still are, and judged as before.

--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from collections.abc import Callable
+from itertools import count
 from random import Random
 
 import words
@@ -70,6 +71,12 @@
 """Kinds that strike only in a soak that names them, so that seeds strike what they always did."""
 
 PART_TRIES = 70
+PART_REFUSALS = 10
+"""Refusals for good of the deadly part that show it to be stopped."""
+
+PART_LONGEST_S = 60.0
+"""Time after which the prompts end though neither that was seen nor too many ended runners."""
+
 BAD_OF_PARTS = 2
 """One request in so many has the deadly part."""
 
@@ -478,13 +485,18 @@
 def _deadly_part(scene: Scene) -> None:
     """Callers send prompts, no two alike, of which one part ends each runner that begins one.
 
-    Others share the first part with them, and their caller.
+    Others share the first part with them, and their caller. A prompt for which no runner is free
+    shows nothing, so that they go on until enough have reached a runner or were refused for good.
     """
     first, bad = (f"{scene.random.getrandbits(32):08x}" for _ in range(2))
     body = words.DEADLY + bad.encode()
     kind = scene.random.choice(("once", "repeatable", "stream"))
-    late = 0
-    for number in range(PART_TRIES):
+    late = refusals = 0
+    longest_s = time.monotonic() + PART_LONGEST_S
+    for number in count():
+        is_judged = late > LATE_RUNS or refusals >= PART_REFUSALS
+        if number >= PART_TRIES and (is_judged or time.monotonic() > longest_s):
+            break
         is_bad = number % BAD_OF_PARTS == 0
         began = scene.traffic.backends.deadly(body)
         known = len(began) >= PART_ENOUGH and time.monotonic() - began[PART_ENOUGH - 1] > KNOWN_S
@@ -495,6 +507,7 @@
         status = scene.traffic.ask_with_parts(kind, sent, parts, scene.random)
         if is_bad and known and in_touch and scene.is_in_touch():
             late += len(scene.traffic.backends.deadly(body)) - len(began)
+        refusals += is_bad and status == HARMFUL_STATUS
         if not is_bad and status == HARMFUL_STATUS:
             scene.traffic.note_broken(f"a sound request beside part {bad} was refused for good")
         scene.last(*PART_PAUSE_S)
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from random import Random
 from types import ModuleType, SimpleNamespace
 
 import pytest
@@ -556,6 +557,66 @@
     assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
 
 
+class PartScene:
+    """A scene whose runners answer deadly prompts by a list of statuses, the last one for ever.
+
+    A prompt that is answered with 502 has ended a runner. Time passes between prompts only.
+    """
+
+    def __init__(self, statuses: list[int]) -> None:
+        self.statuses = statuses
+        self.now_s = 0.0
+        self.random = Random(1)
+        self.bad_tries = 0
+        self.began_s: list[float] = []
+        self.broken: list[str] = []
+        self.traffic = SimpleNamespace(
+            backends=SimpleNamespace(deadly=lambda _body: self.began_s[:]),
+            ask_with_parts=self.ask,
+            note_broken=self.broken.append,
+        )
+
+    def ask(self, _kind: str, body: bytes, _parts: str, _random: Random) -> int:
+        if body == b"ask":
+            return 200
+        status = self.statuses[min(self.bad_tries, len(self.statuses) - 1)]
+        self.bad_tries += 1
+        if status == 502:
+            self.began_s.append(self.now_s)
+        return status
+
+    def is_in_touch(self) -> bool:
+        return True
+
+    def last(self, _shortest_s: float, longest_s: float) -> None:
+        self.now_s += longest_s
+
+
+UP_SELDOM = [502, 503, 503, 503, 503, 503] * 100
+
+
+@pytest.mark.parametrize(
+    ("statuses", "is_told", "bad_tries"),
+    [
+        (UP_SELDOM, True, range(36, 70)),
+        ([502], True, range(35, 36)),
+        ([502] * 5 + [503] * 20 + [502] * 3 + [400], False, range(38, 39)),
+        ([502] * 3 + [400], False, range(35, 36)),
+        ([503], False, range(250, 350)),
+    ],
+    ids=["runners seldom up", "runners up", "refused late", "refused soon", "no runner up"],
+)
+def test_a_part_is_sent_until_runners_or_refusals_have_judged_it(
+    statuses: list[int], is_told: bool, bad_tries: range, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    faults = load("faults")
+    scene = PartScene(statuses)
+    monkeypatch.setattr(faults, "time", SimpleNamespace(monotonic=lambda: scene.now_s))
+    faults.FAULTS["deadly part"].strike(scene)
+    told = [line for line in scene.broken if re.match(r"a part ended \d+ runners more", line)]
+    assert (bool(told), scene.bad_tries in bad_tries) == (is_told, True), scene.bad_tries
+
+
 TWICE = ("--minutes", "0.2", "--seed", "6801", "--closing", "none")
 REFUSED = ("--only", "refusals answered twice,connections reset,process killed")
 
