--- a/src/leverjunction/consensus/codec.py
+++ b/src/leverjunction/consensus/codec.py
@@ -147,6 +147,10 @@
             return b"".join(_encode_entry(entry) for entry in message.entries)
         case messages.SnapshotChunk():
             return message.data
+        case messages.SnapshotReply() if message.window != 1:
+            # In the tail, which builds that know no window ignore.
+            window: bytes = Int32ub.build(message.window)
+            return window
         case _:
             return b""
 
@@ -328,6 +332,16 @@
     )
 
 
+def _decode_snapshot_reply(header: Header, parsed: Any, tail: bytes) -> Message:
+    return messages.SnapshotReply(
+        header=header,
+        stream_id=parsed.stream_id,
+        next_number=parsed.next_number,
+        matched_index=parsed.matched_index,
+        window=Int32ub.parse(tail) if tail else 1,
+    )
+
+
 def _decode_found_request(header: Header, parsed: Any, _tail: bytes) -> Message:
     return messages.FoundRequest(
         header=header, configuration=decode_configuration(parsed.configuration)
@@ -338,5 +352,6 @@
     messages.AppendRequest: _decode_append,
     messages.VoteRequest: _decode_vote_request,
     messages.SnapshotChunk: _decode_chunk,
+    messages.SnapshotReply: _decode_snapshot_reply,
     messages.FoundRequest: _decode_found_request,
 }
--- a/src/leverjunction/consensus/core_follower.py
+++ b/src/leverjunction/consensus/core_follower.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from leverjunction.consensus.core_membership import MembershipCore
 from leverjunction.consensus.events import (
@@ -21,7 +21,7 @@
     SnapshotChunk,
     SnapshotReply,
 )
-from leverjunction.consensus.types import LogEntry, Role
+from leverjunction.consensus.types import SNAPSHOT_WINDOW_CHUNKS, LogEntry, Role
 
 NO_CHUNK_WANTED = -1
 """``next_number`` in the reply of a replica that needs no further chunk of a transfer."""
@@ -34,10 +34,23 @@
     Attributes:
         stream_id: Id of the transfer.
         next_number: Number of the chunk expected next.
+        early: Chunks that arrived before the expected one, by number.
     """
 
     stream_id: str
-    next_number: int
+    next_number: int = 0
+    early: dict[int, SnapshotChunk] = field(default_factory=dict)
+
+    def accept(self, chunk: SnapshotChunk) -> list[SnapshotChunk]:
+        """Return the chunks that can be stored now, in order; keep a chunk behind a gap."""
+        if not 0 <= chunk.number - self.next_number < SNAPSHOT_WINDOW_CHUNKS:
+            return []
+        self.early[chunk.number] = chunk
+        ready: list[SnapshotChunk] = []
+        while (found := self.early.pop(self.next_number, None)) is not None:
+            ready.append(found)
+            self.next_number += 1
+        return ready
 
 
 class FollowerCore(MembershipCore):
@@ -170,16 +183,16 @@
         return self.commit_index >= message.start.index or self.log.holds(message.start)
 
     def _receive_chunk(self, message: SnapshotChunk) -> None:
-        if message.number == 0:
-            self.incoming = IncomingSnapshot(stream_id=message.stream_id, next_number=0)
         incoming = self.incoming
         if incoming is None or incoming.stream_id != message.stream_id:
-            self._reply_chunk(message, 0, 0)
-            return
-        if message.number == incoming.next_number:
-            incoming.next_number += 1
-            self._emit(StoreChunk(chunk=message))
-        if message.final is None or message.number >= incoming.next_number:
+            if message.number != 0:
+                self._reply_chunk(message, 0, 0)
+                return
+            incoming = self.incoming = IncomingSnapshot(stream_id=message.stream_id)
+        ready = incoming.accept(message)
+        for chunk in ready:
+            self._emit(StoreChunk(chunk=chunk))
+        if not ready or ready[-1].final is None:
             self._reply_chunk(message, incoming.next_number, 0)
 
     def _reply_chunk(self, message: SnapshotChunk, next_number: int, matched: int) -> None:
@@ -188,6 +201,7 @@
             stream_id=message.stream_id,
             next_number=next_number,
             matched_index=matched,
+            window=SNAPSHOT_WINDOW_CHUNKS,
         )
         self._send(message.header.from_address, reply)
 
@@ -217,5 +231,6 @@
                 stream_id=message.stream_id,
                 next_number=message.next_number,
                 matched_index=message.matched_index,
+                window=message.window,
             )
         )
--- a/src/leverjunction/consensus/engine.py
+++ b/src/leverjunction/consensus/engine.py
@@ -58,6 +58,10 @@
 """Limits of one ``apply_committed`` call: a leader that is busy for longer than its lease loses
 its leadership."""
 
+STAGED_BYTES_PER_SYNC = 4 * 1024 * 1024
+"""Bytes of an unfinished snapshot that one sync makes durable. A larger transaction would hold
+them in the write-ahead log and in the file at the same time."""
+
 Outbox = Callable[[str, Message], None]
 """Sends a message to an address; called in the order in which messages may be sent."""
 
@@ -132,6 +136,7 @@
         self._held_sends: list[Send] = []
         self._unsynced = False
         self._hard_state_unsynced = False
+        self._staged_bytes = 0
 
     def step(self, events: Sequence[Event], now_s: float) -> None:
         """Handle a batch of events and make its changes durable with one sync.
@@ -247,7 +252,7 @@
                 self._callbacks.majority_lost(effect)
             case StartSnapshot():
                 self._snapshot_sender.start(effect.replica_id, effect.address, self._now_s)
-                self._send_snapshot_chunk()
+                self._send_snapshot_chunks()
             case SnapshotAnswered():
                 self._snapshot_answered(effect)
 
@@ -273,6 +278,7 @@
 
     def _sync(self) -> None:
         self.store.commit()
+        self._staged_bytes = 0
         self._unsynced = False
         self._hard_state_unsynced = False
 
@@ -330,11 +336,17 @@
         self._requests.forget(request_id)
 
     def _store_snapshot_chunk(self, chunk: SnapshotChunk) -> None:
+        """Stage a chunk; install the snapshot after the last one.
+
+        Chunks are acknowledged before they are durable, since a restart discards all of them.
+        """
         self.store.begin()
         if chunk.number == 0:
             self._snapshot_stage.begin()
         self._snapshot_stage.store(chunk.data)
-        self._unsynced = True
+        self._staged_bytes += len(chunk.data)
+        if self._staged_bytes >= STAGED_BYTES_PER_SYNC:
+            self._unsynced = True
         if chunk.final is not None:
             self._install_snapshot(chunk)
 
@@ -353,14 +365,15 @@
         )
         self._execute_all(self.core.handle(event, self._now_s))
 
-    def _send_snapshot_chunk(self) -> None:
-        chunk = self._snapshot_sender.next_chunk(self.core, self.applied_index, self._now_s)
-        self._callbacks.outbox(self._snapshot_sender.address, chunk)
+    def _send_snapshot_chunks(self) -> None:
+        sender = self._snapshot_sender
+        for chunk in sender.next_chunks(self.core, self.applied_index, self._now_s):
+            self._callbacks.outbox(sender.address, chunk)
 
     def _snapshot_answered(self, effect: SnapshotAnswered) -> None:
         outcome = self._snapshot_sender.handle_answer(effect)
         if outcome.send_next:
-            self._send_snapshot_chunk()
+            self._send_snapshot_chunks()
         if outcome.ended is not None:
             self._snapshot_sender.stop()
             self._execute_all(self.core.handle(outcome.ended, self._now_s))
--- a/src/leverjunction/consensus/events.py
+++ b/src/leverjunction/consensus/events.py
@@ -218,6 +218,7 @@
     stream_id: str
     next_number: int
     matched_index: int
+    window: int = 1
 
 
 class Commit(msgspec.Struct, frozen=True):
--- a/src/leverjunction/consensus/group.py
+++ b/src/leverjunction/consensus/group.py
@@ -38,7 +38,7 @@
     TransferLeadership,
 )
 from leverjunction.consensus.inbox import Inbox, PeerCall, PendingResult
-from leverjunction.consensus.messages import Message
+from leverjunction.consensus.messages import Message, SnapshotChunk
 from leverjunction.consensus.status import status_of, stopped_status, unknown_status
 from leverjunction.consensus.store_faults import (
     StoreCorruptError,
@@ -294,9 +294,12 @@
         self._engine.core.slow_steps.record(now_s, now_s - min(begun_s, deadline_s))
 
     def _send(self, address: str, message: Message) -> None:
-        """Send a message, as part of the reply if a call from that peer is being handled."""
+        """Send a message, as part of the reply if a call from that peer is being handled.
+
+        Snapshot chunks are sent by calls of their own, which can be in progress side by side.
+        """
         call = self._open_peer_calls.get(address)
-        if call is not None:
+        if call is not None and not isinstance(message, SnapshotChunk):
             call.add(message)
             return
         sender = self._senders.get(address)
--- a/src/leverjunction/consensus/messages.py
+++ b/src/leverjunction/consensus/messages.py
@@ -114,19 +114,25 @@
 
 
 class SnapshotReply(msgspec.Struct, frozen=True, kw_only=True):
-    """Reply to a ``SnapshotChunk``, sent once the chunk is stored.
+    """Reply to a ``SnapshotChunk``.
+
+    It acknowledges all chunks before ``next_number``. They need not be durable: a receiver that
+    restarts discards an unfinished transfer, and only ``matched_index`` counts as held.
 
     Attributes:
         header: Sender and receiver.
         stream_id: Id of the transfer.
         next_number: Number of the chunk expected next; -1 when no more chunks are needed.
         matched_index: Highest index held by the sender of the reply; set with ``next_number`` -1.
+        window: Number of chunks from ``next_number`` on that the sender of the reply accepts in any
+            order; 1 when it accepts only the next one.
     """
 
     header: Header
     stream_id: str
     next_number: int
     matched_index: int = 0
+    window: int = 1
 
 
 class TimeoutNow(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leverjunction/consensus/transport.py
+++ b/src/leverjunction/consensus/transport.py
@@ -22,6 +22,9 @@
 
 MAX_QUEUED_MESSAGES = 256
 MAX_MESSAGES_PER_CALL = 64
+CHUNK_CALLS = 4
+"""Snapshot chunks that are sent to a peer at the same time: a call lasts until the peer has handled
+the chunk, so a single one would leave the link unused meanwhile."""
 LARGE_BYTES = 64 * 1024
 """Messages of this size or more use a thread of their own: over a link of 1 MB/s they take about
 60 ms or longer, of a leader lease of 360 ms."""
@@ -92,6 +95,11 @@
         with self._changed:
             return self._sending or bool(self._queue)
 
+    def load(self) -> int:
+        """Return the number of messages queued, and one more while a call is in progress."""
+        with self._changed:
+            return len(self._queue) + self._sending
+
     def stop(self) -> None:
         """Ask the thread to end once its queue is empty."""
         with self._changed:
@@ -132,7 +140,7 @@
 
     Large messages are sent by a thread of their own. When heartbeats waited behind an entry of
     0.8 MB on a link of 1 MB/s, each leader lost its lease before its first entry arrived, and no
-    entry was ever committed.
+    entry was ever committed. Large snapshot chunks are sent by several threads, in any order.
     """
 
     def __init__(
@@ -159,6 +167,7 @@
         self._on_peer_down = on_peer_down
         self._small_thread = SenderThread(f"raft-{group}-to-{address}", self._send)
         self._large_thread: SenderThread | None = None
+        self._chunk_threads: list[SenderThread] = []
 
     def put(self, message: Message) -> None:
         """Queue a message; a full queue drops its oldest message."""
@@ -173,7 +182,7 @@
             self._small_thread.put(ContactRequest(header=message.header, sequence=message.sequence))
             return
         elif _is_large(message):
-            self._get_large_thread().put(message)
+            self._put_chunk(message)
             return
         self._small_thread.put(message)
 
@@ -188,11 +197,8 @@
             thread.join(timeout_s)
 
     def _threads(self) -> list[SenderThread]:
-        return (
-            [self._small_thread]
-            if self._large_thread is None
-            else [self._small_thread, self._large_thread]
-        )
+        large = [] if self._large_thread is None else [self._large_thread]
+        return [self._small_thread, *large, *self._chunk_threads]
 
     def _get_large_thread(self) -> SenderThread:
         if self._large_thread is None:
@@ -201,6 +207,14 @@
             )
         return self._large_thread
 
+    def _put_chunk(self, message: Message) -> None:
+        """Queue a chunk at an idle thread, or else at the one with the fewest messages."""
+        threads = self._chunk_threads
+        if len(threads) < CHUNK_CALLS and all(thread.load() for thread in threads):
+            name = f"raft-{self._group}-chunk-{len(threads)}-to-{self._address}"
+            threads.append(SenderThread(name, self._send))
+        min(threads, key=lambda thread: thread.load()).put(message)
+
     def _put_entries(self, message: AppendRequest) -> None:
         """Queue entries, replacing queued requests whose entries this request contains.
 
--- a/src/leverjunction/consensus/types.py
+++ b/src/leverjunction/consensus/types.py
@@ -15,6 +15,8 @@
 LOG_KEPT_ENTRIES = 10_000
 LOG_KEPT_BYTES = 64 * 1024 * 1024
 SNAPSHOT_CHUNK_BYTES = 1024 * 1024
+SNAPSHOT_WINDOW_CHUNKS = 8
+"""Chunks of a transfer that may be under way; a receiver keeps so many in memory behind a gap."""
 
 
 class Role(StrEnum):
--- a/tests/unit/test_consensus_codec.py
+++ b/tests/unit/test_consensus_codec.py
@@ -52,6 +52,7 @@
     ),
     SnapshotChunk(header=HEADER, stream_id="s", number=0, start=POSITION, data=b""),
     SnapshotReply(header=HEADER, stream_id="s", next_number=-1, matched_index=41),
+    SnapshotReply(header=HEADER, stream_id="s", next_number=3, window=8),
     TimeoutNow(header=HEADER),
     IdentityQuery(header=HEADER, nonce=1 << 62),
     IdentityReply(header=HEADER, nonce=0),
