Batch items: a continued run that ends right after its head begins the item anew

Readers got a part of an output as done, for good, when a back end that was to continue an item stopped right after the head of a response that ends with its connection (MIXED).

Cause: nothing tells such an end from that of an output that has no further event, and the latter was assumed.

Why it works: the item begins anew, so that its output is whole in either case. Continued once more, an output that is whole would end alike each time.

Evidence: test_an_item_that_is_continued_is_not_done_by_an_end_before_any_further_event failed before (done after one event of five) and passes; test_lots_cut_heads and test_lots_runner pass whole.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -184,8 +184,11 @@
                     )
                     return event if isinstance(event, Failure) else INCOMPLETE
                 if isinstance(event, ResponseEnd):
-                    if _is_cut(run.stream, response.head):
+                    if _may_be_cut(response.head, output_bytes):
                         run.trace.set_end(RunEnd.CUT, "it ended with its head")
+                        if run.stream.has_events:
+                            # Continued again, a whole output would end like this each time.
+                            run.begin_anew("a run that was to continue it brought nothing")
                         return INCOMPLETE
                     complete = True
                     return None
@@ -259,10 +262,9 @@
         return request
 
 
-def _is_cut(stream: ItemStream, head: ResponseHead) -> bool:
-    """Return whether a response that has ended may have been broken off before its first event."""
-    is_begun = stream.has_events or not stream.is_between_events
-    return head.status == OK and not is_begun and ends_with_connection(head.headers)
+def _may_be_cut(head: ResponseHead, output_bytes: int) -> bool:
+    """Return whether a response that has ended may have been broken off right after its head."""
+    return head.status == OK and not output_bytes and ends_with_connection(head.headers)
 
 
 def _feed(stream: ItemStream, data: bytes, runner: RunnerRecord) -> None:
--- a/tests/unit/test_lots_cut_heads.py
+++ b/tests/unit/test_lots_cut_heads.py
@@ -68,3 +68,13 @@
     del BEHAVIOURS["cut head of an item"]
     assert store.results() == {"item-0": ("done", WHOLE_TEXT)}
     assert len(back_end.seen) == CUTS + 1
+
+
+@pytest.mark.usefixtures("runner")
+def test_an_item_that_is_continued_is_not_done_by_an_end_before_any_further_event(
+    store: OneStore, back_end: RunnerStandIn
+) -> None:
+    back_end.then("stream without length, reset", "stream without length, ends before an event")
+    submit(store, 1)
+    wait_until(lambda: bool(store.results()), 12.0)
+    assert store.results() == {"item-0": ("done", WHOLE_TEXT)}
