Streams: a continued one is not whole by an end right after the head

Callers got a stream closed as complete without its last events when the back end that was to continue it stopped right after the head of a response that ends with its connection (ORDER); so it was for streams that their callers resumed and for those that the gateway continued.

Cause: such an end is like that of a stream without any further event, which was assumed of each stream that is continued, since its caller may have all of it.

Why it works: the first such end counts as broken off, so that the stream is continued once more where its route allows that, and is broken off otherwise. A second one in the same request is taken for the end: two runs agree.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -535,8 +535,7 @@
                 if isinstance(event, ResponseHead):
                     return _unexpected_event(response)
                 if isinstance(event, ResponseEnd):
-                    begun = splitter.has_events or bool(splitter.last_id)
-                    if not begun and ends_with_connection(response.head.headers):
+                    if _may_be_cut(routed, response, splitter):
                         return _unexpected_event(response)
                     if not responder.started:
                         responder.send_head(response.head.status, end_to_end(response.head.headers))
@@ -659,6 +658,18 @@
     )
 
 
+def _may_be_cut(routed: RoutedRequest, response: OpenedResponse, splitter: EventSplitter) -> bool:
+    """Return whether a stream that has ended may have been broken off right after its head.
+
+    A stream that is continued may have no further event: then a second run ends alike.
+    """
+    if splitter.has_events or not ends_with_connection(response.head.headers):
+        return False
+    is_first = routed.ended_after != splitter.last_id
+    routed.ended_after = splitter.last_id
+    return not splitter.last_id or is_first
+
+
 def _unexpected_event(response: OpenedResponse) -> Failure:
     return Failure(
         kind=FailureKind.BACKEND_MISMATCH,
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -33,6 +33,8 @@
         key: Key of the request, or of a part of its prompt, while it is suspected of crashing back
             ends, else empty.
         trials: Key, and id and start of the back end, of each time it was sent as a suspect.
+        ended_after: Id of the event after which the last run ended without a further one; empty
+            if none has.
         went_on: Whether an event of a stream that the caller resumes has been received.
         sent_s: When it was last sent, in the loop's seconds.
         runner_id: Id and start of the back end that it was last sent to; empty before.
@@ -41,6 +43,7 @@
     """
 
     __slots__ = (
+        "ended_after",
         "execution",
         "first_output_s",
         "key",
@@ -90,6 +93,7 @@
         self.execution = Execution.NOT_RUN
         self.key = ""
         self.trials: list[tuple[str, str]] = []
+        self.ended_after = ""
         self.went_on = False
         self.sent_s = 0.0
         self.runner_id = ""
--- a/tests/unit/test_proxy_contract.py
+++ b/tests/unit/test_proxy_contract.py
@@ -401,3 +401,21 @@
     first.then("stream without length, ends before an event")
     reply = proxy.ask(STREAM)
     assert (reply.status, len(first.seen)) == (502, 1)
+
+
+REST = WHOLE_STREAM.split(b"\n\n", 2)[2]
+
+
+@pytest.mark.parametrize(("empty_ends", "body"), [(1, REST), (2, b"")])
+def test_a_stream_that_is_continued_is_not_whole_by_an_end_before_any_further_event(
+    empty_ends: int, body: bytes
+) -> None:
+    """A back end that ends while it reads the prompt ends the connection like one that is done.
+
+    Two that do so agree that there is no further event.
+    """
+    with RunnerStandIn("i-1", "stream") as first, Proxy(make_full_table(), [first]) as proxy:
+        first.then(*["stream without length, ends before an event"] * empty_ends)
+        reply = proxy.ask(RESUMABLE, Last_Event_Id="2")
+    assert (reply.status, reply.complete, reply.body) == (200, True, body)
+    assert len(first.seen) == 2
