Streams: resumed ones that full leaving back ends decline wait for a slot

Callers saw resumed streams refused after four declines within some milliseconds when the last back ends of their version were leaving and full, though these still took requests for a second or two, and got no new ones meanwhile.

Cause: a declined stream waits for the next slot only while a back end of its version accepts new work; leaving ones did not count.

Why it works: they count for as long as requests may be sent to them. When that ends, the next choice finds none, and the stream is refused.

Evidence: test_a_stream_that_full_leaving_back_ends_decline_waits_for_a_slot failed before (503) and passes; test_streams_of_leaving_back_ends and test_resumed_streams_under_load: 44 passed.

--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -325,7 +325,15 @@
             and response.execution is Execution.NOT_RUN
             and routed.execution is Execution.NOT_RUN
             and routed.version is not None
-            and bool(self._balancer.available(routed.service, routed.version))
+            and self._has_back_end(routed.service, routed.version)
+        )
+
+    def _has_back_end(self, service: str, version: str) -> bool:
+        """Return whether a resumed stream of a version may be sent to a back end."""
+        departing = self._origins.reachable_departures()
+        return bool(
+            self._balancer.available(service, version)
+            or self._balancer.departing(service, version, departing)
         )
 
     async def _find_origin(self, routed: RoutedRequest) -> Failure | None:
--- a/tests/unit/test_streams_of_leaving_back_ends.py
+++ b/tests/unit/test_streams_of_leaving_back_ends.py
@@ -202,3 +202,14 @@
     again = balancer.choose(SERVICE, Prompt((), 500), departing, 1.0, OLD, departing)
     assert again is not None
     assert (again.runner.record.runner_id, again.is_departing) == ("crashed", False)
+
+
+def test_a_stream_that_full_leaving_back_ends_decline_waits_for_a_slot(stack: ExitStack) -> None:
+    proxy, runners = start(stack)
+    for runner in runners[:2]:
+        runner._next.clear()
+        runner.then(*["not run"] * 4, "stream")
+    leave(proxy, runners[:2], runners[2:])
+    reply = resume(proxy)
+    assert (reply.status, reply.complete) == (200, True)
+    assert not runners[2].seen
