Lots are not held for crashes under online requests that are refused

Who was the cause is known, as the registry lists the part with these starts under a verdict, but the crash limits counted all of them for the lot. Three items were held for 40 to 53 s and ran as soon as the crashes were 60 s old.

Starts that crashed under a refused request or part of a prompt no longer count for an item that has crashed at no other start. Requests of items are left out, whichever lot they are of. An item that crashes at another start too counts with all its crashes, and a complete response to the request withdraws its verdict and gives them back. What is refused runs no more, so that a wrong verdict spares a lot the few crashes that led to it.

The bounds are as they were: six crashes a minute, the pauses of suspects. Only the nine starts that a record keeps are known.

Measured: the three new rows fail before and pass after.

--- a/src/leverjunction/lots/crash_limits.py
+++ b/src/leverjunction/lots/crash_limits.py
@@ -166,18 +166,26 @@
         self.apart_s = float("-inf")
         self.sound: set[ItemKey] = set()
 
-    def count(self, now_s: float, causes: Mapping[str, ItemKey] = NO_CAUSES) -> int:
+    def count(
+        self,
+        now_s: float,
+        causes: Mapping[str, ItemKey] = NO_CAUSES,
+        refused_starts: frozenset[str] = frozenset(),
+    ) -> int:
         """Return the number of starts that crashed within the window.
 
         Args:
             now_s: Current time in seconds.
             causes: The items that are known to have crashed a start; it counts for no other item.
+            refused_starts: Starts that crashed under refused requests that are no items. Those of
+                an item that has crashed elsewhere too count all the same.
         """
         from_s = now_s - WINDOW_S
         return len(
             {
                 start
                 for item, starts in self.crashes.items()
+                if not starts.keys() <= refused_starts
                 for start, at_s in starts.items()
                 if at_s > from_s and causes.get(start, item) == item
             }
@@ -211,6 +219,7 @@
         "_crashed_s",
         "_origins",
         "_overdue",
+        "_refused_starts",
         "_running",
         "_running_keys",
         "_running_strong",
@@ -223,6 +232,7 @@
         self._causes: dict[str, ItemKey] = {}
         self._origins: dict[Origin, _OriginRecord] = {}
         self._overdue: Counter[Origin] = Counter()
+        self._refused_starts: frozenset[str] = frozenset()
         self._crashed_s: dict[str, float] = {}
         self._strong: dict[Origin, dict[ItemKey, str]] = {}
         self._running: Counter[Origin] = Counter()
@@ -277,6 +287,18 @@
         for start in starts:
             self._causes.setdefault(start, item)
 
+    def crashed_by_others(self, starts: frozenset[str]) -> None:
+        """Replace the starts that crashed under refused requests that are no items.
+
+        They don't count for an item that has crashed at no other start: the verdict on the request
+        explains its crashes, and no origin is held because its items ran beside it. A refused
+        request runs no more, so that a wrong verdict spares an origin a few crashes only.
+
+        Args:
+            starts: The starts, those reported before included.
+        """
+        self._refused_starts = starts
+
     def own_crashes(self, item: ItemKey, starts: Iterable[str]) -> int:
         """Return how many of these crashes in an item's runs no other item has caused."""
         return sum(1 for start in starts if self._causes.get(start, item) == item)
@@ -378,15 +400,18 @@
     def needs_idle(self, origins: Iterable[Origin], now_s: float) -> bool:
         """Return whether an origin has so few crashes left that its suspects have to run alone."""
         records = [self._origins[origin] for origin in origins if origin in self._origins]
-        return any(record.count(now_s, self._causes) >= ALONE_CRASHES for record in records)
+        return any(self._count(record, now_s) >= ALONE_CRASHES for record in records)
 
     def is_at_limit(self, origins: Iterable[Origin], now_s: float) -> bool:
         """Return whether an origin has crashed so many back ends that none of its items may run."""
         records = [self._origins[origin] for origin in origins if origin in self._origins]
         return any(self._is_at_limit(record, now_s) for record in records)
 
+    def _count(self, record: _OriginRecord, now_s: float) -> int:
+        return record.count(now_s, self._causes, self._refused_starts)
+
     def _is_at_limit(self, record: _OriginRecord, now_s: float) -> bool:
-        count = record.count(now_s, self._causes)
+        count = self._count(record, now_s)
         return count >= MAX_ORIGIN_CRASHES and record.apart_s > now_s - WINDOW_S
 
     def _origin_placement(self, origin: Origin, now_s: float) -> Placement:
@@ -395,7 +420,7 @@
             return Placement.SHARED
         if self._is_at_limit(record, now_s):
             return Placement.HELD
-        count = record.count(now_s, self._causes)
+        count = self._count(record, now_s)
         if count < APART_CRASHES:
             return Placement.SHARED
         most = 1 + len(record.sound) // SOUND_PER_RUN
@@ -439,12 +464,12 @@
         record, running = self._origins.get(origin), self._running[origin]
         if record is None or not running:
             return False
-        return record.count(now_s, self._causes) + running >= MAX_CRASHES_AT_ONCE
+        return self._count(record, now_s) + running >= MAX_CRASHES_AT_ONCE
 
     def _pause_s(self, origins: tuple[Origin, ...], suspicion: Suspicion, now_s: float) -> float:
         """Return how long a strong suspect waits after its last crash."""
         records = [self._origins[origin] for origin in origins if origin in self._origins]
-        count = max((record.count(now_s, self._causes) for record in records), default=0)
+        count = max((self._count(record, now_s) for record in records), default=0)
         strong = max((len(self._strong.get(origin, ())) for origin in origins), default=0)
         if strong <= 1 and max(count, suspicion.crashes) <= STRONG_SUSPECT_CRASHES:
             return FIRST_PAUSE_S
--- a/src/leverjunction/lots/isolation.py
+++ b/src/leverjunction/lots/isolation.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 
 from leverjunction.lots.broken_runs import BrokenRun, BrokenRuns
-from leverjunction.lots.crash_limits import CrashLimits, Origin, Suspicion
+from leverjunction.lots.crash_limits import PAUSES_TTL_S, CrashLimits, Origin, Suspicion
 from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.ownership import owner_of
@@ -98,6 +98,7 @@
         "_busy_services",
         "_draining",
         "_held_s",
+        "_item_keys_s",
         "_known_starts",
         "_least_crashes",
         "_limits",
@@ -123,6 +124,7 @@
         self._busy_services: set[str] = set()
         self._draining: dict[str, tuple[str, float]] = {}
         self._held_s: dict[str, float] = {}
+        self._item_keys_s: dict[str, float] = {}
         self._known_starts: set[str] = set()
         self._least_crashes: dict[str, int] = {}
         self._loop = asyncio.get_running_loop()
@@ -137,9 +139,16 @@
         self._known_starts = {record.start for record in snapshot.view.runners}
         self._limits.back_ends = len(self._known_starts)
         self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
+        from_s = self._loop.time() - PAUSES_TTL_S
+        self._item_keys_s = {key: at_s for key, at_s in self._item_keys_s.items() if at_s > from_s}
+        self._note_refused_starts()
+
+    def _note_refused_starts(self) -> None:
+        self._limits.crashed_by_others(self._quarantine.refused_starts(self._item_keys_s))
 
     def ended(self, run: EndedRun) -> None:
         """Note a proven crash of a back end during an item's run, and report it."""
+        self._item_keys_s[run.key] = self._loop.time()
         broken = self._broken.take_proof(run.request_id, run.start)
         if broken is not None and not run.ran_on:
             item = broken.run
@@ -240,6 +249,7 @@
                 run.crashed_s = earlier.crashed_s
             known = set(run.crashed_starts)
             for record in records.get(run.item.item_id, ()):
+                self._item_keys_s[record.key] = now_s
                 if self._quarantine.crashes(record.key) > self._quarantine.crashes(run.suspect_key):
                     run.suspect_key = record.key
                 run.crashed_starts.update(record.starts)
@@ -249,6 +259,7 @@
                 self._limits.crashed(
                     run.key, _origins(run), start, self._suspicion(run), now_s, apart=False
                 )
+        self._note_refused_starts()
 
     def rank_suspects(self, waiting: Iterable[ItemRun]) -> None:
         """Note which of the waiting items go first; call it with each ranking."""
--- a/src/leverjunction/proxy/quarantine.py
+++ b/src/leverjunction/proxy/quarantine.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Container, Iterable
 from typing import Protocol, TypeGuard
 
 from loguru import logger
@@ -175,6 +175,14 @@
             records.setdefault(record.request_id, []).append(record)
         return records
 
+    def refused_starts(self, other_than: Container[str]) -> frozenset[str]:
+        """Return the starts that crashed early in runs of refused requests and parts of prompts.
+
+        Args:
+            other_than: Keys of requests that are left out.
+        """
+        return self._suspects.refused_starts(other_than)
+
     def crashes(self, key: str) -> int:
         """Return how many crashes count against the request with a key from ``find``."""
         return self._suspects.crashes(key) if key else 0
--- a/src/leverjunction/quarantine/suspects.py
+++ b/src/leverjunction/quarantine/suspects.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 from leverjunction.quarantine.prompt_parts import is_part_key
 from leverjunction.quarantine.records import EndedRun, SuspectList, SuspectRecord
@@ -158,6 +158,21 @@
         known = (self._reported.get(key), self._own.get(key))
         return {start for item in known if item is not None for start in item.starts}
 
+    def refused_starts(self, other_than: Container[str]) -> frozenset[str]:
+        """Return the starts that crashed early in runs of refused requests and parts of prompts.
+
+        Only those that the registry reports count.
+
+        Args:
+            other_than: Keys of requests that are left out.
+        """
+        refused = (
+            key
+            for key in self._reported
+            if key not in other_than and self.standing(key) is Standing.REFUSED
+        )
+        return frozenset(start for key in refused for start in self.early_starts(key))
+
     def crashes(self, key: str) -> int:
         """Return how many crashes count against the request with this key."""
         starts: set[str] = set()
--- a/tests/unit/test_lots_isolation_limits.py
+++ b/tests/unit/test_lots_isolation_limits.py
@@ -31,10 +31,13 @@
 from leverjunction.proxy.quarantine import Quarantine
 from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.quarantine.crash_detector import PROOF_TIMEOUT_S
+from leverjunction.quarantine.prompt_parts import part_key
 from leverjunction.quarantine.records import SuspectList, SuspectRecord
 from leverjunction.quarantine.request_key import request_key
-from leverjunction.registry.records import RunnerState
-from testbed.routed import SERVICE
+from leverjunction.registry.follower import Snapshot
+from leverjunction.registry.records import FleetView, RunnerState
+from leverjunction.routes import RouteClass
+from testbed.routed import SERVICE, make_route, make_table
 
 LOT: tuple[Origin, ...] = (("lot", "lot"),)
 OTHER: tuple[Origin, ...] = (("lot", "other"),)
@@ -241,6 +244,71 @@
     play(scenario)
 
 
+def tell_of(isolation: Isolation, crashed: dict[str, tuple[int, ...]]) -> None:
+    """Have the registry report under which keys of requests which back ends crashed."""
+    suspects = tuple(
+        SuspectRecord(key=key, starts=tuple(record(number).start for number in numbers), verdicts=1)
+        for key, numbers in crashed.items()
+    )
+    table = make_table(make_route(RouteClass.BATCH))
+    isolation.set_registry(Snapshot(table, FleetView(), SuspectList(revision=1, suspects=suspects)))
+
+
+def lot_that_is_held(isolation: Isolation) -> list[ItemRun]:
+    """Return the items of a lot beside which as many back ends crashed as it may crash."""
+    runs = [item(f"item-{number}") for number in range(MAX_ORIGIN_CRASHES)]
+    for number, run in enumerate(runs):
+        crash_alone(isolation, run, number)
+    assert isolation.placement(item("next")) is Placement.HELD
+    return runs
+
+
+PARTS = [part_key(("r", "secret", name)) for name in ("a", "b")]
+
+
+@pytest.mark.parametrize("keys", [PARTS, ["online-1", "online-2"]], ids=["parts", "requests"])
+def test_a_lot_is_not_held_for_crashes_by_online_requests_that_are_refused(keys: list[str]) -> None:
+    """They came to back ends at which items of the lot had just begun alone."""
+
+    async def scenario() -> None:
+        isolation = Isolation(None)
+        lot_that_is_held(isolation)
+        tell_of(isolation, {keys[0]: (0, 1, 2), keys[1]: (3, 4, 5)})
+        assert isolation.placement(item("next")) is not Placement.HELD
+        # A complete response clears the first one.
+        tell_of(isolation, {keys[1]: (3, 4, 5)})
+        crash_alone(isolation, item("bad-1"), 11)
+        crash_alone(isolation, item("bad-2"), 12)
+        assert isolation.placement(item("next")) is not Placement.HELD
+        crash_alone(isolation, item("bad-3"), 13)
+        assert isolation.placement(item("next")) is Placement.HELD
+
+    play(scenario)
+
+
+def test_a_lot_is_held_for_crashes_that_no_refused_online_request_explains() -> None:
+    async def scenario() -> None:
+        isolation = Isolation(None)
+        runs = lot_that_is_held(isolation)
+        online = "online"
+        # Too few crashes for a verdict; then the request of one of the items.
+        tell_of(isolation, {online: (0, 1)})
+        assert isolation.placement(item("next")) is Placement.HELD
+        own = request_key(request_content(request(runs[0], runs[0].item.item_id.encode())))
+        tell_of(isolation, {own: (0, 1, 2)})
+        assert isolation.placement(item("next")) is Placement.HELD
+        # An item crashes another back end, at which the online request did not run.
+        tell_of(isolation, {online: (0, 1, 2)})
+        assert isolation.placement(item("next")) is not Placement.HELD
+        for run, number in zip(runs[:3], (11, 12, 13), strict=True):
+            crash_alone(isolation, run, number)
+        known = isolation._limits._origins[("lot", "lot")]
+        count = isolation._limits._count(known, asyncio.get_running_loop().time())
+        assert count == MAX_ORIGIN_CRASHES + 3
+
+    play(scenario)
+
+
 def test_sound_items_that_ran_alone_in_a_power_failure_run_again_soon() -> None:
     """One crash alone makes each a strong suspect, and the pause grows with their number."""
     limits = CrashLimits()
