Tests: only threads of the sharing itself are counted for it

The row "a silent gateway delays a caller for a moment only" failed in one process after other gateway tests, whose threads it counted as well: 74 where 70 idle threads were left by a test before it, of 60 allowed.

It now counts the threads that began in it, and allows the eight of the pool in place of 60 in the whole process (two begin).

--- a/tests/unit/test_evidence_sharing.py
+++ b/tests/unit/test_evidence_sharing.py
@@ -19,6 +19,7 @@
     FIRST_PULLS,
     HEARD_TIMEOUT_S,
     MAX_PENDING_KEYS,
+    SHARING_THREADS,
     EvidenceSharing,
 )
 from leverjunction.gateway.harvest import BatchHarvest
@@ -166,6 +167,7 @@
 def test_a_silent_gateway_delays_a_caller_for_a_moment_only(
     make_sharing: Callable[..., Sharing],
 ) -> None:
+    others = set(threading.enumerate())
     sharing = make_sharing(state_of(1), state_of(2))
     proceed = threading.Event()
 
@@ -190,7 +192,8 @@
         ),
         "the other one has heard",
     )
-    assert threading.active_count() < 60
+    own = set(threading.enumerate()) - others
+    assert len(own) <= SHARING_THREADS
     proceed.set()
 
 
