Streams: a leaving back end is used for as long as a call to the leader vouches for

By the review: a resumed stream could reach a leaving back end more than DrainMs after its leave was acknowledged (DRAIN), where a control process handles messages late.

Cause: a replica counts as complete up to when it handles a message of the leader, not to when that was sent. A gateway that follows a control process which handles messages 0.6 s late took back ends for ready for up to 0.66 s after the acknowledgement, and the margin is 0.3 s.

The state is now verified by the calls that control processes make to the leader each 0.7 s anyway: the reply names the leader's revision, and a state with that revision contains all that was acknowledged before the call began, however late messages are handled. Watch replies tell its age, and departures go by it. Older control processes or leaders tell none: then leaving back ends are not used.

Evidence: test_a_back_end_is_not_taken_for_ready_after_its_leave_was_acknowledged failed by the contact's age (five of ten bounds 0.30 to 0.66 s after the acknowledgement); by the verified age all ten lie 0.05 to 0.92 s before it. The tests of leases, follower, hub, gateways out of step and leaving back ends pass (57).

--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -307,7 +307,7 @@
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         """Pass a newer registry snapshot to the event loop; called on the follower's thread."""
         # The follower has confirmed only the state before it by now.
-        known_until_s = self._loop.time() - self._follower.table_age_s()
+        known_until_s = self._loop.time() - self._follower.verified_age_s()
         self._loop.call_soon_threadsafe(self._publish, snapshot, known_until_s)
 
     def _publish(self, snapshot: Snapshot, known_until_s: float) -> None:
--- a/src/leverjunction/registry/commands.py
+++ b/src/leverjunction/registry/commands.py
@@ -257,6 +257,8 @@
         table_changes: What changed since the requester's table, in place of a whole one.
         view_changes: What changed since the requester's view, in place of a whole one.
         shared: Revisions that all processes have; None from a release that does not send it.
+        verified_age_s: As ``contact_age_s``, but by a call to the leader (``VerifiedState``); None
+            if there was none.
     """
 
     table: RouteTable | None
@@ -270,6 +272,7 @@
     table_changes: TableChanges | None = None
     view_changes: ViewChanges | None = None
     shared: SharedRevisions | None = None
+    verified_age_s: float | None = None
 
 
 class LivenessReport(msgspec.Struct, frozen=True):
--- a/src/leverjunction/registry/follower.py
+++ b/src/leverjunction/registry/follower.py
@@ -94,6 +94,7 @@
         self._replied_s = clock.monotonic_s()
         self._complete_until_s = -math.inf
         """Latest time up to which the newest state is known to include all commits."""
+        self._verified_until_s = -math.inf
         self._is_connected = False
         self._freshness = Freshness(MIN_STALL_S, MAX_DOUBT_S)
         self.standstills = 0
@@ -131,6 +132,10 @@
         """
         return min(self._clock.monotonic_s() - self._complete_until_s, MAX_AGE_S)
 
+    def verified_age_s(self) -> float:
+        """Return the same by calls to the leader: sound also beside a hub that is slow."""
+        return min(self._clock.monotonic_s() - self._verified_until_s, MAX_AGE_S)
+
     def is_in_doubt(self) -> bool:
         """Return whether this process stalled and has not confirmed its state since."""
         return self._freshness.is_in_doubt(self._clock.monotonic_s())
@@ -173,6 +178,9 @@
             return
         complete_s = sent_s + reply.held_s - reply.contact_age_s
         self._complete_until_s = max(self._complete_until_s, complete_s)
+        if reply.verified_age_s is not None:
+            verified_s = sent_s + reply.held_s - reply.verified_age_s
+            self._verified_until_s = max(self._verified_until_s, verified_s)
         self._confirmed(self._complete_until_s)
         # A hub without recent contact with its leader, for example after a stall of its own,
         # replies with a failure and never gets here.
--- a/src/leverjunction/registry/hub.py
+++ b/src/leverjunction/registry/hub.py
@@ -28,6 +28,7 @@
 )
 from leverjunction.registry.fresh_read import LeaderQueries, read_state, read_versions
 from leverjunction.registry.records import FleetView
+from leverjunction.registry.verified_state import VerifiedState
 from leverjunction.registry.version_leases import SharedRevisions, VersionChanges
 from leverjunction.registry.watch_encoding import encode_watch_reply
 from leverjunction.routes import table_changes
@@ -97,6 +98,8 @@
         self._suspects = SuspectList()
         self._shared = SharedRevisions()
         self._version_changes = VersionChanges()
+        self._verified = VerifiedState()
+        self._verified_lock = threading.Lock()
 
     def notify_changed(self) -> None:
         """Wake waiting calls after a command was applied; called by the replica's thread."""
@@ -115,6 +118,11 @@
         if wake and is_newer:
             self.notify_changed()
 
+    def note_leader(self, revision: int, sent_s: float) -> None:
+        """Note the leader's revision in the reply to a call that began at a monotonic time."""
+        with self._verified_lock:
+            self._verified.replied(revision, sent_s)
+
     def age_s(self) -> float:
         """Return the upper bound of the cached state's age, in seconds."""
         self._refresh()
@@ -216,8 +224,14 @@
             table_changes=table.changes,
             view_changes=view.changes,
             shared=self._shared_now(),
+            verified_age_s=self._verified_age_s(view.revision),
         )
 
+    def _verified_age_s(self, revision: int) -> float | None:
+        with self._verified_lock:
+            until_s = self._verified.until_s(revision)
+        return None if math.isinf(until_s) else self._clock.monotonic_s() - until_s
+
     def _shared_now(self) -> SharedRevisions:
         """Return what all processes share; call it after the view was read.
 
--- a/src/leverjunction/registry/lease_exchange.py
+++ b/src/leverjunction/registry/lease_exchange.py
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
+import msgspec
 from loguru import logger
 
 from leverjunction.clock import Clock
@@ -85,6 +86,7 @@
         if isinstance(shared, Failure):
             logger.debug("the leader took no report of revisions: {}", shared.reason)
             return
+        self._hub.note_leader(shared.leader, now_s)
         with self._lock:
             self._lease.granted(shared, now_s)
         self._hub.set_shared(self._lease.shared, wake=is_pending)
@@ -105,7 +107,9 @@
                 self._reports = (status.term, ViewReports(now_s))
             reports = self._reports[1]
             reports.record(report, now_s)
-            return encode_reply(reports.shared(self._controls(status), now_s))
+            shared = reports.shared(self._controls(status), now_s)
+        leader = self._hub.view().revision
+        return encode_reply(msgspec.structs.replace(shared, leader=leader))
 
     def _controls(self, status: GroupStatus) -> set[str]:
         members = self._hub.view().addresses(MemberRole.CONTROL)
--- a/src/leverjunction/registry/version_leases.py
+++ b/src/leverjunction/registry/version_leases.py
@@ -41,12 +41,15 @@
         are_held: Whether no gateway uses a version sooner: all are of a build that holds them back.
         versions: Revision from which on the control process that tells this knew all versions that
             serve, -1 if it is not known.
+        leader: Revision of the leader when it replied, -1 if it did not tell and in what is passed
+            on to others.
     """
 
     controls: int = -1
     gateways: int = -1
     are_held: bool = False
     versions: int = -1
+    leader: int = -1
 
     def merged(self, later: SharedRevisions | None) -> SharedRevisions:
         """Return what is known after a later message; a revision that all had, they still have.
--- a/src/leverjunction/registry/watch_encoding.py
+++ b/src/leverjunction/registry/watch_encoding.py
@@ -36,6 +36,7 @@
     table_changes: msgspec.Raw | None = None
     view_changes: msgspec.Raw | None = None
     shared: SharedRevisions | None = None
+    verified_age_s: float | None = None
 
 
 def encode_watch_reply(reply: WatchReply, encode_table: Encoder, encode_view: Encoder) -> bytes:
@@ -58,6 +59,7 @@
         table_changes=_part(reply.table_changes, encode_table, "table", "changes"),
         view_changes=_part(reply.view_changes, encode_view, "view", "changes"),
         shared=reply.shared,
+        verified_age_s=reply.verified_age_s,
     )
     return encode_reply(encoded)
 
