Admission: a resumed stream is not refused by an assumed run time

Callers of broken streams saw a refusal at once ("no back end can answer in time; 0 requests are held") with 0.3 to 1.6 s left, at gateways that had just started.

Until a gateway's first run has finished, its mean run time is a default of 1 s. Where runs are shorter, the wait computed from it exceeds the time left though the queue drains in time, so admission refuses streams that could be served. Cause and class: a default taken for a measurement, in a decision that needs certainty.

The estimate now tells whether its run time is assumed. While several versions serve, a resumed stream then joins its version's queue; a back end that can't queue it declines, and it waits again as before. New requests, and services of one version, are judged as before.

--- a/src/leverjunction/proxy/admission.py
+++ b/src/leverjunction/proxy/admission.py
@@ -50,13 +50,21 @@
         run_s: Average time in seconds for which a request occupies a slot.
         backlog: Number of requests that wait at all back ends.
         capacity: Number of slots of all back ends.
+        is_run_assumed: Whether ``run_s`` is a default, as no request has finished here yet.
     """
 
-    __slots__ = ("backlog", "capacity", "queue", "run_s", "slots")
+    __slots__ = ("backlog", "capacity", "is_run_assumed", "queue", "run_s", "slots")
 
     def __init__(
-        self, queue: float, slots: int, run_s: float, backlog: float, capacity: int
+        self,
+        queue: float,
+        slots: int,
+        run_s: float,
+        backlog: float,
+        capacity: int,
+        is_run_assumed: bool = False,
     ) -> None:
+        self.is_run_assumed = is_run_assumed
         self.queue = queue
         self.slots = slots
         self.run_s = run_s
@@ -146,8 +154,11 @@
     def meets_target(self, estimate: LoadEstimate, now_s: float) -> bool:
         """Return whether the request would meet its target if it were sent now.
 
-        A resumed stream is late already: it is to meet its deadline.
+        A resumed stream is late already: it is to meet its deadline. While run times are only
+        assumed, its wait is unknown, and it joins the queue.
         """
+        if self.version is not None and estimate.is_run_assumed:
+            return not self.is_expired(now_s)
         if self.version is not None:
             return not self.is_expired(now_s + estimate.wait_s)
         return now_s + estimate.wait_s + self.head_latency_s <= self.target_s
--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -490,6 +490,7 @@
             run_s=run_s * factor,
             backlog=sum(max(0.0, runner.load(now_s) - runner.slots) for runner in runners),
             capacity=round(capacity),
+            is_run_assumed=service not in self._mean_run_s and self._has_several_versions(service),
         )
 
     def _has_several_versions(self, service: str) -> bool:
--- a/tests/unit/test_resumed_streams_under_load.py
+++ b/tests/unit/test_resumed_streams_under_load.py
@@ -53,7 +53,7 @@
         yield entered
 
 
-def two_versions(old_load: int, new_load: int) -> Balancer:
+def two_versions(old_load: int, new_load: int, run_s: float | None = RUN_S) -> Balancer:
     """Return the balancer of a service with a back end of each version."""
     balancer = Balancer("z", Random(1))
     balancer.replace(
@@ -62,7 +62,8 @@
         )
         for version in (OLD, NEW)
     )
-    balancer.record_run("s", RUN_S)
+    if run_s is not None:
+        balancer.record_run("s", run_s)
     for runner in balancer.available("s"):
         load = old_load if runner.record.version == OLD else new_load
         runner.report_load(EngineLoad(min(load, SLOTS), max(0, load - SLOTS), SLOTS), NOW_S)
@@ -269,6 +270,35 @@
     assert play.began >= 0.75, play
 
 
+@pytest.mark.parametrize("versions", [EVEN, TWO_OF_SIX], ids=["even", "two"])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_resumed_stream_is_not_refused_by_an_assumed_run_time(
+    versions: tuple[str, ...], seed: int
+) -> None:
+    """Symptom: refused 1 ms after it came to a gateway that had just started, with 1 s left."""
+    short = {"left_s": (0.3, 1.6), "run_s": 0.4, "read_s": (0.005, 0.05)}
+    play = shares(Play(overload=2.5, versions=versions, seed=seed, **short))  # type: ignore[arg-type]
+    assert play.resumed >= 12
+    assert play.unjudged == 0, play
+    assert keeps_promise(play), play
+
+
+@pytest.mark.parametrize(
+    ("run_s", "expected"),
+    [(None, Decision.SEND), (RUN_S, Decision.REFUSE)],
+    ids=["assumed", "known"],
+)
+def test_a_resumed_stream_joins_a_queue_of_unknown_wait(
+    run_s: float | None, expected: Decision
+) -> None:
+    load = two_versions(14, 14, run_s).estimate_load("s", NOW_S, OLD)
+    assert load is not None
+    assert load.wait_s > 0.5
+    stream = Ticket(NOW_S, NOW_S + 0.5, NOW_S + 0.6, 0.05, version=OLD)
+    assert AdmissionQueue(NOW_S).admit(stream, load, NOW_S) is expected
+    assert AdmissionQueue(NOW_S).admit(new(), load, NOW_S) is Decision.HOLD
+
+
 def loaded(versions: tuple[str, ...], *loads: EngineLoad) -> Balancer:
     """Return a balancer whose back ends have just told these loads."""
     balancer = Balancer("z", Random(1))
