--- a/tests/unit/test_resumed_streams_under_load.py
+++ b/tests/unit/test_resumed_streams_under_load.py
@@ -283,6 +283,29 @@
     assert keeps_promise(play), play
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_resumed_streams_that_return_together_are_not_begun_in_vain(seed: int) -> None:
+    """Symptom: all broken streams of a version were sent to its last back ends, which read their
+    prompts in turns, had no event for any until the callers left, and began anew at each try.
+
+    The three back ends left can read half of these prompts in a third of the callers' 6 s.
+    """
+    play = shares(
+        Play(
+            overload=0.22,
+            versions=("v1",) * 6 + ("v2",) * 4,
+            slots=19,
+            lost=3,
+            run_s=4.0,
+            read_s=(0.2, 0.3),
+            patience_s=1.5,
+            seed=seed,
+        )
+    )
+    assert play.resumed >= 12
+    assert keeps_promise(play), play
+
+
 @pytest.mark.parametrize(
     ("run_s", "expected"),
     [(None, Decision.SEND), (RUN_S, Decision.REFUSE)],
