Tests: gateways know each other before a stream is to crash three engines

Cause: the fleet was ready when each gateway had a view of the hub. The first refuses the stream after three crashes and tells nobody, and the second crashes a fourth, unless an exchange comes between.

The fleet now waits until each gateway knows all. The bound is unchanged.

--- a/tests/unit/test_gateway_crashing_streams.py
+++ b/tests/unit/test_gateway_crashing_streams.py
@@ -27,6 +27,7 @@
 from leverjunction.errors import Failure
 from leverjunction.gateway.relay import RelayLoop
 from leverjunction.gateway.relay_stream import RelayStream
+from leverjunction.gateway.view import ClusterView
 from leverjunction.quarantine.records import EvidenceNotice, EvidenceReply
 from leverjunction.wire.control_client import EVIDENCE_TIMEOUT_S, ControlClient
 
@@ -106,6 +107,11 @@
             self.gateways.append(start_gateway(home, [self.hub.address], name=f"g{number}"))
         for gateway in self.gateways:
             wait_until(lambda gateway=gateway: gateway.not_ready() is None, "gateway is ready")
+            wait_until(lambda gateway=gateway: self._knows_all(gateway), "gateway knows the others")
+
+    def _knows_all(self, gateway: GatewayRuntime) -> bool:
+        """Return whether a gateway knows all to tell: one that has just started is not told yet."""
+        return len(gateway.view.snapshot.gateways) == len(self.gateways)
 
     def crashes(self) -> int:
         return sum(engine.is_crashed for engine in self.engines)
@@ -141,6 +147,22 @@
     assert json.loads(answers[-1].data)["error"]["code"] == "harmful"
 
 
+def test_a_stream_crashes_no_further_engine_at_a_gateway_that_has_just_started(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The others learn of it with their next exchange; until then they do not tell it."""
+    fleet = CrashingFleet(tmp_path, 2, COURSES["at once"])
+    sharing = fleet.gateways[0].evidence_sharing
+    monkeypatch.setattr(sharing, "_view", ClusterView())
+    monkeypatch.setattr(sharing, "on_view", lambda _snapshot: None)
+    try:
+        answers = [fleet.send(number % 2) for number in range(TRIES)]
+    finally:
+        fleet.stop()
+    assert fleet.crashes() <= MAX_CRASHES
+    assert answers[-1].status == 400
+
+
 def test_a_crash_that_is_noticed_late_counts_in_full(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
