--- a/src/testbed/simulation/seeded/routed/broken.py
+++ b/src/testbed/simulation/seeded/routed/broken.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 from unittest import mock
 
@@ -35,8 +35,11 @@
     """Return the patches."""
     replace = Balancer.replace
 
-    def all_ready(self: Balancer, records: Iterable[RunnerRecord]) -> None:
-        replace(self, [msgspec.structs.replace(one, state=RunnerState.READY) for one in records])
+    def all_ready(
+        self: Balancer, records: Iterable[RunnerRecord], departing: Collection[str] = frozenset()
+    ) -> None:
+        ready = [msgspec.structs.replace(one, state=RunnerState.READY) for one in records]
+        replace(self, ready, departing)
 
     return [mock.patch.object(Balancer, "replace", all_ready)]
 
--- a/tests/unit/test_simulation_routed.py
+++ b/tests/unit/test_simulation_routed.py
@@ -55,6 +55,7 @@
         ("repeat_whatever_failed", 1, LOST_RUNS),
         ("repeat_whatever_failed", 4, LOST_RUNS),
         ("say_not_run", 1, LOST_RUNS),
+        ("say_not_run", 2, LOST_RUNS),
         ("repeat_nothing", 2, LOST_RUNS),
         ("take_a_part_for_the_whole", 8, (SeededFaultKind.KILL_BACK_END,)),
         ("take_a_part_for_the_whole", 3, (SeededFaultKind.KILL_BACK_END,)),
