--- a/tests/unit/item_waits_model.py
+++ b/tests/unit/item_waits_model.py
@@ -7,66 +7,67 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import dataclasses
+import math
 import sqlite3
-from collections.abc import Callable, Iterable
-from concurrent.futures import Executor
+from collections import Counter
+from collections.abc import Iterable
 from enum import StrEnum
 from random import Random
-from typing import Any
 from unittest import mock
 
 import msgspec
 from loguru import logger
+from tests.unit.item_waits_parts import (
+    DOWN_S,
+    EVENT_S,
+    HOST_LOSS_S,
+    PROCESS_LOSS_S,
+    REGISTER_S,
+    BackEnd,
+    Faults,
+    ModelClock,
+    ModelLoop,
+    ModelSender,
+    OrderedQueue,
+    Work,
+)
 
 from leverjunction.consensus.api import ApplyContext, GroupStatus
 from leverjunction.errors import Execution, Failure, FailureKind, Step
-from leverjunction.lots.commands import LotItem, OpenKeys, ReadOpenKeys, SubmitLot, encode_command
+from leverjunction.lots.commands import (
+    LotItem,
+    OpenKeys,
+    ReadOpenKeys,
+    SubmitLot,
+    encode_command,
+)
 from leverjunction.lots.item_lines import ItemLineWriter
-from leverjunction.lots.item_queue import ItemQueue
-from leverjunction.lots.item_run import ItemKey, ItemRun
+from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.lots.state_machine import LotsStateMachine
 from leverjunction.platform.headers import PlatformDialect
-from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.dialect import EngineLoad, ResponseMetadata
-from leverjunction.proxy.dispatch import Dispatch, OpenedResponse
-from leverjunction.proxy.runner_connection import ResponseEnd, ResponseHead
-from leverjunction.proxy.tracked_runner import TrackedRunner
 from leverjunction.quarantine.records import EndedRun, SuspectList, SuspectRecord
 from leverjunction.quarantine.verdicts import on_trial, with_ended_run
+from leverjunction.registry.commands import ReviewSuspects
 from leverjunction.registry.follower import Snapshot
 from leverjunction.registry.records import FleetView, RunnerRecord, RunnerState
 from leverjunction.registry.suspect_review import SuspectReview
 from leverjunction.routes import RouteClass
 from leverjunction.wire.codec import decode_reply, encode
-from testbed.placement.virtual_loop import VirtualLoop
-from testbed.routed import HOST, SERVICE, make_route, make_table
+from testbed.routed import HOST, make_route, make_table
 
-BEGIN_S = 1000.0
-"""Time at which a history begins: parts of the product take 0 for "never"."""
-
-SLOTS = 19
 LOT_ITEMS = 16
-EVENT_S = 0.25
-COMMIT_S = 0.01
-WAY_S = 0.001
-LOAD_READ_S = 0.1
 NOTICE_S = 0.1
 """Delay of a change of the registry until the stores know it."""
 
-REGISTER_S = 0.3
-"""Delay of a back end's start until the registry has its record."""
-
-SILENCE_S = 6.0
 REVIEW_S = 0.4
 ELECTION_S = 1.0
-DOWN_S = 0.8
 DUE_S = 60.0
 GIVE_UP_S = 600.0
 LOOK_S = 0.5
-LOST_S = 0.002
 BAD_S = (0.002, 0.1)
 """Shortest and longest time from the beginning of a harmful request to the crash."""
 
@@ -74,276 +75,6 @@
 RUN_S = (1.0, 4.0)
 
 
-class ModelLoop(VirtualLoop):
-    """An event loop in virtual time on which calls to executors and connections are simulated.
-
-    Attributes:
-        back_ends: The back ends by address; others refuse connections.
-    """
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now_s = BEGIN_S
-        self.back_ends: dict[str, BackEnd] = {}
-
-    def run_in_executor(  # type: ignore[override]
-        self, executor: Executor | None, func: Callable[..., Any], *args: Any
-    ) -> asyncio.Future[Any]:
-        """Call a function after the time that a commit takes."""
-        future: asyncio.Future[Any] = self.create_future()
-
-        def call() -> None:
-            if not future.done():
-                future.set_result(func(*args))
-
-        self.call_later(COMMIT_S, call)
-        return future
-
-    async def create_connection(  # type: ignore[override]
-        self, protocol_factory: Callable[[], asyncio.BaseProtocol], host: str, port: int
-    ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
-        """Connect to a back end, as the quarantine's probe does.
-
-        Raises:
-            ConnectionRefusedError: Nothing listens there.
-        """
-        await asyncio.sleep(WAY_S)
-        if not self.back_ends[f"{host}:{port}"].is_up:
-            raise ConnectionRefusedError(f"nothing listens at {host}:{port}")
-        return mock.Mock(spec=asyncio.Transport), protocol_factory()
-
-    def _write_to_self(self) -> None:
-        """Do nothing: the loop never waits."""
-
-
-class ModelClock:
-    """The clock of all processes."""
-
-    def __init__(self, loop: ModelLoop) -> None:
-        self._loop = loop
-
-    def monotonic_s(self) -> float:
-        """Return the virtual time."""
-        return self._loop.now_s
-
-    def wall_ms(self) -> int:
-        """Return the virtual time in milliseconds."""
-        return round(self._loop.now_s * 1000)
-
-
-class OrderedQueue(ItemQueue):
-    """Items in an order that does not depend on the hash seed."""
-
-    __slots__ = ()
-
-    def unknown_lots(self, keys: Iterable[ItemKey]) -> list[str]:  # type: ignore[override]
-        """Return the lots with open items that are not in the queue, sorted."""
-        return sorted(super().unknown_lots(keys))
-
-
-@dataclasses.dataclass
-class Work:
-    """What an item takes, and what became of it.
-
-    Attributes:
-        first_output_s: Time from the beginning of a run to its first output.
-        events: Events of its output.
-        crash_s: Time from the beginning of a run to the crash that it causes; None if harmless.
-        begun_s: When each run began at a back end.
-        done_s: When its output was complete.
-    """
-
-    first_output_s: float
-    events: int
-    crash_s: float | None = None
-    begun_s: list[float] = dataclasses.field(default_factory=list)
-    done_s: float | None = None
-
-
-class Engine:
-    """A run at a back end, and the connection on which its output arrives."""
-
-    def __init__(self, back_end: BackEnd, item: str, work: Work, from_event: int) -> None:
-        self._loop = asyncio.get_running_loop()
-        self._back_end = back_end
-        self._next_s = self._loop.time() + work.first_output_s
-        self._event = from_event
-        self._work = work
-        self.item = item
-        self.broken: asyncio.Future[None] = self._loop.create_future()
-
-    def set_read_interval(self, _interval_s: float) -> None:
-        """Do nothing: each event is read as it arrives."""
-
-    async def next_event(self) -> bytes | ResponseEnd | Failure:
-        """Return the next event of the output, its end, or that the connection broke."""
-        if self._event >= self._work.events:
-            return ResponseEnd()
-        failure = await self.wait_until(self._next_s)
-        if failure is not None:
-            return failure
-        self._event += 1
-        self._next_s += EVENT_S
-        return f"id: {self._event}\ndata: x\n\n".encode()
-
-    async def wait_until(self, at_s: float) -> Failure | None:
-        """Wait until a time; return a failure if the connection breaks before."""
-        await asyncio.wait([self.broken], timeout=max(0.0, at_s - self._loop.time()))
-        if not self.broken.done():
-            return None
-        return Failure(
-            kind=FailureKind.UNREACHABLE,
-            reason="the connection broke",
-            step=Step.RELAYING,
-            peer=self._back_end.address,
-            execution=Execution.UNKNOWN,
-        )
-
-    async def head(self) -> Failure | None:
-        """Wait for the head, which comes with the first output."""
-        return await self.wait_until(self._next_s)
-
-    def end(self) -> None:
-        """Leave the back end."""
-        self._back_end.engines.pop(self, None)
-
-
-class BackEnd:
-    """A back end whose process may crash, and starts again.
-
-    Attributes:
-        engines: Its runs.
-        is_up: Whether its process runs.
-        online: Online requests that it is processing.
-        record: Its present start.
-        works: What each item takes.
-        crashes: When it crashed, and the item that caused it, empty for none.
-    """
-
-    def __init__(self, number: int, registry: Registry, works: dict[str, Work]) -> None:
-        self.works = works
-        self._loop = asyncio.get_running_loop()
-        self._number = number
-        self._registry = registry
-        self.address = f"b{number}:9"
-        self.engines: dict[Engine, None] = {}
-        self.is_up = True
-        self.online = 0
-        self.crashes: list[tuple[float, str]] = []
-        self.record = self._new_record()
-
-    def _new_record(self) -> RunnerRecord:
-        return RunnerRecord(
-            runner_id=f"b{self._number:02}",
-            service=SERVICE,
-            address=self.address,
-            zone="z",
-            slots=SLOTS,
-            born_ms=round(self._loop.time() * 1000),
-        )
-
-    def begin(self, item: str, work: Work, from_event: int) -> Engine:
-        """Begin a run, which may crash the back end."""
-        engine = Engine(self, item, work, from_event)
-        self.engines[engine] = None
-        work.begun_s.append(self._loop.time())
-        if work.crash_s is not None:
-            self._loop.call_later(work.crash_s, self._crash_in, engine)
-        return engine
-
-    def _crash_in(self, engine: Engine) -> None:
-        if engine in self.engines:
-            self.crash(DOWN_S, engine.item)
-
-    def crash(self, down_s: float, cause: str = "") -> None:
-        """End the process with all its runs, and start another one later."""
-        if not self.is_up:
-            return
-        self.is_up = False
-        self.crashes.append((self._loop.time(), cause))
-        for engine in self.engines:
-            self._loop.call_later(LOST_S, _break, engine)
-        self.engines.clear()
-        self._loop.call_later(SILENCE_S, self._registry.note_silence, self, self.record)
-        self._loop.call_later(down_s, self._start)
-
-    def _start(self) -> None:
-        self.is_up = True
-        self.record = self._new_record()
-        self._loop.call_later(REGISTER_S, self._registry.publish)
-
-
-def _break(engine: Engine) -> None:
-    if not engine.broken.done():
-        engine.broken.set_result(None)
-
-
-class ModelSender:
-    """Sends requests to the simulated back ends, in place of ``Sender``."""
-
-    def __init__(self, _pool: object, balancer: Balancer, _dialect: object, **_: object) -> None:
-        loop = asyncio.get_running_loop()
-        assert isinstance(loop, ModelLoop)
-        self._loop = loop
-        self._balancer = balancer
-
-    def _back_end(self, runner: TrackedRunner) -> BackEnd:
-        return self._loop.back_ends[runner.record.address]
-
-    async def send(self, dispatch: Dispatch) -> OpenedResponse | Failure:
-        """Send an item and wait for the head."""
-        runner, back_end = dispatch.runner, self._back_end(dispatch.runner)
-        await asyncio.sleep(WAY_S)
-        if not back_end.is_up:
-            self._balancer.failed(runner, self._loop.time())
-            return _refused(back_end.address)
-        item = dispatch.metadata.request_id
-        done = int(dispatch.last_event_id or 0)
-        engine = back_end.begin(item, back_end.works[item], done)
-        try:
-            async with asyncio.timeout_at(dispatch.head_timeouts.hard_s):
-                failure = await engine.head()
-        except BaseException:
-            engine.end()
-            raise
-        if failure is not None:
-            self._balancer.failed(runner, self._loop.time())
-            return failure
-        self._balancer.succeeded(runner, self._loop.time())
-        head = ResponseHead(200, [], ResponseMetadata())
-        return OpenedResponse(head, head.metadata, engine, runner)  # type: ignore[arg-type]
-
-    def finish(self, response: OpenedResponse, whole: bool) -> None:
-        """End a run that is complete, or is stopped."""
-        engine: Any = response.connection
-        engine.end()
-
-    def close_idle_connections(self, _runner: TrackedRunner) -> None:
-        """Do nothing: no connection is kept."""
-
-    async def read_load(self, runner: TrackedRunner) -> EngineLoad | None:
-        """Read the load of a back end."""
-        back_end = self._back_end(runner)
-        if not back_end.is_up:
-            await asyncio.sleep(LOAD_READ_S)
-            return None
-        requests = back_end.online + len(back_end.engines)
-        load = EngineLoad(min(requests, SLOTS), max(0, requests - SLOTS), SLOTS)
-        await asyncio.sleep(LOAD_READ_S)
-        runner.report_load(load, self._loop.time())
-        return load
-
-
-def _refused(address: str) -> Failure:
-    return Failure(
-        kind=FailureKind.NOT_LISTENING,
-        reason="no connection: refused",
-        step=Step.CONNECTING,
-        peer=address,
-        execution=Execution.NOT_RUN,
-    )
-
-
 class Registry:
     """The registry: back ends, and the evidence that stores report, by the product's rules."""
 
@@ -367,9 +98,9 @@
         if self._suspects.pop(key, None) is not None:
             self._tell()
 
-    def note_silence(self, back_end: BackEnd, record: RunnerRecord) -> None:
-        """Note that a back end has been silent for long, unless it has started again."""
-        if back_end.record is record and record.runner_id in self._records:
+    def note_silence(self, record: RunnerRecord) -> None:
+        """Note that a start has been silent for long, unless there is a later one."""
+        if self._records.get(record.runner_id) is record:
             silent = msgspec.structs.replace(record, state=RunnerState.SILENT)
             self._records[record.runner_id] = silent
             self._tell()
@@ -386,9 +117,10 @@
         while True:
             await asyncio.sleep(REVIEW_S)
             for change in self._review.due(self._list(), self._loop.time()):
-                for key in change.on_trial:  # type: ignore[union-attr]
+                assert isinstance(change, ReviewSuspects)
+                for key in change.on_trial:
                     self._suspects[key] = on_trial(self._suspects[key])
-                for key in change.forgotten:  # type: ignore[union-attr]
+                for key in change.forgotten:
                     del self._suspects[key]
                 self._tell()
 
@@ -520,7 +252,9 @@
     Attributes:
         back_ends: The back ends.
         works: What becomes of each item.
-        random: Source of all times.
+        random: Source of all times but those of faults of connections.
+        faults: Faults of the connections to back ends.
+        headers: Headers of the items that are submitted.
     """
 
     def __init__(self, loop: ModelLoop, back_ends: int, seed: int) -> None:
@@ -530,11 +264,15 @@
         self._submitted_s: dict[str, float] = {}
         self._leader: Store | None = None
         self.works: dict[str, Work] = {}
+        self.headers: tuple[tuple[str, str], ...] = ()
         self.random = Random(seed)
+        self.faults = Faults(Random(seed + 1))
         self.back_ends: list[BackEnd] = []
         self.registry = Registry(self.back_ends)
         for number in range(back_ends):
-            back_end = BackEnd(number, self.registry, self.works)
+            back_end = BackEnd(
+                number, self.works, self.faults, self.registry.publish, self.registry.note_silence
+            )
             self.back_ends.append(back_end)
             loop.back_ends[back_end.address] = back_end
         self.registry.publish()
@@ -583,7 +321,9 @@
             give_up_s=GIVE_UP_S,
             due_ms=DUE_S * 1000,
             items=tuple(
-                LotItem(item_id=name, path=path, headers=(), body=name.encode(), tokens=100)
+                LotItem(
+                    item_id=name, path=path, headers=self.headers, body=name.encode(), tokens=100
+                )
                 for name in names
             ),
         )
@@ -651,6 +391,11 @@
             series, beside the sound lots.
         online: Most online requests at a back end before calm.
         lot_interval_s: Time between two sound lots.
+        lot_items: Items of a sound lot.
+        has_caller: Whether all lots come from one caller with credentials.
+        are_hosts_lost: Whether hosts crash and not processes, so that connections break late.
+        lost_share: Share of the runs before calm whose output no longer arrives.
+        hung_share: Share of the runs before calm that do not go on.
     """
 
     back_ends: int = 8
@@ -662,6 +407,11 @@
     bad: tuple[int, ...] = ()
     online: int = 4
     lot_interval_s: float = 3.0
+    lot_items: int = LOT_ITEMS
+    has_caller: bool = False
+    are_hosts_lost: bool = False
+    lost_share: float = 0.0
+    hung_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -679,6 +429,34 @@
     crashes: dict[str, int]
 
 
+SERIES_S = 20.0
+HISTORIES = {
+    "series": History(crashes_s=SERIES_S),
+    "series, same leader": History(crashes_s=SERIES_S, change=Change.SAME),
+    "series, other leader": History(crashes_s=SERIES_S, change=Change.OTHER),
+    "series, all killed": History(crashes_s=SERIES_S, has_power_loss=True, change=Change.KILLED),
+    "series of hosts": History(crashes_s=SERIES_S, are_hosts_lost=True),
+    "series, one caller": History(crashes_s=SERIES_S, has_caller=True),
+    "series, lots of 40": History(crashes_s=SERIES_S, lot_items=40, lot_interval_s=6.0),
+    "series, 20 back ends": History(crashes_s=SERIES_S, back_ends=20),
+    "power loss of back ends": History(has_power_loss=True),
+    "power loss of back ends, one caller": History(has_power_loss=True, has_caller=True),
+    "power loss of back ends, other leader": History(has_power_loss=True, change=Change.OTHER),
+    "power loss of all": History(has_power_loss=True, change=Change.KILLED),
+    "lost responses": History(crashes_s=SERIES_S, share=0.0, lost_share=0.5),
+    "hung responses": History(crashes_s=SERIES_S + 4.0, share=0.0, hung_share=0.3),
+    "1 harmful item": History(bad=(1,)),
+    "3 harmful items": History(bad=(3,)),
+    "16 harmful items": History(bad=(16,)),
+    "3 harmful items, one caller": History(bad=(3,), has_caller=True),
+    "5 lots with a harmful item": History(bad=(1, 1, 1, 1, 1)),
+    "series and 3 harmful items": History(crashes_s=SERIES_S, bad=(3,)),
+    "series, power loss, other leader, 1 harmful item": History(
+        crashes_s=SERIES_S, bad=(1,), has_power_loss=True, change=Change.OTHER
+    ),
+}
+"""Histories by what happens in them."""
+
 WARM_S = 8.0
 SOUND_LOTS = 3
 CRASH_WINDOW_S = 60.0
@@ -687,11 +465,11 @@
 def play(history: History, seed: int, calm_length_s: float) -> Outcome:
     """Play a history, and calm of a given length after it."""
     logger.disable("leverjunction")
-    replaced = {"Sender": ModelSender, "ItemQueue": OrderedQueue}
     loop = ModelLoop()
     try:
         with (
-            mock.patch.multiple("leverjunction.lots.runner", **replaced),
+            mock.patch("leverjunction.lots.runner.Sender", ModelSender),
+            mock.patch("leverjunction.lots.runner.ItemQueue", OrderedQueue),
             mock.patch.object(ItemLineWriter, "_write", lambda _self, _line: None),
         ):
             return loop.run_until_complete(_play(loop, history, seed, calm_length_s))
@@ -702,6 +480,9 @@
 
 async def _play(loop: ModelLoop, history: History, seed: int, calm_length_s: float) -> Outcome:
     fleet = Fleet(loop, history.back_ends, seed)
+    fleet.headers = (("Authorization", "Bearer caller"),) if history.has_caller else ()
+    fleet.faults.loss_s = HOST_LOSS_S if history.are_hosts_lost else PROCESS_LOSS_S
+    fleet.faults.lost_share, fleet.faults.hung_share = history.lost_share, history.hung_share
     submitting = loop.create_task(_submit(fleet, history))
     online = loop.create_task(_send_online(fleet, history.online))
     await asyncio.sleep(WARM_S)
@@ -709,6 +490,7 @@
     await _end_faults(fleet, history)
     submitting.cancel()
     online.cancel()
+    fleet.faults.stop()
     for back_end in fleet.back_ends:
         back_end.online = 0
     calm_s = loop.time()
@@ -735,7 +517,7 @@
     number = 0
     while True:
         await asyncio.sleep(history.lot_interval_s)
-        fleet.submit(f"sound{number:02}")
+        fleet.submit(f"sound{number:02}", items=history.lot_items)
         number += 1
 
 
@@ -757,7 +539,7 @@
     _submit_bad(fleet, history)
     for _ in range(int(history.crashes_s / history.interval_s)):
         await asyncio.sleep(history.interval_s)
-        count = max(1, round(history.share * history.back_ends))
+        count = math.ceil(history.share * history.back_ends)
         for back_end in fleet.random.sample(fleet.back_ends, count):
             back_end.crash(DOWN_S)
 
@@ -784,3 +566,27 @@
         if cause.startswith(lot)
     )
     return sum(1 for at_s in times_s if at_s < times_s[0] + CRASH_WINDOW_S)
+
+
+def main() -> None:
+    """Print the longest wait of each seed of a history, as measured in a long calm."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("history", nargs="+", choices=HISTORIES)
+    parser.add_argument("--first-seed", type=int, default=0)
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--calm", type=float, default=80.0, help="length of calm in seconds")
+    options = parser.parse_args()
+    for name in options.history:
+        for seed in range(options.first_seed, options.first_seed + options.seeds):
+            outcome = play(HISTORIES[name], seed, options.calm)
+            longest = outcome.waits[0]
+            looks = dict(Counter(longest.holds))
+            beside = outcome.bad_waits[0].wait_s if outcome.bad_waits else None
+            print(
+                f"{name}, seed {seed}: {len(outcome.waits)} items, longest {longest.wait_s:.1f} s"
+                f" ({longest.item}: {looks}); of a harmful lot {beside}; {outcome.crashes}"
+            )
+
+
+if __name__ == "__main__":
+    main()
