Lots: a pause of the process in a ranking no longer holds items for twenty times as long

Cause: a ranking is used for as long as keeps its share of the event loop's time at a twentieth, a read of the open items at a fiftieth. Both were measured by the clock, so that a pause of the process, a wait for the processor or for the replica's lock (slow syncs) in one of them counted as work. Items that are running at the time of a ranking are not in it; if their runs break off they wait for the next one, unless another item is added or ends.

After a read that waited for 1 s none came for 50 s unless a change was signalled.

Change: both are measured by the thread's processor time. A backlog that takes long to rank is still ranked seldom.

--- a/src/leverjunction/lots/item_queue.py
+++ b/src/leverjunction/lots/item_queue.py
@@ -119,7 +119,12 @@
         return now_s - self._ranked_s >= max_age_s
 
     def note_ranking(self, took_s: float) -> None:
-        """Note how long a ranking and the plan for it took; the next one waits accordingly."""
+        """Note how long a ranking and the plan for it took; the next one waits accordingly.
+
+        Args:
+            took_s: Processor time, in seconds. With a pause of the process in it, one ranking of a
+                few items would be used for many times that pause.
+        """
         self._ranking_took_s = took_s
 
     def rank(self, now_s: float, urgency: Callable[[ItemRun], Urgency]) -> bool:
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -411,18 +411,18 @@
     def _read_if_due(self) -> None:
         """Read the open items after a change, after a failed read, and once in a while."""
         loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        if not self._dirty and started_s < self._next_read_s:
+        if not self._dirty and loop.time() < self._next_read_s:
             return
+        started_cpu_s = time.thread_time()
         self._dirty = False
         complete = False
         try:
             complete = self._read_open()
         finally:
-            ended_s = loop.time()
-            self._next_read_s = ended_s + max(
-                READ_INTERVAL_S, (ended_s - started_s) / MAX_READ_SHARE
-            )
+            # Processor time, since a pause of this process or a wait for the replica says nothing
+            # about the next read.
+            worked_s = time.thread_time() - started_cpu_s
+            self._next_read_s = loop.time() + max(READ_INTERVAL_S, worked_s / MAX_READ_SHARE)
             if not complete:
                 # No other signal repeats the change that this read should have picked up.
                 self._dirty = True
@@ -522,11 +522,12 @@
         now_s = asyncio.get_running_loop().time()
         if not self._queue.is_ranking_due(now_s):
             return
+        started_cpu_s = time.thread_time()
         for services, runs in self._queue.by_services(index).items():
             slots = sum(self._loads.mean_work(service) for service in services)
             mark_crowded_out(runs, self._due_in_s, self._times, slots)
         self._queue.rank(now_s, self._urgency)
-        self._queue.note_ranking(asyncio.get_running_loop().time() - now_s)
+        self._queue.note_ranking(time.thread_time() - started_cpu_s)
         self._isolation.rank_suspects(run for run in self._queue.runs.values() if run.task is None)
         for run in self._queue.runs.values():
             if run.task is None and self._is_overdue(run.item) and not self._outbox.has_result(run):
