Lots: lost answers no longer prolong the silence that is accepted of an item's next run

Cause: an item's run whose back end no longer reports it is ended after 1.6 s, at most three times in its life; then only silence ends a run. Each of the three doubled the silence that is accepted, as if it had been borne in full: the fourth run in a row without an answer was waited for eight times as long as a first one, 32 s of an item due in 20 s, 60 s from a due time of 38 s on.

Seen (stand-in, due in 20 s, load 30, one run each): an item whose answers were lost four times in a row was done after 36.3 s, 30.8 s of them in one run that nobody answered, five times after 67.8 s; its back end was idle.

Change: only runs that were ended in silence double the silence; after either kind the item is sent on a new connection, as before. An item whose back ends are silent and report too little still ends: the silence doubles from its first value.

The two new tests fail without the change (7 s were not enough; 32.0 in place of 4.0) and pass with it in 4.3 s.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -107,7 +107,7 @@
     ) -> bool:
         """Send an item's request and read the response; return whether the item has ended."""
         loop = asyncio.get_running_loop()
-        if run.silent_runs:
+        if run.went_silent:
             # A network path that went silent may affect kept connections to other back ends as
             # well.
             self._sender.close_idle_connections(runner)
@@ -193,6 +193,7 @@
                     complete = True
                     return None
                 run.silent_runs = 0
+                run.went_silent = False
                 run.note_output(loop.time())
                 if response.head.status == OK:
                     _feed(run.stream, event, response.runner.record)
@@ -284,6 +285,7 @@
     """Count and log a run that ends because its back end sent nothing."""
     lot_id, item_id = run.key
     run.silent_runs += 1
+    run.went_silent = True
     logger.info(
         "retrying item {} of lot {}: back end {} was silent for {:.1f} s",
         item_id,
--- a/src/leverjunction/lots/item_run.py
+++ b/src/leverjunction/lots/item_run.py
@@ -37,7 +37,10 @@
         heard_s: When the item was sent to that back end or last heard from there.
         lost_runs: Runs that were ended because their back end no longer reported them.
         consecutive_errors: Runs in a row that ended with an unexpected error in this process.
-        silent_runs: Runs in a row that were ended in silence, without any output.
+        silent_runs: Runs in a row that were ended in silence, without any output. Those that their
+            back ends no longer reported are not counted, since they were ended sooner.
+        went_silent: Whether the last run was ended in silence, or its back end no longer had it,
+            and no output has arrived since.
         first_output_s: When the first output of the last run arrived, None if none has.
         last_output_s: When the last output so far arrived.
         suspect_key: Key under which the item is suspected of crashing back ends, else empty.
@@ -80,6 +83,7 @@
         "trace",
         "wants_idle_s",
         "wants_version_s",
+        "went_silent",
         "worked_s",
     )
 
@@ -97,6 +101,7 @@
         self.sent_s: float | None = None
         self.heard_s = 0.0
         self.silent_runs = 0
+        self.went_silent = False
         self.lost_runs = 0
         self.consecutive_errors = 0
         self.suspect_key = ""
@@ -182,7 +187,7 @@
         """End a run that its back end no longer has; the next one continues it."""
         if self.parking:
             return
-        self.silent_runs += 1
+        self.went_silent = True
         self.lost_runs += 1
         self.trace.set_end(RunEnd.SILENT, "its back end no longer has it")
         logger.info(
--- a/tests/unit/test_lots_lost_runs.py
+++ b/tests/unit/test_lots_lost_runs.py
@@ -160,3 +160,16 @@
     assert silence_s(20_000.0, 0) + silence_s(20_000.0, 1) <= 0.6 * 20
     assert [silence_s(0.0, 0), silence_s(86_400_000.0, 0)] == [MAX_FIRST_SILENCE_S] * 2
     assert silence_s(20_000.0, 1000) == MAX_SILENCE_S
+
+
+def test_runs_that_load_samples_ended_do_not_prolong_the_next_silence() -> None:
+    """Guards against one run that hangs for all the time in which an item is due.
+
+    The answers to an item were lost four times in a row. Load samples ended three runs after 1.6 s
+    each, and each doubled the silence that was accepted of the fourth: 32 s of an item due in 20 s,
+    and 60 s without a due time, while its back ends were idle.
+    """
+    run = make_run("a", NOW_S - 9, NOW_S - 9)
+    for _ in range(MAX_TRUSTED_ENDS):
+        run.end_lost(NOW_S)
+    assert silence_s(run.item.due_ms, run.silent_runs) == silence_s(run.item.due_ms, 0)
--- a/tests/unit/test_lots_runner.py
+++ b/tests/unit/test_lots_runner.py
@@ -18,6 +18,7 @@
 from leverjunction.clock import SystemClock
 from leverjunction.consensus.api import ApplyContext, GroupStatus
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.lots import lost_runs
 from leverjunction.lots.batch_capacity import RunnerCapacity
 from leverjunction.lots.commands import (
     EndLot,
@@ -248,6 +249,25 @@
     wait_until(lambda: store.results() == whole, 9.0)
 
 
+@pytest.mark.usefixtures("runner")
+def test_an_item_whose_responses_are_lost_four_times_is_retried_soon(
+    store: OneStore, back_end: RunnerStandIn, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Load samples end three of its runs, so that the fourth waits for silence. Limits are shorter.
+
+    The silence that was accepted of the fourth run was eight times as long as of a first one: with
+    the usual limits an item was done after 36 s, due in 20 s, and its back end was idle.
+    """
+    monkeypatch.setattr(lost_runs, "CONFIRM_S", 0.3)
+    monkeypatch.setattr(lost_runs, "SETTLE_S", 0.2)
+    monkeypatch.setattr(lost_runs, "MIN_SILENCE_S", 1.0)
+    monkeypatch.setattr(lost_runs, "SILENCE_DUE_SHARE", 0.05)
+    back_end.then(*["answer lost"] * (lost_runs.MAX_TRUSTED_ENDS + 1))
+    submit(store, 1)
+    wait_until(lambda: store.results() == {"item-0": ("done", WHOLE_TEXT)}, 7.0)
+    assert len(back_end.seen) == lost_runs.MAX_TRUSTED_ENDS + 2
+
+
 def test_an_item_on_a_kept_connection_that_went_silent_is_retried_soon(
     store: OneStore, back_end: RunnerStandIn
 ) -> None:
