A replica that has not started yet no longer says that it stops

Cause: query_local answered with the failure of a replica that stops both after stop() and before start(). A control process that starts therefore logged "cannot read the registry from the local replica: this process is stopping", and whoever was on call looked for a process that ends.

Change: a failure of its own, "the replica of GROUP has not started yet; send the request to another process", that was not run. Its kind is the same, so callers go on to another process as before.

The test failed before, with the text above.

--- a/src/leverjunction/consensus/group.py
+++ b/src/leverjunction/consensus/group.py
@@ -190,8 +190,10 @@
         The reply is an encoded failure when the replica is not running.
         """
         with self._lock:
-            if self._engine is None or self._fault is not None:
-                return encode_reply(self._fault or _stopping_failure())
+            if self._fault is not None:
+                return encode_reply(self._fault)
+            if self._engine is None:
+                return encode_reply(_not_started_failure(self.config.group))
             return self._engine.query_local(query)
 
     def change_members(self, addresses: list[str], timeout_s: float) -> bytes | Failure:
@@ -406,6 +408,16 @@
     )
 
 
+def _not_started_failure(group: str) -> Failure:
+    # The kind is the one of a process that stops: callers turn to another process in both cases.
+    return Failure(
+        kind=FailureKind.STOPPING,
+        reason=f"the replica of {group} has not started yet; send the request to another process",
+        step=Step.QUERYING,
+        execution=Execution.NOT_RUN,
+    )
+
+
 def _stopping_failure() -> Failure:
     return Failure(
         kind=FailureKind.STOPPING,
--- a/tests/unit/test_consensus_group.py
+++ b/tests/unit/test_consensus_group.py
@@ -6,11 +6,17 @@
 import threading
 from collections.abc import Iterator
 from pathlib import Path
+from random import Random
 
+import msgspec
 import pytest
-from tests.unit.consensus_support import Cluster, wait_for
+from tests.unit.consensus_support import Cluster, Link, LogMachine, wait_for
 
-from leverjunction.errors import Failure, FailureKind
+from leverjunction.clock import SystemClock
+from leverjunction.consensus.group import GroupReplica
+from leverjunction.consensus.types import GroupConfig
+from leverjunction.errors import Execution, Failure, FailureKind
+from leverjunction.wire.codec import decode_reply
 
 
 @pytest.fixture
@@ -140,3 +146,25 @@
         cluster.stop(address)
     wait_for(lambda: cluster.leader().query(b"a", 2.0) == b"1")
     cluster.stop_all()
+
+
+def test_a_replica_that_has_not_started_does_not_say_that_it_stops(tmp_path: Path) -> None:
+    """Whoever is on call looked for a process that ends, while one was starting."""
+    cluster = Cluster(tmp_path, size=1)
+    (address,) = cluster.addresses
+    config = GroupConfig(
+        group="root",
+        address=address,
+        first_members=(address,),
+        data_path=str(cluster.path(address)),
+    )
+    replica = GroupReplica(config, LogMachine(), Link(cluster, address), SystemClock(), Random(1))
+    early = decode_reply(replica.query_local(b"*"), msgspec.Raw)
+    assert isinstance(early, Failure)
+    assert "has not started yet" in early.reason
+    assert early.execution is Execution.NOT_RUN
+    assert replica.start() is None
+    replica.stop()
+    late = decode_reply(replica.query_local(b"*"), msgspec.Raw)
+    assert isinstance(late, Failure)
+    assert "is stopping" in late.reason
