Items that wait because the store is in doubt of the registry have a reason of their own

Cause: a store that was suspended starts no run until a control process has answered. Its items were reported as waits_turn ("there is room, it starts at one of the next steps"), held or waits_for_idle_back_end, whose placement is not decided anew meanwhile.

Reasons that would keep the item from running anyway (no table, no route, no back end, no room, ...) are told as before. No decision changes.

The test of a runner in doubt failed before: no item was counted as in_doubt.

--- a/src/leverjunction/lots/item_status.py
+++ b/src/leverjunction/lots/item_status.py
@@ -40,6 +40,9 @@
     WAITS_IDLE = "waits_for_idle_back_end"
     """The item may crash its back end, and waits for one where nothing else runs."""
 
+    IN_DOUBT = "in_doubt"
+    """The store was suspended and has not heard from the registry since, so it starts no run."""
+
     UNREADABLE = "unreadable"
     """The item's body or its recorded events cannot be read from the group."""
 
@@ -142,6 +145,7 @@
 _NO_ROUTE = ItemStatus(Reason.NO_ROUTE)
 _HELD = ItemStatus(Reason.HELD)
 _WAITS_IDLE = ItemStatus(Reason.WAITS_IDLE)
+_IN_DOUBT = ItemStatus(Reason.IN_DOUBT)
 _UNREADABLE = ItemStatus(Reason.UNREADABLE)
 _RUNS = ItemStatus(Reason.RUNS)
 _PAUSES = ItemStatus(Reason.PAUSES)
@@ -167,17 +171,21 @@
         index: Route table, None before the first one was received.
         service: Returns the figures of a service, by its name.
         has_result: Returns whether an item has ended that the group still has as open.
+        is_in_doubt: Whether the store starts no run, because the registry may have changed while
+            it was suspended.
     """
 
-    __slots__ = ("_by_route", "_has_result", "_index", "_service")
+    __slots__ = ("_by_route", "_has_result", "_index", "_is_in_doubt", "_service")
 
     def __init__(
         self,
         index: RouteIndex | None,
         service: Callable[[str], ServiceAvailability],
         has_result: Callable[[ItemRun], bool],
+        is_in_doubt: bool = False,
     ) -> None:
         self._index = index
+        self._is_in_doubt = is_in_doubt
         self._service = service
         self._has_result = has_result
         self._by_route: dict[int, ItemStatus] = {}
@@ -196,11 +204,17 @@
         if route is None:
             return _NO_ROUTE
         if run.placement is not Placement.SHARED:
+            # How an item may run is not decided anew while the store is in doubt.
+            if self._is_in_doubt:
+                return _IN_DOUBT
             return _HELD if run.placement is Placement.HELD else _WAITS_IDLE
         known = self._by_route.get(id(route))
         if known is None:
             names = [part.service for part in route.services]
-            known = self._by_route[id(route)] = self._service_status(names)
+            known = self._service_status(names)
+            if self._is_in_doubt and known.reason is Reason.WAITS_TURN:
+                known = _IN_DOUBT
+            self._by_route[id(route)] = known
         return known
 
     def startable_runs(self, runs: Iterable[ItemRun]) -> int:
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -141,6 +141,7 @@
         self._is_in_doubt = is_in_doubt
         self._last_pause_end_s = last_pause_end_s
         self._pause_end_s = -math.inf
+        self._was_in_doubt = False
         self._datagrams = datagrams
         self._by_rate = by_rate
         self._group = group
@@ -301,6 +302,7 @@
             pending_results=self._outbox.pending_results,
             open_keys=self._open_keys,
             late_items=self._queue.late,
+            is_in_doubt=self._was_in_doubt,
         )
 
     def _open_keys(self) -> tuple[ItemKey, ...] | None:
@@ -355,7 +357,7 @@
         self._pause_end_s = self._last_pause_end_s()
         # Checked before the registry's state is applied: a reply in between makes only the next
         # state current.
-        is_in_doubt = self._is_in_doubt()
+        self._was_in_doubt = is_in_doubt = self._is_in_doubt()
         self._apply_registry()
         self._adopt_suspects()
         index = self._index
--- a/src/leverjunction/lots/runner_monitor.py
+++ b/src/leverjunction/lots/runner_monitor.py
@@ -57,6 +57,8 @@
     Attributes:
         status: Status of the group's local replica.
         index: Route table, None before the first one was received.
+        is_in_doubt: Whether no run is started, because the process was suspended and has not heard
+            from the registry since.
         late_items: Waiting items that were late in the last ranking.
         back_ends: Number of known back ends.
         runs: Open items that the runner knows.
@@ -70,6 +72,7 @@
         "back_ends",
         "has_result",
         "index",
+        "is_in_doubt",
         "late_items",
         "open_keys",
         "pending_results",
@@ -90,6 +93,7 @@
         pending_results: int,
         open_keys: Callable[[], Collection[ItemKey] | None],
         late_items: int = 0,
+        is_in_doubt: bool = False,
     ) -> None:
         self.status = status
         self.index = index
@@ -100,6 +104,7 @@
         self.pending_results = pending_results
         self.open_keys = open_keys
         self.late_items = late_items
+        self.is_in_doubt = is_in_doubt
 
     @property
     def table(self) -> int:
@@ -241,7 +246,9 @@
             return
         self._find_unknown_items(snapshot, now_s)
         self._log_leadership_gained(snapshot, now_s)
-        classifier = StatusClassifier(snapshot.index, snapshot.service, snapshot.has_result)
+        classifier = StatusClassifier(
+            snapshot.index, snapshot.service, snapshot.has_result, snapshot.is_in_doubt
+        )
         counts: dict[str, int] = {}
         unlogged: dict[str, list[tuple[ItemRun, ItemStatus]]] = {}
         active_runs = 0
--- a/tests/unit/test_lots_item_status.py
+++ b/tests/unit/test_lots_item_status.py
@@ -10,6 +10,7 @@
 
 from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.item_status import Reason, ServiceAvailability, StatusClassifier
+from leverjunction.lots.placement import Placement
 from leverjunction.lots.run_trace import RunEnd, RunTrace
 from leverjunction.routes import RouteClass, RouteIndex
 from testbed.routed import SERVICE, make_route, make_table
@@ -34,10 +35,12 @@
     service: ServiceAvailability = AVAILABLE,
     index: RouteIndex | None = INDEX,
     has_result: bool = False,
+    is_in_doubt: bool = False,
 ) -> Reason:
-    return (
-        StatusClassifier(index, lambda _name: service, lambda _run: has_result).classify(run).reason
+    classifier = StatusClassifier(
+        index, lambda _name: service, lambda _run: has_result, is_in_doubt
     )
+    return classifier.classify(run).reason
 
 
 def with_task(done: bool, prepare: Callable[[ItemRun], None] = lambda _run: None) -> ItemRun:
@@ -83,6 +86,19 @@
     assert (service.startable_runs > 0) is (reason is Reason.WAITS_TURN)
 
 
+def test_a_store_in_doubt_does_not_say_that_items_wait_for_their_turn() -> None:
+    held = ItemRun(item("a"))
+    held.placement = Placement.HELD
+    assert classify_reason(ItemRun(item("a")), is_in_doubt=True) is Reason.IN_DOUBT
+    assert classify_reason(held, is_in_doubt=True) is Reason.IN_DOUBT
+    assert classify_reason(with_task(done=False), is_in_doubt=True) is Reason.RUNS
+    # What would keep the item from running anyway is told.
+    no_back_end = ServiceAvailability()
+    assert classify_reason(held, is_in_doubt=False) is Reason.HELD
+    assert classify_reason(ItemRun(item("a")), no_back_end, is_in_doubt=True) is Reason.NO_BACK_END
+    assert classify_reason(ItemRun(item("a")), index=None, is_in_doubt=True) is Reason.NO_TABLE
+
+
 def test_an_item_without_table_or_route() -> None:
     assert classify_reason(ItemRun(item("a")), index=None) is Reason.NO_TABLE
     assert classify_reason(ItemRun(item("a")), index=OTHER_INDEX) is Reason.NO_ROUTE
--- a/tests/unit/test_lots_runner_monitor.py
+++ b/tests/unit/test_lots_runner_monitor.py
@@ -92,10 +92,15 @@
 
 
 @pytest.fixture
-def runner(store: OneStore, monkeypatch: pytest.MonkeyPatch) -> Iterator[LotsRunner]:
-    """A runner without a registry snapshot, whose monitor is updated often."""
+def is_fast(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Monitors are updated often, and log soon."""
     monkeypatch.setattr(monitor_module, "UPDATE_INTERVAL_S", 0.1)
     monkeypatch.setattr(monitor_module, "LOG_AFTER_S", 0.6)
+
+
+@pytest.fixture
+def runner(store: OneStore, is_fast: None) -> Iterator[LotsRunner]:
+    """A runner without a registry snapshot, whose monitor is updated often."""
     made = LotsRunner(store, "z", PlatformDialect(), SystemClock(), Random(1))
     store.runner = made
     made.start()
@@ -169,6 +174,28 @@
     wait_until(lambda: metric("lots_oldest_open_seconds") == 0)
 
 
+def test_a_store_in_doubt_of_the_registry_says_so(
+    store: OneStore, back_end: RunnerStandIn, captured: LineCapture, is_fast: None
+) -> None:
+    """The items were reported as waiting for their turn, and nothing said for what."""
+    doubts = [True]
+    runner = LotsRunner(
+        store, "z", PlatformDialect(), SystemClock(), Random(1), is_in_doubt=lambda: doubts[0]
+    )
+    store.runner = runner
+    runner.start()
+    try:
+        runner.set_registry(registry(ROUTED, back_end))
+        submit(store, 1)
+        wait_until(shows_open("in_doubt", 1))
+        (line,) = captured.wait("waits")
+        assert line["reason"] == "in_doubt"
+        doubts[0] = False
+        wait_until(lambda: "item-0" in store.results())
+    finally:
+        runner.stop()
+
+
 def test_a_run_that_sends_nothing_more(
     store: OneStore, runner: LotsRunner, back_end: RunnerStandIn, captured: LineCapture
 ) -> None:
