Stores tell since when open items wait, what ends it, and that no leader is known

Cause: a leader told the reason of an item, not what would end it, and nothing of all items at a glance unless it was stalled, which it is not while any run shows a sign of life. A store without a quorum told nothing of the items that were open.

"waits" lines have it (ends), by when at the latest where that is known (ends_in_ms: holds, ejections, silent runs), and the age of the command under way (under_way_ms). - lots_open_reason_seconds: the longest time for which each reason has applied. - One summary line at each start of leading and every 5 s while any item has had no run and no event for 5 s: items by reason, longest time, of which item, what ends it, how many run. At most one part for each reason; none while everything flows. - A store that knows no leader for 3 s and has open items says so every 5 s, with the number, the voters and its role, and counts them as no_leader; another line once a leader is known. - Isolation.hold_end_s only reads: the end of the patience for an idle back end. The end of a hold is not told by it yet (None).

--- a/src/leverjunction/lots/isolation.py
+++ b/src/leverjunction/lots/isolation.py
@@ -373,6 +373,16 @@
             return STRONG_IDLE_PATIENCE_S
         return IDLE_PATIENCE_S if run.crashed_starts else LOT_IDLE_PATIENCE_S
 
+    def hold_end_s(self, run: ItemRun) -> float | None:
+        """Return when an item may run at the latest, if no further back end crashes.
+
+        In monotonic seconds; None if that is not known. Only for log lines.
+        """
+        if run.placement is not Placement.APART or run.wants_idle_s is None:
+            return None
+        end_s = run.wants_idle_s + self._patience_s(run)
+        return end_s if math.isfinite(end_s) else None
+
     def started(self, run: ItemRun, other_requests: int) -> None:
         """Note that an item starts at the back end that it was assigned to.
 
--- a/src/leverjunction/lots/item_lines.py
+++ b/src/leverjunction/lots/item_lines.py
@@ -48,6 +48,9 @@
         items: Ids of a lot's items, only the first ones of a large lot.
         reason: Why the item does not run, or how its run ended.
         detail: What caused that.
+        ends: What ends it.
+        ends_in_ms: Time until then at the latest, if nothing else happens.
+        under_way_ms: Age of the command without a reply, for an item whose result waits.
         figure: Runs that may be started at the best back end of the service.
         since_ms: How long the reason has applied, or how long the run took.
         quiet_ms: Time since the item's last event, or since it became known here.
@@ -76,6 +79,9 @@
     reason: str = ""
     detail: str = ""
     figure: int | None = None
+    ends: str = ""
+    ends_in_ms: int | None = None
+    under_way_ms: int | None = None
     since_ms: int | None = None
     quiet_ms: int | None = None
     service: str = ""
--- a/src/leverjunction/lots/item_status.py
+++ b/src/leverjunction/lots/item_status.py
@@ -1,7 +1,7 @@
 """Classifies why an open item does not run at present. Decides nothing. Pure.
 
 Every open item of a leading store has exactly one reason from a closed set. Stores that do not lead
-have no items to classify.
+have no items to classify; while they know no leader, all items that they have wait for one.
 """
 
 from __future__ import annotations
@@ -21,6 +21,9 @@
     NOT_TAKEN_IN = "not_taken_in"
     """The group has the item as open, but the runner of its leader does not know it."""
 
+    NO_LEADER = "no_leader"
+    """The group has no known leader; told by stores that do not lead."""
+
     NO_TABLE = "no_table"
     NO_ROUTE = "no_route"
     NO_BACK_END = "no_back_end"
@@ -72,9 +75,18 @@
         allowance: Runs that may be added to the service as a whole.
         free: Largest number of free slots at a back end that is not ejected.
         free_ejected: Largest number of free slots at an ejected back end.
+        ejected_until_s: When the first ejection ends, in monotonic seconds; None without any.
     """
 
-    __slots__ = ("allowance", "free", "free_ejected", "known", "not_ejected", "with_recent_load")
+    __slots__ = (
+        "allowance",
+        "ejected_until_s",
+        "free",
+        "free_ejected",
+        "known",
+        "not_ejected",
+        "with_recent_load",
+    )
 
     def __init__(
         self,
@@ -85,6 +97,7 @@
         allowance: int = 0,
         free: int = 0,
         free_ejected: int = 0,
+        ejected_until_s: float | None = None,
     ) -> None:
         self.known = known
         self.not_ejected = not_ejected
@@ -92,6 +105,7 @@
         self.allowance = allowance
         self.free = free
         self.free_ejected = free_ejected
+        self.ejected_until_s = ejected_until_s
 
     @property
     def startable_runs(self) -> int:
--- a/src/leverjunction/lots/load_watch.py
+++ b/src/leverjunction/lots/load_watch.py
@@ -273,6 +273,10 @@
             allowance=capacity.allowance(now_s) if capacity else 0,
             free=max((count or 0 for count in not_ejected), default=0),
             free_ejected=max((count or 0 for count in ejected), default=0),
+            ejected_until_s=min(
+                (each.ejected_until_s for each in runners if each.ejected_until_s > now_s),
+                default=None,
+            ),
         )
 
     def takes_slot(self, start: str) -> bool:
--- a/src/leverjunction/lots/metrics.py
+++ b/src/leverjunction/lots/metrics.py
@@ -10,6 +10,9 @@
 OPEN_ITEMS = Gauge(
     "lots_open_items", "Open items, by the reason why they do not run now", ["reason"]
 )
+LONGEST_REASON_S = Gauge(
+    "lots_open_reason_seconds", "Longest time for which a reason has applied to an item", ["reason"]
+)
 OLDEST_OPEN_S = Gauge("lots_oldest_open_seconds", "Age of the open item that was taken first")
 LONGEST_QUIET_S = Gauge(
     "lots_longest_quiet_seconds", "Longest time for which an open item got no event"
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -303,6 +303,7 @@
             open_keys=self._open_keys,
             late_items=self._queue.late,
             is_in_doubt=self._was_in_doubt,
+            hold_end_s=self._isolation.hold_end_s,
         )
 
     def _open_keys(self) -> tuple[ItemKey, ...] | None:
--- a/src/leverjunction/lots/runner_monitor.py
+++ b/src/leverjunction/lots/runner_monitor.py
@@ -19,10 +19,13 @@
 from leverjunction.lots.item_lines import ItemLine, ItemLineWriter, ms
 from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.item_status import ItemStatus, Reason, ServiceAvailability, StatusClassifier
+from leverjunction.lots.leader_watch import LeaderWatch
+from leverjunction.lots.open_summary import RUNNING_STATUSES, OpenSummary
 from leverjunction.lots.record_trace import RecordTrace
 from leverjunction.lots.run_trace import RunEnd, RunTrace
 from leverjunction.lots.stall_watch import ACTIVE_S, StallWatch, WorkState
 from leverjunction.lots.suppressed_errors import suppress_errors
+from leverjunction.lots.wait_ends import WHAT_ENDS, HoldEnd, wait_end_s
 from leverjunction.routes.matching import RouteIndex
 
 UPDATE_INTERVAL_S = 1.0
@@ -44,6 +47,9 @@
 """Seconds between two comparisons with the group's open items, each of which reads all their keys.
 """
 
+SUMMARY_INTERVAL_S = 5.0
+"""Seconds between two summaries of the open items."""
+
 MAX_ITEMS_NAMED = 32
 """Most items of a lot that its log line names."""
 
@@ -60,6 +66,8 @@
         is_in_doubt: Whether no run is started, because the process was suspended and has not heard
             from the registry since.
         late_items: Waiting items that were late in the last ranking.
+        hold_end_s: Returns when an item that is held, or waits for an idle back end, may run at the
+            latest; None if that is not known.
         back_ends: Number of known back ends.
         runs: Open items that the runner knows.
         service: Returns the figures that decide whether runs of a service can start.
@@ -71,6 +79,7 @@
     __slots__ = (
         "back_ends",
         "has_result",
+        "hold_end_s",
         "index",
         "is_in_doubt",
         "late_items",
@@ -94,6 +103,7 @@
         open_keys: Callable[[], Collection[ItemKey] | None],
         late_items: int = 0,
         is_in_doubt: bool = False,
+        hold_end_s: HoldEnd = lambda _run: None,
     ) -> None:
         self.status = status
         self.index = index
@@ -105,6 +115,7 @@
         self.open_keys = open_keys
         self.late_items = late_items
         self.is_in_doubt = is_in_doubt
+        self.hold_end_s = hold_end_s
 
     @property
     def table(self) -> int:
@@ -129,6 +140,8 @@
         self._lines = ItemLineWriter(clock)
         self.records = RecordTrace(clock.monotonic_s, self._lines)
         self._stall = StallWatch()
+        self._leaders = LeaderWatch()
+        self._summarized_s = float("-inf")
         self._next_update_s = float("-inf")
         self._compared_s = float("-inf")
         self._leader_since_s: float | None = None
@@ -138,6 +151,7 @@
         self._logged: dict[ItemKey, ItemRun] = {}
         self._unknown_keys: frozenset[ItemKey] = frozenset()
         self._unknown_count = 0
+        self._unknown_since_s = float("inf")
 
     @suppress_errors
     def lot_accepted(
@@ -241,15 +255,20 @@
 
     def _update(self, snapshot: RunnerSnapshot, now_s: float) -> None:
         self._lines.renew(now_s)
+        message = self._leaders.update(snapshot.status, now_s)
+        if message:
+            logger.info("{}", message)
+            metrics.OPEN_ITEMS.labels(Reason.NO_LEADER.value).set(0)
         if snapshot.status.role != "leader":
             self._log_leadership_lost(snapshot.status)
+            self._log_missing_leader(snapshot, now_s)
             return
         self._find_unknown_items(snapshot, now_s)
         self._log_leadership_gained(snapshot, now_s)
         classifier = StatusClassifier(
             snapshot.index, snapshot.service, snapshot.has_result, snapshot.is_in_doubt
         )
-        counts: dict[str, int] = {}
+        summary = OpenSummary(now_s)
         unlogged: dict[str, list[tuple[ItemRun, ItemStatus]]] = {}
         active_runs = 0
         heard_s = now_s
@@ -258,7 +277,7 @@
             status = classifier.classify(run)
             trace = run.trace
             key = _update_trace(trace, status.key, now_s)
-            counts[key] = counts.get(key, 0) + 1
+            summary.add(key, run, status)
             if trace.logged_status != key and _is_due(trace, now_s):
                 unlogged.setdefault(key, []).append((run, status))
             if trace.heard_s < heard_s:
@@ -269,8 +288,10 @@
                 active_runs += 1
         self._log_waiting(unlogged, snapshot, now_s)
         self._log_resumed(snapshot, now_s)
-        counts[Reason.NOT_TAKEN_IN.value] = self._unknown_count
-        _set_open_gauges(counts, (wall_ms - oldest_ms) / 1000, now_s - heard_s)
+        summary.add_unknown(Reason.NOT_TAKEN_IN, self._unknown_count, self._unknown_since_s)
+        counts = summary.counts()
+        self._log_summary(summary, snapshot, now_s)
+        _set_open_gauges(summary, (wall_ms - oldest_ms) / 1000, now_s - heard_s)
         metrics.LATE_ITEMS.set(snapshot.late_items)
         self._set_record_gauges(snapshot.pending_results, now_s)
         startable_runs = (
@@ -280,6 +301,48 @@
         )
         self._check_stall(counts, active_runs, startable_runs, now_s)
 
+    def _log_summary(self, summary: OpenSummary, snapshot: RunnerSnapshot, now_s: float) -> None:
+        """Log the open items by reason at the start of leading, and while any of them idles."""
+        is_first = self._leader_since_s == now_s
+        is_idle = summary.longest_idle_s >= LOG_AFTER_S
+        if not is_first and (not is_idle or now_s - self._summarized_s < SUMMARY_INTERVAL_S):
+            return
+        if not summary.open_items:
+            return
+        self._summarized_s = now_s
+        sent_s = self.records.sent_s
+        logger.info(
+            "open items of {} in term {}: {}; command under way for {}, {} results wait",
+            snapshot.status.group,
+            snapshot.status.term,
+            summary.text(snapshot.hold_end_s),
+            "0 s" if sent_s is None else f"{now_s - sent_s:.1f} s",
+            snapshot.pending_results,
+        )
+
+    def _log_missing_leader(self, snapshot: RunnerSnapshot, now_s: float) -> None:
+        """Log how many items wait for a leader, while none is known."""
+        if not self._leaders.take_due(now_s, SUMMARY_INTERVAL_S):
+            return
+        opened = self._open_keys(snapshot)
+        metrics.OPEN_ITEMS.labels(Reason.NO_LEADER.value).set(len(opened or ()))
+        if opened is not None and not opened:
+            return
+        self._leaders.is_logged = True
+        status = snapshot.status
+        logger.warning(
+            "{} has had no known leader for {:.1f} s: {} open items as of index {}, until {}; this"
+            " replica is {} in term {}, voters {}",
+            status.group,
+            self._leaders.missing_s(now_s),
+            "unreadable" if opened is None else len(opened),
+            status.applied_index,
+            WHAT_ENDS[Reason.NO_LEADER.value],
+            status.role,
+            status.term,
+            ", ".join(status.voters) or "unknown",
+        )
+
     def _check_stall(
         self, counts: dict[str, int], active_runs: int, startable_runs: int, now_s: float
     ) -> None:
@@ -328,7 +391,7 @@
         self._unknown_keys = frozenset()
         self._unknown_count = 0
         self._stall = StallWatch()
-        _set_open_gauges({}, 0.0, 0.0)
+        _set_open_gauges(OpenSummary(0.0), 0.0, 0.0)
         for gauge in (
             metrics.LATE_ITEMS,
             metrics.RECORDS_WAITING,
@@ -350,10 +413,13 @@
         candidates = frozenset(key for key in opened if key not in snapshot.runs)
         unknown = candidates & self._unknown_keys
         self._unknown_keys = candidates
+        if not self._unknown_count:
+            self._unknown_since_s = now_s - COMPARE_INTERVAL_S
         self._unknown_count = len(unknown)
         for lot, item in sorted(unknown):
             reason = Reason.NOT_TAKEN_IN.value
             line = ItemLine(event="waits", lot=lot, item=item, reason=reason, table=snapshot.table)
+            line.ends = WHAT_ENDS[reason]
             self._lines.write(line)
 
     def _open_keys(self, snapshot: RunnerSnapshot) -> Collection[ItemKey] | None:
@@ -407,6 +473,10 @@
             table=snapshot.table,
             service=status.service_name,
         )
+        line.ends = WHAT_ENDS[line.reason]
+        end_s = wait_end_s(run, status, snapshot.hold_end_s)
+        if end_s is not None:
+            line.ends_in_ms = ms(end_s - now_s)
         if status.service is not None:
             line.figure = status.service.startable_runs
             line.detail = str(status.service)
@@ -419,6 +489,8 @@
     def _add_attempts(self, line: ItemLine, run: ItemRun, now_s: float) -> None:
         attempts = self.records.attempts(run.key)
         line.detail = self.records.last_failure or "no reply yet"
+        if self.records.sent_s is not None:
+            line.under_way_ms = ms(now_s - self.records.sent_s)
         if attempts is not None:
             line.tries = attempts.count
             line.since_ms = ms(now_s - attempts.first_sent_s)
@@ -451,7 +523,6 @@
         metrics.SINCE_RECORD_S.set(now_s - max(self.records.accepted_s, led_s))
 
 
-RUNNING_STATUSES = frozenset({Reason.RUNS.value, Reason.STOPS.value, Reason.PAUSES.value})
 TASK_LEFT = Reason.TASK_LEFT.value
 TASK_LEFT_ONCE = "task_left_once"
 
@@ -489,9 +560,11 @@
     )
 
 
-def _set_open_gauges(counts: dict[str, int], oldest_s: float, quiet_s: float) -> None:
+def _set_open_gauges(summary: OpenSummary, oldest_s: float, quiet_s: float) -> None:
+    counts, longest_s = summary.counts(), summary.longest_s()
     for reason in Reason:
         metrics.OPEN_ITEMS.labels(reason.value).set(counts.get(reason.value, 0))
+        metrics.LONGEST_REASON_S.labels(reason.value).set(longest_s.get(reason.value, 0.0))
     metrics.OLDEST_OPEN_S.set(max(0.0, oldest_s))
     metrics.LONGEST_QUIET_S.set(quiet_s)
 
--- a/tests/unit/test_lots_runner_monitor.py
+++ b/tests/unit/test_lots_runner_monitor.py
@@ -358,6 +358,8 @@
         self.runs = {run.key: run for run in (ItemRun(item(name)) for name in known)}
         self.keys = {("lot", name) for name in names}
         self.error: Exception | None = None
+        self.status = _leader_status()
+        self.hold_end_s: float | None = None
         self.service = ServiceAvailability(
             known=1, not_ejected=1, with_recent_load=1, allowance=4, free=4
         )
@@ -369,7 +371,7 @@
 
     def snapshot(self) -> RunnerSnapshot:
         return RunnerSnapshot(
-            status=_leader_status(),
+            status=self.status,
             index=RouteIndex(ROUTED),
             back_ends=1,
             runs=self.runs,
@@ -377,6 +379,7 @@
             has_result=lambda _run: False,
             pending_results=0,
             open_keys=self._open_keys,
+            hold_end_s=lambda _run: self.hold_end_s,
         )
 
     def _open_keys(self) -> set[ItemKey]:
