leverjunction items: why an open item does not run, asked of any store

Cause: reasons were told only in lines and figures of the store that leads. Whoever was on call could not ask for one item, and a store without a leader could not be asked at all.

Change: "items why ITEM" and "items open" call stores by the internal RPC (OPEN_ITEMS: ReadItems, ItemsReport, with the same records as in the log lines). The report is made on the runner's event loop: one that hangs or has ended is a failure that says so.

Gateways do not answer the command.

--- a/src/leverjunction/cli/commands.py
+++ b/src/leverjunction/cli/commands.py
@@ -23,6 +23,7 @@
     prepare_arguments,
     run_command,
 )
+from leverjunction.cli.items import ItemsCommands
 from leverjunction.cli.jobs import JobsCommands
 from leverjunction.cli.options import make_options
 from leverjunction.cli.output import ExitCode, print_failure, print_progress
@@ -68,6 +69,7 @@
         self.settings = SettingsCommands(self._options)
         self.jobs = JobsCommands(self._options)
         self.suspects = SuspectsCommands(self._options)
+        self.items = ItemsCommands(self._options)
 
     @command
     def gateway(self, config: str, set: str = "") -> int:
--- a/src/leverjunction/lots/node.py
+++ b/src/leverjunction/lots/node.py
@@ -21,6 +21,7 @@
 from leverjunction.errors import Failure
 from leverjunction.lots.commands import ForgetLots, encode_command
 from leverjunction.lots.group_file import read_group, write_group
+from leverjunction.lots.item_report import ReadItems
 from leverjunction.lots.node_watch import WATCH_INTERVAL_S, NodeWatch
 from leverjunction.lots.recent_reads import answer_recent, no_replica
 from leverjunction.lots.runner import LotsRunner
@@ -41,7 +42,7 @@
     MemberRole,
 )
 from leverjunction.registry.run_reporter import RunReporter
-from leverjunction.wire.codec import encode_reply
+from leverjunction.wire.codec import decode, encode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
@@ -256,6 +257,7 @@
             endpoint.register(kind, self.host.serve_forwarded)
         endpoint.register(MessageKind.RECENT_QUERY, self._on_recent_query)
         endpoint.register(MessageKind.STATUS, self._on_status)
+        endpoint.register(MessageKind.OPEN_ITEMS, self._on_open_items)
         return endpoint
 
     def _on_raft(self, envelope: Envelope, _peer: str) -> bytes:
@@ -268,6 +270,14 @@
             return encode_reply(no_replica(envelope.group))
         return answer_recent(replica, envelope.body)
 
+    def _on_open_items(self, envelope: Envelope, peer: str) -> bytes:
+        request = decode(envelope.body, ReadItems, peer)
+        if isinstance(request, Failure):
+            return encode_reply(request)
+        if self._runner is None:
+            return encode_reply(no_replica(JOBS_GROUP))
+        return encode_reply(self._runner.report_items(request))
+
     def _on_status(self, _envelope: Envelope, _peer: str) -> bytes:
         replica = self._local.get(JOBS_GROUP)
         if replica is None:
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -38,6 +38,13 @@
 from leverjunction.lots.due_plan import mark_crowded_out
 from leverjunction.lots.isolation import Isolation
 from leverjunction.lots.item_queue import ItemQueue
+from leverjunction.lots.item_report import (
+    LOOP_TIMEOUT_S,
+    ItemsReport,
+    ReadItems,
+    call_on_loop,
+    not_leading,
+)
 from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.load_listener import LoadListener
 from leverjunction.lots.load_watch import LoadWatch
@@ -206,6 +213,20 @@
         """Return a readable description of where the event loop's thread is."""
         return format_thread_stack(self._thread)
 
+    def report_items(self, request: ReadItems) -> ItemsReport | Failure:
+        """Return why open items do not run; a failure from a store that knows another leader.
+
+        May be called from any thread but the runner's own.
+        """
+        status = self._group.status()
+        if status.role != "leader" and status.leader_address:
+            return not_leading(status.leader_address)
+        return call_on_loop(
+            self._loop,
+            lambda: self._monitor.report(self._monitor_snapshot(), request.item_id),
+            LOOP_TIMEOUT_S,
+        )
+
     def fault(self) -> Failure | None:
         """Return why items are no longer run, or None while they are.
 
--- a/src/leverjunction/lots/runner_monitor.py
+++ b/src/leverjunction/lots/runner_monitor.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import time
 from collections.abc import Callable, Collection, Iterable
 
@@ -17,6 +18,7 @@
 from leverjunction.lots import metrics
 from leverjunction.lots.commands import OpenItem
 from leverjunction.lots.item_lines import ItemLine, ItemLineWriter, ms
+from leverjunction.lots.item_report import MAX_ITEMS_REPORTED, ItemsReport
 from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.item_status import ItemStatus, Reason, ServiceAvailability, StatusClassifier
 from leverjunction.lots.leader_watch import LeaderWatch
@@ -141,6 +143,7 @@
         self.records = RecordTrace(clock.monotonic_s, self._lines)
         self._stall = StallWatch()
         self._leaders = LeaderWatch()
+        self._summary: OpenSummary | None = None
         self._summarized_s = float("-inf")
         self._next_update_s = float("-inf")
         self._compared_s = float("-inf")
@@ -253,6 +256,53 @@
         self._next_update_s = now_s + max(UPDATE_INTERVAL_S, took_s / MAX_CPU_SHARE)
         metrics.LOOK_S.inc(took_s)
 
+    def report(self, snapshot: RunnerSnapshot, item_id: str) -> ItemsReport:
+        """Return why open items do not run, for operators; changes nothing.
+
+        Args:
+            snapshot: The runner's state.
+            item_id: Only items with this id are listed; empty for all.
+        """
+        now_s = self._clock.monotonic_s()
+        status = snapshot.status
+        leads = status.role == "leader"
+        opened = self._open_keys(snapshot)
+        keys = [key for key in opened or () if not item_id or key[1] == item_id]
+        no_leader_s = None if leads else self._leaders.missing_s(now_s) or 0.0
+        return ItemsReport(
+            group=status.group,
+            role=status.role,
+            term=status.term,
+            open_items=None if opened is None else len(opened),
+            no_leader_s=no_leader_s,
+            summary="" if self._summary is None else self._summary.text(snapshot.hold_end_s),
+            items=tuple(
+                self._known_lines(snapshot, item_id, keys, now_s)
+                if leads
+                else _unknown_lines(Reason.NO_LEADER, keys, no_leader_s)
+            ),
+        )
+
+    def _known_lines(
+        self, snapshot: RunnerSnapshot, item_id: str, keys: list[ItemKey], now_s: float
+    ) -> list[ItemLine]:
+        """Return lines on open items, those that the runner does not know first."""
+        lines = _unknown_lines(
+            Reason.NOT_TAKEN_IN, [key for key in keys if key not in snapshot.runs], None
+        )
+        runs = [run for key, run in snapshot.runs.items() if not item_id or key[1] == item_id]
+        classifier = _classifier(snapshot)
+        most = MAX_ITEMS_REPORTED - len(lines)
+        for run in heapq.nsmallest(most, runs, key=lambda run: run.trace.heard_s):
+            status = classifier.classify(run)
+            line = self._waiting_line(run, status, snapshot, now_s)
+            if not run.trace.heard_s:
+                line.quiet_ms = None
+            if run.trace.status != status.key:
+                line.since_ms = 0
+            lines.append(line)
+        return lines
+
     def _update(self, snapshot: RunnerSnapshot, now_s: float) -> None:
         self._lines.renew(now_s)
         message = self._leaders.update(snapshot.status, now_s)
@@ -265,10 +315,8 @@
             return
         self._find_unknown_items(snapshot, now_s)
         self._log_leadership_gained(snapshot, now_s)
-        classifier = StatusClassifier(
-            snapshot.index, snapshot.service, snapshot.has_result, snapshot.is_in_doubt
-        )
-        summary = OpenSummary(now_s)
+        classifier = _classifier(snapshot)
+        summary = self._summary = OpenSummary(now_s)
         unlogged: dict[str, list[tuple[ItemRun, ItemStatus]]] = {}
         active_runs = 0
         heard_s = now_s
@@ -386,6 +434,7 @@
             return
         logger.info("no longer running items: {} in term {}", status.role, status.term)
         self._leader_since_s = None
+        self._summary = None
         self._logged_table = -1
         self._logged.clear()
         self._unknown_keys = frozenset()
@@ -523,6 +572,27 @@
         metrics.SINCE_RECORD_S.set(now_s - max(self.records.accepted_s, led_s))
 
 
+def _classifier(snapshot: RunnerSnapshot) -> StatusClassifier:
+    return StatusClassifier(
+        snapshot.index, snapshot.service, snapshot.has_result, snapshot.is_in_doubt
+    )
+
+
+def _unknown_lines(reason: Reason, keys: list[ItemKey], since_s: float | None) -> list[ItemLine]:
+    """Return lines on items of which only the keys are known."""
+    return [
+        ItemLine(
+            event="waits",
+            lot=lot,
+            item=item,
+            reason=reason.value,
+            ends=WHAT_ENDS[reason.value],
+            since_ms=None if since_s is None else ms(since_s),
+        )
+        for lot, item in keys[:MAX_ITEMS_REPORTED]
+    ]
+
+
 TASK_LEFT = Reason.TASK_LEFT.value
 TASK_LEFT_ONCE = "task_left_once"
 
--- a/src/leverjunction/wire/envelope.py
+++ b/src/leverjunction/wire/envelope.py
@@ -61,6 +61,7 @@
     TENANT_LEVELS = 24
     FIND_ORIGINS = 25
     REGISTRY_VIEWS = 26
+    OPEN_ITEMS = 27
 
 
 _HEADER = Struct(
--- a/src/leverjunction/wire/rpc_server.py
+++ b/src/leverjunction/wire/rpc_server.py
@@ -157,6 +157,7 @@
         MessageKind.REGISTRY_VIEWS,
         MessageKind.FIND_ORIGIN,
         MessageKind.FIND_ORIGINS,
+        MessageKind.OPEN_ITEMS,
     }
 )
 """Calls that change nothing, however far they came."""
