--- a/src/leverjunction/lots/item_status.py
+++ b/src/leverjunction/lots/item_status.py
@@ -1,7 +1,7 @@
 """Classifies why an open item does not run at present. Decides nothing. Pure.
 
 Every open item of a leading store has exactly one reason from a closed set. Stores that do not lead
-have no items to classify.
+have no items to classify; while they know no leader, all items that they have wait for one.
 """
 
 from __future__ import annotations
@@ -21,6 +21,9 @@
     NOT_TAKEN_IN = "not_taken_in"
     """The group has the item as open, but the runner of its leader does not know it."""
 
+    NO_LEADER = "no_leader"
+    """The group has no known leader; told by stores that do not lead."""
+
     NO_TABLE = "no_table"
     NO_ROUTE = "no_route"
     NO_BACK_END = "no_back_end"
@@ -40,6 +43,9 @@
     WAITS_IDLE = "waits_for_idle_back_end"
     """The item may crash its back end, and waits for one where nothing else runs."""
 
+    IN_DOUBT = "in_doubt"
+    """The store was suspended and has not heard from the registry since, so it starts no run."""
+
     UNREADABLE = "unreadable"
     """The item's body or its recorded events cannot be read from the group."""
 
@@ -69,9 +75,18 @@
         allowance: Runs that may be added to the service as a whole.
         free: Largest number of free slots at a back end that is not ejected.
         free_ejected: Largest number of free slots at an ejected back end.
+        ejected_until_s: When the first ejection ends, in monotonic seconds; None without any.
     """
 
-    __slots__ = ("allowance", "free", "free_ejected", "known", "not_ejected", "with_recent_load")
+    __slots__ = (
+        "allowance",
+        "ejected_until_s",
+        "free",
+        "free_ejected",
+        "known",
+        "not_ejected",
+        "with_recent_load",
+    )
 
     def __init__(
         self,
@@ -82,6 +97,7 @@
         allowance: int = 0,
         free: int = 0,
         free_ejected: int = 0,
+        ejected_until_s: float | None = None,
     ) -> None:
         self.known = known
         self.not_ejected = not_ejected
@@ -89,6 +105,7 @@
         self.allowance = allowance
         self.free = free
         self.free_ejected = free_ejected
+        self.ejected_until_s = ejected_until_s
 
     @property
     def startable_runs(self) -> int:
@@ -142,6 +159,7 @@
 _NO_ROUTE = ItemStatus(Reason.NO_ROUTE)
 _HELD = ItemStatus(Reason.HELD)
 _WAITS_IDLE = ItemStatus(Reason.WAITS_IDLE)
+_IN_DOUBT = ItemStatus(Reason.IN_DOUBT)
 _UNREADABLE = ItemStatus(Reason.UNREADABLE)
 _RUNS = ItemStatus(Reason.RUNS)
 _PAUSES = ItemStatus(Reason.PAUSES)
@@ -167,17 +185,21 @@
         index: Route table, None before the first one was received.
         service: Returns the figures of a service, by its name.
         has_result: Returns whether an item has ended that the group still has as open.
+        is_in_doubt: Whether the store starts no run, because the registry may have changed while
+            it was suspended.
     """
 
-    __slots__ = ("_by_route", "_has_result", "_index", "_service")
+    __slots__ = ("_by_route", "_has_result", "_index", "_is_in_doubt", "_service")
 
     def __init__(
         self,
         index: RouteIndex | None,
         service: Callable[[str], ServiceAvailability],
         has_result: Callable[[ItemRun], bool],
+        is_in_doubt: bool = False,
     ) -> None:
         self._index = index
+        self._is_in_doubt = is_in_doubt
         self._service = service
         self._has_result = has_result
         self._by_route: dict[int, ItemStatus] = {}
@@ -196,11 +218,17 @@
         if route is None:
             return _NO_ROUTE
         if run.placement is not Placement.SHARED:
+            # How an item may run is not decided anew while the store is in doubt.
+            if self._is_in_doubt:
+                return _IN_DOUBT
             return _HELD if run.placement is Placement.HELD else _WAITS_IDLE
         known = self._by_route.get(id(route))
         if known is None:
             names = [part.service for part in route.services]
-            known = self._by_route[id(route)] = self._service_status(names)
+            known = self._service_status(names)
+            if self._is_in_doubt and known.reason is Reason.WAITS_TURN:
+                known = _IN_DOUBT
+            self._by_route[id(route)] = known
         return known
 
     def startable_runs(self, runs: Iterable[ItemRun]) -> int:
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -38,6 +38,13 @@
 from leverjunction.lots.due_plan import mark_crowded_out
 from leverjunction.lots.isolation import Isolation
 from leverjunction.lots.item_queue import ItemQueue
+from leverjunction.lots.item_report import (
+    LOOP_TIMEOUT_S,
+    ItemsReport,
+    ReadItems,
+    call_on_loop,
+    not_leading,
+)
 from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.load_listener import LoadListener
 from leverjunction.lots.load_watch import LoadWatch
@@ -141,6 +148,7 @@
         self._is_in_doubt = is_in_doubt
         self._last_pause_end_s = last_pause_end_s
         self._pause_end_s = -math.inf
+        self._was_in_doubt = False
         self._datagrams = datagrams
         self._by_rate = by_rate
         self._group = group
@@ -205,6 +213,20 @@
         """Return a readable description of where the event loop's thread is."""
         return format_thread_stack(self._thread)
 
+    def report_items(self, request: ReadItems) -> ItemsReport | Failure:
+        """Return why open items do not run; a failure from a store that knows another leader.
+
+        May be called from any thread but the runner's own.
+        """
+        status = self._group.status()
+        if status.role != "leader" and status.leader_address:
+            return not_leading(status.leader_address)
+        return call_on_loop(
+            self._loop,
+            lambda: self._monitor.report(self._monitor_snapshot(), request.item_id),
+            LOOP_TIMEOUT_S,
+        )
+
     def fault(self) -> Failure | None:
         """Return why items are no longer run, or None while they are.
 
@@ -301,6 +323,8 @@
             pending_results=self._outbox.pending_results,
             open_keys=self._open_keys,
             late_items=self._queue.late,
+            is_in_doubt=self._was_in_doubt,
+            hold_end_s=self._isolation.hold_end_s,
         )
 
     def _open_keys(self) -> tuple[ItemKey, ...] | None:
@@ -355,7 +379,7 @@
         self._pause_end_s = self._last_pause_end_s()
         # Checked before the registry's state is applied: a reply in between makes only the next
         # state current.
-        is_in_doubt = self._is_in_doubt()
+        self._was_in_doubt = is_in_doubt = self._is_in_doubt()
         self._apply_registry()
         self._adopt_suspects()
         index = self._index
