Soak: items of real size, the worst closings after a series of crashes, slow and shared disks

Cause: the soak did not play what the incident's machines went through. Its items had a few hundred bytes, a closing lost one disk at most, no closing followed a series of crashes of back ends, and syncs were slow by the same time at all stores. And lateness under load passed, so that an item that nothing worked on was told only if it stood still for more than 30 s.

Change: `--worst` has the seed draw, and `--lots`, `--crashes`, `--disk`, `--losses` and `--closing` set: jobs of 16 items of 78 kB with bursts of six jobs; half of the runners crash each 1.5 s for 15 to 20 s right before the closing; the stores whose disks lasted longest lose them, as many as are tolerated, as all other processes are killed, right after a 202 or an acknowledged change; syncs that differ from disk to disk and over time, or flushes of all replicas of a disk that wait for each other. Stand-ins keep 200 bytes of a body, so the soak's memory is bounded. Seeds without these options strike what they always did.

A check beside the others, at any load: an open item had no run for over 18 s of calm. Each such item is told with the reason that the stores gave last; the open items by reason are in calm.log, second by second.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -18,14 +18,17 @@
 from random import Random, SystemRandom
 from statistics import median
 
+import disks
 import fire
 import words
 from broken import RULES
-from closing import AT_THE_END, CLOSINGS, close
+from calm import CalmWatch
+from closing import AT_THE_END, CLOSINGS, WORST, close, crash_runners
 from faults import FAULTS, ONLY_NAMED, OUT_OF_STEP, REFUSALS, RELEASES, SEPARABLE
 from figures import keep_figures
 from hands import Hands
-from machines import MACHINES, Machines, Programs, Sizes
+from lots import SHAPES
+from machines import LOSSES, MACHINES, Machines, Programs, Sizes
 from own_faults import OwnFaults
 from records import FIRST_S, Records, broken_limits, broken_promises, clock, first_ends
 from rest import Rest
@@ -48,11 +51,32 @@
 TURNS_US = (0, 0, 20)
 """Turns of the programs' threads, of which the seed draws one; 0 is the interpreter's own."""
 
+CRASHING_SHARE = 0.7
+"""Of the worst, those with a series of crashes before the closing."""
+
+MORE_LOSSES = 2
 POLL_S = 0.1
 EXIT_ENDED = 143
 """Of a soak that was asked to end; all that it started is ended first."""
 
 
+class End:
+    """How a soak ends.
+
+    Attributes:
+        closing: Kind of the last blow.
+        ebb: How many items are open at most before it, 0 for the usual number.
+        crashes: Whether a series of crashes of runners comes right before it.
+    """
+
+    __slots__ = ("closing", "crashes", "ebb")
+
+    def __init__(self, closing: str, ebb: int, crashes: bool) -> None:
+        self.closing = closing
+        self.ebb = ebb
+        self.crashes = crashes
+
+
 def soak(
     minutes: float = 1.0,
     seed: int = 0,
@@ -65,6 +89,11 @@
     sync_ms: int = 0,
     ebb: int = -1,
     keep: str = "",
+    worst: bool = False,
+    lots: str = "",
+    disk: str = "",
+    crashes: bool | None = None,
+    losses: int = 0,
 ) -> None:
     """Run a soak; ends the process with its verdict.
 
@@ -82,35 +111,62 @@
         ebb: How many items are open at most before the last blow, 0 for the usual number; the seed
             draws it if it is negative.
         keep: Folder under which the logs are kept; a temporary one if empty.
+        worst: Have the seed draw what is not given of the following and a closing with them.
+        lots: Shape of batch jobs, ``small`` or ``large``.
+        disk: ``uneven`` for syncs that differ from disk to disk and over time, ``shared`` for disks
+            of several replicas whose flushes wait for each other.
+        crashes: Whether runners end again and again right before the closing.
+        losses: Disks that may be lost at the same time; 0 for the usual number.
     """
     seed = seed or SystemRandom().randrange(1, 10**6)
     named = set(only.split(",")) if only else FAULTS.keys() - ONLY_NAMED
     kinds = [kind for kind in FAULTS if kind in named]
     _check("kind of fault", "" if kinds else only, FAULTS)
     _check("rule", rule, RULES)
-    _check("closing", closing, {**CLOSINGS, "none": None})
+    _check("closing", closing, {**CLOSINGS, **WORST, "none": None})
+    _check("shape of jobs", lots, SHAPES)
+    _check("kind of disks", disk, dict.fromkeys(disks.KINDS))
+    if worst:
+        draw = Random(f"{seed} worst")
+        drawn_worst = (
+            draw.choice(sorted(SHAPES)),
+            draw.choice(disks.KINDS),
+            draw.random() < CRASHING_SHARE,
+            draw.choice(sorted(WORST)),
+            draw.choice((LOSSES, MORE_LOSSES)),
+        )
+        lots, disk = lots or drawn_worst[0], disk or drawn_worst[1]
+        crashes = drawn_worst[2] if crashes is None else crashes
+        closing, losses = closing or drawn_worst[3], losses or drawn_worst[4]
+    lots, losses, crashes = lots or "small", losses or LOSSES, bool(crashes)
     closing = closing or Random(f"{seed} kind of closing").choice(sorted(CLOSINGS))
     signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(EXIT_ENDED))
+    if ebb < 0 and worst:
+        ebb = 0
     if ebb < 0:
         ebb = Random(f"{seed} ebb").choice(EBBS)
     if turn_us < 0:
         turn_us = Random(f"{seed} turns").choice(TURNS_US)
     drawn = f"closing: {closing}, turns of threads: {turn_us or 5000} us, ebb: {ebb or 'none'}"
+    drawn += f", jobs: {lots}, disks: {disk or 'usual'}, {losses} may be lost"
+    drawn += ", series of crashes" if crashes else ""
     print(f"seed {seed}, {drawn}", flush=True)
     folder = log_folder(seed, keep)
     records = Records()
     OwnFaults(records).watch()
-    programs = Programs(program_tree, rule, turn_us, sync_ms)
+    syncs = disks.word(disk, seed, folder) or (str(sync_ms) if sync_ms else "")
+    programs = Programs(program_tree, rule, turn_us, syncs)
     separable = SEPARABLE if OUT_OF_STEP.intersection(kinds) else 0
-    deployment = Machines(folder, programs, Sizes(machines), separable)
-    traffic = Traffic(deployment, records, seed, _shape_for(kinds))
+    deployment = Machines(folder, programs, Sizes(machines, losses), separable)
+    traffic = Traffic(deployment, records, seed, _shape_for(kinds), SHAPES[lots])
     hands = Hands(deployment, traffic, records, seed, kinds)
     ended = threading.Event()
     reviver = threading.Thread(target=_revive, args=(deployment, ended))
     try:
         deployment.start()
         reviver.start()
-        broken = _play(deployment, records, traffic, hands, minutes, closing, ebb)
+        end = End(closing, ebb, crashes)
+        broken = _play(deployment, records, traffic, hands, minutes, end, folder)
         if broken:
             keep_figures(deployment, folder)
     finally:
@@ -161,8 +217,8 @@
     traffic: Traffic,
     hands: Hands,
     minutes: float,
-    closing: str,
-    ebb: int,
+    end: End,
+    folder: Path,
 ) -> list[str]:
     """Strike, close, rest; return the broken promises that are seen at rest."""
     traffic.start()
@@ -171,23 +227,31 @@
     hands.start()
     time.sleep(minutes * 60)
     hands.stop()
-    if ebb:
-        traffic.lots.ebb_items = ebb
-        _comes_true(lambda: traffic.lots.open_items() <= ebb, EBB_TIMEOUT_S)
-    if closing != "none":
+    if end.ebb:
+        traffic.lots.ebb_items = end.ebb
+        _comes_true(lambda: traffic.lots.open_items() <= end.ebb, EBB_TIMEOUT_S)
+    if end.crashes:
+        began_s = time.time()
+        crash_runners(hands.scene)
+        records.blow("series of crashes", began_s, time.time())
+    if end.closing != "none":
         began_s = time.time()
-        close(hands.scene, closing)
-        records.blow(f"closing: {closing}", began_s, time.time())
+        close(hands.scene, end.closing)
+        records.blow(f"closing: {end.closing}", began_s, time.time())
     machines.heal()
     traffic.backends.heal()
     if not _comes_true(machines.are_up, UP_TIMEOUT_S):
         return [f"not all processes listen {UP_TIMEOUT_S:.0f} s after the last blow"]
-    if closing not in AT_THE_END:
+    if end.closing not in AT_THE_END:
         time.sleep(hands.scene.random.uniform(*MORE_TRAFFIC_S))
     traffic.calm()
     records.blow("calm", time.time(), time.time())
+    watch = CalmWatch(machines, records, traffic)
+    watch.start()
     rest = Rest(machines, records, traffic)
     broken = rest.judge()
+    broken += watch.judge()
+    (folder / "calm.log").write_text("\n".join([*watch.lines, ""]))
     records.notes += rest.notes
     records.rest_s = rest.took_s
     beside_deadly = Rest(machines, records, traffic, beside_deadly=True)
@@ -247,6 +311,8 @@
     report_s = sorted(records.report_s or [0.0])
     print(f"a load was told in {median(report_s):.3f} s, at most {report_s[-1]:.3f} s")
     print(f"all was at its end after {records.rest_s:.1f} s of calm")
+    for line in records.calm_notes:
+        print(line)
     _report_deadly(records, traffic)
     print(f"configurations acknowledged: {len(records.acknowledged)}")
     for machine in machines.all:
--- a/deploy/soak/backends.py
+++ b/deploy/soak/backends.py
@@ -23,6 +23,7 @@
 """Slots of a runner, as on the deployment of the incident."""
 
 RECENT_REQUESTS = 100
+KEPT_BYTES = 200
 NOT_RUN = "not run"
 ANSWERED_TWICE = (NOT_RUN, "not run, again late", "not run, again with the next")
 """Refusals of a runner, some of which come a second time."""
@@ -68,9 +69,10 @@
         began_s: When it came, in monotonic seconds.
         ended_s: When it ended, None while it is under way.
         whole: Whether the runner wrote all of its answer.
+        is_taken: Whether the runner did not refuse it.
     """
 
-    __slots__ = ("began_s", "ended_s", "item_id", "runner_id", "store", "whole")
+    __slots__ = ("began_s", "ended_s", "is_taken", "item_id", "runner_id", "store", "whole")
 
     def __init__(self, item_id: str, store: str, runner_id: str, seen: Seen) -> None:
         self.item_id = item_id
@@ -79,6 +81,7 @@
         self.began_s = seen.began_s
         self.ended_s = seen.ended_s
         self.whole = seen.whole
+        self.is_taken = not seen.behaviour.startswith(NOT_RUN)
 
 
 class Crash:
@@ -119,6 +122,8 @@
         self.refusals: Random | None = None
 
     def _behaviour_for(self, seen: Seen) -> str:
+        # All that came is kept until the end, but for the most of large bodies.
+        seen.body = seen.body[:KEPT_BYTES]
         chosen = super()._behaviour_for(seen)
         refusals = self.refusals
         if chosen == self.usual and refusals and refusals.random() < REFUSED_SHARE:
@@ -377,9 +382,9 @@
         """Return the longest time for which a request waited for a slot, in seconds."""
         return max(runner.longest_wait_s() for runner in self.all())
 
-    def runs(self) -> list[Run]:
-        """Return all runs of items."""
-        return [run for runner in self.all() for run in runner.runs()]
+    def runs(self, *, refused: bool = True) -> list[Run]:
+        """Return all runs of items, with those that were refused or without."""
+        return [run for runner in self.all() for run in runner.runs() if refused or run.is_taken]
 
     def working(self) -> set[str]:
         """Return the ids that any runner works on now."""
--- a/deploy/soak/broken.py
+++ b/deploy/soak/broken.py
@@ -13,10 +13,13 @@
 from leverjunction.clock import LOADED_S
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.lots import client
+from leverjunction.lots.attempts import Attempts
 from leverjunction.lots.batch_capacity import OccupiedSlot
 from leverjunction.lots.commands import EndLot, LotAccepted, SubmitLot
 from leverjunction.lots.crash_limits import CrashLimits, Suspicion
+from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.placement import Placement
+from leverjunction.lots.run_trace import RunEnd
 from leverjunction.lots.runner import LotsRunner
 from leverjunction.lots.slow_start import SlowStart
 from leverjunction.platform.roles import main
@@ -29,6 +32,7 @@
 from leverjunction.wire.rpc_client import DEFAULT_TIMEOUT_S, RpcClient
 
 RULES: dict[str, Callable[[], None]] = {}
+WAIT_S = 40.0
 
 
 def _rule(apply: Callable[[], None]) -> Callable[[], None]:
@@ -152,6 +156,22 @@
     LotsRunner._run_ended = free_only  # type: ignore[method-assign, assignment]
 
 
+@_rule
+def _wait_out_losses() -> None:
+    """An item whose run was cut has no other one for longer than calm lasts."""
+    load_progress = Attempts.load_progress
+    seen_s: dict[tuple[ItemKey, int], float] = {}
+
+    def patient(self: Attempts, run: ItemRun) -> bool:
+        if run.trace.end in (RunEnd.CUT, RunEnd.NOT_ANSWERED):
+            since_s = seen_s.setdefault((run.key, run.trace.runs), time.monotonic())
+            if time.monotonic() < since_s + WAIT_S:
+                return False
+        return load_progress(self, run)
+
+    Attempts.load_progress = patient  # type: ignore[method-assign]
+
+
 if __name__ == "__main__":
     RULES[sys.argv[1]]()
     sys.exit(main(sys.argv[2:], LOADED_S))
--- a/deploy/soak/configuring.py
+++ b/deploy/soak/configuring.py
@@ -21,6 +21,7 @@
 
     Attributes:
         shares: Where batch jobs go from the next configuration on.
+        acknowledged: Set at each change that was acknowledged.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         self._ending = ending
         self._calm = calm
         self._hasty = threading.Event()
+        self.acknowledged = threading.Event()
         self._hurry = 0
         self._version = 0
         self.shares = FIRST_SHARES
@@ -89,6 +91,7 @@
         if self._call(random, "POST", words.REPLACE_PATH, body) is None:
             return False
         self._records.configured(self._version, time.monotonic())
+        self.acknowledged.set()
         return True
 
     def _read_back(self, random: Random) -> None:
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -160,6 +160,18 @@
             machine.wipe()
             self._lost_s = time.monotonic()
 
+    def lose_together(self, machines: list[Machine]) -> None:
+        """Take the disks of machines that are killed, as many as may be lost at the same time."""
+        with self._lock:
+            for machine in machines:
+                machine.wipe()
+            self._lost_s = time.monotonic()
+
+    def until_repaired(self) -> None:
+        """Wait until no disk is missing."""
+        with self._lock:
+            self._until_repaired()
+
     def _until_repaired(self) -> None:
         if self._lost_s is None:
             return
@@ -215,6 +227,16 @@
         calm_s = time.monotonic() - IN_TOUCH_S
         return all(item.runs and item.disturbed_s < calm_s for item in self.machines.all)
 
+    def oldest_disks(self) -> list[Machine]:
+        """Return as many stores as may lose their disks together: those that lasted longest.
+
+        Of the stores only those count that hold what is to be lost.
+        """
+        held = [(store, store.disk_bytes()) for store in self.machines.of("store")]
+        full = [store for store, size in held if 2 * size >= max(size for _, size in held)]
+        oldest = sorted(full, key=lambda store: store.disk_since_s)
+        return oldest[: self.machines.losses]
+
     def any_runner(self) -> int:
         """Return the number of a runner."""
         return self.random.randrange(len(self.traffic.backends.now))
--- a/deploy/soak/lots.py
+++ b/deploy/soak/lots.py
@@ -39,6 +39,56 @@
 READ_AT_ONCE = 6
 
 
+class LotShape:
+    """What batch jobs are like.
+
+    Attributes:
+        least_items: Fewest items of a job.
+        most_items: Most items of a job.
+        least_work_ms: Shortest run of an item.
+        most_work_ms: Longest run of an item.
+        item_bytes: Least size of the body of an item.
+        burst: Jobs that a client sends at once.
+        burst_of: One sending in so many is such a burst.
+        open_items_of_slot: Clients send no new job while there are so many open items for each
+            slot.
+    """
+
+    __slots__ = (
+        "burst",
+        "burst_of",
+        "item_bytes",
+        "least_items",
+        "least_work_ms",
+        "most_items",
+        "most_work_ms",
+        "open_items_of_slot",
+    )
+
+    def __init__(
+        self,
+        items: tuple[int, int] = (LEAST_ITEMS, MOST_ITEMS),
+        works_ms: tuple[int, int] = (LEAST_WORK_MS, MOST_WORK_MS),
+        item_bytes: int = 0,
+        burst: int = 1,
+        burst_of: int = 1,
+        open_items_of_slot: float = OPEN_ITEMS_OF_SLOT,
+    ) -> None:
+        self.least_items, self.most_items = items
+        self.least_work_ms, self.most_work_ms = works_ms
+        self.item_bytes = item_bytes
+        self.burst = burst
+        self.burst_of = burst_of
+        self.open_items_of_slot = open_items_of_slot
+
+
+SHAPES = {
+    "small": LotShape(),
+    "large": LotShape((16, 16), (300, 1500), 78_000, 6, 3, 6.0),
+}
+"""Large ones: what is open when calm comes is done in a third of the time given to it."""
+
+
 class LotClients:
     """What all clients of batch jobs share.
 
@@ -54,6 +104,7 @@
         "_http",
         "_machines",
         "_records",
+        "_shape",
         "_slots",
         "accepted",
         "ebb_items",
@@ -67,7 +118,9 @@
         slots: int,
         ending: threading.Event,
         calm: threading.Event,
+        shape: LotShape,
     ) -> None:
+        self._shape = shape
         self._machines = machines
         self._records = records
         self._http = http
@@ -80,10 +133,14 @@
     def submit(self, random: Random) -> None:
         """Send batch jobs until calm comes."""
         while not self._ending.wait(SUBMIT_PAUSE_S * random.random()):
-            most = self.ebb_items or OPEN_ITEMS_OF_SLOT * self._slots
+            shape = self._shape
+            most = self.ebb_items or shape.open_items_of_slot * self._slots
             if self._calm.is_set() or self.open_items() >= most:
                 continue
-            self.send_one(random)
+            if shape.burst == 1 or self.ebb_items or random.randrange(shape.burst_of):
+                self.send_one(random)
+            else:
+                self._send_burst(random)
 
     def watch(self, random: Random) -> None:
         """Read batch jobs that are open, and end some."""
@@ -107,17 +164,30 @@
         """Return how many items are or may be open, as far as is known."""
         return sum(lot.open_count for lot in self.all() if lot.owed or lot.unsure)
 
-    def send_one(self, random: Random, most_items: int = MOST_ITEMS) -> LotRecord:
-        """Submit one batch job, several times if need be."""
+    def _send_burst(self, random: Random) -> None:
+        randoms = [Random(random.getrandbits(48)) for _ in range(self._shape.burst)]
+        senders = [
+            threading.Thread(target=self.send_one, args=(one,), daemon=True) for one in randoms
+        ]
+        for sender in senders:
+            sender.start()
+        for sender in senders:
+            sender.join()
+
+    def send_one(self, random: Random, most_items: int = 0) -> LotRecord:
+        """Submit one batch job, several times if need be; of the shape's size if none is given."""
+        shape = self._shape
         lot_id = f"l{random.getrandbits(48):012x}"
-        items = random.randint(LEAST_ITEMS, most_items)
-        works_ms = [random.randint(LEAST_WORK_MS, MOST_WORK_MS) for _ in range(items)]
+        most = most_items or shape.most_items
+        items = random.randint(min(shape.least_items, most), most)
+        works_ms = [random.randint(shape.least_work_ms, shape.most_work_ms) for _ in range(items)]
         bad = frozenset(number for number in range(items) if random.random() < BAD_SHARE)
         bad_ids = frozenset(words.item_id(lot_id, number) for number in bad)
         lot = LotRecord(lot_id, items, bad_ids)
         with self._records.lock:
             self._records.lots.append(lot)
-        self._try(lot, words.lot(lot_id, works_ms, bad), random)
+        body = words.lot(lot_id, works_ms, bad, item_bytes=shape.item_bytes)
+        self._try(lot, body, random)
         return lot
 
     def send_deadly(self, random: Random) -> LotRecord:
--- a/deploy/soak/machines.py
+++ b/deploy/soak/machines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import shutil
@@ -34,6 +35,7 @@
 """From so many machines on there are more control processes."""
 
 LEAST_STORES = 4
+LOSSES = 1
 STORES_SHARE = 0.2
 
 
@@ -42,13 +44,16 @@
 
     Args:
         machines: All of them together.
+        losses: Disks that may be lost at the same time; there is one store more than these need.
     """
 
-    __slots__ = ("control", "gateway", "store")
+    __slots__ = ("control", "gateway", "losses", "store")
 
-    def __init__(self, machines: int = MACHINES) -> None:
-        self.control = MANY_CONTROLS if machines >= MANY_MACHINES else CONTROLS
-        self.store = max(LEAST_STORES, round(machines * STORES_SHARE))
+    def __init__(self, machines: int = MACHINES, losses: int = LOSSES) -> None:
+        self.losses = losses
+        least = MANY_CONTROLS if machines >= MANY_MACHINES else CONTROLS
+        self.control = max(least, 2 * losses + 1)
+        self.store = max(LEAST_STORES, round(machines * STORES_SHARE), 2 * losses + 2)
         self.gateway = max(2, machines - self.control - self.store)
 
 
@@ -59,19 +64,20 @@
         tree: Work tree whose programs are started; this one's if empty.
         rule: Rule that the programs break on purpose, empty for none.
         turn_us: Longest turn of a thread while others wait, in microseconds; 0 for the usual one.
-        sync_ms: Time that each sync of a store takes longer, in milliseconds.
+        syncs: How much longer each sync of a store takes, as `disks` tells it; empty for the usual
+            time.
     """
 
     __slots__ = ("_caches", "command")
 
-    def __init__(self, tree: str = "", rule: str = "", turn_us: int = 0, sync_ms: int = 0) -> None:
+    def __init__(self, tree: str = "", rule: str = "", turn_us: int = 0, syncs: str = "") -> None:
         own = not tree or Path(tree).resolve() == ROOT
         start = (ROOT if own else Path(tree).resolve()) / "deploy" / "start.py"
         words = [str(start)]
         if rule:
             words = [str(BROKEN), rule]
-        elif turn_us or sync_ms:
-            words = [str(ALTERED), str(start), str(turn_us), str(sync_ms)]
+        elif turn_us or syncs:
+            words = [str(ALTERED), str(start), str(turn_us), syncs or "0"]
         self.command = [sys.executable, *words]
         self._caches = "" if own else str(Path(tempfile.gettempdir()) / f"soak-{os.getuid()}-pyc")
 
@@ -92,6 +98,7 @@
         host: Its address.
         starts: How often it was started.
         ended_by_itself: Exit statuses of lives that nobody ended.
+        disk_since_s: When its disk was new.
         disturbed_s: When it was last struck or came back.
         links: Its connections to other machines if it can be cut off, else None.
     """
@@ -99,12 +106,14 @@
     __slots__ = (
         "_folder",
         "_lock",
+        "_losses",
         "_number",
         "_paused",
         "_process",
         "_programs",
         "_seeds",
         "_wanted",
+        "disk_since_s",
         "disturbed_s",
         "ended_by_itself",
         "host",
@@ -122,8 +131,11 @@
         host: str,
         seeds: list[str],
         programs: Programs,
+        losses: int = LOSSES,
     ) -> None:
         self.name = f"{role}-{number}"
+        self._losses = losses
+        self.disk_since_s = 0.0
         self._number = number
         self._folder = folder / self.name
         self._process: subprocess.Popen[bytes] | None = None
@@ -252,6 +264,15 @@
     def wipe(self) -> None:
         """Lose the disk; the log is kept."""
         shutil.rmtree(self._folder / "data", ignore_errors=True)
+        self.disk_since_s = time.monotonic()
+
+    def disk_bytes(self) -> int:
+        """Return how much its disk holds."""
+        total = 0
+        for path in (self._folder / "data").rglob("*"):
+            with contextlib.suppress(OSError):
+                total += path.stat().st_size
+        return total
 
     def answers(self) -> bool:
         """Return whether its process listens."""
@@ -279,6 +300,7 @@
             "seeds": self._seeds,
             "rpc_seed_port": RPC_PORT,
             "first_start": self.starts == 0,
+            "losses": self._losses,
             "listen": listen,
         }
         if self.has_disk:
@@ -292,6 +314,9 @@
 class Machines:
     """All machines of a deployment.
 
+    Attributes:
+        losses: Disks that may be lost at the same time.
+
     Args:
         folder: Where they keep settings, disks and logs.
         programs: What they start.
@@ -301,12 +326,14 @@
 
     def __init__(self, folder: Path, programs: Programs, sizes: Sizes, separable: int = 0) -> None:
         self._net = Net(RPC_PORT)
+        self.losses = sizes.losses
         seeds = [f"{self._net.host(number)}:{CONTROL_PORT}" for number in range(sizes.control)]
         self.all: list[Machine] = []
         for role in ("control", "store", "gateway"):
             for number in range(1, getattr(sizes, role) + 1):
                 host = self._net.host(len(self.all))
-                self.all.append(Machine(folder, role, number, host, seeds, programs))
+                machine = Machine(folder, role, number, host, seeds, programs, sizes.losses)
+                self.all.append(machine)
         peers = [f"{machine.host}:{RPC_PORT}" for machine in self.with_disks()]
         for gateway in self.of("gateway")[:separable]:
             gateway.links = Links(folder / gateway.name / "links", peers)
--- a/deploy/soak/records.py
+++ b/deploy/soak/records.py
@@ -126,6 +126,7 @@
         accepted: It got a 202.
         statuses: Statuses of all its tries.
         listed: Item, state and text at each position, as first read.
+        listed_s: When each item was first read, in monotonic seconds.
         changed: Positions that were read differently later.
         bad: Items that no runner can do.
         deadly: Items that end each runner which begins them.
@@ -147,6 +148,7 @@
         "ending",
         "items",
         "listed",
+        "listed_s",
         "lot_id",
         "statuses",
         "whole_at",
@@ -171,6 +173,7 @@
         self.deaf_at: set[str] = set()
         self.statuses: list[int] = []
         self.listed: list[tuple[str, str, str]] = []
+        self.listed_s: dict[str, float] = {}
         self.changed: list[int] = []
 
     @property
@@ -215,6 +218,7 @@
                     self.changed.append(position)
             elif position == len(self.listed):
                 self.listed.append(result)
+                self.listed_s.setdefault(result[0], time.monotonic())
 
 
 class Records:
@@ -229,6 +233,7 @@
         own_faults: Errors of the soak itself.
         seen_broken: Promises that were seen broken while faults struck.
         notes: What is told, but no broken promise.
+        calm_notes: How long open items had no run in calm.
         struck: How often each kind of fault struck.
         blows: A line for each, with its wall times.
         strikes: Kind of each, and when it began, in wall seconds.
@@ -249,6 +254,7 @@
         self.own_faults: list[str] = []
         self.seen_broken: list[str] = []
         self.notes: list[str] = []
+        self.calm_notes: list[str] = []
         self.struck: Counter[str] = Counter()
         self.blows: list[str] = []
         self.strikes: list[tuple[str, float]] = []
--- a/deploy/soak/traffic.py
+++ b/deploy/soak/traffic.py
@@ -13,7 +13,7 @@
 from backends import VERSIONS, Backends, RunnersShape
 from callers import Callers, ask
 from configuring import CALL_TIMEOUT_S, Operator
-from lots import LEAST_ITEMS, LotClients
+from lots import LEAST_ITEMS, LotClients, LotShape
 from machines import Machines
 from owners import Owners
 from records import Records
@@ -80,7 +80,12 @@
     """
 
     def __init__(
-        self, machines: Machines, records: Records, seed: int, shape: TrafficShape
+        self,
+        machines: Machines,
+        records: Records,
+        seed: int,
+        shape: TrafficShape,
+        lots: LotShape | None = None,
     ) -> None:
         self._shape = shape
         self._machines = machines
@@ -96,7 +101,9 @@
         runners = shape.runners or max(RUNNERS, round(len(machines.all) / MACHINES_OF_RUNNER))
         self.backends = Backends(runners, seed, self.operator.call, Owners(machines), shape.shape)
         slots = self.backends.slots()
-        self.lots = LotClients(machines, records, http, slots, self._ending, self._calm)
+        self.lots = LotClients(
+            machines, records, http, slots, self._ending, self._calm, lots or LotShape()
+        )
         self._callers = Callers(machines, records, self._ending, self._calm, shape.patience_s)
 
     def start(self) -> None:
--- a/deploy/soak/words.py
+++ b/deploy/soak/words.py
@@ -136,6 +136,7 @@
     works_ms: list[int],
     bad: frozenset[int] = frozenset(),
     deadly: frozenset[int] = frozenset(),
+    item_bytes: int = 0,
 ) -> bytes:
     """Return a batch job.
 
@@ -144,6 +145,7 @@
         works_ms: How long the runs of its items take.
         bad: Numbers of the items that no runner can do.
         deadly: Numbers of the items that end each runner which begins them.
+        item_bytes: Least size of the body of an item.
     """
     listed = [
         {
@@ -154,7 +156,9 @@
                 WORK_MS_HEADER: str(work_ms),
                 **({BEHAVIOUR_HEADER: "unprocessable"} if number in bad else {}),
             },
-            "Body": base64.b64encode(_item_body(lot_id, number, number in deadly)).decode(),
+            "Body": base64.b64encode(
+                _item_body(lot_id, number, number in deadly).ljust(item_bytes, b".")
+            ).decode(),
             "Tokens": 10,
         }
         for number, work_ms in enumerate(works_ms)
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -47,6 +47,9 @@
 nets = load("nets")
 links = load("links")
 resuming = load("resuming")
+calm = load("calm")
+disks = load("disks")
+faults = load("faults")
 
 
 def run(*arguments: str) -> subprocess.CompletedProcess[str]:
@@ -511,6 +514,13 @@
     assert "0 promises broken" in done.stdout
 
 
+def test_accepted_items_get_runs_after_a_series_of_crashes_and_a_loss_of_all_power() -> None:
+    worst = ("--lots", "large", "--crashes", "--closing", "all killed and the oldest disks lost")
+    done = run("--minutes", "0.03", "--seed", "8201", "--ebb", "0", *worst)
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "series of crashes 1" in done.stdout
+
+
 def test_a_rule_that_is_broken_on_purpose_is_found() -> None:
     done = run("--minutes", "0.05", "--seed", "3", "--rule", "accept_without_asking")
     assert done.returncode == 1, done.stdout + done.stderr
@@ -696,6 +706,96 @@
     assert re.search(r"open .* s, nothing works on it; runs: store-\d at i-\d+ ", done.stdout)
 
 
+def test_items_that_have_no_run_in_calm_are_told_with_the_reason() -> None:
+    rule = ("--rule", "wait_out_losses", "--only", "connections reset", "--closing", "none")
+    done = run("--minutes", "0.2", "--seed", "13", "--ebb", "0", *rule)
+    assert done.returncode == 1, done.stdout + done.stderr
+    assert re.search(
+        r"BROKEN item \S+ had no run for [23]\d\.\d s of calm, .* reason: \w+", done.stdout
+    ), done.stdout
+
+
+@pytest.mark.parametrize(
+    ("runs", "gap_s"),
+    [
+        ([], 20.0),
+        ([(95.0, None)], 0.0),
+        ([(95.0, 101.0), (104.0, 119.0)], 3.0),
+        ([(104.0, 106.0), (102.0, 110.0)], 10.0),
+        ([(90.0, 95.0), (130.0, 131.0)], 20.0),
+    ],
+    ids=["none", "one goes on", "two", "one within the other", "before and after"],
+)
+def test_the_longest_time_without_a_run_is_counted(
+    runs: list[tuple[float, float | None]], gap_s: float
+) -> None:
+    assert calm.longest_gap_s(runs, 100.0, 120.0) == gap_s
+
+
+def test_items_without_a_run_are_told_from_calm_or_their_acceptance_until_they_are_listed() -> None:
+    early, late, ended = (records.LotRecord(name, 1) for name in "abc")
+    for lot, accepted_s in ((early, 80.0), (late, 105.0), (ended, 80.0)):
+        lot.accepted, lot.accepted_s = True, accepted_s
+    early.read(0, [("a.0", "done", WHOLE)])
+    early.listed_s["a.0"] = 119.0
+    ended.ending = True
+    found = calm.idle_items([early, late, ended], [], 100.0, 120.0)
+    assert [(item.item_id, item.idle_s, item.is_open) for item in found] == [
+        ("a.0", 19.0, False),
+        ("b.0", 15.0, True),
+    ]
+
+
+def test_the_last_reason_of_each_item_that_waits_is_told() -> None:
+    log = (
+        '{"at_ms":2000,"event":"waits","item":"a.0","reason":"held","quiet_ms":9000}\n'
+        '{"at_ms":1000,"event":"waits","item":"a.0","reason":"no_room"}\n'
+        '{"at_ms":3000,"event":"ended","item":"b.0"}\n{"at_ms":4000,"event":"waits","it'
+    )
+    reasons = calm.told_reasons([log, "plain line\n"])
+    assert list(reasons) == ["a.0"]
+    assert re.fullmatch(r"held \(.* quiet 9\.0 s\)", reasons["a.0"])
+
+
+def test_syncs_differ_from_disk_to_disk_and_over_time() -> None:
+    times = {
+        disk: [disks.sync_s(disks.UNEVEN, "7", disk, at_s) for at_s in range(100)]
+        for disk in ("store-1", "store-2", "store-3", "store-4")
+    }
+    assert len({tuple(own) for own in times.values()}) > 1
+    assert all(len(set(own)) > 1 for own in times.values())
+    assert max(max(own) for own in times.values()) < 0.5
+
+
+def test_flushes_of_replicas_that_share_a_disk_wait_for_each_other(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(disks, "sync_s", lambda *_arguments: 0.05)
+    monkeypatch.setattr(disks, "DISKS", 1)
+    word = disks.word(disks.SHARED, 7, tmp_path)
+    replicas = [disks.SlowDisk(word, f"store-{number}") for number in range(4)]
+    threads = [threading.Thread(target=replica.flush) for replica in replicas]
+    began_s = time.monotonic()
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert time.monotonic() - began_s >= 4 * 0.05
+
+
+def test_the_disks_that_lasted_longest_are_lost_as_many_as_are_tolerated() -> None:
+    since_s = {"store-1": 30.0, "store-2": 10.0, "store-3": 20.0, "spare": 0.0, "store-5": 40.0}
+    stores = [
+        SimpleNamespace(
+            name=name, disk_since_s=at_s, disk_bytes=lambda name=name: 9 * (name != "spare")
+        )
+        for name, at_s in since_s.items()
+    ]
+    machines = SimpleNamespace(losses=2, of=lambda _role: list(stores))
+    lost = faults.Scene.oldest_disks(SimpleNamespace(machines=machines))
+    assert [store.name for store in lost] == ["store-2", "store-3"]
+
+
 def test_unknown_faults_and_rules_are_told() -> None:
     for option in ("--only", "--rule"):
         done = run(option, "nothing")
