--- a/tests/unit/test_item_waits.py
+++ b/tests/unit/test_item_waits.py
@@ -25,6 +25,7 @@
     ("series, same leader", 0),
     ("series, other leader", 0),
     ("series, all killed", 0),
+    ("series, lots of 40", 200),
     ("power loss of back ends", 0),
     ("power loss of back ends", 1),
     ("power loss of back ends, one caller", 0),
@@ -37,6 +38,7 @@
     ("3 harmful items", 0),
     ("16 harmful items", 0),
     ("3 harmful items, one caller", 0),
+    ("5 lots with a harmful item", 200),
 ]
 MIXED = [
     ("series and 3 harmful items", 0),
