Jobs are not held for crashes that would have happened without them

Callers saw accepted items that nothing works on, with nine tenths of the slots free: after a series of crashes of back ends the items of each job that was near them were held for up to a minute, or ran one at a time where nothing else ran; 18 s of calm are promised.

Cause: crashes beside a job's items were evidence against it, and crashes elsewhere were not weighed. Many items that were merely near became strong suspects, whose pause grows with their number, and a new leader counted each crash that the registry knows as of now, however old.

Change: lots.crash_rates compares the rate of crashes beside unproven runs of an item or its job with that elsewhere, by a likelihood ratio; crashes are also known from the registry alone. What others explain limits neither the item nor its job. Crashes under an item that ran alone explain nothing. A new leader estimates the ages of crashes by the births of the next starts. Of more than two strong suspects one is tried after the other, a turn after each crash, those with the fewest crashes first. Items that crash back ends at once stay within six crashes a minute of their job also where others crash.

--- a/src/leverjunction/lots/crash_limits.py
+++ b/src/leverjunction/lots/crash_limits.py
@@ -10,13 +10,17 @@
 and their caller if it sends credentials. Like the restart intensity of a process supervisor, the
 count decides over a window of time how the origin's other items run, including those that have
 never met a crash.
+
+Crashes that ``CrashRates`` explains by those of other back ends limit no origin.
 """
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
+from leverjunction.lots.crash_rates import CrashRates
 from leverjunction.lots.item_run import ItemKey
 from leverjunction.lots.placement import Placement
 
@@ -72,6 +76,11 @@
 crash no more back ends than the origin may.
 """
 
+MAX_TURNS = 2
+"""Turns that a strong suspect waits after its own crash. Those of more suspects than that follow
+each other, a turn after each crash: harmless ones then need not wait for each other.
+"""
+
 PAUSES_TTL_S = 120.0
 """Time after which the last crash of a request is forgotten."""
 
@@ -83,6 +92,14 @@
 with one harmful item each do not take many back ends at once.
 """
 
+EXPLAINED_TTL_S = 0.05
+"""Time for which the comparison of an origin's crashes with those of others is kept: each waiting
+item asks for it in each step of the runner.
+"""
+
+BACK_ENDS_PER_EXPLAINED_TRIAL = 4
+"""The same for suspects of origins whose crashes others explain, most of which are harmless."""
+
 SOUND_PER_RUN = 4
 """Items of an origin proven after its last crash for each further run it may have apart."""
 
@@ -99,6 +116,7 @@
         own_crashes: Crashes in runs of the item itself that no other item is known to have caused.
         own_crashed_s: Time of the last of them, in seconds; None for the last one of the request.
         crashed_alone: Whether one of them happened where nothing else ran.
+        crashes_at_once: Whether several back ends crashed soon after runs of the item began.
         verdicts: How often the request was found to be harmful.
         is_refused: Whether it is under a verdict.
     """
@@ -106,6 +124,7 @@
     __slots__ = (
         "crashed_alone",
         "crashes",
+        "crashes_at_once",
         "is_refused",
         "key",
         "own_crashed_s",
@@ -123,9 +142,11 @@
         own_crashed_s: float | None = None,
         *,
         crashed_alone: bool = False,
+        crashes_at_once: bool = False,
     ) -> None:
         self.key = key
         self.crashed_alone = crashed_alone
+        self.crashes_at_once = crashes_at_once
         self.own_crashed_s = own_crashed_s
         self.crashes = crashes
         self.own_crashes = own_crashes
@@ -156,15 +177,21 @@
         crashes: Times of the crashes by item and start, in seconds; without those of items that
             were proven since.
         apart_s: Time of the last crash that happened apart.
+        harmful: Items that crashed several back ends, each soon after a run began.
+        proven: Number of items that were proven or answered since the first crash.
         sound: Items that were proven or answered since the last crash.
+        strong_s: Time of the last crash by a strong suspect.
     """
 
-    __slots__ = ("apart_s", "crashes", "sound")
+    __slots__ = ("apart_s", "crashes", "harmful", "proven", "sound", "strong_s")
 
     def __init__(self) -> None:
         self.crashes: dict[ItemKey, dict[str, float]] = {}
         self.apart_s = float("-inf")
+        self.harmful: set[ItemKey] = set()
+        self.proven = 0
         self.sound: set[ItemKey] = set()
+        self.strong_s = float("-inf")
 
     def count(
         self,
@@ -180,19 +207,43 @@
             refused_starts: Starts that crashed under refused requests that are no items. Those of
                 an item that has crashed elsewhere too count all the same.
         """
+        return len(self.counted(now_s, causes, refused_starts))
+
+    def counted(
+        self,
+        now_s: float,
+        causes: Mapping[str, ItemKey] = NO_CAUSES,
+        refused_starts: frozenset[str] = frozenset(),
+    ) -> dict[str, float]:
+        """Return the starts that ``count`` counts, with the times of their crashes."""
         from_s = now_s - WINDOW_S
-        return len(
-            {
-                start
-                for item, starts in self.crashes.items()
-                if not starts.keys() <= refused_starts
-                for start, at_s in starts.items()
-                if at_s > from_s and causes.get(start, item) == item
-            }
-        )
+        return {
+            start: at_s
+            for item, starts in self.crashes.items()
+            if not starts.keys() <= refused_starts
+            for start, at_s in starts.items()
+            if at_s > from_s and causes.get(start, item) == item
+        }
+
+    @property
+    def starts(self) -> set[str]:
+        """All starts that crashed, those included that do not count."""
+        return {start for starts in self.crashes.values() for start in starts}
+
+    def count_harmful(self, now_s: float) -> int:
+        """Return the number of starts that harmful items crashed within the window."""
+        from_s = now_s - WINDOW_S
+        crashes = [self.crashes[item] for item in self.harmful if item in self.crashes]
+        return len({start for starts in crashes for start, at_s in starts.items() if at_s > from_s})
+
+    @property
+    def has_repeated(self) -> bool:
+        """Whether an item has crashed several back ends."""
+        return any(len(starts) > 1 for starts in self.crashes.values())
 
     def note_sound(self, item: ItemKey) -> None:
         """Note an item that was proven or answered."""
+        self.proven += item not in self.sound
         if len(self.sound) < MAX_SOUND:
             self.sound.add(item)
 
@@ -205,11 +256,15 @@
                 self.crashes[item] = kept
             else:
                 del self.crashes[item]
+        self.harmful &= self.crashes.keys()
 
 
 class CrashLimits:
     """Counts crashes by item and by origin, and decides how items may run. Not thread-safe.
 
+    Args:
+        rates: Tells which crashes others explain.
+
     Attributes:
         back_ends: Number of known back ends.
     """
@@ -217,8 +272,10 @@
     __slots__ = (
         "_causes",
         "_crashed_s",
+        "_explained",
         "_origins",
         "_overdue",
+        "_rates",
         "_refused_starts",
         "_running",
         "_running_keys",
@@ -228,8 +285,10 @@
         "back_ends",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, rates: CrashRates | None = None) -> None:
+        self._rates = rates or CrashRates()
         self._causes: dict[str, ItemKey] = {}
+        self._explained: dict[Origin, tuple[float, bool]] = {}
         self._origins: dict[Origin, _OriginRecord] = {}
         self._overdue: Counter[Origin] = Counter()
         self._refused_starts: frozenset[str] = frozenset()
@@ -266,6 +325,7 @@
             now_s: Current time in seconds.
             apart: Whether nothing else ran there.
         """
+        self._explained.clear()
         self._crashed_s[suspicion.key] = now_s
         if suspicion.crashes > STRONG_SUSPECT_CRASHES:
             self._strong_crashed_s[start] = now_s
@@ -276,7 +336,10 @@
                 record.sound.clear()
             if apart:
                 record.apart_s = now_s
+            if suspicion.crashes_at_once:
+                record.harmful.add(item)
             if suspicion.is_strong:
+                record.strong_s = now_s
                 self._strong.setdefault(origin, {})[item] = suspicion.key
 
     def caused(self, item: ItemKey, starts: Iterable[str]) -> None:
@@ -364,6 +427,7 @@
             record.prune(now_s)
             if not record.crashes:
                 del self._origins[origin]
+                self._explained.pop(origin, None)
                 self._strong.pop(origin, None)
         counted = {
             start
@@ -389,7 +453,7 @@
             suspicion: What is known against it.
             now_s: Current time in seconds.
         """
-        limits = [self._origin_placement(origin, now_s) for origin in origins]
+        limits = [self._origin_placement(origin, suspicion, now_s) for origin in origins]
         if Placement.HELD in limits or (
             suspicion.crashes and self._must_wait(origins, suspicion, now_s)
         ):
@@ -399,58 +463,129 @@
 
     def needs_idle(self, origins: Iterable[Origin], now_s: float) -> bool:
         """Return whether an origin has so few crashes left that its suspects have to run alone."""
-        records = [self._origins[origin] for origin in origins if origin in self._origins]
+        records = self._limited(origins, now_s)
         return any(self._count(record, now_s) >= ALONE_CRASHES for record in records)
 
     def is_at_limit(self, origins: Iterable[Origin], now_s: float) -> bool:
         """Return whether an origin has crashed so many back ends that none of its items may run."""
-        records = [self._origins[origin] for origin in origins if origin in self._origins]
-        return any(self._is_at_limit(record, now_s) for record in records)
+        return any(self._is_at_limit(record, now_s) for record in self._limited(origins, now_s))
+
+    def _limited(self, origins: Iterable[Origin], now_s: float) -> list[_OriginRecord]:
+        """Return the records of the origins whose crashes others do not explain."""
+        return [
+            record
+            for origin in origins
+            if (record := self._origins.get(origin)) is not None
+            and not self._is_explained(origin, record, now_s)
+        ]
+
+    def _is_explained(self, origin: Origin, record: _OriginRecord, now_s: float) -> bool:
+        known = self._explained.get(origin)
+        if known is not None and 0.0 <= now_s - known[0] < EXPLAINED_TTL_S:
+            return known[1]
+        is_explained = self._rates.explain(origin, record.starts, now_s)
+        self._explained[origin] = (now_s, is_explained)
+        return is_explained
 
     def _count(self, record: _OriginRecord, now_s: float) -> int:
-        return record.count(now_s, self._causes, self._refused_starts)
+        return len(self._counted(record, now_s))
+
+    def _counted(self, record: _OriginRecord, now_s: float) -> dict[str, float]:
+        return record.counted(now_s, self._causes, self._refused_starts)
 
     def _is_at_limit(self, record: _OriginRecord, now_s: float) -> bool:
         count = self._count(record, now_s)
         return count >= MAX_ORIGIN_CRASHES and record.apart_s > now_s - WINDOW_S
 
-    def _origin_placement(self, origin: Origin, now_s: float) -> Placement:
+    def _origin_placement(self, origin: Origin, suspicion: Suspicion, now_s: float) -> Placement:
         record = self._origins.get(origin)
-        if record is None:
+        if record is None or self._is_explained(origin, record, now_s):
             return Placement.SHARED
-        if self._is_at_limit(record, now_s):
-            return Placement.HELD
         count = self._count(record, now_s)
         if count < APART_CRASHES:
             return Placement.SHARED
         most = 1 + len(record.sound) // SOUND_PER_RUN
         running = self._running[origin]
+        if running - self._overdue[origin] >= most:
+            return Placement.HELD
+        if self._is_at_limit(record, now_s):
+            is_trial = not suspicion.crashes_at_once and self._may_be_tried(record, now_s)
+            return Placement.APART if is_trial else Placement.HELD
         # Each run apart may add one crash.
         is_spent = record.apart_s > now_s - WINDOW_S and count + running >= MAX_ORIGIN_CRASHES
-        is_full = running - self._overdue[origin] >= most
-        return Placement.HELD if is_full or is_spent else Placement.APART
+        is_last = not suspicion.is_strong and self._keeps_last(record, now_s)
+        return Placement.HELD if is_spent or is_last else Placement.APART
+
+    def _keeps_last(self, record: _OriginRecord, now_s: float) -> bool:
+        """Return whether the last crash that an origin may cause is kept for a later run.
+
+        If nothing is known to be sound, its items would otherwise be held for the rest of the
+        window, though the crashes may have come to an end.
+        """
+        counted = self._counted(record, now_s)
+        if len(counted) != MAX_ORIGIN_CRASHES - 1 or record.apart_s <= now_s - WINDOW_S:
+            return False
+        if record.proven >= SOUND_PER_RUN:
+            return False
+        # Crashes that have another cause are a sign that there are more of them.
+        are_all_own = len(counted) == len(record.counted(now_s))
+        return are_all_own and now_s - max(counted.values()) < TRIAL_PAUSE_S
+
+    def _may_be_tried(self, record: _OriginRecord, now_s: float) -> bool:
+        """Return whether an item may run though its origin has crashed too many back ends.
+
+        Runs apart follow each other, so that crashes of different items which came faster have
+        another cause, as those may have that came while back ends crashed elsewhere too.
+        """
+        at_s = self._counted(record, now_s).values()
+        if record.harmful or now_s - max(at_s) < TRIAL_PAUSE_S:
+            return False
+        came_together = max(at_s) - min(at_s) < TRIAL_PAUSE_S
+        if came_together and not record.has_repeated and record.proven < SOUND_PER_RUN:
+            return True
+        return self._rates.has_others(record.starts, now_s)
 
     def _must_wait(self, origins: tuple[Origin, ...], suspicion: Suspicion, now_s: float) -> bool:
         """Return whether a suspect may not run yet."""
-        if self._running_keys[suspicion.key] or self._is_exhausted(suspicion, now_s):
+        known = [origin for origin in origins if origin in self._origins]
+        is_explained = bool(known) and not self._limited(known, now_s)
+        most_s = TRIAL_PAUSE_S if is_explained else math.inf
+        if self._running_keys[suspicion.key] or self._is_exhausted(suspicion, most_s, now_s):
             return True
         if any(self._has_enough_suspects(origin, now_s) for origin in origins):
             return True
+        if suspicion.crashes_at_once and self._has_spent_harmful(known, now_s):
+            return True
         if not suspicion.is_strong:
             return False
-        if self._strong_trials(now_s) >= max(1, self.back_ends // BACK_ENDS_PER_TRIAL):
+        per_trial = BACK_ENDS_PER_EXPLAINED_TRIAL if is_explained else BACK_ENDS_PER_TRIAL
+        if self._strong_trials(now_s) >= max(1, self.back_ends // per_trial):
             return True
         # After a change of leader, the time of the last crash is not known.
         crashed_s = self._crashed_s.setdefault(suspicion.key, now_s)
-        pause_s = self._pause_s(origins, suspicion, now_s)
+        pause_s = FIRST_PAUSE_S if is_explained else self._pause_s(origins, suspicion, now_s)
         if not suspicion.own_crashes:
             return now_s - crashed_s < min(pause_s, TURN_S)
         own_s = crashed_s if suspicion.own_crashed_s is None else suspicion.own_crashed_s
-        return now_s - own_s < pause_s
+        return now_s - own_s < pause_s or self._has_turn_left(origins, now_s)
+
+    def _has_turn_left(self, origins: tuple[Origin, ...], now_s: float) -> bool:
+        """Return whether the turn of another one of many strong suspects is not over."""
+        return any(
+            len(self._strong.get(origin, ())) > MAX_TURNS
+            and now_s - self._origins[origin].strong_s < TURN_S
+            for origin in origins
+            if origin in self._origins
+        )
+
+    def _has_spent_harmful(self, origins: Iterable[Origin], now_s: float) -> bool:
+        """Return whether the harmful items of an origin have crashed as many as it may."""
+        counts = [self._origins[origin].count_harmful(now_s) for origin in origins]
+        return max(counts, default=0) >= MAX_ORIGIN_CRASHES
 
-    def _is_exhausted(self, suspicion: Suspicion, now_s: float) -> bool:
+    def _is_exhausted(self, suspicion: Suspicion, most_s: float, now_s: float) -> bool:
         """Return whether a request has used up its runs and not rested for long enough."""
-        pause_s = suspicion.exhausted_pause_s
+        pause_s = min(suspicion.exhausted_pause_s, most_s)
         return bool(pause_s) and now_s - self._crashed_s.setdefault(suspicion.key, now_s) < pause_s
 
     def _strong_trials(self, now_s: float) -> int:
@@ -468,9 +603,10 @@
 
     def _pause_s(self, origins: tuple[Origin, ...], suspicion: Suspicion, now_s: float) -> float:
         """Return how long a strong suspect waits after its last crash."""
-        records = [self._origins[origin] for origin in origins if origin in self._origins]
+        records = self._limited(origins, now_s)
         count = max((self._count(record, now_s) for record in records), default=0)
         strong = max((len(self._strong.get(origin, ())) for origin in origins), default=0)
+        strong = min(strong, MAX_TURNS)
         if strong <= 1 and max(count, suspicion.crashes) <= STRONG_SUSPECT_CRASHES:
             return FIRST_PAUSE_S
         if suspicion.own_crashes < suspicion.crashes:
--- /dev/null
+++ b/src/leverjunction/lots/crash_rates.py
@@ -0,0 +1,228 @@
+"""Tells crashes that a job has caused from those that would have happened without it.
+
+Back ends also crash by themselves: a faulty release, a rack that loses power. Whatever ran there is
+then beside a crash. The rate of crashes beside a job's unproven runs is therefore compared with the
+rate elsewhere, by a likelihood ratio: a job that causes its crashes has a far higher rate, and one
+that meets those of others has about the same.
+
+Pure: the time is passed in.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Container, Hashable, Iterable
+
+from leverjunction.registry.records import RunnerRecord, RunnerState
+
+RATE_WINDOW_S = 60.0
+"""Time for which crashes and runs are compared."""
+
+MIN_SPAN_S = 1.0
+"""Shortest time over which crashes are compared, so that those of one moment have a rate."""
+
+MIN_RUN_S = 0.1
+"""Shortest time that a run before a crash counts for: harmful requests take that long."""
+
+MAX_HARMFUL_RUN_S = 0.25
+"""Mean time of an item's runs before crashes up to which it looks like their cause."""
+
+MIN_OTHER_CRASHES = 3
+"""Crashes elsewhere from which they have a rate."""
+
+MAX_LOG_RATIO = 3.0
+"""Natural logarithm of the likelihood ratio up to which the crashes of others explain those beside
+a job. The ratio is 20: less than one sound job in 20 is taken for the cause.
+"""
+
+
+def log_likelihood_ratio(crashes: int, time_s: float, others: int, others_s: float) -> float:
+    """Return how much better two rates of crashes explain what was seen than a single one.
+
+    Args:
+        crashes: Crashes beside a job's unproven runs.
+        time_s: Time of these runs, in back-end seconds; positive.
+        others: Crashes elsewhere.
+        others_s: Time of the back ends without such a run, in back-end seconds; positive.
+
+    Returns:
+        The natural logarithm of the ratio; 0 if the job's rate is not the higher one.
+    """
+    if not crashes or crashes * others_s <= others * time_s:
+        return 0.0
+    joint = (crashes + others) / (time_s + others_s)
+    ratio = crashes * math.log(crashes / time_s / joint)
+    return ratio + (others * math.log(others / others_s / joint) if others else 0.0)
+
+
+class CrashRates:
+    """Counts crashes of all back ends, and the time of unproven runs. Not thread-safe.
+
+    Runs are counted by *subject*, which is an item or an origin of items.
+
+    Attributes:
+        back_ends: Number of known back ends.
+    """
+
+    __slots__ = ("_alone", "_crashed_s", "_excused", "_records", "_run_s", "back_ends")
+
+    def __init__(self) -> None:
+        self._alone: set[str] = set()
+        self._crashed_s: dict[str, float] = {}
+        self._excused: dict[Hashable, frozenset[str]] = {}
+        self._records: dict[str, RunnerRecord] = {}
+        self._run_s: dict[Hashable, dict[int, float]] = {}
+        self.back_ends = 0
+
+    def set_runners(self, runners: Iterable[RunnerRecord], now_s: float) -> None:
+        """Apply a newer view of the registry: note the starts that are silent or were replaced.
+
+        A start that was leaving was stopped as planned, and one that is no longer listed has ended
+        after it was told to.
+        """
+        before, self._records = self._records, {record.runner_id: record for record in runners}
+        self.back_ends = len(self._records)
+        for runner_id, known in before.items():
+            current = self._records.get(runner_id)
+            if current is None or known.state is not RunnerState.READY:
+                continue
+            if current.start != known.start or current.state is RunnerState.SILENT:
+                self.crashed(known.start, now_s)
+
+    def crash_age_s(self, start: str, wall_ms: int) -> float:
+        """Return how long ago a start has crashed at most, by the birth of the one after it.
+
+        Args:
+            start: A start that has crashed.
+            wall_ms: Current time in milliseconds since the Unix epoch. Clocks of back ends may
+                differ from it, so that an age is an estimate.
+
+        Returns:
+            The age in seconds; 0 if its back end has not started again, or tells no times.
+        """
+        current = self._records.get(start.rpartition("@")[0])
+        if current is None or not current.born_ms or current.start == start:
+            return 0.0
+        return max(0.0, (wall_ms - current.born_ms) / 1000)
+
+    def crashed(self, start: str, at_s: float) -> None:
+        """Note that a start has crashed; later reports of the same crash change nothing."""
+        self._crashed_s.setdefault(start, at_s)
+
+    def crashed_alone(self, start: str) -> None:
+        """Note that an item ran alone at a start that has crashed: it explains no other crash."""
+        self._alone.add(start)
+
+    def ran(self, subjects: Iterable[Hashable], run_s: float, now_s: float) -> None:
+        """Add the time for which a run was unproven, once it is proven or has ended."""
+        for subject in subjects:
+            seconds = self._run_s.setdefault(subject, {})
+            seconds[int(now_s)] = seconds.get(int(now_s), 0.0) + run_s
+
+    def adopt(self, subject: Hashable, starts: Collection[str], items: int, now_s: float) -> None:
+        """Excuse crashes from before this process led, if those of others may explain them.
+
+        How long the subject ran is not known any more. It is given the longest time there can be,
+        so that only far more crashes than elsewhere count against it.
+
+        Args:
+            subject: The subject.
+            starts: Starts that crashed beside its runs.
+            items: Number of its items, each of which had one run at a time.
+            now_s: Current time in seconds.
+        """
+        span = self._span(starts, now_s)
+        if span is None:
+            return
+        run_s = min(items * span.length_s, span.length_s * self.back_ends / 2)
+        if self._is_explained(span, run_s):
+            self._excused[subject] = frozenset(starts)
+
+    def explain(self, subject: Hashable, starts: Collection[str], now_s: float) -> bool:
+        """Return whether the crashes of others explain those beside a subject's unproven runs.
+
+        Args:
+            subject: The subject.
+            starts: Starts that crashed beside these runs.
+            now_s: Current time in seconds.
+        """
+        if not starts:
+            return False
+        excused = self._excused.get(subject, frozenset())
+        counted = [start for start in starts if start not in excused]
+        if not counted:
+            return True
+        span = self._span(counted, now_s, excused)
+        if span is None:
+            return False
+        return self._is_explained(span, self._time_s(subject, span.first_s))
+
+    def has_others(self, starts: Collection[str], now_s: float) -> bool:
+        """Return whether back ends other than these crashed within the window as well."""
+        return self._span(starts, now_s) is not None
+
+    def crashes_at_once(self, subject: Hashable, starts: Collection[str]) -> bool:
+        """Return whether back ends crash soon after a subject's runs begin, as far as is known."""
+        run_s = self._time_s(subject, -math.inf)
+        return len(starts) > 1 and 0.0 < run_s <= MAX_HARMFUL_RUN_S * len(starts)
+
+    def _is_explained(self, span: _Span, run_s: float) -> bool:
+        run_s = max(run_s, MIN_RUN_S * len(span.beside))
+        others_s = max(span.length_s * max(1, self.back_ends) - run_s, MIN_SPAN_S)
+        ratio = log_likelihood_ratio(len(span.beside), run_s, len(span.others), others_s)
+        return ratio <= MAX_LOG_RATIO
+
+    def expire(self, now_s: float) -> None:
+        """Drop what is older than the window."""
+        from_s = now_s - RATE_WINDOW_S
+        self._crashed_s = {start: at_s for start, at_s in self._crashed_s.items() if at_s > from_s}
+        self._alone &= self._crashed_s.keys()
+        self._excused = {
+            subject: starts
+            for subject, starts in self._excused.items()
+            if not starts.isdisjoint(self._crashed_s)
+        }
+        for subject, seconds in list(self._run_s.items()):
+            kept = {second: run_s for second, run_s in seconds.items() if second >= from_s}
+            if kept:
+                self._run_s[subject] = kept
+            else:
+                del self._run_s[subject]
+
+    def _span(
+        self, starts: Collection[str], now_s: float, without: Container[str] = ()
+    ) -> _Span | None:
+        """Return the crashes in the window, None if none happened beside, or few elsewhere."""
+        from_s = now_s - RATE_WINDOW_S
+        known = {start: at_s for start, at_s in self._crashed_s.items() if at_s > from_s}
+        beside = [known[start] for start in starts if start in known]
+        elsewhere = known.keys() - self._alone - set(starts)
+        others = [known[start] for start in elsewhere if start not in without]
+        return _Span(beside, others) if beside and len(others) >= MIN_OTHER_CRASHES else None
+
+    def _time_s(self, subject: Hashable, from_s: float) -> float:
+        seconds = self._run_s.get(subject, {})
+        # A run may have begun before the second in which it ended.
+        return sum(run_s for second, run_s in seconds.items() if second > from_s - 1.0)
+
+
+class _Span:
+    """The time from the first to the last crash; most fleets are calm before and after.
+
+    Attributes:
+        beside: Times of the crashes beside a subject's runs, in seconds.
+        others: Times of those elsewhere.
+        first_s: Time of the first of all.
+        length_s: Time from the first to the last.
+    """
+
+    __slots__ = ("beside", "first_s", "length_s", "others")
+
+    def __init__(self, beside: list[float], others: list[float]) -> None:
+        self.beside = beside
+        self.others = others
+        self.first_s = min(*beside, *others)
+        self.length_s = max(max(*beside, *others) - self.first_s, MIN_SPAN_S)
+
+
+__all__ = ["CrashRates", "log_likelihood_ratio"]
--- a/src/leverjunction/lots/isolation.py
+++ b/src/leverjunction/lots/isolation.py
@@ -9,10 +9,12 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from leverjunction.lots.broken_runs import BrokenRun, BrokenRuns
 from leverjunction.lots.crash_limits import PAUSES_TTL_S, CrashLimits, Origin, Suspicion
+from leverjunction.lots.crash_rates import CrashRates
 from leverjunction.lots.item_run import ItemKey, ItemRun
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.ownership import owner_of
@@ -97,6 +99,7 @@
         "_broken",
         "_busy_services",
         "_draining",
+        "_early_runs",
         "_held_s",
         "_item_keys_s",
         "_known_starts",
@@ -104,6 +107,7 @@
         "_limits",
         "_loop",
         "_quarantine",
+        "_rates",
         "_report",
         "_strong_suspects",
         "_suspects",
@@ -113,9 +117,11 @@
 
     def __init__(self, report: EvidenceReporter | None) -> None:
         self._report = report
-        self._limits = CrashLimits()
+        self._rates = CrashRates()
+        self._limits = CrashLimits(self._rates)
         self._quarantine = Quarantine(self)
         self._apart: dict[str, _ApartRun] = {}
+        self._early_runs: dict[ItemKey, tuple[ItemRun, float]] = {}
         self._broken = BrokenRuns()
         self._strong_suspects: list[ItemRun] = []
         self._suspects: dict[ItemKey, ItemRun] = {}
@@ -139,6 +145,7 @@
         self._known_starts = {record.start for record in snapshot.view.runners}
         self._limits.back_ends = len(self._known_starts)
         self._quarantine.replace(snapshot.view.runners, snapshot.suspects)
+        self._rates.set_runners(snapshot.view.runners, self._loop.time())
         from_s = self._loop.time() - PAUSES_TTL_S
         self._item_keys_s = {key: at_s for key, at_s in self._item_keys_s.items() if at_s > from_s}
         self._note_refused_starts()
@@ -149,6 +156,7 @@
     def ended(self, run: EndedRun) -> None:
         """Note a proven crash of a back end during an item's run, and report it."""
         self._item_keys_s[run.key] = self._loop.time()
+        self._rates.crashed(run.start, self._loop.time())
         broken = self._broken.take_proof(run.request_id, run.start)
         if broken is not None and not run.ran_on:
             item = broken.run
@@ -156,6 +164,7 @@
             item.crashed_s = self._loop.time()
             if broken.was_alone:
                 item.alone_starts.add(run.start)
+                self._rates.crashed_alone(run.start)
             self._suspects[item.key] = item
             if self._quarantine.crashes(run.key) > self._quarantine.crashes(item.suspect_key):
                 item.suspect_key = run.key
@@ -164,7 +173,7 @@
                 item.key,
                 _origins(item),
                 run.start,
-                self._suspicion(item),
+                self._evidence(item),
                 self._loop.time(),
                 apart=broken.was_alone,
             )
@@ -190,8 +199,12 @@
             elif not apart.is_overdue and now_s - apart.started_s > UNPROVEN_TIMEOUT_S:
                 apart.is_overdue = True
                 self._limits.overdue(apart.origins)
+        for early, _ in list(self._early_runs.values()):
+            if early.is_proven(now_s):
+                self._end_early_run(early)
         self._unproven.update(now_s)
         self._quarantine.expire()
+        self._rates.expire(now_s)
         self._busy_services.clear()
         self._draining = {
             service: (start, until_s)
@@ -231,15 +244,24 @@
         is_next = self._own_crashes(run) <= least or has_waited
         return placement if is_next else Placement.HELD
 
-    def adopt(self, runs: Iterable[ItemRun]) -> None:
+    def adopt(self, runs: Iterable[ItemRun], wall_ms: int = 0) -> None:
         """Take over what is known against open items from before this process became leader.
 
         This process may have led before; runs by another store are known from the registry.
+
+        Args:
+            runs: The open items.
+            wall_ms: Current time in milliseconds since the Unix epoch, from which the ages of
+                crashes are estimated.
         """
         records = self._quarantine.reported()
         if not records and not self._suspects:
             return
         now_s = self._loop.time()
+        for start in {start for each in records.values() for one in each for start in one.starts}:
+            self._rates.crashed(start, now_s - self._rates.crash_age_s(start, wall_ms))
+        adopted: dict[Origin, set[str]] = {}
+        items: Counter[Origin] = Counter()
         for run in runs:
             earlier = self._suspects.get(run.key)
             if earlier is not None:
@@ -254,13 +276,27 @@
                     run.suspect_key = record.key
                 run.crashed_starts.update(record.starts)
             # The limits still count the crashes from before, each from when it happened.
-            for start in run.crashed_starts - known:
-                run.crashed_s = now_s
-                self._limits.crashed(
-                    run.key, _origins(run), start, self._suspicion(run), now_s, apart=False
-                )
+            added = {
+                start: now_s - self._rates.crash_age_s(start, wall_ms)
+                for start in run.crashed_starts - known
+            }
+            self._adopt_crashes(run, added)
+            items.update(_origins(run))
+            for origin in _origins(run) if added else ():
+                adopted.setdefault(origin, set()).update(added)
+            self._rates.adopt(_subject(run), added, 1, now_s)
+        for origin, starts in adopted.items():
+            self._rates.adopt(origin, starts, items[origin], now_s)
         self._note_refused_starts()
 
+    def _adopt_crashes(self, run: ItemRun, crashed_s: dict[str, float]) -> None:
+        """Count crashes from before against an item, each by its start and time."""
+        for start, at_s in sorted(crashed_s.items(), key=lambda crash: crash[1]):
+            run.crashed_s = at_s
+            self._limits.crashed(
+                run.key, _origins(run), start, self._evidence(run), at_s, apart=False
+            )
+
     def rank_suspects(self, waiting: Iterable[ItemRun]) -> None:
         """Note which of the waiting items go first; call it with each ranking."""
         self._least_crashes = {}
@@ -273,7 +309,7 @@
             self._least_crashes[lot_id] = min(known, crashes)
             if self._suspicion(run).is_strong:
                 self._strong_suspects.append(run)
-        self._strong_suspects.sort(key=lambda run: run.crashed_s)
+        self._strong_suspects.sort(key=lambda run: (self._own_crashes(run), run.crashed_s))
 
     def retain_lots(self, lot_ids: set[str]) -> None:
         """Drop what is known about all lots but those listed."""
@@ -310,7 +346,7 @@
         """Return the items that come before the ranked ones, which fill each slot that is free.
 
         These are the items for which there was no back end, the longest waiting first, and the
-        strong suspects, those that have not run for longest first.
+        strong suspects, those with the fewest crashes first.
         """
         waiting, self._waiting = self._waiting, {}
         return [run for run in (*waiting.values(), *self._strong_suspects) if run.task is None]
@@ -391,6 +427,8 @@
             other_requests: Requests that are known to be at the back end.
         """
         run.first_output_s = None
+        self._end_early_run(run)
+        self._early_runs[run.key] = (run, self._loop.time())
         self._unproven.started(run, self._loop.time())
         beside = self._apart.get(run.runner_id)
         if beside is not None:
@@ -412,7 +450,7 @@
         Its place was chosen by what was known then: an item that has not run yet, or that another
         store ran, may turn out to be a suspect only now.
         """
-        if not self._quarantine.crashes(run.suspect_key):
+        if not self._suspicion(run).crashes:
             return True
         apart = self._apart_run(run)
         return apart is not None and run.suspect_key == apart.suspicion.key
@@ -425,11 +463,17 @@
         self._broken.add(BrokenRun(run, was_alone, was_early, self._loop.time()))
         if apart is not None:
             self._settle(run.runner_id)
+        self._end_early_run(run)
         self._unproven.dropped(run)
 
+    def run_ended(self, run: ItemRun) -> None:
+        """Note that an item is no longer at its back end, whatever came of its run."""
+        self._end_early_run(run)
+
     def run_answered(self, run: ItemRun) -> None:
         """Note a complete response to an item."""
         self._suspects.pop(run.key, None)
+        self._end_early_run(run)
         self._broken.answered(run)
         self._unproven.proven(run)
         if self._apart_run(run) is not None:
@@ -440,12 +484,20 @@
     def clear(self) -> None:
         """Forget all runs: another store leads the group. The crashes still count."""
         self._apart.clear()
+        self._early_runs.clear()
         self._broken.clear()
         self._waiting.clear()
         self._unproven.clear()
         self._draining.clear()
         self._limits.stop_running()
 
+    def _end_early_run(self, run: ItemRun) -> None:
+        """Account for the time of a run that is proven or has ended."""
+        early = self._early_runs.pop(run.key, None)
+        if early is not None:
+            now_s = self._loop.time()
+            self._rates.ran((*_origins(run), _subject(run)), now_s - early[1], now_s)
+
     def _apart_run(self, run: ItemRun) -> _ApartRun | None:
         """Return the run of an item if it runs apart and is not proven yet."""
         apart = self._apart.get(run.runner_id)
@@ -458,7 +510,15 @@
     def _own_crashes(self, run: ItemRun) -> int:
         return self._limits.own_crashes(run.key, run.crashed_starts)
 
+    def _is_explained(self, run: ItemRun) -> bool:
+        """Return whether the crashes of others explain those in an item's runs."""
+        return self._rates.explain(_subject(run), run.crashed_starts, self._loop.time())
+
     def _suspicion(self, run: ItemRun) -> Suspicion:
+        return Suspicion() if self._is_explained(run) else self._evidence(run)
+
+    def _evidence(self, run: ItemRun) -> Suspicion:
+        """Return what is known against an item, whether or not others explain it."""
         key = run.suspect_key
         if not key:
             return Suspicion()
@@ -470,9 +530,15 @@
             self._own_crashes(run),
             run.crashed_s,
             crashed_alone=bool(run.alone_starts),
+            crashes_at_once=self._rates.crashes_at_once(_subject(run), run.crashed_starts),
         )
 
 
+def _subject(run: ItemRun) -> tuple[str, ...]:
+    """Return the subject whose time ``CrashRates`` counts for an item."""
+    return ("item", *run.key)
+
+
 def _origins(run: ItemRun) -> tuple[Origin, ...]:
     """Return the origins of an item, its lot first."""
     lot = ("lot", run.item.lot_id)
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -422,7 +422,7 @@
         if self._is_adopted or self._applied_snapshot is None:
             return
         self._is_adopted = True
-        self._isolation.adopt(self._queue.runs.values())
+        self._isolation.adopt(self._queue.runs.values(), self._clock.wall_ms())
 
     def _drop_all(self) -> None:
         for run in self._queue.running():
@@ -689,6 +689,7 @@
             raise
         finally:
             slot.free()
+            self._isolation.run_ended(run)
             run.sent_s = None
             ended_s = loop.time()
             took_s = ended_s - started_s
