Loops that one error ended for good go on: load broadcasts and reports, crash reports, decision lines

Cause: an exception in the store's broadcasts of loads, in a gateway's load reports, in the thread that reports crashes to the registry, or in the one that writes decision lines (a full disk, a reader that left) ended that task or thread, and nothing starts it again. None of them leaves an accepted item open, as far as was found: the runner, the registry follower and the store's periodic tasks are guarded already, and an error in a replica ends its process. But without broadcasts batch work learns of online requests late, without reports it takes their slots, without crash reports other processes crash back ends anew, and without decision lines nobody sees it.

Change: each goes on after an error, which is logged (once in a row where it may come often); lines that could not be written are counted as lost.

--- a/src/leverjunction/lots/load_listener.py
+++ b/src/leverjunction/lots/load_listener.py
@@ -56,6 +56,7 @@
         self._order = order
         self._quota = quota
         self._broadcast_task: asyncio.Task[None] | None = None
+        self._failing = False
         self.loads = GatewayLoads()
         self._cluster_key = cluster_key
         self._is_active = is_active
@@ -117,10 +118,20 @@
         datagram_bytes = 0
         while True:
             await asyncio.sleep(self.loads.broadcast_interval_s(datagram_bytes))
-            if self._is_active() and self.loads.gateway_count:
-                data = self._encode_broadcast()
-                datagram_bytes = len(data)
-                self._send_to_all(data)
+            try:
+                if self._is_active() and self.loads.gateway_count:
+                    data = self._encode_broadcast()
+                    datagram_bytes = len(data)
+                    self._send_to_all(data)
+            except Exception:
+                # The task must survive: without broadcasts no gateway reports its changes.
+                if not self._failing:
+                    logger.exception("broadcasting the loads of gateways failed")
+                self._failing = True
+                continue
+            if self._failing:
+                logger.info("broadcasting the loads of gateways works again")
+            self._failing = False
 
     def _encode_broadcast(self) -> bytes:
         order = self._order()
--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -128,14 +128,24 @@
             self._changed.notify()
 
     def _run(self) -> None:
+        failing = False
         while True:
             with self._changed:
                 while not self._lines:
                     self._changed.wait()
-                batch = b"\n".join(self._lines) + b"\n"
+                lines = list(self._lines)
                 self._lines.clear()
-            sys.stdout.buffer.write(batch)
-            sys.stdout.buffer.flush()
+            try:
+                sys.stdout.buffer.write(b"\n".join(lines) + b"\n")
+                sys.stdout.buffer.flush()
+            except (OSError, ValueError) as error:
+                # The thread must survive: a full disk or a reader that left may come back.
+                self._lost.inc(len(lines))
+                if not failing:
+                    logger.warning("cannot write decision lines: {}", error)
+                failing = True
+                continue
+            failing = False
 
 
 class DecisionLog:
--- a/src/leverjunction/proxy/load_socket.py
+++ b/src/leverjunction/proxy/load_socket.py
@@ -159,13 +159,21 @@
 
     async def _report_loop(self) -> None:
         while True:
-            now_s = self._loop.time()
-            message = self._reporter.full_report(now_s)
-            if message is not None:
-                leader = self._leader if self._reporter.is_requested(now_s) else None
-                self._send(message, [leader] if leader else self._store_addresses())
+            try:
+                self._report()
+            except Exception:
+                # The task must survive: without its reports this gateway is soon not counted, and
+                # batch work takes the slots of its requests.
+                logger.exception("reporting online requests failed")
             await asyncio.sleep(FULL_REPORT_INTERVAL_S)
 
+    def _report(self) -> None:
+        now_s = self._loop.time()
+        message = self._reporter.full_report(now_s)
+        if message is not None:
+            leader = self._leader if self._reporter.is_requested(now_s) else None
+            self._send(message, [leader] if leader else self._store_addresses())
+
     def _store_addresses(self) -> list[Address]:
         parts = [store.rpartition(":") for store in self._stores()]
         return [(host, int(port)) for host, _, port in parts]
--- a/src/leverjunction/registry/run_reporter.py
+++ b/src/leverjunction/registry/run_reporter.py
@@ -101,7 +101,13 @@
                 command = ReportRuns(
                     ended=tuple(self._ended.values()), answered=tuple(sorted(self._answered))
                 )
-            if not self._send(command):
+            try:
+                is_sent = self._send(command)
+            except Exception:
+                # The thread must survive: nothing else reports the crashes that are seen here.
+                logger.exception("reporting crashes of back ends failed")
+                is_sent = False
+            if not is_sent:
                 self._drop_old()
 
     def _send(self, command: ReportRuns) -> bool:
--- a/tests/unit/test_load_datagrams.py
+++ b/tests/unit/test_load_datagrams.py
@@ -162,3 +162,44 @@
 
     asyncio.run(scenario())
     assert any("cannot receive load updates of gateways" in line for line in warnings)
+
+
+def test_broadcasts_go_on_after_an_error(
+    monkeypatch: pytest.MonkeyPatch, warnings: list[str]
+) -> None:
+    """One error ended the broadcasts for good: gateways report their changes only while asked."""
+
+    async def scenario() -> None:
+        async with Pair() as pair:
+            await wait_until(lambda: pair.others == {"i1": 5})
+            with monkeypatch.context() as failing:
+                failing.setattr(BackEndOrder, "pack", None)
+                await wait_until(lambda: bool(warnings))
+                await asyncio.sleep(0.2)
+            pair.totals = {"i1": 9}
+            await wait_until(lambda: pair.others == {"i1": 9})
+
+    asyncio.run(scenario())
+    assert len(warnings) == 1, "one line for errors in a row"
+
+
+def test_reports_go_on_after_an_error() -> None:
+    """One error ended the reports for good: its requests were counted for 1.2 s more."""
+
+    async def scenario() -> None:
+        async with Pair() as pair:
+            send = pair.port._send
+            failed: list[bool] = []
+
+            def fail_once(*arguments: object) -> None:
+                if not failed:
+                    failed.append(True)
+                    raise ValueError("not now")
+                send(*arguments)  # type: ignore[arg-type]
+
+            pair.port._send = fail_once  # type: ignore[method-assign]
+            await wait_until(lambda: bool(failed))
+            pair.reports = 0
+            await wait_until(lambda: pair.reports >= 2)
+
+    asyncio.run(scenario())
--- a/tests/unit/test_proxy_decision_log.py
+++ b/tests/unit/test_proxy_decision_log.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import time
+from types import SimpleNamespace
 
 import pytest
+from prometheus_client import Counter
 from tests.unit.proxy_support import Proxy
+from tests.unit.seeded_support import wait_until
 
+from leverjunction.proxy import decision_log
 from leverjunction.routes import RouteClass
 from testbed.routed import RunnerStandIn, make_route, make_table
 
@@ -91,3 +96,30 @@
     assert ("output_ms" in line) == has_output
     if has_output:
         assert int(str(line["sent_ms"])) <= int(str(line["output_ms"])) < 300
+
+
+def test_lines_are_written_after_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A full disk, or a reader that left for a moment, ended the lines of a process for good."""
+
+    class Output:
+        def __init__(self) -> None:
+            self.failed = False
+            self.written = b""
+
+        def write(self, data: bytes) -> None:
+            if not self.failed:
+                self.failed = True
+                raise OSError(errno.ENOSPC, "no space left on device")
+            self.written += data
+
+        def flush(self) -> None: ...
+
+    output = Output()
+    monkeypatch.setattr(decision_log, "sys", SimpleNamespace(stdout=SimpleNamespace(buffer=output)))
+    lost = Counter("lost_lines_total", "", registry=None)
+    writer = decision_log.LineWriter(lost)
+    writer.put(b"first")
+    wait_until(lambda: output.failed)
+    writer.put(b"second")
+    wait_until(lambda: output.written == b"second\n")
+    assert lost._value.get() == 1
--- a/tests/unit/test_run_reporter.py
+++ b/tests/unit/test_run_reporter.py
@@ -73,3 +73,23 @@
             wait_until(lambda count=number + 1: len(control.reported) == count)  # type: ignore[misc]
             took_s = time.monotonic() - started_s - (paused_s() - paused_before_s)
             assert took_s < CALL_TIMEOUT_S / 2
+
+
+def test_crashes_are_reported_after_an_error() -> None:
+    """One error ended the reporter's thread, and no crash that was seen here was told any more."""
+    control = Control()
+    asked: list[bool] = []
+
+    with AnsweringPeer(control.answer, (MessageKind.PROPOSE,)) as answering:
+
+        def hubs() -> list[str]:
+            asked.append(True)
+            if len(asked) == 1:
+                raise RuntimeError("not now")
+            return [answering.address]
+
+        reporter = RunReporter(RpcClient(CLUSTER_KEY, 1), hubs, SystemClock())
+        reporter.start()
+        reporter.ended(run(0))
+        wait_until(lambda: control.reported == ["key-0"])
+        reporter.stop()
