Lots: the last items of a job with slow first outputs start in time

Cause: a lot starts at two back ends with one run each and spreads as its runs are proven, that is, have produced output for a while. A run without output for 1 s no longer held the others back, but let the lot spread no further either: where a first output takes 0.9 s or more, two items started every 1.1 s whatever the number of idle back ends, and a lot of less than 24 items never left that limit. Each new leader starts all lots anew.

Seen (six stand-ins with 19 slots each, nothing else to do, load 30, one run each): 40 items with a first output after 0.9, 1.2 and 2.0 s: the last one began after 22.1, 21.2 and 21.6 s, all were done after 24.1, 23.4 and 24.6 s; 16 items after 9.9, 10.3 and 11.0 s. Batch work is to be over 18 s into calm. The reason that was told is `waits_turn`; no crash is needed.

Change: a run that goes on for 1 s without output counts as a third of a further back end, as a proven run does, until a back end crashes early. It does not count towards the end of the limit.

The new test fails without the change.

--- a/src/leverjunction/lots/slow_start.py
+++ b/src/leverjunction/lots/slow_start.py
@@ -3,7 +3,9 @@
 A lot may consist of items that crash their back ends. If all of its items started at once, each
 back end would be lost before the first crash is noticed. A lot therefore starts with a few runs at
 a few back ends, and spreads as its runs are *proven*: as they produce output for longer than
-harmful requests do before the crash. A crash makes it start again.
+harmful requests do before the crash. A crash makes it start again. Runs that go on for long without
+any output let it spread as well, or the last items of a lot with slow first outputs would wait for
+idle back ends; but such runs do not end the limit.
 """
 
 from __future__ import annotations
@@ -19,7 +21,7 @@
 """
 
 PROVEN_PER_BACK_END = 3
-"""Proven runs that allow one further back end."""
+"""Proven or overdue runs that allow one further back end."""
 
 OPEN_AFTER = 24
 """Proven runs without a crash after which a lot is not limited. If one in ten of its items were
@@ -32,13 +34,15 @@
 
     Attributes:
         proven: Proven runs since its start or its last crash.
+        overdue: Runs since then that produced nothing for long, and did not crash.
         unproven: Unproven runs by the start of the back end.
     """
 
-    __slots__ = ("proven", "unproven")
+    __slots__ = ("overdue", "proven", "unproven")
 
     def __init__(self) -> None:
         self.proven = 0
+        self.overdue = 0
         self.unproven: Counter[str] = Counter()
 
 
@@ -81,6 +85,13 @@
         if state is not None:
             state.unproven -= Counter((start,))
 
+    def overdue(self, lot_id: str, start: str) -> None:
+        """Record that an unproven run goes on, but is no longer waited for."""
+        self.ended(lot_id, start)
+        state = self._lots.get(lot_id)
+        if state is not None:
+            state.overdue += 1
+
     def proven(self, lot_id: str, start: str) -> None:
         """Record that a run has been proven."""
         self.ended(lot_id, start)
@@ -94,10 +105,12 @@
     def crashed(self, lot_id: str) -> None:
         """Record that a back end crashed early in a run of a lot."""
         self._open.discard(lot_id)
-        self._lots.setdefault(lot_id, _LotState()).proven = 0
+        state = self._lots.setdefault(lot_id, _LotState())
+        state.proven = state.overdue = 0
 
     def _may_spread(self, state: _LotState) -> bool:
-        return len(state.unproven) < FIRST_BACK_ENDS + state.proven // PROVEN_PER_BACK_END
+        harmless = state.proven + state.overdue
+        return len(state.unproven) < FIRST_BACK_ENDS + harmless // PROVEN_PER_BACK_END
 
     def retain(self, lot_ids: set[str]) -> None:
         """Drop all lots but those listed."""
--- a/src/leverjunction/lots/unproven_runs.py
+++ b/src/leverjunction/lots/unproven_runs.py
@@ -87,10 +87,13 @@
             was_parked = run.parking and run.runner_id == unproven.start
             if was_parked and run.has_run_on:
                 self.proven(run)
-            elif is_overdue or not run.is_at(unproven.start):
+            elif not run.is_at(unproven.start):
                 self.dropped(run)
             elif run.is_proven(now_s):
                 self.proven(run)
+            elif is_overdue:
+                del self._runs[run.key]
+                self._slow_start.overdue(run.item.lot_id, unproven.start)
 
     def retain(self, lot_ids: set[str]) -> None:
         """Drop all lots but those listed."""
--- a/tests/unit/test_lots_unproven_runs.py
+++ b/tests/unit/test_lots_unproven_runs.py
@@ -16,9 +16,10 @@
 BACK_ENDS = [f"b{number}" for number in range(6)]
 RAN_ON_S = EARLY_RUN_S * 1.1
 ITEMS = 8
+LONGEST_START_S = 12.0
 
 
-def make_runs() -> list[ItemRun]:
+def make_runs(items: int = ITEMS) -> list[ItemRun]:
     return [
         ItemRun(
             OpenItem(
@@ -35,7 +36,7 @@
                 failures=0,
             )
         )
-        for number in range(ITEMS)
+        for number in range(items)
     ]
 
 
@@ -123,3 +124,30 @@
     unproven, runs = proven
     unproven.retain(set())
     assert not any(unproven.is_proven(run) for run in runs)
+
+
+def test_the_items_of_a_lot_with_late_first_outputs_start_soon() -> None:
+    """Guards against the last items of a lot that wait for longer than batch work may take in calm.
+
+    Runs that produced nothing for a second no longer held others back, but let the lot spread no
+    further: two items started each second. The last of 40 began after 22 s where a first output
+    took 0.9 s, with most slots free.
+    """
+    unproven, runs = UnprovenRuns(), make_runs(40)
+    now_s = 0.0
+    while any(run.task is None for run in runs) and now_s < LONGEST_START_S:
+        start_all(unproven, runs, now_s)
+        now_s += 0.1
+        unproven.update(now_s)
+    assert all(run.task is not None for run in runs)
+
+
+def test_a_crash_ends_the_spread_of_a_lot_that_produced_nothing() -> None:
+    unproven, runs = UnprovenRuns(), make_runs(16)
+    now_s = 0.0
+    for _ in range(3):
+        start_all(unproven, runs, now_s)
+        now_s += 1.1 * UNPROVEN_TIMEOUT_S
+        unproven.update(now_s)
+    unproven.crashed("lot")
+    assert len(start_all(unproven, runs, now_s)) == FIRST_BACK_ENDS
