Tests: the end of an ejection, of silence and of patience in the summary

One test was named after a silent run and tested an ejection: it is split, and the end of the patience for an idle back end gets one. No code changes.

--- a/tests/unit/test_lots_open_summary.py
+++ b/tests/unit/test_lots_open_summary.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from collections.abc import Iterator
 from pathlib import Path
+from typing import cast
 
 import msgspec
 import pytest
 from loguru import logger
+from tests.unit.test_lots_isolation import SERVICE, item, play, watch
 from tests.unit.test_lots_runner_monitor import (
     LineCapture,
     MonitorFixture,
@@ -16,8 +19,10 @@
     shows_open,
 )
 
+from leverjunction.lots.isolation import LOT_IDLE_PATIENCE_S, Isolation
 from leverjunction.lots.item_status import Reason, ServiceAvailability
 from leverjunction.lots.leader_watch import NO_LEADER_S
+from leverjunction.lots.lost_runs import silence_s
 from leverjunction.lots.placement import Placement
 from leverjunction.lots.runner_monitor import LOG_AFTER_S, SUMMARY_INTERVAL_S
 from leverjunction.lots.wait_ends import WHAT_ENDS
@@ -34,6 +39,13 @@
     logger.remove(handler)
 
 
+class _RunningTask:
+    """A task that goes on."""
+
+    def done(self) -> bool:
+        return False
+
+
 def summaries(log_lines: list[str]) -> list[str]:
     return [line for line in log_lines if "open items of jobs-0 in term 1" in line]
 
@@ -82,15 +94,41 @@
     assert len(summaries(log_lines)) == 1, "only at the start of leading"
 
 
-def test_a_run_that_waits_for_a_silent_back_end_is_summarized(
-    log_lines: list[str],
-) -> None:
+def test_the_end_of_an_ejection_is_told(log_lines: list[str]) -> None:
     fixture = MonitorFixture(["a"], ["a"])
     fixture.service = ServiceAvailability(known=1, ejected_until_s=1010.0)
     fixture.update(8)
     assert f"until {WHAT_ENDS['ejected']}, in 4.0 s" in summaries(log_lines)[-1]
 
 
+def test_a_run_that_waits_for_a_silent_back_end_is_summarized(log_lines: list[str]) -> None:
+    fixture = MonitorFixture(["a"], ["a"])
+    run = fixture.runs["lot", "a"]
+    fixture.update(1)
+    run.task = cast("asyncio.Task[None]", _RunningTask())
+    run.trace.start(fixture.clock.now_s)
+    silence_end_s = fixture.clock.now_s + silence_s(run.item.due_ms, 0)
+    fixture.update(6)
+    (_, line) = summaries(log_lines)
+    left_s = silence_end_s - fixture.clock.now_s + 1.0
+    assert "1 open, 1 running; 1 runs for up to 4.0 s" in line
+    assert f"until {WHAT_ENDS['runs']}, in {left_s:.1f} s" in line
+
+
+def test_the_end_of_the_patience_for_an_idle_back_end_is_told() -> None:
+    async def scenario() -> None:
+        isolation = Isolation(None)
+        run = item("suspect")
+        run.suspect_key = "k"
+        run.placement = Placement.APART
+        assert isolation.hold_end_s(run) is None
+        assert isolation.pick_runner(run, SERVICE, watch(1, lambda _: 5)) is None
+        assert run.wants_idle_s is not None
+        assert isolation.hold_end_s(run) == run.wants_idle_s + LOT_IDLE_PATIENCE_S
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("role", ["follower", "candidate"])
 def test_a_group_without_a_leader_is_told_by_each_store(role: str, log_lines: list[str]) -> None:
     """Without a quorum no store told that items were open."""
