Soak: what a seed draws in one place; reasons of items without a run counted

They are two functions now, and no seed draws otherwise. The report counts the reasons of the items that had no run for over 5 s of calm.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 from random import Random, SystemRandom
 from statistics import median
+from typing import NamedTuple
 
 import disks
 import fire
@@ -27,7 +28,7 @@
 from faults import FAULTS, ONLY_NAMED, OUT_OF_STEP, REFUSALS, RELEASES, SEPARABLE
 from figures import keep_figures
 from hands import Hands
-from lots import SHAPES
+from lots import SHAPES, SMALL
 from machines import LOSSES, MACHINES, Machines, Programs, Sizes
 from own_faults import OwnFaults
 from records import FIRST_S, Records, broken_limits, broken_promises, clock, first_ends
@@ -60,6 +61,17 @@
 """Of a soak that was asked to end; all that it started is ended first."""
 
 
+class Drawn(NamedTuple):
+    """What a seed draws where nothing is given; the names are those of the options."""
+
+    lots: str
+    disk: str
+    crashes: bool
+    closing: str
+    losses: int
+    ebb: int
+
+
 class End:
     """How a soak ends.
 
@@ -113,8 +125,8 @@
         keep: Folder under which the logs are kept; a temporary one if empty.
         worst: Have the seed draw what is not given of the following and a closing with them.
         lots: Shape of batch jobs, ``small`` or ``large``.
-        disk: ``uneven`` for syncs that differ from disk to disk and over time, ``shared`` for disks
-            of several replicas whose flushes wait for each other.
+        disk: ``usual``, ``uneven`` for syncs that differ from disk to disk and over time,
+            ``shared`` for disks of several replicas whose flushes wait for each other.
         crashes: Whether runners end again and again right before the closing.
         losses: Disks that may be lost at the same time; 0 for the usual number.
     """
@@ -126,31 +138,18 @@
     _check("closing", closing, {**CLOSINGS, **WORST, "none": None})
     _check("shape of jobs", lots, SHAPES)
     _check("kind of disks", disk, dict.fromkeys(disks.KINDS))
-    if worst:
-        draw = Random(f"{seed} worst")
-        drawn_worst = (
-            draw.choice(sorted(SHAPES)),
-            draw.choice(disks.KINDS),
-            draw.random() < CRASHING_SHARE,
-            draw.choice(sorted(WORST)),
-            draw.choice((LOSSES, MORE_LOSSES)),
-        )
-        lots, disk = lots or drawn_worst[0], disk or drawn_worst[1]
-        crashes = drawn_worst[2] if crashes is None else crashes
-        closing, losses = closing or drawn_worst[3], losses or drawn_worst[4]
-    lots, losses, crashes = lots or "small", losses or LOSSES, bool(crashes)
-    closing = closing or Random(f"{seed} kind of closing").choice(sorted(CLOSINGS))
+    drawn = _draw_worst(seed) if worst else _draw(seed)
+    lots, disk = lots or drawn.lots, disk or drawn.disk
+    crashes = drawn.crashes if crashes is None else crashes
+    closing, losses = closing or drawn.closing, losses or drawn.losses
+    ebb = drawn.ebb if ebb < 0 else ebb
     signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(EXIT_ENDED))
-    if ebb < 0 and worst:
-        ebb = 0
-    if ebb < 0:
-        ebb = Random(f"{seed} ebb").choice(EBBS)
     if turn_us < 0:
         turn_us = Random(f"{seed} turns").choice(TURNS_US)
-    drawn = f"closing: {closing}, turns of threads: {turn_us or 5000} us, ebb: {ebb or 'none'}"
-    drawn += f", jobs: {lots}, disks: {disk or 'usual'}, {losses} may be lost"
-    drawn += ", series of crashes" if crashes else ""
-    print(f"seed {seed}, {drawn}", flush=True)
+    told = f"closing: {closing}, turns of threads: {turn_us or 5000} us, ebb: {ebb or 'none'}"
+    told += f", jobs: {lots}, disks: {disk}, {losses} may be lost"
+    told += ", series of crashes" if crashes else ""
+    print(f"seed {seed}, {told}", flush=True)
     folder = log_folder(seed, keep)
     records = Records()
     OwnFaults(records).watch()
@@ -190,6 +189,25 @@
     sys.exit(1 if broken else 0)
 
 
+def _draw(seed: int) -> Drawn:
+    """Return what a seed draws, or has always had."""
+    closing = Random(f"{seed} kind of closing").choice(sorted(CLOSINGS))
+    ebb = Random(f"{seed} ebb").choice(EBBS)
+    return Drawn(SMALL, disks.USUAL, False, closing, LOSSES, ebb)
+
+
+def _draw_worst(seed: int) -> Drawn:
+    random = Random(f"{seed} worst")
+    return Drawn(
+        random.choice(sorted(SHAPES)),
+        random.choice(disks.KINDS),
+        random.random() < CRASHING_SHARE,
+        random.choice(sorted(WORST)),
+        random.choice((LOSSES, MORE_LOSSES)),
+        0,
+    )
+
+
 def log_folder(seed: int, keep: str) -> Path:
     """Return a new folder for the logs of a run, below one that is made if need be."""
     if keep:
--- a/deploy/soak/calm.py
+++ b/deploy/soak/calm.py
@@ -168,8 +168,12 @@
             if item.idle_s > TOLD_S or item.is_open:
                 self.lines.append(f"CALM {item}")
         longest = idle[0] if idle else None
+        long = [item for item in idle if item.idle_s > TOLD_S]
+        reasons = Counter(item.reason.partition(" ")[0] or "not told" for item in long)
+        told = ", ".join(f"{count} {reason}" for reason, count in reasons.most_common())
         self._records.calm_notes = [
             f"open items in calm: {len(idle)}, longest without a run: {longest or 'none'}",
+            f"without a run for over {TOLD_S:.0f} s of calm: {len(long)} ({told or 'none'})",
             *self.lines[looks : looks + MOST_PRINTED],
         ]
         return [str(item) for item in idle if item.idle_s > IDLE_S]
--- a/deploy/soak/disks.py
+++ b/deploy/soak/disks.py
@@ -16,7 +16,8 @@
 EVEN = "even"
 UNEVEN = "uneven"
 SHARED = "shared"
-KINDS = ("", UNEVEN, SHARED)
+USUAL = "usual"
+KINDS = (USUAL, UNEVEN, SHARED)
 SYNCS_MS = (1, 5, 20, 60, 120)
 """Usual sync times, of which each disk draws one."""
 
@@ -31,7 +32,7 @@
 
 def word(kind: str, seed: int, folder: Path) -> str:
     """Return the word by which the programs are told of their disks, empty for usual ones."""
-    words = {"": "", UNEVEN: f"{UNEVEN}/{seed}", SHARED: f"{SHARED}/{seed}/{folder}"}
+    words = {USUAL: "", UNEVEN: f"{UNEVEN}/{seed}", SHARED: f"{SHARED}/{seed}/{folder}"}
     return words[kind]
 
 
--- a/deploy/soak/lots.py
+++ b/deploy/soak/lots.py
@@ -82,8 +82,9 @@
         self.open_items_of_slot = open_items_of_slot
 
 
+SMALL = "small"
 SHAPES = {
-    "small": LotShape(),
+    SMALL: LotShape(),
     "large": LotShape((16, 16), (300, 1500), 78_000, 6, 3, 6.0),
 }
 """Large ones: what is open when calm comes is done in a third of the time given to it."""
