Slow back ends tell how often they crash by themselves

Change: a crash counts as elsewhere unless a run had begun there within half a second; that time is left out of the fleet's.

--- a/src/leverjunction/lots/broken_runs.py
+++ b/src/leverjunction/lots/broken_runs.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 from leverjunction.lots.item_run import ItemKey, ItemRun
@@ -26,11 +27,20 @@
         was_alone: Whether nothing else ran at its back end.
         was_early: Whether it had not gone on for long enough to be proven, and no proof has come.
         broken_s: When it was broken off, in monotonic seconds.
+        ran_s: How long it had been unproven, in seconds; infinite if it was proven.
     """
 
-    __slots__ = ("broken_s", "run", "was_alone", "was_early")
-
-    def __init__(self, run: ItemRun, was_alone: bool, was_early: bool, broken_s: float) -> None:
+    __slots__ = ("broken_s", "ran_s", "run", "was_alone", "was_early")
+
+    def __init__(
+        self,
+        run: ItemRun,
+        was_alone: bool,
+        was_early: bool,
+        broken_s: float,
+        ran_s: float = math.inf,
+    ) -> None:
+        self.ran_s = ran_s
         self.run = run
         self.was_alone = was_alone
         self.was_early = was_early
--- a/src/leverjunction/lots/crash_rates.py
+++ b/src/leverjunction/lots/crash_rates.py
@@ -2,8 +2,8 @@
 
 Back ends also crash by themselves: a faulty release, a rack that loses power. Whatever ran there is
 then beside a crash. The rate of crashes beside a job's unproven runs is therefore compared with the
-rate at back ends without any unproven run, by a likelihood ratio: a job that causes its crashes has
-a far higher rate, and one that meets those of others has about the same.
+rate at back ends where no run has just begun, by a likelihood ratio: a job that causes its crashes
+has a far higher rate, and one that meets those of others has about the same.
 
 Pure: the time is passed in.
 """
@@ -30,11 +30,14 @@
 MIN_OTHER_CRASHES = 3
 """Crashes elsewhere from which they have a rate."""
 
-BUSY = ("busy",)
-"""The subject that counts the time of the back ends with unproven runs."""
+JUST_BEGUN_S = 0.5
+"""Time from the beginning of a run in which a crash may well be caused by it."""
+
+BEGINNINGS = ("beginnings",)
+"""The subject that counts the time of back ends where a run has just begun."""
 
 MIN_IDLE_SHARE = 0.1
-"""Least share of the fleet's time that is taken for that without unproven runs."""
+"""Least share of the fleet's time that is taken for that without such a run."""
 
 MAX_LOG_RATIO = 3.0
 """Natural logarithm of the likelihood ratio up to which the crashes of others explain those beside
@@ -76,7 +79,6 @@
         "_excused",
         "_records",
         "_run_s",
-        "_unproven",
         "back_ends",
     )
 
@@ -86,7 +88,6 @@
         self._excused: dict[Hashable, frozenset[str]] = {}
         self._records: dict[str, RunnerRecord] = {}
         self._run_s: dict[Hashable, dict[int, float]] = {}
-        self._unproven: dict[str, tuple[int, float]] = {}
         self.back_ends = 0
 
     def set_runners(self, runners: Iterable[RunnerRecord], now_s: float) -> None:
@@ -124,28 +125,21 @@
         """Note that a start has crashed; later reports of the same crash change nothing."""
         self._crashed_s.setdefault(start, at_s)
 
-    def crashed_beside(self, start: str) -> None:
-        """Note that an unproven run of an item was lost in a crash, which it may have caused."""
-        self._beside.add(start)
+    def crashed_in_run(self, start: str, run_s: float) -> None:
+        """Note that an unproven run was lost in a crash, which it may have caused if it was short.
 
-    def began(self, start: str, now_s: float) -> None:
-        """Note that a run begins at a start, which is unproven until ``ran``."""
-        runs, since_s = self._unproven.get(start, (0, now_s))
-        self._unproven[start] = (runs + 1, since_s)
+        Args:
+            start: The start that has crashed.
+            run_s: How long the run had gone on, in seconds.
+        """
+        if run_s <= JUST_BEGUN_S:
+            self._beside.add(start)
 
-    def ran(self, start: str, subjects: Iterable[Hashable], run_s: float, now_s: float) -> None:
+    def ran(self, subjects: Iterable[Hashable], run_s: float, now_s: float) -> None:
         """Add the time for which a run was unproven, once it is proven or has ended."""
         for subject in subjects:
             self._add(subject, run_s, now_s)
-        runs, since_s = self._unproven.pop(start, (1, now_s))
-        if runs > 1:
-            self._unproven[start] = (runs - 1, since_s)
-        else:
-            self._add(BUSY, now_s - since_s, now_s)
-
-    def clear_runs(self) -> None:
-        """Forget the runs that have not ended: they were stopped, and another store leads."""
-        self._unproven.clear()
+        self._add(BEGINNINGS, min(run_s, JUST_BEGUN_S), now_s)
 
     def _add(self, subject: Hashable, run_s: float, now_s: float) -> None:
         seconds = self._run_s.setdefault(subject, {})
@@ -187,8 +181,8 @@
         span = self._span(counted, now_s, self._crashed_s.keys() - self._beside - set(starts))
         if span is None:
             return False
-        run_s, busy_s = (self._time_s(known, span.first_s) for known in (subject, BUSY))
-        return self._is_explained(span, run_s, busy_s)
+        run_s, begun_s = (self._time_s(known, span.first_s) for known in (subject, BEGINNINGS))
+        return self._is_explained(span, run_s, begun_s)
 
     def has_others(self, starts: Collection[str], now_s: float) -> bool:
         """Return whether back ends other than these crashed within the window as well."""
@@ -200,10 +194,10 @@
         run_s = self._time_s(subject, -math.inf)
         return len(starts) > 1 and 0.0 < run_s <= MAX_HARMFUL_RUN_S * len(starts)
 
-    def _is_explained(self, span: _Span, run_s: float, busy_s: float) -> bool:
+    def _is_explained(self, span: _Span, run_s: float, begun_s: float) -> bool:
         run_s = max(run_s, MIN_RUN_S * len(span.beside))
         fleet_s = span.length_s * max(1, self.back_ends)
-        others_s = max(fleet_s - busy_s, MIN_IDLE_SHARE * fleet_s)
+        others_s = max(fleet_s - begun_s, MIN_IDLE_SHARE * fleet_s)
         ratio = log_likelihood_ratio(len(span.beside), run_s, len(span.others), others_s)
         return ratio <= MAX_LOG_RATIO
 
--- a/src/leverjunction/lots/isolation.py
+++ b/src/leverjunction/lots/isolation.py
@@ -121,7 +121,7 @@
         self._limits = CrashLimits(self._rates)
         self._quarantine = Quarantine(self)
         self._apart: dict[str, _ApartRun] = {}
-        self._early_runs: dict[ItemKey, tuple[ItemRun, str, float]] = {}
+        self._early_runs: dict[ItemKey, tuple[ItemRun, float]] = {}
         self._broken = BrokenRuns()
         self._strong_suspects: list[ItemRun] = []
         self._suspects: dict[ItemKey, ItemRun] = {}
@@ -159,7 +159,7 @@
         self._rates.crashed(run.start, self._loop.time())
         broken = self._broken.take_proof(run.request_id, run.start)
         if broken is not None and not run.ran_on:
-            self._rates.crashed_beside(run.start)
+            self._rates.crashed_in_run(run.start, broken.ran_s)
             item = broken.run
             item.crashed_starts.add(run.start)
             item.crashed_s = self._loop.time()
@@ -199,7 +199,7 @@
             elif not apart.is_overdue and now_s - apart.started_s > UNPROVEN_TIMEOUT_S:
                 apart.is_overdue = True
                 self._limits.overdue(apart.origins)
-        for early, _, _ in list(self._early_runs.values()):
+        for early, _ in list(self._early_runs.values()):
             if early.is_proven(now_s):
                 self._end_early_run(early)
         self._unproven.update(now_s)
@@ -429,8 +429,7 @@
         """
         run.first_output_s = None
         self._end_early_run(run)
-        self._early_runs[run.key] = (run, run.runner_id, self._loop.time())
-        self._rates.began(run.runner_id, self._loop.time())
+        self._early_runs[run.key] = (run, self._loop.time())
         self._unproven.started(run, self._loop.time())
         beside = self._apart.get(run.runner_id)
         if beside is not None:
@@ -462,10 +461,10 @@
         apart = self._apart_run(run)
         was_alone = apart is not None and apart.is_alone
         was_early = not run.has_run_on
-        self._broken.add(BrokenRun(run, was_alone, was_early, self._loop.time()))
+        ran_s = self._end_early_run(run)
+        self._broken.add(BrokenRun(run, was_alone, was_early, self._loop.time(), ran_s))
         if apart is not None:
             self._settle(run.runner_id)
-        self._end_early_run(run)
         self._unproven.dropped(run)
 
     def run_ended(self, run: ItemRun) -> None:
@@ -487,20 +486,20 @@
         """Forget all runs: another store leads the group. The crashes still count."""
         self._apart.clear()
         self._early_runs.clear()
-        self._rates.clear_runs()
         self._broken.clear()
         self._waiting.clear()
         self._unproven.clear()
         self._draining.clear()
         self._limits.stop_running()
 
-    def _end_early_run(self, run: ItemRun) -> None:
-        """Account for the time of a run that is proven or has ended."""
+    def _end_early_run(self, run: ItemRun) -> float:
+        """Account for a run that is proven or has ended; return its time, in seconds."""
         early = self._early_runs.pop(run.key, None)
-        if early is not None:
-            _, start, began_s = early
-            now_s = self._loop.time()
-            self._rates.ran(start, (*_origins(run), _subject(run)), now_s - began_s, now_s)
+        if early is None:
+            return math.inf
+        now_s = self._loop.time()
+        self._rates.ran((*_origins(run), _subject(run)), now_s - early[1], now_s)
+        return now_s - early[1]
 
     def _apart_run(self, run: ItemRun) -> _ApartRun | None:
         """Return the run of an item if it runs apart and is not proven yet."""
