Crashes from before a new leader, cancelled runs and partial reads, from the review

Change: only crashes with a known run time are compared with it, a run without a task has ended, adoption goes on until all items are read, removal once a second.

--- a/src/leverjunction/lots/crash_rates.py
+++ b/src/leverjunction/lots/crash_rates.py
@@ -30,6 +30,9 @@
 MIN_OTHER_CRASHES = 3
 """Crashes elsewhere from which they have a rate."""
 
+EXPIRE_INTERVAL_S = 1.0
+"""Least time between two removals of what is old."""
+
 JUST_BEGUN_S = 0.5
 """Time from the beginning of a run in which a crash may well be caused by it."""
 
@@ -77,8 +80,10 @@
         "_beside",
         "_crashed_s",
         "_excused",
+        "_expired_s",
         "_records",
         "_run_s",
+        "_timed",
         "back_ends",
     )
 
@@ -88,6 +93,8 @@
         self._excused: dict[Hashable, frozenset[str]] = {}
         self._records: dict[str, RunnerRecord] = {}
         self._run_s: dict[Hashable, dict[int, float]] = {}
+        self._timed: set[str] = set()
+        self._expired_s = -math.inf
         self.back_ends = 0
 
     def set_runners(self, runners: Iterable[RunnerRecord], now_s: float) -> None:
@@ -132,6 +139,7 @@
             start: The start that has crashed.
             run_s: How long the run had gone on, in seconds.
         """
+        self._timed.add(start)
         if run_s <= JUST_BEGUN_S:
             self._beside.add(start)
 
@@ -192,7 +200,9 @@
     def crashes_at_once(self, subject: Hashable, starts: Collection[str]) -> bool:
         """Return whether back ends crash soon after a subject's runs begin, as far as is known."""
         run_s = self._time_s(subject, -math.inf)
-        return len(starts) > 1 and 0.0 < run_s <= MAX_HARMFUL_RUN_S * len(starts)
+        # Crashes from before this process led come without the time of their runs.
+        crashes = len(self._timed.intersection(starts))
+        return crashes > 1 and 0.0 < run_s <= MAX_HARMFUL_RUN_S * crashes
 
     def _is_explained(self, span: _Span, run_s: float, begun_s: float) -> bool:
         run_s = max(run_s, MIN_RUN_S * len(span.beside))
@@ -202,10 +212,14 @@
         return ratio <= MAX_LOG_RATIO
 
     def expire(self, now_s: float) -> None:
-        """Drop what is older than the window."""
+        """Drop what is older than the window, at intervals: there may be many runs."""
+        if now_s - self._expired_s < EXPIRE_INTERVAL_S:
+            return
+        self._expired_s = now_s
         from_s = now_s - RATE_WINDOW_S
         self._crashed_s = {start: at_s for start, at_s in self._crashed_s.items() if at_s > from_s}
         self._beside &= self._crashed_s.keys()
+        self._timed &= self._crashed_s.keys()
         self._excused = {
             subject: starts
             for subject, starts in self._excused.items()
--- a/src/leverjunction/lots/isolation.py
+++ b/src/leverjunction/lots/isolation.py
@@ -200,7 +200,8 @@
                 apart.is_overdue = True
                 self._limits.overdue(apart.origins)
         for early, _ in list(self._early_runs.values()):
-            if early.is_proven(now_s):
+            # A task that is cancelled before its first step does not tell that its run has ended.
+            if early.task is None or early.is_proven(now_s):
                 self._end_early_run(early)
         self._unproven.update(now_s)
         self._quarantine.expire()
--- a/src/leverjunction/lots/runner.py
+++ b/src/leverjunction/lots/runner.py
@@ -418,10 +418,13 @@
         self._applied_snapshot = snapshot
 
     def _adopt_suspects(self) -> None:
-        """Take over what is known against the open items, once after becoming leader."""
+        """Take over what is known against the open items after becoming leader.
+
+        Again with each step until all items have been read.
+        """
         if self._is_adopted or self._applied_snapshot is None:
             return
-        self._is_adopted = True
+        self._is_adopted = not self._read_failing
         self._isolation.adopt(self._queue.runs.values(), self._clock.wall_ms())
 
     def _drop_all(self) -> None:
--- a/tests/unit/test_lots_isolation_limits.py
+++ b/tests/unit/test_lots_isolation_limits.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 from msgspec import structs
@@ -19,10 +20,12 @@
     Origin,
     Suspicion,
 )
+from leverjunction.lots.crash_rates import RATE_WINDOW_S
 from leverjunction.lots.isolation import STRONG_IDLE_PATIENCE_S, Isolation
 from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.load_watch import LoadWatch
 from leverjunction.lots.placement import Placement
+from leverjunction.lots.runner import LotsRunner
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.proxy.admission import AdmissionQueue, Decision, Ticket
 from leverjunction.proxy.attempt import Sender
@@ -559,3 +562,138 @@
         assert decision is Decision.SEND
 
     play(scenario)
+
+
+# Crashes that others explain
+
+
+class Later:
+    """A loop whose time is ahead."""
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+
+    def time(self) -> float:
+        return asyncio.get_running_loop().time() + self._seconds
+
+
+def crash_elsewhere(isolation: Isolation, count: int, ago_s: float) -> None:
+    """Crash back ends without items of ours, spread over ten seconds."""
+    now_s = asyncio.get_running_loop().time()
+    isolation._rates.back_ends = 12
+    for number in range(count):
+        isolation._rates.crashed(f"elsewhere-{number}", now_s - ago_s + 10.0 * number / count)
+
+
+def crash_beside(isolation: Isolation, run: ItemRun, number: int, took_s: float) -> None:
+    """Crash a back end in an item's run beside others, begun some seconds before."""
+    begin(isolation, run, record(number).start, Placement.SHARED, other_requests=3)
+    isolation._early_runs[run.key] = (run, asyncio.get_running_loop().time() - took_s)
+    lose(isolation, run, record(number))
+    run.task = None
+    isolation.update()
+
+
+def test_items_beside_explained_crashes_stay_free_when_the_crashes_are_a_minute_old() -> None:
+    """Those that still wait then, all at once, would be tried one after the other."""
+
+    async def scenario() -> None:
+        isolation, run = Isolation(None), item("sound")
+        crash_elsewhere(isolation, 30, ago_s=10.0)
+        for number in (1, 2):
+            crash_beside(isolation, run, number, took_s=2.0)
+        assert isolation.placement(run) is Placement.SHARED
+        isolation._loop = Later(RATE_WINDOW_S + 1.0)  # type: ignore[assignment]
+        isolation.update()
+        assert isolation.placement(run) is Placement.SHARED
+
+    play(scenario)
+
+
+def test_a_sound_item_of_an_earlier_leader_does_not_crash_at_once_by_its_first_run_here() -> None:
+    """Its earlier runs have no times here, so only the crashes of this one may be compared."""
+
+    async def scenario() -> None:
+        isolation, run = Isolation(None), item("sound")
+        key = request_key(request_content(request(run, b"sound")))
+        starts = tuple(f"{SERVICE}-{number}@1" for number in (4, 5, 6))
+        known = SuspectRecord(key=key, starts=starts, request_id="sound")
+        view = FleetView(runners=tuple(record(number) for number in range(12)))
+        isolation.set_registry(Snapshot(make_table(), view, SuspectList(suspects=(known,))))
+        isolation.adopt([run])
+        crash_beside(isolation, run, 1, took_s=0.9)
+        assert len(run.crashed_starts) == 4
+        assert not isolation._evidence(run).crashes_at_once
+
+    play(scenario)
+
+
+def test_jobs_with_the_same_harmful_request_do_not_explain_each_other() -> None:
+    async def scenario() -> None:
+        isolation = Isolation(None)
+        isolation._rates.back_ends = 12
+        runs = [item("same", f"lot-{number}") for number in range(6)]
+        for number, run in enumerate(runs):
+            crash_beside(isolation, run, number, took_s=0.3)
+        assert isolation.quarantine.crashes(runs[0].suspect_key) == len(runs)
+        assert all(isolation.placement(run) is not Placement.SHARED for run in runs)
+
+    play(scenario)
+
+
+def test_the_time_until_the_next_run_does_not_count_for_a_run_stopped_before_its_first_step() -> (
+    None
+):
+    """It would make the rate of crashes beside a harmful item, and that of its job, small."""
+
+    async def scenario() -> None:
+        isolation, run = Isolation(None), item("stopped")
+        begin(isolation, run, record(1).start, Placement.SHARED)
+        run.stop()
+        run.task = None
+        isolation.update()
+        isolation._loop = Later(30.0)  # type: ignore[assignment]
+        begin(isolation, run, record(2).start, Placement.SHARED)
+        isolation.run_ended(run)
+        assert isolation._rates._time_s(("item", *run.key), 0.0) < 1.0
+
+    play(scenario)
+
+
+def test_items_that_a_new_leader_reads_only_after_a_failed_read_are_adopted_too() -> None:
+    """What is known of their crashes would be lost, and with it what explains them."""
+    early, late = item("early"), item("late")
+    adopted: list[list[ItemRun]] = []
+    leader = SimpleNamespace(
+        _is_adopted=False,
+        _applied_snapshot=object(),
+        _read_failing=True,
+        _queue=SimpleNamespace(runs={early.key: early}),
+        _isolation=SimpleNamespace(adopt=lambda runs, _wall_ms: adopted.append(list(runs))),
+        _clock=SimpleNamespace(wall_ms=lambda: 0),
+    )
+    LotsRunner._adopt_suspects(leader)  # type: ignore[arg-type]
+    leader._read_failing = False
+    leader._queue.runs[late.key] = late
+    for _ in range(2):
+        LotsRunner._adopt_suspects(leader)  # type: ignore[arg-type]
+    assert adopted == [[early], [early, late]]
+
+
+def test_crashes_that_are_adopted_twice_count_once() -> None:
+    async def scenario() -> None:
+        isolation, run = Isolation(None), item("known")
+        key = request_key(request_content(request(run, b"known")))
+        starts = tuple(f"{SERVICE}-{number}@1" for number in (4, 5, 6))
+        known = SuspectRecord(key=key, starts=starts, request_id="known")
+        view = FleetView(runners=tuple(record(number) for number in range(12)))
+        isolation.set_registry(Snapshot(make_table(), view, SuspectList(suspects=(known,))))
+        counts = []
+        for _ in range(2):
+            isolation.adopt([run])
+            counts.append(
+                isolation._limits._origins[LOT[0]].count(asyncio.get_running_loop().time())
+            )
+        assert counts == [3, 3]
+
+    play(scenario)
