Crashes of another service no longer excuse a harmful job

Change: crashes and back ends are compared within the services whose back ends crashed beside the job.

--- a/src/leverjunction/lots/crash_rates.py
+++ b/src/leverjunction/lots/crash_rates.py
@@ -2,8 +2,8 @@
 
 Back ends also crash by themselves: a faulty release, a rack that loses power. Whatever ran there is
 then beside a crash. The rate of crashes beside a job's unproven runs is therefore compared with the
-rate at back ends where no run has just begun, by a likelihood ratio: a job that causes its crashes
-has a far higher rate, and one that meets those of others has about the same.
+rate at back ends of the same services where no run has just begun, by a likelihood ratio: a job
+that causes its crashes has a far higher rate, one that meets those of others about the same.
 
 Pure: the time is passed in.
 """
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from collections.abc import Collection, Hashable, Iterable
 
 from leverjunction.registry.records import RunnerRecord, RunnerState
@@ -36,8 +37,8 @@
 JUST_BEGUN_S = 0.5
 """Time from the beginning of a run in which a crash may well be caused by it."""
 
-BEGINNINGS = ("beginnings",)
-"""The subject that counts the time of back ends where a run has just begun."""
+BEGINNINGS = "beginnings"
+"""With a service, the subject that counts the time of back ends where a run has just begun."""
 
 MIN_IDLE_SHARE = 0.1
 """Least share of the fleet's time that is taken for that without such a run."""
@@ -73,7 +74,7 @@
     Runs are counted by *subject*, which is an item or an origin of items.
 
     Attributes:
-        back_ends: Number of known back ends.
+        back_ends: Number of known back ends of each service.
     """
 
     __slots__ = (
@@ -83,6 +84,7 @@
         "_expired_s",
         "_records",
         "_run_s",
+        "_services",
         "_timed",
         "back_ends",
     )
@@ -93,9 +95,10 @@
         self._excused: dict[Hashable, frozenset[str]] = {}
         self._records: dict[str, RunnerRecord] = {}
         self._run_s: dict[Hashable, dict[int, float]] = {}
+        self._services: dict[str, str] = {}
         self._timed: set[str] = set()
         self._expired_s = -math.inf
-        self.back_ends = 0
+        self.back_ends: Counter[str] = Counter()
 
     def set_runners(self, runners: Iterable[RunnerRecord], now_s: float) -> None:
         """Apply a newer view of the registry: note the starts that are silent or were replaced.
@@ -104,7 +107,7 @@
         after it was told to.
         """
         before, self._records = self._records, {record.runner_id: record for record in runners}
-        self.back_ends = len(self._records)
+        self.back_ends = Counter(record.service for record in self._records.values())
         for runner_id, known in before.items():
             current = self._records.get(runner_id)
             if current is None or known.state is not RunnerState.READY:
@@ -123,7 +126,7 @@
         Returns:
             The age in seconds; 0 if its back end has not started again, or tells no times.
         """
-        current = self._records.get(start.rpartition("@")[0])
+        current = self._record_of(start)
         if current is None or not current.born_ms or current.start == start:
             return 0.0
         return max(0.0, (wall_ms - current.born_ms) / 1000)
@@ -131,6 +134,7 @@
     def crashed(self, start: str, at_s: float) -> None:
         """Note that a start has crashed; later reports of the same crash change nothing."""
         self._crashed_s.setdefault(start, at_s)
+        self._services.setdefault(start, self._service_of(start))
 
     def crashed_in_run(self, start: str, run_s: float) -> None:
         """Note that an unproven run was lost in a crash, which it may have caused if it was short.
@@ -143,11 +147,11 @@
         if run_s <= JUST_BEGUN_S:
             self._beside.add(start)
 
-    def ran(self, subjects: Iterable[Hashable], run_s: float, now_s: float) -> None:
+    def ran(self, start: str, subjects: Iterable[Hashable], run_s: float, now_s: float) -> None:
         """Add the time for which a run was unproven, once it is proven or has ended."""
         for subject in subjects:
             self._add(subject, run_s, now_s)
-        self._add(BEGINNINGS, min(run_s, JUST_BEGUN_S), now_s)
+        self._add((BEGINNINGS, self._service_of(start)), min(run_s, JUST_BEGUN_S), now_s)
 
     def _add(self, subject: Hashable, run_s: float, now_s: float) -> None:
         seconds = self._run_s.setdefault(subject, {})
@@ -168,7 +172,7 @@
         span = self._span(starts, now_s, self._crashed_s.keys() - set(starts))
         if span is None:
             return
-        run_s = min(items * span.length_s, span.length_s * self.back_ends / 2)
+        run_s = min(items * span.length_s, self._fleet_s(span) / 2)
         if self._is_explained(span, run_s, run_s):
             self._excused[subject] = frozenset(starts)
 
@@ -189,7 +193,8 @@
         span = self._span(counted, now_s, self._crashed_s.keys() - self._beside - set(starts))
         if span is None:
             return False
-        run_s, begun_s = (self._time_s(known, span.first_s) for known in (subject, BEGINNINGS))
+        run_s = self._time_s(subject, span.first_s)
+        begun_s = sum(self._time_s((BEGINNINGS, name), span.first_s) for name in span.services)
         return self._is_explained(span, run_s, begun_s)
 
     def has_others(self, starts: Collection[str], now_s: float) -> bool:
@@ -206,7 +211,7 @@
 
     def _is_explained(self, span: _Span, run_s: float, begun_s: float) -> bool:
         run_s = max(run_s, MIN_RUN_S * len(span.beside))
-        fleet_s = span.length_s * max(1, self.back_ends)
+        fleet_s = self._fleet_s(span)
         others_s = max(fleet_s - begun_s, MIN_IDLE_SHARE * fleet_s)
         ratio = log_likelihood_ratio(len(span.beside), run_s, len(span.others), others_s)
         return ratio <= MAX_LOG_RATIO
@@ -220,6 +225,7 @@
         self._crashed_s = {start: at_s for start, at_s in self._crashed_s.items() if at_s > from_s}
         self._beside &= self._crashed_s.keys()
         self._timed &= self._crashed_s.keys()
+        self._services = {start: self._services[start] for start in self._crashed_s}
         self._excused = {
             subject: starts
             for subject, starts in self._excused.items()
@@ -239,8 +245,27 @@
         from_s = now_s - RATE_WINDOW_S
         known = {start: at_s for start, at_s in self._crashed_s.items() if at_s > from_s}
         beside = [known[start] for start in starts if start in known]
-        others = [known[start] for start in elsewhere if start in known]
-        return _Span(beside, others) if beside and len(others) >= MIN_OTHER_CRASHES else None
+        services = {self._services[start] for start in starts if start in known}
+        others = [
+            known[start]
+            for start in elsewhere
+            if start in known and self._services[start] in services
+        ]
+        if not beside or len(others) < MIN_OTHER_CRASHES:
+            return None
+        return _Span(beside, others, services)
+
+    def _fleet_s(self, span: _Span) -> float:
+        """Return the time of all back ends of the services, in back-end seconds."""
+        return span.length_s * max(1, sum(self.back_ends[name] for name in span.services))
+
+    def _record_of(self, start: str) -> RunnerRecord | None:
+        return self._records.get(start.rpartition("@")[0] or start)
+
+    def _service_of(self, start: str) -> str:
+        """Return the service of a start, empty if its back end is not known any more."""
+        record = self._record_of(start)
+        return "" if record is None else record.service
 
     def _time_s(self, subject: Hashable, from_s: float) -> float:
         seconds = self._run_s.get(subject, {})
@@ -256,11 +281,13 @@
         others: Times of those elsewhere.
         first_s: Time of the first of all.
         length_s: Time from the first to the last.
+        services: Services of the back ends that crashed beside the runs.
     """
 
-    __slots__ = ("beside", "first_s", "length_s", "others")
+    __slots__ = ("beside", "first_s", "length_s", "others", "services")
 
-    def __init__(self, beside: list[float], others: list[float]) -> None:
+    def __init__(self, beside: list[float], others: list[float], services: set[str]) -> None:
+        self.services = services
         self.beside = beside
         self.others = others
         self.first_s = min(*beside, *others)
--- a/src/leverjunction/lots/isolation.py
+++ b/src/leverjunction/lots/isolation.py
@@ -499,7 +499,8 @@
         if early is None:
             return math.inf
         now_s = self._loop.time()
-        self._rates.ran((*_origins(run), _subject(run)), now_s - early[1], now_s)
+        subjects = (*_origins(run), _subject(run))
+        self._rates.ran(run.runner_id, subjects, now_s - early[1], now_s)
         return now_s - early[1]
 
     def _apart_run(self, run: ItemRun) -> _ApartRun | None:
--- a/tests/unit/test_lots_crash_rates.py
+++ b/tests/unit/test_lots_crash_rates.py
@@ -23,12 +23,12 @@
 def rates_after(others: int, run_s: float) -> CrashRates:
     """Return what is known after six crashes beside a job in 20 s, and others elsewhere."""
     rates = CrashRates()
-    rates.back_ends = BACK_ENDS
+    rates.back_ends[""] = BACK_ENDS
     for number, start in enumerate(BESIDE):
         rates.crashed(start, 100.0 + 4.0 * number)
     for number in range(others):
         rates.crashed(f"other-{number}", 100.0 + 20.0 * number / max(1, others))
-    rates.ran([JOB], run_s, 119.0)
+    rates.ran("start", [JOB], run_s, 119.0)
     return rates
 
 
@@ -66,6 +66,20 @@
     assert rates.explain(JOB, BESIDE, 121.0)
 
 
+def test_crashes_of_another_service_explain_nothing() -> None:
+    """Guards against a harmful job that escapes beside the crash loop of another service."""
+    rates = CrashRates()
+    loop = [record(number, "loop") for number in range(3)]
+    rates.set_runners([*loop, *(record(number) for number in range(12))], 99.0)
+    for number in range(6):
+        rates.crashed(f"{record(number).runner_id}@1", 100.0 + number)
+    for number in range(60):
+        rates.crashed(f"{loop[number % 3].runner_id}@{number}", 100.0 + number / 10)
+    starts = [f"{record(number).runner_id}@1" for number in range(6)]
+    rates.ran(starts[0], [JOB], 6.0, 106.0)
+    assert not rates.explain(JOB, starts, 107.0)
+
+
 def test_old_crashes_explain_nothing() -> None:
     rates = rates_after(60, 18.0)
     rates.expire(121.0 + RATE_WINDOW_S)
--- a/tests/unit/test_lots_isolation_limits.py
+++ b/tests/unit/test_lots_isolation_limits.py
@@ -580,7 +580,7 @@
 def crash_elsewhere(isolation: Isolation, count: int, ago_s: float) -> None:
     """Crash back ends without items of ours, spread over ten seconds."""
     now_s = asyncio.get_running_loop().time()
-    isolation._rates.back_ends = 12
+    isolation._rates.back_ends[""] = 12
     for number in range(count):
         isolation._rates.crashed(f"elsewhere-{number}", now_s - ago_s + 10.0 * number / count)
 
@@ -631,7 +631,7 @@
 def test_jobs_with_the_same_harmful_request_do_not_explain_each_other() -> None:
     async def scenario() -> None:
         isolation = Isolation(None)
-        isolation._rates.back_ends = 12
+        isolation._rates.back_ends[""] = 12
         runs = [item("same", f"lot-{number}") for number in range(6)]
         for number, run in enumerate(runs):
             crash_beside(isolation, run, number, took_s=0.3)
