Parts of prompts are cleared by runs that had gone on

Cause: only complete responses cleared a part. Slow back ends that crash in series complete few, so that three early crashes came without one, though other runs with the part had produced output for longer than a harmful request does before its crash.

Change: a run that is lost after it had gone on clears the parts of its prompt, as items are proven by it.

--- a/src/leverjunction/proxy/quarantine.py
+++ b/src/leverjunction/proxy/quarantine.py
@@ -137,7 +137,7 @@
         return judge(own.keys(), {key: self._suspects.early_starts(key) for key in accused})
 
     def parts_answered(self, request: CallerRequest, route: str) -> None:
-        """Record a complete response, which clears all parts of its prompt."""
+        """Clear all parts of a prompt, after a complete response or one that has gone on."""
         parts = request_parts(request, route)
         self._proven.add(parts, self._loop.time())
         if self._suspects.parts:
@@ -146,7 +146,7 @@
 
     def _clear_part(self, key: str) -> None:
         self._suspects.answered(key)
-        logger.info("{} cleared by a complete response", key)
+        logger.info("{} cleared by a response", key)
         if self._report is not None:
             self._report.answered(key)
 
@@ -250,6 +250,9 @@
             # A planned stop is not caused by the request.
             return
         self._records[runner.start] = runner
+        if ran_on and sent_s is not None:
+            # A harmful part crashes its back end before the response has gone on for as long.
+            self.parts_answered(request, route)
         ended: list[EndedRun] = []
         keys = list(all_keys(request_content(request)))
         if sent_s is not None and not ran_on:
--- a/src/leverjunction/quarantine/prompt_parts.py
+++ b/src/leverjunction/quarantine/prompt_parts.py
@@ -5,7 +5,8 @@
 own and is never judged.
 
 Other requests run on a back end when it crashes, and share parts with the cause. A part that got a
-complete response lately is not accused: one that crashes each back end never gets any.
+complete response lately, or one that had gone on, is not accused: one that crashes each back end
+never gets any.
 Performs no I/O: the time is passed in.
 """
 
--- a/tests/unit/test_prompt_parts.py
+++ b/tests/unit/test_prompt_parts.py
@@ -130,6 +130,20 @@
     asyncio.run(run())
 
 
+def test_sound_requests_with_a_shared_part_are_not_refused_beside_a_series_of_crashes() -> None:
+    """Slow back ends that crash in series complete no response which would clear the part."""
+
+    async def run() -> None:
+        judged = Judge()
+        for number in range(5):
+            early, late = ask("shared", f"early-{number}"), ask("shared", f"late-{number}")
+            judged.crash(early)
+            judged.crash(late, ran_on=True)
+            assert judged.standing(ask("shared", "own")) is Standing.SOUND
+
+    asyncio.run(run())
+
+
 def test_back_ends_that_crash_together_count_once_against_a_part() -> None:
     """A power failure ends the back ends of several runs with a part that is new."""
 
