Suspects beside a series of crashes elsewhere wait no longer than calm may take

Change: where back ends crashed elsewhere too and no item of the job crashes them at once, a strong suspect waits 15 s at most after its own crash. Turns after each further crash stay.

--- a/src/leverjunction/lots/crash_limits.py
+++ b/src/leverjunction/lots/crash_limits.py
@@ -543,13 +543,19 @@
         came_together = max(at_s) - min(at_s) < TRIAL_PAUSE_S
         if came_together and not record.has_repeated and record.proven < SOUND_PER_RUN:
             return True
-        return self._rates.has_others(record.starts, now_s)
+        return self._is_doubtful(record, now_s)
+
+    def _is_doubtful(self, record: _OriginRecord, now_s: float) -> bool:
+        """Return whether an origin's crashes may have another cause, as others crashed as well."""
+        return not record.harmful and self._rates.has_others(record.starts, now_s)
 
     def _must_wait(self, origins: tuple[Origin, ...], suspicion: Suspicion, now_s: float) -> bool:
         """Return whether a suspect may not run yet."""
         known = [origin for origin in origins if origin in self._origins]
-        is_explained = bool(known) and not self._limited(known, now_s)
-        most_s = TRIAL_PAUSE_S if is_explained else math.inf
+        limited = self._limited(known, now_s)
+        is_explained = bool(known) and not limited
+        is_doubtful = bool(known) and all(self._is_doubtful(record, now_s) for record in limited)
+        most_s = TRIAL_PAUSE_S if is_doubtful else math.inf
         if self._running_keys[suspicion.key] or self._is_exhausted(suspicion, most_s, now_s):
             return True
         if any(self._has_enough_suspects(origin, now_s) for origin in origins):
@@ -563,7 +569,8 @@
             return True
         # After a change of leader, the time of the last crash is not known.
         crashed_s = self._crashed_s.setdefault(suspicion.key, now_s)
-        pause_s = FIRST_PAUSE_S if is_explained else self._pause_s(origins, suspicion, now_s)
+        pause_s = min(self._pause_s(origins, suspicion, now_s), most_s)
+        pause_s = FIRST_PAUSE_S if is_explained else pause_s
         if not suspicion.own_crashes:
             return now_s - crashed_s < min(pause_s, TURN_S)
         own_s = crashed_s if suspicion.own_crashed_s is None else suspicion.own_crashed_s
--- a/tests/unit/test_lots_isolation_limits.py
+++ b/tests/unit/test_lots_isolation_limits.py
@@ -20,7 +20,7 @@
     Origin,
     Suspicion,
 )
-from leverjunction.lots.crash_rates import RATE_WINDOW_S
+from leverjunction.lots.crash_rates import RATE_WINDOW_S, CrashRates
 from leverjunction.lots.isolation import STRONG_IDLE_PATIENCE_S, Isolation
 from leverjunction.lots.item_run import ItemRun
 from leverjunction.lots.load_watch import LoadWatch
@@ -610,6 +610,24 @@
     play(scenario)
 
 
+def test_many_suspects_run_again_in_calm_after_a_series_of_crashes_elsewhere_too() -> None:
+    """Their turns were longer than accepted items may be held in calm."""
+    rates = CrashRates()
+    limits = CrashLimits(rates)
+    for number in range(4):
+        rates.crashed(f"elsewhere-{number}", 100.0 + 3.0 * number)
+    suspicions = [
+        Suspicion(f"k{number}", 2, own_crashes=2, own_crashed_s=110.0) for number in range(3)
+    ]
+    for number, suspicion in enumerate(suspicions):
+        for start in (f"a{number}", f"b{number}"):
+            rates.crashed(start, 110.0)
+            limits.crashed(("lot", f"s{number}"), LOT, start, suspicion, 110.0, apart=False)
+    assert not rates.explain(LOT[0], limits._origins[LOT[0]].starts, 111.0)
+    assert limits.placement(LOT, suspicions[0], 124.0) is Placement.HELD
+    assert limits.placement(LOT, suspicions[0], 125.0) is Placement.APART
+
+
 def test_a_sound_item_of_an_earlier_leader_does_not_crash_at_once_by_its_first_run_here() -> None:
     """Its earlier runs have no times here, so only the crashes of this one may be compared."""
 
