One item that looks harmful by chance no longer holds its job

Traced by printed limits in a trial: both jobs were at or near six crashes, back ends had crashed elsewhere too, and one item of each had twice met a crash soon after it began, which ruled out any other cause for the whole job.

Change: a job's crashes may have another cause unless more than half of them come from items that look harmful.

--- a/src/leverjunction/lots/crash_limits.py
+++ b/src/leverjunction/lots/crash_limits.py
@@ -538,7 +538,7 @@
         another cause, as those may have that came while back ends crashed elsewhere too.
         """
         at_s = self._counted(record, now_s).values()
-        if record.harmful or now_s - max(at_s) < TRIAL_PAUSE_S:
+        if now_s - max(at_s) < TRIAL_PAUSE_S:
             return False
         came_together = max(at_s) - min(at_s) < TRIAL_PAUSE_S
         if came_together and not record.has_repeated and record.proven < SOUND_PER_RUN:
@@ -546,8 +546,14 @@
         return self._is_doubtful(record, now_s)
 
     def _is_doubtful(self, record: _OriginRecord, now_s: float) -> bool:
-        """Return whether an origin's crashes may have another cause, as others crashed as well."""
-        return not record.harmful and self._rates.has_others(record.starts, now_s)
+        """Return whether most of an origin's crashes may have another cause.
+
+        Others crashed as well, and at most half of its own come from items that look harmful: one
+        item of many looks so by chance.
+        """
+        if 2 * record.count_harmful(now_s) > self._count(record, now_s):
+            return False
+        return self._rates.has_others(record.starts, now_s)
 
     def _must_wait(self, origins: tuple[Origin, ...], suspicion: Suspicion, now_s: float) -> bool:
         """Return whether a suspect may not run yet."""
--- a/tests/unit/test_lots_isolation_limits.py
+++ b/tests/unit/test_lots_isolation_limits.py
@@ -628,6 +628,23 @@
     assert limits.placement(LOT, suspicions[0], 125.0) is Placement.APART
 
 
+def test_one_item_that_looks_harmful_does_not_hold_its_lot_after_a_series_of_crashes() -> None:
+    """Two back ends crashed by chance soon after it began, as others crashed elsewhere."""
+    rates = CrashRates()
+    limits = CrashLimits(rates)
+    for number in range(4):
+        rates.crashed(f"elsewhere-{number}", 100.0 + 3.0 * number)
+    for number in range(MAX_ORIGIN_CRASHES):
+        at_s = 100.0 + 3.0 * number
+        # The first two crashes are those of one item.
+        name = f"s{max(1, number)}"
+        lost = Suspicion(name, 1 + (number == 1), own_crashes=1, crashes_at_once=number == 1)
+        rates.crashed(f"a{number}", at_s)
+        limits.crashed(("lot", name), LOT, f"a{number}", lost, at_s, apart=True)
+    assert limits.placement(LOT, SOUND, 129.0) is Placement.HELD
+    assert limits.placement(LOT, SOUND, 130.0) is Placement.APART
+
+
 def test_a_sound_item_of_an_earlier_leader_does_not_crash_at_once_by_its_first_run_here() -> None:
     """Its earlier runs have no times here, so only the crashes of this one may be compared."""
 
