A gateway's log tells what a planned stop cuts

Callers saw closed connections around a planned stop, and no line of the stopped gateway named them: requests that the end of the process cut were cancelled as the interpreter ended, with the words of a caller that leaves, and their lines were still in the writer's queue when the process exited. A request that is cut has a line (event cut, outcome cut of proxy_requests_total); the queued lines are written before the process ends.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -10,6 +10,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Awaitable, Callable
+from enum import StrEnum
 
 import h11
 from loguru import logger
@@ -38,6 +39,9 @@
 PIECE_BYTES = 16 * 1024
 """Small writes that are kept are joined up to this size."""
 
+CUT_TIMEOUT_S = 0.1
+"""Time for the handlers of requests that are cut to end."""
+
 _UNPARSED = RequestMetadata()
 _REASONS = {400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large"}
 
@@ -109,6 +113,14 @@
     )
 
 
+class EndCause(StrEnum):
+    """Why the handler of a request is cancelled."""
+
+    CALLER_LEFT = "the caller disconnected"
+    CALLER_SLOW = "the caller read too slowly"
+    STOPPED = "this gateway stops"
+
+
 class Responder:
     """Writes the response to one request.
 
@@ -136,9 +148,9 @@
         self._connection.describe(tenant, rank, may_continue, until_s)
 
     @property
-    def was_dropped(self) -> bool:
-        """Whether the connection was aborted because the caller read too slowly."""
-        return self._connection.kept.is_dropped
+    def end_cause(self) -> EndCause:
+        """Why the request's handler is cancelled, if it is."""
+        return self._connection.end_cause
 
     def send_head(self, status: int, headers: RawHeaders) -> None:
         """Write status and headers; without a Content-Length header the body is sent chunked."""
@@ -187,10 +199,11 @@
         limits: Returns the current limits on requests.
         draining: Each response closes its connection, because the process is stopping.
         connections: Open connections.
+        taken: Requests that were read whole since the start.
         kept: Counts what is kept for slow callers; None to wait for each caller instead.
     """
 
-    __slots__ = ("connections", "draining", "handler", "kept", "limits")
+    __slots__ = ("connections", "draining", "handler", "kept", "limits", "taken")
 
     def __init__(
         self,
@@ -202,6 +215,7 @@
         self.handler = handler
         self.limits = limits
         self.draining = False
+        self.taken = 0
         self.connections: set[CallerConnection] = set()
 
     def count_busy(self) -> int:
@@ -217,6 +231,14 @@
             if not connection.is_busy:
                 connection.close()
 
+    async def cut(self) -> int:
+        """Abort the connections that are busy; return their number."""
+        busy = [connection for connection in self.connections if connection.is_busy]
+        tasks = [task for connection in busy if (task := connection.cut()) is not None]
+        if tasks:
+            await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
+        return len(busy)
+
 
 class CallerConnection(asyncio.Protocol):
     """One caller's connection; the event loop creates one for each accepted socket."""
@@ -240,8 +262,16 @@
         self._pieces_bytes = 0
         self._is_paused = False
         self._closes_when_sent = False
+        self._is_cut = False
         self.kept = KeptAnswer()
 
+    @property
+    def end_cause(self) -> EndCause:
+        """Why the handler of the current request is cancelled, if it is."""
+        if self._is_cut:
+            return EndCause.STOPPED
+        return EndCause.CALLER_SLOW if self.kept.is_dropped else EndCause.CALLER_LEFT
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress, or the connection is too new to have received one."""
@@ -401,6 +431,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def cut(self) -> asyncio.Task[None] | None:
+        """Cancel the request in progress because the process ends; return its handler, if any."""
+        self._is_cut = True
+        task = self._task
+        if task is None:
+            self.abort()
+        self._cancel()
+        return task
+
     def _new_parser(self) -> h11.Connection:
         return h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
 
@@ -446,6 +485,7 @@
 
     def _start_request(self) -> None:
         self._stop_timer()
+        self._port.taken += 1
         self._first_request_until_s = 0.0
         head = self._request
         assert head is not None
--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -39,6 +39,8 @@
 
 MAX_LOGGED_PARTS = 16
 
+FLUSH_TIMEOUT_S = 0.2
+
 
 class DecisionLine(msgspec.Struct, omit_defaults=True):
     """A decision about one request, with the data that it is based on.
@@ -116,6 +118,7 @@
         self._lines: deque[bytes] = deque()
         self._lost = lost
         self._changed = threading.Condition()
+        self._is_writing = False
         threading.Thread(target=self._run, name="decision-lines", daemon=True).start()
 
     def put(self, line: bytes) -> None:
@@ -125,16 +128,24 @@
                 self._lines.popleft()
                 self._lost.inc()
             self._lines.append(line)
-            self._changed.notify()
+            self._changed.notify_all()
+
+    def flush(self, timeout_s: float) -> None:
+        """Wait until all queued lines are written, at most for ``timeout_s``."""
+        with self._changed:
+            self._changed.wait_for(lambda: not self._lines and not self._is_writing, timeout_s)
 
     def _run(self) -> None:
         failing = False
         while True:
             with self._changed:
+                self._is_writing = False
+                self._changed.notify_all()
                 while not self._lines:
                     self._changed.wait()
                 lines = list(self._lines)
                 self._lines.clear()
+                self._is_writing = True
             try:
                 sys.stdout.buffer.write(b"\n".join(lines) + b"\n")
                 sys.stdout.buffer.flush()
@@ -352,7 +363,7 @@
 
         Args:
             routed: The request.
-            outcome: ``answered``, ``broken_off`` or ``cancelled``.
+            outcome: ``answered``, ``broken_off``, ``cancelled`` or ``cut`` (this process ends).
             reason: Cause, empty for an answered request.
             now_s: Current time in monotonic seconds.
         """
@@ -410,6 +421,10 @@
             )
         )
 
+    def flush(self) -> None:
+        """Wait briefly until the lines so far are written: the process is about to end."""
+        self._writer.flush(FLUSH_TIMEOUT_S)
+
     def _write(self, line: DecisionLine) -> None:
         self._writer.put(msgspec.json.encode(line))
 
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -16,7 +16,12 @@
 from leverjunction.proxy.answer_bounds import MAX_EVENT_BYTES, PART_TIME_S, PartialBound
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.caller_connection import CallerRequest, Responder, request_content
+from leverjunction.proxy.caller_connection import (
+    CallerRequest,
+    EndCause,
+    Responder,
+    request_content,
+)
 from leverjunction.proxy.caller_identity import CallerIdentity, require
 from leverjunction.proxy.decision_log import DecisionLog
 from leverjunction.proxy.dialect import Dialect, RequestMetadata
@@ -211,10 +216,9 @@
         except asyncio.CancelledError:
             if not routed.sent_s:
                 self._give_back_allowance(routed)
-            reason = (
-                "the caller read too slowly" if responder.was_dropped else "the caller disconnected"
-            )
-            self._decision_log.ended(routed, "cancelled", reason, self._loop.time())
+            cause = responder.end_cause
+            outcome = "cut" if cause is EndCause.STOPPED else "cancelled"
+            self._decision_log.ended(routed, outcome, cause.value, self._loop.time())
             raise
         finally:
             if _is_resumption(routed):
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -28,6 +28,7 @@
 )
 from leverjunction.proxy.decision_log import DecisionLog
 from leverjunction.proxy.dialect import Dialect
+from leverjunction.proxy.draining import Drain
 from leverjunction.proxy.forwarding import Forwarder, LocalHandler
 from leverjunction.proxy.kept_answers import KeptAnswers
 from leverjunction.proxy.load_socket import LoadSocket
@@ -51,17 +52,6 @@
 from leverjunction.routes.types import RequestLimits
 from leverjunction.wire.rpc_client import RpcClient
 
-ACCEPT_AFTER_STOP_S = 3.0
-"""Time after a stop request during which new connections are still accepted.
-
-The platform directs callers here until it has polled the readiness port twice.
-"""
-
-STOP_MARGIN_S = 0.7
-"""Part of the grace period that is reserved for closing after the last request."""
-
-DRAIN_POLL_S = 0.05
-
 LocalHandlerFactory = Callable[[RpcClient, RegistryFollower, str], LocalHandler]
 """Creates the handler of requests that the gateway answers itself; the last argument is a zone."""
 
@@ -101,7 +91,7 @@
         self._pool = RunnerPool()
         self._metrics_registry = CollectorRegistry()
         self._metrics = ProxyMetrics(self._metrics_registry)
-        decision_log = DecisionLog(clock, self._metrics)
+        self._decision_log = decision_log = DecisionLog(clock, self._metrics)
         self._index: RouteIndex | None = None
         self._replaced_until_s = math.inf
         """Earliest time up to which a state that the next one replaces was known to be complete."""
@@ -246,23 +236,15 @@
         return await self._loop.create_server(connect, host, int(number), backlog=BACKLOG)
 
     async def _drain(self) -> None:
-        """Report not ready, keep accepting for ``ACCEPT_AFTER_STOP_S``, then wait for requests.
-
-        The wait ends when no request is in progress, or shortly before the grace period does.
-        """
-        logger.info("stopping")
+        """Report not ready, and answer the requests in progress within the grace period."""
         self._stopping = True
-        self._port.draining = True
-        started_s = self._loop.time()
-        await asyncio.sleep(ACCEPT_AFTER_STOP_S)
+        drain = Drain(self._port, self._config.bounds.stop_grace_s, self._stop_accepting)
+        await drain.run()
+        self._decision_log.flush()
+
+    def _stop_accepting(self) -> None:
         if self._caller_server is not None:
             self._caller_server.close()
-        deadline_s = started_s + self._config.bounds.stop_grace_s - STOP_MARGIN_S
-        while self._loop.time() < deadline_s:
-            self._port.close_idle()
-            if not self._port.count_busy():
-                return
-            await asyncio.sleep(DRAIN_POLL_S)
 
     def _request_limits(self) -> RequestLimits:
         return RequestLimits() if self._index is None else self._index.table.limits
--- a/src/testbed/routed/caller.py
+++ b/src/testbed/routed/caller.py
@@ -51,6 +51,12 @@
         data += self._h11.send(h11.EndOfMessage()) or b""
         self._socket.sendall(data)
 
+    def send_head(self, method: str, target: str, headers: dict[str, str], length: int) -> None:
+        """Send the head of a request whose body does not follow."""
+        fields = [*headers.items(), ("Content-Length", str(length))]
+        request = h11.Request(method=method, target=target, headers=fields)
+        self._socket.sendall(self._h11.send(request) or b"")
+
     def receive(self, into: RawReply | None = None) -> RawReply:
         """Read one answer, or what comes of it.
 
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -22,6 +22,7 @@
     Responder,
 )
 from leverjunction.proxy.decision_log import DecisionLog
+from leverjunction.proxy.draining import Drain
 from leverjunction.proxy.forwarding import Caller, Forwarder
 from leverjunction.proxy.kept_answers import KeptAnswers
 from leverjunction.proxy.metrics import ProxyMetrics
@@ -47,6 +48,9 @@
             processes know its back ends, and other gateways may not.
         kept: What it keeps for slow callers, if ``kept_limit_bytes`` is not 0.
         dropped: Reasons for which it dropped slow callers.
+        stop_asked_s: When it was asked to stop, in the loop's seconds.
+        stop_ended_s: When it had stopped.
+        ended: Set when it has stopped.
     """
 
     def __init__(
@@ -68,6 +72,8 @@
         self.is_in_doubt = False
         self.pause_end_s = 0.0
         self.shared = SharedRevisions(controls=0)
+        self.stop_asked_s = self.stop_ended_s = 0.0
+        self.ended = threading.Event()
 
     def __enter__(self) -> Proxy:
         self._thread.start()
@@ -101,6 +107,19 @@
         self.balancer.replace(records)
         self.origins.update(FleetView(runners=tuple(records)))
 
+    def stop(self, grace_s: float) -> None:
+        """Ask the proxy to stop as planned; at the end nobody answers any more, as in a process."""
+
+        async def end() -> None:
+            self.stop_asked_s = self._loop.time()
+            await Drain(self.port, grace_s, self.server.close).run()
+            self.stop_ended_s = self._loop.time()
+            for connection in list(self.port.connections):
+                connection.abort()
+            self.ended.set()
+
+        asyncio.run_coroutine_threadsafe(end(), self._loop)
+
     def caller(self) -> RawCaller:
         return RawCaller(self.address)
 
@@ -153,8 +172,8 @@
             lambda: (self._table or RouteTable()).limits,
             self.kept if limit_bytes else None,
         )
-        server = await self._loop.create_server(lambda: CallerConnection(port), "127.0.0.1", 0)
-        host, number = server.sockets[0].getsockname()[:2]
+        self.server = await self._loop.create_server(lambda: CallerConnection(port), "127.0.0.1", 0)
+        host, number = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{number}"
 
 
