Requests that a stopping gateway cannot finish are refused, not cut

Callers saw connections closed without a whole answer after a SIGTERM of their gateway, though a back end had been sent their request; some of them may not be sent again. Cause: the end of the process is a deadline that nothing knew. A request that is taken after the listener has closed (the first one of a young connection, the next one behind a stream whose head had not said that the connection closes) was passed on with its caller's whole deadline, and cut at the end of the grace; one that waited for a silent back end, the gate, a store or its own body then was closed without one byte. A cut attempt counted as not run though it was sent. Change: proxy.stop_schedule holds the two times of a stop. A request that comes after the first, or whose usual run does not fit before the second, is refused at once (503, not run, Retry-After 0: other gateways are free). Requests in progress, their tickets at the gate and their retries are bounded by the second; whatever has no answer then gets one, 503 if nothing was sent and 504 if it may have run. After an answer whose head did not say so, a connection is read for 0.2 s more before it closes.

--- a/src/leverjunction/proxy/balancer.py
+++ b/src/leverjunction/proxy/balancer.py
@@ -414,6 +414,10 @@
         known_s = self._mean_run_s.get(service, run_s)
         self._mean_run_s[service] = known_s + (run_s - known_s) * RUN_AVERAGE_WEIGHT
 
+    def usual_run_s(self, service: str, kind: str) -> float:
+        """Return for how many seconds a kind of request usually occupies a slot, 0 if unknown."""
+        return self._usual_run_s.get((service, kind), 0.0)
+
     def record_run_at(self, runner: TrackedRunner, kind: str, run_s: float, now_s: float) -> None:
         """Record how long a request occupied a slot of a back end.
 
--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -15,6 +15,7 @@
 import h11
 from loguru import logger
 
+from leverjunction.errors import Execution
 from leverjunction.proxy.answer_buffer import KeptAnswer
 from leverjunction.proxy.dialect import RawHeaders, RequestMetadata
 from leverjunction.proxy.headers import find
@@ -31,6 +32,13 @@
 close the connection yet.
 """
 
+NEXT_REQUEST_S = 0.2
+"""Time for which a connection counts as busy after an answer, while the process is stopping.
+
+Its caller was not told that the connection closes if the head went out before, and a request that
+crosses the close would not be answered.
+"""
+
 READ_PAUSE_S = 0.25
 """Longest pause in reading from a back end because of its caller. Back ends cut an answer that
 stays unread for some seconds; a lagging caller has room for a megabyte a second meanwhile.
@@ -39,8 +47,10 @@
 PIECE_BYTES = 16 * 1024
 """Small writes that are kept are joined up to this size."""
 
-CUT_TIMEOUT_S = 0.1
-"""Time for the handlers of requests that are cut to end."""
+END_TIMEOUT_S = 0.1
+"""Time for the handlers of requests to end because the process does."""
+
+UNAVAILABLE_STATUS = 503
 
 _UNPARSED = RequestMetadata()
 _REASONS = {400: b"Bad Request", 408: b"Request Timeout", 413: b"Content Too Large"}
@@ -57,9 +67,19 @@
         arrived_s: Time at which the last byte arrived, in monotonic seconds.
         metadata: Metadata from the headers; empty until they are parsed.
         is_item: Whether it is an item of a batch job.
+        execution: Whether a back end may have run it.
     """
 
-    __slots__ = ("arrived_s", "body", "headers", "is_item", "metadata", "method", "target")
+    __slots__ = (
+        "arrived_s",
+        "body",
+        "execution",
+        "headers",
+        "is_item",
+        "metadata",
+        "method",
+        "target",
+    )
 
     def __init__(
         self, method: bytes, target: bytes, headers: RawHeaders, body: bytes, arrived_s: float
@@ -71,6 +91,7 @@
         self.arrived_s = arrived_s
         self.metadata = _UNPARSED
         self.is_item = False
+        self.execution = Execution.NOT_RUN
 
     @property
     def path(self) -> str:
@@ -231,13 +252,24 @@
             if not connection.is_busy:
                 connection.close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that are still being received: they have not run."""
+        for connection in list(self.connections):
+            connection.refuse_incomplete()
+
+    async def answer_rest(self) -> int:
+        """End the requests whose answer has not begun with an answer; return their number."""
+        return await self._end([item for item in self.connections if item.is_unanswered])
+
     async def cut(self) -> int:
         """Abort the connections that are busy; return their number."""
-        busy = [connection for connection in self.connections if connection.is_busy]
-        tasks = [task for connection in busy if (task := connection.cut()) is not None]
+        return await self._end([item for item in self.connections if item.is_busy])
+
+    async def _end(self, connections: list[CallerConnection]) -> int:
+        tasks = [task for item in connections if (task := item.end_request()) is not None]
         if tasks:
-            await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
-        return len(busy)
+            await asyncio.wait(tasks, timeout=END_TIMEOUT_S)
+        return len(connections)
 
 
 class CallerConnection(asyncio.Protocol):
@@ -256,28 +288,29 @@
         self._body_bytes = 0
         self._is_receiving = False
         self._write_resumed: asyncio.Future[None] | None = None
-        self._first_request_until_s = 0.0
+        self._request_due_until_s = 0.0
         self._written_bytes = 0
         self._pieces: deque[bytearray] = deque()
         self._pieces_bytes = 0
         self._is_paused = False
         self._closes_when_sent = False
-        self._is_cut = False
+        self._is_ending = False
+        self._responder: Responder | None = None
         self.kept = KeptAnswer()
 
     @property
     def end_cause(self) -> EndCause:
         """Why the handler of the current request is cancelled, if it is."""
-        if self._is_cut:
+        if self._is_ending:
             return EndCause.STOPPED
         return EndCause.CALLER_SLOW if self.kept.is_dropped else EndCause.CALLER_LEFT
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is in progress, or the connection is too new to have received one."""
-        is_new = self._loop.time() < self._first_request_until_s
+        """Whether a request is in progress or probably in transit."""
+        is_due = self._loop.time() < self._request_due_until_s
         is_sending = self.count_kept()[0] > 0
-        return self._is_receiving or self._task is not None or is_new or is_sending
+        return self._is_receiving or self._task is not None or is_due or is_sending
 
     def count_kept(self) -> tuple[int, int]:
         """Return the bytes that wait to be sent, and those that were sent so far."""
@@ -296,7 +329,7 @@
         """Start to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._first_request_until_s = self._loop.time() + FIRST_REQUEST_S
+        self._request_due_until_s = self._loop.time() + FIRST_REQUEST_S
         self._port.connections.add(self)
         if self._port.kept is not None:
             limit_unsent(transport)
@@ -431,9 +464,19 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def cut(self) -> asyncio.Task[None] | None:
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether a request is in progress of whose answer nothing has been written."""
+        return self._responder is not None and not self._responder.started
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that is being received, if any: it will not run."""
+        if self._is_receiving and self._task is None:
+            self._refuse(UNAVAILABLE_STATUS)
+
+    def end_request(self) -> asyncio.Task[None] | None:
         """Cancel the request in progress because the process ends; return its handler, if any."""
-        self._is_cut = True
+        self._is_ending = True
         task = self._task
         if task is None:
             self.abort()
@@ -486,7 +529,7 @@
     def _start_request(self) -> None:
         self._stop_timer()
         self._port.taken += 1
-        self._first_request_until_s = 0.0
+        self._request_due_until_s = 0.0
         head = self._request
         assert head is not None
         request = CallerRequest(
@@ -501,7 +544,7 @@
         self._task = self._loop.create_task(self._handle(request))
 
     async def _handle(self, request: CallerRequest) -> None:
-        responder = Responder(self)
+        responder = self._responder = Responder(self)
         try:
             await self._port.handler(request, responder)
         except asyncio.CancelledError:
@@ -515,6 +558,7 @@
             return
         finally:
             self._task = None
+            self._responder = None
         self._finish()
 
     def _finish(self) -> None:
@@ -525,6 +569,8 @@
             self.close()
             return
         self._h11.start_next_cycle()
+        if self._port.draining:
+            self._request_due_until_s = self._loop.time() + NEXT_REQUEST_S
         self._limits = self._port.limits()
         self._start_idle_timer()
         self._advance()
--- a/src/leverjunction/proxy/dispatch.py
+++ b/src/leverjunction/proxy/dispatch.py
@@ -86,6 +86,11 @@
         self.connection = 0
         self.connection_use = 0
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether the back end may have received the request."""
+        return self.connection_use > 0
+
 
 class OpenedResponse:
     """A back end's response whose head has arrived.
--- a/src/leverjunction/proxy/draining.py
+++ b/src/leverjunction/proxy/draining.py
@@ -1,59 +1,58 @@
-"""Planned stop of a gateway: accepts callers for a while longer, then waits for their answers."""
+"""Planned stop of a gateway: refuses new requests after a while, and answers those in progress."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from loguru import logger
 
 from leverjunction.proxy.caller_connection import CallerPort
-
-ACCEPT_AFTER_STOP_S = 3.0
-"""Time after a stop request during which new connections are still accepted.
-
-The platform directs callers here until it has polled the readiness port twice.
-"""
-
-STOP_MARGIN_S = 0.7
-"""Part of the grace period that is reserved for closing after the last request."""
+from leverjunction.proxy.stop_schedule import StopSchedule
 
 DRAIN_POLL_S = 0.05
 
+LAST_ANSWERS_S = 0.3
+"""Time for callers to read the answers that are given at the end of the schedule."""
+
 
 class Drain:
     """Ends the service of one port; used once, by one event loop.
 
     Args:
         port: The callers' port.
-        grace_s: Seconds between the stop request and the forced kill.
-        stop_accepting: Closes the listener.
+        schedule: Times of the stop, which has been requested.
+        stop_accepting: Takes the connections that wait in the listener's queue, and closes it.
     """
 
-    __slots__ = ("_grace_s", "_loop", "_port", "_stop_accepting")
+    __slots__ = ("_loop", "_port", "_requested_s", "_schedule", "_stop_accepting")
 
     def __init__(
-        self, port: CallerPort, grace_s: float, stop_accepting: Callable[[], None]
+        self,
+        port: CallerPort,
+        schedule: StopSchedule,
+        stop_accepting: Callable[[], Awaitable[None]],
     ) -> None:
         self._port = port
-        self._grace_s = grace_s
+        self._schedule = schedule
         self._stop_accepting = stop_accepting
         self._loop = asyncio.get_running_loop()
+        self._requested_s = self._loop.time()
 
     async def run(self) -> None:
-        """Accept for ``ACCEPT_AFTER_STOP_S``, then wait until no request is in progress.
+        """Accept requests until the schedule refuses them, then wait until none is in progress.
 
-        What is in progress shortly before the end of the grace period is cut.
+        At the end of the schedule, requests without an answer get one, and what has begun is cut.
         """
         port = self._port
         port.draining = True
-        started_s = self._loop.time()
         logger.info(
             "stopping: {} of {} connections are busy", port.count_busy(), len(port.connections)
         )
         taken_before = port.taken
-        await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-        self._stop_accepting()
+        await self._wait_until(self._schedule.accept_until_s)
+        await self._stop_accepting()
+        port.refuse_incomplete()
         logger.info(
             "stopped accepting connections: {} of {} are busy; {} requests were taken since the"
             " stop request",
@@ -62,18 +61,26 @@
             port.taken - taken_before,
         )
         taken_in_time = port.taken
-        await self._wait_idle(started_s + self._grace_s - STOP_MARGIN_S)
+        await self._wait_idle(self._schedule.answer_by_s)
+        answered = await port.answer_rest()
+        await self._wait_idle(self._loop.time() + LAST_ANSWERS_S)
         cut = await port.cut()
         log = logger.warning if cut else logger.info
         log(
-            "the last request ended {:.2f} s after the stop request; {} requests were taken after"
-            " the listener had closed, {} were cut",
-            self._loop.time() - started_s,
+            "the last request ended {:.2f} s after the stop request; {} requests came after the"
+            " listener had closed, {} were answered because the process ends, {} were cut",
+            self._loop.time() - self._requested_s,
             port.taken - taken_in_time,
+            answered,
             cut,
         )
 
+    async def _wait_until(self, until_s: float) -> None:
+        await asyncio.sleep(max(0.0, until_s - self._loop.time()))
+
     async def _wait_idle(self, until_s: float) -> None:
+        # Callbacks that the loop has ready come first: a request may just have been read.
+        await asyncio.sleep(0)
         while self._loop.time() < until_s:
             self._port.close_idle()
             if not self._port.count_busy():
--- a/src/leverjunction/proxy/failures.py
+++ b/src/leverjunction/proxy/failures.py
@@ -19,6 +19,9 @@
 RETRY_ORIGIN_S = 0.4
 """Longer than one call to a control process that does not answer."""
 
+RETRY_ELSEWHERE_S = 0.0
+"""Other gateways may serve the caller at once."""
+
 _STATUS_BY_KIND = {
     FailureKind.BAD_REQUEST: 400,
     FailureKind.HARMFUL: 400,
@@ -30,6 +33,7 @@
 _FINALLY_UNKNOWN = (OriginSource.NOBODY_KNOWS, OriginSource.NOT_NAMED)
 """Why an origin is unknown if no later question can find it."""
 
+_TIMEOUT_KINDS = (FailureKind.DEADLINE_EXCEEDED, FailureKind.TIMEOUT, FailureKind.STOPPING)
 _NOT_RUN_STATUS = 503
 _TIMEOUT_STATUS = 504
 _BROKEN_STATUS = 502
@@ -38,7 +42,7 @@
 def status_of(failure: Failure) -> int:
     """Return the HTTP status of a failure; it depends on whether the request may have run."""
     if failure.execution is not Execution.NOT_RUN:
-        is_timeout = failure.kind in (FailureKind.DEADLINE_EXCEEDED, FailureKind.TIMEOUT)
+        is_timeout = failure.kind in _TIMEOUT_KINDS
         return _TIMEOUT_STATUS if is_timeout else _BROKEN_STATUS
     return _STATUS_BY_KIND.get(failure.kind, _NOT_RUN_STATUS)
 
@@ -171,6 +175,17 @@
     )
 
 
+def stopping(execution: Execution) -> Failure:
+    """Return the failure of a request that cannot be answered before this process ends."""
+    return Failure(
+        kind=FailureKind.STOPPING,
+        reason="this gateway stops before the request can be answered; use another one",
+        step=Step.STOPPING,
+        execution=execution,
+        retry_after_s=RETRY_ELSEWHERE_S if execution is Execution.NOT_RUN else None,
+    )
+
+
 def harmful(key: str, execution: Execution) -> Failure:
     """Return the refusal of a request that has crashed back ends; a retry does not help."""
     return Failure(
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -34,6 +34,7 @@
     route_unconfirmed,
     service_not_routed,
     status_of,
+    stopping,
     unknown_origin,
 )
 from leverjunction.proxy.first_table import FirstTable
@@ -44,6 +45,7 @@
 from leverjunction.proxy.return_times import spread_return_s
 from leverjunction.proxy.routed_request import RoutedRequest
 from leverjunction.proxy.runner_connection import ResponseEnd, ResponseHead, endless_failure
+from leverjunction.proxy.stop_schedule import StopSchedule
 from leverjunction.proxy.stream_origins import StreamOrigins, stream_key
 from leverjunction.proxy.tracked_runner import TrackedRunner
 from leverjunction.quarantine.prompt_parts import is_part_key
@@ -123,6 +125,7 @@
         max_key_age_s: float = math.inf,
         limiter: LocalLimiter | None = None,
         last_pause_end_s: Callable[[], float] = lambda: -math.inf,
+        schedule: StopSchedule | None = None,
     ) -> None:
         """Create a forwarder without a route table.
 
@@ -149,6 +152,7 @@
                 this gateway.
             last_pause_end_s: Returns when the last detected stall of this process ended; back ends
                 that were chosen before are chosen again.
+            schedule: Times of a planned stop; None for a process that never stops.
         """
         self._sender = sender
         self._balancer = balancer
@@ -176,15 +180,39 @@
         self._in_force_s = in_force_s
         self._identity = CallerIdentity(in_force_s, max_key_age_s)
         self._limiter = limiter or LocalLimiter(random)
+        self._schedule = schedule or StopSchedule()
+        self._in_progress: set[RoutedRequest] = set()
 
     def set_table(self, index: RouteIndex) -> None:
         """Replace the route table; requests in progress keep the table they started with."""
         self._index = index
         self._first_table.arrived()
 
+    def begin_stop(self) -> None:
+        """Bound the requests in progress by the stop schedule, which has begun."""
+        for routed in self._in_progress:
+            routed.until_s = min(routed.until_s, self._schedule.answer_by_s)
+            if routed.ticket is not None:
+                latest_s = self._head_deadline_s(routed)
+                routed.ticket.deadline_s = min(routed.ticket.deadline_s, latest_s)
+
     async def handle(self, request: CallerRequest, responder: Responder) -> None:
-        """Answer one request; a cancelled call means that the caller disconnected."""
-        metadata = request.metadata = self._dialect.read_request(request.headers)
+        """Answer one request; a cancelled call means that its caller left or the process ends."""
+        request.metadata = self._dialect.read_request(request.headers)
+        if self._schedule.refuses(request.arrived_s):
+            self._refuse(request, request.metadata, responder, stopping(request.execution))
+            return
+        try:
+            await self._answer(request, request.metadata, responder)
+        except asyncio.CancelledError:
+            if responder.end_cause is not EndCause.STOPPED or responder.started:
+                raise
+            self._refuse(request, request.metadata, responder, stopping(request.execution))
+
+    async def _answer(
+        self, request: CallerRequest, metadata: RequestMetadata, responder: Responder
+    ) -> None:
+        """Answer a request that was accepted."""
         deadline_s = request.arrived_s + (metadata.deadline_ms or DEFAULT_TIMEOUT_MS) / 1000
         await self._first_table.wait(deadline_s - SEND_MARGIN_S)
         await self._freshness.wait(deadline_s)
@@ -195,7 +223,7 @@
         host = (find(request.headers, b"host") or b"").decode("latin-1")
         route = index.find(host, request.path)
         caller = self._identity.identify(index, metadata.key, self._table_age_s())
-        if await self._local_handler(request, responder, index, route, caller):
+        if await self._answered_here(request, responder, index, route, caller):
             return
         if route is None:
             self._refuse(request, metadata, responder, self._no_route(host, request.path))
@@ -205,11 +233,12 @@
             self._refuse(request, metadata, responder, refusal)
             return
         routed = self._make_routed(request, route, caller, index)
-        refusal = self._limit(routed)
+        refusal = self._refuse_unfinished(routed) or self._limit(routed)
         if refusal is not None:
             self._refuse(request, metadata, responder, refusal)
             return
         self._retrying_sender.record_admission(routed)
+        self._in_progress.add(routed)
         try:
             await self._forward(routed, responder)
             self._give_back_allowance(routed)
@@ -217,15 +246,42 @@
             if not routed.sent_s:
                 self._give_back_allowance(routed)
             cause = responder.end_cause
-            outcome = "cut" if cause is EndCause.STOPPED else "cancelled"
-            self._decision_log.ended(routed, outcome, cause.value, self._loop.time())
+            if responder.started or cause is not EndCause.STOPPED:
+                outcome = "cut" if cause is EndCause.STOPPED else "cancelled"
+                self._decision_log.ended(routed, outcome, cause.value, self._loop.time())
             raise
         finally:
+            self._in_progress.discard(routed)
             if _is_resumption(routed):
                 self._decision_log.resumption_ended(routed)
             for key, start in routed.trials:
                 self._quarantine.trial_ended(key, start)
 
+    async def _answered_here(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        index: RouteIndex,
+        route: Route | None,
+        caller: Caller,
+    ) -> bool:
+        """Return whether the gateway handles a request itself; if so, it is answered."""
+        try:
+            return await self._local_handler(request, responder, index, route, caller)
+        except asyncio.CancelledError:
+            # It waited for a store, which may have taken the call.
+            request.execution = Execution.UNKNOWN
+            raise
+
+    def _refuse_unfinished(self, routed: RoutedRequest) -> Failure | None:
+        """Return the refusal of a request that would outlast this process, otherwise None."""
+        route = routed.route
+        head_s = self._retrying_sender.head_latencies(route).unqueued_s() or 0.0
+        run_s = head_s + self._balancer.usual_run_s(routed.service, route.name)
+        if self._schedule.refuses(self._loop.time(), run_s):
+            return stopping(Execution.NOT_RUN)
+        return None
+
     def _make_routed(
         self, request: CallerRequest, route: Route, caller: Caller, index: RouteIndex
     ) -> RoutedRequest:
@@ -234,7 +290,7 @@
         tenant = caller if isinstance(caller, Tenant) else None
         metadata.tenant = "" if tenant is None else tenant.name
         timeout_ms = min(metadata.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
-        until_s = request.arrived_s + timeout_ms / 1000
+        until_s = min(request.arrived_s + timeout_ms / 1000, self._schedule.answer_by_s)
         stream = _stream_of(request, route)
         # A caller that continues a stream must be given the same part of a split route again.
         is_split = len(route.services) > 1
@@ -426,12 +482,16 @@
             routed.ticket = self._admission_ticket(routed)
         return routed.ticket
 
+    def _head_deadline_s(self, routed: RoutedRequest) -> float:
+        """Return when the response head must be there for the answer to end in time."""
+        if routed.origin is not None:
+            return routed.until_s
+        return routed.until_s - (self._balancer.mean_run_s(routed.service) or 0.0)
+
     def _admission_ticket(self, routed: RoutedRequest) -> Ticket:
         """Return the times by which the admission gate decides on a request."""
         route, arrived_s = routed.route, routed.request.arrived_s
-        deadline_s = routed.until_s
-        if routed.origin is None:
-            deadline_s -= self._balancer.mean_run_s(routed.service) or 0.0
+        deadline_s = self._head_deadline_s(routed)
         if route.head_within_ms:
             deadline_s = min(deadline_s, arrived_s + route.head_within_ms / 1000)
         unqueued_s = self._retrying_sender.head_latencies(route).unqueued_s() or 0.0
@@ -486,14 +546,14 @@
                         await responder.send_data(b"".join(body), routed.until_s)
                         body = []
         except TimeoutError:
-            return out_of_time(Execution.UNKNOWN)
+            return self._out_of_time(routed)
         finally:
             self._sender.finish(response, whole)
         if responder.started:
             try:
                 await responder.send_data(b"".join(body), routed.until_s)
             except TimeoutError:
-                return out_of_time(Execution.UNKNOWN)
+                return self._out_of_time(routed)
             responder.finish()
         else:
             responder.respond(response.head.status, headers, b"".join(body))
@@ -582,10 +642,16 @@
                     if self._loop.time() - event_s > MAX_RELAY_S:
                         event_s = 0.0
         except TimeoutError:
-            return out_of_time(Execution.UNKNOWN)
+            return self._out_of_time(routed)
         finally:
             self._sender.finish(response, whole)
 
+    def _out_of_time(self, routed: RoutedRequest) -> Failure:
+        """Return the failure of a request that has run and whose time is up."""
+        if routed.until_s >= self._schedule.answer_by_s:
+            return stopping(Execution.UNKNOWN)
+        return out_of_time(Execution.UNKNOWN)
+
     def _note_resumed(self, routed: RoutedRequest) -> None:
         """Record the first event of a stream that its caller resumed."""
         if _is_resumption(routed) and not routed.went_on:
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -38,6 +38,7 @@
 from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.proxy.share_gate import ShareGate
 from leverjunction.proxy.snapshot_publisher import SnapshotPublisher
+from leverjunction.proxy.stop_schedule import StopSchedule
 from leverjunction.proxy.stream_origins import StreamOrigins
 from leverjunction.proxy.tenant_shares import TenantShares
 from leverjunction.quota.local_limiter import LocalLimiter
@@ -107,6 +108,7 @@
             self._on_confirmed,
         )
         self._confirmed_s = -math.inf
+        self._schedule = StopSchedule()
         self._limiter = LocalLimiter(self._random, config.bounds.quota())
         self._shares = TenantShares(self._random) if config.policies.fair_tenants else None
         self._loads = LoadSocket(
@@ -159,6 +161,7 @@
             config.bounds.max_key_age_s(),
             self._limiter,
             self._follower.last_pause_end_s,
+            self._schedule,
         )
         self._snapshot_publisher = SnapshotPublisher(
             {
@@ -238,11 +241,12 @@
     async def _drain(self) -> None:
         """Report not ready, and answer the requests in progress within the grace period."""
         self._stopping = True
-        drain = Drain(self._port, self._config.bounds.stop_grace_s, self._stop_accepting)
-        await drain.run()
+        self._schedule.begin(self._loop.time(), self._config.bounds.stop_grace_s)
+        self._forwarder.begin_stop()
+        await Drain(self._port, self._schedule, self._stop_accepting).run()
         self._decision_log.flush()
 
-    def _stop_accepting(self) -> None:
+    async def _stop_accepting(self) -> None:
         if self._caller_server is not None:
             self._caller_server.close()
 
--- a/src/leverjunction/proxy/retrying_sender.py
+++ b/src/leverjunction/proxy/retrying_sender.py
@@ -137,7 +137,12 @@
             head_timeouts=self._head_timeouts(routed, choice, sent_s),
             is_outdated=lambda: self._is_outdated(routed, choice, pause_end_s),
         )
-        response = await self._sender.begin(dispatch)
+        try:
+            response = await self._sender.begin(dispatch)
+        except asyncio.CancelledError:
+            if dispatch.was_sent:
+                routed.note_run()
+            raise
         if isinstance(response, Failure) and response.kind is FailureKind.STALE and is_new:
             routed.tried.discard(runner.record.start)
         if isinstance(response, LateHead):
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -29,7 +29,6 @@
         until_s: Deadline for the complete response, in the loop's seconds.
         tried: Ids and starts of the back ends that it was sent to.
         runs: Number of back ends on which it may have run.
-        execution: Whether a back end may have run the request.
         key: Key of the request, or of a part of its prompt, while it is suspected of crashing back
             ends, else empty.
         trials: Key, and id and start of the back end, of each time it was sent as a suspect.
@@ -44,7 +43,6 @@
 
     __slots__ = (
         "ended_after",
-        "execution",
         "first_output_s",
         "key",
         "metadata",
@@ -90,7 +88,6 @@
         self.until_s = until_s
         self.tried: set[str] = set()
         self.runs = 0
-        self.execution = Execution.NOT_RUN
         self.key = ""
         self.trials: list[tuple[str, str]] = []
         self.ended_after = ""
@@ -99,10 +96,15 @@
         self.runner_id = ""
         self.first_output_s: float | None = None
 
+    @property
+    def execution(self) -> Execution:
+        """Whether a back end may have run the request."""
+        return self.request.execution
+
     def note_run(self) -> None:
         """Record that a back end may have run the request."""
         self.runs += 1
-        self.execution = Execution.UNKNOWN
+        self.request.execution = Execution.UNKNOWN
 
     def note_output(self, now_s: float) -> None:
         """Record that a part of the response body has arrived."""
--- a/src/testbed/simulation/seeded/routed/checkers.py
+++ b/src/testbed/simulation/seeded/routed/checkers.py
@@ -4,7 +4,7 @@
 
 from collections import Counter, defaultdict
 
-from leverjunction.proxy.draining import ACCEPT_AFTER_STOP_S
+from leverjunction.proxy.stop_schedule import ACCEPT_AFTER_STOP_S
 from leverjunction.routes import RouteClass
 from testbed.simulation.checkers.base import Finding, overlaps
 from testbed.simulation.seeded.checkers import IN_FORCE_S
--- a/src/testbed/simulation/seeded/routed/faults.py
+++ b/src/testbed/simulation/seeded/routed/faults.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
-from leverjunction.proxy.draining import ACCEPT_AFTER_STOP_S
+from leverjunction.proxy.stop_schedule import ACCEPT_AFTER_STOP_S
 from testbed.simulation.history import Span
 from testbed.simulation.seeded.fault_kinds import SeededFault, SeededFaultKind
 from testbed.simulation.seeded.routed.gateway import RoutedGateway
--- a/src/testbed/simulation/seeded/routed/gateway.py
+++ b/src/testbed/simulation/seeded/routed/gateway.py
@@ -145,6 +145,9 @@
             name, now_s = self._machine.name, self._machine.monotonic_s()
             self._history.resumptions.append(ResumptionLogged(name, now_s, decision.reason))
 
+    def flush(self, _timeout_s: float) -> None:
+        """Do nothing: each line is written at once."""
+
 
 class _ObservedProxy(ProxyNode):
     """Notes each table that it has put in force, and its planned stop."""
