Connections in the queue of a listener that closes are served

Callers that had just connected as a gateway stopped accepting saw a reset, with their request sent: the kernel resets what lies in the queue of a listener. Evidence: the row with a connection in the queue fails without it (status 0 in place of 200), and passes.

--- a/src/leverjunction/proxy/draining.py
+++ b/src/leverjunction/proxy/draining.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import socket
+from collections.abc import Awaitable, Callable, Iterator
 
 from loguru import logger
 
@@ -16,6 +17,38 @@
 """Time for callers to read the answers that are given at the end of the schedule."""
 
 
+async def close_listener(
+    server: asyncio.Server, listener: socket.socket, connect: Callable[[], asyncio.Protocol]
+) -> None:
+    """Stop accepting connections, but serve those that wait in the queue of the listener.
+
+    The kernel would reset them: their callers could not tell whether a request was read.
+
+    Args:
+        server: Accepts the connections.
+        listener: Its socket.
+        connect: Creates the protocol of one connection.
+    """
+    loop = asyncio.get_running_loop()
+    for accepted in _accept_waiting(listener):
+        await loop.connect_accepted_socket(connect, accepted)
+    server.close()
+
+
+def _accept_waiting(listener: socket.socket) -> Iterator[socket.socket]:
+    while True:
+        try:
+            accepted, _ = listener.accept()
+        except BlockingIOError:
+            return
+        except OSError as error:
+            # Its caller has left, or no descriptor is free; the next one may still be taken.
+            logger.debug("cannot accept a waiting connection: {}", error)
+            return
+        accepted.setblocking(False)
+        yield accepted
+
+
 class Drain:
     """Ends the service of one port; used once, by one event loop.
 
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -28,7 +28,7 @@
 )
 from leverjunction.proxy.decision_log import DecisionLog
 from leverjunction.proxy.dialect import Dialect
-from leverjunction.proxy.draining import Drain
+from leverjunction.proxy.draining import Drain, close_listener
 from leverjunction.proxy.forwarding import Forwarder, LocalHandler
 from leverjunction.proxy.kept_answers import KeptAnswers
 from leverjunction.proxy.load_socket import LoadSocket
@@ -247,8 +247,13 @@
         self._decision_log.flush()
 
     async def _stop_accepting(self) -> None:
-        if self._caller_server is not None:
-            self._caller_server.close()
+        server, listener = self._caller_server, self._callers_listener
+        if server is None:
+            return
+        if listener is None:
+            server.close()
+            return
+        await close_listener(server, listener, lambda: CallerConnection(self._port))
 
     def _request_limits(self) -> RequestLimits:
         return RequestLimits() if self._index is None else self._index.table.limits
--- a/tests/unit/proxy_support.py
+++ b/tests/unit/proxy_support.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from random import Random
+from typing import TypeVar
 
 from prometheus_client import CollectorRegistry
 
@@ -23,7 +24,7 @@
     Responder,
 )
 from leverjunction.proxy.decision_log import DecisionLog
-from leverjunction.proxy.draining import Drain
+from leverjunction.proxy.draining import Drain, close_listener
 from leverjunction.proxy.forwarding import Caller, Forwarder, LocalHandler
 from leverjunction.proxy.kept_answers import KeptAnswers
 from leverjunction.proxy.metrics import ProxyMetrics
@@ -35,7 +36,10 @@
 from leverjunction.routes import Route, RouteIndex, RouteTable
 from testbed.routed import HOST, SERVICE, RawCaller, RawReply, RunnerStandIn
 
+T = TypeVar("T")
+
 ZONE = "z1"
+CALL_TIMEOUT_S = 5.0
 
 
 class Proxy:
@@ -119,7 +123,7 @@
             self.stop_asked_s = self._loop.time()
             self.schedule.begin(self.stop_asked_s, grace_s)
             self.forwarder.begin_stop()
-            await Drain(self.port, self.schedule, self._stop_accepting).run()
+            await Drain(self.port, self.schedule, self.stop_accepting).run()
             self.stop_ended_s = self._loop.time()
             for connection in list(self.port.connections):
                 connection.abort()
@@ -127,8 +131,13 @@
 
         asyncio.run_coroutine_threadsafe(end(), self._loop)
 
-    async def _stop_accepting(self) -> None:
-        self.server.close()
+    def run(self, coroutine: Coroutine[object, object, T]) -> T:
+        """Run a coroutine on the proxy's loop and return its result."""
+        return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result(CALL_TIMEOUT_S)
+
+    async def stop_accepting(self) -> None:
+        """Close the listener as a planned stop does."""
+        await close_listener(self.server, self._listener, lambda: CallerConnection(self.port))
 
     def caller(self) -> RawCaller:
         return RawCaller(self.address)
--- a/tests/unit/test_proxy_planned_stop.py
+++ b/tests/unit/test_proxy_planned_stop.py
@@ -164,6 +164,21 @@
     assert not runner.seen
 
 
+def test_a_connection_in_the_queue_of_the_listener_is_served_as_it_closes(proxy: Proxy) -> None:
+    """It comes after the loop has last accepted, so the kernel would reset it."""
+
+    async def connect_and_close() -> RawCaller:
+        caller = RawCaller(proxy.address, READ_TIMEOUT_S)
+        caller.send("POST", "/once/x", headers("r1"), b"ask")
+        await proxy.stop_accepting()
+        return caller
+
+    caller = proxy.run(connect_and_close())
+    reply = caller.receive()
+    caller.close()
+    assert (reply.status, reply.complete) == (200, True)
+
+
 def test_a_request_that_would_outlast_the_process_is_refused_at_once(
     proxy: Proxy, runner: RunnerStandIn
 ) -> None:
