A stop that comes during the start counts from its signal

By reading, after requests were cut at the end of a stop: a gateway that was asked to stop while it loaded its code handled the signal only once it served, and counted its grace from then, so that SIGKILL could find it still at work. Change: the signal is noted as it comes (stop_request), and the schedule of the stop begins there. Evidence: test_stop_request; the rows of a stop during the start pass as before. Not shown on a real process that the kill came first.

--- a/src/leverjunction/platform/roles.py
+++ b/src/leverjunction/platform/roles.py
@@ -20,6 +20,7 @@
 from leverjunction.errors import Failure
 from leverjunction.listener import STOP_SIGNALS, open_listener
 from leverjunction.loading import loading_code
+from leverjunction.stop_request import StopRequest
 
 SETTINGS_VARIABLE = "LEVERJUNCTION_SETTINGS"
 EXIT_STOPPED = 0
@@ -104,7 +105,8 @@
 @_register_role("gateway")
 def _gateway(config: MachineConfig, _started_s: float) -> int:
     # A stop request waits until the node handles it: callers may be in the listener's queue.
-    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    stop_request = StopRequest()
+    stop_request.listen()
     listener = open_listener(config.listen.callers)
     with loading_code():
         import asyncio
@@ -117,7 +119,9 @@
         _start_logging()
 
     async def run() -> None:
-        node = ProxyNode(config, PlatformDialect(), READY_PATH, make_gateway_calls, listener)
+        node = ProxyNode(
+            config, PlatformDialect(), READY_PATH, make_gateway_calls, listener, stop_request
+        )
         await node.run()
 
     with asyncio.Runner(loop_factory=SteadyLoop) as runner:
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -51,6 +51,7 @@
 from leverjunction.registry.run_reporter import RunReporter
 from leverjunction.routes.matching import RouteIndex
 from leverjunction.routes.types import RequestLimits
+from leverjunction.stop_request import StopRequest
 from leverjunction.wire.rpc_client import RpcClient
 
 LocalHandlerFactory = Callable[[RpcClient, RegistryFollower, str], LocalHandler]
@@ -66,6 +67,7 @@
         ready_path: Path that answers 200 on the readiness port while callers may be sent here.
         make_local_handler: Creates the handler of requests that the gateway answers itself.
         callers_listener: Listening socket for callers; None to open one at the start.
+        stop_request: Has listened for stop signals since the process began; None to begin now.
     """
 
     def __init__(
@@ -75,8 +77,10 @@
         ready_path: str,
         make_local_handler: LocalHandlerFactory,
         callers_listener: socket.socket | None = None,
+        stop_request: StopRequest | None = None,
     ) -> None:
         self._config = config
+        self._stop_request = stop_request or StopRequest()
         self._ready_path = ready_path
         self._callers_listener = callers_listener
         self._loop = asyncio.get_running_loop()
@@ -188,11 +192,16 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then stop after the requests in progress."""
         stop_requested = asyncio.Event()
+
+        def request_stop() -> None:
+            self._stop_request.note()
+            stop_requested.set()
+
         for number in STOP_SIGNALS:
-            self._loop.add_signal_handler(number, stop_requested.set)
+            self._loop.add_signal_handler(number, request_stop)
         self._loop.add_signal_handler(signal.SIGHUP, lambda: logger.info("ignoring SIGHUP"))
-        # They are blocked if the listener was opened before.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
+        if self._stop_request.requested_s is not None:
+            stop_requested.set()
         await self.start()
         await stop_requested.wait()
         await self._drain()
@@ -241,7 +250,11 @@
     async def _drain(self) -> None:
         """Report not ready, and answer the requests in progress within the grace period."""
         self._stopping = True
-        self._schedule.begin(self._loop.time(), self._config.bounds.stop_grace_s)
+        requested_s = self._stop_request.requested_s
+        self._schedule.begin(
+            self._loop.time() if requested_s is None else requested_s,
+            self._config.bounds.stop_grace_s,
+        )
         self._forwarder.begin_stop()
         await Drain(self._port, self._schedule, self._stop_accepting).run()
         self._decision_log.flush()
