A gateway that is not stopping spends nothing on the schedule of a stop

Cause: each request sorted the latencies of its route for a comparison that only a stop needs, and a connection without a request counted as cut in the last line. Change: the comparison is made once a stop has begun; connections on which an answer has begun count.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -262,8 +262,8 @@
         return await self._end([item for item in self.connections if item.is_unanswered])
 
     async def cut(self) -> int:
-        """Abort the connections that are busy; return their number."""
-        return await self._end([item for item in self.connections if item.is_busy])
+        """Abort the connections on which an answer has begun; return their number."""
+        return await self._end([item for item in self.connections if item.is_answering])
 
     async def _end(self, connections: list[CallerConnection]) -> int:
         tasks = [task for item in connections if (task := item.end_request()) is not None]
@@ -309,8 +309,7 @@
     def is_busy(self) -> bool:
         """Whether a request is in progress or probably in transit."""
         is_due = self._loop.time() < self._request_due_until_s
-        is_sending = self.count_kept()[0] > 0
-        return self._is_receiving or self._task is not None or is_due or is_sending
+        return self._is_receiving or is_due or self.is_answering
 
     def count_kept(self) -> tuple[int, int]:
         """Return the bytes that wait to be sent, and those that were sent so far."""
@@ -464,6 +463,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a request is in progress, or not all of its answer is sent."""
+        return self._task is not None or self.count_kept()[0] > 0
+
     @property
     def is_unanswered(self) -> bool:
         """Whether a request is in progress of whose answer nothing has been written."""
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -275,6 +275,8 @@
 
     def _refuse_unfinished(self, routed: RoutedRequest) -> Failure | None:
         """Return the refusal of a request that would outlast this process, otherwise None."""
+        if not self._schedule.has_begun:
+            return None
         route = routed.route
         head_s = self._retrying_sender.head_latencies(route).unqueued_s() or 0.0
         run_s = head_s + self._balancer.usual_run_s(routed.service, route.name)
@@ -648,7 +650,7 @@
 
     def _out_of_time(self, routed: RoutedRequest) -> Failure:
         """Return the failure of a request that has run and whose time is up."""
-        if routed.until_s >= self._schedule.answer_by_s:
+        if self._schedule.has_begun and routed.until_s >= self._schedule.answer_by_s:
             return stopping(Execution.UNKNOWN)
         return out_of_time(Execution.UNKNOWN)
 
--- a/src/leverjunction/proxy/stop_schedule.py
+++ b/src/leverjunction/proxy/stop_schedule.py
@@ -32,6 +32,11 @@
     def __init__(self) -> None:
         self.accept_until_s = self.answer_by_s = math.inf
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a stop was requested."""
+        return self.answer_by_s != math.inf
+
     def begin(self, requested_s: float, grace_s: float) -> None:
         """Set the times.
 
