A stopping gateway's answers are not taken by a reset

What callers saw: an answer that a back end had ended, and that the gateway had written whole, ended in a reset, with 6,239 bytes of some 40,000 read; a caller that was sending its body as the listener closed got EPIPE instead of its 503.

Cause: the gateway closed each socket as soon as its answer was written. A socket that is closed with unread input, or that receives more afterwards, resets its connection, and the kernel drops what the caller has not received yet.

Why this works: while stopping, the gateway ends its sending side only, discards what still arrives, and closes once the caller has, or after 0.5 s without input (RFC 9112, section 9.6). The end of the process bounds it. Nothing changes while no stop is asked for.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -39,6 +39,11 @@
 crosses the close would not be answered.
 """
 
+LINGER_MS = 500.0
+"""Time without input after which a connection that was answered is closed, if its caller has not
+closed it before, while the process is stopping.
+"""
+
 READ_PAUSE_S = 0.25
 """Longest pause in reading from a back end because of its caller. Back ends cut an answer that
 stays unread for some seconds; a lagging caller has room for a megabyte a second meanwhile.
@@ -295,6 +300,7 @@
         self._is_paused = False
         self._closes_when_sent = False
         self._is_ending = False
+        self._is_lingering = False
         self._responder: Responder | None = None
         self.kept = KeptAnswer()
 
@@ -309,7 +315,7 @@
     def is_busy(self) -> bool:
         """Whether a request is in progress or probably in transit."""
         is_due = self._loop.time() < self._request_due_until_s
-        return self._is_receiving or is_due or self.is_answering
+        return self._is_receiving or is_due or self._is_lingering or self.is_answering
 
     def count_kept(self) -> tuple[int, int]:
         """Return the bytes that wait to be sent, and those that were sent so far."""
@@ -336,6 +342,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pipelined requests wait until the current one is answered."""
+        if self._is_lingering:
+            self._set_timer(LINGER_MS, self.close)
+            return
         if self._closes_when_sent:
             return
         try:
@@ -379,7 +388,7 @@
         if kept is None or self._pieces_bytes <= kept.buffer.answer_limit_bytes // 2:
             self._wake_writer()
         if self._closes_when_sent and not self._pieces:
-            self.close()
+            self._close_after_answer()
 
     def _stop_writer_if_full(self) -> None:
         kept = self._port.kept
@@ -456,6 +465,31 @@
         if self._transport is not None and not self._pieces:
             self._transport.close()
 
+    def _close_after_answer(self) -> None:
+        """Close once the answer has been sent, and while stopping, once the caller has closed.
+
+        A socket that is closed with unread input, or that receives more, resets its connection:
+        the caller could no longer receive the rest of its answer.
+        """
+        transport = self._transport
+        if (
+            transport is None
+            or self._pieces
+            or not self._port.draining
+            or not transport.can_write_eof()
+        ):
+            self.close()
+            return
+        try:
+            transport.write_eof()
+        except OSError as error:
+            logger.debug("a caller has reset its connection: {}", error)
+            self.close()
+            return
+        self._is_lingering = True
+        self._is_receiving = False
+        self._set_timer(LINGER_MS, self.close)
+
     def abort(self) -> None:
         """Close at once; data that was not sent yet is lost."""
         self._stop_timer()
@@ -570,7 +604,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
-            self.close()
+            self._close_after_answer()
             return
         self._h11.start_next_cycle()
         if self._port.draining:
@@ -605,4 +639,4 @@
             with contextlib.suppress(h11.LocalProtocolError):
                 self.write_event(h11.Response(status_code=status, headers=headers))
                 self.write_event(h11.EndOfMessage())
-        self.close()
+        self._close_after_answer()
