A caller that sends without end no longer fills a gateway's memory

What callers saw: one caller that went on sending beside its request in progress made the gateway keep all of it (869,007,360 bytes in a second, where a gateway has 260 MB); the process would end by itself, and the requests of all other callers with it.

Cause: bytes behind a request wait in the parser until that request is answered, and nothing bounded them. Heads and bodies have bounds; what lies behind them had none.

Evidence: test_a_caller_that_sends_without_end_does_not_fill_the_memory failed before (869,007,360 bytes taken, 33,554,432 allowed) and passes after; 401 pipelined requests, the last one of 1 MB, are still answered in their order.

Why this works: beyond 64 KB of early input the connection isn't read until the request in progress has been answered; TCP then holds the caller back. Meanwhile a caller that leaves is noticed when its answer is written, or at the deadline. Callers that send less are read as before.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -49,6 +49,9 @@
 stays unread for some seconds; a lagging caller has room for a megabyte a second meanwhile.
 """
 
+MAX_EARLY_BYTES = 64 * 1024
+"""Bytes that a caller may send beyond the request in progress before reading from it pauses."""
+
 PIECE_BYTES = 16 * 1024
 """Small writes that are kept are joined up to this size."""
 
@@ -291,6 +294,7 @@
         self._request: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._early_bytes = 0
         self._is_receiving = False
         self._write_resumed: asyncio.Future[None] | None = None
         self._request_due_until_s = 0.0
@@ -354,6 +358,10 @@
             return
         if self._task is None:
             self._advance()
+        else:
+            self._early_bytes += len(data)
+            if self._early_bytes > MAX_EARLY_BYTES and self._transport is not None:
+                self._transport.pause_reading()
 
     def eof_received(self) -> bool:
         """Cancel the request in progress: the caller has closed its side of the connection."""
@@ -488,6 +496,7 @@
             return
         self._is_lingering = True
         self._is_receiving = False
+        transport.resume_reading()
         self._set_timer(LINGER_MS, self.close)
 
     def abort(self) -> None:
@@ -612,6 +621,14 @@
         self._limits = self._port.limits()
         self._start_idle_timer()
         self._advance()
+        if self._early_bytes:
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Read from the caller again, unless what it sent early still waits."""
+        self._early_bytes = len(self._h11.trailing_data[0])
+        if self._early_bytes <= MAX_EARLY_BYTES and self._transport is not None:
+            self._transport.resume_reading()
 
     def _start_idle_timer(self) -> None:
         self._set_timer(self._limits.idle_timeout_ms, self._close_idle)
