A whole answer that is kept for a slow caller is not cut as a gateway stops

What callers saw: 137,107 bytes of some 560,000, then a reset, though the back end had ended its answer before the gateway was asked to stop, and the deadline had not passed.

Cause: a gateway keeps in its own memory what a caller has not read (the kernel may hold 128 KB that is not sent), and that memory ends with the process.

Evidence: test_a_whole_answer_that_is_kept_for_a_slow_caller_is_not_cut_at_the_end failed before (137,107 bytes) and passes after, whole.

Why this works: once all answers are due, the limit of what the kernel takes is lifted for answers that are whole. The kernel goes on sending after the process has ended. What exceeds its room (some megabytes, and less under memory pressure) is still cut.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -19,7 +19,7 @@
 from leverjunction.proxy.answer_buffer import KeptAnswer
 from leverjunction.proxy.dialect import RawHeaders, RequestMetadata
 from leverjunction.proxy.headers import find
-from leverjunction.proxy.kept_answers import KeptAnswers, limit_unsent
+from leverjunction.proxy.kept_answers import KeptAnswers, lift_unsent_limit, limit_unsent
 from leverjunction.quarantine.prompt_parts import MAX_PARTS, PartId
 from leverjunction.quarantine.request_key import RequestContent
 from leverjunction.routes.types import RequestLimits
@@ -269,6 +269,11 @@
         """End the requests whose answer has not begun with an answer; return their number."""
         return await self._end([item for item in self.connections if item.is_unanswered])
 
+    def hand_over_answers(self) -> None:
+        """Give the kernel all it takes of the whole answers whose callers lag."""
+        for connection in list(self.connections):
+            connection.hand_over_answer()
+
     async def cut(self) -> int:
         """Abort the connections on which an answer has begun; return their number."""
         return await self._end([item for item in self.connections if item.is_answering])
@@ -521,6 +526,11 @@
         if self._is_receiving and self._task is None:
             self._refuse(UNAVAILABLE_STATUS)
 
+    def hand_over_answer(self) -> None:
+        """Give the kernel all it takes of a whole answer: it sends on after the process ends."""
+        if self._task is None and self.count_kept()[0] and self._transport is not None:
+            lift_unsent_limit(self._transport)
+
     def end_request(self) -> asyncio.Task[None] | None:
         """Cancel the request in progress because the process ends; return its handler, if any."""
         self._is_ending = True
--- a/src/leverjunction/proxy/draining.py
+++ b/src/leverjunction/proxy/draining.py
@@ -96,6 +96,7 @@
         taken_in_time = port.taken
         await self._wait_idle(self._schedule.answer_by_s)
         answered = await port.answer_rest()
+        port.hand_over_answers()
         await self._wait_idle(self._loop.time() + LAST_ANSWERS_S)
         cut = await port.cut()
         log = logger.warning if cut else logger.info
--- a/src/leverjunction/proxy/kept_answers.py
+++ b/src/leverjunction/proxy/kept_answers.py
@@ -21,15 +21,26 @@
 caller, which no budget counts; what is under way to the caller is not limited.
 """
 
+NO_LIMIT_BYTES = 2**31 - 1
+
 
 def limit_unsent(transport: asyncio.BaseTransport) -> None:
     """Make a connection keep what the caller does not take yet here, not in the kernel."""
+    _set_unsent_limit(transport, UNSENT_BYTES)
+
+
+def lift_unsent_limit(transport: asyncio.BaseTransport) -> None:
+    """Let the kernel take all it has room for: it goes on sending after this process has ended."""
+    _set_unsent_limit(transport, NO_LIMIT_BYTES)
+
+
+def _set_unsent_limit(transport: asyncio.BaseTransport, limit_bytes: int) -> None:
     connection = transport.get_extra_info("socket")
     option = getattr(socket, "TCP_NOTSENT_LOWAT", None)
     if connection is None or option is None:
         return
     try:
-        connection.setsockopt(socket.IPPROTO_TCP, option, UNSENT_BYTES)
+        connection.setsockopt(socket.IPPROTO_TCP, option, limit_bytes)
     except OSError as error:
         # The connection has already broken, which its protocol learns by itself.
         logger.debug("cannot limit what the kernel keeps for a connection: {}", error)
@@ -142,4 +153,4 @@
             self._timer = self._loop.call_later(REVIEW_INTERVAL_S, self._review)
 
 
-__all__ = ["KeepingConnection", "KeptAnswers", "limit_unsent"]
+__all__ = ["KeepingConnection", "KeptAnswers", "lift_unsent_limit", "limit_unsent"]
--- a/tests/unit/test_proxy_planned_stop_review.py
+++ b/tests/unit/test_proxy_planned_stop_review.py
@@ -27,6 +27,7 @@
 PIECE_BYTES = 64 * 1024
 SMALL_BUFFER_BYTES = 4096
 MANY_EVENTS = 1500
+KEPT_LIMIT_BYTES = 64 * 1024 * 1024
 
 
 @pytest.fixture
@@ -71,8 +72,8 @@
     time.sleep(max(0.0, proxy.stop_asked_s + after_stop_s - proxy.loop_s()))
 
 
-def request(request_id: str) -> bytes:
-    fields = {**headers(request_id), EVENTS_HEADER: str(MANY_EVENTS), WORK_MS_HEADER: "100"}
+def request(request_id: str, events: int = MANY_EVENTS, work_ms: int = 100) -> bytes:
+    fields = {**headers(request_id), EVENTS_HEADER: str(events), WORK_MS_HEADER: str(work_ms)}
     fields["Leverjunction-Deadline-Ms"] = f"{STREAM_TIMEOUT_MS:.0f}"
     lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     return f"POST /stream/x HTTP/1.1\r\n{lines}Content-Length: 0\r\n\r\n".encode()
@@ -187,3 +188,27 @@
     assert answer.endswith(b"0\r\n\r\n"), len(answer)
     assert sent(runner, "r2") == 0
     assert proxy.ended.wait(END_TIMEOUT_S)
+
+
+def test_a_whole_answer_that_is_kept_for_a_slow_caller_is_not_cut_at_the_end(
+    runner: RunnerStandIn,
+) -> None:
+    runner.usual = "stream"
+    table = make_table(make_route(RouteClass.STREAM, timeout_ms=STREAM_TIMEOUT_MS))
+    with (
+        Proxy(table, [runner], kept_limit_bytes=KEPT_LIMIT_BYTES) as proxy,
+        socket.socket() as connection,
+    ):
+        host, _, port = proxy.address.rpartition(":")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        connection.settimeout(READ_TIMEOUT_S)
+        connection.connect((host, int(port)))
+        connection.sendall(request("r1", events=20_000, work_ms=0))
+        until_s = time.monotonic() + READ_TIMEOUT_S
+        while time.monotonic() < until_s and not any(item.whole for item in list(runner.seen)):
+            time.sleep(0.01)
+        asked_to_stop(proxy)
+        assert proxy.ended.wait(END_TIMEOUT_S)
+        answer = read_all(connection)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert answer.endswith(b"0\r\n\r\n"), len(answer)
