--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -19,7 +19,7 @@
 from leverjunction.proxy.answer_buffer import KeptAnswer
 from leverjunction.proxy.dialect import RawHeaders, RequestMetadata
 from leverjunction.proxy.headers import find
-from leverjunction.proxy.kept_answers import KeptAnswers, limit_unsent
+from leverjunction.proxy.kept_answers import KeptAnswers, lift_unsent_limit, limit_unsent
 from leverjunction.quarantine.prompt_parts import MAX_PARTS, PartId
 from leverjunction.quarantine.request_key import RequestContent
 from leverjunction.routes.types import RequestLimits
@@ -39,11 +39,19 @@
 crosses the close would not be answered.
 """
 
+LINGER_MS = 500.0
+"""Time without input after which a connection that was answered is closed, if its caller has not
+closed it before, while the process is stopping.
+"""
+
 READ_PAUSE_S = 0.25
 """Longest pause in reading from a back end because of its caller. Back ends cut an answer that
 stays unread for some seconds; a lagging caller has room for a megabyte a second meanwhile.
 """
 
+MAX_EARLY_BYTES = 64 * 1024
+"""Bytes that a caller may send beyond the request in progress before reading from it pauses."""
+
 PIECE_BYTES = 16 * 1024
 """Small writes that are kept are joined up to this size."""
 
@@ -261,6 +269,11 @@
         """End the requests whose answer has not begun with an answer; return their number."""
         return await self._end([item for item in self.connections if item.is_unanswered])
 
+    def hand_over_answers(self) -> None:
+        """Give the kernel all it takes of the whole answers whose callers lag."""
+        for connection in list(self.connections):
+            connection.hand_over_answer()
+
     async def cut(self) -> int:
         """Abort the connections on which an answer has begun; return their number."""
         return await self._end([item for item in self.connections if item.is_answering])
@@ -286,6 +299,7 @@
         self._request: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._early_bytes = 0
         self._is_receiving = False
         self._write_resumed: asyncio.Future[None] | None = None
         self._request_due_until_s = 0.0
@@ -295,6 +309,7 @@
         self._is_paused = False
         self._closes_when_sent = False
         self._is_ending = False
+        self._is_lingering = False
         self._responder: Responder | None = None
         self.kept = KeptAnswer()
 
@@ -309,7 +324,7 @@
     def is_busy(self) -> bool:
         """Whether a request is in progress or probably in transit."""
         is_due = self._loop.time() < self._request_due_until_s
-        return self._is_receiving or is_due or self.is_answering
+        return self._is_receiving or is_due or self._is_lingering or self.is_answering
 
     def count_kept(self) -> tuple[int, int]:
         """Return the bytes that wait to be sent, and those that were sent so far."""
@@ -336,6 +351,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pipelined requests wait until the current one is answered."""
+        if self._is_lingering:
+            self._set_timer(LINGER_MS, self.close)
+            return
         if self._closes_when_sent:
             return
         try:
@@ -345,6 +363,10 @@
             return
         if self._task is None:
             self._advance()
+        else:
+            self._early_bytes += len(data)
+            if self._early_bytes > MAX_EARLY_BYTES and self._transport is not None:
+                self._transport.pause_reading()
 
     def eof_received(self) -> bool:
         """Cancel the request in progress: the caller has closed its side of the connection."""
@@ -379,7 +401,7 @@
         if kept is None or self._pieces_bytes <= kept.buffer.answer_limit_bytes // 2:
             self._wake_writer()
         if self._closes_when_sent and not self._pieces:
-            self.close()
+            self._close_after_answer()
 
     def _stop_writer_if_full(self) -> None:
         kept = self._port.kept
@@ -456,6 +478,32 @@
         if self._transport is not None and not self._pieces:
             self._transport.close()
 
+    def _close_after_answer(self) -> None:
+        """Close once the answer has been sent, and while stopping, once the caller has closed.
+
+        A socket that is closed with unread input, or that receives more, resets its connection:
+        the caller could no longer receive the rest of its answer.
+        """
+        transport = self._transport
+        if (
+            transport is None
+            or self._pieces
+            or not self._port.draining
+            or not transport.can_write_eof()
+        ):
+            self.close()
+            return
+        try:
+            transport.write_eof()
+        except OSError as error:
+            logger.debug("a caller has reset its connection: {}", error)
+            self.close()
+            return
+        self._is_lingering = True
+        self._is_receiving = False
+        transport.resume_reading()
+        self._set_timer(LINGER_MS, self.close)
+
     def abort(self) -> None:
         """Close at once; data that was not sent yet is lost."""
         self._stop_timer()
@@ -478,6 +526,11 @@
         if self._is_receiving and self._task is None:
             self._refuse(UNAVAILABLE_STATUS)
 
+    def hand_over_answer(self) -> None:
+        """Give the kernel all it takes of a whole answer: it sends on after the process ends."""
+        if self._task is None and self.count_kept()[0] and self._transport is not None:
+            lift_unsent_limit(self._transport)
+
     def end_request(self) -> asyncio.Task[None] | None:
         """Cancel the request in progress because the process ends; return its handler, if any."""
         self._is_ending = True
@@ -570,7 +623,7 @@
         if self._transport is None or self._transport.is_closing():
             return
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
-            self.close()
+            self._close_after_answer()
             return
         self._h11.start_next_cycle()
         if self._port.draining:
@@ -578,6 +631,14 @@
         self._limits = self._port.limits()
         self._start_idle_timer()
         self._advance()
+        if self._early_bytes:
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Read from the caller again, unless what it sent early still waits."""
+        self._early_bytes = len(self._h11.trailing_data[0])
+        if self._early_bytes <= MAX_EARLY_BYTES and self._transport is not None:
+            self._transport.resume_reading()
 
     def _start_idle_timer(self) -> None:
         self._set_timer(self._limits.idle_timeout_ms, self._close_idle)
@@ -605,4 +666,4 @@
             with contextlib.suppress(h11.LocalProtocolError):
                 self.write_event(h11.Response(status_code=status, headers=headers))
                 self.write_event(h11.EndOfMessage())
-        self.close()
+        self._close_after_answer()
