A caller that pipelines without end no longer fills a gateway's memory

What callers saw: none yet. While a request was in progress, all further bytes of its connection were appended to the parser's buffer, without a bound in bytes; one caller could end a gateway's process and with it the requests of all others.

Cause: the transport was never paused; the limits on heads and bodies are checked only when a request is parsed, which waits for the answer.

Why it works: beyond 64 KB (and one read, at most 256 KB) reading is paused until the answer is whole, so that TCP slows the caller down. A paused transport reports no end of the stream, so the socket's state is checked each 0.25 s; a caller that leaves is noticed as soon as the kernel has its last byte. Counted in proxy_read_pauses.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -20,6 +20,7 @@
 from leverjunction.proxy.dialect import RawHeaders, RequestMetadata
 from leverjunction.proxy.headers import find
 from leverjunction.proxy.kept_answers import KeptAnswers, limit_unsent
+from leverjunction.proxy.read_ahead import ReadAhead
 from leverjunction.quarantine.prompt_parts import MAX_PARTS, PartId
 from leverjunction.quarantine.request_key import RequestContent
 from leverjunction.routes.types import RequestLimits
@@ -221,10 +222,12 @@
         draining: Each response closes its connection, because the process is stopping.
         connections: Open connections.
         taken: Requests that were read whole since the start.
+        read_pauses: Times since the start that a connection was not read on because its caller had
+            pipelined much.
         kept: Counts what is kept for slow callers; None to wait for each caller instead.
     """
 
-    __slots__ = ("connections", "draining", "handler", "kept", "limits", "taken")
+    __slots__ = ("connections", "draining", "handler", "kept", "limits", "read_pauses", "taken")
 
     def __init__(
         self,
@@ -237,6 +240,7 @@
         self.limits = limits
         self.draining = False
         self.taken = 0
+        self.read_pauses = 0
         self.connections: set[CallerConnection] = set()
 
     def count_busy(self) -> int:
@@ -281,6 +285,7 @@
         self._loop = asyncio.get_running_loop()
         self._h11 = self._new_parser()
         self._transport: asyncio.Transport | None = None
+        self._read_ahead: ReadAhead | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._request: h11.Request | None = None
@@ -329,6 +334,7 @@
         """Start to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._read_ahead = ReadAhead(transport, self._cancel)
         self._request_due_until_s = self._loop.time() + FIRST_REQUEST_S
         self._port.connections.add(self)
         if self._port.kept is not None:
@@ -346,6 +352,7 @@
             return
         if self._task is None:
             self._advance()
+        self._update_reading()
 
     def eof_received(self) -> bool:
         """Cancel the request in progress: the caller has closed its side of the connection."""
@@ -360,6 +367,8 @@
         if self._port.kept is not None:
             self._port.kept.remove(self)
         self._stop_timer()
+        if self._read_ahead is not None:
+            self._read_ahead.stop()
         self._cancel()
         self._drop_pieces()
         self._wake_writer()
@@ -490,6 +499,13 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _update_reading(self) -> None:
+        if self._task is None and (self._read_ahead is None or not self._read_ahead.is_paused):
+            return
+        waiting_bytes = len(self._h11.trailing_data[0]) if self._task is not None else 0
+        if self._read_ahead is not None and self._read_ahead.update(waiting_bytes):
+            self._port.read_pauses += 1
+
     def _advance(self) -> None:
         """Process received bytes up to the end of one request."""
         try:
@@ -574,6 +590,7 @@
         self._limits = self._port.limits()
         self._start_idle_timer()
         self._advance()
+        self._update_reading()
 
     def _start_idle_timer(self) -> None:
         self._set_timer(self._limits.idle_timeout_ms, self._close_idle)
--- a/src/leverjunction/proxy/metrics.py
+++ b/src/leverjunction/proxy/metrics.py
@@ -177,6 +177,11 @@
             ["reason"],
             registry=registry,
         )
+        self.read_pauses = Gauge(
+            "proxy_read_pauses",
+            "Times since the start that a caller was not read on because it pipelined much",
+            registry=registry,
+        )
         self.lines_lost = Counter(
             "log_lines_lost_total", "Decision lines lost to a slow reader", registry=registry
         )
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -370,6 +370,7 @@
         self._metrics.kept_answers.set(self._kept_answers.buffer.count)
         self._metrics.kept_bytes.set(self._kept_answers.buffer.total_bytes)
         self._metrics.kept_bytes_limit.set(self._kept_answers.buffer.limit_bytes)
+        self._metrics.read_pauses.set(self._port.read_pauses)
         self._show_rates()
         for service, (held, oldest_s) in self._gate.waiting().items():
             self._metrics.held.labels(service).set(held)
--- /dev/null
+++ b/tests/unit/test_proxy_caller_floods.py
@@ -0,0 +1,150 @@
+"""Callers that send without end or without reason: what a gateway keeps for them is bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from leverjunction.proxy.caller_connection import (
+    CallerConnection,
+    CallerPort,
+    CallerRequest,
+    Responder,
+)
+from leverjunction.routes.types import RequestLimits
+
+KB = 1024
+MB = 1024 * KB
+FLOOD_BYTES = 24 * MB
+WAIT_S = 5.0
+
+
+class Server:
+    """A callers' port whose handler answers with the length of the body, once it may."""
+
+    def __init__(self) -> None:
+        self.may_answer = asyncio.Event()
+        self.bodies: list[bytes] = []
+        self.cancelled = 0
+        self.port = self.new_port()
+        self.address = ("", 0)
+
+    def new_port(self) -> CallerPort:
+        return CallerPort(self.handle, RequestLimits)
+
+    async def handle(self, request: CallerRequest, responder: Responder) -> None:
+        self.bodies.append(request.body)
+        try:
+            await self.may_answer.wait()
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        responder.respond(200, [], b"%d" % len(request.body))
+
+    def unparsed_bytes(self) -> int:
+        """Return what the connections keep beyond their requests in progress."""
+        return sum(len(item._h11.trailing_data[0]) for item in self.port.connections)
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(*self.address)
+
+
+@asynccontextmanager
+async def serve(server: Server) -> AsyncIterator[Server]:
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(lambda: CallerConnection(server.port), "127.0.0.1", 0)
+    server.address = listener.sockets[0].getsockname()[:2]
+    try:
+        yield server
+    finally:
+        listener.close()
+        for connection in list(server.port.connections):
+            connection.abort()
+        await asyncio.sleep(0.05)
+
+
+def request(body: bytes = b"ask") -> bytes:
+    return b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+async def until(condition: Callable[[], object], timeout_s: float = WAIT_S) -> bool:
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + timeout_s
+    while not condition():
+        if loop.time() > until_s:
+            return False
+        await asyncio.sleep(0.01)
+    return True
+
+
+def test_a_caller_that_pipelines_without_end_is_not_read_on() -> None:
+    async def run() -> int:
+        async with serve(Server()) as server:
+            _, writer = await server.connect()
+            writer.write(request())
+            assert await until(lambda: server.bodies)
+            for _ in range(FLOOD_BYTES // MB):
+                writer.write(request(b"x" * MB))
+                try:
+                    await asyncio.wait_for(writer.drain(), 0.1)
+                except TimeoutError:
+                    break
+            await asyncio.sleep(0.3)
+            kept_bytes = server.unparsed_bytes()
+            assert server.cancelled == 0
+            assert server.port.read_pauses == 1
+            writer.transport.abort()
+            return kept_bytes
+
+    assert asyncio.run(run()) < MB
+
+
+@pytest.mark.parametrize("size", [1 * KB, 16 * KB, 3 * MB])
+def test_requests_pipelined_beyond_the_bound_are_all_answered(size: int) -> None:
+    async def run() -> None:
+        async with serve(Server()) as server:
+            reader, writer = await server.connect()
+            count = max(5, 2 * MB // size)
+            writer.write(request())
+            assert await until(lambda: server.bodies)
+            writer.write(request(b"x" * size) * count)
+            await asyncio.sleep(0.2)
+            server.may_answer.set()
+            answers = []
+            for _ in range(count + 1):
+                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), WAIT_S)
+                length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+                answers.append(await reader.readexactly(length))
+            assert answers == [b"3", *[b"%d" % size] * count]
+            writer.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_a_caller_that_leaves_while_it_is_not_read_is_noticed(is_reset: bool) -> None:
+    async def run() -> None:
+        async with serve(Server()) as server:
+            _, writer = await server.connect()
+            writer.write(request())
+            assert await until(lambda: server.bodies)
+            writer.write(request(b"x" * 200 * KB))
+            await asyncio.wait_for(writer.drain(), WAIT_S)
+            await asyncio.sleep(0.2)
+            writer.write(b"y" * 20 * KB)
+            await asyncio.sleep(0.1)
+            if is_reset:
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+            writer.close()
+            assert await until(lambda: server.cancelled == 1, 1.0)
+            assert await until(lambda: not server.port.connections, 1.0)
+
+    asyncio.run(run())
