Bodies of many callers at once no longer fill a gateway's memory

What callers saw: none yet. Each body is bounded (4 MB), their sum was not: callers that begin bodies and never end them, or many large ones at once, end a gateway of 260 MB with 65 connections, and with it the requests of all others.

Why it works: what is received or in progress counts against an eighth of memory_mb (a body may be held twice: as received, and as sent). Beyond it the largest unfinished request is refused, so that large ones cost small ones nothing; what runs is never given up, and one request alone is bounded by max_body_bytes only. Counted and logged. A caller that is still sending when it is refused may see a reset instead of the 503, as with 413.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -21,6 +21,7 @@
 from leverjunction.proxy.headers import find
 from leverjunction.proxy.kept_answers import KeptAnswers, limit_unsent
 from leverjunction.proxy.read_ahead import ReadAhead
+from leverjunction.proxy.request_buffer import KeptRequest, RequestBuffer
 from leverjunction.quarantine.prompt_parts import MAX_PARTS, PartId
 from leverjunction.quarantine.request_key import RequestContent
 from leverjunction.routes.types import RequestLimits
@@ -56,6 +57,8 @@
 body of 4 MB may come in chunks of 256 bytes.
 """
 
+ROOM_LOG_INTERVAL_S = 10.0
+
 UNAVAILABLE_STATUS = 503
 
 _UNPARSED = RequestMetadata()
@@ -230,17 +233,35 @@
         read_pauses: Times since the start that a connection was not read on because its caller had
             pipelined much.
         kept: Counts what is kept for slow callers; None to wait for each caller instead.
+        bodies: Counts what is kept of requests; None for no bound on their sum.
+        refused_for_room: Requests since the start that were refused while they were received,
+            because too much was kept of all.
     """
 
-    __slots__ = ("connections", "draining", "handler", "kept", "limits", "read_pauses", "taken")
+    __slots__ = (
+        "_room_logged_s",
+        "bodies",
+        "connections",
+        "draining",
+        "handler",
+        "kept",
+        "limits",
+        "read_pauses",
+        "refused_for_room",
+        "taken",
+    )
 
     def __init__(
         self,
         handler: Handler,
         limits: Callable[[], RequestLimits],
         kept: KeptAnswers | None = None,
+        bodies: RequestBuffer | None = None,
     ) -> None:
         self.kept = kept
+        self.bodies = bodies
+        self.refused_for_room = 0
+        self._room_logged_s = float("-inf")
         self.handler = handler
         self.limits = limits
         self.draining = False
@@ -266,6 +287,31 @@
         for connection in list(self.connections):
             connection.refuse_incomplete()
 
+    def keep_body(self, request: KeptRequest, kept_bytes: int) -> None:
+        """Count what is kept of a request, and refuse unfinished ones beyond the room for all."""
+        if self.bodies is None:
+            return
+        self.bodies.update(request, kept_bytes)
+        while (refused := self.bodies.next_refusal()) is not None:
+            self._log_refusal(self.bodies, refused)
+            self.refused_for_room += 1
+            self.bodies.update(refused, 0)
+            for connection in [item for item in self.connections if item.kept_request is refused]:
+                connection.refuse_incomplete()
+
+    def _log_refusal(self, bodies: RequestBuffer, refused: KeptRequest) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._room_logged_s >= ROOM_LOG_INTERVAL_S:
+            self._room_logged_s = now_s
+            logger.warning(
+                "refused an unfinished request of {} bytes: {} bytes of requests are kept, {} are"
+                " allowed; {} were refused before",
+                refused.kept_bytes,
+                bodies.total_bytes,
+                bodies.limit_bytes,
+                self.refused_for_room,
+            )
+
     async def answer_rest(self) -> int:
         """End the requests whose answer has not begun with an answer; return their number."""
         return await self._end([item for item in self.connections if item.is_unanswered])
@@ -307,6 +353,7 @@
         self._is_ending = False
         self._responder: Responder | None = None
         self.kept = KeptAnswer()
+        self.kept_request = KeptRequest()
 
     @property
     def end_cause(self) -> EndCause:
@@ -374,6 +421,7 @@
         self._stop_timer()
         if self._read_ahead is not None:
             self._read_ahead.stop()
+        self._drop_body()
         self._cancel()
         self._drop_pieces()
         self._wake_writer()
@@ -545,7 +593,9 @@
         if len(self._body) > self._limits.max_body_bytes or self._body_chunks > MAX_BODY_CHUNKS:
             self._refuse(413)
             return False
-        return True
+        self._port.keep_body(self.kept_request, len(self._body))
+        # This request itself may have been refused to make room.
+        return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
     def _start_request(self) -> None:
         self._stop_timer()
@@ -561,6 +611,7 @@
             self._loop.time(),
         )
         self._request = None
+        self.kept_request.is_whole = True
         self._drop_body()
         self._is_receiving = False
         self._task = self._loop.create_task(self._handle(request))
@@ -568,6 +619,8 @@
     def _drop_body(self) -> None:
         self._body = bytearray()
         self._body_chunks = 0
+        if not self.kept_request.is_whole:
+            self._port.keep_body(self.kept_request, 0)
 
     async def _handle(self, request: CallerRequest) -> None:
         responder = self._responder = Responder(self)
@@ -585,6 +638,8 @@
         finally:
             self._task = None
             self._responder = None
+            self.kept_request.is_whole = False
+            self._port.keep_body(self.kept_request, 0)
         self._finish()
 
     def _finish(self) -> None:
--- a/src/leverjunction/proxy/metrics.py
+++ b/src/leverjunction/proxy/metrics.py
@@ -182,6 +182,21 @@
             "Times since the start that a caller was not read on because it pipelined much",
             registry=registry,
         )
+        self.request_bytes = Gauge(
+            "proxy_request_bytes",
+            "Bytes of bodies of requests that are received or in progress",
+            registry=registry,
+        )
+        self.request_bytes_limit = Gauge(
+            "proxy_request_bytes_limit",
+            "Bytes of bodies beyond which unfinished requests are refused",
+            registry=registry,
+        )
+        self.refused_for_room = Gauge(
+            "proxy_requests_refused_for_room",
+            "Unfinished requests since the start that were refused for the bytes kept of all",
+            registry=registry,
+        )
         self.lines_lost = Counter(
             "log_lines_lost_total", "Decision lines lost to a slow reader", registry=registry
         )
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -35,6 +35,7 @@
 from leverjunction.proxy.metrics import MAX_BACK_ENDS, ProxyMetrics
 from leverjunction.proxy.quarantine import Quarantine
 from leverjunction.proxy.quota_link import QuotaLink
+from leverjunction.proxy.request_buffer import RequestBuffer
 from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.proxy.share_gate import ShareGate
 from leverjunction.proxy.snapshot_publisher import SnapshotPublisher
@@ -178,10 +179,12 @@
             AnswerBuffer.for_memory(config.memory_mb),
             lambda reason: self._metrics.dropped_answers.labels(reason).inc(),
         )
+        self._request_buffer = RequestBuffer.for_memory(config.memory_mb)
         self._port = CallerPort(
             self._forwarder.handle,
             self._request_limits,
             self._kept_answers if config.policies.read_ahead else None,
+            self._request_buffer,
         )
         self._metrics_caller_port = CallerPort(self._respond_metrics, RequestLimits)
         self._ready_port = CallerPort(self._respond_readiness, RequestLimits)
@@ -371,6 +374,9 @@
         self._metrics.kept_bytes.set(self._kept_answers.buffer.total_bytes)
         self._metrics.kept_bytes_limit.set(self._kept_answers.buffer.limit_bytes)
         self._metrics.read_pauses.set(self._port.read_pauses)
+        self._metrics.refused_for_room.set(self._port.refused_for_room)
+        self._metrics.request_bytes.set(self._request_buffer.total_bytes)
+        self._metrics.request_bytes_limit.set(self._request_buffer.limit_bytes)
         self._show_rates()
         for service, (held, oldest_s) in self._gate.waiting().items():
             self._metrics.held.labels(service).set(held)
--- a/tests/unit/test_proxy_caller_floods.py
+++ b/tests/unit/test_proxy_caller_floods.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 import tracemalloc
@@ -18,12 +19,14 @@
     CallerRequest,
     Responder,
 )
+from leverjunction.proxy.request_buffer import KeptRequest, RequestBuffer
 from leverjunction.routes.types import RequestLimits
 
 KB = 1024
 MB = 1024 * KB
 FLOOD_BYTES = 24 * MB
 WAIT_S = 5.0
+ROOM_BYTES = 8 * MB
 READ_BYTES = 256 * KB
 """Bytes that the event loop reads at once."""
 
@@ -37,11 +40,12 @@
         self.may_answer = asyncio.Event()
         self.bodies: list[bytes] = []
         self.cancelled = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.port = self.new_port()
         self.address = ("", 0)
 
     def new_port(self) -> CallerPort:
-        return CallerPort(self.handle, RequestLimits)
+        return CallerPort(self.handle, RequestLimits, bodies=RequestBuffer(ROOM_BYTES))
 
     async def handle(self, request: CallerRequest, responder: Responder) -> None:
         self.bodies.append(request.body)
@@ -52,6 +56,10 @@
             raise
         responder.respond(200, [], b"%d" % len(request.body))
 
+    def unfinished_bytes(self) -> int:
+        """Return what the connections keep of bodies that have not arrived whole."""
+        return sum(len(item._body) for item in self.port.connections)
+
     def unparsed_bytes(self) -> int:
         """Return what the connections keep beyond their requests in progress."""
         return sum(len(item._h11.trailing_data[0]) for item in self.port.connections)
@@ -194,3 +202,87 @@
             writer.transport.abort()
 
     asyncio.run(run())
+
+
+async def begin_body(server: Server, sent_bytes: int) -> asyncio.StreamReader:
+    """Send a part of a body of 4 MB."""
+    reader, writer = await server.connect()
+    writer.write(b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4194304\r\n\r\n")
+    writer.write(b"x" * sent_bytes)
+    with contextlib.suppress(ConnectionError):
+        await asyncio.wait_for(writer.drain(), WAIT_S)
+    server.writers.append(writer)
+    return reader
+
+
+def test_bodies_that_never_end_are_refused_beyond_the_room_and_small_requests_run() -> None:
+    async def run() -> None:
+        async with serve(Server()) as server:
+            readers = [await begin_body(server, 3 * MB) for _ in range(12)]
+            await asyncio.sleep(0.3)
+            assert server.unfinished_bytes() <= ROOM_BYTES
+            assert server.port.refused_for_room == 10
+            refused = [reader for reader in readers if reader.at_eof() or reader._buffer]
+            assert len(refused) == 10
+            for reader in refused:
+                answer = await asyncio.wait_for(reader.read(), WAIT_S)
+                assert answer.startswith(b"HTTP/1.1 503 ")
+                assert answer.endswith(b"\r\n\r\n")
+            assert server.bodies == []
+            server.may_answer.set()
+            reader, writer = await server.connect()
+            writer.write(request(b"x" * 200 * KB))
+            assert (await asyncio.wait_for(reader.readline(), WAIT_S)).startswith(b"HTTP/1.1 200")
+            for opened in [*server.writers, writer]:
+                opened.transport.abort()
+            assert await until(lambda: not server.port.connections)
+            assert server.port.bodies is not None
+            assert server.port.bodies.total_bytes == 0
+
+    asyncio.run(run())
+
+
+def test_requests_in_progress_count_until_they_are_answered_and_are_never_refused() -> None:
+    async def run() -> None:
+        async with serve(Server()) as server:
+            callers = [await server.connect() for _ in range(2)]
+            for _, writer in callers:
+                writer.write(request(b"x" * (ROOM_BYTES // 2)))
+            assert await until(lambda: len(server.bodies) == 2)
+            reader, writer = await server.connect()
+            writer.write(request(b"x" * KB))
+            assert (await asyncio.wait_for(reader.readline(), WAIT_S)).startswith(b"HTTP/1.1 503")
+            writer.transport.abort()
+            server.may_answer.set()
+            for reader, _ in callers:
+                status = await asyncio.wait_for(reader.readline(), WAIT_S)
+                assert status.startswith(b"HTTP/1.1 200 ")
+            assert server.port.bodies is not None
+            assert await until(lambda: server.port.bodies.total_bytes == 0)
+            for _, writer in callers:
+                writer.write(request(b"x" * KB))
+            assert await until(lambda: len(server.bodies) == 4)
+            for _, writer in callers:
+                writer.transport.abort()
+
+    asyncio.run(run())
+
+
+def test_the_largest_unfinished_request_is_refused_first_and_a_single_one_never() -> None:
+    buffer = RequestBuffer(100)
+    whole, large, small = KeptRequest(), KeptRequest(), KeptRequest()
+    buffer.update(large, 150)
+    assert buffer.next_refusal() is None
+    buffer.update(large, 30)
+    buffer.update(whole, 60)
+    whole.is_whole = True
+    buffer.update(small, 10)
+    assert buffer.next_refusal() is None
+    buffer.update(small, 11)
+    assert buffer.next_refusal() is large
+    buffer.update(large, 0)
+    assert buffer.next_refusal() is None
+    buffer.update(whole, 90)
+    assert buffer.next_refusal() is small
+    buffer.update(small, 0)
+    assert (buffer.next_refusal(), buffer.total_bytes) == (None, 90)
