Heads and bodies without end no longer fill a control process or store

The servers of control processes, of their RPC and of the operators took the defaults of Cheroot, which bound neither a head nor a body: a request line or header fields without end were kept whole; a body that no handler read was read at once, by its announced length; a chunked configuration was kept up to its end, and the limit of 8 MB did not apply to it.

Whole chunked bodies of 8 MB are read as before.

Why it works: heads end at 64 KB, announced bodies at the limit of their server (64 MB, 8 MB for calls on control processes), and the reader of a chunked body counts its framing, and refuses chunks beyond the limit before they are read. The refusal of a chunked body is logged.

--- a/src/leverjunction/platform/control_calls.py
+++ b/src/leverjunction/platform/control_calls.py
@@ -10,6 +10,8 @@
 from typing import Annotated, Any
 
 import msgspec
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import SizeCheckWrapper
 from loguru import logger
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
@@ -20,6 +22,10 @@
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_FRAMING_BYTES = 64 * 1024
+"""Bytes of the framing of a chunked body."""
+
+READ_BYTES = 64 * 1024
 UNAVAILABLE_STATUS = 503
 _STATUS_BY_KIND = {
     FailureKind.BAD_REQUEST: 400,
@@ -105,14 +111,38 @@
         handler = _HANDLERS.get((method, path)) or _HANDLERS.get((method, folder + "/"))
         if handler is None:
             return 404, b"{}"
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        if length > MAX_BODY_BYTES:
-            return 413, b"{}"
-        if environ.get("HTTP_TRANSFER_ENCODING"):
-            body = environ["wsgi.input"].read()
-        else:
-            body = environ["wsgi.input"].read(length) if length > 0 else b""
-        return handler(self, name, body)
+        body = read_body(environ)
+        return (413, b"{}") if body is None else handler(self, name, body)
+
+
+def read_body(environ: dict[str, Any]) -> bytes | None:
+    """Return the body of a request, None if it is too large."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > MAX_BODY_BYTES:
+        return None
+    if environ.get("HTTP_TRANSFER_ENCODING"):
+        return _read_chunks(environ["wsgi.input"])
+    return bytes(environ["wsgi.input"].read(length)) if length > 0 else b""
+
+
+def _read_chunks(source: Any) -> bytes | None:
+    # Cheroot bounds neither the body nor a line with the size of a chunk.
+    source.maxlen = MAX_BODY_BYTES + MAX_FRAMING_BYTES
+    source.rfile = SizeCheckWrapper(source.rfile, source.maxlen)
+    body = bytearray()
+    try:
+        while piece := source.read(READ_BYTES):
+            body += piece
+    except MaxSizeExceeded:
+        logger.warning("refused a chunked body after {} bytes: too large", len(body))
+        return None
+    except OSError as error:
+        # Cheroot raises one without a number for a chunk beyond the limit.
+        if isinstance(error, TimeoutError) or error.errno is not None:
+            raise
+        logger.warning("refused a chunked body after {} bytes: {}", len(body), error)
+        return None
+    return bytes(body) if len(body) <= MAX_BODY_BYTES else None
 
 
 def _failure_response(failure: Failure) -> Response:
--- a/src/leverjunction/platform/roles.py
+++ b/src/leverjunction/platform/roles.py
@@ -133,7 +133,7 @@
 def _control(config: MachineConfig, started_s: float) -> int:
     with loading_code():
         from leverjunction.clock import SystemClock
-        from leverjunction.platform.control_calls import ControlCalls
+        from leverjunction.platform.control_calls import MAX_BODY_BYTES, ControlCalls
         from leverjunction.registry.node import RegistryNode
         from leverjunction.wire.http_thread import HttpServer, HttpServerOptions
 
@@ -152,6 +152,7 @@
             backlog=CONTROL_BACKLOG,
             idle_timeout_s=CONTROL_IDLE_TIMEOUT_S,
             keep_alive_connections=CONTROL_KEEP_ALIVE_CONNECTIONS,
+            max_body_bytes=MAX_BODY_BYTES,
         ),
     )
     stop_requested = _stop_event()
--- a/src/leverjunction/wire/http_thread.py
+++ b/src/leverjunction/wire/http_thread.py
@@ -8,6 +8,13 @@
 import msgspec
 from cheroot import wsgi
 
+MAX_HEAD_BYTES = 64 * 1024
+"""Bytes of the request line and of all header fields of a request; Cheroot has no bound."""
+
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Bytes of the largest request's body that any server accepts."""
+
 
 class HttpServerOptions(msgspec.Struct, frozen=True, kw_only=True):
     """Name and limits of an HTTP server.
@@ -20,6 +27,8 @@
         idle_timeout_s: Timeout of an idle connection, and of a client that stalls within a request
             and so occupies a thread.
         keep_alive_connections: Number of idle connections kept open. The default of Cheroot is 10.
+        max_body_bytes: Maximum size of a request's body. Larger ones are refused by their head, as
+            Cheroot would read what the application leaves unread at once.
     """
 
     name: str
@@ -28,6 +37,7 @@
     backlog: int
     idle_timeout_s: int
     keep_alive_connections: int
+    max_body_bytes: int = MAX_BODY_BYTES
 
 
 class HttpServer:
@@ -51,6 +61,8 @@
             server_name=options.server_name,
         )
         self._server.keep_alive_conn_limit = options.keep_alive_connections
+        self._server.max_request_header_size = MAX_HEAD_BYTES
+        self._server.max_request_body_size = options.max_body_bytes
         self._thread: threading.Thread | None = None
         self._listening = threading.Event()
         self._start_error: OSError | None = None
