Replies and machine lists without end no longer fill the caller's memory

What callers saw: none yet. The RPC's client and the reader of the machine list loaded a response whole before they looked at it; the read timeout applies to each read, so a peer that goes on sending is read for ever. A gateway, a store or a control process ends for one faulty peer.

Evidence: with a bound of 1 MB, 50,331,648 and 50,338,560 bytes (all that were sent) were kept of chunked replies, of those until the connection closes, and of machine lists, before; a reply of a byte each 0.05 s had not ended 3 s into a call of 0.5 s. All five tests pass now; whole replies of 20 MB are read and keep their connection, and a body that ends early stays a failure.

Why it works: a body is read in pieces, up to 64 MB for a message (what a peer may send) and 16 MB for a list, and at the rate of the slowest link that is supported, with 10 s for pauses of this process. The failure is that of a call without a valid reply, and names the bound.

--- a/src/leverjunction/backends/machine_list.py
+++ b/src/leverjunction/backends/machine_list.py
@@ -13,11 +13,16 @@
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.untrusted import convert, is_address, is_name, note_unreadable, read_json
+from leverjunction.wire.bounded_bodies import read_body
 from leverjunction.wire.whole_heads import new_pool_manager
 
 REQUEST_TIMEOUT_S = 2.0
 
 
+MAX_LIST_BYTES = 16 * 1024 * 1024
+"""Bytes of a machine list: 10,000 machines of a kilobyte each fit."""
+
+
 class MachineState(StrEnum):
     """State of a machine according to the platform, which may be outdated."""
 
@@ -117,18 +122,22 @@
 
     def __init__(self, url: str, timeout_s: float = REQUEST_TIMEOUT_S) -> None:
         self._url = url
+        self._timeout_s = timeout_s
         self._timeout = urllib3.Timeout(total=timeout_s)
         self._pool = new_pool_manager(num_pools=1, maxsize=1)
 
     def read(self) -> MachineList | Failure:
         """Return the current list, or the failure to fetch or decode it."""
         try:
-            response = self._pool.request("GET", self._url, timeout=self._timeout, redirect=False)
-        except urllib3.exceptions.HTTPError as error:
+            response = self._pool.request(
+                "GET", self._url, timeout=self._timeout, redirect=False, preload_content=False
+            )
+            data = read_body(response, MAX_LIST_BYTES, self._timeout_s)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
             return self._failure(FailureKind.UNREACHABLE, str(error))
         if response.status != 200:
             return self._failure(FailureKind.UNREACHABLE, f"HTTP status {response.status}")
-        listed = read_machine_list(response.data)
+        listed = read_machine_list(data)
         if isinstance(listed, Failure):
             return self._failure(FailureKind.CORRUPT, listed.reason)
         return listed
--- a/src/leverjunction/wire/rpc_client.py
+++ b/src/leverjunction/wire/rpc_client.py
@@ -8,6 +8,7 @@
 from urllib3.util import SKIP_HEADER
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.wire.bounded_bodies import MIN_BYTES_PER_S, read_body
 from leverjunction.wire.codec import decode_reply, encode, unknown_outcome
 from leverjunction.wire.envelope import (
     MAX_ENVELOPE_BYTES,
@@ -24,8 +25,8 @@
 CONNECT_TIMEOUT_S = 0.5
 DEFAULT_TIMEOUT_S = 2.0
 CONNECTIONS_PER_PEER = 8
-MIN_LINK_BYTES_PER_S = 250_000
-"""Rate of the slowest supported link, 2 Mbit/s; timeouts of large bodies follow from it."""
+MIN_LINK_BYTES_PER_S = MIN_BYTES_PER_S
+"""Rate of the slowest supported link; timeouts of large bodies follow from it."""
 
 _HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
 """Omits headers that no peer reads, since every exchange, once a second, carries them."""
@@ -121,14 +122,19 @@
                 headers=_HEADERS,
                 timeout=timeout,
                 redirect=False,
+                preload_content=False,
             )
+            data = read_body(response, MAX_ENVELOPE_BYTES, timeout_s)
         except (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as e:
             return _unreachable(peer, e)
         except urllib3.exceptions.HTTPError as error:
             return _no_reply(peer, error)
+        except OSError as error:
+            # Reading in pieces does not wrap the errors of the socket.
+            return _no_reply(peer, error)
         if response.status != 200:
             return _no_reply(peer, f"HTTP status {response.status}")
-        reply = decode_envelope(response.data, self._cluster_key, peer)
+        reply = decode_envelope(data, self._cluster_key, peer)
         return unknown_outcome(reply) if isinstance(reply, Failure) else reply.body
 
     def close(self) -> None:
