Bodies of engines without end no longer fill a gateway of the OpenAI side

What callers saw: none yet. Whole bodies of engines (answers that are no streams, lists of requests, refusals) were read to their end, without a bound.

Why it works: the body is read in pieces, up to 16 MB, and the connection is closed beyond it. The time in all is not bounded.

--- a/src/leverjunction/backends/stream.py
+++ b/src/leverjunction/backends/stream.py
@@ -12,6 +12,8 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 
 READ_BYTES = 65536
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Bytes of a body that is read whole, far above any answer of a model."""
 
 
 class DetachedSocket(msgspec.Struct, frozen=True):
@@ -83,14 +85,17 @@
         self._response.release_conn()
 
     def read_all(self) -> bytes | Failure:
-        """Return the complete body, or a failure if the connection fails before its end."""
+        """Return the complete body, or a failure if the connection fails or it is too large."""
+        body = bytearray()
         try:
-            data = self._response.read()
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            self._response.close()
-            return self._connection_failure(error)
-        self._response.release_conn()
-        return data
+            for data in self.chunks():
+                body += data
+                if len(body) > MAX_BODY_BYTES:
+                    self.close()
+                    return self._failure(f"the back end's response exceeds {MAX_BODY_BYTES} bytes")
+        except StreamBrokenError as error:
+            return error.failure
+        return bytes(body)
 
     def detach(self) -> DetachedSocket:
         """Detach the connection from a response to a call with ``raw_stream``.
@@ -112,9 +117,12 @@
         self._response.close()
 
     def _connection_failure(self, error: object) -> Failure:
+        return self._failure(f"the back end's response ended early: {error}")
+
+    def _failure(self, reason: str) -> Failure:
         return Failure(
             kind=FailureKind.BACKEND_FAILED,
-            reason=f"the back end's response ended early: {error}",
+            reason=reason,
             step=Step.RELAYING,
             peer=self.address,
             execution=Execution.UNKNOWN,
--- a/tests/unit/test_endless_bytes_to_clients.py
+++ b/tests/unit/test_endless_bytes_to_clients.py
@@ -10,8 +10,9 @@
 
 import pytest
 
-from leverjunction.backends import machine_list
+from leverjunction.backends import machine_list, stream
 from leverjunction.backends.machine_list import MachineListClient
+from leverjunction.backends.stream import EngineStream
 from leverjunction.errors import Failure
 from leverjunction.wire import bounded_bodies, rpc_client
 from leverjunction.wire.codec import encode
@@ -19,6 +20,7 @@
 from leverjunction.wire.messages import Acknowledged
 from leverjunction.wire.rpc_client import RpcClient
 from leverjunction.wire.rpc_server import RpcEndpoint, RpcServer
+from leverjunction.wire.whole_heads import new_pool_manager
 
 MB = 1024 * 1024
 KEY = b"k" * 32
@@ -142,3 +144,15 @@
     listener.close()
     assert isinstance(reply, Failure)
     assert "IncompleteRead" in reply.reason
+
+
+@pytest.mark.parametrize("kind", HEADS)
+def test_an_engine_body_without_end_is_not_kept(kind: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(stream, "MAX_BODY_BYTES", BOUND_BYTES, raising=False)
+    with _flooder(*HEADS[kind]) as engine:
+        response = new_pool_manager().request(
+            "GET", f"http://{engine.address}/", preload_content=False, timeout=2.0
+        )
+        body = EngineStream(response, engine.address).read_all()
+        assert isinstance(body, Failure)
+        assert engine.sent_bytes < BOUND_BYTES + 16 * MB
