Tiny events of an item no longer take six times their bytes at a store

What callers saw: none yet. The output of a run is bounded by its bytes (16 MB), but each event is kept as an object of its own until it is recorded: a faulty back end that sends tiny events without end could make a store of 290 MB keep 105 MB for one run.

Why it works: a run adds at most 250,000 events, the bound on the parts of an online answer; beyond it it ends like any output without end. Events of earlier runs do not count, so no other back end is blamed for them.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -23,7 +23,11 @@
 from leverjunction.lots.outbox import Outbox
 from leverjunction.lots.ownership import owner_of
 from leverjunction.lots.run_trace import RunEnd
-from leverjunction.proxy.answer_bounds import MAX_EVENT_BYTES, MAX_ITEM_OUTPUT_BYTES
+from leverjunction.proxy.answer_bounds import (
+    MAX_EVENT_BYTES,
+    MAX_ITEM_EVENTS,
+    MAX_ITEM_OUTPUT_BYTES,
+)
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.caller_connection import CallerRequest
 from leverjunction.proxy.dialect import Dialect
@@ -171,6 +175,7 @@
         """Read a response's events; return why it is incomplete, or None if it is complete."""
         complete = False
         output_bytes = 0
+        events_before = run.stream.total
         loop = asyncio.get_running_loop()
         response.connection.set_read_interval(READ_INTERVAL_S)
         try:
@@ -198,7 +203,7 @@
                 if response.head.status == OK:
                     _feed(run.stream, event, response.runner.record)
                 output_bytes += len(event)
-                if is_endless(run.stream, output_bytes):
+                if is_endless(run.stream, output_bytes, events_before):
                     failure = endless_failure(
                         response.runner.record.address, "an item's output, or an event, is too long"
                     )
@@ -276,9 +281,19 @@
         stream.origin = StreamOrigin(runner.service, runner.version)
 
 
-def is_endless(stream: ItemStream, output_bytes: int) -> bool:
-    """Return whether the output of a run, or its event in progress, exceeds its bound."""
-    return output_bytes > MAX_ITEM_OUTPUT_BYTES or stream.partial_bytes > MAX_EVENT_BYTES
+def is_endless(stream: ItemStream, output_bytes: int, events_before: int = 0) -> bool:
+    """Return whether the output of a run, or its event in progress, exceeds its bound.
+
+    Args:
+        stream: Output of the item.
+        output_bytes: Bytes of the run's output.
+        events_before: Events of the item when the run began.
+    """
+    return (
+        output_bytes > MAX_ITEM_OUTPUT_BYTES
+        or stream.partial_bytes > MAX_EVENT_BYTES
+        or stream.total - events_before > MAX_ITEM_EVENTS
+    )
 
 
 def _note_silence(run: ItemRun, now_s: float) -> None:
--- a/src/leverjunction/proxy/answer_bounds.py
+++ b/src/leverjunction/proxy/answer_bounds.py
@@ -38,6 +38,11 @@
 MAX_ITEM_OUTPUT_BYTES = 16 * 1024 * 1024
 """Bytes of the output that one run of a batch item may add; the stores replicate all of them."""
 
+MAX_ITEM_EVENTS = MAX_PARTS
+"""Events that one run of a batch item may add: each takes some 60 bytes until it is recorded,
+whatever its size.
+"""
+
 PART_TIME_S = 5.0
 """Time within which a part that has begun to arrive must be whole: a head, a chunk header, an
 event. Senders write such a part at once, so a caller gains nothing from waiting longer.
@@ -114,6 +119,7 @@
     "MAX_DOCUMENT_BYTES",
     "MAX_EVENT_BYTES",
     "MAX_HEAD_BYTES",
+    "MAX_ITEM_EVENTS",
     "MAX_ITEM_OUTPUT_BYTES",
     "MAX_PARTS",
     "MAX_REFUSAL_BYTES",
--- a/tests/unit/test_proxy_endless_answers.py
+++ b/tests/unit/test_proxy_endless_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+import tracemalloc
 from collections.abc import Iterator
 
 import pytest
@@ -288,3 +289,19 @@
         splitter = EventSplitter()
         whole = splitter.feed(data[:cut]) + splitter.feed(data[cut:])
         assert (whole, splitter.pending_bytes) == (data[: -len(b"data: rest")], 10)
+
+
+def test_tiny_events_of_an_item_end_before_they_take_many_times_their_bytes() -> None:
+    events = b"data:xy\n\n" * 4096
+    stream = ItemStream()
+    output_bytes = 0
+    tracemalloc.start()
+    try:
+        before_bytes = tracemalloc.get_traced_memory()[0]
+        while not is_endless(stream, output_bytes):
+            stream.feed(events)
+            output_bytes += len(events)
+        kept_bytes = tracemalloc.get_traced_memory()[0] - before_bytes
+    finally:
+        tracemalloc.stop()
+    assert kept_bytes < MAX_ITEM_OUTPUT_BYTES
