--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -20,6 +20,8 @@
 from leverjunction.proxy.dialect import RawHeaders, RequestMetadata
 from leverjunction.proxy.headers import find
 from leverjunction.proxy.kept_answers import KeptAnswers, lift_unsent_limit, limit_unsent
+from leverjunction.proxy.read_ahead import ReadAhead
+from leverjunction.proxy.request_buffer import KeptRequest, RequestBuffer
 from leverjunction.quarantine.prompt_parts import MAX_PARTS, PartId
 from leverjunction.quarantine.request_key import RequestContent
 from leverjunction.routes.types import RequestLimits
@@ -49,15 +51,19 @@
 stays unread for some seconds; a lagging caller has room for a megabyte a second meanwhile.
 """
 
-MAX_EARLY_BYTES = 64 * 1024
-"""Bytes that a caller may send beyond the request in progress before reading from it pauses."""
-
 PIECE_BYTES = 16 * 1024
 """Small writes that are kept are joined up to this size."""
 
 END_TIMEOUT_S = 0.1
 """Time for the handlers of requests to end because the process does."""
 
+MAX_BODY_CHUNKS = 16 * 1024
+"""Chunks of one request's body: each takes time of the event loop to parse, whatever its size. A
+body of 4 MB may come in chunks of 256 bytes.
+"""
+
+ROOM_LOG_INTERVAL_S = 10.0
+
 UNAVAILABLE_STATUS = 503
 
 _UNPARSED = RequestMetadata()
@@ -229,22 +235,43 @@
         draining: Each response closes its connection, because the process is stopping.
         connections: Open connections.
         taken: Requests that were read whole since the start.
+        read_pauses: Times since the start that a connection was not read on because its caller had
+            pipelined much.
         kept: Counts what is kept for slow callers; None to wait for each caller instead.
+        bodies: Counts what is kept of requests; None for no bound on their sum.
+        refused_for_room: Requests since the start that were refused while they were received,
+            because too much was kept of all.
     """
 
-    __slots__ = ("connections", "draining", "handler", "kept", "limits", "taken")
+    __slots__ = (
+        "_room_logged_s",
+        "bodies",
+        "connections",
+        "draining",
+        "handler",
+        "kept",
+        "limits",
+        "read_pauses",
+        "refused_for_room",
+        "taken",
+    )
 
     def __init__(
         self,
         handler: Handler,
         limits: Callable[[], RequestLimits],
         kept: KeptAnswers | None = None,
+        bodies: RequestBuffer | None = None,
     ) -> None:
         self.kept = kept
+        self.bodies = bodies
+        self.refused_for_room = 0
+        self._room_logged_s = float("-inf")
         self.handler = handler
         self.limits = limits
         self.draining = False
         self.taken = 0
+        self.read_pauses = 0
         self.connections: set[CallerConnection] = set()
 
     def count_busy(self) -> int:
@@ -265,6 +292,31 @@
         for connection in list(self.connections):
             connection.refuse_incomplete()
 
+    def keep_body(self, request: KeptRequest, kept_bytes: int) -> None:
+        """Count what is kept of a request, and refuse unfinished ones beyond the room for all."""
+        if self.bodies is None:
+            return
+        self.bodies.update(request, kept_bytes)
+        while (refused := self.bodies.next_refusal()) is not None:
+            self._log_refusal(self.bodies, refused)
+            self.refused_for_room += 1
+            self.bodies.update(refused, 0)
+            for connection in [item for item in self.connections if item.kept_request is refused]:
+                connection.refuse_incomplete()
+
+    def _log_refusal(self, bodies: RequestBuffer, refused: KeptRequest) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._room_logged_s >= ROOM_LOG_INTERVAL_S:
+            self._room_logged_s = now_s
+            logger.warning(
+                "refused an unfinished request of {} bytes: {} bytes of requests are kept, {} are"
+                " allowed; {} were refused before",
+                refused.kept_bytes,
+                bodies.total_bytes,
+                bodies.limit_bytes,
+                self.refused_for_room,
+            )
+
     async def answer_rest(self) -> int:
         """End the requests whose answer has not begun with an answer; return their number."""
         return await self._end([item for item in self.connections if item.is_unanswered])
@@ -294,12 +346,12 @@
         self._loop = asyncio.get_running_loop()
         self._h11 = self._new_parser()
         self._transport: asyncio.Transport | None = None
+        self._read_ahead: ReadAhead | None = None
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._request: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._early_bytes = 0
+        self._body = bytearray()
+        self._body_chunks = 0
         self._is_receiving = False
         self._write_resumed: asyncio.Future[None] | None = None
         self._request_due_until_s = 0.0
@@ -312,6 +364,7 @@
         self._is_lingering = False
         self._responder: Responder | None = None
         self.kept = KeptAnswer()
+        self.kept_request = KeptRequest()
 
     @property
     def end_cause(self) -> EndCause:
@@ -343,6 +396,7 @@
         """Start to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._read_ahead = ReadAhead(transport, self._cancel)
         self._request_due_until_s = self._loop.time() + FIRST_REQUEST_S
         self._port.connections.add(self)
         if self._port.kept is not None:
@@ -363,10 +417,7 @@
             return
         if self._task is None:
             self._advance()
-        else:
-            self._early_bytes += len(data)
-            if self._early_bytes > MAX_EARLY_BYTES and self._transport is not None:
-                self._transport.pause_reading()
+        self._update_reading()
 
     def eof_received(self) -> bool:
         """Cancel the request in progress: the caller has closed its side of the connection."""
@@ -381,6 +432,9 @@
         if self._port.kept is not None:
             self._port.kept.remove(self)
         self._stop_timer()
+        if self._read_ahead is not None:
+            self._read_ahead.stop()
+        self._drop_body()
         self._cancel()
         self._drop_pieces()
         self._wake_writer()
@@ -501,7 +555,8 @@
             return
         self._is_lingering = True
         self._is_receiving = False
-        transport.resume_reading()
+        if self._read_ahead is not None:
+            self._read_ahead.update(0)
         self._set_timer(LINGER_MS, self.close)
 
     def abort(self) -> None:
@@ -547,6 +602,13 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _update_reading(self) -> None:
+        if self._task is None and (self._read_ahead is None or not self._read_ahead.is_paused):
+            return
+        waiting_bytes = len(self._h11.trailing_data[0]) if self._task is not None else 0
+        if self._read_ahead is not None and self._read_ahead.update(waiting_bytes):
+            self._port.read_pauses += 1
+
     def _advance(self) -> None:
         """Process received bytes up to the end of one request."""
         try:
@@ -570,18 +632,20 @@
             self._set_timer(self._limits.idle_timeout_ms, lambda: self._refuse(408))
             return True
         if isinstance(event, h11.Data):
-            return self._receive_body(bytes(event.data))
+            return self._receive_body(event)
         if isinstance(event, h11.EndOfMessage):
             self._start_request()
         return False
 
-    def _receive_body(self, data: bytes) -> bool:
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits.max_body_bytes:
+    def _receive_body(self, event: h11.Data) -> bool:
+        self._body += event.data
+        self._body_chunks += event.chunk_start
+        if len(self._body) > self._limits.max_body_bytes or self._body_chunks > MAX_BODY_CHUNKS:
             self._refuse(413)
             return False
-        self._body.append(data)
-        return True
+        self._port.keep_body(self.kept_request, len(self._body))
+        # This request itself may have been refused to make room.
+        return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
     def _start_request(self) -> None:
         self._stop_timer()
@@ -593,13 +657,21 @@
             head.method,
             head.target,
             head.headers.raw_items(),
-            b"".join(self._body),
+            bytes(self._body),
             self._loop.time(),
         )
-        self._request, self._body, self._body_bytes = None, [], 0
+        self._request = None
+        self.kept_request.is_whole = True
+        self._drop_body()
         self._is_receiving = False
         self._task = self._loop.create_task(self._handle(request))
 
+    def _drop_body(self) -> None:
+        self._body = bytearray()
+        self._body_chunks = 0
+        if not self.kept_request.is_whole:
+            self._port.keep_body(self.kept_request, 0)
+
     async def _handle(self, request: CallerRequest) -> None:
         responder = self._responder = Responder(self)
         try:
@@ -616,6 +688,8 @@
         finally:
             self._task = None
             self._responder = None
+            self.kept_request.is_whole = False
+            self._port.keep_body(self.kept_request, 0)
         self._finish()
 
     def _finish(self) -> None:
@@ -631,14 +705,7 @@
         self._limits = self._port.limits()
         self._start_idle_timer()
         self._advance()
-        if self._early_bytes:
-            self._read_on()
-
-    def _read_on(self) -> None:
-        """Read from the caller again, unless what it sent early still waits."""
-        self._early_bytes = len(self._h11.trailing_data[0])
-        if self._early_bytes <= MAX_EARLY_BYTES and self._transport is not None:
-            self._transport.resume_reading()
+        self._update_reading()
 
     def _start_idle_timer(self) -> None:
         self._set_timer(self._limits.idle_timeout_ms, self._close_idle)
@@ -666,4 +733,5 @@
             with contextlib.suppress(h11.LocalProtocolError):
                 self.write_event(h11.Response(status_code=status, headers=headers))
                 self.write_event(h11.EndOfMessage())
+        self._drop_body()
         self._close_after_answer()
