Calls in the queue of a stopping control process or store are answered

At SIGTERM an operator's call, a heartbeat or a leave announcement that waited in the listener's queue, or that had just arrived on a kept connection, was reset: its caller could not tell whether it had been taken. The same held for calls between processes, such as a batch job that a gateway passes on to a store: a reset there means "unknown", a store's own answer means "not run, ask another one".

Cause: HttpServer.stop() used cheroot's connection manager, which closes the listener and all kept connections at once. The gateway's port already had DrainingConnectionManager against that; it moves to leverjunction.wire and now serves all HTTP servers.

--- a/src/leverjunction/gateway/http_server.py
+++ b/src/leverjunction/gateway/http_server.py
@@ -18,11 +18,14 @@
 from cheroot.makefile import MakeFile
 
 from leverjunction.clock import steady_s
-from leverjunction.gateway.listener import LISTEN_BACKLOG, DrainingConnectionManager
 from leverjunction.gateway.slow_clients import SlowClientGuard
+from leverjunction.wire.draining_connections import DrainingConnectionManager
 
 HANDOVER_KEY = "leverjunction.handover"
 REQUEST_KEY = "leverjunction.http_request"
+LISTEN_BACKLOG = 512
+"""Length of the kernel's accept backlog, in connections."""
+
 KEEP_ALIVE_CONNECTIONS = 4096
 SOCKET_TIMEOUT_S = 10
 MAX_HEADER_BYTES = 64 * 1024
--- a/src/leverjunction/gateway/listener.py
+++ b/src/leverjunction/wire/draining_connections.py
@@ -2,8 +2,7 @@
 
 cheroot closes both at once when it stops. A caller whose connection was still in the accept
 backlog, or whose request had just arrived on a keep-alive connection, then saw a reset and could
-not know whether its request had run. Here each of them still gets a response: a refusal, since the
-gateway is stopping.
+not know whether its request had run. Here each of them still gets a response.
 """
 
 from __future__ import annotations
@@ -14,9 +13,6 @@
 
 from cheroot.connections import ConnectionManager
 
-LISTEN_BACKLOG = 512
-"""Length of the kernel's accept backlog, in connections."""
-
 
 class DrainingConnectionManager(ConnectionManager):
     """Connection manager that serves connections and requests that arrived before the stop."""
@@ -38,7 +34,7 @@
     def _accept_backlog(self, listener: socket.socket) -> None:
         with selectors.DefaultSelector() as selector:
             selector.register(listener, selectors.EVENT_READ)
-            for _ in range(LISTEN_BACKLOG):
+            for _ in range(self.server.request_queue_size):
                 if not selector.select(timeout=0):
                     return
                 self._accept(listener)
--- a/src/leverjunction/wire/http_thread.py
+++ b/src/leverjunction/wire/http_thread.py
@@ -7,6 +7,9 @@
 
 import msgspec
 from cheroot import wsgi
+from cheroot.connections import ConnectionManager
+
+from leverjunction.wire.draining_connections import DrainingConnectionManager
 
 
 class HttpServerOptions(msgspec.Struct, frozen=True, kw_only=True):
@@ -30,6 +33,17 @@
     keep_alive_connections: int
 
 
+class _Server(wsgi.Server):
+    """Server that answers the calls which had arrived before it was stopped."""
+
+    _connections: ConnectionManager
+
+    def prepare(self) -> None:
+        super().prepare()
+        self._connections.close()
+        self._connections = DrainingConnectionManager(self)
+
+
 class HttpServer:
     """Serves a WSGI application in its own thread.
 
@@ -42,7 +56,7 @@
 
     def __init__(self, host: str, port: int, app: Any, options: HttpServerOptions) -> None:
         self._name = options.name
-        self._server = wsgi.Server(
+        self._server = _Server(
             (host, port),
             app,
             numthreads=options.threads,
@@ -87,7 +101,10 @@
         self._server.serve()
 
     def stop(self) -> None:
-        """Stop serving. Requests in progress have Cheroot's shutdown timeout to finish."""
+        """Answer the calls that have arrived, then stop serving.
+
+        Calls in progress have Cheroot's shutdown timeout to finish.
+        """
         self._server.stop()
         if self._thread is not None:
             self._thread.join()
