A connection that is made while a listener closes is not reset

A caller whose connection the kernel had accepted between the server's last look at its listener and the closing was reset after it had sent its request, and could not know whether it had run.

Cause: closing a listening socket resets what is in its queue, and nothing kept the queue from growing after the last accept; listen(0) still let one connection in.

--- a/tests/unit/test_http_thread_stop.py
+++ b/tests/unit/test_http_thread_stop.py
@@ -1,8 +1,9 @@
-"""HTTP servers of control processes and stores during a planned stop: each caller gets an answer."""
+"""HTTP servers of control processes and stores at a planned stop: each caller gets an answer."""
 
 from __future__ import annotations
 
 import http.client
+import socket
 import threading
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -13,6 +14,7 @@
 
 WAIT_S = 30.0
 CALLERS = 3
+REQUEST = b"GET / HTTP/1.1\r\nHost: control\r\n\r\n"
 ANSWER = b"answered"
 
 
@@ -76,3 +78,35 @@
     response = caller.getresponse()
     assert response.read() == ANSWER
     assert response.headers["Connection"] == "close"
+
+
+def test_a_caller_that_connects_as_the_listener_closes_is_not_reset(
+    server: HttpServer, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It gets an answer, or learns from the failed connection that nothing was read."""
+    manager = server._server._connections
+    outcomes: list[str] = []
+
+    def call_late(listener: socket.socket) -> None:
+        accept_waiting(listener)
+        late = socket.socket()
+        late.settimeout(0.2)
+        try:
+            late.connect(server._server.bind_addr[:2])
+        except OSError:
+            outcomes.append("not connected")
+            late.close()
+            return
+        late.sendall(REQUEST)
+        outcomes.append("connected")
+        callers.append(late)
+
+    callers: list[socket.socket] = []
+    accept_waiting = manager._accept_backlog
+    monkeypatch.setattr(manager, "_accept_backlog", call_late)
+    server.stop()
+    for caller in callers:
+        with caller:
+            caller.settimeout(WAIT_S)
+            assert caller.recv(4096).endswith(ANSWER)
+    assert len(outcomes) == 1
