A planned stop waits for job uploads, and refuses those it cannot take

A job or file that was still uploading five seconds after the gateway had nothing else to do was cut: its caller got 400 "the body was cut off" or lost the connection, however long drain_timeout_s was. An upload that came after the stop was taken, and cut the same way.

Cause: only completions were counted as requests in progress, so the drain ended at once and the server's own five seconds applied to uploads. They are counted now, so that the drain waits for them up to drain_timeout_s. Uploads that come after the stop get 503 not run at once. At the end of the drain, those still incomplete are read no further and get 503 not run: no item of a job runs before the job is accepted.

--- a/src/leverjunction/api/batches.py
+++ b/src/leverjunction/api/batches.py
@@ -47,6 +47,7 @@
 from leverjunction.batch.directory import GroupClient, JobDirectory
 from leverjunction.clock import Clock
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.gateway.inflight import InflightRequests
 from leverjunction.settings.resolved import ResolvedSettings
 from leverjunction.wire.codec import decode
 
@@ -76,6 +77,7 @@
         clock: Source of the current time.
         random: Generator of job ids and request ids.
         groups: Returns the names of the job groups.
+        uploads: Counts the requests whose bodies are jobs, so that a planned stop waits for them.
     """
 
     def __init__(
@@ -85,12 +87,14 @@
         clock: Clock,
         random: random_module.Random,
         groups: Callable[[], list[str]],
+        uploads: InflightRequests,
     ) -> None:
         context = BatchContext(
             directory=JobDirectory(control, groups, random),
             settings=settings,
             clock=clock,
             random=random,
+            uploads=uploads,
         )
         self.batches = BatchesHandler(context)
         self.files = FilesHandler(context)
@@ -112,7 +116,7 @@
             return failure_response(tenant)
         match (cherrypy.request.method, path):
             case ("POST", ()):
-                return self._create(tenant, query)
+                return self._context.upload(lambda: self._create(tenant, query))
             case ("GET" | "HEAD", ()):
                 return self._list(tenant, query)
             case ("GET" | "HEAD", (batch_id,)):
@@ -218,7 +222,10 @@
         )
         upload = JobUpload(self._context.directory, reader, terms)
         body_failure = read_body(upload.write)
-        job = upload.finish() if body_failure is None else upload.abandon(body_failure)
+        if body_failure is None:
+            job = upload.finish()
+        else:
+            job = upload.abandon(self._context.incomplete_upload(body_failure))
         return (
             failure_response(job) if isinstance(job, Failure) else json_response(batch_object(job))
         )
--- a/src/leverjunction/api/batches_files.py
+++ b/src/leverjunction/api/batches_files.py
@@ -73,7 +73,7 @@
             return failure_response(tenant)
         match (cherrypy.request.method, path):
             case ("POST", ()):
-                return self._upload(tenant)
+                return self._context.upload(lambda: self._upload(tenant))
             case ("GET" | "HEAD", (file_id,)):
                 return self._show(tenant, file_id)
             case ("GET", (file_id, "content")):
@@ -99,7 +99,8 @@
         try:
             body.process()
         except (EOFError, OSError, ValueError) as error:
-            return failure_response(upload.abandon(incomplete_body(f"in the form ({error})")))
+            failure = self._context.incomplete_upload(incomplete_body(f"in the form ({error})"))
+            return failure_response(upload.abandon(failure))
         if not filenames:
             return failure_response(
                 bad_request("the form has no file; send multipart/form-data with a 'file' part")
--- a/src/leverjunction/api/batches_support.py
+++ b/src/leverjunction/api/batches_support.py
@@ -8,11 +8,12 @@
 import cherrypy
 import msgspec
 
-from leverjunction.api.errors import error_response
+from leverjunction.api.errors import error_response, stopping_failure
 from leverjunction.batch.directory import JobDirectory
 from leverjunction.clock import Clock
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.http_server import refuse_body
+from leverjunction.gateway.inflight import InflightRequests
 from leverjunction.settings.resolved import ResolvedSettings
 from leverjunction.wire.codec import encode
 
@@ -28,12 +29,14 @@
         settings: Returns the resolved settings that are in force.
         clock: Source of the current time.
         random: Generator of request ids.
+        uploads: Counts the requests whose bodies are jobs.
     """
 
     directory: JobDirectory
     settings: Callable[[], ResolvedSettings]
     clock: Clock
     random: random_module.Random
+    uploads: InflightRequests
 
     def service_lookup(self, tenant: str) -> Callable[[str], str | None]:
         """Return a function that finds a model's service among those the tenant may call."""
@@ -46,6 +49,15 @@
 
         return lookup
 
+    def upload(self, handle: Callable[[], bytes]) -> bytes:
+        """Handle an upload, which a planned stop waits for; refuse it once the stop has begun."""
+        with self.uploads.track() as accepted:
+            return handle() if accepted else failure_response(stopping_failure())
+
+    def incomplete_upload(self, failure: Failure) -> Failure:
+        """Return why a truncated upload is refused: ``failure``, or that the gateway stops."""
+        return stopping_failure() if self.uploads.refusing_unread else failure
+
 
 def request_id(random: random_module.Random | None = None) -> str:
     """Return the request id that the caller sent, or a newly generated one."""
--- a/src/leverjunction/api/completions.py
+++ b/src/leverjunction/api/completions.py
@@ -7,7 +7,7 @@
 import cherrypy
 
 from leverjunction.api.auth import authenticate
-from leverjunction.api.errors import error_response
+from leverjunction.api.errors import error_response, stopping_failure
 from leverjunction.backends.types import CHAT_PATH, COMPLETION_PATH
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.http_server import HANDOVER_KEY, body_is_read, refuse_body
@@ -24,7 +24,6 @@
 
 NEVER = "never"
 MAX_KEY_CHARACTERS = 256
-STOPPING_RETRY_AFTER_S = 1.0
 BUSY_RETRY_AFTER_S = 1.0
 
 
@@ -125,17 +124,6 @@
         )
 
 
-def stopping_failure() -> Failure:
-    """Return the Failure with which a stopping gateway refuses requests."""
-    return Failure(
-        kind=FailureKind.STOPPING,
-        reason="this gateway is stopping; send the request to another one",
-        step=Step.ADMISSION,
-        retry_after_s=STOPPING_RETRY_AFTER_S,
-        execution=Execution.NOT_RUN,
-    )
-
-
 def _busy() -> Failure:
     return Failure(
         kind=FailureKind.OVERLOADED,
--- a/src/leverjunction/api/errors.py
+++ b/src/leverjunction/api/errors.py
@@ -7,7 +7,7 @@
 import cherrypy
 import msgspec
 
-from leverjunction.errors import Execution, Failure, FailureKind
+from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.wire.codec import encode
 
 HTTP_STATUS: dict[FailureKind, int] = {
@@ -40,6 +40,7 @@
     FailureKind.INTERNAL: 500,
 }
 DEFAULT_RETRY_AFTER_S = 1.0
+STOPPING_RETRY_AFTER_S = 1.0
 _TYPE_BY_STATUS = {
     400: "invalid_request_error",
     401: "authentication_error",
@@ -94,6 +95,17 @@
     )
 
 
+def stopping_failure() -> Failure:
+    """Return the Failure with which a stopping gateway refuses requests."""
+    return Failure(
+        kind=FailureKind.STOPPING,
+        reason="this gateway is stopping; send the request to another one",
+        step=Step.ADMISSION,
+        retry_after_s=STOPPING_RETRY_AFTER_S,
+        execution=Execution.NOT_RUN,
+    )
+
+
 def execution_of_error_page(status: int) -> Execution:
     """Return what an error page of CherryPy says: it rejects a request before its handler runs."""
     return Execution.NOT_RUN if status < 500 else Execution.UNKNOWN
--- a/src/leverjunction/gateway/inflight.py
+++ b/src/leverjunction/gateway/inflight.py
@@ -20,6 +20,7 @@
         self._changed = threading.Condition()
         self._count = 0
         self._stopping = False
+        self._refusing_unread = False
 
     @property
     def stopping(self) -> bool:
@@ -31,6 +32,15 @@
         with self._changed:
             self._stopping = True
 
+    @property
+    def refusing_unread(self) -> bool:
+        """Whether requests whose bodies have not been read completely are refused as well."""
+        return self._refusing_unread
+
+    def refuse_unread(self) -> None:
+        """Refuse the requests whose bodies have not been read completely from now on."""
+        self._refusing_unread = True
+
     @contextmanager
     def track(self) -> Iterator[bool]:
         """Count a request while the block runs; yields False if the request must be rejected.
--- a/src/leverjunction/gateway/runtime.py
+++ b/src/leverjunction/gateway/runtime.py
@@ -52,6 +52,9 @@
 RESERVED_THREADS_DIVISOR = 8
 """One request thread in this many is reserved, but at least ``MIN_RESERVED_THREADS``."""
 
+LAST_ANSWERS_S = 2.0
+"""Time for the answers that are given because the drain has timed out."""
+
 
 class GatewayRuntime:
     """A gateway with all its components and threads.
@@ -73,6 +76,7 @@
         self.inflight = InflightRequests(
             config.request_threads - _reserved_threads(config.request_threads)
         )
+        self.uploads = InflightRequests()
         self.view = ClusterView(self.clock)
         config.data_folder.mkdir(parents=True, exist_ok=True)
         self.settings = SettingsStore(SettingsCache(config.data_folder))
@@ -193,6 +197,7 @@
         """
         logger.info("stopping: refusing new requests")
         self.inflight.begin_stop()
+        self.uploads.begin_stop()
         self.http_server.is_stopping = True
         deadline_s = steady_s() + self.config.drain_timeout_s
         self.exchange.exchange_once()
@@ -201,13 +206,22 @@
         idle = self.inflight.wait_idle(max(0.0, deadline_s - steady_s()))
         self.gate.stop()
         idle = self.relay.wait_idle(max(0.0, deadline_s - steady_s())) and idle
+        idle = self.uploads.wait_idle(max(0.0, deadline_s - steady_s())) and idle
         if not idle:
+            self._answer_rest()
             logger.warning(
                 "requests were still open after the drain timeout of {} s",
                 self.config.drain_timeout_s,
             )
         return idle
 
+    def _answer_rest(self) -> None:
+        """Answer the requests that are still open, since the process is about to end."""
+        self.uploads.refuse_unread()
+        self.http_server.guard.stop_reading()
+        deadline_s = steady_s() + LAST_ANSWERS_S
+        self.uploads.wait_idle(max(0.0, deadline_s - steady_s()))
+
     def stop(self) -> None:
         """Stop listening and stop all threads."""
         self.ring.close()
@@ -313,6 +327,7 @@
                 self.clock,
                 random.Random(),
                 self.job_groups,
+                self.uploads,
             ),
             decisions=DecisionsApi(self.ring, token),
             probes=ProbesApi(self.counters.registry, self.not_ready),
--- a/src/leverjunction/gateway/slow_clients.py
+++ b/src/leverjunction/gateway/slow_clients.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 import threading
 from typing import Protocol
@@ -72,6 +73,10 @@
             _shut_down_reading(connection.socket)
         return len(slow)
 
+    def stop_reading(self) -> int:
+        """Stop reading from all connections whose requests are incomplete; returns their number."""
+        return self.check(math.inf)
+
     def _run(self) -> None:
         while not self._stopped.wait(CHECK_INTERVAL_S):
             self.check(steady_s())
--- a/src/testbed/simulation/gateway_front.py
+++ b/src/testbed/simulation/gateway_front.py
@@ -8,7 +8,7 @@
 
 from leverjunction.api.batches_lines import LineReader
 from leverjunction.api.batches_upload import JobUpload, UploadTerms
-from leverjunction.api.completions import stopping_failure
+from leverjunction.api.errors import stopping_failure
 from leverjunction.backends.types import COMPLETION_PATH
 from leverjunction.batch.commands import CancelJob, GetResults, JobView, ResultPage
 from leverjunction.batch.directory import JobDirectory
--- a/tests/unit/test_batch_api.py
+++ b/tests/unit/test_batch_api.py
@@ -30,6 +30,7 @@
 )
 from leverjunction.clock import SystemClock
 from leverjunction.errors import Execution, Failure, FailureKind, Step
+from leverjunction.gateway.inflight import InflightRequests
 from leverjunction.settings.resolved import ResolvedSettings
 from leverjunction.wire.messages import SettingRow
 
@@ -56,7 +57,12 @@
         self.control = LocalControl(SystemClock().wall_ms)
         settings = ResolvedSettings.from_rows(_rows())
         api = BatchApi(
-            self.control, lambda: settings, SystemClock(), random.Random(1), lambda: GROUPS
+            self.control,
+            lambda: settings,
+            SystemClock(),
+            random.Random(1),
+            lambda: GROUPS,
+            InflightRequests(),
         )
         application = cherrypy.Application(api, "/v1")
         application.log.screen = False
