Requests that outlast the drain of a gateway get a whole answer

At the end of drain_timeout_s a caller whose back end had not answered got nothing: the process stayed until the back end answered, or until it was killed, which cut the connection. An open stream stopped without an error event, so that its caller saw a broken connection only.

Cause: the drain ended at a time that no wait for a back end knew; the server's stop then joined its worker threads without a limit. At the end of the drain, waits for a response head now end, at idempotent requests and others: the caller gets 504, execution unknown, nothing is sent to another back end, and the wait says nothing against the back end, whose run is cancelled. What has not been sent gets 503 not run. Open streams end with an error event.

--- a/src/leverjunction/gateway/admission_gate.py
+++ b/src/leverjunction/gateway/admission_gate.py
@@ -100,7 +100,7 @@
     ) -> Failure | None:
         while not granted.wait(POLL_INTERVAL_S):
             if self._stopping.is_set():
-                return _stopping_failure()
+                return stopping_failure(Step.QUEUEING)
             self.grant_slots(service, free_slots())
             with self._lock:
                 now_s = self._clock.monotonic_s()
@@ -131,11 +131,12 @@
             self._counters.queued.set(self._admission.waiting())
 
 
-def _stopping_failure() -> Failure:
+def stopping_failure(step: Step) -> Failure:
+    """Return the failure of a request that a stopping gateway no longer sends."""
     return Failure(
         kind=FailureKind.STOPPING,
         reason="this gateway is shutting down; send the request to another one",
-        step=Step.QUEUEING,
+        step=step,
         retry_after_s=1.0,
         execution=Execution.NOT_RUN,
     )
--- a/src/leverjunction/gateway/relay.py
+++ b/src/leverjunction/gateway/relay.py
@@ -69,7 +69,7 @@
         )
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
-        self._actions: deque[tuple[RelayStream, Action]] = deque()
+        self._actions: deque[tuple[RelayStream | None, Action]] = deque()
         self._streams: set[RelayStream] = set()
         self._helpers = ThreadPoolExecutor(REPAIR_THREADS, thread_name_prefix="stream-repair")
         self._thread = threading.Thread(target=self._run, name="relay", daemon=True)
@@ -119,6 +119,16 @@
         with self._idle:
             return self._idle.wait_for(lambda: self._open_count == 0, timeout_s)
 
+    def end_streams(self) -> None:
+        """End all open streams with an error event, since the process is about to end."""
+        self._actions.append((None, self._end_streams))
+        self._wake()
+
+    def _end_streams(self) -> None:
+        for stream in list(self._streams):
+            if not stream.finishing:
+                self._end_with_error(stream, _stopped_failure())
+
     def _post(self, stream: RelayStream, action: Action) -> None:
         self._actions.append((stream, action))
         self._wake()
@@ -379,6 +389,15 @@
     )
 
 
+def _stopped_failure() -> Failure:
+    return Failure(
+        kind=FailureKind.STOPPING,
+        reason="this gateway stopped before the response was complete",
+        step=Step.STOPPING,
+        execution=Execution.RAN,
+    )
+
+
 def _deadline_failure(stream: RelayStream) -> Failure:
     return Failure(
         kind=FailureKind.DEADLINE_EXCEEDED,
--- a/src/leverjunction/gateway/runtime.py
+++ b/src/leverjunction/gateway/runtime.py
@@ -219,8 +219,11 @@
         """Answer the requests that are still open, since the process is about to end."""
         self.uploads.refuse_unread()
         self.http_server.guard.stop_reading()
+        self.sender.stop()
+        self.relay.end_streams()
         deadline_s = steady_s() + LAST_ANSWERS_S
-        self.uploads.wait_idle(max(0.0, deadline_s - steady_s()))
+        for wait_idle in (self.inflight.wait_idle, self.relay.wait_idle, self.uploads.wait_idle):
+            wait_idle(max(0.0, deadline_s - steady_s()))
 
     def stop(self) -> None:
         """Stop listening and stop all threads."""
@@ -280,7 +283,7 @@
 
     def _online_service(self) -> OnlineService:
         decision_log = DecisionLog(self.ring, self.clock)
-        sender = Sender(
+        self.sender = Sender(
             self.engines,
             self.pool,
             self.gate,
@@ -293,7 +296,7 @@
         )
         streams = StreamDependencies(
             engines=self.engines,
-            sender=sender,
+            sender=self.sender,
             pool=self.pool,
             decision_log=decision_log,
             counters=self.counters,
@@ -303,7 +306,7 @@
             GatewayLocation(region=self.config.region, zone=self.config.zone),
             lambda: self.settings.current,
             self.gate,
-            sender,
+            self.sender,
             ClaimClient(self.control, self.job_groups, self.config.name),
             self.relay,
             streams,
--- a/src/leverjunction/gateway/sender.py
+++ b/src/leverjunction/gateway/sender.py
@@ -14,7 +14,7 @@
 from leverjunction.clock import Clock
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.gateway.admission import QueueLimits
-from leverjunction.gateway.admission_gate import AdmissionGate
+from leverjunction.gateway.admission_gate import AdmissionGate, stopping_failure
 from leverjunction.gateway.crashing_requests import CrashingRequests, accepts_connections
 from leverjunction.gateway.decision_log import DecisionLog
 from leverjunction.gateway.online_request import (
@@ -82,6 +82,7 @@
         self._counters = counters
         self._clock = clock
         self._budget_lock = threading.Lock()
+        self._stopping = threading.Event()
         self._cancels = PeerCalls(
             ThreadPoolExecutor(CANCEL_THREADS, thread_name_prefix="cancel"),
             CANCEL_THREADS,
@@ -96,6 +97,10 @@
         with self._budget_lock:
             self._budget.request(request.service, ratio, self._clock.monotonic_s())
 
+    def stop(self) -> None:
+        """End all waits for a back end's response; nothing is sent to another one after that."""
+        self._stopping.set()
+
     def cancel(self, address: str, request_id: str) -> None:
         """Cancel a request at an engine in a background thread.
 
@@ -133,6 +138,8 @@
             refusal = self.refusal(request, execution)
             if refusal is not None:
                 return refusal
+            if self._stopping.is_set():
+                return _with_execution(last_failure or stopping_failure(Step.SENDING), execution)
             route = self._route(request, attempt_number, tried, may_queue)
             may_queue = False
             if isinstance(route, Failure):
@@ -298,7 +305,7 @@
             lambda: self._pool.was_paused_since(route.pause_end_s),
         )
         if isinstance(stream, Failure):
-            return stream
+            return self._name_stop(stream)
         if stream.status == 200 and request.stream:
             return OpenResponse(stream=stream, attempt=attempt)
         return self._read_whole(stream, attempt)
@@ -306,13 +313,19 @@
     def _abort_check(self, request: OnlineRequest, attempt: Attempt) -> ShouldAbort | None:
         """Return the check that ends the wait for a response head, None if nothing ends it early.
 
-        The wait ends once the gateway that owns the runner reports the runner as unhealthy. A
-        request that must not be repeated keeps waiting: its response may still arrive, and it
-        cannot be sent to another runner.
+        The wait ends once the process is about to end, or once the gateway that owns the runner
+        reports the runner as unhealthy. A request that must not be repeated keeps waiting for an
+        unhealthy one: its response may still arrive, and it cannot be sent to another runner.
         """
         if not request.repeatable:
-            return None
-        return lambda: not self._pool.is_healthy(attempt.runner_id)
+            return self._stopping.is_set
+        return lambda: self._stopping.is_set() or not self._pool.is_healthy(attempt.runner_id)
+
+    def _name_stop(self, failure: Failure) -> Failure:
+        """Return what a failed attempt means: a wait that was ended says nothing of its runner."""
+        if not self._stopping.is_set() or failure.execution is Execution.NOT_RUN:
+            return failure
+        return _stopped_failure(failure.peer)
 
     def _read_whole(self, stream: EngineStream, attempt: Attempt) -> CompleteResponse | Failure:
         body = stream.read_all()
@@ -329,6 +342,11 @@
         )
 
     def _handle_failure(self, request: OnlineRequest, attempt: Attempt, failure: Failure) -> None:
+        if failure.step is Step.STOPPING:
+            self._pool.record_inconclusive(attempt.runner_id)
+            # Nobody will read its response.
+            self.cancel(attempt.address, request.request_id)
+            return
         if failure.kind in (FailureKind.OVERLOADED, FailureKind.NOT_FOUND, FailureKind.STALE):
             # The runner is healthy but rejected the request, or it was not sent.
             self._pool.record_inconclusive(attempt.runner_id)
@@ -342,7 +360,7 @@
             self.cancel(attempt.address, request.request_id)
 
     def _may_retry_attempt(self, request: OnlineRequest, failure: Failure, attempts: int) -> bool:
-        if not may_retry(failure, request.repeatable):
+        if self._stopping.is_set() or not may_retry(failure, request.repeatable):
             return False
         if attempts >= request.serving.max_attempts:
             return False
@@ -409,6 +427,16 @@
     )
 
 
+def _stopped_failure(peer: str) -> Failure:
+    return Failure(
+        kind=FailureKind.TIMEOUT,
+        reason="this gateway stopped before the back end responded",
+        step=Step.STOPPING,
+        peer=peer,
+        execution=Execution.UNKNOWN,
+    )
+
+
 def _deadline_failure(attempt: Attempt) -> Failure:
     return Failure(
         kind=FailureKind.DEADLINE_EXCEEDED,
--- a/tests/unit/test_gateway_planned_stop.py
+++ b/tests/unit/test_gateway_planned_stop.py
@@ -6,7 +6,7 @@
 import json
 import threading
 from collections.abc import Iterator
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -107,3 +107,48 @@
     caller.send(LINE[len(LINE) // 2 :])
     assert caller.getresponse().status == 200
     assert stopped.result()
+
+
+@pytest.mark.parametrize("stream", [False, True])
+def test_a_request_whose_back_end_outlasts_the_drain_gets_an_answer(
+    fleet: Fleet, threads: ThreadPoolExecutor, stream: bool
+) -> None:
+    fleet.gateway.config = fleet.gateway.config.model_copy(update={"drain_timeout_s": DRAIN_S})
+    for engine in fleet.engines:
+        engine.freeze_on_request = stream
+        engine.proceed.clear()
+    body = {"model": MODEL, "messages": [{"role": "user", "content": "x"}], "stream": stream}
+    answer: Future[object] = threads.submit(fleet.post, body)
+    try:
+        wait_until(lambda: fleet.started() == 1, "a back end has the request")
+        stopped = threads.submit(drain_and_stop, fleet)
+        response = answer.result(ANSWER_S)
+        assert not stopped.result(ANSWER_S)
+        assert response.status == 504  # type: ignore[attr-defined]
+        assert response.json()["error"]["execution"] == "unknown"  # type: ignore[attr-defined]
+        assert fleet.started() == 1
+    finally:
+        for engine in fleet.engines:
+            engine.proceed.set()
+            engine.unfreeze.set()
+
+
+def test_a_stream_that_outlasts_the_drain_ends_with_an_error(
+    fleet: Fleet, threads: ThreadPoolExecutor
+) -> None:
+    fleet.gateway.config = fleet.gateway.config.model_copy(update={"drain_timeout_s": DRAIN_S})
+    for engine in fleet.engines:
+        engine.block_from = 1
+        engine.proceed.clear()
+    body = {"model": MODEL, "messages": [{"role": "user", "content": "x"}], "stream": True}
+    answer = threads.submit(fleet.post, body)
+    try:
+        wait_until(lambda: fleet.open_streams() == 1, "the stream is open")
+        stopped = threads.submit(drain_and_stop, fleet)
+        data = answer.result(ANSWER_S).data
+        assert not stopped.result(ANSWER_S)
+        assert b'"error"' in data
+        assert b"[DONE]" not in data
+    finally:
+        for engine in fleet.engines:
+            engine.proceed.set()
