Tests of items' reports wait until the runner's loop runs

Cause: a fault of the tests.

The fixture now waits for the first report, and a new test holds the thread back, asks, lets it go and asks again, so that both orders are checked.

--- a/tests/unit/test_cli_items.py
+++ b/tests/unit/test_cli_items.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -16,7 +17,7 @@
 
 from leverjunction.cli.output import ExitCode
 from leverjunction.clock import SystemClock
-from leverjunction.errors import Failure
+from leverjunction.errors import Execution, Failure
 from leverjunction.lots.commands import LotAccepted, encode_command
 from leverjunction.lots.item_report import LOOP_TIMEOUT_S, ItemsReport, ReadItems
 from leverjunction.lots.runner import LotsRunner
@@ -37,10 +38,15 @@
     runner = LotsRunner(store, "z", PlatformDialect(), SystemClock(), Random(1))
     store.runner = runner
     runner.start()
+    wait_until(lambda: has_started(runner))
     yield runner
     runner.stop()
 
 
+def has_started(runner: LotsRunner) -> bool:
+    return not isinstance(runner.report_items(ReadItems()), Failure)
+
+
 def reported(runner: LotsRunner, item_id: str = "") -> ItemsReport:
     report = runner.report_items(ReadItems(item_id=item_id))
     assert isinstance(report, ItemsReport), report
@@ -72,8 +78,26 @@
     assert {line.reason for line in report.items} == {"no_leader"}
 
 
+def test_a_runner_whose_loop_has_not_started_is_reported(
+    store: OneStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    runner = LotsRunner(store, "z", PlatformDialect(), SystemClock(), Random(1))
+    store.runner = runner
+    may_start = threading.Event()
+    run_loop = runner._thread._target  # type: ignore[attr-defined]
+    held = threading.Thread(target=lambda: may_start.wait() and run_loop(), daemon=True)
+    monkeypatch.setattr(runner, "_thread", held)
+    runner.start()
+    failure = runner.report_items(ReadItems())
+    assert isinstance(failure, Failure)
+    assert "event loop of the lots runner has not started" in failure.reason
+    assert failure.execution is Execution.NOT_RUN
+    may_start.set()
+    wait_until(lambda: has_started(runner))
+    runner.stop()
+
+
 def test_a_loop_that_hangs_is_reported(store: OneStore, runner: LotsRunner) -> None:
-    wait_until(lambda: not isinstance(runner.report_items(ReadItems()), Failure))
     assert runner._loop is not None
     runner._loop.call_soon_threadsafe(time.sleep, LOOP_TIMEOUT_S + 1.0)
     failure = runner.report_items(ReadItems())
@@ -82,7 +106,6 @@
 
 
 def test_a_runner_that_has_stopped_is_reported(store: OneStore, runner: LotsRunner) -> None:
-    wait_until(lambda: not isinstance(runner.report_items(ReadItems()), Failure))
     runner.stop()
     failure = runner.report_items(ReadItems())
     assert isinstance(failure, Failure)
