A call whose body a stop cuts short is not refused as invalid

An operator's configuration, a heartbeat or a leave announcement that was still arriving when a control process stopped got 400: its caller took a valid call for an invalid one and did not send it elsewhere. A leave announcement of which no byte of the body had come was even carried out.

Cause: when the stop has waited long enough, the server ends the read, and the handler parsed whatever had arrived. Such a call now gets 503, and nothing of it is carried out.

Evidence: the test (three kinds of calls) got 400 before and passes now.

--- a/src/leverjunction/platform/control_calls.py
+++ b/src/leverjunction/platform/control_calls.py
@@ -112,6 +112,9 @@
             body = environ["wsgi.input"].read()
         else:
             body = environ["wsgi.input"].read(length) if length > 0 else b""
+            if len(body) < length:
+                # The server stopped reading it, or its caller left: it says nothing of the call.
+                return UNAVAILABLE_STATUS, b"{}"
         return handler(self, name, body)
 
 
--- a/tests/unit/test_http_thread_stop.py
+++ b/tests/unit/test_http_thread_stop.py
@@ -7,9 +7,12 @@
 import threading
 from collections.abc import Callable, Iterator
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 
+from leverjunction.platform.control_calls import ControlCalls
+from leverjunction.registry.node import RegistryNode
 from leverjunction.wire.http_thread import HttpServer, HttpServerOptions
 
 WAIT_S = 30.0
@@ -23,18 +26,20 @@
     return [ANSWER]
 
 
+OPTIONS = HttpServerOptions(
+    name="calls",
+    server_name="test",
+    threads=2,
+    backlog=16,
+    idle_timeout_s=10,
+    keep_alive_connections=16,
+)
+
+
 @pytest.fixture
 def server() -> Iterator[HttpServer]:
     """A server whose accept loop does not run, so that connections wait in the listener's queue."""
-    options = HttpServerOptions(
-        name="calls",
-        server_name="test",
-        threads=2,
-        backlog=16,
-        idle_timeout_s=10,
-        keep_alive_connections=16,
-    )
-    server = HttpServer("127.0.0.1", 0, _app, options)
+    server = HttpServer("127.0.0.1", 0, _app, OPTIONS)
     server._server.prepare()
     yield server
     server.stop()
@@ -110,3 +115,23 @@
             caller.settimeout(WAIT_S)
             assert caller.recv(4096).endswith(ANSWER)
     assert len(outcomes) == 1
+
+
+@pytest.mark.parametrize(
+    "path", ["/api/Config.Replace", "/api/Instances.Heartbeat/r", "/api/Instances.Leave/r"]
+)
+def test_a_call_whose_body_a_stop_cuts_short_is_not_called_invalid(path: str) -> None:
+    """Its caller sends it to another process; a refusal would tell it not to."""
+    node = Mock(spec=RegistryNode)
+    server = HttpServer("127.0.0.1", 0, ControlCalls(node), OPTIONS)
+    server.start()
+    server._server.shutdown_timeout = 0.3
+    caller = _connect(server)
+    caller.putrequest("POST", path)
+    caller.putheader("Content-Length", "1000")
+    caller.endheaders(b"{")
+    while all(worker.conn is None for worker in server._server.requests._threads):
+        threading.Event().wait(0.01)
+    server.stop()
+    assert caller.getresponse().status == 503
+    assert not node.mock_calls
