A caller that still sends a refused request gets the answer

A caller that was refused before its whole body had come (413, 408, 400, or 503 as a gateway stops) was reset while it still sent: many clients read the answer only after they have sent everything, and saw a broken pipe.

Cause: closing a socket with unread bytes resets the connection. A refused incomplete request now ends with a half-close; what still comes is dropped for at most a second, then the connection is closed. Such a connection counts as busy, so that a planned stop does not close it earlier. Nothing else lingers.

Evidence: the test sends its body slowly on after the limit; "Broken pipe" before, 413 read now, and a caller that sends on for ever is closed.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -25,6 +25,9 @@
 from leverjunction.routes.types import RequestLimits
 
 CONTINUE_STATUS = 100
+LINGER_MS = 1000.0
+"""Time for a caller that is still sending a refused request to read the answer."""
+
 FIRST_REQUEST_S = 0.5
 """Time for which a new connection without a request counts as busy.
 
@@ -295,6 +298,7 @@
         self._is_paused = False
         self._closes_when_sent = False
         self._is_ending = False
+        self._is_lingering = False
         self._responder: Responder | None = None
         self.kept = KeptAnswer()
 
@@ -309,7 +313,7 @@
     def is_busy(self) -> bool:
         """Whether a request is in progress or probably in transit."""
         is_due = self._loop.time() < self._request_due_until_s
-        return self._is_receiving or is_due or self.is_answering
+        return self._is_receiving or self._is_lingering or is_due or self.is_answering
 
     def count_kept(self) -> tuple[int, int]:
         """Return the bytes that wait to be sent, and those that were sent so far."""
@@ -336,7 +340,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pipelined requests wait until the current one is answered."""
-        if self._closes_when_sent:
+        if self._closes_when_sent or self._is_lingering:
             return
         try:
             self._h11.receive_data(data)
@@ -543,8 +547,7 @@
             b"".join(self._body),
             self._loop.time(),
         )
-        self._request, self._body, self._body_bytes = None, [], 0
-        self._is_receiving = False
+        self._drop_request()
         self._task = self._loop.create_task(self._handle(request))
 
     async def _handle(self, request: CallerRequest) -> None:
@@ -605,4 +608,21 @@
             with contextlib.suppress(h11.LocalProtocolError):
                 self.write_event(h11.Response(status_code=status, headers=headers))
                 self.write_event(h11.EndOfMessage())
-        self.close()
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close after the caller has read the answer, dropping what it still sends meanwhile.
+
+        Closing a socket with unread bytes resets the connection, which may lose the answer.
+        """
+        self._drop_request()
+        if self._transport is None or self._transport.is_closing() or self._pieces:
+            self.close()
+            return
+        self._is_lingering = True
+        self._transport.write_eof()
+        self._set_timer(LINGER_MS, self.close)
+
+    def _drop_request(self) -> None:
+        self._request, self._body, self._body_bytes = None, [], 0
+        self._is_receiving = False
--- a/tests/unit/test_proxy_contract.py
+++ b/tests/unit/test_proxy_contract.py
@@ -293,6 +293,32 @@
         assert not runner.seen
 
 
+def test_a_caller_that_still_sends_a_refused_body_gets_the_answer(
+    first: RunnerStandIn, paused_s: Callable[[], float]
+) -> None:
+    table = RouteTable(
+        version=1,
+        routes=make_full_table().routes,
+        services=make_full_table().services,
+        limits=RequestLimits(max_body_bytes=100),
+    )
+    with Proxy(table, [first]) as proxy:
+        caller = proxy.caller()
+        caller._socket.sendall(b"POST /once/x HTTP/1.1\r\nHost: a\r\nContent-Length: 500\r\n\r\n")
+        for _ in range(5):
+            # Many clients read the answer only after they have sent the whole request.
+            caller._socket.sendall(b"x" * 100)
+            time.sleep(0.05)
+        began_s = time.monotonic()
+        answer = b"".join(iter(lambda: caller._socket.recv(100), b""))
+        assert answer.startswith(b"HTTP/1.1 413")
+        # Nobody may hold the connection by sending on.
+        with pytest.raises(OSError):
+            while time.monotonic() < began_s + 3.0 + paused_s():
+                caller._socket.sendall(b"x")
+                time.sleep(0.05)
+
+
 def test_a_request_head_that_does_not_end_times_out(
     first: RunnerStandIn, paused_s: Callable[[], float]
 ) -> None:
