--- a/src/leverjunction/platform/control_calls.py
+++ b/src/leverjunction/platform/control_calls.py
@@ -26,12 +26,13 @@
 """Bytes of the framing of a chunked body."""
 
 READ_BYTES = 64 * 1024
+TOO_LARGE_STATUS = 413
 UNAVAILABLE_STATUS = 503
 _STATUS_BY_KIND = {
     FailureKind.BAD_REQUEST: 400,
     FailureKind.NOT_FOUND: 404,
     FailureKind.CONFLICT: 409,
-    FailureKind.TOO_LARGE: 413,
+    FailureKind.TOO_LARGE: TOO_LARGE_STATUS,
 }
 _RUNNER_STATES = {"ready": RunnerState.READY, "draining": RunnerState.LEAVING}
 
@@ -112,7 +113,11 @@
         if handler is None:
             return 404, b"{}"
         body = read_body(environ)
-        return (413, b"{}") if body is None else handler(self, name, body)
+        if body is None:
+            return TOO_LARGE_STATUS, b"{}"
+        if _is_cut_short(environ, body):
+            return UNAVAILABLE_STATUS, b"{}"
+        return handler(self, name, body)
 
 
 def read_body(environ: dict[str, Any]) -> bytes | None:
@@ -125,7 +130,18 @@
     return bytes(environ["wsgi.input"].read(length)) if length > 0 else b""
 
 
+def _is_cut_short(environ: dict[str, Any], body: bytes) -> bool:
+    """Return whether the server stopped reading a body, or its caller left.
+
+    What came of it says nothing of the call.
+    """
+    return not environ.get("HTTP_TRANSFER_ENCODING") and len(body) < int(
+        environ.get("CONTENT_LENGTH") or 0
+    )
+
+
 def _read_chunks(source: Any) -> bytes | None:
+    """Return a chunked body, None if it is too large."""
     # Cheroot bounds neither the body nor a line with the size of a chunk.
     source.maxlen = MAX_BODY_BYTES + MAX_FRAMING_BYTES
     source.rfile = SizeCheckWrapper(source.rfile, source.maxlen)
--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -41,10 +41,8 @@
 crosses the close would not be answered.
 """
 
-LINGER_MS = 500.0
-"""Time without input after which a connection that was answered is closed, if its caller has not
-closed it before, while the process is stopping.
-"""
+LINGER_MS = 1000.0
+"""Time for a caller that still sends to read its answer, before its connection is closed."""
 
 READ_PAUSE_S = 0.25
 """Longest pause in reading from a back end because of its caller. Back ends cut an answer that
@@ -405,10 +403,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; pipelined requests wait until the current one is answered."""
-        if self._is_lingering:
-            self._set_timer(LINGER_MS, self.close)
-            return
-        if self._closes_when_sent:
+        if self._closes_when_sent or self._is_lingering:
             return
         try:
             self._h11.receive_data(data)
@@ -532,19 +527,18 @@
         if self._transport is not None and not self._pieces:
             self._transport.close()
 
-    def _close_after_answer(self) -> None:
-        """Close once the answer has been sent, and while stopping, once the caller has closed.
+    def _close_after_answer(self, is_unread: bool = False) -> None:
+        """Close once the answer has been sent and, where more may come, the caller has closed.
 
         A socket that is closed with unread input, or that receives more, resets its connection:
         the caller could no longer receive the rest of its answer.
+
+        Args:
+            is_unread: Whether the request was not received to its end.
         """
         transport = self._transport
-        if (
-            transport is None
-            or self._pieces
-            or not self._port.draining
-            or not transport.can_write_eof()
-        ):
+        may_receive = is_unread or self._port.draining
+        if transport is None or self._pieces or not may_receive or not transport.can_write_eof():
             self.close()
             return
         try:
@@ -734,4 +728,4 @@
                 self.write_event(h11.Response(status_code=status, headers=headers))
                 self.write_event(h11.EndOfMessage())
         self._drop_body()
-        self._close_after_answer()
+        self._close_after_answer(is_unread=True)
--- a/src/leverjunction/wire/http_thread.py
+++ b/src/leverjunction/wire/http_thread.py
@@ -7,6 +7,9 @@
 
 import msgspec
 from cheroot import wsgi
+from cheroot.connections import ConnectionManager
+
+from leverjunction.wire.draining_connections import DrainingConnectionManager
 
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes of the request line and of all header fields of a request; Cheroot has no bound."""
@@ -40,6 +43,17 @@
     max_body_bytes: int = MAX_BODY_BYTES
 
 
+class _Server(wsgi.Server):
+    """Server that answers the calls which had arrived before it was stopped."""
+
+    _connections: ConnectionManager
+
+    def prepare(self) -> None:
+        super().prepare()
+        self._connections.close()
+        self._connections = DrainingConnectionManager(self)
+
+
 class HttpServer:
     """Serves a WSGI application in its own thread.
 
@@ -52,7 +66,7 @@
 
     def __init__(self, host: str, port: int, app: Any, options: HttpServerOptions) -> None:
         self._name = options.name
-        self._server = wsgi.Server(
+        self._server = _Server(
             (host, port),
             app,
             numthreads=options.threads,
@@ -99,7 +113,10 @@
         self._server.serve()
 
     def stop(self) -> None:
-        """Stop serving. Requests in progress have Cheroot's shutdown timeout to finish."""
+        """Answer the calls that have arrived, then stop serving.
+
+        Calls in progress have Cheroot's shutdown timeout to finish.
+        """
         self._server.stop()
         if self._thread is not None:
             self._thread.join()
