A planned stop under callers that keep their connections, on real processes

Three control processes, three gateways and eight back ends, of which one is silent and one is slow; 40 callers use their connections until the process is gone, with streams of 0.9 s, of 7 s, or of 1 to 7 s and short requests by turns. The gateway gets SIGTERM, and SIGKILL 8 s later. Each request that was read must get a whole answer; not counted is what LOST leaves out. A run without requests that were sent later than 3 s after the SIGTERM fails.

A connection that has ended before a request is sent takes none: nobody could read it.

--- a/deploy/soak/machines.py
+++ b/deploy/soak/machines.py
@@ -200,8 +200,12 @@
                 self._process.wait()
             self._paused = False
 
-    def stop(self) -> int | None:
-        """End the process as planned; return its exit status, None if it didn't end in time."""
+    def stop(self, grace_s: float = STOP_TIMEOUT_S) -> int | None:
+        """End the process as planned; return its exit status, None if it didn't end in time.
+
+        Args:
+            grace_s: Time after which it is killed, in seconds.
+        """
         with self._lock:
             process = self._process
             self._wanted = False
@@ -211,12 +215,18 @@
             self.go_on()
             process.send_signal(signal.SIGTERM)
         try:
-            return process.wait(STOP_TIMEOUT_S)
+            return process.wait(grace_s)
         except subprocess.TimeoutExpired:
             process.kill()
             process.wait()
             return None
 
+    def signal(self, number: signal.Signals) -> None:
+        """Send its process a signal, if it is there."""
+        with self._lock:
+            if self._process is not None and self._process.poll() is None:
+                self._process.send_signal(number)
+
     def pause(self) -> None:
         """Let it stand still."""
         with self._lock:
--- a/deploy/soak/words.py
+++ b/deploy/soak/words.py
@@ -76,17 +76,19 @@
 
 EXPECTED_RUNNER = EXPECT_INSTANCE.lower()
 DUE_MS = 20_000
+TIMEOUT_MS = 3_000
 MAX_WAIT_S = 900
 
 _KINDS = {"once": "non_idempotent", "repeatable": "idempotent", "stream": "streaming"}
 
 
-def table(version: int, shares: Shares) -> bytes:
+def table(version: int, shares: Shares, timeout_ms: int = TIMEOUT_MS) -> bytes:
     """Return a whole configuration; it has a route of its own, by which it is told apart.
 
     Args:
         version: Its number.
         shares: Where batch jobs go.
+        timeout_ms: Timeout of each route, in milliseconds.
     """
     routes = [_route(kind, f"/{kind}/", word) for kind, word in _KINDS.items()]
     if shares:
@@ -96,6 +98,8 @@
         routes.append({**batch, "TrafficSplit": split})
     routes.append(_route("resumable", RESUMABLE_FOLDER, "streaming", Resumable=True))
     routes.append(_route("version", version_folder(version), "idempotent"))
+    for route in routes:
+        route["TimeoutMs"] = timeout_ms
     services = [{"Name": name, "HealthPath": "/health", "MaxConnections": 200} for name in SERVICES]
     return json.dumps({"Version": version, "Routes": routes, "Services": services}).encode()
 
@@ -181,7 +185,7 @@
         "Hostname": HOST,
         "PathPrefix": prefix,
         "RouteKind": kind,
-        "TimeoutMs": 3000,
+        "TimeoutMs": TIMEOUT_MS,
         "TargetLatencyMs": 300,
         "Service": SERVICE,
         "MaxAttempts": 3,
--- a/src/testbed/routed/caller.py
+++ b/src/testbed/routed/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import time
 
@@ -81,6 +82,17 @@
         self.send(method, target, headers, body)
         return self.receive()
 
+    def has_ended(self) -> bool:
+        """Return whether the other side has closed the connection: it reads nothing more."""
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN)
+        if not poll.poll(0):
+            return False
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return True
+
     def close(self) -> None:
         """Leave."""
         self._socket.close()
--- a/tests/unit/resumed_streams_support.py
+++ b/tests/unit/resumed_streams_support.py
@@ -32,16 +32,16 @@
 SOAK = Path(__file__).resolve().parent.parent.parent / "deploy" / "soak"
 
 
-def _of_soak(name: str) -> ModuleType:
+def of_soak(name: str) -> ModuleType:
     if str(SOAK) not in sys.path:
         sys.path.append(str(SOAK))
     return importlib.import_module(name)
 
 
-machines = _of_soak("machines")
-records = _of_soak("records")
-words = _of_soak("words")
-configuring = _of_soak("configuring")
+machines = of_soak("machines")
+records = of_soak("records")
+words = of_soak("words")
+configuring = of_soak("configuring")
 
 OLD = "v1"
 NEW = "v1.1"
@@ -131,6 +131,11 @@
         """Whether a request has reached it."""
         return bool(self._stand_in.seen)
 
+    @property
+    def stand_in(self) -> RunnerStandIn:
+        """What answers the requests."""
+        return self._stand_in
+
     def silence(self) -> None:
         """Tell of itself no more."""
         self._ending.set()
