Soak: planned stops in series and overlapping, judged by each request

One or two gateways get SIGTERM, beside silent and slow runners, bursts, changes of the configuration with SIGHUP, a second SIGTERM, pauses of another process and stops during the start. A promise of its own says that each request which was read gets a whole answer, by what callers and runners saw.

--- a/deploy/soak/__main__.py
+++ b/deploy/soak/__main__.py
@@ -25,7 +25,7 @@
 from broken import RULES
 from calm import CalmWatch
 from closing import AT_THE_END, CLOSINGS, WORST, close, crash_runners
-from faults import FAULTS, ONLY_NAMED, OUT_OF_STEP, REFUSALS, RELEASES, SEPARABLE
+from faults import FAULTS, ONLY_NAMED, OUT_OF_STEP, REFUSALS, RELEASES, SEPARABLE, STOPS
 from figures import keep_figures
 from hands import Hands
 from lots import SHAPES, SMALL
@@ -34,8 +34,10 @@
 from records import FIRST_S, Records, broken_limits, broken_promises, clock, first_ends
 from rest import Rest
 from resuming import Service, broken_resumptions, compared, logged_resumptions
+from stop_records import judge_stops
 from traffic import REFUSALS as WITH_REFUSALS
 from traffic import RELEASES as WITH_RELEASES
+from traffic import STOPS as WITH_STOPS
 from traffic import Traffic, TrafficShape
 
 READY_TIMEOUT_S = 60.0
@@ -179,6 +181,11 @@
     services = traffic.backends.served()
     logs = (machine.log() for machine in deployment.of("gateway"))
     broken += broken_resumptions(records, services, logs)
+    stops = judge_stops(records.stop_requests, traffic.backends.stop_runs(), records.stops)
+    broken += [f"planned stop: {line}" for line in stops.cut + stops.broken]
+    if records.stops:
+        print(stops.text())
+        records.notes += [f"cut without a stop: {line}" for line in stops.cut_elsewhere]
     _report(deployment, records, traffic, broken)
     (folder / "strikes.log").write_text("\n".join([*records.blows, "", *broken, ""]))
     (folder / "crashes.log").write_text("".join(_crash_lines(records, traffic)))
@@ -224,6 +231,8 @@
 def _shape_for(kinds: list[str]) -> TrafficShape:
     """Return the traffic that faults of these kinds need."""
     hands = {FAULTS[kind].hand for kind in kinds}
+    if STOPS in hands:
+        return WITH_STOPS
     if RELEASES in hands:
         return WITH_RELEASES
     return WITH_REFUSALS if REFUSALS in hands else TrafficShape()
--- a/deploy/soak/backends.py
+++ b/deploy/soak/backends.py
@@ -12,6 +12,8 @@
 from owners import Owners
 from relay import Relay
 from resuming import Service
+from stop_callers import run_of
+from stop_records import StopRun
 
 from testbed.routed import RunnerStandIn, Seen
 
@@ -238,6 +240,12 @@
             if seen.target.startswith(words.BATCH_FOLDER)
         ]
 
+    def stop_runs(self) -> list[StopRun]:
+        """Return the requests that it did not decline, as planned stops are judged by them."""
+        own = self._own(self.stand_in.seen[:])
+        taken = [seen for seen in own if not seen.behaviour.startswith(NOT_RUN)]
+        return [run_of(seen, has_broken_off=self._has_crashed) for seen in taken]
+
     def deadly_runs(self) -> list[tuple[str, float]]:
         """Return the deadly requests that it began, with their times in monotonic seconds."""
         return [(_id_of(seen), seen.began_s) for seen in self.stand_in.begun[:]]
@@ -378,6 +386,10 @@
         """Return how often each id was run."""
         return Counter(item for runner in self.all() for item in runner.executions())
 
+    def stop_runs(self) -> list[StopRun]:
+        """Return all requests that runners did not decline."""
+        return [run for runner in self.all() for run in runner.stop_runs()]
+
     def longest_wait_s(self) -> float:
         """Return the longest time for which a request waited for a slot, in seconds."""
         return max(runner.longest_wait_s() for runner in self.all())
--- a/deploy/soak/broken.py
+++ b/deploy/soak/broken.py
@@ -25,6 +25,7 @@
 from leverjunction.platform.roles import main
 from leverjunction.proxy import caller_connection, forwarding
 from leverjunction.proxy.answer_owner import CarriedRequests
+from leverjunction.proxy.stop_schedule import StopSchedule
 from leverjunction.proxy.stream_origins import StreamOrigins
 from leverjunction.quarantine import suspects
 from leverjunction.quarantine.verdicts import Standing
@@ -120,6 +121,12 @@
     RpcClient.call = answered_too_late  # type: ignore[method-assign, assignment]
 
 
+@_rule
+def _take_without_schedule() -> None:
+    """A gateway that stops takes requests that it has no time for."""
+    StopSchedule.refuses = lambda *_arguments, **_options: False  # type: ignore[method-assign]
+
+
 @_rule
 def _repeat_ids() -> None:
     """A connection to a runner carries the same request again after a refusal."""
--- a/deploy/soak/configuring.py
+++ b/deploy/soak/configuring.py
@@ -22,6 +22,7 @@
     Attributes:
         shares: Where batch jobs go from the next configuration on.
         acknowledged: Set at each change that was acknowledged.
+        timeout_ms: Timeout of the routes from the next configuration on.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self._hurry = 0
         self._version = 0
         self.shares = FIRST_SHARES
+        self.timeout_ms = words.TIMEOUT_MS
 
     def move(self, shares: words.Shares) -> None:
         """Have batch jobs go elsewhere."""
@@ -87,7 +89,7 @@
 
     def _change(self, random: Random, shares: words.Shares) -> bool:
         self._version += random.randint(1, 3)
-        body = words.table(self._version, shares)
+        body = words.table(self._version, shares, self.timeout_ms)
         if self._call(random, "POST", words.REPLACE_PATH, body) is None:
             return False
         self._records.configured(self._version, time.monotonic())
--- a/deploy/soak/faults.py
+++ b/deploy/soak/faults.py
@@ -5,15 +5,19 @@
 
 from __future__ import annotations
 
+import signal
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 from itertools import count
 from random import Random
 
 import words
 from machines import Machine, Machines
 from relay import Relay
+from stop_callers import fall_silent
+from stop_records import GRACE_S, PlannedStop
 from traffic import Traffic
 
 REPAIR_S = 8.0
@@ -45,6 +49,37 @@
 """
 
 REFUSING_S = (0.5, 2.0)
+STOPS = "planned stops"
+"""Hand of the planned stops that are judged by what becomes of each request; a soak that names them
+has callers that keep their connections.
+"""
+
+STOPPED = (1, 1, 2)
+"""Gateways that are stopped by one fault."""
+
+STOPS_APART_S = 4.0
+"""Longest time from the stop of one gateway to that of another."""
+
+STOPS_BESIDE = 3
+"""Most other things that happen beside a stop."""
+
+SILENT_REQUESTS = (1, 12)
+SLOWED = (2.0, 8.0)
+BURST_CALLERS = (10, 40)
+BURST_S = (1.0, 6.0)
+AGAIN_S = (0.0, 6.0)
+"""Shortest and longest time from a SIGTERM to a second one."""
+
+PAUSED_S = (0.3, 3.0)
+BEGINNING_S = (0.0, 1.5)
+"""Shortest and longest time from the start of a process to its stop."""
+
+STOPPED_TWICE = 0.3
+"""Share of the stops in which the process gets a second SIGTERM."""
+
+STOPPED_IN_START = 0.3
+"""Share of the stops after which the process is stopped once more during its start."""
+
 RELEASES = "releases"
 """Hand of the faults around releases; a soak that names one of them has the traffic for it."""
 
@@ -55,6 +90,7 @@
     {
         "bad items",
         "deadly part",
+        "planned stops",
         "refusals answered twice",
         "release",
         "two releases",
@@ -687,6 +723,101 @@
     _strike_apart(scene, [(_gateways_out_of_step, 0.0), (_release, _apart_s(scene)), *breaks])
 
 
+@_fault(STOPS)
+def _planned_stops(scene: Scene) -> None:
+    """Stop one or two gateways, the one after the other or overlapping, beside other things."""
+    gateways = scene.random.sample(scene.machines.of("gateway"), scene.random.choice(STOPPED))
+    others = [machine for machine in scene.machines.all if machine not in gateways]
+    beside = scene.random.sample(BESIDE_STOPS, scene.random.randint(0, STOPS_BESIDE))
+    works = [partial(act, _own_scene(scene), gateways, others) for act in beside]
+    works += [partial(_stop_and_start, _own_scene(scene), machine) for machine in gateways]
+    kinds = [act.__name__.strip("_").replace("_", " ") for act in beside]
+    began_s = time.time()
+    threads = [threading.Thread(target=work, daemon=True) for work in works]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    for kind in (*kinds, *(f"stop of {machine.name}" for machine in gateways)):
+        scene.traffic.note_strike(kind, began_s)
+
+
+def _stop_and_start(scene: Scene, machine: Machine) -> None:
+    scene.last(0.0, STOPS_APART_S)
+    _stop(scene, machine)
+    scene.last(0.0, 1.0)
+    machine.start()
+    if scene.random.random() < STOPPED_IN_START:
+        scene.last(*BEGINNING_S)
+        _stop(scene, machine)
+        machine.start()
+
+
+def _stop(scene: Scene, machine: Machine) -> None:
+    has_started = machine.answers()
+    if not machine.process_id:
+        return
+    again = threading.Timer(scene.random.uniform(*AGAIN_S), machine.signal, (signal.SIGTERM,))
+    if scene.random.random() < STOPPED_TWICE:
+        again.start()
+    at_s = time.monotonic()
+    status = machine.stop(GRACE_S)
+    again.cancel()
+    scene.traffic.note_stop(PlannedStop(machine.name, at_s, time.monotonic(), status, has_started))
+
+
+def _silent_runner(scene: Scene, _gateways: list[Machine], _others: list[Machine]) -> None:
+    scene.last(0.0, STOPS_APART_S)
+    stand_in = scene.traffic.backends.now[scene.any_runner()].stand_in
+    fall_silent(stand_in, scene.random.randint(*SILENT_REQUESTS))
+
+
+def _slow_runner(scene: Scene, _gateways: list[Machine], _others: list[Machine]) -> None:
+    stand_in = scene.traffic.backends.now[scene.any_runner()].stand_in
+    stand_in.slowdown = scene.random.uniform(*SLOWED)
+    stand_in.told_slowdown = scene.random.choice((1.0, stand_in.slowdown))
+    scene.last(GRACE_S / 2, GRACE_S)
+    stand_in.slowdown = stand_in.told_slowdown = 1.0
+
+
+def _burst(scene: Scene, _gateways: list[Machine], _others: list[Machine]) -> None:
+    scene.last(0.0, STOPS_APART_S)
+    ending = threading.Event()
+    timer = threading.Timer(scene.random.uniform(*BURST_S), ending.set)
+    timer.start()
+    scene.traffic.burst(scene.random, scene.random.randint(*BURST_CALLERS), ending)
+
+
+def _change_and_hangup(scene: Scene, gateways: list[Machine], _others: list[Machine]) -> None:
+    scene.last(0.0, STOPS_APART_S)
+    scene.traffic.operator.storm(scene.random.randint(*STORM_CHANGES))
+    for machine in gateways:
+        scene.last(0.0, 0.5)
+        machine.signal(signal.SIGHUP)
+
+
+def _other_paused(scene: Scene, _gateways: list[Machine], others: list[Machine]) -> None:
+    scene.last(0.0, STOPS_APART_S)
+    machine = scene.random.choice(others)
+    machine.pause()
+    scene.last(*PAUSED_S)
+    machine.go_on()
+
+
+BESIDE_STOPS = (
+    _silent_runner,
+    _slow_runner,
+    _burst,
+    _change_and_hangup,
+    _other_paused,
+)
+
+
+def _own_scene(scene: Scene) -> Scene:
+    random = Random(scene.random.getrandbits(48))
+    return Scene(scene.machines, scene.traffic, random, scene.disks)
+
+
 def _apart_s(scene: Scene) -> float:
     return scene.random.choice((0.0, scene.random.uniform(0.0, APART_S)))
 
--- a/deploy/soak/hands.py
+++ b/deploy/soak/hands.py
@@ -6,7 +6,7 @@
 import time
 from random import Random
 
-from faults import FAULTS, REFUSALS, RELEASES, Disks, Scene
+from faults import FAULTS, REFUSALS, RELEASES, STOPS, Disks, Scene
 from machines import Machines
 from records import Records
 from traffic import Traffic
@@ -24,6 +24,7 @@
     "uneven runners": (1, 0.5, 4.0),
     REFUSALS: (1, 0.2, 1.0),
     RELEASES: (2, 0.5, 3.0),
+    STOPS: (1, 0.5, 2.0),
 }
 """How many hands strike from a list, and the shortest and longest pause of each between two blows,
 in seconds.
@@ -56,7 +57,7 @@
         drawn = Random(f"{seed} pace").choice(PACES)
         for hand, (count, shortest_s, longest_s) in HANDS.items():
             own = [kind for kind in kinds if FAULTS[kind].hand == hand]
-            pace = 1.0 if hand in (REFUSALS, RELEASES) else drawn
+            pace = 1.0 if hand in (REFUSALS, RELEASES, STOPS) else drawn
             for number in range(count if own else 0):
                 random = Random(f"{seed} {hand} {number}")
                 scene = Scene(machines, traffic, random, disks)
--- a/deploy/soak/records.py
+++ b/deploy/soak/records.py
@@ -6,6 +6,8 @@
 import time
 from collections import Counter
 
+from stop_records import PlannedStop, StopRequest
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 OK = 200
 LOT_CRASHES = 6
@@ -241,6 +243,8 @@
         most_open: Most items that were open at once.
         under_way: Samples of the runs of items that were under way.
         report_s: How long a runner took to tell its load.
+        stops: Planned stops of gateways that nothing else struck.
+        stop_requests: Requests of callers that keep their connections through planned stops.
         rest_s: Time in calm until all was at its end.
         beside_deadly_s: Time from then on until that was so of jobs with deadly items.
     """
@@ -262,6 +266,8 @@
         self.most_open = 0
         self.under_way: list[int] = []
         self.report_s: list[float] = []
+        self.stops: list[PlannedStop] = []
+        self.stop_requests: list[StopRequest] = []
         self.rest_s = 0.0
         self.beside_deadly_s = 0.0
         self.lock = threading.Lock()
--- a/deploy/soak/traffic.py
+++ b/deploy/soak/traffic.py
@@ -17,6 +17,8 @@
 from machines import Machines
 from owners import Owners
 from records import Records
+from stop_callers import LIMIT_MS, STREAMS_S, StopCallers
+from stop_records import PlannedStop
 
 RUNNERS = 8
 MACHINES_OF_RUNNER = 1.5
@@ -41,9 +43,10 @@
         shape: What the runners are.
         streamers: Callers of streams that are resumed where they broke off.
         patience_s: Time after which these give up a stream.
+        stop_callers: Callers that keep their connections through planned stops.
     """
 
-    __slots__ = ("patience_s", "runners", "shape", "streamers")
+    __slots__ = ("patience_s", "runners", "shape", "stop_callers", "streamers")
 
     def __init__(
         self,
@@ -51,7 +54,9 @@
         shape: RunnersShape | None = None,
         streamers: int = STREAMERS,
         patience_s: float = STREAM_PATIENCE_S,
+        stop_callers: int = 0,
     ) -> None:
+        self.stop_callers = stop_callers
         self.runners = runners
         self.shape = shape or RunnersShape()
         self.streamers = streamers
@@ -69,6 +74,12 @@
 REFUSALS = TrafficShape(runners=4)
 """Two runners of each service: a request that both refuse comes to the first one again."""
 
+STOP_SHARES = {"0.9 s": 0.15, "7 s": 0.6, "mixed": 0.25}
+"""Shares of the callers by their streams: most of the requests that come late follow long ones."""
+
+STOPS = TrafficShape(runners=12, shape=RunnersShape(slots=16), stop_callers=48)
+"""Room for long streams, and callers that keep their connections."""
+
 
 class Traffic:
     """Runners, callers, clients of batch jobs and the operator.
@@ -98,6 +109,8 @@
             retries=False, timeout=CALL_TIMEOUT_S, maxsize=POOL_CONNECTIONS, num_pools=1000
         )
         self.operator = Operator(machines, records, http, self._ending, self._calm)
+        if shape.stop_callers:
+            self.operator.timeout_ms = LIMIT_MS
         runners = shape.runners or max(RUNNERS, round(len(machines.all) / MACHINES_OF_RUNNER))
         self.backends = Backends(runners, seed, self.operator.call, Owners(machines), shape.shape)
         slots = self.backends.slots()
@@ -118,12 +131,35 @@
             *[self._callers.keep] * KEEPERS,
             *[self._callers.stream] * self._shape.streamers,
         ]
+        for streams, share in STOP_SHARES.items():
+            callers = round(self._shape.stop_callers * share)
+            works += [self._stop_callers(streams, self._calm).keep] * callers
         for number, work in enumerate(works):
             random = Random(f"{self._seed} {number}")
             thread = threading.Thread(target=work, args=(random,), daemon=True)
             thread.start()
             self._threads.append(thread)
 
+    def burst(self, random: Random, callers: int, ending: threading.Event) -> None:
+        """Have more callers keep connections, until an event is set; return when they are done."""
+        threads = []
+        for _ in range(callers):
+            work = self._stop_callers(random.choice(sorted(STREAMS_S)), ending).keep
+            own = Random(random.getrandbits(48))
+            threads.append(threading.Thread(target=work, args=(own,), daemon=True))
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def note_stop(self, stop: PlannedStop) -> None:
+        """Note a planned stop that nothing else struck."""
+        self._records.stops.append(stop)
+
+    def _stop_callers(self, streams: str, ending: threading.Event) -> StopCallers:
+        gateways = self._machines.of("gateway")
+        return StopCallers(gateways, streams, self._records.stop_requests.append, ending)
+
     def calm(self) -> None:
         """Send no new work; runners go on, and the operator until all is in force."""
         self._calm.set()
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import importlib.util
 import logging
 import re
@@ -50,6 +51,7 @@
 calm = load("calm")
 disks = load("disks")
 faults = load("faults")
+stop_records = importlib.import_module("stop_records")
 
 
 def run(*arguments: str) -> subprocess.CompletedProcess[str]:
@@ -809,3 +811,81 @@
     assert first.is_dir()
     assert first.parent == keep
     assert load("__main__").log_folder(7, str(keep)) != first
+
+
+STOP = stop_records.PlannedStop("gateway-1", 100.0, 107.4, 0, True)
+
+
+def stop_request(
+    kind: str, sent_s: float, ended_s: float, status: int, *, is_whole: bool = False
+) -> object:
+    events = 5 if is_whole and status == 200 else 0
+    return stop_records.StopRequest(
+        "p1", kind, "gateway-1", sent_s, ended_s, status, is_whole, events, 5, 8.0
+    )
+
+
+def stop_run(began_s: float, ended_s: float | None, *, is_silent: bool = False) -> object:
+    return stop_records.StopRun("p1", began_s, ended_s, is_silent, False)
+
+
+@pytest.mark.parametrize(
+    ("request_", "run", "figure"),
+    [
+        (stop_request("stream", 103.1, 107.3, 200), stop_run(103.1, 107.5), "cut"),
+        (stop_request("stream", 102.9, 107.3, 200), stop_run(102.9, 107.5), "at_work"),
+        (stop_request("stream", 102.9, 106.5, 200), stop_run(102.9, 106.7), "cut"),
+        (stop_request("stream", 102.9, 107.3, 0), stop_run(102.9, 106.6), "cut"),
+        (
+            stop_request("stream", 102.9, 107.3, 0),
+            stop_run(102.9, 107.3, is_silent=True),
+            "cut",
+        ),
+        (stop_request("stream", 99.0, 107.0, 200), stop_run(99.0, 107.2), "past_limit"),
+        (stop_request("stream", 103.4, 103.5, 0), None, "unread"),
+        (stop_request("stream", 103.4, 103.8, 0), None, "cut"),
+        (stop_request("stream", 103.4, 103.5, 0), stop_run(103.4, 103.5), "cut"),
+        (stop_request("stream", 90.0, 95.0, 200), stop_run(90.0, 95.0), "cut_elsewhere"),
+        (stop_request("stream", 107.5, 108.0, 0), stop_run(107.5, 108.0), "cut_elsewhere"),
+        (stop_request("stream", 103.4, 103.5, 503, is_whole=True), None, "refused"),
+        (stop_request("once", 103.4, 103.5, 503, is_whole=True), stop_run(1.0, 2.0), "broken"),
+        (stop_request("resumed", 99.0, 107.3, 504, is_whole=True), None, "out_of_time"),
+    ],
+)
+def test_what_a_request_around_a_planned_stop_may_come_to(
+    request_: object, run: object | None, figure: str
+) -> None:
+    outcome = stop_records.judge_stops([request_], [run] if run else [], [STOP])
+    kinds = ("cut", "cut_elsewhere", "broken", "at_work", "past_limit", "unread", "out_of_time")
+    found = [kind for kind in kinds if getattr(outcome, kind)]
+    assert found == ([] if figure == "refused" else [figure])
+    assert outcome.refused == (figure == "refused" or request_.kind == "once")  # type: ignore[attr-defined]
+
+
+@pytest.mark.parametrize(
+    ("status", "has_started", "broken"), [(0, True, 0), (1, True, 1), (None, False, 1)]
+)
+def test_how_a_process_may_end_by_a_planned_stop(
+    status: int | None, has_started: bool, broken: int
+) -> None:
+    stop = stop_records.PlannedStop("gateway-1", 100.0, 108.0, status, has_started)
+    assert len(stop_records.judge_stops([], [], [stop]).broken) == broken
+
+
+def test_what_may_run_once_is_told_if_it_ran_twice() -> None:
+    request = stop_request("once", 99.0, 104.0, 504, is_whole=True)
+    runs = [stop_run(99.0, 104.0), stop_run(103.0, 104.0)]
+    assert stop_records.judge_stops([request], runs, [STOP]).broken == [
+        "request p1 (once) ran 2 times"
+    ]
+
+
+STOPPED = ("--minutes", "0.2", "--machines", "9", "--closing", "none", "--only", "planned stops")
+
+
+@pytest.mark.parametrize("rule", ["", "take_without_schedule"])
+def test_requests_that_stopping_gateways_have_read_get_whole_answers(rule: str) -> None:
+    done = run(*STOPPED, "--seed", "7801", *(("--rule", rule) if rule else ()))
+    assert re.search(r" [1-9]\d* later than 3 s after it", done.stdout), done.stdout
+    told = re.search(r"BROKEN planned stop: request", done.stdout)
+    assert (done.returncode, told is not None) == ((1, True) if rule else (0, False)), done.stdout
