A request that arrives while the stopping process is paused is read

What callers saw: a request on a connection that a stopping gateway kept was closed without an answer, up to a second after it was sent; no back end got it.

Cause: connections without a request are closed at each step of the drain by what the event loop has read. When the process gets no processor between the poll of its sockets and that step, requests that arrived meanwhile are in the sockets, and closing them resets their connections.

Connections with unread input are left to the next step, which reads it.

--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import select
 from collections import deque
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
@@ -246,11 +247,20 @@
         """
         return sum(1 for connection in self.connections if connection.is_busy)
 
-    def close_idle(self) -> None:
-        """Close the connections that are not busy."""
-        for connection in list(self.connections):
-            if not connection.is_busy:
+    def close_idle(self) -> int:
+        """Close the connections that are not busy, except those with unread bytes.
+
+        Returns:
+            The number of connections that are left open because of unread bytes.
+        """
+        idle = [connection for connection in self.connections if not connection.is_busy]
+        unread = 0
+        for connection in idle:
+            if connection.has_unread:
+                unread += 1
+            else:
                 connection.close()
+        return unread
 
     def refuse_incomplete(self) -> None:
         """Refuse the requests that are still being received: they have not run."""
@@ -468,6 +478,18 @@
         """Whether a request is in progress, or not all of its answer is sent."""
         return self._task is not None or self.count_kept()[0] > 0
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether the event loop has yet to read bytes, or the end, that have arrived.
+
+        After a pause of the process that may be a whole request, which closing would reset.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     @property
     def is_unanswered(self) -> bool:
         """Whether a request is in progress of whose answer nothing has been written."""
--- a/src/leverjunction/proxy/draining.py
+++ b/src/leverjunction/proxy/draining.py
@@ -115,8 +115,8 @@
         # Callbacks that the loop has ready come first: a request may just have been read.
         await asyncio.sleep(0)
         while self._loop.time() < until_s:
-            self._port.close_idle()
-            if not self._port.count_busy():
+            unread = self._port.close_idle()
+            if not unread and not self._port.count_busy():
                 return
             await asyncio.sleep(DRAIN_POLL_S)
 
--- a/tests/unit/test_proxy_planned_stop.py
+++ b/tests/unit/test_proxy_planned_stop.py
@@ -231,3 +231,27 @@
     assert proxy.ended.wait(END_TIMEOUT_S)
     assert [(reply.status, reply.complete) for reply in replies] == [(200, True)] * 2
     assert replies[1].headers.get("connection") == "close"
+
+
+def test_a_request_that_arrives_while_the_stopping_process_is_paused_is_not_reset(
+    proxy: Proxy, runner: RunnerStandIn
+) -> None:
+    """The process goes on where it was about to close connections without a request."""
+    caller = RawCaller(proxy.address, READ_TIMEOUT_S)
+    first = caller.ask("POST", "/once/x", headers("r1"), b"ask")
+    assert (first.status, first.complete) == (200, True)
+    paused, sent_next = threading.Event(), threading.Event()
+
+    def pause_and_close_idle() -> None:
+        paused.set()
+        sent_next.wait(READ_TIMEOUT_S)
+        proxy.port.close_idle()
+
+    proxy.call(pause_and_close_idle)
+    assert paused.wait(READ_TIMEOUT_S)
+    caller.send("POST", "/once/x", headers("r2"), b"ask")
+    sent_next.set()
+    second = caller.receive()
+    caller.close()
+    assert (second.status, second.complete) == (200, True)
+    assert sent(runner, "r2") == 1
