Soak: a request's time counts from when its caller begins to send it

The caller's thread had come back from the send late. The time of the last byte still decides what was sent in time and what was left unread.

--- a/deploy/soak/stop_callers.py
+++ b/deploy/soak/stop_callers.py
@@ -115,7 +115,7 @@
         }
         if work_s:
             headers |= {EVENTS_HEADER: str(EVENTS), WORK_MS_HEADER: str(round(work_s * 1000))}
-        sent_s = time.monotonic()
+        began_s = sent_s = time.monotonic()
         status, is_whole, events, kept = 0, False, 0, False
         try:
             caller.send("POST", folder + request_id, headers, b"ask")
@@ -132,6 +132,7 @@
                 request_id,
                 kind,
                 machine.name,
+                began_s,
                 sent_s,
                 time.monotonic(),
                 status,
--- a/deploy/soak/stop_records.py
+++ b/deploy/soak/stop_records.py
@@ -37,6 +37,7 @@
         request_id: Its id, which no other request has.
         kind: Its route.
         gateway: Name of the process that it was sent to.
+        began_s: When its caller began to send it, from which its time counts.
         sent_s: When its last byte was sent.
         ended_s: When its answer or its connection ended.
         status: Status of the answer, 0 for none.
@@ -49,6 +50,7 @@
     request_id: str
     kind: str
     gateway: str
+    began_s: float
     sent_s: float
     ended_s: float
     status: int
@@ -216,7 +218,7 @@
 ) -> None:
     if not runs and request.ended_s <= request.sent_s + LOSS_SLACK_S:
         outcome.unread += stop is not None
-    elif request.ended_s >= request.sent_s + request.limit_s - CLOCKS_S:
+    elif request.ended_s >= request.began_s + request.limit_s - CLOCKS_S:
         outcome.past_limit += stop is not None
     elif any(run.has_broken_off for run in runs):
         return
--- a/tests/unit/test_soak.py
+++ b/tests/unit/test_soak.py
@@ -817,11 +817,17 @@
 
 
 def stop_request(
-    kind: str, sent_s: float, ended_s: float, status: int, *, is_whole: bool = False
+    kind: str,
+    sent_s: float,
+    ended_s: float,
+    status: int,
+    *,
+    is_whole: bool = False,
+    took_s: float = 0.0,
 ) -> object:
     events = 5 if is_whole and status == 200 else 0
     return stop_records.StopRequest(
-        "p1", kind, "gateway-1", sent_s, ended_s, status, is_whole, events, 5, 8.0
+        "p1", kind, "gateway-1", sent_s - took_s, sent_s, ended_s, status, is_whole, events, 5, 8.0
     )
 
 
@@ -842,6 +848,12 @@
             "cut",
         ),
         (stop_request("stream", 99.0, 107.0, 200), stop_run(99.0, 107.2), "past_limit"),
+        (stop_request("stream", 98.0, 105.9, 200), stop_run(98.0, 106.0), "cut"),
+        (
+            stop_request("stream", 98.0, 105.9, 200, took_s=0.1),
+            stop_run(98.0, 106.0),
+            "past_limit",
+        ),
         (stop_request("stream", 103.4, 103.5, 0), None, "unread"),
         (stop_request("stream", 103.4, 103.8, 0), None, "cut"),
         (stop_request("stream", 103.4, 103.5, 0), stop_run(103.4, 103.5), "cut"),
