The model stops gateways whose callers are busy, and checks all that they read

Seven new kinds of faults stop busy gateways, alone, two at a time, beside silent or slow back ends, a dropped route, a pause, and during the start. The new checker asks for a whole answer to each request that was read whole; a request is excused only if its own back end was disturbed, its time had passed, the gateway had an unplanned fault, or its back end was at work in the last sixth of the grace on a request of the first 3 s.

--- a/src/testbed/simulation/arguments.py
+++ b/src/testbed/simulation/arguments.py
@@ -13,7 +13,7 @@
 from testbed.simulation.run import Plan
 from testbed.simulation.scenario import SCENARIOS
 from testbed.simulation.seeded.broken import SEEDED_RULES
-from testbed.simulation.seeded.fault_kinds import SeededFaultKind
+from testbed.simulation.seeded.fault_kinds import BUSY_STOPS, SeededFaultKind
 from testbed.simulation.seeded.routed.broken import ROUTED_RULES
 from testbed.simulation.seeded.routed.broken_streams import STREAM_RULES
 from testbed.simulation.seeded.shape import SHAPES
@@ -98,7 +98,10 @@
 
 
 def _kinds(scenario: str) -> list[FaultKind | SeededFaultKind]:
-    return list(SHAPES[scenario].weights) if scenario in SHAPES else list(FaultKind)
+    if scenario not in SHAPES:
+        return list(FaultKind)
+    shape = SHAPES[scenario]
+    return [*shape.weights, *(BUSY_STOPS if shape.back_ends else ())]
 
 
 def _members(kinds: Sequence[Named], names: Names, otherwise: str) -> tuple[Named, ...]:
--- a/src/testbed/simulation/seeded/fault_kinds.py
+++ b/src/testbed/simulation/seeded/fault_kinds.py
@@ -44,6 +44,25 @@
     KILL_HOLDERS = "kill_holders"
     KILL_HOLDERS_AND_GATEWAY = "kill_holders_and_gateway"
     KILL_ALL = "kill_all"
+    STOP_BUSY = "stop_busy"
+    STOP_TWO = "stop_two"
+    STOP_BESIDE_SILENCE = "stop_beside_silence"
+    STOP_BESIDE_SLOWNESS = "stop_beside_slowness"
+    STOP_BESIDE_CHANGE = "stop_beside_change"
+    STOP_DURING_START = "stop_during_start"
+    STOP_BESIDE_PAUSE = "stop_beside_pause"
+
+
+BUSY_STOPS = (
+    SeededFaultKind.STOP_BUSY,
+    SeededFaultKind.STOP_TWO,
+    SeededFaultKind.STOP_BESIDE_SILENCE,
+    SeededFaultKind.STOP_BESIDE_SLOWNESS,
+    SeededFaultKind.STOP_BESIDE_CHANGE,
+    SeededFaultKind.STOP_DURING_START,
+    SeededFaultKind.STOP_BESIDE_PAUSE,
+)
+"""Planned stops of gateways whose callers are busy; they strike only where they are named."""
 
 
 WEIGHTS: dict[SeededFaultKind, float] = {
@@ -136,7 +155,7 @@
     return [
         SeededFault(
             at_s=moment_s,
-            kind=generator.choices(kinds, [weights[kind] for kind in kinds])[0],
+            kind=generator.choices(kinds, [weights.get(kind, 1) for kind in kinds])[0],
             duration_s=float(SHORTEST_S * (LONGEST_S / SHORTEST_S) ** generator.random()),
             target=generator.randrange(1 << 16),
             at_leader=generator.random() < 0.5,
--- a/src/testbed/simulation/seeded/faults.py
+++ b/src/testbed/simulation/seeded/faults.py
@@ -12,6 +12,7 @@
 from testbed.simulation.seeded.history import Strike
 from testbed.simulation.seeded.routed.faults import BackEndFaults
 from testbed.simulation.seeded.routed.release_faults import ReleaseFaults
+from testbed.simulation.seeded.routed.stop_faults import StopFaults
 
 if TYPE_CHECKING:
     from testbed.simulation.seeded.processes import ControlProcess
@@ -33,6 +34,7 @@
     def __init__(self, world: SeededWorld) -> None:
         self._world = world
         self._back_ends = BackEndFaults(world)
+        self._stops = StopFaults(world)
         self._releases = ReleaseFaults(world)
         self._lost_s: dict[str, float] = {}
         for process in world.control.values():
@@ -62,6 +64,7 @@
             SeededFaultKind.STEP_CLOCK: self._step_clock,
             **self._back_ends.handlers(),
             **self._releases.handlers(),
+            **self._stops.handlers(),
         }
         struck = handlers[fault.kind](fault)
         self.on_strike(fault, struck)
--- a/src/testbed/simulation/seeded/history.py
+++ b/src/testbed/simulation/seeded/history.py
@@ -155,12 +155,31 @@
     Attributes:
         gateway: Its name.
         asked_s: When it was asked.
-        ended_s: When its process ended by itself.
+        ended_s: When its process ended.
+        is_killed: It had not ended by itself within the grace period.
     """
 
     gateway: str
     asked_s: float
     ended_s: float
+    is_killed: bool = False
+
+
+@dataclass(frozen=True)
+class Worked:
+    """A back end's whole work on a request, up to its end or the loss of the connection.
+
+    Attributes:
+        request_id: The request.
+        back_end: Name of the back end's machine.
+        begin_s: When it began.
+        end_s: When it ended.
+    """
+
+    request_id: str
+    back_end: str
+    begin_s: float
+    end_s: float
 
 
 @dataclass(frozen=True)
@@ -201,6 +220,9 @@
         reads: What machines answered to reads.
         started: When each life of a gateway began, by gateway and incarnation.
         asked: Callers' requests.
+        asked_at_stops: Requests of callers who keep a gateway busy through a planned stop.
+        read: When a gateway had read a whole request, by its id.
+        worked: Work of back ends that were not silent.
         runs: Work that back ends began.
         left: When a control process acknowledged that a back end leaves, by name and start.
         stops: Planned stops of gateways.
@@ -209,9 +231,11 @@
         strikes: Faults that struck, oldest first.
         resumptions: What gateways logged of streams that callers resume.
         back_end_disturbed: Back ends that a fault had in its hands, by name.
+        back_end_hindered: Of these the times in which one was silent or slow: nothing broke off.
         control_disturbed: Control processes that a fault had in its hands, by name.
         gateway_disturbed: The same for gateways.
         gateway_frozen: Of these the standstills: what a gateway does after one is its own doing.
+        gateway_stopping: Of these the planned stops.
         faults: Faults that struck.
         counts: Calls by outcome.
         ended_s: End of the run.
@@ -222,6 +246,9 @@
     reads: list[Read] = field(default_factory=list)
     started: dict[tuple[str, int], float] = field(default_factory=dict)
     asked: list[Asked] = field(default_factory=list)
+    asked_at_stops: list[Asked] = field(default_factory=list)
+    read: dict[str, float] = field(default_factory=dict)
+    worked: list[Worked] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     left: dict[tuple[str, int], float] = field(default_factory=dict)
     stops: list[PlannedStop] = field(default_factory=list)
@@ -230,9 +257,11 @@
     strikes: list[Strike] = field(default_factory=list)
     resumptions: list[ResumptionLogged] = field(default_factory=list)
     back_end_disturbed: dict[str, list[Span]] = field(default_factory=dict)
+    back_end_hindered: dict[str, list[Span]] = field(default_factory=dict)
     control_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     gateway_disturbed: dict[str, list[Span]] = field(default_factory=dict)
     gateway_frozen: dict[str, list[Span]] = field(default_factory=dict)
+    gateway_stopping: dict[str, list[Span]] = field(default_factory=dict)
     faults: Counter[str] = field(default_factory=Counter)
     counts: Counter[str] = field(default_factory=Counter)
     ended_s: float = 0.0
--- a/src/testbed/simulation/seeded/operators.py
+++ b/src/testbed/simulation/seeded/operators.py
@@ -25,6 +25,9 @@
 """Versions by which an invalid table is ahead: accepted by mistake it would prevail."""
 
 RESUMABLE_PREFIX = "/resumable/"
+LONG_ROUTE = "long"
+LONG_PREFIX = "/long/"
+LONG_TIMEOUT_S = 8.0
 RIVAL = "rival"
 INVALID = "invalid"
 
@@ -80,14 +83,25 @@
 
     Attributes:
         version: Version that it has sent last.
+        dropped: Names of routes that the next tables do not have.
     """
 
     def __init__(
-        self, place: OperatorPlace, routes: int, added_routes: int = 0, has_streams: bool = False
+        self,
+        place: OperatorPlace,
+        routes: int,
+        added_routes: int = 0,
+        has_streams: bool = False,
+        has_long: bool = False,
     ) -> None:
         super().__init__(place)
         self.version = 0
-        self._routes = (*_routes(routes), *([resumable_route()] if has_streams else []))
+        self.dropped: set[str] = set()
+        self._routes = (
+            *_routes(routes),
+            *([resumable_route()] if has_streams else []),
+            *([long_route()] if has_long else []),
+        )
         self._added_routes = added_routes
 
     def _work(self) -> None:
@@ -110,7 +124,8 @@
 
     def _put(self, version: int) -> bool:
         name = self._any_control()
-        table = make_table(*self._routes, *self._added(version), version=version)
+        routes = [route for route in self._routes if route.name not in self.dropped]
+        table = make_table(*routes, *self._added(version), version=version)
         held = self._call(name, "put", lambda node: node.put_table(table, str(version)))
         # A machine that holds a later version acknowledges an earlier one too.
         if not isinstance(held, StoredTableVersion) or held.version < version:
@@ -180,6 +195,13 @@
     )
 
 
+def long_route() -> Route:
+    """Return the route of streams of several seconds that are not taken up again."""
+    return make_route(
+        RouteClass.STREAM, name=LONG_ROUTE, prefix=LONG_PREFIX, timeout_ms=LONG_TIMEOUT_S * 1000
+    )
+
+
 def _routes(count: int) -> tuple[Route, ...]:
     """Return one route of each kind in turn, each with a place of its own."""
     kinds = list(RouteClass)
--- a/src/testbed/simulation/seeded/routed/back_end.py
+++ b/src/testbed/simulation/seeded/routed/back_end.py
@@ -15,8 +15,8 @@
 from testbed.simulation.fiber import Fibers
 from testbed.simulation.machine import Machine
 from testbed.simulation.seeded.control_port import ControlPort
-from testbed.simulation.seeded.history import BackEndStart, Run, SeededHistory
-from testbed.simulation.seeded.operators import RESUMABLE_PREFIX
+from testbed.simulation.seeded.history import BackEndStart, Run, SeededHistory, Worked
+from testbed.simulation.seeded.operators import LONG_PREFIX, RESUMABLE_PREFIX
 from testbed.simulation.virtual_loop import StreamBoard, VirtualLoop
 
 PORT = 80
@@ -25,7 +25,11 @@
 LONGEST_WORK_S = 0.3
 EVENTS = 4
 EVENT_PAUSE_S = 0.05
-STREAM_PREFIX = b"/route-2/"
+STREAM_PREFIXES = (b"/route-2/", LONG_PREFIX.encode())
+EVENTS_HEADER = "run-events"
+"""Number of events that a caller asks of a stream of several seconds."""
+
+SLOW_EVENT_PAUSE_S = 0.2
 LONG_EVENTS = 20
 LONG_EVENT_PAUSE_S = 0.08
 KEEP_ALIVE = "timeout=20"
@@ -39,6 +43,8 @@
     Attributes:
         machine: The machine.
         leaving: It tells that it leaves.
+        pace: Factor of the time that its work takes.
+        is_silent: It takes requests and answers none.
         released: Version that each further start has; empty to draw one.
 
     Args:
@@ -63,6 +69,9 @@
     ) -> None:
         self.version = ""
         self.released = ""
+        self.pace = 1.0
+        self.is_silent = False
+        self._unanswered: set[str] = set()
         self._slots = slots
         self._versions = versions
         self.machine: Machine = control.machine
@@ -134,6 +143,12 @@
         """Return what it says of its load."""
         return b'{"Running":%d,"Waiting":0}' % self._load.running
 
+    def worked(self, request_id: str, begin_s: float) -> None:
+        """Note that the work on a request has ended, unless it only kept silent."""
+        if request_id not in self._unanswered:
+            now_s = self.machine.monotonic_s()
+            self._history.worked.append(Worked(request_id, self.name, begin_s, now_s))
+
     async def work(self, request_id: str, gateway: str) -> None:
         """Work on a request."""
         now_s = self.machine.monotonic_s()
@@ -141,7 +156,10 @@
         load = self._load
         load.running += 1
         try:
-            await asyncio.sleep(self._random.uniform(SHORTEST_WORK_S, LONGEST_WORK_S))
+            await asyncio.sleep(self._random.uniform(SHORTEST_WORK_S, LONGEST_WORK_S) * self.pace)
+            if self.is_silent:
+                self._unanswered.add(request_id)
+                await asyncio.get_running_loop().create_future()
         finally:
             load.running -= 1
 
@@ -198,7 +216,11 @@
             if target.startswith(RESUMABLE_PREFIX.encode()):
                 await self._run_long(fields)
             else:
-                await self._run(fields, is_stream=target.startswith(STREAM_PREFIX))
+                begin_s = self._back_end.machine.monotonic_s()
+                try:
+                    await self._run(fields, is_stream=target.startswith(STREAM_PREFIXES))
+                finally:
+                    self._back_end.worked(fields[words.REQUEST_ID.lower()], begin_s)
         if self._transport is not None and not self._transport.is_closing():
             self._task = None
             self._h11.start_next_cycle()
@@ -218,9 +240,10 @@
             return
         await self._back_end.work(request_id, gateway)
         self._send(h11.Response(status_code=200, headers=own))
-        for number in range(1, EVENTS + 1):
+        pause_s = SLOW_EVENT_PAUSE_S if EVENTS_HEADER in fields else EVENT_PAUSE_S
+        for number in range(1, int(fields.get(EVENTS_HEADER, EVENTS)) + 1):
             self._send(h11.Data(data=b"id: %d\ndata: %s\n\n" % (number, request_id.encode())))
-            await asyncio.sleep(EVENT_PAUSE_S)
+            await asyncio.sleep(pause_s)
         self._send(h11.EndOfMessage())
 
     async def _run_long(self, fields: dict[str, str]) -> None:
--- a/src/testbed/simulation/seeded/routed/broken.py
+++ b/src/testbed/simulation/seeded/routed/broken.py
@@ -11,14 +11,17 @@
 from leverjunction.errors import Execution, Failure
 from leverjunction.proxy import forwarding, runner_connection
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.caller_connection import CallerRequest, Responder
+from leverjunction.proxy.caller_connection import CallerRequest, EndCause, Responder
 from leverjunction.proxy.dialect import RequestMetadata
 from leverjunction.proxy.failures import no_route
-from leverjunction.proxy.forwarding import Forwarder
+from leverjunction.proxy.forwarding import Caller, Forwarder
 from leverjunction.proxy.process import ProxyNode
+from leverjunction.proxy.routed_request import RoutedRequest
+from leverjunction.proxy.stop_schedule import StopSchedule
 from leverjunction.registry.follower import Snapshot
 from leverjunction.registry.records import RunnerRecord, RunnerState
 from leverjunction.routes import Route
+from leverjunction.routes.matching import RouteIndex
 from testbed.simulation.rule import Rule
 
 
@@ -89,6 +92,31 @@
     return [mock.patch.object(ProxyNode, "_drain", at_once)]
 
 
+def refuse_nothing_while_stopping() -> list[Any]:
+    """Return the patches: a stopping gateway takes each request that comes."""
+    return [mock.patch.object(StopSchedule, "refuses", lambda *_args: False)]
+
+
+def give_no_last_answers() -> list[Any]:
+    """Return the patches: what has no answer at the end of a planned stop gets none."""
+    make_routed = Forwarder._make_routed
+
+    def until_its_own_deadline(
+        self: Forwarder, request: CallerRequest, route: Route, caller: Caller, index: RouteIndex
+    ) -> RoutedRequest:
+        routed = make_routed(self, request, route, caller, index)
+        timeout_ms = min(request.metadata.deadline_ms or route.timeout_ms, route.timeout_ms)
+        routed.until_s = request.arrived_s + timeout_ms / 1000
+        return routed
+
+    caller_left = property(lambda _self: EndCause.CALLER_LEFT)
+    return [
+        mock.patch.object(Forwarder, "_make_routed", until_its_own_deadline),
+        mock.patch.object(Forwarder, "begin_stop", lambda _self: None),
+        mock.patch.object(Responder, "end_cause", caller_left),
+    ]
+
+
 def take_a_part_for_the_whole() -> list[Any]:
     """Return the patches: an answer whose connection breaks counts as complete."""
     return [
@@ -113,6 +141,7 @@
 
 _FOUND = "routes_are_found"
 _SERVED = "requests_are_served"
+_READ = "stopping_gateways_answer_what_they_read"
 _ONCE = "runs_at_most_once"
 _LEAVING = "leaving_gets_nothing_new"
 
@@ -140,6 +169,12 @@
     "stop_at_once": Rule(
         "a planned stop waits for no request", "planned_stops_cut_nothing", stop_at_once
     ),
+    "refuse_nothing_while_stopping": Rule(
+        "a stopping gateway takes each request that comes", _READ, refuse_nothing_while_stopping
+    ),
+    "give_no_last_answers": Rule(
+        "what has no answer at the end of a planned stop gets none", _READ, give_no_last_answers
+    ),
     "know_only_the_first_back_ends": Rule(
         "news of back ends are taken once", _LEAVING, know_only_the_first_back_ends
     ),
--- a/src/testbed/simulation/seeded/routed/callers.py
+++ b/src/testbed/simulation/seeded/routed/callers.py
@@ -32,7 +32,7 @@
 _KINDS = {RouteClass.REPEATABLE: 3, RouteClass.ONCE: 1, RouteClass.STREAM: 1}
 """Kinds of requests to the first routes, and how often each is sent beside the others."""
 
-_ROUTES = {
+ROUTES = {
     RouteClass.REPEATABLE: "route-0",
     RouteClass.ONCE: "route-1",
     RouteClass.STREAM: "route-2",
@@ -84,28 +84,28 @@
     async def _ask_all(self, gateway: str, begin_s: float, end_s: float) -> None:
         loop = asyncio.get_running_loop()
         await asyncio.sleep(begin_s + self._random.random() * PAUSE_S - loop.time())
-        connection: _CallerConnection | None = None
+        connection: CallerConnection | None = None
         while loop.time() < end_s:
             connection = await self._ask(gateway, connection)
             await asyncio.sleep(PAUSE_S * (0.5 + self._random.random()))
 
     async def _ask(
-        self, gateway: str, connection: _CallerConnection | None
-    ) -> _CallerConnection | None:
+        self, gateway: str, connection: CallerConnection | None
+    ) -> CallerConnection | None:
         """Send one request; returns the connection if another may follow."""
         loop = asyncio.get_running_loop()
         route, kind = self._draw_route()
         self._asked += 1
         request_id = f"{self._machine.name}-{self._asked}"
         at_s = loop.time()
-        answer = _NO_ANSWER
+        answer = NO_ANSWER
         try:
             async with asyncio.timeout(PATIENCE_S):
                 if connection is None or not connection.is_usable:
-                    _, made = await loop.create_connection(_CallerConnection, gateway, CALLERS_PORT)
-                    assert isinstance(made, _CallerConnection)
+                    _, made = await loop.create_connection(CallerConnection, gateway, CALLERS_PORT)
+                    assert isinstance(made, CallerConnection)
                     connection = made
-                answer = await connection.ask(_request(gateway, route, request_id), request_id)
+                answer = await connection.ask(make_request(gateway, route, request_id), request_id)
         except (OSError, TimeoutError):
             if connection is not None:
                 connection.close()
@@ -130,10 +130,10 @@
         if added and self._random.random() < ADDED_SHARE:
             return f"added-{self._random.choice(added)}", RouteClass.REPEATABLE
         kind = self._random.choices(list(_KINDS), list(_KINDS.values()))[0]
-        return _ROUTES[kind], kind
+        return ROUTES[kind], kind
 
 
-class _Answer:
+class Answer:
     """What came of a request."""
 
     def __init__(self, status: int, body: bytes) -> None:
@@ -145,20 +145,20 @@
         """Whether it says that no back end has run the request."""
         return self.status not in (0, 200, *MAY_HAVE_RUN)
 
-    def is_whole(self, request_id: str, kind: RouteClass) -> bool:
+    def is_whole(self, request_id: str, kind: RouteClass, events: int = EVENTS) -> bool:
         """Return whether it is all of the answer to a request, if it is one of success."""
         if self.status != 200:
             return self.status != 0
         own = request_id.encode()
         if kind is RouteClass.STREAM:
-            return self._body.count(b"data: %s\n" % own) == EVENTS
+            return self._body.count(b"data: %s\n" % own) == events
         return self._body == own
 
 
-_NO_ANSWER = _Answer(0, b"")
+NO_ANSWER = Answer(0, b"")
 
 
-class _CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.Protocol):
     """One connection to a gateway."""
 
     def __init__(self) -> None:
@@ -172,12 +172,19 @@
         """Whether a request may be sent on it."""
         return not self._ended and self._h11.our_state is h11.IDLE
 
-    async def ask(self, request: h11.Request, request_id: str) -> _Answer:
+    def send_ahead(self, request: h11.Request, request_id: str) -> None:
+        """Send a request before the answer to the one before has ended; ``ask`` reads on."""
+        assert self._transport is not None
+        self._transport.write(_written(h11.Connection(h11.CLIENT), request, request_id))
+
+    async def ask(
+        self, request: h11.Request, request_id: str, is_sent_ahead: bool = False
+    ) -> Answer:
         """Send a request and read its answer; a broken connection gives what came, as status 0."""
         assert self._transport is not None
-        body = request_id.encode()
-        sent = [self._h11.send(one) for one in (request, h11.Data(data=body), h11.EndOfMessage())]
-        self._transport.write(b"".join(data for data in sent if data))
+        data = _written(self._h11, request, request_id)
+        if not is_sent_ahead:
+            self._transport.write(data)
         status, parts = 0, []
         while not self._ended:
             event = self._h11.next_event()
@@ -190,10 +197,10 @@
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._go_on()
-                return _Answer(status, b"".join(parts))
+                return Answer(status, b"".join(parts))
             else:
                 break
-        return _NO_ANSWER
+        return NO_ANSWER
 
     def close(self) -> None:
         """Close at once."""
@@ -202,14 +209,17 @@
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """Take a part of an answer."""
         self._h11.receive_data(data)
         self._wake()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """End the answer that is read."""
         self._ended = True
         self._wake()
 
@@ -224,8 +234,21 @@
             self._waiter.set_result(None)
 
 
-def _request(gateway: str, route: str, request_id: str) -> h11.Request:
-    deadline_ms = int(DEADLINE_S * 1000)
+def _written(connection: h11.Connection, request: h11.Request, request_id: str) -> bytes:
+    """Return a request with its id as the body, as the client of a connection writes it."""
+    events = (request, h11.Data(data=request_id.encode()), h11.EndOfMessage())
+    return b"".join(data for event in events if (data := connection.send(event)))
+
+
+def make_request(
+    gateway: str,
+    route: str,
+    request_id: str,
+    deadline_s: float = DEADLINE_S,
+    headers: Sequence[tuple[str, str]] = (),
+) -> h11.Request:
+    """Return the head of a request."""
+    deadline_ms = int(deadline_s * 1000)
     return h11.Request(
         method="POST",
         target=f"/{route}/",
@@ -235,5 +258,6 @@
             (words.DEADLINE_MS, str(deadline_ms)),
             (GATEWAY_HEADER, gateway),
             ("Content-Length", str(len(request_id))),
+            *headers,
         ],
     )
--- a/src/testbed/simulation/seeded/routed/checkers.py
+++ b/src/testbed/simulation/seeded/routed/checkers.py
@@ -19,6 +19,7 @@
 from testbed.simulation.seeded.routed.callers import DEADLINE_S
 from testbed.simulation.seeded.routed.faults import STOP_LASTS_S
 from testbed.simulation.seeded.routed.resumption_checkers import ResumedStreamsGoOn
+from testbed.simulation.seeded.routed.stop_checkers import StoppingGatewaysAnswer
 
 NOT_FOUND = 404
 MOST_ATTEMPTS = 2
@@ -332,6 +333,7 @@
     RunsAtMostOnce(),
     LeavingGetsNothingNew(),
     PlannedStopsCutNothing(),
+    StoppingGatewaysAnswer(),
 )
 
 STREAM_CHECKERS = (StreamsKeepTheirVersion(), StreamsGoOn(), ResumedStreamsGoOn())
--- a/src/testbed/simulation/seeded/routed/faults.py
+++ b/src/testbed/simulation/seeded/routed/faults.py
@@ -129,6 +129,7 @@
         # It takes requests for a while yet, and is gone then.
         span = Span(now_s + ACCEPT_AFTER_STOP_S, now_s + STOP_LASTS_S + fault.duration_s)
         self._world.history.gateway_disturbed[gateway.machine.name].append(span)
+        self._world.history.gateway_stopping[gateway.machine.name].append(span)
         gateway.stop(lambda: self._later(fault.duration_s, self._start_again(gateway)))
         return True
 
--- a/src/testbed/simulation/seeded/routed/gateway.py
+++ b/src/testbed/simulation/seeded/routed/gateway.py
@@ -19,11 +19,13 @@
 from leverjunction.proxy.caller_connection import CallerRequest, Responder
 from leverjunction.proxy.decision_log import DecisionLine
 from leverjunction.proxy.forwarding import Caller, LocalHandler
+from leverjunction.proxy.headers import find
 from leverjunction.proxy.process import ProxyNode
 from leverjunction.registry.follower import RegistryFollower, Snapshot
 from leverjunction.routes import Route
 from leverjunction.routes.matching import RouteIndex
 from leverjunction.wire.rpc_client import RpcClient
+from testbed import platform_words as words
 from testbed.simulation.fiber import Fibers
 from testbed.simulation.machine import Machine
 from testbed.simulation.rpc import RpcBoard, SimulatedRpc
@@ -74,12 +76,15 @@
         self._history = history
         self._generator = generator
         self._node: _ObservedProxy | None = None
+        self._asked: tuple[float, Callable[[], None]] | None = None
+        self._load_s = 0.0
 
-    def start(self) -> None:
-        """Start the process."""
+    def start(self, load_s: float = 0.0) -> None:
+        """Start the process, which needs some time to load its code."""
         machine = self.machine
         machine.start()
-        self._node = None
+        self._node = self._asked = None
+        self._load_s = load_s
         self._history.started[machine.name, machine.incarnation] = machine.monotonic_s()
         VirtualLoop(machine, self._fibers, self._streams).begin(self._serve)
 
@@ -89,16 +94,39 @@
         return self._node is not None and self.machine.up and not self.machine.frozen
 
     def stop(self, then: Callable[[], None]) -> None:
-        """Ask the process to end as planned; ``then`` runs once it has."""
+        """Ask the process to end as planned, also while it starts; ``then`` runs once it has."""
+        asked_s = self.machine.monotonic_s()
         node, self._node = self._node, None
-        assert node is not None
-        node.loop.call_soon_threadsafe(node.end_as_planned, then)
+        if node is None:
+            self._asked = asked_s, then
+            return
+        loop, stop = node.loop, partial(node.end_as_planned, asked_s, then)
+
+        def signal() -> None:
+            loop.call_soon_threadsafe(stop)
+
+        self.machine.deliver(signal)
+
+    def kill_late(self, asked_s: float, incarnation: int, then: Callable[[], None]) -> None:
+        """Kill a process that was asked to end and has not, as the platform does."""
+        machine = self.machine
+        if machine.up and machine.incarnation == incarnation:
+            now_s = machine.monotonic_s()
+            self._history.stops.append(PlannedStop(machine.name, asked_s, now_s, is_killed=True))
+            machine.kill()
+            self._node = None
+            then()
 
     async def _serve(self) -> None:
+        if self._load_s:
+            await asyncio.sleep(self._load_s)
         with self._virtual_parts():
             node = _ObservedProxy(self._config(), self.machine, self._history)
         await node.start()
-        self._node = node
+        if self._asked is None:
+            self._node = node
+        else:
+            node.end_as_planned(*self._asked)
 
     def _config(self) -> MachineConfig:
         name = self.machine.name
@@ -155,16 +183,26 @@
     def __init__(self, config: MachineConfig, machine: Machine, history: SeededHistory) -> None:
         self._machine = machine
         self._history = history
+        self._started_s = machine.monotonic_s()
         super().__init__(config, PlatformDialect(), READY_PATH, _make_nothing_local)
+        answer, self._port.handler = self._port.handler, self._handle
+        self._answer = answer
 
     @property
     def loop(self) -> asyncio.AbstractEventLoop:
         """Its event loop."""
         return self._loop
 
-    def end_as_planned(self, then: Callable[[], None]) -> None:
-        """Do what ``run`` does once it is asked to stop, and end the process."""
-        asked_s = self._loop.time()
+    async def _handle(self, request: CallerRequest, responder: Responder) -> None:
+        request_id = (find(request.headers, words.REQUEST_ID.lower().encode()) or b"").decode()
+        self._history.read.setdefault(request_id, self._loop.time())
+        await self._answer(request, responder)
+
+    def end_as_planned(self, asked_s: float, then: Callable[[], None]) -> None:
+        """Do what ``run`` does once it was asked to stop, and end the process."""
+        # A process that stood still takes the signal once it goes on, one that starts at once.
+        is_start = asked_s < self._started_s
+        self._stop_request.requested_s = asked_s if is_start else self._loop.time()
 
         async def stop() -> None:
             await self._drain()
--- a/src/testbed/simulation/seeded/world.py
+++ b/src/testbed/simulation/seeded/world.py
@@ -18,7 +18,7 @@
 from testbed.simulation.rpc import RpcBoard
 from testbed.simulation.scheduler import Scheduler
 from testbed.simulation.seeded.control_port import ControlPort
-from testbed.simulation.seeded.fault_kinds import SeededFault, SeededFaultKind, schedule
+from testbed.simulation.seeded.fault_kinds import BUSY_STOPS, SeededFault, SeededFaultKind, schedule
 from testbed.simulation.seeded.faults import SeededFaults
 from testbed.simulation.seeded.history import SeededHistory
 from testbed.simulation.seeded.operators import OperatorPlace, RivalOperator, TableOperator
@@ -72,6 +72,7 @@
         streams: Connections of callers, gateways and back ends.
         faults: Strikes them.
         board: Their calls.
+        operator: Sends the route tables; None before the run.
 
     Args:
         shape: What it consists of.
@@ -112,6 +113,7 @@
         self._build_control(sizes.choice(shape.control_sizes))
         self._build_gateways(sizes.randint(shape.fewest_gateways, shape.most_gateways))
         self._build_back_ends(shape.back_ends, shape.spare_back_ends)
+        self.operator: TableOperator | None = None
         self.faults = SeededFaults(self)
 
     def generator(self, purpose: str) -> random.Random:
@@ -122,11 +124,12 @@
     def run(self, calm_s: float = CALM_S) -> SeededHistory:
         """Run everything and return the record; ``calm_s`` follow the stretch of faults."""
         self.faults.plan(self._planned)
-        operator = TableOperator(
+        operator = self.operator = TableOperator(
             self._operator_place("operator", 0),
             self._shape.routes,
             self._shape.added_routes,
             has_streams=bool(self._shape.versions),
+            has_long=any(fault.kind in BUSY_STOPS for fault in self._planned),
         )
         operator.start()
         if self.back_ends:
@@ -148,7 +151,7 @@
 
     def _operator_place(self, name: str, zone_number: int) -> OperatorPlace:
         return OperatorPlace(
-            self._control_port(self._machine(name, self._zone(zone_number))),
+            self._control_port(self.add_machine(name, self._zone(zone_number))),
             self.fibers,
             self.history,
             self.generator(name),
@@ -160,7 +163,8 @@
     def _zone(self, number: int) -> str:
         return self._shape.zones[number % len(self._shape.zones)]
 
-    def _machine(self, name: str, zone: str) -> Machine:
+    def add_machine(self, name: str, zone: str) -> Machine:
+        """Add a machine."""
         return self.network.add(Machine(name, zone, self.scheduler))
 
     def _build_control(self, count: int) -> None:
@@ -168,7 +172,7 @@
         seeds = names[:SEEDS]
         replicas: dict[str, dict[str, Replica]] = {}
         for number, name in enumerate(names):
-            machine = self._machine(name, self._zone(number))
+            machine = self.add_machine(name, self._zone(number))
             config = GroupConfig(
                 group=REGISTRY_GROUP,
                 address=name,
@@ -195,10 +199,11 @@
         seeds = list(self.control)[:SEEDS]
         for number in range(count):
             name = f"front-{number}"
-            machine = self._machine(name, self._zone(number))
+            machine = self.add_machine(name, self._zone(number))
             self.gateways[name] = self._gateway(machine, seeds)
             self.history.gateway_disturbed[name] = []
             self.history.gateway_frozen[name] = []
+            self.history.gateway_stopping[name] = []
         for gateway in self.gateways.values():
             gateway.start()
 
@@ -215,8 +220,9 @@
         for number in range(count + spare):
             name = f"back-{number}"
             self.history.back_end_disturbed[name] = []
+            self.history.back_end_hindered[name] = []
             self.back_ends[name] = BackEnd(
-                self._control_port(self._machine(name, self._zone(number))),
+                self._control_port(self.add_machine(name, self._zone(number))),
                 self.streams,
                 self.fibers,
                 self.history,
@@ -232,7 +238,7 @@
 
     def _build_callers(self, operator: TableOperator) -> Callers:
         return Callers(
-            self._machine("callers", self._zone(0)),
+            self.add_machine("callers", self._zone(0)),
             list(self.gateways),
             operator.newest_accepted,
             self.streams,
@@ -243,7 +249,7 @@
 
     def _build_streamers(self) -> Streamers:
         return Streamers(
-            self._machine("streamers", self._zone(1)),
+            self.add_machine("streamers", self._zone(1)),
             list(self.gateways),
             self.streams,
             self.fibers,
--- a/tests/unit/test_simulation_routed.py
+++ b/tests/unit/test_simulation_routed.py
@@ -14,10 +14,11 @@
     LeavingGetsNothingNew,
     PlannedStopsCutNothing,
 )
+from testbed.simulation.seeded.routed.stop_checkers import StoppingGatewaysAnswer
 from testbed.simulation.seeded.shape import SEEDED_ROUTED
 
 LOST_RUNS = (SeededFaultKind.KILL_BACK_END, SeededFaultKind.CUT_BACK_END)
-SELDOM = {LeavingGetsNothingNew.name, PlannedStopsCutNothing.name}
+SELDOM = {LeavingGetsNothingNew.name, PlannedStopsCutNothing.name, StoppingGatewaysAnswer.name}
 STOPS = (SeededFaultKind.STOP_GATEWAY,)
 LEAVES = (SeededFaultKind.LEAVE_BACK_END,)
 
