--- a/src/testbed/simulation/seeded/routed/gateway.py
+++ b/src/testbed/simulation/seeded/routed/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack, contextmanager
@@ -21,6 +22,7 @@
 from leverjunction.proxy.forwarding import Caller, LocalHandler
 from leverjunction.proxy.headers import find
 from leverjunction.proxy.process import ProxyNode
+from leverjunction.proxy.stop_schedule import ACCEPT_AFTER_STOP_S
 from leverjunction.registry.follower import RegistryFollower, Snapshot
 from leverjunction.routes import Route
 from leverjunction.routes.matching import RouteIndex
@@ -184,6 +186,7 @@
         self._machine = machine
         self._history = history
         self._started_s = machine.monotonic_s()
+        self._asked_s = math.inf
         super().__init__(config, PlatformDialect(), READY_PATH, _make_nothing_local)
         answer, self._port.handler = self._port.handler, self._handle
         self._answer = answer
@@ -195,12 +198,16 @@
 
     async def _handle(self, request: CallerRequest, responder: Responder) -> None:
         request_id = (find(request.headers, words.REQUEST_ID.lower().encode()) or b"").decode()
-        self._history.read.setdefault(request_id, self._loop.time())
+        now_s, counts = self._loop.time(), self._history.counts
+        self._history.read.setdefault(request_id, now_s)
+        counts["read_while_stopping"] += now_s >= self._asked_s
+        counts["read_late_while_stopping"] += now_s >= self._asked_s + ACCEPT_AFTER_STOP_S
         await self._answer(request, responder)
 
     def end_as_planned(self, asked_s: float, then: Callable[[], None]) -> None:
         """Do what ``run`` does once it was asked to stop, and end the process."""
         # A process that stood still takes the signal once it goes on, one that starts at once.
+        self._asked_s = asked_s
         is_start = asked_s < self._started_s
         self._stop_request.requested_s = asked_s if is_start else self._loop.time()
 
