The last requests before a gateway stops accepting are judged by their deadline

Change: from 2.5 s on a request is begun only if its caller's deadline lies before the end of the process; until then its usual run decides. The lines of a stop count from the signal, the waits at the end fit into their margin, and a socket that cannot tell its state counts as open.

--- a/deploy/soak/broken.py
+++ b/deploy/soak/broken.py
@@ -124,7 +124,8 @@
 @_rule
 def _take_without_schedule() -> None:
     """A gateway that stops takes requests that it has no time for."""
-    StopSchedule.refuses = lambda *_arguments, **_options: False  # type: ignore[method-assign]
+    StopSchedule.refuses = lambda *_arguments: False  # type: ignore[method-assign]
+    StopSchedule.may_cut = lambda *_arguments: False  # type: ignore[method-assign]
 
 
 @_rule
--- a/src/leverjunction/proxy/caller_connection.py
+++ b/src/leverjunction/proxy/caller_connection.py
@@ -585,8 +585,11 @@
         connection = None if transport is None else transport.get_extra_info("socket")
         if transport is None or connection is None or transport.is_closing():
             return False
+        descriptor = connection.fileno()
+        if descriptor < 0:
+            return False
         poll = select.poll()
-        poll.register(connection.fileno(), select.POLLIN)
+        poll.register(descriptor, select.POLLIN)
         return bool(poll.poll(0))
 
     @property
--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -39,7 +39,7 @@
 
 MAX_LOGGED_PARTS = 16
 
-FLUSH_TIMEOUT_S = 0.2
+FLUSH_TIMEOUT_S = 0.1
 
 
 class DecisionLine(msgspec.Struct, omit_defaults=True):
--- a/src/leverjunction/proxy/draining.py
+++ b/src/leverjunction/proxy/draining.py
@@ -13,7 +13,7 @@
 
 DRAIN_POLL_S = 0.05
 
-LAST_ANSWERS_S = 0.3
+LAST_ANSWERS_S = 0.2
 """Time for callers to read the answers that are given at the end of the schedule."""
 
 
@@ -58,7 +58,7 @@
         stop_accepting: Takes the connections that wait in the listener's queue, and closes it.
     """
 
-    __slots__ = ("_loop", "_port", "_requested_s", "_schedule", "_stop_accepting")
+    __slots__ = ("_loop", "_port", "_schedule", "_stop_accepting")
 
     def __init__(
         self,
@@ -70,7 +70,6 @@
         self._schedule = schedule
         self._stop_accepting = stop_accepting
         self._loop = asyncio.get_running_loop()
-        self._requested_s = self._loop.time()
 
     async def run(self) -> None:
         """Accept requests until the schedule refuses them, then wait until none is in progress.
@@ -103,7 +102,7 @@
         log(
             "the last request ended {:.2f} s after the stop request; {} requests came after the"
             " listener had closed, {} were answered because the process ends, {} were cut",
-            self._loop.time() - self._requested_s,
+            self._loop.time() - self._schedule.requested_s,
             port.taken - taken_in_time,
             answered,
             cut,
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -280,7 +280,8 @@
         route = routed.route
         head_s = self._retrying_sender.head_latencies(route).unqueued_s() or 0.0
         run_s = head_s + self._balancer.usual_run_s(routed.service, route.name)
-        if self._schedule.refuses(self._loop.time(), run_s):
+        deadline_s = routed.request.arrived_s + _timeout_ms(routed.metadata, route) / 1000
+        if self._schedule.may_cut(self._loop.time(), run_s, deadline_s):
             return stopping(Execution.NOT_RUN)
         return None
 
@@ -291,8 +292,8 @@
         metadata = request.metadata
         tenant = caller if isinstance(caller, Tenant) else None
         metadata.tenant = "" if tenant is None else tenant.name
-        timeout_ms = min(metadata.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
-        until_s = min(request.arrived_s + timeout_ms / 1000, self._schedule.answer_by_s)
+        deadline_s = request.arrived_s + _timeout_ms(metadata, route) / 1000
+        until_s = min(deadline_s, self._schedule.answer_by_s)
         stream = _stream_of(request, route)
         # A caller that continues a stream must be given the same part of a split route again.
         is_split = len(route.services) > 1
@@ -698,6 +699,11 @@
         responder.respond(status, headers, failure.reason.encode())
 
 
+def _timeout_ms(metadata: RequestMetadata, route: Route) -> float:
+    """Return the time limit of a request by its caller and its route, in milliseconds."""
+    return min(metadata.deadline_ms or DEFAULT_TIMEOUT_MS, route.timeout_ms)
+
+
 def _describe(routed: RoutedRequest, responder: Responder) -> None:
     """Tell the caller's connection what an answer is worth if callers read too slowly."""
     responder.describe(
--- a/src/leverjunction/proxy/read_ahead.py
+++ b/src/leverjunction/proxy/read_ahead.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 
+from loguru import logger
+
 MAX_PIPELINED_BYTES = 64 * 1024
 """Bytes beyond the current request after which reading pauses. A single read may exceed it."""
 
@@ -19,6 +22,8 @@
 _CLOSED_STATES = frozenset({7, 8})
 """Values of ``tcpi_state``: the connection is closed, or the peer has closed its side."""
 
+_NOT_SUPPORTED = frozenset({errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.EINVAL, errno.ENOSYS})
+
 
 class ReadAhead:
     """Pauses and resumes the reading of one connection.
@@ -84,8 +89,10 @@
         return False
     try:
         return connection.getsockopt(socket.IPPROTO_TCP, option, 1)[0] in _CLOSED_STATES
-    except OSError:
-        # The socket has broken or is closed.
+    except OSError as error:
+        if error.errno in _NOT_SUPPORTED:
+            return False
+        logger.debug("the connection of a caller has broken: {}", error)
         return True
 
 
--- a/src/leverjunction/proxy/stop_schedule.py
+++ b/src/leverjunction/proxy/stop_schedule.py
@@ -15,6 +15,13 @@
 The platform directs callers here until it has polled the readiness port twice.
 """
 
+USUAL_RUN_UNTIL_S = 2.5
+"""Time after a stop request until which the usual run of a request decides whether it is begun.
+
+After that its deadline does: the signal may be handled late, so that the last requests are in fact
+later than ``ACCEPT_AFTER_STOP_S``, from which on none may be cut.
+"""
+
 STOP_MARGIN_S = 0.7
 """Part of the grace period that is reserved for the last answers and for closing."""
 
@@ -23,19 +30,20 @@
     """Times of a planned stop, in monotonic seconds; infinite until it is requested.
 
     Attributes:
-        accept_until_s: When the first request is refused because of the stop.
+        requested_s: When the stop was requested.
+        accept_until_s: From then on all requests are refused.
         answer_by_s: When each request that is in progress must have its answer.
     """
 
-    __slots__ = ("accept_until_s", "answer_by_s")
+    __slots__ = ("accept_until_s", "answer_by_s", "requested_s")
 
     def __init__(self) -> None:
-        self.accept_until_s = self.answer_by_s = math.inf
+        self.requested_s = self.accept_until_s = self.answer_by_s = math.inf
 
     @property
     def has_begun(self) -> bool:
         """Whether a stop was requested."""
-        return self.answer_by_s != math.inf
+        return self.requested_s != math.inf
 
     def begin(self, requested_s: float, grace_s: float) -> None:
         """Set the times.
@@ -44,17 +52,26 @@
             requested_s: When the stop was requested.
             grace_s: Seconds from then until the process is killed.
         """
+        self.requested_s = requested_s
         self.answer_by_s = requested_s + max(0.0, grace_s - STOP_MARGIN_S)
         self.accept_until_s = min(requested_s + ACCEPT_AFTER_STOP_S, self.answer_by_s)
 
-    def refuses(self, arrived_s: float, run_s: float = 0.0) -> bool:
-        """Return whether a request is refused because of the stop.
+    def refuses(self, arrived_s: float) -> bool:
+        """Return whether a request that arrived at a time is refused, whatever it takes."""
+        return arrived_s >= self.accept_until_s
+
+    def may_cut(self, now_s: float, run_s: float, deadline_s: float) -> bool:
+        """Return whether a request that is begun now may be cut by the end of the process.
 
         Args:
-            arrived_s: When it had arrived.
-            run_s: Expected time from sending it to the end of its answer, in seconds.
+            now_s: Current time.
+            run_s: Usual time from sending it to the end of its answer, in seconds.
+            deadline_s: When its caller gives up.
         """
-        return arrived_s >= self.accept_until_s or arrived_s + run_s > self.answer_by_s
+        if self.refuses(now_s) or now_s + run_s > self.answer_by_s:
+            return True
+        is_late = now_s >= self.requested_s + USUAL_RUN_UNTIL_S
+        return is_late and deadline_s > self.answer_by_s
 
 
-__all__ = ["ACCEPT_AFTER_STOP_S", "STOP_MARGIN_S", "StopSchedule"]
+__all__ = ["ACCEPT_AFTER_STOP_S", "STOP_MARGIN_S", "USUAL_RUN_UNTIL_S", "StopSchedule"]
--- a/src/testbed/simulation/seeded/routed/broken.py
+++ b/src/testbed/simulation/seeded/routed/broken.py
@@ -94,7 +94,8 @@
 
 def refuse_nothing_while_stopping() -> list[Any]:
     """Return the patches: a stopping gateway takes each request that comes."""
-    return [mock.patch.object(StopSchedule, "refuses", lambda *_args: False)]
+    names = ("refuses", "may_cut")
+    return [mock.patch.object(StopSchedule, name, lambda *_args: False) for name in names]
 
 
 def give_no_last_answers() -> list[Any]:
--- a/src/testbed/simulation/virtual_loop.py
+++ b/src/testbed/simulation/virtual_loop.py
@@ -336,6 +336,10 @@
     def __init__(self, transport: VirtualTransport) -> None:
         self._transport = transport
 
+    def fileno(self) -> int:
+        """Return that it has no descriptor."""
+        return -1
+
     def setsockopt(self, _level: int, option: int, _value: int) -> None:
         if option == socket.SO_KEEPALIVE:
             self._transport.probe()
--- a/tests/unit/test_proxy_planned_stop.py
+++ b/tests/unit/test_proxy_planned_stop.py
@@ -200,6 +200,24 @@
     assert (short.status, short.complete) == (200, True)
 
 
+def test_a_request_sent_as_the_signal_is_handled_late_is_not_cut(
+    proxy: Proxy, runner: RunnerStandIn
+) -> None:
+    """It is later than it seems; one whose deadline fits is answered in any case."""
+    runner.usual = "stream"
+    asked_to_stop(proxy)
+    until(proxy, ACCEPT_AFTER_STOP_S - 0.3)
+    long = ask(proxy, "/stream/x", "r1", 4.0)
+    caller = RawCaller(proxy.address, READ_TIMEOUT_S)
+    fields = {**headers("r2", 0.2), "Leverjunction-Deadline-Ms": "1000"}
+    short = caller.ask("POST", "/stream/x", fields, b"ask")
+    caller.close()
+    assert proxy.ended.wait(END_TIMEOUT_S)
+    assert (long.status, long.complete) == (NOT_RUN, True)
+    assert sent(runner, "r1") == 0
+    assert (short.status, short.complete) == (200, True)
+
+
 def test_a_batch_job_that_stores_have_perhaps_taken_is_not_said_to_be_refused(
     runner: RunnerStandIn,
 ) -> None:
