A caller's request has a module of its own

Cause: proxy.caller_connection had grown to 760 lines, of which the request and what its content says of it need no connection. Result: 195 tests of callers' connections, stops, prompts and quarantine pass; mypy.

--- a/src/leverjunction/lots/attempts.py
+++ b/src/leverjunction/lots/attempts.py
@@ -30,7 +30,7 @@
     MAX_ITEM_OUTPUT_BYTES,
 )
 from leverjunction.proxy.attempt import Sender
-from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.proxy.dispatch import Dispatch, HeadTimeouts, OpenedResponse
 from leverjunction.proxy.headers import ends_with_connection
--- a/src/leverjunction/platform/gateway_calls.py
+++ b/src/leverjunction/platform/gateway_calls.py
@@ -25,8 +25,9 @@
 )
 from leverjunction.lots.ownership import SEPARATOR, stored_id
 from leverjunction.platform.headers import REQUEST_ID
-from leverjunction.proxy.caller_connection import CallerRequest, Responder
+from leverjunction.proxy.caller_connection import Responder
 from leverjunction.proxy.caller_identity import NO_KEY, require
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.failures import status_of, unauthenticated
 from leverjunction.proxy.forwarding import Caller, LocalHandler
 from leverjunction.proxy.headers import find
--- a/src/leverjunction/proxy/decision_log.py
+++ b/src/leverjunction/proxy/decision_log.py
@@ -17,7 +17,7 @@
 from leverjunction.clock import Clock
 from leverjunction.errors import Execution, Failure
 from leverjunction.proxy.balancer import Choice
-from leverjunction.proxy.caller_connection import request_content
+from leverjunction.proxy.caller_request import request_content
 from leverjunction.proxy.dialect import RequestMetadata
 from leverjunction.proxy.metrics import ProxyMetrics
 from leverjunction.proxy.routed_request import RoutedRequest
--- a/src/leverjunction/proxy/dispatch.py
+++ b/src/leverjunction/proxy/dispatch.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from leverjunction.errors import Execution, Failure, FailureKind, Step
-from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.dialect import RequestMetadata, ResponseMetadata
 from leverjunction.proxy.runner_connection import ResponseHead, RunnerConnection
 from leverjunction.proxy.tracked_runner import TrackedRunner
--- a/src/leverjunction/proxy/forwarding.py
+++ b/src/leverjunction/proxy/forwarding.py
@@ -16,13 +16,9 @@
 from leverjunction.proxy.answer_bounds import MAX_EVENT_BYTES, PART_TIME_S, PartialBound
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.caller_connection import (
-    CallerRequest,
-    EndCause,
-    Responder,
-    request_content,
-)
+from leverjunction.proxy.caller_connection import EndCause, Responder
 from leverjunction.proxy.caller_identity import CallerIdentity, require
+from leverjunction.proxy.caller_request import CallerRequest, request_content
 from leverjunction.proxy.decision_log import DecisionLog
 from leverjunction.proxy.dialect import Dialect, RequestMetadata
 from leverjunction.proxy.dispatch import OpenedResponse
--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -20,12 +20,8 @@
 from leverjunction.proxy.answer_buffer import AnswerBuffer
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.caller_connection import (
-    CallerConnection,
-    CallerPort,
-    CallerRequest,
-    Responder,
-)
+from leverjunction.proxy.caller_connection import CallerConnection, CallerPort, Responder
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.decision_log import DecisionLog
 from leverjunction.proxy.dialect import Dialect
 from leverjunction.proxy.draining import Drain, close_listener
--- a/src/leverjunction/proxy/quarantine.py
+++ b/src/leverjunction/proxy/quarantine.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from leverjunction.errors import Execution, Failure, FailureKind, is_failure
-from leverjunction.proxy.caller_connection import (
+from leverjunction.proxy.caller_request import (
     CallerRequest,
     request_address,
     request_content,
--- a/src/leverjunction/proxy/routed_request.py
+++ b/src/leverjunction/proxy/routed_request.py
@@ -4,7 +4,7 @@
 
 from leverjunction.errors import Execution
 from leverjunction.proxy.admission import Ticket
-from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.dialect import RequestMetadata
 from leverjunction.proxy.prompt import Prompt
 from leverjunction.registry.origins import StreamOrigin
--- a/src/leverjunction/proxy/stream_origins.py
+++ b/src/leverjunction/proxy/stream_origins.py
@@ -14,7 +14,7 @@
 
 import xxhash
 
-from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.departures import Departures
 from leverjunction.proxy.headers import find
 from leverjunction.registry.origins import (
--- a/src/testbed/simulation/seeded/routed/broken.py
+++ b/src/testbed/simulation/seeded/routed/broken.py
@@ -11,7 +11,8 @@
 from leverjunction.errors import Execution, Failure
 from leverjunction.proxy import forwarding, runner_connection
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.caller_connection import CallerRequest, EndCause, Responder
+from leverjunction.proxy.caller_connection import EndCause, Responder
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.dialect import RequestMetadata
 from leverjunction.proxy.failures import no_route
 from leverjunction.proxy.forwarding import Caller, Forwarder
--- a/src/testbed/simulation/seeded/routed/gateway.py
+++ b/src/testbed/simulation/seeded/routed/gateway.py
@@ -17,7 +17,8 @@
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.proxy import decision_log as decision_log_module
 from leverjunction.proxy import process as process_module
-from leverjunction.proxy.caller_connection import CallerRequest, Responder
+from leverjunction.proxy.caller_connection import Responder
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.decision_log import DecisionLine
 from leverjunction.proxy.forwarding import Caller, LocalHandler
 from leverjunction.proxy.headers import find
--- a/tests/unit/test_lots_isolation.py
+++ b/tests/unit/test_lots_isolation.py
@@ -17,7 +17,7 @@
 from leverjunction.platform.headers import PlatformDialect
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.caller_connection import CallerRequest, request_content
+from leverjunction.proxy.caller_request import CallerRequest, request_content
 from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.quarantine.records import SuspectList, SuspectRecord
 from leverjunction.quarantine.request_key import prompt_key
--- a/tests/unit/test_lots_isolation_limits.py
+++ b/tests/unit/test_lots_isolation_limits.py
@@ -30,7 +30,7 @@
 from leverjunction.proxy.admission import AdmissionQueue, Decision, Ticket
 from leverjunction.proxy.attempt import Sender
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.caller_connection import request_content
+from leverjunction.proxy.caller_request import request_content
 from leverjunction.proxy.quarantine import Quarantine
 from leverjunction.proxy.runner_pool import RunnerPool
 from leverjunction.quarantine.crash_detector import PROOF_TIMEOUT_S
--- a/tests/unit/test_promises_not_run.py
+++ b/tests/unit/test_promises_not_run.py
@@ -13,7 +13,7 @@
 from leverjunction.errors import Execution, Failure, FailureKind, Step
 from leverjunction.lots.commands import LotAccepted
 from leverjunction.platform import gateway_calls
-from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.routes import RouteClass
 from leverjunction.wire.codec import decode_reply
 from leverjunction.wire.envelope import Envelope, MessageKind, decode_envelope, encode_envelope
--- a/tests/unit/test_prompt_parts.py
+++ b/tests/unit/test_prompt_parts.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from leverjunction.proxy.caller_connection import CallerRequest, request_parts
+from leverjunction.proxy.caller_request import CallerRequest, request_parts
 from leverjunction.proxy.dialect import PromptPart, RequestMetadata
 from leverjunction.proxy.quarantine import Quarantine
 from leverjunction.quarantine.prompt_parts import (
--- a/tests/unit/test_proxy_caller_floods.py
+++ b/tests/unit/test_proxy_caller_floods.py
@@ -16,9 +16,9 @@
     MAX_BODY_CHUNKS,
     CallerConnection,
     CallerPort,
-    CallerRequest,
     Responder,
 )
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.request_buffer import KeptRequest, RequestBuffer
 from leverjunction.routes.types import RequestLimits
 
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -9,7 +9,7 @@
 import pytest
 
 from leverjunction.platform.headers import PlatformDialect
-from leverjunction.proxy.caller_connection import CallerRequest, request_content
+from leverjunction.proxy.caller_request import CallerRequest, request_content
 from leverjunction.proxy.quarantine import Quarantine
 from leverjunction.quarantine.crash_detector import MAX_PENDING_RUNS, PROOF_TIMEOUT_S, CrashDetector
 from leverjunction.quarantine.records import EndedRun, SuspectList, SuspectRecord
--- a/tests/unit/test_resumed_streams_under_load.py
+++ b/tests/unit/test_resumed_streams_under_load.py
@@ -16,7 +16,7 @@
 
 from leverjunction.proxy.admission import AdmissionQueue, Decision, LoadEstimate, Ticket
 from leverjunction.proxy.balancer import Balancer
-from leverjunction.proxy.caller_connection import CallerRequest
+from leverjunction.proxy.caller_request import CallerRequest
 from leverjunction.proxy.dialect import EngineLoad, RequestMetadata
 from leverjunction.proxy.prompt import Prompt
 from leverjunction.proxy.routed_request import RoutedRequest
