A stop whose signal came during a pause counts from the begin of the pause

Cause: the time of a signal is not told, and the process took the time of its handling for it. Change: pause_watch notes four times a second that the event loop runs; a signal that is handled behind a pause of half a second and more counts from the last beat before it. Nothing changes without a pause.

--- a/src/leverjunction/proxy/process.py
+++ b/src/leverjunction/proxy/process.py
@@ -16,6 +16,7 @@
 from leverjunction.clock import SystemClock
 from leverjunction.config.machine import MachineConfig
 from leverjunction.listener import BACKLOG, STOP_SIGNALS
+from leverjunction.pause_watch import BEAT_INTERVAL_S, PauseWatch
 from leverjunction.proxy.admission_gate import AdmissionGate
 from leverjunction.proxy.answer_buffer import AnswerBuffer
 from leverjunction.proxy.attempt import Sender
@@ -78,6 +79,7 @@
     ) -> None:
         self._config = config
         self._stop_request = stop_request or StopRequest()
+        self._pauses = PauseWatch()
         self._ready_path = ready_path
         self._callers_listener = callers_listener
         self._loop = asyncio.get_running_loop()
@@ -193,7 +195,7 @@
         stop_requested = asyncio.Event()
 
         def request_stop() -> None:
-            self._stop_request.note()
+            self.note_stop()
             stop_requested.set()
 
         for number in STOP_SIGNALS:
@@ -207,8 +209,13 @@
         self.close()
         logger.info("stopped")
 
+    def note_stop(self) -> None:
+        """Note that the process is asked to stop, unless that is known; call it on the loop."""
+        self._stop_request.note(self._pauses.earliest_s(self._loop.time()))
+
     async def start(self) -> None:
         """Open the ports and start to follow the registry."""
+        self._beat()
         self._caller_server = await self._listen(
             self._port, self._config.listen.callers, self._callers_listener
         )
@@ -235,6 +242,10 @@
         self._loads.stop()
         self._pool.close()
 
+    def _beat(self) -> None:
+        self._pauses.beat(self._loop.time())
+        self._loop.call_later(BEAT_INTERVAL_S, self._beat)
+
     async def _listen(
         self, port: CallerPort, address: str, listener: socket.socket | None = None
     ) -> asyncio.Server:
@@ -249,11 +260,9 @@
     async def _drain(self) -> None:
         """Report not ready, and answer the requests in progress within the grace period."""
         self._stopping = True
-        requested_s = self._stop_request.requested_s
-        self._schedule.begin(
-            self._loop.time() if requested_s is None else requested_s,
-            self._config.bounds.stop_grace_s,
-        )
+        self.note_stop()
+        assert self._stop_request.requested_s is not None
+        self._schedule.begin(self._stop_request.requested_s, self._config.bounds.stop_grace_s)
         self._forwarder.begin_stop()
         await Drain(self._port, self._schedule, self._stop_accepting).run()
         self._decision_log.flush()
--- a/src/leverjunction/stop_request.py
+++ b/src/leverjunction/stop_request.py
@@ -32,13 +32,13 @@
         for number in STOP_SIGNALS:
             signal.signal(number, self._note)
 
-    def note(self) -> None:
-        """Note a signal that another handler has received."""
+    def note(self, at_s: float) -> None:
+        """Note a signal that another handler has received, with its time in monotonic seconds."""
         if self.requested_s is None:
-            self.requested_s = steady_s()
+            self.requested_s = at_s
 
     def _note(self, _number: int, _frame: FrameType | None) -> None:
-        self.note()
+        self.note(steady_s())
 
 
 __all__ = ["StopRequest"]
--- a/src/testbed/simulation/seeded/routed/gateway.py
+++ b/src/testbed/simulation/seeded/routed/gateway.py
@@ -209,8 +209,9 @@
         """Do what ``run`` does once it was asked to stop, and end the process."""
         # A process that stood still takes the signal once it goes on, one that starts at once.
         self._asked_s = asked_s
-        is_start = asked_s < self._started_s
-        self._stop_request.requested_s = asked_s if is_start else self._loop.time()
+        if asked_s < self._started_s:
+            self._stop_request.note(asked_s)
+        self.note_stop()
 
         async def stop() -> None:
             await self._drain()
--- a/tests/unit/test_stop_request.py
+++ b/tests/unit/test_stop_request.py
@@ -32,6 +32,6 @@
     after_s = steady_s()
     time.sleep(0.05)
     os.kill(os.getpid(), number)
-    request.note()
+    request.note(steady_s())
     assert request.requested_s is not None
     assert before_s <= request.requested_s <= after_s + 0.04
