A waiting caller that has left no longer hides those behind it in the queue

What callers could see: as a listener closed, those that waited in its queue behind one that had left were reset. Cause: the first error of accept ended the taking of the queue, though the comment said that the next one may still be taken; found by reading. Change: an aborted connection is passed over, other errors end it with a warning. Evidence: the row fails before (0 of 1 accepted); 27 rows of planned stops pass.

--- a/src/leverjunction/proxy/draining.py
+++ b/src/leverjunction/proxy/draining.py
@@ -41,9 +41,11 @@
             accepted, _ = listener.accept()
         except BlockingIOError:
             return
+        except ConnectionAbortedError as error:
+            logger.debug("a waiting caller has left: {}", error)
+            continue
         except OSError as error:
-            # Its caller has left, or no descriptor is free; the next one may still be taken.
-            logger.debug("cannot accept a waiting connection: {}", error)
+            logger.warning("cannot accept the connections that wait: {}", error)
             return
         accepted.setblocking(False)
         yield accepted
--- a/tests/unit/test_proxy_planned_stop.py
+++ b/tests/unit/test_proxy_planned_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -10,6 +11,7 @@
 import pytest
 from tests.unit.proxy_support import Proxy, request_headers
 
+from leverjunction.proxy import draining
 from leverjunction.proxy.stop_schedule import ACCEPT_AFTER_STOP_S
 from leverjunction.routes import RouteClass
 from testbed.routed import RawCaller, RawReply, RunnerStandIn, make_route, make_table
@@ -179,6 +181,26 @@
     assert (reply.status, reply.complete) == (200, True)
 
 
+def test_a_waiting_caller_that_has_left_does_not_hide_those_behind_it() -> None:
+    class Queue:
+        def __init__(self) -> None:
+            self.waiting: list[socket.socket | OSError] = [
+                ConnectionAbortedError(),
+                socket.socket(),
+                BlockingIOError(),
+            ]
+
+        def accept(self) -> tuple[socket.socket, str]:
+            first = self.waiting.pop(0)
+            if isinstance(first, OSError):
+                raise first
+            return first, ""
+
+    accepted = list(draining._accept_waiting(Queue()))  # type: ignore[arg-type]
+    assert len(accepted) == 1
+    accepted[0].close()
+
+
 def test_a_request_that_would_outlast_the_process_is_refused_at_once(
     proxy: Proxy, runner: RunnerStandIn
 ) -> None:
